Lay out the workspace, shared value types and the contracts between the parts

Cause: the repository was empty and several people start at once. Conclusion: the parts can go side by side.

--- /dev/null
+++ b/crates/guavawell-core/src/budget/mod.rs
@@ -0,0 +1,1 @@
+//! Prepaid budgets: rows, slots, grants, witnesses, takeover and refill.
--- /dev/null
+++ b/crates/guavawell-core/src/instance/mod.rs
@@ -0,0 +1,1 @@
+//! Entry instances: membership, suspicion and leaving marks.
--- /dev/null
+++ b/crates/guavawell-core/src/lib.rs
@@ -0,0 +1,17 @@
+//! Decisions of the guavawell router fleet.
+//!
+//! This crate reads no clock, opens no socket, starts no thread and draws no
+//! random number. Every rule takes an event and a time and returns the new
+//! state and the effects, so that tests, the reference model, the load tool
+//! and production drive the same code.
+
+pub mod backend;
+pub mod budget;
+pub mod clock;
+pub mod event;
+pub mod id;
+pub mod instance;
+pub mod limits;
+pub mod manifest;
+pub mod order;
+pub mod request;
--- /dev/null
+++ b/crates/guavawell-core/src/limits/mod.rs
@@ -0,0 +1,1 @@
+//! Admission, fairness between organisations, priorities and retry budgets.
--- /dev/null
+++ b/crates/guavawell-core/src/manifest/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' manifest: parsing, findings, pages and the version in force.
--- /dev/null
+++ b/crates/guavawell-core/src/order/mod.rs
@@ -0,0 +1,1 @@
+//! Orders to model engines: fencing numbers, issuing and reading back.
--- /dev/null
+++ b/crates/guavawell-core/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! A request's life: identity, claims, seals, billing records and refusals.
--- /dev/null
+++ b/crates/guavawell-demo/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder entry point, replaced by the first thin path.
+
+fn main() {}
--- /dev/null
+++ b/crates/guavawell-timeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! See Cargo.toml for this crate's role.
