Collect findings with their place and report them together

First version of core::finding, used by the router's settings and free for the manifest: Finding, FindingPlace, FindingList, nearest_word, line_at. No measurement: it runs once per file read.

--- a/crates/guavawell-core/src/lib.rs
+++ b/crates/guavawell-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod clock;
 pub mod event;
+pub mod finding;
 pub mod id;
 pub mod instance;
 pub mod limits;
