--- /dev/null
+++ b/crates/guavawell-fleet/src/caller/listener.rs
@@ -0,0 +1,287 @@
+//! Accepts callers' connections and serves their requests one after another.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_h1::server::ConnectionStatus;
+use async_h1::server::Server;
+use http_types::Request;
+use http_types::Response;
+use smol::Executor;
+use smol::Timer;
+use smol::channel;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+use smol::future::FutureExt;
+use smol::io::AsyncRead;
+use smol::io::AsyncWrite;
+use smol::net::TcpListener;
+
+/// Wait after a failed accept, for instance when file handles ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds on one listener's connections.
+#[derive(Clone, Debug)]
+pub struct CallerLimits {
+    /// Most connections open at once; further ones are closed at once.
+    pub max_connections: usize,
+    /// Longest wait for a request's head, which also bounds an idle connection.
+    pub head_timeout: Duration,
+    /// How long idle connections stay open after a stop, so that a request
+    /// that is under way to them is still answered.
+    pub linger: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 10_000,
+            head_timeout: Duration::from_secs(30),
+            linger: Duration::from_secs(1),
+        }
+    }
+}
+
+/// A listening address with its open connections.
+#[derive(Debug)]
+pub struct CallerListener {
+    limits: CallerLimits,
+    listener: TcpListener,
+    stop: StopSignal,
+    open: AtomicUsize,
+    busy: AtomicUsize,
+}
+
+/// Tells every task at once that the listener was stopped: closing a channel
+/// wakes all its receivers without a poll.
+#[derive(Debug)]
+struct StopSignal {
+    sender: Sender<()>,
+    receiver: Receiver<()>,
+}
+
+impl StopSignal {
+    fn new() -> Self {
+        let (sender, receiver) = channel::bounded(1);
+        Self { sender, receiver }
+    }
+
+    fn raise(&self) {
+        self.sender.close();
+    }
+
+    fn is_raised(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    async fn wait(&self) {
+        // Nothing is ever sent: receiving ends when the channel is closed.
+        let _ = self.receiver.recv().await;
+    }
+}
+
+impl CallerListener {
+    /// Binds `address`.
+    ///
+    /// # Errors
+    ///
+    /// The bind error.
+    pub async fn bind(address: SocketAddr, limits: CallerLimits) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(address).await?;
+        Ok(Arc::new(Self {
+            limits,
+            listener,
+            stop: StopSignal::new(),
+            open: AtomicUsize::new(0),
+            busy: AtomicUsize::new(0),
+        }))
+    }
+
+    /// The bound address, with the port that the system chose.
+    ///
+    /// # Errors
+    ///
+    /// As the system reports.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Accepts no further connection and no further request on open ones.
+    pub fn stop(&self) {
+        self.stop.raise();
+    }
+
+    /// Whether [`CallerListener::stop`] was called.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        self.stop.is_raised()
+    }
+
+    /// Requests being answered now.
+    #[must_use]
+    pub fn busy(&self) -> usize {
+        self.busy.load(Ordering::Acquire)
+    }
+
+    /// Connections open now.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+
+    /// Serves connections until stopped; each gets a task on `executor`.
+    ///
+    /// `wrap` turns a TCP connection into the stream to speak HTTP on, for
+    /// instance after a TLS handshake.
+    pub async fn serve<W, WFut, S, H, HFut>(
+        self: Arc<Self>,
+        executor: Arc<Executor<'static>>,
+        wrap: W,
+        handle: H,
+    ) where
+        W: Fn(smol::net::TcpStream) -> WFut + Clone + Send + Sync + 'static,
+        WFut: Future<Output = io::Result<S>> + Send + 'static,
+        S: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static,
+        H: Fn(Request) -> HFut + Clone + Send + Sync + 'static,
+        HFut: Future<Output = Response> + Send + 'static,
+    {
+        while !self.is_stopped() {
+            let stop = async {
+                self.stop.wait().await;
+                None
+            };
+            let accept = async { Some(self.listener.accept().await) };
+            let stream = match accept.or(stop).await {
+                None => break,
+                Some(Ok((stream, _))) => stream,
+                Some(Err(error)) => {
+                    metrics::counter!("caller_accept_errors").increment(1);
+                    log::debug!("accept failed: {error}");
+                    Timer::after(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            if self.open() >= self.limits.max_connections {
+                metrics::counter!("caller_connections_refused").increment(1);
+                continue;
+            }
+            // Small answers must not wait for the peer's acknowledgement.
+            let _ = stream.set_nodelay(true);
+            let guard = OpenGuard::enter(Arc::clone(&self));
+            let wrap = wrap.clone();
+            let handle = handle.clone();
+            let listener = Arc::clone(&self);
+            let connection = async move {
+                let _guard = guard;
+                if let Ok(stream) = wrap(stream).await {
+                    listener.converse(stream, handle).await;
+                }
+            };
+            executor.spawn(connection).detach();
+        }
+    }
+
+    async fn converse<S, H, HFut>(self: Arc<Self>, stream: S, handle: H)
+    where
+        S: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static,
+        H: Fn(Request) -> HFut + Clone + Send + Sync + 'static,
+        HFut: Future<Output = Response> + Send + 'static,
+    {
+        let answering = Arc::new(AtomicBool::new(false));
+        let endpoint = {
+            let listener = Arc::clone(&self);
+            let answering = Arc::clone(&answering);
+            move |request: Request| {
+                let busy = BusyGuard::enter(Arc::clone(&listener), Arc::clone(&answering));
+                let answer = handle(request);
+                async move {
+                    let mut response = answer.await;
+                    if busy.listener.is_stopped() {
+                        response.insert_header("connection", "close");
+                    }
+                    // Held until the body is written, so that a shutdown waits for it.
+                    response.ext_mut().insert(busy);
+                    Ok(response)
+                }
+            }
+        };
+        let mut server = Server::new(stream, endpoint);
+        loop {
+            let idle = async {
+                self.idle_end(&answering).await;
+                Ok(ConnectionStatus::Close)
+            };
+            match server.accept_one().or(idle).await {
+                Ok(ConnectionStatus::KeepAlive) => {}
+                Ok(ConnectionStatus::Close) => break,
+                Err(error) => {
+                    metrics::counter!("caller_connection_errors").increment(1);
+                    log::debug!("connection ended: {error}");
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Resolves once a connection that answers nothing has to be closed.
+    async fn idle_end(&self, answering: &AtomicBool) {
+        let expire = async {
+            Timer::after(self.limits.head_timeout).await;
+        };
+        let stop = async {
+            self.stop.wait().await;
+            Timer::after(self.limits.linger).await;
+        };
+        expire.or(stop).await;
+        if answering.load(Ordering::Acquire) {
+            // The answer under way ends the wait by itself.
+            smol::future::pending::<()>().await;
+        }
+    }
+}
+
+/// Marks one request as being answered until dropped.
+struct BusyGuard {
+    listener: Arc<CallerListener>,
+    answering: Arc<AtomicBool>,
+}
+
+impl BusyGuard {
+    fn enter(listener: Arc<CallerListener>, answering: Arc<AtomicBool>) -> Self {
+        listener.busy.fetch_add(1, Ordering::AcqRel);
+        answering.store(true, Ordering::Release);
+        Self {
+            listener,
+            answering,
+        }
+    }
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.answering.store(false, Ordering::Release);
+        self.listener.busy.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Counts one open connection until dropped.
+struct OpenGuard(Arc<CallerListener>);
+
+impl OpenGuard {
+    fn enter(listener: Arc<CallerListener>) -> Self {
+        listener.open.fetch_add(1, Ordering::AcqRel);
+        Self(listener)
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/caller/mod.rs
@@ -0,0 +1,15 @@
+//! Talks to callers: connections, bodies within limits, streams and problem documents.
+//!
+//! This folder reads requests and writes answers; what a request may do is
+//! decided in `router` and `guavawell_core`.
+
+mod body;
+mod listener;
+mod read;
+
+pub use body::FrameSender;
+pub use body::frame_body;
+pub use listener::CallerLimits;
+pub use listener::CallerListener;
+pub use read::BodyError;
+pub use read::read_body;
--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -1,1 +1,6 @@
-//! See Cargo.toml for this crate's role.
+//! Carries the decisions of `guavawell_core` out on `smol`.
+//!
+//! One folder for each party that a router talks to.
+
+pub mod caller;
+pub mod engine;
