--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod caller;
 pub mod engine;
+pub mod operator;
