--- a/crates/guavawell-core/src/lib.rs
+++ b/crates/guavawell-core/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod limits;
 pub mod manifest;
 pub mod order;
+pub mod platform;
 pub mod request;
--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod caller;
 pub mod engine;
 pub mod operator;
+pub mod platform;
--- /dev/null
+++ b/crates/guavawell-fleet/src/platform/mod.rs
@@ -0,0 +1,30 @@
+//! Clients of the platform: table service, object store, instance list.
+//!
+//! Owns the connections to the platform and the typed requests and answers.
+//! It never decides what is written: each write is conditional, and its
+//! answer says whether it was applied, was not, or is in doubt.
+
+mod error;
+mod exchange;
+mod instances;
+mod objects;
+mod pool;
+mod table;
+mod txn;
+mod wire;
+
+pub use error::PlatformError;
+pub use instances::InstanceEntry;
+pub use instances::InstanceList;
+pub use objects::ObjectPut;
+pub use objects::Objects;
+pub use pool::PoolSettings;
+pub use table::Table;
+pub use table::TableRead;
+pub use txn::CompareSign;
+pub use txn::OpAnswer;
+pub use txn::TableCompare;
+pub use txn::TableOp;
+pub use txn::TableRow;
+pub use txn::TableTxn;
+pub use txn::TxnAnswer;
--- /dev/null
+++ b/crates/guavawell-fleet/src/platform/pool.rs
@@ -0,0 +1,114 @@
+//! Keep-alive connections to one address of the platform.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use guavawell_core::clock::ClockSpan;
+use smol::Timer;
+use smol::future;
+use smol::net::TcpStream;
+
+/// How a client talks to the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolSettings {
+    /// Longest wait for a connection.
+    pub connect_timeout: ClockSpan,
+    /// Longest wait for a whole answer, from the request's first byte on.
+    pub answer_timeout: ClockSpan,
+    /// Connections kept open between exchanges.
+    pub idle_connections: usize,
+    /// Largest answer accepted, in bytes.
+    pub max_answer_bytes: usize,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            connect_timeout: ClockSpan::from_millis(1_000),
+            answer_timeout: ClockSpan::from_millis(2_000),
+            idle_connections: 8,
+            max_answer_bytes: 16 * 1024 * 1024,
+        }
+    }
+}
+
+/// A pool of connections that hold no unfinished exchange.
+///
+/// A connection is taken out for an exchange and put back only after the
+/// whole answer was read. An exchange that times out or is dropped takes its
+/// connection with it, so that a late answer can never meet a later request.
+#[derive(Debug)]
+pub(super) struct ConnectionPool {
+    /// The address connected to.
+    pub address: SocketAddr,
+    /// Limits of each exchange.
+    pub settings: PoolSettings,
+    idle: Mutex<Vec<TcpStream>>,
+}
+
+impl ConnectionPool {
+    pub const fn new(address: SocketAddr, settings: PoolSettings) -> Self {
+        Self {
+            address,
+            settings,
+            idle: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Takes an idle connection that the peer has not closed, or opens one.
+    pub async fn take(&self) -> io::Result<TcpStream> {
+        while let Some(stream) = self.pop_idle() {
+            if is_quiet(&stream).await {
+                return Ok(stream);
+            }
+        }
+        let connect = TcpStream::connect(self.address);
+        let stream = with_timeout(self.settings.connect_timeout, connect).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    /// Keeps a connection whose exchange is complete.
+    pub fn put_back(&self, stream: TcpStream) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < self.settings.idle_connections {
+            idle.push(stream);
+        }
+    }
+
+    /// Closes all idle connections: one that went silent may not be the only one.
+    pub fn drop_idle(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.clear();
+    }
+
+    fn pop_idle(&self) -> Option<TcpStream> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.pop()
+    }
+}
+
+/// Whether an idle connection has neither been closed nor sent stray bytes.
+async fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    future::poll_once(stream.peek(&mut byte)).await.is_none()
+}
+
+/// Ends `work` with [`io::ErrorKind::TimedOut`] after `span`.
+pub(super) async fn with_timeout<T>(
+    span: ClockSpan,
+    work: impl Future<Output = io::Result<T>>,
+) -> io::Result<T> {
+    future::or(work, async {
+        Timer::after(Duration::from_millis(span.as_millis())).await;
+        Err(io::Error::new(
+            io::ErrorKind::TimedOut,
+            format!("no answer within {span}"),
+        ))
+    })
+    .await
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/platform/table.rs
@@ -0,0 +1,150 @@
+//! The table service: etcd v3's JSON gateway.
+
+use std::net::SocketAddr;
+
+use guavawell_core::platform::WriteClass;
+use http_types::Method;
+
+use super::error::PlatformError;
+use super::exchange::ExchangeKind;
+use super::exchange::PlatformAsk;
+use super::exchange::PlatformHttp;
+use super::pool::PoolSettings;
+use super::txn::TableRow;
+use super::txn::TableTxn;
+use super::txn::TxnAnswer;
+use super::wire;
+use super::wire::RangeAsk;
+use super::wire::RangePage;
+
+/// Rows asked for in one page of a range.
+const PAGE_ROWS: u64 = 1_000;
+
+const JSON: [(&str, &str); 1] = [("content-type", "application/json")];
+
+/// A read of one row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TableRead {
+    /// The row, if the key exists.
+    pub row: Option<TableRow>,
+    /// The table's revision at the read.
+    pub revision: u64,
+}
+
+impl TableRead {
+    /// The revision to compare with [`super::TableCompare::unchanged`]: 0 for an absent key.
+    #[must_use]
+    pub fn mod_revision(&self) -> u64 {
+        self.row.as_ref().map_or(0, |row| row.mod_revision)
+    }
+}
+
+/// A client of the table service; clones share their connections.
+#[derive(Clone, Debug)]
+pub struct Table {
+    http: PlatformHttp,
+}
+
+impl Table {
+    /// A client of the table service at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr, settings: PoolSettings) -> Self {
+        Self {
+            http: PlatformHttp::new("table", address, settings),
+        }
+    }
+
+    /// Reads one row.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::Outage`] or [`PlatformError::Refused`].
+    pub async fn get(&self, key: &str) -> Result<TableRead, PlatformError> {
+        let page = self.range_page(&RangeAsk::key(key)).await?;
+        Ok(TableRead {
+            row: page.rows.into_iter().next(),
+            revision: page.revision,
+        })
+    }
+
+    /// Reads every row whose key begins with `prefix`, sorted by key.
+    ///
+    /// Pages are read one after another, each at its own revision.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::Outage`] or [`PlatformError::Refused`].
+    pub async fn range(&self, prefix: &str) -> Result<Vec<TableRow>, PlatformError> {
+        let mut rows: Vec<TableRow> = Vec::new();
+        let mut start = prefix.as_bytes().to_vec();
+        loop {
+            let ask = RangeAsk::prefix(prefix, &start, PAGE_ROWS);
+            let page = self.range_page(&ask).await?;
+            rows.extend(page.rows);
+            let Some(last) = rows.last().filter(|_| page.more) else {
+                return Ok(rows);
+            };
+            start = last.key.as_bytes().to_vec();
+            start.push(0);
+        }
+    }
+
+    /// Carries out a transaction.
+    ///
+    /// # Errors
+    ///
+    /// After [`PlatformError::Lost`] the transaction may have been applied:
+    /// read back before any second try.
+    pub async fn txn(&self, txn: &TableTxn, class: WriteClass) -> Result<TxnAnswer, PlatformError> {
+        let kind = if txn.writes() {
+            ExchangeKind::Write
+        } else {
+            ExchangeKind::Read
+        };
+        if kind == ExchangeKind::Write {
+            metrics::counter!("guavawell_platform_writes_total", "class" => class.label())
+                .increment(1);
+        }
+        let body = wire::txn_body(txn);
+        let answer = self.post("/v3/kv/txn", kind, body).await?;
+        wire::txn_answer(&answer).map_err(|error| as_read(kind, error))
+    }
+
+    async fn range_page(&self, ask: &RangeAsk) -> Result<RangePage, PlatformError> {
+        let body = serde_json::to_vec(ask)
+            .map_err(|error| PlatformError::Refused(error.to_string().into()))?;
+        let kind = ExchangeKind::Read;
+        let answer = self.post("/v3/kv/range", kind, body).await?;
+        wire::range_page(&answer).map_err(|error| as_read(kind, error))
+    }
+
+    async fn post(
+        &self,
+        target: &str,
+        kind: ExchangeKind,
+        body: Vec<u8>,
+    ) -> Result<Vec<u8>, PlatformError> {
+        let ask = PlatformAsk {
+            kind,
+            method: Method::Post,
+            target,
+            headers: &JSON,
+            body,
+        };
+        let answer = self.http.ask(ask).await?;
+        if answer.status >= 300 {
+            return Err(PlatformError::Refused(
+                format!("{target} answered {}", answer.status).into(),
+            ));
+        }
+        Ok(answer.body)
+    }
+}
+
+/// A read in doubt is only a read without an answer.
+fn as_read(kind: ExchangeKind, error: PlatformError) -> PlatformError {
+    match (kind, error) {
+        (ExchangeKind::Read, PlatformError::Lost(detail)) => PlatformError::Outage(detail),
+        (_, error) => error,
+    }
+}
