Choose backend servers, admit requests, pay for retries

Cause: the router needs to know which backend server serves a request and whether the request may run at all.

Change: BackendTable (zone first, two random choices compared by expected time to first token, prefix, adapter and version affinity, slow start, ejection with a floor, leaving mark checked again at begin), the silent-connection rule, the hedging decision, Admission (deadlines, start-time fair queueing between waiting organisations, bounded queue), retry budgets and an adaptive limit per server. All of it takes time and random draws as arguments.

--- /dev/null
+++ b/crates/guavawell-core/src/backend/choice.rs
@@ -0,0 +1,302 @@
+//! Which server gets a request.
+//!
+//! Zone first. Within a zone, two servers drawn at random and those that
+//! probably hold the prompt's prefix are compared by their expected time to
+//! first token. The work is bounded whatever the number of servers, except
+//! while most of a group is leaving or ejected, when the group is walked once.
+
+use std::sync::Arc;
+
+use thiserror::Error;
+
+use super::affinity::MAX_HINTS;
+use super::table::BackendGroup;
+use super::table::TargetIndex;
+use super::table::hint_of;
+use crate::backend::BackendState;
+use crate::backend::BackendTable;
+use crate::backend::ModelVersion;
+use crate::backend::PrefixHash;
+use crate::backend::RouteTarget;
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+use crate::id::BackendId;
+use crate::id::ModelId;
+use crate::id::ZoneId;
+
+/// Servers compared by the two-choices rule.
+const CHOICES: usize = 2;
+/// Draws before the group is walked.
+const MAX_DRAWS: usize = 8;
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceAsk<'a> {
+    /// The model or service.
+    pub target: &'a RouteTarget,
+    /// A version that must be served; any if absent.
+    pub version: Option<&'a ModelVersion>,
+    /// An adapter; servers that hold it go first.
+    pub adapter: Option<&'a ModelId>,
+    /// The router's zone.
+    pub zone: &'a ZoneId,
+    /// The prompt's prefix.
+    pub prefix: Option<PrefixHash>,
+    /// Servers tried already.
+    pub exclude: &'a [BackendId],
+    /// A random number drawn for this choice.
+    pub draw: u64,
+    /// The time.
+    pub now: ClockTime,
+}
+
+/// Why no server can be chosen. In every case nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum NoBackend {
+    /// No server serves the target.
+    #[error("no backend server serves this target")]
+    Unserved,
+    /// Those that serve it are leaving or were tried already.
+    #[error("every backend server of this target is leaving or was tried")]
+    Unavailable,
+    /// All are at this router's concurrency limit.
+    #[error("every backend server of this target is at its limit; retry after {retry_after}")]
+    Saturated {
+        /// When one is expected to have room.
+        retry_after: ClockSpan,
+    },
+    /// The chosen server announced its leaving before the request began;
+    /// choose again.
+    #[error("the chosen backend server is leaving")]
+    Leaving,
+}
+
+/// A chosen server; nothing is counted until
+/// [`begin`](BackendPick::begin).
+#[derive(Clone, Debug)]
+pub struct BackendPick {
+    pub(super) table: Arc<BackendTable>,
+    pub(super) group: Arc<BackendGroup>,
+    /// The server.
+    pub backend: Arc<BackendState>,
+    /// Expected time to first token.
+    pub estimate: ClockSpan,
+    /// Whether the server probably holds the prefix.
+    pub cached: bool,
+    /// Whether the server lies in another zone.
+    pub spilled: bool,
+    pub(super) prefix: Option<PrefixHash>,
+}
+
+/// A server under comparison.
+struct Candidate<'a> {
+    group: &'a Arc<BackendGroup>,
+    state: &'a Arc<BackendState>,
+    cost: u64,
+    cached: bool,
+}
+
+impl BackendTable {
+    /// Chooses a server for a request.
+    ///
+    /// # Errors
+    ///
+    /// [`NoBackend`] says why there is none; nothing was sent.
+    pub fn choose(self: &Arc<Self>, ask: &ChoiceAsk<'_>) -> Result<BackendPick, NoBackend> {
+        let adapter = ask.adapter.map(|id| RouteTarget::Model(id.clone()));
+        let preferred = adapter.and_then(|target| self.target(&target, None));
+        if let Some(index) = preferred
+            && let Some(candidate) = self.best(index, ask, false)
+        {
+            return Ok(self.pick(&candidate, ask));
+        }
+        let index = self.target(ask.target, ask.version);
+        let index = index.ok_or(NoBackend::Unserved)?;
+        let candidate = self.best(index, ask, false);
+        let candidate = candidate.or_else(|| self.best(index, ask, true));
+        match candidate {
+            Some(candidate) => Ok(self.pick(&candidate, ask)),
+            None => Err(refusal(index, ask)),
+        }
+    }
+
+    fn pick(self: &Arc<Self>, candidate: &Candidate<'_>, ask: &ChoiceAsk<'_>) -> BackendPick {
+        BackendPick {
+            table: Arc::clone(self),
+            group: Arc::clone(candidate.group),
+            backend: Arc::clone(candidate.state),
+            estimate: ClockSpan::from_millis(candidate.cost),
+            cached: candidate.cached,
+            spilled: candidate.group.zone != *ask.zone,
+            prefix: ask.prefix,
+        }
+    }
+
+    /// The best server of the own zone, or of another one where that is
+    /// clearly better. With `ejected`, ejected servers count as well.
+    fn best<'a>(
+        &self,
+        index: &'a TargetIndex,
+        ask: &ChoiceAsk<'_>,
+        ejected: bool,
+    ) -> Option<Candidate<'a>> {
+        let home = index.zone(ask.zone);
+        let mut best = home.and_then(|group| self.best_of(group, ask, ejected));
+        let spill_wait = self.settings().spill_wait.as_millis();
+        let queues =
+            |candidate: &Candidate<'_>| candidate.state.expected_wait(ask.now) > spill_wait;
+        if best.as_ref().is_some_and(|candidate| !queues(candidate)) {
+            return best;
+        }
+        for group in index.zones.iter().filter(|group| group.zone != *ask.zone) {
+            let mut other = self.best_of(group, ask, ejected);
+            if let Some(candidate) = &mut other {
+                candidate.cost += self.settings().zone_penalty.as_millis();
+            }
+            best = cheaper(best, other);
+        }
+        best
+    }
+
+    fn best_of<'a>(
+        &self,
+        group: &'a Arc<BackendGroup>,
+        ask: &ChoiceAsk<'_>,
+        ejected: bool,
+    ) -> Option<Candidate<'a>> {
+        let usable = |state: &BackendState| is_usable(state, ask, ejected) && state.has_room();
+        let drawn = draw_two(&group.members, ask.draw, &usable);
+        let hinted = self.hinted(group, ask);
+        let mut best = None;
+        for state in drawn.into_iter().flatten() {
+            let cached = hinted
+                .iter()
+                .flatten()
+                .any(|other| Arc::ptr_eq(other, state));
+            best = cheaper(best, Some(candidate(group, state, cached, ask)));
+        }
+        for state in hinted.into_iter().flatten().filter(|state| usable(state)) {
+            best = cheaper(best, Some(candidate(group, state, true, ask)));
+        }
+        best
+    }
+
+    /// Members of the group that probably hold the prefix.
+    fn hinted<'a>(
+        &self,
+        group: &'a BackendGroup,
+        ask: &ChoiceAsk<'_>,
+    ) -> [Option<&'a Arc<BackendState>>; MAX_HINTS] {
+        let Some(prefix) = ask.prefix else {
+            return [None; MAX_HINTS];
+        };
+        self.affinity.find(prefix, ask.draw).map(|hint| {
+            let hint = hint?;
+            let place = group
+                .members
+                .binary_search_by(|state| state.mark.cmp(&hint.mark));
+            let state = &group.members[place.ok()?];
+            (hint_of(state) == hint).then_some(state)
+        })
+    }
+}
+
+fn candidate<'a>(
+    group: &'a Arc<BackendGroup>,
+    state: &'a Arc<BackendState>,
+    cached: bool,
+    ask: &ChoiceAsk<'_>,
+) -> Candidate<'a> {
+    Candidate {
+        group,
+        state,
+        cost: state.cost(cached, ask.now),
+        cached,
+    }
+}
+
+fn cheaper<'a>(a: Option<Candidate<'a>>, b: Option<Candidate<'a>>) -> Option<Candidate<'a>> {
+    match (a, b) {
+        (Some(a), Some(b)) if b.cost < a.cost => Some(b),
+        (None, b) => b,
+        (a, _) => a,
+    }
+}
+
+fn is_usable(state: &BackendState, ask: &ChoiceAsk<'_>, ejected: bool) -> bool {
+    let healthy = if ejected {
+        !state.is_leaving()
+    } else {
+        state.is_eligible(ask.now)
+    };
+    healthy && !ask.exclude.contains(&state.id)
+}
+
+/// Two different usable members at random.
+fn draw_two<'a>(
+    members: &'a [Arc<BackendState>],
+    draw: u64,
+    usable: &dyn Fn(&BackendState) -> bool,
+) -> [Option<&'a Arc<BackendState>>; CHOICES] {
+    let mut drawn: [Option<&Arc<BackendState>>; CHOICES] = [None; CHOICES];
+    if members.is_empty() {
+        return drawn;
+    }
+    let mut number = draw;
+    let mut count = 0;
+    for _ in 0..MAX_DRAWS {
+        number = mix(number);
+        let state = &members[place(number, members.len())];
+        let again = drawn[0].is_some_and(|first| Arc::ptr_eq(first, state));
+        if !again && usable(state) {
+            drawn[count] = Some(state);
+            count += 1;
+        }
+        if count == CHOICES || count == members.len() {
+            return drawn;
+        }
+    }
+    if count == 0 {
+        drawn[0] = walk(members, number, usable);
+    }
+    drawn
+}
+
+/// The first usable member from a random place on.
+fn walk<'a>(
+    members: &'a [Arc<BackendState>],
+    number: u64,
+    usable: &dyn Fn(&BackendState) -> bool,
+) -> Option<&'a Arc<BackendState>> {
+    let start = place(number, members.len());
+    let (before, after) = members.split_at(start);
+    after.iter().chain(before).find(|state| usable(state))
+}
+
+/// A place below `len`, evenly.
+fn place(number: u64, len: usize) -> usize {
+    let wide = u128::from(number) * len as u128;
+    usize::try_from(wide >> 64).unwrap_or(0)
+}
+
+/// The `SplitMix64` step: several numbers from one draw.
+fn mix(number: u64) -> u64 {
+    let sum = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let first = (sum ^ (sum >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let second = (first ^ (first >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    second ^ (second >> 31)
+}
+
+fn refusal(index: &TargetIndex, ask: &ChoiceAsk<'_>) -> NoBackend {
+    let members = index.zones.iter().flat_map(|group| &group.members);
+    let usable = members.filter(|state| is_usable(state, ask, true));
+    let wait = usable
+        .map(|state| state.expected_wait(ask.now).max(1))
+        .min();
+    match wait {
+        Some(wait) => NoBackend::Saturated {
+            retry_after: ClockSpan::from_millis(wait),
+        },
+        None => NoBackend::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/backend/lease.rs
@@ -0,0 +1,151 @@
+//! One request at one server, from its first byte to its outcome.
+
+use std::sync::Arc;
+
+use super::table::hint_of;
+use crate::backend::BackendPick;
+use crate::backend::BackendState;
+use crate::backend::NoBackend;
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+
+/// How a request ended at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseOutcome {
+    /// The whole answer came.
+    Served,
+    /// The server refused it as overloaded; it was not run.
+    Overloaded,
+    /// The server failed: no connection, an error, or a broken answer.
+    Failed,
+    /// The connection went silent; the server is judged by the probe.
+    Silent,
+    /// The caller went away, or another attempt won.
+    Cancelled,
+}
+
+/// A request counted in flight at a server. Dropped without
+/// [`finish`](Self::finish) it counts as cancelled.
+#[derive(Debug)]
+pub struct BackendLease {
+    pick: BackendPick,
+    begun: ClockTime,
+    first_token: Option<ClockTime>,
+    /// Whether the request was expected to wait at the server.
+    queued: bool,
+    open: bool,
+}
+
+impl BackendPick {
+    /// Counts the request in flight, just before its first byte goes out.
+    ///
+    /// # Errors
+    ///
+    /// [`NoBackend::Leaving`] if the server announced its leaving meanwhile;
+    /// nothing was counted.
+    pub fn begin(self, now: ClockTime) -> Result<BackendLease, NoBackend> {
+        if self.backend.is_leaving() {
+            return Err(NoBackend::Leaving);
+        }
+        let queued = self.backend.load(now) >= self.backend.slots();
+        self.backend.flight.begin(now);
+        Ok(BackendLease {
+            pick: self,
+            begun: now,
+            first_token: None,
+            queued,
+            open: true,
+        })
+    }
+}
+
+impl BackendLease {
+    /// The server.
+    #[must_use]
+    pub fn backend(&self) -> &Arc<BackendState> {
+        &self.pick.backend
+    }
+
+    /// The first token, or a plain service's answer, came.
+    pub fn first_token(&mut self, now: ClockTime) {
+        if self.first_token.is_some() {
+            return;
+        }
+        self.first_token = Some(now);
+        let latency = now.since(self.begun);
+        let state = &self.pick.backend;
+        if self.queued {
+            state.first_token.sample_bound(latency, now);
+        } else if !self.pick.cached {
+            state.first_token.sample(latency, now);
+        }
+        if let Some(prefix) = self.pick.prefix {
+            self.pick.table.affinity.store(prefix, hint_of(state));
+        }
+        let expected = state.settings.first_token_guess;
+        let own = state.flight.current();
+        state
+            .limit
+            .sample(latency, expected, state.report.queued(), own, now);
+    }
+
+    /// The request ended.
+    pub fn finish(mut self, outcome: LeaseOutcome, now: ClockTime) {
+        self.close(now);
+        let state = &self.pick.backend;
+        match outcome {
+            LeaseOutcome::Served => {
+                state.health.success();
+                state.hold.sample(self.hold(now), now);
+            }
+            LeaseOutcome::Overloaded => state.limit.overload(now),
+            LeaseOutcome::Failed => self.fail(now),
+            LeaseOutcome::Silent | LeaseOutcome::Cancelled => {}
+        }
+    }
+
+    /// Time since the request began.
+    #[must_use]
+    pub fn age(&self, now: ClockTime) -> ClockSpan {
+        now.since(self.begun)
+    }
+
+    /// Time that the request took up one of the server's slots.
+    fn hold(&self, now: ClockTime) -> ClockSpan {
+        match self.first_token {
+            Some(first) if self.queued => {
+                let prefill = self.pick.backend.first_token_mean(first);
+                ClockSpan::from_millis(now.since(first).as_millis() + prefill)
+            }
+            _ => now.since(self.begun),
+        }
+    }
+
+    fn fail(&self, now: ClockTime) {
+        let state = &self.pick.backend;
+        let settings = &state.settings;
+        if !state.health.failure(settings) || state.health.is_ejected(now) {
+            return;
+        }
+        let members = &self.pick.group.members;
+        let ejected = members.iter().filter(|state| state.health.is_ejected(now));
+        let share = (ejected.count() + 1) * 100;
+        if share <= members.len() * settings.eject_max_percent as usize {
+            state.health.eject(settings, now);
+        }
+    }
+
+    fn close(&mut self, now: ClockTime) {
+        if self.open {
+            self.open = false;
+            self.pick.backend.flight.finish(now);
+        }
+    }
+}
+
+impl Drop for BackendLease {
+    fn drop(&mut self) {
+        let last = self.first_token.unwrap_or(self.begun);
+        self.close(last);
+    }
+}
--- a/crates/guavawell-core/src/backend/mod.rs
+++ b/crates/guavawell-core/src/backend/mod.rs
@@ -1,1 +1,49 @@
 //! Backend servers: what is known of each one, and which one serves a request.
+//!
+//! A [`BackendTable`] is an immutable set of backend servers, indexed by target
+//! and zone; a change of the set builds a new table that shares the state of
+//! the servers that stay. Requests change only atomics. Plain services and
+//! model engines go through the same rules.
+//!
+//! This folder never opens a connection and releases neither money nor claims.
+
+mod affinity;
+mod choice;
+mod connection;
+mod flight;
+mod health;
+mod hedge;
+mod lease;
+mod report;
+mod settings;
+mod spec;
+mod speed;
+mod state;
+mod table;
+
+pub use affinity::CacheBatch;
+pub use affinity::CacheChange;
+pub use affinity::CacheEvent;
+pub use affinity::PrefixError;
+pub use affinity::PrefixHash;
+pub use choice::BackendPick;
+pub use choice::ChoiceAsk;
+pub use choice::NoBackend;
+pub use connection::ConnectionAction;
+pub use connection::ConnectionSettings;
+pub use connection::ConnectionWatch;
+pub use connection::ProbeResult;
+pub use hedge::HedgeAsk;
+pub use hedge::should_hedge;
+pub use lease::BackendLease;
+pub use lease::LeaseOutcome;
+pub use report::LoadReport;
+pub use report::ReportEffect;
+pub use settings::RoutingSettings;
+pub use spec::BackendSpec;
+pub use spec::ModelVersion;
+pub use spec::RouteTarget;
+pub use spec::ServedModel;
+pub use state::BackendState;
+pub use state::BackendView;
+pub use table::BackendTable;
--- /dev/null
+++ b/crates/guavawell-core/src/limits/admission.rs
@@ -0,0 +1,213 @@
+//! Admission to one target: a concurrency limit, a bounded fair queue and
+//! deadlines.
+
+use super::drain::DrainRate;
+use super::fair::FairQueue;
+use super::ticket::AdmissionAnswer;
+use super::ticket::AdmissionAsk;
+use super::ticket::AdmissionEffect;
+use super::ticket::AdmissionTicket;
+use super::ticket::RefusalCause;
+use super::ticket::WaitRefusal;
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+
+/// Bounds of admission to one target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdmissionSettings {
+    /// Requests run at a time until [`Admission::set_limit`] says otherwise.
+    pub limit: u32,
+    /// Requests that may wait.
+    pub queue: usize,
+    /// Time that a request runs, assumed until measured.
+    pub hold_guess: ClockSpan,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            limit: 64,
+            queue: 256,
+            hold_guess: ClockSpan::from_millis(2_000),
+        }
+    }
+}
+
+/// Admission to one target of one router.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    limit: u32,
+    running: u32,
+    queue: FairQueue,
+    drain: DrainRate,
+    /// No waiting request is late before this; `None` if none has a deadline.
+    next_late: Option<ClockTime>,
+}
+
+/// What operators see of admission to one target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionView {
+    /// Requests that may run at a time.
+    pub limit: u32,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: usize,
+    /// Organisations waiting.
+    pub organisations: usize,
+}
+
+impl Admission {
+    /// Admission with nothing running.
+    #[must_use]
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            limit: settings.limit,
+            settings,
+            running: 0,
+            queue: FairQueue::default(),
+            drain: DrainRate::default(),
+            next_late: None,
+        }
+    }
+
+    /// A request asks to run. `effects` receives what becomes of others.
+    pub fn submit(
+        &mut self,
+        ask: AdmissionAsk,
+        now: ClockTime,
+        effects: &mut Vec<AdmissionEffect>,
+    ) -> AdmissionAnswer {
+        self.tick(now, effects);
+        let idle = self.queue.len() == 0 && self.running < self.limit;
+        let wait = if idle {
+            ClockSpan::default()
+        } else {
+            self.expected_wait(&ask, now)
+        };
+        if let Some(excess) = excess(&ask, wait, now) {
+            return AdmissionAnswer::Refused(WaitRefusal {
+                cause: RefusalCause::Deadline,
+                retry_after: excess,
+            });
+        }
+        if idle {
+            self.running += 1;
+            return AdmissionAnswer::Run;
+        }
+        if self.queue.len() >= self.settings.queue && !self.displace(&ask, now, effects) {
+            return AdmissionAnswer::Refused(queue_full(wait));
+        }
+        if let Some(latest) = ask.latest_start() {
+            let next = self.next_late.map_or(latest, |next| next.min(latest));
+            self.next_late = Some(next);
+        }
+        self.queue.push(ask);
+        AdmissionAnswer::Queued
+    }
+
+    /// A running request has ended.
+    pub fn finish(&mut self, now: ClockTime, effects: &mut Vec<AdmissionEffect>) {
+        self.running = self.running.saturating_sub(1);
+        self.drain.ended(self.queue.len() > 0, now);
+        self.dispatch(now, effects);
+    }
+
+    /// A waiting request's caller has gone; false if it does not wait.
+    pub fn cancel(&mut self, ticket: AdmissionTicket) -> bool {
+        self.queue.remove(ticket).is_some()
+    }
+
+    /// Time has passed; call it no later than [`next_wake`](Self::next_wake).
+    pub fn tick(&mut self, now: ClockTime, effects: &mut Vec<AdmissionEffect>) {
+        if self.next_late.is_none_or(|late| late >= now) {
+            return;
+        }
+        for ask in self.queue.take_late(now) {
+            let wait = self.expected_wait(&ask, now);
+            let refusal = WaitRefusal {
+                cause: RefusalCause::Deadline,
+                retry_after: at_least_one(wait),
+            };
+            effects.push(AdmissionEffect::Refuse(ask.ticket, refusal));
+        }
+        self.next_late = self.queue.earliest();
+    }
+
+    /// When a waiting request will have to be given up, if none runs before.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<ClockTime> {
+        self.next_late.map(|late| late + ClockSpan::from_millis(1))
+    }
+
+    /// Changes the number of requests run at a time.
+    pub fn set_limit(&mut self, limit: u32, now: ClockTime, effects: &mut Vec<AdmissionEffect>) {
+        self.limit = limit;
+        self.dispatch(now, effects);
+    }
+
+    /// Expected wait of a request before it runs.
+    #[must_use]
+    pub fn expected_wait(&self, ask: &AdmissionAsk, now: ClockTime) -> ClockSpan {
+        let count = self.queue.ahead_of(ask) + 1;
+        let limit = u64::from(self.limit.max(1));
+        let guess = self.settings.hold_guess.as_millis() / limit;
+        self.drain
+            .wait_for(count, ClockSpan::from_millis(guess), now)
+    }
+
+    /// What operators see.
+    #[must_use]
+    pub fn view(&self) -> AdmissionView {
+        AdmissionView {
+            limit: self.limit,
+            running: self.running,
+            waiting: self.queue.len(),
+            organisations: self.queue.organisations(),
+        }
+    }
+
+    fn dispatch(&mut self, now: ClockTime, effects: &mut Vec<AdmissionEffect>) {
+        self.tick(now, effects);
+        while self.running < self.limit {
+            let Some(ask) = self.queue.pop() else {
+                return;
+            };
+            self.running += 1;
+            effects.push(AdmissionEffect::Run(ask.ticket));
+        }
+    }
+
+    fn displace(
+        &mut self,
+        ask: &AdmissionAsk,
+        now: ClockTime,
+        effects: &mut Vec<AdmissionEffect>,
+    ) -> bool {
+        let Some(displaced) = self.queue.displace(ask) else {
+            return false;
+        };
+        let wait = self.expected_wait(&displaced, now);
+        effects.push(AdmissionEffect::Refuse(displaced.ticket, queue_full(wait)));
+        true
+    }
+}
+
+/// By how much a request would miss its deadline, if it would.
+fn excess(ask: &AdmissionAsk, wait: ClockSpan, now: ClockTime) -> Option<ClockSpan> {
+    let deadline = ask.deadline?;
+    let expected = now + wait + ask.first_token;
+    (expected > deadline).then(|| expected.since(deadline))
+}
+
+fn queue_full(wait: ClockSpan) -> WaitRefusal {
+    WaitRefusal {
+        cause: RefusalCause::QueueFull,
+        retry_after: at_least_one(wait),
+    }
+}
+
+fn at_least_one(wait: ClockSpan) -> ClockSpan {
+    wait.max(ClockSpan::from_millis(1))
+}
