Read the router's settings and write the event log

Cause: the router needs typed settings whose findings come together with their places, and an event log whose writer never holds up a request.

Change: settings groups are declared once by a macro that yields the struct, Default, the reader and the reference entry; docs/operators/SETTINGS.md is compared with the doc comments by a test. The event log queues to a writer thread, counts drops, orders by a Lamport clock that peer messages will carry. clock::now is the only reader of the system clock.

Nothing measured yet.

--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -3,6 +3,9 @@
 //! One folder for each party that a router talks to.
 
 pub mod caller;
+pub mod clock;
 pub mod engine;
+pub mod event;
 pub mod operator;
 pub mod platform;
+pub mod settings;
--- /dev/null
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -0,0 +1,108 @@
+//! Settings of the fleet's decisions and of the process itself.
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::id::TokenCount;
+use log::LevelFilter;
+
+use super::unit::EventTarget;
+use super::unit::LogLevel;
+use super::unit::ShareRatio;
+
+settings_group! {
+    /// Budget slots: holders, witnesses, grants.
+    pub struct SlotSettings {
+        /// Share of each grant that may be spent without the witness. A
+        /// larger share refuses less while parted and freezes more after a
+        /// crash; overspend is zero at any value.
+        float_share: ShareRatio = ShareRatio::clamped(0.1);
+        /// Longest wait to gather reservations for one message to the
+        /// witness, in milliseconds; 0 sends what queued during the last one.
+        witness_batch_ms: ClockSpan = ClockSpan::from_millis(0);
+        /// Longest wait for a witness's acknowledgement before the float is
+        /// used, in milliseconds.
+        witness_timeout_ms: ClockSpan = ClockSpan::from_millis(250);
+        /// Silence of a holder after which its witness takes over, in
+        /// milliseconds. It steers speed only: safety needs no clock.
+        takeover_after_ms: ClockSpan = ClockSpan::from_millis(3_000);
+        /// Smallest grant asked for, in tokens.
+        grant_min: TokenCount = TokenCount::new(10_000);
+        /// Recent use that a grant should cover, in seconds.
+        grant_seconds: u32 = 30;
+        /// Time that a finished request's identity is remembered, in
+        /// milliseconds.
+        identity_retention_ms: ClockSpan = ClockSpan::from_millis(900_000);
+        /// Time between writes of settled use to the table, in milliseconds.
+        settle_interval_ms: ClockSpan = ClockSpan::from_millis(5_000);
+    }
+}
+
+settings_group! {
+    /// Choice of backend servers.
+    pub struct RoutingSettings {
+        /// Time between polls of a backend server's load, in milliseconds.
+        load_poll_ms: ClockSpan = ClockSpan::from_millis(500);
+        /// Age at which a load report counts for nothing, in milliseconds.
+        load_stale_ms: ClockSpan = ClockSpan::from_millis(5_000);
+        /// Time over which a new or returning backend server takes its full
+        /// share, in milliseconds.
+        slow_start_ms: ClockSpan = ClockSpan::from_millis(10_000);
+        /// Failures in a row that eject a backend server.
+        eject_after_failures: u32 = 5;
+        /// First ejection's length, in milliseconds; it doubles each time.
+        eject_for_ms: ClockSpan = ClockSpan::from_millis(5_000);
+        /// Largest share of a model's backend servers ejected at once.
+        eject_max_share: ShareRatio = ShareRatio::clamped(0.5);
+        /// Longest time to connect to a backend server, in milliseconds.
+        connect_timeout_ms: ClockSpan = ClockSpan::from_millis(1_000);
+        /// Silence on a stream before the backend server is probed on a new
+        /// connection, in milliseconds.
+        silent_after_ms: ClockSpan = ClockSpan::from_millis(2_000);
+        /// Wait for the first token before an idempotent request is hedged,
+        /// in milliseconds; 0 never hedges.
+        hedge_after_ms: ClockSpan = ClockSpan::from_millis(0);
+        /// Retries and hedges allowed, as a share of requests.
+        retry_share: ShareRatio = ShareRatio::clamped(0.1);
+    }
+}
+
+settings_group! {
+    /// Admission of requests.
+    pub struct LimitSettings {
+        /// Most requests that run at once in this router.
+        max_running: u32 = 4_096;
+        /// Most requests that wait for admission.
+        max_queued: u32 = 1_024;
+        /// Longest wait for admission, in milliseconds.
+        max_wait_ms: ClockSpan = ClockSpan::from_millis(10_000);
+        /// Longest whole request without a deadline of its own, in
+        /// milliseconds.
+        request_timeout_ms: ClockSpan = ClockSpan::from_millis(600_000);
+        /// Output limit of a request that names none, in tokens.
+        default_output_tokens: TokenCount = TokenCount::new(1_024);
+        /// Largest output limit a request may name, in tokens.
+        max_output_tokens: TokenCount = TokenCount::new(32_768);
+    }
+}
+
+settings_group! {
+    /// Graceful shutdown.
+    pub struct ShutdownSettings {
+        /// Longest time to finish open streams and hand slots over, in
+        /// milliseconds; what is left in doubt then is reported.
+        drain_ms: ClockSpan = ClockSpan::from_millis(60_000);
+    }
+}
+
+settings_group! {
+    /// The log and the event log.
+    pub struct LogSettings {
+        /// How much the log says: off, error, warn, info, debug or trace.
+        level: LogLevel = LogLevel::new(LevelFilter::Info);
+        /// Where events go, one JSON object a line: a path, `-` for standard
+        /// output, or `off`.
+        events: EventTarget = EventTarget::Off;
+        /// Events that may wait to be written; further ones are dropped and
+        /// counted.
+        event_queue: u32 = 65_536;
+    }
+}
