Add gossip membership's state machine and the system clock

Cause: routers need to know each other without a coordinator, and every other part needs the clock. Change: instance/ holds a SWIM-like membership as a pure state machine (events and time in, effects out): incarnations with a refutation counter, direct and indirect probes, leaving marks, notes, paged comparison of states, a token bucket over bytes sent. SystemClock is the one reader of the system clock.

--- /dev/null
+++ b/crates/guavawell-core/src/instance/allowance.rs
@@ -0,0 +1,60 @@
+//! A token bucket over the bytes that an instance sends.
+
+use crate::clock::ClockTime;
+
+/// Whether a datagram may draw on the last quarter of the allowance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SendUrgency {
+    /// Probes, answers to probes and leaving marks.
+    Urgent,
+    /// Everything else.
+    Ordinary,
+}
+
+/// Bytes that may still be sent.
+#[derive(Clone, Debug)]
+pub(super) struct SendAllowance {
+    bytes_per_second: u64,
+    burst_bytes: u64,
+    /// Allowance in thousandths of a byte, so that short spans count.
+    level: u64,
+    refilled: ClockTime,
+}
+
+impl SendAllowance {
+    pub(super) fn new(bytes_per_second: u64, burst_bytes: u64, now: ClockTime) -> Self {
+        Self {
+            bytes_per_second,
+            burst_bytes,
+            level: burst_bytes * 1_000,
+            refilled: now,
+        }
+    }
+
+    /// Bytes that a datagram of this urgency may take now.
+    pub(super) fn available(&mut self, urgency: SendUrgency, now: ClockTime) -> usize {
+        self.refill(now);
+        let bytes = self.level / 1_000;
+        let kept = match urgency {
+            SendUrgency::Urgent => 0,
+            SendUrgency::Ordinary => self.burst_bytes / 4,
+        };
+        usize::try_from(bytes.saturating_sub(kept)).unwrap_or(usize::MAX)
+    }
+
+    /// Takes the bytes of a datagram that is sent.
+    pub(super) fn take(&mut self, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.level = self.level.saturating_sub(bytes.saturating_mul(1_000));
+    }
+
+    fn refill(&mut self, now: ClockTime) {
+        let elapsed = now.since(self.refilled).as_millis();
+        let gained = elapsed.saturating_mul(self.bytes_per_second);
+        self.level = self
+            .level
+            .saturating_add(gained)
+            .min(self.burst_bytes * 1_000);
+        self.refilled = self.refilled.max(now);
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/instance/directory.rs
@@ -0,0 +1,275 @@
+//! All members that an instance knows, and the lives it has forgotten.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::owner::FNV_OFFSET;
+use super::owner::mix;
+use super::owner::stable_hash;
+use super::record::MemberRecord;
+use super::record::Reachability;
+use super::settings::MembershipSettings;
+use crate::clock::ClockTime;
+use crate::id::IncarnationId;
+use crate::id::InstanceId;
+
+/// Buckets that a comparison of two states divides the members into.
+pub(super) const BUCKETS: usize = 64;
+
+/// One known member.
+#[derive(Clone, Debug)]
+pub(super) struct MemberEntry {
+    pub(super) record: Arc<MemberRecord>,
+    /// When its reachability last changed here.
+    pub(super) since: ClockTime,
+    /// Whether the platform's list named it when last read.
+    pub(super) listed: bool,
+}
+
+/// A forgotten life.
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    hash: u64,
+    incarnation: IncarnationId,
+    refutation: u32,
+    buried: ClockTime,
+}
+
+/// What a record changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum MergeOutcome {
+    /// Nothing.
+    Known,
+    /// Only the manifest version in force.
+    Manifest,
+    /// The member's standing, or it is new.
+    Standing,
+}
+
+/// The members beside this instance, sorted by id.
+#[derive(Clone, Debug, Default)]
+pub(super) struct MemberDirectory {
+    entries: Vec<MemberEntry>,
+    /// Sorted by hash.
+    tombstones: Vec<Tombstone>,
+    list_read: bool,
+}
+
+impl MemberDirectory {
+    /// The members, sorted by id.
+    pub(super) fn entries(&self) -> &[MemberEntry] {
+        &self.entries
+    }
+
+    /// How many forgotten lives are remembered.
+    pub(super) fn tombstones(&self) -> usize {
+        self.tombstones.len()
+    }
+
+    /// The member, if known.
+    pub(super) fn find(&self, instance: &InstanceId) -> Option<&MemberEntry> {
+        let index = self.position(instance).ok()?;
+        Some(&self.entries[index])
+    }
+
+    /// Takes a record in.
+    pub(super) fn merge(&mut self, record: &MemberRecord, now: ClockTime) -> MergeOutcome {
+        let index = match self.position(&record.instance) {
+            Ok(index) => index,
+            Err(_) if self.is_buried(record) => return MergeOutcome::Known,
+            Err(index) => {
+                self.insert(index, record, now);
+                return MergeOutcome::Standing;
+            }
+        };
+        let entry = &mut self.entries[index];
+        if entry.record.is_outdated_by(record) {
+            if entry.record.reachability != record.reachability {
+                entry.since = now;
+            }
+            Arc::make_mut(&mut entry.record).merge(record);
+            return MergeOutcome::Standing;
+        }
+        let same_life = entry.record.incarnation == record.incarnation;
+        if same_life && record.manifest > entry.record.manifest {
+            Arc::make_mut(&mut entry.record).manifest = record.manifest;
+            return MergeOutcome::Manifest;
+        }
+        MergeOutcome::Known
+    }
+
+    /// What speaks against the sender's own record, if anything does.
+    pub(super) fn accusation(&self, sender: &MemberRecord) -> Option<MemberRecord> {
+        if let Some(entry) = self.find(&sender.instance) {
+            let accused = entry.record.reachability != Reachability::Reachable;
+            let older = entry.record.incarnation > sender.incarnation;
+            return (accused || older).then(|| (*entry.record).clone());
+        }
+        let tombstone = self.tombstone(sender)?;
+        Some(MemberRecord {
+            incarnation: tombstone.incarnation,
+            refutation: tombstone.refutation,
+            reachability: Reachability::Unreachable,
+            ..sender.clone()
+        })
+    }
+
+    /// Marks which members the platform's list names.
+    pub(super) fn mark_listed(&mut self, is_listed: impl Fn(&InstanceId) -> bool) {
+        self.list_read = true;
+        for entry in &mut self.entries {
+            entry.listed = is_listed(&entry.record.instance);
+        }
+    }
+
+    /// Sets when suspicions began later, after this process itself was paused.
+    pub(super) fn restart_suspicions(&mut self, now: ClockTime) {
+        for entry in &mut self.entries {
+            if entry.record.reachability == Reachability::Suspected {
+                entry.since = now;
+            }
+        }
+    }
+
+    /// Forgets members that were unreachable for long; true if any went.
+    pub(super) fn forget(&mut self, settings: &MembershipSettings, now: ClockTime) -> bool {
+        let before = self.entries.len();
+        let mut forgotten = self.overdue(settings, now);
+        forgotten.extend(self.surplus(settings, forgotten.len()));
+        for instance in forgotten {
+            self.bury(&instance, settings.max_tombstones, now);
+        }
+        before != self.entries.len()
+    }
+
+    /// One hash for each bucket over the records of `own` and all members
+    /// that are not unreachable, so that forgetting one makes no difference.
+    pub(super) fn digest(&self, own: &MemberRecord) -> Vec<u32> {
+        let mut buckets = vec![0; BUCKETS];
+        let members = self.entries.iter().map(|entry| &*entry.record);
+        for record in members.chain([own]) {
+            if record.reachability != Reachability::Unreachable {
+                buckets[bucket_of(&record.instance)] ^= standing_hash(record);
+            }
+        }
+        buckets
+    }
+
+    /// Records of the members in a bucket.
+    pub(super) fn bucket(&self, bucket: usize) -> impl Iterator<Item = &MemberRecord> {
+        let records = self.entries.iter().map(|entry| &*entry.record);
+        records.filter(move |record| bucket_of(&record.instance) == bucket)
+    }
+
+    /// Whether a member receives gossip at `address` and is not unreachable.
+    pub(super) fn is_in_use(&self, address: SocketAddr) -> bool {
+        self.entries.iter().any(|entry| {
+            entry.record.gossip_address == address
+                && entry.record.reachability != Reachability::Unreachable
+        })
+    }
+
+    fn position(&self, instance: &InstanceId) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|entry| entry.record.instance.cmp(instance))
+    }
+
+    fn insert(&mut self, index: usize, record: &MemberRecord, now: ClockTime) {
+        let entry = MemberEntry {
+            record: Arc::new(record.clone()),
+            since: now,
+            listed: false,
+        };
+        self.entries.insert(index, entry);
+    }
+
+    fn overdue(&self, settings: &MembershipSettings, now: ClockTime) -> Vec<InstanceId> {
+        let gone = |entry: &&MemberEntry| {
+            let unnamed = self.list_read && !entry.listed;
+            let span = if unnamed {
+                settings.forget_span
+            } else {
+                settings.forget_unlisted_span
+            };
+            entry.record.reachability == Reachability::Unreachable && now.since(entry.since) >= span
+        };
+        let overdue = self.entries.iter().filter(gone);
+        overdue.map(|entry| entry.record.instance.clone()).collect()
+    }
+
+    fn surplus(&self, settings: &MembershipSettings, leaving: usize) -> Vec<InstanceId> {
+        let unreachable =
+            |entry: &&MemberEntry| entry.record.reachability == Reachability::Unreachable;
+        let mut kept: Vec<_> = self.entries.iter().filter(unreachable).collect();
+        let limit = settings.max_unreachable + leaving;
+        if kept.len() <= limit {
+            return Vec::new();
+        }
+        kept.sort_by_key(|entry| entry.since);
+        let surplus = kept.len() - limit;
+        let oldest = kept.into_iter().take(surplus);
+        oldest.map(|entry| entry.record.instance.clone()).collect()
+    }
+
+    fn bury(&mut self, instance: &InstanceId, max_tombstones: usize, now: ClockTime) {
+        let Ok(index) = self.position(instance) else {
+            return;
+        };
+        let entry = self.entries.remove(index);
+        let tombstone = Tombstone {
+            hash: instance_hash(instance),
+            incarnation: entry.record.incarnation,
+            refutation: entry.record.refutation,
+            buried: now,
+        };
+        self.tombstones.retain(|old| old.hash != tombstone.hash);
+        let index = self
+            .tombstones
+            .partition_point(|old| old.hash < tombstone.hash);
+        self.tombstones.insert(index, tombstone);
+        if self.tombstones.len() > max_tombstones {
+            self.drop_oldest_tombstone();
+        }
+    }
+
+    fn drop_oldest_tombstone(&mut self) {
+        let ages = self.tombstones.iter().enumerate();
+        if let Some((index, _)) = ages.min_by_key(|(_, tombstone)| tombstone.buried) {
+            self.tombstones.remove(index);
+        }
+    }
+
+    fn is_buried(&self, record: &MemberRecord) -> bool {
+        self.tombstone(record).is_some()
+    }
+
+    /// The tombstone of this life, at its refutation or a later one, or of a later life.
+    fn tombstone(&self, record: &MemberRecord) -> Option<Tombstone> {
+        let hash = instance_hash(&record.instance);
+        let index = self
+            .tombstones
+            .binary_search_by_key(&hash, |tombstone| tombstone.hash)
+            .ok()?;
+        let tombstone = self.tombstones[index];
+        let life = (record.incarnation, record.refutation);
+        (life <= (tombstone.incarnation, tombstone.refutation)).then_some(tombstone)
+    }
+}
+
+fn instance_hash(instance: &InstanceId) -> u64 {
+    mix(stable_hash(FNV_OFFSET, instance.as_str().as_bytes()))
+}
+
+#[allow(clippy::cast_possible_truncation)] // the remainder is below BUCKETS
+fn bucket_of(instance: &InstanceId) -> usize {
+    (instance_hash(instance) % BUCKETS as u64) as usize
+}
+
+#[allow(clippy::cast_possible_truncation)] // the lower half of a mixed hash serves as well
+fn standing_hash(record: &MemberRecord) -> u32 {
+    let seed = instance_hash(&record.instance);
+    let life = stable_hash(seed, &record.incarnation.get().to_be_bytes());
+    let standing = stable_hash(life, &record.refutation.to_be_bytes());
+    let flags = [record.reachability as u8, u8::from(record.leaving)];
+    mix(stable_hash(standing, &flags)) as u32
+}
--- /dev/null
+++ b/crates/guavawell-core/src/instance/membership/receive.rs
@@ -0,0 +1,189 @@
+//! What a received message changes and what answers it.
+
+use std::net::SocketAddr;
+
+use super::MemberEffect;
+use super::Membership;
+use super::send::SendTarget;
+use crate::clock::ClockTime;
+use crate::id::IncarnationId;
+use crate::id::InstanceId;
+use crate::instance::allowance::SendUrgency;
+use crate::instance::message::GossipMessage;
+use crate::instance::message::GossipRumour;
+use crate::instance::message::MessageBody;
+use crate::instance::note::GossipNote;
+use crate::instance::probe::ProbeOrigin;
+use crate::instance::record::MemberRecord;
+
+/// Times that news learned from a comparison is still passed on.
+const SENDS_AFTER_SYNC: u32 = 2;
+
+impl Membership {
+    /// Takes in a message that came from `from`.
+    pub fn receive(
+        &mut self,
+        from: SocketAddr,
+        message: &GossipMessage,
+        now: ClockTime,
+    ) -> Vec<MemberEffect> {
+        let sender = &message.sender;
+        let own_echo =
+            sender.instance == self.own.instance && sender.incarnation == self.own.incarnation;
+        if self.superseded || own_echo {
+            return Vec::new();
+        }
+        self.merge(sender, 0, now);
+        self.take_rumours(message, now);
+        if !self.superseded {
+            let target = SendTarget {
+                address: from,
+                zone: Some(sender.zone.clone()),
+            };
+            self.answer(&target, &message.body, now);
+            self.accuse(&target, sender, now);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn take_rumours(&mut self, message: &GossipMessage, now: ClockTime) {
+        let from_sync = matches!(
+            message.body,
+            MessageBody::Page | MessageBody::Difference { .. }
+        );
+        let first_sends = if from_sync {
+            let limit = self.settings.member_sends_at(self.size());
+            limit.saturating_sub(SENDS_AFTER_SYNC)
+        } else {
+            0
+        };
+        for rumour in &message.rumours {
+            match rumour {
+                GossipRumour::Member(record) => self.merge(record, first_sends, now),
+                GossipRumour::Note(note) => self.take_note(note, now),
+                GossipRumour::Manifest {
+                    instance,
+                    incarnation,
+                    manifest,
+                } => {
+                    let Some(entry) = self.directory.find(instance) else {
+                        continue;
+                    };
+                    if entry.record.incarnation == *incarnation {
+                        let record = MemberRecord {
+                            manifest: *manifest,
+                            ..(*entry.record).clone()
+                        };
+                        self.merge(&record, 0, now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_note(&mut self, note: &GossipNote, now: ClockTime) {
+        if self.publish(note, now).is_err() {
+            self.counts.notes_refused += 1;
+        }
+    }
+
+    fn answer(&mut self, target: &SendTarget, body: &MessageBody, now: ClockTime) {
+        match body {
+            MessageBody::News | MessageBody::Page => {}
+            MessageBody::Ping {
+                probe,
+                target: asked,
+            } => self.answer_ping(target, *probe, asked, now),
+            MessageBody::Ack {
+                probe,
+                target: answered,
+                incarnation,
+            } => self.take_ack(*probe, answered, *incarnation, now),
+            MessageBody::PingRequest {
+                probe,
+                target: asked,
+                address,
+            } => self.relay_ping(target.address, *probe, asked, *address, now),
+            MessageBody::Digest { buckets, notes } => {
+                self.answer_digest(target, buckets, *notes, now);
+            }
+            MessageBody::Difference {
+                buckets,
+                notes,
+                more,
+            } => {
+                self.send_pages(target, buckets, *notes, now);
+                if *more {
+                    self.retry_sync(target.address, now);
+                }
+            }
+        }
+    }
+
+    fn answer_ping(&mut self, target: &SendTarget, probe: u64, asked: &InstanceId, now: ClockTime) {
+        if *asked != self.own.instance {
+            return;
+        }
+        let body = MessageBody::Ack {
+            probe,
+            target: self.own.instance.clone(),
+            incarnation: self.own.incarnation,
+        };
+        self.send(target, body, Vec::new(), SendUrgency::Urgent, now);
+    }
+
+    fn take_ack(
+        &mut self,
+        probe: u64,
+        answered: &InstanceId,
+        incarnation: IncarnationId,
+        now: ClockTime,
+    ) {
+        let Some(probe) = self.probes.close(probe, answered, incarnation) else {
+            return;
+        };
+        let ProbeOrigin::Relayed {
+            requester,
+            probe: number,
+        } = probe.origin
+        else {
+            return;
+        };
+        let body = MessageBody::Ack {
+            probe: number,
+            target: probe.target,
+            incarnation,
+        };
+        let target = SendTarget::at(requester);
+        self.send(&target, body, Vec::new(), SendUrgency::Urgent, now);
+    }
+
+    fn relay_ping(
+        &mut self,
+        requester: SocketAddr,
+        probe: u64,
+        asked: &InstanceId,
+        address: SocketAddr,
+        now: ClockTime,
+    ) {
+        let known = self.directory.find(asked);
+        let incarnation =
+            known.map_or_else(IncarnationId::default, |entry| entry.record.incarnation);
+        let origin = ProbeOrigin::Relayed { requester, probe };
+        let number = self.probes.open(asked.clone(), incarnation, origin, now);
+        let body = MessageBody::Ping {
+            probe: number,
+            target: asked.clone(),
+        };
+        let target = SendTarget::at(address);
+        self.send(&target, body, Vec::new(), SendUrgency::Urgent, now);
+    }
+
+    /// Tells the sender what speaks against it, so that it can refute it.
+    fn accuse(&mut self, target: &SendTarget, sender: &MemberRecord, now: ClockTime) {
+        if let Some(accusation) = self.directory.accusation(sender) {
+            let first = vec![GossipRumour::Member(accusation)];
+            self.send(target, MessageBody::News, first, SendUrgency::Urgent, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/instance/membership/send.rs
@@ -0,0 +1,174 @@
+//! Building messages within the datagram's size and the allowance of bytes.
+
+use std::net::SocketAddr;
+
+use super::MemberEffect;
+use super::Membership;
+use crate::clock::ClockTime;
+use crate::id::ZoneId;
+use crate::instance::allowance::SendUrgency;
+use crate::instance::directory::MemberEntry;
+use crate::instance::message::GossipMessage;
+use crate::instance::message::GossipRumour;
+use crate::instance::message::MessageBody;
+use crate::instance::note::NoteScope;
+use crate::instance::queue::RumourClass;
+use crate::instance::queue::RumourTopic;
+use crate::instance::record::MemberRecord;
+use crate::instance::record::Reachability;
+use crate::instance::settings::DATAGRAM_OVERHEAD;
+use crate::instance::settings::MAX_MESSAGE_BYTES;
+
+/// Bytes that the count of rumours may take beyond that of an empty list.
+const COUNT_BYTES: usize = 1;
+
+/// A receiver as far as packing a message for it goes.
+#[derive(Clone, Debug)]
+pub(super) struct SendTarget {
+    pub(super) address: SocketAddr,
+    /// Its zone, if known.
+    pub(super) zone: Option<ZoneId>,
+}
+
+impl SendTarget {
+    pub(super) fn of(record: &MemberRecord) -> Self {
+        Self {
+            address: record.gossip_address,
+            zone: Some(record.zone.clone()),
+        }
+    }
+
+    pub(super) fn at(address: SocketAddr) -> Self {
+        Self {
+            address,
+            zone: None,
+        }
+    }
+}
+
+impl Membership {
+    /// Sends `body` with `first` and as much other news as fits; false if withheld.
+    pub(super) fn send(
+        &mut self,
+        target: &SendTarget,
+        body: MessageBody,
+        first: Vec<GossipRumour>,
+        urgency: SendUrgency,
+        now: ClockTime,
+    ) -> bool {
+        let mut message = GossipMessage {
+            sender: self.own.clone(),
+            body,
+            rumours: first,
+        };
+        let base = message.encoded_len();
+        let available = self.allowance.available(urgency, now);
+        if base + DATAGRAM_OVERHEAD > available {
+            self.counts.withheld += 1;
+            return false;
+        }
+        let limit = MAX_MESSAGE_BYTES.min(available - DATAGRAM_OVERHEAD);
+        let room = limit.saturating_sub(base + COUNT_BYTES);
+        self.pack(&mut message, target, room);
+        self.emit(target.address, message, limit);
+        true
+    }
+
+    /// Charges a finished message and hands it to the driver.
+    fn emit(&mut self, to: SocketAddr, mut message: GossipMessage, limit: usize) {
+        let mut bytes = message.encoded_len();
+        while bytes > limit && message.rumours.pop().is_some() {
+            bytes = message.encoded_len();
+        }
+        let bytes = bytes + DATAGRAM_OVERHEAD;
+        self.allowance.take(bytes);
+        self.counts.bytes_sent += u64::try_from(bytes).unwrap_or(u64::MAX);
+        let message = Box::new(message);
+        self.effects.push(MemberEffect::Send { to, message });
+    }
+
+    fn pack(&mut self, message: &mut GossipMessage, target: &SendTarget, room: usize) {
+        let member_sends = self.settings.member_sends_at(self.size());
+        let leave_sends = self.settings.leave_sends_at(self.size());
+        let note_sends = self.settings.note_sends;
+        let limit = |class| match class {
+            RumourClass::Leaving => leave_sends,
+            RumourClass::Member => member_sends,
+            RumourClass::Note | RumourClass::Manifest => note_sends,
+        };
+        let same_zone = target.zone.as_ref() == Some(&self.own.zone);
+        let notes = &self.notes;
+        let fits = |topic: &RumourTopic| match topic {
+            RumourTopic::Note(key) => {
+                let note = notes.find(key);
+                same_zone || note.is_some_and(|note| note.scope == NoteScope::Fleet)
+            }
+            RumourTopic::Member(_) | RumourTopic::Manifest(_) => true,
+        };
+        let topics = self.queue.pack(room, limit, fits);
+        let rumours = topics.iter().filter_map(|topic| self.rumour(topic));
+        message.rumours.extend(rumours);
+    }
+
+    /// The news on a topic as it stands now.
+    pub(super) fn rumour(&self, topic: &RumourTopic) -> Option<GossipRumour> {
+        match topic {
+            RumourTopic::Member(instance) if *instance == self.own.instance => {
+                Some(GossipRumour::Member(self.own.clone()))
+            }
+            RumourTopic::Member(instance) => {
+                let entry = self.directory.find(instance)?;
+                Some(GossipRumour::Member((*entry.record).clone()))
+            }
+            RumourTopic::Note(key) => {
+                let note = self.notes.find(key)?;
+                Some(GossipRumour::Note((**note).clone()))
+            }
+            RumourTopic::Manifest(instance) => {
+                let known = self.directory.find(instance);
+                let record = known.map_or(&self.own, |entry| &entry.record);
+                let matches = record.instance == *instance;
+                matches.then(|| GossipRumour::Manifest {
+                    instance: instance.clone(),
+                    incarnation: record.incarnation,
+                    manifest: record.manifest,
+                })
+            }
+        }
+    }
+
+    /// At most `count` different members to gossip with, mostly of this zone.
+    pub(super) fn pick_targets(&mut self, count: usize) -> Vec<SendTarget> {
+        let zone = &self.own.zone;
+        let talkative =
+            |entry: &&MemberEntry| entry.record.reachability != Reachability::Unreachable;
+        let entries = self.directory.entries().iter().filter(talkative);
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            entries.partition(|entry| entry.record.zone == *zone);
+        let mut targets = Vec::new();
+        while targets.len() < count && !(near.is_empty() && far.is_empty()) {
+            let cross = self.random.u8(0..100) < self.settings.cross_zone_percent;
+            let pool = if (cross && !far.is_empty()) || near.is_empty() {
+                &mut far
+            } else {
+                &mut near
+            };
+            let index = self.random.usize(0..pool.len());
+            targets.push(SendTarget::of(&pool.swap_remove(index).record));
+        }
+        targets
+    }
+
+    /// Tells many at once that this instance leaves.
+    pub(super) fn spread_leaving(&mut self, now: ClockTime) {
+        for target in self.pick_targets(self.settings.leave_fanout) {
+            self.send(
+                &target,
+                MessageBody::News,
+                Vec::new(),
+                SendUrgency::Urgent,
+                now,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/instance/membership/sync.rs
@@ -0,0 +1,202 @@
+//! Comparison of whole states between two instances, page by page.
+
+use std::net::SocketAddr;
+
+use super::Membership;
+use super::send::SendTarget;
+use crate::clock::ClockTime;
+use crate::instance::allowance::SendUrgency;
+use crate::instance::directory::BUCKETS;
+use crate::instance::message::GossipMessage;
+use crate::instance::message::GossipRumour;
+use crate::instance::message::MessageBody;
+use crate::instance::owner::FNV_OFFSET;
+use crate::instance::owner::stable_hash;
+use crate::instance::record::Reachability;
+use crate::instance::settings::MAX_MESSAGE_BYTES;
+
+/// Candidates tried at once while no member is reachable.
+const FIRST_CONTACTS: usize = 3;
+
+/// Bytes of a message's page left free for its count and body.
+const PAGE_SLACK: usize = 2 * BUCKETS;
+
+impl Membership {
+    /// Compares the state with a random member, or goes on where a difference was left.
+    pub(super) fn sync_next(&mut self, now: ClockTime) {
+        let target = match self.sync_peer.take() {
+            Some(address) => Some(SendTarget::at(address)),
+            None => self.pick_targets(1).pop(),
+        };
+        if let Some(target) = target {
+            self.send_digest(&target, now);
+        }
+    }
+
+    /// Compares again with the same member soon.
+    pub(super) fn retry_sync(&mut self, address: SocketAddr, now: ClockTime) {
+        self.sync_peer = Some(address);
+        self.times.sync = now + self.settings.sync_retry;
+    }
+
+    /// Tries an unreachable member or a listed stranger; more of them while alone.
+    pub(super) fn reconnect(&mut self, now: ClockTime) {
+        let mut addresses = self.unconnected();
+        let entries = self.directory.entries().iter();
+        let alone = !entries
+            .into_iter()
+            .any(|entry| entry.record.reachability != Reachability::Unreachable);
+        let count = if alone { FIRST_CONTACTS } else { 1 };
+        self.random.shuffle(&mut addresses);
+        for address in addresses.into_iter().take(count) {
+            self.send_digest(&SendTarget::at(address), now);
+        }
+    }
+
+    fn unconnected(&self) -> Vec<SocketAddr> {
+        let entries = self.directory.entries().iter();
+        let unreachable = entries.filter(|entry| {
+            entry.record.reachability == Reachability::Unreachable && !entry.record.leaving
+        });
+        let mut addresses: Vec<_> = unreachable
+            .map(|entry| entry.record.gossip_address)
+            .collect();
+        for candidate in &self.candidates {
+            let address = candidate.gossip_address;
+            if self.directory.find(&candidate.instance).is_none()
+                && !self.directory.is_in_use(address)
+            {
+                addresses.push(address);
+            }
+        }
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    fn send_digest(&mut self, target: &SendTarget, now: ClockTime) {
+        let body = MessageBody::Digest {
+            buckets: self.directory.digest(&self.own),
+            notes: self.notes_hash(),
+        };
+        self.send(target, body, Vec::new(), SendUrgency::Ordinary, now);
+    }
+
+    /// Answers with this side of as many differing buckets as the pages hold.
+    pub(super) fn answer_digest(
+        &mut self,
+        target: &SendTarget,
+        buckets: &[u32],
+        notes: u32,
+        now: ClockTime,
+    ) {
+        if buckets.len() != BUCKETS {
+            return;
+        }
+        let differing = self.differing(buckets);
+        let notes_differ = notes != self.notes_hash();
+        if differing.is_empty() && !notes_differ {
+            return;
+        }
+        let covered = self.covered(&differing);
+        let more = covered.len() < differing.len();
+        let body = MessageBody::Difference {
+            buckets: covered.clone(),
+            notes: notes_differ,
+            more,
+        };
+        if self.send(target, body, Vec::new(), SendUrgency::Ordinary, now) {
+            self.send_pages(target, &covered, notes_differ, now);
+        }
+    }
+
+    /// Sends the records of `buckets`, and the fleet's notes, in bounded pages.
+    pub(super) fn send_pages(
+        &mut self,
+        target: &SendTarget,
+        buckets: &[u8],
+        notes: bool,
+        now: ClockTime,
+    ) {
+        let mut rumours = Vec::new();
+        for bucket in buckets {
+            let records = self.directory.bucket(usize::from(*bucket));
+            rumours.extend(records.cloned().map(GossipRumour::Member));
+        }
+        if notes {
+            let notes = self.notes.of_fleet();
+            rumours.extend(notes.map(|note| GossipRumour::Note((**note).clone())));
+        }
+        let pages = self.paginate(rumours);
+        for page in pages.into_iter().take(self.settings.sync_pages) {
+            self.send(target, MessageBody::Page, page, SendUrgency::Ordinary, now);
+        }
+    }
+
+    fn paginate(&self, rumours: Vec<GossipRumour>) -> Vec<Vec<GossipRumour>> {
+        let room = self.page_room();
+        let mut pages = Vec::new();
+        let mut page = Vec::new();
+        let mut bytes = 0;
+        for rumour in rumours {
+            let size = rumour.encoded_len();
+            if bytes + size > room && !page.is_empty() {
+                pages.push(std::mem::take(&mut page));
+                bytes = 0;
+            }
+            bytes += size;
+            page.push(rumour);
+        }
+        if !page.is_empty() {
+            pages.push(page);
+        }
+        pages
+    }
+
+    fn page_room(&self) -> usize {
+        let empty = GossipMessage {
+            sender: self.own.clone(),
+            body: MessageBody::Page,
+            rumours: Vec::new(),
+        };
+        MAX_MESSAGE_BYTES.saturating_sub(empty.encoded_len() + PAGE_SLACK)
+    }
+
+    /// Buckets that differ, starting at a random one so that none is starved.
+    fn differing(&mut self, theirs: &[u32]) -> Vec<u8> {
+        let ours = self.directory.digest(&self.own);
+        let start = self.random.usize(0..BUCKETS);
+        let order = (0..BUCKETS).map(|step| (start + step) % BUCKETS);
+        let differing = order.filter(|bucket| ours[*bucket] != theirs[*bucket]);
+        differing
+            .filter_map(|bucket| u8::try_from(bucket).ok())
+            .collect()
+    }
+
+    /// The first of `differing` whose records fit the pages; at least one.
+    fn covered(&self, differing: &[u8]) -> Vec<u8> {
+        let mut room = self.page_room() * self.settings.sync_pages;
+        let mut covered = Vec::new();
+        for bucket in differing {
+            let records = self.directory.bucket(usize::from(*bucket));
+            let bytes: usize = records
+                .map(|record| GossipRumour::Member(record.clone()).encoded_len())
+                .sum();
+            if bytes > room && !covered.is_empty() {
+                break;
+            }
+            room = room.saturating_sub(bytes);
+            covered.push(*bucket);
+        }
+        covered
+    }
+
+    #[allow(clippy::cast_possible_truncation)] // half of the hash serves as well
+    fn notes_hash(&self) -> u32 {
+        let notes = self.notes.of_fleet();
+        notes.fold(0, |hash, note| {
+            let key = stable_hash(FNV_OFFSET, note.key.as_bytes());
+            hash ^ stable_hash(key, &note.version.to_be_bytes()) as u32
+        })
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/instance/owner.rs
@@ -0,0 +1,51 @@
+//! Rendezvous hashing: every instance picks the same owner for a key.
+
+use crate::id::InstanceId;
+
+/// The instance that owns `key` among `members`, or `None` without members.
+///
+/// When a member joins or goes, only the keys that it gains or owned move.
+/// Slots, witnesses and the polling of backend servers are spread by this.
+/// Two instances with different views may name different owners: an owner has
+/// no right by that alone; rights come from the platform's table.
+pub fn owner<'a>(
+    members: impl IntoIterator<Item = &'a InstanceId>,
+    key: &[u8],
+) -> Option<&'a InstanceId> {
+    members
+        .into_iter()
+        .max_by_key(|member| (weight(member, key), *member))
+}
+
+/// All members, the best owner of `key` first.
+pub fn owners<'a>(
+    members: impl IntoIterator<Item = &'a InstanceId>,
+    key: &[u8],
+) -> Vec<&'a InstanceId> {
+    let mut ranked: Vec<_> = members.into_iter().collect();
+    ranked.sort_by_cached_key(|member| std::cmp::Reverse((weight(member, key), *member)));
+    ranked
+}
+
+fn weight(member: &InstanceId, key: &[u8]) -> u64 {
+    let seed = stable_hash(FNV_OFFSET, member.as_str().as_bytes());
+    mix(stable_hash(mix(seed), key))
+}
+
+/// Offset basis of FNV-1a with 64 bits.
+pub(super) const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// FNV-1a from `seed`: the same on every machine and in every version.
+pub(super) fn stable_hash(seed: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(seed, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
+/// The finalizer of `SplitMix64`, which spreads each input bit over the output.
+pub(super) const fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/guavawell-core/tests/membership/main.rs
@@ -0,0 +1,4 @@
+//! Membership under the failures that it is meant for.
+
+mod failure;
+mod pump;
