Add the platform's table and object store and a streaming model engine as stand-ins

Cause: the thin path through the fleet needs both ends of its protocols. Change: HTTP servers over async-h1 whose connections can be dropped or silenced, etcd's JSON gateway, the S3 subset, the lagging instance list, the chat stream with records, resume, cancel, orders and a truth log. Answers are a function of prompt and limit, so that callers can check them.

--- /dev/null
+++ b/crates/guavawell-standin/src/http/server.rs
@@ -0,0 +1,192 @@
+//! A listening address and its open connections.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener as StdListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::Weak;
+use std::time::Duration;
+
+use http_types::Request;
+use smol::Async;
+use smol::Task;
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::net::TcpListener;
+
+use crate::http::connection::ConnectionGate;
+use crate::http::connection::ConnectionLink;
+use crate::http::reply::HttpReply;
+use crate::lock::lock;
+use crate::pool;
+
+/// Tries to bind an address anew that was left a moment ago.
+const BIND_TRIES: u32 = 50;
+/// Pause between two of these tries.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+/// Pause after the system refused a connection, for instance for want of handles.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// One request with the connection that it came on.
+#[derive(Debug)]
+pub struct HttpCall {
+    /// The request; its body is still unread.
+    pub request: Request,
+    /// The connection, for bodies that flush by themselves.
+    pub link: ConnectionLink,
+}
+
+/// A server on one address; it can leave the address and come back to it.
+#[derive(Debug)]
+pub struct HttpServer {
+    address: SocketAddr,
+    bound: Mutex<Option<StdListener>>,
+    accepting: Mutex<Option<Task<()>>>,
+    gates: Arc<GateList>,
+}
+
+impl HttpServer {
+    /// Binds `listen`; port 0 takes a free one. [`Self::open`] begins to accept.
+    ///
+    /// # Errors
+    ///
+    /// What the system says of the address.
+    pub fn bind(listen: SocketAddr) -> io::Result<Self> {
+        let listener = StdListener::bind(listen)?;
+        Ok(Self {
+            address: listener.local_addr()?,
+            bound: Mutex::new(Some(listener)),
+            accepting: Mutex::new(None),
+            gates: Arc::default(),
+        })
+    }
+
+    /// The bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accepts connections and gives each request to `handler`.
+    ///
+    /// # Errors
+    ///
+    /// If the address, left by [`Self::close`], was taken meanwhile.
+    pub async fn open<F, R>(&self, handler: F) -> io::Result<()>
+    where
+        F: Fn(HttpCall) -> R + Clone + Send + Sync + 'static,
+        R: Future<Output = HttpReply> + Send + 'static,
+    {
+        if lock(&self.accepting).is_some() {
+            return Ok(());
+        }
+        let bound = lock(&self.bound).take();
+        let listener = match bound {
+            Some(listener) => listener,
+            None => bind_again(self.address).await?,
+        };
+        let listener = TcpListener::from(Async::new(listener)?);
+        let task = pool::spawn(accept_all(listener, Arc::clone(&self.gates), handler));
+        *lock(&self.accepting) = Some(task);
+        Ok(())
+    }
+
+    /// Leaves the address (new connections are refused) and drops every connection.
+    pub async fn close(&self) {
+        let task = lock(&self.accepting).take();
+        if let Some(task) = task {
+            task.cancel().await;
+        }
+        drop(lock(&self.bound).take());
+        self.gates.for_each(ConnectionGate::close);
+    }
+
+    /// Silences every open connection for good.
+    pub fn silence(&self) {
+        self.gates.for_each(ConnectionGate::silence);
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.gates.for_each(ConnectionGate::close);
+    }
+}
+
+/// The gates of the connections that are open.
+#[derive(Debug, Default)]
+struct GateList(Mutex<Vec<Weak<ConnectionGate>>>);
+
+impl GateList {
+    fn add(&self, gate: &Arc<ConnectionGate>) {
+        let mut gates = lock(&self.0);
+        if gates.len() == gates.capacity() {
+            gates.retain(|gate| gate.strong_count() > 0);
+        }
+        gates.push(Arc::downgrade(gate));
+    }
+
+    fn for_each(&self, action: impl Fn(&ConnectionGate)) {
+        let gates = lock(&self.0).clone();
+        for gate in gates.iter().filter_map(Weak::upgrade) {
+            action(&gate);
+        }
+    }
+}
+
+async fn bind_again(address: SocketAddr) -> io::Result<StdListener> {
+    let mut tries = 1;
+    loop {
+        match StdListener::bind(address) {
+            Err(error) if tries == BIND_TRIES => return Err(error),
+            Err(_) => tries += 1,
+            Ok(listener) => return Ok(listener),
+        }
+        Timer::after(BIND_PAUSE).await;
+    }
+}
+
+async fn accept_all<F, R>(listener: TcpListener, gates: Arc<GateList>, handler: F)
+where
+    F: Fn(HttpCall) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = HttpReply> + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let link = ConnectionLink::new(stream);
+        gates.add(link.gate());
+        pool::spawn(serve(link, handler.clone())).detach();
+    }
+}
+
+/// Serves one connection until either side closes it.
+async fn serve<F, R>(link: ConnectionLink, handler: F)
+where
+    F: Fn(HttpCall) -> R,
+    R: Future<Output = HttpReply>,
+{
+    let endpoint = |request| {
+        let call = HttpCall {
+            request,
+            link: link.clone(),
+        };
+        let reply = handler(call);
+        async {
+            let hung_up = |_| http_types::Error::from_str(500, "hang up");
+            reply.await.map_err(hung_up)
+        }
+    };
+    let exchanges = async {
+        // An error only says that this connection ended early.
+        let _ = async_h1::accept(link.clone(), endpoint).await;
+    };
+    exchanges.or(link.gate().closed()).await;
+}
--- /dev/null
+++ b/crates/guavawell-standin/tests/standin/engine.rs
@@ -0,0 +1,99 @@
+//! The engine without faults.
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_standin::engine::EngineSettings;
+use http_types::Method;
+use serde_json::json;
+
+use crate::env::TestEnv;
+use crate::env::answer_to;
+use crate::env::event_id;
+
+fn env() -> TestEnv {
+    TestEnv::engine(EngineSettings::default())
+}
+
+#[test]
+fn stream_carries_expected_answer_and_usage() {
+    let env = env();
+    let reply = env.call(env.chat(0x2a, "draft a cancellation statement", 20));
+    let answer = answer_to("draft a cancellation statement", 20);
+    reply.assert_whole(0x2a, 0, &answer);
+    assert_eq!(reply.header("content-type"), Some("text/event-stream"));
+    let events = reply.events();
+    let usage: serde_json::Value = serde_json::from_str(&events[events.len() - 2].data).unwrap();
+    assert_eq!(usage["usage"]["prompt_tokens"], 8);
+    assert_eq!(
+        usage["usage"]["completion_tokens"],
+        answer.completion_tokens
+    );
+    assert!(answer.completion_tokens <= 20);
+}
+
+#[test]
+fn tokens_leave_one_by_one_until_cancelled() {
+    let settings = EngineSettings {
+        token_time: ClockSpan::from_millis(3_600_000),
+        ..EngineSettings::default()
+    };
+    let env = TestEnv::engine(settings);
+    let mut stream = env.open(env.chat(1, "p", 400));
+    let first = stream.next().expect("a first token");
+    assert_eq!(&*first.id, event_id(1, 0));
+    assert_eq!(env.record(1)["state"], "running");
+    let path = format!("/v1/attempts/{:032x}", 1);
+    let record = env.call(env.request(Method::Delete, &path)).json();
+    assert_eq!(record["state"], "cancelled");
+    assert_eq!(record["completion_tokens"], 1);
+    assert_eq!(stream.rest(), [], "no end marker after a cancellation");
+}
+
+#[test]
+fn answer_without_stream_is_the_same() {
+    let env = env();
+    let body = json!({
+        "model": "m", "max_tokens": 9,
+        "messages": [{ "role": "user", "content": "p" }],
+    });
+    let reply = env.post("/v1/chat/completions", &body).json();
+    let content = &reply["choices"][0]["message"]["content"];
+    assert_eq!(content.as_str(), Some(&*answer_to("p", 9).text));
+}
+
+#[test]
+fn record_tells_tokens() {
+    let env = env();
+    env.call(env.chat(7, "abcdefgh", 10));
+    let record = env.record(7);
+    assert_eq!(record["state"], "done");
+    assert_eq!(record["prompt_tokens"], 2);
+    let tokens = answer_to("abcdefgh", 10).completion_tokens;
+    assert_eq!(record["completion_tokens"], tokens);
+    let unseen = format!("/v1/attempts/{:032x}", 8);
+    env.get(&unseen).assert_status(404);
+}
+
+#[test]
+fn second_send_of_an_attempt_does_not_run() {
+    let env = env();
+    env.call(env.chat(7, "p", 10)).assert_status(200);
+    env.call(env.chat(7, "p", 10)).assert_status(409);
+    assert_eq!(env.running_engine().truth().total, 1);
+}
+
+#[test]
+fn cancel_before_first_send_keeps_it_from_running() {
+    let env = env();
+    let path = format!("/v1/attempts/{:032x}", 9);
+    let record = env.call(env.request(Method::Delete, &path)).json();
+    assert_eq!(record["state"], "cancelled");
+    env.call(env.chat(9, "p", 10)).assert_status(410);
+    assert_eq!(env.running_engine().truth().total, 0);
+}
+
+#[test]
+fn unknown_model_is_refused() {
+    let env = env();
+    let body = json!({ "model": "other", "messages": [] });
+    env.post("/v1/chat/completions", &body).assert_status(404);
+}
--- /dev/null
+++ b/crates/guavawell-standin/tests/standin/main.rs
@@ -0,0 +1,5 @@
+//! The stand-ins over their real sockets.
+
+mod engine;
+mod env;
+mod table;
