Parse the manifest with all its findings and compile it into a shared view

Cause: routers need the operators' manifest in a form that requests can read, and an operator needs every mistake at once, each with its place.

--- a/crates/guavawell-core/src/finding/nearest.rs
+++ b/crates/guavawell-core/src/finding/nearest.rs
@@ -1,11 +1,11 @@
-//! The nearest known word to a misspelt one.
+//! The nearest known word to a mistyped one.
 
 /// Words further apart than this share of their length are not near.
 const NEAR_SHARE: usize = 2;
 
 /// The word of `known` with the fewest edits from `word`, if it is near.
 #[must_use]
-pub fn nearest_word<'a>(word: &str, known: &[&'a str]) -> Option<&'a str> {
+pub fn nearest_word<'k>(word: &str, known: &[&'k str]) -> Option<&'k str> {
     let scored = known
         .iter()
         .map(|known| (edit_distance(word, known), *known));
@@ -14,19 +14,29 @@
     (distance * NEAR_SHARE <= longest).then_some(nearest)
 }
 
-/// The Levenshtein distance between two words, in bytes.
+/// Levenshtein distance in characters, where a swap of two neighbours counts
+/// as one edit (optimal string alignment).
 fn edit_distance(left: &str, right: &str) -> usize {
-    let mut row: Vec<usize> = (0..=right.len()).collect();
-    for (index, left_byte) in left.bytes().enumerate() {
-        let mut diagonal = row[0];
-        row[0] = index + 1;
-        for (column, right_byte) in right.bytes().enumerate() {
-            let substituted = diagonal + usize::from(left_byte != right_byte);
-            diagonal = row[column + 1];
-            let inserted = row[column] + 1;
-            let deleted = diagonal + 1;
-            row[column + 1] = substituted.min(inserted).min(deleted);
+    let left: Vec<char> = left.chars().collect();
+    let right: Vec<char> = right.chars().collect();
+    let mut before: Vec<usize> = Vec::new();
+    let mut above: Vec<usize> = (0..=right.len()).collect();
+    for row in 1..=left.len() {
+        let mut current = vec![row];
+        for column in 1..=right.len() {
+            let same = left[row - 1] == right[column - 1];
+            let replaced = above[column - 1] + usize::from(!same);
+            let mut best = replaced.min(above[column] + 1).min(current[column - 1] + 1);
+            let swapped = row > 1
+                && column > 1
+                && left[row - 1] == right[column - 2]
+                && left[row - 2] == right[column - 1];
+            if swapped {
+                best = best.min(before[column - 2] + 1);
+            }
+            current.push(best);
         }
+        before = std::mem::replace(&mut above, current);
     }
-    row[right.len()]
+    above[right.len()]
 }
--- a/crates/guavawell-core/src/finding/place.rs
+++ b/crates/guavawell-core/src/finding/place.rs
@@ -1,15 +1,19 @@
-//! The place of a finding.
+//! Where in a file a finding was made.
 
 use std::fmt;
 
+use serde::Serialize;
+
 /// A place in an operator's file.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub struct FindingPlace {
-    /// The file's path, as the operator gave it.
+    /// The file, as the operator named it.
     pub file: Box<str>,
-    /// The line, from 1; 0 if the finding is about the whole file.
+    /// The line, counted from 1; 0 if the finding is about the whole file.
     pub line: u32,
-    /// The key with its tables, for instance `callers.listen`; may be empty.
+    /// The column in characters, counted from 1; 0 if it is not known.
+    pub column: u32,
+    /// The key with its tables, as `budget[3].paid`; may be empty.
     pub key: Box<str>,
 }
 
@@ -19,6 +23,9 @@
         if self.line > 0 {
             write!(formatter, ":{}", self.line)?;
         }
+        if self.column > 0 {
+            write!(formatter, ":{}", self.column)?;
+        }
         if !self.key.is_empty() {
             write!(formatter, ": {}", self.key)?;
         }
@@ -26,6 +33,22 @@
     }
 }
 
+/// A value together with the byte offset at which the file states it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacedValue<T> {
+    /// The value.
+    pub value: T,
+    /// The byte offset of the value in the file.
+    pub offset: usize,
+}
+
+impl<T> PlacedValue<T> {
+    /// A value stated at `offset`.
+    pub const fn new(value: T, offset: usize) -> Self {
+        Self { value, offset }
+    }
+}
+
 /// The line, from 1, of the byte `offset` in `text`.
 #[must_use]
 pub fn line_at(text: &str, offset: usize) -> u32 {
--- /dev/null
+++ b/crates/guavawell-core/src/manifest/view/mod.rs
@@ -0,0 +1,15 @@
+//! The manifest in force, in the form that requests read.
+//!
+//! Every part that a new version leaves unchanged is shared with the view
+//! before it.
+
+mod backend;
+mod branch;
+mod fleet;
+mod key;
+mod update;
+mod wanted;
+
+pub use fleet::FleetView;
+pub use fleet::ModelChoice;
+pub use update::ViewUpdate;
--- a/crates/guavawell-fleet/src/settings/reader.rs
+++ b/crates/guavawell-fleet/src/settings/reader.rs
@@ -91,6 +91,7 @@
             file: self.path.display().to_string().into(),
             line,
             key: key.into(),
+            ..FindingPlace::default()
         };
         let finding = Finding::new(place, message);
         self.findings.borrow_mut().push(finding);
@@ -137,6 +138,7 @@
                     file: file.path.display().to_string().into(),
                     line,
                     key,
+                    ..FindingPlace::default()
                 };
                 let finding = Finding::unknown_key(place, known);
                 file.findings.borrow_mut().push(finding);
