Let a slot's holder and its witness decide: events in, effects out

Cause: the fleet needs the decisions about money as pure state machines. Change: SlotHolder (reserve, settle, release, seal, batches to the witness, change of witness by whole handover, solo float, refill and hand-back, late report of a former holder) and SlotWitness (acknowledge, refuse, take over after stopping for good). A takeover carries running attempts at their worst case and closes each budget's former tenure lazily, so it costs one write of the slot row.

--- /dev/null
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -0,0 +1,461 @@
+//! The holder towards routers: reserve, settle, release, serve, seal.
+
+use super::AskId;
+use super::HolderAnswer;
+use super::HolderEffect;
+use super::SlotHolder;
+use super::stock::QueuedAsk;
+use super::witnessing::WaitKind;
+use crate::budget::ledger::HeldAttempt;
+use crate::budget::ledger::RequestState;
+use crate::budget::message::BackendNote;
+use crate::budget::message::ReleaseAnswer;
+use crate::budget::message::ReleaseAsk;
+use crate::budget::message::ReserveAnswer;
+use crate::budget::message::ReserveAsk;
+use crate::budget::message::ReserveGrant;
+use crate::budget::message::SealAnswer;
+use crate::budget::message::SealAsk;
+use crate::budget::message::SettleAnswer;
+use crate::budget::message::SettleAsk;
+use crate::budget::message::TokenPool;
+use crate::budget::record::LedgerEntry;
+use crate::clock::ClockTime;
+use crate::id::AttemptId;
+use crate::id::BudgetId;
+use crate::id::TokenCount;
+use crate::request::RequestIdentity;
+
+impl SlotHolder {
+    pub(super) fn reserve(
+        &mut self,
+        ask: AskId,
+        reserve: ReserveAsk,
+        now: ClockTime,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        if self.is_retired() || self.leaving {
+            return answer_reserve(ask, self.not_holder_reserve(), effects);
+        }
+        if self.is_awaited(ask, &reserve) {
+            return;
+        }
+        if let Some(answer) = self.known_request(&reserve) {
+            return answer_reserve(ask, answer, effects);
+        }
+        let place = self.stock_or_new(&reserve.budget, now);
+        if self.queue_again(place, ask, &reserve) {
+            return;
+        }
+        self.stocks[place].count_use(reserve.amount);
+        if !self.try_hold(place, ask, &reserve, effects) {
+            self.queue_or_refuse(place, ask, reserve, now, effects);
+        }
+        self.review(place, now, effects);
+    }
+
+    /// The answer for a request whose outcome is known, or that runs.
+    pub(super) fn known_request(&self, reserve: &ReserveAsk) -> Option<ReserveAnswer> {
+        let answer = match self.ledger.request(&reserve.identity)? {
+            RequestState::Sealed => ReserveAnswer::Sealed,
+            RequestState::Settled(charge) if charge.budget != reserve.budget => {
+                ReserveAnswer::Mismatch
+            }
+            RequestState::Settled(charge) => ReserveAnswer::AlreadyBilled {
+                attempt: charge.attempt,
+                charged: charge.charged,
+                backend: charge.backend.clone(),
+            },
+            RequestState::Reserved(held) if held.budget != reserve.budget => {
+                ReserveAnswer::Mismatch
+            }
+            RequestState::Reserved(held) if held.attempt != reserve.attempt => {
+                ReserveAnswer::Joined {
+                    attempt: held.attempt,
+                    router: held.router.clone(),
+                    backend: held.backend.clone(),
+                }
+            }
+            RequestState::Reserved(held) => self.granted(held),
+        };
+        Some(answer)
+    }
+
+    /// Lets a repeated ask wait with the first one of its attempt.
+    fn is_awaited(&mut self, ask: AskId, reserve: &ReserveAsk) -> bool {
+        let attempt = reserve.attempt;
+        let Some(place) = self.waits.iter().position(
+            |wait| matches!(&wait.kind, WaitKind::Reserve(_, _, other) if *other == attempt),
+        ) else {
+            return false;
+        };
+        let mut wait = self.waits[place].clone();
+        wait.kind = WaitKind::Reserve(ask, reserve.identity.clone(), attempt);
+        self.waits.push(wait);
+        true
+    }
+
+    /// Lets a repeated ask take the place of the queued one; another attempt
+    /// of a queued request waits on its own and joins once the first runs.
+    fn queue_again(&mut self, place: usize, ask: AskId, reserve: &ReserveAsk) -> bool {
+        let queue = &mut self.stocks[place].queue;
+        let same = queue
+            .iter_mut()
+            .find(|queued| queued.reserve.attempt == reserve.attempt);
+        let Some(queued) = same else {
+            return false;
+        };
+        queued.ask = ask;
+        true
+    }
+
+    /// Reserves from the witnessed part, else from the float; `false` if
+    /// neither covers the amount now.
+    pub(super) fn try_hold(
+        &mut self,
+        place: usize,
+        ask: AskId,
+        reserve: &ReserveAsk,
+        effects: &mut Vec<HolderEffect>,
+    ) -> bool {
+        let witnessed = self.is_witnessed() && self.witnessed_free(place) >= reserve.amount;
+        let pool = if witnessed {
+            TokenPool::Witnessed
+        } else if self.float_covers(&reserve.budget, reserve.amount) {
+            TokenPool::Float
+        } else {
+            return false;
+        };
+        self.record(LedgerEntry::Reserve {
+            identity: reserve.identity.clone(),
+            attempt: reserve.attempt,
+            budget: reserve.budget.clone(),
+            pool,
+            amount: reserve.amount,
+            router: reserve.router.clone(),
+        });
+        let kind = WaitKind::Reserve(ask, reserve.identity.clone(), reserve.attempt);
+        match (pool, self.held(&reserve.identity, reserve.attempt)) {
+            (TokenPool::Float, Some(held)) => {
+                answer_reserve(ask, self.granted(&held), effects);
+            }
+            _ => self.wait(kind),
+        }
+        true
+    }
+
+    /// Lets a reservation wait for tokens, or refuses it where waiting
+    /// can't help.
+    fn queue_or_refuse(
+        &mut self,
+        place: usize,
+        ask: AskId,
+        reserve: ReserveAsk,
+        now: ClockTime,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        let stock = &self.stocks[place];
+        let covered = stock.view.is_some() && self.witnessed_free(place) >= reserve.amount;
+        let is_stuck = covered && self.silent;
+        let is_full = stock.queue.len() >= self.settings.queue_most;
+        if is_stuck || is_full || (stock.table_away && !covered) {
+            return answer_reserve(ask, self.unreachable(), effects);
+        }
+        if !covered && now < stock.exhausted_until {
+            return answer_reserve(ask, self.exhausted(place), effects);
+        }
+        self.stocks[place].queue.push(QueuedAsk {
+            ask,
+            reserve,
+            since: now,
+        });
+    }
+
+    pub(super) fn settle(
+        &mut self,
+        ask: AskId,
+        settle: &SettleAsk,
+        now: ClockTime,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        let state = self.ledger.request(&settle.identity).cloned();
+        let answer = match state {
+            Some(RequestState::Reserved(held)) if held.attempt == settle.attempt => {
+                let charged = settle.actual.min(held.amount);
+                self.charge(ask, settle, &held, charged, now)
+            }
+            Some(RequestState::Settled(charge)) if charge.attempt == settle.attempt => {
+                self.settled_again(ask, settle, charge.charged, charge.pool)
+            }
+            Some(RequestState::Settled(charge)) => Some(SettleAnswer::AlreadySettled {
+                attempt: charge.attempt,
+                charged: charge.charged,
+            }),
+            _ if self.is_retired() => Some(self.not_holder_settle()),
+            _ => Some(SettleAnswer::Unknown),
+        };
+        if let Some(answer) = answer {
+            effects.push(HolderEffect::Answer(ask, HolderAnswer::Settle(answer)));
+        }
+        self.review_budget_of(&settle.identity, now, effects);
+    }
+
+    /// Records a charge; `None` if the answer waits for the witness.
+    ///
+    /// A former holder counts the charge for its late report, and answers
+    /// only for the float.
+    fn charge(
+        &mut self,
+        ask: AskId,
+        settle: &SettleAsk,
+        held: &HeldAttempt,
+        charged: TokenCount,
+        now: ClockTime,
+    ) -> Option<SettleAnswer> {
+        self.record(LedgerEntry::Settle {
+            identity: settle.identity.clone(),
+            attempt: settle.attempt,
+            charged,
+            backend: settle.backend.clone(),
+        });
+        self.retain(&settle.identity, now);
+        if held.pool == TokenPool::Float {
+            return Some(SettleAnswer::Settled { charged });
+        }
+        if self.is_retired() {
+            return Some(self.not_holder_settle());
+        }
+        let settled = self.ledger.account_mut(&held.budget).counters.settled;
+        self.wait(WaitKind::Charge(held.budget.clone(), settled));
+        self.wait_settle(ask, &settle.identity, charged)
+    }
+
+    /// The answer to a charge that was recorded before.
+    fn settled_again(
+        &mut self,
+        ask: AskId,
+        settle: &SettleAsk,
+        charged: TokenCount,
+        pool: TokenPool,
+    ) -> Option<SettleAnswer> {
+        if pool == TokenPool::Float {
+            return Some(SettleAnswer::Settled { charged });
+        }
+        if self.is_retired() {
+            return Some(self.not_holder_settle());
+        }
+        let has_all = self.batch.is_none() && self.outbox.is_empty();
+        if has_all && self.is_witnessed() {
+            return Some(SettleAnswer::Settled { charged });
+        }
+        self.wait_settle(ask, &settle.identity, charged)
+    }
+
+    fn wait_settle(
+        &mut self,
+        ask: AskId,
+        identity: &RequestIdentity,
+        charged: TokenCount,
+    ) -> Option<SettleAnswer> {
+        if self.silent {
+            return Some(SettleAnswer::Pending {
+                charged,
+                retry_after: self.settings.retry_after,
+            });
+        }
+        self.wait(WaitKind::Settle(ask, identity.clone(), charged));
+        None
+    }
+
+    pub(super) fn release(
+        &mut self,
+        ask: AskId,
+        release: &ReleaseAsk,
+        now: ClockTime,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        let state = self.ledger.request(&release.identity).cloned();
+        let mut answer = ReleaseAnswer::Released;
+        match state {
+            Some(RequestState::Reserved(held)) if held.attempt == release.attempt => {
+                self.record(LedgerEntry::Release {
+                    identity: release.identity.clone(),
+                    attempt: release.attempt,
+                });
+                if self.is_retired() && held.pool == TokenPool::Witnessed {
+                    answer = self.not_holder_release();
+                }
+                if let Ok(place) = self.stock_place(&held.budget) {
+                    self.review(place, now, effects);
+                }
+            }
+            Some(RequestState::Settled(charge)) if charge.attempt == release.attempt => {
+                answer = ReleaseAnswer::AlreadySettled {
+                    charged: charge.charged,
+                };
+            }
+            _ if self.is_retired() => answer = self.not_holder_release(),
+            _ => self.drop_queued(release, effects),
+        }
+        effects.push(HolderEffect::Answer(ask, HolderAnswer::Release(answer)));
+    }
+
+    /// A released attempt waits for nothing any more.
+    fn drop_queued(&mut self, release: &ReleaseAsk, effects: &mut Vec<HolderEffect>) {
+        let gone = self.unreachable();
+        for stock in &mut self.stocks {
+            let found = stock
+                .queue
+                .iter()
+                .position(|queued| queued.reserve.attempt == release.attempt);
+            if let Some(place) = found {
+                let queued = stock.queue.remove(place);
+                answer_reserve(queued.ask, gone.clone(), effects);
+            }
+        }
+    }
+
+    pub(super) fn serve(&mut self, note: BackendNote) {
+        if self.held(&note.identity, note.attempt).is_none() {
+            return;
+        }
+        self.record(LedgerEntry::Serve {
+            identity: note.identity,
+            attempt: note.attempt,
+            backend: note.backend,
+        });
+    }
+
+    pub(super) fn seal(
+        &mut self,
+        ask: AskId,
+        seal: &SealAsk,
+        now: ClockTime,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        if let Some(answer) = self.seal_answer(seal) {
+            effects.push(HolderEffect::Answer(ask, HolderAnswer::Seal(answer)));
+            return;
+        }
+        if self.ledger.request(&seal.identity).is_none() {
+            self.record(LedgerEntry::Seal {
+                identity: seal.identity.clone(),
+            });
+            self.retain(&seal.identity, now);
+        }
+        self.wait(WaitKind::Seal(ask, seal.identity.clone()));
+    }
+
+    /// The answer to a seal, or `None` if it waits for the witness.
+    fn seal_answer(&self, seal: &SealAsk) -> Option<SealAnswer> {
+        if self.is_retired() || self.leaving {
+            let holder = Some(self.next_holder());
+            return Some(SealAnswer::NotHolder { holder });
+        }
+        let queued = self.stocks.iter().flat_map(|stock| &stock.queue);
+        let mut queued = queued.filter(|queued| queued.reserve.identity == seal.identity);
+        if let Some(queued) = queued.next() {
+            let attempt = queued.reserve.attempt;
+            return Some(SealAnswer::Running { attempt });
+        }
+        match self.ledger.request(&seal.identity) {
+            Some(RequestState::Reserved(held)) => Some(SealAnswer::Running {
+                attempt: held.attempt,
+            }),
+            Some(RequestState::Settled(charge)) => Some(SealAnswer::AlreadyBilled {
+                attempt: charge.attempt,
+                charged: charge.charged,
+            }),
+            _ if !self.is_witnessed() => Some(SealAnswer::Unreachable {
+                retry_after: self.settings.retry_after,
+            }),
+            Some(RequestState::Sealed) if self.batch.is_none() && self.outbox.is_empty() => {
+                Some(SealAnswer::Sealed)
+            }
+            _ => None,
+        }
+    }
+
+    /// The attempt, if it may be running.
+    pub(super) fn held(
+        &self,
+        identity: &RequestIdentity,
+        attempt: AttemptId,
+    ) -> Option<HeldAttempt> {
+        match self.ledger.request(identity) {
+            Some(RequestState::Reserved(held)) if held.attempt == attempt => Some(held.clone()),
+            _ => None,
+        }
+    }
+
+    pub(super) fn granted(&self, held: &HeldAttempt) -> ReserveAnswer {
+        ReserveAnswer::Granted(ReserveGrant {
+            holder: self.row.holder.clone(),
+            tenure: held.tenure,
+            pool: held.pool,
+            amount: held.amount,
+        })
+    }
+
+    pub(super) fn unreachable(&self) -> ReserveAnswer {
+        ReserveAnswer::Unreachable {
+            retry_after: self.settings.retry_after,
+        }
+    }
+
+    /// Truthful about the rest: what other zones hold may come back, and so
+    /// may what running attempts do not use.
+    pub(super) fn exhausted(&self, place: usize) -> ReserveAnswer {
+        let stock = &self.stocks[place];
+        let open = stock.view.iter().flat_map(|view| &view.elsewhere);
+        let elsewhere: TokenCount = open.map(|other| other.open).sum();
+        let account = self.ledger.account(&stock.budget);
+        let is_running = account.is_some_and(|account| {
+            account.reserved.saturating_add(account.float_reserved) > TokenCount::ZERO
+        });
+        let may_return = is_running || elsewhere > TokenCount::ZERO;
+        ReserveAnswer::Exhausted {
+            retry_after: may_return.then_some(self.settings.retry_after),
+            elsewhere,
+        }
+    }
+
+    pub(super) fn witnessed_free(&self, place: usize) -> TokenCount {
+        let stock = &self.stocks[place];
+        self.ledger
+            .account(&stock.budget)
+            .map_or(TokenCount::ZERO, |account| stock.witnessed_free(account))
+    }
+
+    pub(super) fn float_covers(&self, budget: &BudgetId, amount: TokenCount) -> bool {
+        let Ok(place) = self.stock_place(budget) else {
+            return false;
+        };
+        let stock = &self.stocks[place];
+        self.ledger
+            .account(budget)
+            .is_some_and(|account| stock.float_free(account) >= amount)
+    }
+
+    fn not_holder_reserve(&self) -> ReserveAnswer {
+        ReserveAnswer::NotHolder {
+            holder: Some(self.next_holder()),
+        }
+    }
+
+    fn not_holder_settle(&self) -> SettleAnswer {
+        SettleAnswer::NotHolder {
+            holder: Some(self.next_holder()),
+        }
+    }
+
+    fn not_holder_release(&self) -> ReleaseAnswer {
+        ReleaseAnswer::NotHolder {
+            holder: Some(self.next_holder()),
+        }
+    }
+}
+
+pub(super) fn answer_reserve(ask: AskId, answer: ReserveAnswer, effects: &mut Vec<HolderEffect>) {
+    effects.push(HolderEffect::Answer(ask, HolderAnswer::Reserve(answer)));
+}
--- /dev/null
+++ b/crates/guavawell-core/src/budget/holder/event.rs
@@ -0,0 +1,165 @@
+//! What a slot's holder is told, and what it wants done.
+
+use std::fmt;
+
+use crate::budget::intent::GrantView;
+use crate::budget::intent::TableFailure;
+use crate::budget::intent::TableIntent;
+use crate::budget::message::BackendNote;
+use crate::budget::message::HandBackAnswer;
+use crate::budget::message::HandBackAsk;
+use crate::budget::message::ReleaseAnswer;
+use crate::budget::message::ReleaseAsk;
+use crate::budget::message::ReserveAnswer;
+use crate::budget::message::ReserveAsk;
+use crate::budget::message::SealAnswer;
+use crate::budget::message::SealAsk;
+use crate::budget::message::SettleAnswer;
+use crate::budget::message::SettleAsk;
+use crate::budget::record::HandoverAck;
+use crate::budget::record::TakeoverAsk;
+use crate::budget::record::WitnessAck;
+use crate::budget::record::WitnessMessage;
+use crate::budget::record::WitnessRefusal;
+use crate::budget::slot::InstanceLife;
+use crate::budget::slot::SlotId;
+use crate::budget::slot::SlotRow;
+use crate::id::BudgetId;
+use crate::id::TokenCount;
+
+/// The driver's own number of an ask, given back with its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AskId(u64);
+
+impl AskId {
+    /// Wraps a plain number.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The plain number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+/// What a slot's holder is told.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum HolderEvent {
+    /// A router asks to reserve.
+    Reserve(AskId, ReserveAsk),
+    /// A router asks to settle.
+    Settle(AskId, SettleAsk),
+    /// A router gives a reservation back.
+    Release(AskId, ReleaseAsk),
+    /// A router names the backend server of an attempt; not answered.
+    Serve(BackendNote),
+    /// A router asks to seal a request.
+    Seal(AskId, SealAsk),
+    /// The holder of another zone asks for tokens.
+    HandBack(AskId, HandBackAsk),
+    /// The witness acknowledges.
+    Ack(WitnessAck),
+    /// The witness refuses.
+    Refusal(WitnessRefusal),
+    /// A new witness holds the ledger.
+    HandoverAck(HandoverAck),
+    /// The slot row as it is after [`TableIntent::WriteSlot`] or
+    /// [`TableIntent::ReadSlot`].
+    SlotRead(Result<SlotRow, TableFailure>),
+    /// The outcome of [`TableIntent::ChangeGrant`].
+    GrantChanged(BudgetId, Result<GrantView, TableFailure>),
+    /// The outcome of [`TableIntent::ReportFrozen`].
+    FrozenReported(BudgetId, Result<(), TableFailure>),
+    /// Every slot named by [`HolderEffect::AskHandBack`] answered, or won't.
+    HandBackDone(BudgetId),
+    /// The driver names a new witness, or the present one anew; `None` ends
+    /// witnessing while nobody else is there.
+    ChangeWitness(Option<InstanceLife>),
+    /// The instance leaves: hand the slot to the witness.
+    Leave,
+    /// Time passes; call it at least every `resend_every`.
+    Tick,
+}
+
+/// An answer to an ask.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum HolderAnswer {
+    /// To [`HolderEvent::Reserve`].
+    Reserve(ReserveAnswer),
+    /// To [`HolderEvent::Settle`].
+    Settle(SettleAnswer),
+    /// To [`HolderEvent::Release`].
+    Release(ReleaseAnswer),
+    /// To [`HolderEvent::Seal`].
+    Seal(SealAnswer),
+    /// To [`HolderEvent::HandBack`].
+    HandBack(HandBackAnswer),
+}
+
+/// What a slot's holder wants done, in this order.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum HolderEffect {
+    /// Answer an ask.
+    Answer(AskId, HolderAnswer),
+    /// Send to a witness; loss is allowed.
+    Send(InstanceLife, WitnessMessage),
+    /// Carry out against the table, then tell the outcome.
+    Table(TableIntent),
+    /// Ask the holders of these slots to give tokens back, then tell
+    /// [`HolderEvent::HandBackDone`].
+    AskHandBack {
+        /// The budget.
+        budget: BudgetId,
+        /// The tokens that are short.
+        wanted: TokenCount,
+        /// The slots that hold open tokens.
+        slots: Vec<SlotId>,
+    },
+    /// Ask the witness to take the slot over: this instance leaves.
+    HandSlot(InstanceLife, TakeoverAsk),
+    /// A change of state for the event log.
+    Note(HolderNote),
+}
+
+/// A change of state for the event log.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum HolderNote {
+    /// The witness does not acknowledge; the float alone is spent.
+    WitnessSilent,
+    /// The witness acknowledges again.
+    WitnessBack,
+    /// The witness refused the holder's stamp; change the witness.
+    WitnessRefused,
+    /// The table names the new witness.
+    WitnessChanged,
+    /// Another router holds the slot.
+    Retired,
+    /// The table holds what former tenures did with the budget.
+    TenureClosed(BudgetId),
+    /// The budget has nothing left for a request that asked.
+    Exhausted(BudgetId),
+    /// A former holder's use of the float stands in the table.
+    FloatReported(BudgetId),
+    /// The table row contradicts the holder's account: a defect.
+    AccountMismatch(BudgetId),
+}
+
+impl fmt::Display for HolderNote {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = match self {
+            Self::WitnessSilent => "slot.witness_silent",
+            Self::WitnessBack => "slot.witness_back",
+            Self::WitnessRefused => "slot.witness_refused",
+            Self::WitnessChanged => "slot.witness_changed",
+            Self::Retired => "slot.retired",
+            Self::TenureClosed(_) => "budget.tenure_closed",
+            Self::Exhausted(_) => "budget.exhausted",
+            Self::FloatReported(_) => "budget.float_reported",
+            Self::AccountMismatch(_) => "budget.account_mismatch",
+        };
+        formatter.write_str(kind)
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -0,0 +1,310 @@
+//! The holder of a slot: the one router that decides for its zone whether a
+//! budget of its shard may be spent.
+//!
+//! The holder is told events and returns effects; it decides everything and
+//! carries out nothing. A grant never ends by time. A witnessed token is
+//! spent only after the witness acknowledged the reservation under the
+//! present epoch; a float token is spent alone.
+
+mod ask;
+mod event;
+mod refill;
+mod retire;
+mod settings;
+mod stock;
+mod witnessing;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+pub use event::AskId;
+pub use event::HolderAnswer;
+pub use event::HolderEffect;
+pub use event::HolderEvent;
+pub use event::HolderNote;
+pub use settings::HolderSettings;
+use stock::BudgetStock;
+use witnessing::HeldWait;
+use witnessing::SentBatch;
+use witnessing::WitnessChange;
+
+use super::intent::TableIntent;
+use super::ledger::HeldAttempt;
+use super::ledger::SlotLedger;
+use super::record::LedgerEntry;
+use super::row::GrantChange;
+use super::slot::InstanceLife;
+use super::slot::SlotId;
+use super::slot::SlotRow;
+use crate::clock::ClockTime;
+use crate::id::BudgetId;
+use crate::id::TokenCount;
+use crate::request::RequestIdentity;
+
+/// Where a holder stands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum HolderPhase {
+    /// The table names this holder and its witness.
+    Serving,
+    /// A new witness is being brought in.
+    Changing(Box<WitnessChange>),
+    /// Another router holds the slot since then.
+    Retired(ClockTime),
+}
+
+/// A charged or sealed request, remembered for a while.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct RetainedRequest {
+    since: ClockTime,
+    identity: RequestIdentity,
+}
+
+/// The holder of a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct SlotHolder {
+    settings: Arc<HolderSettings>,
+    slot: SlotId,
+    /// The slot row as last known to be in the table.
+    row: SlotRow,
+    phase: HolderPhase,
+    leaving: bool,
+    ledger: SlotLedger,
+    /// Budgets, sorted by id.
+    stocks: Vec<BudgetStock>,
+    /// Entries that no batch carries yet.
+    outbox: Vec<LedgerEntry>,
+    /// The batch that waits for its acknowledgement.
+    batch: Option<SentBatch>,
+    /// The number of the last batch made under this epoch.
+    sequence: u64,
+    /// The number of the last handover made.
+    handovers: u64,
+    /// What is answered once a batch is acknowledged.
+    waits: Vec<HeldWait>,
+    /// Whether the witness let a batch wait for too long.
+    silent: bool,
+    retained: VecDeque<RetainedRequest>,
+}
+
+impl SlotHolder {
+    /// A holder that the table's `row` names, with the ledger it goes on
+    /// from: an empty one, a former holder's by takeover, or one
+    /// [after a loss](SlotLedger::after_loss).
+    #[must_use]
+    pub fn new(
+        settings: Arc<HolderSettings>,
+        slot: SlotId,
+        row: SlotRow,
+        ledger: SlotLedger,
+        now: ClockTime,
+    ) -> Self {
+        let retained = ledger.ended_requests().map(|identity| RetainedRequest {
+            since: now,
+            identity: identity.clone(),
+        });
+        Self {
+            retained: retained.collect(),
+            settings,
+            slot,
+            row,
+            phase: HolderPhase::Serving,
+            leaving: false,
+            ledger,
+            stocks: Vec::new(),
+            outbox: Vec::new(),
+            batch: None,
+            sequence: 0,
+            handovers: 0,
+            waits: Vec::new(),
+            silent: false,
+        }
+    }
+
+    /// Takes an event and appends what is to be done.
+    pub fn handle(&mut self, event: HolderEvent, now: ClockTime, effects: &mut Vec<HolderEffect>) {
+        match event {
+            HolderEvent::Reserve(ask, reserve) => self.reserve(ask, reserve, now, effects),
+            HolderEvent::Settle(ask, settle) => self.settle(ask, &settle, now, effects),
+            HolderEvent::Release(ask, release) => self.release(ask, &release, now, effects),
+            HolderEvent::Serve(note) => self.serve(note),
+            HolderEvent::Seal(ask, seal) => self.seal(ask, &seal, now, effects),
+            HolderEvent::HandBack(ask, back) => self.hand_back(ask, &back, now, effects),
+            HolderEvent::Ack(ack) => self.take_ack(&ack, now, effects),
+            HolderEvent::Refusal(refusal) => self.take_refusal(&refusal, effects),
+            HolderEvent::HandoverAck(ack) => self.take_handover_ack(&ack, now, effects),
+            HolderEvent::SlotRead(Ok(row)) => self.take_row(row, now, effects),
+            HolderEvent::SlotRead(Err(_)) => {}
+            HolderEvent::GrantChanged(budget, outcome) => {
+                self.take_grant(&budget, outcome, now, effects);
+            }
+            HolderEvent::FrozenReported(budget, outcome) => {
+                self.take_report(&budget, outcome, effects);
+            }
+            HolderEvent::HandBackDone(budget) => self.hand_back_done(&budget, now, effects),
+            HolderEvent::ChangeWitness(witness) => self.change_witness(witness, now, effects),
+            HolderEvent::Leave => self.leave(now, effects),
+            HolderEvent::Tick => self.tick(now, effects),
+        }
+        self.flush(now, effects);
+    }
+
+    /// The slot row as last known to be in the table.
+    #[must_use]
+    pub const fn row(&self) -> &SlotRow {
+        &self.row
+    }
+
+    /// Whether another router holds the slot.
+    #[must_use]
+    pub const fn is_retired(&self) -> bool {
+        matches!(self.phase, HolderPhase::Retired(_))
+    }
+
+    /// Whether nothing is left to do: retired, and every float reported.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.is_retired() && self.stocks.iter().all(|stock| stock.is_reported)
+    }
+
+    /// Whether the witness lets batches wait for too long, or refused.
+    #[must_use]
+    pub const fn is_witness_silent(&self) -> bool {
+        self.silent
+    }
+
+    /// Whether a new witness is being brought in.
+    #[must_use]
+    pub const fn is_changing_witness(&self) -> bool {
+        matches!(self.phase, HolderPhase::Changing(_))
+    }
+
+    /// The ledger, for audits and for resolving attempts in doubt.
+    #[must_use]
+    pub const fn ledger(&self) -> &SlotLedger {
+        &self.ledger
+    }
+
+    /// Attempts that routers other than the living ones may have left
+    /// behind; ask the engine's own record, then settle or release them.
+    pub fn attempts_of<'a>(
+        &'a self,
+        router: &'a InstanceLife,
+    ) -> impl Iterator<Item = (&'a RequestIdentity, &'a HeldAttempt)> {
+        self.ledger
+            .held_attempts()
+            .filter(move |(_, held)| held.router == *router)
+    }
+
+    /// What a budget may spend here at once, in both pools.
+    #[must_use]
+    pub fn free_tokens(&self, budget: &BudgetId) -> TokenCount {
+        let free = |place: usize| {
+            let stock = &self.stocks[place];
+            let account = self.ledger.account(budget)?;
+            Some(stock.free(account))
+        };
+        let place = self.stock_place(budget).ok();
+        place.and_then(free).unwrap_or_default()
+    }
+
+    /// Whether a reservation can be acknowledged now.
+    const fn is_witnessed(&self) -> bool {
+        matches!(self.phase, HolderPhase::Serving) && !self.silent
+    }
+
+    /// Applies an entry here and queues it for the witness, if there is one.
+    fn record(&mut self, entry: LedgerEntry) {
+        self.ledger.apply(&entry);
+        if !self.is_retired() {
+            self.outbox.push(entry);
+        }
+    }
+
+    /// The place of a budget's stock, made empty if new.
+    fn stock_or_new(&mut self, budget: &BudgetId, now: ClockTime) -> usize {
+        self.ledger.account_mut(budget);
+        match self.stock_place(budget) {
+            Ok(place) => place,
+            Err(place) => {
+                let stock = BudgetStock::new(budget.clone(), now);
+                self.stocks.insert(place, stock);
+                place
+            }
+        }
+    }
+
+    fn stock_place(&self, budget: &BudgetId) -> Result<usize, usize> {
+        self.stocks
+            .binary_search_by(|stock| stock.budget.cmp(budget))
+    }
+
+    fn tick(&mut self, now: ClockTime, effects: &mut Vec<HolderEffect>) {
+        if self.is_retired() {
+            self.report_floats(now, effects);
+            return;
+        }
+        self.resend(now, effects);
+        self.forget_old(now);
+        self.adopt_accounts(now);
+        for place in 0..self.stocks.len() {
+            self.stocks[place].measure(now);
+            self.resend_change(place, now, effects);
+            self.expire_queue(place, now, effects);
+            self.review(place, now, effects);
+        }
+        if self.leaving {
+            self.hand_slot(effects);
+        }
+    }
+
+    /// Gives every account of the ledger a stock: after a takeover, budgets
+    /// that nobody asks for have to be closed in the table too.
+    fn adopt_accounts(&mut self, now: ClockTime) {
+        if self.stocks.len() == self.ledger.accounts.len() {
+            return;
+        }
+        let budgets: Vec<BudgetId> = self
+            .ledger
+            .accounts
+            .iter()
+            .map(|account| account.budget.clone())
+            .collect();
+        for budget in budgets {
+            self.stock_or_new(&budget, now);
+        }
+    }
+
+    fn retain(&mut self, identity: &RequestIdentity, now: ClockTime) {
+        self.retained.push_back(RetainedRequest {
+            since: now,
+            identity: identity.clone(),
+        });
+    }
+
+    fn forget_old(&mut self, now: ClockTime) {
+        while let Some(oldest) = self.retained.front() {
+            let is_old = now.since(oldest.since) >= self.settings.retention;
+            if !is_old && self.retained.len() <= self.settings.retained_most {
+                return;
+            }
+            let Some(oldest) = self.retained.pop_front() else {
+                return;
+            };
+            self.record(LedgerEntry::Forget {
+                identity: oldest.identity,
+            });
+        }
+    }
+
+    fn send_change(&mut self, place: usize, now: ClockTime, effects: &mut Vec<HolderEffect>) {
+        let stock = &mut self.stocks[place];
+        let Some(change) = &stock.change else {
+            return;
+        };
+        stock.sent_at = now;
+        effects.push(HolderEffect::Table(TableIntent::ChangeGrant {
+            budget: stock.budget.clone(),
+            change: GrantChange::clone(change),
+        }));
+    }
+}
--- a/crates/guavawell-core/src/budget/ledger.rs
+++ b/crates/guavawell-core/src/budget/ledger.rs
@@ -66,6 +66,8 @@
     pub attempt: AttemptId,
     /// The budget that was charged.
     pub budget: BudgetId,
+    /// The pool that paid.
+    pub pool: TokenPool,
     /// The charge.
     pub charged: TokenCount,
     /// The backend server, where it is known.
@@ -145,8 +147,7 @@
         Some(&self.requests[place].state)
     }
 
-    /// Forgets a settled or sealed request whose retention has passed.
-    pub fn forget(&mut self, identity: &RequestIdentity) {
+    fn forget(&mut self, identity: &RequestIdentity) {
         let Ok(place) = self.request_place(identity) else {
             return;
         };
@@ -200,6 +201,7 @@
             } => self.settle(identity, *attempt, *charged, backend.as_ref()),
             LedgerEntry::Release { identity, attempt } => self.release(identity, *attempt),
             LedgerEntry::Seal { identity } => self.seal(identity),
+            LedgerEntry::Forget { identity } => self.forget(identity),
             LedgerEntry::RaiseFloat { budget, tokens } => {
                 let account = self.account_mut(budget);
                 account.counters.float = account.counters.float.saturating_add(*tokens);
@@ -253,6 +255,7 @@
         let charge = ChargedAttempt {
             attempt,
             budget: held.budget.clone(),
+            pool: held.pool,
             charged,
             backend: backend.cloned().or_else(|| held.backend.clone()),
         };
@@ -297,6 +300,14 @@
         })
     }
 
+    /// Every request that was charged or sealed.
+    pub fn ended_requests(&self) -> impl Iterator<Item = &RequestIdentity> {
+        self.requests
+            .iter()
+            .filter(|entry| !matches!(entry.state, RequestState::Reserved(_)))
+            .map(|entry| &entry.identity)
+    }
+
     /// Whether an attempt is paid from a float that a takeover froze.
     #[must_use]
     pub fn is_frozen(&self, held: &HeldAttempt) -> bool {
--- a/crates/guavawell-core/src/budget/message.rs
+++ b/crates/guavawell-core/src/budget/message.rs
@@ -28,7 +28,7 @@
 }
 
 /// Asks the holder to reserve an attempt's worst case.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ReserveAsk {
     /// The request.
     pub identity: RequestIdentity,
@@ -45,7 +45,7 @@
 }
 
 /// The holder's answer to a [`ReserveAsk`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ReserveAnswer {
     /// The attempt may run and may charge up to the amount.
@@ -93,7 +93,7 @@
 }
 
 /// The right to run one attempt; sent back when it is settled or released.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ReserveGrant {
     /// The holder that granted; a float attempt is settled with it alone.
     pub holder: InstanceLife,
@@ -107,7 +107,7 @@
 
 /// Asks the holder to charge an attempt; answered before the end marker
 /// goes to the caller.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SettleAsk {
     /// The request.
     pub identity: RequestIdentity,
@@ -122,7 +122,7 @@
 }
 
 /// The holder's answer to a [`SettleAsk`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SettleAnswer {
     /// The charge is with the witness, or in the float's account.
@@ -137,13 +137,18 @@
         /// Its charge.
         charged: TokenCount,
     },
-    /// The holder knows no such attempt.
-    Unknown,
-    /// The charge cannot be recorded now; ask again.
-    Unreachable {
+    /// The holder has the charge, but its witness does not acknowledge now.
+    ///
+    /// The worst case stays reserved at the witness, so the charge can't be
+    /// lost to the budget; the router asks again until it is settled.
+    Pending {
+        /// The charge.
+        charged: TokenCount,
         /// When to ask again.
         retry_after: ClockSpan,
     },
+    /// The holder knows no such attempt.
+    Unknown,
     /// The asked router does not hold the slot.
     NotHolder {
         /// The holder, as last read.
@@ -152,7 +157,7 @@
 }
 
 /// Gives a reservation back: the attempt did not run and will not.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ReleaseAsk {
     /// The request.
     pub identity: RequestIdentity,
@@ -161,7 +166,7 @@
 }
 
 /// The holder's answer to a [`ReleaseAsk`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ReleaseAnswer {
     /// The reservation is gone, or was never there.
@@ -180,7 +185,7 @@
 
 /// Tells the holder which backend server runs an attempt, so that another
 /// router may resume its stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct BackendNote {
     /// The request.
     pub identity: RequestIdentity,
@@ -191,14 +196,14 @@
 }
 
 /// Asks the holder to let no attempt of the request run from now on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SealAsk {
     /// The request.
     pub identity: RequestIdentity,
 }
 
 /// The holder's answer to a [`SealAsk`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SealAnswer {
     /// The witness holds the seal: this slot grants the request nothing.
@@ -228,7 +233,7 @@
 }
 
 /// Asks the holder in another zone to give unspent tokens back to a budget.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct HandBackAsk {
     /// The slot that should give.
     pub slot: SlotId,
@@ -239,7 +244,7 @@
 }
 
 /// The holder's answer to a [`HandBackAsk`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HandBackAnswer {
     /// This much was given back and stands in the table.
--- a/crates/guavawell-core/src/budget/mod.rs
+++ b/crates/guavawell-core/src/budget/mod.rs
@@ -4,15 +4,24 @@
 //! clock, opens a socket, starts a thread or draws a random number.
 
 mod account;
+mod holder;
 mod intent;
 mod ledger;
 mod message;
 mod record;
 mod row;
 mod slot;
+mod witness;
 
 pub use account::BudgetAccount;
 pub use account::TenureCounters;
+pub use holder::AskId;
+pub use holder::HolderAnswer;
+pub use holder::HolderEffect;
+pub use holder::HolderEvent;
+pub use holder::HolderNote;
+pub use holder::HolderSettings;
+pub use holder::SlotHolder;
 pub use intent::GrantView;
 pub use intent::OtherGrant;
 pub use intent::TableFailure;
@@ -61,3 +70,6 @@
 pub use slot::SlotId;
 pub use slot::SlotRow;
 pub use slot::shard_of;
+pub use witness::SlotWitness;
+pub use witness::WitnessEffect;
+pub use witness::WitnessEvent;
--- a/crates/guavawell-core/src/budget/record.rs
+++ b/crates/guavawell-core/src/budget/record.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::ledger::SlotLedger;
 use super::message::TokenPool;
 use super::slot::InstanceLife;
 use super::slot::SlotId;
@@ -89,6 +90,11 @@
         /// The request.
         identity: RequestIdentity,
     },
+    /// The retention of a charged or sealed request has passed.
+    Forget {
+        /// The request.
+        identity: RequestIdentity,
+    },
     /// Tokens move into the solo float; usable once acknowledged.
     RaiseFloat {
         /// The budget.
@@ -148,8 +154,11 @@
 pub struct LedgerHandover {
     /// The stamp as it will be once the table names the new witness.
     pub stamp: RecordStamp,
+    /// Rises with every handover of this holder; tells two ledgers apart
+    /// that were handed over under one stamp.
+    pub handover: u64,
     /// The ledger.
-    pub ledger: super::ledger::SlotLedger,
+    pub ledger: SlotLedger,
 }
 
 /// The new witness's word that it holds the ledger.
@@ -157,11 +166,13 @@
 pub struct HandoverAck {
     /// The stamp of the handover.
     pub stamp: RecordStamp,
+    /// The number of the handover.
+    pub handover: u64,
 }
 
 /// Asks a witness to take the slot over: its holder is believed dead, or
 /// leaves.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TakeoverAsk {
     /// The slot.
     pub slot: SlotId,
--- a/crates/guavawell-core/src/budget/row/mod.rs
+++ b/crates/guavawell-core/src/budget/row/mod.rs
@@ -18,6 +18,8 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use super::intent::GrantView;
+use super::intent::OtherGrant;
 use super::slot::SlotId;
 use crate::id::ManifestVersion;
 use crate::id::OrganisationId;
@@ -167,14 +169,26 @@
         Some(&self.grants[place])
     }
 
-    /// Open tokens of every slot but one.
+    /// The row as the holder of one slot needs it.
     #[must_use]
-    pub fn open_elsewhere(&self, slot: &SlotId) -> TokenCount {
-        self.grants
+    pub fn view(&self, slot: &SlotId) -> GrantView {
+        let grant = self.grant(slot);
+        let elsewhere = self
+            .grants
             .iter()
-            .filter(|grant| grant.slot != *slot)
-            .map(|grant| grant.open)
-            .sum()
+            .filter(|other| other.slot != *slot && other.open > TokenCount::ZERO)
+            .map(|other| OtherGrant {
+                slot: other.slot.clone(),
+                open: other.open,
+            });
+        GrantView {
+            sequence: grant.map_or(0, |grant| grant.sequence),
+            open: grant.map_or(TokenCount::ZERO, |grant| grant.open),
+            reported: grant.map_or(TokenCount::ZERO, |grant| grant.reported),
+            float_reported: grant.map_or(TokenCount::ZERO, |grant| grant.float_reported),
+            unspent: self.unspent(),
+            elsewhere: elsewhere.collect(),
+        }
     }
 
     /// Whether `settled + open grants + frozen tokens <= paid` holds.
