Speak TLS on smol, with certificates and keys reloaded when files change

Cause: callers, operators and peers need TLS; peers authenticate each other.

Change: ServerTls and ClientTls keep a rustls configuration behind arc-swap and rebuild it when a file's bytes change; a wrong new file leaves the former configuration in use. PortSecurity gives the callers' and operators' ports TLS or, where the settings name it, plain TCP from loopback only. rustls-pemfile is dropped: rustls-pki-types reads PEM itself.

Tests: wrong authority on either side, wrong name, expired on either side, reload, mismatched key, missing file, plain refused unless named (9).

--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod operator;
 pub mod platform;
 pub mod settings;
+pub mod tls;
