Measure backend choice against round robin and least reported load

Cause: the policies of backend choice and admission had no figures.

Change: the example routing_compare, a small queue model of engines on a virtual clock with fixed seeds, drives the library's own decisions and two baselines. 6 routers; reports every 1 s, 0.3 s late, a tenth of the cache events lost; the fault comes when measuring begins.

Own zone first overfills zones with two routers; a lost zone is ejected only by half because the floor counts one zone; the limits let engines queue, where fairness has no say.

--- /dev/null
+++ b/crates/guavawell-core/examples/routing_compare/main.rs
@@ -0,0 +1,111 @@
+//! Compares backend choice with round robin and least reported load, and
+//! measures fairness, the retry budget and the cost of a choice.
+//!
+//! `cargo run --release -p guavawell-core --example routing_compare`
+
+mod cost;
+mod engine;
+mod sample;
+mod world;
+
+use guavawell_core::limits::RetryBudget;
+use guavawell_core::limits::RetrySettings;
+
+use crate::sample::RandomDraws;
+use crate::world::ChoicePolicy;
+use crate::world::ExperimentWorld;
+use crate::world::WorldFault;
+use crate::world::WorldSetup;
+
+/// Requests a second that one full engine completes.
+const ENGINE_RATE: f64 = 6.1;
+const POLICIES: [ChoicePolicy; 3] = [
+    ChoicePolicy::RoundRobin,
+    ChoicePolicy::LeastReported,
+    ChoicePolicy::Guavawell,
+];
+const FAULTS: [WorldFault; 4] = [
+    WorldFault::None,
+    WorldFault::SlowServer,
+    WorldFault::Leaving,
+    WorldFault::ZoneLost,
+];
+
+fn main() {
+    println!("first token ms p50 p95 p99 | token ms p50 p95 p99 | refused, late work");
+    compare_policies(20, 4);
+    compare_policies(10, 3);
+    compare_fairness();
+    compare_retries();
+    cost::print_cost();
+}
+
+fn compare_policies(engines: usize, zones: usize) {
+    for fault in FAULTS {
+        for load in [0.5, 0.8, 0.95] {
+            for policy in POLICIES {
+                let rate = ENGINE_RATE * f64::from(u32::try_from(engines).expect("small"));
+                let setup = WorldSetup {
+                    policy,
+                    fault,
+                    engines,
+                    zones,
+                    rates: vec![rate * load],
+                };
+                let result = ExperimentWorld::run(setup);
+                let label = format!("{engines} {fault:?} {load} {policy:?}");
+                let first = result.first_token[0].summary();
+                let between = result.between.summary();
+                let (refused, late) = (result.refused, result.late_work);
+                println!("{label:<34} | {first} | {between} | {refused} {late}");
+            }
+        }
+    }
+}
+
+/// Two organisations with equal shares: the small one offers a fifth of its
+/// share, the large one ten times its share.
+fn compare_fairness() {
+    let share = ENGINE_RATE * 20.0 / 2.0;
+    for policy in POLICIES {
+        for rates in [vec![share / 5.0], vec![share / 5.0, share * 10.0]] {
+            let others = rates.len() - 1;
+            let setup = WorldSetup {
+                policy,
+                fault: WorldFault::None,
+                engines: 20,
+                zones: 4,
+                rates,
+            };
+            let result = ExperimentWorld::run(setup);
+            let samples = &result.first_token[0];
+            let (first, served) = (samples.summary(), samples.0.len());
+            println!(
+                "fairness {policy:?}, {others} large: small's first token ms {first}, served {served}"
+            );
+        }
+    }
+}
+
+/// Attempts per request in a brown-out in which nine of ten attempts fail.
+fn compare_retries() {
+    for budgeted in [false, true] {
+        let budget = RetryBudget::new(RetrySettings::default());
+        let mut draws = RandomDraws(11);
+        let (requests, mut attempts) = (20_000_u32, 0_u32);
+        for _ in 0..requests {
+            for _ in 0..4 {
+                attempts += 1;
+                if draws.below(10) == 0 {
+                    budget.deposit();
+                    break;
+                }
+                if budgeted && !budget.withdraw() {
+                    break;
+                }
+            }
+        }
+        let factor = f64::from(attempts) / f64::from(requests);
+        println!("brown-out, retry budget {budgeted}: {factor:.2} attempts per request");
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/examples/routing_compare/world.rs
@@ -0,0 +1,442 @@
+//! Routers, engines and callers on a virtual clock.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use guavawell_core::backend::BackendLease;
+use guavawell_core::backend::BackendSpec;
+use guavawell_core::backend::BackendTable;
+use guavawell_core::backend::CacheBatch;
+use guavawell_core::backend::ChoiceAsk;
+use guavawell_core::backend::LeaseOutcome;
+use guavawell_core::backend::LoadReport;
+use guavawell_core::backend::PrefixHash;
+use guavawell_core::backend::RouteTarget;
+use guavawell_core::backend::RoutingSettings;
+use guavawell_core::backend::ServedModel;
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::id::ZoneId;
+use guavawell_core::limits::Admission;
+use guavawell_core::limits::AdmissionAnswer;
+use guavawell_core::limits::AdmissionAsk;
+use guavawell_core::limits::AdmissionEffect;
+use guavawell_core::limits::AdmissionSettings;
+use guavawell_core::limits::AdmissionTicket;
+use guavawell_core::limits::FairWeight;
+use guavawell_core::limits::RequestPriority;
+
+use crate::engine::ModelEngine;
+use crate::engine::SLOTS;
+use crate::sample::LatencySamples;
+use crate::sample::RandomDraws;
+
+const ROUTERS: usize = 6;
+const PREFIXES: u64 = 60;
+const REPORT_MS: u64 = 1_000;
+const REPORT_LAG_MS: u64 = 300;
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+const MAX_TRIES: usize = 4;
+const START_MS: u64 = 1_000_000;
+/// The fault comes and measuring begins here.
+const MEASURE_MS: u64 = START_MS + 20_000;
+const END_MS: u64 = START_MS + 120_000;
+
+/// How a router chooses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoicePolicy {
+    RoundRobin,
+    LeastReported,
+    Guavawell,
+}
+
+/// What goes wrong with the first engine, or with its zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorldFault {
+    None,
+    SlowServer,
+    Leaving,
+    ZoneLost,
+}
+
+/// What is run.
+#[derive(Clone, Debug)]
+pub struct WorldSetup {
+    pub policy: ChoicePolicy,
+    pub fault: WorldFault,
+    pub engines: usize,
+    pub zones: usize,
+    /// Requests a second offered, by organisation.
+    pub rates: Vec<f64>,
+}
+
+/// What came out.
+#[derive(Default)]
+pub struct WorldResult {
+    /// By organisation.
+    pub first_token: Vec<LatencySamples>,
+    pub between: LatencySamples,
+    pub refused: u64,
+    /// New work at the leaving server 3 s after its mark.
+    pub late_work: u64,
+}
+
+enum WorldEvent {
+    Arrive(usize),
+    Try(usize),
+    First(usize),
+    Done(usize),
+    Failed(usize),
+    Report(usize),
+    Deliver(usize, LoadReport, CacheBatch),
+    Fault,
+}
+
+struct CallerJob {
+    organisation: usize,
+    router: usize,
+    arrived: u64,
+    prefix: PrefixHash,
+    tokens: u64,
+    tried: Vec<usize>,
+    lease: Option<BackendLease>,
+}
+
+struct RouterView {
+    zone: ZoneId,
+    table: Arc<BackendTable>,
+    admission: Admission,
+    cursor: usize,
+    reported: Vec<u32>,
+    left_out: Vec<bool>,
+}
+
+pub struct ExperimentWorld {
+    setup: WorldSetup,
+    now: u64,
+    agenda: BinaryHeap<Reverse<(u64, usize)>>,
+    events: Vec<Option<WorldEvent>>,
+    /// For callers; the same over all policies.
+    draws: RandomDraws,
+    /// For choices.
+    choices: RandomDraws,
+    engines: Vec<ModelEngine>,
+    routers: Vec<RouterView>,
+    jobs: Vec<CallerJob>,
+    target: RouteTarget,
+    result: WorldResult,
+}
+
+/// One engine's configuration.
+pub fn spec(number: usize, zones: usize) -> BackendSpec {
+    let model = ServedModel {
+        model: "m".parse().expect("model"),
+        version: "1".parse().expect("version"),
+    };
+    BackendSpec {
+        id: format!("engine-{number:04}").parse().expect("id"),
+        zone: format!("zone-{}", number % zones).parse().expect("zone"),
+        models: vec![model],
+        services: Vec::new(),
+        leaving: false,
+    }
+}
+
+impl ExperimentWorld {
+    pub fn run(setup: WorldSetup) -> WorldResult {
+        let mut world = Self::new(setup);
+        for organisation in 0..world.setup.rates.len() {
+            world.after(1, WorldEvent::Arrive(organisation));
+        }
+        for engine in 0..world.setup.engines {
+            world.after(engine as u64 * 37 % REPORT_MS, WorldEvent::Report(engine));
+        }
+        world.after(MEASURE_MS - START_MS, WorldEvent::Fault);
+        while let Some(Reverse((at, place))) = world.agenda.pop() {
+            world.now = at;
+            if let Some(event) = world.events[place].take() {
+                world.handle(event);
+            }
+        }
+        world.result
+    }
+
+    fn new(setup: WorldSetup) -> Self {
+        let specs: Vec<_> = (0..setup.engines)
+            .map(|number| spec(number, setup.zones))
+            .collect();
+        let start = ClockTime::from_millis(START_MS);
+        let router = |number: usize| RouterView {
+            zone: specs[number % setup.zones].zone.clone(),
+            table: Arc::new(BackendTable::new(
+                RoutingSettings::default(),
+                specs.clone(),
+                start,
+            )),
+            admission: Admission::new(AdmissionSettings::default()),
+            cursor: number * 3,
+            reported: vec![0; setup.engines],
+            left_out: vec![false; setup.engines],
+        };
+        Self {
+            now: START_MS,
+            agenda: BinaryHeap::new(),
+            events: Vec::new(),
+            draws: RandomDraws(7),
+            choices: RandomDraws(8),
+            engines: (0..setup.engines).map(|_| ModelEngine::default()).collect(),
+            routers: (0..ROUTERS).map(router).collect(),
+            jobs: Vec::new(),
+            target: RouteTarget::Model("m".parse().expect("model")),
+            result: WorldResult {
+                first_token: vec![LatencySamples::default(); setup.rates.len()],
+                ..WorldResult::default()
+            },
+            setup,
+        }
+    }
+
+    fn after(&mut self, span: u64, event: WorldEvent) {
+        self.agenda
+            .push(Reverse((self.now + span, self.events.len())));
+        self.events.push(Some(event));
+    }
+
+    fn time(&self) -> ClockTime {
+        ClockTime::from_millis(self.now)
+    }
+
+    fn handle(&mut self, event: WorldEvent) {
+        match event {
+            WorldEvent::Arrive(organisation) => self.arrive(organisation),
+            WorldEvent::Try(job) => self.attempt(job),
+            WorldEvent::First(job) => self.first(job),
+            WorldEvent::Done(job) => {
+                self.end_lease(job, LeaseOutcome::Served);
+                self.leave(job);
+            }
+            WorldEvent::Failed(job) => self.retry(job, LeaseOutcome::Failed),
+            WorldEvent::Report(engine) => self.report(engine),
+            WorldEvent::Deliver(engine, report, batch) => self.deliver(engine, &report, &batch),
+            WorldEvent::Fault => self.break_something(),
+        }
+    }
+
+    fn arrive(&mut self, organisation: usize) {
+        let gap = self
+            .draws
+            .exponential(1_000.0 / self.setup.rates[organisation]);
+        if self.now + gap < END_MS {
+            self.after(gap, WorldEvent::Arrive(organisation));
+        }
+        let rank = self.draws.below(PREFIXES) * self.draws.below(PREFIXES) / PREFIXES;
+        let job = CallerJob {
+            organisation,
+            router: self.draws.place(ROUTERS),
+            arrived: self.now,
+            prefix: PrefixHash::of_contents(&rank.to_be_bytes()),
+            tokens: 20 + self.draws.below(121),
+            tried: Vec::new(),
+            lease: None,
+        };
+        let number = self.jobs.len();
+        let ask = AdmissionAsk {
+            ticket: AdmissionTicket::new(number as u64),
+            organisation: format!("o{organisation}").parse().expect("id"),
+            weight: FairWeight::default(),
+            priority: RequestPriority::default(),
+            cost: job.tokens,
+            deadline: None,
+            first_token: ClockSpan::from_millis(200),
+        };
+        let router = job.router;
+        self.jobs.push(job);
+        if self.setup.policy != ChoicePolicy::Guavawell {
+            return self.attempt(number);
+        }
+        let now = self.time();
+        let mut effects = Vec::new();
+        match self.routers[router]
+            .admission
+            .submit(ask, now, &mut effects)
+        {
+            AdmissionAnswer::Run => self.attempt(number),
+            AdmissionAnswer::Queued => {}
+            AdmissionAnswer::Refused(_) => self.result.refused += 1,
+        }
+        self.follow(&effects);
+    }
+
+    fn follow(&mut self, effects: &[AdmissionEffect]) {
+        for effect in effects {
+            match effect {
+                AdmissionEffect::Run(ticket) => {
+                    let job = ticket.to_string().parse().expect("number");
+                    self.after(0, WorldEvent::Try(job));
+                }
+                AdmissionEffect::Refuse(..) => self.result.refused += 1,
+            }
+        }
+    }
+
+    /// A request leaves its router.
+    fn leave(&mut self, job: usize) {
+        if self.setup.policy == ChoicePolicy::Guavawell {
+            let now = self.time();
+            let mut effects = Vec::new();
+            self.routers[self.jobs[job].router]
+                .admission
+                .finish(now, &mut effects);
+            self.follow(&effects);
+        }
+    }
+
+    fn attempt(&mut self, number: usize) {
+        let Some(engine) = self.choose(number) else {
+            self.result.refused += 1;
+            return self.leave(number);
+        };
+        let now = self.now;
+        let job = &mut self.jobs[number];
+        job.tried.push(engine);
+        let state = &mut self.engines[engine];
+        if state.dead {
+            return self.after(CONNECT_TIMEOUT_MS, WorldEvent::Failed(number));
+        }
+        let late = state.leaving_since.is_some_and(|since| now > since + 3_000);
+        self.result.late_work += u64::from(late);
+        let Some(times) = state.offer(now, job.prefix, job.tokens) else {
+            return self.retry(number, LeaseOutcome::Overloaded);
+        };
+        if job.arrived >= MEASURE_MS {
+            let samples = &mut self.result.first_token[job.organisation];
+            samples.0.push(times.first - job.arrived);
+            self.result.between.0.push(times.token);
+        }
+        self.after(times.first - now, WorldEvent::First(number));
+        self.after(times.done - now, WorldEvent::Done(number));
+    }
+
+    fn retry(&mut self, number: usize, outcome: LeaseOutcome) {
+        self.end_lease(number, outcome);
+        if self.jobs[number].tried.len() < MAX_TRIES {
+            return self.after(1, WorldEvent::Try(number));
+        }
+        self.result.refused += 1;
+        self.leave(number);
+    }
+
+    fn choose(&mut self, number: usize) -> Option<usize> {
+        let draw = self.choices.next();
+        let now = self.time();
+        let count = self.setup.engines;
+        let job = &mut self.jobs[number];
+        let router = &mut self.routers[job.router];
+        let open = |engine: &usize| !router.left_out[*engine] && !job.tried.contains(engine);
+        match self.setup.policy {
+            ChoicePolicy::RoundRobin => {
+                router.cursor += 1;
+                let all = (router.cursor..).take(count).map(|place| place % count);
+                all.into_iter().find(open)
+            }
+            ChoicePolicy::LeastReported => {
+                let start = self.choices.place(count);
+                let all = (start..start + count).map(|place| place % count);
+                all.filter(open)
+                    .min_by_key(|engine| router.reported[*engine])
+            }
+            ChoicePolicy::Guavawell => {
+                let specs = router.table.specs();
+                let tried = job.tried.iter().map(|engine| specs[*engine].id.clone());
+                let ask = ChoiceAsk {
+                    target: &self.target,
+                    version: None,
+                    adapter: None,
+                    zone: &router.zone,
+                    prefix: Some(job.prefix),
+                    exclude: &tried.collect::<Vec<_>>(),
+                    draw,
+                    now,
+                };
+                let lease = router.table.choose(&ask).ok()?.begin(now).ok()?;
+                let id = lease.backend().id();
+                let engine = specs.iter().position(|spec| spec.id == *id);
+                job.lease = Some(lease);
+                engine
+            }
+        }
+    }
+
+    fn first(&mut self, number: usize) {
+        let now = self.time();
+        if let Some(lease) = &mut self.jobs[number].lease {
+            lease.first_token(now);
+        }
+    }
+
+    fn end_lease(&mut self, number: usize, outcome: LeaseOutcome) {
+        let now = self.time();
+        if let Some(lease) = self.jobs[number].lease.take() {
+            lease.finish(outcome, now);
+        }
+    }
+
+    fn report(&mut self, engine: usize) {
+        let state = &mut self.engines[engine];
+        if state.dead || self.now > END_MS {
+            return;
+        }
+        let load = state.load(self.now);
+        let size = |number: usize| u32::try_from(number).expect("small");
+        let role = if state.leaving_since.is_some() {
+            "leaving"
+        } else {
+            "serve"
+        };
+        let report = LoadReport {
+            at: ClockTime::from_millis(self.now),
+            running: size(load.min(SLOTS)),
+            queued: size(load.saturating_sub(SLOTS)),
+            slots: size(SLOTS),
+            models: spec(engine, 1).models,
+            role: role.into(),
+        };
+        let mut events = std::mem::take(&mut state.events);
+        events.retain(|_| self.choices.below(10) > 0);
+        let next = state.event_count;
+        let batch = CacheBatch { events, next };
+        self.after(REPORT_LAG_MS, WorldEvent::Deliver(engine, report, batch));
+        self.after(REPORT_MS, WorldEvent::Report(engine));
+    }
+
+    fn deliver(&mut self, engine: usize, report: &LoadReport, batch: &CacheBatch) {
+        let now = self.time();
+        for number in 0..ROUTERS {
+            let router = &mut self.routers[number];
+            let id = &router.table.specs()[engine].id;
+            router.reported[engine] = report.running + report.queued;
+            router.left_out[engine] |= &*report.role == "leaving";
+            let _ = router.table.apply_report(id, report, now);
+            let _ = router.table.apply_cache_events(id, batch);
+            let limit = router.table.capacity(&self.target, now);
+            let mut effects = Vec::new();
+            router.admission.set_limit(limit, now, &mut effects);
+            self.follow(&effects);
+        }
+    }
+
+    /// A lost zone takes no new work; what runs there ends undisturbed.
+    fn break_something(&mut self) {
+        let zones = self.setup.zones;
+        match self.setup.fault {
+            WorldFault::None => {}
+            WorldFault::SlowServer => self.engines[0].slowness = 4,
+            WorldFault::Leaving => self.engines[0].leaving_since = Some(self.now),
+            WorldFault::ZoneLost => {
+                let lost = self.engines.iter_mut().step_by(zones);
+                lost.for_each(|engine| engine.dead = true);
+            }
+        }
+    }
+}
