--- a/crates/guavawell-core/src/instance/membership/mod.rs
+++ b/crates/guavawell-core/src/instance/membership/mod.rs
@@ -111,6 +111,7 @@
     allowance: SendAllowance,
     random: fastrand::Rng,
     candidates: Vec<ListedInstance>,
+    seeds: Vec<SocketAddr>,
     /// Peer with which the last comparison left a difference.
     sync_peer: Option<SocketAddr>,
     times: TaskTimes,
@@ -148,6 +149,7 @@
             allowance,
             random: fastrand::Rng::with_seed(seed),
             candidates: Vec::new(),
+            seeds: Vec::new(),
             sync_peer: None,
             times: TaskTimes {
                 probe: now,
@@ -166,7 +168,14 @@
         membership
     }
 
-    /// Takes the platform's list, or fixed seeds, as candidates to contact.
+    /// Sets fixed gossip addresses, tried while no member is known there.
+    pub fn seed(&mut self, addresses: &[SocketAddr]) {
+        let own = self.own.gossip_address;
+        let others = addresses.iter().filter(|address| **address != own);
+        self.seeds = others.copied().collect();
+    }
+
+    /// Takes the platform's list as candidates to contact.
     ///
     /// An entry that is absent removes nobody; it only lets a member that is
     /// unreachable for long be forgotten.
--- a/crates/guavawell-core/src/instance/membership/sync.rs
+++ b/crates/guavawell-core/src/instance/membership/sync.rs
@@ -61,14 +61,13 @@
         let mut addresses: Vec<_> = unreachable
             .map(|entry| entry.record.gossip_address)
             .collect();
-        for candidate in &self.candidates {
-            let address = candidate.gossip_address;
-            if self.directory.find(&candidate.instance).is_none()
-                && !self.directory.is_in_use(address)
-            {
-                addresses.push(address);
-            }
-        }
+        let strangers = self
+            .candidates
+            .iter()
+            .filter(|candidate| self.directory.find(&candidate.instance).is_none());
+        let listed = strangers.map(|candidate| candidate.gossip_address);
+        let hopeful = listed.chain(self.seeds.iter().copied());
+        addresses.extend(hopeful.filter(|address| !self.directory.is_in_use(*address)));
         addresses.sort_unstable();
         addresses.dedup();
         addresses
--- a/crates/guavawell-core/tests/membership/failure.rs
+++ b/crates/guavawell-core/tests/membership/failure.rs
@@ -24,9 +24,9 @@
     for number in 0..6 {
         pump.add(number);
     }
-    let seed = [listed(&pump.nodes[0])];
+    let seed = [pump.nodes[0].address];
     for node in &mut pump.nodes {
-        node.membership.list(&seed);
+        node.membership.seed(&seed);
     }
     assert!(pump.run_until(300, MessagePump::is_converged));
 }
--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod engine;
 pub mod event;
+pub mod gossip;
 pub mod operator;
 pub mod platform;
 pub mod settings;
