--- a/crates/guavawell-core/src/manifest/page/layout.rs
+++ b/crates/guavawell-core/src/manifest/page/layout.rs
@@ -1,8 +1,7 @@
-//! Which page, and which shard, an entry belongs to.
+//! Which page an entry belongs to.
 
 use crate::id::BackendId;
 use crate::id::OrganisationId;
-use crate::id::ShardId;
 
 /// Branch pages of a manifest.
 pub const BRANCHES: usize = 64;
@@ -37,29 +36,22 @@
 /// branches.
 #[must_use]
 pub fn organisation_page(organisation: &OrganisationId) -> usize {
-    bucket(stable_hash(organisation.as_str()) >> 32, ORGANISATION_PAGES)
+    bucket(stable_hash(organisation.as_str()), ORGANISATION_PAGES)
 }
 
 /// The page of backend servers that holds a backend server.
 #[must_use]
 pub fn backend_page(backend: &BackendId) -> usize {
-    bucket(stable_hash(backend.as_str()) >> 32, BACKEND_PAGES)
-}
-
-/// The shard of an organisation in a fleet of `shards` shards.
-#[must_use]
-pub fn shard_of(organisation: &OrganisationId, shards: u16) -> ShardId {
-    let hash = stable_hash(organisation.as_str()) & u64::from(u32::MAX);
-    let shard = hash % u64::from(shards.max(1));
-    ShardId::new(u16::try_from(shard).unwrap_or_default())
+    bucket(stable_hash(backend.as_str()), BACKEND_PAGES)
 }
 
 fn bucket(hash: u64, buckets: usize) -> usize {
-    usize::try_from(hash).unwrap_or_default() % buckets
+    let buckets = u64::try_from(buckets).unwrap_or(u64::MAX);
+    usize::try_from(hash % buckets).unwrap_or_default()
 }
 
 /// A hash that is the same in every process and release: FNV-1a with the
-/// finaliser of `MurmurHash3`, so that each half of the result is well mixed.
+/// finaliser of `MurmurHash3`, so that the low bits are well mixed.
 fn stable_hash(text: &str) -> u64 {
     let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
     let mut hash = text.bytes().fold(FNV_BASIS, fold);
--- a/crates/guavawell-core/src/manifest/page/mod.rs
+++ b/crates/guavawell-core/src/manifest/page/mod.rs
@@ -24,6 +24,5 @@
 pub use layout::PagePlace;
 pub use layout::backend_page;
 pub use layout::organisation_page;
-pub use layout::shard_of;
 pub use list::BranchPage;
 pub use list::RootPage;
--- a/crates/guavawell-core/src/manifest/view/fleet.rs
+++ b/crates/guavawell-core/src/manifest/view/fleet.rs
@@ -7,6 +7,7 @@
 use super::branch::SharedBranch;
 use super::branch::SharedPage;
 use super::key::KeyIndex;
+use crate::budget::shard_of;
 use crate::id::BackendId;
 use crate::id::BudgetId;
 use crate::id::ManifestVersion;
@@ -143,7 +144,7 @@
     /// The shard of an organisation.
     #[must_use]
     pub fn shard_of(&self, organisation: &OrganisationId) -> ShardId {
-        page::shard_of(organisation, self.fleet().shards)
+        shard_of(organisation, self.fleet().shards)
     }
 
     /// The organisation of this id.
