Merge event logs into one time line and check its history

Cause: nothing showed what happened across processes, and no run could be proved afterwards. Change: guavawell-timeline show and check. Checks: billed once, run once, nothing started after a seal or final refusal, charge within reservation. The load tool's help shows its examples again, one a line.

--- a/crates/guavawell-load/src/args.rs
+++ b/crates/guavawell-load/src/args.rs
@@ -7,14 +7,14 @@
 
 /// Examples of `run`; the indent keeps each on a line of its own.
 const RUN_EXAMPLES: &str = "Examples:
-
+\x20
     guavawell-load run --router 127.0.0.1:8080 --key k --rate 50 --seconds 10
     guavawell-load run --plan peak.toml --json peak.json --plot peak.svg
 ";
 
 /// Examples of `compare`.
 const COMPARE_EXAMPLES: &str = "Example:
-
+\x20
     guavawell-load compare --router 127.0.0.1:8080 --engine 127.0.0.1:9000 --key k
 ";
 
--- /dev/null
+++ b/crates/guavawell-timeline/src/check/mod.rs
@@ -0,0 +1,141 @@
+//! History checks of what the fleet promises, over the merged events.
+//!
+//! Only events that a rule looks at are kept, as small facts; they are sorted
+//! by identity once, and each identity's facts pass the rules in their order.
+
+mod fact;
+mod rule;
+
+use std::fmt::Write;
+
+use guavawell_core::id::OrganisationId;
+use guavawell_core::id::RequestId;
+use serde::Serialize;
+
+use crate::output::time_text;
+use crate::source::PlacedEvent;
+
+pub use fact::FactKind;
+pub use fact::HistoryFact;
+pub use rule::HistoryRule;
+
+/// One broken promise with the events that show it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct HistoryBreach {
+    /// The rule that is broken.
+    pub rule: HistoryRule,
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// The request.
+    pub request: RequestId,
+    /// The events that show it, in their order.
+    pub facts: Vec<HistoryFact>,
+}
+
+/// What the checks looked at and found.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct HistoryReport {
+    /// Request identities seen.
+    pub requests: u64,
+    /// Billing records seen.
+    pub billed: u64,
+    /// Attempts seen.
+    pub attempts: u64,
+    /// Charges seen without their reservation, whose amount is unproved.
+    pub unproved_charges: u64,
+    /// Names of the logs, that the facts' sources count from 0.
+    pub logs: Vec<Box<str>>,
+    /// Every broken promise.
+    pub breaches: Vec<HistoryBreach>,
+}
+
+/// Collects facts and checks them.
+#[derive(Default)]
+pub struct HistoryChecker {
+    facts: Vec<HistoryFact>,
+}
+
+impl HistoryChecker {
+    /// Takes the next event of the time line in.
+    pub fn add(&mut self, event: &PlacedEvent) {
+        let position = self.facts.len() as u64;
+        if let Some(fact) = HistoryFact::of(event, position) {
+            self.facts.push(fact);
+        }
+    }
+
+    /// Checks everything taken in, read from `logs`.
+    #[must_use]
+    pub fn finish(mut self, logs: &[Box<str>]) -> HistoryReport {
+        self.facts.sort_unstable_by(|a, b| {
+            let (left, right) = (&a.request, &b.request);
+            let by_request = a.organisation.cmp(&b.organisation).then(left.cmp(right));
+            by_request.then(a.position.cmp(&b.position))
+        });
+        let same = |a: &HistoryFact, b: &HistoryFact| {
+            a.request == b.request && a.organisation == b.organisation
+        };
+        let mut report = HistoryReport {
+            logs: logs.into(),
+            ..HistoryReport::default()
+        };
+        for facts in self.facts.chunk_by(same) {
+            report.requests += 1;
+            report.billed += count(facts, FactKind::Billed);
+            report.attempts += count(facts, FactKind::Started);
+            rule::check(facts, &mut report);
+        }
+        report
+    }
+}
+
+fn count(facts: &[HistoryFact], kind: FactKind) -> u64 {
+    facts.iter().filter(|fact| fact.kind == kind).count() as u64
+}
+
+/// The report as text, each breach with its events.
+///
+/// # Panics
+///
+/// Never: a string takes every write.
+#[must_use]
+pub fn check_text(report: &HistoryReport) -> String {
+    let mut out = String::new();
+    for breach in &report.breaches {
+        let (organisation, request) = (&breach.organisation, &breach.request);
+        writeln!(out, "{}: {organisation} {request}", breach.rule).expect("a string");
+        for fact in &breach.facts {
+            writeln!(out, "  {}", fact_text(fact, &report.logs)).expect("a string");
+        }
+    }
+    writeln!(
+        out,
+        "{} requests, {} attempts, {} billing records, {} unproved charges, {} breaches",
+        report.requests,
+        report.attempts,
+        report.billed,
+        report.unproved_charges,
+        report.breaches.len()
+    )
+    .expect("a string");
+    out
+}
+
+fn fact_text(fact: &HistoryFact, names: &[Box<str>]) -> String {
+    let mut line = format!(
+        "{:>8}  {:<23}  {:<16}  {:<22}",
+        fact.order,
+        time_text(fact.at),
+        fact.instance.as_str(),
+        fact.kind.as_str()
+    );
+    if let Some(attempt) = fact.attempt {
+        write!(line, " attempt={attempt}").expect("a string");
+    }
+    if let Some(tokens) = fact.tokens {
+        write!(line, " tokens={tokens}").expect("a string");
+    }
+    let place = crate::merge::place_text(names, fact.place());
+    write!(line, " at {place}").expect("a string");
+    line
+}
