Make false refusals unrepresentable; claim, seal and check frames

Cause: three outcomes of a refusal are worth nothing if the code can say `not_run` of a request that runs elsewhere, or of one that it sends later.

Change: an attempt is a value that is either sent or refused, never both (UnsentAttempt). `not_run` takes a SealProof, made only by the claim's state machine from the table's own answer, or a MintedProof. Claims and seals lie at one place in the table; a released row frees an id and keeps the late write of a given-up claim out. FrameCheck ends an attempt at any frame that does not follow. ChatAsk and HeadAsk report all faults of a request together and keep unknown fields byte for byte.

Weighed: deleting a claim that is given up. A late insert of the same claim would then take the id again, so the row is replaced instead. Sealing every refusal: a client that retries an overload with the same id would be refused for ever, so only a spent budget and a missed deadline ask for a seal.

--- /dev/null
+++ b/crates/guavawell-core/src/request/claim/refuse.rs
@@ -0,0 +1,62 @@
+//! What a step's end lets a router do, or say.
+
+use crate::clock::ClockSpan;
+use crate::request::attempt::UnsentAttempt;
+use crate::request::claim::row::ClaimRow;
+use crate::request::claim::step::ClaimEnd;
+use crate::request::claim::step::ClaimStep;
+use crate::request::reason::RefusalReason;
+use crate::request::refusal::Refusal;
+
+/// The attempt, free to be sent, if the step holds its claim.
+///
+/// # Errors
+///
+/// The refusal for the caller otherwise. `retry_after` is the hint for a
+/// platform that cannot be reached.
+pub fn run_or_refuse(
+    step: &ClaimStep,
+    unsent: UnsentAttempt,
+    retry_after: ClockSpan,
+) -> Result<UnsentAttempt, Refusal> {
+    match step.end() {
+        Some(ClaimEnd::Held { .. }) => Ok(unsent),
+        Some(ClaimEnd::Sealed) => Err(sealed(step, unsent, RefusalReason::Sealed)),
+        Some(ClaimEnd::TakenBy(row)) => Err(taken(row)),
+        _ => {
+            let detail = "the table could not confirm the claim; nothing was sent";
+            let refusal = Refusal::retry(unsent, RefusalReason::PlatformUnreachable, detail);
+            Err(refusal.after(retry_after))
+        }
+    }
+}
+
+/// The refusal for `reason` behind a step that was to seal the id.
+#[must_use]
+pub fn seal_refusal(
+    step: &ClaimStep,
+    unsent: UnsentAttempt,
+    reason: RefusalReason,
+    detail: &str,
+) -> Refusal {
+    match step.end() {
+        Some(ClaimEnd::Sealed) => sealed(step, unsent, reason),
+        Some(ClaimEnd::TakenBy(row)) => taken(row),
+        _ => Refusal::retry(unsent, reason, detail).inexact(),
+    }
+}
+
+fn sealed(step: &ClaimStep, unsent: UnsentAttempt, reason: RefusalReason) -> Refusal {
+    match step.seal_proof(unsent) {
+        Ok(proof) => Refusal::not_run(&proof.into(), reason, "the request id is sealed"),
+        Err(unsent) => Refusal::retry(unsent, reason, "this try was not sent").inexact(),
+    }
+}
+
+fn taken(row: &ClaimRow) -> Refusal {
+    let detail = format!(
+        "attempt {} of router {} holds the request id",
+        row.attempt, row.router.instance
+    );
+    Refusal::unknown(RefusalReason::AlreadyRan, detail)
+}
--- /dev/null
+++ b/crates/guavawell-core/src/request/head/fault.rs
@@ -0,0 +1,41 @@
+//! What can be wrong with a request's head.
+
+use thiserror::Error;
+
+use crate::id::IdError;
+use crate::request::identity::IdentityError;
+
+/// One thing wrong with a request's head.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum HeadFault {
+    /// The request id.
+    #[error(transparent)]
+    Identity(#[from] IdentityError),
+    /// The budget's name.
+    #[error("X-Guavawell-Budget: {0}")]
+    Budget(IdError),
+    /// The idempotence flag.
+    #[error("X-Guavawell-Idempotent: `{0}` is neither `true` nor `false`")]
+    Idempotent(Box<str>),
+    /// The deadline.
+    #[error("X-Guavawell-Deadline-Ms: `{0}` is not a number of milliseconds")]
+    Deadline(Box<str>),
+    /// The priority.
+    #[error("X-Guavawell-Priority: `{0}` is not one of 0 to 9")]
+    Priority(Box<str>),
+}
+
+/// Everything wrong with a request's head.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{}", self.text())]
+pub struct HeadFaults {
+    /// The faults, in the order of [`super::HeadFields`]; not empty.
+    pub faults: Vec<HeadFault>,
+}
+
+impl HeadFaults {
+    fn text(&self) -> String {
+        let texts: Vec<String> = self.faults.iter().map(ToString::to_string).collect();
+        texts.join("; ")
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/request/reason.rs
@@ -0,0 +1,171 @@
+//! Why a request is refused, and what HTTP says for it.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// The head or the body is not as the interface asks.
+    BadRequest,
+    /// The bearer key belongs to no organisation.
+    Unauthorised,
+    /// The manifest in force has no such model.
+    UnknownModel,
+    /// The organisation has no such budget.
+    UnknownBudget,
+    /// The manifest in force has no such service.
+    UnknownService,
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// The caller sent too slowly.
+    Timeout,
+    /// The budget's rest does not cover the request's worst case.
+    BudgetExhausted,
+    /// Nobody who may spend the budget can be reached.
+    BudgetUnreachable,
+    /// Queues are full.
+    Overloaded,
+    /// The request cannot meet its deadline.
+    Deadline,
+    /// No backend server can serve it.
+    NoBackend,
+    /// The platform is needed and cannot be reached.
+    PlatformUnreachable,
+    /// The id was refused for good before.
+    Sealed,
+    /// The id has run or is running, and its answer cannot be given again.
+    AlreadyRan,
+    /// The id was used for another request.
+    IdentityMismatch,
+    /// The router is shutting down.
+    Leaving,
+    /// The router does not hold a manifest yet.
+    NotReady,
+    /// The backend server failed.
+    BackendFailed,
+    /// The answer broke off.
+    Interrupted,
+}
+
+impl RefusalReason {
+    /// Every reason.
+    pub const ALL: [Self; 20] = [
+        Self::BadRequest,
+        Self::Unauthorised,
+        Self::UnknownModel,
+        Self::UnknownBudget,
+        Self::UnknownService,
+        Self::BodyTooLarge,
+        Self::Timeout,
+        Self::BudgetExhausted,
+        Self::BudgetUnreachable,
+        Self::Overloaded,
+        Self::Deadline,
+        Self::NoBackend,
+        Self::PlatformUnreachable,
+        Self::Sealed,
+        Self::AlreadyRan,
+        Self::IdentityMismatch,
+        Self::Leaving,
+        Self::NotReady,
+        Self::BackendFailed,
+        Self::Interrupted,
+    ];
+
+    /// The reason as it stands in problem documents and metrics.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::Unauthorised => "unauthorised",
+            Self::UnknownModel => "unknown_model",
+            Self::UnknownBudget => "unknown_budget",
+            Self::UnknownService => "unknown_service",
+            Self::BodyTooLarge => "body_too_large",
+            Self::Timeout => "timeout",
+            Self::BudgetExhausted => "budget_exhausted",
+            Self::BudgetUnreachable => "budget_unreachable",
+            Self::Overloaded => "overloaded",
+            Self::Deadline => "deadline",
+            Self::NoBackend => "no_backend",
+            Self::PlatformUnreachable => "platform_unreachable",
+            Self::Sealed => "sealed",
+            Self::AlreadyRan => "already_ran",
+            Self::IdentityMismatch => "identity_mismatch",
+            Self::Leaving => "leaving",
+            Self::NotReady => "not_ready",
+            Self::BackendFailed => "backend_failed",
+            Self::Interrupted => "interrupted",
+        }
+    }
+
+    /// A short title for people.
+    #[must_use]
+    pub const fn title(self) -> &'static str {
+        match self {
+            Self::BadRequest => "Bad request",
+            Self::Unauthorised => "Unknown bearer key",
+            Self::UnknownModel => "Unknown model",
+            Self::UnknownBudget => "Unknown budget",
+            Self::UnknownService => "Unknown service",
+            Self::BodyTooLarge => "Body too large",
+            Self::Timeout => "Request sent too slowly",
+            Self::BudgetExhausted => "Budget exhausted",
+            Self::BudgetUnreachable => "Budget unreachable",
+            Self::Overloaded => "Overloaded",
+            Self::Deadline => "Deadline cannot be met",
+            Self::NoBackend => "No backend server",
+            Self::PlatformUnreachable => "Platform unreachable",
+            Self::Sealed => "Request id refused before",
+            Self::AlreadyRan => "Request ran already",
+            Self::IdentityMismatch => "Request id used for another request",
+            Self::Leaving => "Router leaving",
+            Self::NotReady => "Router not ready",
+            Self::BackendFailed => "Backend server failed",
+            Self::Interrupted => "Answer interrupted",
+        }
+    }
+
+    /// The HTTP status of a refusal for this reason.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::BadRequest => 400,
+            Self::Unauthorised => 401,
+            Self::BudgetExhausted => 402,
+            Self::UnknownModel | Self::UnknownBudget | Self::UnknownService => 404,
+            Self::Timeout => 408,
+            Self::Sealed | Self::AlreadyRan => 409,
+            Self::BodyTooLarge => 413,
+            Self::IdentityMismatch => 422,
+            Self::BackendFailed | Self::Interrupted => 502,
+            Self::BudgetUnreachable
+            | Self::Overloaded
+            | Self::NoBackend
+            | Self::PlatformUnreachable
+            | Self::Leaving
+            | Self::NotReady => 503,
+            Self::Deadline => 504,
+        }
+    }
+
+    /// Whether the caller is better served by a final word than by a retry of
+    /// the same id, so that a seal is worth its write.
+    ///
+    /// A passing lack (overload, a leaving router) is not: callers' clients
+    /// retry it with the same id, which a seal would refuse for ever.
+    #[must_use]
+    pub const fn wants_seal(self) -> bool {
+        matches!(self, Self::BudgetExhausted | Self::Deadline)
+    }
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.word())
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/request/tests.rs
@@ -0,0 +1,293 @@
+//! Tables of heads, bodies, frames and refusals.
+
+use super::FrameCheck;
+use super::FrameFault;
+use super::FrameStep;
+use super::MintedProof;
+use super::ProblemDocument;
+use super::Refusal;
+use super::RefusalOutcome;
+use super::RefusalReason;
+use super::RequestIdentity;
+use super::StreamUsage;
+use super::UnsentAttempt;
+use super::chat::ChatAsk;
+use super::chat::ChatLimits;
+use super::head::HeadAsk;
+use super::head::HeadFields;
+use crate::clock::ClockSpan;
+use crate::id::AttemptId;
+use crate::id::OrganisationId;
+use crate::id::TokenCount;
+
+const ATTEMPT: AttemptId = AttemptId::new(42);
+
+fn organisation() -> OrganisationId {
+    "saaremaa".parse().unwrap()
+}
+
+fn chat(body: &str) -> Result<ChatAsk, String> {
+    ChatAsk::parse(body.as_bytes(), &ChatLimits::default()).map_err(|faults| faults.to_string())
+}
+
+#[test]
+fn a_chat_body_is_checked_and_sent_on_with_its_unknown_fields() {
+    let ask = chat(
+        r#"{"model":"m","temperature":0.50,"messages":[{"role":"user","content":"äb"},
+        {"role":"assistant","content":null},
+        {"role":"user","content":[{"type":"text","text":"xy"}],"name":"n"}],
+        "max_completion_tokens":7,"stream":false,"stop":["a\u0062"]}"#,
+    )
+    .unwrap();
+    assert_eq!(ask.model.as_str(), "m");
+    assert!(!ask.stream);
+    assert_eq!(ask.prompt, TokenCount::new(2));
+    assert_eq!(ask.output, TokenCount::new(7));
+    assert_eq!(ask.worst_case(), TokenCount::new(9));
+    let sent = String::from_utf8(ask.engine_body).unwrap();
+    assert!(sent.contains(r#""temperature":0.50,"#), "{sent}");
+    assert!(sent.contains(r#""stop":["a\u0062"]"#), "{sent}");
+    let tail = r#""max_tokens":7,"stream":true,"stream_options":{"include_usage":true}}"#;
+    assert!(sent.ends_with(tail), "{sent}");
+    assert!(!sent.contains("max_completion_tokens"), "{sent}");
+}
+
+#[test]
+fn each_fault_of_a_chat_body_is_named() {
+    let good = r#""messages":[{"role":"u","content":"x"}]"#;
+    let cases = [
+        ("", "the body is not a JSON object"),
+        (r#"{"model":"m","mess"#, "the body is not a JSON object"),
+        ("[]", "the body is not a JSON object"),
+        (&format!("{{{good}}}"), "`model` is missing"),
+        (&format!(r#"{{"model":3,{good}}}"#), "`model` is not a text"),
+        (
+            &format!(r#"{{"model":"a b",{good}}}"#),
+            "`model`: `a b` holds ` `",
+        ),
+        (
+            &format!(r#"{{"model":"m","model":"n",{good}}}"#),
+            "`model` stands twice",
+        ),
+        (r#"{"model":"m"}"#, "`messages` is missing"),
+        (r#"{"model":"m","messages":{}}"#, "`messages` is not a list"),
+        (r#"{"model":"m","messages":[]}"#, "`messages` is empty"),
+        (
+            r#"{"model":"m","messages":[{"content":"x"}]}"#,
+            "`messages[0]`: `role`",
+        ),
+        (
+            r#"{"model":"m","messages":[{"role":"u","content":5}]}"#,
+            "`messages[0]`: not a message",
+        ),
+        (
+            r#"{"model":"m","messages":[{"role":"u","content":[{"type":"image_url"}]}]}"#,
+            "`messages[0]`: content part `image_url` is not a text",
+        ),
+        (
+            &format!(r#"{{"model":"m",{good},"max_tokens":0}}"#),
+            "`max_tokens` must be at least 1",
+        ),
+        (
+            &format!(r#"{{"model":"m",{good},"max_tokens":-1}}"#),
+            "`max_tokens` is not a whole number",
+        ),
+        (
+            &format!(r#"{{"model":"m",{good},"max_tokens":99999}}"#),
+            "`max_tokens` is 99999, more than",
+        ),
+        (
+            &format!(r#"{{"model":"m",{good},"max_tokens":1,"max_completion_tokens":2}}"#),
+            "differ; send one of them",
+        ),
+        (&format!(r#"{{"model":"m",{good},"n":2}}"#), "`n` must be 1"),
+        (
+            &format!(r#"{{"model":"m",{good},"stream":"yes"}}"#),
+            "`stream` is not true or false",
+        ),
+    ];
+    for (body, wanted) in cases {
+        let text = chat(body).unwrap_err();
+        assert!(text.contains(wanted), "{body}: {text}");
+    }
+    let both = chat(r#"{"max_tokens":0}"#).unwrap_err();
+    assert_eq!(
+        both,
+        "`model` is missing; `messages` is missing; `max_tokens` must be at least 1"
+    );
+}
+
+#[test]
+fn a_body_beyond_the_limit_is_told_by_its_size() {
+    let limits = ChatLimits {
+        max_body_bytes: 4,
+        ..ChatLimits::default()
+    };
+    let faults = ChatAsk::parse(b"{    }", &limits).unwrap_err();
+    assert!(faults.is_too_large());
+}
+
+#[test]
+fn a_head_is_read_with_its_defaults() {
+    let head = HeadAsk::parse(organisation(), HeadFields::default(), 7).unwrap();
+    assert!(head.identity.minted);
+    assert_eq!((head.idempotent, head.priority), (None, 5));
+    let fields = HeadFields {
+        idempotency_key: Some("k-1"),
+        idempotent: Some("false"),
+        budget: Some("b"),
+        deadline: Some("250"),
+        priority: Some("9"),
+    };
+    let head = HeadAsk::parse(organisation(), fields, 7).unwrap();
+    assert!(!head.identity.minted);
+    assert_eq!(head.idempotent, Some(false));
+    assert_eq!(head.deadline, Some(ClockSpan::from_millis(250)));
+    assert_eq!(head.priority, 9);
+}
+
+#[test]
+fn every_fault_of_a_head_is_reported_together() {
+    let fields = HeadFields {
+        idempotency_key: Some("minted:00"),
+        idempotent: Some("no"),
+        budget: Some(""),
+        deadline: Some("soon"),
+        priority: Some("12"),
+    };
+    let faults = HeadAsk::parse(organisation(), fields, 7).unwrap_err();
+    assert_eq!(faults.faults.len(), 5, "{faults}");
+}
+
+fn frame(sequence: u64) -> String {
+    format!("{ATTEMPT}:{sequence}")
+}
+
+const USAGE: &str =
+    r#"{"choices":[],"usage":{"prompt_tokens":2,"completion_tokens":1,"total_tokens":3}}"#;
+
+#[test]
+fn a_whole_stream_is_accepted_and_can_be_resumed_anywhere() {
+    let mut check = FrameCheck::new(ATTEMPT);
+    assert_eq!(check.last_event_id(), None);
+    let feigned = r#"{"choices":[{"delta":{"content":"\"usage\":{}"}}],"usage":null}"#;
+    assert_eq!(check.accept(&frame(0), feigned), Ok(FrameStep::Chunk));
+    assert_eq!(check.last_event_id().as_deref(), Some(&*frame(0)));
+    let usage = StreamUsage {
+        prompt_tokens: TokenCount::new(2),
+        completion_tokens: TokenCount::new(1),
+    };
+    assert_eq!(check.accept(&frame(1), USAGE), Ok(FrameStep::Usage(usage)));
+    assert!(!check.is_whole());
+    assert_eq!(check.accept(&frame(2), "[DONE]"), Ok(FrameStep::End(usage)));
+    assert!(check.is_whole());
+    assert_eq!(usage.total(), TokenCount::new(3));
+}
+
+#[test]
+fn whatever_does_not_follow_ends_the_attempt() {
+    let other = AttemptId::new(41);
+    let cases: [(&str, &str, FrameFault); 8] = [
+        ("", "{}", FrameFault::BadId("".into())),
+        ("2a:0", "{}", FrameFault::BadId("2a:0".into())),
+        (
+            &format!("{ATTEMPT}:+0"),
+            "{}",
+            FrameFault::BadId(format!("{ATTEMPT}:+0").into()),
+        ),
+        (
+            &format!("{other}:0"),
+            "{}",
+            FrameFault::OtherAttempt {
+                expected: ATTEMPT,
+                found: other,
+            },
+        ),
+        (
+            &frame(1),
+            "{}",
+            FrameFault::OutOfOrder {
+                expected: 0,
+                found: 1,
+            },
+        ),
+        (&frame(0), "[DONE]", FrameFault::NoUsage),
+        (
+            &format!("{ATTEMPT}:99999999999999999999999"),
+            "{}",
+            FrameFault::BadId(format!("{ATTEMPT}:99999999999999999999999").into()),
+        ),
+        (
+            &frame(0),
+            r#"{"usage":{"prompt_tokens":-1}}"#,
+            FrameFault::BadUsage(
+                "invalid value: integer `-1`, expected u64 at line 1 column 28".into(),
+            ),
+        ),
+    ];
+    for (id, data, fault) in cases {
+        let mut check = FrameCheck::new(ATTEMPT);
+        assert_eq!(check.accept(id, data), Err(fault), "{id} {data}");
+    }
+    let mut check = FrameCheck::new(ATTEMPT);
+    check.accept(&frame(0), "{}").unwrap();
+    let again = check.accept(&frame(0), "{}");
+    assert!(matches!(again, Err(FrameFault::OutOfOrder { .. })));
+    check.accept(&frame(1), USAGE).unwrap();
+    assert_eq!(check.accept(&frame(2), USAGE), Err(FrameFault::SecondUsage));
+}
+
+#[test]
+fn nothing_is_accepted_behind_the_end_marker() {
+    let mut check = FrameCheck::new(ATTEMPT);
+    check.accept(&frame(0), USAGE).unwrap();
+    check.accept(&frame(1), "[DONE]").unwrap();
+    assert_eq!(check.accept(&frame(2), "{}"), Err(FrameFault::AfterEnd));
+}
+
+#[test]
+fn only_a_minted_id_is_refused_as_not_run_without_a_seal() {
+    let minted = RequestIdentity::mint(organisation(), 1);
+    let chosen = RequestIdentity::from_caller(organisation(), "k").unwrap();
+    assert!(MintedProof::new(&chosen, UnsentAttempt::new(ATTEMPT)).is_err());
+    let reason = RefusalReason::Overloaded;
+    let outcome = |identity| {
+        Refusal::unsealed(identity, UnsentAttempt::new(ATTEMPT), reason, "full").outcome()
+    };
+    assert_eq!(outcome(&minted), RefusalOutcome::NotRun);
+    assert_eq!(outcome(&chosen), RefusalOutcome::Retry);
+    assert!(Refusal::unknown(RefusalReason::Interrupted, "").is_inexact());
+}
+
+#[test]
+fn a_problem_document_reads_as_the_protocol_says() {
+    let identity = RequestIdentity::from_caller(organisation(), "k").unwrap();
+    let attempt = UnsentAttempt::new(ATTEMPT);
+    let refusal = Refusal::retry(attempt, RefusalReason::BudgetUnreachable, "no holder")
+        .after(ClockSpan::from_millis(1_001));
+    assert_eq!(refusal.retry_after_seconds(), Some(2));
+    let json = refusal.problem(Some(&identity)).to_json();
+    assert_eq!(
+        String::from_utf8(json.clone()).unwrap(),
+        concat!(
+            r#"{"type":"about:blank","title":"Budget unreachable","status":503,"#,
+            r#""detail":"no holder","outcome":"retry","reason":"budget_unreachable","#,
+            r#""retry_after_ms":1001,"request":"k","organisation":"saaremaa"}"#
+        )
+    );
+    let read: ProblemDocument = serde_json::from_slice(&json).unwrap();
+    assert_eq!(read.reason, RefusalReason::BudgetUnreachable);
+}
+
+#[test]
+fn each_reason_has_its_own_word_and_an_error_status() {
+    let mut words: Vec<&str> = RefusalReason::ALL.map(RefusalReason::word).to_vec();
+    words.sort_unstable();
+    words.dedup();
+    assert_eq!(words.len(), RefusalReason::ALL.len());
+    for reason in RefusalReason::ALL {
+        assert!((400..600).contains(&reason.status()), "{reason}");
+        let json = serde_json::to_string(&reason).unwrap();
+        assert_eq!(json, format!("\"{reason}\""));
+    }
+}
