Set what callers received against what was paid

Cause: the load report could not show overspend or false refusals, the two figures that the users measure. Change: a plan names budgets with the tokens left in them; each request sets its worst case aside, and a refusal for want of budget that the rest would have covered counts as false. Exit code 5 on overspend. Profiles and histories name their organisation. Figures: 3 new tests; one token less in the budget turns 7 false refusals into 0. Conclusion: the caller's view needs no word from the fleet.

--- a/crates/guavawell-load/src/args.rs
+++ b/crates/guavawell-load/src/args.rs
@@ -26,7 +26,7 @@
     version,
     descr("Load and experiments against a guavawell fleet."),
     footer(
-        "Exit codes: 0 done, 1 failed, 2 wrong usage or plan, 3 a whole answer was wrong, 4 nothing was answered."
+        "Exit codes: 0 done, 1 failed, 2 wrong usage or plan, 3 a whole answer was wrong, 4 nothing was answered, 5 a budget was overspent."
     )
 )]
 pub enum Command {
--- a/crates/guavawell-load/src/caller.rs
+++ b/crates/guavawell-load/src/caller.rs
@@ -26,6 +26,9 @@
 /// Letters that fill a prompt up to its size.
 const FILLER: &str = "the quick brown fox jumps over the lazy dog ";
 
+/// Bytes of a prompt that count as one token.
+const PROMPT_TOKEN_BYTES: usize = 4;
+
 /// One request, drawn from the mix.
 pub(crate) struct CallerRequest {
     /// Number of the request within the run.
@@ -46,6 +49,8 @@
     prompt: Box<str>,
     body: Box<str>,
     max_tokens: u32,
+    /// Most tokens that it can cost; zero where the caller cannot know.
+    worst: u64,
     chat: bool,
 }
 
@@ -57,13 +62,14 @@
     let headers = write_headers(&worker, profile, &text);
     let mut history = RequestHistory {
         request: text.request.clone(),
+        organisation: profile.organisation.clone(),
         profile: profile.name.clone(),
         budget: profile.budget.clone(),
         idempotent: profile.idempotent,
         tries: Vec::new(),
         end: TryEnd::Unreachable,
     };
-    worker.begin();
+    worker.begin(profile, text.worst);
     loop {
         let started = Instant::now();
         let mut answer = send_try(&worker, &text, &headers, request.number, &mut history).await;
@@ -82,6 +88,7 @@
         let delay = retry_delay(&worker, tries, answer.retry_after, &mut request.random);
         Timer::after(delay).await;
     }
+    worker.shared.budgets.finish(&history, text.worst);
     worker.finish(request.profile, request.due, &history);
 }
 
@@ -103,6 +110,7 @@
                 body: chat_body(chat.model.as_str(), &prompt, max_tokens, chat.stream),
                 request: request_id,
                 path: "/v1/chat/completions".into(),
+                worst: prompt.len().div_ceil(PROMPT_TOKEN_BYTES) as u64 + u64::from(max_tokens),
                 prompt,
                 max_tokens,
                 chat: true,
@@ -117,6 +125,7 @@
                 path: format!("/services/{}/{}", service.service, service.path).into(),
                 prompt,
                 max_tokens: 0,
+                worst: 0,
                 chat: false,
             }
         }
--- a/crates/guavawell-load/src/command.rs
+++ b/crates/guavawell-load/src/command.rs
@@ -131,6 +131,8 @@
 fn report_code(report: &LoadReport) -> ExitCode {
     if report.counts.wrong > 0 {
         ExitCode::WrongAnswer
+    } else if report.budgets.iter().any(|row| row.overspend > 0) {
+        ExitCode::Overspent
     } else if report.counts.answered == 0 {
         ExitCode::NothingAnswered
     } else {
--- a/crates/guavawell-load/src/exit.rs
+++ b/crates/guavawell-load/src/exit.rs
@@ -15,6 +15,8 @@
     WrongAnswer,
     /// Nothing was answered whole.
     NothingAnswered,
+    /// Callers received more of a budget than was left in it.
+    Overspent,
 }
 
 impl ExitCode {
@@ -27,6 +29,7 @@
             Self::Usage => 2,
             Self::WrongAnswer => 3,
             Self::NothingAnswered => 4,
+            Self::Overspent => 5,
         }
     }
 }
--- a/crates/guavawell-load/src/history.rs
+++ b/crates/guavawell-load/src/history.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use guavawell_core::id::BudgetId;
+use guavawell_core::id::OrganisationId;
 use guavawell_core::id::RequestId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,6 +22,14 @@
     Unknown,
 }
 
+impl RefusalOutcome {
+    /// Whether the router says that this try was not run.
+    #[must_use]
+    pub const fn denies_run(self) -> bool {
+        matches!(self, Self::NotRun | Self::Retry)
+    }
+}
+
 impl fmt::Display for RefusalOutcome {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
@@ -113,6 +122,9 @@
     /// The request id that the caller sent, else the one the router minted.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub request: Option<RequestId>,
+    /// The organisation, if the profile names it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<OrganisationId>,
     /// The kind of request.
     pub profile: Box<str>,
     /// The budget named by the caller, if any.
--- a/crates/guavawell-load/src/lib.rs
+++ b/crates/guavawell-load/src/lib.rs
@@ -6,6 +6,7 @@
 //! run through [`LoadHooks`]; the result is a [`LoadReport`].
 
 pub mod args;
+pub mod budget;
 pub mod command;
 pub mod compare;
 pub mod exit;
--- a/crates/guavawell-load/src/plan/file.rs
+++ b/crates/guavawell-load/src/plan/file.rs
@@ -165,6 +165,7 @@
             .value::<String>("name", default.name.into(), findings)
             .into(),
         weight: table.value("weight", default.weight, findings),
+        organisation: table.optional("organisation", findings),
         key: table
             .value::<String>("key", default.key.into(), findings)
             .into(),
--- a/crates/guavawell-load/src/plan/profile.rs
+++ b/crates/guavawell-load/src/plan/profile.rs
@@ -6,6 +6,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::BudgetId;
 use guavawell_core::id::ModelId;
+use guavawell_core::id::OrganisationId;
 use guavawell_core::id::ServiceId;
 use thiserror::Error;
 
@@ -106,6 +107,9 @@
     pub name: Box<str>,
     /// Share of this profile in the mix, relative to the others.
     pub weight: u32,
+    /// The organisation, for histories and reports; the key alone tells a
+    /// router whose request it is.
+    pub organisation: Option<OrganisationId>,
     /// The organisation's bearer key; empty sends none.
     pub key: Box<str>,
     /// What is called.
@@ -127,6 +131,7 @@
         Self {
             name: "chat".into(),
             weight: 1,
+            organisation: None,
             key: Box::default(),
             call: CallKind::Chat(ChatCall::default()),
             idempotent: true,
--- a/crates/guavawell-load/src/report/mod.rs
+++ b/crates/guavawell-load/src/report/mod.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 
+use crate::budget::BudgetReport;
 use crate::history::IncompleteCause;
 use crate::history::TryEnd;
 use crate::measure::EndCount;
@@ -138,6 +139,8 @@
     pub counts: RequestCounts,
     /// Counts of each profile, in the plan's order.
     pub profiles: Vec<ProfileReport>,
+    /// What callers received of each budget that the plan names.
+    pub budgets: Vec<BudgetReport>,
     /// Every way a single try ended.
     pub try_ends: Vec<EndCount>,
     /// Latencies of whole answers; of a retried one, each try by itself.
@@ -172,6 +175,7 @@
             answered_per_second: per_second(counts.answered, elapsed_ms),
             counts,
             profiles,
+            budgets: shared.budgets.reports(),
             try_ends: sum.try_ends,
             whole: LatencyReport::of(&sum.whole),
             cut: LatencyReport::of(&sum.cut),
--- a/crates/guavawell-load/src/report/text.rs
+++ b/crates/guavawell-load/src/report/text.rs
@@ -20,6 +20,7 @@
     if report.profiles.len() > 1 {
         write_profiles(&mut out, report);
     }
+    write_budgets(&mut out, report);
     write_latencies(&mut out, "Whole answers", &report.whole);
     write_latencies(&mut out, "Answers cut in the middle", &report.cut);
     out
@@ -110,6 +111,33 @@
     }
 }
 
+fn write_budgets(out: &mut String, report: &LoadReport) {
+    if report.budgets.is_empty() {
+        return;
+    }
+    line(
+        out,
+        format_args!(
+            "{:<22} {:>9} {:>9} {:>9} {:>9} {:>9}",
+            "Budgets", "left", "used", "overspend", "refused", "falsely"
+        ),
+    );
+    for row in &report.budgets {
+        line(
+            out,
+            format_args!(
+                "  {:<20} {:>9} {:>9} {:>9} {:>9} {:>9}",
+                row.budget.as_str(),
+                row.left,
+                row.used,
+                row.overspend,
+                row.refused,
+                row.refused_falsely
+            ),
+        );
+    }
+}
+
 fn write_latencies(out: &mut String, title: &str, latencies: &LatencyReport) {
     if latencies.total.count == 0 {
         return;
--- a/crates/guavawell-load/src/runner/shared.rs
+++ b/crates/guavawell-load/src/runner/shared.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::budget::BudgetCounts;
 use crate::history::TryEnd;
 use crate::hooks::LoadHooks;
 use crate::hooks::LoadProgress;
@@ -19,6 +20,8 @@
     pub(crate) hooks: LoadHooks,
     /// When the run started.
     pub(crate) started: Instant,
+    /// What callers received against what was paid.
+    pub(crate) budgets: BudgetCounts,
     tickets: AtomicU64,
     turn: AtomicUsize,
     in_flight: AtomicUsize,
@@ -31,6 +34,7 @@
 impl RunShared {
     pub(crate) fn new(plan: LoadPlan, hooks: LoadHooks) -> Self {
         Self {
+            budgets: BudgetCounts::new(&plan.budgets),
             plan,
             hooks,
             started: Instant::now(),
--- a/crates/guavawell-load/src/runner/worker.rs
+++ b/crates/guavawell-load/src/runner/worker.rs
@@ -12,6 +12,7 @@
 use crate::history::RequestHistory;
 use crate::measure::Measurement;
 use crate::plan::ArrivalMode;
+use crate::plan::RequestProfile;
 
 use super::arrival;
 use super::shared::RunShared;
@@ -46,9 +47,10 @@
 }
 
 impl Worker {
-    /// Counts a request in.
-    pub(crate) fn begin(&self) {
+    /// Counts a request in, with the most tokens that it can cost.
+    pub(crate) fn begin(&self, profile: &RequestProfile, worst: u64) {
         self.shared.count_begun();
+        self.shared.budgets.begin(profile.budget.as_ref(), worst);
     }
 
     /// Measures one try, its latencies counted from `from`.
--- a/crates/guavawell-load/tests/suite/run.rs
+++ b/crates/guavawell-load/tests/suite/run.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::id::BudgetId;
+use guavawell_core::id::TokenCount;
 use guavawell_load::AnswerVerdict;
 use guavawell_load::LoadHooks;
 use guavawell_load::LoadPlan;
@@ -14,6 +16,7 @@
 use guavawell_load::history::RequestHistory;
 use guavawell_load::history::TryEnd;
 use guavawell_load::plan::ArrivalMode;
+use guavawell_load::plan::BudgetExpectation;
 use guavawell_load::plan::CallKind;
 use guavawell_load::plan::ChatCall;
 use guavawell_load::plan::RequestProfile;
@@ -355,3 +358,68 @@
         "{rare} of 200 at a weight of 1 in 10"
     );
 }
+
+/// A plan of one connection that draws on a budget with `left` tokens; each
+/// request costs at most 16 tokens of prompt and 16 of answer.
+fn budget_plan(responder: &Responder, left: u64) -> LoadPlan {
+    let budget: BudgetId = "b".parse().expect("an id");
+    LoadPlan {
+        budgets: Box::new([BudgetExpectation {
+            budget: budget.clone(),
+            left: TokenCount::new(left),
+        }]),
+        profiles: Box::new([RequestProfile {
+            budget: Some(budget),
+            ..RequestProfile::default()
+        }]),
+        ..quick_plan(responder, 10)
+    }
+}
+
+/// Answers three requests, then refuses for want of budget.
+fn nearly_empty() -> Responder {
+    Responder::start(|number, _| match number {
+        0..3 => Reply::Stream {
+            parts: 4,
+            done: true,
+        },
+        _ => Reply::Problem {
+            status: 402,
+            body: r#"{"outcome":"not_run","reason":"budget_exhausted"}"#,
+        },
+    })
+}
+
+#[test]
+fn refusals_that_the_rest_would_have_covered_are_counted_as_false() {
+    // Three answers use 7 tokens each; a request needs 32 at worst.
+    let (report, _) = run_recorded(budget_plan(&nearly_empty(), 21 + 31));
+    assert_eq!(report.budgets[0].used, 21);
+    assert_eq!(report.budgets[0].refused, 7);
+    assert_eq!(report.budgets[0].refused_falsely, 0);
+    let (report, _) = run_recorded(budget_plan(&nearly_empty(), 21 + 32));
+    assert_eq!(report.budgets[0].refused_falsely, 7);
+    assert_eq!(report.budgets[0].overspend, 0);
+}
+
+#[test]
+fn answers_beyond_a_budget_are_counted_as_overspend() {
+    let (report, _) = run_recorded(budget_plan(&nearly_empty(), 20));
+    assert_eq!(report.budgets[0].overspend, 1);
+}
+
+#[test]
+fn an_answer_that_stayed_incomplete_counts_at_its_worst() {
+    let responder = Responder::start(|number, _| match number {
+        0 => Reply::Break { parts: 1 },
+        _ => Reply::Problem {
+            status: 402,
+            body: r#"{"outcome":"not_run","reason":"budget_exhausted"}"#,
+        },
+    });
+    let mut plan = budget_plan(&responder, 63);
+    plan.retry.max_tries = 1;
+    let (report, _) = run_recorded(plan);
+    assert_eq!(report.budgets[0].refused, 9);
+    assert_eq!(report.budgets[0].refused_falsely, 0);
+}
