--- a/crates/guavawell-timeline/src/check/fact.rs
+++ b/crates/guavawell-timeline/src/check/fact.rs
@@ -16,8 +16,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FactKind {
-    /// The request was accepted.
-    Accepted,
     /// Tokens were reserved.
     Reserved,
     /// A charge was settled.
@@ -37,7 +35,6 @@
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
-            Self::Accepted => "request.accepted",
             Self::Reserved => "reservation.granted",
             Self::Settled => "reservation.settled",
             Self::Billed => "billing.recorded",
@@ -49,7 +46,6 @@
 
     fn of(record: &EventRecord) -> Option<Self> {
         let kind = match &*record.kind {
-            "request.accepted" => Self::Accepted,
             "reservation.granted" => Self::Reserved,
             "reservation.settled" => Self::Settled,
             "billing.recorded" => Self::Billed,
