--- a/crates/guavawell-timeline/benches/merge.rs
+++ b/crates/guavawell-timeline/benches/merge.rs
@@ -96,17 +96,17 @@
     let sources = (0..LOGS).map(|process| MadeLog::source(process, lines / LOGS));
     let merge = EventMerge::new(sources.collect(), DEFAULT_WINDOW);
     let mut offsets = OffsetEstimator::default();
-    let mut checker = HistoryChecker::default();
+    let mut history = HistoryChecker::default();
     let started = Instant::now();
     let mut count = 0_u32;
     for event in merge {
         offsets.add(&event.record);
         if checked {
-            checker.add(&event);
+            history.add(&event);
         }
         count += 1;
     }
-    let report = checker.finish(&[]);
+    let report = history.finish(&[]);
     assert!(report.breaches.is_empty());
     let rate = f64::from(count) / started.elapsed().as_secs_f64();
     println!("{name:<12}  {count:>7}  {rate:>8.0}  {}", peak_memory());
