Drive the configuration: acceptance, poll, hints, pages from peers or store

Cause: the decisions about the version in force had nothing that reads the table, fetches pages or asks peers, and the router needs a view to serve from.

Change: ManifestStore accepts a manifest by one transaction on the version row and its row of history, writes only the pages that the version in force has not, and resolves a lost answer by the digest in the history, read back before a second send. ConfigDriver polls, follows gossip's hints, and loads pages from the peer that is ahead, from the object store, or from peers while that is away; a fresh router asks peers first, because a whole manifest is too much for the platform's reads. ConfigHandle is one atomic load for requests. InstanceRow and InstanceStatus are what operators read of an instance.

Shown by: 15 tests against the stand-in platform (racing operators, answer lost before and after the write, outage, fresh router with and without peers, a table that went back, a missing page); a change of one organisation writes three pages.

--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod clock;
+pub mod config;
 pub mod engine;
 pub mod event;
 pub mod gossip;
--- a/crates/guavawell-fleet/src/operator/mod.rs
+++ b/crates/guavawell-fleet/src/operator/mod.rs
@@ -2,7 +2,12 @@
 
 mod metric;
 mod page;
+mod status;
 
 pub use metric::MetricsPage;
 pub use page::OperatorPages;
 pub use page::answer;
+pub use status::INSTANCE_PREFIX;
+pub use status::InstanceRow;
+pub use status::InstanceStatus;
+pub use status::instance_key;
