Count the other routers' reaction to the same reports; spill before queueing

Cause: between two reports every router sees the same emptiest servers and all go there. Further: a zone with two routers overflowed only once it queued.

Change: own requests since the report count once for each router that sends to the same servers (BackendTable::set_routers); other zones are compared from 60% use on; queueing is expected 15% of the slots earlier. The experiment rounded gaps between arrivals down and so offered 5% too much; mended.

--- a/crates/guavawell-core/examples/routing_compare/sample.rs
+++ b/crates/guavawell-core/examples/routing_compare/sample.rs
@@ -23,10 +23,9 @@
     }
 
     /// An exponentially distributed span with this mean.
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub fn exponential(&mut self, mean: f64) -> u64 {
-        let unit = f64::from((self.next() >> 33) as u32) + 1.0;
-        (-(unit / f64::from(1_u32 << 31)).ln() * mean) as u64
+    pub fn exponential(&mut self, mean: f64) -> f64 {
+        let unit = f64::from(u32::try_from(self.next() >> 33).unwrap_or(0)) + 1.0;
+        -(unit / f64::from(1_u32 << 31)).ln() * mean
     }
 }
 
--- a/crates/guavawell-core/examples/routing_compare/world.rs
+++ b/crates/guavawell-core/examples/routing_compare/world.rs
@@ -124,6 +124,8 @@
     engines: Vec<ModelEngine>,
     routers: Vec<RouterView>,
     jobs: Vec<CallerJob>,
+    /// When each organisation sends next.
+    arrivals: Vec<f64>,
     target: RouteTarget,
     result: WorldResult,
 }
@@ -179,6 +181,11 @@
             reported: vec![0; setup.engines],
             left_out: vec![false; setup.engines],
         };
+        let routers: Vec<RouterView> = (0..ROUTERS).map(router).collect();
+        let count = u32::try_from(ROUTERS).expect("small");
+        for router in &routers {
+            router.table.set_routers(count);
+        }
         Self {
             now: START_MS,
             agenda: BinaryHeap::new(),
@@ -186,8 +193,9 @@
             draws: RandomDraws(7),
             choices: RandomDraws(8),
             engines: (0..setup.engines).map(|_| ModelEngine::default()).collect(),
-            routers: (0..ROUTERS).map(router).collect(),
+            routers,
             jobs: Vec::new(),
+            arrivals: vec![0.0; setup.rates.len()],
             target: RouteTarget::Model("m".parse().expect("model")),
             result: WorldResult {
                 first_token: vec![LatencySamples::default(); setup.rates.len()],
@@ -224,10 +232,12 @@
     }
 
     fn arrive(&mut self, organisation: usize) {
-        let gap = self
-            .draws
-            .exponential(1_000.0 / self.setup.rates[organisation]);
-        if self.now + gap < END_MS {
+        let mean = 1_000.0 / self.setup.rates[organisation];
+        self.arrivals[organisation] += self.draws.exponential(mean);
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let next = START_MS + self.arrivals[organisation] as u64;
+        if next < END_MS {
+            let gap = next.saturating_sub(self.now);
             self.after(gap, WorldEvent::Arrive(organisation));
         }
         let rank = self.draws.below(PREFIXES) * self.draws.below(PREFIXES) / PREFIXES;
--- a/crates/guavawell-core/src/backend/choice.rs
+++ b/crates/guavawell-core/src/backend/choice.rs
@@ -142,10 +142,8 @@
     ) -> Option<Candidate<'a>> {
         let home = index.zone(ask.zone);
         let mut best = home.and_then(|group| self.best_of(group, ask, ejected));
-        let spill_wait = self.settings().spill_wait.as_millis();
-        let queues =
-            |candidate: &Candidate<'_>| candidate.state.expected_wait(ask.now) > spill_wait;
-        if best.as_ref().is_some_and(|candidate| !queues(candidate)) {
+        let crowded = |candidate: &Candidate<'_>| candidate.state.is_crowded(ask.now);
+        if best.as_ref().is_some_and(|candidate| !crowded(candidate)) {
             return best;
         }
         for group in index.zones.iter().filter(|group| group.zone != *ask.zone) {
--- a/crates/guavawell-core/src/backend/report.rs
+++ b/crates/guavawell-core/src/backend/report.rs
@@ -101,15 +101,17 @@
         self.at.store(report.at.as_millis(), Ordering::Relaxed);
     }
 
-    /// Load now: the reported load of all routers plus the own change since;
-    /// the own requests alone where the report is missing or stale.
-    pub(super) fn load(&self, own: i64, stale: ClockSpan, now: ClockTime) -> u64 {
+    /// Load now: the reported load of all routers plus the change since; the
+    /// own requests alone where the report is missing or stale. As all routers
+    /// follow the same reports, their change is taken to be like the own one,
+    /// `routers` times.
+    pub(super) fn load(&self, own: i64, routers: i64, stale: ClockSpan, now: ClockTime) -> u64 {
         let own = own.max(0);
         if self.at.load(Ordering::Relaxed) == 0 || self.age(now) > stale {
             return own.cast_unsigned();
         }
         let total = i64::from(self.total.load(Ordering::Relaxed));
-        let change = own - self.own.load(Ordering::Relaxed);
+        let change = (own - self.own.load(Ordering::Relaxed)).saturating_mul(routers);
         (total + change).max(own).cast_unsigned()
     }
 
--- a/crates/guavawell-core/src/backend/settings.rs
+++ b/crates/guavawell-core/src/backend/settings.rs
@@ -20,9 +20,12 @@
     pub prefix_saving_percent: u32,
     /// Cost added for a server in another zone.
     pub zone_penalty: ClockSpan,
-    /// Expected queueing in the caller's zone above which other zones are
-    /// looked at.
-    pub spill_wait: ClockSpan,
+    /// Use of the best server of the caller's zone, in percent of its slots,
+    /// above which other zones are compared.
+    pub spill_percent: u32,
+    /// Slots counted as taken because reports lag, in percent; queueing is
+    /// expected that much earlier.
+    pub headroom_percent: u32,
     /// Span over which a new or returned server is brought to full use.
     pub slow_start: ClockSpan,
     /// Failures in a row that eject a server.
@@ -56,7 +59,8 @@
             speed_half_life: ClockSpan::from_millis(10_000),
             prefix_saving_percent: 60,
             zone_penalty: ClockSpan::from_millis(5),
-            spill_wait: ClockSpan::from_millis(50),
+            spill_percent: 60,
+            headroom_percent: 15,
             slow_start: ClockSpan::from_millis(10_000),
             eject_failures: 5,
             eject_base: ClockSpan::from_millis(5_000),
--- a/crates/guavawell-core/src/backend/state.rs
+++ b/crates/guavawell-core/src/backend/state.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -32,6 +33,8 @@
     /// Short hash of the id, the sort key within a group.
     pub(super) mark: u32,
     pub(super) settings: Arc<RoutingSettings>,
+    /// Routers that send to the same servers, this one included.
+    routers: Arc<AtomicU32>,
     pub(super) flight: FlightCount,
     pub(super) report: ReportCell,
     pub(super) first_token: LatencyMean,
@@ -70,12 +73,18 @@
 }
 
 impl BackendState {
-    pub(super) fn new(spec: &BackendSpec, settings: &Arc<RoutingSettings>, now: ClockTime) -> Self {
+    pub(super) fn new(
+        spec: &BackendSpec,
+        settings: &Arc<RoutingSettings>,
+        routers: &Arc<AtomicU32>,
+        now: ClockTime,
+    ) -> Self {
         Self {
             id: spec.id.clone(),
             zone: spec.zone.clone(),
             mark: mark_of(&spec.id),
             settings: Arc::clone(settings),
+            routers: Arc::clone(routers),
             flight: FlightCount::default(),
             report: ReportCell::default(),
             first_token: LatencyMean::default(),
@@ -160,7 +169,9 @@
     /// Estimated load of all routers.
     pub(super) fn load(&self, now: ClockTime) -> u64 {
         let own = self.flight.current();
-        self.report.load(own, self.settings.report_stale, now)
+        let routers = i64::from(self.routers.load(Ordering::Relaxed));
+        self.report
+            .load(own, routers, self.settings.report_stale, now)
     }
 
     pub(super) fn slots(&self) -> u64 {
@@ -171,13 +182,20 @@
     /// milliseconds.
     pub(super) fn expected_wait(&self, now: ClockTime) -> u64 {
         let slots = self.slots();
-        let ahead = (self.load(now) + 1).saturating_sub(slots);
+        let headroom = slots * u64::from(self.settings.headroom_percent) / FULL_PERCENT;
+        let ahead = (self.load(now) + 1 + headroom).saturating_sub(slots);
         let hold = self
             .hold
             .value(self.settings.hold_guess, self.settings.speed_half_life, now);
         ahead * hold / slots
     }
 
+    /// Whether other zones should be compared before new work goes here.
+    pub(super) fn is_crowded(&self, now: ClockTime) -> bool {
+        let percent = u64::from(self.settings.spill_percent);
+        self.load(now) * FULL_PERCENT > self.slots() * percent
+    }
+
     /// Expected time to first token, in milliseconds, made larger while the
     /// server is in slow start.
     pub(super) fn cost(&self, cached: bool, now: ClockTime) -> u64 {
--- a/crates/guavawell-core/src/backend/table.rs
+++ b/crates/guavawell-core/src/backend/table.rs
@@ -1,6 +1,7 @@
 //! The set of backend servers, indexed by target and zone.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
 use super::affinity::AffinityCache;
@@ -43,6 +44,7 @@
 #[derive(Debug)]
 pub struct BackendTable {
     settings: Arc<RoutingSettings>,
+    routers: Arc<AtomicU32>,
     /// Sorted by id.
     specs: Vec<BackendSpec>,
     /// In the order of `specs`.
@@ -59,6 +61,7 @@
         let affinity = Arc::new(AffinityCache::new(settings.cache_hints));
         let empty = Self {
             settings: Arc::new(settings),
+            routers: Arc::new(AtomicU32::new(1)),
             specs: Vec::new(),
             states: Vec::new(),
             targets: Vec::new(),
@@ -77,6 +80,7 @@
         let states: Vec<_> = specs.iter().map(|spec| self.state_for(spec, now)).collect();
         Self {
             settings: Arc::clone(&self.settings),
+            routers: Arc::clone(&self.routers),
             targets: index(&specs, &states),
             specs,
             states,
@@ -113,6 +117,12 @@
         self.states.iter().map(|state| state.view(now)).collect()
     }
 
+    /// Sets how many routers send to the same servers, this one included, as
+    /// membership counts them; holds for the tables built from this one.
+    pub fn set_routers(&self, count: u32) {
+        self.routers.store(count.max(1), Ordering::Relaxed);
+    }
+
     /// Marks a server as leaving or lifts the mark; false if it is unknown.
     #[must_use]
     pub fn set_leaving(&self, id: &BackendId, leaving: bool) -> bool {
@@ -220,7 +230,7 @@
                 }
                 Arc::clone(state)
             }
-            _ => Arc::new(BackendState::new(spec, &self.settings, now)),
+            _ => Arc::new(BackendState::new(spec, &self.settings, &self.routers, now)),
         }
     }
 }
