--- a/crates/guavawell-core/src/budget/witness.rs
+++ b/crates/guavawell-core/src/budget/witness.rs
@@ -21,6 +21,7 @@
 use super::slot::SlotRow;
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
+use crate::id::SlotEpoch;
 
 /// What a witness is told.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -79,11 +80,18 @@
     /// name soon.
     ledgers: Vec<EntrustedLedger>,
     takeover: Option<PendingTakeover>,
+    /// The highest epoch that the table is known to have named. A ledger of
+    /// this epoch or before may have been given up, so none is taken in: a
+    /// late handover would bring a stopped witness back to life.
+    named: SlotEpoch,
 }
 
 impl SlotWitness {
     /// A witness without a ledger; `retry` is the time between two tries of
     /// a takeover whose answer is missing.
+    ///
+    /// The instance keeps it for its whole life, also while it has no ledger:
+    /// what it gave up must not come back.
     #[must_use]
     pub const fn new(life: InstanceLife, slot: SlotId, retry: ClockSpan) -> Self {
         Self {
@@ -92,6 +100,7 @@
             retry,
             ledgers: Vec::new(),
             takeover: None,
+            named: SlotEpoch::new(0),
         }
     }
 
@@ -111,10 +120,10 @@
         }
     }
 
-    /// Whether it keeps no ledger and nothing is on its way.
+    /// Whether it keeps a ledger.
     #[must_use]
-    pub const fn is_idle(&self) -> bool {
-        self.ledgers.is_empty() && self.takeover.is_none()
+    pub const fn has_ledger(&self) -> bool {
+        !self.ledgers.is_empty()
     }
 
     /// Whether it has stopped in order to take the slot over.
@@ -156,6 +165,7 @@
     /// A record under an epoch proves that the table named it: ledgers of
     /// former epochs are of no use any more.
     fn forget_before(&mut self, stamp: &RecordStamp) {
+        self.named = self.named.max(stamp.epoch);
         self.ledgers
             .retain(|entrusted| entrusted.stamp.epoch >= stamp.epoch);
     }
@@ -172,6 +182,7 @@
         match known {
             Some(place) if self.ledgers[place].handover > handover.handover => return,
             Some(place) if self.ledgers[place].handover == handover.handover => {}
+            _ if stamp.epoch <= self.named => return,
             _ => {
                 self.ledgers.retain(|entrusted| entrusted.stamp != stamp);
                 self.ledgers.push(EntrustedLedger {
@@ -220,6 +231,7 @@
     }
 
     fn take_row(&mut self, row: &SlotRow, effects: &mut Vec<WitnessEffect>) {
+        self.named = self.named.max(row.epoch);
         if let Some(takeover) = &self.takeover {
             if row.epoch <= takeover.expected.epoch {
                 return;
