Set callers' histories against the routers' logs

Cause: the logs alone can't show an answer that was never billed or a refusal that was untrue for its caller. Conclusion: a run can be proved from both ends.

--- a/crates/guavawell-timeline/src/args.rs
+++ b/crates/guavawell-timeline/src/args.rs
@@ -20,9 +20,10 @@
 ";
 
 /// Examples of `check`.
-const CHECK_EXAMPLES: &str = "Example:
+const CHECK_EXAMPLES: &str = "Examples:
 \x20
     guavawell-timeline check router-*.jsonl
+    guavawell-timeline check --callers load.jsonl router-*.jsonl
 ";
 
 /// A subcommand with its options.
@@ -87,6 +88,12 @@
 /// Options of `check`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct CheckArgs {
+    /// Histories of callers, as `guavawell-load run --history` writes them.
+    ///
+    /// Each whole answer must be billed, by the tokens that it stated, and
+    /// each request refused as not run must be neither run nor billed.
+    #[bpaf(argument("FILE"))]
+    pub callers: Vec<PathBuf>,
     /// Print JSON.
     pub json: bool,
     #[bpaf(external(source_args))]
--- a/crates/guavawell-timeline/src/check/fact.rs
+++ b/crates/guavawell-timeline/src/check/fact.rs
@@ -24,6 +24,8 @@
     Billed,
     /// An attempt started.
     Started,
+    /// An attempt ended after it ran, whole or cut.
+    Ran,
     /// The request was sealed.
     Sealed,
     /// The request was refused as not run, now or later.
@@ -39,6 +41,7 @@
             Self::Settled => "reservation.settled",
             Self::Billed => "billing.recorded",
             Self::Started => "attempt.started",
+            Self::Ran => "attempt.ended",
             Self::Sealed => "request.sealed",
             Self::RefusedFinally => "request.refused",
         }
@@ -50,6 +53,7 @@
             "reservation.settled" => Self::Settled,
             "billing.recorded" => Self::Billed,
             "attempt.started" => Self::Started,
+            "attempt.ended" if matches!(detail(record, "end"), Some("done" | "cut")) => Self::Ran,
             "request.sealed" => Self::Sealed,
             "request.refused" if detail(record, "outcome") == Some("not_run") => {
                 Self::RefusedFinally
--- a/crates/guavawell-timeline/src/check/mod.rs
+++ b/crates/guavawell-timeline/src/check/mod.rs
@@ -3,6 +3,7 @@
 //! Only events that a rule looks at are kept, as small facts; they are sorted
 //! by identity once, and each identity's facts pass the rules in their order.
 
+mod caller;
 mod fact;
 mod rule;
 
@@ -15,6 +16,9 @@
 use crate::output::time_text;
 use crate::source::PlacedEvent;
 
+pub use caller::CallerEnd;
+pub use caller::CallerRecord;
+pub use caller::read_callers;
 pub use fact::FactKind;
 pub use fact::HistoryFact;
 pub use rule::HistoryRule;
@@ -24,10 +28,13 @@
 pub struct HistoryBreach {
     /// The rule that is broken.
     pub rule: HistoryRule,
-    /// The organisation.
-    pub organisation: OrganisationId,
+    /// The organisation, if any side names it.
+    pub organisation: Option<OrganisationId>,
     /// The request.
     pub request: RequestId,
+    /// Where the caller's history shows it, as `file:line`, if it does.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub caller: Option<Box<str>>,
     /// The events that show it, in their order.
     pub facts: Vec<HistoryFact>,
 }
@@ -43,6 +50,8 @@
     pub attempts: u64,
     /// Charges seen without their reservation, whose amount is unproved.
     pub unproved_charges: u64,
+    /// Callers' records set against the logs.
+    pub callers: u64,
     /// Names of the logs, that the facts' sources count from 0.
     pub logs: Vec<Box<str>>,
     /// Every broken promise.
@@ -53,9 +62,15 @@
 #[derive(Default)]
 pub struct HistoryChecker {
     facts: Vec<HistoryFact>,
+    callers: Vec<CallerRecord>,
 }
 
 impl HistoryChecker {
+    /// Takes callers' records in, to be set against the events.
+    pub fn add_callers(&mut self, records: Vec<CallerRecord>) {
+        self.callers.extend(records);
+    }
+
     /// Takes the next event of the time line in.
     pub fn add(&mut self, event: &PlacedEvent) {
         let position = self.facts.len() as u64;
@@ -68,9 +83,9 @@
     #[must_use]
     pub fn finish(mut self, logs: &[Box<str>]) -> HistoryReport {
         self.facts.sort_unstable_by(|a, b| {
-            let (left, right) = (&a.request, &b.request);
-            let by_request = a.organisation.cmp(&b.organisation).then(left.cmp(right));
-            by_request.then(a.position.cmp(&b.position))
+            let by_request = a.request.cmp(&b.request);
+            let by_identity = by_request.then_with(|| a.organisation.cmp(&b.organisation));
+            by_identity.then(a.position.cmp(&b.position))
         });
         let same = |a: &HistoryFact, b: &HistoryFact| {
             a.request == b.request && a.organisation == b.organisation
@@ -85,8 +100,25 @@
             report.attempts += count(facts, FactKind::Started);
             rule::check(facts, &mut report);
         }
+        for record in &self.callers {
+            report.callers += 1;
+            let facts = self.facts_of(record);
+            report.breaches.extend(caller::check(record, &facts));
+        }
         report
     }
+
+    /// The facts of a caller's request, once they are sorted.
+    fn facts_of(&self, record: &CallerRecord) -> Vec<&HistoryFact> {
+        let first = self
+            .facts
+            .partition_point(|fact| fact.request < record.request);
+        let same = self.facts[first..].iter();
+        let same = same.take_while(|fact| fact.request == record.request);
+        let named = record.organisation.as_ref();
+        same.filter(|fact| named.is_none_or(|named| *named == fact.organisation))
+            .collect()
+    }
 }
 
 fn count(facts: &[HistoryFact], kind: FactKind) -> u64 {
@@ -102,25 +134,36 @@
 pub fn check_text(report: &HistoryReport) -> String {
     let mut out = String::new();
     for breach in &report.breaches {
-        let (organisation, request) = (&breach.organisation, &breach.request);
-        writeln!(out, "{}: {organisation} {request}", breach.rule).expect("a string");
+        writeln!(out, "{}", breach_text(breach)).expect("a string");
         for fact in &breach.facts {
             writeln!(out, "  {}", fact_text(fact, &report.logs)).expect("a string");
         }
     }
     writeln!(
         out,
-        "{} requests, {} attempts, {} billing records, {} unproved charges, {} breaches",
+        "{} requests, {} attempts, {} billing records, {} unproved charges, \
+         {} callers' records, {} breaches",
         report.requests,
         report.attempts,
         report.billed,
         report.unproved_charges,
+        report.callers,
         report.breaches.len()
     )
     .expect("a string");
     out
 }
 
+fn breach_text(breach: &HistoryBreach) -> String {
+    let organisation = breach.organisation.as_ref();
+    let organisation = organisation.map_or("-", OrganisationId::as_str);
+    let mut line = format!("{}: {organisation} {}", breach.rule, breach.request);
+    if let Some(place) = &breach.caller {
+        write!(line, ", told to its caller at {place}").expect("a string");
+    }
+    line
+}
+
 fn fact_text(fact: &HistoryFact, names: &[Box<str>]) -> String {
     let mut line = format!(
         "{:>8}  {:<23}  {:<16}  {:<22}",
--- a/crates/guavawell-timeline/src/check/rule.rs
+++ b/crates/guavawell-timeline/src/check/rule.rs
@@ -22,6 +22,12 @@
     NothingAfterSeal,
     /// No charge is above its reservation.
     ChargeWithinReservation,
+    /// A request answered whole is billed.
+    AnswerBilled,
+    /// The bill states the tokens that the answer stated.
+    BillFitsAnswer,
+    /// A request refused as not run was neither run nor billed.
+    RefusalTrue,
 }
 
 impl fmt::Display for HistoryRule {
@@ -31,6 +37,9 @@
             Self::RunOnce => "non-idempotent, but started more than once",
             Self::NothingAfterSeal => "started after a seal or final refusal",
             Self::ChargeWithinReservation => "charged above its reservation",
+            Self::AnswerBilled => "answered, but not billed in these logs",
+            Self::BillFitsAnswer => "billed other than answered",
+            Self::RefusalTrue => "refused as not run, but run or billed",
         })
     }
 }
@@ -49,8 +58,9 @@
         }
         report.breaches.push(HistoryBreach {
             rule,
-            organisation: shown[0].organisation.clone(),
+            organisation: Some(shown[0].organisation.clone()),
             request: shown[0].request.clone(),
+            caller: None,
             facts: shown.into_iter().cloned().collect(),
         });
     }
--- a/crates/guavawell-timeline/src/command.rs
+++ b/crates/guavawell-timeline/src/command.rs
@@ -13,6 +13,7 @@
 use crate::args::SourceArgs;
 use crate::check::HistoryChecker;
 use crate::check::check_text;
+use crate::check::read_callers;
 use crate::exit::ExitCode;
 use crate::filter::EventFilter;
 use crate::merge::EventMerge;
@@ -92,6 +93,13 @@
 fn carry_out_check(args: &CheckArgs) -> Result<ExitCode, CommandError> {
     let mut merge = open_logs(&args.sources)?;
     let mut checker = HistoryChecker::default();
+    for path in &args.callers {
+        let records = read_callers(path).map_err(|source| CommandError::Open {
+            path: path.clone(),
+            source,
+        })?;
+        checker.add_callers(records);
+    }
     let mut offsets = OffsetEstimator::default();
     let mut events = 0;
     for event in merge.by_ref() {
--- a/crates/guavawell-timeline/tests/suite/command.rs
+++ b/crates/guavawell-timeline/tests/suite/command.rs
@@ -132,3 +132,38 @@
     insta::assert_snapshot!("help", env.assert_code(&["--help"], 0).out);
     insta::assert_snapshot!("help_show", env.assert_code(&["show", "--help"], 0).out);
 }
+
+#[test]
+fn callers_histories_are_set_against_the_logs() {
+    let env = TestEnv::new("callers");
+    two_logs(&env);
+    let line = |request: &str, end: &str, completion: u64| {
+        format!(
+            "{{\"organisation\":\"o\",\"request\":\"{request}\",\"profile\":\"p\",\"idempotent\":true,\
+             \"tries\":[{{\"usage\":{{\"prompt_tokens\":5,\"completion_tokens\":{completion}}}}}],\
+             \"end\":{end}}}\n"
+        )
+    };
+    let whole = r#"{"end":"whole"}"#;
+    let not_run = r#"{"end":"refused","outcome":"not_run","reason":"budget_exhausted"}"#;
+    let unknown = r#"{"end":"refused","outcome":"unknown","reason":"interrupted"}"#;
+    let logs = ["a.jsonl", "b.jsonl"];
+    let check =
+        |file, code| env.assert_code(&[&["check", "--callers", file][..], &logs].concat(), code);
+    let sound = [
+        line("r", whole, 7),
+        line("r", unknown, 0),
+        line("x", not_run, 0),
+    ];
+    env.write("sound.jsonl", &sound.concat());
+    check("sound.jsonl", 0);
+    let broken = [
+        line("r", whole, 8),
+        line("r", not_run, 0),
+        line("x", whole, 7),
+    ];
+    env.write("broken.jsonl", &broken.concat());
+    insta::assert_snapshot!("callers", check("broken.jsonl", 3).out);
+    env.write("bad.jsonl", "{}\n");
+    assert!(check("bad.jsonl", 1).err.contains("bad.jsonl:1"));
+}
