Add the plain service, the stand-ins' binary and a test of each fault switch

Change: one host for all kinds of backend server carries addresses, switches, crashes and the truth log; engine and service differ in settings and life. Silencing a connection takes the lock of its writes, so that nothing leaves after the switch returned. The gateway's messages and its rules are two files.

--- a/crates/guavawell-standin/src/engine/admit.rs
+++ b/crates/guavawell-standin/src/engine/admit.rs
@@ -8,8 +8,8 @@
 use serde::Deserialize;
 
 use crate::attempt::AttemptEntry;
-use crate::attempt::AttemptPhase;
 use crate::attempt::AttemptSource;
+use crate::attempt::refuse_known;
 use crate::engine::content::ChatMessage;
 use crate::engine::content::DEFAULT_MAX_TOKENS;
 use crate::engine::content::answer_length;
@@ -105,17 +105,6 @@
     })
 }
 
-/// An attempt runs once, and not at all once it was cancelled.
-pub(crate) fn refuse_known(known: &AttemptEntry) -> Response {
-    let attempt = known.source.attempt;
-    if known.view().phase == AttemptPhase::Cancelled {
-        let detail = format!("attempt {attempt} was cancelled");
-        return problem_reply(StatusCode::Gone, &detail);
-    }
-    let detail = format!("attempt {attempt} was sent before");
-    problem_reply(StatusCode::Conflict, &detail)
-}
-
 fn priority(request: &Request) -> u8 {
     request
         .header("x-guavawell-priority")
--- a/crates/guavawell-standin/src/engine/body.rs
+++ b/crates/guavawell-standin/src/engine/body.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use smol::io::AsyncBufRead;
 use smol::io::AsyncRead;
@@ -119,21 +120,16 @@
 
     /// Sends what was written so far while there is nothing more to give.
     fn poll_flush(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match Pin::new(&mut self.link).poll_flush(context) {
-            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Ready(Ok(())) | Poll::Pending => Poll::Pending,
-        }
+        ready!(Pin::new(&mut self.link).poll_flush(context))?;
+        Poll::Pending
     }
 }
 
 impl AsyncBufRead for StreamBody {
     fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let body = self.get_mut();
-        match body.poll_gather(context) {
-            Poll::Ready(Ok(())) => Poll::Ready(Ok(&body.buffer[body.taken..])),
-            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Pending => Poll::Pending,
-        }
+        ready!(body.poll_gather(context))?;
+        Poll::Ready(Ok(&body.buffer[body.taken..]))
     }
 
     fn consume(mut self: Pin<&mut Self>, amount: usize) {
@@ -147,11 +143,8 @@
         context: &mut Context<'_>,
         target: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let read = match self.as_mut().poll_fill_buf(context) {
-            Poll::Ready(Ok(mut bytes)) => bytes.read(target)?,
-            Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
-            Poll::Pending => return Poll::Pending,
-        };
+        let mut bytes = ready!(self.as_mut().poll_fill_buf(context))?;
+        let read = bytes.read(target)?;
         self.consume(read);
         Poll::Ready(Ok(read))
     }
--- a/crates/guavawell-standin/src/engine/life.rs
+++ b/crates/guavawell-standin/src/engine/life.rs
@@ -11,35 +11,27 @@
 use crate::attempt::AttemptEntry;
 use crate::attempt::AttemptRecord;
 use crate::attempt::AttemptRegistry;
+use crate::backend::BackendBase;
 use crate::engine::cache::CacheReport;
 use crate::engine::cache::PrefixCache;
 use crate::engine::orders::EngineOrder;
 use crate::engine::orders::OrderBook;
 use crate::engine::orders::OrderEffect;
 use crate::engine::orders::OrderError;
-use crate::engine::report::LoadReport;
-use crate::engine::report::wall_clock;
 use crate::engine::schedule::SlotAnswer;
 use crate::engine::schedule::SlotSchedule;
 use crate::engine::settings::EngineSettings;
 use crate::engine::settings::duration;
-use crate::fault::FaultSwitches;
+use crate::load::LoadReport;
+use crate::load::renew_every;
+use crate::load::wall_clock;
 use crate::lock::lock;
 use crate::pool;
-use crate::truth::TruthLog;
-
-/// What outlasts a crash.
-#[derive(Debug)]
-pub(super) struct EngineBase {
-    pub settings: EngineSettings,
-    pub faults: FaultSwitches,
-    pub truth: TruthLog,
-}
 
 /// Everything that a crash forgets.
 #[derive(Debug)]
 pub(super) struct EngineLife {
-    pub base: Arc<EngineBase>,
+    pub base: Arc<BackendBase<EngineSettings>>,
     pub attempts: AttemptRegistry,
     pub orders: Mutex<OrderBook>,
     schedule: Mutex<SlotSchedule>,
@@ -55,7 +47,7 @@
 }
 
 impl EngineLife {
-    pub(super) fn start(base: &Arc<EngineBase>) -> Arc<Self> {
+    pub(super) fn start(base: &Arc<BackendBase<EngineSettings>>) -> Arc<Self> {
         let settings = &base.settings;
         let orders = OrderBook::new(
             settings.models.clone(),
@@ -71,7 +63,11 @@
             report: Mutex::default(),
         });
         life.renew_report();
-        life.start_reports();
+        renew_every(
+            duration(settings.report_interval),
+            &life,
+            Self::renew_report,
+        );
         life
     }
 
@@ -234,24 +230,6 @@
         }
         *lock(&self.report) = report;
     }
-
-    fn start_reports(self: &Arc<Self>) {
-        let interval = duration(self.base.settings.report_interval);
-        if interval.is_zero() {
-            return;
-        }
-        let life = Arc::downgrade(self);
-        let renew = async move {
-            loop {
-                Timer::after(interval).await;
-                match life.upgrade() {
-                    Some(life) => life.renew_report(),
-                    None => return,
-                }
-            }
-        };
-        pool::spawn(renew).detach();
-    }
 }
 
 async fn sleep(span: Duration) {
--- a/crates/guavawell-standin/src/http/connection.rs
+++ b/crates/guavawell-standin/src/http/connection.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use futures::task::AtomicWaker;
 use smol::io::AsyncRead;
@@ -36,7 +37,10 @@
 
 impl ConnectionGate {
     /// Stops answering for good; the peer sees an open connection.
+    ///
+    /// Once this returns, nothing more leaves: writes check under the same lock.
     pub(super) fn silence(&self) {
+        let _buffer = lock(&self.buffer);
         let _ = self
             .state
             .compare_exchange(OPEN, SILENT, Ordering::SeqCst, Ordering::SeqCst);
@@ -96,19 +100,23 @@
         &self.gate
     }
 
+    /// Sends what is gathered, while the connection is open.
     fn poll_write_out(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut buffer = lock(&self.gate.buffer);
+        ready!(self.poll_open())?;
         while !buffer.is_empty() {
-            match Pin::new(&mut self.stream).poll_write(context, &buffer) {
-                Poll::Ready(Ok(0)) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
-                Poll::Ready(Ok(written)) => drop(buffer.drain(..written)),
-                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
-                Poll::Pending => return Poll::Pending,
+            match ready!(Pin::new(&mut self.stream).poll_write(context, &buffer))? {
+                0 => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
+                written => drop(buffer.drain(..written)),
             }
         }
         Poll::Ready(Ok(()))
     }
 
+    fn buffered(&self) -> usize {
+        lock(&self.gate.buffer).len()
+    }
+
     fn poll_open(&self) -> Poll<io::Result<()>> {
         match self.gate.state() {
             OPEN => Poll::Ready(Ok(())),
@@ -125,11 +133,8 @@
         target: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_read(context, target);
-        match self.poll_open() {
-            Poll::Ready(Ok(())) => polled,
-            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Pending => Poll::Pending,
-        }
+        ready!(self.poll_open())?;
+        polled
     }
 }
 
@@ -140,11 +145,7 @@
         source: &[u8],
     ) -> Poll<io::Result<usize>> {
         if self.buffered() >= BUFFER_BYTES {
-            match self.as_mut().poll_flush(context) {
-                Poll::Ready(Ok(())) => {}
-                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
-                Poll::Pending => return Poll::Pending,
-            }
+            ready!(self.poll_write_out(context))?;
         }
         let mut buffer = lock(&self.gate.buffer);
         buffer.extend_from_slice(source);
@@ -152,19 +153,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.poll_open() {
-            Poll::Ready(Ok(())) => self.poll_write_out(context),
-            other => other,
-        }
+        self.poll_write_out(context)
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_close(context)
     }
 }
-
-impl ConnectionLink {
-    fn buffered(&self) -> usize {
-        lock(&self.gate.buffer).len()
-    }
-}
--- a/crates/guavawell-standin/src/lib.rs
+++ b/crates/guavawell-standin/src/lib.rs
@@ -5,14 +5,18 @@
 //! process share one small pool of threads, so that hundreds fit into one.
 
 mod attempt;
+mod backend;
 mod control;
 pub mod engine;
 pub mod fault;
 mod http;
+mod load;
 mod lock;
 pub mod platform;
 pub mod pool;
+pub mod service;
 pub mod truth;
 
 pub use attempt::AttemptPhase;
 pub use attempt::AttemptRecord;
+pub use load::LoadReport;
--- /dev/null
+++ b/crates/guavawell-standin/src/platform/gateway/mod.rs
@@ -0,0 +1,9 @@
+//! etcd v3's JSON gateway over the table.
+
+mod message;
+mod plan;
+
+pub(super) use message::RangeRequest;
+pub(super) use message::TxnRequest;
+pub(super) use plan::GatewayError;
+pub(super) use plan::TablePlan;
--- a/crates/guavawell-standin/src/platform/gateway.rs
+++ b/crates/guavawell-standin/src/platform/gateway/plan.rs
@@ -1,16 +1,22 @@
-//! etcd v3's JSON gateway over the table: the messages and their meaning.
-//!
-//! As the gateway does, answers leave out fields that hold their default.
-
-use base64::Engine;
-use base64::prelude::BASE64_STANDARD;
-use serde::Deserialize;
-use serde::Deserializer;
-use serde::Serialize;
-use serde::Serializer;
-use serde::de::Error;
-use thiserror::Error as ThisError;
-
+//! From the gateway's messages to the table and back.
+
+use thiserror::Error;
+
+use crate::platform::gateway::message::AnswerHeader;
+use crate::platform::gateway::message::CompareRequest;
+use crate::platform::gateway::message::DeleteResponse;
+use crate::platform::gateway::message::GatewayBytes;
+use crate::platform::gateway::message::GatewayNumber;
+use crate::platform::gateway::message::OperationRequest;
+use crate::platform::gateway::message::OperationResponse;
+use crate::platform::gateway::message::PutResponse;
+use crate::platform::gateway::message::RangeRequest;
+use crate::platform::gateway::message::RangeResponse;
+use crate::platform::gateway::message::ResultName;
+use crate::platform::gateway::message::RowAnswer;
+use crate::platform::gateway::message::TargetName;
+use crate::platform::gateway::message::TxnRequest;
+use crate::platform::gateway::message::TxnResponse;
 use crate::platform::table::CompareResult;
 use crate::platform::table::CompareTarget;
 use crate::platform::table::KeyRange;
@@ -26,8 +32,8 @@
 const MAX_OPERATIONS: usize = 128;
 
 /// Why a request is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, ThisError)]
-pub(super) enum GatewayError {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(in crate::platform) enum GatewayError {
     #[error("etcdserver: key is not provided")]
     MissingKey,
     #[error("etcdserver: too many operations in txn request")]
@@ -40,193 +46,23 @@
     MissingOperand,
 }
 
-/// Bytes written as base64.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct GatewayBytes(TableBytes);
-
-impl Serialize for GatewayBytes {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str(&BASE64_STANDARD.encode(&self.0))
-    }
-}
-
-impl<'a> Deserialize<'a> for GatewayBytes {
-    fn deserialize<D: Deserializer<'a>>(deserializer: D) -> Result<Self, D::Error> {
-        let text = Box::<str>::deserialize(deserializer)?;
-        let bytes = BASE64_STANDARD.decode(&*text).map_err(D::Error::custom)?;
-        Ok(Self(bytes.into()))
-    }
-}
-
-/// A 64-bit number, written as a string and read from a string or a number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct GatewayNumber(u64);
-
-impl Serialize for GatewayNumber {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.collect_str(&self.0)
-    }
-}
-
-impl<'a> Deserialize<'a> for GatewayNumber {
-    fn deserialize<D: Deserializer<'a>>(deserializer: D) -> Result<Self, D::Error> {
-        #[derive(Deserialize)]
-        #[serde(untagged)]
-        enum Written {
-            Text(Box<str>),
-            Number(u64),
-        }
-        match Written::deserialize(deserializer)? {
-            Written::Number(number) => Ok(Self(number)),
-            Written::Text(text) => text.parse().map(Self).map_err(D::Error::custom),
-        }
-    }
-}
-
-/// The body of `POST /v3/kv/range`.
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-pub(super) struct RangeRequest {
-    key: GatewayBytes,
-    #[serde(alias = "rangeEnd")]
-    range_end: GatewayBytes,
-    limit: GatewayNumber,
-}
-
-/// The body of `POST /v3/kv/txn`.
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-pub(super) struct TxnRequest {
-    compare: Vec<CompareRequest>,
-    success: Vec<OperationRequest>,
-    failure: Vec<OperationRequest>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-struct CompareRequest {
-    key: GatewayBytes,
-    target: TargetName,
-    result: ResultName,
-    version: Option<GatewayNumber>,
-    #[serde(alias = "createRevision")]
-    create_revision: Option<GatewayNumber>,
-    #[serde(alias = "modRevision")]
-    mod_revision: Option<GatewayNumber>,
-    value: Option<GatewayBytes>,
-}
-
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-enum TargetName {
-    #[default]
-    Version,
-    Create,
-    Mod,
-    Value,
-}
-
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
-#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
-enum ResultName {
-    #[default]
-    Equal,
-    Greater,
-    Less,
-    NotEqual,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-struct OperationRequest {
-    #[serde(rename = "requestPut", alias = "request_put")]
-    put: Option<PutRequest>,
-    #[serde(rename = "requestRange", alias = "request_range")]
-    range: Option<RangeRequest>,
-    #[serde(rename = "requestDeleteRange", alias = "request_delete_range")]
-    delete: Option<RangeRequest>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-struct PutRequest {
-    key: GatewayBytes,
-    value: GatewayBytes,
-}
-
-#[derive(Debug, Serialize)]
-struct AnswerHeader {
-    revision: GatewayNumber,
-}
-
-#[derive(Debug, Serialize)]
-struct RowAnswer {
-    key: GatewayBytes,
-    create_revision: GatewayNumber,
-    mod_revision: GatewayNumber,
-    version: GatewayNumber,
-    #[serde(skip_serializing_if = "is_empty")]
-    value: GatewayBytes,
-}
-
-/// The answer to a range.
-#[derive(Debug, Serialize)]
-pub(super) struct RangeResponse {
-    header: AnswerHeader,
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    kvs: Vec<RowAnswer>,
-    #[serde(skip_serializing_if = "is_false")]
-    more: bool,
-    #[serde(skip_serializing_if = "is_zero")]
-    count: GatewayNumber,
-}
-
-#[derive(Debug, Serialize)]
-struct PutResponse {
-    header: AnswerHeader,
-}
-
-#[derive(Debug, Serialize)]
-struct DeleteResponse {
-    header: AnswerHeader,
-    #[serde(skip_serializing_if = "is_zero")]
-    deleted: GatewayNumber,
-}
-
-#[derive(Debug, Serialize)]
-enum OperationResponse {
-    #[serde(rename = "response_put")]
-    Put(PutResponse),
-    #[serde(rename = "response_range")]
-    Range(RangeResponse),
-    #[serde(rename = "response_delete_range")]
-    Delete(DeleteResponse),
-}
-
-/// The answer to a transaction.
-#[derive(Debug, Serialize)]
-pub(super) struct TxnResponse {
-    header: AnswerHeader,
-    #[serde(skip_serializing_if = "is_false")]
-    succeeded: bool,
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    responses: Vec<OperationResponse>,
-}
-
 /// A transaction whose parts have been checked.
 #[derive(Debug)]
-pub(super) struct TablePlan {
+pub(in crate::platform) struct TablePlan {
     compares: Vec<RowCompare>,
     success: Vec<TableOperation>,
     failure: Vec<TableOperation>,
 }
 
 impl RangeRequest {
-    pub(super) fn run(self, store: &TableStore) -> Result<RangeResponse, GatewayError> {
+    pub(in crate::platform) fn run(
+        self,
+        store: &TableStore,
+    ) -> Result<RangeResponse, GatewayError> {
         let limit = usize::try_from(self.limit.0).unwrap_or(usize::MAX);
         let range = self.key_range()?;
         let answer = store.range(&range, limit);
-        Ok(range_response(answer, store.revision()))
+        Ok(range_response(&answer, store.revision()))
     }
 
     fn key_range(self) -> Result<KeyRange, GatewayError> {
@@ -238,7 +74,7 @@
 }
 
 impl TxnRequest {
-    pub(super) fn plan(self) -> Result<TablePlan, GatewayError> {
+    pub(in crate::platform) fn plan(self) -> Result<TablePlan, GatewayError> {
         Ok(TablePlan {
             compares: self
                 .compare
@@ -253,12 +89,12 @@
 
 impl TablePlan {
     /// True if either list holds a put or a delete.
-    pub(super) fn may_write(&self) -> bool {
+    pub(in crate::platform) fn may_write(&self) -> bool {
         let mut operations = self.success.iter().chain(&self.failure);
         operations.any(|operation| !matches!(operation, TableOperation::Range { .. }))
     }
 
-    pub(super) fn run(&self, store: &mut TableStore) -> TxnResponse {
+    pub(in crate::platform) fn run(&self, store: &mut TableStore) -> TxnResponse {
         let succeeded = self.compares.iter().all(|compare| store.holds(compare));
         let operations = if succeeded {
             &self.success
@@ -354,7 +190,7 @@
     let header = answer_header(revision);
     match answer {
         OperationAnswer::Put => OperationResponse::Put(PutResponse { header }),
-        OperationAnswer::Range(range) => OperationResponse::Range(range_response(range, revision)),
+        OperationAnswer::Range(range) => OperationResponse::Range(range_response(&range, revision)),
         OperationAnswer::Delete { deleted } => OperationResponse::Delete(DeleteResponse {
             header,
             deleted: GatewayNumber(deleted),
@@ -362,7 +198,7 @@
     }
 }
 
-fn range_response(answer: RangeAnswer, revision: u64) -> RangeResponse {
+fn range_response(answer: &RangeAnswer, revision: u64) -> RangeResponse {
     RangeResponse {
         header: answer_header(revision),
         kvs: answer.rows.iter().map(|row| row_answer(row)).collect(),
@@ -386,17 +222,3 @@
         revision: GatewayNumber(revision),
     }
 }
-
-fn is_empty(bytes: &GatewayBytes) -> bool {
-    bytes.0.is_empty()
-}
-
-#[allow(clippy::trivially_copy_pass_by_ref)] // serde passes references
-fn is_zero(number: &GatewayNumber) -> bool {
-    number.0 == 0
-}
-
-#[allow(clippy::trivially_copy_pass_by_ref)] // serde passes references
-fn is_false(flag: &bool) -> bool {
-    !flag
-}
--- /dev/null
+++ b/crates/guavawell-standin/src/service/mod.rs
@@ -0,0 +1,11 @@
+//! A plain service: any `POST` path, a reply made from the body.
+
+mod life;
+mod reply;
+mod routes;
+mod settings;
+mod start;
+
+pub use reply::expected_reply;
+pub use settings::ServiceSettings;
+pub use start::Service;
--- a/crates/guavawell-standin/tests/standin/env.rs
+++ b/crates/guavawell-standin/tests/standin/env.rs
@@ -1,6 +1,10 @@
 //! The test environment: stand-ins on free loopback ports, calls, assertions.
 
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream as StdStream;
 
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
@@ -13,6 +17,8 @@
 use guavawell_standin::fault::FaultChange;
 use guavawell_standin::platform::Platform;
 use guavawell_standin::platform::PlatformSettings;
+use guavawell_standin::service::Service;
+use guavawell_standin::service::ServiceSettings;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
@@ -27,8 +33,20 @@
 pub struct TestEnv {
     address: SocketAddr,
     control: SocketAddr,
-    pub engine: Option<Engine>,
-    pub platform: Option<Platform>,
+    running: RunningStandin,
+}
+
+/// Holds the stand-in for as long as the test runs.
+#[derive(Debug)]
+enum RunningStandin {
+    Engine(Engine),
+    Platform(Platform),
+    Service(Service),
+}
+
+/// A connection that stays open over several requests.
+pub struct KeptConnection {
+    stream: StdStream,
 }
 
 /// An answer that was read to its end.
@@ -57,8 +75,7 @@
         Self {
             address: platform.address(),
             control: platform.control_address(),
-            engine: None,
-            platform: Some(platform),
+            running: RunningStandin::Platform(platform),
         }
     }
 
@@ -67,13 +84,43 @@
         Self {
             address: engine.address(),
             control: engine.control_address(),
-            engine: Some(engine),
-            platform: None,
+            running: RunningStandin::Engine(engine),
+        }
+    }
+
+    pub fn service(settings: ServiceSettings) -> Self {
+        let service = smol::block_on(Service::start(settings)).expect("free ports");
+        Self {
+            address: service.address(),
+            control: service.control_address(),
+            running: RunningStandin::Service(service),
         }
     }
 
     pub fn running_engine(&self) -> &Engine {
-        self.engine.as_ref().expect("the environment of an engine")
+        match &self.running {
+            RunningStandin::Engine(engine) => engine,
+            other => panic!("no engine runs here but {other:?}"),
+        }
+    }
+
+    pub fn running_platform(&self) -> &Platform {
+        match &self.running {
+            RunningStandin::Platform(platform) => platform,
+            other => panic!("no platform runs here but {other:?}"),
+        }
+    }
+
+    pub fn running_service(&self) -> &Service {
+        match &self.running {
+            RunningStandin::Service(service) => service,
+            other => panic!("no service runs here but {other:?}"),
+        }
+    }
+
+    /// The truth log over the control address.
+    pub fn truth(&self) -> Value {
+        self.control(Method::Get, "/truth", &Value::Null).json()
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -172,6 +219,64 @@
     }
 }
 
+impl KeptConnection {
+    pub fn open(env: &TestEnv) -> Self {
+        Self {
+            stream: StdStream::connect(env.address).expect("a listener"),
+        }
+    }
+
+    /// Sends `GET path` without reading the answer.
+    pub fn send(&mut self, env: &TestEnv, path: &str) {
+        self.send_request(env.request(Method::Get, path));
+    }
+
+    /// Sends a request without reading the answer.
+    pub fn send_request(&mut self, mut request: Request) {
+        let body = smol::block_on(request.body_bytes()).expect("a body in memory");
+        let path = request.url().path();
+        let version = "HTTP/1.1\r\nhost: t";
+        let mut head = vec![format!("{} {path} {version}", request.method())];
+        head.extend(
+            request
+                .iter()
+                .map(|(name, value)| format!("{name}: {}", value.as_str())),
+        );
+        head.push(format!("content-length: {}\r\n\r\n", body.len()));
+        let head = head.join("\r\n");
+        self.stream.write_all(head.as_bytes()).expect("an open end");
+        self.stream.write_all(&body).expect("an open end");
+    }
+
+    /// Sends `GET path` and reads the first bytes of the answer.
+    pub fn answers(&mut self, env: &TestEnv, path: &str) -> bool {
+        self.send(env, path);
+        let mut bytes = [0; 4096];
+        self.stream.read(&mut bytes).is_ok_and(|read| read > 0)
+    }
+
+    /// Takes everything that has come so far.
+    pub fn drain(&mut self) {
+        while !self.is_silent() {}
+    }
+
+    /// True if the connection is open and has given nothing.
+    pub fn is_silent(&mut self) -> bool {
+        self.stream.set_nonblocking(true).expect("a socket");
+        let read = self.stream.read(&mut [0; 4096]);
+        self.stream.set_nonblocking(false).expect("a socket");
+        read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Waits for the other side's end of the connection.
+    pub fn is_closed(&mut self) -> bool {
+        match self.stream.read(&mut [0; 4096]) {
+            Ok(read) => read == 0,
+            Err(error) => error.kind() == ErrorKind::ConnectionReset,
+        }
+    }
+}
+
 impl TestReply {
     pub fn text(&self) -> Box<str> {
         String::from_utf8_lossy(&self.body).into()
--- a/crates/guavawell-standin/tests/standin/main.rs
+++ b/crates/guavawell-standin/tests/standin/main.rs
@@ -2,4 +2,6 @@
 
 mod engine;
 mod env;
+mod faults;
+mod storage;
 mod table;
