--- a/crates/guavawell-standin/src/attempt/entry.rs
+++ b/crates/guavawell-standin/src/attempt/entry.rs
@@ -8,6 +8,7 @@
 use std::task::Poll;
 use std::task::Waker;
 
+use futures::task::AtomicWaker;
 use guavawell_core::id::AttemptId;
 use http_types::Request;
 use serde::Deserialize;
@@ -85,6 +86,8 @@
     /// True if the stream ends with the usage.
     pub with_usage: bool,
     prefix_cached: AtomicBool,
+    /// Wakes the task that generates the tokens.
+    cancelling: AtomicWaker,
     progress: Mutex<AttemptProgress>,
 }
 
@@ -107,6 +110,7 @@
             max_tokens: 0,
             with_usage: false,
             prefix_cached: AtomicBool::new(false),
+            cancelling: AtomicWaker::new(),
             progress: Mutex::new(AttemptProgress {
                 phase: AttemptPhase::Queued,
                 produced: 0,
@@ -185,6 +189,8 @@
             progress.phase = AttemptPhase::Cancelled;
         }
         wake_all(&mut progress);
+        drop(progress);
+        self.cancelling.wake();
     }
 
     /// Waits for progress past `produced` tokens, or for the end.
@@ -204,6 +210,18 @@
         Poll::Pending
     }
 
+    /// Waits for the cancellation; for the one task that generates the tokens.
+    pub(crate) async fn cancelled(&self) {
+        poll_fn(|context| {
+            self.cancelling.register(context.waker());
+            if self.view().phase == AttemptPhase::Cancelled {
+                return Poll::Ready(());
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+
     /// Waits for the last token or the cancellation.
     pub(crate) async fn ended(&self) -> AttemptView {
         poll_fn(|context| self.poll_past(u64::MAX, context)).await
--- a/crates/guavawell-standin/src/engine/life.rs
+++ b/crates/guavawell-standin/src/engine/life.rs
@@ -7,6 +7,7 @@
 
 use guavawell_core::id::AttemptId;
 use smol::Timer;
+use smol::future::FutureExt;
 
 use crate::attempt::AttemptEntry;
 use crate::attempt::AttemptRecord;
@@ -157,12 +158,12 @@
 
     /// Generates the tokens of one attempt, then gives its slot on.
     async fn generate(self: Arc<Self>, entry: Arc<AttemptEntry>, pace: TokenPace) {
-        sleep(pace.first).await;
+        sleep(pace.first, &entry).await;
         let mut going = true;
         while going && !self.token_time(pace).is_zero() {
             going = entry.advance(1);
             if going {
-                sleep(self.token_time(pace)).await;
+                sleep(self.token_time(pace), &entry).await;
             }
         }
         if going {
@@ -232,8 +233,13 @@
     }
 }
 
-async fn sleep(span: Duration) {
-    if !span.is_zero() {
-        Timer::after(span).await;
+/// Waits for a span, or for the attempt's cancellation if that comes first.
+async fn sleep(span: Duration, entry: &AttemptEntry) {
+    if span.is_zero() {
+        return;
     }
+    let timer = async {
+        Timer::after(span).await;
+    };
+    timer.or(entry.cancelled()).await;
 }
--- a/crates/guavawell-standin/tests/standin/engine.rs
+++ b/crates/guavawell-standin/tests/standin/engine.rs
@@ -97,3 +97,66 @@
     let body = json!({ "model": "other", "messages": [] });
     env.post("/v1/chat/completions", &body).assert_status(404);
 }
+
+#[test]
+fn stream_resumes_after_the_last_event_seen() {
+    let env = env();
+    env.call(env.chat(7, "p", 10)).assert_status(200);
+    let answer = answer_to("p", 10);
+    let path = format!("/v1/attempts/{:032x}/stream", 7);
+    env.get(&path).assert_whole(7, 0, &answer);
+    for seen in 0..answer.completion_tokens {
+        let mut request = env.request(Method::Get, &path);
+        request.insert_header("last-event-id", event_id(7, seen));
+        env.call(request).assert_whole(7, seen + 1, &answer);
+    }
+    env.get(&format!("/v1/attempts/{:032x}/stream", 8))
+        .assert_status(404);
+}
+
+#[test]
+fn attempt_goes_on_after_its_caller_is_gone() {
+    let settings = EngineSettings {
+        token_time: ClockSpan::from_millis(1),
+        ..EngineSettings::default()
+    };
+    let env = TestEnv::engine(settings);
+    let mut stream = env.open(env.chat(7, "p", 10));
+    let first = stream.next().expect("a first token");
+    drop(stream);
+    let path = format!("/v1/attempts/{:032x}/stream", 7);
+    let mut request = env.request(Method::Get, &path);
+    request.insert_header("last-event-id", &*first.id);
+    env.call(request).assert_whole(7, 1, &answer_to("p", 10));
+    assert_eq!(env.running_engine().truth().total, 1);
+}
+
+#[test]
+fn truth_names_request_and_organisation() {
+    let env = env();
+    let mut request = env.chat(7, "p", 10);
+    request.insert_header("x-guavawell-request", "key-1");
+    request.insert_header("x-guavawell-organisation", "kivisild");
+    env.call(request).assert_status(200);
+    let run = &env.truth()["runs"][0];
+    assert_eq!(run["request"], "key-1");
+    assert_eq!(run["organisation"], "kivisild");
+    assert_eq!(run["attempt"], format!("{:032x}", 7));
+}
+
+#[test]
+fn many_engines_fit_into_one_process() {
+    let engines: Vec<TestEnv> = (0..200).map(|_| env()).collect();
+    for (attempt, engine) in (1..).zip(&engines) {
+        let reply = engine.call(engine.chat(attempt, "p", 4));
+        reply.assert_whole(attempt, 0, &answer_to("p", 4));
+    }
+}
+
+#[test]
+fn stopped_engine_leaves_its_addresses() {
+    let env = env();
+    smol::block_on(env.running_engine().stop());
+    assert!(env.try_call(env.chat(1, "p", 4)).is_none());
+    assert!(std::net::TcpListener::bind(env.address()).is_ok());
+}
