Give operators a command line: manifests, budgets, backend servers, instances

Cause: nothing but code could put a manifest into force or look at the fleet.

A drain of a backend server renews two pages on top of the version in force and follows other operators' versions; a top-up is one compare-and-swap on the budget's row, counted once by its id. The number of shards may not change from one version to the next.

Not yet there: audit.

--- a/crates/guavawell-core/src/manifest/mod.rs
+++ b/crates/guavawell-core/src/manifest/mod.rs
@@ -6,6 +6,7 @@
 //! organisation's page and nothing else. This folder decides; fetching pages
 //! and reading the version row is `guavawell-fleet::config`.
 
+mod change;
 mod check;
 mod digest;
 mod entry;
@@ -16,6 +17,7 @@
 mod version;
 mod view;
 
+pub use change::check_change;
 pub use digest::ContentDigest;
 pub use digest::DigestError;
 pub use digest::KeyHash;
--- /dev/null
+++ b/crates/guavawell-ctl/src/run.rs
@@ -0,0 +1,55 @@
+//! Carries out one subcommand.
+
+use crate::args::BackendCommand;
+use crate::args::BudgetCommand;
+use crate::args::Command;
+use crate::args::InstanceCommand;
+use crate::args::ManifestCommand;
+use crate::backend;
+use crate::budget;
+use crate::error::CtlError;
+use crate::exit::ExitCode;
+use crate::instance;
+use crate::manifest;
+use crate::settings::CtlSettings;
+
+/// Carries out what the settings say.
+pub fn run(settings: &CtlSettings) -> Result<ExitCode, CtlError> {
+    smol::block_on(carry_out(settings))?;
+    Ok(ExitCode::Success)
+}
+
+async fn carry_out(settings: &CtlSettings) -> Result<(), CtlError> {
+    match &settings.command {
+        Command::Manifest(command) => match command {
+            ManifestCommand::Check { file } => manifest::check(settings, file),
+            ManifestCommand::Apply { base, file } => {
+                Box::pin(manifest::apply(settings, *base, file)).await
+            }
+            ManifestCommand::Show => manifest::show(settings).await,
+            ManifestCommand::History { limit } => manifest::history(settings, *limit).await,
+        },
+        Command::Budget(command) => match command {
+            BudgetCommand::List { organisation } => {
+                Box::pin(budget::list(settings, organisation.as_ref())).await
+            }
+            BudgetCommand::Show { budget } => Box::pin(budget::show(settings, budget)).await,
+            BudgetCommand::TopUp { tokens, id, budget } => {
+                let top_up = budget::TopUp {
+                    budget: budget.clone(),
+                    id: id.clone(),
+                    tokens: *tokens,
+                };
+                Box::pin(budget::top_up(settings, top_up)).await
+            }
+        },
+        Command::Backend(command) => match command {
+            BackendCommand::List => Box::pin(backend::list(settings)).await,
+            BackendCommand::Drain { backend } => Box::pin(backend::drain(settings, backend)).await,
+        },
+        Command::Instance(command) => match command {
+            InstanceCommand::List => instance::list(settings).await,
+            InstanceCommand::Drain { instance } => instance::drain(settings, instance).await,
+        },
+    }
+}
--- /dev/null
+++ b/crates/guavawell-ctl/tests/ctl/main.rs
@@ -0,0 +1,8 @@
+//! The real binary against the stand-in platform.
+
+mod backend;
+mod budget;
+mod help;
+mod instance;
+mod manifest;
+mod support;
--- a/crates/guavawell-fleet/src/config/accept.rs
+++ b/crates/guavawell-fleet/src/config/accept.rs
@@ -1,7 +1,6 @@
 //! Acceptance: pages first, then one transaction on the version row.
 
 use guavawell_core::manifest::ContentDigest;
-use guavawell_core::manifest::FleetView;
 use guavawell_core::manifest::VERSION_KEY;
 use guavawell_core::manifest::VersionConflict;
 use guavawell_core::manifest::VersionProposal;
@@ -52,7 +51,7 @@
             Ok(row) => row,
             Err(conflict) => return Ok(AcceptOutcome::Conflict(conflict)),
         };
-        let there = self.stored_pages(stored.row.as_ref(), pages).await?;
+        let there = self.stored_pages(stored.row.as_ref(), pages).await;
         let missing: Vec<&EncodedPage> = pages
             .pages
             .iter()
@@ -71,15 +70,16 @@
         &self,
         current: Option<&VersionRow>,
         pages: &ManifestPages,
-    ) -> Result<Vec<ContentDigest>, PlatformError> {
+    ) -> Vec<ContentDigest> {
         let Some(current) = current else {
-            return Ok(Vec::new());
+            return Vec::new();
         };
-        let Some(old) = self.read_root(current.root).await? else {
-            return Ok(Vec::new());
+        // Without the old lists every page is written, which does no harm.
+        let Ok(old) = self.read_root(current.root).await else {
+            return Vec::new();
         };
         let Ok(new) = RootPage::decode(pages.root.digest, &pages.root.bytes) else {
-            return Ok(Vec::new());
+            return Vec::new();
         };
         let mut there = vec![current.root, old.base];
         there.extend(&*old.backends);
@@ -87,22 +87,12 @@
         for (old, new) in old.branches.iter().zip(&new.branches) {
             if old == new {
                 there.extend(branch_digests(pages.page(*new)));
-            } else if let Some(bytes) = self.page(*old).await? {
-                let branch = BranchPage::decode(*old, &bytes);
-                there.extend(
-                    branch
-                        .iter()
-                        .flat_map(|branch| branch.pages.iter().copied()),
-                );
+            } else if let Ok(branch) = self.read_branch(*old).await {
+                there.extend(&*branch.pages);
             }
         }
         there.sort();
-        Ok(there)
-    }
-
-    async fn read_root(&self, root: ContentDigest) -> Result<Option<RootPage>, PlatformError> {
-        let bytes = self.page(root).await?;
-        Ok(bytes.and_then(|bytes| RootPage::decode(root, &bytes).ok()))
+        there
     }
 
     /// Writes a version row and its history, if the version row is still at
@@ -182,20 +172,3 @@
     let decoded = page.and_then(|page| BranchPage::decode(page.digest, &page.bytes).ok());
     decoded.map_or_else(Vec::new, |branch| branch.pages.into())
 }
-
-impl ManifestStore {
-    /// Reads a whole version from the object store, on top of a view that
-    /// shares what is the same.
-    ///
-    /// # Errors
-    /// [`super::FetchError`] if a page is missing, unreadable or out of reach.
-    pub async fn load(
-        &self,
-        view: &FleetView,
-        row: &VersionRow,
-    ) -> Result<FleetView, super::FetchError> {
-        super::fetch::PageFetch::from_store(self)
-            .load(view, row)
-            .await
-    }
-}
--- a/crates/guavawell-fleet/src/config/fetch.rs
+++ b/crates/guavawell-fleet/src/config/fetch.rs
@@ -144,6 +144,17 @@
     }
 }
 
+impl ManifestStore {
+    /// Reads a whole version from the object store, on top of a view that
+    /// shares what is the same.
+    ///
+    /// # Errors
+    /// [`FetchError`] if a page is missing, unreadable or out of reach.
+    pub async fn load(&self, view: &FleetView, row: &VersionRow) -> Result<FleetView, FetchError> {
+        PageFetch::from_store(self).load(view, row).await
+    }
+}
+
 /// Asks one peer for pages, batch by batch; false if it had none of a batch.
 async fn ask_peer(
     peers: &ConfigPeers,
--- a/crates/guavawell-fleet/src/config/mod.rs
+++ b/crates/guavawell-fleet/src/config/mod.rs
@@ -10,6 +10,7 @@
 mod fetch;
 mod handle;
 mod peer;
+mod read;
 mod store;
 
 pub use accept::AcceptOutcome;
