Keep a stand-in's port claimed while it refuses connections

Cause: in 1 of 20 runs of the test binary stopped_engine_leaves_its_addresses failed: the freed port was handed to an engine of another test, which answered. A crashed engine would lose its port the same way. Change: a socket that never listens holds the port for as long as the server lives (socket2, since the standard library binds only together with listening). Stopping gives the port up; its test uses a loopback address of its own.

--- a/crates/guavawell-standin/src/backend/host.rs
+++ b/crates/guavawell-standin/src/backend/host.rs
@@ -51,7 +51,7 @@
     S: Send + Sync + 'static,
     L: Send + Sync + 'static,
 {
-    pub(crate) async fn start(
+    pub(crate) fn start(
         listen: SocketAddr,
         control: SocketAddr,
         base: BackendBase<S>,
@@ -68,13 +68,13 @@
             life,
             kind,
         });
-        host.open().await?;
+        host.open()?;
         let weak = Arc::downgrade(&host);
         let steer = move |call| {
             let host = weak.upgrade();
             async move { host.ok_or(Hangup)?.steer(call).await }
         };
-        host.control.open(steer).await?;
+        host.control.open(steer)?;
         Ok(host)
     }
 
@@ -101,22 +101,23 @@
         }
         match change.crash {
             Some(true) => self.crash().await,
-            Some(false) => self.open().await?,
+            Some(false) => self.open()?,
             None => {}
         }
         Ok(())
     }
 
     pub(crate) async fn stop(&self) {
-        self.control.close().await;
-        self.crash().await;
+        self.control.stop().await;
+        self.service.stop().await;
+        (self.kind.end)(&lock(&self.life));
     }
 
-    async fn open(&self) -> io::Result<()> {
+    fn open(&self) -> io::Result<()> {
         let life = Arc::clone(&self.life);
         let serve = self.kind.serve;
         let handler = move |call| serve(Arc::clone(&lock(&life)), call);
-        self.service.open(handler).await
+        self.service.open(handler)
     }
 
     /// Refuses and drops every connection, then begins a new life.
--- a/crates/guavawell-standin/src/engine/start.rs
+++ b/crates/guavawell-standin/src/engine/start.rs
@@ -29,6 +29,7 @@
     /// # Errors
     ///
     /// If an address cannot be bound.
+    #[allow(clippy::unused_async)] // callers await it, so that a start may come to wait
     pub async fn start(settings: EngineSettings) -> io::Result<Self> {
         let kind = BackendKind {
             begin: EngineLife::start,
@@ -41,7 +42,7 @@
             truth: TruthLog::new(settings.truth_limit),
             settings,
         };
-        let host = BackendHost::start(listen, control, base, kind).await?;
+        let host = BackendHost::start(listen, control, base, kind)?;
         Ok(Self { host })
     }
 
--- a/crates/guavawell-standin/src/http/mod.rs
+++ b/crates/guavawell-standin/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 servers by `async-h1`, over connections that can be dropped or silenced.
 
 mod connection;
+mod port;
 mod reply;
 mod server;
 
--- a/crates/guavawell-standin/src/http/server.rs
+++ b/crates/guavawell-standin/src/http/server.rs
@@ -3,7 +3,6 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::net::TcpListener as StdListener;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::Weak;
@@ -18,14 +17,11 @@
 
 use crate::http::connection::ConnectionGate;
 use crate::http::connection::ConnectionLink;
+use crate::http::port::PortClaim;
 use crate::http::reply::HttpReply;
 use crate::lock::lock;
 use crate::pool;
 
-/// Tries to bind an address anew that was left a moment ago.
-const BIND_TRIES: u32 = 50;
-/// Pause between two of these tries.
-const BIND_PAUSE: Duration = Duration::from_millis(20);
 /// Pause after the system refused a connection, for instance for want of handles.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -38,26 +34,26 @@
     pub link: ConnectionLink,
 }
 
-/// A server on one address; it can leave the address and come back to it.
+/// A server on one address; it can refuse connections for a while.
 #[derive(Debug)]
 pub struct HttpServer {
     address: SocketAddr,
-    bound: Mutex<Option<StdListener>>,
+    claim: Mutex<Option<PortClaim>>,
     accepting: Mutex<Option<Task<()>>>,
     gates: Arc<GateList>,
 }
 
 impl HttpServer {
-    /// Binds `listen`; port 0 takes a free one. [`Self::open`] begins to accept.
+    /// Claims `listen`; port 0 takes a free one. [`Self::open`] begins to accept.
     ///
     /// # Errors
     ///
     /// What the system says of the address.
     pub fn bind(listen: SocketAddr) -> io::Result<Self> {
-        let listener = StdListener::bind(listen)?;
+        let claim = PortClaim::bind(listen)?;
         Ok(Self {
-            address: listener.local_addr()?,
-            bound: Mutex::new(Some(listener)),
+            address: claim.address(),
+            claim: Mutex::new(Some(claim)),
             accepting: Mutex::new(None),
             gates: Arc::default(),
         })
@@ -73,36 +69,42 @@
     ///
     /// # Errors
     ///
-    /// If the address, left by [`Self::close`], was taken meanwhile.
-    pub async fn open<F, R>(&self, handler: F) -> io::Result<()>
+    /// If another process listens on the address, or the server was stopped.
+    pub fn open<F, R>(&self, handler: F) -> io::Result<()>
     where
         F: Fn(HttpCall) -> R + Clone + Send + Sync + 'static,
         R: Future<Output = HttpReply> + Send + 'static,
     {
-        if lock(&self.accepting).is_some() {
+        let mut accepting = lock(&self.accepting);
+        if accepting.is_some() {
             return Ok(());
         }
-        let bound = lock(&self.bound).take();
-        let listener = match bound {
-            Some(listener) => listener,
-            None => bind_again(self.address).await?,
-        };
+        let claim = lock(&self.claim);
+        let listener = claim
+            .as_ref()
+            .ok_or(io::ErrorKind::NotConnected)?
+            .listen()?;
         let listener = TcpListener::from(Async::new(listener)?);
         let task = pool::spawn(accept_all(listener, Arc::clone(&self.gates), handler));
-        *lock(&self.accepting) = Some(task);
+        *accepting = Some(task);
         Ok(())
     }
 
-    /// Leaves the address (new connections are refused) and drops every connection.
+    /// Refuses new connections, and drops every open one.
     pub async fn close(&self) {
         let task = lock(&self.accepting).take();
         if let Some(task) = task {
             task.cancel().await;
         }
-        drop(lock(&self.bound).take());
         self.gates.for_each(ConnectionGate::close);
     }
 
+    /// Closes for good and gives the address up.
+    pub async fn stop(&self) {
+        self.close().await;
+        drop(lock(&self.claim).take());
+    }
+
     /// Silences every open connection for good.
     pub fn silence(&self) {
         self.gates.for_each(ConnectionGate::silence);
@@ -136,18 +138,6 @@
     }
 }
 
-async fn bind_again(address: SocketAddr) -> io::Result<StdListener> {
-    let mut tries = 1;
-    loop {
-        match StdListener::bind(address) {
-            Err(error) if tries == BIND_TRIES => return Err(error),
-            Err(_) => tries += 1,
-            Ok(listener) => return Ok(listener),
-        }
-        Timer::after(BIND_PAUSE).await;
-    }
-}
-
 async fn accept_all<F, R>(listener: TcpListener, gates: Arc<GateList>, handler: F)
 where
     F: Fn(HttpCall) -> R + Clone + Send + Sync + 'static,
--- a/crates/guavawell-standin/src/platform/start.rs
+++ b/crates/guavawell-standin/src/platform/start.rs
@@ -74,6 +74,7 @@
     /// # Errors
     ///
     /// If an address cannot be bound.
+    #[allow(clippy::unused_async)] // callers await it, so that a start may come to wait
     pub async fn start(settings: PlatformSettings) -> io::Result<Self> {
         let state = Arc::new(PlatformState {
             faults: FaultSwitches::default(),
@@ -88,13 +89,13 @@
             state: Arc::clone(&state),
         });
         let serve = move |call| Arc::clone(&state).serve(call);
-        shared.service.open(serve).await?;
+        shared.service.open(serve)?;
         let weak = Arc::downgrade(&shared);
         let steer = move |call| {
             let platform = weak.upgrade().map(|shared| Self { shared });
             async move { platform.ok_or(Hangup)?.steer(call).await }
         };
-        shared.control.open(steer).await?;
+        shared.control.open(steer)?;
         Ok(Self { shared })
     }
 
@@ -187,8 +188,8 @@
 
     /// Leaves both addresses and drops every connection.
     pub async fn stop(&self) {
-        self.shared.service.close().await;
-        self.shared.control.close().await;
+        self.shared.service.stop().await;
+        self.shared.control.stop().await;
     }
 
     async fn steer(&self, mut call: HttpCall) -> HttpReply {
--- a/crates/guavawell-standin/tests/standin/engine.rs
+++ b/crates/guavawell-standin/tests/standin/engine.rs
@@ -1,7 +1,11 @@
 //! The engine without faults.
 
+use std::net::SocketAddr;
+use std::net::TcpListener;
+
 use guavawell_core::clock::ClockSpan;
 use guavawell_standin::engine::EngineSettings;
+use guavawell_standin::fault::FaultChange;
 use http_types::Method;
 use serde_json::json;
 
@@ -155,8 +159,30 @@
 
 #[test]
 fn stopped_engine_leaves_its_addresses() {
-    let env = env();
+    // An address of its own: no other test can take the freed port.
+    let env = TestEnv::engine(EngineSettings {
+        listen: SocketAddr::from(([127, 0, 7, 1], 0)),
+        ..EngineSettings::default()
+    });
+    env.call(env.chat(1, "p", 4)).assert_status(200);
     smol::block_on(env.running_engine().stop());
-    assert!(env.try_call(env.chat(1, "p", 4)).is_none());
-    assert!(std::net::TcpListener::bind(env.address()).is_ok());
+    assert!(env.try_call(env.chat(2, "p", 4)).is_none());
+    assert!(TcpListener::bind(env.address()).is_ok());
+}
+
+#[test]
+fn crashed_engine_keeps_its_port() {
+    let env = env();
+    env.set_faults(FaultChange {
+        crash: Some(true),
+        ..FaultChange::default()
+    });
+    // More claims than any run of free ports the system might go through.
+    let others: Vec<TestEnv> = (0..100).map(|_| self::env()).collect();
+    assert!(others.iter().all(|other| other.address() != env.address()));
+    env.set_faults(FaultChange {
+        crash: Some(false),
+        ..FaultChange::default()
+    });
+    env.call(env.chat(1, "p", 4)).assert_status(200);
 }
