--- a/crates/guavawell-core/src/instance/allowance.rs
+++ b/crates/guavawell-core/src/instance/allowance.rs
@@ -2,13 +2,18 @@
 
 use crate::clock::ClockTime;
 
-/// Whether a datagram may draw on the last quarter of the allowance.
+/// How far down a datagram may draw the allowance.
+///
+/// Each kind leaves room for the more urgent ones, so that a flood of notes
+/// neither silences probes nor keeps a new instance from learning the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SendUrgency {
-    /// Probes, answers to probes and leaving marks.
+    /// Probes, answers to probes and leaving marks: to the end.
     Urgent,
-    /// Everything else.
-    Ordinary,
+    /// Comparisons of whole states: down to a quarter.
+    Comparison,
+    /// Rounds of gossip: down to a half.
+    Gossip,
 }
 
 /// Bytes that may still be sent.
@@ -37,7 +42,8 @@
         let bytes = self.level / 1_000;
         let kept = match urgency {
             SendUrgency::Urgent => 0,
-            SendUrgency::Ordinary => self.burst_bytes / 4,
+            SendUrgency::Comparison => self.burst_bytes / 4,
+            SendUrgency::Gossip => self.burst_bytes / 2,
         };
         usize::try_from(bytes.saturating_sub(kept)).unwrap_or(usize::MAX)
     }
--- a/crates/guavawell-core/src/instance/directory.rs
+++ b/crates/guavawell-core/src/instance/directory.rs
@@ -42,8 +42,10 @@
     Known,
     /// Only the manifest version in force.
     Manifest,
-    /// The member's standing, or it is new.
+    /// The member's standing.
     Standing,
+    /// The member was not known.
+    Added,
 }
 
 /// The members beside this instance, sorted by id.
@@ -79,7 +81,7 @@
             Err(_) if self.is_buried(record) => return MergeOutcome::Known,
             Err(index) => {
                 self.insert(index, record, now);
-                return MergeOutcome::Standing;
+                return MergeOutcome::Added;
             }
         };
         let entry = &mut self.entries[index];
--- a/crates/guavawell-core/src/instance/membership/mod.rs
+++ b/crates/guavawell-core/src/instance/membership/mod.rs
@@ -89,6 +89,18 @@
     pub tombstones: usize,
 }
 
+/// Times that a change learned from a comparison is still passed on.
+const SENDS_AFTER_COMPARISON: u32 = 2;
+
+/// How a piece of news came in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NewsOrigin {
+    /// It was passed on, or noticed here.
+    Rumour,
+    /// It came on a page of a comparison.
+    Comparison,
+}
+
 /// When each periodic task is due.
 #[derive(Clone, Debug)]
 struct TaskTimes {
@@ -255,9 +267,7 @@
     }
 
     /// Takes a record in and passes it on if it is news.
-    ///
-    /// `first_sends` counts news as sent that often already.
-    fn merge(&mut self, record: &MemberRecord, first_sends: u32, now: ClockTime) {
+    fn merge(&mut self, record: &MemberRecord, origin: NewsOrigin, now: ClockTime) {
         if record.instance == self.own.instance {
             self.merge_own(record);
             return;
@@ -268,7 +278,14 @@
                 self.revision += 1;
                 self.queue_manifest(record.instance.clone());
             }
-            MergeOutcome::Standing => self.note_change(&record.instance, first_sends),
+            // Whoever is new in the fleet learns all members by comparison;
+            // passing them on would only repeat what the others know.
+            MergeOutcome::Added if origin == NewsOrigin::Comparison => {
+                self.report_change(&record.instance);
+            }
+            MergeOutcome::Standing | MergeOutcome::Added => {
+                self.note_change(&record.instance, origin);
+            }
         }
     }
 
@@ -291,11 +308,22 @@
     }
 
     /// Records that a member's standing changed, and passes it on.
-    fn note_change(&mut self, instance: &InstanceId, first_sends: u32) {
-        let Some(entry) = self.directory.find(instance) else {
+    fn note_change(&mut self, instance: &InstanceId, origin: NewsOrigin) {
+        let Some(record) = self.report_change(instance) else {
             return;
         };
-        let record = Arc::clone(&entry.record);
+        let sends = match origin {
+            NewsOrigin::Rumour => 0,
+            NewsOrigin::Comparison => {
+                let limit = self.settings.member_sends_at(self.size());
+                limit.saturating_sub(SENDS_AFTER_COMPARISON)
+            }
+        };
+        self.queue_member(&record, sends);
+    }
+
+    fn report_change(&mut self, instance: &InstanceId) -> Option<Arc<MemberRecord>> {
+        let record = Arc::clone(&self.directory.find(instance)?.record);
         self.revision += 1;
         self.effects.push(MemberEffect::Changed {
             instance: record.instance.clone(),
@@ -303,7 +331,7 @@
             reachability: record.reachability,
             leaving: record.leaving,
         });
-        self.queue_member(&record, first_sends);
+        Some(record)
     }
 
     fn queue_own(&mut self) {
@@ -311,7 +339,7 @@
         self.queue_member(&own, 0);
     }
 
-    fn queue_member(&mut self, record: &MemberRecord, first_sends: u32) {
+    fn queue_member(&mut self, record: &MemberRecord, sends: u32) {
         let class = if record.leaving && record.reachability == Reachability::Reachable {
             RumourClass::Leaving
         } else {
@@ -321,7 +349,7 @@
             topic: RumourTopic::Member(record.instance.clone()),
             class,
             bytes: GossipRumour::Member(record.clone()).encoded_len(),
-            sends: first_sends,
+            sends,
         });
     }
 
--- a/crates/guavawell-core/src/instance/membership/receive.rs
+++ b/crates/guavawell-core/src/instance/membership/receive.rs
@@ -4,6 +4,7 @@
 
 use super::MemberEffect;
 use super::Membership;
+use super::NewsOrigin;
 use super::send::SendTarget;
 use crate::clock::ClockTime;
 use crate::id::IncarnationId;
@@ -16,9 +17,6 @@
 use crate::instance::probe::ProbeOrigin;
 use crate::instance::record::MemberRecord;
 
-/// Times that news learned from a comparison is still passed on.
-const SENDS_AFTER_SYNC: u32 = 2;
-
 impl Membership {
     /// Takes in a message that came from `from`.
     pub fn receive(
@@ -33,7 +31,7 @@
         if self.superseded || own_echo {
             return Vec::new();
         }
-        self.merge(sender, 0, now);
+        self.merge(sender, NewsOrigin::Rumour, now);
         self.take_rumours(message, now);
         if !self.superseded {
             let target = SendTarget {
@@ -51,15 +49,14 @@
             message.body,
             MessageBody::Page | MessageBody::Difference { .. }
         );
-        let first_sends = if from_sync {
-            let limit = self.settings.member_sends_at(self.size());
-            limit.saturating_sub(SENDS_AFTER_SYNC)
+        let origin = if from_sync {
+            NewsOrigin::Comparison
         } else {
-            0
+            NewsOrigin::Rumour
         };
         for rumour in &message.rumours {
             match rumour {
-                GossipRumour::Member(record) => self.merge(record, first_sends, now),
+                GossipRumour::Member(record) => self.merge(record, origin, now),
                 GossipRumour::Note(note) => self.take_note(note, now),
                 GossipRumour::Manifest {
                     instance,
@@ -74,7 +71,7 @@
                             manifest: *manifest,
                             ..(*entry.record).clone()
                         };
-                        self.merge(&record, 0, now);
+                        self.merge(&record, origin, now);
                     }
                 }
             }
--- a/crates/guavawell-core/src/instance/membership/send.rs
+++ b/crates/guavawell-core/src/instance/membership/send.rs
@@ -91,10 +91,12 @@
         let member_sends = self.settings.member_sends_at(self.size());
         let leave_sends = self.settings.leave_sends_at(self.size());
         let note_sends = self.settings.note_sends;
+        let manifest_sends = self.settings.manifest_sends;
         let limit = |class| match class {
             RumourClass::Leaving => leave_sends,
             RumourClass::Member => member_sends,
-            RumourClass::Note | RumourClass::Manifest => note_sends,
+            RumourClass::Note => note_sends,
+            RumourClass::Manifest => manifest_sends,
         };
         let same_zone = target.zone.as_ref() == Some(&self.own.zone);
         let notes = &self.notes;
--- a/crates/guavawell-core/src/instance/membership/sync.rs
+++ b/crates/guavawell-core/src/instance/membership/sync.rs
@@ -78,7 +78,7 @@
             buckets: self.directory.digest(&self.own),
             notes: self.notes_hash(),
         };
-        self.send(target, body, Vec::new(), SendUrgency::Ordinary, now);
+        self.send(target, body, Vec::new(), SendUrgency::Comparison, now);
     }
 
     /// Answers with this side of as many differing buckets as the pages hold.
@@ -104,7 +104,7 @@
             notes: notes_differ,
             more,
         };
-        if self.send(target, body, Vec::new(), SendUrgency::Ordinary, now) {
+        if self.send(target, body, Vec::new(), SendUrgency::Comparison, now) {
             self.send_pages(target, &covered, notes_differ, now);
         }
     }
@@ -128,7 +128,13 @@
         }
         let pages = self.paginate(rumours);
         for page in pages.into_iter().take(self.settings.sync_pages) {
-            self.send(target, MessageBody::Page, page, SendUrgency::Ordinary, now);
+            self.send(
+                target,
+                MessageBody::Page,
+                page,
+                SendUrgency::Comparison,
+                now,
+            );
         }
     }
 
--- a/crates/guavawell-core/src/instance/membership/tick.rs
+++ b/crates/guavawell-core/src/instance/membership/tick.rs
@@ -4,6 +4,7 @@
 
 use super::MemberEffect;
 use super::Membership;
+use super::NewsOrigin;
 use super::send::SendTarget;
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
@@ -78,7 +79,7 @@
                 &target,
                 MessageBody::News,
                 Vec::new(),
-                SendUrgency::Ordinary,
+                SendUrgency::Gossip,
                 now,
             );
         }
@@ -211,7 +212,7 @@
             reachability,
             ..record.clone()
         };
-        self.merge(&record, 0, now);
+        self.merge(&record, NewsOrigin::Rumour, now);
     }
 
     fn forget(&mut self, now: ClockTime) {
--- a/crates/guavawell-core/src/instance/settings.rs
+++ b/crates/guavawell-core/src/instance/settings.rs
@@ -56,8 +56,10 @@
     /// Higher, because the mark must miss nobody within 3 s, while other
     /// changes that missed someone wait for the next comparison.
     pub leave_sends: u32,
-    /// How often a note, or a member's manifest version, is passed on.
+    /// How often a note is passed on.
     pub note_sends: u32,
+    /// How often a member's manifest version in force is passed on.
+    pub manifest_sends: u32,
     /// Largest note, in bytes.
     pub max_note_bytes: usize,
     /// Most notes kept.
@@ -90,7 +92,8 @@
             max_tombstones: 4_096,
             member_sends: 4,
             leave_sends: 10,
-            note_sends: 5,
+            note_sends: 4,
+            manifest_sends: 3,
             max_note_bytes: 512,
             max_notes: 2_048,
             note_lifetime: ClockSpan::from_millis(60_000),
