Call other routers by capnp-rpc, batched on one connection a peer

Cause: a router asks the slot's holder for each reservation and the holder its witness for each record, so a call between routers lies on every request's path; capnp-rpc costs per call and is bound to one thread.

Change: PeerClient and PeerServer own threads with a local executor; handles are Send and Sync. Calls that queue while batches are under way leave as the next batch, without further delay; small writes gather the same way. A batch returns the replies that are ready at once, the others follow to a sink, so a slow call holds up no other. A link is probed when it is quiet and replaced when it stays silent; errors say whether the request may have arrived (PeerError::NotSent, PeerError::Lost). The certificate has to name the instance that greets; the greeting carries both lives, every batch the Lamport order. A ledger handover goes in pieces of 256 KiB.

Ruled out: one RPC call a request (three messages each); one batch call that waits for all of its replies (one wait for the platform would hold up the rest); boxed tasks holding their executor (never freed: found by a_server_that_stops_loses_what_it_was_answering, which timed out before).

--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -9,6 +9,10 @@
 pub mod event;
 pub mod gossip;
 pub mod operator;
+pub mod peer;
 pub mod platform;
 pub mod settings;
 pub mod tls;
+
+// The generated code names its own types by this path.
+use peer::peer_capnp;
--- /dev/null
+++ b/crates/guavawell-fleet/src/peer/message.rs
@@ -0,0 +1,118 @@
+//! What routers ask of each other and answer.
+
+use guavawell_core::budget::BackendNote;
+use guavawell_core::budget::HandBackAnswer;
+use guavawell_core::budget::HandBackAsk;
+use guavawell_core::budget::HandoverAck;
+use guavawell_core::budget::LedgerHandover;
+use guavawell_core::budget::LifeAnswer;
+use guavawell_core::budget::ReleaseAnswer;
+use guavawell_core::budget::ReleaseAsk;
+use guavawell_core::budget::ReserveAnswer;
+use guavawell_core::budget::ReserveAsk;
+use guavawell_core::budget::SealAnswer;
+use guavawell_core::budget::SealAsk;
+use guavawell_core::budget::SettleAnswer;
+use guavawell_core::budget::SettleAsk;
+use guavawell_core::budget::TakeoverAsk;
+use guavawell_core::budget::WitnessAck;
+use guavawell_core::budget::WitnessMessage;
+use guavawell_core::budget::WitnessRefusal;
+use thiserror::Error;
+
+/// What one router asks of another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerRequest {
+    /// To a slot's holder: reserve an attempt's worst case.
+    Reserve(ReserveAsk),
+    /// To a slot's holder: charge an attempt.
+    Settle(SettleAsk),
+    /// To a slot's holder: give a reservation back.
+    Release(ReleaseAsk),
+    /// To a slot's holder: this backend server runs the attempt.
+    Note(BackendNote),
+    /// To a slot's holder: let the request run no more.
+    Seal(SealAsk),
+    /// To a slot's holder: give unspent tokens back.
+    HandBack(HandBackAsk),
+    /// Between a slot's holder and its witness.
+    Witness(WitnessMessage),
+    /// To a slot's witness: take the slot over.
+    Takeover(TakeoverAsk),
+    /// To any router: tell your incarnation.
+    Life,
+}
+
+/// What a router answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerReply {
+    /// To [`PeerRequest::Reserve`].
+    Reserve(ReserveAnswer),
+    /// To [`PeerRequest::Settle`].
+    Settle(SettleAnswer),
+    /// To [`PeerRequest::Release`].
+    Release(ReleaseAnswer),
+    /// To [`PeerRequest::Seal`].
+    Seal(SealAnswer),
+    /// To [`PeerRequest::HandBack`].
+    HandBack(HandBackAnswer),
+    /// To a record: the witness holds it.
+    Ack(WitnessAck),
+    /// To a record or a handover: the witness refuses it.
+    Refusal(WitnessRefusal),
+    /// To a handover: the witness holds the ledger.
+    HandoverAck(HandoverAck),
+    /// To [`PeerRequest::Life`].
+    Life(LifeAnswer),
+    /// The request was taken; there is nothing to tell.
+    Accepted,
+    /// The request was not taken.
+    Refused(PeerRefusal),
+}
+
+/// Why a router did not take a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum PeerRefusal {
+    /// The request is of a later version.
+    #[error("the peer does not know this request; it runs an earlier version")]
+    Unsupported,
+    /// A value in the request is wrong.
+    #[error("the peer found a wrong value in the request")]
+    Malformed,
+    /// Too many requests are running there.
+    #[error("the peer runs as many requests as it may; try again later")]
+    Overloaded,
+}
+
+impl PeerRequest {
+    /// The request that carries a ledger handover.
+    #[must_use]
+    pub const fn handover(handover: LedgerHandover) -> Self {
+        Self::Witness(WitnessMessage::Handover(handover))
+    }
+}
+
+impl PeerReply {
+    /// The reply that carries a witness's message; a record and a handover
+    /// are requests and never replies.
+    #[must_use]
+    pub fn from_witness(message: WitnessMessage) -> Option<Self> {
+        match message {
+            WitnessMessage::Ack(ack) => Some(Self::Ack(ack)),
+            WitnessMessage::Refusal(refusal) => Some(Self::Refusal(refusal)),
+            WitnessMessage::HandoverAck(ack) => Some(Self::HandoverAck(ack)),
+            WitnessMessage::Record(_) | WitnessMessage::Handover(_) => None,
+        }
+    }
+
+    /// The witness's message that the reply carries, if any.
+    #[must_use]
+    pub fn into_witness(self) -> Option<WitnessMessage> {
+        match self {
+            Self::Ack(ack) => Some(WitnessMessage::Ack(ack)),
+            Self::Refusal(refusal) => Some(WitnessMessage::Refusal(refusal)),
+            Self::HandoverAck(ack) => Some(WitnessMessage::HandoverAck(ack)),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/peer/tests/fault.rs
@@ -0,0 +1,183 @@
+//! Connections that break, go silent or carry too much.
+
+use std::net::Ipv4Addr;
+
+use guavawell_core::budget::LedgerEntry;
+use guavawell_core::budget::WitnessMessage;
+use guavawell_core::budget::WitnessRecord;
+use guavawell_core::clock::ClockSpan;
+
+use super::SHORT;
+use super::call;
+use super::call_aside;
+use super::client_settings;
+use super::given;
+use super::hand_back;
+use super::identity;
+use super::relay::TestRelay;
+use super::seal;
+use super::server_settings;
+use super::settings;
+use super::stamp;
+use super::start_plain;
+use super::start_server;
+use super::target;
+use crate::peer::PeerClient;
+use crate::peer::PeerError;
+use crate::peer::PeerFailure;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+use crate::settings::ByteCount;
+
+#[test]
+fn nobody_listening_means_not_sent() {
+    let (server, client, _control) = start_plain(settings());
+    let address = server.address();
+    drop(server);
+    let error = call(&client, &target(address), hand_back(1)).unwrap_err();
+    assert!(matches!(error, PeerError::NotSent(PeerFailure::Connect(_))));
+}
+
+#[test]
+fn a_call_without_a_reply_in_time_may_have_arrived() {
+    let mut peers = settings();
+    peers.call_timeout_ms = SHORT;
+    let (server, client, _control) = start_plain(peers);
+    let target = target(server.address());
+    let lost = call(&client, &target, seal());
+    assert_eq!(lost, Err(PeerError::Lost(PeerFailure::TimedOut)));
+    let mut reply = call(&client, &target, hand_back(1));
+    while reply == Err(PeerError::Lost(PeerFailure::TimedOut)) {
+        reply = call(&client, &target, hand_back(1));
+    }
+    assert_eq!(reply, Ok(given(1)));
+}
+
+#[test]
+fn a_silent_connection_is_given_up_and_replaced() {
+    let mut peers = settings();
+    peers.probe_interval_ms = SHORT;
+    peers.probe_timeout_ms = SHORT;
+    let (server, control) = start_server(&server_settings(settings()));
+    let client = PeerClient::start(&client_settings(peers)).unwrap();
+    let relay = TestRelay::start(server.address());
+    let target = target(relay.address());
+    let slow = call_aside(&client, &target, seal());
+    control.wait_for_seal();
+    relay.silence();
+    let lost = PeerError::Lost(PeerFailure::Silent);
+    assert_eq!(slow.join().unwrap(), Err(lost));
+    assert_eq!(call(&client, &target, hand_back(5)), Ok(given(5)));
+    assert_eq!(relay.accepted(), 2);
+}
+
+#[test]
+fn a_connection_that_was_closed_behind_its_back_is_replaced() {
+    let (server, client, control) = start_plain(settings());
+    let relay = TestRelay::start(server.address());
+    let target = target(relay.address());
+    let slow = call_aside(&client, &target, seal());
+    control.wait_for_seal();
+    relay.cut();
+    let lost = PeerError::Lost(PeerFailure::Closed);
+    assert_eq!(slow.join().unwrap(), Err(lost));
+    assert_eq!(call(&client, &target, hand_back(5)), Ok(given(5)));
+}
+
+#[test]
+fn a_server_that_accepts_and_says_nothing_means_not_sent() {
+    let mut peers = settings();
+    peers.connect_timeout_ms = SHORT;
+    let client = PeerClient::start(&client_settings(peers)).unwrap();
+    let mute = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let target = target(mute.local_addr().unwrap());
+    let error = call(&client, &target, hand_back(1)).unwrap_err();
+    assert!(matches!(error, PeerError::NotSent(PeerFailure::Connect(_))));
+}
+
+#[test]
+fn a_silent_client_makes_room_for_others() {
+    let mut peers = settings();
+    peers.connect_timeout_ms = SHORT;
+    peers.max_connections = 1;
+    let (server, _control) = start_server(&server_settings(peers));
+    let mute = std::net::TcpStream::connect(server.address()).unwrap();
+    let client = PeerClient::start(&client_settings(settings())).unwrap();
+    let target = target(server.address());
+    let mut reply = call(&client, &target, hand_back(1));
+    while reply.is_err() {
+        reply = call(&client, &target, hand_back(1));
+    }
+    assert_eq!(reply, Ok(given(1)));
+    drop(mute);
+}
+
+fn record(entries: u64) -> PeerRequest {
+    let entries = (0..entries).map(|number| LedgerEntry::Seal {
+        identity: identity(number),
+    });
+    PeerRequest::Witness(WitnessMessage::Record(WitnessRecord {
+        stamp: stamp(),
+        sequence: 1,
+        entries: entries.collect(),
+    }))
+}
+
+#[test]
+fn a_message_past_the_bound_is_not_sent() {
+    let mut peers = settings();
+    peers.max_message_bytes = ByteCount::new(1024 * 1024);
+    let (server, client, _control) = start_plain(peers);
+    let target = target(server.address());
+    assert_eq!(
+        call(&client, &target, record(1_000)),
+        Ok(PeerReply::Accepted)
+    );
+    assert_eq!(
+        call(&client, &target, record(50_000)),
+        Err(PeerError::NotSent(PeerFailure::TooLarge))
+    );
+    assert_eq!(call(&client, &target, hand_back(5)), Ok(given(5)));
+}
+
+#[test]
+fn a_server_ends_a_connection_that_sends_past_its_bound() {
+    let mut peers = settings();
+    peers.max_message_bytes = ByteCount::new(1024 * 1024);
+    let (server, _control) = start_server(&server_settings(peers));
+    let mut careless = settings();
+    careless.max_message_bytes = ByteCount::new(64 * 1024 * 1024);
+    let client = PeerClient::start(&client_settings(careless)).unwrap();
+    let target = target(server.address());
+    assert_eq!(
+        call(&client, &target, record(50_000)),
+        Err(PeerError::Lost(PeerFailure::Closed))
+    );
+    assert_eq!(call(&client, &target, hand_back(5)), Ok(given(5)));
+}
+
+#[test]
+fn a_server_that_stops_loses_what_it_was_answering() {
+    let (server, client, control) = start_plain(settings());
+    let address = server.address();
+    let slow = call_aside(&client, &target(address), seal());
+    control.wait_for_seal();
+    drop(server);
+    let lost = PeerError::Lost(PeerFailure::Closed);
+    assert_eq!(slow.join().unwrap(), Err(lost));
+}
+
+#[test]
+fn an_idle_connection_is_closed_and_made_again() {
+    let mut peers = settings();
+    peers.idle_timeout_ms = SHORT;
+    peers.call_timeout_ms = ClockSpan::from_millis(2_000);
+    let (server, _control) = start_server(&server_settings(settings()));
+    let client = PeerClient::start(&client_settings(peers)).unwrap();
+    let relay = TestRelay::start(server.address());
+    let target = target(relay.address());
+    assert_eq!(call(&client, &target, hand_back(1)), Ok(given(1)));
+    relay.wait_until_closed();
+    assert_eq!(call(&client, &target, hand_back(2)), Ok(given(2)));
+    assert_eq!(relay.accepted(), 2);
+}
--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -7,10 +7,14 @@
 use super::RouterSettings;
 use super::network::TlsSettings;
 use super::reader::FileReader;
+use super::unit::ByteCount;
 
 /// Keys that every file must hold.
 const REQUIRED_KEYS: [&str; 2] = ["instance.id", "instance.zone"];
 
+/// Smallest bound on a peer's message: a piece of a ledger has to fit twice.
+const MIN_MESSAGE_BYTES: ByteCount = ByteCount::new(1024 * 1024);
+
 /// Shortest gossip key that is accepted, in bytes.
 const MIN_KEY_BYTES: usize = 16;
 
@@ -116,6 +120,12 @@
 }
 
 fn check_peers(settings: &RouterSettings, file: &FileReader<'_>) {
+    if settings.peers.max_message_bytes < MIN_MESSAGE_BYTES {
+        file.find(
+            "peers.max_message_bytes",
+            format!("must be at least {}", MIN_MESSAGE_BYTES.get()),
+        );
+    }
     let Some(tls) = &settings.peers.tls else {
         return;
     };
@@ -164,6 +174,7 @@
             settings.peers.connect_timeout_ms,
         ),
         ("peers.call_timeout_ms", settings.peers.call_timeout_ms),
+        ("peers.idle_timeout_ms", settings.peers.idle_timeout_ms),
         ("peers.probe_interval_ms", settings.peers.probe_interval_ms),
         ("peers.probe_timeout_ms", settings.peers.probe_timeout_ms),
         ("platform.timeout_ms", settings.platform.timeout_ms),
@@ -216,10 +227,6 @@
             settings.callers.max_connections.into(),
         ),
         ("peers.threads", settings.peers.threads.into()),
-        (
-            "peers.max_message_bytes",
-            settings.peers.max_message_bytes.get(),
-        ),
         ("peers.max_calls", settings.peers.max_calls.into()),
         (
             "peers.max_connections",
--- a/crates/guavawell-fleet/src/settings/network.rs
+++ b/crates/guavawell-fleet/src/settings/network.rs
@@ -118,7 +118,11 @@
         /// Longest time for a probe's answer, in milliseconds; then the
         /// connection is replaced.
         probe_timeout_ms: ClockSpan = ClockSpan::from_millis(500);
-        /// Largest message, in bytes; a larger one ends its connection.
+        /// Time without a call after which a connection is closed, in
+        /// milliseconds.
+        idle_timeout_ms: ClockSpan = ClockSpan::from_millis(60_000);
+        /// Largest message read, in bytes; a larger one ends its connection.
+        /// Messages sent stay under half of it. At least 1 MiB.
         max_message_bytes: ByteCount = ByteCount::new(4 * 1024 * 1024);
         /// Most calls that wait or run towards one peer; further ones fail
         /// at once as not sent.
--- a/crates/guavawell-fleet/src/tls/mod.rs
+++ b/crates/guavawell-fleet/src/tls/mod.rs
@@ -10,6 +10,7 @@
 mod port;
 mod reload;
 mod server;
+mod stream;
 #[cfg(test)]
 pub(crate) mod tests;
 
@@ -25,6 +26,8 @@
 pub use reload::ReloadState;
 pub use reload::reload_when_changed;
 pub use server::ServerTls;
+pub use stream::PeerProof;
+pub use stream::SecureStream;
 
 /// Why certificates or keys cannot be used.
 #[derive(Debug, Error)]
--- a/crates/guavawell-fleet/src/tls/port.rs
+++ b/crates/guavawell-fleet/src/tls/port.rs
@@ -2,19 +2,14 @@
 //! by name.
 
 use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 
-use futures_rustls::server::TlsStream;
 use smol::Timer;
 use smol::future;
-use smol::io::AsyncRead;
-use smol::io::AsyncWrite;
 use smol::net::TcpStream;
 
+use super::SecureStream;
 use super::ServerTls;
 use super::TlsError;
 use crate::settings::TlsSettings;
@@ -55,67 +50,26 @@
     pub async fn accept(&self, stream: TcpStream) -> io::Result<PortStream> {
         stream.set_nodelay(true)?;
         match self {
-            Self::Plain if stream.peer_addr()?.ip().is_loopback() => Ok(PortStream::Plain(stream)),
+            Self::Plain if stream.peer_addr()?.ip().is_loopback() => {
+                Ok(share(SecureStream::Plain(stream)))
+            }
             Self::Plain => Err(io::ErrorKind::PermissionDenied.into()),
             Self::Tls(tls) => {
                 let stream = future::or(tls.accept(stream), handshake_timeout()).await?;
-                let shared = async_dup::Arc::new(async_dup::Mutex::new(stream));
-                Ok(PortStream::Tls(shared))
+                Ok(share(SecureStream::Tls(Box::new(stream.into()))))
             }
         }
     }
 }
 
+fn share(stream: SecureStream) -> PortStream {
+    async_dup::Arc::new(async_dup::Mutex::new(stream))
+}
+
 async fn handshake_timeout<T>() -> io::Result<T> {
     Timer::after(HANDSHAKE_TIMEOUT).await;
     Err(io::ErrorKind::TimedOut.into())
 }
 
 /// A connection of a listening port; clones share it.
-#[derive(Clone, Debug)]
-pub enum PortStream {
-    /// Plain TCP.
-    Plain(TcpStream),
-    /// TLS.
-    Tls(async_dup::Arc<async_dup::Mutex<TlsStream<TcpStream>>>),
-}
-
-impl AsyncRead for PortStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_read(context, buffer),
-            Self::Tls(stream) => Pin::new(stream).poll_read(context, buffer),
-        }
-    }
-}
-
-impl AsyncWrite for PortStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_write(context, buffer),
-            Self::Tls(stream) => Pin::new(stream).poll_write(context, buffer),
-        }
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_flush(context),
-            Self::Tls(stream) => Pin::new(stream).poll_flush(context),
-        }
-    }
-
-    fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_close(context),
-            Self::Tls(stream) => Pin::new(stream).poll_close(context),
-        }
-    }
-}
+pub type PortStream = async_dup::Arc<async_dup::Mutex<SecureStream>>;
