Hold platform writes to a share and a circuit; drive claims and seals

Cause: the platform carries several hundred writes a second for everybody and goes away for long. A router that asks without measure takes the money writes of the others with it, and a claim written one by one costs a write for each non-idempotent request.

A write turned away is Throttled and was not sent. ClaimDriver runs the claim's state machine; concurrent claims share one transaction, and where one condition fails the rows read tell whose it was and the others go again. A claim whose caller goes away, or that stays in doubt, is freed in the background by a released row.

Weighed: claims through the shard's holder during an outage. Each zone has its own holder of a shard, so two of them could claim one id; claims are refused with `retry` instead until the table is back.

--- /dev/null
+++ b/crates/guavawell-fleet/src/claim/driver.rs
@@ -0,0 +1,300 @@
+//! Runs claims, seals and releases against the table.
+
+use guavawell_core::budget::InstanceLife;
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::id::AttemptId;
+use guavawell_core::platform::BackoffPolicy;
+use guavawell_core::platform::Jitter;
+use guavawell_core::request::Refusal;
+use guavawell_core::request::RefusalReason;
+use guavawell_core::request::RequestIdentity;
+use guavawell_core::request::UnsentAttempt;
+use guavawell_core::request::claim::ClaimEffect;
+use guavawell_core::request::claim::ClaimEnd;
+use guavawell_core::request::claim::ClaimEvent;
+use guavawell_core::request::claim::ClaimGoal;
+use guavawell_core::request::claim::ClaimRow;
+use guavawell_core::request::claim::ClaimStep;
+use guavawell_core::request::claim::claim_key;
+use guavawell_core::request::claim::needs_claim;
+use guavawell_core::request::claim::run_or_refuse;
+use guavawell_core::request::claim::seal_refusal;
+use smol::Timer;
+use smol::channel;
+use smol::channel::Sender;
+
+use super::batch::BatchSettings;
+use super::batch::QueuedWrite;
+use super::batch::seen;
+use super::batch::write_batches;
+use super::count::count_refusal;
+use crate::clock::duration;
+use crate::clock::now;
+use crate::platform::Table;
+
+/// Writes that may wait for a transaction.
+const QUEUE_LENGTH: usize = 4_096;
+/// Tries to free an id whose claim was given up in doubt.
+const RELEASE_TRIES: u32 = 20;
+
+/// An attempt that alone may run, not sent yet.
+#[derive(Debug, PartialEq, Eq)]
+pub struct HeldClaim {
+    /// The attempt.
+    pub attempt: UnsentAttempt,
+    /// The claim's revision in the table.
+    pub revision: u64,
+}
+
+/// The answer to a claim.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ClaimAnswer {
+    /// The attempt alone may run.
+    Held(HeldClaim),
+    /// Another attempt holds the id; its answer may be resumed or replayed.
+    TakenBy {
+        /// The other attempt's claim.
+        row: ClaimRow,
+        /// This attempt, which must not be sent.
+        attempt: UnsentAttempt,
+    },
+    /// The attempt must not run.
+    Refused(Refusal),
+}
+
+/// Why an unsent attempt is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusalCause {
+    /// The reason.
+    pub reason: RefusalReason,
+    /// What happened, for the caller.
+    pub detail: Box<str>,
+    /// When a later try may work.
+    pub retry_after: Option<ClockSpan>,
+}
+
+/// Claims and seals of one router; clones share their queue.
+#[derive(Clone, Debug)]
+pub struct ClaimDriver {
+    table: Table,
+    router: InstanceLife,
+    queue: Sender<QueuedWrite>,
+    backoff: BackoffPolicy,
+}
+
+impl ClaimDriver {
+    /// Starts the task that writes the claims of `router`.
+    #[must_use]
+    pub fn start(table: Table, router: InstanceLife, settings: BatchSettings) -> Self {
+        let (queue, writes) = channel::bounded(QUEUE_LENGTH);
+        smol::spawn(write_batches(table.clone(), settings, writes)).detach();
+        Self {
+            table,
+            router,
+            queue,
+            backoff: BackoffPolicy::default(),
+        }
+    }
+
+    /// Claims a request for an attempt, before its first byte is sent.
+    ///
+    /// Where the future is dropped, because the caller went away, the id is
+    /// freed in the background.
+    pub async fn claim(&self, identity: &RequestIdentity, attempt: UnsentAttempt) -> ClaimAnswer {
+        let mut pending = PendingClaim {
+            driver: self,
+            identity,
+            attempt: attempt.id(),
+            is_open: true,
+        };
+        let step = self.finish(identity, ClaimGoal::Run, attempt.id(), 0).await;
+        pending.is_open = step.end() == Some(&ClaimEnd::Undecided);
+        let retry_after = self.backoff.wait(1, Jitter(fastrand::u16(..)));
+        match step.end() {
+            Some(ClaimEnd::Held { revision }) => ClaimAnswer::Held(HeldClaim {
+                attempt,
+                revision: *revision,
+            }),
+            Some(ClaimEnd::TakenBy(row)) => ClaimAnswer::TakenBy {
+                row: row.clone(),
+                attempt,
+            },
+            _ => refused(run_or_refuse(&step, attempt, retry_after)),
+        }
+    }
+
+    /// Refuses an attempt that holds no claim, saying as much as can be proved.
+    pub async fn refuse(
+        &self,
+        identity: &RequestIdentity,
+        idempotent: bool,
+        attempt: UnsentAttempt,
+        cause: &RefusalCause,
+    ) -> Refusal {
+        let seals = needs_claim(identity, idempotent) && cause.reason.wants_seal();
+        let refusal = if seals {
+            self.seal(identity, attempt, 0, cause).await
+        } else {
+            Refusal::unsealed(identity, attempt, cause.reason, cause.detail.clone())
+        };
+        counted(refusal, cause)
+    }
+
+    /// Refuses an attempt that holds its claim and was not sent: seals the id,
+    /// or frees it for a retry.
+    pub async fn refuse_held(
+        &self,
+        identity: &RequestIdentity,
+        claim: HeldClaim,
+        cause: &RefusalCause,
+    ) -> Refusal {
+        let HeldClaim { attempt, revision } = claim;
+        if cause.reason.wants_seal() {
+            let refusal = self.seal(identity, attempt, revision, cause).await;
+            return counted(refusal, cause);
+        }
+        let id = attempt.id();
+        let step = self
+            .finish(identity, ClaimGoal::Release, id, revision)
+            .await;
+        if matches!(
+            step.end(),
+            Some(ClaimEnd::Undecided | ClaimEnd::Unreachable)
+        ) {
+            self.release_later(identity, id);
+        }
+        let refusal = Refusal::retry(attempt, cause.reason, cause.detail.clone());
+        counted(refusal, cause)
+    }
+
+    async fn seal(
+        &self,
+        identity: &RequestIdentity,
+        attempt: UnsentAttempt,
+        revision: u64,
+        cause: &RefusalCause,
+    ) -> Refusal {
+        let id = attempt.id();
+        let step = self.finish(identity, ClaimGoal::Seal, id, revision).await;
+        seal_refusal(&step, attempt, cause.reason, &cause.detail)
+    }
+
+    /// Frees an id in the background once the table answers again.
+    fn release_later(&self, identity: &RequestIdentity, attempt: AttemptId) {
+        let driver = self.clone();
+        let identity = identity.clone();
+        smol::spawn(async move {
+            for failures in 1..=RELEASE_TRIES {
+                let wait = driver.backoff.wait(failures, Jitter(fastrand::u16(..)));
+                Timer::after(duration(wait)).await;
+                let step = driver
+                    .finish(&identity, ClaimGoal::Release, attempt, 0)
+                    .await;
+                let end = step.end();
+                if !matches!(end, Some(ClaimEnd::Undecided | ClaimEnd::Unreachable)) {
+                    return;
+                }
+            }
+            metrics::counter!("guavawell_claims_stranded_total").increment(1);
+        })
+        .detach();
+    }
+
+    /// Runs a step to its end.
+    async fn finish(
+        &self,
+        identity: &RequestIdentity,
+        goal: ClaimGoal,
+        attempt: AttemptId,
+        revision: u64,
+    ) -> ClaimStep {
+        let router = self.router.clone();
+        let mut step = ClaimStep::new(identity.clone(), goal, attempt, router, now());
+        let mut effect = step.start(revision);
+        loop {
+            let event = match effect {
+                ClaimEffect::Write { expected, row } => self.write(identity, expected, row).await,
+                ClaimEffect::ReadBack => self.read(identity).await,
+                ClaimEffect::Done(end) => {
+                    count_end(goal, &end);
+                    return step;
+                }
+            };
+            effect = step.on(event);
+        }
+    }
+
+    async fn write(&self, identity: &RequestIdentity, expected: u64, row: ClaimRow) -> ClaimEvent {
+        let (answer, answered) = channel::bounded(1);
+        let write = QueuedWrite {
+            key: claim_key(identity),
+            expected,
+            row,
+            answer,
+        };
+        if self.queue.send(write).await.is_err() {
+            return ClaimEvent::Failed;
+        }
+        // The task ends only with the process; a write then is in doubt.
+        answered.recv().await.unwrap_or(ClaimEvent::Lost)
+    }
+
+    async fn read(&self, identity: &RequestIdentity) -> ClaimEvent {
+        match self.table.get(&claim_key(identity)).await {
+            Ok(read) => seen(read.row.as_ref()),
+            Err(_) => ClaimEvent::Failed,
+        }
+    }
+}
+
+/// Frees the id of a claim that was given up before it was decided.
+struct PendingClaim<'a> {
+    driver: &'a ClaimDriver,
+    identity: &'a RequestIdentity,
+    attempt: AttemptId,
+    is_open: bool,
+}
+
+impl Drop for PendingClaim<'_> {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.driver.release_later(self.identity, self.attempt);
+        }
+    }
+}
+
+fn refused(result: Result<UnsentAttempt, Refusal>) -> ClaimAnswer {
+    match result {
+        Err(refusal) => {
+            count_refusal(&refusal);
+            ClaimAnswer::Refused(refusal)
+        }
+        Ok(_) => unreachable!("a held claim was answered before"),
+    }
+}
+
+fn counted(refusal: Refusal, cause: &RefusalCause) -> Refusal {
+    let refusal = match cause.retry_after {
+        Some(span) => refusal.after(span),
+        None => refusal,
+    };
+    count_refusal(&refusal);
+    refusal
+}
+
+fn count_end(goal: ClaimGoal, end: &ClaimEnd) {
+    let goal = match goal {
+        ClaimGoal::Run => "run",
+        ClaimGoal::Seal => "seal",
+        ClaimGoal::Release => "release",
+    };
+    let end = match end {
+        ClaimEnd::Held { .. } => "held",
+        ClaimEnd::Sealed => "sealed",
+        ClaimEnd::Released => "released",
+        ClaimEnd::TakenBy(_) => "taken",
+        ClaimEnd::Unreachable => "unreachable",
+        ClaimEnd::Undecided => "undecided",
+    };
+    metrics::counter!("guavawell_claim_steps_total", "goal" => goal, "end" => end).increment(1);
+}
--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! One folder for each party that a router talks to.
 
 pub mod caller;
+pub mod claim;
 pub mod clock;
 pub mod config;
 pub mod engine;
--- a/crates/guavawell-fleet/src/platform/exchange.rs
+++ b/crates/guavawell-fleet/src/platform/exchange.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use guavawell_core::platform::WriteClass;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
@@ -12,6 +13,8 @@
 use smol::net::TcpStream;
 
 use super::error::PlatformError;
+use super::gate::CircuitGate;
+use super::gate::WriteGate;
 use super::pool::ConnectionPool;
 use super::pool::PoolSettings;
 use super::pool::with_timeout;
@@ -29,7 +32,7 @@
     /// A read: without an answer, nothing is in doubt.
     Read,
     /// A write: without an answer, it may have been applied.
-    Write,
+    Write(WriteClass),
 }
 
 /// One request to the platform.
@@ -53,35 +56,61 @@
 pub(super) struct PlatformHttp {
     service: &'static str,
     pool: Arc<ConnectionPool>,
+    circuit: Arc<CircuitGate>,
+    writes: Option<WriteGate>,
 }
 
 impl PlatformHttp {
     pub fn new(service: &'static str, address: SocketAddr, settings: PoolSettings) -> Self {
         Self {
             service,
+            circuit: Arc::new(CircuitGate::new(service, settings.circuit)),
             pool: Arc::new(ConnectionPool::new(address, settings)),
+            writes: None,
         }
     }
 
+    /// The same client, its writes held to a share.
+    pub fn with_writes(mut self, writes: &WriteGate) -> Self {
+        self.writes = Some(writes.clone());
+        self
+    }
+
+    /// Whether the service counts as out, so that only probes are sent.
+    pub fn is_out(&self) -> bool {
+        self.circuit.is_open()
+    }
+
     /// Sends a request and reads the whole answer; counts how it ended.
     pub async fn ask(&self, ask: PlatformAsk<'_>) -> Result<PlatformAnswer, PlatformError> {
         let kind = ask.kind;
         let result = self.ask_uncounted(ask).await;
-        let outcome = match &result {
-            Ok(_) => "answered",
-            Err(error) => error.label(),
-        };
-        let write = match kind {
+        let outcome = result
+            .as_ref()
+            .err()
+            .map_or("answered", PlatformError::label);
+        let class = match kind {
             ExchangeKind::Read => "read",
-            ExchangeKind::Write => "write",
+            ExchangeKind::Write(class) => class.label(),
         };
         metrics::counter!("guavawell_platform_exchanges_total",
-            "service" => self.service, "kind" => write, "outcome" => outcome)
+            "service" => self.service, "class" => class, "outcome" => outcome)
         .increment(1);
         result
     }
 
     async fn ask_uncounted(&self, ask: PlatformAsk<'_>) -> Result<PlatformAnswer, PlatformError> {
+        if let (ExchangeKind::Write(class), Some(writes)) = (ask.kind, &self.writes) {
+            writes.pass(class).await?;
+        }
+        self.circuit.pass()?;
+        let result = self.send(ask).await;
+        let answered = matches!(result, Ok(_) | Err(PlatformError::Refused(_)));
+        self.circuit.report(answered);
+        result
+    }
+
+    async fn send(&self, ask: PlatformAsk<'_>) -> Result<PlatformAnswer, PlatformError> {
         let kind = ask.kind;
         let request = self.request(ask)?;
         let stream = self
@@ -153,7 +182,7 @@
 fn no_answer(kind: ExchangeKind, detail: &str) -> PlatformError {
     match kind {
         ExchangeKind::Read => PlatformError::Outage(detail.into()),
-        ExchangeKind::Write => PlatformError::Lost(detail.into()),
+        ExchangeKind::Write(_) => PlatformError::Lost(detail.into()),
     }
 }
 
--- a/crates/guavawell-fleet/src/platform/mod.rs
+++ b/crates/guavawell-fleet/src/platform/mod.rs
@@ -6,6 +6,7 @@
 
 mod error;
 mod exchange;
+mod gate;
 mod instances;
 mod objects;
 mod pool;
@@ -14,6 +15,7 @@
 mod wire;
 
 pub use error::PlatformError;
+pub use gate::WriteGate;
 pub use instances::InstanceEntry;
 pub use instances::InstanceList;
 pub use objects::ObjectPut;
--- a/crates/guavawell-fleet/src/platform/objects.rs
+++ b/crates/guavawell-fleet/src/platform/objects.rs
@@ -11,6 +11,7 @@
 use super::exchange::PlatformAnswer;
 use super::exchange::PlatformAsk;
 use super::exchange::PlatformHttp;
+use super::gate::WriteGate;
 use super::pool::PoolSettings;
 
 /// How a conditional put ended.
@@ -39,6 +40,13 @@
         }
     }
 
+    /// The same client, its writes held to the router's share.
+    #[must_use]
+    pub fn with_writes(self, writes: &WriteGate) -> Self {
+        let http = self.http.with_writes(writes);
+        Self { http, ..self }
+    }
+
     /// Writes `body` at `key` unless an object is there already.
     ///
     /// # Errors
@@ -51,9 +59,8 @@
         body: Vec<u8>,
         class: WriteClass,
     ) -> Result<ObjectPut, PlatformError> {
-        metrics::counter!("guavawell_platform_writes_total", "class" => class.label()).increment(1);
         let ask = PlatformAsk {
-            kind: ExchangeKind::Write,
+            kind: ExchangeKind::Write(class),
             method: Method::Put,
             target: &self.target(key)?,
             headers: &[("if-none-match", "*")],
--- a/crates/guavawell-fleet/src/platform/pool.rs
+++ b/crates/guavawell-fleet/src/platform/pool.rs
@@ -5,13 +5,15 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::time::Duration;
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::platform::CircuitPolicy;
 use smol::Timer;
 use smol::future;
 use smol::net::TcpStream;
 
+use crate::clock::duration;
+
 /// How a client talks to the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolSettings {
@@ -23,6 +25,8 @@
     pub idle_connections: usize,
     /// Largest answer accepted, in bytes.
     pub max_answer_bytes: usize,
+    /// When the client stops asking a service that does not answer.
+    pub circuit: CircuitPolicy,
 }
 
 impl Default for PoolSettings {
@@ -32,6 +36,7 @@
             answer_timeout: ClockSpan::from_millis(2_000),
             idle_connections: 8,
             max_answer_bytes: 16 * 1024 * 1024,
+            circuit: CircuitPolicy::default(),
         }
     }
 }
@@ -104,7 +109,7 @@
     work: impl Future<Output = io::Result<T>>,
 ) -> io::Result<T> {
     future::or(work, async {
-        Timer::after(Duration::from_millis(span.as_millis())).await;
+        Timer::after(duration(span)).await;
         Err(io::Error::new(
             io::ErrorKind::TimedOut,
             format!("no answer within {span}"),
--- a/crates/guavawell-fleet/src/platform/table.rs
+++ b/crates/guavawell-fleet/src/platform/table.rs
@@ -9,6 +9,7 @@
 use super::exchange::ExchangeKind;
 use super::exchange::PlatformAsk;
 use super::exchange::PlatformHttp;
+use super::gate::WriteGate;
 use super::pool::PoolSettings;
 use super::txn::TableRow;
 use super::txn::TableTxn;
@@ -54,6 +55,19 @@
         }
     }
 
+    /// The same client, its writes held to the router's share.
+    #[must_use]
+    pub fn with_writes(self, writes: &WriteGate) -> Self {
+        let http = self.http.with_writes(writes);
+        Self { http }
+    }
+
+    /// Whether the table counts as out, so that only probes are sent.
+    #[must_use]
+    pub fn is_out(&self) -> bool {
+        self.http.is_out()
+    }
+
     /// Reads one row.
     ///
     /// # Errors
@@ -97,14 +111,10 @@
     /// read back before any second try.
     pub async fn txn(&self, txn: &TableTxn, class: WriteClass) -> Result<TxnAnswer, PlatformError> {
         let kind = if txn.writes() {
-            ExchangeKind::Write
+            ExchangeKind::Write(class)
         } else {
             ExchangeKind::Read
         };
-        if kind == ExchangeKind::Write {
-            metrics::counter!("guavawell_platform_writes_total", "class" => class.label())
-                .increment(1);
-        }
         let body = wire::txn_body(txn);
         let answer = self.post("/v3/kv/txn", kind, body).await?;
         wire::txn_answer(&answer).map_err(|error| as_read(kind, error))
--- a/crates/guavawell-fleet/tests/platform.rs
+++ b/crates/guavawell-fleet/tests/platform.rs
@@ -2,9 +2,14 @@
 
 mod support;
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::platform::BackoffPolicy;
+use guavawell_core::platform::CircuitPolicy;
+use guavawell_core::platform::SharePolicy;
 use guavawell_core::platform::WriteClass;
 use guavawell_fleet::platform::InstanceList;
 use guavawell_fleet::platform::ObjectPut;
@@ -16,6 +21,7 @@
 use guavawell_fleet::platform::TableCompare;
 use guavawell_fleet::platform::TableOp;
 use guavawell_fleet::platform::TableTxn;
+use guavawell_fleet::platform::WriteGate;
 use support::FakePlatform;
 use support::FakeReply;
 
@@ -199,3 +205,68 @@
         .collect();
     assert_eq!(shown, [("r1", true, false), ("r2", false, true)]);
 }
+
+/// A fake that is out, and the number of requests that reached it.
+fn out_of_order() -> (FakePlatform, Arc<AtomicUsize>) {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&asked);
+    let fake = FakePlatform::start(move |_| {
+        count.fetch_add(1, Ordering::SeqCst);
+        answer(503, "out")
+    });
+    (fake, asked)
+}
+
+#[test]
+fn a_service_that_stays_out_is_left_alone() {
+    let (fake, asked) = out_of_order();
+    let hour = ClockSpan::from_millis(3_600_000);
+    let settings = PoolSettings {
+        circuit: CircuitPolicy {
+            failures: 3,
+            probes: BackoffPolicy {
+                first: hour,
+                longest: hour,
+            },
+            ..CircuitPolicy::default()
+        },
+        ..PoolSettings::default()
+    };
+    let table = Table::new(fake.address, settings);
+    for _ in 0..10 {
+        let read = smol::block_on(table.get("a"));
+        assert!(matches!(read, Err(PlatformError::Outage(_))), "{read:?}");
+    }
+    assert_eq!(asked.load(Ordering::SeqCst), 3);
+    assert!(table.is_out());
+}
+
+#[test]
+fn writes_beyond_the_share_are_not_sent_while_reads_go_on() {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&asked);
+    let fake = FakePlatform::start(move |_| {
+        count.fetch_add(1, Ordering::SeqCst);
+        answer(200, r#"{"succeeded":true}"#)
+    });
+    let policy = SharePolicy {
+        per_second: 0,
+        burst: 2,
+    };
+    let gate = WriteGate::new(policy, ClockSpan::default());
+    let table = table(&fake).with_writes(&gate);
+    let objects = Objects::new(fake.address, "b", PoolSettings::default()).with_writes(&gate);
+    smol::block_on(async {
+        assert!(table.txn(&insert(), WriteClass::Money).await.is_ok());
+        let put = objects.put_new("k", Vec::new(), WriteClass::Journal).await;
+        assert!(matches!(put, Err(PlatformError::Throttled(_))), "{put:?}");
+        assert!(table.txn(&insert(), WriteClass::Money).await.is_ok());
+        let write = table.txn(&insert(), WriteClass::Money).await;
+        assert!(
+            matches!(write, Err(PlatformError::Throttled(_))),
+            "{write:?}"
+        );
+        assert!(table.get("a").await.is_ok());
+    });
+    assert_eq!(asked.load(Ordering::SeqCst), 3);
+}
