--- a/crates/guavawell-fleet/src/tls/mod.rs
+++ b/crates/guavawell-fleet/src/tls/mod.rs
@@ -24,7 +24,6 @@
 pub use port::PortSecurity;
 pub use port::PortStream;
 pub use reload::ReloadState;
-pub use reload::reload_when_changed;
 pub use server::ServerTls;
 pub use stream::PeerProof;
 pub use stream::SecureStream;
--- a/crates/guavawell-fleet/src/tls/reload.rs
+++ b/crates/guavawell-fleet/src/tls/reload.rs
@@ -3,15 +3,20 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::time::Duration;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
-use smol::Timer;
 
 use super::TlsError;
 use super::material::TlsFiles;
 use crate::settings::TlsSettings;
 
+/// Least time between two looks at the files, in milliseconds.
+const LOOK_MILLIS: u64 = 1_000;
+
 /// What a look at the files led to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReloadState {
@@ -23,13 +28,19 @@
 
 /// A configuration made from files and made anew when they change.
 ///
-/// Handshakes read it without waiting; only reloads take the lock.
+/// A handshake looks at the files if nobody did for a second: they are small,
+/// and no task has to be kept for it. All other handshakes only read.
 #[derive(Debug)]
 pub struct ReloadedConfig<C> {
     settings: TlsSettings,
     config: ArcSwap<C>,
     files: Mutex<TlsFiles>,
     build: fn(&TlsSettings, &TlsFiles) -> Result<C, TlsError>,
+    begin: Instant,
+    /// The last look, in milliseconds after `begin`.
+    looked: AtomicU64,
+    /// Whether the last look found files that cannot be used.
+    failing: AtomicBool,
 }
 
 impl<C> ReloadedConfig<C> {
@@ -49,11 +60,18 @@
             config: ArcSwap::from_pointee(config),
             files: Mutex::new(files),
             build,
+            begin: Instant::now(),
+            looked: AtomicU64::new(0),
+            failing: AtomicBool::new(false),
         })
     }
 
-    /// The configuration in use.
+    /// The configuration in use, after a look at the files if one is due.
     pub fn current(&self) -> Arc<C> {
+        if self.take_look() {
+            let outcome = self.reload();
+            self.note(&outcome);
+        }
         self.config.load_full()
     }
 
@@ -73,30 +91,35 @@
         *files = found;
         Ok(ReloadState::Reloaded)
     }
-}
 
-/// Calls `reload` every `interval`, for ever, and logs changes of state.
-pub async fn reload_when_changed(
-    name: &str,
-    interval: Duration,
-    reload: impl Fn() -> Result<ReloadState, TlsError>,
-) {
-    let mut failing = false;
-    loop {
-        Timer::after(interval).await;
-        match reload() {
+    /// Whether a look is due; of several threads that ask, one is told so.
+    fn take_look(&self) -> bool {
+        let now = u64::try_from(self.begin.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let last = self.looked.load(Ordering::Relaxed);
+        if now.saturating_sub(last) < LOOK_MILLIS {
+            return false;
+        }
+        let taken = self
+            .looked
+            .compare_exchange(last, now, Ordering::Relaxed, Ordering::Relaxed);
+        taken.is_ok()
+    }
+
+    /// Counts a look's outcome, and logs it if the state changed.
+    fn note(&self, outcome: &Result<ReloadState, TlsError>) {
+        let cert = &self.settings.cert;
+        match outcome {
+            Ok(ReloadState::Unchanged) => self.failing.store(false, Ordering::Relaxed),
             Ok(ReloadState::Reloaded) => {
                 metrics::counter!("guavawell_tls_reloads_total").increment(1);
-                log::info!("new certificates and keys are in use for {name}");
-                failing = false;
+                log::info!("the new certificate of {cert} is in use");
+                self.failing.store(false, Ordering::Relaxed);
             }
-            Ok(ReloadState::Unchanged) => failing = false,
             Err(error) => {
                 metrics::counter!("guavawell_tls_reload_failures_total").increment(1);
-                if !failing {
-                    log::warn!("the former certificates and keys stay in use for {name}: {error}");
+                if !self.failing.swap(true, Ordering::Relaxed) {
+                    log::warn!("the former certificate of {cert} stays in use: {error}");
                 }
-                failing = true;
             }
         }
     }
--- a/crates/guavawell-fleet/src/tls/tests.rs
+++ b/crates/guavawell-fleet/src/tls/tests.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::net::Ipv4Addr;
 use std::path::Path;
+use std::thread;
 
 use rcgen::BasicConstraints;
 use rcgen::CertificateParams;
@@ -208,6 +209,22 @@
     assert!(smol::block_on(echo(&server, &client, "b-1")).is_ok());
 }
 
+#[test]
+fn handshakes_notice_new_files_by_themselves() {
+    let authority = TestAuthority::new();
+    let expired = TestCertificate {
+        name: "b-1",
+        expired: true,
+    };
+    let settings = authority.issue_as("b-1", &expired);
+    let (server, client) = sides(&settings, &authority.issue("a-1"));
+    assert!(!smol::block_on(echo(&server, &client, "b-1")).is_ok());
+    authority.issue("b-1");
+    while !smol::block_on(echo(&server, &client, "b-1")).is_ok() {
+        thread::yield_now();
+    }
+}
+
 #[test]
 fn a_key_of_another_certificate_is_named() {
     let authority = TestAuthority::new();
