--- /dev/null
+++ b/crates/guavawell-core/tests/membership/property.rs
@@ -0,0 +1,120 @@
+//! What holds under any sequence of faults, over fixed seeds.
+
+use guavawell_core::id::IncarnationId;
+use guavawell_core::id::InstanceId;
+
+use crate::pump::MessagePump;
+use crate::pump::own_id;
+
+/// Sequences of faults that are tried.
+const SEEDS: u64 = 24;
+
+/// Faults in one sequence.
+const FAULTS: usize = 12;
+
+/// Steps within which a healed fleet must agree: 120 s.
+const HEALING_STEPS: usize = 1_200;
+
+/// The highest life of each instance that each life of an observer has seen.
+#[derive(Default)]
+struct SeenLives {
+    lives: Vec<(InstanceId, IncarnationId, InstanceId, IncarnationId)>,
+}
+
+impl SeenLives {
+    /// Fails if an observer shows an older life than it did before.
+    fn check(&mut self, pump: &MessagePump) {
+        for node in &pump.nodes {
+            let view = node.membership.view();
+            let own = view.own();
+            for member in view.members() {
+                self.see(
+                    (&own.instance, own.incarnation),
+                    (&member.instance, member.incarnation),
+                );
+            }
+        }
+    }
+
+    fn see(&mut self, observer: (&InstanceId, IncarnationId), seen: (&InstanceId, IncarnationId)) {
+        let key = (observer.0, observer.1, seen.0);
+        let position = self
+            .lives
+            .binary_search_by(|(a, b, c, _)| (a, *b, c).cmp(&key));
+        match position {
+            Ok(index) => {
+                let highest = &mut self.lives[index].3;
+                assert!(seen.1 >= *highest, "{observer:?} went back on {seen:?}");
+                *highest = seen.1;
+            }
+            Err(index) => {
+                let life = (observer.0.clone(), observer.1, seen.0.clone(), seen.1);
+                self.lives.insert(index, life);
+            }
+        }
+    }
+}
+
+fn inject(pump: &mut MessagePump, random: &mut fastrand::Rng) {
+    let count = pump.nodes.len();
+    let index = random.usize(0..count);
+    match random.u8(0..7) {
+        0 => pump.nodes[index].running = false,
+        1 => {
+            let place = index;
+            pump.add(place);
+            pump.list_all();
+        }
+        2 => pump.nodes[index].paused = true,
+        3 => pump.nodes[index].paused = false,
+        4 => {
+            let zones = random.usize(2..=4);
+            for (place, node) in pump.nodes.iter_mut().enumerate() {
+                node.group = u8::from(place % zones == 0);
+            }
+        }
+        5 => pump.loss_percent = random.u8(0..30),
+        _ => pump.leave(index),
+    }
+}
+
+fn heal(pump: &mut MessagePump) {
+    pump.loss_percent = 0;
+    for index in 0..pump.nodes.len() {
+        pump.nodes[index].group = 0;
+        pump.nodes[index].paused = false;
+        let ended = !pump.nodes[index].running || pump.nodes[index].superseded;
+        if ended {
+            pump.add(index);
+        }
+    }
+    pump.list_all();
+}
+
+#[test]
+fn views_converge_after_any_faults_and_never_go_back_to_an_older_life() {
+    for seed in 0..SEEDS {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let count = random.usize(6..=30);
+        let zones = random.usize(1..=7);
+        let mut pump = MessagePump::converged(count, zones, seed);
+        let mut seen = SeenLives::default();
+        for _ in 0..FAULTS {
+            inject(&mut pump, &mut random);
+            for _ in 0..random.usize(1..80) {
+                pump.step();
+                seen.check(&pump);
+            }
+        }
+        heal(&mut pump);
+        let mut steps = 0;
+        while !pump.is_converged() {
+            assert!(steps < HEALING_STEPS, "seed {seed} with {count} nodes");
+            pump.step();
+            seen.check(&pump);
+            steps += 1;
+        }
+        let ids: Vec<_> = pump.live().map(own_id).collect();
+        assert!(!ids.is_empty(), "seed {seed} left nobody");
+    }
+}
