--- a/crates/guavawell-core/src/budget/account.rs
+++ b/crates/guavawell-core/src/budget/account.rs
@@ -77,6 +77,16 @@
         }
     }
 
+    /// Whether nothing was moved, charged or reserved in any tenure that the
+    /// account still counts for.
+    #[must_use]
+    pub fn is_unused(&self) -> bool {
+        self.former.is_empty()
+            && self.counters.is_empty()
+            && self.reserved == TokenCount::ZERO
+            && self.float_reserved == TokenCount::ZERO
+    }
+
     /// What of `float` is neither charged nor reserved.
     #[must_use]
     pub const fn float_free(&self, float: TokenCount) -> TokenCount {
--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -84,6 +84,8 @@
     /// Whether the witness let a batch wait for too long.
     silent: bool,
     retained: VecDeque<RetainedRequest>,
+    /// When the slot row was last asked for.
+    slot_read_at: ClockTime,
 }
 
 impl SlotHolder {
@@ -117,6 +119,7 @@
             handovers: 0,
             waits: Vec::new(),
             silent: false,
+            slot_read_at: now,
         }
     }
 
@@ -148,6 +151,12 @@
         self.flush(now, effects);
     }
 
+    /// The slot.
+    #[must_use]
+    pub const fn slot(&self) -> &SlotId {
+        &self.slot
+    }
+
     /// The slot row as last known to be in the table.
     #[must_use]
     pub const fn row(&self) -> &SlotRow {
@@ -244,6 +253,10 @@
             return;
         }
         self.resend(now, effects);
+        if now.since(self.slot_read_at) >= self.settings.slot_read_every {
+            self.slot_read_at = now;
+            self.read_slot(effects);
+        }
         self.forget_old(now);
         self.adopt_accounts(now);
         for place in 0..self.stocks.len() {
--- a/crates/guavawell-core/src/budget/holder/refill.rs
+++ b/crates/guavawell-core/src/budget/holder/refill.rs
@@ -13,7 +13,6 @@
 use super::witnessing::WaitKind;
 use crate::budget::intent::GrantView;
 use crate::budget::intent::TableFailure;
-use crate::budget::intent::TableIntent;
 use crate::budget::message::HandBackAnswer;
 use crate::budget::message::HandBackAsk;
 use crate::budget::message::ReserveAnswer;
@@ -146,7 +145,7 @@
         };
         let unspent = stock.view.as_ref().map(|view| view.unspent);
         let is_unread = unspent.is_none()
-            && (!stock.queue.is_empty() || !stock.asked.is_empty() || !account.former.is_empty());
+            && (!stock.queue.is_empty() || !stock.asked.is_empty() || !account.is_unused());
         let is_low =
             unspent.is_some_and(|rest| rest > TokenCount::ZERO) && free < stock.refill_below;
         let is_giving = !stock.promised.is_empty();
@@ -181,7 +180,11 @@
         let Some(view) = &stock.view else {
             return false;
         };
-        let is_charged = stock.acked_settled > view.reported;
+        let float_settled = self
+            .ledger
+            .account(&stock.budget)
+            .map_or(TokenCount::ZERO, |account| account.counters.float_settled);
+        let is_charged = stock.acked_settled > view.reported || float_settled > view.float_reported;
         is_charged && now.since(stock.sent_at) >= self.settings.report_after
     }
 
@@ -216,10 +219,7 @@
                 let answer = self.unreachable();
                 self.refuse_queue(place, &answer, effects);
             }
-            Err(TableFailure::NotHolder) => {
-                let slot = self.slot.clone();
-                effects.push(HolderEffect::Table(TableIntent::ReadSlot { slot }));
-            }
+            Err(TableFailure::NotHolder) => self.read_slot(effects),
             Err(TableFailure::NoBudget) => {
                 self.drop_change(place, effects);
                 self.stocks[place].exhausted_until = now + self.settings.exhausted_hold;
--- a/crates/guavawell-core/src/budget/holder/retire.rs
+++ b/crates/guavawell-core/src/budget/holder/retire.rs
@@ -57,12 +57,9 @@
         }
         let slot = self.slot.clone();
         let row = self.row.clone();
-        let ask = TakeoverAsk {
-            slot: slot.clone(),
-            row,
-        };
+        let ask = TakeoverAsk { slot, row };
         effects.push(HolderEffect::HandSlot(witness, ask));
-        effects.push(HolderEffect::Table(TableIntent::ReadSlot { slot }));
+        self.read_slot(effects);
     }
 
     fn empty_stock(&mut self, place: usize) {
@@ -153,15 +150,20 @@
     /// The late report of a budget, attempts that run on at their worst case.
     fn frozen_report(&self, place: usize, is_overdue: bool) -> Option<FrozenReport> {
         let account = self.ledger.account(&self.stocks[place].budget)?;
-        let running = account.reserved.saturating_add(account.float_reserved);
-        if running > TokenCount::ZERO && !is_overdue {
+        if account.float_reserved > TokenCount::ZERO && !is_overdue {
             return None;
         }
         let counters = &account.counters;
+        let (running, ended) = if is_overdue {
+            (TokenCount::ZERO, account.reserved)
+        } else {
+            (account.reserved, TokenCount::ZERO)
+        };
         Some(FrozenReport {
             slot: self.slot.clone(),
             tenure: counters.tenure,
-            settled: counters.settled.saturating_add(account.reserved),
+            settled: counters.settled.saturating_add(ended),
+            running,
             float_settled: counters
                 .float_settled
                 .saturating_add(account.float_reserved),
--- a/crates/guavawell-core/src/budget/holder/settings.rs
+++ b/crates/guavawell-core/src/budget/holder/settings.rs
@@ -16,6 +16,9 @@
     pub witness_timeout: ClockSpan,
     /// How often an unanswered message to a witness is sent again.
     pub resend_every: ClockSpan,
+    /// How often the holder reads its slot row, to learn of a takeover that
+    /// nothing else told it of.
+    pub slot_read_every: ClockSpan,
     /// How often an unanswered table write is tried again.
     pub table_retry: ClockSpan,
     /// How long a reservation may wait for tokens from the table.
@@ -51,6 +54,7 @@
         Self {
             witness_timeout: ClockSpan::from_millis(250),
             resend_every: ClockSpan::from_millis(50),
+            slot_read_every: ClockSpan::from_millis(30_000),
             table_retry: ClockSpan::from_millis(500),
             queue_wait: ClockSpan::from_millis(2_000),
             queue_most: 256,
--- a/crates/guavawell-core/src/budget/holder/witnessing.rs
+++ b/crates/guavawell-core/src/budget/holder/witnessing.rs
@@ -172,10 +172,12 @@
             effects.push(HolderEffect::Note(HolderNote::WitnessRefused));
         }
         self.give_up_waits(effects);
-        if refusal.reason == RefusalReason::Stopped {
-            let slot = self.slot.clone();
-            effects.push(HolderEffect::Table(TableIntent::ReadSlot { slot }));
-        }
+        self.read_slot(effects);
+    }
+
+    pub(super) fn read_slot(&self, effects: &mut Vec<HolderEffect>) {
+        let slot = self.slot.clone();
+        effects.push(HolderEffect::Table(TableIntent::ReadSlot { slot }));
     }
 
     /// Starts to bring in a new witness, or none.
--- a/crates/guavawell-core/src/budget/row/frozen.rs
+++ b/crates/guavawell-core/src/budget/row/frozen.rs
@@ -23,6 +23,9 @@
     pub settled: TokenCount,
     /// Float charges of that tenure, in all.
     pub float_settled: TokenCount,
+    /// Worst cases of witnessed attempts whose outcome the holder does not
+    /// know yet.
+    pub running: TokenCount,
 }
 
 /// An operator's audited word that a former holder is destroyed.
@@ -43,12 +46,16 @@
     /// # Errors
     ///
     /// [`RowError::NotClosed`] while the grant is still the former holder's,
-    /// [`RowError::GrantOverdrawn`] if it spent more than froze.
+    /// [`RowError::StillRunning`] if its running attempts draw on the frozen
+    /// tokens, [`RowError::GrantOverdrawn`] if it spent more than froze.
     pub fn report_frozen(&self, report: &FrozenReport) -> Result<RowChange, RowError> {
         let Some(place) = self.frozen_place(&report.slot, report.tenure) else {
             return self.nothing_frozen(&report.slot, report.tenure);
         };
         let frozen = &self.frozen[place];
+        if frozen.whole && report.running > TokenCount::ZERO {
+            return Err(RowError::StillRunning);
+        }
         let settled = report.settled.saturating_sub(frozen.reported);
         let float_settled = report.float_settled.saturating_sub(frozen.float_reported);
         let spent = if frozen.whole {
--- a/crates/guavawell-core/src/budget/row/mod.rs
+++ b/crates/guavawell-core/src/budget/row/mod.rs
@@ -99,6 +99,9 @@
     /// The former holder's grant is still open; the new one has to close it.
     #[error("the former grant is not closed yet; report again after the new holder closed it")]
     NotClosed,
+    /// A whole grant froze, and attempts that draw on it still run.
+    #[error("attempts of the former holder still run; report again when they ended")]
+    StillRunning,
     /// A sum passes the largest count.
     #[error("the sum passes the largest token count")]
     Overflow,
--- a/crates/guavawell-core/tests/budget_search/world.rs
+++ b/crates/guavawell-core/tests/budget_search/world.rs
@@ -171,6 +171,7 @@
         report_after: long,
         retention: long,
         retire_wait: long,
+        slot_read_every: long,
         ..HolderSettings::default()
     })
 }
