Look at the sockets after every few tasks in the load client

Cause: the executor's run looks at the sockets after 200 tasks only, and a connection whose answers are always there never waits, so a few connections kept the others of their thread waiting, which then counted as latency. Change: the client's own drive, 4 tasks a look, and a yield after each request of the closed loop.

--- a/crates/guavawell-load/src/runner/arrival.rs
+++ b/crates/guavawell-load/src/runner/arrival.rs
@@ -7,6 +7,7 @@
 use smol::LocalExecutor;
 use smol::Timer;
 use smol::channel;
+use smol::future::yield_now;
 
 use crate::caller;
 use crate::caller::CallerRequest;
@@ -81,6 +82,9 @@
                 } else {
                     worker.shed(request.profile);
                 }
+                // An answer that is always there at once would never let
+                // this thread's other connections on.
+                yield_now().await;
             }
         }));
     }
--- a/crates/guavawell-load/src/runner/worker.rs
+++ b/crates/guavawell-load/src/runner/worker.rs
@@ -6,6 +6,8 @@
 use std::time::Instant;
 
 use smol::LocalExecutor;
+use smol::future::FutureExt;
+use smol::future::yield_now;
 
 use crate::client::ConnectionPool;
 use crate::client::Exchange;
@@ -17,6 +19,9 @@
 use super::arrival;
 use super::shared::RunShared;
 
+/// Tasks that run between two looks at the sockets.
+const TASKS_A_LOOK: usize = 4;
+
 /// One client thread.
 pub(crate) struct Worker {
     /// What all threads share.
@@ -42,10 +47,26 @@
             }
         }
     };
-    smol::block_on(executor.run(arrivals));
+    smol::block_on(arrivals.or(drive(&executor)));
     worker.measurement.take()
 }
 
+/// Runs tasks, and looks at the sockets after every few of them.
+///
+/// The executor's own `run` looks only after 200 tasks, which lets a few quick
+/// connections keep all others waiting for milliseconds.
+async fn drive(executor: &LocalExecutor<'_>) {
+    loop {
+        executor.tick().await;
+        for _ in 1..TASKS_A_LOOK {
+            if !executor.try_tick() {
+                break;
+            }
+        }
+        yield_now().await;
+    }
+}
+
 impl Worker {
     /// Counts a request in, with the most tokens that it can cost.
     pub(crate) fn begin(&self, profile: &RequestProfile, worst: u64) {
