--- a/crates/guavawell-load/tests/suite/plan.rs
+++ b/crates/guavawell-load/tests/suite/plan.rs
@@ -104,3 +104,14 @@
         assert_eq!(text.parse::<SizeRange>().ok(), expected, "`{text}`");
     }
 }
+
+#[test]
+fn the_operators_page_shows_a_plan_that_can_be_run() {
+    let page = include_str!("../../../../docs/operators/LOAD.md");
+    let (_, rest) = page.split_once("```toml\n").expect("a plan on the page");
+    let (text, _) = rest.split_once("```").expect("its end");
+    let plan = parse_plan(text).expect("a plan without findings");
+    assert!(plan.check().is_empty());
+    assert_eq!(plan.profiles.len(), 3);
+    assert_eq!(plan.budgets.len(), 1);
+}
