--- /dev/null
+++ b/crates/guavawell-demo/src/fleet/mod.rs
@@ -0,0 +1,13 @@
+//! A whole fleet in one process, on loopback ports chosen free.
+//!
+//! Owns the stand-ins of the platform and of the backend servers, and the
+//! routers. Routers can be killed, drained and started while callers go on.
+
+mod manifest;
+mod settings;
+mod start;
+
+pub use manifest::organisation_key;
+pub use settings::FleetSettings;
+pub use start::DemoFleet;
+pub use start::FleetError;
--- /dev/null
+++ b/crates/guavawell-demo/src/fleet/settings.rs
@@ -0,0 +1,50 @@
+//! How large the fleet is and what its organisations paid.
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::id::TokenCount;
+use guavawell_fleet::settings::RouterSettings;
+
+/// How large the fleet is and what its organisations paid.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// Availability zones, named `zone-0` and so on.
+    pub zones: usize,
+    /// Routers in each zone.
+    pub routers: usize,
+    /// Model engines in each zone.
+    pub engines: usize,
+    /// Plain services in each zone.
+    pub services: usize,
+    /// Organisations, named `org-0` and so on, with a budget each.
+    pub organisations: usize,
+    /// What each organisation paid.
+    pub paid: TokenCount,
+    /// Shards of the organisations.
+    pub shards: u16,
+    /// Attempts that an engine runs at once.
+    pub engine_slots: usize,
+    /// Time between two tokens.
+    pub token_time: ClockSpan,
+    /// Threads of each router.
+    pub threads: usize,
+    /// What every router's settings begin with.
+    pub router: RouterSettings,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            zones: 2,
+            routers: 2,
+            engines: 3,
+            services: 1,
+            organisations: 4,
+            paid: TokenCount::new(1_000_000),
+            shards: 8,
+            engine_slots: 64,
+            token_time: ClockSpan::from_millis(2),
+            threads: 2,
+            router: RouterSettings::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-demo/src/lib.rs
@@ -0,0 +1,3 @@
+//! The embedded default: a whole fleet in one process, proved by its report.
+
+pub mod fleet;
--- a/crates/guavawell-demo/src/main.rs
+++ b/crates/guavawell-demo/src/main.rs
@@ -1,3 +1,3 @@
-//! Placeholder entry point, replaced by the first thin path.
+//! `guavawell-demo`: the embedded default.
 
 fn main() {}
--- a/crates/guavawell-fleet/src/caller/listener.rs
+++ b/crates/guavawell-fleet/src/caller/listener.rs
@@ -13,7 +13,6 @@
 use async_h1::server::Server;
 use http_types::Request;
 use http_types::Response;
-use smol::Executor;
 use smol::Timer;
 use smol::channel;
 use smol::channel::Receiver;
@@ -23,6 +22,8 @@
 use smol::io::AsyncWrite;
 use smol::net::TcpListener;
 
+use crate::task::TaskSpawner;
+
 /// Wait after a failed accept, for instance when file handles ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -135,16 +136,12 @@
         self.open.load(Ordering::Acquire)
     }
 
-    /// Serves connections until stopped; each gets a task on `executor`.
+    /// Serves connections until stopped; each gets a task.
     ///
     /// `wrap` turns a TCP connection into the stream to speak HTTP on, for
     /// instance after a TLS handshake.
-    pub async fn serve<W, WFut, S, H, HFut>(
-        self: Arc<Self>,
-        executor: Arc<Executor<'static>>,
-        wrap: W,
-        handle: H,
-    ) where
+    pub async fn serve<W, WFut, S, H, HFut>(self: Arc<Self>, tasks: TaskSpawner, wrap: W, handle: H)
+    where
         W: Fn(smol::net::TcpStream) -> WFut + Clone + Send + Sync + 'static,
         WFut: Future<Output = io::Result<S>> + Send + 'static,
         S: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static,
@@ -183,7 +180,7 @@
                     listener.converse(stream, handle).await;
                 }
             };
-            executor.spawn(connection).detach();
+            tasks.spawn(connection);
         }
     }
 
--- a/crates/guavawell-fleet/src/engine/client.rs
+++ b/crates/guavawell-fleet/src/engine/client.rs
@@ -7,6 +7,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::FenceNumber;
+use guavawell_core::id::OrganisationId;
 use guavawell_core::id::RequestId;
 use guavawell_core::id::TokenCount;
 use http_types::Method;
@@ -55,6 +56,8 @@
     pub attempt: AttemptId,
     /// The request that it belongs to.
     pub request: RequestId,
+    /// The organisation that pays.
+    pub organisation: OrganisationId,
     /// Path, beginning with a slash.
     pub path: Box<str>,
     /// The body, passed on as it is.
@@ -348,6 +351,7 @@
     message.insert_header("content-type", "application/json");
     message.insert_header("x-guavawell-attempt", request.attempt.to_string());
     message.insert_header("x-guavawell-request", request.request.as_str());
+    message.insert_header("x-guavawell-organisation", request.organisation.as_str());
     message.insert_header("x-guavawell-priority", request.priority.to_string());
     if let Some(fence) = request.fence {
         message.insert_header("x-guavawell-fence", fence.to_string());
--- a/crates/guavawell-fleet/src/event/mod.rs
+++ b/crates/guavawell-fleet/src/event/mod.rs
@@ -29,11 +29,11 @@
 use guavawell_core::id::IncarnationId;
 use guavawell_core::id::InstanceId;
 
+use self::writer::EventWriter;
+use self::writer::WriterMessage;
 use crate::clock;
 use crate::settings::EventTarget;
 use crate::settings::FilePath;
-use writer::EventWriter;
-use writer::WriterMessage;
 
 pub use draft::EventDraft;
 pub use lamport::LamportClock;
--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -12,7 +12,10 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod router;
 pub mod settings;
+pub mod slot;
+pub mod task;
 pub mod tls;
 
 // The generated code names its own types by this path.
--- /dev/null
+++ b/crates/guavawell-fleet/src/router/admit.rs
@@ -0,0 +1,171 @@
+//! Waits for admission: fairness, deadlines and bounded queues are decided in
+//! `guavawell_core::limits`; here a request sleeps until it is told.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use arc_swap::ArcSwap;
+use guavawell_core::backend::RouteTarget;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::limits::Admission;
+use guavawell_core::limits::AdmissionAnswer;
+use guavawell_core::limits::AdmissionAsk;
+use guavawell_core::limits::AdmissionEffect;
+use guavawell_core::limits::AdmissionGate;
+use guavawell_core::limits::AdmissionSettings;
+use guavawell_core::limits::AdmissionTicket;
+use guavawell_core::limits::WaitRefusal;
+use smol::channel;
+use smol::channel::Sender;
+
+use crate::clock;
+
+/// The door that every request goes through.
+#[derive(Debug)]
+pub struct AdmissionDoor {
+    gate: ArcSwap<AdmissionGate>,
+    /// Who waits, sorted by ticket.
+    waiting: Mutex<Vec<TicketWaiter>>,
+}
+
+#[derive(Debug)]
+struct TicketWaiter {
+    ticket: AdmissionTicket,
+    word: Sender<Result<(), WaitRefusal>>,
+}
+
+/// The right to run; given back when dropped.
+#[derive(Debug)]
+pub struct AdmissionPass {
+    door: Arc<AdmissionDoorRef>,
+    shard: Arc<Mutex<Admission>>,
+}
+
+/// A handle to the door that a pass keeps.
+#[derive(Debug)]
+struct AdmissionDoorRef(std::sync::Weak<AdmissionDoor>);
+
+/// Why a request was not admitted; it was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotAdmitted {
+    /// The target is not served.
+    NoTarget,
+    /// Refused as stated.
+    Refused(WaitRefusal),
+}
+
+impl AdmissionDoor {
+    /// A door without targets.
+    #[must_use]
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            gate: ArcSwap::from_pointee(AdmissionGate::new(settings, Vec::new())),
+            waiting: Mutex::default(),
+        }
+    }
+
+    /// Replaces the targets; whoever waits keeps its place.
+    pub fn set_targets(&self, targets: Vec<RouteTarget>) {
+        let gate = self.gate.load().with_targets(targets);
+        self.gate.store(Arc::new(gate));
+    }
+
+    /// A ticket for one request.
+    #[must_use]
+    pub fn ticket(&self) -> AdmissionTicket {
+        self.gate.load().ticket()
+    }
+
+    /// Waits until the request may run.
+    ///
+    /// # Errors
+    ///
+    /// [`NotAdmitted`], told as soon as it is decided.
+    pub async fn enter(
+        self: &Arc<Self>,
+        target: &RouteTarget,
+        ask: AdmissionAsk,
+    ) -> Result<AdmissionPass, NotAdmitted> {
+        let shard = self
+            .gate
+            .load()
+            .shard(target)
+            .ok_or(NotAdmitted::NoTarget)?;
+        let ticket = ask.ticket;
+        let (sender, receiver) = channel::bounded(1);
+        let mut effects = Vec::new();
+        let answer = {
+            let mut admission = AdmissionGate::lock(&shard);
+            let answer = admission.submit(ask, clock::now(), &mut effects);
+            if answer == AdmissionAnswer::Queued {
+                // Under the shard's lock, so that no word comes before its waiter.
+                self.register(ticket, sender);
+            }
+            answer
+        };
+        self.tell(effects);
+        let pass = || AdmissionPass {
+            door: Arc::new(AdmissionDoorRef(Arc::downgrade(self))),
+            shard: Arc::clone(&shard),
+        };
+        match answer {
+            AdmissionAnswer::Run => Ok(pass()),
+            AdmissionAnswer::Refused(refusal) => Err(NotAdmitted::Refused(refusal)),
+            AdmissionAnswer::Queued => match receiver.recv().await {
+                Ok(Ok(())) => Ok(pass()),
+                Ok(Err(refusal)) => Err(NotAdmitted::Refused(refusal)),
+                Err(_) => Err(NotAdmitted::NoTarget),
+            },
+        }
+    }
+
+    /// Lets time pass and sets each target's limit to what its servers take.
+    pub fn review(&self, now: ClockTime, capacity: impl Fn(&RouteTarget) -> u32) {
+        let gate = self.gate.load();
+        for target in gate.targets() {
+            let Some(shard) = gate.shard(target) else {
+                continue;
+            };
+            let mut effects = Vec::new();
+            {
+                let mut admission = AdmissionGate::lock(&shard);
+                admission.tick(now, &mut effects);
+                admission.set_limit(capacity(target).max(1), now, &mut effects);
+            }
+            self.tell(effects);
+        }
+    }
+
+    fn register(&self, ticket: AdmissionTicket, word: Sender<Result<(), WaitRefusal>>) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        let place = waiting.partition_point(|waiter| waiter.ticket < ticket);
+        waiting.insert(place, TicketWaiter { ticket, word });
+    }
+
+    fn tell(&self, effects: Vec<AdmissionEffect>) {
+        for effect in effects {
+            let (ticket, word) = match effect {
+                AdmissionEffect::Run(ticket) => (ticket, Ok(())),
+                AdmissionEffect::Refuse(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Ok(place) = waiting.binary_search_by_key(&ticket, |waiter| waiter.ticket) {
+                let waiter = waiting.remove(place);
+                // A waiter that is gone would keep its pass: its task holds the
+                // receiver until it is told, so this cannot fail.
+                let _ = waiter.word.try_send(word);
+            }
+        }
+    }
+}
+
+impl Drop for AdmissionPass {
+    fn drop(&mut self) {
+        let mut effects = Vec::new();
+        AdmissionGate::lock(&self.shard).finish(clock::now(), &mut effects);
+        if let Some(door) = self.door.0.upgrade() {
+            door.tell(effects);
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/router/attempt.rs
@@ -0,0 +1,456 @@
+//! One request at the backend servers: choice, sending, recovery.
+//!
+//! An attempt that certainly did not run may go to another backend server. One
+//! that may have run is resumed where it is; a non-idempotent one is never
+//! sent again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use guavawell_core::backend::BackendLease;
+use guavawell_core::backend::ChoiceAsk;
+use guavawell_core::backend::LeaseOutcome;
+use guavawell_core::backend::NoBackend;
+use guavawell_core::backend::PrefixHash;
+use guavawell_core::backend::RouteTarget;
+use guavawell_core::budget::BackendNote;
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::id::AttemptId;
+use guavawell_core::id::BackendId;
+use guavawell_core::request::FrameCheck;
+use guavawell_core::request::FrameStep;
+use guavawell_core::request::Refusal;
+use guavawell_core::request::RefusalReason;
+use guavawell_core::request::UnsentAttempt;
+use smol::Timer;
+
+use super::core::RouterCore;
+use super::entry::CallerEntry;
+use super::reserve::HeldReservation;
+use crate::clock;
+use crate::engine::AttemptState;
+use crate::engine::EngineError;
+use crate::engine::EngineEvent;
+use crate::engine::EngineExchange;
+use crate::engine::EngineRequest;
+use crate::event::EventDraft;
+
+/// Looks at a backend server's record before an attempt is given up.
+const MAX_PROBES: usize = 3;
+
+/// Wait between two such looks.
+const PROBE_PAUSE: Duration = Duration::from_millis(200);
+
+/// What is sent, whichever backend server gets it.
+#[derive(Clone, Debug)]
+pub struct OutgoingCall {
+    /// The model or service.
+    pub target: RouteTarget,
+    /// Path at the backend server.
+    pub path: Box<str>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// The prompt's prefix, for cache affinity.
+    pub prefix: Option<PrefixHash>,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+}
+
+/// A stream that has given its first event.
+#[derive(Debug)]
+pub struct LiveStream {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The backend server's address.
+    pub address: SocketAddr,
+    /// The backend server.
+    pub backend: BackendId,
+    /// In flight at the backend server; absent when an older attempt is followed.
+    pub lease: Option<BackendLease>,
+    /// The open exchange.
+    pub exchange: EngineExchange,
+    /// The stream's check.
+    pub check: FrameCheck,
+    /// The first event, accepted already.
+    pub first: Option<CheckedEvent>,
+}
+
+/// An event that follows, with what to do with it.
+#[derive(Debug)]
+pub struct CheckedEvent {
+    /// What to do with it.
+    pub step: FrameStep,
+    /// The event.
+    pub event: EngineEvent,
+}
+
+/// What became of an attempt whose connection broke.
+#[derive(Debug)]
+pub enum RecoveredAttempt {
+    /// It goes on after the last event.
+    Resumed(EngineExchange),
+    /// The backend server never saw it and will refuse it from now on.
+    NeverSeen,
+    /// It was cancelled.
+    Cancelled,
+    /// The backend server cannot be asked.
+    Unreachable,
+}
+
+/// Chooses backend servers until one runs the attempt and gives its first event.
+///
+/// # Errors
+///
+/// A refusal; if it says `unknown`, the reservation is kept in doubt.
+pub async fn open_stream(
+    core: &Arc<RouterCore>,
+    entry: &CallerEntry,
+    call: &OutgoingCall,
+    reservation: &mut HeldReservation,
+) -> Result<LiveStream, Refusal> {
+    let unsent = UnsentAttempt::new(reservation.attempt);
+    let mut unsent = core.claim(entry, call, unsent).await?;
+    let mut tried: Vec<BackendId> = Vec::new();
+    loop {
+        let lease = match choose(core, call, &tried) {
+            Ok(lease) => lease,
+            Err(cause) => {
+                core.unclaim(entry, call, reservation.attempt);
+                return Err(no_backend(entry, unsent, cause));
+            }
+        };
+        let backend = lease.backend().id().clone();
+        tried.push(backend.clone());
+        let Some(address) = core.address_of(&backend) else {
+            continue;
+        };
+        note(core, reservation, &backend, call.idempotent);
+        let message = engine_request(entry, call, reservation.attempt);
+        let sent = unsent.send();
+        let mut attempt = StreamAttempt {
+            core,
+            lease,
+            address,
+            backend,
+            check: FrameCheck::new(reservation.attempt),
+        };
+        match attempt.start(&message).await {
+            Ok((exchange, first)) => return Ok(attempt.live(exchange, first)),
+            Err(failure) if failure.certainly_not_run() => {
+                attempt.close(&failure);
+                unsent = sent.certainly_not_run();
+                if !core.retries.withdraw() {
+                    core.unclaim(entry, call, reservation.attempt);
+                    return Err(failed(entry, unsent, &failure));
+                }
+            }
+            Err(failure) => match attempt.recover().await {
+                RecoveredAttempt::Resumed(mut exchange) => {
+                    if let Ok(first) = attempt.first_event(&mut exchange).await {
+                        return Ok(attempt.live(exchange, first));
+                    }
+                    return Err(attempt.in_doubt(call, reservation, &failure));
+                }
+                RecoveredAttempt::NeverSeen if call.idempotent && core.retries.withdraw() => {
+                    attempt.close(&failure);
+                    unsent = sent.certainly_not_run();
+                }
+                RecoveredAttempt::Unreachable if call.idempotent && core.retries.withdraw() => {
+                    // The caller has seen nothing of it, and it may run twice.
+                    attempt.cancel_later();
+                    attempt.close(&failure);
+                    unsent = UnsentAttempt::new(reservation.attempt);
+                }
+                _ => return Err(attempt.in_doubt(call, reservation, &failure)),
+            },
+        }
+    }
+}
+
+/// Opens the stream of an attempt that another try began, from its start.
+///
+/// # Errors
+///
+/// A refusal: the answer cannot be given again.
+pub async fn follow_stream(
+    core: &Arc<RouterCore>,
+    attempt: AttemptId,
+    backend: &BackendId,
+) -> Result<LiveStream, Refusal> {
+    let gone = || {
+        let detail = "this id ran before and its answer is no longer at the backend server";
+        Refusal::unknown(RefusalReason::AlreadyRan, detail)
+    };
+    let address = core.address_of(backend).ok_or_else(gone)?;
+    let mut check = FrameCheck::new(attempt);
+    // The other try may have reserved but not sent yet.
+    for _ in 0..MAX_PROBES {
+        match core.engines.resume(address, attempt, None).await {
+            Ok(mut exchange) => {
+                let first = next_checked(core, &mut exchange, &mut check).await;
+                let first = first.map_err(|_| gone())?;
+                return Ok(LiveStream {
+                    attempt,
+                    address,
+                    backend: backend.clone(),
+                    lease: None,
+                    exchange,
+                    check,
+                    first: Some(first),
+                });
+            }
+            Err(_) => Timer::after(PROBE_PAUSE).await,
+        };
+    }
+    Err(gone())
+}
+
+/// Reads the next event and checks it.
+///
+/// # Errors
+///
+/// As the exchange fails; a fault of the check is [`EngineError::Malformed`],
+/// and an end without the end marker is [`EngineError::Lost`].
+pub async fn next_checked(
+    core: &RouterCore,
+    exchange: &mut EngineExchange,
+    check: &mut FrameCheck,
+) -> Result<CheckedEvent, EngineError> {
+    let idle = core.engines.settings().idle;
+    let event = exchange
+        .next(idle)
+        .await?
+        .ok_or_else(|| EngineError::Lost(std::io::ErrorKind::UnexpectedEof.into()))?;
+    match check.accept(&event.id, &event.data) {
+        Ok(step) => Ok(CheckedEvent { step, event }),
+        Err(fault) => {
+            metrics::counter!("guavawell_frame_faults_total").increment(1);
+            Err(EngineError::Malformed(fault.to_string().into()))
+        }
+    }
+}
+
+/// Finds out what became of an attempt, on new connections.
+pub async fn recover(
+    core: &RouterCore,
+    address: SocketAddr,
+    check: &FrameCheck,
+) -> RecoveredAttempt {
+    let attempt = check.attempt();
+    for _ in 0..MAX_PROBES {
+        match core.engines.record(address, attempt).await {
+            Ok(record) if record.state == AttemptState::Cancelled => {
+                return RecoveredAttempt::Cancelled;
+            }
+            Ok(_) => {
+                let last = check.last_event_id();
+                let resumed = core.engines.resume(address, attempt, last.as_deref()).await;
+                if let Ok(exchange) = resumed {
+                    metrics::counter!("guavawell_streams_resumed_total").increment(1);
+                    return RecoveredAttempt::Resumed(exchange);
+                }
+            }
+            Err(EngineError::UnknownAttempt) => {
+                // Marked first, so that a send that is still under way cannot run.
+                if core.engines.cancel(address, attempt).await.is_ok() {
+                    return RecoveredAttempt::NeverSeen;
+                }
+            }
+            Err(_) => {}
+        }
+        Timer::after(PROBE_PAUSE).await;
+    }
+    RecoveredAttempt::Unreachable
+}
+
+/// Cancels an attempt in the background.
+pub fn cancel_later(core: &Arc<RouterCore>, address: SocketAddr, attempt: AttemptId) {
+    let task = {
+        let core = Arc::clone(core);
+        async move {
+            for _ in 0..MAX_PROBES {
+                if core.engines.cancel(address, attempt).await.is_ok() {
+                    return;
+                }
+                Timer::after(PROBE_PAUSE).await;
+            }
+        }
+    };
+    core.tasks.spawn(task);
+}
+
+/// An attempt at one backend server.
+struct StreamAttempt<'c> {
+    core: &'c Arc<RouterCore>,
+    lease: BackendLease,
+    address: SocketAddr,
+    backend: BackendId,
+    check: FrameCheck,
+}
+
+impl StreamAttempt<'_> {
+    async fn start(
+        &mut self,
+        message: &EngineRequest,
+    ) -> Result<(EngineExchange, CheckedEvent), EngineError> {
+        let wait = self.core.engines.settings().idle;
+        let mut exchange = self.core.engines.send(self.address, message, wait).await?;
+        let first = self.first_event(&mut exchange).await?;
+        Ok((exchange, first))
+    }
+
+    async fn first_event(
+        &mut self,
+        exchange: &mut EngineExchange,
+    ) -> Result<CheckedEvent, EngineError> {
+        next_checked(self.core, exchange, &mut self.check).await
+    }
+
+    async fn recover(&self) -> RecoveredAttempt {
+        recover(self.core, self.address, &self.check).await
+    }
+
+    fn cancel_later(&self) {
+        cancel_later(self.core, self.address, self.check.attempt());
+    }
+
+    fn live(mut self, exchange: EngineExchange, first: CheckedEvent) -> LiveStream {
+        self.lease.first_token(clock::now());
+        LiveStream {
+            attempt: self.check.attempt(),
+            address: self.address,
+            backend: self.backend,
+            lease: Some(self.lease),
+            exchange,
+            check: self.check,
+            first: Some(first),
+        }
+    }
+
+    fn close(self, failure: &EngineError) {
+        self.lease.finish(lease_outcome(failure), clock::now());
+    }
+
+    /// The refusal for an attempt that may have run.
+    fn in_doubt(
+        self,
+        call: &OutgoingCall,
+        reservation: &mut HeldReservation,
+        failure: &EngineError,
+    ) -> Refusal {
+        if call.idempotent {
+            self.cancel_later();
+        } else {
+            reservation.keep();
+        }
+        let detail = format!("backend server {} failed: {failure}", self.backend);
+        self.close(failure);
+        Refusal::unknown(RefusalReason::BackendFailed, detail)
+    }
+}
+
+/// How a failed exchange counts for its backend server.
+#[must_use]
+pub fn lease_outcome(failure: &EngineError) -> LeaseOutcome {
+    match failure {
+        EngineError::Rejected { .. } => LeaseOutcome::Overloaded,
+        EngineError::Silent => LeaseOutcome::Silent,
+        _ => LeaseOutcome::Failed,
+    }
+}
+
+/// Chooses a backend server and counts the request in flight there.
+pub fn choose(
+    core: &RouterCore,
+    call: &OutgoingCall,
+    tried: &[BackendId],
+) -> Result<BackendLease, NoBackend> {
+    let table = core.backends.load_full();
+    loop {
+        let ask = ChoiceAsk {
+            target: &call.target,
+            version: None,
+            adapter: None,
+            zone: &core.settings.instance.zone,
+            prefix: call.prefix,
+            exclude: tried,
+            draw: fastrand::u64(..),
+            now: clock::now(),
+        };
+        match table.choose(&ask)?.begin(clock::now()) {
+            Ok(lease) => return Ok(lease),
+            Err(NoBackend::Leaving) => {}
+            Err(other) => return Err(other),
+        }
+    }
+}
+
+/// Notes where the attempt runs, for its events and for a retry elsewhere.
+pub fn note(
+    core: &Arc<RouterCore>,
+    reservation: &HeldReservation,
+    backend: &BackendId,
+    idempotent: bool,
+) {
+    let identity = &reservation.identity;
+    core.events.emit(
+        EventDraft::new("attempt.started")
+            .organisation(&identity.organisation)
+            .request(&identity.request)
+            .attempt(reservation.attempt)
+            .field("backend", backend)
+            .field("idempotent", idempotent),
+    );
+    core.slots.note_backend(BackendNote {
+        identity: identity.clone(),
+        attempt: reservation.attempt,
+        backend: backend.clone(),
+    });
+}
+
+/// The message for a backend server.
+#[must_use]
+pub fn engine_request(
+    entry: &CallerEntry,
+    call: &OutgoingCall,
+    attempt: AttemptId,
+) -> EngineRequest {
+    EngineRequest {
+        attempt,
+        request: entry.head.identity.request.clone(),
+        organisation: entry.head.identity.organisation.clone(),
+        path: call.path.clone(),
+        body: call.body.clone(),
+        priority: entry.head.priority,
+        fence: None,
+        reuse: call.idempotent,
+    }
+}
+
+/// The refusal where no backend server can be chosen.
+#[must_use]
+pub fn no_backend(entry: &CallerEntry, unsent: UnsentAttempt, cause: NoBackend) -> Refusal {
+    let identity = &entry.head.identity;
+    let hint = match cause {
+        NoBackend::Saturated { retry_after } => retry_after,
+        _ => ClockSpan::from_millis(1_000),
+    };
+    let reason = match cause {
+        NoBackend::Saturated { .. } => RefusalReason::Overloaded,
+        _ => RefusalReason::NoBackend,
+    };
+    Refusal::unsealed(identity, unsent, reason, cause.to_string()).after(hint)
+}
+
+/// The refusal where an attempt did not run and may not be retried.
+#[must_use]
+pub fn failed(entry: &CallerEntry, unsent: UnsentAttempt, failure: &EngineError) -> Refusal {
+    let identity = &entry.head.identity;
+    let (reason, hint) = match failure {
+        EngineError::Rejected { retry_after, .. } => (RefusalReason::Overloaded, *retry_after),
+        _ => (RefusalReason::BackendFailed, None),
+    };
+    let hint = hint.unwrap_or(ClockSpan::from_millis(1_000));
+    Refusal::unsealed(identity, unsent, reason, failure.to_string()).after(hint)
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -0,0 +1,188 @@
+//! What a router does beside requests: reviews, polls, lists, its own row.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use guavawell_core::instance::ListedInstance;
+use guavawell_core::instance::MemberEffect;
+use guavawell_core::instance::Reachability;
+use guavawell_core::platform::WriteClass;
+use smol::Timer;
+
+use super::core::RouterCore;
+use super::fetch::run_polls;
+use super::orphan::run_orphans;
+use super::settings::platform_pool;
+use crate::clock;
+use crate::config::ConfigHints;
+use crate::event::EventDraft;
+use crate::event::EventLog;
+use crate::gossip::GossipDriver;
+use crate::operator::InstanceRow;
+use crate::operator::MetricsPage;
+use crate::operator::instance_key;
+use crate::platform::InstanceEntry;
+use crate::platform::InstanceList;
+use crate::platform::TableOp;
+use crate::platform::TableTxn;
+
+/// Time between two looks at queues and deadlines.
+const ADMISSION_REVIEW: Duration = Duration::from_millis(10);
+
+/// Time between two reads of the platform's instance list.
+const LIST_EVERY: Duration = Duration::from_secs(5);
+
+/// Time between two tries to publish this instance's row.
+const ROW_RETRY: Duration = Duration::from_secs(5);
+
+/// Time between two upkeeps of the metrics.
+const UPKEEP_EVERY: Duration = Duration::from_secs(5);
+
+/// Time between two looks at other routers' manifest versions.
+const HINT_EVERY: Duration = Duration::from_millis(250);
+
+/// Starts everything.
+pub fn spawn(core: &Arc<RouterCore>, gossip: &GossipDriver, hints: ConfigHints) {
+    let tasks = &core.tasks;
+    let driver = gossip.clone();
+    tasks.spawn(async move {
+        if let Err(error) = driver.run().await {
+            log::error!("gossip ended: {error}");
+        }
+    });
+    tasks.spawn(Arc::clone(&core.slots).run());
+    tasks.spawn(run_polls(Arc::clone(core), gossip.clone()));
+    tasks.spawn(run_orphans(Arc::clone(core)));
+    tasks.spawn(review_admission(Arc::clone(core)));
+    tasks.spawn(read_list(Arc::clone(core), gossip.clone()));
+    tasks.spawn(pass_hints(gossip.clone(), hints));
+    tasks.spawn(keep_metrics(Arc::clone(core)));
+}
+
+async fn review_admission(core: Arc<RouterCore>) {
+    loop {
+        Timer::after(ADMISSION_REVIEW).await;
+        let now = clock::now();
+        let table = core.backends.load_full();
+        core.door
+            .review(now, |target| table.capacity(target, now));
+    }
+}
+
+async fn read_list(core: Arc<RouterCore>, gossip: GossipDriver) {
+    let platform = &core.settings.platform;
+    let pool = platform_pool(&core.settings);
+    let list = InstanceList::new(platform.instances, &platform.namespace, pool);
+    loop {
+        match list.read().await {
+            Ok(entries) => {
+                let listed: Vec<ListedInstance> = entries
+                    .iter()
+                    .filter_map(|entry| listed(entry, gossip.address().port()))
+                    .collect();
+                gossip.list(&listed);
+            }
+            Err(error) => {
+                metrics::counter!("guavawell_instance_list_failed_total").increment(1);
+                log::debug!("instance list: {error}");
+            }
+        }
+        Timer::after(LIST_EVERY).await;
+    }
+}
+
+/// An entry with its gossip address: as listed, or at the port that this
+/// instance uses itself.
+fn listed(entry: &InstanceEntry, port: u16) -> Option<ListedInstance> {
+    let listed = entry.address.parse::<SocketAddr>();
+    let at_port = || entry.address.parse::<IpAddr>().map(|ip| (ip, port).into());
+    Some(ListedInstance {
+        instance: entry.instance.clone(),
+        gossip_address: listed.or_else(|_| at_port()).ok()?,
+        terminating: entry.terminating,
+    })
+}
+
+/// Tells the configuration's driver which versions the others have.
+async fn pass_hints(gossip: GossipDriver, hints: ConfigHints) {
+    loop {
+        let members = gossip.view();
+        let own = members.own().manifest;
+        let ahead = members.routable().find(|member| member.manifest > own);
+        if let Some(member) = ahead {
+            hints.hear(member.instance.clone(), member.manifest);
+        }
+        Timer::after(HINT_EVERY).await;
+    }
+}
+
+async fn keep_metrics(core: Arc<RouterCore>) {
+    let page = MetricsPage::install();
+    loop {
+        Timer::after(UPKEEP_EVERY).await;
+        page.upkeep();
+        #[expect(clippy::cast_precision_loss, reason = "a gauge of a few slots")]
+        metrics::gauge!("guavawell_slots_held").set(core.slots.held().len() as f64);
+    }
+}
+
+/// This instance's row for operators.
+#[must_use]
+pub fn instance_row(
+    callers: SocketAddr,
+    operator: SocketAddr,
+    peer: SocketAddr,
+    core: &RouterCore,
+) -> InstanceRow {
+    InstanceRow {
+        operator,
+        callers,
+        peer,
+        zone: core.settings.instance.zone.clone(),
+        incarnation: core.life.incarnation,
+    }
+}
+
+/// Writes this instance's row until the table has it.
+pub async fn publish_row(core: Arc<RouterCore>, row: InstanceRow) {
+    let value = serde_json::to_vec(&row).expect("addresses and ids serialise");
+    let txn = TableTxn {
+        success: vec![TableOp::put(&instance_key(&core.life.instance), value)],
+        ..TableTxn::default()
+    };
+    // The same write twice does no harm, so that a lost answer needs no care.
+    while core.table.txn(&txn, WriteClass::Rest).await.is_err() {
+        Timer::after(ROW_RETRY).await;
+    }
+}
+
+/// Notes what gossip learns.
+pub fn member_listener(events: EventLog) -> impl Fn(&MemberEffect) + Send + Sync + 'static {
+    move |effect| match effect {
+        MemberEffect::Changed {
+            instance,
+            reachability,
+            leaving,
+            ..
+        } => {
+            let kind = match reachability {
+                Reachability::Reachable => "member.reachable",
+                Reachability::Suspected => "member.suspected",
+                Reachability::Unreachable => "member.unreachable",
+            };
+            log::info!("{kind}: {instance}");
+            events.emit(
+                EventDraft::new(kind)
+                    .field("member", instance)
+                    .field("leaving", leaving),
+            );
+        }
+        MemberEffect::Superseded { by } => {
+            log::error!("life {by} of this instance runs too; stop one of the two");
+            metrics::counter!("guavawell_superseded_total").increment(1);
+        }
+        MemberEffect::Send { .. } => {}
+    }
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/router/core.rs
@@ -0,0 +1,81 @@
+//! What every request of this router shares.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use guavawell_core::backend::BackendTable;
+use guavawell_core::budget::InstanceLife;
+use guavawell_core::id::AttemptId;
+use guavawell_core::id::BackendId;
+use guavawell_core::limits::RetryBudget;
+use guavawell_core::manifest::FleetView;
+use guavawell_core::request::chat::ChatLimits;
+
+use super::admit::AdmissionDoor;
+use crate::engine::EngineClient;
+use crate::event::EventLog;
+use crate::platform::Table;
+use crate::settings::RouterSettings;
+use crate::slot::SlotDriver;
+use crate::task::TaskSpawner;
+
+/// The shared state of a router. Requests read it without a lock.
+pub struct RouterCore {
+    /// The settings.
+    pub settings: RouterSettings,
+    /// This router's life.
+    pub life: InstanceLife,
+    /// The manifest in force, compiled.
+    pub view: Arc<ArcSwap<FleetView>>,
+    /// Backend servers.
+    pub backends: ArcSwap<BackendTable>,
+    /// Admission.
+    pub door: Arc<AdmissionDoor>,
+    /// Backend servers' protocol.
+    pub engines: EngineClient,
+    /// Money.
+    pub slots: Arc<SlotDriver>,
+    /// The platform's table, for claims.
+    pub table: Table,
+    /// Retries allowed.
+    pub retries: RetryBudget,
+    /// The event log.
+    pub events: EventLog,
+    /// Where tasks run.
+    pub tasks: TaskSpawner,
+    /// Limits of chat requests.
+    pub chat: ChatLimits,
+    /// Set once a graceful shutdown began.
+    pub leaving: AtomicBool,
+    /// Set while callers may be served.
+    pub ready: AtomicBool,
+}
+
+impl RouterCore {
+    /// Draws an attempt id.
+    #[must_use]
+    pub fn draw_attempt() -> AttemptId {
+        AttemptId::new(fastrand::u128(..))
+    }
+
+    /// Whether a graceful shutdown began.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Whether callers may be served.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// A backend server's address, as the manifest in force says.
+    #[must_use]
+    pub fn address_of(&self, backend: &BackendId) -> Option<SocketAddr> {
+        self.view.load().backend(backend).map(|entry| entry.address)
+    }
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/router/mod.rs
@@ -0,0 +1,29 @@
+//! Puts the parts together: the way of one request through this router.
+//!
+//! The order is fixed: who asks, what is asked, admission, reservation, claim,
+//! backend server, relay, settlement, end marker. Each step is a file.
+
+mod admit;
+mod answer;
+mod claim;
+mod attempt;
+mod background;
+mod core;
+mod entry;
+mod fetch;
+mod orphan;
+mod ports;
+mod relay;
+mod reserve;
+mod serve;
+mod service;
+mod settings;
+mod start;
+mod status;
+mod targets;
+
+pub use self::core::RouterCore;
+pub use start::DrainReport;
+pub use start::RouterError;
+pub use start::RouterHandle;
+pub use start::RouterOptions;
--- /dev/null
+++ b/crates/guavawell-fleet/src/router/relay.rs
@@ -0,0 +1,225 @@
+//! Relays a stream to the caller, settles it, and ends the answer.
+
+use std::sync::Arc;
+
+use guavawell_core::backend::LeaseOutcome;
+use guavawell_core::budget::SettleAnswer;
+use guavawell_core::budget::SettleAsk;
+use guavawell_core::id::BackendId;
+use guavawell_core::id::TokenCount;
+use guavawell_core::request::FrameStep;
+use guavawell_core::request::Refusal;
+use guavawell_core::request::RefusalReason;
+
+use super::admit::AdmissionPass;
+use super::attempt::CheckedEvent;
+use super::attempt::LiveStream;
+use super::attempt::RecoveredAttempt;
+use super::attempt::cancel_later;
+use super::attempt::lease_outcome;
+use super::attempt::next_checked;
+use super::attempt::recover;
+use super::core::RouterCore;
+use super::reserve::HeldReservation;
+use crate::clock;
+use crate::engine::EngineError;
+use crate::event::EventDraft;
+
+/// Times that one answer is resumed before it is given up.
+const MAX_RESUMES: usize = 5;
+
+/// The caller's connection is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLost;
+
+/// How a relayed answer ended.
+#[derive(Debug)]
+pub enum RelayEnd {
+    /// Whole and settled; the end marker may go out.
+    Whole,
+    /// The caller has gone.
+    CallerGone,
+    /// It cannot be finished.
+    Broken(Refusal),
+}
+
+/// A stream with what it is paid from.
+pub struct StreamRelay {
+    /// The router.
+    pub core: Arc<RouterCore>,
+    /// The stream.
+    pub live: LiveStream,
+    /// The reservation; absent when another try pays.
+    pub reservation: Option<HeldReservation>,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// The right to run, given back at the end.
+    pub _pass: AdmissionPass,
+}
+
+impl StreamRelay {
+    /// Gives each chunk's data to `send` until the stream is whole, then
+    /// settles.
+    pub async fn run<F, Fut>(mut self, send: F) -> RelayEnd
+    where
+        F: Fn(Box<str>) -> Fut,
+        Fut: Future<Output = Result<(), CallerLost>>,
+    {
+        let mut next = self.live.first.take();
+        loop {
+            let checked = match next.take() {
+                Some(checked) => checked,
+                None => match self.next().await {
+                    Ok(checked) => checked,
+                    Err(refusal) => return RelayEnd::Broken(refusal),
+                },
+            };
+            if let FrameStep::End(usage) = checked.step {
+                self.settle(usage.total()).await;
+                return self.finish_whole();
+            }
+            if send(checked.event.data).await.is_err() {
+                return self.caller_gone().await;
+            }
+        }
+    }
+
+    /// The next event, of a resumed stream if need be.
+    async fn next(&mut self) -> Result<CheckedEvent, Refusal> {
+        for resumes in 1.. {
+            let live = &mut self.live;
+            match next_checked(&self.core, &mut live.exchange, &mut live.check).await {
+                Ok(checked) => return Ok(checked),
+                Err(failure) => self.resume(&failure, resumes).await?,
+            }
+        }
+        unreachable!("resume refuses in the end")
+    }
+
+    /// Goes on with a broken stream where it is.
+    async fn resume(&mut self, failure: &EngineError, resumes: usize) -> Result<(), Refusal> {
+        self.core.engines.forget(self.live.address);
+        let found = if resumes > MAX_RESUMES {
+            RecoveredAttempt::Unreachable
+        } else {
+            recover(&self.core, self.live.address, &self.live.check).await
+        };
+        if let RecoveredAttempt::Resumed(exchange) = found {
+            self.live.exchange = exchange;
+            return Ok(());
+        }
+        if let Some(lease) = self.live.lease.take() {
+            lease.finish(lease_outcome(failure), clock::now());
+        }
+        self.ended("cut");
+        if self.idempotent {
+            cancel_later(&self.core, self.live.address, self.live.attempt);
+            // Dropped: given back, because the caller got no whole answer.
+            self.reservation = None;
+        } else if let Some(reservation) = &mut self.reservation {
+            reservation.keep();
+        }
+        let detail = format!(
+            "backend server {} broke the answer off: {failure}",
+            self.live.backend
+        );
+        Err(Refusal::unknown(RefusalReason::Interrupted, detail))
+    }
+
+    fn finish_whole(mut self) -> RelayEnd {
+        if let Some(lease) = self.live.lease.take() {
+            lease.finish(LeaseOutcome::Served, clock::now());
+        }
+        self.ended("done");
+        self.core.retries.deposit();
+        let limit = self.core.engines.settings().control;
+        let exchange = self.live.exchange;
+        let drain = async move { exchange.finish(limit).await };
+        self.core.tasks.spawn(drain);
+        RelayEnd::Whole
+    }
+
+    /// Charges what a caller that went away has used.
+    async fn caller_gone(mut self) -> RelayEnd {
+        if let Some(lease) = self.live.lease.take() {
+            lease.finish(LeaseOutcome::Cancelled, clock::now());
+        }
+        self.ended("cancelled");
+        if self.reservation.is_some() {
+            let cancelled = self
+                .core
+                .engines
+                .cancel(self.live.address, self.live.attempt)
+                .await;
+            match cancelled {
+                Ok(record) => self.settle(record.total()).await,
+                // Its outcome is found out by the holder from the record.
+                Err(_) => self.keep(),
+            }
+        }
+        RelayEnd::CallerGone
+    }
+
+    fn keep(&mut self) {
+        if let Some(reservation) = &mut self.reservation {
+            reservation.keep();
+        }
+    }
+
+    /// Charges the attempt before the caller learns that its answer is whole.
+    async fn settle(&mut self, actual: TokenCount) {
+        if let Some(reservation) = self.reservation.take() {
+            let backend = self.live.backend.clone();
+            settle_reservation(&self.core, reservation, actual, backend).await;
+        }
+    }
+
+    fn ended(&self, end: &str) {
+        let mut event = EventDraft::new("attempt.ended").attempt(self.live.attempt);
+        if let Some(reservation) = &self.reservation {
+            let identity = &reservation.identity;
+            event = event
+                .organisation(&identity.organisation)
+                .request(&identity.request);
+        }
+        self.core.events.emit(event.field("end", end));
+    }
+}
+
+/// Charges a reservation and records what was charged.
+pub async fn settle_reservation(
+    core: &Arc<RouterCore>,
+    mut reservation: HeldReservation,
+    actual: TokenCount,
+    backend: BackendId,
+) {
+    reservation.keep();
+    let identity = reservation.identity.clone();
+    let answer = core
+        .slots
+        .settle(SettleAsk {
+            identity: identity.clone(),
+            attempt: reservation.attempt,
+            grant: reservation.grant.clone(),
+            actual,
+            backend: Some(backend),
+        })
+        .await;
+    let (kind, tokens) = match answer {
+        Some(SettleAnswer::Settled { charged }) => ("reservation.settled", charged),
+        Some(SettleAnswer::AlreadySettled { charged, .. }) => ("reservation.folded", charged),
+        Some(SettleAnswer::Pending { charged, .. }) => ("reservation.pending", charged),
+        Some(SettleAnswer::Unknown | SettleAnswer::NotHolder { .. }) => {
+            metrics::counter!("guavawell_settles_unknown_total").increment(1);
+            ("reservation.unknown", actual)
+        }
+        None => ("reservation.pending", actual),
+    };
+    core.events.emit(
+        EventDraft::new(kind)
+            .organisation(&identity.organisation)
+            .request(&identity.request)
+            .attempt(reservation.attempt)
+            .field("tokens", tokens),
+    );
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/router/reserve.rs
@@ -0,0 +1,189 @@
+//! Reserves a request's worst case and says what its answer means.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use guavawell_core::budget::ReleaseAsk;
+use guavawell_core::budget::ReserveAnswer;
+use guavawell_core::budget::ReserveAsk;
+use guavawell_core::budget::ReserveGrant;
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::id::AttemptId;
+use guavawell_core::id::BackendId;
+use guavawell_core::id::TokenCount;
+use guavawell_core::request::Refusal;
+use guavawell_core::request::RefusalReason;
+use guavawell_core::request::RequestIdentity;
+use guavawell_core::request::UnsentAttempt;
+use smol::Timer;
+
+use super::core::RouterCore;
+use super::entry::CallerEntry;
+use crate::event::EventDraft;
+
+/// Looks for the backend server of a running attempt before it is given up.
+const MAX_JOIN_LOOKS: usize = 20;
+
+/// Wait between two such looks.
+const JOIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a request may do after its reservation.
+pub enum ReservedRequest {
+    /// Run an attempt under the grant.
+    Run(HeldReservation),
+    /// Read along with an attempt that runs or ran at this backend server.
+    Follow {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Its backend server.
+        backend: BackendId,
+    },
+}
+
+/// A reservation that is given back unless it is settled or kept in doubt.
+pub struct HeldReservation {
+    core: Option<Arc<RouterCore>>,
+    /// The request.
+    pub identity: RequestIdentity,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The grant.
+    pub grant: ReserveGrant,
+}
+
+impl HeldReservation {
+    /// Keeps the reservation: it will be settled, or its outcome is in doubt.
+    pub fn keep(&mut self) {
+        self.core = None;
+    }
+}
+
+impl Drop for HeldReservation {
+    fn drop(&mut self) {
+        if let Some(core) = self.core.take() {
+            core.events.emit(
+                EventDraft::new("reservation.released")
+                    .organisation(&self.identity.organisation)
+                    .request(&self.identity.request)
+                    .attempt(self.attempt),
+            );
+            core.slots.release_later(ReleaseAsk {
+                identity: self.identity.clone(),
+                attempt: self.attempt,
+            });
+        }
+    }
+}
+
+/// Reserves `amount` for a request.
+///
+/// # Errors
+///
+/// A refusal; nothing was sent to a backend server by this try.
+pub async fn reserve(
+    core: &Arc<RouterCore>,
+    entry: &CallerEntry,
+    idempotent: bool,
+    amount: TokenCount,
+) -> Result<ReservedRequest, Refusal> {
+    for _ in 0..MAX_JOIN_LOOKS {
+        let attempt = RouterCore::draw_attempt();
+        let ask = ReserveAsk {
+            identity: entry.head.identity.clone(),
+            attempt,
+            budget: entry.budget.clone(),
+            amount,
+            router: core.life.clone(),
+            idempotent,
+        };
+        match core.slots.reserve(ask).await {
+            ReserveAnswer::Granted(grant) => {
+                return Ok(granted(core, entry, attempt, grant));
+            }
+            ReserveAnswer::Joined {
+                attempt,
+                backend: Some(backend),
+                ..
+            }
+            | ReserveAnswer::AlreadyBilled {
+                attempt,
+                backend: Some(backend),
+                ..
+            } => return Ok(ReservedRequest::Follow { attempt, backend }),
+            // The other try has not chosen its backend server yet, or gives up.
+            ReserveAnswer::Joined { backend: None, .. } => Timer::after(JOIN_PAUSE).await,
+            other => return Err(refusal(entry, UnsentAttempt::new(attempt), other)),
+        };
+    }
+    let detail = "another try of this id is running and its answer cannot be joined yet";
+    let refusal = Refusal::unknown(RefusalReason::AlreadyRan, detail);
+    Err(refusal.after(ClockSpan::from_millis(1_000)))
+}
+
+fn granted(
+    core: &Arc<RouterCore>,
+    entry: &CallerEntry,
+    attempt: AttemptId,
+    grant: ReserveGrant,
+) -> ReservedRequest {
+    let identity = entry.head.identity.clone();
+    core.events.emit(
+        EventDraft::new("reservation.granted")
+            .organisation(&identity.organisation)
+            .budget(&entry.budget)
+            .request(&identity.request)
+            .attempt(attempt)
+            .field("tokens", grant.amount),
+    );
+    ReservedRequest::Run(HeldReservation {
+        core: Some(Arc::clone(core)),
+        identity,
+        attempt,
+        grant,
+    })
+}
+
+fn refusal(entry: &CallerEntry, unsent: UnsentAttempt, answer: ReserveAnswer) -> Refusal {
+    let identity = &entry.head.identity;
+    match answer {
+        ReserveAnswer::Exhausted {
+            retry_after,
+            elsewhere,
+        } => {
+            let detail = if elsewhere > TokenCount::ZERO {
+                format!("the rest of `{}` is held in other zones", entry.budget)
+            } else {
+                format!("the rest of `{}` does not cover the request", entry.budget)
+            };
+            let reason = RefusalReason::BudgetExhausted;
+            let refusal = Refusal::unsealed(identity, unsent, reason, detail);
+            match retry_after {
+                Some(span) => refusal.after(span),
+                None => refusal,
+            }
+        }
+        ReserveAnswer::Sealed => {
+            let detail = "this id was refused for good before; use a new one";
+            Refusal::unsealed(identity, unsent, RefusalReason::Sealed, detail)
+        }
+        ReserveAnswer::Mismatch => {
+            let detail = "this id was used with another budget; use a new one";
+            Refusal::unsealed(identity, unsent, RefusalReason::IdentityMismatch, detail)
+        }
+        ReserveAnswer::AlreadyBilled { .. } | ReserveAnswer::Joined { .. } => {
+            let detail = "this id ran and was billed; its answer cannot be given again";
+            Refusal::unknown(RefusalReason::AlreadyRan, detail)
+        }
+        ReserveAnswer::Unreachable { retry_after } => {
+            let detail = format!("nobody who may spend `{}` can be reached", entry.budget);
+            let reason = RefusalReason::BudgetUnreachable;
+            Refusal::unsealed(identity, unsent, reason, detail).after(retry_after)
+        }
+        ReserveAnswer::NotHolder { .. } | ReserveAnswer::Granted(_) => {
+            let detail = format!("the holder of `{}` is changing", entry.budget);
+            let reason = RefusalReason::BudgetUnreachable;
+            let refusal = Refusal::unsealed(identity, unsent, reason, detail);
+            refusal.after(ClockSpan::from_millis(500))
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -0,0 +1,242 @@
+//! The way of one caller's request, step by step.
+
+use std::sync::Arc;
+
+use guavawell_core::backend::PrefixHash;
+use guavawell_core::backend::RouteTarget;
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::id::TokenCount;
+use guavawell_core::limits::AdmissionAsk;
+use guavawell_core::limits::RefusalCause;
+use guavawell_core::limits::RequestPriority;
+use guavawell_core::manifest::FleetView;
+use guavawell_core::request::Refusal;
+use guavawell_core::request::RefusalReason;
+use guavawell_core::request::UnsentAttempt;
+use guavawell_core::request::chat::ChatAsk;
+use http_types::Body;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+
+use super::admit::AdmissionPass;
+use super::admit::NotAdmitted;
+use super::answer::refuse;
+use super::answer::stream_answer;
+use super::answer::whole_answer;
+use super::attempt::OutgoingCall;
+use super::attempt::follow_stream;
+use super::attempt::open_stream;
+use super::core::RouterCore;
+use super::entry::CallerEntry;
+use super::relay::StreamRelay;
+use super::reserve::ReservedRequest;
+use super::reserve::reserve;
+use super::service::serve_service;
+use crate::caller::BodyError;
+use crate::caller::read_body;
+use crate::clock;
+use crate::event::EventDraft;
+
+/// Expected time to first token, before any is measured.
+const FIRST_TOKEN_GUESS: ClockSpan = ClockSpan::from_millis(100);
+
+/// The path under which plain services are called.
+const SERVICES: &str = "/services/";
+
+/// Answers one caller's request.
+pub async fn serve(core: Arc<RouterCore>, mut request: Request) -> Response {
+    let path: Box<str> = request.url().path().into();
+    let view = core.view.load_full();
+    if let Err(refusal) = check_state(&core) {
+        return refuse(&core, None, &refusal);
+    }
+    match (request.method(), &*path) {
+        (Method::Post, "/v1/chat/completions") => chat(&core, &view, &mut request).await,
+        (Method::Get, "/v1/models") => models(&core, &view, &request),
+        (Method::Post, path) if path.starts_with(SERVICES) => {
+            serve_service(&core, &view, &mut request, &path[SERVICES.len()..]).await
+        }
+        (method, path) => {
+            let detail = format!("there is no `{method} {path}` here");
+            let refusal = Refusal::unattempted(RefusalReason::BadRequest, detail);
+            refuse(&core, None, &refusal)
+        }
+    }
+}
+
+fn check_state(core: &RouterCore) -> Result<(), Refusal> {
+    if core.is_ready() {
+        return Ok(());
+    }
+    let refusal = Refusal::unattempted(
+        RefusalReason::NotReady,
+        "this router does not hold a manifest yet",
+    );
+    Err(refusal.after(ClockSpan::from_millis(1_000)))
+}
+
+/// `GET /v1/models`: the models of the manifest in force.
+fn models(core: &RouterCore, view: &FleetView, request: &Request) -> Response {
+    if let Err(refusal) = CallerEntry::read(view, request) {
+        return refuse(core, None, &refusal);
+    }
+    let models = view.models().iter();
+    let data: Vec<_> = models
+        .map(|model| serde_json::json!({"id": model.id, "object": "model", "version": model.version}))
+        .collect();
+    let document = serde_json::json!({"object": "list", "data": data});
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(Body::from_json(&document).unwrap_or_else(|_| Body::empty()));
+    response
+}
+
+async fn chat(core: &Arc<RouterCore>, view: &FleetView, request: &mut Request) -> Response {
+    let entry = match CallerEntry::read(view, request) {
+        Ok(entry) => entry,
+        Err(refusal) => return refuse(core, None, &refusal),
+    };
+    let identity = entry.head.identity.clone();
+    let body = match caller_body(core, request).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse(core, Some(&identity), &refusal),
+    };
+    match run_chat(core, view, &entry, &body).await {
+        Ok(response) => response,
+        Err(refusal) => refuse(core, Some(&identity), &refusal),
+    }
+}
+
+async fn run_chat(
+    core: &Arc<RouterCore>,
+    view: &FleetView,
+    entry: &CallerEntry,
+    body: &[u8],
+) -> Result<Response, Refusal> {
+    let ask = ChatAsk::parse(body, &core.chat)
+        .map_err(|faults| Refusal::unattempted(RefusalReason::BadRequest, faults.to_string()))?;
+    let call = chat_call(view, entry, &ask)?;
+    accepted(core, entry, ask.worst_case());
+    let pass = admit(core, entry, &call.target, ask.worst_case()).await?;
+    let reserved = reserve(core, entry, call.idempotent, ask.worst_case()).await?;
+    let relay = match reserved {
+        ReservedRequest::Run(mut reservation) => StreamRelay {
+            core: Arc::clone(core),
+            live: open_stream(core, entry, &call, &mut reservation).await?,
+            reservation: Some(reservation),
+            idempotent: call.idempotent,
+            _pass: pass,
+        },
+        ReservedRequest::Follow { attempt, backend } => StreamRelay {
+            core: Arc::clone(core),
+            live: follow_stream(core, attempt, &backend).await?,
+            reservation: None,
+            idempotent: true,
+            _pass: pass,
+        },
+    };
+    let identity = entry.head.identity.clone();
+    Ok(if ask.stream {
+        stream_answer(relay, identity)
+    } else {
+        whole_answer(relay, identity).await
+    })
+}
+
+fn chat_call(
+    view: &FleetView,
+    entry: &CallerEntry,
+    ask: &ChatAsk,
+) -> Result<OutgoingCall, Refusal> {
+    let choice = view.model_choice(&ask.model).ok_or_else(|| {
+        let detail = format!("`{}` is no model of the manifest in force", ask.model);
+        Refusal::unattempted(RefusalReason::UnknownModel, detail)
+    })?;
+    if ask.output > choice.model.max_output {
+        let detail = format!(
+            "the output limit {} is above {} of `{}`",
+            ask.output, choice.model.max_output, ask.model
+        );
+        return Err(Refusal::unattempted(RefusalReason::BadRequest, detail));
+    }
+    Ok(OutgoingCall {
+        target: RouteTarget::Model(choice.model.id.clone()),
+        path: "/v1/chat/completions".into(),
+        body: ask.engine_body.clone(),
+        prefix: prefix_of(ask),
+        idempotent: entry.head.idempotent.unwrap_or(true),
+    })
+}
+
+/// The prompt's prefix, as cache events name it.
+fn prefix_of(_ask: &ChatAsk) -> Option<PrefixHash> {
+    None
+}
+
+/// Notes that a request is in order and asks to run.
+pub fn accepted(core: &RouterCore, entry: &CallerEntry, amount: TokenCount) {
+    let identity = &entry.head.identity;
+    metrics::counter!("guavawell_requests_total").increment(1);
+    core.events.emit(
+        EventDraft::new("request.accepted")
+            .organisation(&identity.organisation)
+            .budget(&entry.budget)
+            .request(&identity.request)
+            .field("worst_case", amount),
+    );
+}
+
+/// Reads the caller's body within the limits.
+pub async fn caller_body(core: &RouterCore, request: &mut Request) -> Result<Vec<u8>, Refusal> {
+    let callers = &core.settings.callers;
+    let limit = usize::try_from(callers.max_body_bytes.get()).unwrap_or(usize::MAX);
+    let time = clock::duration(callers.head_timeout_ms);
+    read_body(request, limit, time).await.map_err(|error| {
+        let reason = match error {
+            BodyError::TooLarge { .. } => RefusalReason::BodyTooLarge,
+            BodyError::TimedOut(_) => RefusalReason::Timeout,
+            BodyError::Truncated(_) => RefusalReason::BadRequest,
+        };
+        Refusal::unattempted(reason, error.to_string())
+    })
+}
+
+/// Waits for admission.
+pub async fn admit(
+    core: &Arc<RouterCore>,
+    entry: &CallerEntry,
+    target: &RouteTarget,
+    cost: TokenCount,
+) -> Result<AdmissionPass, Refusal> {
+    let now = clock::now();
+    let deadline: Option<ClockTime> = entry.head.deadline.map(|span| now + span);
+    let ask = AdmissionAsk {
+        ticket: core.door.ticket(),
+        organisation: entry.head.identity.organisation.clone(),
+        weight: entry.weight,
+        priority: RequestPriority::new(entry.head.priority),
+        cost: cost.get(),
+        deadline,
+        first_token: FIRST_TOKEN_GUESS,
+    };
+    let unsent = UnsentAttempt::new(RouterCore::draw_attempt());
+    let identity = &entry.head.identity;
+    match core.door.enter(target, ask).await {
+        Ok(pass) => Ok(pass),
+        Err(NotAdmitted::NoTarget) => {
+            let detail = "no backend server serves this target";
+            let refusal = Refusal::unsealed(identity, unsent, RefusalReason::NoBackend, detail);
+            Err(refusal.after(ClockSpan::from_millis(1_000)))
+        }
+        Err(NotAdmitted::Refused(refusal)) => {
+            let (reason, detail) = match refusal.cause {
+                RefusalCause::Deadline => (RefusalReason::Deadline, "the deadline cannot be met"),
+                RefusalCause::QueueFull => (RefusalReason::Overloaded, "the queue is full"),
+            };
+            let retry_after = refusal.retry_after;
+            Err(Refusal::unsealed(identity, unsent, reason, detail).after(retry_after))
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/router/service.rs
@@ -0,0 +1,201 @@
+//! Plain services: one call, one whole answer, a fixed cost.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use guavawell_core::backend::BackendLease;
+use guavawell_core::backend::LeaseOutcome;
+use guavawell_core::backend::RouteTarget;
+use guavawell_core::id::BackendId;
+use guavawell_core::id::ServiceId;
+use guavawell_core::manifest::FleetView;
+use guavawell_core::manifest::ServiceEntry;
+use guavawell_core::request::Refusal;
+use guavawell_core::request::RefusalReason;
+use guavawell_core::request::UnsentAttempt;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+
+use super::answer::mark;
+use super::answer::note_answer;
+use super::answer::refuse;
+use super::attempt::OutgoingCall;
+use super::attempt::choose;
+use super::attempt::engine_request;
+use super::attempt::failed;
+use super::attempt::lease_outcome;
+use super::attempt::no_backend;
+use super::attempt::note;
+use super::core::RouterCore;
+use super::entry::CallerEntry;
+use super::relay::settle_reservation;
+use super::reserve::HeldReservation;
+use super::reserve::ReservedRequest;
+use super::reserve::reserve;
+use super::serve::accepted;
+use super::serve::admit;
+use super::serve::caller_body;
+use crate::clock;
+use crate::engine::AttemptState;
+use crate::engine::EngineError;
+use crate::engine::ServiceAnswer;
+
+/// Looks at a service's record before a call is left in doubt.
+const MAX_PROBES: usize = 3;
+
+/// Wait between two such looks.
+const PROBE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Answers a call of a plain service; `rest` is the path behind `/services/`.
+pub async fn serve_service(
+    core: &Arc<RouterCore>,
+    view: &FleetView,
+    request: &mut Request,
+    rest: &str,
+) -> Response {
+    let entry = match CallerEntry::read(view, request) {
+        Ok(entry) => entry,
+        Err(refusal) => return refuse(core, None, &refusal),
+    };
+    let identity = entry.head.identity.clone();
+    let served = match find_service(view, rest) {
+        Ok((service, path)) => call(core, &entry, request, service, path).await,
+        Err(refusal) => Err(refusal),
+    };
+    served.unwrap_or_else(|refusal| refuse(core, Some(&identity), &refusal))
+}
+
+fn find_service<'v>(
+    view: &'v FleetView,
+    rest: &str,
+) -> Result<(&'v ServiceEntry, Box<str>), Refusal> {
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let unknown = || {
+        let detail = format!("`{name}` is no service of the manifest in force");
+        Refusal::unattempted(RefusalReason::UnknownService, detail)
+    };
+    let id: ServiceId = name.parse().map_err(|_| unknown())?;
+    let service = view.service(&id).ok_or_else(unknown)?;
+    Ok((service, format!("/{path}").into()))
+}
+
+async fn call(
+    core: &Arc<RouterCore>,
+    entry: &CallerEntry,
+    request: &mut Request,
+    service: &ServiceEntry,
+    path: Box<str>,
+) -> Result<Response, Refusal> {
+    let body = caller_body(core, request).await?;
+    let call = OutgoingCall {
+        target: RouteTarget::Service(service.id.clone()),
+        path,
+        body,
+        prefix: None,
+        idempotent: entry.head.idempotent.unwrap_or(service.idempotent),
+    };
+    accepted(core, entry, service.cost_tokens);
+    let _pass = admit(core, entry, &call.target, service.cost_tokens).await?;
+    let reserved = reserve(core, entry, call.idempotent, service.cost_tokens).await?;
+    let ReservedRequest::Run(mut reservation) = reserved else {
+        let detail = "this id ran or is running, and a service's answer is not kept";
+        return Err(Refusal::unknown(RefusalReason::AlreadyRan, detail));
+    };
+    let attempt = reservation.attempt;
+    let (backend, answer) = run_call(core, entry, &call, &mut reservation).await?;
+    settle_reservation(core, reservation, service.cost_tokens, backend).await;
+    let identity = &entry.head.identity;
+    note_answer(core, identity, true);
+    let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::BadGateway);
+    let mut response = Response::new(status);
+    response.set_body(answer.body);
+    response.insert_header("content-type", &*answer.media);
+    mark(&mut response, identity, attempt);
+    Ok(response)
+}
+
+/// Calls backend servers until one answers.
+async fn run_call(
+    core: &Arc<RouterCore>,
+    entry: &CallerEntry,
+    call: &OutgoingCall,
+    reservation: &mut HeldReservation,
+) -> Result<(BackendId, ServiceAnswer), Refusal> {
+    let mut unsent = UnsentAttempt::new(reservation.attempt);
+    let mut tried: Vec<BackendId> = Vec::new();
+    unsent = core.claim(entry, call, unsent).await?;
+    loop {
+        let lease = match choose(core, call, &tried) {
+            Ok(lease) => lease,
+            Err(cause) => {
+                core.unclaim(entry, call, reservation.attempt);
+                return Err(no_backend(entry, unsent, cause));
+            }
+        };
+        let backend = lease.backend().id().clone();
+        tried.push(backend.clone());
+        let Some(address) = core.address_of(&backend) else {
+            continue;
+        };
+        note(core, reservation, &backend, call.idempotent);
+        let message = engine_request(entry, call, reservation.attempt);
+        let sent = unsent.send();
+        let wait = clock::duration(core.settings.limits.request_timeout_ms);
+        match core.engines.call_service(address, &message, wait).await {
+            Ok(answer) => {
+                served(lease);
+                return Ok((backend, answer));
+            }
+            Err(failure) => {
+                let may_run_again = failure.certainly_not_run()
+                    || (call.idempotent && is_unseen(core, address, reservation).await);
+                lease.finish(lease_outcome(&failure), clock::now());
+                if !may_run_again {
+                    return Err(in_doubt(call, reservation, &backend, &failure));
+                }
+                unsent = sent.certainly_not_run();
+                if !core.retries.withdraw() {
+                    core.unclaim(entry, call, reservation.attempt);
+                    return Err(failed(entry, unsent, &failure));
+                }
+            }
+        }
+    }
+}
+
+fn served(mut lease: BackendLease) {
+    let now = clock::now();
+    lease.first_token(now);
+    lease.finish(LeaseOutcome::Served, now);
+}
+
+/// Whether the service never saw the call, and will refuse it from now on.
+async fn is_unseen(core: &RouterCore, address: SocketAddr, reservation: &HeldReservation) -> bool {
+    for _ in 0..MAX_PROBES {
+        match core.engines.record(address, reservation.attempt).await {
+            Err(EngineError::UnknownAttempt) => {
+                let cancelled = core.engines.cancel(address, reservation.attempt).await;
+                return cancelled.is_ok_and(|record| record.state == AttemptState::Cancelled);
+            }
+            Ok(_) => return false,
+            Err(_) => smol::Timer::after(PROBE_PAUSE).await,
+        };
+    }
+    false
+}
+
+fn in_doubt(
+    call: &OutgoingCall,
+    reservation: &mut HeldReservation,
+    backend: &BackendId,
+    failure: &EngineError,
+) -> Refusal {
+    if !call.idempotent {
+        // Kept at its worst case until the service's record tells.
+        reservation.keep();
+    }
+    let detail = format!("backend server {backend} failed: {failure}");
+    Refusal::unknown(RefusalReason::BackendFailed, detail)
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -0,0 +1,214 @@
+//! What the router's settings mean for its parts.
+
+use std::fs;
+use std::io;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use futures::FutureExt;
+use guavawell_core::backend::RoutingSettings;
+use guavawell_core::budget::HolderSettings;
+use guavawell_core::budget::InstanceLife;
+use guavawell_core::id::BudgetId;
+use guavawell_core::id::InstanceId;
+use guavawell_core::instance::MembershipSettings;
+use guavawell_core::limits::AdmissionSettings;
+use guavawell_core::manifest::FleetView;
+use guavawell_core::request::chat::ChatLimits;
+
+use crate::caller::CallerLimits;
+use crate::clock;
+use crate::engine::EngineSettings;
+use crate::event::EventLog;
+use crate::event::EventLogSettings;
+use crate::gossip::FleetKey;
+use crate::gossip::FleetKeys;
+use crate::gossip::GossipDriver;
+use crate::peer::PeerClient;
+use crate::peer::PeerError;
+use crate::peer::PeerFailure;
+use crate::peer::PeerTarget;
+use crate::platform::PoolSettings;
+use crate::platform::Table;
+use crate::settings::RouterSettings;
+use crate::slot::BudgetBase;
+use crate::slot::PeerLink;
+use crate::slot::SlotParts;
+use crate::slot::SlotTable;
+use crate::slot::SlotTimes;
+use crate::task::TaskSpawner;
+
+pub fn event_log(settings: &RouterSettings) -> EventLogSettings {
+    EventLogSettings {
+        target: settings.log.events.clone(),
+        queue: usize::try_from(settings.log.event_queue).unwrap_or(usize::MAX),
+        ..EventLogSettings::default()
+    }
+}
+
+pub fn caller_limits(settings: &RouterSettings) -> CallerLimits {
+    CallerLimits {
+        max_connections: usize::try_from(settings.callers.max_connections).unwrap_or(usize::MAX),
+        head_timeout: clock::duration(settings.callers.idle_timeout_ms),
+        ..CallerLimits::default()
+    }
+}
+
+pub fn operator_limits() -> CallerLimits {
+    CallerLimits {
+        max_connections: 64,
+        ..CallerLimits::default()
+    }
+}
+
+pub fn platform_pool(settings: &RouterSettings) -> PoolSettings {
+    PoolSettings {
+        answer_timeout: settings.platform.timeout_ms,
+        ..PoolSettings::default()
+    }
+}
+
+pub fn engines(settings: &RouterSettings) -> EngineSettings {
+    EngineSettings {
+        connect: clock::duration(settings.routing.connect_timeout_ms),
+        idle: clock::duration(settings.routing.silent_after_ms),
+        ..EngineSettings::default()
+    }
+}
+
+pub fn routing(settings: &RouterSettings) -> RoutingSettings {
+    let routing = &settings.routing;
+    RoutingSettings {
+        report_stale: routing.load_stale_ms,
+        slow_start: routing.slow_start_ms,
+        eject_failures: routing.eject_after_failures,
+        eject_base: routing.eject_for_ms,
+        ..RoutingSettings::default()
+    }
+}
+
+pub fn admission(settings: &RouterSettings) -> AdmissionSettings {
+    AdmissionSettings {
+        queue: usize::try_from(settings.limits.max_queued).unwrap_or(usize::MAX),
+        ..AdmissionSettings::default()
+    }
+}
+
+pub fn chat_limits(settings: &RouterSettings) -> ChatLimits {
+    ChatLimits {
+        max_body_bytes: usize::try_from(settings.callers.max_body_bytes.get())
+            .unwrap_or(usize::MAX),
+        default_output: settings.limits.default_output_tokens,
+        max_output: settings.limits.max_output_tokens,
+        ..ChatLimits::default()
+    }
+}
+
+pub fn membership(settings: &RouterSettings) -> MembershipSettings {
+    MembershipSettings {
+        bytes_per_second: settings.gossip.bytes_per_second.get(),
+        ..MembershipSettings::default()
+    }
+}
+
+/// The fleet's keys: files first, then texts; the first of all signs.
+pub fn gossip_keys(settings: &RouterSettings) -> io::Result<FleetKeys> {
+    let mut keys = Vec::new();
+    for path in &settings.gossip.key_files {
+        let text = fs::read_to_string(path.as_path())?;
+        keys.push(FleetKey::from_text(text.trim()));
+    }
+    keys.extend(
+        settings
+            .gossip
+            .keys
+            .iter()
+            .map(|key| FleetKey::from_text(key.expose())),
+    );
+    if keys.is_empty() {
+        let message = "gossip needs a key: set `gossip.key_files` or `gossip.keys`";
+        return Err(io::Error::new(io::ErrorKind::InvalidInput, message));
+    }
+    let first = keys.remove(0);
+    Ok(FleetKeys::new(first, keys))
+}
+
+fn holder(settings: &RouterSettings) -> HolderSettings {
+    let slots = &settings.slots;
+    HolderSettings {
+        witness_timeout: slots.witness_timeout_ms,
+        retention: slots.identity_retention_ms,
+        ..HolderSettings::default()
+    }
+}
+
+/// Everything that the slots need of the router.
+#[expect(
+    clippy::too_many_arguments,
+    reason = "each is one part of the router, named where it is used"
+)]
+pub fn slot_parts(
+    settings: &RouterSettings,
+    life: &InstanceLife,
+    events: &EventLog,
+    tasks: TaskSpawner,
+    table: &Table,
+    view: &Arc<ArcSwap<FleetView>>,
+    gossip: &GossipDriver,
+    client: PeerClient,
+) -> SlotParts {
+    let members = gossip.clone();
+    let shards = Arc::clone(view);
+    SlotParts {
+        life: life.clone(),
+        zone: settings.instance.zone.clone(),
+        witness_zones: Vec::new(),
+        shards: Box::new(move || shards.load().fleet().shards),
+        members: Box::new(move || members.view()),
+        table: SlotTable::new(table.clone(), base_lookup(view)),
+        link: peer_link(gossip.clone(), client),
+        events: events.clone(),
+        tasks,
+        holder: Arc::new(holder(settings)),
+        times: SlotTimes {
+            takeover_after: settings.slots.takeover_after_ms,
+            ..SlotTimes::default()
+        },
+    }
+}
+
+fn base_lookup(view: &Arc<ArcSwap<FleetView>>) -> crate::slot::BaseLookup {
+    let view = Arc::clone(view);
+    Arc::new(move |budget: &BudgetId| {
+        let view = view.load();
+        let owner = view.budget_owner(budget)?;
+        let entry = owner.budget(budget)?;
+        Some(BudgetBase {
+            organisation: owner.id.clone(),
+            paid: entry.paid,
+            version: view.version(),
+        })
+    })
+}
+
+/// Calls an instance where gossip says that it can be reached.
+fn peer_link(gossip: GossipDriver, client: PeerClient) -> PeerLink {
+    PeerLink {
+        call: Box::new(move |instance: InstanceId, request| {
+            let target = gossip.view().find(&instance).map(|member| PeerTarget {
+                instance: instance.clone(),
+                address: member.peer_address,
+                incarnation: Some(member.incarnation),
+            });
+            let client = client.clone();
+            async move {
+                let unknown = || {
+                    let failure = PeerFailure::Connect("gossip does not know the instance".into());
+                    PeerError::NotSent(failure)
+                };
+                client.call(&target.ok_or_else(unknown)?, request).await
+            }
+            .boxed()
+        }),
+    }
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -0,0 +1,383 @@
+//! Starts a router from its settings, and stops it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use guavawell_core::backend::BackendTable;
+use guavawell_core::budget::InstanceLife;
+use guavawell_core::id::ManifestVersion;
+use guavawell_core::instance::MemberRecord;
+use guavawell_core::instance::Reachability;
+use guavawell_core::instance::draw_incarnation;
+use guavawell_core::limits::RetryBudget;
+use guavawell_core::limits::RetrySettings;
+use guavawell_core::manifest::ConfigSettings;
+use guavawell_core::manifest::FleetView;
+use smol::Timer;
+use thiserror::Error;
+
+use super::admit::AdmissionDoor;
+use super::background;
+use super::core::RouterCore;
+use super::ports;
+use super::settings;
+use super::targets::backend_specs;
+use super::targets::route_targets;
+use crate::caller::CallerListener;
+use crate::clock;
+use crate::config::ConfigDriver;
+use crate::config::ConfigHandle;
+use crate::config::ConfigInputs;
+use crate::config::ConfigPeers;
+use crate::config::ConfigSnapshot;
+use crate::config::ManifestStore;
+use crate::engine::EngineClient;
+use crate::event::EventDraft;
+use crate::event::EventLog;
+use crate::gossip::DriverSettings;
+use crate::gossip::GossipDriver;
+use crate::peer::PeerCall;
+use crate::peer::PeerClient;
+use crate::peer::PeerClientSettings;
+use crate::peer::PeerRefusal;
+use crate::peer::PeerReply;
+use crate::peer::PeerServer;
+use crate::peer::PeerServerSettings;
+use crate::platform::Objects;
+use crate::platform::Table;
+use crate::settings::RouterSettings;
+use crate::slot::SlotDriver;
+use crate::task::TaskThreads;
+use crate::tls::TlsError;
+
+/// Looks at what is left during a graceful shutdown.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+
+/// What a router is started with beside its settings.
+#[derive(Clone, Debug)]
+pub struct RouterOptions {
+    /// Threads that serve requests.
+    pub threads: usize,
+}
+
+impl Default for RouterOptions {
+    fn default() -> Self {
+        Self { threads: 4 }
+    }
+}
+
+/// Why a router cannot start.
+#[derive(Debug, Error)]
+pub enum RouterError {
+    /// A port cannot be opened.
+    #[error("cannot listen for {what} on {address}: {source}; choose a free address")]
+    Listen {
+        /// Whom the port is for.
+        what: &'static str,
+        /// The address in the settings.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// Certificates or keys cannot be used.
+    #[error(transparent)]
+    Tls(#[from] TlsError),
+    /// The event log, a thread or a key file fails.
+    #[error("cannot start: {0}")]
+    Io(#[from] io::Error),
+}
+
+/// A running router.
+pub struct RouterHandle {
+    pub(super) core: Arc<RouterCore>,
+    pub(super) config: ConfigHandle,
+    pub(super) gossip: GossipDriver,
+    callers: Arc<CallerListener>,
+    operators: Arc<CallerListener>,
+    peers: PeerServer,
+    threads: TaskThreads,
+}
+
+/// What was left when a graceful shutdown ran out of time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DrainReport {
+    /// Requests that were still being answered.
+    pub requests: usize,
+    /// Slots that nobody took over.
+    pub slots: usize,
+}
+
+impl RouterHandle {
+    /// Starts a router; it serves callers once a manifest is in force.
+    ///
+    /// # Errors
+    ///
+    /// [`RouterError`]: a port, a certificate or a thread is not to be had.
+    pub async fn start(
+        settings: RouterSettings,
+        options: RouterOptions,
+    ) -> Result<Self, RouterError> {
+        let life = InstanceLife {
+            instance: settings.instance.id.clone(),
+            incarnation: draw_incarnation(clock::now(), fastrand::u64(..)),
+        };
+        let events = EventLog::open(&settings::event_log(&settings), life.instance.clone(), life.incarnation)?;
+        let threads = TaskThreads::start("router", options.threads)?;
+        let tasks = threads.spawner();
+        let callers = ports::bind("callers", settings.callers.listen, settings::caller_limits(&settings)).await?;
+        let operators = ports::bind("operators", settings.operators.listen, settings::operator_limits()).await?;
+        let slots: Arc<OnceLock<(Arc<SlotDriver>, GossipDriver)>> = Arc::new(OnceLock::new());
+        let peers = start_peers(&settings, &life, &events, &slots)?;
+        let own = MemberRecord {
+            instance: life.instance.clone(),
+            incarnation: life.incarnation,
+            refutation: 0,
+            zone: settings.instance.zone.clone(),
+            caller_address: callers.address()?,
+            peer_address: peers.address(),
+            gossip_address: settings.gossip.listen,
+            reachability: Reachability::Reachable,
+            leaving: false,
+            manifest: ManifestVersion::default(),
+        };
+        let gossip = start_gossip(&settings, own, &events).await?;
+        let client = PeerClient::start(&PeerClientSettings {
+            peers: settings.peers.clone(),
+            life: life.clone(),
+            tls: ports::client_tls(&settings)?,
+            log: events.clone(),
+        })?;
+        let pool = settings::platform_pool(&settings);
+        let table = Table::new(settings.platform.table, pool.clone());
+        let objects = Objects::new(settings.platform.objects, &settings.platform.bucket, pool);
+        let view = Arc::new(ArcSwap::from_pointee(FleetView::empty()));
+        let driver = SlotDriver::new(settings::slot_parts(
+            &settings, &life, &events, tasks.clone(), &table, &view, &gossip, client,
+        ));
+        // Set once: nothing else sets it.
+        let _ = slots.set((Arc::clone(&driver), gossip.clone()));
+        let core = Arc::new(RouterCore {
+            life,
+            view,
+            backends: ArcSwap::from_pointee(BackendTable::new(
+                settings::routing(&settings),
+                Vec::new(),
+                clock::now(),
+            )),
+            door: Arc::new(AdmissionDoor::new(settings::admission(&settings))),
+            engines: EngineClient::new(settings::engines(&settings)),
+            slots: driver,
+            table: table.clone(),
+            retries: RetryBudget::new(RetrySettings::default()),
+            events,
+            tasks,
+            chat: settings::chat_limits(&settings),
+            leaving: AtomicBool::new(false),
+            ready: AtomicBool::new(false),
+            settings,
+        });
+        let (config, handle, hints) = ConfigDriver::new(ConfigInputs {
+            settings: ConfigSettings::default(),
+            store: ManifestStore::new(table, objects),
+            peers: ConfigPeers::none(),
+            on_change: on_change(&core, &gossip),
+        });
+        let router = Self {
+            core,
+            config: handle,
+            gossip,
+            callers,
+            operators,
+            peers,
+            threads,
+        };
+        router.spawn_all(config, hints)?;
+        Ok(router)
+    }
+
+    fn spawn_all(
+        &self,
+        config: ConfigDriver,
+        hints: crate::config::ConfigHints,
+    ) -> Result<(), RouterError> {
+        let tasks = &self.core.tasks;
+        tasks.spawn(config.run());
+        background::spawn(&self.core, &self.gossip, hints);
+        ports::serve_callers(&self.core, &self.callers)?;
+        ports::serve_operators(&self.core, &self.operators, &self.config)?;
+        let row = background::instance_row(self.callers.address()?, self.operators.address()?, self.peers.address(), &self.core);
+        tasks.spawn(background::publish_row(Arc::clone(&self.core), row));
+        self.core.events.emit(EventDraft::new("instance.started"));
+        Ok(())
+    }
+
+    /// Where callers reach it.
+    #[must_use]
+    pub fn caller_address(&self) -> SocketAddr {
+        ports::address_of(&self.callers)
+    }
+
+    /// Where operators reach it.
+    #[must_use]
+    pub fn operator_address(&self) -> SocketAddr {
+        ports::address_of(&self.operators)
+    }
+
+    /// Where gossip reaches it.
+    #[must_use]
+    pub fn gossip_address(&self) -> SocketAddr {
+        self.gossip.address()
+    }
+
+    /// Whether callers are served.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.core.is_ready()
+    }
+
+    /// Slots held now.
+    #[must_use]
+    pub fn held_slots(&self) -> usize {
+        self.core.slots.held().len()
+    }
+
+    /// Slots held now whose reservations another router acknowledges.
+    #[must_use]
+    pub fn witnessed_slots(&self) -> usize {
+        self.core.slots.witnessed()
+    }
+
+    /// Whether an operator asked for a graceful shutdown.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.core.is_leaving()
+    }
+
+    /// Stops gracefully: announces leaving, finishes every answer, hands the
+    /// slots over, then stops. Bounded by `shutdown.drain_ms`.
+    pub async fn drain(&self) -> DrainReport {
+        let until = clock::now() + self.core.settings.shutdown.drain_ms;
+        self.core.leaving.store(true, Ordering::Release);
+        self.core.events.emit(EventDraft::new("instance.leaving"));
+        log::info!("leaving");
+        self.gossip.leave().await;
+        self.callers.stop();
+        let mut report = DrainReport::default();
+        while clock::now() < until {
+            report.requests = self.callers.busy();
+            let handed = report.requests == 0 && self.core.slots.leave();
+            report.slots = self.core.slots.held().len();
+            if handed && self.callers.open() == 0 {
+                break;
+            }
+            Timer::after(DRAIN_LOOK).await;
+        }
+        if report != DrainReport::default() {
+            log::warn!(
+                "left with {} requests under way and {} slots held",
+                report.requests,
+                report.slots
+            );
+        }
+        self.core.events.emit(
+            EventDraft::new("instance.stopped")
+                .field("requests", report.requests)
+                .field("slots", report.slots),
+        );
+        self.kill();
+        report
+    }
+
+    /// Stops at once, as a crash would: nothing is handed over.
+    pub fn kill(&self) {
+        self.callers.stop();
+        self.operators.stop();
+        self.peers.stop();
+        self.threads.stop();
+        self.core.events.close();
+    }
+}
+
+fn start_peers(
+    settings: &RouterSettings,
+    life: &InstanceLife,
+    events: &EventLog,
+    slots: &Arc<OnceLock<(Arc<SlotDriver>, GossipDriver)>>,
+) -> Result<PeerServer, RouterError> {
+    let peers = PeerServerSettings {
+        peers: settings.peers.clone(),
+        life: life.clone(),
+        tls: ports::peer_tls(settings)?,
+        log: events.clone(),
+    };
+    let slots = Arc::clone(slots);
+    let handler = move |call: PeerCall| {
+        let slots = Arc::clone(&slots);
+        async move {
+            let Some((driver, gossip)) = slots.get() else {
+                return PeerReply::Refused(PeerRefusal::Overloaded);
+            };
+            // An asker that gossip does not know yet asks for its own zone
+            // once it does; until then it is told to come back.
+            match gossip.view().find(&call.from.instance) {
+                Some(member) => driver.answer(&member.zone, call.request).await,
+                None => PeerReply::Refused(PeerRefusal::Overloaded),
+            }
+        }
+    };
+    PeerServer::start(&peers, handler).map_err(|source| RouterError::Listen {
+        what: "peers",
+        address: settings.peers.listen,
+        source,
+    })
+}
+
+async fn start_gossip(
+    settings: &RouterSettings,
+    own: MemberRecord,
+    events: &EventLog,
+) -> Result<GossipDriver, RouterError> {
+    let keys = settings::gossip_keys(settings)?;
+    let driver = DriverSettings {
+        seeds: settings.gossip.seeds.clone(),
+        membership: settings::membership(settings),
+        ..DriverSettings::new(settings.gossip.listen, keys)
+    };
+    let listener = background::member_listener(events.clone());
+    GossipDriver::bind(driver, own, listener)
+        .await
+        .map_err(|source| RouterError::Listen {
+            what: "gossip",
+            address: settings.gossip.listen,
+            source,
+        })
+}
+
+/// Takes a version in force into use: view, backend servers, admission.
+fn on_change(
+    core: &Arc<RouterCore>,
+    gossip: &GossipDriver,
+) -> Box<dyn Fn(&ConfigSnapshot) + Send + Sync> {
+    let core = Arc::clone(core);
+    let gossip = gossip.clone();
+    Box::new(move |snapshot| {
+        let Some(in_force) = &snapshot.in_force else {
+            return;
+        };
+        core.view.store(Arc::clone(&snapshot.view));
+        let table = core.backends.load();
+        let table = table.with_specs(backend_specs(&snapshot.view), clock::now());
+        core.backends.store(Arc::new(table));
+        core.door.set_targets(route_targets(&snapshot.view));
+        gossip.set_manifest(in_force.row.version);
+        core.ready.store(true, Ordering::Release);
+        core.events
+            .emit(EventDraft::new("config.in_force").field("version", in_force.row.version));
+    })
+}
--- a/crates/guavawell-fleet/src/settings/mod.rs
+++ b/crates/guavawell-fleet/src/settings/mod.rs
@@ -24,7 +24,7 @@
 use guavawell_core::finding::FindingList;
 use thiserror::Error;
 
-use reader::FileReader;
+use self::reader::FileReader;
 
 pub use network::CallerSettings;
 pub use network::GossipSettings;
--- /dev/null
+++ b/crates/guavawell-fleet/src/slot/maintain.rs
@@ -0,0 +1,240 @@
+//! The driver's own clock work: ticks, choice of witnesses, handing over.
+
+use std::sync::Arc;
+
+use guavawell_core::budget::HolderEvent;
+use guavawell_core::budget::InstanceLife;
+use guavawell_core::budget::SlotId;
+use guavawell_core::budget::WitnessEvent;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::id::ShardId;
+use guavawell_core::instance::MemberRecord;
+use guavawell_core::instance::MemberView;
+use guavawell_core::instance::owner;
+use smol::Timer;
+
+use super::acquire::LossWatch;
+use super::acquire::is_alive;
+use super::driver::SlotDriver;
+use super::seat::SlotSeat;
+use super::table::slot_key;
+use crate::clock;
+
+impl SlotDriver {
+    /// Runs the driver's clock work until dropped.
+    pub async fn run(self: Arc<Self>) {
+        let tick = Arc::clone(&self).run_ticks();
+        let review = Arc::clone(&self).run_reviews();
+        let acquire = self.run_acquire();
+        let watch = smol::future::zip(tick, review);
+        // Boxed: the three loops together are too large for a task's stack frame.
+        Box::pin(smol::future::zip(watch, acquire)).await;
+    }
+
+    async fn run_ticks(self: Arc<Self>) {
+        loop {
+            Timer::after(clock::duration(self.parts.times.tick_every)).await;
+            let now = clock::now();
+            for seat in self.seats().iter() {
+                let effects = seat.lock().tick(now);
+                self.carry_out(seat, effects);
+                self.tell_witness(seat, WitnessEvent::Tick);
+            }
+        }
+    }
+
+    async fn run_reviews(self: Arc<Self>) {
+        loop {
+            Timer::after(clock::duration(self.parts.times.review_every)).await;
+            let members = (self.parts.members)();
+            let now = clock::now();
+            for seat in self.seats().iter() {
+                if seat.is_held() {
+                    self.review_held(seat, &members, now);
+                } else {
+                    self.review_witnessed(seat, &members, now).await;
+                }
+            }
+        }
+    }
+
+    async fn run_acquire(self: Arc<Self>) {
+        let mut watch = LossWatch::default();
+        loop {
+            self.acquire(&mut watch).await;
+            let wait = clock::duration(self.parts.times.refresh_every);
+            let few = wait / 10;
+            // Quick while slots are missing, so that a start takes no full period.
+            let pause = if self.holds_all() { wait } else { few };
+            Timer::after(pause).await;
+        }
+    }
+
+    /// Whether every slot that hashing gives to this router is held here.
+    fn holds_all(&self) -> bool {
+        let members = (self.parts.members)();
+        (0..(self.parts.shards)()).all(|shard| {
+            let slot = SlotId {
+                zone: self.parts.zone.clone(),
+                shard: ShardId::new(shard),
+            };
+            let owner = members.owner_in(&slot.zone, slot_key(&slot).as_bytes());
+            owner.is_none_or(|owner| owner.instance != self.parts.life.instance)
+                || self.seat(&slot).is_some_and(|seat| seat.is_held())
+        })
+    }
+
+    /// Names a witness where there is none that answers, and hands the slot
+    /// to its owner by hashing once that one is the witness.
+    fn review_held(self: &Arc<Self>, seat: &Arc<SlotSeat>, members: &MemberView, now: ClockTime) {
+        let (row, silent, changing) = {
+            let state = seat.lock();
+            let Some(holder) = state.present() else {
+                return;
+            };
+            (
+                holder.row().clone(),
+                holder.is_witness_silent(),
+                holder.is_changing_witness(),
+            )
+        };
+        let witness = row.witness.as_ref();
+        let is_good = !silent && witness.is_some_and(|life| is_routable(members, life));
+        if changing && !seat.lock().change_is_stale(now) {
+            return;
+        }
+        let heir = self.heir(members, &seat.slot);
+        if let Some(heir) = heir {
+            if witness == Some(&heir) && is_good {
+                self.tell(seat, HolderEvent::Leave);
+            } else {
+                self.change_witness(seat, Some(heir), now);
+            }
+            return;
+        }
+        if is_good {
+            return;
+        }
+        let next = self.choose_witness(members, &seat.slot, witness.filter(|_| silent));
+        if next.is_some() || witness.is_some() {
+            self.change_witness(seat, next, now);
+        }
+    }
+
+    fn change_witness(
+        self: &Arc<Self>,
+        seat: &Arc<SlotSeat>,
+        witness: Option<InstanceLife>,
+        now: ClockTime,
+    ) {
+        if !seat.lock().may_change(witness.as_ref(), now) {
+            return;
+        }
+        metrics::counter!("guavawell_witness_changes_total").increment(1);
+        self.tell(seat, HolderEvent::ChangeWitness(witness));
+    }
+
+    /// The router that should hold a slot instead of this one, if another should.
+    fn heir(&self, members: &MemberView, slot: &SlotId) -> Option<InstanceLife> {
+        let owner = members.owner_in(&slot.zone, slot_key(slot).as_bytes())?;
+        (owner.instance != self.parts.life.instance).then(|| life_of(owner))
+    }
+
+    /// A witness in another zone that is near; otherwise one in any zone.
+    ///
+    /// A zone dies whole, so that a witness elsewhere saves more.
+    fn choose_witness(
+        &self,
+        members: &MemberView,
+        slot: &SlotId,
+        silent: Option<&InstanceLife>,
+    ) -> Option<InstanceLife> {
+        let own = &self.parts.life.instance;
+        let near = &self.parts.witness_zones;
+        let usable = |member: &&MemberRecord| {
+            member.instance != *own && silent.is_none_or(|life| life.instance != member.instance)
+        };
+        let key = slot_key(slot);
+        let pick = |wanted: &dyn Fn(&MemberRecord) -> bool| {
+            let candidates = members
+                .routable()
+                .filter(usable)
+                .filter(|member| wanted(member));
+            let chosen = owner(candidates.map(|member| &member.instance), key.as_bytes())?;
+            members.find(chosen).map(life_of)
+        };
+        let zone = &self.parts.zone;
+        let elsewhere = |member: &MemberRecord| {
+            member.zone != *zone && (near.is_empty() || near.contains(&member.zone))
+        };
+        pick(&elsewhere).or_else(|| pick(&|member: &MemberRecord| member.zone == *zone))
+    }
+
+    /// Takes over what a holder that is gone entrusted to this router.
+    async fn review_witnessed(
+        self: &Arc<Self>,
+        seat: &Arc<SlotSeat>,
+        members: &MemberView,
+        now: ClockTime,
+    ) {
+        let due = {
+            let mut state = seat.lock();
+            let gone = state
+                .witnessed
+                .clone()
+                .filter(|life| state.witness.has_ledger() && !is_alive(members, life));
+            state.holder_gone(gone.is_some(), now) >= Some(self.parts.times.takeover_after)
+        };
+        if due {
+            self.take_over(&seat.slot).await;
+        }
+    }
+
+    /// Hands every held slot to another router; `true` once none is held.
+    ///
+    /// Slots whose witness takes over are handed with their ledger. Call it
+    /// again until it returns `true` or time is up.
+    pub fn leave(self: &Arc<Self>) -> bool {
+        let members = (self.parts.members)();
+        let now = clock::now();
+        let mut is_done = true;
+        for seat in self.seats().iter() {
+            if !seat.is_held() {
+                continue;
+            }
+            is_done = false;
+            let (row, silent) = {
+                let state = seat.lock();
+                let Some(holder) = state.present() else {
+                    continue;
+                };
+                (holder.row().clone(), holder.is_witness_silent())
+            };
+            let witness = row.witness.as_ref();
+            if !silent && witness.is_some_and(|life| is_routable(&members, life)) {
+                self.tell(seat, HolderEvent::Leave);
+            } else {
+                let next = self
+                    .heir(&members, &seat.slot)
+                    .or_else(|| self.choose_witness(&members, &seat.slot, witness));
+                if next.is_some() {
+                    self.change_witness(seat, next, now);
+                }
+            }
+        }
+        is_done
+    }
+}
+
+fn life_of(member: &MemberRecord) -> InstanceLife {
+    InstanceLife {
+        instance: member.instance.clone(),
+        incarnation: member.incarnation,
+    }
+}
+
+fn is_routable(members: &MemberView, life: &InstanceLife) -> bool {
+    members
+        .find(&life.instance)
+        .is_some_and(|member| member.incarnation == life.incarnation && member.is_routable())
+}
--- /dev/null
+++ b/crates/guavawell-fleet/src/slot/resolve.rs
@@ -0,0 +1,94 @@
+//! Attempts that a dead router left behind: the backend server's record decides.
+
+use std::sync::Arc;
+
+use guavawell_core::budget::HeldAttempt;
+use guavawell_core::budget::InstanceLife;
+use guavawell_core::budget::ReleaseAsk;
+use guavawell_core::budget::ReserveGrant;
+use guavawell_core::budget::SettleAsk;
+use guavawell_core::id::TokenCount;
+use guavawell_core::request::RequestIdentity;
+
+use super::acquire::is_alive;
+use super::driver::SlotDriver;
+use super::seat::SlotSeat;
+
+/// What the backend server's record says of an attempt left behind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResolvedAttempt {
+    /// It ended whole and used this many tokens.
+    Done(TokenCount),
+    /// It was cancelled, or never arrived and is marked so.
+    NotRun,
+    /// It runs still, or nothing is known: it stays held at its worst case.
+    InDoubt,
+}
+
+/// An attempt whose router is gone.
+#[derive(Clone, Debug)]
+pub struct OrphanedAttempt {
+    /// The request.
+    pub identity: RequestIdentity,
+    /// What the ledger knows.
+    pub held: HeldAttempt,
+    /// The holder that answers for it.
+    pub holder: InstanceLife,
+}
+
+impl SlotDriver {
+    /// Attempts held here whose routers are gone.
+    #[must_use]
+    pub fn orphans(&self) -> Vec<OrphanedAttempt> {
+        let members = (self.parts.members)();
+        let mut orphans = Vec::new();
+        for seat in self.seats().iter() {
+            collect(seat, &mut orphans, |router| is_alive(&members, router));
+        }
+        orphans
+    }
+
+    /// Settles or releases an orphaned attempt as its record says.
+    pub async fn resolve(self: &Arc<Self>, orphan: &OrphanedAttempt, found: ResolvedAttempt) {
+        match found {
+            ResolvedAttempt::InDoubt => {}
+            ResolvedAttempt::NotRun => self.release_later(ReleaseAsk {
+                identity: orphan.identity.clone(),
+                attempt: orphan.held.attempt,
+            }),
+            ResolvedAttempt::Done(actual) => {
+                self.settle(SettleAsk {
+                    identity: orphan.identity.clone(),
+                    attempt: orphan.held.attempt,
+                    grant: ReserveGrant {
+                        holder: orphan.holder.clone(),
+                        tenure: orphan.held.tenure,
+                        pool: orphan.held.pool,
+                        amount: orphan.held.amount,
+                    },
+                    actual,
+                    backend: orphan.held.backend.clone(),
+                })
+                .await;
+            }
+        }
+    }
+}
+
+fn collect(
+    seat: &SlotSeat,
+    orphans: &mut Vec<OrphanedAttempt>,
+    is_alive: impl Fn(&InstanceLife) -> bool,
+) {
+    let state = seat.lock();
+    let Some(holder) = state.present() else {
+        return;
+    };
+    let held = holder.ledger().held_attempts();
+    let gone = held.filter(|(_, held)| !is_alive(&held.router));
+    orphans.extend(gone.map(|(identity, held)| OrphanedAttempt {
+        identity: identity.clone(),
+        held: held.clone(),
+        holder: holder.row().holder.clone(),
+    }));
+}
--- a/crates/guavawell-router/src/main.rs
+++ b/crates/guavawell-router/src/main.rs
@@ -1,3 +1,16 @@
-//! Placeholder entry point, replaced by the first thin path.
+//! `guavawell-router`: an entry instance.
 
-fn main() {}
+mod cli;
+mod exit;
+mod run;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let options = cli::read();
+    let status = run::run(&options).unwrap_or_else(|error| {
+        eprintln!("guavawell-router: {error}");
+        error.status()
+    });
+    status.into()
+}
