--- a/crates/guavawell-demo/src/fleet/manifest.rs
+++ b/crates/guavawell-demo/src/fleet/manifest.rs
@@ -63,7 +63,11 @@
             writeln!(text, "kind = \"model\"\nmodels = [\"draft-7b\"]")?;
             writeln!(text, "slots = {}", settings.engine_slots)?;
         } else {
-            writeln!(text, "kind = \"service\"\nslots = {}", settings.engine_slots)?;
+            writeln!(
+                text,
+                "kind = \"service\"\nslots = {}",
+                settings.engine_slots
+            )?;
         }
     }
     let services: Vec<String> = backends
--- a/crates/guavawell-demo/src/fleet/start.rs
+++ b/crates/guavawell-demo/src/fleet/start.rs
@@ -21,10 +21,10 @@
 use guavawell_fleet::router::RouterError;
 use guavawell_fleet::router::RouterHandle;
 use guavawell_fleet::router::RouterOptions;
+use guavawell_fleet::settings::EventTarget;
 use guavawell_fleet::settings::FilePath;
 use guavawell_fleet::settings::RouterSettings;
 use guavawell_fleet::settings::SecretText;
-use guavawell_fleet::settings::EventTarget;
 use guavawell_standin::engine::Engine;
 use guavawell_standin::engine::EngineSettings;
 use guavawell_standin::engine::ModelEntry;
@@ -112,6 +112,11 @@
     ///
     /// [`FleetError`].
     pub async fn start(settings: FleetSettings) -> Result<Self, FleetError> {
+        // Boxed: a router's start is too large for a caller's stack frame.
+        Box::pin(Self::start_all(settings)).await
+    }
+
+    async fn start_all(settings: FleetSettings) -> Result<Self, FleetError> {
         let platform = Platform::start(PlatformSettings {
             listen: free(),
             control: free(),
@@ -267,7 +272,9 @@
 
     /// Routers that run.
     pub fn live(&self) -> impl Iterator<Item = &RouterHandle> {
-        self.routers.iter().filter_map(|router| router.handle.as_ref())
+        self.routers
+            .iter()
+            .filter_map(|router| router.handle.as_ref())
     }
 
     /// Where callers reach the routers that run.
--- a/crates/guavawell-fleet/src/claim/driver.rs
+++ b/crates/guavawell-fleet/src/claim/driver.rs
@@ -27,7 +27,6 @@
 use super::batch::QueuedWrite;
 use super::batch::seen;
 use super::batch::write_batches;
-use super::count::count_refusal;
 use crate::clock::duration;
 use crate::clock::now;
 use crate::platform::Table;
@@ -137,7 +136,7 @@
         } else {
             Refusal::unsealed(identity, attempt, cause.reason, cause.detail.clone())
         };
-        counted(refusal, cause)
+        hinted(refusal, cause)
     }
 
     /// Refuses an attempt that holds its claim and was not sent: seals the id,
@@ -151,7 +150,7 @@
         let HeldClaim { attempt, revision } = claim;
         if cause.reason.wants_seal() {
             let refusal = self.seal(identity, attempt, revision, cause).await;
-            return counted(refusal, cause);
+            return hinted(refusal, cause);
         }
         let id = attempt.id();
         let step = self
@@ -164,7 +163,7 @@
             self.release_later(identity, id);
         }
         let refusal = Refusal::retry(attempt, cause.reason, cause.detail.clone());
-        counted(refusal, cause)
+        hinted(refusal, cause)
     }
 
     async fn seal(
@@ -265,21 +264,16 @@
 
 fn refused(result: Result<UnsentAttempt, Refusal>) -> ClaimAnswer {
     match result {
-        Err(refusal) => {
-            count_refusal(&refusal);
-            ClaimAnswer::Refused(refusal)
-        }
+        Err(refusal) => ClaimAnswer::Refused(refusal),
         Ok(_) => unreachable!("a held claim was answered before"),
     }
 }
 
-fn counted(refusal: Refusal, cause: &RefusalCause) -> Refusal {
-    let refusal = match cause.retry_after {
+fn hinted(refusal: Refusal, cause: &RefusalCause) -> Refusal {
+    match cause.retry_after {
         Some(span) => refusal.after(span),
         None => refusal,
-    };
-    count_refusal(&refusal);
-    refusal
+    }
 }
 
 fn count_end(goal: ClaimGoal, end: &ClaimEnd) {
--- a/crates/guavawell-fleet/src/router/answer.rs
+++ b/crates/guavawell-fleet/src/router/answer.rs
@@ -18,6 +18,7 @@
 use super::relay::StreamRelay;
 use crate::caller::FrameSender;
 use crate::caller::frame_body;
+use crate::claim::count_refusal;
 use crate::event::EventDraft;
 
 /// The event that ends a whole stream.
@@ -45,16 +46,10 @@
 }
 
 fn note_refusal(core: &RouterCore, identity: Option<&RequestIdentity>, refusal: &Refusal) {
-    let outcome = refusal.outcome().word();
-    let reason = refusal.reason().word();
-    metrics::counter!("guavawell_refusals_total", "outcome" => outcome, "reason" => reason)
-        .increment(1);
-    if refusal.is_inexact() {
-        metrics::counter!("guavawell_refusals_inexact_total", "reason" => reason).increment(1);
-    }
+    count_refusal(refusal);
     let mut event = EventDraft::new("request.refused")
-        .field("outcome", outcome)
-        .field("reason", reason);
+        .field("outcome", refusal.outcome().word())
+        .field("reason", refusal.reason().word());
     if let Some(identity) = identity {
         event = event
             .organisation(&identity.organisation)
@@ -137,9 +132,12 @@
     let attempt = relay.live.attempt;
     let parts = Mutex::new(AnswerParts::default());
     let end = relay
-        .run(|data| async {
-            parts.lock().await.add(data);
-            Ok(())
+        .run(|data| {
+            let parts = &parts;
+            async move {
+                parts.lock().await.add(&data);
+                Ok(())
+            }
         })
         .await;
     match end {
@@ -194,8 +192,8 @@
 }
 
 impl AnswerParts {
-    fn add(&mut self, data: Box<str>) {
-        let Ok(chunk) = serde_json::from_str::<ChunkView>(&data) else {
+    fn add(&mut self, data: &str) {
+        let Ok(chunk) = serde_json::from_str::<ChunkView>(data) else {
             return;
         };
         for choice in chunk.choices {
@@ -205,7 +203,7 @@
         }
         self.usage = chunk.usage.or(self.usage.take());
         if self.last.is_none() {
-            self.last = serde_json::from_str(&data).ok();
+            self.last = serde_json::from_str(data).ok();
         }
     }
 
--- a/crates/guavawell-fleet/src/router/attempt.rs
+++ b/crates/guavawell-fleet/src/router/attempt.rs
@@ -25,9 +25,11 @@
 use guavawell_core::request::UnsentAttempt;
 use smol::Timer;
 
+use super::claim::ReadyAttempt;
 use super::core::RouterCore;
 use super::entry::CallerEntry;
 use super::reserve::HeldReservation;
+use crate::claim::RefusalCause;
 use crate::clock;
 use crate::engine::AttemptState;
 use crate::engine::EngineError;
@@ -42,6 +44,9 @@
 /// Wait between two such looks.
 const PROBE_PAUSE: Duration = Duration::from_millis(200);
 
+/// When a caller may come back where nothing better is known.
+const RETRY_HINT: ClockSpan = ClockSpan::from_millis(1_000);
+
 /// What is sent, whichever backend server gets it.
 #[derive(Clone, Debug)]
 pub struct OutgoingCall {
@@ -89,7 +94,7 @@
 #[derive(Debug)]
 pub enum RecoveredAttempt {
     /// It goes on after the last event.
-    Resumed(EngineExchange),
+    Resumed(Box<EngineExchange>),
     /// The backend server never saw it and will refuse it from now on.
     NeverSeen,
     /// It was cancelled.
@@ -109,16 +114,12 @@
     call: &OutgoingCall,
     reservation: &mut HeldReservation,
 ) -> Result<LiveStream, Refusal> {
-    let unsent = UnsentAttempt::new(reservation.attempt);
-    let mut unsent = core.claim(entry, call, unsent).await?;
+    let mut ready = ReadyAttempt::claim(core, entry, call, reservation.attempt).await?;
     let mut tried: Vec<BackendId> = Vec::new();
     loop {
         let lease = match choose(core, call, &tried) {
             Ok(lease) => lease,
-            Err(cause) => {
-                core.unclaim(entry, call, reservation.attempt);
-                return Err(no_backend(entry, unsent, cause));
-            }
+            Err(cause) => return Err(ready.refuse(core, entry, &no_backend(cause)).await),
         };
         let backend = lease.backend().id().clone();
         tried.push(backend.clone());
@@ -127,7 +128,7 @@
         };
         note(core, reservation, &backend, call.idempotent);
         let message = engine_request(entry, call, reservation.attempt);
-        let sent = unsent.send();
+        let sent = ready.send();
         let mut attempt = StreamAttempt {
             core,
             lease,
@@ -139,28 +140,27 @@
             Ok((exchange, first)) => return Ok(attempt.live(exchange, first)),
             Err(failure) if failure.certainly_not_run() => {
                 attempt.close(&failure);
-                unsent = sent.certainly_not_run();
+                ready = sent.certainly_not_run();
                 if !core.retries.withdraw() {
-                    core.unclaim(entry, call, reservation.attempt);
-                    return Err(failed(entry, unsent, &failure));
+                    return Err(ready.refuse(core, entry, &failed(&failure)).await);
                 }
             }
             Err(failure) => match attempt.recover().await {
                 RecoveredAttempt::Resumed(mut exchange) => {
                     if let Ok(first) = attempt.first_event(&mut exchange).await {
-                        return Ok(attempt.live(exchange, first));
+                        return Ok(attempt.live(*exchange, first));
                     }
                     return Err(attempt.in_doubt(call, reservation, &failure));
                 }
                 RecoveredAttempt::NeverSeen if call.idempotent && core.retries.withdraw() => {
                     attempt.close(&failure);
-                    unsent = sent.certainly_not_run();
+                    ready = sent.certainly_not_run();
                 }
                 RecoveredAttempt::Unreachable if call.idempotent && core.retries.withdraw() => {
                     // The caller has seen nothing of it, and it may run twice.
                     attempt.cancel_later();
                     attempt.close(&failure);
-                    unsent = UnsentAttempt::new(reservation.attempt);
+                    ready = ReadyAttempt::Free(UnsentAttempt::new(reservation.attempt));
                 }
                 _ => return Err(attempt.in_doubt(call, reservation, &failure)),
             },
@@ -248,7 +248,7 @@
                 let resumed = core.engines.resume(address, attempt, last.as_deref()).await;
                 if let Ok(exchange) = resumed {
                     metrics::counter!("guavawell_streams_resumed_total").increment(1);
-                    return RecoveredAttempt::Resumed(exchange);
+                    return RecoveredAttempt::Resumed(Box::new(exchange));
                 }
             }
             Err(EngineError::UnknownAttempt) => {
@@ -428,29 +428,30 @@
     }
 }
 
-/// The refusal where no backend server can be chosen.
+/// Why a request is refused where no backend server can be chosen.
 #[must_use]
-pub fn no_backend(entry: &CallerEntry, unsent: UnsentAttempt, cause: NoBackend) -> Refusal {
-    let identity = &entry.head.identity;
-    let hint = match cause {
-        NoBackend::Saturated { retry_after } => retry_after,
-        _ => ClockSpan::from_millis(1_000),
-    };
-    let reason = match cause {
-        NoBackend::Saturated { .. } => RefusalReason::Overloaded,
-        _ => RefusalReason::NoBackend,
+pub fn no_backend(cause: NoBackend) -> RefusalCause {
+    let (reason, hint) = match cause {
+        NoBackend::Saturated { retry_after } => (RefusalReason::Overloaded, retry_after),
+        _ => (RefusalReason::NoBackend, RETRY_HINT),
     };
-    Refusal::unsealed(identity, unsent, reason, cause.to_string()).after(hint)
+    RefusalCause {
+        reason,
+        detail: cause.to_string().into(),
+        retry_after: Some(hint),
+    }
 }
 
-/// The refusal where an attempt did not run and may not be retried.
+/// Why a request is refused whose attempt did not run and may not be retried.
 #[must_use]
-pub fn failed(entry: &CallerEntry, unsent: UnsentAttempt, failure: &EngineError) -> Refusal {
-    let identity = &entry.head.identity;
+pub fn failed(failure: &EngineError) -> RefusalCause {
     let (reason, hint) = match failure {
         EngineError::Rejected { retry_after, .. } => (RefusalReason::Overloaded, *retry_after),
         _ => (RefusalReason::BackendFailed, None),
     };
-    let hint = hint.unwrap_or(ClockSpan::from_millis(1_000));
-    Refusal::unsealed(identity, unsent, reason, failure.to_string()).after(hint)
+    RefusalCause {
+        reason,
+        detail: failure.to_string().into(),
+        retry_after: Some(hint.unwrap_or(RETRY_HINT)),
+    }
 }
--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -66,8 +66,7 @@
         Timer::after(ADMISSION_REVIEW).await;
         let now = clock::now();
         let table = core.backends.load_full();
-        core.door
-            .review(now, |target| table.capacity(target, now));
+        core.door.review(now, |target| table.capacity(target, now));
     }
 }
 
--- a/crates/guavawell-fleet/src/router/core.rs
+++ b/crates/guavawell-fleet/src/router/core.rs
@@ -15,6 +15,7 @@
 use guavawell_core::request::chat::ChatLimits;
 
 use super::admit::AdmissionDoor;
+use crate::claim::ClaimDriver;
 use crate::engine::EngineClient;
 use crate::event::EventLog;
 use crate::platform::Table;
@@ -38,7 +39,9 @@
     pub engines: EngineClient,
     /// Money.
     pub slots: Arc<SlotDriver>,
-    /// The platform's table, for claims.
+    /// Claims and seals.
+    pub claims: ClaimDriver,
+    /// The platform's table.
     pub table: Table,
     /// Retries allowed.
     pub retries: RetryBudget,
--- a/crates/guavawell-fleet/src/router/mod.rs
+++ b/crates/guavawell-fleet/src/router/mod.rs
@@ -5,9 +5,9 @@
 
 mod admit;
 mod answer;
-mod claim;
 mod attempt;
 mod background;
+mod claim;
 mod core;
 mod entry;
 mod fetch;
--- a/crates/guavawell-fleet/src/router/relay.rs
+++ b/crates/guavawell-fleet/src/router/relay.rs
@@ -105,7 +105,7 @@
             recover(&self.core, self.live.address, &self.live.check).await
         };
         if let RecoveredAttempt::Resumed(exchange) = found {
-            self.live.exchange = exchange;
+            self.live.exchange = *exchange;
             return Ok(());
         }
         if let Some(lease) = self.live.lease.take() {
--- a/crates/guavawell-fleet/src/router/reserve.rs
+++ b/crates/guavawell-fleet/src/router/reserve.rs
@@ -112,7 +112,7 @@
             } => return Ok(ReservedRequest::Follow { attempt, backend }),
             // The other try has not chosen its backend server yet, or gives up.
             ReserveAnswer::Joined { backend: None, .. } => Timer::after(JOIN_PAUSE).await,
-            other => return Err(refusal(entry, UnsentAttempt::new(attempt), other)),
+            other => return Err(refusal(entry, UnsentAttempt::new(attempt), &other)),
         };
     }
     let detail = "another try of this id is running and its answer cannot be joined yet";
@@ -143,14 +143,14 @@
     })
 }
 
-fn refusal(entry: &CallerEntry, unsent: UnsentAttempt, answer: ReserveAnswer) -> Refusal {
+fn refusal(entry: &CallerEntry, unsent: UnsentAttempt, answer: &ReserveAnswer) -> Refusal {
     let identity = &entry.head.identity;
     match answer {
         ReserveAnswer::Exhausted {
             retry_after,
             elsewhere,
         } => {
-            let detail = if elsewhere > TokenCount::ZERO {
+            let detail = if *elsewhere > TokenCount::ZERO {
                 format!("the rest of `{}` is held in other zones", entry.budget)
             } else {
                 format!("the rest of `{}` does not cover the request", entry.budget)
@@ -158,7 +158,7 @@
             let reason = RefusalReason::BudgetExhausted;
             let refusal = Refusal::unsealed(identity, unsent, reason, detail);
             match retry_after {
-                Some(span) => refusal.after(span),
+                Some(span) => refusal.after(*span),
                 None => refusal,
             }
         }
@@ -177,7 +177,7 @@
         ReserveAnswer::Unreachable { retry_after } => {
             let detail = format!("nobody who may spend `{}` can be reached", entry.budget);
             let reason = RefusalReason::BudgetUnreachable;
-            Refusal::unsealed(identity, unsent, reason, detail).after(retry_after)
+            Refusal::unsealed(identity, unsent, reason, detail).after(*retry_after)
         }
         ReserveAnswer::NotHolder { .. } | ReserveAnswer::Granted(_) => {
             let detail = format!("the holder of `{}` is changing", entry.budget);
--- a/crates/guavawell-fleet/src/router/service.rs
+++ b/crates/guavawell-fleet/src/router/service.rs
@@ -13,7 +13,6 @@
 use guavawell_core::manifest::ServiceEntry;
 use guavawell_core::request::Refusal;
 use guavawell_core::request::RefusalReason;
-use guavawell_core::request::UnsentAttempt;
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
@@ -28,6 +27,7 @@
 use super::attempt::lease_outcome;
 use super::attempt::no_backend;
 use super::attempt::note;
+use super::claim::ReadyAttempt;
 use super::core::RouterCore;
 use super::entry::CallerEntry;
 use super::relay::settle_reservation;
@@ -123,16 +123,12 @@
     call: &OutgoingCall,
     reservation: &mut HeldReservation,
 ) -> Result<(BackendId, ServiceAnswer), Refusal> {
-    let mut unsent = UnsentAttempt::new(reservation.attempt);
+    let mut ready = ReadyAttempt::claim(core, entry, call, reservation.attempt).await?;
     let mut tried: Vec<BackendId> = Vec::new();
-    unsent = core.claim(entry, call, unsent).await?;
     loop {
         let lease = match choose(core, call, &tried) {
             Ok(lease) => lease,
-            Err(cause) => {
-                core.unclaim(entry, call, reservation.attempt);
-                return Err(no_backend(entry, unsent, cause));
-            }
+            Err(cause) => return Err(ready.refuse(core, entry, &no_backend(cause)).await),
         };
         let backend = lease.backend().id().clone();
         tried.push(backend.clone());
@@ -141,7 +137,7 @@
         };
         note(core, reservation, &backend, call.idempotent);
         let message = engine_request(entry, call, reservation.attempt);
-        let sent = unsent.send();
+        let sent = ready.send();
         let wait = clock::duration(core.settings.limits.request_timeout_ms);
         match core.engines.call_service(address, &message, wait).await {
             Ok(answer) => {
@@ -155,10 +151,9 @@
                 if !may_run_again {
                     return Err(in_doubt(call, reservation, &backend, &failure));
                 }
-                unsent = sent.certainly_not_run();
+                ready = sent.certainly_not_run();
                 if !core.retries.withdraw() {
-                    core.unclaim(entry, call, reservation.attempt);
-                    return Err(failed(entry, unsent, &failure));
+                    return Err(ready.refuse(core, entry, &failed(&failure)).await);
                 }
             }
         }
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -30,6 +30,8 @@
 use super::targets::backend_specs;
 use super::targets::route_targets;
 use crate::caller::CallerListener;
+use crate::claim::BatchSettings;
+use crate::claim::ClaimDriver;
 use crate::clock;
 use crate::config::ConfigDriver;
 use crate::config::ConfigHandle;
@@ -127,11 +129,25 @@
             instance: settings.instance.id.clone(),
             incarnation: draw_incarnation(clock::now(), fastrand::u64(..)),
         };
-        let events = EventLog::open(&settings::event_log(&settings), life.instance.clone(), life.incarnation)?;
+        let events = EventLog::open(
+            &settings::event_log(&settings),
+            life.instance.clone(),
+            life.incarnation,
+        )?;
         let threads = TaskThreads::start("router", options.threads)?;
         let tasks = threads.spawner();
-        let callers = ports::bind("callers", settings.callers.listen, settings::caller_limits(&settings)).await?;
-        let operators = ports::bind("operators", settings.operators.listen, settings::operator_limits()).await?;
+        let callers = ports::bind(
+            "callers",
+            settings.callers.listen,
+            settings::caller_limits(&settings),
+        )
+        .await?;
+        let operators = ports::bind(
+            "operators",
+            settings.operators.listen,
+            settings::operator_limits(),
+        )
+        .await?;
         let slots: Arc<OnceLock<(Arc<SlotDriver>, GossipDriver)>> = Arc::new(OnceLock::new());
         let peers = start_peers(&settings, &life, &events, &slots)?;
         let own = MemberRecord {
@@ -158,12 +174,19 @@
         let objects = Objects::new(settings.platform.objects, &settings.platform.bucket, pool);
         let view = Arc::new(ArcSwap::from_pointee(FleetView::empty()));
         let driver = SlotDriver::new(settings::slot_parts(
-            &settings, &life, &events, tasks.clone(), &table, &view, &gossip, client,
+            &settings,
+            &life,
+            &events,
+            tasks.clone(),
+            &table,
+            &view,
+            &gossip,
+            client,
         ));
         // Set once: nothing else sets it.
         let _ = slots.set((Arc::clone(&driver), gossip.clone()));
         let core = Arc::new(RouterCore {
-            life,
+            life: life.clone(),
             view,
             backends: ArcSwap::from_pointee(BackendTable::new(
                 settings::routing(&settings),
@@ -173,6 +196,7 @@
             door: Arc::new(AdmissionDoor::new(settings::admission(&settings))),
             engines: EngineClient::new(settings::engines(&settings)),
             slots: driver,
+            claims: ClaimDriver::start(table.clone(), life.clone(), BatchSettings::default()),
             table: table.clone(),
             retries: RetryBudget::new(RetrySettings::default()),
             events,
@@ -211,7 +235,12 @@
         background::spawn(&self.core, &self.gossip, hints);
         ports::serve_callers(&self.core, &self.callers)?;
         ports::serve_operators(&self.core, &self.operators, &self.config)?;
-        let row = background::instance_row(self.callers.address()?, self.operators.address()?, self.peers.address(), &self.core);
+        let row = background::instance_row(
+            self.callers.address()?,
+            self.operators.address()?,
+            self.peers.address(),
+            &self.core,
+        );
         tasks.spawn(background::publish_row(Arc::clone(&self.core), row));
         self.core.events.emit(EventDraft::new("instance.started"));
         Ok(())
--- a/crates/guavawell-load/src/client/exchange.rs
+++ b/crates/guavawell-load/src/client/exchange.rs
@@ -14,15 +14,14 @@
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
+use super::message::ChatAnswer;
+use super::message::ProblemDocument;
+use super::stream::StreamDecoder;
 use crate::history::IncompleteCause;
 use crate::history::RefusalOutcome;
 use crate::history::TryEnd;
 use crate::hooks::AnswerUsage;
 
-use super::message::ChatAnswer;
-use super::message::ProblemDocument;
-use super::stream::StreamDecoder;
-
 /// Bytes read from a body at a time.
 const READ_BYTES: usize = 8 * 1024;
 
--- a/crates/guavawell-load/src/report/plot.rs
+++ b/crates/guavawell-load/src/report/plot.rs
@@ -2,10 +2,9 @@
 
 use std::fmt::Write;
 
-use crate::measure::SeriesPoint;
-
 use super::LoadReport;
 use super::duration_text;
+use crate::measure::SeriesPoint;
 
 /// Width of the picture.
 const WIDTH: f64 = 900.0;
--- a/crates/guavawell-load/src/report/text.rs
+++ b/crates/guavawell-load/src/report/text.rs
@@ -2,13 +2,12 @@
 
 use std::fmt::Write;
 
-use crate::history::TryEnd;
-use crate::measure::EndCount;
-use crate::measure::LatencySummary;
-
 use super::LatencyReport;
 use super::LoadReport;
 use super::RequestCounts;
+use crate::history::TryEnd;
+use crate::measure::EndCount;
+use crate::measure::LatencySummary;
 
 /// The report as text, for people.
 #[must_use]
--- a/crates/guavawell-load/src/runner/arrival.rs
+++ b/crates/guavawell-load/src/runner/arrival.rs
@@ -9,12 +9,11 @@
 use smol::channel;
 use smol::future::yield_now;
 
+use super::worker::Worker;
 use crate::caller;
 use crate::caller::CallerRequest;
 use crate::plan::RequestProfile;
 
-use super::worker::Worker;
-
 /// Multiplier that spreads neighbouring numbers over all seeds (2^64 divided
 /// by the golden ratio, the usual Weyl constant).
 const SEED_SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
--- a/crates/guavawell-router/src/run.rs
+++ b/crates/guavawell-router/src/run.rs
@@ -82,7 +82,7 @@
         }
         Err(error) => {
             log::warn!("signals are not heard: {error}; leave by `POST /drain`");
-            future::pending().await
+            future::pending::<()>().await;
         }
     }
 }
--- a/crates/guavawell-timeline/src/output/text.rs
+++ b/crates/guavawell-timeline/src/output/text.rs
@@ -5,11 +5,10 @@
 
 use guavawell_core::event::EventRecord;
 
+use super::time_text;
 use crate::merge::EventMerge;
 use crate::offset::OffsetEstimate;
 
-use super::time_text;
-
 /// One event as one line, without the line's end.
 #[must_use]
 pub fn event_text(record: &EventRecord) -> String {
--- a/crates/guavawell-timeline/src/source/window.rs
+++ b/crates/guavawell-timeline/src/source/window.rs
@@ -7,14 +7,13 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use crate::merge::EventHead;
-
 use super::EventPlace;
 use super::EventSource;
 use super::PlacedEvent;
 use super::bad::BadLine;
 use super::bad::BadLineList;
 use super::line::LineReader;
+use crate::merge::EventHead;
 
 /// One log, its records put in order over a window.
 pub(crate) struct ReorderWindow {
