Lay an organisation's budgets out flat

Cause: each probe of the binary search for a budget followed a pointer to an id elsewhere in memory, and each id was an allocation of its own.

Change: BudgetList keeps the ids of an organisation in one text, with their ends and paid tokens beside; lookups give a StatedBudget that borrows the id.

--- a/crates/guavawell-core/examples/manifest_cost/fleet.rs
+++ b/crates/guavawell-core/examples/manifest_cost/fleet.rs
@@ -12,6 +12,7 @@
 use guavawell_core::manifest::KeyHash;
 use guavawell_core::manifest::ModelEntry;
 use guavawell_core::manifest::OrganisationEntry;
+use guavawell_core::manifest::StatedBudget;
 use guavawell_core::manifest::page::BACKEND_PAGES;
 use guavawell_core::manifest::page::BRANCH_PAGES;
 use guavawell_core::manifest::page::BRANCHES;
@@ -149,6 +150,13 @@
     pages
 }
 
+fn cheaper(budget: StatedBudget<'_>) -> BudgetEntry {
+    BudgetEntry {
+        id: budget.id.parse().expect("a good id"),
+        paid: TokenCount::new(budget.paid.get() - 1),
+    }
+}
+
 /// The pages that differ after a change of one organisation's paid budget.
 pub fn with_changed_organisation(
     view: &FleetView,
@@ -165,7 +173,7 @@
     let bytes = &pages.page(digest).expect("a page").bytes;
     let mut page = OrganisationPage::decode(digest, bytes).expect("a page");
     for entry in page.organisations.iter_mut().filter(|entry| entry.id == id) {
-        entry.budgets[0].paid = TokenCount::new(7);
+        entry.budgets = entry.budgets.iter().map(cheaper).collect();
     }
     let page = page.encode();
     branch.pages[place % BRANCH_PAGES] = page.digest;
--- a/crates/guavawell-core/src/manifest/check/assemble.rs
+++ b/crates/guavawell-core/src/manifest/check/assemble.rs
@@ -9,6 +9,7 @@
 use crate::manifest::AdapterEntry;
 use crate::manifest::BackendEntry;
 use crate::manifest::BudgetEntry;
+use crate::manifest::BudgetList;
 use crate::manifest::FleetManifest;
 use crate::manifest::FleetShape;
 use crate::manifest::ModelEntry;
@@ -84,7 +85,7 @@
         while let Some(budget) = budgets.next_if(|budget| budget.owner == entry.id) {
             own.push(budget.entry);
         }
-        entry.budgets = own.into();
+        entry.budgets = own.into_iter().collect();
     }
     entries
 }
@@ -127,7 +128,7 @@
         default_budget: section.default_budget?.value,
         weight: section.weight,
         adapters: sorted_unique(section.adapters, &key, source),
-        budgets: Box::default(),
+        budgets: BudgetList::default(),
     })
 }
 
--- a/crates/guavawell-core/src/manifest/entry.rs
+++ b/crates/guavawell-core/src/manifest/entry.rs
@@ -7,7 +7,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::BudgetList;
 use super::KeyHash;
+use super::StatedBudget;
 use crate::id::BackendId;
 use crate::id::BudgetId;
 use crate::id::ModelId;
@@ -56,15 +58,14 @@
     /// The adapters it may use, sorted.
     pub adapters: Box<[ModelId]>,
     /// Its budgets, sorted by id.
-    pub budgets: Box<[BudgetEntry]>,
+    pub budgets: BudgetList,
 }
 
 impl OrganisationEntry {
     /// The organisation's budget of this id.
     #[must_use]
-    pub fn budget(&self, id: &BudgetId) -> Option<&BudgetEntry> {
-        let found = self.budgets.binary_search_by(|budget| budget.id.cmp(id));
-        found.ok().map(|index| &self.budgets[index])
+    pub fn budget(&self, id: &BudgetId) -> Option<StatedBudget<'_>> {
+        self.budgets.get(id)
     }
 }
 
--- a/crates/guavawell-core/src/manifest/mod.rs
+++ b/crates/guavawell-core/src/manifest/mod.rs
@@ -6,6 +6,7 @@
 //! organisation's page and nothing else. This folder decides; fetching pages
 //! and reading the version row is `guavawell-fleet::config`.
 
+mod budget;
 mod change;
 mod check;
 mod digest;
@@ -17,6 +18,8 @@
 mod version;
 mod view;
 
+pub use budget::BudgetList;
+pub use budget::StatedBudget;
 pub use change::check_change;
 pub use digest::ContentDigest;
 pub use digest::DigestError;
--- a/crates/guavawell-core/src/manifest/view/fleet.rs
+++ b/crates/guavawell-core/src/manifest/view/fleet.rs
@@ -18,7 +18,6 @@
 use crate::id::ZoneId;
 use crate::manifest::AdapterEntry;
 use crate::manifest::BackendEntry;
-use crate::manifest::BudgetEntry;
 use crate::manifest::ContentDigest;
 use crate::manifest::FleetManifest;
 use crate::manifest::FleetShape;
@@ -26,6 +25,7 @@
 use crate::manifest::ModelEntry;
 use crate::manifest::OrganisationEntry;
 use crate::manifest::ServiceEntry;
+use crate::manifest::StatedBudget;
 use crate::manifest::page;
 use crate::manifest::page::BRANCH_PAGES;
 use crate::manifest::page::BRANCHES;
@@ -169,7 +169,7 @@
 
     /// The budget of this id, if it belongs to the organisation.
     #[must_use]
-    pub fn budget(&self, organisation: &OrganisationId, id: &BudgetId) -> Option<&BudgetEntry> {
+    pub fn budget(&self, organisation: &OrganisationId, id: &BudgetId) -> Option<StatedBudget<'_>> {
         self.organisation(organisation)?.budget(id)
     }
 
--- a/crates/guavawell-core/tests/manifest_view.rs
+++ b/crates/guavawell-core/tests/manifest_view.rs
@@ -187,7 +187,7 @@
         let naive = manifest.organisations.iter().find(|o| o.id == organisation);
         assert_eq!(view.organisation(&organisation), naive);
         let budget: BudgetId = id(&format!("b{number}"));
-        let naive = naive.and_then(|o| o.budgets.iter().find(|b| b.id == budget));
+        let naive = naive.and_then(|o| o.budgets.iter().find(|b| b.id == budget.as_str()));
         assert_eq!(view.budget(&organisation, &budget), naive);
     }
 }
--- a/crates/guavawell-ctl/src/budget/list.rs
+++ b/crates/guavawell-ctl/src/budget/list.rs
@@ -1,6 +1,8 @@
 //! `budget list`
 
 use guavawell_core::budget::BudgetRow;
+use guavawell_core::id::BudgetId;
+use guavawell_core::id::IdError;
 use guavawell_core::id::OrganisationId;
 use guavawell_fleet::platform::TableRow;
 
@@ -38,18 +40,26 @@
     };
     let mut reports = Vec::new();
     for entry in organisations {
-        for budget in entry.budgets {
+        for budget in entry.budgets.iter() {
+            let id = manifest_id(budget.id)?;
             let row = match &rows {
-                Some(rows) => find_row(rows, &budget_key(&budget.id))?,
-                None => read_budget(platform, &budget.id).await?.row,
+                Some(rows) => find_row(rows, &budget_key(&id))?,
+                None => read_budget(platform, &id).await?.row,
             };
-            let report = BudgetReport::new(budget.id, entry.id.clone(), budget.paid, row);
+            let report = BudgetReport::new(id, entry.id.clone(), budget.paid, row);
             reports.push(report);
         }
     }
     Ok(reports)
 }
 
+fn manifest_id(id: &str) -> Result<BudgetId, CtlError> {
+    id.parse().map_err(|error: IdError| CtlError::BadRow {
+        key: "the manifest's pages".into(),
+        reason: error.to_string().into(),
+    })
+}
+
 fn find_row(rows: &[TableRow], key: &str) -> Result<Option<BudgetRow>, CtlError> {
     let found = rows.binary_search_by(|row| (*row.key).cmp(key));
     found.ok().map(|index| read_row(&rows[index])).transpose()
