Show that a call is never sent twice and that "not sent" is true

Cause: nothing tested the client's word about calls over connections that break while calls are under way; connections to instances that had gone were kept for ever; links left no trace on the time line.

Change: a test cuts 25 connections with calls under way and compares what the client said with what the handler saw. Connections without a link and without calls are forgotten when a new instance is called. Links emit peer.connected and peer.disconnected; calls, batches and failures are counted.

--- a/crates/guavawell-fleet/src/peer/client/connection.rs
+++ b/crates/guavawell-fleet/src/peer/client/connection.rs
@@ -16,6 +16,7 @@
 use super::link::PeerLink;
 use super::pending::QueuedCall;
 use super::thread::ThreadContext;
+use crate::event::EventDraft;
 use crate::peer::error::PeerFailure;
 use crate::peer::transport::duration;
 
@@ -78,6 +79,11 @@
         self.wake.close();
     }
 
+    /// Whether there is a link, or a call that waits for one.
+    pub fn is_used(&self) -> bool {
+        self.link.borrow().is_some() || self.calls() > 0
+    }
+
     /// Whether the connection was retired and has nothing left to do.
     pub fn is_done(&self) -> bool {
         self.wake.is_closed() && self.calls() == 0
@@ -131,14 +137,27 @@
             Ok(link) => {
                 let link = Rc::new(link);
                 *self.link.borrow_mut() = Some(Rc::clone(&link));
+                self.emit("peer.connected", |draft| {
+                    draft.field("incarnation", link.life().incarnation)
+                });
                 self.send();
                 let failure = link.watch(self).await;
                 *self.link.borrow_mut() = None;
+                let lost = link.running();
                 link.fail_calls(&failure);
+                self.emit("peer.disconnected", |draft| {
+                    draft.field("cause", &failure).field("lost_calls", lost)
+                });
             }
         }
     }
 
+    /// Records a change of the connection on the time line.
+    fn emit(&self, kind: &str, detail: impl Fn(EventDraft) -> EventDraft) {
+        let draft = EventDraft::new(kind).field("peer", &self.target.instance);
+        self.context.settings.log.emit(detail(draft));
+    }
+
     fn fail_queue(&self, failure: &PeerFailure) {
         for call in self.queue.borrow_mut().drain(..) {
             call.fail(failure.clone());
--- a/crates/guavawell-fleet/src/peer/client/link.rs
+++ b/crates/guavawell-fleet/src/peer/client/link.rs
@@ -79,6 +79,11 @@
         })
     }
 
+    /// The life that the peer greeted with.
+    pub const fn life(&self) -> &InstanceLife {
+        &self.life
+    }
+
     /// Calls that were sent and have no reply.
     pub fn running(&self) -> usize {
         self.book.running()
@@ -151,6 +156,8 @@
             }
             return;
         }
+        metrics::counter!("guavawell_peer_batches_total").increment(1);
+        metrics::counter!("guavawell_peer_calls_total").increment(u64::from(count));
         self.book.note_sent(batch);
         self.last_call.set(Instant::now());
         self.batches.set(self.batches.get() + 1);
--- a/crates/guavawell-fleet/src/peer/client/pending.rs
+++ b/crates/guavawell-fleet/src/peer/client/pending.rs
@@ -81,6 +81,7 @@
 
     /// Fails the call as not sent.
     pub fn fail(self, failure: PeerFailure) {
+        metrics::counter!("guavawell_peer_calls_not_sent_total").increment(1);
         // The caller may have gone.
         let _ = self.call.reply.send(Err(PeerError::NotSent(failure)));
     }
@@ -126,12 +127,15 @@
                 return;
             }
             let number = call.number;
+            metrics::counter!("guavawell_peer_calls_lost_total").increment(1);
             self.finish(number, Err(PeerError::Lost(PeerFailure::TimedOut)));
         }
     }
 
     /// Fails all calls.
     pub fn fail_all(&mut self, failure: &PeerFailure) {
+        let lost = u64::try_from(self.calls.len()).unwrap_or(u64::MAX);
+        metrics::counter!("guavawell_peer_calls_lost_total").increment(lost);
         for call in self.calls.drain(..) {
             // The caller may have gone.
             let _ = call.reply.send(Err(PeerError::Lost(failure.clone())));
--- a/crates/guavawell-fleet/src/peer/client/thread.rs
+++ b/crates/guavawell-fleet/src/peer/client/thread.rs
@@ -99,11 +99,27 @@
                 self.connections[index] = Rc::clone(&connection);
                 connection
             }
-            Err(index) => {
+            Err(_) => {
+                self.drop_unused();
                 let connection = PeerConnection::start(&self.context, target);
-                self.connections.insert(index, Rc::clone(&connection));
+                let place = self
+                    .connections
+                    .partition_point(|other| other.instance() < &target.instance);
+                self.connections.insert(place, Rc::clone(&connection));
                 connection
             }
         }
     }
+
+    /// Forgets connections that are closed and have no calls, so that
+    /// instances that were replaced leave nothing behind.
+    fn drop_unused(&mut self) {
+        self.connections.retain(|connection| {
+            let used = connection.is_used();
+            if !used {
+                connection.retire();
+            }
+            used
+        });
+    }
 }
--- a/crates/guavawell-fleet/src/peer/tests.rs
+++ b/crates/guavawell-fleet/src/peer/tests.rs
@@ -1,5 +1,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -145,12 +147,18 @@
 struct TestHandler {
     arrived: Sender<()>,
     go: Receiver<()>,
+    seen: SeenNumbers,
 }
 
+/// The numbers of the hand-backs that reached the handler, in any order.
+type SeenNumbers = Arc<Mutex<Vec<u64>>>;
+
 /// The test's side of a [`TestHandler`].
+#[derive(Clone)]
 struct SealControl {
     arrived: Receiver<()>,
     go: Sender<()>,
+    seen: SeenNumbers,
 }
 
 impl SealControl {
@@ -158,6 +166,13 @@
         smol::block_on(self.arrived.recv()).unwrap();
     }
 
+    /// The numbers that reached the handler, sorted.
+    fn seen(&self) -> Vec<u64> {
+        let mut seen = self.seen.lock().unwrap().clone();
+        seen.sort_unstable();
+        seen
+    }
+
     fn let_go(&self) {
         self.go.close();
     }
@@ -166,8 +181,17 @@
 fn test_handler() -> (TestHandler, SealControl) {
     let (arrived, see) = channel::unbounded();
     let (go, wait) = channel::bounded(1);
-    let handler = TestHandler { arrived, go: wait };
-    let control = SealControl { arrived: see, go };
+    let seen = SeenNumbers::default();
+    let handler = TestHandler {
+        arrived,
+        go: wait,
+        seen: Arc::clone(&seen),
+    };
+    let control = SealControl {
+        arrived: see,
+        go,
+        seen,
+    };
     (handler, control)
 }
 
@@ -175,6 +199,7 @@
     async fn answer(self, call: PeerCall) -> PeerReply {
         match call.request {
             PeerRequest::HandBack(ask) => {
+                self.seen.lock().unwrap().push(ask.wanted.get());
                 if ask.wanted.get() % 3 == 0 {
                     future::yield_now().await;
                 }
--- a/crates/guavawell-fleet/src/peer/tests/fault.rs
+++ b/crates/guavawell-fleet/src/peer/tests/fault.rs
@@ -1,13 +1,16 @@
 //! Connections that break, go silent or carry too much.
 
 use std::net::Ipv4Addr;
+use std::ops::RangeFrom;
 
 use guavawell_core::budget::LedgerEntry;
 use guavawell_core::budget::WitnessMessage;
 use guavawell_core::budget::WitnessRecord;
 use guavawell_core::clock::ClockSpan;
+use smol::future;
 
 use super::SHORT;
+use super::SealControl;
 use super::call;
 use super::call_aside;
 use super::client_settings;
@@ -27,6 +30,7 @@
 use crate::peer::PeerFailure;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
+use crate::peer::PeerTarget;
 use crate::settings::ByteCount;
 
 #[test]
@@ -181,3 +185,90 @@
     assert_eq!(call(&client, &target, hand_back(2)), Ok(given(2)));
     assert_eq!(relay.accepted(), 2);
 }
+
+/// Calls by their outcome.
+#[derive(Default)]
+struct CallHistory {
+    answered: Vec<u64>,
+    not_sent: Vec<u64>,
+    lost: Vec<u64>,
+}
+
+impl CallHistory {
+    fn note(&mut self, number: u64, outcome: Result<PeerReply, PeerError>) {
+        match outcome {
+            Ok(reply) => {
+                assert_eq!(reply, given(number));
+                self.answered.push(number);
+            }
+            Err(PeerError::NotSent(_)) => self.not_sent.push(number),
+            Err(PeerError::Lost(_)) => self.lost.push(number),
+        }
+    }
+}
+
+/// Calls in `rounds` of a connection each, which is cut with calls under way.
+async fn call_through_cuts(
+    client: &PeerClient,
+    relay: &TestRelay,
+    control: &SealControl,
+    rounds: u64,
+) -> CallHistory {
+    let target = target(relay.address());
+    let mut history = CallHistory::default();
+    let mut numbers = 0..;
+    for _ in 0..rounds {
+        connect_again(client, &target, &mut numbers, &mut history).await;
+        let round: Vec<u64> = numbers.by_ref().take(200).collect();
+        let calls = round
+            .iter()
+            .map(|number| client.call(&target, hand_back(*number)));
+        let calls = futures::future::join_all(calls);
+        let (cutter, seen) = (relay.clone(), control.clone());
+        let cut = smol::unblock(move || {
+            seen.wait_for_seal();
+            cutter.cut();
+        });
+        let open = client.call(&target, seal());
+        let ((outcomes, open), ()) = future::zip(future::zip(calls, open), cut).await;
+        assert_eq!(open, Err(PeerError::Lost(PeerFailure::Closed)));
+        for (number, outcome) in round.into_iter().zip(outcomes) {
+            history.note(number, outcome);
+        }
+    }
+    history
+}
+
+/// Calls until one is answered, so that there is a connection to cut.
+async fn connect_again(
+    client: &PeerClient,
+    target: &PeerTarget,
+    numbers: &mut RangeFrom<u64>,
+    history: &mut CallHistory,
+) {
+    for number in numbers {
+        let outcome = client.call(target, hand_back(number)).await;
+        let answered = outcome.is_ok();
+        history.note(number, outcome);
+        if answered {
+            return;
+        }
+    }
+}
+
+#[test]
+fn through_cuts_no_call_is_sent_twice_and_not_sent_is_true() {
+    let mut peers = settings();
+    peers.max_connections = 4;
+    let (server, control) = start_server(&server_settings(peers));
+    let client = PeerClient::start(&client_settings(settings())).unwrap();
+    let relay = TestRelay::start(server.address());
+    let history = smol::block_on(call_through_cuts(&client, &relay, &control, 25));
+    drop((client, server));
+    let seen = control.seen();
+    let twice = seen.windows(2).find(|pair| pair[0] == pair[1]);
+    assert_eq!(twice, None);
+    let is_seen = |number: &u64| seen.binary_search(number).is_ok();
+    assert!(history.answered.iter().all(is_seen));
+    assert!(!history.not_sent.iter().any(is_seen));
+}
--- a/crates/guavawell-fleet/src/peer/tests/relay.rs
+++ b/crates/guavawell-fleet/src/peer/tests/relay.rs
@@ -16,6 +16,7 @@
 use std::thread;
 
 /// Relays connections to one address until the test ends.
+#[derive(Clone)]
 pub struct TestRelay {
     address: SocketAddr,
     state: Arc<RelayState>,
