Keep the checks' facts in less memory

Cause: the checks held 655,228 kB at 4.0 million lines. Change: organisations and instances are kept once in a table and known by number; a request's facts are written out only while its rules run.

--- a/crates/guavawell-timeline/src/check/caller.rs
+++ b/crates/guavawell-timeline/src/check/caller.rs
@@ -105,10 +105,10 @@
 }
 
 /// Sets a caller's record against the facts of its request.
-pub(super) fn check(record: &CallerRecord, facts: &[&HistoryFact]) -> Option<HistoryBreach> {
+pub(super) fn check(record: &CallerRecord, facts: &[HistoryFact]) -> Option<HistoryBreach> {
     let shown = |wanted: &[FactKind]| -> Vec<HistoryFact> {
         let kept = facts.iter().filter(|fact| wanted.contains(&fact.kind));
-        kept.map(|fact| (*fact).clone()).collect()
+        kept.cloned().collect()
     };
     let billed = shown(&[FactKind::Billed]);
     let (rule, facts) = match record.end {
--- a/crates/guavawell-timeline/src/check/mod.rs
+++ b/crates/guavawell-timeline/src/check/mod.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod fact;
 mod rule;
+mod store;
 
 use std::fmt::Write;
 
@@ -22,6 +23,7 @@
 pub use fact::FactKind;
 pub use fact::HistoryFact;
 pub use rule::HistoryRule;
+use store::FactStore;
 
 /// One broken promise with the events that show it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -61,7 +63,7 @@
 /// Collects facts and checks them.
 #[derive(Default)]
 pub struct HistoryChecker {
-    facts: Vec<HistoryFact>,
+    facts: FactStore,
     callers: Vec<CallerRecord>,
 }
 
@@ -73,8 +75,7 @@
 
     /// Takes the next event of the time line in.
     pub fn add(&mut self, event: &PlacedEvent) {
-        let position = self.facts.len() as u64;
-        if let Some(fact) = HistoryFact::of(event, position) {
+        if let Some(fact) = HistoryFact::of(event, self.facts.len()) {
             self.facts.push(fact);
         }
     }
@@ -82,43 +83,25 @@
     /// Checks everything taken in, read from `logs`.
     #[must_use]
     pub fn finish(mut self, logs: &[Box<str>]) -> HistoryReport {
-        self.facts.sort_unstable_by(|a, b| {
-            let by_request = a.request.cmp(&b.request);
-            let by_identity = by_request.then_with(|| a.organisation.cmp(&b.organisation));
-            by_identity.then(a.position.cmp(&b.position))
-        });
-        let same = |a: &HistoryFact, b: &HistoryFact| {
-            a.request == b.request && a.organisation == b.organisation
-        };
+        self.facts.sort();
         let mut report = HistoryReport {
             logs: logs.into(),
             ..HistoryReport::default()
         };
-        for facts in self.facts.chunk_by(same) {
+        for facts in self.facts.identities() {
             report.requests += 1;
-            report.billed += count(facts, FactKind::Billed);
-            report.attempts += count(facts, FactKind::Started);
-            rule::check(facts, &mut report);
+            report.billed += count(&facts, FactKind::Billed);
+            report.attempts += count(&facts, FactKind::Started);
+            rule::check(&facts, &mut report);
         }
         for record in &self.callers {
             report.callers += 1;
-            let facts = self.facts_of(record);
+            let organisation = record.organisation.as_ref();
+            let facts = self.facts.of_request(organisation, &record.request);
             report.breaches.extend(caller::check(record, &facts));
         }
         report
     }
-
-    /// The facts of a caller's request, once they are sorted.
-    fn facts_of(&self, record: &CallerRecord) -> Vec<&HistoryFact> {
-        let first = self
-            .facts
-            .partition_point(|fact| fact.request < record.request);
-        let same = self.facts[first..].iter();
-        let same = same.take_while(|fact| fact.request == record.request);
-        let named = record.organisation.as_ref();
-        same.filter(|fact| named.is_none_or(|named| *named == fact.organisation))
-            .collect()
-    }
 }
 
 fn count(facts: &[HistoryFact], kind: FactKind) -> u64 {
