Keep billing records until durable, fold them once and audit them

Cause: a charge without a lasting record cannot be proved to a regulator, and the same request charged by two zones' holders is seen by neither.

Change: records go to the object store in segments of a slot, named by the router's incarnation and a number of its own and written only where nothing lies; they stay in memory until that is confirmed. An object of another under the name gives the segment a new one. The fold keeps the earliest charge of an identity and lists every other as a refund; the audit compares the sums with the budget's row and tells unrecorded, unreported and overdrawn tokens apart. A request in doubt is decided by the engine's word, and an attempt never seen is cancelled there first, so that a late send of it cannot run.

Ruled out on the way: taking messages before due segments; under a steady stream of records nothing would have been written.

--- /dev/null
+++ b/crates/guavawell-core/src/request/billing/mod.rs
@@ -0,0 +1,32 @@
+//! Billing records: folded by identity, kept until durable, audited.
+//!
+//! A charge is decided by the budget's slot; this folder keeps the proof of
+//! it. A second record of one identity charges nothing: the fold finds it and
+//! asks for its refund.
+
+mod audit;
+mod buffer;
+mod doubt;
+mod fold;
+mod record;
+mod segment;
+#[cfg(test)]
+mod tests;
+
+pub use audit::AuditGap;
+pub use audit::AuditLine;
+pub use audit::audit_budget;
+pub use buffer::JournalBuffer;
+pub use buffer::JournalPolicy;
+pub use doubt::DoubtAnswer;
+pub use doubt::DoubtCase;
+pub use doubt::EngineWord;
+pub use doubt::resolve_doubt;
+pub use fold::BillingFold;
+pub use fold::RefundIntent;
+pub use fold::fold_records;
+pub use record::BillingRecord;
+pub use segment::JournalSegment;
+pub use segment::SegmentError;
+pub use segment::SegmentName;
+pub use segment::read_segment;
--- /dev/null
+++ b/crates/guavawell-core/src/request/billing/tests.rs
@@ -0,0 +1,203 @@
+//! Folding, auditing, buffering and resolving, table by table.
+
+use super::*;
+use crate::budget::BudgetRow;
+use crate::budget::InstanceLife;
+use crate::budget::SlotId;
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+use crate::id::AttemptId;
+use crate::id::BudgetId;
+use crate::id::IncarnationId;
+use crate::id::ManifestVersion;
+use crate::id::ShardId;
+use crate::id::SlotEpoch;
+use crate::id::TokenCount;
+use crate::request::RequestIdentity;
+use crate::request::StreamUsage;
+
+fn slot(zone: &str) -> SlotId {
+    SlotId {
+        zone: zone.parse().unwrap(),
+        shard: ShardId::new(3),
+    }
+}
+
+fn router() -> InstanceLife {
+    InstanceLife {
+        instance: "tln-a-1".parse().unwrap(),
+        incarnation: IncarnationId::new(77),
+    }
+}
+
+fn budget() -> BudgetId {
+    "b".parse().unwrap()
+}
+
+fn record(request: &str, attempt: u128, zone: &str, charged: u64, at: u64) -> BillingRecord {
+    BillingRecord {
+        identity: RequestIdentity::from_caller("o".parse().unwrap(), request).unwrap(),
+        attempt: AttemptId::new(attempt),
+        budget: budget(),
+        slot: slot(zone),
+        tenure: SlotEpoch::new(1),
+        charged: TokenCount::new(charged),
+        backend: None,
+        at: ClockTime::from_millis(at),
+    }
+}
+
+#[test]
+fn a_second_record_of_an_identity_charges_nothing_in_any_order() {
+    let records = vec![
+        record("k", 1, "tln-a", 30, 10),
+        record("k", 1, "tln-a", 30, 10),
+        record("k", 2, "tln-b", 40, 20),
+        record("k", 2, "tln-b", 40, 20),
+        record("j", 3, "tln-a", 5, 30),
+    ];
+    let fold = fold_records(records.clone());
+    assert_eq!(fold.charged(&budget()), TokenCount::new(35));
+    assert_eq!(fold.owed(&budget()), TokenCount::new(40));
+    assert_eq!(fold.repeated, 2);
+    assert_eq!(fold.refunds.len(), 1);
+    assert_eq!(fold.refunds[0].attempt, AttemptId::new(2));
+    assert_eq!(fold.refunds[0].kept, AttemptId::new(1));
+    let identity = &records[2].identity;
+    assert_eq!(fold.charge(identity).unwrap().attempt, AttemptId::new(1));
+    let mut order = records;
+    for _ in 0..order.len() {
+        order.rotate_left(1);
+        assert_eq!(fold_records(order.clone()), fold);
+    }
+}
+
+#[test]
+fn the_audit_finds_every_kind_of_gap() {
+    let fold = fold_records(vec![
+        record("k", 1, "tln-a", 30, 10),
+        record("k", 2, "tln-b", 40, 20),
+    ]);
+    let version = ManifestVersion::new(1);
+    let mut row = BudgetRow::new("o".parse().unwrap(), TokenCount::new(100), version);
+    let mut audit = |settled, refunded| {
+        row.settled = TokenCount::new(settled);
+        audit_budget(&budget(), &row, TokenCount::new(refunded), &fold).gap
+    };
+    assert_eq!(audit(70, 0), AuditGap::None);
+    assert_eq!(audit(30, 40), AuditGap::None);
+    assert_eq!(audit(75, 0), AuditGap::Unrecorded(TokenCount::new(5)));
+    assert_eq!(audit(60, 0), AuditGap::Overdrawn(TokenCount::new(10)));
+    row.grants.push(crate::budget::BudgetGrant {
+        slot: slot("tln-a"),
+        tenure: SlotEpoch::new(1),
+        open: TokenCount::new(10),
+        reported: TokenCount::ZERO,
+        float_reported: TokenCount::ZERO,
+        sequence: 1,
+        demand: TokenCount::ZERO,
+    });
+    row.settled = TokenCount::new(60);
+    let line = audit_budget(&budget(), &row, TokenCount::ZERO, &fold);
+    assert_eq!(line.gap, AuditGap::Unreported(TokenCount::new(10)));
+}
+
+#[test]
+fn records_stay_until_their_segment_is_durable() {
+    let policy = JournalPolicy {
+        most_records: 2,
+        longest_wait: ClockSpan::from_millis(100),
+    };
+    let at = ClockTime::from_millis;
+    let mut buffer = JournalBuffer::new(policy, slot("tln-a"), router());
+    assert_eq!(buffer.due_in(at(0)), None);
+    buffer.add(record("a", 1, "tln-a", 1, 0), at(0));
+    assert_eq!(buffer.due_in(at(40)), Some(ClockSpan::from_millis(60)));
+    assert_eq!(buffer.next(at(99)), None);
+    let first = buffer.next(at(100)).unwrap().clone();
+    buffer.add(record("b", 2, "tln-a", 1, 0), at(101));
+    buffer.add(record("c", 3, "tln-a", 1, 0), at(102));
+    assert_eq!(buffer.next(at(103)), Some(&first));
+    assert_eq!(buffer.backlog(), 3);
+    assert_eq!(buffer.written(&first.name).len(), 1);
+    assert_eq!(buffer.written(&first.name).len(), 0);
+    let second = buffer.next(at(103)).unwrap().clone();
+    assert_eq!(second.records.len(), 2);
+    buffer.rename(&second.name);
+    let renamed = buffer.next(at(103)).unwrap().clone();
+    assert_ne!(renamed.name, second.name);
+    assert_eq!(renamed.records, second.records);
+    assert_eq!(buffer.backlog(), 2);
+}
+
+#[test]
+fn segments_read_back_as_they_were_written() {
+    let name = SegmentName {
+        slot: slot("tln-a"),
+        router: router(),
+        sequence: 4,
+    };
+    assert_eq!(name.to_string(), "journal/3/tln-a/tln-a-1-77-4");
+    assert_eq!("journal/3/tln-a/tln-a-1-77-4".parse(), Ok(name.clone()));
+    for bad in [
+        "journal/3/tln-a/1-2",
+        "journal/x/z/a-1-2",
+        "j/3/z/a-1-2",
+        "",
+    ] {
+        assert!(bad.parse::<SegmentName>().is_err(), "{bad}");
+    }
+    let records = vec![record("a", 1, "tln-a", 1, 0), record("b", 2, "tln-a", 2, 0)];
+    let segment = JournalSegment { name, records };
+    assert_eq!(read_segment(&segment.body()), Ok(segment.records));
+    let error = read_segment(b"\n{}\n").unwrap_err();
+    assert!(
+        error.to_string().starts_with("line 2 is no billing record"),
+        "{error}"
+    );
+}
+
+#[test]
+fn a_doubt_is_resolved_by_the_engines_word_and_never_above_the_reservation() {
+    let usage = |completion| StreamUsage {
+        prompt_tokens: TokenCount::new(10),
+        completion_tokens: TokenCount::new(completion),
+    };
+    let mut case = DoubtCase {
+        identity: RequestIdentity::from_caller("o".parse().unwrap(), "k").unwrap(),
+        attempt: AttemptId::new(1),
+        budget: budget(),
+        reserved: TokenCount::new(50),
+        router: router(),
+        backend: Some("e1".parse().unwrap()),
+        abandoned: false,
+    };
+    let cases = [
+        (None, DoubtAnswer::Hold),
+        (Some(EngineWord::Silent), DoubtAnswer::Hold),
+        (Some(EngineWord::NeverSeen), DoubtAnswer::Cancel),
+        (Some(EngineWord::Running), DoubtAnswer::Wait),
+        (
+            Some(EngineWord::Done(usage(5))),
+            DoubtAnswer::Charge(TokenCount::new(15)),
+        ),
+        (
+            Some(EngineWord::Done(usage(500))),
+            DoubtAnswer::Charge(TokenCount::new(50)),
+        ),
+        (
+            Some(EngineWord::Cancelled(usage(2))),
+            DoubtAnswer::Release {
+                unbilled: TokenCount::new(12),
+            },
+        ),
+    ];
+    for (word, answer) in cases {
+        assert_eq!(resolve_doubt(&case, word), answer, "{word:?}");
+    }
+    case.abandoned = true;
+    assert_eq!(
+        resolve_doubt(&case, Some(EngineWord::Running)),
+        DoubtAnswer::Cancel
+    );
+}
--- a/crates/guavawell-core/src/request/mod.rs
+++ b/crates/guavawell-core/src/request/mod.rs
@@ -4,6 +4,7 @@
 //! decides about tokens; that is the budget's.
 
 mod attempt;
+pub mod billing;
 pub mod chat;
 pub mod claim;
 mod frame;
--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod event;
 pub mod gossip;
+pub mod journal;
 pub mod operator;
 pub mod peer;
 pub mod platform;
