Let new instances learn the fleet from several peers

Cause: under the busy load at 390 nodes a newcomer knew 347 after 7 s: each next page of a comparison came from the same seed, whose allowance is shared by everything else that it sends. Change: a comparison that left a difference goes on with the same member or, as often, with another one.

--- a/crates/guavawell-core/src/instance/membership/sync.rs
+++ b/crates/guavawell-core/src/instance/membership/sync.rs
@@ -33,9 +33,10 @@
         }
     }
 
-    /// Compares again with the same member soon.
+    /// Compares again soon: with the same member, or with another one, so
+    /// that many new instances do not all wait for one seed's allowance.
     pub(super) fn retry_sync(&mut self, address: SocketAddr, now: ClockTime) {
-        self.sync_peer = Some(address);
+        self.sync_peer = self.random.bool().then_some(address);
         self.times.sync = now + self.settings.sync_retry;
     }
 
