--- a/crates/guavawell-fleet/src/settings/network.rs
+++ b/crates/guavawell-fleet/src/settings/network.rs
@@ -144,8 +144,9 @@
         key_files: Vec<FilePath> = Vec::new();
         /// Shared keys as text, used as `key_files` are and after them.
         keys: Vec<SecretText> = Vec::new();
-        /// Most bytes sent a second, whatever the fleet's size.
-        bytes_per_second: ByteRate = ByteRate::new(24 * 1024);
+        /// Most bytes sent a second, whatever the fleet's size. About as many
+        /// come in, so that both together stay under 24 KB.
+        bytes_per_second: ByteRate = ByteRate::new(10_000);
         /// Gossip addresses to begin with, beside the platform's list.
         seeds: Vec<SocketAddr> = Vec::new();
     }
