--- a/crates/guavawell-standin/tests/standin/engine.rs
+++ b/crates/guavawell-standin/tests/standin/engine.rs
@@ -1,5 +1,6 @@
 //! The engine without faults.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 
@@ -8,6 +9,9 @@
 use guavawell_standin::fault::FaultChange;
 use http_types::Method;
 use serde_json::json;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 use crate::env::TestEnv;
 use crate::env::answer_to;
@@ -177,9 +181,9 @@
         crash: Some(true),
         ..FaultChange::default()
     });
-    // More claims than any run of free ports the system might go through.
-    let others: Vec<TestEnv> = (0..100).map(|_| self::env()).collect();
-    assert!(others.iter().all(|other| other.address() != env.address()));
+    let other = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let taken = other.bind(&env.address().into()).unwrap_err();
+    assert_eq!(taken.kind(), ErrorKind::AddrInUse);
     env.set_faults(FaultChange {
         crash: Some(false),
         ..FaultChange::default()
