--- a/crates/guavawell-standin/src/engine/body.rs
+++ b/crates/guavawell-standin/src/engine/body.rs
@@ -42,7 +42,7 @@
         faults: FrameFaults,
         first: u64,
     ) -> Self {
-        let frames = FrameWriter::new(entry.source.attempt, &entry.target);
+        let frames = FrameWriter::own(&entry);
         let mut body = Self {
             link,
             entry,
@@ -59,7 +59,7 @@
 
     fn replay_late_frame(&mut self) {
         if let Some(attempt) = self.faults.late {
-            let frames = FrameWriter::new(attempt, &self.entry.target);
+            let frames = FrameWriter::foreign(attempt, &self.entry);
             frames.token(&mut self.buffer, &self.entry, 0);
         }
     }
@@ -83,7 +83,7 @@
         if let Some((attempt, sequence)) = self.faults.crossed
             && sequence == self.sequence
         {
-            let frames = FrameWriter::new(attempt, &self.entry.target);
+            let frames = FrameWriter::foreign(attempt, &self.entry);
             frames.token(&mut self.buffer, &self.entry, sequence);
         }
         if self.faults.skipped != Some(self.sequence) {
--- a/crates/guavawell-standin/src/engine/frame.rs
+++ b/crates/guavawell-standin/src/engine/frame.rs
@@ -11,6 +11,7 @@
 /// Writes the events of one attempt.
 #[derive(Debug)]
 pub(super) struct FrameWriter {
+    seed: u64,
     attempt: Box<str>,
     chunk_head: Box<str>,
 }
@@ -43,12 +44,23 @@
 }
 
 impl FrameWriter {
-    pub(super) fn new(attempt: AttemptId, model: &str) -> Self {
+    /// Writes the events of `entry` itself.
+    pub(super) fn own(entry: &AttemptEntry) -> Self {
+        Self::new(entry.source.attempt, entry.seed, &entry.target)
+    }
+
+    /// Writes events of another attempt, whose answer differs.
+    pub(super) fn foreign(attempt: AttemptId, entry: &AttemptEntry) -> Self {
+        Self::new(attempt, !entry.seed, &entry.target)
+    }
+
+    fn new(attempt: AttemptId, seed: u64, model: &str) -> Self {
         let model = serde_json::to_string(model).unwrap_or_default();
         let chunk_head = format!(
             r#"{{"id":"chatcmpl-{attempt}","object":"chat.completion.chunk","model":{model},"choices":"#
         );
         Self {
+            seed,
             attempt: attempt.to_string().into(),
             chunk_head: chunk_head.into(),
         }
@@ -59,7 +71,7 @@
         self.head(target, index);
         target.extend_from_slice(self.chunk_head.as_bytes());
         target.extend_from_slice(br#"[{"index":0,"delta":{"content":""#);
-        target.extend_from_slice(&token_text(entry.seed, index));
+        target.extend_from_slice(&token_text(self.seed, index));
         target.extend_from_slice(br#""},"finish_reason":"#);
         target.extend_from_slice(finish_reason(entry, index));
         target.extend_from_slice(b"}]}\n\n");
--- a/crates/guavawell-standin/tests/standin/faults.rs
+++ b/crates/guavawell-standin/tests/standin/faults.rs
@@ -19,6 +19,7 @@
 use crate::env::TestEnv;
 use crate::env::answer_to;
 use crate::env::base64;
+use crate::env::contents;
 use crate::env::event_id;
 
 /// Long enough that no test sees its end.
@@ -189,6 +190,8 @@
     let events = env.call(env.chat(5, "p", 8)).events();
     assert_eq!(&*events[0].id, event_id(4, 0));
     assert_eq!(&*events[1].id, event_id(5, 0));
+    assert_ne!(events[0].data, events[1].data);
+    assert_ne!(contents(&events[..1]), contents(&events[1..2]));
     let reply = env.call(env.chat(6, "p", 8));
     reply.assert_whole(6, 0, &answer_to("p", 8));
 }
@@ -206,6 +209,13 @@
         .collect();
     assert_eq!(foreign.len(), 1);
     assert!(foreign[0] > 0 && foreign[0] < events.len() - 2);
+    let mut own = events.clone();
+    let crossed = own.remove(foreign[0]);
+    assert_eq!(contents(&own), *answer_to("p", 8).text);
+    assert_ne!(
+        contents(&[crossed]),
+        contents(&own[foreign[0]..=foreign[0]])
+    );
 }
 
 #[test]
