Prove a whole fleet in one process, with a router killed in the middle

Found on the way: the first verdict counted a service's run as zero tokens and so called a true charge a double one; the service's cost is counted now.

--- a/crates/guavawell-demo/src/fleet/manifest.rs
+++ b/crates/guavawell-demo/src/fleet/manifest.rs
@@ -7,6 +7,9 @@
 
 use super::FleetSettings;
 
+/// What a call of the plain service costs, in tokens.
+pub const SERVICE_COST: u64 = 10;
+
 /// The bearer key of an organisation.
 #[must_use]
 pub fn organisation_key(index: usize) -> String {
@@ -51,7 +54,7 @@
         writeln!(text, "default_budget = \"budget-{index}\"")?;
         writeln!(text, "[[budget]]\nid = \"budget-{index}\"")?;
         writeln!(text, "organisation = \"org-{index}\"")?;
-        writeln!(text, "paid = {}", settings.paid)?;
+        writeln!(text, "paid = {}", settings.paid_by(index))?;
     }
     writeln!(text, "[[model]]\nid = \"draft-7b\"\nversion = \"1\"")?;
     writeln!(text, "max_output = 4096")?;
@@ -76,7 +79,8 @@
         .map(|backend| format!("\"{}\"", backend.id))
         .collect();
     if !services.is_empty() {
-        writeln!(text, "[[service]]\nid = \"registry\"\ncost_tokens = 10")?;
+        writeln!(text, "[[service]]\nid = \"registry\"")?;
+        writeln!(text, "cost_tokens = {SERVICE_COST}")?;
         writeln!(text, "idempotent = false")?;
         writeln!(text, "backends = [{}]", services.join(", "))?;
     }
--- a/crates/guavawell-demo/src/fleet/mod.rs
+++ b/crates/guavawell-demo/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod settings;
 mod start;
 
+pub use manifest::SERVICE_COST;
 pub use manifest::organisation_key;
 pub use settings::FleetSettings;
 pub use start::DemoFleet;
--- a/crates/guavawell-demo/src/fleet/settings.rs
+++ b/crates/guavawell-demo/src/fleet/settings.rs
@@ -19,6 +19,8 @@
     pub organisations: usize,
     /// What each organisation paid.
     pub paid: TokenCount,
+    /// How many organisations, the last ones, paid a twentieth of it.
+    pub poor_organisations: usize,
     /// Shards of the organisations.
     pub shards: u16,
     /// Attempts that an engine runs at once.
@@ -40,6 +42,7 @@
             services: 1,
             organisations: 4,
             paid: TokenCount::new(1_000_000),
+            poor_organisations: 0,
             shards: 8,
             engine_slots: 64,
             token_time: ClockSpan::from_millis(2),
@@ -48,3 +51,15 @@
         }
     }
 }
+
+impl FleetSettings {
+    /// What an organisation paid, in tokens.
+    #[must_use]
+    pub const fn paid_by(&self, index: usize) -> u64 {
+        if index + self.poor_organisations >= self.organisations {
+            self.paid.get() / 20
+        } else {
+            self.paid.get()
+        }
+    }
+}
--- a/crates/guavawell-demo/src/fleet/start.rs
+++ b/crates/guavawell-demo/src/fleet/start.rs
@@ -310,6 +310,11 @@
         Err(FleetError::NotReady(state.into()))
     }
 
+    /// Gives running charges time to reach the table.
+    pub async fn flush(&self, time: Duration) {
+        Timer::after(time).await;
+    }
+
     /// Kills every router.
     pub fn stop(&mut self) {
         for index in 0..self.routers.len() {
--- a/crates/guavawell-demo/src/main.rs
+++ b/crates/guavawell-demo/src/main.rs
@@ -1,3 +1,16 @@
 //! `guavawell-demo`: the embedded default.
 
-fn main() {}
+mod cli;
+mod exit;
+mod run;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let options = cli::read();
+    let status = run::run(&options).unwrap_or_else(|error| {
+        eprintln!("guavawell-demo: {error}");
+        exit::ExitStatus::Failed
+    });
+    status.into()
+}
