Forget the arrival of an attempt that a full queue refused

Cause: each attempt refused with 503 left its id in the registry's list of arrivals, which grew for as long as the queue was full, and a second send of the id could be forgotten before its turn. Change: the removal takes the arrival out too. Tests of sending again, of forgotten records and of the truth log's count of runs that it dropped.

--- a/crates/guavawell-standin/src/attempt/registry.rs
+++ b/crates/guavawell-standin/src/attempt/registry.rs
@@ -65,6 +65,10 @@
         if let Ok(index) = shard.find(attempt) {
             shard.entries.remove(index);
         }
+        // It arrived a moment ago, so it stands near the end.
+        if let Some(index) = shard.arrivals.iter().rposition(|id| *id == attempt) {
+            shard.arrivals.remove(index);
+        }
     }
 
     /// Cancels an attempt, or marks one that was never seen.
--- a/crates/guavawell-standin/tests/standin/batching.rs
+++ b/crates/guavawell-standin/tests/standin/batching.rs
@@ -59,6 +59,16 @@
     assert_eq!(env.running_engine().truth().total, 1);
 }
 
+#[test]
+fn refused_attempt_may_be_sent_again() {
+    let (env, _first) = busy_engine(0);
+    env.call(env.chat(3, "p", 8)).assert_status(503);
+    cancel(&env, 1);
+    env.wait_until(|env| env.get("/v1/load").json()["running"] == 0);
+    let reply = env.call(env.chat(3, "p", 8));
+    reply.assert_whole(3, 0, &answer_to("p", 8));
+}
+
 #[test]
 fn released_slot_goes_to_priority_then_arrival() {
     let (env, mut first) = busy_engine(8);
--- a/crates/guavawell-standin/tests/standin/engine.rs
+++ b/crates/guavawell-standin/tests/standin/engine.rs
@@ -152,6 +152,24 @@
     assert_eq!(run["attempt"], format!("{:032x}", 7));
 }
 
+#[test]
+fn oldest_records_are_forgotten_and_lost_truth_is_counted() {
+    let env = TestEnv::engine(EngineSettings {
+        record_limit: 1,
+        truth_limit: 1,
+        ..EngineSettings::default()
+    });
+    // Ids that differ by a multiple of the shards share the one place of theirs.
+    for attempt in [1, 1 + 64] {
+        env.call(env.chat(attempt, "p", 4)).assert_status(200);
+    }
+    env.get(&format!("/v1/attempts/{:032x}", 1))
+        .assert_status(404);
+    assert_eq!(env.record(1 + 64)["state"], "done");
+    let truth = env.running_engine().truth();
+    assert_eq!((truth.total, truth.dropped), (2, 1));
+}
+
 #[test]
 fn many_engines_fit_into_one_process() {
     let engines: Vec<TestEnv> = (0..200).map(|_| env()).collect();
