Ask for a takeover after a few failed asks, ahead of gossip

Change: three failures of a holder within a quarter of a second let the asking router ask the witness to take over, and go on there; an ask looks for its holder for up to 2.5 s. A takeover needs no clock to be safe, so a wrong guess costs a frozen float and one write. Asking and answering, choice and recovery are files of their own now.

--- a/crates/guavawell-fleet/src/router/attempt.rs
+++ b/crates/guavawell-fleet/src/router/attempt.rs
@@ -6,16 +6,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use guavawell_core::backend::BackendLease;
-use guavawell_core::backend::ChoiceAsk;
-use guavawell_core::backend::LeaseOutcome;
-use guavawell_core::backend::NoBackend;
 use guavawell_core::backend::PrefixHash;
 use guavawell_core::backend::RouteTarget;
-use guavawell_core::budget::BackendNote;
-use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::BackendId;
 use guavawell_core::request::FrameCheck;
@@ -25,27 +19,26 @@
 use guavawell_core::request::UnsentAttempt;
 use smol::Timer;
 
+use super::choice::choose;
+use super::choice::engine_request;
+use super::choice::failed;
+use super::choice::lease_outcome;
+use super::choice::no_backend;
+use super::choice::note;
 use super::claim::ReadyAttempt;
 use super::core::RouterCore;
 use super::entry::CallerEntry;
+use super::recover::MAX_PROBES;
+use super::recover::PROBE_PAUSE;
+use super::recover::RecoveredAttempt;
+use super::recover::cancel_later;
+use super::recover::recover;
 use super::reserve::HeldReservation;
-use crate::claim::RefusalCause;
 use crate::clock;
-use crate::engine::AttemptState;
 use crate::engine::EngineError;
 use crate::engine::EngineEvent;
 use crate::engine::EngineExchange;
 use crate::engine::EngineRequest;
-use crate::event::EventDraft;
-
-/// Looks at a backend server's record before an attempt is given up.
-const MAX_PROBES: usize = 3;
-
-/// Wait between two such looks.
-const PROBE_PAUSE: Duration = Duration::from_millis(200);
-
-/// When a caller may come back where nothing better is known.
-const RETRY_HINT: ClockSpan = ClockSpan::from_millis(1_000);
 
 /// What is sent, whichever backend server gets it.
 #[derive(Clone, Debug)]
@@ -90,19 +83,6 @@
     pub event: EngineEvent,
 }
 
-/// What became of an attempt whose connection broke.
-#[derive(Debug)]
-pub enum RecoveredAttempt {
-    /// It goes on after the last event.
-    Resumed(Box<EngineExchange>),
-    /// The backend server never saw it and will refuse it from now on.
-    NeverSeen,
-    /// It was cancelled.
-    Cancelled,
-    /// The backend server cannot be asked.
-    Unreachable,
-}
-
 /// Chooses backend servers until one runs the attempt and gives its first event.
 ///
 /// # Errors
@@ -231,55 +211,6 @@
     }
 }
 
-/// Finds out what became of an attempt, on new connections.
-pub async fn recover(
-    core: &RouterCore,
-    address: SocketAddr,
-    check: &FrameCheck,
-) -> RecoveredAttempt {
-    let attempt = check.attempt();
-    for _ in 0..MAX_PROBES {
-        match core.engines.record(address, attempt).await {
-            Ok(record) if record.state == AttemptState::Cancelled => {
-                return RecoveredAttempt::Cancelled;
-            }
-            Ok(_) => {
-                let last = check.last_event_id();
-                let resumed = core.engines.resume(address, attempt, last.as_deref()).await;
-                if let Ok(exchange) = resumed {
-                    metrics::counter!("guavawell_streams_resumed_total").increment(1);
-                    return RecoveredAttempt::Resumed(Box::new(exchange));
-                }
-            }
-            Err(EngineError::UnknownAttempt) => {
-                // Marked first, so that a send that is still under way cannot run.
-                if core.engines.cancel(address, attempt).await.is_ok() {
-                    return RecoveredAttempt::NeverSeen;
-                }
-            }
-            Err(_) => {}
-        }
-        Timer::after(PROBE_PAUSE).await;
-    }
-    RecoveredAttempt::Unreachable
-}
-
-/// Cancels an attempt in the background.
-pub fn cancel_later(core: &Arc<RouterCore>, address: SocketAddr, attempt: AttemptId) {
-    let task = {
-        let core = Arc::clone(core);
-        async move {
-            for _ in 0..MAX_PROBES {
-                if core.engines.cancel(address, attempt).await.is_ok() {
-                    return;
-                }
-                Timer::after(PROBE_PAUSE).await;
-            }
-        }
-    };
-    core.tasks.spawn(task);
-}
-
 /// An attempt at one backend server.
 struct StreamAttempt<'c> {
     core: &'c Arc<RouterCore>,
@@ -349,109 +280,3 @@
         Refusal::unknown(RefusalReason::BackendFailed, detail)
     }
 }
-
-/// How a failed exchange counts for its backend server.
-#[must_use]
-pub fn lease_outcome(failure: &EngineError) -> LeaseOutcome {
-    match failure {
-        EngineError::Rejected { .. } => LeaseOutcome::Overloaded,
-        EngineError::Silent => LeaseOutcome::Silent,
-        _ => LeaseOutcome::Failed,
-    }
-}
-
-/// Chooses a backend server and counts the request in flight there.
-pub fn choose(
-    core: &RouterCore,
-    call: &OutgoingCall,
-    tried: &[BackendId],
-) -> Result<BackendLease, NoBackend> {
-    let table = core.backends.load_full();
-    loop {
-        let ask = ChoiceAsk {
-            target: &call.target,
-            version: None,
-            adapter: None,
-            zone: &core.settings.instance.zone,
-            prefix: call.prefix,
-            exclude: tried,
-            draw: fastrand::u64(..),
-            now: clock::now(),
-        };
-        match table.choose(&ask)?.begin(clock::now()) {
-            Ok(lease) => return Ok(lease),
-            Err(NoBackend::Leaving) => {}
-            Err(other) => return Err(other),
-        }
-    }
-}
-
-/// Notes where the attempt runs, for its events and for a retry elsewhere.
-pub fn note(
-    core: &Arc<RouterCore>,
-    reservation: &HeldReservation,
-    backend: &BackendId,
-    idempotent: bool,
-) {
-    let identity = &reservation.identity;
-    core.events.emit(
-        EventDraft::new("attempt.started")
-            .organisation(&identity.organisation)
-            .request(&identity.request)
-            .attempt(reservation.attempt)
-            .field("backend", backend)
-            .field("idempotent", idempotent),
-    );
-    core.slots.note_backend(BackendNote {
-        identity: identity.clone(),
-        attempt: reservation.attempt,
-        backend: backend.clone(),
-    });
-}
-
-/// The message for a backend server.
-#[must_use]
-pub fn engine_request(
-    entry: &CallerEntry,
-    call: &OutgoingCall,
-    attempt: AttemptId,
-) -> EngineRequest {
-    EngineRequest {
-        attempt,
-        request: entry.head.identity.request.clone(),
-        organisation: entry.head.identity.organisation.clone(),
-        path: call.path.clone(),
-        body: call.body.clone(),
-        priority: entry.head.priority,
-        fence: None,
-        reuse: call.idempotent,
-    }
-}
-
-/// Why a request is refused where no backend server can be chosen.
-#[must_use]
-pub fn no_backend(cause: NoBackend) -> RefusalCause {
-    let (reason, hint) = match cause {
-        NoBackend::Saturated { retry_after } => (RefusalReason::Overloaded, retry_after),
-        _ => (RefusalReason::NoBackend, RETRY_HINT),
-    };
-    RefusalCause {
-        reason,
-        detail: cause.to_string().into(),
-        retry_after: Some(hint),
-    }
-}
-
-/// Why a request is refused whose attempt did not run and may not be retried.
-#[must_use]
-pub fn failed(failure: &EngineError) -> RefusalCause {
-    let (reason, hint) = match failure {
-        EngineError::Rejected { retry_after, .. } => (RefusalReason::Overloaded, *retry_after),
-        _ => (RefusalReason::BackendFailed, None),
-    };
-    RefusalCause {
-        reason,
-        detail: failure.to_string().into(),
-        retry_after: Some(hint.unwrap_or(RETRY_HINT)),
-    }
-}
--- a/crates/guavawell-fleet/src/router/service.rs
+++ b/crates/guavawell-fleet/src/router/service.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use guavawell_core::backend::BackendLease;
 use guavawell_core::backend::LeaseOutcome;
@@ -21,15 +20,17 @@
 use super::answer::note_answer;
 use super::answer::refuse;
 use super::attempt::OutgoingCall;
-use super::attempt::choose;
-use super::attempt::engine_request;
-use super::attempt::failed;
-use super::attempt::lease_outcome;
-use super::attempt::no_backend;
-use super::attempt::note;
+use super::choice::choose;
+use super::choice::engine_request;
+use super::choice::failed;
+use super::choice::lease_outcome;
+use super::choice::no_backend;
+use super::choice::note;
 use super::claim::ReadyAttempt;
 use super::core::RouterCore;
 use super::entry::CallerEntry;
+use super::recover::MAX_PROBES;
+use super::recover::PROBE_PAUSE;
 use super::relay::settle_reservation;
 use super::reserve::HeldReservation;
 use super::reserve::ReservedRequest;
@@ -42,12 +43,6 @@
 use crate::engine::EngineError;
 use crate::engine::ServiceAnswer;
 
-/// Looks at a service's record before a call is left in doubt.
-const MAX_PROBES: usize = 3;
-
-/// Wait between two such looks.
-const PROBE_PAUSE: Duration = Duration::from_millis(200);
-
 /// Answers a call of a plain service; `rest` is the path behind `/services/`.
 pub async fn serve_service(
     core: &Arc<RouterCore>,
--- /dev/null
+++ b/crates/guavawell-fleet/src/slot/answer.rs
@@ -0,0 +1,153 @@
+//! Asks of other routers about slots, answered by this router's holders and witnesses.
+
+use std::sync::Arc;
+
+use guavawell_core::budget::AskId;
+use guavawell_core::budget::HandBackAnswer;
+use guavawell_core::budget::HolderAnswer;
+use guavawell_core::budget::HolderEvent;
+use guavawell_core::budget::LifeAnswer;
+use guavawell_core::budget::ReleaseAnswer;
+use guavawell_core::budget::ReserveAnswer;
+use guavawell_core::budget::SealAnswer;
+use guavawell_core::budget::SettleAnswer;
+use guavawell_core::budget::SlotId;
+use guavawell_core::budget::WitnessEvent;
+use guavawell_core::budget::WitnessMessage;
+use guavawell_core::budget::shard_of;
+use guavawell_core::id::OrganisationId;
+use guavawell_core::id::ZoneId;
+
+use super::driver::SlotDriver;
+use crate::clock;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+
+impl SlotDriver {
+    /// Answers the ask of a router that stands in `zone`.
+    pub async fn answer(self: &Arc<Self>, zone: &ZoneId, ask: PeerRequest) -> PeerReply {
+        match ask {
+            PeerRequest::Witness(message) => self.take_message(message),
+            PeerRequest::Takeover(ask) => {
+                self.take_over(&ask.slot).await;
+                PeerReply::Accepted
+            }
+            PeerRequest::HandBack(ask) => {
+                let slot = ask.slot.clone();
+                self.answer_here(&slot, PeerRequest::HandBack(ask)).await
+            }
+            PeerRequest::Life => PeerReply::Life(LifeAnswer {
+                incarnation: self.parts.life.incarnation,
+            }),
+            other => match organisation_of(&other) {
+                Some(organisation) => {
+                    let slot = SlotId {
+                        zone: zone.clone(),
+                        shard: shard_of(organisation, (self.parts.shards)()),
+                    };
+                    self.answer_here(&slot, other).await
+                }
+                None => PeerReply::Accepted,
+            },
+        }
+    }
+
+    fn take_message(self: &Arc<Self>, message: WitnessMessage) -> PeerReply {
+        let (slot, holder, event) = match message {
+            WitnessMessage::Record(record) => (
+                record.stamp.slot.clone(),
+                record.stamp.holder.clone(),
+                WitnessEvent::Record(record),
+            ),
+            WitnessMessage::Handover(handover) => (
+                handover.stamp.slot.clone(),
+                handover.stamp.holder.clone(),
+                WitnessEvent::Handover(handover),
+            ),
+            // Answers of a witness come back on the ask they answer.
+            _ => return PeerReply::Accepted,
+        };
+        let seat = self.seat_or_new(&slot);
+        seat.lock().witnessed = Some(holder);
+        self.tell_witness(&seat, event)
+            .and_then(PeerReply::from_witness)
+            .unwrap_or(PeerReply::Accepted)
+    }
+
+    /// Lets this router's own holder answer.
+    pub(super) async fn answer_here(
+        self: &Arc<Self>,
+        slot: &SlotId,
+        ask: PeerRequest,
+    ) -> PeerReply {
+        if let PeerRequest::Note(note) = ask {
+            if let Some(seat) = self.seat(slot) {
+                self.tell(&seat, HolderEvent::Serve(note));
+            }
+            return PeerReply::Accepted;
+        }
+        let refusal = self.not_here(slot, &ask);
+        let Some(seat) = self.seat(slot) else {
+            return refusal;
+        };
+        let asked = seat.lock().ask(|id| holder_event(id, ask), clock::now());
+        let Some((effects, receiver)) = asked else {
+            return refusal;
+        };
+        self.carry_out(&seat, effects);
+        match receiver.recv().await {
+            Ok(answer) => peer_reply(answer),
+            Err(_) => refusal,
+        }
+    }
+
+    /// "This router does not hold the slot", in the form that the ask wants.
+    fn not_here(&self, slot: &SlotId, ask: &PeerRequest) -> PeerReply {
+        let known = self.directory.holder(slot);
+        let holder = known.filter(|life| life.instance != self.parts.life.instance);
+        match ask {
+            PeerRequest::Reserve(_) => PeerReply::Reserve(ReserveAnswer::NotHolder { holder }),
+            PeerRequest::Settle(_) => PeerReply::Settle(SettleAnswer::NotHolder { holder }),
+            PeerRequest::Release(_) => PeerReply::Release(ReleaseAnswer::NotHolder { holder }),
+            PeerRequest::Seal(_) => PeerReply::Seal(SealAnswer::NotHolder { holder }),
+            PeerRequest::HandBack(_) => PeerReply::HandBack(HandBackAnswer::NotHolder { holder }),
+            _ => PeerReply::Accepted,
+        }
+    }
+}
+
+/// The organisation that an ask of a slot's holder concerns.
+fn organisation_of(ask: &PeerRequest) -> Option<&OrganisationId> {
+    let identity = match ask {
+        PeerRequest::Reserve(ask) => &ask.identity,
+        PeerRequest::Settle(ask) => &ask.identity,
+        PeerRequest::Release(ask) => &ask.identity,
+        PeerRequest::Note(note) => &note.identity,
+        PeerRequest::Seal(ask) => &ask.identity,
+        _ => return None,
+    };
+    Some(&identity.organisation)
+}
+
+/// The event that an ask is for the holder; `None` if it is for somebody else.
+fn holder_event(id: AskId, ask: PeerRequest) -> Option<HolderEvent> {
+    let event = match ask {
+        PeerRequest::Reserve(ask) => HolderEvent::Reserve(id, ask),
+        PeerRequest::Settle(ask) => HolderEvent::Settle(id, ask),
+        PeerRequest::Release(ask) => HolderEvent::Release(id, ask),
+        PeerRequest::Seal(ask) => HolderEvent::Seal(id, ask),
+        PeerRequest::HandBack(ask) => HolderEvent::HandBack(id, ask),
+        _ => return None,
+    };
+    Some(event)
+}
+
+fn peer_reply(answer: HolderAnswer) -> PeerReply {
+    match answer {
+        HolderAnswer::Reserve(answer) => PeerReply::Reserve(answer),
+        HolderAnswer::Settle(answer) => PeerReply::Settle(answer),
+        HolderAnswer::Release(answer) => PeerReply::Release(answer),
+        HolderAnswer::Seal(answer) => PeerReply::Seal(answer),
+        HolderAnswer::HandBack(answer) => PeerReply::HandBack(answer),
+    }
+}
--- a/crates/guavawell-fleet/src/slot/driver.rs
+++ b/crates/guavawell-fleet/src/slot/driver.rs
@@ -25,6 +25,7 @@
 
 use super::directory::SlotDirectory;
 use super::link::PeerLink;
+use super::loss::FailedAsks;
 use super::seat::SlotSeat;
 use super::table::SlotTable;
 use crate::clock;
@@ -46,6 +47,8 @@
     /// How long holder and witness are both gone before the slot is begun
     /// anew, which freezes all that they were granted.
     pub seize_after: ClockSpan,
+    /// Longest time that a router looks for a slot's holder for one ask.
+    pub ask_wait: ClockSpan,
     /// Longest time that a caller's last frame waits for its charge.
     pub settle_wait: ClockSpan,
     /// Time between two reads of the zone's slot rows.
@@ -59,6 +62,7 @@
             tick_every: ClockSpan::from_millis(25),
             takeover_after: ClockSpan::from_millis(3_000),
             seize_after: ClockSpan::from_millis(10_000),
+            ask_wait: ClockSpan::from_millis(2_500),
             settle_wait: ClockSpan::from_millis(5_000),
             refresh_every: ClockSpan::from_millis(2_000),
         }
@@ -95,6 +99,7 @@
 pub struct SlotDriver {
     pub(super) parts: SlotParts,
     pub(super) directory: SlotDirectory,
+    pub(super) failures: FailedAsks,
     /// Seats sorted by slot.
     seats: ArcSwap<Vec<Arc<SlotSeat>>>,
 }
@@ -106,6 +111,7 @@
         Arc::new(Self {
             parts,
             directory: SlotDirectory::default(),
+            failures: FailedAsks::default(),
             seats: ArcSwap::default(),
         })
     }
--- a/crates/guavawell-fleet/src/slot/mod.rs
+++ b/crates/guavawell-fleet/src/slot/mod.rs
@@ -6,9 +6,11 @@
 //! witness; it never decides whether a token may be spent.
 
 mod acquire;
+mod answer;
 mod directory;
 mod driver;
 mod link;
+mod loss;
 mod maintain;
 mod resolve;
 mod seat;
--- a/crates/guavawell-fleet/src/slot/toward.rs
+++ b/crates/guavawell-fleet/src/slot/toward.rs
@@ -1,15 +1,12 @@
-//! Asks about slots: from this router to the holder, and from other routers to this one.
+//! Asks about slots from this router to whoever holds them.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use guavawell_core::budget::AskId;
 use guavawell_core::budget::BackendNote;
 use guavawell_core::budget::HandBackAnswer;
 use guavawell_core::budget::HandBackAsk;
-use guavawell_core::budget::HolderAnswer;
 use guavawell_core::budget::HolderEvent;
-use guavawell_core::budget::LifeAnswer;
 use guavawell_core::budget::ReleaseAnswer;
 use guavawell_core::budget::ReleaseAsk;
 use guavawell_core::budget::ReserveAnswer;
@@ -19,24 +16,23 @@
 use guavawell_core::budget::SettleAnswer;
 use guavawell_core::budget::SettleAsk;
 use guavawell_core::budget::SlotId;
-use guavawell_core::budget::WitnessEvent;
-use guavawell_core::budget::WitnessMessage;
+use guavawell_core::budget::TakeoverAsk;
 use guavawell_core::budget::shard_of;
 use guavawell_core::id::BudgetId;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::TokenCount;
-use guavawell_core::id::ZoneId;
 use smol::Timer;
 
 use super::driver::SlotDriver;
 use super::table::slot_key;
 use crate::clock;
+use crate::peer::PeerError;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 
-/// Routers asked for one ask before it is given up.
-const MAX_HOPS: usize = 4;
+/// Wait between two routers asked for one ask, after the first two.
+const HOP_PAUSE: Duration = Duration::from_millis(25);
 
 /// Wait between two tries of an ask that must get through.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -174,84 +170,76 @@
         }
     }
 
-    /// Answers the ask of a router that stands in `zone`.
-    pub async fn answer(self: &Arc<Self>, zone: &ZoneId, ask: PeerRequest) -> PeerReply {
-        match ask {
-            PeerRequest::Witness(message) => self.take_message(message),
-            PeerRequest::Takeover(ask) => {
-                self.take_over(&ask.slot).await;
-                PeerReply::Accepted
+    /// Asks whoever holds the slot, following hints, until `ask_wait` is over.
+    async fn ask_holder(self: &Arc<Self>, slot: &SlotId, ask: &PeerRequest) -> HolderReply {
+        // Boxed: the way over other routers is too large for a request's stack frame.
+        Box::pin(self.ask_hops(slot, ask)).await
+    }
+
+    async fn ask_hops(self: &Arc<Self>, slot: &SlotId, ask: &PeerRequest) -> HolderReply {
+        let until = clock::now() + self.parts.times.ask_wait;
+        let mut next = None;
+        for hop in 0.. {
+            let target = next.take().or_else(|| self.guess(slot, hop));
+            if let Some(target) = target {
+                match self.ask_one(slot, ask, &target).await {
+                    Ok(answer) => match word_of(&answer) {
+                        HolderWord::Holder => {
+                            self.failures.answered(slot);
+                            return HolderReply::Answer(answer);
+                        }
+                        HolderWord::Elsewhere(hint) => next = hint,
+                    },
+                    Err(_) => next = self.hasten(slot, &target).await,
+                }
             }
-            PeerRequest::HandBack(ask) => {
-                let slot = ask.slot.clone();
-                self.answer_here(&slot, PeerRequest::HandBack(ask)).await
+            if clock::now() >= until {
+                break;
+            }
+            if hop > 0 {
+                Timer::after(HOP_PAUSE).await;
             }
-            PeerRequest::Life => PeerReply::Life(LifeAnswer {
-                incarnation: self.parts.life.incarnation,
-            }),
-            other => match organisation_of(&other) {
-                Some(organisation) => {
-                    let slot = SlotId {
-                        zone: zone.clone(),
-                        shard: shard_of(organisation, (self.parts.shards)()),
-                    };
-                    self.answer_here(&slot, other).await
-                }
-                None => PeerReply::Accepted,
-            },
         }
+        HolderReply::None
     }
 
-    fn take_message(self: &Arc<Self>, message: WitnessMessage) -> PeerReply {
-        let (slot, holder, event) = match message {
-            WitnessMessage::Record(record) => (
-                record.stamp.slot.clone(),
-                record.stamp.holder.clone(),
-                WitnessEvent::Record(record),
-            ),
-            WitnessMessage::Handover(handover) => (
-                handover.stamp.slot.clone(),
-                handover.stamp.holder.clone(),
-                WitnessEvent::Handover(handover),
-            ),
-            // Answers of a witness come back on the ask they answer.
-            _ => return PeerReply::Accepted,
-        };
-        let seat = self.seat_or_new(&slot);
-        seat.lock().witnessed = Some(holder);
-        self.tell_witness(&seat, event)
-            .and_then(PeerReply::from_witness)
-            .unwrap_or(PeerReply::Accepted)
+    async fn ask_one(
+        self: &Arc<Self>,
+        slot: &SlotId,
+        ask: &PeerRequest,
+        target: &InstanceId,
+    ) -> Result<PeerReply, PeerError> {
+        if *target == self.parts.life.instance {
+            return Ok(self.answer_here(slot, ask.clone()).await);
+        }
+        (self.parts.link.call)(target.clone(), ask.clone()).await
     }
 
-    /// Asks whoever holds the slot, following hints.
-    async fn ask_holder(self: &Arc<Self>, slot: &SlotId, ask: &PeerRequest) -> HolderReply {
-        let mut next = None;
-        for hop in 0..MAX_HOPS {
-            let own = &self.parts.life.instance;
-            let target = next.take().or_else(|| self.guess(slot, hop));
-            let Some(target) = target else {
-                return HolderReply::None;
-            };
-            let answer = if target == *own {
-                Ok(self.answer_here(slot, ask.clone()).await)
-            } else {
-                (self.parts.link.call)(target, ask.clone()).await
-            };
-            let Ok(answer) = answer else {
-                metrics::counter!("guavawell_holder_asks_failed_total").increment(1);
-                continue;
+    /// After a few failures of the slot's holder, asks its witness to take
+    /// over, and names it as the next to ask.
+    async fn hasten(self: &Arc<Self>, slot: &SlotId, target: &InstanceId) -> Option<InstanceId> {
+        metrics::counter!("guavawell_holder_asks_failed_total").increment(1);
+        let row = self.directory.row(slot)?;
+        if row.holder.instance != *target || !self.failures.failed(slot, clock::now()) {
+            return None;
+        }
+        let witness = row.witness.clone()?.instance;
+        metrics::counter!("guavawell_takeovers_hastened_total").increment(1);
+        if witness == self.parts.life.instance {
+            self.take_over(slot).await;
+        } else {
+            let ask = TakeoverAsk {
+                slot: slot.clone(),
+                row,
             };
-            match word_of(&answer) {
-                HolderWord::Holder => return HolderReply::Answer(answer),
-                HolderWord::Elsewhere(hint) => next = hint,
-            }
+            let answer = (self.parts.link.call)(witness.clone(), PeerRequest::Takeover(ask));
+            answer.await.ok()?;
         }
-        HolderReply::None
+        Some(witness)
     }
 
     /// The router to ask for a slot: its known holder, then its owner by hashing.
-    fn guess(&self, slot: &SlotId, hop: usize) -> Option<InstanceId> {
+    fn guess(&self, slot: &SlotId, hop: u32) -> Option<InstanceId> {
         if self.seat(slot).is_some_and(|seat| seat.is_held()) {
             return Some(self.parts.life.instance.clone());
         }
@@ -267,43 +255,6 @@
         }
     }
 
-    /// Lets this router's own holder answer.
-    async fn answer_here(self: &Arc<Self>, slot: &SlotId, ask: PeerRequest) -> PeerReply {
-        if let PeerRequest::Note(note) = ask {
-            if let Some(seat) = self.seat(slot) {
-                self.tell(&seat, HolderEvent::Serve(note));
-            }
-            return PeerReply::Accepted;
-        }
-        let refusal = self.not_here(slot, &ask);
-        let Some(seat) = self.seat(slot) else {
-            return refusal;
-        };
-        let asked = seat.lock().ask(|id| holder_event(id, ask), clock::now());
-        let Some((effects, receiver)) = asked else {
-            return refusal;
-        };
-        self.carry_out(&seat, effects);
-        match receiver.recv().await {
-            Ok(answer) => peer_reply(answer),
-            Err(_) => refusal,
-        }
-    }
-
-    /// "This router does not hold the slot", in the form that the ask wants.
-    fn not_here(&self, slot: &SlotId, ask: &PeerRequest) -> PeerReply {
-        let known = self.directory.holder(slot);
-        let holder = known.filter(|life| life.instance != self.parts.life.instance);
-        match ask {
-            PeerRequest::Reserve(_) => PeerReply::Reserve(ReserveAnswer::NotHolder { holder }),
-            PeerRequest::Settle(_) => PeerReply::Settle(SettleAnswer::NotHolder { holder }),
-            PeerRequest::Release(_) => PeerReply::Release(ReleaseAnswer::NotHolder { holder }),
-            PeerRequest::Seal(_) => PeerReply::Seal(SealAnswer::NotHolder { holder }),
-            PeerRequest::HandBack(_) => PeerReply::HandBack(HandBackAnswer::NotHolder { holder }),
-            _ => PeerReply::Accepted,
-        }
-    }
-
     /// Asks the holders of other slots to give tokens of a budget back.
     pub(super) async fn ask_hand_back(
         self: &Arc<Self>,
@@ -333,42 +284,6 @@
     }
 }
 
-/// The organisation that an ask of a slot's holder concerns.
-fn organisation_of(ask: &PeerRequest) -> Option<&OrganisationId> {
-    let identity = match ask {
-        PeerRequest::Reserve(ask) => &ask.identity,
-        PeerRequest::Settle(ask) => &ask.identity,
-        PeerRequest::Release(ask) => &ask.identity,
-        PeerRequest::Note(note) => &note.identity,
-        PeerRequest::Seal(ask) => &ask.identity,
-        _ => return None,
-    };
-    Some(&identity.organisation)
-}
-
-/// The event that an ask is for the holder; `None` if it is for somebody else.
-fn holder_event(id: AskId, ask: PeerRequest) -> Option<HolderEvent> {
-    let event = match ask {
-        PeerRequest::Reserve(ask) => HolderEvent::Reserve(id, ask),
-        PeerRequest::Settle(ask) => HolderEvent::Settle(id, ask),
-        PeerRequest::Release(ask) => HolderEvent::Release(id, ask),
-        PeerRequest::Seal(ask) => HolderEvent::Seal(id, ask),
-        PeerRequest::HandBack(ask) => HolderEvent::HandBack(id, ask),
-        _ => return None,
-    };
-    Some(event)
-}
-
-fn peer_reply(answer: HolderAnswer) -> PeerReply {
-    match answer {
-        HolderAnswer::Reserve(answer) => PeerReply::Reserve(answer),
-        HolderAnswer::Settle(answer) => PeerReply::Settle(answer),
-        HolderAnswer::Release(answer) => PeerReply::Release(answer),
-        HolderAnswer::Seal(answer) => PeerReply::Seal(answer),
-        HolderAnswer::HandBack(answer) => PeerReply::HandBack(answer),
-    }
-}
-
 fn word_of(reply: &PeerReply) -> HolderWord {
     match reply {
         PeerReply::Reserve(ReserveAnswer::NotHolder { holder })
