--- a/crates/guavawell-ctl/src/args.rs
+++ b/crates/guavawell-ctl/src/args.rs
@@ -10,12 +10,13 @@
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::ManifestVersion;
 use guavawell_core::id::OrganisationId;
+use guavawell_core::id::RequestId;
 use guavawell_core::id::TokenCount;
 
 /// What the exit codes say.
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 findings, 4 conflict with \
 another operator, 5 platform or instance unreachable and nothing changed, 6 in doubt: the change \
-may have taken effect, 7 no such thing.";
+may have taken effect, 7 no such thing, 8 the audit found a gap or a second charge.";
 
 /// Examples of `manifest`; the indent keeps each on a line of its own.
 const MANIFEST_EXAMPLES: &str = "Examples:
@@ -44,6 +45,13 @@
     guavawell-ctl --platform 127.0.0.1:2379 instance drain entry-2
 ";
 
+/// Examples of `audit`.
+const AUDIT_EXAMPLES: &str = "Examples:
+\x20
+    guavawell-ctl --platform 127.0.0.1:2379 audit --organisation desk --request cancel-4711
+    guavawell-ctl --platform 127.0.0.1:2379 --json audit --budget desk-2026
+";
+
 /// The whole command line.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(
@@ -110,6 +118,34 @@
     /// Look at entry instances and drain them
     #[bpaf(command, footer(INSTANCE_EXAMPLES))]
     Instance(#[bpaf(external(instance_command))] InstanceCommand),
+    /// Show why a request was billed, refused or left in doubt, or prove a budget's sums
+    ///
+    ///
+    /// Reads the billing journal of the organisation's shard, folds it by request, and compares it
+    /// with the rows of the table. A charge that was made seconds ago may not be in the journal
+    /// yet: run the audit again before you call it a gap.
+    #[bpaf(command, footer(AUDIT_EXAMPLES))]
+    Audit(#[bpaf(external(audit_target))] AuditTarget),
+}
+
+/// What to audit.
+#[derive(Clone, Debug, Bpaf)]
+pub enum AuditTarget {
+    /// One request.
+    Request {
+        /// Organisation that sent the request
+        #[bpaf(long, argument("ID"))]
+        organisation: OrganisationId,
+        /// Id of the request, as the caller or the router named it
+        #[bpaf(long, argument("ID"))]
+        request: RequestId,
+    },
+    /// One budget.
+    Budget {
+        /// Budget whose sums are to be proved
+        #[bpaf(long, argument("ID"))]
+        budget: BudgetId,
+    },
 }
 
 /// What to do with manifests.
--- /dev/null
+++ b/crates/guavawell-ctl/src/audit/mod.rs
@@ -0,0 +1,23 @@
+//! `audit`: one request, or one budget, from the journal and the table.
+
+mod budget;
+mod journal;
+mod request;
+
+use crate::args::AuditTarget;
+use crate::error::CtlError;
+use crate::exit::ExitCode;
+use crate::platform::CtlPlatform;
+use crate::settings::CtlSettings;
+
+/// Audits what was asked for.
+pub async fn audit(settings: &CtlSettings, target: &AuditTarget) -> Result<ExitCode, CtlError> {
+    let platform = CtlPlatform::new(settings)?;
+    match target {
+        AuditTarget::Request {
+            organisation,
+            request,
+        } => request::audit_request(settings, &platform, organisation, request).await,
+        AuditTarget::Budget { budget } => budget::audit(settings, &platform, budget).await,
+    }
+}
--- a/crates/guavawell-ctl/src/exit.rs
+++ b/crates/guavawell-ctl/src/exit.rs
@@ -21,6 +21,8 @@
     InDoubt,
     /// There is no such thing.
     NotFound,
+    /// The audit found a gap or a second charge.
+    AuditGap,
 }
 
 impl ExitCode {
@@ -36,6 +38,7 @@
             Self::Unreachable => 5,
             Self::InDoubt => 6,
             Self::NotFound => 7,
+            Self::AuditGap => 8,
         }
     }
 }
--- a/crates/guavawell-ctl/src/main.rs
+++ b/crates/guavawell-ctl/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command line: parse, carry out, exit.
 
 mod args;
+mod audit;
 mod backend;
 mod budget;
 mod error;
--- a/crates/guavawell-ctl/src/platform.rs
+++ b/crates/guavawell-ctl/src/platform.rs
@@ -17,6 +17,8 @@
 pub struct CtlPlatform {
     /// The table.
     pub table: Table,
+    /// The object store.
+    pub objects: Objects,
     /// Versions and pages of manifests.
     pub store: ManifestStore,
 }
@@ -27,8 +29,12 @@
         let address = settings.platform.ok_or(CtlError::NoPlatform)?;
         let table = Table::new(address, PoolSettings::default());
         let objects = Objects::new(address, &settings.bucket, PoolSettings::default());
-        let store = ManifestStore::new(table.clone(), objects);
-        Ok(Self { table, store })
+        let store = ManifestStore::new(table.clone(), objects.clone());
+        Ok(Self {
+            table,
+            objects,
+            store,
+        })
     }
 
     /// The version in force.
--- a/crates/guavawell-ctl/src/run.rs
+++ b/crates/guavawell-ctl/src/run.rs
@@ -5,6 +5,7 @@
 use crate::args::Command;
 use crate::args::InstanceCommand;
 use crate::args::ManifestCommand;
+use crate::audit;
 use crate::backend;
 use crate::budget;
 use crate::error::CtlError;
@@ -15,8 +16,13 @@
 
 /// Carries out what the settings say.
 pub fn run(settings: &CtlSettings) -> Result<ExitCode, CtlError> {
-    smol::block_on(carry_out(settings))?;
-    Ok(ExitCode::Success)
+    smol::block_on(async {
+        if let Command::Audit(target) = &settings.command {
+            return Box::pin(audit::audit(settings, target)).await;
+        }
+        carry_out(settings).await?;
+        Ok(ExitCode::Success)
+    })
 }
 
 async fn carry_out(settings: &CtlSettings) -> Result<(), CtlError> {
@@ -47,6 +53,8 @@
             BackendCommand::List => Box::pin(backend::list(settings)).await,
             BackendCommand::Drain { backend } => Box::pin(backend::drain(settings, backend)).await,
         },
+        // Its exit code says what it found.
+        Command::Audit(_) => Ok(()),
         Command::Instance(command) => match command {
             InstanceCommand::List => instance::list(settings).await,
             InstanceCommand::Drain { instance } => instance::drain(settings, instance).await,
--- a/crates/guavawell-ctl/tests/ctl/main.rs
+++ b/crates/guavawell-ctl/tests/ctl/main.rs
@@ -1,5 +1,6 @@
 //! The real binary against the stand-in platform.
 
+mod audit;
 mod backend;
 mod budget;
 mod help;
