Probe idle links between routers seldom, and wake them when a call comes

Cause: a link was looked at every 62 ms and probed every 500 ms whether or not a call was under way.

Change: idle links are probed after idle_probe_ms (15 s) and looked at accordingly; the first call wakes the watch. Bytes sent to and received from peers are counted.

--- a/crates/guavawell-fleet/examples/peer_cost.rs
+++ b/crates/guavawell-fleet/examples/peer_cost.rs
@@ -22,12 +22,14 @@
 use guavawell_core::budget::ReserveAsk;
 use guavawell_core::budget::ReserveGrant;
 use guavawell_core::budget::TokenPool;
+use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::IncarnationId;
 use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
 use guavawell_core::request::RequestIdentity;
 use guavawell_fleet::event::EventLog;
+use guavawell_fleet::operator::MetricsPage;
 use guavawell_fleet::peer::PeerCall;
 use guavawell_fleet::peer::PeerClient;
 use guavawell_fleet::peer::PeerClientSettings;
@@ -52,11 +54,16 @@
 const LONE_CALLS: u64 = 20_000;
 const LOAD_SPAN: Duration = Duration::from_secs(4);
 const LOAD_THREADS: u64 = 2;
+/// A probe raises the Lamport clock when it is sent and when it is answered.
+const ORDERS_A_PROBE: u64 = 2;
+const IDLE_PROBE: ClockSpan = ClockSpan::from_millis(8);
 const LOAD_WIDTHS: [u64; 3] = [16, 128, 512];
 /// Processor time in /proc is counted in hundredths of a second.
 const TICKS_A_SECOND: f64 = 100.0;
 
 fn main() {
+    // Counters cost what they cost in a router.
+    let _ = MetricsPage::install();
     let words: Vec<String> = env::args().skip(1).collect();
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words[..] {
@@ -134,6 +141,7 @@
             incarnation: None,
         };
         measure_lone(kind, &client, &target);
+        measure_idle(kind, &settings);
         for width in LOAD_WIDTHS {
             measure_load(kind, &client, &target, width);
         }
@@ -153,6 +161,44 @@
     report(kind, "one at a time", &spans, spent, None);
 }
 
+/// A connection without calls, probed far more often than in use.
+fn measure_idle(kind: &str, settings: &PeerClientSettings) {
+    let mut settings = settings.clone();
+    settings.peers.idle_probe_ms = IDLE_PROBE;
+    let address = settings.peers.listen;
+    let client = PeerClient::start(&settings).unwrap();
+    let target = PeerTarget {
+        instance: "holder".parse().unwrap(),
+        address,
+        incarnation: None,
+    };
+    let mut spans = new_histogram();
+    smol::block_on(call(&client, &target, 0, &mut spans));
+    let orders = settings.log.lamport().now();
+    let (before, bytes_before) = (processor_seconds(), peer_bytes());
+    thread::sleep(LOAD_SPAN);
+    let spent = processor_seconds() - before;
+    let bytes = peer_bytes() - bytes_before;
+    let probes = (settings.log.lamport().now() - orders) / ORDERS_A_PROBE;
+    let each = spent * 1e6 / f64::from(u32::try_from(probes).unwrap());
+    let bytes = bytes / probes;
+    println!(
+        "{kind}, idle: {probes} probes, {bytes} bytes and processor {each:.1} µs a probe in this process"
+    );
+}
+
+/// Bytes that this process sent to peers and received from them so far,
+/// before TLS.
+fn peer_bytes() -> u64 {
+    let page = MetricsPage::install().render();
+    let counted = page.lines().filter(|line| {
+        line.starts_with("guavawell_peer_sent_bytes_total ")
+            || line.starts_with("guavawell_peer_received_bytes_total ")
+    });
+    let counts = counted.filter_map(|line| line.rsplit(' ').next());
+    counts.filter_map(|count| count.parse::<u64>().ok()).sum()
+}
+
 /// `width` callers on each of the threads, each one call after another.
 fn measure_load(kind: &str, client: &PeerClient, target: &PeerTarget, width: u64) {
     let before = processor_seconds();
--- a/crates/guavawell-fleet/src/peer/client/link.rs
+++ b/crates/guavawell-fleet/src/peer/client/link.rs
@@ -50,11 +50,15 @@
     probed: Cell<Option<Instant>>,
     break_sender: Sender<()>,
     break_receiver: Receiver<()>,
+    /// Wakes the watch of a link that had no calls.
+    stir_sender: Sender<()>,
+    stir_receiver: Receiver<()>,
 }
 
 /// Why a link's watch looks around.
 enum WatchEvent {
     Ticked,
+    Stirred,
     Broken,
 }
 
@@ -66,6 +70,7 @@
         let sink = book.sink();
         let greeted = greet::connect(settings, &context.spawner, target, sink).await?;
         let (break_sender, break_receiver) = channel::bounded(1);
+        let (stir_sender, stir_receiver) = channel::bounded(1);
         Ok(Self {
             life: greeted.life,
             session: greeted.session,
@@ -76,6 +81,8 @@
             probed: Cell::new(None),
             break_sender,
             break_receiver,
+            stir_sender,
+            stir_receiver,
         })
     }
 
@@ -158,6 +165,10 @@
         }
         metrics::counter!("guavawell_peer_batches_total").increment(1);
         metrics::counter!("guavawell_peer_calls_total").increment(u64::from(count));
+        if self.running() == 0 {
+            // A full channel means that the watch wakes already.
+            let _ = self.stir_sender.try_send(());
+        }
         self.book.note_sent(batch);
         self.last_call.set(Instant::now());
         self.batches.set(self.batches.get() + 1);
@@ -185,12 +196,14 @@
     /// Watches the link until it has to be given up, and says why.
     pub async fn watch(self: &Rc<Self>, connection: &PeerConnection) -> PeerFailure {
         let settings = &connection.context().settings.peers;
-        let tick = tick_span(settings);
         loop {
+            let tick = self.tick_span(settings);
             let before = Instant::now();
-            let event = future::or(self.broken(), ticked(tick)).await;
-            if matches!(event, WatchEvent::Broken) {
-                return PeerFailure::Closed;
+            let event = future::or(self.broken(), future::or(self.stirred(), ticked(tick)));
+            match event.await {
+                WatchEvent::Broken => return PeerFailure::Closed,
+                WatchEvent::Stirred => continue,
+                WatchEvent::Ticked => (),
             }
             self.book.expire(duration(settings.call_timeout_ms));
             connection.expire_queue();
@@ -207,6 +220,26 @@
         }
     }
 
+    /// Time until the next look: short while a call is under way, long
+    /// otherwise, because a node keeps many links that are mostly idle.
+    fn tick_span(&self, settings: &PeerSettings) -> Duration {
+        let shortest = if self.running() == 0 {
+            settings.idle_probe_ms.min(settings.idle_timeout_ms)
+        } else {
+            settings
+                .call_timeout_ms
+                .min(settings.probe_interval_ms)
+                .min(settings.probe_timeout_ms)
+        };
+        duration(shortest) / TICKS_A_SPAN
+    }
+
+    async fn stirred(&self) -> WatchEvent {
+        // The link owns both ends: receiving cannot fail.
+        let _ = self.stir_receiver.recv().await;
+        WatchEvent::Stirred
+    }
+
     async fn broken(&self) -> WatchEvent {
         // Both channels only ever end or hold one message.
         let broken = async {
@@ -222,8 +255,12 @@
     fn check_silence(self: &Rc<Self>, connection: &PeerConnection) -> Option<PeerFailure> {
         let settings = &connection.context().settings.peers;
         let quiet = self.rpc.heard.quiet();
+        let interval = match self.running() {
+            0 => settings.idle_probe_ms,
+            _ => settings.probe_interval_ms,
+        };
         let Some(since) = self.probed.get() else {
-            if quiet >= duration(settings.probe_interval_ms) {
+            if quiet >= duration(interval) {
                 self.probe(connection);
             }
             return None;
@@ -274,16 +311,6 @@
     size.is_ok_and(|size| size.word_count * size_of::<u64>() as u64 <= limit)
 }
 
-fn tick_span(settings: &PeerSettings) -> Duration {
-    let spans = [
-        settings.call_timeout_ms,
-        settings.probe_interval_ms,
-        settings.probe_timeout_ms,
-    ];
-    let shortest = spans.into_iter().min().unwrap_or_default();
-    duration(shortest) / TICKS_A_SPAN
-}
-
 async fn ticked(span: Duration) -> WatchEvent {
     Timer::after(span).await;
     WatchEvent::Ticked
--- a/crates/guavawell-fleet/src/peer/server/accept.rs
+++ b/crates/guavawell-fleet/src/peer/server/accept.rs
@@ -180,7 +180,8 @@
     if !gate.is_greeted() {
         return Err(io::ErrorKind::TimedOut.into());
     }
-    let probe = duration(peers.probe_interval_ms) + duration(peers.probe_timeout_ms);
+    let interval = peers.probe_interval_ms.max(peers.idle_probe_ms);
+    let probe = duration(interval) + duration(peers.probe_timeout_ms);
     while rpc.heard.quiet() < probe * QUIET_PROBES {
         Timer::after(probe).await;
     }
--- a/crates/guavawell-fleet/src/peer/tests.rs
+++ b/crates/guavawell-fleet/src/peer/tests.rs
@@ -67,6 +67,7 @@
         connect_timeout_ms: LONG,
         call_timeout_ms: LONG,
         probe_interval_ms: LONG,
+        idle_probe_ms: LONG,
         probe_timeout_ms: LONG,
         ..PeerSettings::default()
     }
--- a/crates/guavawell-fleet/src/peer/tests/fault.rs
+++ b/crates/guavawell-fleet/src/peer/tests/fault.rs
@@ -75,6 +75,22 @@
     assert_eq!(relay.accepted(), 2);
 }
 
+#[test]
+fn an_idle_connection_that_went_silent_costs_no_call() {
+    let mut peers = settings();
+    peers.idle_probe_ms = SHORT;
+    peers.probe_timeout_ms = SHORT;
+    let (server, _control) = start_server(&server_settings(settings()));
+    let client = PeerClient::start(&client_settings(peers)).unwrap();
+    let relay = TestRelay::start(server.address());
+    let target = target(relay.address());
+    assert_eq!(call(&client, &target, hand_back(1)), Ok(given(1)));
+    relay.silence();
+    relay.wait_until_closed();
+    assert_eq!(call(&client, &target, hand_back(2)), Ok(given(2)));
+    assert_eq!(relay.accepted(), 2);
+}
+
 #[test]
 fn a_connection_that_was_closed_behind_its_back_is_replaced() {
     let (server, client, control) = start_plain(settings());
--- a/crates/guavawell-fleet/src/peer/transport/gather.rs
+++ b/crates/guavawell-fleet/src/peer/transport/gather.rs
@@ -65,6 +65,8 @@
 }
 
 async fn write_out<W: AsyncWrite + Unpin>(output: &mut W, bytes: &[u8]) -> io::Result<()> {
+    let count = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+    metrics::counter!("guavawell_peer_sent_bytes_total").increment(count);
     output.write_all(bytes).await?;
     output.flush().await
 }
--- a/crates/guavawell-fleet/src/peer/transport/heard.rs
+++ b/crates/guavawell-fleet/src/peer/transport/heard.rs
@@ -57,8 +57,10 @@
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         let polled = Pin::new(&mut this.reader).poll_read(context, buffer);
-        if matches!(polled, Poll::Ready(Ok(_))) {
+        if let Poll::Ready(Ok(count)) = polled {
             this.heard.note();
+            let count = u64::try_from(count).unwrap_or(u64::MAX);
+            metrics::counter!("guavawell_peer_received_bytes_total").increment(count);
         }
         polled
     }
--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -175,6 +175,7 @@
         ),
         ("peers.call_timeout_ms", settings.peers.call_timeout_ms),
         ("peers.idle_timeout_ms", settings.peers.idle_timeout_ms),
+        ("peers.idle_probe_ms", settings.peers.idle_probe_ms),
         ("peers.probe_interval_ms", settings.peers.probe_interval_ms),
         ("peers.probe_timeout_ms", settings.peers.probe_timeout_ms),
         ("platform.timeout_ms", settings.platform.timeout_ms),
--- a/crates/guavawell-fleet/src/settings/network.rs
+++ b/crates/guavawell-fleet/src/settings/network.rs
@@ -113,8 +113,12 @@
         connect_timeout_ms: ClockSpan = ClockSpan::from_millis(1_000);
         /// Longest time for one call, in milliseconds.
         call_timeout_ms: ClockSpan = ClockSpan::from_millis(2_000);
-        /// Quiet time on a connection before it is probed, in milliseconds.
+        /// Quiet time on a connection with calls under way before it is
+        /// probed, in milliseconds.
         probe_interval_ms: ClockSpan = ClockSpan::from_millis(500);
+        /// Quiet time on a connection without calls before it is probed, in
+        /// milliseconds.
+        idle_probe_ms: ClockSpan = ClockSpan::from_millis(15_000);
         /// Longest time for a probe's answer, in milliseconds; then the
         /// connection is replaced.
         probe_timeout_ms: ClockSpan = ClockSpan::from_millis(500);
