Note bills, close behind early refusals, look at sockets sooner, start Lamport at the wall clock

Cause, all four found by the load tool's author: no billing.recorded event, so that the time line's billed-once rule passed trivially; async-h1 may swallow the start of the next request where an answer comes before the body was read; smol's executor looks at the sockets only after 200 tasks (p99 23 ms where 0.6 ms was true in the load client); Lamport clocks that start at zero sort a restarted process before everything else. Change: billing.recorded once a charge is settled; early refusals close their connection; the router's threads look at the sockets after 16 tasks; the clock starts at the wall clock in milliseconds.

--- a/crates/guavawell-fleet/src/event/mod.rs
+++ b/crates/guavawell-fleet/src/event/mod.rs
@@ -125,6 +125,7 @@
         let thread = thread.spawn(move || writer.run(&records))?;
         let mut state = LogState::new(instance, incarnation);
         state.now = settings.now;
+        state.lamport = LamportClock::start((settings.now)());
         state.counts = counts;
         state.sender = Some(sender);
         state.writer = Mutex::new(Some(thread));
@@ -192,7 +193,7 @@
             instance,
             incarnation,
             now: clock::now,
-            lamport: LamportClock::default(),
+            lamport: LamportClock::start(clock::now()),
             counts: Arc::default(),
             sender: None,
             writer: Mutex::new(None),
--- a/crates/guavawell-fleet/src/router/relay.rs
+++ b/crates/guavawell-fleet/src/router/relay.rs
@@ -205,6 +205,9 @@
             backend: Some(backend),
         })
         .await;
+    if let Some(SettleAnswer::Settled { charged }) = answer {
+        note(core, &reservation, "billing.recorded", charged);
+    }
     let (kind, tokens) = match answer {
         Some(SettleAnswer::Settled { charged }) => ("reservation.settled", charged),
         Some(SettleAnswer::AlreadySettled { charged, .. }) => ("reservation.folded", charged),
@@ -215,10 +218,14 @@
         }
         None => ("reservation.pending", actual),
     };
+    note(core, &reservation, kind, tokens);
+}
+
+fn note(core: &RouterCore, reservation: &HeldReservation, kind: &str, tokens: TokenCount) {
     core.events.emit(
         EventDraft::new(kind)
-            .organisation(&identity.organisation)
-            .request(&identity.request)
+            .organisation(&reservation.identity.organisation)
+            .request(&reservation.identity.request)
             .attempt(reservation.attempt)
             .field("tokens", tokens),
     );
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -51,7 +51,7 @@
     let path: Box<str> = request.url().path().into();
     let view = core.view.load_full();
     if let Err(refusal) = check_state(&core) {
-        return refuse(&core, None, &refusal);
+        return unread(refuse(&core, None, &refusal));
     }
     match (request.method(), &*path) {
         (Method::Post, "/v1/chat/completions") => chat(&core, &view, &mut request).await,
@@ -62,11 +62,19 @@
         (method, path) => {
             let detail = format!("there is no `{method} {path}` here");
             let refusal = Refusal::unattempted(RefusalReason::BadRequest, detail);
-            refuse(&core, None, &refusal)
+            unread(refuse(&core, None, &refusal))
         }
     }
 }
 
+/// Closes the connection behind an answer that was given before the whole
+/// body was read: what is left of it may not be taken for the next request.
+#[must_use]
+pub fn unread(mut response: Response) -> Response {
+    response.insert_header("connection", "close");
+    response
+}
+
 fn check_state(core: &RouterCore) -> Result<(), Refusal> {
     if core.is_ready() {
         return Ok(());
@@ -96,12 +104,12 @@
 async fn chat(core: &Arc<RouterCore>, view: &FleetView, request: &mut Request) -> Response {
     let entry = match CallerEntry::read(view, request) {
         Ok(entry) => entry,
-        Err(refusal) => return refuse(core, None, &refusal),
+        Err(refusal) => return unread(refuse(core, None, &refusal)),
     };
     let identity = entry.head.identity.clone();
     let body = match caller_body(core, request).await {
         Ok(body) => body,
-        Err(refusal) => return refuse(core, Some(&identity), &refusal),
+        Err(refusal) => return unread(refuse(core, Some(&identity), &refusal)),
     };
     match run_chat(core, view, &entry, &body).await {
         Ok(response) => response,
--- a/crates/guavawell-fleet/src/router/service.rs
+++ b/crates/guavawell-fleet/src/router/service.rs
@@ -38,6 +38,7 @@
 use super::serve::accepted;
 use super::serve::admit;
 use super::serve::caller_body;
+use super::serve::unread;
 use crate::clock;
 use crate::engine::AttemptState;
 use crate::engine::EngineError;
@@ -52,11 +53,15 @@
 ) -> Response {
     let entry = match CallerEntry::read(view, request) {
         Ok(entry) => entry,
-        Err(refusal) => return refuse(core, None, &refusal),
+        Err(refusal) => return unread(refuse(core, None, &refusal)),
     };
     let identity = entry.head.identity.clone();
+    let body = match caller_body(core, request).await {
+        Ok(body) => body,
+        Err(refusal) => return unread(refuse(core, Some(&identity), &refusal)),
+    };
     let served = match find_service(view, rest) {
-        Ok((service, path)) => call(core, &entry, request, service, path).await,
+        Ok((service, path)) => call(core, &entry, body, service, path).await,
         Err(refusal) => Err(refusal),
     };
     served.unwrap_or_else(|refusal| refuse(core, Some(&identity), &refusal))
@@ -79,11 +84,10 @@
 async fn call(
     core: &Arc<RouterCore>,
     entry: &CallerEntry,
-    request: &mut Request,
+    body: Vec<u8>,
     service: &ServiceEntry,
     path: Box<str>,
 ) -> Result<Response, Refusal> {
-    let body = caller_body(core, request).await?;
     let call = OutgoingCall {
         target: RouteTarget::Service(service.id.clone()),
         path,
--- a/crates/guavawell-fleet/src/task/mod.rs
+++ b/crates/guavawell-fleet/src/task/mod.rs
@@ -15,6 +15,8 @@
 use smol::Executor;
 use smol::channel;
 use smol::channel::Sender;
+use smol::future::FutureExt;
+use smol::future::yield_now;
 
 /// Spawns tasks; clones spawn on the same threads.
 #[derive(Clone, Debug)]
@@ -28,6 +30,24 @@
     threads: Mutex<Vec<JoinHandle<()>>>,
 }
 
+/// Tasks run between two looks at the sockets.
+///
+/// The executor's own `run` looks only after 200 tasks, which lets a few quick
+/// connections keep all others waiting for milliseconds.
+const TASKS_A_LOOK: usize = 16;
+
+async fn drive<T>(executor: &Executor<'static>) -> T {
+    loop {
+        executor.tick().await;
+        for _ in 1..TASKS_A_LOOK {
+            if !executor.try_tick() {
+                break;
+            }
+        }
+        yield_now().await;
+    }
+}
+
 impl TaskSpawner {
     /// Runs `task` on the threads; after their stop it is dropped at once.
     pub fn spawn(&self, task: impl Future<Output: Send> + Send + 'static) {
@@ -53,7 +73,7 @@
             let builder = std::thread::Builder::new().name(format!("{name}-{index}"));
             threads.push(builder.spawn(move || {
                 // Ends when the channel is closed; nothing is ever sent.
-                let _ = smol::block_on(executor.run(stopped.recv()));
+                let _ = smol::block_on(drive(&executor).or(stopped.recv()));
             })?);
         }
         Ok(Self {
