Eject a lost zone whole, and wait for its reports instead of trying it

Cause: with a zone lost, the ejection floor counted the zone alone, so half of the dead servers stayed in use; five timeouts were needed per server and router; and each end of an ejection cost callers another timeout.

Change: the floor counts all servers of the target; an unreachable server is ejected at once; an ejection lasts until a report has come since (at most 120 s) where the server used to report. The queue of a target holds 64 requests, not 256.

Without three of ten servers, beyond capacity, requests still wait too long, in the engines' queues.

--- a/crates/guavawell-core/examples/routing_compare/world.rs
+++ b/crates/guavawell-core/examples/routing_compare/world.rs
@@ -224,7 +224,7 @@
                 self.end_lease(job, LeaseOutcome::Served);
                 self.leave(job);
             }
-            WorldEvent::Failed(job) => self.retry(job, LeaseOutcome::Failed),
+            WorldEvent::Failed(job) => self.retry(job, LeaseOutcome::Unreachable),
             WorldEvent::Report(engine) => self.report(engine),
             WorldEvent::Deliver(engine, report, batch) => self.deliver(engine, &report, &batch),
             WorldEvent::Fault => self.break_something(),
--- a/crates/guavawell-core/src/backend/affinity.rs
+++ b/crates/guavawell-core/src/backend/affinity.rs
@@ -23,7 +23,7 @@
 /// Entries of a set.
 const WAYS: usize = 8;
 /// Hints looked at per request.
-pub(super) const MAX_HINTS: usize = 2;
+pub(super) const MAX_HINTS: usize = 4;
 
 /// The hash of a prompt's first bytes (see docs/PROTOCOLS.md).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/guavawell-core/src/backend/choice.rs
+++ b/crates/guavawell-core/src/backend/choice.rs
@@ -76,7 +76,8 @@
 #[derive(Clone, Debug)]
 pub struct BackendPick {
     pub(super) table: Arc<BackendTable>,
-    pub(super) group: Arc<BackendGroup>,
+    /// Place of the target in the table.
+    pub(super) place: usize,
     /// The server.
     pub backend: Arc<BackendState>,
     /// Expected time to first token.
@@ -108,22 +109,27 @@
         if let Some(index) = preferred
             && let Some(candidate) = self.best(index, ask, false)
         {
-            return Ok(self.pick(&candidate, ask));
+            return Ok(self.pick(index, &candidate, ask));
         }
         let index = self.target(ask.target, ask.version);
         let index = index.ok_or(NoBackend::Unserved)?;
         let candidate = self.best(index, ask, false);
         let candidate = candidate.or_else(|| self.best(index, ask, true));
         match candidate {
-            Some(candidate) => Ok(self.pick(&candidate, ask)),
+            Some(candidate) => Ok(self.pick(index, &candidate, ask)),
             None => Err(refusal(index, ask)),
         }
     }
 
-    fn pick(self: &Arc<Self>, candidate: &Candidate<'_>, ask: &ChoiceAsk<'_>) -> BackendPick {
+    fn pick(
+        self: &Arc<Self>,
+        index: &TargetIndex,
+        candidate: &Candidate<'_>,
+        ask: &ChoiceAsk<'_>,
+    ) -> BackendPick {
         BackendPick {
             table: Arc::clone(self),
-            group: Arc::clone(candidate.group),
+            place: index.place(),
             backend: Arc::clone(candidate.state),
             estimate: ClockSpan::from_millis(candidate.cost),
             cached: candidate.cached,
--- a/crates/guavawell-core/src/backend/health.rs
+++ b/crates/guavawell-core/src/backend/health.rs
@@ -16,19 +16,33 @@
 pub(super) struct HealthCell {
     failures: AtomicU32,
     ejections: AtomicU32,
-    /// End of the last ejection, in milliseconds; zero without one.
+    /// Start of the last ejection, in milliseconds; zero without one.
+    ejected_since: AtomicU64,
+    /// Earliest end of it.
     ejected_until: AtomicU64,
 }
 
 impl HealthCell {
-    /// Whether the server is ejected at `now`.
-    pub(super) fn is_ejected(&self, now: ClockTime) -> bool {
-        now.as_millis() < self.ejected_until.load(Ordering::Relaxed)
+    /// Whether the server is ejected at `now`. If it used to send reports, the
+    /// ejection goes on until one has come since (`reported` is the last), but
+    /// no longer than the longest ejection.
+    pub(super) fn is_ejected(
+        &self,
+        reported: Option<ClockTime>,
+        settings: &RoutingSettings,
+        now: ClockTime,
+    ) -> bool {
+        if now < time(&self.ejected_until) {
+            return true;
+        }
+        let since = time(&self.ejected_since);
+        let silent = reported.is_some_and(|reported| reported < since);
+        silent && now.since(since) < settings.eject_max
     }
 
     /// End of the last ejection; slow start counts from it.
     pub(super) fn returned(&self) -> ClockTime {
-        ClockTime::from_millis(self.ejected_until.load(Ordering::Relaxed))
+        time(&self.ejected_until)
     }
 
     /// A request was served.
@@ -37,17 +51,17 @@
         self.ejections.store(0, Ordering::Relaxed);
     }
 
-    /// A request failed; says whether the server should be ejected. A server
+    /// A request failed, counting as `weight` failures; says whether the server should be ejected. A server
     /// back from an ejection is due again after one failure.
-    pub(super) fn failure(&self, settings: &RoutingSettings) -> bool {
-        let failures = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
+    pub(super) fn failure(&self, weight: u32, settings: &RoutingSettings) -> bool {
+        let failures = self.failures.fetch_add(weight, Ordering::Relaxed) + weight;
         let returned = self.ejections.load(Ordering::Relaxed) > 0;
         returned || failures >= settings.eject_failures
     }
 
     /// Ejects the server.
     pub(super) fn eject(&self, settings: &RoutingSettings, now: ClockTime) {
-        if self.is_ejected(now) {
+        if now < time(&self.ejected_until) {
             return;
         }
         let earlier = self.ejections.fetch_add(1, Ordering::Relaxed);
@@ -57,8 +71,13 @@
         let span = base
             .saturating_mul(factor)
             .min(settings.eject_max.as_millis());
+        self.ejected_since.store(now.as_millis(), Ordering::Relaxed);
         let until = now + ClockSpan::from_millis(span);
         self.ejected_until
             .store(until.as_millis(), Ordering::Relaxed);
     }
 }
+
+fn time(millis: &AtomicU64) -> ClockTime {
+    ClockTime::from_millis(millis.load(Ordering::Relaxed))
+}
--- a/crates/guavawell-core/src/backend/lease.rs
+++ b/crates/guavawell-core/src/backend/lease.rs
@@ -16,14 +16,19 @@
     Served,
     /// The server refused it as overloaded; it was not run.
     Overloaded,
-    /// The server failed: no connection, an error, or a broken answer.
+    /// The server failed: an error, or a broken answer.
     Failed,
+    /// No connection could be opened; counts as several failures.
+    Unreachable,
     /// The connection went silent; the server is judged by the probe.
     Silent,
     /// The caller went away, or another attempt won.
     Cancelled,
 }
 
+/// Failures that an unreachable server counts as.
+const UNREACHABLE_WEIGHT: u32 = 5;
+
 /// A request counted in flight at a server. Dropped without
 /// [`finish`](Self::finish) it counts as cancelled.
 #[derive(Debug)]
@@ -99,7 +104,8 @@
                 state.hold.sample(self.hold(now), now);
             }
             LeaseOutcome::Overloaded => state.limit.overload(now),
-            LeaseOutcome::Failed => self.fail(now),
+            LeaseOutcome::Failed => self.fail(1, now),
+            LeaseOutcome::Unreachable => self.fail(UNREACHABLE_WEIGHT, now),
             LeaseOutcome::Silent | LeaseOutcome::Cancelled => {}
         }
     }
@@ -121,16 +127,11 @@
         }
     }
 
-    fn fail(&self, now: ClockTime) {
+    fn fail(&self, weight: u32, now: ClockTime) {
         let state = &self.pick.backend;
         let settings = &state.settings;
-        if !state.health.failure(settings) || state.health.is_ejected(now) {
-            return;
-        }
-        let members = &self.pick.group.members;
-        let ejected = members.iter().filter(|state| state.health.is_ejected(now));
-        let share = (ejected.count() + 1) * 100;
-        if share <= members.len() * settings.eject_max_percent as usize {
+        let due = state.health.failure(weight, settings);
+        if due && self.pick.table.may_eject(self.pick.place, now) {
             state.health.eject(settings, now);
         }
     }
--- a/crates/guavawell-core/src/backend/report.rs
+++ b/crates/guavawell-core/src/backend/report.rs
@@ -126,6 +126,12 @@
         self.queued.load(Ordering::Relaxed)
     }
 
+    /// When the last report came, if any.
+    pub(super) fn received(&self) -> Option<ClockTime> {
+        let known = self.at.load(Ordering::Relaxed) > 0;
+        known.then(|| ClockTime::from_millis(self.received.load(Ordering::Relaxed)))
+    }
+
     fn age(&self, now: ClockTime) -> ClockSpan {
         now.since(ClockTime::from_millis(
             self.received.load(Ordering::Relaxed),
--- a/crates/guavawell-core/src/backend/settings.rs
+++ b/crates/guavawell-core/src/backend/settings.rs
@@ -34,7 +34,8 @@
     pub eject_base: ClockSpan,
     /// Longest ejection.
     pub eject_max: ClockSpan,
-    /// At most this part of a group is ejected at a time, in percent.
+    /// At most this part of a target's servers, over all zones, is ejected at
+    /// a time, in percent.
     pub eject_max_percent: u32,
     /// Cache hints kept over all servers (rounded up to a power of two);
     /// each takes 8 bytes.
@@ -57,7 +58,7 @@
             slots_guess: 16,
             report_stale: ClockSpan::from_millis(5_000),
             speed_half_life: ClockSpan::from_millis(10_000),
-            prefix_saving_percent: 60,
+            prefix_saving_percent: 75,
             zone_penalty: ClockSpan::from_millis(5),
             spill_percent: 60,
             headroom_percent: 15,
--- a/crates/guavawell-core/src/backend/state.rs
+++ b/crates/guavawell-core/src/backend/state.rs
@@ -138,7 +138,7 @@
             limit: self.limit.get(),
             first_token_ms: self.first_token_mean(now),
             leaving: self.is_leaving(),
-            ejected: self.health.is_ejected(now),
+            ejected: self.is_ejected(now),
         }
     }
 
@@ -156,9 +156,15 @@
         true
     }
 
+    /// Whether the server is ejected.
+    pub(super) fn is_ejected(&self, now: ClockTime) -> bool {
+        let reported = self.report.received();
+        self.health.is_ejected(reported, &self.settings, now)
+    }
+
     /// Whether new work may go here at all.
     pub(super) fn is_eligible(&self, now: ClockTime) -> bool {
-        !self.is_leaving() && !self.health.is_ejected(now)
+        !self.is_leaving() && !self.is_ejected(now)
     }
 
     /// Whether the adaptive limit leaves room for one more.
--- a/crates/guavawell-core/src/backend/table.rs
+++ b/crates/guavawell-core/src/backend/table.rs
@@ -33,6 +33,8 @@
 pub(super) struct TargetIndex {
     target: RouteTarget,
     version: Option<ModelVersion>,
+    /// Its own place in the table.
+    place: usize,
     pub(super) zones: Vec<Arc<BackendGroup>>,
 }
 
@@ -222,6 +224,15 @@
         Some(&self.targets[place])
     }
 
+    /// Whether the ejection floor of a pick's target leaves room for one more.
+    pub(super) fn may_eject(&self, place: usize, now: ClockTime) -> bool {
+        let groups = &self.targets[place].zones;
+        let members = || groups.iter().flat_map(|group| &group.members);
+        let ejected = members().filter(|state| state.is_ejected(now));
+        let share = (ejected.count() + 1) * 100;
+        share <= members().count() * self.settings.eject_max_percent as usize
+    }
+
     fn state_for(&self, spec: &BackendSpec, now: ClockTime) -> Arc<BackendState> {
         match self.get(&spec.id) {
             Some(state) if state.zone == spec.zone => {
@@ -236,6 +247,11 @@
 }
 
 impl TargetIndex {
+    /// Its place in the table.
+    pub(super) fn place(&self) -> usize {
+        self.place
+    }
+
     /// The group of a zone.
     pub(super) fn zone(&self, zone: &ZoneId) -> Option<&Arc<BackendGroup>> {
         let place = self.zones.binary_search_by(|group| group.zone.cmp(zone));
@@ -268,7 +284,8 @@
     entries.dedup_by(|a, b| sort_key(a) == sort_key(b));
     entries
         .chunk_by(|a, b| (&a.target, &a.version) == (&b.target, &b.version))
-        .map(target_index)
+        .enumerate()
+        .map(|(place, entries)| target_index(place, entries))
         .collect()
 }
 
@@ -313,7 +330,7 @@
     )
 }
 
-fn target_index(entries: &[IndexEntry<'_>]) -> TargetIndex {
+fn target_index(place: usize, entries: &[IndexEntry<'_>]) -> TargetIndex {
     let zones = entries
         .chunk_by(|a, b| a.state.zone == b.state.zone)
         .map(|chunk| {
@@ -327,6 +344,7 @@
     TargetIndex {
         target: entries[0].target.clone(),
         version: entries[0].version.clone(),
+        place,
         zones,
     }
 }
--- a/crates/guavawell-core/src/limits/admission.rs
+++ b/crates/guavawell-core/src/limits/admission.rs
@@ -27,7 +27,7 @@
     fn default() -> Self {
         Self {
             limit: 64,
-            queue: 256,
+            queue: 64,
             hold_guess: ClockSpan::from_millis(2_000),
         }
     }
--- a/crates/guavawell-core/tests/routing.rs
+++ b/crates/guavawell-core/tests/routing.rs
@@ -263,6 +263,28 @@
     assert_eq!(ejected(after(15_000)), 0);
 }
 
+#[test]
+fn a_lost_zone_is_ejected_whole_and_waits_for_a_sign_of_life() {
+    let table = table(&["a", "b"], 3);
+    let lost = ["a-0", "a-1", "a-2"];
+    for name in lost {
+        let _ = table.apply_report(&backend(name), &report(59_000, 0, 0), WARM);
+        run(&table, name, after(100)).finish(LeaseOutcome::Unreachable, after(1_100));
+    }
+    let others = ["b-0".into(), "b-1".into(), "b-2".into()];
+    assert_eq!(chosen(&table, after(1_100)), others);
+    assert_eq!(chosen(&table, after(60_000)), others, "no report, no try");
+    let healed = table.apply_report(&backend("a-1"), &report(119_000, 0, 0), after(60_000));
+    assert!(!healed.ignored);
+    let ejected = |now| table.views(now).iter().filter(|view| view.ejected).count();
+    assert_eq!(ejected(after(60_000)), 2);
+    assert_eq!(
+        ejected(after(121_100)),
+        0,
+        "tried again without a report, too"
+    );
+}
+
 #[test]
 fn with_all_others_leaving_an_ejected_server_still_serves() {
     let table = table(&["a"], 2);
