Keep waiting out of the engines' queues; bound the expected wait

Cause: the limit towards a server followed only late first tokens, so it stayed near its start of 64 while the routers' fair share was about 3; requests waited in the engines' queues, where fairness between organisations has no say.

Change: each load report sets the limit: with requests waiting at the server it falls to the own share of the slots, with free slots it grows by a request or a quarter of one. A request whose expected wait passes 3 s is refused with that wait as its hint.

--- a/crates/guavawell-core/src/backend/lease.rs
+++ b/crates/guavawell-core/src/backend/lease.rs
@@ -87,11 +87,11 @@
         if let Some(prefix) = self.pick.prefix {
             self.pick.table.affinity.store(prefix, hint_of(state));
         }
-        let expected = state.settings.first_token_guess;
-        let own = state.flight.current();
-        state
-            .limit
-            .sample(latency, expected, state.report.queued(), own, now);
+        if state.report.received().is_none() {
+            let expected = state.settings.first_token_guess;
+            let own = state.flight.current();
+            state.limit.sample(latency, expected, own, now);
+        }
     }
 
     /// The request ended.
--- a/crates/guavawell-core/src/backend/report.rs
+++ b/crates/guavawell-core/src/backend/report.rs
@@ -53,7 +53,6 @@
     /// so that clock skew does not count as lag.
     skew: AtomicI64,
     total: AtomicU32,
-    queued: AtomicU32,
     slots: AtomicU32,
     /// Own requests in flight at the moment of the report.
     own: AtomicI64,
@@ -66,7 +65,6 @@
             received: AtomicU64::new(0),
             skew: AtomicI64::new(i64::MAX),
             total: AtomicU32::new(0),
-            queued: AtomicU32::new(0),
             slots: AtomicU32::new(0),
             own: AtomicI64::new(0),
         }
@@ -94,7 +92,6 @@
             report.running.saturating_add(report.queued),
             Ordering::Relaxed,
         );
-        self.queued.store(report.queued, Ordering::Relaxed);
         self.slots.store(report.slots, Ordering::Relaxed);
         self.own.store(own, Ordering::Relaxed);
         self.received.store(now.as_millis(), Ordering::Relaxed);
@@ -121,11 +118,6 @@
         u64::from(if slots == 0 { guess.max(1) } else { slots })
     }
 
-    /// Requests that waited at the server at the last report.
-    pub(super) fn queued(&self) -> u32 {
-        self.queued.load(Ordering::Relaxed)
-    }
-
     /// When the last report came, if any.
     pub(super) fn received(&self) -> Option<ClockTime> {
         let known = self.at.load(Ordering::Relaxed) > 0;
--- a/crates/guavawell-core/src/backend/state.rs
+++ b/crates/guavawell-core/src/backend/state.rs
@@ -150,6 +150,9 @@
         let moment = self.report.moment(report, now);
         let own = self.flight.at(moment, now);
         self.report.store(report, own, now);
+        let total = report.running.saturating_add(report.queued);
+        let own = u32::try_from(own.max(0)).unwrap_or(u32::MAX);
+        self.limit.report(total, report.slots, own.min(total));
         if &*report.role == LEAVING_ROLE {
             self.set_leaving(true);
         }
--- a/crates/guavawell-core/src/limits/admission.rs
+++ b/crates/guavawell-core/src/limits/admission.rs
@@ -19,6 +19,8 @@
     pub limit: u32,
     /// Requests that may wait.
     pub queue: usize,
+    /// Longest expected wait with which a request is still queued.
+    pub max_wait: ClockSpan,
     /// Time that a request runs, assumed until measured.
     pub hold_guess: ClockSpan,
 }
@@ -28,6 +30,7 @@
         Self {
             limit: 64,
             queue: 64,
+            max_wait: ClockSpan::from_millis(3_000),
             hold_guess: ClockSpan::from_millis(2_000),
         }
     }
@@ -96,6 +99,9 @@
             self.running += 1;
             return AdmissionAnswer::Run;
         }
+        if wait > self.settings.max_wait {
+            return AdmissionAnswer::Refused(queue_full(wait));
+        }
         if self.queue.len() >= self.settings.queue && !self.displace(&ask, now, effects) {
             return AdmissionAnswer::Refused(queue_full(wait));
         }
--- a/crates/guavawell-core/src/limits/concurrency.rs
+++ b/crates/guavawell-core/src/limits/concurrency.rs
@@ -1,8 +1,9 @@
 //! Adaptive concurrency of one router towards one backend server.
 //!
-//! Additive increase while the first token comes quickly, multiplicative
-//! decrease when it comes late while the server queues, or when the server
-//! refuses.
+//! Additive increase while the server has free slots by its reports; once
+//! requests wait there, back to the own share of its slots, so that waiting
+//! happens in the routers' fair queues. Servers that send no reports are judged
+//! by the time to first token; a refusal always decreases the limit.
 
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -22,6 +23,10 @@
 /// A first token later than this many times the expected one is late.
 const LATE_FACTOR: u64 = 2;
 
+/// A server with at least one part in this many free lets the limit grow by a
+/// whole request a report, otherwise by one part of it.
+const FREE_PARTS: u32 = 4;
+
 /// The limit, in requests in flight.
 #[derive(Debug)]
 pub struct ConcurrencyLimit {
@@ -52,21 +57,29 @@
         self.scaled.load(Ordering::Relaxed) / SCALE
     }
 
-    /// A first token came after `latency`, at a server with `queued` waiting
-    /// requests by its last report, with `own` requests of this router.
-    pub fn sample(
-        &self,
-        latency: ClockSpan,
-        expected: ClockSpan,
-        queued: u32,
-        own: i64,
-        now: ClockTime,
-    ) {
+    /// A load report came: `total` requests at a server with `slots` slots, of
+    /// which `own` were this router's. Where requests wait at the server, the
+    /// own share of its slots is the limit; where slots are free and the limit
+    /// is used, it grows by a part of a request.
+    pub fn report(&self, total: u32, slots: u32, own: u32) {
+        if total > slots {
+            let part = own * SCALE / total * slots;
+            let floor = self.least * SCALE;
+            self.scaled.fetch_min(part.max(floor), Ordering::Relaxed);
+        } else if own * 2 >= self.get() {
+            let ample = (slots - total) * FREE_PARTS >= slots;
+            self.increase(if ample { SCALE } else { SCALE / FREE_PARTS });
+        }
+    }
+
+    /// A first token came after `latency` at a server that sends no reports,
+    /// with `own` requests of this router.
+    pub fn sample(&self, latency: ClockSpan, expected: ClockSpan, own: i64, now: ClockTime) {
         let late = latency.as_millis() > expected.as_millis() * LATE_FACTOR;
-        if late && queued > 0 {
+        if late {
             self.decrease(now);
-        } else if !late && own * 2 >= i64::from(self.get()) {
-            self.increase();
+        } else if own * 2 >= i64::from(self.get()) {
+            self.increase(SCALE / self.get().max(1));
         }
     }
 
@@ -75,13 +88,12 @@
         self.decrease(now);
     }
 
-    fn increase(&self) {
+    fn increase(&self, step: u32) {
         let most = self.most * SCALE;
         let _ = self
             .scaled
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |scaled| {
-                let step = (SCALE * SCALE / scaled.max(1)).max(1);
-                Some((scaled + step).min(most))
+                Some((scaled + step.max(1)).min(most))
             });
     }
 
--- a/crates/guavawell-core/tests/limits.rs
+++ b/crates/guavawell-core/tests/limits.rs
@@ -32,6 +32,7 @@
     Admission::new(AdmissionSettings {
         limit,
         queue,
+        max_wait: ClockSpan::from_millis(120_000),
         hold_guess: ClockSpan::from_millis(1_000),
     })
 }
@@ -190,6 +191,31 @@
     assert_eq!(admission.view().waiting, 4, "bounded");
 }
 
+#[test]
+fn a_wait_longer_than_the_bound_is_refused_with_that_wait_as_hint() {
+    let mut admission = Admission::new(AdmissionSettings {
+        limit: 1,
+        max_wait: ClockSpan::from_millis(3_000),
+        hold_guess: ClockSpan::from_millis(1_000),
+        ..AdmissionSettings::default()
+    });
+    submit(&mut admission, ask(0, "o"), at(0));
+    (1..=3).for_each(|ticket| {
+        submit(&mut admission, ask(ticket, "o"), at(0));
+    });
+    let AdmissionAnswer::Refused(refusal) = submit(&mut admission, ask(4, "o"), at(0)) else {
+        panic!("must be refused");
+    };
+    assert_eq!(refusal.cause, RefusalCause::QueueFull);
+    assert_eq!(refusal.retry_after, ClockSpan::from_millis(4_000));
+    let other = submit(&mut admission, ask(5, "other"), at(0));
+    assert_eq!(
+        other,
+        AdmissionAnswer::Queued,
+        "another's turn comes sooner"
+    );
+}
+
 #[test]
 fn a_caller_that_has_gone_leaves_the_queue() {
     let mut admission = admission(1, 4);
