--- /dev/null
+++ b/crates/guavawell-core/src/order/issue.rs
@@ -0,0 +1,281 @@
+//! Issues one order to one engine.
+//!
+//! The order is recorded in the table under a new fencing number before it is
+//! sent. Before every send the engine's state and then the row are read: a
+//! second send happens only while the engine is not in the ordered state and
+//! the row still names this issuer. So a lost answer repeats nothing, and an
+//! issuer that was replaced stops, also where the engine ignores the number.
+//! What a late duplicate changed shows in the next load report, and
+//! [`plan`](super::plan) orders it back.
+
+use super::row::EngineReading;
+use super::row::IssuerId;
+use super::row::OrderKind;
+use super::row::OrderRow;
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+use crate::id::FenceNumber;
+
+/// How an order is issued.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderSettings {
+    /// Pause between two readings of the engine.
+    pub poll: ClockSpan,
+    /// Sends after which the order is given up.
+    pub sends: u32,
+}
+
+impl Default for OrderSettings {
+    fn default() -> Self {
+        Self {
+            poll: ClockSpan::from_millis(1_000),
+            sends: 3,
+        }
+    }
+}
+
+/// How a compare-and-swap ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteResult {
+    /// It took effect.
+    Done,
+    /// The row had changed.
+    Conflict,
+    /// The answer was lost.
+    Unknown,
+}
+
+/// How a send to the engine ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendResult {
+    /// The engine took the order.
+    Accepted,
+    /// The engine has seen a higher fencing number.
+    Stale,
+    /// The answer was lost.
+    Unknown,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum IssueEvent {
+    /// The row and its revision (zero without a row).
+    Row(Option<OrderRow>, u64),
+    /// The row was written, or not.
+    Written(WriteResult),
+    /// The engine's state was read.
+    Engine(EngineReading),
+    /// A permit of the weight store was taken, or is not to be had until then.
+    Permit(Result<(), ClockTime>),
+    /// The order was sent.
+    Sent(SendResult),
+    /// The wait is over.
+    Woken,
+    /// The table or the engine could not be read.
+    Unreadable,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum IssueEffect {
+    /// Read the row.
+    ReadRow,
+    /// Write the row if its revision is still this.
+    WriteRow(u64, OrderRow),
+    /// Read the engine's orders and models.
+    ReadEngine,
+    /// Take a permit of the weight store.
+    TakePermit,
+    /// Send the order under this fencing number.
+    Send(FenceNumber, OrderKind),
+    /// Wait until then.
+    Wait(ClockTime),
+    /// Finished; give the permit back if one was taken.
+    Finish(IssueOutcome),
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IssueOutcome {
+    /// The engine is in the ordered state, and the row says so.
+    Applied,
+    /// Another issuer has an open order.
+    HeldByOther,
+    /// Another issuer has taken the row over.
+    Superseded,
+    /// The engine did not follow; the row stays open for the next try.
+    Failed,
+}
+
+/// What the next event answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum IssueStep {
+    Record,
+    Engine,
+    Permit,
+    Confirm,
+    Send,
+    Close,
+}
+
+/// One order on its way.
+#[derive(Clone, Debug)]
+pub struct OrderIssuer {
+    settings: OrderSettings,
+    issuer: IssuerId,
+    kind: OrderKind,
+    /// Whether an open order of another issuer may be taken over: its life has
+    /// ended by membership, or an operator said so.
+    take_over: bool,
+    step: IssueStep,
+    fence: FenceNumber,
+    permit: bool,
+    sends: u32,
+}
+
+impl OrderIssuer {
+    /// A new order; begin with [`IssueEffect::ReadRow`].
+    #[must_use]
+    pub fn new(
+        settings: OrderSettings,
+        issuer: IssuerId,
+        kind: OrderKind,
+        take_over: bool,
+    ) -> Self {
+        Self {
+            settings,
+            issuer,
+            kind,
+            take_over,
+            step: IssueStep::Record,
+            fence: FenceNumber::default(),
+            permit: false,
+            sends: 0,
+        }
+    }
+
+    /// Takes an event and says what to do next.
+    pub fn handle(&mut self, event: IssueEvent, now: ClockTime) -> IssueEffect {
+        match event {
+            IssueEvent::Row(row, revision) => self.row(row, revision),
+            IssueEvent::Written(result) => self.written(result),
+            IssueEvent::Engine(reading) => self.engine(&reading, now),
+            IssueEvent::Permit(Ok(())) => {
+                self.permit = true;
+                self.read_engine()
+            }
+            IssueEvent::Permit(Err(until)) => IssueEffect::Wait(until),
+            IssueEvent::Sent(SendResult::Stale) => IssueEffect::Finish(IssueOutcome::Superseded),
+            IssueEvent::Sent(_) => {
+                self.step = IssueStep::Engine;
+                self.pause(now)
+            }
+            IssueEvent::Woken => self.again(),
+            IssueEvent::Unreadable => self.pause(now),
+        }
+    }
+
+    fn row(&mut self, row: Option<OrderRow>, revision: u64) -> IssueEffect {
+        match self.step {
+            IssueStep::Record => self.record(row, revision),
+            IssueStep::Close => self.close(row, revision),
+            _ => self.confirm(row.as_ref()),
+        }
+    }
+
+    fn record(&mut self, row: Option<OrderRow>, revision: u64) -> IssueEffect {
+        let Some(row) = row else {
+            return self.write_row(revision, FenceNumber::default().next(), false);
+        };
+        let own = row.owner == self.issuer && row.kind == self.kind && !row.done;
+        if own {
+            self.fence = row.fence;
+            return self.read_engine();
+        }
+        let foreign = row.owner != self.issuer && !row.done;
+        if foreign && !self.take_over {
+            return IssueEffect::Finish(IssueOutcome::HeldByOther);
+        }
+        self.write_row(revision, row.fence.next(), false)
+    }
+
+    fn close(&mut self, row: Option<OrderRow>, revision: u64) -> IssueEffect {
+        match row.filter(|row| self.is_own(row)) {
+            Some(row) if row.done => IssueEffect::Finish(IssueOutcome::Applied),
+            Some(_) => self.write_row(revision, self.fence, true),
+            None => IssueEffect::Finish(IssueOutcome::Superseded),
+        }
+    }
+
+    fn confirm(&mut self, row: Option<&OrderRow>) -> IssueEffect {
+        if !row.is_some_and(|row| self.is_own(row) && !row.done) {
+            return IssueEffect::Finish(IssueOutcome::Superseded);
+        }
+        self.step = IssueStep::Send;
+        self.sends += 1;
+        IssueEffect::Send(self.fence, self.kind.clone())
+    }
+
+    fn written(&mut self, result: WriteResult) -> IssueEffect {
+        match (self.step, result) {
+            (IssueStep::Close, WriteResult::Done) => IssueEffect::Finish(IssueOutcome::Applied),
+            (IssueStep::Record, WriteResult::Done) => self.read_engine(),
+            _ => IssueEffect::ReadRow,
+        }
+    }
+
+    fn engine(&mut self, reading: &EngineReading, now: ClockTime) -> IssueEffect {
+        self.step = IssueStep::Engine;
+        if reading.fence > self.fence {
+            return IssueEffect::Finish(IssueOutcome::Superseded);
+        }
+        if self.kind.is_done(reading) {
+            self.step = IssueStep::Close;
+            return IssueEffect::ReadRow;
+        }
+        if self.kind.is_under_way(reading) {
+            return self.pause(now);
+        }
+        if self.sends >= self.settings.sends {
+            return IssueEffect::Finish(IssueOutcome::Failed);
+        }
+        if matches!(self.kind, OrderKind::Load(_)) && !self.permit {
+            self.step = IssueStep::Permit;
+            return IssueEffect::TakePermit;
+        }
+        self.step = IssueStep::Confirm;
+        IssueEffect::ReadRow
+    }
+
+    fn again(&mut self) -> IssueEffect {
+        match self.step {
+            IssueStep::Permit => IssueEffect::TakePermit,
+            IssueStep::Record | IssueStep::Close | IssueStep::Confirm => IssueEffect::ReadRow,
+            IssueStep::Engine | IssueStep::Send => self.read_engine(),
+        }
+    }
+
+    fn read_engine(&mut self) -> IssueEffect {
+        self.step = IssueStep::Engine;
+        IssueEffect::ReadEngine
+    }
+
+    fn write_row(&mut self, revision: u64, fence: FenceNumber, done: bool) -> IssueEffect {
+        self.fence = fence;
+        let row = OrderRow {
+            owner: self.issuer.clone(),
+            fence,
+            kind: self.kind.clone(),
+            done,
+        };
+        IssueEffect::WriteRow(revision, row)
+    }
+
+    fn is_own(&self, row: &OrderRow) -> bool {
+        row.owner == self.issuer && row.fence == self.fence
+    }
+
+    fn pause(&self, now: ClockTime) -> IssueEffect {
+        IssueEffect::Wait(now + self.settings.poll)
+    }
+}
