Probe other zones more often once one of them is silent

Cause: a zone cut off probes the others with a quarter of its probes only. Change: after a probe into another zone was left unanswered, three quarters of the probes leave the zone, until one is answered.

--- a/crates/guavawell-core/examples/gossip_spread.rs
+++ b/crates/guavawell-core/examples/gossip_spread.rs
@@ -1,4 +1,4 @@
-//! How many ticks a leaving mark and a note take to reach every instance.
+//! How many ticks news takes to reach every instance: a leaving mark, a cut, its end.
 //!
 //! Runs the real state machines in the tests' message pump, without sockets:
 //! `cargo run --release -p guavawell-core --example gossip_spread`.
@@ -7,7 +7,9 @@
 #[allow(dead_code)] // the tests use the rest of it
 mod pump;
 
+use guavawell_core::instance::Reachability;
 use pump::MessagePump;
+use pump::PumpNode;
 use pump::STEP;
 use pump::instance;
 use pump::routable;
@@ -24,6 +26,12 @@
 /// Steps after which a mark counts as lost.
 const LIMIT: usize = 100;
 
+/// Fleet sizes of the cut, with the zones that they are spread over.
+const CUT_SIZES: [(usize, usize); 3] = [(6, 3), (42, 7), (98, 7)];
+
+/// Steps after which a cut counts as not noticed, or not healed.
+const CUT_LIMIT: usize = 3_000;
+
 fn main() {
     println!("one tick is {STEP}");
     println!("nodes  loss %  mean  worst (ticks until no instance routes to the leaving one)");
@@ -35,6 +43,74 @@
             println!("{size:>5}  {loss:>6}  {mean:>4}  {worst:>5}");
         }
     }
+    println!(
+        "nodes  zones  noticed inside  noticed outside  healed (ticks after one zone is cut off)"
+    );
+    for (size, zones) in CUT_SIZES {
+        let ticks = cut_and_heal(size, zones);
+        println!(
+            "{size:>5}  {zones:>5}  {:>14}  {:>15}  {:>6}",
+            ticks.inside, ticks.outside, ticks.healed
+        );
+    }
+}
+
+/// Ticks until a cut, and its end, were known everywhere.
+struct CutTicks {
+    /// Until all in the zone hold all others for unreachable.
+    inside: usize,
+    /// Until all others hold the zone for unreachable.
+    outside: usize,
+    /// From the end of the cut until all views agree.
+    healed: usize,
+}
+
+fn cut_and_heal(size: usize, zones: usize) -> CutTicks {
+    let mut pump = MessagePump::converged(size, zones, 1);
+    for (index, node) in pump.nodes.iter_mut().enumerate() {
+        node.group = u8::from(index % zones == 0);
+    }
+    let alone = |pump: &MessagePump, group: u8| {
+        let members = pump.live().filter(|node| node.group == group).count();
+        let mut group_nodes = pump.live().filter(|node| node.group == group);
+        group_nodes
+            .all(|node| routable(node).len() == members && unreachable(node) == size - members)
+    };
+    let mut ticks = CutTicks {
+        inside: 0,
+        outside: 0,
+        healed: 0,
+    };
+    for step in 1..=CUT_LIMIT {
+        pump.step();
+        let inside = alone(&pump, 1);
+        let outside = alone(&pump, 0);
+        if inside && ticks.inside == 0 {
+            ticks.inside = step;
+        }
+        if outside && ticks.outside == 0 {
+            ticks.outside = step;
+        }
+        if inside && outside {
+            break;
+        }
+    }
+    for node in &mut pump.nodes {
+        node.group = 0;
+    }
+    while ticks.healed < CUT_LIMIT && !pump.is_converged() {
+        pump.step();
+        ticks.healed += 1;
+    }
+    ticks
+}
+
+fn unreachable(node: &PumpNode) -> usize {
+    let view = node.membership.view();
+    let members = view.members().iter();
+    members
+        .filter(|member| member.reachability == Reachability::Unreachable)
+        .count()
 }
 
 /// Ticks until each of several marks was everywhere, one after the other.
--- a/crates/guavawell-core/src/instance/membership/mod.rs
+++ b/crates/guavawell-core/src/instance/membership/mod.rs
@@ -127,6 +127,8 @@
     /// Peer with which the last comparison left a difference.
     sync_peer: Option<SocketAddr>,
     times: TaskTimes,
+    /// The last probe into another zone was left unanswered.
+    zones_doubtful: bool,
     superseded: bool,
     counts: GossipCounts,
     revision: u64,
@@ -170,6 +172,7 @@
                 reconnect: now,
                 last_tick: now,
             },
+            zones_doubtful: false,
             superseded: false,
             counts: GossipCounts::default(),
             revision: 1,
--- a/crates/guavawell-core/src/instance/membership/receive.rs
+++ b/crates/guavawell-core/src/instance/membership/receive.rs
@@ -144,6 +144,7 @@
             probe: number,
         } = probe.origin
         else {
+            self.trust_zone_of(&probe.target);
             return;
         };
         let body = MessageBody::Ack {
@@ -155,6 +156,14 @@
         self.send(&target, body, Vec::new(), SendUrgency::Urgent, now);
     }
 
+    /// An answer from another zone ends the doubt about other zones.
+    fn trust_zone_of(&mut self, answered: &InstanceId) {
+        let entry = self.directory.find(answered);
+        if entry.is_some_and(|entry| entry.record.zone != self.own.zone) {
+            self.zones_doubtful = false;
+        }
+    }
+
     fn relay_ping(
         &mut self,
         requester: SocketAddr,
--- a/crates/guavawell-core/src/instance/membership/tick.rs
+++ b/crates/guavawell-core/src/instance/membership/tick.rs
@@ -108,7 +108,12 @@
     }
 
     fn next_probed(&mut self) -> Option<Arc<MemberRecord>> {
-        let cross = self.random.u8(0..100) < self.settings.cross_zone_percent;
+        let percent = if self.zones_doubtful {
+            self.settings.doubtful_zone_percent
+        } else {
+            self.settings.cross_zone_percent
+        };
+        let cross = self.random.u8(0..100) < percent;
         let instance = self
             .next_in_round(cross)
             .or_else(|| self.next_in_round(!cross))?;
@@ -185,6 +190,7 @@
         let same_life = entry.record.incarnation == probe.incarnation;
         if same_life && entry.record.reachability == Reachability::Reachable {
             let record = Arc::clone(&entry.record);
+            self.zones_doubtful |= record.zone != self.own.zone;
             self.set_reachability(&record, Reachability::Suspected, now);
         }
     }
--- a/crates/guavawell-core/src/instance/settings.rs
+++ b/crates/guavawell-core/src/instance/settings.rs
@@ -35,6 +35,8 @@
     pub reconnect_interval: ClockSpan,
     /// Percentage of probes, gossip and comparisons that leave the zone.
     pub cross_zone_percent: u8,
+    /// The same for probes, once a probe into another zone was left unanswered.
+    pub doubtful_zone_percent: u8,
     /// Bytes a second that this instance may send, datagram headers included.
     pub bytes_per_second: u64,
     /// Bytes that may be sent at once after a quiet time.
@@ -83,6 +85,7 @@
             sync_pages: 4,
             reconnect_interval: ClockSpan::from_millis(2_000),
             cross_zone_percent: 25,
+            doubtful_zone_percent: 75,
             bytes_per_second: 10_000,
             burst_bytes: 20_000,
             pause_span: ClockSpan::from_millis(2_000),
--- a/crates/guavawell-fleet/examples/gossip_cost/load.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/load.rs
@@ -129,6 +129,11 @@
         self.nodes[0].address
     }
 
+    /// Nodes, with the measured one.
+    pub fn size(&self) -> usize {
+        self.nodes.len() + 1
+    }
+
     pub fn work(&self) -> WorkKind {
         self.work
     }
--- a/crates/guavawell-fleet/examples/gossip_cost/node.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/node.rs
@@ -25,6 +25,13 @@
 /// Time measured.
 const MEASURED: Duration = Duration::from_secs(4);
 
+/// Time measured at the largest size: one whole cycle of manifest versions, as
+/// each of them is followed by a burst of news.
+const MEASURED_CYCLE: Duration = Duration::from_millis(12_700);
+
+/// Size from which a whole cycle is measured.
+const LARGE_FLEET: usize = 390;
+
 /// Bytes of the IPv4 and UDP headers of a datagram.
 const HEADER_BYTES: u64 = 28;
 
@@ -61,13 +68,18 @@
 pub fn measure(fleet: FleetLoad) -> NodeCost {
     let seed = fleet.first_address();
     let work = fleet.work();
+    let measured = if work == WorkKind::Busy && fleet.size() >= LARGE_FLEET {
+        MEASURED_CYCLE
+    } else {
+        MEASURED
+    };
     let clock = fleet.clock();
     let handle = fleet.spawn();
     let measuring = thread::Builder::new().name("node".into());
     let node = measuring.spawn(move || {
         let mut cost = None;
         let heap = allocation_counter::measure(|| {
-            cost = Some(smol::block_on(run(seed, work, &clock)));
+            cost = Some(smol::block_on(run(seed, work, measured, &clock)));
         });
         let mut cost = cost.expect("the node ran");
         cost.heap_kilobytes = kilobytes(heap.bytes_max);
@@ -78,7 +90,7 @@
     cost
 }
 
-async fn run(seed: SocketAddr, work: WorkKind, clock: &LoadClock) -> NodeCost {
+async fn run(seed: SocketAddr, work: WorkKind, measured: Duration, clock: &LoadClock) -> NodeCost {
     let settings = DriverSettings {
         seeds: vec![seed],
         random_seed: 1,
@@ -91,15 +103,20 @@
         let error = driver.run().await;
         panic!("the socket failed: {error:?}");
     };
-    smol::future::or(sample_twice(&driver, work, clock), running).await
+    smol::future::or(sample_twice(&driver, work, measured, clock), running).await
 }
 
-async fn sample_twice(driver: &GossipDriver, work: WorkKind, clock: &LoadClock) -> NodeCost {
+async fn sample_twice(
+    driver: &GossipDriver,
+    work: WorkKind,
+    measured: Duration,
+    clock: &LoadClock,
+) -> NodeCost {
     let started = Instant::now();
     let mut before = None;
     let mut began = started;
     let mut published = ClockTime::default();
-    while started.elapsed() < WARM_UP + MEASURED {
+    while started.elapsed() < WARM_UP + measured {
         if work == WorkKind::Busy {
             published = renew_work(driver, published);
         }
