--- a/crates/guavawell-fleet/schema/peer.capnp
+++ b/crates/guavawell-fleet/schema/peer.capnp
@@ -260,6 +260,8 @@
     handoverAck @11 :HandoverAck;
     takeover @12 :TakeoverAsk;
     life @13 :Void;
+    version @14 :Void;       # the manifest version in force
+    pages @15 :List(Data);   # pages of manifests, by digest
   }
 }
 
@@ -283,6 +285,8 @@
     life @9 :UInt64;  # the answering router's incarnation
     accepted @10 :Void;
     refused @11 :Refusal;
+    version @12 :Data;       # the version's row; empty if none is in force
+    pages @13 :List(Data);   # those that are there, in any order
   }
 }
 
--- a/crates/guavawell-fleet/src/config/fetch.rs
+++ b/crates/guavawell-fleet/src/config/fetch.rs
@@ -15,8 +15,9 @@
 use super::ManifestStore;
 use crate::platform::PlatformError;
 
-/// Pages asked of one peer in one call.
-const PEER_BATCH: usize = 128;
+/// Pages asked of one peer in one call: about 130 KB at full size, so that a
+/// reply does not hold up the messages about budgets behind it.
+const PEER_BATCH: usize = 16;
 /// Pages read from the object store at once.
 const PARALLEL_READS: usize = 8;
 /// Peers asked for pages at most.
--- a/crates/guavawell-fleet/src/peer/message.rs
+++ b/crates/guavawell-fleet/src/peer/message.rs
@@ -18,6 +18,8 @@
 use guavawell_core::budget::WitnessAck;
 use guavawell_core::budget::WitnessMessage;
 use guavawell_core::budget::WitnessRefusal;
+use guavawell_core::manifest::ContentDigest;
+use guavawell_core::manifest::VersionRow;
 use thiserror::Error;
 
 /// What one router asks of another.
@@ -41,6 +43,10 @@
     Takeover(TakeoverAsk),
     /// To any router: tell your incarnation.
     Life,
+    /// To any router: tell the manifest version that you have in force.
+    Version,
+    /// To any router: send these pages of manifests, those that you have.
+    Pages(Vec<ContentDigest>),
 }
 
 /// What a router answers.
@@ -64,6 +70,10 @@
     HandoverAck(HandoverAck),
     /// To [`PeerRequest::Life`].
     Life(LifeAnswer),
+    /// To [`PeerRequest::Version`]: the version's row, if one is in force.
+    Version(Option<VersionRow>),
+    /// To [`PeerRequest::Pages`]: the bytes of pages, in any order.
+    Pages(Vec<Vec<u8>>),
     /// The request was taken; there is nothing to tell.
     Accepted,
     /// The request was not taken.
--- a/crates/guavawell-fleet/src/peer/peer_capnp.rs
+++ b/crates/guavawell-fleet/src/peer/peer_capnp.rs
@@ -10519,7 +10519,7 @@
 }
 
 pub mod ask {
-    pub use self::Which::{Reserve,Settle,Release,Note,Seal,HandBack,Record,Ack,Refusal,LedgerPiece,HandoverAck,Takeover,Life};
+    pub use self::Which::{Reserve,Settle,Release,Note,Seal,HandBack,Record,Ack,Refusal,LedgerPiece,HandoverAck,Takeover,Life,Version,Pages};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -10646,6 +10646,11 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_pages(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 14 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => {
@@ -10713,6 +10718,16 @@
                         ()
                     ))
                 }
+                13 => {
+                    ::core::result::Result::Ok(Version(
+                        ()
+                    ))
+                }
+                14 => {
+                    ::core::result::Result::Ok(Pages(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -10963,6 +10978,25 @@
             self.builder.set_data_field::<u16>(4, 12);
         }
         #[inline]
+        pub fn set_version(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(4, 13);
+        }
+        #[inline]
+        pub fn set_pages(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(4, 14);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_pages(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 14);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_pages(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 14 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => {
@@ -11030,6 +11064,16 @@
                         ()
                     ))
                 }
+                13 => {
+                    ::core::result::Result::Ok(Version(
+                        ()
+                    ))
+                }
+                14 => {
+                    ::core::result::Result::Ok(Pages(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -11044,121 +11088,135 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 230] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 264] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(97, 238, 142, 119, 122, 46, 174, 167),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 13, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 15, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 115, 107, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 243, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 242, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 241, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 97, 108, 108, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11275,6 +11333,26 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 103, 101, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -11292,6 +11370,8 @@
                 11 => <crate::peer_capnp::handover_ack::Owned as ::capnp::introspect::Introspect>::introspect(),
                 12 => <crate::peer_capnp::takeover_ask::Owned as ::capnp::introspect::Introspect>::introspect(),
                 13 => <() as ::capnp::introspect::Introspect>::introspect(),
+                14 => <() as ::capnp::introspect::Introspect>::introspect(),
+                15 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -11306,11 +11386,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7,8,9,10,11,12,13];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,0,6,11,10,13,4,7,9,3,1,5,2,12];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,0,6,11,10,13,4,15,7,9,3,1,5,2,12,14];
         pub(crate) const TYPE_ID: u64 = 0xa7ae_2e7a_778e_ee61;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12> {
         Reserve(A0),
         Settle(A1),
         Release(A2),
@@ -11324,9 +11404,11 @@
         HandoverAck(A10),
         Takeover(A11),
         Life(()),
+        Version(()),
+        Pages(A12),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::settle_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::release_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::backend_note::Reader<'a>>,::capnp::Result<crate::peer_capnp::identity::Reader<'a>>,::capnp::Result<crate::peer_capnp::hand_back_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_record::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Reader<'a>>,::capnp::Result<crate::peer_capnp::ledger_piece::Reader<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::takeover_ask::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::settle_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::release_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::backend_note::Builder<'a>>,::capnp::Result<crate::peer_capnp::identity::Builder<'a>>,::capnp::Result<crate::peer_capnp::hand_back_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_record::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Builder<'a>>,::capnp::Result<crate::peer_capnp::ledger_piece::Builder<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::takeover_ask::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::settle_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::release_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::backend_note::Reader<'a>>,::capnp::Result<crate::peer_capnp::identity::Reader<'a>>,::capnp::Result<crate::peer_capnp::hand_back_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_record::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Reader<'a>>,::capnp::Result<crate::peer_capnp::ledger_piece::Reader<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::takeover_ask::Reader<'a>>,::capnp::Result<::capnp::data_list::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::settle_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::release_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::backend_note::Builder<'a>>,::capnp::Result<crate::peer_capnp::identity::Builder<'a>>,::capnp::Result<crate::peer_capnp::hand_back_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_record::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Builder<'a>>,::capnp::Result<crate::peer_capnp::ledger_piece::Builder<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::takeover_ask::Builder<'a>>,::capnp::Result<::capnp::data_list::Builder<'a>>>;
 }
 
 #[repr(u16)]
@@ -11403,7 +11485,7 @@
 }
 
 pub mod answer {
-    pub use self::Which::{Reserve,Settle,Release,Seal,HandBack,Ack,Refusal,HandoverAck,Life,Accepted,Refused};
+    pub use self::Which::{Reserve,Settle,Release,Seal,HandBack,Ack,Refusal,HandoverAck,Life,Accepted,Refused,Version,Pages};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -11510,6 +11592,16 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_version(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 11 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_pages(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 12 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => {
@@ -11567,6 +11659,16 @@
                         ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(8))
                     ))
                 }
+                11 => {
+                    ::core::result::Result::Ok(Version(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                12 => {
+                    ::core::result::Result::Ok(Pages(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -11767,6 +11869,36 @@
             self.builder.set_data_field::<u16>(8, value as u16);
         }
         #[inline]
+        pub fn set_version(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.set_data_field::<u16>(4, 11);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_version(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 11);
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_version(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 11 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_pages(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(4, 12);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_pages(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 12);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_pages(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 12 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => {
@@ -11824,6 +11956,16 @@
                         ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(8))
                     ))
                 }
+                11 => {
+                    ::core::result::Result::Ok(Version(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                12 => {
+                    ::core::result::Result::Ok(Pages(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -11838,108 +11980,122 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 200] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 234] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(251, 125, 157, 219, 166, 179, 73, 188),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 11, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 13, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
             ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 247, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 245, 255, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 244, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 243, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 97, 108, 108, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -12039,6 +12195,26 @@
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 103, 101, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -12054,6 +12230,8 @@
                 9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <() as ::capnp::introspect::Introspect>::introspect(),
                 11 => <crate::peer_capnp::Refusal as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -12068,11 +12246,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7,8,9,10,11];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,6,0,5,8,9,7,11,3,1,4,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7,8,9,10,11,12,13];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,6,0,5,8,9,13,7,11,3,1,4,2,12];
         pub(crate) const TYPE_ID: u64 = 0xbc49_b3a6_db9d_7dfb;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9> {
         Reserve(A0),
         Settle(A1),
         Release(A2),
@@ -12084,9 +12262,11 @@
         Life(u64),
         Accepted(()),
         Refused(::core::result::Result<crate::peer_capnp::Refusal,::capnp::NotInSchema>),
+        Version(A8),
+        Pages(A9),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::settle_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::release_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::seal_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::hand_back_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Reader<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::settle_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::release_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::seal_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::hand_back_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Builder<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::settle_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::release_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::seal_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::hand_back_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Reader<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<::capnp::data_list::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::settle_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::release_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::seal_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::hand_back_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Builder<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<::capnp::data_list::Builder<'a>>>;
 }
 
 pub mod ask_batch {
--- a/crates/guavawell-fleet/src/peer/wire/answer.rs
+++ b/crates/guavawell-fleet/src/peer/wire/answer.rs
@@ -12,6 +12,7 @@
 use guavawell_core::id::TokenCount;
 
 use super::WireError;
+use super::page;
 use super::value::backend_text;
 use super::value::read_attempt;
 use super::value::read_backend;
@@ -48,6 +49,8 @@
             witness::write_handover_ack(builder.init_handover_ack(), ack);
         }
         PeerReply::Life(answer) => builder.set_life(answer.incarnation.get()),
+        PeerReply::Version(row) => page::write_version(builder, row.as_ref()),
+        PeerReply::Pages(pages) => page::write_pages(builder, pages),
         PeerReply::Accepted => builder.set_accepted(()),
         PeerReply::Refused(refusal) => builder.set_refused(write_refused(*refusal)),
     }
@@ -178,6 +181,8 @@
         answer::Which::Life(incarnation) => PeerReply::Life(LifeAnswer {
             incarnation: IncarnationId::new(incarnation),
         }),
+        answer::Which::Version(row) => PeerReply::Version(page::read_version(row?)?),
+        answer::Which::Pages(pages) => PeerReply::Pages(page::read_pages(pages?)?),
         answer::Which::Accepted(()) => PeerReply::Accepted,
         answer::Which::Refused(refusal) => PeerReply::Refused(read_refused(refusal?)),
     };
--- a/crates/guavawell-fleet/src/peer/wire/ask.rs
+++ b/crates/guavawell-fleet/src/peer/wire/ask.rs
@@ -12,6 +12,7 @@
 
 use super::WireAsk;
 use super::WireError;
+use super::page;
 use super::piece::LedgerPiece;
 use super::value::backend_text;
 use super::value::read_attempt;
@@ -60,6 +61,8 @@
         PeerRequest::Witness(message) => write_witness(builder, message),
         PeerRequest::Takeover(ask) => write_takeover(builder.init_takeover(), ask),
         PeerRequest::Life => builder.set_life(()),
+        PeerRequest::Version => builder.set_version(()),
+        PeerRequest::Pages(digests) => page::write_digests(builder, digests),
     }
 }
 
@@ -151,6 +154,8 @@
         )),
         ask::Which::Takeover(ask) => PeerRequest::Takeover(read_takeover(ask?)?),
         ask::Which::Life(()) => PeerRequest::Life,
+        ask::Which::Version(()) => PeerRequest::Version,
+        ask::Which::Pages(digests) => PeerRequest::Pages(page::read_digests(digests?)?),
         ask::Which::LedgerPiece(piece) => {
             let piece = read_piece(piece?)?;
             return Ok(WireAsk::Piece(Box::new(piece)));
--- a/crates/guavawell-fleet/src/peer/wire/mod.rs
+++ b/crates/guavawell-fleet/src/peer/wire/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod ask;
+mod page;
 mod piece;
 #[cfg(test)]
 mod tests;
--- a/crates/guavawell-fleet/src/peer/wire/tests.rs
+++ b/crates/guavawell-fleet/src/peer/wire/tests.rs
@@ -27,12 +27,17 @@
 use guavawell_core::budget::WitnessRecord;
 use guavawell_core::budget::WitnessRefusal;
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::BackendId;
 use guavawell_core::id::IncarnationId;
+use guavawell_core::id::ManifestVersion;
 use guavawell_core::id::ShardId;
 use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
+use guavawell_core::manifest::ContentDigest;
+use guavawell_core::manifest::VersionProposal;
+use guavawell_core::manifest::VersionRow;
 use guavawell_core::request::RequestIdentity;
 
 use super::LedgerPiece;
@@ -55,6 +60,17 @@
 const ATTEMPT: AttemptId = AttemptId::new(0x0123_4567_89ab_cdef_fedc_ba98_7654_3210);
 const WAIT: ClockSpan = ClockSpan::from_millis(250);
 
+fn version_row() -> VersionRow {
+    let proposal = VersionProposal {
+        base: ManifestVersion::default(),
+        root: ContentDigest::of(b"root"),
+        who: "anna".into(),
+        when: ClockTime::from_millis(5),
+        nonce: u64::MAX,
+    };
+    proposal.on_top_of(None).unwrap()
+}
+
 fn life(instance: &str) -> InstanceLife {
     InstanceLife {
         instance: instance.parse().unwrap(),
@@ -243,6 +259,9 @@
         takeover(None),
         takeover(Some(life("tln-b-1"))),
         PeerRequest::Life,
+        PeerRequest::Version,
+        PeerRequest::Pages(Vec::new()),
+        PeerRequest::Pages(vec![ContentDigest::of(b"a"), ContentDigest::of(b"b")]),
     ];
     requests.extend(witness_messages().into_iter().map(PeerRequest::Witness));
     requests
@@ -326,6 +345,10 @@
         PeerReply::Life(LifeAnswer {
             incarnation: IncarnationId::new(5),
         }),
+        PeerReply::Version(None),
+        PeerReply::Version(Some(version_row())),
+        PeerReply::Pages(Vec::new()),
+        PeerReply::Pages(vec![b"{}".to_vec(), vec![1; 70_000]]),
         PeerReply::Accepted,
         PeerReply::Refused(PeerRefusal::Unsupported),
         PeerReply::Refused(PeerRefusal::Malformed),
--- a/crates/guavawell-fleet/src/router/mod.rs
+++ b/crates/guavawell-fleet/src/router/mod.rs
@@ -12,6 +12,7 @@
 mod core;
 mod entry;
 mod fetch;
+mod news;
 mod orphan;
 mod ports;
 mod recover;
--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -192,7 +192,7 @@
 }
 
 /// Calls an instance where gossip says that it can be reached.
-fn peer_link(gossip: GossipDriver, client: PeerClient) -> PeerLink {
+pub fn peer_link(gossip: GossipDriver, client: PeerClient) -> PeerLink {
     PeerLink {
         call: Box::new(move |instance: InstanceId, request| {
             let target = gossip.view().find(&instance).map(|member| PeerTarget {
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -25,6 +25,7 @@
 use super::admit::AdmissionDoor;
 use super::background;
 use super::core::RouterCore;
+use super::news;
 use super::ports;
 use super::settings;
 use super::targets::backend_specs;
@@ -36,7 +37,6 @@
 use crate::config::ConfigDriver;
 use crate::config::ConfigHandle;
 use crate::config::ConfigInputs;
-use crate::config::ConfigPeers;
 use crate::config::ConfigSnapshot;
 use crate::config::ManifestStore;
 use crate::engine::EngineClient;
@@ -148,7 +148,8 @@
             settings::operator_limits(),
         )
         .await?;
-        let slots: Arc<OnceLock<(Arc<SlotDriver>, GossipDriver)>> = Arc::new(OnceLock::new());
+        let slots: Arc<OnceLock<(Arc<SlotDriver>, GossipDriver, ConfigHandle)>> =
+            Arc::new(OnceLock::new());
         let peers = start_peers(&settings, &life, &events, &slots)?;
         let own = MemberRecord {
             instance: life.instance.clone(),
@@ -169,10 +170,9 @@
             tls: ports::client_tls(&settings)?,
             log: events.clone(),
         })?;
-        let pool = settings::platform_pool(&settings);
-        let table = Table::new(settings.platform.table, pool.clone());
-        let objects = Objects::new(settings.platform.objects, &settings.platform.bucket, pool);
+        let (table, objects) = platform_clients(&settings);
         let view = Arc::new(ArcSwap::from_pointee(FleetView::empty()));
+        let link = settings::peer_link(gossip.clone(), client.clone());
         let driver = SlotDriver::new(settings::slot_parts(
             &settings,
             &life,
@@ -183,8 +183,6 @@
             &gossip,
             client,
         ));
-        // Set once: nothing else sets it.
-        let _ = slots.set((Arc::clone(&driver), gossip.clone()));
         let core = Arc::new(RouterCore {
             life: life.clone(),
             view,
@@ -209,9 +207,11 @@
         let (config, handle, hints) = ConfigDriver::new(ConfigInputs {
             settings: ConfigSettings::default(),
             store: ManifestStore::new(table, objects),
-            peers: ConfigPeers::none(),
+            peers: news::config_peers(link, gossip.clone()),
             on_change: on_change(&core, &gossip),
         });
+        // Set once: nothing else sets it.
+        let _ = slots.set((Arc::clone(&core.slots), gossip.clone(), handle.clone()));
         let router = Self {
             core,
             config: handle,
@@ -337,7 +337,7 @@
     settings: &RouterSettings,
     life: &InstanceLife,
     events: &EventLog,
-    slots: &Arc<OnceLock<(Arc<SlotDriver>, GossipDriver)>>,
+    slots: &Arc<OnceLock<(Arc<SlotDriver>, GossipDriver, ConfigHandle)>>,
 ) -> Result<PeerServer, RouterError> {
     let peers = PeerServerSettings {
         peers: settings.peers.clone(),
@@ -349,11 +349,14 @@
     let handler = move |call: PeerCall| {
         let slots = Arc::clone(&slots);
         async move {
-            let Some((driver, gossip)) = slots.get() else {
+            let Some((driver, gossip, config)) = slots.get() else {
                 return PeerReply::Refused(PeerRefusal::Overloaded);
             };
             // An asker that gossip does not know yet asks for its own zone
             // once it does; until then it is told to come back.
+            if let Some(reply) = news::answer_news(config, &call.request) {
+                return reply;
+            }
             match gossip.view().find(&call.from.instance) {
                 Some(member) => driver.answer(&member.zone, call.request).await,
                 None => PeerReply::Refused(PeerRefusal::Overloaded),
@@ -367,6 +370,13 @@
     })
 }
 
+fn platform_clients(settings: &RouterSettings) -> (Table, Objects) {
+    let pool = settings::platform_pool(settings);
+    let table = Table::new(settings.platform.table, pool.clone());
+    let objects = Objects::new(settings.platform.objects, &settings.platform.bucket, pool);
+    (table, objects)
+}
+
 async fn start_gossip(
     settings: &RouterSettings,
     own: MemberRecord,
--- a/crates/guavawell-fleet/tests/config/main.rs
+++ b/crates/guavawell-fleet/tests/config/main.rs
@@ -3,4 +3,5 @@
 
 mod accept;
 mod force;
+mod router;
 mod support;
