--- a/crates/guavawell-fleet/src/router/attempt.rs
+++ b/crates/guavawell-fleet/src/router/attempt.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use guavawell_core::backend::BackendLease;
 use guavawell_core::backend::PrefixHash;
@@ -34,6 +35,7 @@
 use super::recover::cancel_later;
 use super::recover::recover;
 use super::reserve::HeldReservation;
+use super::serve::millis;
 use crate::clock;
 use crate::engine::EngineError;
 use crate::engine::EngineEvent;
@@ -226,8 +228,10 @@
         message: &EngineRequest,
     ) -> Result<(EngineExchange, CheckedEvent), EngineError> {
         let wait = self.core.engines.settings().idle;
+        let start = Instant::now();
         let mut exchange = self.core.engines.send(self.address, message, wait).await?;
         let first = self.first_event(&mut exchange).await?;
+        metrics::histogram!("guavawell_engine_first_event_ms").record(millis(start));
         Ok((exchange, first))
     }
 
--- a/crates/guavawell-fleet/src/router/relay.rs
+++ b/crates/guavawell-fleet/src/router/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a stream to the caller, settles it, and ends the answer.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use guavawell_core::backend::LeaseOutcome;
 use guavawell_core::budget::SettleAnswer;
@@ -21,6 +22,7 @@
 use super::recover::cancel_later;
 use super::recover::recover;
 use super::reserve::HeldReservation;
+use super::serve::millis;
 use crate::clock;
 use crate::engine::EngineError;
 use crate::event::EventDraft;
@@ -195,6 +197,7 @@
 ) {
     reservation.keep();
     let identity = reservation.identity.clone();
+    let start = Instant::now();
     let answer = core
         .slots
         .settle(SettleAsk {
@@ -205,6 +208,7 @@
             backend: Some(backend),
         })
         .await;
+    metrics::histogram!("guavawell_settle_ms").record(millis(start));
     if let Some(SettleAnswer::Settled { charged }) = answer {
         note(core, &reservation, "billing.recorded", charged);
     }
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -1,6 +1,7 @@
 //! The way of one caller's request, step by step.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use guavawell_core::backend::PrefixHash;
 use guavawell_core::backend::RouteTarget;
@@ -128,7 +129,9 @@
     let call = chat_call(view, entry, &ask)?;
     accepted(core, entry, ask.worst_case());
     let pass = admit(core, entry, &call.target, ask.worst_case()).await?;
+    let start = Instant::now();
     let reserved = reserve(core, entry, call.idempotent, ask.worst_case()).await?;
+    metrics::histogram!("guavawell_reserve_ms").record(millis(start));
     let relay = match reserved {
         ReservedRequest::Run(mut reservation) => StreamRelay {
             core: Arc::clone(core),
@@ -153,6 +156,12 @@
     })
 }
 
+/// Milliseconds since `start`, with fractions.
+#[must_use]
+pub fn millis(start: Instant) -> f64 {
+    start.elapsed().as_secs_f64() * 1_000.0
+}
+
 fn chat_call(
     view: &FleetView,
     entry: &CallerEntry,
