--- a/crates/guavawell-fleet/tests/config/router.rs
+++ b/crates/guavawell-fleet/tests/config/router.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use guavawell_core::id::ManifestVersion;
 use guavawell_core::manifest::VersionProof;
 use guavawell_fleet::operator::InstanceStatus;
 use guavawell_fleet::router::RouterHandle;
@@ -70,7 +71,7 @@
         let fresh = start(&test, "entry-2", vec![old.gossip_address()]).await;
         wait_until(|| fresh.is_ready()).await;
         let told = status(&fresh).await;
-        assert_eq!(told.version.map(|version| version.get()), Some(1));
+        assert_eq!(told.version, Some(ManifestVersion::new(1)));
         assert_eq!(told.proof, Some(VersionProof::Peers));
         test.outage(false);
         while status(&fresh).await.proof != Some(VersionProof::Table) {
