--- a/crates/guavawell-core/tests/routing.rs
+++ b/crates/guavawell-core/tests/routing.rs
@@ -187,6 +187,35 @@
     assert!(older.ignored, "a crossed, older report changes nothing");
 }
 
+#[test]
+fn the_other_routers_reaction_to_a_report_is_counted() {
+    let table = table(&["a"], 1);
+    table.set_routers(6);
+    let effect = table.apply_report(&backend("a-0"), &report(60_000, 4, 0), WARM);
+    assert!(!effect.ignored);
+    let _own = run(&table, "a-0", after(200));
+    assert_eq!(table.views(after(200))[0].load, 4 + 6);
+}
+
+#[test]
+fn a_report_of_waiting_requests_limits_each_router_to_its_share() {
+    let table = table(&["a"], 1);
+    let id = backend("a-0");
+    let held: Vec<BackendLease> = (0..6).map(|_| run(&table, "a-0", WARM)).collect();
+    let now = after(1_000);
+    let _ = table.apply_report(&id, &report(61_000, 16, 16), now);
+    assert_eq!(table.capacity(&model("m"), now), 3, "6 of 32, for 16 slots");
+    drop(held);
+    let later = after(3_000);
+    let _two = [run(&table, "a-0", now), run(&table, "a-0", now)];
+    let _ = table.apply_report(&id, &report(63_000, 2, 0), later);
+    assert_eq!(
+        table.capacity(&model("m"), later),
+        4,
+        "free slots let it grow"
+    );
+}
+
 #[test]
 fn a_slow_server_gets_less_and_is_tried_again_later() {
     let table = table(&["a"], 2);
