--- a/crates/guavawell-load/src/runner/worker.rs
+++ b/crates/guavawell-load/src/runner/worker.rs
@@ -9,6 +9,8 @@
 use smol::future::FutureExt;
 use smol::future::yield_now;
 
+use super::arrival;
+use super::shared::RunShared;
 use crate::client::ConnectionPool;
 use crate::client::Exchange;
 use crate::history::RequestHistory;
@@ -16,9 +18,6 @@
 use crate::plan::ArrivalMode;
 use crate::plan::RequestProfile;
 
-use super::arrival;
-use super::shared::RunShared;
-
 /// Tasks that run between two looks at the sockets.
 const TASKS_A_LOOK: usize = 4;
 
