--- a/crates/guavawell-core/src/request/billing/buffer.rs
+++ b/crates/guavawell-core/src/request/billing/buffer.rs
@@ -21,7 +21,7 @@
     fn default() -> Self {
         Self {
             most_records: 1_000,
-            longest_wait: ClockSpan::from_millis(2_000),
+            longest_wait: ClockSpan::from_millis(5_000),
         }
     }
 }
--- a/crates/guavawell-fleet/tests/claims.rs
+++ b/crates/guavawell-fleet/tests/claims.rs
@@ -274,3 +274,47 @@
     }
     assert_eq!(test.platform.keys("claim/o/").len(), 20);
 }
+
+/// Three routers race for each id while answers are lost and writes closed.
+#[test]
+fn racing_routers_hold_each_id_at_most_once_under_faults() {
+    let test = ClaimTest::start();
+    let routers = [test.router("r1"), test.router("r2"), test.router("r3")];
+    for seed in 0..40_u64 {
+        test.fault(FaultChange {
+            lose_answers: Some(seed % 4),
+            refuse_writes: Some(seed % 3),
+            ..FaultChange::default()
+        });
+        let identity = RequestIdentity::from_caller("o".parse().unwrap(), &format!("race{seed}"));
+        let identity = identity.unwrap();
+        let race = |place: usize| {
+            let router = routers[place].clone();
+            let identity = identity.clone();
+            let attempt = attempt(u128::from(seed) * 10 + place as u128);
+            smol::spawn(async move {
+                if seed.is_multiple_of(2) && place == 2 {
+                    let cause = cause(RefusalReason::Deadline);
+                    let refusal = router.refuse(&identity, false, attempt, &cause).await;
+                    return (false, refusal.outcome() == RefusalOutcome::NotRun);
+                }
+                match router.claim(&identity, attempt).await {
+                    ClaimAnswer::Held(_) => (true, false),
+                    ClaimAnswer::TakenBy { .. } => (false, false),
+                    ClaimAnswer::Refused(refusal) => {
+                        (false, refusal.outcome() == RefusalOutcome::NotRun)
+                    }
+                }
+            })
+        };
+        let tasks = [race(0), race(1), race(2)];
+        let (mut held, mut not_run) = (0, 0);
+        for task in tasks {
+            let (is_held, is_not_run) = smol::block_on(task);
+            held += u32::from(is_held);
+            not_run += u32::from(is_not_run);
+        }
+        assert!(held <= 1, "seed {seed}: held {held} times");
+        assert!(held == 0 || not_run == 0, "seed {seed}: held and `not_run`");
+    }
+}
