Cut a router's links and freeze it on purpose, for failure drills

Cause: partitions, an unreachable platform and a paused holder could not be brought about on the real router code. Change: a LinkGate given with the router's options cuts calls to and from instances, gossip to and from addresses and the platform's HTTP client, and freezes the router's threads; DemoFleet cuts zones from each other and from the platform, pauses routers and heals. Unused it costs one relaxed load where a message leaves or arrives. Ruled out: blocking at the socket (needs the machine's firewall) and a task that sleeps (a pause has to stop every task at once, unaware). Before: none of these faults had a test.

--- a/crates/guavawell-demo/src/fleet/manifest.rs
+++ b/crates/guavawell-demo/src/fleet/manifest.rs
@@ -30,6 +30,10 @@
 }
 
 /// The manifest as TOML.
+///
+/// # Panics
+///
+/// Never: writing to a text does not fail.
 #[must_use]
 pub fn manifest_text(settings: &FleetSettings, backends: &[BackendLine]) -> String {
     let mut text = String::new();
--- a/crates/guavawell-demo/src/fleet/start.rs
+++ b/crates/guavawell-demo/src/fleet/start.rs
@@ -8,12 +8,14 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::finding::FindingList;
 use guavawell_core::id::IdError;
+use guavawell_core::id::InstanceId;
 use guavawell_core::id::ManifestVersion;
 use guavawell_core::manifest::VersionProposal;
 use guavawell_core::manifest::page::ManifestPages;
 use guavawell_core::manifest::parse_manifest;
 use guavawell_fleet::config::AcceptOutcome;
 use guavawell_fleet::config::ManifestStore;
+use guavawell_fleet::drill::LinkGate;
 use guavawell_fleet::platform::Objects;
 use guavawell_fleet::platform::PlatformError;
 use guavawell_fleet::platform::PoolSettings;
@@ -36,6 +38,7 @@
 use thiserror::Error;
 
 use super::FleetSettings;
+use super::drill::ZoneCuts;
 use super::manifest::BackendLine;
 use super::manifest::manifest_text;
 
@@ -76,10 +79,14 @@
 
 /// A router of the fleet.
 pub struct FleetRouter {
-    /// Its name.
-    pub name: Box<str>,
+    /// Its id.
+    pub id: InstanceId,
     /// Its zone's number.
     pub zone: usize,
+    /// Where gossip reaches it.
+    pub gossip: SocketAddr,
+    /// Cuts its links and freezes it.
+    pub gate: LinkGate,
     /// The router; absent once killed.
     pub handle: Option<RouterHandle>,
 }
@@ -98,6 +105,8 @@
     pub routers: Vec<FleetRouter>,
     /// The manifest's backend servers.
     pub backends: Vec<BackendLine>,
+    /// Links that are cut now.
+    pub(super) cuts: ZoneCuts,
 }
 
 fn free() -> SocketAddr {
@@ -130,6 +139,7 @@
             services: Vec::new(),
             routers: Vec::new(),
             backends: Vec::new(),
+            cuts: ZoneCuts::default(),
         };
         fleet.start_backends().await?;
         let manifest = manifest_text(&fleet.settings, &fleet.backends);
@@ -230,15 +240,20 @@
     pub async fn start_router(&mut self, zone: usize) -> Result<(), FleetError> {
         let name = format!("router-{zone}-{}", self.routers.len());
         let settings = self.router_settings(&name, zone)?;
+        let gate = LinkGate::default();
         let options = RouterOptions {
             threads: self.settings.threads,
+            gate: gate.clone(),
         };
         let handle = RouterHandle::start(settings, options).await?;
         self.routers.push(FleetRouter {
-            name: name.into(),
+            id: name.parse()?,
             zone,
+            gossip: handle.gossip_address(),
+            gate,
             handle: Some(handle),
         });
+        self.apply_cuts();
         Ok(())
     }
 
--- a/crates/guavawell-demo/src/run.rs
+++ b/crates/guavawell-demo/src/run.rs
@@ -69,7 +69,7 @@
         let load = smol::unblock(move || guavawell_load::run(plan, hooks));
         if !command.keep_routers {
             Timer::after(Duration::from_secs_f64(half_time(command))).await;
-            eprintln!("killing {}", fleet.routers[0].name);
+            eprintln!("killing {}", fleet.routers[0].id);
             fleet.kill(0);
         }
         let report = load.await?;
--- a/crates/guavawell-fleet/src/gossip/driver.rs
+++ b/crates/guavawell-fleet/src/gossip/driver.rs
@@ -32,6 +32,7 @@
 use super::key::FleetKeys;
 use super::key::SealError;
 use crate::clock;
+use crate::drill::LinkGate;
 
 /// Largest datagram read; larger ones are cut and fail to verify.
 const RECEIVE_BYTES: usize = 2_048;
@@ -53,6 +54,8 @@
     pub random_seed: u64,
     /// The clock.
     pub now: fn() -> ClockTime,
+    /// Cuts addresses off in failure drills.
+    pub gate: LinkGate,
 }
 
 impl DriverSettings {
@@ -67,6 +70,7 @@
             tick: ClockSpan::from_millis(100),
             random_seed: fastrand::u64(..),
             now: clock::now,
+            gate: LinkGate::default(),
         }
     }
 }
@@ -90,6 +94,7 @@
     meter: DatagramMeter,
     tick: ClockSpan,
     now: fn() -> ClockTime,
+    gate: LinkGate,
     listener: ChangeListener,
 }
 
@@ -128,6 +133,7 @@
             meter: DatagramMeter::default(),
             tick: settings.tick,
             now: settings.now,
+            gate: settings.gate,
             listener: Box::new(listener),
         };
         Ok(Self {
@@ -211,6 +217,9 @@
                 Err(error) if is_passing(&error) => continue,
                 Err(error) => return Err(error),
             };
+            if self.shared.gate.cuts_gossip(from) {
+                continue;
+            }
             self.shared.meter.count_received(length);
             if let Some(message) = self.open(&buffer[..length]) {
                 let effects = self.membership().receive(from, &message, self.now());
@@ -264,6 +273,9 @@
     }
 
     async fn send(&self, to: SocketAddr, message: &GossipMessage) {
+        if self.shared.gate.cuts_gossip(to) {
+            return;
+        }
         let Ok(payload) = message.encode() else {
             self.shared.meter.count_send_failure();
             return;
--- a/crates/guavawell-fleet/src/platform/exchange.rs
+++ b/crates/guavawell-fleet/src/platform/exchange.rs
@@ -112,6 +112,10 @@
 
     async fn send(&self, ask: PlatformAsk<'_>) -> Result<PlatformAnswer, PlatformError> {
         let kind = ask.kind;
+        let gate = &self.pool.settings.gate;
+        if gate.cuts_platform() {
+            return Err(PlatformError::Outage("cut off by a failure drill".into()));
+        }
         let request = self.request(ask)?;
         let stream = self
             .pool
@@ -120,6 +124,8 @@
             .map_err(|error| PlatformError::Outage(error.to_string().into()))?;
         let span = self.pool.settings.answer_timeout;
         match with_timeout(span, self.exchange(stream, request)).await {
+            // A cut in the middle loses the answer, not the write.
+            Ok(_) if gate.cuts_platform() => Err(no_answer(kind, "cut off by a failure drill")),
             Ok(answer) => judge(kind, answer),
             Err(error) => {
                 self.pool.drop_idle();
--- a/crates/guavawell-fleet/src/platform/pool.rs
+++ b/crates/guavawell-fleet/src/platform/pool.rs
@@ -13,6 +13,7 @@
 use smol::net::TcpStream;
 
 use crate::clock::duration;
+use crate::drill::LinkGate;
 
 /// How a client talks to the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,6 +28,8 @@
     pub max_answer_bytes: usize,
     /// When the client stops asking a service that does not answer.
     pub circuit: CircuitPolicy,
+    /// Cuts the platform off in failure drills.
+    pub gate: LinkGate,
 }
 
 impl Default for PoolSettings {
@@ -37,6 +40,7 @@
             idle_connections: 8,
             max_answer_bytes: 16 * 1024 * 1024,
             circuit: CircuitPolicy::default(),
+            gate: LinkGate::default(),
         }
     }
 }
--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -72,7 +72,7 @@
 
 async fn read_list(core: Arc<RouterCore>, gossip: GossipDriver) {
     let platform = &core.settings.platform;
-    let pool = platform_pool(&core.settings);
+    let pool = platform_pool(&core.settings, &core.gate);
     let list = InstanceList::new(platform.instances, &platform.namespace, pool);
     loop {
         match list.read().await {
--- a/crates/guavawell-fleet/src/router/core.rs
+++ b/crates/guavawell-fleet/src/router/core.rs
@@ -16,6 +16,7 @@
 
 use super::admit::AdmissionDoor;
 use crate::claim::ClaimDriver;
+use crate::drill::LinkGate;
 use crate::engine::EngineClient;
 use crate::event::EventLog;
 use crate::platform::Table;
@@ -49,6 +50,8 @@
     pub events: EventLog,
     /// Where tasks run.
     pub tasks: TaskSpawner,
+    /// Cuts links in failure drills.
+    pub gate: LinkGate,
     /// Limits of chat requests.
     pub chat: ChatLimits,
     /// Set once a graceful shutdown began.
--- a/crates/guavawell-fleet/src/router/ports.rs
+++ b/crates/guavawell-fleet/src/router/ports.rs
@@ -9,6 +9,8 @@
 
 use super::core::RouterCore;
 use super::serve::serve;
+use super::settings::caller_limits;
+use super::settings::operator_limits;
 use super::start::RouterError;
 use super::status::instance_status;
 use super::status::readiness;
@@ -24,12 +26,26 @@
 use crate::tls::PortStream;
 use crate::tls::ServerTls;
 
-/// Opens a port.
+/// Opens the callers' port.
 ///
 /// # Errors
 ///
 /// [`RouterError::Listen`].
-pub async fn bind(
+pub async fn bind_callers(settings: &RouterSettings) -> Result<Arc<CallerListener>, RouterError> {
+    let limits = caller_limits(settings);
+    bind("callers", settings.callers.listen, limits).await
+}
+
+/// Opens the operators' port.
+///
+/// # Errors
+///
+/// [`RouterError::Listen`].
+pub async fn bind_operators(settings: &RouterSettings) -> Result<Arc<CallerListener>, RouterError> {
+    bind("operators", settings.operators.listen, operator_limits()).await
+}
+
+async fn bind(
     what: &'static str,
     address: SocketAddr,
     limits: CallerLimits,
--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -18,6 +18,7 @@
 
 use crate::caller::CallerLimits;
 use crate::clock;
+use crate::drill::LinkGate;
 use crate::engine::EngineSettings;
 use crate::event::EventLog;
 use crate::event::EventLogSettings;
@@ -61,9 +62,10 @@
     }
 }
 
-pub fn platform_pool(settings: &RouterSettings) -> PoolSettings {
+pub fn platform_pool(settings: &RouterSettings, gate: &LinkGate) -> PoolSettings {
     PoolSettings {
         answer_timeout: settings.platform.timeout_ms,
+        gate: gate.clone(),
         ..PoolSettings::default()
     }
 }
@@ -156,6 +158,7 @@
     view: &Arc<ArcSwap<FleetView>>,
     gossip: &GossipDriver,
     client: PeerClient,
+    gate: &LinkGate,
 ) -> SlotParts {
     let members = gossip.clone();
     let shards = Arc::clone(view);
@@ -166,7 +169,7 @@
         shards: Box::new(move || shards.load().fleet().shards),
         members: Box::new(move || members.view()),
         table: SlotTable::new(table.clone(), base_lookup(view)),
-        link: peer_link(gossip.clone(), client),
+        link: peer_link(gossip.clone(), client, gate.clone()),
         events: events.clone(),
         tasks,
         holder: Arc::new(holder(settings)),
@@ -192,7 +195,7 @@
 }
 
 /// Calls an instance where gossip says that it can be reached.
-pub fn peer_link(gossip: GossipDriver, client: PeerClient) -> PeerLink {
+pub fn peer_link(gossip: GossipDriver, client: PeerClient, gate: LinkGate) -> PeerLink {
     PeerLink {
         call: Box::new(move |instance: InstanceId, request| {
             let target = gossip.view().find(&instance).map(|member| PeerTarget {
@@ -201,12 +204,19 @@
                 incarnation: Some(member.incarnation),
             });
             let client = client.clone();
+            let gate = gate.clone();
             async move {
-                let unknown = || {
-                    let failure = PeerFailure::Connect("gossip does not know the instance".into());
-                    PeerError::NotSent(failure)
-                };
-                client.call(&target.ok_or_else(unknown)?, request).await
+                let failed = |why: &str| PeerError::NotSent(PeerFailure::Connect(why.into()));
+                if gate.cuts_peer(&instance) {
+                    return Err(failed("cut off by a failure drill"));
+                }
+                let unknown = || failed("gossip does not know the instance");
+                let reply = client.call(&target.ok_or_else(unknown)?, request).await;
+                // A cut in the middle loses the reply, not the call.
+                if gate.cuts_peer(&instance) {
+                    return Err(PeerError::Lost(PeerFailure::Silent));
+                }
+                reply
             }
             .boxed()
         }),
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -39,6 +39,7 @@
 use crate::config::ConfigInputs;
 use crate::config::ConfigSnapshot;
 use crate::config::ManifestStore;
+use crate::drill::LinkGate;
 use crate::engine::EngineClient;
 use crate::event::EventDraft;
 use crate::event::EventLog;
@@ -66,11 +67,16 @@
 pub struct RouterOptions {
     /// Threads that serve requests.
     pub threads: usize,
+    /// Cuts the router's links and freezes it, in failure drills.
+    pub gate: LinkGate,
 }
 
 impl Default for RouterOptions {
     fn default() -> Self {
-        Self { threads: 4 }
+        Self {
+            threads: 4,
+            gate: LinkGate::default(),
+        }
     }
 }
 
@@ -134,23 +140,13 @@
             life.instance.clone(),
             life.incarnation,
         )?;
-        let threads = TaskThreads::start("router", options.threads)?;
+        let threads = TaskThreads::start("router", options.threads, &options.gate)?;
         let tasks = threads.spawner();
-        let callers = ports::bind(
-            "callers",
-            settings.callers.listen,
-            settings::caller_limits(&settings),
-        )
-        .await?;
-        let operators = ports::bind(
-            "operators",
-            settings.operators.listen,
-            settings::operator_limits(),
-        )
-        .await?;
+        let callers = ports::bind_callers(&settings).await?;
+        let operators = ports::bind_operators(&settings).await?;
         let slots: Arc<OnceLock<(Arc<SlotDriver>, GossipDriver, ConfigHandle)>> =
             Arc::new(OnceLock::new());
-        let peers = start_peers(&settings, &life, &events, &slots)?;
+        let peers = start_peers(&settings, &life, &events, &slots, &options.gate)?;
         let own = MemberRecord {
             instance: life.instance.clone(),
             incarnation: life.incarnation,
@@ -163,16 +159,16 @@
             leaving: false,
             manifest: ManifestVersion::default(),
         };
-        let gossip = start_gossip(&settings, own, &events).await?;
+        let gossip = start_gossip(&settings, own, &events, &options.gate).await?;
         let client = PeerClient::start(&PeerClientSettings {
             peers: settings.peers.clone(),
             life: life.clone(),
             tls: ports::client_tls(&settings)?,
             log: events.clone(),
         })?;
-        let (table, objects) = platform_clients(&settings);
+        let (table, objects) = platform_clients(&settings, &options.gate);
         let view = Arc::new(ArcSwap::from_pointee(FleetView::empty()));
-        let link = settings::peer_link(gossip.clone(), client.clone());
+        let link = settings::peer_link(gossip.clone(), client.clone(), options.gate.clone());
         let driver = SlotDriver::new(settings::slot_parts(
             &settings,
             &life,
@@ -182,6 +178,7 @@
             &view,
             &gossip,
             client,
+            &options.gate,
         ));
         let core = Arc::new(RouterCore {
             life: life.clone(),
@@ -199,6 +196,7 @@
             retries: RetryBudget::new(RetrySettings::default()),
             events,
             tasks,
+            gate: options.gate,
             chat: settings::chat_limits(&settings),
             leaving: AtomicBool::new(false),
             ready: AtomicBool::new(false),
@@ -270,6 +268,12 @@
         self.core.is_ready()
     }
 
+    /// The manifest version in force here.
+    #[must_use]
+    pub fn manifest_version(&self) -> ManifestVersion {
+        self.core.view.load().version()
+    }
+
     /// Slots held now.
     #[must_use]
     pub fn held_slots(&self) -> usize {
@@ -325,6 +329,8 @@
 
     /// Stops at once, as a crash would: nothing is handed over.
     pub fn kill(&self) {
+        // A frozen thread could not be joined.
+        self.core.gate.set_paused(false);
         self.callers.stop();
         self.operators.stop();
         self.peers.stop();
@@ -338,6 +344,7 @@
     life: &InstanceLife,
     events: &EventLog,
     slots: &Arc<OnceLock<(Arc<SlotDriver>, GossipDriver, ConfigHandle)>>,
+    gate: &LinkGate,
 ) -> Result<PeerServer, RouterError> {
     let peers = PeerServerSettings {
         peers: settings.peers.clone(),
@@ -346,9 +353,12 @@
         log: events.clone(),
     };
     let slots = Arc::clone(slots);
+    let gate = gate.clone();
     let handler = move |call: PeerCall| {
         let slots = Arc::clone(&slots);
+        let gate = gate.clone();
         async move {
+            gate.hold(&call.from.instance).await;
             let Some((driver, gossip, config)) = slots.get() else {
                 return PeerReply::Refused(PeerRefusal::Overloaded);
             };
@@ -357,10 +367,12 @@
             if let Some(reply) = news::answer_news(config, &call.request) {
                 return reply;
             }
-            match gossip.view().find(&call.from.instance) {
+            let reply = match gossip.view().find(&call.from.instance) {
                 Some(member) => driver.answer(&member.zone, call.request).await,
                 None => PeerReply::Refused(PeerRefusal::Overloaded),
-            }
+            };
+            gate.hold(&call.from.instance).await;
+            reply
         }
     };
     PeerServer::start(&peers, handler).map_err(|source| RouterError::Listen {
@@ -370,8 +382,8 @@
     })
 }
 
-fn platform_clients(settings: &RouterSettings) -> (Table, Objects) {
-    let pool = settings::platform_pool(settings);
+fn platform_clients(settings: &RouterSettings, gate: &LinkGate) -> (Table, Objects) {
+    let pool = settings::platform_pool(settings, gate);
     let table = Table::new(settings.platform.table, pool.clone());
     let objects = Objects::new(settings.platform.objects, &settings.platform.bucket, pool);
     (table, objects)
@@ -381,11 +393,13 @@
     settings: &RouterSettings,
     own: MemberRecord,
     events: &EventLog,
+    gate: &LinkGate,
 ) -> Result<GossipDriver, RouterError> {
     let keys = settings::gossip_keys(settings)?;
     let driver = DriverSettings {
         seeds: settings.gossip.seeds.clone(),
         membership: settings::membership(settings),
+        gate: gate.clone(),
         ..DriverSettings::new(settings.gossip.listen, keys)
     };
     let listener = background::member_listener(events.clone());
--- a/crates/guavawell-fleet/src/task/mod.rs
+++ b/crates/guavawell-fleet/src/task/mod.rs
@@ -5,7 +5,9 @@
 //! as at a crash.
 
 use std::future::Future;
+use std::future::poll_fn;
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -18,6 +20,8 @@
 use smol::future::FutureExt;
 use smol::future::yield_now;
 
+use crate::drill::LinkGate;
+
 /// Spawns tasks; clones spawn on the same threads.
 #[derive(Clone, Debug)]
 pub struct TaskSpawner(Weak<Executor<'static>>);
@@ -58,22 +62,28 @@
 }
 
 impl TaskThreads {
-    /// Starts `count` threads, one at least.
+    /// Starts `count` threads, one at least; `gate` can freeze them.
     ///
     /// # Errors
     ///
     /// No thread can be started.
-    pub fn start(name: &str, count: usize) -> io::Result<Self> {
+    pub fn start(name: &str, count: usize, gate: &LinkGate) -> io::Result<Self> {
         let executor: Arc<Executor<'static>> = Arc::default();
         let (stop, stopped) = channel::bounded::<()>(1);
         let mut threads = Vec::new();
         for index in 0..count.max(1) {
             let executor = Arc::clone(&executor);
             let stopped = stopped.clone();
+            let gate = gate.clone();
             let builder = std::thread::Builder::new().name(format!("{name}-{index}"));
             threads.push(builder.spawn(move || {
                 // Ends when the channel is closed; nothing is ever sent.
-                let _ = smol::block_on(drive(&executor).or(stopped.recv()));
+                let run = drive(&executor).or(stopped.recv());
+                let mut run = pin!(run);
+                let _ = smol::block_on(poll_fn(|context| {
+                    gate.wait_while_paused();
+                    run.as_mut().poll(context)
+                }));
             })?);
         }
         Ok(Self {
--- a/crates/guavawell-fleet/tests/config/router.rs
+++ b/crates/guavawell-fleet/tests/config/router.rs
@@ -42,7 +42,10 @@
 }
 
 async fn start(test: &TestPlatform, name: &str, seeds: Vec<SocketAddr>) -> RouterHandle {
-    let options = RouterOptions { threads: 2 };
+    let options = RouterOptions {
+        threads: 2,
+        ..RouterOptions::default()
+    };
     let started = RouterHandle::start(settings(test, name, seeds), options).await;
     started.expect("free loopback ports")
 }
--- a/crates/guavawell-router/src/run.rs
+++ b/crates/guavawell-router/src/run.rs
@@ -54,6 +54,7 @@
     start_log(&settings);
     let options = RouterOptions {
         threads: command.threads,
+        ..RouterOptions::default()
     };
     smol::block_on(async {
         let router = RouterHandle::start(settings, options).await?;
