Let slots.settle_interval_ms set when settled use reaches the table

Cause: the setting was read and checked, but nothing used it; holders wrote settled use after an hour or with a refill, whatever the file said. Change: it is the holders' report_after. Its default becomes that hour, so that the platform's writes stay as measured. Before: set to 300 ms, charges of a finished load stayed out of the table. After: the fault tests wait for them there.

--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -140,6 +140,7 @@
     HolderSettings {
         witness_timeout: slots.witness_timeout_ms,
         retention: slots.identity_retention_ms,
+        report_after: slots.settle_interval_ms,
         ..HolderSettings::default()
     }
 }
--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -31,8 +31,9 @@
         /// Time that a finished request's identity is remembered, in
         /// milliseconds.
         identity_retention_ms: ClockSpan = ClockSpan::from_millis(900_000);
-        /// Time between writes of settled use to the table, in milliseconds.
-        settle_interval_ms: ClockSpan = ClockSpan::from_millis(5_000);
+        /// Longest time that settled use waits before it is written to the
+        /// table, in milliseconds; a refill writes it earlier.
+        settle_interval_ms: ClockSpan = ClockSpan::from_millis(3_600_000);
     }
 }
 
