Answer the connections that the system took in before a graceful stop

Cause: a stop ended the accept loop at once, while the kernel's backlog held connections with requests on them; closing the socket at the end reset them. Change: accepting goes on until nothing waits, then the socket is closed at once, so that later callers are refused instead of kept waiting. Ruled out: idle keep-alive connections (they linger and were answered).

--- a/crates/guavawell-fleet/src/caller/listener.rs
+++ b/crates/guavawell-fleet/src/caller/listener.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -53,7 +55,9 @@
 #[derive(Debug)]
 pub struct CallerListener {
     limits: CallerLimits,
-    listener: TcpListener,
+    address: SocketAddr,
+    /// Taken by [`CallerListener::serve`], which closes it in the end.
+    listener: Mutex<Option<TcpListener>>,
     stop: StopSignal,
     open: AtomicUsize,
     busy: AtomicUsize,
@@ -97,7 +101,8 @@
         let listener = TcpListener::bind(address).await?;
         Ok(Arc::new(Self {
             limits,
-            listener,
+            address: listener.local_addr()?,
+            listener: Mutex::new(Some(listener)),
             stop: StopSignal::new(),
             open: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
@@ -105,15 +110,13 @@
     }
 
     /// The bound address, with the port that the system chose.
-    ///
-    /// # Errors
-    ///
-    /// As the system reports.
-    pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
     }
 
-    /// Accepts no further connection and no further request on open ones.
+    /// Accepts no further connection, beside those that the system took in
+    /// before, and no further request on open ones.
     pub fn stop(&self) {
         self.stop.raise();
     }
@@ -148,15 +151,26 @@
         H: Fn(Request) -> HFut + Clone + Send + Sync + 'static,
         HFut: Future<Output = Response> + Send + 'static,
     {
-        while !self.is_stopped() {
+        let listener = self
+            .listener
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        let Some(socket) = listener else {
+            return;
+        };
+        loop {
             let stop = async {
                 self.stop.wait().await;
                 None
             };
-            let accept = async { Some(self.listener.accept().await) };
+            // Polled first, so that a stop leaves no connection behind that
+            // the system has taken in: closing the socket would reset it.
+            let accept = async { Some(socket.accept().await) };
             let stream = match accept.or(stop).await {
                 None => break,
                 Some(Ok((stream, _))) => stream,
+                Some(Err(_)) if self.is_stopped() => break,
                 Some(Err(error)) => {
                     metrics::counter!("caller_accept_errors").increment(1);
                     log::debug!("accept failed: {error}");
--- a/crates/guavawell-fleet/src/router/ports.rs
+++ b/crates/guavawell-fleet/src/router/ports.rs
@@ -59,13 +59,6 @@
         })
 }
 
-/// The bound address; a listener that is bound has one.
-pub fn address_of(listener: &CallerListener) -> SocketAddr {
-    listener
-        .address()
-        .unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)))
-}
-
 /// Serves callers on their port.
 ///
 /// # Errors
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -152,7 +152,7 @@
             incarnation: life.incarnation,
             refutation: 0,
             zone: settings.instance.zone.clone(),
-            caller_address: callers.address()?,
+            caller_address: callers.address(),
             peer_address: peers.address(),
             gossip_address: settings.gossip.listen,
             reachability: Reachability::Reachable,
@@ -234,8 +234,8 @@
         ports::serve_callers(&self.core, &self.callers)?;
         ports::serve_operators(&self.core, &self.operators, &self.config)?;
         let row = background::instance_row(
-            self.callers.address()?,
-            self.operators.address()?,
+            self.callers.address(),
+            self.operators.address(),
             self.peers.address(),
             &self.core,
         );
@@ -247,13 +247,13 @@
     /// Where callers reach it.
     #[must_use]
     pub fn caller_address(&self) -> SocketAddr {
-        ports::address_of(&self.callers)
+        self.callers.address()
     }
 
     /// Where operators reach it.
     #[must_use]
     pub fn operator_address(&self) -> SocketAddr {
-        ports::address_of(&self.operators)
+        self.operators.address()
     }
 
     /// Where gossip reaches it.
