Say unknown, not not_run, of a request that may have run at a lost server

Cause: an idempotent attempt whose server could no longer be asked went on as if it had never been sent; where no other server was left, it was refused as not_run for a minted id and as retry for a caller's, although it ran. Change: such an attempt stays in doubt by its type (ReadyAttempt::Doubtful); it may still be sent to another server, but its refusal is unknown. Before: 2 of 2 requests that ran at a crashed server were refused not_run. After: both are refused unknown (fault test).

--- a/crates/guavawell-fleet/src/router/attempt.rs
+++ b/crates/guavawell-fleet/src/router/attempt.rs
@@ -17,7 +17,6 @@
 use guavawell_core::request::FrameStep;
 use guavawell_core::request::Refusal;
 use guavawell_core::request::RefusalReason;
-use guavawell_core::request::UnsentAttempt;
 use smol::Timer;
 
 use super::choice::choose;
@@ -142,7 +141,7 @@
                     // The caller has seen nothing of it, and it may run twice.
                     attempt.cancel_later();
                     attempt.close(&failure);
-                    ready = ReadyAttempt::Free(UnsentAttempt::new(reservation.attempt));
+                    ready = sent.in_doubt();
                 }
                 _ => return Err(attempt.in_doubt(call, reservation, &failure)),
             },
--- a/crates/guavawell-fleet/src/router/claim.rs
+++ b/crates/guavawell-fleet/src/router/claim.rs
@@ -21,6 +21,9 @@
     Free(UnsentAttempt),
     /// It holds the claim of its request.
     Claimed(HeldClaim),
+    /// It may have run at a backend server that can no longer be asked; an
+    /// idempotent request may run again.
+    Doubtful(SentAttempt),
 }
 
 /// What is left of a [`ReadyAttempt`] once it is sent.
@@ -29,6 +32,8 @@
     sent: SentAttempt,
     /// The claim's revision, if it holds one.
     claimed: Option<u64>,
+    /// Whether an earlier exchange may have run it.
+    is_doubtful: bool,
 }
 
 impl ReadyAttempt {
@@ -69,10 +74,17 @@
             Self::Free(unsent) => UnderwayAttempt {
                 sent: unsent.send(),
                 claimed: None,
+                is_doubtful: false,
             },
             Self::Claimed(claim) => UnderwayAttempt {
                 sent: claim.attempt.send(),
                 claimed: Some(claim.revision),
+                is_doubtful: false,
+            },
+            Self::Doubtful(sent) => UnderwayAttempt {
+                sent,
+                claimed: None,
+                is_doubtful: true,
             },
         }
     }
@@ -88,14 +100,33 @@
         match self {
             Self::Free(unsent) => core.claims.refuse(identity, true, unsent, cause).await,
             Self::Claimed(claim) => core.claims.refuse_held(identity, claim, cause).await,
+            // Another server refused it, but an earlier one may have run it.
+            Self::Doubtful(_) => {
+                let refusal = Refusal::unknown(cause.reason, cause.detail.clone());
+                match cause.retry_after {
+                    Some(span) => refusal.after(span),
+                    None => refusal,
+                }
+            }
         }
     }
 }
 
 impl UnderwayAttempt {
-    /// The attempt as ready again, where the exchange proves that it did not run.
+    /// The attempt as ready again, although it may have run: only for an
+    /// idempotent request.
+    #[must_use]
+    pub fn in_doubt(self) -> ReadyAttempt {
+        ReadyAttempt::Doubtful(self.sent)
+    }
+
+    /// The attempt as ready again, where the exchange proves that it did not
+    /// run. An earlier exchange that proved nothing keeps it in doubt.
     #[must_use]
     pub fn certainly_not_run(self) -> ReadyAttempt {
+        if self.is_doubtful {
+            return ReadyAttempt::Doubtful(self.sent);
+        }
         let attempt = self.sent.certainly_not_run();
         match self.claimed {
             None => ReadyAttempt::Free(attempt),
