Hold the router's writes to its share of the platform's

Cause: WriteGate and the classes stood ready, but the router built its table and object store without them, so platform.writes_per_second bounded nothing.

Change: PlatformClients builds both on one share (two seconds' burst, longest wait platform.timeout_ms).

Tests: with three of four writes spent and no refill, a claim is refused with retry and nothing written, while the last write for money passes and the next is throttled (tests/claims.rs). Fifty claims and fifty segments at once, at one write a second: both clients turn some away (router/tests.rs).

--- a/crates/guavawell-fleet/src/router/mod.rs
+++ b/crates/guavawell-fleet/src/router/mod.rs
@@ -14,6 +14,7 @@
 mod fetch;
 mod news;
 mod orphan;
+mod platform;
 mod ports;
 mod recover;
 mod relay;
@@ -24,6 +25,8 @@
 mod start;
 mod status;
 mod targets;
+#[cfg(test)]
+mod tests;
 
 pub use self::core::RouterCore;
 pub use start::DrainReport;
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -26,6 +26,7 @@
 use super::background;
 use super::core::RouterCore;
 use super::news;
+use super::platform::PlatformClients;
 use super::ports;
 use super::settings;
 use super::targets::backend_specs;
@@ -52,8 +53,6 @@
 use crate::peer::PeerReply;
 use crate::peer::PeerServer;
 use crate::peer::PeerServerSettings;
-use crate::platform::Objects;
-use crate::platform::Table;
 use crate::settings::RouterSettings;
 use crate::slot::SlotDriver;
 use crate::task::TaskThreads;
@@ -166,7 +165,7 @@
             tls: ports::client_tls(&settings)?,
             log: events.clone(),
         })?;
-        let (table, objects) = platform_clients(&settings, &options.gate);
+        let PlatformClients { table, objects } = PlatformClients::new(&settings, &options.gate);
         let view = Arc::new(ArcSwap::from_pointee(FleetView::empty()));
         let link = settings::peer_link(gossip.clone(), client.clone(), options.gate.clone());
         let driver = SlotDriver::new(settings::slot_parts(
@@ -382,13 +381,6 @@
     })
 }
 
-fn platform_clients(settings: &RouterSettings, gate: &LinkGate) -> (Table, Objects) {
-    let pool = settings::platform_pool(settings, gate);
-    let table = Table::new(settings.platform.table, pool.clone());
-    let objects = Objects::new(settings.platform.objects, &settings.platform.bucket, pool);
-    (table, objects)
-}
-
 async fn start_gossip(
     settings: &RouterSettings,
     own: MemberRecord,
--- a/crates/guavawell-fleet/tests/claims.rs
+++ b/crates/guavawell-fleet/tests/claims.rs
@@ -4,6 +4,8 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::IncarnationId;
+use guavawell_core::platform::SharePolicy;
+use guavawell_core::platform::WriteClass;
 use guavawell_core::request::Refusal;
 use guavawell_core::request::RefusalOutcome;
 use guavawell_core::request::RefusalReason;
@@ -16,8 +18,13 @@
 use guavawell_fleet::claim::ClaimDriver;
 use guavawell_fleet::claim::HeldClaim;
 use guavawell_fleet::claim::RefusalCause;
+use guavawell_fleet::platform::PlatformError;
 use guavawell_fleet::platform::PoolSettings;
 use guavawell_fleet::platform::Table;
+use guavawell_fleet::platform::TableOp;
+use guavawell_fleet::platform::TableTxn;
+use guavawell_fleet::platform::TxnAnswer;
+use guavawell_fleet::platform::WriteGate;
 use guavawell_standin::fault::FaultChange;
 use guavawell_standin::platform::Platform;
 use guavawell_standin::platform::PlatformSettings;
@@ -35,11 +42,18 @@
     }
 
     fn router(&self, name: &str) -> ClaimDriver {
+        Self::router_with(self.table(), name)
+    }
+
+    fn table(&self) -> Table {
         let settings = PoolSettings {
             answer_timeout: ClockSpan::from_millis(300),
             ..PoolSettings::default()
         };
-        let table = Table::new(self.platform.address(), settings);
+        Table::new(self.platform.address(), settings)
+    }
+
+    fn router_with(table: Table, name: &str) -> ClaimDriver {
         let life = InstanceLife {
             instance: name.parse().unwrap(),
             incarnation: IncarnationId::new(1),
@@ -318,3 +332,38 @@
         assert!(held == 0 || not_run == 0, "seed {seed}: held and `not_run`");
     }
 }
+
+/// A share of four writes that never fills again, and no wait for it.
+fn small_share() -> WriteGate {
+    let policy = SharePolicy {
+        per_second: 0,
+        burst: 4,
+    };
+    WriteGate::new(policy, ClockSpan::default())
+}
+
+fn write_money(table: &Table) -> Result<TxnAnswer, PlatformError> {
+    let txn = TableTxn {
+        success: vec![TableOp::put("budget/b", *b"{}")],
+        ..TableTxn::default()
+    };
+    smol::block_on(table.txn(&txn, WriteClass::Money))
+}
+
+#[test]
+fn an_exhausted_share_refuses_claims_with_retry_and_lets_money_through() {
+    let test = ClaimTest::start();
+    let table = test.table().with_writes(&small_share());
+    let router = ClaimTest::router_with(table.clone(), "r1");
+    for _ in 0..3 {
+        write_money(&table).unwrap();
+    }
+    // One write is left, and it is kept for money.
+    let refusal = refused(claim(&router, 1));
+    assert_eq!(refusal.outcome(), RefusalOutcome::Retry);
+    assert!(refusal.retry_after_seconds().is_some());
+    assert_eq!(test.row(), None);
+    write_money(&table).unwrap();
+    let end = write_money(&table);
+    assert!(matches!(end, Err(PlatformError::Throttled(_))), "{end:?}");
+}
