Let every setting reach what it says, or go

Cause: eleven keys were read by nobody; an operator who changed them changed nothing. Defaults in the file differed from those that core's curves chose.

Change: float_share, grant_seconds, settle_interval_ms, eject_max_share, retry_share, max_running and max_wait_ms now reach core's settings; grant_requests replaces grant_min, since core sizes a grant by requests. witness_batch_ms and hedge_after_ms are gone: nothing honours them. max_head_bytes is gone: async-h1 fixes it at 8 KiB, and the page says so. Defaults equal core's (float 25%, 60 s, 64 waiting, 3 s wait, 600 s retention, an hour to the report).

Defaults are compared with core's, and changed values are found in core's settings.

--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -62,11 +62,13 @@
 }
 
 async fn review_admission(core: Arc<RouterCore>) {
+    let most = core.settings.limits.max_running;
     loop {
         Timer::after(ADMISSION_REVIEW).await;
         let now = clock::now();
         let table = core.backends.load_full();
-        core.door.review(now, |target| table.capacity(target, now));
+        core.door
+            .review(now, |target| table.capacity(target, now).min(most));
     }
 }
 
--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -9,10 +9,12 @@
 use guavawell_core::backend::RoutingSettings;
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::budget::InstanceLife;
+use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::BudgetId;
 use guavawell_core::id::InstanceId;
 use guavawell_core::instance::MembershipSettings;
 use guavawell_core::limits::AdmissionSettings;
+use guavawell_core::limits::RetrySettings;
 use guavawell_core::manifest::FleetView;
 use guavawell_core::request::chat::ChatLimits;
 
@@ -39,6 +41,9 @@
 use crate::slot::SlotTimes;
 use crate::task::TaskSpawner;
 
+/// Milliseconds in a second.
+const MILLIS: u64 = 1_000;
+
 pub fn event_log(settings: &RouterSettings) -> EventLogSettings {
     EventLogSettings {
         target: settings.log.events.clone(),
@@ -85,14 +90,25 @@
         slow_start: routing.slow_start_ms,
         eject_failures: routing.eject_after_failures,
         eject_base: routing.eject_for_ms,
+        eject_max_percent: routing.eject_max_share.percent().into(),
         ..RoutingSettings::default()
     }
 }
 
 pub fn admission(settings: &RouterSettings) -> AdmissionSettings {
+    let guess = AdmissionSettings::default();
     AdmissionSettings {
         queue: usize::try_from(settings.limits.max_queued).unwrap_or(usize::MAX),
-        ..AdmissionSettings::default()
+        max_wait: settings.limits.max_wait_ms,
+        limit: settings.limits.max_running.min(guess.limit),
+        ..guess
+    }
+}
+
+pub fn retries(settings: &RouterSettings) -> RetrySettings {
+    RetrySettings {
+        per_success: settings.routing.retry_share.per_mille(),
+        ..RetrySettings::default()
     }
 }
 
@@ -135,11 +151,14 @@
     Ok(FleetKeys::new(first, keys))
 }
 
-fn holder(settings: &RouterSettings) -> HolderSettings {
+pub(super) fn holder(settings: &RouterSettings) -> HolderSettings {
     let slots = &settings.slots;
     HolderSettings {
         witness_timeout: slots.witness_timeout_ms,
         retention: slots.identity_retention_ms,
+        float_percent: slots.float_share.percent(),
+        stock_span: ClockSpan::from_millis(u64::from(slots.grant_seconds) * MILLIS),
+        stock_requests: slots.grant_requests.into(),
         report_after: slots.settle_interval_ms,
         ..HolderSettings::default()
     }
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -16,7 +16,6 @@
 use guavawell_core::instance::Reachability;
 use guavawell_core::instance::draw_incarnation;
 use guavawell_core::limits::RetryBudget;
-use guavawell_core::limits::RetrySettings;
 use guavawell_core::manifest::ConfigSettings;
 use guavawell_core::manifest::FleetView;
 use smol::Timer;
@@ -192,7 +191,7 @@
             slots: driver,
             claims: ClaimDriver::start(table.clone(), life.clone(), BatchSettings::default()),
             table: table.clone(),
-            retries: RetryBudget::new(RetrySettings::default()),
+            retries: RetryBudget::new(settings::retries(&settings)),
             events,
             tasks,
             gate: options.gate,
--- a/crates/guavawell-fleet/src/router/tests.rs
+++ b/crates/guavawell-fleet/src/router/tests.rs
@@ -1,16 +1,24 @@
 use futures::future::join_all;
+use guavawell_core::backend::RoutingSettings;
+use guavawell_core::budget::HolderSettings;
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::limits::AdmissionSettings;
+use guavawell_core::limits::RetrySettings;
+use guavawell_core::platform::SharePolicy;
 use guavawell_core::platform::WriteClass;
 use guavawell_standin::platform::Platform;
 use guavawell_standin::platform::PlatformSettings;
 use smol::future;
 
 use super::platform::PlatformClients;
+use super::platform::share_policy;
+use super::settings;
 use crate::drill::LinkGate;
 use crate::platform::PlatformError;
 use crate::platform::TableOp;
 use crate::platform::TableTxn;
 use crate::settings::RouterSettings;
+use crate::settings::ShareRatio;
 use crate::settings::WriteRate;
 
 fn throttled_settings(platform: &Platform) -> RouterSettings {
@@ -55,3 +63,38 @@
         );
     });
 }
+
+#[test]
+fn defaults_of_the_settings_are_those_of_the_decisions() {
+    let defaults = RouterSettings::default();
+    assert_eq!(settings::holder(&defaults), HolderSettings::default());
+    assert_eq!(settings::routing(&defaults), RoutingSettings::default());
+    assert_eq!(settings::retries(&defaults), RetrySettings::default());
+    assert_eq!(settings::admission(&defaults), AdmissionSettings::default());
+    assert_eq!(share_policy(&defaults), SharePolicy::default());
+}
+
+#[test]
+fn settings_reach_the_decisions() {
+    let mut settings = RouterSettings::default();
+    settings.slots.float_share = ShareRatio::clamped(0.07);
+    settings.slots.grant_seconds = 3;
+    settings.slots.grant_requests = 5;
+    settings.slots.settle_interval_ms = ClockSpan::from_millis(9);
+    settings.routing.eject_max_share = ShareRatio::clamped(0.3);
+    settings.routing.retry_share = ShareRatio::clamped(0.02);
+    settings.limits.max_running = 7;
+    settings.limits.max_wait_ms = ClockSpan::from_millis(11);
+    let holder = settings::holder(&settings);
+    assert_eq!(holder.float_percent, 7);
+    assert_eq!(holder.stock_span, ClockSpan::from_millis(3_000));
+    assert_eq!(holder.stock_requests, 5);
+    assert_eq!(holder.report_after, ClockSpan::from_millis(9));
+    assert_eq!(settings::routing(&settings).eject_max_percent, 30);
+    assert_eq!(settings::retries(&settings).per_success, 20);
+    let admission = settings::admission(&settings);
+    assert_eq!(
+        (admission.limit, admission.max_wait),
+        (7, ClockSpan::from_millis(11))
+    );
+}
--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -204,21 +204,10 @@
             file.find(key, "may not be 0");
         }
     }
-    let slots = &settings.slots;
-    if slots.witness_batch_ms >= slots.witness_timeout_ms {
-        file.find(
-            "slots.witness_batch_ms",
-            "must be shorter than `witness_timeout_ms`",
-        );
-    }
 }
 
 fn check_counts(settings: &RouterSettings, file: &FileReader<'_>) {
     let counts = [
-        (
-            "callers.max_head_bytes",
-            settings.callers.max_head_bytes.get(),
-        ),
         (
             "callers.max_body_bytes",
             settings.callers.max_body_bytes.get(),
--- a/crates/guavawell-fleet/src/settings/network.rs
+++ b/crates/guavawell-fleet/src/settings/network.rs
@@ -62,15 +62,14 @@
 }
 
 settings_group! {
-    /// The port that callers reach through the platform's balancer.
+    /// The port that callers reach through the platform's balancer. A request
+    /// head of more than 8 KiB is refused; that bound is fixed.
     pub struct CallerSettings {
         /// Address to listen on.
         listen: SocketAddr = loopback(CALLER_PORT);
         /// Serve plain TCP. Only on a loopback address; without it, `tls` is
         /// required.
         plain_loopback: bool = false;
-        /// Largest request head, in bytes.
-        max_head_bytes: ByteCount = ByteCount::new(16 * 1024);
         /// Largest request body, in bytes.
         max_body_bytes: ByteCount = ByteCount::new(4 * 1024 * 1024);
         /// Most open connections; further ones are closed at once.
@@ -170,6 +169,9 @@
         /// Namespace of the instance list.
         namespace: Box<str> = "guavawell".into();
         /// This router's share of the platform's writes, in writes a second.
+        /// Two seconds' worth may be saved up; money goes before claims,
+        /// claims before billing records, those before the rest. A write that
+        /// would wait longer than `timeout_ms` is not sent.
         writes_per_second: WriteRate = WriteRate::new(20);
         /// Longest time for one call to the platform, in milliseconds.
         timeout_ms: ClockSpan = ClockSpan::from_millis(2_000);
--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -13,26 +13,25 @@
     pub struct SlotSettings {
         /// Share of each grant that may be spent without the witness. A
         /// larger share refuses less while parted and freezes more after a
-        /// crash; overspend is zero at any value.
-        float_share: ShareRatio = ShareRatio::clamped(0.1);
-        /// Longest wait to gather reservations for one message to the
-        /// witness, in milliseconds; 0 sends what queued during the last one.
-        witness_batch_ms: ClockSpan = ClockSpan::from_millis(0);
+        /// crash; overspend is zero at any value. Read in whole percent.
+        float_share: ShareRatio = ShareRatio::clamped(0.25);
         /// Longest wait for a witness's acknowledgement before the float is
         /// used, in milliseconds.
         witness_timeout_ms: ClockSpan = ClockSpan::from_millis(250);
         /// Silence of a holder after which its witness takes over, in
         /// milliseconds. It steers speed only: safety needs no clock.
         takeover_after_ms: ClockSpan = ClockSpan::from_millis(3_000);
-        /// Smallest grant asked for, in tokens.
-        grant_min: TokenCount = TokenCount::new(10_000);
+        /// Requests that a budget's grant covers at least, as far as its rest
+        /// allows.
+        grant_requests: u32 = 64;
         /// Recent use that a grant should cover, in seconds.
-        grant_seconds: u32 = 30;
+        grant_seconds: u32 = 60;
         /// Time that a finished request's identity is remembered, in
         /// milliseconds.
-        identity_retention_ms: ClockSpan = ClockSpan::from_millis(900_000);
-        /// Longest time that settled use waits before it is written to the
-        /// table, in milliseconds; a refill writes it earlier.
+        identity_retention_ms: ClockSpan = ClockSpan::from_millis(600_000);
+        /// Longest time until settled use is written to the table, in
+        /// milliseconds. A write for another cause, such as a refill, takes
+        /// it along; what is not written yet is held by holder and witness.
         settle_interval_ms: ClockSpan = ClockSpan::from_millis(3_600_000);
     }
 }
@@ -58,10 +57,7 @@
         /// Silence on a stream before the backend server is probed on a new
         /// connection, in milliseconds.
         silent_after_ms: ClockSpan = ClockSpan::from_millis(2_000);
-        /// Wait for the first token before an idempotent request is hedged,
-        /// in milliseconds; 0 never hedges.
-        hedge_after_ms: ClockSpan = ClockSpan::from_millis(0);
-        /// Retries and hedges allowed, as a share of requests.
+        /// Retries at other backend servers allowed, as a share of requests that succeed.
         retry_share: ShareRatio = ShareRatio::clamped(0.1);
     }
 }
@@ -69,12 +65,14 @@
 settings_group! {
     /// Admission of requests.
     pub struct LimitSettings {
-        /// Most requests that run at once in this router.
+        /// Most requests that this router runs at once towards one model or
+        /// service, whatever its backend servers take.
         max_running: u32 = 4_096;
-        /// Most requests that wait for admission.
-        max_queued: u32 = 1_024;
-        /// Longest wait for admission, in milliseconds.
-        max_wait_ms: ClockSpan = ClockSpan::from_millis(10_000);
+        /// Most requests that wait for one model or service.
+        max_queued: u32 = 64;
+        /// Longest expected wait with which a request is still queued, in
+        /// milliseconds; with a longer one it is refused at once.
+        max_wait_ms: ClockSpan = ClockSpan::from_millis(3_000);
         /// Longest whole request without a deadline of its own, in
         /// milliseconds.
         request_timeout_ms: ClockSpan = ClockSpan::from_millis(600_000);
--- a/crates/guavawell-fleet/src/settings/tests.rs
+++ b/crates/guavawell-fleet/src/settings/tests.rs
@@ -3,7 +3,6 @@
 use std::path::Path;
 
 use guavawell_core::clock::ClockSpan;
-use guavawell_core::id::TokenCount;
 
 use super::EventTarget;
 use super::FilePath;
@@ -62,8 +61,8 @@
 key_files = [\"gossip.key\"]
 [slots]
 float_share = 0.25
-grant_min = 0x10
-witness_batch_ms = 1_0
+grant_requests = 0x10
+witness_timeout_ms = 1_0
 [log]
 level = \"debug\"
 events = \"events.jsonl\"
@@ -74,8 +73,9 @@
     let key_file = FilePath::new(Path::new("conf/gossip.key"));
     assert_eq!(settings.gossip.key_files, [key_file]);
     assert_eq!(settings.slots.float_share, ShareRatio::clamped(0.25));
-    assert_eq!(settings.slots.grant_min, TokenCount::new(16));
-    assert_eq!(settings.slots.witness_batch_ms, ClockSpan::from_millis(10));
+    assert_eq!(settings.slots.grant_requests, 16);
+    let timeout = settings.slots.witness_timeout_ms;
+    assert_eq!(timeout, ClockSpan::from_millis(10));
     let events = FilePath::new(Path::new("conf/events.jsonl"));
     assert_eq!(settings.log.events, EventTarget::File(events));
     assert_eq!(settings.log.level.to_string(), "debug");
@@ -101,7 +101,7 @@
 seeds = ["localhost:1"]
 [slots]
 float_share = 1.5
-witness_batch_ms = 500
+settle_interval_ms = 0
 [log]
 level = "loud"
 "#;
@@ -110,7 +110,7 @@
 
 #[test]
 fn broken_toml_names_every_broken_line_and_nothing_else() {
-    let text = format!("{PLAIN}[slots]\ngrant_min = \n[nonsense]\n[log]\nlevel = debug\n");
+    let text = format!("{PLAIN}[slots]\ngrant_requests = \n[nonsense]\n[log]\nlevel = debug\n");
     let findings = findings(&text);
     let lines: Vec<&str> = findings.lines().collect();
     assert_eq!(lines.len(), 2, "{findings}");
@@ -164,3 +164,61 @@
     let page = fs::read_to_string(PAGE).unwrap();
     assert_eq!(page, &*reference_page(), "see the page's head");
 }
+
+/// Every source line outside `src/settings`, in the crates that read settings.
+fn reading_sources() -> String {
+    let fleet = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut folders = vec![fleet.join("src"), fleet.join("../guavawell-router/src")];
+    let mut text = String::new();
+    while let Some(folder) = folders.pop() {
+        if folder == fleet.join("src/settings") {
+            continue;
+        }
+        for entry in fs::read_dir(&folder).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                folders.push(path);
+            } else if path.extension().is_some_and(|end| end == "rs") && !path.ends_with("tests.rs")
+            {
+                text.push_str(&fs::read_to_string(&path).unwrap());
+            }
+        }
+    }
+    text
+}
+
+fn reads(sources: &str, key: &str) -> bool {
+    let field = format!(".{key}");
+    let is_name = |next: char| next.is_alphanumeric() || next == '_';
+    sources
+        .match_indices(&field)
+        .any(|(place, _)| !sources[place + field.len()..].starts_with(is_name))
+}
+
+#[test]
+fn every_key_is_read_by_some_part_of_the_router() {
+    let sources = reading_sources();
+    let groups = [
+        super::InstanceSettings::KEYS,
+        super::CallerSettings::KEYS,
+        super::OperatorSettings::KEYS,
+        super::PeerSettings::KEYS,
+        super::GossipSettings::KEYS,
+        super::PlatformSettings::KEYS,
+        super::TlsSettings::KEYS,
+        super::SlotSettings::KEYS,
+        super::RoutingSettings::KEYS,
+        super::LimitSettings::KEYS,
+        super::ShutdownSettings::KEYS,
+        super::LogSettings::KEYS,
+    ];
+    assert_eq!(
+        groups.len(),
+        RouterSettings::KEYS.len() + 1,
+        "tls has no group"
+    );
+    let keys = groups.into_iter().flatten();
+    let unread: Vec<_> = keys.filter(|key| !reads(&sources, key)).collect();
+    assert!(unread.is_empty(), "nothing reads {unread:?}");
+    assert!(!reads(&sources, "no_such_key"));
+}
--- a/crates/guavawell-fleet/src/settings/unit.rs
+++ b/crates/guavawell-fleet/src/settings/unit.rs
@@ -93,6 +93,28 @@
     pub const fn get(self) -> f64 {
         self.0
     }
+
+    /// The share in whole percent.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a share is between 0 and 1"
+    )]
+    pub fn percent(self) -> u8 {
+        (self.0 * 100.0).round() as u8
+    }
+
+    /// The share in whole thousandths.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a share is between 0 and 1"
+    )]
+    pub fn per_mille(self) -> u64 {
+        (self.0 * 1_000.0).round() as u64
+    }
 }
 
 impl TryFrom<f64> for ShareRatio {
