Find the owner of a budget by an index

Cause: the slots' table driver looks up a budget's base by its id alone, and FleetView::budget_owner looked at every organisation: work that grows with 24,000 organisations on the way of each grant.

Change: one index of pages by key for both bearer keys and hashes of budget ids, in sorted buckets that views share; a change that leaves ids as they are shares the whole index.

The proptest compares budget_owner with a walk over the manifest.

--- a/crates/guavawell-core/examples/manifest_cost/main.rs
+++ b/crates/guavawell-core/examples/manifest_cost/main.rs
@@ -132,7 +132,7 @@
 }
 
 fn report_lookups() {
-    println!("lookup, ns each: by key, organisation, budget, backends of model");
+    println!("lookup, ns each: by key, organisation, budget, owner of budget, backends of model");
     for (organisations, budgets) in [
         (10, 10),
         (10, 700),
@@ -149,8 +149,8 @@
         let (view, _, _) = load(&FleetView::empty(), &pages, 1);
         let times = measure::lookups(&view, &size, LOOKUPS);
         println!(
-            "{organisations:6} organisations {budgets:7} budgets: {:5.0} {:5.0} {:5.0} {:5.0}",
-            times.by_key, times.organisation, times.budget, times.backends
+            "{organisations:6} organisations {budgets:7} budgets: {:5.0} {:5.0} {:5.0} {:5.0} {:5.0}",
+            times.by_key, times.organisation, times.budget, times.owner, times.backends
         );
     }
 }
--- a/crates/guavawell-core/examples/manifest_cost/measure.rs
+++ b/crates/guavawell-core/examples/manifest_cost/measure.rs
@@ -52,6 +52,7 @@
     pub by_key: f64,
     pub organisation: f64,
     pub budget: f64,
+    pub owner: f64,
     pub backends: f64,
 }
 
@@ -85,6 +86,9 @@
             view.budget(&ids[turn % NAMES], &budgets[turn % NAMES])
                 .is_some()
         }),
+        owner: time(count, |turn| {
+            view.budget_owner(&budgets[turn % NAMES]).is_some()
+        }),
         backends: time(count, |turn| {
             let model = &models[turn % models.len()];
             !view
--- a/crates/guavawell-core/src/manifest/page/layout.rs
+++ b/crates/guavawell-core/src/manifest/page/layout.rs
@@ -52,7 +52,7 @@
 
 /// A hash that is the same in every process and release: FNV-1a with the
 /// finaliser of `MurmurHash3`, so that the low bits are well mixed.
-fn stable_hash(text: &str) -> u64 {
+pub fn stable_hash(text: &str) -> u64 {
     let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
     let mut hash = text.bytes().fold(FNV_BASIS, fold);
     hash ^= hash >> 33;
--- a/crates/guavawell-core/src/manifest/page/mod.rs
+++ b/crates/guavawell-core/src/manifest/page/mod.rs
@@ -24,5 +24,6 @@
 pub use layout::PagePlace;
 pub use layout::backend_page;
 pub use layout::organisation_page;
+pub(in crate::manifest) use layout::stable_hash;
 pub use list::BranchPage;
 pub use list::RootPage;
--- a/crates/guavawell-core/src/manifest/view/fleet.rs
+++ b/crates/guavawell-core/src/manifest/view/fleet.rs
@@ -156,7 +156,7 @@
     /// The organisation whose bearer key has this digest.
     #[must_use]
     pub fn organisation_by_key(&self, hash: &KeyHash) -> Option<&OrganisationEntry> {
-        let page = self.page(self.keys.page(hash)?);
+        let page = self.page(self.keys.key_page(hash)?);
         let mut entries = page.page.organisations.iter();
         entries.find(|entry| entry.key_hash == *hash)
     }
@@ -173,12 +173,12 @@
         self.organisation(organisation)?.budget(id)
     }
 
-    /// The organisation that owns a budget. This looks at every organisation:
-    /// it is for operators, not for requests.
+    /// The organisation that owns a budget.
     #[must_use]
     pub fn budget_owner(&self, id: &BudgetId) -> Option<&OrganisationEntry> {
-        self.organisations()
-            .find(|entry| entry.budget(id).is_some())
+        let pages = self.keys.budget_pages(id).map(|number| self.page(number));
+        let mut entries = pages.flat_map(|page| &page.page.organisations);
+        entries.find(|entry| entry.budget(id).is_some())
     }
 
     /// The models, sorted by id.
--- a/crates/guavawell-core/src/manifest/view/key.rs
+++ b/crates/guavawell-core/src/manifest/view/key.rs
@@ -1,100 +1,84 @@
-//! From the digest of a bearer key to the page of its organisation.
-
-use std::sync::Arc;
+//! The keys by which requests and operators find an organisation's page: the
+//! digest of its bearer key, and the hash of each budget's id.
 
+use super::index::PageChanges;
+use super::index::PageIndex;
+use crate::id::BudgetId;
 use crate::manifest::KeyHash;
 use crate::manifest::OrganisationEntry;
+use crate::manifest::page::stable_hash;
 
-/// Buckets of the index, one for each first byte of a key hash.
-const BUCKETS: usize = 256;
-
-/// Where the organisation of a key hash stands.
-#[derive(Clone, Copy, Debug)]
-struct KeyPlace {
-    hash: KeyHash,
-    page: u16,
-}
+/// Buckets of bearer keys, one for each first byte.
+const KEY_BUCKETS: usize = 256;
+/// Buckets of budgets, about 170 budgets each at full size.
+const BUDGET_BUCKETS: usize = 4_096;
+/// Leaves as many of a hash's first bits as number the buckets.
+const BUDGET_SHIFT: u32 = u64::BITS - BUDGET_BUCKETS.ilog2();
 
-/// All key hashes, in buckets that views share.
+/// Both indexes of a view.
 #[derive(Clone, Debug)]
 pub struct KeyIndex {
-    buckets: Box<[Arc<[KeyPlace]>]>,
+    keys: PageIndex<KeyHash>,
+    budgets: PageIndex<u64>,
+}
+
+/// Changes of both indexes.
+#[derive(Debug)]
+pub struct KeyChanges {
+    keys: PageChanges<KeyHash>,
+    budgets: PageChanges<u64>,
 }
 
 impl KeyIndex {
-    /// An index without keys.
+    /// Indexes without keys.
     pub fn empty() -> Self {
-        let bucket: Arc<[KeyPlace]> = Arc::new([]);
         Self {
-            buckets: vec![bucket; BUCKETS].into(),
+            keys: PageIndex::empty(KEY_BUCKETS, |hash| usize::from(hash.as_bytes()[0])),
+            budgets: PageIndex::empty(BUDGET_BUCKETS, |hash| {
+                usize::try_from(hash >> BUDGET_SHIFT).unwrap_or_default()
+            }),
         }
     }
 
     /// The page of the organisation with this key.
-    pub fn page(&self, hash: &KeyHash) -> Option<usize> {
-        let bucket = &self.buckets[bucket_of(hash)];
-        let found = bucket.binary_search_by(|place| place.hash.cmp(hash));
-        found.ok().map(|index| usize::from(bucket[index].page))
+    pub fn key_page(&self, hash: &KeyHash) -> Option<usize> {
+        self.keys.pages(*hash).next()
     }
 
-    /// The index after changes, which it sorts; unchanged buckets are shared.
-    pub fn changed(&self, mut changes: Vec<KeyChange>) -> Self {
-        changes.sort_by_key(|change| (change.hash, change.page.is_some()));
-        let mut buckets = self.buckets.clone();
-        for group in changes.chunk_by(|a, b| bucket_of(&a.hash) == bucket_of(&b.hash)) {
-            let bucket = &mut buckets[bucket_of(&group[0].hash)];
-            *bucket = changed_bucket(bucket, group);
-        }
-        Self { buckets }
+    /// The pages that may hold this budget; ids may share a hash.
+    pub fn budget_pages(&self, budget: &BudgetId) -> impl Iterator<Item = usize> {
+        self.budgets.pages(stable_hash(budget.as_str()))
     }
-}
 
-/// A key that moves to a page, or goes if it has none.
-#[derive(Clone, Copy, Debug)]
-pub struct KeyChange {
-    hash: KeyHash,
-    page: Option<u16>,
+    /// The indexes after changes.
+    pub fn changed(&self, changes: KeyChanges) -> Self {
+        Self {
+            keys: self.keys.changed(changes.keys),
+            budgets: self.budgets.changed(changes.budgets),
+        }
+    }
 }
 
-impl KeyChange {
-    /// The keys of these organisations go.
-    pub fn removed(entries: &[OrganisationEntry]) -> impl Iterator<Item = Self> {
-        entries.iter().map(|entry| Self {
-            hash: entry.key_hash,
-            page: None,
-        })
+impl KeyChanges {
+    /// No changes.
+    pub const fn new() -> Self {
+        Self {
+            keys: PageChanges::new(),
+            budgets: PageChanges::new(),
+        }
     }
 
-    /// The keys of these organisations, which stand on `page`, come.
-    pub fn added(entries: &[OrganisationEntry], page: usize) -> impl Iterator<Item = Self> {
-        let page = u16::try_from(page).ok();
-        entries.iter().map(move |entry| Self {
-            hash: entry.key_hash,
-            page,
-        })
+    /// A page held `old` organisations and now holds `new` ones.
+    pub fn replace(&mut self, page: usize, old: &[OrganisationEntry], new: &[OrganisationEntry]) {
+        self.keys
+            .remove(page, old.iter().map(|entry| entry.key_hash));
+        self.keys.add(page, new.iter().map(|entry| entry.key_hash));
+        self.budgets.remove(page, budget_hashes(old));
+        self.budgets.add(page, budget_hashes(new));
     }
 }
 
-fn bucket_of(hash: &KeyHash) -> usize {
-    usize::from(hash.as_bytes()[0])
-}
-
-/// Merges a sorted bucket with sorted changes; a removal precedes an addition
-/// of the same hash, so the addition counts.
-fn changed_bucket(bucket: &[KeyPlace], changes: &[KeyChange]) -> Arc<[KeyPlace]> {
-    let touched = |hash: &KeyHash| changes.binary_search_by(|c| c.hash.cmp(hash)).is_ok();
-    let mut places: Vec<KeyPlace> = bucket
-        .iter()
-        .filter(|place| !touched(&place.hash))
-        .copied()
-        .collect();
-    places.extend(changes.iter().filter_map(|change| {
-        let page = change.page?;
-        Some(KeyPlace {
-            hash: change.hash,
-            page,
-        })
-    }));
-    places.sort_by_key(|place| place.hash);
-    places.into()
+fn budget_hashes(entries: &[OrganisationEntry]) -> impl Iterator<Item = u64> {
+    let budgets = entries.iter().flat_map(|entry| entry.budgets.iter());
+    budgets.map(|budget| stable_hash(budget.id))
 }
--- a/crates/guavawell-core/src/manifest/view/mod.rs
+++ b/crates/guavawell-core/src/manifest/view/mod.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod branch;
 mod fleet;
+mod index;
 mod key;
 mod update;
 mod wanted;
--- a/crates/guavawell-core/src/manifest/view/update.rs
+++ b/crates/guavawell-core/src/manifest/view/update.rs
@@ -7,7 +7,7 @@
 use super::backend::SharedBackends;
 use super::branch::SharedPage;
 use super::fleet::SharedBase;
-use super::key::KeyChange;
+use super::key::KeyChanges;
 use super::wanted::WantedList;
 use crate::id::ManifestVersion;
 use crate::manifest::ContentDigest;
@@ -36,7 +36,7 @@
     backends: Vec<(usize, Arc<SharedBackends>)>,
     branches: Vec<(usize, ContentDigest)>,
     pages: Vec<(usize, Arc<SharedPage>)>,
-    keys: Vec<KeyChange>,
+    keys: KeyChanges,
 }
 
 impl ViewUpdate {
@@ -56,7 +56,7 @@
             backends: Vec::new(),
             branches: Vec::new(),
             pages: Vec::new(),
-            keys: Vec::new(),
+            keys: KeyChanges::new(),
         }
     }
 
@@ -193,9 +193,7 @@
 
     fn place_organisations(&mut self, number: usize, page: SharedPage) {
         let old = &self.view.page(number).page.organisations;
-        self.keys.extend(KeyChange::removed(old));
-        let new = &page.page.organisations;
-        self.keys.extend(KeyChange::added(new, number));
+        self.keys.replace(number, old, &page.page.organisations);
         self.pages.push((number, Arc::new(page)));
     }
 }
--- a/crates/guavawell-core/tests/manifest_view.rs
+++ b/crates/guavawell-core/tests/manifest_view.rs
@@ -187,6 +187,11 @@
         let naive = manifest.organisations.iter().find(|o| o.id == organisation);
         assert_eq!(view.organisation(&organisation), naive);
         let budget: BudgetId = id(&format!("b{number}"));
+        let owner = manifest
+            .organisations
+            .iter()
+            .find(|o| o.budget(&budget).is_some());
+        assert_eq!(view.budget_owner(&budget), owner);
         let naive = naive.and_then(|o| o.budgets.iter().find(|b| b.id == budget.as_str()));
         assert_eq!(view.budget(&organisation, &budget), naive);
     }
