Let every ask about a slot name its slot

Cause: the answering router took the slot's zone from what gossip said of the asker; an asker that gossip did not know yet was refused as overloaded, so a fresh or parted router failed for a while at a holder that it could reach.

Change: reserve, settle, release, note and seal carry the slot in the ask's envelope (schema, generated code, wire); the inference is gone. A slot that does not decide for the organisation is refused as malformed, because two slots of one zone must not answer for one request.

The wire's table holds the new field.

--- a/crates/guavawell-fleet/examples/peer_cost.rs
+++ b/crates/guavawell-fleet/examples/peer_cost.rs
@@ -21,10 +21,12 @@
 use guavawell_core::budget::ReserveAnswer;
 use guavawell_core::budget::ReserveAsk;
 use guavawell_core::budget::ReserveGrant;
+use guavawell_core::budget::SlotId;
 use guavawell_core::budget::TokenPool;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::IncarnationId;
+use guavawell_core::id::ShardId;
 use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
 use guavawell_core::request::RequestIdentity;
@@ -38,6 +40,7 @@
 use guavawell_fleet::peer::PeerServer;
 use guavawell_fleet::peer::PeerServerSettings;
 use guavawell_fleet::peer::PeerTarget;
+use guavawell_fleet::peer::SlotAsk;
 use guavawell_fleet::settings::FilePath;
 use guavawell_fleet::settings::PeerSettings;
 use guavawell_fleet::settings::TlsSettings;
@@ -118,7 +121,7 @@
         holder: life("holder"),
         tenure: SlotEpoch::new(3),
         pool: TokenPool::Witnessed,
-        amount: ask.amount,
+        amount: ask.ask.amount,
     };
     PeerReply::Reserve(ReserveAnswer::Granted(grant))
 }
@@ -256,7 +259,11 @@
 
 fn reserve(number: u64) -> PeerRequest {
     let request = format!("request-{number:016}");
-    PeerRequest::Reserve(ReserveAsk {
+    let slot = SlotId {
+        zone: "tln".parse().unwrap(),
+        shard: ShardId::new(3),
+    };
+    let ask = ReserveAsk {
         identity: RequestIdentity {
             organisation: "kivisild-desk".parse().unwrap(),
             request: request.parse().unwrap(),
@@ -267,7 +274,8 @@
         amount: TokenCount::new(1_200),
         router: life("router"),
         idempotent: true,
-    })
+    };
+    PeerRequest::Reserve(SlotAsk::new(slot, ask))
 }
 
 fn report(kind: &str, load: &str, spans: &Histogram<u64>, spent: f64, took: Option<Duration>) {
--- a/crates/guavawell-fleet/schema/peer.capnp
+++ b/crates/guavawell-fleet/schema/peer.capnp
@@ -246,6 +246,7 @@
 
 struct Ask {
   call @0 :UInt64;  # the caller's number, unique on the connection
+  slot @16 :Slot;   # what reserve, settle, release, note and seal concern
   union {
     reserve @1 :ReserveAsk;
     settle @2 :SettleAsk;
--- a/crates/guavawell-fleet/src/peer/message.rs
+++ b/crates/guavawell-fleet/src/peer/message.rs
@@ -14,6 +14,7 @@
 use guavawell_core::budget::SealAsk;
 use guavawell_core::budget::SettleAnswer;
 use guavawell_core::budget::SettleAsk;
+use guavawell_core::budget::SlotId;
 use guavawell_core::budget::TakeoverAsk;
 use guavawell_core::budget::WitnessAck;
 use guavawell_core::budget::WitnessMessage;
@@ -22,19 +23,39 @@
 use guavawell_core::manifest::VersionRow;
 use thiserror::Error;
 
+/// An ask of whoever holds a slot.
+///
+/// The asker names the slot, so that a holder answers it without knowing where
+/// the asker stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotAsk<A> {
+    /// The slot.
+    pub slot: SlotId,
+    /// The ask.
+    pub ask: A,
+}
+
+impl<A> SlotAsk<A> {
+    /// The ask `ask` about `slot`.
+    #[must_use]
+    pub const fn new(slot: SlotId, ask: A) -> Self {
+        Self { slot, ask }
+    }
+}
+
 /// What one router asks of another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PeerRequest {
     /// To a slot's holder: reserve an attempt's worst case.
-    Reserve(ReserveAsk),
+    Reserve(SlotAsk<ReserveAsk>),
     /// To a slot's holder: charge an attempt.
-    Settle(SettleAsk),
+    Settle(SlotAsk<SettleAsk>),
     /// To a slot's holder: give a reservation back.
-    Release(ReleaseAsk),
+    Release(SlotAsk<ReleaseAsk>),
     /// To a slot's holder: this backend server runs the attempt.
-    Note(BackendNote),
+    Note(SlotAsk<BackendNote>),
     /// To a slot's holder: let the request run no more.
-    Seal(SealAsk),
+    Seal(SlotAsk<SealAsk>),
     /// To a slot's holder: give unspent tokens back.
     HandBack(HandBackAsk),
     /// Between a slot's holder and its witness.
@@ -95,6 +116,19 @@
 }
 
 impl PeerRequest {
+    /// The slot whose holder is asked, where the ask itself does not name it.
+    #[must_use]
+    pub const fn slot(&self) -> Option<&SlotId> {
+        match self {
+            Self::Reserve(ask) => Some(&ask.slot),
+            Self::Settle(ask) => Some(&ask.slot),
+            Self::Release(ask) => Some(&ask.slot),
+            Self::Note(ask) => Some(&ask.slot),
+            Self::Seal(ask) => Some(&ask.slot),
+            _ => None,
+        }
+    }
+
     /// The request that carries a ledger handover.
     #[must_use]
     pub const fn handover(handover: LedgerHandover) -> Self {
--- a/crates/guavawell-fleet/src/peer/mod.rs
+++ b/crates/guavawell-fleet/src/peer/mod.rs
@@ -32,6 +32,7 @@
 pub use message::PeerRefusal;
 pub use message::PeerReply;
 pub use message::PeerRequest;
+pub use message::SlotAsk;
 pub use server::PeerCall;
 pub use server::PeerServer;
 pub use server::PeerServerSettings;
--- a/crates/guavawell-fleet/src/peer/peer_capnp.rs
+++ b/crates/guavawell-fleet/src/peer/peer_capnp.rs
@@ -10651,6 +10651,14 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn get_slot(self) -> ::capnp::Result<crate::peer_capnp::slot::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_slot(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => {
@@ -10735,7 +10743,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10997,6 +11005,22 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn get_slot(self) -> ::capnp::Result<crate::peer_capnp::slot::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_slot(&mut self, value: crate::peer_capnp::slot::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_slot(self, ) -> crate::peer_capnp::slot::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        }
+        #[inline]
+        pub fn has_slot(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => {
@@ -11086,137 +11110,147 @@
         }
     }
     impl Pipeline  {
+        pub fn get_slot(&self) -> crate::peer_capnp::slot::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 264] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 279] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(97, 238, 142, 119, 122, 46, 174, 167),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 15, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 15, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 115, 107, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 252, 255, 0, 0, 0, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 251, 255, 0, 0, 0, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 250, 255, 0, 0, 0, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 249, 255, 0, 0, 0, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 248, 255, 0, 0, 0, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 247, 255, 0, 0, 0, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(10, 0, 246, 255, 0, 0, 0, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(11, 0, 245, 255, 0, 0, 0, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(12, 0, 244, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(13, 0, 243, 255, 0, 0, 0, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 243, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(14, 0, 242, 255, 0, 0, 0, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 242, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(15, 0, 241, 255, 0, 0, 0, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 241, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 97, 108, 108, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11353,6 +11387,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 108, 111, 116, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 194, 219, 66, 155, 235, 47, 133),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -11372,6 +11414,7 @@
                 13 => <() as ::capnp::introspect::Introspect>::introspect(),
                 14 => <() as ::capnp::introspect::Introspect>::introspect(),
                 15 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                16 => <crate::peer_capnp::slot::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -11385,9 +11428,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,0,6,11,10,13,4,15,7,9,3,1,5,2,12,14];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,0,6,11,10,13,4,15,7,9,3,1,5,2,16,12,14];
         pub(crate) const TYPE_ID: u64 = 0xa7ae_2e7a_778e_ee61;
     }
     pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12> {
--- a/crates/guavawell-fleet/src/peer/tests.rs
+++ b/crates/guavawell-fleet/src/peer/tests.rs
@@ -41,6 +41,7 @@
 use super::PeerServer;
 use super::PeerServerSettings;
 use super::PeerTarget;
+use super::SlotAsk;
 use crate::event::EventLog;
 use crate::settings::PeerSettings;
 
@@ -114,9 +115,12 @@
 }
 
 fn seal() -> PeerRequest {
-    PeerRequest::Seal(SealAsk {
-        identity: identity(0),
-    })
+    let slot = SlotId {
+        zone: "tln-a".parse().unwrap(),
+        shard: ShardId::new(3),
+    };
+    let identity = identity(0);
+    PeerRequest::Seal(SlotAsk::new(slot, SealAsk { identity }))
 }
 
 fn identity(number: u64) -> RequestIdentity {
--- a/crates/guavawell-fleet/src/peer/wire/ask.rs
+++ b/crates/guavawell-fleet/src/peer/wire/ask.rs
@@ -31,6 +31,7 @@
 use super::value::write_slot;
 use super::witness;
 use crate::peer::message::PeerRequest;
+use crate::peer::message::SlotAsk;
 use crate::peer_capnp::ask;
 use crate::peer_capnp::backend_note;
 use crate::peer_capnp::hand_back_ask;
@@ -51,12 +52,17 @@
 }
 
 fn write_request(mut builder: ask::Builder<'_>, request: &PeerRequest) {
+    if let Some(slot) = request.slot() {
+        write_slot(builder.reborrow().init_slot(), slot);
+    }
     match request {
-        PeerRequest::Reserve(ask) => write_reserve(builder.init_reserve(), ask),
-        PeerRequest::Settle(ask) => write_settle(builder.init_settle(), ask),
-        PeerRequest::Release(ask) => write_release(builder.init_release(), ask),
-        PeerRequest::Note(note) => write_note(builder.init_note(), note),
-        PeerRequest::Seal(ask) => write_identity(builder.init_seal(), &ask.identity),
+        PeerRequest::Reserve(SlotAsk { ask, .. }) => write_reserve(builder.init_reserve(), ask),
+        PeerRequest::Settle(SlotAsk { ask, .. }) => write_settle(builder.init_settle(), ask),
+        PeerRequest::Release(SlotAsk { ask, .. }) => write_release(builder.init_release(), ask),
+        PeerRequest::Note(SlotAsk { ask, .. }) => write_note(builder.init_note(), ask),
+        PeerRequest::Seal(SlotAsk { ask, .. }) => {
+            write_identity(builder.init_seal(), &ask.identity);
+        }
         PeerRequest::HandBack(ask) => write_hand_back(builder.init_hand_back(), ask),
         PeerRequest::Witness(message) => write_witness(builder, message),
         PeerRequest::Takeover(ask) => write_takeover(builder.init_takeover(), ask),
@@ -133,14 +139,20 @@
 ///
 /// The request is damaged, of a later version, or holds a wrong value.
 pub fn read_ask(reader: ask::Reader<'_>) -> Result<WireAsk, WireError> {
+    let slot = || read_slot(reader.get_slot()?);
     let request = match reader.which()? {
-        ask::Which::Reserve(ask) => PeerRequest::Reserve(read_reserve(ask?)?),
-        ask::Which::Settle(ask) => PeerRequest::Settle(read_settle(ask?)?),
-        ask::Which::Release(ask) => PeerRequest::Release(read_release(ask?)?),
-        ask::Which::Note(note) => PeerRequest::Note(read_note(note?)?),
-        ask::Which::Seal(identity) => PeerRequest::Seal(SealAsk {
-            identity: read_identity(identity?)?,
-        }),
+        ask::Which::Reserve(ask) => {
+            PeerRequest::Reserve(SlotAsk::new(slot()?, read_reserve(ask?)?))
+        }
+        ask::Which::Settle(ask) => PeerRequest::Settle(SlotAsk::new(slot()?, read_settle(ask?)?)),
+        ask::Which::Release(ask) => {
+            PeerRequest::Release(SlotAsk::new(slot()?, read_release(ask?)?))
+        }
+        ask::Which::Note(note) => PeerRequest::Note(SlotAsk::new(slot()?, read_note(note?)?)),
+        ask::Which::Seal(identity) => {
+            let identity = read_identity(identity?)?;
+            PeerRequest::Seal(SlotAsk::new(slot()?, SealAsk { identity }))
+        }
         ask::Which::HandBack(ask) => PeerRequest::HandBack(read_hand_back(ask?)?),
         ask::Which::Record(record) => {
             PeerRequest::Witness(WitnessMessage::Record(witness::read_record(record?)?))
--- a/crates/guavawell-fleet/src/peer/wire/tests.rs
+++ b/crates/guavawell-fleet/src/peer/wire/tests.rs
@@ -52,6 +52,7 @@
 use crate::peer::message::PeerRefusal;
 use crate::peer::message::PeerReply;
 use crate::peer::message::PeerRequest;
+use crate::peer::message::SlotAsk;
 use crate::peer_capnp::answer;
 use crate::peer_capnp::ask;
 
@@ -210,23 +211,29 @@
 
 fn requests() -> Vec<PeerRequest> {
     let reserve = |idempotent| {
-        PeerRequest::Reserve(ReserveAsk {
-            identity: identity(),
-            attempt: ATTEMPT,
-            budget: "b-1".parse().unwrap(),
-            amount: TOKENS,
-            router: life("mrd-1-1"),
-            idempotent,
-        })
+        PeerRequest::Reserve(SlotAsk::new(
+            slot(),
+            ReserveAsk {
+                identity: identity(),
+                attempt: ATTEMPT,
+                budget: "b-1".parse().unwrap(),
+                amount: TOKENS,
+                router: life("mrd-1-1"),
+                idempotent,
+            },
+        ))
     };
     let settle = |pool, backend| {
-        PeerRequest::Settle(SettleAsk {
-            identity: identity(),
-            attempt: ATTEMPT,
-            grant: grant(pool),
-            actual: TOKENS,
-            backend,
-        })
+        PeerRequest::Settle(SlotAsk::new(
+            slot(),
+            SettleAsk {
+                identity: identity(),
+                attempt: ATTEMPT,
+                grant: grant(pool),
+                actual: TOKENS,
+                backend,
+            },
+        ))
     };
     let takeover = |witness| {
         PeerRequest::Takeover(TakeoverAsk {
@@ -239,18 +246,27 @@
         reserve(false),
         settle(TokenPool::Witnessed, None),
         settle(TokenPool::Float, Some(backend())),
-        PeerRequest::Release(ReleaseAsk {
-            identity: identity(),
-            attempt: ATTEMPT,
-        }),
-        PeerRequest::Note(BackendNote {
-            identity: identity(),
-            attempt: ATTEMPT,
-            backend: backend(),
-        }),
-        PeerRequest::Seal(SealAsk {
-            identity: identity(),
-        }),
+        PeerRequest::Release(SlotAsk::new(
+            slot(),
+            ReleaseAsk {
+                identity: identity(),
+                attempt: ATTEMPT,
+            },
+        )),
+        PeerRequest::Note(SlotAsk::new(
+            slot(),
+            BackendNote {
+                identity: identity(),
+                attempt: ATTEMPT,
+                backend: backend(),
+            },
+        )),
+        PeerRequest::Seal(SlotAsk::new(
+            slot(),
+            SealAsk {
+                identity: identity(),
+            },
+        )),
         PeerRequest::HandBack(HandBackAsk {
             slot: slot(),
             budget: "b-1".parse().unwrap(),
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -142,8 +142,7 @@
         let tasks = threads.spawner();
         let callers = ports::bind_callers(&settings).await?;
         let operators = ports::bind_operators(&settings).await?;
-        let slots: Arc<OnceLock<(Arc<SlotDriver>, GossipDriver, ConfigHandle)>> =
-            Arc::new(OnceLock::new());
+        let slots: Arc<OnceLock<(Arc<SlotDriver>, ConfigHandle)>> = Arc::new(OnceLock::new());
         let peers = start_peers(&settings, &life, &events, &slots, &options.gate)?;
         let own = MemberRecord {
             instance: life.instance.clone(),
@@ -207,7 +206,7 @@
             on_change: on_change(&core, &gossip),
         });
         // Set once: nothing else sets it.
-        let _ = slots.set((Arc::clone(&core.slots), gossip.clone(), handle.clone()));
+        let _ = slots.set((Arc::clone(&core.slots), handle.clone()));
         let router = Self {
             core,
             config: handle,
@@ -254,6 +253,12 @@
         self.operators.address()
     }
 
+    /// Where other routers' calls reach it.
+    #[must_use]
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
     /// Where gossip reaches it.
     #[must_use]
     pub fn gossip_address(&self) -> SocketAddr {
@@ -341,7 +346,7 @@
     settings: &RouterSettings,
     life: &InstanceLife,
     events: &EventLog,
-    slots: &Arc<OnceLock<(Arc<SlotDriver>, GossipDriver, ConfigHandle)>>,
+    slots: &Arc<OnceLock<(Arc<SlotDriver>, ConfigHandle)>>,
     gate: &LinkGate,
 ) -> Result<PeerServer, RouterError> {
     let peers = PeerServerSettings {
@@ -357,18 +362,13 @@
         let gate = gate.clone();
         async move {
             gate.hold(&call.from.instance).await;
-            let Some((driver, gossip, config)) = slots.get() else {
+            let Some((driver, config)) = slots.get() else {
                 return PeerReply::Refused(PeerRefusal::Overloaded);
             };
-            // An asker that gossip does not know yet asks for its own zone
-            // once it does; until then it is told to come back.
             if let Some(reply) = news::answer_news(config, &call.request) {
                 return reply;
             }
-            let reply = match gossip.view().find(&call.from.instance) {
-                Some(member) => driver.answer(&member.zone, call.request).await,
-                None => PeerReply::Refused(PeerRefusal::Overloaded),
-            };
+            let reply = driver.answer(call.request).await;
             gate.hold(&call.from.instance).await;
             reply
         }
--- a/crates/guavawell-fleet/src/slot/answer.rs
+++ b/crates/guavawell-fleet/src/slot/answer.rs
@@ -16,16 +16,16 @@
 use guavawell_core::budget::WitnessMessage;
 use guavawell_core::budget::shard_of;
 use guavawell_core::id::OrganisationId;
-use guavawell_core::id::ZoneId;
 
 use super::driver::SlotDriver;
 use crate::clock;
+use crate::peer::PeerRefusal;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 
 impl SlotDriver {
-    /// Answers the ask of a router that stands in `zone`.
-    pub async fn answer(self: &Arc<Self>, zone: &ZoneId, ask: PeerRequest) -> PeerReply {
+    /// Answers another router's ask.
+    pub async fn answer(self: &Arc<Self>, ask: PeerRequest) -> PeerReply {
         match ask {
             PeerRequest::Witness(message) => self.take_message(message),
             PeerRequest::Takeover(ask) => {
@@ -39,19 +39,23 @@
             PeerRequest::Life => PeerReply::Life(LifeAnswer {
                 incarnation: self.parts.life.incarnation,
             }),
-            other => match organisation_of(&other) {
-                Some(organisation) => {
-                    let slot = SlotId {
-                        zone: zone.clone(),
-                        shard: shard_of(organisation, (self.parts.shards)()),
-                    };
-                    self.answer_here(&slot, other).await
+            other => match other.slot().cloned() {
+                Some(slot) if self.is_misplaced(&slot, &other) => {
+                    PeerReply::Refused(PeerRefusal::Malformed)
                 }
+                Some(slot) => self.answer_here(&slot, other).await,
                 None => PeerReply::Accepted,
             },
         }
     }
 
+    /// Whether an ask names a slot that does not decide for its organisation;
+    /// answered there, a request could run under two slots of a zone.
+    fn is_misplaced(&self, slot: &SlotId, ask: &PeerRequest) -> bool {
+        let shards = (self.parts.shards)();
+        organisation_of(ask).is_some_and(|id| shard_of(id, shards) != slot.shard)
+    }
+
     fn take_message(self: &Arc<Self>, message: WitnessMessage) -> PeerReply {
         let (slot, holder, event) = match message {
             WitnessMessage::Record(record) => (
@@ -82,7 +86,7 @@
     ) -> PeerReply {
         if let PeerRequest::Note(note) = ask {
             if let Some(seat) = self.seat(slot) {
-                self.tell(&seat, HolderEvent::Serve(note));
+                self.tell(&seat, HolderEvent::Serve(note.ask));
             }
             return PeerReply::Accepted;
         }
@@ -119,11 +123,11 @@
 /// The organisation that an ask of a slot's holder concerns.
 fn organisation_of(ask: &PeerRequest) -> Option<&OrganisationId> {
     let identity = match ask {
-        PeerRequest::Reserve(ask) => &ask.identity,
-        PeerRequest::Settle(ask) => &ask.identity,
-        PeerRequest::Release(ask) => &ask.identity,
-        PeerRequest::Note(note) => &note.identity,
-        PeerRequest::Seal(ask) => &ask.identity,
+        PeerRequest::Reserve(ask) => &ask.ask.identity,
+        PeerRequest::Settle(ask) => &ask.ask.identity,
+        PeerRequest::Release(ask) => &ask.ask.identity,
+        PeerRequest::Note(note) => &note.ask.identity,
+        PeerRequest::Seal(ask) => &ask.ask.identity,
         _ => return None,
     };
     Some(&identity.organisation)
@@ -132,10 +136,10 @@
 /// The event that an ask is for the holder; `None` if it is for somebody else.
 fn holder_event(id: AskId, ask: PeerRequest) -> Option<HolderEvent> {
     let event = match ask {
-        PeerRequest::Reserve(ask) => HolderEvent::Reserve(id, ask),
-        PeerRequest::Settle(ask) => HolderEvent::Settle(id, ask),
-        PeerRequest::Release(ask) => HolderEvent::Release(id, ask),
-        PeerRequest::Seal(ask) => HolderEvent::Seal(id, ask),
+        PeerRequest::Reserve(ask) => HolderEvent::Reserve(id, ask.ask),
+        PeerRequest::Settle(ask) => HolderEvent::Settle(id, ask.ask),
+        PeerRequest::Release(ask) => HolderEvent::Release(id, ask.ask),
+        PeerRequest::Seal(ask) => HolderEvent::Seal(id, ask.ask),
         PeerRequest::HandBack(ask) => HolderEvent::HandBack(id, ask),
         _ => return None,
     };
--- a/crates/guavawell-fleet/src/slot/toward.rs
+++ b/crates/guavawell-fleet/src/slot/toward.rs
@@ -30,6 +30,7 @@
 use crate::peer::PeerError;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
+use crate::peer::SlotAsk;
 
 /// Wait between two routers asked for one ask, after the first two.
 const HOP_PAUSE: Duration = Duration::from_millis(25);
@@ -74,7 +75,10 @@
     pub async fn reserve(self: &Arc<Self>, ask: ReserveAsk) -> ReserveAnswer {
         let slot = self.slot_of(&ask.identity.organisation);
         let reply = self
-            .ask_holder(&slot, &PeerRequest::Reserve(ask.clone()))
+            .ask_holder(
+                &slot,
+                &PeerRequest::Reserve(SlotAsk::new(slot.clone(), ask.clone())),
+            )
             .await;
         if let HolderReply::Answer(PeerReply::Reserve(answer)) = reply {
             return answer;
@@ -115,7 +119,10 @@
     async fn settle_once(self: &Arc<Self>, ask: &SettleAsk) -> Option<SettleAnswer> {
         let slot = self.slot_of(&ask.identity.organisation);
         match self
-            .ask_holder(&slot, &PeerRequest::Settle(ask.clone()))
+            .ask_holder(
+                &slot,
+                &PeerRequest::Settle(SlotAsk::new(slot.clone(), ask.clone())),
+            )
             .await
         {
             HolderReply::Answer(PeerReply::Settle(SettleAnswer::NotHolder { .. })) => None,
@@ -131,7 +138,10 @@
             let slot = driver.slot_of(&ask.identity.organisation);
             for _ in 0..MAX_RELEASES {
                 let reply = driver
-                    .ask_holder(&slot, &PeerRequest::Release(ask.clone()))
+                    .ask_holder(
+                        &slot,
+                        &PeerRequest::Release(SlotAsk::new(slot.clone(), ask.clone())),
+                    )
                     .await;
                 match reply {
                     HolderReply::Answer(PeerReply::Release(
@@ -156,7 +166,8 @@
         }
         let driver = Arc::clone(self);
         let task = async move {
-            driver.ask_holder(&slot, &PeerRequest::Note(note)).await;
+            let ask = PeerRequest::Note(SlotAsk::new(slot.clone(), note));
+            driver.ask_holder(&slot, &ask).await;
         };
         self.parts.tasks.spawn(task);
     }
@@ -164,7 +175,8 @@
     /// Asks the slot's holder to let no attempt of a request run.
     pub async fn seal(self: &Arc<Self>, ask: SealAsk) -> Option<SealAnswer> {
         let slot = self.slot_of(&ask.identity.organisation);
-        match self.ask_holder(&slot, &PeerRequest::Seal(ask)).await {
+        let ask = PeerRequest::Seal(SlotAsk::new(slot.clone(), ask));
+        match self.ask_holder(&slot, &ask).await {
             HolderReply::Answer(PeerReply::Seal(answer)) => Some(answer),
             _ => None,
         }
