--- a/crates/guavawell-core/src/budget/holder/refill.rs
+++ b/crates/guavawell-core/src/budget/holder/refill.rs
@@ -24,9 +24,6 @@
 use crate::id::TokenCount;
 use crate::request::RequestIdentity;
 
-/// A donor keeps its use of `1 / DONOR_KEEP` of a minute.
-const DONOR_KEEP: u64 = 12;
-
 impl SlotHolder {
     /// Looks at one budget after something changed: serves who waits, moves
     /// the float, decides about a change of the grant.
@@ -139,16 +136,22 @@
         let stock = &self.stocks[place];
         let account = self.ledger.account(&stock.budget)?;
         let free = stock.free(account);
-        let need = match stock.back_ask {
-            BackAsk::Asked => TokenCount::ZERO,
-            _ => stock.shortfall(account),
-        };
         let unspent = stock.view.as_ref().map(|view| view.unspent);
+        // The table has no more: first see what comes out of the float.
+        let awaits_float =
+            unspent == Some(TokenCount::ZERO) && stock.is_moving_float() && self.is_witnessed();
+        let need = if awaits_float || stock.back_ask == BackAsk::Asked {
+            TokenCount::ZERO
+        } else {
+            stock.shortfall(account)
+        };
         let is_unread = unspent.is_none()
             && (!stock.queue.is_empty() || !stock.asked.is_empty() || !account.is_unused());
-        let is_low =
-            unspent.is_some_and(|rest| rest > TokenCount::ZERO) && free < stock.refill_below;
         let is_giving = !stock.promised.is_empty();
+        let is_asked = is_giving || !stock.asked.is_empty();
+        let is_low = !is_asked
+            && unspent.is_some_and(|rest| rest > TokenCount::ZERO)
+            && free < stock.refill_below;
         let is_report_due = self.is_report_due(place, now);
         let is_refill = (need > TokenCount::ZERO || is_low) && !self.leaving;
         if !(is_unread || is_refill || is_giving || is_report_due) {
@@ -160,13 +163,20 @@
         } else {
             TokenCount::ZERO
         };
+        // Without charges, a change that is granted nothing needs no write.
+        let is_probe =
+            unspent == Some(TokenCount::ZERO) && !is_giving && !is_report_due && !is_unread;
+        let (settled, float_settled) = match &stock.view {
+            Some(view) if is_probe => (view.reported, view.float_reported),
+            _ => (stock.acked_settled, account.counters.float_settled),
+        };
         Some(GrantChange {
             slot: self.slot.clone(),
             tenure: self.row.tenure,
             sequence: stock.sequence + 1,
             former: self.ledger.former_use(&stock.budget),
-            settled: stock.acked_settled,
-            float_settled: account.counters.float_settled,
+            settled,
+            float_settled,
             hand_back: stock.promised.iter().map(|promise| promise.tokens).sum(),
             need: need.min(want),
             want,
@@ -247,7 +257,7 @@
         let is_answer = stock
             .change
             .as_ref()
-            .is_some_and(|change| change.sequence == view.sequence);
+            .is_some_and(|change| is_answered(change, &view));
         if !is_answer {
             return;
         }
@@ -303,6 +313,7 @@
             return;
         }
         let others = stock.view.iter().flat_map(|view| &view.elsewhere);
+        let open: TokenCount = others.clone().map(|other| other.open).sum();
         let slots: Vec<SlotId> = others.map(|other| other.slot.clone()).collect();
         let is_unasked = stock.back_ask == BackAsk::Unasked;
         if stock.back_ask == BackAsk::Asked {
@@ -312,11 +323,12 @@
             .view
             .as_ref()
             .is_none_or(|view| view.unspent == TokenCount::ZERO);
-        if is_last && self.lower_float_by(place, wanted) {
+        let is_moving = stock.is_moving_float() && self.is_witnessed();
+        if is_last && (is_moving || self.lower_float_by(place, wanted)) {
             return;
         }
         let stock = &self.stocks[place];
-        if is_unasked && !slots.is_empty() {
+        if is_unasked && open >= wanted {
             let budget = stock.budget.clone();
             self.stocks[place].back_ask = BackAsk::Asked;
             effects.push(HolderEffect::AskHandBack {
@@ -397,9 +409,7 @@
         if !stock.queue.is_empty() {
             return TokenCount::ZERO;
         }
-        let free = self.witnessed_free(place);
-        let keep = (stock.demand.get() / DONOR_KEEP).min(free.get() / 2);
-        free.saturating_sub(TokenCount::new(keep))
+        self.witnessed_free(place)
     }
 
     /// Takes tokens out of the float if the witnessed part does not cover
@@ -487,6 +497,18 @@
     }
 }
 
+/// Whether the row holds the change, or held all that it carries before.
+///
+/// A change that carries nothing and is granted nothing is not written. If
+/// it is granted something after all, by a late write, the next view shows
+/// it.
+fn is_answered(change: &GrantChange, view: &GrantView) -> bool {
+    let carries_nothing = change.hand_back == TokenCount::ZERO
+        && change.settled <= view.reported
+        && change.float_settled <= view.float_reported;
+    view.sequence == change.sequence || (carries_nothing && view.sequence < change.sequence)
+}
+
 pub(super) fn answer_given(given: Vec<PromisedTokens>, effects: &mut Vec<HolderEffect>) {
     for promise in given {
         let tokens = promise.tokens;
--- a/crates/guavawell-core/src/budget/row/change.rs
+++ b/crates/guavawell-core/src/budget/row/change.rs
@@ -57,6 +57,8 @@
     /// [`RowError::LaterTenure`] if the slot has a new holder,
     /// [`RowError::GrantOverdrawn`] if the holder's account does not fit.
     pub fn change_grant(&self, change: &GrantChange) -> Result<RowChange, RowError> {
+        let former = self.grant(&change.slot);
+        let closes = former.is_some_and(|grant| grant.tenure != change.tenure);
         let mut row = self.clone();
         let place = row.open_grant(change)?;
         let grant = &mut row.grants[place];
@@ -77,6 +79,9 @@
         grant.demand = change.demand;
         row.settled = row.settled.saturating_add(charged);
         let granted = row.share(change);
+        if !closes && taken.saturating_add(granted) == TokenCount::ZERO {
+            return Ok(RowChange::Applied);
+        }
         row.grants[place].open = row.grants[place].open.saturating_add(granted);
         row.update_paid();
         Ok(RowChange::Write(row))
--- a/crates/guavawell-core/src/budget/row/mod.rs
+++ b/crates/guavawell-core/src/budget/row/mod.rs
@@ -120,7 +120,8 @@
 pub enum RowChange {
     /// Write this row.
     Write(BudgetRow),
-    /// The row holds the change already.
+    /// The row holds the change already, or there is nothing to change: no
+    /// write is needed.
     Applied,
 }
 
--- a/crates/guavawell-core/tests/budget_differential.rs
+++ b/crates/guavawell-core/tests/budget_differential.rs
@@ -43,6 +43,7 @@
     TableUp,
     Lossy(u64),
     TakeOver(usize),
+    ChangeWitnesses(bool),
     Crash(usize),
     Restart(usize),
     Seize(usize),
@@ -68,6 +69,7 @@
         2 => Just(FleetStep::TableUp),
         1 => (0..40_u64).prop_map(FleetStep::Lossy),
         2 => zone.clone().prop_map(FleetStep::TakeOver),
+        1 => any::<bool>().prop_map(FleetStep::ChangeWitnesses),
         1 => instance.clone().prop_map(FleetStep::Crash),
         2 => instance.prop_map(FleetStep::Restart),
         1 => zone.prop_map(FleetStep::Seize),
@@ -192,6 +194,10 @@
                 self.fleet.lost_answer_percent = *percent;
             }
             FleetStep::TakeOver(zone) => self.fleet.take_over(*zone),
+            FleetStep::ChangeWitnesses(is_near) => {
+                self.fleet.prefers_near_witness = *is_near;
+                self.fleet.change_witnesses();
+            }
             FleetStep::Crash(instance) => self.fleet.crash(*instance),
             FleetStep::Restart(instance) if !self.fleet.instances[*instance].is_up => {
                 self.fleet.restart(*instance);
--- a/crates/guavawell-core/tests/budget_fleet/mod.rs
+++ b/crates/guavawell-core/tests/budget_fleet/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Messages travel at once unless a cut or the loss rate stops them; the
 //! exhaustive search covers late and reordered ones.
+#![allow(dead_code, reason = "each test uses its own part of the driver")]
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -96,6 +97,8 @@
     pub random: SeededRandom,
     /// Whether a seized slot's grants count as ended, as a lapsed lease's.
     pub plants_lease_expiry: bool,
+    /// Whether witnesses are chosen in the holder's own zone.
+    pub prefers_near_witness: bool,
     settings: Arc<HolderSettings>,
     letters: VecDeque<FleetLetter>,
     later: Vec<FleetLetter>,
@@ -158,6 +161,7 @@
             seized: vec![false; zones],
             random: SeededRandom::new(seed),
             plants_lease_expiry: false,
+            prefers_near_witness: false,
             settings: Arc::new(settings),
             letters: VecDeque::new(),
             later: Vec::new(),
@@ -217,7 +221,7 @@
     }
 
     /// The instance whose holder of the zone's slot knows no successor.
-    fn newest_holder(&self, zone: usize) -> Option<usize> {
+    pub fn newest_holder(&self, zone: usize) -> Option<usize> {
         (0..self.instances.len()).find(|place| {
             let instance = &self.instances[*place];
             instance.is_up
@@ -244,6 +248,22 @@
         self.run();
     }
 
+    /// Every holder takes the preferred witness anew.
+    pub fn change_witnesses(&mut self) {
+        for zone in 0..self.rows.len() {
+            let holder = self.holder(zone).map(|(instance, _)| instance);
+            let Some(instance) = holder else {
+                continue;
+            };
+            if let Some(life) = self.candidate(instance) {
+                let event = HolderEvent::ChangeWitness(Some(life));
+                self.letters
+                    .push_back(FleetLetter::Holder(instance, zone, None, event));
+            }
+        }
+        self.run();
+    }
+
     fn renew_witnesses(&mut self) {
         for zone in 0..self.rows.len() {
             let Some((instance, place)) = self.holder(zone) else {
@@ -262,7 +282,7 @@
         }
     }
 
-    /// A reachable instance, in another zone if there is one.
+    /// A reachable instance, in the preferred place if there is one.
     fn candidate(&self, instance: usize) -> Option<InstanceLife> {
         let zone = self.instances[instance].zone;
         let mut others: Vec<usize> = (0..self.instances.len())
@@ -270,8 +290,9 @@
             .collect();
         others.sort_by_key(|other| {
             let distance = self.instances[*other].zone + self.rows.len() - zone;
+            let is_near = self.instances[*other].zone == zone;
             (
-                self.instances[*other].zone == zone,
+                is_near != self.prefers_near_witness,
                 distance % self.rows.len(),
             )
         });
@@ -352,6 +373,14 @@
         Ok(())
     }
 
+    /// What the zone's present holder may spend at once.
+    pub fn free(&self, zone: usize, budget: &str) -> TokenCount {
+        let budget = budget.parse().unwrap();
+        self.holder(zone)
+            .map(|(instance, place)| &self.instances[instance].holders[place])
+            .map_or(TokenCount::ZERO, |holder| holder.free_tokens(&budget))
+    }
+
     pub fn reaches_table(&self, instance: usize) -> bool {
         self.is_table_up && !self.cut[self.instances[instance].zone]
     }
