Carry orders to model engines out on the running fleet

Cause: core::order decided orders, but nothing carried them out, and models that an engine reported did not come into routing.

Change: fleet::order reviews a zone every 2 s, plans from the manifest and the last reports, and carries orders out step by step: row first under a rising number, engine read back before any second send, row read again before each send and once more if more than 2 s passed since. Loads take a permit from one row of the table. Placement gets the models that a server may hold. Reported models ride on gossip in notes of their own and rebuild the routing table. The stand-in's engine loses the answer of an order where told to.

--- a/crates/guavawell-core/src/order/permit.rs
+++ b/crates/guavawell-core/src/order/permit.rs
@@ -44,7 +44,7 @@
     pub ended: bool,
 }
 
-/// The row `order/permits`.
+/// The row `order-permits`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitRow {
     /// The permits that count.
--- a/crates/guavawell-core/src/order/placement.rs
+++ b/crates/guavawell-core/src/order/placement.rs
@@ -7,6 +7,7 @@
 use super::row::OrderKind;
 use crate::backend::ServedModel;
 use crate::id::BackendId;
+use crate::id::ModelId;
 use crate::id::ZoneId;
 
 /// A model that the manifest wants served.
@@ -29,6 +30,8 @@
     pub zone: ZoneId,
     /// Models that it can hold.
     pub capacity: usize,
+    /// Models and adapters that may be loaded into it.
+    pub hosts: Vec<ModelId>,
     /// Models held.
     pub models: Vec<ServedModel>,
     /// Models being loaded.
@@ -77,7 +80,8 @@
     let missing = wish.copies.saturating_sub(present);
     for _ in 0..missing {
         let open = |room: &&mut PlacementRoom| {
-            room.zone == *zone && !room.closed && !has(room, &wish.served)
+            let free = room.zone == *zone && !room.closed;
+            free && room.hosts.contains(&wish.served.model) && !has(room, &wish.served)
         };
         let free = |room: &PlacementRoom| {
             let taken = room.models.len() + room.loading.len();
@@ -98,7 +102,9 @@
             continue;
         }
         let place = rooms.iter().position(|room| {
-            room.zone == *zone && !room.closed && surplus(room, wishes, rooms).is_some()
+            let open = room.zone == *zone && !room.closed;
+            let hosts = room.hosts.contains(&wish.served.model) && !has(room, &wish.served);
+            open && hosts && surplus(room, wishes, rooms).is_some()
         });
         let Some(place) = place else {
             return;
--- a/crates/guavawell-core/tests/orders.rs
+++ b/crates/guavawell-core/tests/orders.rs
@@ -212,6 +212,7 @@
         backend: name.parse().expect("backend"),
         zone: zone.parse().expect("zone"),
         capacity: 1,
+        hosts: vec!["m".parse().expect("model")],
         models: models.iter().map(|version| served(version)).collect(),
         loading: Vec::new(),
         closed: false,
@@ -293,3 +294,11 @@
     let rooms = [doubled, room("b-0", "b", &["2"])];
     assert_eq!(orders(&[wish("2", 1)], &rooms), ["a-0 unload 1".into()]);
 }
+
+#[test]
+fn a_server_is_given_only_what_it_may_hold() {
+    let mut other = room("a-0", "a", &[]);
+    other.hosts = vec!["n".parse().expect("model")];
+    let rooms = [other, room("a-1", "a", &[]), room("b-0", "b", &["2"])];
+    assert_eq!(orders(&[wish("2", 2)], &rooms), ["a-1 load 2".into()]);
+}
--- a/crates/guavawell-fleet/src/engine/client.rs
+++ b/crates/guavawell-fleet/src/engine/client.rs
@@ -121,11 +121,12 @@
     pub body: Vec<u8>,
 }
 
-/// A client of all backend servers, shared by all threads.
-#[derive(Debug, Default)]
+/// A client of all backend servers, shared by all threads; clones share their
+/// connections.
+#[derive(Clone, Debug, Default)]
 pub struct EngineClient {
     settings: EngineSettings,
-    pool: Arc<ConnectionPool>,
+    pub(super) pool: Arc<ConnectionPool>,
 }
 
 impl EngineClient {
@@ -278,7 +279,11 @@
             .map_err(|error| EngineError::Malformed(error.to_string().into()))
     }
 
-    async fn connect(&self, address: SocketAddr, reuse: bool) -> Result<TcpStream, EngineError> {
+    pub(super) async fn connect(
+        &self,
+        address: SocketAddr,
+        reuse: bool,
+    ) -> Result<TcpStream, EngineError> {
         if reuse && let Some(stream) = self.pool.take(address).await {
             return Ok(stream);
         }
@@ -287,7 +292,7 @@
             .map_err(EngineError::NotSent)
     }
 
-    async fn exchange(
+    pub(super) async fn exchange(
         &self,
         address: SocketAddr,
         stream: &TcpStream,
@@ -322,7 +327,7 @@
         })
     }
 
-    async fn read_whole(&self, response: &mut Response) -> Result<Vec<u8>, EngineError> {
+    pub(super) async fn read_whole(&self, response: &mut Response) -> Result<Vec<u8>, EngineError> {
         let body = response.take_body();
         let read = read_bounded(body, self.settings.max_answer_bytes);
         let silence = async {
@@ -360,11 +365,11 @@
     message
 }
 
-fn url(address: SocketAddr, path: &str) -> Url {
+pub(super) fn url(address: SocketAddr, path: &str) -> Url {
     Url::parse(&format!("http://{address}{path}")).expect("an address and a path make a URL")
 }
 
-fn check_status(response: &Response) -> Result<(), EngineError> {
+pub(super) fn check_status(response: &Response) -> Result<(), EngineError> {
     let status = u16::from(response.status());
     match status {
         200 => Ok(()),
--- a/crates/guavawell-fleet/src/engine/mod.rs
+++ b/crates/guavawell-fleet/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod error;
 mod event;
 mod exchange;
+mod order;
 mod pool;
 
 pub use client::AttemptRecord;
@@ -19,3 +20,4 @@
 pub use error::EngineError;
 pub use event::EngineEvent;
 pub use exchange::EngineExchange;
+pub use order::EngineOrder;
--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gossip;
 pub mod journal;
 pub mod operator;
+pub mod order;
 pub mod peer;
 pub mod platform;
 pub mod router;
--- /dev/null
+++ b/crates/guavawell-fleet/src/order/picture.rs
@@ -0,0 +1,147 @@
+//! What the manifest wants of one zone, and what its engines hold.
+
+use guavawell_core::backend::ServedModel;
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::id::ModelId;
+use guavawell_core::id::ZoneId;
+use guavawell_core::manifest::BackendEntry;
+use guavawell_core::manifest::BackendKind;
+use guavawell_core::manifest::FleetView;
+use guavawell_core::manifest::ModelEntry;
+use guavawell_core::order::PlacementRoom;
+use guavawell_core::order::PlacementWish;
+
+use super::book::ModelBook;
+
+/// One zone as placement sees it.
+#[derive(Clone, Debug)]
+pub struct ZonePicture {
+    /// What the manifest wants.
+    pub wishes: Vec<PlacementWish>,
+    /// The zone's engines, sorted by id.
+    pub rooms: Vec<PlacementRoom>,
+    /// Engines that have not reported yet.
+    pub unseen: usize,
+}
+
+/// How a picture is taken.
+#[derive(Clone, Copy, Debug)]
+pub struct PictureBounds {
+    /// Models that an engine holds beyond those listed for it.
+    pub spare: usize,
+    /// Silence after which an engine's copies no longer count.
+    pub silence: ClockSpan,
+}
+
+impl ZonePicture {
+    /// The picture of `zone` by the manifest in force and the last reports.
+    #[must_use]
+    pub fn take(
+        view: &FleetView,
+        zone: &ZoneId,
+        book: &ModelBook,
+        bounds: PictureBounds,
+        now: ClockTime,
+    ) -> Self {
+        let engines = view
+            .backends()
+            .iter()
+            .filter(|entry| entry.kind == BackendKind::Model && entry.zone == *zone);
+        let mut unseen = 0;
+        let mut rooms = Vec::new();
+        for entry in engines {
+            let report = book.find(&entry.id);
+            unseen += usize::from(report.is_none());
+            let silent = report
+                .as_ref()
+                .is_none_or(|report| now.since(report.seen()) > bounds.silence);
+            let models = report.map_or_else(Vec::new, |report| report.models.clone());
+            rooms.push(room(view, entry, models, silent, bounds.spare));
+        }
+        let wishes = wishes(view, zone, &rooms);
+        Self {
+            wishes,
+            rooms,
+            unseen,
+        }
+    }
+
+    /// The wish for a model or adapter of this name.
+    #[must_use]
+    pub fn wish_for(&self, model: &ModelId) -> Option<&PlacementWish> {
+        self.wishes.iter().find(|wish| wish.served.model == *model)
+    }
+}
+
+fn room(
+    view: &FleetView,
+    entry: &BackendEntry,
+    models: Vec<ServedModel>,
+    silent: bool,
+    spare: usize,
+) -> PlacementRoom {
+    let hosts = hosts(view, entry, &models);
+    PlacementRoom {
+        backend: entry.id.clone(),
+        zone: entry.zone.clone(),
+        capacity: hosts.len() + spare,
+        hosts,
+        models,
+        loading: Vec::new(),
+        closed: entry.leaving || silent,
+        leaving: entry.leaving || silent,
+    }
+}
+
+/// The models listed for a server, and the adapters of those that it serves in
+/// the manifest's version.
+fn hosts(view: &FleetView, entry: &BackendEntry, models: &[ServedModel]) -> Vec<ModelId> {
+    let mut hosts = entry.models.to_vec();
+    for model in entry.models.iter().filter_map(|id| view.model(id)) {
+        let serves =
+            |held: &ServedModel| held.model == model.id && held.version.as_str() == &*model.version;
+        if models.iter().any(serves) {
+            hosts.extend(model.adapters.iter().map(|adapter| adapter.id.clone()));
+        }
+    }
+    hosts
+}
+
+fn wishes(view: &FleetView, zone: &ZoneId, rooms: &[PlacementRoom]) -> Vec<PlacementWish> {
+    let here = view
+        .models()
+        .iter()
+        .filter(|model| model.zones.contains(zone));
+    let mut wishes = Vec::new();
+    for model in here {
+        let adapters = model
+            .adapters
+            .iter()
+            .map(|entry| (&entry.id, &entry.version));
+        for (id, version) in std::iter::once((&model.id, &model.version)).chain(adapters) {
+            let Ok(version) = version.parse() else {
+                continue;
+            };
+            wishes.push(PlacementWish {
+                served: ServedModel {
+                    model: id.clone(),
+                    version,
+                },
+                zones: vec![zone.clone()],
+                copies: copies(model, id, rooms),
+            });
+        }
+    }
+    wishes
+}
+
+/// As many as the manifest wants and the zone's servers allow; a new version
+/// gets no fewer copies than the old one has, lest a rollout take capacity.
+fn copies(model: &ModelEntry, id: &ModelId, rooms: &[PlacementRoom]) -> usize {
+    let able = |room: &&PlacementRoom| !room.leaving && room.hosts.contains(id);
+    let holds = |room: &&PlacementRoom| room.models.iter().any(|held| held.model == *id);
+    let holders = rooms.iter().filter(able).filter(holds).count();
+    let wanted = usize::from(model.replicas_per_zone).max(holders);
+    wanted.min(rooms.iter().filter(able).count())
+}
--- a/crates/guavawell-fleet/src/router/core.rs
+++ b/crates/guavawell-fleet/src/router/core.rs
@@ -19,6 +19,7 @@
 use crate::drill::LinkGate;
 use crate::engine::EngineClient;
 use crate::event::EventLog;
+use crate::order::ModelBook;
 use crate::platform::Table;
 use crate::settings::RouterSettings;
 use crate::slot::SlotDriver;
@@ -34,6 +35,8 @@
     pub view: Arc<ArcSwap<FleetView>>,
     /// Backend servers.
     pub backends: ArcSwap<BackendTable>,
+    /// What the backend servers reported to hold.
+    pub models: Arc<ModelBook>,
     /// Admission.
     pub door: Arc<AdmissionDoor>,
     /// Backend servers' protocol.
--- a/crates/guavawell-fleet/src/router/fetch.rs
+++ b/crates/guavawell-fleet/src/router/fetch.rs
@@ -1,12 +1,15 @@
 //! Load reports: one router of a zone polls a backend server and tells the others.
 //!
 //! The poller is picked by hashing among the zone's routers. Its reports ride
-//! on gossip as notes; a note that is late only makes a report older.
+//! on gossip as notes; a note that is late only makes a report older. The
+//! models held ride in notes of their own, sent on a change and now and then.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use guavawell_core::backend::LoadReport;
+use guavawell_core::backend::ServedModel;
+use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::id::BackendId;
 use guavawell_core::instance::GossipNote;
@@ -23,6 +26,12 @@
 /// What a note's key begins with.
 const NOTE_PREFIX: &str = "load/";
 
+/// What the key of a note on the models held begins with.
+const MODELS_PREFIX: &str = "models/";
+
+/// Time between two notes on the models held, if they do not change.
+const MODELS_EVERY: ClockSpan = ClockSpan::from_millis(5_000);
+
 /// A load report as it rides on gossip.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct LoadNote {
@@ -77,15 +86,20 @@
 fn own_backends(core: &RouterCore, members: &MemberView) -> Vec<(BackendId, SocketAddr)> {
     let view = core.view.load();
     let zone = &core.settings.instance.zone;
-    let own = view.backends().iter().filter(|entry| {
-        entry.zone == *zone
-            && members
-                .owner_in(zone, entry.id.as_str().as_bytes())
-                .is_some_and(|owner| owner.instance == core.life.instance)
-    });
+    let own = view
+        .backends()
+        .iter()
+        .filter(|entry| entry.zone == *zone && is_own(core, members, &entry.id));
     own.map(|entry| (entry.id.clone(), entry.address)).collect()
 }
 
+fn is_own(core: &RouterCore, members: &MemberView, backend: &BackendId) -> bool {
+    let zone = &core.settings.instance.zone;
+    members
+        .owner_in(zone, backend.as_str().as_bytes())
+        .is_some_and(|owner| owner.instance == core.life.instance)
+}
+
 async fn poll_one(
     core: &RouterCore,
     gossip: &GossipDriver,
@@ -100,14 +114,48 @@
         metrics::counter!("guavawell_load_reports_malformed_total").increment(1);
         return;
     };
-    let note = LoadNote::of(&report);
     apply(core, backend, &report);
-    let Ok(bytes) = postcard::to_allocvec(&note) else {
+    let changed = take_models(core, backend, &report.models);
+    publish(
+        core,
+        gossip,
+        NOTE_PREFIX,
+        backend,
+        report.at,
+        &LoadNote::of(&report),
+    );
+    if changed || is_renewal(core, report.at) {
+        publish(
+            core,
+            gossip,
+            MODELS_PREFIX,
+            backend,
+            report.at,
+            &report.models,
+        );
+    }
+}
+
+/// About one poll in [`MODELS_EVERY`], for routers that missed the change.
+fn is_renewal(core: &RouterCore, at: ClockTime) -> bool {
+    let poll = core.settings.routing.load_poll_ms;
+    at.as_millis() % MODELS_EVERY.as_millis() < poll.as_millis()
+}
+
+fn publish(
+    core: &RouterCore,
+    gossip: &GossipDriver,
+    prefix: &str,
+    backend: &BackendId,
+    at: ClockTime,
+    value: &impl Serialize,
+) {
+    let Ok(bytes) = postcard::to_allocvec(value) else {
         return;
     };
     let note = GossipNote {
-        key: format!("{NOTE_PREFIX}{backend}").into(),
-        version: note.at.as_millis(),
+        key: format!("{prefix}{backend}").into(),
+        version: at.as_millis(),
         scope: NoteScope::Zone(core.settings.instance.zone.clone()),
         bytes: bytes.into(),
     };
@@ -118,24 +166,58 @@
 
 fn take_notes(core: &RouterCore, members: &MemberView) {
     for note in members.notes() {
-        let Some(backend) = note.key.strip_prefix(NOTE_PREFIX) else {
-            continue;
-        };
-        let Ok(backend) = backend.parse::<BackendId>() else {
-            continue;
-        };
-        if let Ok(note) = postcard::from_bytes::<LoadNote>(&note.bytes) {
-            apply(core, &backend, &note.into_report());
+        if let Some(backend) = backend_of(&note.key, NOTE_PREFIX) {
+            if let Ok(note) = postcard::from_bytes::<LoadNote>(&note.bytes) {
+                apply(core, &backend, &note.into_report());
+            }
+        } else if let Some(backend) = backend_of(&note.key, MODELS_PREFIX)
+            && !is_own(core, members, &backend)
+            && let Ok(models) = postcard::from_bytes::<Vec<ServedModel>>(&note.bytes)
+        {
+            take_models(core, &backend, &models);
         }
     }
 }
 
+fn backend_of(key: &str, prefix: &str) -> Option<BackendId> {
+    key.strip_prefix(prefix)?.parse().ok()
+}
+
 fn apply(core: &RouterCore, backend: &BackendId, report: &LoadReport) {
-    let effect = core
-        .backends
-        .load()
-        .apply_report(backend, report, clock::now());
+    let now = clock::now();
+    let effect = core.backends.load().apply_report(backend, report, now);
+    if !effect.ignored {
+        core.models.touch(backend, now);
+    }
     if effect.leaving && !effect.ignored {
         metrics::counter!("guavawell_backends_leaving_reports_total").increment(1);
     }
 }
+
+/// Routes to what a server holds; true if that is news.
+fn take_models(core: &RouterCore, backend: &BackendId, models: &[ServedModel]) -> bool {
+    let mut models = models.to_vec();
+    models.sort();
+    let known = core.models.find(backend);
+    if known.is_some_and(|known| known.models == models) {
+        return false;
+    }
+    // The book goes first: a new manifest builds its table from the book.
+    core.models.note(backend, &models, clock::now());
+    if is_routed_so(core, backend, &models) {
+        return true;
+    }
+    log::info!("backend server {backend} holds {} models", models.len());
+    metrics::counter!("guavawell_backend_models_changed_total").increment(1);
+    core.backends
+        .rcu(|table| table.with_models(backend, &models, clock::now()));
+    true
+}
+
+/// Whether routing knows the server with just these models, or not at all.
+fn is_routed_so(core: &RouterCore, backend: &BackendId, models: &[ServedModel]) -> bool {
+    let table = core.backends.load();
+    let specs = table.specs();
+    let place = specs.binary_search_by(|spec| spec.id.cmp(backend));
+    place.map_or(true, |place| specs[place].models == models)
+}
--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -16,8 +16,12 @@
 use guavawell_core::limits::AdmissionSettings;
 use guavawell_core::limits::RetrySettings;
 use guavawell_core::manifest::FleetView;
+use guavawell_core::order::IssuerId;
+use guavawell_core::order::OrderSettings;
+use guavawell_core::order::PermitSettings;
 use guavawell_core::request::chat::ChatLimits;
 
+use super::core::RouterCore;
 use crate::caller::CallerLimits;
 use crate::clock;
 use crate::drill::LinkGate;
@@ -27,6 +31,9 @@
 use crate::gossip::FleetKey;
 use crate::gossip::FleetKeys;
 use crate::gossip::GossipDriver;
+use crate::order::OrderParts;
+use crate::order::OrderPorts;
+use crate::order::OrderTable;
 use crate::peer::PeerClient;
 use crate::peer::PeerError;
 use crate::peer::PeerFailure;
@@ -214,6 +221,36 @@
     })
 }
 
+/// Everything that orders need of the router.
+pub fn order_parts(core: &RouterCore, gossip: &GossipDriver) -> OrderParts {
+    let settings = core.settings.orders.clone();
+    let permits = PermitSettings {
+        slots: usize::try_from(settings.fleet_loads).unwrap_or(usize::MAX),
+        hold: settings.load_hold_ms,
+        ..PermitSettings::default()
+    };
+    let members = gossip.clone();
+    OrderParts {
+        issuer: IssuerId {
+            instance: core.life.instance.clone(),
+            incarnation: core.life.incarnation,
+        },
+        zone: core.settings.instance.zone.clone(),
+        view: Arc::clone(&core.view),
+        members: Box::new(move || members.view()),
+        book: Arc::clone(&core.models),
+        ports: Arc::new(OrderPorts {
+            table: OrderTable::new(core.table.clone(), permits),
+            engines: core.engines.clone(),
+            events: core.events.clone(),
+            now: Box::new(clock::now),
+            settings: OrderSettings::default(),
+        }),
+        tasks: core.tasks.clone(),
+        settings,
+    }
+}
+
 /// Calls an instance where gossip says that it can be reached.
 pub fn peer_link(gossip: GossipDriver, client: PeerClient, gate: LinkGate) -> PeerLink {
     PeerLink {
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -45,6 +45,7 @@
 use crate::event::EventLog;
 use crate::gossip::DriverSettings;
 use crate::gossip::GossipDriver;
+use crate::order::ModelBook;
 use crate::peer::PeerCall;
 use crate::peer::PeerClient;
 use crate::peer::PeerClientSettings;
@@ -185,6 +186,7 @@
                 Vec::new(),
                 clock::now(),
             )),
+            models: Arc::new(ModelBook::default()),
             door: Arc::new(AdmissionDoor::new(settings::admission(&settings))),
             engines: EngineClient::new(settings::engines(&settings)),
             slots: driver,
@@ -415,9 +417,10 @@
             return;
         };
         core.view.store(Arc::clone(&snapshot.view));
-        let table = core.backends.load();
-        let table = table.with_specs(backend_specs(&snapshot.view), clock::now());
-        core.backends.store(Arc::new(table));
+        core.backends.rcu(|table| {
+            let specs = core.models.correct(backend_specs(&snapshot.view));
+            table.with_specs(specs, clock::now())
+        });
         core.door.set_targets(route_targets(&snapshot.view));
         gossip.set_manifest(in_force.row.version);
         core.ready.store(true, Ordering::Release);
--- a/crates/guavawell-fleet/src/settings/mod.rs
+++ b/crates/guavawell-fleet/src/settings/mod.rs
@@ -35,6 +35,7 @@
 pub use network::TlsSettings;
 pub use policy::LimitSettings;
 pub use policy::LogSettings;
+pub use policy::OrderSettings;
 pub use policy::RoutingSettings;
 pub use policy::ShutdownSettings;
 pub use policy::SlotSettings;
@@ -67,6 +68,8 @@
         slots: SlotSettings = SlotSettings::default();
         /// Choice of backend servers.
         routing: RoutingSettings = RoutingSettings::default();
+        /// Orders to model engines.
+        orders: OrderSettings = OrderSettings::default();
         /// Admission of requests.
         limits: LimitSettings = LimitSettings::default();
         /// Graceful shutdown.
--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -62,6 +62,35 @@
     }
 }
 
+settings_group! {
+    /// Orders to model engines: which models they load and unload.
+    pub struct OrderSettings {
+        /// Whether this router issues orders at all.
+        enabled: bool = true;
+        /// Time between two looks at what the manifest wants and the engines
+        /// hold, in milliseconds.
+        review_ms: ClockSpan = ClockSpan::from_millis(2_000);
+        /// Orders that this router carries out at once.
+        at_once: u32 = 4;
+        /// Models that an engine can hold beyond those that the manifest lists
+        /// for it. A new version is loaded beside the old one; with 0 it waits
+        /// for a free place.
+        spare_models: u32 = 1;
+        /// Silence of a backend server after which its copies no longer count,
+        /// in milliseconds.
+        silent_after_ms: ClockSpan = ClockSpan::from_millis(30_000);
+        /// Time after which another router's unfinished order is taken over
+        /// though that router still runs, in milliseconds.
+        take_over_ms: ClockSpan = ClockSpan::from_millis(60_000);
+        /// Loads from the weight store at a time in the whole fleet. All
+        /// routers should state the same.
+        fleet_loads: u32 = 4;
+        /// Shortest time that each of them counts, in milliseconds. All
+        /// routers should state the same.
+        load_hold_ms: ClockSpan = ClockSpan::from_millis(10_000);
+    }
+}
+
 settings_group! {
     /// Admission of requests.
     pub struct LimitSettings {
--- a/crates/guavawell-standin/src/engine/routes.rs
+++ b/crates/guavawell-standin/src/engine/routes.rs
@@ -145,6 +145,7 @@
         Err(response) => return Ok(response),
     };
     Ok(match life.apply(order) {
+        Ok(()) if life.base.faults.take_lost_answer() => return Err(Hangup),
         Ok(()) => json_reply(&lock(&life.orders).report()),
         Err(error @ OrderError::StaleFence { .. }) => {
             problem_reply(StatusCode::Conflict, &error.to_string())
