--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -8,6 +8,7 @@
 
 mod ask;
 mod event;
+mod float;
 mod refill;
 mod retire;
 mod settings;
--- a/crates/guavawell-core/src/budget/holder/refill.rs
+++ b/crates/guavawell-core/src/budget/holder/refill.rs
@@ -1,5 +1,5 @@
 //! The holder towards the table and other zones: refill, reports of settled
-//! use, the size of the float, and tokens handed back.
+//! use, and tokens handed back.
 
 use super::AskId;
 use super::HolderAnswer;
@@ -10,7 +10,6 @@
 use super::stock::BackAsk;
 use super::stock::PromisedTokens;
 use super::stock::QueuedAsk;
-use super::witnessing::WaitKind;
 use crate::budget::intent::GrantView;
 use crate::budget::intent::TableFailure;
 use crate::budget::message::HandBackAnswer;
@@ -404,7 +403,7 @@
     }
 
     /// What this zone can spare: nothing while somebody waits here.
-    fn surplus(&self, place: usize) -> TokenCount {
+    pub(super) fn surplus(&self, place: usize) -> TokenCount {
         let stock = &self.stocks[place];
         if !stock.queue.is_empty() {
             return TokenCount::ZERO;
@@ -412,80 +411,6 @@
         self.witnessed_free(place)
     }
 
-    /// Takes tokens out of the float if the witnessed part does not cover
-    /// what is wanted; `true` if the witness has to acknowledge first.
-    fn lower_float_for(&mut self, place: usize, wanted: TokenCount) -> bool {
-        let missing = wanted.saturating_sub(self.surplus(place));
-        self.stocks[place].queue.is_empty() && self.lower_float_by(place, missing)
-    }
-
-    /// Moves up to `missing` tokens out of the float; `false` if none can.
-    fn lower_float_by(&mut self, place: usize, missing: TokenCount) -> bool {
-        let stock = &self.stocks[place];
-        if !self.is_witnessed() || stock.is_moving_float() {
-            return false;
-        }
-        let free = self
-            .ledger
-            .account(&stock.budget)
-            .map_or(TokenCount::ZERO, |account| stock.float_free(account));
-        let tokens = missing.min(free);
-        if tokens == TokenCount::ZERO {
-            return false;
-        }
-        self.lower_float(place, tokens);
-        true
-    }
-
-    pub(super) fn lower_float(&mut self, place: usize, tokens: TokenCount) {
-        let budget = self.stocks[place].budget.clone();
-        self.record(LedgerEntry::LowerFloat {
-            budget: budget.clone(),
-            tokens,
-        });
-        self.stocks[place].lowering = tokens;
-        self.wait(WaitKind::Lower(budget, tokens));
-    }
-
-    /// Keeps the float at its part of the grant, with slack on both sides.
-    fn size_float(&mut self, place: usize) {
-        let stock = &self.stocks[place];
-        let is_quiet = stock.queue.is_empty() && stock.asked.is_empty() && !self.leaving;
-        if !is_quiet || !self.is_witnessed() || stock.view.is_none() || stock.is_moving_float() {
-            return;
-        }
-        let Some(account) = self.ledger.account(&stock.budget) else {
-            return;
-        };
-        let part = u128::from(stock.open().get()) * u128::from(self.settings.float_percent) / 100;
-        let part = u64::try_from(part).unwrap_or(u64::MAX);
-        let target = TokenCount::new(part).min(self.settings.float_most);
-        let free = stock.float_free(account);
-        let live = free.saturating_add(account.float_reserved);
-        if live.get() < target.get() / 2 {
-            let tokens = target.saturating_sub(live).min(self.witnessed_free(place));
-            self.raise_float(place, tokens);
-        } else if live.get() > target.get().saturating_mul(2) {
-            let tokens = live.saturating_sub(target).min(free);
-            if tokens > TokenCount::ZERO {
-                self.lower_float(place, tokens);
-            }
-        }
-    }
-
-    fn raise_float(&mut self, place: usize, tokens: TokenCount) {
-        if tokens == TokenCount::ZERO {
-            return;
-        }
-        let budget = self.stocks[place].budget.clone();
-        self.record(LedgerEntry::RaiseFloat {
-            budget: budget.clone(),
-            tokens,
-        });
-        self.stocks[place].raising = tokens;
-        self.wait(WaitKind::Raise(budget, tokens));
-    }
-
     fn drop_change(&mut self, place: usize, effects: &mut Vec<HolderEffect>) {
         self.stocks[place].change = None;
         let given = std::mem::take(&mut self.stocks[place].giving);
