Relay events that arrived together at once

Cause: the profile of a router under 16 connections is flat: half in the kernel, for waking threads and small writes, one channel send, task wake and socket write for each token, although a fast engine's tokens arrive together. Change: the event reader keeps what has arrived of the next event, so that a look for it can be given up without losing a byte; the relay takes every event that is there already and gives them to the caller as one frame. Measured before: 505 us of processor a request at the router that holds the slot (20,000 requests of 12 tokens on the median, 16 connections, load average 37 from other builds), 91 us at the witness. Conclusion: fewer wakes a request; nothing changes for tokens that come singly.

--- a/crates/guavawell-fleet/src/engine/client.rs
+++ b/crates/guavawell-fleet/src/engine/client.rs
@@ -23,6 +23,7 @@
 use super::EngineError;
 use super::EngineExchange;
 use super::connection;
+use super::event::EventReader;
 use super::pool::ConnectionPool;
 
 /// Bounds of the exchanges with backend servers.
@@ -323,6 +324,7 @@
             address,
             stream,
             body: response.take_body(),
+            events: EventReader::default(),
             pool: Arc::clone(&self.pool),
         })
     }
--- a/crates/guavawell-fleet/src/engine/event.rs
+++ b/crates/guavawell-fleet/src/engine/event.rs
@@ -17,44 +17,55 @@
     pub data: Box<str>,
 }
 
-/// Reads the next event; `None` at the end of the stream.
-///
-/// # Errors
-///
-/// [`EngineError::Lost`] if the connection breaks, [`EngineError::Malformed`]
-/// for text that is not UTF-8 or a line that is too long.
-pub async fn read_event<R>(reader: &mut R) -> Result<Option<EngineEvent>, EngineError>
-where
-    R: AsyncBufRead + Unpin,
-{
-    let mut id = String::new();
-    let mut data = String::new();
-    let mut line = Vec::new();
-    loop {
-        line.clear();
-        let count = reader
-            .read_until(b'\n', &mut line)
-            .await
-            .map_err(EngineError::Lost)?;
-        if count == 0 {
-            return Ok(None);
-        }
-        if line.len() > MAX_LINE_BYTES {
-            return Err(EngineError::Malformed("line too long".into()));
+/// Reads events; keeps what has arrived of the next one, so that a read may be
+/// given up and begun again without losing a byte.
+#[derive(Debug, Default)]
+pub struct EventReader {
+    line: Vec<u8>,
+    id: String,
+    data: String,
+}
+
+impl EventReader {
+    /// The next event; `None` at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// [`EngineError::Lost`] if the connection breaks, [`EngineError::Malformed`]
+    /// for text that is not UTF-8 or a line that is too long.
+    pub async fn next<R>(&mut self, reader: &mut R) -> Result<Option<EngineEvent>, EngineError>
+    where
+        R: AsyncBufRead + Unpin,
+    {
+        loop {
+            reader
+                .read_until(b'\n', &mut self.line)
+                .await
+                .map_err(EngineError::Lost)?;
+            if self.line.is_empty() {
+                return Ok(None);
+            }
+            if self.line.len() > MAX_LINE_BYTES {
+                return Err(EngineError::Malformed("line too long".into()));
+            }
+            if self.take_line()? {
+                return Ok(Some(EngineEvent {
+                    id: std::mem::take(&mut self.id).into(),
+                    data: std::mem::take(&mut self.data).into(),
+                }));
+            }
         }
-        let text = std::str::from_utf8(&line)
+    }
+
+    /// Takes the line that has arrived; `true` if it ends an event.
+    fn take_line(&mut self) -> Result<bool, EngineError> {
+        let text = std::str::from_utf8(&self.line)
             .map_err(|_| EngineError::Malformed("event is not UTF-8".into()))?;
         let text = text.trim_end_matches(['\r', '\n']);
-        if text.is_empty() {
-            if id.is_empty() && data.is_empty() {
-                continue;
-            }
-            return Ok(Some(EngineEvent {
-                id: id.into(),
-                data: data.into(),
-            }));
-        }
-        take_field(text, &mut id, &mut data);
+        let is_end = text.is_empty() && !(self.id.is_empty() && self.data.is_empty());
+        take_field(text, &mut self.id, &mut self.data);
+        self.line.clear();
+        Ok(is_end)
     }
 }
 
--- a/crates/guavawell-fleet/src/engine/exchange.rs
+++ b/crates/guavawell-fleet/src/engine/exchange.rs
@@ -7,12 +7,13 @@
 use http_types::Body;
 use smol::Timer;
 use smol::future::FutureExt;
+use smol::future::poll_once;
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
 use super::EngineError;
 use super::EngineEvent;
-use super::event;
+use super::event::EventReader;
 use super::pool::ConnectionPool;
 
 /// A streamed answer in progress.
@@ -24,6 +25,7 @@
     pub(super) address: SocketAddr,
     pub(super) stream: TcpStream,
     pub(super) body: Body,
+    pub(super) events: EventReader,
     pub(super) pool: Arc<ConnectionPool>,
 }
 
@@ -35,7 +37,7 @@
     /// [`EngineError::Silent`] after `idle` without a whole event; otherwise
     /// as the connection and the answer fail.
     pub async fn next(&mut self, idle: Duration) -> Result<Option<EngineEvent>, EngineError> {
-        let read = event::read_event(&mut self.body);
+        let read = self.events.next(&mut self.body);
         let silence = async {
             Timer::after(idle).await;
             Err(EngineError::Silent)
@@ -43,6 +45,11 @@
         read.or(silence).await
     }
 
+    /// The next event, if it has arrived already.
+    pub async fn next_ready(&mut self) -> Option<Result<Option<EngineEvent>, EngineError>> {
+        poll_once(self.events.next(&mut self.body)).await
+    }
+
     /// Ends the exchange after its end marker and keeps the connection.
     pub async fn finish(mut self, limit: Duration) {
         let mut rest = Vec::new();
--- a/crates/guavawell-fleet/src/engine/mod.rs
+++ b/crates/guavawell-fleet/src/engine/mod.rs
@@ -10,6 +10,8 @@
 mod exchange;
 mod order;
 mod pool;
+#[cfg(test)]
+mod tests;
 
 pub use client::AttemptRecord;
 pub use client::AttemptState;
--- a/crates/guavawell-fleet/src/router/answer.rs
+++ b/crates/guavawell-fleet/src/router/answer.rs
@@ -70,23 +70,27 @@
     mark(&mut response, &identity, relay.live.attempt);
     let tasks = core.tasks.clone();
     let task = async move {
-        let end = relay.run(|data| send_chunk(&sender, data)).await;
+        let end = relay.run(|chunks| send_chunks(&sender, chunks)).await;
         finish_stream(&core, &sender, &identity, end).await;
     };
     tasks.spawn(task);
     response
 }
 
-async fn send_chunk(sender: &FrameSender, data: Box<str>) -> Result<(), CallerLost> {
-    let frame = event_frame(&data);
+async fn send_chunks(sender: &FrameSender, chunks: Vec<Box<str>>) -> Result<(), CallerLost> {
+    let frame = event_frame(&chunks);
     sender.send(frame).await.map_err(|_| CallerLost)
 }
 
-fn event_frame(data: &str) -> Vec<u8> {
-    let mut frame = Vec::with_capacity(data.len() + 8);
-    frame.extend_from_slice(b"data: ");
-    frame.extend_from_slice(data.as_bytes());
-    frame.extend_from_slice(b"\n\n");
+/// The chunks as server-sent events.
+fn event_frame(chunks: &[Box<str>]) -> Vec<u8> {
+    let length: usize = chunks.iter().map(|data| data.len() + 8).sum();
+    let mut frame = Vec::with_capacity(length);
+    for data in chunks {
+        frame.extend_from_slice(b"data: ");
+        frame.extend_from_slice(data.as_bytes());
+        frame.extend_from_slice(b"\n\n");
+    }
     frame
 }
 
@@ -132,10 +136,13 @@
     let attempt = relay.live.attempt;
     let parts = Mutex::new(AnswerParts::default());
     let end = relay
-        .run(|data| {
+        .run(|chunks| {
             let parts = &parts;
             async move {
-                parts.lock().await.add(&data);
+                let mut parts = parts.lock().await;
+                for data in &chunks {
+                    parts.add(data);
+                }
                 Ok(())
             }
         })
--- a/crates/guavawell-fleet/src/router/attempt.rs
+++ b/crates/guavawell-fleet/src/router/attempt.rs
@@ -199,10 +199,28 @@
     check: &mut FrameCheck,
 ) -> Result<CheckedEvent, EngineError> {
     let idle = core.engines.settings().idle;
-    let event = exchange
-        .next(idle)
-        .await?
-        .ok_or_else(|| EngineError::Lost(std::io::ErrorKind::UnexpectedEof.into()))?;
+    let event = exchange.next(idle).await?;
+    check_event(event, check)
+}
+
+/// The next event, if it has arrived already; checked as by [`next_checked`].
+///
+/// # Errors
+///
+/// As [`next_checked`].
+pub async fn ready_checked(
+    exchange: &mut EngineExchange,
+    check: &mut FrameCheck,
+) -> Option<Result<CheckedEvent, EngineError>> {
+    let event = exchange.next_ready().await?;
+    Some(event.and_then(|event| check_event(event, check)))
+}
+
+fn check_event(
+    event: Option<EngineEvent>,
+    check: &mut FrameCheck,
+) -> Result<CheckedEvent, EngineError> {
+    let event = event.ok_or_else(|| EngineError::Lost(std::io::ErrorKind::UnexpectedEof.into()))?;
     match check.accept(&event.id, &event.data) {
         Ok(step) => Ok(CheckedEvent { step, event }),
         Err(fault) => {
--- a/crates/guavawell-fleet/src/router/relay.rs
+++ b/crates/guavawell-fleet/src/router/relay.rs
@@ -11,11 +11,13 @@
 use guavawell_core::request::FrameStep;
 use guavawell_core::request::Refusal;
 use guavawell_core::request::RefusalReason;
+use guavawell_core::request::StreamUsage;
 
 use super::admit::AdmissionPass;
 use super::attempt::CheckedEvent;
 use super::attempt::LiveStream;
 use super::attempt::next_checked;
+use super::attempt::ready_checked;
 use super::choice::lease_outcome;
 use super::core::RouterCore;
 use super::recover::RecoveredAttempt;
@@ -30,6 +32,9 @@
 /// Times that one answer is resumed before it is given up.
 const MAX_RESUMES: usize = 5;
 
+/// Most chunks given to the caller at once.
+const MAX_BATCH: usize = 64;
+
 /// The caller's connection is gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLost;
@@ -57,40 +62,75 @@
     pub idempotent: bool,
     /// The right to run, given back at the end.
     pub _pass: AdmissionPass,
+    /// A failure that was met while looking for events behind others.
+    pub failure: Option<EngineError>,
 }
 
 impl StreamRelay {
-    /// Gives each chunk's data to `send` until the stream is whole, then
-    /// settles.
+    /// Gives the chunks' data to `send`, those that arrived together at once,
+    /// until the stream is whole; then settles.
     pub async fn run<F, Fut>(mut self, send: F) -> RelayEnd
     where
-        F: Fn(Box<str>) -> Fut,
+        F: Fn(Vec<Box<str>>) -> Fut,
         Fut: Future<Output = Result<(), CallerLost>>,
     {
-        let mut next = self.live.first.take();
         loop {
-            let checked = match next.take() {
-                Some(checked) => checked,
-                None => match self.next().await {
-                    Ok(checked) => checked,
-                    Err(refusal) => return RelayEnd::Broken(refusal),
-                },
+            let mut batch = Vec::new();
+            let end = match self.gather(&mut batch).await {
+                Ok(end) => end,
+                Err(refusal) => return RelayEnd::Broken(refusal),
             };
-            if let FrameStep::End(usage) = checked.step {
+            if !batch.is_empty() && send(batch).await.is_err() {
+                return self.caller_gone().await;
+            }
+            if let Some(usage) = end {
                 self.settle(usage.total()).await;
                 return self.finish_whole();
             }
-            if send(checked.event.data).await.is_err() {
-                return self.caller_gone().await;
+        }
+    }
+
+    /// Waits for the next event and takes those that have arrived behind it;
+    /// the usage if the stream is whole with them.
+    async fn gather(&mut self, batch: &mut Vec<Box<str>>) -> Result<Option<StreamUsage>, Refusal> {
+        let mut next = Some(self.next().await?);
+        while let Some(checked) = next {
+            if let FrameStep::End(usage) = checked.step {
+                return Ok(Some(usage));
+            }
+            batch.push(checked.event.data);
+            if batch.len() == MAX_BATCH {
+                break;
+            }
+            next = self.ready().await;
+        }
+        Ok(None)
+    }
+
+    /// The next event if it has arrived already; a failure waits for [`Self::next`].
+    async fn ready(&mut self) -> Option<CheckedEvent> {
+        let live = &mut self.live;
+        match ready_checked(&mut live.exchange, &mut live.check).await? {
+            Ok(checked) => Some(checked),
+            Err(failure) => {
+                self.failure = Some(failure);
+                None
             }
         }
     }
 
     /// The next event, of a resumed stream if need be.
     async fn next(&mut self) -> Result<CheckedEvent, Refusal> {
+        if let Some(first) = self.live.first.take() {
+            return Ok(first);
+        }
         for resumes in 1.. {
             let live = &mut self.live;
-            match next_checked(&self.core, &mut live.exchange, &mut live.check).await {
+            let next = match self.failure.take() {
+                Some(failure) => Err(failure),
+                None => next_checked(&self.core, &mut live.exchange, &mut live.check).await,
+            };
+            match next {
                 Ok(checked) => return Ok(checked),
                 Err(failure) => self.resume(&failure, resumes).await?,
             }
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -139,6 +139,7 @@
             reservation: Some(reservation),
             idempotent: call.idempotent,
             _pass: pass,
+            failure: None,
         },
         ReservedRequest::Follow { attempt, backend } => StreamRelay {
             core: Arc::clone(core),
@@ -146,6 +147,7 @@
             reservation: None,
             idempotent: true,
             _pass: pass,
+            failure: None,
         },
     };
     let identity = entry.head.identity.clone();
