Send prompts to the engine that caches their prefix

Cause: the router told the choice of no prefix and asked no engine for its cache events, so affinity in core was never used.

Change: a checked chat request keeps the first 64 bytes of its contents, put together; the router names the prefix by them. Who polls an engine's load asks its cache events too and applies them; other routers learn from their own requests, since the events are too many for gossip.

--- a/crates/guavawell-core/src/request/chat/ask.rs
+++ b/crates/guavawell-core/src/request/chat/ask.rs
@@ -8,7 +8,8 @@
 use super::fault::ChatFault;
 use super::fault::ChatFaults;
 use super::field::BodyFields;
-use super::prompt::prompt_tokens;
+use super::prompt::PromptText;
+use super::prompt::prompt_text;
 use crate::id::ModelId;
 use crate::id::TokenCount;
 
@@ -53,6 +54,9 @@
     pub stream: bool,
     /// Tokens of the prompt, as the engine counts them.
     pub prompt: TokenCount,
+    /// The first bytes of the message contents put together, by which engines
+    /// name cached prefixes.
+    pub prompt_head: Vec<u8>,
     /// The most tokens that the engine may generate.
     pub output: TokenCount,
     /// The body for the engine: streamed, with usage, with the output limit.
@@ -91,7 +95,8 @@
             Some(model) if faults.is_empty() => Ok(Self {
                 model,
                 stream,
-                prompt,
+                prompt: prompt.tokens(),
+                prompt_head: prompt.head,
                 output,
                 engine_body: engine_body(fields, output),
             }),
@@ -138,12 +143,12 @@
     fields: &BodyFields<'_>,
     limits: &ChatLimits,
     faults: &mut Vec<ChatFault>,
-) -> TokenCount {
+) -> PromptText {
     if let Some(messages) = fields.value("messages") {
-        return prompt_tokens(messages, limits.max_messages, faults);
+        return prompt_text(messages, limits.max_messages, faults);
     }
     faults.push(ChatFault::Missing("messages"));
-    TokenCount::ZERO
+    PromptText::default()
 }
 
 fn read_output(
--- a/crates/guavawell-core/src/request/chat/prompt.rs
+++ b/crates/guavawell-core/src/request/chat/prompt.rs
@@ -1,4 +1,4 @@
-//! Counts a prompt's bytes, which bound its tokens.
+//! Counts a prompt's bytes, which bound its tokens, and keeps its head.
 
 use std::borrow::Cow;
 
@@ -11,6 +11,32 @@
 /// Bytes of message contents that make one token.
 const BYTES_PER_TOKEN: u64 = 4;
 
+/// Bytes kept of a prompt's head.
+const HEAD_BYTES: usize = 64;
+
+/// What the router needs of a prompt.
+#[derive(Debug, Default)]
+pub(super) struct PromptText {
+    /// Bytes of all contents.
+    bytes: u64,
+    /// The first bytes of the contents, put together.
+    pub head: Vec<u8>,
+}
+
+impl PromptText {
+    /// One token for each four bytes, rounded up, at least one.
+    pub(super) fn tokens(&self) -> TokenCount {
+        TokenCount::new(self.bytes.div_ceil(BYTES_PER_TOKEN).max(1))
+    }
+
+    fn add(&mut self, text: &str) {
+        self.bytes += text.len() as u64;
+        let missing = HEAD_BYTES - self.head.len();
+        let part = &text.as_bytes()[..text.len().min(missing)];
+        self.head.extend_from_slice(part);
+    }
+}
+
 #[derive(Deserialize)]
 struct ChatMessage<'a> {
     #[serde(borrow, default)]
@@ -34,18 +60,19 @@
     text: Option<Cow<'a, str>>,
 }
 
-/// The prompt tokens of a list of messages, or what is wrong with them.
-pub(super) fn prompt_tokens(
+/// The prompt of a list of messages, or what is wrong with them.
+pub(super) fn prompt_text(
     messages: &RawValue,
     limit: usize,
     faults: &mut Vec<ChatFault>,
-) -> TokenCount {
+) -> PromptText {
+    let mut prompt = PromptText::default();
     let Ok(list) = serde_json::from_str::<Vec<&RawValue>>(messages.get()) else {
         faults.push(ChatFault::WrongType {
             field: "messages",
             wanted: "a list",
         });
-        return TokenCount::ZERO;
+        return prompt;
     };
     if list.is_empty() {
         faults.push(ChatFault::NoMessages);
@@ -53,24 +80,17 @@
     if list.len() > limit {
         let count = list.len();
         faults.push(ChatFault::TooManyMessages { count, limit });
-        return TokenCount::ZERO;
+        return prompt;
     }
-    let mut bytes = 0;
     for (place, message) in list.iter().enumerate() {
-        match message_bytes(message) {
-            Ok(count) => bytes += count,
-            Err(detail) => faults.push(ChatFault::BadMessage { place, detail }),
+        if let Err(detail) = add_message(message, &mut prompt) {
+            faults.push(ChatFault::BadMessage { place, detail });
         }
     }
-    tokens_of(bytes)
-}
-
-/// One token for each four bytes, rounded up, at least one.
-fn tokens_of(bytes: u64) -> TokenCount {
-    TokenCount::new(bytes.div_ceil(BYTES_PER_TOKEN).max(1))
+    prompt
 }
 
-fn message_bytes(message: &RawValue) -> Result<u64, Box<str>> {
+fn add_message(message: &RawValue, prompt: &mut PromptText) -> Result<(), Box<str>> {
     let message: ChatMessage<'_> = serde_json::from_str(message.get())
         .map_err(|_| "not a message with a `role` and a text as `content`")?;
     let role = message.role.map_or("null", RawValue::get);
@@ -78,17 +98,25 @@
         return Err("`role` is not a text".into());
     }
     match message.content {
-        None => Ok(0),
-        Some(MessageContent::Text(text)) => Ok(text.len() as u64),
-        Some(MessageContent::Parts(parts)) => parts.iter().map(part_bytes).sum(),
+        None => Ok(()),
+        Some(MessageContent::Text(text)) => {
+            prompt.add(&text);
+            Ok(())
+        }
+        Some(MessageContent::Parts(parts)) => {
+            parts.iter().try_for_each(|part| add_part(part, prompt))
+        }
     }
 }
 
 /// Only text is counted in tokens; the cost of any other part is not known
 /// before it runs, so it cannot be reserved.
-fn part_bytes(part: &ContentPart<'_>) -> Result<u64, Box<str>> {
+fn add_part(part: &ContentPart<'_>, prompt: &mut PromptText) -> Result<(), Box<str>> {
     match &part.text {
-        Some(text) if part.kind == "text" => Ok(text.len() as u64),
+        Some(text) if part.kind == "text" => {
+            prompt.add(text);
+            Ok(())
+        }
         _ => Err(format!("content part `{}` is not a text", part.kind).into()),
     }
 }
--- a/crates/guavawell-core/src/request/tests.rs
+++ b/crates/guavawell-core/src/request/tests.rs
@@ -42,6 +42,7 @@
     assert_eq!(ask.model.as_str(), "m");
     assert!(!ask.stream);
     assert_eq!(ask.prompt, TokenCount::new(2));
+    assert_eq!(ask.prompt_head, "äbxy".as_bytes());
     assert_eq!(ask.output, TokenCount::new(7));
     assert_eq!(ask.worst_case(), TokenCount::new(9));
     let sent = String::from_utf8(ask.engine_body).unwrap();
@@ -52,6 +53,21 @@
     assert!(!sent.contains("max_completion_tokens"), "{sent}");
 }
 
+#[test]
+fn the_prompts_head_ends_after_sixty_four_bytes() {
+    let body = |first: &str, second: &str| {
+        format!(
+            r#"{{"model":"m","messages":[{{"role":"user","content":"{first}"}},
+            {{"role":"user","content":"{second}"}}]}}"#
+        )
+    };
+    let long = chat(&body(&"a".repeat(60), &"b".repeat(60))).unwrap();
+    let expected = format!("{}{}", "a".repeat(60), "b".repeat(4));
+    assert_eq!(long.prompt_head, expected.as_bytes());
+    let exact = chat(&body(&"a".repeat(64), "b")).unwrap();
+    assert_eq!(exact.prompt_head, "a".repeat(64).as_bytes());
+}
+
 #[test]
 fn each_fault_of_a_chat_body_is_named() {
     let good = r#""messages":[{"role":"u","content":"x"}]"#;
--- a/crates/guavawell-demo/src/fleet/settings.rs
+++ b/crates/guavawell-demo/src/fleet/settings.rs
@@ -3,6 +3,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::TokenCount;
 use guavawell_fleet::settings::RouterSettings;
+use guavawell_standin::engine::EngineSettings;
 
 /// How large the fleet is and what its organisations paid.
 #[derive(Clone, Debug)]
@@ -29,6 +30,8 @@
     pub token_time: ClockSpan,
     /// Threads of each router.
     pub threads: usize,
+    /// What every engine's settings begin with.
+    pub engine: EngineSettings,
     /// What every router's settings begin with.
     pub router: RouterSettings,
 }
@@ -47,6 +50,7 @@
             engine_slots: 64,
             token_time: ClockSpan::from_millis(2),
             threads: 2,
+            engine: EngineSettings::default(),
             router: RouterSettings::default(),
         }
     }
--- a/crates/guavawell-demo/src/fleet/start.rs
+++ b/crates/guavawell-demo/src/fleet/start.rs
@@ -167,7 +167,7 @@
                     }],
                     slots: self.settings.engine_slots,
                     token_time: self.settings.token_time,
-                    ..EngineSettings::default()
+                    ..self.settings.engine.clone()
                 })
                 .await?;
                 self.add_backend(&id, zone, engine.address(), true);
--- a/crates/guavawell-fleet/src/router/fetch.rs
+++ b/crates/guavawell-fleet/src/router/fetch.rs
@@ -1,12 +1,15 @@
-//! Load reports: one router of a zone polls a backend server and tells the others.
+//! Load reports and cache events: one router of a zone polls a backend server.
 //!
-//! The poller is picked by hashing among the zone's routers. Its reports ride
-//! on gossip as notes; a note that is late only makes a report older. The
+//! The poller is picked by hashing among the zone's routers. Its load reports
+//! ride on gossip as notes; a note that is late only makes a report older. The
 //! models held ride in notes of their own, sent on a change and now and then.
+//! Cache events stay with the poller: they are too many for gossip, and the
+//! other routers learn from their own requests.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use guavawell_core::backend::CacheBatch;
 use guavawell_core::backend::LoadReport;
 use guavawell_core::backend::ServedModel;
 use guavawell_core::clock::ClockSpan;
@@ -72,25 +75,42 @@
     loop {
         let members = gossip.view();
         take_notes(&core, &members);
-        for (backend, address) in own_backends(&core, &members) {
+        for server in own_backends(&core, &members) {
             let core = Arc::clone(&core);
             let gossip = gossip.clone();
             let tasks = core.tasks.clone();
-            let poll = async move { poll_one(&core, &gossip, &backend, address).await };
-            tasks.spawn(poll);
+            tasks.spawn(async move {
+                poll_load(&core, &gossip, &server.id, server.address).await;
+                if server.has_cache {
+                    poll_cache(&core, &server.id, server.address).await;
+                }
+            });
         }
         Timer::after(pause).await;
     }
 }
 
-fn own_backends(core: &RouterCore, members: &MemberView) -> Vec<(BackendId, SocketAddr)> {
+/// A backend server that this router polls.
+struct PolledServer {
+    id: BackendId,
+    address: SocketAddr,
+    /// Whether it runs models, and so tells of cached prefixes.
+    has_cache: bool,
+}
+
+fn own_backends(core: &RouterCore, members: &MemberView) -> Vec<PolledServer> {
     let view = core.view.load();
     let zone = &core.settings.instance.zone;
     let own = view
         .backends()
         .iter()
         .filter(|entry| entry.zone == *zone && is_own(core, members, &entry.id));
-    own.map(|entry| (entry.id.clone(), entry.address)).collect()
+    let polled = own.map(|entry| PolledServer {
+        id: entry.id.clone(),
+        address: entry.address,
+        has_cache: !entry.models.is_empty(),
+    });
+    polled.collect()
 }
 
 fn is_own(core: &RouterCore, members: &MemberView, backend: &BackendId) -> bool {
@@ -100,7 +120,7 @@
         .is_some_and(|owner| owner.instance == core.life.instance)
 }
 
-async fn poll_one(
+async fn poll_load(
     core: &RouterCore,
     gossip: &GossipDriver,
     backend: &BackendId,
@@ -164,6 +184,23 @@
     }
 }
 
+async fn poll_cache(core: &RouterCore, backend: &BackendId, address: SocketAddr) {
+    let after = core.backends.load().cache_next(backend);
+    let path = format!("/v1/cache-events?after={after}");
+    let Ok(body) = core.engines.fetch(address, &path).await else {
+        metrics::counter!("guavawell_cache_polls_failed_total").increment(1);
+        return;
+    };
+    let Ok(batch) = serde_json::from_slice::<CacheBatch>(&body) else {
+        metrics::counter!("guavawell_cache_events_malformed_total").increment(1);
+        return;
+    };
+    let lost = core.backends.load().apply_cache_events(backend, &batch);
+    let taken = batch.events.len() as u64;
+    metrics::counter!("guavawell_cache_events_total").increment(taken);
+    metrics::counter!("guavawell_cache_events_lost_total").increment(lost);
+}
+
 fn take_notes(core: &RouterCore, members: &MemberView) {
     for note in members.notes() {
         if let Some(backend) = backend_of(&note.key, NOTE_PREFIX) {
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -184,16 +184,11 @@
         target: RouteTarget::Model(choice.model.id.clone()),
         path: "/v1/chat/completions".into(),
         body: ask.engine_body.clone(),
-        prefix: prefix_of(ask),
+        prefix: Some(PrefixHash::of_contents(&ask.prompt_head)),
         idempotent: entry.head.idempotent.unwrap_or(true),
     })
 }
 
-/// The prompt's prefix, as cache events name it.
-fn prefix_of(_ask: &ChatAsk) -> Option<PrefixHash> {
-    None
-}
-
 /// Notes that a request is in order and asks to run.
 pub fn accepted(core: &RouterCore, entry: &CallerEntry, amount: TokenCount) {
     let identity = &entry.head.identity;
