--- a/crates/guavawell-core/examples/budget_experiment/slots.rs
+++ b/crates/guavawell-core/examples/budget_experiment/slots.rs
@@ -14,6 +14,7 @@
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::BudgetId;
 use guavawell_core::id::TokenCount;
+use guavawell_core::request::RequestDigest;
 use guavawell_core::request::RequestIdentity;
 
 use crate::budget_fleet::Fleet;
@@ -122,6 +123,7 @@
             amount: TokenCount::new(arrival.worst),
             router: self.fleet.instances[0].life.clone(),
             idempotent: true,
+            digest: RequestDigest::default(),
         };
         let event = HolderEvent::Reserve(AskId::new(place as u64), reserve);
         self.fleet.ask(arrival.zone, None, event);
--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -58,7 +58,9 @@
     pub(super) fn known_request(&self, reserve: &ReserveAsk) -> Option<ReserveAnswer> {
         let answer = match self.ledger.request(&reserve.identity)? {
             RequestState::Sealed => ReserveAnswer::Sealed,
-            RequestState::Settled(charge) if charge.budget != reserve.budget => {
+            RequestState::Settled(charge)
+                if charge.budget != reserve.budget || charge.digest != reserve.digest =>
+            {
                 ReserveAnswer::Mismatch
             }
             RequestState::Settled(charge) => ReserveAnswer::AlreadyBilled {
@@ -66,7 +68,9 @@
                 charged: charge.charged,
                 backend: charge.backend.clone(),
             },
-            RequestState::Reserved(held) if held.budget != reserve.budget => {
+            RequestState::Reserved(held)
+                if held.budget != reserve.budget || held.digest != reserve.digest =>
+            {
                 ReserveAnswer::Mismatch
             }
             RequestState::Reserved(held) if held.attempt != reserve.attempt => {
@@ -133,6 +137,7 @@
             pool,
             amount: reserve.amount,
             router: reserve.router.clone(),
+            digest: reserve.digest,
         });
         let kind = WaitKind::Reserve(ask, reserve.identity.clone(), reserve.attempt);
         match (pool, self.held(&reserve.identity, reserve.attempt)) {
--- a/crates/guavawell-core/src/budget/holder/witnessing.rs
+++ b/crates/guavawell-core/src/budget/holder/witnessing.rs
@@ -355,6 +355,7 @@
                     pool: TokenPool::Float,
                     amount: held.amount,
                     router: held.router.clone(),
+                    digest: held.digest,
                 });
                 self.held(identity, attempt)
                     .map_or_else(|| self.unreachable(), |held| self.granted(&held))
--- a/crates/guavawell-core/src/budget/ledger.rs
+++ b/crates/guavawell-core/src/budget/ledger.rs
@@ -16,6 +16,7 @@
 use crate::id::BudgetId;
 use crate::id::SlotEpoch;
 use crate::id::TokenCount;
+use crate::request::RequestDigest;
 use crate::request::RequestIdentity;
 
 /// What is known of one request.
@@ -57,6 +58,8 @@
     pub router: InstanceLife,
     /// The backend server, where it is known.
     pub backend: Option<BackendId>,
+    /// What is asked.
+    pub digest: RequestDigest,
 }
 
 /// The charge of a request.
@@ -72,6 +75,8 @@
     pub charged: TokenCount,
     /// The backend server, where it is known.
     pub backend: Option<BackendId>,
+    /// What was asked.
+    pub digest: RequestDigest,
 }
 
 /// The whole ledger of a slot.
@@ -176,6 +181,7 @@
                 pool,
                 amount,
                 router,
+                digest,
             } => {
                 let held = HeldAttempt {
                     attempt: *attempt,
@@ -185,6 +191,7 @@
                     amount: *amount,
                     router: router.clone(),
                     backend: None,
+                    digest: *digest,
                 };
                 self.reserve(identity, &held);
             }
@@ -258,6 +265,7 @@
             pool: held.pool,
             charged,
             backend: backend.cloned().or_else(|| held.backend.clone()),
+            digest: held.digest,
         };
         self.replace(identity, RequestState::Settled(charge));
         self.free(&held);
--- a/crates/guavawell-core/src/budget/message.rs
+++ b/crates/guavawell-core/src/budget/message.rs
@@ -15,6 +15,7 @@
 use crate::id::IncarnationId;
 use crate::id::SlotEpoch;
 use crate::id::TokenCount;
+use crate::request::RequestDigest;
 use crate::request::RequestIdentity;
 
 /// Which part of a grant a reservation draws on.
@@ -42,6 +43,8 @@
     pub router: InstanceLife,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// What is asked: another ask under the same id is refused.
+    pub digest: RequestDigest,
 }
 
 /// The holder's answer to a [`ReserveAsk`].
@@ -70,7 +73,7 @@
     },
     /// The request was refused for good; it never runs.
     Sealed,
-    /// The identity was used with another budget.
+    /// The identity was used with another budget, or for another request.
     Mismatch,
     /// The budget's rest does not cover the amount.
     Exhausted {
--- a/crates/guavawell-core/src/budget/record.rs
+++ b/crates/guavawell-core/src/budget/record.rs
@@ -13,6 +13,7 @@
 use crate::id::BudgetId;
 use crate::id::SlotEpoch;
 use crate::id::TokenCount;
+use crate::request::RequestDigest;
 use crate::request::RequestIdentity;
 
 /// What every record and acknowledgement carries; any difference is refused.
@@ -57,6 +58,8 @@
         amount: TokenCount,
         /// The router that runs the attempt.
         router: InstanceLife,
+        /// What is asked.
+        digest: RequestDigest,
     },
     /// An attempt is served by a backend server.
     Serve {
--- a/crates/guavawell-core/src/request/mod.rs
+++ b/crates/guavawell-core/src/request/mod.rs
@@ -7,6 +7,7 @@
 pub mod billing;
 pub mod chat;
 pub mod claim;
+mod digest;
 mod frame;
 pub mod head;
 mod identity;
@@ -18,6 +19,7 @@
 
 pub use attempt::SentAttempt;
 pub use attempt::UnsentAttempt;
+pub use digest::RequestDigest;
 pub use frame::END_MARKER;
 pub use frame::FrameCheck;
 pub use frame::FrameFault;
--- a/crates/guavawell-core/tests/budget_differential.rs
+++ b/crates/guavawell-core/tests/budget_differential.rs
@@ -20,6 +20,7 @@
 use guavawell_core::id::BudgetId;
 use guavawell_core::id::ManifestVersion;
 use guavawell_core::id::TokenCount;
+use guavawell_core::request::RequestDigest;
 use guavawell_core::request::RequestIdentity;
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
@@ -249,6 +250,7 @@
             amount,
             router: self.fleet.instances[0].life.clone(),
             idempotent: true,
+            digest: RequestDigest::default(),
         };
         let event = HolderEvent::Reserve(AskId::new(place as u64), reserve);
         self.fleet.ask(zone, None, event);
--- a/crates/guavawell-core/tests/budget_search/world.rs
+++ b/crates/guavawell-core/tests/budget_search/world.rs
@@ -39,6 +39,7 @@
 use guavawell_core::id::ShardId;
 use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
+use guavawell_core::request::RequestDigest;
 use guavawell_core::request::RequestIdentity;
 
 use crate::plant::PlantedFault;
@@ -333,6 +334,7 @@
             amount: AMOUNT,
             router: self.nodes[node].life.clone(),
             idempotent: true,
+            digest: RequestDigest::default(),
         };
         let place = self.nodes[node].holders.len() - 1;
         self.tell(node, place, HolderEvent::Reserve(ask, reserve));
--- a/crates/guavawell-core/tests/budget_slots.rs
+++ b/crates/guavawell-core/tests/budget_slots.rs
@@ -20,6 +20,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::TokenCount;
+use guavawell_core::request::RequestDigest;
 use guavawell_core::request::RequestIdentity;
 
 const ASK: AskId = AskId::new(7);
@@ -53,6 +54,7 @@
         amount: TokenCount::new(amount),
         router: fleet.instances[0].life.clone(),
         idempotent: true,
+        digest: RequestDigest::default(),
     };
     fleet.ask(zone, None, HolderEvent::Reserve(ASK, ask));
     match answer(fleet) {
--- a/crates/guavawell-demo/tests/peer.rs
+++ b/crates/guavawell-demo/tests/peer.rs
@@ -9,6 +9,7 @@
 use guavawell_core::id::IncarnationId;
 use guavawell_core::id::ShardId;
 use guavawell_core::id::TokenCount;
+use guavawell_core::request::RequestDigest;
 use guavawell_core::request::RequestIdentity;
 use guavawell_demo::fleet::DemoFleet;
 use guavawell_demo::fleet::FleetSettings;
@@ -57,6 +58,7 @@
         amount: TokenCount::new(10),
         router: stranger(),
         idempotent: true,
+        digest: RequestDigest::default(),
     };
     PeerRequest::Reserve(SlotAsk::new(slot, ask))
 }
--- a/crates/guavawell-fleet/examples/peer_cost.rs
+++ b/crates/guavawell-fleet/examples/peer_cost.rs
@@ -29,6 +29,7 @@
 use guavawell_core::id::ShardId;
 use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
+use guavawell_core::request::RequestDigest;
 use guavawell_core::request::RequestIdentity;
 use guavawell_fleet::event::EventLog;
 use guavawell_fleet::operator::MetricsPage;
@@ -274,6 +275,7 @@
         amount: TokenCount::new(1_200),
         router: life("router"),
         idempotent: true,
+        digest: RequestDigest::default(),
     };
     PeerRequest::Reserve(SlotAsk::new(slot, ask))
 }
--- a/crates/guavawell-fleet/schema/peer.capnp
+++ b/crates/guavawell-fleet/schema/peer.capnp
@@ -70,6 +70,7 @@
   amount @3 :UInt64;
   router @4 :Life;
   idempotent @5 :Bool;
+  digest @6 :UInt64;  # of the request's target and body
 }
 
 struct ReserveAnswer {
@@ -167,6 +168,7 @@
       pool @3 :Pool;
       amount @4 :UInt64;
       router @5 :Life;
+      digest @23 :UInt64;
     }
     serve :group {
       identity @6 :Identity;
--- a/crates/guavawell-fleet/src/engine/tests.rs
+++ b/crates/guavawell-fleet/src/engine/tests.rs
@@ -14,7 +14,7 @@
 
 /// Gives one piece, then nothing until asked again.
 struct Pieces {
-    pieces: Vec<&'static [u8]>,
+    parts: Vec<&'static [u8]>,
     at: usize,
     is_due: bool,
 }
@@ -22,7 +22,7 @@
 impl Pieces {
     fn new(pieces: &[&'static [u8]]) -> Self {
         Self {
-            pieces: pieces.to_vec(),
+            parts: pieces.to_vec(),
             at: 0,
             is_due: false,
         }
@@ -43,16 +43,16 @@
     fn poll_fill_buf(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let reader = self.get_mut();
         reader.is_due = !reader.is_due;
-        if !reader.is_due && reader.at < reader.pieces.len() {
+        if !reader.is_due && reader.at < reader.parts.len() {
             return Poll::Pending;
         }
-        let piece = reader.pieces.get(reader.at).copied();
+        let piece = reader.parts.get(reader.at).copied();
         Poll::Ready(Ok(piece.unwrap_or_default()))
     }
 
     fn consume(self: Pin<&mut Self>, count: usize) {
         let reader = self.get_mut();
-        if let Some(piece) = reader.pieces.get_mut(reader.at) {
+        if let Some(piece) = reader.parts.get_mut(reader.at) {
             *piece = &piece[count..];
             if piece.is_empty() {
                 reader.at += 1;
--- a/crates/guavawell-fleet/src/peer/peer_capnp.rs
+++ b/crates/guavawell-fleet/src/peer/peer_capnp.rs
@@ -2344,11 +2344,15 @@
         pub fn get_idempotent(self) -> bool {
             self.reader.get_bool_field(64)
         }
+        #[inline]
+        pub fn get_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2478,6 +2482,14 @@
         pub fn set_idempotent(&mut self, value: bool)  {
             self.builder.set_bool_field(64, value);
         }
+        #[inline]
+        pub fn get_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2498,66 +2510,73 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 124] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(165, 105, 89, 65, 62, 95, 177, 158),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 115, 101, 114),
             ::capnp::word(118, 101, 65, 115, 107, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 101, 110, 116, 105, 116, 121),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -2608,6 +2627,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2617,6 +2644,7 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peer_capnp::life::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2630,9 +2658,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,2,5,0,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,2,6,5,0,4];
         pub(crate) const TYPE_ID: u64 = 0x9eb1_5f3e_4159_69a5;
     }
 }
@@ -6538,7 +6566,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6597,6 +6625,7 @@
             self.builder.set_data_field::<u16>(0, 0u16);
             self.builder.set_data_field::<u64>(1, 0u64);
             self.builder.reborrow().get_pointer_field(3).clear();
+            self.builder.set_data_field::<u64>(2, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -6739,7 +6768,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 105] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(99, 131, 9, 35, 162, 17, 67, 176),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
             ::capnp::word(4, 0, 7, 0, 0, 0, 9, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -6987,11 +7016,15 @@
             pub fn has_router(&self) -> bool {
                 !self.reader.get_pointer_field(3).is_null()
             }
+            #[inline]
+            pub fn get_digest(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7121,6 +7154,14 @@
             pub fn has_router(&self) -> bool {
                 !self.builder.is_pointer_field_null(3)
             }
+            #[inline]
+            pub fn get_digest(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_digest(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7141,66 +7182,73 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 123] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(5, 191, 125, 92, 147, 78, 248, 215),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(99, 131, 9, 35, 162, 17, 67, 176),
                 ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 76, 101, 100, 103, 101),
                 ::capnp::word(114, 69, 110, 116, 114, 121, 46, 114),
                 ::capnp::word(101, 115, 101, 114, 118, 101, 0, 0),
-                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(197, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(205, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 100, 101, 110, 116, 105, 116, 121),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -7250,6 +7298,14 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -7259,6 +7315,7 @@
                     3 => <crate::peer_capnp::Pool as ::capnp::introspect::Introspect>::introspect(),
                     4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     5 => <crate::peer_capnp::life::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7272,9 +7329,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,2,0,3,5];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,2,6,0,3,5];
             pub(crate) const TYPE_ID: u64 = 0xd7f8_4e93_5c7d_bf05;
         }
     }
@@ -7368,7 +7425,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7486,7 +7543,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(223, 196, 16, 53, 224, 13, 205, 186),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(99, 131, 9, 35, 162, 17, 67, 176),
                 ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7666,7 +7723,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7792,7 +7849,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(44, 213, 25, 105, 58, 205, 136, 147),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(99, 131, 9, 35, 162, 17, 67, 176),
                 ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7976,7 +8033,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8078,7 +8135,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(163, 95, 69, 12, 225, 163, 173, 220),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(99, 131, 9, 35, 162, 17, 67, 176),
                 ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8226,7 +8283,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8314,7 +8371,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(146, 84, 69, 164, 241, 240, 162, 151),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(99, 131, 9, 35, 162, 17, 67, 176),
                 ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8462,7 +8519,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8550,7 +8607,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(219, 254, 189, 85, 151, 96, 89, 180),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(99, 131, 9, 35, 162, 17, 67, 176),
                 ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8698,7 +8755,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8786,7 +8843,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(120, 235, 24, 238, 245, 236, 78, 203),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(99, 131, 9, 35, 162, 17, 67, 176),
                 ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/crates/guavawell-fleet/src/peer/wire/ask.rs
+++ b/crates/guavawell-fleet/src/peer/wire/ask.rs
@@ -9,6 +9,7 @@
 use guavawell_core::budget::TakeoverAsk;
 use guavawell_core::budget::WitnessMessage;
 use guavawell_core::id::TokenCount;
+use guavawell_core::request::RequestDigest;
 
 use super::WireAsk;
 use super::WireError;
@@ -93,6 +94,7 @@
     builder.set_amount(ask.amount.get());
     write_life(builder.reborrow().init_router(), &ask.router);
     builder.set_idempotent(ask.idempotent);
+    builder.set_digest(ask.digest.get());
 }
 
 fn write_settle(mut builder: settle_ask::Builder<'_>, ask: &SettleAsk) {
@@ -184,6 +186,7 @@
         amount: TokenCount::new(reader.get_amount()),
         router: read_life(reader.get_router()?)?,
         idempotent: reader.get_idempotent(),
+        digest: RequestDigest::new(reader.get_digest()),
     })
 }
 
--- a/crates/guavawell-fleet/src/peer/wire/tests.rs
+++ b/crates/guavawell-fleet/src/peer/wire/tests.rs
@@ -38,6 +38,7 @@
 use guavawell_core::manifest::ContentDigest;
 use guavawell_core::manifest::VersionProposal;
 use guavawell_core::manifest::VersionRow;
+use guavawell_core::request::RequestDigest;
 use guavawell_core::request::RequestIdentity;
 
 use super::LedgerPiece;
@@ -58,6 +59,7 @@
 
 const TOKENS: TokenCount = TokenCount::new(u64::MAX);
 const EPOCH: SlotEpoch = SlotEpoch::new(9);
+const DIGEST: RequestDigest = RequestDigest::new(0x0123_4567_89ab_cdef);
 const ATTEMPT: AttemptId = AttemptId::new(0x0123_4567_89ab_cdef_fedc_ba98_7654_3210);
 const WAIT: ClockSpan = ClockSpan::from_millis(250);
 
@@ -135,6 +137,7 @@
         pool,
         amount: TOKENS,
         router: life("mrd-1-1"),
+        digest: DIGEST,
     };
     let settle = |backend| LedgerEntry::Settle {
         identity: identity.clone(),
@@ -220,6 +223,7 @@
                 amount: TOKENS,
                 router: life("mrd-1-1"),
                 idempotent,
+                digest: DIGEST,
             },
         ))
     };
--- a/crates/guavawell-fleet/src/peer/wire/witness.rs
+++ b/crates/guavawell-fleet/src/peer/wire/witness.rs
@@ -8,6 +8,7 @@
 use guavawell_core::budget::WitnessRefusal;
 use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
+use guavawell_core::request::RequestDigest;
 
 use super::WireError;
 use super::value::backend_text;
@@ -59,6 +60,7 @@
             pool,
             amount,
             router,
+            digest,
         } => {
             let mut reserve = builder.init_reserve();
             write_identity(reserve.reborrow().init_identity(), identity);
@@ -66,6 +68,7 @@
             reserve.set_budget(budget.as_str());
             reserve.set_pool(write_pool(*pool));
             reserve.set_amount(amount.get());
+            reserve.set_digest(digest.get());
             write_life(reserve.init_router(), router);
         }
         LedgerEntry::Serve {
@@ -128,6 +131,7 @@
             pool: read_pool(reserve.get_pool()?),
             amount: TokenCount::new(reserve.get_amount()),
             router: read_life(reserve.get_router()?)?,
+            digest: RequestDigest::new(reserve.get_digest()),
         },
         ledger_entry::Which::Serve(serve) => LedgerEntry::Serve {
             identity: read_identity(serve.get_identity()?)?,
--- a/crates/guavawell-fleet/src/router/reserve.rs
+++ b/crates/guavawell-fleet/src/router/reserve.rs
@@ -13,6 +13,7 @@
 use guavawell_core::id::TokenCount;
 use guavawell_core::request::Refusal;
 use guavawell_core::request::RefusalReason;
+use guavawell_core::request::RequestDigest;
 use guavawell_core::request::RequestIdentity;
 use guavawell_core::request::UnsentAttempt;
 use smol::Timer;
@@ -75,7 +76,18 @@
     }
 }
 
-/// Reserves `amount` for a request.
+/// What is reserved, and for which request.
+#[derive(Clone, Copy, Debug)]
+pub struct ReservationAsk {
+    /// The worst case.
+    pub amount: TokenCount,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// What the request asks.
+    pub digest: RequestDigest,
+}
+
+/// Reserves a request's worst case.
 ///
 /// # Errors
 ///
@@ -83,8 +95,7 @@
 pub async fn reserve(
     core: &Arc<RouterCore>,
     entry: &CallerEntry,
-    idempotent: bool,
-    amount: TokenCount,
+    asked: ReservationAsk,
 ) -> Result<ReservedRequest, Refusal> {
     for _ in 0..MAX_JOIN_LOOKS {
         let attempt = RouterCore::draw_attempt();
@@ -92,9 +103,10 @@
             identity: entry.head.identity.clone(),
             attempt,
             budget: entry.budget.clone(),
-            amount,
+            amount: asked.amount,
             router: core.life.clone(),
-            idempotent,
+            idempotent: asked.idempotent,
+            digest: asked.digest,
         };
         match core.slots.reserve(ask).await {
             ReserveAnswer::Granted(grant) => {
@@ -167,7 +179,8 @@
             Refusal::unsealed(identity, unsent, RefusalReason::Sealed, detail)
         }
         ReserveAnswer::Mismatch => {
-            let detail = "this id was used with another budget; use a new one";
+            let detail =
+                "this id was used for another request or with another budget; use a new one";
             Refusal::unsealed(identity, unsent, RefusalReason::IdentityMismatch, detail)
         }
         ReserveAnswer::AlreadyBilled { .. } | ReserveAnswer::Joined { .. } => {
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -14,6 +14,7 @@
 use guavawell_core::manifest::FleetView;
 use guavawell_core::request::Refusal;
 use guavawell_core::request::RefusalReason;
+use guavawell_core::request::RequestDigest;
 use guavawell_core::request::UnsentAttempt;
 use guavawell_core::request::chat::ChatAsk;
 use http_types::Body;
@@ -33,6 +34,7 @@
 use super::core::RouterCore;
 use super::entry::CallerEntry;
 use super::relay::StreamRelay;
+use super::reserve::ReservationAsk;
 use super::reserve::ReservedRequest;
 use super::reserve::reserve;
 use super::service::serve_service;
@@ -130,7 +132,12 @@
     accepted(core, entry, ask.worst_case());
     let pass = admit(core, entry, &call.target, ask.worst_case()).await?;
     let start = Instant::now();
-    let reserved = reserve(core, entry, call.idempotent, ask.worst_case()).await?;
+    let asked = ReservationAsk {
+        amount: ask.worst_case(),
+        idempotent: call.idempotent,
+        digest: RequestDigest::of(&call.path, body),
+    };
+    let reserved = reserve(core, entry, asked).await?;
     metrics::histogram!("guavawell_reserve_ms").record(millis(start));
     let relay = match reserved {
         ReservedRequest::Run(mut reservation) => StreamRelay {
--- a/crates/guavawell-fleet/src/router/service.rs
+++ b/crates/guavawell-fleet/src/router/service.rs
@@ -12,6 +12,7 @@
 use guavawell_core::manifest::ServiceEntry;
 use guavawell_core::request::Refusal;
 use guavawell_core::request::RefusalReason;
+use guavawell_core::request::RequestDigest;
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
@@ -33,6 +34,7 @@
 use super::recover::PROBE_PAUSE;
 use super::relay::settle_reservation;
 use super::reserve::HeldReservation;
+use super::reserve::ReservationAsk;
 use super::reserve::ReservedRequest;
 use super::reserve::reserve;
 use super::serve::accepted;
@@ -97,7 +99,12 @@
     };
     accepted(core, entry, service.cost_tokens);
     let _pass = admit(core, entry, &call.target, service.cost_tokens).await?;
-    let reserved = reserve(core, entry, call.idempotent, service.cost_tokens).await?;
+    let asked = ReservationAsk {
+        amount: service.cost_tokens,
+        idempotent: call.idempotent,
+        digest: RequestDigest::of(&format!("{}{}", service.id, call.path), &call.body),
+    };
+    let reserved = reserve(core, entry, asked).await?;
     let ReservedRequest::Run(mut reservation) = reserved else {
         let detail = "this id ran or is running, and a service's answer is not kept";
         return Err(Refusal::unknown(RefusalReason::AlreadyRan, detail));
