Roll a model version out on a whole fleet, under load, and measure it

Cause: orders were tested one by one; the way from the manifest to the engines and into routing was not.

Change: the demo fleet states the model's version, replicas, load time and whether engines check fencing numbers.

--- a/crates/guavawell-demo/src/fleet/manifest.rs
+++ b/crates/guavawell-demo/src/fleet/manifest.rs
@@ -60,8 +60,10 @@
         writeln!(text, "organisation = \"org-{index}\"")?;
         writeln!(text, "paid = {}", settings.paid_by(index))?;
     }
-    writeln!(text, "[[model]]\nid = \"draft-7b\"\nversion = \"1\"")?;
+    writeln!(text, "[[model]]\nid = \"draft-7b\"")?;
+    writeln!(text, "version = \"{}\"", settings.model_version)?;
     writeln!(text, "max_output = 4096")?;
+    writeln!(text, "replicas_per_zone = {}", settings.replicas)?;
     for backend in backends {
         writeln!(text, "[[backend]]\nid = \"{}\"", backend.id)?;
         writeln!(text, "zone = \"zone-{}\"", backend.zone)?;
--- a/crates/guavawell-demo/src/fleet/settings.rs
+++ b/crates/guavawell-demo/src/fleet/settings.rs
@@ -28,6 +28,16 @@
     pub engine_slots: usize,
     /// Time between two tokens.
     pub token_time: ClockSpan,
+    /// Version of the model that the manifest wants.
+    pub model_version: Box<str>,
+    /// Engines of each zone that should serve it.
+    pub replicas: u16,
+    /// Whether the engines hold version 1 from their start and after a crash.
+    pub preloaded: bool,
+    /// Whether engines refuse an order with an old fencing number.
+    pub fence_orders: bool,
+    /// Time that an engine takes to load a model.
+    pub load_time: ClockSpan,
     /// Threads of each router.
     pub threads: usize,
     /// What every engine's settings begin with.
@@ -49,6 +59,11 @@
             shards: 8,
             engine_slots: 64,
             token_time: ClockSpan::from_millis(2),
+            model_version: "1".into(),
+            replicas: 1,
+            preloaded: true,
+            fence_orders: true,
+            load_time: ClockSpan::default(),
             threads: 2,
             engine: EngineSettings::default(),
             router: RouterSettings::default(),
--- a/crates/guavawell-demo/src/fleet/start.rs
+++ b/crates/guavawell-demo/src/fleet/start.rs
@@ -142,8 +142,7 @@
             cuts: ZoneCuts::default(),
         };
         fleet.start_backends().await?;
-        let manifest = manifest_text(&fleet.settings, &fleet.backends);
-        fleet.accept(&manifest, ManifestVersion::default()).await?;
+        fleet.accept_settings(ManifestVersion::default()).await?;
         for zone in 0..fleet.settings.zones {
             for _ in 0..fleet.settings.routers {
                 fleet.start_router(zone).await?;
@@ -161,10 +160,9 @@
                     listen: free(),
                     control: free(),
                     name: id.as_str().into(),
-                    models: vec![ModelEntry {
-                        model: "draft-7b".into(),
-                        version: "1".into(),
-                    }],
+                    models: self.preloaded_models(),
+                    fence_orders: self.settings.fence_orders,
+                    load_time: self.settings.load_time,
                     slots: self.settings.engine_slots,
                     token_time: self.settings.token_time,
                     ..self.settings.engine.clone()
@@ -198,6 +196,28 @@
         });
     }
 
+    fn preloaded_models(&self) -> Vec<ModelEntry> {
+        let first = ModelEntry {
+            model: "draft-7b".into(),
+            version: "1".into(),
+        };
+        self.settings
+            .preloaded
+            .then_some(first)
+            .into_iter()
+            .collect()
+    }
+
+    /// Accepts the manifest that the settings describe on top of `base`.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError`].
+    pub async fn accept_settings(&self, base: ManifestVersion) -> Result<(), FleetError> {
+        let text = manifest_text(&self.settings, &self.backends);
+        self.accept(&text, base).await
+    }
+
     /// Accepts a manifest on top of `base`.
     ///
     /// # Errors
