Let a deployment place its witnesses; mend two tests that landings crossed

A change of witness begun while the table is out leaves the slot with its float alone. Two landings crossed: core's stock covers an hour or 256 requests now, the settings' defaults still said 60 s and 64; the orders' settings were not in the test's list of groups. Change: slots.witness_zones and slots.witness_near; no change of witness is begun while the table counts as out; the defaults follow core's, the list names orders. Conclusion: the site that weighs false refusals more may choose the near witness.

--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -192,7 +192,8 @@
     SlotParts {
         life: life.clone(),
         zone: settings.instance.zone.clone(),
-        witness_zones: Vec::new(),
+        witness_zones: settings.slots.witness_zones.clone(),
+        witness_near: settings.slots.witness_near,
         shards: Box::new(move || shards.load().fleet().shards),
         members: Box::new(move || members.view()),
         table: SlotTable::new(table.clone(), base_lookup(view)),
--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -2,6 +2,7 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::TokenCount;
+use guavawell_core::id::ZoneId;
 use log::LevelFilter;
 
 use super::unit::EventTarget;
@@ -15,6 +16,13 @@
         /// larger share refuses less while parted and freezes more after a
         /// crash; overspend is zero at any value. Read in whole percent.
         float_share: ShareRatio = ShareRatio::clamped(0.25);
+        /// Zones, beside the own one, that witnesses may stand in; empty means
+        /// every zone. Name those within about a millisecond.
+        witness_zones: Vec<ZoneId> = Vec::new();
+        /// Prefer a witness in the own zone. It refuses less while zones are
+        /// parted; if the whole zone dies, everything granted to it freezes
+        /// instead of the solo floats alone. Overspend is zero either way.
+        witness_near: bool = false;
         /// Longest wait for a witness's acknowledgement before the float is
         /// used, in milliseconds.
         witness_timeout_ms: ClockSpan = ClockSpan::from_millis(250);
@@ -23,9 +31,9 @@
         takeover_after_ms: ClockSpan = ClockSpan::from_millis(3_000);
         /// Requests that a budget's grant covers at least, as far as its rest
         /// allows.
-        grant_requests: u32 = 64;
+        grant_requests: u32 = 256;
         /// Recent use that a grant should cover, in seconds.
-        grant_seconds: u32 = 60;
+        grant_seconds: u32 = 3_600;
         /// Time that a finished request's identity is remembered, in
         /// milliseconds.
         identity_retention_ms: ClockSpan = ClockSpan::from_millis(600_000);
--- a/crates/guavawell-fleet/src/settings/tests.rs
+++ b/crates/guavawell-fleet/src/settings/tests.rs
@@ -209,6 +209,7 @@
         super::SlotSettings::KEYS,
         super::RoutingSettings::KEYS,
         super::LimitSettings::KEYS,
+        super::OrderSettings::KEYS,
         super::ShutdownSettings::KEYS,
         super::LogSettings::KEYS,
     ];
--- a/crates/guavawell-fleet/src/slot/driver.rs
+++ b/crates/guavawell-fleet/src/slot/driver.rs
@@ -77,6 +77,8 @@
     pub zone: ZoneId,
     /// Zones near enough for a witness; empty means every other zone.
     pub witness_zones: Vec<ZoneId>,
+    /// Whether a witness in the own zone is preferred.
+    pub witness_near: bool,
     /// Number of shards, as the manifest says; zero before there is one.
     pub shards: Box<dyn Fn() -> u16 + Send + Sync>,
     /// The fleet as gossip knows it.
--- a/crates/guavawell-fleet/src/slot/maintain.rs
+++ b/crates/guavawell-fleet/src/slot/maintain.rs
@@ -127,7 +127,9 @@
         witness: Option<InstanceLife>,
         now: ClockTime,
     ) {
-        if !seat.lock().may_change(witness.as_ref(), now) {
+        // Only the table's answer ends a change; begun without it, the slot
+        // would have its float alone until the table is back.
+        if self.parts.table.is_out() || !seat.lock().may_change(witness.as_ref(), now) {
             return;
         }
         metrics::counter!("guavawell_witness_changes_total").increment(1);
@@ -140,9 +142,11 @@
         (owner.instance != self.parts.life.instance).then(|| life_of(owner))
     }
 
-    /// A witness in another zone that is near; otherwise one in any zone.
+    /// A witness in another zone that is near, or in the own zone, as the
+    /// deployment prefers; otherwise the other way round.
     ///
-    /// A zone dies whole, so that a witness elsewhere saves more.
+    /// A zone dies whole, so that a witness elsewhere saves more; one at home
+    /// stays within reach while zones are parted.
     fn choose_witness(
         &self,
         members: &MemberView,
@@ -167,7 +171,12 @@
         let elsewhere = |member: &MemberRecord| {
             member.zone != *zone && (near.is_empty() || near.contains(&member.zone))
         };
-        pick(&elsewhere).or_else(|| pick(&|member: &MemberRecord| member.zone == *zone))
+        let at_home = |member: &MemberRecord| member.zone == *zone;
+        if self.parts.witness_near {
+            pick(&at_home).or_else(|| pick(&elsewhere))
+        } else {
+            pick(&elsewhere).or_else(|| pick(&at_home))
+        }
     }
 
     /// Takes over what a holder that is gone entrusted to this router.
--- a/crates/guavawell-fleet/src/slot/table.rs
+++ b/crates/guavawell-fleet/src/slot/table.rs
@@ -81,6 +81,12 @@
         Self { table, base }
     }
 
+    /// Whether the table counts as out.
+    #[must_use]
+    pub fn is_out(&self) -> bool {
+        self.table.is_out()
+    }
+
     /// Reads a slot's row; `None` if nobody has held it yet.
     ///
     /// # Errors
