Poll each backend server once at a time; give each router its own test prompt

A trace showed the routers to be right: the first router, not told, ran the prompt at another engine; the second was told of that too and had two caches to choose from. Ruled out by trace: lost hints, costs, ejection. Seen on the way: nothing kept two polls of a server apart, and of two the later may end first, which reads as a server that began anew and forgets its hints.

Change: each router is asked a planted prompt of its own, and the test waits for each engine's events by a label of the counters, so it is stricter than before. A poll begins only after the server's last one ended.

--- a/crates/guavawell-demo/tests/prefix.rs
+++ b/crates/guavawell-demo/tests/prefix.rs
@@ -102,23 +102,29 @@
     line.map_or(0, |value| value.trim().parse().expect("a number"))
 }
 
-/// Plants two prompts at each engine and waits until routers heard of the
-/// first; the events of the second are lost.
+/// What each engine is given, in this order: a prompt for each router, and
+/// between them one whose event is lost.
+const PLANTED: [&str; 3] = ["first", "lost", "second"];
+
+/// Plants prompts at each engine and waits until routers heard of them.
 async fn plant_all(fleet: &DemoFleet) {
     let client = EngineClient::new(ClientSettings::default());
-    let engines = fleet.engines.len();
     for (place, engine) in fleet.engines.iter().enumerate() {
-        for (turn, word) in ["heard", "lost"].into_iter().enumerate() {
-            let number = (place * 2 + turn + 1) as u128;
+        for (turn, word) in PLANTED.into_iter().enumerate() {
+            let number = (place * PLANTED.len() + turn + 1) as u128;
             let prompt = format!("{word} {place}");
             plant(&client, engine.address(), number, &prompt).await;
         }
     }
-    let planted = engines as u64;
-    while counter(fleet, "guavawell_cache_events_total ").await < planted
-        || counter(fleet, "guavawell_cache_events_lost_total ").await < planted
-    {
-        Timer::after(Duration::from_millis(20)).await;
+    // Each engine by itself: two routers may poll one engine for a while.
+    for engine in &fleet.engines {
+        for (kind, planted) in [("events", 2), ("events_lost", 1)] {
+            let name = engine.name();
+            let line = format!("guavawell_cache_{kind}_total{{backend=\"{name}\"}} ");
+            while counter(fleet, &line).await < planted {
+                Timer::after(Duration::from_millis(20)).await;
+            }
+        }
     }
 }
 
@@ -132,12 +138,12 @@
         let routers = fleet.caller_addresses();
         for place in 0..fleet.engines.len() {
             // One of the two routers polls the engine; only it was told.
-            let prompt = format!("heard {place}");
-            let mut seen = Vec::new();
-            for router in &routers {
-                seen.push(ask(&fleet, *router, &prompt).await);
-            }
-            assert!(seen.contains(&place), "{prompt}: {seen:?}");
+            let first = ask(&fleet, routers[0], &format!("first {place}")).await;
+            let second = ask(&fleet, routers[1], &format!("second {place}")).await;
+            assert!(
+                place == first || place == second,
+                "{place}: {first}, {second}"
+            );
             ask(&fleet, routers[0], &format!("lost {place}")).await;
         }
         // A prompt that no event told of: a router remembers its own request.
--- a/crates/guavawell-fleet/src/router/fetch.rs
+++ b/crates/guavawell-fleet/src/router/fetch.rs
@@ -8,6 +8,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use guavawell_core::backend::CacheBatch;
 use guavawell_core::backend::LoadReport;
@@ -72,10 +75,14 @@
 /// others' reports from gossip.
 pub async fn run_polls(core: Arc<RouterCore>, gossip: GossipDriver) {
     let pause = clock::duration(core.settings.routing.load_poll_ms);
+    let rounds = PollRounds::default();
     loop {
         let members = gossip.view();
         take_notes(&core, &members);
         for server in own_backends(&core, &members) {
+            let Some(round) = rounds.begin(&server.id) else {
+                continue;
+            };
             let core = Arc::clone(&core);
             let gossip = gossip.clone();
             let tasks = core.tasks.clone();
@@ -84,12 +91,51 @@
                 if server.has_cache {
                     poll_cache(&core, &server.id, server.address).await;
                 }
+                drop(round);
             });
         }
         Timer::after(pause).await;
     }
 }
 
+/// The servers whose poll is under way, so that none has two.
+///
+/// Of two polls the later may end first; the earlier one's cache events would
+/// then look like those of a server that began anew.
+#[derive(Clone, Default)]
+struct PollRounds(Arc<Mutex<Vec<BackendId>>>);
+
+/// A poll under way; ended when dropped.
+struct PollRound {
+    rounds: PollRounds,
+    server: BackendId,
+}
+
+impl PollRounds {
+    /// Begins a poll; `None` while the last one is under way.
+    fn begin(&self, server: &BackendId) -> Option<PollRound> {
+        let mut polled = self.lock();
+        if polled.contains(server) {
+            return None;
+        }
+        polled.push(server.clone());
+        Some(PollRound {
+            rounds: self.clone(),
+            server: server.clone(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<BackendId>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for PollRound {
+    fn drop(&mut self) {
+        self.rounds.lock().retain(|server| *server != self.server);
+    }
+}
+
 /// A backend server that this router polls.
 struct PolledServer {
     id: BackendId,
@@ -197,8 +243,9 @@
     };
     let lost = core.backends.load().apply_cache_events(backend, &batch);
     let taken = batch.events.len() as u64;
-    metrics::counter!("guavawell_cache_events_total").increment(taken);
-    metrics::counter!("guavawell_cache_events_lost_total").increment(lost);
+    let label = backend.to_string();
+    metrics::counter!("guavawell_cache_events_total", "backend" => label.clone()).increment(taken);
+    metrics::counter!("guavawell_cache_events_lost_total", "backend" => label).increment(lost);
 }
 
 fn take_notes(core: &RouterCore, members: &MemberView) {
