Test reviews of a zone: parted routers, open orders, lagging reports

Cause: the driver's own rules (take-over, unload only after asking the engines, no order before every engine was heard of) had no test of their own.

Change: tests step two drivers that each see themselves alone, an order left open by a living router, a report older than the engine's crash, a silent engine and a table that is out.

--- a/crates/guavawell-fleet/tests/orders/main.rs
+++ b/crates/guavawell-fleet/tests/orders/main.rs
@@ -2,4 +2,5 @@
 
 mod issue;
 mod permit;
+mod review;
 mod support;
