--- a/crates/guavawell-core/src/order/row.rs
+++ b/crates/guavawell-core/src/order/row.rs
@@ -1,5 +1,7 @@
 //! The table's row of one backend server's orders, and what the engine says.
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -55,6 +57,16 @@
     pub role: Box<str>,
 }
 
+impl fmt::Display for OrderKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Load(served) => write!(formatter, "load {}:{}", served.model, served.version),
+            Self::Unload(served) => write!(formatter, "unload {}:{}", served.model, served.version),
+            Self::Role(role) => write!(formatter, "role {role}"),
+        }
+    }
+}
+
 impl OrderKind {
     /// Whether the engine is in the ordered state.
     #[must_use]
--- a/crates/guavawell-ctl/src/args.rs
+++ b/crates/guavawell-ctl/src/args.rs
@@ -39,6 +39,12 @@
     guavawell-ctl --platform 127.0.0.1:2379 backend drain run-7
 ";
 
+/// Example of `order`.
+const ORDER_EXAMPLES: &str = "Example:
+\x20
+    guavawell-ctl --platform 127.0.0.1:2379 order list
+";
+
 /// Example of `instance`.
 const INSTANCE_EXAMPLES: &str = "Example:
 \x20
@@ -115,6 +121,9 @@
     /// Look at backend servers and drain them
     #[bpaf(command, footer(BACKEND_EXAMPLES))]
     Backend(#[bpaf(external(backend_command))] BackendCommand),
+    /// Look at the orders to model engines
+    #[bpaf(command, footer(ORDER_EXAMPLES))]
+    Order(#[bpaf(external(order_command))] OrderCommand),
     /// Look at entry instances and drain them
     #[bpaf(command, footer(INSTANCE_EXAMPLES))]
     Instance(#[bpaf(external(instance_command))] InstanceCommand),
@@ -241,6 +250,17 @@
     },
 }
 
+/// What to do with orders.
+#[derive(Clone, Debug, Bpaf)]
+pub enum OrderCommand {
+    /// List the latest order of each backend server
+    ///
+    ///
+    /// An open order is on its way, or waits for its engine or for the weight store.
+    #[bpaf(command)]
+    List,
+}
+
 /// What to do with entry instances.
 #[derive(Clone, Debug, Bpaf)]
 pub enum InstanceCommand {
--- a/crates/guavawell-ctl/src/main.rs
+++ b/crates/guavawell-ctl/src/main.rs
@@ -8,6 +8,7 @@
 mod exit;
 mod instance;
 mod manifest;
+mod order;
 mod output;
 mod platform;
 mod run;
--- /dev/null
+++ b/crates/guavawell-ctl/src/order/mod.rs
@@ -0,0 +1,5 @@
+//! `order`: list.
+
+mod list;
+
+pub use list::list;
--- a/crates/guavawell-ctl/src/run.rs
+++ b/crates/guavawell-ctl/src/run.rs
@@ -5,6 +5,7 @@
 use crate::args::Command;
 use crate::args::InstanceCommand;
 use crate::args::ManifestCommand;
+use crate::args::OrderCommand;
 use crate::audit;
 use crate::backend;
 use crate::budget;
@@ -12,6 +13,7 @@
 use crate::exit::ExitCode;
 use crate::instance;
 use crate::manifest;
+use crate::order;
 use crate::settings::CtlSettings;
 
 /// Carries out what the settings say.
@@ -53,6 +55,7 @@
             BackendCommand::List => Box::pin(backend::list(settings)).await,
             BackendCommand::Drain { backend } => Box::pin(backend::drain(settings, backend)).await,
         },
+        Command::Order(OrderCommand::List) => Box::pin(order::list(settings)).await,
         // Its exit code says what it found.
         Command::Audit(_) => Ok(()),
         Command::Instance(command) => match command {
--- a/crates/guavawell-ctl/tests/ctl/main.rs
+++ b/crates/guavawell-ctl/tests/ctl/main.rs
@@ -6,4 +6,5 @@
 mod help;
 mod instance;
 mod manifest;
+mod order;
 mod support;
--- a/crates/guavawell-fleet/src/order/run.rs
+++ b/crates/guavawell-fleet/src/order/run.rs
@@ -271,7 +271,7 @@
     fn emit(&self, kind: &str, fence: Option<FenceNumber>) {
         let draft = EventDraft::new(kind)
             .field("backend", &self.target.backend)
-            .field("order", describe(&self.kind));
+            .field("order", &self.kind);
         self.ports.events.emit(match fence {
             Some(fence) => draft.field("fence", fence),
             None => draft,
@@ -279,14 +279,6 @@
     }
 }
 
-fn describe(kind: &OrderKind) -> String {
-    match kind {
-        OrderKind::Load(served) => format!("load {}:{}", served.model, served.version),
-        OrderKind::Unload(served) => format!("unload {}:{}", served.model, served.version),
-        OrderKind::Role(role) => format!("role {role}"),
-    }
-}
-
 const fn label(outcome: IssueOutcome) -> &'static str {
     match outcome {
         IssueOutcome::Applied => "applied",
--- a/crates/guavawell-fleet/tests/orders/review.rs
+++ b/crates/guavawell-fleet/tests/orders/review.rs
@@ -68,16 +68,17 @@
 
 /// A manifest that wants `m:2` on two servers of the zone.
 fn view(engines: &[Engine]) -> Arc<ArcSwap<FleetView>> {
-    let mut text = "[fleet]\nshards = 1\nzones = [\"tln-a\"]\n[[model]]\nid = \"m\"\n\
-                    version = \"2\"\nmax_output = 9\nreplicas_per_zone = 2\n"
-        .to_owned();
-    for (index, engine) in engines.iter().enumerate() {
-        text += &format!(
+    let fleet = "[fleet]\nshards = 1\nzones = [\"tln-a\"]\n[[model]]\nid = \"m\"\n\
+                 version = \"2\"\nmax_output = 9\nreplicas_per_zone = 2\n";
+    let backend = |(index, engine): (usize, &Engine)| {
+        format!(
             "[[backend]]\nid = \"e{index}\"\nzone = \"tln-a\"\naddress = \"{}\"\n\
              kind = \"model\"\nmodels = [\"m\"]\nslots = 4\n",
             engine.address()
-        );
-    }
+        )
+    };
+    let backends: Vec<String> = engines.iter().enumerate().map(backend).collect();
+    let text = fleet.to_owned() + &backends.concat();
     let manifest = parse_manifest("test.toml", &text).expect("no findings");
     let view = FleetView::compile(&manifest, ManifestVersion::new(1));
     Arc::new(ArcSwap::from_pointee(view))
