Read gossip's key files again when they change

Change: a task looks at the files once a second and takes changed keys into use; a missing or unreadable file leaves the former keys and is logged once. A key file of less than 16 bytes is refused, at start too: a file caught while it is written would else stand for a key that everybody knows.

Tests: two routers with different keys drop each other's datagrams; the file of one goes missing, is half written, then holds the other's key, and they become members (router/tests.rs). A short key is refused with its file's name.

--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -13,6 +13,7 @@
 
 use super::core::RouterCore;
 use super::fetch::run_polls;
+use super::keys::watch_keys;
 use super::orphan::run_orphans;
 use super::settings::order_parts;
 use super::settings::platform_pool;
@@ -59,6 +60,7 @@
     tasks.spawn(run_orphans(Arc::clone(core)));
     tasks.spawn(Arc::new(OrderDriver::new(order_parts(core, gossip))).run());
     tasks.spawn(review_admission(Arc::clone(core)));
+    tasks.spawn(watch_keys(Arc::clone(core), gossip.clone()));
     tasks.spawn(read_list(Arc::clone(core), gossip.clone()));
     tasks.spawn(pass_hints(gossip.clone(), hints));
     tasks.spawn(keep_metrics(Arc::clone(core)));
--- a/crates/guavawell-fleet/src/router/mod.rs
+++ b/crates/guavawell-fleet/src/router/mod.rs
@@ -13,6 +13,7 @@
 mod core;
 mod entry;
 mod fetch;
+mod keys;
 mod news;
 mod orphan;
 mod platform;
--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -41,6 +41,7 @@
 use crate::peer::PeerTarget;
 use crate::platform::PoolSettings;
 use crate::platform::Table;
+use crate::settings::MIN_KEY_BYTES;
 use crate::settings::RouterSettings;
 use crate::slot::BudgetBase;
 use crate::slot::PeerLink;
@@ -142,6 +143,11 @@
     let mut keys = Vec::new();
     for path in &settings.gossip.key_files {
         let text = fs::read_to_string(path.as_path())?;
+        if text.trim().len() < MIN_KEY_BYTES {
+            // Also a file that is being written: its empty text is no secret.
+            let message = format!("{path} holds less than {MIN_KEY_BYTES} bytes");
+            return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+        }
         keys.push(FleetKey::from_text(text.trim()));
     }
     keys.extend(
--- a/crates/guavawell-fleet/src/router/tests.rs
+++ b/crates/guavawell-fleet/src/router/tests.rs
@@ -1,3 +1,8 @@
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
 use futures::future::join_all;
 use guavawell_core::backend::RoutingSettings;
 use guavawell_core::budget::HolderSettings;
@@ -8,8 +13,11 @@
 use guavawell_core::platform::WriteClass;
 use guavawell_standin::platform::Platform;
 use guavawell_standin::platform::PlatformSettings;
+use smol::Timer;
 use smol::future;
 
+use super::RouterHandle;
+use super::RouterOptions;
 use super::platform::PlatformClients;
 use super::platform::share_policy;
 use super::settings;
@@ -17,6 +25,7 @@
 use crate::platform::PlatformError;
 use crate::platform::TableOp;
 use crate::platform::TableTxn;
+use crate::settings::FilePath;
 use crate::settings::RouterSettings;
 use crate::settings::ShareRatio;
 use crate::settings::WriteRate;
@@ -98,3 +107,74 @@
         (7, ClockSpan::from_millis(11))
     );
 }
+
+/// A router's settings; it signs gossip with the key in `file`.
+fn router_settings(platform: &Platform, name: &str, file: &Path) -> RouterSettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut settings = RouterSettings::default();
+    settings.instance.id = name.parse().unwrap();
+    settings.instance.zone = "tln-a".parse().unwrap();
+    settings.callers.listen = any;
+    settings.callers.plain_loopback = true;
+    settings.operators.listen = any;
+    settings.operators.plain_loopback = true;
+    settings.peers.listen = any;
+    settings.peers.plain_loopback = true;
+    settings.gossip.listen = any;
+    settings.gossip.key_files = vec![FilePath::new(file)];
+    settings.platform.table = platform.address();
+    settings.platform.objects = platform.address();
+    settings.platform.instances = platform.address();
+    settings
+}
+
+async fn wait_until(is_so: impl Fn() -> bool) {
+    while !is_so() {
+        Timer::after(Duration::from_millis(20)).await;
+    }
+}
+
+#[test]
+fn a_short_gossip_key_is_refused_with_its_file() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("gossip.key");
+    fs::write(&file, "too short\n").unwrap();
+    let mut settings = RouterSettings::default();
+    settings.gossip.key_files = vec![FilePath::new(file.clone())];
+    let error = settings::gossip_keys(&settings).unwrap_err();
+    assert!(
+        error.to_string().contains(file.to_str().unwrap()),
+        "{error}"
+    );
+}
+
+#[test]
+fn a_changed_gossip_key_file_is_read_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let (one, two) = (folder.path().join("one"), folder.path().join("two"));
+    fs::write(&one, "the key that both will have").unwrap();
+    fs::write(&two, "the key that goes").unwrap();
+    smol::block_on(async {
+        let platform = Platform::start(PlatformSettings::default()).await.unwrap();
+        let options = RouterOptions::default();
+        let settings = router_settings(&platform, "entry-1", &one);
+        let old = RouterHandle::start(settings, options.clone())
+            .await
+            .unwrap();
+        let mut settings = router_settings(&platform, "entry-2", &two);
+        settings.gossip.seeds = vec![old.gossip_address()];
+        let fresh = RouterHandle::start(settings, options).await.unwrap();
+        wait_until(|| old.gossip.datagram_counts().unverified > 0).await;
+        let name = "entry-2".parse().unwrap();
+        assert!(old.gossip.view().find(&name).is_none());
+        // A file that is missing or half written changes nothing.
+        fs::remove_file(&two).unwrap();
+        fs::write(&two, "the key that").unwrap();
+        let unverified = old.gossip.datagram_counts().unverified;
+        wait_until(|| old.gossip.datagram_counts().unverified > unverified).await;
+        fs::write(&two, "the key that both will have\n").unwrap();
+        wait_until(|| old.gossip.view().find(&name).is_some()).await;
+        old.kill();
+        fresh.kill();
+    });
+}
--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -16,7 +16,7 @@
 const MIN_MESSAGE_BYTES: ByteCount = ByteCount::new(1024 * 1024);
 
 /// Shortest gossip key that is accepted, in bytes.
-const MIN_KEY_BYTES: usize = 16;
+pub const MIN_KEY_BYTES: usize = 16;
 
 /// Adds a finding for each rule that `settings` break.
 pub fn check(settings: &RouterSettings, file: &FileReader<'_>) {
--- a/crates/guavawell-fleet/src/settings/mod.rs
+++ b/crates/guavawell-fleet/src/settings/mod.rs
@@ -26,6 +26,8 @@
 
 use self::reader::FileReader;
 
+pub(crate) use check::MIN_KEY_BYTES;
+
 pub use network::CallerSettings;
 pub use network::GossipSettings;
 pub use network::InstanceSettings;
--- a/crates/guavawell-fleet/src/settings/network.rs
+++ b/crates/guavawell-fleet/src/settings/network.rs
@@ -142,8 +142,8 @@
     pub struct GossipSettings {
         /// Address to listen on, and the one that other routers reach.
         listen: SocketAddr = loopback(GOSSIP_PORT);
-        /// Files with a shared key each, read at start. The first signs; all
-        /// are accepted, so that a key is replaced without a gap.
+        /// Files with a shared key each, read again when they change. The first
+        /// signs; all are accepted, so that a key is replaced without a gap.
         key_files: Vec<FilePath> = Vec::new();
         /// Shared keys as text, used as `key_files` are and after them.
         keys: Vec<SecretText> = Vec::new();
--- a/crates/guavawell-fleet/src/settings/reference.rs
+++ b/crates/guavawell-fleet/src/settings/reference.rs
@@ -72,7 +72,7 @@
 
 `guavawell-router --settings FILE.toml`. A key left out keeps its default, and a key without a default stays
 unset. Paths count from the file's folder. A wrong file is refused with every finding at its place. The file is
-read once, at start; certificates and keys of `tls` tables are read again when they change.
+read once, at start; certificates and keys of `tls` tables and gossip's key files are read again when they change.
 
 This page is made from the doc comments in `crates/guavawell-fleet/src/settings/`; a test compares the two. To write
 it anew: `UPDATE_SETTINGS_PAGE=1 cargo test -p guavawell-fleet settings_page`.
