--- a/crates/guavawell-demo/src/fleet/settings.rs
+++ b/crates/guavawell-demo/src/fleet/settings.rs
@@ -42,7 +42,8 @@
     pub threads: usize,
     /// What every engine's settings begin with.
     pub engine: EngineSettings,
-    /// What every router's settings begin with.
+    /// What every router's settings begin with. A port without `tls` is
+    /// plain.
     pub router: RouterSettings,
 }
 
--- a/crates/guavawell-demo/src/fleet/start.rs
+++ b/crates/guavawell-demo/src/fleet/start.rs
@@ -282,11 +282,11 @@
         settings.instance.id = name.parse()?;
         settings.instance.zone = format!("zone-{zone}").parse()?;
         settings.callers.listen = free();
-        settings.callers.plain_loopback = true;
+        settings.callers.plain_loopback = settings.callers.tls.is_none();
         settings.operators.listen = free();
-        settings.operators.plain_loopback = true;
+        settings.operators.plain_loopback = settings.operators.tls.is_none();
         settings.peers.listen = free();
-        settings.peers.plain_loopback = true;
+        settings.peers.plain_loopback = settings.peers.tls.is_none();
         settings.gossip.listen = free();
         settings.gossip.keys = vec![SecretText::new("the key that the demo's routers share")];
         settings.gossip.seeds = self.seeds();
