Split the budget tests' world, fleet and global ledger by job

The functions are the same ones, compared by signature, and as many assertions stand; the test targets keep their names.

Conclusion: no behaviour changed.

--- /dev/null
+++ b/crates/guavawell-core/tests/budget_search/world/deliver.rs
@@ -0,0 +1,203 @@
+//! Letters on their way, and what the state machines do with them.
+
+use guavawell_core::budget::AskId;
+use guavawell_core::budget::HolderAnswer;
+use guavawell_core::budget::HolderEffect;
+use guavawell_core::budget::HolderEvent;
+use guavawell_core::budget::HolderNote;
+use guavawell_core::budget::InstanceLife;
+use guavawell_core::budget::ReserveAnswer;
+use guavawell_core::budget::ReserveGrant;
+use guavawell_core::budget::SlotHolder;
+use guavawell_core::budget::SlotLedger;
+use guavawell_core::budget::SlotRow;
+use guavawell_core::budget::TableIntent;
+use guavawell_core::budget::WitnessEffect;
+use guavawell_core::budget::WitnessEvent;
+use guavawell_core::budget::WitnessMessage;
+use guavawell_core::id::SlotEpoch;
+
+use super::NOW;
+use super::World;
+use super::digest;
+use super::model::GrantedAttempt;
+use super::model::Letter;
+use super::model::LetterBody;
+use super::model::Node;
+use super::new_witness;
+use super::settings;
+use super::slot;
+use crate::plant::PlantedFault;
+
+impl World {
+    pub(super) fn deliver(&mut self, letter: Letter) {
+        let Letter { node, life, body } = letter;
+        if let LetterBody::Intent(tenure, intent) = body {
+            self.execute(node, life, tenure, &intent);
+            return;
+        }
+        if self.nodes[node].life != life {
+            return;
+        }
+        match body {
+            LetterBody::Witness(message) => self.deliver_message(node, message),
+            LetterBody::Slot(row) => {
+                for place in 0..self.nodes[node].holders.len() {
+                    self.tell(node, place, HolderEvent::SlotRead(Ok(row.clone())));
+                }
+                self.tell_witness(node, WitnessEvent::SlotRead(row));
+            }
+            LetterBody::Grant(tenure, outcome) => {
+                let budget = "m".parse().unwrap();
+                self.tell_tenure(node, tenure, HolderEvent::GrantChanged(budget, outcome));
+            }
+            LetterBody::Report(tenure, outcome) => {
+                let budget = "m".parse().unwrap();
+                self.tell_tenure(node, tenure, HolderEvent::FrozenReported(budget, outcome));
+            }
+            LetterBody::Intent(..) => {}
+        }
+    }
+
+    fn deliver_message(&mut self, node: usize, message: WitnessMessage) {
+        match message {
+            WitnessMessage::Record(record) => {
+                self.plant_before_record(node, &record);
+                self.tell_witness(node, WitnessEvent::Record(record));
+            }
+            WitnessMessage::Handover(handover) => {
+                self.tell_witness(node, WitnessEvent::Handover(handover));
+            }
+            WitnessMessage::Ack(ack) => {
+                for place in 0..self.nodes[node].holders.len() {
+                    for ack in self.plant_ack(&self.nodes[node].holders[place], &ack) {
+                        self.tell(node, place, HolderEvent::Ack(ack));
+                    }
+                }
+            }
+            WitnessMessage::Refusal(refusal) => {
+                for place in 0..self.nodes[node].holders.len() {
+                    self.tell(node, place, HolderEvent::Refusal(refusal.clone()));
+                }
+            }
+            WitnessMessage::HandoverAck(ack) => {
+                for place in 0..self.nodes[node].holders.len() {
+                    self.tell(node, place, HolderEvent::HandoverAck(ack.clone()));
+                }
+            }
+        }
+    }
+
+    fn tell_tenure(&mut self, node: usize, tenure: SlotEpoch, event: HolderEvent) {
+        let holders = &self.nodes[node].holders;
+        let place = holders
+            .iter()
+            .position(|holder| holder.ledger().tenure == tenure);
+        if let Some(place) = place {
+            self.tell(node, place, event);
+        }
+    }
+
+    pub fn tell(&mut self, node: usize, place: usize, event: HolderEvent) {
+        let mut effects = Vec::new();
+        let holder = &mut self.nodes[node].holders[place];
+        holder.handle(event, NOW, &mut effects);
+        let tenure = holder.ledger().tenure;
+        for effect in effects {
+            match effect {
+                HolderEffect::Answer(ask, HolderAnswer::Reserve(ReserveAnswer::Granted(grant))) => {
+                    self.note_grant(node, ask, grant);
+                }
+                HolderEffect::Send(to, message) => self.send(to, message),
+                HolderEffect::Table(intent) => self.post_intent(node, tenure, intent),
+                HolderEffect::Note(HolderNote::AccountMismatch(_)) => self.mismatch = true,
+                HolderEffect::AskHandBack { budget, .. } => {
+                    self.tell(node, place, HolderEvent::HandBackDone(budget));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn tell_witness(&mut self, node: usize, event: WitnessEvent) {
+        let mut effects = Vec::new();
+        let is_record = matches!(event, WitnessEvent::Record(_));
+        let acting = match &mut self.nodes[node] {
+            Node {
+                shadow: Some(shadow),
+                ..
+            } if is_record && self.plant == PlantedFault::TakeoverWithoutStop => shadow,
+            Node { witness, .. } => witness,
+        };
+        acting.handle(event, NOW, &mut effects);
+        for effect in effects {
+            match effect {
+                WitnessEffect::Send(to, message) => self.send(to, message),
+                WitnessEffect::Table(intent) => {
+                    self.post_intent(node, SlotEpoch::new(0), intent);
+                }
+                WitnessEffect::Begin(row, mut ledger) => {
+                    self.plant_ledger(&mut ledger);
+                    if self.plant == PlantedFault::ForgottenEpoch {
+                        self.nodes[node].witness = new_witness(&self.nodes[node].life);
+                    }
+                    self.begin(node, row, *ledger);
+                }
+            }
+        }
+    }
+
+    pub(super) fn begin(&mut self, node: usize, row: SlotRow, ledger: SlotLedger) {
+        let holder = SlotHolder::new(settings(), slot(), row, ledger, NOW);
+        self.nodes[node].holders.push(holder);
+    }
+
+    fn note_grant(&mut self, node: usize, ask: AskId, grant: ReserveGrant) {
+        let request = usize::try_from(ask.get() / 16).unwrap();
+        let attempt = u8::try_from(ask.get() % 16).unwrap();
+        let is_known =
+            |granted: &GrantedAttempt| granted.request == request && granted.attempt == attempt;
+        if !self.granted.iter().any(is_known) {
+            self.granted.push(GrantedAttempt {
+                request,
+                attempt,
+                node,
+                grant,
+                charged: None,
+            });
+            self.granted
+                .sort_by_key(|granted| (granted.request, granted.attempt));
+        }
+    }
+
+    fn send(&mut self, to: InstanceLife, message: WitnessMessage) {
+        let found = self
+            .nodes
+            .iter()
+            .position(|node| node.life.instance == to.instance);
+        let node = found.expect("a known instance");
+        let message = self.plant_send(message);
+        let body = LetterBody::Witness(message);
+        self.post(Letter {
+            node,
+            life: to,
+            body,
+        });
+    }
+
+    fn post_intent(&mut self, node: usize, tenure: SlotEpoch, intent: TableIntent) {
+        let life = self.nodes[node].life.clone();
+        let body = LetterBody::Intent(tenure, intent);
+        self.post(Letter { node, life, body });
+    }
+
+    /// The network is a set: a letter sent again while it is on its way
+    /// changes nothing, and one that is never delivered is lost.
+    pub fn post(&mut self, letter: Letter) {
+        let key = digest(&letter);
+        let place = self.letters.partition_point(|other| digest(other) < key);
+        if self.letters.get(place) != Some(&letter) {
+            self.letters.insert(place, letter);
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/tests/budget_search/world/model.rs
@@ -0,0 +1,78 @@
+//! What the world is made of: nodes, letters, granted attempts and steps.
+
+use std::hash::Hash;
+
+use guavawell_core::budget::GrantView;
+use guavawell_core::budget::InstanceLife;
+use guavawell_core::budget::ReserveGrant;
+use guavawell_core::budget::SlotHolder;
+use guavawell_core::budget::SlotRow;
+use guavawell_core::budget::SlotWitness;
+use guavawell_core::budget::TableFailure;
+use guavawell_core::budget::TableIntent;
+use guavawell_core::budget::WitnessMessage;
+use guavawell_core::id::SlotEpoch;
+use guavawell_core::id::TokenCount;
+
+/// How often each disturbance may happen in one run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct WorldLimits {
+    pub asks: u8,
+    pub ticks: u8,
+    pub crashes: u8,
+    pub witness_changes: u8,
+    pub takeovers: u8,
+    pub settles: u8,
+    pub repeats: u8,
+    pub lapses: u8,
+}
+
+/// One transition of the world.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorldStep {
+    Deliver(usize),
+    Tick(usize),
+    Ask(usize),
+    Repeat(usize),
+    Settle(usize),
+    TakeOver(usize),
+    ChangeWitness(usize, usize),
+    Crash(usize),
+    Lapse(usize),
+}
+
+/// Something on its way: to an instance, or from it to the table.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Letter {
+    pub node: usize,
+    pub life: InstanceLife,
+    pub body: LetterBody,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum LetterBody {
+    Witness(WitnessMessage),
+    Intent(SlotEpoch, TableIntent),
+    Slot(SlotRow),
+    Grant(SlotEpoch, Result<GrantView, TableFailure>),
+    Report(SlotEpoch, Result<(), TableFailure>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Node {
+    pub life: InstanceLife,
+    pub holders: Vec<SlotHolder>,
+    pub witness: SlotWitness,
+    /// The witness as it was before a takeover; used by planted faults.
+    pub shadow: Option<SlotWitness>,
+}
+
+/// An attempt that was granted.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct GrantedAttempt {
+    pub request: usize,
+    pub attempt: u8,
+    pub node: usize,
+    pub grant: ReserveGrant,
+    pub charged: Option<TokenCount>,
+}
