--- a/crates/guavawell-core/examples/routing_compare/engine.rs
+++ b/crates/guavawell-core/examples/routing_compare/engine.rs
@@ -1,8 +1,9 @@
 //! A queue model of a model engine: slots, a bounded queue, a prefix cache.
 //!
-//! Prefill and tokens slow down with the slots in use at the start. As the
-//! queue is first in, first out, a request's times are known on arrival.
+//! Prefill and tokens slow down with the slots in use at the start. The queue
+//! is ordered by priority, then by arrival.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 
 use guavawell_core::backend::CacheChange;
@@ -17,21 +18,39 @@
 const PREFILL_MS: u64 = 120;
 const TOKEN_MS: u64 = 20;
 
-/// When a request gives its first token and ends, and its time per token.
+/// One request at an engine.
+pub struct EngineJob {
+    pub number: usize,
+    pub prefix: PrefixHash,
+    pub tokens: u64,
+    /// Higher goes first in the engine's queue.
+    pub priority: u8,
+}
+
+/// When a request that has started gives its first token and ends, and its
+/// time per token.
 pub struct EngineTimes {
+    pub number: usize,
     pub first: u64,
     pub done: u64,
     pub token: u64,
 }
 
+/// A request in the queue, with its prefill on an idle engine.
+struct WaitingJob {
+    job: EngineJob,
+    prefill: u64,
+}
+
 /// One engine; `slowness` is how many times slower than others it is.
 #[derive(Default)]
 pub struct ModelEngine {
     pub slowness: u64,
     pub dead: bool,
     pub leaving_since: Option<u64>,
-    /// Ends of accepted requests, sorted.
+    /// Ends of running requests, sorted.
     ends: Vec<u64>,
+    waiting: VecDeque<WaitingJob>,
     cache: VecDeque<PrefixHash>,
     pub events: Vec<CacheEvent>,
     pub event_count: u64,
@@ -39,37 +58,58 @@
 
 impl ModelEngine {
     /// Requests running or queued.
-    pub fn load(&mut self, now: u64) -> usize {
-        let ended = self.ends.partition_point(|end| *end <= now);
-        self.ends.drain(..ended);
-        self.ends.len()
+    pub fn load(&self) -> usize {
+        self.ends.len() + self.waiting.len()
+    }
+
+    /// Ends what is done, and returns what starts in its place.
+    pub fn advance(&mut self, now: u64) -> Vec<EngineTimes> {
+        let mut started = Vec::new();
+        while self.ends.first().is_some_and(|end| *end <= now) {
+            let end = self.ends.remove(0);
+            if let Some(waiting) = self.waiting.pop_front() {
+                started.push(self.start(end, SLOTS, &waiting));
+            }
+        }
+        started
     }
 
-    /// Takes a request, or refuses it with its queue full.
-    pub fn offer(&mut self, now: u64, prefix: PrefixHash, tokens: u64) -> Option<EngineTimes> {
-        let load = self.load(now);
-        if load >= SLOTS + QUEUE {
-            return None;
+    /// Takes a request, or refuses it with its queue full; what starts is
+    /// added to `started`. Call [`advance`](Self::advance) before.
+    pub fn offer(&mut self, now: u64, job: EngineJob, started: &mut Vec<EngineTimes>) -> bool {
+        if self.load() >= SLOTS + QUEUE {
+            return false;
         }
-        let start = if load < SLOTS {
-            now
+        let cached = self.touch(job.prefix);
+        let prefill = if cached { PREFILL_MS / 4 } else { PREFILL_MS };
+        let waiting = WaitingJob { job, prefill };
+        let busy = self.ends.len();
+        if busy < SLOTS {
+            started.push(self.start(now, busy, &waiting));
         } else {
-            self.ends[load - SLOTS]
-        };
-        let busy = load.min(SLOTS) as u64;
-        let full = SLOTS as u64;
+            let rank = Reverse(waiting.job.priority);
+            let order = |other: &WaitingJob| Reverse(other.job.priority) <= rank;
+            let place = self.waiting.partition_point(order);
+            self.waiting.insert(place, waiting);
+        }
+        true
+    }
+
+    fn start(&mut self, start: u64, busy: usize, waiting: &WaitingJob) -> EngineTimes {
+        let (busy, full) = (busy as u64, SLOTS as u64);
         let slowness = self.slowness.max(1);
-        let prefill = if self.touch(prefix) {
-            PREFILL_MS / 4
-        } else {
-            PREFILL_MS
-        };
-        let first = start + prefill * slowness * (4 * full + busy) / (4 * full);
+        let first = start + waiting.prefill * slowness * (4 * full + busy) / (4 * full);
         let token = TOKEN_MS * slowness * (2 * full + busy) / (2 * full);
-        let done = first + token * tokens;
+        let done = first + token * waiting.job.tokens;
         let place = self.ends.partition_point(|end| *end <= done);
         self.ends.insert(place, done);
-        Some(EngineTimes { first, done, token })
+        let number = waiting.job.number;
+        EngineTimes {
+            number,
+            first,
+            done,
+            token,
+        }
     }
 
     /// Moves a prefix to the front of the cache; says whether it was there.
--- a/crates/guavawell-core/examples/routing_compare/world.rs
+++ b/crates/guavawell-core/examples/routing_compare/world.rs
@@ -27,6 +27,8 @@
 use guavawell_core::limits::FairWeight;
 use guavawell_core::limits::RequestPriority;
 
+use crate::engine::EngineJob;
+use crate::engine::EngineTimes;
 use crate::engine::ModelEngine;
 use crate::engine::SLOTS;
 use crate::sample::LatencySamples;
@@ -101,6 +103,8 @@
     tokens: u64,
     tried: Vec<usize>,
     lease: Option<BackendLease>,
+    /// Priority at the engine.
+    priority: u8,
 }
 
 struct RouterView {
@@ -145,6 +149,13 @@
     }
 }
 
+impl CallerJob {
+    /// The engine that it was sent to last.
+    fn engine(&self) -> usize {
+        self.tried[self.tried.len() - 1]
+    }
+}
+
 impl ExperimentWorld {
     pub fn run(setup: WorldSetup) -> WorldResult {
         let mut world = Self::new(setup);
@@ -221,6 +232,7 @@
             WorldEvent::Try(job) => self.attempt(job),
             WorldEvent::First(job) => self.first(job),
             WorldEvent::Done(job) => {
+                self.advance(self.jobs[job].engine());
                 self.end_lease(job, LeaseOutcome::Served);
                 self.leave(job);
             }
@@ -249,6 +261,7 @@
             tokens: 20 + self.draws.below(121),
             tried: Vec::new(),
             lease: None,
+            priority: 0,
         };
         let number = self.jobs.len();
         let ask = AdmissionAsk {
@@ -307,6 +320,7 @@
             self.result.refused += 1;
             return self.leave(number);
         };
+        self.advance(engine);
         let now = self.now;
         let job = &mut self.jobs[number];
         job.tried.push(engine);
@@ -316,16 +330,36 @@
         }
         let late = state.leaving_since.is_some_and(|since| now > since + 3_000);
         self.result.late_work += u64::from(late);
-        let Some(times) = state.offer(now, job.prefix, job.tokens) else {
-            return self.retry(number, LeaseOutcome::Overloaded);
+        let offered = EngineJob {
+            number,
+            prefix: job.prefix,
+            tokens: job.tokens,
+            priority: job.priority,
         };
-        if job.arrived >= MEASURE_MS {
-            let samples = &mut self.result.first_token[job.organisation];
-            samples.0.push(times.first - job.arrived);
-            self.result.between.0.push(times.token);
+        let mut started = Vec::new();
+        if !state.offer(now, offered, &mut started) {
+            return self.retry(number, LeaseOutcome::Overloaded);
+        }
+        self.start(started);
+    }
+
+    /// Lets an engine go on with its queue.
+    fn advance(&mut self, engine: usize) {
+        let started = self.engines[engine].advance(self.now);
+        self.start(started);
+    }
+
+    fn start(&mut self, started: Vec<EngineTimes>) {
+        for times in started {
+            let job = &self.jobs[times.number];
+            if job.arrived >= MEASURE_MS {
+                let samples = &mut self.result.first_token[job.organisation];
+                samples.0.push(times.first - job.arrived);
+                self.result.between.0.push(times.token);
+            }
+            self.after(times.first - self.now, WorldEvent::First(times.number));
+            self.after(times.done - self.now, WorldEvent::Done(times.number));
         }
-        self.after(times.first - now, WorldEvent::First(number));
-        self.after(times.done - now, WorldEvent::Done(number));
     }
 
     fn retry(&mut self, number: usize, outcome: LeaseOutcome) {
@@ -393,11 +427,12 @@
     }
 
     fn report(&mut self, engine: usize) {
+        self.advance(engine);
         let state = &mut self.engines[engine];
         if state.dead || self.now > END_MS {
             return;
         }
-        let load = state.load(self.now);
+        let load = state.load();
         let size = |number: usize| u32::try_from(number).expect("small");
         let role = if state.leaving_since.is_some() {
             "leaving"
