Send requests within their organisation's share first at the engine

Cause: a small organisation's first token came late beside a large one mostly because its requests waited in the engines' queues, which routers cannot order; and the caller's own priority went to the engine as it was, so that a caller passed other organisations there by asking for 9. Change: admission counts what each active organisation runs and says whether that is within its weighted share; the engine gets priority 7 or 3 for it. The caller's priority orders its organisation's requests at the router only.

--- a/crates/guavawell-core/examples/routing_compare/world.rs
+++ b/crates/guavawell-core/examples/routing_compare/world.rs
@@ -17,6 +17,7 @@
 use guavawell_core::backend::ServedModel;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::id::OrganisationId;
 use guavawell_core::id::ZoneId;
 use guavawell_core::limits::Admission;
 use guavawell_core::limits::AdmissionAnswer;
@@ -149,6 +150,10 @@
     }
 }
 
+fn organisation_id(number: usize) -> OrganisationId {
+    format!("o{number}").parse().expect("id")
+}
+
 impl CallerJob {
     /// The engine that it was sent to last.
     fn engine(&self) -> usize {
@@ -266,7 +271,7 @@
         let number = self.jobs.len();
         let ask = AdmissionAsk {
             ticket: AdmissionTicket::new(number as u64),
-            organisation: format!("o{organisation}").parse().expect("id"),
+            organisation: organisation_id(organisation),
             weight: FairWeight::default(),
             priority: RequestPriority::default(),
             cost: job.tokens,
@@ -308,9 +313,10 @@
         if self.setup.policy == ChoicePolicy::Guavawell {
             let now = self.time();
             let mut effects = Vec::new();
+            let organisation = organisation_id(self.jobs[job].organisation);
             self.routers[self.jobs[job].router]
                 .admission
-                .finish(now, &mut effects);
+                .finish(&organisation, now, &mut effects);
             self.follow(&effects);
         }
     }
@@ -323,6 +329,9 @@
         self.advance(engine);
         let now = self.now;
         let job = &mut self.jobs[number];
+        let organisation = organisation_id(job.organisation);
+        let admission = &self.routers[job.router].admission;
+        job.priority = u8::from(admission.is_within_share(&organisation));
         job.tried.push(engine);
         let state = &mut self.engines[engine];
         if state.dead {
--- a/crates/guavawell-core/src/limits/admission.rs
+++ b/crates/guavawell-core/src/limits/admission.rs
@@ -3,6 +3,7 @@
 
 use super::drain::DrainRate;
 use super::fair::FairQueue;
+use super::share::RunningShares;
 use super::ticket::AdmissionAnswer;
 use super::ticket::AdmissionAsk;
 use super::ticket::AdmissionEffect;
@@ -11,6 +12,7 @@
 use super::ticket::WaitRefusal;
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
+use crate::id::OrganisationId;
 
 /// Bounds of admission to one target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,6 +44,7 @@
     settings: AdmissionSettings,
     limit: u32,
     running: u32,
+    shares: RunningShares,
     queue: FairQueue,
     drain: DrainRate,
     /// No waiting request is late before this; `None` if none has a deadline.
@@ -69,6 +72,7 @@
             limit: settings.limit,
             settings,
             running: 0,
+            shares: RunningShares::default(),
             queue: FairQueue::default(),
             drain: DrainRate::default(),
             next_late: None,
@@ -83,6 +87,7 @@
         effects: &mut Vec<AdmissionEffect>,
     ) -> AdmissionAnswer {
         self.tick(now, effects);
+        self.shares.note(&ask.organisation, ask.weight, now);
         let idle = self.queue.len() == 0 && self.running < self.limit;
         let wait = if idle {
             ClockSpan::default()
@@ -96,7 +101,7 @@
             });
         }
         if idle {
-            self.running += 1;
+            self.run(&ask.organisation);
             return AdmissionAnswer::Run;
         }
         if wait > self.settings.max_wait {
@@ -113,9 +118,15 @@
         AdmissionAnswer::Queued
     }
 
-    /// A running request has ended.
-    pub fn finish(&mut self, now: ClockTime, effects: &mut Vec<AdmissionEffect>) {
+    /// A running request of `organisation` has ended.
+    pub fn finish(
+        &mut self,
+        organisation: &OrganisationId,
+        now: ClockTime,
+        effects: &mut Vec<AdmissionEffect>,
+    ) {
         self.running = self.running.saturating_sub(1);
+        self.shares.finish(organisation, now);
         self.drain.ended(self.queue.len() > 0, now);
         self.dispatch(now, effects);
     }
@@ -150,6 +161,7 @@
     /// Changes the number of requests run at a time.
     pub fn set_limit(&mut self, limit: u32, now: ClockTime, effects: &mut Vec<AdmissionEffect>) {
         self.limit = limit;
+        self.shares.forget_idle(now);
         self.dispatch(now, effects);
     }
 
@@ -163,6 +175,13 @@
             .wait_for(count, ClockSpan::from_millis(guess), now)
     }
 
+    /// Whether an organisation runs no more than its weighted share of the
+    /// limit among the organisations that were active lately.
+    #[must_use]
+    pub fn is_within_share(&self, organisation: &OrganisationId) -> bool {
+        self.shares.is_within(organisation, 0, self.limit)
+    }
+
     /// What operators see.
     #[must_use]
     pub fn view(&self) -> AdmissionView {
@@ -180,11 +199,16 @@
             let Some(ask) = self.queue.pop() else {
                 return;
             };
-            self.running += 1;
+            self.run(&ask.organisation);
             effects.push(AdmissionEffect::Run(ask.ticket));
         }
     }
 
+    fn run(&mut self, organisation: &OrganisationId) {
+        self.running += 1;
+        self.shares.begin(organisation);
+    }
+
     fn displace(
         &mut self,
         ask: &AdmissionAsk,
--- a/crates/guavawell-core/src/limits/mod.rs
+++ b/crates/guavawell-core/src/limits/mod.rs
@@ -10,6 +10,7 @@
 mod fair;
 mod gate;
 mod retry;
+mod share;
 mod ticket;
 
 pub use admission::Admission;
--- a/crates/guavawell-core/tests/limits.rs
+++ b/crates/guavawell-core/tests/limits.rs
@@ -2,6 +2,7 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::id::OrganisationId;
 use guavawell_core::limits::Admission;
 use guavawell_core::limits::AdmissionAnswer;
 use guavawell_core::limits::AdmissionAsk;
@@ -16,6 +17,10 @@
     ClockTime::from_millis(millis)
 }
 
+fn organisation(name: &str) -> OrganisationId {
+    name.parse().expect("organisation")
+}
+
 fn ask(ticket: u64, organisation: &str) -> AdmissionAsk {
     AdmissionAsk {
         ticket: AdmissionTicket::new(ticket),
@@ -48,7 +53,7 @@
 /// Ends running requests one by one and returns the tickets that ran instead.
 fn drain(admission: &mut Admission, count: u64) -> Vec<u64> {
     let mut effects = Vec::new();
-    (0..count).for_each(|step| admission.finish(at(10 * step), &mut effects));
+    (0..count).for_each(|step| admission.finish(&organisation("o"), at(10 * step), &mut effects));
     let ran = effects.iter().map(|effect| match effect {
         AdmissionEffect::Run(ticket) => ticket.to_string().parse().expect("number"),
         AdmissionEffect::Refuse(..) => panic!("nothing should be refused"),
@@ -110,7 +115,7 @@
     waiting.deadline = Some(at(2_000));
     submit(&mut admission, waiting, at(0));
     let mut effects = Vec::new();
-    admission.finish(at(1_950), &mut effects);
+    admission.finish(&organisation("o"), at(1_950), &mut effects);
     assert!(matches!(effects[..], [AdmissionEffect::Refuse(..)]));
     assert_eq!(admission.view().running, 0);
 }
@@ -234,8 +239,8 @@
         submit(&mut admission, ask(ticket, "o"), at(0));
     });
     let mut effects = Vec::new();
-    admission.finish(at(100), &mut effects);
-    admission.finish(at(200), &mut effects);
+    admission.finish(&organisation("o"), at(100), &mut effects);
+    admission.finish(&organisation("o"), at(200), &mut effects);
     let next = ask(9, "o");
     assert_eq!(admission.expected_wait(&next, at(200)).as_millis(), 300);
     assert_eq!(
@@ -255,3 +260,20 @@
     admission.set_limit(5, at(1), &mut effects);
     assert_eq!(effects, [AdmissionEffect::Run(AdmissionTicket::new(1))]);
 }
+
+#[test]
+fn the_standing_follows_from_what_runs_for_the_weight() {
+    let mut admission = admission(12, 100);
+    submit(&mut admission, ask(0, "small"), at(0));
+    (1..=6).for_each(|ticket| {
+        submit(&mut admission, ask(ticket, "large"), at(0));
+    });
+    assert!(admission.is_within_share(&organisation("large")), "6 of 6");
+    submit(&mut admission, ask(7, "large"), at(0));
+    assert!(!admission.is_within_share(&organisation("large")), "7 of 6");
+    assert!(admission.is_within_share(&organisation("small")), "1 of 6");
+    let mut heavy = ask(8, "large");
+    heavy.weight = FairWeight::new(2);
+    submit(&mut admission, heavy, at(0));
+    assert!(admission.is_within_share(&organisation("large")), "8 of 8");
+}
--- a/crates/guavawell-fleet/src/router/admit.rs
+++ b/crates/guavawell-fleet/src/router/admit.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use guavawell_core::backend::RouteTarget;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::id::OrganisationId;
 use guavawell_core::limits::Admission;
 use guavawell_core::limits::AdmissionAnswer;
 use guavawell_core::limits::AdmissionAsk;
@@ -15,12 +16,18 @@
 use guavawell_core::limits::AdmissionGate;
 use guavawell_core::limits::AdmissionSettings;
 use guavawell_core::limits::AdmissionTicket;
+use guavawell_core::limits::RequestPriority;
 use guavawell_core::limits::WaitRefusal;
 use smol::channel;
 use smol::channel::Sender;
 
 use crate::clock;
 
+/// Priority at the engine of an organisation within its weighted share.
+const WITHIN_SHARE: RequestPriority = RequestPriority::new(7);
+/// Priority at the engine of an organisation above its weighted share.
+const ABOVE_SHARE: RequestPriority = RequestPriority::new(3);
+
 /// The door that every request goes through.
 #[derive(Debug)]
 pub struct AdmissionDoor {
@@ -40,6 +47,7 @@
 pub struct AdmissionPass {
     door: Arc<AdmissionDoorRef>,
     shard: Arc<Mutex<Admission>>,
+    organisation: OrganisationId,
 }
 
 /// A handle to the door that a pass keeps.
@@ -93,6 +101,7 @@
             .shard(target)
             .ok_or(NotAdmitted::NoTarget)?;
         let ticket = ask.ticket;
+        let organisation = ask.organisation.clone();
         let (sender, receiver) = channel::bounded(1);
         let mut effects = Vec::new();
         let answer = {
@@ -108,6 +117,7 @@
         let pass = || AdmissionPass {
             door: Arc::new(AdmissionDoorRef(Arc::downgrade(self))),
             shard: Arc::clone(&shard),
+            organisation: organisation.clone(),
         };
         match answer {
             AdmissionAnswer::Run => Ok(pass()),
@@ -160,10 +170,23 @@
     }
 }
 
+impl AdmissionPass {
+    /// The request's priority at the engine: that of its organisation's
+    /// standing, so that the caller's own orders its organisation only.
+    #[must_use]
+    pub fn engine_priority(&self) -> RequestPriority {
+        if AdmissionGate::lock(&self.shard).is_within_share(&self.organisation) {
+            WITHIN_SHARE
+        } else {
+            ABOVE_SHARE
+        }
+    }
+}
+
 impl Drop for AdmissionPass {
     fn drop(&mut self) {
         let mut effects = Vec::new();
-        AdmissionGate::lock(&self.shard).finish(clock::now(), &mut effects);
+        AdmissionGate::lock(&self.shard).finish(&self.organisation, clock::now(), &mut effects);
         if let Some(door) = self.door.0.upgrade() {
             door.tell(effects);
         }
--- a/crates/guavawell-fleet/src/router/attempt.rs
+++ b/crates/guavawell-fleet/src/router/attempt.rs
@@ -19,6 +19,7 @@
 use guavawell_core::request::RefusalReason;
 use smol::Timer;
 
+use super::admit::AdmissionPass;
 use super::choice::choose;
 use super::choice::engine_request;
 use super::choice::failed;
@@ -93,6 +94,7 @@
     core: &Arc<RouterCore>,
     entry: &CallerEntry,
     call: &OutgoingCall,
+    pass: &AdmissionPass,
     reservation: &mut HeldReservation,
 ) -> Result<LiveStream, Refusal> {
     let mut ready = ReadyAttempt::claim(core, entry, call, reservation.attempt).await?;
@@ -108,7 +110,7 @@
             continue;
         };
         note(core, reservation, &backend, call.idempotent);
-        let message = engine_request(entry, call, reservation.attempt);
+        let message = engine_request(entry, call, reservation.attempt, pass.engine_priority());
         let sent = ready.send();
         let mut attempt = StreamAttempt {
             core,
--- a/crates/guavawell-fleet/src/router/choice.rs
+++ b/crates/guavawell-fleet/src/router/choice.rs
@@ -10,6 +10,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::BackendId;
+use guavawell_core::limits::RequestPriority;
 use guavawell_core::request::RefusalReason;
 
 use super::attempt::OutgoingCall;
@@ -90,6 +91,7 @@
     entry: &CallerEntry,
     call: &OutgoingCall,
     attempt: AttemptId,
+    priority: RequestPriority,
 ) -> EngineRequest {
     EngineRequest {
         attempt,
@@ -97,7 +99,7 @@
         organisation: entry.head.identity.organisation.clone(),
         path: call.path.clone(),
         body: call.body.clone(),
-        priority: entry.head.priority,
+        priority: priority.get(),
         fence: None,
         reuse: call.idempotent,
     }
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -142,7 +142,7 @@
     let relay = match reserved {
         ReservedRequest::Run(mut reservation) => StreamRelay {
             core: Arc::clone(core),
-            live: open_stream(core, entry, &call, &mut reservation).await?,
+            live: open_stream(core, entry, &call, &pass, &mut reservation).await?,
             reservation: Some(reservation),
             idempotent: call.idempotent,
             _pass: pass,
--- a/crates/guavawell-fleet/src/router/service.rs
+++ b/crates/guavawell-fleet/src/router/service.rs
@@ -17,6 +17,7 @@
 use http_types::Response;
 use http_types::StatusCode;
 
+use super::admit::AdmissionPass;
 use super::answer::mark;
 use super::answer::note_answer;
 use super::answer::refuse;
@@ -98,7 +99,7 @@
         idempotent: entry.head.idempotent.unwrap_or(service.idempotent),
     };
     accepted(core, entry, service.cost_tokens);
-    let _pass = admit(core, entry, &call.target, service.cost_tokens).await?;
+    let pass = admit(core, entry, &call.target, service.cost_tokens).await?;
     let asked = ReservationAsk {
         amount: service.cost_tokens,
         idempotent: call.idempotent,
@@ -110,7 +111,7 @@
         return Err(Refusal::unknown(RefusalReason::AlreadyRan, detail));
     };
     let attempt = reservation.attempt;
-    let (backend, answer) = run_call(core, entry, &call, &mut reservation).await?;
+    let (backend, answer) = run_call(core, entry, &call, &pass, &mut reservation).await?;
     settle_reservation(core, reservation, service.cost_tokens, backend).await;
     let identity = &entry.head.identity;
     note_answer(core, identity, true);
@@ -127,6 +128,7 @@
     core: &Arc<RouterCore>,
     entry: &CallerEntry,
     call: &OutgoingCall,
+    pass: &AdmissionPass,
     reservation: &mut HeldReservation,
 ) -> Result<(BackendId, ServiceAnswer), Refusal> {
     let mut ready = ReadyAttempt::claim(core, entry, call, reservation.attempt).await?;
@@ -142,7 +144,7 @@
             continue;
         };
         note(core, reservation, &backend, call.idempotent);
-        let message = engine_request(entry, call, reservation.attempt);
+        let message = engine_request(entry, call, reservation.attempt, pass.engine_priority());
         let sent = ready.send();
         let wait = clock::duration(core.settings.limits.request_timeout_ms);
         match core.engines.call_service(address, &message, wait).await {
