Keep the last slots for organisations that use little of their share

Cause: with engine priority alone, a small organisation's request still met engines whose 16 slots were all taken, in 13 of 100 cases. Change: up to a sixth of the slots that a router may take, by load reports, is closed to organisations above their share while another usually takes at most half of its own. The experiment prints refusals by organisation and four equal organisations.

--- a/crates/guavawell-core/examples/routing_compare/main.rs
+++ b/crates/guavawell-core/examples/routing_compare/main.rs
@@ -11,6 +11,7 @@
 use guavawell_core::limits::RetryBudget;
 use guavawell_core::limits::RetrySettings;
 
+use crate::sample::LatencySamples;
 use crate::sample::RandomDraws;
 use crate::world::ChoicePolicy;
 use crate::world::ExperimentWorld;
@@ -36,6 +37,7 @@
     compare_policies(20, 4);
     compare_policies(10, 3);
     compare_fairness();
+    compare_equals();
     compare_retries();
     cost::print_cost();
 }
@@ -56,7 +58,7 @@
                 let label = format!("{engines} {fault:?} {load} {policy:?}");
                 let first = result.first_token[0].summary();
                 let between = result.between.summary();
-                let (refused, late) = (result.refused, result.late_work);
+                let (refused, late) = (result.refused[0], result.late_work);
                 println!("{label:<34} | {first} | {between} | {refused} {late}");
             }
         }
@@ -80,13 +82,36 @@
             let result = ExperimentWorld::run(setup);
             let samples = &result.first_token[0];
             let (first, served) = (samples.summary(), samples.0.len());
+            let large = result.first_token.get(1).map_or(0, |large| large.0.len());
+            let refused = result.refused[0];
             println!(
-                "fairness {policy:?}, {others} large: small's first token ms {first}, served {served}"
+                "fairness {policy:?}, {others} large: small's first token ms {first}, served {served}, refused {refused}, large's served {large}"
             );
         }
     }
 }
 
+/// Four organisations that offer the same: fairness must not cost refusals.
+fn compare_equals() {
+    for load in [0.8, 0.95, 1.1] {
+        let setup = WorldSetup {
+            policy: ChoicePolicy::Guavawell,
+            fault: WorldFault::None,
+            engines: 20,
+            zones: 4,
+            rates: vec![ENGINE_RATE * 20.0 * load / 4.0; 4],
+        };
+        let result = ExperimentWorld::run(setup);
+        let firsts = result.first_token.iter().map(LatencySamples::summary);
+        let firsts = firsts.collect::<Vec<_>>().join(" |");
+        let served: usize = result.first_token.iter().map(|first| first.0.len()).sum();
+        let refused: u64 = result.refused.iter().sum();
+        println!(
+            "four equal at {load}: first token ms {firsts}, served {served}, refused {refused}"
+        );
+    }
+}
+
 /// Attempts per request in a brown-out in which nine of ten attempts fail.
 fn compare_retries() {
     for budgeted in [false, true] {
--- a/crates/guavawell-core/examples/routing_compare/world.rs
+++ b/crates/guavawell-core/examples/routing_compare/world.rs
@@ -80,7 +80,8 @@
     /// By organisation.
     pub first_token: Vec<LatencySamples>,
     pub between: LatencySamples,
-    pub refused: u64,
+    /// By organisation.
+    pub refused: Vec<u64>,
     /// New work at the leaving server 3 s after its mark.
     pub late_work: u64,
 }
@@ -215,6 +216,7 @@
             target: RouteTarget::Model("m".parse().expect("model")),
             result: WorldResult {
                 first_token: vec![LatencySamples::default(); setup.rates.len()],
+                refused: vec![0; setup.rates.len()],
                 ..WorldResult::default()
             },
             setup,
@@ -291,7 +293,7 @@
         {
             AdmissionAnswer::Run => self.attempt(number),
             AdmissionAnswer::Queued => {}
-            AdmissionAnswer::Refused(_) => self.result.refused += 1,
+            AdmissionAnswer::Refused(_) => self.refuse(number),
         }
         self.follow(&effects);
     }
@@ -303,11 +305,17 @@
                     let job = ticket.to_string().parse().expect("number");
                     self.after(0, WorldEvent::Try(job));
                 }
-                AdmissionEffect::Refuse(..) => self.result.refused += 1,
+                AdmissionEffect::Refuse(ticket, _) => {
+                    self.refuse(ticket.to_string().parse().expect("number"));
+                }
             }
         }
     }
 
+    fn refuse(&mut self, job: usize) {
+        self.result.refused[self.jobs[job].organisation] += 1;
+    }
+
     /// A request leaves its router.
     fn leave(&mut self, job: usize) {
         if self.setup.policy == ChoicePolicy::Guavawell {
@@ -323,7 +331,7 @@
 
     fn attempt(&mut self, number: usize) {
         let Some(engine) = self.choose(number) else {
-            self.result.refused += 1;
+            self.refuse(number);
             return self.leave(number);
         };
         self.advance(engine);
@@ -376,7 +384,7 @@
         if self.jobs[number].tried.len() < MAX_TRIES {
             return self.after(1, WorldEvent::Try(number));
         }
-        self.result.refused += 1;
+        self.refuse(number);
         self.leave(number);
     }
 
@@ -474,7 +482,9 @@
             let _ = router.table.apply_report(id, report, now);
             let _ = router.table.apply_cache_events(id, batch);
             let limit = router.table.capacity(&self.target, now);
+            let slots = router.table.slot_share(&self.target, now);
             let mut effects = Vec::new();
+            router.admission.set_slots(slots);
             router.admission.set_limit(limit, now, &mut effects);
             self.follow(&effects);
         }
--- a/crates/guavawell-core/src/backend/table.rs
+++ b/crates/guavawell-core/src/backend/table.rs
@@ -209,6 +209,27 @@
             .fold(0_u32, |sum, state| sum.saturating_add(state.limit.get()))
     }
 
+    /// Slots of a target's servers that this router may take: those that its
+    /// requests hold, and its part of the free ones by the estimated load of
+    /// all routers; for
+    /// [`Admission::set_slots`](crate::limits::Admission::set_slots). Walks
+    /// all servers of the target.
+    #[must_use]
+    pub fn slot_share(&self, target: &RouteTarget, now: ClockTime) -> u32 {
+        let Some(index) = self.target(target, None) else {
+            return 0;
+        };
+        let (mut own, mut free) = (0_i64, 0_i64);
+        let members = index.zones.iter().flat_map(|group| &group.members);
+        for state in members.filter(|state| state.is_eligible(now)) {
+            own += state.flight.current().max(0);
+            free += state.slots().cast_signed() - state.load(now).cast_signed();
+        }
+        let routers = i64::from(self.routers.load(Ordering::Relaxed));
+        let slots = own + free.div_euclid(routers);
+        u32::try_from(slots.max(0)).unwrap_or(u32::MAX)
+    }
+
     pub(super) fn settings(&self) -> &RoutingSettings {
         &self.settings
     }
--- a/crates/guavawell-core/src/limits/admission.rs
+++ b/crates/guavawell-core/src/limits/admission.rs
@@ -14,6 +14,9 @@
 use crate::clock::ClockTime;
 use crate::id::OrganisationId;
 
+/// One slot in this many is kept for organisations within their share.
+const LAST_PART: u32 = 6;
+
 /// Bounds of admission to one target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AdmissionSettings {
@@ -43,7 +46,9 @@
 pub struct Admission {
     settings: AdmissionSettings,
     limit: u32,
-    running: u32,
+    /// The limit for organisations above their share.
+    open: u32,
+    slots: Option<u32>,
     shares: RunningShares,
     queue: FairQueue,
     drain: DrainRate,
@@ -70,8 +75,9 @@
     pub fn new(settings: AdmissionSettings) -> Self {
         Self {
             limit: settings.limit,
+            open: settings.limit,
+            slots: None,
             settings,
-            running: 0,
             shares: RunningShares::default(),
             queue: FairQueue::default(),
             drain: DrainRate::default(),
@@ -88,7 +94,9 @@
     ) -> AdmissionAnswer {
         self.tick(now, effects);
         self.shares.note(&ask.organisation, ask.weight, now);
-        let idle = self.queue.len() == 0 && self.running < self.limit;
+        let idle = self
+            .shares
+            .may_run(&ask.organisation, self.open, self.limit);
         let wait = if idle {
             ClockSpan::default()
         } else {
@@ -101,7 +109,7 @@
             });
         }
         if idle {
-            self.run(&ask.organisation);
+            self.shares.begin(&ask.organisation);
             return AdmissionAnswer::Run;
         }
         if wait > self.settings.max_wait {
@@ -125,7 +133,6 @@
         now: ClockTime,
         effects: &mut Vec<AdmissionEffect>,
     ) {
-        self.running = self.running.saturating_sub(1);
         self.shares.finish(organisation, now);
         self.drain.ended(self.queue.len() > 0, now);
         self.dispatch(now, effects);
@@ -158,10 +165,21 @@
         self.next_late.map(|late| late + ClockSpan::from_millis(1))
     }
 
+    /// Tells how many slots of the target's servers this router may take, which
+    /// may be less than its limit; takes effect with
+    /// [`set_limit`](Self::set_limit).
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = Some(slots);
+    }
+
     /// Changes the number of requests run at a time.
     pub fn set_limit(&mut self, limit: u32, now: ClockTime, effects: &mut Vec<AdmissionEffect>) {
         self.limit = limit;
-        self.shares.forget_idle(now);
+        self.shares.review(now);
+        self.open = self.slots.map_or(limit, |slots| {
+            let kept = self.shares.unused(slots).min(slots / LAST_PART);
+            limit.min(slots - kept)
+        });
         self.dispatch(now, effects);
     }
 
@@ -179,7 +197,7 @@
     /// limit among the organisations that were active lately.
     #[must_use]
     pub fn is_within_share(&self, organisation: &OrganisationId) -> bool {
-        self.shares.is_within(organisation, 0, self.limit)
+        self.shares.is_within(organisation, 0, self.open)
     }
 
     /// What operators see.
@@ -187,7 +205,7 @@
     pub fn view(&self) -> AdmissionView {
         AdmissionView {
             limit: self.limit,
-            running: self.running,
+            running: self.shares.running(),
             waiting: self.queue.len(),
             organisations: self.queue.organisations(),
         }
@@ -195,20 +213,17 @@
 
     fn dispatch(&mut self, now: ClockTime, effects: &mut Vec<AdmissionEffect>) {
         self.tick(now, effects);
-        while self.running < self.limit {
-            let Some(ask) = self.queue.pop() else {
+        while self.shares.running() < self.limit {
+            let (shares, open, limit) = (&self.shares, self.open, self.limit);
+            let may_run = |organisation: &OrganisationId| shares.may_run(organisation, open, limit);
+            let Some(ask) = self.queue.pop(may_run) else {
                 return;
             };
-            self.run(&ask.organisation);
+            self.shares.begin(&ask.organisation);
             effects.push(AdmissionEffect::Run(ask.ticket));
         }
     }
 
-    fn run(&mut self, organisation: &OrganisationId) {
-        self.running += 1;
-        self.shares.begin(organisation);
-    }
-
     fn displace(
         &mut self,
         ask: &AdmissionAsk,
--- a/crates/guavawell-core/src/limits/fair.rs
+++ b/crates/guavawell-core/src/limits/fair.rs
@@ -77,10 +77,15 @@
         }
     }
 
-    /// The request whose turn it is.
-    pub(super) fn pop(&mut self) -> Option<AdmissionAsk> {
+    /// The request whose turn it is among the organisations that `may_run`.
+    pub(super) fn pop(
+        &mut self,
+        may_run: impl Fn(&OrganisationId) -> bool,
+    ) -> Option<AdmissionAsk> {
         let order = |queue: &OrganisationQueue| (queue.start, queue.waiting[0].ticket);
-        let place = (0..self.queues.len()).min_by_key(|place| order(&self.queues[*place]))?;
+        let place = (0..self.queues.len())
+            .filter(|place| may_run(&self.queues[*place].organisation))
+            .min_by_key(|place| order(&self.queues[*place]))?;
         let queue = &mut self.queues[place];
         let ask = queue.waiting.remove(0);
         self.virtual_time = self.virtual_time.max(queue.start);
--- a/crates/guavawell-core/src/limits/share.rs
+++ b/crates/guavawell-core/src/limits/share.rs
@@ -8,12 +8,22 @@
 /// An organisation counts as active this long after it last asked or ended.
 const ACTIVE_SPAN: ClockSpan = ClockSpan::from_millis(10_000);
 
+/// Span over which what an organisation runs is smoothed.
+const SMOOTH_SPAN: ClockSpan = ClockSpan::from_millis(5_000);
+/// An organisation is quiet while it usually takes at most one in this many of
+/// the slots of its share.
+const QUIET_PART: u64 = 2;
+/// Fixed-point scale of smoothed numbers.
+const SCALE: u64 = 1_024;
+
 /// What one active organisation runs.
 #[derive(Clone, Debug)]
 struct ActiveShare {
     organisation: OrganisationId,
     weight: FairWeight,
     running: u32,
+    /// Smoothed `running`, times [`SCALE`].
+    usual: u64,
     last: ClockTime,
 }
 
@@ -24,9 +34,23 @@
     active: Vec<ActiveShare>,
     /// Sum of the active organisations' weights.
     weights: u64,
+    /// Requests running, of all organisations.
+    running: u32,
+    reviewed: ClockTime,
 }
 
 impl RunningShares {
+    /// Requests running, of all organisations.
+    pub(super) fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Whether one more request of an organisation may run: any while fewer
+    /// than `open` run, one within its share while fewer than `limit` run.
+    pub(super) fn may_run(&self, organisation: &OrganisationId, open: u32, limit: u32) -> bool {
+        self.running < open || (self.running < limit && self.is_within(organisation, 1, open))
+    }
+
     /// An organisation asks; it is active from now on.
     pub(super) fn note(
         &mut self,
@@ -41,6 +65,7 @@
                     organisation: organisation.clone(),
                     weight,
                     running: 0,
+                    usual: 0,
                     last: now,
                 };
                 self.weights += u64::from(weight.get());
@@ -57,6 +82,7 @@
 
     /// One more request of an organisation that was noted runs.
     pub(super) fn begin(&mut self, organisation: &OrganisationId) {
+        self.running += 1;
         if let Ok(place) = self.find(organisation) {
             self.active[place].running += 1;
         }
@@ -64,6 +90,7 @@
 
     /// One of an organisation's requests ended.
     pub(super) fn finish(&mut self, organisation: &OrganisationId, now: ClockTime) {
+        self.running = self.running.saturating_sub(1);
         if let Ok(place) = self.find(organisation) {
             let share = &mut self.active[place];
             share.running = share.running.saturating_sub(1);
@@ -71,15 +98,36 @@
         }
     }
 
-    /// Forgets the organisations that have not been active for a while. Walks
-    /// the active ones, so call it on a timer.
-    pub(super) fn forget_idle(&mut self, now: ClockTime) {
+    /// Time has passed: smooths what each organisation runs and forgets those
+    /// that have not been active for a while. Walks the active organisations,
+    /// so call it on a timer.
+    pub(super) fn review(&mut self, now: ClockTime) {
+        let whole = SMOOTH_SPAN.as_millis();
+        let part = now.since(self.reviewed).as_millis().min(whole);
+        self.reviewed = now;
         self.active
             .retain(|share| share.running > 0 || now.since(share.last) < ACTIVE_SPAN);
+        for share in &mut self.active {
+            let running = u64::from(share.running) * SCALE;
+            share.usual = (share.usual * (whole - part) + running * part) / whole;
+        }
         let weights = self.active.iter().map(|share| share.weight.get());
         self.weights = weights.map(u64::from).sum();
     }
 
+    /// What the organisations that usually take a small part of their shares
+    /// of `slots` leave unused of them.
+    pub(super) fn unused(&self, slots: u32) -> u32 {
+        let whole = u64::from(slots) * SCALE;
+        let unused = |share: &ActiveShare| {
+            let allowed = whole * u64::from(share.weight.get()) / self.weights.max(1);
+            let quiet = share.usual * QUIET_PART <= allowed;
+            if quiet { allowed - share.usual } else { 0 }
+        };
+        let sum: u64 = self.active.iter().map(unused).sum();
+        u32::try_from(sum / SCALE).unwrap_or(u32::MAX)
+    }
+
     /// Whether an organisation that would run `more` stays within its share
     /// of `limit`. One request always is, and so is who is active alone.
     pub(super) fn is_within(&self, organisation: &OrganisationId, more: u32, limit: u32) -> bool {
--- a/crates/guavawell-core/tests/limits.rs
+++ b/crates/guavawell-core/tests/limits.rs
@@ -261,6 +261,66 @@
     assert_eq!(effects, [AdmissionEffect::Run(AdmissionTicket::new(1))]);
 }
 
+/// Admission to 12 slots in which `large` asks 20 times and `small` has asked
+/// before; how many run.
+fn contended(asked_before: &[&str]) -> Admission {
+    let mut admission = admission(12, 100);
+    admission.set_slots(12);
+    for (ticket, name) in (50..).zip(asked_before) {
+        submit(&mut admission, ask(ticket, name), at(0));
+        admission.finish(&organisation(name), at(0), &mut Vec::new());
+    }
+    admission.set_limit(12, at(0), &mut Vec::new());
+    for ticket in 0..20 {
+        submit(&mut admission, ask(ticket, "large"), at(1));
+    }
+    admission
+}
+
+#[test]
+fn the_last_slots_are_kept_for_an_organisation_below_its_share() {
+    let mut admission = contended(&["small"]);
+    assert_eq!(admission.view().running, 10, "a sixth is kept");
+    for ticket in [60, 61] {
+        let answer = submit(&mut admission, ask(ticket, "small"), at(2));
+        assert_eq!(answer, AdmissionAnswer::Run, "though others wait");
+    }
+    let answer = submit(&mut admission, ask(62, "small"), at(2));
+    assert_eq!(answer, AdmissionAnswer::Queued, "the limit holds for all");
+    let mut effects = Vec::new();
+    admission.finish(&organisation("large"), at(3), &mut effects);
+    let small = AdmissionEffect::Run(AdmissionTicket::new(62));
+    assert_eq!(effects, [small], "the slot is one of the last");
+}
+
+#[test]
+fn an_organisation_alone_takes_every_slot() {
+    assert_eq!(contended(&[]).view().running, 12);
+}
+
+#[test]
+fn an_organisation_that_went_away_keeps_no_slots() {
+    let mut admission = contended(&["small"]);
+    let mut effects = Vec::new();
+    admission.set_limit(12, at(9_999), &mut effects);
+    assert_eq!(effects, []);
+    admission.set_limit(12, at(10_001), &mut effects);
+    assert_eq!(effects.len(), 2);
+}
+
+#[test]
+fn organisations_that_use_their_shares_keep_no_slots() {
+    let mut admission = admission(12, 100);
+    admission.set_slots(12);
+    for ticket in 0..10 {
+        let name = if ticket % 2 == 0 { "one" } else { "other" };
+        submit(&mut admission, ask(ticket, name), at(0));
+    }
+    admission.set_limit(12, at(5_000), &mut Vec::new());
+    let answers = [10, 11].map(|ticket| submit(&mut admission, ask(ticket, "one"), at(5_001)));
+    assert_eq!(answers, [AdmissionAnswer::Run; 2]);
+}
+
 #[test]
 fn the_standing_follows_from_what_runs_for_the_weight() {
     let mut admission = admission(12, 100);
--- a/crates/guavawell-fleet/src/router/admit.rs
+++ b/crates/guavawell-fleet/src/router/admit.rs
@@ -130,8 +130,14 @@
         }
     }
 
-    /// Lets time pass and sets each target's limit to what its servers take.
-    pub fn review(&self, now: ClockTime, capacity: impl Fn(&RouteTarget) -> u32) {
+    /// Lets time pass and sets each target's limit to what its servers take,
+    /// and its slots to what this router may take of theirs.
+    pub fn review(
+        &self,
+        now: ClockTime,
+        capacity: impl Fn(&RouteTarget) -> u32,
+        slots: impl Fn(&RouteTarget) -> u32,
+    ) {
         let gate = self.gate.load();
         for target in gate.targets() {
             let Some(shard) = gate.shard(target) else {
@@ -141,6 +147,7 @@
             {
                 let mut admission = AdmissionGate::lock(&shard);
                 admission.tick(now, &mut effects);
+                admission.set_slots(slots(target));
                 admission.set_limit(capacity(target).max(1), now, &mut effects);
             }
             self.tell(effects);
--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use guavawell_core::backend::RouteTarget;
 use guavawell_core::instance::ListedInstance;
 use guavawell_core::instance::MemberEffect;
 use guavawell_core::instance::Reachability;
@@ -72,8 +73,9 @@
         Timer::after(ADMISSION_REVIEW).await;
         let now = clock::now();
         let table = core.backends.load_full();
-        core.door
-            .review(now, |target| table.capacity(target, now).min(most));
+        let capacity = |target: &RouteTarget| table.capacity(target, now).min(most);
+        let slots = |target: &RouteTarget| table.slot_share(target, now);
+        core.door.review(now, capacity, slots);
     }
 }
 
