Replace the copies of a server that says it is leaving; test adapters and rate

Cause: placement heeded the manifest's leaving mark but not the server's own report of it; adapters and the fleet-wide rate were untested in the driver.

Change: the reported leaving mark is kept beside the models and closes the server to orders; its copies no longer count. Tests: a leaving server is replaced, an adapter is loaded only where its model is served, two parted routers never load two models at once under a rate of one.

--- a/crates/guavawell-fleet/src/order/book.rs
+++ b/crates/guavawell-fleet/src/order/book.rs
@@ -1,6 +1,7 @@
 //! What the backend servers last reported to hold.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -19,6 +20,7 @@
     pub models: Vec<ServedModel>,
     /// When the last report came, by this router's clock.
     seen: AtomicU64,
+    leaving: AtomicBool,
 }
 
 impl ReportedModels {
@@ -27,6 +29,12 @@
     pub fn seen(&self) -> ClockTime {
         ClockTime::from_millis(self.seen.load(Ordering::Relaxed))
     }
+
+    /// Whether the server said that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
 }
 
 /// The last report of every backend server, for read-copy-update.
@@ -46,14 +54,17 @@
             backend: backend.clone(),
             models: models.to_vec(),
             seen: AtomicU64::new(now.as_millis()),
+            leaving: AtomicBool::new(known.as_ref().is_some_and(|known| known.is_leaving())),
         });
         self.replace(&report);
         known.is_none_or(|known| known.models != report.models)
     }
 
-    /// Notes that a server reported, without a word on its models.
-    pub fn touch(&self, backend: &BackendId, now: ClockTime) {
+    /// Notes that a server reported, without a word on its models, and whether
+    /// it is leaving.
+    pub fn touch(&self, backend: &BackendId, leaving: bool, now: ClockTime) {
         if let Some(known) = self.find(backend) {
+            known.leaving.store(leaving, Ordering::Relaxed);
             known.seen.fetch_max(now.as_millis(), Ordering::Relaxed);
         }
     }
--- a/crates/guavawell-fleet/src/order/picture.rs
+++ b/crates/guavawell-fleet/src/order/picture.rs
@@ -53,11 +53,11 @@
         for entry in engines {
             let report = book.find(&entry.id);
             unseen += usize::from(report.is_none());
-            let silent = report
-                .as_ref()
-                .is_none_or(|report| now.since(report.seen()) > bounds.silence);
+            let gone = report.as_ref().is_none_or(|report| {
+                report.is_leaving() || now.since(report.seen()) > bounds.silence
+            });
             let models = report.map_or_else(Vec::new, |report| report.models.clone());
-            rooms.push(room(view, entry, models, silent, bounds.spare));
+            rooms.push(room(view, entry, models, gone, bounds.spare));
         }
         let wishes = wishes(view, zone, &rooms);
         Self {
@@ -78,7 +78,7 @@
     view: &FleetView,
     entry: &BackendEntry,
     models: Vec<ServedModel>,
-    silent: bool,
+    gone: bool,
     spare: usize,
 ) -> PlacementRoom {
     let hosts = hosts(view, entry, &models);
@@ -89,8 +89,8 @@
         hosts,
         models,
         loading: Vec::new(),
-        closed: entry.leaving || silent,
-        leaving: entry.leaving || silent,
+        closed: entry.leaving || gone,
+        leaving: entry.leaving || gone,
     }
 }
 
--- a/crates/guavawell-fleet/src/router/fetch.rs
+++ b/crates/guavawell-fleet/src/router/fetch.rs
@@ -271,7 +271,7 @@
     let now = clock::now();
     let effect = core.backends.load().apply_report(backend, report, now);
     if !effect.ignored {
-        core.models.touch(backend, now);
+        core.models.touch(backend, effect.leaving, now);
     }
     if effect.leaving && !effect.ignored {
         metrics::counter!("guavawell_backends_leaving_reports_total").increment(1);
--- a/crates/guavawell-fleet/tests/orders/review.rs
+++ b/crates/guavawell-fleet/tests/orders/review.rs
@@ -34,6 +34,7 @@
 
 use crate::support::OrderTest;
 use crate::support::held;
+use crate::support::is_loading;
 use crate::support::issuer;
 use crate::support::load;
 use crate::support::send_late;
@@ -68,6 +69,11 @@
 
 /// A manifest that wants `m:2` on two servers of the zone.
 fn view(engines: &[Engine]) -> Arc<ArcSwap<FleetView>> {
+    view_with(engines, "")
+}
+
+/// The same, with `more` in the model's section.
+fn view_with(engines: &[Engine], more: &str) -> Arc<ArcSwap<FleetView>> {
     let fleet = "[fleet]\nshards = 1\nzones = [\"tln-a\"]\n[[model]]\nid = \"m\"\n\
                  version = \"2\"\nmax_output = 9\nreplicas_per_zone = 2\n";
     let backend = |(index, engine): (usize, &Engine)| {
@@ -78,7 +84,7 @@
         )
     };
     let backends: Vec<String> = engines.iter().enumerate().map(backend).collect();
-    let text = fleet.to_owned() + &backends.concat();
+    let text = fleet.to_owned() + more + &backends.concat();
     let manifest = parse_manifest("test.toml", &text).expect("no findings");
     let view = FleetView::compile(&manifest, ManifestVersion::new(1));
     Arc::new(ArcSwap::from_pointee(view))
@@ -92,12 +98,21 @@
 
 impl TestReviewer {
     fn start(test: &OrderTest, name: &str, engines: &[Engine], gossip: GossipDriver) -> Self {
+        Self::start_with(test, name, view(engines), gossip)
+    }
+
+    fn start_with(
+        test: &OrderTest,
+        name: &str,
+        view: Arc<ArcSwap<FleetView>>,
+        gossip: GossipDriver,
+    ) -> Self {
         let threads = TaskThreads::start(name, 1, &LinkGate::default()).expect("a thread");
         let book = Arc::new(ModelBook::default());
         let driver = OrderDriver::new(OrderParts {
             issuer: issuer(name),
             zone: "tln-a".parse().expect("a good id"),
-            view: view(engines),
+            view,
             members: Box::new(move || gossip.view()),
             book: Arc::clone(&book),
             ports: test.ports(),
@@ -111,31 +126,39 @@
         }
     }
 
+    /// Takes a report of versions of `m` in.
     fn hear(&self, test: &OrderTest, index: usize, versions: &[&str]) {
-        let served = |version: &&str| ServedModel {
-            model: "m".parse().expect("a good id"),
-            version: version.parse().expect("a version"),
-        };
-        let models: Vec<ServedModel> = versions.iter().map(served).collect();
-        let now = ClockTime::from_millis(test.clock.load(Ordering::SeqCst));
-        let backend = format!("e{index}").parse().expect("a good id");
-        self.book.note(&backend, &models, now);
+        let models = versions.iter().map(|version| served("m", version));
+        self.note(test, index, &models.collect::<Vec<_>>());
     }
 
     /// Takes the engines' reports in as they are.
     fn hear_all(&self, test: &OrderTest, engines: &[Engine]) {
         for (index, engine) in engines.iter().enumerate() {
             let models = engine.load().models;
-            let versions: Vec<&str> = models.iter().map(|model| &*model.version).collect();
-            self.hear(test, index, &versions);
+            let models = models.iter().map(|held| served(&held.model, &held.version));
+            self.note(test, index, &models.collect::<Vec<_>>());
         }
     }
 
+    fn note(&self, test: &OrderTest, index: usize, models: &[ServedModel]) {
+        let now = ClockTime::from_millis(test.clock.load(Ordering::SeqCst));
+        let backend = format!("e{index}").parse().expect("a good id");
+        self.book.note(&backend, models, now);
+    }
+
     fn review(&self) {
         smol::block_on(self.driver.review());
     }
 }
 
+fn served(model: &str, version: &str) -> ServedModel {
+    ServedModel {
+        model: model.parse().expect("a good id"),
+        version: version.parse().expect("a version"),
+    }
+}
+
 fn pause() {
     smol::block_on(Timer::after(Duration::from_millis(10)));
 }
@@ -278,3 +301,68 @@
         assert!(rounds < MAX_ROUNDS);
     }
 }
+
+#[test]
+fn adapters_follow_their_model() {
+    let test = OrderTest::start();
+    let engines: Vec<Engine> = (0..2).map(|_| OrderTest::engine(true, 0)).collect();
+    let adapter = "[[model.adapter]]\nid = \"a\"\nversion = \"7\"\n";
+    let view = view_with(&engines, adapter);
+    let reviewer = TestReviewer::start_with(&test, "r1", view, gossip("r1", Vec::new()));
+    let mut rounds = 0;
+    while !engines.iter().all(|engine| held(engine) == ["a:7", "m:2"]) {
+        reviewer.hear_all(&test, &engines);
+        reviewer.review();
+        for engine in &engines {
+            let held = held(engine);
+            let alone = held.contains(&"a:7".to_owned()) && !held.contains(&"m:2".to_owned());
+            assert!(!alone, "{held:?}");
+        }
+        test.pass(200);
+        pause();
+        rounds += 1;
+        assert!(rounds < MAX_ROUNDS);
+    }
+}
+
+#[test]
+fn parted_routers_keep_the_fleets_rate_of_loads() {
+    let test = OrderTest::start();
+    let engines: Vec<Engine> = (0..4).map(|_| OrderTest::engine(false, 60)).collect();
+    let reviewers = ["r1", "r2"]
+        .map(|name| TestReviewer::start(&test, name, &engines, gossip(name, Vec::new())));
+    let mut rounds = 0;
+    while !engines.iter().all(|engine| held(engine) == ["m:2"]) {
+        for reviewer in &reviewers {
+            reviewer.hear_all(&test, &engines);
+            reviewer.review();
+        }
+        let loading = engines.iter().filter(|engine| is_loading(engine)).count();
+        assert!(loading <= 1, "the permits' row allows one load at a time");
+        test.pass(200);
+        pause();
+        rounds += 1;
+        assert!(rounds < MAX_ROUNDS);
+    }
+}
+
+#[test]
+fn a_server_that_says_it_is_leaving_is_replaced() {
+    let test = OrderTest::start();
+    let engines: Vec<Engine> = (0..3).map(|_| OrderTest::engine(true, 0)).collect();
+    let reviewer = TestReviewer::start(&test, "r1", &engines, gossip("r1", Vec::new()));
+    for (index, versions) in [&["2"][..], &["2"], &[]].into_iter().enumerate() {
+        reviewer.hear(&test, index, versions);
+    }
+    reviewer.review();
+    pause();
+    assert!(test.platform.keys("order/").is_empty(), "nothing lacks");
+    let now = ClockTime::from_millis(test.clock.load(Ordering::SeqCst));
+    let leaving = "e0".parse().expect("a good id");
+    reviewer.book.touch(&leaving, true, now);
+    reviewer.review();
+    while !held(&engines[2]).contains(&"m:2".to_owned()) {
+        pause();
+    }
+    assert_eq!(held(&engines[0]), ["m:1"], "it takes no order");
+}
--- a/crates/guavawell-fleet/tests/orders/support.rs
+++ b/crates/guavawell-fleet/tests/orders/support.rs
@@ -151,10 +151,17 @@
 
 /// The ids of the orders that the engine carried out.
 pub fn applied(engine: &Engine) -> Vec<String> {
+    serde_json::from_value(orders(engine)["applied"].clone()).expect("a list")
+}
+
+/// Whether the engine is loading a model.
+pub fn is_loading(engine: &Engine) -> bool {
+    orders(engine)["loading"] != serde_json::json!([])
+}
+
+fn orders(engine: &Engine) -> serde_json::Value {
     let body = smol::block_on(EngineClient::default().fetch(engine.address(), "/v1/orders"));
-    let answer: serde_json::Value =
-        serde_json::from_slice(&body.expect("an answer")).expect("JSON");
-    serde_json::from_value(answer["applied"].clone()).expect("a list")
+    serde_json::from_slice(&body.expect("an answer")).expect("JSON")
 }
 
 /// Sends an order past all rules, as a late copy would arrive.
