--- a/crates/guavawell-core/examples/manifest_cost/main.rs
+++ b/crates/guavawell-core/examples/manifest_cost/main.rs
@@ -34,7 +34,8 @@
 /// Lookups measured for each size.
 const LOOKUPS: usize = 1_000_000;
 
-fn main() {
+/// Prints every measurement.
+pub(crate) fn main() {
     let pages = encode(&FULL);
     report_pages(&pages);
     let view = report_memory(&pages);
--- a/crates/guavawell-core/examples/manifest_cost/measure.rs
+++ b/crates/guavawell-core/examples/manifest_cost/measure.rs
@@ -7,10 +7,10 @@
 
 use guavawell_core::manifest::FleetView;
 
-use crate::fleet::FleetSize;
-use crate::fleet::budget_name;
-use crate::fleet::key_hash;
-use crate::fleet::organisation_name;
+use super::fleet::FleetSize;
+use super::fleet::budget_name;
+use super::fleet::key_hash;
+use super::fleet::organisation_name;
 
 /// Names looked up in turns, so that a lookup finds the caches as cold as
 /// requests of many organisations would.
--- a/crates/guavawell-core/examples/routing_compare/cost.rs
+++ b/crates/guavawell-core/examples/routing_compare/cost.rs
@@ -11,8 +11,8 @@
 use guavawell_core::backend::RoutingSettings;
 use guavawell_core::clock::ClockTime;
 
-use crate::sample::RandomDraws;
-use crate::world;
+use super::sample::RandomDraws;
+use super::world;
 
 const ROUNDS: u64 = 1_000_000;
 
--- a/crates/guavawell-core/examples/routing_compare/main.rs
+++ b/crates/guavawell-core/examples/routing_compare/main.rs
@@ -11,12 +11,12 @@
 use guavawell_core::limits::RetryBudget;
 use guavawell_core::limits::RetrySettings;
 
-use crate::sample::LatencySamples;
-use crate::sample::RandomDraws;
-use crate::world::ChoicePolicy;
-use crate::world::ExperimentWorld;
-use crate::world::WorldFault;
-use crate::world::WorldSetup;
+use self::sample::LatencySamples;
+use self::sample::RandomDraws;
+use self::world::ChoicePolicy;
+use self::world::ExperimentWorld;
+use self::world::WorldFault;
+use self::world::WorldSetup;
 
 /// Requests a second that one full engine completes.
 const ENGINE_RATE: f64 = 6.1;
@@ -39,6 +39,11 @@
     compare_fairness();
     compare_equals();
     compare_retries();
+    print_cost();
+}
+
+/// Prints the time of a choice by number of backend servers.
+pub(crate) fn print_cost() {
     cost::print_cost();
 }
 
--- a/crates/guavawell-core/examples/routing_compare/world.rs
+++ b/crates/guavawell-core/examples/routing_compare/world.rs
@@ -28,12 +28,12 @@
 use guavawell_core::limits::FairWeight;
 use guavawell_core::limits::RequestPriority;
 
-use crate::engine::EngineJob;
-use crate::engine::EngineTimes;
-use crate::engine::ModelEngine;
-use crate::engine::SLOTS;
-use crate::sample::LatencySamples;
-use crate::sample::RandomDraws;
+use super::engine::EngineJob;
+use super::engine::EngineTimes;
+use super::engine::ModelEngine;
+use super::engine::SLOTS;
+use super::sample::LatencySamples;
+use super::sample::RandomDraws;
 
 const ROUTERS: usize = 6;
 const PREFIXES: u64 = 60;
--- a/crates/guavawell-fleet/examples/gossip_cost/load.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/load.rs
@@ -31,7 +31,7 @@
 use guavawell_fleet::gossip::FleetKey;
 use guavawell_fleet::gossip::FleetKeys;
 
-use crate::WorkKind;
+use super::WorkKind;
 
 /// Bytes of a load report.
 const NOTE_BYTES: usize = 64;
--- a/crates/guavawell-fleet/examples/gossip_cost/main.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/main.rs
@@ -15,7 +15,7 @@
 use node::NodeCost;
 
 /// Fleet sizes of the slope; the last is that of the first letter.
-const SIZES: [usize; 4] = [6, 50, 100, 390];
+pub(crate) const SIZES: [usize; 4] = [6, 50, 100, 390];
 
 /// Work that rides on gossip while it is measured.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +27,12 @@
 }
 
 fn main() -> ExitCode {
+    report(&sizes());
+    ExitCode::SUCCESS
+}
+
+/// Measures one node in fleets of these sizes.
+pub(crate) fn report(sizes: &[usize]) {
     println!("busy: each node a 64-byte note to its zone every 4 s, a new manifest version in");
     println!(
         "force on all nodes every 12.7 s, an instance replaced every 4 s (a day's 390 in 26 min)"
@@ -35,13 +41,12 @@
     println!(
         "nodes  work    core %  core+ %  heap KB  sent B/s  received B/s  known  queued  load %"
     );
-    for size in sizes() {
+    for &size in sizes {
         for work in [WorkKind::Quiet, WorkKind::Busy] {
             let cost = node::measure(FleetLoad::start(size, work));
             show(size, work, &cost);
         }
     }
-    ExitCode::SUCCESS
 }
 
 /// The sizes named on the command line, or all of them.
--- a/crates/guavawell-fleet/examples/gossip_cost/node.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/node.rs
@@ -14,10 +14,10 @@
 use guavawell_fleet::gossip::GossipDriver;
 use smol::Timer;
 
-use crate::WorkKind;
-use crate::load;
-use crate::load::FleetLoad;
-use crate::load::LoadClock;
+use super::WorkKind;
+use super::load;
+use super::load::FleetLoad;
+use super::load::LoadClock;
 
 /// Time in which the node gets to know the fleet before it is measured.
 const WARM_UP: Duration = Duration::from_secs(3);
--- a/crates/guavawell-fleet/examples/peer_cost.rs
+++ b/crates/guavawell-fleet/examples/peer_cost.rs
@@ -83,7 +83,8 @@
     thread::park();
 }
 
-fn both() {
+/// Measures with both sides in this process.
+pub(crate) fn both() {
     let folder = tempfile::tempdir().unwrap();
     make_certificates(folder.path());
     let address: SocketAddr = "127.0.0.1:18082".parse().unwrap();
