Close former grants one after another after a takeover

Cause: a new holder has to close the former tenure of every budget in the table. The table serves several hundred writes a second for everybody, and a change that its share refuses counts as an unreachable table.

Change: where budgets take turns, those at rest start one change in 125 ms (8 a second and slot). Budgets that somebody asks for are changed at once, as before. Slots of up to 32 budgets are as before.

--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -81,6 +81,8 @@
     busy: Vec<bool>,
     /// The first budget that a tick looks at next while it rests.
     next_rest: usize,
+    /// When a budget at rest last started a change of its grant.
+    rest_changed_at: ClockTime,
     /// Entries that no batch carries yet.
     outbox: Vec<LedgerEntry>,
     /// The batch that waits for its acknowledgement.
@@ -126,6 +128,7 @@
             stocks: Vec::new(),
             busy: Vec::new(),
             next_rest: 0,
+            rest_changed_at: ClockTime::default(),
             outbox: Vec::new(),
             batch: None,
             sequence: 0,
--- a/crates/guavawell-core/src/budget/holder/refill.rs
+++ b/crates/guavawell-core/src/budget/holder/refill.rs
@@ -37,12 +37,6 @@
         self.busy[place] = self.stocks[place].is_busy();
     }
 
-    pub(super) fn review_all(&mut self, now: ClockTime, effects: &mut Vec<HolderEffect>) {
-        for place in 0..self.stocks.len() {
-            self.review(place, now, effects);
-        }
-    }
-
     pub(super) fn review_budget_of(
         &mut self,
         identity: &RequestIdentity,
