Read long slot and instance lists less often

Change: the pause between two reads grows by one period for each 64 rows or instances. At today's sizes (up to 63) nothing changes.

Gossip and the witness's own review, which do not wait for these reads, find a dead holder as before.

Conclusion: bounded bytes at any fleet size; a router that the hashing newly names for a slot learns of it up to 6 s later at 128 shards.

--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -38,6 +38,10 @@
 /// Time between two reads of the platform's instance list.
 const LIST_EVERY: Duration = Duration::from_secs(5);
 
+/// Instances that may be listed in one period; longer lists are read less
+/// often, so that their bytes a second do not grow with the fleet.
+const LISTED_A_PERIOD: usize = 64;
+
 /// Time between two tries to publish this instance's row.
 const ROW_RETRY: Duration = Duration::from_secs(5);
 
@@ -84,8 +88,10 @@
     let pool = platform_pool(&core.settings, &core.gate);
     let list = InstanceList::new(platform.instances, &platform.namespace, pool);
     loop {
+        let mut periods = 1;
         match list.read().await {
             Ok(entries) => {
+                periods += u32::try_from(entries.len() / LISTED_A_PERIOD).unwrap_or(u32::MAX - 1);
                 let listed: Vec<ListedInstance> = entries
                     .iter()
                     .filter_map(|entry| listed(entry, gossip.address().port()))
@@ -97,7 +103,7 @@
                 log::debug!("instance list: {error}");
             }
         }
-        Timer::after(LIST_EVERY).await;
+        Timer::after(LIST_EVERY * periods).await;
     }
 }
 
--- a/crates/guavawell-fleet/src/slot/acquire.rs
+++ b/crates/guavawell-fleet/src/slot/acquire.rs
@@ -57,11 +57,11 @@
 
 impl SlotDriver {
     /// Reads the zone's slot rows and tries to take those that this router
-    /// should hold.
-    pub(super) async fn acquire(self: &Arc<Self>, watch: &mut LossWatch) {
+    /// should hold; the number of rows read.
+    pub(super) async fn acquire(self: &Arc<Self>, watch: &mut LossWatch) -> usize {
         let zone = self.parts.zone.as_str();
         let Ok(rows) = self.parts.table.read_zone(zone).await else {
-            return;
+            return 0;
         };
         for known in &rows {
             let slot = self.slot(known.shard);
@@ -76,6 +76,7 @@
                 self.acquire_slot(&slot, row, &members, watch).await;
             }
         }
+        rows.len()
     }
 
     fn slot(&self, shard: ShardId) -> SlotId {
--- a/crates/guavawell-fleet/src/slot/maintain.rs
+++ b/crates/guavawell-fleet/src/slot/maintain.rs
@@ -20,6 +20,10 @@
 use super::table::slot_key;
 use crate::clock;
 
+/// Slot rows that may be read in one period; for more of them the reads come
+/// less often, so that their bytes a second do not grow with the shards.
+const ROWS_A_PERIOD: usize = 64;
+
 impl SlotDriver {
     /// Runs the driver's clock work until dropped.
     pub async fn run(self: Arc<Self>) {
@@ -61,8 +65,10 @@
     async fn run_acquire(self: Arc<Self>) {
         let mut watch = LossWatch::default();
         loop {
-            self.acquire(&mut watch).await;
-            let wait = clock::duration(self.parts.times.refresh_every);
+            let rows = self.acquire(&mut watch).await;
+            let periods = 1 + rows / ROWS_A_PERIOD;
+            let periods = u32::try_from(periods).unwrap_or(u32::MAX);
+            let wait = clock::duration(self.parts.times.refresh_every) * periods;
             let few = wait / 10;
             // Quick while slots are missing, so that a start takes no full period.
             let pause = if self.holds_all() { wait } else { few };
