--- a/crates/guavawell-demo/benches/capacity/holder.rs
+++ b/crates/guavawell-demo/benches/capacity/holder.rs
@@ -31,6 +31,8 @@
 const CHUNK: usize = 500;
 /// Ticks measured in each row.
 const TICKS: usize = 200;
+/// Ticks before those that are measured.
+const SETTLING: usize = 60;
 /// The driver's time between two ticks.
 const TICK: ClockSpan = ClockSpan::from_millis(25);
 /// Request numbers of this and more are not used for opening budgets.
@@ -65,6 +67,8 @@
         time += time_of(|| run_chunk(&mut rig, chunk, budgets));
         rig.tick(TICK);
     }
+    // A second and more, so that all budgets rest.
+    (0..SETTLING).for_each(|_| rig.tick(TICK));
     let ticks = time_of(|| (0..TICKS).for_each(|_| rig.tick(TICK)));
     let (seal, release) = strays(&mut rig);
     println!(
--- a/crates/guavawell-demo/benches/capacity/platform.rs
+++ b/crates/guavawell-demo/benches/capacity/platform.rs
@@ -13,6 +13,7 @@
 use guavawell_core::budget::InstanceLife;
 use guavawell_core::budget::SlotId;
 use guavawell_core::budget::SlotRow;
+use guavawell_core::budget::TokenPool;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::IncarnationId;
@@ -147,6 +148,8 @@
         tenure: FIRST_TENURE,
         charged: ACTUAL,
         backend: Some("engine-0-1".parse().expect("a good id")),
+        counted: TokenCount::new(1_000_000 + number),
+        pool: TokenPool::Witnessed,
         at: ClockTime::from_millis(1_700_000_000_000 + number),
     }
 }
