Go on charging what a holder recorded alone, and tell a former holder's float

Cause: a holder whose witness is away answers a charge as pending; the router took that for final. A takeover then went on from the witness's ledger, which had the attempt as running: an answer given whole was never charged. A charge to a former holder's float went to its successor only, so that the former holder would report the worst case after ten minutes; and a router that holds the slot again looked for its former holder by the successor's tenure. Change: the router repeats a pending charge in the background until a witness has it, and tells a former holder of a float charge first.

--- a/crates/guavawell-fleet/src/slot/seat.rs
+++ b/crates/guavawell-fleet/src/slot/seat.rs
@@ -168,7 +168,8 @@
     /// froze in its tenure, otherwise the present one.
     fn concerned(&mut self, event: &HolderEvent) -> Option<&mut SlotHolder> {
         let is_former = |holder: &SlotHolder| match event {
-            HolderEvent::Settle(_, settle) => holder.row().tenure == settle.grant.tenure,
+            // A former holder's row is its successor's; its ledger is its own.
+            HolderEvent::Settle(_, settle) => holder.ledger().tenure == settle.grant.tenure,
             HolderEvent::Release(_, release) => is_held(holder, &release.identity, release.attempt),
             HolderEvent::FrozenReported(..) => true,
             _ => false,
--- a/crates/guavawell-fleet/src/slot/toward.rs
+++ b/crates/guavawell-fleet/src/slot/toward.rs
@@ -7,6 +7,7 @@
 use guavawell_core::budget::HandBackAnswer;
 use guavawell_core::budget::HandBackAsk;
 use guavawell_core::budget::HolderEvent;
+use guavawell_core::budget::InstanceLife;
 use guavawell_core::budget::ReleaseAnswer;
 use guavawell_core::budget::ReleaseAsk;
 use guavawell_core::budget::ReserveAnswer;
@@ -17,6 +18,7 @@
 use guavawell_core::budget::SettleAsk;
 use guavawell_core::budget::SlotId;
 use guavawell_core::budget::TakeoverAsk;
+use guavawell_core::budget::TokenPool;
 use guavawell_core::budget::shard_of;
 use guavawell_core::id::BudgetId;
 use guavawell_core::id::InstanceId;
@@ -24,6 +26,7 @@
 use guavawell_core::id::TokenCount;
 use smol::Timer;
 
+use super::acquire::is_alive;
 use super::driver::SlotDriver;
 use super::table::slot_key;
 use crate::clock;
@@ -94,30 +97,40 @@
 
     /// Charges an attempt, trying until it is recorded or `settle_wait` has
     /// passed; then the tries go on in the background and `None` is returned.
+    ///
+    /// A charge that the holder has recorded alone is returned as pending, and
+    /// the tries go on too: a takeover would not know of it.
     pub async fn settle(self: &Arc<Self>, ask: SettleAsk) -> Option<SettleAnswer> {
         let deadline = clock::now() + self.parts.times.settle_wait;
-        loop {
-            if let Some(answer) = self.settle_once(&ask).await {
-                return Some(answer);
-            }
-            if clock::now() >= deadline {
-                break;
-            }
+        let mut answer = self.settle_once(&ask).await;
+        while answer.is_none() && clock::now() < deadline {
             Timer::after(RETRY_PAUSE).await;
+            answer = self.settle_once(&ask).await;
+        }
+        if !is_final(answer.as_ref()) {
+            metrics::counter!("guavawell_settles_late_total").increment(1);
+            self.settle_later(ask);
         }
-        metrics::counter!("guavawell_settles_late_total").increment(1);
+        answer
+    }
+
+    fn settle_later(self: &Arc<Self>, ask: SettleAsk) {
         let driver = Arc::clone(self);
         let task = async move {
-            while driver.settle_once(&ask).await.is_none() {
+            let mut answer = None;
+            while !is_final(answer.as_ref()) {
                 Timer::after(RETRY_PAUSE * 10).await;
+                answer = driver.settle_once(&ask).await;
             }
         };
         self.parts.tasks.spawn(task);
-        None
     }
 
     async fn settle_once(self: &Arc<Self>, ask: &SettleAsk) -> Option<SettleAnswer> {
         let slot = self.slot_of(&ask.identity.organisation);
+        if ask.grant.pool == TokenPool::Float && !self.is_holder(&slot, &ask.grant.holder) {
+            self.settle_float(&slot, ask).await?;
+        }
         match self
             .ask_holder(
                 &slot,
@@ -131,6 +144,26 @@
         }
     }
 
+    /// Tells a former holder of a charge to its float, which only it reports;
+    /// `None` if it lives and has not answered.
+    async fn settle_float(self: &Arc<Self>, slot: &SlotId, ask: &SettleAsk) -> Option<()> {
+        let former = &ask.grant.holder;
+        let reply = self
+            .ask_one(
+                slot,
+                &PeerRequest::Settle(SlotAsk::new(slot.clone(), ask.clone())),
+                &former.instance,
+            )
+            .await;
+        let is_told = matches!(reply, Ok(PeerReply::Settle(_)));
+        (is_told || !is_alive(&(self.parts.members)(), former)).then_some(())
+    }
+
+    /// Whether a life holds the slot, as far as is known here.
+    fn is_holder(&self, slot: &SlotId, life: &InstanceLife) -> bool {
+        self.directory.holder(slot).as_ref() == Some(life)
+    }
+
     /// Gives a reservation back in the background: the attempt did not run.
     pub fn release_later(self: &Arc<Self>, ask: ReleaseAsk) {
         let driver = Arc::clone(self);
@@ -296,6 +329,11 @@
     }
 }
 
+/// Whether nothing is left to do for a charge.
+const fn is_final(answer: Option<&SettleAnswer>) -> bool {
+    !matches!(answer, None | Some(SettleAnswer::Pending { .. }))
+}
+
 fn word_of(reply: &PeerReply) -> HolderWord {
     match reply {
         PeerReply::Reserve(ReserveAnswer::NotHolder { holder })
