Let an answer run on when the caller that named its id goes away

Cause: a router whose caller had gone cancelled the attempt and charged what it had used. The caller's retry found the id charged and its answer cancelled, so that every further try ended in unknown, interrupted: billed, never answered. A holder that was paused did this on its return to attempts that others followed. Change: where the caller named the id, the attempt runs to its end and is charged whole; the retry gets that answer. A minted id is still cancelled and charged for what it used, because no retry can exist. Weighed: running again free of charge (a caller that breaks off early would get answers for nothing).

--- a/crates/guavawell-fleet/src/router/relay.rs
+++ b/crates/guavawell-fleet/src/router/relay.rs
@@ -74,18 +74,23 @@
         F: Fn(Vec<Box<str>>) -> Fut,
         Fut: Future<Output = Result<(), CallerLost>>,
     {
+        let mut is_gone = false;
         loop {
             let mut batch = Vec::new();
             let end = match self.gather(&mut batch).await {
                 Ok(end) => end,
                 Err(refusal) => return RelayEnd::Broken(refusal),
             };
-            if !batch.is_empty() && send(batch).await.is_err() {
-                return self.caller_gone().await;
+            if !is_gone && !batch.is_empty() && send(batch).await.is_err() {
+                if !self.may_come_back() {
+                    return self.caller_gone().await;
+                }
+                is_gone = true;
             }
             if let Some(usage) = end {
                 self.settle(usage.total()).await;
-                return self.finish_whole();
+                let end = self.finish_whole();
+                return if is_gone { RelayEnd::CallerGone } else { end };
             }
         }
     }
@@ -119,6 +124,13 @@
         }
     }
 
+    /// Whether a caller that went away may ask for this answer again: it named
+    /// the id, so that a retry gets what runs now instead of nothing.
+    fn may_come_back(&self) -> bool {
+        let reservation = self.reservation.as_ref();
+        reservation.is_some_and(|reservation| !reservation.identity.minted)
+    }
+
     /// The next event, of a resumed stream if need be.
     async fn next(&mut self) -> Result<CheckedEvent, Refusal> {
         if let Some(first) = self.live.first.take() {
