Find a dead router's attempt at any backend server

Cause: a router that died after its reservation and before its note of the backend server arrived left an attempt that nobody could resolve: it stayed held for good, and each retry was told that another try runs. A paused router whose attempt was marked at one server could also go on to another one after its reservation was given back. Change: without a note, or where the noted server does not know the attempt, every backend server is asked, and told to refuse it if it does not know it; only when all did is the reservation given back. A found run is noted, so that retries follow it. A plain service's orphan is charged its cost, not its token count.

--- a/crates/guavawell-fleet/src/router/orphan.rs
+++ b/crates/guavawell-fleet/src/router/orphan.rs
@@ -3,6 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use guavawell_core::budget::BackendNote;
+use guavawell_core::budget::HeldAttempt;
+use guavawell_core::manifest::BackendEntry;
+use guavawell_core::manifest::BackendKind;
 use smol::Timer;
 
 use super::core::RouterCore;
@@ -30,7 +34,8 @@
 }
 
 async fn resolve(core: &Arc<RouterCore>, orphan: &OrphanedAttempt) {
-    let found = find(core, orphan).await;
+    let mut orphan = orphan.clone();
+    let found = find(core, &mut orphan).await;
     if found == ResolvedAttempt::InDoubt {
         return;
     }
@@ -42,45 +47,64 @@
             .attempt(orphan.held.attempt)
             .field("as", format!("{found:?}")),
     );
-    core.slots.resolve(orphan, found).await;
+    core.slots.resolve(&orphan, found).await;
 }
 
-async fn find(core: &RouterCore, orphan: &OrphanedAttempt) -> ResolvedAttempt {
-    // Without a backend server on record it may have been sent anywhere.
-    let address = orphan
-        .held
-        .backend
-        .as_ref()
-        .and_then(|backend| core.address_of(backend));
-    let Some(address) = address else {
-        return ResolvedAttempt::InDoubt;
-    };
-    match core.engines.record(address, orphan.held.attempt).await {
-        Ok(record) => outcome(&record),
-        Err(EngineError::UnknownAttempt) => unseen(core, address, orphan).await,
-        Err(_) => ResolvedAttempt::InDoubt,
+async fn find(core: &RouterCore, orphan: &mut OrphanedAttempt) -> ResolvedAttempt {
+    let attempt = orphan.held.attempt;
+    let noted = orphan.held.backend.clone();
+    let view = core.view.load_full();
+    if let Some(backend) = noted.and_then(|backend| view.backend(&backend).cloned()) {
+        match core.engines.record(backend.address, attempt).await {
+            Ok(record) => return outcome(&backend, &orphan.held, &record),
+            Err(EngineError::UnknownAttempt) => {}
+            Err(_) => return ResolvedAttempt::InDoubt,
+        }
+    }
+    find_anywhere(core, orphan).await
+}
+
+/// Asks every backend server: the router may have died before its note of the
+/// server arrived, or gone on to another server.
+///
+/// A server that does not know the attempt is told to refuse it, so that a
+/// router that was only paused cannot send it late. Where one cannot be asked,
+/// the attempt stays in doubt.
+async fn find_anywhere(core: &RouterCore, orphan: &mut OrphanedAttempt) -> ResolvedAttempt {
+    let attempt = orphan.held.attempt;
+    let view = core.view.load_full();
+    let mut found = ResolvedAttempt::NotRun;
+    for backend in view.backends() {
+        let seen = match core.engines.record(backend.address, attempt).await {
+            Err(EngineError::UnknownAttempt) => core.engines.cancel(backend.address, attempt).await,
+            other => other,
+        };
+        match seen.map(|record| outcome(backend, &orphan.held, &record)) {
+            Ok(ResolvedAttempt::NotRun) => {}
+            Ok(other) => {
+                orphan.held.backend = Some(backend.id.clone());
+                core.slots.note_backend(BackendNote {
+                    identity: orphan.identity.clone(),
+                    attempt,
+                    backend: backend.id.clone(),
+                });
+                return other;
+            }
+            Err(_) => found = ResolvedAttempt::InDoubt,
+        }
     }
+    found
 }
 
-fn outcome(record: &AttemptRecord) -> ResolvedAttempt {
+fn outcome(backend: &BackendEntry, held: &HeldAttempt, record: &AttemptRecord) -> ResolvedAttempt {
     match record.state {
+        // A service's calls cost what was reserved, not what it counts.
+        AttemptState::Done if backend.kind == BackendKind::Service => {
+            ResolvedAttempt::Done(held.amount)
+        }
         AttemptState::Done => ResolvedAttempt::Done(record.total()),
         // Nobody got a whole answer of it.
         AttemptState::Cancelled => ResolvedAttempt::NotRun,
         AttemptState::Queued | AttemptState::Running => ResolvedAttempt::InDoubt,
     }
 }
-
-/// An attempt that the backend server does not know: it never arrived, or the
-/// server was restarted. A mark keeps a late arrival out; a request that may
-/// have run stays in doubt, for the operator.
-async fn unseen(
-    core: &RouterCore,
-    address: std::net::SocketAddr,
-    orphan: &OrphanedAttempt,
-) -> ResolvedAttempt {
-    match core.engines.cancel(address, orphan.held.attempt).await {
-        Ok(record) => outcome(&record),
-        Err(_) => ResolvedAttempt::InDoubt,
-    }
-}
