Prove the promises under failure on the real router code

Cause: the promises were judged with one killed router only. Ports of routers that are gone stay closed, so that no caller meets another test's fleet there.

--- a/crates/guavawell-demo/src/fleet/start.rs
+++ b/crates/guavawell-demo/src/fleet/start.rs
@@ -20,6 +20,7 @@
 use guavawell_fleet::platform::PlatformError;
 use guavawell_fleet::platform::PoolSettings;
 use guavawell_fleet::platform::Table;
+use guavawell_fleet::router::DrainReport;
 use guavawell_fleet::router::RouterError;
 use guavawell_fleet::router::RouterHandle;
 use guavawell_fleet::router::RouterOptions;
@@ -35,6 +36,9 @@
 use guavawell_standin::service::Service;
 use guavawell_standin::service::ServiceSettings;
 use smol::Timer;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 use thiserror::Error;
 
 use super::FleetSettings;
@@ -107,6 +111,8 @@
     pub backends: Vec<BackendLine>,
     /// Links that are cut now.
     pub(super) cuts: ZoneCuts,
+    /// Ports of routers that are gone: bound, but not listening.
+    closed_ports: Vec<Socket>,
 }
 
 fn free() -> SocketAddr {
@@ -140,6 +146,7 @@
             routers: Vec::new(),
             backends: Vec::new(),
             cuts: ZoneCuts::default(),
+            closed_ports: Vec::new(),
         };
         fleet.start_backends().await?;
         fleet.accept_settings(ManifestVersion::default()).await?;
@@ -322,6 +329,31 @@
     pub fn kill(&mut self, index: usize) {
         if let Some(handle) = self.routers[index].handle.take() {
             handle.kill();
+            self.close_port(handle);
+        }
+    }
+
+    /// Stops a router gracefully.
+    pub async fn drain(&mut self, index: usize) -> DrainReport {
+        let Some(handle) = self.routers[index].handle.take() else {
+            return DrainReport::default();
+        };
+        let report = handle.drain().await;
+        self.close_port(handle);
+        report
+    }
+
+    /// Keeps the port of a router that is gone, so that its callers are
+    /// refused and do not meet whoever gets the port next.
+    fn close_port(&mut self, handle: RouterHandle) {
+        let address = handle.caller_address();
+        drop(handle);
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None);
+        if let Ok(socket) = socket
+            && socket.set_reuse_address(true).is_ok()
+            && socket.bind(&address.into()).is_ok()
+        {
+            self.closed_ports.push(socket);
         }
     }
 
--- /dev/null
+++ b/crates/guavawell-demo/tests/fault/holder.rs
@@ -0,0 +1,138 @@
+//! Holders and witnesses killed or paused.
+
+use std::time::Duration;
+
+use guavawell_demo::fleet::FleetSettings;
+use smol::Timer;
+
+use crate::env::FaultEnv;
+use crate::env::run;
+use crate::env::settings;
+use crate::load::FaultLoad;
+use crate::load::assert_all_answered;
+use crate::load::streams;
+
+/// Longer than every timer that a test's router has for its peers, and than
+/// the gossip's suspicion.
+const PAST_EVERY_TIMER: Duration = Duration::from_secs(9);
+
+fn zone_load(env: &FaultEnv, tag: &'static str) -> FaultLoad {
+    FaultLoad {
+        tag,
+        targets: env.zone(0),
+        requests: 60,
+        profiles: streams(32),
+        ..FaultLoad::default()
+    }
+}
+
+#[test]
+fn a_router_killed_with_streams_open_costs_no_answer_and_no_second_charge() {
+    run(async {
+        let mut env = FaultEnv::start().await;
+        let victim = env.bystander(0);
+        let load = env.begin(FaultLoad::default());
+        env.wait_ended(15).await;
+        env.fleet.kill(victim);
+        load.await;
+        env.assert_served(60);
+        env.assert_kept().await;
+    });
+}
+
+#[test]
+fn a_holder_killed_with_streams_open_costs_no_answer_and_no_second_charge() {
+    run(async {
+        let mut env = FaultEnv::start().await;
+        let victim = env.holder(0);
+        let load = env.begin(FaultLoad::default());
+        env.wait_ended(15).await;
+        env.fleet.kill(victim);
+        load.await;
+        env.assert_served(60);
+        env.assert_kept().await;
+    });
+}
+
+#[test]
+fn a_holder_paused_beyond_every_timer_spends_nothing_twice() {
+    run(async {
+        let mut env = FaultEnv::start().await;
+        env.load(zone_load(&env, "warm")).await;
+        let holder = env.holder(0);
+        let tenure = env.money_slot(0).tenure;
+        let load = env.begin(zone_load(&env, "paused"));
+        env.wait_runs(70).await;
+        env.fleet.pause(holder);
+        env.wait("the witness takes over", |env| {
+            env.money_slot(0).tenure > tenure
+        })
+        .await;
+        Timer::after(PAST_EVERY_TIMER).await;
+        env.fleet.resume(holder);
+        assert_all_answered(&load.await, 60);
+        assert_all_answered(&env.load(zone_load(&env, "after")).await, 60);
+        env.assert_kept().await;
+    });
+}
+
+#[test]
+fn a_witness_killed_stops_nobody() {
+    run(async {
+        let mut env = FaultEnv::start().await;
+        let witness = env.witness(0);
+        let epoch = env.money_slot(0).epoch;
+        let load = env.begin(zone_load(&env, "load"));
+        env.wait_ended(10).await;
+        env.fleet.kill(witness);
+        assert_all_answered(&load.await, 60);
+        env.wait("another witness is named", |env| {
+            let row = env.money_slot(0);
+            row.epoch > epoch && row.witness.is_some()
+        })
+        .await;
+        env.assert_exact().await;
+    });
+}
+
+#[test]
+fn holder_and_witness_killed_freeze_their_grant_and_overspend_nothing() {
+    run(async {
+        let mut env = FaultEnv::start().await;
+        env.load(zone_load(&env, "warm")).await;
+        let (holder, witness) = (env.holder(0), env.witness(0));
+        let tenure = env.money_slot(0).tenure;
+        env.fleet.kill(holder);
+        env.fleet.kill(witness);
+        env.wait("the slot is begun anew", |env| {
+            env.money_slot(0).tenure > tenure
+        })
+        .await;
+        assert_all_answered(&env.load(zone_load(&env, "after")).await, 60);
+        env.assert_kept().await;
+        assert!(env.frozen() > 0, "the former grant is frozen");
+    });
+}
+
+#[test]
+fn one_router_killed_after_another_costs_no_answer() {
+    run(async {
+        let mut env = FaultEnv::start_with(FleetSettings {
+            routers: 3,
+            ..settings()
+        })
+        .await;
+        let load = env.begin(FaultLoad {
+            requests: 90,
+            ..FaultLoad::default()
+        });
+        env.wait_ended(15).await;
+        env.fleet.kill(env.holder(0));
+        env.wait_ended(40).await;
+        let next = env.holder(1);
+        env.fleet.kill(next);
+        load.await;
+        env.assert_served(90);
+        env.assert_kept().await;
+    });
+}
