Let service calls that succeed pay for retries

Cause: routing.retry_share reads as a share of what succeeds, but only model streams paid in; a router that serves services alone had twenty retries for its whole life, and refused after them what another server would have run.

Change: a service's answer pays in as a whole stream does.

Test: two services crash by turns sixty times, three calls each. Before, crash 14 gave 502; after, all 180 are answered.

--- a/crates/guavawell-fleet/src/router/service.rs
+++ b/crates/guavawell-fleet/src/router/service.rs
@@ -150,6 +150,7 @@
         match core.engines.call_service(address, &message, wait).await {
             Ok(answer) => {
                 served(lease);
+                core.retries.deposit();
                 return Ok((backend, answer));
             }
             Err(failure) => {
