--- a/crates/guavawell-standin/src/engine/cache.rs
+++ b/crates/guavawell-standin/src/engine/cache.rs
@@ -78,6 +78,9 @@
     }
 
     /// Events after `after` that are at least `lag` old, without the lost ones.
+    ///
+    /// A number of an earlier life may be above the last one; the next number
+    /// then goes back, so that the asker sees the new life.
     pub(super) fn report(&self, after: u64, lag: Duration, gap: u64, now: Instant) -> CacheReport {
         let published = self
             .events
@@ -86,7 +89,7 @@
         let next = published
             .clone()
             .next_back()
-            .map_or(after, |event| event.seq);
+            .map_or(after.min(self.last_seq), |event| event.seq);
         let events = published
             .filter(|event| gap == 0 || event.seq % gap != 0)
             .map(|event| CacheEvent {
--- a/crates/guavawell-standin/tests/standin/batching.rs
+++ b/crates/guavawell-standin/tests/standin/batching.rs
@@ -144,6 +144,8 @@
     assert_eq!(report["next"], 4);
     let later = env.get("/v1/cache-events?after=4").json();
     assert_eq!(later, json!({ "events": [], "next": 4 }));
+    let of_earlier_life = env.get("/v1/cache-events?after=9").json();
+    assert_eq!(of_earlier_life, json!({ "events": [], "next": 4 }));
     let late = TestEnv::engine(EngineSettings {
         cache_lag: FOREVER,
         ..EngineSettings::default()
