Test a frozen router and a zone without the platform during a rollout

Cause: the paused issuer was tested step by step, not as a frozen process; the cut-off zone not at all.

Conclusion: a router frozen over two rollouts undoes nothing when it comes back to engines that ignore numbers; a zone without the platform keeps its version and follows after the heal.

--- a/crates/guavawell-demo/tests/orders.rs
+++ b/crates/guavawell-demo/tests/orders.rs
@@ -239,3 +239,69 @@
         fleet.stop();
     });
 }
+
+#[test]
+fn a_frozen_router_that_comes_back_undoes_nothing_though_numbers_are_ignored() {
+    smol::block_on(async {
+        let mut fleet = start(FleetSettings {
+            fence_orders: false,
+            ..settings(3)
+        })
+        .await;
+        fleet.settings.model_version = "2".into();
+        let accepted = fleet.accept_settings(ManifestVersion::new(1)).await;
+        accepted.expect("the manifest is accepted");
+        wait_until("a first order", || {
+            !fleet.platform.keys("order/").is_empty()
+        })
+        .await;
+        fleet.pause(0);
+        wait_until("rolled out without it", || {
+            all_hold(&fleet, &["draft-7b:2"])
+        })
+        .await;
+        fleet.settings.model_version = "3".into();
+        let accepted = fleet.accept_settings(ManifestVersion::new(2)).await;
+        accepted.expect("the manifest is accepted");
+        wait_until("rolled out again", || all_hold(&fleet, &["draft-7b:3"])).await;
+        fleet.resume(0);
+        wait_until("it has the newest manifest", || {
+            let newest = ManifestVersion::new(3);
+            fleet
+                .live()
+                .all(|router| router.manifest_version() == newest)
+        })
+        .await;
+        for _ in 0..10 {
+            chats(&fleet, 20).await;
+            let newest = |engine: &Engine| held(engine).contains(&"draft-7b:3".to_owned());
+            assert!(fleet.engines.iter().all(newest), "a newer order was undone");
+        }
+        wait_until("and nothing else", || all_hold(&fleet, &["draft-7b:3"])).await;
+        fleet.stop();
+    });
+}
+
+#[test]
+fn a_zone_without_the_platform_goes_on_serving_and_follows_after_the_heal() {
+    smol::block_on(async {
+        let mut fleet = start(settings(3)).await;
+        fleet.cut_platform(1);
+        fleet.settings.model_version = "2".into();
+        let accepted = fleet.accept_settings(ManifestVersion::new(1)).await;
+        accepted.expect("the manifest is accepted");
+        let zone = |zone: usize, models: &[&str]| {
+            let mut engines = fleet.engines.iter().skip(zone * 3).take(3);
+            engines.all(|engine| held(engine) == models)
+        };
+        wait_until("rolled out in the other zone", || zone(0, &["draft-7b:2"])).await;
+        assert!(zone(1, &["draft-7b:1"]), "no order without a row");
+        assert!(chats(&fleet, 40).await.counts.answered > 0);
+        fleet.heal();
+        wait_until("rolled out after the heal", || {
+            all_hold(&fleet, &["draft-7b:2"])
+        })
+        .await;
+        fleet.stop();
+    });
+}
