Resolve this router's own attempts in doubt by the backend server's record

Cause: a reservation kept because its attempt may have run was looked after only once its router was gone; a living router left it at its worst case for good. Change: a book of doubts in the router, resolved with the orphans once a second; event attempt.in_doubt; RouterHandle::doubts. Before: after a lost answer of a non-idempotent service call, the reservation stayed held. After: tests/doubt.rs: the call is refused as unknown, its retry as already_ran, it ran once, and the record charges it. Conclusion: what is left in doubt is only what no backend server can tell.

--- a/crates/guavawell-fleet/src/router/attempt.rs
+++ b/crates/guavawell-fleet/src/router/attempt.rs
@@ -296,7 +296,7 @@
         if call.idempotent {
             self.cancel_later();
         } else {
-            reservation.keep();
+            reservation.doubt(&self.backend);
         }
         let detail = format!("backend server {} failed: {failure}", self.backend);
         self.close(failure);
--- a/crates/guavawell-fleet/src/router/core.rs
+++ b/crates/guavawell-fleet/src/router/core.rs
@@ -15,6 +15,7 @@
 use guavawell_core::request::chat::ChatLimits;
 
 use super::admit::AdmissionDoor;
+use super::doubt::DoubtBook;
 use crate::claim::ClaimDriver;
 use crate::drill::LinkGate;
 use crate::engine::EngineClient;
@@ -46,6 +47,8 @@
     pub slots: Arc<SlotDriver>,
     /// Billing records.
     pub journal: JournalDriver,
+    /// Attempts of this router whose outcome is in doubt.
+    pub doubts: DoubtBook,
     /// Claims and seals.
     pub claims: ClaimDriver,
     /// The platform's table.
--- a/crates/guavawell-fleet/src/router/mod.rs
+++ b/crates/guavawell-fleet/src/router/mod.rs
@@ -11,6 +11,7 @@
 mod choice;
 mod claim;
 mod core;
+mod doubt;
 mod entry;
 mod fetch;
 mod keys;
--- a/crates/guavawell-fleet/src/router/orphan.rs
+++ b/crates/guavawell-fleet/src/router/orphan.rs
@@ -1,4 +1,5 @@
-//! Finds out what became of attempts whose routers are gone.
+//! Finds out what became of attempts whose routers are gone, and of this
+//! router's own that are in doubt.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,11 +21,13 @@
 /// Time between two looks.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 
-/// Resolves orphaned attempts of the slots held here, as long as it runs.
+/// Resolves orphaned attempts of the slots held here, and own doubts, as long
+/// as it runs.
 pub async fn run_orphans(core: Arc<RouterCore>) {
     loop {
         Timer::after(LOOK_EVERY).await;
-        let orphans = core.slots.orphans();
+        let mut orphans = core.slots.orphans();
+        orphans.extend(core.doubts.list());
         #[expect(clippy::cast_precision_loss, reason = "a gauge of a few attempts")]
         metrics::gauge!("guavawell_attempts_in_doubt").set(orphans.len() as f64);
         for orphan in orphans {
@@ -48,6 +51,7 @@
             .field("as", format!("{found:?}")),
     );
     core.slots.resolve(&orphan, found).await;
+    core.doubts.remove(orphan.held.attempt);
 }
 
 async fn find(core: &RouterCore, orphan: &mut OrphanedAttempt) -> ResolvedAttempt {
--- a/crates/guavawell-fleet/src/router/relay.rs
+++ b/crates/guavawell-fleet/src/router/relay.rs
@@ -171,7 +171,7 @@
             // Dropped: given back, because the caller got no whole answer.
             self.reservation = None;
         } else if let Some(reservation) = &mut self.reservation {
-            reservation.keep();
+            reservation.doubt(&self.live.backend);
         }
         let detail = format!(
             "backend server {} broke the answer off: {failure}",
@@ -207,16 +207,15 @@
                 .await;
             match cancelled {
                 Ok(record) => self.settle(record.total()).await,
-                // Its outcome is found out by the holder from the record.
-                Err(_) => self.keep(),
+                Err(_) => self.doubt(),
             }
         }
         RelayEnd::CallerGone
     }
 
-    fn keep(&mut self) {
+    fn doubt(&mut self) {
         if let Some(reservation) = &mut self.reservation {
-            reservation.keep();
+            reservation.doubt(&self.live.backend);
         }
     }
 
--- a/crates/guavawell-fleet/src/router/reserve.rs
+++ b/crates/guavawell-fleet/src/router/reserve.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use guavawell_core::budget::HeldAttempt;
 use guavawell_core::budget::ReleaseAsk;
 use guavawell_core::budget::ReserveAnswer;
 use guavawell_core::budget::ReserveAsk;
@@ -10,6 +11,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::BackendId;
+use guavawell_core::id::BudgetId;
 use guavawell_core::id::TokenCount;
 use guavawell_core::request::Refusal;
 use guavawell_core::request::RefusalReason;
@@ -21,6 +23,7 @@
 use super::core::RouterCore;
 use super::entry::CallerEntry;
 use crate::event::EventDraft;
+use crate::slot::OrphanedAttempt;
 
 /// Looks for the backend server of a running attempt before it is given up.
 const MAX_JOIN_LOOKS: usize = 20;
@@ -50,13 +53,44 @@
     pub attempt: AttemptId,
     /// The grant.
     pub grant: ReserveGrant,
+    budget: BudgetId,
+    digest: RequestDigest,
 }
 
 impl HeldReservation {
-    /// Keeps the reservation: it will be settled, or its outcome is in doubt.
+    /// Keeps the reservation: it will be settled.
     pub fn keep(&mut self) {
         self.core = None;
     }
+
+    /// Keeps the reservation until the record of the backend server that may
+    /// have run the attempt tells what became of it.
+    pub fn doubt(&mut self, backend: &BackendId) {
+        let Some(core) = self.core.take() else {
+            return;
+        };
+        core.events.emit(
+            EventDraft::new("attempt.in_doubt")
+                .organisation(&self.identity.organisation)
+                .request(&self.identity.request)
+                .attempt(self.attempt)
+                .field("backend", backend),
+        );
+        core.doubts.add(OrphanedAttempt {
+            identity: self.identity.clone(),
+            held: HeldAttempt {
+                attempt: self.attempt,
+                budget: self.budget.clone(),
+                pool: self.grant.pool,
+                tenure: self.grant.tenure,
+                amount: self.grant.amount,
+                router: core.life.clone(),
+                backend: Some(backend.clone()),
+                digest: self.digest,
+            },
+            holder: self.grant.holder.clone(),
+        });
+    }
 }
 
 impl Drop for HeldReservation {
@@ -110,7 +144,7 @@
         };
         match core.slots.reserve(ask).await {
             ReserveAnswer::Granted(grant) => {
-                return Ok(granted(core, entry, attempt, grant));
+                return Ok(granted(core, entry, asked.digest, attempt, grant));
             }
             ReserveAnswer::Joined {
                 attempt,
@@ -135,6 +169,7 @@
 fn granted(
     core: &Arc<RouterCore>,
     entry: &CallerEntry,
+    digest: RequestDigest,
     attempt: AttemptId,
     grant: ReserveGrant,
 ) -> ReservedRequest {
@@ -152,6 +187,8 @@
         identity,
         attempt,
         grant,
+        budget: entry.budget.clone(),
+        digest,
     })
 }
 
--- a/crates/guavawell-fleet/src/router/service.rs
+++ b/crates/guavawell-fleet/src/router/service.rs
@@ -198,7 +198,7 @@
 ) -> Refusal {
     if !call.idempotent {
         // Kept at its worst case until the service's record tells.
-        reservation.keep();
+        reservation.doubt(backend);
     }
     let detail = format!("backend server {backend} failed: {failure}");
     Refusal::unknown(RefusalReason::BackendFailed, detail)
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -25,6 +25,7 @@
 use super::background;
 use super::bill;
 use super::core::RouterCore;
+use super::doubt::DoubtBook;
 use super::news;
 use super::platform::PlatformClients;
 use super::ports;
@@ -200,6 +201,7 @@
             engines: EngineClient::new(settings::engines(&settings)),
             slots: driver,
             journal,
+            doubts: DoubtBook::default(),
             claims: ClaimDriver::start(table.clone(), life.clone(), BatchSettings::default()),
             table: table.clone(),
             retries: RetryBudget::new(settings::retries(&settings)),
@@ -301,6 +303,12 @@
         self.core.slots.witnessed()
     }
 
+    /// Attempts of this router whose outcome is in doubt.
+    #[must_use]
+    pub fn doubts(&self) -> usize {
+        self.core.doubts.list().len()
+    }
+
     /// Whether an operator asked for a graceful shutdown.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
