--- a/crates/guavawell-core/examples/gossip_spread.rs
+++ b/crates/guavawell-core/examples/gossip_spread.rs
@@ -8,6 +8,7 @@
 mod pump;
 
 use guavawell_core::instance::Reachability;
+
 use pump::MessagePump;
 use pump::PumpNode;
 use pump::STEP;
--- a/crates/guavawell-core/examples/manifest_cost/main.rs
+++ b/crates/guavawell-core/examples/manifest_cost/main.rs
@@ -9,14 +9,15 @@
 use std::hint::black_box;
 use std::time::Instant;
 
-use fleet::FleetSize;
-use fleet::encode;
 use guavawell_core::id::ManifestVersion;
 use guavawell_core::manifest::FleetView;
 use guavawell_core::manifest::ViewUpdate;
 use guavawell_core::manifest::page::BACKEND_PAGES;
 use guavawell_core::manifest::page::ManifestPages;
 use guavawell_core::manifest::parse_manifest;
+
+use fleet::FleetSize;
+use fleet::encode;
 use measure::Spread;
 use measure::resident_kib;
 
--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -20,18 +20,6 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-pub use event::AskId;
-pub use event::ChargeNotice;
-pub use event::HolderAnswer;
-pub use event::HolderEffect;
-pub use event::HolderEvent;
-pub use event::HolderNote;
-pub use settings::HolderSettings;
-use stock::BudgetStock;
-use witnessing::HeldWait;
-use witnessing::SentBatch;
-use witnessing::WitnessChange;
-
 use super::intent::TableIntent;
 use super::ledger::HeldAttempt;
 use super::ledger::SlotLedger;
@@ -44,6 +32,18 @@
 use crate::id::BudgetId;
 use crate::id::TokenCount;
 use crate::request::RequestIdentity;
+use stock::BudgetStock;
+use witnessing::HeldWait;
+use witnessing::SentBatch;
+use witnessing::WitnessChange;
+
+pub use event::AskId;
+pub use event::ChargeNotice;
+pub use event::HolderAnswer;
+pub use event::HolderEffect;
+pub use event::HolderEvent;
+pub use event::HolderNote;
+pub use settings::HolderSettings;
 
 /// Where a holder stands.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/crates/guavawell-core/tests/budget_large/main.rs
+++ b/crates/guavawell-core/tests/budget_large/main.rs
@@ -6,6 +6,7 @@
 use guavawell_core::budget::HolderEvent;
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::clock::ClockSpan;
+
 use rig::SlotRig;
 use rig::reserve_ask;
 
--- a/crates/guavawell-core/tests/budget_slots.rs
+++ b/crates/guavawell-core/tests/budget_slots.rs
@@ -2,7 +2,6 @@
 
 mod budget_fleet;
 
-use budget_fleet::Fleet;
 use guavawell_core::budget::AskId;
 use guavawell_core::budget::HolderAnswer;
 use guavawell_core::budget::HolderEvent;
@@ -23,6 +22,8 @@
 use guavawell_core::request::RequestDigest;
 use guavawell_core::request::RequestIdentity;
 
+use budget_fleet::Fleet;
+
 const ASK: AskId = AskId::new(7);
 
 fn fleet(zones: usize, paid: u64, float_percent: u8) -> Fleet {
--- a/crates/guavawell-fleet/tests/platform.rs
+++ b/crates/guavawell-fleet/tests/platform.rs
@@ -22,6 +22,7 @@
 use guavawell_fleet::platform::TableOp;
 use guavawell_fleet::platform::TableTxn;
 use guavawell_fleet::platform::WriteGate;
+
 use support::FakePlatform;
 use support::FakeReply;
 
