--- a/crates/guavawell-core/src/budget/mod.rs
+++ b/crates/guavawell-core/src/budget/mod.rs
@@ -64,6 +64,7 @@
 pub use row::FrozenTokens;
 pub use row::GrantChange;
 pub use row::MAX_TOP_UPS;
+pub use row::RefundCharge;
 pub use row::RowChange;
 pub use row::RowError;
 pub use row::TopUpId;
--- a/crates/guavawell-core/src/budget/row/mod.rs
+++ b/crates/guavawell-core/src/budget/row/mod.rs
@@ -7,6 +7,7 @@
 mod change;
 mod frozen;
 mod paid;
+mod refund;
 
 pub use change::FormerUse;
 pub use change::GrantChange;
@@ -14,6 +15,7 @@
 pub use frozen::FrozenReport;
 pub use paid::MAX_TOP_UPS;
 pub use paid::TopUpId;
+pub use refund::RefundCharge;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
@@ -77,6 +79,9 @@
     pub paid: TokenCount,
     /// Tokens charged for good.
     pub settled: TokenCount,
+    /// Tokens of second charges that were given back; `settled` is without them.
+    #[serde(default)]
+    pub refunded: TokenCount,
     /// Open grants, sorted by slot.
     pub grants: Vec<BudgetGrant>,
     /// Frozen tokens, sorted by slot and tenure.
@@ -110,6 +115,9 @@
         "the row remembers {MAX_TOP_UPS} top-ups and takes no more; raise the sum in the manifest"
     )]
     TooManyTopUps,
+    /// The charge may not be in the row's settled tokens yet.
+    #[error("the charge is not reported to the row yet; give it back later")]
+    NotReported,
     /// The manifest's version is older than the row's.
     #[error("an older manifest version than the row's")]
     OlderVersion,
@@ -139,6 +147,7 @@
             topped_up: TokenCount::ZERO,
             paid,
             settled: TokenCount::ZERO,
+            refunded: TokenCount::ZERO,
             grants: Vec::new(),
             frozen: Vec::new(),
             top_ups: Vec::new(),
--- a/crates/guavawell-core/src/request/billing/audit.rs
+++ b/crates/guavawell-core/src/request/billing/audit.rs
@@ -31,7 +31,7 @@
     pub settled: TokenCount,
     /// Tokens of the charges that stand.
     pub charged: TokenCount,
-    /// Tokens charged a second time and to be given back.
+    /// Tokens charged a second time and not given back yet.
     pub owed: TokenCount,
     /// How records and row differ.
     pub gap: AuditGap,
@@ -47,8 +47,9 @@
     fold: &BillingFold,
 ) -> AuditLine {
     let charged = fold.charged(budget);
-    let owed = fold.owed(budget);
-    let recorded = charged.saturating_add(owed);
+    let second = fold.owed(budget);
+    let owed = second.saturating_sub(refunded);
+    let recorded = charged.saturating_add(second);
     let settled = row.settled.saturating_add(refunded);
     AuditLine {
         budget: budget.clone(),
--- a/crates/guavawell-core/src/request/billing/mod.rs
+++ b/crates/guavawell-core/src/request/billing/mod.rs
@@ -10,9 +10,11 @@
 mod doubt;
 mod fold;
 mod record;
+mod refund;
 mod segment;
 #[cfg(test)]
 mod tests;
+mod window;
 
 pub use audit::AuditGap;
 pub use audit::AuditLine;
@@ -32,7 +34,12 @@
 pub use fold::RefundIntent;
 pub use fold::fold_records;
 pub use record::BillingRecord;
+pub use refund::RefundEntry;
+pub use refund::RefundRow;
+pub use refund::refund_key;
 pub use segment::JournalSegment;
 pub use segment::SegmentError;
 pub use segment::SegmentName;
 pub use segment::read_segment;
+pub use window::ChargeWindow;
+pub use window::WindowPolicy;
--- a/crates/guavawell-core/src/request/billing/segment.rs
+++ b/crates/guavawell-core/src/request/billing/segment.rs
@@ -15,6 +15,7 @@
 
 /// The object key of a segment: `journal/{shard}/{zone}/{instance}-{incarnation}-{sequence}`.
 ///
+/// The number has ten digits, so that a writer's segments are listed in order.
 /// An incarnation numbers its segments of a slot itself, so nobody else
 /// writes under its names.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -53,7 +54,7 @@
         let sequence = self.sequence;
         write!(
             formatter,
-            "{PREFIX}/{shard}/{zone}/{instance}-{incarnation}-{sequence}"
+            "{PREFIX}/{shard}/{zone}/{instance}-{incarnation}-{sequence:010}"
         )
     }
 }
--- /dev/null
+++ b/crates/guavawell-core/src/request/billing/window.rs
@@ -0,0 +1,124 @@
+//! The charges of the last while, for finding second charges as segments come.
+
+use super::record::BillingRecord;
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+use crate::request::identity::RequestIdentity;
+
+/// How much a window remembers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WindowPolicy {
+    /// How long a charge is remembered after it was read; a second charge that
+    /// comes later is found by an audit only.
+    pub span: ClockSpan,
+    /// Most charges remembered; those read first go first, a segment at once.
+    pub most: usize,
+}
+
+impl Default for WindowPolicy {
+    fn default() -> Self {
+        Self {
+            span: ClockSpan::from_millis(6 * 3_600_000),
+            most: 200_000,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct SeenCharge {
+    read_at: ClockTime,
+    /// When a conflict that it is part of is looked at next.
+    due_at: ClockTime,
+    record: BillingRecord,
+}
+
+/// Charges read so far, sorted by identity.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ChargeWindow {
+    policy: WindowPolicy,
+    seen: Vec<SeenCharge>,
+}
+
+impl ChargeWindow {
+    /// An empty window.
+    #[must_use]
+    pub const fn new(policy: WindowPolicy) -> Self {
+        Self {
+            policy,
+            seen: Vec::new(),
+        }
+    }
+
+    /// Takes the records of a segment; a charge told twice is kept once.
+    pub fn add(&mut self, records: Vec<BillingRecord>, now: ClockTime) {
+        let fresh = records.into_iter().map(|record| SeenCharge {
+            read_at: now,
+            due_at: now,
+            record,
+        });
+        self.seen.extend(fresh);
+        // Stable, so that the charge that was read first stays.
+        self.seen
+            .sort_by(|left, right| charge_key(&left.record).cmp(&charge_key(&right.record)));
+        self.seen
+            .dedup_by(|later, first| later.record.is_same_charge(&first.record));
+        self.forget(now);
+    }
+
+    /// Requests with several charges that are due, each with all of them.
+    pub fn conflicts(&self, now: ClockTime) -> impl Iterator<Item = Vec<BillingRecord>> {
+        let same =
+            |left: &SeenCharge, right: &SeenCharge| left.record.identity == right.record.identity;
+        let is_due = move |group: &&[SeenCharge]| {
+            group.len() > 1 && group.iter().any(|seen| seen.due_at <= now)
+        };
+        let groups = self.seen.chunk_by(same).filter(is_due);
+        groups.map(|group| group.iter().map(|seen| seen.record.clone()).collect())
+    }
+
+    /// Looks at a request's charges again at `due_at`, or once one more comes.
+    pub fn postpone(&mut self, identity: &RequestIdentity, due_at: ClockTime) {
+        let start = self
+            .seen
+            .partition_point(|seen| seen.record.identity < *identity);
+        let group = self.seen[start..].iter_mut();
+        for seen in group.take_while(|seen| seen.record.identity == *identity) {
+            seen.due_at = due_at;
+        }
+    }
+
+    /// Charges remembered.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.seen.len()
+    }
+
+    /// Whether none is remembered.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.seen.is_empty()
+    }
+
+    fn forget(&mut self, now: ClockTime) {
+        let span = self.policy.span;
+        self.seen.retain(|seen| now.since(seen.read_at) < span);
+        let beyond = self.seen.len().saturating_sub(self.policy.most);
+        if beyond == 0 {
+            return;
+        }
+        let mut times: Vec<ClockTime> = self.seen.iter().map(|seen| seen.read_at).collect();
+        times.sort();
+        let newest_gone = times[beyond - 1];
+        self.seen.retain(|seen| seen.read_at > newest_gone);
+    }
+}
+
+fn charge_key(
+    record: &BillingRecord,
+) -> (
+    &RequestIdentity,
+    crate::id::AttemptId,
+    &crate::budget::SlotId,
+) {
+    (&record.identity, record.attempt, &record.slot)
+}
--- a/crates/guavawell-ctl/src/audit/budget.rs
+++ b/crates/guavawell-ctl/src/audit/budget.rs
@@ -108,7 +108,7 @@
     let records = read_records(platform, &row.organisation).await?;
     let chains = audit_chains(budget, &row, &records);
     let fold = fold_records(records);
-    let line = audit_budget(budget, &row, TokenCount::ZERO, &fold);
+    let line = audit_budget(budget, &row, row.refunded, &fold);
     let requests = fold
         .charges
         .iter()
--- a/crates/guavawell-fleet/src/platform/mod.rs
+++ b/crates/guavawell-fleet/src/platform/mod.rs
@@ -18,6 +18,7 @@
 pub use gate::WriteGate;
 pub use instances::InstanceEntry;
 pub use instances::InstanceList;
+pub use objects::KeyPage;
 pub use objects::ObjectPut;
 pub use objects::Objects;
 pub use pool::PoolSettings;
--- a/crates/guavawell-fleet/src/platform/objects.rs
+++ b/crates/guavawell-fleet/src/platform/objects.rs
@@ -23,6 +23,15 @@
     Exists,
 }
 
+/// One page of a listing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyPage {
+    /// The keys, sorted.
+    pub keys: Vec<Box<str>>,
+    /// Whether no key follows.
+    pub is_last: bool,
+}
+
 /// A client of one bucket; clones share their connections.
 #[derive(Clone, Debug)]
 pub struct Objects {
@@ -94,26 +103,37 @@
         let mut keys: Vec<Box<str>> = Vec::new();
         loop {
             let start = keys.last().map_or("", |key| key);
-            let target = format!(
-                "/{}?list-type=2&prefix={}&start-after={}",
-                self.bucket,
-                escape(prefix),
-                escape(start)
-            );
-            let answer = self.read(&target).await?;
-            if answer.status >= 300 {
-                return Err(missing(&self.bucket));
-            }
-            let text = String::from_utf8_lossy(&answer.body);
-            let page = listed_keys(&text);
-            let last = page.is_empty() || !text.contains("<IsTruncated>true</IsTruncated>");
-            keys.extend(page);
-            if last {
+            let page = self.list_after(prefix, start).await?;
+            keys.extend(page.keys);
+            if page.is_last {
                 return Ok(keys);
             }
         }
     }
 
+    /// Lists one page of the keys that begin with `prefix` and come after
+    /// `start`, sorted.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::Outage`] or [`PlatformError::Refused`].
+    pub async fn list_after(&self, prefix: &str, start: &str) -> Result<KeyPage, PlatformError> {
+        let target = format!(
+            "/{}?list-type=2&prefix={}&start-after={}",
+            self.bucket,
+            escape(prefix),
+            escape(start)
+        );
+        let answer = self.read(&target).await?;
+        if answer.status >= 300 {
+            return Err(missing(&self.bucket));
+        }
+        let text = String::from_utf8_lossy(&answer.body);
+        let keys = listed_keys(&text);
+        let is_last = keys.is_empty() || !text.contains("<IsTruncated>true</IsTruncated>");
+        Ok(KeyPage { keys, is_last })
+    }
+
     async fn read(&self, target: &str) -> Result<PlatformAnswer, PlatformError> {
         let ask = PlatformAsk {
             kind: ExchangeKind::Read,
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -213,6 +213,8 @@
             ready: AtomicBool::new(false),
             settings,
         });
+        let folds = bill::run_folds(Arc::clone(&core), gossip.clone(), objects.clone());
+        core.tasks.spawn(folds);
         let (config, handle, hints) = ConfigDriver::new(ConfigInputs {
             settings: ConfigSettings::default(),
             store: ManifestStore::new(table, objects),
--- a/crates/guavawell-fleet/tests/journal.rs
+++ b/crates/guavawell-fleet/tests/journal.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use guavawell_core::budget::BudgetGrant;
+use guavawell_core::budget::BudgetRow;
 use guavawell_core::budget::InstanceLife;
 use guavawell_core::budget::SlotId;
 use guavawell_core::budget::TokenPool;
@@ -11,6 +13,7 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::IncarnationId;
+use guavawell_core::id::ManifestVersion;
 use guavawell_core::id::ShardId;
 use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
@@ -19,11 +22,14 @@
 use guavawell_core::request::billing::BillingRecord;
 use guavawell_core::request::billing::JournalPolicy;
 use guavawell_core::request::billing::fold_records;
+use guavawell_fleet::journal::FoldSettings;
 use guavawell_fleet::journal::JournalDriver;
 use guavawell_fleet::journal::JournalSettings;
+use guavawell_fleet::journal::ShardFold;
 use guavawell_fleet::journal::read_journal;
 use guavawell_fleet::platform::Objects;
 use guavawell_fleet::platform::PoolSettings;
+use guavawell_fleet::platform::Table;
 use guavawell_standin::fault::FaultChange;
 use guavawell_standin::platform::Platform;
 use guavawell_standin::platform::PlatformSettings;
@@ -184,3 +190,63 @@
     assert_eq!(fold.refunds[0].attempt, AttemptId::new(99));
     assert_eq!(fold.refunds[0].slot.zone.as_str(), "tln-b");
 }
+
+/// A row of the budget whose slot in `tln-b` reported this much.
+fn put_budget(test: &JournalTest, reported: u64) {
+    let paid = TokenCount::new(1_000);
+    let mut row = BudgetRow::new("o".parse().unwrap(), paid, ManifestVersion::new(1));
+    row.settled = TokenCount::new(7 + reported);
+    row.grants.push(BudgetGrant {
+        slot: record(7, 0, "tln-b").slot,
+        tenure: SlotEpoch::new(1),
+        open: TokenCount::new(100),
+        reported: TokenCount::new(reported),
+        float_reported: TokenCount::ZERO,
+        sequence: 1,
+        demand: TokenCount::ZERO,
+    });
+    let value = serde_json::to_vec(&row).unwrap();
+    test.platform.put_row("budget/b", &value);
+}
+
+fn budget_row(test: &JournalTest) -> BudgetRow {
+    serde_json::from_slice(&test.platform.row("budget/b").unwrap()).unwrap()
+}
+
+#[test]
+fn a_second_charge_is_given_back_once_over_lost_answers_and_two_folds() {
+    let test = JournalTest::start();
+    let (here, there) = (test.router(1), test.router(2));
+    here.record(record(7, 0, "tln-a"));
+    there.record(BillingRecord {
+        attempt: AttemptId::new(99),
+        counted: TokenCount::new(7),
+        at: ClockTime::from_millis(8),
+        ..record(7, 0, "tln-b")
+    });
+    smol::block_on(here.flush());
+    smol::block_on(there.flush());
+    let table = Table::new(test.platform.address(), PoolSettings::default());
+    let settings = FoldSettings {
+        look_again: ClockSpan::from_millis(0),
+        ..FoldSettings::default()
+    };
+    let mut first = ShardFold::new(ShardId::new(0), settings);
+    let mut second = ShardFold::new(ShardId::new(0), settings);
+    put_budget(&test, 0);
+    let step = |fold: &mut ShardFold| smol::block_on(fold.step(&test.objects, &table));
+    assert_eq!(step(&mut first), Ok(0), "not reported yet");
+    put_budget(&test, 7);
+    test.fault(FaultChange {
+        lose_answers: Some(1),
+        ..FaultChange::default()
+    });
+    // The write took effect; the rows read back tell so.
+    for _ in 0..3 {
+        step(&mut first).unwrap();
+        step(&mut second).unwrap();
+    }
+    let row = budget_row(&test);
+    assert_eq!(row.settled, TokenCount::new(7));
+    assert_eq!(row.refunded, TokenCount::new(7));
+}
