--- a/crates/guavawell-ctl/src/exit.rs
+++ b/crates/guavawell-ctl/src/exit.rs
@@ -6,40 +6,30 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExitCode {
     /// It is done.
-    Success,
+    Success = 0,
     /// A file or a row could not be used.
-    Failure,
+    Failure = 1,
     /// The command line is wrong.
-    Usage,
+    Usage = 2,
     /// The manifest has findings.
-    Findings,
+    Findings = 3,
     /// Another operator's change came first.
-    Conflict,
+    Conflict = 4,
     /// The platform or an instance cannot be reached; nothing was changed.
-    Unreachable,
+    Unreachable = 5,
     /// The change may have taken effect; look before trying again.
-    InDoubt,
+    InDoubt = 6,
     /// There is no such thing.
-    NotFound,
+    NotFound = 7,
     /// The audit found a gap or a second charge.
-    AuditGap,
+    AuditGap = 8,
 }
 
 impl ExitCode {
     /// The code as the shell sees it.
     #[must_use]
     pub const fn code(self) -> u8 {
-        match self {
-            Self::Success => 0,
-            Self::Failure => 1,
-            Self::Usage => 2,
-            Self::Findings => 3,
-            Self::Conflict => 4,
-            Self::Unreachable => 5,
-            Self::InDoubt => 6,
-            Self::NotFound => 7,
-            Self::AuditGap => 8,
-        }
+        self as u8
     }
 }
 
--- a/crates/guavawell-fleet/src/engine/connection.rs
+++ b/crates/guavawell-fleet/src/engine/connection.rs
@@ -1,4 +1,4 @@
-//! One connection to a backend server, counted as reusable or not.
+//! Opens connections to backend servers.
 
 use std::io;
 use std::net::SocketAddr;
@@ -25,13 +25,3 @@
     };
     connect.or(timeout).await
 }
-
-/// Whether an idle connection is still open with nothing waiting to be read.
-///
-/// A backend server that closed it, or that still sends, makes it unfit for
-/// another exchange.
-pub async fn is_fresh(stream: &TcpStream) -> bool {
-    let mut byte = [0_u8; 1];
-    let peeked = smol::future::poll_once(stream.peek(&mut byte)).await;
-    peeked.is_none()
-}
--- a/crates/guavawell-fleet/src/engine/pool.rs
+++ b/crates/guavawell-fleet/src/engine/pool.rs
@@ -2,13 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 
 use arc_swap::ArcSwap;
 use smol::net::TcpStream;
 
-use super::connection;
+use crate::connection::IdleConnections;
 
 /// Most idle connections kept for one address.
 const MAX_IDLE: usize = 256;
@@ -16,7 +14,7 @@
 #[derive(Debug)]
 struct AddressPool {
     address: SocketAddr,
-    idle: Mutex<Vec<TcpStream>>,
+    idle: IdleConnections,
 }
 
 /// Idle connections for every address in use.
@@ -28,35 +26,19 @@
 impl ConnectionPool {
     /// An idle connection that is still open, if there is one.
     pub async fn take(&self, address: SocketAddr) -> Option<TcpStream> {
-        let pool = self.find(address)?;
-        loop {
-            let stream = pool
-                .idle
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .pop()?;
-            if connection::is_fresh(&stream).await {
-                return Some(stream);
-            }
-        }
+        self.find(address)?.idle.take().await
     }
 
     /// Gives back a connection whose last exchange ended whole.
     pub fn give_back(&self, address: SocketAddr, stream: TcpStream) {
         let pool = self.find(address).unwrap_or_else(|| self.insert(address));
-        let mut idle = pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < MAX_IDLE {
-            idle.push(stream);
-        }
+        pool.idle.give_back(stream);
     }
 
     /// Drops every idle connection to `address`, after one of them went silent.
     pub fn forget(&self, address: SocketAddr) {
         if let Some(pool) = self.find(address) {
-            pool.idle
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .clear();
+            pool.idle.clear();
         }
     }
 
@@ -74,7 +56,7 @@
             if let Err(index) = pools.binary_search_by_key(&address, |pool| pool.address) {
                 let pool = AddressPool {
                     address,
-                    idle: Mutex::default(),
+                    idle: IdleConnections::new(MAX_IDLE),
                 };
                 pools.insert(index, Arc::new(pool));
             }
--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claim;
 pub mod clock;
 pub mod config;
+pub mod connection;
 pub mod drill;
 pub mod engine;
 pub mod event;
--- a/crates/guavawell-fleet/src/platform/pool.rs
+++ b/crates/guavawell-fleet/src/platform/pool.rs
@@ -3,8 +3,6 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::platform::CircuitPolicy;
@@ -13,6 +11,7 @@
 use smol::net::TcpStream;
 
 use crate::clock::duration;
+use crate::connection::IdleConnections;
 use crate::drill::LinkGate;
 
 /// How a client talks to the platform.
@@ -56,24 +55,22 @@
     pub address: SocketAddr,
     /// Limits of each exchange.
     pub settings: PoolSettings,
-    idle: Mutex<Vec<TcpStream>>,
+    idle: IdleConnections,
 }
 
 impl ConnectionPool {
     pub const fn new(address: SocketAddr, settings: PoolSettings) -> Self {
         Self {
             address,
+            idle: IdleConnections::new(settings.idle_connections),
             settings,
-            idle: Mutex::new(Vec::new()),
         }
     }
 
     /// Takes an idle connection that the peer has not closed, or opens one.
     pub async fn take(&self) -> io::Result<TcpStream> {
-        while let Some(stream) = self.pop_idle() {
-            if is_quiet(&stream).await {
-                return Ok(stream);
-            }
+        if let Some(stream) = self.idle.take().await {
+            return Ok(stream);
         }
         let connect = TcpStream::connect(self.address);
         let stream = with_timeout(self.settings.connect_timeout, connect).await?;
@@ -83,30 +80,15 @@
 
     /// Keeps a connection whose exchange is complete.
     pub fn put_back(&self, stream: TcpStream) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < self.settings.idle_connections {
-            idle.push(stream);
-        }
+        self.idle.give_back(stream);
     }
 
     /// Closes all idle connections: one that went silent may not be the only one.
     pub fn drop_idle(&self) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.clear();
-    }
-
-    fn pop_idle(&self) -> Option<TcpStream> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.pop()
+        self.idle.clear();
     }
 }
 
-/// Whether an idle connection has neither been closed nor sent stray bytes.
-async fn is_quiet(stream: &TcpStream) -> bool {
-    let mut byte = [0];
-    future::poll_once(stream.peek(&mut byte)).await.is_none()
-}
-
 /// Ends `work` with [`io::ErrorKind::TimedOut`] after `span`.
 pub(super) async fn with_timeout<T>(
     span: ClockSpan,
--- a/crates/guavawell-load/src/exit.rs
+++ b/crates/guavawell-load/src/exit.rs
@@ -6,31 +6,24 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExitCode {
     /// The run was carried out, and no answer was wrong.
-    Success,
+    Success = 0,
     /// A file, an address or a thread failed.
-    Failure,
+    Failure = 1,
     /// The command line or the plan is wrong.
-    Usage,
+    Usage = 2,
     /// At least one whole answer was wrong.
-    WrongAnswer,
+    WrongAnswer = 3,
     /// Nothing was answered whole.
-    NothingAnswered,
+    NothingAnswered = 4,
     /// Callers received more of a budget than was left in it.
-    Overspent,
+    Overspent = 5,
 }
 
 impl ExitCode {
     /// The code as the shell sees it.
     #[must_use]
     pub const fn code(self) -> u8 {
-        match self {
-            Self::Success => 0,
-            Self::Failure => 1,
-            Self::Usage => 2,
-            Self::WrongAnswer => 3,
-            Self::NothingAnswered => 4,
-            Self::Overspent => 5,
-        }
+        self as u8
     }
 }
 
--- a/crates/guavawell-load/src/plan/file.rs
+++ b/crates/guavawell-load/src/plan/file.rs
@@ -1,6 +1,7 @@
 //! The plan file, in TOML.
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::finding::line_at;
 use toml::Spanned;
 use toml::de::DeTable;
 use toml::de::DeValue;
@@ -18,7 +19,6 @@
 use super::profile::ServiceCall;
 use super::profile::SizeRange;
 use super::table::TableReader;
-use super::table::line_of;
 
 /// Reads a plan file.
 ///
@@ -32,7 +32,7 @@
     let mut findings = FindingList::default();
     for error in errors {
         findings.push(PlanFinding {
-            line: error.span().map(|span| line_of(text, span.start)),
+            line: error.span().map(|span| line_at(text, span.start)),
             key: "toml".into(),
             message: error.message().into(),
         });
@@ -132,7 +132,7 @@
         if let (Some(budget), Some(left)) = (budget, left) {
             budgets.push(BudgetExpectation { budget, left });
         } else {
-            let line = line_of(text, value.span().start);
+            let line = line_at(text, value.span().start);
             table.report(findings, line, "budget", "needs `budget` and `left`");
         }
         table.finish(findings);
@@ -209,7 +209,7 @@
         return Some(TableReader::new(text, prefix, table));
     }
     findings.push(PlanFinding {
-        line: Some(line_of(text, value.span().start)),
+        line: Some(line_at(text, value.span().start)),
         key: prefix.trim_end_matches('.').into(),
         message: "expected a table".into(),
     });
--- a/crates/guavawell-load/src/plan/finding.rs
+++ b/crates/guavawell-load/src/plan/finding.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlanFinding {
     /// Line in the plan file, from 1; `None` for the plan as a whole.
-    pub line: Option<usize>,
+    pub line: Option<u32>,
     /// The key concerned.
     pub key: Box<str>,
     /// What is wrong and what would be right.
--- a/crates/guavawell-load/src/plan/table.rs
+++ b/crates/guavawell-load/src/plan/table.rs
@@ -3,6 +3,7 @@
 use std::fmt::Display;
 use std::str::FromStr;
 
+use guavawell_core::finding::line_at;
 use toml::Spanned;
 use toml::de::DeTable;
 use toml::de::DeValue;
@@ -55,7 +56,7 @@
         T::Err: Display,
     {
         let value = self.raw(key)?;
-        let line = line_of(self.text, value.span().start);
+        let line = line_at(self.text, value.span().start);
         let Some(text) = scalar_text(value.get_ref()) else {
             self.report(findings, line, key, "expected a single value");
             return None;
@@ -78,14 +79,14 @@
         let Some(value) = self.raw(key) else {
             return Vec::new();
         };
-        let line = line_of(self.text, value.span().start);
+        let line = line_at(self.text, value.span().start);
         let DeValue::Array(items) = value.get_ref() else {
             self.report(findings, line, key, "expected an array");
             return Vec::new();
         };
         let mut parsed = Vec::with_capacity(items.len());
         for item in items {
-            let line = line_of(self.text, item.span().start);
+            let line = line_at(self.text, item.span().start);
             match scalar_text(item.get_ref()).map(|text| (text.parse(), text)) {
                 Some((Ok(value), _)) => parsed.push(value),
                 Some((Err(error), text)) => {
@@ -109,7 +110,7 @@
         if let DeValue::Array(items) = value.get_ref() {
             return items.iter().collect();
         }
-        let line = line_of(self.text, value.span().start);
+        let line = line_at(self.text, value.span().start);
         self.report(findings, line, key, &format!("write it as `[[{key}]]`"));
         Vec::new()
     }
@@ -121,7 +122,7 @@
             if self.known.contains(&name) {
                 continue;
             }
-            let line = line_of(self.text, key.span().start);
+            let line = line_at(self.text, key.span().start);
             let nearest = self.known.iter().min_by_key(|known| distance(known, name));
             let message = match nearest {
                 Some(nearest) => format!("unknown key; the nearest known one is `{nearest}`"),
@@ -132,7 +133,7 @@
     }
 
     /// Adds a finding about `key` at `line`.
-    pub(super) fn report(&self, findings: &mut FindingList, line: usize, key: &str, message: &str) {
+    pub(super) fn report(&self, findings: &mut FindingList, line: u32, key: &str, message: &str) {
         findings.push(PlanFinding {
             line: Some(line),
             key: format!("{}{key}", self.prefix).into(),
@@ -141,12 +142,6 @@
     }
 }
 
-/// The line, from 1, of a byte offset.
-pub(super) fn line_of(text: &str, offset: usize) -> usize {
-    let before = text.get(..offset).unwrap_or(text);
-    1 + before.matches('\n').count()
-}
-
 /// What is wrong with a value, naming it if the error does not.
 fn value_message(text: &str, error: &impl Display) -> Box<str> {
     let message = error.to_string();
--- a/crates/guavawell-timeline/src/exit.rs
+++ b/crates/guavawell-timeline/src/exit.rs
@@ -6,28 +6,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExitCode {
     /// Everything was read and no check failed.
-    Success,
+    Success = 0,
     /// A log could not be opened, or the output failed.
-    Failure,
+    Failure = 1,
     /// The command line is wrong.
-    Usage,
+    Usage = 2,
     /// A history check found a broken promise.
-    Breach,
+    Breach = 3,
     /// A log was out of order beyond the window, so the order is in doubt.
-    Disordered,
+    Disordered = 4,
 }
 
 impl ExitCode {
     /// The code as the shell sees it.
     #[must_use]
     pub const fn code(self) -> u8 {
-        match self {
-            Self::Success => 0,
-            Self::Failure => 1,
-            Self::Usage => 2,
-            Self::Breach => 3,
-            Self::Disordered => 4,
-        }
+        self as u8
     }
 }
 
