--- a/crates/guavawell-core/src/clock/mod.rs
+++ b/crates/guavawell-core/src/clock/mod.rs
@@ -1,4 +1,6 @@
 //! The project's one clock type: milliseconds since an epoch the caller owns.
+//!
+//! It never reads a clock; callers pass times in.
 
 use std::fmt;
 use std::num::ParseIntError;
--- a/crates/guavawell-core/src/event/mod.rs
+++ b/crates/guavawell-core/src/event/mod.rs
@@ -1,4 +1,6 @@
 //! The structured event that feeds the time line, one JSON object a line.
+//!
+//! Owns the record's form. When something is worth an event is not decided here.
 
 use serde::Deserialize;
 use serde::Serialize;
--- a/crates/guavawell-core/src/id/mod.rs
+++ b/crates/guavawell-core/src/id/mod.rs
@@ -1,4 +1,6 @@
 //! Newtypes for the ids, numbers and token counts that the fleet passes around.
+//!
+//! Owns their forms and arithmetic. No rule of the fleet stands here.
 
 mod number;
 mod text;
--- a/crates/guavawell-core/src/instance/membership/mod.rs
+++ b/crates/guavawell-core/src/instance/membership/mod.rs
@@ -1,4 +1,6 @@
 //! The membership's state machine: events and a time in, effects out.
+//!
+//! It sends nothing and reads no clock; datagrams and timers are the fleet's.
 
 mod receive;
 mod send;
--- a/crates/guavawell-core/src/manifest/version/mod.rs
+++ b/crates/guavawell-core/src/manifest/version/mod.rs
@@ -4,6 +4,8 @@
 //! and writes it together with a row of history. Each row carries a digest of
 //! its own content, so that an operator whose answer was lost can tell from
 //! the history whose write took effect.
+//!
+//! It reads and writes nothing; `guavawell-fleet::config` does.
 
 mod accept;
 mod row;
--- a/crates/guavawell-core/src/manifest/view/mod.rs
+++ b/crates/guavawell-core/src/manifest/view/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! Every part that a new version leaves unchanged is shared with the view
 //! before it.
+//!
+//! A view is never changed: an update makes the next one.
 
 mod backend;
 mod branch;
--- a/crates/guavawell-ctl/src/audit/mod.rs
+++ b/crates/guavawell-ctl/src/audit/mod.rs
@@ -1,4 +1,6 @@
 //! `audit`: one request, or one budget, from the journal and the table.
+//!
+//! Reads and compares; it never writes.
 
 mod budget;
 mod journal;
--- a/crates/guavawell-ctl/src/budget/mod.rs
+++ b/crates/guavawell-ctl/src/budget/mod.rs
@@ -1,4 +1,7 @@
 //! `budget`: list, show, top-up.
+//!
+//! Changes a budget by a conditional write of its row only; what may be changed
+//! is decided in `guavawell_core::budget`.
 
 mod list;
 mod read;
--- a/crates/guavawell-ctl/src/instance/mod.rs
+++ b/crates/guavawell-ctl/src/instance/mod.rs
@@ -1,4 +1,6 @@
 //! `instance`: list, drain; and what instances tell of themselves.
+//!
+//! Asks instances on their operators' ports; it never joins the fleet.
 
 mod drain;
 mod list;
--- a/crates/guavawell-ctl/src/manifest/mod.rs
+++ b/crates/guavawell-ctl/src/manifest/mod.rs
@@ -1,4 +1,7 @@
 //! `manifest`: check, apply, show, history.
+//!
+//! Carries an operator's file to the platform; what holds in one is decided in
+//! `guavawell_core::manifest`.
 
 mod apply;
 mod check;
--- a/crates/guavawell-ctl/src/output/mod.rs
+++ b/crates/guavawell-ctl/src/output/mod.rs
@@ -1,4 +1,6 @@
 //! Prints reports and errors, as text or as JSON.
+//!
+//! Owns the forms of what is printed; it never decides how the process ends.
 
 mod table;
 mod time;
--- a/crates/guavawell-demo/src/scene/mod.rs
+++ b/crates/guavawell-demo/src/scene/mod.rs
@@ -1,4 +1,7 @@
 //! What the demo sends, how it judges an answer, and what it gathers at the end.
+//!
+//! Owns the callers' side of the evidence. Whether the promises were kept is for
+//! `proof` to say.
 
 use std::sync::Arc;
 
--- a/crates/guavawell-fleet/src/operator/mod.rs
+++ b/crates/guavawell-fleet/src/operator/mod.rs
@@ -1,4 +1,7 @@
 //! Talks to operators: health, readiness, metrics, status and drain, on a port of its own.
+//!
+//! Owns the answers of that port. It never serves callers and changes nothing but
+//! the start of a drain.
 
 mod metric;
 mod page;
--- a/crates/guavawell-fleet/src/peer/client/mod.rs
+++ b/crates/guavawell-fleet/src/peer/client/mod.rs
@@ -1,5 +1,7 @@
 //! The calling side: a handle for any thread, and threads that own the
 //! connections.
+//!
+//! It never sends a request twice; whoever asks knows whether it may be repeated.
 
 mod book;
 mod connection;
--- a/crates/guavawell-fleet/src/peer/server/mod.rs
+++ b/crates/guavawell-fleet/src/peer/server/mod.rs
@@ -1,5 +1,7 @@
 //! The answering side: threads that accept peers and hand their requests to
 //! the router.
+//!
+//! It never answers by itself: the router's handler does.
 
 mod accept;
 mod session;
--- a/crates/guavawell-fleet/src/peer/wire/mod.rs
+++ b/crates/guavawell-fleet/src/peer/wire/mod.rs
@@ -1,4 +1,6 @@
 //! Between the messages' types and `schema/peer.capnp`, both ways.
+//!
+//! It moves fields and checks their form; it never judges their meaning.
 
 mod answer;
 mod ask;
--- a/crates/guavawell-load/src/client/mod.rs
+++ b/crates/guavawell-load/src/client/mod.rs
@@ -1,4 +1,6 @@
 //! The HTTP side: connections, one exchange, and the stream's events.
+//!
+//! It says how an exchange ended and never repeats one.
 
 mod exchange;
 mod message;
--- a/crates/guavawell-load/src/measure/mod.rs
+++ b/crates/guavawell-load/src/measure/mod.rs
@@ -1,4 +1,6 @@
 //! What one client thread measures, and how threads add up.
+//!
+//! Owns the counts. What is worth counting is decided by the client threads.
 
 mod latency;
 mod series;
--- a/crates/guavawell-load/src/plan/mod.rs
+++ b/crates/guavawell-load/src/plan/mod.rs
@@ -1,4 +1,6 @@
 //! What a run does: targets, arrivals, bounds, retries and the mix.
+//!
+//! Owns the settings of a run and their findings. It sends nothing.
 
 mod file;
 mod finding;
--- a/crates/guavawell-load/src/report/mod.rs
+++ b/crates/guavawell-load/src/report/mod.rs
@@ -1,4 +1,6 @@
 //! The closing report: figures, and their forms as text, JSON and SVG.
+//!
+//! It measures nothing and leaves no failure out.
 
 mod plot;
 mod text;
--- a/crates/guavawell-load/src/runner/mod.rs
+++ b/crates/guavawell-load/src/runner/mod.rs
@@ -1,4 +1,7 @@
 //! Carries a plan out over several client threads.
+//!
+//! Owns the threads and the run's clock. What is sent stands in `plan`, what is
+//! counted in `measure`.
 
 mod arrival;
 mod shared;
--- a/crates/guavawell-standin/src/attempt/mod.rs
+++ b/crates/guavawell-standin/src/attempt/mod.rs
@@ -1,4 +1,7 @@
 //! Attempts as a backend server sees them: progress, records and retention.
+//!
+//! Owns what is remembered of an attempt, so that none is begun twice. It runs
+//! none: `engine` and `service` do.
 
 mod entry;
 mod refusal;
--- a/crates/guavawell-standin/src/backend/mod.rs
+++ b/crates/guavawell-standin/src/backend/mod.rs
@@ -1,4 +1,7 @@
 //! What all kinds of backend server share: addresses, faults, lives, truth.
+//!
+//! What differs, such as routes and a life's content, stays in `engine` and
+//! `service`.
 
 mod host;
 
--- a/crates/guavawell-standin/src/command/mod.rs
+++ b/crates/guavawell-standin/src/command/mod.rs
@@ -1,4 +1,6 @@
 //! The command line.
+//!
+//! Turns arguments into settings; nothing behind it sees arguments.
 
 use std::net::SocketAddr;
 
--- a/crates/guavawell-standin/src/control/mod.rs
+++ b/crates/guavawell-standin/src/control/mod.rs
@@ -1,4 +1,6 @@
 //! The control address: fault switches, counters, truth.
+//!
+//! Owns the answers of that address. It is never served to routers.
 
 use http_types::Method;
 use http_types::Response;
--- a/crates/guavawell-standin/src/engine/mod.rs
+++ b/crates/guavawell-standin/src/engine/mod.rs
@@ -1,4 +1,7 @@
 //! A model engine: continuous batching, streams, records, orders.
+//!
+//! Owns the attempts and the models of one engine. It never judges a router: it
+//! serves what comes, and the truth log tells what ran.
 
 mod admit;
 mod body;
--- a/crates/guavawell-standin/src/fault/mod.rs
+++ b/crates/guavawell-standin/src/fault/mod.rs
@@ -1,4 +1,6 @@
 //! Fault switches, set at run time.
+//!
+//! Owns the switches; whoever serves asks them. It breaks nothing by itself.
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
--- a/crates/guavawell-standin/src/http/mod.rs
+++ b/crates/guavawell-standin/src/http/mod.rs
@@ -1,4 +1,6 @@
 //! HTTP/1.1 servers by `async-h1`, over connections that can be dropped or silenced.
+//!
+//! Owns sockets and their ends. It knows nothing of paths.
 
 mod connection;
 mod port;
--- a/crates/guavawell-standin/src/load/mod.rs
+++ b/crates/guavawell-standin/src/load/mod.rs
@@ -1,4 +1,6 @@
 //! The load report, which lags.
+//!
+//! Owns the report's age. It never decides what is admitted.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/guavawell-standin/src/lock/mod.rs
+++ b/crates/guavawell-standin/src/lock/mod.rs
@@ -1,4 +1,7 @@
 //! Taking a mutex whose holder may have panicked.
+//!
+//! A panic in a handler must not take the stand-in with it. It knows nothing of
+//! what is locked.
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
--- a/crates/guavawell-standin/src/platform/gateway/mod.rs
+++ b/crates/guavawell-standin/src/platform/gateway/mod.rs
@@ -1,4 +1,6 @@
 //! etcd v3's JSON gateway over the table.
+//!
+//! Translates keys, compares and operations; the table decides what holds.
 
 mod message;
 mod plan;
--- a/crates/guavawell-standin/src/platform/mod.rs
+++ b/crates/guavawell-standin/src/platform/mod.rs
@@ -1,4 +1,7 @@
 //! The platform: transactional table, object store and lagging instance list.
+//!
+//! Owns its rows, objects and the list, and the faults of an outage. It knows
+//! nothing of what routers store in it.
 
 mod counter;
 mod gateway;
--- a/crates/guavawell-standin/src/pool/mod.rs
+++ b/crates/guavawell-standin/src/pool/mod.rs
@@ -1,4 +1,7 @@
 //! The threads that all stand-ins of a process share.
+//!
+//! Owns the executor, which lasts as long as the process. It knows nothing of
+//! what runs there.
 
 use std::future::Future;
 use std::future::pending;
--- a/crates/guavawell-standin/src/run/mod.rs
+++ b/crates/guavawell-standin/src/run/mod.rs
@@ -1,4 +1,7 @@
 //! Runs one stand-in until the process ends.
+//!
+//! Starts what the settings name, and says how the process ends. It serves
+//! nothing itself.
 
 use std::future::pending;
 use std::io;
--- a/crates/guavawell-standin/src/service/mod.rs
+++ b/crates/guavawell-standin/src/service/mod.rs
@@ -1,4 +1,6 @@
 //! A plain service: any `POST` path, a reply made from the body.
+//!
+//! Owns the calls of one service. It keeps their outcomes, never their replies.
 
 mod life;
 mod reply;
--- a/crates/guavawell-standin/src/truth/mod.rs
+++ b/crates/guavawell-standin/src/truth/mod.rs
@@ -1,4 +1,6 @@
 //! The truth log: every attempt that a backend server really ran.
+//!
+//! It outlasts crashes. It holds what ran here, never what a router believes.
 
 use std::sync::Arc;
 use std::sync::Mutex;
--- a/crates/guavawell-timeline/src/output/mod.rs
+++ b/crates/guavawell-timeline/src/output/mod.rs
@@ -1,4 +1,6 @@
 //! Forms of the time line: text for people, JSON lines for programs.
+//!
+//! It never reorders events or leaves one out.
 
 mod json;
 mod text;
--- a/crates/guavawell-timeline/src/source/mod.rs
+++ b/crates/guavawell-timeline/src/source/mod.rs
@@ -1,4 +1,6 @@
 //! Event logs: reading lines, tolerating bad ones, and mending small disorder.
+//!
+//! It never drops a line silently: one that holds no event is counted.
 
 mod bad;
 mod line;
