Tell a former holder what is given back, and charge its float only there

Cause: a release went to the present holder only; a former holder kept the float attempts that were given back as running and did not report its float before slots' retire_wait, then at the worst case. And where the witness had an attempt as its own part which the holder had moved to its float when the witness fell silent, a charge told to both counted at both. Change: a granted float reservation is given back at its former holder too; a holder charges nothing for an attempt that another pool than its own has paid.

--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -187,7 +187,7 @@
         let state = self.ledger.request(&settle.identity).cloned();
         let answer = match state {
             Some(RequestState::Reserved(held)) if held.attempt == settle.attempt => {
-                let charged = settle.actual.min(held.amount);
+                let charged = held.owes(settle.grant.pool, settle.actual);
                 self.charge(ask, settle, &held, charged, now, effects)
             }
             Some(RequestState::Settled(charge)) if charge.attempt == settle.attempt => {
--- a/crates/guavawell-core/src/budget/ledger.rs
+++ b/crates/guavawell-core/src/budget/ledger.rs
@@ -62,6 +62,22 @@
     pub digest: RequestDigest,
 }
 
+impl HeldAttempt {
+    /// What a charge of `actual` to `pool` takes here.
+    ///
+    /// An attempt that its router was granted from a float, while the witness
+    /// had it as its own part, was paid by the former holder's float: here it
+    /// only ends.
+    #[must_use]
+    pub fn owes(&self, pool: TokenPool, actual: TokenCount) -> TokenCount {
+        if self.pool == pool {
+            actual.min(self.amount)
+        } else {
+            TokenCount::ZERO
+        }
+    }
+}
+
 /// The charge of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ChargedAttempt {
--- a/crates/guavawell-fleet/src/router/reserve.rs
+++ b/crates/guavawell-fleet/src/router/reserve.rs
@@ -102,10 +102,11 @@
                     .request(&self.identity.request)
                     .attempt(self.attempt),
             );
-            core.slots.release_later(ReleaseAsk {
+            let ask = ReleaseAsk {
                 identity: self.identity.clone(),
                 attempt: self.attempt,
-            });
+            };
+            core.slots.release_granted(ask, &self.grant);
         }
     }
 }
--- a/crates/guavawell-fleet/src/slot/toward.rs
+++ b/crates/guavawell-fleet/src/slot/toward.rs
@@ -12,6 +12,7 @@
 use guavawell_core::budget::ReleaseAsk;
 use guavawell_core::budget::ReserveAnswer;
 use guavawell_core::budget::ReserveAsk;
+use guavawell_core::budget::ReserveGrant;
 use guavawell_core::budget::SealAnswer;
 use guavawell_core::budget::SealAsk;
 use guavawell_core::budget::SettleAnswer;
@@ -164,6 +165,29 @@
         self.directory.holder(slot).as_ref() == Some(life)
     }
 
+    /// Gives a granted reservation back in the background, also at a former
+    /// holder if its float was to pay.
+    pub fn release_granted(self: &Arc<Self>, ask: ReleaseAsk, grant: &ReserveGrant) {
+        let slot = self.slot_of(&ask.identity.organisation);
+        if grant.pool == TokenPool::Float {
+            let driver = Arc::clone(self);
+            let former = grant.holder.clone();
+            let told = PeerRequest::Release(SlotAsk::new(slot.clone(), ask.clone()));
+            let task = async move {
+                while driver
+                    .ask_one(&slot, &told, &former.instance)
+                    .await
+                    .is_err()
+                    && is_alive(&(driver.parts.members)(), &former)
+                {
+                    Timer::after(RETRY_PAUSE * 10).await;
+                }
+            };
+            self.parts.tasks.spawn(task);
+        }
+        self.release_later(ask);
+    }
+
     /// Gives a reservation back in the background: the attempt did not run.
     pub fn release_later(self: &Arc<Self>, ask: ReleaseAsk) {
         let driver = Arc::clone(self);
