--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -194,6 +194,9 @@
             settings.routing.connect_timeout_ms,
         ),
         ("routing.silent_after_ms", settings.routing.silent_after_ms),
+        ("orders.review_ms", settings.orders.review_ms),
+        ("orders.silent_after_ms", settings.orders.silent_after_ms),
+        ("orders.take_over_ms", settings.orders.take_over_ms),
         (
             "limits.request_timeout_ms",
             settings.limits.request_timeout_ms,
@@ -230,6 +233,8 @@
             "platform.writes_per_second",
             settings.platform.writes_per_second.get(),
         ),
+        ("orders.at_once", settings.orders.at_once.into()),
+        ("orders.fleet_loads", settings.orders.fleet_loads.into()),
         ("limits.max_running", settings.limits.max_running.into()),
         (
             "limits.max_output_tokens",
--- a/crates/guavawell-fleet/src/settings/tests.rs
+++ b/crates/guavawell-fleet/src/settings/tests.rs
@@ -223,3 +223,13 @@
     assert!(unread.is_empty(), "nothing reads {unread:?}");
     assert!(!reads(&sources, "no_such_key"));
 }
+
+#[test]
+fn orders_that_could_never_go_out_are_found() {
+    let text = format!("{PLAIN}[orders]\nreview_ms = 0\nfleet_loads = 0\nat_once = 0\n");
+    let findings = findings(&text);
+    assert_eq!(findings.lines().count(), 3, "{findings}");
+    for key in ["orders.review_ms", "orders.fleet_loads", "orders.at_once"] {
+        assert!(findings.contains(key), "{findings}");
+    }
+}
