Decide attempts in doubt by the one rule, and list them

Cause: the router mapped the engine's record by itself beside the decision crate's resolve_doubt, and nobody could see which attempts are in doubt.

Tests: the list over a fleet with a killed router. Not tested here: a list that is not empty.

--- a/crates/guavawell-ctl/src/args.rs
+++ b/crates/guavawell-ctl/src/args.rs
@@ -149,6 +149,10 @@
         #[bpaf(long, argument("ID"))]
         request: RequestId,
     },
+    /// List every attempt in doubt, as the instances tell: held at its worst case, and not settled
+    /// until its backend server's record tells what became of it
+    #[bpaf(long("doubts"))]
+    Doubts,
     /// One budget.
     Budget {
         /// Budget whose sums are to be proved
--- a/crates/guavawell-ctl/src/audit/mod.rs
+++ b/crates/guavawell-ctl/src/audit/mod.rs
@@ -3,6 +3,7 @@
 //! Reads and compares; it never writes.
 
 mod budget;
+mod doubt;
 mod journal;
 mod request;
 
@@ -20,6 +21,7 @@
             organisation,
             request,
         } => request::audit_request(settings, &platform, organisation, request).await,
+        AuditTarget::Doubts => doubt::audit(settings, &platform).await,
         AuditTarget::Budget { budget } => budget::audit(settings, &platform, budget).await,
     }
 }
--- a/crates/guavawell-ctl/tests/ctl/fleet.rs
+++ b/crates/guavawell-ctl/tests/ctl/fleet.rs
@@ -109,5 +109,17 @@
 
     overwrite(&test, &segment);
     audit(&test).assert_code(0);
+
+    let platform = test.fleet.platform.address().to_string();
+    let doubts = run_alone(&["--platform", &platform, "audit", "--doubts"]);
+    let doubts = doubts.assert_code(0).stdout;
+    assert!(
+        doubts.starts_with("0 attempts in doubt, as 3 instances tell"),
+        "{doubts}"
+    );
+    assert!(
+        doubts.contains("no answer: router-0-"),
+        "the killed one: {doubts}"
+    );
     test.fleet.stop();
 }
--- a/crates/guavawell-fleet/src/operator/mod.rs
+++ b/crates/guavawell-fleet/src/operator/mod.rs
@@ -10,6 +10,7 @@
 pub use metric::MetricsPage;
 pub use page::OperatorPages;
 pub use page::answer;
+pub use status::DoubtLine;
 pub use status::INSTANCE_PREFIX;
 pub use status::InstanceRow;
 pub use status::InstanceStatus;
--- a/crates/guavawell-fleet/src/operator/page.rs
+++ b/crates/guavawell-fleet/src/operator/page.rs
@@ -15,6 +15,8 @@
     pub ready: Box<dyn Fn() -> Result<(), Box<str>> + Send + Sync>,
     /// The status document as JSON.
     pub status: Box<dyn Fn() -> String + Send + Sync>,
+    /// The attempts in doubt as JSON.
+    pub doubts: Box<dyn Fn() -> String + Send + Sync>,
     /// Begins a graceful shutdown.
     pub drain: Box<dyn Fn() + Send + Sync>,
 }
@@ -30,11 +32,8 @@
             Err(reason) => text(StatusCode::ServiceUnavailable, &format!("{reason}\n")),
         },
         (Method::Get, "/metrics") => text(StatusCode::Ok, &pages.metrics.render()),
-        (Method::Get, "/status") => {
-            let mut response = text(StatusCode::Ok, &(pages.status)());
-            response.insert_header("content-type", "application/json");
-            response
-        }
+        (Method::Get, "/status") => json(&(pages.status)()),
+        (Method::Get, "/doubts") => json(&(pages.doubts)()),
         (Method::Post, "/drain") => {
             (pages.drain)();
             text(StatusCode::Accepted, "leaving\n")
@@ -43,6 +42,12 @@
     }
 }
 
+fn json(body: &str) -> Response {
+    let mut response = text(StatusCode::Ok, body);
+    response.insert_header("content-type", "application/json");
+    response
+}
+
 fn text(status: StatusCode, body: &str) -> Response {
     let mut response = Response::new(status);
     response.set_body(body);
--- a/crates/guavawell-fleet/src/operator/status.rs
+++ b/crates/guavawell-fleet/src/operator/status.rs
@@ -3,9 +3,15 @@
 use std::net::SocketAddr;
 
 use guavawell_core::clock::ClockTime;
+use guavawell_core::id::AttemptId;
+use guavawell_core::id::BackendId;
+use guavawell_core::id::BudgetId;
 use guavawell_core::id::IncarnationId;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::ManifestVersion;
+use guavawell_core::id::OrganisationId;
+use guavawell_core::id::RequestId;
+use guavawell_core::id::TokenCount;
 use guavawell_core::id::ZoneId;
 use guavawell_core::manifest::VersionProof;
 use serde::Deserialize;
@@ -57,3 +63,24 @@
     #[serde(default)]
     pub leaving: bool,
 }
+
+/// One attempt in doubt, of the answer to `GET /doubts`: reserved, perhaps
+/// sent, not settled, and held at its worst case until its backend server's
+/// record tells.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DoubtLine {
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// The request.
+    pub request: RequestId,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The budget.
+    pub budget: BudgetId,
+    /// The reserved worst case.
+    pub reserved: TokenCount,
+    /// The router that ran it.
+    pub router: InstanceId,
+    /// The backend server, if the router told before it was gone.
+    pub backend: Option<BackendId>,
+}
--- a/crates/guavawell-fleet/src/router/orphan.rs
+++ b/crates/guavawell-fleet/src/router/orphan.rs
@@ -6,8 +6,14 @@
 
 use guavawell_core::budget::BackendNote;
 use guavawell_core::budget::HeldAttempt;
+use guavawell_core::id::TokenCount;
 use guavawell_core::manifest::BackendEntry;
 use guavawell_core::manifest::BackendKind;
+use guavawell_core::request::StreamUsage;
+use guavawell_core::request::billing::DoubtAnswer;
+use guavawell_core::request::billing::DoubtCase;
+use guavawell_core::request::billing::EngineWord;
+use guavawell_core::request::billing::resolve_doubt;
 use smol::Timer;
 
 use super::core::RouterCore;
@@ -15,6 +21,7 @@
 use crate::engine::AttemptState;
 use crate::engine::EngineError;
 use crate::event::EventDraft;
+use crate::operator::DoubtLine;
 use crate::slot::OrphanedAttempt;
 use crate::slot::ResolvedAttempt;
 
@@ -60,7 +67,7 @@
     let view = core.view.load_full();
     if let Some(backend) = noted.and_then(|backend| view.backend(&backend).cloned()) {
         match core.engines.record(backend.address, attempt).await {
-            Ok(record) => return outcome(&backend, &orphan.held, &record),
+            Ok(record) => return outcome(&backend, orphan, &record),
             Err(EngineError::UnknownAttempt) => {}
             Err(_) => return ResolvedAttempt::InDoubt,
         }
@@ -83,7 +90,7 @@
             Err(EngineError::UnknownAttempt) => core.engines.cancel(backend.address, attempt).await,
             other => other,
         };
-        match seen.map(|record| outcome(backend, &orphan.held, &record)) {
+        match seen.map(|record| outcome(backend, orphan, &record)) {
             Ok(ResolvedAttempt::NotRun) => {}
             Ok(other) => {
                 orphan.held.backend = Some(backend.id.clone());
@@ -100,15 +107,63 @@
     found
 }
 
-fn outcome(backend: &BackendEntry, held: &HeldAttempt, record: &AttemptRecord) -> ResolvedAttempt {
+/// What the record means, by the one rule for attempts in doubt.
+fn outcome(
+    backend: &BackendEntry,
+    orphan: &OrphanedAttempt,
+    record: &AttemptRecord,
+) -> ResolvedAttempt {
+    let held = &orphan.held;
+    let case = DoubtCase {
+        identity: orphan.identity.clone(),
+        attempt: held.attempt,
+        budget: held.budget.clone(),
+        reserved: held.amount,
+        router: held.router.clone(),
+        backend: Some(backend.id.clone()),
+        // Its caller may ask again and read the rest of the answer.
+        abandoned: false,
+    };
+    match resolve_doubt(&case, Some(word_of(backend, held, record))) {
+        DoubtAnswer::Charge(tokens) => ResolvedAttempt::Done(tokens),
+        // Nobody got a whole answer of it.
+        DoubtAnswer::Release { .. } => ResolvedAttempt::NotRun,
+        DoubtAnswer::Cancel | DoubtAnswer::Wait | DoubtAnswer::Hold => ResolvedAttempt::InDoubt,
+    }
+}
+
+fn word_of(backend: &BackendEntry, held: &HeldAttempt, record: &AttemptRecord) -> EngineWord {
+    let counted = StreamUsage {
+        prompt_tokens: record.prompt_tokens,
+        completion_tokens: record.completion_tokens,
+    };
     match record.state {
         // A service's calls cost what was reserved, not what it counts.
         AttemptState::Done if backend.kind == BackendKind::Service => {
-            ResolvedAttempt::Done(held.amount)
+            EngineWord::Done(StreamUsage {
+                prompt_tokens: held.amount,
+                completion_tokens: TokenCount::ZERO,
+            })
         }
-        AttemptState::Done => ResolvedAttempt::Done(record.total()),
-        // Nobody got a whole answer of it.
-        AttemptState::Cancelled => ResolvedAttempt::NotRun,
-        AttemptState::Queued | AttemptState::Running => ResolvedAttempt::InDoubt,
+        AttemptState::Done => EngineWord::Done(counted),
+        AttemptState::Cancelled => EngineWord::Cancelled(counted),
+        AttemptState::Queued | AttemptState::Running => EngineWord::Running,
     }
 }
+
+/// What is in doubt at this router, for operators.
+#[must_use]
+pub fn doubt_lines(core: &RouterCore) -> Vec<DoubtLine> {
+    let mut orphans = core.slots.orphans();
+    orphans.extend(core.doubts.list());
+    let lines = orphans.into_iter().map(|orphan| DoubtLine {
+        organisation: orphan.identity.organisation,
+        request: orphan.identity.request,
+        attempt: orphan.held.attempt,
+        budget: orphan.held.budget,
+        reserved: orphan.held.amount,
+        router: orphan.held.router.instance,
+        backend: orphan.held.backend,
+    });
+    lines.collect()
+}
--- a/crates/guavawell-fleet/src/router/ports.rs
+++ b/crates/guavawell-fleet/src/router/ports.rs
@@ -8,6 +8,7 @@
 use smol::net::TcpStream;
 
 use super::core::RouterCore;
+use super::orphan::doubt_lines;
 use super::serve::serve;
 use super::settings::caller_limits;
 use super::settings::operator_limits;
@@ -110,6 +111,7 @@
 fn operator_pages(core: &Arc<RouterCore>, config: &ConfigHandle) -> OperatorPages {
     let ready = (Arc::clone(core), config.clone());
     let status = (Arc::clone(core), config.clone());
+    let doubts = Arc::clone(core);
     let drain = Arc::clone(core);
     OperatorPages {
         metrics: MetricsPage::install(),
@@ -118,6 +120,10 @@
             let status = instance_status(&status.0, &status.1);
             serde_json::to_string(&status).expect("ids and numbers serialise")
         }),
+        doubts: Box::new(move || {
+            let lines = doubt_lines(&doubts);
+            serde_json::to_string(&lines).expect("ids and numbers serialise")
+        }),
         drain: Box::new(move || drain.leaving.store(true, Ordering::Release)),
     }
 }
