Tell every zone the load of all servers, and count who follows the reports

Cause: load notes went to the server's own zone only. BackendTable::set_routers was never called. Change: up to 64 servers in the manifest, load notes go to the whole fleet; above that only those that say leaving. The number of routers is that of the routable ones that get the same notes: the fleet's, or the zone's.

--- a/crates/guavawell-fleet/src/router/fetch.rs
+++ b/crates/guavawell-fleet/src/router/fetch.rs
@@ -29,6 +29,10 @@
 use crate::clock;
 use crate::gossip::GossipDriver;
 
+/// Up to this many backend servers, load reports go to the whole fleet; each
+/// takes about 50 bytes in gossip.
+const MAX_SHARED_SERVERS: usize = 64;
+
 /// What a note's key begins with.
 const NOTE_PREFIX: &str = "load/";
 
@@ -78,6 +82,7 @@
     let rounds = PollRounds::default();
     loop {
         let members = gossip.view();
+        core.backends.load().set_routers(readers(&core, &members));
         take_notes(&core, &members);
         for server in own_backends(&core, &members) {
             let Some(round) = rounds.begin(&server.id) else {
@@ -181,27 +186,50 @@
         return;
     };
     apply(core, backend, &report);
+    let note = LoadNote::of(&report);
+    let scope = load_scope(core, note.leaving);
     let changed = take_models(core, backend, &report.models);
-    publish(
-        core,
-        gossip,
-        NOTE_PREFIX,
-        backend,
-        report.at,
-        &LoadNote::of(&report),
-    );
+    publish(gossip, NOTE_PREFIX, backend, report.at, scope, &note);
     if changed || is_renewal(core, report.at) {
         publish(
-            core,
             gossip,
             MODELS_PREFIX,
             backend,
             report.at,
+            own_zone(core),
             &report.models,
         );
     }
 }
 
+fn own_zone(core: &RouterCore) -> NoteScope {
+    NoteScope::Zone(core.settings.instance.zone.clone())
+}
+
+/// Whether every router hears every server's load, not only its own zone's.
+fn is_shared(core: &RouterCore) -> bool {
+    core.view.load().backends().len() <= MAX_SHARED_SERVERS
+}
+
+/// Who hears a load report. Leaving has to be known wherever work may come from.
+fn load_scope(core: &RouterCore, leaving: bool) -> NoteScope {
+    if leaving || is_shared(core) {
+        NoteScope::Fleet
+    } else {
+        own_zone(core)
+    }
+}
+
+/// Routers that follow the same load reports as this one, itself included.
+fn readers(core: &RouterCore, members: &MemberView) -> u32 {
+    let count = if is_shared(core) {
+        members.routable().count()
+    } else {
+        members.routable_in(&core.settings.instance.zone).count()
+    };
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
 /// About one poll in [`MODELS_EVERY`], for routers that missed the change.
 fn is_renewal(core: &RouterCore, at: ClockTime) -> bool {
     let poll = core.settings.routing.load_poll_ms;
@@ -209,11 +237,11 @@
 }
 
 fn publish(
-    core: &RouterCore,
     gossip: &GossipDriver,
     prefix: &str,
     backend: &BackendId,
     at: ClockTime,
+    scope: NoteScope,
     value: &impl Serialize,
 ) {
     let Ok(bytes) = postcard::to_allocvec(value) else {
@@ -222,7 +250,7 @@
     let note = GossipNote {
         key: format!("{prefix}{backend}").into(),
         version: at.as_millis(),
-        scope: NoteScope::Zone(core.settings.instance.zone.clone()),
+        scope,
         bytes: bytes.into(),
     };
     if gossip.publish(&note).is_err() {
