Count a connection that cannot be opened as an unreachable server

Cause: a refused or timed-out connect counted as one failure of five. Change: EngineError::NotSent ends a lease as Unreachable, which ejects at once.

--- a/crates/guavawell-fleet/src/router/choice.rs
+++ b/crates/guavawell-fleet/src/router/choice.rs
@@ -30,6 +30,7 @@
 #[must_use]
 pub fn lease_outcome(failure: &EngineError) -> LeaseOutcome {
     match failure {
+        EngineError::NotSent(_) => LeaseOutcome::Unreachable,
         EngineError::Rejected { .. } => LeaseOutcome::Overloaded,
         EngineError::Silent => LeaseOutcome::Silent,
         _ => LeaseOutcome::Failed,
--- a/crates/guavawell-fleet/src/router/tests.rs
+++ b/crates/guavawell-fleet/src/router/tests.rs
@@ -1,9 +1,11 @@
 use std::fs;
+use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use futures::future::join_all;
+use guavawell_core::backend::LeaseOutcome;
 use guavawell_core::backend::RoutingSettings;
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::clock::ClockSpan;
@@ -18,10 +20,12 @@
 
 use super::RouterHandle;
 use super::RouterOptions;
+use super::choice::lease_outcome;
 use super::platform::PlatformClients;
 use super::platform::share_policy;
 use super::settings;
 use crate::drill::LinkGate;
+use crate::engine::EngineError;
 use crate::platform::PlatformError;
 use crate::platform::TableOp;
 use crate::platform::TableTxn;
@@ -178,3 +182,23 @@
         fresh.kill();
     });
 }
+
+#[test]
+fn a_failed_exchange_counts_for_its_server_by_its_kind() {
+    let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
+    let slow = || io::Error::from(io::ErrorKind::TimedOut);
+    let rejected = EngineError::Rejected {
+        status: 429,
+        retry_after: None,
+    };
+    let cases = [
+        (EngineError::NotSent(refused()), LeaseOutcome::Unreachable),
+        (EngineError::NotSent(slow()), LeaseOutcome::Unreachable),
+        (EngineError::Lost(refused()), LeaseOutcome::Failed),
+        (EngineError::Silent, LeaseOutcome::Silent),
+        (rejected, LeaseOutcome::Overloaded),
+    ];
+    for (failure, outcome) in cases {
+        assert_eq!(lease_outcome(&failure), outcome, "{failure}");
+    }
+}
