--- a/crates/guavawell-core/src/budget/mod.rs
+++ b/crates/guavawell-core/src/budget/mod.rs
@@ -70,6 +70,7 @@
 pub use row::TopUpId;
 pub use slot::InstanceLife;
 pub use slot::SlotId;
+pub use slot::SlotIdError;
 pub use slot::SlotRow;
 pub use slot::shard_of;
 pub use witness::SlotWitness;
--- a/crates/guavawell-core/src/budget/slot.rs
+++ b/crates/guavawell-core/src/budget/slot.rs
@@ -1,11 +1,13 @@
 //! Slots: the part of the budgets that one router decides about.
 
 use std::fmt;
+use std::str::FromStr;
 
 use serde::Deserialize;
 use serde::Serialize;
 use sha2::Digest;
 use sha2::Sha256;
+use thiserror::Error;
 
 use crate::id::IncarnationId;
 use crate::id::InstanceId;
@@ -29,6 +31,26 @@
     }
 }
 
+/// A text that names no slot.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("`{0}` is no slot; write ZONE/SHARD, for instance `tln-a/3`")]
+pub struct SlotIdError(Box<str>);
+
+impl FromStr for SlotId {
+    type Err = SlotIdError;
+
+    fn from_str(text: &str) -> Result<Self, SlotIdError> {
+        let parse = || {
+            let (zone, shard) = text.rsplit_once('/')?;
+            Some(Self {
+                zone: zone.parse().ok()?,
+                shard: shard.parse().ok()?,
+            })
+        };
+        parse().ok_or_else(|| SlotIdError(text.into()))
+    }
+}
+
 /// The shard of an organisation among `shards`, the same on every router.
 ///
 /// `shards` is a setting of the deployment that never changes while slots
--- a/crates/guavawell-ctl/src/args.rs
+++ b/crates/guavawell-ctl/src/args.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
+use guavawell_core::budget::SlotId;
 use guavawell_core::budget::TopUpId;
 use guavawell_core::id::BackendId;
 use guavawell_core::id::BudgetId;
@@ -11,6 +12,7 @@
 use guavawell_core::id::ManifestVersion;
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::RequestId;
+use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
 
 /// What the exit codes say.
@@ -218,6 +220,31 @@
         #[bpaf(positional("ID"))]
         budget: BudgetId,
     },
+    /// End frozen tokens of a destroyed instance by your word
+    ///
+    ///
+    /// Only for an instance that is destroyed and can never come back: tokens that it spent and
+    /// that are reclaimed as unspent would be spent twice. Without --spent all frozen tokens count
+    /// as spent. Your name, the time and the word are kept in the table with what was reclaimed;
+    /// repeating the command changes nothing.
+    #[bpaf(command)]
+    Reclaim {
+        /// Slot whose holder is destroyed, as `budget show` names it
+        #[bpaf(long, argument("ZONE/SHARD"))]
+        slot: SlotId,
+        /// Tenure that held the tokens, as `budget show` names it
+        #[bpaf(long, argument("N"))]
+        tenure: SlotEpoch,
+        /// Most tokens that the holder can have spent, as the audit proves
+        #[bpaf(long, argument("N"))]
+        spent: Option<TokenCount>,
+        /// Why the instance cannot come back, and how you know
+        #[bpaf(long, argument("TEXT"))]
+        word: String,
+        /// The budget
+        #[bpaf(positional("ID"))]
+        budget: BudgetId,
+    },
     /// Add paid tokens to a budget
     ///
     ///
--- a/crates/guavawell-ctl/src/run.rs
+++ b/crates/guavawell-ctl/src/run.rs
@@ -1,5 +1,7 @@
 //! Carries out one subcommand.
 
+use guavawell_core::budget::FrozenReclaim;
+
 use crate::args::BackendCommand;
 use crate::args::BudgetCommand;
 use crate::args::Command;
@@ -42,6 +44,24 @@
                 Box::pin(budget::list(settings, organisation.as_ref())).await
             }
             BudgetCommand::Show { budget } => Box::pin(budget::show(settings, budget)).await,
+            BudgetCommand::Reclaim {
+                slot,
+                tenure,
+                spent,
+                word,
+                budget,
+            } => {
+                let reclaim = budget::Reclaim {
+                    budget: budget.clone(),
+                    frozen: FrozenReclaim {
+                        slot: slot.clone(),
+                        tenure: *tenure,
+                        spent: *spent,
+                    },
+                    word: word.as_str().into(),
+                };
+                Box::pin(budget::reclaim(settings, reclaim)).await
+            }
             BudgetCommand::TopUp { tokens, id, budget } => {
                 let top_up = budget::TopUp {
                     budget: budget.clone(),
--- a/crates/guavawell-ctl/tests/ctl/budget.rs
+++ b/crates/guavawell-ctl/tests/ctl/budget.rs
@@ -1,4 +1,4 @@
-//! `budget`: list, show, top-up.
+//! `budget`: list, show, reclaim, top-up.
 
 use guavawell_standin::fault::FaultChange;
 
@@ -119,3 +119,39 @@
     insta::assert_snapshot!(result.stderr, @"guavawell-ctl: there is no budget `desk-2028`; see `budget list`");
     assert!(fleet.platform.keys("budget/").is_empty());
 }
+
+#[test]
+fn frozen_tokens_end_once_by_a_kept_word() {
+    let fleet = TestFleet::with_desk("reclaim");
+    top_up(&fleet, "inv-1").assert_code(0);
+    let mut row = fleet.row("budget/desk-2026");
+    row["frozen"] = serde_json::json!([{
+        "slot": {"zone": "tln-a", "shard": 3}, "tenure": 4, "tokens": 900,
+        "whole": true, "reported": 0, "float_reported": 0
+    }]);
+    let value = serde_json::to_vec(&row).expect("JSON");
+    fleet.platform.put_row("budget/desk-2026", &value);
+    let reclaim = |tenure: &str| {
+        let word = "host 7 burnt down; seen by two of us";
+        let slot = ["--slot", "tln-a/3", "--tenure", tenure, "--spent", "250"];
+        let mut args = vec!["budget", "reclaim", "desk-2026"];
+        args.extend(slot);
+        args.extend(["--word", word]);
+        fleet.run(&args)
+    };
+    fleet.faults(FaultChange {
+        lose_answers: Some(1),
+        ..FaultChange::default()
+    });
+    let told = reclaim("4").assert_code(0).stdout;
+    assert!(told.contains("reclaimed 900 tokens"), "{told}");
+    let again = reclaim("4").assert_code(0).stdout;
+    assert_eq!(again, told, "the first word is kept");
+    let row = fleet.row("budget/desk-2026");
+    assert_eq!(row["settled"], 250);
+    assert_eq!(row["frozen"], serde_json::json!([]));
+    let kept = fleet.row("reclaim/desk-2026/tln-a/3/4");
+    assert_eq!(kept["who"], "anna");
+    assert_eq!(kept["word"], "host 7 burnt down; seen by two of us");
+    reclaim("5").assert_code(7);
+}
