Split the holder's asks and the routing experiment's world by job

The experiment's setup and its reports and faults are files of their own below world/. The lines are the same ones, compared after sorting; only the impl headers are new.

The experiment itself was not run again.

--- a/crates/guavawell-core/examples/routing_compare/world.rs
+++ b/crates/guavawell-core/examples/routing_compare/world/mod.rs
@@ -1,5 +1,8 @@
 //! Routers, engines and callers on a virtual clock.
 
+mod report;
+mod setup;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::sync::Arc;
@@ -31,10 +34,14 @@
 use super::engine::EngineJob;
 use super::engine::EngineTimes;
 use super::engine::ModelEngine;
-use super::engine::SLOTS;
 use super::sample::LatencySamples;
 use super::sample::RandomDraws;
 
+pub use setup::ChoicePolicy;
+pub use setup::WorldFault;
+pub use setup::WorldResult;
+pub use setup::WorldSetup;
+
 const ROUTERS: usize = 6;
 const PREFIXES: u64 = 60;
 const REPORT_MS: u64 = 1_000;
@@ -46,46 +53,6 @@
 const MEASURE_MS: u64 = START_MS + 20_000;
 const END_MS: u64 = START_MS + 120_000;
 
-/// How a router chooses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ChoicePolicy {
-    RoundRobin,
-    LeastReported,
-    Guavawell,
-}
-
-/// What goes wrong with the first engine, or with its zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WorldFault {
-    None,
-    SlowServer,
-    Leaving,
-    ZoneLost,
-}
-
-/// What is run.
-#[derive(Clone, Debug)]
-pub struct WorldSetup {
-    pub policy: ChoicePolicy,
-    pub fault: WorldFault,
-    pub engines: usize,
-    pub zones: usize,
-    /// Requests a second offered, by organisation.
-    pub rates: Vec<f64>,
-}
-
-/// What came out.
-#[derive(Default)]
-pub struct WorldResult {
-    /// By organisation.
-    pub first_token: Vec<LatencySamples>,
-    pub between: LatencySamples,
-    /// By organisation.
-    pub refused: Vec<u64>,
-    /// New work at the leaving server 3 s after its mark.
-    pub late_work: u64,
-}
-
 enum WorldEvent {
     Arrive(usize),
     Try(usize),
@@ -442,65 +409,4 @@
             lease.finish(outcome, now);
         }
     }
-
-    fn report(&mut self, engine: usize) {
-        self.advance(engine);
-        let state = &mut self.engines[engine];
-        if state.dead || self.now > END_MS {
-            return;
-        }
-        let load = state.load();
-        let size = |number: usize| u32::try_from(number).expect("small");
-        let role = if state.leaving_since.is_some() {
-            "leaving"
-        } else {
-            "serve"
-        };
-        let report = LoadReport {
-            at: ClockTime::from_millis(self.now),
-            running: size(load.min(SLOTS)),
-            queued: size(load.saturating_sub(SLOTS)),
-            slots: size(SLOTS),
-            models: spec(engine, 1).models,
-            role: role.into(),
-        };
-        let mut events = std::mem::take(&mut state.events);
-        events.retain(|_| self.choices.below(10) > 0);
-        let next = state.event_count;
-        let batch = CacheBatch { events, next };
-        self.after(REPORT_LAG_MS, WorldEvent::Deliver(engine, report, batch));
-        self.after(REPORT_MS, WorldEvent::Report(engine));
-    }
-
-    fn deliver(&mut self, engine: usize, report: &LoadReport, batch: &CacheBatch) {
-        let now = self.time();
-        for number in 0..ROUTERS {
-            let router = &mut self.routers[number];
-            let id = &router.table.specs()[engine].id;
-            router.reported[engine] = report.running + report.queued;
-            router.left_out[engine] |= &*report.role == "leaving";
-            let _ = router.table.apply_report(id, report, now);
-            let _ = router.table.apply_cache_events(id, batch);
-            let limit = router.table.capacity(&self.target, now);
-            let slots = router.table.slot_share(&self.target, now);
-            let mut effects = Vec::new();
-            router.admission.set_slots(slots);
-            router.admission.set_limit(limit, now, &mut effects);
-            self.follow(&effects);
-        }
-    }
-
-    /// A lost zone takes no new work; what runs there ends undisturbed.
-    fn break_something(&mut self) {
-        let zones = self.setup.zones;
-        match self.setup.fault {
-            WorldFault::None => {}
-            WorldFault::SlowServer => self.engines[0].slowness = 4,
-            WorldFault::Leaving => self.engines[0].leaving_since = Some(self.now),
-            WorldFault::ZoneLost => {
-                let lost = self.engines.iter_mut().step_by(zones);
-                lost.for_each(|engine| engine.dead = true);
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/guavawell-core/src/budget/holder/charge.rs
@@ -0,0 +1,216 @@
+//! Charges and releases: what running attempts used, or give back.
+
+use super::AskId;
+use super::ChargeNotice;
+use super::HolderAnswer;
+use super::HolderEffect;
+use super::SlotHolder;
+use super::ask::answer_reserve;
+use super::witnessing::WaitKind;
+use crate::budget::ledger::HeldAttempt;
+use crate::budget::ledger::RequestState;
+use crate::budget::message::ReleaseAnswer;
+use crate::budget::message::ReleaseAsk;
+use crate::budget::message::SettleAnswer;
+use crate::budget::message::SettleAsk;
+use crate::budget::message::TokenPool;
+use crate::budget::record::LedgerEntry;
+use crate::clock::ClockTime;
+use crate::id::TokenCount;
+use crate::request::RequestIdentity;
+
+impl SlotHolder {
+    pub(super) fn settle(
+        &mut self,
+        ask: AskId,
+        settle: &SettleAsk,
+        now: ClockTime,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        let state = self.ledger.request(&settle.identity).cloned();
+        let answer = match state {
+            Some(RequestState::Reserved(held)) if held.attempt == settle.attempt => {
+                let charged = held.owes(settle.grant.pool, settle.actual);
+                self.charge(ask, settle, &held, charged, now, effects)
+            }
+            Some(RequestState::Settled(charge)) if charge.attempt == settle.attempt => {
+                self.settled_again(ask, settle, charge.charged, charge.pool)
+            }
+            Some(RequestState::Settled(charge)) => Some(SettleAnswer::AlreadySettled {
+                attempt: charge.attempt,
+                charged: charge.charged,
+            }),
+            _ if self.is_retired() => Some(self.not_holder_settle()),
+            _ => Some(SettleAnswer::Unknown),
+        };
+        if let Some(answer) = answer {
+            effects.push(HolderEffect::Answer(ask, HolderAnswer::Settle(answer)));
+        }
+        self.review_budget_of(&settle.identity, now, effects);
+    }
+
+    /// Records a charge; `None` if the answer waits for the witness.
+    ///
+    /// A former holder counts the charge for its late report, and answers
+    /// only for the float.
+    fn charge(
+        &mut self,
+        ask: AskId,
+        settle: &SettleAsk,
+        held: &HeldAttempt,
+        charged: TokenCount,
+        now: ClockTime,
+        effects: &mut Vec<HolderEffect>,
+    ) -> Option<SettleAnswer> {
+        self.record(LedgerEntry::Settle {
+            identity: settle.identity.clone(),
+            attempt: settle.attempt,
+            charged,
+            backend: settle.backend.clone(),
+        });
+        self.retain(&settle.identity, now);
+        let notice = self.charge_notice(&settle.identity, held);
+        if held.pool == TokenPool::Float {
+            effects.extend(notice.map(HolderEffect::Charged));
+            return Some(SettleAnswer::Settled { charged });
+        }
+        if self.is_retired() {
+            effects.extend(notice.map(HolderEffect::Charged));
+            return Some(self.not_holder_settle());
+        }
+        if let Some(notice) = notice {
+            self.wait(WaitKind::Charge(notice));
+        }
+        self.wait_settle(ask, &settle.identity, charged)
+    }
+
+    /// The charge just recorded, as its billing record tells it.
+    ///
+    /// What a takeover froze counts in the table once its former holder
+    /// reported, not with any sum of this tenure.
+    fn charge_notice(
+        &self,
+        identity: &RequestIdentity,
+        held: &HeldAttempt,
+    ) -> Option<Box<ChargeNotice>> {
+        let Some(RequestState::Settled(charge)) = self.ledger.request(identity) else {
+            return None;
+        };
+        let counted = if self.ledger.is_frozen(held) {
+            TokenCount::new(u64::MAX)
+        } else {
+            let counters = &self.ledger.account(&held.budget)?.counters;
+            match held.pool {
+                TokenPool::Witnessed => counters.settled,
+                TokenPool::Float => counters.float_settled,
+            }
+        };
+        Some(Box::new(ChargeNotice {
+            identity: identity.clone(),
+            charge: charge.clone(),
+            tenure: if self.ledger.is_frozen(held) {
+                held.tenure
+            } else {
+                self.ledger.tenure
+            },
+            counted,
+        }))
+    }
+
+    /// The answer to a charge that was recorded before.
+    fn settled_again(
+        &mut self,
+        ask: AskId,
+        settle: &SettleAsk,
+        charged: TokenCount,
+        pool: TokenPool,
+    ) -> Option<SettleAnswer> {
+        if pool == TokenPool::Float {
+            return Some(SettleAnswer::Settled { charged });
+        }
+        if self.is_retired() {
+            return Some(self.not_holder_settle());
+        }
+        let has_all = self.batch.is_none() && self.outbox.is_empty();
+        if has_all && self.is_witnessed() {
+            return Some(SettleAnswer::Settled { charged });
+        }
+        self.wait_settle(ask, &settle.identity, charged)
+    }
+
+    fn wait_settle(
+        &mut self,
+        ask: AskId,
+        identity: &RequestIdentity,
+        charged: TokenCount,
+    ) -> Option<SettleAnswer> {
+        if self.silent {
+            return Some(SettleAnswer::Pending {
+                charged,
+                retry_after: self.settings.retry_after,
+            });
+        }
+        self.wait(WaitKind::Settle(ask, identity.clone(), charged));
+        None
+    }
+
+    pub(super) fn release(
+        &mut self,
+        ask: AskId,
+        release: &ReleaseAsk,
+        now: ClockTime,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        let state = self.ledger.request(&release.identity).cloned();
+        let mut answer = ReleaseAnswer::Released;
+        match state {
+            Some(RequestState::Reserved(held)) if held.attempt == release.attempt => {
+                self.record(LedgerEntry::Release {
+                    identity: release.identity.clone(),
+                    attempt: release.attempt,
+                });
+                if self.is_retired() && held.pool == TokenPool::Witnessed {
+                    answer = self.not_holder_release();
+                }
+                if let Ok(place) = self.stock_place(&held.budget) {
+                    self.review(place, now, effects);
+                }
+            }
+            Some(RequestState::Settled(charge)) if charge.attempt == release.attempt => {
+                answer = ReleaseAnswer::AlreadySettled {
+                    charged: charge.charged,
+                };
+            }
+            _ if self.is_retired() => answer = self.not_holder_release(),
+            _ => self.drop_queued(release, effects),
+        }
+        effects.push(HolderEffect::Answer(ask, HolderAnswer::Release(answer)));
+    }
+
+    /// A released attempt waits for nothing any more.
+    fn drop_queued(&mut self, release: &ReleaseAsk, effects: &mut Vec<HolderEffect>) {
+        let gone = self.unreachable();
+        for stock in &mut self.stocks {
+            let found = stock
+                .queue
+                .iter()
+                .position(|queued| queued.reserve.attempt == release.attempt);
+            if let Some(place) = found {
+                let queued = stock.queue.remove(place);
+                answer_reserve(queued.ask, gone.clone(), effects);
+            }
+        }
+    }
+
+    fn not_holder_settle(&self) -> SettleAnswer {
+        SettleAnswer::NotHolder {
+            holder: Some(self.next_holder()),
+        }
+    }
+
+    fn not_holder_release(&self) -> ReleaseAnswer {
+        ReleaseAnswer::NotHolder {
+            holder: Some(self.next_holder()),
+        }
+    }
+}
--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -7,6 +7,7 @@
 //! present epoch; a float token is spent alone.
 
 mod ask;
+mod charge;
 mod event;
 mod float;
 mod refill;
