--- a/crates/guavawell-fleet/examples/gossip_cost/load.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/load.rs
@@ -36,7 +36,11 @@
 /// Bytes of a load report.
 const NOTE_BYTES: usize = 64;
 /// Time between two load reports of a node.
-pub const NOTE_INTERVAL: ClockSpan = ClockSpan::from_millis(4_000);
+const NOTE_INTERVAL: ClockSpan = ClockSpan::from_millis(4_000);
+/// Backend servers that a node polls: 2,200 over 390 nodes.
+const POLLED: u64 = 6;
+/// Bytes of one backend server's load report as routers encode it.
+const SERVER_NOTE_BYTES: usize = 12;
 /// Time between two manifest versions: 6,800 a day.
 const MANIFEST_INTERVAL: ClockSpan = ClockSpan::from_millis(12_700);
 /// Time between two replaced instances.
@@ -200,8 +204,8 @@
         if self.work == WorkKind::Quiet || self.now < node.next_note {
             return;
         }
-        node.next_note = self.now + NOTE_INTERVAL;
-        let report = load_report(node.membership.view().own(), self.now);
+        node.next_note = self.now + note_interval(self.work);
+        let report = load_report(node.membership.view().own(), self.now, self.work);
         node.membership.publish(&report, self.now).expect("taken");
         node.membership.set_manifest(manifest_at(self.now));
     }
@@ -309,13 +313,25 @@
     Membership::start(MembershipSettings::default(), record.clone(), seed, now)
 }
 
-/// A node's load report for its zone.
-pub fn load_report(own: &MemberRecord, now: ClockTime) -> GossipNote {
+/// Time between two notes of a node.
+pub fn note_interval(work: WorkKind) -> ClockSpan {
+    let servers = if work == WorkKind::Reports { POLLED } else { 1 };
+    ClockSpan::from_millis(NOTE_INTERVAL.as_millis() / servers)
+}
+
+/// A node's load report for its zone, or that of one of its backend servers
+/// in turn.
+pub fn load_report(own: &MemberRecord, now: ClockTime, work: WorkKind) -> GossipNote {
+    let turn = now.as_millis() / note_interval(work).as_millis() % POLLED;
+    let (key, bytes) = match work {
+        WorkKind::Reports => (format!("load/{}-{turn}", own.instance), SERVER_NOTE_BYTES),
+        _ => (format!("load/{}", own.instance), NOTE_BYTES),
+    };
     GossipNote {
-        key: format!("load/{}", own.instance).into(),
+        key: key.into(),
         scope: NoteScope::Zone(own.zone.clone()),
         version: now.as_millis(),
-        bytes: vec![7; NOTE_BYTES].into(),
+        bytes: vec![7; bytes].into(),
     }
 }
 
--- a/crates/guavawell-fleet/examples/gossip_cost/main.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/main.rs
@@ -24,6 +24,8 @@
     Quiet,
     /// Load reports, manifest versions and replaced instances as well.
     Busy,
+    /// As busy, but a small report of each backend server instead of one note.
+    Reports,
 }
 
 fn main() -> ExitCode {
@@ -37,12 +39,13 @@
     println!(
         "force on all nodes every 12.7 s, an instance replaced every 4 s (a day's 390 in 26 min)"
     );
+    println!("reports: as busy, but 6 notes of 12 bytes a node every 4 s, one a backend server");
     println!("core: the node's thread; core+: all of the process but the load's thread");
     println!(
-        "nodes  work    core %  core+ %  heap KB  sent B/s  received B/s  known  queued  load %"
+        "nodes  work     core %  core+ %  heap KB  sent B/s  received B/s  known  queued  load %"
     );
     for &size in sizes {
-        for work in [WorkKind::Quiet, WorkKind::Busy] {
+        for work in [WorkKind::Quiet, WorkKind::Busy, WorkKind::Reports] {
             let cost = node::measure(FleetLoad::start(size, work));
             show(size, work, &cost);
         }
@@ -65,9 +68,10 @@
     let work = match work {
         WorkKind::Quiet => "quiet",
         WorkKind::Busy => "busy",
+        WorkKind::Reports => "reports",
     };
     println!(
-        "{size:>5}  {work:<6}  {:>6.3}  {:>7.3}  {:>7.0}  {:>8.0}  {:>12.0}  {:>5}  {:>6}  {:>6.1}",
+        "{size:>5}  {work:<7}  {:>6.3}  {:>7.3}  {:>7.0}  {:>8.0}  {:>12.0}  {:>5}  {:>6}  {:>6.1}",
         cost.thread_percent,
         cost.process_percent,
         cost.heap_kilobytes,
--- a/crates/guavawell-fleet/examples/gossip_cost/node.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/node.rs
@@ -117,8 +117,8 @@
     let mut began = started;
     let mut published = ClockTime::default();
     while started.elapsed() < WARM_UP + measured {
-        if work == WorkKind::Busy {
-            published = renew_work(driver, published);
+        if work != WorkKind::Quiet {
+            published = renew_work(driver, work, published);
         }
         Timer::after(Duration::from_millis(100)).await;
         if before.is_none() && started.elapsed() >= WARM_UP {
@@ -132,12 +132,12 @@
 }
 
 /// Publishes this node's load report when it is due.
-fn renew_work(driver: &GossipDriver, published: ClockTime) -> ClockTime {
+fn renew_work(driver: &GossipDriver, work: WorkKind, published: ClockTime) -> ClockTime {
     let now = clock::now();
-    if now.since(published) < load::NOTE_INTERVAL {
+    if now.since(published) < load::note_interval(work) {
         return published;
     }
-    let report = load::load_report(driver.view().own(), now);
+    let report = load::load_report(driver.view().own(), now, work);
     driver.publish(&report).expect("taken");
     driver.set_manifest(load::manifest_at(now));
     now
