Measure a slow server among 4 to 8, the size of a zone today

Cause: the aim for a slow server (p95 at 80% load under half of round robin's) was measured at 10 and 20 servers only, where the slow one gets 10% and 5% of round robin's requests. Change: routing_compare also runs one zone of 4, 5, 6 and 8 servers; round robin is unchanged.

--- a/crates/guavawell-core/examples/routing_compare/main.rs
+++ b/crates/guavawell-core/examples/routing_compare/main.rs
@@ -36,6 +36,9 @@
     println!("first token ms p50 p95 p99 | token ms p50 p95 p99 | refused, late work");
     compare_policies(20, 4);
     compare_policies(10, 3);
+    for engines in [4, 5, 6, 8] {
+        compare_loads(engines, 1, WorldFault::SlowServer, &[0.5, 0.8]);
+    }
     compare_fairness();
     compare_equals();
     compare_retries();
@@ -49,23 +52,27 @@
 
 fn compare_policies(engines: usize, zones: usize) {
     for fault in FAULTS {
-        for load in [0.5, 0.8, 0.95] {
-            for policy in POLICIES {
-                let rate = ENGINE_RATE * f64::from(u32::try_from(engines).expect("small"));
-                let setup = WorldSetup {
-                    policy,
-                    fault,
-                    engines,
-                    zones,
-                    rates: vec![rate * load],
-                };
-                let result = ExperimentWorld::run(setup);
-                let label = format!("{engines} {fault:?} {load} {policy:?}");
-                let first = result.first_token[0].summary();
-                let between = result.between.summary();
-                let (refused, late) = (result.refused[0], result.late_work);
-                println!("{label:<34} | {first} | {between} | {refused} {late}");
-            }
+        compare_loads(engines, zones, fault, &[0.5, 0.8, 0.95]);
+    }
+}
+
+fn compare_loads(engines: usize, zones: usize, fault: WorldFault, loads: &[f64]) {
+    for &load in loads {
+        for policy in POLICIES {
+            let rate = ENGINE_RATE * f64::from(u32::try_from(engines).expect("small"));
+            let setup = WorldSetup {
+                policy,
+                fault,
+                engines,
+                zones,
+                rates: vec![rate * load],
+            };
+            let result = ExperimentWorld::run(setup);
+            let label = format!("{engines} {fault:?} {load} {policy:?}");
+            let first = result.first_token[0].summary();
+            let between = result.between.summary();
+            let (refused, late) = (result.refused[0], result.late_work);
+            println!("{label:<34} | {first} | {between} | {refused} {late}");
         }
     }
 }
