Explore the atomics of limits and flight counts with loom; mend the two races it found

Cause: nothing showed that the atomics of a request's path hold in every interleaving. ConcurrencyLimit decreased twice where two threads met one overload (it looked and stored in two steps): 100 fell to 81, not 90. FlightCount let a thread that was paused for a turn of its history (6.4 s) write over a newer bucket, so that a request was forgotten there.

Change: unit tests of the core crate take loom's atomics by a small alias module; production takes the standard library's. A decrease is won by one compare-exchange; a late writer leaves a newer bucket alone.

Conclusion: loom explores the production types themselves here, with the values that relaxed order allows.

--- /dev/null
+++ b/crates/guavawell-core/src/atomic/explore.rs
@@ -0,0 +1,16 @@
+//! Runs a concurrent test body in every interleaving, for the unit tests.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+/// Runs `body` in every execution that `loom` finds and prints their number.
+pub(crate) fn explore(name: &str, body: impl Fn() + Send + Sync + 'static) {
+    let count = Arc::new(AtomicUsize::new(0));
+    let seen = Arc::clone(&count);
+    loom::model(move || {
+        seen.fetch_add(1, Ordering::Relaxed);
+        body();
+    });
+    println!("{name}: {} executions", count.load(Ordering::Relaxed));
+}
--- a/crates/guavawell-core/src/backend/flight.rs
+++ b/crates/guavawell-core/src/backend/flight.rs
@@ -4,10 +4,9 @@
 //! router did since, the history must tell how many of its own requests were
 //! in flight at that moment.
 
-use std::sync::atomic::AtomicI64;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
-
+use crate::atomic::AtomicI64;
+use crate::atomic::AtomicU64;
+use crate::atomic::Ordering;
 use crate::clock::ClockTime;
 
 /// [`BUCKET_COUNT`] as time is counted.
@@ -16,6 +15,8 @@
 const BUCKET_MILLIS: u64 = 100;
 /// Length of the history, in buckets.
 const BUCKET_COUNT: usize = 64;
+/// Numbers further ahead are leftovers from before the numbers wrapped.
+const MOST_AHEAD: u32 = 65_536;
 
 /// Own requests in flight, now and over the last seconds.
 #[derive(Debug)]
@@ -30,7 +31,7 @@
     fn default() -> Self {
         Self {
             current: AtomicI64::new(0),
-            history: [const { AtomicU64::new(0) }; BUCKET_COUNT],
+            history: std::array::from_fn(|_| AtomicU64::new(0)),
         }
     }
 }
@@ -68,6 +69,9 @@
         let cell = &self.history[place(number)];
         let _ = cell.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |packed| {
             let (held, net) = unpack(packed);
+            if is_newer(held, low_half(number)) {
+                return None;
+            }
             let base = if held == low_half(number) { net } else { 0 };
             Some(pack(low_half(number), base + step))
         });
@@ -87,6 +91,12 @@
     time.as_millis() / BUCKET_MILLIS
 }
 
+/// Whether a bucket's number is ahead of a late writer's, whose thread was
+/// paused for longer than the history reaches. Numbers wrap.
+fn is_newer(held: u32, number: u32) -> bool {
+    (1..MOST_AHEAD).contains(&held.wrapping_sub(number))
+}
+
 fn place(number: u64) -> usize {
     usize::try_from(number % BUCKETS).unwrap_or(0)
 }
--- a/crates/guavawell-core/src/backend/mod.rs
+++ b/crates/guavawell-core/src/backend/mod.rs
@@ -20,6 +20,8 @@
 mod speed;
 mod state;
 mod table;
+#[cfg(test)]
+mod tests;
 
 pub use affinity::CacheBatch;
 pub use affinity::CacheChange;
--- a/crates/guavawell-core/src/lib.rs
+++ b/crates/guavawell-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! state and the effects, so that tests, the reference model, the load tool
 //! and production drive the same code.
 
+mod atomic;
 pub mod backend;
 pub mod budget;
 pub mod clock;
--- a/crates/guavawell-core/src/limits/concurrency.rs
+++ b/crates/guavawell-core/src/limits/concurrency.rs
@@ -5,10 +5,9 @@
 //! happens in the routers' fair queues. Servers that send no reports are judged
 //! by the time to first token; a refusal always decreases the limit.
 
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
-
+use crate::atomic::AtomicU32;
+use crate::atomic::AtomicU64;
+use crate::atomic::Ordering;
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 
@@ -98,12 +97,22 @@
     }
 
     fn decrease(&self, now: ClockTime) {
-        let last = ClockTime::from_millis(self.decreased.load(Ordering::Relaxed));
+        let seen = self.decreased.load(Ordering::Relaxed);
+        let last = ClockTime::from_millis(seen);
         let pausing = last != ClockTime::default() && now.since(last) < DECREASE_PAUSE;
         if pausing {
             return;
         }
-        self.decreased.store(now.as_millis(), Ordering::Relaxed);
+        // Of threads that meet the same overload, one decreases.
+        let taken = self.decreased.compare_exchange(
+            seen,
+            now.as_millis(),
+            Ordering::Relaxed,
+            Ordering::Relaxed,
+        );
+        if taken.is_err() {
+            return;
+        }
         let floor = self.least * SCALE;
         let _ = self
             .scaled
--- a/crates/guavawell-core/src/limits/mod.rs
+++ b/crates/guavawell-core/src/limits/mod.rs
@@ -11,6 +11,8 @@
 mod gate;
 mod retry;
 mod share;
+#[cfg(test)]
+mod tests;
 mod ticket;
 
 pub use admission::Admission;
--- a/crates/guavawell-core/src/limits/retry.rs
+++ b/crates/guavawell-core/src/limits/retry.rs
@@ -3,8 +3,8 @@
 //! In a brown-out few requests succeed, so few retries are paid for and the
 //! load on the servers stays near the offered load.
 
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
+use crate::atomic::AtomicU64;
+use crate::atomic::Ordering;
 
 /// Parts of one retry in the account.
 const RETRY: u64 = 1_000;
