Give a waiter's pass back where the waiter has gone

Cause: the door of admission told a waiter that it may run and made the pass only once the waiter had heard it. A waiter that went away before took the right to run with it. Ruled out as seen today: connections keep their request until it is answered; only a dropped entry future shows it.

Change: the word carries the pass itself, so that whoever drops it gives it back.

Before: a_waiter_that_goes_away_takes_no_pass_with_it fails (no pass leaked). After: it passes; so do four threads with 500 entries each, a quarter of them dropped after a first look, limit 2.

Conclusion: no word is lost and no pass leaks, also at a later cancellation.

--- a/crates/guavawell-fleet/src/router/admit.rs
+++ b/crates/guavawell-fleet/src/router/admit.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::Weak;
 
 use arc_swap::ArcSwap;
 use guavawell_core::backend::RouteTarget;
@@ -39,20 +40,22 @@
 #[derive(Debug)]
 struct TicketWaiter {
     ticket: AdmissionTicket,
-    word: Sender<Result<(), WaitRefusal>>,
+    /// The right to run, as soon as the ticket's turn comes.
+    claim: PassClaim,
+    word: Sender<Result<AdmissionPass, WaitRefusal>>,
 }
 
-/// The right to run; given back when dropped.
-#[derive(Debug)]
-pub struct AdmissionPass {
-    door: Arc<AdmissionDoorRef>,
+/// What a pass is made of.
+#[derive(Clone, Debug)]
+struct PassClaim {
+    door: Weak<AdmissionDoor>,
     shard: Arc<Mutex<Admission>>,
     organisation: OrganisationId,
 }
 
-/// A handle to the door that a pass keeps.
+/// The right to run; given back when dropped.
 #[derive(Debug)]
-struct AdmissionDoorRef(std::sync::Weak<AdmissionDoor>);
+pub struct AdmissionPass(PassClaim);
 
 /// Why a request was not admitted; it was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -100,8 +103,12 @@
             .load()
             .shard(target)
             .ok_or(NotAdmitted::NoTarget)?;
+        let claim = PassClaim {
+            door: Arc::downgrade(self),
+            shard: Arc::clone(&shard),
+            organisation: ask.organisation.clone(),
+        };
         let ticket = ask.ticket;
-        let organisation = ask.organisation.clone();
         let (sender, receiver) = channel::bounded(1);
         let mut effects = Vec::new();
         let answer = {
@@ -109,21 +116,20 @@
             let answer = admission.submit(ask, clock::now(), &mut effects);
             if answer == AdmissionAnswer::Queued {
                 // Under the shard's lock, so that no word comes before its waiter.
-                self.register(ticket, sender);
+                self.register(TicketWaiter {
+                    ticket,
+                    claim: claim.clone(),
+                    word: sender,
+                });
             }
             answer
         };
         self.tell(effects);
-        let pass = || AdmissionPass {
-            door: Arc::new(AdmissionDoorRef(Arc::downgrade(self))),
-            shard: Arc::clone(&shard),
-            organisation: organisation.clone(),
-        };
         match answer {
-            AdmissionAnswer::Run => Ok(pass()),
+            AdmissionAnswer::Run => Ok(AdmissionPass(claim)),
             AdmissionAnswer::Refused(refusal) => Err(NotAdmitted::Refused(refusal)),
             AdmissionAnswer::Queued => match receiver.recv().await {
-                Ok(Ok(())) => Ok(pass()),
+                Ok(Ok(pass)) => Ok(pass),
                 Ok(Err(refusal)) => Err(NotAdmitted::Refused(refusal)),
                 Err(_) => Err(NotAdmitted::NoTarget),
             },
@@ -154,24 +160,35 @@
         }
     }
 
-    fn register(&self, ticket: AdmissionTicket, word: Sender<Result<(), WaitRefusal>>) {
+    fn register(&self, waiter: TicketWaiter) {
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        let place = waiting.partition_point(|waiter| waiter.ticket < ticket);
-        waiting.insert(place, TicketWaiter { ticket, word });
+        let place = waiting.partition_point(|other| other.ticket < waiter.ticket);
+        waiting.insert(place, waiter);
+    }
+
+    /// Takes a waiter out, so that it is told once.
+    fn take(&self, ticket: AdmissionTicket) -> Option<TicketWaiter> {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        let place = waiting.binary_search_by_key(&ticket, |waiter| waiter.ticket);
+        place.ok().map(|place| waiting.remove(place))
     }
 
     fn tell(&self, effects: Vec<AdmissionEffect>) {
         for effect in effects {
-            let (ticket, word) = match effect {
-                AdmissionEffect::Run(ticket) => (ticket, Ok(())),
-                AdmissionEffect::Refuse(ticket, refusal) => (ticket, Err(refusal)),
-            };
-            let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-            if let Ok(place) = waiting.binary_search_by_key(&ticket, |waiter| waiter.ticket) {
-                let waiter = waiting.remove(place);
-                // A waiter that is gone would keep its pass: its task holds the
-                // receiver until it is told, so this cannot fail.
-                let _ = waiter.word.try_send(word);
+            match effect {
+                AdmissionEffect::Run(ticket) => {
+                    if let Some(waiter) = self.take(ticket) {
+                        // Where the waiter is gone, the pass is dropped here,
+                        // without a lock held, and the next one runs.
+                        let pass = AdmissionPass(waiter.claim);
+                        let _ = waiter.word.try_send(Ok(pass));
+                    }
+                }
+                AdmissionEffect::Refuse(ticket, refusal) => {
+                    if let Some(waiter) = self.take(ticket) {
+                        let _ = waiter.word.try_send(Err(refusal));
+                    }
+                }
             }
         }
     }
@@ -182,7 +199,7 @@
     /// standing, so that the caller's own orders its organisation only.
     #[must_use]
     pub fn engine_priority(&self) -> RequestPriority {
-        if AdmissionGate::lock(&self.shard).is_within_share(&self.organisation) {
+        if AdmissionGate::lock(&self.0.shard).is_within_share(&self.0.organisation) {
             WITHIN_SHARE
         } else {
             ABOVE_SHARE
@@ -193,8 +210,9 @@
 impl Drop for AdmissionPass {
     fn drop(&mut self) {
         let mut effects = Vec::new();
-        AdmissionGate::lock(&self.shard).finish(&self.organisation, clock::now(), &mut effects);
-        if let Some(door) = self.door.0.upgrade() {
+        let claim = &self.0;
+        AdmissionGate::lock(&claim.shard).finish(&claim.organisation, clock::now(), &mut effects);
+        if let Some(door) = claim.door.upgrade() {
             door.tell(effects);
         }
     }
--- a/crates/guavawell-fleet/src/router/tests.rs
+++ b/crates/guavawell-fleet/src/router/tests.rs
@@ -2,14 +2,22 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use futures::future::join_all;
 use guavawell_core::backend::LeaseOutcome;
+use guavawell_core::backend::RouteTarget;
 use guavawell_core::backend::RoutingSettings;
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::limits::AdmissionAsk;
 use guavawell_core::limits::AdmissionSettings;
+use guavawell_core::limits::FairWeight;
+use guavawell_core::limits::RequestPriority;
 use guavawell_core::limits::RetrySettings;
 use guavawell_core::platform::SharePolicy;
 use guavawell_core::platform::WriteClass;
@@ -20,6 +28,9 @@
 
 use super::RouterHandle;
 use super::RouterOptions;
+use super::admit::AdmissionDoor;
+use super::admit::AdmissionPass;
+use super::admit::NotAdmitted;
 use super::choice::lease_outcome;
 use super::platform::PlatformClients;
 use super::platform::share_policy;
@@ -202,3 +213,87 @@
         assert_eq!(lease_outcome(&failure), outcome, "{failure}");
     }
 }
+
+const LIMIT: u32 = 2;
+
+fn target() -> RouteTarget {
+    RouteTarget::Model("m".parse().unwrap())
+}
+
+/// A door that lets [`LIMIT`] requests run and refuses none.
+fn door() -> Arc<AdmissionDoor> {
+    let door = AdmissionDoor::new(AdmissionSettings {
+        limit: LIMIT,
+        queue: 1_000,
+        max_wait: ClockSpan::from_millis(u64::from(u32::MAX)),
+        hold_guess: ClockSpan::from_millis(1),
+    });
+    door.set_targets(vec![target()]);
+    Arc::new(door)
+}
+
+async fn enter(door: &Arc<AdmissionDoor>) -> Result<AdmissionPass, NotAdmitted> {
+    let ask = AdmissionAsk {
+        ticket: door.ticket(),
+        organisation: "o".parse().unwrap(),
+        weight: FairWeight::default(),
+        priority: RequestPriority::default(),
+        cost: 1,
+        deadline: None,
+        first_token: ClockSpan::default(),
+    };
+    door.enter(&target(), ask).await
+}
+
+/// Enters without waiting; every pass must be there.
+fn enter_all(door: &Arc<AdmissionDoor>) -> Vec<AdmissionPass> {
+    let enter = |_| smol::block_on(future::poll_once(enter(door)));
+    let passes = (0..LIMIT).map(enter);
+    passes
+        .map(|pass| pass.expect("no pass leaked").unwrap())
+        .collect()
+}
+
+#[test]
+fn a_waiter_that_goes_away_takes_no_pass_with_it() {
+    let door = door();
+    let mut running = enter_all(&door);
+    let mut untold = Box::pin(enter(&door));
+    let mut told = Box::pin(enter(&door));
+    assert!(smol::block_on(future::poll_once(&mut untold)).is_none());
+    assert!(smol::block_on(future::poll_once(&mut told)).is_none());
+    drop(untold);
+    running.pop();
+    // The second waiter has its word now, and goes before it has heard it.
+    drop(told);
+    running.clear();
+    enter_all(&door);
+}
+
+#[test]
+fn every_waiter_of_many_threads_is_told_and_no_pass_leaks() {
+    let door = door();
+    let running = AtomicU32::new(0);
+    let run = |seed: u64| {
+        let mut random = fastrand::Rng::with_seed(seed);
+        for _ in 0..500 {
+            let mut entry = Box::pin(enter(&door));
+            if random.u8(..4) == 0 {
+                // Goes away after a first look.
+                drop(smol::block_on(future::poll_once(&mut entry)));
+                continue;
+            }
+            let pass = smol::block_on(entry).unwrap();
+            assert!(running.fetch_add(1, Ordering::SeqCst) < LIMIT);
+            running.fetch_sub(1, Ordering::SeqCst);
+            drop(pass);
+        }
+    };
+    thread::scope(|scope| {
+        for seed in 0..4 {
+            let run = &run;
+            scope.spawn(move || run(seed));
+        }
+    });
+    enter_all(&door);
+}
