Wait for late second charges twice, and for the leaving server's first use

Cause: the judge looked once a second charge had reached the table but was not given back yet; and a load of 40 requests may leave one of four servers unused. Change: the wait for charges is made again after late ones have come; the load goes on until the server that will leave was used.

--- a/crates/guavawell-demo/tests/fault/engine.rs
+++ b/crates/guavawell-demo/tests/fault/engine.rs
@@ -173,7 +173,16 @@
 fn a_server_marked_leaving_in_a_new_manifest_gets_no_new_work() {
     run(async {
         let mut env = FaultEnv::start().await;
-        env.load(streaming(40)).await;
+        for tag in AFTER_TAGS {
+            let load = FaultLoad {
+                tag,
+                ..streaming(20)
+            };
+            env.load(load).await;
+            if env.fleet.engines[0].truth().total > 0 {
+                break;
+            }
+        }
         let text = manifest_text(&env.fleet.settings, &env.fleet.backends);
         let entry = "id = \"engine-0-0\"\n";
         let leaving = text.replace(entry, &format!("{entry}leaving = true\n"));
--- a/crates/guavawell-demo/tests/fault/env.rs
+++ b/crates/guavawell-demo/tests/fault/env.rs
@@ -222,6 +222,8 @@
         self.wait("every charge is in the table", Self::is_settled)
             .await;
         Timer::after(LATE_CHARGES).await;
+        self.wait("late second charges are given back", Self::is_settled)
+            .await;
         let evidence = self.evidence();
         let report = judge(&evidence);
         let row = self.budget().map(|row| serde_json::to_string(&row));
