--- a/crates/guavawell-fleet/examples/platform_writes.rs
+++ b/crates/guavawell-fleet/examples/platform_writes.rs
@@ -12,7 +12,6 @@
 use guavawell_core::budget::TokenPool;
 use guavawell_core::budget::shard_of;
 use guavawell_core::clock::ClockSpan;
-use guavawell_core::clock::ClockTime;
 use guavawell_core::id::AttemptId;
 use guavawell_core::id::IncarnationId;
 use guavawell_core::id::OrganisationId;
@@ -27,6 +26,7 @@
 use guavawell_fleet::claim::ClaimAnswer;
 use guavawell_fleet::claim::ClaimDriver;
 use guavawell_fleet::claim::RefusalCause;
+use guavawell_fleet::clock;
 use guavawell_fleet::journal::JournalDriver;
 use guavawell_fleet::journal::JournalSettings;
 use guavawell_fleet::platform::Objects;
@@ -56,7 +56,7 @@
     once: u64,
 }
 
-const MIXES: [LoadMix; 7] = [
+const MIXES: [LoadMix; 8] = [
     LoadMix { rate: 20, once: 0 },
     LoadMix { rate: 20, once: 10 },
     LoadMix { rate: 200, once: 0 },
@@ -68,6 +68,10 @@
         rate: 200,
         once: 100,
     },
+    LoadMix {
+        rate: 1_000,
+        once: 0,
+    },
     LoadMix {
         rate: 1_000,
         once: 10,
@@ -89,7 +93,7 @@
         "one router, {SECONDS} s a row, {ORGANISATIONS} organisations, {SHARDS} shards, platform answers in {PLATFORM_MS} ms"
     );
     println!(
-        "rate/s  once%  requests  claim writes  journal writes  per 1,000  refused  claim p50/p99 ms"
+        "rate/s  once%  requests  claim writes  journal writes  per 1,000  refused  claim p50/p99 ms  bytes a record"
     );
     for mix in MIXES {
         smol::block_on(row(&mix));
@@ -149,8 +153,9 @@
     let claim_writes = router.platform.counts().writes - journal_writes;
     let per_thousand = (claim_writes + journal_writes) * 1_000 / requests;
     let (middle, late) = (at(50), at(99));
+    let record_bytes = record_bytes(&router);
     println!(
-        "{rate:>6}  {once:>5}  {requests:>8}  {claim_writes:>12}  {journal_writes:>14}  {per_thousand:>9}  {refused:>7}  {middle:>9}/{late}"
+        "{rate:>6}  {once:>5}  {requests:>8}  {claim_writes:>12}  {journal_writes:>14}  {per_thousand:>9}  {refused:>7}  {middle:>9}/{late:<6}  {record_bytes:>14}"
     );
     router.platform.stop().await;
 }
@@ -159,6 +164,18 @@
     router.platform.object_paths("").len() as u64
 }
 
+/// Bytes of the journal for each of its records.
+fn record_bytes(router: &Router) -> u64 {
+    let mut bytes = 0;
+    let mut records = 0;
+    for path in router.platform.object_paths("") {
+        let body = router.platform.object(&path).unwrap_or_default();
+        bytes += body.len() as u64;
+        records += body.iter().filter(|byte| **byte == b'\n').count() as u64;
+    }
+    bytes / records.max(1)
+}
+
 /// How a request's claim ended.
 enum Ended {
     /// It needed none.
@@ -200,14 +217,14 @@
             shard: shard_of(&organisation, SHARDS),
         },
         identity,
-        attempt: AttemptId::new(u128::from(number)),
-        budget: "b".parse().expect("an id"),
+        attempt: AttemptId::new(fastrand::u128(..)),
+        budget: "budget-0".parse().expect("an id"),
         tenure: SlotEpoch::new(1),
         charged: TokenCount::new(100),
-        backend: None,
-        counted: TokenCount::ZERO,
+        backend: Some("engine-0-1".parse().expect("an id")),
+        counted: TokenCount::new(100 * (number + 1)),
         pool: TokenPool::Witnessed,
-        at: ClockTime::from_millis(number),
+        at: clock::now(),
     });
     ended
 }
