--- a/crates/guavawell-fleet/examples/platform_writes.rs
+++ b/crates/guavawell-fleet/examples/platform_writes.rs
@@ -171,7 +171,7 @@
     for path in router.platform.object_paths("") {
         let body = router.platform.object(&path).unwrap_or_default();
         bytes += body.len() as u64;
-        records += body.iter().filter(|byte| **byte == b'\n').count() as u64;
+        records += body.split(|byte| *byte == b'\n').count() as u64 - 1;
     }
     bytes / records.max(1)
 }
