--- a/crates/guavawell-fleet/src/slot/table.rs
+++ b/crates/guavawell-fleet/src/slot/table.rs
@@ -4,6 +4,7 @@
 //! out again: after a lost answer the rows are read back first.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use guavawell_core::budget::BudgetRow;
 use guavawell_core::budget::FrozenReport;
@@ -21,6 +22,7 @@
 use guavawell_core::platform::WriteClass;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use smol::Timer;
 
 use crate::platform::PlatformError;
 use crate::platform::Table;
@@ -32,6 +34,9 @@
 /// Tries of one intent while other holders change the same row.
 const MAX_CONFLICTS: usize = 32;
 
+/// Longest wait between two tries, in milliseconds.
+const MAX_PAUSE_MS: u64 = 100;
+
 /// What the manifest in force says of a budget.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BudgetBase {
@@ -168,7 +173,7 @@
     ) -> Result<GrantView, TableFailure> {
         let key = budget_key(budget);
         let slot = slot_key(&change.slot);
-        for _ in 0..MAX_CONFLICTS {
+        for tries in 0..MAX_CONFLICTS {
             let (budget_row, slot_row) = self.read_pair(&key, &slot).await?;
             let held: Option<SlotRow> = parse(slot_row.as_ref())?;
             if held.is_none_or(|row| row.tenure != change.tenure) {
@@ -187,6 +192,7 @@
             if self.put(compares, &key, &changed).await? {
                 return Ok(changed.view(&change.slot));
             }
+            conflict_pause(tries).await;
         }
         metrics::counter!("guavawell_slot_conflicts_exhausted_total").increment(1);
         Err(TableFailure::Unreachable)
@@ -278,6 +284,13 @@
     }
 }
 
+/// Waits for a random time that grows with the conflicts met, so that holders
+/// of several zones do not meet at one row again and again.
+async fn conflict_pause(tries: usize) {
+    let most = MAX_PAUSE_MS.min(2 << tries.min(8));
+    Timer::after(Duration::from_millis(fastrand::u64(0..=most))).await;
+}
+
 fn revision(row: Option<&TableRow>) -> u64 {
     row.map_or(0, |row| row.mod_revision)
 }
