--- a/crates/guavawell-core/tests/routing.rs
+++ b/crates/guavawell-core/tests/routing.rs
@@ -12,7 +12,6 @@
 use guavawell_core::backend::ConnectionAction;
 use guavawell_core::backend::ConnectionSettings;
 use guavawell_core::backend::ConnectionWatch;
-use guavawell_core::backend::HedgeAsk;
 use guavawell_core::backend::LeaseOutcome;
 use guavawell_core::backend::LoadReport;
 use guavawell_core::backend::NoBackend;
@@ -21,14 +20,11 @@
 use guavawell_core::backend::RouteTarget;
 use guavawell_core::backend::RoutingSettings;
 use guavawell_core::backend::ServedModel;
-use guavawell_core::backend::should_hedge;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::id::BackendId;
 use guavawell_core::id::ModelId;
 use guavawell_core::id::ZoneId;
-use guavawell_core::limits::RetryBudget;
-use guavawell_core::limits::RetrySettings;
 
 /// Past slow start of a table made at zero.
 const WARM: ClockTime = ClockTime::from_millis(60_000);
@@ -458,41 +454,6 @@
     assert_eq!(late.probed(ProbeResult::Answered), waits, "it spoke first");
 }
 
-#[test]
-fn only_idempotent_requests_hedge_and_only_within_the_budget() {
-    let settings = RetrySettings {
-        burst: 1,
-        ..RetrySettings::default()
-    };
-    let budget = RetryBudget::new(settings);
-    let slow = HedgeAsk {
-        idempotent: true,
-        first_token_seen: false,
-        waited: ClockSpan::from_millis(900),
-        after: ClockSpan::from_millis(800),
-        attempts: 1,
-    };
-    let refused = [
-        HedgeAsk {
-            idempotent: false,
-            ..slow
-        },
-        HedgeAsk {
-            first_token_seen: true,
-            ..slow
-        },
-        HedgeAsk {
-            attempts: 2,
-            ..slow
-        },
-    ];
-    assert!(refused.iter().all(|ask| !should_hedge(ask, &budget)));
-    assert!(should_hedge(&slow, &budget));
-    assert!(!should_hedge(&slow, &budget), "the budget is spent");
-    (0..10).for_each(|_| budget.deposit());
-    assert!(should_hedge(&slow, &budget), "ten successes pay for one");
-}
-
 #[test]
 fn a_silent_connection_is_not_the_servers_speed() {
     let table = table(&["a"], 3);
