Answer a request head that cannot be read

Change: the listener writes a problem document (400, bad_request, retry) if the connection failed before any request of this turn was taken in. Tests for that, and for a body that comes too slowly (408). Before: no bytes came back.

--- a/crates/guavawell-demo/tests/entry.rs
+++ b/crates/guavawell-demo/tests/entry.rs
@@ -192,3 +192,26 @@
         answer.assert_refused(400, "retry", "bad_request");
     });
 }
+
+#[test]
+fn a_head_that_cannot_be_read_gets_an_answer() {
+    with_fleet(|caller| {
+        let large = format!("X-Large: {}", "x".repeat(20_000));
+        let answer = caller.chat(&[&large], &prompt("hello"));
+        answer.assert_refused(400, "retry", "bad_request");
+        let answer = caller.raw("NONSENSE\r\n\r\n");
+        answer.assert_refused(400, "retry", "bad_request");
+    });
+}
+
+#[test]
+fn a_slow_body_is_given_up() {
+    with_fleet(|caller| {
+        let head = format!(
+            "POST {CHAT} HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer {}\r\nContent-Length: 500\r\n\r\n{{",
+            caller.key
+        );
+        let answer = caller.raw(&head);
+        answer.assert_refused(408, "retry", "timeout");
+    });
+}
--- a/crates/guavawell-fleet/src/caller/listener.rs
+++ b/crates/guavawell-fleet/src/caller/listener.rs
@@ -13,6 +13,8 @@
 
 use async_h1::server::ConnectionStatus;
 use async_h1::server::Server;
+use guavawell_core::request::Refusal;
+use guavawell_core::request::RefusalReason;
 use http_types::Request;
 use http_types::Response;
 use smol::Timer;
@@ -22,6 +24,7 @@
 use smol::future::FutureExt;
 use smol::io::AsyncRead;
 use smol::io::AsyncWrite;
+use smol::io::AsyncWriteExt;
 use smol::net::TcpListener;
 
 use crate::task::TaskSpawner;
@@ -205,10 +208,14 @@
         HFut: Future<Output = Response> + Send + 'static,
     {
         let answering = Arc::new(AtomicBool::new(false));
+        let heads = Arc::new(AtomicUsize::new(0));
+        let mut reply = stream.clone();
         let endpoint = {
             let listener = Arc::clone(&self);
             let answering = Arc::clone(&answering);
+            let heads = Arc::clone(&heads);
             move |request: Request| {
+                heads.fetch_add(1, Ordering::AcqRel);
                 let busy = BusyGuard::enter(Arc::clone(&listener), Arc::clone(&answering));
                 let answer = handle(request);
                 async move {
@@ -224,6 +231,7 @@
         };
         let mut server = Server::new(stream, endpoint);
         loop {
+            let seen = heads.load(Ordering::Acquire);
             let idle = async {
                 self.idle_end(&answering).await;
                 Ok(ConnectionStatus::Close)
@@ -234,6 +242,10 @@
                 Err(error) => {
                     metrics::counter!("caller_connection_errors").increment(1);
                     log::debug!("connection ended: {error}");
+                    if heads.load(Ordering::Acquire) == seen {
+                        // The caller may be gone, and then needs no answer.
+                        let _ = reply.write_all(&unreadable_head(&error)).await;
+                    }
                     break;
                 }
             }
@@ -296,3 +308,19 @@
         self.0.open.fetch_sub(1, Ordering::AcqRel);
     }
 }
+
+/// The answer to a request whose head cannot be read: the HTTP library ends
+/// such a connection without a word.
+fn unreadable_head(error: &http_types::Error) -> Vec<u8> {
+    let detail = format!("the request's head cannot be read: {error}; it may hold 8 KiB at most");
+    let refusal = Refusal::unattempted(RefusalReason::BadRequest, detail);
+    let body = refusal.problem(None).to_json();
+    let mut answer = format!(
+        "HTTP/1.1 400 Bad Request\r\ncontent-type: application/problem+json\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
+    answer.extend_from_slice(&body);
+    answer
+}
