--- a/crates/guavawell-core/examples/routing_compare/main.rs
+++ b/crates/guavawell-core/examples/routing_compare/main.rs
@@ -16,6 +16,7 @@
 use self::sample::RandomDraws;
 use self::world::ChoicePolicy;
 use self::world::ExperimentWorld;
+use self::world::SpillSetup;
 use self::world::WorldFault;
 use self::world::WorldSetup;
 
@@ -39,6 +40,9 @@
     if std::env::args().any(|word| word == "subsets") {
         return subset::compare_subsets();
     }
+    if std::env::args().any(|word| word == "spills") {
+        return subset::compare_spills();
+    }
     println!("first token ms p50 p95 p99 | token ms p50 p95 p99 | refused, late work");
     compare_policies(20, 4);
     compare_policies(10, 3);
@@ -49,6 +53,7 @@
     compare_equals();
     compare_retries();
     subset::compare_subsets();
+    subset::compare_spills();
     print_cost();
 }
 
@@ -74,6 +79,7 @@
                 zones,
                 routers: ROUTERS,
                 subset: 0,
+                spill: SpillSetup::default(),
                 rates: vec![rate * load],
             };
             let result = ExperimentWorld::run(setup);
@@ -100,6 +106,7 @@
                 zones: 4,
                 routers: ROUTERS,
                 subset: 0,
+                spill: SpillSetup::default(),
                 rates,
             };
             let result = ExperimentWorld::run(setup);
@@ -124,6 +131,7 @@
             zones: 4,
             routers: ROUTERS,
             subset: 0,
+            spill: SpillSetup::default(),
             rates: vec![ENGINE_RATE * 20.0 * load / 4.0; 4],
         };
         let result = ExperimentWorld::run(setup);
--- a/crates/guavawell-core/examples/routing_compare/world/mod.rs
+++ b/crates/guavawell-core/examples/routing_compare/world/mod.rs
@@ -2,6 +2,7 @@
 
 mod report;
 mod setup;
+mod spill;
 mod subset;
 
 use std::cmp::Reverse;
@@ -19,6 +20,7 @@
 use guavawell_core::backend::RouteTarget;
 use guavawell_core::backend::RoutingSettings;
 use guavawell_core::backend::ServedModel;
+use guavawell_core::backend::ZoneSummary;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::id::OrganisationId;
@@ -40,6 +42,7 @@
 
 pub use setup::ChoicePolicy;
 use setup::NOTICE_MS;
+pub use setup::SpillSetup;
 pub use setup::WorldFault;
 pub use setup::WorldResult;
 pub use setup::WorldSetup;
@@ -67,6 +70,9 @@
     Fault,
     /// The routers left know that others are gone.
     Notice,
+    /// A zone tells the others of its use.
+    Tell(usize),
+    Told(usize, ZoneSummary),
 }
 
 struct CallerJob {
@@ -148,6 +154,9 @@
         for engine in 0..world.setup.engines {
             world.after(engine as u64 * 37 % REPORT_MS, WorldEvent::Report(engine));
         }
+        for zone in 0..world.setup.zones {
+            world.after(1_000 + 300 * zone as u64, WorldEvent::Tell(zone));
+        }
         world.after(MEASURE_MS - START_MS, WorldEvent::Fault);
         while let Some(Reverse((at, place))) = world.agenda.pop() {
             world.now = at;
@@ -228,6 +237,8 @@
             WorldEvent::Deliver(engine, report, batch) => self.deliver(engine, &report, &batch),
             WorldEvent::Fault => self.break_something(),
             WorldEvent::Notice => self.share_out(),
+            WorldEvent::Tell(zone) => self.tell(zone),
+            WorldEvent::Told(zone, summary) => self.told(zone, &summary),
         }
     }
 
@@ -243,7 +254,7 @@
         let rank = self.draws.below(PREFIXES) * self.draws.below(PREFIXES) / PREFIXES;
         let job = CallerJob {
             organisation,
-            router: self.draws.place(self.live),
+            router: self.draw_router(),
             arrived: self.now,
             prefix: PrefixHash::of_contents(&rank.to_be_bytes()),
             tokens: 20 + self.draws.below(121),
--- a/crates/guavawell-core/examples/routing_compare/world/report.rs
+++ b/crates/guavawell-core/examples/routing_compare/world/report.rs
@@ -48,7 +48,9 @@
         let now = self.time();
         for number in 0..self.routers.len() {
             let router = &mut self.routers[number];
-            if self.setup.subset > 0 && !router.near[engine] {
+            let zone = &router.table.specs()[engine].zone;
+            let local = self.setup.spill.hot_percent > 0 && *zone != router.zone;
+            if local || !router.near[engine] {
                 continue;
             }
             let id = &router.table.specs()[engine].id;
@@ -72,6 +74,7 @@
             WorldFault::None => {}
             WorldFault::SlowServer => self.engines[0].slowness = 4,
             WorldFault::Leaving => self.engines[0].leaving_since = Some(self.now),
+            WorldFault::ServerLost => self.engines[0].dead = true,
             WorldFault::ZoneLost => {
                 let lost = self.engines.iter_mut().step_by(zones);
                 lost.for_each(|engine| engine.dead = true);
--- a/crates/guavawell-core/examples/routing_compare/world/setup.rs
+++ b/crates/guavawell-core/examples/routing_compare/world/setup.rs
@@ -16,6 +16,8 @@
     None,
     SlowServer,
     Leaving,
+    /// The first engine is gone: connections to it time out.
+    ServerLost,
     ZoneLost,
     /// Half of the routers vanish; the balancer sends to the others at once,
     /// and these know it after [`NOTICE_MS`].
@@ -25,6 +27,16 @@
 /// Time after which routers know that others are gone.
 pub const NOTICE_MS: u64 = 5_000;
 
+/// How unevenly zones are used, and what they know of each other.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SpillSetup {
+    /// Requests in a hundred that come to the first zone's routers; zero for
+    /// an even spread over routers, with reports to all.
+    pub hot_percent: u64,
+    /// Whether zones tell each other of their use.
+    pub told: bool,
+}
+
 /// What is run.
 #[derive(Clone, Debug)]
 pub struct WorldSetup {
@@ -35,6 +47,7 @@
     pub routers: usize,
     /// Servers of a target that each router has at least; zero for no subsets.
     pub subset: usize,
+    pub spill: SpillSetup,
     /// Requests a second offered, by organisation.
     pub rates: Vec<f64>,
 }
--- a/crates/guavawell-core/src/instance/membership/mod.rs
+++ b/crates/guavawell-core/src/instance/membership/mod.rs
@@ -131,6 +131,8 @@
     /// Peer with which the last comparison left a difference.
     sync_peer: Option<SocketAddr>,
     times: TaskTimes,
+    /// The newest version that was passed on.
+    newest_manifest: ManifestVersion,
     /// The last probe into another zone was left unanswered.
     zones_doubtful: bool,
     superseded: bool,
@@ -176,6 +178,7 @@
                 reconnect: now,
                 last_tick: now,
             },
+            newest_manifest: ManifestVersion::default(),
             zones_doubtful: false,
             superseded: false,
             counts: GossipCounts::default(),
@@ -226,7 +229,7 @@
         if manifest > self.own.manifest {
             self.own.manifest = manifest;
             self.revision += 1;
-            self.queue_manifest(self.own.instance.clone());
+            self.queue_manifest(self.own.instance.clone(), manifest);
         }
     }
 
@@ -283,7 +286,7 @@
             MergeOutcome::Known => {}
             MergeOutcome::Manifest => {
                 self.revision += 1;
-                self.queue_manifest(record.instance.clone());
+                self.queue_manifest(record.instance.clone(), record.manifest);
             }
             // Whoever is new in the fleet learns all members by comparison;
             // passing them on would only repeat what the others know.
@@ -369,7 +372,13 @@
         });
     }
 
-    fn queue_manifest(&mut self, instance: InstanceId) {
+    /// Passes on that an instance has a version in force, if that is news of
+    /// the version; who else has it shows in the messages that it sends.
+    fn queue_manifest(&mut self, instance: InstanceId, manifest: ManifestVersion) {
+        if manifest <= self.newest_manifest {
+            return;
+        }
+        self.newest_manifest = manifest;
         let topic = RumourTopic::Manifest(instance);
         let bytes = self.rumour(&topic).map_or(0, |rumour| rumour.encoded_len());
         self.queue.push(QueuedRumour {
--- a/crates/guavawell-core/src/instance/membership/send.rs
+++ b/crates/guavawell-core/src/instance/membership/send.rs
@@ -106,7 +106,7 @@
         let member_sends = self.settings.member_sends_at(self.size());
         let leave_sends = self.settings.leave_sends_at(self.size());
         let note_sends = self.settings.note_sends;
-        let manifest_sends = self.settings.manifest_sends;
+        let manifest_sends = self.settings.manifest_sends_at(self.size());
         let limit = |class| match class {
             RumourClass::Leaving => leave_sends,
             RumourClass::Member => member_sends,
--- a/crates/guavawell-core/src/instance/settings.rs
+++ b/crates/guavawell-core/src/instance/settings.rs
@@ -60,7 +60,7 @@
     pub leave_sends: u32,
     /// How often a note is passed on.
     pub note_sends: u32,
-    /// How often a member's manifest version in force is passed on.
+    /// How often a new manifest version is passed on, multiplied in the same way.
     pub manifest_sends: u32,
     /// Largest note, in bytes.
     pub max_note_bytes: usize,
@@ -96,7 +96,7 @@
             member_sends: 4,
             leave_sends: 10,
             note_sends: 4,
-            manifest_sends: 3,
+            manifest_sends: 4,
             max_note_bytes: 512,
             max_notes: 2_048,
             note_lifetime: ClockSpan::from_millis(60_000),
@@ -111,6 +111,12 @@
         self.leave_sends * log10_rounded_up(members)
     }
 
+    /// How often a new manifest version is passed on in a fleet of `members`.
+    #[must_use]
+    pub fn manifest_sends_at(&self, members: usize) -> u32 {
+        self.manifest_sends * log10_rounded_up(members)
+    }
+
     /// How often a change is passed on in a fleet of `members`.
     #[must_use]
     pub fn member_sends_at(&self, members: usize) -> u32 {
--- a/crates/guavawell-core/tests/membership/main.rs
+++ b/crates/guavawell-core/tests/membership/main.rs
@@ -4,4 +4,5 @@
 mod failure;
 mod property;
 mod pump;
+mod report;
 mod value;
--- /dev/null
+++ b/crates/guavawell-core/tests/membership/report.rs
@@ -0,0 +1,156 @@
+//! Load reports and passing notes beside membership's own news.
+
+use guavawell_core::id::ManifestVersion;
+use guavawell_core::instance::GossipNote;
+use guavawell_core::instance::MembershipSettings;
+use guavawell_core::instance::NoteScope;
+
+use crate::pump::MessagePump;
+use crate::pump::PumpNode;
+
+/// Payload of one datagram of load reports, more than routers send.
+const REPORT_BYTES: usize = 400;
+
+fn passing(key: &str, version: u64, size: usize) -> GossipNote {
+    GossipNote {
+        key: key.into(),
+        scope: NoteScope::Passing,
+        version,
+        bytes: vec![1; size].into(),
+    }
+}
+
+fn knows_all(node: &PumpNode, count: usize) -> bool {
+    node.membership.view().members().len() == count
+}
+
+/// Has every node send as many load reports as it may, and renew a note.
+fn flood(pump: &mut MessagePump, version: u64) {
+    let now = pump.now;
+    for (index, node) in pump.nodes.iter_mut().enumerate() {
+        while node.membership.charge_report(REPORT_BYTES, now) {}
+        let note = passing(&format!("room/{index}"), version, 100);
+        node.membership.publish(&note, now).expect("taken");
+    }
+}
+
+#[test]
+fn a_joining_node_knows_all_members_within_seconds_of_a_flood_of_reports() {
+    const MEMBERS: usize = 120;
+    let mut pump = MessagePump::converged(MEMBERS, 7, 31);
+    let settings = MembershipSettings::default();
+    let began = pump.now;
+    let before: Vec<_> = pump
+        .nodes
+        .iter()
+        .map(|node| node.membership.counts().bytes_sent)
+        .collect();
+    for version in 0..50 {
+        flood(&mut pump, version);
+        pump.step();
+    }
+    let joined = pump.add(MEMBERS);
+    pump.list_all();
+    let joined_at = pump.now;
+    let mut version = 50;
+    while !knows_all(&pump.nodes[joined], MEMBERS + 1) {
+        flood(&mut pump, version);
+        pump.step();
+        version += 1;
+        let waited = pump.now.since(joined_at).as_millis();
+        assert!(waited <= 5_000, "still not known after {waited} ms");
+    }
+    let elapsed = pump.now.since(began).as_millis();
+    let allowed = settings.burst_bytes + settings.bytes_per_second * elapsed / 1_000;
+    for (node, before) in pump.nodes.iter().zip(&before) {
+        let counts = node.membership.counts();
+        assert!(counts.bytes_sent - before <= allowed, "bytes stay bounded");
+        assert!(counts.reports_withheld > 0, "the flood was too small");
+    }
+    // Probes and their answers were never given up for reports.
+    assert!(pump.nodes.iter().all(|node| {
+        let view = node.membership.view();
+        view.routable().count() == view.members().len()
+    }));
+}
+
+#[test]
+fn a_passing_note_reaches_every_zone_and_goes_when_not_renewed() {
+    let mut pump = MessagePump::converged(12, 3, 32);
+    pump.loss_percent = 20;
+    let now = pump.now;
+    let has = |pump: &MessagePump, version: u64| {
+        let mut views = pump.nodes.iter().map(|node| node.membership.view());
+        views.all(|view| {
+            view.note("room/a")
+                .is_some_and(|note| note.version == version)
+        })
+    };
+    let first = &mut pump.nodes[0].membership;
+    first
+        .publish(&passing("room/a", 1, 100), now)
+        .expect("taken");
+    // Renewals replace what a lost datagram left out; a late one changes nothing.
+    let mut version = 1;
+    while !has(&pump, version) {
+        for _ in 0..50 {
+            pump.step();
+        }
+        let now = pump.now;
+        version += 1;
+        let first = &mut pump.nodes[0].membership;
+        first
+            .publish(&passing("room/a", version, 100), now)
+            .expect("taken");
+        first
+            .publish(&passing("room/a", 1, 100), now)
+            .expect("ignored");
+        for _ in 0..20 {
+            pump.step();
+        }
+        assert!(version < 10, "never reached everyone");
+    }
+    let gone = |pump: &MessagePump| {
+        let mut views = pump.nodes.iter().map(|node| node.membership.view());
+        views.all(|view| view.note("room/a").is_none())
+    };
+    assert!(pump.run_until(700, gone));
+}
+
+#[test]
+fn a_manifest_version_is_told_once_however_many_have_it_in_force() {
+    let mut pump = MessagePump::converged(60, 7, 33);
+    for _ in 0..100 {
+        pump.step();
+    }
+    let sent = |pump: &MessagePump| -> u64 {
+        let counts = pump.nodes.iter().map(|node| node.membership.counts());
+        counts.map(|counts| counts.bytes_sent).sum()
+    };
+    let quiet_from = sent(&pump);
+    for _ in 0..50 {
+        pump.step();
+    }
+    let quiet = sent(&pump) - quiet_from;
+    let version = ManifestVersion::new(2);
+    pump.nodes[0].membership.set_manifest(version);
+    let heard = |pump: &MessagePump| {
+        pump.nodes.iter().all(|node| {
+            let view = node.membership.view();
+            view.members()
+                .iter()
+                .any(|member| member.manifest == version)
+        })
+    };
+    let told_from = sent(&pump);
+    assert!(pump.run_until(30, heard), "not known after 3 s");
+    // All the others have it in force now, and say so only by themselves.
+    for node in &mut pump.nodes {
+        node.membership.set_manifest(version);
+    }
+    for _ in 0..50 {
+        pump.step();
+    }
+    let told = sent(&pump) - told_from;
+    assert!(told < 6 * quiet, "{told} bytes, {quiet} while quiet");
+}
--- a/crates/guavawell-fleet/examples/gossip_cost/load.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/load.rs
@@ -15,16 +15,16 @@
 use cpu_time::ThreadTime;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::id::InstanceId;
 use guavawell_core::id::ManifestVersion;
+use guavawell_core::id::ZoneId;
 use guavawell_core::instance::GossipMessage;
-use guavawell_core::instance::GossipNote;
 use guavawell_core::instance::GossipRumour;
 use guavawell_core::instance::MemberEffect;
 use guavawell_core::instance::MemberRecord;
 use guavawell_core::instance::Membership;
 use guavawell_core::instance::MembershipSettings;
 use guavawell_core::instance::MessageBody;
-use guavawell_core::instance::NoteScope;
 use guavawell_core::instance::Reachability;
 use guavawell_core::instance::draw_incarnation;
 use guavawell_fleet::clock;
@@ -32,21 +32,25 @@
 use guavawell_fleet::gossip::FleetKeys;
 
 use super::WorkKind;
+use super::report::NodeReports;
+use super::report::SEEN_EVERY;
+use super::report::SUMMARY_EVERY;
+use super::report::summary_note;
 
-/// Bytes of a load report.
-const NOTE_BYTES: usize = 64;
-/// Time between two load reports of a node.
-const NOTE_INTERVAL: ClockSpan = ClockSpan::from_millis(4_000);
-/// Backend servers that a node polls: 2,200 over 390 nodes.
-const POLLED: u64 = 6;
-/// Bytes of one backend server's load report as routers encode it.
-const SERVER_NOTE_BYTES: usize = 12;
 /// Time between two manifest versions: 6,800 a day.
 const MANIFEST_INTERVAL: ClockSpan = ClockSpan::from_millis(12_700);
-/// Time between two replaced instances.
-const REPLACE_INTERVAL: ClockSpan = ClockSpan::from_millis(4_000);
+/// Time between two replaced instances of a busy fleet.
+const BUSY_REPLACEMENT: ClockSpan = ClockSpan::from_millis(4_000);
+/// The same in letter 1: 438 a day.
+const LETTER_REPLACEMENT: ClockSpan = ClockSpan::from_millis(197_000);
+/// The zone that is parted.
+const PARTED_ZONE: usize = 2;
 /// Availability zones.
-const ZONES: usize = 7;
+pub const ZONES: usize = 7;
+/// Time that a zone is parted.
+pub const PARTED_SPAN: ClockSpan = ClockSpan::from_millis(20_000);
+/// Time from the start until a tenth is replaced or a zone parted.
+const JOINING: ClockSpan = ClockSpan::from_millis(4_000);
 /// Time between two ticks of a node.
 const TICK: ClockSpan = ClockSpan::from_millis(100);
 /// Time between two rounds of the load's thread.
@@ -82,7 +86,10 @@
     address: SocketAddr,
     socket: UdpSocket,
     next_tick: ClockTime,
+    next_report: ClockTime,
     next_note: ClockTime,
+    next_summary: ClockTime,
+    reports: NodeReports,
 }
 
 /// All other nodes.
@@ -93,6 +100,8 @@
     now: ClockTime,
     next_replacement: ClockTime,
     replaced: usize,
+    /// When a zone is parted, and when it is healed.
+    parted: Option<(ClockTime, ClockTime)>,
     clock: LoadClock,
     keys: FleetKeys,
 }
@@ -112,13 +121,15 @@
         let mut fleet = Self {
             nodes: records
                 .iter()
-                .map(|record| LoadNode::start(record, began))
+                .enumerate()
+                .map(|(index, record)| LoadNode::start(index + 1, size, record, began))
                 .collect(),
             messages: VecDeque::new(),
             work,
             now: began,
-            next_replacement: began + SETTLING,
+            next_replacement: ClockTime::from_millis(u64::MAX),
             replaced: 0,
+            parted: None,
             clock: LoadClock {
                 thread_nanos: Arc::default(),
             },
@@ -148,6 +159,7 @@
 
     /// Runs the nodes on a thread.
     pub fn spawn(mut self) -> RunningLoad {
+        self.next_replacement = clock::now() + first_replacement(self.work);
         let stop = Arc::new(AtomicBool::new(false));
         let stopped = Arc::clone(&stop);
         let thread = thread::spawn(move || {
@@ -200,22 +212,53 @@
     }
 
     fn renew_work(&mut self, index: usize) {
-        let node = &mut self.nodes[index];
-        if self.work == WorkKind::Quiet || self.now < node.next_note {
+        if self.work == WorkKind::Quiet {
             return;
         }
-        node.next_note = self.now + note_interval(self.work);
-        let report = load_report(node.membership.view().own(), self.now, self.work);
-        node.membership.publish(&report, self.now).expect("taken");
-        node.membership.set_manifest(manifest_at(self.now));
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if now >= node.next_note {
+            node.next_note = now + SEEN_EVERY;
+            let seen = node.reports.seen_note(node.membership.view().own(), now);
+            node.membership.publish(&seen, now).expect("taken");
+        }
+        // One node of each zone speaks for it.
+        if now >= node.next_summary && index < ZONES {
+            node.next_summary = now + SUMMARY_EVERY;
+            let summary = summary_note(node.membership.view().own(), now);
+            node.membership.publish(&summary, now).expect("taken");
+        }
+        node.membership.set_manifest(manifest_at(now));
+        if now >= node.next_report {
+            node.next_report = now + node.reports.pause();
+            self.send_reports(index);
+        }
+    }
+
+    /// Sends the measured node what it hears; the rest is charged only.
+    fn send_reports(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        for (receiver, bundle) in node.reports.bundles(self.now) {
+            let payload = [&[0], &bundle[..]].concat();
+            let allowed = node.membership.charge_report(payload.len(), self.now);
+            if allowed && receiver == 0 {
+                let _sent = node.socket.send_to(&self.keys.seal(&payload), address(0));
+            }
+        }
     }
 
     /// Announces that one node leaves, and starts the one that left before anew.
     fn replace_one(&mut self) {
-        if self.work == WorkKind::Quiet || self.now < self.next_replacement {
+        if self.now < self.next_replacement {
             return;
         }
-        self.next_replacement = self.now + REPLACE_INTERVAL;
+        match self.work {
+            WorkKind::Quiet => return,
+            WorkKind::Tenth => return self.replace_tenth(),
+            WorkKind::Parted => return self.part(),
+            WorkKind::Letter => self.next_replacement = self.now + LETTER_REPLACEMENT,
+            WorkKind::Busy => self.next_replacement = self.now + BUSY_REPLACEMENT,
+        }
         let count = self.nodes.len();
         // The first node stays, as the measured one begins with it.
         let leaving = 1 + self.replaced % (count - 1);
@@ -228,6 +271,28 @@
         self.carry_out(leaving, effects);
     }
 
+    /// Ends every tenth node at once and starts it anew.
+    fn replace_tenth(&mut self) {
+        self.next_replacement = ClockTime::from_millis(u64::MAX);
+        for index in (1..self.nodes.len()).step_by(10) {
+            self.restart(index);
+        }
+    }
+
+    /// Parts one zone from all others for a while.
+    fn part(&mut self) {
+        self.next_replacement = ClockTime::from_millis(u64::MAX);
+        self.parted = Some((self.now, self.now + PARTED_SPAN));
+    }
+
+    /// Whether a message passes between two places.
+    fn passes(&self, from: usize, to: usize) -> bool {
+        let parted = self
+            .parted
+            .is_some_and(|(start, end)| (start..end).contains(&self.now));
+        !parted || (from % ZONES == PARTED_ZONE) == (to % ZONES == PARTED_ZONE)
+    }
+
     fn restart(&mut self, index: usize) {
         let seed = self.first_address();
         let node = &mut self.nodes[index];
@@ -249,6 +314,9 @@
             self.messages.push_back((node.address, to, message));
             return;
         }
+        if !self.passes(index + 1, 0) {
+            return;
+        }
         let payload = message.encode().expect("encodes");
         // While the measured node is not up yet, nothing is lost by a failure.
         let _sent = node.socket.send_to(&self.keys.seal(&payload), to);
@@ -257,7 +325,11 @@
     fn deliver(&mut self) {
         while let Some((from, to, message)) = self.messages.pop_front() {
             let found = self.nodes.binary_search_by_key(&to, |node| node.address);
-            if let Ok(index) = found {
+            let sender = self.nodes.binary_search_by_key(&from, |node| node.address);
+            if let (Ok(index), Ok(sender)) = (found, sender) {
+                if !self.passes(sender + 1, index + 1) {
+                    continue;
+                }
                 self.clock.note();
                 let node = &mut self.nodes[index];
                 let effects = node.membership.receive(from, &message, self.now);
@@ -272,6 +344,9 @@
         for index in 0..self.nodes.len() {
             while let Ok((length, from)) = self.nodes[index].socket.recv_from(&mut buffer) {
                 let payload = self.keys.open(&buffer[..length]).expect("verifies");
+                if payload[0] == 0 || !self.passes(0, index + 1) {
+                    continue;
+                }
                 let message = GossipMessage::decode(payload).expect("decodes");
                 let node = &mut self.nodes[index];
                 let effects = node.membership.receive(from, &message, self.now);
@@ -282,7 +357,7 @@
 }
 
 impl LoadNode {
-    fn start(record: &MemberRecord, now: ClockTime) -> Self {
+    fn start(place: usize, size: usize, record: &MemberRecord, now: ClockTime) -> Self {
         let address = record.gossip_address;
         let socket = UdpSocket::bind(address).expect("binds");
         socket.set_nonblocking(true).expect("is allowed");
@@ -295,7 +370,10 @@
             address,
             socket,
             next_tick: now + spread(TICK),
-            next_note: now + spread(NOTE_INTERVAL),
+            next_report: now + spread(SUMMARY_EVERY),
+            next_note: now + spread(SEEN_EVERY),
+            next_summary: now + spread(SUMMARY_EVERY),
+            reports: NodeReports::plan(place, size),
         }
     }
 }
@@ -313,25 +391,11 @@
     Membership::start(MembershipSettings::default(), record.clone(), seed, now)
 }
 
-/// Time between two notes of a node.
-pub fn note_interval(work: WorkKind) -> ClockSpan {
-    let servers = if work == WorkKind::Reports { POLLED } else { 1 };
-    ClockSpan::from_millis(NOTE_INTERVAL.as_millis() / servers)
-}
-
-/// A node's load report for its zone, or that of one of its backend servers
-/// in turn.
-pub fn load_report(own: &MemberRecord, now: ClockTime, work: WorkKind) -> GossipNote {
-    let turn = now.as_millis() / note_interval(work).as_millis() % POLLED;
-    let (key, bytes) = match work {
-        WorkKind::Reports => (format!("load/{}-{turn}", own.instance), SERVER_NOTE_BYTES),
-        _ => (format!("load/{}", own.instance), NOTE_BYTES),
-    };
-    GossipNote {
-        key: key.into(),
-        scope: NoteScope::Zone(own.zone.clone()),
-        version: now.as_millis(),
-        bytes: vec![7; bytes].into(),
+/// When the first node is replaced, after the node measured has joined.
+fn first_replacement(work: WorkKind) -> ClockSpan {
+    match work {
+        WorkKind::Tenth | WorkKind::Parted => JOINING,
+        _ => ClockSpan::default(),
     }
 }
 
@@ -352,17 +416,25 @@
     SocketAddr::from((Ipv4Addr::from_bits(base + host), PORT))
 }
 
+/// The id of node `place`.
+pub fn instance(place: usize) -> InstanceId {
+    format!("router-{place:03}").parse().expect("an id")
+}
+
+/// The id of a zone.
+pub fn zone(number: usize) -> ZoneId {
+    format!("region-1-zone-{number}").parse().expect("an id")
+}
+
 /// The record of node `place` in a life that starts `now`.
 pub fn record(place: usize, now: ClockTime) -> MemberRecord {
     let gossip_address = address(place);
     let at = |port: u16| SocketAddr::new(gossip_address.ip(), port);
     MemberRecord {
-        instance: format!("router-{place:03}").parse().expect("an id"),
+        instance: instance(place),
         incarnation: draw_incarnation(now, 7),
         refutation: 0,
-        zone: format!("region-1-zone-{}", place % ZONES)
-            .parse()
-            .expect("an id"),
+        zone: zone(place % ZONES),
         caller_address: at(8_080),
         peer_address: at(8_082),
         gossip_address,
--- a/crates/guavawell-fleet/examples/gossip_cost/main.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/main.rs
@@ -8,6 +8,7 @@
 
 mod load;
 mod node;
+mod report;
 
 use std::process::ExitCode;
 
@@ -22,12 +23,22 @@
 pub enum WorkKind {
     /// Probes and comparisons only.
     Quiet,
-    /// Load reports, manifest versions and replaced instances as well.
+    /// Reports, notes, manifest versions, and letter 1's replacements.
+    Letter,
+    /// The same, with an instance replaced every 4 s, 50 times as many.
     Busy,
-    /// As busy, but a small report of each backend server instead of one note.
-    Reports,
+    /// The same, with a tenth of all instances replaced at once.
+    Tenth,
+    /// The same, with one zone parted from the others for 20 s.
+    Parted,
 }
 
+/// What is measured at each size.
+const WORKS: [WorkKind; 3] = [WorkKind::Quiet, WorkKind::Letter, WorkKind::Busy];
+
+/// Size from which a tenth is replaced and a zone parted.
+const LARGE: usize = 100;
+
 fn main() -> ExitCode {
     report(&sizes());
     ExitCode::SUCCESS
@@ -35,19 +46,25 @@
 
 /// Measures one node in fleets of these sizes.
 pub(crate) fn report(sizes: &[usize]) {
-    println!("busy: each node a 64-byte note to its zone every 4 s, a new manifest version in");
     println!(
-        "force on all nodes every 12.7 s, an instance replaced every 4 s (a day's 390 in 26 min)"
+        "letter: 5.6 backend servers a node, each reported every 0.5 to 1.5 s to its routers;"
     );
-    println!("reports: as busy, but 6 notes of 12 bytes a node every 4 s, one a backend server");
+    println!("a zone note on servers alive every 10 s, a fleet note on a zone's use every 5 s;");
+    println!("a manifest version every 12.7 s; an instance replaced every 197 s");
+    println!("busy: the same, an instance replaced every 4 s; tenth: a tenth replaced at once;");
+    println!("parted: a zone parted for 20 s, 40 s measured");
     println!("core: the node's thread; core+: all of the process but the load's thread");
     println!(
-        "nodes  work     core %  core+ %  heap KB  sent B/s  received B/s  known  queued  load %"
+        "nodes  work     core %  core+ %  heap KB  sent B/s  received B/s  known 3 s  known  queued  load %"
     );
     for &size in sizes {
-        for work in [WorkKind::Quiet, WorkKind::Busy, WorkKind::Reports] {
-            let cost = node::measure(FleetLoad::start(size, work));
-            show(size, work, &cost);
+        for work in WORKS {
+            show(size, work, &node::measure(FleetLoad::start(size, work)));
+        }
+        if size >= LARGE {
+            for work in [WorkKind::Tenth, WorkKind::Parted] {
+                show(size, work, &node::measure(FleetLoad::start(size, work)));
+            }
         }
     }
 }
@@ -67,16 +84,19 @@
 fn show(size: usize, work: WorkKind, cost: &NodeCost) {
     let work = match work {
         WorkKind::Quiet => "quiet",
+        WorkKind::Letter => "letter",
         WorkKind::Busy => "busy",
-        WorkKind::Reports => "reports",
+        WorkKind::Tenth => "tenth",
+        WorkKind::Parted => "parted",
     };
     println!(
-        "{size:>5}  {work:<7}  {:>6.3}  {:>7.3}  {:>7.0}  {:>8.0}  {:>12.0}  {:>5}  {:>6}  {:>6.1}",
+        "{size:>5}  {work:<7}  {:>6.3}  {:>7.3}  {:>7.0}  {:>8.0}  {:>12.0}  {:>9}  {:>5}  {:>6}  {:>6.1}",
         cost.thread_percent,
         cost.process_percent,
         cost.heap_kilobytes,
         cost.sent_per_second,
         cost.received_per_second,
+        cost.known_early,
         cost.known,
         cost.queued,
         cost.load_percent,
--- a/crates/guavawell-fleet/examples/gossip_cost/node.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/node.rs
@@ -18,19 +18,17 @@
 use super::load;
 use super::load::FleetLoad;
 use super::load::LoadClock;
+use super::report::NodeReports;
+use super::report::SEEN_EVERY;
 
 /// Time in which the node gets to know the fleet before it is measured.
 const WARM_UP: Duration = Duration::from_secs(3);
 
-/// Time measured.
-const MEASURED: Duration = Duration::from_secs(4);
+/// Time measured: one whole cycle of manifest versions.
+const MEASURED: Duration = Duration::from_millis(12_700);
 
-/// Time measured at the largest size: one whole cycle of manifest versions, as
-/// each of them is followed by a burst of news.
-const MEASURED_CYCLE: Duration = Duration::from_millis(12_700);
-
-/// Size from which a whole cycle is measured.
-const LARGE_FLEET: usize = 390;
+/// Time measured while a zone is parted and healed.
+const MEASURED_PARTING: Duration = Duration::from_secs(40);
 
 /// Bytes of the IPv4 and UDP headers of a datagram.
 const HEADER_BYTES: u64 = 28;
@@ -48,6 +46,8 @@
     pub sent_per_second: f64,
     /// Bytes received a second, headers included.
     pub received_per_second: f64,
+    /// Members that it knew 3 s after its start.
+    pub known_early: usize,
     /// Members that it knew at the end.
     pub known: usize,
     /// News that it had not yet passed on at the end.
@@ -62,24 +62,26 @@
     process: Duration,
     load: Duration,
     datagrams: DatagramCounts,
+    known: usize,
 }
 
 /// Runs the node beside `fleet` and measures it.
 pub fn measure(fleet: FleetLoad) -> NodeCost {
     let seed = fleet.first_address();
     let work = fleet.work();
-    let measured = if work == WorkKind::Busy && fleet.size() >= LARGE_FLEET {
-        MEASURED_CYCLE
+    let measured = if work == WorkKind::Parted {
+        MEASURED_PARTING
     } else {
         MEASURED
     };
+    let reports = NodeReports::plan(0, fleet.size());
     let clock = fleet.clock();
     let handle = fleet.spawn();
     let measuring = thread::Builder::new().name("node".into());
     let node = measuring.spawn(move || {
         let mut cost = None;
         let heap = allocation_counter::measure(|| {
-            cost = Some(smol::block_on(run(seed, work, measured, &clock)));
+            cost = Some(smol::block_on(run(seed, work, measured, &clock, &reports)));
         });
         let mut cost = cost.expect("the node ran");
         cost.heap_kilobytes = kilobytes(heap.bytes_max);
@@ -90,7 +92,13 @@
     cost
 }
 
-async fn run(seed: SocketAddr, work: WorkKind, measured: Duration, clock: &LoadClock) -> NodeCost {
+async fn run(
+    seed: SocketAddr,
+    work: WorkKind,
+    measured: Duration,
+    clock: &LoadClock,
+    reports: &NodeReports,
+) -> NodeCost {
     let settings = DriverSettings {
         seeds: vec![seed],
         random_seed: 1,
@@ -103,7 +111,11 @@
         let error = driver.run().await;
         panic!("the socket failed: {error:?}");
     };
-    smol::future::or(sample_twice(&driver, work, measured, clock), running).await
+    smol::future::or(
+        sample_twice(&driver, work, measured, clock, reports),
+        running,
+    )
+    .await
 }
 
 async fn sample_twice(
@@ -111,14 +123,15 @@
     work: WorkKind,
     measured: Duration,
     clock: &LoadClock,
+    reports: &NodeReports,
 ) -> NodeCost {
     let started = Instant::now();
     let mut before = None;
     let mut began = started;
-    let mut published = ClockTime::default();
+    let mut due = NodeDue::default();
     while started.elapsed() < WARM_UP + measured {
         if work != WorkKind::Quiet {
-            published = renew_work(driver, work, published);
+            due.renew(driver, reports).await;
         }
         Timer::after(Duration::from_millis(100)).await;
         if before.is_none() && started.elapsed() >= WARM_UP {
@@ -131,16 +144,30 @@
     cost(driver, &before, &after, began.elapsed())
 }
 
-/// Publishes this node's load report when it is due.
-fn renew_work(driver: &GossipDriver, work: WorkKind, published: ClockTime) -> ClockTime {
-    let now = clock::now();
-    if now.since(published) < load::note_interval(work) {
-        return published;
+/// When this node's work was done last.
+#[derive(Default)]
+struct NodeDue {
+    reported: ClockTime,
+    seen: ClockTime,
+}
+
+impl NodeDue {
+    /// Sends reports and publishes notes that are due.
+    async fn renew(&mut self, driver: &GossipDriver, reports: &NodeReports) {
+        let now = clock::now();
+        driver.set_manifest(load::manifest_at(now));
+        if now.since(self.seen) >= SEEN_EVERY {
+            self.seen = now;
+            let note = reports.seen_note(driver.view().own(), now);
+            driver.publish(&note).expect("taken");
+        }
+        if now.since(self.reported) >= reports.pause() {
+            self.reported = now;
+            for (receiver, bundle) in reports.bundles(now) {
+                driver.send_report(load::address(receiver), &bundle).await;
+            }
+        }
     }
-    let report = load::load_report(driver.view().own(), now, work);
-    driver.publish(&report).expect("taken");
-    driver.set_manifest(load::manifest_at(now));
-    now
 }
 
 fn sample(driver: &GossipDriver, clock: &LoadClock) -> CostSample {
@@ -149,6 +176,7 @@
         process: ProcessTime::now().as_duration(),
         load: clock.thread_time(),
         datagrams: driver.datagram_counts(),
+        known: driver.view().members().len(),
     }
 }
 
@@ -172,7 +200,8 @@
         heap_kilobytes: 0.0,
         sent_per_second: number(sent_bytes + sent * HEADER_BYTES) / seconds,
         received_per_second: number(received_bytes + received * HEADER_BYTES) / seconds,
-        known: driver.view().members().len(),
+        known_early: before.known,
+        known: after.known,
         queued: driver.gossip_counts().queued,
         load_percent: load / seconds * 100.0,
     }
--- a/crates/guavawell-fleet/src/gossip/count.rs
+++ b/crates/guavawell-fleet/src/gossip/count.rs
@@ -58,6 +58,11 @@
         counter!("guavawell_gossip_received_bytes_total").increment(wide(bytes));
     }
 
+    #[allow(clippy::unused_self)] // beside the other reasons
+    pub(super) fn count_report_dropped(&self) {
+        counter!("guavawell_gossip_dropped_total", "reason" => "report").increment(1);
+    }
+
     pub(super) fn count_unverified(&self) {
         add(&self.unverified, 1);
         counter!("guavawell_gossip_dropped_total", "reason" => "unverified").increment(1);
@@ -85,6 +90,7 @@
 pub(super) fn show_counts(counts: &GossipCounts) {
     counter!("guavawell_gossip_refutations_total").absolute(counts.refutations);
     counter!("guavawell_gossip_withheld_total").absolute(counts.withheld);
+    counter!("guavawell_gossip_reports_withheld_total").absolute(counts.reports_withheld);
     counter!("guavawell_gossip_notes_refused_total").absolute(counts.notes_refused);
     counter!("guavawell_gossip_pauses_total").absolute(counts.pauses);
     gauge!("guavawell_gossip_queued").set(narrow(counts.queued));
--- a/crates/guavawell-fleet/src/gossip/driver.rs
+++ b/crates/guavawell-fleet/src/gossip/driver.rs
@@ -24,6 +24,9 @@
 use guavawell_core::instance::MembershipSettings;
 use guavawell_core::instance::NoteError;
 use smol::Timer;
+use smol::channel;
+use smol::channel::Receiver;
+use smol::channel::Sender;
 use smol::net::UdpSocket;
 
 use super::count::DatagramMeter;
@@ -31,12 +34,17 @@
 use super::count::show_members;
 use super::key::FleetKeys;
 use super::key::SealError;
+use super::report::read_report;
+use super::report::report_payload;
 use crate::clock;
 use crate::drill::LinkGate;
 
 /// Largest datagram read; larger ones are cut and fail to verify.
 const RECEIVE_BYTES: usize = 2_048;
 
+/// Received load reports that wait to be taken; further ones are dropped.
+const WAITING_REPORTS: usize = 256;
+
 /// What a driver is started with.
 #[derive(Clone, Debug)]
 pub struct DriverSettings {
@@ -92,6 +100,8 @@
     published: AtomicU64,
     keys: ArcSwap<FleetKeys>,
     meter: DatagramMeter,
+    waiting_reports: Sender<Box<[u8]>>,
+    reports: Receiver<Box<[u8]>>,
     tick: ClockSpan,
     now: fn() -> ClockTime,
     gate: LinkGate,
@@ -123,6 +133,7 @@
             Membership::start(settings.membership, own, settings.random_seed, started_at);
         membership.seed(&settings.seeds);
         let view = ArcSwap::from_pointee(membership.view());
+        let (waiting_reports, reports) = channel::bounded(WAITING_REPORTS);
         let shared = DriverState {
             socket,
             address,
@@ -131,6 +142,8 @@
             view,
             keys: ArcSwap::from_pointee(settings.keys),
             meter: DatagramMeter::default(),
+            waiting_reports,
+            reports,
             tick: settings.tick,
             now: settings.now,
             gate: settings.gate,
@@ -192,6 +205,26 @@
         Ok(())
     }
 
+    /// Sends load reports to one member, beside gossip; false if the allowance
+    /// is needed for membership.
+    pub async fn send_report(&self, to: SocketAddr, bundle: &[u8]) -> bool {
+        let payload = report_payload(bundle);
+        let allowed = self.membership().charge_report(payload.len(), self.now());
+        if allowed && !self.shared.gate.cuts_gossip(to) {
+            self.send_payload(to, &payload).await;
+        }
+        allowed
+    }
+
+    /// The next load reports that another member sent.
+    ///
+    /// # Errors
+    ///
+    /// Never returns an error while a handle to this gossip exists.
+    pub async fn next_report(&self) -> Result<Box<[u8]>, channel::RecvError> {
+        self.shared.reports.recv().await
+    }
+
     /// Replaces the fleet's keys.
     pub fn replace_keys(&self, keys: FleetKeys) {
         self.shared.keys.store(Arc::new(keys));
@@ -221,7 +254,12 @@
                 continue;
             }
             self.shared.meter.count_received(length);
-            if let Some(message) = self.open(&buffer[..length]) {
+            let Some(payload) = self.open(&buffer[..length]) else {
+                continue;
+            };
+            if let Some(bundle) = read_report(payload) {
+                self.keep_report(bundle);
+            } else if let Some(message) = self.decode(payload) {
                 let effects = self.membership().receive(from, &message, self.now());
                 self.carry_out(effects).await;
             }
@@ -242,19 +280,23 @@
         }
     }
 
-    fn open(&self, datagram: &[u8]) -> Option<GossipMessage> {
+    fn open<'a>(&self, datagram: &'a [u8]) -> Option<&'a [u8]> {
         let keys = self.shared.keys.load();
-        let payload = match keys.open(datagram) {
-            Ok(payload) => payload,
-            Err(SealError::Unverified) => {
-                self.shared.meter.count_unverified();
-                return None;
-            }
-            Err(SealError::Layout) => {
-                self.shared.meter.count_malformed();
-                return None;
-            }
-        };
+        match keys.open(datagram) {
+            Ok(payload) => return Some(payload),
+            Err(SealError::Unverified) => self.shared.meter.count_unverified(),
+            Err(SealError::Layout) => self.shared.meter.count_malformed(),
+        }
+        None
+    }
+
+    fn keep_report(&self, bundle: &[u8]) {
+        if self.shared.waiting_reports.try_send(bundle.into()).is_err() {
+            self.shared.meter.count_report_dropped();
+        }
+    }
+
+    fn decode(&self, payload: &[u8]) -> Option<GossipMessage> {
         let message = GossipMessage::decode(payload);
         if message.is_err() {
             self.shared.meter.count_malformed();
@@ -280,7 +322,11 @@
             self.shared.meter.count_send_failure();
             return;
         };
-        let datagram = self.shared.keys.load().seal(&payload);
+        self.send_payload(to, &payload).await;
+    }
+
+    async fn send_payload(&self, to: SocketAddr, payload: &[u8]) {
+        let datagram = self.shared.keys.load().seal(payload);
         match self.shared.socket.send_to(&datagram, to).await {
             Ok(_) => self.shared.meter.count_sent(datagram.len()),
             Err(_) => self.shared.meter.count_send_failure(),
--- a/crates/guavawell-fleet/src/gossip/mod.rs
+++ b/crates/guavawell-fleet/src/gossip/mod.rs
@@ -6,6 +6,7 @@
 mod count;
 mod driver;
 mod key;
+mod report;
 
 pub use count::DatagramCounts;
 pub use driver::DriverSettings;
--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -16,6 +16,7 @@
 use super::fetch::run_polls;
 use super::keys::watch_keys;
 use super::orphan::run_orphans;
+use super::report::take_reports;
 use super::settings::order_parts;
 use super::settings::platform_pool;
 use crate::clock;
@@ -40,7 +41,7 @@
 
 /// Instances that may be listed in one period; longer lists are read less
 /// often, so that their bytes a second do not grow with the fleet.
-const LISTED_A_PERIOD: usize = 64;
+const LISTED_A_PERIOD: usize = 32;
 
 /// Time between two tries to publish this instance's row.
 const ROW_RETRY: Duration = Duration::from_secs(5);
@@ -61,6 +62,7 @@
         }
     });
     tasks.spawn(Arc::clone(&core.slots).run());
+    tasks.spawn(take_reports(Arc::clone(core), gossip.clone()));
     tasks.spawn(run_polls(Arc::clone(core), gossip.clone()));
     tasks.spawn(run_orphans(Arc::clone(core)));
     tasks.spawn(Arc::new(OrderDriver::new(order_parts(core, gossip))).run());
--- a/crates/guavawell-fleet/src/router/fetch.rs
+++ b/crates/guavawell-fleet/src/router/fetch.rs
@@ -1,261 +1,231 @@
 //! Load reports and cache events: one router of a zone polls a backend server.
 //!
-//! The poller is picked by hashing among the zone's routers. Its load reports
-//! ride on gossip as notes; a note that is late only makes a report older. The
-//! models held ride in notes of their own, sent on a change and now and then.
-//! Cache events stay with the poller: they are too many for gossip, and the
-//! other routers learn from their own requests.
+//! The first router in a server's order polls it; the next ones stand in while
+//! no report comes. What others need is passed on by `report`, and what the
+//! whole zone has to know by `seen`. Cache events stay with the poller: they
+//! are too many, and the other routers learn from their own requests.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 
+use guavawell_core::backend::BackendTable;
 use guavawell_core::backend::CacheBatch;
 use guavawell_core::backend::LoadReport;
+use guavawell_core::backend::RouterSubset;
 use guavawell_core::backend::ServedModel;
+use guavawell_core::backend::poll_turns;
+use guavawell_core::backend::should_poll;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::id::BackendId;
-use guavawell_core::instance::GossipNote;
 use guavawell_core::instance::MemberView;
-use guavawell_core::instance::NoteScope;
-use serde::Deserialize;
-use serde::Serialize;
 use smol::Timer;
 
 use super::core::RouterCore;
+use super::report::ReportPost;
+use super::round::PollRounds;
+use super::seen::SeenBook;
+use super::summary::SummaryBook;
 use crate::clock;
 use crate::gossip::GossipDriver;
 
-/// Up to this many backend servers, load reports go to the whole fleet; each
-/// takes about 50 bytes in gossip.
+/// Up to this many backend servers, and [`MAX_SHARED_ROUTERS`], every router
+/// hears every server's load and sends to all of them.
 const MAX_SHARED_SERVERS: usize = 64;
 
-/// What a note's key begins with.
-const NOTE_PREFIX: &str = "load/";
+/// Routers up to which every one hears every report.
+const MAX_SHARED_ROUTERS: usize = 32;
 
-/// What the key of a note on the models held begins with.
-const MODELS_PREFIX: &str = "models/";
+/// Least routers of a server where they have subsets.
+const LEAST_SHARERS: usize = 3;
 
-/// Time between two notes on the models held, if they do not change.
-const MODELS_EVERY: ClockSpan = ClockSpan::from_millis(5_000);
+/// Servers that a router asks for itself in one period, beside those that it
+/// polls, because it knows nothing of them or heard that their models changed.
+const ASKED_A_PERIOD: usize = 8;
 
-/// A load report as it rides on gossip.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct LoadNote {
-    at: ClockTime,
-    running: u32,
-    queued: u32,
-    slots: u32,
-    leaving: bool,
-}
+/// Polls in which a server is asked for cache events once, in a large fleet.
+const CACHE_EVERY: usize = 4;
 
-impl LoadNote {
-    fn of(report: &LoadReport) -> Self {
-        Self {
-            at: report.at,
-            running: report.running,
-            queued: report.queued,
-            slots: report.slots,
-            leaving: &*report.role == "leaving",
-        }
-    }
+/// What the polls of this router share.
+pub struct PollParts {
+    core: Arc<RouterCore>,
+    gossip: GossipDriver,
+    post: ReportPost,
+    seen: SeenBook,
+    rounds: PollRounds,
+    started: ClockTime,
+}
 
-    fn into_report(self) -> LoadReport {
-        LoadReport {
-            at: self.at,
-            running: self.running,
-            queued: self.queued,
-            slots: self.slots,
-            models: Vec::new(),
-            role: if self.leaving { "leaving" } else { "" }.into(),
-        }
-    }
+/// A backend server of this router's zone.
+struct PolledServer {
+    id: BackendId,
+    address: SocketAddr,
+    /// Whether it runs models, and so tells of cached prefixes.
+    has_cache: bool,
+    /// This router's place in the server's order.
+    rank: usize,
 }
 
 /// Polls the backend servers that hashing gives to this router, and takes the
-/// others' reports from gossip.
+/// others' news from gossip.
 pub async fn run_polls(core: Arc<RouterCore>, gossip: GossipDriver) {
     let pause = clock::duration(core.settings.routing.load_poll_ms);
-    let rounds = PollRounds::default();
-    loop {
-        let members = gossip.view();
-        core.backends.load().set_routers(readers(&core, &members));
-        take_notes(&core, &members);
-        for server in own_backends(&core, &members) {
-            let Some(round) = rounds.begin(&server.id) else {
-                continue;
-            };
-            let core = Arc::clone(&core);
-            let gossip = gossip.clone();
-            let tasks = core.tasks.clone();
-            tasks.spawn(async move {
-                poll_load(&core, &gossip, &server.id, server.address).await;
-                if server.has_cache {
-                    poll_cache(&core, &server.id, server.address).await;
-                }
-                drop(round);
-            });
+    let parts = Arc::new(PollParts {
+        post: ReportPost::new(Arc::clone(&core), gossip.clone()),
+        seen: SeenBook::new(Arc::clone(&core), gossip.clone()),
+        core,
+        gossip,
+        rounds: PollRounds::default(),
+        started: clock::now(),
+    });
+    let mut summaries = SummaryBook::new(Arc::clone(&parts.core), parts.gossip.clone());
+    for turn in 0_usize.. {
+        let members = parts.gossip.view();
+        let routers = zone_routers(&parts.core, &members);
+        let shared = is_shared(&parts.core, &members);
+        share_out(&parts.core, &members, &routers, shared);
+        parts.seen.take(&members);
+        summaries.take(&members);
+        if !shared {
+            summaries.tell(&members);
         }
+        let servers = zone_servers(&parts.core, &routers);
+        poll_own(&parts, &servers, turn, shared);
+        ask_unknown(&parts, &servers, turn);
         Timer::after(pause).await;
     }
 }
 
-/// The servers whose poll is under way, so that none has two.
-///
-/// Of two polls the later may end first; the earlier one's cache events would
-/// then look like those of a server that began anew.
-#[derive(Clone, Default)]
-struct PollRounds(Arc<Mutex<Vec<BackendId>>>);
-
-/// A poll under way; ended when dropped.
-struct PollRound {
-    rounds: PollRounds,
-    server: BackendId,
+/// The order of the zone's routers for each of its servers.
+fn zone_routers(core: &RouterCore, members: &MemberView) -> RouterSubset {
+    let zone = &core.settings.instance.zone;
+    let routers = members.routable_in(zone);
+    RouterSubset::new(
+        core.life.instance.clone(),
+        zone.clone(),
+        routers.map(|router| router.instance.clone()).collect(),
+        core.settings.routing.subset_servers as usize,
+        LEAST_SHARERS,
+    )
 }
 
-impl PollRounds {
-    /// Begins a poll; `None` while the last one is under way.
-    fn begin(&self, server: &BackendId) -> Option<PollRound> {
-        let mut polled = self.lock();
-        if polled.contains(server) {
-            return None;
-        }
-        polled.push(server.clone());
-        Some(PollRound {
-            rounds: self.clone(),
-            server: server.clone(),
-        })
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Vec<BackendId>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+/// Whether every router hears every server's load.
+fn is_shared(core: &RouterCore, members: &MemberView) -> bool {
+    let servers = core.view.load().backends().len();
+    servers <= MAX_SHARED_SERVERS && members.routable().count() <= MAX_SHARED_ROUTERS
 }
 
-impl Drop for PollRound {
-    fn drop(&mut self) {
-        self.rounds.lock().retain(|server| *server != self.server);
+/// Tells the table which routers send to which servers, if that changed.
+fn share_out(core: &RouterCore, members: &MemberView, routers: &RouterSubset, shared: bool) {
+    let count = u32::try_from(members.routable().count()).unwrap_or(u32::MAX);
+    core.backends.load().set_routers(count);
+    let subset = (!shared).then_some(routers);
+    if core.backends.load().subset() != subset {
+        let subset = subset.cloned().map(Arc::new);
+        core.backends
+            .rcu(|table| table.with_subset(subset.clone(), clock::now()));
     }
 }
 
-/// A backend server that this router polls.
-struct PolledServer {
-    id: BackendId,
-    address: SocketAddr,
-    /// Whether it runs models, and so tells of cached prefixes.
-    has_cache: bool,
-}
-
-fn own_backends(core: &RouterCore, members: &MemberView) -> Vec<PolledServer> {
+fn zone_servers(core: &RouterCore, routers: &RouterSubset) -> Vec<PolledServer> {
     let view = core.view.load();
-    let zone = &core.settings.instance.zone;
     let own = view
         .backends()
         .iter()
-        .filter(|entry| entry.zone == *zone && is_own(core, members, &entry.id));
-    let polled = own.map(|entry| PolledServer {
+        .filter(|entry| entry.zone == *routers.zone());
+    let servers = own.map(|entry| PolledServer {
         id: entry.id.clone(),
         address: entry.address,
         has_cache: !entry.models.is_empty(),
+        rank: routers.rank(&entry.id).unwrap_or(usize::MAX),
     });
-    polled.collect()
+    servers.collect()
 }
 
-fn is_own(core: &RouterCore, members: &MemberView, backend: &BackendId) -> bool {
-    let zone = &core.settings.instance.zone;
-    members
-        .owner_in(zone, backend.as_str().as_bytes())
-        .is_some_and(|owner| owner.instance == core.life.instance)
-}
-
-async fn poll_load(
-    core: &RouterCore,
-    gossip: &GossipDriver,
-    backend: &BackendId,
-    address: SocketAddr,
-) {
-    let Ok(body) = core.engines.fetch(address, "/v1/load").await else {
-        metrics::counter!("guavawell_load_polls_failed_total").increment(1);
-        return;
-    };
-    let Ok(report) = serde_json::from_slice::<LoadReport>(&body) else {
-        metrics::counter!("guavawell_load_reports_malformed_total").increment(1);
-        return;
-    };
-    apply(core, backend, &report);
-    let note = LoadNote::of(&report);
-    let scope = load_scope(core, note.leaving);
-    let changed = take_models(core, backend, &report.models);
-    publish(gossip, NOTE_PREFIX, backend, report.at, scope, &note);
-    if changed || is_renewal(core, report.at) {
-        publish(
-            gossip,
-            MODELS_PREFIX,
-            backend,
-            report.at,
-            own_zone(core),
-            &report.models,
-        );
+/// Polls the servers that are this router's, a part of them each time.
+fn poll_own(parts: &Arc<PollParts>, servers: &[PolledServer], turn: usize, shared: bool) {
+    let own = servers.iter().filter(|server| server.rank == 0).count();
+    let turns = poll_turns(own);
+    let pause = parts.core.settings.routing.load_poll_ms;
+    let pause = ClockSpan::from_millis(pause.as_millis() * turns as u64);
+    let now = clock::now();
+    let table = parts.core.backends.load();
+    let mut place = 0;
+    for server in servers {
+        let silence = silence(parts, &table, server, now);
+        if !should_poll(server.rank, silence, pause) {
+            continue;
+        }
+        place += 1;
+        let step = turn + place;
+        if step.is_multiple_of(turns) {
+            let cache = server.has_cache && (shared || (step / turns).is_multiple_of(CACHE_EVERY));
+            start_poll(parts, server, true, cache);
+        }
     }
 }
 
-fn own_zone(core: &RouterCore) -> NoteScope {
-    NoteScope::Zone(core.settings.instance.zone.clone())
+fn silence(
+    parts: &PollParts,
+    table: &BackendTable,
+    server: &PolledServer,
+    now: ClockTime,
+) -> ClockSpan {
+    let last = table.reported(&server.id).unwrap_or(parts.started);
+    now.since(last.max(parts.started))
 }
 
-/// Whether every router hears every server's load, not only its own zone's.
-fn is_shared(core: &RouterCore) -> bool {
-    core.view.load().backends().len() <= MAX_SHARED_SERVERS
-}
-
-/// Who hears a load report. Leaving has to be known wherever work may come from.
-fn load_scope(core: &RouterCore, leaving: bool) -> NoteScope {
-    if leaving || is_shared(core) {
-        NoteScope::Fleet
-    } else {
-        own_zone(core)
+/// Asks some of the servers that this router knows too little of.
+fn ask_unknown(parts: &Arc<PollParts>, servers: &[PolledServer], turn: usize) {
+    let unknown: Vec<_> = servers
+        .iter()
+        .filter(|server| server.rank > 0 && parts.seen.is_unknown(&server.id))
+        .collect();
+    let start = (turn * ASKED_A_PERIOD).checked_rem(unknown.len());
+    let (before, after) = unknown.split_at(start.unwrap_or(0));
+    for server in after.iter().chain(before).take(ASKED_A_PERIOD) {
+        start_poll(parts, server, false, false);
     }
 }
 
-/// Routers that follow the same load reports as this one, itself included.
-fn readers(core: &RouterCore, members: &MemberView) -> u32 {
-    let count = if is_shared(core) {
-        members.routable().count()
-    } else {
-        members.routable_in(&core.settings.instance.zone).count()
+/// Polls a server on a task of its own; with `pass`, for other routers as well.
+fn start_poll(parts: &Arc<PollParts>, server: &PolledServer, pass: bool, cache: bool) {
+    let Some(round) = parts.rounds.begin(&server.id) else {
+        return;
     };
-    u32::try_from(count).unwrap_or(u32::MAX)
-}
-
-/// About one poll in [`MODELS_EVERY`], for routers that missed the change.
-fn is_renewal(core: &RouterCore, at: ClockTime) -> bool {
-    let poll = core.settings.routing.load_poll_ms;
-    at.as_millis() % MODELS_EVERY.as_millis() < poll.as_millis()
+    let (id, address) = (server.id.clone(), server.address);
+    let parts = Arc::clone(parts);
+    let tasks = parts.core.tasks.clone();
+    tasks.spawn(async move {
+        if let Some(report) = poll_load(&parts.core, &id, address).await {
+            parts.seen.note(&id, &report, pass);
+            if pass {
+                parts.post.pass(&id, &report).await;
+            }
+        }
+        if cache {
+            poll_cache(&parts.core, &id, address).await;
+        }
+        drop(round);
+    });
 }
 
-fn publish(
-    gossip: &GossipDriver,
-    prefix: &str,
+async fn poll_load(
+    core: &RouterCore,
     backend: &BackendId,
-    at: ClockTime,
-    scope: NoteScope,
-    value: &impl Serialize,
-) {
-    let Ok(bytes) = postcard::to_allocvec(value) else {
-        return;
+    address: SocketAddr,
+) -> Option<LoadReport> {
+    let Ok(body) = core.engines.fetch(address, "/v1/load").await else {
+        metrics::counter!("guavawell_load_polls_failed_total").increment(1);
+        return None;
     };
-    let note = GossipNote {
-        key: format!("{prefix}{backend}").into(),
-        version: at.as_millis(),
-        scope,
-        bytes: bytes.into(),
+    let Ok(report) = serde_json::from_slice::<LoadReport>(&body) else {
+        metrics::counter!("guavawell_load_reports_malformed_total").increment(1);
+        return None;
     };
-    if gossip.publish(&note).is_err() {
-        metrics::counter!("guavawell_load_notes_dropped_total").increment(1);
-    }
+    apply(core, backend, &report);
+    take_models(core, backend, &report.models);
+    Some(report)
 }
 
 async fn poll_cache(core: &RouterCore, backend: &BackendId, address: SocketAddr) {
@@ -276,26 +246,8 @@
     metrics::counter!("guavawell_cache_events_lost_total", "backend" => label).increment(lost);
 }
 
-fn take_notes(core: &RouterCore, members: &MemberView) {
-    for note in members.notes() {
-        if let Some(backend) = backend_of(&note.key, NOTE_PREFIX) {
-            if let Ok(note) = postcard::from_bytes::<LoadNote>(&note.bytes) {
-                apply(core, &backend, &note.into_report());
-            }
-        } else if let Some(backend) = backend_of(&note.key, MODELS_PREFIX)
-            && !is_own(core, members, &backend)
-            && let Ok(models) = postcard::from_bytes::<Vec<ServedModel>>(&note.bytes)
-        {
-            take_models(core, &backend, &models);
-        }
-    }
-}
-
-fn backend_of(key: &str, prefix: &str) -> Option<BackendId> {
-    key.strip_prefix(prefix)?.parse().ok()
-}
-
-fn apply(core: &RouterCore, backend: &BackendId, report: &LoadReport) {
+/// Takes a load report into routing.
+pub fn apply(core: &RouterCore, backend: &BackendId, report: &LoadReport) {
     let now = clock::now();
     let effect = core.backends.load().apply_report(backend, report, now);
     if !effect.ignored {
@@ -306,24 +258,23 @@
     }
 }
 
-/// Routes to what a server holds; true if that is news.
-fn take_models(core: &RouterCore, backend: &BackendId, models: &[ServedModel]) -> bool {
+/// Routes to what a server holds.
+fn take_models(core: &RouterCore, backend: &BackendId, models: &[ServedModel]) {
     let mut models = models.to_vec();
     models.sort();
     let known = core.models.find(backend);
     if known.is_some_and(|known| known.models == models) {
-        return false;
+        return;
     }
     // The book goes first: a new manifest builds its table from the book.
     core.models.note(backend, &models, clock::now());
     if is_routed_so(core, backend, &models) {
-        return true;
+        return;
     }
     log::info!("backend server {backend} holds {} models", models.len());
     metrics::counter!("guavawell_backend_models_changed_total").increment(1);
     core.backends
         .rcu(|table| table.with_models(backend, &models, clock::now()));
-    true
 }
 
 /// Whether routing knows the server with just these models, or not at all.
--- a/crates/guavawell-fleet/src/router/mod.rs
+++ b/crates/guavawell-fleet/src/router/mod.rs
@@ -21,12 +21,16 @@
 mod ports;
 mod recover;
 mod relay;
+mod report;
 mod reserve;
+mod round;
+mod seen;
 mod serve;
 mod service;
 mod settings;
 mod start;
 mod status;
+mod summary;
 mod targets;
 #[cfg(test)]
 mod tests;
--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -211,6 +211,10 @@
 
 fn check_counts(settings: &RouterSettings, file: &FileReader<'_>) {
     let counts = [
+        (
+            "routing.subset_servers",
+            settings.routing.subset_servers.into(),
+        ),
         (
             "callers.max_body_bytes",
             settings.callers.max_body_bytes.get(),
--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -47,10 +47,15 @@
 settings_group! {
     /// Choice of backend servers.
     pub struct RoutingSettings {
-        /// Time between polls of a backend server's load, in milliseconds.
+        /// Time between polls of a backend server's load, in milliseconds. A
+        /// router that polls more than four servers takes turns, so that each
+        /// is polled less often.
         load_poll_ms: ClockSpan = ClockSpan::from_millis(500);
         /// Age at which a load report counts for nothing, in milliseconds.
         load_stale_ms: ClockSpan = ClockSpan::from_millis(5_000);
+        /// Backend servers of a model that a router sends to at least, where
+        /// its zone has more. Holds above 64 backend servers or 32 routers.
+        subset_servers: u32 = 12;
         /// Time over which a new or returning backend server takes its full
         /// share, in milliseconds.
         slow_start_ms: ClockSpan = ClockSpan::from_millis(10_000);
--- a/crates/guavawell-fleet/tests/gossip.rs
+++ b/crates/guavawell-fleet/tests/gossip.rs
@@ -272,3 +272,30 @@
     }
     assert_eq!(keys("blue").open(&sealed[..16]), Err(SealError::Layout));
 }
+
+#[test]
+fn load_reports_arrive_beside_gossip_and_only_from_holders_of_the_key() {
+    on_threads(async |executor| {
+        let drivers = start_fleet(executor, 2).await;
+        let stranger = start(executor, 9, keys("red"), &[]).await;
+        wait_for("all find each other", || all_route_to(&drivers, 2)).await;
+        let to = drivers[1].address();
+        assert!(stranger.send_report(to, b"forged").await);
+        wait_for("the forged one is dropped", || {
+            drivers[1].datagram_counts().unverified >= 1
+        })
+        .await;
+        assert!(drivers[0].send_report(to, b"bundle").await);
+        let arrived = drivers[1].next_report().await.expect("comes");
+        assert_eq!(&*arrived, b"bundle");
+        assert_eq!(drivers[1].datagram_counts().malformed, 0);
+        // Reports end where membership needs the allowance.
+        let large = [7; 1_300];
+        let mut sent = 0;
+        while drivers[0].send_report(to, &large).await {
+            sent += 1;
+            assert!(sent < 1_000, "never withheld");
+        }
+        assert!(drivers[0].gossip_counts().reports_withheld > 0);
+    });
+}
