Try a server that lost every comparison again

Cause: the flaky fault test of silent connections. Logged decisions of 16 runs of it on a busy machine (4 failed) show the second cause: the server left out was eligible, idle and had room, but its time to first token, measured once at 5 ms or never (guess 200 ms), lost against the other's 1 to 2 ms in every choice. A latency below the guess did not fade, and nothing else tried such a server again. Silence had no part in it. Change: one request in 16 goes to a drawn server of the own zone that got no request of this router for 10 s, is past slow start and not crowded; where servers hold the request's prefix, only to one of them.

--- a/crates/guavawell-core/src/backend/choice.rs
+++ b/crates/guavawell-core/src/backend/choice.rs
@@ -4,6 +4,7 @@
 //! probably hold the prompt's prefix are compared by their expected time to
 //! first token. The work is bounded whatever the number of servers, except
 //! while most of a group is leaving or ejected, when the group is walked once.
+//! A few requests try a server that lost every comparison for long.
 
 use std::sync::Arc;
 
@@ -147,6 +148,9 @@
         ejected: bool,
     ) -> Option<Candidate<'a>> {
         let home = index.zone(ask.zone);
+        if let Some(candidate) = home.and_then(|group| self.trial_of(group, ask)) {
+            return Some(candidate);
+        }
         let mut best = home.and_then(|group| self.best_of(group, ask, ejected));
         let crowded = |candidate: &Candidate<'_>| candidate.state.is_crowded(ask.now);
         if best.as_ref().is_some_and(|candidate| !crowded(candidate)) {
@@ -185,6 +189,31 @@
         best
     }
 
+    /// For a few requests, a drawn server that got none for long: one that was
+    /// slow once, or was never measured beside fast ones, loses every
+    /// comparison and would never be measured again. A trial costs no prefill:
+    /// where servers hold the prefix, it goes to one of them.
+    fn trial_of<'a>(
+        &self,
+        group: &'a Arc<BackendGroup>,
+        ask: &ChoiceAsk<'_>,
+    ) -> Option<Candidate<'a>> {
+        let share = u64::from(self.settings().trial_share);
+        if !mix(ask.draw).is_multiple_of(share) {
+            return None;
+        }
+        let usable = |state: &BackendState| is_usable(state, ask, false) && state.has_room();
+        let hinted = self.hinted(group, ask);
+        let holders = || hinted.iter().flatten();
+        let is_held = holders().any(|state| usable(state));
+        let drawn = draw_two(&group.members, ask.draw, &usable);
+        drawn.into_iter().flatten().find_map(|state| {
+            let cached = holders().any(|other| Arc::ptr_eq(other, state));
+            let is_due = state.is_trial_due(ask.now) && cached == is_held;
+            is_due.then(|| candidate(group, state, cached, ask))
+        })
+    }
+
     /// Members of the group that probably hold the prefix.
     fn hinted<'a>(
         &self,
--- a/crates/guavawell-core/src/backend/lease.rs
+++ b/crates/guavawell-core/src/backend/lease.rs
@@ -56,7 +56,7 @@
             return Err(NoBackend::Leaving);
         }
         let queued = self.backend.load(now) >= self.backend.slots();
-        self.backend.flight.begin(now);
+        self.backend.begin(now);
         Ok(BackendLease {
             pick: self,
             begun: now,
--- a/crates/guavawell-core/src/backend/settings.rs
+++ b/crates/guavawell-core/src/backend/settings.rs
@@ -16,6 +16,11 @@
     /// A measured latency loses half of its weight against the guess in this
     /// span without a sample, so that a recovered server is tried again.
     pub speed_half_life: ClockSpan,
+    /// A server that got no request for this span, because it loses every
+    /// comparison, is tried by one request.
+    pub trial_after: ClockSpan,
+    /// One request in this many may be such a trial; zero: none.
+    pub trial_share: u32,
     /// Part of the time to first token saved by a cached prefix, in percent.
     pub prefix_saving_percent: u32,
     /// Cost added for a server in another zone.
@@ -58,6 +63,8 @@
             slots_guess: 16,
             report_stale: ClockSpan::from_millis(5_000),
             speed_half_life: ClockSpan::from_millis(10_000),
+            trial_after: ClockSpan::from_millis(10_000),
+            trial_share: 16,
             prefix_saving_percent: 75,
             zone_penalty: ClockSpan::from_millis(5),
             spill_percent: 60,
--- a/crates/guavawell-core/src/backend/state.rs
+++ b/crates/guavawell-core/src/backend/state.rs
@@ -42,6 +42,8 @@
     pub(super) health: HealthCell,
     pub(super) limit: ConcurrencyLimit,
     joined: ClockTime,
+    /// When the last own request began, in milliseconds.
+    begun: AtomicU64,
     leaving: AtomicBool,
     /// Cache events known up to here.
     pub(super) cache_next: AtomicU64,
@@ -96,6 +98,7 @@
                 settings.concurrency_max,
             ),
             joined: now,
+            begun: AtomicU64::new(0),
             leaving: AtomicBool::new(spec.leaving),
             cache_next: AtomicU64::new(0),
             cache_age: AtomicU64::new(0),
@@ -205,6 +208,20 @@
         self.load(now) * FULL_PERCENT > self.slots() * percent
     }
 
+    /// A request of this router begins.
+    pub(super) fn begin(&self, now: ClockTime) {
+        self.begun.store(now.as_millis(), Ordering::Relaxed);
+        self.flight.begin(now);
+    }
+
+    /// Whether the server got no request for so long that what is known of its
+    /// speed should be tried again, and has room for the trial.
+    pub(super) fn is_trial_due(&self, now: ClockTime) -> bool {
+        let begun = ClockTime::from_millis(self.begun.load(Ordering::Relaxed));
+        let last = begun.max(self.start());
+        now.since(last) >= self.settings.trial_after && !self.is_crowded(now)
+    }
+
     /// Expected time to first token, in milliseconds, made larger while the
     /// server is in slow start.
     pub(super) fn cost(&self, cached: bool, now: ClockTime) -> u64 {
@@ -227,9 +244,13 @@
         )
     }
 
+    /// Start of the last slow start.
+    fn start(&self) -> ClockTime {
+        self.joined.max(self.health.returned())
+    }
+
     fn ramp_percent(&self, now: ClockTime) -> u64 {
-        let start = self.joined.max(self.health.returned());
-        let age = now.since(start).as_millis();
+        let age = now.since(self.start()).as_millis();
         let window = self.settings.slow_start.as_millis().max(1);
         (age * FULL_PERCENT / window).clamp(LEAST_PERCENT, FULL_PERCENT)
     }
