Send streams and services by one loop, and share the body

Cause: claim, choose, note, send and refuse stood twice, in attempt.rs and in service.rs, and each send copied the whole body. Change: send::run_attempts takes the sending as a closure that says what a failed exchange proves: not run, may run twice, in doubt. The message is built once a request; its body is shared and read in place. Figures: no speed measured. Fleet's library 70 tests, demo's retries, doubt, entry, prefix, path, leaving, billing 15, fault 44: all passed. prefix.rs hands its body over as shared bytes; no test changed otherwise. Conclusion: one loop.

--- a/crates/guavawell-demo/tests/prefix.rs
+++ b/crates/guavawell-demo/tests/prefix.rs
@@ -56,7 +56,7 @@
         request: "planted".parse().expect("a good id"),
         organisation: "nobody".parse().expect("a good id"),
         path: CHAT.into(),
-        body: body.into(),
+        body: body.into_bytes().into(),
         priority: 5,
         fence: None,
         reuse: false,
--- a/crates/guavawell-fleet/src/engine/client.rs
+++ b/crates/guavawell-fleet/src/engine/client.rs
@@ -10,6 +10,7 @@
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::RequestId;
 use guavawell_core::id::TokenCount;
+use http_types::Body;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
@@ -18,6 +19,7 @@
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::io::AsyncReadExt;
+use smol::io::Cursor;
 use smol::net::TcpStream;
 
 use super::EngineError;
@@ -61,8 +63,8 @@
     pub organisation: OrganisationId,
     /// Path, beginning with a slash.
     pub path: Box<str>,
-    /// The body, passed on as it is.
-    pub body: Vec<u8>,
+    /// The body, passed on as it is and shared by all sends.
+    pub body: Arc<[u8]>,
     /// Priority from 0 to 9; higher goes first.
     pub priority: u8,
     /// Fencing number, where the deployment fences requests.
@@ -340,7 +342,7 @@
     }
 }
 
-async fn read_bounded(body: http_types::Body, limit: usize) -> Result<Vec<u8>, EngineError> {
+async fn read_bounded(body: Body, limit: usize) -> Result<Vec<u8>, EngineError> {
     let mut bytes = Vec::new();
     let bound = u64::try_from(limit).unwrap_or(u64::MAX).saturating_add(1);
     body.take(bound)
@@ -363,7 +365,8 @@
     if let Some(fence) = request.fence {
         message.insert_header("x-guavawell-fence", fence.to_string());
     }
-    message.set_body(request.body.clone());
+    let body = Cursor::new(Arc::clone(&request.body));
+    message.set_body(Body::from_reader(body, Some(request.body.len())));
     message
 }
 
--- a/crates/guavawell-fleet/src/router/attempt.rs
+++ b/crates/guavawell-fleet/src/router/attempt.rs
@@ -1,8 +1,7 @@
-//! One request at the backend servers: choice, sending, recovery.
+//! One streamed request at the backend servers: sending and recovery.
 //!
-//! An attempt that certainly did not run may go to another backend server. One
-//! that may have run is resumed where it is; a non-idempotent one is never
-//! sent again.
+//! An attempt that may have run is resumed where it is; a non-idempotent one is
+//! never sent again.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,21 +19,21 @@
 use smol::Timer;
 
 use super::admit::AdmissionPass;
-use super::choice::choose;
 use super::choice::engine_request;
-use super::choice::failed;
 use super::choice::lease_outcome;
-use super::choice::no_backend;
-use super::choice::note;
-use super::claim::ReadyAttempt;
 use super::core::RouterCore;
-use super::entry::CallerEntry;
 use super::recover::MAX_PROBES;
 use super::recover::PROBE_PAUSE;
 use super::recover::RecoveredAttempt;
 use super::recover::cancel_later;
 use super::recover::recover;
 use super::reserve::HeldReservation;
+use super::send::AttemptRun;
+use super::send::FailureProof;
+use super::send::OpenAttempt;
+use super::send::SendEnd;
+use super::send::SendFailure;
+use super::send::run_attempts;
 use super::serve::millis;
 use crate::clock;
 use crate::engine::EngineError;
@@ -50,7 +49,7 @@
     /// Path at the backend server.
     pub path: Box<str>,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Arc<[u8]>,
     /// The prompt's prefix, for cache affinity.
     pub prefix: Option<PrefixHash>,
     /// Whether it may run more than once.
@@ -91,65 +90,27 @@
 ///
 /// A refusal; if it says `unknown`, the reservation is kept in doubt.
 pub async fn open_stream(
-    core: &Arc<RouterCore>,
-    entry: &CallerEntry,
-    call: &OutgoingCall,
+    run: AttemptRun<'_>,
     pass: &AdmissionPass,
     reservation: &mut HeldReservation,
 ) -> Result<LiveStream, Refusal> {
-    let mut ready = ReadyAttempt::claim(core, entry, call, reservation.attempt).await?;
-    let mut tried: Vec<BackendId> = Vec::new();
-    loop {
-        let lease = match choose(core, call, &tried) {
-            Ok(lease) => lease,
-            Err(cause) => return Err(ready.refuse(core, entry, &no_backend(cause)).await),
-        };
-        let backend = lease.backend().id().clone();
-        tried.push(backend.clone());
-        let Some(address) = core.address_of(&backend) else {
-            continue;
-        };
-        note(core, reservation, &backend, call.idempotent);
-        let message = engine_request(entry, call, reservation.attempt, pass.engine_priority());
-        let sent = ready.send();
-        let mut attempt = StreamAttempt {
-            core,
-            lease,
-            address,
-            backend,
-            check: FrameCheck::new(reservation.attempt),
-        };
-        match attempt.start(&message).await {
-            Ok((exchange, first)) => return Ok(attempt.live(exchange, first)),
-            Err(failure) if failure.certainly_not_run() => {
-                attempt.close(&failure);
-                ready = sent.certainly_not_run();
-                if !core.retries.withdraw() {
-                    return Err(ready.refuse(core, entry, &failed(&failure)).await);
-                }
-            }
-            Err(failure) => match attempt.recover().await {
-                RecoveredAttempt::Resumed(mut exchange) => {
-                    attempt.lease.resumed();
-                    if let Ok(first) = attempt.first_event(&mut exchange).await {
-                        return Ok(attempt.live(*exchange, first));
-                    }
-                    return Err(attempt.in_doubt(call, reservation, &failure));
-                }
-                RecoveredAttempt::NeverSeen if call.idempotent && core.retries.withdraw() => {
-                    attempt.close(&failure);
-                    ready = sent.certainly_not_run();
-                }
-                RecoveredAttempt::Unreachable if call.idempotent && core.retries.withdraw() => {
-                    // The caller has seen nothing of it, and it may run twice.
-                    attempt.cancel_later();
-                    attempt.close(&failure);
-                    ready = sent.in_doubt();
-                }
-                _ => return Err(attempt.in_doubt(call, reservation, &failure)),
-            },
-        }
-    }
+    let priority = pass.engine_priority();
+    let message = engine_request(run.entry, run.call, reservation.attempt, priority);
+    run_attempts(run, reservation, |open| send_stream(run, &message, open)).await
+}
+
+async fn send_stream(
+    run: AttemptRun<'_>,
+    message: &EngineRequest,
+    open: OpenAttempt,
+) -> SendEnd<LiveStream> {
+    let tried = open.tried.clone();
+    let mut attempt = StreamAttempt::new(run.core, open);
+    let result = match attempt.start(message).await {
+        Ok((exchange, first)) => Ok(attempt.live(exchange, first)),
+        Err(failure) => attempt.go_on(run.call, failure).await,
+    };
+    SendEnd { result, tried }
 }
 
 /// Opens the stream of an attempt that another try began, from its start.
@@ -233,20 +194,36 @@
     }
 }
 
+/// An open exchange with its first event.
+pub type StartedStream = (EngineExchange, CheckedEvent);
+
+/// A started stream, or why there is none.
+pub type StartResult = Result<StartedStream, EngineError>;
+
 /// An attempt at one backend server.
-struct StreamAttempt<'c> {
-    core: &'c Arc<RouterCore>,
+pub struct StreamAttempt {
+    core: Arc<RouterCore>,
     lease: BackendLease,
     address: SocketAddr,
     backend: BackendId,
     check: FrameCheck,
 }
 
-impl StreamAttempt<'_> {
-    async fn start(
-        &mut self,
-        message: &EngineRequest,
-    ) -> Result<(EngineExchange, CheckedEvent), EngineError> {
+impl StreamAttempt {
+    /// An attempt before its first byte.
+    #[must_use]
+    pub fn new(core: &Arc<RouterCore>, open: OpenAttempt) -> Self {
+        Self {
+            core: Arc::clone(core),
+            lease: open.lease,
+            address: open.address,
+            backend: open.backend,
+            check: FrameCheck::new(open.attempt),
+        }
+    }
+
+    /// Sends the attempt and waits for its first event.
+    pub async fn start(&mut self, message: &EngineRequest) -> StartResult {
         let wait = self.core.engines.settings().idle;
         let start = Instant::now();
         let mut exchange = self.core.engines.send(self.address, message, wait).await?;
@@ -259,15 +236,40 @@
         &mut self,
         exchange: &mut EngineExchange,
     ) -> Result<CheckedEvent, EngineError> {
-        next_checked(self.core, exchange, &mut self.check).await
+        next_checked(&self.core, exchange, &mut self.check).await
     }
 
-    async fn recover(&self) -> RecoveredAttempt {
-        recover(self.core, self.address, &self.check).await
+    /// Goes on after a failure before the first event, where the backend
+    /// server still has the attempt.
+    async fn go_on(
+        mut self,
+        call: &OutgoingCall,
+        error: EngineError,
+    ) -> Result<LiveStream, SendFailure> {
+        if error.certainly_not_run() {
+            return Err(self.failed(error, FailureProof::NotRun));
+        }
+        let proof = match recover(&self.core, self.address, &self.check).await {
+            RecoveredAttempt::Resumed(mut exchange) => {
+                self.lease.resumed();
+                if let Ok(first) = self.first_event(&mut exchange).await {
+                    return Ok(self.live(*exchange, first));
+                }
+                FailureProof::InDoubt
+            }
+            RecoveredAttempt::NeverSeen if call.idempotent => FailureProof::NotRun,
+            RecoveredAttempt::Unreachable if call.idempotent => {
+                // The caller has seen nothing of it, and it may run twice.
+                self.cancel_later();
+                FailureProof::MayRunTwice
+            }
+            _ => FailureProof::InDoubt,
+        };
+        Err(self.failed(error, proof))
     }
 
     fn cancel_later(&self) {
-        cancel_later(self.core, self.address, self.check.attempt());
+        cancel_later(&self.core, self.address, self.check.attempt());
     }
 
     fn live(mut self, exchange: EngineExchange, first: CheckedEvent) -> LiveStream {
@@ -283,24 +285,12 @@
         }
     }
 
-    fn close(self, failure: &EngineError) {
-        self.lease.finish(lease_outcome(failure), clock::now());
+    fn failed(self, error: EngineError, proof: FailureProof) -> SendFailure {
+        self.close(&error);
+        SendFailure { error, proof }
     }
 
-    /// The refusal for an attempt that may have run.
-    fn in_doubt(
-        self,
-        call: &OutgoingCall,
-        reservation: &mut HeldReservation,
-        failure: &EngineError,
-    ) -> Refusal {
-        if call.idempotent {
-            self.cancel_later();
-        } else {
-            reservation.doubt(&self.backend);
-        }
-        let detail = format!("backend server {} failed: {failure}", self.backend);
-        self.close(failure);
-        Refusal::unknown(RefusalReason::BackendFailed, detail)
+    fn close(self, failure: &EngineError) {
+        self.lease.finish(lease_outcome(failure), clock::now());
     }
 }
--- a/crates/guavawell-fleet/src/router/choice.rs
+++ b/crates/guavawell-fleet/src/router/choice.rs
@@ -99,7 +99,7 @@
         request: entry.head.identity.request.clone(),
         organisation: entry.head.identity.organisation.clone(),
         path: call.path.clone(),
-        body: call.body.clone(),
+        body: Arc::clone(&call.body),
         priority: priority.get(),
         fence: None,
         reuse: call.idempotent,
--- a/crates/guavawell-fleet/src/router/mod.rs
+++ b/crates/guavawell-fleet/src/router/mod.rs
@@ -22,6 +22,7 @@
 mod recover;
 mod relay;
 mod reserve;
+mod send;
 mod serve;
 mod service;
 mod settings;
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -37,6 +37,7 @@
 use super::reserve::ReservationAsk;
 use super::reserve::ReservedRequest;
 use super::reserve::reserve;
+use super::send::AttemptRun;
 use super::service::serve_service;
 use crate::caller::BodyError;
 use crate::caller::read_body;
@@ -139,10 +140,15 @@
     };
     let reserved = reserve(core, entry, asked).await?;
     metrics::histogram!("guavawell_reserve_ms").record(millis(start));
+    let run = AttemptRun {
+        core,
+        entry,
+        call: &call,
+    };
     let relay = match reserved {
         ReservedRequest::Run(mut reservation) => StreamRelay {
             core: Arc::clone(core),
-            live: open_stream(core, entry, &call, &pass, &mut reservation).await?,
+            live: open_stream(run, &pass, &mut reservation).await?,
             reservation: Some(reservation),
             idempotent: call.idempotent,
             _pass: pass,
@@ -190,7 +196,7 @@
     Ok(OutgoingCall {
         target: RouteTarget::Model(choice.model.id.clone()),
         path: "/v1/chat/completions".into(),
-        body: ask.engine_body.clone(),
+        body: ask.engine_body.as_slice().into(),
         prefix: Some(PrefixHash::of_contents(&ask.prompt_head)),
         idempotent: entry.head.idempotent.unwrap_or(true),
     })
--- a/crates/guavawell-fleet/src/router/service.rs
+++ b/crates/guavawell-fleet/src/router/service.rs
@@ -6,6 +6,7 @@
 use guavawell_core::backend::BackendLease;
 use guavawell_core::backend::LeaseOutcome;
 use guavawell_core::backend::RouteTarget;
+use guavawell_core::id::AttemptId;
 use guavawell_core::id::BackendId;
 use guavawell_core::id::ServiceId;
 use guavawell_core::manifest::FleetView;
@@ -22,13 +23,8 @@
 use super::answer::note_answer;
 use super::answer::refuse;
 use super::attempt::OutgoingCall;
-use super::choice::choose;
 use super::choice::engine_request;
-use super::choice::failed;
 use super::choice::lease_outcome;
-use super::choice::no_backend;
-use super::choice::note;
-use super::claim::ReadyAttempt;
 use super::core::RouterCore;
 use super::entry::CallerEntry;
 use super::recover::MAX_PROBES;
@@ -38,6 +34,12 @@
 use super::reserve::ReservationAsk;
 use super::reserve::ReservedRequest;
 use super::reserve::reserve;
+use super::send::AttemptRun;
+use super::send::FailureProof;
+use super::send::OpenAttempt;
+use super::send::SendEnd;
+use super::send::SendFailure;
+use super::send::run_attempts;
 use super::serve::accepted;
 use super::serve::admit;
 use super::serve::caller_body;
@@ -45,6 +47,7 @@
 use crate::clock;
 use crate::engine::AttemptState;
 use crate::engine::EngineError;
+use crate::engine::EngineRequest;
 use crate::engine::ServiceAnswer;
 
 /// Answers a call of a plain service; `rest` is the path behind `/services/`.
@@ -94,7 +97,7 @@
     let call = OutgoingCall {
         target: RouteTarget::Service(service.id.clone()),
         path,
-        body,
+        body: body.into(),
         prefix: None,
         idempotent: entry.head.idempotent.unwrap_or(service.idempotent),
     };
@@ -111,7 +114,12 @@
         return Err(Refusal::unknown(RefusalReason::AlreadyRan, detail));
     };
     let attempt = reservation.attempt;
-    let (backend, answer) = run_call(core, entry, &call, &pass, &mut reservation).await?;
+    let run = AttemptRun {
+        core,
+        entry,
+        call: &call,
+    };
+    let (backend, answer) = run_call(run, &pass, &mut reservation).await?;
     settle_reservation(core, reservation, service.cost_tokens, backend).await;
     let identity = &entry.head.identity;
     note_answer(core, identity, true);
@@ -125,47 +133,44 @@
 
 /// Calls backend servers until one answers.
 async fn run_call(
-    core: &Arc<RouterCore>,
-    entry: &CallerEntry,
-    call: &OutgoingCall,
+    run: AttemptRun<'_>,
     pass: &AdmissionPass,
     reservation: &mut HeldReservation,
 ) -> Result<(BackendId, ServiceAnswer), Refusal> {
-    let mut ready = ReadyAttempt::claim(core, entry, call, reservation.attempt).await?;
-    let mut tried: Vec<BackendId> = Vec::new();
-    loop {
-        let lease = match choose(core, call, &tried) {
-            Ok(lease) => lease,
-            Err(cause) => return Err(ready.refuse(core, entry, &no_backend(cause)).await),
-        };
-        let backend = lease.backend().id().clone();
-        tried.push(backend.clone());
-        let Some(address) = core.address_of(&backend) else {
-            continue;
-        };
-        note(core, reservation, &backend, call.idempotent);
-        let message = engine_request(entry, call, reservation.attempt, pass.engine_priority());
-        let sent = ready.send();
-        let wait = clock::duration(core.settings.limits.request_timeout_ms);
-        match core.engines.call_service(address, &message, wait).await {
-            Ok(answer) => {
-                served(lease);
-                core.retries.deposit();
-                return Ok((backend, answer));
-            }
-            Err(failure) => {
-                let may_run_again = failure.certainly_not_run()
-                    || (call.idempotent && is_unseen(core, address, reservation).await);
-                lease.finish(lease_outcome(&failure), clock::now());
-                if !may_run_again {
-                    return Err(in_doubt(call, reservation, &backend, &failure));
-                }
-                ready = sent.certainly_not_run();
-                if !core.retries.withdraw() {
-                    return Err(ready.refuse(core, entry, &failed(&failure)).await);
-                }
-            }
+    let priority = pass.engine_priority();
+    let message = engine_request(run.entry, run.call, reservation.attempt, priority);
+    run_attempts(run, reservation, |open| send_call(run, &message, open)).await
+}
+
+async fn send_call(
+    run: AttemptRun<'_>,
+    message: &EngineRequest,
+    open: OpenAttempt,
+) -> SendEnd<(BackendId, ServiceAnswer)> {
+    let AttemptRun { core, call, .. } = run;
+    let wait = clock::duration(core.settings.limits.request_timeout_ms);
+    let answer = core.engines.call_service(open.address, message, wait).await;
+    let result = match answer {
+        Ok(answer) => {
+            served(open.lease);
+            core.retries.deposit();
+            Ok((open.backend, answer))
+        }
+        Err(error) => {
+            let may_run_again = error.certainly_not_run()
+                || (call.idempotent && is_unseen(core, open.address, open.attempt).await);
+            open.lease.finish(lease_outcome(&error), clock::now());
+            let proof = if may_run_again {
+                FailureProof::NotRun
+            } else {
+                FailureProof::InDoubt
+            };
+            Err(SendFailure { error, proof })
         }
+    };
+    SendEnd {
+        result,
+        tried: open.tried,
     }
 }
 
@@ -176,11 +181,11 @@
 }
 
 /// Whether the service never saw the call, and will refuse it from now on.
-async fn is_unseen(core: &RouterCore, address: SocketAddr, reservation: &HeldReservation) -> bool {
+async fn is_unseen(core: &RouterCore, address: SocketAddr, attempt: AttemptId) -> bool {
     for _ in 0..MAX_PROBES {
-        match core.engines.record(address, reservation.attempt).await {
+        match core.engines.record(address, attempt).await {
             Err(EngineError::UnknownAttempt) => {
-                let cancelled = core.engines.cancel(address, reservation.attempt).await;
+                let cancelled = core.engines.cancel(address, attempt).await;
                 return cancelled.is_ok_and(|record| record.state == AttemptState::Cancelled);
             }
             Ok(_) => return false,
@@ -189,17 +194,3 @@
     }
     false
 }
-
-fn in_doubt(
-    call: &OutgoingCall,
-    reservation: &mut HeldReservation,
-    backend: &BackendId,
-    failure: &EngineError,
-) -> Refusal {
-    if !call.idempotent {
-        // Kept at its worst case until the service's record tells.
-        reservation.doubt(backend);
-    }
-    let detail = format!("backend server {backend} failed: {failure}");
-    Refusal::unknown(RefusalReason::BackendFailed, detail)
-}
