Answer releases and joins once the witness has what they tell

Cause: a release was answered Released when the holder alone had it, so after a takeover later asks joined the released attempt, and its tokens stayed reserved. A reservation of a request whose other attempt was not acknowledged yet was told to join it; a takeover then knew no such attempt, and its own ask could be refused. So were queued attempts of one request, and a seal found by a reservation. A repeated seal or charge waited for the batch after the one that carries it, which may never come.

Change: a release waits for its batch as a charge does (all pools); it is Pending while the witness is away (union member 3 on the wire), and the router asks again after its time. A join waits for the reservation that it joins and is decided anew then; where the witness is given up it joins what the float pays and is unreachable otherwise. A reservation that was given up although the witness may have it is given back by its holder's driver until whoever holds the slot has the release. A wait names the batch on its way if nothing is queued.

Conclusion: no answer about releases and joins comes from what only the holder knows, but for attempts that its float pays.

--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -5,7 +5,8 @@
 use super::HolderEffect;
 use super::SlotHolder;
 use super::stock::QueuedAsk;
-use super::witnessing::WaitKind;
+use super::wait::HeldWait;
+use super::wait::WaitKind;
 use crate::budget::ledger::HeldAttempt;
 use crate::budget::ledger::RequestState;
 use crate::budget::message::BackendNote;
@@ -36,6 +37,9 @@
         if self.is_awaited(ask, &reserve) {
             return;
         }
+        if let Some(batch) = self.unsure_batch(&reserve.identity) {
+            return self.join_later(batch, ask, reserve, effects);
+        }
         if let Some(answer) = self.known_request(&reserve) {
             return answer_reserve(ask, answer, effects);
         }
@@ -95,6 +99,22 @@
         true
     }
 
+    /// Lets a reservation wait for the batch that makes sure what is known of
+    /// its request.
+    pub(super) fn join_later(
+        &mut self,
+        batch: u64,
+        ask: AskId,
+        reserve: ReserveAsk,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        if self.silent {
+            return answer_reserve(ask, self.unreachable(), effects);
+        }
+        let kind = WaitKind::Join(ask, Box::new(reserve));
+        self.waits.push(HeldWait { batch, kind });
+    }
+
     /// Lets a repeated ask take the place of the queued one; another attempt
     /// of a queued request waits on its own and joins once the first runs.
     fn queue_again(&mut self, place: usize, ask: AskId, reserve: &ReserveAsk) -> bool {
@@ -226,9 +246,7 @@
             _ if !self.is_witnessed() => Some(SealAnswer::Unreachable {
                 retry_after: self.settings.retry_after,
             }),
-            Some(RequestState::Sealed) if self.batch.is_none() && self.outbox.is_empty() => {
-                Some(SealAnswer::Sealed)
-            }
+            Some(RequestState::Sealed) if self.is_acknowledged() => Some(SealAnswer::Sealed),
             _ => None,
         }
     }
--- a/crates/guavawell-core/src/budget/holder/charge.rs
+++ b/crates/guavawell-core/src/budget/holder/charge.rs
@@ -6,7 +6,7 @@
 use super::HolderEffect;
 use super::SlotHolder;
 use super::ask::answer_reserve;
-use super::witnessing::WaitKind;
+use super::wait::WaitKind;
 use crate::budget::ledger::HeldAttempt;
 use crate::budget::ledger::RequestState;
 use crate::budget::message::ReleaseAnswer;
@@ -131,8 +131,7 @@
         if self.is_retired() {
             return Some(self.not_holder_settle());
         }
-        let has_all = self.batch.is_none() && self.outbox.is_empty();
-        if has_all && self.is_witnessed() {
+        if self.is_acknowledged() {
             return Some(SettleAnswer::Settled { charged });
         }
         self.wait_settle(ask, &settle.identity, charged)
@@ -162,34 +161,82 @@
         effects: &mut Vec<HolderEffect>,
     ) {
         let state = self.ledger.request(&release.identity).cloned();
-        let mut answer = ReleaseAnswer::Released;
-        match state {
+        let answer = match state {
             Some(RequestState::Reserved(held)) if held.attempt == release.attempt => {
-                self.record(LedgerEntry::Release {
-                    identity: release.identity.clone(),
-                    attempt: release.attempt,
-                });
-                if self.is_retired() && held.pool == TokenPool::Witnessed {
-                    answer = self.not_holder_release();
-                }
-                if let Ok(place) = self.stock_place(&held.budget) {
-                    self.review(place, now, effects);
-                }
+                self.release_held(ask, release, &held, now, effects)
             }
             Some(RequestState::Settled(charge)) if charge.attempt == release.attempt => {
-                answer = ReleaseAnswer::AlreadySettled {
+                Some(ReleaseAnswer::AlreadySettled {
                     charged: charge.charged,
-                };
+                })
+            }
+            _ if self.is_retired() => Some(self.not_holder_release()),
+            _ => {
+                self.drop_queued(release, effects);
+                self.wait_release(ask)
             }
-            _ if self.is_retired() => answer = self.not_holder_release(),
-            _ => self.drop_queued(release, effects),
+        };
+        if let Some(answer) = answer {
+            effects.push(HolderEffect::Answer(ask, HolderAnswer::Release(answer)));
+        }
+    }
+
+    /// Records a release; `None` if the answer waits for the witness.
+    ///
+    /// A former holder answers only for its float.
+    fn release_held(
+        &mut self,
+        ask: AskId,
+        release: &ReleaseAsk,
+        held: &HeldAttempt,
+        now: ClockTime,
+        effects: &mut Vec<HolderEffect>,
+    ) -> Option<ReleaseAnswer> {
+        self.record(LedgerEntry::Release {
+            identity: release.identity.clone(),
+            attempt: release.attempt,
+        });
+        if self.is_retired() {
+            return Some(match held.pool {
+                TokenPool::Float => ReleaseAnswer::Released,
+                TokenPool::Witnessed => self.not_holder_release(),
+            });
+        }
+        if let Ok(place) = self.stock_place(&held.budget) {
+            self.review(place, now, effects);
+        }
+        self.wait_release(ask)
+    }
+
+    /// The answer to a release once the witness has it, as it has a seal: a
+    /// takeover before that would find the attempt running.
+    fn wait_release(&mut self, ask: AskId) -> Option<ReleaseAnswer> {
+        if self.is_acknowledged() {
+            return Some(ReleaseAnswer::Released);
+        }
+        if self.silent {
+            return Some(self.pending_release());
+        }
+        self.wait(WaitKind::Release(ask));
+        None
+    }
+
+    pub(super) fn pending_release(&self) -> ReleaseAnswer {
+        ReleaseAnswer::Pending {
+            retry_after: self.settings.retry_after,
         }
-        effects.push(HolderEffect::Answer(ask, HolderAnswer::Release(answer)));
     }
 
     /// A released attempt waits for nothing any more.
     fn drop_queued(&mut self, release: &ReleaseAsk, effects: &mut Vec<HolderEffect>) {
         let gone = self.unreachable();
+        self.waits.retain(|wait| match &wait.kind {
+            WaitKind::Join(ask, reserve) if reserve.attempt == release.attempt => {
+                answer_reserve(*ask, gone.clone(), effects);
+                false
+            }
+            _ => true,
+        });
         for stock in &mut self.stocks {
             let found = stock
                 .queue
--- a/crates/guavawell-core/src/budget/holder/event.rs
+++ b/crates/guavawell-core/src/budget/holder/event.rs
@@ -125,6 +125,9 @@
     },
     /// Ask the witness to take the slot over: this instance leaves.
     HandSlot(InstanceLife, TakeoverAsk),
+    /// A reservation was answered as unreachable while the witness may have
+    /// it: give it back to whoever holds the slot until that one has it.
+    GiveBack(ReleaseAsk),
     /// A charge stands: keep its billing record.
     Charged(Box<ChargeNotice>),
     /// A change of state for the event log.
--- a/crates/guavawell-core/src/budget/holder/float.rs
+++ b/crates/guavawell-core/src/budget/holder/float.rs
@@ -2,7 +2,7 @@
 //! it with the witness's word.
 
 use super::SlotHolder;
-use super::witnessing::WaitKind;
+use super::wait::WaitKind;
 use crate::budget::record::LedgerEntry;
 use crate::id::TokenCount;
 
--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -16,6 +16,7 @@
 mod settings;
 mod stock;
 mod upkeep;
+mod wait;
 mod witnessing;
 
 use std::collections::VecDeque;
@@ -34,7 +35,7 @@
 use crate::id::TokenCount;
 use crate::request::RequestIdentity;
 use stock::BudgetStock;
-use witnessing::HeldWait;
+use wait::HeldWait;
 use witnessing::SentBatch;
 use witnessing::WitnessChange;
 
--- a/crates/guavawell-core/src/budget/holder/witnessing.rs
+++ b/crates/guavawell-core/src/budget/holder/witnessing.rs
@@ -1,18 +1,11 @@
 //! The holder towards its witness: batches, acknowledgements, and the change
 //! of witness.
 
-use super::AskId;
-use super::ChargeNotice;
-use super::HolderAnswer;
 use super::HolderEffect;
 use super::HolderNote;
 use super::HolderPhase;
 use super::SlotHolder;
 use crate::budget::intent::TableIntent;
-use crate::budget::message::ReserveAnswer;
-use crate::budget::message::SealAnswer;
-use crate::budget::message::SettleAnswer;
-use crate::budget::message::TokenPool;
 use crate::budget::record::HandoverAck;
 use crate::budget::record::LedgerEntry;
 use crate::budget::record::LedgerHandover;
@@ -25,15 +18,11 @@
 use crate::budget::slot::InstanceLife;
 use crate::budget::slot::SlotRow;
 use crate::clock::ClockTime;
-use crate::id::AttemptId;
-use crate::id::BudgetId;
-use crate::id::TokenCount;
-use crate::request::RequestIdentity;
 
 /// A batch on its way to the witness.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct SentBatch {
-    record: WitnessRecord,
+    pub(super) record: WitnessRecord,
     first_sent: ClockTime,
     last_sent: ClockTime,
 }
@@ -52,41 +41,7 @@
     last_sent: ClockTime,
 }
 
-/// What happens once a batch is acknowledged.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(super) struct HeldWait {
-    /// The batch; zero stands for the handover itself.
-    pub(super) batch: u64,
-    pub(super) kind: WaitKind,
-}
-
-/// The kinds of [`HeldWait`].
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(super) enum WaitKind {
-    /// Answer a reservation.
-    Reserve(AskId, RequestIdentity, AttemptId),
-    /// Answer a charge.
-    Settle(AskId, RequestIdentity, TokenCount),
-    /// Answer a seal.
-    Seal(AskId, RequestIdentity),
-    /// A budget's witnessed charges up to here may go to the table, and the
-    /// charge's billing record may be kept.
-    Charge(Box<ChargeNotice>),
-    /// Tokens are in the float.
-    Raise(BudgetId, TokenCount),
-    /// Tokens are out of the float.
-    Lower(BudgetId, TokenCount),
-}
-
 impl SlotHolder {
-    /// Lets `kind` wait for the batch that carries the last entry recorded.
-    pub(super) fn wait(&mut self, kind: WaitKind) {
-        self.waits.push(HeldWait {
-            batch: self.sequence + 1,
-            kind,
-        });
-    }
-
     /// Sends what is queued, unless a batch is on its way.
     pub(super) fn flush(&mut self, now: ClockTime, effects: &mut Vec<HolderEffect>) {
         while matches!(self.phase, HolderPhase::Serving)
@@ -310,144 +265,6 @@
             }
         }
     }
-
-    /// Answers what an absent witness keeps waiting, from the float where it
-    /// covers it. The entries stay queued for the witness.
-    fn give_up_waits(&mut self, effects: &mut Vec<HolderEffect>) {
-        self.silent = true;
-        let waits = std::mem::take(&mut self.waits);
-        for wait in waits {
-            match wait.kind {
-                WaitKind::Reserve(ask, identity, attempt) => {
-                    self.give_up_reserve(ask, &identity, attempt, effects);
-                }
-                WaitKind::Settle(ask, _, charged) => {
-                    let answer = SettleAnswer::Pending {
-                        charged,
-                        retry_after: self.settings.retry_after,
-                    };
-                    effects.push(HolderEffect::Answer(ask, HolderAnswer::Settle(answer)));
-                }
-                WaitKind::Seal(ask, _) => {
-                    let answer = SealAnswer::Unreachable {
-                        retry_after: self.settings.retry_after,
-                    };
-                    effects.push(HolderEffect::Answer(ask, HolderAnswer::Seal(answer)));
-                }
-                kind => self.waits.push(HeldWait { kind, ..wait }),
-            }
-        }
-    }
-
-    fn give_up_reserve(
-        &mut self,
-        ask: AskId,
-        identity: &RequestIdentity,
-        attempt: AttemptId,
-        effects: &mut Vec<HolderEffect>,
-    ) {
-        let answer = match self.held(identity, attempt) {
-            None => self.unreachable(),
-            Some(held) if held.pool == TokenPool::Float => self.granted(&held),
-            Some(held) if self.float_covers(&held.budget, held.amount) => {
-                self.record(LedgerEntry::Reserve {
-                    identity: identity.clone(),
-                    attempt,
-                    budget: held.budget.clone(),
-                    pool: TokenPool::Float,
-                    amount: held.amount,
-                    router: held.router.clone(),
-                    digest: held.digest,
-                });
-                self.held(identity, attempt)
-                    .map_or_else(|| self.unreachable(), |held| self.granted(&held))
-            }
-            Some(_) => {
-                self.record(LedgerEntry::Release {
-                    identity: identity.clone(),
-                    attempt,
-                });
-                self.unreachable()
-            }
-        };
-        effects.push(HolderEffect::Answer(ask, HolderAnswer::Reserve(answer)));
-    }
-
-    /// Does what waited for batches up to `sequence`.
-    fn finish_waits(&mut self, sequence: u64, now: ClockTime, effects: &mut Vec<HolderEffect>) {
-        let (done, waiting): (Vec<HeldWait>, Vec<HeldWait>) = std::mem::take(&mut self.waits)
-            .into_iter()
-            .partition(|wait| wait.batch <= sequence);
-        self.waits = waiting;
-        for wait in done {
-            self.finish_wait(wait.kind, now, effects);
-        }
-    }
-
-    fn finish_wait(&mut self, kind: WaitKind, now: ClockTime, effects: &mut Vec<HolderEffect>) {
-        match kind {
-            WaitKind::Reserve(ask, identity, attempt) => {
-                let answer = self
-                    .held(&identity, attempt)
-                    .map_or_else(|| self.unreachable(), |held| self.granted(&held));
-                effects.push(HolderEffect::Answer(ask, HolderAnswer::Reserve(answer)));
-            }
-            WaitKind::Settle(ask, _, charged) => {
-                let answer = SettleAnswer::Settled { charged };
-                effects.push(HolderEffect::Answer(ask, HolderAnswer::Settle(answer)));
-            }
-            WaitKind::Seal(ask, _) => {
-                let answer = HolderAnswer::Seal(SealAnswer::Sealed);
-                effects.push(HolderEffect::Answer(ask, answer));
-            }
-            WaitKind::Charge(notice) => {
-                let place = self.stock_or_new(&notice.charge.budget, now);
-                let stock = &mut self.stocks[place];
-                stock.acked_settled = stock.acked_settled.max(notice.counted);
-                effects.push(HolderEffect::Charged(notice));
-            }
-            WaitKind::Raise(budget, tokens) => {
-                let place = self.stock_or_new(&budget, now);
-                let stock = &mut self.stocks[place];
-                stock.raising = stock.raising.saturating_sub(tokens);
-                self.review(place, now, effects);
-            }
-            WaitKind::Lower(budget, tokens) => {
-                let place = self.stock_or_new(&budget, now);
-                let stock = &mut self.stocks[place];
-                stock.lowering = stock.lowering.saturating_sub(tokens);
-                self.review(place, now, effects);
-            }
-        }
-    }
-
-    /// Drops the waits and tells those who asked that the slot moved on.
-    pub(super) fn drop_waits(&mut self, effects: &mut Vec<HolderEffect>) {
-        let holder = Some(self.row.holder.clone());
-        for wait in std::mem::take(&mut self.waits) {
-            let holder = holder.clone();
-            let (ask, answer) = match wait.kind {
-                WaitKind::Reserve(ask, ..) => (
-                    ask,
-                    HolderAnswer::Reserve(ReserveAnswer::NotHolder { holder }),
-                ),
-                WaitKind::Settle(ask, ..) => (
-                    ask,
-                    HolderAnswer::Settle(SettleAnswer::NotHolder { holder }),
-                ),
-                WaitKind::Seal(ask, _) => {
-                    (ask, HolderAnswer::Seal(SealAnswer::NotHolder { holder }))
-                }
-                // The late report counts it, and perhaps the new holder too.
-                WaitKind::Charge(notice) => {
-                    effects.push(HolderEffect::Charged(notice));
-                    continue;
-                }
-                WaitKind::Raise(..) | WaitKind::Lower(..) => continue,
-            };
-            effects.push(HolderEffect::Answer(ask, answer));
-        }
-    }
 }
 
 fn send_record(record: &WitnessRecord, effects: &mut Vec<HolderEffect>) {
--- a/crates/guavawell-core/src/budget/message.rs
+++ b/crates/guavawell-core/src/budget/message.rs
@@ -172,8 +172,16 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ReleaseAnswer {
-    /// The reservation is gone, or was never there.
+    /// The reservation is gone, or was never there, and the witness has it so.
     Released,
+    /// The reservation is gone here, but the witness does not acknowledge now.
+    ///
+    /// A takeover would find it again; the router asks again until it is
+    /// released.
+    Pending {
+        /// When to ask again.
+        retry_after: ClockSpan,
+    },
     /// The attempt was charged already.
     AlreadySettled {
         /// Its charge.
--- a/crates/guavawell-core/tests/budget_fleet/deliver.rs
+++ b/crates/guavawell-core/tests/budget_fleet/deliver.rs
@@ -83,7 +83,7 @@
                     }
                 }
                 HolderEffect::Note(HolderNote::AccountMismatch(_)) => self.mismatches += 1,
-                HolderEffect::Note(_) | HolderEffect::Charged(_) => {}
+                HolderEffect::Note(_) | HolderEffect::Charged(_) | HolderEffect::GiveBack(_) => {}
             }
         }
     }
--- a/crates/guavawell-fleet/schema/peer.capnp
+++ b/crates/guavawell-fleet/schema/peer.capnp
@@ -125,6 +125,7 @@
     released @0 :Void;
     alreadySettled @1 :UInt64;
     notHolder @2 :Life;
+    pending @3 :UInt64;  # when to ask again, in milliseconds
   }
 }
 
--- a/crates/guavawell-fleet/src/peer/peer_capnp.rs
+++ b/crates/guavawell-fleet/src/peer/peer_capnp.rs
@@ -4910,7 +4910,7 @@
 }
 
 pub mod release_answer {
-    pub use self::Which::{Released,AlreadySettled,NotHolder};
+    pub use self::Which::{Released,AlreadySettled,NotHolder,Pending};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -4995,6 +4995,11 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(Pending(
+                        self.reader.get_data_field::<u64>(1)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -5077,6 +5082,11 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_pending(&mut self, value: u64)  {
+            self.builder.set_data_field::<u16>(0, 3);
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -5094,6 +5104,11 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(Pending(
+                        self.builder.get_data_field::<u64>(1)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -5108,17 +5123,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(97, 95, 36, 62, 175, 6, 207, 185),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5126,28 +5141,35 @@
             ::capnp::word(115, 101, 65, 110, 115, 119, 101, 114),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 252, 255, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(121, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 108, 101, 97, 115, 101, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5175,12 +5197,21 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 110, 100, 105, 110, 103, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <() as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <crate::peer_capnp::life::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5195,14 +5226,15 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,3,0];
         pub(crate) const TYPE_ID: u64 = 0xb9cf_06af_3e24_5f61;
     }
     pub enum Which<A0> {
         Released(()),
         AlreadySettled(u64),
         NotHolder(A0),
+        Pending(u64),
     }
     pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::life::Reader<'a>>>;
     pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::life::Builder<'a>>>;
--- a/crates/guavawell-fleet/src/peer/wire/answer.rs
+++ b/crates/guavawell-fleet/src/peer/wire/answer.rs
@@ -129,6 +129,7 @@
 fn write_release(mut builder: release_answer::Builder<'_>, answer: &ReleaseAnswer) {
     match answer {
         ReleaseAnswer::Released => builder.set_released(()),
+        ReleaseAnswer::Pending { retry_after } => builder.set_pending(retry_after.as_millis()),
         ReleaseAnswer::AlreadySettled { charged } => builder.set_already_settled(charged.get()),
         ReleaseAnswer::NotHolder { holder } => {
             write_holder(builder.init_not_holder(), holder.as_ref());
@@ -275,6 +276,9 @@
 fn read_release(reader: release_answer::Reader<'_>) -> Result<ReleaseAnswer, WireError> {
     let answer = match reader.which()? {
         release_answer::Which::Released(()) => ReleaseAnswer::Released,
+        release_answer::Which::Pending(millis) => ReleaseAnswer::Pending {
+            retry_after: ClockSpan::from_millis(millis),
+        },
         release_answer::Which::AlreadySettled(charged) => ReleaseAnswer::AlreadySettled {
             charged: TokenCount::new(charged),
         },
--- a/crates/guavawell-fleet/src/peer/wire/tests.rs
+++ b/crates/guavawell-fleet/src/peer/wire/tests.rs
@@ -356,6 +356,7 @@
 fn replies() -> Vec<PeerReply> {
     let mut replies = vec![
         PeerReply::Release(ReleaseAnswer::Released),
+        PeerReply::Release(ReleaseAnswer::Pending { retry_after: WAIT }),
         PeerReply::Release(ReleaseAnswer::AlreadySettled { charged: TOKENS }),
         PeerReply::Release(ReleaseAnswer::NotHolder { holder: None }),
         PeerReply::HandBack(HandBackAnswer::Given { tokens: TOKENS }),
--- a/crates/guavawell-fleet/src/slot/toward.rs
+++ b/crates/guavawell-fleet/src/slot/toward.rs
@@ -189,6 +189,9 @@
     }
 
     /// Gives a reservation back in the background: the attempt did not run.
+    ///
+    /// Goes on while the holder's witness is away, for a takeover may find the
+    /// reservation again.
     pub fn release_later(self: &Arc<Self>, ask: ReleaseAsk) {
         let driver = Arc::clone(self);
         let task = async move {
@@ -200,12 +203,16 @@
                         &PeerRequest::Release(SlotAsk::new(slot.clone(), ask.clone())),
                     )
                     .await;
-                match reply {
+                let pause = match reply {
                     HolderReply::Answer(PeerReply::Release(
                         ReleaseAnswer::Released | ReleaseAnswer::AlreadySettled { .. },
                     )) => return,
-                    _ => Timer::after(RETRY_PAUSE).await,
+                    HolderReply::Answer(PeerReply::Release(ReleaseAnswer::Pending {
+                        retry_after,
+                    })) => clock::duration(retry_after),
+                    _ => RETRY_PAUSE,
                 };
+                Timer::after(pause).await;
             }
             metrics::counter!("guavawell_releases_given_up_total").increment(1);
         };
