Search releases and joins exhaustively; wait for the witness's word on both

Cause: the exhaustive search had no release and no second attempt of a new request.

Change: the search has the steps Release (at any holder that does not know of a successor), Join and Again (the first attempt asked again elsewhere), and two promises: an ask that begins after a release was answered never joins the released attempt, and a joined attempt is one that was granted, or is known to whoever holds the slot and not refused. Planted: an answer to a release, and to a join, before the acknowledgement. A join and a release now wait for a batch that is sent after them, without entries if need be (SlotHolder::probes). A former holder answers no release for good: it frees its float for its report and names the present holder, which may have the attempt too. While the witness is away a join is told from what it had before; the promise excludes that.

--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -5,7 +5,6 @@
 use super::HolderEffect;
 use super::SlotHolder;
 use super::stock::QueuedAsk;
-use super::wait::HeldWait;
 use super::wait::WaitKind;
 use crate::budget::ledger::HeldAttempt;
 use crate::budget::ledger::RequestState;
@@ -37,8 +36,8 @@
         if self.is_awaited(ask, &reserve) {
             return;
         }
-        if let Some(batch) = self.unsure_batch(&reserve.identity) {
-            return self.join_later(batch, ask, reserve, effects);
+        if self.is_unsure(&reserve.identity) || self.is_join(&reserve) {
+            return self.join_later(ask, reserve, effects);
         }
         if let Some(answer) = self.known_request(&reserve) {
             return answer_reserve(ask, answer, effects);
@@ -99,20 +98,38 @@
         true
     }
 
-    /// Lets a reservation wait for the batch that makes sure what is known of
-    /// its request.
+    /// Whether the request is held by another attempt, so that the answer
+    /// rests on this holder's word for it.
+    fn is_join(&self, reserve: &ReserveAsk) -> bool {
+        let state = self.ledger.request(&reserve.identity);
+        matches!(state, Some(RequestState::Reserved(held)) if held.attempt != reserve.attempt)
+    }
+
+    /// Lets a reservation wait for the witness's word on what is known of its
+    /// request. While the witness is away only what it had before is told.
     pub(super) fn join_later(
         &mut self,
-        batch: u64,
         ask: AskId,
         reserve: ReserveAsk,
         effects: &mut Vec<HolderEffect>,
     ) {
         if self.silent {
-            return answer_reserve(ask, self.unreachable(), effects);
+            return self.join_alone(ask, &reserve, effects);
         }
-        let kind = WaitKind::Join(ask, Box::new(reserve));
-        self.waits.push(HeldWait { batch, kind });
+        self.wait_for_word(WaitKind::Join(ask, Box::new(reserve)));
+    }
+
+    /// Joins an attempt that the witness had, or that the float pays; a seal
+    /// that may be lost is not told.
+    pub(super) fn join_alone(
+        &self,
+        ask: AskId,
+        reserve: &ReserveAsk,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        let known = self.known_request(reserve);
+        let known = known.filter(|_| !self.is_unsure(&reserve.identity));
+        answer_reserve(ask, known.unwrap_or_else(|| self.unreachable()), effects);
     }
 
     /// Lets a repeated ask take the place of the queued one; another attempt
--- a/crates/guavawell-core/src/budget/holder/charge.rs
+++ b/crates/guavawell-core/src/budget/holder/charge.rs
@@ -183,7 +183,8 @@
 
     /// Records a release; `None` if the answer waits for the witness.
     ///
-    /// A former holder answers only for its float.
+    /// A former holder counts it for its late report, and answers for nothing:
+    /// its successor may have the attempt too.
     fn release_held(
         &mut self,
         ask: AskId,
@@ -197,10 +198,7 @@
             attempt: release.attempt,
         });
         if self.is_retired() {
-            return Some(match held.pool {
-                TokenPool::Float => ReleaseAnswer::Released,
-                TokenPool::Witnessed => self.not_holder_release(),
-            });
+            return Some(self.not_holder_release());
         }
         if let Ok(place) = self.stock_place(&held.budget) {
             self.review(place, now, effects);
@@ -211,13 +209,10 @@
     /// The answer to a release once the witness has it, as it has a seal: a
     /// takeover before that would find the attempt running.
     fn wait_release(&mut self, ask: AskId) -> Option<ReleaseAnswer> {
-        if self.is_acknowledged() {
-            return Some(ReleaseAnswer::Released);
-        }
         if self.silent {
             return Some(self.pending_release());
         }
-        self.wait(WaitKind::Release(ask));
+        self.wait_for_word(WaitKind::Release(ask));
         None
     }
 
--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -95,6 +95,8 @@
     handovers: u64,
     /// What is answered once a batch is acknowledged.
     waits: Vec<HeldWait>,
+    /// Whether the next batch goes even if it carries nothing.
+    probes: bool,
     /// Whether the witness let a batch wait for too long.
     silent: bool,
     retained: VecDeque<RetainedRequest>,
@@ -136,6 +138,7 @@
             sequence: 0,
             handovers: 0,
             waits: Vec::new(),
+            probes: false,
             silent: false,
             slot_read_at: now,
         }
--- a/crates/guavawell-core/src/budget/holder/refill.rs
+++ b/crates/guavawell-core/src/budget/holder/refill.rs
@@ -59,10 +59,8 @@
         }
         let queue = std::mem::take(&mut self.stocks[place].queue);
         for queued in queue {
-            if let Some(batch) = self.unsure_batch(&queued.reserve.identity) {
-                self.join_later(batch, queued.ask, queued.reserve, effects);
-            } else if let Some(answer) = self.known_request(&queued.reserve) {
-                answer_reserve(queued.ask, answer, effects);
+            if self.ledger.request(&queued.reserve.identity).is_some() {
+                self.join_later(queued.ask, queued.reserve, effects);
             } else if !self.try_hold(place, queued.ask, &queued.reserve, effects) {
                 self.stocks[place].queue.push(queued);
             }
--- a/crates/guavawell-core/src/budget/holder/wait.rs
+++ b/crates/guavawell-core/src/budget/holder/wait.rs
@@ -7,7 +7,6 @@
 use super::HolderEffect;
 use super::SlotHolder;
 use super::ask::answer_reserve;
-use super::witnessing::SentBatch;
 use crate::budget::ledger::RequestState;
 use crate::budget::message::ReleaseAnswer;
 use crate::budget::message::ReleaseAsk;
@@ -67,31 +66,34 @@
         self.is_witnessed() && self.batch.is_none() && self.outbox.is_empty()
     }
 
-    /// The batch that has to be acknowledged before what is known of a
-    /// request may be told: a takeover before that would not know of it.
-    pub(super) fn unsure_batch(&self, identity: &RequestIdentity) -> Option<u64> {
-        match self.ledger.request(identity)? {
-            RequestState::Reserved(held) => {
-                let is_held = |kind: &WaitKind| matches!(kind, WaitKind::Reserve(_, _, attempt) if *attempt == held.attempt);
-                let mut waits = self.waits.iter();
-                waits
-                    .find(|wait| is_held(&wait.kind))
-                    .map(|wait| wait.batch)
+    /// Lets `kind` wait for a batch that is sent from now on, one without
+    /// entries if need be: its acknowledgement shows that no takeover came
+    /// before.
+    pub(super) fn wait_for_word(&mut self, kind: WaitKind) {
+        self.probes = true;
+        self.waits.push(HeldWait {
+            batch: self.sequence + 1,
+            kind,
+        });
+    }
+
+    /// Whether the witness may lack what is known of a request: a takeover
+    /// would not know of it.
+    pub(super) fn is_unsure(&self, identity: &RequestIdentity) -> bool {
+        match self.ledger.request(identity) {
+            Some(RequestState::Reserved(held)) => {
+                let is_held = |wait: &HeldWait| matches!(&wait.kind, WaitKind::Reserve(_, _, attempt) if *attempt == held.attempt);
+                self.waits.iter().any(is_held)
             }
-            RequestState::Sealed => self.seal_batch(identity),
-            RequestState::Settled(_) => None,
+            Some(RequestState::Sealed) => self.is_seal_unsure(identity),
+            Some(RequestState::Settled(_)) | None => false,
         }
     }
 
-    /// The batch that carries a request's seal, if it is not acknowledged.
-    fn seal_batch(&self, identity: &RequestIdentity) -> Option<u64> {
+    fn is_seal_unsure(&self, identity: &RequestIdentity) -> bool {
         let is_seal = |entry: &LedgerEntry| matches!(entry, LedgerEntry::Seal { identity: sealed } if sealed == identity);
-        if self.outbox.iter().any(is_seal) {
-            return Some(self.sequence + 1);
-        }
-        let is_sent = |batch: &SentBatch| batch.record.entries.iter().any(is_seal);
-        let is_unsure = self.is_changing_witness() || self.batch.as_ref().is_some_and(is_sent);
-        is_unsure.then_some(self.sequence)
+        let mut sent = self.batch.iter().flat_map(|batch| &batch.record.entries);
+        self.is_changing_witness() || self.outbox.iter().any(is_seal) || sent.any(is_seal)
     }
 
     /// Answers what an absent witness keeps waiting, from the float where it
@@ -108,7 +110,7 @@
                 WaitKind::Reserve(ask, identity, attempt) => {
                     self.give_up_reserve(ask, &identity, attempt, effects);
                 }
-                WaitKind::Join(ask, reserve) => self.give_up_join(ask, &reserve, effects),
+                WaitKind::Join(ask, reserve) => self.join_alone(ask, &reserve, effects),
                 WaitKind::Release(ask) => {
                     let answer = HolderAnswer::Release(self.pending_release());
                     effects.push(HolderEffect::Answer(ask, answer));
@@ -131,13 +133,6 @@
         }
     }
 
-    /// Joins what the float pays; a seal that may be lost is not told.
-    fn give_up_join(&self, ask: AskId, reserve: &ReserveAsk, effects: &mut Vec<HolderEffect>) {
-        let known = self.known_request(reserve);
-        let known = known.filter(|answer| *answer != ReserveAnswer::Sealed);
-        answer_reserve(ask, known.unwrap_or_else(|| self.unreachable()), effects);
-    }
-
     fn give_up_reserve(
         &mut self,
         ask: AskId,
@@ -200,7 +195,7 @@
                     .map_or_else(|| self.unreachable(), |held| self.granted(&held));
                 effects.push(HolderEffect::Answer(ask, HolderAnswer::Reserve(answer)));
             }
-            WaitKind::Join(ask, reserve) => self.reserve(ask, *reserve, now, effects),
+            WaitKind::Join(ask, reserve) => self.finish_join(ask, *reserve, now, effects),
             WaitKind::Release(ask) => {
                 let answer = HolderAnswer::Release(ReleaseAnswer::Released);
                 effects.push(HolderEffect::Answer(ask, answer));
@@ -234,6 +229,24 @@
         }
     }
 
+    /// Tells what is known of a request now; its ask begins anew where that
+    /// changed meanwhile.
+    fn finish_join(
+        &mut self,
+        ask: AskId,
+        reserve: ReserveAsk,
+        now: ClockTime,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        if self.is_unsure(&reserve.identity) {
+            return self.join_later(ask, reserve, effects);
+        }
+        match self.known_request(&reserve) {
+            Some(answer) => answer_reserve(ask, answer, effects),
+            None => self.reserve(ask, reserve, now, effects),
+        }
+    }
+
     /// Drops the waits and tells those who asked that the slot moved on.
     pub(super) fn drop_waits(&mut self, effects: &mut Vec<HolderEffect>) {
         let holder = Some(self.row.holder.clone());
--- a/crates/guavawell-core/src/budget/holder/witnessing.rs
+++ b/crates/guavawell-core/src/budget/holder/witnessing.rs
@@ -46,8 +46,9 @@
     pub(super) fn flush(&mut self, now: ClockTime, effects: &mut Vec<HolderEffect>) {
         while matches!(self.phase, HolderPhase::Serving)
             && self.batch.is_none()
-            && !self.outbox.is_empty()
+            && (self.probes || !self.outbox.is_empty())
         {
+            self.probes = false;
             let entries = std::mem::take(&mut self.outbox);
             self.sequence += 1;
             match self.stamp() {
--- a/crates/guavawell-core/tests/budget_release.rs
+++ b/crates/guavawell-core/tests/budget_release.rs
@@ -229,10 +229,32 @@
     assert_eq!(rig.released(2), None);
     rig.ack();
     assert_eq!(rig.released(2), Some(&ReleaseAnswer::Released));
+    // Nothing is left to record, but the witness still has to say so.
     rig.release(3, 1, 1);
+    assert_eq!(rig.released(3), None);
+    rig.ack();
     assert_eq!(rig.released(3), Some(&ReleaseAnswer::Released));
 }
 
+#[test]
+fn a_holder_that_was_taken_over_unheard_neither_releases_nor_joins() {
+    let mut rig = HolderRig::ready(0);
+    rig.reserve(1, 1, 1);
+    rig.ack();
+    rig.reserve(2, 1, 2);
+    rig.release(3, 2, 7);
+    assert_eq!((rig.reserved(2), rig.released(3)), (None, None));
+    rig.taken_over();
+    assert!(matches!(
+        rig.reserved(2),
+        Some(ReserveAnswer::NotHolder { .. })
+    ));
+    assert!(matches!(
+        rig.released(3),
+        Some(ReleaseAnswer::NotHolder { .. })
+    ));
+}
+
 #[test]
 fn a_takeover_before_the_acknowledgement_leaves_the_release_to_the_new_holder() {
     let mut rig = HolderRig::ready(0);
@@ -267,6 +289,7 @@
     assert!(is_pending(rig.released(5)), "a float attempt, too");
     rig.settle_down();
     rig.release(6, 1, 1);
+    rig.settle_down();
     assert_eq!(rig.released(6), Some(&ReleaseAnswer::Released));
 }
 
@@ -287,6 +310,7 @@
     assert_eq!(rig.reserved(2), None);
     rig.ack();
     assert!(is_granted(rig.reserved(1)));
+    rig.settle_down();
     assert!(rig.joins(2, 1));
 }
 
@@ -351,6 +375,7 @@
     assert_eq!(rig.reserved(2), None);
     rig.ack();
     assert!(is_granted(rig.reserved(1)));
+    rig.settle_down();
     assert!(rig.joins(2, 1));
 }
 
@@ -366,10 +391,11 @@
     rig.tell(HolderEvent::Seal(AskId::new(3), seal));
     assert_eq!(rig.reserved(2), None);
     rig.ack();
-    assert_eq!(rig.reserved(2), Some(&ReserveAnswer::Sealed));
     let sealed = HolderAnswer::Seal(SealAnswer::Sealed);
     assert_eq!(rig.answer(1), Some(&sealed));
     assert_eq!(rig.answer(3), Some(&sealed));
+    rig.settle_down();
+    assert_eq!(rig.reserved(2), Some(&ReserveAnswer::Sealed));
 }
 
 #[test]
--- a/crates/guavawell-core/tests/budget_search/main.rs
+++ b/crates/guavawell-core/tests/budget_search/main.rs
@@ -126,6 +126,9 @@
     takeovers: 1,
     settles: 0,
     repeats: 0,
+    joins: 0,
+    agains: 0,
+    releases: 0,
     lapses: 0,
 };
 
@@ -134,6 +137,23 @@
     ..TAKEOVER
 };
 
+/// Request 0 is released at any holder and asked for by other attempts.
+const RELEASES: WorldLimits = WorldLimits {
+    asks: 0,
+    ticks: 1,
+    repeats: 2,
+    releases: 2,
+    ..TAKEOVER
+};
+
+/// A second attempt of a new request, whose first one may be asked again.
+const JOINS: WorldLimits = WorldLimits {
+    ticks: 1,
+    joins: 1,
+    agains: 1,
+    ..TAKEOVER
+};
+
 #[test]
 fn takeover_keeps_every_promise() {
     let left = WorldLimits {
@@ -201,6 +221,44 @@
     );
 }
 
+#[test]
+fn an_answered_release_is_never_joined() {
+    holds(
+        "releases",
+        World::new(PlantedFault::None, RELEASES),
+        MOST_HOLDING,
+    );
+}
+
+#[test]
+fn a_joined_attempt_runs() {
+    holds("joins", World::new(PlantedFault::None, JOINS), MOST_HOLDING);
+}
+
+#[test]
+fn releases_and_joins_keep_every_promise_through_a_change_of_witness() {
+    let left = WorldLimits {
+        releases: 1,
+        witness_changes: 1,
+        ..JOINS
+    };
+    holds(
+        "releases and joins",
+        World::new(PlantedFault::None, left),
+        MOST_HOLDING,
+    );
+}
+
+#[test]
+fn a_release_before_its_acknowledgement_is_found() {
+    is_found(World::new(PlantedFault::EarlyRelease, RELEASES));
+}
+
+#[test]
+fn a_join_before_the_acknowledgement_is_found() {
+    is_found(World::new(PlantedFault::EarlyJoin, JOINS));
+}
+
 #[test]
 fn lease_expiry_is_found() {
     let left = WorldLimits {
--- a/crates/guavawell-core/tests/budget_search/plant.rs
+++ b/crates/guavawell-core/tests/budget_search/plant.rs
@@ -1,6 +1,7 @@
 //! Faults planted around the state machines, to show that the search finds
 //! them. Each stands for a rule of the protocol that was left out.
 
+use guavawell_core::budget::HolderEvent;
 use guavawell_core::budget::LedgerHandover;
 use guavawell_core::budget::RequestState;
 use guavawell_core::budget::SlotHolder;
@@ -13,6 +14,7 @@
 use guavawell_core::id::TokenCount;
 
 use crate::world::World;
+use crate::world::attempt_of;
 
 /// Batch numbers that a forged acknowledgement may carry.
 const FORGED_SEQUENCES: u64 = 4;
@@ -39,6 +41,10 @@
     /// An acknowledgement counts whatever its epoch, as if the epoch did
     /// not rise with a change of witness.
     NoEpochRise,
+    /// A release is answered before the witness has it.
+    EarlyRelease,
+    /// An attempt is joined before the witness has its reservation.
+    EarlyJoin,
 }
 
 impl World {
@@ -71,6 +77,32 @@
         }
     }
 
+    /// Answers that a holder with the fault gives before its witness has what
+    /// they tell.
+    pub fn plant_answer(&mut self, node: usize, place: usize, event: &HolderEvent) {
+        let holder = &self.nodes[node].holders[place];
+        match event {
+            HolderEvent::Release(ask, _)
+                if self.plant == PlantedFault::EarlyRelease && !holder.is_retired() =>
+            {
+                self.note_released(*ask);
+            }
+            HolderEvent::Reserve(_, reserve)
+                if self.plant == PlantedFault::EarlyJoin && !holder.is_retired() =>
+            {
+                let state = holder.ledger().request(&reserve.identity);
+                if let Some(RequestState::Reserved(held)) = state
+                    && held.attempt != reserve.attempt
+                {
+                    let number = u64::try_from(held.attempt.get()).unwrap();
+                    let asker = u64::try_from(reserve.attempt.get()).unwrap();
+                    self.note_join(node, place, attempt_of(asker), attempt_of(number));
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// The acknowledgements that a holder with the fault takes in.
     pub fn plant_ack(&self, holder: &SlotHolder, ack: &WitnessAck) -> Vec<WitnessAck> {
         let row = holder.row();
--- a/crates/guavawell-core/tests/budget_search/world/deliver.rs
+++ b/crates/guavawell-core/tests/budget_search/world/deliver.rs
@@ -6,24 +6,31 @@
 use guavawell_core::budget::HolderEvent;
 use guavawell_core::budget::HolderNote;
 use guavawell_core::budget::InstanceLife;
+use guavawell_core::budget::ReleaseAnswer;
+use guavawell_core::budget::RequestState;
 use guavawell_core::budget::ReserveAnswer;
 use guavawell_core::budget::ReserveGrant;
 use guavawell_core::budget::SlotHolder;
 use guavawell_core::budget::SlotLedger;
 use guavawell_core::budget::SlotRow;
 use guavawell_core::budget::TableIntent;
+use guavawell_core::budget::TokenPool;
 use guavawell_core::budget::WitnessEffect;
 use guavawell_core::budget::WitnessEvent;
 use guavawell_core::budget::WitnessMessage;
 use guavawell_core::id::SlotEpoch;
 
 use super::NOW;
+use super::RELEASE_ASKS;
 use super::World;
+use super::attempt_of;
 use super::digest;
+use super::identity;
 use super::model::GrantedAttempt;
 use super::model::Letter;
 use super::model::LetterBody;
 use super::model::Node;
+use super::model::ReleaseState;
 use super::new_witness;
 use super::settings;
 use super::slot;
@@ -99,6 +106,7 @@
     }
 
     pub fn tell(&mut self, node: usize, place: usize, event: HolderEvent) {
+        self.plant_answer(node, place, &event);
         let mut effects = Vec::new();
         let holder = &mut self.nodes[node].holders[place];
         holder.handle(event, NOW, &mut effects);
@@ -108,6 +116,12 @@
                 HolderEffect::Answer(ask, HolderAnswer::Reserve(ReserveAnswer::Granted(grant))) => {
                     self.note_grant(node, ask, grant);
                 }
+                HolderEffect::Answer(ask, HolderAnswer::Reserve(answer)) => {
+                    self.note_refusal(node, place, ask, &answer);
+                }
+                HolderEffect::Answer(ask, HolderAnswer::Release(ReleaseAnswer::Released)) => {
+                    self.note_released(ask);
+                }
                 HolderEffect::Send(to, message) => self.send(to, message),
                 HolderEffect::Table(intent) => self.post_intent(node, tenure, intent),
                 HolderEffect::Note(HolderNote::AccountMismatch(_)) => self.mismatch = true,
@@ -152,9 +166,55 @@
         self.nodes[node].holders.push(holder);
     }
 
+    /// What an ask heard that was not granted; an answer that leaves open what
+    /// becomes of the attempt counts for nothing.
+    fn note_refusal(&mut self, node: usize, place: usize, ask: AskId, answer: &ReserveAnswer) {
+        match answer {
+            ReserveAnswer::Joined { attempt, .. } => {
+                let number = u64::try_from(attempt.get()).unwrap();
+                self.note_join(node, place, attempt_of(ask.get()), attempt_of(number));
+            }
+            ReserveAnswer::NotHolder { .. } | ReserveAnswer::Unreachable { .. } => return,
+            _ => {}
+        }
+        self.heard.refuse(attempt_of(ask.get()));
+    }
+
+    /// Float attempts are their holder's alone, so only others are promised;
+    /// and a holder whose witness is away joins what it had before.
+    pub fn note_join(
+        &mut self,
+        node: usize,
+        place: usize,
+        asker: (usize, u8),
+        joined: (usize, u8),
+    ) {
+        let holder = &self.nodes[node].holders[place];
+        let is_alone = holder.is_witness_silent();
+        let state = holder.ledger().request(&identity(joined.0));
+        let is_witnessed = matches!(state, Some(RequestState::Reserved(held)) if held.pool == TokenPool::Witnessed);
+        if !is_witnessed {
+            return;
+        }
+        self.heard.join(joined);
+        let is_released = self.granted.iter().any(|granted| {
+            (granted.request, granted.attempt) == joined
+                && granted.grant.pool == TokenPool::Witnessed
+                && granted.release == ReleaseState::Answered
+        });
+        let is_late = self.heard.late.binary_search(&asker).is_ok();
+        self.heard.is_joined_late |= is_released && is_late && !is_alone;
+    }
+
+    pub fn note_released(&mut self, ask: AskId) {
+        let released = attempt_of(ask.get() - RELEASE_ASKS);
+        let mut granted = self.granted.iter_mut();
+        let found = granted.find(|granted| (granted.request, granted.attempt) == released);
+        found.expect("a granted attempt").release = ReleaseState::Answered;
+    }
+
     fn note_grant(&mut self, node: usize, ask: AskId, grant: ReserveGrant) {
-        let request = usize::try_from(ask.get() / 16).unwrap();
-        let attempt = u8::try_from(ask.get() % 16).unwrap();
+        let (request, attempt) = attempt_of(ask.get());
         let is_known =
             |granted: &GrantedAttempt| granted.request == request && granted.attempt == attempt;
         if !self.granted.iter().any(is_known) {
@@ -164,6 +224,7 @@
                 node,
                 grant,
                 charged: None,
+                release: ReleaseState::Unasked,
             });
             self.granted
                 .sort_by_key(|granted| (granted.request, granted.attempt));
--- a/crates/guavawell-core/tests/budget_search/world/mod.rs
+++ b/crates/guavawell-core/tests/budget_search/world/mod.rs
@@ -33,6 +33,7 @@
 
 use crate::plant::PlantedFault;
 use model::GrantedAttempt;
+use model::HeardAnswers;
 pub use model::Letter;
 pub use model::LetterBody;
 use model::Node;
@@ -43,6 +44,8 @@
 pub const NOW: ClockTime = ClockTime::from_millis(1);
 const PAID: TokenCount = TokenCount::new(8);
 const AMOUNT: TokenCount = TokenCount::new(2);
+/// Asks to release have the attempt's number and this.
+pub const RELEASE_ASKS: u64 = 1 << 20;
 const ACTUAL: TokenCount = TokenCount::new(1);
 
 #[derive(Clone, Debug, Hash)]
@@ -53,6 +56,7 @@
     pub nodes: Vec<Node>,
     pub letters: Vec<Letter>,
     pub granted: Vec<GrantedAttempt>,
+    heard: HeardAnswers,
     asked: usize,
     pub left: WorldLimits,
     mismatch: bool,
@@ -86,6 +90,13 @@
     AttemptId::new((request as u128) * 16 + u128::from(attempt))
 }
 
+/// The request and the attempt of an ask or an attempt's id.
+pub fn attempt_of(number: u64) -> (usize, u8) {
+    let request = usize::try_from(number / 16).unwrap();
+    let attempt = u8::try_from(number % 16).unwrap();
+    (request, attempt)
+}
+
 fn new_witness(life: &InstanceLife) -> SlotWitness {
     SlotWitness::new(life.clone(), slot(), ClockSpan::from_millis(0))
 }
@@ -135,6 +146,7 @@
             nodes: nodes.collect(),
             letters: Vec::new(),
             granted: Vec::new(),
+            heard: HeardAnswers::default(),
             asked: 0,
             left,
             mismatch: false,
--- a/crates/guavawell-core/tests/budget_search/world/model.rs
+++ b/crates/guavawell-core/tests/budget_search/world/model.rs
@@ -24,6 +24,11 @@
     pub takeovers: u8,
     pub settles: u8,
     pub repeats: u8,
+    /// Asks by a second attempt of the last request that was asked.
+    pub joins: u8,
+    /// The last request's first attempt asked again, of any holder.
+    pub agains: u8,
+    pub releases: u8,
     pub lapses: u8,
 }
 
@@ -34,7 +39,11 @@
     Tick(usize),
     Ask(usize),
     Repeat(usize),
+    Join(usize),
+    Again(usize),
     Settle(usize),
+    /// A granted attempt, given back to an instance.
+    Release(usize, usize),
     TakeOver(usize),
     ChangeWitness(usize, usize),
     Crash(usize),
@@ -67,6 +76,16 @@
     pub shadow: Option<SlotWitness>,
 }
 
+/// How far a release has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum ReleaseState {
+    #[default]
+    Unasked,
+    /// Asked at least once: the attempt does not run.
+    Asked,
+    Answered,
+}
+
 /// An attempt that was granted.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct GrantedAttempt {
@@ -75,4 +94,38 @@
     pub node: usize,
     pub grant: ReserveGrant,
     pub charged: Option<TokenCount>,
+    pub release: ReleaseState,
+}
+
+/// What asks that were not granted heard.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct HeardAnswers {
+    /// Witnessed attempts that others were told to join.
+    pub joined: Vec<(usize, u8)>,
+    /// Attempts whose own ask was refused, so that they never ran.
+    pub refused: Vec<(usize, u8)>,
+    /// Asks that began after a release of their request was answered.
+    pub late: Vec<(usize, u8)>,
+    /// One of these was told to join the released attempt.
+    pub is_joined_late: bool,
+}
+
+impl HeardAnswers {
+    pub fn join(&mut self, attempt: (usize, u8)) {
+        note(&mut self.joined, attempt);
+    }
+
+    pub fn begin_late(&mut self, attempt: (usize, u8)) {
+        note(&mut self.late, attempt);
+    }
+
+    pub fn refuse(&mut self, attempt: (usize, u8)) {
+        note(&mut self.refused, attempt);
+    }
+}
+
+fn note(attempts: &mut Vec<(usize, u8)>, attempt: (usize, u8)) {
+    if let Err(place) = attempts.binary_search(&attempt) {
+        attempts.insert(place, attempt);
+    }
 }
--- a/crates/guavawell-core/tests/budget_search/world/step.rs
+++ b/crates/guavawell-core/tests/budget_search/world/step.rs
@@ -2,6 +2,7 @@
 
 use guavawell_core::budget::AskId;
 use guavawell_core::budget::HolderEvent;
+use guavawell_core::budget::ReleaseAsk;
 use guavawell_core::budget::ReserveAsk;
 use guavawell_core::budget::SettleAsk;
 use guavawell_core::budget::SlotLedger;
@@ -11,9 +12,12 @@
 
 use super::ACTUAL;
 use super::AMOUNT;
+use super::RELEASE_ASKS;
 use super::World;
 use super::attempt_id;
 use super::identity;
+use super::model::GrantedAttempt;
+use super::model::ReleaseState;
 use super::model::WorldStep;
 use super::new_witness;
 use crate::plant::PlantedFault;
@@ -33,6 +37,20 @@
             if is_holder && self.left.repeats > 0 {
                 steps.push(WorldStep::Repeat(place));
             }
+            if is_holder && self.left.joins > 0 && self.asked > 0 {
+                steps.push(WorldStep::Join(place));
+            }
+            if is_holder && self.left.agains > 0 && self.may_ask_again() {
+                steps.push(WorldStep::Again(place));
+            }
+            if is_holder && self.left.releases > 0 {
+                let is_open = |other: &usize| {
+                    let granted = &self.granted[*other];
+                    granted.charged.is_none() && granted.release != ReleaseState::Answered
+                };
+                let open = (0..self.granted.len()).filter(is_open);
+                steps.extend(open.map(|other| WorldStep::Release(other, place)));
+            }
             if self.left.takeovers > 0
                 && self.row.witness.as_ref() == Some(&node.life)
                 && !node.witness.is_taking_over()
@@ -51,7 +69,10 @@
             }
         }
         if self.left.settles > 0 {
-            let open = |place: &usize| self.granted[*place].charged.is_none();
+            let open = |place: &usize| {
+                let granted = &self.granted[*place];
+                granted.charged.is_none() && granted.release == ReleaseState::Unasked
+            };
             let places = (0..self.granted.len()).filter(open);
             steps.extend(places.map(WorldStep::Settle));
         }
@@ -80,6 +101,18 @@
                 self.left.repeats -= 1;
                 self.ask(node, 0, self.left.repeats + 1);
             }
+            WorldStep::Join(node) => {
+                self.left.joins -= 1;
+                self.ask(node, self.asked, self.left.joins + 8);
+            }
+            WorldStep::Again(node) => {
+                self.left.agains -= 1;
+                self.ask(node, self.asked, 0);
+            }
+            WorldStep::Release(place, node) => {
+                self.left.releases -= 1;
+                self.release(place, node);
+            }
             WorldStep::Settle(place) => {
                 self.left.settles -= 1;
                 self.settle(place);
@@ -130,10 +163,39 @@
             idempotent: true,
             digest: RequestDigest::default(),
         };
+        let is_released = self
+            .granted
+            .iter()
+            .any(|granted| granted.request == request && granted.release == ReleaseState::Answered);
+        if is_released {
+            self.heard.begin_late((request, attempt));
+        }
         let place = self.nodes[node].holders.len() - 1;
         self.tell(node, place, HolderEvent::Reserve(ask, reserve));
     }
 
+    /// Whether the last request's first attempt has no answer that ends it.
+    fn may_ask_again(&self) -> bool {
+        let first = (self.asked, 0);
+        let is_first = |granted: &GrantedAttempt| (granted.request, granted.attempt) == first;
+        let is_refused = self.heard.refused.binary_search(&first).is_ok();
+        self.asked > 0 && !is_refused && !self.granted.iter().any(is_first)
+    }
+
+    /// The router gives an attempt back to whom it believes to be the holder.
+    fn release(&mut self, place: usize, node: usize) {
+        let granted = &mut self.granted[place];
+        granted.release = ReleaseState::Asked;
+        let attempt = attempt_id(granted.request, granted.attempt);
+        let ask = AskId::new(RELEASE_ASKS + u64::try_from(attempt.get()).unwrap());
+        let release = ReleaseAsk {
+            identity: identity(granted.request),
+            attempt,
+        };
+        let place = self.nodes[node].holders.len() - 1;
+        self.tell(node, place, HolderEvent::Release(ask, release));
+    }
+
     /// The router settles with the holder that granted; if that one is gone
     /// or retired, with the present one.
     fn settle(&mut self, place: usize) {
