--- a/crates/guavawell-core/src/platform/mod.rs
+++ b/crates/guavawell-core/src/platform/mod.rs
@@ -5,6 +5,7 @@
 //! to the aggregates that write.
 
 mod backoff;
+mod carrier;
 mod circuit;
 mod class;
 mod share;
@@ -13,6 +14,9 @@
 
 pub use backoff::BackoffPolicy;
 pub use backoff::Jitter;
+pub use carrier::CarrierBook;
+pub use carrier::CarrierPeer;
+pub use carrier::MAX_CARRIERS;
 pub use circuit::CircuitAnswer;
 pub use circuit::CircuitPolicy;
 pub use circuit::PlatformCircuit;
--- a/crates/guavawell-core/src/platform/tests.rs
+++ b/crates/guavawell-core/src/platform/tests.rs
@@ -1,6 +1,8 @@
 //! The platform's share, circuit and waits, by their own clock.
 
 use super::BackoffPolicy;
+use super::CarrierBook;
+use super::CarrierPeer;
 use super::CircuitAnswer;
 use super::CircuitPolicy;
 use super::Jitter;
@@ -145,3 +147,37 @@
     assert_eq!(circuit.admit(at(5_299)), CircuitAnswer::Open(span(1)));
     assert_eq!(circuit.admit(at(5_300)), CircuitAnswer::Probe);
 }
+
+fn peers(names: &[(&str, bool)]) -> Vec<CarrierPeer> {
+    let peer = |(name, is_near): &(&str, bool)| CarrierPeer {
+        instance: name.parse().unwrap(),
+        is_near: *is_near,
+    };
+    names.iter().map(peer).collect()
+}
+
+#[test]
+fn an_exchange_is_offered_to_a_near_peer_and_then_elsewhere() {
+    let draws = [Jitter(0), Jitter(u16::MAX)];
+    let mut book = CarrierBook::new(BackoffPolicy::default());
+    let all = peers(&[("near-1", true), ("far-1", false), ("far-2", false)]);
+    let names = |book: &CarrierBook, peers: &[CarrierPeer], now| {
+        let chosen = book.choose(peers, at(now), draws);
+        let names: Vec<String> = chosen.iter().map(ToString::to_string).collect();
+        names.join(" ")
+    };
+    assert_eq!(names(&book, &all, 0), "near-1 far-2");
+    assert_eq!(names(&book, &all[..1], 0), "near-1");
+    assert_eq!(names(&book, &[], 0), "");
+    book.declined(&all[0].instance, at(0), Jitter(u16::MAX));
+    assert_eq!(names(&book, &all, 49), "far-1 far-2");
+    assert_eq!(names(&book, &all[..1], 49), "");
+    assert_eq!(names(&book, &all, 50), "near-1 far-2", "asked again");
+    book.declined(&all[0].instance, at(50), Jitter(u16::MAX));
+    assert_eq!(names(&book, &all, 149), "far-1 far-2", "left alone longer");
+    book.carried(&all[0].instance);
+    assert_eq!(names(&book, &all, 149), "near-1 far-2");
+    book.declined(&all[0].instance, at(149), Jitter(u16::MAX));
+    book.keep(&all[1..]);
+    assert_eq!(names(&book, &all, 149), "near-1 far-2", "a new life");
+}
--- a/crates/guavawell-demo/src/fleet/drill.rs
+++ b/crates/guavawell-demo/src/fleet/drill.rs
@@ -1,5 +1,6 @@
 //! Failures brought about on purpose: partitions, outages of one zone, pauses.
 
+use guavawell_core::id::InstanceId;
 use guavawell_fleet::drill::LinkCuts;
 
 use super::DemoFleet;
@@ -12,6 +13,8 @@
     pairs: Vec<(usize, usize)>,
     /// Zones that do not reach the platform.
     platform: Vec<usize>,
+    /// Single routers that do not reach the platform, by their instance.
+    alone: Vec<InstanceId>,
 }
 
 impl ZoneCuts {
@@ -33,6 +36,12 @@
         self.apply_cuts();
     }
 
+    /// Cuts one router off from the platform.
+    pub fn cut_platform_of(&mut self, router: usize) {
+        self.cuts.alone.push(self.routers[router].id.clone());
+        self.apply_cuts();
+    }
+
     /// Cuts a zone's routers off from every other zone and from the platform.
     pub fn isolate(&mut self, zone: usize) {
         for other in (0..self.settings.zones).filter(|other| *other != zone) {
@@ -74,7 +83,8 @@
                 cuts = cuts.without_peer(&other.id, other.gossip);
             }
         }
-        if self.cuts.platform.contains(&router.zone) {
+        let is_alone = self.cuts.alone.contains(&router.id);
+        if is_alone || self.cuts.platform.contains(&router.zone) {
             cuts = cuts.without_platform();
         }
         cuts
--- a/crates/guavawell-demo/tests/fault/main.rs
+++ b/crates/guavawell-demo/tests/fault/main.rs
@@ -13,4 +13,5 @@
 mod pair;
 mod partition;
 mod recovery;
+mod relay;
 mod shutdown;
--- a/crates/guavawell-fleet/schema/peer.capnp
+++ b/crates/guavawell-fleet/schema/peer.capnp
@@ -244,6 +244,44 @@
   row @1 :SlotRow;
 }
 
+# --- exchanges with the platform, carried for a router that lost it --------
+
+enum RelayService {
+  table @0;
+  objects @1;
+}
+
+enum RelayClass {
+  # Whether the exchange writes, and for what.
+  read @0;
+  money @1;
+  claim @2;
+  journal @3;
+  rest @4;
+}
+
+struct RelayAsk {
+  # One exchange with the platform. Its headers follow from the service and
+  # the class, so that an unconditional put of an object cannot be asked for.
+  service @0 :RelayService;
+  class @1 :RelayClass;
+  target @2 :Text;      # path and query
+  body @3 :Data;
+  budgetMs @4 :UInt32;  # the carrier's time, its waits included
+}
+
+struct RelayAnswer {
+  union {
+    answered :group {
+      status @0 :UInt16;
+      body @1 :Data;
+    }
+    declined @2 :Text;  # not carried out; ask another
+    refused @3 :Text;   # the platform refused; not applied
+    lost @4 :Text;      # the write may have been applied
+  }
+}
+
 # --- calls ----------------------------------------------------------------
 
 struct Ask {
@@ -265,6 +303,7 @@
     life @13 :Void;
     version @14 :Void;       # the manifest version in force
     pages @15 :List(Data);   # pages of manifests, by digest
+    relay @17 :RelayAsk;
   }
 }
 
@@ -290,6 +329,7 @@
     refused @11 :Refusal;
     version @12 :Data;       # the version's row; empty if none is in force
     pages @13 :List(Data);   # those that are there, in any order
+    relay @14 :RelayAnswer;
   }
 }
 
--- a/crates/guavawell-fleet/src/peer/client/pending.rs
+++ b/crates/guavawell-fleet/src/peer/client/pending.rs
@@ -74,6 +74,7 @@
             WireAsk::Piece(_) => PIECE_BYTES / BYTES_A_CALL,
             WireAsk::Request(request) => match &**request {
                 PeerRequest::Witness(WitnessMessage::Record(record)) => 1 + record.entries.len(),
+                PeerRequest::Relay(ask) => 1 + ask.body.len() / BYTES_A_CALL,
                 _ => 1,
             },
         }
--- a/crates/guavawell-fleet/src/peer/message.rs
+++ b/crates/guavawell-fleet/src/peer/message.rs
@@ -23,6 +23,9 @@
 use guavawell_core::manifest::VersionRow;
 use thiserror::Error;
 
+use crate::platform::CarriedAnswer;
+use crate::platform::CarriedAsk;
+
 /// An ask of whoever holds a slot.
 ///
 /// The asker names the slot, so that a holder answers it without knowing where
@@ -68,6 +71,8 @@
     Version,
     /// To any router: send these pages of manifests, those that you have.
     Pages(Vec<ContentDigest>),
+    /// To any router: carry this exchange out on your link to the platform.
+    Relay(CarriedAsk),
 }
 
 /// What a router answers.
@@ -95,6 +100,8 @@
     Version(Option<VersionRow>),
     /// To [`PeerRequest::Pages`]: the bytes of pages, in any order.
     Pages(Vec<Vec<u8>>),
+    /// To [`PeerRequest::Relay`].
+    Relay(CarriedAnswer),
     /// The request was taken; there is nothing to tell.
     Accepted,
     /// The request was not taken.
--- a/crates/guavawell-fleet/src/peer/peer_capnp.rs
+++ b/crates/guavawell-fleet/src/peer/peer_capnp.rs
@@ -10575,8 +10575,1076 @@
     }
 }
 
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayService {
+    Table = 0,
+    Objects = 1,
+}
+
+impl ::capnp::introspect::Introspect for RelayService {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&relay_service::ARENA, relay_service::get_annotation_types)).into() }
+}
+impl ::core::convert::From<RelayService> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: RelayService) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&relay_service::ARENA, relay_service::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for RelayService {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <RelayService as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Table),
+            1 => ::core::result::Result::Ok(Self::Objects),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<RelayService> for u16 {
+    #[inline]
+    fn from(x: RelayService) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for RelayService {
+    const TYPE_ID: u64 = 0xddad_3a8f_3e7d_71afu64;
+}
+mod relay_service {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 25] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(175, 113, 125, 62, 143, 58, 173, 221),
+    ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 55, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+    ::capnp::word(110, 112, 58, 82, 101, 108, 97, 121),
+    ::capnp::word(83, 101, 114, 118, 105, 99, 101, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(8, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(17, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(9, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(116, 97, 98, 108, 101, 0, 0, 0),
+    ::capnp::word(111, 98, 106, 101, 99, 116, 115, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayClass {
+    Read = 0,
+    Money = 1,
+    Claim = 2,
+    Journal = 3,
+    Rest = 4,
+}
+
+impl ::capnp::introspect::Introspect for RelayClass {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&relay_class::ARENA, relay_class::get_annotation_types)).into() }
+}
+impl ::core::convert::From<RelayClass> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: RelayClass) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&relay_class::ARENA, relay_class::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for RelayClass {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <RelayClass as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Read),
+            1 => ::core::result::Result::Ok(Self::Money),
+            2 => ::core::result::Result::Ok(Self::Claim),
+            3 => ::core::result::Result::Ok(Self::Journal),
+            4 => ::core::result::Result::Ok(Self::Rest),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<RelayClass> for u16 {
+    #[inline]
+    fn from(x: RelayClass) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for RelayClass {
+    const TYPE_ID: u64 = 0xa295_a71f_54cf_7ef1u64;
+}
+mod relay_class {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(241, 126, 207, 84, 31, 167, 149, 162),
+    ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 127, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+    ::capnp::word(110, 112, 58, 82, 101, 108, 97, 121),
+    ::capnp::word(67, 108, 97, 115, 115, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(53, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(37, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 97, 100, 0, 0, 0, 0),
+    ::capnp::word(109, 111, 110, 101, 121, 0, 0, 0),
+    ::capnp::word(99, 108, 97, 105, 109, 0, 0, 0),
+    ::capnp::word(106, 111, 117, 114, 110, 97, 108, 0),
+    ::capnp::word(114, 101, 115, 116, 0, 0, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
+pub mod relay_ask {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::core::result::Result<crate::peer_capnp::RelayService,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+        }
+        #[inline]
+        pub fn get_class(self) -> ::core::result::Result<crate::peer_capnp::RelayClass,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(1))
+        }
+        #[inline]
+        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_target(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_body(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_budget_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::core::result::Result<crate::peer_capnp::RelayService,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: crate::peer_capnp::RelayService)  {
+            self.builder.set_data_field::<u16>(0, value as u16);
+        }
+        #[inline]
+        pub fn get_class(self) -> ::core::result::Result<crate::peer_capnp::RelayClass,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(1))
+        }
+        #[inline]
+        pub fn set_class(&mut self, value: crate::peer_capnp::RelayClass)  {
+            self.builder.set_data_field::<u16>(1, value as u16);
+        }
+        #[inline]
+        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_target(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_target(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_target(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        }
+        #[inline]
+        pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
+        }
+        #[inline]
+        pub fn has_body(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_budget_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_budget_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(90, 44, 63, 145, 178, 121, 227, 173),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 82, 101, 108, 97, 121),
+            ::capnp::word(65, 115, 107, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(175, 113, 125, 62, 143, 58, 173, 221),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 97, 115, 115, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 126, 207, 84, 31, 167, 149, 162),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 117, 100, 103, 101, 116, 77, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::peer_capnp::RelayService as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::peer_capnp::RelayClass as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xade3_79b2_913f_2c5a;
+    }
+}
+
+pub mod relay_answer {
+    pub use self::Which::{Answered,Declined,Refused,Lost};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn has_declined(&self) -> bool {
+            if self.reader.get_data_field::<u16>(1) != 1 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_refused(&self) -> bool {
+            if self.reader.get_data_field::<u16>(1) != 2 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_lost(&self) -> bool {
+            if self.reader.get_data_field::<u16>(1) != 3 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(1) {
+                0 => {
+                    ::core::result::Result::Ok(Answered(
+                        self.reader.into()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Declined(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Refused(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                3 => {
+                    ::core::result::Result::Ok(Lost(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn init_answered(mut self, ) -> crate::peer_capnp::relay_answer::answered::Builder<'a> {
+            self.builder.set_data_field::<u16>(1, 0);
+            self.builder.set_data_field::<u16>(0, 0u16);
+            self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.into()
+        }
+        #[inline]
+        pub fn set_declined(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            self.builder.set_data_field::<u16>(1, 1);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_declined(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.set_data_field::<u16>(1, 1);
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_declined(&self) -> bool {
+            if self.builder.get_data_field::<u16>(1) != 1 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_refused(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            self.builder.set_data_field::<u16>(1, 2);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_refused(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.set_data_field::<u16>(1, 2);
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_refused(&self) -> bool {
+            if self.builder.get_data_field::<u16>(1) != 2 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_lost(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            self.builder.set_data_field::<u16>(1, 3);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_lost(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.set_data_field::<u16>(1, 3);
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_lost(&self) -> bool {
+            if self.builder.get_data_field::<u16>(1) != 3 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(1) {
+                0 => {
+                    ::core::result::Result::Ok(Answered(
+                        self.builder.into()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Declined(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Refused(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                3 => {
+                    ::core::result::Result::Ok(Lost(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 72] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(106, 253, 43, 106, 254, 11, 140, 232),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 4, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 82, 101, 108, 97, 121),
+            ::capnp::word(65, 110, 115, 119, 101, 114, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 254, 182, 78, 54, 118, 171, 147),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 99, 108, 105, 110, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::peer_capnp::relay_answer::answered::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,3,2];
+        pub(crate) const TYPE_ID: u64 = 0xe88c_0bfe_6a2b_fd6a;
+    }
+    pub enum Which<A0,A1,A2,A3> {
+        Answered(A0),
+        Declined(A1),
+        Refused(A2),
+        Lost(A3),
+    }
+    pub type WhichReader<'a,> = Which<crate::peer_capnp::relay_answer::answered::Reader<'a>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::relay_answer::answered::Builder<'a>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>>;
+
+    pub mod answered {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_status(self) -> u16 {
+                self.reader.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_status(self) -> u16 {
+                self.builder.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn set_status(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(0, value);
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(148, 254, 182, 78, 54, 118, 171, 147),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(106, 253, 43, 106, 254, 11, 140, 232),
+                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 82, 101, 108, 97, 121),
+                ::capnp::word(65, 110, 115, 119, 101, 114, 46, 97),
+                ::capnp::word(110, 115, 119, 101, 114, 101, 100, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 97, 116, 117, 115, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0x93ab_7636_4eb6_fe94;
+        }
+    }
+}
+
 pub mod ask {
-    pub use self::Which::{Reserve,Settle,Release,Note,Seal,HandBack,Record,Ack,Refusal,LedgerPiece,HandoverAck,Takeover,Life,Version,Pages};
+    pub use self::Which::{Reserve,Settle,Release,Note,Seal,HandBack,Record,Ack,Refusal,LedgerPiece,HandoverAck,Takeover,Life,Version,Pages,Relay};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -10716,6 +11784,11 @@
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
+        pub fn has_relay(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 15 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => {
@@ -10793,6 +11866,11 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                15 => {
+                    ::core::result::Result::Ok(Relay(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -11078,6 +12156,21 @@
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
+        pub fn set_relay(&mut self, value: crate::peer_capnp::relay_ask::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(4, 15);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_relay(self, ) -> crate::peer_capnp::relay_ask::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 15);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_relay(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 15 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => {
@@ -11155,6 +12248,11 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                15 => {
+                    ::core::result::Result::Ok(Relay(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -11172,142 +12270,149 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 279] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 294] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(97, 238, 142, 119, 122, 46, 174, 167),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 15, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 16, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 247, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 115, 107, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 243, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 242, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 241, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 240, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 97, 108, 108, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11452,6 +12557,14 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(90, 44, 63, 145, 178, 121, 227, 173),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -11472,6 +12585,7 @@
                 14 => <() as ::capnp::introspect::Introspect>::introspect(),
                 15 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 16 => <crate::peer_capnp::slot::Owned as ::capnp::introspect::Introspect>::introspect(),
+                17 => <crate::peer_capnp::relay_ask::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -11486,11 +12600,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,16];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,0,6,11,10,13,4,15,7,9,3,1,5,2,16,12,14];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,17];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,0,6,11,10,13,4,15,7,9,17,3,1,5,2,16,12,14];
         pub(crate) const TYPE_ID: u64 = 0xa7ae_2e7a_778e_ee61;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13> {
         Reserve(A0),
         Settle(A1),
         Release(A2),
@@ -11506,9 +12620,10 @@
         Life(()),
         Version(()),
         Pages(A12),
+        Relay(A13),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::settle_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::release_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::backend_note::Reader<'a>>,::capnp::Result<crate::peer_capnp::identity::Reader<'a>>,::capnp::Result<crate::peer_capnp::hand_back_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_record::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Reader<'a>>,::capnp::Result<crate::peer_capnp::ledger_piece::Reader<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::takeover_ask::Reader<'a>>,::capnp::Result<::capnp::data_list::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::settle_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::release_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::backend_note::Builder<'a>>,::capnp::Result<crate::peer_capnp::identity::Builder<'a>>,::capnp::Result<crate::peer_capnp::hand_back_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_record::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Builder<'a>>,::capnp::Result<crate::peer_capnp::ledger_piece::Builder<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::takeover_ask::Builder<'a>>,::capnp::Result<::capnp::data_list::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::settle_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::release_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::backend_note::Reader<'a>>,::capnp::Result<crate::peer_capnp::identity::Reader<'a>>,::capnp::Result<crate::peer_capnp::hand_back_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_record::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Reader<'a>>,::capnp::Result<crate::peer_capnp::ledger_piece::Reader<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::takeover_ask::Reader<'a>>,::capnp::Result<::capnp::data_list::Reader<'a>>,::capnp::Result<crate::peer_capnp::relay_ask::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::settle_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::release_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::backend_note::Builder<'a>>,::capnp::Result<crate::peer_capnp::identity::Builder<'a>>,::capnp::Result<crate::peer_capnp::hand_back_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_record::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Builder<'a>>,::capnp::Result<crate::peer_capnp::ledger_piece::Builder<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::takeover_ask::Builder<'a>>,::capnp::Result<::capnp::data_list::Builder<'a>>,::capnp::Result<crate::peer_capnp::relay_ask::Builder<'a>>>;
 }
 
 #[repr(u16)]
@@ -11585,7 +12700,7 @@
 }
 
 pub mod answer {
-    pub use self::Which::{Reserve,Settle,Release,Seal,HandBack,Ack,Refusal,HandoverAck,Life,Accepted,Refused,Version,Pages};
+    pub use self::Which::{Reserve,Settle,Release,Seal,HandBack,Ack,Refusal,HandoverAck,Life,Accepted,Refused,Version,Pages,Relay};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -11702,6 +12817,11 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_relay(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 13 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => {
@@ -11769,6 +12889,11 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                13 => {
+                    ::core::result::Result::Ok(Relay(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -11999,6 +13124,21 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_relay(&mut self, value: crate::peer_capnp::relay_answer::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(4, 13);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_relay(self, ) -> crate::peer_capnp::relay_answer::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 13);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_relay(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 13 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => {
@@ -12066,6 +13206,11 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                13 => {
+                    ::core::result::Result::Ok(Relay(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -12080,122 +13225,129 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 234] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 249] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(251, 125, 157, 219, 166, 179, 73, 188),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 13, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 14, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
             ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 247, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 245, 255, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 243, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 242, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 97, 108, 108, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -12315,6 +13467,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(106, 253, 43, 106, 254, 11, 140, 232),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -12332,6 +13492,7 @@
                 11 => <crate::peer_capnp::Refusal as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 13 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                14 => <crate::peer_capnp::relay_answer::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -12346,11 +13507,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7,8,9,10,11,12,13];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,6,0,5,8,9,13,7,11,3,1,4,2,12];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4,5,6,7,8,9,10,11,12,13,14];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,6,0,5,8,9,13,7,11,14,3,1,4,2,12];
         pub(crate) const TYPE_ID: u64 = 0xbc49_b3a6_db9d_7dfb;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10> {
         Reserve(A0),
         Settle(A1),
         Release(A2),
@@ -12364,9 +13525,10 @@
         Refused(::core::result::Result<crate::peer_capnp::Refusal,::capnp::NotInSchema>),
         Version(A8),
         Pages(A9),
+        Relay(A10),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::settle_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::release_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::seal_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::hand_back_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Reader<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<::capnp::data_list::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::settle_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::release_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::seal_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::hand_back_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Builder<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<::capnp::data_list::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::settle_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::release_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::seal_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::hand_back_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Reader<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Reader<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<::capnp::data_list::Reader<'a>>,::capnp::Result<crate::peer_capnp::relay_answer::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::reserve_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::settle_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::release_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::seal_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::hand_back_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_ack::Builder<'a>>,::capnp::Result<crate::peer_capnp::witness_refusal::Builder<'a>>,::capnp::Result<crate::peer_capnp::handover_ack::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<::capnp::data_list::Builder<'a>>,::capnp::Result<crate::peer_capnp::relay_answer::Builder<'a>>>;
 }
 
 pub mod ask_batch {
--- a/crates/guavawell-fleet/src/peer/server/session.rs
+++ b/crates/guavawell-fleet/src/peer/server/session.rs
@@ -31,6 +31,7 @@
 use crate::peer_capnp::ask;
 use crate::peer_capnp::peer;
 use crate::peer_capnp::peer_session;
+use crate::platform::CarriedAnswer;
 use crate::tls::PeerProof;
 
 /// Deliveries under way at once; replies beyond them gather for the next one.
@@ -39,6 +40,9 @@
 /// Most replies of one delivery.
 const DELIVERY_REPLIES: usize = 512;
 
+/// Bytes of a carried answer that weigh as much as one reply.
+const BYTES_A_REPLY: usize = 512;
+
 /// What the sessions of a thread share.
 pub struct SessionContext<H> {
     pub settings: PeerServerSettings,
@@ -341,7 +345,21 @@
 
     fn next_delivery(&self) -> Vec<NumberedReply> {
         let mut waiting = self.waiting.borrow_mut();
-        let count = waiting.len().min(DELIVERY_REPLIES);
+        let mut weight = 0;
+        let fits = |numbered: &&NumberedReply| {
+            weight += reply_weight(&numbered.reply);
+            weight <= DELIVERY_REPLIES
+        };
+        let count = waiting.iter().take_while(fits).count();
+        let count = count.max(1).min(waiting.len());
         waiting.drain(..count).collect()
     }
 }
+
+/// A reply's share of a delivery, in plain replies.
+fn reply_weight(reply: &PeerReply) -> usize {
+    match reply {
+        PeerReply::Relay(CarriedAnswer::Answered { body, .. }) => 1 + body.len() / BYTES_A_REPLY,
+        _ => 1,
+    }
+}
--- a/crates/guavawell-fleet/src/peer/wire/answer.rs
+++ b/crates/guavawell-fleet/src/peer/wire/answer.rs
@@ -13,6 +13,7 @@
 
 use super::WireError;
 use super::page;
+use super::relay;
 use super::value::backend_text;
 use super::value::read_attempt;
 use super::value::read_backend;
@@ -51,6 +52,7 @@
         PeerReply::Life(answer) => builder.set_life(answer.incarnation.get()),
         PeerReply::Version(row) => page::write_version(builder, row.as_ref()),
         PeerReply::Pages(pages) => page::write_pages(builder, pages),
+        PeerReply::Relay(answer) => relay::write_answer(builder.init_relay(), answer),
         PeerReply::Accepted => builder.set_accepted(()),
         PeerReply::Refused(refusal) => builder.set_refused(write_refused(*refusal)),
     }
@@ -183,6 +185,7 @@
         }),
         answer::Which::Version(row) => PeerReply::Version(page::read_version(row?)?),
         answer::Which::Pages(pages) => PeerReply::Pages(page::read_pages(pages?)?),
+        answer::Which::Relay(answer) => PeerReply::Relay(relay::read_answer(answer?)?),
         answer::Which::Accepted(()) => PeerReply::Accepted,
         answer::Which::Refused(refusal) => PeerReply::Refused(read_refused(refusal?)),
     };
--- a/crates/guavawell-fleet/src/peer/wire/ask.rs
+++ b/crates/guavawell-fleet/src/peer/wire/ask.rs
@@ -15,6 +15,7 @@
 use super::WireError;
 use super::page;
 use super::piece::LedgerPiece;
+use super::relay;
 use super::value::backend_text;
 use super::value::read_attempt;
 use super::value::read_backend;
@@ -70,6 +71,7 @@
         PeerRequest::Life => builder.set_life(()),
         PeerRequest::Version => builder.set_version(()),
         PeerRequest::Pages(digests) => page::write_digests(builder, digests),
+        PeerRequest::Relay(ask) => relay::write_ask(builder.init_relay(), ask),
     }
 }
 
@@ -170,6 +172,7 @@
         ask::Which::Life(()) => PeerRequest::Life,
         ask::Which::Version(()) => PeerRequest::Version,
         ask::Which::Pages(digests) => PeerRequest::Pages(page::read_digests(digests?)?),
+        ask::Which::Relay(ask) => PeerRequest::Relay(relay::read_ask(ask?)?),
         ask::Which::LedgerPiece(piece) => {
             let piece = read_piece(piece?)?;
             return Ok(WireAsk::Piece(Box::new(piece)));
--- a/crates/guavawell-fleet/src/peer/wire/mod.rs
+++ b/crates/guavawell-fleet/src/peer/wire/mod.rs
@@ -6,6 +6,7 @@
 mod ask;
 mod page;
 mod piece;
+mod relay;
 #[cfg(test)]
 mod tests;
 mod value;
--- a/crates/guavawell-fleet/src/platform/exchange.rs
+++ b/crates/guavawell-fleet/src/platform/exchange.rs
@@ -4,20 +4,29 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use guavawell_core::clock::ClockSpan;
 use guavawell_core::platform::WriteClass;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
 use http_types::Url;
+use smol::Timer;
+use smol::future;
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
+use super::carried::CarriedAnswer;
+use super::carried::CarriedAsk;
 use super::error::PlatformError;
 use super::gate::CircuitGate;
 use super::gate::WriteGate;
 use super::pool::ConnectionPool;
 use super::pool::PoolSettings;
 use super::pool::with_timeout;
+use super::relay::PlatformRelay;
+use super::relay::pass_within;
+use crate::clock::duration;
+use crate::clock::now;
 
 /// Parts of error messages with which the table service says that it stopped
 /// waiting for a write that may still be applied (etcd's published errors).
@@ -35,9 +44,22 @@
     Write(WriteClass),
 }
 
+impl ExchangeKind {
+    /// The kind as a metric's label.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Write(class) => class.label(),
+        }
+    }
+}
+
 /// One request to the platform.
 pub(super) struct PlatformAsk<'a> {
     pub kind: ExchangeKind,
+    /// Whether a peer may carry it: a read, or a write whose condition decides
+    /// whoever sends it and whenever it lands.
+    pub may_relay: bool,
     pub method: Method,
     /// Path and query, beginning with `/`.
     pub target: &'a str,
@@ -58,6 +80,7 @@
     pool: Arc<ConnectionPool>,
     circuit: Arc<CircuitGate>,
     writes: Option<WriteGate>,
+    relay: Option<PlatformRelay>,
 }
 
 impl PlatformHttp {
@@ -67,6 +90,7 @@
             circuit: Arc::new(CircuitGate::new(service, settings.circuit)),
             pool: Arc::new(ConnectionPool::new(address, settings)),
             writes: None,
+            relay: None,
         }
     }
 
@@ -76,6 +100,12 @@
         self
     }
 
+    /// The same client; peers carry its exchanges while its own link is out.
+    pub fn with_relay(mut self, relay: PlatformRelay) -> Self {
+        self.relay = Some(relay);
+        self
+    }
+
     /// Whether the service counts as out, so that only probes are sent.
     pub fn is_out(&self) -> bool {
         self.circuit.is_open()
@@ -84,45 +114,140 @@
     /// Sends a request and reads the whole answer; counts how it ended.
     pub async fn ask(&self, ask: PlatformAsk<'_>) -> Result<PlatformAnswer, PlatformError> {
         let kind = ask.kind;
-        let result = self.ask_uncounted(ask).await;
+        let result = Box::pin(self.ask_uncounted(ask)).await;
         let outcome = result
             .as_ref()
             .err()
             .map_or("answered", PlatformError::label);
-        let class = match kind {
-            ExchangeKind::Read => "read",
-            ExchangeKind::Write(class) => class.label(),
-        };
         metrics::counter!("guavawell_platform_exchanges_total",
-            "service" => self.service, "class" => class, "outcome" => outcome)
+            "service" => self.service, "class" => kind.label(), "outcome" => outcome)
         .increment(1);
         result
     }
 
+    /// Carries out a peer's exchange on this router's own link, and on no
+    /// other's: nothing is relayed twice.
+    pub async fn carry(&self, asked: &CarriedAsk) -> CarriedAnswer {
+        if self.is_out() {
+            return CarriedAnswer::Declined("its own link is out".into());
+        }
+        match self.carry_within(asked).await {
+            Ok(answer) => CarriedAnswer::Answered {
+                status: answer.status,
+                body: answer.body,
+            },
+            Err(error) => error.into(),
+        }
+    }
+
+    async fn carry_within(&self, asked: &CarriedAsk) -> Result<PlatformAnswer, PlatformError> {
+        let start = now();
+        let ask = asked.exchange();
+        if let Some(writes) = &self.writes {
+            let wait = ClockSpan::from_millis(asked.budget.as_millis() / 2);
+            pass_within(writes, ask.kind, wait).await?;
+        }
+        self.circuit.pass()?;
+        let left = asked.budget.as_millis();
+        let left = left.saturating_sub(now().since(start).as_millis());
+        let span = self.pool.settings.answer_timeout;
+        let span = span.min(ClockSpan::from_millis(left));
+        match self.begin_within(span).await {
+            Ok(stream) => self.finish(stream, ask, span).await,
+            Err(error) => Err(self.failed(error)),
+        }
+    }
+
+    /// Asks the service by this router's own link, to learn whether it is
+    /// back; nothing happens before the next probe is due.
+    pub async fn probe(&self, ask: PlatformAsk<'_>) {
+        if self.is_out() && self.circuit.pass().is_ok() {
+            // The circuit learns how it ended.
+            let _ = self.ask_own(ask).await;
+        }
+    }
+
     async fn ask_uncounted(&self, ask: PlatformAsk<'_>) -> Result<PlatformAnswer, PlatformError> {
         if let (ExchangeKind::Write(class), Some(writes)) = (ask.kind, &self.writes) {
             writes.pass(class).await?;
         }
+        if self.is_out()
+            && let Some(result) = self.relayed(&ask).await
+        {
+            return result;
+        }
         self.circuit.pass()?;
-        let result = self.send(ask).await;
+        match self.begin().await {
+            Ok(stream) => {
+                let span = self.pool.settings.answer_timeout;
+                self.finish(stream, ask, span).await
+            }
+            Err(error) => {
+                let error = self.failed(error);
+                self.relayed(&ask).await.unwrap_or(Err(error))
+            }
+        }
+    }
+
+    async fn ask_own(&self, ask: PlatformAsk<'_>) -> Result<PlatformAnswer, PlatformError> {
+        let stream = self.begin().await.map_err(|error| self.failed(error))?;
+        let span = self.pool.settings.answer_timeout;
+        self.finish(stream, ask, span).await
+    }
+
+    async fn relayed(
+        &self,
+        ask: &PlatformAsk<'_>,
+    ) -> Option<Result<PlatformAnswer, PlatformError>> {
+        let relay = self.relay.as_ref().filter(|_| ask.may_relay)?;
+        relay.carry(ask).await
+    }
+
+    /// A connection for an exchange; without one, nothing was sent.
+    async fn begin(&self) -> Result<TcpStream, PlatformError> {
+        if self.pool.settings.gate.cuts_platform() {
+            return Err(PlatformError::Outage("cut off by a failure drill".into()));
+        }
+        let stream = self.pool.take().await;
+        stream.map_err(|error| PlatformError::Outage(error.to_string().into()))
+    }
+
+    async fn begin_within(&self, span: ClockSpan) -> Result<TcpStream, PlatformError> {
+        let late = async {
+            Timer::after(duration(span)).await;
+            Err(PlatformError::Outage(
+                format!("no connection within {span}").into(),
+            ))
+        };
+        future::or(self.begin(), late).await
+    }
+
+    fn failed(&self, error: PlatformError) -> PlatformError {
+        self.circuit.report(false);
+        error
+    }
+
+    async fn finish(
+        &self,
+        stream: TcpStream,
+        ask: PlatformAsk<'_>,
+        span: ClockSpan,
+    ) -> Result<PlatformAnswer, PlatformError> {
+        let result = self.send(stream, ask, span).await;
         let answered = matches!(result, Ok(_) | Err(PlatformError::Refused(_)));
         self.circuit.report(answered);
         result
     }
 
-    async fn send(&self, ask: PlatformAsk<'_>) -> Result<PlatformAnswer, PlatformError> {
+    async fn send(
+        &self,
+        stream: TcpStream,
+        ask: PlatformAsk<'_>,
+        span: ClockSpan,
+    ) -> Result<PlatformAnswer, PlatformError> {
         let kind = ask.kind;
         let gate = &self.pool.settings.gate;
-        if gate.cuts_platform() {
-            return Err(PlatformError::Outage("cut off by a failure drill".into()));
-        }
         let request = self.request(ask)?;
-        let stream = self
-            .pool
-            .take()
-            .await
-            .map_err(|error| PlatformError::Outage(error.to_string().into()))?;
-        let span = self.pool.settings.answer_timeout;
         match with_timeout(span, self.exchange(stream, request)).await {
             // A cut in the middle loses the answer, not the write.
             Ok(_) if gate.cuts_platform() => Err(no_answer(kind, "cut off by a failure drill")),
--- a/crates/guavawell-fleet/src/platform/instances.rs
+++ b/crates/guavawell-fleet/src/platform/instances.rs
@@ -87,6 +87,7 @@
     pub async fn read(&self) -> Result<Vec<InstanceEntry>, PlatformError> {
         let ask = PlatformAsk {
             kind: ExchangeKind::Read,
+            may_relay: false,
             method: Method::Get,
             target: &self.target,
             headers: &[],
--- a/crates/guavawell-fleet/src/platform/objects.rs
+++ b/crates/guavawell-fleet/src/platform/objects.rs
@@ -2,10 +2,14 @@
 
 use std::fmt::Write;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use guavawell_core::platform::WriteClass;
 use http_types::Method;
 
+use super::carried::CarriedAnswer;
+use super::carried::CarriedAsk;
+use super::carried::CarriedService;
 use super::error::PlatformError;
 use super::exchange::ExchangeKind;
 use super::exchange::PlatformAnswer;
@@ -13,6 +17,11 @@
 use super::exchange::PlatformHttp;
 use super::gate::WriteGate;
 use super::pool::PoolSettings;
+use super::relay::CarrierLink;
+use super::relay::PlatformRelay;
+
+/// A put's condition: no object is there yet.
+pub(super) const IF_ABSENT: [(&str, &str); 1] = [("if-none-match", "*")];
 
 /// How a conditional put ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +65,45 @@
         Self { http, ..self }
     }
 
+    /// The same client; peers carry its exchanges while its own link is out.
+    #[must_use]
+    pub fn with_relay(self, link: &Arc<CarrierLink>) -> Self {
+        let relay = PlatformRelay::new(CarriedService::Objects, Arc::clone(link));
+        let http = self.http.with_relay(relay);
+        Self { http, ..self }
+    }
+
+    /// Whether the store counts as out, so that only probes are sent.
+    #[must_use]
+    pub fn is_out(&self) -> bool {
+        self.http.is_out()
+    }
+
+    /// Carries out a peer's exchange on the own link; its bucket has to be
+    /// this router's.
+    pub async fn carry(&self, ask: &CarriedAsk) -> CarriedAnswer {
+        let rest = ask.target.strip_prefix('/');
+        let rest = rest.and_then(|target| target.strip_prefix(&*self.bucket));
+        if !rest.is_some_and(|rest| rest.starts_with(['/', '?'])) {
+            return CarriedAnswer::Declined("another bucket".into());
+        }
+        self.http.carry(ask).await
+    }
+
+    /// Asks by the own link whether the store is back, once that is due.
+    pub async fn probe(&self) {
+        let target = format!("/{}?list-type=2&max-keys=1", self.bucket);
+        let ask = PlatformAsk {
+            kind: ExchangeKind::Read,
+            may_relay: true,
+            method: Method::Get,
+            target: &target,
+            headers: &[],
+            body: Vec::new(),
+        };
+        self.http.probe(ask).await;
+    }
+
     /// Writes `body` at `key` unless an object is there already.
     ///
     /// # Errors
@@ -70,9 +118,10 @@
     ) -> Result<ObjectPut, PlatformError> {
         let ask = PlatformAsk {
             kind: ExchangeKind::Write(class),
+            may_relay: true,
             method: Method::Put,
             target: &self.target(key)?,
-            headers: &[("if-none-match", "*")],
+            headers: &IF_ABSENT,
             body,
         };
         let answer = self.http.ask(ask).await?;
@@ -137,6 +186,7 @@
     async fn read(&self, target: &str) -> Result<PlatformAnswer, PlatformError> {
         let ask = PlatformAsk {
             kind: ExchangeKind::Read,
+            may_relay: true,
             method: Method::Get,
             target,
             headers: &[],
--- a/crates/guavawell-fleet/src/platform/table.rs
+++ b/crates/guavawell-fleet/src/platform/table.rs
@@ -1,16 +1,22 @@
 //! The table service: etcd v3's JSON gateway.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use guavawell_core::platform::WriteClass;
 use http_types::Method;
 
+use super::carried::CarriedAnswer;
+use super::carried::CarriedAsk;
+use super::carried::CarriedService;
 use super::error::PlatformError;
 use super::exchange::ExchangeKind;
 use super::exchange::PlatformAsk;
 use super::exchange::PlatformHttp;
 use super::gate::WriteGate;
 use super::pool::PoolSettings;
+use super::relay::CarrierLink;
+use super::relay::PlatformRelay;
 use super::txn::TableRow;
 use super::txn::TableTxn;
 use super::txn::TxnAnswer;
@@ -21,7 +27,10 @@
 /// Rows asked for in one page of a range.
 const PAGE_ROWS: u64 = 1_000;
 
-const JSON: [(&str, &str); 1] = [("content-type", "application/json")];
+/// The row that a probe reads.
+const PROBE_KEY: &str = "version";
+
+pub(super) const JSON: [(&str, &str); 1] = [("content-type", "application/json")];
 
 /// A read of one row.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,6 +71,36 @@
         Self { http }
     }
 
+    /// The same client; peers carry its exchanges while its own link is out.
+    #[must_use]
+    pub fn with_relay(self, link: &Arc<CarrierLink>) -> Self {
+        let relay = PlatformRelay::new(CarriedService::Table, Arc::clone(link));
+        let http = self.http.with_relay(relay);
+        Self { http }
+    }
+
+    /// Carries out a peer's exchange on the own link.
+    pub async fn carry(&self, ask: &CarriedAsk) -> CarriedAnswer {
+        self.http.carry(ask).await
+    }
+
+    /// Asks by the own link whether the table is back, once that is due.
+    pub async fn probe(&self) {
+        let ask = RangeAsk::key(PROBE_KEY);
+        let Ok(body) = serde_json::to_vec(&ask) else {
+            return;
+        };
+        let ask = PlatformAsk {
+            kind: ExchangeKind::Read,
+            may_relay: true,
+            method: Method::Post,
+            target: "/v3/kv/range",
+            headers: &JSON,
+            body,
+        };
+        self.http.probe(ask).await;
+    }
+
     /// Whether the table counts as out, so that only probes are sent.
     #[must_use]
     pub fn is_out(&self) -> bool {
@@ -115,8 +154,9 @@
         } else {
             ExchangeKind::Read
         };
+        let may_relay = kind == ExchangeKind::Read || !txn.compares.is_empty();
         let body = wire::txn_body(txn);
-        let answer = self.post("/v3/kv/txn", kind, body).await?;
+        let answer = self.post("/v3/kv/txn", kind, may_relay, body).await?;
         wire::txn_answer(&answer).map_err(|error| as_read(kind, error))
     }
 
@@ -124,7 +164,7 @@
         let body = serde_json::to_vec(ask)
             .map_err(|error| PlatformError::Refused(error.to_string().into()))?;
         let kind = ExchangeKind::Read;
-        let answer = self.post("/v3/kv/range", kind, body).await?;
+        let answer = self.post("/v3/kv/range", kind, true, body).await?;
         wire::range_page(&answer).map_err(|error| as_read(kind, error))
     }
 
@@ -132,10 +172,12 @@
         &self,
         target: &str,
         kind: ExchangeKind,
+        may_relay: bool,
         body: Vec<u8>,
     ) -> Result<Vec<u8>, PlatformError> {
         let ask = PlatformAsk {
             kind,
+            may_relay,
             method: Method::Post,
             target,
             headers: &JSON,
--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use guavawell_core::backend::RouteTarget;
+use guavawell_core::budget::InstanceLife;
+use guavawell_core::id::ManifestVersion;
 use guavawell_core::instance::ListedInstance;
 use guavawell_core::instance::MemberEffect;
+use guavawell_core::instance::MemberRecord;
 use guavawell_core::instance::Reachability;
 use guavawell_core::platform::WriteClass;
 use smol::Timer;
@@ -31,6 +34,7 @@
 use crate::platform::InstanceList;
 use crate::platform::TableOp;
 use crate::platform::TableTxn;
+use crate::settings::RouterSettings;
 
 /// Time between two looks at queues and deadlines.
 const ADMISSION_REVIEW: Duration = Duration::from_millis(10);
@@ -142,6 +146,28 @@
     }
 }
 
+/// What gossip tells of this router.
+#[must_use]
+pub fn own_record(
+    settings: &RouterSettings,
+    life: &InstanceLife,
+    callers: SocketAddr,
+    peers: SocketAddr,
+) -> MemberRecord {
+    MemberRecord {
+        instance: life.instance.clone(),
+        incarnation: life.incarnation,
+        refutation: 0,
+        zone: settings.instance.zone.clone(),
+        caller_address: callers,
+        peer_address: peers,
+        gossip_address: settings.gossip.listen,
+        reachability: Reachability::Reachable,
+        leaving: false,
+        manifest: ManifestVersion::default(),
+    }
+}
+
 /// This instance's row for operators.
 #[must_use]
 pub fn instance_row(
--- a/crates/guavawell-fleet/src/router/mod.rs
+++ b/crates/guavawell-fleet/src/router/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod background;
 mod bill;
+mod carry;
 mod choice;
 mod claim;
 mod core;
@@ -32,6 +33,7 @@
 mod tests;
 
 pub use self::core::RouterCore;
+pub use carry::CarryCounts;
 pub use start::DrainReport;
 pub use start::RouterError;
 pub use start::RouterHandle;
--- a/crates/guavawell-fleet/src/router/platform.rs
+++ b/crates/guavawell-fleet/src/router/platform.rs
@@ -1,9 +1,12 @@
 //! The router's clients of the platform, held to its share of writes.
 
+use std::sync::Arc;
+
 use guavawell_core::platform::SharePolicy;
 
 use super::settings::platform_pool;
 use crate::drill::LinkGate;
+use crate::platform::CarrierLink;
 use crate::platform::Objects;
 use crate::platform::Table;
 use crate::platform::WriteGate;
@@ -23,15 +26,24 @@
 impl PlatformClients {
     /// The clients that `settings` describe.
     #[must_use]
-    pub fn new(settings: &RouterSettings, gate: &LinkGate) -> Self {
+    pub fn new(
+        settings: &RouterSettings,
+        gate: &LinkGate,
+        carriers: Option<&Arc<CarrierLink>>,
+    ) -> Self {
         let platform = &settings.platform;
         let pool = platform_pool(settings, gate);
         let writes = WriteGate::new(share_policy(settings), platform.timeout_ms);
         let table = Table::new(platform.table, pool.clone());
         let objects = Objects::new(platform.objects, &platform.bucket, pool);
-        Self {
-            table: table.with_writes(&writes),
-            objects: objects.with_writes(&writes),
+        let table = table.with_writes(&writes);
+        let objects = objects.with_writes(&writes);
+        match carriers {
+            None => Self { table, objects },
+            Some(link) => Self {
+                table: table.with_relay(link),
+                objects: objects.with_relay(link),
+            },
         }
     }
 }
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -13,7 +13,6 @@
 use guavawell_core::budget::InstanceLife;
 use guavawell_core::id::ManifestVersion;
 use guavawell_core::instance::MemberRecord;
-use guavawell_core::instance::Reachability;
 use guavawell_core::instance::draw_incarnation;
 use guavawell_core::limits::RetryBudget;
 use guavawell_core::manifest::ConfigSettings;
@@ -24,6 +23,10 @@
 use super::admit::AdmissionDoor;
 use super::background;
 use super::bill;
+use super::carry;
+use super::carry::CarryCounts;
+use super::carry::CarryDesk;
+use super::carry::SharedDesk;
 use super::core::RouterCore;
 use super::doubt::DoubtBook;
 use super::news;
@@ -53,6 +56,7 @@
 use crate::peer::PeerClientSettings;
 use crate::peer::PeerRefusal;
 use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
 use crate::peer::PeerServer;
 use crate::peer::PeerServerSettings;
 use crate::settings::RouterSettings;
@@ -113,6 +117,7 @@
     callers: Arc<CallerListener>,
     operators: Arc<CallerListener>,
     peers: PeerServer,
+    desk: SharedDesk,
     threads: TaskThreads,
 }
 
@@ -152,19 +157,9 @@
         let callers = ports::bind_callers(&settings).await?;
         let operators = ports::bind_operators(&settings).await?;
         let slots = SharedParts::default();
-        let peers = start_peers(&settings, &life, &events, &slots, &options.gate)?;
-        let own = MemberRecord {
-            instance: life.instance.clone(),
-            incarnation: life.incarnation,
-            refutation: 0,
-            zone: settings.instance.zone.clone(),
-            caller_address: callers.address(),
-            peer_address: peers.address(),
-            gossip_address: settings.gossip.listen,
-            reachability: Reachability::Reachable,
-            leaving: false,
-            manifest: ManifestVersion::default(),
-        };
+        let desk = SharedDesk::default();
+        let peers = start_peers(&settings, &life, &events, &slots, &desk, &options.gate)?;
+        let own = background::own_record(&settings, &life, callers.address(), peers.address());
         let gossip = start_gossip(&settings, own, &events, &options.gate).await?;
         let client = PeerClient::start(&PeerClientSettings {
             peers: settings.peers.clone(),
@@ -172,7 +167,10 @@
             tls: ports::client_tls(&settings)?,
             log: events.clone(),
         })?;
-        let PlatformClients { table, objects } = PlatformClients::new(&settings, &options.gate);
+        let carriers = carry::carrier_link(&settings, &gossip, &client, &options.gate);
+        let clients = PlatformClients::new(&settings, &options.gate, carriers.as_ref());
+        carry::start(&settings, &clients, &desk, &tasks, &events);
+        let PlatformClients { table, objects } = clients;
         let view = Arc::new(ArcSwap::from_pointee(FleetView::empty()));
         let link = settings::peer_link(gossip.clone(), client.clone(), options.gate.clone());
         let journal = bill::start_journal(objects.clone(), &life, &tasks, &slots);
@@ -230,6 +228,7 @@
             callers,
             operators,
             peers,
+            desk,
             threads,
         };
         router.spawn_all(config, hints)?;
@@ -311,6 +310,12 @@
         self.core.doubts.list().len()
     }
 
+    /// Exchanges with the platform that peers asked this router to carry.
+    #[must_use]
+    pub fn carry_counts(&self) -> CarryCounts {
+        self.desk.get().map(CarryDesk::counts).unwrap_or_default()
+    }
+
     /// Whether an operator asked for a graceful shutdown.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
@@ -373,6 +378,7 @@
     life: &InstanceLife,
     events: &EventLog,
     slots: &SharedParts,
+    desk: &SharedDesk,
     gate: &LinkGate,
 ) -> Result<PeerServer, RouterError> {
     let peers = PeerServerSettings {
@@ -382,15 +388,23 @@
         log: events.clone(),
     };
     let slots = Arc::clone(slots);
+    let desk = Arc::clone(desk);
     let gate = gate.clone();
     let handler = move |call: PeerCall| {
         let slots = Arc::clone(&slots);
+        let desk = Arc::clone(&desk);
         let gate = gate.clone();
         async move {
             gate.hold(&call.from.instance).await;
-            let Some((driver, config)) = slots.get() else {
+            let parts = slots.get().zip(desk.get());
+            let Some(((driver, config), desk)) = parts else {
                 return PeerReply::Refused(PeerRefusal::Overloaded);
             };
+            if let PeerRequest::Relay(ask) = &call.request {
+                let reply = desk.answer(ask).await;
+                gate.hold(&call.from.instance).await;
+                return reply;
+            }
             if let Some(reply) = news::answer_news(config, &call.request) {
                 return reply;
             }
--- a/crates/guavawell-fleet/src/router/tests.rs
+++ b/crates/guavawell-fleet/src/router/tests.rs
@@ -58,7 +58,8 @@
 fn table_and_objects_draw_on_the_share_of_the_settings() {
     smol::block_on(async {
         let platform = Platform::start(PlatformSettings::default()).await.unwrap();
-        let clients = PlatformClients::new(&throttled_settings(&platform), &LinkGate::default());
+        let clients =
+            PlatformClients::new(&throttled_settings(&platform), &LinkGate::default(), None);
         let txn = TableTxn {
             success: vec![TableOp::put("a", *b"1")],
             ..TableTxn::default()
--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -15,6 +15,9 @@
 /// Smallest bound on a peer's message: a piece of a ledger has to fit twice.
 const MIN_MESSAGE_BYTES: ByteCount = ByteCount::new(1024 * 1024);
 
+/// A carried body has at most this part of a peer's largest message.
+const RELAY_PART: u64 = 4;
+
 /// Shortest gossip key that is accepted, in bytes.
 pub const MIN_KEY_BYTES: usize = 16;
 
@@ -126,6 +129,13 @@
             format!("must be at least {}", MIN_MESSAGE_BYTES.get()),
         );
     }
+    let most = settings.peers.max_message_bytes.get() / RELAY_PART;
+    if settings.platform.relay_max_bytes.get() > most {
+        file.find(
+            "platform.relay_max_bytes",
+            format!("must not exceed a quarter of `peers.max_message_bytes`, {most}"),
+        );
+    }
     let Some(tls) = &settings.peers.tls else {
         return;
     };
@@ -233,6 +243,7 @@
             "platform.writes_per_second",
             settings.platform.writes_per_second.get(),
         ),
+        ("platform.relay_calls", settings.platform.relay_calls.into()),
         ("orders.at_once", settings.orders.at_once.into()),
         ("orders.fleet_loads", settings.orders.fleet_loads.into()),
         ("limits.max_running", settings.limits.max_running.into()),
--- a/crates/guavawell-fleet/src/settings/network.rs
+++ b/crates/guavawell-fleet/src/settings/network.rs
@@ -175,5 +175,15 @@
         writes_per_second: WriteRate = WriteRate::new(20);
         /// Longest time for one call to the platform, in milliseconds.
         timeout_ms: ClockSpan = ClockSpan::from_millis(2_000);
+        /// While this router's own link to the table or the object store is
+        /// out, let other routers carry its exchanges; and carry theirs.
+        relay: bool = true;
+        /// Most exchanges carried for other routers at a time; further ones
+        /// are refused at once. Their writes count against this router's
+        /// share.
+        relay_calls: u32 = 64;
+        /// Largest body of an exchange, or of its answer, that is carried, in
+        /// bytes. At most a quarter of `peers.max_message_bytes`.
+        relay_max_bytes: ByteCount = ByteCount::new(256 * 1024);
     }
 }
