--- a/crates/guavawell-core/examples/routing_compare/main.rs
+++ b/crates/guavawell-core/examples/routing_compare/main.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod sample;
 mod subset;
+mod ways;
 mod world;
 
 use guavawell_core::limits::RetryBudget;
@@ -40,6 +41,9 @@
     if std::env::args().any(|word| word == "subsets") {
         return subset::compare_subsets();
     }
+    if std::env::args().any(|word| word == "ways") {
+        return ways::compare_ways();
+    }
     if std::env::args().any(|word| word == "spills") {
         return subset::compare_spills();
     }
@@ -52,6 +56,7 @@
     compare_fairness();
     compare_equals();
     compare_retries();
+    ways::compare_ways();
     subset::compare_subsets();
     subset::compare_spills();
     print_cost();
--- a/crates/guavawell-core/src/backend/choice.rs
+++ b/crates/guavawell-core/src/backend/choice.rs
@@ -229,11 +229,11 @@
         let hinted = self.hinted(group, ask);
         let holders = || hinted.iter().flatten();
         let is_held = holders().any(|state| usable(state));
-        let drawn = draw_two(&group.members, ask.draw, &usable);
+        let drawn = draw_two(&group.near, ask.draw, &usable);
         drawn.into_iter().flatten().find_map(|state| {
             let cached = holders().any(|other| Arc::ptr_eq(other, state));
             let is_due = state.is_trial_due(ask.now) && cached == is_held;
-            is_due.then(|| candidate(group, state, cached, ask))
+            is_due.then(|| candidate(group, state, cached, None, ask))
         })
     }
 
--- a/crates/guavawell-demo/benches/capacity/platform.rs
+++ b/crates/guavawell-demo/benches/capacity/platform.rs
@@ -34,6 +34,9 @@
 use guavawell_fleet::platform::Table;
 use guavawell_fleet::slot::BudgetBase;
 use guavawell_fleet::slot::SlotTable;
+use guavawell_standin::engine::Engine;
+use guavawell_standin::engine::EngineSettings;
+use guavawell_standin::engine::ModelEntry;
 use guavawell_standin::fault::FaultChange;
 use guavawell_standin::platform::InstanceEntry;
 use guavawell_standin::platform::Platform;
@@ -203,6 +206,25 @@
     );
 }
 
+/// What a router asks of a backend server, with both directions' bytes.
+pub fn engine_polls() {
+    let engine = Engine::start(EngineSettings {
+        models: vec![ModelEntry {
+            model: "draft-7b".into(),
+            version: "1".into(),
+        }],
+        ..EngineSettings::default()
+    });
+    let engine = smol::block_on(engine).expect("it starts");
+    for path in ["/v1/load", "/v1/cache-events?after=0"] {
+        let head = format!("GET {path} HTTP/1.1\r\nhost: 10.20.30.40:8000\r\n");
+        let asked = head.len() + 2;
+        let request = format!("{head}connection: close\r\n\r\n");
+        let answered = answer_bytes(engine.address(), &request);
+        println!("{path:<26} {asked:>4} asked {answered:>4} answered");
+    }
+}
+
 fn instance_list() {
     let platform = platform();
     let entry = |number: usize| InstanceEntry {
