Give each server four routers at least; ask for servers that notes missed

A router that missed three notes on servers alive would count a server's copies as gone after 30 s, and order others. A joining node knew 276 of 390 members after 3 s on a loaded machine. Change: four routers a server at least; servers that nobody spoke of for 15 s are asked every 8 s; a comparison goes on after 250 ms in place of 500. Tests: core membership, routing, routing_trial, subset and all of fleet pass.

--- a/crates/guavawell-core/examples/routing_compare/subset.rs
+++ b/crates/guavawell-core/examples/routing_compare/subset.rs
@@ -24,19 +24,19 @@
 
 /// Prints first tokens and the spread over engines, by size of the subset;
 /// other sizes than the default's only without a fault. Numbers on the command
-/// line choose engines, a fault's name the fault.
+/// line choose engines and routers, a fault's name the fault.
 pub fn compare_subsets() {
     println!(
         "engines routers fault load subset | first token ms p50 p95 p99 | refused, late | sent to an engine: least, mean, most"
     );
-    let named: Vec<usize> = std::env::args()
-        .filter_map(|word| word.parse().ok())
-        .collect();
-    for engines in ENGINES {
-        if !named.is_empty() && !named.contains(&engines) {
-            continue;
-        }
-        for routers in ROUTERS {
+    for engines in ENGINES
+        .into_iter()
+        .filter(|count| is_chosen(*count, &ENGINES))
+    {
+        for routers in ROUTERS
+            .into_iter()
+            .filter(|count| is_chosen(*count, &ROUTERS))
+        {
             for fault in FAULTS.into_iter().filter(|fault| is_named(*fault)) {
                 compare_sizes(engines, routers, fault);
             }
@@ -44,6 +44,15 @@
     }
 }
 
+/// Whether a number is on the command line, or none of its kind is.
+fn is_chosen(number: usize, kind: &[usize]) -> bool {
+    let numbers: Vec<usize> = std::env::args()
+        .filter_map(|word| word.parse().ok())
+        .collect();
+    let named = kind.iter().any(|other| numbers.contains(other));
+    !named || numbers.contains(&number)
+}
+
 /// Whether a fault is named on the command line, or none is.
 fn is_named(fault: WorldFault) -> bool {
     let known: Vec<_> = FAULTS.iter().map(|fault| format!("{fault:?}")).collect();
--- a/crates/guavawell-core/examples/routing_compare/ways.rs
+++ b/crates/guavawell-core/examples/routing_compare/ways.rs
@@ -6,7 +6,7 @@
 const SERVERS: usize = 314;
 const ROUTERS: usize = 56;
 /// Routers a server, where servers choose.
-const SHARERS: usize = 3;
+const SHARERS: usize = 4;
 /// Servers a router, where routers choose.
 const SIZE: usize = SERVERS * SHARERS / ROUTERS;
 
--- a/crates/guavawell-core/examples/routing_compare/world/mod.rs
+++ b/crates/guavawell-core/examples/routing_compare/world/mod.rs
@@ -48,7 +48,7 @@
 pub use setup::WorldSetup;
 
 /// Least routers of a server where they have subsets.
-const LEAST_SHARERS: usize = 3;
+const LEAST_SHARERS: usize = 4;
 const PREFIXES: u64 = 60;
 const REPORT_MS: u64 = 1_000;
 const REPORT_LAG_MS: u64 = 300;
--- a/crates/guavawell-core/src/instance/settings.rs
+++ b/crates/guavawell-core/src/instance/settings.rs
@@ -81,7 +81,7 @@
             gossip_fanout: 3,
             leave_fanout: 12,
             sync_interval: ClockSpan::from_millis(5_000),
-            sync_retry: ClockSpan::from_millis(500),
+            sync_retry: ClockSpan::from_millis(250),
             sync_pages: 4,
             reconnect_interval: ClockSpan::from_millis(2_000),
             cross_zone_percent: 25,
--- a/crates/guavawell-fleet/examples/gossip_cost/report.rs
+++ b/crates/guavawell-fleet/examples/gossip_cost/report.rs
@@ -24,7 +24,7 @@
 const SHARED_ROUTERS: usize = 32;
 /// As in the router: servers a router, routers a server, polls and notes.
 const SUBSET: usize = 12;
-const SHARERS: usize = 3;
+const SHARERS: usize = 4;
 const POLL_MILLIS: u64 = 500;
 pub const SEEN_EVERY: ClockSpan = ClockSpan::from_millis(10_000);
 pub const SUMMARY_EVERY: ClockSpan = ClockSpan::from_millis(5_000);
--- a/crates/guavawell-fleet/src/router/fetch.rs
+++ b/crates/guavawell-fleet/src/router/fetch.rs
@@ -37,12 +37,15 @@
 const MAX_SHARED_ROUTERS: usize = 32;
 
 /// Least routers of a server where they have subsets.
-const LEAST_SHARERS: usize = 3;
+const LEAST_SHARERS: usize = 4;
 
 /// Servers that a router asks for itself in one period, beside those that it
 /// polls, because it knows nothing of them or heard that their models changed.
 const ASKED_A_PERIOD: usize = 8;
 
+/// Periods between two asks of the servers that nobody speaks of any more.
+const SILENT_EVERY: usize = 16;
+
 /// Polls in which a server is asked for cache events once, in a large fleet.
 const CACHE_EVERY: usize = 4;
 
@@ -177,9 +180,10 @@
 
 /// Asks some of the servers that this router knows too little of.
 fn ask_unknown(parts: &Arc<PollParts>, servers: &[PolledServer], turn: usize) {
+    let silent = turn.is_multiple_of(SILENT_EVERY);
     let unknown: Vec<_> = servers
         .iter()
-        .filter(|server| server.rank > 0 && parts.seen.is_unknown(&server.id))
+        .filter(|server| server.rank > 0 && parts.seen.is_unknown(&server.id, silent))
         .collect();
     let start = (turn * ASKED_A_PERIOD).checked_rem(unknown.len());
     let (before, after) = unknown.split_at(start.unwrap_or(0));
--- a/crates/guavawell-fleet/src/router/seen.rs
+++ b/crates/guavawell-fleet/src/router/seen.rs
@@ -36,6 +36,10 @@
 /// span after which orders count a server's copies as gone.
 const SEEN_EVERY: ClockSpan = ClockSpan::from_millis(10_000);
 
+/// Silence on a server that shows that a note was missed; half of the span
+/// after which orders count its copies as gone.
+const MISSED_AFTER: ClockSpan = ClockSpan::from_millis(15_000);
+
 /// Servers in one note, so that it stays within 512 bytes.
 const MAX_SEEN: usize = 60;
 
@@ -114,11 +118,15 @@
         self.publish_leaving(server, report, leaving);
     }
 
-    /// Whether nothing is known of a server, or its models changed since.
-    pub fn is_unknown(&self, server: &BackendId) -> bool {
+    /// Whether nothing is known of a server, or its models changed since; with
+    /// `silent`, also whether nobody spoke of it lately.
+    pub fn is_unknown(&self, server: &BackendId, silent: bool) -> bool {
         let Some(known) = self.core.models.find(server) else {
             return true;
         };
+        if silent && clock::now().since(known.seen()) > MISSED_AFTER {
+            return true;
+        }
         let state = self.lock();
         let place = state.told.binary_search_by(|(id, _)| id.cmp(server));
         place.is_ok_and(|place| state.told[place].1 != models_hash(&known.models))
