Bill every answered request: ask the granting holder, keep unheld records

Change: a holder answers NotHolder, naming the granting holder, for a charge under a tenure after its own. A charge that nobody knows is recorded by the router that ran it (counted with the frozen tokens, no place in a chain). A charge that a former holder's float took is told as settled, not as unknown. Conclusion: a whole answer has a record unless router, holder and witness die together.

--- a/crates/guavawell-core/src/budget/holder/charge.rs
+++ b/crates/guavawell-core/src/budget/holder/charge.rs
@@ -41,6 +41,10 @@
                 charged: charge.charged,
             }),
             _ if self.is_retired() => Some(self.not_holder_settle()),
+            // Its grant is a successor's, of whom this holder has not heard.
+            _ if settle.grant.tenure > self.ledger.tenure => Some(SettleAnswer::NotHolder {
+                holder: Some(settle.grant.holder.clone()),
+            }),
             _ => Some(SettleAnswer::Unknown),
         };
         if let Some(answer) = answer {
--- a/crates/guavawell-core/tests/budget_slots.rs
+++ b/crates/guavawell-core/tests/budget_slots.rs
@@ -265,3 +265,29 @@
     assert_eq!(answer(&mut fleet), HolderAnswer::Settle(settled(40)));
     granted(reserve(&mut fleet, 0, 2, 4, 60));
 }
+
+#[test]
+fn a_holder_that_missed_its_takeover_disowns_no_charge_of_its_successor() {
+    let mut fleet = fleet(2, 1_000, 0);
+    let grant = granted(reserve(&mut fleet, 0, 1, 1, 60));
+    let later = ReserveGrant {
+        tenure: grant.tenure.next().next(),
+        ..grant.clone()
+    };
+    let unheard = SettleAsk {
+        identity: identity(2),
+        attempt: AttemptId::new(2),
+        grant: later.clone(),
+        actual: TokenCount::new(10),
+        backend: None,
+    };
+    fleet.ask_present(0, HolderEvent::Settle(ASK, unheard.clone()));
+    let HolderAnswer::Settle(SettleAnswer::NotHolder { holder }) = answer(&mut fleet) else {
+        panic!("a charge under a later tenure is not this holder's to disown");
+    };
+    assert_eq!(holder, Some(later.holder));
+    let unknown = SettleAsk { grant, ..unheard };
+    fleet.ask_present(0, HolderEvent::Settle(ASK, unknown));
+    let told = HolderAnswer::Settle(SettleAnswer::Unknown);
+    assert_eq!(answer(&mut fleet), told);
+}
--- a/crates/guavawell-demo/tests/fault/holder.rs
+++ b/crates/guavawell-demo/tests/fault/holder.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
+use guavawell_core::request::billing::fold_records;
 use guavawell_demo::fleet::FleetSettings;
+use guavawell_fleet::journal::read_journal;
+use guavawell_load::history::TryEnd;
 use smol::Timer;
 
 use crate::env::FaultEnv;
@@ -16,6 +19,31 @@
 /// the gossip's suspicion.
 const PAST_EVERY_TIMER: Duration = Duration::from_secs(9);
 
+/// Looks at the journal before a request counts as never billed.
+const MAX_LOOKS: usize = 300;
+
+/// Waits until as many requests as were answered whole have a record.
+async fn wait_recorded(env: &FaultEnv) {
+    let histories = env.histories();
+    let is_whole = |end: &TryEnd| matches!(end, TryEnd::Whole);
+    let answered = histories
+        .iter()
+        .filter(|history| is_whole(&history.end))
+        .count();
+    let mut found = 0;
+    for _ in 0..MAX_LOOKS {
+        let records = read_journal(&env.fleet.objects(), None).await;
+        found = fold_records(records.expect("a readable journal"))
+            .charges
+            .len();
+        if found >= answered {
+            return;
+        }
+        Timer::after(Duration::from_millis(200)).await;
+    }
+    panic!("{found} of {answered} answered requests have a record");
+}
+
 fn zone_load(env: &FaultEnv, tag: &'static str) -> FaultLoad {
     FaultLoad {
         tag,
@@ -114,6 +142,33 @@
     });
 }
 
+#[test]
+fn what_a_dead_pair_had_granted_is_billed_by_the_router_that_ran_it() {
+    run(async {
+        let mut env = FaultEnv::start_with(FleetSettings {
+            routers: 3,
+            ..settings()
+        })
+        .await;
+        let (holder, witness) = (env.holder(0), env.witness(0));
+        let routers = env.fleet.routers.iter().enumerate();
+        let mut others = routers
+            .filter(|(index, router)| router.zone == 0 && *index != holder && *index != witness);
+        let runner = others.next().expect("a third router").0;
+        let load = env.begin(FaultLoad {
+            targets: env.router(runner),
+            requests: 24,
+            profiles: streams(64),
+            ..FaultLoad::default()
+        });
+        env.wait_runs(6).await;
+        env.fleet.kill(holder);
+        env.fleet.kill(witness);
+        assert_all_answered(&load.await, 24);
+        wait_recorded(&env).await;
+    });
+}
+
 #[test]
 fn one_router_killed_after_another_costs_no_answer() {
     run(async {
--- a/crates/guavawell-fleet/src/router/relay.rs
+++ b/crates/guavawell-fleet/src/router/relay.rs
@@ -28,6 +28,7 @@
 use crate::clock;
 use crate::engine::EngineError;
 use crate::event::EventDraft;
+use crate::slot::RunCharge;
 
 /// Times that one answer is resumed before it is given up.
 const MAX_RESUMES: usize = 5;
@@ -250,18 +251,18 @@
     backend: BackendId,
 ) {
     reservation.keep();
-    let identity = reservation.identity.clone();
-    let start = Instant::now();
-    let answer = core
-        .slots
-        .settle(SettleAsk {
-            identity: identity.clone(),
+    let charge = RunCharge {
+        budget: reservation.budget().clone(),
+        ask: SettleAsk {
+            identity: reservation.identity.clone(),
             attempt: reservation.attempt,
             grant: reservation.grant.clone(),
             actual,
             backend: Some(backend),
-        })
-        .await;
+        },
+    };
+    let start = Instant::now();
+    let answer = core.slots.settle(charge).await;
     metrics::histogram!("guavawell_settle_ms").record(millis(start));
     if let Some(SettleAnswer::Settled { charged }) = answer {
         note(core, &reservation, "billing.recorded", charged);
--- a/crates/guavawell-fleet/src/router/reserve.rs
+++ b/crates/guavawell-fleet/src/router/reserve.rs
@@ -58,6 +58,11 @@
 }
 
 impl HeldReservation {
+    /// The budget that pays.
+    pub const fn budget(&self) -> &BudgetId {
+        &self.budget
+    }
+
     /// Keeps the reservation: it will be settled.
     pub fn keep(&mut self) {
         self.core = None;
--- a/crates/guavawell-fleet/src/slot/mod.rs
+++ b/crates/guavawell-fleet/src/slot/mod.rs
@@ -15,6 +15,7 @@
 mod maintain;
 mod resolve;
 mod seat;
+mod settle;
 mod table;
 #[cfg(test)]
 mod tests;
@@ -27,6 +28,7 @@
 pub use link::PeerLink;
 pub use resolve::OrphanedAttempt;
 pub use resolve::ResolvedAttempt;
+pub use settle::RunCharge;
 pub use table::BaseLookup;
 pub use table::BudgetBase;
 pub use table::SlotTable;
--- a/crates/guavawell-fleet/src/slot/resolve.rs
+++ b/crates/guavawell-fleet/src/slot/resolve.rs
@@ -13,6 +13,7 @@
 use super::acquire::is_alive;
 use super::driver::SlotDriver;
 use super::seat::SlotSeat;
+use super::settle::RunCharge;
 
 /// What the backend server's record says of an attempt left behind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,7 +58,7 @@
                 attempt: orphan.held.attempt,
             }),
             ResolvedAttempt::Done(actual) => {
-                self.settle(SettleAsk {
+                let ask = SettleAsk {
                     identity: orphan.identity.clone(),
                     attempt: orphan.held.attempt,
                     grant: ReserveGrant {
@@ -68,8 +69,9 @@
                     },
                     actual,
                     backend: orphan.held.backend.clone(),
-                })
-                .await;
+                };
+                let budget = orphan.held.budget.clone();
+                self.settle(RunCharge { ask, budget }).await;
             }
         }
     }
--- /dev/null
+++ b/crates/guavawell-fleet/src/slot/settle.rs
@@ -0,0 +1,149 @@
+//! Charges of attempts that this router ran, or finds the outcome of.
+//!
+//! A charge is told to whoever granted it and to whoever holds the slot now.
+//! Where both lost sight of the attempt, this router keeps the billing record
+//! itself: a request that was answered has a record.
+
+use std::sync::Arc;
+
+use guavawell_core::budget::SettleAnswer;
+use guavawell_core::budget::SettleAsk;
+use guavawell_core::budget::SlotId;
+use guavawell_core::budget::TokenPool;
+use guavawell_core::id::BudgetId;
+use guavawell_core::id::TokenCount;
+use guavawell_core::request::billing::BillingRecord;
+use smol::Timer;
+
+use super::acquire::is_alive;
+use super::driver::SlotDriver;
+use super::toward::HolderReply;
+use super::toward::RETRY_PAUSE;
+use crate::clock;
+use crate::event::EventDraft;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+use crate::peer::SlotAsk;
+
+/// What an attempt used, and which budget pays.
+#[derive(Clone, Debug)]
+pub struct RunCharge {
+    /// The charge as the slot's holder is told it.
+    pub ask: SettleAsk,
+    /// The budget.
+    pub budget: BudgetId,
+}
+
+impl SlotDriver {
+    /// Charges an attempt, trying until it is recorded or `settle_wait` has
+    /// passed; then the tries go on in the background and `None` is returned.
+    ///
+    /// A charge that the holder has recorded alone is returned as pending, and
+    /// the tries go on too: a takeover would not know of it.
+    pub async fn settle(self: &Arc<Self>, charge: RunCharge) -> Option<SettleAnswer> {
+        let deadline = clock::now() + self.parts.times.settle_wait;
+        let mut answer = self.settle_once(&charge).await;
+        while answer.is_none() && clock::now() < deadline {
+            Timer::after(RETRY_PAUSE).await;
+            answer = self.settle_once(&charge).await;
+        }
+        if !is_final(answer.as_ref()) {
+            metrics::counter!("guavawell_settles_late_total").increment(1);
+            self.settle_later(charge);
+        }
+        answer
+    }
+
+    fn settle_later(self: &Arc<Self>, charge: RunCharge) {
+        let driver = Arc::clone(self);
+        let task = async move {
+            let mut answer = None;
+            while !is_final(answer.as_ref()) {
+                Timer::after(RETRY_PAUSE * 10).await;
+                answer = driver.settle_once(&charge).await;
+            }
+        };
+        self.parts.tasks.spawn(task);
+    }
+
+    async fn settle_once(self: &Arc<Self>, charge: &RunCharge) -> Option<SettleAnswer> {
+        let ask = &charge.ask;
+        let slot = self.slot_of(&ask.identity.organisation);
+        let mut paid = None;
+        if ask.grant.pool == TokenPool::Float && !self.is_holder(&slot, &ask.grant.holder) {
+            paid = self.settle_float(&slot, ask).await?.charged;
+        }
+        let told = PeerRequest::Settle(SlotAsk::new(slot.clone(), ask.clone()));
+        let HolderReply::Answer(PeerReply::Settle(answer)) = self.ask_holder(&slot, &told).await
+        else {
+            return None;
+        };
+        match (answer, paid) {
+            (SettleAnswer::NotHolder { .. }, _) => None,
+            (SettleAnswer::Unknown, Some(charged)) => Some(SettleAnswer::Settled { charged }),
+            (SettleAnswer::Unknown, None) => {
+                self.keep_unheld(&slot, charge);
+                Some(SettleAnswer::Unknown)
+            }
+            (answer, _) => Some(answer),
+        }
+    }
+
+    /// Tells a former holder of a charge to its float, which only it reports;
+    /// `None` if it lives and has not answered.
+    async fn settle_float(
+        self: &Arc<Self>,
+        slot: &SlotId,
+        ask: &SettleAsk,
+    ) -> Option<FormerCharge> {
+        let former = &ask.grant.holder;
+        let told = PeerRequest::Settle(SlotAsk::new(slot.clone(), ask.clone()));
+        match self.ask_one(slot, &told, &former.instance).await {
+            Ok(PeerReply::Settle(SettleAnswer::Settled { charged })) => Some(FormerCharge {
+                charged: Some(charged),
+            }),
+            Ok(PeerReply::Settle(_)) => Some(FormerCharge { charged: None }),
+            _ if is_alive(&(self.parts.members)(), former) => None,
+            _ => Some(FormerCharge { charged: None }),
+        }
+    }
+
+    /// Keeps the record of a charge that no holder knows: the one that granted
+    /// it is gone, and its tokens are frozen in the budget's row.
+    fn keep_unheld(&self, slot: &SlotId, charge: &RunCharge) {
+        let ask = &charge.ask;
+        let charged = ask.actual.min(ask.grant.amount);
+        metrics::counter!("guavawell_billing_records_unheld_total").increment(1);
+        self.parts.events.emit(
+            EventDraft::new("billing.recorded_unheld")
+                .organisation(&ask.identity.organisation)
+                .budget(&charge.budget)
+                .request(&ask.identity.request)
+                .attempt(ask.attempt)
+                .field("tokens", charged),
+        );
+        self.parts.journal.record(BillingRecord {
+            identity: ask.identity.clone(),
+            attempt: ask.attempt,
+            budget: charge.budget.clone(),
+            slot: slot.clone(),
+            tenure: ask.grant.tenure,
+            charged,
+            backend: ask.backend.clone(),
+            counted: TokenCount::new(u64::MAX),
+            pool: ask.grant.pool,
+            at: clock::now(),
+        });
+    }
+}
+
+/// What a former holder says of a charge to its float.
+struct FormerCharge {
+    /// What it charged; `None` if it is gone or does not know the attempt.
+    charged: Option<TokenCount>,
+}
+
+/// Whether nothing is left to do for a charge.
+const fn is_final(answer: Option<&SettleAnswer>) -> bool {
+    !matches!(answer, None | Some(SettleAnswer::Pending { .. }))
+}
--- a/crates/guavawell-fleet/src/slot/toward.rs
+++ b/crates/guavawell-fleet/src/slot/toward.rs
@@ -16,7 +16,6 @@
 use guavawell_core::budget::SealAnswer;
 use guavawell_core::budget::SealAsk;
 use guavawell_core::budget::SettleAnswer;
-use guavawell_core::budget::SettleAsk;
 use guavawell_core::budget::SlotId;
 use guavawell_core::budget::TakeoverAsk;
 use guavawell_core::budget::TokenPool;
@@ -40,14 +39,14 @@
 const HOP_PAUSE: Duration = Duration::from_millis(25);
 
 /// Wait between two tries of an ask that must get through.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Tries of giving a reservation back before it is left to the holder, which
 /// asks the backend server's record.
 const MAX_RELEASES: usize = 50;
 
 /// How an ask to whoever holds a slot ended.
-enum HolderReply {
+pub(super) enum HolderReply {
     /// The holder answered.
     Answer(PeerReply),
     /// No holder could be reached; the ask may have arrived.
@@ -96,72 +95,8 @@
         }
     }
 
-    /// Charges an attempt, trying until it is recorded or `settle_wait` has
-    /// passed; then the tries go on in the background and `None` is returned.
-    ///
-    /// A charge that the holder has recorded alone is returned as pending, and
-    /// the tries go on too: a takeover would not know of it.
-    pub async fn settle(self: &Arc<Self>, ask: SettleAsk) -> Option<SettleAnswer> {
-        let deadline = clock::now() + self.parts.times.settle_wait;
-        let mut answer = self.settle_once(&ask).await;
-        while answer.is_none() && clock::now() < deadline {
-            Timer::after(RETRY_PAUSE).await;
-            answer = self.settle_once(&ask).await;
-        }
-        if !is_final(answer.as_ref()) {
-            metrics::counter!("guavawell_settles_late_total").increment(1);
-            self.settle_later(ask);
-        }
-        answer
-    }
-
-    fn settle_later(self: &Arc<Self>, ask: SettleAsk) {
-        let driver = Arc::clone(self);
-        let task = async move {
-            let mut answer = None;
-            while !is_final(answer.as_ref()) {
-                Timer::after(RETRY_PAUSE * 10).await;
-                answer = driver.settle_once(&ask).await;
-            }
-        };
-        self.parts.tasks.spawn(task);
-    }
-
-    async fn settle_once(self: &Arc<Self>, ask: &SettleAsk) -> Option<SettleAnswer> {
-        let slot = self.slot_of(&ask.identity.organisation);
-        if ask.grant.pool == TokenPool::Float && !self.is_holder(&slot, &ask.grant.holder) {
-            self.settle_float(&slot, ask).await?;
-        }
-        match self
-            .ask_holder(
-                &slot,
-                &PeerRequest::Settle(SlotAsk::new(slot.clone(), ask.clone())),
-            )
-            .await
-        {
-            HolderReply::Answer(PeerReply::Settle(SettleAnswer::NotHolder { .. })) => None,
-            HolderReply::Answer(PeerReply::Settle(answer)) => Some(answer),
-            _ => None,
-        }
-    }
-
-    /// Tells a former holder of a charge to its float, which only it reports;
-    /// `None` if it lives and has not answered.
-    async fn settle_float(self: &Arc<Self>, slot: &SlotId, ask: &SettleAsk) -> Option<()> {
-        let former = &ask.grant.holder;
-        let reply = self
-            .ask_one(
-                slot,
-                &PeerRequest::Settle(SlotAsk::new(slot.clone(), ask.clone())),
-                &former.instance,
-            )
-            .await;
-        let is_told = matches!(reply, Ok(PeerReply::Settle(_)));
-        (is_told || !is_alive(&(self.parts.members)(), former)).then_some(())
-    }
-
     /// Whether a life holds the slot, as far as is known here.
-    fn is_holder(&self, slot: &SlotId, life: &InstanceLife) -> bool {
+    pub(super) fn is_holder(&self, slot: &SlotId, life: &InstanceLife) -> bool {
         self.directory.holder(slot).as_ref() == Some(life)
     }
 
@@ -247,7 +182,11 @@
     }
 
     /// Asks whoever holds the slot, following hints, until `ask_wait` is over.
-    async fn ask_holder(self: &Arc<Self>, slot: &SlotId, ask: &PeerRequest) -> HolderReply {
+    pub(super) async fn ask_holder(
+        self: &Arc<Self>,
+        slot: &SlotId,
+        ask: &PeerRequest,
+    ) -> HolderReply {
         // Boxed: the way over other routers is too large for a request's stack frame.
         Box::pin(self.ask_hops(slot, ask)).await
     }
@@ -279,7 +218,7 @@
         HolderReply::None
     }
 
-    async fn ask_one(
+    pub(super) async fn ask_one(
         self: &Arc<Self>,
         slot: &SlotId,
         ask: &PeerRequest,
@@ -360,11 +299,6 @@
     }
 }
 
-/// Whether nothing is left to do for a charge.
-const fn is_final(answer: Option<&SettleAnswer>) -> bool {
-    !matches!(answer, None | Some(SettleAnswer::Pending { .. }))
-}
-
 fn word_of(reply: &PeerReply) -> HolderWord {
     match reply {
         PeerReply::Reserve(ReserveAnswer::NotHolder { holder })
