Hedge a request whose first token is late

Cause: core decided about hedges (should_hedge), nothing asked it. Change: routing.hedge (off) and routing.hedge_after_ms (500), with findings. A request that may run twice and has no first event by then gets one second attempt at another server, paid from the retry budget, under the same attempt id and reservation, so that one charge at most can come of it. The first event wins; the loser is cancelled at its server, its wait taken as a lower bound of that server's time to first token. Where one fails, the other goes on; where both fail, the first is recovered as before, and nothing claims that it did not run.

--- a/crates/guavawell-core/src/backend/lease.rs
+++ b/crates/guavawell-core/src/backend/lease.rs
@@ -125,6 +125,19 @@
         }
     }
 
+    /// Another attempt of the request gave its first token before this one: the
+    /// wait is a lower bound of this server's time to first token, or a slow
+    /// server that always loses would never be known as slow.
+    pub fn overtaken(self, now: ClockTime) {
+        let is_measured = self.first_token.is_none() && !self.resumed && !self.queued;
+        let waited = now.since(self.begun);
+        let state = &self.pick.backend;
+        if is_measured && waited.as_millis() > state.first_token_mean(now) {
+            state.first_token.sample(waited, now);
+        }
+        self.finish(LeaseOutcome::Cancelled, now);
+    }
+
     /// Time since the request began.
     #[must_use]
     pub fn age(&self, now: ClockTime) -> ClockSpan {
--- a/crates/guavawell-core/tests/routing_trial.rs
+++ b/crates/guavawell-core/tests/routing_trial.rs
@@ -1,4 +1,5 @@
-//! Servers that lose every comparison are tried again.
+//! Servers that lose every comparison are tried again; those that lose to a
+//! hedge are known as slow.
 
 use std::sync::Arc;
 
@@ -129,3 +130,19 @@
     let ejected = LATER + ClockSpan::from_millis(11_000);
     assert_eq!(slow_share(&table, 200, ejected), 0, "no report since");
 }
+
+#[test]
+fn a_server_that_loses_to_a_hedge_is_known_as_slow() {
+    let table = table();
+    measure(&table, SLOW, FAST_MILLIS, at(0));
+    measure(&table, FAST, FAST_MILLIS, at(0));
+    for round in 0..10 {
+        let now = at(round * 1_000);
+        let lease = begin(&table, 1, &[FAST], now);
+        lease.overtaken(now + ClockSpan::from_millis(500));
+    }
+    let views = table.views(at(10_000));
+    assert!(views[1].first_token_ms > 250, "{views:?}");
+    assert_eq!(views[0].first_token_ms, FAST_MILLIS);
+    assert_eq!((views[1].own, views[1].ejected), (0, false));
+}
--- a/crates/guavawell-demo/tests/fault/main.rs
+++ b/crates/guavawell-demo/tests/fault/main.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod engine;
 mod env;
+mod hedge;
 mod holder;
 mod load;
 mod outage;
--- a/crates/guavawell-fleet/src/router/attempt.rs
+++ b/crates/guavawell-fleet/src/router/attempt.rs
@@ -22,6 +22,7 @@
 use super::choice::engine_request;
 use super::choice::lease_outcome;
 use super::core::RouterCore;
+use super::hedge::start_hedged;
 use super::recover::MAX_PROBES;
 use super::recover::PROBE_PAUSE;
 use super::recover::RecoveredAttempt;
@@ -104,13 +105,16 @@
     message: &EngineRequest,
     open: OpenAttempt,
 ) -> SendEnd<LiveStream> {
-    let tried = open.tried.clone();
-    let mut attempt = StreamAttempt::new(run.core, open);
-    let result = match attempt.start(message).await {
+    let started = start_hedged(run, message, open).await;
+    let attempt = started.attempt;
+    let result = match started.result {
         Ok((exchange, first)) => Ok(attempt.live(exchange, first)),
-        Err(failure) => attempt.go_on(run.call, failure).await,
+        Err(failure) => attempt.go_on(run.call, failure, started.other_ran).await,
     };
-    SendEnd { result, tried }
+    SendEnd {
+        result,
+        tried: started.tried,
+    }
 }
 
 /// Opens the stream of an attempt that another try began, from its start.
@@ -222,6 +226,18 @@
         }
     }
 
+    /// The backend server.
+    #[must_use]
+    pub fn backend(&self) -> &BackendId {
+        &self.backend
+    }
+
+    /// The attempt's id.
+    #[must_use]
+    pub const fn attempt(&self) -> AttemptId {
+        self.check.attempt()
+    }
+
     /// Sends the attempt and waits for its first event.
     pub async fn start(&mut self, message: &EngineRequest) -> StartResult {
         let wait = self.core.engines.settings().idle;
@@ -240,14 +256,21 @@
     }
 
     /// Goes on after a failure before the first event, where the backend
-    /// server still has the attempt.
+    /// server still has the attempt. With `other_ran`, a second attempt of the
+    /// request may have run elsewhere, so that nothing proves it not run.
     async fn go_on(
         mut self,
         call: &OutgoingCall,
         error: EngineError,
+        other_ran: bool,
     ) -> Result<LiveStream, SendFailure> {
+        let not_run = if other_ran {
+            FailureProof::MayRunTwice
+        } else {
+            FailureProof::NotRun
+        };
         if error.certainly_not_run() {
-            return Err(self.failed(error, FailureProof::NotRun));
+            return Err(self.failed(error, not_run));
         }
         let proof = match recover(&self.core, self.address, &self.check).await {
             RecoveredAttempt::Resumed(mut exchange) => {
@@ -257,7 +280,7 @@
                 }
                 FailureProof::InDoubt
             }
-            RecoveredAttempt::NeverSeen if call.idempotent => FailureProof::NotRun,
+            RecoveredAttempt::NeverSeen if call.idempotent => not_run,
             RecoveredAttempt::Unreachable if call.idempotent => {
                 // The caller has seen nothing of it, and it may run twice.
                 self.cancel_later();
@@ -293,4 +316,17 @@
     fn close(self, failure: &EngineError) {
         self.lease.finish(lease_outcome(failure), clock::now());
     }
+
+    /// Ends the attempt that another one of its request went past: cancelled
+    /// at its backend server, unless it failed and certainly did not run.
+    pub fn lose(self, failure: Option<&EngineError>) {
+        let may_run = failure.is_none_or(|failure| !failure.certainly_not_run());
+        if may_run {
+            self.cancel_later();
+        }
+        match failure {
+            Some(failure) => self.close(failure),
+            None => self.lease.overtaken(clock::now()),
+        }
+    }
 }
--- a/crates/guavawell-fleet/src/router/mod.rs
+++ b/crates/guavawell-fleet/src/router/mod.rs
@@ -14,6 +14,7 @@
 mod doubt;
 mod entry;
 mod fetch;
+mod hedge;
 mod keys;
 mod news;
 mod orphan;
--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -26,6 +26,7 @@
     check_peers(settings, file);
     check_gossip(settings, file);
     check_spans(settings, file);
+    check_hedge(settings, file);
     check_counts(settings, file);
 }
 
@@ -194,6 +195,7 @@
             settings.routing.connect_timeout_ms,
         ),
         ("routing.silent_after_ms", settings.routing.silent_after_ms),
+        ("routing.hedge_after_ms", settings.routing.hedge_after_ms),
         ("orders.review_ms", settings.orders.review_ms),
         ("orders.silent_after_ms", settings.orders.silent_after_ms),
         ("orders.take_over_ms", settings.orders.take_over_ms),
@@ -209,6 +211,25 @@
     }
 }
 
+fn check_hedge(settings: &RouterSettings, file: &FileReader<'_>) {
+    let routing = &settings.routing;
+    if routing.hedge && routing.hedge_after_ms >= routing.silent_after_ms {
+        file.find(
+            "routing.hedge_after_ms",
+            format!(
+                "must be shorter than `silent_after_ms` ({}), or silence goes first",
+                routing.silent_after_ms
+            ),
+        );
+    }
+    if routing.hedge && routing.retry_share.per_mille() == 0 {
+        file.find(
+            "routing.retry_share",
+            "may not be 0 with `hedge`, which is paid for as a retry",
+        );
+    }
+}
+
 fn check_counts(settings: &RouterSettings, file: &FileReader<'_>) {
     let counts = [
         (
--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -65,6 +65,12 @@
         /// Silence on a stream before the backend server is probed on a new
         /// connection, in milliseconds.
         silent_after_ms: ClockSpan = ClockSpan::from_millis(2_000);
+        /// Send a second attempt at another backend server when the first token
+        /// of a request that may run twice is late. It is paid for as a retry.
+        hedge: bool = false;
+        /// Wait for the first token before that, in milliseconds; shorter than
+        /// `silent_after_ms`.
+        hedge_after_ms: ClockSpan = ClockSpan::from_millis(500);
         /// Retries at other backend servers allowed, as a share of requests that succeed.
         retry_share: ShareRatio = ShareRatio::clamped(0.1);
     }
--- a/crates/guavawell-fleet/src/settings/tests.rs
+++ b/crates/guavawell-fleet/src/settings/tests.rs
@@ -224,6 +224,17 @@
     assert!(!reads(&sources, "no_such_key"));
 }
 
+#[test]
+fn a_hedge_that_could_never_go_out_is_found() {
+    let text = format!("{PLAIN}[routing]\nhedge_after_ms = 2000\n");
+    assert!(parse(&text).is_ok(), "hedging is off");
+    let text = format!("{text}hedge = true\nretry_share = 0.0\n");
+    let findings = findings(&text);
+    for key in ["routing.hedge_after_ms", "routing.retry_share"] {
+        assert!(findings.contains(key), "{key}: {findings}");
+    }
+}
+
 #[test]
 fn orders_that_could_never_go_out_are_found() {
     let text = format!("{PLAIN}[orders]\nreview_ms = 0\nfleet_loads = 0\nat_once = 0\n");
--- a/crates/guavawell-standin/src/truth/mod.rs
+++ b/crates/guavawell-standin/src/truth/mod.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use crate::attempt::AttemptEntry;
-use crate::attempt::AttemptPhase;
+pub use crate::attempt::AttemptPhase;
 use crate::lock::lock;
 
 /// One run, in the order in which the runs began.
