Let a second try of an id find the attempt that won a hedge

Cause: a second try of an id reads along with the first attempt; when a hedge won and that attempt was cancelled, its caller was told already_ran, though the answer was at the other server. A fleet test with two loads of the same ids showed it at once. Change: where following fails, the holder is asked once more where the answer is, and the same server twice is final.

--- a/crates/guavawell-demo/tests/fault/hedge.rs
+++ b/crates/guavawell-demo/tests/fault/hedge.rs
@@ -165,3 +165,19 @@
         env.assert_exact().await;
     });
 }
+
+#[test]
+fn a_second_try_of_an_id_reads_along_with_the_winner() {
+    run(async {
+        let mut env = FaultEnv::start_with(hedging(2)).await;
+        set_faults(&env.fleet.engines[0], delay(SLOW_MILLIS)).await;
+        for tag in ["a", "b", "c", "d"] {
+            let first = env.begin(load(tag));
+            let second = env.begin(load(tag));
+            assert_all_answered(&first.await, REQUESTS);
+            assert_all_answered(&second.await, REQUESTS);
+        }
+        assert!(!runs(&env, 0).is_empty(), "the slow server was tried");
+        env.assert_exact().await;
+    });
+}
--- a/crates/guavawell-fleet/src/router/reserve.rs
+++ b/crates/guavawell-fleet/src/router/reserve.rs
@@ -29,7 +29,7 @@
 const MAX_JOIN_LOOKS: usize = 20;
 
 /// Wait between two such looks.
-const JOIN_PAUSE: Duration = Duration::from_millis(50);
+pub const JOIN_PAUSE: Duration = Duration::from_millis(50);
 
 /// What a request may do after its reservation.
 pub enum ReservedRequest {
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -7,6 +7,7 @@
 use guavawell_core::backend::RouteTarget;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::id::BackendId;
 use guavawell_core::id::TokenCount;
 use guavawell_core::limits::AdmissionAsk;
 use guavawell_core::limits::RefusalCause;
@@ -22,18 +23,22 @@
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
+use smol::Timer;
 
 use super::admit::AdmissionPass;
 use super::admit::NotAdmitted;
 use super::answer::refuse;
 use super::answer::stream_answer;
 use super::answer::whole_answer;
+use super::attempt::LiveStream;
 use super::attempt::OutgoingCall;
 use super::attempt::follow_stream;
 use super::attempt::open_stream;
 use super::core::RouterCore;
 use super::entry::CallerEntry;
 use super::relay::StreamRelay;
+use super::reserve::HeldReservation;
+use super::reserve::JOIN_PAUSE;
 use super::reserve::ReservationAsk;
 use super::reserve::ReservedRequest;
 use super::reserve::reserve;
@@ -132,36 +137,24 @@
     let call = chat_call(view, entry, &ask)?;
     accepted(core, entry, ask.worst_case());
     let pass = admit(core, entry, &call.target, ask.worst_case()).await?;
-    let start = Instant::now();
     let asked = ReservationAsk {
         amount: ask.worst_case(),
         idempotent: call.idempotent,
         digest: RequestDigest::of(&call.path, body),
     };
-    let reserved = reserve(core, entry, asked).await?;
-    metrics::histogram!("guavawell_reserve_ms").record(millis(start));
     let run = AttemptRun {
         core,
         entry,
         call: &call,
     };
-    let relay = match reserved {
-        ReservedRequest::Run(mut reservation) => StreamRelay {
-            core: Arc::clone(core),
-            live: open_stream(run, &pass, &mut reservation).await?,
-            reservation: Some(reservation),
-            idempotent: call.idempotent,
-            _pass: pass,
-            failure: None,
-        },
-        ReservedRequest::Follow { attempt, backend } => StreamRelay {
-            core: Arc::clone(core),
-            live: follow_stream(core, attempt, &backend).await?,
-            reservation: None,
-            idempotent: true,
-            _pass: pass,
-            failure: None,
-        },
+    let (live, reservation) = live_stream(run, &pass, asked).await?;
+    let relay = StreamRelay {
+        core: Arc::clone(core),
+        live,
+        idempotent: reservation.is_none() || call.idempotent,
+        reservation,
+        _pass: pass,
+        failure: None,
     };
     let identity = entry.head.identity.clone();
     Ok(if ask.stream {
@@ -171,6 +164,40 @@
     })
 }
 
+/// Runs a request, or reads along with another try of its id.
+///
+/// Where that try was hedged, the attempt that is read along with may be the
+/// one that lost; so the holder is asked once more where the answer is.
+async fn live_stream(
+    run: AttemptRun<'_>,
+    pass: &AdmissionPass,
+    asked: ReservationAsk,
+) -> Result<(LiveStream, Option<HeldReservation>), Refusal> {
+    let mut lost: Option<(BackendId, Refusal)> = None;
+    loop {
+        let start = Instant::now();
+        let reserved = reserve(run.core, run.entry, asked).await?;
+        metrics::histogram!("guavawell_reserve_ms").record(millis(start));
+        let (attempt, backend) = match reserved {
+            ReservedRequest::Run(mut reservation) => {
+                let live = open_stream(run, pass, &mut reservation).await?;
+                return Ok((live, Some(reservation)));
+            }
+            ReservedRequest::Follow { attempt, backend } => (attempt, backend),
+        };
+        if let Some((tried, refusal)) = lost.take()
+            && tried == backend
+        {
+            return Err(refusal);
+        }
+        match follow_stream(run.core, attempt, &backend).await {
+            Ok(live) => return Ok((live, None)),
+            Err(refusal) => lost = Some((backend, refusal)),
+        }
+        Timer::after(JOIN_PAUSE).await;
+    }
+}
+
 /// Milliseconds since `start`, with fractions.
 #[must_use]
 pub fn millis(start: Instant) -> f64 {
