--- a/crates/guavawell-demo/tests/fault/main.rs
+++ b/crates/guavawell-demo/tests/fault/main.rs
@@ -14,4 +14,5 @@
 mod pair;
 mod partition;
 mod recovery;
+mod relay;
 mod shutdown;
