--- a/crates/guavawell-core/examples/request_cost.rs
+++ b/crates/guavawell-core/examples/request_cost.rs
@@ -45,6 +45,7 @@
         budget: Some("saaremaa-2026"),
         deadline: Some("2000"),
         priority: Some("7"),
+        generation: Some("12"),
     };
     report("head", ROUNDS, 0, || {
         let _ = black_box(HeadAsk::parse(Clone::clone(&organisation), fields, 1));
--- a/crates/guavawell-core/src/id/mod.rs
+++ b/crates/guavawell-core/src/id/mod.rs
@@ -7,6 +7,7 @@
 mod tokens;
 
 pub use number::AttemptId;
+pub use number::ClaimGeneration;
 pub use number::FenceNumber;
 pub use number::IncarnationId;
 pub use number::ManifestVersion;
--- a/crates/guavawell-core/src/id/number.rs
+++ b/crates/guavawell-core/src/id/number.rs
@@ -72,6 +72,11 @@
     ManifestVersion,
     u64
 );
+number_id!(
+    /// A span of the fleet's life, by which the age of claims is known.
+    ClaimGeneration,
+    u64
+);
 number_id!(
     /// A fencing number carried by orders to model engines.
     FenceNumber,
--- a/crates/guavawell-core/src/lib.rs
+++ b/crates/guavawell-core/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod order;
 pub mod platform;
 pub mod request;
+pub mod retention;
--- a/crates/guavawell-core/src/request/claim/mod.rs
+++ b/crates/guavawell-core/src/request/claim/mod.rs
@@ -4,7 +4,9 @@
 //! that the table's conditional writes decide between them. A claim names the
 //! one attempt that may run; a seal says that none ever will. A released row
 //! frees the id again and, because it is a write, keeps any late claim of the
-//! released attempt out. Rows are replaced, never deleted, while the id lives.
+//! released attempt out. Rows are replaced, never deleted, while the id lives;
+//! `crate::retention` sweeps those of old generations, and every write names
+//! the generation that has to be in force.
 
 mod refuse;
 mod row;
--- a/crates/guavawell-core/src/request/claim/refuse.rs
+++ b/crates/guavawell-core/src/request/claim/refuse.rs
@@ -23,6 +23,11 @@
         Some(ClaimEnd::Held { .. }) => Ok(unsent),
         Some(ClaimEnd::Sealed) => Err(sealed(step, unsent, RefusalReason::Sealed)),
         Some(ClaimEnd::TakenBy(row)) => Err(taken(row)),
+        Some(ClaimEnd::Forgotten) => Err(forgotten()),
+        Some(ClaimEnd::Outlived) => {
+            let detail = "the try took longer than claims are kept; this try was not sent";
+            Err(Refusal::retry(unsent, RefusalReason::Deadline, detail))
+        }
         _ => {
             let detail = "the table could not confirm the claim; nothing was sent";
             let refusal = Refusal::retry(unsent, RefusalReason::PlatformUnreachable, detail);
@@ -42,6 +47,7 @@
     match step.end() {
         Some(ClaimEnd::Sealed) => sealed(step, unsent, reason),
         Some(ClaimEnd::TakenBy(row)) => taken(row),
+        Some(ClaimEnd::Forgotten) => forgotten(),
         _ => Refusal::retry(unsent, reason, detail).inexact(),
     }
 }
@@ -60,3 +66,8 @@
     );
     Refusal::unknown(RefusalReason::AlreadyRan, detail)
 }
+
+fn forgotten() -> Refusal {
+    let detail = "the id is older than claims are kept; nobody can tell whether it ran";
+    Refusal::unknown(RefusalReason::IdExpired, detail)
+}
--- a/crates/guavawell-core/src/request/claim/step.rs
+++ b/crates/guavawell-core/src/request/claim/step.rs
@@ -3,11 +3,13 @@
 use crate::budget::InstanceLife;
 use crate::clock::ClockTime;
 use crate::id::AttemptId;
+use crate::id::ClaimGeneration;
 use crate::request::attempt::UnsentAttempt;
 use crate::request::claim::row::ClaimRow;
 use crate::request::claim::row::ClaimState;
 use crate::request::identity::RequestIdentity;
 use crate::request::proof::SealProof;
+use crate::retention::TryStart;
 
 /// Most writes of one step; each one but the first follows a read-back.
 const MAX_WRITES: u8 = 3;
@@ -44,15 +46,23 @@
     Lost,
     /// The write was certainly not applied, or the read back gave no answer.
     Failed,
+    /// The write was not applied, because another generation is in force.
+    Stale {
+        /// The generation in force.
+        current: ClaimGeneration,
+    },
 }
 
 /// What the driver does next.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum ClaimEffect {
-    /// Write the row if the key is at this revision; 0 for an absent key.
+    /// Write the row if the key is at this revision, 0 for an absent key, and
+    /// this generation is in force.
     Write {
         /// The revision expected.
         expected: u64,
+        /// The generation that has to be in force.
+        generation: ClaimGeneration,
         /// The row to write.
         row: ClaimRow,
     },
@@ -80,6 +90,10 @@
     Unreachable,
     /// A write may have been applied, or may still be.
     Undecided,
+    /// The try took so long that a claim of its id may have been swept since.
+    Outlived,
+    /// The id is so old, by its caller's word, that its claim may have been swept.
+    Forgotten,
 }
 
 /// One attempt's way through claim, seal or release.
@@ -88,6 +102,9 @@
     identity: RequestIdentity,
     goal: ClaimGoal,
     row: ClaimRow,
+    start: TryStart,
+    generation: ClaimGeneration,
+    expected: u64,
     writes: u8,
     in_doubt: bool,
     end: Option<ClaimEnd>,
@@ -105,6 +122,7 @@
         attempt: AttemptId,
         router: InstanceLife,
         at: ClockTime,
+        start: TryStart,
     ) -> Self {
         let state = match goal {
             ClaimGoal::Run => ClaimState::Claimed,
@@ -120,6 +138,9 @@
                 router,
                 at,
             },
+            start,
+            generation: start.begun,
+            expected: 0,
             writes: 0,
             in_doubt: false,
             end: None,
@@ -127,9 +148,11 @@
     }
 
     /// The first effect: write where nothing should be yet, or, with the
-    /// `revision` of the attempt's own claim, in its place.
-    pub fn start(&mut self, revision: u64) -> ClaimEffect {
-        self.write(revision)
+    /// `revision` of the attempt's own claim, in its place. `current` is the
+    /// generation that is thought to be in force.
+    pub fn start(&mut self, revision: u64, current: ClaimGeneration) -> ClaimEffect {
+        self.expected = revision;
+        self.enter(current)
     }
 
     /// The effect that follows an event.
@@ -137,12 +160,36 @@
         match event {
             ClaimEvent::Written { revision } => self.done(self.reached(revision)),
             ClaimEvent::Found { row, revision } => self.found(row, revision),
-            ClaimEvent::Absent => self.write(0),
+            ClaimEvent::Absent => self.absent(),
             ClaimEvent::Lost => {
                 self.in_doubt = true;
                 ClaimEffect::ReadBack
             }
             ClaimEvent::Failed => self.done(self.not_reached()),
+            ClaimEvent::Stale { current } => self.enter(current),
+        }
+    }
+
+    /// Goes on in the generation in force, unless a claim of the id that the
+    /// caller may count on could be gone by now.
+    fn enter(&mut self, current: ClaimGeneration) -> ClaimEffect {
+        if self.start.is_forgotten(current) {
+            return self.done(ClaimEnd::Forgotten);
+        }
+        if !self.start.may_write(current) {
+            return self.done(self.outlived());
+        }
+        self.generation = current;
+        self.write(self.expected)
+    }
+
+    /// No row: the first write of an id, unless the attempt held its claim.
+    fn absent(&mut self) -> ClaimEffect {
+        match (self.expected, self.goal) {
+            (0, _) => self.write(0),
+            // A swept claim is gone for good: no write of it is under way.
+            (_, ClaimGoal::Release) => self.done(ClaimEnd::Released),
+            _ => self.done(self.outlived()),
         }
     }
 
@@ -162,8 +209,10 @@
             return self.done(self.not_reached());
         }
         self.writes += 1;
+        self.expected = expected;
         ClaimEffect::Write {
             expected,
+            generation: self.generation,
             row: self.row.clone(),
         }
     }
@@ -184,6 +233,14 @@
         }
     }
 
+    const fn outlived(&self) -> ClaimEnd {
+        if self.in_doubt {
+            ClaimEnd::Undecided
+        } else {
+            ClaimEnd::Outlived
+        }
+    }
+
     fn done(&mut self, end: ClaimEnd) -> ClaimEffect {
         self.end = Some(end.clone());
         ClaimEffect::Done(end)
@@ -195,6 +252,12 @@
         &self.identity
     }
 
+    /// What it wants of the id.
+    #[must_use]
+    pub const fn goal(&self) -> ClaimGoal {
+        self.goal
+    }
+
     /// How the step ended, if it has.
     #[must_use]
     pub const fn end(&self) -> Option<&ClaimEnd> {
--- a/crates/guavawell-core/src/request/head/fault.rs
+++ b/crates/guavawell-core/src/request/head/fault.rs
@@ -20,6 +20,9 @@
     /// The deadline.
     #[error("X-Guavawell-Deadline-Ms: `{0}` is not a number of milliseconds")]
     Deadline(Box<str>),
+    /// The generation of the id's first use.
+    #[error("X-Guavawell-Generation: `{0}` is not a generation that an answer named")]
+    Generation(Box<str>),
     /// The priority.
     #[error("X-Guavawell-Priority: `{0}` is not one of 0 to 9")]
     Priority(Box<str>),
--- a/crates/guavawell-core/src/request/head/read.rs
+++ b/crates/guavawell-core/src/request/head/read.rs
@@ -4,6 +4,7 @@
 use super::fault::HeadFaults;
 use crate::clock::ClockSpan;
 use crate::id::BudgetId;
+use crate::id::ClaimGeneration;
 use crate::id::OrganisationId;
 use crate::request::identity::RequestIdentity;
 
@@ -24,6 +25,8 @@
     pub deadline: Option<&'a str>,
     /// `X-Guavawell-Priority`.
     pub priority: Option<&'a str>,
+    /// `X-Guavawell-Generation`.
+    pub generation: Option<&'a str>,
 }
 
 /// A checked head.
@@ -39,6 +42,8 @@
     pub deadline: Option<ClockSpan>,
     /// 0 to 9; higher goes first.
     pub priority: u8,
+    /// The generation in which the id was first used, by its caller's word.
+    pub first: Option<ClaimGeneration>,
 }
 
 impl HeadAsk {
@@ -68,6 +73,7 @@
         };
         let deadline: Option<u64> = read(fields.deadline, HeadFault::Deadline, &mut faults);
         let priority = read_priority(fields.priority, &mut faults);
+        let first = read(fields.generation, HeadFault::Generation, &mut faults);
         match identity {
             Some(identity) if faults.is_empty() => Ok(Self {
                 identity,
@@ -75,6 +81,7 @@
                 budget,
                 deadline: deadline.map(ClockSpan::from_millis),
                 priority,
+                first,
             }),
             _ => Err(HeadFaults { faults }),
         }
--- a/crates/guavawell-core/src/request/reason.rs
+++ b/crates/guavawell-core/src/request/reason.rs
@@ -39,6 +39,8 @@
     Sealed,
     /// The id has run or is running, and its answer cannot be given again.
     AlreadyRan,
+    /// The id is older than claims are kept.
+    IdExpired,
     /// The id was used for another request.
     IdentityMismatch,
     /// The router is shutting down.
@@ -53,7 +55,7 @@
 
 impl RefusalReason {
     /// Every reason.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::BadRequest,
         Self::Unauthorised,
         Self::UnknownModel,
@@ -69,6 +71,7 @@
         Self::PlatformUnreachable,
         Self::Sealed,
         Self::AlreadyRan,
+        Self::IdExpired,
         Self::IdentityMismatch,
         Self::Leaving,
         Self::NotReady,
@@ -95,6 +98,7 @@
             Self::PlatformUnreachable => "platform_unreachable",
             Self::Sealed => "sealed",
             Self::AlreadyRan => "already_ran",
+            Self::IdExpired => "id_expired",
             Self::IdentityMismatch => "identity_mismatch",
             Self::Leaving => "leaving",
             Self::NotReady => "not_ready",
@@ -122,6 +126,7 @@
             Self::PlatformUnreachable => "Platform unreachable",
             Self::Sealed => "Request id refused before",
             Self::AlreadyRan => "Request ran already",
+            Self::IdExpired => "Request id too old",
             Self::IdentityMismatch => "Request id used for another request",
             Self::Leaving => "Router leaving",
             Self::NotReady => "Router not ready",
@@ -139,7 +144,7 @@
             Self::BudgetExhausted => 402,
             Self::UnknownModel | Self::UnknownBudget | Self::UnknownService => 404,
             Self::Timeout => 408,
-            Self::Sealed | Self::AlreadyRan => 409,
+            Self::Sealed | Self::AlreadyRan | Self::IdExpired => 409,
             Self::BodyTooLarge => 413,
             Self::IdentityMismatch => 422,
             Self::BackendFailed | Self::Interrupted => 502,
--- a/crates/guavawell-core/src/request/tests.rs
+++ b/crates/guavawell-core/src/request/tests.rs
@@ -17,6 +17,7 @@
 use super::head::HeadFields;
 use crate::clock::ClockSpan;
 use crate::id::AttemptId;
+use crate::id::ClaimGeneration;
 use crate::id::OrganisationId;
 use crate::id::TokenCount;
 
@@ -154,12 +155,14 @@
         budget: Some("b"),
         deadline: Some("250"),
         priority: Some("9"),
+        generation: Some("12"),
     };
     let head = HeadAsk::parse(organisation(), fields, 7).unwrap();
     assert!(!head.identity.minted);
     assert_eq!(head.idempotent, Some(false));
     assert_eq!(head.deadline, Some(ClockSpan::from_millis(250)));
     assert_eq!(head.priority, 9);
+    assert_eq!(head.first, Some(ClaimGeneration::new(12)));
 }
 
 #[test]
@@ -170,9 +173,10 @@
         budget: Some(""),
         deadline: Some("soon"),
         priority: Some("12"),
+        generation: Some("tomorrow"),
     };
     let faults = HeadAsk::parse(organisation(), fields, 7).unwrap_err();
-    assert_eq!(faults.faults.len(), 5, "{faults}");
+    assert_eq!(faults.faults.len(), 6, "{faults}");
 }
 
 fn frame(sequence: u64) -> String {
--- /dev/null
+++ b/crates/guavawell-core/src/retention/age.rs
@@ -0,0 +1,211 @@
+//! How age is known: the rows of generation and sweep, and who may end a
+//! generation.
+//!
+//! The sweep's row counts the time that single monotonic clocks saw pass
+//! while it stood unchanged. Each write adds the span between the moment at
+//! which its writer read the row and the moment at which it sends the write,
+//! if the row is still the one that was read. Such spans never overlap, so
+//! their sum is never longer than the time that really passed; a writer that
+//! pauses, crashes or loses a race only makes it shorter.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::generation::KEPT_GENERATIONS;
+use super::settings::RetentionSettings;
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+use crate::id::ClaimGeneration;
+
+/// The row at [`super::GENERATION_KEY`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct GenerationRow {
+    /// The generation in force.
+    pub generation: ClaimGeneration,
+}
+
+/// The row at [`super::SWEEP_KEY`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct SweepRow {
+    /// Time that the generation in force has lasted at least.
+    pub aged: ClockSpan,
+    /// Revisions at which former generations began, oldest first; as many as
+    /// a sweep needs.
+    pub starts: Vec<u64>,
+    /// The generation in which the pass under way, or the last one, began.
+    pub pass: ClaimGeneration,
+    /// Where the pass under way stands; `None` once it is over.
+    pub cursor: Option<Box<str>>,
+    /// Rows deleted since the fleet's beginning; a lost note loses some.
+    pub deleted: u64,
+}
+
+/// Both rows, as read in one transaction.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct RetentionView {
+    /// The row of the generation.
+    pub generation: GenerationRow,
+    /// Its revision; 0 for an absent row.
+    pub generation_revision: u64,
+    /// The row of the sweep.
+    pub sweep: SweepRow,
+    /// Its revision; 0 for an absent row.
+    pub sweep_revision: u64,
+}
+
+impl RetentionView {
+    /// Rows last written before this revision may be deleted; 0: none.
+    #[must_use]
+    pub fn due_before(&self) -> u64 {
+        let starts = &self.sweep.starts;
+        // The generation in force began at its row's revision, the one before
+        // at the last of `starts`, and so on.
+        let kept = usize::try_from(KEPT_GENERATIONS + 1).unwrap_or(usize::MAX);
+        starts
+            .len()
+            .checked_sub(kept)
+            .map_or(0, |place| starts[place])
+    }
+}
+
+/// A write of the sweep's row, and of the generation's if it ends.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct KeeperWrite {
+    /// The sweep's row.
+    pub sweep: SweepRow,
+    /// The next generation, if the one in force ends.
+    pub advance: Option<GenerationRow>,
+}
+
+/// What the driver does next.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum KeeperEffect {
+    /// Write, comparing both rows' revisions; then read them again.
+    Write(KeeperWrite),
+    /// Look at the page behind the cursor for rows before the revision.
+    Scan {
+        /// The last key that was looked at.
+        after: Option<Box<str>>,
+        /// Rows last written before it may go.
+        due_before: u64,
+    },
+    /// Nothing is due.
+    Rest,
+}
+
+/// One router's part in keeping the generations; others may do the same.
+#[derive(Clone, Debug)]
+pub struct RetentionKeeper {
+    settings: RetentionSettings,
+    seen: Option<SeenView>,
+}
+
+#[derive(Clone, Debug)]
+struct SeenView {
+    view: RetentionView,
+    /// When its answer had come.
+    at: ClockTime,
+    /// Progress since, not noted in the table yet.
+    sweep: SweepRow,
+}
+
+impl RetentionKeeper {
+    /// A keeper that has seen nothing.
+    #[must_use]
+    pub const fn new(settings: RetentionSettings) -> Self {
+        Self {
+            settings,
+            seen: None,
+        }
+    }
+
+    /// Takes what a read found; `now` is taken after its answer came.
+    pub fn read(&mut self, view: RetentionView, now: ClockTime) {
+        if self.seen.as_ref().is_some_and(|seen| seen.view == view) {
+            return;
+        }
+        let sweep = view.sweep.clone();
+        self.seen = Some(SeenView {
+            view,
+            at: now,
+            sweep,
+        });
+    }
+
+    /// Forgets what was read, after a write with whatever answer or while
+    /// another router is elected.
+    pub fn forget(&mut self) {
+        self.seen = None;
+    }
+
+    /// Takes note of a page that was looked at.
+    pub fn swept(&mut self, cursor: Option<Box<str>>, deleted: u64) {
+        if let Some(seen) = &mut self.seen {
+            if seen.sweep.cursor.is_none() {
+                seen.sweep.pass = seen.view.generation.generation;
+            }
+            seen.sweep.cursor = cursor;
+            seen.sweep.deleted += deleted;
+        }
+    }
+
+    /// What to do at `now`.
+    #[must_use]
+    pub fn next(&self, now: ClockTime) -> KeeperEffect {
+        let Some(seen) = &self.seen else {
+            return KeeperEffect::Rest;
+        };
+        if !self.settings.sweeps_claims() {
+            return KeeperEffect::Rest;
+        }
+        let passed = now.since(seen.at);
+        let mut sweep = seen.sweep.clone();
+        sweep.aged = ClockSpan::from_millis(sweep.aged.as_millis() + passed.as_millis());
+        if sweep.aged >= self.settings.generation() {
+            return KeeperEffect::Write(seen.advance(sweep));
+        }
+        if passed >= self.note_every() {
+            return KeeperEffect::Write(KeeperWrite {
+                sweep,
+                advance: None,
+            });
+        }
+        seen.scan()
+    }
+
+    /// A generation is noted several times, or a fleet whose routers live
+    /// shorter than one would never end it.
+    fn note_every(&self) -> ClockSpan {
+        let part = self.settings.generation().as_millis() / 4;
+        let part = ClockSpan::from_millis(part.max(1));
+        self.settings.note_every.min(part)
+    }
+}
+
+impl SeenView {
+    fn advance(&self, mut sweep: SweepRow) -> KeeperWrite {
+        let kept = usize::try_from(KEPT_GENERATIONS + 1).unwrap_or(usize::MAX);
+        sweep.starts.push(self.view.generation_revision);
+        let beyond = sweep.starts.len().saturating_sub(kept);
+        sweep.starts.drain(..beyond);
+        sweep.aged = ClockSpan::default();
+        let generation = self.view.generation.generation.next();
+        KeeperWrite {
+            sweep,
+            advance: Some(GenerationRow { generation }),
+        }
+    }
+
+    /// The pass under way goes on; a new one begins once in a generation.
+    fn scan(&self) -> KeeperEffect {
+        let due_before = self.view.due_before();
+        let is_new = self.sweep.pass < self.view.generation.generation;
+        if due_before == 0 || (self.sweep.cursor.is_none() && !is_new) {
+            return KeeperEffect::Rest;
+        }
+        KeeperEffect::Scan {
+            after: self.sweep.cursor.clone(),
+            due_before,
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/retention/settings.rs
@@ -0,0 +1,37 @@
+//! Spans and rates of retention.
+
+use super::generation::KEPT_GENERATIONS;
+use crate::clock::ClockSpan;
+
+/// How long things are kept, and how fast the rest goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetentionSettings {
+    /// How long the claim of an id is kept at least after its last write; zero
+    /// keeps claims for ever.
+    pub claims: ClockSpan,
+    /// Time between two writes of the sweep's progress.
+    pub note_every: ClockSpan,
+}
+
+impl Default for RetentionSettings {
+    fn default() -> Self {
+        Self {
+            claims: ClockSpan::default(),
+            note_every: ClockSpan::from_millis(600_000),
+        }
+    }
+}
+
+impl RetentionSettings {
+    /// Length of a generation.
+    #[must_use]
+    pub const fn generation(&self) -> ClockSpan {
+        ClockSpan::from_millis(self.claims.as_millis().div_ceil(KEPT_GENERATIONS))
+    }
+
+    /// Whether claims are swept at all.
+    #[must_use]
+    pub const fn sweeps_claims(&self) -> bool {
+        self.claims.as_millis() > 0
+    }
+}
--- a/crates/guavawell-ctl/src/args.rs
+++ b/crates/guavawell-ctl/src/args.rs
@@ -47,6 +47,13 @@
     guavawell-ctl --platform 127.0.0.1:2379 order list
 ";
 
+/// Examples of `retention`.
+const RETENTION_EXAMPLES: &str = "Examples:
+\x20
+    guavawell-ctl --platform 127.0.0.1:2379 retention show
+    guavawell-ctl --platform 127.0.0.1:2379 retention sweep --dry-run
+";
+
 /// Example of `instance`.
 const INSTANCE_EXAMPLES: &str = "Example:
 \x20
@@ -126,6 +133,9 @@
     /// Look at the orders to model engines
     #[bpaf(command, footer(ORDER_EXAMPLES))]
     Order(#[bpaf(external(order_command))] OrderCommand),
+    /// Look at what the platform keeps, and sweep what is due
+    #[bpaf(command, footer(RETENTION_EXAMPLES))]
+    Retention(#[bpaf(external(retention_command))] RetentionCommand),
     /// Look at entry instances and drain them
     #[bpaf(command, footer(INSTANCE_EXAMPLES))]
     Instance(#[bpaf(external(instance_command))] InstanceCommand),
@@ -292,6 +302,25 @@
     List,
 }
 
+/// What to do with what the platform keeps.
+#[derive(Clone, Debug, Bpaf)]
+pub enum RetentionCommand {
+    /// Show the generation of claims in force, its age, and where the sweep stands
+    #[bpaf(command)]
+    Show,
+    /// Delete the claims that are due, now and to the end
+    ///
+    ///
+    /// Only claims older than the retention that the routers' settings state are due; this command
+    /// cannot shorten it. Routers sweep by themselves; a sweep at the same time does no harm.
+    #[bpaf(command)]
+    Sweep {
+        /// Count what is due and delete nothing
+        #[bpaf(long("dry-run"))]
+        dry_run: bool,
+    },
+}
+
 /// What to do with entry instances.
 #[derive(Clone, Debug, Bpaf)]
 pub enum InstanceCommand {
--- a/crates/guavawell-ctl/src/main.rs
+++ b/crates/guavawell-ctl/src/main.rs
@@ -11,6 +11,7 @@
 mod order;
 mod output;
 mod platform;
+mod retention;
 mod run;
 mod settings;
 
--- /dev/null
+++ b/crates/guavawell-ctl/src/retention/mod.rs
@@ -0,0 +1,7 @@
+//! `retention`: show, sweep.
+
+mod show;
+mod sweep;
+
+pub use show::show;
+pub use sweep::sweep;
--- a/crates/guavawell-ctl/src/run.rs
+++ b/crates/guavawell-ctl/src/run.rs
@@ -8,6 +8,7 @@
 use crate::args::InstanceCommand;
 use crate::args::ManifestCommand;
 use crate::args::OrderCommand;
+use crate::args::RetentionCommand;
 use crate::audit;
 use crate::backend;
 use crate::budget;
@@ -16,6 +17,7 @@
 use crate::instance;
 use crate::manifest;
 use crate::order;
+use crate::retention;
 use crate::settings::CtlSettings;
 
 /// Carries out what the settings say.
@@ -76,6 +78,12 @@
             BackendCommand::Drain { backend } => Box::pin(backend::drain(settings, backend)).await,
         },
         Command::Order(OrderCommand::List) => Box::pin(order::list(settings)).await,
+        Command::Retention(command) => match command {
+            RetentionCommand::Show => Box::pin(retention::show(settings)).await,
+            RetentionCommand::Sweep { dry_run } => {
+                Box::pin(retention::sweep(settings, *dry_run)).await
+            }
+        },
         // Its exit code says what it found.
         Command::Audit(_) => Ok(()),
         Command::Instance(command) => match command {
--- a/crates/guavawell-ctl/tests/ctl/main.rs
+++ b/crates/guavawell-ctl/tests/ctl/main.rs
@@ -8,4 +8,5 @@
 mod instance;
 mod manifest;
 mod order;
+mod retention;
 mod support;
--- a/crates/guavawell-fleet/examples/platform_writes.rs
+++ b/crates/guavawell-fleet/examples/platform_writes.rs
@@ -199,13 +199,16 @@
             detail: "".into(),
             retry_after: None,
         };
-        claims.refuse(&identity, false, attempt, &cause).await;
+        let start = claims.start_try();
+        claims
+            .refuse(&identity, false, attempt, start, &cause)
+            .await;
         return Ended::Unclaimed;
     }
     let mut ended = Ended::Unclaimed;
     if is_once {
         let start = Instant::now();
-        let answer = claims.claim(&identity, attempt).await;
+        let answer = claims.claim(&identity, attempt, claims.start_try()).await;
         if !matches!(answer, ClaimAnswer::Held(_)) {
             return Ended::Refused;
         }
--- a/crates/guavawell-fleet/src/claim/batch.rs
+++ b/crates/guavawell-fleet/src/claim/batch.rs
@@ -5,13 +5,17 @@
 //! written, the rows read tell whose it was, and the others go again.
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::id::ClaimGeneration;
 use guavawell_core::platform::WriteClass;
 use guavawell_core::request::claim::ClaimEvent;
 use guavawell_core::request::claim::ClaimRow;
+use guavawell_core::retention::GENERATION_KEY;
 use smol::Timer;
 use smol::channel::Receiver;
 use smol::channel::Sender;
 
+use super::book::GenerationBook;
+use super::book::KnownGeneration;
 use crate::clock::duration;
 use crate::platform::PlatformError;
 use crate::platform::Table;
@@ -43,6 +47,7 @@
 pub(super) struct QueuedWrite {
     pub key: Box<str>,
     pub expected: u64,
+    pub generation: ClaimGeneration,
     pub row: ClaimRow,
     pub answer: Sender<ClaimEvent>,
 }
@@ -52,6 +57,7 @@
     table: Table,
     settings: BatchSettings,
     queue: Receiver<QueuedWrite>,
+    book: GenerationBook,
 ) {
     let mut waiting: Vec<QueuedWrite> = Vec::new();
     loop {
@@ -66,7 +72,7 @@
             waiting.push(write);
         }
         let batch = take_batch(&mut waiting, settings.most.max(1));
-        let again = write_batch(&table, batch).await;
+        let again = write_batch(&table, &book, batch).await;
         waiting.splice(0..0, again);
     }
 }
@@ -88,15 +94,27 @@
 }
 
 /// Writes a batch, tells each writer, and gives back what goes again.
-async fn write_batch(table: &Table, batch: Vec<QueuedWrite>) -> Vec<QueuedWrite> {
+async fn write_batch(
+    table: &Table,
+    book: &GenerationBook,
+    batch: Vec<QueuedWrite>,
+) -> Vec<QueuedWrite> {
+    let known = book.known();
+    let batch = tell_stale(batch, known.generation);
+    if batch.is_empty() {
+        return batch;
+    }
     metrics::histogram!("guavawell_claim_batch_size").record(count_of(batch.len()));
-    match table.txn(&transaction(&batch), WriteClass::Claim).await {
+    match table
+        .txn(&transaction(&known, &batch), WriteClass::Claim)
+        .await
+    {
         Ok(answer) if answer.succeeded => {
             let revision = answer.revision;
             tell_all(batch, &ClaimEvent::Written { revision });
             Vec::new()
         }
-        Ok(answer) => tell_clashes(batch, &answer),
+        Ok(answer) => tell_clashes(batch, &answer, known, book),
         Err(PlatformError::Lost(_)) => {
             tell_all(batch, &ClaimEvent::Lost);
             Vec::new()
@@ -108,16 +126,28 @@
     }
 }
 
+/// Tells the writers that count on another generation; gives back the others.
+fn tell_stale(batch: Vec<QueuedWrite>, current: ClaimGeneration) -> Vec<QueuedWrite> {
+    let is_current = |write: &QueuedWrite| write.generation == current;
+    let (batch, stale): (Vec<_>, Vec<_>) = batch.into_iter().partition(is_current);
+    tell_all(stale, &ClaimEvent::Stale { current });
+    batch
+}
+
 fn count_of(len: usize) -> f64 {
     f64::from(u32::try_from(len).unwrap_or(u32::MAX))
 }
 
-fn transaction(batch: &[QueuedWrite]) -> TableTxn {
+fn transaction(known: &KnownGeneration, batch: &[QueuedWrite]) -> TableTxn {
     let compare = |write: &QueuedWrite| TableCompare::unchanged(&write.key, write.expected);
+    let mut compares: Vec<TableCompare> = batch.iter().map(compare).collect();
+    compares.push(known.compare());
+    let mut failure: Vec<TableOp> = batch.iter().map(|write| TableOp::get(&write.key)).collect();
+    failure.push(TableOp::get(GENERATION_KEY));
     TableTxn {
-        compares: batch.iter().map(compare).collect(),
+        compares,
         success: batch.iter().map(put).collect(),
-        failure: batch.iter().map(|write| TableOp::get(&write.key)).collect(),
+        failure,
     }
 }
 
@@ -126,16 +156,30 @@
     TableOp::put(&write.key, value)
 }
 
-/// Tells the writers whose condition failed; the others go again.
-fn tell_clashes(batch: Vec<QueuedWrite>, answer: &TxnAnswer) -> Vec<QueuedWrite> {
+/// Tells the writers whose condition failed, and all others if another
+/// generation is in force; else these go again.
+fn tell_clashes(
+    batch: Vec<QueuedWrite>,
+    answer: &TxnAnswer,
+    known: KnownGeneration,
+    book: &GenerationBook,
+) -> Vec<QueuedWrite> {
+    let Some(found) = KnownGeneration::of(answer.row(batch.len())) else {
+        tell_all(batch, &ClaimEvent::Failed);
+        return Vec::new();
+    };
+    book.hear(found);
     let mut again = Vec::new();
     for (place, write) in batch.into_iter().enumerate() {
         let row = answer.row(place);
         let revision = row.map_or(0, |row| row.mod_revision);
-        if revision == write.expected {
+        if revision != write.expected {
+            tell(&write, seen(row));
+        } else if found == known {
             again.push(write);
         } else {
-            tell(&write, seen(row));
+            let current = found.generation;
+            tell(&write, ClaimEvent::Stale { current });
         }
     }
     again
--- a/crates/guavawell-fleet/src/claim/driver.rs
+++ b/crates/guavawell-fleet/src/claim/driver.rs
@@ -1,8 +1,11 @@
 //! Runs claims, seals and releases against the table.
 
+use std::time::Duration;
+
 use guavawell_core::budget::InstanceLife;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::AttemptId;
+use guavawell_core::id::ClaimGeneration;
 use guavawell_core::platform::BackoffPolicy;
 use guavawell_core::platform::Jitter;
 use guavawell_core::request::Refusal;
@@ -19,6 +22,7 @@
 use guavawell_core::request::claim::needs_claim;
 use guavawell_core::request::claim::run_or_refuse;
 use guavawell_core::request::claim::seal_refusal;
+use guavawell_core::retention::TryStart;
 use smol::Timer;
 use smol::channel;
 use smol::channel::Sender;
@@ -27,6 +31,7 @@
 use super::batch::QueuedWrite;
 use super::batch::seen;
 use super::batch::write_batches;
+use super::book::GenerationBook;
 use crate::clock::duration;
 use crate::clock::now;
 use crate::platform::Table;
@@ -35,6 +40,10 @@
 const QUEUE_LENGTH: usize = 4_096;
 /// Tries to free an id whose claim was given up in doubt.
 const RELEASE_TRIES: u32 = 20;
+/// Time between two reads of the generation in force. Writes learn of another
+/// one by themselves; reads keep a router without claims from starting its
+/// tries in an old one.
+const GENERATION_EVERY: Duration = Duration::from_secs(60);
 
 /// An attempt that alone may run, not sent yet.
 #[derive(Debug, PartialEq, Eq)]
@@ -78,6 +87,7 @@
     table: Table,
     router: InstanceLife,
     queue: Sender<QueuedWrite>,
+    book: GenerationBook,
     backoff: BackoffPolicy,
 }
 
@@ -86,27 +96,50 @@
     #[must_use]
     pub fn start(table: Table, router: InstanceLife, settings: BatchSettings) -> Self {
         let (queue, writes) = channel::bounded(QUEUE_LENGTH);
-        smol::spawn(write_batches(table.clone(), settings, writes)).detach();
+        let book = GenerationBook::default();
+        let batches = write_batches(table.clone(), settings, writes, book.clone());
+        smol::spawn(batches).detach();
         Self {
             table,
             router,
             queue,
+            book,
             backoff: BackoffPolicy::default(),
         }
     }
 
+    /// The start of a try whose request was read now.
+    #[must_use]
+    pub fn start_try(&self) -> TryStart {
+        TryStart::new(self.book.known().generation)
+    }
+
+    /// Reads the generation in force, as long as it runs.
+    pub async fn watch_generation(self) {
+        loop {
+            self.book.read(&self.table).await;
+            Timer::after(GENERATION_EVERY).await;
+        }
+    }
+
     /// Claims a request for an attempt, before its first byte is sent.
     ///
     /// Where the future is dropped, because the caller went away, the id is
     /// freed in the background.
-    pub async fn claim(&self, identity: &RequestIdentity, attempt: UnsentAttempt) -> ClaimAnswer {
+    pub async fn claim(
+        &self,
+        identity: &RequestIdentity,
+        attempt: UnsentAttempt,
+        start: TryStart,
+    ) -> ClaimAnswer {
         let mut pending = PendingClaim {
             driver: self,
             identity,
             attempt: attempt.id(),
             is_open: true,
         };
-        let step = self.finish(identity, ClaimGoal::Run, attempt.id(), 0).await;
+        let mut step = self.step(identity, ClaimGoal::Run, attempt.id(), start);
+        self.finish(&mut step, 0).await;
         pending.is_open = step.end() == Some(&ClaimEnd::Undecided);
         let retry_after = self.backoff.wait(1, Jitter(fastrand::u16(..)));
         match step.end() {
@@ -128,11 +161,13 @@
         identity: &RequestIdentity,
         idempotent: bool,
         attempt: UnsentAttempt,
+        start: TryStart,
         cause: &RefusalCause,
     ) -> Refusal {
         let seals = needs_claim(identity, idempotent) && cause.reason.wants_seal();
         let refusal = if seals {
-            self.seal(identity, attempt, 0, cause).await
+            let step = self.step(identity, ClaimGoal::Seal, attempt.id(), start);
+            self.seal(step, attempt, 0, cause).await
         } else {
             Refusal::unsealed(identity, attempt, cause.reason, cause.detail.clone())
         };
@@ -149,13 +184,13 @@
     ) -> Refusal {
         let HeldClaim { attempt, revision } = claim;
         if cause.reason.wants_seal() {
-            let refusal = self.seal(identity, attempt, revision, cause).await;
+            let start = self.start_try();
+            let step = self.step(identity, ClaimGoal::Seal, attempt.id(), start);
+            let refusal = self.seal(step, attempt, revision, cause).await;
             return hinted(refusal, cause);
         }
         let id = attempt.id();
-        let step = self
-            .finish(identity, ClaimGoal::Release, id, revision)
-            .await;
+        let step = self.release(identity, id, revision).await;
         if matches!(
             step.end(),
             Some(ClaimEnd::Undecided | ClaimEnd::Unreachable)
@@ -168,13 +203,12 @@
 
     async fn seal(
         &self,
-        identity: &RequestIdentity,
+        mut step: ClaimStep,
         attempt: UnsentAttempt,
         revision: u64,
         cause: &RefusalCause,
     ) -> Refusal {
-        let id = attempt.id();
-        let step = self.finish(identity, ClaimGoal::Seal, id, revision).await;
+        self.finish(&mut step, revision).await;
         seal_refusal(&step, attempt, cause.reason, &cause.detail)
     }
 
@@ -186,9 +220,7 @@
             for failures in 1..=RELEASE_TRIES {
                 let wait = driver.backoff.wait(failures, Jitter(fastrand::u16(..)));
                 Timer::after(duration(wait)).await;
-                let step = driver
-                    .finish(&identity, ClaimGoal::Release, attempt, 0)
-                    .await;
+                let step = driver.release(&identity, attempt, 0).await;
                 let end = step.end();
                 if !matches!(end, Some(ClaimEnd::Undecided | ClaimEnd::Unreachable)) {
                     return;
@@ -199,35 +231,63 @@
         .detach();
     }
 
-    /// Runs a step to its end.
-    async fn finish(
+    /// Frees the id of an unsent attempt. It runs nothing, so that its own
+    /// age does not matter.
+    async fn release(
         &self,
         identity: &RequestIdentity,
-        goal: ClaimGoal,
         attempt: AttemptId,
         revision: u64,
+    ) -> ClaimStep {
+        let mut step = self.step(identity, ClaimGoal::Release, attempt, self.start_try());
+        self.finish(&mut step, revision).await;
+        step
+    }
+
+    fn step(
+        &self,
+        identity: &RequestIdentity,
+        goal: ClaimGoal,
+        attempt: AttemptId,
+        start: TryStart,
     ) -> ClaimStep {
         let router = self.router.clone();
-        let mut step = ClaimStep::new(identity.clone(), goal, attempt, router, now());
-        let mut effect = step.start(revision);
+        ClaimStep::new(identity.clone(), goal, attempt, router, now(), start)
+    }
+
+    /// Runs a step to its end.
+    async fn finish(&self, step: &mut ClaimStep, revision: u64) {
+        let identity = step.identity().clone();
+        let mut effect = step.start(revision, self.book.known().generation);
         loop {
             let event = match effect {
-                ClaimEffect::Write { expected, row } => self.write(identity, expected, row).await,
-                ClaimEffect::ReadBack => self.read(identity).await,
+                ClaimEffect::Write {
+                    expected,
+                    generation,
+                    row,
+                } => self.write(&identity, expected, generation, row).await,
+                ClaimEffect::ReadBack => self.read(&identity).await,
                 ClaimEffect::Done(end) => {
-                    count_end(goal, &end);
-                    return step;
+                    count_end(step.goal(), &end);
+                    return;
                 }
             };
             effect = step.on(event);
         }
     }
 
-    async fn write(&self, identity: &RequestIdentity, expected: u64, row: ClaimRow) -> ClaimEvent {
+    async fn write(
+        &self,
+        identity: &RequestIdentity,
+        expected: u64,
+        generation: ClaimGeneration,
+        row: ClaimRow,
+    ) -> ClaimEvent {
         let (answer, answered) = channel::bounded(1);
         let write = QueuedWrite {
             key: claim_key(identity),
             expected,
+            generation,
             row,
             answer,
         };
@@ -289,6 +349,8 @@
         ClaimEnd::TakenBy(_) => "taken",
         ClaimEnd::Unreachable => "unreachable",
         ClaimEnd::Undecided => "undecided",
+        ClaimEnd::Outlived => "outlived",
+        ClaimEnd::Forgotten => "forgotten",
     };
     metrics::counter!("guavawell_claim_steps_total", "goal" => goal, "end" => end).increment(1);
 }
--- a/crates/guavawell-fleet/src/claim/mod.rs
+++ b/crates/guavawell-fleet/src/claim/mod.rs
@@ -4,6 +4,7 @@
 //! and batches. It never sends anything to a backend server.
 
 mod batch;
+mod book;
 mod count;
 mod driver;
 
--- a/crates/guavawell-fleet/src/lib.rs
+++ b/crates/guavawell-fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod order;
 pub mod peer;
 pub mod platform;
+pub mod retention;
 pub mod router;
 pub mod settings;
 pub mod slot;
--- a/crates/guavawell-fleet/src/platform/mod.rs
+++ b/crates/guavawell-fleet/src/platform/mod.rs
@@ -24,6 +24,7 @@
 pub use pool::PoolSettings;
 pub use table::Table;
 pub use table::TableRead;
+pub use table::TableScan;
 pub use txn::CompareSign;
 pub use txn::OpAnswer;
 pub use txn::TableCompare;
--- a/crates/guavawell-fleet/src/platform/table.rs
+++ b/crates/guavawell-fleet/src/platform/table.rs
@@ -40,6 +40,15 @@
     }
 }
 
+/// One page of a scan, without the rows' values.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TableScan {
+    /// The rows, sorted by key; their values are empty.
+    pub rows: Vec<TableRow>,
+    /// Whether further rows lie behind them.
+    pub more: bool,
+}
+
 /// A client of the table service; clones share their connections.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -103,6 +112,30 @@
         }
     }
 
+    /// Reads at most `limit` rows whose key begins with `prefix` and lies
+    /// behind `after`, sorted by key and without their values.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::Outage`] or [`PlatformError::Refused`].
+    pub async fn scan(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: u64,
+    ) -> Result<TableScan, PlatformError> {
+        let mut start = after.unwrap_or(prefix).as_bytes().to_vec();
+        if after.is_some() {
+            start.push(0);
+        }
+        let ask = RangeAsk::prefix(prefix, &start, limit).keys_only();
+        let page = self.range_page(&ask).await?;
+        Ok(TableScan {
+            rows: page.rows,
+            more: page.more,
+        })
+    }
+
     /// Carries out a transaction.
     ///
     /// # Errors
--- a/crates/guavawell-fleet/src/platform/wire.rs
+++ b/crates/guavawell-fleet/src/platform/wire.rs
@@ -24,6 +24,8 @@
     pub range_end: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub limit: Option<String>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub keys_only: bool,
 }
 
 impl RangeAsk {
@@ -33,6 +35,15 @@
             key: STANDARD.encode(start),
             range_end: Some(STANDARD.encode(prefix_end(prefix.as_bytes()))),
             limit: (limit > 0).then(|| limit.to_string()),
+            keys_only: false,
+        }
+    }
+
+    /// The same rows without their values.
+    pub fn keys_only(self) -> Self {
+        Self {
+            keys_only: true,
+            ..self
         }
     }
 
@@ -42,6 +53,7 @@
             key: STANDARD.encode(key),
             range_end: None,
             limit: None,
+            keys_only: false,
         }
     }
 }
--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -18,6 +18,7 @@
 use super::orphan::run_orphans;
 use super::settings::order_parts;
 use super::settings::platform_pool;
+use super::settings::retention_parts;
 use crate::clock;
 use crate::config::ConfigHints;
 use crate::event::EventDraft;
@@ -31,6 +32,7 @@
 use crate::platform::InstanceList;
 use crate::platform::TableOp;
 use crate::platform::TableTxn;
+use crate::retention::RetentionDriver;
 
 /// Time between two looks at queues and deadlines.
 const ADMISSION_REVIEW: Duration = Duration::from_millis(10);
@@ -64,7 +66,10 @@
     tasks.spawn(run_polls(Arc::clone(core), gossip.clone()));
     tasks.spawn(run_orphans(Arc::clone(core)));
     tasks.spawn(Arc::new(OrderDriver::new(order_parts(core, gossip))).run());
+    let retention = RetentionDriver::new(retention_parts(core, gossip));
+    tasks.spawn(retention.run());
     tasks.spawn(review_admission(Arc::clone(core)));
+    tasks.spawn(core.claims.clone().watch_generation());
     tasks.spawn(watch_keys(Arc::clone(core), gossip.clone()));
     tasks.spawn(read_list(Arc::clone(core), gossip.clone()));
     tasks.spawn(pass_hints(gossip.clone(), hints));
--- a/crates/guavawell-fleet/src/router/claim.rs
+++ b/crates/guavawell-fleet/src/router/claim.rs
@@ -54,7 +54,7 @@
         if !needs_claim(identity, call.idempotent) {
             return Ok(Self::Free(unsent));
         }
-        match core.claims.claim(identity, unsent).await {
+        match core.claims.claim(identity, unsent, entry.start).await {
             ClaimAnswer::Held(claim) => Ok(Self::Claimed(claim)),
             ClaimAnswer::Refused(refusal) => Err(refusal),
             ClaimAnswer::TakenBy { row, .. } => {
@@ -98,7 +98,12 @@
     ) -> Refusal {
         let identity = &entry.head.identity;
         match self {
-            Self::Free(unsent) => core.claims.refuse(identity, true, unsent, cause).await,
+            Self::Free(unsent) => {
+                let claims = &core.claims;
+                claims
+                    .refuse(identity, true, unsent, entry.start, cause)
+                    .await
+            }
             Self::Claimed(claim) => core.claims.refuse_held(identity, claim, cause).await,
             // Another server refused it, but an earlier one may have run it.
             Self::Doubtful(_) => {
--- a/crates/guavawell-fleet/src/router/entry.rs
+++ b/crates/guavawell-fleet/src/router/entry.rs
@@ -1,6 +1,7 @@
 //! Who asks, and with what head.
 
 use guavawell_core::id::BudgetId;
+use guavawell_core::id::ClaimGeneration;
 use guavawell_core::id::OrganisationId;
 use guavawell_core::limits::FairWeight;
 use guavawell_core::manifest::FleetView;
@@ -9,13 +10,20 @@
 use guavawell_core::request::RefusalReason;
 use guavawell_core::request::head::HeadAsk;
 use guavawell_core::request::head::HeadFields;
+use guavawell_core::retention::TryStart;
 use http_types::Request;
 
+/// Names the generation of claims in force in an answer, and in a request the
+/// one in which its id was first used.
+pub const GENERATION_HEADER: &str = "x-guavawell-generation";
+
 /// A request whose caller is known and whose head is in order.
 #[derive(Clone, Debug)]
 pub struct CallerEntry {
     /// The checked head.
     pub head: HeadAsk,
+    /// When this try of the request began.
+    pub start: TryStart,
     /// The budget to draw on.
     pub budget: BudgetId,
     /// The organisation's weight in admission.
@@ -23,12 +31,16 @@
 }
 
 impl CallerEntry {
-    /// Reads the head of `request`.
+    /// Reads the head of `request`, while `begun` is thought in force.
     ///
     /// # Errors
     ///
     /// A refusal: unknown key, bad header, unknown budget.
-    pub fn read(view: &FleetView, request: &Request) -> Result<Self, Refusal> {
+    pub fn read(
+        view: &FleetView,
+        request: &Request,
+        begun: ClaimGeneration,
+    ) -> Result<Self, Refusal> {
         let key = bearer_key(request).ok_or_else(|| {
             unauthorised("send `Authorization: Bearer KEY` with your organisation's key")
         })?;
@@ -41,6 +53,7 @@
             budget: header(request, "x-guavawell-budget"),
             deadline: header(request, "x-guavawell-deadline-ms"),
             priority: header(request, "x-guavawell-priority"),
+            generation: header(request, GENERATION_HEADER),
         };
         let id: OrganisationId = organisation.id.clone();
         let head = HeadAsk::parse(id, fields, fastrand::u128(..)).map_err(|faults| {
@@ -54,8 +67,13 @@
             let detail = format!("`{budget}` is no budget of `{}`", organisation.id);
             return Err(Refusal::unattempted(RefusalReason::UnknownBudget, detail));
         }
+        let start = TryStart {
+            begun,
+            first: head.first,
+        };
         Ok(Self {
             head,
+            start,
             budget,
             weight: FairWeight::new(organisation.weight),
         })
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -33,6 +33,7 @@
 use super::attempt::open_stream;
 use super::core::RouterCore;
 use super::entry::CallerEntry;
+use super::entry::GENERATION_HEADER;
 use super::relay::StreamRelay;
 use super::reserve::ReservationAsk;
 use super::reserve::ReservedRequest;
@@ -49,25 +50,26 @@
 /// The path under which plain services are called.
 const SERVICES: &str = "/services/";
 
-/// Answers one caller's request.
+/// Answers one caller's request, and names the generation of claims.
 pub async fn serve(core: Arc<RouterCore>, mut request: Request) -> Response {
+    let generation = core.claims.start_try().begun;
     let path: Box<str> = request.url().path().into();
     let view = core.view.load_full();
-    if let Err(refusal) = check_state(&core) {
-        return unread(refuse(&core, None, &refusal));
-    }
-    match (request.method(), &*path) {
-        (Method::Post, "/v1/chat/completions") => chat(&core, &view, &mut request).await,
-        (Method::Get, "/v1/models") => models(&core, &view, &request),
-        (Method::Post, path) if path.starts_with(SERVICES) => {
+    let mut response = match (check_state(&core), request.method(), &*path) {
+        (Err(refusal), ..) => unread(refuse(&core, None, &refusal)),
+        (_, Method::Post, "/v1/chat/completions") => chat(&core, &view, &mut request).await,
+        (_, Method::Get, "/v1/models") => models(&core, &view, &request),
+        (_, Method::Post, path) if path.starts_with(SERVICES) => {
             serve_service(&core, &view, &mut request, &path[SERVICES.len()..]).await
         }
-        (method, path) => {
+        (_, method, path) => {
             let detail = format!("there is no `{method} {path}` here");
             let refusal = Refusal::unattempted(RefusalReason::BadRequest, detail);
             unread(refuse(&core, None, &refusal))
         }
-    }
+    };
+    response.insert_header(GENERATION_HEADER, generation.to_string());
+    response
 }
 
 /// Closes the connection behind an answer that was given before the whole
@@ -91,7 +93,7 @@
 
 /// `GET /v1/models`: the models of the manifest in force.
 fn models(core: &RouterCore, view: &FleetView, request: &Request) -> Response {
-    if let Err(refusal) = CallerEntry::read(view, request) {
+    if let Err(refusal) = CallerEntry::read(view, request, core.claims.start_try().begun) {
         return refuse(core, None, &refusal);
     }
     let models = view.models().iter();
@@ -105,7 +107,7 @@
 }
 
 async fn chat(core: &Arc<RouterCore>, view: &FleetView, request: &mut Request) -> Response {
-    let entry = match CallerEntry::read(view, request) {
+    let entry = match CallerEntry::read(view, request, core.claims.start_try().begun) {
         Ok(entry) => entry,
         Err(refusal) => return unread(refuse(core, None, &refusal)),
     };
--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -13,6 +13,7 @@
 use guavawell_core::id::BudgetId;
 use guavawell_core::id::InstanceId;
 use guavawell_core::instance::MembershipSettings;
+use guavawell_core::instance::owner;
 use guavawell_core::limits::AdmissionSettings;
 use guavawell_core::limits::RetrySettings;
 use guavawell_core::manifest::FleetView;
@@ -20,6 +21,7 @@
 use guavawell_core::order::OrderSettings;
 use guavawell_core::order::PermitSettings;
 use guavawell_core::request::chat::ChatLimits;
+use guavawell_core::retention::RetentionSettings;
 
 use super::core::RouterCore;
 use crate::caller::CallerLimits;
@@ -41,6 +43,8 @@
 use crate::peer::PeerTarget;
 use crate::platform::PoolSettings;
 use crate::platform::Table;
+use crate::retention::RetentionParts;
+use crate::retention::SweepPace;
 use crate::settings::MIN_KEY_BYTES;
 use crate::settings::RouterSettings;
 use crate::slot::BudgetBase;
@@ -50,6 +54,9 @@
 use crate::slot::SlotTimes;
 use crate::task::TaskSpawner;
 
+/// The key whose owner sweeps.
+const RETENTION_KEY: &[u8] = b"retention";
+
 /// Milliseconds in a second.
 const MILLIS: u64 = 1_000;
 
@@ -232,6 +239,31 @@
     })
 }
 
+/// Everything that retention needs of the router.
+pub fn retention_parts(core: &RouterCore, gossip: &GossipDriver) -> RetentionParts {
+    let settings = &core.settings.retention;
+    let own = core.life.instance.clone();
+    let members = gossip.clone();
+    let is_elected = move || {
+        let view = members.view();
+        let instances = view.routable().map(|member| &member.instance);
+        owner(instances, RETENTION_KEY) == Some(&own)
+    };
+    RetentionParts {
+        table: core.table.clone(),
+        settings: RetentionSettings {
+            claims: settings.claims_ms,
+            ..RetentionSettings::default()
+        },
+        pace: SweepPace {
+            rows_per_second: settings.rows_per_second.into(),
+            ..SweepPace::default()
+        },
+        events: core.events.clone(),
+        is_elected: Box::new(is_elected),
+    }
+}
+
 /// Everything that orders need of the router.
 pub fn order_parts(core: &RouterCore, gossip: &GossipDriver) -> OrderParts {
     let settings = core.settings.orders.clone();
--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -15,6 +15,10 @@
 /// Smallest bound on a peer's message: a piece of a ledger has to fit twice.
 const MIN_MESSAGE_BYTES: ByteCount = ByteCount::new(1024 * 1024);
 
+/// Shortest retention of claims, in longest requests: each of its 8
+/// generations is twice as long as a request may be.
+const LEAST_RETENTION: u64 = 16;
+
 /// Shortest gossip key that is accepted, in bytes.
 pub const MIN_KEY_BYTES: usize = 16;
 
@@ -26,6 +30,7 @@
     check_peers(settings, file);
     check_gossip(settings, file);
     check_spans(settings, file);
+    check_retention(settings, file);
     check_counts(settings, file);
 }
 
@@ -209,6 +214,21 @@
     }
 }
 
+/// A generation of claims has to be longer than any request.
+fn check_retention(settings: &RouterSettings, file: &FileReader<'_>) {
+    let claims = settings.retention.claims_ms.as_millis();
+    let least = LEAST_RETENTION * settings.limits.request_timeout_ms.as_millis();
+    if claims > 0 && claims < least {
+        file.find(
+            "retention.claims_ms",
+            format!(
+                "must be 0, which keeps claims for ever, or at least {least}: \
+                 {LEAST_RETENTION} times `limits.request_timeout_ms`"
+            ),
+        );
+    }
+}
+
 fn check_counts(settings: &RouterSettings, file: &FileReader<'_>) {
     let counts = [
         (
@@ -235,6 +255,10 @@
         ),
         ("orders.at_once", settings.orders.at_once.into()),
         ("orders.fleet_loads", settings.orders.fleet_loads.into()),
+        (
+            "retention.rows_per_second",
+            settings.retention.rows_per_second.into(),
+        ),
         ("limits.max_running", settings.limits.max_running.into()),
         (
             "limits.max_output_tokens",
--- a/crates/guavawell-fleet/src/settings/mod.rs
+++ b/crates/guavawell-fleet/src/settings/mod.rs
@@ -38,6 +38,7 @@
 pub use policy::LimitSettings;
 pub use policy::LogSettings;
 pub use policy::OrderSettings;
+pub use policy::RetentionSettings;
 pub use policy::RoutingSettings;
 pub use policy::ShutdownSettings;
 pub use policy::SlotSettings;
@@ -72,6 +73,8 @@
         routing: RoutingSettings = RoutingSettings::default();
         /// Orders to model engines.
         orders: OrderSettings = OrderSettings::default();
+        /// How long what lies at the platform is kept.
+        retention: RetentionSettings = RetentionSettings::default();
         /// Admission of requests.
         limits: LimitSettings = LimitSettings::default();
         /// Graceful shutdown.
--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -99,6 +99,20 @@
     }
 }
 
+settings_group! {
+    /// How long what lies at the platform is kept. All routers should state
+    /// the same; whichever is picked sweeps by its own.
+    pub struct RetentionSettings {
+        /// How long the claim of a non-idempotent request id is kept at least,
+        /// in milliseconds; 0 keeps claims for ever. A retry of an id that
+        /// begins later counts as a new request. At least 16 times
+        /// `limits.request_timeout_ms`.
+        claims_ms: ClockSpan = ClockSpan::from_millis(0);
+        /// Rows deleted a second at most while a sweep is under way.
+        rows_per_second: u32 = 1_000;
+    }
+}
+
 settings_group! {
     /// Admission of requests.
     pub struct LimitSettings {
--- a/crates/guavawell-fleet/src/settings/tests.rs
+++ b/crates/guavawell-fleet/src/settings/tests.rs
@@ -210,6 +210,7 @@
         super::RoutingSettings::KEYS,
         super::LimitSettings::KEYS,
         super::OrderSettings::KEYS,
+        super::RetentionSettings::KEYS,
         super::ShutdownSettings::KEYS,
         super::LogSettings::KEYS,
     ];
@@ -233,3 +234,13 @@
         assert!(findings.contains(key), "{findings}");
     }
 }
+
+#[test]
+fn a_retention_shorter_than_requests_may_take_is_found() {
+    let text = format!("{PLAIN}[retention]\nclaims_ms = 60_000\nrows_per_second = 0\n");
+    let findings = findings(&text);
+    assert_eq!(findings.lines().count(), 2, "{findings}");
+    for key in ["retention.claims_ms", "retention.rows_per_second"] {
+        assert!(findings.contains(key), "{findings}");
+    }
+}
--- a/crates/guavawell-fleet/tests/claims.rs
+++ b/crates/guavawell-fleet/tests/claims.rs
@@ -91,7 +91,7 @@
 }
 
 fn claim(router: &ClaimDriver, number: u128) -> ClaimAnswer {
-    smol::block_on(router.claim(&identity(), attempt(number)))
+    smol::block_on(router.claim(&identity(), attempt(number), router.start_try()))
 }
 
 fn held(answer: ClaimAnswer) -> HeldClaim {
@@ -117,7 +117,27 @@
 }
 
 fn refuse(router: &ClaimDriver, number: u128, reason: RefusalReason) -> Refusal {
-    smol::block_on(router.refuse(&identity(), false, attempt(number), &cause(reason)))
+    smol::block_on(refuse_new(
+        router,
+        &identity(),
+        false,
+        attempt(number),
+        &cause(reason),
+    ))
+}
+
+/// Refuses an attempt whose request was read just now.
+async fn refuse_new(
+    router: &ClaimDriver,
+    identity: &RequestIdentity,
+    idempotent: bool,
+    attempt: UnsentAttempt,
+    cause: &RefusalCause,
+) -> Refusal {
+    let start = router.start_try();
+    router
+        .refuse(identity, idempotent, attempt, start, cause)
+        .await
 }
 
 #[test]
@@ -240,7 +260,7 @@
     let test = ClaimTest::start();
     let router = test.router("r1");
     let identity = identity();
-    let mut claim = Box::pin(router.claim(&identity, attempt(1)));
+    let mut claim = Box::pin(router.claim(&identity, attempt(1), router.start_try()));
     assert!(smol::block_on(smol::future::poll_once(&mut claim)).is_none());
     drop(claim);
     test.wait_for(ClaimState::Released);
@@ -252,9 +272,15 @@
     let router = test.router("r1");
     let minted = RequestIdentity::mint("o".parse().unwrap(), 9);
     let exhausted = cause(RefusalReason::BudgetExhausted);
-    let refusal = smol::block_on(router.refuse(&minted, false, attempt(1), &exhausted));
+    let refusal = smol::block_on(refuse_new(&router, &minted, false, attempt(1), &exhausted));
     assert_eq!(refusal.outcome(), RefusalOutcome::NotRun);
-    let refusal = smol::block_on(router.refuse(&identity(), true, attempt(2), &exhausted));
+    let refusal = smol::block_on(refuse_new(
+        &router,
+        &identity(),
+        true,
+        attempt(2),
+        &exhausted,
+    ));
     assert_eq!(refusal.outcome(), RefusalOutcome::Retry);
     assert_eq!(test.platform.counts().writes, 0);
 }
@@ -272,7 +298,8 @@
         };
         let identity = RequestIdentity::from_caller("o".parse().unwrap(), &name).unwrap();
         let router = router.clone();
-        smol::spawn(async move { router.claim(&identity, attempt(100 + place)).await })
+        let start = router.start_try();
+        smol::spawn(async move { router.claim(&identity, attempt(100 + place), start).await })
     };
     let tasks: Vec<_> = (0..20).map(ask).collect();
     let answers = smol::block_on(async {
@@ -309,10 +336,10 @@
             smol::spawn(async move {
                 if seed.is_multiple_of(2) && place == 2 {
                     let cause = cause(RefusalReason::Deadline);
-                    let refusal = router.refuse(&identity, false, attempt, &cause).await;
+                    let refusal = refuse_new(&router, &identity, false, attempt, &cause).await;
                     return (false, refusal.outcome() == RefusalOutcome::NotRun);
                 }
-                match router.claim(&identity, attempt).await {
+                match router.claim(&identity, attempt, router.start_try()).await {
                     ClaimAnswer::Held(_) => (true, false),
                     ClaimAnswer::TakenBy { .. } => (false, false),
                     ClaimAnswer::Refused(refusal) => {
--- a/crates/guavawell-fleet/tests/history/claims.rs
+++ b/crates/guavawell-fleet/tests/history/claims.rs
@@ -57,7 +57,8 @@
     fn claim(&self, attempt: AttemptId, mix: u8) {
         let call = self.history.call();
         let unsent = UnsentAttempt::new(attempt);
-        match smol::block_on(self.router.claim(self.identity, unsent)) {
+        let start = self.router.start_try();
+        match smol::block_on(self.router.claim(self.identity, unsent, start)) {
             ClaimAnswer::Held(held) => {
                 self.history.answer(call, ClaimCall::Held(attempt));
                 match mix {
@@ -84,7 +85,10 @@
         let call = self.history.call();
         let unsent = UnsentAttempt::new(attempt);
         let cause = cause(RefusalReason::Deadline);
-        let refusal = self.router.refuse(self.identity, false, unsent, &cause);
+        let start = self.router.start_try();
+        let refusal = self
+            .router
+            .refuse(self.identity, false, unsent, start, &cause);
         let answer = match smol::block_on(refusal).outcome() {
             RefusalOutcome::NotRun => ClaimCall::Sealed,
             RefusalOutcome::Unknown => ClaimCall::FoundRunning,
--- a/crates/guavawell-standin/src/platform/gateway/message.rs
+++ b/crates/guavawell-standin/src/platform/gateway/message.rs
@@ -63,6 +63,8 @@
     #[serde(alias = "rangeEnd")]
     pub(super) range_end: GatewayBytes,
     pub(super) limit: GatewayNumber,
+    #[serde(alias = "keysOnly")]
+    pub(super) keys_only: bool,
 }
 
 /// The body of `POST /v3/kv/txn`.
--- a/crates/guavawell-standin/src/platform/gateway/plan.rs
+++ b/crates/guavawell-standin/src/platform/gateway/plan.rs
@@ -60,9 +60,16 @@
         store: &TableStore,
     ) -> Result<RangeResponse, GatewayError> {
         let limit = usize::try_from(self.limit.0).unwrap_or(usize::MAX);
+        let keys_only = self.keys_only;
         let range = self.key_range()?;
         let answer = store.range(&range, limit);
-        Ok(range_response(&answer, store.revision()))
+        let mut response = range_response(&answer, store.revision());
+        if keys_only {
+            for row in &mut response.kvs {
+                row.value = GatewayBytes::default();
+            }
+        }
+        Ok(response)
     }
 
     fn key_range(self) -> Result<KeyRange, GatewayError> {
--- a/crates/guavawell-standin/src/platform/start.rs
+++ b/crates/guavawell-standin/src/platform/start.rs
@@ -156,6 +156,12 @@
         lock(&self.shared.state.table).apply(&[put]);
     }
 
+    /// The table's revision.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        lock(&self.shared.state.table).revision()
+    }
+
     /// The keys of all rows that begin with `prefix`, in order.
     #[must_use]
     pub fn keys(&self, prefix: &str) -> Vec<Box<str>> {
