--- a/crates/guavawell-core/src/retention/age.rs
+++ b/crates/guavawell-core/src/retention/age.rs
@@ -196,10 +196,12 @@
         }
     }
 
-    /// The pass under way goes on; a new one begins once in a generation.
+    /// The pass under way goes on; a new one begins once in a retention, for
+    /// organisations that no router tours.
     fn scan(&self) -> KeeperEffect {
         let due_before = self.view.due_before();
-        let is_new = self.sweep.pass < self.view.generation.generation;
+        let next_pass = self.sweep.pass.get() + KEPT_GENERATIONS;
+        let is_new = self.view.generation.generation.get() >= next_pass;
         if due_before == 0 || (self.sweep.cursor.is_none() && !is_new) {
             return KeeperEffect::Rest;
         }
--- a/crates/guavawell-core/src/retention/mod.rs
+++ b/crates/guavawell-core/src/retention/mod.rs
@@ -8,6 +8,7 @@
 mod generation;
 mod pass;
 mod settings;
+mod tour;
 
 pub use age::GenerationRow;
 pub use age::KeeperEffect;
@@ -24,3 +25,6 @@
 pub use pass::PassStep;
 pub use pass::plan_page;
 pub use settings::RetentionSettings;
+pub use tour::CLAIM_PREFIX;
+pub use tour::SweepTour;
+pub use tour::step_over;
--- a/crates/guavawell-core/tests/retention.rs
+++ b/crates/guavawell-core/tests/retention.rs
@@ -3,6 +3,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::id::ClaimGeneration;
+use guavawell_core::id::OrganisationId;
 use guavawell_core::retention::AgedKey;
 use guavawell_core::retention::KEPT_GENERATIONS;
 use guavawell_core::retention::KeeperEffect;
@@ -10,9 +11,11 @@
 use guavawell_core::retention::RetentionKeeper;
 use guavawell_core::retention::RetentionSettings;
 use guavawell_core::retention::RetentionView;
+use guavawell_core::retention::SweepTour;
 use guavawell_core::retention::TryStart;
 use guavawell_core::retention::may_sweep;
 use guavawell_core::retention::plan_page;
+use guavawell_core::retention::step_over;
 
 /// A generation of 1,000 ms, noted every 250 ms.
 fn settings() -> RetentionSettings {
@@ -147,7 +150,7 @@
 }
 
 #[test]
-fn a_pass_goes_on_where_it_was_noted_and_runs_once_a_generation() {
+fn a_pass_goes_on_where_it_was_noted_and_runs_once_a_retention() {
     let (rows, _) = aged(KEPT_GENERATIONS + 2);
     let due_before = rows.view.due_before();
     let mut keeper = RetentionKeeper::new(settings());
@@ -169,6 +172,32 @@
     assert_eq!(successor.next(at(70_000)), scan(Some("claim/o/m")));
     successor.swept(None, 2);
     assert_eq!(successor.next(at(70_001)), KeeperEffect::Rest);
+    let mut later = noted.view;
+    later.generation.generation = ClaimGeneration::new(2 * KEPT_GENERATIONS + 2);
+    later.sweep.pass = ClaimGeneration::new(KEPT_GENERATIONS + 2);
+    later.sweep.cursor = None;
+    successor.read(later.clone(), at(70_002));
+    assert_eq!(successor.next(at(70_002)), scan(None), "a retention later");
+    later.sweep.pass = later.sweep.pass.next();
+    successor.read(later, at(70_003));
+    assert_eq!(successor.next(at(70_003)), KeeperEffect::Rest);
+}
+
+#[test]
+fn a_tour_looks_at_every_page_of_its_organisations_once() {
+    let ids = ["a", "b"].map(|id| id.parse().unwrap());
+    let mut tour = SweepTour::new(ClaimGeneration::new(4), ids);
+    assert_eq!(tour.next(), Some(("claim/a/", None)));
+    tour.looked(Some("claim/a/k".into()));
+    assert_eq!(tour.next(), Some(("claim/a/", Some("claim/a/k"))));
+    tour.looked(None);
+    assert_eq!(tour.next(), Some(("claim/b/", None)));
+    tour.looked(None);
+    assert_eq!(tour.next(), None);
+    let is_toured = |id: &OrganisationId| id.as_str() == "a";
+    assert!(&*step_over("claim/a/k", is_toured) > "claim/a/zzz");
+    assert!(&*step_over("claim/a/k", is_toured) < "claim/aa/k");
+    assert_eq!(&*step_over("claim/b/k", is_toured), "claim/b/k");
 }
 
 #[test]
--- a/crates/guavawell-ctl/src/retention/sweep.rs
+++ b/crates/guavawell-ctl/src/retention/sweep.rs
@@ -1,5 +1,6 @@
 //! `retention sweep`
 
+use guavawell_fleet::retention::PageAsk;
 use guavawell_fleet::retention::RetentionTable;
 use serde::Serialize;
 
@@ -30,7 +31,7 @@
     let mut cursor: Option<Box<str>> = None;
     loop {
         let page = table
-            .sweep_page(cursor.as_deref(), due_before, dry_run)
+            .sweep_page(&PageAsk::all(cursor.as_deref()), due_before, dry_run)
             .await?;
         report.seen += page.seen;
         report.due += page.due;
--- a/crates/guavawell-fleet/examples/retention_cost.rs
+++ b/crates/guavawell-fleet/examples/retention_cost.rs
@@ -18,6 +18,7 @@
 use guavawell_fleet::platform::Table;
 use guavawell_fleet::platform::TableOp;
 use guavawell_fleet::platform::TableTxn;
+use guavawell_fleet::retention::PageAsk;
 use guavawell_fleet::retention::RetentionTable;
 use guavawell_standin::platform::Platform;
 use guavawell_standin::platform::PlatformSettings;
@@ -111,7 +112,7 @@
     let (mut cursor, mut seen, mut deleted) = (None, 0, 0);
     loop {
         let page = retention
-            .sweep_page(cursor.as_deref(), due_before, false)
+            .sweep_page(&PageAsk::all(cursor.as_deref()), due_before, false)
             .await
             .expect("a page");
         seen += page.seen;
--- a/crates/guavawell-fleet/src/claim/book.rs
+++ b/crates/guavawell-fleet/src/claim/book.rs
@@ -1,6 +1,8 @@
 //! The generation that this router thinks in force.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
 use guavawell_core::id::ClaimGeneration;
@@ -47,6 +49,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct GenerationBook {
     known: Arc<ArcSwap<KnownGeneration>>,
+    /// Whether the table named one, if only by the row's absence.
+    is_heard: Arc<AtomicBool>,
 }
 
 impl GenerationBook {
@@ -54,6 +58,13 @@
         **self.known.load()
     }
 
+    /// The generation, once the table has named one. A caller that kept the
+    /// first guess of a new router would be refused as too old.
+    pub fn named(&self) -> Option<ClaimGeneration> {
+        let is_heard = self.is_heard.load(Ordering::Acquire);
+        is_heard.then(|| self.known().generation)
+    }
+
     /// Takes a generation heard of; an older one changes nothing.
     pub fn hear(&self, heard: KnownGeneration) {
         self.known.rcu(|known| {
@@ -63,6 +74,7 @@
                 Arc::clone(known)
             }
         });
+        self.is_heard.store(true, Ordering::Release);
     }
 
     /// Reads the row.
--- a/crates/guavawell-fleet/src/claim/driver.rs
+++ b/crates/guavawell-fleet/src/claim/driver.rs
@@ -114,6 +114,12 @@
         TryStart::new(self.book.known().generation)
     }
 
+    /// The generation to name in answers, once the table has told it.
+    #[must_use]
+    pub fn named_generation(&self) -> Option<ClaimGeneration> {
+        self.book.named()
+    }
+
     /// Reads the generation in force, as long as it runs.
     pub async fn watch_generation(self) {
         loop {
--- a/crates/guavawell-fleet/src/retention/driver.rs
+++ b/crates/guavawell-fleet/src/retention/driver.rs
@@ -1,14 +1,22 @@
-//! Keeps the generations and sweeps, while this router is the one elected.
+//! Sweeps the claims that fall to this router, and keeps the generations while
+//! it is the one elected.
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::id::ClaimGeneration;
+use guavawell_core::id::OrganisationId;
 use guavawell_core::retention::KeeperEffect;
 use guavawell_core::retention::KeeperWrite;
 use guavawell_core::retention::RetentionKeeper;
 use guavawell_core::retention::RetentionSettings;
 use guavawell_core::retention::RetentionView;
+use guavawell_core::retention::SweepTour;
+use guavawell_core::retention::step_over;
 use smol::Timer;
 
+use super::table::PAGE_ROWS;
+use super::table::PageAsk;
+use super::table::PageReport;
 use super::table::RetentionTable;
 use crate::clock;
 use crate::event::EventDraft;
@@ -18,6 +26,13 @@
 
 const MILLIS: u64 = 1_000;
 
+/// Shortest pause between two pages.
+const PAGE_PAUSE: ClockSpan = ClockSpan::from_millis(50);
+
+/// Rows of a page among which strays are looked for: mostly organisations that
+/// are stepped over at once.
+const STRAY_ROWS: u64 = 20;
+
 /// How fast the sweep goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SweepPace {
@@ -30,7 +45,7 @@
 impl Default for SweepPace {
     fn default() -> Self {
         Self {
-            look_every: ClockSpan::from_millis(10_000),
+            look_every: ClockSpan::from_millis(30_000),
             rows_per_second: 1_000,
         }
     }
@@ -46,8 +61,13 @@
     pub pace: SweepPace,
     /// Where changes are noted.
     pub events: EventLog,
-    /// Whether this router is the one to sweep, as far as it knows.
+    /// Whether this router is the one that keeps the generations, as far as
+    /// it knows.
     pub is_elected: Box<dyn Fn() -> bool + Send + Sync>,
+    /// The organisations whose claims fall to this router.
+    pub toured: Box<dyn Fn() -> Vec<OrganisationId> + Send + Sync>,
+    /// Whether an organisation falls to any router.
+    pub is_toured: Box<dyn Fn(&OrganisationId) -> bool + Send + Sync>,
 }
 
 /// One router's sweep.
@@ -55,6 +75,7 @@
     parts: RetentionParts,
     table: RetentionTable,
     keeper: RetentionKeeper,
+    tour: SweepTour,
 }
 
 impl RetentionDriver {
@@ -64,6 +85,7 @@
         Self {
             table: RetentionTable::new(parts.table.clone()),
             keeper: RetentionKeeper::new(parts.settings),
+            tour: SweepTour::new(ClaimGeneration::default(), Vec::new()),
             parts,
         }
     }
@@ -71,27 +93,18 @@
     /// Keeps and sweeps as long as it runs.
     pub async fn run(mut self) {
         loop {
-            let pause = if (self.parts.is_elected)() {
-                self.step_or_rest().await
-            } else {
-                self.keeper.forget();
-                self.parts.pace.look_every
+            let pause = match self.step(clock::now).await {
+                Ok(pause) => pause,
+                Err(error) => {
+                    metrics::counter!("guavawell_retention_failed_total").increment(1);
+                    log::debug!("retention: {error}");
+                    self.parts.pace.look_every
+                }
             };
             Timer::after(clock::duration(pause)).await;
         }
     }
 
-    async fn step_or_rest(&mut self) -> ClockSpan {
-        match self.step(clock::now).await {
-            Ok(pause) => pause,
-            Err(error) => {
-                metrics::counter!("guavawell_retention_failed_total").increment(1);
-                log::debug!("retention: {error}");
-                self.parts.pace.look_every
-            }
-        }
-    }
-
     /// One step, and the time until the next. `now` gives the time of a
     /// monotonic clock.
     ///
@@ -103,14 +116,38 @@
             return Ok(self.parts.pace.look_every);
         }
         let view = self.table.read().await?;
-        self.keeper.read(view.clone(), now());
         set_generation(&view);
-        match self.keeper.next(now()) {
-            KeeperEffect::Rest => Ok(self.parts.pace.look_every),
-            KeeperEffect::Write(write) => self.write(&view, &write).await,
+        let effect = self.keep(&view, now);
+        if let KeeperEffect::Write(write) = effect {
+            return self.write(&view, &write).await;
+        }
+        self.begin_tour(&view);
+        if self.tour.next().is_some() {
+            return self.tour_page(view.due_before()).await;
+        }
+        match effect {
             KeeperEffect::Scan { after, due_before } => {
-                self.scan(after.as_deref(), due_before).await
+                self.stray_page(after.as_deref(), due_before).await
             }
+            _ => Ok(self.parts.pace.look_every),
+        }
+    }
+
+    /// What the generations' keeper wants, if this router is the one.
+    fn keep(&mut self, view: &RetentionView, now: impl Fn() -> ClockTime) -> KeeperEffect {
+        if !(self.parts.is_elected)() {
+            self.keeper.forget();
+            return KeeperEffect::Rest;
+        }
+        self.keeper.read(view.clone(), now());
+        self.keeper.next(now())
+    }
+
+    /// Each generation has a tour of its own.
+    fn begin_tour(&mut self, view: &RetentionView) {
+        let generation = view.generation.generation;
+        if view.due_before() > 0 && self.tour.generation() < generation {
+            self.tour = SweepTour::new(generation, (self.parts.toured)());
         }
     }
 
@@ -132,26 +169,59 @@
         Ok(ClockSpan::default())
     }
 
-    async fn scan(
+    /// Looks at a page of the organisations that fall to this router.
+    async fn tour_page(&mut self, due_before: u64) -> Result<ClockSpan, PlatformError> {
+        let Some((prefix, after)) = self.tour.next() else {
+            return Ok(self.parts.pace.look_every);
+        };
+        let ask = PageAsk {
+            prefix,
+            after,
+            most: PAGE_ROWS,
+        };
+        let page = self.table.sweep_page(&ask, due_before, false).await?;
+        if !page.is_open {
+            self.tour.looked(page.cursor.clone());
+        }
+        Ok(self.paid(&page))
+    }
+
+    /// Looks at a page of all claims, and steps over toured organisations.
+    async fn stray_page(
         &mut self,
         after: Option<&str>,
         due_before: u64,
     ) -> Result<ClockSpan, PlatformError> {
-        let page = self.table.sweep_page(after, due_before, false).await?;
+        let ask = PageAsk {
+            most: STRAY_ROWS,
+            ..PageAsk::all(after)
+        };
+        let page = self.table.sweep_page(&ask, due_before, false).await?;
+        if !page.is_open {
+            let is_toured = &self.parts.is_toured;
+            let cursor = page.cursor.as_deref();
+            let cursor = cursor.map(|key| step_over(key, is_toured));
+            let is_over = cursor.is_none();
+            self.keeper.swept(cursor, page.deleted);
+            if is_over {
+                let event = EventDraft::new("retention.swept");
+                self.parts.events.emit(event.field("before", due_before));
+            }
+        }
+        Ok(self.paid(&page))
+    }
+
+    /// Counts a page, and gives the pause behind it.
+    fn paid(&self, page: &PageReport) -> ClockSpan {
         metrics::counter!("guavawell_retention_rows_seen_total").increment(page.seen);
         metrics::counter!("guavawell_retention_rows_swept_total").increment(page.deleted);
-        let is_over = page.cursor.is_none();
         if page.is_open {
             metrics::counter!("guavawell_retention_pages_reopened_total").increment(1);
-            return Ok(self.parts.pace.look_every);
-        }
-        self.keeper.swept(page.cursor, page.deleted);
-        if is_over {
-            let event = EventDraft::new("retention.swept");
-            self.parts.events.emit(event.field("before", due_before));
+            return self.parts.pace.look_every;
         }
         let rows = self.parts.pace.rows_per_second.max(1);
-        Ok(ClockSpan::from_millis(page.deleted * MILLIS / rows))
+        let span = ClockSpan::from_millis(page.deleted * MILLIS / rows);
+        span.max(PAGE_PAUSE)
     }
 }
 
--- a/crates/guavawell-fleet/src/retention/mod.rs
+++ b/crates/guavawell-fleet/src/retention/mod.rs
@@ -10,5 +10,6 @@
 pub use driver::RetentionDriver;
 pub use driver::RetentionParts;
 pub use driver::SweepPace;
+pub use table::PageAsk;
 pub use table::PageReport;
 pub use table::RetentionTable;
--- a/crates/guavawell-fleet/src/retention/table.rs
+++ b/crates/guavawell-fleet/src/retention/table.rs
@@ -2,6 +2,7 @@
 
 use guavawell_core::platform::WriteClass;
 use guavawell_core::retention::AgedKey;
+use guavawell_core::retention::CLAIM_PREFIX;
 use guavawell_core::retention::GENERATION_KEY;
 use guavawell_core::retention::KeeperWrite;
 use guavawell_core::retention::RetentionView;
@@ -16,15 +17,35 @@
 use crate::platform::TableRow;
 use crate::platform::TableTxn;
 
-/// Keys of claims.
-const CLAIMS: &str = "claim/";
-
 /// Rows looked at in one page.
-const PAGE_ROWS: u64 = 500;
+pub const PAGE_ROWS: u64 = 500;
 
 /// Rows deleted in one transaction; etcd takes 128 operations.
 const DELETE_ROWS: usize = 100;
 
+/// A page of claims.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PageAsk<'a> {
+    /// What their keys begin with.
+    pub prefix: &'a str,
+    /// The last key looked at before.
+    pub after: Option<&'a str>,
+    /// Most rows.
+    pub most: u64,
+}
+
+impl<'a> PageAsk<'a> {
+    /// A page of all claims behind `after`.
+    #[must_use]
+    pub const fn all(after: Option<&'a str>) -> Self {
+        Self {
+            prefix: CLAIM_PREFIX,
+            after,
+            most: PAGE_ROWS,
+        }
+    }
+}
+
 /// What a page came to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PageReport {
@@ -98,7 +119,7 @@
         Ok(self.table.txn(&txn, WriteClass::Rest).await?.succeeded)
     }
 
-    /// Looks at one page of claims behind `after`; deletes what was last
+    /// Looks at one page of the claims that `ask` names; deletes what was last
     /// written before `due_before`, unless it is only a preview.
     ///
     /// # Errors
@@ -106,11 +127,11 @@
     /// [`PlatformError`] of the read. A delete that fails leaves the page open.
     pub async fn sweep_page(
         &self,
-        after: Option<&str>,
+        ask: &PageAsk<'_>,
         due_before: u64,
         preview: bool,
     ) -> Result<PageReport, PlatformError> {
-        let scan = self.table.scan(CLAIMS, after, PAGE_ROWS).await?;
+        let scan = self.table.scan(ask.prefix, ask.after, ask.most).await?;
         let seen = count_of(scan.rows.len());
         let page: Vec<AgedKey> = scan.rows.into_iter().map(aged_key).collect();
         let step = plan_page(page, scan.more, due_before);
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -52,7 +52,7 @@
 
 /// Answers one caller's request, and names the generation of claims.
 pub async fn serve(core: Arc<RouterCore>, mut request: Request) -> Response {
-    let generation = core.claims.start_try().begun;
+    let generation = core.claims.named_generation();
     let path: Box<str> = request.url().path().into();
     let view = core.view.load_full();
     let mut response = match (check_state(&core), request.method(), &*path) {
@@ -68,7 +68,9 @@
             unread(refuse(&core, None, &refusal))
         }
     };
-    response.insert_header(GENERATION_HEADER, generation.to_string());
+    if let Some(generation) = generation {
+        response.insert_header(GENERATION_HEADER, generation.to_string());
+    }
     response
 }
 
--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -12,6 +12,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::BudgetId;
 use guavawell_core::id::InstanceId;
+use guavawell_core::id::OrganisationId;
 use guavawell_core::instance::MembershipSettings;
 use guavawell_core::instance::owner;
 use guavawell_core::limits::AdmissionSettings;
@@ -242,13 +243,13 @@
 /// Everything that retention needs of the router.
 pub fn retention_parts(core: &RouterCore, gossip: &GossipDriver) -> RetentionParts {
     let settings = &core.settings.retention;
-    let own = core.life.instance.clone();
-    let members = gossip.clone();
-    let is_elected = move || {
-        let view = members.view();
-        let instances = view.routable().map(|member| &member.instance);
-        owner(instances, RETENTION_KEY) == Some(&own)
+    let part = SweepPart {
+        view: Arc::clone(&core.view),
+        own: core.life.instance.clone(),
+        members: gossip.clone(),
     };
+    let keeper = part.clone();
+    let view = Arc::clone(&core.view);
     RetentionParts {
         table: core.table.clone(),
         settings: RetentionSettings {
@@ -260,7 +261,37 @@
             ..SweepPace::default()
         },
         events: core.events.clone(),
-        is_elected: Box::new(is_elected),
+        is_elected: Box::new(move || keeper.owns(RETENTION_KEY)),
+        toured: Box::new(move || part.organisations()),
+        is_toured: Box::new(move |id| view.load().organisation(id).is_some()),
+    }
+}
+
+/// What falls to this router of a sweep.
+#[derive(Clone)]
+struct SweepPart {
+    view: Arc<ArcSwap<FleetView>>,
+    own: InstanceId,
+    members: GossipDriver,
+}
+
+impl SweepPart {
+    fn owns(&self, key: &[u8]) -> bool {
+        let view = self.members.view();
+        let instances = view.routable().map(|member| &member.instance);
+        owner(instances, key) == Some(&self.own)
+    }
+
+    /// Shards are picked, not organisations, which are too many to hash over
+    /// all routers.
+    fn organisations(&self) -> Vec<OrganisationId> {
+        let view = self.view.load();
+        let shards = 0..view.fleet().shards;
+        let is_own = |shard| self.owns(format!("retention/{shard}").as_bytes());
+        let owned: Vec<bool> = shards.map(is_own).collect();
+        let ids = view.organisations().map(|entry| &entry.id);
+        let is_toured = |id: &&OrganisationId| owned[usize::from(view.shard_of(id).get())];
+        ids.filter(is_toured).cloned().collect()
     }
 }
 
--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -101,7 +101,7 @@
 
 settings_group! {
     /// How long what lies at the platform is kept. All routers should state
-    /// the same; whichever is picked sweeps by its own.
+    /// the same; whichever is picked ends generations by its own.
     pub struct RetentionSettings {
         /// How long the claim of a non-idempotent request id is kept at least,
         /// in milliseconds; 0 keeps claims for ever. A retry of an id that
--- a/crates/guavawell-fleet/tests/retention.rs
+++ b/crates/guavawell-fleet/tests/retention.rs
@@ -56,9 +56,13 @@
     }
 
     fn sweeper(&self) -> RetentionDriver {
+        RetentionDriver::new(self.parts())
+    }
+
+    fn parts(&self) -> RetentionParts {
         let life = life("s");
         let events = EventLogSettings::default();
-        RetentionDriver::new(RetentionParts {
+        RetentionParts {
             table: self.table(),
             settings: RetentionSettings {
                 claims: ClockSpan::from_millis(GENERATION_MS * KEPT_GENERATIONS),
@@ -67,7 +71,9 @@
             pace: SweepPace::default(),
             events: EventLog::open(&events, life.instance, life.incarnation).unwrap(),
             is_elected: Box::new(|| true),
-        })
+            toured: Box::new(|| vec!["o".parse().unwrap()]),
+            is_toured: Box::new(|id| id.as_str() == "o"),
+        }
     }
 
     fn step(&self, sweeper: &mut RetentionDriver) -> bool {
@@ -101,8 +107,12 @@
 
     /// Writes claims without routers, many at a time.
     fn fill(&self, prefix: &str, count: usize) {
+        self.fill_of("o", prefix, count);
+    }
+
+    fn fill_of(&self, organisation: &str, prefix: &str, count: usize) {
         let keys: Vec<String> = (0..count)
-            .map(|place| format!("claim/o/{prefix}{place:05}"))
+            .map(|place| format!("claim/{organisation}/{prefix}{place:05}"))
             .collect();
         for keys in keys.chunks(100) {
             let txn = TableTxn {
@@ -206,6 +216,13 @@
     let answer = claim(&router, 1, start);
     assert!(matches!(answer, ClaimAnswer::Held(_)), "{answer:?}");
     assert_eq!(router.start_try().begun, ClaimGeneration::new(1));
+    assert_eq!(router.named_generation(), Some(ClaimGeneration::new(1)));
+    let fresh = test.router("r2");
+    assert_eq!(
+        fresh.named_generation(),
+        None,
+        "the table has told nothing yet"
+    );
 }
 
 #[test]
@@ -262,3 +279,38 @@
     let left = test.platform.keys("claim/o/old");
     assert_eq!(left.len(), 0, "in generation {}", test.generation());
 }
+
+#[test]
+fn claims_of_organisations_that_are_gone_are_found_once_in_a_retention() {
+    let test = SweepTest::start();
+    let mut sweeper = test.sweeper();
+    test.fill_of("a", "left", 25);
+    test.fill("kept", 300);
+    test.fill_of("z", "left", 45);
+    test.age_to(&mut sweeper, KEPT_GENERATIONS + 2);
+    let reads = test.platform.counts().reads;
+    test.sweep(&mut sweeper);
+    assert_eq!(test.claims(), 0);
+    // Twenty steps, each with a read of the rows, and a page in seven of them:
+    // one of the tour, and of strays two before and after those of `o`.
+    assert!(test.platform.counts().reads - reads <= 27);
+}
+
+#[test]
+fn a_router_that_is_not_picked_sweeps_its_part_and_ends_no_generation() {
+    let test = SweepTest::start();
+    let mut keeper = test.sweeper();
+    test.fill("old", 10);
+    test.fill_of("z", "left", 1);
+    test.age_to(&mut keeper, KEPT_GENERATIONS + 2);
+    let mut other = RetentionDriver::new(RetentionParts {
+        is_elected: Box::new(|| false),
+        ..test.parts()
+    });
+    for _ in 0..20 {
+        test.step(&mut other);
+        test.clock.set(test.clock.get() + GENERATION_MS);
+    }
+    assert_eq!(test.generation(), KEPT_GENERATIONS + 2);
+    assert_eq!(test.platform.keys("claim/"), ["claim/z/left00000".into()]);
+}
