--- a/crates/guavawell-demo/benches/capacity/platform.rs
+++ b/crates/guavawell-demo/benches/capacity/platform.rs
@@ -111,7 +111,9 @@
 
 async fn claim(driver: &ClaimDriver, number: u64) {
     let attempt = UnsentAttempt::new(AttemptId::new(u128::from(number)));
-    let answer = driver.claim(&identity(number, 0), attempt).await;
+    let answer = driver
+        .claim(&identity(number, 0), attempt, driver.start_try())
+        .await;
     assert!(matches!(answer, ClaimAnswer::Held(_)), "{answer:?}");
 }
 
