--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -5,7 +5,7 @@
 use super::HolderEffect;
 use super::SlotHolder;
 use super::stock::QueuedAsk;
-use super::witnessing::WaitKind;
+use super::wait::WaitKind;
 use crate::budget::ledger::HeldAttempt;
 use crate::budget::ledger::RequestState;
 use crate::budget::message::BackendNote;
@@ -36,6 +36,9 @@
         if self.is_awaited(ask, &reserve) {
             return;
         }
+        if self.is_unsure(&reserve.identity) || self.is_join(&reserve) {
+            return self.join_later(ask, reserve, effects);
+        }
         if let Some(answer) = self.known_request(&reserve) {
             return answer_reserve(ask, answer, effects);
         }
@@ -95,6 +98,40 @@
         true
     }
 
+    /// Whether the request is held by another attempt, so that the answer
+    /// rests on this holder's word for it.
+    fn is_join(&self, reserve: &ReserveAsk) -> bool {
+        let state = self.ledger.request(&reserve.identity);
+        matches!(state, Some(RequestState::Reserved(held)) if held.attempt != reserve.attempt)
+    }
+
+    /// Lets a reservation wait for the witness's word on what is known of its
+    /// request. While the witness is away only what it had before is told.
+    pub(super) fn join_later(
+        &mut self,
+        ask: AskId,
+        reserve: ReserveAsk,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        if self.silent {
+            return self.join_alone(ask, &reserve, effects);
+        }
+        self.wait_for_word(WaitKind::Join(ask, Box::new(reserve)));
+    }
+
+    /// Joins an attempt that the witness had, or that the float pays; a seal
+    /// that may be lost is not told.
+    pub(super) fn join_alone(
+        &self,
+        ask: AskId,
+        reserve: &ReserveAsk,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        let known = self.known_request(reserve);
+        let known = known.filter(|_| !self.is_unsure(&reserve.identity));
+        answer_reserve(ask, known.unwrap_or_else(|| self.unreachable()), effects);
+    }
+
     /// Lets a repeated ask take the place of the queued one; another attempt
     /// of a queued request waits on its own and joins once the first runs.
     fn queue_again(&mut self, place: usize, ask: AskId, reserve: &ReserveAsk) -> bool {
@@ -226,9 +263,7 @@
             _ if !self.is_witnessed() => Some(SealAnswer::Unreachable {
                 retry_after: self.settings.retry_after,
             }),
-            Some(RequestState::Sealed) if self.batch.is_none() && self.outbox.is_empty() => {
-                Some(SealAnswer::Sealed)
-            }
+            Some(RequestState::Sealed) if self.is_acknowledged() => Some(SealAnswer::Sealed),
             _ => None,
         }
     }
