--- a/crates/guavawell-fleet/src/platform/mod.rs
+++ b/crates/guavawell-fleet/src/platform/mod.rs
@@ -31,6 +31,7 @@
 pub use relay::CarrierLink;
 pub use table::Table;
 pub use table::TableRead;
+pub use table::TableScan;
 pub use txn::CompareSign;
 pub use txn::OpAnswer;
 pub use txn::TableCompare;
