Keep configuration proofs on the own link; mend the instance row's late write

Cause: a relayed read would have counted as this router's own proof of the version in force; is_out stayed true while peers carried, so that a cut-off holder changed no witness; the instance row was written without a condition, and a late one could hide a later life's row. Change: the configuration uses clients without relay; a table counts as out only if peers do not reach it either; the row's write names the revision that it replaces; carried targets hold no dot segments.

--- a/crates/guavawell-fleet/src/platform/carried.rs
+++ b/crates/guavawell-fleet/src/platform/carried.rs
@@ -87,7 +87,7 @@
     pub fn is_well_formed(&self) -> bool {
         match self.service {
             CarriedService::Table => TABLE_TARGETS.contains(&&*self.target),
-            CarriedService::Objects => self.target.starts_with('/'),
+            CarriedService::Objects => is_plain_path(&self.target),
         }
     }
 
@@ -120,6 +120,28 @@
     }
 }
 
+/// Whether a target names what it seems to: dot segments, also encoded ones,
+/// would be taken out of the path and lead elsewhere.
+fn is_plain_path(target: &str) -> bool {
+    let path = target.split('?').next().unwrap_or_default();
+    let is_dots = |segment: &str| segment == "." || segment == "..";
+    let has_dots = path.split('/').any(is_dots);
+    path.starts_with('/') && !has_dots && !path.to_ascii_lowercase().contains("%2e")
+}
+
+impl CarriedAnswer {
+    /// The kind as a metric's label.
+    #[must_use]
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::Answered { .. } => "answered",
+            Self::Declined(_) => "declined",
+            Self::Refused(_) => "refused",
+            Self::Lost(_) => "lost",
+        }
+    }
+}
+
 impl From<PlatformError> for CarriedAnswer {
     fn from(error: PlatformError) -> Self {
         match error {
--- a/crates/guavawell-fleet/src/platform/exchange.rs
+++ b/crates/guavawell-fleet/src/platform/exchange.rs
@@ -106,11 +106,24 @@
         self
     }
 
-    /// Whether the service counts as out, so that only probes are sent.
-    pub fn is_out(&self) -> bool {
+    /// The same client, on its own link alone.
+    pub fn without_relay(mut self) -> Self {
+        self.relay = None;
+        self
+    }
+
+    /// Whether the own link counts as out, so that only probes use it.
+    pub fn is_link_out(&self) -> bool {
         self.circuit.is_open()
     }
 
+    /// Whether the service counts as out: neither the own link nor, when they
+    /// were asked last, peers reach it.
+    pub fn is_out(&self) -> bool {
+        let carried = self.relay.as_ref().is_some_and(PlatformRelay::works);
+        self.is_link_out() && !carried
+    }
+
     /// Sends a request and reads the whole answer; counts how it ended.
     pub async fn ask(&self, ask: PlatformAsk<'_>) -> Result<PlatformAnswer, PlatformError> {
         let kind = ask.kind;
@@ -128,7 +141,7 @@
     /// Carries out a peer's exchange on this router's own link, and on no
     /// other's: nothing is relayed twice.
     pub async fn carry(&self, asked: &CarriedAsk) -> CarriedAnswer {
-        if self.is_out() {
+        if self.is_link_out() {
             return CarriedAnswer::Declined("its own link is out".into());
         }
         match self.carry_within(asked).await {
@@ -161,7 +174,7 @@
     /// Asks the service by this router's own link, to learn whether it is
     /// back; nothing happens before the next probe is due.
     pub async fn probe(&self, ask: PlatformAsk<'_>) {
-        if self.is_out() && self.circuit.pass().is_ok() {
+        if self.is_link_out() && self.circuit.pass().is_ok() {
             // The circuit learns how it ended.
             let _ = self.ask_own(ask).await;
         }
@@ -171,7 +184,7 @@
         if let (ExchangeKind::Write(class), Some(writes)) = (ask.kind, &self.writes) {
             writes.pass(class).await?;
         }
-        if self.is_out()
+        if self.is_link_out()
             && let Some(result) = self.relayed(&ask).await
         {
             return result;
--- a/crates/guavawell-fleet/src/platform/objects.rs
+++ b/crates/guavawell-fleet/src/platform/objects.rs
@@ -73,10 +73,17 @@
         Self { http, ..self }
     }
 
-    /// Whether the store counts as out, so that only probes are sent.
+    /// The same client, on its own link alone: for what only that can prove.
     #[must_use]
-    pub fn is_out(&self) -> bool {
-        self.http.is_out()
+    pub fn without_relay(self) -> Self {
+        let http = self.http.without_relay();
+        Self { http, ..self }
+    }
+
+    /// Whether the own link to the store counts as out.
+    #[must_use]
+    pub fn is_link_out(&self) -> bool {
+        self.http.is_link_out()
     }
 
     /// Carries out a peer's exchange on the own link; its bucket has to be
@@ -84,7 +91,8 @@
     pub async fn carry(&self, ask: &CarriedAsk) -> CarriedAnswer {
         let rest = ask.target.strip_prefix('/');
         let rest = rest.and_then(|target| target.strip_prefix(&*self.bucket));
-        if !rest.is_some_and(|rest| rest.starts_with(['/', '?'])) {
+        let is_own = rest.is_some_and(|rest| rest.starts_with(['/', '?']));
+        if !is_own || !ask.is_well_formed() {
             return CarriedAnswer::Declined("another bucket".into());
         }
         self.http.carry(ask).await
--- a/crates/guavawell-fleet/src/platform/relay.rs
+++ b/crates/guavawell-fleet/src/platform/relay.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use futures::future::BoxFuture;
 use guavawell_core::clock::ClockSpan;
@@ -50,6 +52,13 @@
     pub timeout: ClockSpan,
 }
 
+impl CarrierLink {
+    /// The carrier's time for one exchange.
+    fn carrier_time(&self) -> ClockSpan {
+        ClockSpan::from_millis(self.timeout.as_millis() * CARRIER_PERCENT / 100)
+    }
+}
+
 /// One service's exchanges, carried by peers; clones share what is known of
 /// the peers.
 #[derive(Clone)]
@@ -57,6 +66,7 @@
     service: CarriedService,
     link: Arc<CarrierLink>,
     book: Arc<Mutex<CarrierBook>>,
+    works: Arc<AtomicBool>,
 }
 
 impl fmt::Debug for PlatformRelay {
@@ -74,9 +84,15 @@
             service,
             link,
             book: Arc::new(Mutex::new(CarrierBook::new(DECLINED))),
+            works: Arc::default(),
         }
     }
 
+    /// Whether a peer carried the last exchange that was offered.
+    pub fn works(&self) -> bool {
+        self.works.load(Ordering::Relaxed)
+    }
+
     /// Has a peer carry `ask`; `None` if none did and it was not applied.
     pub async fn carry(
         &self,
@@ -86,33 +102,49 @@
             self.count(ask.kind, "too_large");
             return None;
         }
-        let budget = self.link.timeout.as_millis() * CARRIER_PERCENT / 100;
-        let carried = CarriedAsk::of(self.service, ask, ClockSpan::from_millis(budget));
+        let carried = CarriedAsk::of(self.service, ask, self.link.carrier_time());
         for peer in self.choose() {
             let answer = (self.link.call)(peer.clone(), carried.clone()).await;
-            let (outcome, result) = match answer {
-                CarriedAnswer::Answered { status, body } => {
-                    ("answered", Ok(PlatformAnswer { status, body }))
-                }
-                CarriedAnswer::Refused(detail) => ("refused", Err(PlatformError::Refused(detail))),
-                CarriedAnswer::Lost(detail) => ("lost", Err(PlatformError::Lost(detail))),
-                CarriedAnswer::Declined(detail) => {
-                    log::debug!("{peer} did not carry an exchange: {detail}");
-                    self.count(ask.kind, "declined");
-                    self.declined(&peer);
-                    continue;
-                }
-            };
-            self.count(ask.kind, outcome);
-            match outcome {
-                "lost" => self.declined(&peer),
-                _ => self.book().carried(&peer),
+            let result = self.judge(&peer, ask.kind, answer);
+            if result.is_some() {
+                return result;
             }
-            return Some(result);
         }
+        self.works.store(false, Ordering::Relaxed);
         None
     }
 
+    /// What a peer's answer says; `None` lets another be asked.
+    fn judge(
+        &self,
+        peer: &InstanceId,
+        kind: ExchangeKind,
+        answer: CarriedAnswer,
+    ) -> Option<Result<PlatformAnswer, PlatformError>> {
+        let outcome = answer.label();
+        self.count(kind, outcome);
+        let works = match answer {
+            CarriedAnswer::Answered { .. } | CarriedAnswer::Refused(_) => true,
+            CarriedAnswer::Lost(_) | CarriedAnswer::Declined(_) => false,
+        };
+        if works {
+            self.book().carried(peer);
+            self.works.store(true, Ordering::Relaxed);
+        } else {
+            let jitter = Jitter(fastrand::u16(..));
+            self.book().declined(peer, now(), jitter);
+        }
+        match answer {
+            CarriedAnswer::Answered { status, body } => Some(Ok(PlatformAnswer { status, body })),
+            CarriedAnswer::Refused(detail) => Some(Err(PlatformError::Refused(detail))),
+            CarriedAnswer::Lost(detail) => Some(Err(PlatformError::Lost(detail))),
+            CarriedAnswer::Declined(detail) => {
+                log::debug!("{peer} did not carry an exchange: {detail}");
+                None
+            }
+        }
+    }
+
     fn choose(&self) -> Vec<InstanceId> {
         let peers = (self.link.peers)();
         let draws = [Jitter(fastrand::u16(..)), Jitter(fastrand::u16(..))];
@@ -121,11 +153,6 @@
         book.choose(&peers, now(), draws)
     }
 
-    fn declined(&self, peer: &InstanceId) {
-        let jitter = Jitter(fastrand::u16(..));
-        self.book().declined(peer, now(), jitter);
-    }
-
     fn count(&self, kind: ExchangeKind, outcome: &'static str) {
         metrics::counter!("guavawell_platform_relayed_total",
             "service" => self.service.label(), "class" => kind.label(), "outcome" => outcome)
--- a/crates/guavawell-fleet/src/platform/table.rs
+++ b/crates/guavawell-fleet/src/platform/table.rs
@@ -101,7 +101,21 @@
         self.http.probe(ask).await;
     }
 
-    /// Whether the table counts as out, so that only probes are sent.
+    /// The same client, on its own link alone: for what only that can prove.
+    #[must_use]
+    pub fn without_relay(self) -> Self {
+        let http = self.http.without_relay();
+        Self { http }
+    }
+
+    /// Whether the own link to the table counts as out.
+    #[must_use]
+    pub fn is_link_out(&self) -> bool {
+        self.http.is_link_out()
+    }
+
+    /// Whether the table counts as out: neither the own link nor, when they
+    /// were asked last, peers reach it.
     #[must_use]
     pub fn is_out(&self) -> bool {
         self.http.is_out()
--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -32,6 +32,7 @@
 use crate::order::OrderDriver;
 use crate::platform::InstanceEntry;
 use crate::platform::InstanceList;
+use crate::platform::TableCompare;
 use crate::platform::TableOp;
 use crate::platform::TableTxn;
 use crate::settings::RouterSettings;
@@ -187,15 +188,29 @@
 
 /// Writes this instance's row until the table has it.
 pub async fn publish_row(core: Arc<RouterCore>, row: InstanceRow) {
+    let key = instance_key(&core.life.instance);
     let value = serde_json::to_vec(&row).expect("addresses and ids serialise");
+    while !publish_once(&core, &key, &value).await {
+        Timer::after(ROW_RETRY).await;
+    }
+}
+
+/// Whether the table has the row. The write names the revision that it
+/// replaces, so that one that lands late never hides a later life's row.
+async fn publish_once(core: &RouterCore, key: &str, value: &[u8]) -> bool {
+    let Ok(read) = core.table.get(key).await else {
+        return false;
+    };
+    if read.row.as_ref().is_some_and(|row| &*row.value == value) {
+        return true;
+    }
     let txn = TableTxn {
-        success: vec![TableOp::put(&instance_key(&core.life.instance), value)],
+        compares: vec![TableCompare::unchanged(key, read.mod_revision())],
+        success: vec![TableOp::put(key, value)],
         ..TableTxn::default()
     };
-    // The same write twice does no harm, so that a lost answer needs no care.
-    while core.table.txn(&txn, WriteClass::Rest).await.is_err() {
-        Timer::after(ROW_RETRY).await;
-    }
+    let written = core.table.txn(&txn, WriteClass::Rest).await;
+    written.is_ok_and(|answer| answer.succeeded)
 }
 
 /// Notes what gossip learns.
--- a/crates/guavawell-fleet/src/router/carry.rs
+++ b/crates/guavawell-fleet/src/router/carry.rs
@@ -85,12 +85,7 @@
     pub async fn answer(&self, ask: &CarriedAsk) -> PeerReply {
         self.asked.fetch_add(1, Ordering::Relaxed);
         let answer = self.carry(ask).await;
-        let outcome = match &answer {
-            CarriedAnswer::Answered { .. } => "answered",
-            CarriedAnswer::Declined(_) => "declined",
-            CarriedAnswer::Refused(_) => "refused",
-            CarriedAnswer::Lost(_) => "lost",
-        };
+        let outcome = answer.label();
         if outcome == "declined" {
             self.declined.fetch_add(1, Ordering::Relaxed);
         }
@@ -212,7 +207,7 @@
 async fn watch_table(table: Table, events: EventLog) {
     let mut watch = LinkWatch::new("table", events);
     loop {
-        watch.look(table.is_out());
+        watch.look(table.is_link_out());
         table.probe().await;
         Timer::after(PROBE_LOOK).await;
     }
@@ -222,7 +217,7 @@
 async fn watch_objects(objects: Objects, events: EventLog) {
     let mut watch = LinkWatch::new("objects", events);
     loop {
-        watch.look(objects.is_out());
+        watch.look(objects.is_link_out());
         objects.probe().await;
         Timer::after(PROBE_LOOK).await;
     }
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -215,7 +215,7 @@
         core.tasks.spawn(folds);
         let (config, handle, hints) = ConfigDriver::new(ConfigInputs {
             settings: ConfigSettings::default(),
-            store: ManifestStore::new(table, objects),
+            store: ManifestStore::new(table.without_relay(), objects.without_relay()),
             peers: news::config_peers(link, gossip.clone()),
             on_change: on_change(&core, &gossip),
         });
