--- a/crates/guavawell-core/src/platform/carrier.rs
+++ b/crates/guavawell-core/src/platform/carrier.rs
@@ -1,10 +1,14 @@
 //! Which peers may carry an exchange while the own link to the platform is out.
 //!
-//! Peers that declined are left alone for a growing while, so that an outage
-//! for everybody costs few calls.
+//! Peers that declined are left alone for a growing while, and after some
+//! exchanges that nobody carried all of them are, so that an outage for
+//! everybody costs few calls in a fleet of any size.
 
 use super::backoff::BackoffPolicy;
 use super::backoff::Jitter;
+use super::circuit::CircuitAnswer;
+use super::circuit::CircuitPolicy;
+use super::circuit::PlatformCircuit;
 use crate::clock::ClockTime;
 use crate::id::InstanceId;
 
@@ -29,19 +33,23 @@
 }
 
 /// What peers answered when they were asked to carry.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CarrierBook {
     policy: BackoffPolicy,
+    /// The way by peers as a whole.
+    circuit: PlatformCircuit,
     /// Sorted by instance.
     declined: Vec<DeclinedPeer>,
 }
 
 impl CarrierBook {
-    /// A book that leaves peers alone as `policy` says.
+    /// A book that leaves a peer alone as `policy` says, and all of them as
+    /// `circuit` says.
     #[must_use]
-    pub const fn new(policy: BackoffPolicy) -> Self {
+    pub const fn new(policy: BackoffPolicy, circuit: CircuitPolicy) -> Self {
         Self {
             policy,
+            circuit: PlatformCircuit::new(circuit),
             declined: Vec::new(),
         }
     }
@@ -49,10 +57,9 @@
     /// The peers to offer an exchange to, in this order. The first is a near
     /// one if any may be asked; the second stands elsewhere if any may be
     /// asked there, since a zone often loses the platform as a whole. `draws`
-    /// spread the choice within each.
-    #[must_use]
+    /// spread the choice within each. Whoever asks them tells [`Self::ended`].
     pub fn choose(
-        &self,
+        &mut self,
         peers: &[CarrierPeer],
         now: ClockTime,
         draws: [Jitter; MAX_CARRIERS],
@@ -64,7 +71,22 @@
         let second =
             take_drawn(&mut far, second_draw).or_else(|| take_drawn(&mut near, second_draw));
         let chosen = first.into_iter().chain(second);
-        chosen.map(|peer| peer.instance.clone()).collect()
+        let chosen: Vec<InstanceId> = chosen.map(|peer| peer.instance.clone()).collect();
+        let is_open =
+            |circuit: &mut PlatformCircuit| matches!(circuit.admit(now), CircuitAnswer::Open(_));
+        if chosen.is_empty() || is_open(&mut self.circuit) {
+            return Vec::new();
+        }
+        chosen
+    }
+
+    /// An exchange was offered to all that were chosen, or carried by one.
+    pub fn ended(&mut self, carried: bool, now: ClockTime, jitter: Jitter) {
+        if carried {
+            self.circuit.answered();
+        } else {
+            self.circuit.failed(now, jitter);
+        }
     }
 
     /// A peer carried an exchange, however the platform answered it.
--- a/crates/guavawell-core/src/platform/tests.rs
+++ b/crates/guavawell-core/src/platform/tests.rs
@@ -159,25 +159,45 @@
 #[test]
 fn an_exchange_is_offered_to_a_near_peer_and_then_elsewhere() {
     let draws = [Jitter(0), Jitter(u16::MAX)];
-    let mut book = CarrierBook::new(BackoffPolicy::default());
+    let mut book = CarrierBook::new(BackoffPolicy::default(), CircuitPolicy::default());
     let all = peers(&[("near-1", true), ("far-1", false), ("far-2", false)]);
-    let names = |book: &CarrierBook, peers: &[CarrierPeer], now| {
+    let names = |book: &mut CarrierBook, peers: &[CarrierPeer], now| {
         let chosen = book.choose(peers, at(now), draws);
         let names: Vec<String> = chosen.iter().map(ToString::to_string).collect();
         names.join(" ")
     };
-    assert_eq!(names(&book, &all, 0), "near-1 far-2");
-    assert_eq!(names(&book, &all[..1], 0), "near-1");
-    assert_eq!(names(&book, &[], 0), "");
+    assert_eq!(names(&mut book, &all, 0), "near-1 far-2");
+    assert_eq!(names(&mut book, &all[..1], 0), "near-1");
+    assert_eq!(names(&mut book, &[], 0), "");
     book.declined(&all[0].instance, at(0), Jitter(u16::MAX));
-    assert_eq!(names(&book, &all, 49), "far-1 far-2");
-    assert_eq!(names(&book, &all[..1], 49), "");
-    assert_eq!(names(&book, &all, 50), "near-1 far-2", "asked again");
+    assert_eq!(names(&mut book, &all, 49), "far-1 far-2");
+    assert_eq!(names(&mut book, &all[..1], 49), "");
+    assert_eq!(names(&mut book, &all, 50), "near-1 far-2", "asked again");
     book.declined(&all[0].instance, at(50), Jitter(u16::MAX));
-    assert_eq!(names(&book, &all, 149), "far-1 far-2", "left alone longer");
+    assert_eq!(
+        names(&mut book, &all, 149),
+        "far-1 far-2",
+        "left alone longer"
+    );
     book.carried(&all[0].instance);
-    assert_eq!(names(&book, &all, 149), "near-1 far-2");
+    assert_eq!(names(&mut book, &all, 149), "near-1 far-2");
     book.declined(&all[0].instance, at(149), Jitter(u16::MAX));
     book.keep(&all[1..]);
-    assert_eq!(names(&book, &all, 149), "near-1 far-2", "a new life");
+    assert_eq!(names(&mut book, &all, 149), "near-1 far-2", "a new life");
+}
+
+#[test]
+fn after_some_exchanges_that_nobody_carried_no_peer_is_asked() {
+    let draws = [Jitter(0), Jitter(0)];
+    let many = peers(&[("a", true), ("b", true), ("c", false), ("d", false)]);
+    let mut book = CarrierBook::new(BackoffPolicy::default(), CircuitPolicy::default());
+    for _ in 0..5 {
+        assert_eq!(book.choose(&many, at(0), draws).len(), 2);
+        book.ended(false, at(0), Jitter(u16::MAX));
+    }
+    assert!(book.choose(&many, at(199), draws).is_empty());
+    assert_eq!(book.choose(&many, at(200), draws).len(), 2, "one tries");
+    assert!(book.choose(&many, at(200), draws).is_empty(), "one alone");
+    book.ended(true, at(200), Jitter(0));
+    assert_eq!(book.choose(&many, at(200), draws).len(), 2);
 }
--- a/crates/guavawell-demo/examples/platform_cut.rs
+++ b/crates/guavawell-demo/examples/platform_cut.rs
@@ -63,7 +63,7 @@
     let kind = if idempotent {
         "idempotent, small grants"
     } else {
-        "non-idempotent"
+        "non-idempotent, default grants"
     };
     println!("relay {relay}, {kind}:");
     let mut settings = FleetSettings {
@@ -72,13 +72,15 @@
         ..FleetSettings::default()
     };
     settings.router.platform.relay = relay;
-    settings.router.slots.grant_seconds = 1;
-    settings.router.slots.grant_requests = 2;
+    if idempotent {
+        settings.router.slots.grant_seconds = 1;
+        settings.router.slots.grant_requests = 2;
+    }
     let mut fleet = DemoFleet::start(settings).await?;
     load(&fleet, "warm", idempotent, WARM).await?;
-    load(&fleet, "own link", idempotent, WARM).await?;
+    load(&fleet, "own-link", idempotent, WARM).await?;
     fleet.cut_platform(ZONE);
-    load(&fleet, "cut off", idempotent, SPAN).await?;
+    load(&fleet, "cut-off", idempotent, SPAN).await?;
     let counts = fleet.live().map(RouterHandle::carry_counts);
     let carried: Vec<CarryCounts> = counts.collect();
     println!("  asked to carry, by router: {carried:?}");
--- a/crates/guavawell-fleet/src/platform/relay.rs
+++ b/crates/guavawell-fleet/src/platform/relay.rs
@@ -14,6 +14,7 @@
 use guavawell_core::platform::BackoffPolicy;
 use guavawell_core::platform::CarrierBook;
 use guavawell_core::platform::CarrierPeer;
+use guavawell_core::platform::CircuitPolicy;
 use guavawell_core::platform::Jitter;
 
 use super::carried::CarriedAnswer;
@@ -83,7 +84,10 @@
         Self {
             service,
             link,
-            book: Arc::new(Mutex::new(CarrierBook::new(DECLINED))),
+            book: Arc::new(Mutex::new(CarrierBook::new(
+                DECLINED,
+                CircuitPolicy::default(),
+            ))),
             works: Arc::default(),
         }
     }
@@ -103,15 +107,22 @@
             return None;
         }
         let carried = CarriedAsk::of(self.service, ask, self.link.carrier_time());
-        for peer in self.choose() {
+        let peers = self.choose();
+        let mut result = None;
+        for peer in &peers {
             let answer = (self.link.call)(peer.clone(), carried.clone()).await;
-            let result = self.judge(&peer, ask.kind, answer);
+            result = self.judge(peer, ask.kind, answer);
             if result.is_some() {
-                return result;
+                break;
             }
         }
-        self.works.store(false, Ordering::Relaxed);
-        None
+        let works = matches!(result, Some(Ok(_) | Err(PlatformError::Refused(_))));
+        self.works.store(works, Ordering::Relaxed);
+        if !peers.is_empty() {
+            let jitter = Jitter(fastrand::u16(..));
+            self.book().ended(works, now(), jitter);
+        }
+        result
     }
 
     /// What a peer's answer says; `None` lets another be asked.
@@ -123,16 +134,14 @@
     ) -> Option<Result<PlatformAnswer, PlatformError>> {
         let outcome = answer.label();
         self.count(kind, outcome);
-        let works = match answer {
-            CarriedAnswer::Answered { .. } | CarriedAnswer::Refused(_) => true,
-            CarriedAnswer::Lost(_) | CarriedAnswer::Declined(_) => false,
-        };
-        if works {
-            self.book().carried(peer);
-            self.works.store(true, Ordering::Relaxed);
-        } else {
-            let jitter = Jitter(fastrand::u16(..));
-            self.book().declined(peer, now(), jitter);
+        match answer {
+            CarriedAnswer::Answered { .. } | CarriedAnswer::Refused(_) => {
+                self.book().carried(peer);
+            }
+            CarriedAnswer::Lost(_) | CarriedAnswer::Declined(_) => {
+                let jitter = Jitter(fastrand::u16(..));
+                self.book().declined(peer, now(), jitter);
+            }
         }
         match answer {
             CarriedAnswer::Answered { status, body } => Some(Ok(PlatformAnswer { status, body })),
--- a/crates/guavawell-fleet/tests/relay.rs
+++ b/crates/guavawell-fleet/tests/relay.rs
@@ -127,6 +127,20 @@
     assert_eq!(names(&log), ["near", "far", "far"]);
 }
 
+#[test]
+fn a_router_that_the_platform_turns_away_is_carried_once_its_circuit_is_open() {
+    let fake = FakePlatform::start(|_| FakeReply::Answer(503, "not you".into()));
+    let (link, log) = link(applied);
+    let table = Table::new(fake.address, touchy()).with_relay(&link);
+    let turned = write(&table, &insert());
+    assert!(
+        matches!(turned, Err(PlatformError::Outage(_))),
+        "{turned:?}"
+    );
+    assert_eq!(write(&table, &insert()), Ok(7));
+    assert_eq!(names(&log), ["near"]);
+}
+
 #[test]
 fn a_lost_answer_is_lost_and_goes_to_no_second_peer() {
     let (link, log) = link(|_| CarriedAnswer::Lost("closed".into()));
