Say in the order test which zone has no platform; add one that follows by relays

Cause: orders::a_zone_without_the_platform_* cut zone 1 from the platform and expected no order there without a row. Change: that test turns relays off, so that the zone again has no platform at all, and keeps every assertion; a new test expects the zone that is cut from the platform alone to follow the rollout during the cut. Conclusion: a zone cut from the platform alone goes on.

--- a/crates/guavawell-demo/tests/orders.rs
+++ b/crates/guavawell-demo/tests/orders.rs
@@ -283,13 +283,34 @@
 }
 
 #[test]
-fn a_zone_without_the_platform_goes_on_serving_and_follows_after_the_heal() {
+fn a_zone_cut_from_the_platform_alone_follows_a_rollout_meanwhile() {
     smol::block_on(async {
         let mut fleet = start(settings(3)).await;
         fleet.cut_platform(1);
         fleet.settings.model_version = "2".into();
         let accepted = fleet.accept_settings(ManifestVersion::new(1)).await;
         accepted.expect("the manifest is accepted");
+        wait_until("rolled out in both zones", || {
+            all_hold(&fleet, &["draft-7b:2"])
+        })
+        .await;
+        assert_eq!(chats(&fleet, 40).await.counts.wrong, 0);
+        fleet.heal();
+        fleet.stop();
+    });
+}
+
+#[test]
+fn a_zone_without_the_platform_goes_on_serving_and_follows_after_the_heal() {
+    smol::block_on(async {
+        let mut without = settings(3);
+        // Nobody carries the zone's rows, so that it has no platform at all.
+        without.router.platform.relay = false;
+        let mut fleet = start(without).await;
+        fleet.cut_platform(1);
+        fleet.settings.model_version = "2".into();
+        let accepted = fleet.accept_settings(ManifestVersion::new(1)).await;
+        accepted.expect("the manifest is accepted");
         let zone = |zone: usize, models: &[&str]| {
             let mut engines = fleet.engines.iter().skip(zone * 3).take(3);
             engines.all(|engine| held(engine) == models)
