--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -243,6 +243,7 @@
             "may not be 0 with `hedge`, which is paid for as a retry",
         );
     }
+}
 
 /// A generation of claims has to be longer than any request.
 fn check_retention(settings: &RouterSettings, file: &FileReader<'_>) {
