Serve a burst into free slots at once

Cause: 1,200 streams at once at two routers found 733 refused as `overloaded` while the engines had 8,192 places. Three faults beside it: the expected wait was an interval between ends, measured at whatever limit there was then, and multiplied by a silence of a few milliseconds between clumps of ends; the queue held 64 whatever ran; and a server that never reported was taken for 16 slots.

Change: a report with free slots raises the limit to the own requests and the own part of what is free, so that all routers' parts add up to it and no herd can follow from one report; a server that refused in the last 5 s is not believed. The wait is the turns ahead times the mean time that a request runs (Little's law), divided by what runs; a silence counts as the least time that all of these have run. As many may wait as may run, if that is more than the queue's setting. What an organisation runs now counts at once against what is kept for it.

--- a/crates/guavawell-core/src/backend/settings.rs
+++ b/crates/guavawell-core/src/backend/settings.rs
@@ -46,7 +46,8 @@
     pub concurrency_min: u32,
     /// Limit towards a server not measured yet.
     pub concurrency_start: u32,
-    /// Largest limit of a router towards one server.
+    /// Largest limit of a router towards one server, unless its part of the
+    /// reported slots is larger.
     pub concurrency_max: u32,
 }
 
--- a/crates/guavawell-core/src/backend/state.rs
+++ b/crates/guavawell-core/src/backend/state.rs
@@ -152,7 +152,9 @@
         self.report.store(report, own, now);
         let total = report.running.saturating_add(report.queued);
         let own = u32::try_from(own.max(0)).unwrap_or(u32::MAX);
-        self.limit.report(total, report.slots, own.min(total));
+        let routers = self.routers.load(Ordering::Relaxed);
+        self.limit
+            .report(total, report.slots, own.min(total), routers, now);
         if &*report.role == LEAVING_ROLE {
             self.set_leaving(true);
         }
--- a/crates/guavawell-core/src/backend/table.rs
+++ b/crates/guavawell-core/src/backend/table.rs
@@ -211,7 +211,8 @@
 
     /// Slots of a target's servers that this router may take: those that its
     /// requests hold, and its part of the free ones by the estimated load of
-    /// all routers; for
+    /// all routers. A server that never reported counts with its adaptive
+    /// limit, as a guess of its slots may not stand in the way. For
     /// [`Admission::set_slots`](crate::limits::Admission::set_slots). Walks
     /// all servers of the target.
     #[must_use]
@@ -221,12 +222,17 @@
         };
         let (mut own, mut free) = (0_i64, 0_i64);
         let members = index.zones.iter().flat_map(|group| &group.members);
+        let mut unreported = 0_i64;
         for state in members.filter(|state| state.is_eligible(now)) {
+            if state.report.received().is_none() {
+                unreported += i64::from(state.limit.get());
+                continue;
+            }
             own += state.flight.current().max(0);
             free += state.slots().cast_signed() - state.load(now).cast_signed();
         }
         let routers = i64::from(self.routers.load(Ordering::Relaxed));
-        let slots = own + free.div_euclid(routers);
+        let slots = unreported + own + free.div_euclid(routers);
         u32::try_from(slots.max(0)).unwrap_or(u32::MAX)
     }
 
--- a/crates/guavawell-core/src/limits/admission.rs
+++ b/crates/guavawell-core/src/limits/admission.rs
@@ -1,8 +1,8 @@
 //! Admission to one target: a concurrency limit, a bounded fair queue and
 //! deadlines.
 
-use super::drain::DrainRate;
 use super::fair::FairQueue;
+use super::hold::HoldTime;
 use super::share::RunningShares;
 use super::ticket::AdmissionAnswer;
 use super::ticket::AdmissionAsk;
@@ -22,7 +22,8 @@
 pub struct AdmissionSettings {
     /// Requests run at a time until [`Admission::set_limit`] says otherwise.
     pub limit: u32,
-    /// Requests that may wait.
+    /// Requests that may wait, or as many as may run where that is more: the
+    /// bound in time is `max_wait`.
     pub queue: usize,
     /// Longest expected wait with which a request is still queued.
     pub max_wait: ClockSpan,
@@ -51,7 +52,7 @@
     slots: Option<u32>,
     shares: RunningShares,
     queue: FairQueue,
-    drain: DrainRate,
+    hold: HoldTime,
     /// No waiting request is late before this; `None` if none has a deadline.
     next_late: Option<ClockTime>,
 }
@@ -80,7 +81,7 @@
             settings,
             shares: RunningShares::default(),
             queue: FairQueue::default(),
-            drain: DrainRate::default(),
+            hold: HoldTime::default(),
             next_late: None,
         }
     }
@@ -109,13 +110,13 @@
             });
         }
         if idle {
-            self.shares.begin(&ask.organisation);
+            self.begin(&ask.organisation, now);
             return AdmissionAnswer::Run;
         }
         if wait > self.settings.max_wait {
             return AdmissionAnswer::Refused(queue_full(wait));
         }
-        if self.queue.len() >= self.settings.queue && !self.displace(&ask, now, effects) {
+        if self.queue.len() >= self.most_waiting() && !self.displace(&ask, now, effects) {
             return AdmissionAnswer::Refused(queue_full(wait));
         }
         if let Some(latest) = ask.latest_start() {
@@ -133,8 +134,8 @@
         now: ClockTime,
         effects: &mut Vec<AdmissionEffect>,
     ) {
+        self.hold.ended(self.shares.running(), now);
         self.shares.finish(organisation, now);
-        self.drain.ended(self.queue.len() > 0, now);
         self.dispatch(now, effects);
     }
 
@@ -186,11 +187,13 @@
     /// Expected wait of a request before it runs.
     #[must_use]
     pub fn expected_wait(&self, ask: &AdmissionAsk, now: ClockTime) -> ClockSpan {
-        let count = self.queue.ahead_of(ask) + 1;
-        let limit = u64::from(self.limit.max(1));
-        let guess = self.settings.hold_guess.as_millis() / limit;
-        self.drain
-            .wait_for(count, ClockSpan::from_millis(guess), now)
+        let running = self.shares.running();
+        // Where the limit fell, the first ends let nobody in.
+        let excess = u64::from(running.saturating_sub(self.limit));
+        let count = self.queue.ahead_of(ask) + 1 + excess;
+        let hold = self.hold.mean(running, self.settings.hold_guess, now);
+        let turns = u64::from(running.max(1));
+        ClockSpan::from_millis(count.saturating_mul(hold.as_millis()) / turns)
     }
 
     /// Whether an organisation runs no more than its weighted share of the
@@ -219,11 +222,21 @@
             let Some(ask) = self.queue.pop(may_run) else {
                 return;
             };
-            self.shares.begin(&ask.organisation);
+            self.begin(&ask.organisation, now);
             effects.push(AdmissionEffect::Run(ask.ticket));
         }
     }
 
+    fn begin(&mut self, organisation: &OrganisationId, now: ClockTime) {
+        self.hold.began(self.shares.running(), now);
+        self.shares.begin(organisation);
+    }
+
+    fn most_waiting(&self) -> usize {
+        let limit = usize::try_from(self.limit).unwrap_or(usize::MAX);
+        self.settings.queue.max(limit)
+    }
+
     fn displace(
         &mut self,
         ask: &AdmissionAsk,
--- a/crates/guavawell-core/src/limits/mod.rs
+++ b/crates/guavawell-core/src/limits/mod.rs
@@ -6,9 +6,9 @@
 
 mod admission;
 mod concurrency;
-mod drain;
 mod fair;
 mod gate;
+mod hold;
 mod retry;
 mod share;
 #[cfg(test)]
--- a/crates/guavawell-core/src/limits/share.rs
+++ b/crates/guavawell-core/src/limits/share.rs
@@ -121,8 +121,11 @@
         let whole = u64::from(slots) * SCALE;
         let unused = |share: &ActiveShare| {
             let allowed = whole * u64::from(share.weight.get()) / self.weights.max(1);
-            let quiet = share.usual * QUIET_PART <= allowed;
-            if quiet { allowed - share.usual } else { 0 }
+            // What it runs now counts at once, so that several that begin
+            // together leave no slot of theirs empty.
+            let used = share.usual.max(u64::from(share.running) * SCALE);
+            let quiet = used * QUIET_PART <= allowed;
+            if quiet { allowed - used } else { 0 }
         };
         let sum: u64 = self.active.iter().map(unused).sum();
         u32::try_from(sum / SCALE).unwrap_or(u32::MAX)
--- a/crates/guavawell-core/src/limits/tests.rs
+++ b/crates/guavawell-core/src/limits/tests.rs
@@ -11,6 +11,8 @@
 use crate::atomic::explore;
 use crate::clock::ClockTime;
 
+const LATER: ClockTime = ClockTime::from_millis(1_001);
+
 const SETTINGS: RetrySettings = RetrySettings {
     per_success: 500,
     burst: 2,
@@ -103,9 +105,9 @@
         let waiting = Arc::clone(&limit);
         let threads = [
             thread::spawn(move || overloaded.overload(ClockTime::from_millis(1_000))),
-            thread::spawn(move || waiting.report(64, 8, 1)),
+            thread::spawn(move || waiting.report(64, 8, 1, 1, LATER)),
         ];
-        limit.report(1, 8, 5);
+        limit.report(1, 8, 5, 8, LATER);
         assert!((4..=5).contains(&limit.get()));
         for thread in threads {
             thread.join().unwrap();
--- a/crates/guavawell-core/tests/routing.rs
+++ b/crates/guavawell-core/tests/routing.rs
@@ -204,12 +204,21 @@
     drop(held);
     let later = after(3_000);
     let _two = [run(&table, "a-0", now), run(&table, "a-0", now)];
+    // So many routers that none has a whole free slot for its part.
+    table.set_routers(16);
     let _ = table.apply_report(&id, &report(63_000, 2, 0), later);
     assert_eq!(
         table.capacity(&model("m"), later),
         4,
         "free slots let it grow"
     );
+    table.set_routers(2);
+    let _ = table.apply_report(&id, &report(63_500, 2, 0), after(3_500));
+    assert_eq!(
+        table.capacity(&model("m"), after(3_500)),
+        9,
+        "2 of its own and half of the free 14"
+    );
 }
 
 #[test]
@@ -415,6 +424,13 @@
     let full = table.choose(&sample.ask(1, now));
     assert!(matches!(full, Err(NoBackend::Saturated { .. })));
     assert_eq!(table.capacity(&model("m"), now), 2);
+    let lie = table.apply_report(&backend("a-0"), &report(60_000, 2, 0), after(60_000));
+    assert!(!lie.ignored);
+    assert_eq!(
+        table.capacity(&model("m"), now),
+        3,
+        "one more, whatever is free by the word of a server that refuses"
+    );
 }
 
 #[test]
