Keep slots for the small only once the demand passes them all

Cause: while a quiet organisation is active, a sixth of the slots was kept from whoever is above its share, whatever the load. At nine tenths of the engines' capacity the others were refused with a sixth of the slots empty.

Change: admission measures what is asked for (arrivals, smoothed over 5 s, times the time that a request runs). Nothing is kept while the slots are enough for that; from there on more, and the whole sixth from 1.5 times the slots on.

--- a/crates/guavawell-core/src/limits/admission.rs
+++ b/crates/guavawell-core/src/limits/admission.rs
@@ -1,6 +1,7 @@
 //! Admission to one target: a concurrency limit, a bounded fair queue and
 //! deadlines.
 
+use super::demand::DemandRate;
 use super::fair::FairQueue;
 use super::hold::HoldTime;
 use super::share::RunningShares;
@@ -16,6 +17,9 @@
 
 /// One slot in this many is kept for organisations within their share.
 const LAST_PART: u32 = 6;
+/// All of that is kept once the demand passes the slots by one part in this
+/// many; nothing while the slots are enough for all.
+const EXCESS_PART: u64 = 2;
 
 /// Bounds of admission to one target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -53,6 +57,7 @@
     shares: RunningShares,
     queue: FairQueue,
     hold: HoldTime,
+    demand: DemandRate,
     /// No waiting request is late before this; `None` if none has a deadline.
     next_late: Option<ClockTime>,
 }
@@ -82,6 +87,7 @@
             shares: RunningShares::default(),
             queue: FairQueue::default(),
             hold: HoldTime::default(),
+            demand: DemandRate::default(),
             next_late: None,
         }
     }
@@ -94,6 +100,7 @@
         effects: &mut Vec<AdmissionEffect>,
     ) -> AdmissionAnswer {
         self.tick(now, effects);
+        self.demand.note();
         self.shares.note(&ask.organisation, ask.weight, now);
         let idle = self
             .shares
@@ -177,10 +184,9 @@
     pub fn set_limit(&mut self, limit: u32, now: ClockTime, effects: &mut Vec<AdmissionEffect>) {
         self.limit = limit;
         self.shares.review(now);
-        self.open = self.slots.map_or(limit, |slots| {
-            let kept = self.shares.unused(slots).min(slots / LAST_PART);
-            limit.min(slots - kept)
-        });
+        self.demand.review(now);
+        let open = |slots| limit.min(slots - self.kept(slots, now));
+        self.open = self.slots.map_or(limit, open);
         self.dispatch(now, effects);
     }
 
@@ -191,7 +197,7 @@
         // Where the limit fell, the first ends let nobody in.
         let excess = u64::from(running.saturating_sub(self.limit));
         let count = self.queue.ahead_of(ask) + 1 + excess;
-        let hold = self.hold.mean(running, self.settings.hold_guess, now);
+        let hold = self.hold_time(now);
         let turns = u64::from(running.max(1));
         ClockSpan::from_millis(count.saturating_mul(hold.as_millis()) / turns)
     }
@@ -227,6 +233,23 @@
         }
     }
 
+    /// Slots kept for organisations within their share. While the slots are
+    /// enough for the demand nobody has to be refused for their sake; the more
+    /// it passes them, the less those kept matter to who asks for most.
+    fn kept(&self, slots: u32, now: ClockTime) -> u32 {
+        let most = self.shares.unused(slots).min(slots / LAST_PART);
+        let hold = self.hold_time(now);
+        let excess = self.demand.slots(hold).saturating_sub(u64::from(slots));
+        let whole = u64::from(slots).max(1);
+        let part = u64::from(most) * (excess * EXCESS_PART).min(whole) / whole;
+        u32::try_from(part).unwrap_or(most)
+    }
+
+    fn hold_time(&self, now: ClockTime) -> ClockSpan {
+        let running = self.shares.running();
+        self.hold.mean(running, self.settings.hold_guess, now)
+    }
+
     fn begin(&mut self, organisation: &OrganisationId, now: ClockTime) {
         self.hold.began(self.shares.running(), now);
         self.shares.begin(organisation);
--- a/crates/guavawell-core/src/limits/mod.rs
+++ b/crates/guavawell-core/src/limits/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod concurrency;
+mod demand;
 mod fair;
 mod gate;
 mod hold;
