Wait for a killed router's end before its next start in inforce.sh

Cause of the change that "was not seen everywhere within 20 s" with a third of the routers started again: the script started a router while the killed one still held its ports. The new process ended with `cannot listen for callers on 127.0.0.1:20036: Address already in use`, nothing started it again, and the script waited for it. The routers had no part in it.

Change: the script waits for the end of the killed process. A change that is not in force everywhere is reported with the routers that miss it and the last words of those that ended, and the script ends with 1.

--- a/scripts/inforce.sh
+++ b/scripts/inforce.sh
@@ -3,7 +3,8 @@
 # routers: real processes on loopback, a number of one-organisation changes.
 # Usage: scripts/inforce.sh [ROUTERS] [CHANGES] [restart]
 #   restart: a third of the routers is killed and started again meanwhile.
-# Needs the release binaries (cargo build --release), curl is not needed.
+# Needs the release binaries (cargo build --release). Ends with 1, and says
+# which routers and why, if a change is not in force everywhere in time.
 set -euo pipefail
 routers=${1:-24}; changes=${2:-10}; mode=${3:-plain}
 root=$(cd "$(dirname "$0")/.." && pwd)
@@ -57,16 +58,31 @@
 TOML
   "$bin/guavawell-router" --settings "r$i.toml" --threads 1 >"r$i.log" 2>&1 & router_pid[$i]=$!
 }
+# A killed process keeps its ports until it is gone: a router that starts
+# before finds its address in use, and ends.
+restart() {
+  kill -9 "${router_pid[$1]}"
+  wait "${router_pid[$1]}" 2>/dev/null || true
+  start "$1"
+}
+# Routers that ended by themselves, with their last words.
+ended() {
+  for ((i = 0; i < routers; i++)); do
+    kill -0 "${router_pid[$i]}" 2>/dev/null || echo "router-$i has ended: $(tail -n 1 "r$i.log")"
+  done
+}
 for ((i = 0; i < routers; i++)); do start "$i"; done
 sleep 8
 : > times
+missed=0
 for ((c = 1; c <= changes; c++)); do
   manifest "$c" > m.toml
   accepted=$(date +%s%3N)
   ctl manifest apply m.toml --base "$c" >/dev/null
   if [ "$mode" = restart ]; then
-    for ((i = 0; i < routers; i += 3)); do kill -9 "${router_pid[$i]}" 2>/dev/null || true; start "$i"; done
+    for ((i = 0; i < routers; i += 3)); do restart "$i"; done
   fi
+  n=none
   for _ in $(seq 100); do
     sleep 0.2
     ctl manifest show --json > show.json 2>/dev/null || continue
@@ -83,8 +99,20 @@
 )
     [ "$n" = all ] && break
   done
+  if [ "$n" != all ]; then
+    missed=$((missed + 1))
+    echo "change $c is not in force everywhere after $(($(date +%s%3N) - accepted)) ms:"
+    python3 - "$((c + 1))" <<'PY'
+import json, sys
+for row in json.load(open("show.json")).get("instances", []):
+    if row.get("version") != int(sys.argv[1]):
+        print(" ", row["instance"], row.get("version"), row.get("state"))
+PY
+    ended
+  fi
 done
 sort -n times | awk -v c="$changes" -v r="$routers" -v m="$mode" '{ t[NR] = $1 }
   END { if (NR == 0) { print "no change came into force everywhere"; exit 1 }
         printf "%d routers, %d changes (%s): %d samples, median %d ms, 99%% %d ms, max %d ms\n",
         r, c, m, NR, t[int((NR + 1) / 2)], t[int(NR * 0.99 + 0.5) < 1 ? 1 : int(NR * 0.99 + 0.5)], t[NR] }'
+[ "$missed" = 0 ]
