Say truly why admission refuses, and when to come back

Cause, found by reading each refusal of admission: a request whose expected wait is longer than `limits.max_wait_ms` was told "the queue is full" with free places in it; and a router at its limit towards every server told callers to come back after 1 ms, as the hint looked at the servers' slots only and never at the limit that refused.

Change: the cause `LongWait` with its own words; the hint is no less than the expected time until one of this router's requests ends there.

Tests: `a_wait_longer_than_the_bound_is_refused_with_that_wait_as_hint` asserted the untrue cause and now asserts the true one; `refusing_servers_lower_the_limit_until_saturated` now asserts the hint too (1,000 ms for two requests of 2 s each; it was 1 ms).

--- a/crates/guavawell-core/src/backend/choice.rs
+++ b/crates/guavawell-core/src/backend/choice.rs
@@ -295,7 +295,7 @@
     let members = index.zones.iter().flat_map(|group| &group.members);
     let usable = members.filter(|state| is_usable(state, ask, true));
     let wait = usable
-        .map(|state| state.expected_wait(ask.now).max(1))
+        .map(|state| state.expected_wait(ask.now).max(state.next_end(ask.now)))
         .min();
     match wait {
         Some(wait) => NoBackend::Saturated {
--- a/crates/guavawell-core/src/backend/state.rs
+++ b/crates/guavawell-core/src/backend/state.rs
@@ -201,6 +201,15 @@
         ahead * hold / slots
     }
 
+    /// Expected time until one of this router's requests ends, in milliseconds.
+    pub(super) fn next_end(&self, now: ClockTime) -> u64 {
+        let own = self.flight.current().max(1).cast_unsigned();
+        let hold = self
+            .hold
+            .value(self.settings.hold_guess, self.settings.speed_half_life, now);
+        (hold / own).max(1)
+    }
+
     /// Whether other zones should be compared before new work goes here.
     pub(super) fn is_crowded(&self, now: ClockTime) -> bool {
         let percent = u64::from(self.settings.spill_percent);
--- a/crates/guavawell-core/src/limits/admission.rs
+++ b/crates/guavawell-core/src/limits/admission.rs
@@ -121,7 +121,10 @@
             return AdmissionAnswer::Run;
         }
         if wait > self.settings.max_wait {
-            return AdmissionAnswer::Refused(queue_full(wait));
+            return AdmissionAnswer::Refused(WaitRefusal {
+                cause: RefusalCause::LongWait,
+                retry_after: wait,
+            });
         }
         if self.queue.len() >= self.most_waiting() && !self.displace(&ask, now, effects) {
             return AdmissionAnswer::Refused(queue_full(wait));
--- a/crates/guavawell-core/src/limits/ticket.rs
+++ b/crates/guavawell-core/src/limits/ticket.rs
@@ -150,6 +150,8 @@
     Deadline,
     /// The queue is full.
     QueueFull,
+    /// The expected wait is longer than a request may wait.
+    LongWait,
 }
 
 /// A refusal, to be answered at once.
--- a/crates/guavawell-core/tests/limits.rs
+++ b/crates/guavawell-core/tests/limits.rs
@@ -211,7 +211,7 @@
     let AdmissionAnswer::Refused(refusal) = submit(&mut admission, ask(4, "o"), at(0)) else {
         panic!("must be refused");
     };
-    assert_eq!(refusal.cause, RefusalCause::QueueFull);
+    assert_eq!(refusal.cause, RefusalCause::LongWait);
     assert_eq!(refusal.retry_after, ClockSpan::from_millis(4_000));
     let other = submit(&mut admission, ask(5, "other"), at(0));
     assert_eq!(
--- a/crates/guavawell-core/tests/routing.rs
+++ b/crates/guavawell-core/tests/routing.rs
@@ -422,7 +422,9 @@
     let _held = [run(&table, "a-0", now), run(&table, "a-0", now)];
     let sample = AskSample::new();
     let full = table.choose(&sample.ask(1, now));
-    assert!(matches!(full, Err(NoBackend::Saturated { .. })));
+    // Two run for 2 s each, as far as is known.
+    let retry_after = ClockSpan::from_millis(1_000);
+    assert_eq!(full.err(), Some(NoBackend::Saturated { retry_after }));
     assert_eq!(table.capacity(&model("m"), now), 2);
     let lie = table.apply_report(&backend("a-0"), &report(60_000, 2, 0), after(60_000));
     assert!(!lie.ignored);
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -255,6 +255,10 @@
             let (reason, detail) = match refusal.cause {
                 RefusalCause::Deadline => (RefusalReason::Deadline, "the deadline cannot be met"),
                 RefusalCause::QueueFull => (RefusalReason::Overloaded, "the queue is full"),
+                RefusalCause::LongWait => {
+                    let detail = "the expected wait is longer than a request may wait";
+                    (RefusalReason::Overloaded, detail)
+                }
             };
             let retry_after = refusal.retry_after;
             Err(Refusal::unsealed(identity, unsent, reason, detail).after(retry_after))
