Draw the peer that is asked for a newer version among all that have it

Cause, found by reading: a router that cannot reach the platform follows the first member in the order of ids that is ahead. If the link to that one is cut while gossip still hears of it by way of others, each try asks the same peer in vain, though others have the version.

Change: among the members with the newest version one is drawn for each try.

Test: `each_member_with_the_newest_version_is_asked_at_some_time`, over a function that is new; the fault was not brought about in a whole fleet.

--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -15,6 +15,7 @@
 use super::core::RouterCore;
 use super::fetch::run_polls;
 use super::keys::watch_keys;
+use super::news::newest_member;
 use super::orphan::run_orphans;
 use super::settings::order_parts;
 use super::settings::platform_pool;
@@ -124,8 +125,7 @@
     loop {
         let members = gossip.view();
         let own = members.own().manifest;
-        let ahead = members.routable().find(|member| member.manifest > own);
-        if let Some(member) = ahead {
+        if let Some(member) = newest_member(members.routable(), own, fastrand::usize(..)) {
             hints.hear(member.instance.clone(), member.manifest);
         }
         Timer::after(HINT_EVERY).await;
--- a/crates/guavawell-fleet/src/router/news.rs
+++ b/crates/guavawell-fleet/src/router/news.rs
@@ -4,6 +4,8 @@
 
 use futures::FutureExt;
 use guavawell_core::id::InstanceId;
+use guavawell_core::id::ManifestVersion;
+use guavawell_core::instance::MemberRecord;
 
 use crate::config::ConfigHandle;
 use crate::config::ConfigPeers;
@@ -50,6 +52,20 @@
     nearest.map(|member| member.instance.clone()).collect()
 }
 
+/// One of the members with the newest version, if that is newer than `own`:
+/// another one for another `draw`, as this router's links to some may be cut.
+pub fn newest_member<'m>(
+    members: impl Iterator<Item = &'m MemberRecord>,
+    own: ManifestVersion,
+    draw: usize,
+) -> Option<&'m MemberRecord> {
+    let ahead: Vec<_> = members.filter(|member| member.manifest > own).collect();
+    let newest = ahead.iter().map(|member| member.manifest).max()?;
+    let ahead = ahead.iter().filter(|member| member.manifest == newest);
+    let ahead: Vec<_> = ahead.collect();
+    Some(ahead[draw % ahead.len()])
+}
+
 /// Answers a question about the configuration; `None` if it is none.
 pub fn answer_news(config: &ConfigHandle, request: &PeerRequest) -> Option<PeerReply> {
     match request {
--- a/crates/guavawell-fleet/src/router/tests.rs
+++ b/crates/guavawell-fleet/src/router/tests.rs
@@ -14,6 +14,10 @@
 use guavawell_core::backend::RoutingSettings;
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::id::IncarnationId;
+use guavawell_core::id::ManifestVersion;
+use guavawell_core::instance::MemberRecord;
+use guavawell_core::instance::Reachability;
 use guavawell_core::limits::AdmissionAsk;
 use guavawell_core::limits::AdmissionSettings;
 use guavawell_core::limits::FairWeight;
@@ -32,6 +36,7 @@
 use super::admit::AdmissionPass;
 use super::admit::NotAdmitted;
 use super::choice::lease_outcome;
+use super::news::newest_member;
 use super::platform::PlatformClients;
 use super::platform::share_policy;
 use super::settings;
@@ -302,3 +307,33 @@
     });
     enter_all(&door);
 }
+
+fn member(number: u64, version: u64) -> MemberRecord {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    MemberRecord {
+        instance: format!("router-{number}").parse().unwrap(),
+        incarnation: IncarnationId::new(1),
+        refutation: 0,
+        zone: "zone".parse().unwrap(),
+        caller_address: address,
+        peer_address: address,
+        gossip_address: address,
+        reachability: Reachability::Reachable,
+        leaving: false,
+        manifest: ManifestVersion::new(version),
+    }
+}
+
+#[test]
+fn each_member_with_the_newest_version_is_asked_at_some_time() {
+    let members = [member(0, 7), member(1, 9), member(2, 8), member(3, 9)];
+    let own = ManifestVersion::new(7);
+    let drawn = |draw| newest_member(members.iter(), own, draw).map(|member| &member.instance);
+    // The link to the first one may be cut while gossip still reaches it.
+    assert_eq!(drawn(0), Some(&members[1].instance));
+    assert_eq!(drawn(1), Some(&members[3].instance));
+    assert_eq!(
+        newest_member(members.iter(), ManifestVersion::new(9), 0),
+        None
+    );
+}
