Spread the polls of routers that start together; drill what is in force

A change waited for all of them at once.

Change: the pause after the first poll is drawn from the whole interval. The bound without gossip stays 5 s.

Test: `routers_that_start_together_do_not_go_on_to_poll_together`. The config tests give a `Jitter` where they gave milliseconds.

--- a/crates/guavawell-core/src/manifest/force/event.rs
+++ b/crates/guavawell-core/src/manifest/force/event.rs
@@ -6,11 +6,11 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::id::InstanceId;
 use crate::id::ManifestVersion;
 use crate::manifest::VersionRow;
+use crate::platform::Jitter;
 
 /// How a router knows that a version was accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -47,8 +47,8 @@
 pub enum ConfigEvent {
     /// Time has passed.
     Tick {
-        /// Added to the time until the next poll, so that routers spread.
-        jitter: ClockSpan,
+        /// Drawn for this tick, so that routers' polls spread.
+        jitter: Jitter,
     },
     /// The table answered; `None` if it holds no version.
     TableRead(Option<VersionRow>),
--- a/crates/guavawell-core/src/manifest/force/state.rs
+++ b/crates/guavawell-core/src/manifest/force/state.rs
@@ -10,11 +10,16 @@
 use crate::id::InstanceId;
 use crate::id::ManifestVersion;
 use crate::manifest::VersionRow;
+use crate::platform::Jitter;
+
+/// Jitter makes a pause longer by up to one part in this many.
+const JITTER_PART: u64 = 4;
 
 /// How often a router looks for a new version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigSettings {
-    /// Time between two reads of the version row, jitter not counted.
+    /// Time between two reads of the version row, less than a quarter more by
+    /// jitter; after the first one any part of it.
     pub poll_interval: ClockSpan,
     /// Shortest time between two reads that peers' versions give rise to.
     pub hint_interval: ClockSpan,
@@ -59,6 +64,7 @@
     none_accepted: bool,
     reading: bool,
     asking: bool,
+    /// Zero before the first poll.
     next_poll: ClockTime,
     next_hint: ClockTime,
     next_load: ClockTime,
@@ -164,14 +170,28 @@
         effects
     }
 
-    fn poll(&mut self, now: ClockTime, jitter: ClockSpan, effects: &mut Vec<ConfigEffect>) {
+    fn poll(&mut self, now: ClockTime, jitter: Jitter, effects: &mut Vec<ConfigEffect>) {
         if now < self.next_poll || self.reading {
             return;
         }
-        self.next_poll = now + self.settings.poll_interval + jitter;
+        self.next_poll = now + self.poll_pause(jitter);
         self.read_table(effects);
     }
 
+    /// Time until the next poll. Routers that start together would go on to
+    /// poll together, and a change would wait for all of them, so that the
+    /// first pause is drawn from the whole interval.
+    fn poll_pause(&self, jitter: Jitter) -> ClockSpan {
+        let whole = self.settings.poll_interval.as_millis();
+        let part = |span: u64| span * u64::from(jitter.0) / u64::from(u16::MAX);
+        let pause = if self.next_poll > ClockTime::default() {
+            whole + part(whole / JITTER_PART)
+        } else {
+            whole - part(whole)
+        };
+        ClockSpan::from_millis(pause)
+    }
+
     fn read_table(&mut self, effects: &mut Vec<ConfigEffect>) {
         self.reading = true;
         effects.push(ConfigEffect::ReadTable);
--- a/crates/guavawell-core/tests/config/force.rs
+++ b/crates/guavawell-core/tests/config/force.rs
@@ -1,6 +1,5 @@
 //! One router's version in force, event by event.
 
-use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::ManifestVersion;
@@ -11,6 +10,7 @@
 use guavawell_core::manifest::NotInForce;
 use guavawell_core::manifest::VersionProof;
 use guavawell_core::manifest::VersionRow;
+use guavawell_core::platform::Jitter;
 
 use crate::support::row;
 
@@ -34,7 +34,7 @@
 
     fn tick(&mut self, after: u64) -> Vec<ConfigEffect> {
         self.now += after;
-        let jitter = ClockSpan::from_millis(0);
+        let jitter = Jitter(0);
         self.step(ConfigEvent::Tick { jitter })
     }
 
@@ -217,3 +217,33 @@
     assert_eq!(effects, [ConfigEffect::Load(row("anna", 2))]);
     assert_eq!(router.version(), 0);
 }
+
+/// Milliseconds from a tick that polls to the next poll.
+fn poll_pause(router: &mut Router, jitter: u16) -> u64 {
+    let jitter = Jitter(jitter);
+    let effects = router.step(ConfigEvent::Tick { jitter });
+    assert_eq!(effects, [ConfigEffect::ReadTable]);
+    let next = router.state.next_tick().as_millis();
+    router.step(ConfigEvent::TableRead(None));
+    let pause = next - router.now;
+    router.now = next;
+    pause
+}
+
+#[test]
+fn routers_that_start_together_do_not_go_on_to_poll_together() {
+    let draws = [0, u16::MAX / 2, u16::MAX];
+    let mut routers = [Router::fresh(), Router::fresh(), Router::fresh()];
+    let mut pauses = |draws: [u16; 3]| {
+        let pairs = routers.iter_mut().zip(draws);
+        pairs
+            .map(|(router, draw)| poll_pause(router, draw))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(pauses(draws), [4_000, 2_001, 0], "the first over the whole");
+    assert_eq!(
+        pauses(draws),
+        [4_000, 4_499, 5_000],
+        "later ones keep the bound"
+    );
+}
--- a/crates/guavawell-core/tests/config/history.rs
+++ b/crates/guavawell-core/tests/config/history.rs
@@ -1,7 +1,6 @@
 //! Histories of a small fleet: operators accept versions while routers
 //! restart, lose the table and lose each other, and answers come late.
 
-use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::manifest::ConfigEffect;
 use guavawell_core::manifest::ConfigEvent;
@@ -10,6 +9,7 @@
 use guavawell_core::manifest::VersionInForce;
 use guavawell_core::manifest::VersionProof;
 use guavawell_core::manifest::VersionRow;
+use guavawell_core::platform::Jitter;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngAlgorithm;
@@ -116,7 +116,7 @@
             Step::Gossip(from, to) => self.gossip(from, to),
             Step::Tick(router, after) => {
                 self.routers[router].now += after;
-                let jitter = ClockSpan::from_millis(after % 7);
+                let jitter = Jitter(u16::try_from(after % 7).expect("small") * 9_000);
                 self.step(router, ConfigEvent::Tick { jitter });
             }
             Step::Answer(router, number) => {
--- a/crates/guavawell-fleet/src/config/driver.rs
+++ b/crates/guavawell-fleet/src/config/driver.rs
@@ -7,7 +7,6 @@
 use futures::future::BoxFuture;
 use futures::future::join_all;
 use futures::stream::FuturesUnordered;
-use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::ManifestVersion;
 use guavawell_core::manifest::ConfigEffect;
@@ -17,6 +16,7 @@
 use guavawell_core::manifest::FleetView;
 use guavawell_core::manifest::VersionInForce;
 use guavawell_core::manifest::VersionRow;
+use guavawell_core::platform::Jitter;
 use smol::Timer;
 use smol::channel;
 use smol::future;
@@ -47,8 +47,6 @@
 /// Keeps a router's version in force up to date, until it is dropped.
 pub struct ConfigDriver {
     state: ConfigState,
-    /// A quarter of the poll interval.
-    max_jitter: ClockSpan,
     store: ManifestStore,
     peers: Arc<ConfigPeers>,
     on_change: Box<dyn Fn(&ConfigSnapshot) + Send + Sync>,
@@ -102,9 +100,7 @@
     pub fn new(inputs: ConfigInputs) -> (Self, ConfigHandle, ConfigHints) {
         let (sender, hints) = channel::bounded(MAX_HINTS);
         let handle = ConfigHandle::fresh();
-        let poll_interval = inputs.settings.poll_interval.as_millis();
         let driver = Self {
-            max_jitter: ClockSpan::from_millis(poll_interval / 4),
             state: ConfigState::new(inputs.settings),
             store: inputs.store,
             peers: Arc::new(inputs.peers),
@@ -156,7 +152,7 @@
     }
 
     fn tick(&mut self) {
-        let jitter = ClockSpan::from_millis(fastrand::u64(0..=self.max_jitter.as_millis()));
+        let jitter = Jitter(fastrand::u16(..));
         self.step(ConfigEvent::Tick { jitter });
     }
 
