--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -16,6 +16,7 @@
 mod settings;
 mod stock;
 mod upkeep;
+mod wait;
 mod witnessing;
 
 use std::collections::VecDeque;
@@ -34,7 +35,7 @@
 use crate::id::TokenCount;
 use crate::request::RequestIdentity;
 use stock::BudgetStock;
-use witnessing::HeldWait;
+use wait::HeldWait;
 use witnessing::SentBatch;
 use witnessing::WitnessChange;
 
@@ -94,6 +95,8 @@
     handovers: u64,
     /// What is answered once a batch is acknowledged.
     waits: Vec<HeldWait>,
+    /// Whether the next batch goes even if it carries nothing.
+    probes: bool,
     /// Whether the witness let a batch wait for too long.
     silent: bool,
     retained: VecDeque<RetainedRequest>,
@@ -135,6 +138,7 @@
             sequence: 0,
             handovers: 0,
             waits: Vec::new(),
+            probes: false,
             silent: false,
             slot_read_at: now,
         }
--- a/crates/guavawell-fleet/src/peer/wire/answer.rs
+++ b/crates/guavawell-fleet/src/peer/wire/answer.rs
@@ -13,6 +13,7 @@
 
 use super::WireError;
 use super::page;
+use super::relay;
 use super::value::backend_text;
 use super::value::read_attempt;
 use super::value::read_backend;
@@ -51,6 +52,7 @@
         PeerReply::Life(answer) => builder.set_life(answer.incarnation.get()),
         PeerReply::Version(row) => page::write_version(builder, row.as_ref()),
         PeerReply::Pages(pages) => page::write_pages(builder, pages),
+        PeerReply::Relay(answer) => relay::write_answer(builder.init_relay(), answer),
         PeerReply::Accepted => builder.set_accepted(()),
         PeerReply::Refused(refusal) => builder.set_refused(write_refused(*refusal)),
     }
@@ -129,6 +131,7 @@
 fn write_release(mut builder: release_answer::Builder<'_>, answer: &ReleaseAnswer) {
     match answer {
         ReleaseAnswer::Released => builder.set_released(()),
+        ReleaseAnswer::Pending { retry_after } => builder.set_pending(retry_after.as_millis()),
         ReleaseAnswer::AlreadySettled { charged } => builder.set_already_settled(charged.get()),
         ReleaseAnswer::NotHolder { holder } => {
             write_holder(builder.init_not_holder(), holder.as_ref());
@@ -183,6 +186,7 @@
         }),
         answer::Which::Version(row) => PeerReply::Version(page::read_version(row?)?),
         answer::Which::Pages(pages) => PeerReply::Pages(page::read_pages(pages?)?),
+        answer::Which::Relay(answer) => PeerReply::Relay(relay::read_answer(answer?)?),
         answer::Which::Accepted(()) => PeerReply::Accepted,
         answer::Which::Refused(refusal) => PeerReply::Refused(read_refused(refusal?)),
     };
@@ -275,6 +279,9 @@
 fn read_release(reader: release_answer::Reader<'_>) -> Result<ReleaseAnswer, WireError> {
     let answer = match reader.which()? {
         release_answer::Which::Released(()) => ReleaseAnswer::Released,
+        release_answer::Which::Pending(millis) => ReleaseAnswer::Pending {
+            retry_after: ClockSpan::from_millis(millis),
+        },
         release_answer::Which::AlreadySettled(charged) => ReleaseAnswer::AlreadySettled {
             charged: TokenCount::new(charged),
         },
