--- a/crates/guavawell-core/src/backend/state.rs
+++ b/crates/guavawell-core/src/backend/state.rs
@@ -155,7 +155,9 @@
         self.report.store(report, own, now);
         let total = report.running.saturating_add(report.queued);
         let own = u32::try_from(own.max(0)).unwrap_or(u32::MAX);
-        self.limit.report(total, report.slots, own.min(total));
+        let routers = self.routers.load(Ordering::Relaxed);
+        self.limit
+            .report(total, report.slots, own.min(total), routers, now);
         if &*report.role == LEAVING_ROLE {
             self.set_leaving(true);
         }
@@ -202,6 +204,15 @@
         ahead * hold / slots
     }
 
+    /// Expected time until one of this router's requests ends, in milliseconds.
+    pub(super) fn next_end(&self, now: ClockTime) -> u64 {
+        let own = self.flight.current().max(1).cast_unsigned();
+        let hold = self
+            .hold
+            .value(self.settings.hold_guess, self.settings.speed_half_life, now);
+        (hold / own).max(1)
+    }
+
     /// Whether other zones should be compared before new work goes here.
     pub(super) fn is_crowded(&self, now: ClockTime) -> bool {
         let percent = u64::from(self.settings.spill_percent);
