--- a/crates/guavawell-core/tests/budget_search/world/promise.rs
+++ b/crates/guavawell-core/tests/budget_search/world/promise.rs
@@ -92,6 +92,7 @@
             let again = |other: &GrantedAttempt| {
                 other.request == first.request
                     && other.attempt != first.attempt
+                    && other.release == ReleaseState::Unasked
                     && !is_excused(other)
             };
             if self.granted.iter().any(again) {
