Tell no join alone once the witness has stopped to take over

Cause: a holder whose witness is away joins what it had. Where the witness has refused because it stopped in order to take over, the successor may have ended that attempt already.

Change: such a refusal is remembered until a new witness is in, and a join is unreachable meanwhile. A batch without entries goes wherever somebody waits for the witness's word, so the holder needs no flag for it.

Conclusion: a join is told alone only while a witness is merely not heard.

--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -120,7 +120,8 @@
     }
 
     /// Joins an attempt that the witness had, or that the float pays; a seal
-    /// that may be lost is not told.
+    /// that may be lost is not told. Once the witness has stopped in order to
+    /// take over, nothing is told.
     pub(super) fn join_alone(
         &self,
         ask: AskId,
@@ -128,7 +129,7 @@
         effects: &mut Vec<HolderEffect>,
     ) {
         let known = self.known_request(reserve);
-        let known = known.filter(|_| !self.is_unsure(&reserve.identity));
+        let known = known.filter(|_| !self.deposed && !self.is_unsure(&reserve.identity));
         answer_reserve(ask, known.unwrap_or_else(|| self.unreachable()), effects);
     }
 
--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -95,8 +95,8 @@
     handovers: u64,
     /// What is answered once a batch is acknowledged.
     waits: Vec<HeldWait>,
-    /// Whether the next batch goes even if it carries nothing.
-    probes: bool,
+    /// Whether the witness has stopped in order to take the slot over.
+    deposed: bool,
     /// Whether the witness let a batch wait for too long.
     silent: bool,
     retained: VecDeque<RetainedRequest>,
@@ -138,7 +138,7 @@
             sequence: 0,
             handovers: 0,
             waits: Vec::new(),
-            probes: false,
+            deposed: false,
             silent: false,
             slot_read_at: now,
         }
--- a/crates/guavawell-core/src/budget/holder/wait.rs
+++ b/crates/guavawell-core/src/budget/holder/wait.rs
@@ -70,7 +70,6 @@
     /// entries if need be: its acknowledgement shows that no takeover came
     /// before.
     pub(super) fn wait_for_word(&mut self, kind: WaitKind) {
-        self.probes = true;
         self.waits.push(HeldWait {
             batch: self.sequence + 1,
             kind,
--- a/crates/guavawell-core/src/budget/holder/witnessing.rs
+++ b/crates/guavawell-core/src/budget/holder/witnessing.rs
@@ -42,13 +42,13 @@
 }
 
 impl SlotHolder {
-    /// Sends what is queued, unless a batch is on its way.
+    /// Sends what is queued, unless a batch is on its way; a batch without
+    /// entries where the witness's word alone is waited for.
     pub(super) fn flush(&mut self, now: ClockTime, effects: &mut Vec<HolderEffect>) {
         while matches!(self.phase, HolderPhase::Serving)
             && self.batch.is_none()
-            && (self.probes || !self.outbox.is_empty())
+            && !(self.outbox.is_empty() && self.waits.is_empty())
         {
-            self.probes = false;
             let entries = std::mem::take(&mut self.outbox);
             self.sequence += 1;
             match self.stamp() {
@@ -129,6 +129,7 @@
         if !self.silent {
             effects.push(HolderEffect::Note(HolderNote::WitnessRefused));
         }
+        self.deposed = refusal.reason == RefusalReason::Stopped;
         self.give_up_waits(effects);
         self.read_slot(effects);
     }
@@ -233,6 +234,7 @@
                 self.row = row;
                 self.phase = HolderPhase::Serving;
                 self.silent = false;
+                self.deposed = false;
                 effects.push(HolderEffect::Note(HolderNote::WitnessChanged));
                 self.finish_waits(0, now, effects);
                 self.review_all(now, effects);
--- a/crates/guavawell-core/tests/budget_release.rs
+++ b/crates/guavawell-core/tests/budget_release.rs
@@ -10,6 +10,7 @@
 use guavawell_core::budget::HolderEvent;
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::budget::InstanceLife;
+use guavawell_core::budget::RefusalReason;
 use guavawell_core::budget::ReleaseAnswer;
 use guavawell_core::budget::ReleaseAsk;
 use guavawell_core::budget::ReserveAnswer;
@@ -25,6 +26,7 @@
 use guavawell_core::budget::TokenPool;
 use guavawell_core::budget::WitnessAck;
 use guavawell_core::budget::WitnessMessage;
+use guavawell_core::budget::WitnessRefusal;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::id::AttemptId;
@@ -424,3 +426,19 @@
     rig.settle_down();
     assert!(is_granted(rig.reserved(5)), "nothing is left to join");
 }
+
+#[test]
+fn a_join_is_told_alone_only_while_no_takeover_is_known() {
+    for reason in [RefusalReason::UnknownStamp, RefusalReason::Stopped] {
+        let mut rig = HolderRig::ready(0);
+        rig.reserve(1, 1, 1);
+        rig.ack();
+        rig.reserve(2, 2, 2);
+        let stamp = rig.acks[0].stamp.clone();
+        rig.tell(HolderEvent::Refusal(WitnessRefusal { stamp, reason }));
+        rig.reserve(3, 1, 3);
+        let is_stopped = reason == RefusalReason::Stopped;
+        assert_eq!(rig.joins(3, 1), !is_stopped);
+        assert_eq!(is_unreachable(rig.reserved(3)), is_stopped);
+    }
+}
