Begin a tenure once: not also by what the table tells of a takeover

Cause: histories on real drivers found charges answered Unknown right after their attempt was granted, and joined later. A witness's takeover ends under the seat's lock, and its holder begins under the next lock. In between the periodic read of the zone's rows could find the new tenure, begin it without the ledger (as after a loss), and the right holder then pushed that one among the former holders of the seat. Both had the same tenure, so charges went to the wrong one, which knew nothing; and what the wrong one had granted in between, the right one did not know.

Change: the tenure counts as begun in the same step in which the witness says so, and a tenure found in the table is claimed under one lock.

Conclusion: one holder a tenure.

--- a/crates/guavawell-fleet/src/slot/acquire.rs
+++ b/crates/guavawell-fleet/src/slot/acquire.rs
@@ -151,7 +151,7 @@
     /// A first tenure starts empty; any other one after a loss, unless the
     /// witness's own takeover begins it with its ledger.
     fn begin_found(self: &Arc<Self>, seat: &Arc<SlotSeat>, row: &SlotRow) {
-        if !seat.lock().may_begin(row) {
+        if !seat.lock().claim_tenure(row) {
             return;
         }
         let ledger = if row.tenure == SlotRow::first(self.parts.life.clone()).tenure {
--- a/crates/guavawell-fleet/src/slot/mod.rs
+++ b/crates/guavawell-fleet/src/slot/mod.rs
@@ -16,6 +16,8 @@
 mod resolve;
 mod seat;
 mod table;
+#[cfg(test)]
+mod tests;
 mod toward;
 
 pub use driver::SlotDriver;
--- a/crates/guavawell-fleet/src/slot/seat.rs
+++ b/crates/guavawell-fleet/src/slot/seat.rs
@@ -103,9 +103,14 @@
         self.holder.as_ref().filter(|holder| !holder.is_retired())
     }
 
-    /// Whether a tenure that the table gives to this life is new here.
-    pub(super) fn may_begin(&self, row: &SlotRow) -> bool {
-        row.tenure > self.begun && !self.witness.is_taking_over()
+    /// Whether a tenure that the table gives to this life is new here; it is
+    /// new once.
+    pub(super) fn claim_tenure(&mut self, row: &SlotRow) -> bool {
+        if row.tenure <= self.begun || self.witness.is_taking_over() {
+            return false;
+        }
+        self.begun = row.tenure;
+        true
     }
 
     /// Whether a witness may be named now: the same one not again at once.
@@ -217,6 +222,13 @@
     pub(super) fn witness(&mut self, event: WitnessEvent, now: ClockTime) -> Vec<WitnessEffect> {
         let mut effects = Vec::new();
         self.witness.handle(event, now, &mut effects);
+        // Under this lock: the tenure that the witness's ledger begins must not
+        // be found in the table and begun without it.
+        for effect in &effects {
+            if let WitnessEffect::Begin(row, _) = effect {
+                self.begun = self.begun.max(row.tenure);
+            }
+        }
         effects
     }
 
