Check histories of reserve, settle, release and seal on real slot drivers

Change: tests/history/slots drives three real drivers of one zone over the stand-in's table; each 17th reply between them is lost; half-way nobody, the holder or the witness is killed. Without a float each request has to be linearizable as one object (free, held, charged, sealed). With a float the weaker FloatSpec holds: what a float paid may run beside others, be forgotten and be named; witnessed attempts keep their rules, and nothing is named that was not asked for or was refused. Planted and caught: a release answered before the witness has it, and a second holder.

--- a/crates/guavawell-fleet/tests/history/main.rs
+++ b/crates/guavawell-fleet/tests/history/main.rs
@@ -1,5 +1,6 @@
-//! Histories of concurrent claims, checked for linearizability.
+//! Histories of concurrent claims and of money, checked for linearizability.
 
 mod claims;
 mod record;
+mod slots;
 mod spec;
--- a/crates/guavawell-fleet/tests/history/record.rs
+++ b/crates/guavawell-fleet/tests/history/record.rs
@@ -54,6 +54,14 @@
         self.0.lock().unwrap().calls
     }
 
+    /// Answers of a kind so far, those without a clear one included.
+    pub fn count(&self, is_kind: impl Fn(&T) -> bool) -> usize {
+        let state = self.0.lock().unwrap();
+        let events = state.events.iter().chain(&state.open);
+        let answers = events.filter_map(|event| event.answer.as_ref());
+        answers.filter(|answer| is_kind(answer)).count()
+    }
+
     /// A call was answered, and its effect came before the answer.
     pub fn answer(&self, call: CallNumber, answer: T) {
         let answer = Some(answer);
