--- a/crates/guavawell-core/src/backend/table.rs
+++ b/crates/guavawell-core/src/backend/table.rs
@@ -282,7 +282,8 @@
 
     /// Slots of a target's servers that this router may take: those that its
     /// requests hold, and its part of the free ones by the estimated load of
-    /// all routers; for
+    /// all routers. A server that never reported counts with its adaptive
+    /// limit, as a guess of its slots may not stand in the way. For
     /// [`Admission::set_slots`](crate::limits::Admission::set_slots). Walks
     /// all servers of the target.
     #[must_use]
@@ -291,19 +292,31 @@
             return 0;
         };
         let (mut own, mut free) = (0_i64, 0_i64);
+        let mut unreported = 0_i64;
         for group in &index.zones {
             let told = group.told.percent(self.settings.summary_stale, now);
+            let heard = told.is_some() || self.is_beyond(&group.zone);
             for state in group.near.iter().filter(|state| state.is_eligible(now)) {
+                if !heard && state.report.received().is_none() {
+                    unreported += i64::from(state.limit.get());
+                    continue;
+                }
                 own += state.flight.current().max(0);
                 let load = state.load_told(told, now).cast_signed();
                 let left = state.slots().cast_signed() - load;
                 free += left * SHARE_UNIT / state.sharers();
             }
         }
-        let slots = own + free.div_euclid(SHARE_UNIT);
+        let slots = unreported + own + free.div_euclid(SHARE_UNIT);
         u32::try_from(slots.max(0)).unwrap_or(u32::MAX)
     }
 
+    /// Whether a zone's servers never report to this router.
+    fn is_beyond(&self, zone: &ZoneId) -> bool {
+        let subset = self.subset.as_deref();
+        subset.is_some_and(|subset| subset.zone() != zone)
+    }
+
     pub(super) fn settings(&self) -> &RoutingSettings {
         &self.settings
     }
--- a/crates/guavawell-core/src/limits/admission.rs
+++ b/crates/guavawell-core/src/limits/admission.rs
@@ -1,8 +1,9 @@
 //! Admission to one target: a concurrency limit, a bounded fair queue and
 //! deadlines.
 
-use super::drain::DrainRate;
+use super::demand::DemandRate;
 use super::fair::FairQueue;
+use super::hold::HoldTime;
 use super::share::RunningShares;
 use super::ticket::AdmissionAnswer;
 use super::ticket::AdmissionAsk;
@@ -16,13 +17,17 @@
 
 /// One slot in this many is kept for organisations within their share.
 const LAST_PART: u32 = 6;
+/// All of that is kept once the demand passes the slots by one part in this
+/// many; nothing while the slots are enough for all.
+const EXCESS_PART: u64 = 2;
 
 /// Bounds of admission to one target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AdmissionSettings {
     /// Requests run at a time until [`Admission::set_limit`] says otherwise.
     pub limit: u32,
-    /// Requests that may wait.
+    /// Requests that may wait, or as many as may run where that is more: the
+    /// bound in time is `max_wait`.
     pub queue: usize,
     /// Longest expected wait with which a request is still queued.
     pub max_wait: ClockSpan,
@@ -51,7 +56,8 @@
     slots: Option<u32>,
     shares: RunningShares,
     queue: FairQueue,
-    drain: DrainRate,
+    hold: HoldTime,
+    demand: DemandRate,
     /// No waiting request is late before this; `None` if none has a deadline.
     next_late: Option<ClockTime>,
 }
@@ -80,7 +86,8 @@
             settings,
             shares: RunningShares::default(),
             queue: FairQueue::default(),
-            drain: DrainRate::default(),
+            hold: HoldTime::default(),
+            demand: DemandRate::default(),
             next_late: None,
         }
     }
@@ -93,6 +100,7 @@
         effects: &mut Vec<AdmissionEffect>,
     ) -> AdmissionAnswer {
         self.tick(now, effects);
+        self.demand.note();
         self.shares.note(&ask.organisation, ask.weight, now);
         let idle = self
             .shares
@@ -109,13 +117,16 @@
             });
         }
         if idle {
-            self.shares.begin(&ask.organisation);
+            self.begin(&ask.organisation, now);
             return AdmissionAnswer::Run;
         }
         if wait > self.settings.max_wait {
-            return AdmissionAnswer::Refused(queue_full(wait));
+            return AdmissionAnswer::Refused(WaitRefusal {
+                cause: RefusalCause::LongWait,
+                retry_after: wait,
+            });
         }
-        if self.queue.len() >= self.settings.queue && !self.displace(&ask, now, effects) {
+        if self.queue.len() >= self.most_waiting() && !self.displace(&ask, now, effects) {
             return AdmissionAnswer::Refused(queue_full(wait));
         }
         if let Some(latest) = ask.latest_start() {
@@ -133,8 +144,8 @@
         now: ClockTime,
         effects: &mut Vec<AdmissionEffect>,
     ) {
+        self.hold.ended(self.shares.running(), now);
         self.shares.finish(organisation, now);
-        self.drain.ended(self.queue.len() > 0, now);
         self.dispatch(now, effects);
     }
 
@@ -176,21 +187,22 @@
     pub fn set_limit(&mut self, limit: u32, now: ClockTime, effects: &mut Vec<AdmissionEffect>) {
         self.limit = limit;
         self.shares.review(now);
-        self.open = self.slots.map_or(limit, |slots| {
-            let kept = self.shares.unused(slots).min(slots / LAST_PART);
-            limit.min(slots - kept)
-        });
+        self.demand.review(now);
+        let open = |slots| limit.min(slots - self.kept(slots, now));
+        self.open = self.slots.map_or(limit, open);
         self.dispatch(now, effects);
     }
 
     /// Expected wait of a request before it runs.
     #[must_use]
     pub fn expected_wait(&self, ask: &AdmissionAsk, now: ClockTime) -> ClockSpan {
-        let count = self.queue.ahead_of(ask) + 1;
-        let limit = u64::from(self.limit.max(1));
-        let guess = self.settings.hold_guess.as_millis() / limit;
-        self.drain
-            .wait_for(count, ClockSpan::from_millis(guess), now)
+        let running = self.shares.running();
+        // Where the limit fell, the first ends let nobody in.
+        let excess = u64::from(running.saturating_sub(self.limit));
+        let count = self.queue.ahead_of(ask) + 1 + excess;
+        let hold = self.hold_time(now);
+        let turns = u64::from(running.max(1));
+        ClockSpan::from_millis(count.saturating_mul(hold.as_millis()) / turns)
     }
 
     /// Whether an organisation runs no more than its weighted share of the
@@ -219,11 +231,38 @@
             let Some(ask) = self.queue.pop(may_run) else {
                 return;
             };
-            self.shares.begin(&ask.organisation);
+            self.begin(&ask.organisation, now);
             effects.push(AdmissionEffect::Run(ask.ticket));
         }
     }
 
+    /// Slots kept for organisations within their share. While the slots are
+    /// enough for the demand nobody has to be refused for their sake; the more
+    /// it passes them, the less those kept matter to who asks for most.
+    fn kept(&self, slots: u32, now: ClockTime) -> u32 {
+        let most = self.shares.unused(slots).min(slots / LAST_PART);
+        let hold = self.hold_time(now);
+        let excess = self.demand.slots(hold).saturating_sub(u64::from(slots));
+        let whole = u64::from(slots).max(1);
+        let part = u64::from(most) * (excess * EXCESS_PART).min(whole) / whole;
+        u32::try_from(part).unwrap_or(most)
+    }
+
+    fn hold_time(&self, now: ClockTime) -> ClockSpan {
+        let running = self.shares.running();
+        self.hold.mean(running, self.settings.hold_guess, now)
+    }
+
+    fn begin(&mut self, organisation: &OrganisationId, now: ClockTime) {
+        self.hold.began(self.shares.running(), now);
+        self.shares.begin(organisation);
+    }
+
+    fn most_waiting(&self) -> usize {
+        let limit = usize::try_from(self.limit).unwrap_or(usize::MAX);
+        self.settings.queue.max(limit)
+    }
+
     fn displace(
         &mut self,
         ask: &AdmissionAsk,
--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -18,10 +18,12 @@
 use super::core::RouterCore;
 use super::fetch::run_polls;
 use super::keys::watch_keys;
+use super::news::newest_member;
 use super::orphan::run_orphans;
 use super::report::take_reports;
 use super::settings::order_parts;
 use super::settings::platform_pool;
+use super::settings::retention_parts;
 use crate::clock;
 use crate::config::ConfigHints;
 use crate::event::EventDraft;
@@ -33,8 +35,10 @@
 use crate::order::OrderDriver;
 use crate::platform::InstanceEntry;
 use crate::platform::InstanceList;
+use crate::platform::TableCompare;
 use crate::platform::TableOp;
 use crate::platform::TableTxn;
+use crate::retention::RetentionDriver;
 use crate::settings::RouterSettings;
 
 /// Time between two looks at queues and deadlines.
@@ -70,7 +74,10 @@
     tasks.spawn(run_polls(Arc::clone(core), gossip.clone()));
     tasks.spawn(run_orphans(Arc::clone(core)));
     tasks.spawn(Arc::new(OrderDriver::new(order_parts(core, gossip))).run());
+    let retention = RetentionDriver::new(retention_parts(core, gossip));
+    tasks.spawn(retention.run());
     tasks.spawn(review_admission(Arc::clone(core)));
+    tasks.spawn(core.claims.clone().watch_generation());
     tasks.spawn(watch_keys(Arc::clone(core), gossip.clone()));
     tasks.spawn(read_list(Arc::clone(core), gossip.clone()));
     tasks.spawn(pass_hints(gossip.clone(), hints));
@@ -130,8 +137,7 @@
     loop {
         let members = gossip.view();
         let own = members.own().manifest;
-        let ahead = members.routable().find(|member| member.manifest > own);
-        if let Some(member) = ahead {
+        if let Some(member) = newest_member(members.routable(), own, fastrand::usize(..)) {
             hints.hear(member.instance.clone(), member.manifest);
         }
         Timer::after(HINT_EVERY).await;
@@ -189,15 +195,29 @@
 
 /// Writes this instance's row until the table has it.
 pub async fn publish_row(core: Arc<RouterCore>, row: InstanceRow) {
+    let key = instance_key(&core.life.instance);
     let value = serde_json::to_vec(&row).expect("addresses and ids serialise");
+    while !publish_once(&core, &key, &value).await {
+        Timer::after(ROW_RETRY).await;
+    }
+}
+
+/// Whether the table has the row. The write names the revision that it
+/// replaces, so that one that lands late never hides a later life's row.
+async fn publish_once(core: &RouterCore, key: &str, value: &[u8]) -> bool {
+    let Ok(read) = core.table.get(key).await else {
+        return false;
+    };
+    if read.row.as_ref().is_some_and(|row| &*row.value == value) {
+        return true;
+    }
     let txn = TableTxn {
-        success: vec![TableOp::put(&instance_key(&core.life.instance), value)],
+        compares: vec![TableCompare::unchanged(key, read.mod_revision())],
+        success: vec![TableOp::put(key, value)],
         ..TableTxn::default()
     };
-    // The same write twice does no harm, so that a lost answer needs no care.
-    while core.table.txn(&txn, WriteClass::Rest).await.is_err() {
-        Timer::after(ROW_RETRY).await;
-    }
+    let written = core.table.txn(&txn, WriteClass::Rest).await;
+    written.is_ok_and(|answer| answer.succeeded)
 }
 
 /// Notes what gossip learns.
--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -12,7 +12,9 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::BudgetId;
 use guavawell_core::id::InstanceId;
+use guavawell_core::id::OrganisationId;
 use guavawell_core::instance::MembershipSettings;
+use guavawell_core::instance::owner;
 use guavawell_core::limits::AdmissionSettings;
 use guavawell_core::limits::RetrySettings;
 use guavawell_core::manifest::FleetView;
@@ -20,6 +22,7 @@
 use guavawell_core::order::OrderSettings;
 use guavawell_core::order::PermitSettings;
 use guavawell_core::request::chat::ChatLimits;
+use guavawell_core::retention::RetentionSettings;
 
 use super::core::RouterCore;
 use crate::caller::CallerLimits;
@@ -41,6 +44,8 @@
 use crate::peer::PeerTarget;
 use crate::platform::PoolSettings;
 use crate::platform::Table;
+use crate::retention::RetentionParts;
+use crate::retention::SweepPace;
 use crate::settings::MIN_KEY_BYTES;
 use crate::settings::RouterSettings;
 use crate::slot::BudgetBase;
@@ -50,6 +55,9 @@
 use crate::slot::SlotTimes;
 use crate::task::TaskSpawner;
 
+/// The key whose owner sweeps.
+const RETENTION_KEY: &[u8] = b"retention";
+
 /// Milliseconds in a second.
 const MILLIS: u64 = 1_000;
 
@@ -232,6 +240,61 @@
     })
 }
 
+/// Everything that retention needs of the router.
+pub fn retention_parts(core: &RouterCore, gossip: &GossipDriver) -> RetentionParts {
+    let settings = &core.settings.retention;
+    let part = SweepPart {
+        view: Arc::clone(&core.view),
+        own: core.life.instance.clone(),
+        members: gossip.clone(),
+    };
+    let keeper = part.clone();
+    let view = Arc::clone(&core.view);
+    RetentionParts {
+        table: core.table.clone(),
+        settings: RetentionSettings {
+            claims: settings.claims_ms,
+            ..RetentionSettings::default()
+        },
+        pace: SweepPace {
+            rows_per_second: settings.rows_per_second.into(),
+            ..SweepPace::default()
+        },
+        events: core.events.clone(),
+        is_elected: Box::new(move || keeper.owns(RETENTION_KEY)),
+        toured: Box::new(move || part.organisations()),
+        is_toured: Box::new(move |id| view.load().organisation(id).is_some()),
+    }
+}
+
+/// What falls to this router of a sweep.
+#[derive(Clone)]
+struct SweepPart {
+    view: Arc<ArcSwap<FleetView>>,
+    own: InstanceId,
+    members: GossipDriver,
+}
+
+impl SweepPart {
+    fn owns(&self, key: &[u8]) -> bool {
+        let view = self.members.view();
+        let instances = view.routable().map(|member| &member.instance);
+        owner(instances, key) == Some(&self.own)
+    }
+
+    /// Shards are picked, not organisations, which are too many to hash over
+    /// all routers.
+    fn organisations(&self) -> Vec<OrganisationId> {
+        let view = self.view.load();
+        let shards = 0..view.fleet().shards;
+        let is_own = |shard| self.owns(format!("retention/{shard}").as_bytes());
+        let owned: Vec<bool> = shards.map(is_own).collect();
+        let ids = view.organisations().map(|entry| &entry.id);
+        let is_toured = |id: &&OrganisationId| owned[usize::from(view.shard_of(id).get())];
+        ids.filter(is_toured).cloned().collect()
+    }
+}
+
 /// Everything that orders need of the router.
 pub fn order_parts(core: &RouterCore, gossip: &GossipDriver) -> OrderParts {
     let settings = core.settings.orders.clone();
--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -15,6 +15,10 @@
 /// Smallest bound on a peer's message: a piece of a ledger has to fit twice.
 const MIN_MESSAGE_BYTES: ByteCount = ByteCount::new(1024 * 1024);
 
+/// Shortest retention of claims, in longest requests: each of its 8
+/// generations is twice as long as a request may be.
+const LEAST_RETENTION: u64 = 16;
+
 /// A carried body has at most this part of a peer's largest message.
 const RELAY_PART: u64 = 4;
 
@@ -29,6 +33,8 @@
     check_peers(settings, file);
     check_gossip(settings, file);
     check_spans(settings, file);
+    check_hedge(settings, file);
+    check_retention(settings, file);
     check_counts(settings, file);
 }
 
@@ -204,6 +210,7 @@
             settings.routing.connect_timeout_ms,
         ),
         ("routing.silent_after_ms", settings.routing.silent_after_ms),
+        ("routing.hedge_after_ms", settings.routing.hedge_after_ms),
         ("orders.review_ms", settings.orders.review_ms),
         ("orders.silent_after_ms", settings.orders.silent_after_ms),
         ("orders.take_over_ms", settings.orders.take_over_ms),
@@ -219,6 +226,40 @@
     }
 }
 
+fn check_hedge(settings: &RouterSettings, file: &FileReader<'_>) {
+    let routing = &settings.routing;
+    if routing.hedge && routing.hedge_after_ms >= routing.silent_after_ms {
+        file.find(
+            "routing.hedge_after_ms",
+            format!(
+                "must be shorter than `silent_after_ms` ({}), or silence goes first",
+                routing.silent_after_ms
+            ),
+        );
+    }
+    if routing.hedge && routing.retry_share.per_mille() == 0 {
+        file.find(
+            "routing.retry_share",
+            "may not be 0 with `hedge`, which is paid for as a retry",
+        );
+    }
+}
+
+/// A generation of claims has to be longer than any request.
+fn check_retention(settings: &RouterSettings, file: &FileReader<'_>) {
+    let claims = settings.retention.claims_ms.as_millis();
+    let least = LEAST_RETENTION * settings.limits.request_timeout_ms.as_millis();
+    if claims > 0 && claims < least {
+        file.find(
+            "retention.claims_ms",
+            format!(
+                "must be 0, which keeps claims for ever, or at least {least}: \
+                 {LEAST_RETENTION} times `limits.request_timeout_ms`"
+            ),
+        );
+    }
+}
+
 fn check_counts(settings: &RouterSettings, file: &FileReader<'_>) {
     let counts = [
         (
@@ -250,6 +291,10 @@
         ("platform.relay_calls", settings.platform.relay_calls.into()),
         ("orders.at_once", settings.orders.at_once.into()),
         ("orders.fleet_loads", settings.orders.fleet_loads.into()),
+        (
+            "retention.rows_per_second",
+            settings.retention.rows_per_second.into(),
+        ),
         ("limits.max_running", settings.limits.max_running.into()),
         (
             "limits.max_output_tokens",
--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -70,6 +70,12 @@
         /// Silence on a stream before the backend server is probed on a new
         /// connection, in milliseconds.
         silent_after_ms: ClockSpan = ClockSpan::from_millis(2_000);
+        /// Send a second attempt at another backend server when the first token
+        /// of a request that may run twice is late. It is paid for as a retry.
+        hedge: bool = false;
+        /// Wait for the first token before that, in milliseconds; shorter than
+        /// `silent_after_ms`.
+        hedge_after_ms: ClockSpan = ClockSpan::from_millis(500);
         /// Retries at other backend servers allowed, as a share of requests that succeed.
         retry_share: ShareRatio = ShareRatio::clamped(0.1);
     }
@@ -104,6 +110,20 @@
     }
 }
 
+settings_group! {
+    /// How long what lies at the platform is kept. All routers should state
+    /// the same; whichever is picked ends generations by its own.
+    pub struct RetentionSettings {
+        /// How long the claim of a non-idempotent request id is kept at least,
+        /// in milliseconds; 0 keeps claims for ever. A retry of an id that
+        /// begins later counts as a new request. At least 16 times
+        /// `limits.request_timeout_ms`.
+        claims_ms: ClockSpan = ClockSpan::from_millis(0);
+        /// Rows deleted a second at most while a sweep is under way.
+        rows_per_second: u32 = 1_000;
+    }
+}
+
 settings_group! {
     /// Admission of requests.
     pub struct LimitSettings {
