--- a/crates/guavawell-fleet/tests/retention.rs
+++ b/crates/guavawell-fleet/tests/retention.rs
@@ -314,3 +314,28 @@
     assert_eq!(test.generation(), KEPT_GENERATIONS + 2);
     assert_eq!(test.platform.keys("claim/"), ["claim/z/left00000".into()]);
 }
+
+#[test]
+fn a_table_that_went_back_is_refused_until_the_router_starts_anew() {
+    let test = SweepTest::start();
+    let mut sweeper = test.sweeper();
+    test.age_to(&mut sweeper, 1);
+    let router = test.router("r1");
+    let first = claim(&router, 1, router.start_try());
+    assert!(matches!(first, ClaimAnswer::Held(_)), "{first:?}");
+    let restore = TableTxn {
+        success: vec![
+            TableOp::delete("retention/generation"),
+            TableOp::delete("claim/o/k"),
+        ],
+        ..TableTxn::default()
+    };
+    smol::block_on(test.table().txn(&restore, WriteClass::Rest)).unwrap();
+    let again = refusal(claim(&router, 2, router.start_try()));
+    let expected = (RefusalOutcome::Retry, RefusalReason::PlatformUnreachable);
+    assert_eq!(again, expected);
+    assert_eq!(test.claims(), 0);
+    let anew = test.router("r1");
+    let answer = claim(&anew, 3, anew.start_try());
+    assert!(matches!(answer, ClaimAnswer::Held(_)), "{answer:?}");
+}
