Prove the shares with real clients, routers and holders

Cause: the shares were proved by a model only.

Change: the stand-in's caps can be set while it runs. The capacity bench's [money] section has the reports paced.

--- a/crates/guavawell-core/tests/budget_large/main.rs
+++ b/crates/guavawell-core/tests/budget_large/main.rs
@@ -6,6 +6,7 @@
 use guavawell_core::budget::HolderEvent;
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::platform::PlatformRate;
 
 use rig::SlotRig;
 use rig::reserve_ask;
@@ -37,6 +38,30 @@
     assert_eq!(rig.settled_rows(), BUDGETS);
 }
 
+#[test]
+fn reports_keep_to_their_pace_and_none_is_forgotten() {
+    let mut rig = SlotRig::new(BUDGETS, settings());
+    rig.holder
+        .pace_reports(Some(PlatformRate::per_second(2)), rig.now);
+    for number in 0..BUDGETS {
+        rig.request(number as u64, number);
+    }
+    rig.now = rig.now + ClockSpan::from_millis(60_000);
+    let ticks_a_second = 40;
+    for second in 1..=BUDGETS {
+        for _ in 0..ticks_a_second {
+            rig.tick(TICK);
+        }
+        let reported = rig.settled_rows();
+        // Some may have been saved up.
+        assert!(reported <= 2 * second + 4, "{reported} after {second} s");
+    }
+    assert_eq!(rig.settled_rows(), BUDGETS);
+    // What is asked for is not held back.
+    rig.holder.pace_reports(Some(PlatformRate::ZERO), rig.now);
+    rig.request(u64::MAX, 0);
+}
+
 #[test]
 fn a_new_holder_closes_every_former_grant() {
     let mut rig = SlotRig::new(BUDGETS, settings());
--- a/crates/guavawell-demo/benches/capacity/money.rs
+++ b/crates/guavawell-demo/benches/capacity/money.rs
@@ -3,6 +3,8 @@
 
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::platform::PlatformRate;
+use guavawell_core::platform::spare_rate;
 
 use crate::rig::SlotRig;
 
@@ -12,6 +14,10 @@
 const TICK: ClockSpan = ClockSpan::from_millis(1_000);
 /// Budgets of one slot at letter 1's size: 700,000 over 128 shards.
 const FULL_SLOT: usize = 5_469;
+/// Slots of the fleet: 128 shards in 7 zones.
+const SLOTS: u64 = 896;
+/// The fleet's writes a second, as the settings have it by default.
+const BUDGET: u64 = 400;
 const DAY: ClockSpan = ClockSpan::from_millis(86_400_000);
 const HOUR_SECONDS: f64 = 3_600.0;
 
@@ -49,22 +55,35 @@
     println!("use of each budget  ->  table writes a 1,000 requests, and a budget an hour");
     let report_after = HolderSettings::default().report_after;
     for rate in &RATES {
-        refills(rate, report_after);
+        refills(rate, report_after, None);
     }
     println!("the first two rows with charges reported after a day");
     for rate in &RATES[..2] {
-        refills(rate, DAY);
+        refills(rate, DAY, None);
+    }
+    println!("all rows with reports paced to an eighth of a budget of {BUDGET} writes/s");
+    for rate in &RATES {
+        refills(rate, report_after, Some(paced_reports()));
     }
     takeover();
 }
 
-fn refills(rate: &UseRate, report_after: ClockSpan) {
+/// What the simulated budgets have of the fleet's reports: they are so many
+/// of those of one of the slots.
+fn paced_reports() -> PlatformRate {
+    let all = spare_rate(PlatformRate::per_second(BUDGET));
+    let slot = all.part(1, SLOTS);
+    slot.part(BUDGETS as u64, FULL_SLOT as u64)
+}
+
+fn refills(rate: &UseRate, report_after: ClockSpan, pace: Option<PlatformRate>) {
     let settings = HolderSettings {
         retained_most: 1_000,
         report_after,
         ..HolderSettings::default()
     };
     let mut rig = SlotRig::new(BUDGETS, settings);
+    rig.holder.pace_reports(pace, rig.now);
     let mut due = 0.0;
     let mut requests = 0_u64;
     for _ in 0..rate.seconds {
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -18,6 +18,7 @@
 use guavawell_core::limits::RetryBudget;
 use guavawell_core::manifest::ConfigSettings;
 use guavawell_core::manifest::FleetView;
+use guavawell_core::platform::PlatformRate;
 use smol::Timer;
 use thiserror::Error;
 
@@ -302,6 +303,12 @@
         self.core.slots.held().len()
     }
 
+    /// This router's share of the platform's writes.
+    #[must_use]
+    pub fn write_share(&self) -> PlatformRate {
+        self.core.shares.writes.read().rate
+    }
+
     /// Slots held now whose reservations another router acknowledges.
     #[must_use]
     pub fn witnessed_slots(&self) -> usize {
--- a/crates/guavawell-standin/src/platform/counter.rs
+++ b/crates/guavawell-standin/src/platform/counter.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Sets both caps anew; zero is without cap.
+    pub(super) fn set_caps(&self, write_cap: u64, read_cap: u64) {
+        self.write_cap.most.store(write_cap, Ordering::Relaxed);
+        self.read_cap.most.store(read_cap, Ordering::Relaxed);
+    }
+
     /// Counts an operation; false if it passes its cap.
     pub(super) fn admit(&self, kind: OperationKind) -> bool {
         let (count, cap) = match kind {
@@ -78,7 +84,7 @@
 /// A cap over windows of a second.
 #[derive(Debug)]
 struct RateCap {
-    most: u64,
+    most: AtomicU64,
     window: Mutex<CapWindow>,
 }
 
@@ -95,13 +101,14 @@
             used: 0,
         };
         Self {
-            most,
+            most: AtomicU64::new(most),
             window: Mutex::new(window),
         }
     }
 
     fn admit(&self, now: Instant) -> bool {
-        if self.most == 0 {
+        let most = self.most.load(Ordering::Relaxed);
+        if most == 0 {
             return true;
         }
         let mut window = lock(&self.window);
@@ -110,6 +117,6 @@
             window.used = 0;
         }
         window.used += 1;
-        window.used <= self.most
+        window.used <= most
     }
 }
--- a/crates/guavawell-standin/src/platform/start.rs
+++ b/crates/guavawell-standin/src/platform/start.rs
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Sets anew how many writes and reads a second are taken; zero is without
+    /// cap.
+    pub fn set_caps(&self, write_cap: u64, read_cap: u64) {
+        self.shared.state.counter.set_caps(write_cap, read_cap);
+    }
+
     /// What the platform was asked for since its start.
     #[must_use]
     pub fn counts(&self) -> PlatformCounts {
