--- a/crates/guavawell-fleet/src/settings/network.rs
+++ b/crates/guavawell-fleet/src/settings/network.rs
@@ -184,7 +184,7 @@
         segment_wait_ms: ClockSpan = ClockSpan::from_millis(5_000);
         /// Longest time that a segment of billing records stays open, in
         /// milliseconds, however small the share.
-        segment_most_wait_ms: ClockSpan = ClockSpan::from_millis(60_000);
+        segment_most_wait_ms: ClockSpan = ClockSpan::from_millis(30_000);
         /// Longest time for one call to the platform, in milliseconds.
         timeout_ms: ClockSpan = ClockSpan::from_millis(2_000);
     }
