--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -17,6 +17,7 @@
 mod settings;
 mod stock;
 mod upkeep;
+mod wait;
 mod witnessing;
 
 use std::collections::VecDeque;
@@ -37,7 +38,7 @@
 use crate::request::RequestIdentity;
 use pace::ReportPace;
 use stock::BudgetStock;
-use witnessing::HeldWait;
+use wait::HeldWait;
 use witnessing::SentBatch;
 use witnessing::WitnessChange;
 
@@ -97,6 +98,8 @@
     handovers: u64,
     /// What is answered once a batch is acknowledged.
     waits: Vec<HeldWait>,
+    /// Whether the next batch goes even if it carries nothing.
+    probes: bool,
     /// Whether the witness let a batch wait for too long.
     silent: bool,
     retained: VecDeque<RetainedRequest>,
@@ -139,6 +142,7 @@
             sequence: 0,
             handovers: 0,
             waits: Vec::new(),
+            probes: false,
             silent: false,
             slot_read_at: now,
             reports: ReportPace::default(),
--- a/crates/guavawell-core/src/platform/mod.rs
+++ b/crates/guavawell-core/src/platform/mod.rs
@@ -6,6 +6,7 @@
 
 mod backoff;
 mod bucket;
+mod carrier;
 mod circuit;
 mod class;
 mod demand;
@@ -23,6 +24,9 @@
 pub use backoff::Jitter;
 pub use bucket::ShareAnswer;
 pub use bucket::SharePolicy;
+pub use carrier::CarrierBook;
+pub use carrier::CarrierPeer;
+pub use carrier::MAX_CARRIERS;
 pub use circuit::CircuitAnswer;
 pub use circuit::CircuitPolicy;
 pub use circuit::PlatformCircuit;
--- a/crates/guavawell-fleet/src/platform/instances.rs
+++ b/crates/guavawell-fleet/src/platform/instances.rs
@@ -96,6 +96,7 @@
     pub async fn read(&self) -> Result<Vec<InstanceEntry>, PlatformError> {
         let ask = PlatformAsk {
             kind: ExchangeKind::Read(ReadClass::Poll),
+            may_relay: false,
             method: Method::Get,
             target: &self.target,
             headers: &[],
--- a/crates/guavawell-fleet/src/platform/mod.rs
+++ b/crates/guavawell-fleet/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! It never decides what is written: each write is conditional, and its
 //! answer says whether it was applied, was not, or is in doubt.
 
+mod carried;
 mod circuit;
 mod error;
 mod exchange;
@@ -11,10 +12,14 @@
 mod instances;
 mod objects;
 mod pool;
+mod relay;
 mod table;
 mod txn;
 mod wire;
 
+pub use carried::CarriedAnswer;
+pub use carried::CarriedAsk;
+pub use carried::CarriedService;
 pub use error::PlatformError;
 pub use gate::ReadGate;
 pub use gate::ShareReading;
@@ -25,6 +30,8 @@
 pub use objects::ObjectPut;
 pub use objects::Objects;
 pub use pool::PoolSettings;
+pub use relay::CarrierCall;
+pub use relay::CarrierLink;
 pub use table::Table;
 pub use table::TableRead;
 pub use txn::CompareSign;
--- a/crates/guavawell-fleet/src/router/platform.rs
+++ b/crates/guavawell-fleet/src/router/platform.rs
@@ -5,6 +5,7 @@
 use super::settings::platform_pool;
 use super::share::RouterShares;
 use crate::drill::LinkGate;
+use crate::platform::CarrierLink;
 use crate::platform::InstanceList;
 use crate::platform::Objects;
 use crate::platform::Table;
@@ -25,20 +26,34 @@
 impl PlatformClients {
     /// The clients that `settings` describe.
     #[must_use]
-    pub fn new(settings: &RouterSettings, gate: &LinkGate) -> Self {
+    pub fn new(
+        settings: &RouterSettings,
+        gate: &LinkGate,
+        carriers: Option<&Arc<CarrierLink>>,
+    ) -> Self {
         let platform = &settings.platform;
         let pool = platform_pool(settings, gate);
         let shares = RouterShares::new(platform);
         let table = Table::new(platform.table, pool.clone());
+        let table = table.with_writes(&shares.writes).with_reads(&shares.reads);
         let objects = Objects::new(platform.objects, &platform.bucket, pool.clone());
+        let objects = objects
+            .with_writes(&shares.writes)
+            .with_reads(&shares.reads);
         let instances = InstanceList::new(platform.instances, &platform.namespace, pool);
-        Self {
-            table: table.with_writes(&shares.writes).with_reads(&shares.reads),
-            objects: objects
-                .with_writes(&shares.writes)
-                .with_reads(&shares.reads),
+        let own = Self {
+            table,
+            objects,
             instances: instances.with_reads(&shares.reads),
             shares: Arc::new(shares),
+        };
+        match carriers {
+            None => own,
+            Some(link) => Self {
+                table: own.table.with_relay(link),
+                objects: own.objects.with_relay(link),
+                ..own
+            },
         }
     }
 }
