Test on whole routers that a busy one borrows through gossip

Cause: notes on demand were tried in a model only.

Change: of four routers one takes non-idempotent calls; its share passes an even part of its zone's loan, and all calls are answered.

--- a/crates/guavawell-demo/tests/share.rs
+++ b/crates/guavawell-demo/tests/share.rs
@@ -8,8 +8,16 @@
 use guavawell_core::request::billing::fold_records;
 use guavawell_demo::fleet::FleetRouter;
 use guavawell_demo::fleet::FleetSettings;
+use guavawell_demo::fleet::organisation_key;
 use guavawell_fleet::router::RouterHandle;
 use guavawell_fleet::settings::WriteRate;
+use guavawell_load::LoadHooks;
+use guavawell_load::LoadPlan;
+use guavawell_load::plan::ArrivalMode;
+use guavawell_load::plan::CallKind;
+use guavawell_load::plan::ChatCall;
+use guavawell_load::plan::RequestProfile;
+use guavawell_load::plan::RetryPolicy;
 use guavawell_standin::platform::InstanceEntry;
 use smol::Timer;
 
@@ -74,6 +82,56 @@
     });
 }
 
+/// Calls that each need a claim, at one router.
+fn claiming(test: &BilledFleet) -> LoadPlan {
+    let targets: Vec<_> = test.fleet.caller_addresses().into_iter().take(1).collect();
+    LoadPlan {
+        targets: targets.into(),
+        arrival: ArrivalMode::Closed { connections: 2 },
+        duration: None,
+        requests: Some(100),
+        retry: RetryPolicy {
+            max_tries: 40,
+            ..RetryPolicy::default()
+        },
+        profiles: Box::new([RequestProfile {
+            key: organisation_key(0).into(),
+            idempotent: false,
+            call: CallKind::Chat(ChatCall {
+                model: "draft-7b".parse().expect("a constant id"),
+                ..ChatCall::default()
+            }),
+            ..RequestProfile::default()
+        }]),
+        ..LoadPlan::default()
+    }
+}
+
+#[test]
+fn a_busy_router_borrows_what_its_neighbour_leaves() {
+    smol::block_on(async {
+        let mut settings = settings();
+        settings.router.platform.fleet_writes_per_second = WriteRate::new(8);
+        let mut test = BilledFleet::start_with(settings).await;
+        list_routers(&test);
+        // Half of the budget by four, and as much again of the zone's loan.
+        let even = PlatformRate::per_second(2);
+        let plan = claiming(&test);
+        let load = smol::unblock(move || guavawell_load::run(plan, LoadHooks::default()));
+        let load = smol::spawn(load);
+        for look in 0..=MAX_LOOKS {
+            if shares(&test).iter().any(|share| *share > even) {
+                break;
+            }
+            assert!(look < MAX_LOOKS, "{:?}", shares(&test));
+            Timer::after(Duration::from_millis(200)).await;
+        }
+        let report = load.await.expect("the load runs");
+        assert_eq!(report.counts.answered, 100, "{}", report.to_json());
+        test.fleet.stop();
+    });
+}
+
 #[test]
 fn a_platform_that_takes_less_than_the_budget_loses_no_charge() {
     smol::block_on(async {
