--- a/crates/guavawell-fleet/src/platform/objects.rs
+++ b/crates/guavawell-fleet/src/platform/objects.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use guavawell_core::platform::ReadClass;
 use guavawell_core::platform::WriteClass;
 use http_types::Method;
 
@@ -15,6 +16,7 @@
 use super::exchange::PlatformAnswer;
 use super::exchange::PlatformAsk;
 use super::exchange::PlatformHttp;
+use super::gate::ReadGate;
 use super::gate::WriteGate;
 use super::pool::PoolSettings;
 use super::relay::CarrierLink;
@@ -65,6 +67,13 @@
         Self { http, ..self }
     }
 
+    /// The same client, its reads held to the router's share.
+    #[must_use]
+    pub fn with_reads(self, reads: &ReadGate) -> Self {
+        let http = self.http.with_reads(reads);
+        Self { http, ..self }
+    }
+
     /// The same client; peers carry its exchanges while its own link is out.
     #[must_use]
     pub fn with_relay(self, link: &Arc<CarrierLink>) -> Self {
@@ -102,7 +111,7 @@
     pub async fn probe(&self) {
         let target = format!("/{}?list-type=2&max-keys=1", self.bucket);
         let ask = PlatformAsk {
-            kind: ExchangeKind::Read,
+            kind: ExchangeKind::Read(ReadClass::Poll),
             may_relay: true,
             method: Method::Get,
             target: &target,
@@ -193,7 +202,7 @@
 
     async fn read(&self, target: &str) -> Result<PlatformAnswer, PlatformError> {
         let ask = PlatformAsk {
-            kind: ExchangeKind::Read,
+            kind: ExchangeKind::Read(ReadClass::Bulk),
             may_relay: true,
             method: Method::Get,
             target,
--- a/crates/guavawell-fleet/src/platform/relay.rs
+++ b/crates/guavawell-fleet/src/platform/relay.rs
@@ -24,7 +24,6 @@
 use super::exchange::ExchangeKind;
 use super::exchange::PlatformAnswer;
 use super::exchange::PlatformAsk;
-use super::gate::WriteGate;
 use crate::clock::now;
 
 /// How long a peer that declined is left alone.
@@ -173,16 +172,12 @@
     }
 }
 
-/// Waits for the share of writes, for a part of a carried exchange's time.
+/// Waits for a share, for a part of a carried exchange's time.
 pub(super) async fn pass_within(
-    writes: &WriteGate,
-    kind: ExchangeKind,
+    share: impl Future<Output = Result<(), PlatformError>>,
     span: ClockSpan,
 ) -> Result<(), PlatformError> {
-    let ExchangeKind::Write(class) = kind else {
-        return Ok(());
-    };
-    smol::future::or(writes.pass(class), async {
+    smol::future::or(share, async {
         smol::Timer::after(crate::clock::duration(span)).await;
         Err(PlatformError::Throttled(span))
     })
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -17,6 +17,7 @@
 use guavawell_core::limits::RetryBudget;
 use guavawell_core::manifest::ConfigSettings;
 use guavawell_core::manifest::FleetView;
+use guavawell_core::platform::PlatformRate;
 use smol::Timer;
 use thiserror::Error;
 
@@ -170,10 +171,15 @@
         let carriers = carry::carrier_link(&settings, &gossip, &client, &options.gate);
         let clients = PlatformClients::new(&settings, &options.gate, carriers.as_ref());
         carry::start(&settings, &clients, &desk, &tasks, &events);
-        let PlatformClients { table, objects } = clients;
+        let PlatformClients {
+            table,
+            objects,
+            instances,
+            shares,
+        } = clients;
         let view = Arc::new(ArcSwap::from_pointee(FleetView::empty()));
         let link = settings::peer_link(gossip.clone(), client.clone(), options.gate.clone());
-        let journal = bill::start_journal(objects.clone(), &life, &tasks, &slots);
+        let journal = bill::start_journal(&settings, objects.clone(), &life, &tasks, &slots);
         let driver = SlotDriver::new(settings::slot_parts(
             &settings,
             &life,
@@ -202,6 +208,8 @@
             doubts: DoubtBook::default(),
             claims: ClaimDriver::start(table.clone(), life.clone(), BatchSettings::default()),
             table: table.clone(),
+            instances,
+            shares,
             retries: RetryBudget::new(settings::retries(&settings)),
             events,
             tasks,
@@ -298,6 +306,12 @@
         self.core.slots.held().len()
     }
 
+    /// This router's share of the platform's writes.
+    #[must_use]
+    pub fn write_share(&self) -> PlatformRate {
+        self.core.shares.writes.read().rate
+    }
+
     /// Slots held now whose reservations another router acknowledges.
     #[must_use]
     pub fn witnessed_slots(&self) -> usize {
