--- a/crates/guavawell-demo/tests/fault/hedge.rs
+++ b/crates/guavawell-demo/tests/fault/hedge.rs
@@ -105,12 +105,17 @@
 #[test]
 fn a_first_attempt_that_is_late_and_wins_is_charged_and_its_hedge_is_cancelled() {
     run(async {
-        let mut env = FaultEnv::start_with(hedging(3)).await;
-        env.engine_faults(delay(LATE_MILLIS)).await;
+        let mut settings = hedging(3);
+        settings.router.routing.hedge_after_ms = ClockSpan::from_millis(1_000);
+        let mut env = FaultEnv::start_with(settings).await;
+        env.engine_faults(delay(1_500)).await;
         assert_all_answered(&env.load(load("late")).await, REQUESTS);
         env.wait("the losers are cancelled", |env| open_runs(env) == 0)
             .await;
         assert_eq!(most_runs(&env), 2, "one hedge a request");
+        let whole = env.runs();
+        let whole = whole.iter().filter(|run| run.state == AttemptPhase::Done);
+        assert_eq!(whole.count() as u64, REQUESTS, "one whole run a request");
         env.assert_exact().await;
     });
 }
