--- a/crates/guavawell-core/src/limits/mod.rs
+++ b/crates/guavawell-core/src/limits/mod.rs
@@ -6,9 +6,10 @@
 
 mod admission;
 mod concurrency;
-mod drain;
+mod demand;
 mod fair;
 mod gate;
+mod hold;
 mod retry;
 mod share;
 #[cfg(test)]
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -36,6 +36,7 @@
 use super::attempt::open_stream;
 use super::core::RouterCore;
 use super::entry::CallerEntry;
+use super::entry::GENERATION_HEADER;
 use super::relay::StreamRelay;
 use super::reserve::HeldReservation;
 use super::reserve::JOIN_PAUSE;
@@ -55,25 +56,28 @@
 /// The path under which plain services are called.
 const SERVICES: &str = "/services/";
 
-/// Answers one caller's request.
+/// Answers one caller's request, and names the generation of claims.
 pub async fn serve(core: Arc<RouterCore>, mut request: Request) -> Response {
+    let generation = core.claims.named_generation();
     let path: Box<str> = request.url().path().into();
     let view = core.view.load_full();
-    if let Err(refusal) = check_state(&core) {
-        return unread(refuse(&core, None, &refusal));
-    }
-    match (request.method(), &*path) {
-        (Method::Post, "/v1/chat/completions") => chat(&core, &view, &mut request).await,
-        (Method::Get, "/v1/models") => models(&core, &view, &request),
-        (Method::Post, path) if path.starts_with(SERVICES) => {
+    let mut response = match (check_state(&core), request.method(), &*path) {
+        (Err(refusal), ..) => unread(refuse(&core, None, &refusal)),
+        (_, Method::Post, "/v1/chat/completions") => chat(&core, &view, &mut request).await,
+        (_, Method::Get, "/v1/models") => models(&core, &view, &request),
+        (_, Method::Post, path) if path.starts_with(SERVICES) => {
             serve_service(&core, &view, &mut request, &path[SERVICES.len()..]).await
         }
-        (method, path) => {
+        (_, method, path) => {
             let detail = format!("there is no `{method} {path}` here");
             let refusal = Refusal::unattempted(RefusalReason::BadRequest, detail);
             unread(refuse(&core, None, &refusal))
         }
+    };
+    if let Some(generation) = generation {
+        response.insert_header(GENERATION_HEADER, generation.to_string());
     }
+    response
 }
 
 /// Closes the connection behind an answer that was given before the whole
@@ -97,7 +101,7 @@
 
 /// `GET /v1/models`: the models of the manifest in force.
 fn models(core: &RouterCore, view: &FleetView, request: &Request) -> Response {
-    if let Err(refusal) = CallerEntry::read(view, request) {
+    if let Err(refusal) = CallerEntry::read(view, request, core.claims.start_try().begun) {
         return refuse(core, None, &refusal);
     }
     let models = view.models().iter();
@@ -111,7 +115,7 @@
 }
 
 async fn chat(core: &Arc<RouterCore>, view: &FleetView, request: &mut Request) -> Response {
-    let entry = match CallerEntry::read(view, request) {
+    let entry = match CallerEntry::read(view, request, core.claims.start_try().begun) {
         Ok(entry) => entry,
         Err(refusal) => return unread(refuse(core, None, &refusal)),
     };
@@ -288,6 +292,10 @@
             let (reason, detail) = match refusal.cause {
                 RefusalCause::Deadline => (RefusalReason::Deadline, "the deadline cannot be met"),
                 RefusalCause::QueueFull => (RefusalReason::Overloaded, "the queue is full"),
+                RefusalCause::LongWait => {
+                    let detail = "the expected wait is longer than a request may wait";
+                    (RefusalReason::Overloaded, detail)
+                }
             };
             let retry_after = refusal.retry_after;
             Err(Refusal::unsealed(identity, unsent, reason, detail).after(retry_after))
