--- a/crates/guavawell-fleet/tests/history/slots/client.rs
+++ b/crates/guavawell-fleet/tests/history/slots/client.rs
@@ -20,6 +20,7 @@
 use guavawell_fleet::peer::PeerReply;
 use guavawell_fleet::peer::PeerRequest;
 use guavawell_fleet::peer::SlotAsk;
+use guavawell_fleet::slot::RunCharge;
 use smol::Timer;
 
 use super::rig::SlotRig;
@@ -103,7 +104,11 @@
             backend: None,
         };
         let driver = Arc::clone(&self.router.driver);
-        let answer = self.router.run(async move { driver.settle(ask).await });
+        let charge = RunCharge {
+            ask,
+            budget: "m".parse().unwrap(),
+        };
+        let answer = self.router.run(async move { driver.settle(charge).await });
         match answer.flatten() {
             Some(SettleAnswer::Settled { .. }) => {
                 self.history.answer(call, MoneyCall::Settled(attempt));
