--- a/crates/guavawell-core/tests/budget_search/main.rs
+++ b/crates/guavawell-core/tests/budget_search/main.rs
@@ -114,7 +114,7 @@
 /// `GUAVAWELL_SEARCH_STATES` asks for more by hand.
 const MOST_HOLDING: usize = 40_000;
 /// Covers every state of the searches over changes of witness and over releases.
-const MOST_CHANGES: usize = 200_000;
+const MOST_CHANGES: usize = 250_000;
 /// States visited before a planted fault counts as not found.
 const MOST_PLANTED: usize = 200_000;
 
