--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -105,7 +105,8 @@
         /// Most requests that this router runs at once towards one model or
         /// service, whatever its backend servers take.
         max_running: u32 = 4_096;
-        /// Most requests that wait for one model or service.
+        /// Most requests that wait for one model or service, or as many as may
+        /// run at once where that is more; `max_wait_ms` bounds their time.
         max_queued: u32 = 64;
         /// Longest expected wait with which a request is still queued, in
         /// milliseconds; with a longer one it is refused at once.
