--- a/crates/guavawell-fleet/src/platform/table.rs
+++ b/crates/guavawell-fleet/src/platform/table.rs
@@ -191,7 +191,7 @@
             start.push(0);
         }
         let ask = RangeAsk::prefix(prefix, &start, limit).keys_only();
-        let page = self.range_page(&ask).await?;
+        let page = self.range_page(&ask, ReadClass::Bulk).await?;
         Ok(TableScan {
             rows: page.rows,
             more: page.more,
--- a/crates/guavawell-fleet/tests/relay.rs
+++ b/crates/guavawell-fleet/tests/relay.rs
@@ -12,6 +12,7 @@
 use guavawell_core::platform::BackoffPolicy;
 use guavawell_core::platform::CarrierPeer;
 use guavawell_core::platform::CircuitPolicy;
+use guavawell_core::platform::PlatformRate;
 use guavawell_core::platform::SharePolicy;
 use guavawell_core::platform::WriteClass;
 use guavawell_fleet::platform::CarriedAnswer;
@@ -207,7 +208,7 @@
 fn carried_writes_count_against_the_carriers_share() {
     let fake = FakePlatform::start(|_| FakeReply::Answer(200, "{}".into()));
     let policy = SharePolicy {
-        per_second: 0,
+        rate: PlatformRate::ZERO,
         burst: 1,
     };
     let gate = WriteGate::new(policy, ClockSpan::default());
