--- a/crates/guavawell-fleet/src/platform/carried.rs
+++ b/crates/guavawell-fleet/src/platform/carried.rs
@@ -1,6 +1,7 @@
 //! An exchange with the platform as one router hands it to another.
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::platform::ReadClass;
 use guavawell_core::platform::WriteClass;
 use http_types::Method;
 
@@ -70,7 +71,7 @@
     /// `ask` for a peer to carry within `budget`.
     pub(super) fn of(service: CarriedService, ask: &PlatformAsk<'_>, budget: ClockSpan) -> Self {
         let class = match ask.kind {
-            ExchangeKind::Read => None,
+            ExchangeKind::Read(_) => None,
             ExchangeKind::Write(class) => Some(class),
         };
         Self {
@@ -93,7 +94,12 @@
 
     /// The exchange as this router sends it.
     pub(super) fn exchange(&self) -> PlatformAsk<'_> {
-        let kind = self.class.map_or(ExchangeKind::Read, ExchangeKind::Write);
+        let read = match self.service {
+            CarriedService::Table => ReadClass::Row,
+            CarriedService::Objects => ReadClass::Bulk,
+        };
+        let read = ExchangeKind::Read(read);
+        let kind = self.class.map_or(read, ExchangeKind::Write);
         let (method, headers): (Method, &[(&'static str, &str)]) = match (self.service, self.class)
         {
             (CarriedService::Table, _) => (Method::Post, &super::table::JSON),
--- a/crates/guavawell-fleet/src/platform/exchange.rs
+++ b/crates/guavawell-fleet/src/platform/exchange.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::platform::ReadClass;
 use guavawell_core::platform::WriteClass;
 use http_types::Method;
 use http_types::Request;
@@ -17,8 +18,9 @@
 
 use super::carried::CarriedAnswer;
 use super::carried::CarriedAsk;
+use super::circuit::CircuitGate;
 use super::error::PlatformError;
-use super::gate::CircuitGate;
+use super::gate::ReadGate;
 use super::gate::WriteGate;
 use super::pool::ConnectionPool;
 use super::pool::PoolSettings;
@@ -39,7 +41,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ExchangeKind {
     /// A read: without an answer, nothing is in doubt.
-    Read,
+    Read(ReadClass),
     /// A write: without an answer, it may have been applied.
     Write(WriteClass),
 }
@@ -48,7 +50,7 @@
     /// The kind as a metric's label.
     pub const fn label(self) -> &'static str {
         match self {
-            Self::Read => "read",
+            Self::Read(_) => "read",
             Self::Write(class) => class.label(),
         }
     }
@@ -80,6 +82,7 @@
     pool: Arc<ConnectionPool>,
     circuit: Arc<CircuitGate>,
     writes: Option<WriteGate>,
+    reads: Option<ReadGate>,
     relay: Option<PlatformRelay>,
 }
 
@@ -90,6 +93,7 @@
             circuit: Arc::new(CircuitGate::new(service, settings.circuit)),
             pool: Arc::new(ConnectionPool::new(address, settings)),
             writes: None,
+            reads: None,
             relay: None,
         }
     }
@@ -100,6 +104,12 @@
         self
     }
 
+    /// The same client, its reads held to a share.
+    pub fn with_reads(mut self, reads: &ReadGate) -> Self {
+        self.reads = Some(reads.clone());
+        self
+    }
+
     /// The same client; peers carry its exchanges while its own link is out.
     pub fn with_relay(mut self, relay: PlatformRelay) -> Self {
         self.relay = Some(relay);
@@ -156,10 +166,8 @@
     async fn carry_within(&self, asked: &CarriedAsk) -> Result<PlatformAnswer, PlatformError> {
         let start = now();
         let ask = asked.exchange();
-        if let Some(writes) = &self.writes {
-            let wait = ClockSpan::from_millis(asked.budget.as_millis() / 2);
-            pass_within(writes, ask.kind, wait).await?;
-        }
+        let wait = ClockSpan::from_millis(asked.budget.as_millis() / 2);
+        pass_within(self.pass_share(ask.kind), wait).await?;
         self.circuit.pass()?;
         let left = asked.budget.as_millis();
         let left = left.saturating_sub(now().since(start).as_millis());
@@ -181,9 +189,7 @@
     }
 
     async fn ask_uncounted(&self, ask: PlatformAsk<'_>) -> Result<PlatformAnswer, PlatformError> {
-        if let (ExchangeKind::Write(class), Some(writes)) = (ask.kind, &self.writes) {
-            writes.pass(class).await?;
-        }
+        self.pass_share(ask.kind).await?;
         if self.is_link_out()
             && let Some(result) = self.relayed(&ask).await
         {
@@ -202,6 +208,43 @@
         }
     }
 
+    /// Waits for this router's share, if the client is held to one.
+    async fn pass_share(&self, kind: ExchangeKind) -> Result<(), PlatformError> {
+        match (kind, &self.writes, &self.reads) {
+            (ExchangeKind::Write(class), Some(writes), _) => writes.pass(class).await,
+            (ExchangeKind::Read(class), _, Some(reads)) => reads.pass(class).await,
+            _ => Ok(()),
+        }
+    }
+
+    /// Tells the circuit how an exchange ended, and the shares of an outage's
+    /// end.
+    fn report(&self, answered: bool) {
+        if !self.circuit.report(answered) {
+            return;
+        }
+        if let Some(writes) = &self.writes {
+            writes.resumed();
+        }
+        if let Some(reads) = &self.reads {
+            reads.resumed();
+        }
+    }
+
+    /// Gives way to a platform that says that it has too much to do.
+    fn give_way(&self, kind: ExchangeKind, status: u16) {
+        if !matches!(status, 429 | 503) {
+            return;
+        }
+        metrics::counter!("guavawell_platform_overloads_total", "service" => self.service)
+            .increment(1);
+        match (kind, &self.writes, &self.reads) {
+            (ExchangeKind::Write(_), Some(writes), _) => writes.overloaded(),
+            (ExchangeKind::Read(_), _, Some(reads)) => reads.overloaded(),
+            _ => {}
+        }
+    }
+
     async fn ask_own(&self, ask: PlatformAsk<'_>) -> Result<PlatformAnswer, PlatformError> {
         let stream = self.begin().await.map_err(|error| self.failed(error))?;
         let span = self.pool.settings.answer_timeout;
@@ -236,7 +279,7 @@
     }
 
     fn failed(&self, error: PlatformError) -> PlatformError {
-        self.circuit.report(false);
+        self.report(false);
         error
     }
 
@@ -248,7 +291,7 @@
     ) -> Result<PlatformAnswer, PlatformError> {
         let result = self.send(stream, ask, span).await;
         let answered = matches!(result, Ok(_) | Err(PlatformError::Refused(_)));
-        self.circuit.report(answered);
+        self.report(answered);
         result
     }
 
@@ -264,7 +307,10 @@
         match with_timeout(span, self.exchange(stream, request)).await {
             // A cut in the middle loses the answer, not the write.
             Ok(_) if gate.cuts_platform() => Err(no_answer(kind, "cut off by a failure drill")),
-            Ok(answer) => judge(kind, answer),
+            Ok(answer) => {
+                self.give_way(kind, answer.status);
+                judge(kind, answer)
+            }
             Err(error) => {
                 self.pool.drop_idle();
                 Err(no_answer(kind, &error.to_string()))
@@ -325,7 +371,7 @@
 /// What a missing answer says.
 fn no_answer(kind: ExchangeKind, detail: &str) -> PlatformError {
     match kind {
-        ExchangeKind::Read => PlatformError::Outage(detail.into()),
+        ExchangeKind::Read(_) => PlatformError::Outage(detail.into()),
         ExchangeKind::Write(_) => PlatformError::Lost(detail.into()),
     }
 }
--- a/crates/guavawell-fleet/src/platform/table.rs
+++ b/crates/guavawell-fleet/src/platform/table.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use guavawell_core::platform::ReadClass;
 use guavawell_core::platform::WriteClass;
 use http_types::Method;
 
@@ -13,6 +14,7 @@
 use super::exchange::ExchangeKind;
 use super::exchange::PlatformAsk;
 use super::exchange::PlatformHttp;
+use super::gate::ReadGate;
 use super::gate::WriteGate;
 use super::pool::PoolSettings;
 use super::relay::CarrierLink;
@@ -80,6 +82,13 @@
         Self { http }
     }
 
+    /// The same client, its reads held to the router's share.
+    #[must_use]
+    pub fn with_reads(self, reads: &ReadGate) -> Self {
+        let http = self.http.with_reads(reads);
+        Self { http }
+    }
+
     /// The same client; peers carry its exchanges while its own link is out.
     #[must_use]
     pub fn with_relay(self, link: &Arc<CarrierLink>) -> Self {
@@ -100,7 +109,7 @@
             return;
         };
         let ask = PlatformAsk {
-            kind: ExchangeKind::Read,
+            kind: ExchangeKind::Read(ReadClass::Row),
             may_relay: true,
             method: Method::Post,
             target: "/v3/kv/range",
@@ -136,7 +145,7 @@
     ///
     /// [`PlatformError::Outage`] or [`PlatformError::Refused`].
     pub async fn get(&self, key: &str) -> Result<TableRead, PlatformError> {
-        let page = self.range_page(&RangeAsk::key(key)).await?;
+        let page = self.range_page(&RangeAsk::key(key), ReadClass::Row).await?;
         Ok(TableRead {
             row: page.rows.into_iter().next(),
             revision: page.revision,
@@ -155,7 +164,7 @@
         let mut start = prefix.as_bytes().to_vec();
         loop {
             let ask = RangeAsk::prefix(prefix, &start, PAGE_ROWS);
-            let page = self.range_page(&ask).await?;
+            let page = self.range_page(&ask, ReadClass::Poll).await?;
             rows.extend(page.rows);
             let Some(last) = rows.last().filter(|_| page.more) else {
                 return Ok(rows);
@@ -182,7 +191,7 @@
             start.push(0);
         }
         let ask = RangeAsk::prefix(prefix, &start, limit).keys_only();
-        let page = self.range_page(&ask).await?;
+        let page = self.range_page(&ask, ReadClass::Bulk).await?;
         Ok(TableScan {
             rows: page.rows,
             more: page.more,
@@ -199,18 +208,22 @@
         let kind = if txn.writes() {
             ExchangeKind::Write(class)
         } else {
-            ExchangeKind::Read
+            ExchangeKind::Read(ReadClass::Row)
         };
-        let may_relay = kind == ExchangeKind::Read || !txn.compares.is_empty();
+        let may_relay = !txn.writes() || !txn.compares.is_empty();
         let body = wire::txn_body(txn);
         let answer = self.post("/v3/kv/txn", kind, may_relay, body).await?;
         wire::txn_answer(&answer).map_err(|error| as_read(kind, error))
     }
 
-    async fn range_page(&self, ask: &RangeAsk) -> Result<RangePage, PlatformError> {
+    async fn range_page(
+        &self,
+        ask: &RangeAsk,
+        class: ReadClass,
+    ) -> Result<RangePage, PlatformError> {
         let body = serde_json::to_vec(ask)
             .map_err(|error| PlatformError::Refused(error.to_string().into()))?;
-        let kind = ExchangeKind::Read;
+        let kind = ExchangeKind::Read(class);
         let answer = self.post("/v3/kv/range", kind, true, body).await?;
         wire::range_page(&answer).map_err(|error| as_read(kind, error))
     }
@@ -243,7 +256,7 @@
 /// A read in doubt is only a read without an answer.
 fn as_read(kind: ExchangeKind, error: PlatformError) -> PlatformError {
     match (kind, error) {
-        (ExchangeKind::Read, PlatformError::Lost(detail)) => PlatformError::Outage(detail),
+        (ExchangeKind::Read(_), PlatformError::Lost(detail)) => PlatformError::Outage(detail),
         (_, error) => error,
     }
 }
--- a/crates/guavawell-fleet/src/router/carry.rs
+++ b/crates/guavawell-fleet/src/router/carry.rs
@@ -195,7 +195,7 @@
     tasks: &TaskSpawner,
     events: &EventLog,
 ) {
-    let PlatformClients { table, objects } = clients;
+    let PlatformClients { table, objects, .. } = clients;
     // Set once: nothing else sets it.
     let _ = desk.set(CarryDesk::new(settings, table, objects));
     tasks.spawn(watch_table(table.clone(), events.clone()));
