--- a/crates/guavawell-core/examples/routing_compare/main.rs
+++ b/crates/guavawell-core/examples/routing_compare/main.rs
@@ -6,6 +6,8 @@
 mod cost;
 mod engine;
 mod sample;
+mod subset;
+mod ways;
 mod world;
 
 use guavawell_core::limits::RetryBudget;
@@ -15,11 +17,14 @@
 use self::sample::RandomDraws;
 use self::world::ChoicePolicy;
 use self::world::ExperimentWorld;
+use self::world::SpillSetup;
 use self::world::WorldFault;
 use self::world::WorldSetup;
 
 /// Requests a second that one full engine completes.
 const ENGINE_RATE: f64 = 6.1;
+/// Routers of a small fleet.
+const ROUTERS: usize = 6;
 const POLICIES: [ChoicePolicy; 3] = [
     ChoicePolicy::RoundRobin,
     ChoicePolicy::LeastReported,
@@ -33,6 +38,15 @@
 ];
 
 fn main() {
+    if std::env::args().any(|word| word == "subsets") {
+        return subset::compare_subsets();
+    }
+    if std::env::args().any(|word| word == "ways") {
+        return ways::compare_ways();
+    }
+    if std::env::args().any(|word| word == "spills") {
+        return subset::compare_spills();
+    }
     println!("first token ms p50 p95 p99 | token ms p50 p95 p99 | refused, late work");
     compare_policies(20, 4);
     compare_policies(10, 3);
@@ -42,6 +56,9 @@
     compare_fairness();
     compare_equals();
     compare_retries();
+    ways::compare_ways();
+    subset::compare_subsets();
+    subset::compare_spills();
     print_cost();
 }
 
@@ -65,6 +82,9 @@
                 fault,
                 engines,
                 zones,
+                routers: ROUTERS,
+                subset: 0,
+                spill: SpillSetup::default(),
                 rates: vec![rate * load],
             };
             let result = ExperimentWorld::run(setup);
@@ -89,6 +109,9 @@
                 fault: WorldFault::None,
                 engines: 20,
                 zones: 4,
+                routers: ROUTERS,
+                subset: 0,
+                spill: SpillSetup::default(),
                 rates,
             };
             let result = ExperimentWorld::run(setup);
@@ -111,6 +134,9 @@
             fault: WorldFault::None,
             engines: 20,
             zones: 4,
+            routers: ROUTERS,
+            subset: 0,
+            spill: SpillSetup::default(),
             rates: vec![ENGINE_RATE * 20.0 * load / 4.0; 4],
         };
         let result = ExperimentWorld::run(setup);
--- a/crates/guavawell-core/examples/routing_compare/world/report.rs
+++ b/crates/guavawell-core/examples/routing_compare/world/report.rs
@@ -7,9 +7,9 @@
 use super::super::engine::SLOTS;
 use super::END_MS;
 use super::ExperimentWorld;
+use super::NOTICE_MS;
 use super::REPORT_LAG_MS;
 use super::REPORT_MS;
-use super::ROUTERS;
 use super::WorldEvent;
 use super::setup::WorldFault;
 use super::spec;
@@ -46,8 +46,13 @@
 
     pub(super) fn deliver(&mut self, engine: usize, report: &LoadReport, batch: &CacheBatch) {
         let now = self.time();
-        for number in 0..ROUTERS {
+        for number in 0..self.routers.len() {
             let router = &mut self.routers[number];
+            let zone = &router.table.specs()[engine].zone;
+            let local = self.setup.spill.hot_percent > 0 && *zone != router.zone;
+            if local || !router.near[engine] {
+                continue;
+            }
             let id = &router.table.specs()[engine].id;
             router.reported[engine] = report.running + report.queued;
             router.left_out[engine] |= &*report.role == "leaving";
@@ -69,10 +74,15 @@
             WorldFault::None => {}
             WorldFault::SlowServer => self.engines[0].slowness = 4,
             WorldFault::Leaving => self.engines[0].leaving_since = Some(self.now),
+            WorldFault::ServerLost => self.engines[0].dead = true,
             WorldFault::ZoneLost => {
                 let lost = self.engines.iter_mut().step_by(zones);
                 lost.for_each(|engine| engine.dead = true);
             }
+            WorldFault::RoutersLost => {
+                self.live = self.setup.routers / 2;
+                self.after(NOTICE_MS, WorldEvent::Notice);
+            }
         }
     }
 }
--- a/crates/guavawell-fleet/src/router/mod.rs
+++ b/crates/guavawell-fleet/src/router/mod.rs
@@ -24,7 +24,10 @@
 mod ports;
 mod recover;
 mod relay;
+mod report;
 mod reserve;
+mod round;
+mod seen;
 mod send;
 mod serve;
 mod service;
@@ -32,6 +35,7 @@
 mod share;
 mod start;
 mod status;
+mod summary;
 mod targets;
 #[cfg(test)]
 mod tests;
