--- a/crates/guavawell-demo/tests/fault/relay.rs
+++ b/crates/guavawell-demo/tests/fault/relay.rs
@@ -1,11 +1,14 @@
 //! Routers that lost the platform and let others carry their exchanges.
 
+use std::time::Duration;
+
 use guavawell_core::id::TokenCount;
 use guavawell_demo::fleet::FleetSettings;
 use guavawell_fleet::router::CarryCounts;
 use guavawell_fleet::router::RouterHandle;
 use guavawell_load::history::RefusalOutcome;
 use guavawell_standin::fault::FaultChange;
+use smol::Timer;
 
 use crate::env::FaultEnv;
 use crate::env::run;
@@ -15,6 +18,10 @@
 use crate::load::once;
 use crate::load::streams;
 
+/// Milliseconds after which a late table looks at an exchange: past the
+/// carrier's three quarters of the 500 ms for a call.
+const LATE: u64 = 450;
+
 /// Holders whose stock is that of a few requests, so that they refill often.
 fn thin(paid: u64) -> FleetSettings {
     let mut settings = FleetSettings {
@@ -53,6 +60,7 @@
     counts.fold(CarryCounts::default(), |sum, counts| CarryCounts {
         asked: sum.asked + counts.asked,
         declined: sum.declined + counts.declined,
+        lost: sum.lost + counts.lost,
     })
 }
 
@@ -161,6 +169,49 @@
     });
 }
 
+/// A carrier's time for one exchange ends before the table looks at it; the
+/// read back comes between the two.
+#[test]
+fn carried_writes_that_land_after_their_read_back_run_nothing_twice() {
+    run(async {
+        let mut env = FaultEnv::start_with(thin(100_000)).await;
+        env.load(warm(&env, 1)).await;
+        env.fleet.cut_platform(1);
+        let streams = env.begin(FaultLoad {
+            tag: "stream",
+            targets: env.zone(1),
+            requests: 120,
+            profiles: streams(32),
+            ..FaultLoad::default()
+        });
+        let claims = env.begin(claims(&env, "claim", 1));
+        for _ in 0..40 {
+            if carried(&env).lost >= 3 {
+                break;
+            }
+            for delay in [LATE, 0] {
+                env.platform_faults(FaultChange {
+                    delay_ms: Some(delay),
+                    ..FaultChange::default()
+                });
+                Timer::after(Duration::from_millis(LATE / 2)).await;
+            }
+        }
+        assert!(carried(&env).lost > 0, "writes were in doubt");
+        assert_all_answered(&streams.await, 120);
+        claims.await;
+        env.assert_kept().await;
+        env.assert_served(162);
+        let runs = env.runs();
+        let runs = runs.iter().filter_map(|run| run.request.as_deref());
+        let mut ids: Vec<&str> = runs.filter(|id| id.starts_with("claim-")).collect();
+        let ran = ids.len();
+        ids.sort_unstable();
+        ids.dedup();
+        assert_eq!(ids.len(), ran, "none ran twice");
+    });
+}
+
 #[test]
 fn links_healed_and_cut_in_the_middle_run_nothing_twice() {
     run(async {
--- a/crates/guavawell-fleet/src/router/carry.rs
+++ b/crates/guavawell-fleet/src/router/carry.rs
@@ -44,6 +44,8 @@
     pub asked: u64,
     /// Those that were not carried out.
     pub declined: u64,
+    /// Writes that were sent and had no answer.
+    pub lost: u64,
 }
 
 /// Carries out peers' exchanges on this router's own link.
@@ -56,6 +58,7 @@
     running: AtomicUsize,
     asked: AtomicU64,
     declined: AtomicU64,
+    lost: AtomicU64,
 }
 
 impl CarryDesk {
@@ -70,6 +73,7 @@
             running: AtomicUsize::new(0),
             asked: AtomicU64::new(0),
             declined: AtomicU64::new(0),
+            lost: AtomicU64::new(0),
         }
     }
 
@@ -78,6 +82,7 @@
         CarryCounts {
             asked: self.asked.load(Ordering::Relaxed),
             declined: self.declined.load(Ordering::Relaxed),
+            lost: self.lost.load(Ordering::Relaxed),
         }
     }
 
@@ -86,9 +91,11 @@
         self.asked.fetch_add(1, Ordering::Relaxed);
         let answer = self.carry(ask).await;
         let outcome = answer.label();
-        if outcome == "declined" {
-            self.declined.fetch_add(1, Ordering::Relaxed);
-        }
+        match &answer {
+            CarriedAnswer::Declined(_) => self.declined.fetch_add(1, Ordering::Relaxed),
+            CarriedAnswer::Lost(_) => self.lost.fetch_add(1, Ordering::Relaxed),
+            CarriedAnswer::Answered { .. } | CarriedAnswer::Refused(_) => 0,
+        };
         let class = ask.class.map_or("read", |class| class.label());
         metrics::counter!("guavawell_platform_carried_total",
             "service" => ask.service.label(), "class" => class, "outcome" => outcome)
