--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -18,9 +18,11 @@
 use super::core::RouterCore;
 use super::fetch::run_polls;
 use super::keys::watch_keys;
+use super::news::newest_member;
 use super::orphan::run_orphans;
 use super::settings::order_parts;
 use super::settings::platform_pool;
+use super::settings::retention_parts;
 use crate::clock;
 use crate::config::ConfigHints;
 use crate::event::EventDraft;
@@ -35,6 +37,7 @@
 use crate::platform::TableCompare;
 use crate::platform::TableOp;
 use crate::platform::TableTxn;
+use crate::retention::RetentionDriver;
 use crate::settings::RouterSettings;
 
 /// Time between two looks at queues and deadlines.
@@ -69,7 +72,10 @@
     tasks.spawn(run_polls(Arc::clone(core), gossip.clone()));
     tasks.spawn(run_orphans(Arc::clone(core)));
     tasks.spawn(Arc::new(OrderDriver::new(order_parts(core, gossip))).run());
+    let retention = RetentionDriver::new(retention_parts(core, gossip));
+    tasks.spawn(retention.run());
     tasks.spawn(review_admission(Arc::clone(core)));
+    tasks.spawn(core.claims.clone().watch_generation());
     tasks.spawn(watch_keys(Arc::clone(core), gossip.clone()));
     tasks.spawn(read_list(Arc::clone(core), gossip.clone()));
     tasks.spawn(pass_hints(gossip.clone(), hints));
@@ -129,8 +135,7 @@
     loop {
         let members = gossip.view();
         let own = members.own().manifest;
-        let ahead = members.routable().find(|member| member.manifest > own);
-        if let Some(member) = ahead {
+        if let Some(member) = newest_member(members.routable(), own, fastrand::usize(..)) {
             hints.hear(member.instance.clone(), member.manifest);
         }
         Timer::after(HINT_EVERY).await;
--- a/crates/guavawell-fleet/src/slot/mod.rs
+++ b/crates/guavawell-fleet/src/slot/mod.rs
@@ -15,7 +15,10 @@
 mod maintain;
 mod resolve;
 mod seat;
+mod settle;
 mod table;
+#[cfg(test)]
+mod tests;
 mod toward;
 
 pub use driver::SlotDriver;
@@ -25,6 +28,7 @@
 pub use link::PeerLink;
 pub use resolve::OrphanedAttempt;
 pub use resolve::ResolvedAttempt;
+pub use settle::RunCharge;
 pub use table::BaseLookup;
 pub use table::BudgetBase;
 pub use table::SlotTable;
