--- a/crates/guavawell-fleet/src/platform/mod.rs
+++ b/crates/guavawell-fleet/src/platform/mod.rs
@@ -5,6 +5,7 @@
 //! answer says whether it was applied, was not, or is in doubt.
 
 mod carried;
+mod circuit;
 mod error;
 mod exchange;
 mod gate;
@@ -20,6 +21,8 @@
 pub use carried::CarriedAsk;
 pub use carried::CarriedService;
 pub use error::PlatformError;
+pub use gate::ReadGate;
+pub use gate::ShareReading;
 pub use gate::WriteGate;
 pub use instances::InstanceEntry;
 pub use instances::InstanceList;
--- a/crates/guavawell-fleet/src/router/background.rs
+++ b/crates/guavawell-fleet/src/router/background.rs
@@ -21,8 +21,8 @@
 use super::news::newest_member;
 use super::orphan::run_orphans;
 use super::settings::order_parts;
-use super::settings::platform_pool;
 use super::settings::retention_parts;
+use super::share::run_shares;
 use crate::clock;
 use crate::config::ConfigHints;
 use crate::event::EventDraft;
@@ -33,7 +33,6 @@
 use crate::operator::instance_key;
 use crate::order::OrderDriver;
 use crate::platform::InstanceEntry;
-use crate::platform::InstanceList;
 use crate::platform::TableCompare;
 use crate::platform::TableOp;
 use crate::platform::TableTxn;
@@ -74,6 +73,7 @@
     tasks.spawn(Arc::new(OrderDriver::new(order_parts(core, gossip))).run());
     let retention = RetentionDriver::new(retention_parts(core, gossip));
     tasks.spawn(retention.run());
+    tasks.spawn(run_shares(Arc::clone(core), gossip.clone()));
     tasks.spawn(review_admission(Arc::clone(core)));
     tasks.spawn(core.claims.clone().watch_generation());
     tasks.spawn(watch_keys(Arc::clone(core), gossip.clone()));
@@ -95,18 +95,16 @@
 }
 
 async fn read_list(core: Arc<RouterCore>, gossip: GossipDriver) {
-    let platform = &core.settings.platform;
-    let pool = platform_pool(&core.settings, &core.gate);
-    let list = InstanceList::new(platform.instances, &platform.namespace, pool);
     loop {
         let mut periods = 1;
-        match list.read().await {
+        match core.instances.read().await {
             Ok(entries) => {
                 periods += u32::try_from(entries.len() / LISTED_A_PERIOD).unwrap_or(u32::MAX - 1);
                 let listed: Vec<ListedInstance> = entries
                     .iter()
                     .filter_map(|entry| listed(entry, gossip.address().port()))
                     .collect();
+                core.shares.take_list(staying_routers(&entries));
                 gossip.list(&listed);
             }
             Err(error) => {
@@ -118,6 +116,10 @@
     }
 }
 
+fn staying_routers(entries: &[InstanceEntry]) -> usize {
+    entries.iter().filter(|entry| !entry.terminating).count()
+}
+
 /// An entry with its gossip address: as listed, or at the port that this
 /// instance uses itself.
 fn listed(entry: &InstanceEntry, port: u16) -> Option<ListedInstance> {
--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -37,9 +37,11 @@
         /// Time that a finished request's identity is remembered, in
         /// milliseconds.
         identity_retention_ms: ClockSpan = ClockSpan::from_millis(600_000);
-        /// Longest time until settled use is written to the table, in
-        /// milliseconds. A write for another cause, such as a refill, takes
-        /// it along; what is not written yet is held by holder and witness.
+        /// Time after which settled use is written to the table, in
+        /// milliseconds; later where that would take more than an eighth of
+        /// this router's share of writes. A write for another cause, such as a
+        /// refill, takes it along; what is not written yet is held by holder
+        /// and witness.
         settle_interval_ms: ClockSpan = ClockSpan::from_millis(3_600_000);
     }
 }
@@ -125,7 +127,8 @@
         /// Most requests that this router runs at once towards one model or
         /// service, whatever its backend servers take.
         max_running: u32 = 4_096;
-        /// Most requests that wait for one model or service.
+        /// Most requests that wait for one model or service, or as many as may
+        /// run at once where that is more; `max_wait_ms` bounds their time.
         max_queued: u32 = 64;
         /// Longest expected wait with which a request is still queued, in
         /// milliseconds; with a longer one it is refused at once.
