--- a/crates/guavawell-fleet/src/platform/exchange.rs
+++ b/crates/guavawell-fleet/src/platform/exchange.rs
@@ -22,6 +22,8 @@
 use super::error::PlatformError;
 use super::gate::ReadGate;
 use super::gate::WriteGate;
+use super::judge::judge;
+use super::judge::no_answer;
 use super::pool::ConnectionPool;
 use super::pool::PoolSettings;
 use super::pool::with_timeout;
@@ -30,13 +32,6 @@
 use crate::clock::duration;
 use crate::clock::now;
 
-/// Parts of error messages with which the table service says that it stopped
-/// waiting for a write that may still be applied (etcd's published errors).
-const IN_DOUBT_MESSAGES: [&str; 2] = ["timed out", "leader changed"];
-
-/// Longest part of an error's body that is quoted, in characters.
-const QUOTE_CHARS: usize = 200;
-
 /// Whether a request changes the platform's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ExchangeKind {
@@ -367,39 +362,3 @@
         .is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"));
     framed && !closes
 }
-
-/// What a missing answer says.
-fn no_answer(kind: ExchangeKind, detail: &str) -> PlatformError {
-    match kind {
-        ExchangeKind::Read(_) => PlatformError::Outage(detail.into()),
-        ExchangeKind::Write(_) => PlatformError::Lost(detail.into()),
-    }
-}
-
-/// What an answer's status says; 2xx, 404 and 412 are left to the caller.
-fn judge(kind: ExchangeKind, answer: PlatformAnswer) -> Result<PlatformAnswer, PlatformError> {
-    match answer.status {
-        200..=299 | 404 | 412 => Ok(answer),
-        429 => Err(PlatformError::Outage("429 too many requests".into())),
-        503 => Err(unavailable(kind, &answer)),
-        500..=599 => Err(no_answer(kind, &describe(&answer))),
-        _ => Err(PlatformError::Refused(describe(&answer))),
-    }
-}
-
-fn unavailable(kind: ExchangeKind, answer: &PlatformAnswer) -> PlatformError {
-    let text = describe(answer);
-    if IN_DOUBT_MESSAGES
-        .iter()
-        .any(|message| text.contains(message))
-    {
-        return no_answer(kind, &text);
-    }
-    PlatformError::Outage(text)
-}
-
-fn describe(answer: &PlatformAnswer) -> Box<str> {
-    let body = String::from_utf8_lossy(&answer.body);
-    let quote: String = body.chars().take(QUOTE_CHARS).collect();
-    format!("{} {quote}", answer.status).into()
-}
--- a/crates/guavawell-fleet/src/platform/mod.rs
+++ b/crates/guavawell-fleet/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod gate;
 mod instances;
+mod judge;
 mod objects;
 mod pool;
 mod relay;
