--- a/crates/guavawell-core/examples/budget_experiment/main.rs
+++ b/crates/guavawell-core/examples/budget_experiment/main.rs
@@ -19,9 +19,10 @@
 use std::env;
 use std::thread;
 
-use bound::RestSplit;
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::clock::ClockSpan;
+
+use bound::RestSplit;
 use outcome::RunOutcome;
 use scenario::Scenario;
 use slots::SlotPolicy;
@@ -31,8 +32,6 @@
 const SEEDS: [u64; 3] = [11, 12, 13];
 /// Lengths of the partition, in seconds.
 const CUTS: [u64; 4] = [0, 30, 120, 360];
-/// Sizes of the float, in percent of a grant.
-const FLOATS: [u8; 5] = [0, 10, 25, 50, 100];
 
 /// Runs the seeds side by side and sums them up.
 fn sum(scenario: &Scenario, run: impl Fn(&[Arrival], u64) -> RunOutcome + Sync) -> RunOutcome {
@@ -80,19 +79,35 @@
     }
 }
 
+/// Sizes of the float: the least percent of a grant, the minutes of use that
+/// it covers, and the most percent.
+const FLOATS: [(u8, u64, u8); 8] = [
+    (0, 0, 0),
+    (25, 0, 25),
+    (5, 2, 25),
+    (5, 6, 25),
+    (5, 10, 25),
+    (5, 10, 50),
+    (5, 10, 75),
+    (5, 10, 100),
+];
+
 fn policies() -> Vec<(String, SlotPolicy)> {
     let mut policies = Vec::new();
     for prefers_near_witness in [false, true] {
-        for float_percent in FLOATS {
+        for (least, minutes, most) in FLOATS {
             let place = if prefers_near_witness { "near" } else { "far" };
             let policy = SlotPolicy {
                 settings: HolderSettings {
-                    float_percent,
+                    float_percent: least,
+                    float_cover: ClockSpan::from_millis(minutes * 60_000),
+                    float_percent_most: most,
                     ..HolderSettings::default()
                 },
                 prefers_near_witness,
             };
-            policies.push((format!("slots {place} float {float_percent}%"), policy));
+            let label = format!("{place} {least}-{most}% {minutes} min");
+            policies.push((label, policy));
         }
     }
     policies
--- a/crates/guavawell-core/examples/budget_experiment/slots.rs
+++ b/crates/guavawell-core/examples/budget_experiment/slots.rs
@@ -108,6 +108,28 @@
     let mut next = 0;
     for step in 0..STEPS + 64 {
         run.disturb(step);
+        if std::env::var("TRACE").is_ok()
+            && (step == 300 || step == 599 || step == 900 || step == 1300)
+            && seed == 11
+        {
+            for b in [0usize, 10, 20, 30] {
+                let id = budget_id(b);
+                let row = run.fleet.row(&id);
+                let free: Vec<u64> = (0..scenario.zones)
+                    .map(|z| run.fleet.free(z, id.as_str()).get())
+                    .collect();
+                let open: Vec<(u64, u64, u64)> = row
+                    .grants
+                    .iter()
+                    .map(|g| (g.open.get(), g.demand.get(), g.sequence))
+                    .collect();
+                println!(
+                    "TRACE step {step} b{b} rest {} unspent {} free {free:?} open/demand {open:?}",
+                    run.ledger.rest(b),
+                    row.unspent().get()
+                );
+            }
+        }
         run.settle_ended(step);
         while next < arrivals.len() && arrivals[next].step == step {
             run.reserve(next, step);
