--- a/crates/guavawell-core/src/budget/holder/balance.rs
+++ b/crates/guavawell-core/src/budget/holder/balance.rs
@@ -68,7 +68,7 @@
         };
         let part = stock.fair_stock(account).unwrap_or_default();
         let lacking = part.saturating_sub(stock.free(account));
-        if !self.is_near_end(place) || lacking.get() < part.get() / 4 {
+        if !self.is_near_end(place) || lacking.get() < part.get() / 8 {
             return TokenCount::ZERO;
         }
         lacking
@@ -88,7 +88,7 @@
         };
         let part = stock.fair_stock(account).unwrap_or_default();
         let excess = stock.free(account).saturating_sub(part);
-        let least = TokenCount::new(part.get() / 4).max(stock.usual_amount);
+        let least = TokenCount::new(part.get() / 8).max(stock.usual_amount);
         let witnessed = stock.witnessed_free(account);
         if excess < least || self.lower_float_by(place, excess.saturating_sub(witnessed)) {
             return;
--- a/crates/guavawell-core/src/budget/holder/due.rs
+++ b/crates/guavawell-core/src/budget/holder/due.rs
@@ -3,12 +3,15 @@
 use super::HolderEffect;
 use super::SlotHolder;
 use super::stock::BackAsk;
+use super::stock::BudgetStock;
 use crate::budget::account::BudgetAccount;
 use crate::budget::row::GrantChange;
+use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::id::TokenCount;
 
 /// Why a grant has to change.
+#[expect(clippy::struct_excessive_bools, reason = "each is a cause of its own")]
 struct ChangeCause {
     /// The grant was not read in this tenure yet.
     unread: bool,
@@ -107,8 +110,11 @@
         let giving = !stock.promised.is_empty();
         let is_asked = giving || !stock.asked.is_empty() || self.leaving;
         let is_near_end = self.is_near_end(place);
-        let may_have = unspent.is_some_and(|rest| rest > TokenCount::ZERO || is_near_end);
-        let low = may_have && stock.free(account) < stock.refill_below(is_near_end);
+        let is_even = is_near_end && stock.stocked >= stock.worth_moving();
+        let may_have = unspent.is_some_and(|rest| rest > TokenCount::ZERO || is_even);
+        let free = stock.free(account);
+        let low = may_have && free < stock.refill_below(is_near_end)
+            || !is_near_end && self.is_thin(stock, free);
         ChangeCause {
             unread: unspent.is_none() && (is_waited || !account.is_unused()),
             need,
@@ -119,6 +125,16 @@
         }
     }
 
+    /// Whether the first grant was small, by a first small request, and the
+    /// row has plenty.
+    fn is_thin(&self, stock: &BudgetStock, free: TokenCount) -> bool {
+        let cover = stock.use_of(ClockSpan::from_millis(
+            self.settings.balance_span.as_millis() / 3,
+        ));
+        let unspent = stock.view.as_ref().map(|view| view.unspent);
+        free < cover && unspent.is_some_and(|rest| rest.get() / 8 > cover.get())
+    }
+
     /// Tokens that a change for this cause asks for.
     fn wanted(&self, place: usize, account: &BudgetAccount, cause: &ChangeCause) -> TokenCount {
         let stock = &self.stocks[place];
--- a/crates/guavawell-core/src/budget/holder/float.rs
+++ b/crates/guavawell-core/src/budget/holder/float.rs
@@ -68,7 +68,7 @@
         let target = self.float_target(stock);
         let free = stock.float_free(account);
         let live = free.saturating_add(account.float_reserved);
-        if live.get() < target.get() / 4 * 3 {
+        if live.get() < target.get().saturating_mul(7) / 8 {
             let tokens = target.saturating_sub(live).min(self.witnessed_free(place));
             self.raise_float(place, tokens);
         } else if live.get() > target.get().saturating_mul(2) {
--- a/crates/guavawell-core/src/budget/holder/settings.rs
+++ b/crates/guavawell-core/src/budget/holder/settings.rs
@@ -79,7 +79,7 @@
             stock_span: ClockSpan::from_millis(3_600_000),
             stock_requests: 256,
             balance_span: ClockSpan::from_millis(1_800_000),
-            balance_every: ClockSpan::from_millis(20_000),
+            balance_every: ClockSpan::from_millis(10_000),
             report_after: ClockSpan::from_millis(3_600_000),
             exhausted_hold: ClockSpan::from_millis(1_000),
             retention: ClockSpan::from_millis(600_000),
--- a/crates/guavawell-core/src/budget/holder/stock.rs
+++ b/crates/guavawell-core/src/budget/holder/stock.rs
@@ -207,16 +207,23 @@
     }
 
     /// The next refill starts when half of the stock is used, or half of what
-    /// could be had of it; near the end earlier, as others have to know.
+    /// could be had of it; near the end earlier, as others have to know, while
+    /// it is worth a write.
     pub(super) const fn refill_below(&self, is_near_end: bool) -> TokenCount {
         let stocked = self.stocked.get();
-        TokenCount::new(if is_near_end {
-            stocked / 4 * 3
+        let is_early = is_near_end && stocked >= self.worth_moving().get();
+        TokenCount::new(if is_early {
+            stocked.saturating_mul(7) / 8
         } else {
             stocked / 2
         })
     }
 
+    /// A stock that is worth a write to keep it even: a few requests.
+    pub(super) const fn worth_moving(&self) -> TokenCount {
+        TokenCount::new(self.usual_amount.get().saturating_mul(4))
+    }
+
     /// What the recent use comes to in a span.
     pub(super) const fn use_of(&self, span: ClockSpan) -> TokenCount {
         TokenCount::new(self.demand.get().saturating_mul(span.as_millis()) / MILLIS_A_MINUTE)
