--- a/crates/guavawell-core/examples/budget_experiment/main.rs
+++ b/crates/guavawell-core/examples/budget_experiment/main.rs
@@ -81,14 +81,12 @@
 
 /// Sizes of the float: the least percent of a grant, the minutes of use that
 /// it covers, and the most percent.
-const FLOATS: [(u8, u64, u8); 8] = [
+const FLOATS: [(u8, u64, u8); 6] = [
     (0, 0, 0),
-    (25, 0, 25),
+    (5, 2, 10),
     (5, 2, 25),
-    (5, 6, 25),
     (5, 10, 25),
     (5, 10, 50),
-    (5, 10, 75),
     (5, 10, 100),
 ];
 
--- a/crates/guavawell-core/src/budget/holder/float.rs
+++ b/crates/guavawell-core/src/budget/holder/float.rs
@@ -3,7 +3,7 @@
 
 use super::SlotHolder;
 use super::stock::BudgetStock;
-use super::witnessing::WaitKind;
+use super::wait::WaitKind;
 use crate::budget::record::LedgerEntry;
 use crate::id::TokenCount;
 
