--- a/crates/guavawell-core/examples/admission_burst/main.rs
+++ b/crates/guavawell-core/examples/admission_burst/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `cargo run --release -p guavawell-core --example admission_burst`
 
+mod caller;
 mod engine;
 mod router;
 mod sample;
--- a/crates/guavawell-core/examples/admission_burst/world.rs
+++ b/crates/guavawell-core/examples/admission_burst/world.rs
@@ -7,7 +7,6 @@
 use guavawell_core::backend::LoadReport;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
-use guavawell_core::id::OrganisationId;
 use guavawell_core::limits::AdmissionAnswer;
 use guavawell_core::limits::AdmissionAsk;
 use guavawell_core::limits::AdmissionEffect;
@@ -15,6 +14,10 @@
 use guavawell_core::limits::FairWeight;
 use guavawell_core::limits::RequestPriority;
 
+use super::caller::CallState;
+use super::caller::CallerJob;
+use super::caller::number;
+use super::caller::organisation_id;
 use super::engine::EngineJob;
 use super::engine::EngineRun;
 use super::engine::ModelEngine;
@@ -47,26 +50,6 @@
     Review,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum CallState {
-    /// Between two tries, or asking.
-    Asking,
-    Queued,
-    Running,
-    Answering,
-    Over,
-}
-
-struct CallerJob {
-    organisation: usize,
-    router: usize,
-    arrived: u64,
-    tokens: u64,
-    tries: usize,
-    state: CallState,
-    engine: usize,
-}
-
 pub struct BurstWorld {
     setup: BurstSetup,
     now: u64,
@@ -81,14 +64,6 @@
     result: BurstResult,
 }
 
-fn organisation_id(number: usize) -> OrganisationId {
-    format!("o{number}").parse().expect("id")
-}
-
-fn number(ticket: AdmissionTicket) -> usize {
-    ticket.to_string().parse().expect("number")
-}
-
 impl BurstWorld {
     pub fn run(setup: BurstSetup) -> BurstResult {
         let mut world = Self::new(setup);
