Take in a burst of connections until they are accepted

Cause: the callers' listener let the system hold 128 connections that were not accepted yet, the default. A burst at a busy router overflows that; the system then drops what comes, and later resets connections that the caller believes to be open (3,544 overflows counted on this machine so far, by all processes). No refusal is given, so that no caller is told anything.

Change: 4,096, as far as the system's own bound allows.

Test: `a_burst_of_connections_waits_for_a_router_that_is_busy` fails with the default and passes now.

--- a/crates/guavawell-fleet/src/caller/listener.rs
+++ b/crates/guavawell-fleet/src/caller/listener.rs
@@ -26,9 +26,14 @@
 use smol::io::AsyncWrite;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpListener;
+use socket2::SockRef;
 
 use crate::task::TaskSpawner;
 
+/// Connections that the system takes in until they are accepted, as its own
+/// bound allows: a burst of callers comes faster than a busy router accepts.
+const BACKLOG: i32 = 4_096;
+
 /// Wait after a failed accept, for instance when file handles ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -102,6 +107,7 @@
     /// The bind error.
     pub async fn bind(address: SocketAddr, limits: CallerLimits) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind(address).await?;
+        SockRef::from(&listener).listen(BACKLOG)?;
         Ok(Arc::new(Self {
             limits,
             address: listener.local_addr()?,
--- a/crates/guavawell-fleet/src/caller/mod.rs
+++ b/crates/guavawell-fleet/src/caller/mod.rs
@@ -6,6 +6,8 @@
 mod body;
 mod listener;
 mod read;
+#[cfg(test)]
+mod tests;
 
 pub use body::FrameSender;
 pub use body::frame_body;
