--- a/crates/guavawell-core/examples/budget_experiment/baseline.rs
+++ b/crates/guavawell-core/examples/budget_experiment/baseline.rs
@@ -8,9 +8,7 @@
 use crate::workload::BUDGETS;
 use crate::workload::CRASH_AT;
 use crate::workload::STEPS;
-use crate::workload::TOP_UP;
-use crate::workload::TOP_UP_AT;
-use crate::workload::is_small;
+use crate::workload::ZONES;
 use crate::workload::paid;
 
 /// Steps that a lease lasts (ten seconds), and between two renewals.
@@ -39,7 +37,7 @@
 /// Every router owns a fixed part of each budget; a router that does not
 /// cover a request asks the other one of its zone.
 pub fn fixed_shares(arrivals: &[Arrival], scenario: &Scenario) -> RunOutcome {
-    let routers = scenario.zones * ZONE_SIZE;
+    let routers = ZONES * ZONE_SIZE;
     let share = |budget| paid(budget) / routers as u64;
     let shares: Vec<u64> = (0..BUDGETS).map(share).collect();
     let mut rest = vec![shares; routers];
@@ -53,10 +51,6 @@
                 rest[router].fill(0);
             }
         }
-        if step == TOP_UP_AT && scenario.tops_up {
-            ledger.top_up();
-            share_top_up(&mut rest, scenario);
-        }
         for (arrival, router) in running.end(step) {
             ledger.settle(&arrival);
             if !scenario.is_down(router, step) {
@@ -73,9 +67,7 @@
                 !scenario.is_down(*router, step) && rest[*router][arrival.budget] >= arrival.worst
             });
             match covering {
-                None => {
-                    ledger.refuse(arrival);
-                }
+                None => ledger.refuse(arrival),
                 Some(router) => {
                     rest[router][arrival.budget] -= arrival.worst;
                     ledger.grant(arrival);
@@ -87,18 +79,6 @@
     ledger.finish()
 }
 
-/// A top-up goes to the routers that the platform reaches.
-fn share_top_up(rest: &mut [Vec<u64>], scenario: &Scenario) {
-    let reached: Vec<usize> = (0..rest.len())
-        .filter(|router| !scenario.is_cut(router / ZONE_SIZE, TOP_UP_AT))
-        .collect();
-    for router in &reached {
-        for budget in (0..BUDGETS).filter(|budget| is_small(*budget)) {
-            rest[*router][budget] += TOP_UP / reached.len() as u64;
-        }
-    }
-}
-
 /// One zone's lease of one budget.
 #[derive(Clone, Copy, Debug, Default)]
 struct BudgetLease {
@@ -113,17 +93,11 @@
 /// what was not reported as used when the lease lapses.
 pub fn expiring_leases(arrivals: &[Arrival], scenario: &Scenario) -> RunOutcome {
     let mut unspent: Vec<u64> = (0..BUDGETS).map(paid).collect();
-    let mut leases = vec![vec![BudgetLease::default(); BUDGETS]; scenario.zones];
+    let mut leases = vec![vec![BudgetLease::default(); BUDGETS]; ZONES];
     let mut ledger = GlobalLedger::new();
     let mut running = RunningAttempts::new();
     let mut arrivals = arrivals.iter().peekable();
     for step in 0..STEPS + 64 {
-        if step == TOP_UP_AT && scenario.tops_up {
-            ledger.top_up();
-            for budget in (0..BUDGETS).filter(|budget| is_small(*budget)) {
-                unspent[budget] += TOP_UP;
-            }
-        }
         lapse(&mut leases, &mut unspent, step);
         for (arrival, zone) in running.end(step) {
             ledger.settle(&arrival);
@@ -148,8 +122,7 @@
             let lease = &mut leases[arrival.zone][arrival.budget];
             let is_short = lease.open < lease.used + arrival.worst;
             if is_short && scenario.reaches_table(arrival.zone, step) {
-                let unspent = &mut unspent[arrival.budget];
-                refill(lease, unspent, arrival.worst, scenario.zones, step);
+                refill(lease, &mut unspent[arrival.budget], arrival.worst, step);
                 ledger.outcome.writes += 1;
             }
             if lease.open >= lease.used + arrival.worst {
@@ -197,8 +170,8 @@
     true
 }
 
-fn refill(lease: &mut BudgetLease, unspent: &mut u64, need: u64, zones: usize, step: usize) {
-    let share = (*unspent / (2 * zones as u64)).min(LEASE_STOCK);
+fn refill(lease: &mut BudgetLease, unspent: &mut u64, need: u64, step: usize) {
+    let share = (*unspent / (2 * ZONES as u64)).min(LEASE_STOCK);
     let missing = (lease.used + need).saturating_sub(lease.open);
     let tokens = share.max(missing).min(*unspent);
     *unspent -= tokens;
--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -200,8 +200,7 @@
         if is_stuck || is_full || (stock.table_away && !covered) {
             return answer_reserve(ask, self.unreachable(), effects);
         }
-        let in_both = self.free_in_both(place) >= reserve.amount;
-        if !in_both && now < stock.exhausted_until {
+        if !covered && now < stock.exhausted_until {
             return answer_reserve(ask, self.exhausted(place), effects);
         }
         self.stocks[place].queue.push(QueuedAsk {
@@ -321,14 +320,6 @@
             .map_or(TokenCount::ZERO, |account| stock.witnessed_free(account))
     }
 
-    /// What is free here, in both pools.
-    fn free_in_both(&self, place: usize) -> TokenCount {
-        let stock = &self.stocks[place];
-        self.ledger
-            .account(&stock.budget)
-            .map_or(TokenCount::ZERO, |account| stock.free(account))
-    }
-
     pub(super) fn float_covers(&self, budget: &BudgetId, amount: TokenCount) -> bool {
         let Ok(place) = self.stock_place(budget) else {
             return false;
--- a/crates/guavawell-core/src/budget/holder/float.rs
+++ b/crates/guavawell-core/src/budget/holder/float.rs
@@ -2,7 +2,6 @@
 //! it with the witness's word.
 
 use super::SlotHolder;
-use super::stock::BudgetStock;
 use super::wait::WaitKind;
 use crate::budget::record::LedgerEntry;
 use crate::id::TokenCount;
@@ -15,18 +14,6 @@
         self.stocks[place].queue.is_empty() && self.lower_float_by(place, missing)
     }
 
-    /// Takes what waiting requests need out of the float, if it has it.
-    pub(super) fn lower_for_queue(&mut self, place: usize) {
-        let stock = &self.stocks[place];
-        let Some(account) = self.ledger.account(&stock.budget) else {
-            return;
-        };
-        let missing = stock.shortfall(account);
-        if missing > TokenCount::ZERO && stock.float_free(account) >= missing {
-            self.lower_float_by(place, missing);
-        }
-    }
-
     /// Moves up to `missing` tokens out of the float; `false` if none can.
     pub(super) fn lower_float_by(&mut self, place: usize, missing: TokenCount) -> bool {
         let stock = &self.stocks[place];
@@ -65,10 +52,12 @@
         let Some(account) = self.ledger.account(&stock.budget) else {
             return;
         };
-        let target = self.float_target(stock);
+        let part = u128::from(stock.open().get()) * u128::from(self.settings.float_percent) / 100;
+        let part = u64::try_from(part).unwrap_or(u64::MAX);
+        let target = TokenCount::new(part).min(self.settings.float_most);
         let free = stock.float_free(account);
         let live = free.saturating_add(account.float_reserved);
-        if live.get() < target.get().saturating_mul(7) / 8 {
+        if live.get() < target.get() / 2 {
             let tokens = target.saturating_sub(live).min(self.witnessed_free(place));
             self.raise_float(place, tokens);
         } else if live.get() > target.get().saturating_mul(2) {
@@ -79,16 +68,6 @@
         }
     }
 
-    /// The use of a span, as far as it lies between the parts of the grant
-    /// that the settings allow.
-    fn float_target(&self, stock: &BudgetStock) -> TokenCount {
-        let settings = &self.settings;
-        let least = part_of(stock.open(), settings.float_percent);
-        let most = part_of(stock.open(), settings.float_percent_most).max(least);
-        let cover = stock.use_of(settings.float_cover);
-        cover.max(least).min(most).min(settings.float_most)
-    }
-
     fn raise_float(&mut self, place: usize, tokens: TokenCount) {
         if tokens == TokenCount::ZERO {
             return;
@@ -102,8 +81,3 @@
         self.wait(WaitKind::Raise(budget, tokens));
     }
 }
-
-fn part_of(tokens: TokenCount, percent: u8) -> TokenCount {
-    let part = u128::from(tokens.get()) * u128::from(percent) / 100;
-    TokenCount::new(u64::try_from(part).unwrap_or(u64::MAX))
-}
--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -7,9 +7,7 @@
 //! present epoch; a float token is spent alone.
 
 mod ask;
-mod balance;
 mod charge;
-mod due;
 mod event;
 mod float;
 mod pace;
--- a/crates/guavawell-core/src/budget/holder/refill.rs
+++ b/crates/guavawell-core/src/budget/holder/refill.rs
@@ -32,8 +32,6 @@
         }
         self.serve_queue(place, effects);
         self.promise_back(place, effects);
-        self.return_excess(place);
-        self.lower_for_queue(place);
         self.size_float(place);
         self.start_change(place, now, effects);
         self.busy[place] = self.stocks[place].is_busy();
@@ -112,6 +110,91 @@
         }
     }
 
+    /// Decides whether the grant has to change, and starts the change.
+    fn start_change(&mut self, place: usize, now: ClockTime, effects: &mut Vec<HolderEffect>) {
+        if self.stocks[place].change.is_some() {
+            return;
+        }
+        let Some(change) = self.next_change(place, now) else {
+            return;
+        };
+        if change.want == TokenCount::ZERO && change.hand_back == TokenCount::ZERO {
+            self.reports.take(now);
+        }
+        let stock = &mut self.stocks[place];
+        stock.giving = std::mem::take(&mut stock.promised);
+        stock.sequence = change.sequence;
+        stock.change = Some(change);
+        self.send_change(place, now, effects);
+    }
+
+    /// The change that is due, if any.
+    fn next_change(&self, place: usize, now: ClockTime) -> Option<GrantChange> {
+        let stock = &self.stocks[place];
+        let account = self.ledger.account(&stock.budget)?;
+        let free = stock.free(account);
+        let unspent = stock.view.as_ref().map(|view| view.unspent);
+        // The table has no more: first see what comes out of the float.
+        let awaits_float =
+            unspent == Some(TokenCount::ZERO) && stock.is_moving_float() && self.is_witnessed();
+        let need = if awaits_float || stock.back_ask == BackAsk::Asked {
+            TokenCount::ZERO
+        } else {
+            stock.shortfall(account)
+        };
+        let is_unread = unspent.is_none()
+            && (!stock.queue.is_empty() || !stock.asked.is_empty() || !account.is_unused());
+        let is_giving = !stock.promised.is_empty();
+        let is_asked = is_giving || !stock.asked.is_empty();
+        let is_low = !is_asked
+            && unspent.is_some_and(|rest| rest > TokenCount::ZERO)
+            && free < stock.refill_below;
+        let is_report_due = self.is_report_due(place, now) && self.reports.has_one(now);
+        let is_refill = (need > TokenCount::ZERO || is_low) && !self.leaving;
+        if !(is_unread || is_refill || is_giving || is_report_due) {
+            return None;
+        }
+        let wanted = stock.wanted_stock(self.settings.stock_span, self.settings.stock_requests);
+        let want = if is_refill || (is_unread && stock.asked.is_empty()) {
+            wanted.saturating_sub(free).max(need)
+        } else {
+            TokenCount::ZERO
+        };
+        // Without charges, a change that is granted nothing needs no write.
+        let is_probe =
+            unspent == Some(TokenCount::ZERO) && !is_giving && !is_report_due && !is_unread;
+        let (settled, float_settled) = match &stock.view {
+            Some(view) if is_probe => (view.reported, view.float_reported),
+            _ => (stock.acked_settled, account.counters.float_settled),
+        };
+        Some(GrantChange {
+            slot: self.slot.clone(),
+            tenure: self.row.tenure,
+            sequence: stock.sequence + 1,
+            former: self.ledger.former_use(&stock.budget),
+            settled,
+            float_settled,
+            hand_back: stock.promised.iter().map(|promise| promise.tokens).sum(),
+            need: need.min(want),
+            want,
+            demand: stock.demand,
+        })
+    }
+
+    /// Whether charges have waited long enough for the table.
+    fn is_report_due(&self, place: usize, now: ClockTime) -> bool {
+        let stock = &self.stocks[place];
+        let Some(view) = &stock.view else {
+            return false;
+        };
+        let float_settled = self
+            .ledger
+            .account(&stock.budget)
+            .map_or(TokenCount::ZERO, |account| account.counters.float_settled);
+        let is_charged = stock.acked_settled > view.reported || float_settled > view.float_reported;
+        is_charged && now.since(stock.sent_at) >= self.settings.report_after
+    }
+
     pub(super) fn resend_change(
         &mut self,
         place: usize,
@@ -177,12 +260,12 @@
         }
         stock.change = None;
         stock.table_away = false;
-        stock.take_view(view, now);
+        stock.view = Some(view);
         let given = std::mem::take(&mut stock.giving);
         answer_given(given, effects);
         self.close_former(place, effects);
         self.serve_queue(place, effects);
-        self.note_stock(place);
+        self.set_refill_mark(place);
         self.after_shortage(place, now, effects);
         self.review(place, now, effects);
     }
@@ -205,15 +288,17 @@
         effects.push(HolderEffect::Note(HolderNote::TenureClosed(budget)));
     }
 
-    /// Remembers what was free, for the next refill's mark.
-    fn note_stock(&mut self, place: usize) {
+    /// The next refill starts when half of the stock is used, or half of
+    /// what could be had of it.
+    fn set_refill_mark(&mut self, place: usize) {
         let stock = &self.stocks[place];
         let wanted = stock.wanted_stock(self.settings.stock_span, self.settings.stock_requests);
         let free = self
             .ledger
             .account(&stock.budget)
             .map_or(TokenCount::ZERO, |account| stock.free(account));
-        self.stocks[place].stocked = wanted.min(free);
+        let mark = wanted.min(free).get() / 2;
+        self.stocks[place].refill_below = TokenCount::new(mark);
     }
 
     /// Asks other zones, and refuses only after they were asked.
--- a/crates/guavawell-core/src/budget/holder/settings.rs
+++ b/crates/guavawell-core/src/budget/holder/settings.rs
@@ -25,14 +25,8 @@
     pub queue_wait: ClockSpan,
     /// How many reservations of one budget may wait.
     pub queue_most: usize,
-    /// The least solo float, in percent of a grant's open tokens.
+    /// The solo float, in percent of a grant's open tokens.
     pub float_percent: u8,
-    /// The solo float covers the budget's use of this span, between the
-    /// least and the largest part of the grant.
-    pub float_cover: ClockSpan,
-    /// The largest solo float, in percent of a grant's open tokens; the least
-    /// one if that is larger.
-    pub float_percent_most: u8,
     /// The largest solo float of one budget.
     pub float_most: TokenCount,
     /// The stock of a budget covers its use of this span, as far as the
@@ -40,12 +34,6 @@
     pub stock_span: ClockSpan,
     /// The stock of a budget covers at least this many requests.
     pub stock_requests: u64,
-    /// A budget whose rest is used up within this span is near its end: the
-    /// slots then keep their parts of the rest even.
-    pub balance_span: ClockSpan,
-    /// How often the row of a budget near its end is looked at. Such a look
-    /// writes nothing unless there is something to move.
-    pub balance_every: ClockSpan,
     /// Settled use is reported to the table at the latest after this span.
     pub report_after: ClockSpan,
     /// For how long an exhausted budget is refused without asking the table.
@@ -72,14 +60,10 @@
             table_retry: ClockSpan::from_millis(500),
             queue_wait: ClockSpan::from_millis(2_000),
             queue_most: 256,
-            float_percent: 5,
-            float_cover: ClockSpan::from_millis(360_000),
-            float_percent_most: 50,
+            float_percent: 25,
             float_most: TokenCount::new(5_000_000),
             stock_span: ClockSpan::from_millis(3_600_000),
             stock_requests: 256,
-            balance_span: ClockSpan::from_millis(1_800_000),
-            balance_every: ClockSpan::from_millis(10_000),
             report_after: ClockSpan::from_millis(3_600_000),
             exhausted_hold: ClockSpan::from_millis(1_000),
             retention: ClockSpan::from_millis(600_000),
--- a/crates/guavawell-core/src/budget/holder/stock.rs
+++ b/crates/guavawell-core/src/budget/holder/stock.rs
@@ -13,13 +13,6 @@
 
 const MILLIS_A_MINUTE: u64 = 60_000;
 
-/// The recent use is a mean over about this span. Budgets are asked for a few
-/// times a minute, so that a shorter span would see single requests.
-const USE_SPAN: u64 = 300_000;
-
-/// A new budget counts as unused for this long before its first request.
-const USE_LEAD: u64 = 15_000;
-
 /// A reservation that waits for tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct QueuedAsk {
@@ -57,8 +50,6 @@
     pub(super) change: Option<GrantChange>,
     /// When the change was last sent.
     pub(super) sent_at: ClockTime,
-    /// When the row last learnt of charges.
-    pub(super) told_at: ClockTime,
     /// Whether the last change met no table.
     pub(super) table_away: bool,
     /// Witnessed charges that the witness acknowledged.
@@ -82,15 +73,13 @@
     pub(super) is_report_sent: bool,
     /// Until then the budget counts as exhausted without a read.
     pub(super) exhausted_until: ClockTime,
-    /// What was free after the last change, as far as it was wanted.
-    pub(super) stocked: TokenCount,
+    /// Refill when less is free.
+    pub(super) refill_below: TokenCount,
     /// Recent use in tokens a minute.
     pub(super) demand: TokenCount,
     /// Tokens reserved since `measured_at`.
     used: TokenCount,
     measured_at: ClockTime,
-    /// How much time the demand stands for, in milliseconds.
-    measured_span: u64,
     /// A moving mean of the reserved amounts.
     pub(super) usual_amount: TokenCount,
 }
@@ -103,7 +92,6 @@
             sequence: 0,
             change: None,
             sent_at: now,
-            told_at: now,
             table_away: false,
             acked_settled: TokenCount::ZERO,
             raising: TokenCount::ZERO,
@@ -116,26 +104,14 @@
             is_reported: false,
             is_report_sent: false,
             exhausted_until: ClockTime::from_millis(0),
-            stocked: TokenCount::ZERO,
+            refill_below: TokenCount::ZERO,
             demand: TokenCount::ZERO,
             used: TokenCount::ZERO,
-            measured_span: USE_LEAD,
             measured_at: now,
             usual_amount: TokenCount::ZERO,
         }
     }
 
-    /// Takes the row as it is after a change.
-    pub(super) fn take_view(&mut self, view: GrantView, now: ClockTime) {
-        let is_told = self.view.as_ref().is_none_or(|former| {
-            former.reported != view.reported || former.float_reported != view.float_reported
-        });
-        if is_told {
-            self.told_at = now;
-        }
-        self.view = Some(view);
-    }
-
     /// Open tokens of the grant as last read.
     pub(super) fn open(&self) -> TokenCount {
         self.view
@@ -206,32 +182,9 @@
         queued.saturating_sub(self.witnessed_free(account))
     }
 
-    /// The next refill starts when half of the stock is used, or half of what
-    /// could be had of it; near the end earlier, as others have to know, while
-    /// it is worth a write.
-    pub(super) const fn refill_below(&self, is_near_end: bool) -> TokenCount {
-        let stocked = self.stocked.get();
-        let is_early = is_near_end && stocked >= self.worth_moving().get();
-        TokenCount::new(if is_early {
-            stocked.saturating_mul(7) / 8
-        } else {
-            stocked / 2
-        })
-    }
-
-    /// A stock that is worth a write to keep it even: a few requests.
-    pub(super) const fn worth_moving(&self) -> TokenCount {
-        TokenCount::new(self.usual_amount.get().saturating_mul(4))
-    }
-
-    /// What the recent use comes to in a span.
-    pub(super) const fn use_of(&self, span: ClockSpan) -> TokenCount {
-        TokenCount::new(self.demand.get().saturating_mul(span.as_millis()) / MILLIS_A_MINUTE)
-    }
-
     /// The stock that the budget's use asks for.
     pub(super) fn wanted_stock(&self, span: ClockSpan, requests: u64) -> TokenCount {
-        let by_use = self.use_of(span).get();
+        let by_use = self.demand.get().saturating_mul(span.as_millis()) / MILLIS_A_MINUTE;
         let by_count = self.usual_amount.get().saturating_mul(requests);
         TokenCount::new(by_use.max(by_count))
     }
@@ -254,11 +207,9 @@
         if passed < 1_000 {
             return;
         }
-        let former = self.demand.get().saturating_mul(self.measured_span);
-        let recent = self.used.get().saturating_mul(MILLIS_A_MINUTE);
-        let span = self.measured_span.saturating_add(passed);
-        self.demand = TokenCount::new(former.saturating_add(recent) / span);
-        self.measured_span = span.min(USE_SPAN);
+        let rate = self.used.get().saturating_mul(MILLIS_A_MINUTE) / passed;
+        let demand = self.demand.get() - self.demand.get() / 4 + rate / 4;
+        self.demand = TokenCount::new(demand);
         self.used = TokenCount::ZERO;
         self.measured_at = now;
     }
--- a/crates/guavawell-core/src/budget/intent.rs
+++ b/crates/guavawell-core/src/budget/intent.rs
@@ -76,8 +76,6 @@
     pub slot: SlotId,
     /// Its open tokens, those in use included.
     pub open: TokenCount,
-    /// Its recent use in tokens a minute, as its holder last told.
-    pub demand: TokenCount,
 }
 
 /// Why an intent was not carried out.
--- a/crates/guavawell-core/src/budget/row/change.rs
+++ b/crates/guavawell-core/src/budget/row/change.rs
@@ -149,44 +149,22 @@
         Ok(open)
     }
 
-    /// Tokens to grant: the need if it is there, else what the slot lacks of
-    /// its part of the rest by recent use, but at most half of what no slot
-    /// has, for those that did not ask yet.
+    /// Tokens to grant: the need if it is there, else a share of the rest
+    /// that shrinks towards the end and with the slots that draw on it.
     fn share(&self, change: &GrantChange) -> TokenCount {
         let unspent = self.unspent();
-        let open: TokenCount = self.grants.iter().map(|grant| grant.open).sum();
-        let others = self.grants.iter().filter(|grant| grant.slot != change.slot);
-        let demands = others.map(|grant| grant.demand);
-        let part = fair_part(unspent.saturating_add(open), change.demand, demands);
-        let own = self
-            .grant(&change.slot)
-            .map_or(TokenCount::ZERO, |grant| grant.open);
-        let share = part
-            .saturating_sub(own)
-            .min(TokenCount::new(unspent.get() / 2));
+        let drawers = self
+            .grants
+            .iter()
+            .filter(|grant| grant.demand > TokenCount::ZERO)
+            .count()
+            .max(1);
+        let parts = 2 * u64::try_from(drawers).unwrap_or(u64::MAX / 2);
+        let share = TokenCount::new(unspent.get() / parts);
         change.want.min(share).max(change.need.min(unspent))
     }
 }
 
-/// The part of `rest` that goes to a slot by its recent use and that of the
-/// others. A slot that was not used yet counts as the mean of the others.
-pub(crate) fn fair_part(
-    rest: TokenCount,
-    own: TokenCount,
-    others: impl Iterator<Item = TokenCount>,
-) -> TokenCount {
-    let used = others.filter(|demand| *demand > TokenCount::ZERO);
-    let (sum, count) = used.fold((0_u128, 0_u128), |(sum, count), demand| {
-        (sum + u128::from(demand.get()), count + 1)
-    });
-    let own = match u128::from(own.get()) {
-        0 => (sum / count.max(1)).max(1),
-        own => own,
-    };
-    let part = u128::from(rest.get()) * own / (own + sum);
-    TokenCount::new(u64::try_from(part).unwrap_or(u64::MAX))
-}
-
 fn empty_grant(slot: &SlotId, tenure: SlotEpoch) -> BudgetGrant {
     BudgetGrant {
         slot: slot.clone(),
--- a/crates/guavawell-core/src/budget/row/mod.rs
+++ b/crates/guavawell-core/src/budget/row/mod.rs
@@ -11,7 +11,6 @@
 
 pub use change::FormerUse;
 pub use change::GrantChange;
-pub(crate) use change::fair_part;
 pub use frozen::FrozenReclaim;
 pub use frozen::FrozenReport;
 pub use paid::MAX_TOP_UPS;
@@ -194,7 +193,6 @@
             .map(|other| OtherGrant {
                 slot: other.slot.clone(),
                 open: other.open,
-                demand: other.demand,
             });
         GrantView {
             sequence: grant.map_or(0, |grant| grant.sequence),
--- a/crates/guavawell-core/tests/budget_differential/ledger.rs
+++ b/crates/guavawell-core/tests/budget_differential/ledger.rs
@@ -54,11 +54,8 @@
         let paid: Vec<(BudgetId, TokenCount)> = (0..BUDGETS)
             .map(|budget| (budget_id(budget), TokenCount::new(400)))
             .collect();
-        // A quarter of the runs size the float by recent use too.
-        let most = if seed.is_multiple_of(4) { 100 } else { 0 };
         let settings = HolderSettings {
             float_percent,
-            float_percent_most: most.max(float_percent),
             stock_requests: 4,
             retire_wait,
             report_after: ClockSpan::from_millis(3_000),
--- a/crates/guavawell-core/tests/budget_fleet/deliver.rs
+++ b/crates/guavawell-core/tests/budget_fleet/deliver.rs
@@ -10,7 +10,6 @@
 use guavawell_core::budget::WitnessEffect;
 use guavawell_core::budget::WitnessEvent;
 use guavawell_core::budget::WitnessMessage;
-use guavawell_core::clock::ClockSpan;
 use guavawell_core::id::BudgetId;
 use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
@@ -35,17 +34,6 @@
         }
     }
 
-    /// Lets a slow table do what it has had for long enough.
-    pub(super) fn run_slow_table(&mut self) {
-        while self.slow.front().is_some_and(|entry| entry.0 <= self.now) {
-            if let Some((_, FleetLetter::Table(instance, zone, tenure, intent))) =
-                self.slow.pop_front()
-            {
-                self.execute(instance, zone, tenure, intent);
-            }
-        }
-    }
-
     fn deliver(&mut self, letter: FleetLetter) {
         match letter {
             FleetLetter::Holder(instance, zone, tenure, event) => {
@@ -61,9 +49,6 @@
             FleetLetter::Witness(instance, zone, event) => {
                 self.tell_witness(instance, zone, event);
             }
-            FleetLetter::Table(..) if self.table_lag > ClockSpan::from_millis(0) => {
-                self.slow.push_back((self.now + self.table_lag, letter));
-            }
             FleetLetter::Table(instance, zone, tenure, intent) => {
                 self.execute(instance, zone, tenure, intent);
             }
--- a/crates/guavawell-core/tests/budget_fleet/drive.rs
+++ b/crates/guavawell-core/tests/budget_fleet/drive.rs
@@ -43,7 +43,6 @@
     /// Lets time pass, renews witnesses and drives every timer.
     pub fn tick(&mut self, span: ClockSpan) {
         self.now = self.now + span;
-        self.run_slow_table();
         for instance in 0..self.instances.len() {
             for zone in 0..self.rows.len() {
                 self.letters
--- a/crates/guavawell-core/tests/budget_fleet/mod.rs
+++ b/crates/guavawell-core/tests/budget_fleet/mod.rs
@@ -67,8 +67,6 @@
     pub cut: Vec<bool>,
     /// Whether the platform's table answers.
     pub is_table_up: bool,
-    /// How long the table takes to answer.
-    pub table_lag: ClockSpan,
     /// Messages lost of a hundred.
     pub loss_percent: u64,
     /// Table answers lost of a hundred, after the write took effect.
@@ -85,8 +83,6 @@
     settings: Arc<HolderSettings>,
     letters: VecDeque<FleetLetter>,
     later: Vec<FleetLetter>,
-    /// What a slow table has not answered, with the time of its answer.
-    slow: VecDeque<(ClockTime, FleetLetter)>,
 }
 
 pub fn slot(zone: usize) -> SlotId {
@@ -139,7 +135,6 @@
             answers: Vec::new(),
             cut: vec![false; zones],
             is_table_up: true,
-            table_lag: ClockSpan::from_millis(0),
             loss_percent: 0,
             lost_answer_percent: 0,
             table_writes: 0,
@@ -151,7 +146,6 @@
             settings: Arc::new(settings),
             letters: VecDeque::new(),
             later: Vec::new(),
-            slow: VecDeque::new(),
         };
         fleet.budgets.sort_by(|one, other| one.0.cmp(&other.0));
         for zone in 0..zones {
--- a/crates/guavawell-core/tests/budget_rows.rs
+++ b/crates/guavawell-core/tests/budget_rows.rs
@@ -230,38 +230,3 @@
     assert_eq!(shard_of(&organisation, 64), shard_of(&organisation, 64));
     assert_eq!(shard_of(&organisation, 0), ShardId::new(0));
 }
-
-#[test]
-fn a_slot_gets_what_it_lacks_of_its_part() {
-    let other = |zone: &str, sequence, want, demand| GrantChange {
-        slot: SlotId {
-            zone: zone.parse().unwrap(),
-            ..slot()
-        },
-        want: tokens(want),
-        demand: tokens(demand),
-        ..change(sequence, 0)
-    };
-    let first = written(row(1_200).change_grant(&other("z8", 1, 1_200, 20)));
-    assert_eq!(first.unspent(), tokens(600), "half is left for the others");
-    let asked = GrantChange {
-        want: tokens(1_200),
-        demand: tokens(10),
-        ..change(1, 0)
-    };
-    let second = written(first.change_grant(&asked));
-    assert_eq!(open(&second), 300, "at most half of what no slot has");
-    let more = GrantChange {
-        sequence: 2,
-        ..asked
-    };
-    let third = written(second.change_grant(&more));
-    assert_eq!(open(&third), 400, "a third of all by use");
-    assert_eq!(
-        third.change_grant(&GrantChange {
-            sequence: 3,
-            ..more
-        }),
-        Ok(RowChange::Applied)
-    );
-}
--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -175,19 +175,15 @@
 
 pub(super) fn holder(settings: &RouterSettings) -> HolderSettings {
     let slots = &settings.slots;
-    let usual = HolderSettings::default();
-    let float_percent_most = slots.float_share.percent();
     HolderSettings {
         witness_timeout: slots.witness_timeout_ms,
         retention: slots.identity_retention_ms,
-        float_percent: usual.float_percent.min(float_percent_most),
-        float_cover: slots.float_cover_ms,
-        float_percent_most,
+        float_percent: slots.float_share.percent(),
         stock_span: ClockSpan::from_millis(u64::from(slots.grant_seconds) * MILLIS),
         stock_requests: slots.grant_requests.into(),
         is_journaled: true,
         report_after: slots.settle_interval_ms,
-        ..usual
+        ..HolderSettings::default()
     }
 }
 
--- a/crates/guavawell-fleet/src/router/tests.rs
+++ b/crates/guavawell-fleet/src/router/tests.rs
@@ -116,7 +116,6 @@
 fn settings_reach_the_decisions() {
     let mut settings = RouterSettings::default();
     settings.slots.float_share = ShareRatio::clamped(0.07);
-    settings.slots.float_cover_ms = ClockSpan::from_millis(13);
     settings.slots.grant_seconds = 3;
     settings.slots.grant_requests = 5;
     settings.slots.settle_interval_ms = ClockSpan::from_millis(9);
@@ -125,9 +124,7 @@
     settings.limits.max_running = 7;
     settings.limits.max_wait_ms = ClockSpan::from_millis(11);
     let holder = settings::holder(&settings);
-    assert_eq!(holder.float_percent_most, 7);
-    assert!(holder.float_percent <= 7);
-    assert_eq!(holder.float_cover, ClockSpan::from_millis(13));
+    assert_eq!(holder.float_percent, 7);
     assert_eq!(holder.stock_span, ClockSpan::from_millis(3_000));
     assert_eq!(holder.stock_requests, 5);
     assert_eq!(holder.report_after, ClockSpan::from_millis(9));
--- a/crates/guavawell-fleet/src/settings/policy.rs
+++ b/crates/guavawell-fleet/src/settings/policy.rs
@@ -12,15 +12,10 @@
 settings_group! {
     /// Budget slots: holders, witnesses, grants.
     pub struct SlotSettings {
-        /// Largest share of each grant that may be spent without the
-        /// witness. A larger share refuses less while parted and freezes more
-        /// after a crash; overspend is zero at any value. Read in whole
-        /// percent.
-        float_share: ShareRatio = ShareRatio::clamped(0.5);
-        /// Recent use that may be spent without the witness, up to
-        /// `float_share` of the grant, in milliseconds. Name the partition
-        /// that a zone should bear.
-        float_cover_ms: ClockSpan = ClockSpan::from_millis(360_000);
+        /// Share of each grant that may be spent without the witness. A
+        /// larger share refuses less while parted and freezes more after a
+        /// crash; overspend is zero at any value. Read in whole percent.
+        float_share: ShareRatio = ShareRatio::clamped(0.25);
         /// Zones, beside the own one, that witnesses may stand in; empty means
         /// every zone. Name those within about a millisecond.
         witness_zones: Vec<ZoneId> = Vec::new();
