--- /dev/null
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -0,0 +1,216 @@
+//! Which backend server gets a request.
+//!
+//! All instances rank the servers of a service alike for one shared prompt
+//! (rendezvous hashing), so that its tokens are read at one server without any
+//! talk. A request leaves that server when the time until its first token is
+//! expected to be shorter elsewhere, the price of reading the shared part again
+//! included.
+
+use crate::clock::ClockTime;
+use crate::forward::EngineFacts;
+use crate::forward::PromptPart;
+use crate::forward::ServerEntry;
+use crate::forward::ServerHealth;
+use crate::forward::ServerPhase;
+use crate::forward::ServerTable;
+use crate::forward::TokenUsage;
+use crate::id::BackendId;
+use crate::id::ServiceId;
+use crate::id::ZoneId;
+
+/// The weights of a choice. Times are in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChoiceSettings {
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub prefill_per_ms: f64,
+    /// Cost of each request that runs there, as a part of one full batch.
+    pub batch_ms: f64,
+    /// Cost of each request that waits there beyond the slots.
+    pub waiting_ms: f64,
+    /// Cost of another availability zone, for a model engine.
+    pub zone_engine_ms: f64,
+    /// Cost of another availability zone, for a plain service.
+    pub zone_plain_ms: f64,
+    /// Cost of one request in flight against a plain server's slots.
+    pub plain_ms: f64,
+    /// Cost of a server all of whose recent requests failed.
+    pub failure_ms: f64,
+    /// Failure rate beyond which a server is avoided while others can serve.
+    pub failure_limit: f64,
+    /// Requests that may be held per slot before a server counts as full.
+    pub fill: f64,
+}
+
+impl Default for ChoiceSettings {
+    fn default() -> Self {
+        Self {
+            prefill_per_ms: 80.0,
+            batch_ms: 120.0,
+            waiting_ms: 40.0,
+            zone_engine_ms: 4.0,
+            zone_plain_ms: 15.0,
+            plain_ms: 60.0,
+            failure_ms: 600.0,
+            failure_limit: 0.35,
+            fill: 2.0,
+        }
+    }
+}
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceAsk<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// What its engines hold; `None` for a plain service.
+    pub engine: Option<EngineFacts>,
+    /// The caller's availability zone.
+    pub zone: &'a ZoneId,
+    /// The shared part that requests are brought together by.
+    pub affinity: Option<PromptPart>,
+    /// Tokens of all shared parts.
+    pub shared_tokens: u64,
+    /// Tokens of the request.
+    pub usage: TokenUsage,
+    /// Servers that this request was sent to before.
+    pub tried: &'a [BackendId],
+}
+
+/// Why no server was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoiceRefusal {
+    /// No server of the service is known.
+    Unknown,
+    /// All of them are full.
+    Full,
+}
+
+/// The chosen server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerPick {
+    /// The server.
+    pub server: BackendId,
+    /// Prompt tokens that it probably has to read.
+    pub unread_tokens: u64,
+}
+
+/// Chooses a server; the lowest cost wins.
+///
+/// # Errors
+///
+/// Tells why there is none.
+pub fn choose_server(
+    table: &ServerTable,
+    ask: &ChoiceAsk<'_>,
+    now: ClockTime,
+    settings: &ChoiceSettings,
+) -> Result<ServerPick, ChoiceRefusal> {
+    let fits = |entry: &&ServerEntry| {
+        entry.service == *ask.service && entry.takes_requests(now) && !ask.tried.contains(&entry.id)
+    };
+    let known: Vec<&ServerEntry> = table.servers().iter().filter(fits).collect();
+    if known.is_empty() {
+        return Err(ChoiceRefusal::Unknown);
+    }
+    let home = home_server(&known, ask, now, settings);
+    let room = known
+        .iter()
+        .filter(|entry| has_room(entry, ask, now, settings));
+    let best = room.min_by(|a, b| {
+        let cost = |entry: &ServerEntry| {
+            let avoided = is_avoided(entry, now, settings);
+            let penalty = if avoided { 1e6 } else { 0.0 };
+            penalty + cost_ms(entry, home == Some(&entry.id), ask, now, settings)
+        };
+        cost(a).total_cmp(&cost(b))
+    });
+    let best = best.ok_or(ChoiceRefusal::Full)?;
+    let held = if home == Some(&best.id) {
+        ask.shared_tokens
+    } else {
+        0
+    };
+    Ok(ServerPick {
+        server: best.id.clone(),
+        unread_tokens: ask.usage.input.get().saturating_sub(held),
+    })
+}
+
+/// The server that all instances prefer for the shared part.
+fn home_server<'a>(
+    known: &[&'a ServerEntry],
+    ask: &ChoiceAsk<'_>,
+    now: ClockTime,
+    settings: &ChoiceSettings,
+) -> Option<&'a BackendId> {
+    let part = ask.affinity?;
+    let sound = known
+        .iter()
+        .filter(|entry| !is_avoided(entry, now, settings));
+    let best = sound.max_by_key(|entry| rank(part.id, &entry.id))?;
+    Some(&best.id)
+}
+
+/// Whether a server is the last choice: unheard, failing or about to vanish.
+fn is_avoided(entry: &ServerEntry, now: ClockTime, settings: &ChoiceSettings) -> bool {
+    let ServerHealth { avoided_until, .. } = entry.health;
+    now < avoided_until
+        || matches!(entry.phase, ServerPhase::Lapsed(_))
+        || entry.silent(now)
+        || entry.failure_rate(now) > settings.failure_limit
+}
+
+fn has_room(
+    entry: &ServerEntry,
+    ask: &ChoiceAsk<'_>,
+    now: ClockTime,
+    settings: &ChoiceSettings,
+) -> bool {
+    let most = f64::from(entry.slots) * settings.fill;
+    if f64::from(entry.load.estimate(now)) >= most.max(1.0) {
+        return false;
+    }
+    ask.engine.is_none_or(|engine| {
+        let held = entry.load.memory_tokens + ask.usage.worst_case().get();
+        entry.load.in_flight == 0 || held <= engine.memory.get()
+    })
+}
+
+fn cost_ms(
+    entry: &ServerEntry,
+    home: bool,
+    ask: &ChoiceAsk<'_>,
+    now: ClockTime,
+    settings: &ChoiceSettings,
+) -> f64 {
+    let estimate = f64::from(entry.load.estimate(now));
+    let slots = f64::from(entry.slots.max(1));
+    let failure = settings.failure_ms * entry.failure_rate(now);
+    let near = entry.zone == *ask.zone;
+    let Some(_) = ask.engine else {
+        let zone = if near { 0.0 } else { settings.zone_plain_ms };
+        return settings.plain_ms * estimate / slots + failure + zone;
+    };
+    let zone = if near { 0.0 } else { settings.zone_engine_ms };
+    let missing = if home { 0 } else { ask.shared_tokens };
+    let unread = (entry.load.unread_tokens + missing) as f64 / settings.prefill_per_ms;
+    let batch = settings.batch_ms * (estimate / slots).min(1.0);
+    let waiting = settings.waiting_ms * (estimate - slots).max(0.0);
+    unread + batch + waiting + failure + zone
+}
+
+/// The weight of a server for a shared part: the same at every instance.
+fn rank(part: u64, server: &BackendId) -> u64 {
+    let mut hash = part ^ 0x9e37_79b9_7f4a_7c15;
+    for byte in server.as_str().bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    mix(hash)
+}
+
+/// Spreads a hash over all bits (the finalizer of `SplitMix64`).
+fn mix(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- /dev/null
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -0,0 +1,46 @@
+//! Forwarded requests: opaque calls that go to a backend server unchanged.
+//!
+//! Owns the route table, what may be repeated, the choice of a backend server,
+//! its admission, and the allowance for repeats. Everything here is plain
+//! state that takes the time as an argument; carrying out is `guavawell-forward`'s.
+
+mod admission;
+mod choice;
+mod plan;
+mod prompt;
+mod refusal;
+mod repeat;
+mod route;
+mod server;
+
+pub use admission::AdmissionSettings;
+pub use admission::admit;
+pub use choice::ChoiceAsk;
+pub use choice::ChoiceRefusal;
+pub use choice::ChoiceSettings;
+pub use choice::ServerPick;
+pub use choice::choose_server;
+pub use plan::AttemptEnd;
+pub use plan::NextStep;
+pub use plan::RepeatKind;
+pub use plan::next_step;
+pub use prompt::PromptError;
+pub use prompt::PromptPart;
+pub use prompt::PromptShape;
+pub use prompt::TokenUsage;
+pub use refusal::ForwardRefusal;
+pub use repeat::RepeatAllowance;
+pub use repeat::RepeatSettings;
+pub use route::EngineFacts;
+pub use route::ForwardConfig;
+pub use route::ForwardLimits;
+pub use route::OrganisationEntry;
+pub use route::RouteEntry;
+pub use route::RouteShare;
+pub use route::RouteTable;
+pub use route::ServiceEntry;
+pub use server::LoadFigures;
+pub use server::ServerEntry;
+pub use server::ServerHealth;
+pub use server::ServerPhase;
+pub use server::ServerTable;
--- /dev/null
+++ b/crates/guavawell-core/src/forward/plan.rs
@@ -0,0 +1,61 @@
+//! What follows when an attempt at a backend server ends.
+
+use crate::forward::ForwardRefusal;
+
+/// What may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatKind {
+    /// May run any number of times.
+    Idempotent,
+    /// May run once at most.
+    Once,
+    /// A stream that another backend server can continue after its last event.
+    Resumable,
+}
+
+/// How an attempt ended without a complete answer for the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// No byte of the request left this instance.
+    NotSent,
+    /// The backend server said that it did not run the request.
+    Rejected,
+    /// The backend server answered with a failure of its own.
+    Failed,
+    /// The answer was lost, cut short or not an answer.
+    Lost,
+    /// The time for this attempt ran out.
+    Silent,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// Choose another backend server and send again.
+    Again,
+    /// Hand the backend server's own failure to the caller.
+    Relay,
+    /// Answer with a refusal.
+    Refuse(ForwardRefusal),
+}
+
+/// Decides what follows an attempt.
+///
+/// `may_repeat` tells whether attempts, time and the allowance for repeats
+/// leave room for one more. A request that may run once goes on only after
+/// proof that it did not run.
+#[must_use]
+pub fn next_step(repeat: RepeatKind, end: AttemptEnd, may_repeat: bool) -> NextStep {
+    let runs_again = repeat != RepeatKind::Once;
+    match end {
+        AttemptEnd::NotSent if may_repeat => NextStep::Again,
+        AttemptEnd::NotSent => NextStep::Refuse(ForwardRefusal::NoServer),
+        AttemptEnd::Rejected if may_repeat => NextStep::Again,
+        AttemptEnd::Rejected => NextStep::Refuse(ForwardRefusal::ServersFull),
+        AttemptEnd::Failed if may_repeat && runs_again => NextStep::Again,
+        AttemptEnd::Failed => NextStep::Relay,
+        AttemptEnd::Lost | AttemptEnd::Silent if may_repeat && runs_again => NextStep::Again,
+        AttemptEnd::Lost => NextStep::Refuse(ForwardRefusal::AnswerLost),
+        AttemptEnd::Silent => NextStep::Refuse(ForwardRefusal::TimedOut),
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/forward/repeat.rs
@@ -0,0 +1,118 @@
+//! The allowance for sending a request once more.
+//!
+//! The whole fleet may repeat a fixed part of a service's requests plus a
+//! fixed number, in any window. Each instance keeps to its part of both, so
+//! that no talk between instances is needed.
+
+use std::collections::VecDeque;
+
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+use crate::id::ServiceId;
+
+/// Slices that a window is counted in.
+const SLICES: u64 = 10;
+
+/// How much may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatSettings {
+    /// Repeats per request of a service.
+    pub ratio: f64,
+    /// Repeats of a service beyond the ratio, by the whole fleet.
+    pub extra: f64,
+    /// The window in which both are counted.
+    pub window: ClockSpan,
+    /// Instances that share `extra`.
+    pub instances: usize,
+    /// Part of the allowance that is used. The rest covers requests that were
+    /// counted here in one window and judged in the next.
+    pub used_part: f64,
+}
+
+impl Default for RepeatSettings {
+    fn default() -> Self {
+        Self {
+            ratio: 0.2,
+            extra: 50.0,
+            window: ClockSpan::from_millis(10_000),
+            instances: 6,
+            used_part: 0.75,
+        }
+    }
+}
+
+/// One instance's count of requests and repeats for each service.
+#[derive(Clone, Debug, Default)]
+pub struct RepeatAllowance {
+    /// Sorted by service.
+    services: Vec<(ServiceId, VecDeque<WindowSlice>)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct WindowSlice {
+    began: ClockTime,
+    requests: u32,
+    repeats: u32,
+}
+
+impl RepeatAllowance {
+    /// Counts a request's first sending.
+    pub fn count_request(&mut self, service: &ServiceId, now: ClockTime, window: ClockSpan) {
+        self.slice(service, now, window).requests += 1;
+    }
+
+    /// Whether one repeat may be sent now; counts it if so.
+    pub fn take(&mut self, service: &ServiceId, now: ClockTime, settings: &RepeatSettings) -> bool {
+        self.slice(service, now, settings.window);
+        let slices = self.slices(service);
+        let requests: u32 = slices.iter().map(|slice| slice.requests).sum();
+        let repeats: u32 = slices.iter().map(|slice| slice.repeats).sum();
+        let shared = settings.extra / (settings.instances.max(1) as f64);
+        let most = settings.used_part * (settings.ratio * f64::from(requests) + shared);
+        if f64::from(repeats) + 1.0 > most {
+            return false;
+        }
+        self.slice(service, now, settings.window).repeats += 1;
+        true
+    }
+
+    fn slices(&self, service: &ServiceId) -> &VecDeque<WindowSlice> {
+        let place = self.services.binary_search_by(|(id, _)| id.cmp(service));
+        &self.services[place.expect("the slice was just made")].1
+    }
+
+    fn slice(
+        &mut self,
+        service: &ServiceId,
+        now: ClockTime,
+        window: ClockSpan,
+    ) -> &mut WindowSlice {
+        let place = match self.services.binary_search_by(|(id, _)| id.cmp(service)) {
+            Ok(place) => place,
+            Err(place) => {
+                let entry = (service.clone(), VecDeque::new());
+                self.services.insert(place, entry);
+                place
+            }
+        };
+        let slices = &mut self.services[place].1;
+        while slices
+            .front()
+            .is_some_and(|slice| now.since(slice.began) > window)
+        {
+            slices.pop_front();
+        }
+        let length = ClockSpan::from_millis(window.as_millis() / SLICES);
+        let fresh = slices
+            .back()
+            .is_some_and(|slice| now.since(slice.began) < length);
+        if !fresh {
+            slices.push_back(WindowSlice {
+                began: now,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        slices.back_mut().expect("a slice was just made")
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -0,0 +1,242 @@
+//! What is known of each backend server that requests are forwarded to.
+
+use std::net::SocketAddr;
+
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+use crate::id::BackendId;
+use crate::id::ServiceId;
+use crate::id::ZoneId;
+
+/// How long a server that has requests may stay silent before others go
+/// elsewhere. A busy engine sends events every 20 to 200 ms.
+const SILENCE: ClockSpan = ClockSpan::from_millis(700);
+/// First pause after a failure to connect; it doubles with each further one.
+const FIRST_PAUSE: u64 = 250;
+/// Longest pause after failures to connect, in milliseconds.
+const LONGEST_PAUSE: u64 = 4_000;
+/// Weight of the newest outcome in the failure rate.
+const OUTCOME_WEIGHT: f64 = 0.12;
+/// Time after which a failure rate counts half.
+const FAILURE_HALF_LIFE_MS: f64 = 2_500.0;
+/// Age beyond which a load report says nothing.
+const REPORT_AGE: ClockSpan = ClockSpan::from_millis(1_500);
+
+/// Whether a server takes new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerPhase {
+    /// It takes new requests.
+    Ready,
+    /// It announced that it leaves, or is no longer listed.
+    Leaving,
+    /// Its entry vanished around an outage of the platform; it may come back
+    /// until this time and is the last choice meanwhile.
+    Lapsed(ClockTime),
+}
+
+/// Load as the server told it, and as this instance adds to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadFigures {
+    /// Requests of this instance that the server holds.
+    pub in_flight: u32,
+    /// Their prompt tokens that the server has yet to read.
+    pub unread_tokens: u64,
+    /// Their tokens in the server's memory, at their most.
+    pub memory_tokens: u64,
+    /// Requests that ran at the server, from all callers, when it last told.
+    pub running: u32,
+    /// Requests that waited there.
+    pub waiting: u32,
+    /// This instance's own part of both at that time.
+    pub own_at_report: u32,
+    /// When it told, or `None` if it never did.
+    pub reported_at: Option<ClockTime>,
+}
+
+impl LoadFigures {
+    /// Requests that the server probably holds now, of all callers.
+    #[must_use]
+    pub fn estimate(&self, now: ClockTime) -> u32 {
+        let fresh = self
+            .reported_at
+            .is_some_and(|at| now.since(at) <= REPORT_AGE);
+        if !fresh {
+            return self.in_flight;
+        }
+        let others = (self.running + self.waiting).saturating_sub(self.own_at_report);
+        others + self.in_flight
+    }
+}
+
+/// What answers and failures tell of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerHealth {
+    /// When a byte of it was last received, or a first request was sent to it
+    /// while it was idle.
+    pub heard_at: ClockTime,
+    /// Failures to connect since the last success.
+    pub refused: u32,
+    /// No requests before this time while others can serve.
+    pub avoided_until: ClockTime,
+    /// Part of recent requests that failed.
+    pub failure_rate: f64,
+    /// When `failure_rate` was last brought up to date.
+    pub rated_at: ClockTime,
+}
+
+/// One backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerEntry {
+    /// This life of the server.
+    pub id: BackendId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub phase: ServerPhase,
+    /// Its load.
+    pub load: LoadFigures,
+    /// Its health.
+    pub health: ServerHealth,
+}
+
+impl ServerEntry {
+    /// Counts a request that is about to be sent.
+    pub fn begin(&mut self, now: ClockTime, unread_tokens: u64, memory_tokens: u64) {
+        if self.load.in_flight == 0 {
+            self.health.heard_at = now;
+        }
+        self.load.in_flight += 1;
+        self.load.unread_tokens += unread_tokens;
+        self.load.memory_tokens += memory_tokens;
+    }
+
+    /// Takes a request out again.
+    pub fn finish(&mut self, unread_tokens: u64, memory_tokens: u64) {
+        self.load.in_flight = self.load.in_flight.saturating_sub(1);
+        self.load.unread_tokens = self.load.unread_tokens.saturating_sub(unread_tokens);
+        self.load.memory_tokens = self.load.memory_tokens.saturating_sub(memory_tokens);
+    }
+
+    /// Notes the load that came with an answer.
+    pub fn report(&mut self, now: ClockTime, running: u32, waiting: u32) {
+        self.load.running = running;
+        self.load.waiting = waiting;
+        self.load.own_at_report = self.load.in_flight;
+        self.load.reported_at = Some(now);
+    }
+
+    /// Notes the outcome of a request, where the server could have served it.
+    pub fn rate(&mut self, now: ClockTime, failed: bool) {
+        let before = self.failure_rate(now);
+        let outcome = if failed { 1.0 } else { 0.0 };
+        self.health.failure_rate = before + OUTCOME_WEIGHT * (outcome - before);
+        self.health.rated_at = now;
+        if !failed {
+            self.health.refused = 0;
+        }
+    }
+
+    /// Notes that no connection was to be had.
+    pub fn refuse(&mut self, now: ClockTime) {
+        let doubled = FIRST_PAUSE << self.health.refused.min(5);
+        let pause = ClockSpan::from_millis(doubled.min(LONGEST_PAUSE));
+        self.health.refused += 1;
+        self.health.avoided_until = now + pause;
+    }
+
+    /// Part of recent requests that failed; old failures count less.
+    #[must_use]
+    pub fn failure_rate(&self, now: ClockTime) -> f64 {
+        let age = now.since(self.health.rated_at).as_millis() as f64;
+        self.health.failure_rate * (-age / FAILURE_HALF_LIFE_MS * std::f64::consts::LN_2).exp()
+    }
+
+    /// Whether the server has requests of this instance and says nothing.
+    #[must_use]
+    pub fn silent(&self, now: ClockTime) -> bool {
+        self.load.in_flight > 0 && now.since(self.health.heard_at) > SILENCE
+    }
+
+    /// Whether the server may be sent a request at all.
+    #[must_use]
+    pub fn takes_requests(&self, now: ClockTime) -> bool {
+        match self.phase {
+            ServerPhase::Ready => true,
+            ServerPhase::Leaving => false,
+            ServerPhase::Lapsed(until) => now < until,
+        }
+    }
+}
+
+/// All backend servers, sorted by id.
+#[derive(Clone, Debug, Default)]
+pub struct ServerTable {
+    servers: Vec<ServerEntry>,
+}
+
+impl ServerTable {
+    /// All servers.
+    #[must_use]
+    pub fn servers(&self) -> &[ServerEntry] {
+        &self.servers
+    }
+
+    /// A server by its id.
+    #[must_use]
+    pub fn get(&self, id: &BackendId) -> Option<&ServerEntry> {
+        let place = self.servers.binary_search_by(|entry| entry.id.cmp(id));
+        self.servers.get(place.ok()?)
+    }
+
+    /// A server by its id, to be changed.
+    pub fn get_mut(&mut self, id: &BackendId) -> Option<&mut ServerEntry> {
+        let place = self.servers.binary_search_by(|entry| entry.id.cmp(id));
+        self.servers.get_mut(place.ok()?)
+    }
+
+    /// Takes in what the platform lists of a server. A known one keeps its
+    /// load and health, and one that leaves never comes back as ready.
+    pub fn upsert(&mut self, entry: ServerEntry) {
+        match self.servers.binary_search_by(|held| held.id.cmp(&entry.id)) {
+            Err(place) => self.servers.insert(place, entry),
+            Ok(place) => {
+                let held = &mut self.servers[place];
+                let leaves = held.phase == ServerPhase::Leaving;
+                held.phase = if leaves { held.phase } else { entry.phase };
+                held.address = entry.address;
+                held.slots = entry.slots;
+                held.zone = entry.zone;
+                held.service = entry.service;
+            }
+        }
+    }
+
+    /// A server is no longer listed. It is dropped once nothing runs there.
+    pub fn remove(&mut self, id: &BackendId, phase: ServerPhase) {
+        if let Some(entry) = self.get_mut(id) {
+            let leaves = entry.phase == ServerPhase::Leaving;
+            entry.phase = if leaves { entry.phase } else { phase };
+        }
+    }
+
+    /// A server is listed again after its entry had lapsed.
+    pub fn relist(&mut self, id: &BackendId) {
+        if let Some(entry) = self.get_mut(id)
+            && matches!(entry.phase, ServerPhase::Lapsed(_))
+        {
+            entry.phase = ServerPhase::Ready;
+        }
+    }
+
+    /// Forgets servers that left and hold no request of this instance.
+    pub fn sweep(&mut self, now: ClockTime) {
+        self.servers
+            .retain(|entry| entry.takes_requests(now) || entry.load.in_flight > 0);
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -0,0 +1,314 @@
+//! One boot's book of all budgets: reservations, settlements, and the state of
+//! its rows.
+
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+use crate::grant::BudgetRow;
+use crate::grant::LineRow;
+use crate::grant::RateMeter;
+use crate::grant::RowVersions;
+use crate::grant::StoreClock;
+use crate::id::InstanceId;
+use crate::id::OrganisationId;
+
+/// How much stock an instance holds, and how fast it unlocks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BookSettings {
+    /// Stock, as seconds of recent demand: what a cut of the store of that
+    /// length needs, with demand up to twice the recent one.
+    pub stock_seconds: f64,
+    /// Least stock of an instance, as a part of its equal share of what is
+    /// left. It stands in for demand that was not seen yet.
+    pub least_part: f64,
+    /// Most stock, as a part of its share by demand of what is left, so that
+    /// some of it stays free for an instance that needs it.
+    pub most_part: f64,
+    /// The line's rate, as a multiple of recent demand.
+    pub line_factor: f64,
+    /// Seconds in which the line unlocks the least stock.
+    pub least_seconds: f64,
+    /// The line's burst, as seconds of its rate.
+    pub burst_seconds: f64,
+    /// Instances that are expected at least.
+    pub instances: usize,
+    /// Age of the line beyond which it is written again if tokens were spent.
+    pub line_age: ClockSpan,
+    /// Age of the entry in a budget's row beyond which it is brought up to date.
+    pub entry_age: ClockSpan,
+}
+
+impl Default for BookSettings {
+    fn default() -> Self {
+        Self {
+            stock_seconds: 18.0,
+            least_part: 0.3,
+            most_part: 0.9,
+            line_factor: 2.0,
+            least_seconds: 9.0,
+            burst_seconds: 1.0,
+            instances: 3,
+            line_age: ClockSpan::from_millis(250),
+            entry_age: ClockSpan::from_millis(1_000),
+        }
+    }
+}
+
+/// The answer to a reservation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReserveAnswer {
+    /// The tokens are reserved.
+    Granted,
+    /// The grant covers it, the line does not yet; by itself it will after
+    /// this time. Writing the line helps at once.
+    Locked(ClockSpan),
+    /// The grant does not cover it. Asking for more may help.
+    Short,
+    /// What was paid does not cover it, whatever others give back.
+    Exhausted,
+    /// Nothing is known of this budget yet.
+    Unknown,
+}
+
+/// One budget as this boot knows it.
+#[derive(Clone, Debug)]
+pub(super) struct BudgetState {
+    pub(super) organisation: OrganisationId,
+    pub(super) row: RowVersions<BudgetRow>,
+    /// Newest word on what was paid, with the version that said so.
+    pub(super) paid: (u64, u64),
+    /// Reserved or spent by this boot.
+    pub(super) used: u64,
+    /// Spent for good by this boot.
+    pub(super) settled: u64,
+    /// Tokens that requests wait for now.
+    pub(super) waiting: u64,
+    pub(super) demand: RateMeter,
+    /// When the own entry was last written.
+    pub(super) written_at: ClockTime,
+}
+
+/// The book of one boot of one instance.
+#[derive(Clone, Debug)]
+pub struct GrantBook {
+    pub(super) instance: InstanceId,
+    pub(super) boot: u64,
+    pub(super) nonce: u64,
+    pub(super) settings: BookSettings,
+    pub(super) clock: StoreClock,
+    pub(super) lines: RowVersions<LineRow>,
+    pub(super) lines_at: ClockTime,
+    /// Sorted by organisation.
+    pub(super) budgets: Vec<BudgetState>,
+    pub(super) leaving: bool,
+}
+
+impl GrantBook {
+    /// An empty book. `nonce` is random.
+    #[must_use]
+    pub fn new(instance: InstanceId, nonce: u64, settings: BookSettings) -> Self {
+        Self {
+            instance,
+            boot: 0,
+            nonce,
+            settings,
+            clock: StoreClock::default(),
+            lines: RowVersions::default(),
+            lines_at: ClockTime::default(),
+            budgets: Vec::new(),
+            leaving: false,
+        }
+    }
+
+    /// The number of this boot; 0 until the store has confirmed it.
+    #[must_use]
+    pub const fn boot(&self) -> u64 {
+        self.boot
+    }
+
+    /// An answer of the store told its steady time.
+    pub fn tell_time(&mut self, store: ClockTime, now: ClockTime) {
+        self.clock.tell(store, now);
+    }
+
+    /// The configuration says what an organisation paid.
+    pub fn set_paid(&mut self, organisation: &OrganisationId, paid: u64, version: u64) {
+        let state = self.state(organisation);
+        if version >= state.paid.1 {
+            state.paid = (paid, version);
+        }
+    }
+
+    /// All organisations in the book.
+    pub fn organisations(&self) -> impl Iterator<Item = &OrganisationId> {
+        self.budgets.iter().map(|state| &state.organisation)
+    }
+
+    /// Asks for the worst case of a request.
+    pub fn reserve(
+        &mut self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        now: ClockTime,
+    ) -> ReserveAnswer {
+        let Some(place) = self.find(organisation) else {
+            return ReserveAnswer::Unknown;
+        };
+        let state = &self.budgets[place];
+        let Some(time) = self.clock.now(now) else {
+            return ReserveAnswer::Unknown;
+        };
+        if self.boot == 0 || self.leaving || !state.row.is_read() {
+            return ReserveAnswer::Unknown;
+        }
+        let need = state.used + tokens;
+        if need > self.grant(state) {
+            return self.judge_short(state, tokens);
+        }
+        let allowed = self
+            .lines
+            .least(|row| self.line_allowance(row, organisation, time));
+        if need > allowed {
+            return ReserveAnswer::Locked(self.unlock_time(organisation, need - allowed));
+        }
+        let state = &mut self.budgets[place];
+        state.used += tokens;
+        state.demand.add(tokens, now);
+        ReserveAnswer::Granted
+    }
+
+    /// Replaces a reservation by what was spent; never more than reserved.
+    pub fn settle(&mut self, organisation: &OrganisationId, reserved: u64, spent: u64) {
+        let state = self.state(organisation);
+        let spent = spent.min(reserved);
+        state.used -= reserved - spent;
+        state.settled += spent;
+    }
+
+    /// A request waits for tokens from now on (or does so no longer).
+    pub fn wait(&mut self, organisation: &OrganisationId, tokens: u64, begins: bool) {
+        let state = self.state(organisation);
+        state.waiting = if begins {
+            state.waiting + tokens
+        } else {
+            state.waiting.saturating_sub(tokens)
+        };
+    }
+
+    /// Tokens reserved or spent by this boot.
+    #[must_use]
+    pub fn used(&self, organisation: &OrganisationId) -> u64 {
+        let place = self.find(organisation);
+        place.map_or(0, |place| self.budgets[place].used)
+    }
+
+    /// The grant that binds now.
+    #[must_use]
+    pub fn granted(&self, organisation: &OrganisationId) -> u64 {
+        let place = self.find(organisation);
+        place.map_or(0, |place| self.grant(&self.budgets[place]))
+    }
+
+    /// Instances that hold grants of any budget, this one included.
+    #[must_use]
+    pub fn known_instances(&self) -> usize {
+        let rows = self.budgets.iter().filter_map(|state| state.row.known());
+        rows.map(|row| row.holders.len()).max().unwrap_or(0)
+    }
+
+    /// No more reservations: the process is leaving.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    pub(super) fn grant(&self, state: &BudgetState) -> u64 {
+        let own = |row: &BudgetRow| {
+            let entry = row.holder(&self.instance, self.boot);
+            entry.map_or(0, |entry| entry.grant)
+        };
+        let granted = state.row.least(own);
+        let Some(row) = state.row.known() else {
+            return granted;
+        };
+        let lowered = state.paid.1 > row.paid_version && state.paid.0 < row.committed();
+        if lowered {
+            granted.min(state.used)
+        } else {
+            granted
+        }
+    }
+
+    fn judge_short(&self, state: &BudgetState, tokens: u64) -> ReserveAnswer {
+        let Some(row) = state.row.known() else {
+            return ReserveAnswer::Short;
+        };
+        let others = row.holders.iter().filter(|entry| !self.is_own(entry));
+        let spent: u64 = others.map(|entry| entry.settled).sum();
+        let paid = self.paid(state, row);
+        let certain = row.closed + spent + state.settled;
+        if certain + tokens > paid {
+            ReserveAnswer::Exhausted
+        } else {
+            ReserveAnswer::Short
+        }
+    }
+
+    pub(super) fn is_own(&self, entry: &crate::grant::HolderEntry) -> bool {
+        entry.instance == self.instance && entry.boot == self.boot
+    }
+
+    /// Newest word on what was paid: the configuration's or the row's.
+    #[expect(clippy::unused_self, reason = "reads as a question to the book")]
+    pub(super) fn paid(&self, state: &BudgetState, row: &BudgetRow) -> u64 {
+        if state.paid.1 >= row.paid_version {
+            state.paid.0
+        } else {
+            row.paid
+        }
+    }
+
+    fn line_allowance(&self, row: &LineRow, id: &OrganisationId, time: ClockTime) -> u64 {
+        let own = row.boot == self.boot && row.nonce == self.nonce;
+        if own { row.allowance(id, time) } else { 0 }
+    }
+
+    /// Time until the lowest line in force allows `missing` tokens more.
+    fn unlock_time(&self, organisation: &OrganisationId, missing: u64) -> ClockSpan {
+        let rate = self.lines.least(|row| {
+            let line = row
+                .lines
+                .iter()
+                .find(|line| line.organisation == *organisation);
+            line.map_or(0, |line| line.rate)
+        });
+        let millis = missing.saturating_mul(1_000).checked_div(rate);
+        ClockSpan::from_millis(millis.unwrap_or(u64::MAX / 2))
+    }
+
+    pub(super) fn find(&self, organisation: &OrganisationId) -> Option<usize> {
+        let found = self
+            .budgets
+            .binary_search_by(|state| state.organisation.cmp(organisation));
+        found.ok()
+    }
+
+    pub(super) fn state(&mut self, organisation: &OrganisationId) -> &mut BudgetState {
+        let found = self
+            .budgets
+            .binary_search_by(|state| state.organisation.cmp(organisation));
+        let place = found.unwrap_or_else(|place| {
+            let state = BudgetState {
+                organisation: organisation.clone(),
+                row: RowVersions::default(),
+                paid: (0, 0),
+                used: 0,
+                settled: 0,
+                waiting: 0,
+                demand: RateMeter::default(),
+                written_at: ClockTime::default(),
+            };
+            self.budgets.insert(place, state);
+            place
+        });
+        &mut self.budgets[place]
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/grant/mod.rs
@@ -0,0 +1,40 @@
+//! Budgets that are granted to instances and unlocked by time.
+//!
+//! An organisation's row in the platform's store holds what was paid and how
+//! much of it each instance was *granted*. An instance may spend of its grant
+//! only up to its *line*, a second row that says how much it had spent at some
+//! time of the store's steady clock, and at which rate it may spend since.
+//! So an instance that is cut off from the store goes on spending, and one that
+//! died leaves behind a bound on what it can have spent: the next boot of the
+//! same instance frees the rest. No grant ends by time.
+//!
+//! Safety rests on four rules, each searched exhaustively in
+//! `tests/grant_search`:
+//!
+//! - every write is conditional on the row's version;
+//! - a write whose answer is missing may stand, or land later, so the lowest of
+//!   all lines and grants that may be in force binds;
+//! - an instance's idea of the store's time is never ahead of it;
+//! - a successor's idea of it is never behind its predecessor's death.
+//!
+//! This folder does no I/O and reads no clock.
+
+mod book;
+mod line;
+mod plan;
+mod rate;
+mod row;
+mod store_clock;
+mod version;
+
+pub use book::BookSettings;
+pub use book::GrantBook;
+pub use book::ReserveAnswer;
+pub use line::ClosedBoot;
+pub use line::LineRow;
+pub use line::SpendLine;
+pub use rate::RateMeter;
+pub use row::BudgetRow;
+pub use row::HolderEntry;
+pub use store_clock::StoreClock;
+pub use version::RowVersions;
--- /dev/null
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -0,0 +1,296 @@
+//! What a boot writes to its rows, and what it takes from their answers.
+
+use crate::clock::ClockTime;
+use crate::grant::BudgetRow;
+use crate::grant::GrantBook;
+use crate::grant::HolderEntry;
+use crate::grant::LineRow;
+use crate::grant::SpendLine;
+use crate::grant::book::BudgetState;
+use crate::id::OrganisationId;
+
+/// Unanswered writes of a row beyond which only reads are sent.
+const MAX_OPEN: usize = 4;
+/// Change of a grant, as a part of the stock, that is worth a write.
+const WORTH_WRITING: f64 = 0.3;
+
+impl GrantBook {
+    /// The row of lines was read, or a write of it was turned down with it.
+    /// `now` is the local time at which that call was answered, and the call
+    /// was sent after this process had started.
+    ///
+    /// Returns whether the row belongs to this boot, or to none that is later.
+    pub fn saw_lines(&mut self, version: u64, row: Option<LineRow>) -> bool {
+        self.lines.seen(version, row);
+        let Some(row) = self.lines.known() else {
+            return true;
+        };
+        let own = row.nonce == self.nonce;
+        if own {
+            self.boot = row.boot;
+        }
+        own || self.boot == 0
+    }
+
+    /// The first row of this boot, after the row of the one before was read.
+    #[must_use]
+    pub fn first_lines(&self, now: ClockTime) -> Option<LineRow> {
+        let time = self.clock.now(now)?;
+        let before = self.lines.known().cloned().unwrap_or_default();
+        Some(before.succeed(self.nonce, time))
+    }
+
+    /// The version that the next write of the lines depends on.
+    #[must_use]
+    pub fn lines_version(&self) -> u64 {
+        self.lines.version()
+    }
+
+    /// Whether the lines must be read before they are written again.
+    #[must_use]
+    pub fn lines_unsure(&self) -> bool {
+        !self.lines.is_read() || self.lines.is_open()
+    }
+
+    /// The lines to write now, or `None` if the present ones will do.
+    #[must_use]
+    pub fn next_lines(&self, now: ClockTime) -> Option<LineRow> {
+        let time = self.clock.now(now)?;
+        if self.boot == 0 || self.lines.open_writes() >= MAX_OPEN {
+            return None;
+        }
+        let before = self.lines.known()?;
+        let fresh = now.since(self.lines_at) < self.settings.line_age;
+        let waits = self.budgets.iter().any(|state| state.waiting > 0);
+        let lines: Vec<SpendLine> = self
+            .budgets
+            .iter()
+            .map(|state| self.next_line(state, now))
+            .collect();
+        let same = before.lines.len() == lines.len()
+            && before
+                .lines
+                .iter()
+                .zip(&lines)
+                .all(|(a, b)| a.spent == b.spent);
+        if (same || fresh) && !(waits && !same) {
+            return None;
+        }
+        let closed = before
+            .closed
+            .iter()
+            .filter(|ended| self.is_held(ended.boot));
+        Some(LineRow {
+            boot: self.boot,
+            nonce: self.nonce,
+            at: time,
+            lines,
+            closed: closed.cloned().collect(),
+        })
+    }
+
+    fn next_line(&self, state: &BudgetState, now: ClockTime) -> SpendLine {
+        let settings = &self.settings;
+        let demand = state.demand.per_second(now) as f64 * settings.line_factor;
+        let stock = self.grant(state).saturating_sub(state.used) as f64;
+        let rate = demand.max(stock / settings.least_seconds);
+        SpendLine {
+            organisation: state.organisation.clone(),
+            spent: state.used + state.waiting,
+            burst: (rate * settings.burst_seconds) as u64,
+            rate: rate as u64,
+        }
+    }
+
+    /// Whether any budget's row may still hold a grant of an ended boot.
+    fn is_held(&self, boot: u64) -> bool {
+        self.budgets.iter().any(|state| match state.row.known() {
+            Some(row) => row.holder(&self.instance, boot).is_some(),
+            None => !state.row.is_read(),
+        })
+    }
+
+    /// A write of the lines is about to be sent.
+    pub fn sent_lines(&mut self, row: LineRow, now: ClockTime) {
+        self.lines.sent(row);
+        self.lines_at = now;
+    }
+
+    /// The write of the lines was carried out.
+    pub fn wrote_lines(&mut self, version: u64) {
+        self.lines.stands(version);
+        if let Some(row) = self.lines.known() {
+            self.boot = row.boot;
+        }
+    }
+
+    /// The write of the lines was surely not carried out.
+    pub fn dropped_lines(&mut self) {
+        self.lines.dropped();
+    }
+
+    /// A budget's row was read, or came with a write that was turned down.
+    pub fn saw_budget(&mut self, id: &OrganisationId, version: u64, row: Option<BudgetRow>) {
+        self.state(id).row.seen(version, row);
+    }
+
+    /// The version that the next write of a budget's row depends on.
+    #[must_use]
+    pub fn budget_version(&self, id: &OrganisationId) -> u64 {
+        let place = self.find(id);
+        place.map_or(0, |place| self.budgets[place].row.version())
+    }
+
+    /// Whether a budget's row must be read before it is written again.
+    #[must_use]
+    pub fn budget_unsure(&self, id: &OrganisationId) -> bool {
+        let place = self.find(id);
+        place.is_none_or(|place| {
+            let row = &self.budgets[place].row;
+            !row.is_read() || row.is_open()
+        })
+    }
+
+    /// Whether a budget is so scarce that its row is worth reading again.
+    #[must_use]
+    pub fn budget_stale(&self, id: &OrganisationId, now: ClockTime) -> bool {
+        let Some(place) = self.find(id) else {
+            return false;
+        };
+        let state = &self.budgets[place];
+        let Some(row) = state.row.known() else {
+            return false;
+        };
+        let tight = self.paid(state, row).saturating_sub(row.committed()) * 10 < row.paid;
+        let old = now.since(state.written_at) >= self.settings.entry_age;
+        old && (state.waiting > 0 || tight)
+    }
+
+    /// A budget's row was asked for, whatever comes of it.
+    pub fn asked_budget(&mut self, id: &OrganisationId, now: ClockTime) {
+        self.state(id).written_at = now;
+    }
+
+    /// The row to write for a budget now, or `None` if the present one will do.
+    #[must_use]
+    pub fn next_budget(&self, id: &OrganisationId, now: ClockTime) -> Option<BudgetRow> {
+        let state = &self.budgets[self.find(id)?];
+        if self.boot == 0 || !state.row.is_read() || state.row.open_writes() >= MAX_OPEN {
+            return None;
+        }
+        let before = state.row.known().cloned().unwrap_or_default();
+        let mut row = before.clone();
+        if state.paid.1 >= row.paid_version {
+            (row.paid, row.paid_version) = state.paid;
+        }
+        self.close_ended(&mut row, id);
+        let entry = self.next_entry(state, &row, now);
+        let held = before.holder(&self.instance, self.boot);
+        let repaid = (row.paid, row.closed) != (before.paid, before.closed);
+        let worth = held.is_none_or(|held| self.is_worth(held, &entry, state, now));
+        if !repaid && !worth {
+            return None;
+        }
+        row.put(entry);
+        Some(row)
+    }
+
+    /// The row that gives everything back, for a process that leaves.
+    #[must_use]
+    pub fn last_budget(&self, id: &OrganisationId) -> Option<BudgetRow> {
+        let state = &self.budgets[self.find(id)?];
+        let mut row = state.row.known()?.clone();
+        row.holder(&self.instance, self.boot)?;
+        row.close(&self.instance, self.boot, state.used);
+        Some(row)
+    }
+
+    /// A write of a budget's row is about to be sent.
+    pub fn sent_budget(&mut self, id: &OrganisationId, row: BudgetRow, now: ClockTime) {
+        let state = self.state(id);
+        state.row.sent(row);
+        state.written_at = now;
+    }
+
+    /// The write of a budget's row was carried out.
+    pub fn wrote_budget(&mut self, id: &OrganisationId, version: u64) {
+        self.state(id).row.stands(version);
+    }
+
+    /// The write of a budget's row was surely not carried out.
+    pub fn dropped_budget(&mut self, id: &OrganisationId) {
+        self.state(id).row.dropped();
+    }
+
+    /// Ends earlier boots of this instance in a row.
+    fn close_ended(&self, row: &mut BudgetRow, id: &OrganisationId) {
+        let own = row
+            .holders
+            .iter()
+            .filter(|entry| entry.instance == self.instance);
+        let ended: Vec<u64> = own
+            .map(|entry| entry.boot)
+            .filter(|boot| *boot < self.boot)
+            .collect();
+        for boot in ended {
+            let closed = self.lines.known().map_or(&[][..], |row| &row.closed[..]);
+            let known = closed.iter().find(|ended| ended.boot == boot);
+            let spent = known.map_or(u64::MAX, |ended| ended.spent_of(id));
+            row.close(&self.instance, boot, spent);
+        }
+    }
+
+    fn next_entry(&self, state: &BudgetState, row: &BudgetRow, now: ClockTime) -> HolderEntry {
+        let rate = state.demand.per_second(now);
+        let elsewhere = row.held_elsewhere(&self.instance, self.boot);
+        let free = row.paid.saturating_sub(row.closed + elsewhere);
+        let stock = self.stock(state, row, rate).max(state.waiting);
+        let grant = (state.used + stock).min(free).max(state.used);
+        HolderEntry {
+            instance: self.instance.clone(),
+            boot: self.boot,
+            grant,
+            used: state.used,
+            settled: state.settled,
+            rate,
+            wanted: (state.used + state.waiting).saturating_sub(grant),
+        }
+    }
+
+    /// Tokens beyond the used ones that this instance should hold.
+    fn stock(&self, state: &BudgetState, row: &BudgetRow, rate: u64) -> u64 {
+        let settings = &self.settings;
+        let others = || row.holders.iter().filter(|entry| !self.is_own(entry));
+        let used: u64 = others().map(|entry| entry.used).sum();
+        let left = row.paid.saturating_sub(row.closed + used + state.used) as f64;
+        let count = (others().count() + 1).max(settings.instances) as f64;
+        let rates: u64 = others().map(|entry| entry.rate).sum::<u64>() + rate;
+        let equal = left / count;
+        let by_demand = if rates == 0 {
+            equal
+        } else {
+            left * rate as f64 / rates as f64
+        };
+        let wished = (settings.stock_seconds * rate as f64).max(settings.least_part * equal);
+        let most = settings.most_part * by_demand.max(0.5 * equal);
+        let others_want = others().any(|entry| entry.wanted > 0);
+        let patience = if others_want { rate as f64 } else { f64::MAX };
+        wished.min(most).min(patience) as u64
+    }
+
+    fn is_worth(
+        &self,
+        held: &HolderEntry,
+        next: &HolderEntry,
+        state: &BudgetState,
+        now: ClockTime,
+    ) -> bool {
+        let have = held.grant.saturating_sub(state.used) as f64;
+        let want = next.grant.saturating_sub(state.used) as f64;
+        let changed = (want - have).abs() > WORTH_WRITING * want.max(have);
+        let old = now.since(state.written_at) >= self.settings.entry_age;
+        let served = state.waiting > 0 && next.grant > held.grant;
+        let told = (next.wanted > 0) != (held.wanted > 0);
+        served || told || (changed && old)
+    }
+}
--- a/crates/guavawell-core/src/lib.rs
+++ b/crates/guavawell-core/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod clock;
 pub mod event;
 pub mod finding;
+pub mod forward;
+pub mod grant;
 pub mod id;
 pub mod instance;
 pub mod limits;
--- /dev/null
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -0,0 +1,500 @@
+//! One attempt at one backend server.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use futures_lite::AsyncWriteExt;
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::AttemptEnd;
+use guavawell_core::forward::RepeatKind;
+use guavawell_core::forward::ServerEntry;
+use guavawell_core::forward::ServerPhase;
+use guavawell_core::forward::ServerPick;
+use guavawell_core::id::BackendId;
+
+use crate::clock::timer_span;
+use crate::http::BodyDecoder;
+use crate::http::ChannelError;
+use crate::http::FieldList;
+use crate::http::HeadWriter;
+use crate::http::HttpChannel;
+use crate::http::ResponseHead;
+use crate::http::is_hop_by_hop;
+use crate::http::within;
+use crate::pool::keep_span;
+use crate::relay::relay_plain;
+use crate::relay::relay_stream;
+use crate::router::ForwardRouter;
+use crate::send::RequestProgress;
+use crate::serve::ForwardCall;
+
+/// Largest head of a server's answer, in bytes.
+const ANSWER_HEAD_BYTES: usize = 32 * 1024;
+/// Largest answer to another request that is read past, in bytes.
+const STRAY_BYTES: usize = 256 * 1024;
+/// Rank of the least urgent requests.
+const LAST_PRIORITY: u8 = 9;
+
+/// What became of an attempt.
+#[derive(Debug)]
+pub enum AttemptOutcome {
+    /// The caller has the answer, with this status; whether its connection may
+    /// be used again.
+    Delivered(u16, bool),
+    /// The caller's connection failed.
+    CallerLost,
+    /// The answer broke off after its beginning was sent, and nothing can
+    /// continue it.
+    Cut,
+    /// No complete answer; the server's own failure if it told one.
+    Ended(AttemptEnd, Option<PlainAnswer>),
+}
+
+/// A whole answer of a server.
+#[derive(Debug)]
+pub struct PlainAnswer {
+    /// Its head.
+    pub head: ResponseHead,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl PlainAnswer {
+    /// The answer as it goes to the caller.
+    #[must_use]
+    pub fn bytes(&self, to_head: bool, keep: bool) -> Vec<u8> {
+        let mut head = HeadWriter::response(self.head.status, &self.head.reason);
+        copy_fields(&self.head.fields, &mut head);
+        if to_head {
+            for value in self.head.fields.all("content-length") {
+                head.field("Content-Length", value);
+            }
+        } else if self.head.status != 204 && self.head.status != 304 {
+            head.field_of("Content-Length", self.body.len());
+        }
+        if !keep {
+            head.field("Connection", b"close");
+        }
+        let mut bytes = head.finish();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// Copies a server's fields but for those of one connection.
+pub fn copy_fields(fields: &FieldList, head: &mut HeadWriter) {
+    for (name, value) in fields.iter() {
+        let framing = name.eq_ignore_ascii_case("content-length");
+        if !framing && !is_hop_by_hop(fields, name) {
+            head.field(name, value);
+        }
+    }
+}
+
+/// Counts a request at a server while it runs there.
+#[derive(Debug)]
+pub struct ServerLease {
+    router: Rc<ForwardRouter>,
+    server: BackendId,
+    unread: Cell<u64>,
+    memory: u64,
+}
+
+impl ServerLease {
+    fn new(router: &Rc<ForwardRouter>, pick: &ServerPick, memory: u64) -> Self {
+        let now = router.clock.now();
+        if let Some(server) = router.servers.borrow_mut().get_mut(&pick.server) {
+            server.begin(now, pick.unread_tokens, memory);
+        }
+        Self {
+            router: Rc::clone(router),
+            server: pick.server.clone(),
+            unread: Cell::new(pick.unread_tokens),
+            memory,
+        }
+    }
+
+    /// Bytes of the server were received.
+    pub fn heard(&self) {
+        let now = self.router.clock.now();
+        self.change(|server| server.health.heard_at = now);
+    }
+
+    /// The server has read the prompt.
+    pub fn prompt_read(&self) {
+        let unread = self.unread.replace(0);
+        self.change(|server| {
+            server.load.unread_tokens = server.load.unread_tokens.saturating_sub(unread);
+        });
+    }
+
+    /// Whether the server has said nothing to anyone here for long.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        let now = self.router.clock.now();
+        let servers = self.router.servers.borrow();
+        servers
+            .get(&self.server)
+            .is_none_or(|server| server.silent(now))
+    }
+
+    /// The outcome, where the server could have served the request.
+    pub fn rate(&self, failed: bool) {
+        let now = self.router.clock.now();
+        self.change(|server| server.rate(now, failed));
+    }
+
+    fn change(&self, change: impl FnOnce(&mut ServerEntry)) {
+        if let Some(server) = self.router.servers.borrow_mut().get_mut(&self.server) {
+            change(server);
+        }
+    }
+}
+
+impl Drop for ServerLease {
+    fn drop(&mut self) {
+        let unread = self.unread.get();
+        let memory = self.memory;
+        self.change(|server| server.finish(unread, memory));
+    }
+}
+
+/// A server's answer whose body is still to come.
+#[derive(Debug)]
+pub struct OpenAnswer {
+    /// The connection to the server.
+    pub channel: HttpChannel,
+    /// The answer's head.
+    pub head: ResponseHead,
+    /// Decodes the body.
+    pub decoder: BodyDecoder,
+    /// Whether the whole request was sent and nothing else came on the
+    /// connection, so that it may be used again.
+    pub clean: bool,
+    /// Counts the request at the server.
+    pub lease: ServerLease,
+}
+
+impl OpenAnswer {
+    /// Gives the connection back after a whole answer.
+    pub fn finish(self, router: &ForwardRouter) {
+        self.lease.rate(false);
+        let done = self.decoder.is_done();
+        if self.clean && done && self.head.keep && self.channel.is_quiet() {
+            let keep = keep_span(&self.head.fields, router.settings.times.idle);
+            let now = router.clock.now();
+            let mut pool = router.pool.borrow_mut();
+            pool.put(&self.lease.server, self.channel, now, keep);
+        }
+    }
+}
+
+/// Sends a request to a server and relays the answer.
+pub async fn send_attempt(
+    router: &Rc<ForwardRouter>,
+    caller: &HttpChannel,
+    call: &ForwardCall<'_>,
+    pick: &ServerPick,
+    progress: &mut RequestProgress,
+) -> AttemptOutcome {
+    progress.tried.push(pick.server.clone());
+    let memory = call.usage.worst_case().get();
+    let lease = ServerLease::new(router, pick, memory);
+    let Some(channel) = open(router, call, &pick.server).await else {
+        progress.unsent += 1;
+        return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
+    };
+    if router.clock.left(call.ends_at) == ClockSpan::default() {
+        progress.unsent += 1;
+        return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
+    }
+    progress.sent += 1;
+    let before = progress.may_have_run;
+    progress.may_have_run = true;
+    if let Some(reservation) = &call.reservation {
+        reservation.spend(call.usage.input);
+    }
+    let answer = match exchange(router, call, progress, channel, lease).await {
+        Ok(answer) => answer,
+        Err(end) => return AttemptOutcome::Ended(end, None),
+    };
+    note_load(router, &answer);
+    if is_rejection(router, &answer.head) {
+        progress.may_have_run = before;
+        note_rejection(router, &pick.server, answer);
+        return AttemptOutcome::Ended(AttemptEnd::Rejected, None);
+    }
+    if call.route.streaming && answer.head.status == 200 {
+        relay_stream(router, caller, call, progress, answer).await
+    } else {
+        relay_plain(router, caller, call, answer).await
+    }
+}
+
+/// Whether the server said that it did not run the request. A malformed
+/// request is the caller's to know.
+fn is_rejection(router: &ForwardRouter, head: &ResponseHead) -> bool {
+    let told = head.fields.get(router.settings.names.not_run).is_some();
+    head.status == 421 || (told && head.status != 400)
+}
+
+fn note_rejection(router: &ForwardRouter, server: &BackendId, answer: OpenAnswer) {
+    if answer.head.status == 421 {
+        // Another server has the address: this one is gone.
+        let mut servers = router.servers.borrow_mut();
+        servers.remove(server, ServerPhase::Leaving);
+        router.pool.borrow_mut().forget(server);
+    }
+    drop(answer);
+}
+
+fn note_load(router: &ForwardRouter, answer: &OpenAnswer) {
+    let Some(text) = answer.head.fields.get(router.settings.names.load) else {
+        return;
+    };
+    let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>().ok());
+    if let (Some(Some(running)), Some(Some(waiting))) = (numbers.next(), numbers.next()) {
+        let now = router.clock.now();
+        answer
+            .lease
+            .change(|server| server.report(now, running, waiting));
+    }
+}
+
+/// A connection to the server: an idle one, or a new one.
+async fn open(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &BackendId,
+) -> Option<HttpChannel> {
+    let times = &router.settings.times;
+    let once = call.route.repeat == RepeatKind::Once;
+    let most_idle = if once { times.idle_once } else { times.idle };
+    let now = router.clock.now();
+    let idle = router.pool.borrow_mut().take(server, now, most_idle);
+    if idle.is_some() {
+        return idle;
+    }
+    let address = router.servers.borrow().get(server)?.address;
+    let limit = times.connect.min(router.clock.left(call.ends_at));
+    metrics::counter!("guavawell_forward_connections_total").increment(1);
+    match HttpChannel::connect(address, timer_span(limit)).await {
+        Ok(channel) => Some(channel),
+        Err(error) => {
+            log::debug!("no connection to {server}: {error}");
+            let now = router.clock.now();
+            if let Some(entry) = router.servers.borrow_mut().get_mut(server) {
+                entry.refuse(now);
+            }
+            router.pool.borrow_mut().forget(server);
+            None
+        }
+    }
+}
+
+/// Sends the request and waits for the head of its answer.
+async fn exchange(
+    router: &Rc<ForwardRouter>,
+    call: &ForwardCall<'_>,
+    progress: &RequestProgress,
+    mut channel: HttpChannel,
+    lease: ServerLease,
+) -> Result<OpenAnswer, AttemptEnd> {
+    let bytes = request_bytes(router, call, &lease.server, progress);
+    let sent = Cell::new(false);
+    let stray = Cell::new(false);
+    let stream = channel.stream();
+    let to_head = call.request.head.method.as_ref() == "HEAD";
+    let write = async {
+        let written = (&*stream).write_all(&bytes).await;
+        // A server may answer without reading the whole request, so a failure
+        // to write is not yet the end.
+        sent.set(written.is_ok());
+        std::future::pending().await
+    };
+    let read = async {
+        let mut limit = attempt_limit(router, call, progress);
+        loop {
+            let head = answer_head(
+                &mut channel,
+                router.settings.names.request,
+                call.id,
+                to_head,
+                &stray,
+            );
+            match within(timer_span(limit), head).await {
+                Err(ChannelError::TimedOut) if waits_on(router, call, &lease) => {
+                    limit = PATIENCE_STEP.min(router.clock.left(call.ends_at));
+                }
+                result => return result,
+            }
+        }
+    };
+    let result = futures_lite::future::or(write, read).await;
+    match result {
+        Ok(head) => {
+            lease.heard();
+            Ok(OpenAnswer {
+                decoder: BodyDecoder::new(head.framing),
+                clean: sent.get() && !stray.get(),
+                channel,
+                head,
+                lease,
+            })
+        }
+        Err(error) => {
+            lease.rate(true);
+            log::debug!("no answer from {}: {error}", lease.server);
+            let timed_out = matches!(error, ChannelError::TimedOut);
+            Err(if timed_out {
+                AttemptEnd::Silent
+            } else {
+                AttemptEnd::Lost
+            })
+        }
+    }
+}
+
+/// Pause between looks at whether a silent server deserves more time.
+const PATIENCE_STEP: ClockSpan = ClockSpan::from_millis(200);
+
+/// Whether to go on waiting for a head after the attempt's time is over: a
+/// stream's server that talks to others is only busy.
+fn waits_on(router: &ForwardRouter, call: &ForwardCall<'_>, lease: &ServerLease) -> bool {
+    let left = router.clock.left(call.ends_at);
+    call.route.streaming && left > ClockSpan::default() && !lease.is_silent()
+}
+
+/// How long an attempt may go without the head of an answer.
+fn attempt_limit(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    progress: &RequestProgress,
+) -> ClockSpan {
+    let left = router.clock.left(call.ends_at);
+    let last = progress.sent >= call.route.attempts;
+    let times = &router.settings.times;
+    let limit = match call.route.repeat {
+        _ if last => left,
+        RepeatKind::Once => left,
+        RepeatKind::Idempotent => {
+            let usual = call.route.target.as_millis() * 3 / 2;
+            ClockSpan::from_millis(usual).max(times.attempt)
+        }
+        RepeatKind::Resumable => times.stream_silence.max(call.route.target),
+    };
+    limit.min(left)
+}
+
+/// Reads the head of the answer to `id`. Answers to other requests that come
+/// before it are read past; the connection is not used again after them.
+async fn answer_head(
+    channel: &mut HttpChannel,
+    id_field: &str,
+    id: &str,
+    to_head: bool,
+    stray: &Cell<bool>,
+) -> Result<ResponseHead, ChannelError> {
+    loop {
+        let length = channel.head(ANSWER_HEAD_BYTES).await?;
+        let head = ResponseHead::parse(&channel.received()[..length], to_head)?;
+        channel.consume(length);
+        if (100..200).contains(&head.status) {
+            continue;
+        }
+        let told = head.fields.get(id_field);
+        if told.is_none_or(|told| told == id) {
+            return Ok(head);
+        }
+        stray.set(true);
+        skip_body(channel, &head).await?;
+    }
+}
+
+async fn skip_body(channel: &mut HttpChannel, head: &ResponseHead) -> Result<(), ChannelError> {
+    let mut decoder = BodyDecoder::new(head.framing);
+    let mut body = Vec::new();
+    while channel.body_part(&mut decoder, &mut body).await? {
+        if body.len() > STRAY_BYTES {
+            return Err(ChannelError::CutShort);
+        }
+    }
+    if decoder.is_done() {
+        Ok(())
+    } else {
+        Err(ChannelError::Closed)
+    }
+}
+
+/// The request as the server gets it: method, target and body unchanged.
+fn request_bytes(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &BackendId,
+    progress: &RequestProgress,
+) -> Vec<u8> {
+    let names = &router.settings.names;
+    let request = call.request;
+    let fields = &request.head.fields;
+    let mut head = HeadWriter::request(&request.head.method, &request.head.target);
+    let resumed = progress.stream.last_event;
+    for (name, value) in fields.iter() {
+        let replaced = is_own_field(router, name)
+            || is_hop_by_hop(fields, name)
+            || (resumed.is_some() && name.eq_ignore_ascii_case(names.last_event));
+        if !replaced {
+            head.field(name, value);
+        }
+    }
+    let left = router.clock.left(call.ends_at).as_millis();
+    head.field_of(names.time_left, left);
+    head.field(names.expected_server, server.as_str().as_bytes());
+    if let Some((organisation, _)) = &call.organisation {
+        head.field(names.organisation, organisation.as_str().as_bytes());
+    }
+    if call.engine.is_some() {
+        head.field_of(names.priority, priority(call));
+    }
+    if let Some(event) = resumed {
+        head.field_of(names.last_event, event);
+    }
+    let bodied = request.head.framing != crate::http::BodyFraming::Empty;
+    if bodied {
+        head.field_of("Content-Length", request.body.len());
+    }
+    let mut bytes = head.finish();
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+/// The organisation's rank goes before the route's.
+fn priority(call: &ForwardCall<'_>) -> u8 {
+    let own = call
+        .organisation
+        .as_ref()
+        .and_then(|(_, priority)| *priority);
+    own.unwrap_or(call.route.priority).min(LAST_PRIORITY)
+}
+
+/// Fields that this router sets or drops, whatever the caller sent.
+fn is_own_field(router: &ForwardRouter, name: &str) -> bool {
+    let names = &router.settings.names;
+    let own = [
+        names.time_left,
+        names.organisation,
+        names.expected_server,
+        names.priority,
+        "authorization",
+        "content-length",
+        "expect",
+    ];
+    let same = |held: &&str| name.eq_ignore_ascii_case(held);
+    own.iter().any(same) || names.reserved.iter().any(same)
+}
+
+/// The time until the request's end, for a step that must end by then.
+#[must_use]
+pub fn time_left(router: &ForwardRouter, ends_at: ClockTime) -> std::time::Duration {
+    timer_span(router.clock.left(ends_at))
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/clock.rs
@@ -0,0 +1,46 @@
+//! The steady clock: the only place that reads it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
+
+/// Steady time since this process started. It stands still while the machine
+/// is suspended and never jumps with the time of day.
+#[derive(Clone, Copy, Debug)]
+pub struct SteadyClock {
+    origin: Instant,
+}
+
+impl SteadyClock {
+    /// A clock that starts at [`SteadyClock::ORIGIN`].
+    #[must_use]
+    pub fn start() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+
+    /// The first time: far from zero, so that spans before it can be told.
+    pub const ORIGIN: ClockTime = ClockTime::from_millis(1_000_000);
+
+    /// The time now.
+    #[must_use]
+    pub fn now(&self) -> ClockTime {
+        let millis = self.origin.elapsed().as_millis();
+        Self::ORIGIN + ClockSpan::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
+    }
+
+    /// The time left until `end`.
+    #[must_use]
+    pub fn left(&self, end: ClockTime) -> ClockSpan {
+        end.since(self.now())
+    }
+}
+
+/// A span for timers.
+#[must_use]
+pub const fn timer_span(span: ClockSpan) -> Duration {
+    Duration::from_millis(span.as_millis())
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/door.rs
@@ -0,0 +1,221 @@
+//! Callers' connections: one task each.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ForwardLimits;
+use guavawell_core::forward::ForwardRefusal;
+use smol::Async;
+use smol::LocalExecutor;
+use smol::Timer;
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::SockAddr;
+use socket2::Socket;
+use socket2::Type;
+
+use crate::clock::timer_span;
+use crate::http::BodyDecoder;
+use crate::http::BodyFraming;
+use crate::http::ChannelError;
+use crate::http::HttpChannel;
+use crate::http::RequestHead;
+use crate::http::within;
+use crate::refuse::RefusalAnswer;
+use crate::router::ForwardRouter;
+use crate::serve::serve_request;
+
+/// Connections that wait to be accepted. One that finds the queue full comes
+/// back only after a second.
+const ACCEPT_QUEUE: i32 = 1_024;
+/// Pause after a failure to accept, for instance without descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time that a body may take for each started mebibyte.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// The address is not to be had.
+pub fn listen(address: SocketAddr) -> std::io::Result<Async<TcpListener>> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&SockAddr::from(address))?;
+    socket.listen(ACCEPT_QUEUE)?;
+    Async::new(TcpListener::from(socket))
+}
+
+/// Accepts callers for as long as the process lives.
+pub async fn accept_callers(
+    router: Rc<ForwardRouter>,
+    listener: Async<TcpListener>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    loop {
+        let accepted = listener.accept().await;
+        let channel = accepted.and_then(|(stream, _)| HttpChannel::new(stream));
+        match channel {
+            Ok(channel) => {
+                let router = Rc::clone(&router);
+                executor
+                    .spawn(async move { serve_caller(&router, channel).await })
+                    .detach();
+            }
+            Err(error) => {
+                log::warn!("no caller accepted: {error}");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// A whole request.
+#[derive(Debug)]
+pub struct ReceivedRequest {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// When its head was whole.
+    pub received_at: ClockTime,
+}
+
+async fn serve_caller(router: &Rc<ForwardRouter>, mut channel: HttpChannel) {
+    loop {
+        let limits = caller_limits(router);
+        let request = match receive(router, &mut channel, &limits).await {
+            Ok(request) => request,
+            Err(refusal) => {
+                if let Some(answer) = refusal {
+                    refuse_early(router, &channel, &answer).await;
+                }
+                return;
+            }
+        };
+        let keep = serve_request(router, &mut channel, request).await;
+        if !keep {
+            return;
+        }
+    }
+}
+
+async fn refuse_early(router: &ForwardRouter, channel: &HttpChannel, answer: &RefusalAnswer) {
+    let outcome = answer.refusal.as_str();
+    metrics::counter!("guavawell_forward_requests_total", "outcome" => outcome).increment(1);
+    let draft = guavawell_fleet::event::EventDraft::new("request.refused_unread")
+        .field("outcome", outcome)
+        .field("status", answer.status());
+    router.log.emit(draft);
+    if let Err(error) = answer.send(channel, None, false).await {
+        log::debug!("a refusal was not delivered: {error}");
+    }
+}
+
+fn caller_limits(router: &ForwardRouter) -> ForwardLimits {
+    let config = router.config.borrow();
+    config
+        .as_ref()
+        .map(|config| config.limits)
+        .unwrap_or_default()
+}
+
+/// Receives one request; `Err(None)` if the connection just ends.
+async fn receive(
+    router: &ForwardRouter,
+    channel: &mut HttpChannel,
+    limits: &ForwardLimits,
+) -> Result<ReceivedRequest, Option<RefusalAnswer>> {
+    await_first_byte(channel, limits.idle_time).await?;
+    let head = receive_head(channel, limits).await?;
+    let received_at = router.clock.now();
+    let body = receive_body(router, channel, &head, limits).await?;
+    Ok(ReceivedRequest {
+        head,
+        body,
+        received_at,
+    })
+}
+
+async fn await_first_byte(
+    channel: &mut HttpChannel,
+    limit: ClockSpan,
+) -> Result<(), Option<RefusalAnswer>> {
+    if !channel.received().is_empty() {
+        return Ok(());
+    }
+    let fill = async { Ok(channel.fill().await?) };
+    match within(timer_span(limit), fill).await {
+        Ok(count) if count > 0 => Ok(()),
+        _ => Err(None),
+    }
+}
+
+async fn receive_head(
+    channel: &mut HttpChannel,
+    limits: &ForwardLimits,
+) -> Result<RequestHead, Option<RefusalAnswer>> {
+    let head = within(
+        timer_span(limits.head_time),
+        channel.head(limits.head_bytes),
+    )
+    .await;
+    let length = match head {
+        Ok(length) => length,
+        Err(ChannelError::HeadTooLong) => {
+            return Err(Some(RefusalAnswer::new(ForwardRefusal::HeadTooLarge)));
+        }
+        Err(_) => return Err(None),
+    };
+    let parsed = RequestHead::parse(&channel.received()[..length]);
+    channel.consume(length);
+    parsed.map_err(|_| Some(RefusalAnswer::new(ForwardRefusal::Malformed)))
+}
+
+async fn receive_body(
+    router: &ForwardRouter,
+    channel: &mut HttpChannel,
+    head: &RequestHead,
+    limits: &ForwardLimits,
+) -> Result<Vec<u8>, Option<RefusalAnswer>> {
+    let refuse = |refusal| Err(Some(RefusalAnswer::new(refusal)));
+    let announced = match head.framing {
+        BodyFraming::Empty => return Ok(Vec::new()),
+        BodyFraming::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+        BodyFraming::Chunked | BodyFraming::UntilClose => 0,
+    };
+    if announced > limits.body_bytes {
+        return refuse(ForwardRefusal::BodyTooLarge);
+    }
+    if router.held_bytes.get() + announced > router.settings.admission.body_bytes {
+        return refuse(ForwardRefusal::NoMemory);
+    }
+    if head.fields.has_token("expect", "100-continue") {
+        let sent = channel.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        sent.map_err(|_| None)?;
+    }
+    let mut decoder = BodyDecoder::new(head.framing);
+    let mut body = Vec::with_capacity(announced.min(64 * 1024));
+    loop {
+        match within(BODY_TIME, channel.body_part(&mut decoder, &mut body)).await {
+            Ok(true) if body.len() > limits.body_bytes => {
+                return refuse(ForwardRefusal::BodyTooLarge);
+            }
+            Ok(true) => {}
+            Ok(false) if body.len() > limits.body_bytes => {
+                return refuse(ForwardRefusal::BodyTooLarge);
+            }
+            Ok(false) => return Ok(body),
+            Err(ChannelError::Body(_)) => return refuse(ForwardRefusal::Malformed),
+            Err(_) => return Err(None),
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/events.rs
@@ -0,0 +1,48 @@
+//! Events of a stream: where one ends, and what its id is.
+
+/// Counts the whole events in received bytes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EventScan {
+    /// Bytes up to the end of the last whole event.
+    pub whole: usize,
+    /// Whole events in them.
+    pub count: u64,
+    /// The id of the first whole event, if it has one.
+    pub first_id: Option<u64>,
+    /// The id of the last whole event that has one.
+    pub last_id: Option<u64>,
+}
+
+/// Finds the whole events at the beginning of `bytes`. An event ends with an
+/// empty line.
+#[must_use]
+pub fn scan_events(bytes: &[u8]) -> EventScan {
+    let mut scan = EventScan::default();
+    let mut line_start = 0;
+    let mut has_lines = false;
+    let mut id = None;
+    while let Some(length) = bytes[line_start..].iter().position(|byte| *byte == b'\n') {
+        let line = bytes[line_start..line_start + length].trim_ascii_end();
+        line_start += length + 1;
+        if !line.is_empty() {
+            has_lines = true;
+            id = event_id(line).or(id);
+            continue;
+        }
+        if has_lines {
+            scan.count += 1;
+            scan.first_id = scan.first_id.or(id);
+            scan.last_id = id.or(scan.last_id);
+        }
+        scan.whole = line_start;
+        has_lines = false;
+        id = None;
+    }
+    scan
+}
+
+fn event_id(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(b"id:")?;
+    let text = std::str::from_utf8(value.trim_ascii()).ok()?;
+    text.parse().ok()
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/http/head.rs
@@ -0,0 +1,288 @@
+//! Request and response heads.
+
+use std::ops::Range;
+
+use thiserror::Error;
+
+/// Most fields of a head.
+const MAX_FIELDS: usize = 96;
+
+/// Why a head cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum HeadError {
+    /// Not a head of HTTP/1.
+    #[error("not an HTTP/1 head: {0}")]
+    Syntax(httparse::Error),
+    /// The framing of the body can be read in two ways, or in none.
+    #[error("ambiguous framing: {0}")]
+    Framing(&'static str),
+    /// A request without exactly one host.
+    #[error("a request names exactly one host")]
+    Host,
+}
+
+/// How the end of a body is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// There is no body.
+    Empty,
+    /// So many bytes.
+    Length(u64),
+    /// Chunks.
+    Chunked,
+    /// Until the connection ends.
+    UntilClose,
+}
+
+/// Header fields in order, as they were sent.
+#[derive(Clone, Debug, Default)]
+pub struct FieldList {
+    bytes: Box<[u8]>,
+    fields: Vec<FieldSpan>,
+}
+
+#[derive(Clone, Debug)]
+struct FieldSpan {
+    name: Range<u32>,
+    value: Range<u32>,
+}
+
+impl FieldList {
+    /// All fields in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.fields.iter().map(|field| {
+            let name = &self.bytes[span(&field.name)];
+            let value = &self.bytes[span(&field.value)];
+            (std::str::from_utf8(name).unwrap_or(""), value)
+        })
+    }
+
+    /// The values of a field, in order.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let same = move |(held, _): &(&str, &[u8])| held.eq_ignore_ascii_case(name);
+        self.iter().filter(same).map(|(_, value)| value)
+    }
+
+    /// The first value of a field, if it is text.
+    #[must_use]
+    pub fn get<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+        let value = self.all(name).next()?;
+        std::str::from_utf8(value).ok()
+    }
+
+    /// Whether a comma-separated field holds a token.
+    #[must_use]
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        self.all(name)
+            .filter_map(|value| std::str::from_utf8(value).ok())
+            .flat_map(|value| value.split(','))
+            .any(|held| held.trim().eq_ignore_ascii_case(token))
+    }
+
+    /// Takes over parsed fields; they lie in `bytes`.
+    fn capture(bytes: &[u8], parsed: &[httparse::Header<'_>]) -> Self {
+        let base = bytes.as_ptr() as usize;
+        let place = |part: &[u8]| {
+            let start = (part.as_ptr() as usize).saturating_sub(base) as u32;
+            start..start + part.len() as u32
+        };
+        let fields = parsed.iter().map(|field| FieldSpan {
+            name: place(field.name.as_bytes()),
+            value: place(field.value),
+        });
+        Self {
+            fields: fields.collect(),
+            bytes: bytes.into(),
+        }
+    }
+}
+
+fn span(range: &Range<u32>) -> Range<usize> {
+    range.start as usize..range.end as usize
+}
+
+/// Whether a field concerns one connection only.
+#[must_use]
+pub fn is_hop_by_hop(fields: &FieldList, name: &str) -> bool {
+    const NAMES: [&str; 9] = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    NAMES.iter().any(|held| name.eq_ignore_ascii_case(held)) || fields.has_token("connection", name)
+}
+
+/// The head of a request.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// The method.
+    pub method: Box<str>,
+    /// The target as sent: path and query.
+    pub target: Box<str>,
+    /// The host, without a port.
+    pub host: Box<str>,
+    /// The header fields.
+    pub fields: FieldList,
+    /// The framing of the body.
+    pub framing: BodyFraming,
+    /// Whether the caller keeps the connection.
+    pub keep: bool,
+    /// Whether the caller understands chunks: HTTP/1.1 or newer.
+    pub takes_chunks: bool,
+}
+
+impl RequestHead {
+    /// Parses a whole head, empty line included.
+    ///
+    /// # Errors
+    ///
+    /// The head is malformed or its framing ambiguous.
+    pub fn parse(bytes: &[u8]) -> Result<Self, HeadError> {
+        let mut space = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut request = httparse::Request::new(&mut space);
+        let status = request.parse(bytes).map_err(HeadError::Syntax)?;
+        if status.is_partial() {
+            return Err(HeadError::Syntax(httparse::Error::Token));
+        }
+        let fields = FieldList::capture(bytes, request.headers);
+        let newer = request.version == Some(1);
+        let framing = request_framing(&fields, newer)?;
+        let host = host_of(&fields, newer)?;
+        Ok(Self {
+            method: request.method.unwrap_or_default().into(),
+            target: request.path.unwrap_or_default().into(),
+            host,
+            framing,
+            keep: keeps(&fields, newer),
+            takes_chunks: newer,
+            fields,
+        })
+    }
+
+    /// The target's path, without its query.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        let end = self.target.find('?').unwrap_or(self.target.len());
+        &self.target[..end]
+    }
+}
+
+/// The head of a response.
+#[derive(Clone, Debug)]
+pub struct ResponseHead {
+    /// The status.
+    pub status: u16,
+    /// The reason phrase.
+    pub reason: Box<str>,
+    /// The header fields.
+    pub fields: FieldList,
+    /// The framing of the body.
+    pub framing: BodyFraming,
+    /// Whether the server keeps the connection.
+    pub keep: bool,
+}
+
+impl ResponseHead {
+    /// Parses a whole head, empty line included. `to_head` says that the
+    /// request was `HEAD`, whose answers have no body.
+    ///
+    /// # Errors
+    ///
+    /// The head is malformed or its framing ambiguous.
+    pub fn parse(bytes: &[u8], to_head: bool) -> Result<Self, HeadError> {
+        let mut space = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut response = httparse::Response::new(&mut space);
+        let status = response.parse(bytes).map_err(HeadError::Syntax)?;
+        if status.is_partial() {
+            return Err(HeadError::Syntax(httparse::Error::Token));
+        }
+        let fields = FieldList::capture(bytes, response.headers);
+        let newer = response.version == Some(1);
+        let code = response.code.unwrap_or_default();
+        let bodiless = to_head || code == 204 || code == 304 || (100..200).contains(&code);
+        let framing = if bodiless {
+            BodyFraming::Empty
+        } else {
+            response_framing(&fields)?
+        };
+        Ok(Self {
+            status: code,
+            reason: response.reason.unwrap_or_default().into(),
+            framing,
+            keep: keeps(&fields, newer) && framing != BodyFraming::UntilClose,
+            fields,
+        })
+    }
+}
+
+fn keeps(fields: &FieldList, newer: bool) -> bool {
+    if newer {
+        !fields.has_token("connection", "close")
+    } else {
+        fields.has_token("connection", "keep-alive")
+    }
+}
+
+fn host_of(fields: &FieldList, newer: bool) -> Result<Box<str>, HeadError> {
+    let mut hosts = fields.all("host");
+    let host = match (hosts.next(), hosts.next()) {
+        (Some(host), None) => std::str::from_utf8(host).map_err(|_| HeadError::Host)?,
+        (None, None) if !newer => "",
+        _ => return Err(HeadError::Host),
+    };
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    Ok(name.into())
+}
+
+fn request_framing(fields: &FieldList, newer: bool) -> Result<BodyFraming, HeadError> {
+    let length = content_length(fields)?;
+    let chunked = is_chunked(fields)?;
+    match (length, chunked) {
+        (Some(_), true) => Err(HeadError::Framing("length beside chunks")),
+        (None, true) if !newer => Err(HeadError::Framing("chunks before HTTP/1.1")),
+        (None, true) => Ok(BodyFraming::Chunked),
+        (Some(length), false) => Ok(BodyFraming::Length(length)),
+        (None, false) => Ok(BodyFraming::Empty),
+    }
+}
+
+fn response_framing(fields: &FieldList) -> Result<BodyFraming, HeadError> {
+    let length = content_length(fields)?;
+    let chunked = is_chunked(fields)?;
+    match (length, chunked) {
+        (Some(_), true) => Err(HeadError::Framing("length beside chunks")),
+        (None, true) => Ok(BodyFraming::Chunked),
+        (Some(length), false) => Ok(BodyFraming::Length(length)),
+        (None, false) => Ok(BodyFraming::UntilClose),
+    }
+}
+
+fn content_length(fields: &FieldList) -> Result<Option<u64>, HeadError> {
+    let malformed = HeadError::Framing("a length that is not one number");
+    let mut length = None;
+    for value in fields.all("content-length") {
+        let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+        let text = std::str::from_utf8(value).ok().filter(|_| digits);
+        let number: Option<u64> = text.and_then(|text| text.parse().ok());
+        if number.is_none() || length.is_some_and(|held| Some(held) != number) {
+            return Err(malformed);
+        }
+        length = number;
+    }
+    Ok(length)
+}
+
+fn is_chunked(fields: &FieldList) -> Result<bool, HeadError> {
+    let mut codings = fields.all("transfer-encoding");
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(value), None) if value.eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(HeadError::Framing("a transfer coding other than chunked")),
+    }
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/leave.rs
@@ -0,0 +1,48 @@
+//! The end of the process: announce, finish what is held, give back, exit.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use guavawell_core::clock::ClockSpan;
+use guavawell_fleet::event::EventDraft;
+use smol::Timer;
+
+use crate::clock::timer_span;
+use crate::router::ForwardRouter;
+use crate::router::RouterPhase;
+
+/// Pause between looks at whether all requests have ended.
+const TICK: Duration = Duration::from_millis(50);
+/// Time kept for giving grants back.
+const GIVE_BACK: Duration = Duration::from_millis(600);
+
+/// Leaves: from now on the process is not ready and ends connections after
+/// their present answer; returns once the process may exit. Returns whether
+/// every request had ended.
+pub async fn leave(router: &Rc<ForwardRouter>) -> bool {
+    let times = &router.settings.times;
+    let began = router.clock.now();
+    router.phase.set(RouterPhase::Leaving(began));
+    let draft = EventDraft::new("process.leaving").field("held", router.held_requests.get());
+    router.log.emit(draft);
+    Timer::after(timer_span(times.announce)).await;
+    let rest = ClockSpan::from_millis(
+        times
+            .grace
+            .as_millis()
+            .saturating_sub(GIVE_BACK.as_millis() as u64),
+    );
+    let end = began + rest;
+    while router.held_requests.get() > 0 && router.clock.now() < end {
+        Timer::after(TICK).await;
+    }
+    let finished = router.held_requests.get() == 0;
+    let late = async {
+        Timer::after(GIVE_BACK).await;
+    };
+    router.budgets.give_back().or(late).await;
+    let draft = EventDraft::new("process.left").field("unfinished", router.held_requests.get());
+    router.log.emit(draft);
+    finished
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/lib.rs
@@ -0,0 +1,31 @@
+//! Forwards opaque requests to backend servers within prepaid budgets.
+//!
+//! The rules stand in `guavawell_core::forward` and `guavawell_core::grant`;
+//! this crate carries them out on one thread: callers (`door`, `serve`),
+//! backend servers (`pool`, `attempt`, `relay`), budget rows (`budget`), and
+//! the process's life (`leave`, `ready`). It knows no wire names of the
+//! platform it runs on; those are translated by whoever starts it.
+
+#![expect(
+    clippy::future_not_send,
+    reason = "one thread serves everything: an instance has one core"
+)]
+
+pub mod attempt;
+pub mod budget;
+pub mod clock;
+pub mod door;
+pub mod events;
+pub mod http;
+pub mod leave;
+pub mod names;
+pub mod pool;
+pub mod ready;
+pub mod record;
+pub mod refuse;
+pub mod relay;
+pub mod router;
+pub mod send;
+pub mod serve;
+pub mod settings;
+pub mod store;
--- /dev/null
+++ b/crates/guavawell-forward/src/record.rs
@@ -0,0 +1,105 @@
+//! One line for each decision that touches a request, and its metrics.
+
+use std::cell::RefCell;
+use std::fmt::Display;
+use std::rc::Rc;
+
+use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ForwardRefusal;
+use guavawell_core::id::OrganisationId;
+use guavawell_fleet::event::EventDraft;
+
+use crate::router::ForwardRouter;
+
+/// What is known of a request while it is served. Dropping it writes the line,
+/// so a request that its caller abandoned has one too.
+#[derive(Debug)]
+pub struct RequestRecord {
+    router: Rc<ForwardRouter>,
+    began: ClockTime,
+    state: RefCell<RecordState>,
+}
+
+#[derive(Debug)]
+struct RecordState {
+    request: Box<str>,
+    organisation: Option<OrganisationId>,
+    fields: Vec<(&'static str, Box<str>)>,
+    outcome: &'static str,
+    status: u16,
+}
+
+impl RequestRecord {
+    /// A request that was received at `began`.
+    #[must_use]
+    pub fn new(router: &Rc<ForwardRouter>, request: &str, began: ClockTime) -> Self {
+        Self {
+            router: Rc::clone(router),
+            began,
+            state: RefCell::new(RecordState {
+                request: request.into(),
+                organisation: None,
+                fields: Vec::new(),
+                outcome: "caller_gone",
+                status: 0,
+            }),
+        }
+    }
+
+    /// Names the organisation.
+    pub fn organisation(&self, organisation: &OrganisationId) {
+        self.state.borrow_mut().organisation = Some(organisation.clone());
+    }
+
+    /// Adds an input of a decision, or replaces it.
+    pub fn note(&self, name: &'static str, value: impl Display) {
+        let value = value.to_string().into();
+        let fields = &mut self.state.borrow_mut().fields;
+        match fields.iter_mut().find(|(held, _)| *held == name) {
+            Some((_, held)) => *held = value,
+            None => fields.push((name, value)),
+        }
+    }
+
+    /// The caller got a server's answer.
+    pub fn answered(&self, status: u16) {
+        self.end("answered", status);
+    }
+
+    /// The caller got an answer of this router's own.
+    pub fn refused(&self, refusal: ForwardRefusal, status: u16) {
+        self.end(refusal.as_str(), status);
+    }
+
+    /// A stream ended before it was complete.
+    pub fn cut(&self) {
+        self.end("stream_cut", 200);
+    }
+
+    fn end(&self, outcome: &'static str, status: u16) {
+        let mut state = self.state.borrow_mut();
+        state.outcome = outcome;
+        state.status = status;
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        let state = self.state.borrow();
+        let took = self.router.clock.now().since(self.began);
+        metrics::counter!("guavawell_forward_requests_total", "outcome" => state.outcome)
+            .increment(1);
+        metrics::histogram!("guavawell_forward_request_seconds", "outcome" => state.outcome)
+            .record(took.as_millis() as f64 / 1_000.0);
+        let mut draft = EventDraft::new("request.ended")
+            .field("outcome", state.outcome)
+            .field("status", state.status)
+            .field("took_ms", took.as_millis());
+        draft.request = state.request.parse().ok();
+        draft.organisation.clone_from(&state.organisation);
+        for (name, value) in &state.fields {
+            draft = draft.field(name, value);
+        }
+        self.router.log.emit(draft);
+    }
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/refuse.rs
@@ -0,0 +1,91 @@
+//! Answers of the router's own.
+
+use std::io;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::ForwardRefusal;
+
+use crate::http::HeadWriter;
+use crate::http::HttpChannel;
+
+/// An answer of the router's own.
+#[derive(Clone, Debug)]
+pub struct RefusalAnswer {
+    /// The reason.
+    pub refusal: ForwardRefusal,
+    /// The request may have run, so the status must not deny it.
+    pub may_have_run: bool,
+    /// When coming back makes sense, if that is known.
+    pub retry_after: Option<ClockSpan>,
+}
+
+impl RefusalAnswer {
+    /// A refusal of a request that surely has not run.
+    #[must_use]
+    pub const fn new(refusal: ForwardRefusal) -> Self {
+        Self {
+            refusal,
+            may_have_run: false,
+            retry_after: None,
+        }
+    }
+
+    /// Names the time after which to come back.
+    #[must_use]
+    pub const fn after(mut self, span: ClockSpan) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
+    /// The status of the answer.
+    #[must_use]
+    pub const fn status(&self) -> u16 {
+        self.refusal.status(self.may_have_run)
+    }
+
+    /// Sends the answer.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed.
+    pub async fn send(
+        &self,
+        channel: &HttpChannel,
+        request_field: Option<(&str, &str)>,
+        keep: bool,
+    ) -> io::Result<()> {
+        let status = self.status();
+        let body = format!("{{\"error\":\"{}\"}}\n", self.refusal);
+        let mut head = HeadWriter::response(status, reason(status));
+        if let Some((name, value)) = request_field {
+            head.field(name, value.as_bytes());
+        }
+        head.field("Content-Type", b"application/json");
+        head.field_of("Content-Length", body.len());
+        if let Some(span) = self.retry_after.filter(|_| status == 503 || status == 402) {
+            let seconds = span.as_millis() as f64 / 1_000.0;
+            head.field_of("Retry-After", format_args!("{seconds:.2}"));
+        }
+        if !keep {
+            head.field("Connection", b"close");
+        }
+        let mut bytes = head.finish();
+        bytes.extend_from_slice(body.as_bytes());
+        channel.send(&bytes).await
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        402 => "Payment Required",
+        404 => "Not Found",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Refused",
+    }
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/router.rs
@@ -0,0 +1,230 @@
+//! What all requests of this process share, and what changes its beliefs.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ForwardConfig;
+use guavawell_core::forward::RepeatAllowance;
+use guavawell_core::forward::RepeatSettings;
+use guavawell_core::forward::ServerEntry;
+use guavawell_core::forward::ServerPhase;
+use guavawell_core::forward::ServerTable;
+use guavawell_core::id::BackendId;
+use guavawell_core::id::ServiceId;
+use guavawell_fleet::event::EventDraft;
+use guavawell_fleet::event::EventLog;
+
+use crate::budget::BudgetDesk;
+use crate::clock::SteadyClock;
+use crate::pool::ConnectionPool;
+use crate::settings::ForwardSettings;
+
+/// Where the process stands in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouterPhase {
+    /// It serves as far as it can.
+    Serving,
+    /// It was told to leave at this time.
+    Leaving(ClockTime),
+}
+
+/// One forwarding router.
+#[derive(Debug)]
+pub struct ForwardRouter {
+    /// Its settings.
+    pub settings: ForwardSettings,
+    /// Its clock.
+    pub clock: SteadyClock,
+    /// Its log.
+    pub log: EventLog,
+    /// The configuration in force here, once one is known.
+    pub config: RefCell<Option<Rc<ForwardConfig>>>,
+    /// Known backend servers.
+    pub servers: RefCell<ServerTable>,
+    /// Whether the list of servers was read.
+    pub servers_read: Cell<bool>,
+    /// Allowance for repeats.
+    pub repeats: RefCell<RepeatAllowance>,
+    /// Idle connections to servers.
+    pub pool: RefCell<ConnectionPool>,
+    /// Budgets.
+    pub budgets: Rc<BudgetDesk>,
+    /// Requests held now.
+    pub held_requests: Cell<usize>,
+    /// Bytes of request bodies held now.
+    pub held_bytes: Cell<usize>,
+    /// Where the process stands.
+    pub phase: Cell<RouterPhase>,
+    /// When the platform last answered a question about the configuration.
+    pub told_at: Cell<ClockTime>,
+    /// When the platform last failed to answer.
+    pub trouble_at: Cell<Option<ClockTime>>,
+}
+
+impl ForwardRouter {
+    /// A router that knows nothing yet.
+    #[must_use]
+    pub fn new(
+        settings: ForwardSettings,
+        clock: SteadyClock,
+        log: EventLog,
+        budgets: Rc<BudgetDesk>,
+    ) -> Self {
+        Self {
+            settings,
+            clock,
+            log,
+            config: RefCell::new(None),
+            servers: RefCell::default(),
+            servers_read: Cell::new(false),
+            repeats: RefCell::default(),
+            pool: RefCell::default(),
+            budgets,
+            held_requests: Cell::new(0),
+            held_bytes: Cell::new(0),
+            phase: Cell::new(RouterPhase::Serving),
+            told_at: Cell::new(SteadyClock::ORIGIN),
+            trouble_at: Cell::new(None),
+        }
+    }
+
+    /// Takes a configuration into force, unless a newer one is.
+    pub fn accept_config(&self, config: ForwardConfig) {
+        let before = self.config.borrow().as_ref().map(|held| held.version);
+        if before.is_some_and(|held| held >= config.version) {
+            return;
+        }
+        let version = config.version;
+        for entry in &config.organisations {
+            if let Some(paid) = entry.paid {
+                self.budgets.set_paid(&entry.id, paid.get(), version);
+            }
+        }
+        let draft = EventDraft::new("config.in_force")
+            .field("version", version)
+            .field("before", before.unwrap_or(0))
+            .field("organisations", config.organisations.len());
+        self.log.emit(draft);
+        metrics::gauge!("guavawell_forward_config_version").set(version as f64);
+        *self.config.borrow_mut() = Some(Rc::new(config));
+    }
+
+    /// The platform lists a server.
+    pub fn list_server(&self, entry: ServerEntry) {
+        let id = entry.id.clone();
+        let phase = entry.phase;
+        let mut servers = self.servers.borrow_mut();
+        let before = servers.get(&id).map(|held| held.phase);
+        servers.upsert(entry);
+        let after = servers.get(&id).map(|held| held.phase);
+        drop(servers);
+        if before != after {
+            self.note_server("server.listed", &id, phase);
+        }
+    }
+
+    /// The platform no longer lists a server.
+    pub fn unlist_server(&self, id: &BackendId) {
+        let now = self.clock.now();
+        let times = &self.settings.times;
+        let outage = self.trouble_at.get();
+        let lapsed = outage.is_some_and(|at| now.since(at) <= times.outage_memory);
+        let phase = if lapsed {
+            ServerPhase::Lapsed(now + times.lapse)
+        } else {
+            ServerPhase::Leaving
+        };
+        let known = self.servers.borrow().get(id).is_some();
+        self.servers.borrow_mut().remove(id, phase);
+        if known {
+            self.note_server("server.unlisted", id, phase);
+        }
+    }
+
+    /// The platform's whole list was read: servers that are not in it are
+    /// unlisted.
+    pub fn list_all(&self, entries: Vec<ServerEntry>) {
+        let mut listed: Vec<BackendId> = entries.iter().map(|entry| entry.id.clone()).collect();
+        listed.sort();
+        let known = self.servers.borrow();
+        let ids = known.servers().iter().map(|entry| entry.id.clone());
+        let missing: Vec<BackendId> = ids.filter(|id| listed.binary_search(id).is_err()).collect();
+        drop(known);
+        for id in missing {
+            self.unlist_server(&id);
+        }
+        for entry in entries {
+            self.list_server(entry);
+        }
+        self.servers_read.set(true);
+    }
+
+    fn note_server(&self, kind: &str, id: &BackendId, phase: ServerPhase) {
+        let phase = match phase {
+            ServerPhase::Ready => "ready",
+            ServerPhase::Leaving => "leaving",
+            ServerPhase::Lapsed(_) => "lapsed",
+        };
+        let draft = EventDraft::new(kind)
+            .field("server", id)
+            .field("phase", phase);
+        self.log.emit(draft);
+    }
+
+    /// The platform answered.
+    pub fn platform_answered(&self) {
+        self.told_at.set(self.clock.now());
+    }
+
+    /// The platform failed to answer.
+    pub fn platform_failed(&self) {
+        self.trouble_at.set(Some(self.clock.now()));
+    }
+
+    /// Whether the configuration may be out of date, so that what it does not
+    /// know may still exist.
+    #[must_use]
+    pub fn in_doubt(&self) -> bool {
+        let age = self.clock.now().since(self.told_at.get());
+        age > self.settings.times.config_doubt
+    }
+
+    /// Whether new connections are welcome.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let serving = self.phase.get() == RouterPhase::Serving;
+        serving && self.config.borrow().is_some() && self.servers_read.get()
+    }
+
+    /// Whether the process was told to leave.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.phase.get() != RouterPhase::Serving
+    }
+
+    /// Counts the first sending of a request.
+    pub fn count_request(&self, service: &ServiceId) {
+        let window = self.settings.repeats.window;
+        let now = self.clock.now();
+        self.repeats
+            .borrow_mut()
+            .count_request(service, now, window);
+    }
+
+    /// Asks for one repeat.
+    #[must_use]
+    pub fn take_repeat(&self, service: &ServiceId) -> bool {
+        let settings = RepeatSettings {
+            instances: self
+                .settings
+                .repeats
+                .instances
+                .max(self.budgets.instances()),
+            ..self.settings.repeats
+        };
+        let now = self.clock.now();
+        self.repeats.borrow_mut().take(service, now, &settings)
+    }
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/send.rs
@@ -0,0 +1,229 @@
+//! The attempts of one request.
+
+use std::rc::Rc;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::AttemptEnd;
+use guavawell_core::forward::ChoiceAsk;
+use guavawell_core::forward::ChoiceRefusal;
+use guavawell_core::forward::ForwardRefusal;
+use guavawell_core::forward::NextStep;
+use guavawell_core::forward::RepeatKind;
+use guavawell_core::forward::ServerPick;
+use guavawell_core::forward::choose_server;
+use guavawell_core::forward::next_step;
+use guavawell_core::id::BackendId;
+use guavawell_core::id::TokenCount;
+use guavawell_fleet::event::EventDraft;
+
+use crate::attempt::AttemptOutcome;
+use crate::attempt::PlainAnswer;
+use crate::attempt::send_attempt;
+use crate::http::HttpChannel;
+use crate::record::RequestRecord;
+use crate::refuse::RefusalAnswer;
+use crate::relay::StreamProgress;
+use crate::router::ForwardRouter;
+use crate::serve::ForwardCall;
+use crate::serve::refuse;
+
+/// Servers that may refuse a connection before a request is turned away.
+const MAX_UNSENT: usize = 4;
+/// Least time for another attempt.
+const LEAST_TIME: ClockSpan = ClockSpan::from_millis(15);
+/// Retry-After where no server is to be had: about the time in which a server
+/// that restarts is listed again.
+const RETRY_NO_SERVER: ClockSpan = ClockSpan::from_millis(1_000);
+/// Retry-After where all servers are full: a few of their answers.
+const RETRY_FULL: ClockSpan = ClockSpan::from_millis(600);
+/// Spread of Retry-After, so that callers do not return at one moment.
+const RETRY_SPREAD_MS: u64 = 400;
+
+/// What became of a request so far.
+#[derive(Debug, Default)]
+pub struct RequestProgress {
+    /// Servers that were chosen.
+    pub tried: Vec<BackendId>,
+    /// Attempts that reached a server.
+    pub sent: u32,
+    /// Attempts that never left this instance.
+    pub unsent: usize,
+    /// A server may have run the request.
+    pub may_have_run: bool,
+    /// The stream as far as the caller has it.
+    pub stream: StreamProgress,
+}
+
+/// Sends a request until the caller has an answer; returns whether the
+/// caller's connection may be used again.
+pub async fn run_attempts(
+    router: &Rc<ForwardRouter>,
+    caller: &HttpChannel,
+    call: &ForwardCall<'_>,
+    record: &RequestRecord,
+) -> bool {
+    let mut progress = RequestProgress::default();
+    router.count_request(&call.service);
+    loop {
+        let pick = match choose(router, call, &progress) {
+            Ok(pick) => pick,
+            Err(refusal) => return give_up(router, caller, call, record, &progress, refusal).await,
+        };
+        record.note("server", &pick.server);
+        let outcome = send_attempt(router, caller, call, &pick, &mut progress).await;
+        record.note("attempts", progress.sent);
+        let (end, answer) = match outcome {
+            AttemptOutcome::Delivered(status, keep) => {
+                record.note("events", progress.stream.events);
+                record.answered(status);
+                return keep;
+            }
+            AttemptOutcome::CallerLost => return false,
+            AttemptOutcome::Cut => {
+                record.cut();
+                return false;
+            }
+            AttemptOutcome::Ended(end, answer) => (end, answer),
+        };
+        note_attempt(router, call, &pick, end);
+        let step = next_step(
+            call.route.repeat,
+            end,
+            may_repeat(router, call, &progress, end),
+        );
+        match step {
+            NextStep::Again => {}
+            NextStep::Relay => {
+                if let Some(answer) = answer.filter(|_| !progress.stream.begun) {
+                    return relay_failure(router, caller, call, record, &answer).await;
+                }
+                let lost = ForwardRefusal::AnswerLost;
+                return give_up(router, caller, call, record, &progress, lost).await;
+            }
+            NextStep::Refuse(refusal) => {
+                return give_up(router, caller, call, record, &progress, refusal).await;
+            }
+        }
+    }
+}
+
+fn choose(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    progress: &RequestProgress,
+) -> Result<ServerPick, ForwardRefusal> {
+    if router.clock.left(call.ends_at) < LEAST_TIME {
+        return Err(ForwardRefusal::TooLate);
+    }
+    let ask = ChoiceAsk {
+        service: &call.service,
+        engine: call.engine,
+        zone: &router.settings.zone,
+        affinity: call.shape.affinity(),
+        shared_tokens: call.shape.shared_tokens().get(),
+        usage: call.usage,
+        tried: &progress.tried,
+    };
+    let now = router.clock.now();
+    let servers = router.servers.borrow();
+    choose_server(&servers, &ask, now, &router.settings.choice).map_err(|refusal| match refusal {
+        ChoiceRefusal::Unknown => ForwardRefusal::NoServer,
+        ChoiceRefusal::Full => ForwardRefusal::ServersFull,
+    })
+}
+
+/// Whether attempts, time and the allowance leave room for one more.
+fn may_repeat(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    progress: &RequestProgress,
+    end: AttemptEnd,
+) -> bool {
+    if router.clock.left(call.ends_at) < LEAST_TIME {
+        return false;
+    }
+    if end == AttemptEnd::NotSent {
+        return progress.unsent < MAX_UNSENT;
+    }
+    let once = call.route.repeat == RepeatKind::Once;
+    if once && end != AttemptEnd::Rejected {
+        return false;
+    }
+    progress.sent < call.route.attempts && router.take_repeat(&call.service)
+}
+
+fn note_attempt(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    pick: &ServerPick,
+    end: AttemptEnd,
+) {
+    let end = match end {
+        AttemptEnd::NotSent => "not_sent",
+        AttemptEnd::Rejected => "rejected",
+        AttemptEnd::Failed => "failed",
+        AttemptEnd::Lost => "lost",
+        AttemptEnd::Silent => "silent",
+    };
+    metrics::counter!("guavawell_forward_attempts_failed_total", "end" => end).increment(1);
+    let mut draft = EventDraft::new("attempt.ended")
+        .field("end", end)
+        .field("server", &pick.server);
+    draft.request = call.id.parse().ok();
+    if let Some(server) = router.servers.borrow().get(&pick.server) {
+        let now = router.clock.now();
+        let heard = now.since(server.health.heard_at).as_millis();
+        draft = draft
+            .field("heard_ms_ago", heard)
+            .field("in_flight", server.load.in_flight);
+    }
+    router.log.emit(draft);
+}
+
+/// Ends a request without a server's answer.
+async fn give_up(
+    router: &ForwardRouter,
+    caller: &HttpChannel,
+    call: &ForwardCall<'_>,
+    record: &RequestRecord,
+    progress: &RequestProgress,
+    refusal: ForwardRefusal,
+) -> bool {
+    if progress.stream.begun {
+        // The caller sees the missing end of the stream.
+        record.note("cause", refusal);
+        record.note("events", progress.stream.events);
+        record.cut();
+        return false;
+    }
+    if let Some(reservation) = call.reservation.as_ref().filter(|_| !progress.may_have_run) {
+        reservation.spend(TokenCount::ZERO);
+    }
+    let spread = ClockSpan::from_millis(fastrand::u64(..RETRY_SPREAD_MS));
+    let base = match refusal {
+        ForwardRefusal::ServersFull => RETRY_FULL,
+        _ => RETRY_NO_SERVER,
+    };
+    let after = ClockSpan::from_millis(base.as_millis() + spread.as_millis());
+    let answer = RefusalAnswer {
+        refusal,
+        may_have_run: progress.may_have_run,
+        retry_after: Some(after),
+    };
+    refuse(router, caller, call.request, call.id, record, &answer).await
+}
+
+/// Hands a server's own failure to the caller.
+async fn relay_failure(
+    router: &ForwardRouter,
+    caller: &HttpChannel,
+    call: &ForwardCall<'_>,
+    record: &RequestRecord,
+    answer: &PlainAnswer,
+) -> bool {
+    let keep = call.request.head.keep && !router.is_leaving();
+    record.note("cause", "server_failed");
+    record.answered(answer.head.status);
+    let bytes = answer.bytes(call.request.head.method.as_ref() == "HEAD", keep);
+    caller.send(&bytes).await.is_ok() && keep
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/serve.rs
@@ -0,0 +1,281 @@
+//! The way of one request: what it is, whether it may run, who runs it.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::EngineFacts;
+use guavawell_core::forward::ForwardConfig;
+use guavawell_core::forward::ForwardRefusal;
+use guavawell_core::forward::PromptShape;
+use guavawell_core::forward::RouteEntry;
+use guavawell_core::forward::TokenUsage;
+use guavawell_core::forward::admit;
+use guavawell_core::id::OrganisationId;
+use guavawell_core::id::ServiceId;
+use guavawell_core::id::TokenCount;
+
+use crate::budget::TokenReservation;
+use crate::door::ReceivedRequest;
+use crate::http::HttpChannel;
+use crate::http::wait_for_close;
+use crate::record::RequestRecord;
+use crate::refuse::RefusalAnswer;
+use crate::router::ForwardRouter;
+use crate::send::run_attempts;
+
+/// Retry-After of a process that has no configuration yet: its first read of
+/// the platform takes tens of milliseconds where the platform answers.
+const RETRY_NO_CONFIG: ClockSpan = ClockSpan::from_millis(500);
+/// Retry-After where bodies fill the memory set aside for them.
+const RETRY_NO_MEMORY: ClockSpan = ClockSpan::from_millis(500);
+
+/// A request that may be sent to a backend server.
+#[derive(Debug)]
+pub struct ForwardCall<'a> {
+    /// What the caller sent.
+    pub request: &'a ReceivedRequest,
+    /// The caller's id of the request.
+    pub id: &'a str,
+    /// Its route.
+    pub route: Arc<RouteEntry>,
+    /// The service that it goes to.
+    pub service: ServiceId,
+    /// The service's engines; `None` for a plain service.
+    pub engine: Option<EngineFacts>,
+    /// The organisation and the rank of its requests.
+    pub organisation: Option<(OrganisationId, Option<u8>)>,
+    /// Tokens of the request.
+    pub usage: TokenUsage,
+    /// Parts of its prompt.
+    pub shape: PromptShape,
+    /// When the caller or the operator no longer waits.
+    pub ends_at: ClockTime,
+    /// Tokens set aside.
+    pub reservation: Option<TokenReservation>,
+}
+
+/// Counts a request while it is held.
+struct HeldRequest<'a> {
+    router: &'a ForwardRouter,
+    bytes: usize,
+}
+
+impl<'a> HeldRequest<'a> {
+    fn new(router: &'a ForwardRouter, bytes: usize) -> Self {
+        router.held_requests.set(router.held_requests.get() + 1);
+        router.held_bytes.set(router.held_bytes.get() + bytes);
+        Self { router, bytes }
+    }
+}
+
+impl Drop for HeldRequest<'_> {
+    fn drop(&mut self) {
+        let router = self.router;
+        router.held_requests.set(router.held_requests.get() - 1);
+        router.held_bytes.set(router.held_bytes.get() - self.bytes);
+    }
+}
+
+/// Serves a request and returns whether the connection may be used again.
+///
+/// When the caller leaves, everything that was begun for it ends at once.
+pub async fn serve_request(
+    router: &Rc<ForwardRouter>,
+    channel: &mut HttpChannel,
+    request: ReceivedRequest,
+) -> bool {
+    let name = router.settings.names.request;
+    let id: Box<str> = request.head.fields.get(name).unwrap_or("").into();
+    let record = RequestRecord::new(router, &id, request.received_at);
+    let _held = HeldRequest::new(router, request.body.len());
+    let stream = channel.stream();
+    let caller = &*channel;
+    let serve = async { serve_held(router, caller, &request, &id, &record).await };
+    let gone = async {
+        wait_for_close(&stream).await;
+        false
+    };
+    futures_lite::future::or(serve, gone).await
+}
+
+async fn serve_held(
+    router: &Rc<ForwardRouter>,
+    caller: &HttpChannel,
+    request: &ReceivedRequest,
+    id: &str,
+    record: &RequestRecord,
+) -> bool {
+    match prepare(router, request, id, record).await {
+        Ok(call) => run_attempts(router, caller, &call, record).await,
+        Err(answer) => refuse(router, caller, request, id, record, &answer).await,
+    }
+}
+
+/// Sends an answer of the router's own.
+pub async fn refuse(
+    router: &ForwardRouter,
+    caller: &HttpChannel,
+    request: &ReceivedRequest,
+    id: &str,
+    record: &RequestRecord,
+    answer: &RefusalAnswer,
+) -> bool {
+    let keep = request.head.keep && !router.is_leaving();
+    record.refused(answer.refusal, answer.status());
+    if let Some(span) = answer.retry_after {
+        record.note("retry_after_ms", span.as_millis());
+    }
+    let field = (!id.is_empty()).then_some((router.settings.names.request, id));
+    answer.send(caller, field, keep).await.is_ok() && keep
+}
+
+/// Decides whether a request may run, and sets its tokens aside.
+async fn prepare<'a>(
+    router: &Rc<ForwardRouter>,
+    request: &'a ReceivedRequest,
+    id: &'a str,
+    record: &RequestRecord,
+) -> Result<ForwardCall<'a>, RefusalAnswer> {
+    let config = router.config.borrow().clone();
+    let Some(config) = config else {
+        return Err(RefusalAnswer::new(ForwardRefusal::NoConfig).after(RETRY_NO_CONFIG));
+    };
+    record.note("config", config.version);
+    let route = find_route(router, &config, request)?;
+    record.note("route", &route.name);
+    let organisation = identify(router, &config, &route, request)?;
+    if let Some((organisation, _)) = &organisation {
+        record.organisation(organisation);
+    }
+    let (usage, shape) = read_prompt(router, request)?;
+    let ends_at = end_of(router, &route, request)?;
+    check_room(router, ends_at)?;
+    let service = route.service(fastrand::u64(..)).clone();
+    record.note("service", &service);
+    let engine = config.service(&service).and_then(|entry| entry.engine);
+    let reservation = reserve(router, &config, organisation.as_ref(), usage, ends_at).await?;
+    Ok(ForwardCall {
+        request,
+        id,
+        route,
+        service,
+        engine,
+        organisation,
+        usage,
+        shape,
+        ends_at,
+        reservation,
+    })
+}
+
+/// What a configuration does not know, unless a newer one may know it.
+fn unknown(router: &ForwardRouter, refusal: ForwardRefusal) -> RefusalAnswer {
+    if router.in_doubt() {
+        RefusalAnswer::new(ForwardRefusal::NoConfig).after(RETRY_NO_CONFIG)
+    } else {
+        RefusalAnswer::new(refusal)
+    }
+}
+
+fn find_route(
+    router: &ForwardRouter,
+    config: &ForwardConfig,
+    request: &ReceivedRequest,
+) -> Result<Arc<RouteEntry>, RefusalAnswer> {
+    let head = &request.head;
+    let route = config.routes.find(&head.host, head.path());
+    route
+        .cloned()
+        .ok_or_else(|| unknown(router, ForwardRefusal::NoRoute))
+}
+
+fn identify(
+    router: &ForwardRouter,
+    config: &ForwardConfig,
+    route: &RouteEntry,
+    request: &ReceivedRequest,
+) -> Result<Option<(OrganisationId, Option<u8>)>, RefusalAnswer> {
+    if route.public || !config.needs_keys() {
+        return Ok(None);
+    }
+    let value = request.head.fields.get("authorization");
+    let key = value.and_then(|value| {
+        let (scheme, key) = value.split_once(' ')?;
+        scheme.eq_ignore_ascii_case("bearer").then_some(key.trim())
+    });
+    let Some(key) = key else {
+        return Err(RefusalAnswer::new(ForwardRefusal::UnknownKey));
+    };
+    let entry = config
+        .organisation(key)
+        .ok_or_else(|| unknown(router, ForwardRefusal::UnknownKey))?;
+    Ok(Some((entry.id.clone(), entry.priority)))
+}
+
+fn read_prompt(
+    router: &ForwardRouter,
+    request: &ReceivedRequest,
+) -> Result<(TokenUsage, PromptShape), RefusalAnswer> {
+    let names = &router.settings.names;
+    let fields = &request.head.fields;
+    let malformed = || RefusalAnswer::new(ForwardRefusal::Malformed);
+    let usage = match fields.get(names.usage) {
+        Some(text) => text.parse().map_err(|_| malformed())?,
+        None => TokenUsage::default(),
+    };
+    let shape = match fields.get(names.prompt) {
+        Some(text) => text.parse().map_err(|_| malformed())?,
+        None => PromptShape::default(),
+    };
+    Ok((usage, shape))
+}
+
+/// The earlier of the caller's and the operator's limit.
+fn end_of(
+    router: &ForwardRouter,
+    route: &RouteEntry,
+    request: &ReceivedRequest,
+) -> Result<ClockTime, RefusalAnswer> {
+    let limit = request.received_at + route.time_limit;
+    let name = router.settings.names.time_left;
+    let Some(text) = request.head.fields.get(name) else {
+        return Ok(limit);
+    };
+    let left: f64 = text
+        .trim()
+        .parse()
+        .map_err(|_| RefusalAnswer::new(ForwardRefusal::Malformed))?;
+    let span = ClockSpan::from_millis(left.max(0.0) as u64);
+    Ok(limit.min(request.received_at + span))
+}
+
+fn check_room(router: &ForwardRouter, ends_at: ClockTime) -> Result<(), RefusalAnswer> {
+    let admission = &router.settings.admission;
+    let left = router.clock.left(ends_at);
+    // This request counts among those held.
+    let held = router.held_requests.get().saturating_sub(1);
+    admit(admission, held, router.held_bytes.get(), left)
+        .map_err(|refusal| RefusalAnswer::new(refusal).after(RETRY_NO_MEMORY))
+}
+
+async fn reserve(
+    router: &Rc<ForwardRouter>,
+    config: &ForwardConfig,
+    organisation: Option<&(OrganisationId, Option<u8>)>,
+    usage: TokenUsage,
+    ends_at: ClockTime,
+) -> Result<Option<TokenReservation>, RefusalAnswer> {
+    let Some((id, _)) = organisation else {
+        return Ok(None);
+    };
+    let entry = config.organisation_by_id(id);
+    let prepaid = entry.is_some_and(|entry| entry.paid.is_some());
+    let worst = usage.worst_case();
+    if !prepaid || worst == TokenCount::ZERO {
+        return Ok(None);
+    }
+    let left = router.clock.left(ends_at);
+    router.budgets.reserve(id, worst, left).await.map(Some)
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/settings.rs
@@ -0,0 +1,96 @@
+//! What a forwarding router is told at its start.
+
+use std::net::SocketAddr;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::AdmissionSettings;
+use guavawell_core::forward::ChoiceSettings;
+use guavawell_core::forward::RepeatSettings;
+use guavawell_core::grant::BookSettings;
+use guavawell_core::id::InstanceId;
+use guavawell_core::id::ZoneId;
+
+use crate::names::FieldNames;
+
+/// Addresses that the process listens on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListenAddresses {
+    /// For callers.
+    pub callers: Option<SocketAddr>,
+    /// For the balancer's health check, and for metrics.
+    pub ready: Option<SocketAddr>,
+    /// For metrics alone.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Time limits of forwarding.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimeSettings {
+    /// Longest wait for a connection to a backend server. Zones are a few
+    /// milliseconds apart; a lost opening packet is sent again after 1 s.
+    pub connect: ClockSpan,
+    /// Longest use of an idle connection whose server names no limit.
+    pub idle: ClockSpan,
+    /// Longest idle time of a connection for a request that may run once: one
+    /// that the server is about to close would lose it.
+    pub idle_once: ClockSpan,
+    /// Least time that an attempt which may be repeated gets before it is
+    /// given up for another server.
+    pub attempt: ClockSpan,
+    /// Longest silence of a stream that another server can continue.
+    pub stream_silence: ClockSpan,
+    /// Age of the platform's last word beyond which an unknown key or route is
+    /// not taken for a wrong one.
+    pub config_doubt: ClockSpan,
+    /// How long a server stays the last choice after its entry vanished around
+    /// an outage of the platform. Entries are back within two seconds.
+    pub lapse: ClockSpan,
+    /// How long after trouble with the platform a vanished entry counts as
+    /// lapsed.
+    pub outage_memory: ClockSpan,
+    /// Time from SIGTERM until connections are no longer taken for granted:
+    /// the balancer asks once a second and needs two misses.
+    pub announce: ClockSpan,
+    /// Time from SIGTERM to the end of the process.
+    pub grace: ClockSpan,
+}
+
+impl Default for TimeSettings {
+    fn default() -> Self {
+        Self {
+            connect: ClockSpan::from_millis(250),
+            idle: ClockSpan::from_millis(8_000),
+            idle_once: ClockSpan::from_millis(900),
+            attempt: ClockSpan::from_millis(250),
+            stream_silence: ClockSpan::from_millis(1_200),
+            config_doubt: ClockSpan::from_millis(2_000),
+            lapse: ClockSpan::from_millis(1_700),
+            outage_memory: ClockSpan::from_millis(4_000),
+            announce: ClockSpan::from_millis(3_500),
+            grace: ClockSpan::from_millis(7_200),
+        }
+    }
+}
+
+/// All settings of a forwarding router.
+#[derive(Clone, Debug)]
+pub struct ForwardSettings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Where it listens.
+    pub listen: ListenAddresses,
+    /// Header names of the interface.
+    pub names: FieldNames,
+    /// Time limits.
+    pub times: TimeSettings,
+    /// Choice of backend servers.
+    pub choice: ChoiceSettings,
+    /// Bounds of admission.
+    pub admission: AdmissionSettings,
+    /// Allowance for repeats.
+    pub repeats: RepeatSettings,
+    /// Budgets.
+    pub book: BookSettings,
+}
