Budgets: hold by demand, follow other instances' rows

Cause: idle instances kept their first grants while one instance served all of an organisation (jehu392: 471k of 1.4M tokens stranded, 519 refusals). Change: stock by demand within the share of what is left; a shortage is told to others, who follow the rows twice a second and give back.

--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -23,6 +23,10 @@
 pub struct ChoiceSettings {
     /// Prompt tokens that an engine reads in a millisecond.
     pub prefill_per_ms: f64,
+    /// How much more a shared token that is read again counts than one that
+    /// has to be read anyway: it takes capacity from all requests, not only
+    /// time from this one.
+    pub reread_factor: f64,
     /// Cost of each request that runs there, as a part of one full batch.
     pub batch_ms: f64,
     /// Cost of each request that waits there beyond the slots.
@@ -45,6 +49,7 @@
     fn default() -> Self {
         Self {
             prefill_per_ms: 80.0,
+            reread_factor: 4.0,
             batch_ms: 120.0,
             waiting_ms: 40.0,
             zone_engine_ms: 4.0,
@@ -193,7 +198,8 @@
     };
     let zone = if near { 0.0 } else { settings.zone_engine_ms };
     let missing = if home { 0 } else { ask.shared_tokens };
-    let unread = (entry.load.unread_tokens + missing) as f64 / settings.prefill_per_ms;
+    let missing = missing as f64 * settings.reread_factor;
+    let unread = (entry.load.unread_tokens as f64 + missing) / settings.prefill_per_ms;
     let batch = settings.batch_ms * (estimate / slots).min(1.0);
     let waiting = settings.waiting_ms * (estimate - slots).max(0.0);
     unread + batch + waiting + failure + zone
--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -14,14 +14,15 @@
 /// How much stock an instance holds, and how fast it unlocks.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BookSettings {
-    /// Stock, as seconds of recent demand: what a cut of the store of that
-    /// length needs, with demand up to twice the recent one.
+    /// Stock, as seconds of recent demand: what a cut of the store of nine
+    /// seconds needs when demand rises to two and a half times the recent one.
     pub stock_seconds: f64,
-    /// Least stock of an instance, as a part of its equal share of what is
-    /// left. It stands in for demand that was not seen yet.
-    pub least_part: f64,
-    /// Most stock, as a part of its share by demand of what is left, so that
-    /// some of it stays free for an instance that needs it.
+    /// Part of its equal share of what is left that an instance holds without
+    /// demand of its own; less as more of it is granted. It stands in for
+    /// demand that was not seen yet.
+    pub unseen_part: f64,
+    /// Part of its share by demand of what is left that an instance holds at
+    /// most; the rest stays free for sudden needs.
     pub most_part: f64,
     /// The line's rate, as a multiple of recent demand.
     pub line_factor: f64,
@@ -35,20 +36,23 @@
     pub line_age: ClockSpan,
     /// Age of the entry in a budget's row beyond which it is brought up to date.
     pub entry_age: ClockSpan,
+    /// How long a shortage is told to other instances.
+    pub shortage_age: ClockSpan,
 }
 
 impl Default for BookSettings {
     fn default() -> Self {
         Self {
-            stock_seconds: 18.0,
-            least_part: 0.3,
-            most_part: 0.9,
+            stock_seconds: 24.0,
+            unseen_part: 0.3,
+            most_part: 0.85,
             line_factor: 2.0,
             least_seconds: 9.0,
             burst_seconds: 1.0,
             instances: 3,
             line_age: ClockSpan::from_millis(250),
             entry_age: ClockSpan::from_millis(1_000),
+            shortage_age: ClockSpan::from_millis(2_000),
         }
     }
 }
@@ -69,6 +73,39 @@
     Unknown,
 }
 
+impl ReserveAnswer {
+    /// The name in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::Locked(_) => "locked",
+            Self::Short => "short",
+            Self::Exhausted => "exhausted",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// What a reservation was decided by, for logs. Counts are tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BudgetFacts {
+    /// Paid for in all.
+    pub paid: u64,
+    /// Spent by ended boots or granted to living ones, by the row.
+    pub committed: u64,
+    /// Granted to this boot.
+    pub grant: u64,
+    /// Reserved or spent by this boot.
+    pub used: u64,
+    /// The lowest line in force.
+    pub allowed: u64,
+    /// Version of the row that says so.
+    pub row: u64,
+    /// Time since the row was last written or read here.
+    pub row_age: ClockSpan,
+}
+
 /// One budget as this boot knows it.
 #[derive(Clone, Debug)]
 pub(super) struct BudgetState {
@@ -82,6 +119,8 @@
     pub(super) settled: u64,
     /// Tokens that requests wait for now.
     pub(super) waiting: u64,
+    /// Tokens of the last request that the grant did not cover, and when.
+    pub(super) shortage: Option<(u64, ClockTime)>,
     pub(super) demand: RateMeter,
     /// When the own entry was last written.
     pub(super) written_at: ClockTime,
@@ -162,7 +201,9 @@
         }
         let need = state.used + tokens;
         if need > self.grant(state) {
-            return self.judge_short(state, tokens);
+            let answer = self.judge_short(state, tokens);
+            self.budgets[place].shortage = Some((tokens, now));
+            return answer;
         }
         let allowed = self
             .lines
@@ -176,6 +217,26 @@
         ReserveAnswer::Granted
     }
 
+    /// What the next reservation will be decided by.
+    #[must_use]
+    pub fn facts(&self, organisation: &OrganisationId, now: ClockTime) -> BudgetFacts {
+        let Some(place) = self.find(organisation) else {
+            return BudgetFacts::default();
+        };
+        let state = &self.budgets[place];
+        let time = self.clock.now(now).unwrap_or_default();
+        let row = state.row.known();
+        BudgetFacts {
+            paid: row.map_or(state.paid.0, |row| self.paid(state, row)),
+            committed: row.map_or(0, BudgetRow::committed),
+            grant: self.grant(state),
+            used: state.used,
+            allowed: self.lines.least(|row| self.line_allowance(row, organisation, time)),
+            row: state.row.version(),
+            row_age: now.since(state.written_at),
+        }
+    }
+
     /// Replaces a reservation by what was spent; never more than reserved.
     pub fn settle(&mut self, organisation: &OrganisationId, reserved: u64, spent: u64) {
         let state = self.state(organisation);
@@ -303,6 +364,7 @@
                 used: 0,
                 settled: 0,
                 waiting: 0,
+                shortage: None,
                 demand: RateMeter::default(),
                 written_at: ClockTime::default(),
             };
--- a/crates/guavawell-core/src/grant/mod.rs
+++ b/crates/guavawell-core/src/grant/mod.rs
@@ -28,6 +28,7 @@
 mod version;
 
 pub use book::BookSettings;
+pub use book::BudgetFacts;
 pub use book::GrantBook;
 pub use book::ReserveAnswer;
 pub use line::ClosedBoot;
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -151,26 +151,6 @@
         })
     }
 
-    /// Whether a budget is so scarce that its row is worth reading again.
-    #[must_use]
-    pub fn budget_stale(&self, id: &OrganisationId, now: ClockTime) -> bool {
-        let Some(place) = self.find(id) else {
-            return false;
-        };
-        let state = &self.budgets[place];
-        let Some(row) = state.row.known() else {
-            return false;
-        };
-        let tight = self.paid(state, row).saturating_sub(row.committed()) * 10 < row.paid;
-        let old = now.since(state.written_at) >= self.settings.entry_age;
-        old && (state.waiting > 0 || tight)
-    }
-
-    /// A budget's row was asked for, whatever comes of it.
-    pub fn asked_budget(&mut self, id: &OrganisationId, now: ClockTime) {
-        self.state(id).written_at = now;
-    }
-
     /// The row to write for a budget now, or `None` if the present one will do.
     #[must_use]
     pub fn next_budget(&self, id: &OrganisationId, now: ClockTime) -> Option<BudgetRow> {
@@ -244,7 +224,8 @@
         let rate = state.demand.per_second(now);
         let elsewhere = row.held_elsewhere(&self.instance, self.boot);
         let free = row.paid.saturating_sub(row.closed + elsewhere);
-        let stock = self.stock(state, row, rate).max(state.waiting);
+        let missing = self.missing(state, now);
+        let stock = self.stock(state, row, rate).max(missing);
         let grant = (state.used + stock).min(free).max(state.used);
         HolderEntry {
             instance: self.instance.clone(),
@@ -253,29 +234,34 @@
             used: state.used,
             settled: state.settled,
             rate,
-            wanted: (state.used + state.waiting).saturating_sub(grant),
+            wanted: (state.used + missing).saturating_sub(grant),
         }
     }
 
-    /// Tokens beyond the used ones that this instance should hold.
+    /// Tokens that requests wait for, or were refused for lately.
+    fn missing(&self, state: &BudgetState, now: ClockTime) -> u64 {
+        let lately = state.shortage.filter(|(_, at)| now.since(*at) < self.settings.shortage_age);
+        state.waiting.max(lately.map_or(0, |(tokens, _)| tokens))
+    }
+
+    /// Tokens beyond the used ones that this instance should hold: some seconds
+    /// of its demand, within its share of what is left.
     fn stock(&self, state: &BudgetState, row: &BudgetRow, rate: u64) -> u64 {
         let settings = &self.settings;
         let others = || row.holders.iter().filter(|entry| !self.is_own(entry));
         let used: u64 = others().map(|entry| entry.used).sum();
         let left = row.paid.saturating_sub(row.closed + used + state.used) as f64;
         let count = (others().count() + 1).max(settings.instances) as f64;
-        let rates: u64 = others().map(|entry| entry.rate).sum::<u64>() + rate;
         let equal = left / count;
-        let by_demand = if rates == 0 {
-            equal
-        } else {
-            left * rate as f64 / rates as f64
-        };
-        let wished = (settings.stock_seconds * rate as f64).max(settings.least_part * equal);
-        let most = settings.most_part * by_demand.max(0.5 * equal);
-        let others_want = others().any(|entry| entry.wanted > 0);
-        let patience = if others_want { rate as f64 } else { f64::MAX };
-        wished.min(most).min(patience) as u64
+        let rates: u64 = others().map(|entry| entry.rate).sum::<u64>() + rate;
+        if rates == 0 {
+            return (settings.unseen_part * equal) as u64;
+        }
+        let by_demand = left * rate as f64 / rates as f64;
+        let wished = settings.stock_seconds * rate as f64;
+        let free = row.paid.saturating_sub(row.committed()) as f64;
+        let idle = settings.unseen_part * equal * (free / left.max(1.0)).min(1.0);
+        wished.min(settings.most_part * by_demand).max(idle) as u64
     }
 
     fn is_worth(
@@ -291,6 +277,16 @@
         let old = now.since(state.written_at) >= self.settings.entry_age;
         let served = state.waiting > 0 && next.grant > held.grant;
         let told = (next.wanted > 0) != (held.wanted > 0);
-        served || told || (changed && old)
+        let gives = want < have && self.others_want(state);
+        served || told || (changed && (old || gives))
+    }
+
+    /// Whether another instance lacks tokens of this budget.
+    fn others_want(&self, state: &BudgetState) -> bool {
+        let Some(row) = state.row.known() else {
+            return false;
+        };
+        let others = row.holders.iter().filter(|entry| !self.is_own(entry));
+        others.into_iter().any(|entry| entry.wanted > 0)
     }
 }
--- a/crates/guavawell-core/src/grant/rate.rs
+++ b/crates/guavawell-core/src/grant/rate.rs
@@ -2,32 +2,48 @@
 
 use crate::clock::ClockTime;
 
-/// Time constant of the average, in milliseconds: long enough to bridge the
-/// gaps between large requests, short enough to follow a burst of seconds.
-const AVERAGE_MS: f64 = 4_000.0;
+/// Time constant of the quick average, in milliseconds: follows a burst.
+const QUICK_MS: f64 = 3_000.0;
+/// Time constant of the slow average, in milliseconds: bridges the gaps between
+/// large requests, so that an instance with few of them does not seem idle.
+const SLOW_MS: f64 = 12_000.0;
+/// Least time that the slow average is taken over, in milliseconds.
+const LEAST_MS: f64 = 2_000.0;
 
-/// A decaying average of tokens a second.
+/// Decaying averages of tokens a second.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RateMeter {
-    sum: f64,
+    began: Option<ClockTime>,
+    quick: f64,
+    slow: f64,
     at: ClockTime,
 }
 
 impl RateMeter {
     /// Counts tokens.
     pub fn add(&mut self, tokens: u64, now: ClockTime) {
-        self.sum = self.decayed(now) + tokens as f64;
+        self.began.get_or_insert(now);
+        self.quick = self.decayed(self.quick, QUICK_MS, now) + tokens as f64;
+        self.slow = self.decayed(self.slow, SLOW_MS, now) + tokens as f64;
         self.at = now;
     }
 
-    /// Tokens a second.
+    /// Tokens a second: the larger of both averages.
     #[must_use]
     pub fn per_second(&self, now: ClockTime) -> u64 {
-        (self.decayed(now) * 1_000.0 / AVERAGE_MS) as u64
+        let Some(began) = self.began else {
+            return 0;
+        };
+        let age = (now.since(began).as_millis() as f64).max(LEAST_MS);
+        // An average that began lately has not seen a whole time constant.
+        let seen = |constant: f64| constant * (1.0 - (-age / constant).exp());
+        let quick = self.decayed(self.quick, QUICK_MS, now) / seen(QUICK_MS);
+        let slow = self.decayed(self.slow, SLOW_MS, now) / seen(SLOW_MS);
+        (quick.max(slow) * 1_000.0) as u64
     }
 
-    fn decayed(&self, now: ClockTime) -> f64 {
+    fn decayed(&self, sum: f64, constant: f64, now: ClockTime) -> f64 {
         let age = now.since(self.at).as_millis() as f64;
-        self.sum * (-age / AVERAGE_MS).exp()
+        sum * (-age / constant).exp()
     }
 }
--- a/crates/guavawell-forward/src/budget.rs
+++ b/crates/guavawell-forward/src/budget.rs
@@ -13,6 +13,7 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ForwardRefusal;
 use guavawell_core::grant::BookSettings;
+use guavawell_core::grant::BudgetFacts;
 use guavawell_core::grant::BudgetRow;
 use guavawell_core::grant::GrantBook;
 use guavawell_core::grant::LineRow;
@@ -30,6 +31,7 @@
 use crate::clock::SteadyClock;
 use crate::clock::timer_span;
 use crate::refuse::RefusalAnswer;
+use crate::store::RowChanges;
 use crate::store::RowKey;
 use crate::store::RowState;
 use crate::store::RowStore;
@@ -46,6 +48,8 @@
 const LINE_TICK: Duration = Duration::from_millis(100);
 /// Pause between looks at whether a budget's row wants writing or reading.
 const BUDGET_TICK: Duration = Duration::from_millis(500);
+/// Pause between questions for other instances' writes.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a failed call to the store.
 const FAULT_PAUSE: Duration = Duration::from_millis(150);
 /// Least and most time that a request waits for the store's answer.
@@ -79,10 +83,27 @@
     budget_bell: Event,
     /// Usual time of the store's answers, in milliseconds.
     answer_ms: Cell<u64>,
+    /// The newest version that the store has told.
+    newest: Cell<u64>,
     /// When the store began to fail, if it does.
     failing_since: Cell<Option<ClockTime>>,
 }
 
+/// Why a reservation was turned down.
+#[derive(Clone, Debug)]
+pub struct BudgetRefusal {
+    /// The answer for the caller.
+    pub answer: RefusalAnswer,
+    /// What the book said last.
+    pub cause: ReserveAnswer,
+    /// What it was decided by.
+    pub facts: BudgetFacts,
+    /// How long the request waited for tokens.
+    pub waited: ClockSpan,
+    /// How long the store had failed to answer.
+    pub store_away: ClockSpan,
+}
+
 /// Tokens that are set aside for one request.
 #[derive(Debug)]
 pub struct TokenReservation {
@@ -93,6 +114,12 @@
 }
 
 impl TokenReservation {
+    /// Tokens set aside, and spent so far.
+    #[must_use]
+    pub fn tokens(&self) -> (u64, u64) {
+        (self.reserved, self.spent.get())
+    }
+
     /// Tells what the request has spent so far, at most what was reserved.
     pub fn spend(&self, tokens: TokenCount) {
         self.spent.set(tokens.get().min(self.reserved));
@@ -152,6 +179,7 @@
             line_bell: Event::new(),
             budget_bell: Event::new(),
             answer_ms: Cell::new(20),
+            newest: Cell::new(0),
             failing_since: Cell::new(None),
         }
     }
@@ -180,7 +208,7 @@
         organisation: &OrganisationId,
         worst: TokenCount,
         time_left: ClockSpan,
-    ) -> Result<TokenReservation, RefusalAnswer> {
+    ) -> Result<TokenReservation, BudgetRefusal> {
         let tokens = worst.get();
         let began = self.clock.now();
         let patience = self.patience(time_left);
@@ -192,7 +220,9 @@
                 return Ok(self.reservation(organisation, tokens));
             }
             let waited = self.clock.now().since(began);
-            let pause = self.pause(answer, patience, waited)?;
+            let pause = self
+                .pause(answer, patience, waited)
+                .map_err(|refusal| self.explain(refusal, answer, organisation, waited))?;
             if waiting.is_none() {
                 waiting = Some(WaitingRequest::new(self, organisation, tokens));
                 self.budget_bell.notify(usize::MAX);
@@ -202,6 +232,24 @@
         }
     }
 
+    fn explain(
+        &self,
+        answer: RefusalAnswer,
+        cause: ReserveAnswer,
+        organisation: &OrganisationId,
+        waited: ClockSpan,
+    ) -> BudgetRefusal {
+        let now = self.clock.now();
+        let since = self.failing_since.get();
+        BudgetRefusal {
+            answer,
+            cause,
+            facts: self.book.borrow().facts(organisation, now),
+            waited,
+            store_away: since.map_or(ClockSpan::default(), |since| now.since(since)),
+        }
+    }
+
     fn ask(&self, organisation: &OrganisationId, tokens: u64) -> ReserveAnswer {
         let now = self.clock.now();
         let mut book = self.book.borrow_mut();
@@ -269,6 +317,10 @@
             spawner
                 .spawn(async move { budgets.watch_budgets(&spawner_of_rows).await })
                 .detach();
+            let follower = Rc::clone(&desk);
+            spawner
+                .spawn(async move { follower.follow_budgets().await })
+                .detach();
             desk.write_lines().await;
         };
         executor.spawn(lines).detach();
@@ -364,7 +416,7 @@
                 let row = self.decode::<LineRow>(&self.line_key(), &state);
                 row.is_some_and(|row| self.take_lines(state.version, row))
             }
-            Err(StoreFault::NotDone(_)) => {
+            Err(StoreFault::NotDone(_) | StoreFault::HistoryGone) => {
                 self.book.borrow_mut().dropped_lines();
                 false
             }
@@ -391,6 +443,40 @@
         }
     }
 
+    /// Follows what other instances write, so that this one knows their needs
+    /// and seldom writes in vain.
+    async fn follow_budgets(&self) {
+        let mut since = self.newest.get();
+        loop {
+            Timer::after(FOLLOW_PAUSE).await;
+            let now = self.clock.now();
+            match (self.store.changes)(BUDGET_TABLE, since).await {
+                Ok(changes) => {
+                    since = changes.newest;
+                    self.take_changes(&changes);
+                }
+                Err(StoreFault::HistoryGone) => {
+                    // What was missed shows when a write is turned down.
+                    since = self.newest.get();
+                }
+                Err(fault) => self.note_fault("changes", &fault, now),
+            }
+        }
+    }
+
+    fn take_changes(&self, changes: &RowChanges) {
+        for (part, state) in &changes.rows {
+            let Ok(id) = part.parse::<OrganisationId>() else {
+                continue;
+            };
+            self.newest.set(self.newest.get().max(state.version));
+            let known = self.book.borrow().budget_version(&id);
+            if state.version > known && known > 0 && self.take_budget(&id, state) {
+                self.budget_bell.notify(usize::MAX);
+            }
+        }
+    }
+
     /// Keeps one budget's row up to date.
     async fn keep_budget(&self, id: &OrganisationId) {
         loop {
@@ -406,10 +492,8 @@
     /// Brings one budget's row up to date; false if the store failed or the
     /// row changed meanwhile.
     async fn keep_budget_once(&self, id: &OrganisationId) -> bool {
-        let now = self.clock.now();
         let unsure = self.book.borrow().budget_unsure(id);
-        let stale = self.book.borrow().budget_stale(id, now);
-        if (unsure || stale) && !self.read_budget(id).await {
+        if unsure && !self.read_budget(id).await {
             return false;
         }
         for _ in 0..MAX_CONFLICTS {
@@ -426,7 +510,6 @@
     }
 
     async fn read_budget(&self, id: &OrganisationId) -> bool {
-        self.book.borrow_mut().asked_budget(id, self.clock.now());
         let answer = (self.store.read)(budget_key(id)).await;
         let Some(state) = self.note_read("budget", answer) else {
             return false;
@@ -470,7 +553,7 @@
                     PutEnd::Failed
                 }
             }
-            Err(StoreFault::NotDone(_)) => {
+            Err(StoreFault::NotDone(_) | StoreFault::HistoryGone) => {
                 self.book.borrow_mut().dropped_budget(id);
                 PutEnd::Failed
             }
@@ -523,6 +606,7 @@
         match answer {
             Ok(state) => {
                 self.note_answer(what, state.time, now);
+                self.newest.set(self.newest.get().max(state.newest));
                 Some(state)
             }
             Err(fault) => {
@@ -539,7 +623,10 @@
     ) -> Result<WriteAnswer, StoreFault> {
         let now = self.clock.now();
         match &answer {
-            Ok(WriteAnswer::Done(_, time)) => self.note_answer(what, *time, now),
+            Ok(WriteAnswer::Done(version, time)) => {
+                self.newest.set(self.newest.get().max(*version));
+                self.note_answer(what, *time, now);
+            }
             Ok(WriteAnswer::Changed(state)) => self.note_answer(what, state.time, now),
             Err(fault) => self.note_fault(what, fault, now),
         }
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -16,6 +16,7 @@
 use guavawell_core::id::ServiceId;
 use guavawell_core::id::TokenCount;
 
+use crate::budget::BudgetRefusal;
 use crate::budget::TokenReservation;
 use crate::door::ReceivedRequest;
 use crate::http::HttpChannel;
@@ -108,11 +109,35 @@
     record: &RequestRecord,
 ) -> bool {
     match prepare(router, request, id, record).await {
-        Ok(call) => run_attempts(router, caller, &call, record).await,
+        Ok(call) => {
+            let spending = SpendingNote {
+                call: &call,
+                record,
+            };
+            let keep = run_attempts(router, caller, &call, record).await;
+            drop(spending);
+            keep
+        }
         Err(answer) => refuse(router, caller, request, id, record, &answer).await,
     }
 }
 
+/// Notes what a request spent when it ends, however it ends.
+struct SpendingNote<'a> {
+    call: &'a ForwardCall<'a>,
+    record: &'a RequestRecord,
+}
+
+impl Drop for SpendingNote<'_> {
+    fn drop(&mut self) {
+        if let Some(reservation) = &self.call.reservation {
+            let (reserved, spent) = reservation.tokens();
+            self.record.note("tokens_reserved", reserved);
+            self.record.note("tokens_spent", spent);
+        }
+    }
+}
+
 /// Sends an answer of the router's own.
 pub async fn refuse(
     router: &ForwardRouter,
@@ -155,7 +180,7 @@
     let service = route.service(fastrand::u64(..)).clone();
     record.note("service", &service);
     let engine = config.service(&service).and_then(|entry| entry.engine);
-    let reservation = reserve(router, &config, organisation.as_ref(), usage, ends_at).await?;
+    let reservation = reserve(router, &config, organisation.as_ref(), usage, ends_at, record).await?;
     Ok(ForwardCall {
         request,
         id,
@@ -266,6 +291,7 @@
     organisation: Option<&(OrganisationId, Option<u8>)>,
     usage: TokenUsage,
     ends_at: ClockTime,
+    record: &RequestRecord,
 ) -> Result<Option<TokenReservation>, RefusalAnswer> {
     let Some((id, _)) = organisation else {
         return Ok(None);
@@ -277,5 +303,25 @@
         return Ok(None);
     }
     let left = router.clock.left(ends_at);
-    router.budgets.reserve(id, worst, left).await.map(Some)
+    let reserved = router.budgets.reserve(id, worst, left).await;
+    reserved.map(Some).map_err(|refusal| {
+        note_budget(record, worst, &refusal);
+        refusal.answer
+    })
+}
+
+/// Notes what a reservation was turned down by.
+fn note_budget(record: &RequestRecord, worst: TokenCount, refusal: &BudgetRefusal) {
+    let facts = &refusal.facts;
+    record.note("budget", refusal.cause.as_str());
+    record.note("budget_needed", worst);
+    record.note("budget_paid", facts.paid);
+    record.note("budget_committed", facts.committed);
+    record.note("budget_grant", facts.grant);
+    record.note("budget_used", facts.used);
+    record.note("budget_allowed", facts.allowed);
+    record.note("budget_row", facts.row);
+    record.note("budget_row_age_ms", facts.row_age.as_millis());
+    record.note("budget_waited_ms", refusal.waited.as_millis());
+    record.note("store_away_ms", refusal.store_away.as_millis());
 }
--- a/crates/guavawell-forward/src/store.rs
+++ b/crates/guavawell-forward/src/store.rs
@@ -36,6 +36,17 @@
     pub value: Option<Box<[u8]>>,
     /// The store's steady time when it answered.
     pub time: Option<ClockTime>,
+    /// The newest version of any row when it answered.
+    pub newest: u64,
+}
+
+/// Rows of a table that changed after a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowChanges {
+    /// Part and state of each changed row, oldest change first.
+    pub rows: Vec<(Box<str>, RowState)>,
+    /// The version to ask after next.
+    pub newest: u64,
 }
 
 /// The answer to a conditional write.
@@ -56,6 +67,9 @@
     /// The call may have been carried out, or may be later.
     #[error("outcome unknown: {0}")]
     Unknown(Box<str>),
+    /// The changes that were asked for are no longer kept.
+    #[error("history gone")]
+    HistoryGone,
 }
 
 /// Reads a row.
@@ -64,12 +78,18 @@
 pub type WriteRow =
     Box<dyn Fn(RowKey, u64, Vec<u8>) -> LocalFuture<Result<WriteAnswer, StoreFault>>>;
 
+/// Reads the changes of a table after a version, without waiting for more.
+pub type ReadChanges =
+    Box<dyn Fn(&'static str, u64) -> LocalFuture<Result<RowChanges, StoreFault>>>;
+
 /// Rows of the platform.
 pub struct RowStore {
     /// Reads a row.
     pub read: ReadRow,
     /// Writes a row under a condition.
     pub write: WriteRow,
+    /// Reads changes.
+    pub changes: ReadChanges,
 }
 
 impl fmt::Debug for RowStore {
