Keep a row that the feed showed before its write was answered

Change: an answer not newer than what was read says nothing; a leaving process writes no new entry after it gave back.

--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -67,6 +67,9 @@
     Locked(ClockSpan),
     /// The grant does not cover it. Asking for more may help.
     Short,
+    /// What is left does not cover it unless requests that run now spend less
+    /// than their most. Asking for more does not help.
+    Drained,
     /// What was paid does not cover it, whatever others give back.
     Exhausted,
     /// Nothing is known of this budget yet.
@@ -81,6 +84,7 @@
             Self::Granted => "granted",
             Self::Locked(_) => "locked",
             Self::Short => "short",
+            Self::Drained => "drained",
             Self::Exhausted => "exhausted",
             Self::Unknown => "unknown",
         }
@@ -94,6 +98,8 @@
     pub paid: u64,
     /// Spent by ended boots or granted to living ones, by the row.
     pub committed: u64,
+    /// Spent at most by ended boots, by the row.
+    pub closed: u64,
     /// Granted to this boot.
     pub grant: u64,
     /// Reserved or spent by this boot.
@@ -229,9 +235,12 @@
         BudgetFacts {
             paid: row.map_or(state.paid.0, |row| self.paid(state, row)),
             committed: row.map_or(0, BudgetRow::committed),
+            closed: row.map_or(0, |row| row.closed),
             grant: self.grant(state),
             used: state.used,
-            allowed: self.lines.least(|row| self.line_allowance(row, organisation, time)),
+            allowed: self
+                .lines
+                .least(|row| self.line_allowance(row, organisation, time)),
             row: state.row.version(),
             row_age: now.since(state.written_at),
         }
@@ -302,12 +311,14 @@
         let Some(row) = state.row.known() else {
             return ReserveAnswer::Short;
         };
-        let others = row.holders.iter().filter(|entry| !self.is_own(entry));
-        let spent: u64 = others.map(|entry| entry.settled).sum();
+        let others = || row.holders.iter().filter(|entry| !self.is_own(entry));
+        let settled: u64 = others().map(|entry| entry.settled).sum();
+        let used: u64 = others().map(|entry| entry.used).sum();
         let paid = self.paid(state, row);
-        let certain = row.closed + spent + state.settled;
-        if certain + tokens > paid {
+        if row.closed + settled + state.settled + tokens > paid {
             ReserveAnswer::Exhausted
+        } else if row.closed + used + state.used + tokens > paid {
+            ReserveAnswer::Drained
         } else {
             ReserveAnswer::Short
         }
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -155,7 +155,10 @@
     #[must_use]
     pub fn next_budget(&self, id: &OrganisationId, now: ClockTime) -> Option<BudgetRow> {
         let state = &self.budgets[self.find(id)?];
-        if self.boot == 0 || !state.row.is_read() || state.row.open_writes() >= MAX_OPEN {
+        if self.boot == 0 || self.leaving || !state.row.is_read() {
+            return None;
+        }
+        if state.row.open_writes() >= MAX_OPEN {
             return None;
         }
         let before = state.row.known().cloned().unwrap_or_default();
@@ -240,7 +243,9 @@
 
     /// Tokens that requests wait for, or were refused for lately.
     fn missing(&self, state: &BudgetState, now: ClockTime) -> u64 {
-        let lately = state.shortage.filter(|(_, at)| now.since(*at) < self.settings.shortage_age);
+        let lately = state
+            .shortage
+            .filter(|(_, at)| now.since(*at) < self.settings.shortage_age);
         state.waiting.max(lately.map_or(0, |(tokens, _)| tokens))
     }
 
--- a/crates/guavawell-core/src/grant/version.rs
+++ b/crates/guavawell-core/src/grant/version.rs
@@ -60,8 +60,12 @@
         self.pending.push(row);
     }
 
-    /// The write sent last was carried out.
+    /// The write sent last was carried out. A read may have shown it, or what
+    /// followed it, before its answer came.
     pub fn stands(&mut self, version: u64) {
+        if self.read && version <= self.version {
+            return;
+        }
         self.known = self.pending.pop();
         self.version = version;
         self.read = true;
--- a/crates/guavawell-forward/src/budget.rs
+++ b/crates/guavawell-forward/src/budget.rs
@@ -288,6 +288,7 @@
                 let refusal = RefusalAnswer::new(ForwardRefusal::BudgetExhausted);
                 Err(refusal.after(RETRY_MOST))
             }
+            ReserveAnswer::Drained => refuse(RETRY_UNKNOWN),
             ReserveAnswer::Locked(span) if span <= LOCK_PATIENCE => Ok(span.max(MILLISECOND)),
             ReserveAnswer::Locked(span) if cut_off || left <= MILLISECOND => {
                 refuse(span.min(RETRY_MOST))
@@ -562,12 +563,15 @@
     }
 
     fn note_grant(&self, id: &OrganisationId, before: u64, version: u64) {
-        let book = self.book.borrow();
+        let facts = self.book.borrow().facts(id, self.clock.now());
         let draft = EventDraft::new("budget.granted")
             .organisation(id)
             .field("before", before)
-            .field("grant", book.granted(id))
-            .field("used", book.used(id))
+            .field("grant", facts.grant)
+            .field("used", facts.used)
+            .field("paid", facts.paid)
+            .field("closed", facts.closed)
+            .field("committed", facts.committed)
             .field("row", version);
         self.log.emit(draft);
     }
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -180,7 +180,15 @@
     let service = route.service(fastrand::u64(..)).clone();
     record.note("service", &service);
     let engine = config.service(&service).and_then(|entry| entry.engine);
-    let reservation = reserve(router, &config, organisation.as_ref(), usage, ends_at, record).await?;
+    let reservation = reserve(
+        router,
+        &config,
+        organisation.as_ref(),
+        usage,
+        ends_at,
+        record,
+    )
+    .await?;
     Ok(ForwardCall {
         request,
         id,
