--- a/crates/guavawell-core/src/forward/refusal.rs
+++ b/crates/guavawell-core/src/forward/refusal.rs
@@ -28,6 +28,8 @@
     NoServer,
     /// All backend servers of the service are full.
     ServersFull,
+    /// The process is about to end and could not finish the request.
+    Leaving,
     /// The time ran out before the request was sent.
     TooLate,
     /// The request may have run; its answer was lost or spoiled.
@@ -52,6 +54,7 @@
             Self::BudgetUnavailable => "budget_unavailable",
             Self::NoServer => "no_server",
             Self::ServersFull => "servers_full",
+            Self::Leaving => "leaving",
             Self::TooLate => "too_late",
             Self::AnswerLost => "answer_lost",
             Self::TimedOut => "timed_out",
@@ -76,6 +79,7 @@
             | Self::BudgetUnavailable
             | Self::NoServer
             | Self::ServersFull
+            | Self::Leaving
             | Self::TooLate => 503,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -24,11 +24,17 @@
     /// Part of its share by demand of what is left that an instance holds at
     /// most; the rest stays free for sudden needs.
     pub most_part: f64,
-    /// The line's rate, as a multiple of recent demand.
+    /// The line's first rate, as a multiple of recent demand. A crash freezes
+    /// what it unlocks until the next boot.
     pub line_factor: f64,
-    /// Seconds in which the line unlocks the least stock.
-    pub least_seconds: f64,
-    /// The line's burst, as seconds of its rate.
+    /// The line's second rate, as a multiple of recent demand.
+    pub late_factor: f64,
+    /// Seconds in which the second rate unlocks the whole stock at most.
+    pub late_seconds: f64,
+    /// Time until the second rate holds: longer than a restart takes.
+    pub turn: ClockSpan,
+    /// The line's burst, as seconds of its first rate. It bridges the age that
+    /// a line reaches before it is written again.
     pub burst_seconds: f64,
     /// Instances that are expected at least.
     pub instances: usize,
@@ -46,11 +52,13 @@
             stock_seconds: 24.0,
             unseen_part: 0.3,
             most_part: 0.85,
-            line_factor: 2.0,
-            least_seconds: 9.0,
-            burst_seconds: 1.0,
+            line_factor: 0.6,
+            late_factor: 3.0,
+            late_seconds: 7.0,
+            turn: ClockSpan::from_millis(1_500),
+            burst_seconds: 0.3,
             instances: 3,
-            line_age: ClockSpan::from_millis(250),
+            line_age: ClockSpan::from_millis(150),
             entry_age: ClockSpan::from_millis(1_000),
             shortage_age: ClockSpan::from_millis(2_000),
         }
@@ -215,7 +223,7 @@
             .lines
             .least(|row| self.line_allowance(row, organisation, time));
         if need > allowed {
-            return ReserveAnswer::Locked(self.unlock_time(organisation, need - allowed));
+            return ReserveAnswer::Locked(self.unlock_time(organisation, need, time));
         }
         let state = &mut self.budgets[place];
         state.used += tokens;
@@ -315,7 +323,7 @@
         let settled: u64 = others().map(|entry| entry.settled).sum();
         let used: u64 = others().map(|entry| entry.used).sum();
         let paid = self.paid(state, row);
-        if row.closed + settled + state.settled + tokens > paid {
+        if row.settled + settled + state.settled + tokens > paid {
             ReserveAnswer::Exhausted
         } else if row.closed + used + state.used + tokens > paid {
             ReserveAnswer::Drained
@@ -343,17 +351,14 @@
         if own { row.allowance(id, time) } else { 0 }
     }
 
-    /// Time until the lowest line in force allows `missing` tokens more.
-    fn unlock_time(&self, organisation: &OrganisationId, missing: u64) -> ClockSpan {
-        let rate = self.lines.least(|row| {
-            let line = row
-                .lines
-                .iter()
-                .find(|line| line.organisation == *organisation);
-            line.map_or(0, |line| line.rate)
-        });
-        let millis = missing.saturating_mul(1_000).checked_div(rate);
-        ClockSpan::from_millis(millis.unwrap_or(u64::MAX / 2))
+    /// Time until every line that may be in force allows `tokens` in all.
+    fn unlock_time(&self, id: &OrganisationId, tokens: u64, now: ClockTime) -> ClockSpan {
+        let until = |row: &LineRow| {
+            let time = row.time_of(id, tokens);
+            time.map_or(u64::MAX / 4, |time| time.since(now).as_millis())
+        };
+        let millis = self.lines.most(until);
+        ClockSpan::from_millis(millis)
     }
 
     pub(super) fn find(&self, organisation: &OrganisationId) -> Option<usize> {
--- a/crates/guavawell-core/src/grant/line.rs
+++ b/crates/guavawell-core/src/grant/line.rs
@@ -3,14 +3,19 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::id::OrganisationId;
 
 /// Ended boots whose grants are still to be given back; older ones freeze.
 const MAX_CLOSED: usize = 6;
 
-/// The bound for one organisation: at the store's time `t` at most
-/// `spent + burst + rate x (t - at)` tokens, with `at` of the row.
+/// The bound for one organisation: a burst at once, then a rate, then a higher
+/// one.
+///
+/// Most boots that end are succeeded within two seconds, so the first rate is
+/// what a crash costs; an instance that is cut off for longer goes on at the
+/// second, which leaves room for a rise in demand.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SpendLine {
     /// The organisation.
@@ -21,6 +26,44 @@
     pub burst: u64,
     /// Tokens a second that may be spent beyond both.
     pub rate: u64,
+    /// Tokens a second instead of `rate` once `turn` has passed.
+    pub late_rate: u64,
+    /// Time until `late_rate` holds.
+    pub turn: ClockSpan,
+}
+
+impl SpendLine {
+    /// The most that may have been spent so long after the row was written.
+    #[must_use]
+    pub fn allowance(&self, passed: ClockSpan) -> u64 {
+        let early = passed.min(self.turn).as_millis();
+        let late = passed.as_millis() - early;
+        let unlocked = self.rate.saturating_mul(early) + self.late_rate.saturating_mul(late);
+        self.spent + self.burst + unlocked / 1_000
+    }
+
+    /// Time after the row was written at which `tokens` may be spent in all.
+    #[must_use]
+    pub fn time_of(&self, tokens: u64) -> ClockSpan {
+        let at_turn = self.allowance(self.turn);
+        let millis = if tokens <= at_turn {
+            let missing = tokens.saturating_sub(self.spent + self.burst);
+            span_of(missing, self.rate)
+        } else {
+            let late = span_of(tokens - at_turn, self.late_rate);
+            self.turn.as_millis().saturating_add(late)
+        };
+        ClockSpan::from_millis(millis)
+    }
+}
+
+/// Milliseconds in which `tokens` come at `rate` tokens a second, rounded up.
+fn span_of(tokens: u64, rate: u64) -> u64 {
+    if tokens == 0 {
+        return 0;
+    }
+    let millis = tokens.saturating_mul(1_000).checked_div(rate);
+    millis.map_or(u64::MAX / 4, |millis| millis + 1)
 }
 
 /// An ended boot of an instance and what it spent at most.
@@ -60,17 +103,22 @@
     /// The most that the boot may have spent at the store's time `now`.
     #[must_use]
     pub fn allowance(&self, organisation: &OrganisationId, now: ClockTime) -> u64 {
+        let line = self.line(organisation);
+        line.map_or(0, |line| line.allowance(now.since(self.at)))
+    }
+
+    /// The store's time at which the boot may have spent `tokens` in all.
+    #[must_use]
+    pub fn time_of(&self, organisation: &OrganisationId, tokens: u64) -> Option<ClockTime> {
+        let line = self.line(organisation)?;
+        Some(self.at + line.time_of(tokens))
+    }
+
+    fn line(&self, organisation: &OrganisationId) -> Option<&SpendLine> {
         let place = self
             .lines
             .binary_search_by(|line| line.organisation.cmp(organisation));
-        let Ok(place) = place else {
-            return 0;
-        };
-        let line = &self.lines[place];
-        let unlocked = line.rate.saturating_mul(now.since(self.at).as_millis()) / 1_000;
-        line.spent
-            .saturating_add(line.burst)
-            .saturating_add(unlocked)
+        self.lines.get(place.ok()?)
     }
 
     /// The first row of the next boot. `now` is the store's time, told by an
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -91,14 +91,17 @@
 
     fn next_line(&self, state: &BudgetState, now: ClockTime) -> SpendLine {
         let settings = &self.settings;
-        let demand = state.demand.per_second(now) as f64 * settings.line_factor;
+        let demand = state.demand.per_second(now) as f64;
         let stock = self.grant(state).saturating_sub(state.used) as f64;
-        let rate = demand.max(stock / settings.least_seconds);
+        let rate = demand * settings.line_factor;
+        let late = (demand * settings.late_factor).max(stock / settings.late_seconds);
         SpendLine {
             organisation: state.organisation.clone(),
             spent: state.used + state.waiting,
             burst: (rate * settings.burst_seconds) as u64,
             rate: rate as u64,
+            late_rate: late as u64,
+            turn: settings.turn,
         }
     }
 
@@ -184,7 +187,7 @@
         let state = &self.budgets[self.find(id)?];
         let mut row = state.row.known()?.clone();
         row.holder(&self.instance, self.boot)?;
-        row.close(&self.instance, self.boot, state.used);
+        row.close(&self.instance, self.boot, state.used, state.settled);
         Some(row)
     }
 
@@ -219,7 +222,7 @@
             let closed = self.lines.known().map_or(&[][..], |row| &row.closed[..]);
             let known = closed.iter().find(|ended| ended.boot == boot);
             let spent = known.map_or(u64::MAX, |ended| ended.spent_of(id));
-            row.close(&self.instance, boot, spent);
+            row.close(&self.instance, boot, spent, 0);
         }
     }
 
--- a/crates/guavawell-core/src/grant/row.rs
+++ b/crates/guavawell-core/src/grant/row.rs
@@ -34,6 +34,8 @@
     pub paid_version: u64,
     /// Spent at most by boots that have ended.
     pub closed: u64,
+    /// Of these, surely spent.
+    pub settled: u64,
     /// What living boots hold, sorted by instance and boot.
     pub holders: Vec<HolderEntry>,
 }
@@ -54,11 +56,13 @@
         }
     }
 
-    /// Ends a boot that spent at most `spent`; the rest of its grant is free.
-    pub fn close(&mut self, instance: &InstanceId, boot: u64, spent: u64) {
+    /// Ends a boot that spent at most `most` and at least `least`; the rest of
+    /// its grant is free.
+    pub fn close(&mut self, instance: &InstanceId, boot: u64, most: u64, least: u64) {
         if let Ok(place) = self.place(instance, boot) {
             let entry = self.holders.remove(place);
-            self.closed += spent.min(entry.grant);
+            self.closed += most.min(entry.grant);
+            self.settled += least.max(entry.settled);
         }
     }
 
--- a/crates/guavawell-core/src/grant/version.rs
+++ b/crates/guavawell-core/src/grant/version.rs
@@ -93,4 +93,10 @@
         let known = self.known.as_ref().map_or(0, &figure);
         self.pending.iter().map(&figure).fold(known, u64::min)
     }
+
+    /// The most of a figure over all states that may be in force.
+    pub fn most(&self, figure: impl Fn(&T) -> u64) -> u64 {
+        let known = self.known.as_ref().map_or(0, &figure);
+        self.pending.iter().map(&figure).fold(known, u64::max)
+    }
 }
--- a/crates/guavawell-forward/src/budget.rs
+++ b/crates/guavawell-forward/src/budget.rs
@@ -59,8 +59,9 @@
 /// Answers of the store that a waiting request is given, as a multiple of
 /// their usual time: one for the grant, one for the line, one for a conflict.
 const PATIENCE_ANSWERS: u64 = 4;
-/// Longest lock that a request sits out at an instance that is cut off.
-const LOCK_PATIENCE: ClockSpan = ClockSpan::from_millis(120);
+/// Longest lock that a request sits out at an instance that is cut off: about
+/// half of what callers expect until the first token.
+const LOCK_PATIENCE: ClockSpan = ClockSpan::from_millis(250);
 /// Retry-After where nothing tells when tokens will be there: about the time
 /// in which an instance brings its grants up to date.
 const RETRY_UNKNOWN: ClockSpan = ClockSpan::from_millis(700);
@@ -289,7 +290,11 @@
                 Err(refusal.after(RETRY_MOST))
             }
             ReserveAnswer::Drained => refuse(RETRY_UNKNOWN),
-            ReserveAnswer::Locked(span) if span <= LOCK_PATIENCE => Ok(span.max(MILLISECOND)),
+            ReserveAnswer::Locked(span)
+                if span <= LOCK_PATIENCE && waited < patience_of_lock(patience) =>
+            {
+                Ok(span.max(MILLISECOND))
+            }
             ReserveAnswer::Locked(span) if cut_off || left <= MILLISECOND => {
                 refuse(span.min(RETRY_MOST))
             }
@@ -686,6 +691,11 @@
 /// The shortest wait.
 const MILLISECOND: ClockSpan = ClockSpan::from_millis(1);
 
+/// A request that others overtake at the line waits no longer than this.
+fn patience_of_lock(patience: ClockSpan) -> ClockSpan {
+    patience.max(LOCK_PATIENCE)
+}
+
 /// How a write of a budget's row ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PutEnd {
--- a/crates/guavawell-forward/src/leave.rs
+++ b/crates/guavawell-forward/src/leave.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use guavawell_core::clock::ClockSpan;
 use guavawell_fleet::event::EventDraft;
 use smol::Timer;
 
@@ -14,8 +13,6 @@
 
 /// Pause between looks at whether all requests have ended.
 const TICK: Duration = Duration::from_millis(50);
-/// Time kept for giving grants back.
-const GIVE_BACK: Duration = Duration::from_millis(600);
 
 /// Leaves: from now on the process is not ready and ends connections after
 /// their present answer; returns once the process may exit. Returns whether
@@ -27,19 +24,13 @@
     let draft = EventDraft::new("process.leaving").field("held", router.held_requests.get());
     router.log.emit(draft);
     Timer::after(timer_span(times.announce)).await;
-    let rest = ClockSpan::from_millis(
-        times
-            .grace
-            .as_millis()
-            .saturating_sub(GIVE_BACK.as_millis() as u64),
-    );
-    let end = began + rest;
+    let end = router.cut_at().unwrap_or(began);
     while router.held_requests.get() > 0 && router.clock.now() < end {
         Timer::after(TICK).await;
     }
     let finished = router.held_requests.get() == 0;
     let late = async {
-        Timer::after(GIVE_BACK).await;
+        Timer::after(timer_span(times.give_back)).await;
     };
     router.budgets.give_back().or(late).await;
     let draft = EventDraft::new("process.left").field("unfinished", router.held_requests.get());
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::RepeatAllowance;
@@ -204,6 +205,30 @@
         self.phase.get() != RouterPhase::Serving
     }
 
+    /// When requests that still run are cut, if the process is leaving.
+    #[must_use]
+    pub fn cut_at(&self) -> Option<ClockTime> {
+        let RouterPhase::Leaving(began) = self.phase.get() else {
+            return None;
+        };
+        let times = &self.settings.times;
+        let rest = times
+            .grace
+            .as_millis()
+            .saturating_sub(times.give_back.as_millis());
+        Some(began + ClockSpan::from_millis(rest))
+    }
+
+    /// Whether a request that lasts until `ends_at` at most may be taken.
+    #[must_use]
+    pub fn can_finish(&self, ends_at: ClockTime) -> bool {
+        let RouterPhase::Leaving(began) = self.phase.get() else {
+            return true;
+        };
+        let announced = self.clock.now().since(began) <= self.settings.times.announce;
+        announced || self.cut_at().is_none_or(|cut| ends_at <= cut)
+    }
+
     /// Counts the first sending of a request.
     pub fn count_request(&self, service: &ServiceId) {
         let window = self.settings.repeats.window;
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -176,6 +176,10 @@
     }
     let (usage, shape) = read_prompt(router, request)?;
     let ends_at = end_of(router, &route, request)?;
+    if !router.can_finish(ends_at) {
+        // Another instance can take it at once.
+        return Err(RefusalAnswer::new(ForwardRefusal::Leaving).after(ClockSpan::default()));
+    }
     check_room(router, ends_at)?;
     let service = route.service(fastrand::u64(..)).clone();
     record.note("service", &service);
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -48,11 +48,14 @@
     /// How long after trouble with the platform a vanished entry counts as
     /// lapsed.
     pub outage_memory: ClockSpan,
-    /// Time from SIGTERM until connections are no longer taken for granted:
-    /// the balancer asks once a second and needs two misses.
+    /// Time from SIGTERM in which requests are taken as ever: the balancer asks
+    /// once a second and needs two misses. Later ones are taken only if they
+    /// surely end before the process does.
     pub announce: ClockSpan,
     /// Time from SIGTERM to the end of the process.
     pub grace: ClockSpan,
+    /// Part of the grace that is kept for giving grants back.
+    pub give_back: ClockSpan,
 }
 
 impl Default for TimeSettings {
@@ -66,8 +69,9 @@
             config_doubt: ClockSpan::from_millis(2_000),
             lapse: ClockSpan::from_millis(1_700),
             outage_memory: ClockSpan::from_millis(4_000),
-            announce: ClockSpan::from_millis(3_500),
-            grace: ClockSpan::from_millis(7_200),
+            announce: ClockSpan::from_millis(2_900),
+            grace: ClockSpan::from_millis(7_500),
+            give_back: ClockSpan::from_millis(600),
         }
     }
 }
