Lines' burst covers a usual request; instances hold three quarters of their share

Change: the burst is the larger of 0.3 s of the rate and 0.6 of a usual request, within 0.15 of the stock; most_part 0.85 -> 0.75.

--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -36,6 +36,11 @@
     /// The line's burst, as seconds of its first rate. It bridges the age that
     /// a line reaches before it is written again.
     pub burst_seconds: f64,
+    /// The burst covers so many usual requests, so that the first ones after a
+    /// cut need not wait.
+    pub burst_requests: f64,
+    /// It takes no more than this part of the stock for that.
+    pub burst_part: f64,
     /// Instances that are expected at least.
     pub instances: usize,
     /// Age of the line beyond which it is written again if tokens were spent.
@@ -51,12 +56,14 @@
         Self {
             stock_seconds: 24.0,
             unseen_part: 0.3,
-            most_part: 0.85,
+            most_part: 0.75,
             line_factor: 0.6,
             late_factor: 3.0,
             late_seconds: 7.0,
             turn: ClockSpan::from_millis(1_500),
             burst_seconds: 0.3,
+            burst_requests: 0.6,
+            burst_part: 0.15,
             instances: 3,
             line_age: ClockSpan::from_millis(150),
             entry_age: ClockSpan::from_millis(1_000),
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -95,10 +95,12 @@
         let stock = self.grant(state).saturating_sub(state.used) as f64;
         let rate = demand * settings.line_factor;
         let late = (demand * settings.late_factor).max(stock / settings.late_seconds);
+        let usual = state.demand.usual() * settings.burst_requests;
+        let burst = (rate * settings.burst_seconds).max(usual.min(stock * settings.burst_part));
         SpendLine {
             organisation: state.organisation.clone(),
             spent: state.used + state.waiting,
-            burst: (rate * settings.burst_seconds) as u64,
+            burst: burst as u64,
             rate: rate as u64,
             late_rate: late as u64,
             turn: settings.turn,
--- a/crates/guavawell-core/src/grant/rate.rs
+++ b/crates/guavawell-core/src/grant/rate.rs
@@ -10,6 +10,9 @@
 /// Least time that the slow average is taken over, in milliseconds.
 const LEAST_MS: f64 = 2_000.0;
 
+/// Weight of the newest request in the usual one.
+const USUAL_WEIGHT: f64 = 0.1;
+
 /// Decaying averages of tokens a second.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RateMeter {
@@ -17,6 +20,7 @@
     quick: f64,
     slow: f64,
     at: ClockTime,
+    usual: f64,
 }
 
 impl RateMeter {
@@ -26,6 +30,14 @@
         self.quick = self.decayed(self.quick, QUICK_MS, now) + tokens as f64;
         self.slow = self.decayed(self.slow, SLOW_MS, now) + tokens as f64;
         self.at = now;
+        let weight = if self.usual == 0.0 { 1.0 } else { USUAL_WEIGHT };
+        self.usual += weight * (tokens as f64 - self.usual);
+    }
+
+    /// Tokens of a usual request.
+    #[must_use]
+    pub const fn usual(&self) -> f64 {
+        self.usual
     }
 
     /// Tokens a second: the larger of both averages.
