--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -238,6 +238,12 @@
         ReserveAnswer::Granted
     }
 
+    /// Whether this boot has begun and every budget was read.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.boot > 0 && self.budgets.iter().all(|state| state.row.is_read())
+    }
+
     /// What the next reservation will be decided by.
     #[must_use]
     pub fn facts(&self, organisation: &OrganisationId, now: ClockTime) -> BudgetFacts {
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -233,7 +233,11 @@
         let elsewhere = row.held_elsewhere(&self.instance, self.boot);
         let free = row.paid.saturating_sub(row.closed + elsewhere);
         let missing = self.missing(state, now);
-        let stock = self.stock(state, row, rate).max(missing);
+        let stock = if self.yields(row, state.used + missing, free) {
+            0
+        } else {
+            self.stock(state, row, rate).max(missing)
+        };
         let grant = (state.used + stock).min(free).max(state.used);
         HolderEntry {
             instance: self.instance.clone(),
@@ -246,6 +250,13 @@
         }
     }
 
+    /// Whether this instance gives its stock to another one: both lack tokens,
+    /// neither has enough alone, and the other one comes first by name.
+    fn yields(&self, row: &BudgetRow, needed: u64, free: u64) -> bool {
+        let mut others = row.holders.iter().filter(|entry| !self.is_own(entry));
+        needed > free && others.any(|entry| entry.wanted > 0 && entry.instance < self.instance)
+    }
+
     /// Tokens that requests wait for, or were refused for lately.
     fn missing(&self, state: &BudgetState, now: ClockTime) -> u64 {
         let lately = state
--- a/crates/guavawell-forward/src/budget.rs
+++ b/crates/guavawell-forward/src/budget.rs
@@ -192,6 +192,12 @@
         self.budget_bell.notify(usize::MAX);
     }
 
+    /// Whether every budget was read once.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.book.borrow().is_open()
+    }
+
     /// Instances that are known to hold grants.
     #[must_use]
     pub fn instances(&self) -> usize {
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -46,6 +46,8 @@
     pub servers: RefCell<ServerTable>,
     /// Whether the list of servers was read.
     pub servers_read: Cell<bool>,
+    /// Whether budgets were open once; new ones do not close the door again.
+    opened: Cell<bool>,
     /// Allowance for repeats.
     pub repeats: RefCell<RepeatAllowance>,
     /// Idle connections to servers.
@@ -80,6 +82,7 @@
             config: RefCell::new(None),
             servers: RefCell::default(),
             servers_read: Cell::new(false),
+            opened: Cell::new(false),
             repeats: RefCell::default(),
             pool: RefCell::default(),
             budgets,
@@ -196,7 +199,11 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let serving = self.phase.get() == RouterPhase::Serving;
-        serving && self.config.borrow().is_some() && self.servers_read.get()
+        let informed = self.config.borrow().is_some() && self.servers_read.get();
+        if informed && !self.opened.get() {
+            self.opened.set(self.budgets.is_open());
+        }
+        serving && informed && self.opened.get()
     }
 
     /// Whether the process was told to leave.
