--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -17,6 +17,7 @@
 use crate::id::BackendId;
 use crate::id::ServiceId;
 use crate::id::ZoneId;
+use crate::number::fraction;
 
 /// The weights of a choice. Times are in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -198,8 +199,8 @@
     };
     let zone = if near { 0.0 } else { settings.zone_engine_ms };
     let missing = if home { 0 } else { ask.shared_tokens };
-    let missing = missing as f64 * settings.reread_factor;
-    let unread = (entry.load.unread_tokens as f64 + missing) / settings.prefill_per_ms;
+    let missing = fraction(missing) * settings.reread_factor;
+    let unread = (fraction(entry.load.unread_tokens) + missing) / settings.prefill_per_ms;
     let batch = settings.batch_ms * (estimate / slots).min(1.0);
     let waiting = settings.waiting_ms * (estimate - slots).max(0.0);
     unread + batch + waiting + failure + zone
--- a/crates/guavawell-core/src/forward/plan.rs
+++ b/crates/guavawell-core/src/forward/plan.rs
@@ -48,13 +48,11 @@
 pub fn next_step(repeat: RepeatKind, end: AttemptEnd, may_repeat: bool) -> NextStep {
     let runs_again = repeat != RepeatKind::Once;
     match end {
-        AttemptEnd::NotSent if may_repeat => NextStep::Again,
+        AttemptEnd::NotSent | AttemptEnd::Rejected if may_repeat => NextStep::Again,
         AttemptEnd::NotSent => NextStep::Refuse(ForwardRefusal::NoServer),
-        AttemptEnd::Rejected if may_repeat => NextStep::Again,
         AttemptEnd::Rejected => NextStep::Refuse(ForwardRefusal::ServersFull),
-        AttemptEnd::Failed if may_repeat && runs_again => NextStep::Again,
+        _ if may_repeat && runs_again => NextStep::Again,
         AttemptEnd::Failed => NextStep::Relay,
-        AttemptEnd::Lost | AttemptEnd::Silent if may_repeat && runs_again => NextStep::Again,
         AttemptEnd::Lost => NextStep::Refuse(ForwardRefusal::AnswerLost),
         AttemptEnd::Silent => NextStep::Refuse(ForwardRefusal::TimedOut),
     }
--- a/crates/guavawell-core/src/forward/prompt.rs
+++ b/crates/guavawell-core/src/forward/prompt.rs
@@ -71,7 +71,7 @@
     /// the last one that is not the request's own.
     #[must_use]
     pub fn affinity(&self) -> Option<PromptPart> {
-        let place = self.parts.len().checked_sub(2).unwrap_or_default();
+        let place = self.parts.len().saturating_sub(2);
         self.parts.get(place).copied()
     }
 
--- a/crates/guavawell-core/src/forward/repeat.rs
+++ b/crates/guavawell-core/src/forward/repeat.rs
@@ -9,6 +9,7 @@
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::id::ServiceId;
+use crate::number::fraction;
 
 /// Slices that a window is counted in.
 const SLICES: u64 = 10;
@@ -67,7 +68,7 @@
         let slices = self.slices(service);
         let requests: u32 = slices.iter().map(|slice| slice.requests).sum();
         let repeats: u32 = slices.iter().map(|slice| slice.repeats).sum();
-        let shared = settings.extra / (settings.instances.max(1) as f64);
+        let shared = settings.extra / fraction(settings.instances.max(1) as u64);
         let most = settings.used_part * (settings.ratio * f64::from(requests) + shared);
         if f64::from(repeats) + 1.0 > most {
             return false;
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -7,6 +7,7 @@
 use crate::id::BackendId;
 use crate::id::ServiceId;
 use crate::id::ZoneId;
+use crate::number::fraction;
 
 /// How long a server that has requests may stay silent before others go
 /// elsewhere. A busy engine sends events every 20 to 200 ms.
@@ -153,7 +154,7 @@
     /// Part of recent requests that failed; old failures count less.
     #[must_use]
     pub fn failure_rate(&self, now: ClockTime) -> f64 {
-        let age = now.since(self.health.rated_at).as_millis() as f64;
+        let age = fraction(now.since(self.health.rated_at).as_millis());
         self.health.failure_rate * (-age / FAILURE_HALF_LIFE_MS * std::f64::consts::LN_2).exp()
     }
 
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -8,6 +8,8 @@
 use crate::grant::SpendLine;
 use crate::grant::book::BudgetState;
 use crate::id::OrganisationId;
+use crate::number::fraction;
+use crate::number::whole;
 
 /// Unanswered writes of a row beyond which only reads are sent.
 const MAX_OPEN: usize = 4;
@@ -73,7 +75,7 @@
                 .iter()
                 .zip(&lines)
                 .all(|(a, b)| a.spent == b.spent);
-        if (same || fresh) && !(waits && !same) {
+        if same || (fresh && !waits) {
             return None;
         }
         let closed = before
@@ -91,8 +93,8 @@
 
     fn next_line(&self, state: &BudgetState, now: ClockTime) -> SpendLine {
         let settings = &self.settings;
-        let demand = state.demand.per_second(now) as f64;
-        let stock = self.grant(state).saturating_sub(state.used) as f64;
+        let demand = fraction(state.demand.per_second(now));
+        let stock = fraction(self.grant(state).saturating_sub(state.used));
         let rate = demand * settings.line_factor;
         let late = (demand * settings.late_factor).max(stock / settings.late_seconds);
         let usual = state.demand.usual() * settings.burst_requests;
@@ -100,9 +102,9 @@
         SpendLine {
             organisation: state.organisation.clone(),
             spent: state.used + state.waiting,
-            burst: burst as u64,
-            rate: rate as u64,
-            late_rate: late as u64,
+            burst: whole(burst),
+            rate: whole(rate),
+            late_rate: whole(late),
             turn: settings.turn,
         }
     }
@@ -271,18 +273,18 @@
         let settings = &self.settings;
         let others = || row.holders.iter().filter(|entry| !self.is_own(entry));
         let used: u64 = others().map(|entry| entry.used).sum();
-        let left = row.paid.saturating_sub(row.closed + used + state.used) as f64;
-        let count = (others().count() + 1).max(settings.instances) as f64;
+        let left = fraction(row.paid.saturating_sub(row.closed + used + state.used));
+        let count = fraction((others().count() + 1).max(settings.instances) as u64);
         let equal = left / count;
         let rates: u64 = others().map(|entry| entry.rate).sum::<u64>() + rate;
         if rates == 0 {
-            return (settings.unseen_part * equal) as u64;
+            return whole(settings.unseen_part * equal);
         }
-        let by_demand = left * rate as f64 / rates as f64;
-        let wished = settings.stock_seconds * rate as f64;
-        let free = row.paid.saturating_sub(row.committed()) as f64;
+        let by_demand = left * fraction(rate) / fraction(rates);
+        let wished = settings.stock_seconds * fraction(rate);
+        let free = fraction(row.paid.saturating_sub(row.committed()));
         let idle = settings.unseen_part * equal * (free / left.max(1.0)).min(1.0);
-        wished.min(settings.most_part * by_demand).max(idle) as u64
+        whole(wished.min(settings.most_part * by_demand).max(idle))
     }
 
     fn is_worth(
@@ -292,8 +294,8 @@
         state: &BudgetState,
         now: ClockTime,
     ) -> bool {
-        let have = held.grant.saturating_sub(state.used) as f64;
-        let want = next.grant.saturating_sub(state.used) as f64;
+        let have = fraction(held.grant.saturating_sub(state.used));
+        let want = fraction(next.grant.saturating_sub(state.used));
         let changed = (want - have).abs() > WORTH_WRITING * want.max(have);
         let old = now.since(state.written_at) >= self.settings.entry_age;
         let served = state.waiting > 0 && next.grant > held.grant;
--- a/crates/guavawell-core/src/grant/rate.rs
+++ b/crates/guavawell-core/src/grant/rate.rs
@@ -1,6 +1,8 @@
 //! How fast tokens are asked for.
 
 use crate::clock::ClockTime;
+use crate::number::fraction;
+use crate::number::whole;
 
 /// Time constant of the quick average, in milliseconds: follows a burst.
 const QUICK_MS: f64 = 3_000.0;
@@ -27,11 +29,11 @@
     /// Counts tokens.
     pub fn add(&mut self, tokens: u64, now: ClockTime) {
         self.began.get_or_insert(now);
-        self.quick = self.decayed(self.quick, QUICK_MS, now) + tokens as f64;
-        self.slow = self.decayed(self.slow, SLOW_MS, now) + tokens as f64;
+        self.quick = self.decayed(self.quick, QUICK_MS, now) + fraction(tokens);
+        self.slow = self.decayed(self.slow, SLOW_MS, now) + fraction(tokens);
         self.at = now;
         let weight = if self.usual == 0.0 { 1.0 } else { USUAL_WEIGHT };
-        self.usual += weight * (tokens as f64 - self.usual);
+        self.usual += weight * (fraction(tokens) - self.usual);
     }
 
     /// Tokens of a usual request.
@@ -46,16 +48,16 @@
         let Some(began) = self.began else {
             return 0;
         };
-        let age = (now.since(began).as_millis() as f64).max(LEAST_MS);
+        let age = fraction(now.since(began).as_millis()).max(LEAST_MS);
         // An average that began lately has not seen a whole time constant.
         let seen = |constant: f64| constant * (1.0 - (-age / constant).exp());
         let quick = self.decayed(self.quick, QUICK_MS, now) / seen(QUICK_MS);
         let slow = self.decayed(self.slow, SLOW_MS, now) / seen(SLOW_MS);
-        (quick.max(slow) * 1_000.0) as u64
+        whole(quick.max(slow) * 1_000.0)
     }
 
     fn decayed(&self, sum: f64, constant: f64, now: ClockTime) -> f64 {
-        let age = now.since(self.at).as_millis() as f64;
+        let age = fraction(now.since(self.at).as_millis());
         sum * (-age / constant).exp()
     }
 }
--- a/crates/guavawell-core/src/lib.rs
+++ b/crates/guavawell-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod instance;
 pub mod limits;
 pub mod manifest;
+pub mod number;
 pub mod order;
 pub mod platform;
 pub mod request;
--- a/crates/guavawell-core/tests/grant_search/world.rs
+++ b/crates/guavawell-core/tests/grant_search/world.rs
@@ -225,7 +225,7 @@
         let row = if book.boot() == 0 {
             let mut first = book.first_lines(now);
             if self.plant == Plant::StaleSuccessor {
-                first = first.map(|row| self.stale(index, row));
+                first = first.map(|row| self.stale(index, &row));
             }
             first
         } else {
@@ -248,7 +248,7 @@
 
     /// The first row of a boot that takes its predecessor's row as of its
     /// writing, as if no time had passed since.
-    fn stale(&self, index: usize, row: LineRow) -> LineRow {
+    fn stale(&self, index: usize, row: &LineRow) -> LineRow {
         let before = self.lines[index].row.clone().unwrap_or_default();
         LineRow {
             at: row.at,
@@ -277,20 +277,17 @@
     }
 
     fn send(&mut self, index: usize, write: LateWrite, fate: Fate) {
-        match fate {
-            Fate::Late => {
-                self.forget(index, &write);
-                self.late.push(write);
-            }
-            Fate::AnswerLost => {
-                self.forget(index, &write);
-                self.apply(&write);
-            }
-            Fate::Answered => {
-                let done = self.apply(&write);
-                self.tell(index);
-                self.answer(index, &write, done);
-            }
+        if fate == Fate::Answered {
+            let done = self.apply(&write);
+            self.tell(index);
+            self.answer(index, &write, done);
+            return;
+        }
+        self.forget(index, &write);
+        if fate == Fate::Late {
+            self.late.push(write);
+        } else {
+            self.apply(&write);
         }
     }
 
--- /dev/null
+++ b/crates/guavawell-forward/src/budget/calls.rs
@@ -0,0 +1,141 @@
+//! Calls to the store, and what their answers tell of it.
+
+use guavawell_core::clock::ClockTime;
+use guavawell_core::id::OrganisationId;
+use guavawell_fleet::event::EventDraft;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::BUDGET_TABLE;
+use super::BudgetDesk;
+use super::LINE_TABLE;
+use super::ROW_KEY;
+use crate::store::RowKey;
+use crate::store::RowState;
+use crate::store::StoreFault;
+use crate::store::WriteAnswer;
+
+/// Answers over which their usual time is averaged.
+const ANSWER_PARTS: u64 = 8;
+
+/// A row's value.
+pub(super) enum DecodedRow<T> {
+    /// The row, if there is one.
+    Readable(Option<T>),
+    /// A value that does not decode.
+    Unreadable,
+}
+
+impl BudgetDesk {
+    pub(super) fn line_key(&self) -> RowKey {
+        RowKey {
+            table: LINE_TABLE,
+            part: self.instance.as_str().into(),
+            key: ROW_KEY.into(),
+        }
+    }
+
+    /// Reads a row and takes note of how the store does.
+    pub(super) async fn read_row(&self, what: &str, key: RowKey) -> Option<RowState> {
+        let began = self.clock.now();
+        let answer = (self.store.read)(key).await;
+        match answer {
+            Ok(state) => {
+                self.note_answer(what, state.time, began);
+                self.newest.set(self.newest.get().max(state.newest));
+                Some(state)
+            }
+            Err(fault) => {
+                self.note_fault(what, &fault);
+                None
+            }
+        }
+    }
+
+    /// Writes a row under a condition and takes note of how the store does.
+    pub(super) async fn write_row(
+        &self,
+        what: &str,
+        key: RowKey,
+        version: u64,
+        bytes: Vec<u8>,
+    ) -> Result<WriteAnswer, StoreFault> {
+        let began = self.clock.now();
+        let answer = (self.store.write)(key, version, bytes).await;
+        match &answer {
+            Ok(WriteAnswer::Done(version, time)) => {
+                self.newest.set(self.newest.get().max(*version));
+                self.note_answer(what, *time, began);
+            }
+            Ok(WriteAnswer::Changed(state)) => self.note_answer(what, state.time, began),
+            Err(fault) => self.note_fault(what, fault),
+        }
+        answer
+    }
+
+    fn note_answer(&self, what: &str, time: Option<ClockTime>, began: ClockTime) {
+        let now = self.clock.now();
+        let took = now.since(began).as_millis();
+        let usual = self.answer_ms.get();
+        self.answer_ms
+            .set((usual * (ANSWER_PARTS - 1) + took).div_ceil(ANSWER_PARTS));
+        if let Some(time) = time {
+            self.book.borrow_mut().tell_time(time, now);
+        }
+        if let Some(since) = self.failing_since.take() {
+            let draft = EventDraft::new("store.regained")
+                .field("call", what)
+                .field("away_ms", now.since(since).as_millis());
+            self.log.emit(draft);
+        }
+    }
+
+    pub(super) fn note_fault(&self, what: &str, fault: &StoreFault) {
+        metrics::counter!("guavawell_forward_store_faults_total").increment(1);
+        if self.failing_since.get().is_none() {
+            self.failing_since.set(Some(self.clock.now()));
+            let draft = EventDraft::new("store.lost")
+                .field("call", what)
+                .field("fault", fault);
+            self.log.emit(draft);
+        }
+    }
+
+    /// The row in a state. A value that does not decode is left alone: nothing is spent by it and nothing written
+    /// over it.
+    pub(super) fn decode<T: DeserializeOwned>(
+        &self,
+        key: &RowKey,
+        state: &RowState,
+    ) -> DecodedRow<T> {
+        let Some(value) = &state.value else {
+            return DecodedRow::Readable(None);
+        };
+        match serde_json::from_slice(value) {
+            Ok(row) => DecodedRow::Readable(Some(row)),
+            Err(error) => {
+                let draft = EventDraft::new("store.row_unreadable")
+                    .field("row", key)
+                    .field("version", state.version)
+                    .field("error", error);
+                self.log.emit(draft);
+                DecodedRow::Unreadable
+            }
+        }
+    }
+}
+
+pub(super) fn budget_key(id: &OrganisationId) -> RowKey {
+    RowKey {
+        table: BUDGET_TABLE,
+        part: id.as_str().into(),
+        key: ROW_KEY.into(),
+    }
+}
+
+pub(super) fn encode(row: &impl Serialize) -> Option<Vec<u8>> {
+    let encoded = serde_json::to_vec(row);
+    encoded
+        .inspect_err(|error| log::error!("a row cannot be encoded: {error}"))
+        .ok()
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -0,0 +1,140 @@
+//! Carries the book of budgets out: reservations that wait for the store, and
+//! the writes that the book asks for.
+
+mod calls;
+mod lines;
+mod reserve;
+mod rows;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use event_listener::Event;
+use event_listener::EventListener;
+use futures_lite::FutureExt;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::grant::BookSettings;
+use guavawell_core::grant::GrantBook;
+use guavawell_core::id::InstanceId;
+use guavawell_core::id::OrganisationId;
+use guavawell_fleet::event::EventLog;
+use smol::LocalExecutor;
+use smol::Timer;
+
+use crate::clock::SteadyClock;
+use crate::store::RowStore;
+
+pub use reserve::BudgetRefusal;
+pub use reserve::TokenReservation;
+
+/// Table of the rows that bound what instances can have spent.
+const LINE_TABLE: &str = "guavawell_lines";
+/// Table of the organisations' budgets.
+const BUDGET_TABLE: &str = "guavawell_budgets";
+/// Key of the one row in each part of both tables.
+const ROW_KEY: &str = "row";
+/// Pause between looks at whether a row wants writing.
+const LINE_TICK: Duration = Duration::from_millis(100);
+/// Pause between looks at whether a budget's row wants writing or reading.
+const BUDGET_TICK: Duration = Duration::from_millis(500);
+/// Pause between questions for other instances' writes.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after a failed call to the store.
+const FAULT_PAUSE: Duration = Duration::from_millis(150);
+
+/// The budgets of this process.
+#[derive(Debug)]
+pub struct BudgetDesk {
+    clock: SteadyClock,
+    log: EventLog,
+    store: RowStore,
+    instance: InstanceId,
+    book: RefCell<GrantBook>,
+    /// Something in the book changed for the better.
+    changed: Event,
+    /// The lines want writing.
+    line_bell: Event,
+    /// Budgets' rows want writing.
+    budget_bell: Event,
+    /// Usual time of the store's answers, in milliseconds.
+    answer_ms: Cell<u64>,
+    /// The newest version that the store has told.
+    newest: Cell<u64>,
+    /// When the store began to fail, if it does.
+    failing_since: Cell<Option<ClockTime>>,
+}
+
+impl BudgetDesk {
+    /// A desk that knows nothing yet.
+    #[must_use]
+    pub fn new(
+        instance: InstanceId,
+        settings: BookSettings,
+        clock: SteadyClock,
+        log: EventLog,
+        store: RowStore,
+    ) -> Self {
+        let nonce = fastrand::u64(1..);
+        Self {
+            clock,
+            log,
+            store,
+            book: RefCell::new(GrantBook::new(instance.clone(), nonce, settings)),
+            instance,
+            changed: Event::new(),
+            line_bell: Event::new(),
+            budget_bell: Event::new(),
+            answer_ms: Cell::new(20),
+            newest: Cell::new(0),
+            failing_since: Cell::new(None),
+        }
+    }
+
+    /// The configuration says what an organisation paid.
+    pub fn set_paid(&self, organisation: &OrganisationId, paid: u64, version: u64) {
+        let mut book = self.book.borrow_mut();
+        book.set_paid(organisation, paid, version);
+        self.budget_bell.notify(usize::MAX);
+    }
+
+    /// Whether every budget was read once.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.book.borrow().is_open()
+    }
+
+    /// Instances that are known to hold grants.
+    #[must_use]
+    pub fn instances(&self) -> usize {
+        self.book.borrow().known_instances()
+    }
+
+    /// Starts the tasks that write rows.
+    pub fn start(self: &Rc<Self>, executor: &Rc<LocalExecutor<'static>>) {
+        let desk = Rc::clone(self);
+        let spawner = Rc::clone(executor);
+        let lines = async move {
+            desk.open_lines().await;
+            let budgets = Rc::clone(&desk);
+            let spawner_of_rows = Rc::clone(&spawner);
+            spawner
+                .spawn(async move { budgets.watch_budgets(&spawner_of_rows).await })
+                .detach();
+            let follower = Rc::clone(&desk);
+            spawner
+                .spawn(async move { follower.follow_budgets().await })
+                .detach();
+            desk.write_lines().await;
+        };
+        executor.spawn(lines).detach();
+    }
+}
+
+async fn wait_until(bell: EventListener, limit: Duration) {
+    let late = async {
+        Timer::after(limit).await;
+    };
+    bell.or(late).await;
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -0,0 +1,224 @@
+//! Reservations: tokens set aside for a request, or the reason why not.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::ForwardRefusal;
+use guavawell_core::grant::BudgetFacts;
+use guavawell_core::grant::ReserveAnswer;
+use guavawell_core::id::OrganisationId;
+use guavawell_core::id::TokenCount;
+
+use super::BudgetDesk;
+use super::wait_until;
+use crate::clock::timer_span;
+use crate::refuse::RefusalAnswer;
+
+/// Least and most time that a request waits for the store's answer.
+const LEAST_PATIENCE_MS: u64 = 150;
+/// See [`LEAST_PATIENCE_MS`].
+const MOST_PATIENCE_MS: u64 = 900;
+/// Answers of the store that a waiting request is given, as a multiple of
+/// their usual time: one for the grant, one for the line, one for a conflict.
+const PATIENCE_ANSWERS: u64 = 4;
+/// Longest lock that a request sits out at an instance that is cut off: about
+/// half of what callers expect until the first token.
+const LOCK_PATIENCE: ClockSpan = ClockSpan::from_millis(250);
+/// Retry-After where nothing tells when tokens will be there: about the time
+/// in which an instance brings its grants up to date.
+const RETRY_UNKNOWN: ClockSpan = ClockSpan::from_millis(700);
+/// Retry-After at most, since a top-up may come at any time.
+const RETRY_MOST: ClockSpan = ClockSpan::from_millis(5_000);
+/// The shortest wait.
+const MILLISECOND: ClockSpan = ClockSpan::from_millis(1);
+
+/// Why a reservation was turned down.
+#[derive(Clone, Debug)]
+pub struct BudgetRefusal {
+    /// The answer for the caller.
+    pub answer: RefusalAnswer,
+    /// What the book said last.
+    pub cause: ReserveAnswer,
+    /// What it was decided by.
+    pub facts: BudgetFacts,
+    /// How long the request waited for tokens.
+    pub waited: ClockSpan,
+    /// How long the store had failed to answer.
+    pub store_away: ClockSpan,
+}
+
+/// Tokens that are set aside for one request.
+#[derive(Debug)]
+pub struct TokenReservation {
+    desk: Rc<BudgetDesk>,
+    organisation: OrganisationId,
+    reserved: u64,
+    spent: Cell<u64>,
+}
+
+impl TokenReservation {
+    /// Tokens set aside, and spent so far.
+    #[must_use]
+    pub fn tokens(&self) -> (u64, u64) {
+        (self.reserved, self.spent.get())
+    }
+
+    /// Tells what the request has spent so far, at most what was reserved.
+    pub fn spend(&self, tokens: TokenCount) {
+        self.spent.set(tokens.get().min(self.reserved));
+    }
+}
+
+impl Drop for TokenReservation {
+    fn drop(&mut self) {
+        let mut book = self.desk.book.borrow_mut();
+        book.settle(&self.organisation, self.reserved, self.spent.get());
+    }
+}
+
+/// A request that waits for tokens.
+struct WaitingRequest<'a> {
+    desk: &'a BudgetDesk,
+    organisation: &'a OrganisationId,
+    tokens: u64,
+}
+
+impl<'a> WaitingRequest<'a> {
+    fn new(desk: &'a BudgetDesk, organisation: &'a OrganisationId, tokens: u64) -> Self {
+        desk.book.borrow_mut().wait(organisation, tokens, true);
+        Self {
+            desk,
+            organisation,
+            tokens,
+        }
+    }
+}
+
+impl Drop for WaitingRequest<'_> {
+    fn drop(&mut self) {
+        let mut book = self.desk.book.borrow_mut();
+        book.wait(self.organisation, self.tokens, false);
+    }
+}
+
+impl BudgetDesk {
+    /// Sets the worst case of a request aside, and waits for the store where
+    /// that can help within `time_left`.
+    ///
+    /// # Errors
+    ///
+    /// The refusal with which the caller is to be turned away.
+    pub async fn reserve(
+        self: &Rc<Self>,
+        organisation: &OrganisationId,
+        worst: TokenCount,
+        time_left: ClockSpan,
+    ) -> Result<TokenReservation, BudgetRefusal> {
+        let tokens = worst.get();
+        let began = self.clock.now();
+        let patience = self.patience(time_left);
+        let mut waiting = None;
+        loop {
+            let changed = self.changed.listen();
+            let answer = self.ask(organisation, tokens);
+            if answer == ReserveAnswer::Granted {
+                return Ok(self.reservation(organisation, tokens));
+            }
+            let waited = self.clock.now().since(began);
+            let pause = self
+                .pause(answer, patience, waited)
+                .map_err(|refusal| self.explain(refusal, answer, organisation, waited))?;
+            if waiting.is_none() {
+                waiting = Some(WaitingRequest::new(self, organisation, tokens));
+                self.budget_bell.notify(usize::MAX);
+                self.line_bell.notify(usize::MAX);
+            }
+            wait_until(changed, timer_span(pause)).await;
+        }
+    }
+
+    fn explain(
+        &self,
+        answer: RefusalAnswer,
+        cause: ReserveAnswer,
+        organisation: &OrganisationId,
+        waited: ClockSpan,
+    ) -> BudgetRefusal {
+        let now = self.clock.now();
+        let since = self.failing_since.get();
+        BudgetRefusal {
+            answer,
+            cause,
+            facts: self.book.borrow().facts(organisation, now),
+            waited,
+            store_away: since.map_or(ClockSpan::default(), |since| now.since(since)),
+        }
+    }
+
+    fn ask(&self, organisation: &OrganisationId, tokens: u64) -> ReserveAnswer {
+        let now = self.clock.now();
+        let mut book = self.book.borrow_mut();
+        book.reserve(organisation, tokens, now)
+    }
+
+    fn reservation(self: &Rc<Self>, id: &OrganisationId, tokens: u64) -> TokenReservation {
+        TokenReservation {
+            desk: Rc::clone(self),
+            organisation: id.clone(),
+            reserved: tokens,
+            spent: Cell::new(0),
+        }
+    }
+
+    /// How long a request waits for the store.
+    fn patience(&self, time_left: ClockSpan) -> ClockSpan {
+        let usual = self.answer_ms.get() * PATIENCE_ANSWERS;
+        let most = usual.clamp(LEAST_PATIENCE_MS, MOST_PATIENCE_MS);
+        ClockSpan::from_millis(most.min(time_left.as_millis() / 3))
+    }
+
+    /// How long to wait before asking again.
+    fn pause(
+        &self,
+        answer: ReserveAnswer,
+        patience: ClockSpan,
+        waited: ClockSpan,
+    ) -> Result<ClockSpan, RefusalAnswer> {
+        let cut_off = self.is_cut_off();
+        let refuse =
+            |after| Err(RefusalAnswer::new(ForwardRefusal::BudgetUnavailable).after(after));
+        let left = ClockSpan::from_millis(patience.as_millis().saturating_sub(waited.as_millis()));
+        match answer {
+            ReserveAnswer::Exhausted => {
+                let refusal = RefusalAnswer::new(ForwardRefusal::BudgetExhausted);
+                Err(refusal.after(RETRY_MOST))
+            }
+            ReserveAnswer::Drained => refuse(RETRY_UNKNOWN),
+            ReserveAnswer::Locked(span)
+                if span <= LOCK_PATIENCE && waited < patience_of_lock(patience) =>
+            {
+                Ok(span.max(MILLISECOND))
+            }
+            ReserveAnswer::Locked(span) if cut_off || left <= MILLISECOND => {
+                refuse(span.min(RETRY_MOST))
+            }
+            ReserveAnswer::Locked(span) => Ok(span.min(left)),
+            _ if cut_off || left <= MILLISECOND => refuse(RETRY_UNKNOWN),
+            _ => Ok(left),
+        }
+    }
+
+    /// Whether the store has failed for longer than a request would wait.
+    fn is_cut_off(&self) -> bool {
+        let now = self.clock.now();
+        let patience = ClockSpan::from_millis(LEAST_PATIENCE_MS);
+        let since = self.failing_since.get();
+        since.is_some_and(|since| now.since(since) >= patience)
+    }
+}
+
+/// A request that others overtake at the line waits no longer than this.
+fn patience_of_lock(patience: ClockSpan) -> ClockSpan {
+    patience.max(LOCK_PATIENCE)
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/budget/rows.rs
@@ -0,0 +1,207 @@
+//! The organisations' rows: what each instance holds of a budget.
+
+use std::rc::Rc;
+
+use guavawell_core::grant::BudgetRow;
+use guavawell_core::id::OrganisationId;
+use guavawell_fleet::event::EventDraft;
+use smol::LocalExecutor;
+use smol::Timer;
+
+use super::BUDGET_TABLE;
+use super::BUDGET_TICK;
+use super::BudgetDesk;
+use super::FAULT_PAUSE;
+use super::FOLLOW_PAUSE;
+use super::calls::DecodedRow;
+use super::calls::budget_key;
+use super::calls::encode;
+use super::wait_until;
+use crate::store::RowChanges;
+use crate::store::RowState;
+use crate::store::StoreFault;
+use crate::store::WriteAnswer;
+
+/// Times that a row is written again after it changed meanwhile.
+const MAX_CONFLICTS: usize = 5;
+
+/// How a write of a budget's row ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PutEnd {
+    Written,
+    Changed,
+    Failed,
+}
+
+impl BudgetDesk {
+    /// Starts a task for each budget as it becomes known.
+    pub(super) async fn watch_budgets(self: Rc<Self>, executor: &Rc<LocalExecutor<'static>>) {
+        let mut watched: Vec<OrganisationId> = Vec::new();
+        loop {
+            let bell = self.budget_bell.listen();
+            let known: Vec<OrganisationId> = self.book.borrow().organisations().cloned().collect();
+            for id in known {
+                if let Err(place) = watched.binary_search(&id) {
+                    watched.insert(place, id.clone());
+                    let desk = Rc::clone(&self);
+                    executor
+                        .spawn(async move { desk.keep_budget(&id).await })
+                        .detach();
+                }
+            }
+            bell.await;
+        }
+    }
+
+    /// Follows what other instances write, so that this one knows their needs
+    /// and seldom writes in vain.
+    pub(super) async fn follow_budgets(&self) {
+        let mut since = self.newest.get();
+        loop {
+            Timer::after(FOLLOW_PAUSE).await;
+            match (self.store.changes)(BUDGET_TABLE, since).await {
+                Ok(changes) => {
+                    since = changes.newest;
+                    self.take_changes(&changes);
+                }
+                Err(StoreFault::HistoryGone) => {
+                    // What was missed shows when a write is turned down.
+                    since = self.newest.get();
+                }
+                Err(fault) => self.note_fault("changes", &fault),
+            }
+        }
+    }
+
+    fn take_changes(&self, changes: &RowChanges) {
+        for (part, state) in &changes.rows {
+            let Ok(id) = part.parse::<OrganisationId>() else {
+                continue;
+            };
+            self.newest.set(self.newest.get().max(state.version));
+            let known = self.book.borrow().budget_version(&id);
+            if state.version > known && known > 0 && self.take_budget(&id, state) {
+                self.budget_bell.notify(usize::MAX);
+            }
+        }
+    }
+
+    /// Keeps one budget's row up to date.
+    async fn keep_budget(&self, id: &OrganisationId) {
+        loop {
+            let bell = self.budget_bell.listen();
+            if self.keep_budget_once(id).await {
+                wait_until(bell, BUDGET_TICK).await;
+            } else {
+                Timer::after(FAULT_PAUSE).await;
+            }
+        }
+    }
+
+    /// Brings one budget's row up to date; false if the store failed or the
+    /// row changed meanwhile.
+    async fn keep_budget_once(&self, id: &OrganisationId) -> bool {
+        let unsure = self.book.borrow().budget_unsure(id);
+        if unsure && !self.read_budget(id).await {
+            return false;
+        }
+        for _ in 0..MAX_CONFLICTS {
+            let Some(row) = self.book.borrow().next_budget(id, self.clock.now()) else {
+                return true;
+            };
+            match self.put_budget(id, row).await {
+                PutEnd::Written => return true,
+                PutEnd::Failed => return false,
+                PutEnd::Changed => {}
+            }
+        }
+        false
+    }
+
+    async fn read_budget(&self, id: &OrganisationId) -> bool {
+        let Some(state) = self.read_row("budget", budget_key(id)).await else {
+            return false;
+        };
+        self.take_budget(id, &state)
+    }
+
+    fn take_budget(&self, id: &OrganisationId, state: &RowState) -> bool {
+        let DecodedRow::Readable(row) = self.decode::<BudgetRow>(&budget_key(id), state) else {
+            return false;
+        };
+        self.book.borrow_mut().saw_budget(id, state.version, row);
+        self.changed.notify(usize::MAX);
+        true
+    }
+
+    async fn put_budget(&self, id: &OrganisationId, row: BudgetRow) -> PutEnd {
+        let Some(bytes) = encode(&row) else {
+            return PutEnd::Failed;
+        };
+        let version = self.book.borrow().budget_version(id);
+        let before = self.book.borrow().granted(id);
+        self.book
+            .borrow_mut()
+            .sent_budget(id, row, self.clock.now());
+        let answer = self
+            .write_row("budget", budget_key(id), version, bytes)
+            .await;
+        metrics::counter!("guavawell_forward_budget_writes_total").increment(1);
+        match answer {
+            Ok(WriteAnswer::Done(version, _)) => {
+                self.book.borrow_mut().wrote_budget(id, version);
+                self.changed.notify(usize::MAX);
+                self.line_bell.notify(usize::MAX);
+                self.note_grant(id, before, version);
+                PutEnd::Written
+            }
+            Ok(WriteAnswer::Changed(state)) => {
+                self.book.borrow_mut().dropped_budget(id);
+                if self.take_budget(id, &state) {
+                    PutEnd::Changed
+                } else {
+                    PutEnd::Failed
+                }
+            }
+            Err(StoreFault::NotDone(_) | StoreFault::HistoryGone) => {
+                self.book.borrow_mut().dropped_budget(id);
+                PutEnd::Failed
+            }
+            Err(StoreFault::Unknown(_)) => PutEnd::Failed,
+        }
+    }
+
+    fn note_grant(&self, id: &OrganisationId, before: u64, version: u64) {
+        let facts = self.book.borrow().facts(id, self.clock.now());
+        let draft = EventDraft::new("budget.granted")
+            .organisation(id)
+            .field("before", before)
+            .field("grant", facts.grant)
+            .field("used", facts.used)
+            .field("paid", facts.paid)
+            .field("closed", facts.closed)
+            .field("committed", facts.committed)
+            .field("row", version);
+        self.log.emit(draft);
+    }
+
+    /// Gives every grant back: the process is about to end.
+    pub async fn give_back(&self) {
+        self.book.borrow_mut().leave();
+        let ids: Vec<OrganisationId> = self.book.borrow().organisations().cloned().collect();
+        for id in ids {
+            for _ in 0..MAX_CONFLICTS {
+                let unsure = self.book.borrow().budget_unsure(&id);
+                if unsure && !self.read_budget(&id).await {
+                    break;
+                }
+                let Some(row) = self.book.borrow().last_budget(&id) else {
+                    break;
+                };
+                if self.put_budget(&id, row).await != PutEnd::Changed {
+                    break;
+                }
+            }
+        }
+    }
+}
--- a/crates/guavawell-forward/src/door.rs
+++ b/crates/guavawell-forward/src/door.rs
@@ -206,13 +206,10 @@
     let mut body = Vec::with_capacity(announced.min(64 * 1024));
     loop {
         match within(BODY_TIME, channel.body_part(&mut decoder, &mut body)).await {
-            Ok(true) if body.len() > limits.body_bytes => {
+            Ok(_) if body.len() > limits.body_bytes => {
                 return refuse(ForwardRefusal::BodyTooLarge);
             }
             Ok(true) => {}
-            Ok(false) if body.len() > limits.body_bytes => {
-                return refuse(ForwardRefusal::BodyTooLarge);
-            }
             Ok(false) => return Ok(body),
             Err(ChannelError::Body(_)) => return refuse(ForwardRefusal::Malformed),
             Err(_) => return Err(None),
--- a/crates/guavawell-forward/src/http/head.rs
+++ b/crates/guavawell-forward/src/http/head.rs
@@ -43,16 +43,16 @@
 
 #[derive(Clone, Debug)]
 struct FieldSpan {
-    name: Range<u32>,
-    value: Range<u32>,
+    name: Range<usize>,
+    value: Range<usize>,
 }
 
 impl FieldList {
     /// All fields in order.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.fields.iter().map(|field| {
-            let name = &self.bytes[span(&field.name)];
-            let value = &self.bytes[span(&field.value)];
+            let name = &self.bytes[field.name.clone()];
+            let value = &self.bytes[field.value.clone()];
             (std::str::from_utf8(name).unwrap_or(""), value)
         })
     }
@@ -83,8 +83,8 @@
     fn capture(bytes: &[u8], parsed: &[httparse::Header<'_>]) -> Self {
         let base = bytes.as_ptr() as usize;
         let place = |part: &[u8]| {
-            let start = (part.as_ptr() as usize).saturating_sub(base) as u32;
-            start..start + part.len() as u32
+            let start = (part.as_ptr() as usize).saturating_sub(base);
+            start..start + part.len()
         };
         let fields = parsed.iter().map(|field| FieldSpan {
             name: place(field.name.as_bytes()),
@@ -97,10 +97,6 @@
     }
 }
 
-fn span(range: &Range<u32>) -> Range<usize> {
-    range.start as usize..range.end as usize
-}
-
 /// Whether a field concerns one connection only.
 #[must_use]
 pub fn is_hop_by_hop(fields: &FieldList, name: &str) -> bool {
--- a/crates/guavawell-forward/src/pool.rs
+++ b/crates/guavawell-forward/src/pool.rs
@@ -95,10 +95,8 @@
 #[must_use]
 pub fn keep_span(fields: &FieldList, default: ClockSpan) -> ClockSpan {
     let told = fields.get("keep-alive").and_then(|value| {
-        let parts = value.split(',').map(str::trim);
-        let seconds = parts
-            .filter_map(|part| part.strip_prefix("timeout="))
-            .next()?;
+        let mut parts = value.split(',').map(str::trim);
+        let seconds = parts.find_map(|part| part.strip_prefix("timeout="))?;
         seconds.parse::<u64>().ok()
     });
     told.map_or(default, |seconds| {
--- a/crates/guavawell-forward/src/record.rs
+++ b/crates/guavawell-forward/src/record.rs
@@ -7,6 +7,7 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ForwardRefusal;
 use guavawell_core::id::OrganisationId;
+use guavawell_core::number::fraction;
 use guavawell_fleet::event::EventDraft;
 
 use crate::router::ForwardRouter;
@@ -90,7 +91,7 @@
         metrics::counter!("guavawell_forward_requests_total", "outcome" => state.outcome)
             .increment(1);
         metrics::histogram!("guavawell_forward_request_seconds", "outcome" => state.outcome)
-            .record(took.as_millis() as f64 / 1_000.0);
+            .record(fraction(took.as_millis()) / 1_000.0);
         let mut draft = EventDraft::new("request.ended")
             .field("outcome", state.outcome)
             .field("status", state.status)
--- a/crates/guavawell-forward/src/refuse.rs
+++ b/crates/guavawell-forward/src/refuse.rs
@@ -4,6 +4,7 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::forward::ForwardRefusal;
+use guavawell_core::number::fraction;
 
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -63,7 +64,7 @@
         head.field("Content-Type", b"application/json");
         head.field_of("Content-Length", body.len());
         if let Some(span) = self.retry_after.filter(|_| status == 503 || status == 402) {
-            let seconds = span.as_millis() as f64 / 1_000.0;
+            let seconds = fraction(span.as_millis()) / 1_000.0;
             head.field_of("Retry-After", format_args!("{seconds:.2}"));
         }
         if !keep {
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -14,6 +14,7 @@
 use guavawell_core::forward::ServerTable;
 use guavawell_core::id::BackendId;
 use guavawell_core::id::ServiceId;
+use guavawell_core::number::fraction;
 use guavawell_fleet::event::EventDraft;
 use guavawell_fleet::event::EventLog;
 
@@ -111,7 +112,7 @@
             .field("before", before.unwrap_or(0))
             .field("organisations", config.organisations.len());
         self.log.emit(draft);
-        metrics::gauge!("guavawell_forward_config_version").set(version as f64);
+        metrics::gauge!("guavawell_forward_config_version").set(fraction(version));
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
 
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -15,6 +15,7 @@
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::ServiceId;
 use guavawell_core::id::TokenCount;
+use guavawell_core::number::whole;
 
 use crate::budget::BudgetRefusal;
 use crate::budget::TokenReservation;
@@ -284,7 +285,7 @@
         .trim()
         .parse()
         .map_err(|_| RefusalAnswer::new(ForwardRefusal::Malformed))?;
-    let span = ClockSpan::from_millis(left.max(0.0) as u64);
+    let span = ClockSpan::from_millis(whole(left));
     Ok(limit.min(request.received_at + span))
 }
 
