A second attempt does not forget what the first one delivered

Change: a charge only rises, and is taken back only with proof that nothing ran. Also: a store's 5xx other than 503 leaves a write's outcome open; grants are given back only when no write of the row is on its way; tokens of other instances are waited for up to 350 ms while rows are followed every 120 ms.

--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -131,6 +131,11 @@
         }
     }
 
+    /// The write of the lines has no answer and will get none.
+    pub fn lost_lines(&mut self) {
+        self.lines.lost();
+    }
+
     /// The write of the lines was surely not carried out.
     pub fn dropped_lines(&mut self) {
         self.lines.dropped();
@@ -207,6 +212,18 @@
         self.state(id).row.stands(version);
     }
 
+    /// The write of a budget's row has no answer and will get none.
+    pub fn lost_budget(&mut self, id: &OrganisationId) {
+        self.state(id).row.lost();
+    }
+
+    /// Whether a write of a budget's row is on its way.
+    #[must_use]
+    pub fn budget_writing(&self, id: &OrganisationId) -> bool {
+        let place = self.find(id);
+        place.is_some_and(|place| self.budgets[place].row.is_writing())
+    }
+
     /// The write of a budget's row was surely not carried out.
     pub fn dropped_budget(&mut self, id: &OrganisationId) {
         self.state(id).row.dropped();
@@ -304,6 +321,15 @@
         served || told || (changed && (old || gives))
     }
 
+    /// Whether tokens of any budget are asked for, here or elsewhere, that an
+    /// instance may be about to give back.
+    #[must_use]
+    pub fn is_contended(&self, now: ClockTime) -> bool {
+        let contended =
+            |state: &BudgetState| self.missing(state, now) > 0 || self.others_want(state);
+        self.budgets.iter().any(contended)
+    }
+
     /// Whether another instance lacks tokens of this budget.
     fn others_want(&self, state: &BudgetState) -> bool {
         let Some(row) = state.row.known() else {
--- a/crates/guavawell-core/src/grant/version.rs
+++ b/crates/guavawell-core/src/grant/version.rs
@@ -11,6 +11,8 @@
     known: Option<T>,
     read: bool,
     pending: Vec<T>,
+    /// A write was sent and neither answered nor given up.
+    writing: bool,
 }
 
 impl<T> Default for RowVersions<T> {
@@ -20,6 +22,7 @@
             known: None,
             read: false,
             pending: Vec::new(),
+            writing: false,
         }
     }
 }
@@ -57,12 +60,14 @@
 
     /// A write is about to be sent.
     pub fn sent(&mut self, row: T) {
+        self.writing = true;
         self.pending.push(row);
     }
 
     /// The write sent last was carried out. A read may have shown it, or what
     /// followed it, before its answer came.
     pub fn stands(&mut self, version: u64) {
+        self.writing = false;
         if self.read && version <= self.version {
             return;
         }
@@ -74,9 +79,22 @@
 
     /// The write sent last was not and will not be carried out.
     pub fn dropped(&mut self) {
+        self.writing = false;
         self.pending.pop();
     }
 
+    /// The write sent last has no answer and will get none.
+    pub const fn lost(&mut self) {
+        self.writing = false;
+    }
+
+    /// Whether a write is on its way. Only one may be, so that an answer
+    /// belongs to the newest open write.
+    #[must_use]
+    pub const fn is_writing(&self) -> bool {
+        self.writing
+    }
+
     /// The row was read: `None` if there is none. Reads that are older than
     /// what is known say nothing.
     pub fn seen(&mut self, version: u64, row: Option<T>) {
--- a/crates/guavawell-forward/src/budget/lines.rs
+++ b/crates/guavawell-forward/src/budget/lines.rs
@@ -109,7 +109,10 @@
                 self.book.borrow_mut().dropped_lines();
                 false
             }
-            Err(StoreFault::Unknown(_)) => false,
+            Err(StoreFault::Unknown(_)) => {
+                self.book.borrow_mut().lost_lines();
+                false
+            }
         }
     }
 }
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -41,6 +41,9 @@
 const BUDGET_TICK: Duration = Duration::from_millis(500);
 /// Pause between questions for other instances' writes.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
+/// The same while an instance lacks tokens that another one may give back, so
+/// that they move while the request waits.
+const CONTENDED_PAUSE: Duration = Duration::from_millis(120);
 /// Pause after a failed call to the store.
 const FAULT_PAUSE: Duration = Duration::from_millis(150);
 
--- a/crates/guavawell-forward/src/budget/reserve.rs
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -25,6 +25,11 @@
 /// Longest lock that a request sits out at an instance that is cut off: about
 /// half of what callers expect until the first token.
 const LOCK_PATIENCE: ClockSpan = ClockSpan::from_millis(250);
+/// How long a request waits for tokens that another instance holds: one
+/// question of that instance and three answers of the store.
+const SHARE_PATIENCE: ClockSpan = ClockSpan::from_millis(350);
+/// Pause between looks at whether they came.
+const SHARE_STEP: ClockSpan = ClockSpan::from_millis(50);
 /// Retry-After where nothing tells when tokens will be there: about the time
 /// in which an instance brings its grants up to date.
 const RETRY_UNKNOWN: ClockSpan = ClockSpan::from_millis(700);
@@ -64,9 +69,17 @@
         (self.reserved, self.spent.get())
     }
 
-    /// Tells what the request has spent so far, at most what was reserved.
+    /// Tells what the request has spent in all so far, at most what was
+    /// reserved. What was spent before never becomes less: a second attempt
+    /// begins without the events that the first one delivered.
     pub fn spend(&self, tokens: TokenCount) {
-        self.spent.set(tokens.get().min(self.reserved));
+        let spent = tokens.get().min(self.reserved);
+        self.spent.set(self.spent.get().max(spent));
+    }
+
+    /// The request surely has not run: it spends nothing.
+    pub fn release(&self) {
+        self.spent.set(0);
     }
 }
 
@@ -127,7 +140,7 @@
             }
             let waited = self.clock.now().since(began);
             let pause = self
-                .pause(answer, patience, waited)
+                .pause(answer, patience, waited, third_of(time_left))
                 .map_err(|refusal| self.explain(refusal, answer, organisation, waited))?;
             if waiting.is_none() {
                 waiting = Some(WaitingRequest::new(self, organisation, tokens));
@@ -175,7 +188,7 @@
     fn patience(&self, time_left: ClockSpan) -> ClockSpan {
         let usual = self.answer_ms.get() * PATIENCE_ANSWERS;
         let most = usual.clamp(LEAST_PATIENCE_MS, MOST_PATIENCE_MS);
-        ClockSpan::from_millis(most.min(time_left.as_millis() / 3))
+        ClockSpan::from_millis(most).min(third_of(time_left))
     }
 
     /// How long to wait before asking again.
@@ -184,6 +197,7 @@
         answer: ReserveAnswer,
         patience: ClockSpan,
         waited: ClockSpan,
+        time_left: ClockSpan,
     ) -> Result<ClockSpan, RefusalAnswer> {
         let cut_off = self.is_cut_off();
         let refuse =
@@ -204,8 +218,9 @@
                 refuse(span.min(RETRY_MOST))
             }
             ReserveAnswer::Locked(span) => Ok(span.min(left)),
-            _ if cut_off || left <= MILLISECOND => refuse(RETRY_UNKNOWN),
-            _ => Ok(left),
+            _ if cut_off => refuse(RETRY_UNKNOWN),
+            _ if waited < patience.max(SHARE_PATIENCE.min(time_left)) => Ok(left.max(SHARE_STEP)),
+            _ => refuse(RETRY_UNKNOWN),
         }
     }
 
@@ -222,3 +237,8 @@
 fn patience_of_lock(patience: ClockSpan) -> ClockSpan {
     patience.max(LOCK_PATIENCE)
 }
+
+/// The part of a request's time that may go into waiting for tokens.
+fn third_of(time_left: ClockSpan) -> ClockSpan {
+    ClockSpan::from_millis(time_left.as_millis() / 3)
+}
--- a/crates/guavawell-forward/src/budget/rows.rs
+++ b/crates/guavawell-forward/src/budget/rows.rs
@@ -1,6 +1,7 @@
 //! The organisations' rows: what each instance holds of a budget.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use guavawell_core::grant::BudgetRow;
 use guavawell_core::id::OrganisationId;
@@ -11,6 +12,7 @@
 use super::BUDGET_TABLE;
 use super::BUDGET_TICK;
 use super::BudgetDesk;
+use super::CONTENDED_PAUSE;
 use super::FAULT_PAUSE;
 use super::FOLLOW_PAUSE;
 use super::calls::DecodedRow;
@@ -25,6 +27,9 @@
 /// Times that a row is written again after it changed meanwhile.
 const MAX_CONFLICTS: usize = 5;
 
+/// Pause for a write of the same row that is on its way.
+const WRITE_PAUSE: Duration = Duration::from_millis(30);
+
 /// How a write of a budget's row ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PutEnd {
@@ -58,7 +63,13 @@
     pub(super) async fn follow_budgets(&self) {
         let mut since = self.newest.get();
         loop {
-            Timer::after(FOLLOW_PAUSE).await;
+            let contended = self.book.borrow().is_contended(self.clock.now());
+            let pause = if contended {
+                CONTENDED_PAUSE
+            } else {
+                FOLLOW_PAUSE
+            };
+            Timer::after(pause).await;
             match (self.store.changes)(BUDGET_TABLE, since).await {
                 Ok(changes) => {
                     since = changes.newest;
@@ -167,7 +178,10 @@
                 self.book.borrow_mut().dropped_budget(id);
                 PutEnd::Failed
             }
-            Err(StoreFault::Unknown(_)) => PutEnd::Failed,
+            Err(StoreFault::Unknown(_)) => {
+                self.book.borrow_mut().lost_budget(id);
+                PutEnd::Failed
+            }
         }
     }
 
@@ -191,6 +205,11 @@
         let ids: Vec<OrganisationId> = self.book.borrow().organisations().cloned().collect();
         for id in ids {
             for _ in 0..MAX_CONFLICTS {
+                // A write of the keeping task may still be on its way.
+                if self.book.borrow().budget_writing(&id) {
+                    Timer::after(WRITE_PAUSE).await;
+                    continue;
+                }
                 let unsure = self.book.borrow().budget_unsure(&id);
                 if unsure && !self.read_budget(&id).await {
                     break;
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -13,7 +13,6 @@
 use guavawell_core::forward::choose_server;
 use guavawell_core::forward::next_step;
 use guavawell_core::id::BackendId;
-use guavawell_core::id::TokenCount;
 use guavawell_fleet::event::EventDraft;
 
 use crate::attempt::AttemptOutcome;
@@ -197,7 +196,7 @@
         return false;
     }
     if let Some(reservation) = call.reservation.as_ref().filter(|_| !progress.may_have_run) {
-        reservation.spend(TokenCount::ZERO);
+        reservation.release();
     }
     let spread = ClockSpan::from_millis(fastrand::u64(..RETRY_SPREAD_MS));
     let base = match refusal {
