Test the decisions on forwarded requests, worst loads replayed

Cause: routes, choice, repeats and framing stood without tests of their own. Change: core tests/forward (with replays of half of the servers dark, many shared prompts, one hot prompt) and forward tests/http (every cut, 40,000 spoiled inputs).

--- /dev/null
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -0,0 +1,9 @@
+//! Decisions on forwarded requests: routes, repeats, choice of a server, and
+//! replays of the worst loads.
+
+mod choice;
+mod load;
+mod plan;
+mod repeat;
+mod route;
+mod support;
--- /dev/null
+++ b/crates/guavawell-core/tests/forward/repeat.rs
@@ -0,0 +1,57 @@
+//! The allowance for repeats.
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::RepeatAllowance;
+use guavawell_core::forward::RepeatSettings;
+
+use crate::support::START;
+use crate::support::service;
+
+#[test]
+fn six_instances_together_stay_within_the_fleets_allowance_in_any_window() {
+    let settings = RepeatSettings::default();
+    let mut instances = vec![RepeatAllowance::default(); settings.instances];
+    let mut sent: Vec<(u64, bool)> = Vec::new();
+    let mut random = fastrand::Rng::with_seed(3);
+    // A surge of failures: every request wants a repeat, at an uneven rate.
+    for millis in (0..60_000).step_by(10) {
+        let now = START + ClockSpan::from_millis(millis);
+        let burst = if millis % 20_000 < 5_000 { 3 } else { 1 };
+        for _ in 0..burst {
+            let instance = &mut instances[random.usize(..settings.instances)];
+            instance.count_request(&service(), now, settings.window);
+            sent.push((millis, false));
+            if instance.take(&service(), now, &settings) {
+                sent.push((millis, true));
+            }
+        }
+    }
+    let window = settings.window.as_millis();
+    for begin in (0..60_000).step_by(500) {
+        let inside = |(at, _): &&(u64, bool)| (begin..begin + window).contains(at);
+        let repeats = sent
+            .iter()
+            .filter(inside)
+            .filter(|(_, repeat)| *repeat)
+            .count();
+        let requests = sent
+            .iter()
+            .filter(inside)
+            .filter(|(_, repeat)| !repeat)
+            .count();
+        let most = requests as u64 / 5 + 50;
+        assert!(
+            repeats as u64 <= most,
+            "{repeats} repeats of {requests} at {begin}"
+        );
+    }
+    assert!(sent.iter().any(|(_, repeat)| *repeat));
+}
+
+#[test]
+fn without_requests_only_the_shared_part_is_left() {
+    let settings = RepeatSettings::default();
+    let mut allowance = RepeatAllowance::default();
+    let taken = (0..100).filter(|_| allowance.take(&service(), START, &settings));
+    assert_eq!(taken.count(), 6);
+}
--- /dev/null
+++ b/crates/guavawell-core/tests/forward/support.rs
@@ -0,0 +1,97 @@
+//! Servers and asks for the tests.
+
+use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ChoiceAsk;
+use guavawell_core::forward::ChoiceSettings;
+use guavawell_core::forward::EngineFacts;
+use guavawell_core::forward::LoadFigures;
+use guavawell_core::forward::PromptPart;
+use guavawell_core::forward::ServerEntry;
+use guavawell_core::forward::ServerHealth;
+use guavawell_core::forward::ServerPhase;
+use guavawell_core::forward::ServerPick;
+use guavawell_core::forward::ServerTable;
+use guavawell_core::forward::TokenUsage;
+use guavawell_core::forward::choose_server;
+use guavawell_core::id::BackendId;
+use guavawell_core::id::ServiceId;
+use guavawell_core::id::TokenCount;
+use guavawell_core::id::ZoneId;
+
+/// The engines of the tests.
+pub const ENGINE: EngineFacts = EngineFacts {
+    slots: 8,
+    memory: TokenCount::new(200_000),
+    event_tokens: 5,
+};
+
+/// A time well after the epoch.
+pub const START: ClockTime = ClockTime::from_millis(1_000_000);
+
+pub fn service() -> ServiceId {
+    "pool".parse().expect("a valid id")
+}
+
+pub fn zone(name: &str) -> ZoneId {
+    name.parse().expect("a valid id")
+}
+
+pub fn server(number: usize) -> BackendId {
+    format!("i-{number:03}").parse().expect("a valid id")
+}
+
+/// Ready servers, in two zones by turns.
+pub fn table(count: usize) -> ServerTable {
+    let mut table = ServerTable::default();
+    for number in 0..count {
+        table.upsert(ServerEntry {
+            id: server(number),
+            service: service(),
+            address: ([10, 0, 0, 1], 8_000).into(),
+            zone: zone(["z1", "z2"][number % 2]),
+            slots: 8,
+            phase: ServerPhase::Ready,
+            load: LoadFigures::default(),
+            health: ServerHealth::default(),
+        });
+    }
+    table
+}
+
+/// A request with a shared part.
+#[derive(Clone, Copy)]
+pub struct Ask {
+    pub part: u64,
+    pub shared: u64,
+    pub input: u64,
+}
+
+pub fn choose(table: &ServerTable, ask: Ask, now: ClockTime) -> Option<ServerPick> {
+    choose_without(table, ask, now, &[])
+}
+
+pub fn choose_without(
+    table: &ServerTable,
+    ask: Ask,
+    now: ClockTime,
+    tried: &[BackendId],
+) -> Option<ServerPick> {
+    let service = service();
+    let zone = zone("z1");
+    let ask = ChoiceAsk {
+        service: &service,
+        engine: Some(ENGINE),
+        zone: &zone,
+        affinity: Some(PromptPart {
+            id: ask.part,
+            tokens: TokenCount::new(ask.shared),
+        }),
+        shared_tokens: ask.shared,
+        usage: TokenUsage {
+            input: TokenCount::new(ask.input),
+            output_limit: TokenCount::new(100),
+        },
+        tried,
+    };
+    choose_server(table, &ask, now, &ChoiceSettings::default()).ok()
+}
--- /dev/null
+++ b/crates/guavawell-forward/tests/http.rs
@@ -0,0 +1,134 @@
+//! Heads and bodies from outside, cut at every place and spoiled at random.
+
+use guavawell_forward::events::scan_events;
+use guavawell_forward::http::BodyDecoder;
+use guavawell_forward::http::BodyFraming;
+use guavawell_forward::http::RequestHead;
+use guavawell_forward::http::ResponseHead;
+
+fn decode_in_parts(framing: BodyFraming, bytes: &[u8], cut: usize) -> Option<Vec<u8>> {
+    let mut decoder = BodyDecoder::new(framing);
+    let mut body = Vec::new();
+    let mut held: Vec<u8> = Vec::new();
+    for part in [&bytes[..cut], &bytes[cut..]] {
+        held.extend_from_slice(part);
+        let taken = decoder.decode(&held, &mut body).ok()?;
+        held.drain(..taken);
+    }
+    decoder.is_done().then_some(body)
+}
+
+#[test]
+fn chunks_decode_alike_wherever_they_are_cut() {
+    let bytes = b"5\r\nhello\r\nA;name=value\r\n, everyone\r\n0\r\nTrailer: 1\r\n\r\n";
+    for cut in 0..=bytes.len() {
+        let body = decode_in_parts(BodyFraming::Chunked, bytes, cut);
+        assert_eq!(
+            body.as_deref(),
+            Some(&b"hello, everyone"[..]),
+            "cut at {cut}"
+        );
+    }
+}
+
+#[test]
+fn malformed_chunks_are_refused() {
+    for bytes in [
+        &b"\r\n"[..],
+        b"g\r\n",
+        b"-1\r\n",
+        b"5\nhello",
+        b"5\r\nhelloXX",
+        b"ffffffffffffffffff\r\n",
+        b" 5\r\nhello\r\n",
+    ] {
+        let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+        let result = decoder.decode(bytes, &mut Vec::new());
+        assert!(result.is_err(), "{:?}", String::from_utf8_lossy(bytes));
+    }
+}
+
+#[test]
+fn a_length_takes_its_bytes_and_leaves_the_rest() {
+    let mut decoder = BodyDecoder::new(BodyFraming::Length(3));
+    let mut body = Vec::new();
+    assert_eq!(decoder.decode(b"abcdef", &mut body), Ok(3));
+    assert!(decoder.is_done());
+    assert_eq!(body, b"abc");
+}
+
+#[test]
+fn answers_without_a_length_end_with_their_connection() {
+    let head = b"HTTP/1.1 200 OK\r\n\r\n";
+    let head = ResponseHead::parse(head, false).expect("a head");
+    assert_eq!(head.framing, BodyFraming::UntilClose);
+    assert!(!head.keep);
+    let head = ResponseHead::parse(b"HTTP/1.1 204 No\r\n\r\n", false).expect("a head");
+    assert_eq!(head.framing, BodyFraming::Empty);
+}
+
+#[test]
+fn answers_with_ambiguous_framing_are_refused() {
+    for fields in [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 3, 3\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    ] {
+        let head = format!("HTTP/1.1 200 OK\r\n{fields}\r\n");
+        assert!(
+            ResponseHead::parse(head.as_bytes(), false).is_err(),
+            "{fields}"
+        );
+    }
+}
+
+#[test]
+fn spoiled_heads_never_panic_and_never_invent_a_host() {
+    let good =
+        b"POST /a/b?c HTTP/1.1\r\nHost: one.example:80\r\nX-A: 1\r\nContent-Length: 5\r\n\r\n";
+    let mut random = fastrand::Rng::with_seed(5);
+    for _ in 0..20_000 {
+        let mut bytes = good.to_vec();
+        for _ in 0..random.usize(1..4) {
+            let place = random.usize(..bytes.len());
+            bytes[place] = random.u8(..);
+        }
+        let _ = RequestHead::parse(&bytes);
+        let _ = ResponseHead::parse(&bytes, false);
+    }
+    let head = RequestHead::parse(good).expect("a head");
+    assert_eq!((&*head.host, head.path()), ("one.example", "/a/b"));
+}
+
+#[test]
+fn spoiled_chunks_never_panic() {
+    let mut random = fastrand::Rng::with_seed(6);
+    for _ in 0..20_000 {
+        let length = random.usize(..40);
+        let alphabet = b"0123456789abcdefg\r\n;: ";
+        let bytes: Vec<u8> = (0..length)
+            .map(|_| alphabet[random.usize(..alphabet.len())])
+            .collect();
+        let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+        let mut body = Vec::new();
+        if let Ok(taken) = decoder.decode(&bytes, &mut body) {
+            assert!(taken <= bytes.len());
+            assert!(body.len() <= taken);
+        }
+    }
+}
+
+#[test]
+fn only_whole_events_count() {
+    let bytes = b"id: 3\ndata: a\n\nid: 4\ndata: b\n\nid: 5\nda";
+    let scan = scan_events(bytes);
+    assert_eq!(
+        (scan.count, scan.first_id, scan.last_id),
+        (2, Some(3), Some(4))
+    );
+    assert_eq!(&bytes[scan.whole..], b"id: 5\nda");
+    assert_eq!(scan_events(b"data: half").whole, 0);
+    let windows = scan_events(b"id: 1\r\ndata: a\r\n\r\n");
+    assert_eq!((windows.count, windows.last_id), (1, Some(1)));
+}
