--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -45,8 +45,14 @@
     pub instances: usize,
     /// Age of the line beyond which it is written again if tokens were spent.
     pub line_age: ClockSpan,
+    /// Further age of the line for each instance, so that a large fleet writes
+    /// no more than a small one: 125 lines a second in all.
+    pub line_age_each: ClockSpan,
     /// Age of the entry in a budget's row beyond which it is brought up to date.
     pub entry_age: ClockSpan,
+    /// Further age of the entry for each instance: instances that write one row
+    /// often turn each other's writes down.
+    pub entry_age_each: ClockSpan,
     /// How long a shortage is told to other instances.
     pub shortage_age: ClockSpan,
 }
@@ -66,7 +72,9 @@
             burst_part: 0.15,
             instances: 3,
             line_age: ClockSpan::from_millis(150),
+            line_age_each: ClockSpan::from_millis(8),
             entry_age: ClockSpan::from_millis(1_000),
+            entry_age_each: ClockSpan::from_millis(40),
             shortage_age: ClockSpan::from_millis(2_000),
         }
     }
@@ -306,6 +314,12 @@
         rows.map(|row| row.holders.len()).max().unwrap_or(0)
     }
 
+    /// An age that grows with the fleet.
+    pub(super) fn paced(&self, base: ClockSpan, each: ClockSpan) -> ClockSpan {
+        let instances = self.known_instances() as u64;
+        ClockSpan::from_millis(base.as_millis() + each.as_millis() * instances)
+    }
+
     /// No more reservations: the process is leaving.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -14,7 +14,7 @@
 /// Unanswered writes of a row beyond which only reads are sent.
 const MAX_OPEN: usize = 4;
 /// Change of a grant, as a part of the stock, that is worth a write.
-const WORTH_WRITING: f64 = 0.3;
+const WORTH_WRITING: f64 = 0.4;
 
 impl GrantBook {
     /// The row of lines was read, or a write of it was turned down with it.
@@ -62,7 +62,9 @@
             return None;
         }
         let before = self.lines.known()?;
-        let fresh = now.since(self.lines_at) < self.settings.line_age;
+        let settings = &self.settings;
+        let age = self.paced(settings.line_age, settings.line_age_each);
+        let fresh = now.since(self.lines_at) < age;
         let waits = self.budgets.iter().any(|state| state.waiting > 0);
         let lines: Vec<SpendLine> = self
             .budgets
@@ -314,9 +316,11 @@
         let have = fraction(held.grant.saturating_sub(state.used));
         let want = fraction(next.grant.saturating_sub(state.used));
         let changed = (want - have).abs() > WORTH_WRITING * want.max(have);
-        let old = now.since(state.written_at) >= self.settings.entry_age;
+        let settings = &self.settings;
+        let age = self.paced(settings.entry_age, settings.entry_age_each);
+        let old = now.since(state.written_at) >= age;
         let served = state.waiting > 0 && next.grant > held.grant;
-        let told = (next.wanted > 0) != (held.wanted > 0);
+        let told = next.wanted > 0 && held.wanted == 0;
         let gives = want < have && self.others_want(state);
         served || told || (changed && (old || gives))
     }
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -44,6 +44,11 @@
 /// The same while an instance lacks tokens that another one may give back, so
 /// that they move while the request waits.
 const CONTENDED_PAUSE: Duration = Duration::from_millis(120);
+/// Further pause for each instance, so that reading what all others write
+/// takes a bounded part of the processor.
+const FOLLOW_EACH: Duration = Duration::from_millis(15);
+/// See [`FOLLOW_EACH`].
+const CONTENDED_EACH: Duration = Duration::from_millis(8);
 /// Pause after a failed call to the store.
 const FAULT_PAUSE: Duration = Duration::from_millis(150);
 
--- a/crates/guavawell-forward/src/budget/rows.rs
+++ b/crates/guavawell-forward/src/budget/rows.rs
@@ -12,8 +12,10 @@
 use super::BUDGET_TABLE;
 use super::BUDGET_TICK;
 use super::BudgetDesk;
+use super::CONTENDED_EACH;
 use super::CONTENDED_PAUSE;
 use super::FAULT_PAUSE;
+use super::FOLLOW_EACH;
 use super::FOLLOW_PAUSE;
 use super::calls::DecodedRow;
 use super::calls::budget_key;
@@ -64,12 +66,13 @@
         let mut since = self.newest.get();
         loop {
             let contended = self.book.borrow().is_contended(self.clock.now());
-            let pause = if contended {
-                CONTENDED_PAUSE
+            let (base, each) = if contended {
+                (CONTENDED_PAUSE, CONTENDED_EACH)
             } else {
-                FOLLOW_PAUSE
+                (FOLLOW_PAUSE, FOLLOW_EACH)
             };
-            Timer::after(pause).await;
+            let instances = u32::try_from(self.instances()).unwrap_or(u32::MAX);
+            Timer::after(base + each * instances).await;
             match (self.store.changes)(BUDGET_TABLE, since).await {
                 Ok(changes) => {
                     since = changes.newest;
