--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -307,19 +307,23 @@
         place.map_or(0, |place| self.grant(&self.budgets[place]))
     }
 
-    /// Instances that hold grants of any budget, this one included.
-    #[must_use]
-    pub fn known_instances(&self) -> usize {
-        let rows = self.budgets.iter().filter_map(|state| state.row.known());
-        rows.map(|row| row.holders.len()).max().unwrap_or(0)
-    }
-
     /// An age that grows with the fleet.
     pub(super) fn paced(&self, base: ClockSpan, each: ClockSpan) -> ClockSpan {
-        let instances = self.known_instances() as u64;
+        let instances = self.settings.instances as u64;
         ClockSpan::from_millis(base.as_millis() + each.as_millis() * instances)
     }
 
+    /// The fleet has this many instances, as far as the store's rows tell.
+    pub fn set_instances(&mut self, instances: usize) {
+        self.settings.instances = self.settings.instances.max(instances);
+    }
+
+    /// Instances that are reckoned with.
+    #[must_use]
+    pub const fn instances(&self) -> usize {
+        self.settings.instances
+    }
+
     /// No more reservations: the process is leaving.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/crates/guavawell-forward/src/budget/lines.rs
+++ b/crates/guavawell-forward/src/budget/lines.rs
@@ -5,10 +5,10 @@
 use smol::Timer;
 
 use super::BudgetDesk;
-use super::FAULT_PAUSE;
 use super::LINE_TICK;
 use super::calls::DecodedRow;
 use super::calls::encode;
+use super::fault_pause;
 use super::wait_until;
 use crate::store::RowState;
 use crate::store::StoreFault;
@@ -24,7 +24,7 @@
                 self.log.emit(draft);
                 return;
             }
-            Timer::after(FAULT_PAUSE).await;
+            Timer::after(fault_pause()).await;
         }
     }
 
@@ -50,7 +50,7 @@
             if done {
                 wait_until(bell, LINE_TICK).await;
             } else {
-                Timer::after(FAULT_PAUSE).await;
+                Timer::after(fault_pause()).await;
             }
         }
     }
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -49,6 +49,13 @@
 const FOLLOW_EACH: Duration = Duration::from_millis(15);
 /// See [`FOLLOW_EACH`].
 const CONTENDED_EACH: Duration = Duration::from_millis(8);
+/// Time from the start to the second count of the fleet's instances.
+const FIRST_COUNT: Duration = Duration::from_millis(400);
+/// Pause between counts of the fleet's instances.
+const COUNT_PAUSE: Duration = Duration::from_secs(5);
+/// Spread of the first writes of a row for each instance: all of them start at
+/// one moment and would turn each other's writes down.
+const START_SPREAD_EACH: Duration = Duration::from_millis(8);
 /// Pause after a failed call to the store.
 const FAULT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -113,10 +120,10 @@
         self.book.borrow().is_open()
     }
 
-    /// Instances that are known to hold grants.
+    /// Instances of the fleet that are reckoned with.
     #[must_use]
     pub fn instances(&self) -> usize {
-        self.book.borrow().known_instances()
+        self.book.borrow().instances()
     }
 
     /// Starts the tasks that write rows.
@@ -130,6 +137,17 @@
             spawner
                 .spawn(async move { budgets.watch_budgets(&spawner_of_rows).await })
                 .detach();
+            desk.count_fleet().await;
+            let counter = Rc::clone(&desk);
+            let count = async move {
+                // A fleet that starts as a whole is complete after a moment.
+                Timer::after(FIRST_COUNT).await;
+                loop {
+                    counter.count_fleet().await;
+                    Timer::after(COUNT_PAUSE).await;
+                }
+            };
+            spawner.spawn(count).detach();
             let follower = Rc::clone(&desk);
             spawner
                 .spawn(async move { follower.follow_budgets().await })
@@ -140,6 +158,12 @@
     }
 }
 
+/// A pause after a failure, spread so that instances do not come back at one
+/// moment.
+fn fault_pause() -> Duration {
+    FAULT_PAUSE + FAULT_PAUSE.mul_f64(fastrand::f64())
+}
+
 async fn wait_until(bell: EventListener, limit: Duration) {
     let late = async {
         Timer::after(limit).await;
--- a/crates/guavawell-forward/src/budget/rows.rs
+++ b/crates/guavawell-forward/src/budget/rows.rs
@@ -14,12 +14,13 @@
 use super::BudgetDesk;
 use super::CONTENDED_EACH;
 use super::CONTENDED_PAUSE;
-use super::FAULT_PAUSE;
 use super::FOLLOW_EACH;
 use super::FOLLOW_PAUSE;
+use super::START_SPREAD_EACH;
 use super::calls::DecodedRow;
 use super::calls::budget_key;
 use super::calls::encode;
+use super::fault_pause;
 use super::wait_until;
 use crate::store::RowChanges;
 use crate::store::RowState;
@@ -102,12 +103,15 @@
 
     /// Keeps one budget's row up to date.
     async fn keep_budget(&self, id: &OrganisationId) {
+        let instances = u32::try_from(self.instances()).unwrap_or(u32::MAX);
+        let spread = START_SPREAD_EACH * instances;
+        Timer::after(spread.mul_f64(fastrand::f64())).await;
         loop {
             let bell = self.budget_bell.listen();
             if self.keep_budget_once(id).await {
                 wait_until(bell, BUDGET_TICK).await;
             } else {
-                Timer::after(FAULT_PAUSE).await;
+                Timer::after(fault_pause()).await;
             }
         }
     }
--- a/crates/guavawell-forward/src/store.rs
+++ b/crates/guavawell-forward/src/store.rs
@@ -82,6 +82,9 @@
 pub type ReadChanges =
     Box<dyn Fn(&'static str, u64) -> LocalFuture<Result<RowChanges, StoreFault>>>;
 
+/// Counts the parts of a table.
+pub type CountParts = Box<dyn Fn(&'static str) -> LocalFuture<Result<usize, StoreFault>>>;
+
 /// Rows of the platform.
 pub struct RowStore {
     /// Reads a row.
@@ -90,6 +93,8 @@
     pub write: WriteRow,
     /// Reads changes.
     pub changes: ReadChanges,
+    /// Counts the parts of a table.
+    pub count_parts: CountParts,
 }
 
 impl fmt::Debug for RowStore {
