--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -8,33 +8,32 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::AttemptEnd;
 use guavawell_core::forward::RepeatKind;
-use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::id::BackendId;
 
+use crate::answer::OpenAnswer;
+use crate::answer::PlainAnswer;
 use crate::clock::timer_span;
 use crate::http::BodyDecoder;
 use crate::http::ChannelError;
-use crate::http::FieldList;
-use crate::http::HeadWriter;
 use crate::http::HttpChannel;
 use crate::http::ResponseHead;
-use crate::http::is_hop_by_hop;
 use crate::http::within;
-use crate::pool::keep_span;
+use crate::lease::ServerLease;
 use crate::relay::relay_plain;
 use crate::relay::relay_stream;
+use crate::request::request_bytes;
 use crate::router::ForwardRouter;
 use crate::send::RequestProgress;
 use crate::serve::ForwardCall;
 
 /// Largest head of a server's answer, in bytes.
 const ANSWER_HEAD_BYTES: usize = 32 * 1024;
+/// Pause between looks at whether a silent server deserves more time.
+const PATIENCE_STEP: ClockSpan = ClockSpan::from_millis(200);
 /// Largest answer to another request that is read past, in bytes.
 const STRAY_BYTES: usize = 256 * 1024;
-/// Rank of the least urgent requests.
-const LAST_PRIORITY: u8 = 9;
 
 /// What became of an attempt.
 #[derive(Debug)]
@@ -51,145 +50,6 @@
     Ended(AttemptEnd, Option<PlainAnswer>),
 }
 
-/// A whole answer of a server.
-#[derive(Debug)]
-pub struct PlainAnswer {
-    /// Its head.
-    pub head: ResponseHead,
-    /// Its body.
-    pub body: Vec<u8>,
-}
-
-impl PlainAnswer {
-    /// The answer as it goes to the caller.
-    #[must_use]
-    pub fn bytes(&self, to_head: bool, keep: bool) -> Vec<u8> {
-        let mut head = HeadWriter::response(self.head.status, &self.head.reason);
-        copy_fields(&self.head.fields, &mut head);
-        if to_head {
-            for value in self.head.fields.all("content-length") {
-                head.field("Content-Length", value);
-            }
-        } else if self.head.status != 204 && self.head.status != 304 {
-            head.field_of("Content-Length", self.body.len());
-        }
-        if !keep {
-            head.field("Connection", b"close");
-        }
-        let mut bytes = head.finish();
-        bytes.extend_from_slice(&self.body);
-        bytes
-    }
-}
-
-/// Copies a server's fields but for those of one connection.
-pub fn copy_fields(fields: &FieldList, head: &mut HeadWriter) {
-    for (name, value) in fields.iter() {
-        let framing = name.eq_ignore_ascii_case("content-length");
-        if !framing && !is_hop_by_hop(fields, name) {
-            head.field(name, value);
-        }
-    }
-}
-
-/// Counts a request at a server while it runs there.
-#[derive(Debug)]
-pub struct ServerLease {
-    router: Rc<ForwardRouter>,
-    server: BackendId,
-    unread: Cell<u64>,
-    memory: u64,
-}
-
-impl ServerLease {
-    fn new(router: &Rc<ForwardRouter>, pick: &ServerPick, memory: u64) -> Self {
-        let now = router.clock.now();
-        if let Some(server) = router.servers.borrow_mut().get_mut(&pick.server) {
-            server.begin(now, pick.unread_tokens, memory);
-        }
-        Self {
-            router: Rc::clone(router),
-            server: pick.server.clone(),
-            unread: Cell::new(pick.unread_tokens),
-            memory,
-        }
-    }
-
-    /// Bytes of the server were received.
-    pub fn heard(&self) {
-        let now = self.router.clock.now();
-        self.change(|server| server.health.heard_at = now);
-    }
-
-    /// The server has read the prompt.
-    pub fn prompt_read(&self) {
-        let unread = self.unread.replace(0);
-        self.change(|server| {
-            server.load.unread_tokens = server.load.unread_tokens.saturating_sub(unread);
-        });
-    }
-
-    /// Whether the server has said nothing to anyone here for long.
-    #[must_use]
-    pub fn is_silent(&self) -> bool {
-        let now = self.router.clock.now();
-        let servers = self.router.servers.borrow();
-        servers
-            .get(&self.server)
-            .is_none_or(|server| server.silent(now))
-    }
-
-    /// The outcome, where the server could have served the request.
-    pub fn rate(&self, failed: bool) {
-        let now = self.router.clock.now();
-        self.change(|server| server.rate(now, failed));
-    }
-
-    fn change(&self, change: impl FnOnce(&mut ServerEntry)) {
-        if let Some(server) = self.router.servers.borrow_mut().get_mut(&self.server) {
-            change(server);
-        }
-    }
-}
-
-impl Drop for ServerLease {
-    fn drop(&mut self) {
-        let unread = self.unread.get();
-        let memory = self.memory;
-        self.change(|server| server.finish(unread, memory));
-    }
-}
-
-/// A server's answer whose body is still to come.
-#[derive(Debug)]
-pub struct OpenAnswer {
-    /// The connection to the server.
-    pub channel: HttpChannel,
-    /// The answer's head.
-    pub head: ResponseHead,
-    /// Decodes the body.
-    pub decoder: BodyDecoder,
-    /// Whether the whole request was sent and nothing else came on the
-    /// connection, so that it may be used again.
-    pub clean: bool,
-    /// Counts the request at the server.
-    pub lease: ServerLease,
-}
-
-impl OpenAnswer {
-    /// Gives the connection back after a whole answer.
-    pub fn finish(self, router: &ForwardRouter) {
-        self.lease.rate(false);
-        let done = self.decoder.is_done();
-        if self.clean && done && self.head.keep && self.channel.is_quiet() {
-            let keep = keep_span(&self.head.fields, router.settings.times.idle);
-            let now = router.clock.now();
-            let mut pool = router.pool.borrow_mut();
-            pool.put(&self.lease.server, self.channel, now, keep);
-        }
-    }
-}
-
 /// Sends a request to a server and relays the answer.
 pub async fn send_attempt(
     router: &Rc<ForwardRouter>,
@@ -301,7 +161,7 @@
     mut channel: HttpChannel,
     lease: ServerLease,
 ) -> Result<OpenAnswer, AttemptEnd> {
-    let bytes = request_bytes(router, call, &lease.server, progress);
+    let bytes = request_bytes(router, call, lease.server(), progress);
     let sent = Cell::new(false);
     let stray = Cell::new(false);
     let stream = channel.stream();
@@ -345,7 +205,7 @@
         }
         Err(error) => {
             lease.rate(true);
-            log::debug!("no answer from {}: {error}", lease.server);
+            log::debug!("no answer from {}: {error}", lease.server());
             let timed_out = matches!(error, ChannelError::TimedOut);
             Err(if timed_out {
                 AttemptEnd::Silent
@@ -356,9 +216,6 @@
     }
 }
 
-/// Pause between looks at whether a silent server deserves more time.
-const PATIENCE_STEP: ClockSpan = ClockSpan::from_millis(200);
-
 /// Whether to go on waiting for a head after the attempt's time is over: a
 /// stream's server that talks to others is only busy.
 fn waits_on(router: &ForwardRouter, call: &ForwardCall<'_>, lease: &ServerLease) -> bool {
@@ -427,72 +284,6 @@
     }
 }
 
-/// The request as the server gets it: method, target and body unchanged.
-fn request_bytes(
-    router: &ForwardRouter,
-    call: &ForwardCall<'_>,
-    server: &BackendId,
-    progress: &RequestProgress,
-) -> Vec<u8> {
-    let names = &router.settings.names;
-    let request = call.request;
-    let fields = &request.head.fields;
-    let mut head = HeadWriter::request(&request.head.method, &request.head.target);
-    let resumed = progress.stream.last_event;
-    for (name, value) in fields.iter() {
-        let replaced = is_own_field(router, name)
-            || is_hop_by_hop(fields, name)
-            || (resumed.is_some() && name.eq_ignore_ascii_case(names.last_event));
-        if !replaced {
-            head.field(name, value);
-        }
-    }
-    let left = router.clock.left(call.ends_at).as_millis();
-    head.field_of(names.time_left, left);
-    head.field(names.expected_server, server.as_str().as_bytes());
-    if let Some((organisation, _)) = &call.organisation {
-        head.field(names.organisation, organisation.as_str().as_bytes());
-    }
-    if call.engine.is_some() {
-        head.field_of(names.priority, priority(call));
-    }
-    if let Some(event) = resumed {
-        head.field_of(names.last_event, event);
-    }
-    let bodied = request.head.framing != crate::http::BodyFraming::Empty;
-    if bodied {
-        head.field_of("Content-Length", request.body.len());
-    }
-    let mut bytes = head.finish();
-    bytes.extend_from_slice(&request.body);
-    bytes
-}
-
-/// The organisation's rank goes before the route's.
-fn priority(call: &ForwardCall<'_>) -> u8 {
-    let own = call
-        .organisation
-        .as_ref()
-        .and_then(|(_, priority)| *priority);
-    own.unwrap_or(call.route.priority).min(LAST_PRIORITY)
-}
-
-/// Fields that this router sets or drops, whatever the caller sent.
-fn is_own_field(router: &ForwardRouter, name: &str) -> bool {
-    let names = &router.settings.names;
-    let own = [
-        names.time_left,
-        names.organisation,
-        names.expected_server,
-        names.priority,
-        "authorization",
-        "content-length",
-        "expect",
-    ];
-    let same = |held: &&str| name.eq_ignore_ascii_case(held);
-    own.iter().any(same) || names.reserved.iter().any(same)
-}
-
 /// The time until the request's end, for a step that must end by then.
 #[must_use]
 pub fn time_left(router: &ForwardRouter, ends_at: ClockTime) -> std::time::Duration {
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -11,12 +11,14 @@
     reason = "one thread serves everything: an instance has one core"
 )]
 
+pub mod answer;
 pub mod attempt;
 pub mod budget;
 pub mod clock;
 pub mod door;
 pub mod events;
 pub mod http;
+pub mod lease;
 pub mod leave;
 pub mod names;
 pub mod pool;
@@ -24,6 +26,7 @@
 pub mod record;
 pub mod refuse;
 pub mod relay;
+pub mod request;
 pub mod router;
 pub mod send;
 pub mod serve;
--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -6,10 +6,10 @@
 use guavawell_core::forward::RepeatKind;
 use guavawell_core::id::TokenCount;
 
+use crate::answer::OpenAnswer;
+use crate::answer::PlainAnswer;
+use crate::answer::copy_fields;
 use crate::attempt::AttemptOutcome;
-use crate::attempt::OpenAnswer;
-use crate::attempt::PlainAnswer;
-use crate::attempt::copy_fields;
 use crate::attempt::time_left;
 use crate::clock::timer_span;
 use crate::events::scan_events;
--- /dev/null
+++ b/crates/guavawell-forward/src/request.rs
@@ -0,0 +1,80 @@
+//! A request as a backend server gets it.
+
+use guavawell_core::id::BackendId;
+
+use crate::http::BodyFraming;
+use crate::http::HeadWriter;
+use crate::http::is_hop_by_hop;
+use crate::router::ForwardRouter;
+use crate::send::RequestProgress;
+use crate::serve::ForwardCall;
+
+/// Rank of the least urgent requests.
+const LAST_PRIORITY: u8 = 9;
+
+/// The request as the server gets it: method, target and body unchanged.
+#[must_use]
+pub fn request_bytes(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &BackendId,
+    progress: &RequestProgress,
+) -> Vec<u8> {
+    let names = &router.settings.names;
+    let request = call.request;
+    let fields = &request.head.fields;
+    let mut head = HeadWriter::request(&request.head.method, &request.head.target);
+    let resumed = progress.stream.last_event;
+    for (name, value) in fields.iter() {
+        let replaced = is_own_field(router, name)
+            || is_hop_by_hop(fields, name)
+            || (resumed.is_some() && name.eq_ignore_ascii_case(names.last_event));
+        if !replaced {
+            head.field(name, value);
+        }
+    }
+    let left = router.clock.left(call.ends_at).as_millis();
+    head.field_of(names.time_left, left);
+    head.field(names.expected_server, server.as_str().as_bytes());
+    if let Some((organisation, _)) = &call.organisation {
+        head.field(names.organisation, organisation.as_str().as_bytes());
+    }
+    if call.engine.is_some() {
+        head.field_of(names.priority, priority(call));
+    }
+    if let Some(event) = resumed {
+        head.field_of(names.last_event, event);
+    }
+    let bodied = request.head.framing != BodyFraming::Empty;
+    if bodied {
+        head.field_of("Content-Length", request.body.len());
+    }
+    let mut bytes = head.finish();
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+/// The organisation's rank goes before the route's.
+fn priority(call: &ForwardCall<'_>) -> u8 {
+    let own = call
+        .organisation
+        .as_ref()
+        .and_then(|(_, priority)| *priority);
+    own.unwrap_or(call.route.priority).min(LAST_PRIORITY)
+}
+
+/// Fields that this router sets or drops, whatever the caller sent.
+fn is_own_field(router: &ForwardRouter, name: &str) -> bool {
+    let names = &router.settings.names;
+    let own = [
+        names.time_left,
+        names.organisation,
+        names.expected_server,
+        names.priority,
+        "authorization",
+        "content-length",
+        "expect",
+    ];
+    let same = |held: &&str| name.eq_ignore_ascii_case(held);
+    own.iter().any(same) || names.reserved.iter().any(same)
+}
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -15,8 +15,8 @@
 use guavawell_core::id::BackendId;
 use guavawell_fleet::event::EventDraft;
 
+use crate::answer::PlainAnswer;
 use crate::attempt::AttemptOutcome;
-use crate::attempt::PlainAnswer;
 use crate::attempt::send_attempt;
 use crate::http::HttpChannel;
 use crate::record::RequestRecord;
