Writes that vanish do not stop a row's later writes

Cause: read as a newcomer: after four unanswered writes in a row that never landed, an instance wrote that row no more until it changed, which nobody else does to its lines. Measured: writes_that_vanish_do_not_stop_later_ones failed with 4, passes with 32.

--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -11,8 +11,10 @@
 use crate::number::fraction;
 use crate::number::whole;
 
-/// Unanswered writes of a row beyond which only reads are sent.
-const MAX_OPEN: usize = 4;
+/// Unanswered writes of a row beyond which only reads are sent: a bound on
+/// memory. Each of them may still land, so none can be forgotten until the row
+/// is seen to have changed.
+const MAX_OPEN: usize = 32;
 /// Change of a grant, as a part of the stock, that is worth a write.
 const WORTH_WRITING: f64 = 0.4;
 
