A leaving process takes no request once it gives its grants back

Measured: leaving::a_request_that_comes_while_grants_are_given_back_is_not_cut failed before (late-42 was passed on and cut), passes now.

--- a/crates/guavawell-forward/src/leave.rs
+++ b/crates/guavawell-forward/src/leave.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use guavawell_core::clock::ClockTime;
 use guavawell_fleet::event::EventDraft;
 use smol::Timer;
 
@@ -25,15 +26,23 @@
     router.log.emit(draft);
     Timer::after(timer_span(times.announce)).await;
     let end = router.cut_at().unwrap_or(began);
-    while router.held_requests.get() > 0 && router.clock.now() < end {
-        Timer::after(TICK).await;
-    }
-    let finished = router.held_requests.get() == 0;
+    wait_for_requests(router, end).await;
+    // From here on callers are sent elsewhere, so that none is cut by the end.
+    router.phase.set(RouterPhase::Closing(began));
     let late = async {
         Timer::after(timer_span(times.give_back)).await;
     };
     router.budgets.give_back().or(late).await;
+    wait_for_requests(router, end).await;
+    let finished = router.held_requests.get() == 0;
     let draft = EventDraft::new("process.left").field("unfinished", router.held_requests.get());
     router.log.emit(draft);
     finished
 }
+
+/// Waits until no request is held, or until `end`.
+async fn wait_for_requests(router: &ForwardRouter, end: ClockTime) {
+    while router.held_requests.get() > 0 && router.clock.now() < end {
+        Timer::after(TICK).await;
+    }
+}
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -30,6 +30,8 @@
     Serving,
     /// It was told to leave at this time.
     Leaving(ClockTime),
+    /// Everything that was held has ended; it takes no request any more.
+    Closing(ClockTime),
 }
 
 /// One forwarding router.
@@ -216,7 +218,7 @@
     /// When requests that still run are cut, if the process is leaving.
     #[must_use]
     pub fn cut_at(&self) -> Option<ClockTime> {
-        let RouterPhase::Leaving(began) = self.phase.get() else {
+        let (RouterPhase::Leaving(began) | RouterPhase::Closing(began)) = self.phase.get() else {
             return None;
         };
         let times = &self.settings.times;
@@ -230,8 +232,10 @@
     /// Whether a request that lasts until `ends_at` at most may be taken.
     #[must_use]
     pub fn can_finish(&self, ends_at: ClockTime) -> bool {
-        let RouterPhase::Leaving(began) = self.phase.get() else {
-            return true;
+        let began = match self.phase.get() {
+            RouterPhase::Serving => return true,
+            RouterPhase::Leaving(began) => began,
+            RouterPhase::Closing(_) => return false,
         };
         let announced = self.clock.now().since(began) <= self.settings.times.announce;
         announced || self.cut_at().is_none_or(|cut| ends_at <= cut)
