Work out each server's cost once in a choice

Cause: min_by evaluated both sides' cost, two exponentials each, at every comparison: twice for each server of a service on the path of every request. Change: costs first, then the least; the first of equals wins as before.

--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -122,15 +122,16 @@
     let room = known
         .iter()
         .filter(|entry| has_room(entry, ask, now, settings));
-    let best = room.min_by(|a, b| {
-        let cost = |entry: &ServerEntry| {
-            let avoided = is_avoided(entry, now, settings);
-            let penalty = if avoided { 1e6 } else { 0.0 };
-            penalty + cost_ms(entry, home == Some(&entry.id), ask, now, settings)
-        };
-        cost(a).total_cmp(&cost(b))
+    // Each cost is worked out once; comparing by a closure would do it twice
+    // for every pair.
+    let costs = room.map(|entry| {
+        let avoided = is_avoided(entry, now, settings);
+        let penalty = if avoided { 1e6 } else { 0.0 };
+        let cost = cost_ms(entry, home == Some(&entry.id), ask, now, settings);
+        (penalty + cost, entry)
     });
-    let best = best.ok_or(ChoiceRefusal::Full)?;
+    let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
+    let (_, best) = best.ok_or(ChoiceRefusal::Full)?;
     let held = if home == Some(&best.id) {
         ask.shared_tokens
     } else {
