Run calls to the platform ahead of requests

Measured: tests/schedule.rs, 400 requests of 20 steps beside one call of 6 steps: the call ends within the first 400 steps.

--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod relay;
 pub mod request;
 pub mod router;
+pub mod schedule;
 pub mod send;
 pub mod serve;
 pub mod settings;
--- /dev/null
+++ b/crates/guavawell-forward/tests/schedule.rs
@@ -0,0 +1,69 @@
+//! Tasks of the platform's calls under a backlog of requests.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use futures_lite::future::yield_now;
+use guavawell_forward::schedule::TaskQueues;
+
+/// Requests that are all ready at once.
+const REQUESTS: usize = 400;
+/// Steps of each of them.
+const REQUEST_STEPS: usize = 20;
+/// Steps of one call to the platform: connect, write, read head, read body,
+/// take it in, and the pause.
+const CALL_STEPS: usize = 6;
+
+#[test]
+fn a_call_to_the_platform_does_not_wait_behind_a_backlog_of_requests() {
+    let queues = TaskQueues::default();
+    let steps = Rc::new(Cell::new(0));
+    for _ in 0..REQUESTS {
+        let steps = Rc::clone(&steps);
+        let request = async move {
+            for _ in 0..REQUEST_STEPS {
+                steps.set(steps.get() + 1);
+                yield_now().await;
+            }
+        };
+        queues.requests.spawn(request).detach();
+    }
+    let call = queues.control.spawn(async {
+        for _ in 0..CALL_STEPS {
+            yield_now().await;
+        }
+    });
+    smol::block_on(queues.run(call));
+    assert!(steps.get() <= REQUESTS, "{} steps came first", steps.get());
+}
+
+#[test]
+fn requests_end_beside_calls_that_go_on() {
+    let queues = TaskQueues::default();
+    queues
+        .control
+        .spawn(async {
+            loop {
+                smol::Timer::after(std::time::Duration::from_millis(1)).await;
+            }
+        })
+        .detach();
+    let ended = Rc::new(Cell::new(0));
+    let waits: Vec<_> = (0..REQUESTS)
+        .map(|_| {
+            let ended = Rc::clone(&ended);
+            queues.requests.spawn(async move {
+                for _ in 0..REQUEST_STEPS {
+                    yield_now().await;
+                }
+                ended.set(ended.get() + 1);
+            })
+        })
+        .collect();
+    smol::block_on(queues.run(async {
+        for wait in waits {
+            wait.await;
+        }
+    }));
+    assert_eq!(ended.get(), REQUESTS);
+}
