Take a vanished server as gone once an outage is over, and look again before sending

Cause: a server whose entry vanished within 4 s of any failed call counted as lapsed for another 1.7 s, and a question about servers could take 1.6 s where its connection had gone silent: with the pause between questions an instance of a large fleet could send to a server 3 s after it left. A server could also begin to leave while a connection to it was opened.

--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -39,6 +39,7 @@
 pub use route::RouteShare;
 pub use route::RouteTable;
 pub use route::ServiceEntry;
+pub use server::LapseSettings;
 pub use server::LoadFigures;
 pub use server::ServerEntry;
 pub use server::ServerHealth;
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -35,6 +35,44 @@
     Lapsed(ClockTime),
 }
 
+/// How long a server whose entry vanished around trouble with the platform
+/// may still be there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LapseSettings {
+    /// Time after the platform's last failure in which an entry may come back:
+    /// two seconds after its return, and the pause until that is noticed.
+    pub back_within: ClockSpan,
+    /// Longest time from when the entry was missed: with the delay of the feed
+    /// it stays within the three seconds that a leaving server still serves.
+    pub most: ClockSpan,
+}
+
+impl Default for LapseSettings {
+    fn default() -> Self {
+        Self {
+            back_within: ClockSpan::from_millis(2_200),
+            most: ClockSpan::from_millis(1_700),
+        }
+    }
+}
+
+impl LapseSettings {
+    /// The phase of a server whose entry vanished now, `trouble` being when
+    /// the platform last failed to answer.
+    #[must_use]
+    pub fn vanished(&self, now: ClockTime, trouble: Option<ClockTime>) -> ServerPhase {
+        let Some(trouble) = trouble else {
+            return ServerPhase::Leaving;
+        };
+        let until = (trouble + self.back_within).min(now + self.most);
+        if until > now {
+            ServerPhase::Lapsed(until)
+        } else {
+            ServerPhase::Leaving
+        }
+    }
+}
+
 /// Load as the server told it, and as this instance adds to it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadFigures {
--- a/crates/guavawell-core/tests/forward/choice.rs
+++ b/crates/guavawell-core/tests/forward/choice.rs
@@ -1,6 +1,7 @@
 //! Which server gets a request.
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::LapseSettings;
 use guavawell_core::forward::ServerPhase;
 
 use crate::support::Ask;
@@ -132,6 +133,20 @@
     assert!(table.servers().is_empty());
 }
 
+#[test]
+fn an_entry_that_vanishes_long_after_trouble_is_gone() {
+    let lapse = LapseSettings::default();
+    let trouble = START;
+    let ms = ClockSpan::from_millis;
+    let vanished = |after: u64| lapse.vanished(START + ms(after), Some(trouble));
+    // Right after the trouble it may come back, within bounds from both ends.
+    assert_eq!(vanished(0), ServerPhase::Lapsed(START + ms(1_700)));
+    assert_eq!(vanished(1_500), ServerPhase::Lapsed(START + ms(2_200)));
+    assert_eq!(vanished(2_200), ServerPhase::Leaving);
+    assert_eq!(vanished(3_500), ServerPhase::Leaving);
+    assert_eq!(lapse.vanished(START, None), ServerPhase::Leaving);
+}
+
 #[test]
 fn memory_bounds_a_server_beside_its_slots() {
     let mut table = table(2);
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -65,7 +65,8 @@
         progress.unsent += 1;
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     };
-    if router.clock.left(call.ends_at) == ClockSpan::default() {
+    let late = router.clock.left(call.ends_at) == ClockSpan::default();
+    if late || !router.takes_requests(&pick.server) {
         progress.unsent += 1;
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     }
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -132,17 +132,20 @@
         }
     }
 
+    /// Whether a server still takes requests: it may have begun to leave while
+    /// a connection to it was being opened.
+    #[must_use]
+    pub fn takes_requests(&self, id: &BackendId) -> bool {
+        let now = self.clock.now();
+        let servers = self.servers.borrow();
+        servers.get(id).is_some_and(|held| held.takes_requests(now))
+    }
+
     /// The platform no longer lists a server.
     pub fn unlist_server(&self, id: &BackendId) {
         let now = self.clock.now();
-        let times = &self.settings.times;
-        let outage = self.trouble_at.get();
-        let lapsed = outage.is_some_and(|at| now.since(at) <= times.outage_memory);
-        let phase = if lapsed {
-            ServerPhase::Lapsed(now + times.lapse)
-        } else {
-            ServerPhase::Leaving
-        };
+        let lapse = &self.settings.times.lapse;
+        let phase = lapse.vanished(now, self.trouble_at.get());
         let known = self.servers.borrow().get(id).is_some();
         self.servers.borrow_mut().remove(id, phase);
         if known {
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -5,6 +5,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::forward::AdmissionSettings;
 use guavawell_core::forward::ChoiceSettings;
+use guavawell_core::forward::LapseSettings;
 use guavawell_core::forward::RepeatSettings;
 use guavawell_core::grant::BookSettings;
 use guavawell_core::id::InstanceId;
@@ -42,12 +43,8 @@
     /// Age of the platform's last word beyond which an unknown key or route is
     /// not taken for a wrong one.
     pub config_doubt: ClockSpan,
-    /// How long a server stays the last choice after its entry vanished around
-    /// an outage of the platform. Entries are back within two seconds.
-    pub lapse: ClockSpan,
-    /// How long after trouble with the platform a vanished entry counts as
-    /// lapsed.
-    pub outage_memory: ClockSpan,
+    /// Servers whose entries vanish around trouble with the platform.
+    pub lapse: LapseSettings,
     /// Time from SIGTERM in which requests are taken as ever: the balancer asks
     /// once a second and needs two misses. Later ones are taken only if they
     /// surely end before the process does.
@@ -67,8 +64,7 @@
             attempt: ClockSpan::from_millis(250),
             stream_silence: ClockSpan::from_millis(1_200),
             config_doubt: ClockSpan::from_millis(2_000),
-            lapse: ClockSpan::from_millis(1_700),
-            outage_memory: ClockSpan::from_millis(4_000),
+            lapse: LapseSettings::default(),
             announce: ClockSpan::from_millis(2_900),
             grace: ClockSpan::from_millis(7_500),
             give_back: ClockSpan::from_millis(600),
