--- a/crates/guavawell-forward/src/record.rs
+++ b/crates/guavawell-forward/src/record.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// The first part of a stream was sent to the caller.
+    pub fn first_sent(&self, at: ClockTime) {
+        let span = at.since(self.began);
+        metrics::histogram!("guavawell_forward_first_part_seconds")
+            .record(fraction(span.as_millis()) / 1_000.0);
+        self.note("first_ms", span.as_millis());
+    }
+
     /// The caller got a server's answer.
     pub fn answered(&self, status: u16) {
         self.end("answered", status);
--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::AttemptEnd;
 use guavawell_core::forward::RepeatKind;
 use guavawell_core::id::TokenCount;
@@ -33,6 +34,8 @@
 pub struct StreamProgress {
     /// The head was sent.
     pub begun: bool,
+    /// When the first part of the stream was sent.
+    pub first_at: Option<ClockTime>,
     /// Id of the last event that was sent.
     pub last_event: Option<u64>,
     /// Events that were sent.
@@ -169,6 +172,7 @@
             if !stream.begun {
                 writer.begin(&answer);
                 stream.begun = true;
+                stream.first_at = Some(router.clock.now());
                 answer.lease.prompt_read();
             }
             writer.content(&held[..ready]);
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -79,7 +79,7 @@
         record.note("attempts", progress.sent);
         let (end, answer) = match outcome {
             AttemptOutcome::Delivered(status, keep) => {
-                record.note("events", progress.stream.events);
+                note_stream(record, &progress.stream);
                 record.answered(status);
                 return keep;
             }
@@ -121,6 +121,14 @@
     }
 }
 
+/// Notes how much of a stream the caller has, and how soon it began.
+fn note_stream(record: &RequestRecord, stream: &StreamProgress) {
+    record.note("events", stream.events);
+    if let Some(at) = stream.first_at {
+        record.first_sent(at);
+    }
+}
+
 fn choose(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
@@ -206,7 +214,7 @@
     if progress.stream.begun {
         // The caller sees the missing end of the stream.
         record.note("cause", refusal);
-        record.note("events", progress.stream.events);
+        note_stream(record, &progress.stream);
         record.cut();
         return false;
     }
