Instances lend each other tokens where a request is short

In cuts the instances reach each other. Change: an instance that is short asks up to four others, drawn by what the budget's row says they hold unspent, for what it lacks and one usual request more. For the lender the tokens are spent, within its grant and line, so no row changes and nothing has to be agreed on; the borrower spends them beside its own grant, and first. What a death or a lost answer takes with it stays spent. Each instance writes its address once a boot; reading these small rows replaces the count of parts. What all declined is not asked for again for 400 ms. The accept loops of callers, probes and instances are one.

--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -85,6 +85,8 @@
 pub enum ReserveAnswer {
     /// The tokens are reserved.
     Granted,
+    /// The tokens are reserved, so many of them from what others lent.
+    GrantedLoan(u64),
     /// The grant covers it, the line does not yet; by itself it will after
     /// this time. Writing the line helps at once.
     Locked(ClockSpan),
@@ -105,6 +107,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Granted => "granted",
+            Self::GrantedLoan(_) => "granted_loan",
             Self::Locked(_) => "locked",
             Self::Short => "short",
             Self::Drained => "drained",
@@ -146,6 +149,11 @@
     pub(super) used: u64,
     /// Spent for good by this boot.
     pub(super) settled: u64,
+    /// Tokens that other instances have lent and no request holds. They are
+    /// spent beside the grant.
+    pub(super) borrowed: u64,
+    /// Tokens of the last request that others declined to lend for, and when.
+    pub(super) declined: Option<(u64, ClockTime)>,
     /// Tokens that requests wait for now.
     pub(super) waiting: u64,
     /// Tokens of the last request that the grant did not cover, and when.
@@ -228,22 +236,30 @@
         if self.boot == 0 || self.leaving || !state.row.is_read() {
             return ReserveAnswer::Unknown;
         }
-        let need = state.used + tokens;
-        if need > self.grant(state) {
-            let answer = self.judge_short(state, tokens);
-            self.budgets[place].shortage = Some((tokens, now));
+        // What others lent goes first: it would be lost with this process.
+        let lent = state.borrowed.min(tokens);
+        let own = tokens - lent;
+        let need = state.used + own;
+        if own > 0 && need > self.grant(state) {
+            let answer = self.judge_short(state, own);
+            self.budgets[place].shortage = Some((own, now));
             return answer;
         }
         let allowed = self
             .lines
             .least(|row| self.line_allowance(row, organisation, time));
-        if need > allowed {
+        if own > 0 && need > allowed {
             return ReserveAnswer::Locked(self.unlock_time(organisation, need, time));
         }
         let state = &mut self.budgets[place];
-        state.used += tokens;
+        state.used += own;
+        state.borrowed -= lent;
         state.demand.add(tokens, now);
-        ReserveAnswer::Granted
+        if lent > 0 {
+            ReserveAnswer::GrantedLoan(lent)
+        } else {
+            ReserveAnswer::Granted
+        }
     }
 
     /// Whether this boot has begun and every budget was read.
@@ -370,7 +386,12 @@
         }
     }
 
-    fn line_allowance(&self, row: &LineRow, id: &OrganisationId, time: ClockTime) -> u64 {
+    pub(super) fn line_allowance(
+        &self,
+        row: &LineRow,
+        id: &OrganisationId,
+        time: ClockTime,
+    ) -> u64 {
         let own = row.boot == self.boot && row.nonce == self.nonce;
         if own { row.allowance(id, time) } else { 0 }
     }
@@ -403,6 +424,8 @@
                 paid: (0, 0),
                 used: 0,
                 settled: 0,
+                borrowed: 0,
+                declined: None,
                 waiting: 0,
                 shortage: None,
                 demand: RateMeter::default(),
--- a/crates/guavawell-core/src/grant/mod.rs
+++ b/crates/guavawell-core/src/grant/mod.rs
@@ -22,6 +22,7 @@
 mod book;
 mod codec;
 mod line;
+mod loan;
 mod plan;
 mod rate;
 mod row;
@@ -38,6 +39,7 @@
 pub use line::ClosedBoot;
 pub use line::LineRow;
 pub use line::SpendLine;
+pub use loan::LoanAsk;
 pub use rate::RateMeter;
 pub use row::BudgetRow;
 pub use row::HolderEntry;
--- /dev/null
+++ b/crates/guavawell-core/tests/grant_loan.rs
@@ -0,0 +1,249 @@
+//! Loans between instances: what they cost the lender, and a replay of a cut
+//! that parts all instances of a large fleet from the store.
+
+use fastrand::Rng;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::grant::BookSettings;
+use guavawell_core::grant::BudgetRow;
+use guavawell_core::grant::GrantBook;
+use guavawell_core::grant::LineRow;
+use guavawell_core::grant::LoanAsk;
+use guavawell_core::grant::ReserveAnswer;
+use guavawell_core::id::InstanceId;
+use guavawell_core::id::OrganisationId;
+
+/// Instances of the fleet.
+const FLEET: usize = 40;
+/// Requests a second of the one organisation, over all instances.
+const RATE: f64 = 14.0;
+/// Tokens of the shortest request; one in eight is ten times as long.
+const SHORT: u64 = 1_200;
+/// Step of the replay, in milliseconds.
+const STEP: u64 = 100;
+/// The same in seconds.
+const STEP_SECONDS: f64 = 0.1;
+/// The store is away from here to there, in milliseconds.
+const CUT: std::ops::Range<u64> = 20_000..29_000;
+/// Instances that are asked for one request.
+const LENDERS: usize = 4;
+
+fn organisation() -> OrganisationId {
+    "org".parse().expect("a valid id")
+}
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(1_000_000 + millis)
+}
+
+/// The store's rows, with their versions.
+struct Rows {
+    version: u64,
+    budget: (u64, Option<BudgetRow>),
+    lines: Vec<(u64, Option<LineRow>)>,
+}
+
+impl Rows {
+    fn new() -> Self {
+        Self {
+            version: 1,
+            budget: (0, None),
+            lines: vec![(0, None); FLEET],
+        }
+    }
+
+    fn next(&mut self) -> u64 {
+        self.version += 1;
+        self.version
+    }
+
+    fn write_lines(&mut self, place: usize, book: &mut GrantBook, row: LineRow, now: ClockTime) {
+        book.sent_lines(row.clone(), now);
+        let version = self.next();
+        self.lines[place] = (version, Some(row));
+        book.wrote_lines(version);
+    }
+
+    /// Brings both rows of an instance up to date.
+    fn keep(&mut self, place: usize, book: &mut GrantBook, now: ClockTime) {
+        book.tell_time(now, now);
+        let (version, row) = self.budget.clone();
+        book.saw_budget(&organisation(), version, row);
+        if let Some(row) = book.next_budget(&organisation(), now) {
+            book.sent_budget(&organisation(), row.clone(), now);
+            let version = self.next();
+            self.budget = (version, Some(row));
+            book.wrote_budget(&organisation(), version);
+        }
+        if let Some(row) = book.next_lines(now) {
+            self.write_lines(place, book, row, now);
+        }
+    }
+}
+
+struct Fleet {
+    rows: Rows,
+    books: Vec<GrantBook>,
+    random: Rng,
+    spent: u64,
+    refused_in_cut: u64,
+    asked_in_cut: u64,
+}
+
+impl Fleet {
+    fn start(paid: u64, seed: u64) -> Self {
+        let settings = BookSettings {
+            instances: FLEET,
+            ..BookSettings::default()
+        };
+        let mut rows = Rows::new();
+        let books = (0..FLEET).map(|place| {
+            let instance: InstanceId = format!("i{place}").parse().expect("a valid id");
+            let mut book = GrantBook::new(instance, place as u64 + 1, settings);
+            book.set_paid(&organisation(), paid, 1);
+            book.tell_time(at(0), at(0));
+            book.saw_lines(0, None);
+            let first = book.first_lines(at(0)).expect("the store's time is known");
+            rows.write_lines(place, &mut book, first, at(0));
+            rows.keep(place, &mut book, at(0));
+            book
+        });
+        let books = books.collect();
+        Self {
+            rows,
+            books,
+            random: Rng::with_seed(seed),
+            spent: 0,
+            refused_in_cut: 0,
+            asked_in_cut: 0,
+        }
+    }
+
+    fn reserve(&mut self, place: usize, tokens: u64, now: ClockTime) -> bool {
+        let answer = self.books[place].reserve(&organisation(), tokens, now);
+        matches!(
+            answer,
+            ReserveAnswer::Granted | ReserveAnswer::GrantedLoan(_)
+        )
+    }
+
+    fn borrow(&mut self, place: usize, tokens: u64, now: ClockTime) -> bool {
+        let id = organisation();
+        let mut able = self.books[place].lenders(&id);
+        for _ in 0..LENDERS.min(able.len()) {
+            let (instance, _) = able.swap_remove(self.random.usize(..able.len()));
+            let lender: usize = instance.as_str()[1..].parse().expect("its place");
+            let ask = self.books[place].loan_ask(&id, tokens, now);
+            let lent = self.books[lender].lend(&id, ask, now);
+            self.books[place].take_loan(&id, lent);
+            if self.reserve(place, tokens, now) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn request(&mut self, now: ClockTime, loans: bool, cut: bool) {
+        let place = self.random.usize(..FLEET);
+        let long = self.random.u8(..8) == 0;
+        let tokens = SHORT * if long { 10 } else { 1 };
+        let id = organisation();
+        let mut served = self.reserve(place, tokens, now);
+        if !served && loans && cut {
+            served = self.borrow(place, tokens, now);
+        }
+        if served {
+            self.spent += tokens;
+        } else if !cut {
+            self.books[place].wait(&id, tokens, true);
+            self.rows.keep(place, &mut self.books[place], now);
+            self.books[place].wait(&id, tokens, false);
+            if self.reserve(place, tokens, now) {
+                self.spent += tokens;
+            }
+        }
+        if cut {
+            self.asked_in_cut += 1;
+            self.refused_in_cut += u64::from(!served);
+        }
+    }
+
+    fn play(mut self, loans: bool) -> Self {
+        for millis in (STEP..CUT.end).step_by(usize::try_from(STEP).expect("small")) {
+            let now = at(millis);
+            let cut = CUT.contains(&millis);
+            for place in 0..FLEET {
+                if !cut {
+                    self.rows.keep(place, &mut self.books[place], now);
+                }
+            }
+            let mut due = RATE * STEP_SECONDS;
+            while due > 0.0 {
+                if self.random.f64() < due {
+                    self.request(now, loans, cut);
+                }
+                due -= 1.0;
+            }
+        }
+        self
+    }
+}
+
+#[test]
+fn loans_serve_most_of_what_a_cut_of_all_instances_would_refuse() {
+    for seed in 0..4 {
+        let paid = 3_500_000;
+        let alone = Fleet::start(paid, seed).play(false);
+        let together = Fleet::start(paid, seed).play(true);
+        println!(
+            "seed {seed}: of {} asked, {} refused alone and {} with loans",
+            alone.asked_in_cut, alone.refused_in_cut, together.refused_in_cut
+        );
+        assert!(alone.refused_in_cut > 0);
+        assert!(together.refused_in_cut * 2 < alone.refused_in_cut);
+    }
+}
+
+#[test]
+fn a_fleet_with_loans_never_spends_more_than_was_paid() {
+    for seed in 0..12 {
+        let paid = 60_000 + seed * 40_000;
+        let fleet = Fleet::start(paid, seed).play(true);
+        assert!(fleet.spent <= paid, "{} of {paid}", fleet.spent);
+    }
+}
+
+#[test]
+fn what_is_lent_is_spent_for_the_lender_and_within_its_bounds() {
+    let mut fleet = Fleet::start(2_000_000, 1).play(false);
+    let id = organisation();
+    let now = at(CUT.end);
+    let rich = (0..FLEET)
+        .max_by_key(|place| fleet.books[*place].facts(&id, now).grant)
+        .expect("a fleet");
+    let book = &mut fleet.books[rich];
+    let all = LoanAsk {
+        needed: 1,
+        wanted: u64::MAX / 4,
+    };
+    let before = book.facts(&id, now);
+    let lent = book.lend(&id, all, now);
+    let after = book.facts(&id, now);
+    assert!(lent > 0);
+    assert_eq!(after.used, before.used + lent);
+    assert!(after.used <= after.grant.min(after.allowed));
+    // A boot that gives its grants back lends nothing more.
+    book.leave();
+    assert_eq!(book.lend(&id, all, at(CUT.end + 5_000)), 0);
+}
+
+#[test]
+fn nobody_is_asked_again_at_once_for_what_all_declined() {
+    let mut fleet = Fleet::start(100_000, 1);
+    let id = organisation();
+    let book = &mut fleet.books[0];
+    assert!(book.may_borrow(&id, 500, true, at(10)));
+    book.note_declined(&id, 500, at(10));
+    assert!(!book.may_borrow(&id, 500, true, at(100)));
+    assert!(book.may_borrow(&id, 100, true, at(100)));
+    assert!(book.may_borrow(&id, 500, true, at(600)));
+}
--- a/crates/guavawell-forward/src/budget/calls.rs
+++ b/crates/guavawell-forward/src/budget/calls.rs
@@ -75,14 +75,6 @@
         answer
     }
 
-    /// Counts the instances that have a row of their own.
-    pub(super) async fn count_fleet(&self) {
-        match (self.store.count_parts)(LINE_TABLE).await {
-            Ok(instances) => self.book.borrow_mut().set_instances(instances),
-            Err(fault) => self.note_fault("count", &fault),
-        }
-    }
-
     fn note_answer(&self, what: &str, time: Option<ClockTime>, began: ClockTime) {
         let now = self.clock.now();
         let took = now.since(began).as_millis();
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -1,13 +1,16 @@
 //! Carries the book of budgets out: reservations that wait for the store, and
 //! the writes that the book asks for.
 
+mod borrow;
 mod calls;
 mod lines;
+mod peers;
 mod reserve;
 mod rows;
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +26,7 @@
 use smol::LocalExecutor;
 use smol::Timer;
 
+use self::peers::PeerEntry;
 use crate::clock::SteadyClock;
 use crate::store::RowStore;
 
@@ -33,7 +37,11 @@
 const LINE_TABLE: &str = "guavawell_lines";
 /// Table of the organisations' budgets.
 const BUDGET_TABLE: &str = "guavawell_budgets";
-/// Key of the one row in each part of both tables.
+/// Table of the instances, in its unnamed part.
+const PEER_TABLE: &str = "guavawell_instances";
+/// The part of [`PEER_TABLE`].
+const PEER_PART: &str = "";
+/// Key of the one row in each part of the other tables.
 const ROW_KEY: &str = "row";
 /// Pause between looks at whether a row wants writing.
 const LINE_TICK: Duration = Duration::from_millis(100);
@@ -49,10 +57,10 @@
 const FOLLOW_EACH: Duration = Duration::from_millis(15);
 /// See [`FOLLOW_EACH`].
 const CONTENDED_EACH: Duration = Duration::from_millis(15);
-/// Time from the start to the second count of the fleet's instances.
-const FIRST_COUNT: Duration = Duration::from_millis(400);
-/// Pause between counts of the fleet's instances.
-const COUNT_PAUSE: Duration = Duration::from_secs(5);
+/// Time from the start to the second look at the fleet's instances.
+const FIRST_LOOK: Duration = Duration::from_millis(400);
+/// Pause between looks at the fleet's instances.
+const LOOK_PAUSE: Duration = Duration::from_secs(5);
 /// Spread of the first writes of a row for each instance: all of them start at
 /// one moment and would turn each other's writes down.
 const START_SPREAD_EACH: Duration = Duration::from_millis(8);
@@ -66,6 +74,10 @@
     log: EventLog,
     store: RowStore,
     instance: InstanceId,
+    /// Where this instance answers others; `None` if it does not.
+    peer_address: Option<SocketAddr>,
+    /// Sorted by instance.
+    peers: RefCell<Vec<PeerEntry>>,
     book: RefCell<GrantBook>,
     /// Something in the book changed for the better.
     changed: Event,
@@ -86,6 +98,7 @@
     #[must_use]
     pub fn new(
         instance: InstanceId,
+        peer_address: Option<SocketAddr>,
         settings: BookSettings,
         clock: SteadyClock,
         log: EventLog,
@@ -98,6 +111,8 @@
             store,
             book: RefCell::new(GrantBook::new(instance.clone(), nonce, settings)),
             instance,
+            peer_address,
+            peers: RefCell::default(),
             changed: Event::new(),
             line_bell: Event::new(),
             budget_bell: Event::new(),
@@ -137,17 +152,18 @@
             spawner
                 .spawn(async move { budgets.watch_budgets(&spawner_of_rows).await })
                 .detach();
-            desk.count_fleet().await;
-            let counter = Rc::clone(&desk);
-            let count = async move {
+            let looker = Rc::clone(&desk);
+            let look = async move {
+                looker.announce().await;
+                looker.read_peers().await;
                 // A fleet that starts as a whole is complete after a moment.
-                Timer::after(FIRST_COUNT).await;
+                Timer::after(FIRST_LOOK).await;
                 loop {
-                    counter.count_fleet().await;
-                    Timer::after(COUNT_PAUSE).await;
+                    looker.read_peers().await;
+                    Timer::after(LOOK_PAUSE).await;
                 }
             };
-            spawner.spawn(count).detach();
+            spawner.spawn(look).detach();
             let follower = Rc::clone(&desk);
             spawner
                 .spawn(async move { follower.follow_budgets().await })
--- a/crates/guavawell-forward/src/budget/reserve.rs
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -30,6 +30,9 @@
 const SHARE_PATIENCE: ClockSpan = ClockSpan::from_millis(350);
 /// Pause between looks at whether they came.
 const SHARE_STEP: ClockSpan = ClockSpan::from_millis(50);
+/// How long a request waits for other instances' loans at most: two that do not
+/// answer and one that does.
+const BORROW_PATIENCE: ClockSpan = ClockSpan::from_millis(400);
 /// Retry-After where nothing tells when tokens will be there: about the time
 /// in which an instance brings its grants up to date.
 const RETRY_UNKNOWN: ClockSpan = ClockSpan::from_millis(700);
@@ -59,6 +62,8 @@
     desk: Rc<BudgetDesk>,
     organisation: OrganisationId,
     reserved: u64,
+    /// Of these, tokens that other instances lent.
+    lent: u64,
     spent: Cell<u64>,
 }
 
@@ -86,7 +91,8 @@
 impl Drop for TokenReservation {
     fn drop(&mut self) {
         let mut book = self.desk.book.borrow_mut();
-        book.settle(&self.organisation, self.reserved, self.spent.get());
+        let spent = self.spent.get();
+        book.settle_loan(&self.organisation, self.reserved, self.lent, spent);
     }
 }
 
@@ -132,16 +138,29 @@
         let began = self.clock.now();
         let patience = self.patience(time_left);
         let mut waiting = None;
+        let mut may_borrow = true;
         loop {
             let changed = self.changed.listen();
             let answer = self.ask(organisation, tokens);
-            if answer == ReserveAnswer::Granted {
-                return Ok(self.reservation(organisation, tokens));
+            match answer {
+                ReserveAnswer::Granted => return Ok(self.reservation(organisation, tokens, 0)),
+                ReserveAnswer::GrantedLoan(lent) => {
+                    return Ok(self.reservation(organisation, tokens, lent));
+                }
+                _ => {}
             }
             let waited = self.clock.now().since(began);
-            let pause = self
-                .pause(answer, patience, waited, third_of(time_left))
-                .map_err(|refusal| self.explain(refusal, answer, organisation, waited))?;
+            let pause = self.pause(answer, patience, waited, third_of(time_left));
+            if self.lacks(answer, organisation, tokens, pause.is_err())
+                && std::mem::take(&mut may_borrow)
+            {
+                let limit = third_of(time_left).min(BORROW_PATIENCE);
+                if self.borrow(organisation, tokens, limit).await {
+                    continue;
+                }
+            }
+            let pause =
+                pause.map_err(|refusal| self.explain(refusal, answer, organisation, waited))?;
             if waiting.is_none() {
                 waiting = Some(WaitingRequest::new(self, organisation, tokens));
                 self.budget_bell.notify(usize::MAX);
@@ -175,11 +194,36 @@
         book.reserve(organisation, tokens, now)
     }
 
-    fn reservation(self: &Rc<Self>, id: &OrganisationId, tokens: u64) -> TokenReservation {
+    /// Whether other instances are to be asked: before waiting where the store
+    /// has nothing to grant, otherwise before the request is turned away.
+    fn lacks(
+        &self,
+        answer: ReserveAnswer,
+        organisation: &OrganisationId,
+        tokens: u64,
+        refused: bool,
+    ) -> bool {
+        let cut_off = self.is_cut_off();
+        let book = self.book.borrow();
+        let may = |away| book.may_borrow(organisation, tokens, away, self.clock.now());
+        match answer {
+            ReserveAnswer::Short => may(cut_off || refused),
+            ReserveAnswer::Locked(_) => refused && may(true),
+            _ => false,
+        }
+    }
+
+    fn reservation(
+        self: &Rc<Self>,
+        id: &OrganisationId,
+        tokens: u64,
+        lent: u64,
+    ) -> TokenReservation {
         TokenReservation {
             desk: Rc::clone(self),
             organisation: id.clone(),
             reserved: tokens,
+            lent,
             spent: Cell::new(0),
         }
     }
--- a/crates/guavawell-forward/src/door.rs
+++ b/crates/guavawell-forward/src/door.rs
@@ -1,6 +1,5 @@
 //! Callers' connections: one task each.
 
-use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,13 +10,8 @@
 use guavawell_core::forward::ForwardRefusal;
 use smol::Async;
 use smol::LocalExecutor;
-use smol::Timer;
-use socket2::Domain;
-use socket2::Protocol;
-use socket2::SockAddr;
-use socket2::Socket;
-use socket2::Type;
 
+use crate::accept::accept_all;
 use crate::clock::timer_span;
 use crate::http::BodyDecoder;
 use crate::http::BodyFraming;
@@ -29,53 +23,22 @@
 use crate::router::ForwardRouter;
 use crate::serve::serve_request;
 
-/// Connections that wait to be accepted. One that finds the queue full comes
-/// back only after a second.
-const ACCEPT_QUEUE: i32 = 1_024;
-/// Pause after a failure to accept, for instance without descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time that a body may take for each started mebibyte.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
-/// Opens a listening socket.
-///
-/// # Errors
-///
-/// The address is not to be had.
-pub fn listen(address: SocketAddr) -> std::io::Result<Async<TcpListener>> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&SockAddr::from(address))?;
-    socket.listen(ACCEPT_QUEUE)?;
-    Async::new(TcpListener::from(socket))
-}
-
 /// Accepts callers for as long as the process lives.
 pub async fn accept_callers(
     router: Rc<ForwardRouter>,
     listener: Async<TcpListener>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
-    loop {
-        let accepted = listener.accept().await;
-        let channel = accepted.and_then(|(stream, _)| HttpChannel::new(stream));
-        match channel {
-            Ok(channel) => {
-                let router = Rc::clone(&router);
-                executor
-                    .spawn(async move { serve_caller(&router, channel).await })
-                    .detach();
-            }
-            Err(error) => {
-                log::warn!("no caller accepted: {error}");
-                Timer::after(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let serve = |channel| {
+        let router = Rc::clone(&router);
+        executor
+            .spawn(async move { serve_caller(&router, channel).await })
+            .detach();
+    };
+    accept_all("caller", &listener, serve).await;
 }
 
 /// A whole request.
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -11,6 +11,7 @@
     reason = "one thread serves everything: an instance has one core"
 )]
 
+pub mod accept;
 pub mod answer;
 pub mod attempt;
 pub mod budget;
--- a/crates/guavawell-forward/src/ready.rs
+++ b/crates/guavawell-forward/src/ready.rs
@@ -7,8 +7,8 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use smol::Async;
 use smol::LocalExecutor;
-use smol::Timer;
 
+use crate::accept::accept_all;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -28,25 +28,17 @@
     metrics: PrometheusHandle,
     executor: Rc<LocalExecutor<'static>>,
 ) {
-    loop {
-        let accepted = listener.accept().await;
-        match accepted.and_then(|(stream, _)| HttpChannel::new(stream)) {
-            Ok(channel) => {
-                let router = Rc::clone(&router);
-                let metrics = metrics.clone();
-                let serve = async move {
-                    if let Err(error) = serve_prober(&router, channel, &metrics).await {
-                        log::debug!("a probe's connection ended: {error}");
-                    }
-                };
-                executor.spawn(serve).detach();
-            }
-            Err(error) => {
-                log::warn!("no probe accepted: {error}");
-                Timer::after(Duration::from_millis(20)).await;
+    let serve = |channel| {
+        let router = Rc::clone(&router);
+        let metrics = metrics.clone();
+        let serve = async move {
+            if let Err(error) = serve_prober(&router, channel, &metrics).await {
+                log::debug!("a probe's connection ended: {error}");
             }
-        }
-    }
+        };
+        executor.spawn(serve).detach();
+    };
+    accept_all("probe", &listener, serve).await;
 }
 
 async fn serve_prober(
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -22,6 +22,8 @@
     pub ready: Option<SocketAddr>,
     /// For metrics alone.
     pub metrics: Option<SocketAddr>,
+    /// For other instances.
+    pub peers: Option<SocketAddr>,
 }
 
 /// Time limits of forwarding.
--- a/crates/guavawell-forward/src/store.rs
+++ b/crates/guavawell-forward/src/store.rs
@@ -82,8 +82,11 @@
 pub type ReadChanges =
     Box<dyn Fn(&'static str, u64) -> LocalFuture<Result<RowChanges, StoreFault>>>;
 
-/// Counts the parts of a table.
-pub type CountParts = Box<dyn Fn(&'static str) -> LocalFuture<Result<usize, StoreFault>>>;
+/// Key and state of each row.
+pub type KeyedRows = Vec<(Box<str>, RowState)>;
+
+/// Reads all rows of a table's unnamed part.
+pub type ReadTable = Box<dyn Fn(&'static str) -> LocalFuture<Result<KeyedRows, StoreFault>>>;
 
 /// Rows of the platform.
 pub struct RowStore {
@@ -93,8 +96,8 @@
     pub write: WriteRow,
     /// Reads changes.
     pub changes: ReadChanges,
-    /// Counts the parts of a table.
-    pub count_parts: CountParts,
+    /// Reads a table's unnamed part.
+    pub table: ReadTable,
 }
 
 impl fmt::Debug for RowStore {
