--- a/crates/guavawell-forward/src/budget/reserve.rs
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -151,7 +151,7 @@
             }
             let waited = self.clock.now().since(began);
             let pause = self.pause(answer, patience, waited, third_of(time_left));
-            if self.lacks(answer, organisation, tokens, pause.is_err())
+            if self.should_borrow(answer, organisation, tokens, pause.is_err())
                 && std::mem::take(&mut may_borrow)
             {
                 let limit = third_of(time_left).min(BORROW_PATIENCE);
@@ -196,7 +196,7 @@
 
     /// Whether other instances are to be asked: before waiting where the store
     /// has nothing to grant, otherwise before the request is turned away.
-    fn lacks(
+    fn should_borrow(
         &self,
         answer: ReserveAnswer,
         organisation: &OrganisationId,
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! The rules stand in `guavawell_core::forward` and `guavawell_core::grant`;
 //! this crate carries them out on one thread: callers (`door`, `serve`),
-//! backend servers (`pool`, `attempt`, `relay`), budget rows (`budget`), and
-//! the process's life (`leave`, `ready`). It knows no wire names of the
+//! backend servers (`pool`, `attempt`, `relay`), budget rows and loans between
+//! instances (`budget`), the order of tasks (`schedule`), and the process's
+//! life (`leave`, `ready`). It knows no wire names of the
 //! platform it runs on; those are translated by whoever starts it.
 
 #![expect(
