A server's birth tells its lives apart; entries of other writers name no server

Cause: a server may start again under the id that it had. The table kept load, failure rate, pauses and "leaves" of the former life, and one that once left was never ready again. Entries with missing or odd fields were read as far as they went.

Change: ServerLife (id and birth) identifies a life in table, lease, pool and `tried`. A later life begins with nothing, requests of the former one end as lost at once, and what is told late of it changes nothing. Every documented field must be there and of its type; an entry that is not names no server until a readable one follows, with one log line a change.

--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -11,6 +11,7 @@
 use crate::forward::PromptPart;
 use crate::forward::ServerEntry;
 use crate::forward::ServerHealth;
+use crate::forward::ServerLife;
 use crate::forward::ServerPhase;
 use crate::forward::ServerTable;
 use crate::forward::TokenUsage;
@@ -79,7 +80,7 @@
     /// Tokens of the request.
     pub usage: TokenUsage,
     /// Servers that this request was sent to before.
-    pub tried: &'a [BackendId],
+    pub tried: &'a [ServerLife],
 }
 
 /// Why no server was chosen.
@@ -95,7 +96,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerPick {
     /// The server.
-    pub server: BackendId,
+    pub server: ServerLife,
     /// Prompt tokens that it probably has to read.
     pub unread_tokens: u64,
 }
@@ -112,7 +113,9 @@
     settings: &ChoiceSettings,
 ) -> Result<ServerPick, ChoiceRefusal> {
     let fits = |entry: &&ServerEntry| {
-        entry.service == *ask.service && entry.takes_requests(now) && !ask.tried.contains(&entry.id)
+        entry.service == *ask.service
+            && entry.takes_requests(now)
+            && !ask.tried.contains(&entry.life)
     };
     let known: Vec<&ServerEntry> = table.servers().iter().filter(fits).collect();
     if known.is_empty() {
@@ -127,18 +130,18 @@
     let costs = room.map(|entry| {
         let avoided = is_avoided(entry, now, settings);
         let penalty = if avoided { 1e6 } else { 0.0 };
-        let cost = cost_ms(entry, home == Some(&entry.id), ask, now, settings);
+        let cost = cost_ms(entry, home == Some(&entry.life), ask, now, settings);
         (penalty + cost, entry)
     });
     let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
     let (_, best) = best.ok_or(ChoiceRefusal::Full)?;
-    let held = if home == Some(&best.id) {
+    let held = if home == Some(&best.life) {
         ask.shared_tokens
     } else {
         0
     };
     Ok(ServerPick {
-        server: best.id.clone(),
+        server: best.life.clone(),
         unread_tokens: ask.usage.input.get().saturating_sub(held),
     })
 }
@@ -149,13 +152,13 @@
     ask: &ChoiceAsk<'_>,
     now: ClockTime,
     settings: &ChoiceSettings,
-) -> Option<&'a BackendId> {
+) -> Option<&'a ServerLife> {
     let part = ask.affinity?;
     let sound = known
         .iter()
         .filter(|entry| !is_avoided(entry, now, settings));
-    let best = sound.max_by_key(|entry| rank(part.id, &entry.id))?;
-    Some(&best.id)
+    let best = sound.max_by_key(|entry| rank(part.id, &entry.life.id))?;
+    Some(&best.life)
 }
 
 /// Whether a server is the last choice: unheard, failing or about to vanish.
--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod choice;
+mod life;
 mod plan;
 mod prompt;
 mod refusal;
@@ -20,6 +21,8 @@
 pub use choice::ChoiceSettings;
 pub use choice::ServerPick;
 pub use choice::choose_server;
+pub use life::BirthTime;
+pub use life::ServerLife;
 pub use plan::AttemptEnd;
 pub use plan::NextStep;
 pub use plan::RepeatKind;
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -1,9 +1,11 @@
 //! What is known of each backend server that requests are forwarded to.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
+use crate::forward::ServerLife;
 use crate::id::BackendId;
 use crate::id::ServiceId;
 use crate::id::ZoneId;
@@ -33,6 +35,9 @@
     /// Its entry vanished around an outage of the platform; it may come back
     /// until this time and is the last choice meanwhile.
     Lapsed(ClockTime),
+    /// Its entry cannot be read, so nothing is known of where and what it is;
+    /// a readable entry makes it usable again.
+    Unreadable,
 }
 
 /// How long a server whose entry vanished around trouble with the platform
@@ -126,8 +131,8 @@
 /// One backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerEntry {
-    /// This life of the server.
-    pub id: BackendId,
+    /// Which life of which server this is.
+    pub life: ServerLife,
     /// Its service.
     pub service: ServiceId,
     /// Where it listens.
@@ -202,21 +207,49 @@
         self.load.in_flight > 0 && now.since(self.health.heard_at) > SILENCE
     }
 
+    /// Takes in a new listing of the same life.
+    fn take_listing(&mut self, entry: Self) {
+        if self.phase != ServerPhase::Leaving {
+            self.phase = entry.phase;
+        }
+        self.address = entry.address;
+        self.slots = entry.slots;
+        self.zone = entry.zone;
+        self.service = entry.service;
+    }
+
+    /// Takes note that the listing went, or cannot be trusted.
+    fn end_listing(&mut self, phase: ServerPhase) {
+        self.phase = match (self.phase, phase) {
+            (ServerPhase::Leaving, _) => ServerPhase::Leaving,
+            // What went is the unreadable entry, not one that lapsed.
+            (ServerPhase::Unreadable, ServerPhase::Lapsed(_)) => ServerPhase::Leaving,
+            _ => phase,
+        };
+    }
+
     /// Whether the server may be sent a request at all.
     #[must_use]
     pub fn takes_requests(&self, now: ClockTime) -> bool {
         match self.phase {
             ServerPhase::Ready => true,
-            ServerPhase::Leaving => false,
+            ServerPhase::Leaving | ServerPhase::Unreadable => false,
             ServerPhase::Lapsed(until) => now < until,
         }
     }
 }
 
-/// All backend servers, sorted by id.
+/// Lives of forgotten servers that are remembered, so that a late entry of one
+/// that was succeeded is not taken for a new server: about ten times the
+/// servers that a fleet sees start again in a minute.
+const MAX_FORMER: usize = 256;
+
+/// All backend servers, sorted by id: the newest life of each.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
     servers: Vec<ServerEntry>,
+    /// The newest lives of servers that were forgotten, sorted by id.
+    former: Vec<ServerLife>,
 }
 
 impl ServerTable {
@@ -226,47 +259,94 @@
         &self.servers
     }
 
-    /// A server by its id.
+    /// The newest life of a server.
     #[must_use]
-    pub fn get(&self, id: &BackendId) -> Option<&ServerEntry> {
-        let place = self.servers.binary_search_by(|entry| entry.id.cmp(id));
+    pub fn newest(&self, id: &BackendId) -> Option<&ServerEntry> {
+        let place = self.find(id);
         self.servers.get(place.ok()?)
     }
 
-    /// A server by its id, to be changed.
-    pub fn get_mut(&mut self, id: &BackendId) -> Option<&mut ServerEntry> {
-        let place = self.servers.binary_search_by(|entry| entry.id.cmp(id));
-        self.servers.get_mut(place.ok()?)
+    /// A life of a server, unless a later one has begun.
+    #[must_use]
+    pub fn get(&self, life: &ServerLife) -> Option<&ServerEntry> {
+        self.newest(&life.id).filter(|entry| entry.life == *life)
     }
 
-    /// Takes in what the platform lists of a server. A known one keeps its
-    /// load and health, and one that leaves never comes back as ready.
-    pub fn upsert(&mut self, entry: ServerEntry) {
-        match self.servers.binary_search_by(|held| held.id.cmp(&entry.id)) {
-            Err(place) => self.servers.insert(place, entry),
-            Ok(place) => {
-                let held = &mut self.servers[place];
-                let leaves = held.phase == ServerPhase::Leaving;
-                held.phase = if leaves { held.phase } else { entry.phase };
-                held.address = entry.address;
-                held.slots = entry.slots;
-                held.zone = entry.zone;
-                held.service = entry.service;
+    /// A life of a server, to be changed; `None` once a later one has begun.
+    pub fn get_mut(&mut self, life: &ServerLife) -> Option<&mut ServerEntry> {
+        let place = self.find(&life.id).ok()?;
+        let entry = &mut self.servers[place];
+        (entry.life == *life).then_some(entry)
+    }
+
+    /// Takes in what the platform lists of a server, and returns the life that
+    /// this one succeeds.
+    ///
+    /// A known life keeps its load and health, and one that leaves never comes
+    /// back as ready. A later life begins with nothing; what is told of an
+    /// earlier one changes nothing.
+    pub fn upsert(&mut self, entry: ServerEntry) -> Option<ServerLife> {
+        let place = match self.find(&entry.life.id) {
+            Ok(place) => place,
+            Err(place) => {
+                if !self.is_succeeded(&entry.life) {
+                    self.servers.insert(place, entry);
+                }
+                return None;
+            }
+        };
+        let held = &mut self.servers[place];
+        match entry.life.born.cmp(&held.life.born) {
+            // Servers that tell their birth always do: not its own entry.
+            Ordering::Less if entry.life.born.is_none() => {
+                held.end_listing(ServerPhase::Unreadable);
+                None
+            }
+            Ordering::Less => None,
+            Ordering::Greater => Some(std::mem::replace(held, entry).life),
+            Ordering::Equal => {
+                held.take_listing(entry);
+                None
             }
         }
     }
 
-    /// A server is no longer listed. It is dropped once nothing runs there.
-    pub fn remove(&mut self, id: &BackendId, phase: ServerPhase) {
-        if let Some(entry) = self.get_mut(id) {
-            let leaves = entry.phase == ServerPhase::Leaving;
-            entry.phase = if leaves { entry.phase } else { phase };
+    /// A server is no longer listed, or not readably. It is dropped once
+    /// nothing runs there.
+    pub fn remove(&mut self, life: &ServerLife, phase: ServerPhase) {
+        if let Some(entry) = self.get_mut(life) {
+            entry.end_listing(phase);
         }
     }
 
     /// Forgets servers that left and hold no request of this instance.
     pub fn sweep(&mut self, now: ClockTime) {
-        self.servers
-            .retain(|entry| entry.takes_requests(now) || entry.load.in_flight > 0);
+        let gone =
+            |entry: &mut ServerEntry| !entry.takes_requests(now) && entry.load.in_flight == 0;
+        let forgotten: Vec<ServerEntry> = self.servers.extract_if(.., gone).collect();
+        for entry in forgotten {
+            self.remember(entry.life);
+        }
+    }
+
+    /// Whether a later life of a forgotten server is known.
+    fn is_succeeded(&self, life: &ServerLife) -> bool {
+        let place = self.former.binary_search_by(|held| held.id.cmp(&life.id));
+        place.is_ok_and(|place| self.former[place].born > life.born)
+    }
+
+    fn remember(&mut self, life: ServerLife) {
+        match self.former.binary_search_by(|held| held.id.cmp(&life.id)) {
+            Ok(place) => self.former[place] = life,
+            Err(place) => self.former.insert(place, life),
+        }
+        if self.former.len() > MAX_FORMER {
+            let eldest = (0..self.former.len()).min_by_key(|place| self.former[*place].born);
+            eldest.map(|place| self.former.remove(place));
+        }
+    }
+
+    fn find(&self, id: &BackendId) -> Result<usize, usize> {
+        self.servers.binary_search_by(|entry| entry.life.id.cmp(id))
     }
 }
--- a/crates/guavawell-core/tests/forward/load.rs
+++ b/crates/guavawell-core/tests/forward/load.rs
@@ -3,8 +3,8 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerTable;
-use guavawell_core::id::BackendId;
 
 use crate::support::Ask;
 use crate::support::START;
@@ -42,7 +42,7 @@
     kept: Vec<Vec<u64>>,
     dark: Vec<bool>,
     /// Requests that are still to begin: when, where, how many tokens.
-    open: Vec<(ClockTime, BackendId, u64, u64)>,
+    open: Vec<(ClockTime, ServerLife, u64, u64)>,
 }
 
 impl Replay {
@@ -67,7 +67,7 @@
         }
     }
 
-    fn send(&mut self, ask: Ask, to: &BackendId, unread: u64, now: ClockTime, out: &mut Outcome) {
+    fn send(&mut self, ask: Ask, to: &ServerLife, unread: u64, now: ClockTime, out: &mut Outcome) {
         let number = (0..SERVERS)
             .find(|number| server(*number) == *to)
             .expect("listed");
@@ -101,7 +101,7 @@
 fn replay(
     dark: usize,
     part_of: impl Fn(&mut fastrand::Rng) -> u64,
-    pick: impl Fn(&ServerTable, Ask, ClockTime, &mut fastrand::Rng) -> (BackendId, u64),
+    pick: impl Fn(&ServerTable, Ask, ClockTime, &mut fastrand::Rng) -> (ServerLife, u64),
 ) -> Outcome {
     let mut random = fastrand::Rng::with_seed(11);
     let mut replay = Replay::new(dark);
@@ -120,7 +120,7 @@
     out
 }
 
-fn ours(table: &ServerTable, ask: Ask, now: ClockTime, _: &mut fastrand::Rng) -> (BackendId, u64) {
+fn ours(table: &ServerTable, ask: Ask, now: ClockTime, _: &mut fastrand::Rng) -> (ServerLife, u64) {
     let pick = choose(table, ask, now).expect("a server");
     (pick.server, pick.unread_tokens)
 }
@@ -131,11 +131,11 @@
     ask: Ask,
     _: ClockTime,
     random: &mut fastrand::Rng,
-) -> (BackendId, u64) {
+) -> (ServerLife, u64) {
     let start = random.usize(..SERVERS);
     let entries = (0..SERVERS).map(|step| &table.servers()[(start + step) % SERVERS]);
     let best = entries.min_by_key(|entry| entry.load.in_flight);
-    (best.expect("a server").id.clone(), ask.input)
+    (best.expect("a server").life.clone(), ask.input)
 }
 
 #[test]
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -2,6 +2,7 @@
 //! replays of the worst loads.
 
 mod choice;
+mod lives;
 mod load;
 mod plan;
 mod repeat;
--- a/crates/guavawell-core/tests/forward/support.rs
+++ b/crates/guavawell-core/tests/forward/support.rs
@@ -1,6 +1,7 @@
 //! Servers and asks for the tests.
 
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::BirthTime;
 use guavawell_core::forward::ChoiceAsk;
 use guavawell_core::forward::ChoiceSettings;
 use guavawell_core::forward::EngineFacts;
@@ -8,12 +9,12 @@
 use guavawell_core::forward::PromptPart;
 use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerHealth;
+use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::ServerTable;
 use guavawell_core::forward::TokenUsage;
 use guavawell_core::forward::choose_server;
-use guavawell_core::id::BackendId;
 use guavawell_core::id::ServiceId;
 use guavawell_core::id::TokenCount;
 use guavawell_core::id::ZoneId;
@@ -36,8 +37,30 @@
     name.parse().expect("a valid id")
 }
 
-pub fn server(number: usize) -> BackendId {
-    format!("i-{number:03}").parse().expect("a valid id")
+pub fn server(number: usize) -> ServerLife {
+    born(number, 1)
+}
+
+/// The life of a server that began at a time.
+pub fn born(number: usize, millis: u64) -> ServerLife {
+    ServerLife {
+        id: format!("i-{number:03}").parse().expect("a valid id"),
+        born: Some(BirthTime::from_millis(millis)),
+    }
+}
+
+/// A ready server without load.
+pub fn entry(life: ServerLife) -> ServerEntry {
+    ServerEntry {
+        life,
+        service: service(),
+        address: ([10, 0, 0, 1], 8_000).into(),
+        zone: zone("z1"),
+        slots: 8,
+        phase: ServerPhase::Ready,
+        load: LoadFigures::default(),
+        health: ServerHealth::default(),
+    }
 }
 
 /// Ready servers, in two zones by turns.
@@ -45,14 +68,8 @@
     let mut table = ServerTable::default();
     for number in 0..count {
         table.upsert(ServerEntry {
-            id: server(number),
-            service: service(),
-            address: ([10, 0, 0, 1], 8_000).into(),
             zone: zone(["z1", "z2"][number % 2]),
-            slots: 8,
-            phase: ServerPhase::Ready,
-            load: LoadFigures::default(),
-            health: ServerHealth::default(),
+            ..entry(server(number))
         });
     }
     table
@@ -74,7 +91,7 @@
     table: &ServerTable,
     ask: Ask,
     now: ClockTime,
-    tried: &[BackendId],
+    tried: &[ServerLife],
 ) -> Option<ServerPick> {
     let service = service();
     let zone = zone("z1");
--- a/crates/guavawell-forward/src/answer.rs
+++ b/crates/guavawell-forward/src/answer.rs
@@ -1,6 +1,9 @@
 //! A server's answer, and how it goes to the caller or back to the pool.
 
+use futures_lite::FutureExt;
+
 use crate::http::BodyDecoder;
+use crate::http::ChannelError;
 use crate::http::FieldList;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -68,6 +71,21 @@
 }
 
 impl OpenAnswer {
+    /// Receives the next part of the body; false at its end.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed, or the server started again: what is left of the
+    /// answer is lost then.
+    pub async fn part(&mut self, body: &mut Vec<u8>) -> Result<bool, ChannelError> {
+        let part = self.channel.body_part(&mut self.decoder, body);
+        let ended = async {
+            self.lease.life_ended().await;
+            Err(ChannelError::Closed)
+        };
+        part.or(ended).await
+    }
+
     /// Gives the connection back after a whole answer.
     pub fn finish(self, router: &ForwardRouter) {
         self.lease.rate(false);
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -4,13 +4,14 @@
 use std::rc::Rc;
 
 use futures_lite::AsyncWriteExt;
+use futures_lite::FutureExt;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::AttemptEnd;
 use guavawell_core::forward::RepeatKind;
+use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
-use guavawell_core::id::BackendId;
 
 use crate::answer::OpenAnswer;
 use crate::answer::PlainAnswer;
@@ -100,7 +101,7 @@
     head.status == 421 || (told && head.status != 400)
 }
 
-fn note_rejection(router: &ForwardRouter, server: &BackendId, answer: OpenAnswer) {
+fn note_rejection(router: &ForwardRouter, server: &ServerLife, answer: OpenAnswer) {
     if answer.head.status == 421 {
         // Another server has the address: this one is gone.
         let mut servers = router.servers.borrow_mut();
@@ -127,7 +128,7 @@
 async fn open(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
-    server: &BackendId,
+    server: &ServerLife,
 ) -> Option<HttpChannel> {
     let times = &router.settings.times;
     let once = call.route.repeat == RepeatKind::Once;
@@ -192,7 +193,13 @@
             }
         }
     };
-    let result = futures_lite::future::or(write, read).await;
+    // What the former life of a server that started again was sent is lost;
+    // what it still answered goes first.
+    let ended = async {
+        lease.life_ended().await;
+        Err(ChannelError::Closed)
+    };
+    let result = write.or(read).or(ended).await;
     match result {
         Ok(head) => {
             lease.heard();
--- a/crates/guavawell-forward/src/lease.rs
+++ b/crates/guavawell-forward/src/lease.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use guavawell_core::forward::ServerEntry;
+use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPick;
-use guavawell_core::id::BackendId;
 
 use crate::router::ForwardRouter;
 
@@ -13,7 +13,7 @@
 #[derive(Debug)]
 pub struct ServerLease {
     router: Rc<ForwardRouter>,
-    server: BackendId,
+    server: ServerLife,
     unread: Cell<u64>,
     memory: u64,
 }
@@ -36,7 +36,7 @@
 
     /// The server.
     #[must_use]
-    pub const fn server(&self) -> &BackendId {
+    pub const fn server(&self) -> &ServerLife {
         &self.server
     }
 
@@ -64,6 +64,24 @@
             .is_none_or(|server| server.silent(now))
     }
 
+    /// Waits until a later life of the server is known: no answer will come
+    /// from this one.
+    pub async fn life_ended(&self) {
+        loop {
+            let reborn = self.router.reborn.listen();
+            if self.is_succeeded() {
+                return;
+            }
+            reborn.await;
+        }
+    }
+
+    fn is_succeeded(&self) -> bool {
+        let servers = self.router.servers.borrow();
+        let newest = servers.newest(&self.server.id);
+        newest.is_some_and(|entry| entry.life.born > self.server.born)
+    }
+
     /// The outcome, where the server could have served the request.
     pub fn rate(&self, failed: bool) {
         let now = self.router.clock.now();
--- a/crates/guavawell-forward/src/pool.rs
+++ b/crates/guavawell-forward/src/pool.rs
@@ -2,7 +2,7 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
-use guavawell_core::id::BackendId;
+use guavawell_core::forward::ServerLife;
 
 use crate::http::FieldList;
 use crate::http::HttpChannel;
@@ -20,18 +20,18 @@
     until: ClockTime,
 }
 
-/// Idle connections, by server.
+/// Idle connections, by life of a server.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
-    /// Sorted by server; the newest connection last.
-    servers: Vec<(BackendId, Vec<IdleChannel>)>,
+    /// Sorted by life; the newest connection last.
+    servers: Vec<(ServerLife, Vec<IdleChannel>)>,
 }
 
 impl ConnectionPool {
     /// Takes a connection that was idle for `most_idle` at most.
     pub fn take(
         &mut self,
-        server: &BackendId,
+        server: &ServerLife,
         now: ClockTime,
         most_idle: ClockSpan,
     ) -> Option<HttpChannel> {
@@ -52,7 +52,7 @@
     /// Keeps a connection whose last answer was whole.
     pub fn put(
         &mut self,
-        server: &BackendId,
+        server: &ServerLife,
         channel: HttpChannel,
         now: ClockTime,
         keep: ClockSpan,
@@ -75,7 +75,7 @@
     }
 
     /// Drops all connections to a server.
-    pub fn forget(&mut self, server: &BackendId) {
+    pub fn forget(&mut self, server: &ServerLife) {
         if let Ok(place) = self.servers.binary_search_by(|(id, _)| id.cmp(server)) {
             self.servers.remove(place);
         }
--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -51,8 +51,8 @@
 ) -> AttemptOutcome {
     let mut body = Vec::new();
     loop {
-        let part = answer.channel.body_part(&mut answer.decoder, &mut body);
-        match within(time_left(router, call.ends_at), part).await {
+        let left = time_left(router, call.ends_at);
+        match within(left, answer.part(&mut body)).await {
             Ok(true) if body.len() > HELD_ANSWER => {
                 return pass_through(router, caller, call, answer, body).await;
             }
@@ -118,8 +118,8 @@
             return AttemptOutcome::CallerLost;
         }
         writer.clear();
-        let part = answer.channel.body_part(&mut answer.decoder, &mut body);
-        match within(time_left(router, call.ends_at), part).await {
+        let left = time_left(router, call.ends_at);
+        match within(left, answer.part(&mut body)).await {
             Ok(true) => answer.lease.heard(),
             Ok(false) => break,
             Err(_) => {
@@ -209,8 +209,7 @@
     loop {
         let left = router.clock.left(call.ends_at);
         let limit = if movable { silence.min(left) } else { left };
-        let part = answer.channel.body_part(&mut answer.decoder, held);
-        match within(timer_span(limit), part).await {
+        match within(timer_span(limit), answer.part(held)).await {
             Err(ChannelError::TimedOut) if movable && left > limit && !answer.lease.is_silent() => {
             }
             Ok(more) => {
--- a/crates/guavawell-forward/src/request.rs
+++ b/crates/guavawell-forward/src/request.rs
@@ -1,6 +1,6 @@
 //! A request as a backend server gets it.
 
-use guavawell_core::id::BackendId;
+use guavawell_core::forward::ServerLife;
 
 use crate::http::BodyFraming;
 use crate::http::HeadWriter;
@@ -17,7 +17,7 @@
 pub fn request_bytes(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
-    server: &BackendId,
+    server: &ServerLife,
     progress: &RequestProgress,
 ) -> Vec<u8> {
     let names = &router.settings.names;
@@ -35,7 +35,7 @@
     }
     let left = router.clock.left(call.ends_at).as_millis();
     head.field_of(names.time_left, left);
-    head.field(names.expected_server, server.as_str().as_bytes());
+    head.field(names.expected_server, server.id.as_str().as_bytes());
     if let Some((organisation, _)) = &call.organisation {
         head.field(names.organisation, organisation.as_str().as_bytes());
     }
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -4,12 +4,14 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use event_listener::Event;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::RepeatAllowance;
 use guavawell_core::forward::RepeatSettings;
 use guavawell_core::forward::ServerEntry;
+use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerTable;
 use guavawell_core::id::BackendId;
@@ -47,6 +49,8 @@
     pub config: RefCell<Option<Rc<ForwardConfig>>>,
     /// Known backend servers.
     pub servers: RefCell<ServerTable>,
+    /// A server started again under its id.
+    pub reborn: Event,
     /// Whether the list of servers was read.
     pub servers_read: Cell<bool>,
     /// Whether budgets were open once; new ones do not close the door again.
@@ -84,6 +88,7 @@
             log,
             config: RefCell::new(None),
             servers: RefCell::default(),
+            reborn: Event::new(),
             servers_read: Cell::new(false),
             opened: Cell::new(false),
             repeats: RefCell::default(),
@@ -120,25 +125,39 @@
 
     /// The platform lists a server.
     pub fn list_server(&self, entry: ServerEntry) {
-        let id = entry.id.clone();
+        let life = entry.life.clone();
         let phase = entry.phase;
         let mut servers = self.servers.borrow_mut();
-        let before = servers.get(&id).map(|held| held.phase);
-        servers.upsert(entry);
-        let after = servers.get(&id).map(|held| held.phase);
+        let before = servers.get(&life).map(|held| held.phase);
+        let former = servers.upsert(entry);
+        let after = servers.get(&life).map(|held| held.phase);
         drop(servers);
+        if let Some(former) = former {
+            self.end_life(&former, &life);
+        }
         if before != after {
-            self.note_server("server.listed", &id, phase);
+            self.note_server("server.listed", &life, phase);
         }
     }
 
+    /// A server started again: nothing of its former life is used any more.
+    fn end_life(&self, former: &ServerLife, life: &ServerLife) {
+        self.pool.borrow_mut().forget(former);
+        self.reborn.notify(usize::MAX);
+        let draft = EventDraft::new("server.reborn")
+            .field("life", life)
+            .field("before", former);
+        self.log.emit(draft);
+    }
+
     /// Whether a server still takes requests: it may have begun to leave while
     /// a connection to it was being opened.
     #[must_use]
-    pub fn takes_requests(&self, id: &BackendId) -> bool {
+    pub fn takes_requests(&self, life: &ServerLife) -> bool {
         let now = self.clock.now();
         let servers = self.servers.borrow();
-        servers.get(id).is_some_and(|held| held.takes_requests(now))
+        let entry = servers.get(life);
+        entry.is_some_and(|held| held.takes_requests(now))
     }
 
     /// The platform no longer lists a server.
@@ -146,39 +165,56 @@
         let now = self.clock.now();
         let lapse = &self.settings.times.lapse;
         let phase = lapse.vanished(now, self.trouble_at.get());
-        let known = self.servers.borrow().get(id).is_some();
-        self.servers.borrow_mut().remove(id, phase);
-        if known {
-            self.note_server("server.unlisted", id, phase);
-        }
+        self.remove_server("server.unlisted", id, phase);
+    }
+
+    /// The platform's entry of a server cannot be read. Whoever wrote it, it
+    /// names no server to use.
+    pub fn distrust_server(&self, id: &BackendId) {
+        self.remove_server("server.distrusted", id, ServerPhase::Unreadable);
+    }
+
+    fn remove_server(&self, kind: &str, id: &BackendId, phase: ServerPhase) {
+        let mut servers = self.servers.borrow_mut();
+        let Some(life) = servers.newest(id).map(|entry| entry.life.clone()) else {
+            return;
+        };
+        servers.remove(&life, phase);
+        drop(servers);
+        self.note_server(kind, &life, phase);
     }
 
     /// The platform's whole list was read: servers that are not in it are
-    /// unlisted.
-    pub fn list_all(&self, entries: Vec<ServerEntry>) {
-        let mut listed: Vec<BackendId> = entries.iter().map(|entry| entry.id.clone()).collect();
+    /// unlisted, and those of `unreadable` entries are not used.
+    pub fn list_all(&self, entries: Vec<ServerEntry>, unreadable: &[BackendId]) {
+        let readable = entries.iter().map(|entry| &entry.life.id);
+        let mut listed: Vec<BackendId> = readable.chain(unreadable).cloned().collect();
         listed.sort();
         let known = self.servers.borrow();
-        let ids = known.servers().iter().map(|entry| entry.id.clone());
+        let ids = known.servers().iter().map(|entry| entry.life.id.clone());
         let missing: Vec<BackendId> = ids.filter(|id| listed.binary_search(id).is_err()).collect();
         drop(known);
         for id in missing {
             self.unlist_server(&id);
         }
+        for id in unreadable {
+            self.distrust_server(id);
+        }
         for entry in entries {
             self.list_server(entry);
         }
         self.servers_read.set(true);
     }
 
-    fn note_server(&self, kind: &str, id: &BackendId, phase: ServerPhase) {
+    fn note_server(&self, kind: &str, life: &ServerLife, phase: ServerPhase) {
         let phase = match phase {
             ServerPhase::Ready => "ready",
             ServerPhase::Leaving => "leaving",
             ServerPhase::Lapsed(_) => "lapsed",
+            ServerPhase::Unreadable => "unreadable",
         };
         let draft = EventDraft::new(kind)
-            .field("server", id)
+            .field("server", life)
             .field("phase", phase);
         self.log.emit(draft);
     }
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -9,10 +9,10 @@
 use guavawell_core::forward::ForwardRefusal;
 use guavawell_core::forward::NextStep;
 use guavawell_core::forward::RepeatKind;
+use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::choose_server;
 use guavawell_core::forward::next_step;
-use guavawell_core::id::BackendId;
 use guavawell_fleet::event::EventDraft;
 
 use crate::answer::PlainAnswer;
@@ -42,7 +42,7 @@
 #[derive(Debug, Default)]
 pub struct RequestProgress {
     /// Servers that were chosen.
-    pub tried: Vec<BackendId>,
+    pub tried: Vec<ServerLife>,
     /// Attempts that reached a server.
     pub sent: u32,
     /// Attempts that never left this instance.
