A request waits a moment for a process that has just started

Change: such a request waits until configuration and servers are read, for 300 ms or a quarter of its time at most; no request of a process that knows both waits.

--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -51,6 +51,8 @@
     pub servers: RefCell<ServerTable>,
     /// A server started again under its id.
     pub reborn: Event,
+    /// The configuration or the list of servers was read.
+    informed: Event,
     /// Whether the list of servers was read.
     pub servers_read: Cell<bool>,
     /// Whether budgets were open once; new ones do not close the door again.
@@ -89,6 +91,7 @@
             config: RefCell::new(None),
             servers: RefCell::default(),
             reborn: Event::new(),
+            informed: Event::new(),
             servers_read: Cell::new(false),
             opened: Cell::new(false),
             repeats: RefCell::default(),
@@ -121,6 +124,7 @@
         self.log.emit(draft);
         metrics::gauge!("guavawell_forward_config_version").set(fraction(version));
         *self.config.borrow_mut() = Some(Rc::new(config));
+        self.informed.notify(usize::MAX);
     }
 
     /// The platform lists a server.
@@ -204,6 +208,7 @@
             self.list_server(entry);
         }
         self.servers_read.set(true);
+        self.informed.notify(usize::MAX);
     }
 
     fn note_server(&self, kind: &str, life: &ServerLife, phase: ServerPhase) {
@@ -241,13 +246,30 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let serving = self.phase.get() == RouterPhase::Serving;
-        let informed = self.config.borrow().is_some() && self.servers_read.get();
+        let informed = self.is_informed();
         if informed && !self.opened.get() {
             self.opened.set(self.budgets.is_open());
         }
         serving && informed && self.opened.get()
     }
 
+    /// Whether a configuration and the list of servers are known.
+    #[must_use]
+    pub fn is_informed(&self) -> bool {
+        self.config.borrow().is_some() && self.servers_read.get()
+    }
+
+    /// Waits until a configuration and the list of servers are known.
+    pub async fn wait_informed(&self) {
+        loop {
+            let informed = self.informed.listen();
+            if self.is_informed() {
+                return;
+            }
+            informed.await;
+        }
+    }
+
     /// Whether the process was told to leave.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use futures_lite::FutureExt;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::EngineFacts;
@@ -16,9 +17,11 @@
 use guavawell_core::id::ServiceId;
 use guavawell_core::id::TokenCount;
 use guavawell_core::number::whole;
+use smol::Timer;
 
 use crate::budget::BudgetRefusal;
 use crate::budget::TokenReservation;
+use crate::clock::timer_span;
 use crate::door::ReceivedRequest;
 use crate::http::HttpChannel;
 use crate::http::wait_for_close;
@@ -27,6 +30,13 @@
 use crate::router::ForwardRouter;
 use crate::send::run_attempts;
 
+/// How long a request waits for a process that has just started to read its
+/// configuration and servers: that takes 25 ms where the platform answers, and
+/// callers that lost their connections to the process before are there at once.
+/// After a stop of all instances 43 to 50 requests came within these 25 ms.
+const START_PATIENCE: ClockSpan = ClockSpan::from_millis(300);
+/// Most of a request's time that may go into that wait, as one part in so many.
+const START_PARTS: u64 = 4;
 /// Retry-After of a process that has no configuration yet: its first read of
 /// the platform takes tens of milliseconds where the platform answers.
 const RETRY_NO_CONFIG: ClockSpan = ClockSpan::from_millis(500);
@@ -99,7 +109,7 @@
         wait_for_close(&stream).await;
         false
     };
-    futures_lite::future::or(serve, gone).await
+    serve.or(gone).await
 }
 
 async fn serve_held(
@@ -164,6 +174,7 @@
     id: &'a str,
     record: &RequestRecord,
 ) -> Result<ForwardCall<'a>, RefusalAnswer> {
+    await_start(router, request).await?;
     let config = router.config.borrow().clone();
     let Some(config) = config else {
         return Err(RefusalAnswer::new(ForwardRefusal::NoConfig).after(RETRY_NO_CONFIG));
@@ -208,6 +219,24 @@
     })
 }
 
+/// Waits a moment for what a process reads first.
+async fn await_start(
+    router: &ForwardRouter,
+    request: &ReceivedRequest,
+) -> Result<(), RefusalAnswer> {
+    if router.is_informed() {
+        return Ok(());
+    }
+    let told = told_time(router, request)?;
+    let part = told.map(|span| ClockSpan::from_millis(span.as_millis() / START_PARTS));
+    let patience = part.map_or(START_PATIENCE, |part| part.min(START_PATIENCE));
+    let late = async {
+        Timer::after(timer_span(patience)).await;
+    };
+    router.wait_informed().or(late).await;
+    Ok(())
+}
+
 /// What a configuration does not know, unless a newer one may know it.
 fn unknown(router: &ForwardRouter, refusal: ForwardRefusal) -> RefusalAnswer {
     if router.in_doubt() {
@@ -277,16 +306,24 @@
     request: &ReceivedRequest,
 ) -> Result<ClockTime, RefusalAnswer> {
     let limit = request.received_at + route.time_limit;
+    let told = told_time(router, request)?;
+    Ok(told.map_or(limit, |span| limit.min(request.received_at + span)))
+}
+
+/// How long the caller waits, if it says so.
+fn told_time(
+    router: &ForwardRouter,
+    request: &ReceivedRequest,
+) -> Result<Option<ClockSpan>, RefusalAnswer> {
     let name = router.settings.names.time_left;
     let Some(text) = request.head.fields.get(name) else {
-        return Ok(limit);
+        return Ok(None);
     };
     let left: f64 = text
         .trim()
         .parse()
         .map_err(|_| RefusalAnswer::new(ForwardRefusal::Malformed))?;
-    let span = ClockSpan::from_millis(whole(left));
-    Ok(limit.min(request.received_at + span))
+    Ok(Some(ClockSpan::from_millis(whole(left))))
 }
 
 fn check_room(router: &ForwardRouter, ends_at: ClockTime) -> Result<(), RefusalAnswer> {
--- /dev/null
+++ b/crates/guavawell-forward/tests/start.rs
@@ -0,0 +1,100 @@
+//! A process that has just started: callers that lost their connections to the
+//! one before are there before it has read anything.
+
+use std::future::pending;
+use std::rc::Rc;
+
+use futures_lite::future::block_on;
+use futures_lite::future::poll_once;
+use guavawell_core::forward::AdmissionSettings;
+use guavawell_core::forward::ChoiceSettings;
+use guavawell_core::forward::ForwardConfig;
+use guavawell_core::forward::ForwardLimits;
+use guavawell_core::forward::RepeatSettings;
+use guavawell_core::forward::RouteTable;
+use guavawell_core::grant::BookSettings;
+use guavawell_core::id::IncarnationId;
+use guavawell_core::id::InstanceId;
+use guavawell_fleet::event::EventLog;
+use guavawell_forward::budget::BudgetDesk;
+use guavawell_forward::clock::SteadyClock;
+use guavawell_forward::names::FieldNames;
+use guavawell_forward::router::ForwardRouter;
+use guavawell_forward::settings::ForwardSettings;
+use guavawell_forward::settings::ListenAddresses;
+use guavawell_forward::settings::TimeSettings;
+use guavawell_forward::store::RowStore;
+
+const NAMES: FieldNames = FieldNames {
+    request: "id",
+    time_left: "left",
+    usage: "usage",
+    prompt: "prompt",
+    last_event: "event",
+    organisation: "organisation",
+    expected_server: "server",
+    priority: "priority",
+    not_run: "not-run",
+    load: "load",
+    reserved: &[],
+};
+
+/// A store that never answers.
+fn silent_store() -> RowStore {
+    RowStore {
+        table: Box::new(|_| Box::pin(pending())),
+        changes: Box::new(|_, _| Box::pin(pending())),
+        read: Box::new(|_| Box::pin(pending())),
+        write: Box::new(|_, _, _| Box::pin(pending())),
+    }
+}
+
+fn router() -> ForwardRouter {
+    let instance: InstanceId = "r1".parse().expect("a valid id");
+    let clock = SteadyClock::start();
+    let log = EventLog::off(instance.clone(), IncarnationId::new(1));
+    let book = BookSettings::default();
+    let store = silent_store();
+    let desk = BudgetDesk::new(instance.clone(), None, book, clock, log.clone(), store);
+    let settings = ForwardSettings {
+        instance,
+        zone: "z1".parse().expect("a valid id"),
+        listen: ListenAddresses::default(),
+        names: NAMES,
+        times: TimeSettings::default(),
+        choice: ChoiceSettings::default(),
+        admission: AdmissionSettings::default(),
+        repeats: RepeatSettings::default(),
+        book,
+    };
+    ForwardRouter::new(settings, clock, log, Rc::new(desk))
+}
+
+fn config() -> ForwardConfig {
+    ForwardConfig {
+        version: 1,
+        routes: RouteTable::new(Vec::new()),
+        services: Box::default(),
+        organisations: Box::default(),
+        keys: Box::default(),
+        limits: ForwardLimits::default(),
+    }
+}
+
+#[test]
+fn requests_of_the_first_moment_wait_until_configuration_and_servers_are_read() {
+    let router = router();
+    block_on(async {
+        let mut first = Box::pin(router.wait_informed());
+        assert!(poll_once(&mut first).await.is_none());
+        router.accept_config(config());
+        assert!(
+            poll_once(&mut first).await.is_none(),
+            "no server is known yet"
+        );
+        router.list_all(Vec::new(), &[]);
+        assert!(poll_once(&mut first).await.is_some());
+        // Later requests do not wait.
+        assert!(poll_once(Box::pin(router.wait_informed())).await.is_some());
+    });
+}
