A lender that the store serves fetches tokens for an instance that it turns away

Change: a lender that reaches the store waits 100 ms at most for its grant and line as for a request of its own, where what nobody holds covers the loan; an instance that is cut off asks any four others, not only those that its old row shows rich.

--- a/crates/guavawell-core/src/grant/loan.rs
+++ b/crates/guavawell-core/src/grant/loan.rs
@@ -9,6 +9,12 @@
 //! its own grant and line; the borrower spends them beside its own grant. What
 //! either process forgets at its end, or what an unanswered question was lent,
 //! stays spent: at most less can be spent than was paid.
+//!
+//! Second load pattern: the store turns a third of the instances away for eight
+//! seconds and serves the others, and one of the third has nearly all callers
+//! of an organisation. What it holds is spent in two seconds, while tokens that
+//! nobody holds lie in the store. A lender that reaches the store fetches them
+//! for it as it would for a request of its own.
 
 use super::book::BudgetState;
 use super::book::GrantBook;
@@ -118,6 +124,28 @@
         lent
     }
 
+    /// What this boot has to wait for so that it can lend, or `None` if waiting
+    /// for the store does not help: what nobody holds does not cover it either.
+    /// The bound keeps instances from asking in vain near a budget's end.
+    #[must_use]
+    pub fn lend_later(
+        &self,
+        organisation: &OrganisationId,
+        ask: LoanAsk,
+        now: ClockTime,
+    ) -> Option<u64> {
+        let state = &self.budgets[self.find(organisation)?];
+        let row = state.row.known()?;
+        if self.boot == 0 || self.leaving {
+            return None;
+        }
+        let unheld = self.paid(state, row).saturating_sub(row.committed());
+        let unspent = self.grant(state).saturating_sub(state.used + state.waiting);
+        let keep = state.demand.per_second(now) * KEEP_SECONDS;
+        let have = (unheld + unspent).saturating_sub(keep);
+        (have >= ask.needed).then(|| keep + ask.wanted.min(have))
+    }
+
     /// Tokens that this boot may spend at once and can do without; `None` where
     /// it may spend none.
     fn spare(&self, state: &BudgetState, now: ClockTime) -> Option<u64> {
--- a/crates/guavawell-core/tests/grant_loan.rs
+++ b/crates/guavawell-core/tests/grant_loan.rs
@@ -1,5 +1,5 @@
-//! Loans between instances: what they cost the lender, and a replay of a cut
-//! that parts all instances of a large fleet from the store.
+//! Loans between instances: what they cost the lender, and replays of cuts
+//! that part all instances of a large fleet from the store, or a third of them.
 
 use fastrand::Rng;
 use guavawell_core::clock::ClockTime;
@@ -84,6 +84,12 @@
     rows: Rows,
     books: Vec<GrantBook>,
     random: Rng,
+    /// Instances that callers reach, the first ones.
+    reached: usize,
+    /// Instances that a cut parts from the store, the first ones.
+    cut_off: usize,
+    /// Whether a lender that reaches the store fetches what it has not.
+    fetches: bool,
     spent: u64,
     refused_in_cut: u64,
     asked_in_cut: u64,
@@ -112,6 +118,9 @@
             rows,
             books,
             random: Rng::with_seed(seed),
+            reached: FLEET,
+            cut_off: FLEET,
+            fetches: false,
             spent: 0,
             refused_in_cut: 0,
             asked_in_cut: 0,
@@ -128,12 +137,20 @@
 
     fn borrow(&mut self, place: usize, tokens: u64, now: ClockTime) -> bool {
         let id = organisation();
-        let mut able = self.books[place].lenders(&id);
-        for _ in 0..LENDERS.min(able.len()) {
-            let (instance, _) = able.swap_remove(self.random.usize(..able.len()));
-            let lender: usize = instance.as_str()[1..].parse().expect("its place");
+        let holders = self.books[place].lenders(&id);
+        let mut able: Vec<usize> = holders
+            .iter()
+            .map(|(instance, _)| instance.as_str()[1..].parse().expect("its place"))
+            .collect();
+        self.random.shuffle(&mut able);
+        if self.fetches {
+            let mut others: Vec<usize> = (0..FLEET).filter(|other| *other != place).collect();
+            self.random.shuffle(&mut others);
+            able.extend(others);
+        }
+        for lender in able.into_iter().take(LENDERS) {
             let ask = self.books[place].loan_ask(&id, tokens, now);
-            let lent = self.books[lender].lend(&id, ask, now);
+            let lent = self.lend(lender, ask, now);
             self.books[place].take_loan(&id, lent);
             if self.reserve(place, tokens, now) {
                 return true;
@@ -142,8 +159,23 @@
         false
     }
 
+    fn lend(&mut self, lender: usize, ask: LoanAsk, now: ClockTime) -> u64 {
+        let id = organisation();
+        let book = &mut self.books[lender];
+        let lent = book.lend(&id, ask, now);
+        let later = book.lend_later(&id, ask, now);
+        let (0, Some(missing), true) = (lent, later, self.fetches && lender >= self.cut_off) else {
+            return lent;
+        };
+        book.wait(&id, missing, true);
+        self.rows.keep(lender, book, now);
+        book.wait(&id, missing, false);
+        book.lend(&id, ask, now)
+    }
+
     fn request(&mut self, now: ClockTime, loans: bool, cut: bool) {
-        let place = self.random.usize(..FLEET);
+        let place = self.random.usize(..self.reached);
+        let cut = cut && place < self.cut_off;
         let long = self.random.u8(..8) == 0;
         let tokens = SHORT * if long { 10 } else { 1 };
         let id = organisation();
@@ -172,7 +204,7 @@
             let now = at(millis);
             let cut = CUT.contains(&millis);
             for place in 0..FLEET {
-                if !cut {
+                if !cut || place >= self.cut_off {
                     self.rows.keep(place, &mut self.books[place], now);
                 }
             }
@@ -203,6 +235,43 @@
     }
 }
 
+/// One instance has all callers of the organisation, and the store turns it and
+/// a third of the others away.
+fn third_cut_off(paid: u64, seed: u64, fetches: bool) -> Fleet {
+    let fleet = Fleet {
+        reached: 1,
+        cut_off: FLEET / 3,
+        fetches,
+        ..Fleet::start(paid, seed)
+    };
+    fleet.play(true)
+}
+
+#[test]
+fn instances_that_the_store_serves_fetch_for_those_that_it_turns_away() {
+    for seed in 0..4 {
+        let paid = 1_150_000;
+        let lent = third_cut_off(paid, seed, false);
+        let fetched = third_cut_off(paid, seed, true);
+        println!(
+            "seed {seed}: of {} asked, {} refused with loans alone and {} with fetched ones",
+            lent.asked_in_cut, lent.refused_in_cut, fetched.refused_in_cut
+        );
+        assert!(lent.refused_in_cut > 0);
+        assert!(fetched.refused_in_cut * 4 < lent.refused_in_cut);
+        assert!(fetched.spent <= paid);
+    }
+}
+
+#[test]
+fn what_nobody_holds_bounds_what_is_fetched() {
+    for seed in 0..12 {
+        let paid = 200_000 + seed * 40_000;
+        let fleet = third_cut_off(paid, seed, true);
+        assert!(fleet.spent <= paid, "{} of {paid}", fleet.spent);
+    }
+}
+
 #[test]
 fn a_fleet_with_loans_never_spends_more_than_was_paid() {
     for seed in 0..12 {
--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -14,6 +14,8 @@
 use smol::LocalExecutor;
 
 use super::BudgetDesk;
+use super::reserve::WaitingRequest;
+use super::wait_until;
 use crate::accept::accept_all;
 use crate::clock::timer_span;
 use crate::http::ChannelError;
@@ -26,6 +28,10 @@
 /// Longest wait for an instance's answer: some milliseconds on the way and, at
 /// a tenth of a core, some tens in its queue.
 const ASK_LIMIT: Duration = Duration::from_millis(150);
+/// How long a lender waits for the store: two of its answers and a write of the
+/// same row that is on its way. Less than [`ASK_LIMIT`] by what the answer takes,
+/// or its tokens would be lost.
+const LEND_PATIENCE: ClockSpan = ClockSpan::from_millis(100);
 /// Instances that are asked for one request.
 const MAX_LENDERS: usize = 4;
 /// Largest head of a question or an answer, in bytes.
@@ -81,6 +87,9 @@
 
     /// Instances to ask, each drawn with a chance by what it holds: were all
     /// short ones to ask the richest, it would soon have nothing.
+    ///
+    /// An instance that the store does not serve asks others too: one that it
+    /// serves can fetch what is needed.
     fn choose_lenders(
         &self,
         organisation: &OrganisationId,
@@ -107,9 +116,49 @@
             let (instance, _, address) = able.swap_remove(place.unwrap_or_default());
             chosen.push((instance, address));
         }
+        if self.is_cut_off() {
+            self.add_fetchers(&mut chosen);
+        }
         chosen
     }
 
+    /// Fills up with any other instances.
+    fn add_fetchers(&self, chosen: &mut Vec<(InstanceId, SocketAddr)>) {
+        let mut others = self.peer_addresses();
+        others.retain(|(instance, _)| chosen.iter().all(|(held, _)| held != instance));
+        fastrand::shuffle(&mut others);
+        others.truncate(MAX_LENDERS - chosen.len());
+        chosen.append(&mut others);
+    }
+
+    /// Lends, after a wait for the store where that helps.
+    async fn lend(self: &Rc<Self>, organisation: &OrganisationId, ask: LoanAsk) -> u64 {
+        let lend_now = || {
+            let now = self.clock.now();
+            self.book.borrow_mut().lend(organisation, ask, now)
+        };
+        let lent = lend_now();
+        let later = self
+            .book
+            .borrow()
+            .lend_later(organisation, ask, self.clock.now());
+        let (0, Some(missing), false) = (lent, later, self.is_cut_off()) else {
+            return lent;
+        };
+        let _waiting = WaitingRequest::new(self, organisation, missing);
+        self.ring();
+        let end = self.clock.now() + LEND_PATIENCE;
+        loop {
+            let changed = self.changed.listen();
+            let lent = lend_now();
+            let rest = self.clock.left(end);
+            if lent > 0 || rest == ClockSpan::default() {
+                return lent;
+            }
+            wait_until(changed, timer_span(rest)).await;
+        }
+    }
+
     fn note_loan(
         &self,
         kind: &str,
@@ -151,17 +200,16 @@
         accept_all("instance", &listener, serve).await;
     }
 
-    async fn answer_loan(&self, mut channel: HttpChannel) -> Result<(), ChannelError> {
+    async fn answer_loan(self: &Rc<Self>, mut channel: HttpChannel) -> Result<(), ChannelError> {
         let length = within(READ_LIMIT, channel.head(HEAD_BYTES)).await?;
         let head = RequestHead::parse(&channel.received()[..length])?;
         channel.consume(length);
-        let lent = parse_target(head.path()).map_or(0, |(organisation, ask)| {
-            let now = self.clock.now();
-            let lent = self.book.borrow_mut().lend(&organisation, ask, now);
+        let mut lent = 0;
+        if let Some((organisation, ask)) = parse_target(head.path()) {
+            lent = self.lend(&organisation, ask).await;
             let asker = head.host.as_ref();
             self.note_loan("budget.lent", &organisation, asker, ask, lent);
-            lent
-        });
+        }
         let mut writer = HeadWriter::response(200, "OK");
         writer.field_of(LENT_FIELD, lent);
         writer.field_of("Content-Length", 0);
--- a/crates/guavawell-forward/src/budget/peers.rs
+++ b/crates/guavawell-forward/src/budget/peers.rs
@@ -119,6 +119,15 @@
         (self.clock.now() >= peer.avoided_until).then_some(peer.address)
     }
 
+    /// All instances that answer, but for those that lately did not.
+    pub(super) fn peer_addresses(&self) -> Vec<(InstanceId, SocketAddr)> {
+        let now = self.clock.now();
+        let peers = self.peers.borrow();
+        let able = peers.iter().filter(|peer| now >= peer.avoided_until);
+        able.map(|peer| (peer.instance.clone(), peer.address))
+            .collect()
+    }
+
     /// An instance did not answer.
     pub(super) fn avoid_peer(&self, instance: &InstanceId) {
         let until = self.clock.now() + AVOID;
--- a/crates/guavawell-forward/src/budget/reserve.rs
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -97,14 +97,14 @@
 }
 
 /// A request that waits for tokens.
-struct WaitingRequest<'a> {
+pub(super) struct WaitingRequest<'a> {
     desk: &'a BudgetDesk,
     organisation: &'a OrganisationId,
     tokens: u64,
 }
 
 impl<'a> WaitingRequest<'a> {
-    fn new(desk: &'a BudgetDesk, organisation: &'a OrganisationId, tokens: u64) -> Self {
+    pub(super) fn new(desk: &'a BudgetDesk, organisation: &'a OrganisationId, tokens: u64) -> Self {
         desk.book.borrow_mut().wait(organisation, tokens, true);
         Self {
             desk,
@@ -163,8 +163,7 @@
                 pause.map_err(|refusal| self.explain(refusal, answer, organisation, waited))?;
             if waiting.is_none() {
                 waiting = Some(WaitingRequest::new(self, organisation, tokens));
-                self.budget_bell.notify(usize::MAX);
-                self.line_bell.notify(usize::MAX);
+                self.ring();
             }
             wait_until(changed, timer_span(pause)).await;
         }
@@ -268,8 +267,14 @@
         }
     }
 
+    /// Has rows written for what waits.
+    pub(super) fn ring(&self) {
+        self.budget_bell.notify(usize::MAX);
+        self.line_bell.notify(usize::MAX);
+    }
+
     /// Whether the store has failed for longer than a request would wait.
-    fn is_cut_off(&self) -> bool {
+    pub(super) fn is_cut_off(&self) -> bool {
         let now = self.clock.now();
         let patience = ClockSpan::from_millis(LEAST_PATIENCE_MS);
         let since = self.failing_since.get();
