A boot closes its predecessor as of its own start, not of the store's first answer

Change: the end's bound is an answer's time less what surely passed between the own start and the question; the search has a planted start that is taken for earlier, and finds it. Each boot logs what its predecessor may have spent beyond its last word.

--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -7,6 +7,7 @@
 use crate::grant::LineRow;
 use crate::grant::RateMeter;
 use crate::grant::RowVersions;
+use crate::grant::StartBound;
 use crate::grant::StoreClock;
 use crate::id::InstanceId;
 use crate::id::OrganisationId;
@@ -171,6 +172,8 @@
     pub(super) nonce: u64,
     pub(super) settings: BookSettings,
     pub(super) clock: StoreClock,
+    /// When the boot before this one had ended at the latest.
+    pub(super) start: StartBound,
     pub(super) lines: RowVersions<LineRow>,
     pub(super) lines_at: ClockTime,
     /// Sorted by organisation.
@@ -179,15 +182,22 @@
 }
 
 impl GrantBook {
-    /// An empty book. `nonce` is random.
+    /// An empty book. `nonce` is random. At the local time `started` the process
+    /// had started, and so the one before it in the same place had ended.
     #[must_use]
-    pub fn new(instance: InstanceId, nonce: u64, settings: BookSettings) -> Self {
+    pub fn new(
+        instance: InstanceId,
+        nonce: u64,
+        started: ClockTime,
+        settings: BookSettings,
+    ) -> Self {
         Self {
             instance,
             boot: 0,
             nonce,
             settings,
             clock: StoreClock::default(),
+            start: StartBound::new(started),
             lines: RowVersions::default(),
             lines_at: ClockTime::default(),
             budgets: Vec::new(),
@@ -201,9 +211,11 @@
         self.boot
     }
 
-    /// An answer of the store told its steady time.
-    pub fn tell_time(&mut self, store: ClockTime, now: ClockTime) {
+    /// An answer of the store, to a call sent at the local time `asked`, told
+    /// its steady time.
+    pub fn tell_time(&mut self, store: ClockTime, asked: ClockTime, now: ClockTime) {
         self.clock.tell(store, now);
+        self.start.tell(store, asked);
     }
 
     /// The configuration says what an organisation paid.
--- a/crates/guavawell-core/src/grant/line.rs
+++ b/crates/guavawell-core/src/grant/line.rs
@@ -121,12 +121,12 @@
         self.lines.get(place.ok()?)
     }
 
-    /// The first row of the next boot. `now` is the store's time, told by an
-    /// answer to a call that was sent after this boot had ended.
+    /// The first row of the next boot, at the store's time `now`. This boot had
+    /// ended by `ended`.
     #[must_use]
-    pub fn succeed(&self, nonce: u64, now: ClockTime) -> Self {
+    pub fn succeed(&self, nonce: u64, ended: ClockTime, now: ClockTime) -> Self {
         let spent = self.lines.iter().map(|line| {
-            let most = self.allowance(&line.organisation, now);
+            let most = self.allowance(&line.organisation, ended);
             (line.organisation.clone(), most)
         });
         let ended = ClosedBoot {
--- a/crates/guavawell-core/src/grant/mod.rs
+++ b/crates/guavawell-core/src/grant/mod.rs
@@ -15,7 +15,7 @@
 //! - a write whose answer is missing may stand, or land later, so the lowest of
 //!   all lines and grants that may be in force binds;
 //! - an instance's idea of the store's time is never ahead of it;
-//! - a successor's idea of it is never behind its predecessor's death.
+//! - a successor's bound on its predecessor's end is never before it.
 //!
 //! This folder does no I/O and reads no clock.
 
@@ -44,5 +44,6 @@
 pub use rate::RateMeter;
 pub use row::BudgetRow;
 pub use row::HolderEntry;
+pub use store_clock::StartBound;
 pub use store_clock::StoreClock;
 pub use version::RowVersions;
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -40,8 +40,16 @@
     #[must_use]
     pub fn first_lines(&self, now: ClockTime) -> Option<LineRow> {
         let time = self.clock.now(now)?;
+        let ended = self.start.get()?;
         let before = self.lines.known().cloned().unwrap_or_default();
-        Some(before.succeed(self.nonce, time))
+        Some(before.succeed(self.nonce, ended, time))
+    }
+
+    /// The lines as last known, which are those of the boot before until this
+    /// one began, and when that boot had ended at the latest.
+    #[must_use]
+    pub fn former_lines(&self) -> Option<(&LineRow, ClockTime)> {
+        self.lines.known().zip(self.start.get())
     }
 
     /// The version that the next write of the lines depends on.
--- a/crates/guavawell-core/tests/grant_book.rs
+++ b/crates/guavawell-core/tests/grant_book.rs
@@ -18,9 +18,9 @@
 /// A boot that holds a grant and a line.
 fn begun(paid: u64) -> GrantBook {
     let instance = "i1".parse().expect("a valid id");
-    let mut book = GrantBook::new(instance, 7, BookSettings::default());
+    let mut book = GrantBook::new(instance, 7, at(0), BookSettings::default());
     book.set_paid(&organisation(), paid, 1);
-    book.tell_time(at(0), at(0));
+    book.tell_time(at(0), at(0), at(0));
     book.saw_lines(0, None);
     let first = book.first_lines(at(0)).expect("the store's time is known");
     book.sent_lines(first, at(0));
--- a/crates/guavawell-core/tests/grant_loan.rs
+++ b/crates/guavawell-core/tests/grant_loan.rs
@@ -1,16 +1,19 @@
 //! Loans between instances: what they cost the lender, and replays of cuts
 //! that part all instances of a large fleet from the store, or a third of them.
 
+mod grant_rows;
+
 use fastrand::Rng;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::grant::BookSettings;
-use guavawell_core::grant::BudgetRow;
 use guavawell_core::grant::GrantBook;
-use guavawell_core::grant::LineRow;
 use guavawell_core::grant::LoanAsk;
 use guavawell_core::grant::ReserveAnswer;
 use guavawell_core::id::InstanceId;
-use guavawell_core::id::OrganisationId;
+
+use grant_rows::StoreRows;
+use grant_rows::at;
+use grant_rows::organisation;
 
 /// Instances of the fleet.
 const FLEET: usize = 40;
@@ -27,61 +30,8 @@
 /// Instances that are asked for one request.
 const LENDERS: usize = 4;
 
-fn organisation() -> OrganisationId {
-    "org".parse().expect("a valid id")
-}
-
-fn at(millis: u64) -> ClockTime {
-    ClockTime::from_millis(1_000_000 + millis)
-}
-
-/// The store's rows, with their versions.
-struct Rows {
-    version: u64,
-    budget: (u64, Option<BudgetRow>),
-    lines: Vec<(u64, Option<LineRow>)>,
-}
-
-impl Rows {
-    fn new() -> Self {
-        Self {
-            version: 1,
-            budget: (0, None),
-            lines: vec![(0, None); FLEET],
-        }
-    }
-
-    fn next(&mut self) -> u64 {
-        self.version += 1;
-        self.version
-    }
-
-    fn write_lines(&mut self, place: usize, book: &mut GrantBook, row: LineRow, now: ClockTime) {
-        book.sent_lines(row.clone(), now);
-        let version = self.next();
-        self.lines[place] = (version, Some(row));
-        book.wrote_lines(version);
-    }
-
-    /// Brings both rows of an instance up to date.
-    fn keep(&mut self, place: usize, book: &mut GrantBook, now: ClockTime) {
-        book.tell_time(now, now);
-        let (version, row) = self.budget.clone();
-        book.saw_budget(&organisation(), version, row);
-        if let Some(row) = book.next_budget(&organisation(), now) {
-            book.sent_budget(&organisation(), row.clone(), now);
-            let version = self.next();
-            self.budget = (version, Some(row));
-            book.wrote_budget(&organisation(), version);
-        }
-        if let Some(row) = book.next_lines(now) {
-            self.write_lines(place, book, row, now);
-        }
-    }
-}
-
 struct Fleet {
-    rows: Rows,
+    rows: StoreRows,
     books: Vec<GrantBook>,
     random: Rng,
     /// Instances that callers reach, the first ones.
@@ -101,16 +51,12 @@
             instances: FLEET,
             ..BookSettings::default()
         };
-        let mut rows = Rows::new();
+        let mut rows = StoreRows::new(FLEET);
         let books = (0..FLEET).map(|place| {
             let instance: InstanceId = format!("i{place}").parse().expect("a valid id");
-            let mut book = GrantBook::new(instance, place as u64 + 1, settings);
+            let mut book = GrantBook::new(instance, place as u64 + 1, at(0), settings);
             book.set_paid(&organisation(), paid, 1);
-            book.tell_time(at(0), at(0));
-            book.saw_lines(0, None);
-            let first = book.first_lines(at(0)).expect("the store's time is known");
-            rows.write_lines(place, &mut book, first, at(0));
-            rows.keep(place, &mut book, at(0));
+            rows.begin(place, &mut book, at(0));
             book
         });
         let books = books.collect();
--- a/crates/guavawell-core/tests/grant_search/main.rs
+++ b/crates/guavawell-core/tests/grant_search/main.rs
@@ -127,6 +127,11 @@
     assert_caught(Plant::StaleSuccessor);
 }
 
+#[test]
+fn a_start_that_is_taken_for_earlier_is_caught() {
+    assert_caught(Plant::EarlyStart);
+}
+
 /// The random walk finds deep interleavings that the exhaustive search does
 /// not reach; a planted fault must show in one of its seeds.
 fn assert_caught(plant: Plant) {
--- a/crates/guavawell-core/tests/grant_search/world.rs
+++ b/crates/guavawell-core/tests/grant_search/world.rs
@@ -26,6 +26,8 @@
     ClockAhead,
     /// A successor takes a time from before its predecessor's death.
     StaleSuccessor,
+    /// A process takes its own start for earlier than it was.
+    EarlyStart,
 }
 
 /// How the answer to a write fares.
@@ -153,11 +155,19 @@
     fn book(&mut self, index: usize) -> GrantBook {
         self.nonce += 1;
         let instance: InstanceId = format!("i{index}").parse().expect("a valid id");
-        let mut book = GrantBook::new(instance, self.nonce, settings());
+        let mut book = GrantBook::new(instance, self.nonce, self.started(), settings());
         book.set_paid(&organisation(), self.paid, self.paid_version);
         book
     }
 
+    /// When a process that starts now takes its predecessor for ended.
+    fn started(&self) -> ClockTime {
+        match self.plant {
+            Plant::EarlyStart => ClockTime::from_millis(self.now.as_millis() - 2_000),
+            _ => self.now,
+        }
+    }
+
     /// What was paid in all.
     pub const fn paid(&self) -> u64 {
         self.paid
@@ -192,7 +202,7 @@
 
     /// An answer tells the store's time.
     fn tell(&mut self, index: usize) {
-        self.books[index].tell_time(self.now, self.now);
+        self.books[index].tell_time(self.now, self.now, self.now);
     }
 
     /// The instance's own clock, by which it reckons the store's time.
@@ -252,7 +262,7 @@
         let before = self.lines[index].row.clone().unwrap_or_default();
         LineRow {
             at: row.at,
-            ..before.succeed(row.nonce, before.at)
+            ..before.succeed(row.nonce, before.at, row.at)
         }
     }
 
--- a/crates/guavawell-forward/src/budget/calls.rs
+++ b/crates/guavawell-forward/src/budget/calls.rs
@@ -82,7 +82,7 @@
         self.answer_ms
             .set((usual * (ANSWER_PARTS - 1) + took).div_ceil(ANSWER_PARTS));
         if let Some(time) = time {
-            self.book.borrow_mut().tell_time(time, now);
+            self.book.borrow_mut().tell_time(time, began, now);
         }
         if let Some(since) = self.failing_since.take() {
             let draft = EventDraft::new("store.regained")
--- a/crates/guavawell-forward/src/budget/lines.rs
+++ b/crates/guavawell-forward/src/budget/lines.rs
@@ -39,9 +39,29 @@
         let Some(row) = self.book.borrow().first_lines(self.clock.now()) else {
             return false;
         };
+        self.note_closed();
         self.put_lines(row).await && self.book.borrow().boot() > 0
     }
 
+    /// Logs what the boot before may have spent at most beyond its last word.
+    fn note_closed(&self) {
+        let book = self.book.borrow();
+        let Some((before, ended)) = book.former_lines() else {
+            return;
+        };
+        let age = ended.since(before.at);
+        for line in &before.lines {
+            let draft = EventDraft::new("budget.closed")
+                .organisation(&line.organisation)
+                .field("boot", before.boot)
+                .field("spent", line.spent)
+                .field("burst", line.burst)
+                .field("most", line.allowance(age))
+                .field("age_ms", age.as_millis());
+            self.log.emit(draft);
+        }
+    }
+
     /// Keeps the lines up to date.
     pub(super) async fn write_lines(&self) {
         loop {
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -109,7 +109,12 @@
             clock,
             log,
             store,
-            book: RefCell::new(GrantBook::new(instance.clone(), nonce, settings)),
+            book: RefCell::new(GrantBook::new(
+                instance.clone(),
+                nonce,
+                SteadyClock::ORIGIN,
+                settings,
+            )),
             instance,
             peer_address,
             peers: RefCell::default(),
