The limit of a connection follows what connections take

Change: ConnectPace: 250 ms while connections are made, three times what they took, doubled for each third and later one in a row that ran out of time, 1 s at most; all of a request's unsent tries take a second as before. Test: forward::connect replays the full link (no connection within 250 ms).

--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod choice;
+mod connect;
 mod life;
 mod plan;
 mod prompt;
@@ -21,6 +22,8 @@
 pub use choice::ChoiceSettings;
 pub use choice::ServerPick;
 pub use choice::choose_server;
+pub use connect::ConnectPace;
+pub use connect::ConnectSettings;
 pub use life::BirthTime;
 pub use life::ServerLife;
 pub use plan::AttemptEnd;
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -2,6 +2,7 @@
 //! replays of the worst loads.
 
 mod choice;
+mod connect;
 mod lives;
 mod load;
 mod plan;
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -62,8 +62,12 @@
     progress.tried.push(pick.server.clone());
     let memory = call.usage.worst_case().get();
     let lease = ServerLease::new(router, pick, memory);
+    let began = router.clock.now();
     let Some(channel) = open(router, call, &pick.server).await else {
         progress.unsent += 1;
+        let passed = router.clock.now().since(began);
+        progress.unsent_time =
+            ClockSpan::from_millis(progress.unsent_time.as_millis() + passed.as_millis());
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     };
     let late = router.clock.left(call.ends_at) == ClockSpan::default();
@@ -139,9 +143,20 @@
         return idle;
     }
     let address = router.servers.borrow().get(server)?.address;
-    let limit = times.connect.min(router.clock.left(call.ends_at));
+    let mut pace = router.connects.get();
+    let limit = pace
+        .limit(&times.connect)
+        .min(router.clock.left(call.ends_at));
     metrics::counter!("guavawell_forward_connections_total").increment(1);
-    match HttpChannel::connect(address, timer_span(limit)).await {
+    let began = router.clock.now();
+    let connected = HttpChannel::connect(address, timer_span(limit)).await;
+    pace = router.connects.get();
+    match &connected {
+        Err(ChannelError::TimedOut) => pace.timed_out(),
+        _ => pace.answered(router.clock.now().since(began)),
+    }
+    router.connects.set(pace);
+    match connected {
         Ok(channel) => Some(channel),
         Err(error) => {
             log::debug!("no connection to {server}: {error}");
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -7,6 +7,7 @@
 use event_listener::Event;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ConnectPace;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::RepeatAllowance;
 use guavawell_core::forward::RepeatSettings;
@@ -59,6 +60,8 @@
     opened: Cell<bool>,
     /// Allowance for repeats.
     pub repeats: RefCell<RepeatAllowance>,
+    /// What tries to connect to servers tell of the way.
+    pub connects: Cell<ConnectPace>,
     /// Idle connections to servers.
     pub pool: RefCell<ConnectionPool>,
     /// Budgets.
@@ -95,6 +98,7 @@
             servers_read: Cell::new(false),
             opened: Cell::new(false),
             repeats: RefCell::default(),
+            connects: Cell::default(),
             pool: RefCell::default(),
             budgets,
             held_requests: Cell::new(0),
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -28,6 +28,9 @@
 
 /// Servers that may refuse a connection before a request is turned away.
 const MAX_UNSENT: usize = 4;
+/// Time that may go into connections that were not to be had: as long as so many
+/// dead servers take.
+const UNSENT_PATIENCE: ClockSpan = ClockSpan::from_millis(1_000);
 /// Least time for another attempt.
 const LEAST_TIME: ClockSpan = ClockSpan::from_millis(15);
 /// Retry-After where no server is to be had: about the time in which a server
@@ -47,6 +50,8 @@
     pub sent: u32,
     /// Attempts that never left this instance.
     pub unsent: usize,
+    /// Time that went into them.
+    pub unsent_time: ClockSpan,
     /// A server may have run the request.
     pub may_have_run: bool,
     /// The stream as far as the caller has it.
@@ -165,7 +170,7 @@
         return false;
     }
     if end == AttemptEnd::NotSent {
-        return progress.unsent < MAX_UNSENT;
+        return progress.unsent < MAX_UNSENT && progress.unsent_time < UNSENT_PATIENCE;
     }
     let once = call.route.repeat == RepeatKind::Once;
     if once && end != AttemptEnd::Rejected {
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -5,6 +5,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::forward::AdmissionSettings;
 use guavawell_core::forward::ChoiceSettings;
+use guavawell_core::forward::ConnectSettings;
 use guavawell_core::forward::LapseSettings;
 use guavawell_core::forward::RepeatSettings;
 use guavawell_core::grant::BookSettings;
@@ -29,9 +30,8 @@
 /// Time limits of forwarding.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TimeSettings {
-    /// Longest wait for a connection to a backend server. Zones are a few
-    /// milliseconds apart; a lost opening packet is sent again after 1 s.
-    pub connect: ClockSpan,
+    /// Waits for connections to backend servers.
+    pub connect: ConnectSettings,
     /// Longest use of an idle connection whose server names no limit.
     pub idle: ClockSpan,
     /// Longest idle time of a connection for a request that may run once: one
@@ -60,7 +60,7 @@
 impl Default for TimeSettings {
     fn default() -> Self {
         Self {
-            connect: ClockSpan::from_millis(250),
+            connect: ConnectSettings::default(),
             idle: ClockSpan::from_millis(8_000),
             idle_once: ClockSpan::from_millis(900),
             attempt: ClockSpan::from_millis(250),
