--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -37,6 +37,11 @@
     /// The burst of all lines, as seconds of the fleet's recent demand, so that
     /// the first requests after a cut need not wait.
     pub burst_seconds: f64,
+    /// Instances that share it at least. Each covers a usual request with its
+    /// part, so a budget with few requests has few such instances.
+    pub least_holders: usize,
+    /// An instance's part takes no more than this part of its stock.
+    pub burst_part: f64,
     /// Usual time of the store's answers beyond which an instance unlocks a usual
     /// request by itself: at 0.25 of a core they take 15 to 19 ms, at 0.12 of one
     /// behind 10 Mbit/s 19 to 90 ms.
@@ -45,11 +50,6 @@
     pub own_part: f64,
     /// And no less than so many seconds of its own first rate.
     pub own_seconds: f64,
-    /// Instances that share it at least. Each covers a usual request with its
-    /// part, so a budget with few requests has few such instances.
-    pub least_holders: usize,
-    /// An instance's part takes no more than this part of its stock.
-    pub burst_part: f64,
     /// Instances that are expected at least.
     pub instances: usize,
     /// Age of the line beyond which it is written again if tokens were spent.
@@ -77,11 +77,11 @@
             late_seconds: 7.0,
             turn: ClockSpan::from_millis(1_500),
             burst_seconds: 0.5,
+            least_holders: 1,
+            burst_part: 0.35,
             slow_answer: ClockSpan::from_millis(25),
             own_part: 0.18,
             own_seconds: 0.3,
-            least_holders: 1,
-            burst_part: 0.35,
             instances: 3,
             line_age: ClockSpan::from_millis(150),
             line_age_each: ClockSpan::from_millis(8),
--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -87,8 +87,9 @@
         false
     }
 
-    /// Instances to ask: those that unlock tokens early, then others, each drawn with a chance by what it holds: were all
-    /// short ones to ask the richest, it would soon have nothing.
+    /// Instances to ask: those that unlock tokens early, then others, each drawn
+    /// with a chance by what it holds: were all short ones to ask the richest, it
+    /// would soon have nothing.
     ///
     /// An instance that the store does not serve asks others too: one that it
     /// serves can fetch what is needed.
