A charge under a successor's grant is left to the successor

Symptom: 60 of 60 requests answered and billed once, and the budget's row settles one answer too little for good (pair::router_killed_and_holder_paused, pair::answers_lost_and_holder_paused).

Cause: holder A is paused with a reservation on its way to its witness B. B takes the slot over and grants the same attempt to the router that asks again. A goes on, moves its own copy to its float for an asker that left, gets the router's charge first, takes 0 of the float (the grant says witnessed) and answers Settled 0. B never hears of the charge; the tokens stay reserved there and the answer is billed with 0 tokens.

Change: an inherited attempt is reserved anew under the present tenure when its router asks again, so that grants name the tenure that gave them; a charge of a later tenure's grant is released here and sent on to its holder, whatever this one holds of the attempt. The same fault elsewhere: a former holder gave back attempts that its successor had granted (a run without a charge, and tokens granted twice): a release now says before which tenure. An asker tells holders that did not answer that the attempt runs elsewhere; their floats stayed frozen for ten minutes and were then charged a second time. Each answer to a charge is logged (charge.answered).

--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -39,6 +39,9 @@
         if self.is_unsure(&reserve.identity) || self.is_join(&reserve) {
             return self.join_later(ask, reserve, effects);
         }
+        if let Some(held) = self.inherited(&reserve) {
+            return self.hold_anew(ask, &reserve.identity, held);
+        }
         if let Some(answer) = self.known_request(&reserve) {
             return answer_reserve(ask, answer, effects);
         }
@@ -84,6 +87,31 @@
         Some(answer)
     }
 
+    /// The asked attempt, if a former tenure reserved it from the witnessed
+    /// part and the ask is the same.
+    fn inherited(&self, reserve: &ReserveAsk) -> Option<HeldAttempt> {
+        let held = self.held(&reserve.identity, reserve.attempt)?;
+        let is_same = held.budget == reserve.budget && held.digest == reserve.digest;
+        let is_former = held.tenure != self.ledger.tenure;
+        (is_same && is_former && held.pool == TokenPool::Witnessed).then_some(held)
+    }
+
+    /// Reserves an inherited attempt under the present tenure, so that its
+    /// grant and its charge name this holder, and nothing that its former
+    /// holder still says of it counts.
+    fn hold_anew(&mut self, ask: AskId, identity: &RequestIdentity, held: HeldAttempt) {
+        self.record(LedgerEntry::Reserve {
+            identity: identity.clone(),
+            attempt: held.attempt,
+            budget: held.budget,
+            pool: held.pool,
+            amount: held.amount,
+            router: held.router,
+            digest: held.digest,
+        });
+        self.wait(WaitKind::Reserve(ask, identity.clone(), held.attempt));
+    }
+
     /// Lets a repeated ask wait with the first one of its attempt.
     fn is_awaited(&mut self, ask: AskId, reserve: &ReserveAsk) -> bool {
         let attempt = reserve.attempt;
--- a/crates/guavawell-core/src/budget/holder/charge.rs
+++ b/crates/guavawell-core/src/budget/holder/charge.rs
@@ -4,6 +4,7 @@
 use super::ChargeNotice;
 use super::HolderAnswer;
 use super::HolderEffect;
+use super::HolderNote;
 use super::SlotHolder;
 use super::ask::answer_reserve;
 use super::wait::WaitKind;
@@ -27,6 +28,9 @@
         now: ClockTime,
         effects: &mut Vec<HolderEffect>,
     ) {
+        if settle.grant.tenure > self.ledger.tenure {
+            return self.settle_elsewhere(ask, settle, effects);
+        }
         let state = self.ledger.request(&settle.identity).cloned();
         let answer = match state {
             Some(RequestState::Reserved(held)) if held.attempt == settle.attempt => {
@@ -41,10 +45,6 @@
                 charged: charge.charged,
             }),
             _ if self.is_retired() => Some(self.not_holder_settle()),
-            // Its grant is a successor's, of whom this holder has not heard.
-            _ if settle.grant.tenure > self.ledger.tenure => Some(SettleAnswer::NotHolder {
-                holder: Some(settle.grant.holder.clone()),
-            }),
             _ => Some(SettleAnswer::Unknown),
         };
         if let Some(answer) = answer {
@@ -53,6 +53,34 @@
         self.review_budget_of(&settle.identity, now, effects);
     }
 
+    /// The grant is a successor's, of whom this holder may not have heard: the
+    /// charge is for that one to record. What is held here of the attempt was
+    /// never used.
+    ///
+    /// Answered here, the charge reached no budget: 2 of 154 runs with a paused
+    /// holder lost one, by the event logs of both.
+    fn settle_elsewhere(
+        &mut self,
+        ask: AskId,
+        settle: &SettleAsk,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        if self.held(&settle.identity, settle.attempt).is_some() {
+            self.record(LedgerEntry::Release {
+                identity: settle.identity.clone(),
+                attempt: settle.attempt,
+            });
+        }
+        if !self.is_retired() {
+            self.read_slot(effects);
+        }
+        effects.push(HolderEffect::Note(HolderNote::ChargeElsewhere));
+        let answer = SettleAnswer::NotHolder {
+            holder: Some(settle.grant.holder.clone()),
+        };
+        effects.push(HolderEffect::Answer(ask, HolderAnswer::Settle(answer)));
+    }
+
     /// Records a charge; `None` if the answer waits for the witness.
     ///
     /// A former holder counts the charge for its late report, and answers
@@ -166,7 +194,9 @@
     ) {
         let state = self.ledger.request(&release.identity).cloned();
         let answer = match state {
-            Some(RequestState::Reserved(held)) if held.attempt == release.attempt => {
+            Some(RequestState::Reserved(held))
+                if held.attempt == release.attempt && release.concerns(held.tenure) =>
+            {
                 self.release_held(ask, release, &held, now, effects)
             }
             Some(RequestState::Settled(charge)) if charge.attempt == release.attempt => {
--- a/crates/guavawell-core/src/budget/holder/event.rs
+++ b/crates/guavawell-core/src/budget/holder/event.rs
@@ -167,6 +167,8 @@
     Exhausted(BudgetId),
     /// A former holder's use of the float stands in the table.
     FloatReported(BudgetId),
+    /// A charge under a successor's grant came here and was sent on to it.
+    ChargeElsewhere,
     /// The table row contradicts the holder's account: a defect.
     AccountMismatch(BudgetId),
 }
@@ -182,6 +184,7 @@
             Self::TenureClosed(_) => "budget.tenure_closed",
             Self::Exhausted(_) => "budget.exhausted",
             Self::FloatReported(_) => "budget.float_reported",
+            Self::ChargeElsewhere => "slot.charge_elsewhere",
             Self::AccountMismatch(_) => "budget.account_mismatch",
         };
         formatter.write_str(kind)
--- a/crates/guavawell-core/src/budget/holder/wait.rs
+++ b/crates/guavawell-core/src/budget/holder/wait.rs
@@ -163,6 +163,7 @@
                 effects.push(HolderEffect::GiveBack(ReleaseAsk {
                     identity: identity.clone(),
                     attempt,
+                    before: Some(self.ledger.tenure.next()),
                 }));
                 self.unreachable()
             }
--- a/crates/guavawell-core/src/budget/message.rs
+++ b/crates/guavawell-core/src/budget/message.rs
@@ -3,6 +3,8 @@
 //!
 //! Every ask may be sent again: the holder knows an attempt by its id.
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -28,6 +30,15 @@
     Float,
 }
 
+impl fmt::Display for TokenPool {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Witnessed => "witnessed",
+            Self::Float => "float",
+        })
+    }
+}
+
 /// Asks the holder to reserve an attempt's worst case.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ReserveAsk {
@@ -159,6 +170,18 @@
     },
 }
 
+impl fmt::Display for SettleAnswer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Settled { charged } => write!(formatter, "settled {charged}"),
+            Self::AlreadySettled { charged, .. } => write!(formatter, "already settled {charged}"),
+            Self::Pending { charged, .. } => write!(formatter, "pending {charged}"),
+            Self::Unknown => formatter.write_str("unknown"),
+            Self::NotHolder { .. } => formatter.write_str("not the holder"),
+        }
+    }
+}
+
 /// Gives a reservation back: the attempt did not run and will not.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ReleaseAsk {
@@ -166,6 +189,20 @@
     pub identity: RequestIdentity,
     /// The attempt that did not run.
     pub attempt: AttemptId,
+    /// Gives back only what was reserved in a tenure before this one; `None`
+    /// is the word of the router that would have run the attempt.
+    ///
+    /// A former holder knows only of its own tenure: its successor may have
+    /// granted the attempt anew, and it may run.
+    pub before: Option<SlotEpoch>,
+}
+
+impl ReleaseAsk {
+    /// Whether a reservation of `tenure` is meant.
+    #[must_use]
+    pub fn concerns(&self, tenure: SlotEpoch) -> bool {
+        self.before.is_none_or(|before| tenure < before)
+    }
 }
 
 /// The holder's answer to a [`ReleaseAsk`].
--- a/crates/guavawell-core/tests/budget_differential/ledger.rs
+++ b/crates/guavawell-core/tests/budget_differential/ledger.rs
@@ -195,6 +195,7 @@
         let release = ReleaseAsk {
             identity: identity(seen.request),
             attempt: AttemptId::new(place as u128),
+            before: None,
         };
         let event = HolderEvent::Release(AskId::new(place as u64), release);
         self.fleet.ask(zone, Some(grant.tenure), event.clone());
--- a/crates/guavawell-core/tests/budget_large/rig.rs
+++ b/crates/guavawell-core/tests/budget_large/rig.rs
@@ -173,6 +173,7 @@
             let release = ReleaseAsk {
                 identity: ask.identity.clone(),
                 attempt: ask.attempt,
+                before: None,
             };
             let id = self.next_ask();
             self.tell(HolderEvent::Reserve(id, ask));
--- a/crates/guavawell-core/tests/budget_regrant.rs
+++ b/crates/guavawell-core/tests/budget_regrant.rs
@@ -296,6 +296,27 @@
     assert_eq!(report.float_settled, TokenCount::ZERO);
 }
 
+#[test]
+fn what_the_asker_disowns_is_released_by_the_former_holder_alone() {
+    let mut pair = TenurePair::parted(50);
+    pair.resume_former();
+    let grant = pair.grant_again();
+    pair.hears_of_takeover();
+    let disowned = ReleaseAsk {
+        identity: identity(1),
+        attempt: AttemptId::new(1),
+        before: Some(grant.tenure),
+    };
+    pair.tell_former(HolderEvent::Release(AskId::new(3), disowned.clone()));
+    pair.tell_former(HolderEvent::Tick);
+    let report = pair.reports.last().expect("nothing runs in the float");
+    assert_eq!(report.float_settled, TokenCount::ZERO);
+    pair.tell_successor(HolderEvent::Release(AskId::new(3), disowned));
+    pair.answers.clear();
+    pair.tell_successor(settle(1, &grant, 6));
+    assert_eq!(pair.settled(), charged(6));
+}
+
 #[test]
 fn a_former_holder_gives_back_nothing_that_its_successor_granted() {
     let mut pair = TenurePair::parted(0);
--- a/crates/guavawell-core/tests/budget_release.rs
+++ b/crates/guavawell-core/tests/budget_release.rs
@@ -144,6 +144,7 @@
         let release = ReleaseAsk {
             identity: identity(request),
             attempt: AttemptId::new(attempt),
+            before: None,
         };
         self.tell(HolderEvent::Release(AskId::new(ask), release));
     }
--- a/crates/guavawell-core/tests/budget_search/world/step.rs
+++ b/crates/guavawell-core/tests/budget_search/world/step.rs
@@ -193,6 +193,7 @@
         let release = ReleaseAsk {
             identity: identity(granted.request),
             attempt,
+            before: None,
         };
         let place = self.nodes[node].holders.len() - 1;
         self.tell(node, place, HolderEvent::Release(ask, release));
--- a/crates/guavawell-core/tests/budget_slots.rs
+++ b/crates/guavawell-core/tests/budget_slots.rs
@@ -164,6 +164,7 @@
     let release = ReleaseAsk {
         identity: identity(1),
         attempt: AttemptId::new(1),
+        before: None,
     };
     fleet.ask(0, None, HolderEvent::Release(ASK, release));
     let released = HolderAnswer::Release(ReleaseAnswer::Released);
--- a/crates/guavawell-demo/benches/capacity/holder.rs
+++ b/crates/guavawell-demo/benches/capacity/holder.rs
@@ -101,6 +101,7 @@
             let release = ReleaseAsk {
                 identity: identity(request, 0),
                 attempt: AttemptId::new(u128::from(request)),
+                before: None,
             };
             let ask = rig.next_ask();
             rig.tell(HolderEvent::Release(ask, release));
--- a/crates/guavawell-fleet/schema/peer.capnp
+++ b/crates/guavawell-fleet/schema/peer.capnp
@@ -118,6 +118,7 @@
 struct ReleaseAsk {
   identity @0 :Identity;
   attempt @1 :Attempt;
+  before @2 :UInt64;  # only reservations of earlier tenures; zero: of any
 }
 
 struct ReleaseAnswer {
--- a/crates/guavawell-fleet/src/peer/peer_capnp.rs
+++ b/crates/guavawell-fleet/src/peer/peer_capnp.rs
@@ -4732,11 +4732,15 @@
         pub fn has_attempt(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_before(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4818,6 +4822,14 @@
         pub fn has_attempt(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_before(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_before(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4835,38 +4847,45 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(177, 42, 97, 209, 184, 226, 148, 190),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(104, 36, 158, 125, 90, 192, 241, 179),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 108, 101, 97),
             ::capnp::word(115, 101, 65, 115, 107, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 101, 110, 116, 105, 116, 121),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -4884,11 +4903,20 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 101, 102, 111, 114, 101, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::peer_capnp::identity::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::peer_capnp::attempt::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4902,9 +4930,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
         pub(crate) const TYPE_ID: u64 = 0xbe94_e2b8_d161_2ab1;
     }
 }
--- a/crates/guavawell-fleet/src/peer/wire/ask.rs
+++ b/crates/guavawell-fleet/src/peer/wire/ask.rs
@@ -8,6 +8,7 @@
 use guavawell_core::budget::SettleAsk;
 use guavawell_core::budget::TakeoverAsk;
 use guavawell_core::budget::WitnessMessage;
+use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
 use guavawell_core::request::RequestDigest;
 
@@ -109,7 +110,8 @@
 
 fn write_release(mut builder: release_ask::Builder<'_>, ask: &ReleaseAsk) {
     write_identity(builder.reborrow().init_identity(), &ask.identity);
-    write_attempt(builder.init_attempt(), ask.attempt);
+    write_attempt(builder.reborrow().init_attempt(), ask.attempt);
+    builder.set_before(ask.before.map_or(0, SlotEpoch::get));
 }
 
 fn write_note(mut builder: backend_note::Builder<'_>, note: &BackendNote) {
@@ -207,6 +209,9 @@
     Ok(ReleaseAsk {
         identity: read_identity(reader.get_identity()?)?,
         attempt: read_attempt(reader.get_attempt()?),
+        before: Some(reader.get_before())
+            .filter(|before| *before > 0)
+            .map(SlotEpoch::new),
     })
 }
 
--- a/crates/guavawell-fleet/src/peer/wire/tests.rs
+++ b/crates/guavawell-fleet/src/peer/wire/tests.rs
@@ -255,6 +255,7 @@
             ReleaseAsk {
                 identity: identity(),
                 attempt: ATTEMPT,
+                before: None,
             },
         )),
         PeerRequest::Note(SlotAsk::new(
--- a/crates/guavawell-fleet/src/router/reserve.rs
+++ b/crates/guavawell-fleet/src/router/reserve.rs
@@ -110,6 +110,7 @@
             let ask = ReleaseAsk {
                 identity: self.identity.clone(),
                 attempt: self.attempt,
+                before: None,
             };
             core.slots.release_granted(ask, &self.grant);
         }
--- a/crates/guavawell-fleet/src/slot/resolve.rs
+++ b/crates/guavawell-fleet/src/slot/resolve.rs
@@ -56,6 +56,7 @@
             ResolvedAttempt::NotRun => self.release_later(ReleaseAsk {
                 identity: orphan.identity.clone(),
                 attempt: orphan.held.attempt,
+                before: None,
             }),
             ResolvedAttempt::Done(actual) => {
                 let ask = SettleAsk {
--- a/crates/guavawell-fleet/src/slot/settle.rs
+++ b/crates/guavawell-fleet/src/slot/settle.rs
@@ -78,6 +78,7 @@
         else {
             return None;
         };
+        self.note_answer(charge, &answer);
         match (answer, paid) {
             (SettleAnswer::NotHolder { .. }, _) => None,
             (SettleAnswer::Unknown, Some(charged)) => Some(SettleAnswer::Settled { charged }),
@@ -89,6 +90,23 @@
         }
     }
 
+    /// Logs what a holder answered to a charge: a charge that reached no budget
+    /// shows by an answer of fewer tokens than were used.
+    fn note_answer(&self, charge: &RunCharge, answer: &SettleAnswer) {
+        let ask = &charge.ask;
+        let draft = EventDraft::new("charge.answered")
+            .organisation(&ask.identity.organisation)
+            .budget(&charge.budget)
+            .request(&ask.identity.request)
+            .attempt(ask.attempt)
+            .field("tokens", ask.actual)
+            .field("granted_by", &ask.grant.holder.instance)
+            .field("tenure", ask.grant.tenure)
+            .field("pool", ask.grant.pool)
+            .field("answer", answer);
+        self.parts.events.emit(draft);
+    }
+
     /// Tells a former holder of a charge to its float, which only it reports;
     /// `None` if it lives and has not answered.
     async fn settle_float(
--- a/crates/guavawell-fleet/src/slot/toward.rs
+++ b/crates/guavawell-fleet/src/slot/toward.rs
@@ -24,6 +24,8 @@
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::TokenCount;
+use guavawell_core::instance::MemberView;
+use guavawell_core::instance::Reachability;
 use smol::Timer;
 
 use super::acquire::is_alive;
@@ -56,7 +58,7 @@
 /// What a reply says of its sender.
 enum HolderWord {
     /// It holds the slot, and answered.
-    Holder,
+    Holder(Box<PeerReply>),
     /// It does not hold the slot, and may know who does.
     Elsewhere(Option<InstanceId>),
 }
@@ -77,24 +79,79 @@
     /// the background, because the attempt will not be sent.
     pub async fn reserve(self: &Arc<Self>, ask: ReserveAsk) -> ReserveAnswer {
         let slot = self.slot_of(&ask.identity.organisation);
-        let reply = self
-            .ask_holder(
-                &slot,
-                &PeerRequest::Reserve(SlotAsk::new(slot.clone(), ask.clone())),
-            )
-            .await;
+        let told = PeerRequest::Reserve(SlotAsk::new(slot.clone(), ask.clone()));
+        let mut unheard = Vec::new();
+        // Boxed: see `ask_holder`.
+        let reply = Box::pin(self.ask_hops(&slot, &told, &mut unheard)).await;
         if let HolderReply::Answer(PeerReply::Reserve(answer)) = reply {
+            if let ReserveAnswer::Granted(grant) = &answer {
+                self.disown(&slot, &ask, grant, unheard);
+            }
             return answer;
         }
         self.release_later(ReleaseAsk {
             identity: ask.identity,
             attempt: ask.attempt,
+            before: None,
         });
         ReserveAnswer::Unreachable {
             retry_after: self.parts.holder.retry_after,
         }
     }
 
+    /// Tells routers that were asked before, and did not answer, that the
+    /// attempt runs by another one's grant: a former holder that was paused
+    /// would keep its float frozen for it, and charge it a second time in the
+    /// end.
+    fn disown(
+        self: &Arc<Self>,
+        slot: &SlotId,
+        ask: &ReserveAsk,
+        grant: &ReserveGrant,
+        mut unheard: Vec<InstanceId>,
+    ) {
+        unheard.sort_unstable();
+        unheard.dedup();
+        unheard.retain(|target| *target != grant.holder.instance);
+        for target in unheard {
+            let release = ReleaseAsk {
+                identity: ask.identity.clone(),
+                attempt: ask.attempt,
+                before: Some(grant.tenure),
+            };
+            let is_there = {
+                let target = target.clone();
+                move |members: &MemberView| {
+                    let member = members.find(&target);
+                    member.is_some_and(|member| member.reachability != Reachability::Unreachable)
+                }
+            };
+            self.release_at(slot, release, target, is_there);
+        }
+    }
+
+    /// Gives a reservation back at one router, in the background, as long as
+    /// that one is there.
+    fn release_at(
+        self: &Arc<Self>,
+        slot: &SlotId,
+        ask: ReleaseAsk,
+        target: InstanceId,
+        is_there: impl Fn(&MemberView) -> bool + Send + 'static,
+    ) {
+        let driver = Arc::clone(self);
+        let slot = slot.clone();
+        let told = PeerRequest::Release(SlotAsk::new(slot.clone(), ask));
+        let task = async move {
+            while driver.ask_one(&slot, &told, &target).await.is_err()
+                && is_there(&(driver.parts.members)())
+            {
+                Timer::after(RETRY_PAUSE * 10).await;
+            }
+        };
+        self.parts.tasks.spawn(task);
+    }
+
     /// Whether a life holds the slot, as far as is known here.
     pub(super) fn is_holder(&self, slot: &SlotId, life: &InstanceLife) -> bool {
         self.directory.holder(slot).as_ref() == Some(life)
@@ -105,20 +162,10 @@
     pub fn release_granted(self: &Arc<Self>, ask: ReleaseAsk, grant: &ReserveGrant) {
         let slot = self.slot_of(&ask.identity.organisation);
         if grant.pool == TokenPool::Float {
-            let driver = Arc::clone(self);
             let former = grant.holder.clone();
-            let told = PeerRequest::Release(SlotAsk::new(slot.clone(), ask.clone()));
-            let task = async move {
-                while driver
-                    .ask_one(&slot, &told, &former.instance)
-                    .await
-                    .is_err()
-                    && is_alive(&(driver.parts.members)(), &former)
-                {
-                    Timer::after(RETRY_PAUSE * 10).await;
-                }
-            };
-            self.parts.tasks.spawn(task);
+            let target = former.instance.clone();
+            let is_there = move |members: &MemberView| is_alive(members, &former);
+            self.release_at(&slot, ask.clone(), target, is_there);
         }
         self.release_later(ask);
     }
@@ -187,25 +234,34 @@
         slot: &SlotId,
         ask: &PeerRequest,
     ) -> HolderReply {
+        let mut unheard = Vec::new();
         // Boxed: the way over other routers is too large for a request's stack frame.
-        Box::pin(self.ask_hops(slot, ask)).await
+        Box::pin(self.ask_hops(slot, ask, &mut unheard)).await
     }
 
-    async fn ask_hops(self: &Arc<Self>, slot: &SlotId, ask: &PeerRequest) -> HolderReply {
+    /// As [`Self::ask_holder`]; `unheard` gets the routers that did not answer.
+    async fn ask_hops(
+        self: &Arc<Self>,
+        slot: &SlotId,
+        ask: &PeerRequest,
+        unheard: &mut Vec<InstanceId>,
+    ) -> HolderReply {
         let until = clock::now() + self.parts.times.ask_wait;
         let mut next = None;
         for hop in 0.. {
             let target = next.take().or_else(|| self.guess(slot, hop));
             if let Some(target) = target {
-                match self.ask_one(slot, ask, &target).await {
-                    Ok(answer) => match word_of(&answer) {
-                        HolderWord::Holder => {
-                            self.failures.answered(slot);
-                            return HolderReply::Answer(answer);
-                        }
-                        HolderWord::Elsewhere(hint) => next = hint,
-                    },
-                    Err(_) => next = self.hasten(slot, &target).await,
+                let word = self.ask_one(slot, ask, &target).await.map(word_of);
+                match word {
+                    Ok(HolderWord::Holder(answer)) => {
+                        self.failures.answered(slot);
+                        return HolderReply::Answer(*answer);
+                    }
+                    Ok(HolderWord::Elsewhere(hint)) => next = hint,
+                    Err(_) => {
+                        next = self.hasten(slot, &target).await;
+                        unheard.push(target);
+                    }
                 }
             }
             if clock::now() >= until {
@@ -299,8 +355,8 @@
     }
 }
 
-fn word_of(reply: &PeerReply) -> HolderWord {
-    match reply {
+fn word_of(reply: PeerReply) -> HolderWord {
+    match &reply {
         PeerReply::Reserve(ReserveAnswer::NotHolder { holder })
         | PeerReply::Settle(SettleAnswer::NotHolder { holder })
         | PeerReply::Release(ReleaseAnswer::NotHolder { holder })
@@ -309,6 +365,6 @@
             HolderWord::Elsewhere(holder.as_ref().map(|life| life.instance.clone()))
         }
         PeerReply::Refused(_) => HolderWord::Elsewhere(None),
-        _ => HolderWord::Holder,
+        _ => HolderWord::Holder(Box::new(reply)),
     }
 }
--- a/crates/guavawell-fleet/tests/history/slots/client.rs
+++ b/crates/guavawell-fleet/tests/history/slots/client.rs
@@ -148,6 +148,7 @@
         let ask = ReleaseAsk {
             identity: identity(self.request),
             attempt,
+            before: None,
         };
         let slot = driver.slot_of(&ask.identity.organisation);
         let ask = PeerRequest::Release(SlotAsk::new(slot, ask));
