An instance reads only as many changes of budgets' rows as its link carries

Change: a window before each question for budgets' changes, halved when an answer takes long, doubled when answers are quick; what is passed over shows when a write is turned down, as before.

--- a/crates/guavawell-core/src/grant/mod.rs
+++ b/crates/guavawell-core/src/grant/mod.rs
@@ -22,6 +22,7 @@
 mod book;
 mod codec;
 mod early;
+mod follow;
 mod line;
 mod loan;
 mod plan;
@@ -37,6 +38,8 @@
 pub use codec::CodecError;
 pub use codec::decode_row;
 pub use codec::encode_row;
+pub use follow::FollowSettings;
+pub use follow::FollowWindow;
 pub use line::ClosedBoot;
 pub use line::LineRow;
 pub use line::SpendLine;
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -17,6 +17,7 @@
 use event_listener::Event;
 use event_listener::EventListener;
 use futures_lite::FutureExt;
+use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::grant::BookSettings;
 use guavawell_core::grant::GrantBook;
@@ -48,15 +49,15 @@
 /// Pause between looks at whether a budget's row wants writing or reading.
 const BUDGET_TICK: Duration = Duration::from_millis(500);
 /// Pause between questions for other instances' writes.
-const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
+const FOLLOW_PAUSE: ClockSpan = ClockSpan::from_millis(500);
 /// The same while an instance lacks tokens that another one may give back, so
 /// that they move while the request waits.
-const CONTENDED_PAUSE: Duration = Duration::from_millis(120);
+const CONTENDED_PAUSE: ClockSpan = ClockSpan::from_millis(120);
 /// Further pause for each instance, so that reading what all others write
 /// takes a bounded part of the processor.
-const FOLLOW_EACH: Duration = Duration::from_millis(15);
+const FOLLOW_EACH: ClockSpan = ClockSpan::from_millis(15);
 /// See [`FOLLOW_EACH`].
-const CONTENDED_EACH: Duration = Duration::from_millis(15);
+const CONTENDED_EACH: ClockSpan = ClockSpan::from_millis(15);
 /// Time from the start to the second look at the fleet's instances.
 const FIRST_LOOK: Duration = Duration::from_millis(400);
 /// Pause between looks at the fleet's instances.
--- a/crates/guavawell-forward/src/budget/rows.rs
+++ b/crates/guavawell-forward/src/budget/rows.rs
@@ -3,7 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use guavawell_core::clock::ClockSpan;
 use guavawell_core::grant::BudgetRow;
+use guavawell_core::grant::FollowSettings;
+use guavawell_core::grant::FollowWindow;
 use guavawell_core::id::OrganisationId;
 use guavawell_fleet::event::EventDraft;
 use smol::LocalExecutor;
@@ -22,6 +25,7 @@
 use super::calls::encode;
 use super::fault_pause;
 use super::wait_until;
+use crate::clock::timer_span;
 use crate::store::RowChanges;
 use crate::store::RowState;
 use crate::store::StoreFault;
@@ -64,36 +68,67 @@
     /// Follows what other instances write, so that this one knows their needs
     /// and seldom writes in vain.
     pub(super) async fn follow_budgets(&self) {
+        let settings = FollowSettings::default();
+        let mut window = FollowWindow::default();
         let mut since = self.newest.get();
         loop {
-            let contended = self.book.borrow().is_contended(self.clock.now());
-            let (base, each) = if contended {
-                (CONTENDED_PAUSE, CONTENDED_EACH)
-            } else {
-                (FOLLOW_PAUSE, FOLLOW_EACH)
-            };
-            let instances = u32::try_from(self.instances()).unwrap_or(u32::MAX);
-            Timer::after(base + each * instances).await;
+            let interval = self.follow_interval();
+            let passed_over = window.passed_over(interval);
+            if passed_over > ClockSpan::default() {
+                Timer::after(timer_span(passed_over)).await;
+                since = self.newest_after(since).await;
+            }
+            let rest = interval.as_millis() - passed_over.as_millis();
+            Timer::after(Duration::from_millis(rest)).await;
+            let usual = self.answer_ms.get();
+            let began = self.clock.now();
             match (self.store.changes)(BUDGET_TABLE, since).await {
                 Ok(changes) => {
                     since = changes.newest;
+                    let took = self.clock.now().since(began).as_millis();
+                    let extra = ClockSpan::from_millis(took.saturating_sub(usual));
+                    window.answered(extra, interval, &settings);
                     self.take_changes(&changes);
                 }
                 Err(StoreFault::HistoryGone) => {
                     // What was missed shows when a write is turned down.
                     since = self.newest.get();
                 }
-                Err(fault) => self.note_fault("changes", &fault),
+                Err(fault) => {
+                    window.failed(&settings);
+                    self.note_fault("changes", &fault);
+                }
             }
         }
     }
 
+    /// Time between two questions for other instances' writes.
+    fn follow_interval(&self) -> ClockSpan {
+        let contended = self.book.borrow().is_contended(self.clock.now());
+        let (base, each) = if contended {
+            (CONTENDED_PAUSE, CONTENDED_EACH)
+        } else {
+            (FOLLOW_PAUSE, FOLLOW_EACH)
+        };
+        let instances = self.instances() as u64;
+        ClockSpan::from_millis(base.as_millis() + each.as_millis() * instances)
+    }
+
+    /// The store's newest version, asked for with a small question if no other
+    /// answer has told one after `since`.
+    async fn newest_after(&self, since: u64) -> u64 {
+        if self.newest.get() <= since {
+            self.read_row("newest", self.line_key()).await;
+        }
+        self.newest.get().max(since)
+    }
+
     fn take_changes(&self, changes: &RowChanges) {
+        self.newest.set(self.newest.get().max(changes.newest));
         for (part, state) in &changes.rows {
             let Ok(id) = part.parse::<OrganisationId>() else {
                 continue;
             };
-            self.newest.set(self.newest.get().max(state.version));
             let known = self.book.borrow().budget_version(&id);
             if state.version > known && known > 0 && self.take_budget(&id, state) {
                 self.budget_bell.notify(usize::MAX);
