--- a/crates/guavawell-core/src/grant/follow.rs
+++ b/crates/guavawell-core/src/grant/follow.rs
@@ -34,37 +34,49 @@
 }
 
 /// The part of the time whose changes are read.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FollowWindow {
-    /// The window before a question; `None` reads everything.
-    window: Option<ClockSpan>,
+    settings: FollowSettings,
+    /// The time before a question whose changes it asks for; as long as the
+    /// time between two questions or longer, everything is read.
+    window: ClockSpan,
 }
 
 impl FollowWindow {
+    /// The smallest window: right after a start of the whole fleet the changes
+    /// are most.
+    #[must_use]
+    pub const fn new(settings: FollowSettings) -> Self {
+        Self {
+            window: settings.least_window,
+            settings,
+        }
+    }
+
     /// The part of the time between two questions, `interval`, that is passed
     /// over.
     #[must_use]
-    pub fn passed_over(&self, interval: ClockSpan) -> ClockSpan {
-        let window = self.window.unwrap_or(interval);
-        ClockSpan::from_millis(interval.as_millis().saturating_sub(window.as_millis()))
+    pub const fn passed_over(&self, interval: ClockSpan) -> ClockSpan {
+        ClockSpan::from_millis(interval.as_millis().saturating_sub(self.window.as_millis()))
     }
 
     /// A question was answered, `extra` later than the store usually answers.
-    pub fn answered(&mut self, extra: ClockSpan, interval: ClockSpan, settings: &FollowSettings) {
-        let window = self.window.unwrap_or(interval).as_millis();
-        let next = if extra > settings.most_extra {
+    pub fn answered(&mut self, extra: ClockSpan, interval: ClockSpan) {
+        let most = self.settings.most_extra;
+        let window = self.window.as_millis();
+        let next = if extra > most {
             window / 2
-        } else if extra.as_millis() <= settings.most_extra.as_millis() / 3 {
-            window * 2
+        } else if extra.as_millis() <= most.as_millis() / 3 {
+            // One step beyond what is needed, for longer pauses to come.
+            (window * 2).min(interval.as_millis() * 2)
         } else {
             window
         };
-        let next = ClockSpan::from_millis(next).max(settings.least_window);
-        self.window = (next < interval).then_some(next);
+        self.window = ClockSpan::from_millis(next).max(self.settings.least_window);
     }
 
     /// A question was not answered in time: its answer may have been too long.
-    pub fn failed(&mut self, settings: &FollowSettings) {
-        self.window = Some(settings.least_window);
+    pub const fn failed(&mut self) {
+        self.window = self.settings.least_window;
     }
 }
--- a/crates/guavawell-forward/src/budget/rows.rs
+++ b/crates/guavawell-forward/src/budget/rows.rs
@@ -68,8 +68,7 @@
     /// Follows what other instances write, so that this one knows their needs
     /// and seldom writes in vain.
     pub(super) async fn follow_budgets(&self) {
-        let settings = FollowSettings::default();
-        let mut window = FollowWindow::default();
+        let mut window = FollowWindow::new(FollowSettings::default());
         let mut since = self.newest.get();
         loop {
             let interval = self.follow_interval();
@@ -87,7 +86,7 @@
                     since = changes.newest;
                     let took = self.clock.now().since(began).as_millis();
                     let extra = ClockSpan::from_millis(took.saturating_sub(usual));
-                    window.answered(extra, interval, &settings);
+                    window.answered(extra, interval);
                     self.take_changes(&changes);
                 }
                 Err(StoreFault::HistoryGone) => {
@@ -95,7 +94,7 @@
                     since = self.newest.get();
                 }
                 Err(fault) => {
-                    window.failed(&settings);
+                    window.failed();
                     self.note_fault("changes", &fault);
                 }
             }
