--- a/crates/guavawell-forward/src/http/mod.rs
+++ b/crates/guavawell-forward/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod channel;
 mod head;
+mod tries;
 mod write;
 
 pub use body::BodyDecoder;
@@ -22,5 +23,7 @@
 pub use head::RequestHead;
 pub use head::ResponseHead;
 pub use head::is_hop_by_hop;
+pub use tries::OpenTries;
+pub use tries::OpenTry;
 pub use write::HeadWriter;
 pub use write::write_chunk;
--- /dev/null
+++ b/crates/guavawell-forward/src/http/tries.rs
@@ -0,0 +1,81 @@
+//! Tries that stay open while later ones are begun.
+//!
+//! Load pattern: one organisation's callers press on one small instance. Their
+//! requests fill its link, and an answer that takes 5 ms elsewhere takes more
+//! than a second. A try that is given up at a limit for lost answers never ends
+//! well there, and nor does the next one: 46 questions for servers failed in a
+//! row, and a server that left still got requests 3.1 s later. Kept open, the
+//! first try is answered although it is late, and a connection on which an
+//! answer was lost still costs no more than the limit.
+
+use std::future::Future;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use smol::Timer;
+
+/// One try.
+pub type OpenTry<'a, T, E> = Pin<Box<dyn Future<Output = Result<T, E>> + 'a>>;
+
+/// The tries of one question that are open, oldest first.
+pub struct OpenTries<'a, T, E> {
+    open: Vec<OpenTry<'a, T, E>>,
+    most: usize,
+}
+
+impl<'a, T, E> OpenTries<'a, T, E> {
+    /// No tries; of more than `most` the oldest is given up.
+    #[must_use]
+    pub const fn new(most: usize) -> Self {
+        Self {
+            open: Vec::new(),
+            most,
+        }
+    }
+
+    /// Begins one more try and waits for the first answer of any, `patience` at
+    /// most. The others are given up once one is answered.
+    ///
+    /// `None` while all are open: begin the next one. An error only if no try is
+    /// left.
+    pub async fn first_answer(
+        &mut self,
+        next: OpenTry<'a, T, E>,
+        patience: Duration,
+    ) -> Option<Result<T, E>> {
+        if self.open.len() >= self.most {
+            drop(self.open.remove(0));
+        }
+        self.open.push(next);
+        let mut late = Timer::after(patience);
+        poll_fn(|context| match self.poll_open(context) {
+            Poll::Ready(answer) => Poll::Ready(Some(answer)),
+            Poll::Pending => Pin::new(&mut late).poll(context).map(|_| None),
+        })
+        .await
+    }
+
+    /// Polls every try; one that failed while others are open is dropped.
+    fn poll_open(&mut self, context: &mut Context<'_>) -> Poll<Result<T, E>> {
+        let mut place = 0;
+        while place < self.open.len() {
+            match self.open[place].as_mut().poll(context) {
+                Poll::Pending => place += 1,
+                Poll::Ready(Ok(answer)) => {
+                    self.open.clear();
+                    return Poll::Ready(Ok(answer));
+                }
+                Poll::Ready(Err(error)) => {
+                    drop(self.open.remove(place));
+                    if self.open.is_empty() {
+                        return Poll::Ready(Err(error));
+                    }
+                }
+            }
+        }
+        Poll::Pending
+    }
+}
--- /dev/null
+++ b/crates/guavawell-forward/tests/tries.rs
@@ -0,0 +1,80 @@
+//! Tries that stay open while later ones are begun.
+
+use std::time::Duration;
+
+use guavawell_forward::http::OpenTries;
+use guavawell_forward::http::OpenTry;
+use smol::Timer;
+
+/// Longer than any test waits.
+const NEVER: Duration = Duration::from_secs(600);
+
+/// A patience that is over at once.
+const NONE: Duration = Duration::ZERO;
+
+type NumberTry = OpenTry<'static, u32, &'static str>;
+
+fn silent() -> NumberTry {
+    Box::pin(std::future::pending())
+}
+
+fn answered(number: u32) -> NumberTry {
+    Box::pin(async move { Ok(number) })
+}
+
+fn failed() -> NumberTry {
+    Box::pin(async { Err("failed") })
+}
+
+#[test]
+fn a_late_answer_to_an_earlier_try_counts() {
+    smol::block_on(async {
+        let mut tries = OpenTries::new(3);
+        let late: NumberTry = Box::pin(async {
+            Timer::after(Duration::from_millis(20)).await;
+            Ok(1)
+        });
+        assert_eq!(tries.first_answer(late, NONE).await, None);
+        assert_eq!(tries.first_answer(silent(), NEVER).await, Some(Ok(1)));
+    });
+}
+
+#[test]
+fn a_try_that_fails_beside_an_open_one_is_not_the_end() {
+    smol::block_on(async {
+        let mut tries = OpenTries::new(3);
+        assert_eq!(tries.first_answer(silent(), NONE).await, None);
+        assert_eq!(tries.first_answer(failed(), NONE).await, None);
+        assert_eq!(tries.first_answer(answered(2), NEVER).await, Some(Ok(2)));
+    });
+}
+
+#[test]
+fn a_failure_that_leaves_no_try_is_told_at_once() {
+    smol::block_on(async {
+        let mut tries = OpenTries::new(3);
+        let told = tries.first_answer(failed(), NEVER).await;
+        assert_eq!(told, Some(Err("failed")));
+    });
+}
+
+#[test]
+fn an_answer_ends_the_other_tries_and_the_oldest_gives_way() {
+    smol::block_on(async {
+        let mut tries = OpenTries::new(2);
+        let slow = |number, millis| -> NumberTry {
+            Box::pin(async move {
+                Timer::after(Duration::from_millis(millis)).await;
+                Ok(number)
+            })
+        };
+        assert_eq!(tries.first_answer(slow(1, 10), NONE).await, None);
+        assert_eq!(tries.first_answer(silent(), NONE).await, None);
+        // The first one has given way to this one.
+        assert_eq!(tries.first_answer(slow(3, 40), NEVER).await, Some(Ok(3)));
+        assert_eq!(
+            tries.first_answer(failed(), NEVER).await,
+            Some(Err("failed"))
+        );
+    });
+}
