--- a/scripts/findings.sh
+++ b/scripts/findings.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Plays every day of findings.txt again; ends with 1 if a rule is broken.
-# Usage: scripts/findings.sh PATH-OF-FLEETBENCH FOLDER-OF-SITES
+# Usage: scripts/findings.sh PATH-OF-FLEETBENCH FOLDER-OF-DEPLOYMENTS
 set -u
 bench=$1
 sites=$2
