--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -1,14 +1,22 @@
 //! One boot's book of all budgets: reservations, settlements, and the state of
 //! its rows.
 
+use std::str::FromStr;
+
+use thiserror::Error;
+
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::grant::BudgetRow;
+use crate::grant::FleetMember;
+use crate::grant::HolderRanking;
+use crate::grant::HolderSettings;
 use crate::grant::LineRow;
 use crate::grant::RateMeter;
 use crate::grant::RowVersions;
 use crate::grant::StartBound;
 use crate::grant::StoreClock;
+use crate::grant::loan::OpenLoan;
 use crate::id::InstanceId;
 use crate::id::OrganisationId;
 
@@ -64,6 +72,8 @@
     pub entry_age_each: ClockSpan,
     /// How long a shortage is told to other instances.
     pub shortage_age: ClockSpan,
+    /// Which instances hold tokens.
+    pub holders: HolderSettings,
 }
 
 impl Default for BookSettings {
@@ -88,6 +98,7 @@
             entry_age: ClockSpan::from_millis(1_000),
             entry_age_each: ClockSpan::from_millis(40),
             shortage_age: ClockSpan::from_millis(2_000),
+            holders: HolderSettings::default(),
         }
     }
 }
@@ -114,7 +125,7 @@
 }
 
 impl ReserveAnswer {
-    /// The name in logs.
+    /// The name in logs and between instances.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -129,6 +140,27 @@
     }
 }
 
+/// A name that is no cause of a refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("no cause of a refusal has this name")]
+pub struct UnknownCause;
+
+impl FromStr for ReserveAnswer {
+    type Err = UnknownCause;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let causes = [
+            Self::Granted,
+            Self::Short,
+            Self::Drained,
+            Self::Exhausted,
+            Self::Unknown,
+        ];
+        let found = causes.into_iter().find(|cause| cause.as_str() == text);
+        found.ok_or(UnknownCause)
+    }
+}
+
 /// What a reservation was decided by, for logs. Counts are tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BudgetFacts {
@@ -164,6 +196,16 @@
     /// Tokens that other instances have lent and no request holds. They are
     /// spent beside the grant.
     pub(super) borrowed: u64,
+    /// Who lent what requests hold, and what nobody holds.
+    pub(super) loans: Vec<OpenLoan>,
+    /// When lent tokens last changed hands.
+    pub(super) loans_at: ClockTime,
+    /// Tokens lent to other instances that they have not accounted for.
+    pub(super) lent: u64,
+    /// This instance holds tokens by its rank.
+    pub(super) ranked: bool,
+    /// When it was last asked for them in a holder's place.
+    pub(super) asked_at: Option<ClockTime>,
     /// Tokens of the last request that others declined to lend for, and when.
     pub(super) declined: Option<(u64, ClockTime)>,
     /// Tokens that requests wait for now.
@@ -191,6 +233,7 @@
     pub(super) lines_at: ClockTime,
     /// Sorted by organisation.
     pub(super) budgets: Vec<BudgetState>,
+    pub(super) ranking: HolderRanking,
     pub(super) leaving: bool,
 }
 
@@ -215,6 +258,7 @@
             lines: RowVersions::default(),
             lines_at: ClockTime::default(),
             budgets: Vec::new(),
+            ranking: HolderRanking::new(settings.holders),
             leaving: false,
         }
     }
@@ -260,6 +304,15 @@
         let Some(place) = self.find(organisation) else {
             return ReserveAnswer::Unknown;
         };
+        let state = &mut self.budgets[place];
+        // What others lent goes first: it would be lost with this process.
+        let lent = state.borrowed.min(tokens);
+        if lent == tokens {
+            state.borrowed -= lent;
+            state.loans_at = now;
+            state.demand.add(tokens, now);
+            return ReserveAnswer::GrantedLoan(lent);
+        }
         let state = &self.budgets[place];
         let Some(time) = self.clock.now(now) else {
             return ReserveAnswer::Unknown;
@@ -267,11 +320,9 @@
         if self.boot == 0 || self.leaving || !state.row.is_read() {
             return ReserveAnswer::Unknown;
         }
-        // What others lent goes first: it would be lost with this process.
-        let lent = state.borrowed.min(tokens);
         let own = tokens - lent;
         let need = state.used + own;
-        if own > 0 && need > self.grant(state) {
+        if need > self.grant(state) {
             let answer = self.judge_short(state, own);
             self.budgets[place].shortage = Some((own, now));
             return answer;
@@ -279,7 +330,7 @@
         let allowed = self
             .lines
             .least(|row| self.line_allowance(row, organisation, time));
-        if own > 0 && need > allowed {
+        if need > allowed {
             return ReserveAnswer::Locked(self.unlock_time(organisation, need, time));
         }
         let state = &mut self.budgets[place];
@@ -287,16 +338,52 @@
         state.borrowed -= lent;
         state.demand.add(tokens, now);
         if lent > 0 {
+            state.loans_at = now;
             ReserveAnswer::GrantedLoan(lent)
         } else {
             ReserveAnswer::Granted
         }
     }
 
-    /// Whether this boot has begun and every budget was read.
+    /// Whether this boot has begun and every budget that it holds was read.
     #[must_use]
     pub fn is_open(&self) -> bool {
-        self.boot > 0 && self.budgets.iter().all(|state| state.row.is_read())
+        let mut held = self.budgets.iter().filter(|state| state.ranked);
+        self.boot > 0 && held.all(|state| state.row.is_read())
+    }
+
+    /// The fleet as the store's rows tell it, this instance included.
+    pub fn set_fleet(&mut self, members: Vec<FleetMember>) {
+        self.ranking.set_members(members);
+        for state in &mut self.budgets {
+            state.ranked = self.ranking.is_holder(&self.instance, &state.organisation);
+        }
+    }
+
+    /// Whether this instance holds tokens of an organisation: by its rank, or
+    /// as a stand-in.
+    #[must_use]
+    pub fn is_holder(&self, organisation: &OrganisationId, now: ClockTime) -> bool {
+        let place = self.find(organisation);
+        place.is_some_and(|place| self.holds(&self.budgets[place], now))
+    }
+
+    pub(super) fn holds(&self, state: &BudgetState, now: ClockTime) -> bool {
+        let stand_in = self.settings.holders.stand_in;
+        let asked = state.asked_at.is_some_and(|at| now.since(at) < stand_in);
+        state.ranked || asked
+    }
+
+    /// This instance was asked for tokens, or no holder answers it: it holds
+    /// tokens itself for a while.
+    pub fn stand_in(&mut self, organisation: &OrganisationId, now: ClockTime) {
+        self.state(organisation).asked_at = Some(now);
+    }
+
+    /// The instances to ask for tokens, in this order.
+    #[must_use]
+    pub fn holder_order(&self, organisation: &OrganisationId) -> Vec<InstanceId> {
+        self.ranking.order(&self.instance, organisation)
     }
 
     /// What the next reservation will be decided by.
@@ -347,10 +434,19 @@
         place.map_or(0, |place| self.grant(&self.budgets[place]))
     }
 
-    /// An age that grows with the fleet.
-    pub(super) fn paced(&self, base: ClockSpan, each: ClockSpan) -> ClockSpan {
-        let instances = self.settings.instances as u64;
-        ClockSpan::from_millis(base.as_millis() + each.as_millis() * instances)
+    /// An age that grows with the number of writers.
+    pub(super) fn paced(base: ClockSpan, each: ClockSpan, writers: usize) -> ClockSpan {
+        ClockSpan::from_millis(base.as_millis() + each.as_millis() * writers as u64)
+    }
+
+    /// Instances that write the row of one budget.
+    #[must_use]
+    pub fn row_writers(&self) -> usize {
+        if self.ranking.is_everywhere() {
+            self.settings.instances
+        } else {
+            self.ranking.expected()
+        }
     }
 
     /// The fleet has this many instances, as far as the store's rows tell.
@@ -386,7 +482,7 @@
         }
     }
 
-    fn judge_short(&self, state: &BudgetState, tokens: u64) -> ReserveAnswer {
+    pub(super) fn judge_short(&self, state: &BudgetState, tokens: u64) -> ReserveAnswer {
         let Some(row) = state.row.known() else {
             return ReserveAnswer::Short;
         };
@@ -450,12 +546,17 @@
             .binary_search_by(|state| state.organisation.cmp(organisation));
         let place = found.unwrap_or_else(|place| {
             let state = BudgetState {
+                ranked: self.ranking.is_holder(&self.instance, organisation),
                 organisation: organisation.clone(),
                 row: RowVersions::default(),
                 paid: (0, 0),
                 used: 0,
                 settled: 0,
                 borrowed: 0,
+                loans: Vec::new(),
+                loans_at: ClockTime::default(),
+                lent: 0,
+                asked_at: None,
                 declined: None,
                 waiting: 0,
                 shortage: None,
--- a/crates/guavawell-core/src/grant/line.rs
+++ b/crates/guavawell-core/src/grant/line.rs
@@ -79,8 +79,19 @@
     /// The most that the boot can have spent of an organisation's tokens.
     #[must_use]
     pub fn spent_of(&self, organisation: &OrganisationId) -> u64 {
-        let place = self.spent.binary_search_by(|(id, _)| id.cmp(organisation));
-        place.map_or(0, |place| self.spent[place].1)
+        self.place(organisation)
+            .map_or(0, |place| self.spent[place].1)
+    }
+
+    /// Whether the boot had a line of an organisation's budget.
+    #[must_use]
+    pub fn names(&self, organisation: &OrganisationId) -> bool {
+        self.place(organisation).is_some()
+    }
+
+    fn place(&self, organisation: &OrganisationId) -> Option<usize> {
+        let found = self.spent.binary_search_by(|(id, _)| id.cmp(organisation));
+        found.ok()
     }
 }
 
--- a/crates/guavawell-core/src/grant/loan.rs
+++ b/crates/guavawell-core/src/grant/loan.rs
@@ -15,9 +15,16 @@
 //! of an organisation. What it holds is spent in two seconds, while tokens that
 //! nobody holds lie in the store. A lender that reaches the store fetches them
 //! for it as it would for a request of its own.
+//!
+//! Third load pattern: a fleet of a hundred instances, of which a few hold an
+//! organisation's tokens ([`super::holders`]). The others borrow for each
+//! request, so what a request did not spend goes back to its lender: kept, it
+//! would lie in a hundred pieces that fit nobody's need. A return names the
+//! lender's process; a later one at the same address gave nothing away.
 
 use super::book::BudgetState;
 use super::book::GrantBook;
+use super::book::ReserveAnswer;
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::id::InstanceId;
@@ -36,6 +43,18 @@
 /// that not each of a burst has to ask. What it does not use is lost at its end.
 const MORE_REQUESTS: f64 = 1.0;
 
+/// How long lent tokens that no request holds wait for the next one.
+const RETURN_AFTER: ClockSpan = ClockSpan::from_millis(300);
+
+/// Who asks, and so what the lender keeps for itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoanScope {
+    /// A holder that is short: the lender keeps what it needs itself.
+    Spare,
+    /// An instance that holds nothing: its requests count like the lender's own.
+    Share,
+}
+
 /// How much is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoanAsk {
@@ -43,6 +62,49 @@
     pub needed: u64,
     /// It takes as much as this.
     pub wanted: u64,
+    /// Who asks.
+    pub scope: LoanScope,
+}
+
+/// One life of a process that lends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LenderId {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The random number of its boot.
+    pub nonce: u64,
+}
+
+/// What a lender says to a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoanAnswer {
+    /// Tokens lent; none, or a good part of what is needed at least.
+    pub tokens: u64,
+    /// Why there are none, as the lender's own request would be told.
+    pub cause: ReserveAnswer,
+}
+
+/// What a borrower has to account for to one lender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct OpenLoan {
+    pub(super) lender: LenderId,
+    /// Lent and neither spent nor given back.
+    pub(super) open: u64,
+    /// Spent and not yet told.
+    pub(super) spent: u64,
+}
+
+/// An account of a loan, told once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoanReturn {
+    /// Who lent.
+    pub lender: LenderId,
+    /// Of whose tokens.
+    pub organisation: OrganisationId,
+    /// Given back.
+    pub unspent: u64,
+    /// Spent for good.
+    pub spent: u64,
 }
 
 impl GrantBook {
@@ -57,9 +119,17 @@
         });
         let usual = state.map_or(0.0, |state| state.demand.usual());
         let needed = tokens.saturating_sub(held).max(1);
+        if state.is_some_and(|state| !self.holds(state, now)) {
+            return LoanAsk {
+                needed,
+                wanted: needed,
+                scope: LoanScope::Share,
+            };
+        }
         LoanAsk {
             needed,
             wanted: needed + whole(usual * MORE_REQUESTS),
+            scope: LoanScope::Spare,
         }
     }
 
@@ -110,18 +180,38 @@
         unspent.filter(|(_, free)| *free > 0).collect()
     }
 
-    /// Lends tokens to another instance and returns how many: none, or a good
-    /// part of what is needed at least. They count as spent here from now on.
-    pub fn lend(&mut self, organisation: &OrganisationId, ask: LoanAsk, now: ClockTime) -> u64 {
-        let spare = self
-            .find(organisation)
-            .and_then(|place| self.spare(&self.budgets[place], now));
-        let lent = spare.unwrap_or(0).min(ask.wanted);
-        if lent < ask.needed.div_ceil(LEAST_PART) {
-            return 0;
-        }
-        self.state(organisation).used += lent;
-        lent
+    /// Lends tokens to another instance. They count as spent here until it
+    /// accounts for them.
+    pub fn lend(
+        &mut self,
+        organisation: &OrganisationId,
+        ask: LoanAsk,
+        now: ClockTime,
+    ) -> LoanAnswer {
+        if ask.scope == LoanScope::Share {
+            self.stand_in(organisation, now);
+        }
+        let Some(place) = self.find(organisation) else {
+            return declined(ReserveAnswer::Unknown);
+        };
+        let state = &self.budgets[place];
+        let Some(spare) = self.spare(state, ask.scope, now) else {
+            return declined(ReserveAnswer::Unknown);
+        };
+        let tokens = spare.min(ask.wanted);
+        if tokens < ask.needed.div_ceil(LEAST_PART) {
+            return declined(self.judge_short(state, ask.needed));
+        }
+        let state = &mut self.budgets[place];
+        state.used += tokens;
+        state.lent += tokens;
+        if ask.scope == LoanScope::Share {
+            state.demand.add(tokens, now);
+        }
+        LoanAnswer {
+            tokens,
+            cause: ReserveAnswer::Granted,
+        }
     }
 
     /// What this boot has to wait for so that it can lend, or `None` if waiting
@@ -135,25 +225,39 @@
         now: ClockTime,
     ) -> Option<u64> {
         let state = &self.budgets[self.find(organisation)?];
-        let row = state.row.known()?;
-        if self.boot == 0 || self.leaving {
+        if self.leaving {
             return None;
         }
-        let unheld = self.paid(state, row).saturating_sub(row.committed());
+        if self.boot == 0 || !state.row.is_read() {
+            // A stand-in reads the row first, and so does a process that starts.
+            return Some(ask.needed);
+        }
+        let keep = self.keep(state, ask.scope, now);
+        let unheld = state.row.known().map_or(state.paid.0, |row| {
+            self.paid(state, row).saturating_sub(row.committed())
+        });
         let unspent = self.grant(state).saturating_sub(state.used + state.waiting);
-        let keep = state.demand.per_second(now) * KEEP_SECONDS;
         let have = (unheld + unspent).saturating_sub(keep);
         (have >= ask.needed).then(|| keep + ask.wanted.min(have))
     }
 
     /// Tokens that this boot may spend at once and can do without; `None` where
     /// it may spend none.
-    fn spare(&self, state: &BudgetState, now: ClockTime) -> Option<u64> {
-        let keep = state.demand.per_second(now) * KEEP_SECONDS;
+    fn spare(&self, state: &BudgetState, scope: LoanScope, now: ClockTime) -> Option<u64> {
+        let keep = self.keep(state, scope, now);
         let unspent = self.grant(state).saturating_sub(state.used);
         Some(unspent.saturating_sub(keep).min(self.free(state, now)?))
     }
 
+    /// Tokens that a lender keeps for its own requests.
+    #[expect(clippy::unused_self, reason = "reads as a question to the book")]
+    fn keep(&self, state: &BudgetState, scope: LoanScope, now: ClockTime) -> u64 {
+        match scope {
+            LoanScope::Spare => state.demand.per_second(now) * KEEP_SECONDS,
+            LoanScope::Share => 0,
+        }
+    }
+
     /// Tokens that this boot may spend at once; `None` where it may spend none.
     fn free(&self, state: &BudgetState, now: ClockTime) -> Option<u64> {
         let time = self.clock.now(now)?;
@@ -167,8 +271,24 @@
     }
 
     /// Takes in what another instance has lent.
-    pub fn take_loan(&mut self, organisation: &OrganisationId, tokens: u64) {
-        self.state(organisation).borrowed += tokens;
+    pub fn take_loan(
+        &mut self,
+        organisation: &OrganisationId,
+        lender: LenderId,
+        tokens: u64,
+        now: ClockTime,
+    ) {
+        let state = self.state(organisation);
+        state.borrowed += tokens;
+        state.loans_at = now;
+        match state.loans.iter_mut().find(|loan| loan.lender == lender) {
+            Some(loan) => loan.open += tokens,
+            None => state.loans.push(OpenLoan {
+                lender,
+                open: tokens,
+                spent: 0,
+            }),
+        }
     }
 
     /// Replaces a reservation, `lent` of it from what others lent, by what was
@@ -181,7 +301,75 @@
         spent: u64,
     ) {
         let of_loan = spent.min(lent);
-        self.state(organisation).borrowed += lent - of_loan;
+        let state = self.state(organisation);
+        state.borrowed += lent - of_loan;
+        let mut rest = of_loan;
+        for loan in &mut state.loans {
+            let part = loan.open.min(rest);
+            loan.open -= part;
+            loan.spent += part;
+            rest -= part;
+        }
         self.settle(organisation, reserved - lent, spent - of_loan);
     }
+
+    /// Accounts for loans: what was spent of them, and what no request needs.
+    /// Each is to be told once; what is lost on the way stays spent.
+    pub fn due_returns(&mut self, now: ClockTime) -> Vec<LoanReturn> {
+        let mut due = Vec::new();
+        for state in &mut self.budgets {
+            if !state.loans.is_empty() && now.since(state.loans_at) >= RETURN_AFTER {
+                due.extend(take_returns(state));
+            }
+        }
+        due
+    }
+
+    /// A borrower accounts for what this process lent to it. Returns whether it
+    /// was this process that lent.
+    pub fn take_return(&mut self, loan: &LoanReturn) -> bool {
+        if loan.lender.nonce != self.nonce || loan.lender.instance != self.instance {
+            return false;
+        }
+        let state = self.state(&loan.organisation);
+        let all = loan.unspent.saturating_add(loan.spent).min(state.lent);
+        state.lent -= all;
+        // Of a wrong account the part that gives nothing back is believed.
+        self.settle(&loan.organisation, all, loan.spent.min(all));
+        true
+    }
+
+    /// How this process signs what it lends.
+    #[must_use]
+    pub fn lender_id(&self) -> LenderId {
+        LenderId {
+            instance: self.instance.clone(),
+            nonce: self.nonce,
+        }
+    }
+}
+
+const fn declined(cause: ReserveAnswer) -> LoanAnswer {
+    LoanAnswer { tokens: 0, cause }
+}
+
+/// What a budget's lenders are to be told; tokens that no request holds go back.
+fn take_returns(state: &mut BudgetState) -> Vec<LoanReturn> {
+    let mut due = Vec::new();
+    for loan in &mut state.loans {
+        let unspent = loan.open.min(state.borrowed);
+        state.borrowed -= unspent;
+        loan.open -= unspent;
+        let spent = std::mem::take(&mut loan.spent);
+        if unspent + spent > 0 {
+            due.push(LoanReturn {
+                lender: loan.lender.clone(),
+                organisation: state.organisation.clone(),
+                unspent,
+                spent,
+            });
+        }
+    }
+    state.loans.retain(|loan| loan.open > 0);
+    due
 }
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::ClockTime;
 use crate::grant::BudgetRow;
+use crate::grant::ClosedBoot;
 use crate::grant::GrantBook;
 use crate::grant::HolderEntry;
 use crate::grant::LineRow;
@@ -73,12 +74,17 @@
         }
         let before = self.lines.known()?;
         let settings = &self.settings;
-        let age = self.paced(settings.line_age, settings.line_age_each);
+        let age = Self::paced(
+            settings.line_age,
+            settings.line_age_each,
+            settings.instances,
+        );
         let fresh = now.since(self.lines_at) < age;
         let waits = self.budgets.iter().any(|state| state.waiting > 0);
         let lines: Vec<SpendLine> = self
             .budgets
             .iter()
+            .filter(|state| self.has_line(state, now))
             .map(|state| self.next_line(state, now))
             .collect();
         let same = before.lines.len() == lines.len()
@@ -90,10 +96,7 @@
         if same || (fresh && !waits) {
             return None;
         }
-        let closed = before
-            .closed
-            .iter()
-            .filter(|ended| self.is_held(ended.boot));
+        let closed = before.closed.iter().filter(|ended| self.is_needed(ended));
         Some(LineRow {
             boot: self.boot,
             nonce: self.nonce,
@@ -103,6 +106,12 @@
         })
     }
 
+    /// Whether this boot spends of a budget by its own grant. One that no longer
+    /// holds tokens keeps its line for as long as it has spent some.
+    fn has_line(&self, state: &BudgetState, now: ClockTime) -> bool {
+        self.holds(state, now) || state.used > 0 || self.grant(state) > 0
+    }
+
     fn next_line(&self, state: &BudgetState, now: ClockTime) -> SpendLine {
         let settings = &self.settings;
         let demand = fraction(state.demand.per_second(now));
@@ -119,12 +128,14 @@
         }
     }
 
-    /// Whether any budget's row may still hold a grant of an ended boot.
-    fn is_held(&self, boot: u64) -> bool {
-        self.budgets.iter().any(|state| match state.row.known() {
-            Some(row) => row.holder(&self.instance, boot).is_some(),
-            None => !state.row.is_read(),
-        })
+    /// Whether any budget's row may still hold a grant of an ended boot. A write
+    /// of the boot before may land late, in a row that it had no line of.
+    fn is_needed(&self, ended: &ClosedBoot) -> bool {
+        let may_hold = |state: &BudgetState| match state.row.known() {
+            Some(row) => row.holder(&self.instance, ended.boot).is_some(),
+            None => !state.row.is_read() && ended.names(&state.organisation),
+        };
+        ended.boot + 1 == self.boot || self.budgets.iter().any(may_hold)
     }
 
     /// A write of the lines is about to be sent.
@@ -173,6 +184,30 @@
         })
     }
 
+    /// Whether this boot has to do with a budget's row: it holds tokens or
+    /// still has some, or an earlier boot's grant may have to be closed.
+    #[must_use]
+    pub fn tends(&self, id: &OrganisationId, now: ClockTime) -> bool {
+        let Some(place) = self.find(id) else {
+            return false;
+        };
+        let state = &self.budgets[place];
+        let former = match state.row.known() {
+            Some(row) => row
+                .holders
+                .iter()
+                .any(|entry| entry.instance == self.instance && entry.boot < self.boot),
+            None => !state.row.is_read() && self.had_line(id),
+        };
+        self.holds(state, now) || former || self.grant(state) > state.used
+    }
+
+    /// Whether an earlier boot had a line of a budget.
+    fn had_line(&self, id: &OrganisationId) -> bool {
+        let closed = self.lines.known().map_or(&[][..], |row| &row.closed[..]);
+        closed.iter().any(|ended| ended.names(id))
+    }
+
     /// The row to write for a budget now, or `None` if the present one will do.
     #[must_use]
     pub fn next_budget(&self, id: &OrganisationId, now: ClockTime) -> Option<BudgetRow> {
@@ -189,8 +224,11 @@
             (row.paid, row.paid_version) = state.paid;
         }
         self.close_ended(&mut row, id);
-        let entry = self.next_entry(state, &row, now);
         let held = before.holder(&self.instance, self.boot);
+        if held.is_none() && !self.holds(state, now) {
+            return (row.holders != before.holders).then_some(row);
+        }
+        let entry = self.next_entry(state, &row, now);
         let repaid = (row.paid, row.closed) != (before.paid, before.closed);
         let worth = held.is_none_or(|held| self.is_worth(held, &entry, state, now));
         if !repaid && !worth {
@@ -262,7 +300,7 @@
         let elsewhere = row.held_elsewhere(&self.instance, self.boot);
         let free = row.paid.saturating_sub(row.closed + elsewhere);
         let missing = self.missing(state, now);
-        let stock = if self.yields(row, state.used + missing, free) {
+        let stock = if !self.holds(state, now) || self.yields(row, state.used + missing, free) {
             0
         } else {
             self.stock(state, row, rate).max(missing)
@@ -301,7 +339,7 @@
         let others = || row.holders.iter().filter(|entry| !self.is_own(entry));
         let used: u64 = others().map(|entry| entry.used).sum();
         let left = fraction(row.paid.saturating_sub(row.closed + used + state.used));
-        let count = fraction((others().count() + 1).max(settings.instances) as u64);
+        let count = fraction((others().count() + 1).max(self.row_writers()) as u64);
         let equal = left / count;
         let rates: u64 = others().map(|entry| entry.rate).sum::<u64>() + rate;
         if rates == 0 {
@@ -325,7 +363,11 @@
         let want = fraction(next.grant.saturating_sub(state.used));
         let changed = (want - have).abs() > WORTH_WRITING * want.max(have);
         let settings = &self.settings;
-        let age = self.paced(settings.entry_age, settings.entry_age_each);
+        let age = Self::paced(
+            settings.entry_age,
+            settings.entry_age_each,
+            self.row_writers(),
+        );
         let old = now.since(state.written_at) >= age;
         let served = state.waiting > 0 && next.grant > held.grant;
         let told = next.wanted > 0 && held.wanted == 0;
--- a/crates/guavawell-core/tests/grant_loan.rs
+++ b/crates/guavawell-core/tests/grant_loan.rs
@@ -8,6 +8,7 @@
 use guavawell_core::grant::BookSettings;
 use guavawell_core::grant::GrantBook;
 use guavawell_core::grant::LoanAsk;
+use guavawell_core::grant::LoanScope;
 use guavawell_core::grant::ReserveAnswer;
 use guavawell_core::id::InstanceId;
 
@@ -97,7 +98,8 @@
         for lender in able.into_iter().take(LENDERS) {
             let ask = self.books[place].loan_ask(&id, tokens, now);
             let lent = self.lend(lender, ask, now);
-            self.books[place].take_loan(&id, lent);
+            let signature = self.books[lender].lender_id();
+            self.books[place].take_loan(&id, signature, lent, now);
             if self.reserve(place, tokens, now) {
                 return true;
             }
@@ -108,7 +110,7 @@
     fn lend(&mut self, lender: usize, ask: LoanAsk, now: ClockTime) -> u64 {
         let id = organisation();
         let book = &mut self.books[lender];
-        let lent = book.lend(&id, ask, now);
+        let lent = book.lend(&id, ask, now).tokens;
         let later = book.lend_later(&id, ask, now);
         let (0, Some(missing), true) = (lent, later, self.fetches && lender >= self.cut_off) else {
             return lent;
@@ -116,7 +118,7 @@
         book.wait(&id, missing, true);
         self.rows.keep(lender, book, now);
         book.wait(&id, missing, false);
-        book.lend(&id, ask, now)
+        book.lend(&id, ask, now).tokens
     }
 
     fn request(&mut self, now: ClockTime, loans: bool, cut: bool) {
@@ -239,16 +241,17 @@
     let all = LoanAsk {
         needed: 1,
         wanted: u64::MAX / 4,
+        scope: LoanScope::Spare,
     };
     let before = book.facts(&id, now);
-    let lent = book.lend(&id, all, now);
+    let lent = book.lend(&id, all, now).tokens;
     let after = book.facts(&id, now);
     assert!(lent > 0);
     assert_eq!(after.used, before.used + lent);
     assert!(after.used <= after.grant.min(after.allowed));
     // A boot that gives its grants back lends nothing more.
     book.leave();
-    assert_eq!(book.lend(&id, all, at(CUT.end + 5_000)), 0);
+    assert_eq!(book.lend(&id, all, at(CUT.end + 5_000)).tokens, 0);
 }
 
 #[test]
--- a/crates/guavawell-core/tests/grant_rows/mod.rs
+++ b/crates/guavawell-core/tests/grant_rows/mod.rs
@@ -44,19 +44,29 @@
 
     /// Begins a boot: closes the one before and takes a first grant.
     pub fn begin(&mut self, place: usize, book: &mut GrantBook, now: ClockTime) {
+        self.begin_lines(place, book, now);
+        self.keep(place, book, now);
+    }
+
+    /// Begins a boot and closes the one before.
+    pub fn begin_lines(&mut self, place: usize, book: &mut GrantBook, now: ClockTime) {
         book.tell_time(now, now, now);
         let (version, row) = self.lines[place].clone();
         book.saw_lines(version, row);
         let first = book.first_lines(now).expect("the store's time is known");
         self.write_lines(place, book, first, now);
-        self.keep(place, book, now);
+    }
+
+    /// An instance reads the budget's row.
+    pub fn show_budget(&self, book: &mut GrantBook) {
+        let (version, row) = self.budget.clone();
+        book.saw_budget(&organisation(), version, row);
     }
 
     /// Brings both rows of an instance up to date.
     pub fn keep(&mut self, place: usize, book: &mut GrantBook, now: ClockTime) {
         book.tell_time(now, now, now);
-        let (version, row) = self.budget.clone();
-        book.saw_budget(&organisation(), version, row);
+        self.show_budget(book);
         if let Some(row) = book.next_budget(&organisation(), now) {
             book.sent_budget(&organisation(), row.clone(), now);
             let version = self.next();
--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -1,95 +1,182 @@
-//! Asks other instances for tokens, and answers them.
+//! Asks other instances for tokens, and accounts to them.
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::grant::LenderId;
+use guavawell_core::grant::LoanAnswer;
 use guavawell_core::grant::LoanAsk;
+use guavawell_core::grant::LoanReturn;
+use guavawell_core::grant::ReserveAnswer;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::OrganisationId;
 use guavawell_fleet::event::EventDraft;
-use smol::Async;
-use smol::LocalExecutor;
+use smol::Timer;
 
 use super::BudgetDesk;
-use super::reserve::WaitingRequest;
-use super::wait_until;
-use crate::accept::accept_all;
+use super::question::PeerQuestion;
+use super::question::read_answer;
 use crate::clock::timer_span;
 use crate::http::ChannelError;
-use crate::http::HeadWriter;
-use crate::http::HttpChannel;
-use crate::http::RequestHead;
-use crate::http::ResponseHead;
-use crate::http::within;
 
 /// Longest wait for an instance's answer: some milliseconds on the way and, at
 /// a tenth of a core, some tens in its queue.
 const ASK_LIMIT: Duration = Duration::from_millis(150);
-/// How long a lender waits for the store: two of its answers and a write of the
-/// same row that is on its way. Less than [`ASK_LIMIT`] by what the answer takes,
-/// or its tokens would be lost.
-const LEND_PATIENCE: ClockSpan = ClockSpan::from_millis(100);
-/// Instances that are asked for one request.
+/// Instances that a holder asks for one request.
 const MAX_LENDERS: usize = 4;
 /// Of these, instances that unlock tokens early in a cut.
 const EARLY_LENDERS: usize = 2;
-/// Largest head of a question or an answer, in bytes.
-const HEAD_BYTES: usize = 4 * 1024;
-/// Longest time that a question takes to arrive.
-const READ_LIMIT: Duration = Duration::from_secs(1);
-/// First segment of the target of a question.
-const LOAN_PATH: &str = "loan";
-/// Field of an answer that says how many tokens were lent.
-const LENT_FIELD: &str = "Lent";
+/// Holders that an instance without tokens asks for one request.
+const MAX_HOLDERS: usize = 3;
+/// Pause between looks at what is to be accounted for.
+const RETURN_TICK: Duration = Duration::from_millis(150);
+
+/// How a question to the holders ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ShareEnd {
+    /// The request can be reserved now.
+    Lent,
+    /// The holders that were reached had too little.
+    Declined(ReserveAnswer),
+    /// No holder answered.
+    Unreached,
+}
 
 impl BudgetDesk {
-    /// Borrows what a request of `tokens` lacks; whether it can be reserved
-    /// now. A question that brings no answer may have cost its lender tokens,
-    /// and is not sent again.
+    /// Borrows what a holder's request of `tokens` lacks; whether it can be
+    /// reserved now. A question that brings no answer may have cost its lender
+    /// tokens, and is not sent again.
     pub(super) async fn borrow(
         &self,
         organisation: &OrganisationId,
         tokens: u64,
         limit: ClockSpan,
     ) -> bool {
-        let loan_ask = || {
-            let book = self.book.borrow();
-            book.loan_ask(organisation, tokens, self.clock.now())
-        };
         let end = self.clock.now() + limit;
-        for (instance, address) in self.choose_lenders(organisation, loan_ask()) {
-            let ask = loan_ask();
-            let rest = timer_span(end.since(self.clock.now()));
-            if rest.is_zero() {
+        let ask = self.loan_ask(organisation, tokens);
+        for (instance, address) in self.choose_lenders(organisation, ask) {
+            let ask = self.loan_ask(organisation, tokens);
+            let Some(answer) = self
+                .ask_peer(organisation, &instance, address, ask, end)
+                .await
+            else {
+                continue;
+            };
+            if answer.tokens >= ask.needed {
+                return true;
+            }
+        }
+        let mut book = self.book.borrow_mut();
+        book.note_declined(organisation, tokens, self.clock.now());
+        false
+    }
+
+    /// Borrows the tokens of one request from the organisation's holders: the
+    /// one of the own zone, the next in rank where it does not answer, those of
+    /// other zones where it has too little.
+    pub(super) async fn borrow_share(
+        &self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        limit: ClockSpan,
+    ) -> ShareEnd {
+        let end = self.clock.now() + limit;
+        let order = self.book.borrow().holder_order(organisation);
+        let mut holders: Vec<(InstanceId, SocketAddr)> = order
+            .into_iter()
+            .filter_map(|instance| Some((instance.clone(), self.peer_address(&instance)?)))
+            .collect();
+        let mut declined = None;
+        for _ in 0..MAX_HOLDERS {
+            if holders.is_empty() {
                 break;
             }
-            let answer = ask_loan(address, organisation, ask, ASK_LIMIT.min(rest));
-            match answer.await {
-                Ok(0) => {}
-                Ok(tokens) => {
-                    self.book.borrow_mut().take_loan(organisation, tokens);
-                    self.note_loan("budget.borrowed", organisation, &instance, ask, tokens);
-                    if tokens >= ask.needed {
-                        return true;
+            let (instance, address) = holders.remove(0);
+            let ask = self.loan_ask(organisation, tokens);
+            let answer = self
+                .ask_peer(organisation, &instance, address, ask, end)
+                .await;
+            match answer {
+                Some(answer) if answer.tokens >= ask.needed => return ShareEnd::Lent,
+                Some(answer) => {
+                    if matches!(
+                        answer.cause,
+                        ReserveAnswer::Exhausted | ReserveAnswer::Drained
+                    ) {
+                        return ShareEnd::Declined(answer.cause);
                     }
+                    declined = Some(answer.cause);
+                    // The next in rank of this zone would ask the same row.
+                    let zone = self.peer_zone(&instance);
+                    holders.retain(|(other, _)| self.peer_zone(other) != zone);
                 }
-                Err(error) => {
-                    log::debug!("no loan from {instance}: {error}");
-                    self.avoid_peer(&instance);
-                }
+                None => {}
             }
         }
-        let mut book = self.book.borrow_mut();
-        book.note_declined(organisation, tokens, self.clock.now());
-        false
+        declined.map_or(ShareEnd::Unreached, ShareEnd::Declined)
     }
 
-    /// Instances to ask: those that unlock tokens early, then others, each drawn
-    /// with a chance by what it holds: were all short ones to ask the richest, it
-    /// would soon have nothing.
+    fn loan_ask(&self, organisation: &OrganisationId, tokens: u64) -> LoanAsk {
+        let book = self.book.borrow();
+        book.loan_ask(organisation, tokens, self.clock.now())
+    }
+
+    /// Asks one instance and takes in what it lends; `None` without an answer.
+    async fn ask_peer(
+        &self,
+        organisation: &OrganisationId,
+        instance: &InstanceId,
+        address: SocketAddr,
+        ask: LoanAsk,
+        end: ClockTime,
+    ) -> Option<LoanAnswer> {
+        let rest = timer_span(end.since(self.clock.now()));
+        if rest.is_zero() {
+            return None;
+        }
+        let question = PeerQuestion::Loan(organisation.clone(), ask);
+        let answered = self.channels.ask(address, &question, ASK_LIMIT.min(rest));
+        let result = answered.await.map(|head| read_answer(&head));
+        let (answer, nonce) = match result {
+            Ok(Some(answer)) => answer,
+            Ok(None) => {
+                self.note_unreached(instance, &"an answer that cannot be read");
+                return None;
+            }
+            Err(error) => {
+                self.note_unreached(instance, &error);
+                return None;
+            }
+        };
+        self.reached_peer(instance);
+        if answer.tokens > 0 {
+            let lender = LenderId {
+                instance: instance.clone(),
+                nonce,
+            };
+            let now = self.clock.now();
+            let mut book = self.book.borrow_mut();
+            book.take_loan(organisation, lender, answer.tokens, now);
+            drop(book);
+            self.note_loan("budget.borrowed", organisation, instance, ask, answer);
+        }
+        Some(answer)
+    }
+
+    fn note_unreached(&self, instance: &InstanceId, cause: &dyn std::fmt::Display) {
+        let draft = EventDraft::new("budget.lender_unreached")
+            .field("other", instance)
+            .field("cause", cause);
+        self.log.emit(draft);
+        self.avoid_peer(instance);
+    }
+
+    /// Instances that a holder asks: those that unlock tokens early, then
+    /// others, each drawn with a chance by what it holds: were all short ones to
+    /// ask the richest, it would soon have nothing.
     ///
     /// An instance that the store does not serve asks others too: one that it
     /// serves can fetch what is needed.
@@ -141,125 +228,35 @@
         chosen.append(&mut others);
     }
 
-    /// Lends, after a wait for the store where that helps.
-    async fn lend(self: &Rc<Self>, organisation: &OrganisationId, ask: LoanAsk) -> u64 {
-        let lend_now = || {
-            let now = self.clock.now();
-            self.book.borrow_mut().lend(organisation, ask, now)
-        };
-        let lent = lend_now();
-        let later = self
-            .book
-            .borrow()
-            .lend_later(organisation, ask, self.clock.now());
-        let (0, Some(missing), false) = (lent, later, self.is_cut_off()) else {
-            return lent;
-        };
-        let _waiting = WaitingRequest::new(self, organisation, missing);
-        self.ring();
-        let end = self.clock.now() + LEND_PATIENCE;
+    /// Accounts to lenders for as long as the process lives.
+    pub(super) async fn keep_accounts(self: Rc<Self>) {
         loop {
-            let changed = self.changed.listen();
-            let lent = lend_now();
-            let rest = self.clock.left(end);
-            if lent > 0 || rest == ClockSpan::default() {
-                return lent;
+            Timer::after(RETURN_TICK).await;
+            let due = self.book.borrow_mut().due_returns(self.clock.now());
+            for account in due {
+                if let Err(error) = self.send_account(&account).await {
+                    self.note_lost_account(&account, &error);
+                }
             }
-            wait_until(changed, timer_span(rest)).await;
         }
     }
 
-    fn note_loan(
-        &self,
-        kind: &str,
-        organisation: &OrganisationId,
-        other: impl std::fmt::Display,
-        ask: LoanAsk,
-        lent: u64,
-    ) {
-        metrics::counter!("guavawell_forward_loans_total", "kind" => kind.to_owned()).increment(1);
-        let facts = self.book.borrow().facts(organisation, self.clock.now());
-        let draft = EventDraft::new(kind)
-            .organisation(organisation)
-            .field("other", other)
-            .field("needed", ask.needed)
-            .field("wanted", ask.wanted)
-            .field("lent", lent)
-            .field("grant", facts.grant)
-            .field("used", facts.used)
-            .field("row_age_ms", facts.row_age.as_millis());
-        self.log.emit(draft);
-    }
-
-    /// Answers other instances for as long as the process lives.
-    pub async fn answer_loans(
-        self: Rc<Self>,
-        listener: Async<TcpListener>,
-        executor: Rc<LocalExecutor<'static>>,
-    ) {
-        let serve = |channel: HttpChannel| {
-            let desk = Rc::clone(&self);
-            executor
-                .spawn(async move {
-                    if let Err(error) = desk.answer_loan(channel).await {
-                        log::debug!("a question for tokens ended: {error}");
-                    }
-                })
-                .detach();
-        };
-        accept_all("instance", &listener, serve).await;
-    }
-
-    async fn answer_loan(self: &Rc<Self>, mut channel: HttpChannel) -> Result<(), ChannelError> {
-        let length = within(READ_LIMIT, channel.head(HEAD_BYTES)).await?;
-        let head = RequestHead::parse(&channel.received()[..length])?;
-        channel.consume(length);
-        let mut lent = 0;
-        if let Some((organisation, ask)) = parse_target(head.path()) {
-            lent = self.lend(&organisation, ask).await;
-            let asker = head.host.as_ref();
-            self.note_loan("budget.lent", &organisation, asker, ask, lent);
-        }
-        let mut writer = HeadWriter::response(200, "OK");
-        writer.field_of(LENT_FIELD, lent);
-        writer.field_of("Content-Length", 0);
-        channel.send(&writer.finish()).await?;
+    /// Sends an account once: told twice, it would give tokens back twice.
+    async fn send_account(&self, account: &LoanReturn) -> Result<(), ChannelError> {
+        let address = self.peer_address(&account.lender.instance);
+        let address = address.ok_or(ChannelError::Closed)?;
+        let question = PeerQuestion::Return(account.clone());
+        self.channels.ask(address, &question, ASK_LIMIT).await?;
         Ok(())
     }
-}
 
-/// One question to one instance; the tokens that it lent.
-async fn ask_loan(
-    address: SocketAddr,
-    organisation: &OrganisationId,
-    ask: LoanAsk,
-    limit: Duration,
-) -> Result<u64, ChannelError> {
-    let exchange = async {
-        let mut channel = HttpChannel::connect(address, limit).await?;
-        let target = format!("/{LOAN_PATH}/{organisation}/{}/{}", ask.needed, ask.wanted);
-        let mut writer = HeadWriter::request("POST", &target);
-        writer.field_of("Host", address);
-        writer.field_of("Content-Length", 0);
-        channel.send(&writer.finish()).await?;
-        let length = channel.head(HEAD_BYTES).await?;
-        let head = ResponseHead::parse(&channel.received()[..length], false)?;
-        let lent = head
-            .fields
-            .get(LENT_FIELD)
-            .and_then(|text| text.parse().ok());
-        Ok(lent.unwrap_or(0))
-    };
-    within(limit, exchange).await
-}
-
-fn parse_target(path: &str) -> Option<(OrganisationId, LoanAsk)> {
-    let mut parts = path.strip_prefix('/')?.split('/');
-    if parts.next()? != LOAN_PATH {
-        return None;
+    fn note_lost_account(&self, account: &LoanReturn, error: &ChannelError) {
+        let draft = EventDraft::new("budget.return_lost")
+            .organisation(&account.organisation)
+            .field("other", &account.lender.instance)
+            .field("unspent", account.unspent)
+            .field("spent", account.spent)
+            .field("fault", error);
+        self.log.emit(draft);
     }
-    let organisation = parts.next()?.parse().ok()?;
-    let needed = parts.next()?.parse().ok()?;
-    let wanted = parts.next()?.parse().ok()?;
-    Some((organisation, LoanAsk { needed, wanted }))
 }
--- a/crates/guavawell-forward/src/budget/calls.rs
+++ b/crates/guavawell-forward/src/budget/calls.rs
@@ -21,6 +21,9 @@
 /// Answers over which their usual time is averaged.
 const ANSWER_PARTS: u64 = 8;
 
+/// Pause between log lines about calls that the store turned down for its rate.
+const LIMITED_PAUSE: ClockSpan = ClockSpan::from_millis(1_000);
+
 /// A row's value.
 pub(super) enum DecodedRow<T> {
     /// The row, if there is one.
@@ -96,6 +99,10 @@
     }
 
     pub(super) fn note_fault(&self, what: &str, fault: &StoreFault) {
+        if *fault == StoreFault::Limited {
+            self.note_limited(what);
+            return;
+        }
         metrics::counter!("guavawell_forward_store_faults_total").increment(1);
         if self.failing_since.get().is_none() {
             self.failing_since.set(Some(self.clock.now()));
@@ -106,6 +113,24 @@
         }
     }
 
+    /// The store answers, and turned a call down for its rate. Logged once in a
+    /// while with the number of calls since.
+    fn note_limited(&self, what: &str) {
+        metrics::counter!("guavawell_forward_store_limited_total").increment(1);
+        let now = self.clock.now();
+        let (count, told) = self.limited.get();
+        let count = count + 1;
+        if told.is_some_and(|told| now.since(told) < LIMITED_PAUSE) {
+            self.limited.set((count, told));
+            return;
+        }
+        self.limited.set((0, Some(now)));
+        let draft = EventDraft::new("store.limited")
+            .field("call", what)
+            .field("calls", count);
+        self.log.emit(draft);
+    }
+
     /// The row in a state. A value that does not decode is left alone: nothing is spent by it and nothing written
     /// over it.
     pub(super) fn decode<T: DeserializeOwned>(
--- /dev/null
+++ b/crates/guavawell-forward/src/budget/lend.rs
@@ -0,0 +1,144 @@
+//! Answers other instances' questions for tokens.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::grant::LoanAnswer;
+use guavawell_core::grant::LoanAsk;
+use guavawell_core::grant::LoanReturn;
+use guavawell_core::id::OrganisationId;
+use guavawell_fleet::event::EventDraft;
+use smol::Async;
+use smol::LocalExecutor;
+
+use super::BudgetDesk;
+use super::question::PeerQuestion;
+use super::question::read_question;
+use super::question::write_answer;
+use super::reserve::WaitingRequest;
+use super::wait_until;
+use crate::accept::accept_all;
+use crate::clock::timer_span;
+use crate::http::ChannelError;
+use crate::http::HeadWriter;
+use crate::http::HttpChannel;
+use crate::http::within;
+
+/// How long a lender waits for the store: two of its answers and a write of the
+/// same row that is on its way. Less than an asker waits by what the answer
+/// takes, or its tokens would be lost.
+const LEND_PATIENCE: ClockSpan = ClockSpan::from_millis(100);
+/// Longest time that a connection stays open without a question.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+
+impl BudgetDesk {
+    /// Answers other instances for as long as the process lives.
+    pub async fn answer_peers(
+        self: Rc<Self>,
+        listener: Async<TcpListener>,
+        executor: Rc<LocalExecutor<'static>>,
+    ) {
+        let serve = |channel: HttpChannel| {
+            let desk = Rc::clone(&self);
+            executor
+                .spawn(async move {
+                    if let Err(error) = desk.answer_peer(channel).await {
+                        log::debug!("another instance's questions ended: {error}");
+                    }
+                })
+                .detach();
+        };
+        accept_all("instance", &listener, serve).await;
+    }
+
+    async fn answer_peer(self: &Rc<Self>, mut channel: HttpChannel) -> Result<(), ChannelError> {
+        loop {
+            let head = within(IDLE_LIMIT, read_question(&mut channel)).await?;
+            let question = PeerQuestion::parse(head.path(), &self.instance);
+            let status = question
+                .as_ref()
+                .map_or((400, "Bad Request"), |_| (200, "OK"));
+            let mut writer = HeadWriter::response(status.0, status.1);
+            match question {
+                Some(PeerQuestion::Loan(organisation, ask)) => {
+                    let answer = self.lend(&organisation, ask).await;
+                    self.note_loan("budget.lent", &organisation, &head.host, ask, answer);
+                    write_answer(&mut writer, answer, self.book.borrow().lender_id().nonce);
+                }
+                Some(PeerQuestion::Return(account)) => self.take_return(&account),
+                None => {}
+            }
+            writer.field_of("Content-Length", 0);
+            channel.send(&writer.finish()).await?;
+        }
+    }
+
+    fn take_return(&self, account: &LoanReturn) {
+        if self.book.borrow_mut().take_return(account) {
+            if account.unspent > 0 {
+                self.changed.notify(usize::MAX);
+            }
+        } else {
+            let draft = EventDraft::new("budget.return_unknown")
+                .organisation(&account.organisation)
+                .field("unspent", account.unspent)
+                .field("spent", account.spent);
+            self.log.emit(draft);
+        }
+    }
+
+    /// Lends, after a wait for the store where that helps.
+    async fn lend(self: &Rc<Self>, organisation: &OrganisationId, ask: LoanAsk) -> LoanAnswer {
+        let lend_now = || {
+            let now = self.clock.now();
+            self.book.borrow_mut().lend(organisation, ask, now)
+        };
+        let answer = lend_now();
+        if answer.tokens > 0 || self.is_cut_off() {
+            return answer;
+        }
+        let now = self.clock.now();
+        let later = self.book.borrow().lend_later(organisation, ask, now);
+        let Some(missing) = later else {
+            return answer;
+        };
+        let _waiting = WaitingRequest::new(self, organisation, missing);
+        self.ring();
+        let end = now + LEND_PATIENCE;
+        loop {
+            let changed = self.changed.listen();
+            let answer = lend_now();
+            let rest = self.clock.left(end);
+            if answer.tokens > 0 || rest == ClockSpan::default() {
+                return answer;
+            }
+            wait_until(changed, timer_span(rest)).await;
+        }
+    }
+
+    pub(super) fn note_loan(
+        &self,
+        kind: &str,
+        organisation: &OrganisationId,
+        other: impl std::fmt::Display,
+        ask: LoanAsk,
+        answer: LoanAnswer,
+    ) {
+        metrics::counter!("guavawell_forward_loans_total", "kind" => kind.to_owned()).increment(1);
+        let facts = self.book.borrow().facts(organisation, self.clock.now());
+        let draft = EventDraft::new(kind)
+            .organisation(organisation)
+            .field("other", other)
+            .field("needed", ask.needed)
+            .field("wanted", ask.wanted)
+            .field("lent", answer.tokens)
+            .field("cause", answer.cause.as_str())
+            .field("grant", facts.grant)
+            .field("used", facts.used)
+            .field("allowed", facts.allowed)
+            .field("row_age_ms", facts.row_age.as_millis());
+        self.log.emit(draft);
+    }
+}
--- a/crates/guavawell-forward/src/budget/lines.rs
+++ b/crates/guavawell-forward/src/budget/lines.rs
@@ -125,7 +125,7 @@
                 self.book.borrow_mut().dropped_lines();
                 self.take_lines(&state)
             }
-            Err(StoreFault::NotDone(_) | StoreFault::HistoryGone) => {
+            Err(StoreFault::NotDone(_) | StoreFault::Limited | StoreFault::HistoryGone) => {
                 self.book.borrow_mut().dropped_lines();
                 false
             }
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -3,8 +3,10 @@
 
 mod borrow;
 mod calls;
+mod lend;
 mod lines;
 mod peers;
+mod question;
 mod reserve;
 mod rows;
 
@@ -20,14 +22,17 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::grant::BookSettings;
+use guavawell_core::grant::FleetMember;
 use guavawell_core::grant::GrantBook;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::OrganisationId;
+use guavawell_core::id::ZoneId;
 use guavawell_fleet::event::EventLog;
 use smol::LocalExecutor;
 use smol::Timer;
 
 use self::peers::PeerEntry;
+use self::question::PeerChannels;
 use crate::clock::SteadyClock;
 use crate::store::RowStore;
 
@@ -53,8 +58,8 @@
 /// The same while an instance lacks tokens that another one may give back, so
 /// that they move while the request waits.
 const CONTENDED_PAUSE: ClockSpan = ClockSpan::from_millis(120);
-/// Further pause for each instance, so that reading what all others write
-/// takes a bounded part of the processor.
+/// Further pause for each writer of a row, so that reading what all others
+/// write takes a bounded part of the processor.
 const FOLLOW_EACH: ClockSpan = ClockSpan::from_millis(15);
 /// See [`FOLLOW_EACH`].
 const CONTENDED_EACH: ClockSpan = ClockSpan::from_millis(15);
@@ -62,8 +67,8 @@
 const FIRST_LOOK: Duration = Duration::from_millis(400);
 /// Pause between looks at the fleet's instances.
 const LOOK_PAUSE: Duration = Duration::from_secs(5);
-/// Spread of the first writes of a row for each instance: all of them start at
-/// one moment and would turn each other's writes down.
+/// Spread of the first writes of a row for each of its writers: all of them
+/// start at one moment and would turn each other's writes down.
 const START_SPREAD_EACH: Duration = Duration::from_millis(8);
 /// Pause after a failed call to the store.
 const FAULT_PAUSE: Duration = Duration::from_millis(150);
@@ -75,10 +80,13 @@
     log: EventLog,
     store: RowStore,
     instance: InstanceId,
+    /// Its availability zone.
+    zone: ZoneId,
     /// Where this instance answers others; `None` if it does not.
     peer_address: Option<SocketAddr>,
     /// Sorted by instance.
     peers: RefCell<Vec<PeerEntry>>,
+    channels: PeerChannels,
     book: RefCell<GrantBook>,
     /// Something in the book changed for the better.
     changed: Event,
@@ -92,13 +100,16 @@
     newest: Cell<u64>,
     /// When the store began to fail, if it does.
     failing_since: Cell<Option<ClockTime>>,
+    /// Calls that the store turned down for its rate since the last log line
+    /// about them, and when that was.
+    limited: Cell<(u64, Option<ClockTime>)>,
 }
 
 impl BudgetDesk {
     /// A desk that knows nothing yet.
     #[must_use]
     pub fn new(
-        instance: InstanceId,
+        member: FleetMember,
         peer_address: Option<SocketAddr>,
         settings: BookSettings,
         clock: SteadyClock,
@@ -111,20 +122,23 @@
             log,
             store,
             book: RefCell::new(GrantBook::new(
-                instance.clone(),
+                member.instance.clone(),
                 nonce,
                 SteadyClock::ORIGIN,
                 settings,
             )),
-            instance,
+            instance: member.instance,
+            zone: member.zone,
             peer_address,
             peers: RefCell::default(),
+            channels: PeerChannels::default(),
             changed: Event::new(),
             line_bell: Event::new(),
             budget_bell: Event::new(),
             answer_ms: Cell::new(20),
             newest: Cell::new(0),
             failing_since: Cell::new(None),
+            limited: Cell::default(),
         }
     }
 
@@ -147,36 +161,32 @@
         self.book.borrow().instances()
     }
 
-    /// Starts the tasks that write rows.
+    /// Starts the tasks that write rows and talk to other instances.
     pub fn start(self: &Rc<Self>, executor: &Rc<LocalExecutor<'static>>) {
         let desk = Rc::clone(self);
         let spawner = Rc::clone(executor);
-        let lines = async move {
+        let begin = async move {
+            // Who holds what is known first, so that a fleet that starts as a
+            // whole does not write a hundred entries into each row.
+            desk.announce().await;
+            while !desk.read_peers().await {
+                Timer::after(fault_pause()).await;
+            }
             desk.open_lines().await;
+            spawner.spawn(Rc::clone(&desk).keep_peers()).detach();
+            spawner.spawn(Rc::clone(&desk).keep_accounts()).detach();
             let budgets = Rc::clone(&desk);
             let spawner_of_rows = Rc::clone(&spawner);
             spawner
                 .spawn(async move { budgets.watch_budgets(&spawner_of_rows).await })
                 .detach();
-            let looker = Rc::clone(&desk);
-            let look = async move {
-                looker.announce().await;
-                looker.read_peers().await;
-                // A fleet that starts as a whole is complete after a moment.
-                Timer::after(FIRST_LOOK).await;
-                loop {
-                    looker.read_peers().await;
-                    Timer::after(LOOK_PAUSE).await;
-                }
-            };
-            spawner.spawn(look).detach();
             let follower = Rc::clone(&desk);
             spawner
                 .spawn(async move { follower.follow_budgets().await })
                 .detach();
             desk.write_lines().await;
         };
-        executor.spawn(lines).detach();
+        executor.spawn(begin).detach();
     }
 }
 
--- /dev/null
+++ b/crates/guavawell-forward/src/budget/question.rs
@@ -0,0 +1,186 @@
+//! What instances ask each other about tokens, and the connections for it.
+//!
+//! A question is a request without a body, its answer a response without one.
+//! Connections are kept: in a large fleet most requests need a question.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use guavawell_core::grant::LenderId;
+use guavawell_core::grant::LoanAnswer;
+use guavawell_core::grant::LoanAsk;
+use guavawell_core::grant::LoanReturn;
+use guavawell_core::grant::LoanScope;
+use guavawell_core::grant::ReserveAnswer;
+use guavawell_core::id::InstanceId;
+use guavawell_core::id::OrganisationId;
+
+use crate::http::ChannelError;
+use crate::http::HeadWriter;
+use crate::http::HttpChannel;
+use crate::http::RequestHead;
+use crate::http::ResponseHead;
+use crate::http::within;
+
+/// Largest head of a question or an answer, in bytes.
+pub(super) const HEAD_BYTES: usize = 4 * 1024;
+/// Connections to other instances that are kept between questions.
+const MAX_IDLE: usize = 48;
+/// First segment of the target of a question for tokens.
+const LOAN_PATH: &str = "loan";
+/// First segment of the target of an account of lent tokens.
+const RETURN_PATH: &str = "return";
+/// Second segment where the asker holds tokens too.
+const SPARE_SCOPE: &str = "spare";
+/// Second segment where the asker holds none.
+const SHARE_SCOPE: &str = "share";
+/// Field of an answer that says how many tokens were lent.
+const LENT_FIELD: &str = "Lent";
+/// Field of an answer that says why none were lent.
+const CAUSE_FIELD: &str = "Cause";
+/// Field of an answer that names the life of the process that lent.
+const NONCE_FIELD: &str = "Nonce";
+
+/// What one instance asks another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum PeerQuestion {
+    /// Lend tokens.
+    Loan(OrganisationId, LoanAsk),
+    /// Take in an account of lent tokens.
+    Return(LoanReturn),
+}
+
+impl PeerQuestion {
+    /// The question as the target of a request.
+    pub(super) fn target(&self) -> String {
+        match self {
+            Self::Loan(organisation, ask) => {
+                let scope = match ask.scope {
+                    LoanScope::Spare => SPARE_SCOPE,
+                    LoanScope::Share => SHARE_SCOPE,
+                };
+                let (needed, wanted) = (ask.needed, ask.wanted);
+                format!("/{LOAN_PATH}/{scope}/{organisation}/{needed}/{wanted}")
+            }
+            Self::Return(account) => format!(
+                "/{RETURN_PATH}/{}/{}/{}/{}",
+                account.organisation, account.lender.nonce, account.unspent, account.spent
+            ),
+        }
+    }
+
+    /// The question in a target that reached `own`; `None` if it is none.
+    pub(super) fn parse(target: &str, own: &InstanceId) -> Option<Self> {
+        let mut parts = target.strip_prefix('/')?.split('/');
+        let question = match parts.next()? {
+            LOAN_PATH => {
+                let scope = match parts.next()? {
+                    SPARE_SCOPE => LoanScope::Spare,
+                    SHARE_SCOPE => LoanScope::Share,
+                    _ => return None,
+                };
+                let organisation = parts.next()?.parse().ok()?;
+                let needed = parts.next()?.parse().ok()?;
+                let wanted = parts.next()?.parse().ok()?;
+                let ask = LoanAsk {
+                    needed,
+                    wanted,
+                    scope,
+                };
+                Self::Loan(organisation, ask)
+            }
+            RETURN_PATH => {
+                let organisation = parts.next()?.parse().ok()?;
+                let lender = LenderId {
+                    instance: own.clone(),
+                    nonce: parts.next()?.parse().ok()?,
+                };
+                Self::Return(LoanReturn {
+                    lender,
+                    organisation,
+                    unspent: parts.next()?.parse().ok()?,
+                    spent: parts.next()?.parse().ok()?,
+                })
+            }
+            _ => return None,
+        };
+        parts.next().is_none().then_some(question)
+    }
+}
+
+/// Writes an answer to a question for tokens.
+pub(super) fn write_answer(writer: &mut HeadWriter, answer: LoanAnswer, nonce: u64) {
+    writer.field_of(LENT_FIELD, answer.tokens);
+    writer.field_of(CAUSE_FIELD, answer.cause.as_str());
+    writer.field_of(NONCE_FIELD, nonce);
+}
+
+/// Reads an answer to a question for tokens: what was lent, by which life of
+/// the process.
+pub(super) fn read_answer(head: &ResponseHead) -> Option<(LoanAnswer, u64)> {
+    let tokens = head.fields.get(LENT_FIELD)?.parse().ok()?;
+    let nonce = head.fields.get(NONCE_FIELD)?.parse().ok()?;
+    let cause = head.fields.get(CAUSE_FIELD)?.parse().ok();
+    let answer = LoanAnswer {
+        tokens,
+        cause: cause.unwrap_or(ReserveAnswer::Unknown),
+    };
+    Some((answer, nonce))
+}
+
+/// Reads one question.
+pub(super) async fn read_question(channel: &mut HttpChannel) -> Result<RequestHead, ChannelError> {
+    let length = channel.head(HEAD_BYTES).await?;
+    let head = RequestHead::parse(&channel.received()[..length])?;
+    channel.consume(length);
+    Ok(head)
+}
+
+/// Connections to other instances.
+#[derive(Debug, Default)]
+pub(super) struct PeerChannels {
+    idle: RefCell<Vec<(SocketAddr, HttpChannel)>>,
+}
+
+impl PeerChannels {
+    /// Asks one question, once.
+    pub(super) async fn ask(
+        &self,
+        address: SocketAddr,
+        question: &PeerQuestion,
+        limit: Duration,
+    ) -> Result<ResponseHead, ChannelError> {
+        let exchange = async {
+            let mut channel = match self.take_idle(address) {
+                Some(channel) => channel,
+                None => HttpChannel::connect(address, limit).await?,
+            };
+            let mut writer = HeadWriter::request("POST", &question.target());
+            writer.field_of("Host", address);
+            writer.field_of("Content-Length", 0);
+            channel.send(&writer.finish()).await?;
+            let length = channel.head(HEAD_BYTES).await?;
+            let head = ResponseHead::parse(&channel.received()[..length], false)?;
+            channel.consume(length);
+            Ok((head, channel))
+        };
+        let (head, channel) = within(limit, exchange).await?;
+        let mut idle = self.idle.borrow_mut();
+        if head.keep && idle.len() < MAX_IDLE {
+            idle.push((address, channel));
+        }
+        Ok(head)
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<HttpChannel> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(place) = idle.iter().rposition(|(held, _)| *held == address) {
+            let (_, channel) = idle.swap_remove(place);
+            if channel.is_quiet() {
+                return Some(channel);
+            }
+        }
+        None
+    }
+}
--- a/crates/guavawell-forward/src/budget/reserve.rs
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -11,6 +11,7 @@
 use guavawell_core::id::TokenCount;
 
 use super::BudgetDesk;
+use super::borrow::ShareEnd;
 use super::wait_until;
 use crate::clock::timer_span;
 use crate::refuse::RefusalAnswer;
@@ -150,6 +151,19 @@
                 _ => {}
             }
             let waited = self.clock.now().since(began);
+            if !self.holds(organisation) {
+                let limit = third_of(time_left).min(BORROW_PATIENCE);
+                match self.borrow_share(organisation, tokens, limit).await {
+                    ShareEnd::Lent if self.clock.now().since(began) < patience => continue,
+                    ShareEnd::Lent => {}
+                    ShareEnd::Declined(cause) => {
+                        let waited = self.clock.now().since(began);
+                        let refusal = refusal_of(cause);
+                        return Err(self.explain(refusal, cause, organisation, waited));
+                    }
+                    ShareEnd::Unreached => self.stand_in(organisation),
+                }
+            }
             let pause = self.pause(answer, patience, waited, third_of(time_left));
             if self.should_borrow(answer, organisation, tokens, pause.is_err())
                 && std::mem::take(&mut may_borrow)
@@ -187,6 +201,19 @@
         }
     }
 
+    /// Whether this instance holds tokens of an organisation.
+    fn holds(&self, organisation: &OrganisationId) -> bool {
+        let now = self.clock.now();
+        self.book.borrow().is_holder(organisation, now)
+    }
+
+    /// Holds tokens in place of holders that do not answer.
+    fn stand_in(&self, organisation: &OrganisationId) {
+        let now = self.clock.now();
+        self.book.borrow_mut().stand_in(organisation, now);
+        self.ring();
+    }
+
     fn ask(&self, organisation: &OrganisationId, tokens: u64) -> ReserveAnswer {
         let now = self.clock.now();
         let mut book = self.book.borrow_mut();
@@ -247,11 +274,7 @@
             |after| Err(RefusalAnswer::new(ForwardRefusal::BudgetUnavailable).after(after));
         let left = ClockSpan::from_millis(patience.as_millis().saturating_sub(waited.as_millis()));
         match answer {
-            ReserveAnswer::Exhausted => {
-                let refusal = RefusalAnswer::new(ForwardRefusal::BudgetExhausted);
-                Err(refusal.after(RETRY_MOST))
-            }
-            ReserveAnswer::Drained => refuse(RETRY_UNKNOWN),
+            ReserveAnswer::Exhausted | ReserveAnswer::Drained => Err(refusal_of(answer)),
             ReserveAnswer::Locked(span)
                 if span <= LOCK_PATIENCE && waited < patience_of_lock(patience) =>
             {
@@ -282,6 +305,16 @@
     }
 }
 
+/// The refusal where waiting does not help.
+fn refusal_of(cause: ReserveAnswer) -> RefusalAnswer {
+    match cause {
+        ReserveAnswer::Exhausted => {
+            RefusalAnswer::new(ForwardRefusal::BudgetExhausted).after(RETRY_MOST)
+        }
+        _ => RefusalAnswer::new(ForwardRefusal::BudgetUnavailable).after(RETRY_UNKNOWN),
+    }
+}
+
 /// A request that others overtake at the line waits no longer than this.
 fn patience_of_lock(patience: ClockSpan) -> ClockSpan {
     patience.max(LOCK_PATIENCE)
--- a/crates/guavawell-forward/src/budget/rows.rs
+++ b/crates/guavawell-forward/src/budget/rows.rs
@@ -7,6 +7,8 @@
 use guavawell_core::grant::BudgetRow;
 use guavawell_core::grant::FollowSettings;
 use guavawell_core::grant::FollowWindow;
+use guavawell_core::grant::PaceSettings;
+use guavawell_core::grant::WritePace;
 use guavawell_core::id::OrganisationId;
 use guavawell_fleet::event::EventDraft;
 use smol::LocalExecutor;
@@ -41,7 +43,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PutEnd {
     Written,
+    /// The row has changed meanwhile.
     Changed,
+    /// The store turned the write down for its rate.
+    Limited,
+    Failed,
+}
+
+/// What keeping a row came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum KeepEnd {
+    /// A row was written that the present state asked for.
+    Written,
+    /// The row needs nothing.
+    Kept,
+    /// The store turned a write down for its rate.
+    Limited,
+    /// The store failed, or others wrote the row again and again.
     Failed,
 }
 
@@ -109,8 +127,8 @@
         } else {
             (FOLLOW_PAUSE, FOLLOW_EACH)
         };
-        let instances = self.instances() as u64;
-        ClockSpan::from_millis(base.as_millis() + each.as_millis() * instances)
+        let writers = self.book.borrow().row_writers() as u64;
+        ClockSpan::from_millis(base.as_millis() + each.as_millis() * writers)
     }
 
     /// The store's newest version, asked for with a small question if no other
@@ -137,37 +155,50 @@
 
     /// Keeps one budget's row up to date.
     async fn keep_budget(&self, id: &OrganisationId) {
-        let instances = u32::try_from(self.instances()).unwrap_or(u32::MAX);
-        let spread = START_SPREAD_EACH * instances;
+        let writers = u32::try_from(self.book.borrow().row_writers()).unwrap_or(u32::MAX);
+        let spread = START_SPREAD_EACH * writers;
         Timer::after(spread.mul_f64(fastrand::f64())).await;
+        let mut pace = WritePace::new(PaceSettings::default());
         loop {
             let bell = self.budget_bell.listen();
-            if self.keep_budget_once(id).await {
-                wait_until(bell, BUDGET_TICK).await;
-            } else {
-                Timer::after(fault_pause()).await;
+            match self.keep_budget_once(id).await {
+                KeepEnd::Written => {
+                    pace.carried_out();
+                    wait_until(bell, BUDGET_TICK).await;
+                }
+                KeepEnd::Kept => wait_until(bell, BUDGET_TICK).await,
+                KeepEnd::Limited => {
+                    pace.turned_down();
+                    Timer::after(timer_span(pace.pause(fastrand::f64()))).await;
+                }
+                KeepEnd::Failed => {
+                    Timer::after(fault_pause()).await;
+                }
             }
         }
     }
 
-    /// Brings one budget's row up to date; false if the store failed or the
-    /// row changed meanwhile.
-    async fn keep_budget_once(&self, id: &OrganisationId) -> bool {
+    /// Brings one budget's row up to date.
+    async fn keep_budget_once(&self, id: &OrganisationId) -> KeepEnd {
+        if !self.book.borrow().tends(id, self.clock.now()) {
+            return KeepEnd::Kept;
+        }
         let unsure = self.book.borrow().budget_unsure(id);
         if unsure && !self.read_budget(id).await {
-            return false;
+            return KeepEnd::Failed;
         }
         for _ in 0..MAX_CONFLICTS {
             let Some(row) = self.book.borrow().next_budget(id, self.clock.now()) else {
-                return true;
+                return KeepEnd::Kept;
             };
             match self.put_budget(id, row).await {
-                PutEnd::Written => return true,
-                PutEnd::Failed => return false,
+                PutEnd::Written => return KeepEnd::Written,
+                PutEnd::Limited => return KeepEnd::Limited,
+                PutEnd::Failed => return KeepEnd::Failed,
                 PutEnd::Changed => {}
             }
         }
-        false
+        KeepEnd::Failed
     }
 
     async fn read_budget(&self, id: &OrganisationId) -> bool {
@@ -215,6 +246,10 @@
                     PutEnd::Failed
                 }
             }
+            Err(StoreFault::Limited) => {
+                self.book.borrow_mut().dropped_budget(id);
+                PutEnd::Limited
+            }
             Err(StoreFault::NotDone(_) | StoreFault::HistoryGone) => {
                 self.book.borrow_mut().dropped_budget(id);
                 PutEnd::Failed
--- a/crates/guavawell-forward/src/leave.rs
+++ b/crates/guavawell-forward/src/leave.rs
@@ -24,7 +24,14 @@
     router.phase.set(RouterPhase::Leaving(began));
     let draft = EventDraft::new("process.leaving").field("held", router.held_requests.get());
     router.log.emit(draft);
-    Timer::after(timer_span(times.announce)).await;
+    let announced = async {
+        Timer::after(timer_span(times.announce)).await;
+    };
+    let told = async {
+        router.budgets.announce_leaving().await;
+        std::future::pending::<()>().await;
+    };
+    announced.or(told).await;
     let end = router.cut_at().unwrap_or(began);
     wait_for_requests(router, end).await;
     // From here on callers are sent elsewhere, so that none is cut by the end.
--- a/crates/guavawell-forward/src/store.rs
+++ b/crates/guavawell-forward/src/store.rs
@@ -64,6 +64,9 @@
     /// Nothing was done: the call was not sent, or was turned down.
     #[error("not done: {0}")]
     NotDone(Box<str>),
+    /// Nothing was done: calls come faster than the store carries them out.
+    #[error("turned down for its rate")]
+    Limited,
     /// The call may have been carried out, or may be later.
     #[error("outcome unknown: {0}")]
     Unknown(Box<str>),
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -13,6 +13,7 @@
 use guavawell_core::forward::RepeatSettings;
 use guavawell_core::forward::RouteTable;
 use guavawell_core::grant::BookSettings;
+use guavawell_core::grant::FleetMember;
 use guavawell_core::id::IncarnationId;
 use guavawell_core::id::InstanceId;
 use guavawell_fleet::event::EventLog;
@@ -55,7 +56,11 @@
     let log = EventLog::off(instance.clone(), IncarnationId::new(1));
     let book = BookSettings::default();
     let store = silent_store();
-    let desk = BudgetDesk::new(instance.clone(), None, book, clock, log.clone(), store);
+    let member = FleetMember {
+        instance: instance.clone(),
+        zone: "z1".parse().expect("a valid id"),
+    };
+    let desk = BudgetDesk::new(member, None, book, clock, log.clone(), store);
     let settings = ForwardSettings {
         instance,
         zone: "z1".parse().expect("a valid id"),
