A lender waits for the whole of a loan and tells its shortage; holders of all zones are asked

Change: a part is lent only where waiting is of no use, a lender's shortage stands in its row as its own does, and each zone's holder is asked.

--- a/crates/guavawell-core/src/grant/loan.rs
+++ b/crates/guavawell-core/src/grant/loan.rs
@@ -180,13 +180,35 @@
         unspent.filter(|(_, free)| *free > 0).collect()
     }
 
-    /// Lends tokens to another instance. They count as spent here until it
-    /// accounts for them.
+    /// Lends tokens to another instance, a good part of what it needs at least.
+    /// They count as spent here until it accounts for them.
     pub fn lend(
         &mut self,
         organisation: &OrganisationId,
         ask: LoanAsk,
         now: ClockTime,
+    ) -> LoanAnswer {
+        let least = ask.needed.div_ceil(LEAST_PART);
+        self.lend_at_least(organisation, ask, least, now)
+    }
+
+    /// Lends what a request needs, or nothing: a part is of use only where
+    /// waiting for the rest is not.
+    pub fn lend_whole(
+        &mut self,
+        organisation: &OrganisationId,
+        ask: LoanAsk,
+        now: ClockTime,
+    ) -> LoanAnswer {
+        self.lend_at_least(organisation, ask, ask.needed, now)
+    }
+
+    fn lend_at_least(
+        &mut self,
+        organisation: &OrganisationId,
+        ask: LoanAsk,
+        least: u64,
+        now: ClockTime,
     ) -> LoanAnswer {
         if ask.scope == LoanScope::Share {
             self.stand_in(organisation, now);
@@ -199,8 +221,13 @@
             return declined(ReserveAnswer::Unknown);
         };
         let tokens = spare.min(ask.wanted);
-        if tokens < ask.needed.div_ceil(LEAST_PART) {
-            return declined(self.judge_short(state, ask.needed));
+        if tokens < least {
+            let cause = self.judge_short(state, ask.needed);
+            if ask.scope == LoanScope::Share {
+                // Told in the row, so that others give back.
+                self.budgets[place].shortage = Some((ask.needed, now));
+            }
+            return declined(cause);
         }
         let state = &mut self.budgets[place];
         state.used += tokens;
--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -29,8 +29,9 @@
 const MAX_LENDERS: usize = 4;
 /// Of these, instances that unlock tokens early in a cut.
 const EARLY_LENDERS: usize = 2;
-/// Holders that an instance without tokens asks for one request.
-const MAX_HOLDERS: usize = 3;
+/// Holders that an instance without tokens asks for one request: near a
+/// budget's end what it needs may lie in any zone.
+const MAX_HOLDERS: usize = 8;
 /// Pause between looks at what is to be accounted for.
 const RETURN_TICK: Duration = Duration::from_millis(150);
 
--- a/crates/guavawell-forward/src/budget/lend.rs
+++ b/crates/guavawell-forward/src/budget/lend.rs
@@ -89,33 +89,38 @@
         }
     }
 
-    /// Lends, after a wait for the store where that helps.
+    /// Lends, after a wait for the store where that helps; a part only where
+    /// nothing more is to be had.
     async fn lend(self: &Rc<Self>, organisation: &OrganisationId, ask: LoanAsk) -> LoanAnswer {
-        let lend_now = || {
+        let lend_whole = || {
             let now = self.clock.now();
-            self.book.borrow_mut().lend(organisation, ask, now)
+            self.book.borrow_mut().lend_whole(organisation, ask, now)
         };
-        let answer = lend_now();
-        if answer.tokens > 0 || self.is_cut_off() {
+        let answer = lend_whole();
+        if answer.tokens > 0 {
             return answer;
         }
         let now = self.clock.now();
         let later = self.book.borrow().lend_later(organisation, ask, now);
-        let Some(missing) = later else {
-            return answer;
-        };
-        let _waiting = WaitingRequest::new(self, organisation, missing);
-        self.ring();
-        let end = now + LEND_PATIENCE;
-        loop {
-            let changed = self.changed.listen();
-            let answer = lend_now();
-            let rest = self.clock.left(end);
-            if answer.tokens > 0 || rest == ClockSpan::default() {
-                return answer;
+        if let (Some(missing), false) = (later, self.is_cut_off()) {
+            let _waiting = WaitingRequest::new(self, organisation, missing);
+            self.ring();
+            let end = now + LEND_PATIENCE;
+            loop {
+                let changed = self.changed.listen();
+                let answer = lend_whole();
+                if answer.tokens > 0 {
+                    return answer;
+                }
+                let rest = self.clock.left(end);
+                if rest == ClockSpan::default() {
+                    break;
+                }
+                wait_until(changed, timer_span(rest)).await;
             }
-            wait_until(changed, timer_span(rest)).await;
         }
+        let now = self.clock.now();
+        self.book.borrow_mut().lend(organisation, ask, now)
     }
 
     pub(super) fn note_loan(
