--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -118,6 +118,10 @@
     /// What is left does not cover it unless requests that run now spend less
     /// than their most. Asking for more does not help.
     Drained,
+    /// What is left does not cover it whatever the requests that run now spend.
+    /// Ended processes may have spent less than is reckoned, which nobody can
+    /// prove: only a higher payment helps.
+    Frozen,
     /// What was paid does not cover it, whatever others give back.
     Exhausted,
     /// Nothing is known of this budget yet.
@@ -134,6 +138,7 @@
             Self::Locked(_) => "locked",
             Self::Short => "short",
             Self::Drained => "drained",
+            Self::Frozen => "frozen",
             Self::Exhausted => "exhausted",
             Self::Unknown => "unknown",
         }
@@ -153,6 +158,7 @@
             Self::Granted,
             Self::Short,
             Self::Drained,
+            Self::Frozen,
             Self::Exhausted,
             Self::Unknown,
         ];
@@ -492,6 +498,8 @@
         let paid = self.paid(state, row);
         if row.settled + settled + state.settled + tokens > paid {
             ReserveAnswer::Exhausted
+        } else if row.closed + settled + state.settled + tokens > paid {
+            ReserveAnswer::Frozen
         } else if row.closed + used + state.used + tokens > paid {
             ReserveAnswer::Drained
         } else {
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -372,7 +372,9 @@
         let served = state.waiting > 0 && next.grant > held.grant;
         let told = next.wanted > 0 && held.wanted == 0;
         let gives = want < have && self.others_want(state);
-        served || told || (changed && (old || gives))
+        // What is surely spent tells the others when a refusal is final.
+        let settled = next.settled > held.settled && self.missing(state, now) > 0;
+        served || told || (changed && (old || gives)) || (settled && old)
     }
 
     /// Whether tokens of any budget are asked for, here or elsewhere, that an
--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -105,7 +105,7 @@
                 Some(answer) => {
                     if matches!(
                         answer.cause,
-                        ReserveAnswer::Exhausted | ReserveAnswer::Drained
+                        ReserveAnswer::Exhausted | ReserveAnswer::Frozen | ReserveAnswer::Drained
                     ) {
                         return ShareEnd::Declined(answer.cause);
                     }
--- a/crates/guavawell-forward/src/budget/reserve.rs
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -274,7 +274,9 @@
             |after| Err(RefusalAnswer::new(ForwardRefusal::BudgetUnavailable).after(after));
         let left = ClockSpan::from_millis(patience.as_millis().saturating_sub(waited.as_millis()));
         match answer {
-            ReserveAnswer::Exhausted | ReserveAnswer::Drained => Err(refusal_of(answer)),
+            ReserveAnswer::Exhausted | ReserveAnswer::Frozen | ReserveAnswer::Drained => {
+                Err(refusal_of(answer))
+            }
             ReserveAnswer::Locked(span)
                 if span <= LOCK_PATIENCE && waited < patience_of_lock(patience) =>
             {
@@ -311,6 +313,10 @@
         ReserveAnswer::Exhausted => {
             RefusalAnswer::new(ForwardRefusal::BudgetExhausted).after(RETRY_MOST)
         }
+        // Only a top-up helps.
+        ReserveAnswer::Frozen => {
+            RefusalAnswer::new(ForwardRefusal::BudgetUnavailable).after(RETRY_MOST)
+        }
         _ => RefusalAnswer::new(ForwardRefusal::BudgetUnavailable).after(RETRY_UNKNOWN),
     }
 }
