Questions between instances carry the fleet's key; old load reports count, halved every 8 s

Cause: whoever reached an instance's port could take tokens, and since loans are accounted for also claim to give back what was spent. Cause: an instance of 95 hears from a server every ten seconds or more and took it for idle after 1.5 s; a server that a popular prompt keeps busy was sent more.

--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -10,6 +10,7 @@
 use crate::id::ServiceId;
 use crate::id::ZoneId;
 use crate::number::fraction;
+use crate::number::whole;
 
 /// How long a server that has requests may stay silent before others go
 /// elsewhere. A busy engine sends events every 20 to 200 ms.
@@ -22,8 +23,12 @@
 const OUTCOME_WEIGHT: f64 = 0.12;
 /// Time after which a failure rate counts half.
 const FAILURE_HALF_LIFE_MS: f64 = 2_500.0;
-/// Age beyond which a load report says nothing.
+/// Age up to which a load report counts in full.
 const REPORT_AGE: ClockSpan = ClockSpan::from_millis(1_500);
+/// Time after which an older report counts half. An instance of a large fleet
+/// hears from a server every ten seconds or so; where a popular prompt keeps one
+/// busy, an old report is a better guess than none.
+const REPORT_HALF_LIFE_MS: f64 = 8_000.0;
 
 /// Whether a server takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,14 +106,15 @@
     /// Requests that the server probably holds now, of all callers.
     #[must_use]
     pub fn estimate(&self, now: ClockTime) -> u32 {
-        let fresh = self
-            .reported_at
-            .is_some_and(|at| now.since(at) <= REPORT_AGE);
-        if !fresh {
+        let Some(reported_at) = self.reported_at else {
             return self.in_flight;
-        }
+        };
         let others = (self.running + self.waiting).saturating_sub(self.own_at_report);
-        others + self.in_flight
+        let age = now.since(reported_at).as_millis();
+        let old = fraction(age.saturating_sub(REPORT_AGE.as_millis()));
+        let weight = (-old / REPORT_HALF_LIFE_MS * std::f64::consts::LN_2).exp();
+        let others = whole(f64::from(others) * weight);
+        self.in_flight + u32::try_from(others).unwrap_or(u32::MAX)
     }
 }
 
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -3,6 +3,7 @@
 
 mod choice;
 mod connect;
+mod fleet;
 mod lives;
 mod load;
 mod plan;
--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -135,11 +135,13 @@
         end: ClockTime,
     ) -> Option<LoanAnswer> {
         let rest = timer_span(end.since(self.clock.now()));
+        let key = self.key.get()?;
         if rest.is_zero() {
             return None;
         }
         let question = PeerQuestion::Loan(organisation.clone(), ask);
-        let answered = self.channels.ask(address, &question, ASK_LIMIT.min(rest));
+        let limit = ASK_LIMIT.min(rest);
+        let answered = self.channels.ask(address, &question, key, limit);
         let result = answered.await.map(|head| read_answer(&head));
         let (answer, nonce) = match result {
             Ok(Some(answer)) => answer,
@@ -245,9 +247,13 @@
     /// Sends an account once: told twice, it would give tokens back twice.
     async fn send_account(&self, account: &LoanReturn) -> Result<(), ChannelError> {
         let address = self.peer_address(&account.lender.instance);
-        let address = address.ok_or(ChannelError::Closed)?;
+        let (Some(address), Some(key)) = (address, self.key.get()) else {
+            return Err(ChannelError::Closed);
+        };
         let question = PeerQuestion::Return(account.clone());
-        self.channels.ask(address, &question, ASK_LIMIT).await?;
+        self.channels
+            .ask(address, &question, key, ASK_LIMIT)
+            .await?;
         Ok(())
     }
 
--- /dev/null
+++ b/crates/guavawell-forward/src/budget/fleet_key.rs
@@ -0,0 +1,84 @@
+//! The key by which instances know each other.
+//!
+//! Whoever reaches an instance's port could take tokens, or claim to give some
+//! back that were spent. So each question carries a key that only the fleet's
+//! instances can read: it lies in the platform's store, and the first instance
+//! that finds none writes one.
+
+use guavawell_core::grant::decode_row;
+use serde::Deserialize;
+use serde::Serialize;
+use smol::Timer;
+
+use super::BudgetDesk;
+use super::ROW_KEY;
+use super::calls::encode;
+use super::fault_pause;
+use crate::store::RowKey;
+use crate::store::RowState;
+use crate::store::WriteAnswer;
+
+/// Table of the key, in its unnamed part.
+const KEY_TABLE: &str = "guavawell_keys";
+/// The part of [`KEY_TABLE`].
+const KEY_PART: &str = "";
+
+/// The fleet's key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct FleetKey(u128);
+
+impl FleetKey {
+    fn draw() -> Self {
+        Self(fastrand::u128(1..))
+    }
+
+    /// The key as a header field's value.
+    pub(super) fn text(self) -> String {
+        format!("{:032x}", self.0)
+    }
+}
+
+impl BudgetDesk {
+    /// Reads the fleet's key, or writes the first one, however long it takes.
+    pub(super) async fn learn_key(&self) {
+        loop {
+            if let Some(key) = self.read_or_write_key().await {
+                self.key.set(Some(key));
+                return;
+            }
+            Timer::after(fault_pause()).await;
+        }
+    }
+
+    async fn read_or_write_key(&self) -> Option<FleetKey> {
+        let row_key = || RowKey {
+            table: KEY_TABLE,
+            part: KEY_PART.into(),
+            key: ROW_KEY.into(),
+        };
+        let state = self.read_row("key", row_key()).await?;
+        if state.version > 0 {
+            return decode_key(&state);
+        }
+        let key = FleetKey::draw();
+        let written = self.write_row("key", row_key(), 0, encode(&key)?);
+        match written.await.ok()? {
+            WriteAnswer::Done(..) => Some(key),
+            WriteAnswer::Changed(state) => decode_key(&state),
+        }
+    }
+
+    /// Whether a question came from the fleet.
+    pub(super) fn knows_key(&self, text: Option<&str>) -> bool {
+        let key = self.key.get();
+        key.is_some_and(|key| text == Some(key.text().as_str()))
+    }
+}
+
+fn decode_key(state: &RowState) -> Option<FleetKey> {
+    let key = decode_row(state.value.as_deref()?);
+    if let Err(error) = &key {
+        log::error!("the fleet's key in {KEY_TABLE} cannot be read: {error}");
+    }
+    key.ok()
+}
--- a/crates/guavawell-forward/src/budget/lend.rs
+++ b/crates/guavawell-forward/src/budget/lend.rs
@@ -14,6 +14,7 @@
 use smol::LocalExecutor;
 
 use super::BudgetDesk;
+use super::question::KEY_FIELD;
 use super::question::PeerQuestion;
 use super::question::read_question;
 use super::question::write_answer;
@@ -56,6 +57,9 @@
     async fn answer_peer(self: &Rc<Self>, mut channel: HttpChannel) -> Result<(), ChannelError> {
         loop {
             let head = within(IDLE_LIMIT, read_question(&mut channel)).await?;
+            if !self.knows_key(head.fields.get(KEY_FIELD)) {
+                return self.refuse_stranger(&channel).await;
+            }
             let question = PeerQuestion::parse(head.path(), &self.instance);
             let status = question
                 .as_ref()
@@ -75,6 +79,17 @@
         }
     }
 
+    /// Turns away whoever does not prove to be of the fleet.
+    async fn refuse_stranger(&self, channel: &HttpChannel) -> Result<(), ChannelError> {
+        metrics::counter!("guavawell_forward_strangers_total").increment(1);
+        log::warn!("{}: a question without the fleet's key", self.instance);
+        let mut writer = HeadWriter::response(403, "Forbidden");
+        writer.field_of("Connection", "close");
+        writer.field_of("Content-Length", 0);
+        channel.send(&writer.finish()).await?;
+        Ok(())
+    }
+
     fn take_return(&self, account: &LoanReturn) {
         if self.book.borrow_mut().take_return(account) {
             if account.unspent > 0 {
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -3,6 +3,7 @@
 
 mod borrow;
 mod calls;
+mod fleet_key;
 mod lend;
 mod lines;
 mod peers;
@@ -31,6 +32,7 @@
 use smol::LocalExecutor;
 use smol::Timer;
 
+use self::fleet_key::FleetKey;
 use self::peers::PeerEntry;
 use self::question::PeerChannels;
 use crate::clock::SteadyClock;
@@ -87,6 +89,8 @@
     /// Sorted by instance.
     peers: RefCell<Vec<PeerEntry>>,
     channels: PeerChannels,
+    /// What proves to other instances that this one is of the fleet.
+    key: Cell<Option<FleetKey>>,
     book: RefCell<GrantBook>,
     /// Something in the book changed for the better.
     changed: Event,
@@ -132,6 +136,7 @@
             peer_address,
             peers: RefCell::default(),
             channels: PeerChannels::default(),
+            key: Cell::new(None),
             changed: Event::new(),
             line_bell: Event::new(),
             budget_bell: Event::new(),
@@ -168,6 +173,7 @@
         let begin = async move {
             // Who holds what is known first, so that a fleet that starts as a
             // whole does not write a hundred entries into each row.
+            desk.learn_key().await;
             desk.announce().await;
             while !desk.read_peers().await {
                 Timer::after(fault_pause()).await;
--- a/crates/guavawell-forward/src/budget/question.rs
+++ b/crates/guavawell-forward/src/budget/question.rs
@@ -16,6 +16,7 @@
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::OrganisationId;
 
+use super::fleet_key::FleetKey;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -35,6 +36,8 @@
 const SPARE_SCOPE: &str = "spare";
 /// Second segment where the asker holds none.
 const SHARE_SCOPE: &str = "share";
+/// Field of a question that proves who asks.
+pub(super) const KEY_FIELD: &str = "Key";
 /// Field of an answer that says how many tokens were lent.
 const LENT_FIELD: &str = "Lent";
 /// Field of an answer that says why none were lent.
@@ -149,6 +152,7 @@
         &self,
         address: SocketAddr,
         question: &PeerQuestion,
+        key: FleetKey,
         limit: Duration,
     ) -> Result<ResponseHead, ChannelError> {
         let exchange = async {
@@ -158,6 +162,7 @@
             };
             let mut writer = HeadWriter::request("POST", &question.target());
             writer.field_of("Host", address);
+            writer.field_of(KEY_FIELD, key.text());
             writer.field_of("Content-Length", 0);
             channel.send(&writer.finish()).await?;
             let length = channel.head(HEAD_BYTES).await?;
