An answer that is arriving is waited for alone, as long as it arrives

A late question got a second and a third beside it, all for the whole configuration; over a full link of 10 Mbit/s they shared what there was, and the eldest was given up for the newest.

--- a/crates/guavawell-forward/src/http/tries.rs
+++ b/crates/guavawell-forward/src/http/tries.rs
@@ -50,6 +50,12 @@
             drop(self.open.remove(0));
         }
         self.open.push(next);
+        self.next_answer(patience).await
+    }
+
+    /// Waits for the first answer of any open try without beginning one more:
+    /// beside an answer that is arriving it would only share the link.
+    pub async fn next_answer(&mut self, patience: Duration) -> Option<Result<T, E>> {
         let mut late = Timer::after(patience);
         poll_fn(|context| match self.poll_open(context) {
             Poll::Ready(answer) => Poll::Ready(Some(answer)),
