--- a/crates/guavawell-core/src/grant/holders.rs
+++ b/crates/guavawell-core/src/grant/holders.rs
@@ -1,9 +1,9 @@
 //! Which instances hold an organisation's tokens.
 //!
-//! Load pattern: 95 instances start at one moment, each with requests of 40
-//! organisations. Were all of them to hold tokens of each, a row would have 95
-//! writers, whose writes turn each other down: some 4,500 transactions of one
-//! row at 200 a second, and what callers need lies in a hundred small pieces.
+//! Load pattern: a hundred instances start at one moment, each with requests of
+//! all organisations. Were all of them to hold tokens of each, a row would have
+//! a hundred writers, and each write that stands turns those of all others down;
+//! what callers need would lie in a hundred small pieces.
 //!
 //! So in a large fleet a few instances of each availability zone hold tokens of
 //! an organisation, ranked alike by all that know the same fleet. The others
@@ -72,12 +72,6 @@
         self.members = members;
     }
 
-    /// The settings.
-    #[must_use]
-    pub const fn settings(&self) -> &HolderSettings {
-        &self.settings
-    }
-
     /// Whether every instance holds tokens of every organisation.
     #[must_use]
     pub fn is_everywhere(&self) -> bool {
--- a/crates/guavawell-core/src/grant/mod.rs
+++ b/crates/guavawell-core/src/grant/mod.rs
@@ -17,6 +17,11 @@
 //! - an instance's idea of the store's time is never ahead of it;
 //! - a successor's bound on its predecessor's end is never before it.
 //!
+//! In a large fleet a few instances hold an organisation's tokens (`holders`),
+//! and the others borrow for each request (`loan`). Lent tokens are spent for
+//! their lender until the borrower accounts for them, once and to that life of
+//! the lender alone, so a loan that is lost makes less of a budget, never more.
+//!
 //! This folder does no I/O and reads no clock.
 
 mod book;
--- a/crates/guavawell-demo/benches/capacity/main.rs
+++ b/crates/guavawell-demo/benches/capacity/main.rs
@@ -1,4 +1,4 @@
-//! Every slope from which docs/CAPACITY.md is worked out, printed anew:
+//! Every slope from which docs/notes/CAPACITY-SLOTS.md is worked out, printed anew:
 //! `cargo bench -p guavawell-demo --bench capacity`, or a part of it by
 //! naming sections after `--`.
 //!
--- a/crates/guavawell-forward/src/budget/reserve.rs
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -151,17 +151,12 @@
                 _ => {}
             }
             let waited = self.clock.now().since(began);
-            if !self.holds(organisation) {
-                let limit = third_of(time_left).min(BORROW_PATIENCE);
-                match self.borrow_share(organisation, tokens, limit).await {
-                    ShareEnd::Lent if self.clock.now().since(began) < patience => continue,
-                    ShareEnd::Lent => {}
-                    ShareEnd::Declined(cause) => {
-                        let waited = self.clock.now().since(began);
-                        let refusal = refusal_of(cause);
-                        return Err(self.explain(refusal, cause, organisation, waited));
-                    }
-                    ShareEnd::Unreached => self.stand_in(organisation),
+            if !self.holds(organisation)
+                && self.ask_holders(organisation, tokens, time_left).await?
+            {
+                let waited = self.clock.now().since(began);
+                if waited < patience {
+                    continue;
                 }
             }
             let pause = self.pause(answer, patience, waited, third_of(time_left));
@@ -183,6 +178,33 @@
         }
     }
 
+    /// Asks the holders for the tokens of a request; whether they lent them.
+    /// This instance holds tokens itself from now on if none of them answers.
+    ///
+    /// # Errors
+    ///
+    /// The holders have too little.
+    async fn ask_holders(
+        &self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        time_left: ClockSpan,
+    ) -> Result<bool, BudgetRefusal> {
+        let began = self.clock.now();
+        let limit = third_of(time_left).min(BORROW_PATIENCE);
+        match self.borrow_share(organisation, tokens, limit).await {
+            ShareEnd::Lent => Ok(true),
+            ShareEnd::Unreached => {
+                self.stand_in(organisation);
+                Ok(false)
+            }
+            ShareEnd::Declined(cause) => {
+                let waited = self.clock.now().since(began);
+                Err(self.explain(refusal_of(cause), cause, organisation, waited))
+            }
+        }
+    }
+
     fn explain(
         &self,
         answer: RefusalAnswer,
