--- a/crates/guavawell-forward/src/budget/fleet_key.rs
+++ b/crates/guavawell-forward/src/budget/fleet_key.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Whether this process knows the fleet's key.
+    pub(super) const fn has_key(&self) -> bool {
+        self.key.get().is_some()
+    }
+
     /// Whether a question came from the fleet.
     pub(super) fn knows_key(&self, text: Option<&str>) -> bool {
         let key = self.key.get();
--- a/crates/guavawell-forward/src/budget/lend.rs
+++ b/crates/guavawell-forward/src/budget/lend.rs
@@ -57,8 +57,14 @@
     async fn answer_peer(self: &Rc<Self>, mut channel: HttpChannel) -> Result<(), ChannelError> {
         loop {
             let head = within(IDLE_LIMIT, read_question(&mut channel)).await?;
+            if !self.has_key() {
+                // A process that has just started may be asked before it has
+                // read the key.
+                return self.refuse(&channel, 503, "Service Unavailable").await;
+            }
             if !self.knows_key(head.fields.get(KEY_FIELD)) {
-                return self.refuse_stranger(&channel).await;
+                metrics::counter!("guavawell_forward_strangers_total").increment(1);
+                return self.refuse(&channel, 403, "Forbidden").await;
             }
             let question = PeerQuestion::parse(head.path(), &self.instance);
             let status = question
@@ -79,11 +85,14 @@
         }
     }
 
-    /// Turns away whoever does not prove to be of the fleet.
-    async fn refuse_stranger(&self, channel: &HttpChannel) -> Result<(), ChannelError> {
-        metrics::counter!("guavawell_forward_strangers_total").increment(1);
-        log::warn!("{}: a question without the fleet's key", self.instance);
-        let mut writer = HeadWriter::response(403, "Forbidden");
+    /// Turns a question away and ends the connection.
+    async fn refuse(
+        &self,
+        channel: &HttpChannel,
+        status: u16,
+        reason: &str,
+    ) -> Result<(), ChannelError> {
+        let mut writer = HeadWriter::response(status, reason);
         writer.field_of("Connection", "close");
         writer.field_of("Content-Length", 0);
         channel.send(&writer.finish()).await?;
