--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -30,6 +30,11 @@
 /// busy, an old report is a better guess than none.
 const REPORT_HALF_LIFE_MS: f64 = 8_000.0;
 
+/// The part of a figure that counts at an age, both times in milliseconds.
+fn remaining(age: f64, half_life: f64) -> f64 {
+    (-age / half_life * std::f64::consts::LN_2).exp()
+}
+
 /// Whether a server takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerPhase {
@@ -112,8 +117,7 @@
         let others = (self.running + self.waiting).saturating_sub(self.own_at_report);
         let age = now.since(reported_at).as_millis();
         let old = fraction(age.saturating_sub(REPORT_AGE.as_millis()));
-        let weight = (-old / REPORT_HALF_LIFE_MS * std::f64::consts::LN_2).exp();
-        let others = whole(f64::from(others) * weight);
+        let others = whole(f64::from(others) * remaining(old, REPORT_HALF_LIFE_MS));
         self.in_flight + u32::try_from(others).unwrap_or(u32::MAX)
     }
 }
@@ -204,7 +208,7 @@
     #[must_use]
     pub fn failure_rate(&self, now: ClockTime) -> f64 {
         let age = fraction(now.since(self.health.rated_at).as_millis());
-        self.health.failure_rate * (-age / FAILURE_HALF_LIFE_MS * std::f64::consts::LN_2).exp()
+        self.health.failure_rate * remaining(age, FAILURE_HALF_LIFE_MS)
     }
 
     /// Whether the server has requests of this instance and says nothing.
--- a/crates/guavawell-core/src/grant/loan.rs
+++ b/crates/guavawell-core/src/grant/loan.rs
@@ -22,9 +22,9 @@
 //! would lie in a hundred pieces that fit nobody's need. A return names the
 //! lender's process; a later one at the same address gave nothing away.
 
+use super::answer::ReserveAnswer;
 use super::book::BudgetState;
 use super::book::GrantBook;
-use super::book::ReserveAnswer;
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::id::InstanceId;
--- a/crates/guavawell-core/src/grant/mod.rs
+++ b/crates/guavawell-core/src/grant/mod.rs
@@ -24,6 +24,7 @@
 //!
 //! This folder does no I/O and reads no clock.
 
+mod answer;
 mod book;
 mod codec;
 mod early;
@@ -38,10 +39,10 @@
 mod store_clock;
 mod version;
 
+pub use answer::BudgetFacts;
+pub use answer::ReserveAnswer;
 pub use book::BookSettings;
-pub use book::BudgetFacts;
 pub use book::GrantBook;
-pub use book::ReserveAnswer;
 pub use codec::CodecError;
 pub use codec::decode_row;
 pub use codec::encode_row;
--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -103,10 +103,7 @@
             match answer {
                 Some(answer) if answer.tokens >= ask.needed => return ShareEnd::Lent,
                 Some(answer) => {
-                    if matches!(
-                        answer.cause,
-                        ReserveAnswer::Exhausted | ReserveAnswer::Frozen | ReserveAnswer::Drained
-                    ) {
+                    if answer.cause.is_used_up() {
                         return ShareEnd::Declined(answer.cause);
                     }
                     declined = Some(answer.cause);
--- a/crates/guavawell-forward/src/budget/reserve.rs
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -296,9 +296,7 @@
             |after| Err(RefusalAnswer::new(ForwardRefusal::BudgetUnavailable).after(after));
         let left = ClockSpan::from_millis(patience.as_millis().saturating_sub(waited.as_millis()));
         match answer {
-            ReserveAnswer::Exhausted | ReserveAnswer::Frozen | ReserveAnswer::Drained => {
-                Err(refusal_of(answer))
-            }
+            answer if answer.is_used_up() => Err(refusal_of(answer)),
             ReserveAnswer::Locked(span)
                 if span <= LOCK_PATIENCE && waited < patience_of_lock(patience) =>
             {
