Sight: each request's digest in its log lines; a line when a server says that it leaves

A request that comes again has another id, so nothing showed whether one request or many ended the servers: request.ended and attempt.ended now have a digest of organisation, path and body. server.says_leaving tells that an answer says so while the platform still lists the server as ready, and for how long the platform has been silent. No decision is changed.

--- a/crates/guavawell-core/src/lib.rs
+++ b/crates/guavawell-core/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod number;
 pub mod order;
 pub mod platform;
+pub mod poison;
 pub mod request;
 pub mod retention;
--- /dev/null
+++ b/crates/guavawell-core/src/poison/digest.rs
@@ -0,0 +1,71 @@
+//! What makes two requests the same: caller, path and body.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::id::OrganisationId;
+
+/// Context of the hash, so that it equals no other hash of the same bytes.
+const CONTEXT: &str = "guavawell 2026 request digest";
+/// Digits of a digest in text.
+const DIGITS: usize = 32;
+
+/// A text that is no digest.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("`{0}` is no digest, as in `00f1e2d3c4b5a69788796a5b4c3d2e1f`")]
+pub struct DigestError(Box<str>);
+
+/// Names a request by its organisation, path and body. Nothing of them can be
+/// read from it, and no two organisations share one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestDigest(u128);
+
+impl RequestDigest {
+    /// The digest of a request.
+    #[must_use]
+    pub fn of(organisation: Option<&OrganisationId>, host: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(CONTEXT);
+        let organisation = organisation.map_or("", OrganisationId::as_str);
+        for part in [organisation.as_bytes(), host.as_bytes(), path.as_bytes()] {
+            // Lengths keep the parts apart.
+            hasher.update(&part.len().to_le_bytes());
+            hasher.update(part);
+        }
+        hasher.update(body);
+        let mut bytes = [0; 16];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self(u128::from_le_bytes(bytes))
+    }
+
+    /// A digest of the given value.
+    #[must_use]
+    pub const fn new(value: u128) -> Self {
+        Self(value)
+    }
+
+    /// Its value, evenly spread over all digests.
+    #[must_use]
+    pub const fn get(self) -> u128 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:0DIGITS$x}", self.0)
+    }
+}
+
+impl FromStr for RequestDigest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, DigestError> {
+        let digits = text.len() == DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let value = u128::from_str_radix(text, 16).ok().filter(|_| digits);
+        value.map(Self).ok_or_else(|| DigestError(text.into()))
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/tests/poison/main.rs
@@ -0,0 +1,3 @@
+//! Requests that end the servers that run them.
+
+mod digest;
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -12,6 +12,7 @@
 use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
+use guavawell_fleet::event::EventDraft;
 
 use crate::answer::OpenAnswer;
 use crate::answer::PlainAnswer;
@@ -86,6 +87,7 @@
         Err(end) => return AttemptOutcome::Ended(end, None),
     };
     note_load(router, &answer);
+    note_leaving(router, &answer);
     if is_rejection(router, &answer.head) {
         progress.may_have_run = before;
         note_rejection(router, &pick.server, answer);
@@ -128,6 +130,30 @@
     }
 }
 
+/// Logs that a server says that it leaves, as long as nothing else told it.
+fn note_leaving(router: &ForwardRouter, answer: &OpenAnswer) {
+    let server = answer.lease.server();
+    if answer
+        .head
+        .fields
+        .get(router.settings.names.leaving)
+        .is_none()
+    {
+        return;
+    }
+    let now = router.clock.now();
+    let listed = router.servers.borrow().get(server).map(|held| held.phase);
+    if listed == Some(ServerPhase::Ready) {
+        let draft = EventDraft::new("server.says_leaving")
+            .field("server", server)
+            .field(
+                "platform_silent_ms",
+                now.since(router.told_at.get()).as_millis(),
+            );
+        router.log.emit(draft);
+    }
+}
+
 /// A connection to the server: an idle one, or a new one.
 async fn open(
     router: &ForwardRouter,
--- a/crates/guavawell-forward/src/names.rs
+++ b/crates/guavawell-forward/src/names.rs
@@ -25,6 +25,8 @@
     pub not_run: &'static str,
     /// A server's load: running, waiting, slots.
     pub load: &'static str,
+    /// A server's word that it leaves.
+    pub leaving: &'static str,
     /// Further fields that only the system may set; a caller's are dropped.
     pub reserved: &'static [&'static str],
 }
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -195,6 +195,7 @@
     metrics::counter!("guavawell_forward_attempts_failed_total", "end" => end).increment(1);
     let mut draft = EventDraft::new("attempt.ended")
         .field("end", end)
+        .field("digest", call.digest)
         .field("server", &pick.server);
     draft.request = call.id.parse().ok();
     if let Some(server) = router.servers.borrow().get(&pick.server) {
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -17,6 +17,7 @@
 use guavawell_core::id::ServiceId;
 use guavawell_core::id::TokenCount;
 use guavawell_core::number::whole;
+use guavawell_core::poison::RequestDigest;
 use smol::Timer;
 
 use crate::budget::BudgetRefusal;
@@ -50,6 +51,8 @@
     pub request: &'a ReceivedRequest,
     /// The caller's id of the request.
     pub id: &'a str,
+    /// What it has in common with its repetitions under other ids.
+    pub digest: RequestDigest,
     /// Its route.
     pub route: Arc<RouteEntry>,
     /// The service that it goes to.
@@ -186,6 +189,8 @@
     if let Some((organisation, _)) = &organisation {
         record.organisation(organisation);
     }
+    let digest = digest_of(request, organisation.as_ref());
+    record.note("digest", digest);
     let (usage, shape) = read_prompt(router, request)?;
     let ends_at = end_of(router, &route, request)?;
     if !router.can_finish(ends_at) {
@@ -208,6 +213,7 @@
     Ok(ForwardCall {
         request,
         id,
+        digest,
         route,
         service,
         engine,
@@ -281,6 +287,15 @@
     Ok(Some((entry.id.clone(), entry.priority)))
 }
 
+fn digest_of(
+    request: &ReceivedRequest,
+    organisation: Option<&(OrganisationId, Option<u8>)>,
+) -> RequestDigest {
+    let head = &request.head;
+    let organisation = organisation.map(|(id, _)| id);
+    RequestDigest::of(organisation, &head.host, &head.target, &request.body)
+}
+
 fn read_prompt(
     router: &ForwardRouter,
     request: &ReceivedRequest,
