--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -37,6 +37,7 @@
     priority: "priority",
     not_run: "not-run",
     load: "load",
+    leaving: "Leaving",
     reserved: &[],
 };
 
