What a server says in its answers holds at once: that it leaves, and when to come back

Callers saw nothing yet; servers that said in each answer that they leave went on getting requests, 2.2 s and more after the word had been passed on, and so would those that ask for a pause. Cause: of a server's answers only its load, its proof that a request did not run and 421 were read; that it leaves was believed of the store alone, which took the word 11.7 s later because it was down. Class: what a peer says on the way of a request is dropped in favour of a slower, indirect source. Evidence: the store confirmed the leaving at 19.18 s, the server said it from 8.5 s on; instances' logs have feed.lost at 6.8 s and no server.listed with phase=leaving before 19 s; both requests went over instances that had passed an answer with the word on. Now the head of any answer is read: success, failure, rejection, a stream's, and one to another request. The word belongs to that life of the server: no row makes it ready again, also after it was forgotten; the next life starts without it. A 503 with Retry-After pauses the server here for that time, 120 s at most; where all pause, callers are refused at once with the soonest end. The table of servers stands in a file of its own now, and forgets the lives that it forgot first.

--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -100,6 +100,8 @@
     Unknown,
     /// All of them are full.
     Full,
+    /// All of them want no requests for a time.
+    Paused,
 }
 
 /// The chosen server.
@@ -127,10 +129,14 @@
             && entry.takes_requests(now)
             && !ask.tried.contains(&entry.life)
     };
-    let known: Vec<&ServerEntry> = table.servers().iter().filter(fits).collect();
+    let mut known: Vec<&ServerEntry> = table.servers().iter().filter(fits).collect();
     if known.is_empty() {
         return Err(ChoiceRefusal::Unknown);
     }
+    known.retain(|entry| !entry.is_paused(now));
+    if known.is_empty() {
+        return Err(ChoiceRefusal::Paused);
+    }
     let home = home_server(&known, ask, now, settings);
     let room = known
         .iter()
--- a/crates/guavawell-core/src/forward/refusal.rs
+++ b/crates/guavawell-core/src/forward/refusal.rs
@@ -28,6 +28,8 @@
     NoServer,
     /// All backend servers of the service are full.
     ServersFull,
+    /// All backend servers of the service asked for a pause.
+    ServersPaused,
     /// Servers crashed under this request each time that it was sent.
     CrashesServers,
     /// The process is about to end and could not finish the request.
@@ -56,6 +58,7 @@
             Self::BudgetUnavailable => "budget_unavailable",
             Self::NoServer => "no_server",
             Self::ServersFull => "servers_full",
+            Self::ServersPaused => "servers_paused",
             Self::CrashesServers => "crashes_servers",
             Self::Leaving => "leaving",
             Self::TooLate => "too_late",
@@ -82,6 +85,7 @@
             | Self::BudgetUnavailable
             | Self::NoServer
             | Self::ServersFull
+            | Self::ServersPaused
             | Self::CrashesServers
             | Self::Leaving
             | Self::TooLate => 503,
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -1,12 +1,10 @@
-//! What is known of each backend server that requests are forwarded to.
+//! What is known of one backend server that requests are forwarded to.
 
-use std::cmp::Ordering;
 use std::net::SocketAddr;
 
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::forward::ServerLife;
-use crate::id::BackendId;
 use crate::id::ServiceId;
 use crate::id::ZoneId;
 use crate::number::fraction;
@@ -133,6 +131,9 @@
     pub refused: u32,
     /// No requests before this time while others can serve.
     pub avoided_until: ClockTime,
+    /// No requests before this time at all: the server asked for it. It is not
+    /// failing.
+    pub paused_until: ClockTime,
     /// Part of recent requests that failed.
     pub failure_rate: f64,
     /// When `failure_rate` was last brought up to date.
@@ -154,6 +155,9 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub phase: ServerPhase,
+    /// Whether it said itself that it leaves, so that nothing told later, and
+    /// nothing older, makes it ready again.
+    pub said_leaving: bool,
     /// Its load.
     pub load: LoadFigures,
     /// Its health.
@@ -221,8 +225,30 @@
         self.load.in_flight > 0 && now.since(self.health.heard_at) > SILENCE
     }
 
+    /// The server said that it leaves; false if that was known.
+    pub fn say_leaving(&mut self) -> bool {
+        let known = std::mem::replace(&mut self.said_leaving, true);
+        self.phase = ServerPhase::Leaving;
+        !known
+    }
+
+    /// The server wants no requests for a time; false if it did not before that
+    /// time's end already.
+    pub fn pause(&mut self, now: ClockTime, span: ClockSpan) -> bool {
+        let fresh = !self.is_paused(now);
+        self.health.paused_until = self.health.paused_until.max(now + span);
+        fresh
+    }
+
+    /// Whether the server wants no requests now.
+    #[must_use]
+    pub fn is_paused(&self, now: ClockTime) -> bool {
+        now < self.health.paused_until
+    }
+
     /// Takes in a new listing of the same life.
-    fn take_listing(&mut self, entry: Self) {
+    pub(super) fn take_listing(&mut self, entry: Self) {
+        self.said_leaving |= entry.said_leaving;
         if self.phase != ServerPhase::Leaving {
             self.phase = entry.phase;
         }
@@ -233,7 +259,7 @@
     }
 
     /// Takes note that the listing went, or cannot be trusted.
-    fn end_listing(&mut self, phase: ServerPhase) {
+    pub(super) fn end_listing(&mut self, phase: ServerPhase) {
         self.phase = match (self.phase, phase) {
             // Of an unreadable entry that went, what went is not one that lapsed.
             (ServerPhase::Leaving, _) | (ServerPhase::Unreadable, ServerPhase::Lapsed(_)) => {
@@ -253,115 +279,3 @@
         }
     }
 }
-
-/// Lives of forgotten servers that are remembered, so that a late entry of one
-/// that was succeeded is not taken for a new server: about ten times the
-/// servers that a fleet sees start again in a minute.
-const MAX_FORMER: usize = 256;
-
-/// All backend servers, sorted by id: the newest life of each.
-#[derive(Clone, Debug, Default)]
-pub struct ServerTable {
-    servers: Vec<ServerEntry>,
-    /// The newest lives of servers that were forgotten, sorted by id.
-    former: Vec<ServerLife>,
-}
-
-impl ServerTable {
-    /// All servers.
-    #[must_use]
-    pub fn servers(&self) -> &[ServerEntry] {
-        &self.servers
-    }
-
-    /// The newest life of a server.
-    #[must_use]
-    pub fn newest(&self, id: &BackendId) -> Option<&ServerEntry> {
-        let place = self.find(id);
-        self.servers.get(place.ok()?)
-    }
-
-    /// A life of a server, unless a later one has begun.
-    #[must_use]
-    pub fn get(&self, life: &ServerLife) -> Option<&ServerEntry> {
-        self.newest(&life.id).filter(|entry| entry.life == *life)
-    }
-
-    /// A life of a server, to be changed; `None` once a later one has begun.
-    pub fn get_mut(&mut self, life: &ServerLife) -> Option<&mut ServerEntry> {
-        let place = self.find(&life.id).ok()?;
-        let entry = &mut self.servers[place];
-        (entry.life == *life).then_some(entry)
-    }
-
-    /// Takes in what the platform lists of a server, and returns the life that
-    /// this one succeeds.
-    ///
-    /// A known life keeps its load and health, and one that leaves never comes
-    /// back as ready. A later life begins with nothing; what is told of an
-    /// earlier one changes nothing.
-    pub fn upsert(&mut self, entry: ServerEntry) -> Option<ServerLife> {
-        let place = match self.find(&entry.life.id) {
-            Ok(place) => place,
-            Err(place) => {
-                if !self.is_succeeded(&entry.life) {
-                    self.servers.insert(place, entry);
-                }
-                return None;
-            }
-        };
-        let held = &mut self.servers[place];
-        match entry.life.born.cmp(&held.life.born) {
-            // Servers that tell their birth always do: not its own entry.
-            Ordering::Less if entry.life.born.is_none() => {
-                held.end_listing(ServerPhase::Unreadable);
-                None
-            }
-            Ordering::Less => None,
-            Ordering::Greater => Some(std::mem::replace(held, entry).life),
-            Ordering::Equal => {
-                held.take_listing(entry);
-                None
-            }
-        }
-    }
-
-    /// A server is no longer listed, or not readably. It is dropped once
-    /// nothing runs there.
-    pub fn remove(&mut self, life: &ServerLife, phase: ServerPhase) {
-        if let Some(entry) = self.get_mut(life) {
-            entry.end_listing(phase);
-        }
-    }
-
-    /// Forgets servers that left and hold no request of this instance.
-    pub fn sweep(&mut self, now: ClockTime) {
-        let gone =
-            |entry: &mut ServerEntry| !entry.takes_requests(now) && entry.load.in_flight == 0;
-        let forgotten: Vec<ServerEntry> = self.servers.extract_if(.., gone).collect();
-        for entry in forgotten {
-            self.remember(entry.life);
-        }
-    }
-
-    /// Whether a later life of a forgotten server is known.
-    fn is_succeeded(&self, life: &ServerLife) -> bool {
-        let place = self.former.binary_search_by(|held| held.id.cmp(&life.id));
-        place.is_ok_and(|place| self.former[place].born > life.born)
-    }
-
-    fn remember(&mut self, life: ServerLife) {
-        match self.former.binary_search_by(|held| held.id.cmp(&life.id)) {
-            Ok(place) => self.former[place] = life,
-            Err(place) => self.former.insert(place, life),
-        }
-        if self.former.len() > MAX_FORMER {
-            let eldest = (0..self.former.len()).min_by_key(|place| self.former[*place].born);
-            eldest.map(|place| self.former.remove(place));
-        }
-    }
-
-    fn find(&self, id: &BackendId) -> Result<usize, usize> {
-        self.servers.binary_search_by(|entry| entry.life.id.cmp(id))
-    }
-}
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -10,3 +10,4 @@
 mod repeat;
 mod route;
 mod support;
+mod words;
--- a/crates/guavawell-core/tests/forward/support.rs
+++ b/crates/guavawell-core/tests/forward/support.rs
@@ -58,6 +58,7 @@
         zone: zone("z1"),
         slots: 8,
         phase: ServerPhase::Ready,
+        said_leaving: false,
         load: LoadFigures::default(),
         health: ServerHealth::default(),
         suspects: Vec::new(),
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -12,7 +12,6 @@
 use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
-use guavawell_fleet::event::EventDraft;
 
 use crate::answer::OpenAnswer;
 use crate::answer::PlainAnswer;
@@ -29,6 +28,7 @@
 use crate::router::ForwardRouter;
 use crate::send::RequestProgress;
 use crate::serve::ForwardCall;
+use crate::words::take_words;
 
 /// Largest head of a server's answer, in bytes.
 const ANSWER_HEAD_BYTES: usize = 32 * 1024;
@@ -93,7 +93,6 @@
         Err(end) => return AttemptOutcome::Ended(end, None),
     };
     note_load(router, &answer);
-    note_leaving(router, &answer);
     if is_rejection(router, &answer.head) {
         progress.may_have_run = before;
         note_rejection(router, &pick.server, answer);
@@ -136,30 +135,6 @@
     }
 }
 
-/// Logs that a server says that it leaves, as long as nothing else told it.
-fn note_leaving(router: &ForwardRouter, answer: &OpenAnswer) {
-    let server = answer.lease.server();
-    if answer
-        .head
-        .fields
-        .get(router.settings.names.leaving)
-        .is_none()
-    {
-        return;
-    }
-    let now = router.clock.now();
-    let listed = router.servers.borrow().get(server).map(|held| held.phase);
-    if listed == Some(ServerPhase::Ready) {
-        let draft = EventDraft::new("server.says_leaving")
-            .field("server", server)
-            .field(
-                "platform_silent_ms",
-                now.since(router.told_at.get()).as_millis(),
-            );
-        router.log.emit(draft);
-    }
-}
-
 /// A connection to the server: an idle one, or a new one.
 async fn open(
     router: &ForwardRouter,
@@ -225,13 +200,13 @@
     let read = async {
         let mut limit = attempt_limit(router, call, progress);
         loop {
-            let head = answer_head(
-                &mut channel,
-                router.settings.names.request,
-                call.id,
-                to_head,
-                &stray,
-            );
+            let head = answer_head(&mut channel, to_head, |head| {
+                take_words(router, lease.server(), head);
+                let told = head.fields.get(router.settings.names.request);
+                let own = told.is_none_or(|told| told == call.id);
+                stray.set(stray.get() || !own);
+                own
+            });
             match within(timer_span(limit), head).await {
                 Err(ChannelError::TimedOut) if waits_on(router, call, &lease) => {
                     limit = PATIENCE_STEP.min(router.clock.left(call.ends_at));
@@ -299,14 +274,13 @@
     limit.min(left)
 }
 
-/// Reads the head of the answer to `id`. Answers to other requests that come
-/// before it are read past; the connection is not used again after them.
+/// Reads the head of the answer that `is_own` tells to be the request's. Answers
+/// to other requests that come before it are read past; the connection is not
+/// used again after them.
 async fn answer_head(
     channel: &mut HttpChannel,
-    id_field: &str,
-    id: &str,
     to_head: bool,
-    stray: &Cell<bool>,
+    is_own: impl Fn(&ResponseHead) -> bool,
 ) -> Result<ResponseHead, ChannelError> {
     loop {
         let length = channel.head(ANSWER_HEAD_BYTES).await?;
@@ -315,11 +289,9 @@
         if (100..200).contains(&head.status) {
             continue;
         }
-        let told = head.fields.get(id_field);
-        if told.is_none_or(|told| told == id) {
+        if is_own(&head) {
             return Ok(head);
         }
-        stray.set(true);
         skip_body(channel, &head).await?;
     }
 }
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod serve;
 pub mod settings;
 pub mod store;
+pub mod words;
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -167,14 +167,14 @@
         self.log.emit(draft);
     }
 
-    /// Whether a server still takes requests: it may have begun to leave while
-    /// a connection to it was being opened.
+    /// Whether a server still takes requests: it may have begun to leave, or
+    /// asked for a pause, while a connection to it was being opened.
     #[must_use]
     pub fn takes_requests(&self, life: &ServerLife) -> bool {
         let now = self.clock.now();
         let servers = self.servers.borrow();
         let entry = servers.get(life);
-        entry.is_some_and(|held| held.takes_requests(now))
+        entry.is_some_and(|held| held.takes_requests(now) && !held.is_paused(now))
     }
 
     /// The platform no longer lists a server.
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -167,6 +167,7 @@
     choose_server(&servers, &ask, now, &router.settings.choice).map_err(|refusal| match refusal {
         ChoiceRefusal::Unknown => ForwardRefusal::NoServer,
         ChoiceRefusal::Full => ForwardRefusal::ServersFull,
+        ChoiceRefusal::Paused => ForwardRefusal::ServersPaused,
     })
 }
 
@@ -267,7 +268,14 @@
         reservation.release();
     }
     let spread = ClockSpan::from_millis(fastrand::u64(..RETRY_SPREAD_MS));
+    let now = router.clock.now();
+    let resumes = router.servers.borrow().resumes_in(&call.service, now);
     let base = match refusal {
+        ForwardRefusal::ServersFull | ForwardRefusal::ServersPaused | ForwardRefusal::NoServer
+            if let Some(span) = resumes =>
+        {
+            span
+        }
         ForwardRefusal::ServersFull => RETRY_FULL,
         ForwardRefusal::CrashesServers => {
             router.poison.refused_for(call.digest).unwrap_or_default()
