--- a/crates/guavawell-forward/src/words.rs
+++ b/crates/guavawell-forward/src/words.rs
@@ -5,6 +5,7 @@
 //! the platform hears of it later, or not at all while it is away.
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::read_pause;
 use guavawell_fleet::event::EventDraft;
@@ -38,7 +39,7 @@
     let mut servers = router.servers.borrow_mut();
     let fresh = servers
         .get_mut(server)
-        .is_some_and(|entry| entry.say_leaving());
+        .is_some_and(ServerEntry::say_leaving);
     drop(servers);
     if !fresh {
         return;
