A server that crashes after an attempt was given up counts as well

Callers would see: a request that takes long before it crashes its server is given up for another one, or its caller leaves; nobody waits when the server crashes, nothing names the request, and it goes on crashing one server each time. Cause: a crash was held only against attempts whose connection it broke. Abandoned attempts are remembered for two seconds, 256 of them, and a server that refuses a connection names those it had. An attempt that no other one may follow is waited for to the end.

--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -12,10 +12,14 @@
 use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
+use guavawell_core::poison::OrganisationTag;
 
 use crate::answer::OpenAnswer;
 use crate::answer::PlainAnswer;
 use crate::clock::timer_span;
+use crate::crash::AbandonedAttempt;
+use crate::crash::AttemptWatch;
+use crate::crash::refused;
 use crate::http::BodyDecoder;
 use crate::http::ChannelError;
 use crate::http::HttpChannel;
@@ -83,6 +87,39 @@
     }
     progress.sent += 1;
     progress.suspicion = router.poison.mark(call.digest);
+    let mut watch = AttemptWatch::new(router, abandoned(call, progress, &pick.server));
+    let outcome = exchange_and_relay(router, caller, call, pick, progress, channel, lease).await;
+    if !matches!(outcome, AttemptOutcome::Ended(AttemptEnd::Silent, _)) {
+        watch.settle();
+    }
+    outcome
+}
+
+/// What is remembered of an attempt if nobody waits for its answer.
+fn abandoned(
+    call: &ForwardCall<'_>,
+    progress: &RequestProgress,
+    server: &ServerLife,
+) -> AbandonedAttempt {
+    let organisation = call.organisation.as_ref().map(|(id, _)| id);
+    AbandonedAttempt {
+        server: server.clone(),
+        digest: call.digest,
+        organisation: OrganisationTag::of(organisation),
+        began: progress.suspicion,
+    }
+}
+
+/// Sends the request over a connection and relays the answer.
+async fn exchange_and_relay(
+    router: &Rc<ForwardRouter>,
+    caller: &HttpChannel,
+    call: &ForwardCall<'_>,
+    pick: &ServerPick,
+    progress: &mut RequestProgress,
+    channel: HttpChannel,
+    lease: ServerLease,
+) -> AttemptOutcome {
     let before = progress.may_have_run;
     progress.may_have_run = true;
     if let Some(reservation) = &call.reservation {
@@ -167,6 +204,10 @@
         Ok(channel) => Some(channel),
         Err(error) => {
             log::debug!("no connection to {server}: {error}");
+            if error.is_refusal() {
+                refused(router, server);
+                return None;
+            }
             let now = router.clock.now();
             if let Some(entry) = router.servers.borrow_mut().get_mut(server) {
                 entry.refuse(now);
@@ -260,7 +301,7 @@
     progress: &RequestProgress,
 ) -> ClockSpan {
     let left = router.clock.left(call.ends_at);
-    let last = progress.sent >= call.route.attempts;
+    let last = progress.sent >= call.route.attempts || !router.poison.may_repeat(call.digest);
     let times = &router.settings.times;
     let limit = match call.route.repeat {
         _ if last => left,
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -7,7 +7,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::io::ErrorKind;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,9 +17,11 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPhase;
+use guavawell_core::poison::OrganisationTag;
+use guavawell_core::poison::RequestDigest;
+use guavawell_core::poison::SuspicionMark;
 use smol::Timer;
 
-use crate::http::ChannelError;
 use crate::http::HttpChannel;
 use crate::router::ForwardRouter;
 
@@ -31,6 +33,11 @@
 /// How long a look that found no crash stands for requests that broke off
 /// meanwhile.
 const STANDS: ClockSpan = ClockSpan::from_millis(20);
+/// How long before a crash an attempt may have been abandoned for the crash to
+/// count: requests wait at a busy server for about as long as they run.
+const ABANDONED_FOR: ClockSpan = ClockSpan::from_millis(2_000);
+/// Abandoned attempts that are remembered: those of a second of a busy instance.
+const MAX_ABANDONED: usize = 256;
 /// How long looks are remembered.
 const REMEMBERED: ClockSpan = ClockSpan::from_millis(5_000);
 
@@ -44,10 +51,26 @@
     known: Event,
 }
 
+/// An attempt that ended before its server told anything: it took too long, or
+/// its caller left. The server may still have run it.
+#[derive(Clone, Debug)]
+pub struct AbandonedAttempt {
+    /// The server.
+    pub server: ServerLife,
+    /// The request.
+    pub digest: RequestDigest,
+    /// Whose it is.
+    pub organisation: OrganisationTag,
+    /// How far it was suspected when it was sent.
+    pub began: SuspicionMark,
+}
+
 /// Looks at servers: one serves all requests that a crash breaks off.
 #[derive(Debug, Default)]
 pub struct CrashChecks {
     checks: RefCell<Vec<Rc<CrashCheck>>>,
+    /// The last attempts that were abandoned, oldest first.
+    abandoned: RefCell<VecDeque<(ClockTime, AbandonedAttempt)>>,
 }
 
 impl CrashChecks {
@@ -72,6 +95,59 @@
         self.checks.borrow_mut().push(Rc::clone(&check));
         check
     }
+
+    /// Remembers an attempt for the case that its server crashes.
+    fn abandon(&self, now: ClockTime, attempt: AbandonedAttempt) {
+        let mut abandoned = self.abandoned.borrow_mut();
+        if abandoned.len() >= MAX_ABANDONED {
+            abandoned.pop_front();
+        }
+        abandoned.push_back((now, attempt));
+    }
+
+    /// Attempts that were abandoned at a server shortly before it crashed.
+    fn take_abandoned(&self, server: &ServerLife, now: ClockTime) -> Vec<AbandonedAttempt> {
+        let mut abandoned = self.abandoned.borrow_mut();
+        abandoned.retain(|(at, _)| now.since(*at) < ABANDONED_FOR);
+        let (there, others): (VecDeque<_>, VecDeque<_>) = abandoned
+            .drain(..)
+            .partition(|(_, attempt)| attempt.server == *server);
+        *abandoned = others;
+        there.into_iter().map(|(_, attempt)| attempt).collect()
+    }
+}
+
+/// Remembers an attempt unless it is told that the server said what became of
+/// it. Dropped with a request whose caller left.
+#[derive(Debug)]
+pub struct AttemptWatch {
+    router: Rc<ForwardRouter>,
+    attempt: Option<AbandonedAttempt>,
+}
+
+impl AttemptWatch {
+    /// Watches an attempt that is about to be sent.
+    #[must_use]
+    pub fn new(router: &Rc<ForwardRouter>, attempt: AbandonedAttempt) -> Self {
+        Self {
+            router: Rc::clone(router),
+            attempt: Some(attempt),
+        }
+    }
+
+    /// What became of the attempt is known.
+    pub fn settle(&mut self) {
+        self.attempt = None;
+    }
+}
+
+impl Drop for AttemptWatch {
+    fn drop(&mut self) {
+        if let Some(attempt) = self.attempt.take() {
+            let now = self.router.clock.now();
+            self.router.crashes.abandon(now, attempt);
+        }
+    }
 }
 
 /// Whether a server that just broke off has crashed. One that leaves has not.
@@ -117,11 +193,8 @@
             pool.put(server, channel, now, idle);
             false
         }
-        Err(ChannelError::Broken(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            if let Some(entry) = router.servers.borrow_mut().get_mut(server) {
-                entry.refuse(now);
-            }
-            router.pool.borrow_mut().forget(server);
+        Err(error) if error.is_refusal() => {
+            refused(router, server);
             true
         }
         Err(error) => {
@@ -130,3 +203,24 @@
         }
     }
 }
+
+/// A server refused a connection: others are asked first for a while, and what
+/// was abandoned there lately is held against the requests.
+pub fn refused(router: &ForwardRouter, server: &ServerLife) {
+    let now = router.clock.now();
+    let mut servers = router.servers.borrow_mut();
+    let mut leaves = false;
+    if let Some(entry) = servers.get_mut(server) {
+        entry.refuse(now);
+        leaves = entry.phase == ServerPhase::Leaving;
+    }
+    drop(servers);
+    router.pool.borrow_mut().forget(server);
+    let abandoned = router.crashes.take_abandoned(server, now);
+    for attempt in abandoned.iter().filter(|_| !leaves) {
+        let (digest, organisation) = (attempt.digest, attempt.organisation);
+        router
+            .poison
+            .crashed(digest, organisation, attempt.began, server);
+    }
+}
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -49,6 +49,14 @@
     TimedOut,
 }
 
+impl ChannelError {
+    /// Whether nobody listens at the other end.
+    #[must_use]
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Broken(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// One connection.
 #[derive(Debug)]
 pub struct HttpChannel {
