--- a/crates/guavawell-core/tests/poison/table.rs
+++ b/crates/guavawell-core/tests/poison/table.rs
@@ -2,6 +2,7 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::grant::encode_row;
 use guavawell_core::poison::OrganisationTag;
 use guavawell_core::poison::PoisonSettings;
 use guavawell_core::poison::PoisonTable;
@@ -217,3 +218,29 @@
     digests.sort();
     assert_eq!(digests, [2, 3, 7].map(RequestDigest::new));
 }
+
+#[test]
+fn a_full_row_stays_far_below_what_the_store_takes() {
+    let settings = PoisonSettings::default();
+    let mut table = table();
+    for number in 0..settings.most_told * 2 {
+        let digest = RequestDigest::new(u128::MAX - number as u128);
+        crash(&mut table, digest, NOW);
+    }
+    let told = |count: usize| {
+        let mut entries = table.told(later(3_600_000));
+        entries.truncate(count);
+        let list = SuspicionList {
+            told_at: Some(later(3_600_000)),
+            entries,
+        };
+        encode_row(&list).expect("a row").len()
+    };
+    println!(
+        "bytes of 1, 20, all entries: {}, {}, {}",
+        told(1),
+        told(20),
+        told(settings.most_told)
+    );
+    assert!(told(settings.most_told) <= 16 * 1024);
+}
