--- a/crates/guavawell-forward/src/poison/mod.rs
+++ b/crates/guavawell-forward/src/poison/mod.rs
@@ -28,8 +28,10 @@
 use guavawell_core::poison::SuspicionMark;
 use guavawell_fleet::event::EventDraft;
 use guavawell_fleet::event::EventLog;
+use smol::Timer;
 
 use crate::clock::SteadyClock;
+use crate::clock::timer_span;
 use crate::store::RowStore;
 
 /// Table of the instances' rows, in its unnamed part.
@@ -110,10 +112,15 @@
     }
 
     /// For how long a request that has just come is refused, if it is. One that
-    /// is not decided on waits until it is.
-    pub async fn judge(&self, digest: RequestDigest) -> Option<ClockSpan> {
+    /// is not decided on waits until it is, for `patience` at most.
+    pub async fn judge(&self, digest: RequestDigest, patience: ClockSpan) -> Option<ClockSpan> {
+        let until = self.clock.now() + patience;
         while let PoisonVerdict::Undecided(span) = self.verdict(digest) {
-            smol::Timer::after(crate::clock::timer_span(span)).await;
+            let rest = span.min(self.clock.left(until));
+            if rest == ClockSpan::ZERO {
+                return Some(span);
+            }
+            Timer::after(timer_span(rest)).await;
         }
         self.refused_for(digest)?;
         metrics::counter!("guavawell_forward_poison_refused_total").increment(1);
@@ -304,7 +311,7 @@
             }
             bell.await;
         }
-        smol::Timer::after(crate::clock::timer_span(CRASH_PAUSE)).await;
+        Timer::after(timer_span(CRASH_PAUSE)).await;
         let now = self.clock.now();
         let news = self.news.take();
         let table = self.table.borrow();
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -38,6 +38,9 @@
 const START_PATIENCE: ClockSpan = ClockSpan::from_millis(300);
 /// Most of a request's time that may go into that wait, as one part in so many.
 const START_PARTS: u64 = 4;
+/// Most of a request's time that may go into waiting for what others know of it,
+/// as one part in so many.
+const VERDICT_PARTS: u64 = 4;
 /// Retry-After of a process that has no configuration yet: its first read of
 /// the platform takes tens of milliseconds where the platform answers.
 const RETRY_NO_CONFIG: ClockSpan = ClockSpan::from_millis(500);
@@ -191,11 +194,13 @@
     }
     let digest = digest_of(request, organisation.as_ref());
     record.note("digest", digest);
-    if let Some(span) = router.poison.judge(digest).await {
-        return Err(RefusalAnswer::new(ForwardRefusal::CrashesServers).after(span));
-    }
     let (usage, shape) = read_prompt(router, request)?;
     let ends_at = end_of(router, &route, request)?;
+    let left = router.clock.left(ends_at);
+    let patience = ClockSpan::from_millis(left.as_millis() / VERDICT_PARTS);
+    if let Some(span) = router.poison.judge(digest, patience).await {
+        return Err(RefusalAnswer::new(ForwardRefusal::CrashesServers).after(span));
+    }
     if !router.can_finish(ends_at) {
         // Another instance can take it at once.
         return Err(RefusalAnswer::new(ForwardRefusal::Leaving).after(ClockSpan::default()));
