Try: requests are turned away while connections to servers are slow

The link is full of what callers send: turning them away after their bodies came leaves it as full, and they come again.

--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -10,6 +10,7 @@
 use guavawell_core::forward::ChoiceSettings;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::ForwardLimits;
+use guavawell_core::forward::PressureSettings;
 use guavawell_core::forward::RepeatSettings;
 use guavawell_core::forward::RouteTable;
 use guavawell_core::grant::BookSettings;
@@ -80,6 +81,7 @@
         times: TimeSettings::default(),
         choice: ChoiceSettings::default(),
         admission: AdmissionSettings::default(),
+        pressure: PressureSettings::default(),
         repeats: RepeatSettings::default(),
         book,
         poison: PoisonSettings::default(),
