--- a/crates/guavawell-core/src/forward/refusal.rs
+++ b/crates/guavawell-core/src/forward/refusal.rs
@@ -17,8 +17,6 @@
     HeadTooLarge,
     /// The body is larger than allowed.
     BodyTooLarge,
-    /// The instance's link is full: more requests would only be late.
-    LinkFull,
     /// Request bodies held at this instance take all the memory set aside.
     NoMemory,
     /// What is left of the budget does not cover the request at its most.
@@ -55,7 +53,6 @@
             Self::Malformed => "malformed",
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
-            Self::LinkFull => "link_full",
             Self::NoMemory => "no_memory",
             Self::BudgetExhausted => "budget_exhausted",
             Self::BudgetUnavailable => "budget_unavailable",
@@ -84,7 +81,6 @@
     const fn plain_status(self) -> u16 {
         match self {
             Self::NoConfig
-            | Self::LinkFull
             | Self::NoMemory
             | Self::BudgetUnavailable
             | Self::NoServer
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -13,7 +13,6 @@
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::poison::OrganisationTag;
-use guavawell_fleet::event::EventDraft;
 
 use crate::answer::OpenAnswer;
 use crate::answer::PlainAnswer;
@@ -57,29 +56,6 @@
     Ended(AttemptEnd, Option<PlainAnswer>),
 }
 
-/// An attempt whose connection stands.
-struct SentAttempt {
-    channel: HttpChannel,
-    lease: ServerLease,
-    unanswered: UnansweredAttempt,
-}
-
-/// Counts an attempt until its server begins to answer.
-struct UnansweredAttempt(Rc<ForwardRouter>);
-
-impl UnansweredAttempt {
-    fn new(router: &Rc<ForwardRouter>) -> Self {
-        router.unanswered.set(router.unanswered.get() + 1);
-        Self(Rc::clone(router))
-    }
-}
-
-impl Drop for UnansweredAttempt {
-    fn drop(&mut self) {
-        self.0.unanswered.set(self.0.unanswered.get() - 1);
-    }
-}
-
 /// Sends a request to a server and relays the answer.
 pub async fn send_attempt(
     router: &Rc<ForwardRouter>,
@@ -92,7 +68,6 @@
     let memory = call.usage.worst_case().get();
     let suspect = router.poison.is_suspect(call.digest).then_some(call.digest);
     let lease = ServerLease::new(router, pick, memory, suspect);
-    let unanswered = UnansweredAttempt::new(router);
     let began = router.clock.now();
     let Some(channel) = open(router, call, &pick.server).await else {
         progress.unsent += 1;
@@ -113,12 +88,7 @@
     progress.sent += 1;
     progress.suspicion = router.poison.mark(call.digest);
     let mut watch = AttemptWatch::new(router, abandoned(call, progress, &pick.server));
-    let sent = SentAttempt {
-        channel,
-        lease,
-        unanswered,
-    };
-    let outcome = exchange_and_relay(router, caller, call, pick, progress, sent).await;
+    let outcome = exchange_and_relay(router, caller, call, pick, progress, channel, lease).await;
     if !matches!(outcome, AttemptOutcome::Ended(AttemptEnd::Silent, _)) {
         watch.settle();
     }
@@ -147,21 +117,15 @@
     call: &ForwardCall<'_>,
     pick: &ServerPick,
     progress: &mut RequestProgress,
-    sent: SentAttempt,
+    channel: HttpChannel,
+    lease: ServerLease,
 ) -> AttemptOutcome {
     let before = progress.may_have_run;
     progress.may_have_run = true;
     if let Some(reservation) = &call.reservation {
         reservation.spend(call.usage.input);
     }
-    let SentAttempt {
-        channel,
-        lease,
-        unanswered,
-    } = sent;
-    let answer = exchange(router, call, progress, channel, lease).await;
-    drop(unanswered);
-    let answer = match answer {
+    let answer = match exchange(router, call, progress, channel, lease).await {
         Ok(answer) => answer,
         Err(end) => return AttemptOutcome::Ended(end, None),
     };
@@ -231,28 +195,11 @@
     let began = router.clock.now();
     let connected = HttpChannel::connect(address, timer_span(limit)).await;
     pace = router.connects.get();
-    let now = router.clock.now();
-    let out = router.unanswered.get();
-    let mut pressure = router.pressure.get();
-    let lowered = match &connected {
-        Err(ChannelError::TimedOut) => {
-            pace.timed_out();
-            pressure.late(out, now)
-        }
-        _ => {
-            pace.answered(now.since(began));
-            pressure.connected(now.since(began), out, now)
-        }
-    };
-    router.connects.set(pace);
-    router.pressure.set(pressure);
-    if lowered {
-        let draft = EventDraft::new("link.full")
-            .field("unanswered", out)
-            .field("limit", pressure.limit())
-            .field("connect_ms", now.since(began).as_millis());
-        router.log.emit(draft);
+    match &connected {
+        Err(ChannelError::TimedOut) => pace.timed_out(),
+        _ => pace.answered(router.clock.now().since(began)),
     }
+    router.connects.set(pace);
     match connected {
         Ok(channel) => Some(channel),
         Err(error) => {
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -9,7 +9,6 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ConnectPace;
 use guavawell_core::forward::ForwardConfig;
-use guavawell_core::forward::LinkPressure;
 use guavawell_core::forward::RepeatAllowance;
 use guavawell_core::forward::RepeatSettings;
 use guavawell_core::forward::ServerEntry;
@@ -65,10 +64,6 @@
     pub repeats: RefCell<RepeatAllowance>,
     /// What tries to connect to servers tell of the way.
     pub connects: Cell<ConnectPace>,
-    /// How many requests may be at servers without an answer.
-    pub pressure: Cell<LinkPressure>,
-    /// Requests at servers without an answer.
-    pub unanswered: Cell<u32>,
     /// Idle connections to servers.
     pub pool: RefCell<ConnectionPool>,
     /// Budgets.
@@ -100,6 +95,7 @@
         poison: Rc<PoisonDesk>,
     ) -> Self {
         Self {
+            settings,
             clock,
             log,
             config: RefCell::new(None),
@@ -110,10 +106,7 @@
             opened: Cell::new(false),
             repeats: RefCell::default(),
             connects: Cell::default(),
-            pressure: Cell::new(LinkPressure::new(settings.pressure)),
-            unanswered: Cell::new(0),
             pool: RefCell::default(),
-            settings,
             budgets,
             poison,
             crashes: CrashChecks::default(),
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -47,10 +47,6 @@
 /// Retry-After where bodies fill the memory set aside for them.
 const RETRY_NO_MEMORY: ClockSpan = ClockSpan::from_millis(500);
 
-/// Retry-After where the link is full, with a spread of as much again: about as
-/// long as what fills it takes to leave it.
-const RETRY_LINK_FULL: ClockSpan = ClockSpan::from_millis(400);
-
 /// A request that may be sent to a backend server.
 #[derive(Debug)]
 pub struct ForwardCall<'a> {
@@ -354,11 +350,6 @@
 }
 
 fn check_room(router: &ForwardRouter, ends_at: ClockTime) -> Result<(), RefusalAnswer> {
-    if router.unanswered.get() >= router.pressure.get().limit() {
-        let spread = ClockSpan::from_millis(fastrand::u64(..RETRY_LINK_FULL.as_millis()));
-        let after = ClockSpan::from_millis(RETRY_LINK_FULL.as_millis() + spread.as_millis());
-        return Err(RefusalAnswer::new(ForwardRefusal::LinkFull).after(after));
-    }
     let admission = &router.settings.admission;
     let left = router.clock.left(ends_at);
     // This request counts among those held.
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -7,7 +7,6 @@
 use guavawell_core::forward::ChoiceSettings;
 use guavawell_core::forward::ConnectSettings;
 use guavawell_core::forward::LapseSettings;
-use guavawell_core::forward::PressureSettings;
 use guavawell_core::forward::RepeatSettings;
 use guavawell_core::grant::BookSettings;
 use guavawell_core::id::InstanceId;
@@ -93,8 +92,6 @@
     pub choice: ChoiceSettings,
     /// Bounds of admission.
     pub admission: AdmissionSettings,
-    /// Requests at servers without an answer.
-    pub pressure: PressureSettings,
     /// Allowance for repeats.
     pub repeats: RepeatSettings,
     /// Budgets.
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -10,7 +10,6 @@
 use guavawell_core::forward::ChoiceSettings;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::ForwardLimits;
-use guavawell_core::forward::PressureSettings;
 use guavawell_core::forward::RepeatSettings;
 use guavawell_core::forward::RouteTable;
 use guavawell_core::grant::BookSettings;
@@ -81,7 +80,6 @@
         times: TimeSettings::default(),
         choice: ChoiceSettings::default(),
         admission: AdmissionSettings::default(),
-        pressure: PressureSettings::default(),
         repeats: RepeatSettings::default(),
         book,
         poison: PoisonSettings::default(),
