An instance whose link is full says that it is not ready

Cause: its link is full of what callers send; nothing that it answers makes that less, and it went on saying that it is ready. Connections that take over 60 ms for 1.5 s, with no quick one between them, make it not ready; a quick one, or a second without any, makes it ready again. Dead servers say nothing by themselves.

--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod choice;
+mod congestion;
 mod connect;
 mod life;
 mod pause;
@@ -24,6 +25,8 @@
 pub use choice::ChoiceSettings;
 pub use choice::ServerPick;
 pub use choice::choose_server;
+pub use congestion::CongestionSettings;
+pub use congestion::LinkCongestion;
 pub use connect::ConnectPace;
 pub use connect::ConnectSettings;
 pub use life::BirthTime;
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -2,6 +2,7 @@
 //! replays of the worst loads.
 
 mod choice;
+mod congestion;
 mod connect;
 mod fleet;
 mod lives;
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -19,13 +19,13 @@
 use crate::clock::timer_span;
 use crate::crash::AbandonedAttempt;
 use crate::crash::AttemptWatch;
-use crate::crash::refused;
 use crate::http::BodyDecoder;
 use crate::http::ChannelError;
 use crate::http::HttpChannel;
 use crate::http::ResponseHead;
 use crate::http::within;
 use crate::lease::ServerLease;
+use crate::open::open_channel;
 use crate::relay::relay_plain;
 use crate::relay::relay_stream;
 use crate::request::request_bytes;
@@ -69,7 +69,7 @@
     let suspect = router.poison.is_suspect(call.digest).then_some(call.digest);
     let lease = ServerLease::new(router, pick, memory, suspect);
     let began = router.clock.now();
-    let Some(channel) = open(router, call, &pick.server).await else {
+    let Some(channel) = open_channel(router, call, &pick.server).await else {
         progress.unsent += 1;
         let passed = router.clock.now().since(began);
         progress.unsent_time =
@@ -172,52 +172,6 @@
     }
 }
 
-/// A connection to the server: an idle one, or a new one.
-async fn open(
-    router: &ForwardRouter,
-    call: &ForwardCall<'_>,
-    server: &ServerLife,
-) -> Option<HttpChannel> {
-    let times = &router.settings.times;
-    let once = call.route.repeat == RepeatKind::Once;
-    let most_idle = if once { times.idle_once } else { times.idle };
-    let now = router.clock.now();
-    let idle = router.pool.borrow_mut().take(server, now, most_idle);
-    if idle.is_some() {
-        return idle;
-    }
-    let address = router.servers.borrow().get(server)?.address;
-    let mut pace = router.connects.get();
-    let limit = pace
-        .limit(&times.connect)
-        .min(router.clock.left(call.ends_at));
-    metrics::counter!("guavawell_forward_connections_total").increment(1);
-    let began = router.clock.now();
-    let connected = HttpChannel::connect(address, timer_span(limit)).await;
-    pace = router.connects.get();
-    match &connected {
-        Err(ChannelError::TimedOut) => pace.timed_out(),
-        _ => pace.answered(router.clock.now().since(began)),
-    }
-    router.connects.set(pace);
-    match connected {
-        Ok(channel) => Some(channel),
-        Err(error) => {
-            log::debug!("no connection to {server}: {error}");
-            if error.is_refusal() {
-                refused(router, server);
-                return None;
-            }
-            let now = router.clock.now();
-            if let Some(entry) = router.servers.borrow_mut().get_mut(server) {
-                entry.refuse(now);
-            }
-            router.pool.borrow_mut().forget(server);
-            None
-        }
-    }
-}
-
 /// Sends the request and waits for the head of its answer.
 async fn exchange(
     router: &Rc<ForwardRouter>,
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -9,6 +9,7 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ConnectPace;
 use guavawell_core::forward::ForwardConfig;
+use guavawell_core::forward::LinkCongestion;
 use guavawell_core::forward::RepeatAllowance;
 use guavawell_core::forward::RepeatSettings;
 use guavawell_core::forward::ServerEntry;
@@ -64,6 +65,8 @@
     pub repeats: RefCell<RepeatAllowance>,
     /// What tries to connect to servers tell of the way.
     pub connects: Cell<ConnectPace>,
+    /// What connections to servers tell of the own link.
+    link: Cell<LinkCongestion>,
     /// Idle connections to servers.
     pub pool: RefCell<ConnectionPool>,
     /// Budgets.
@@ -95,7 +98,6 @@
         poison: Rc<PoisonDesk>,
     ) -> Self {
         Self {
-            settings,
             clock,
             log,
             config: RefCell::new(None),
@@ -106,7 +108,9 @@
             opened: Cell::new(false),
             repeats: RefCell::default(),
             connects: Cell::default(),
+            link: Cell::new(LinkCongestion::new(settings.congestion)),
             pool: RefCell::default(),
+            settings,
             budgets,
             poison,
             crashes: CrashChecks::default(),
@@ -263,7 +267,27 @@
         if informed && !self.opened.get() {
             self.opened.set(self.budgets.is_open());
         }
-        serving && informed && self.opened.get()
+        let open = !self.link.get().is_full(self.clock.now());
+        serving && informed && self.opened.get() && open
+    }
+
+    /// A connection to a server stood after a time, or was turned down; `None`
+    /// if it did not in time.
+    pub fn connected(&self, took: Option<ClockSpan>) {
+        let now = self.clock.now();
+        let mut link = self.link.get();
+        let before = link.is_full(now);
+        match took {
+            Some(took) => link.connected(took, now),
+            None => link.late(now),
+        }
+        self.link.set(link);
+        if before != link.is_full(now) {
+            let draft = EventDraft::new(if before { "link.open" } else { "link.full" })
+                .field("connect_ms", took.map_or(0, ClockSpan::as_millis))
+                .field("held", self.held_requests.get());
+            self.log.emit(draft);
+        }
     }
 
     /// Whether a configuration, the list of servers and what the fleet believes
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -5,6 +5,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::forward::AdmissionSettings;
 use guavawell_core::forward::ChoiceSettings;
+use guavawell_core::forward::CongestionSettings;
 use guavawell_core::forward::ConnectSettings;
 use guavawell_core::forward::LapseSettings;
 use guavawell_core::forward::RepeatSettings;
@@ -92,6 +93,8 @@
     pub choice: ChoiceSettings,
     /// Bounds of admission.
     pub admission: AdmissionSettings,
+    /// When the own link counts as full.
+    pub congestion: CongestionSettings,
     /// Allowance for repeats.
     pub repeats: RepeatSettings,
     /// Budgets.
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -8,6 +8,7 @@
 use futures_lite::future::poll_once;
 use guavawell_core::forward::AdmissionSettings;
 use guavawell_core::forward::ChoiceSettings;
+use guavawell_core::forward::CongestionSettings;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::ForwardLimits;
 use guavawell_core::forward::RepeatSettings;
@@ -80,6 +81,7 @@
         times: TimeSettings::default(),
         choice: ChoiceSettings::default(),
         admission: AdmissionSettings::default(),
+        congestion: CongestionSettings::default(),
         repeats: RepeatSettings::default(),
         book,
         poison: PoisonSettings::default(),
