A look at a server that ended with its request keeps nobody waiting; messages of suspects stay as long as a row

Found while reading: a caller that left while its request looked whether a server had crashed left the look open for five seconds, and requests lost there meanwhile waited 150 ms and named nobody. And a message of more than a thousand suspects was longer than its reader takes.

--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -22,6 +22,7 @@
 use guavawell_core::poison::SuspicionMark;
 use smol::Timer;
 
+use crate::clock::timer_span;
 use crate::http::HttpChannel;
 use crate::router::ForwardRouter;
 
@@ -29,7 +30,7 @@
 /// back, and a request that may be repeated waits for it.
 const CHECK_LIMIT: Duration = Duration::from_millis(100);
 /// Longest wait for another request's look at the same server.
-const WAIT_LIMIT: Duration = Duration::from_millis(150);
+const WAIT_LIMIT: ClockSpan = ClockSpan::from_millis(150);
 /// How long a look that found no crash stands for requests that broke off
 /// meanwhile.
 const STANDS: ClockSpan = ClockSpan::from_millis(20);
@@ -79,8 +80,14 @@
         let mut checks = self.checks.borrow_mut();
         checks.retain(|check| now.since(check.began) < REMEMBERED);
         let tells = |check: &&Rc<CrashCheck>| {
-            check.server == *server
-                && (check.crashed.get() != Some(false) || now.since(check.began) < STANDS)
+            let age = now.since(check.began);
+            let stands = match check.crashed.get() {
+                Some(true) => true,
+                Some(false) => age < STANDS,
+                // Older ones ended with the request that looked.
+                None => age < WAIT_LIMIT,
+            };
+            check.server == *server && stands
         };
         checks.iter().rev().find(tells).cloned()
     }
@@ -174,7 +181,7 @@
         return crashed;
     }
     let late = async {
-        Timer::after(WAIT_LIMIT).await;
+        Timer::after(timer_span(WAIT_LIMIT)).await;
     };
     known.or(late).await;
     check.crashed.get().unwrap_or(false)
--- a/crates/guavawell-forward/src/poison/mod.rs
+++ b/crates/guavawell-forward/src/poison/mod.rs
@@ -302,7 +302,8 @@
         self.news_bell.notify(usize::MAX);
     }
 
-    /// Waits for something that other instances are to be told directly.
+    /// Waits for something that other instances are to be told directly, as much
+    /// as a row holds at most.
     pub async fn next_news(&self) -> Vec<SharedSuspicion> {
         loop {
             let bell = self.news_bell.listen();
@@ -313,8 +314,12 @@
         }
         Timer::after(timer_span(CRASH_PAUSE)).await;
         let now = self.clock.now();
-        let news = self.news.take();
         let table = self.table.borrow();
+        let mut news = self.news.borrow_mut();
+        // A message is no longer than a row; what is left is told next.
+        let rest = news.len().min(table.settings().most_told);
+        let rest = news.split_off(rest);
+        let news = std::mem::replace(&mut *news, rest);
         news.into_iter()
             .filter_map(|digest| table.shared(digest, now))
             .collect()
