A server that closes its listener after its connections has crashed all the same

Cause: a process that ends closes its sockets one by one. The look at the server came between the end of the request's connection and that of the listener; it was taken, and the crash counted for nobody. A connection that a server took is held and looked at again after 50 ms: still open, it is kept for use; closed, the server is asked once more, and one that refuses has crashed under the attempts that it broke off. Requests wait no longer for it.

--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -96,7 +96,7 @@
 }
 
 /// What is remembered of an attempt if nobody waits for its answer.
-fn abandoned(
+pub fn abandoned(
     call: &ForwardCall<'_>,
     progress: &RequestProgress,
     server: &ServerLife,
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -4,6 +4,10 @@
 //! on one connection. What tells them apart is a new connection: a server whose
 //! process has ended refuses it, all others take it. One that is cut off does
 //! neither, and nothing is believed of it.
+//!
+//! A process that ends closes its connections one by one, its listener perhaps
+//! last. So a connection that was taken is looked at again after a moment: one
+//! that stayed open shows that the server lives.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -29,6 +33,9 @@
 /// Longest wait for a connection that tells: a refusal takes one way there and
 /// back, and a request that may be repeated waits for it.
 const CHECK_LIMIT: Duration = Duration::from_millis(100);
+/// Time after which a connection that a server took is looked at again: a
+/// process of many connections closes all of them in less.
+const SECOND_LOOK: Duration = Duration::from_millis(50);
 /// Longest wait for another request's look at the same server.
 const WAIT_LIMIT: ClockSpan = ClockSpan::from_millis(150);
 /// How long a look that found no crash stands for requests that broke off
@@ -72,6 +79,9 @@
     checks: RefCell<Vec<Rc<CrashCheck>>>,
     /// The last attempts that were abandoned, oldest first.
     abandoned: RefCell<VecDeque<(ClockTime, AbandonedAttempt)>>,
+    /// Connections that servers took, to be looked at again.
+    taken: RefCell<Vec<(ServerLife, HttpChannel)>>,
+    bell: Event,
 }
 
 impl CrashChecks {
@@ -103,8 +113,9 @@
         check
     }
 
-    /// Remembers an attempt for the case that its server crashes.
-    fn abandon(&self, now: ClockTime, attempt: AbandonedAttempt) {
+    /// Remembers an attempt for the case that its server crashes, or turns out
+    /// to have crashed.
+    pub fn abandon(&self, now: ClockTime, attempt: AbandonedAttempt) {
         let mut abandoned = self.abandoned.borrow_mut();
         if abandoned.len() >= MAX_ABANDONED {
             abandoned.pop_front();
@@ -192,12 +203,11 @@
         return false;
     };
     metrics::counter!("guavawell_forward_connections_total").increment(1);
-    let now = router.clock.now();
     match HttpChannel::connect(address, CHECK_LIMIT).await {
         Ok(channel) => {
-            let idle = router.settings.times.idle;
-            let mut pool = router.pool.borrow_mut();
-            pool.put(server, channel, now, idle);
+            let taken = (server.clone(), channel);
+            router.crashes.taken.borrow_mut().push(taken);
+            router.crashes.bell.notify(usize::MAX);
             false
         }
         Err(error) if error.is_refusal() => {
@@ -211,6 +221,38 @@
     }
 }
 
+/// Looks again at servers that took a connection, for as long as the process
+/// lives. One that closed it and refuses the next has crashed.
+pub async fn look_again(router: Rc<ForwardRouter>) {
+    loop {
+        let bell = router.crashes.bell.listen();
+        if router.crashes.taken.borrow().is_empty() {
+            bell.await;
+        }
+        Timer::after(SECOND_LOOK).await;
+        for (server, channel) in router.crashes.taken.take() {
+            let now = router.clock.now();
+            if channel.is_quiet() {
+                let idle = router.settings.times.idle;
+                router.pool.borrow_mut().put(&server, channel, now, idle);
+                continue;
+            }
+            let address = router
+                .servers
+                .borrow()
+                .get(&server)
+                .map(|held| held.address);
+            let Some(address) = address else {
+                continue;
+            };
+            let again = HttpChannel::connect(address, CHECK_LIMIT).await;
+            if again.is_err_and(|error| error.is_refusal()) {
+                refused(&router, &server);
+            }
+        }
+    }
+}
+
 /// A server refused a connection: others are asked first for a while, and what
 /// was abandoned there lately is held against the requests.
 pub fn refused(router: &ForwardRouter, server: &ServerLife) {
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -13,12 +13,12 @@
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::choose_server;
 use guavawell_core::forward::next_step;
-use guavawell_core::poison::OrganisationTag;
 use guavawell_core::poison::SuspicionMark;
 use guavawell_fleet::event::EventDraft;
 
 use crate::answer::PlainAnswer;
 use crate::attempt::AttemptOutcome;
+use crate::attempt::abandoned;
 use crate::attempt::send_attempt;
 use crate::crash::has_crashed;
 use crate::http::HttpChannel;
@@ -210,12 +210,17 @@
         AttemptOutcome::Cut | AttemptOutcome::Ended(AttemptEnd::Lost, _) => true,
         _ => false,
     };
-    if lost && has_crashed(router, server).await {
-        let organisation = call.organisation.as_ref().map(|(id, _)| id);
-        let tag = OrganisationTag::of(organisation);
+    if !lost {
+        return;
+    }
+    let attempt = abandoned(call, progress, server);
+    if has_crashed(router, server).await {
+        let (digest, organisation) = (attempt.digest, attempt.organisation);
         router
             .poison
-            .crashed(call.digest, tag, progress.suspicion, server);
+            .crashed(digest, organisation, attempt.began, server);
+    } else {
+        router.crashes.abandon(router.clock.now(), attempt);
     }
 }
 
