--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -276,17 +276,12 @@
     let now = router.clock.now();
     let resumes = router.servers.borrow().resumes_in(&call.service, now);
     let base = match refusal {
-        ForwardRefusal::ServersFull | ForwardRefusal::ServersPaused | ForwardRefusal::NoServer
-            if let Some(span) = resumes =>
-        {
-            span
-        }
-        ForwardRefusal::ServersFull => RETRY_FULL,
-        ForwardRefusal::CrashesServers => {
-            router.poison.refused_for(call.digest).unwrap_or_default()
-        }
-        _ => RETRY_NO_SERVER,
+        ForwardRefusal::CrashesServers => router.poison.refused_for(call.digest),
+        ForwardRefusal::ServersPaused | ForwardRefusal::NoServer => resumes,
+        ForwardRefusal::ServersFull => resumes.or(Some(RETRY_FULL)),
+        _ => None,
     };
+    let base = base.unwrap_or(RETRY_NO_SERVER);
     let after = ClockSpan::from_millis(base.as_millis() + spread.as_millis());
     let answer = RefusalAnswer {
         refusal,
