The fingerprint of a request that may crash servers: no second type of the name of another one

core::request has a RequestDigest of 64 bits for tries of one id; this one names what different ids have in common.

--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -19,7 +19,7 @@
 use crate::id::ServiceId;
 use crate::id::ZoneId;
 use crate::number::fraction;
-use crate::poison::RequestDigest;
+use crate::poison::RequestFingerprint;
 
 /// Cost of a server that is the last choice, beyond all other costs.
 const AVOIDED_MS: f64 = 1e6;
@@ -90,7 +90,7 @@
     pub tried: &'a [ServerLife],
     /// The request, if servers have crashed under it. It goes where no other
     /// suspect runs, so that the next crash tells them apart.
-    pub suspect: Option<RequestDigest>,
+    pub suspect: Option<RequestFingerprint>,
 }
 
 /// Why no server was chosen.
@@ -173,7 +173,8 @@
     } else {
         0.0
     };
-    let others = |digest: RequestDigest| entry.suspects.iter().any(|held| *held != digest);
+    let others =
+        |fingerprint: RequestFingerprint| entry.suspects.iter().any(|held| *held != fingerprint);
     let beside = if ask.suspect.is_some_and(others) {
         SUSPECTS_MS
     } else {
@@ -190,7 +191,7 @@
     settings: &ChoiceSettings,
 ) -> Option<&'a ServerLife> {
     let key = match ask.suspect {
-        Some(digest) => digest.short(),
+        Some(fingerprint) => fingerprint.short(),
         None => ask.affinity?.id,
     };
     let sound = known
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -9,7 +9,7 @@
 use crate::id::ZoneId;
 use crate::number::fraction;
 use crate::number::whole;
-use crate::poison::RequestDigest;
+use crate::poison::RequestFingerprint;
 
 /// How long a server that has requests may stay silent before others go
 /// elsewhere. A busy engine sends events every 20 to 200 ms.
@@ -164,7 +164,7 @@
     pub health: ServerHealth,
     /// Requests of this instance that run there and are suspected of crashing
     /// servers.
-    pub suspects: Vec<RequestDigest>,
+    pub suspects: Vec<RequestFingerprint>,
 }
 
 impl ServerEntry {
--- a/crates/guavawell-core/src/poison/digest.rs
+++ b/crates/guavawell-core/src/poison/fingerprint.rs
@@ -10,22 +10,22 @@
 use crate::id::OrganisationId;
 
 /// Context of the hash, so that it equals no other hash of the same bytes.
-const CONTEXT: &str = "guavawell 2026 request digest";
-/// Digits of a digest in text.
+const CONTEXT: &str = "guavawell request fingerprint";
+/// Digits of a fingerprint in text.
 const DIGITS: usize = 32;
 
-/// A text that is no digest.
+/// A text that is no fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("`{0}` is no digest, as in `00f1e2d3c4b5a69788796a5b4c3d2e1f`")]
-pub struct DigestError(Box<str>);
+#[error("`{0}` is no fingerprint, as in `00f1e2d3c4b5a69788796a5b4c3d2e1f`")]
+pub struct FingerprintError(Box<str>);
 
 /// Names a request by its organisation, path and body. Nothing of them can be
 /// read from it, and no two organisations share one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct RequestDigest(u128);
+pub struct RequestFingerprint(u128);
 
-impl RequestDigest {
-    /// The digest of a request.
+impl RequestFingerprint {
+    /// The fingerprint of a request.
     #[must_use]
     pub fn of(organisation: Option<&OrganisationId>, host: &str, path: &str, body: &[u8]) -> Self {
         let mut hasher = blake3::Hasher::new_derive_key(CONTEXT);
@@ -41,7 +41,7 @@
         Self(u128::from_le_bytes(bytes))
     }
 
-    /// A digest of the given value.
+    /// A fingerprint of the given value.
     #[must_use]
     pub const fn new(value: u128) -> Self {
         Self(value)
@@ -75,18 +75,18 @@
     }
 }
 
-impl fmt::Display for RequestDigest {
+impl fmt::Display for RequestFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:0DIGITS$x}", self.0)
     }
 }
 
-impl FromStr for RequestDigest {
-    type Err = DigestError;
+impl FromStr for RequestFingerprint {
+    type Err = FingerprintError;
 
-    fn from_str(text: &str) -> Result<Self, DigestError> {
+    fn from_str(text: &str) -> Result<Self, FingerprintError> {
         let digits = text.len() == DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit());
         let value = u128::from_str_radix(text, 16).ok().filter(|_| digits);
-        value.map(Self).ok_or_else(|| DigestError(text.into()))
+        value.map(Self).ok_or_else(|| FingerprintError(text.into()))
     }
 }
--- a/crates/guavawell-core/src/poison/mod.rs
+++ b/crates/guavawell-core/src/poison/mod.rs
@@ -9,20 +9,20 @@
 //! popular request at three servers that fail together has one crash to its
 //! name, and the next answer to it leaves none.
 //!
-//! What is believed is a [`SuspicionMark`] for each [`RequestDigest`]. Marks are
+//! What is believed is a [`SuspicionMark`] for each [`RequestFingerprint`]. Marks are
 //! ordered and the greater one holds, so that instances may tell each other
 //! theirs in any order, late, twice or not at all.
 //!
 //! This folder does no I/O and reads no clock.
 
-mod digest;
+mod fingerprint;
 mod mark;
 mod shared;
 mod table;
 
-pub use digest::DigestError;
-pub use digest::OrganisationTag;
-pub use digest::RequestDigest;
+pub use fingerprint::FingerprintError;
+pub use fingerprint::OrganisationTag;
+pub use fingerprint::RequestFingerprint;
 pub use mark::SuspicionMark;
 pub use shared::SharedSuspicion;
 pub use shared::SuspicionList;
--- a/crates/guavawell-core/src/poison/shared.rs
+++ b/crates/guavawell-core/src/poison/shared.rs
@@ -6,14 +6,14 @@
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::poison::OrganisationTag;
-use crate::poison::RequestDigest;
+use crate::poison::RequestFingerprint;
 use crate::poison::SuspicionMark;
 
 /// What one instance believes of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SharedSuspicion {
     /// The request.
-    pub digest: RequestDigest,
+    pub fingerprint: RequestFingerprint,
     /// Whose it is.
     pub organisation: OrganisationTag,
     /// How far it is suspected.
--- a/crates/guavawell-core/src/poison/table.rs
+++ b/crates/guavawell-core/src/poison/table.rs
@@ -6,7 +6,7 @@
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::poison::OrganisationTag;
-use crate::poison::RequestDigest;
+use crate::poison::RequestFingerprint;
 use crate::poison::SharedSuspicion;
 use crate::poison::SuspicionMark;
 
@@ -71,7 +71,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SuspicionEntry {
     /// The request.
-    pub digest: RequestDigest,
+    pub fingerprint: RequestFingerprint,
     /// Whose it is.
     pub organisation: OrganisationTag,
     /// How far it is suspected.
@@ -88,7 +88,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MarkChange {
     /// The request.
-    pub digest: RequestDigest,
+    pub fingerprint: RequestFingerprint,
     /// The mark before.
     pub before: SuspicionMark,
     /// The mark now.
@@ -99,10 +99,10 @@
 #[derive(Clone, Debug)]
 pub struct PoisonTable {
     settings: PoisonSettings,
-    /// Sorted by digest.
+    /// Sorted by fingerprint.
     entries: Vec<SuspicionEntry>,
     /// Requests that were answered here lately, oldest first.
-    answers: VecDeque<(ClockTime, RequestDigest)>,
+    answers: VecDeque<(ClockTime, RequestFingerprint)>,
 }
 
 impl PoisonTable {
@@ -122,7 +122,7 @@
         &self.settings
     }
 
-    /// All that is believed, sorted by digest.
+    /// All that is believed, sorted by fingerprint.
     #[must_use]
     pub fn entries(&self) -> &[SuspicionEntry] {
         &self.entries
@@ -130,15 +130,15 @@
 
     /// How far a request is suspected.
     #[must_use]
-    pub fn mark(&self, digest: RequestDigest) -> SuspicionMark {
-        self.find(digest)
+    pub fn mark(&self, fingerprint: RequestFingerprint) -> SuspicionMark {
+        self.find(fingerprint)
             .map_or(SuspicionMark::default(), |place| self.entries[place].mark)
     }
 
     /// What is to be done with a request.
     #[must_use]
-    pub fn verdict(&self, digest: RequestDigest, now: ClockTime) -> PoisonVerdict {
-        let Ok(place) = self.find(digest) else {
+    pub fn verdict(&self, fingerprint: RequestFingerprint, now: ClockTime) -> PoisonVerdict {
+        let Ok(place) = self.find(fingerprint) else {
             return PoisonVerdict::Clear;
         };
         let entry = &self.entries[place];
@@ -156,13 +156,13 @@
 
     /// Whether another attempt of the same request may follow one that failed.
     #[must_use]
-    pub fn may_repeat(&self, digest: RequestDigest) -> bool {
-        self.mark(digest).crashes < self.settings.single_from
+    pub fn may_repeat(&self, fingerprint: RequestFingerprint) -> bool {
+        self.mark(fingerprint).crashes < self.settings.single_from
     }
 
     /// A refused request came again: it is remembered for longer.
-    pub fn refused(&mut self, digest: RequestDigest, now: ClockTime) {
-        if let Ok(place) = self.find(digest) {
+    pub fn refused(&mut self, fingerprint: RequestFingerprint, now: ClockTime) {
+        if let Ok(place) = self.find(fingerprint) {
             self.entries[place].at = now;
         }
     }
@@ -171,16 +171,16 @@
     /// mark `began`.
     pub fn crashed(
         &mut self,
-        digest: RequestDigest,
+        fingerprint: RequestFingerprint,
         organisation: OrganisationTag,
         began: SuspicionMark,
         now: ClockTime,
     ) -> Option<MarkChange> {
-        if self.was_answered(digest, now) {
+        if self.was_answered(fingerprint, now) {
             return None;
         }
         let told = SharedSuspicion {
-            digest,
+            fingerprint,
             organisation,
             mark: began.after_crash(),
             age: ClockSpan::default(),
@@ -189,22 +189,30 @@
     }
 
     /// The request was answered completely: it crashes no servers.
-    pub fn answered(&mut self, digest: RequestDigest, now: ClockTime) -> Option<MarkChange> {
+    pub fn answered(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        now: ClockTime,
+    ) -> Option<MarkChange> {
         if self.answers.len() >= self.settings.answers {
             self.answers.pop_front();
         }
-        self.answers.push_back((now, digest));
-        self.acquit(digest, now)
+        self.answers.push_back((now, fingerprint));
+        self.acquit(fingerprint, now)
     }
 
     /// Takes back all evidence against a request.
-    pub fn acquit(&mut self, digest: RequestDigest, now: ClockTime) -> Option<MarkChange> {
-        let entry = self.entries[self.find(digest).ok()?];
+    pub fn acquit(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        now: ClockTime,
+    ) -> Option<MarkChange> {
+        let entry = self.entries[self.find(fingerprint).ok()?];
         if entry.mark.crashes == 0 {
             return None;
         }
         let told = SharedSuspicion {
-            digest,
+            fingerprint,
             organisation: entry.organisation,
             mark: entry.mark.after_answer(),
             age: ClockSpan::default(),
@@ -221,16 +229,20 @@
         now: ClockTime,
     ) -> Option<MarkChange> {
         let change = self.take(told, own, now)?;
-        if !self.was_answered(told.digest, now) {
+        if !self.was_answered(told.fingerprint, now) {
             return Some(change);
         }
-        self.acquit(told.digest, now).or(Some(change))
+        self.acquit(told.fingerprint, now).or(Some(change))
     }
 
     /// What other instances are told of a request, if anything is known of it.
     #[must_use]
-    pub fn shared(&self, digest: RequestDigest, now: ClockTime) -> Option<SharedSuspicion> {
-        let place = self.find(digest).ok()?;
+    pub fn shared(
+        &self,
+        fingerprint: RequestFingerprint,
+        now: ClockTime,
+    ) -> Option<SharedSuspicion> {
+        let place = self.find(fingerprint).ok()?;
         Some(self.entries[place].shared(now))
     }
 
@@ -250,10 +262,10 @@
         self.entries.retain(|entry| now < entry.at + lasts);
     }
 
-    fn was_answered(&self, digest: RequestDigest, now: ClockTime) -> bool {
+    fn was_answered(&self, fingerprint: RequestFingerprint, now: ClockTime) -> bool {
         let lately = self.answers.iter().rev();
         let mut lately = lately.take_while(|(at, _)| now.since(*at) < self.settings.answer_tells);
-        lately.any(|(_, held)| *held == digest)
+        lately.any(|(_, held)| *held == fingerprint)
     }
 
     fn take(&mut self, told: SharedSuspicion, own: bool, now: ClockTime) -> Option<MarkChange> {
@@ -262,9 +274,9 @@
         }
         let at = now.as_millis().saturating_sub(told.age.as_millis());
         let at = ClockTime::from_millis(at);
-        let Ok(place) = self.find(told.digest) else {
+        let Ok(place) = self.find(told.fingerprint) else {
             self.insert(SuspicionEntry {
-                digest: told.digest,
+                fingerprint: told.fingerprint,
                 organisation: told.organisation,
                 mark: told.mark,
                 marked_at: at,
@@ -272,7 +284,7 @@
                 own,
             });
             return Some(MarkChange {
-                digest: told.digest,
+                fingerprint: told.fingerprint,
                 before: SuspicionMark::default(),
                 mark: told.mark,
             });
@@ -289,7 +301,7 @@
         entry.marked_at = at;
         entry.at = at;
         Some(MarkChange {
-            digest: told.digest,
+            fingerprint: told.fingerprint,
             before,
             mark: told.mark,
         })
@@ -307,7 +319,7 @@
         }
         let place = self
             .entries
-            .partition_point(|held| held.digest < entry.digest);
+            .partition_point(|held| held.fingerprint < entry.fingerprint);
         self.entries.insert(place, entry);
     }
 
@@ -322,16 +334,16 @@
         }
     }
 
-    fn find(&self, digest: RequestDigest) -> Result<usize, usize> {
+    fn find(&self, fingerprint: RequestFingerprint) -> Result<usize, usize> {
         self.entries
-            .binary_search_by(|entry| entry.digest.cmp(&digest))
+            .binary_search_by(|entry| entry.fingerprint.cmp(&fingerprint))
     }
 }
 
 impl SuspicionEntry {
     fn shared(&self, now: ClockTime) -> SharedSuspicion {
         SharedSuspicion {
-            digest: self.digest,
+            fingerprint: self.fingerprint,
             organisation: self.organisation,
             mark: self.mark,
             age: now.since(self.at),
--- a/crates/guavawell-core/tests/poison/main.rs
+++ b/crates/guavawell-core/tests/poison/main.rs
@@ -1,7 +1,7 @@
-//! Requests that crash the servers that run them: digests, what one instance
+//! Requests that crash the servers that run them: fingerprints, what one instance
 //! believes, and a fleet whose instances tell each other.
 
-mod digest;
+mod fingerprint;
 mod fleet;
 mod table;
 mod world;
--- a/crates/guavawell-core/tests/poison/table.rs
+++ b/crates/guavawell-core/tests/poison/table.rs
@@ -7,13 +7,13 @@
 use guavawell_core::poison::PoisonSettings;
 use guavawell_core::poison::PoisonTable;
 use guavawell_core::poison::PoisonVerdict;
-use guavawell_core::poison::RequestDigest;
+use guavawell_core::poison::RequestFingerprint;
 use guavawell_core::poison::SharedSuspicion;
 use guavawell_core::poison::SuspicionList;
 use guavawell_core::poison::SuspicionMark;
 
 const NOW: ClockTime = ClockTime::from_millis(10_000_000);
-const REQUEST: RequestDigest = RequestDigest::new(7);
+const REQUEST: RequestFingerprint = RequestFingerprint::new(7);
 
 fn table() -> PoisonTable {
     PoisonTable::new(PoisonSettings::default())
@@ -24,13 +24,13 @@
 }
 
 /// A server crashes under an attempt that begins now.
-fn crash(table: &mut PoisonTable, digest: RequestDigest, now: ClockTime) {
-    let began = table.mark(digest);
-    table.crashed(digest, tag("acme"), began, now);
+fn crash(table: &mut PoisonTable, fingerprint: RequestFingerprint, now: ClockTime) {
+    let began = table.mark(fingerprint);
+    table.crashed(fingerprint, tag("acme"), began, now);
 }
 
-fn is_refused(table: &PoisonTable, digest: RequestDigest, now: ClockTime) -> bool {
-    matches!(table.verdict(digest, now), PoisonVerdict::Refused(_))
+fn is_refused(table: &PoisonTable, fingerprint: RequestFingerprint, now: ClockTime) -> bool {
+    matches!(table.verdict(fingerprint, now), PoisonVerdict::Refused(_))
 }
 
 fn later(millis: u64) -> ClockTime {
@@ -51,7 +51,7 @@
     );
     assert!(is_refused(&table, REQUEST, NOW + settles));
     assert_eq!(
-        table.verdict(RequestDigest::new(8), NOW),
+        table.verdict(RequestFingerprint::new(8), NOW),
         PoisonVerdict::Clear
     );
 }
@@ -137,7 +137,7 @@
 fn what_is_too_old_when_it_is_told_is_not_believed() {
     let lasts = PoisonSettings::default().lasts;
     let told = |age| SharedSuspicion {
-        digest: REQUEST,
+        fingerprint: REQUEST,
         organisation: tag("acme"),
         mark: SuspicionMark {
             cleared: 0,
@@ -169,10 +169,10 @@
     }
     let flood = settings.most_each * 3;
     for number in 0..flood {
-        let digest = RequestDigest::new(1_000 + number as u128);
+        let fingerprint = RequestFingerprint::new(1_000 + number as u128);
         for _ in 0..4 {
-            let began = table.mark(digest);
-            table.crashed(digest, tag("flood"), began, later(number as u64));
+            let began = table.mark(fingerprint);
+            table.crashed(fingerprint, tag("flood"), began, later(number as u64));
         }
     }
     assert_eq!(table.entries().len(), settings.most_each + 1);
@@ -187,23 +187,23 @@
         crash(&mut table, REQUEST, NOW);
     }
     for number in 0..settings.most * 2 {
-        let digest = RequestDigest::new(1_000 + number as u128);
+        let fingerprint = RequestFingerprint::new(1_000 + number as u128);
         let name = format!("o{}", number % 50);
         let began = SuspicionMark::default();
-        table.crashed(digest, tag(&name), began, later(number as u64));
+        table.crashed(fingerprint, tag(&name), began, later(number as u64));
     }
     assert_eq!(table.entries().len(), settings.most);
     assert!(is_refused(&table, REQUEST, later(1_000)));
     let told = table.told(later(0));
     assert_eq!(told.len(), settings.most_told);
-    assert_eq!(told[0].digest, REQUEST);
+    assert_eq!(told[0].fingerprint, REQUEST);
 }
 
 #[test]
 fn an_instance_tells_what_it_saw_and_what_its_earlier_life_told() {
     let mut table = table();
-    let told = |digest| SharedSuspicion {
-        digest: RequestDigest::new(digest),
+    let told = |fingerprint| SharedSuspicion {
+        fingerprint: RequestFingerprint::new(fingerprint),
         organisation: tag("acme"),
         mark: SuspicionMark::default().after_crash(),
         age: ClockSpan::default(),
@@ -214,9 +214,13 @@
     table.learn(told(3), false, NOW);
     table.learn(told(3), true, NOW);
     crash(&mut table, REQUEST, NOW);
-    let mut digests: Vec<_> = table.told(NOW).iter().map(|entry| entry.digest).collect();
-    digests.sort();
-    assert_eq!(digests, [2, 3, 7].map(RequestDigest::new));
+    let mut fingerprints: Vec<_> = table
+        .told(NOW)
+        .iter()
+        .map(|entry| entry.fingerprint)
+        .collect();
+    fingerprints.sort();
+    assert_eq!(fingerprints, [2, 3, 7].map(RequestFingerprint::new));
 }
 
 #[test]
@@ -224,8 +228,8 @@
     let settings = PoisonSettings::default();
     let mut table = table();
     for number in 0..settings.most_told * 2 {
-        let digest = RequestDigest::new(u128::MAX - number as u128);
-        crash(&mut table, digest, NOW);
+        let fingerprint = RequestFingerprint::new(u128::MAX - number as u128);
+        crash(&mut table, fingerprint, NOW);
     }
     let told = |count: usize| {
         let mut entries = table.told(later(3_600_000));
--- a/crates/guavawell-core/tests/poison/world.rs
+++ b/crates/guavawell-core/tests/poison/world.rs
@@ -11,7 +11,7 @@
 use guavawell_core::poison::PoisonSettings;
 use guavawell_core::poison::PoisonTable;
 use guavawell_core::poison::PoisonVerdict;
-use guavawell_core::poison::RequestDigest;
+use guavawell_core::poison::RequestFingerprint;
 use guavawell_core::poison::SharedSuspicion;
 use guavawell_core::poison::SuspicionMark;
 
@@ -24,9 +24,9 @@
 /// Time in which all instances know what one of them saw, in milliseconds.
 pub const CONTACT_MS: u64 = 3_000;
 /// The request that crashes each server which begins to run it.
-pub const KILLER: RequestDigest = RequestDigest::new(1);
+pub const KILLER: RequestFingerprint = RequestFingerprint::new(1);
 /// A request that comes by the hundred and harms nobody.
-pub const POPULAR: RequestDigest = RequestDigest::new(2);
+pub const POPULAR: RequestFingerprint = RequestFingerprint::new(2);
 
 const INSTANCES: usize = 6;
 const SERVERS: usize = 12;
@@ -95,7 +95,7 @@
 }
 
 struct Attempt {
-    digest: RequestDigest,
+    fingerprint: RequestFingerprint,
     instance: usize,
     server: usize,
     began: SuspicionMark,
@@ -111,7 +111,7 @@
 /// A request that waits for a verdict.
 struct HeldRequest {
     until: u64,
-    digest: RequestDigest,
+    fingerprint: RequestFingerprint,
     tries: u32,
 }
 
@@ -187,7 +187,7 @@
         let now = self.now;
         let held = self.held.extract_if(.., |held| held.until <= now);
         for request in held.collect::<Vec<HeldRequest>>() {
-            self.ask(request.digest, 1, request.tries);
+            self.ask(request.fingerprint, 1, request.tries);
         }
         let day = self.day;
         if self.now >= day.popular_from_ms && self.happens(day.popular_ms) {
@@ -195,7 +195,7 @@
         }
         if self.happens(day.innocent_ms) {
             self.next += 1;
-            self.ask(RequestDigest::new(self.next), 1, 1);
+            self.ask(RequestFingerprint::new(self.next), 1, 1);
         }
         if self.now >= QUIET_MS {
             self.disturb();
@@ -226,41 +226,51 @@
     }
 
     /// A request comes to some instance.
-    fn ask(&mut self, digest: RequestDigest, attempts: u32, tries: u32) {
+    fn ask(&mut self, fingerprint: RequestFingerprint, attempts: u32, tries: u32) {
         let instance = self.random.usize(..INSTANCES);
-        let verdict = self.tables[instance].verdict(digest, at(self.now));
+        let verdict = self.tables[instance].verdict(fingerprint, at(self.now));
         if let PoisonVerdict::Undecided(span) = verdict {
             self.held.push(HeldRequest {
                 until: self.now + span.as_millis(),
-                digest,
+                fingerprint,
                 tries,
             });
             return;
         }
         if matches!(verdict, PoisonVerdict::Refused(_)) {
-            self.tables[instance].refused(digest, at(self.now));
-            if digest != KILLER {
+            self.tables[instance].refused(fingerprint, at(self.now));
+            if fingerprint != KILLER {
                 self.outcome.refused += 1;
             }
             return;
         }
-        self.send(digest, instance, attempts, tries);
+        self.send(fingerprint, instance, attempts, tries);
     }
 
-    fn send(&mut self, digest: RequestDigest, instance: usize, attempts: u32, tries: u32) {
-        let Some(server) = self.choose(digest, instance) else {
+    fn send(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        instance: usize,
+        attempts: u32,
+        tries: u32,
+    ) {
+        let Some(server) = self.choose(fingerprint, instance) else {
             return;
         };
-        let spans = if digest == KILLER { KILLS_MS } else { RUNS_MS };
+        let spans = if fingerprint == KILLER {
+            KILLS_MS
+        } else {
+            RUNS_MS
+        };
         let third = self.third_at.is_some_and(|at| self.now > at + CONTACT_MS);
-        if digest == KILLER && third {
+        if fingerprint == KILLER && third {
             self.outcome.late += 1;
         }
         self.running.push(Attempt {
-            digest,
+            fingerprint,
             instance,
             server,
-            began: self.tables[instance].mark(digest),
+            began: self.tables[instance].mark(fingerprint),
             ends_at: self.now + self.random.u64(spans),
             attempts,
             tries,
@@ -269,23 +279,24 @@
 
     /// Any server; for a suspect one at which this instance has no other one, the
     /// same at each instance.
-    fn choose(&mut self, digest: RequestDigest, instance: usize) -> Option<usize> {
+    fn choose(&mut self, fingerprint: RequestFingerprint, instance: usize) -> Option<usize> {
         let up = |server: &usize| self.servers[*server].back_at <= self.now;
         let up: Vec<usize> = (0..SERVERS).filter(up).collect();
         let table = &self.tables[instance];
-        if table.verdict(digest, at(self.now)) != PoisonVerdict::Suspect {
+        if table.verdict(fingerprint, at(self.now)) != PoisonVerdict::Suspect {
             return self.random.choice(up);
         }
         let others = |server: &usize| {
             self.running.iter().any(|attempt| {
                 attempt.instance == instance
                     && attempt.server == *server
-                    && attempt.digest != digest
+                    && attempt.fingerprint != fingerprint
                     && attempt.began.crashes > 0
             })
         };
         let rank = |server: &usize| {
-            let mixed = (digest.short() ^ (*server as u64 + 1)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let mixed =
+                (fingerprint.short() ^ (*server as u64 + 1)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
             (!others(server), mixed ^ (mixed >> 29))
         };
         up.into_iter().max_by_key(rank)
@@ -297,7 +308,7 @@
             .running
             .extract_if(.., |attempt| attempt.ends_at <= now);
         for attempt in due.collect::<Vec<Attempt>>() {
-            if attempt.digest == KILLER {
+            if attempt.fingerprint == KILLER {
                 self.running.push(attempt);
                 let server = self.running.last().expect("just pushed").server;
                 self.outcome.killed += 1;
@@ -309,7 +320,7 @@
                 self.outcome.answered += 1;
                 let table = &mut self.tables[attempt.instance];
                 if self.day.plant != Plant::NoClear {
-                    let change = table.answered(attempt.digest, at(now));
+                    let change = table.answered(attempt.fingerprint, at(now));
                     self.tell(attempt.instance, change);
                 }
             }
@@ -324,7 +335,7 @@
             .extract_if(.., |attempt| attempt.server == server);
         for attempt in lost.collect::<Vec<Attempt>>() {
             let table = &mut self.tables[attempt.instance];
-            let change = table.crashed(attempt.digest, tag(), attempt.began, at(self.now));
+            let change = table.crashed(attempt.fingerprint, tag(), attempt.began, at(self.now));
             self.tell(attempt.instance, change);
             self.go_on(&attempt);
         }
@@ -333,20 +344,20 @@
     /// What a request or its caller does after its server crashed.
     fn go_on(&mut self, attempt: &Attempt) {
         let Attempt {
-            digest,
+            fingerprint,
             instance,
             attempts,
             tries,
             ..
         } = *attempt;
         let refused = matches!(
-            self.tables[instance].verdict(digest, at(self.now)),
+            self.tables[instance].verdict(fingerprint, at(self.now)),
             PoisonVerdict::Refused(_) | PoisonVerdict::Undecided(_)
         );
-        if attempts < ATTEMPTS && !refused && self.tables[instance].may_repeat(digest) {
-            self.send(digest, instance, attempts + 1, tries);
+        if attempts < ATTEMPTS && !refused && self.tables[instance].may_repeat(fingerprint) {
+            self.send(fingerprint, instance, attempts + 1, tries);
         } else if tries < TRIES {
-            self.ask(digest, 1, tries + 1);
+            self.ask(fingerprint, 1, tries + 1);
         }
     }
 
@@ -355,7 +366,7 @@
         let Some(change) = change.filter(|_| self.day.plant != Plant::TellNobody) else {
             return;
         };
-        let told = self.tables[from].shared(change.digest, at(self.now));
+        let told = self.tables[from].shared(change.fingerprint, at(self.now));
         for to in (0..INSTANCES).filter(|to| *to != from) {
             let copies = match self.random.u32(..SPOILT) {
                 0 => 0,
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -66,7 +66,10 @@
 ) -> AttemptOutcome {
     progress.tried.push(pick.server.clone());
     let memory = call.usage.worst_case().get();
-    let suspect = router.poison.is_suspect(call.digest).then_some(call.digest);
+    let suspect = router
+        .poison
+        .is_suspect(call.fingerprint)
+        .then_some(call.fingerprint);
     let lease = ServerLease::new(router, pick, memory, suspect);
     let began = router.clock.now();
     let Some(channel) = open_channel(router, call, &pick.server).await else {
@@ -81,12 +84,12 @@
         progress.unsent += 1;
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     }
-    if router.poison.refused_for(call.digest).is_some() {
+    if router.poison.refused_for(call.fingerprint).is_some() {
         // It became known while the connection was opened.
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     }
     progress.sent += 1;
-    progress.suspicion = router.poison.mark(call.digest);
+    progress.suspicion = router.poison.mark(call.fingerprint);
     let mut watch = AttemptWatch::new(router, abandoned(call, progress, &pick.server));
     let outcome = exchange_and_relay(router, caller, call, pick, progress, channel, lease).await;
     if !matches!(outcome, AttemptOutcome::Ended(AttemptEnd::Silent, _)) {
@@ -104,7 +107,7 @@
     let organisation = call.organisation.as_ref().map(|(id, _)| id);
     AbandonedAttempt {
         server: server.clone(),
-        digest: call.digest,
+        fingerprint: call.fingerprint,
         organisation: OrganisationTag::of(organisation),
         began: progress.suspicion,
     }
@@ -255,7 +258,7 @@
     progress: &RequestProgress,
 ) -> ClockSpan {
     let left = router.clock.left(call.ends_at);
-    let last = progress.sent >= call.route.attempts || !router.poison.may_repeat(call.digest);
+    let last = progress.sent >= call.route.attempts || !router.poison.may_repeat(call.fingerprint);
     let times = &router.settings.times;
     let limit = match call.route.repeat {
         _ if last => left,
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -22,7 +22,7 @@
 use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::poison::OrganisationTag;
-use guavawell_core::poison::RequestDigest;
+use guavawell_core::poison::RequestFingerprint;
 use guavawell_core::poison::SuspicionMark;
 use smol::Timer;
 
@@ -66,7 +66,7 @@
     /// The server.
     pub server: ServerLife,
     /// The request.
-    pub digest: RequestDigest,
+    pub fingerprint: RequestFingerprint,
     /// Whose it is.
     pub organisation: OrganisationTag,
     /// How far it was suspected when it was sent.
@@ -267,9 +267,9 @@
     router.pool.borrow_mut().forget(server);
     let abandoned = router.crashes.take_abandoned(server, now);
     for attempt in abandoned.iter().filter(|_| !leaves) {
-        let (digest, organisation) = (attempt.digest, attempt.organisation);
+        let (fingerprint, organisation) = (attempt.fingerprint, attempt.organisation);
         router
             .poison
-            .crashed(digest, organisation, attempt.began, server);
+            .crashed(fingerprint, organisation, attempt.began, server);
     }
 }
--- a/crates/guavawell-forward/src/lease.rs
+++ b/crates/guavawell-forward/src/lease.rs
@@ -6,7 +6,7 @@
 use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPick;
-use guavawell_core::poison::RequestDigest;
+use guavawell_core::poison::RequestFingerprint;
 
 use crate::router::ForwardRouter;
 
@@ -18,7 +18,7 @@
     unread: Cell<u64>,
     memory: u64,
     /// The request, if servers have crashed under it.
-    suspect: Option<RequestDigest>,
+    suspect: Option<RequestFingerprint>,
 }
 
 impl ServerLease {
@@ -28,7 +28,7 @@
         router: &Rc<ForwardRouter>,
         pick: &ServerPick,
         memory: u64,
-        suspect: Option<RequestDigest>,
+        suspect: Option<RequestFingerprint>,
     ) -> Self {
         let now = router.clock.now();
         if let Some(server) = router.servers.borrow_mut().get_mut(&pick.server) {
--- a/crates/guavawell-forward/src/poison/mod.rs
+++ b/crates/guavawell-forward/src/poison/mod.rs
@@ -22,7 +22,7 @@
 use guavawell_core::poison::PoisonSettings;
 use guavawell_core::poison::PoisonTable;
 use guavawell_core::poison::PoisonVerdict;
-use guavawell_core::poison::RequestDigest;
+use guavawell_core::poison::RequestFingerprint;
 use guavawell_core::poison::SharedSuspicion;
 use guavawell_core::poison::SuspicionList;
 use guavawell_core::poison::SuspicionMark;
@@ -60,7 +60,7 @@
     due: Cell<Option<ClockTime>>,
     row_bell: Event,
     /// What other instances have not been told directly.
-    news: RefCell<Vec<RequestDigest>>,
+    news: RefCell<Vec<RequestFingerprint>>,
     news_bell: Event,
 }
 
@@ -92,20 +92,20 @@
 
     /// How far a request is suspected.
     #[must_use]
-    pub fn mark(&self, digest: RequestDigest) -> SuspicionMark {
-        self.table.borrow().mark(digest)
+    pub fn mark(&self, fingerprint: RequestFingerprint) -> SuspicionMark {
+        self.table.borrow().mark(fingerprint)
     }
 
     /// Whether servers crashed under a request that is not refused yet.
     #[must_use]
-    pub fn is_suspect(&self, digest: RequestDigest) -> bool {
-        self.verdict(digest) == PoisonVerdict::Suspect
+    pub fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
+        self.verdict(fingerprint) == PoisonVerdict::Suspect
     }
 
     /// For how long a request is not to be sent, if it is not.
     #[must_use]
-    pub fn refused_for(&self, digest: RequestDigest) -> Option<ClockSpan> {
-        match self.verdict(digest) {
+    pub fn refused_for(&self, fingerprint: RequestFingerprint) -> Option<ClockSpan> {
+        match self.verdict(fingerprint) {
             PoisonVerdict::Refused(span) | PoisonVerdict::Undecided(span) => Some(span),
             PoisonVerdict::Clear | PoisonVerdict::Suspect => None,
         }
@@ -113,39 +113,43 @@
 
     /// For how long a request that has just come is refused, if it is. One that
     /// is not decided on waits until it is, for `patience` at most.
-    pub async fn judge(&self, digest: RequestDigest, patience: ClockSpan) -> Option<ClockSpan> {
+    pub async fn judge(
+        &self,
+        fingerprint: RequestFingerprint,
+        patience: ClockSpan,
+    ) -> Option<ClockSpan> {
         let until = self.clock.now() + patience;
-        while let PoisonVerdict::Undecided(span) = self.verdict(digest) {
+        while let PoisonVerdict::Undecided(span) = self.verdict(fingerprint) {
             let rest = span.min(self.clock.left(until));
             if rest == ClockSpan::ZERO {
                 return Some(span);
             }
             Timer::after(timer_span(rest)).await;
         }
-        self.refused_for(digest)?;
+        self.refused_for(fingerprint)?;
         metrics::counter!("guavawell_forward_poison_refused_total").increment(1);
         let now = self.clock.now();
-        self.table.borrow_mut().refused(digest, now);
-        self.refused_for(digest)
+        self.table.borrow_mut().refused(fingerprint, now);
+        self.refused_for(fingerprint)
     }
 
     /// Whether another attempt of the same request may follow one that failed.
     #[must_use]
-    pub fn may_repeat(&self, digest: RequestDigest) -> bool {
-        self.table.borrow().may_repeat(digest)
+    pub fn may_repeat(&self, fingerprint: RequestFingerprint) -> bool {
+        self.table.borrow().may_repeat(fingerprint)
     }
 
     /// A server crashed under an attempt that began at the mark `began`.
     pub fn crashed(
         &self,
-        digest: RequestDigest,
+        fingerprint: RequestFingerprint,
         organisation: OrganisationTag,
         began: SuspicionMark,
         server: &ServerLife,
     ) {
         let now = self.clock.now();
         let mut table = self.table.borrow_mut();
-        let change = table.crashed(digest, organisation, began, now);
+        let change = table.crashed(fingerprint, organisation, began, now);
         drop(table);
         if let Some(change) = change {
             self.note_change(change, &format_args!("crash of {server}"));
@@ -154,17 +158,17 @@
     }
 
     /// A request was answered completely.
-    pub fn answered(&self, digest: RequestDigest) {
+    pub fn answered(&self, fingerprint: RequestFingerprint) {
         let now = self.clock.now();
-        let change = self.table.borrow_mut().answered(digest, now);
+        let change = self.table.borrow_mut().answered(fingerprint, now);
         self.clear(change, &"answer");
     }
 
     /// An operator says that a request crashes no servers; false if it is not
     /// suspected.
-    pub fn acquit(&self, digest: RequestDigest) -> bool {
+    pub fn acquit(&self, fingerprint: RequestFingerprint) -> bool {
         let now = self.clock.now();
-        let change = self.table.borrow_mut().acquit(digest, now);
+        let change = self.table.borrow_mut().acquit(fingerprint, now);
         self.clear(change, &"operator");
         change.is_some()
     }
@@ -232,21 +236,24 @@
         let now = self.clock.now();
         let table = self.table.borrow();
         let lines = table.entries().iter().map(|entry| {
-            let verdict = match table.verdict(entry.digest, now) {
+            let verdict = match table.verdict(entry.fingerprint, now) {
                 PoisonVerdict::Clear => "clear",
                 PoisonVerdict::Suspect => "suspect",
                 PoisonVerdict::Undecided(_) => "undecided",
                 PoisonVerdict::Refused(_) => "refused",
             };
             let age = now.since(entry.at).as_millis();
-            let (digest, mark) = (entry.digest, entry.mark);
-            format!("{digest} {verdict} crashes={} age_ms={age}\n", mark.crashes)
+            let (fingerprint, mark) = (entry.fingerprint, entry.mark);
+            format!(
+                "{fingerprint} {verdict} crashes={} age_ms={age}\n",
+                mark.crashes
+            )
         });
         lines.collect()
     }
 
-    fn verdict(&self, digest: RequestDigest) -> PoisonVerdict {
-        self.table.borrow().verdict(digest, self.clock.now())
+    fn verdict(&self, fingerprint: RequestFingerprint) -> PoisonVerdict {
+        self.table.borrow().verdict(fingerprint, self.clock.now())
     }
 
     fn take_list(&self, list: &SuspicionList, own: bool, from: &dyn std::fmt::Display) {
@@ -282,7 +289,7 @@
         };
         metrics::counter!("guavawell_forward_poison_changes_total", "kind" => kind).increment(1);
         let draft = EventDraft::new(kind)
-            .field("digest", change.digest)
+            .field("fingerprint", change.fingerprint)
             .field("before", change.before)
             .field("mark", change.mark)
             .field("cause", cause);
@@ -296,8 +303,8 @@
         self.due.set(Some(due));
         self.row_bell.notify(usize::MAX);
         let mut news = self.news.borrow_mut();
-        if !news.contains(&change.digest) {
-            news.push(change.digest);
+        if !news.contains(&change.fingerprint) {
+            news.push(change.fingerprint);
         }
         self.news_bell.notify(usize::MAX);
     }
@@ -321,7 +328,7 @@
         let rest = news.split_off(rest);
         let news = std::mem::replace(&mut *news, rest);
         news.into_iter()
-            .filter_map(|digest| table.shared(digest, now))
+            .filter_map(|fingerprint| table.shared(fingerprint, now))
             .collect()
     }
 }
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -15,7 +15,7 @@
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::TokenCount;
 use guavawell_core::number::whole;
-use guavawell_core::poison::RequestDigest;
+use guavawell_core::poison::RequestFingerprint;
 use smol::Timer;
 
 use crate::budget::BudgetRefusal;
@@ -66,13 +66,13 @@
     if let Some((organisation, _)) = &organisation {
         record.organisation(organisation);
     }
-    let digest = digest_of(request, organisation.as_ref());
-    record.note("digest", digest);
+    let fingerprint = fingerprint_of(request, organisation.as_ref());
+    record.note("fingerprint", fingerprint);
     let (usage, shape) = read_prompt(router, request)?;
     let ends_at = end_of(router, &route, request)?;
     let left = router.clock.left(ends_at);
     let patience = ClockSpan::from_millis(left.as_millis() / VERDICT_PARTS);
-    if let Some(span) = router.poison.judge(digest, patience).await {
+    if let Some(span) = router.poison.judge(fingerprint, patience).await {
         return Err(RefusalAnswer::new(ForwardRefusal::CrashesServers).after(span));
     }
     if !router.can_finish(ends_at) {
@@ -95,7 +95,7 @@
     Ok(ForwardCall {
         request,
         id,
-        digest,
+        fingerprint,
         route,
         service,
         engine,
@@ -169,13 +169,13 @@
     Ok(Some((entry.id.clone(), entry.priority)))
 }
 
-fn digest_of(
+fn fingerprint_of(
     request: &ReceivedRequest,
     organisation: Option<&(OrganisationId, Option<u8>)>,
-) -> RequestDigest {
+) -> RequestFingerprint {
     let head = &request.head;
     let organisation = organisation.map(|(id, _)| id);
-    RequestDigest::of(organisation, &head.host, &head.target, &request.body)
+    RequestFingerprint::of(organisation, &head.host, &head.target, &request.body)
 }
 
 fn read_prompt(
--- a/crates/guavawell-forward/src/ready.rs
+++ b/crates/guavawell-forward/src/ready.rs
@@ -19,7 +19,7 @@
 
 /// Where the requests that are suspected of crashing servers are listed.
 const SUSPECTS_PATH: &str = "/suspects";
-/// What comes before the digest of a request that is not to be suspected any
+/// What comes before the fingerprint of a request that is not to be suspected any
 /// more.
 const ACQUIT_PATH: &str = "/suspects/acquit/";
 /// Largest head of a question, in bytes.
@@ -96,10 +96,10 @@
         return (405, "use POST\n".into());
     }
     match head.path()[ACQUIT_PATH.len()..].parse() {
-        Ok(digest) if router.poison.acquit(digest) => (200, "acquitted\n".into()),
-        Ok(digest) => (
+        Ok(fingerprint) if router.poison.acquit(fingerprint) => (200, "acquitted\n".into()),
+        Ok(fingerprint) => (
             404,
-            format!("{digest} is not suspected; see {SUSPECTS_PATH}\n"),
+            format!("{fingerprint} is not suspected; see {SUSPECTS_PATH}\n"),
         ),
         Err(error) => (400, format!("{error}\n")),
     }
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -145,13 +145,16 @@
     call: &ForwardCall<'_>,
     progress: &RequestProgress,
 ) -> Result<ServerPick, ForwardRefusal> {
-    if router.poison.refused_for(call.digest).is_some() {
+    if router.poison.refused_for(call.fingerprint).is_some() {
         return Err(ForwardRefusal::CrashesServers);
     }
     if router.clock.left(call.ends_at) < LEAST_TIME {
         return Err(ForwardRefusal::TooLate);
     }
-    let suspect = router.poison.is_suspect(call.digest).then_some(call.digest);
+    let suspect = router
+        .poison
+        .is_suspect(call.fingerprint)
+        .then_some(call.fingerprint);
     let ask = ChoiceAsk {
         service: &call.service,
         engine: call.engine,
@@ -189,7 +192,7 @@
         return false;
     }
     progress.sent < call.route.attempts
-        && router.poison.may_repeat(call.digest)
+        && router.poison.may_repeat(call.fingerprint)
         && router.take_repeat(&call.service)
 }
 
@@ -204,7 +207,7 @@
 ) {
     let lost = match outcome {
         AttemptOutcome::Delivered(200..300, _) => {
-            router.poison.answered(call.digest);
+            router.poison.answered(call.fingerprint);
             false
         }
         AttemptOutcome::Cut | AttemptOutcome::Ended(AttemptEnd::Lost, _) => true,
@@ -215,10 +218,10 @@
     }
     let attempt = abandoned(call, progress, server);
     if has_crashed(router, server).await {
-        let (digest, organisation) = (attempt.digest, attempt.organisation);
+        let (fingerprint, organisation) = (attempt.fingerprint, attempt.organisation);
         router
             .poison
-            .crashed(digest, organisation, attempt.began, server);
+            .crashed(fingerprint, organisation, attempt.began, server);
     } else {
         router.crashes.abandon(router.clock.now(), attempt);
     }
@@ -240,7 +243,7 @@
     metrics::counter!("guavawell_forward_attempts_failed_total", "end" => end).increment(1);
     let mut draft = EventDraft::new("attempt.ended")
         .field("end", end)
-        .field("digest", call.digest)
+        .field("fingerprint", call.fingerprint)
         .field("server", &pick.server);
     draft.request = call.id.parse().ok();
     if let Some(server) = router.servers.borrow().get(&pick.server) {
@@ -276,7 +279,7 @@
     let now = router.clock.now();
     let resumes = router.servers.borrow().resumes_in(&call.service, now);
     let base = match refusal {
-        ForwardRefusal::CrashesServers => router.poison.refused_for(call.digest),
+        ForwardRefusal::CrashesServers => router.poison.refused_for(call.fingerprint),
         ForwardRefusal::ServersPaused | ForwardRefusal::NoServer => resumes,
         ForwardRefusal::ServersFull => resumes.or(Some(RETRY_FULL)),
         _ => None,
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -11,7 +11,7 @@
 use guavawell_core::forward::TokenUsage;
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::ServiceId;
-use guavawell_core::poison::RequestDigest;
+use guavawell_core::poison::RequestFingerprint;
 
 use crate::budget::TokenReservation;
 use crate::door::ReceivedRequest;
@@ -31,7 +31,7 @@
     /// The caller's id of the request.
     pub id: &'a str,
     /// What it has in common with its repetitions under other ids.
-    pub digest: RequestDigest,
+    pub fingerprint: RequestFingerprint,
     /// Its route.
     pub route: Arc<RouteEntry>,
     /// The service that it goes to.
