One wait for a bell, one way to hold a lost attempt against its request

A wait for a bell with a limit stood three times (budget, poison, crash): it is clock::wait_until now. The step from a lost attempt to a crash, or to a doubt, stood in send.rs and again in crash.rs, with the four parts of an attempt passed one by one: crash::note_lost and PoisonDesk::crashed take the attempt. A question for the suspect with its then_some stood twice: PoisonDesk::suspect.

--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -66,10 +66,7 @@
 ) -> AttemptOutcome {
     progress.tried.push(pick.server.clone());
     let memory = call.usage.worst_case().get();
-    let suspect = router
-        .poison
-        .is_suspect(call.fingerprint)
-        .then_some(call.fingerprint);
+    let suspect = router.poison.suspect(call.fingerprint);
     let lease = ServerLease::new(router, pick, memory, suspect);
     let began = router.clock.now();
     let Some(channel) = open_channel(router, call, &pick.server).await else {
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -19,8 +19,6 @@
 use std::time::Duration;
 
 use event_listener::Event;
-use event_listener::EventListener;
-use futures_lite::FutureExt;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::grant::BookSettings;
@@ -37,6 +35,7 @@
 use self::peers::PeerEntry;
 use self::question::PeerChannels;
 use crate::clock::SteadyClock;
+use crate::clock::wait_until;
 use crate::poison::PoisonDesk;
 use crate::store::RowStore;
 
@@ -213,10 +212,3 @@
 fn fault_pause() -> Duration {
     FAULT_PAUSE + FAULT_PAUSE.mul_f64(fastrand::f64())
 }
-
-async fn wait_until(bell: EventListener, limit: Duration) {
-    let late = async {
-        Timer::after(limit).await;
-    };
-    bell.or(late).await;
-}
--- a/crates/guavawell-forward/src/clock.rs
+++ b/crates/guavawell-forward/src/clock.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use event_listener::EventListener;
+use futures_lite::FutureExt;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use smol::Timer;
 
 /// Steady time since this process started. It stands still while the machine
 /// is suspended and never jumps with the time of day.
@@ -44,3 +47,11 @@
 pub const fn timer_span(span: ClockSpan) -> Duration {
     Duration::from_millis(span.as_millis())
 }
+
+/// Waits until a bell rings, for `limit` at most.
+pub async fn wait_until(bell: EventListener, limit: Duration) {
+    let late = async {
+        Timer::after(limit).await;
+    };
+    bell.or(late).await;
+}
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -16,7 +16,6 @@
 use std::time::Duration;
 
 use event_listener::Event;
-use futures_lite::FutureExt;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ServerLife;
@@ -27,6 +26,7 @@
 use smol::Timer;
 
 use crate::clock::timer_span;
+use crate::clock::wait_until;
 use crate::http::HttpChannel;
 use crate::router::ForwardRouter;
 
@@ -115,7 +115,7 @@
 
     /// Remembers an attempt for the case that its server crashes, or turns out
     /// to have crashed.
-    pub fn abandon(&self, now: ClockTime, attempt: AbandonedAttempt) {
+    fn abandon(&self, now: ClockTime, attempt: AbandonedAttempt) {
         let mut abandoned = self.abandoned.borrow_mut();
         if abandoned.len() >= MAX_ABANDONED {
             abandoned.pop_front();
@@ -168,8 +168,18 @@
     }
 }
 
+/// Takes note of an attempt that its server broke off: it counts at once if the
+/// server has crashed, and later if that turns out.
+pub async fn note_lost(router: &ForwardRouter, attempt: AbandonedAttempt) {
+    if has_crashed(router, &attempt.server).await {
+        router.poison.crashed(&attempt);
+    } else {
+        router.crashes.abandon(router.clock.now(), attempt);
+    }
+}
+
 /// Whether a server that just broke off has crashed. One that leaves has not.
-pub async fn has_crashed(router: &Rc<ForwardRouter>, server: &ServerLife) -> bool {
+async fn has_crashed(router: &ForwardRouter, server: &ServerLife) -> bool {
     let listed = router.servers.borrow().get(server).map(|held| held.phase);
     if listed == Some(ServerPhase::Leaving) {
         return false;
@@ -191,10 +201,7 @@
     if let Some(crashed) = check.crashed.get() {
         return crashed;
     }
-    let late = async {
-        Timer::after(timer_span(WAIT_LIMIT)).await;
-    };
-    known.or(late).await;
+    wait_until(known, timer_span(WAIT_LIMIT)).await;
     check.crashed.get().unwrap_or(false)
 }
 
@@ -267,9 +274,6 @@
     router.pool.borrow_mut().forget(server);
     let abandoned = router.crashes.take_abandoned(server, now);
     for attempt in abandoned.iter().filter(|_| !leaves) {
-        let (fingerprint, organisation) = (attempt.fingerprint, attempt.organisation);
-        router
-            .poison
-            .crashed(fingerprint, organisation, attempt.began, server);
+        router.poison.crashed(attempt);
     }
 }
--- a/crates/guavawell-forward/src/poison/mod.rs
+++ b/crates/guavawell-forward/src/poison/mod.rs
@@ -13,12 +13,10 @@
 use event_listener::Event;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
-use guavawell_core::forward::ServerLife;
 use guavawell_core::grant::StoreClock;
 use guavawell_core::grant::decode_row;
 use guavawell_core::id::InstanceId;
 use guavawell_core::poison::MarkChange;
-use guavawell_core::poison::OrganisationTag;
 use guavawell_core::poison::PoisonSettings;
 use guavawell_core::poison::PoisonTable;
 use guavawell_core::poison::PoisonVerdict;
@@ -32,6 +30,7 @@
 
 use crate::clock::SteadyClock;
 use crate::clock::timer_span;
+use crate::crash::AbandonedAttempt;
 use crate::store::RowStore;
 
 /// Table of the instances' rows, in its unnamed part.
@@ -96,10 +95,10 @@
         self.table.borrow().mark(fingerprint)
     }
 
-    /// Whether servers crashed under a request that is not refused yet.
+    /// The request, if servers crashed under it and it is not refused yet.
     #[must_use]
-    pub fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
-        self.verdict(fingerprint) == PoisonVerdict::Suspect
+    pub fn suspect(&self, fingerprint: RequestFingerprint) -> Option<RequestFingerprint> {
+        (self.verdict(fingerprint) == PoisonVerdict::Suspect).then_some(fingerprint)
     }
 
     /// For how long a request is not to be sent, if it is not.
@@ -139,20 +138,15 @@
         self.table.borrow().may_repeat(fingerprint)
     }
 
-    /// A server crashed under an attempt that began at the mark `began`.
-    pub fn crashed(
-        &self,
-        fingerprint: RequestFingerprint,
-        organisation: OrganisationTag,
-        began: SuspicionMark,
-        server: &ServerLife,
-    ) {
+    /// A server crashed under an attempt.
+    pub fn crashed(&self, attempt: &AbandonedAttempt) {
+        let (fingerprint, organisation) = (attempt.fingerprint, attempt.organisation);
         let now = self.clock.now();
         let mut table = self.table.borrow_mut();
-        let change = table.crashed(fingerprint, organisation, began, now);
+        let change = table.crashed(fingerprint, organisation, attempt.began, now);
         drop(table);
         if let Some(change) = change {
-            self.note_change(change, &format_args!("crash of {server}"));
+            self.note_change(change, &format_args!("crash of {}", attempt.server));
             self.announce(change, CRASH_PAUSE);
         }
     }
--- a/crates/guavawell-forward/src/poison/publish.rs
+++ b/crates/guavawell-forward/src/poison/publish.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_lite::FutureExt;
 use guavawell_core::grant::encode_row;
 use guavawell_core::poison::SuspicionList;
 use smol::Timer;
@@ -11,6 +10,7 @@
 use super::POISON_TABLE;
 use super::PoisonDesk;
 use crate::clock::timer_span;
+use crate::clock::wait_until;
 use crate::store::RowKey;
 use crate::store::RowState;
 use crate::store::StoreFault;
@@ -55,10 +55,7 @@
                     if rest.as_millis() == 0 {
                         return;
                     }
-                    let late = async {
-                        Timer::after(timer_span(rest)).await;
-                    };
-                    bell.or(late).await;
+                    wait_until(bell, timer_span(rest)).await;
                 }
             }
         }
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -20,7 +20,7 @@
 use crate::attempt::AttemptOutcome;
 use crate::attempt::abandoned;
 use crate::attempt::send_attempt;
-use crate::crash::has_crashed;
+use crate::crash::note_lost;
 use crate::http::HttpChannel;
 use crate::record::RequestRecord;
 use crate::refuse::RefusalAnswer;
@@ -151,10 +151,7 @@
     if router.clock.left(call.ends_at) < LEAST_TIME {
         return Err(ForwardRefusal::TooLate);
     }
-    let suspect = router
-        .poison
-        .is_suspect(call.fingerprint)
-        .then_some(call.fingerprint);
+    let suspect = router.poison.suspect(call.fingerprint);
     let ask = ChoiceAsk {
         service: &call.service,
         engine: call.engine,
@@ -199,7 +196,7 @@
 /// Takes note of what an attempt tells of the request: a server that crashed
 /// under it, or a complete answer.
 async fn note_suspicion(
-    router: &Rc<ForwardRouter>,
+    router: &ForwardRouter,
     call: &ForwardCall<'_>,
     progress: &RequestProgress,
     server: &ServerLife,
@@ -213,17 +210,8 @@
         AttemptOutcome::Cut | AttemptOutcome::Ended(AttemptEnd::Lost, _) => true,
         _ => false,
     };
-    if !lost {
-        return;
-    }
-    let attempt = abandoned(call, progress, server);
-    if has_crashed(router, server).await {
-        let (fingerprint, organisation) = (attempt.fingerprint, attempt.organisation);
-        router
-            .poison
-            .crashed(fingerprint, organisation, attempt.began, server);
-    } else {
-        router.crashes.abandon(router.clock.now(), attempt);
+    if lost {
+        note_lost(router, abandoned(call, progress, server)).await;
     }
 }
 
