--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! state that takes the time as an argument; carrying out is `guavawell-forward`'s.
 
 mod admission;
+mod belief;
 mod choice;
 mod congestion;
 mod connect;
@@ -20,6 +21,9 @@
 
 pub use admission::AdmissionSettings;
 pub use admission::admit;
+pub use belief::BeliefStep;
+pub use belief::ConfigBelief;
+pub use belief::ConfigSource;
 pub use choice::ChoiceAsk;
 pub use choice::ChoiceRefusal;
 pub use choice::ChoiceSettings;
--- a/crates/guavawell-forward/src/clock.rs
+++ b/crates/guavawell-forward/src/clock.rs
@@ -7,6 +7,8 @@
 use futures_lite::FutureExt;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use smol::Timer;
 
 /// Steady time since this process started. It stands still while the machine
@@ -35,6 +37,16 @@
         Self::ORIGIN + ClockSpan::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
     }
 
+    /// The time since the machine's start, suspensions included: what is known
+    /// ages in them as well. Not to be compared with [`now`](Self::now).
+    #[must_use]
+    pub fn boot_now(&self) -> ClockTime {
+        let time = clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let millis = u64::try_from(time.tv_nsec / 1_000_000).unwrap_or_default();
+        ClockTime::from_millis(seconds * 1_000 + millis)
+    }
+
     /// The time left until `end`.
     #[must_use]
     pub fn left(&self, end: ClockTime) -> ClockSpan {
--- /dev/null
+++ b/crates/guavawell-forward/src/config/mod.rs
@@ -0,0 +1,200 @@
+//! The configuration in force at this instance, and how old it may be.
+//!
+//! `guavawell_core::forward::ConfigBelief` decides what comes into force; this
+//! folder keeps the configuration itself and what the store holds of it.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::rc::Rc;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::BeliefStep;
+use guavawell_core::forward::ConfigBelief;
+use guavawell_core::forward::ConfigSource;
+use guavawell_core::forward::ForwardConfig;
+use guavawell_core::number::fraction;
+use guavawell_fleet::event::EventDraft;
+use guavawell_fleet::event::EventLog;
+
+use crate::clock::SteadyClock;
+
+/// Decodes a configuration as the platform's store holds it; the text says what
+/// cannot be read.
+pub type ConfigDecoder = Box<dyn Fn(&[u8]) -> Result<ForwardConfig, Box<str>>>;
+
+/// What an answer of the store tells of the configuration.
+#[derive(Clone, Copy, Debug)]
+pub enum ConfigTold<'a> {
+    /// The row's bytes and its revision.
+    Row(&'a [u8], u64),
+    /// Why the row of this revision cannot be read.
+    Unreadable(&'a str, u64),
+    /// It is still what the store told last.
+    Unchanged,
+}
+
+/// A configuration that the store told.
+#[derive(Clone, Debug)]
+struct StoredConfig {
+    config: Rc<ForwardConfig>,
+    bytes: Box<[u8]>,
+}
+
+/// The configuration of one process.
+pub struct ConfigDesk {
+    clock: SteadyClock,
+    log: EventLog,
+    decode: ConfigDecoder,
+    belief: RefCell<ConfigBelief>,
+    /// What is in force.
+    current: RefCell<Option<Rc<ForwardConfig>>>,
+    /// What the store told last.
+    stored: RefCell<Option<StoredConfig>>,
+}
+
+impl ConfigDesk {
+    /// A desk that knows no configuration yet.
+    #[must_use]
+    pub fn new(clock: SteadyClock, log: EventLog, decode: ConfigDecoder) -> Self {
+        Self {
+            clock,
+            log,
+            decode,
+            belief: RefCell::default(),
+            current: RefCell::default(),
+            stored: RefCell::default(),
+        }
+    }
+
+    /// The configuration in force, once one is known.
+    #[must_use]
+    pub fn current(&self) -> Option<Rc<ForwardConfig>> {
+        self.current.borrow().clone()
+    }
+
+    /// For how long newer versions may exist without being known here; `None`
+    /// while none is known.
+    #[must_use]
+    pub fn age(&self) -> Option<ClockSpan> {
+        self.belief.borrow().age(self.clock.boot_now())
+    }
+
+    /// The time of a question, for what is told of its answer.
+    #[must_use]
+    pub fn question_time(&self) -> ClockTime {
+        self.clock.boot_now()
+    }
+
+    /// Tells the metrics how old the configuration may be.
+    pub fn report_age(&self) {
+        if let Some(age) = self.age() {
+            let seconds = fraction(age.as_millis()) / 1_000.0;
+            metrics::gauge!("guavawell_forward_config_age_seconds").set(seconds);
+        }
+    }
+
+    /// The store answered a question sent at `asked`. Returns the configuration
+    /// that it told, if that could be read.
+    pub fn store_told(&self, told: ConfigTold<'_>, asked: ClockTime) -> Option<Rc<ForwardConfig>> {
+        let now = self.clock.boot_now();
+        let (bytes, revision) = match told {
+            ConfigTold::Row(bytes, revision) => (bytes, revision),
+            ConfigTold::Unreadable(error, revision) => {
+                self.unreadable(error, revision);
+                return None;
+            }
+            ConfigTold::Unchanged => {
+                let step = self.belief.borrow_mut().store_unchanged(asked, now);
+                self.follow(step, None, asked, now);
+                return None;
+            }
+        };
+        let read = self.read(bytes);
+        let config = read
+            .inspect_err(|error| self.unreadable(error, revision))
+            .ok()?;
+        let mut belief = self.belief.borrow_mut();
+        let step = belief.store_told(config.version, revision, asked, now);
+        drop(belief);
+        self.store(&config, bytes);
+        self.follow(step, Some(&config), asked, now);
+        Some(config)
+    }
+
+    /// What is in force stays, and is known not to be the newest.
+    fn unreadable(&self, error: &str, revision: u64) {
+        self.belief.borrow_mut().store_unreadable(revision);
+        let draft = EventDraft::new("config.unreadable")
+            .field("row", revision)
+            .field("error", error);
+        self.log.emit(draft);
+    }
+
+    /// Decodes a row, unless it is the one that is held already.
+    fn read(&self, bytes: &[u8]) -> Result<Rc<ForwardConfig>, Box<str>> {
+        let stored = self.stored.borrow();
+        match stored.as_ref().filter(|stored| *stored.bytes == *bytes) {
+            Some(stored) => Ok(Rc::clone(&stored.config)),
+            None => (self.decode)(bytes).map(Rc::new),
+        }
+    }
+
+    fn store(&self, config: &Rc<ForwardConfig>, bytes: &[u8]) {
+        let mut stored = self.stored.borrow_mut();
+        let newer = |held: &StoredConfig| held.config.version >= config.version;
+        if !stored.as_ref().is_some_and(newer) {
+            *stored = Some(StoredConfig {
+                config: Rc::clone(config),
+                bytes: bytes.into(),
+            });
+        }
+    }
+
+    /// Does what follows from an answer of the store.
+    fn follow(
+        &self,
+        step: BeliefStep,
+        told: Option<&Rc<ForwardConfig>>,
+        asked: ClockTime,
+        now: ClockTime,
+    ) {
+        match (step, told) {
+            (BeliefStep::Take, Some(config)) => {
+                self.put_in_force(config, ConfigSource::Store, now.since(asked));
+            }
+            (BeliefStep::Disown, _) => self.disown(),
+            _ => {}
+        }
+    }
+
+    fn put_in_force(&self, config: &Rc<ForwardConfig>, source: ConfigSource, age: ClockSpan) {
+        let before = self.current.replace(Some(Rc::clone(config)));
+        let draft = EventDraft::new("config.in_force")
+            .field("version", config.version)
+            .field("before", before.map_or(0, |held| held.version))
+            .field("source", source.as_str())
+            .field("age_ms", age.as_millis())
+            .field("organisations", config.organisations.len());
+        self.log.emit(draft);
+        metrics::gauge!("guavawell_forward_config_version").set(fraction(config.version));
+    }
+
+    /// Goes back to what the store told last.
+    fn disown(&self) {
+        let stored = self.stored.borrow();
+        let instead = stored.as_ref().map(|stored| Rc::clone(&stored.config));
+        let version = |config: Option<&Rc<ForwardConfig>>| config.map_or(0, |held| held.version);
+        let before = self.current.replace(instead.clone());
+        let draft = EventDraft::new("config.disowned")
+            .field("version", version(before.as_ref()))
+            .field("instead", version(instead.as_ref()));
+        self.log.emit(draft);
+    }
+}
+
+impl fmt::Debug for ConfigDesk {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("ConfigDesk")
+    }
+}
--- a/crates/guavawell-forward/src/door.rs
+++ b/crates/guavawell-forward/src/door.rs
@@ -84,11 +84,8 @@
 }
 
 fn caller_limits(router: &ForwardRouter) -> ForwardLimits {
-    let config = router.config.borrow();
-    config
-        .as_ref()
-        .map(|config| config.limits)
-        .unwrap_or_default()
+    let config = router.configs.current();
+    config.map(|config| config.limits).unwrap_or_default()
 }
 
 /// Receives one request; `Err(None)` if the connection just ends.
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -55,11 +55,13 @@
     record: &RequestRecord,
 ) -> Result<ForwardCall<'a>, RefusalAnswer> {
     await_start(router, request).await?;
-    let config = router.config.borrow().clone();
-    let Some(config) = config else {
+    let Some(config) = router.configs.current() else {
         return Err(RefusalAnswer::new(ForwardRefusal::NoConfig).after(RETRY_NO_CONFIG));
     };
     record.note("config", config.version);
+    if let Some(age) = router.configs.age() {
+        record.note("config_age_ms", age.as_millis());
+    }
     let route = find_route(router, &config, request)?;
     record.note("route", &route.name);
     let organisation = identify(router, &config, &route, request)?;
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -18,12 +18,13 @@
 use guavawell_core::forward::ServerTable;
 use guavawell_core::id::BackendId;
 use guavawell_core::id::ServiceId;
-use guavawell_core::number::fraction;
 use guavawell_fleet::event::EventDraft;
 use guavawell_fleet::event::EventLog;
 
 use crate::budget::BudgetDesk;
 use crate::clock::SteadyClock;
+use crate::config::ConfigDesk;
+use crate::config::ConfigTold;
 use crate::crash::CrashChecks;
 use crate::poison::PoisonDesk;
 use crate::pool::ConnectionPool;
@@ -49,8 +50,8 @@
     pub clock: SteadyClock,
     /// Its log.
     pub log: EventLog,
-    /// The configuration in force here, once one is known.
-    pub config: RefCell<Option<Rc<ForwardConfig>>>,
+    /// The configuration in force here.
+    pub configs: Rc<ConfigDesk>,
     /// Known backend servers.
     pub servers: RefCell<ServerTable>,
     /// A server started again under its id.
@@ -81,8 +82,6 @@
     pub held_bytes: Cell<usize>,
     /// Where the process stands.
     pub phase: Cell<RouterPhase>,
-    /// When the platform last answered a question about the configuration.
-    pub told_at: Cell<ClockTime>,
     /// When the platform last failed to answer.
     pub trouble_at: Cell<Option<ClockTime>>,
 }
@@ -94,13 +93,14 @@
         settings: ForwardSettings,
         clock: SteadyClock,
         log: EventLog,
+        configs: Rc<ConfigDesk>,
         budgets: Rc<BudgetDesk>,
         poison: Rc<PoisonDesk>,
     ) -> Self {
         Self {
             clock,
             log,
-            config: RefCell::new(None),
+            configs,
             servers: RefCell::default(),
             reborn: Event::new(),
             informed: Event::new(),
@@ -117,31 +117,26 @@
             held_requests: Cell::new(0),
             held_bytes: Cell::new(0),
             phase: Cell::new(RouterPhase::Serving),
-            told_at: Cell::new(SteadyClock::ORIGIN),
             trouble_at: Cell::new(None),
         }
     }
 
-    /// Takes a configuration into force, unless a newer one is.
-    pub fn accept_config(&self, config: ForwardConfig) {
-        let before = self.config.borrow().as_ref().map(|held| held.version);
-        if before.is_some_and(|held| held >= config.version) {
+    /// The store answered a question about the configuration sent at `asked`.
+    pub fn config_told(&self, told: ConfigTold<'_>, asked: ClockTime) {
+        let Some(config) = self.configs.store_told(told, asked) else {
             return;
-        }
-        let version = config.version;
+        };
+        self.take_paid(&config);
+        self.informed.notify(usize::MAX);
+    }
+
+    /// What organisations paid. Only the store's own word raises it.
+    fn take_paid(&self, config: &ForwardConfig) {
         for entry in &config.organisations {
             if let Some(paid) = entry.paid {
-                self.budgets.set_paid(&entry.id, paid.get(), version);
+                self.budgets.set_paid(&entry.id, paid.get(), config.version);
             }
         }
-        let draft = EventDraft::new("config.in_force")
-            .field("version", version)
-            .field("before", before.unwrap_or(0))
-            .field("organisations", config.organisations.len());
-        self.log.emit(draft);
-        metrics::gauge!("guavawell_forward_config_version").set(fraction(version));
-        *self.config.borrow_mut() = Some(Rc::new(config));
-        self.informed.notify(usize::MAX);
     }
 
     /// The platform lists a server.
@@ -241,11 +236,6 @@
         self.log.emit(draft);
     }
 
-    /// The platform answered.
-    pub fn platform_answered(&self) {
-        self.told_at.set(self.clock.now());
-    }
-
     /// The platform failed to answer.
     pub fn platform_failed(&self) {
         self.trouble_at.set(Some(self.clock.now()));
@@ -255,8 +245,8 @@
     /// know may still exist.
     #[must_use]
     pub fn in_doubt(&self) -> bool {
-        let age = self.clock.now().since(self.told_at.get());
-        age > self.settings.times.config_doubt
+        let age = self.configs.age();
+        age.is_none_or(|age| age > self.settings.times.config_doubt)
     }
 
     /// Whether new connections are welcome.
@@ -294,7 +284,7 @@
     /// of requests that crash them are known.
     #[must_use]
     pub fn is_informed(&self) -> bool {
-        self.config.borrow().is_some() && self.servers_read.get() && self.poison.is_read()
+        self.configs.current().is_some() && self.servers_read.get() && self.poison.is_read()
     }
 
     /// Waits until a configuration and the list of servers are known.
--- a/crates/guavawell-forward/src/words.rs
+++ b/crates/guavawell-forward/src/words.rs
@@ -45,7 +45,7 @@
         return;
     }
     router.pool.borrow_mut().forget(server);
-    let silent = router.clock.now().since(router.told_at.get());
+    let silent = router.configs.age().unwrap_or_default();
     let draft = EventDraft::new("server.says_leaving")
         .field("server", server)
         .field("platform_silent_ms", silent.as_millis());
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -21,6 +21,8 @@
 use guavawell_fleet::event::EventLog;
 use guavawell_forward::budget::BudgetDesk;
 use guavawell_forward::clock::SteadyClock;
+use guavawell_forward::config::ConfigDesk;
+use guavawell_forward::config::ConfigTold;
 use guavawell_forward::names::FieldNames;
 use guavawell_forward::poison::PoisonDesk;
 use guavawell_forward::router::ForwardRouter;
@@ -86,7 +88,9 @@
         book,
         poison: PoisonSettings::default(),
     };
-    ForwardRouter::new(settings, clock, log, Rc::new(desk), poison)
+    let decode = Box::new(|_: &[u8]| Ok(config()));
+    let configs = Rc::new(ConfigDesk::new(clock, log.clone(), decode));
+    ForwardRouter::new(settings, clock, log, configs, Rc::new(desk), poison)
 }
 
 fn config() -> ForwardConfig {
@@ -106,7 +110,8 @@
     block_on(async {
         let mut first = Box::pin(router.wait_informed());
         assert!(poll_once(&mut first).await.is_none());
-        router.accept_config(config());
+        let told = ConfigTold::Row(b"the first", 1);
+        router.config_told(told, router.configs.question_time());
         assert!(
             poll_once(&mut first).await.is_none(),
             "no server is known yet"
