A silent connection to the store costs a change half of its time at most

Cause: a question for the configuration that is not answered was asked again after 1.6 s at the earliest, and one that failed at once beside an open late one counted for nothing until its patience was over (OpenTries::poll_open). Only the configuration is asked beside: other tables would fill links with the same rows. QuestionPace (core) has the times; its test replays one and two silent connections in a row for 2, 3 and 4 s.

--- /dev/null
+++ b/crates/guavawell-core/src/forward/question.rs
@@ -0,0 +1,73 @@
+//! When a question for changes is asked again.
+//!
+//! Load pattern: a connection to the store goes silent, without a word and for
+//! good, while new ones work; at times the one after it does as well. A change
+//! that is confirmed right after is known only from a later question.
+
+use crate::clock::ClockSpan;
+
+/// Time beyond a question's wait in which the store usually answers, also one
+/// that is slow; after it another question is begun beside the first.
+const HEDGE_AFTER: ClockSpan = ClockSpan::from_millis(250);
+/// Time beyond a question's wait after which it counts as failed.
+const LATE_AFTER: ClockSpan = ClockSpan::from_millis(600);
+/// Pause after a failure.
+const FAULT_PAUSE: ClockSpan = ClockSpan::from_millis(100);
+/// Part of the time in which a change is to be in force that a question waits
+/// for it, as one part in so many.
+const WAIT_PARTS: u64 = 4;
+/// Bounds of that wait. Shorter ones cost calls, longer ones leave a silent
+/// connection unnoticed.
+const LEAST_WAIT: u64 = 250;
+/// See [`LEAST_WAIT`].
+const MOST_WAIT: u64 = 1_000;
+
+/// When a question for changes is asked again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuestionPace {
+    /// How long a question waits for a change.
+    pub wait: ClockSpan,
+}
+
+impl QuestionPace {
+    /// A pace at which a change is in force within `bound`: one silent
+    /// connection takes half of it at most, two in a row all.
+    #[must_use]
+    pub fn within(bound: ClockSpan) -> Self {
+        let wait = (bound.as_millis() / WAIT_PARTS).clamp(LEAST_WAIT, MOST_WAIT);
+        Self {
+            wait: ClockSpan::from_millis(wait),
+        }
+    }
+
+    /// The time from a question until another one is begun beside it, on a
+    /// connection of its own.
+    #[must_use]
+    pub const fn hedge_after(self) -> ClockSpan {
+        plus(self.wait, HEDGE_AFTER)
+    }
+
+    /// The time from a question until it counts as failed, with whatever was
+    /// begun beside it.
+    #[must_use]
+    pub const fn late_after(self) -> ClockSpan {
+        plus(self.wait, LATE_AFTER)
+    }
+
+    /// The pause after a failure.
+    #[must_use]
+    pub const fn fault_pause(self) -> ClockSpan {
+        FAULT_PAUSE
+    }
+
+    /// The age of what is known beyond which an answer is overdue, also at a
+    /// store that is slow: it counts from the question before the open one.
+    #[must_use]
+    pub const fn overdue_after(self) -> ClockSpan {
+        plus(self.late_after(), self.wait)
+    }
+}
+
+const fn plus(one: ClockSpan, other: ClockSpan) -> ClockSpan {
+    ClockSpan::from_millis(one.as_millis() + other.as_millis())
+}
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod lives;
 mod load;
 mod plan;
+mod question;
 mod repeat;
 mod route;
 mod support;
--- a/crates/guavawell-forward/src/http/tries.rs
+++ b/crates/guavawell-forward/src/http/tries.rs
@@ -39,8 +39,9 @@
     /// Begins one more try and waits for the first answer of any, `patience` at
     /// most. The others are given up once one is answered.
     ///
-    /// `None` while all are open: begin the next one. An error only if no try is
-    /// left.
+    /// `None` while all are open: begin the next one. The error of the newest try
+    /// is told at once, and earlier ones stay open: the way that failed is the
+    /// one that is in use now.
     pub async fn first_answer(
         &mut self,
         next: OpenTry<'a, T, E>,
@@ -64,7 +65,7 @@
         .await
     }
 
-    /// Polls every try; one that failed while others are open is dropped.
+    /// Polls every try; one that failed while later ones are open is dropped.
     fn poll_open(&mut self, context: &mut Context<'_>) -> Poll<Result<T, E>> {
         let mut place = 0;
         while place < self.open.len() {
@@ -76,7 +77,7 @@
                 }
                 Poll::Ready(Err(error)) => {
                     drop(self.open.remove(place));
-                    if self.open.is_empty() {
+                    if place == self.open.len() {
                         return Poll::Ready(Err(error));
                     }
                 }
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -245,8 +245,8 @@
     /// know may still exist.
     #[must_use]
     pub fn in_doubt(&self) -> bool {
-        let age = self.configs.age();
-        age.is_none_or(|age| age > self.settings.times.config_doubt)
+        let overdue = self.settings.times.config.overdue_after();
+        self.configs.age().is_none_or(|age| age > overdue)
     }
 
     /// Whether new connections are welcome.
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -8,6 +8,7 @@
 use guavawell_core::forward::CongestionSettings;
 use guavawell_core::forward::ConnectSettings;
 use guavawell_core::forward::LapseSettings;
+use guavawell_core::forward::QuestionPace;
 use guavawell_core::forward::RepeatSettings;
 use guavawell_core::grant::BookSettings;
 use guavawell_core::id::InstanceId;
@@ -44,9 +45,8 @@
     pub attempt: ClockSpan,
     /// Longest silence of a stream that another server can continue.
     pub stream_silence: ClockSpan,
-    /// Age of the platform's last word beyond which an unknown key or route is
-    /// not taken for a wrong one.
-    pub config_doubt: ClockSpan,
+    /// How often the configuration is asked for.
+    pub config: QuestionPace,
     /// Servers whose entries vanish around trouble with the platform.
     pub lapse: LapseSettings,
     /// Time from SIGTERM in which requests are taken as ever: the balancer asks
@@ -67,7 +67,7 @@
             idle_once: ClockSpan::from_millis(900),
             attempt: ClockSpan::from_millis(250),
             stream_silence: ClockSpan::from_millis(1_200),
-            config_doubt: ClockSpan::from_millis(2_000),
+            config: QuestionPace::within(ClockSpan::from_millis(2_000)),
             lapse: LapseSettings::default(),
             announce: ClockSpan::from_millis(2_900),
             grace: ClockSpan::from_millis(7_500),
--- a/crates/guavawell-forward/src/watch.rs
+++ b/crates/guavawell-forward/src/watch.rs
@@ -32,13 +32,13 @@
 /// Tells of a time in which the process did not run, or the machine was
 /// suspended: what callers sent meanwhile waited.
 fn note_pause(router: &ForwardRouter, passed: ClockSpan) {
-    let tick = u64::try_from(TICK.as_millis()).unwrap_or(u64::MAX);
-    let paused = passed.as_millis().saturating_sub(tick);
-    if paused <= PAUSE_SLACK.as_millis() {
+    let meant = u64::try_from(TICK.as_millis()).unwrap_or(u64::MAX);
+    let lost = passed.as_millis().saturating_sub(meant);
+    if lost <= PAUSE_SLACK.as_millis() {
         return;
     }
     metrics::counter!("guavawell_forward_pauses_total").increment(1);
-    let draft = EventDraft::new("process.paused").field("for_ms", paused);
+    let draft = EventDraft::new("process.paused").field("for_ms", lost);
     router.log.emit(draft);
 }
 
