After a pause a request waits for an answer that is not older than the pause

Cause: an answer counted as news when it was read. The process woke up to the answer from before the change and to the request, and served the request before its next question was answered. The class: a belief used without looking at how old it is. Evidence: process.paused for_ms=1420, request.ended config=1 config_age_ms=1919 answered by the former service. Now a request whose configuration was last proved longer ago than two questions take (1.6 s where changes are to be in force within 2 s) waits for a question that is sent now and asks without waiting, 250 ms or a quarter of its time at most. Where the store is away the first wait is in vain and no other follows it; age alone refuses nobody.

--- a/crates/guavawell-core/src/forward/belief.rs
+++ b/crates/guavawell-core/src/forward/belief.rs
@@ -65,6 +65,8 @@
     readable: Option<u64>,
     /// A version that the store did not have.
     disowned: Option<u64>,
+    /// A request waited for an answer of the store, and none came.
+    vain: bool,
 }
 
 impl ConfigBelief {
@@ -89,6 +91,19 @@
         Some(now.since(self.checked_at?))
     }
 
+    /// Whether a request waits a moment for an answer that is overdue: a process
+    /// that did not run is answered at once when it does again. Where the store
+    /// is away the first wait is in vain, and no other follows it.
+    #[must_use]
+    pub fn is_awaited(&self, overdue_after: ClockSpan, now: ClockTime) -> bool {
+        !self.vain && self.age(now).is_some_and(|age| age > overdue_after)
+    }
+
+    /// A request waited in vain.
+    pub const fn waited_in_vain(&mut self) {
+        self.vain = true;
+    }
+
     /// Whether another instance that speaks of a version knows more.
     #[must_use]
     pub fn is_behind(&self, version: u64) -> bool {
@@ -189,6 +204,9 @@
     }
 
     fn check(&mut self, at: ClockTime) {
-        self.checked_at = self.checked_at.max(Some(at));
+        if self.checked_at < Some(at) {
+            self.checked_at = Some(at);
+            self.vain = false;
+        }
     }
 }
--- a/crates/guavawell-forward/src/config/mod.rs
+++ b/crates/guavawell-forward/src/config/mod.rs
@@ -7,17 +7,21 @@
 use std::fmt;
 use std::rc::Rc;
 
+use event_listener::Event;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::BeliefStep;
 use guavawell_core::forward::ConfigBelief;
 use guavawell_core::forward::ConfigSource;
 use guavawell_core::forward::ForwardConfig;
+use guavawell_core::forward::QuestionPace;
 use guavawell_core::number::fraction;
 use guavawell_fleet::event::EventDraft;
 use guavawell_fleet::event::EventLog;
 
 use crate::clock::SteadyClock;
+use crate::clock::timer_span;
+use crate::clock::wait_until;
 
 /// Decodes a configuration as the platform's store holds it; the text says what
 /// cannot be read.
@@ -51,13 +55,24 @@
     current: RefCell<Option<Rc<ForwardConfig>>>,
     /// What the store told last.
     stored: RefCell<Option<StoredConfig>>,
+    /// Age beyond which an answer of the store is overdue.
+    overdue_after: ClockSpan,
+    /// The store answered.
+    answered: Event,
 }
 
 impl ConfigDesk {
     /// A desk that knows no configuration yet.
     #[must_use]
-    pub fn new(clock: SteadyClock, log: EventLog, decode: ConfigDecoder) -> Self {
+    pub fn new(
+        pace: QuestionPace,
+        clock: SteadyClock,
+        log: EventLog,
+        decode: ConfigDecoder,
+    ) -> Self {
         Self {
+            overdue_after: pace.overdue_after(),
+            answered: Event::new(),
             clock,
             log,
             decode,
@@ -80,6 +95,32 @@
         self.belief.borrow().age(self.clock.boot_now())
     }
 
+    /// Whether an answer of the store is overdue, so that what is not known here
+    /// may exist all the same.
+    #[must_use]
+    pub fn is_overdue(&self) -> bool {
+        self.age().is_none_or(|age| age > self.overdue_after)
+    }
+
+    /// Waits for an answer of the store that is overdue, for `patience` at most.
+    pub async fn await_check(&self, patience: ClockSpan) {
+        let until = self.clock.now() + patience;
+        while self.is_awaited() {
+            let answered = self.answered.listen();
+            let rest = self.clock.left(until);
+            if rest == ClockSpan::ZERO {
+                self.belief.borrow_mut().waited_in_vain();
+                return;
+            }
+            wait_until(answered, timer_span(rest)).await;
+        }
+    }
+
+    fn is_awaited(&self) -> bool {
+        let belief = self.belief.borrow();
+        belief.is_awaited(self.overdue_after, self.clock.boot_now())
+    }
+
     /// The time of a question, for what is told of its answer.
     #[must_use]
     pub fn question_time(&self) -> ClockTime {
@@ -159,6 +200,7 @@
         asked: ClockTime,
         now: ClockTime,
     ) {
+        self.answered.notify(usize::MAX);
         match (step, told) {
             (BeliefStep::Take, Some(config)) => {
                 self.put_in_force(config, ConfigSource::Store, now.since(asked));
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -32,11 +32,12 @@
 /// callers that lost their connections to the process before are there at once.
 /// After a stop of all instances 43 to 50 requests came within these 25 ms.
 const START_PATIENCE: ClockSpan = ClockSpan::from_millis(300);
-/// Most of a request's time that may go into that wait, as one part in so many.
-const START_PARTS: u64 = 4;
-/// Most of a request's time that may go into waiting for what others know of it,
+/// How long a request waits for an answer of the store that is overdue: a process
+/// that did not run, or lost a connection meanwhile, has it sooner.
+const CHECK_PATIENCE: ClockSpan = ClockSpan::from_millis(250);
+/// Most of a request's time that may go into one of its waits before it is sent,
 /// as one part in so many.
-const VERDICT_PARTS: u64 = 4;
+const WAIT_PARTS: u64 = 4;
 /// Retry-After of a process that has no configuration yet: its first read of
 /// the platform takes tens of milliseconds where the platform answers.
 const RETRY_NO_CONFIG: ClockSpan = ClockSpan::from_millis(500);
@@ -55,6 +56,7 @@
     record: &RequestRecord,
 ) -> Result<ForwardCall<'a>, RefusalAnswer> {
     await_start(router, request).await?;
+    await_check(router, request).await?;
     let Some(config) = router.configs.current() else {
         return Err(RefusalAnswer::new(ForwardRefusal::NoConfig).after(RETRY_NO_CONFIG));
     };
@@ -73,7 +75,7 @@
     let (usage, shape) = read_prompt(router, request)?;
     let ends_at = end_of(router, &route, request)?;
     let left = router.clock.left(ends_at);
-    let patience = ClockSpan::from_millis(left.as_millis() / VERDICT_PARTS);
+    let patience = ClockSpan::from_millis(left.as_millis() / WAIT_PARTS);
     if let Some(span) = router.poison.judge(fingerprint, patience).await {
         return Err(RefusalAnswer::new(ForwardRefusal::CrashesServers).after(span));
     }
@@ -117,9 +119,7 @@
     if router.is_informed() {
         return Ok(());
     }
-    let told = told_time(router, request)?;
-    let part = told.map(|span| ClockSpan::from_millis(span.as_millis() / START_PARTS));
-    let patience = part.map_or(START_PATIENCE, |part| part.min(START_PATIENCE));
+    let patience = patience(router, request, START_PATIENCE)?;
     let late = async {
         Timer::after(timer_span(patience)).await;
     };
@@ -127,9 +127,30 @@
     Ok(())
 }
 
+/// Waits a moment for news of the configuration that are overdue.
+async fn await_check(
+    router: &ForwardRouter,
+    request: &ReceivedRequest,
+) -> Result<(), RefusalAnswer> {
+    let patience = patience(router, request, CHECK_PATIENCE)?;
+    router.configs.await_check(patience).await;
+    Ok(())
+}
+
+/// A wait of `most`, or less where the request has little time.
+fn patience(
+    router: &ForwardRouter,
+    request: &ReceivedRequest,
+    most: ClockSpan,
+) -> Result<ClockSpan, RefusalAnswer> {
+    let told = told_time(router, request)?;
+    let part = told.map(|span| ClockSpan::from_millis(span.as_millis() / WAIT_PARTS));
+    Ok(part.map_or(most, |part| part.min(most)))
+}
+
 /// What a configuration does not know, unless a newer one may know it.
 fn unknown(router: &ForwardRouter, refusal: ForwardRefusal) -> RefusalAnswer {
-    if router.in_doubt() {
+    if router.configs.is_overdue() {
         RefusalAnswer::new(ForwardRefusal::NoConfig).after(RETRY_NO_CONFIG)
     } else {
         RefusalAnswer::new(refusal)
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -241,14 +241,6 @@
         self.trouble_at.set(Some(self.clock.now()));
     }
 
-    /// Whether the configuration may be out of date, so that what it does not
-    /// know may still exist.
-    #[must_use]
-    pub fn in_doubt(&self) -> bool {
-        let overdue = self.settings.times.config.overdue_after();
-        self.configs.age().is_none_or(|age| age > overdue)
-    }
-
     /// Whether new connections are welcome.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -89,7 +89,12 @@
         poison: PoisonSettings::default(),
     };
     let decode = Box::new(|_: &[u8]| Ok(config()));
-    let configs = Rc::new(ConfigDesk::new(clock, log.clone(), decode));
+    let configs = Rc::new(ConfigDesk::new(
+        settings.times.config,
+        clock,
+        log.clone(),
+        decode,
+    ));
     ForwardRouter::new(settings, clock, log, configs, Rc::new(desk), poison)
 }
 
