A request that waited is judged again by what is in force when it is sent on

Cause: route, service and organisation were decided once, when the request came. Now they are decided again before each attempt and once more when its connection stands, if another configuration is in force; a request that may have run is not sent again on a route that allows one run. The tokens set aside stay; where the key now belongs to another organisation the request is told to come again.

--- a/crates/guavawell-core/src/forward/route.rs
+++ b/crates/guavawell-core/src/forward/route.rs
@@ -187,6 +187,14 @@
 }
 
 impl RouteEntry {
+    /// Whether requests of the route may go to a service.
+    #[must_use]
+    pub fn sends_to(&self, service: &ServiceId) -> bool {
+        let mut shares = self.shares.iter();
+        shares
+            .any(|share| share.service == *service && (share.weight > 0 || self.shares.len() == 1))
+    }
+
     /// The service that a request goes to; `pick` is uniform over all `u64`.
     #[must_use]
     pub fn service(&self, pick: u64) -> &ServiceId {
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -24,6 +24,7 @@
 use crate::http::HttpChannel;
 use crate::http::ResponseHead;
 use crate::http::within;
+use crate::judge::is_allowed;
 use crate::lease::ServerLease;
 use crate::open::open_channel;
 use crate::relay::relay_plain;
@@ -77,7 +78,7 @@
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     };
     let late = router.clock.left(call.ends_at) == ClockSpan::default();
-    if late || !router.takes_requests(&pick.server) {
+    if late || !router.takes_requests(&pick.server) || !is_allowed(router, call) {
         progress.unsent += 1;
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     }
@@ -96,6 +97,7 @@
 }
 
 /// What is remembered of an attempt if nobody waits for its answer.
+#[must_use]
 pub fn abandoned(
     call: &ForwardCall<'_>,
     progress: &RequestProgress,
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod door;
 pub mod events;
 pub mod http;
+pub mod judge;
 pub mod lease;
 pub mod leave;
 pub mod names;
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -1,7 +1,6 @@
 //! What a request is and whether it may run, before anything is sent.
 
 use std::rc::Rc;
-use std::sync::Arc;
 
 use futures_lite::FutureExt;
 use guavawell_core::clock::ClockSpan;
@@ -22,6 +21,9 @@
 use crate::budget::TokenReservation;
 use crate::clock::timer_span;
 use crate::door::ReceivedRequest;
+use crate::judge::RETRY_NO_CONFIG;
+use crate::judge::find_route;
+use crate::judge::identify;
 use crate::record::RequestRecord;
 use crate::refuse::RefusalAnswer;
 use crate::router::ForwardRouter;
@@ -38,9 +40,6 @@
 /// Most of a request's time that may go into one of its waits before it is sent,
 /// as one part in so many.
 const WAIT_PARTS: u64 = 4;
-/// Retry-After of a process that has no configuration yet: its first read of
-/// the platform takes tens of milliseconds where the platform answers.
-const RETRY_NO_CONFIG: ClockSpan = ClockSpan::from_millis(500);
 /// Retry-After where bodies fill the memory set aside for them.
 const RETRY_NO_MEMORY: ClockSpan = ClockSpan::from_millis(500);
 
@@ -100,6 +99,7 @@
         request,
         id,
         fingerprint,
+        config,
         route,
         service,
         engine,
@@ -107,7 +107,7 @@
         usage,
         shape,
         ends_at,
-        reservation,
+        reservation: reservation.map(Rc::new),
     })
 }
 
@@ -148,50 +148,6 @@
     Ok(part.map_or(most, |part| part.min(most)))
 }
 
-/// What a configuration does not know, unless a newer one may know it.
-fn unknown(router: &ForwardRouter, refusal: ForwardRefusal) -> RefusalAnswer {
-    if router.configs.is_overdue() {
-        RefusalAnswer::new(ForwardRefusal::NoConfig).after(RETRY_NO_CONFIG)
-    } else {
-        RefusalAnswer::new(refusal)
-    }
-}
-
-fn find_route(
-    router: &ForwardRouter,
-    config: &ForwardConfig,
-    request: &ReceivedRequest,
-) -> Result<Arc<RouteEntry>, RefusalAnswer> {
-    let head = &request.head;
-    let route = config.routes.find(&head.host, head.path());
-    route
-        .cloned()
-        .ok_or_else(|| unknown(router, ForwardRefusal::NoRoute))
-}
-
-fn identify(
-    router: &ForwardRouter,
-    config: &ForwardConfig,
-    route: &RouteEntry,
-    request: &ReceivedRequest,
-) -> Result<Option<(OrganisationId, Option<u8>)>, RefusalAnswer> {
-    if route.public || !config.needs_keys() {
-        return Ok(None);
-    }
-    let value = request.head.fields.get("authorization");
-    let key = value.and_then(|value| {
-        let (scheme, key) = value.split_once(' ')?;
-        scheme.eq_ignore_ascii_case("bearer").then_some(key.trim())
-    });
-    let Some(key) = key else {
-        return Err(RefusalAnswer::new(ForwardRefusal::UnknownKey));
-    };
-    let entry = config
-        .organisation(key)
-        .ok_or_else(|| unknown(router, ForwardRefusal::UnknownKey))?;
-    Ok(Some((entry.id.clone(), entry.priority)))
-}
-
 fn fingerprint_of(
     request: &ReceivedRequest,
     organisation: Option<&(OrganisationId, Option<u8>)>,
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -22,6 +22,7 @@
 use crate::attempt::send_attempt;
 use crate::crash::note_lost;
 use crate::http::HttpChannel;
+use crate::judge::judge_again;
 use crate::record::RequestRecord;
 use crate::refuse::RefusalAnswer;
 use crate::relay::StreamProgress;
@@ -68,14 +69,16 @@
 pub async fn run_attempts(
     router: &Rc<ForwardRouter>,
     caller: &HttpChannel,
-    call: &ForwardCall<'_>,
+    mut call: ForwardCall<'_>,
     record: &RequestRecord,
 ) -> bool {
     let mut progress = RequestProgress::default();
     let mut failure = None;
     router.count_request(&call.service);
     loop {
-        let pick = match choose(router, call, &progress) {
+        let judged = judge_again(router, &mut call, progress.may_have_run, record);
+        let call = &call;
+        let pick = match judged.and_then(|()| choose(router, call, &progress)) {
             Ok(pick) => pick,
             Err(refusal) => {
                 return end_without_answer(
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -6,6 +6,7 @@
 use futures_lite::FutureExt;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::EngineFacts;
+use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::PromptShape;
 use guavawell_core::forward::RouteEntry;
 use guavawell_core::forward::TokenUsage;
@@ -32,6 +33,8 @@
     pub id: &'a str,
     /// What it has in common with its repetitions under other ids.
     pub fingerprint: RequestFingerprint,
+    /// The configuration that it was judged by.
+    pub config: Rc<ForwardConfig>,
     /// Its route.
     pub route: Arc<RouteEntry>,
     /// The service that it goes to.
@@ -47,7 +50,7 @@
     /// When the caller or the operator no longer waits.
     pub ends_at: ClockTime,
     /// Tokens set aside.
-    pub reservation: Option<TokenReservation>,
+    pub reservation: Option<Rc<TokenReservation>>,
 }
 
 /// Counts a request while it is held.
@@ -103,13 +106,12 @@
 ) -> bool {
     match prepare(router, request, id, record).await {
         Ok(call) => {
-            let spending = SpendingNote {
-                call: &call,
+            let reservation = call.reservation.clone();
+            let _note = reservation.map(|reservation| SpendingNote {
+                reservation,
                 record,
-            };
-            let keep = run_attempts(router, caller, &call, record).await;
-            drop(spending);
-            keep
+            });
+            run_attempts(router, caller, call, record).await
         }
         Err(answer) => refuse(router, caller, request, id, record, &answer).await,
     }
@@ -117,17 +119,15 @@
 
 /// Notes what a request spent when it ends, however it ends.
 struct SpendingNote<'a> {
-    call: &'a ForwardCall<'a>,
+    reservation: Rc<TokenReservation>,
     record: &'a RequestRecord,
 }
 
 impl Drop for SpendingNote<'_> {
     fn drop(&mut self) {
-        if let Some(reservation) = &self.call.reservation {
-            let (reserved, spent) = reservation.tokens();
-            self.record.note("tokens_reserved", reserved);
-            self.record.note("tokens_spent", spent);
-        }
+        let (reserved, spent) = self.reservation.tokens();
+        self.record.note("tokens_reserved", reserved);
+        self.record.note("tokens_spent", spent);
     }
 }
 
