Talk between instances stands in a folder of its own

Who the other instances are, by which key they know each other and what they ask was part of the budgets' folder; requests that crash servers used it already, and the configuration is to. PeerDesk keeps it; rows that say so are still read and written by the budgets' desk.

--- a/crates/guavawell-core/tests/config_belief/main.rs
+++ b/crates/guavawell-core/tests/config_belief/main.rs
@@ -7,6 +7,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ConfigBelief;
+
 use world::Plant;
 use world::World;
 
--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -17,10 +17,10 @@
 use smol::Timer;
 
 use super::BudgetDesk;
-use super::question::PeerQuestion;
-use super::question::read_answer;
 use crate::clock::timer_span;
 use crate::http::ChannelError;
+use crate::peer::PeerQuestion;
+use crate::peer::read_answer;
 
 /// Longest wait for an instance's answer: some milliseconds on the way and, at
 /// a tenth of a core, some tens in its queue.
@@ -88,7 +88,7 @@
         let order = self.book.borrow().holder_order(organisation);
         let mut holders: Vec<(InstanceId, SocketAddr)> = order
             .into_iter()
-            .filter_map(|instance| Some((instance.clone(), self.peer_address(&instance)?)))
+            .filter_map(|instance| Some((instance.clone(), self.peers.address_of(&instance)?)))
             .collect();
         let mut declined = None;
         for _ in 0..MAX_HOLDERS {
@@ -108,8 +108,8 @@
                     }
                     declined = Some(answer.cause);
                     // The next in rank of this zone would ask the same row.
-                    let zone = self.peer_zone(&instance);
-                    holders.retain(|(other, _)| self.peer_zone(other) != zone);
+                    let zone = self.peers.zone_of(&instance);
+                    holders.retain(|(other, _)| self.peers.zone_of(other) != zone);
                 }
                 None => {}
             }
@@ -132,13 +132,12 @@
         end: ClockTime,
     ) -> Option<LoanAnswer> {
         let rest = timer_span(end.since(self.clock.now()));
-        let key = self.key.get()?;
-        if rest.is_zero() {
+        if rest.is_zero() || !self.peers.has_key() {
             return None;
         }
         let question = PeerQuestion::Loan(organisation.clone(), ask);
         let limit = ASK_LIMIT.min(rest);
-        let answered = self.channels.ask(address, &question, key, limit);
+        let answered = self.peers.ask(address, &question, limit);
         let result = answered.await.map(|head| read_answer(&head));
         let (answer, nonce) = match result {
             Ok(Some(answer)) => answer,
@@ -151,7 +150,7 @@
                 return None;
             }
         };
-        self.reached_peer(instance);
+        self.peers.reached(instance);
         if answer.tokens > 0 {
             let lender = LenderId {
                 instance: instance.clone(),
@@ -171,7 +170,7 @@
             .field("other", instance)
             .field("cause", cause);
         self.log.emit(draft);
-        self.avoid_peer(instance);
+        self.peers.avoid(instance);
     }
 
     /// Instances that a holder asks: those that unlock tokens early, then
@@ -190,7 +189,7 @@
             .into_iter()
             .filter(|(_, free)| *free >= ask.needed.div_ceil(2))
             .filter_map(|(instance, free)| {
-                let address = self.peer_address(&instance)?;
+                let address = self.peers.address_of(&instance)?;
                 Some((instance, free, address))
             })
             .collect();
@@ -198,7 +197,7 @@
         let early = self.book.borrow().early_lenders(organisation, now);
         let mut chosen: Vec<(InstanceId, SocketAddr)> = early
             .into_iter()
-            .filter_map(|instance| Some((instance.clone(), self.peer_address(&instance)?)))
+            .filter_map(|instance| Some((instance.clone(), self.peers.address_of(&instance)?)))
             .take(EARLY_LENDERS)
             .collect();
         able.retain(|(instance, _, _)| chosen.iter().all(|(held, _)| held != instance));
@@ -221,7 +220,7 @@
 
     /// Fills up with any other instances.
     fn add_fetchers(&self, chosen: &mut Vec<(InstanceId, SocketAddr)>) {
-        let mut others = self.peer_addresses();
+        let mut others = self.peers.addresses();
         others.retain(|(instance, _)| chosen.iter().all(|(held, _)| held != instance));
         fastrand::shuffle(&mut others);
         others.truncate(MAX_LENDERS - chosen.len());
@@ -243,14 +242,10 @@
 
     /// Sends an account once: told twice, it would give tokens back twice.
     async fn send_account(&self, account: &LoanReturn) -> Result<(), ChannelError> {
-        let address = self.peer_address(&account.lender.instance);
-        let (Some(address), Some(key)) = (address, self.key.get()) else {
-            return Err(ChannelError::Closed);
-        };
+        let address = self.peers.address_of(&account.lender.instance);
+        let address = address.ok_or(ChannelError::Closed)?;
         let question = PeerQuestion::Return(account.clone());
-        self.channels
-            .ask(address, &question, key, ASK_LIMIT)
-            .await?;
+        self.peers.ask(address, &question, ASK_LIMIT).await?;
         Ok(())
     }
 
--- a/crates/guavawell-forward/src/budget/fleet_key.rs
+++ b/crates/guavawell-forward/src/budget/fleet_key.rs
@@ -1,4 +1,4 @@
-//! The key by which instances know each other.
+//! Reads the key by which instances know each other, or writes the first one.
 //!
 //! Whoever reaches an instance's port could take tokens, or claim to give some
 //! back that were spent. So each question carries a key that only the fleet's
@@ -6,14 +6,13 @@
 //! that finds none writes one.
 
 use guavawell_core::grant::decode_row;
-use serde::Deserialize;
-use serde::Serialize;
 use smol::Timer;
 
 use super::BudgetDesk;
 use super::ROW_KEY;
 use super::calls::encode;
 use super::fault_pause;
+use crate::peer::FleetKey;
 use crate::store::RowKey;
 use crate::store::RowState;
 use crate::store::WriteAnswer;
@@ -23,27 +22,12 @@
 /// The part of [`KEY_TABLE`].
 const KEY_PART: &str = "";
 
-/// The fleet's key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct FleetKey(u128);
-
-impl FleetKey {
-    fn draw() -> Self {
-        Self(fastrand::u128(1..))
-    }
-
-    /// The key as a header field's value.
-    pub(super) fn text(self) -> String {
-        format!("{:032x}", self.0)
-    }
-}
-
 impl BudgetDesk {
     /// Reads the fleet's key, or writes the first one, however long it takes.
     pub(super) async fn learn_key(&self) {
         loop {
             if let Some(key) = self.read_or_write_key().await {
-                self.key.set(Some(key));
+                self.peers.set_key(key);
                 return;
             }
             Timer::after(fault_pause()).await;
@@ -67,18 +51,6 @@
             WriteAnswer::Changed(state) => decode_key(&state),
         }
     }
-
-    /// Whether this process knows the fleet's key.
-    pub(super) const fn has_key(&self) -> bool {
-        self.key.get().is_some()
-    }
-
-    /// Whether a question came from the fleet, or from an operator who can read
-    /// its key.
-    pub fn knows_key(&self, text: Option<&str>) -> bool {
-        let key = self.key.get();
-        key.is_some_and(|key| text == Some(key.text().as_str()))
-    }
 }
 
 fn decode_key(state: &RowState) -> Option<FleetKey> {
--- a/crates/guavawell-forward/src/budget/lend.rs
+++ b/crates/guavawell-forward/src/budget/lend.rs
@@ -14,10 +14,6 @@
 use smol::LocalExecutor;
 
 use super::BudgetDesk;
-use super::question::KEY_FIELD;
-use super::question::PeerQuestion;
-use super::question::read_question;
-use super::question::write_answer;
 use super::reserve::WaitingRequest;
 use super::wait_until;
 use crate::accept::accept_all;
@@ -26,6 +22,10 @@
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
 use crate::http::within;
+use crate::peer::KEY_FIELD;
+use crate::peer::PeerQuestion;
+use crate::peer::read_question;
+use crate::peer::write_answer;
 
 /// How long a lender waits for the store: two of its answers and a write of the
 /// same row that is on its way. Less than an asker waits by what the answer
@@ -57,12 +57,12 @@
     async fn answer_peer(self: &Rc<Self>, mut channel: HttpChannel) -> Result<(), ChannelError> {
         loop {
             let (head, body) = within(IDLE_LIMIT, read_question(&mut channel)).await?;
-            if !self.has_key() {
+            if !self.peers.has_key() {
                 // A process that has just started may be asked before it has
                 // read the key.
                 return self.refuse(&channel, 503, "Service Unavailable").await;
             }
-            if !self.knows_key(head.fields.get(KEY_FIELD)) {
+            if !self.peers.knows_key(head.fields.get(KEY_FIELD)) {
                 metrics::counter!("guavawell_forward_strangers_total").increment(1);
                 return self.refuse(&channel, 403, "Forbidden").await;
             }
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -7,14 +7,12 @@
 mod lend;
 mod lines;
 mod peers;
-mod question;
 mod reserve;
 mod rows;
 mod suspects;
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,15 +29,12 @@
 use smol::LocalExecutor;
 use smol::Timer;
 
-use self::fleet_key::FleetKey;
-use self::peers::PeerEntry;
-use self::question::PeerChannels;
 use crate::clock::SteadyClock;
 use crate::clock::wait_until;
+use crate::peer::PeerDesk;
 use crate::poison::PoisonDesk;
 use crate::store::RowStore;
 
-pub use question::KEY_FIELD;
 pub use reserve::BudgetRefusal;
 pub use reserve::TokenReservation;
 
@@ -86,15 +81,10 @@
     instance: InstanceId,
     /// Its availability zone.
     zone: ZoneId,
-    /// Where this instance answers others; `None` if it does not.
-    peer_address: Option<SocketAddr>,
-    /// Sorted by instance.
-    peers: RefCell<Vec<PeerEntry>>,
-    channels: PeerChannels,
+    /// The other instances.
+    peers: Rc<PeerDesk>,
     /// Requests that crash servers, which instances tell each other of.
     poison: Rc<PoisonDesk>,
-    /// What proves to other instances that this one is of the fleet.
-    key: Cell<Option<FleetKey>>,
     book: RefCell<GrantBook>,
     /// Something in the book changed for the better.
     changed: Event,
@@ -118,12 +108,12 @@
     #[must_use]
     pub fn new(
         member: FleetMember,
-        peer_address: Option<SocketAddr>,
         settings: BookSettings,
         clock: SteadyClock,
         log: EventLog,
         store: RowStore,
         poison: Rc<PoisonDesk>,
+        peers: Rc<PeerDesk>,
     ) -> Self {
         let nonce = fastrand::u64(1..);
         Self {
@@ -138,11 +128,8 @@
             )),
             instance: member.instance,
             zone: member.zone,
-            peer_address,
-            peers: RefCell::default(),
-            channels: PeerChannels::default(),
+            peers,
             poison,
-            key: Cell::new(None),
             changed: Event::new(),
             line_bell: Event::new(),
             budget_bell: Event::new(),
@@ -153,6 +140,12 @@
         }
     }
 
+    /// The other instances.
+    #[must_use]
+    pub const fn peers(&self) -> &Rc<PeerDesk> {
+        &self.peers
+    }
+
     /// The configuration says what an organisation paid.
     pub fn set_paid(&self, organisation: &OrganisationId, paid: u64, version: u64) {
         let mut book = self.book.borrow_mut();
--- a/crates/guavawell-forward/src/budget/suspects.rs
+++ b/crates/guavawell-forward/src/budget/suspects.rs
@@ -9,7 +9,7 @@
 use smol::LocalExecutor;
 
 use super::BudgetDesk;
-use super::question::PeerQuestion;
+use crate::peer::PeerQuestion;
 
 /// Longest wait for another instance to take it in. One that does not reads it
 /// from the store.
@@ -32,7 +32,7 @@
             if entries.is_empty() {
                 continue;
             }
-            for (_, address) in self.peer_addresses() {
+            for (_, address) in self.peers.addresses() {
                 let tell = Rc::clone(&self).tell(address, entries.clone());
                 executor.spawn(tell).detach();
             }
@@ -40,20 +40,17 @@
     }
 
     fn tells_all(&self) -> bool {
-        let few = self.peers.borrow().len() < TELL_ALL;
+        let few = self.peers.count() < TELL_ALL;
         few || self.failing_since.get().is_some()
     }
 
     async fn tell(self: Rc<Self>, address: SocketAddr, entries: Vec<SharedSuspicion>) {
-        let Some(key) = self.key.get() else {
-            return;
-        };
         let list = SuspicionList {
             told_at: None,
             entries,
         };
         let question = PeerQuestion::Suspects(list);
-        let told = self.channels.ask(address, &question, key, TELL_LIMIT);
+        let told = self.peers.ask(address, &question, TELL_LIMIT);
         if let Err(error) = told.await {
             metrics::counter!("guavawell_forward_suspects_untold_total").increment(1);
             log::debug!("{address} was not told of suspects: {error}");
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod leave;
 pub mod names;
 pub mod open;
+pub mod peer;
 pub mod poison;
 pub mod pool;
 pub mod prepare;
--- a/crates/guavawell-forward/src/budget/question.rs
+++ b/crates/guavawell-forward/src/peer/question.rs
@@ -1,11 +1,4 @@
-//! What instances ask each other about tokens, and the connections for it.
-//!
-//! A question is a request, its answer a response without a body.
-//! Connections are kept: in a large fleet most requests need a question.
-
-use std::cell::RefCell;
-use std::net::SocketAddr;
-use std::time::Duration;
+//! What instances ask each other. A question is a request, its answer a response.
 
 use guavawell_core::grant::LenderId;
 use guavawell_core::grant::LoanAnswer;
@@ -14,24 +7,20 @@
 use guavawell_core::grant::LoanScope;
 use guavawell_core::grant::ReserveAnswer;
 use guavawell_core::grant::decode_row;
+use guavawell_core::grant::encode_row;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::OrganisationId;
 use guavawell_core::poison::SuspicionList;
 
-use super::calls::encode;
-use super::fleet_key::FleetKey;
 use crate::http::BodyDecoder;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
 use crate::http::RequestHead;
 use crate::http::ResponseHead;
-use crate::http::within;
 
 /// Largest head of a question or an answer, in bytes.
-pub(super) const HEAD_BYTES: usize = 4 * 1024;
-/// Connections to other instances that are kept between questions.
-const MAX_IDLE: usize = 48;
+pub(crate) const HEAD_BYTES: usize = 4 * 1024;
 /// First segment of the target of a question for tokens.
 const LOAN_PATH: &str = "loan";
 /// First segment of the target of an account of lent tokens.
@@ -55,7 +44,7 @@
 
 /// What one instance asks another one.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum PeerQuestion {
+pub(crate) enum PeerQuestion {
     /// Lend tokens.
     Loan(OrganisationId, LoanAsk),
     /// Take in an account of lent tokens.
@@ -66,7 +55,7 @@
 
 impl PeerQuestion {
     /// The question as the target of a request.
-    pub(super) fn target(&self) -> String {
+    pub(crate) fn target(&self) -> String {
         match self {
             Self::Loan(organisation, ask) => {
                 let scope = match ask.scope {
@@ -85,16 +74,19 @@
     }
 
     /// The body of the request.
-    fn body(&self) -> Vec<u8> {
+    pub(crate) fn body(&self) -> Vec<u8> {
         match self {
             Self::Loan(..) | Self::Return(_) => Vec::new(),
-            Self::Suspects(list) => encode(list).unwrap_or_default(),
+            Self::Suspects(list) => encode_row(list).unwrap_or_else(|error| {
+                log::error!("a list of suspects cannot be encoded: {error}");
+                Vec::new()
+            }),
         }
     }
 
     /// The question in a target and body that reached `own`; `None` if it is
     /// none.
-    pub(super) fn parse(target: &str, body: &[u8], own: &InstanceId) -> Option<Self> {
+    pub(crate) fn parse(target: &str, body: &[u8], own: &InstanceId) -> Option<Self> {
         let mut parts = target.strip_prefix('/')?.split('/');
         let question = match parts.next()? {
             LOAN_PATH => {
@@ -139,7 +131,7 @@
 }
 
 /// Writes an answer to a question for tokens.
-pub(super) fn write_answer(writer: &mut HeadWriter, answer: LoanAnswer, nonce: u64) {
+pub(crate) fn write_answer(writer: &mut HeadWriter, answer: LoanAnswer, nonce: u64) {
     writer.field_of(LENT_FIELD, answer.tokens);
     writer.field_of(CAUSE_FIELD, answer.cause.as_str());
     writer.field_of(NONCE_FIELD, nonce);
@@ -147,7 +139,7 @@
 
 /// Reads an answer to a question for tokens: what was lent, by which life of
 /// the process.
-pub(super) fn read_answer(head: &ResponseHead) -> Option<(LoanAnswer, u64)> {
+pub(crate) fn read_answer(head: &ResponseHead) -> Option<(LoanAnswer, u64)> {
     let tokens = head.fields.get(LENT_FIELD)?.parse().ok()?;
     let nonce = head.fields.get(NONCE_FIELD)?.parse().ok()?;
     let cause = head.fields.get(CAUSE_FIELD)?.parse().ok();
@@ -159,7 +151,7 @@
 }
 
 /// Reads one question: its head and body.
-pub(super) async fn read_question(
+pub(crate) async fn read_question(
     channel: &mut HttpChannel,
 ) -> Result<(RequestHead, Vec<u8>), ChannelError> {
     let length = channel.head(HEAD_BYTES).await?;
@@ -174,56 +166,3 @@
     }
     Ok((head, body))
 }
-
-/// Connections to other instances.
-#[derive(Debug, Default)]
-pub(super) struct PeerChannels {
-    idle: RefCell<Vec<(SocketAddr, HttpChannel)>>,
-}
-
-impl PeerChannels {
-    /// Asks one question, once.
-    pub(super) async fn ask(
-        &self,
-        address: SocketAddr,
-        question: &PeerQuestion,
-        key: FleetKey,
-        limit: Duration,
-    ) -> Result<ResponseHead, ChannelError> {
-        let exchange = async {
-            let mut channel = match self.take_idle(address) {
-                Some(channel) => channel,
-                None => HttpChannel::connect(address, limit).await?,
-            };
-            let mut writer = HeadWriter::request("POST", &question.target());
-            writer.field_of("Host", address);
-            writer.field_of(KEY_FIELD, key.text());
-            let body = question.body();
-            writer.field_of("Content-Length", body.len());
-            let mut bytes = writer.finish();
-            bytes.extend_from_slice(&body);
-            channel.send(&bytes).await?;
-            let length = channel.head(HEAD_BYTES).await?;
-            let head = ResponseHead::parse(&channel.received()[..length], false)?;
-            channel.consume(length);
-            Ok((head, channel))
-        };
-        let (head, channel) = within(limit, exchange).await?;
-        let mut idle = self.idle.borrow_mut();
-        if head.keep && idle.len() < MAX_IDLE {
-            idle.push((address, channel));
-        }
-        Ok(head)
-    }
-
-    fn take_idle(&self, address: SocketAddr) -> Option<HttpChannel> {
-        let mut idle = self.idle.borrow_mut();
-        while let Some(place) = idle.iter().rposition(|(held, _)| *held == address) {
-            let (_, channel) = idle.swap_remove(place);
-            if channel.is_quiet() {
-                return Some(channel);
-            }
-        }
-        None
-    }
-}
--- a/crates/guavawell-forward/src/ready.rs
+++ b/crates/guavawell-forward/src/ready.rs
@@ -9,12 +9,12 @@
 use smol::LocalExecutor;
 
 use crate::accept::accept_all;
-use crate::budget::KEY_FIELD;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
 use crate::http::RequestHead;
 use crate::http::within;
+use crate::peer::KEY_FIELD;
 use crate::router::ForwardRouter;
 
 /// Where the requests that are suspected of crashing servers are listed.
@@ -86,7 +86,7 @@
 /// Takes back what is believed of a request, if the fleet's key comes with the
 /// demand.
 fn acquit(router: &ForwardRouter, head: &RequestHead) -> (u16, String) {
-    if !router.budgets.knows_key(head.fields.get(KEY_FIELD)) {
+    if !router.peers.knows_key(head.fields.get(KEY_FIELD)) {
         return (
             403,
             format!("send the fleet's key in the field {KEY_FIELD}\n"),
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -26,6 +26,7 @@
 use crate::config::ConfigDesk;
 use crate::config::ConfigTold;
 use crate::crash::CrashChecks;
+use crate::peer::PeerDesk;
 use crate::poison::PoisonDesk;
 use crate::pool::ConnectionPool;
 use crate::settings::ForwardSettings;
@@ -70,6 +71,8 @@
     link: Cell<LinkCongestion>,
     /// Idle connections to servers.
     pub pool: RefCell<ConnectionPool>,
+    /// The other instances.
+    pub peers: Rc<PeerDesk>,
     /// Budgets.
     pub budgets: Rc<BudgetDesk>,
     /// Requests that crash servers.
@@ -111,6 +114,7 @@
             link: Cell::new(LinkCongestion::new(settings.congestion)),
             pool: RefCell::default(),
             settings,
+            peers: Rc::clone(budgets.peers()),
             budgets,
             poison,
             crashes: CrashChecks::default(),
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -24,6 +24,7 @@
 use guavawell_forward::config::ConfigDesk;
 use guavawell_forward::config::ConfigTold;
 use guavawell_forward::names::FieldNames;
+use guavawell_forward::peer::PeerDesk;
 use guavawell_forward::poison::PoisonDesk;
 use guavawell_forward::router::ForwardRouter;
 use guavawell_forward::settings::ForwardSettings;
@@ -74,7 +75,8 @@
         silent_store(),
     ));
     let own = Rc::clone(&poison);
-    let desk = BudgetDesk::new(member, None, book, clock, log.clone(), store, own);
+    let peers = Rc::new(PeerDesk::new(clock, None));
+    let desk = BudgetDesk::new(member, book, clock, log.clone(), store, own, peers);
     let settings = ForwardSettings {
         instance,
         zone: "z1".parse().expect("a valid id"),
