What one instance knows of the configuration reaches those that the store does not reach

Cause: the store was the only way, and an instance a hop away that knew better could not tell it. The answer names the version that the store told that instance, how old that is, and the row itself where it is newer, whole. Every message between instances names the version in force (one field), both ways; whoever hears of a newer one asks if the store has not told it after 300 ms. In a calm fleet nothing more is sent but that field. A 402 is not told where the configuration names more than the store told the budgets.

--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -138,7 +138,7 @@
         let question = PeerQuestion::Loan(organisation.clone(), ask);
         let limit = ASK_LIMIT.min(rest);
         let answered = self.peers.ask(address, &question, limit);
-        let result = answered.await.map(|head| read_answer(&head));
+        let result = answered.await.map(|answer| read_answer(&answer.head));
         let (answer, nonce) = match result {
             Ok(Some(answer)) => answer,
             Ok(None) => {
--- a/crates/guavawell-forward/src/budget/lend.rs
+++ b/crates/guavawell-forward/src/budget/lend.rs
@@ -24,6 +24,7 @@
 use crate::http::within;
 use crate::peer::KEY_FIELD;
 use crate::peer::PeerQuestion;
+use crate::peer::VERSION_FIELD;
 use crate::peer::read_question;
 use crate::peer::write_answer;
 
@@ -66,11 +67,14 @@
                 metrics::counter!("guavawell_forward_strangers_total").increment(1);
                 return self.refuse(&channel, 403, "Forbidden").await;
             }
+            self.peers.hear_version(head.fields.get(VERSION_FIELD));
             let question = PeerQuestion::parse(head.path(), &body, &self.instance);
             let status = question
                 .as_ref()
                 .map_or((400, "Bad Request"), |_| (200, "OK"));
             let mut writer = HeadWriter::response(status.0, status.1);
+            self.peers.write_version(&mut writer);
+            let mut body = Vec::new();
             match question {
                 Some(PeerQuestion::Loan(organisation, ask)) => {
                     let answer = self.lend(&organisation, ask).await;
@@ -79,10 +83,15 @@
                 }
                 Some(PeerQuestion::Return(account)) => self.take_return(&account),
                 Some(PeerQuestion::Suspects(list)) => self.poison.learn(&list, &"another"),
+                Some(PeerQuestion::Config(known)) => {
+                    body = self.peers.tell_config(known, &mut writer);
+                }
                 None => {}
             }
-            writer.field_of("Content-Length", 0);
-            channel.send(&writer.finish()).await?;
+            writer.field_of("Content-Length", body.len());
+            let mut bytes = writer.finish();
+            bytes.append(&mut body);
+            channel.send(&bytes).await?;
         }
     }
 
--- a/crates/guavawell-forward/src/config/mod.rs
+++ b/crates/guavawell-forward/src/config/mod.rs
@@ -1,8 +1,12 @@
 //! The configuration in force at this instance, and how old it may be.
 //!
 //! `guavawell_core::forward::ConfigBelief` decides what comes into force; this
-//! folder keeps the configuration itself and what the store holds of it.
+//! folder keeps the configuration itself and what the store holds of it, and asks
+//! other instances while the store does not answer.
 
+mod others;
+
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::fmt;
 use std::rc::Rc;
@@ -23,6 +27,12 @@
 use crate::clock::timer_span;
 use crate::clock::wait_until;
 
+pub use self::others::ask_others;
+
+/// How long after another instance spoke of a newer version the store may take
+/// to tell it: in a calm fleet all know a change within milliseconds.
+const HEARD_PATIENCE: ClockSpan = ClockSpan::from_millis(300);
+
 /// Decodes a configuration as the platform's store holds it; the text says what
 /// cannot be read.
 pub type ConfigDecoder = Box<dyn Fn(&[u8]) -> Result<ForwardConfig, Box<str>>>;
@@ -38,6 +48,17 @@
     Unchanged,
 }
 
+/// What an instance tells another one of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigAnswer {
+    /// The version that the store told it last.
+    pub version: u64,
+    /// How long ago that was surely the newest.
+    pub age: ClockSpan,
+    /// The row as the store holds it; empty if the asker knows it.
+    pub bytes: Vec<u8>,
+}
+
 /// A configuration that the store told.
 #[derive(Clone, Debug)]
 struct StoredConfig {
@@ -59,6 +80,10 @@
     overdue_after: ClockSpan,
     /// The store answered.
     answered: Event,
+    /// Since when a question to the store has no answer when it should, or
+    /// another instance speaks of a newer version.
+    doubted_since: Cell<Option<ClockTime>>,
+    doubted: Event,
 }
 
 impl ConfigDesk {
@@ -73,6 +98,8 @@
         Self {
             overdue_after: pace.overdue_after(),
             answered: Event::new(),
+            doubted_since: Cell::new(None),
+            doubted: Event::new(),
             clock,
             log,
             decode,
@@ -95,6 +122,12 @@
         self.belief.borrow().age(self.clock.boot_now())
     }
 
+    /// The version in force; 0 while none is known.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.belief.borrow().version().unwrap_or(0)
+    }
+
     /// Whether an answer of the store is overdue, so that what is not known here
     /// may exist all the same.
     #[must_use]
@@ -139,6 +172,7 @@
     /// that it told, if that could be read.
     pub fn store_told(&self, told: ConfigTold<'_>, asked: ClockTime) -> Option<Rc<ForwardConfig>> {
         let now = self.clock.boot_now();
+        self.doubted_since.set(None);
         let (bytes, revision) = match told {
             ConfigTold::Row(bytes, revision) => (bytes, revision),
             ConfigTold::Unreadable(error, revision) => {
@@ -172,6 +206,95 @@
         self.log.emit(draft);
     }
 
+    /// The store did not answer a question when it should.
+    pub fn unanswered(&self) {
+        self.doubt(ClockSpan::ZERO);
+    }
+
+    /// Another instance speaks of a version.
+    pub fn heard(&self, version: u64) {
+        if self.belief.borrow().is_behind(version) {
+            self.doubt(HEARD_PATIENCE);
+        }
+    }
+
+    /// Has others asked after `patience`, unless the store answers by then.
+    fn doubt(&self, patience: ClockSpan) {
+        let at = self.clock.now() + patience;
+        let before = self.doubted_since.get();
+        self.doubted_since
+            .set(Some(before.map_or(at, |since| since.min(at))));
+        self.doubted.notify(usize::MAX);
+    }
+
+    /// Waits until others are to be asked.
+    pub async fn wait_doubted(&self) {
+        loop {
+            let doubted = self.doubted.listen();
+            match self.doubted_since.get() {
+                None => doubted.await,
+                Some(since) => {
+                    let rest = self.clock.left(since);
+                    if rest == ClockSpan::ZERO {
+                        return;
+                    }
+                    wait_until(doubted, timer_span(rest)).await;
+                }
+            }
+        }
+    }
+
+    /// What this instance tells another one that knows a version: only what the
+    /// store told this process, so that a false version goes no further.
+    #[must_use]
+    pub fn tell(&self, known: u64) -> Option<ConfigAnswer> {
+        let belief = self.belief.borrow();
+        let version = belief.proved_version()?;
+        let age = belief.age(self.clock.boot_now())?;
+        let stored = self.stored.borrow();
+        let stored = stored
+            .as_ref()
+            .filter(|held| held.config.version == version);
+        let bytes = stored.filter(|_| version > known);
+        Some(ConfigAnswer {
+            version,
+            age,
+            bytes: bytes.map_or(Vec::new(), |held| held.bytes.to_vec()),
+        })
+    }
+
+    /// Another instance answered a question sent at `asked`; whether it put a
+    /// configuration into force.
+    ///
+    /// # Errors
+    ///
+    /// It told something that cannot be what the store holds.
+    pub fn instance_told(&self, told: &ConfigAnswer, asked: ClockTime) -> Result<bool, Box<str>> {
+        let now = self.clock.boot_now();
+        if told.bytes.is_empty() {
+            let mut belief = self.belief.borrow_mut();
+            if !belief.is_behind(told.version) {
+                belief.instance_told(told.version, told.age, asked, now);
+            }
+            return Ok(false);
+        }
+        let config = Rc::new((self.decode)(&told.bytes)?);
+        if config.version != told.version {
+            let (named, held) = (told.version, config.version);
+            return Err(format!("it was named {named} and is {held}").into());
+        }
+        let mut belief = self.belief.borrow_mut();
+        let step = belief.instance_told(told.version, told.age, asked, now);
+        drop(belief);
+        if step != BeliefStep::Take {
+            return Ok(false);
+        }
+        let asked_ago = now.since(asked).as_millis();
+        let age = ClockSpan::from_millis(told.age.as_millis() + asked_ago);
+        self.put_in_force(&config, ConfigSource::Instance, age);
+        Ok(true)
+    }
+
     /// Decodes a row, unless it is the one that is held already.
     fn read(&self, bytes: &[u8]) -> Result<Rc<ForwardConfig>, Box<str>> {
         let stored = self.stored.borrow();
--- a/crates/guavawell-forward/src/peer/channels.rs
+++ b/crates/guavawell-forward/src/peer/channels.rs
@@ -9,6 +9,8 @@
 use super::KEY_FIELD;
 use super::PeerQuestion;
 use super::question::HEAD_BYTES;
+use super::question::VERSION_FIELD;
+use crate::http::BodyDecoder;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -17,6 +19,20 @@
 
 /// Connections to other instances that are kept between questions.
 const MAX_IDLE: usize = 48;
+/// Longest wait for the body of an answer: the largest configuration over a small
+/// instance's link.
+const BODY_LIMIT: Duration = Duration::from_secs(6);
+/// Largest body of an answer, in bytes: as large as the store's.
+const BODY_BYTES: usize = 8 * 1024 * 1024;
+
+/// What another instance answered.
+#[derive(Debug)]
+pub(crate) struct PeerAnswer {
+    /// The answer's head.
+    pub(crate) head: ResponseHead,
+    /// Its body.
+    pub(crate) body: Vec<u8>,
+}
 
 /// Connections to other instances.
 #[derive(Debug, Default)]
@@ -25,14 +41,16 @@
 }
 
 impl PeerChannels {
-    /// Asks one question, once.
+    /// Asks one question, once; `limit` is for the answer's head. `version` is
+    /// that of the configuration in force here.
     pub(crate) async fn ask(
         &self,
         address: SocketAddr,
         question: &PeerQuestion,
         key: FleetKey,
+        version: u64,
         limit: Duration,
-    ) -> Result<ResponseHead, ChannelError> {
+    ) -> Result<PeerAnswer, ChannelError> {
         let exchange = async {
             let mut channel = match self.take_idle(address) {
                 Some(channel) => channel,
@@ -41,6 +59,7 @@
             let mut writer = HeadWriter::request("POST", &question.target());
             writer.field_of("Host", address);
             writer.field_of(KEY_FIELD, key.text());
+            writer.field_of(VERSION_FIELD, version);
             let body = question.body();
             writer.field_of("Content-Length", body.len());
             let mut bytes = writer.finish();
@@ -51,12 +70,13 @@
             channel.consume(length);
             Ok((head, channel))
         };
-        let (head, channel) = within(limit, exchange).await?;
+        let (head, mut channel) = within(limit, exchange).await?;
+        let body = within(BODY_LIMIT, read_body(&mut channel, &head)).await?;
         let mut idle = self.idle.borrow_mut();
         if head.keep && idle.len() < MAX_IDLE {
             idle.push((address, channel));
         }
-        Ok(head)
+        Ok(PeerAnswer { head, body })
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<HttpChannel> {
@@ -70,3 +90,17 @@
         None
     }
 }
+
+async fn read_body(
+    channel: &mut HttpChannel,
+    head: &ResponseHead,
+) -> Result<Vec<u8>, ChannelError> {
+    let mut decoder = BodyDecoder::new(head.framing);
+    let mut body = Vec::new();
+    while channel.body_part(&mut decoder, &mut body).await? {
+        if body.len() > BODY_BYTES {
+            return Err(ChannelError::CutShort);
+        }
+    }
+    Ok(body)
+}
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -9,6 +9,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use guavawell_core::clock::ClockSpan;
@@ -17,14 +18,20 @@
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::ZoneId;
 
+use self::channels::PeerAnswer;
 use self::channels::PeerChannels;
+use self::question::read_config;
+use self::question::write_config;
 use crate::clock::SteadyClock;
+use crate::config::ConfigAnswer;
+use crate::config::ConfigDesk;
 use crate::http::ChannelError;
-use crate::http::ResponseHead;
+use crate::http::HeadWriter;
 
 pub use self::key::FleetKey;
 pub use self::question::KEY_FIELD;
 pub(crate) use self::question::PeerQuestion;
+pub(crate) use self::question::VERSION_FIELD;
 pub(crate) use self::question::read_answer;
 pub(crate) use self::question::read_question;
 pub(crate) use self::question::write_answer;
@@ -72,13 +79,20 @@
     channels: PeerChannels,
     /// What proves to other instances that this one is of the fleet.
     key: Cell<Option<FleetKey>>,
+    /// The configuration, whose version goes with every message.
+    configs: Rc<ConfigDesk>,
 }
 
 impl PeerDesk {
     /// A desk that knows no other instance yet.
     #[must_use]
-    pub fn new(clock: SteadyClock, own_address: Option<SocketAddr>) -> Self {
+    pub fn new(
+        clock: SteadyClock,
+        own_address: Option<SocketAddr>,
+        configs: Rc<ConfigDesk>,
+    ) -> Self {
         Self {
+            configs,
             clock,
             own_address,
             peers: RefCell::default(),
@@ -133,16 +147,54 @@
         self.peers.borrow().len()
     }
 
-    /// Asks one question, once.
+    /// Asks one question, once; `limit` is for the answer's head.
     pub(crate) async fn ask(
         &self,
         address: SocketAddr,
         question: &PeerQuestion,
         limit: Duration,
-    ) -> Result<ResponseHead, ChannelError> {
+    ) -> Result<PeerAnswer, ChannelError> {
         // Nobody answers a process that does not know the key.
         let key = self.key.get().ok_or(ChannelError::Closed)?;
-        self.channels.ask(address, question, key, limit).await
+        let version = self.configs.version();
+        let asked = self.channels.ask(address, question, key, version, limit);
+        let answer = asked.await?;
+        self.hear_version(answer.head.fields.get(VERSION_FIELD));
+        Ok(answer)
+    }
+
+    /// Asks an instance for the configuration, if it has one newer than `known`.
+    pub(crate) async fn ask_config(
+        &self,
+        address: SocketAddr,
+        known: u64,
+        limit: Duration,
+    ) -> Result<ConfigAnswer, ChannelError> {
+        let question = PeerQuestion::Config(known);
+        let answer = self.ask(address, &question, limit).await?;
+        // One that knows none says nothing of it.
+        read_config(&answer.head, answer.body).ok_or(ChannelError::Closed)
+    }
+
+    /// Answers a question for the configuration; returns the answer's body.
+    pub(crate) fn tell_config(&self, known: u64, writer: &mut HeadWriter) -> Vec<u8> {
+        let Some(answer) = self.configs.tell(known) else {
+            return Vec::new();
+        };
+        write_config(writer, &answer);
+        answer.bytes
+    }
+
+    /// A message named the version in force at another instance.
+    pub(crate) fn hear_version(&self, text: Option<&str>) {
+        if let Some(version) = text.and_then(|text| text.parse().ok()) {
+            self.configs.heard(version);
+        }
+    }
+
+    /// Names the version in force here.
+    pub(crate) fn write_version(&self, writer: &mut HeadWriter) {
+        writer.field_of(VERSION_FIELD, self.configs.version());
     }
 
     /// The zone of another instance.
--- a/crates/guavawell-forward/src/peer/question.rs
+++ b/crates/guavawell-forward/src/peer/question.rs
@@ -1,5 +1,6 @@
 //! What instances ask each other. A question is a request, its answer a response.
 
+use guavawell_core::clock::ClockSpan;
 use guavawell_core::grant::LenderId;
 use guavawell_core::grant::LoanAnswer;
 use guavawell_core::grant::LoanAsk;
@@ -12,6 +13,7 @@
 use guavawell_core::id::OrganisationId;
 use guavawell_core::poison::SuspicionList;
 
+use crate::config::ConfigAnswer;
 use crate::http::BodyDecoder;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
@@ -27,6 +29,8 @@
 const RETURN_PATH: &str = "return";
 /// Target of what is told of requests that crash servers.
 const SUSPECTS_PATH: &str = "suspects";
+/// First segment of the target of a question for the configuration.
+const CONFIG_PATH: &str = "config";
 /// Largest body of a question, in bytes: a whole list of suspects.
 const BODY_BYTES: usize = 32 * 1024;
 /// Second segment where the asker holds tokens too.
@@ -35,6 +39,12 @@
 const SHARE_SCOPE: &str = "share";
 /// Field of a question that proves who asks.
 pub const KEY_FIELD: &str = "Key";
+/// Field of questions and answers that names the version in force there.
+pub(crate) const VERSION_FIELD: &str = "Config";
+/// Field of an answer that names the version that the store told.
+const STORED_FIELD: &str = "Stored";
+/// Field of an answer that says how many milliseconds ago it was the newest.
+const AGE_FIELD: &str = "Age";
 /// Field of an answer that says how many tokens were lent.
 const LENT_FIELD: &str = "Lent";
 /// Field of an answer that says why none were lent.
@@ -51,6 +61,8 @@
     Return(LoanReturn),
     /// Take in what is believed of requests that crash servers.
     Suspects(SuspicionList),
+    /// Tell the configuration if it is newer than this version.
+    Config(u64),
 }
 
 impl PeerQuestion {
@@ -70,13 +82,14 @@
                 account.organisation, account.lender.nonce, account.unspent, account.spent
             ),
             Self::Suspects(_) => format!("/{SUSPECTS_PATH}"),
+            Self::Config(known) => format!("/{CONFIG_PATH}/{known}"),
         }
     }
 
     /// The body of the request.
     pub(crate) fn body(&self) -> Vec<u8> {
         match self {
-            Self::Loan(..) | Self::Return(_) => Vec::new(),
+            Self::Loan(..) | Self::Return(_) | Self::Config(_) => Vec::new(),
             Self::Suspects(list) => encode_row(list).unwrap_or_else(|error| {
                 log::error!("a list of suspects cannot be encoded: {error}");
                 Vec::new()
@@ -124,6 +137,7 @@
                 });
                 Self::Suspects(list.ok()?)
             }
+            CONFIG_PATH => Self::Config(parts.next()?.parse().ok()?),
             _ => return None,
         };
         parts.next().is_none().then_some(question)
@@ -150,6 +164,23 @@
     Some((answer, nonce))
 }
 
+/// Writes what is told of the configuration.
+pub(crate) fn write_config(writer: &mut HeadWriter, answer: &ConfigAnswer) {
+    writer.field_of(STORED_FIELD, answer.version);
+    writer.field_of(AGE_FIELD, answer.age.as_millis());
+}
+
+/// Reads what is told of the configuration.
+pub(crate) fn read_config(head: &ResponseHead, body: Vec<u8>) -> Option<ConfigAnswer> {
+    let version = head.fields.get(STORED_FIELD)?.parse().ok()?;
+    let age = head.fields.get(AGE_FIELD)?.parse().ok()?;
+    Some(ConfigAnswer {
+        version,
+        age: ClockSpan::from_millis(age),
+        bytes: body,
+    })
+}
+
 /// Reads one question: its head and body.
 pub(crate) async fn read_question(
     channel: &mut HttpChannel,
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -223,15 +223,20 @@
         return Ok(None);
     };
     let entry = config.organisation_by_id(id);
-    let prepaid = entry.is_some_and(|entry| entry.paid.is_some());
+    let paid = entry.and_then(|entry| entry.paid);
     let worst = usage.worst_case();
-    if !prepaid || worst == TokenCount::ZERO {
+    let Some(paid) = paid.filter(|_| worst > TokenCount::ZERO) else {
         return Ok(None);
-    }
+    };
     let left = router.clock.left(ends_at);
     let reserved = router.budgets.reserve(id, worst, left).await;
     reserved.map(Some).map_err(|refusal| {
         note_budget(record, worst, &refusal);
+        if refusal.facts.paid < paid.get() {
+            // More was paid than the store told this process yet.
+            let after = refusal.answer.retry_after.unwrap_or_default();
+            return RefusalAnswer::new(ForwardRefusal::BudgetUnavailable).after(after);
+        }
         refusal.answer
     })
 }
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -131,6 +131,11 @@
             return;
         };
         self.take_paid(&config);
+        self.config_changed();
+    }
+
+    /// Another configuration may be in force.
+    pub fn config_changed(&self) {
         self.informed.notify(usize::MAX);
     }
 
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -75,7 +75,14 @@
         silent_store(),
     ));
     let own = Rc::clone(&poison);
-    let peers = Rc::new(PeerDesk::new(clock, None));
+    let decode = Box::new(|_: &[u8]| Ok(config()));
+    let configs = Rc::new(ConfigDesk::new(
+        TimeSettings::default().config,
+        clock,
+        log.clone(),
+        decode,
+    ));
+    let peers = Rc::new(PeerDesk::new(clock, None, Rc::clone(&configs)));
     let desk = BudgetDesk::new(member, book, clock, log.clone(), store, own, peers);
     let settings = ForwardSettings {
         instance,
@@ -90,13 +97,6 @@
         book,
         poison: PoisonSettings::default(),
     };
-    let decode = Box::new(|_: &[u8]| Ok(config()));
-    let configs = Rc::new(ConfigDesk::new(
-        settings.times.config,
-        clock,
-        log.clone(),
-        decode,
-    ));
     ForwardRouter::new(settings, clock, log, configs, Rc::new(desk), poison)
 }
 
