Messages between instances prove the fleet's key and show it to nobody

Now a message's head ends with a keyed hash over all before it, the body and a number drawn for the question; an answer is over the question's number. The operators' /suspects/acquit still takes the key itself. Instances of this and earlier builds do not answer each other (403): during a rolling upgrade tokens are not lent between them.

--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -19,6 +19,7 @@
 use super::BudgetDesk;
 use crate::clock::timer_span;
 use crate::http::ChannelError;
+use crate::peer::PeerError;
 use crate::peer::PeerQuestion;
 use crate::peer::read_answer;
 
@@ -132,7 +133,7 @@
         end: ClockTime,
     ) -> Option<LoanAnswer> {
         let rest = timer_span(end.since(self.clock.now()));
-        if rest.is_zero() || !self.peers.has_key() {
+        if rest.is_zero() || self.peers.key().is_none() {
             return None;
         }
         let question = PeerQuestion::Loan(organisation.clone(), ask);
@@ -241,7 +242,7 @@
     }
 
     /// Sends an account once: told twice, it would give tokens back twice.
-    async fn send_account(&self, account: &LoanReturn) -> Result<(), ChannelError> {
+    async fn send_account(&self, account: &LoanReturn) -> Result<(), PeerError> {
         let address = self.peers.address_of(&account.lender.instance);
         let address = address.ok_or(ChannelError::Closed)?;
         let question = PeerQuestion::Return(account.clone());
@@ -249,7 +250,7 @@
         Ok(())
     }
 
-    fn note_lost_account(&self, account: &LoanReturn, error: &ChannelError) {
+    fn note_lost_account(&self, account: &LoanReturn, error: &PeerError) {
         let draft = EventDraft::new("budget.return_lost")
             .organisation(&account.organisation)
             .field("other", &account.lender.instance)
--- a/crates/guavawell-forward/src/budget/lend.rs
+++ b/crates/guavawell-forward/src/budget/lend.rs
@@ -22,10 +22,9 @@
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
 use crate::http::within;
-use crate::peer::KEY_FIELD;
 use crate::peer::PeerQuestion;
+use crate::peer::ReceivedQuestion;
 use crate::peer::VERSION_FIELD;
-use crate::peer::read_question;
 use crate::peer::write_answer;
 
 /// How long a lender waits for the store: two of its answers and a write of the
@@ -57,18 +56,19 @@
 
     async fn answer_peer(self: &Rc<Self>, mut channel: HttpChannel) -> Result<(), ChannelError> {
         loop {
-            let (head, body) = within(IDLE_LIMIT, read_question(&mut channel)).await?;
-            if !self.peers.has_key() {
+            let asked = within(IDLE_LIMIT, ReceivedQuestion::read(&mut channel)).await?;
+            let Some(key) = self.peers.key() else {
                 // A process that has just started may be asked before it has
                 // read the key.
                 return self.refuse(&channel, 503, "Service Unavailable").await;
-            }
-            if !self.peers.knows_key(head.fields.get(KEY_FIELD)) {
+            };
+            let Some(nonce) = asked.proved_nonce(key) else {
                 metrics::counter!("guavawell_forward_strangers_total").increment(1);
                 return self.refuse(&channel, 403, "Forbidden").await;
-            }
+            };
+            let head = &asked.head;
             self.peers.hear_version(head.fields.get(VERSION_FIELD));
-            let question = PeerQuestion::parse(head.path(), &body, &self.instance);
+            let question = PeerQuestion::parse(head.path(), &asked.body, &self.instance);
             let status = question
                 .as_ref()
                 .map_or((400, "Bad Request"), |_| (200, "OK"));
@@ -89,9 +89,7 @@
                 None => {}
             }
             writer.field_of("Content-Length", body.len());
-            let mut bytes = writer.finish();
-            bytes.append(&mut body);
-            channel.send(&bytes).await?;
+            channel.send(&key.seal(writer, nonce, &body)).await?;
         }
     }
 
--- a/crates/guavawell-forward/src/config/others.rs
+++ b/crates/guavawell-forward/src/config/others.rs
@@ -16,8 +16,8 @@
 
 use super::ConfigAnswer;
 use crate::clock::timer_span;
-use crate::http::ChannelError;
 use crate::http::OpenTries;
+use crate::peer::PeerError;
 use crate::router::ForwardRouter;
 
 /// Instances that are asked in a round.
@@ -59,7 +59,7 @@
 /// Asks a few others, until one is in touch with the store; whether one was.
 async fn ask_round(router: &ForwardRouter) -> bool {
     let mut others = router.peers.addresses();
-    if others.is_empty() || !router.peers.has_key() {
+    if others.is_empty() || router.peers.key().is_none() {
         return false;
     }
     fastrand::shuffle(&mut others);
@@ -81,7 +81,7 @@
     router: &ForwardRouter,
     instance: InstanceId,
     address: SocketAddr,
-) -> Result<ToldConfig, ChannelError> {
+) -> Result<ToldConfig, PeerError> {
     let asked = router.configs.question_time();
     let known = router.configs.version();
     match router.peers.ask_config(address, known, HEAD_LIMIT).await {
--- a/crates/guavawell-forward/src/http/write.rs
+++ b/crates/guavawell-forward/src/http/write.rs
@@ -42,6 +42,12 @@
         self.push(format_args!("{name}: {value}\r\n"));
     }
 
+    /// The head so far, to which more is added.
+    #[must_use]
+    pub fn unfinished(self) -> Vec<u8> {
+        self.bytes
+    }
+
     /// Ends the head.
     #[must_use]
     pub fn finish(mut self) -> Vec<u8> {
--- a/crates/guavawell-forward/src/peer/channels.rs
+++ b/crates/guavawell-forward/src/peer/channels.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use super::FleetKey;
-use super::KEY_FIELD;
+use super::PeerError;
 use super::PeerQuestion;
 use super::question::HEAD_BYTES;
+use super::question::NONCE_FIELD;
 use super::question::VERSION_FIELD;
 use crate::http::BodyDecoder;
 use crate::http::ChannelError;
@@ -50,7 +51,8 @@
         key: FleetKey,
         version: u64,
         limit: Duration,
-    ) -> Result<PeerAnswer, ChannelError> {
+    ) -> Result<PeerAnswer, PeerError> {
+        let nonce = fastrand::u64(..);
         let exchange = async {
             let mut channel = match self.take_idle(address) {
                 Some(channel) => channel,
@@ -58,20 +60,22 @@
             };
             let mut writer = HeadWriter::request("POST", &question.target());
             writer.field_of("Host", address);
-            writer.field_of(KEY_FIELD, key.text());
+            writer.field_of(NONCE_FIELD, nonce);
             writer.field_of(VERSION_FIELD, version);
             let body = question.body();
             writer.field_of("Content-Length", body.len());
-            let mut bytes = writer.finish();
-            bytes.extend_from_slice(&body);
-            channel.send(&bytes).await?;
+            channel.send(&key.seal(writer, nonce, &body)).await?;
             let length = channel.head(HEAD_BYTES).await?;
-            let head = ResponseHead::parse(&channel.received()[..length], false)?;
+            let bytes = channel.received()[..length].to_vec();
             channel.consume(length);
-            Ok((head, channel))
+            Ok((bytes, channel))
         };
-        let (head, mut channel) = within(limit, exchange).await?;
+        let (bytes, mut channel) = within(limit, exchange).await?;
+        let head = ResponseHead::parse(&bytes, false).map_err(ChannelError::Head)?;
         let body = within(BODY_LIMIT, read_body(&mut channel, &head)).await?;
+        if !key.is_proved(&bytes, nonce, &body) {
+            return Err(PeerError::Unproved(head.status));
+        }
         let mut idle = self.idle.borrow_mut();
         if head.keep && idle.len() < MAX_IDLE {
             idle.push((address, channel));
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -17,6 +17,7 @@
 use guavawell_core::grant::FleetMember;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::ZoneId;
+use thiserror::Error;
 
 use self::channels::PeerAnswer;
 use self::channels::PeerChannels;
@@ -29,11 +30,10 @@
 use crate::http::HeadWriter;
 
 pub use self::key::FleetKey;
-pub use self::question::KEY_FIELD;
 pub(crate) use self::question::PeerQuestion;
+pub(crate) use self::question::ReceivedQuestion;
 pub(crate) use self::question::VERSION_FIELD;
 pub(crate) use self::question::read_answer;
-pub(crate) use self::question::read_question;
 pub(crate) use self::question::write_answer;
 
 /// How long an instance that did not answer is not asked again: a question to
@@ -43,6 +43,26 @@
 /// Doublings of [`AVOID`] at most: one that is back is found within seconds.
 const MAX_DOUBLINGS: u32 = 3;
 
+/// Field by which an operator shows the fleet's key.
+pub const KEY_FIELD: &str = "Key";
+
+/// Why another instance gave no answer that counts.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// Nothing came of it.
+    #[error(transparent)]
+    Channel(#[from] ChannelError),
+    /// This process does not know the fleet's key, so nobody was asked.
+    #[error("the fleet's key is not known yet")]
+    NoKey,
+    /// Whoever answered did not prove to know the fleet's key.
+    #[error("an answer with status {0} that bears no proof of the fleet's key")]
+    Unproved(u16),
+    /// The instance knows no configuration.
+    #[error("no configuration is known there")]
+    NoConfig,
+}
+
 /// An instance and where it answers others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerSeat {
@@ -112,14 +132,13 @@
         self.key.set(Some(key));
     }
 
-    /// Whether this process knows the fleet's key.
+    /// The fleet's key, once it is known.
     #[must_use]
-    pub const fn has_key(&self) -> bool {
-        self.key.get().is_some()
+    pub const fn key(&self) -> Option<FleetKey> {
+        self.key.get()
     }
 
-    /// Whether a question came from the fleet, or from an operator who can read
-    /// its key.
+    /// Whether an operator shows the fleet's key.
     #[must_use]
     pub fn knows_key(&self, text: Option<&str>) -> bool {
         let key = self.key.get();
@@ -153,9 +172,8 @@
         address: SocketAddr,
         question: &PeerQuestion,
         limit: Duration,
-    ) -> Result<PeerAnswer, ChannelError> {
-        // Nobody answers a process that does not know the key.
-        let key = self.key.get().ok_or(ChannelError::Closed)?;
+    ) -> Result<PeerAnswer, PeerError> {
+        let key = self.key.get().ok_or(PeerError::NoKey)?;
         let version = self.configs.version();
         let asked = self.channels.ask(address, question, key, version, limit);
         let answer = asked.await?;
@@ -169,11 +187,10 @@
         address: SocketAddr,
         known: u64,
         limit: Duration,
-    ) -> Result<ConfigAnswer, ChannelError> {
+    ) -> Result<ConfigAnswer, PeerError> {
         let question = PeerQuestion::Config(known);
         let answer = self.ask(address, &question, limit).await?;
-        // One that knows none says nothing of it.
-        read_config(&answer.head, answer.body).ok_or(ChannelError::Closed)
+        read_config(&answer.head, answer.body).ok_or(PeerError::NoConfig)
     }
 
     /// Answers a question for the configuration; returns the answer's body.
--- a/crates/guavawell-forward/src/peer/question.rs
+++ b/crates/guavawell-forward/src/peer/question.rs
@@ -13,6 +13,7 @@
 use guavawell_core::id::OrganisationId;
 use guavawell_core::poison::SuspicionList;
 
+use super::FleetKey;
 use crate::config::ConfigAnswer;
 use crate::http::BodyDecoder;
 use crate::http::ChannelError;
@@ -37,8 +38,8 @@
 const SPARE_SCOPE: &str = "spare";
 /// Second segment where the asker holds none.
 const SHARE_SCOPE: &str = "share";
-/// Field of a question that proves who asks.
-pub const KEY_FIELD: &str = "Key";
+/// Field of a question that holds the number drawn for it.
+pub(crate) const NONCE_FIELD: &str = "Nonce";
 /// Field of questions and answers that names the version in force there.
 pub(crate) const VERSION_FIELD: &str = "Config";
 /// Field of an answer that names the version that the store told.
@@ -50,7 +51,7 @@
 /// Field of an answer that says why none were lent.
 const CAUSE_FIELD: &str = "Cause";
 /// Field of an answer that names the life of the process that lent.
-const NONCE_FIELD: &str = "Nonce";
+const LIFE_FIELD: &str = "Life";
 
 /// What one instance asks another one.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -148,14 +149,14 @@
 pub(crate) fn write_answer(writer: &mut HeadWriter, answer: LoanAnswer, nonce: u64) {
     writer.field_of(LENT_FIELD, answer.tokens);
     writer.field_of(CAUSE_FIELD, answer.cause.as_str());
-    writer.field_of(NONCE_FIELD, nonce);
+    writer.field_of(LIFE_FIELD, nonce);
 }
 
 /// Reads an answer to a question for tokens: what was lent, by which life of
 /// the process.
 pub(crate) fn read_answer(head: &ResponseHead) -> Option<(LoanAnswer, u64)> {
     let tokens = head.fields.get(LENT_FIELD)?.parse().ok()?;
-    let nonce = head.fields.get(NONCE_FIELD)?.parse().ok()?;
+    let nonce = head.fields.get(LIFE_FIELD)?.parse().ok()?;
     let cause = head.fields.get(CAUSE_FIELD)?.parse().ok();
     let answer = LoanAnswer {
         tokens,
@@ -181,19 +182,37 @@
     })
 }
 
-/// Reads one question: its head and body.
-pub(crate) async fn read_question(
-    channel: &mut HttpChannel,
-) -> Result<(RequestHead, Vec<u8>), ChannelError> {
-    let length = channel.head(HEAD_BYTES).await?;
-    let head = RequestHead::parse(&channel.received()[..length])?;
-    channel.consume(length);
-    let mut decoder = BodyDecoder::new(head.framing);
-    let mut body = Vec::new();
-    while channel.body_part(&mut decoder, &mut body).await? {
-        if body.len() > BODY_BYTES {
-            return Err(ChannelError::CutShort);
+/// A question as it was received.
+pub(crate) struct ReceivedQuestion {
+    /// Its head.
+    pub(crate) head: RequestHead,
+    /// The bytes of its head.
+    bytes: Vec<u8>,
+    /// Its body.
+    pub(crate) body: Vec<u8>,
+}
+
+impl ReceivedQuestion {
+    /// Reads one question.
+    pub(crate) async fn read(channel: &mut HttpChannel) -> Result<Self, ChannelError> {
+        let length = channel.head(HEAD_BYTES).await?;
+        let bytes = channel.received()[..length].to_vec();
+        let head = RequestHead::parse(&bytes)?;
+        channel.consume(length);
+        let mut decoder = BodyDecoder::new(head.framing);
+        let mut body = Vec::new();
+        while channel.body_part(&mut decoder, &mut body).await? {
+            if body.len() > BODY_BYTES {
+                return Err(ChannelError::CutShort);
+            }
         }
+        Ok(Self { head, bytes, body })
+    }
+
+    /// The number that the asker drew, if the question bears the key's proof.
+    pub(crate) fn proved_nonce(&self, key: FleetKey) -> Option<u64> {
+        let nonce = self.head.fields.get(NONCE_FIELD)?.parse().ok()?;
+        let proved = key.is_proved(&self.bytes, nonce, &self.body);
+        proved.then_some(nonce)
     }
-    Ok((head, body))
 }
