--- a/crates/guavawell-forward/src/config/others.rs
+++ b/crates/guavawell-forward/src/config/others.rs
@@ -58,11 +58,10 @@
 
 /// Asks a few others, until one is in touch with the store; whether one was.
 async fn ask_round(router: &ForwardRouter) -> bool {
-    let mut others = router.peers.addresses();
+    let mut others = router.peers.shuffled_addresses();
     if others.is_empty() || router.peers.key().is_none() {
         return false;
     }
-    fastrand::shuffle(&mut others);
     others.truncate(ROUND);
     let mut tries = OpenTries::new(ROUND);
     for (instance, address) in others {
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -92,6 +92,8 @@
 #[derive(Debug)]
 pub struct PeerDesk {
     clock: SteadyClock,
+    /// The own availability zone.
+    own_zone: ZoneId,
     /// Where this instance answers others; `None` if it does not.
     own_address: Option<SocketAddr>,
     /// Sorted by instance.
@@ -108,10 +110,12 @@
     #[must_use]
     pub fn new(
         clock: SteadyClock,
+        own_zone: ZoneId,
         own_address: Option<SocketAddr>,
         configs: Rc<ConfigDesk>,
     ) -> Self {
         Self {
+            own_zone,
             configs,
             clock,
             own_address,
@@ -238,6 +242,26 @@
             .collect()
     }
 
+    /// All instances in random order, those that lately did not answer last. One of
+    /// the own availability zone comes first: it is the nearest, unless the zone is
+    /// cut off.
+    pub(crate) fn shuffled_addresses(&self) -> Vec<(InstanceId, SocketAddr)> {
+        let now = self.clock.now();
+        let mut peers: Vec<PeerEntry> = self.peers.borrow().clone();
+        fastrand::shuffle(&mut peers);
+        peers.sort_by_key(|peer| now < peer.avoided_until);
+        let near = peers
+            .iter()
+            .position(|peer| peer.seat.member.zone == self.own_zone);
+        if let Some(near) = near {
+            peers[..=near].rotate_right(1);
+        }
+        let seats = peers.into_iter().map(|peer| peer.seat);
+        seats
+            .map(|seat| (seat.member.instance, seat.address))
+            .collect()
+    }
+
     /// An instance did not answer.
     pub(crate) fn avoid(&self, instance: &InstanceId) {
         let now = self.clock.now();
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -82,7 +82,12 @@
         log.clone(),
         decode,
     ));
-    let peers = Rc::new(PeerDesk::new(clock, None, Rc::clone(&configs)));
+    let peers = Rc::new(PeerDesk::new(
+        clock,
+        member.zone.clone(),
+        None,
+        Rc::clone(&configs),
+    ));
     let desk = BudgetDesk::new(member, book, clock, log.clone(), store, own, peers);
     let settings = ForwardSettings {
         instance,
