One way to receive a bounded body; instances that lost the store together come back spread

Three places read a body up to a limit, each with its own loop. The pause after a failed question was 100 ms everywhere; it is 100 to 200 ms, drawn: 64 instances that lose the store at one moment asked again at one moment, each for the whole configuration. The bounds for one and two silent connections in a row hold with the longest pause (question tests).

--- a/crates/guavawell-core/src/forward/question.rs
+++ b/crates/guavawell-core/src/forward/question.rs
@@ -11,8 +11,8 @@
 const HEDGE_AFTER: ClockSpan = ClockSpan::from_millis(250);
 /// Time beyond a question's wait after which it counts as failed.
 const LATE_AFTER: ClockSpan = ClockSpan::from_millis(600);
-/// Pause after a failure.
-const FAULT_PAUSE: ClockSpan = ClockSpan::from_millis(100);
+/// Longest pause after a failure.
+const FAULT_PAUSE: ClockSpan = ClockSpan::from_millis(200);
 /// Part of the time in which a change is to be in force that a question waits
 /// for it, as one part in so many.
 const WAIT_PARTS: u64 = 4;
@@ -54,10 +54,14 @@
         plus(self.wait, LATE_AFTER)
     }
 
-    /// The pause after a failure.
+    /// The pause after a failure: between half of the longest and all of it, so
+    /// that instances which lost the store together do not come back at one
+    /// moment. `draw` is uniform over all `u16`.
     #[must_use]
-    pub const fn fault_pause(self) -> ClockSpan {
-        FAULT_PAUSE
+    pub fn fault_pause(self, draw: u16) -> ClockSpan {
+        let half = FAULT_PAUSE.as_millis() / 2;
+        let part = half * u64::from(draw) / u64::from(u16::MAX);
+        ClockSpan::from_millis(half + part)
     }
 
     /// The age of what is known beyond which an answer is overdue, also at a
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::crash::AbandonedAttempt;
 use crate::crash::AttemptWatch;
 use crate::http::BodyDecoder;
+use crate::http::BodyFraming;
 use crate::http::ChannelError;
 use crate::http::HttpChannel;
 use crate::http::ResponseHead;
@@ -294,18 +295,12 @@
 }
 
 async fn skip_body(channel: &mut HttpChannel, head: &ResponseHead) -> Result<(), ChannelError> {
-    let mut decoder = BodyDecoder::new(head.framing);
-    let mut body = Vec::new();
-    while channel.body_part(&mut decoder, &mut body).await? {
-        if body.len() > STRAY_BYTES {
-            return Err(ChannelError::CutShort);
-        }
-    }
-    if decoder.is_done() {
-        Ok(())
-    } else {
-        Err(ChannelError::Closed)
+    channel.body(head.framing, STRAY_BYTES).await?;
+    if head.framing == BodyFraming::UntilClose {
+        // Nothing comes after it.
+        return Err(ChannelError::Closed);
     }
+    Ok(())
 }
 
 /// The time until the request's end, for a step that must end by then.
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -15,6 +15,7 @@
 
 use super::BodyDecoder;
 use super::BodyError;
+use super::BodyFraming;
 use super::HeadError;
 
 /// Bytes that one read asks for.
@@ -38,6 +39,9 @@
     /// A head is longer than allowed.
     #[error("head longer than allowed")]
     HeadTooLong,
+    /// A body is longer than allowed.
+    #[error("body longer than allowed")]
+    BodyTooLong,
     /// A head is malformed.
     #[error(transparent)]
     Head(#[from] HeadError),
@@ -218,6 +222,26 @@
         }
     }
 
+    /// Receives a whole body of `most` bytes at most.
+    ///
+    /// # Errors
+    ///
+    /// It is longer, cut short or malformed, or the connection fails.
+    pub async fn body(
+        &mut self,
+        framing: BodyFraming,
+        most: usize,
+    ) -> Result<Vec<u8>, ChannelError> {
+        let mut decoder = BodyDecoder::new(framing);
+        let mut body = Vec::new();
+        while self.body_part(&mut decoder, &mut body).await? {
+            if body.len() > most {
+                return Err(ChannelError::BodyTooLong);
+            }
+        }
+        Ok(body)
+    }
+
     /// Sends all of `bytes`.
     ///
     /// # Errors
--- a/crates/guavawell-forward/src/peer/channels.rs
+++ b/crates/guavawell-forward/src/peer/channels.rs
@@ -11,7 +11,6 @@
 use super::question::HEAD_BYTES;
 use super::question::NONCE_FIELD;
 use super::question::VERSION_FIELD;
-use crate::http::BodyDecoder;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -72,7 +71,7 @@
         };
         let (bytes, mut channel) = within(limit, exchange).await?;
         let head = ResponseHead::parse(&bytes, false).map_err(ChannelError::Head)?;
-        let body = within(BODY_LIMIT, read_body(&mut channel, &head)).await?;
+        let body = within(BODY_LIMIT, channel.body(head.framing, BODY_BYTES)).await?;
         if !key.is_proved(&bytes, nonce, &body) {
             return Err(PeerError::Unproved(head.status));
         }
@@ -94,17 +93,3 @@
         None
     }
 }
-
-async fn read_body(
-    channel: &mut HttpChannel,
-    head: &ResponseHead,
-) -> Result<Vec<u8>, ChannelError> {
-    let mut decoder = BodyDecoder::new(head.framing);
-    let mut body = Vec::new();
-    while channel.body_part(&mut decoder, &mut body).await? {
-        if body.len() > BODY_BYTES {
-            return Err(ChannelError::CutShort);
-        }
-    }
-    Ok(body)
-}
--- a/crates/guavawell-forward/src/peer/question.rs
+++ b/crates/guavawell-forward/src/peer/question.rs
@@ -15,7 +15,6 @@
 
 use super::FleetKey;
 use crate::config::ConfigAnswer;
-use crate::http::BodyDecoder;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -199,13 +198,7 @@
         let bytes = channel.received()[..length].to_vec();
         let head = RequestHead::parse(&bytes)?;
         channel.consume(length);
-        let mut decoder = BodyDecoder::new(head.framing);
-        let mut body = Vec::new();
-        while channel.body_part(&mut decoder, &mut body).await? {
-            if body.len() > BODY_BYTES {
-                return Err(ChannelError::CutShort);
-            }
-        }
+        let body = channel.body(head.framing, BODY_BYTES).await?;
         Ok(Self { head, bytes, body })
     }
 
