--- /dev/null
+++ b/crates/guavawell-core/src/forward/age.rs
@@ -0,0 +1,55 @@
+//! How old something may be that is read again and again from the platform's store.
+//!
+//! Load pattern: a process does not run for seconds. When it does again, the
+//! store's answer from before and callers' requests are read in one go. The answer
+//! is as old as its question, and what it does not tell may hold since.
+
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+
+/// The age of what is known. Times are of a clock that counts suspensions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FeedAge {
+    /// When the latest question was sent that was answered.
+    checked_at: Option<ClockTime>,
+    /// A request waited for an answer, and none came.
+    vain: bool,
+}
+
+impl FeedAge {
+    /// The age of what was asked for at `at`.
+    #[must_use]
+    pub const fn checked(at: ClockTime) -> Self {
+        Self {
+            checked_at: Some(at),
+            vain: false,
+        }
+    }
+
+    /// A question sent at `asked` was answered.
+    pub fn check(&mut self, asked: ClockTime) {
+        if self.checked_at < Some(asked) {
+            *self = Self::checked(asked);
+        }
+    }
+
+    /// For how long something newer may exist without being known here; `None`
+    /// while nothing is known.
+    #[must_use]
+    pub fn at(&self, now: ClockTime) -> Option<ClockSpan> {
+        Some(now.since(self.checked_at?))
+    }
+
+    /// Whether a request waits a moment for an answer that is overdue: a process
+    /// that did not run is answered at once when it does again. Where the store
+    /// is away the first wait is in vain, and no other follows it.
+    #[must_use]
+    pub fn is_awaited(&self, overdue_after: ClockSpan, now: ClockTime) -> bool {
+        !self.vain && self.at(now).is_some_and(|age| age > overdue_after)
+    }
+
+    /// A request waited in vain.
+    pub const fn waited_in_vain(&mut self) {
+        self.vain = true;
+    }
+}
--- a/crates/guavawell-core/src/forward/belief.rs
+++ b/crates/guavawell-core/src/forward/belief.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
+use crate::forward::FeedAge;
 
 /// Who told a configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,16 +58,14 @@
     held: Option<HeldVersion>,
     /// The newest version that the store told this process.
     stored: Option<u64>,
-    /// The latest time at which no newer version than the held one existed.
-    checked_at: Option<ClockTime>,
+    /// How long ago no newer version than the held one existed.
+    age: FeedAge,
     /// Revision of the newest row of the store that could not be read.
     unreadable: Option<u64>,
     /// Revision of the newest one that could.
     readable: Option<u64>,
     /// A version that the store did not have.
     disowned: Option<u64>,
-    /// A request waited for an answer of the store, and none came.
-    vain: bool,
 }
 
 impl ConfigBelief {
@@ -84,24 +83,15 @@
         proved.map(|held| held.version)
     }
 
-    /// For how long newer versions may exist without being known here; `None`
-    /// while no configuration is known.
+    /// For how long newer versions may exist without being known here.
     #[must_use]
-    pub fn age(&self, now: ClockTime) -> Option<ClockSpan> {
-        Some(now.since(self.checked_at?))
+    pub const fn age(&self) -> &FeedAge {
+        &self.age
     }
 
-    /// Whether a request waits a moment for an answer that is overdue: a process
-    /// that did not run is answered at once when it does again. Where the store
-    /// is away the first wait is in vain, and no other follows it.
-    #[must_use]
-    pub fn is_awaited(&self, overdue_after: ClockSpan, now: ClockTime) -> bool {
-        !self.vain && self.age(now).is_some_and(|age| age > overdue_after)
-    }
-
-    /// A request waited in vain.
+    /// A request waited for an answer of the store in vain.
     pub const fn waited_in_vain(&mut self) {
-        self.vain = true;
+        self.age.waited_in_vain();
     }
 
     /// Whether another instance that speaks of a version knows more.
@@ -134,7 +124,7 @@
             // The store had it no later than whoever told it.
             return self.disown(held, asked, now);
         }
-        self.check(asked);
+        self.age.check(asked);
         BeliefStep::Keep
     }
 
@@ -168,7 +158,7 @@
             return self.take(version, ConfigSource::Instance, checked, now);
         }
         if self.version() == Some(version) {
-            self.check(checked);
+            self.age.check(checked);
         }
         BeliefStep::Keep
     }
@@ -181,7 +171,7 @@
         now: ClockTime,
     ) -> BeliefStep {
         self.hold(version, source, now);
-        self.check(checked);
+        self.age.check(checked);
         BeliefStep::Take
     }
 
@@ -191,7 +181,7 @@
         if let Some(version) = self.stored {
             self.hold(version, ConfigSource::Store, now);
         }
-        self.checked_at = Some(asked);
+        self.age = FeedAge::checked(asked);
         BeliefStep::Disown
     }
 
@@ -202,11 +192,4 @@
             taken_at,
         });
     }
-
-    fn check(&mut self, at: ClockTime) {
-        if self.checked_at < Some(at) {
-            self.checked_at = Some(at);
-            self.vain = false;
-        }
-    }
 }
--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! state that takes the time as an argument; carrying out is `guavawell-forward`'s.
 
 mod admission;
+mod age;
 mod belief;
 mod choice;
 mod congestion;
@@ -22,6 +23,7 @@
 
 pub use admission::AdmissionSettings;
 pub use admission::admit;
+pub use age::FeedAge;
 pub use belief::BeliefStep;
 pub use belief::ConfigBelief;
 pub use belief::ConfigSource;
--- a/crates/guavawell-core/src/forward/question.rs
+++ b/crates/guavawell-core/src/forward/question.rs
@@ -27,6 +27,10 @@
 pub struct QuestionPace {
     /// How long a question waits for a change.
     pub wait: ClockSpan,
+    /// Pause after an answer.
+    pub pause: ClockSpan,
+    /// Further pause for each instance of the fleet, which asks the same.
+    pub pause_each: ClockSpan,
 }
 
 impl QuestionPace {
@@ -35,11 +39,26 @@
     #[must_use]
     pub fn within(bound: ClockSpan) -> Self {
         let wait = (bound.as_millis() / WAIT_PARTS).clamp(LEAST_WAIT, MOST_WAIT);
+        Self::without_pause(ClockSpan::from_millis(wait))
+    }
+
+    /// A pace at which each question follows the answer before it at once.
+    #[must_use]
+    pub const fn without_pause(wait: ClockSpan) -> Self {
         Self {
-            wait: ClockSpan::from_millis(wait),
+            wait,
+            pause: ClockSpan::ZERO,
+            pause_each: ClockSpan::ZERO,
         }
     }
 
+    /// The pause after an answer in a fleet of so many instances.
+    #[must_use]
+    pub fn pause_among(self, instances: usize) -> ClockSpan {
+        let each = self.pause_each.as_millis() * instances as u64;
+        plus(self.pause, ClockSpan::from_millis(each))
+    }
+
     /// The time from a question until another one is begun beside it, on a
     /// connection of its own.
     #[must_use]
@@ -67,8 +86,11 @@
     /// The age of what is known beyond which an answer is overdue, also at a
     /// store that is slow: it counts from the question before the open one.
     #[must_use]
-    pub const fn overdue_after(self) -> ClockSpan {
-        plus(self.late_after(), self.wait)
+    pub fn overdue_after(self, instances: usize) -> ClockSpan {
+        plus(
+            self.late_after(),
+            plus(self.wait, self.pause_among(instances)),
+        )
     }
 }
 
--- a/crates/guavawell-core/tests/config_belief/main.rs
+++ b/crates/guavawell-core/tests/config_belief/main.rs
@@ -63,25 +63,25 @@
 fn after_a_pause_requests_wait_until_a_question_sent_since_is_answered() {
     let mut belief = ConfigBelief::default();
     belief.store_told(1, 1, at(1_000), at(1_005));
-    assert!(!belief.is_awaited(OVERDUE, at(2_000)));
+    assert!(!belief.age().is_awaited(OVERDUE, at(2_000)));
     // The process does not run from 1,010 to 5,000; the answer to the question
     // from before is read first.
-    assert!(belief.is_awaited(OVERDUE, at(5_000)));
+    assert!(belief.age().is_awaited(OVERDUE, at(5_000)));
     belief.store_unchanged(at(1_010), at(5_001));
-    assert!(belief.is_awaited(OVERDUE, at(5_001)));
+    assert!(belief.age().is_awaited(OVERDUE, at(5_001)));
     belief.store_unchanged(at(5_001), at(5_006));
-    assert!(!belief.is_awaited(OVERDUE, at(5_006)));
+    assert!(!belief.age().is_awaited(OVERDUE, at(5_006)));
 }
 
 #[test]
 fn while_the_store_is_away_one_wait_is_in_vain_and_none_follows() {
     let mut belief = ConfigBelief::default();
     belief.store_told(1, 1, at(1_000), at(1_005));
-    assert!(belief.is_awaited(OVERDUE, at(3_000)));
+    assert!(belief.age().is_awaited(OVERDUE, at(3_000)));
     belief.waited_in_vain();
-    assert!(!belief.is_awaited(OVERDUE, at(3_000)));
-    assert!(!belief.is_awaited(OVERDUE, at(90_000)));
+    assert!(!belief.age().is_awaited(OVERDUE, at(3_000)));
+    assert!(!belief.age().is_awaited(OVERDUE, at(90_000)));
     // It is back, and lost again later.
     belief.store_unchanged(at(90_000), at(90_005));
-    assert!(belief.is_awaited(OVERDUE, at(93_000)));
+    assert!(belief.age().is_awaited(OVERDUE, at(93_000)));
 }
--- a/crates/guavawell-core/tests/config_belief/world.rs
+++ b/crates/guavawell-core/tests/config_belief/world.rs
@@ -187,7 +187,7 @@
             Plant::HandsOnHearsay => belief.version(),
             _ => belief.proved_version(),
         };
-        Some(ToldAnswer::Instance(version?, belief.age(self.now)?))
+        Some(ToldAnswer::Instance(version?, belief.age().at(self.now)?))
     }
 
     fn deliver(&mut self, random: &mut fastrand::Rng) {
@@ -292,7 +292,8 @@
             if belief.version().is_some_and(is_false) && !follower.was_misled {
                 return told("a false version came on from an instance that heard it");
             }
-            let (Some(version), Some(age)) = (belief.proved_version(), belief.age(self.now)) else {
+            let (Some(version), Some(age)) = (belief.proved_version(), belief.age().at(self.now))
+            else {
                 continue;
             };
             let checked = self.now.as_millis() - age.as_millis();
--- a/crates/guavawell-core/tests/forward/question.rs
+++ b/crates/guavawell-core/tests/forward/question.rs
@@ -46,7 +46,7 @@
     for bound in BOUNDS_MS {
         let pace = pace(bound);
         let oldest = 2 * (pace.wait.as_millis() + SLOW_ANSWER_MS);
-        let overdue = pace.overdue_after().as_millis();
+        let overdue = pace.overdue_after(1).as_millis();
         assert!(oldest < overdue, "{bound}: {oldest} {overdue}");
         assert!(overdue < bound, "{bound}: {overdue}");
     }
--- a/crates/guavawell-forward/src/clock.rs
+++ b/crates/guavawell-forward/src/clock.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use event_listener::Event;
 use event_listener::EventListener;
 use futures_lite::FutureExt;
 use guavawell_core::clock::ClockSpan;
@@ -67,3 +68,23 @@
     };
     bell.or(late).await;
 }
+
+/// Waits while a condition holds, for `patience` at most; whether it ended.
+/// `changed` rings whenever it may have.
+pub async fn wait_while(
+    clock: &SteadyClock,
+    changed: &Event,
+    patience: ClockSpan,
+    condition: impl Fn() -> bool,
+) -> bool {
+    let until = clock.now() + patience;
+    while condition() {
+        let bell = changed.listen();
+        let rest = clock.left(until);
+        if rest == ClockSpan::ZERO {
+            return false;
+        }
+        wait_until(bell, timer_span(rest)).await;
+    }
+    true
+}
--- a/crates/guavawell-forward/src/config/mod.rs
+++ b/crates/guavawell-forward/src/config/mod.rs
@@ -26,6 +26,7 @@
 use crate::clock::SteadyClock;
 use crate::clock::timer_span;
 use crate::clock::wait_until;
+use crate::clock::wait_while;
 
 pub use self::others::ask_others;
 
@@ -96,7 +97,7 @@
         decode: ConfigDecoder,
     ) -> Self {
         Self {
-            overdue_after: pace.overdue_after(),
+            overdue_after: pace.overdue_after(0),
             answered: Event::new(),
             doubted_since: Cell::new(None),
             doubted: Event::new(),
@@ -119,7 +120,7 @@
     /// while none is known.
     #[must_use]
     pub fn age(&self) -> Option<ClockSpan> {
-        self.belief.borrow().age(self.clock.boot_now())
+        self.belief.borrow().age().at(self.clock.boot_now())
     }
 
     /// The version in force; 0 while none is known.
@@ -137,23 +138,16 @@
 
     /// Waits for an answer of the store that is overdue, for `patience` at most.
     pub async fn await_check(&self, patience: ClockSpan) {
-        let until = self.clock.now() + patience;
-        while self.is_awaited() {
-            let answered = self.answered.listen();
-            let rest = self.clock.left(until);
-            if rest == ClockSpan::ZERO {
-                self.belief.borrow_mut().waited_in_vain();
-                return;
-            }
-            wait_until(answered, timer_span(rest)).await;
+        let awaited = || {
+            let belief = self.belief.borrow();
+            let now = self.clock.boot_now();
+            belief.age().is_awaited(self.overdue_after, now)
+        };
+        if !wait_while(&self.clock, &self.answered, patience, awaited).await {
+            self.belief.borrow_mut().waited_in_vain();
         }
     }
 
-    fn is_awaited(&self) -> bool {
-        let belief = self.belief.borrow();
-        belief.is_awaited(self.overdue_after, self.clock.boot_now())
-    }
-
     /// The time of a question, for what is told of its answer.
     #[must_use]
     pub fn question_time(&self) -> ClockTime {
@@ -250,7 +244,7 @@
     pub fn tell(&self, known: u64) -> Option<ConfigAnswer> {
         let belief = self.belief.borrow();
         let version = belief.proved_version()?;
-        let age = belief.age(self.clock.boot_now())?;
+        let age = belief.age().at(self.clock.boot_now())?;
         let stored = self.stored.borrow();
         let stored = stored
             .as_ref()
--- a/crates/guavawell-forward/src/config/others.rs
+++ b/crates/guavawell-forward/src/config/others.rs
@@ -107,7 +107,7 @@
             if in_force {
                 router.config_changed();
             }
-            let overdue = router.settings.times.config.overdue_after();
+            let overdue = router.settings.times.config.overdue_after(0);
             answer.age <= overdue
         }
         Err(error) => {
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -127,13 +127,15 @@
     Ok(())
 }
 
-/// Waits a moment for news of the configuration that are overdue.
+/// Waits a moment for news of the configuration and of servers that are overdue.
 async fn await_check(
     router: &ForwardRouter,
     request: &ReceivedRequest,
 ) -> Result<(), RefusalAnswer> {
     let patience = patience(router, request, CHECK_PATIENCE)?;
+    let until = router.clock.now() + patience;
     router.configs.await_check(patience).await;
+    router.await_servers(router.clock.left(until)).await;
     Ok(())
 }
 
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -8,6 +8,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ConnectPace;
+use guavawell_core::forward::FeedAge;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::LinkCongestion;
 use guavawell_core::forward::RepeatAllowance;
@@ -23,6 +24,7 @@
 
 use crate::budget::BudgetDesk;
 use crate::clock::SteadyClock;
+use crate::clock::wait_while;
 use crate::config::ConfigDesk;
 use crate::config::ConfigTold;
 use crate::crash::CrashChecks;
@@ -61,6 +63,10 @@
     informed: Event,
     /// Whether the list of servers was read.
     pub servers_read: Cell<bool>,
+    /// How old the list of servers may be.
+    server_age: Cell<FeedAge>,
+    /// A question for the list was answered.
+    servers_answered: Event,
     /// Whether budgets were open once; new ones do not close the door again.
     opened: Cell<bool>,
     /// Allowance for repeats.
@@ -108,6 +114,8 @@
             reborn: Event::new(),
             informed: Event::new(),
             servers_read: Cell::new(false),
+            server_age: Cell::default(),
+            servers_answered: Event::new(),
             opened: Cell::new(false),
             repeats: RefCell::default(),
             connects: Cell::default(),
@@ -232,6 +240,42 @@
         self.informed.notify(usize::MAX);
     }
 
+    /// A question for the list of servers that was sent at `asked` was answered.
+    pub fn servers_checked(&self, asked: ClockTime) {
+        let mut age = self.server_age.get();
+        age.check(asked);
+        self.server_age.set(age);
+        self.servers_answered.notify(usize::MAX);
+    }
+
+    /// The age beyond which an answer about the servers is overdue.
+    fn servers_overdue_after(&self) -> ClockSpan {
+        let pace = self.settings.times.servers;
+        pace.overdue_after(self.budgets.instances())
+    }
+
+    /// Whether an answer about the servers is overdue.
+    #[must_use]
+    pub fn servers_overdue(&self) -> bool {
+        let age = self.server_age.get().at(self.clock.boot_now());
+        age.is_some_and(|age| age > self.servers_overdue_after())
+    }
+
+    /// Waits for an answer about the servers that is overdue, for `patience` at
+    /// most.
+    pub async fn await_servers(&self, patience: ClockSpan) {
+        let awaited = || {
+            let now = self.clock.boot_now();
+            let overdue_after = self.servers_overdue_after();
+            self.server_age.get().is_awaited(overdue_after, now)
+        };
+        if !wait_while(&self.clock, &self.servers_answered, patience, awaited).await {
+            let mut age = self.server_age.get();
+            age.waited_in_vain();
+            self.server_age.set(age);
+        }
+    }
+
     fn note_server(&self, kind: &str, life: &ServerLife, phase: ServerPhase) {
         let phase = match phase {
             ServerPhase::Ready => "ready",
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -17,6 +17,15 @@
 
 use crate::names::FieldNames;
 
+/// Each server writes its entry every second or so, and an answer to each
+/// write would be a call of its own. A server that leaves serves three seconds
+/// longer: two questions in a row may fail in that time.
+const SERVER_PACE: QuestionPace = QuestionPace {
+    wait: ClockSpan::from_millis(300),
+    pause: ClockSpan::from_millis(300),
+    pause_each: ClockSpan::from_millis(4),
+};
+
 /// Addresses that the process listens on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListenAddresses {
@@ -47,6 +56,8 @@
     pub stream_silence: ClockSpan,
     /// How often the configuration is asked for.
     pub config: QuestionPace,
+    /// How often the list of servers is asked for.
+    pub servers: QuestionPace,
     /// Servers whose entries vanish around trouble with the platform.
     pub lapse: LapseSettings,
     /// Time from SIGTERM in which requests are taken as ever: the balancer asks
@@ -68,6 +79,7 @@
             attempt: ClockSpan::from_millis(250),
             stream_silence: ClockSpan::from_millis(1_200),
             config: QuestionPace::within(ClockSpan::from_millis(2_000)),
+            servers: SERVER_PACE,
             lapse: LapseSettings::default(),
             announce: ClockSpan::from_millis(2_900),
             grace: ClockSpan::from_millis(7_500),
