No request waits for a store that is known not to answer

Cause: only a wait in vain told that the store is away. A question that is not answered when it should be, at a process that ran meanwhile, tells it before an answer is overdue; one that nobody listened for tells nothing (FeedAge::unanswered). Overdue is 100 ms later than before, so that the first comes before the second.

--- a/crates/guavawell-core/src/clock/mod.rs
+++ b/crates/guavawell-core/src/clock/mod.rs
@@ -71,6 +71,14 @@
     }
 }
 
+impl Add for ClockSpan {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
 impl fmt::Display for ClockTime {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}", self.0)
--- a/crates/guavawell-core/src/forward/age.rs
+++ b/crates/guavawell-core/src/forward/age.rs
@@ -7,13 +7,16 @@
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 
+/// How much later than meant a process that runs looks whether an answer came.
+const LISTEN_SLACK: ClockSpan = ClockSpan::from_millis(300);
+
 /// The age of what is known. Times are of a clock that counts suspensions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FeedAge {
     /// When the latest question was sent that was answered.
     checked_at: Option<ClockTime>,
-    /// A request waited for an answer, and none came.
-    vain: bool,
+    /// The store is known not to answer now.
+    away: bool,
 }
 
 impl FeedAge {
@@ -22,7 +25,7 @@
     pub const fn checked(at: ClockTime) -> Self {
         Self {
             checked_at: Some(at),
-            vain: false,
+            away: false,
         }
     }
 
@@ -41,15 +44,22 @@
     }
 
     /// Whether a request waits a moment for an answer that is overdue: a process
-    /// that did not run is answered at once when it does again. Where the store
-    /// is away the first wait is in vain, and no other follows it.
+    /// that did not run is answered at once when it does again. Where the store is
+    /// known to be away nobody waits.
     #[must_use]
     pub fn is_awaited(&self, overdue_after: ClockSpan, now: ClockTime) -> bool {
-        !self.vain && self.at(now).is_some_and(|age| age > overdue_after)
+        !self.away && self.at(now).is_some_and(|age| age > overdue_after)
     }
 
     /// A request waited in vain.
     pub const fn waited_in_vain(&mut self) {
-        self.vain = true;
+        self.away = true;
+    }
+
+    /// A question sent at `asked` has no answer. That says something of the store
+    /// only if the process ran meanwhile: it should have come by `due_after`.
+    pub fn unanswered(&mut self, asked: ClockTime, due_after: ClockSpan, now: ClockTime) {
+        let listened = now.since(asked) <= due_after + LISTEN_SLACK;
+        self.away = self.away || listened;
     }
 }
--- a/crates/guavawell-core/src/forward/belief.rs
+++ b/crates/guavawell-core/src/forward/belief.rs
@@ -89,9 +89,9 @@
         &self.age
     }
 
-    /// A request waited for an answer of the store in vain.
-    pub const fn waited_in_vain(&mut self) {
-        self.age.waited_in_vain();
+    /// The same, to be told of questions without an answer.
+    pub const fn age_mut(&mut self) -> &mut FeedAge {
+        &mut self.age
     }
 
     /// Whether another instance that speaks of a version knows more.
--- a/crates/guavawell-core/src/forward/question.rs
+++ b/crates/guavawell-core/src/forward/question.rs
@@ -11,6 +11,9 @@
 const HEDGE_AFTER: ClockSpan = ClockSpan::from_millis(250);
 /// Time beyond a question's wait after which it counts as failed.
 const LATE_AFTER: ClockSpan = ClockSpan::from_millis(600);
+/// Time after which an answer is overdue that would have counted as late: by then
+/// a process that ran knows that the store does not answer.
+const OVERDUE_AFTER: ClockSpan = ClockSpan::from_millis(100);
 /// Longest pause after a failure.
 const FAULT_PAUSE: ClockSpan = ClockSpan::from_millis(200);
 /// Part of the time in which a change is to be in force that a question waits
@@ -56,21 +59,21 @@
     #[must_use]
     pub fn pause_among(self, instances: usize) -> ClockSpan {
         let each = self.pause_each.as_millis() * instances as u64;
-        plus(self.pause, ClockSpan::from_millis(each))
+        self.pause + ClockSpan::from_millis(each)
     }
 
     /// The time from a question until another one is begun beside it, on a
     /// connection of its own.
     #[must_use]
-    pub const fn hedge_after(self) -> ClockSpan {
-        plus(self.wait, HEDGE_AFTER)
+    pub fn hedge_after(self) -> ClockSpan {
+        self.wait + HEDGE_AFTER
     }
 
     /// The time from a question until it counts as failed, with whatever was
     /// begun beside it.
     #[must_use]
-    pub const fn late_after(self) -> ClockSpan {
-        plus(self.wait, LATE_AFTER)
+    pub fn late_after(self) -> ClockSpan {
+        self.wait + LATE_AFTER
     }
 
     /// The pause after a failure: between half of the longest and all of it, so
@@ -87,13 +90,6 @@
     /// store that is slow: it counts from the question before the open one.
     #[must_use]
     pub fn overdue_after(self, instances: usize) -> ClockSpan {
-        plus(
-            self.late_after(),
-            plus(self.wait, self.pause_among(instances)),
-        )
+        self.late_after() + self.wait + self.pause_among(instances) + OVERDUE_AFTER
     }
 }
-
-const fn plus(one: ClockSpan, other: ClockSpan) -> ClockSpan {
-    ClockSpan::from_millis(one.as_millis() + other.as_millis())
-}
--- a/crates/guavawell-core/tests/config_belief/main.rs
+++ b/crates/guavawell-core/tests/config_belief/main.rs
@@ -57,7 +57,9 @@
     ClockTime::from_millis(millis)
 }
 
-const OVERDUE: ClockSpan = ClockSpan::from_millis(1_600);
+const OVERDUE: ClockSpan = ClockSpan::from_millis(1_700);
+/// Time after a question at which its answer is due.
+const DUE: ClockSpan = ClockSpan::from_millis(750);
 
 #[test]
 fn after_a_pause_requests_wait_until_a_question_sent_since_is_answered() {
@@ -74,14 +76,25 @@
 }
 
 #[test]
-fn while_the_store_is_away_one_wait_is_in_vain_and_none_follows() {
+fn while_the_store_is_known_to_be_away_no_request_waits() {
     let mut belief = ConfigBelief::default();
     belief.store_told(1, 1, at(1_000), at(1_005));
-    assert!(belief.age().is_awaited(OVERDUE, at(3_000)));
-    belief.waited_in_vain();
+    // The process ran, and the next question has no answer when it should.
+    belief.age_mut().unanswered(at(1_505), DUE, at(2_255));
     assert!(!belief.age().is_awaited(OVERDUE, at(3_000)));
     assert!(!belief.age().is_awaited(OVERDUE, at(90_000)));
-    // It is back, and lost again later.
+    // It is back, and lost again later; the first wait then is in vain.
     belief.store_unchanged(at(90_000), at(90_005));
     assert!(belief.age().is_awaited(OVERDUE, at(93_000)));
+    belief.age_mut().waited_in_vain();
+    assert!(!belief.age().is_awaited(OVERDUE, at(93_000)));
+}
+
+#[test]
+fn a_question_that_nobody_listened_for_says_nothing_of_the_store() {
+    let mut belief = ConfigBelief::default();
+    belief.store_told(1, 1, at(1_000), at(1_005));
+    // The process does not run from 1,600 to 5,000.
+    belief.age_mut().unanswered(at(1_505), DUE, at(5_000));
+    assert!(belief.age().is_awaited(OVERDUE, at(5_000)));
 }
--- a/crates/guavawell-forward/src/config/mod.rs
+++ b/crates/guavawell-forward/src/config/mod.rs
@@ -79,6 +79,8 @@
     stored: RefCell<Option<StoredConfig>>,
     /// Age beyond which an answer of the store is overdue.
     overdue_after: ClockSpan,
+    /// Time from a question until it counts as failed.
+    late_after: ClockSpan,
     /// The store answered.
     answered: Event,
     /// Since when a question to the store has no answer when it should, or
@@ -98,6 +100,7 @@
     ) -> Self {
         Self {
             overdue_after: pace.overdue_after(0),
+            late_after: pace.late_after(),
             answered: Event::new(),
             doubted_since: Cell::new(None),
             doubted: Event::new(),
@@ -144,7 +147,7 @@
             belief.age().is_awaited(self.overdue_after, now)
         };
         if !wait_while(&self.clock, &self.answered, patience, awaited).await {
-            self.belief.borrow_mut().waited_in_vain();
+            self.belief.borrow_mut().age_mut().waited_in_vain();
         }
     }
 
@@ -200,8 +203,12 @@
         self.log.emit(draft);
     }
 
-    /// The store did not answer a question when it should.
-    pub fn unanswered(&self) {
+    /// The store did not answer a question sent at `asked` when it should.
+    pub fn unanswered(&self, asked: ClockTime) {
+        let now = self.clock.boot_now();
+        let mut belief = self.belief.borrow_mut();
+        belief.age_mut().unanswered(asked, self.late_after, now);
+        drop(belief);
         self.doubt(ClockSpan::ZERO);
     }
 
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -248,6 +248,14 @@
         self.servers_answered.notify(usize::MAX);
     }
 
+    /// A question for the list of servers that was sent at `asked` has no answer.
+    pub fn servers_unanswered(&self, asked: ClockTime) {
+        let mut age = self.server_age.get();
+        let late_after = self.settings.times.servers.late_after();
+        age.unanswered(asked, late_after, self.clock.boot_now());
+        self.server_age.set(age);
+    }
+
     /// The age beyond which an answer about the servers is overdue.
     fn servers_overdue_after(&self) -> ClockSpan {
         let pace = self.settings.times.servers;
