What others knew last has nobody wait for a store that is away

Found in review, with a test that failed before: in a loss of the store each answer of another instance that had its last one a little later made the process forget that the store is away, and requests waited 250 ms for it again. Only the store's own answer says that it is back. Also: a request that is judged again notes the age of what it is judged by.

--- a/crates/guavawell-core/src/forward/age.rs
+++ b/crates/guavawell-core/src/forward/age.rs
@@ -29,13 +29,19 @@
         }
     }
 
-    /// A question sent at `asked` was answered.
+    /// The store answered a question sent at `asked`.
     pub fn check(&mut self, asked: ClockTime) {
         if self.checked_at < Some(asked) {
             *self = Self::checked(asked);
         }
     }
 
+    /// Another instance knew as much at a time `at`. That the store answers it says
+    /// nothing of the own way there.
+    pub fn check_through_others(&mut self, at: ClockTime) {
+        self.checked_at = self.checked_at.max(Some(at));
+    }
+
     /// For how long something newer may exist without being known here; `None`
     /// while nothing is known.
     #[must_use]
--- a/crates/guavawell-core/src/forward/belief.rs
+++ b/crates/guavawell-core/src/forward/belief.rs
@@ -158,7 +158,7 @@
             return self.take(version, ConfigSource::Instance, checked, now);
         }
         if self.version() == Some(version) {
-            self.age.check(checked);
+            self.age.check_through_others(checked);
         }
         BeliefStep::Keep
     }
@@ -171,7 +171,10 @@
         now: ClockTime,
     ) -> BeliefStep {
         self.hold(version, source, now);
-        self.age.check(checked);
+        match source {
+            ConfigSource::Store => self.age.check(checked),
+            ConfigSource::Instance => self.age.check_through_others(checked),
+        }
         BeliefStep::Take
     }
 
--- a/crates/guavawell-core/tests/config_belief/main.rs
+++ b/crates/guavawell-core/tests/config_belief/main.rs
@@ -90,6 +90,18 @@
     assert!(!belief.age().is_awaited(OVERDUE, at(93_000)));
 }
 
+#[test]
+fn what_others_knew_last_has_nobody_wait_for_a_store_that_is_away() {
+    let mut belief = ConfigBelief::default();
+    belief.store_told(1, 1, at(1_000), at(1_005));
+    belief.age_mut().unanswered(at(1_505), DUE, at(2_255));
+    // Another instance had its last answer a little later.
+    let age = ClockSpan::from_millis(2_700);
+    belief.instance_told(1, age, at(4_000), at(4_005));
+    assert_eq!(belief.age().at(at(4_000)), Some(age));
+    assert!(!belief.age().is_awaited(OVERDUE, at(4_005)));
+}
+
 #[test]
 fn a_question_that_nobody_listened_for_says_nothing_of_the_store() {
     let mut belief = ConfigBelief::default();
--- a/crates/guavawell-forward/src/config/mod.rs
+++ b/crates/guavawell-forward/src/config/mod.rs
@@ -178,7 +178,7 @@
             }
             ConfigTold::Unchanged => {
                 let step = self.belief.borrow_mut().store_unchanged(asked, now);
-                self.follow(step, None, asked, now);
+                self.carry_out(step, None, asked, now);
                 return None;
             }
         };
@@ -190,7 +190,7 @@
         let step = belief.store_told(config.version, revision, asked, now);
         drop(belief);
         self.store(&config, bytes);
-        self.follow(step, Some(&config), asked, now);
+        self.carry_out(step, Some(&config), asked, now);
         Some(config)
     }
 
@@ -317,7 +317,7 @@
     }
 
     /// Does what follows from an answer of the store.
-    fn follow(
+    fn carry_out(
         &self,
         step: BeliefStep,
         told: Option<&Rc<ForwardConfig>>,
--- a/crates/guavawell-forward/src/judge.rs
+++ b/crates/guavawell-forward/src/judge.rs
@@ -73,6 +73,14 @@
     Ok(Some((entry.id.clone(), entry.priority)))
 }
 
+/// Notes by which configuration a request is judged, and how old that may be.
+pub fn note_config(router: &ForwardRouter, config: &ForwardConfig, record: &RequestRecord) {
+    record.note("config", config.version);
+    if let Some(age) = router.configs.age() {
+        record.note("config_age_ms", age.as_millis());
+    }
+}
+
 /// What a configuration does not know, unless a newer one may know it.
 fn unknown(router: &ForwardRouter, refusal: ForwardRefusal) -> RefusalAnswer {
     if router.configs.is_overdue() {
@@ -97,7 +105,7 @@
     let Some(config) = changed_config(router, call) else {
         return Ok(());
     };
-    record.note("config", config.version);
+    note_config(router, &config, record);
     let route = route_under(router, &config, call)?;
     if may_have_run && route.repeat == RepeatKind::Once {
         return Err(ForwardRefusal::AnswerLost);
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -24,6 +24,7 @@
 use crate::judge::RETRY_NO_CONFIG;
 use crate::judge::find_route;
 use crate::judge::identify;
+use crate::judge::note_config;
 use crate::record::RequestRecord;
 use crate::refuse::RefusalAnswer;
 use crate::router::ForwardRouter;
@@ -59,10 +60,7 @@
     let Some(config) = router.configs.current() else {
         return Err(RefusalAnswer::new(ForwardRefusal::NoConfig).after(RETRY_NO_CONFIG));
     };
-    record.note("config", config.version);
-    if let Some(age) = router.configs.age() {
-        record.note("config_age_ms", age.as_millis());
-    }
+    note_config(router, &config, record);
     let route = find_route(router, &config, request)?;
     record.note("route", &route.name);
     let organisation = identify(router, &config, &route, request)?;
