--- a/crates/guavawell-forward/src/config/others.rs
+++ b/crates/guavawell-forward/src/config/others.rs
@@ -83,20 +83,17 @@
 ) -> Result<ToldConfig, PeerError> {
     let asked = router.configs.question_time();
     let known = router.configs.version();
-    match router.peers.ask_config(address, known, HEAD_LIMIT).await {
-        Ok(answer) => {
-            router.peers.reached(&instance);
-            Ok(ToldConfig {
-                instance,
-                asked,
-                answer,
-            })
-        }
-        Err(error) => {
-            router.peers.avoid(&instance);
-            Err(error)
-        }
+    let answer = router.peers.ask_config(address, known, HEAD_LIMIT).await;
+    match &answer {
+        // It may lend tokens all the same.
+        Ok(_) | Err(PeerError::NoConfig | PeerError::NoKey) => router.peers.reached(&instance),
+        Err(_) => router.peers.avoid(&instance),
     }
+    Ok(ToldConfig {
+        answer: answer?,
+        asked,
+        instance,
+    })
 }
 
 /// Takes in what an instance told; whether it is in touch with the store.
