--- a/crates/guavawell-forward/src/config/others.rs
+++ b/crates/guavawell-forward/src/config/others.rs
@@ -83,16 +83,11 @@
 ) -> Result<ToldConfig, PeerError> {
     let asked = router.configs.question_time();
     let known = router.configs.version();
-    let answer = router.peers.ask_config(address, known, HEAD_LIMIT).await;
-    match &answer {
-        // It may lend tokens all the same.
-        Ok(_) | Err(PeerError::NoConfig | PeerError::NoKey) => router.peers.reached(&instance),
-        Err(_) => router.peers.avoid(&instance),
-    }
+    let answer = router.peers.ask_config(address, known, HEAD_LIMIT).await?;
     Ok(ToldConfig {
-        answer: answer?,
-        asked,
         instance,
+        asked,
+        answer,
     })
 }
 
@@ -113,7 +108,6 @@
                 .field("version", answer.version)
                 .field("error", error);
             router.log.emit(draft);
-            router.peers.avoid(&told.instance);
             false
         }
     }
