--- a/crates/guavawell-core/src/grant/book.rs
+++ b/crates/guavawell-core/src/grant/book.rs
@@ -60,9 +60,6 @@
     pub instances: usize,
     /// Age of the line beyond which it is written again if tokens were spent.
     pub line_age: ClockSpan,
-    /// Age of the line beyond which it is written again though nothing was spent:
-    /// what it has unlocked by then is frozen if the process ends.
-    pub idle_line_age: ClockSpan,
     /// Further age of the line for each instance, so that a large fleet writes
     /// no more than a small one: 125 lines a second in all.
     pub line_age_each: ClockSpan,
@@ -95,7 +92,6 @@
             own_seconds: 0.3,
             instances: 3,
             line_age: ClockSpan::from_millis(150),
-            idle_line_age: ClockSpan::from_millis(2_500),
             line_age_each: ClockSpan::from_millis(8),
             entry_age: ClockSpan::from_millis(1_000),
             entry_age_each: ClockSpan::from_millis(40),
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -93,8 +93,7 @@
                 .iter()
                 .zip(&lines)
                 .all(|(a, b)| a.spent == b.spent);
-        let idle = same && !self.is_open_long(now);
-        if idle || (fresh && !waits) {
+        if same || (fresh && !waits) {
             return None;
         }
         let closed = before.closed.iter().filter(|ended| self.is_needed(ended));
@@ -107,13 +106,6 @@
         })
     }
 
-    /// Whether lines that nobody spends by have unlocked much of what is granted.
-    fn is_open_long(&self, now: ClockTime) -> bool {
-        let old = now.since(self.lines_at) >= self.settings.idle_line_age;
-        let has_stock = |state: &BudgetState| self.grant(state) > state.used;
-        old && self.budgets.iter().any(has_stock)
-    }
-
     /// Whether this boot spends of a budget by its own grant. One that no longer
     /// holds tokens keeps its line for as long as it has spent some.
     fn has_line(&self, state: &BudgetState, now: ClockTime) -> bool {
