One wait for what becomes due; a request asks for its patience only where it waits

Read over once more: the wait for a doubt of the configuration was the loop that waits for a row of suspects (clock::wait_due serves both); the time of a question is the clock's, not the configuration's desk's; and every request parsed its time limit once more to learn how long it would wait for an overdue answer that hardly any waits for.

--- a/crates/guavawell-forward/src/clock.rs
+++ b/crates/guavawell-forward/src/clock.rs
@@ -88,3 +88,19 @@
     }
     true
 }
+
+/// Waits until something is due. `changed` rings whenever that may have changed.
+pub async fn wait_due(clock: &SteadyClock, changed: &Event, due: impl Fn() -> Option<ClockTime>) {
+    loop {
+        let bell = changed.listen();
+        let Some(at) = due() else {
+            bell.await;
+            continue;
+        };
+        let rest = clock.left(at);
+        if rest == ClockSpan::ZERO {
+            return;
+        }
+        wait_until(bell, timer_span(rest)).await;
+    }
+}
--- a/crates/guavawell-forward/src/config/mod.rs
+++ b/crates/guavawell-forward/src/config/mod.rs
@@ -24,8 +24,7 @@
 use guavawell_fleet::event::EventLog;
 
 use crate::clock::SteadyClock;
-use crate::clock::timer_span;
-use crate::clock::wait_until;
+use crate::clock::wait_due;
 use crate::clock::wait_while;
 
 pub use self::others::ask_others;
@@ -139,24 +138,22 @@
         self.age().is_none_or(|age| age > self.overdue_after)
     }
 
+    /// Whether a request waits for an answer of the store.
+    #[must_use]
+    pub fn is_awaited(&self) -> bool {
+        let belief = self.belief.borrow();
+        let now = self.clock.boot_now();
+        belief.age().is_awaited(self.overdue_after, now)
+    }
+
     /// Waits for an answer of the store that is overdue, for `patience` at most.
     pub async fn await_check(&self, patience: ClockSpan) {
-        let awaited = || {
-            let belief = self.belief.borrow();
-            let now = self.clock.boot_now();
-            belief.age().is_awaited(self.overdue_after, now)
-        };
+        let awaited = || self.is_awaited();
         if !wait_while(&self.clock, &self.answered, patience, awaited).await {
             self.belief.borrow_mut().age_mut().waited_in_vain();
         }
     }
 
-    /// The time of a question, for what is told of its answer.
-    #[must_use]
-    pub fn question_time(&self) -> ClockTime {
-        self.clock.boot_now()
-    }
-
     /// Tells the metrics how old the configuration may be.
     pub fn report_age(&self) {
         if let Some(age) = self.age() {
@@ -230,19 +227,8 @@
 
     /// Waits until others are to be asked.
     pub async fn wait_doubted(&self) {
-        loop {
-            let doubted = self.doubted.listen();
-            match self.doubted_since.get() {
-                None => doubted.await,
-                Some(since) => {
-                    let rest = self.clock.left(since);
-                    if rest == ClockSpan::ZERO {
-                        return;
-                    }
-                    wait_until(doubted, timer_span(rest)).await;
-                }
-            }
-        }
+        let since = || self.doubted_since.get();
+        wait_due(&self.clock, &self.doubted, since).await;
     }
 
     /// What this instance tells another one that knows a version: only what the
--- a/crates/guavawell-forward/src/config/others.rs
+++ b/crates/guavawell-forward/src/config/others.rs
@@ -81,7 +81,7 @@
     instance: InstanceId,
     address: SocketAddr,
 ) -> Result<ToldConfig, PeerError> {
-    let asked = router.configs.question_time();
+    let asked = router.clock.boot_now();
     let known = router.configs.version();
     let answer = router.peers.ask_config(address, known, HEAD_LIMIT).await?;
     Ok(ToldConfig {
--- a/crates/guavawell-forward/src/poison/publish.rs
+++ b/crates/guavawell-forward/src/poison/publish.rs
@@ -9,8 +9,7 @@
 
 use super::POISON_TABLE;
 use super::PoisonDesk;
-use crate::clock::timer_span;
-use crate::clock::wait_until;
+use crate::clock::wait_due;
 use crate::store::RowKey;
 use crate::store::RowState;
 use crate::store::StoreFault;
@@ -46,19 +45,8 @@
     /// Waits until the row wants writing. It may hold what an earlier life of
     /// this instance saw, so it is read before it is written over.
     async fn wait_due(&self) {
-        loop {
-            let bell = self.row_bell.listen();
-            match self.due.get().filter(|_| self.is_read()) {
-                None => bell.await,
-                Some(due) => {
-                    let rest = self.clock.left(due);
-                    if rest.as_millis() == 0 {
-                        return;
-                    }
-                    wait_until(bell, timer_span(rest)).await;
-                }
-            }
-        }
+        let due = || self.due.get().filter(|_| self.is_read());
+        wait_due(&self.clock, &self.row_bell, due).await;
     }
 
     /// Writes the row; false if it had another version than was known.
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -130,6 +130,9 @@
     router: &ForwardRouter,
     request: &ReceivedRequest,
 ) -> Result<(), RefusalAnswer> {
+    if !router.configs.is_awaited() && !router.servers_awaited() {
+        return Ok(());
+    }
     let patience = patience(router, request, CHECK_PATIENCE)?;
     let until = router.clock.now() + patience;
     router.configs.await_check(patience).await;
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -269,14 +269,18 @@
         age.is_some_and(|age| age > self.servers_overdue_after())
     }
 
+    /// Whether a request waits for an answer about the servers.
+    #[must_use]
+    pub fn servers_awaited(&self) -> bool {
+        let now = self.clock.boot_now();
+        let overdue_after = self.servers_overdue_after();
+        self.server_age.get().is_awaited(overdue_after, now)
+    }
+
     /// Waits for an answer about the servers that is overdue, for `patience` at
     /// most.
     pub async fn await_servers(&self, patience: ClockSpan) {
-        let awaited = || {
-            let now = self.clock.boot_now();
-            let overdue_after = self.servers_overdue_after();
-            self.server_age.get().is_awaited(overdue_after, now)
-        };
+        let awaited = || self.servers_awaited();
         if !wait_while(&self.clock, &self.servers_answered, patience, awaited).await {
             let mut age = self.server_age.get();
             age.waited_in_vain();
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -123,7 +123,7 @@
         let mut first = Box::pin(router.wait_informed());
         assert!(poll_once(&mut first).await.is_none());
         let told = ConfigTold::Row(b"the first", 1);
-        router.config_told(told, router.configs.question_time());
+        router.config_told(told, router.clock.boot_now());
         assert!(
             poll_once(&mut first).await.is_none(),
             "no server is known yet"
