A router that is gone leaves no thread and no memory behind in its process

What was seen: each fleet that ended in a process left its peer-client threads there, 4 of 4 (239 in one whole run of the fault tests). Cause: at its stop a peer server dropped its RPC systems unfinished. The session that it offers holds the sink that its peer offers, which holds the connection, so the dropped system was never freed and kept the handler, the slots and with them the client's threads. Evidence: after kill the core has one owner, slots and the carrying desk have two (10 of 12 routers; the two others had no peers); a peer server alone with one client keeps its handler (a_server_that_stopped_keeps_nothing_of_its_handler, 2 instead of 1); a connection that its client closes keeps nothing. Change: a server that stops closes each connection and waits, a second at most, until its RPC system has finished. The deployed pipeline starts one router a process and ends with it: nothing of the kind there.

--- a/crates/guavawell-fleet/src/peer/server/accept.rs
+++ b/crates/guavawell-fleet/src/peer/server/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts peers' connections on one thread.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::TcpListener;
@@ -13,7 +14,9 @@
 use smol::Async;
 use smol::LocalExecutor;
 use smol::Timer;
+use smol::channel;
 use smol::channel::Receiver;
+use smol::channel::Sender;
 use smol::future;
 use smol::net::TcpStream;
 
@@ -50,21 +53,42 @@
     H: Fn(PeerCall) -> F + 'static,
     F: Future<Output = PeerReply> + 'static,
 {
-    /// Serves until the server stops.
+    /// Serves until the server stops, and closes its connections then.
     pub fn run(self) {
         let executor = Rc::new(LocalExecutor::new());
-        let stopped = self.stopped.clone();
+        let (open, all_closed) = channel::bounded(1);
         let context = Rc::new(SessionContext {
             settings: self.settings,
             spawner: TaskSpawner::new(&executor),
             handler: self.handler,
         });
-        let accept = accept_loop(context, self.listener, self.connections);
-        let stop = async {
-            // Nothing is ever sent: receiving ends when the server stops.
-            let _ = stopped.recv().await;
+        let life = ServerLife {
+            stopped: self.stopped,
+            _open: open,
         };
-        smol::block_on(executor.run(future::or(stop, accept)));
+        let accept = accept_loop(context, self.listener, self.connections, life.clone());
+        smol::block_on(executor.run(async {
+            future::or(life.end(), accept).await;
+            drop(life);
+            // Nothing is ever sent: receiving ends with the last connection.
+            let _ = all_closed.recv().await;
+        }));
+    }
+}
+
+/// The server's life as its connections see it.
+#[derive(Clone)]
+struct ServerLife {
+    stopped: Receiver<()>,
+    /// Each connection holds one until it is closed.
+    _open: Sender<Infallible>,
+}
+
+impl ServerLife {
+    /// Ends when the server stops.
+    async fn end(&self) {
+        // Nothing is ever sent: receiving ends when the server stops.
+        let _ = self.stopped.recv().await;
     }
 }
 
@@ -72,6 +96,7 @@
     context: Rc<SessionContext<H>>,
     listener: TcpListener,
     connections: Arc<AtomicU32>,
+    life: ServerLife,
 ) where
     H: Fn(PeerCall) -> F + 'static,
     F: Future<Output = PeerReply> + 'static,
@@ -93,13 +118,15 @@
             continue;
         };
         let serve_context = Rc::clone(&context);
+        let serve_life = life.clone();
         let serve = async move {
-            let served = serve(&serve_context, stream.into()).await;
+            let served = serve(&serve_context, stream.into(), &serve_life).await;
             if let Err(error) = served {
                 metrics::counter!("guavawell_peer_handshake_failures_total").increment(1);
                 log::debug!("a peer's connection failed: {error}");
             }
             drop(slot);
+            drop(serve_life);
         };
         context.spawner.spawn(serve);
     }
@@ -126,14 +153,23 @@
     }
 }
 
-async fn serve<H, F>(context: &Rc<SessionContext<H>>, stream: TcpStream) -> io::Result<()>
+async fn serve<H, F>(
+    context: &Rc<SessionContext<H>>,
+    stream: TcpStream,
+    life: &ServerLife,
+) -> io::Result<()>
 where
     H: Fn(PeerCall) -> F + 'static,
     F: Future<Output = PeerReply> + 'static,
 {
     let settings = &context.settings;
     let limit = duration(settings.peers.connect_timeout_ms);
-    let stream = future::or(secure(settings, stream), timed_out(limit)).await?;
+    let stream = future::or(secure(settings, stream), timed_out(limit));
+    let stopped = async {
+        life.end().await;
+        Err(io::ErrorKind::ConnectionAborted.into())
+    };
+    let stream = future::or(stopped, stream).await?;
     let gate = Rc::new(PeerGate::new(Rc::clone(context), stream.proof()));
     let peer: peer::Client = capnp_rpc::new_client_from_rc(Rc::clone(&gate));
     let max_message = settings.peers.max_message_bytes;
@@ -144,7 +180,14 @@
         max_message,
         Some(peer.client),
     );
-    future::or(watch(&rpc, settings, &gate), ended(&rpc)).await
+    let stopped = async {
+        life.end().await;
+        Ok(())
+    };
+    let served = future::or(watch(&rpc, settings, &gate), ended(&rpc));
+    let served = future::or(stopped, served).await;
+    rpc.close().await;
+    served
 }
 
 async fn secure(settings: &PeerServerSettings, stream: TcpStream) -> io::Result<SecureStream> {
--- a/crates/guavawell-fleet/src/peer/tests/fault.rs
+++ b/crates/guavawell-fleet/src/peer/tests/fault.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::ops::RangeFrom;
+use std::sync::Arc;
 
 use guavawell_core::budget::LedgerEntry;
 use guavawell_core::budget::WitnessMessage;
@@ -25,11 +26,13 @@
 use super::start_plain;
 use super::start_server;
 use super::target;
+use super::test_handler;
 use crate::peer::PeerClient;
 use crate::peer::PeerError;
 use crate::peer::PeerFailure;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
+use crate::peer::PeerServer;
 use crate::peer::PeerTarget;
 use crate::settings::ByteCount;
 
@@ -132,6 +135,53 @@
     drop(mute);
 }
 
+/// Guards against routers that stay in memory, with their threads, for as long
+/// as the process that started them: what a peer had asked kept the handler.
+#[test]
+fn a_server_that_stopped_keeps_nothing_of_its_handler() {
+    let (handler, control) = test_handler();
+    let held = Arc::new(());
+    let own = Arc::clone(&held);
+    let server = PeerServer::start(&server_settings(settings()), move |call| {
+        let own = Arc::clone(&own);
+        let handler = handler.clone();
+        async move {
+            let reply = handler.answer(call).await;
+            drop(own);
+            reply
+        }
+    });
+    let server = server.unwrap();
+    let client = PeerClient::start(&client_settings(settings())).unwrap();
+    let target = target(server.address());
+    assert_eq!(call(&client, &target, hand_back(1)), Ok(given(1)));
+    let slow = call_aside(&client, &target, seal());
+    control.wait_for_seal();
+    drop(server);
+    assert!(slow.join().unwrap().is_err(), "lost with the server");
+    assert_eq!(Arc::strong_count(&held), 1);
+}
+
+/// Guards against memory that each connection of a peer leaves behind.
+#[test]
+fn a_peer_that_went_leaves_nothing_of_its_connection() {
+    let (handler, _control) = test_handler();
+    let held = Arc::new(());
+    let own = Arc::clone(&held);
+    let server = PeerServer::start(&server_settings(settings()), move |call| {
+        let _own = Arc::clone(&own);
+        handler.clone().answer(call)
+    });
+    let server = server.unwrap();
+    let target = target(server.address());
+    for number in 0..5 {
+        let client = PeerClient::start(&client_settings(settings())).unwrap();
+        assert_eq!(call(&client, &target, hand_back(number)), Ok(given(number)));
+    }
+    drop(server);
+    assert_eq!(Arc::strong_count(&held), 1);
+}
+
 fn record(entries: u64) -> PeerRequest {
     let entries = (0..entries).map(|number| LedgerEntry::Seal {
         identity: identity(number),
--- a/crates/guavawell-fleet/src/peer/transport/mod.rs
+++ b/crates/guavawell-fleet/src/peer/transport/mod.rs
@@ -15,8 +15,10 @@
 use capnp_rpc::twoparty::VatNetwork;
 use futures::AsyncReadExt;
 use guavawell_core::clock::ClockSpan;
+use smol::Timer;
 use smol::channel;
 use smol::channel::Receiver;
+use smol::future;
 use smol::io::BufReader;
 use smol::net::Shutdown;
 use smol::net::TcpStream;
@@ -32,6 +34,10 @@
 /// Bytes read from a connection at once.
 const READ_BYTES: usize = 64 * 1024;
 
+/// Longest wait for the RPC system of a closed connection to finish: it reads
+/// the end of its stream and frees its tables.
+const FINISH_LIMIT: Duration = Duration::from_secs(1);
+
 /// Bytes of a word of capnp.
 const WORD_BYTES: usize = 8;
 
@@ -41,9 +47,30 @@
     pub heard: Rc<HeardClock>,
     /// Closes when the connection has ended.
     pub ended: Receiver<()>,
+    /// Closes when the RPC system has finished.
+    finished: Receiver<()>,
     socket: TcpStream,
 }
 
+impl RunningRpc {
+    /// Closes the connection and waits until the RPC system has finished. Each
+    /// side offers the other what holds the connection, so that a system which
+    /// is dropped before it finishes is never freed.
+    pub async fn close(self) {
+        let finished = self.finished.clone();
+        drop(self);
+        let finish = async {
+            // Nothing is ever sent: receiving ends with the system.
+            let _ = finished.recv().await;
+        };
+        let limit = async {
+            Timer::after(FINISH_LIMIT).await;
+            log::warn!("a closed connection to a peer did not finish in time");
+        };
+        future::or(finish, limit).await;
+    }
+}
+
 impl Drop for RunningRpc {
     fn drop(&mut self) {
         // The RPC system then reads the end of the stream, fails what waits
@@ -74,11 +101,13 @@
     let mut system = RpcSystem::new(Box::new(network), bootstrap);
     let offered = system.bootstrap(Side::Server);
     let (end, ended) = channel::bounded(1);
+    let (finish, finished) = channel::bounded(1);
     let write_end = end.clone();
     let read = async move {
         // The end matters, not its cause: calls fail by themselves.
         let _ = system.await;
         end.close();
+        finish.close();
     };
     let write = async move {
         let _ = writing.await;
@@ -89,6 +118,7 @@
     let running = RunningRpc {
         heard,
         ended,
+        finished,
         socket,
     };
     (running, offered)
