A record that repeats another one's place is not given back as a second charge

What was seen: fleet::a_real_load_is_proved_and_a_planted_fault_is_found, listed as red, failed once beside 40 busy processes. Cause: the running fleet's fold gave the planted second record back before the audit read it. Both records name the same place in the slot's run of charges, and the budget's row holds that place once: 24 tokens came back that nobody had paid twice. Change: the fold leaves charges that overlap others to the audit, with an error line and a counter.

--- a/crates/guavawell-core/src/request/billing/chain.rs
+++ b/crates/guavawell-core/src/request/billing/chain.rs
@@ -88,6 +88,18 @@
     audit
 }
 
+impl BillingRecord {
+    /// Whether both records tell of some of the same tokens: those of one slot,
+    /// tenure and pool lie end to end, so that the budget's row holds such
+    /// tokens once.
+    #[must_use]
+    pub fn overlaps(&self, other: &Self) -> bool {
+        let is_one_chain = self.budget == other.budget && chain_key(self) == chain_key(other);
+        let is_placed = has_place(self) && has_place(other);
+        is_one_chain && is_placed && start(self) < other.counted && start(other) < self.counted
+    }
+}
+
 /// A charge paid from what a takeover froze, or told again by a successor, has
 /// no place.
 fn has_place(record: &BillingRecord) -> bool {
--- a/crates/guavawell-core/src/request/billing/tests.rs
+++ b/crates/guavawell-core/src/request/billing/tests.rs
@@ -261,6 +261,32 @@
     assert!(window.is_empty());
 }
 
+/// Guards against tokens that nobody paid: a record that repeats the place of
+/// another one would be given back, though the budget's row was charged once.
+#[test]
+fn a_charge_that_lies_over_another_is_known() {
+    let placed = |attempt, tenure, charged, counted| BillingRecord {
+        tenure: SlotEpoch::new(tenure),
+        counted: TokenCount::new(counted),
+        ..record("k", attempt, "tln-a", charged, 0)
+    };
+    let first = placed(1, 1, 30, 30);
+    let mut window = ChargeWindow::default();
+    window.add(vec![first.clone()], ClockTime::from_millis(0));
+    let is_overlapped = |record: &BillingRecord| window.is_overlapped(record);
+    assert!(!is_overlapped(&first), "the same charge");
+    assert!(is_overlapped(&placed(2, 1, 30, 30)), "the same place");
+    assert!(is_overlapped(&placed(2, 1, 10, 35)), "a part of it");
+    assert!(!is_overlapped(&placed(2, 1, 30, 60)), "the next place");
+    assert!(!is_overlapped(&placed(2, 2, 30, 30)), "another tenure");
+    assert!(!is_overlapped(&placed(2, 1, 30, 0)), "no place");
+    let float = BillingRecord {
+        pool: TokenPool::Float,
+        ..placed(2, 1, 30, 30)
+    };
+    assert!(!is_overlapped(&float), "another pool");
+}
+
 #[test]
 fn records_stay_until_their_segment_is_durable() {
     let policy = JournalPolicy {
--- a/crates/guavawell-core/src/request/billing/window.rs
+++ b/crates/guavawell-core/src/request/billing/window.rs
@@ -76,6 +76,15 @@
         groups.map(|group| group.iter().map(|seen| seen.record.clone()).collect())
     }
 
+    /// Whether another charge tells of some of the same tokens: one of the two
+    /// was made up, and the budget's row does not say which.
+    #[must_use]
+    pub fn is_overlapped(&self, record: &BillingRecord) -> bool {
+        let others = self.seen.iter().map(|seen| &seen.record);
+        let mut others = others.filter(|other| !other.is_same_charge(record));
+        others.any(|other| other.overlaps(record))
+    }
+
     /// Looks at a request's charges again at `due_at`, or once one more comes.
     pub fn postpone(&mut self, identity: &RequestIdentity, due_at: ClockTime) {
         let start = self
--- a/crates/guavawell-fleet/src/journal/fold.rs
+++ b/crates/guavawell-fleet/src/journal/fold.rs
@@ -8,6 +8,7 @@
 use guavawell_core::budget::InstanceLife;
 use guavawell_core::budget::SlotId;
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
 use guavawell_core::id::ShardId;
 use guavawell_core::request::billing::BillingRecord;
 use guavawell_core::request::billing::ChargeWindow;
@@ -157,6 +158,13 @@
         let now = clock::now();
         let due: Vec<Vec<BillingRecord>> = self.window.conflicts(now).collect();
         for charges in due.iter().take(self.settings.reads_a_step) {
+            if charges
+                .iter()
+                .any(|charge| self.window.is_overlapped(charge))
+            {
+                self.leave_to_audit(charges, now);
+                continue;
+            }
             let outcome = refund_second_charges(table, charges).await?;
             given += outcome.given;
             let wait = if outcome.waiting == 0 {
@@ -173,6 +181,23 @@
         Ok(given)
     }
 
+    /// Gives nothing back where records tell of the same tokens twice: what the
+    /// budget's row holds once would be given back all the same.
+    fn leave_to_audit(&mut self, charges: &[BillingRecord], now: ClockTime) {
+        let Some(first) = charges.first() else {
+            return;
+        };
+        metrics::counter!("guavawell_refunds_withheld_total").increment(1);
+        log::error!(
+            "charges of `{}` of {} overlap others and are not given back; audit budget `{}`",
+            first.identity.request,
+            first.identity.organisation,
+            first.budget
+        );
+        self.window
+            .postpone(&first.identity, now + self.settings.window.span);
+    }
+
     fn mark_place(&self, name: &SegmentName) -> Result<usize, usize> {
         self.marks
             .binary_search_by(|mark| (&mark.slot, &mark.router).cmp(&(&name.slot, &name.router)))
--- a/crates/guavawell-fleet/tests/journal.rs
+++ b/crates/guavawell-fleet/tests/journal.rs
@@ -250,3 +250,29 @@
     assert_eq!(row.settled, TokenCount::new(7));
     assert_eq!(row.refunded, TokenCount::new(7));
 }
+
+/// Guards against tokens that nobody paid: a record that repeats another one's
+/// place in a slot's run of charges was given back as a second charge, though
+/// the budget's row holds the place once.
+#[test]
+fn a_record_over_the_place_of_another_is_not_given_back() {
+    let test = JournalTest::start();
+    let router = test.router(1);
+    let first = BillingRecord {
+        counted: TokenCount::new(7),
+        ..record(7, 0, "tln-b")
+    };
+    router.record(BillingRecord {
+        attempt: AttemptId::new(99),
+        ..first.clone()
+    });
+    router.record(first);
+    smol::block_on(router.flush());
+    put_budget(&test, 7);
+    let table = Table::new(test.platform.address(), PoolSettings::default());
+    let mut fold = ShardFold::new(ShardId::new(0), FoldSettings::default());
+    for _ in 0..3 {
+        assert_eq!(smol::block_on(fold.step(&test.objects, &table)), Ok(0));
+    }
+    assert_eq!(budget_row(&test).refunded, TokenCount::ZERO);
+}
