A holder does not hold a reservation that was released before it came

What callers saw: one request told "another try of this id is running" in every try and for good; the listed test pair::platform_down_and_holder_paused did not end in five minutes (200 such tries take 310 s). Cause: a holder that was paused takes up the release of an attempt before its reservation, or a repeated reservation after the release, and holds an attempt that no router has. A router that gave up told only the present holder. Change: the holder remembers what was released in its tenure; a router that gives up tells everybody it asked and did not hear.

--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -33,6 +33,9 @@
         if self.is_retired() || self.leaving {
             return answer_reserve(ask, self.not_holder_reserve(), effects);
         }
+        if self.is_released(reserve.attempt) {
+            return answer_reserve(ask, self.unreachable(), effects);
+        }
         if self.is_awaited(ask, &reserve) {
             return;
         }
--- a/crates/guavawell-core/src/budget/holder/charge.rs
+++ b/crates/guavawell-core/src/budget/holder/charge.rs
@@ -192,6 +192,7 @@
         now: ClockTime,
         effects: &mut Vec<HolderEffect>,
     ) {
+        self.remember_released(release, now);
         let state = self.ledger.request(&release.identity).cloned();
         let answer = match state {
             Some(RequestState::Reserved(held))
--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -12,6 +12,7 @@
 mod float;
 mod pace;
 mod refill;
+mod released;
 mod retain;
 mod retire;
 mod settings;
@@ -37,6 +38,7 @@
 use crate::platform::PlatformRate;
 use crate::request::RequestIdentity;
 use pace::ReportPace;
+use released::ReleasedAttempts;
 use stock::BudgetStock;
 use wait::HeldWait;
 use witnessing::SentBatch;
@@ -103,6 +105,7 @@
     /// Whether the witness let a batch wait for too long.
     silent: bool,
     retained: VecDeque<RetainedRequest>,
+    released: ReleasedAttempts,
     /// When the slot row was last asked for.
     slot_read_at: ClockTime,
     reports: ReportPace,
@@ -144,6 +147,7 @@
             waits: Vec::new(),
             deposed: false,
             silent: false,
+            released: ReleasedAttempts::default(),
             slot_read_at: now,
             reports: ReportPace::default(),
         }
@@ -292,6 +296,7 @@
             self.read_slot(effects);
         }
         self.forget_old(now);
+        self.forget_released(now);
         self.adopt_accounts(now);
         self.look_at_stocks(now, effects);
         if self.leaving {
--- a/crates/guavawell-core/src/budget/holder/settings.rs
+++ b/crates/guavawell-core/src/budget/holder/settings.rs
@@ -44,6 +44,11 @@
     pub is_journaled: bool,
     /// How many charged or sealed requests are remembered.
     pub retained_most: usize,
+    /// For how long an attempt that was given back is remembered: longer than a
+    /// reservation can be on its way, also over a pause of this process.
+    pub released_for: ClockSpan,
+    /// How many attempts that were given back are remembered.
+    pub released_most: usize,
     /// How long a former holder waits for running attempts before it reports
     /// them at their worst case.
     pub retire_wait: ClockSpan,
@@ -69,6 +74,8 @@
             retention: ClockSpan::from_millis(600_000),
             is_journaled: false,
             retained_most: 100_000,
+            released_for: ClockSpan::from_millis(600_000),
+            released_most: 10_000,
             retire_wait: ClockSpan::from_millis(600_000),
             retry_after: ClockSpan::from_millis(1_000),
         }
--- a/crates/guavawell-demo/tests/fault/env.rs
+++ b/crates/guavawell-demo/tests/fault/env.rs
@@ -446,6 +446,14 @@
     }
 }
 
+/// The platform's outage, begun or ended.
+pub fn outage(is_out: bool) -> FaultChange {
+    FaultChange {
+        outage: Some(is_out),
+        ..FaultChange::default()
+    }
+}
+
 pub async fn set_faults(engine: &Engine, change: FaultChange) {
     engine.set_faults(change).await.expect("the engine obeys");
 }
--- a/crates/guavawell-demo/tests/fault/holder.rs
+++ b/crates/guavawell-demo/tests/fault/holder.rs
@@ -9,6 +9,7 @@
 use smol::Timer;
 
 use crate::env::FaultEnv;
+use crate::env::outage;
 use crate::env::run;
 use crate::env::settings;
 use crate::load::FaultLoad;
@@ -191,3 +192,36 @@
         env.assert_kept().await;
     });
 }
+
+/// Longer than a router asks for one reservation, with room for its release to
+/// be on its way.
+const PAST_ONE_ASK: Duration = Duration::from_millis(2_800);
+
+/// Guards against callers who hear for good that another try of their id runs: a
+/// holder that was paused while nobody could take over took up what its askers had
+/// given back before.
+#[test]
+fn an_id_whose_reservation_was_given_up_at_a_paused_holder_runs_in_the_end() {
+    run(async {
+        let mut env = FaultEnv::start_with(FleetSettings {
+            routers: 3,
+            engines: 1,
+            ..settings()
+        })
+        .await;
+        for tag in ["first", "second", "third"] {
+            let load = env.begin(FaultLoad {
+                max_tries: 40,
+                ..zone_load(&env, tag)
+            });
+            Timer::after(Duration::from_millis(300)).await;
+            env.platform_faults(outage(true));
+            env.fleet.pause(env.holder(0));
+            Timer::after(PAST_ONE_ASK).await;
+            env.platform_faults(outage(false));
+            env.fleet.heal();
+            assert_all_answered(&load.await, 60);
+        }
+        env.assert_kept().await;
+    });
+}
--- a/crates/guavawell-demo/tests/fault/outage.rs
+++ b/crates/guavawell-demo/tests/fault/outage.rs
@@ -4,19 +4,13 @@
 use guavawell_standin::fault::FaultChange;
 
 use crate::env::FaultEnv;
+use crate::env::outage;
 use crate::env::run;
 use crate::load::FaultLoad;
 use crate::load::assert_all_answered;
 use crate::load::once;
 use crate::load::streams;
 
-fn outage(is_out: bool) -> FaultChange {
-    FaultChange {
-        outage: Some(is_out),
-        ..FaultChange::default()
-    }
-}
-
 fn lost(answers: u64) -> FaultChange {
     FaultChange {
         lose_answers: Some(answers),
--- a/crates/guavawell-demo/tests/fault/pair.rs
+++ b/crates/guavawell-demo/tests/fault/pair.rs
@@ -7,6 +7,7 @@
 use smol::Timer;
 
 use crate::env::FaultEnv;
+use crate::env::outage;
 use crate::env::run;
 use crate::env::settings;
 use crate::load::FaultLoad;
@@ -43,13 +44,6 @@
     }
 }
 
-fn outage(is_out: bool) -> FaultChange {
-    FaultChange {
-        outage: Some(is_out),
-        ..FaultChange::default()
-    }
-}
-
 fn lost() -> FaultChange {
     FaultChange {
         lose_answers: Some(6),
--- a/crates/guavawell-fleet/src/slot/toward.rs
+++ b/crates/guavawell-fleet/src/slot/toward.rs
@@ -23,6 +23,7 @@
 use guavawell_core::id::BudgetId;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::OrganisationId;
+use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
 use guavawell_core::instance::MemberView;
 use guavawell_core::instance::Reachability;
@@ -85,10 +86,12 @@
         let reply = Box::pin(self.ask_hops(&slot, &told, &mut unheard)).await;
         if let HolderReply::Answer(PeerReply::Reserve(answer)) = reply {
             if let ReserveAnswer::Granted(grant) = &answer {
-                self.disown(&slot, &ask, grant, unheard);
+                unheard.retain(|target| *target != grant.holder.instance);
+                self.disown(&slot, &ask, Some(grant.tenure), unheard);
             }
             return answer;
         }
+        self.disown(&slot, &ask, None, unheard);
         self.release_later(ReleaseAsk {
             identity: ask.identity,
             attempt: ask.attempt,
@@ -99,25 +102,23 @@
         }
     }
 
-    /// Tells routers that were asked before, and did not answer, that the
-    /// attempt runs by another one's grant: a former holder that was paused
-    /// would keep its float frozen for it, and charge it a second time in the
-    /// end.
+    /// Tells routers that were asked and did not answer that the attempt runs by
+    /// the grant of another one, from tenure `before` on, or not at all: one that
+    /// was paused would keep its float frozen for it, and charge it in the end.
     fn disown(
         self: &Arc<Self>,
         slot: &SlotId,
         ask: &ReserveAsk,
-        grant: &ReserveGrant,
+        before: Option<SlotEpoch>,
         mut unheard: Vec<InstanceId>,
     ) {
         unheard.sort_unstable();
         unheard.dedup();
-        unheard.retain(|target| *target != grant.holder.instance);
         for target in unheard {
             let release = ReleaseAsk {
                 identity: ask.identity.clone(),
                 attempt: ask.attempt,
-                before: Some(grant.tenure),
+                before,
             };
             let is_there = {
                 let target = target.clone();
