Whoever got nothing because servers broke the answer off pays nothing

Cause: the prompt was charged to each request that may have run. Seven requests beside crashes got a 502 and nothing else and paid 177,892 tokens, 5.4% of the budget; their callers came back and paid again. Evidence: sums of tokens_spent over the logs of all instances (3,294,385 of 3,294,715 paid; no id twice). Change: what is charged depends on whose act ended the request (core::forward::charge): nothing where servers broke it off and its caller got no event. Time that ran out at a silent server, cut streams and callers that left pay as before. The line of the request says charge=nothing or consumed. The new test failed before (402 for the third of four).

--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod age;
 mod belief;
+mod charge;
 mod choice;
 mod congestion;
 mod connect;
@@ -27,6 +28,8 @@
 pub use belief::BeliefStep;
 pub use belief::ConfigBelief;
 pub use belief::ConfigSource;
+pub use charge::RequestCharge;
+pub use charge::RequestOutcome;
 pub use choice::ChoiceAsk;
 pub use choice::ChoiceRefusal;
 pub use choice::ChoiceSettings;
--- /dev/null
+++ b/crates/guavawell-core/tests/forward/charge.rs
@@ -0,0 +1,68 @@
+//! What requests pay that end without their whole answer.
+
+use guavawell_core::forward::AttemptEnd;
+use guavawell_core::forward::RequestCharge;
+use guavawell_core::forward::RequestOutcome;
+
+fn charge(may_have_run: bool, ends: &[AttemptEnd], delivered: u64) -> RequestCharge {
+    let mut outcome = RequestOutcome {
+        may_have_run,
+        delivered,
+        ..RequestOutcome::default()
+    };
+    for end in ends {
+        outcome.note(*end);
+    }
+    outcome.charge()
+}
+
+/// Guards against budgets that end early: the prompts of those beside a crash
+/// were charged, though their callers got nothing and asked again.
+#[test]
+fn whoever_got_nothing_because_servers_broke_off_pays_nothing() {
+    use AttemptEnd::Failed;
+    use AttemptEnd::Lost;
+    use AttemptEnd::NotSent;
+    use AttemptEnd::Rejected;
+    for ends in [
+        &[Lost][..],
+        &[Failed],
+        &[Lost, Lost],
+        &[Lost, NotSent],
+        &[Rejected, Lost],
+        &[Failed, Rejected],
+    ] {
+        assert_eq!(charge(true, ends, 0), RequestCharge::Nothing, "{ends:?}");
+    }
+}
+
+#[test]
+fn what_was_delivered_is_paid_with_its_prompt() {
+    for ends in [&[AttemptEnd::Lost][..], &[AttemptEnd::Silent]] {
+        assert_eq!(charge(true, ends, 1), RequestCharge::Consumed, "{ends:?}");
+    }
+}
+
+/// Time that ran out at a silent server may have been work all along; a prompt
+/// that costs nothing then would invite short limits.
+#[test]
+fn time_that_ran_out_at_a_server_is_paid() {
+    for ends in [
+        &[AttemptEnd::Silent][..],
+        &[AttemptEnd::Silent, AttemptEnd::Lost],
+        &[AttemptEnd::Lost, AttemptEnd::Silent],
+    ] {
+        assert_eq!(charge(true, ends, 0), RequestCharge::Consumed, "{ends:?}");
+    }
+}
+
+#[test]
+fn what_has_not_run_pays_nothing() {
+    for end in [
+        AttemptEnd::NotSent,
+        AttemptEnd::Rejected,
+        AttemptEnd::Silent,
+    ] {
+        assert_eq!(charge(false, &[end], 0), RequestCharge::Nothing, "{end:?}");
+    }
+}
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -1,6 +1,7 @@
 //! Decisions on forwarded requests: routes, repeats, choice of a server, and
 //! replays of the worst loads.
 
+mod charge;
 mod choice;
 mod congestion;
 mod connect;
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -123,8 +123,8 @@
     channel: HttpChannel,
     lease: ServerLease,
 ) -> AttemptOutcome {
-    let before = progress.may_have_run;
-    progress.may_have_run = true;
+    let before = progress.outcome.may_have_run;
+    progress.outcome.may_have_run = true;
     if let Some(reservation) = &call.reservation {
         reservation.spend(call.usage.input);
     }
@@ -134,7 +134,7 @@
     };
     note_load(router, &answer);
     if is_rejection(router, &answer.head) {
-        progress.may_have_run = before;
+        progress.outcome.may_have_run = before;
         note_rejection(router, &pick.server, answer);
         return AttemptOutcome::Ended(AttemptEnd::Rejected, None);
     }
--- a/crates/guavawell-forward/src/budget/reserve.rs
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -83,7 +83,7 @@
         self.spent.set(self.spent.get().max(spent));
     }
 
-    /// The request surely has not run: it spends nothing.
+    /// The request spends nothing: it has not run, or brought its caller nothing.
     pub fn release(&self) {
         self.spent.set(0);
     }
--- a/crates/guavawell-forward/src/send.rs
+++ b/crates/guavawell-forward/src/send.rs
@@ -9,6 +9,8 @@
 use guavawell_core::forward::ForwardRefusal;
 use guavawell_core::forward::NextStep;
 use guavawell_core::forward::RepeatKind;
+use guavawell_core::forward::RequestCharge;
+use guavawell_core::forward::RequestOutcome;
 use guavawell_core::forward::ServerLife;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::choose_server;
@@ -56,8 +58,8 @@
     pub unsent: usize,
     /// Time that went into them.
     pub unsent_time: ClockSpan,
-    /// A server may have run the request.
-    pub may_have_run: bool,
+    /// What it pays if it ends without its whole answer.
+    pub outcome: RequestOutcome,
     /// How far the request was suspected when it was last sent.
     pub suspicion: SuspicionMark,
     /// The stream as far as the caller has it.
@@ -76,7 +78,7 @@
     let mut failure = None;
     router.count_request(&call.service);
     loop {
-        let judged = judge_again(router, &mut call, progress.may_have_run, record);
+        let judged = judge_again(router, &mut call, progress.outcome.may_have_run, record);
         let call = &call;
         let pick = match judged.and_then(|()| choose(router, call, &progress)) {
             Ok(pick) => pick,
@@ -104,6 +106,7 @@
             }
             AttemptOutcome::Ended(end, answer) => (end, answer),
         };
+        progress.outcome.note(end);
         note_attempt(router, call, &pick, end);
         failure = answer.or(failure);
         let again = may_repeat(router, call, &progress, end);
@@ -127,6 +130,7 @@
     refusal: ForwardRefusal,
     failure: Option<PlainAnswer>,
 ) -> bool {
+    settle(call, record, progress);
     match failure {
         Some(answer) if !progress.stream.begun => {
             relay_failure(router, caller, call, record, &answer).await
@@ -135,6 +139,22 @@
     }
 }
 
+/// Charges a request that ends without its whole answer.
+fn settle(call: &ForwardCall<'_>, record: &RequestRecord, progress: &RequestProgress) {
+    let Some(reservation) = &call.reservation else {
+        return;
+    };
+    let outcome = RequestOutcome {
+        delivered: progress.stream.events,
+        ..progress.outcome
+    };
+    let charge = outcome.charge();
+    record.note("charge", charge.as_str());
+    if charge == RequestCharge::Nothing {
+        reservation.release();
+    }
+}
+
 /// Notes how much of a stream the caller has, and how soon it began.
 fn note_stream(record: &RequestRecord, stream: &StreamProgress) {
     record.note("events", stream.events);
@@ -263,9 +283,6 @@
         record.cut();
         return false;
     }
-    if let Some(reservation) = call.reservation.as_ref().filter(|_| !progress.may_have_run) {
-        reservation.release();
-    }
     let spread = ClockSpan::from_millis(fastrand::u64(..RETRY_SPREAD_MS));
     let now = router.clock.now();
     let resumes = router.servers.borrow().resumes_in(&call.service, now);
@@ -279,7 +296,7 @@
     let after = ClockSpan::from_millis(base.as_millis() + spread.as_millis());
     let answer = RefusalAnswer {
         refusal,
-        may_have_run: progress.may_have_run,
+        may_have_run: progress.outcome.may_have_run,
         retry_after: Some(after),
     };
     refuse(router, caller, call.request, call.id, record, &answer).await
