A server's crash counts once against a request, whoever saw it

Cause: a mark counted crashes in a row and did not say of which servers. An instance that learned of a crash counted the same server's crash once more by an attempt of its own that began in between. Change: a suspicion names the servers whose crashes it counts, three at most; one that is among them tells nothing more. An answer clears them. Evidence: a_server_whose_crash_two_instances_saw_crashed_once fails without the check (2 crashes for 1).

--- a/crates/guavawell-core/src/poison/mod.rs
+++ b/crates/guavawell-core/src/poison/mod.rs
@@ -5,7 +5,8 @@
 //! says little: all requests at the server were lost with it, and machines,
 //! racks and processes fail for other reasons too. So crashes count only in a
 //! row: an attempt that began after a crash was known, and whose server crashed
-//! as well, is evidence, and a complete answer takes all evidence back. A
+//! as well, is evidence, and a complete answer takes all evidence back. A server's life ends once:
+//! two instances that saw the same one crash saw one crash. A
 //! popular request at three servers that fail together has one crash to its
 //! name, and the next answer to it leaves none.
 //!
@@ -17,6 +18,7 @@
 
 mod fingerprint;
 mod mark;
+mod server;
 mod shared;
 mod table;
 
@@ -24,6 +26,8 @@
 pub use fingerprint::OrganisationTag;
 pub use fingerprint::RequestFingerprint;
 pub use mark::SuspicionMark;
+pub use server::CrashedServers;
+pub use server::ServerTag;
 pub use shared::SharedSuspicion;
 pub use shared::SuspicionList;
 pub use table::MarkChange;
--- /dev/null
+++ b/crates/guavawell-core/src/poison/server.rs
@@ -0,0 +1,61 @@
+//! Which servers' crashes are held against a request.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::forward::ServerLife;
+
+/// Servers that are remembered for one request: as many as convict it.
+const REMEMBERED: usize = 3;
+
+/// Tells the lives of servers apart.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ServerTag(u32);
+
+impl ServerTag {
+    /// The tag of a server's life.
+    #[must_use]
+    pub fn of(life: &ServerLife) -> Self {
+        let hash = blake3::hash(life.to_string().as_bytes());
+        let [first, second, third, fourth, ..] = *hash.as_bytes();
+        // Zero stands for no server.
+        Self(u32::from_le_bytes([first, second, third, fourth]).max(1))
+    }
+}
+
+/// Servers whose crashes are held against a request: each life ends once only,
+/// whoever tells of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CrashedServers([ServerTag; REMEMBERED]);
+
+impl CrashedServers {
+    /// Whether a server's crash is held against the request already.
+    #[must_use]
+    pub fn contains(&self, server: ServerTag) -> bool {
+        self.0.contains(&server)
+    }
+
+    /// Holds one more crash against the request, if there is room.
+    pub fn add(&mut self, server: ServerTag) {
+        if self.contains(server) {
+            return;
+        }
+        let mut places = self.0.iter_mut();
+        if let Some(free) = places.find(|held| **held == ServerTag::default()) {
+            *free = server;
+        }
+    }
+
+    /// Adds all that others hold against the request.
+    pub fn add_all(&mut self, others: &Self) {
+        let servers = others
+            .0
+            .iter()
+            .filter(|held| **held != ServerTag::default());
+        for server in servers {
+            self.add(*server);
+        }
+    }
+}
--- a/crates/guavawell-core/src/poison/shared.rs
+++ b/crates/guavawell-core/src/poison/shared.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
+use crate::poison::CrashedServers;
 use crate::poison::OrganisationTag;
 use crate::poison::RequestFingerprint;
 use crate::poison::SuspicionMark;
@@ -18,6 +19,8 @@
     pub organisation: OrganisationTag,
     /// How far it is suspected.
     pub mark: SuspicionMark,
+    /// The servers whose crashes the mark counts.
+    pub servers: CrashedServers,
     /// How long the mark had not changed when this was told.
     pub age: ClockSpan,
 }
--- a/crates/guavawell-core/src/poison/table.rs
+++ b/crates/guavawell-core/src/poison/table.rs
@@ -5,8 +5,10 @@
 
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
+use crate::poison::CrashedServers;
 use crate::poison::OrganisationTag;
 use crate::poison::RequestFingerprint;
+use crate::poison::ServerTag;
 use crate::poison::SharedSuspicion;
 use crate::poison::SuspicionMark;
 
@@ -76,6 +78,8 @@
     pub organisation: OrganisationTag,
     /// How far it is suspected.
     pub mark: SuspicionMark,
+    /// The servers whose crashes the mark counts.
+    servers: CrashedServers,
     /// When the mark changed.
     pub marked_at: ClockTime,
     /// When the mark changed, or the request was last refused.
@@ -168,21 +172,26 @@
     }
 
     /// A server crashed under an attempt that began when the request had the
-    /// mark `began`.
+    /// mark `began`. One whose crash is counted already, since another instance
+    /// saw it too, tells nothing more.
     pub fn crashed(
         &mut self,
         fingerprint: RequestFingerprint,
         organisation: OrganisationTag,
         began: SuspicionMark,
+        server: ServerTag,
         now: ClockTime,
     ) -> Option<MarkChange> {
-        if self.was_answered(fingerprint, now) {
+        let mut servers = self.crashed_servers(fingerprint, began);
+        if servers.contains(server) || self.was_answered(fingerprint, now) {
             return None;
         }
+        servers.add(server);
         let told = SharedSuspicion {
             fingerprint,
             organisation,
             mark: began.after_crash(),
+            servers,
             age: ClockSpan::default(),
         };
         self.take(told, true, now)
@@ -215,6 +224,7 @@
             fingerprint,
             organisation: entry.organisation,
             mark: entry.mark.after_answer(),
+            servers: CrashedServers::default(),
             age: ClockSpan::default(),
         };
         self.take(told, true, now)
@@ -262,6 +272,19 @@
         self.entries.retain(|entry| now < entry.at + lasts);
     }
 
+    /// The servers that are held against a request since the answer that `mark`
+    /// counts last.
+    fn crashed_servers(
+        &self,
+        fingerprint: RequestFingerprint,
+        mark: SuspicionMark,
+    ) -> CrashedServers {
+        let place = self.find(fingerprint).ok();
+        let entry = place.map(|place| &self.entries[place]);
+        let entry = entry.filter(|entry| entry.mark.cleared == mark.cleared);
+        entry.map_or(CrashedServers::default(), |entry| entry.servers)
+    }
+
     fn was_answered(&self, fingerprint: RequestFingerprint, now: ClockTime) -> bool {
         let lately = self.answers.iter().rev();
         let mut lately = lately.take_while(|(at, _)| now.since(*at) < self.settings.answer_tells);
@@ -279,6 +302,7 @@
                 fingerprint: told.fingerprint,
                 organisation: told.organisation,
                 mark: told.mark,
+                servers: told.servers,
                 marked_at: at,
                 at,
                 own,
@@ -291,6 +315,11 @@
         };
         let entry = &mut self.entries[place];
         let before = entry.mark;
+        if told.mark.cleared == before.cleared {
+            entry.servers.add_all(&told.servers);
+        } else if told.mark > before {
+            entry.servers = told.servers;
+        }
         if told.mark >= before {
             entry.own |= own;
         }
@@ -346,6 +375,7 @@
             fingerprint: self.fingerprint,
             organisation: self.organisation,
             mark: self.mark,
+            servers: self.servers,
             age: now.since(self.at),
         }
     }
--- a/crates/guavawell-core/tests/poison/table.rs
+++ b/crates/guavawell-core/tests/poison/table.rs
@@ -2,12 +2,15 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ServerLife;
 use guavawell_core::grant::encode_row;
+use guavawell_core::poison::CrashedServers;
 use guavawell_core::poison::OrganisationTag;
 use guavawell_core::poison::PoisonSettings;
 use guavawell_core::poison::PoisonTable;
 use guavawell_core::poison::PoisonVerdict;
 use guavawell_core::poison::RequestFingerprint;
+use guavawell_core::poison::ServerTag;
 use guavawell_core::poison::SharedSuspicion;
 use guavawell_core::poison::SuspicionList;
 use guavawell_core::poison::SuspicionMark;
@@ -26,7 +29,16 @@
 /// A server crashes under an attempt that begins now.
 fn crash(table: &mut PoisonTable, fingerprint: RequestFingerprint, now: ClockTime) {
     let began = table.mark(fingerprint);
-    table.crashed(fingerprint, tag("acme"), began, now);
+    let server = server(&format!("{fingerprint}-{began}"));
+    table.crashed(fingerprint, tag("acme"), began, server, now);
+}
+
+/// A server of its own.
+fn server(id: &str) -> ServerTag {
+    ServerTag::of(&ServerLife {
+        id: id.parse().expect("an id"),
+        born: None,
+    })
 }
 
 fn is_refused(table: &PoisonTable, fingerprint: RequestFingerprint, now: ClockTime) -> bool {
@@ -69,12 +81,42 @@
 fn servers_that_fail_together_are_one_crash_to_a_popular_request() {
     let mut table = table();
     let began = table.mark(REQUEST);
-    for _ in 0..6 {
-        table.crashed(REQUEST, tag("acme"), began, NOW);
+    for number in 0..6 {
+        let server = server(&format!("s{number}"));
+        table.crashed(REQUEST, tag("acme"), began, server, NOW);
     }
     assert_eq!(table.mark(REQUEST).crashes, 1);
 }
 
+/// Guards against a request that is refused though it crashed no server: a cut that
+/// answers with resets let two instances see the same crash one after the other.
+#[test]
+fn a_server_whose_crash_two_instances_saw_crashed_once() {
+    let (mut first, mut second) = (table(), table());
+    let began = first.mark(REQUEST);
+    first.crashed(REQUEST, tag("acme"), began, server("s1"), NOW);
+    let told = first.shared(REQUEST, NOW).expect("a suspicion");
+    second.learn(told, false, NOW);
+    let began = second.mark(REQUEST);
+    let seen = second.crashed(REQUEST, tag("acme"), began, server("s1"), NOW);
+    assert_eq!((seen, second.mark(REQUEST).crashes), (None, 1));
+    second.crashed(REQUEST, tag("acme"), began, server("s2"), NOW);
+    let told = second.shared(REQUEST, NOW).expect("a suspicion");
+    first.learn(told, false, NOW);
+    let began = first.mark(REQUEST);
+    for again in ["s1", "s2"] {
+        first.crashed(REQUEST, tag("acme"), began, server(again), NOW);
+    }
+    assert_eq!(first.mark(REQUEST).crashes, 2);
+    first.crashed(REQUEST, tag("acme"), began, server("s3"), NOW);
+    assert_eq!(first.mark(REQUEST).crashes, 3);
+    // After an answer all counts anew.
+    first.answered(REQUEST, NOW);
+    let began = first.mark(REQUEST);
+    first.crashed(REQUEST, tag("acme"), began, server("s1"), later(60_000));
+    assert_eq!(first.mark(REQUEST).crashes, 1);
+}
+
 #[test]
 fn a_complete_answer_takes_all_evidence_back_and_what_is_told_late_changes_nothing() {
     let mut table = table();
@@ -87,7 +129,7 @@
     assert_eq!(table.verdict(REQUEST, NOW), PoisonVerdict::Clear);
     assert_eq!(table.learn(told, false, NOW), None);
     // An attempt that began before the answer does not count either.
-    table.crashed(REQUEST, tag("acme"), began, NOW);
+    table.crashed(REQUEST, tag("acme"), began, server("late"), NOW);
     assert_eq!(table.verdict(REQUEST, NOW), PoisonVerdict::Clear);
     assert_eq!(table.answered(REQUEST, NOW), None);
 }
@@ -143,6 +185,7 @@
             cleared: 0,
             crashes: 3,
         },
+        servers: CrashedServers::default(),
         age,
     };
     let list = SuspicionList {
@@ -172,7 +215,14 @@
         let fingerprint = RequestFingerprint::new(1_000 + number as u128);
         for _ in 0..4 {
             let began = table.mark(fingerprint);
-            table.crashed(fingerprint, tag("flood"), began, later(number as u64));
+            let server = server(&format!("s{began}"));
+            table.crashed(
+                fingerprint,
+                tag("flood"),
+                began,
+                server,
+                later(number as u64),
+            );
         }
     }
     assert_eq!(table.entries().len(), settings.most_each + 1);
@@ -190,7 +240,8 @@
         let fingerprint = RequestFingerprint::new(1_000 + number as u128);
         let name = format!("o{}", number % 50);
         let began = SuspicionMark::default();
-        table.crashed(fingerprint, tag(&name), began, later(number as u64));
+        let server = server(&format!("s{number}"));
+        table.crashed(fingerprint, tag(&name), began, server, later(number as u64));
     }
     assert_eq!(table.entries().len(), settings.most);
     assert!(is_refused(&table, REQUEST, later(1_000)));
@@ -206,6 +257,7 @@
         fingerprint: RequestFingerprint::new(fingerprint),
         organisation: tag("acme"),
         mark: SuspicionMark::default().after_crash(),
+        servers: CrashedServers::default(),
         age: ClockSpan::default(),
     };
     table.learn(told(1), false, NOW);
--- a/crates/guavawell-core/tests/poison/world.rs
+++ b/crates/guavawell-core/tests/poison/world.rs
@@ -6,12 +6,15 @@
 use fastrand::Rng;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::BirthTime;
+use guavawell_core::forward::ServerLife;
 use guavawell_core::poison::MarkChange;
 use guavawell_core::poison::OrganisationTag;
 use guavawell_core::poison::PoisonSettings;
 use guavawell_core::poison::PoisonTable;
 use guavawell_core::poison::PoisonVerdict;
 use guavawell_core::poison::RequestFingerprint;
+use guavawell_core::poison::ServerTag;
 use guavawell_core::poison::SharedSuspicion;
 use guavawell_core::poison::SuspicionMark;
 
@@ -329,13 +332,18 @@
 
     /// A server crashes with all that it runs.
     fn crash(&mut self, server: usize) {
+        let life = ServerTag::of(&ServerLife {
+            id: format!("s{server}").parse().expect("an id"),
+            born: Some(BirthTime::from_millis(self.servers[server].back_at)),
+        });
         self.servers[server].back_at = self.now + self.random.u64(BACK_MS);
         let lost = self
             .running
             .extract_if(.., |attempt| attempt.server == server);
         for attempt in lost.collect::<Vec<Attempt>>() {
             let table = &mut self.tables[attempt.instance];
-            let change = table.crashed(attempt.fingerprint, tag(), attempt.began, at(self.now));
+            let now = at(self.now);
+            let change = table.crashed(attempt.fingerprint, tag(), attempt.began, life, now);
             self.tell(attempt.instance, change);
             self.go_on(&attempt);
         }
--- a/crates/guavawell-forward/src/poison/mod.rs
+++ b/crates/guavawell-forward/src/poison/mod.rs
@@ -21,6 +21,7 @@
 use guavawell_core::poison::PoisonTable;
 use guavawell_core::poison::PoisonVerdict;
 use guavawell_core::poison::RequestFingerprint;
+use guavawell_core::poison::ServerTag;
 use guavawell_core::poison::SharedSuspicion;
 use guavawell_core::poison::SuspicionList;
 use guavawell_core::poison::SuspicionMark;
@@ -143,7 +144,8 @@
         let (fingerprint, organisation) = (attempt.fingerprint, attempt.organisation);
         let now = self.clock.now();
         let mut table = self.table.borrow_mut();
-        let change = table.crashed(fingerprint, organisation, attempt.began, now);
+        let server = ServerTag::of(&attempt.server);
+        let change = table.crashed(fingerprint, organisation, attempt.began, server, now);
         drop(table);
         if let Some(change) = change {
             self.note_change(change, &format_args!("crash of {}", attempt.server));
