An instance that was paused lends nothing to one that has left

What callers could see: a budget that ends early after pauses. An instance that did not run for a while found a question for tokens in its socket, lent them, and its asker had given up after 150 ms: what is lent counts as spent until the lender's process ends. Cause: the class of the release that came before its reservation (docs/incidents/release-before-reservation.md), looked for in the deployed pipeline. Change: before lending, the lender looks whether the asker closed its connection; it logs budget.asker_left.

--- a/crates/guavawell-forward/src/budget/lend.rs
+++ b/crates/guavawell-forward/src/budget/lend.rs
@@ -77,6 +77,9 @@
             let mut body = Vec::new();
             match question {
                 Some(PeerQuestion::Loan(organisation, ask)) => {
+                    if !channel.is_quiet() {
+                        return self.decline_left(&organisation, &head.host, ask);
+                    }
                     let answer = self.lend(&organisation, ask).await;
                     self.note_loan("budget.lent", &organisation, &head.host, ask, answer);
                     write_answer(&mut writer, answer, self.book.borrow().lender_id().nonce);
@@ -93,6 +96,24 @@
         }
     }
 
+    /// Lends nothing to an instance that has left: it waits for an answer less
+    /// long than this process was paused, and what it is lent stays spent.
+    fn decline_left(
+        &self,
+        organisation: &OrganisationId,
+        other: &dyn std::fmt::Display,
+        ask: LoanAsk,
+    ) -> Result<(), ChannelError> {
+        metrics::counter!("guavawell_forward_loans_total", "kind" => "budget.asker_left")
+            .increment(1);
+        let draft = EventDraft::new("budget.asker_left")
+            .organisation(organisation)
+            .field("other", other)
+            .field("needed", ask.needed);
+        self.log.emit(draft);
+        Err(ChannelError::Closed)
+    }
+
     /// Turns a question away and ends the connection.
     async fn refuse(
         &self,
