An attempt of a former tenure is answered while the witness is silent

What callers could see: no answer at all, for as long as the witness stayed silent and the table was away: a holder that took over, asked again for an attempt of the former tenure, let it wait for the witness's word even after it had given the witness up; at the holder's own instance nothing ends that wait. Change: the wait is given up at once, as those are that the silence found waiting: the float pays, or the reservation is given back. Evidence: an_inherited_attempt_is_answered_while_the_witness_is_silent failed before (no answer).

--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -43,7 +43,7 @@
             return self.join_later(ask, reserve, effects);
         }
         if let Some(held) = self.inherited(&reserve) {
-            return self.hold_anew(ask, &reserve.identity, held);
+            return self.hold_anew(ask, &reserve.identity, held, effects);
         }
         if let Some(answer) = self.known_request(&reserve) {
             return answer_reserve(ask, answer, effects);
@@ -102,7 +102,13 @@
     /// Reserves an inherited attempt under the present tenure, so that its
     /// grant and its charge name this holder, and nothing that its former
     /// holder still says of it counts.
-    fn hold_anew(&mut self, ask: AskId, identity: &RequestIdentity, held: HeldAttempt) {
+    fn hold_anew(
+        &mut self,
+        ask: AskId,
+        identity: &RequestIdentity,
+        held: HeldAttempt,
+        effects: &mut Vec<HolderEffect>,
+    ) {
         self.record(LedgerEntry::Reserve {
             identity: identity.clone(),
             attempt: held.attempt,
@@ -112,6 +118,9 @@
             router: held.router,
             digest: held.digest,
         });
+        if self.silent {
+            return self.give_up_reserve(ask, identity, held.attempt, effects);
+        }
         self.wait(WaitKind::Reserve(ask, identity.clone(), held.attempt));
     }
 
--- a/crates/guavawell-core/src/budget/holder/wait.rs
+++ b/crates/guavawell-core/src/budget/holder/wait.rs
@@ -132,7 +132,9 @@
         }
     }
 
-    fn give_up_reserve(
+    /// Answers a reservation that the witness does not acknowledge: the float
+    /// pays where it covers it, otherwise it is given back.
+    pub(super) fn give_up_reserve(
         &mut self,
         ask: AskId,
         identity: &RequestIdentity,
--- a/crates/guavawell-core/tests/budget_release.rs
+++ b/crates/guavawell-core/tests/budget_release.rs
@@ -192,6 +192,19 @@
         self.tell(HolderEvent::SlotRead(Ok(row)));
     }
 
+    /// The holder's process takes the slot over from its former life's tenure.
+    fn succeed(&mut self) {
+        let row = self.holder.row().with_holder(life("a"));
+        let row = row.with_witness(Some(life("b")));
+        let mut ledger = self.holder.ledger().clone();
+        ledger.begin_tenure(row.tenure);
+        let slot = self.holder.slot().clone();
+        let settings = Arc::new(HolderSettings::default());
+        self.holder = SlotHolder::new(settings, slot, row, ledger, self.now);
+        self.acks.clear();
+        self.intents.clear();
+    }
+
     fn answer(&self, ask: u64) -> Option<&HolderAnswer> {
         let found = self.answers.iter().find(|(other, _)| *other == ask);
         found.map(|(_, answer)| answer)
@@ -518,3 +531,22 @@
     rig.settle_down();
     assert!(is_granted(rig.reserved(2)));
 }
+
+/// Guards against callers that hear nothing: while the witness was silent, an
+/// attempt of the former tenure that was asked for again waited for its word
+/// without an end.
+#[test]
+fn an_inherited_attempt_is_answered_while_the_witness_is_silent() {
+    let mut rig = HolderRig::ready(0);
+    rig.reserve(1, 1, 1);
+    rig.settle_down();
+    assert!(is_granted(rig.reserved(1)));
+    rig.succeed();
+    let seal = SealAsk {
+        identity: identity(7),
+    };
+    rig.tell(HolderEvent::Seal(AskId::new(2), seal));
+    rig.lose_witness();
+    rig.reserve(3, 1, 1);
+    assert!(rig.reserved(3).is_some(), "it is told at once");
+}
