--- a/crates/guavawell-ctl/src/instance/ask.rs
+++ b/crates/guavawell-ctl/src/instance/ask.rs
@@ -41,16 +41,31 @@
     row: &TableRow,
     path: &str,
 ) -> Result<InstanceAnswer, CtlError> {
+    let (instance, row) = read_listed(row)?;
+    let page = ask_page(client, &instance, &row, path).await;
+    Ok(InstanceAnswer { instance, page })
+}
+
+/// The instance that a row of the table names, and the row.
+pub fn read_listed(row: &TableRow) -> Result<(InstanceId, InstanceRow), CtlError> {
     let name = row.key.strip_prefix(INSTANCE_PREFIX).unwrap_or(&row.key);
     let instance: InstanceId = name.parse().map_err(|error| CtlError::BadRow {
         key: row.key.clone(),
         reason: format!("{error}").into(),
     })?;
-    let row: InstanceRow = read_row(row)?;
+    Ok((instance, read_row(row)?))
+}
+
+/// Asks an instance for the page at `path`.
+pub async fn ask_page(
+    client: &OperatorClient,
+    instance: &InstanceId,
+    row: &InstanceRow,
+    path: &str,
+) -> io::Result<Vec<u8>> {
     let target = OperatorTarget {
-        instance: &instance,
+        instance,
         address: row.operator,
     };
-    let page = client.ask(&target, Method::Get, path).await;
-    Ok(InstanceAnswer { instance, page })
+    client.ask(&target, Method::Get, path).await
 }
--- a/crates/guavawell-ctl/src/instance/report.rs
+++ b/crates/guavawell-ctl/src/instance/report.rs
@@ -13,14 +13,13 @@
 use guavawell_fleet::operator::InstanceRow;
 use guavawell_fleet::operator::InstanceStatus;
 use guavawell_fleet::platform::TableRow;
-use http_types::Method;
 use serde::Serialize;
 
+use super::ask::ask_page;
+use super::ask::read_listed;
 use super::operator::OperatorClient;
-use super::operator::OperatorTarget;
 use crate::error::CtlError;
 use crate::platform::CtlPlatform;
-use crate::platform::read_row;
 use crate::settings::CtlSettings;
 
 /// What an instance does.
@@ -87,17 +86,8 @@
     client: &OperatorClient,
     row: &TableRow,
 ) -> Result<InstanceReport, CtlError> {
-    let name = row.key.strip_prefix(INSTANCE_PREFIX).unwrap_or(&row.key);
-    let instance: InstanceId = name.parse().map_err(|error| CtlError::BadRow {
-        key: row.key.clone(),
-        reason: format!("{error}").into(),
-    })?;
-    let row: InstanceRow = read_row(row)?;
-    let target = OperatorTarget {
-        instance: &instance,
-        address: row.operator,
-    };
-    let answer = client.ask(&target, Method::Get, "/status").await;
+    let (instance, row) = read_listed(row)?;
+    let answer = ask_page(client, &instance, &row, "/status").await;
     let status = answer.and_then(|body| Ok(serde_json::from_slice(&body)?));
     Ok(report(instance, row, status))
 }
--- a/crates/guavawell-standin/src/backend/host.rs
+++ b/crates/guavawell-standin/src/backend/host.rs
@@ -17,12 +17,14 @@
 use crate::http::HttpReply;
 use crate::http::HttpServer;
 use crate::http::json_reply;
+use crate::load::LoadReport;
 use crate::lock::lock;
 use crate::truth::TruthLog;
 
 /// What outlasts a crash.
 #[derive(Debug)]
 pub(crate) struct BackendBase<S> {
+    pub name: Box<str>,
     pub settings: S,
     pub faults: FaultSwitches,
     pub truth: TruthLog,
@@ -34,6 +36,7 @@
     pub begin: fn(&Arc<BackendBase<S>>) -> Arc<L>,
     pub end: fn(&L),
     pub serve: fn(Arc<L>, HttpCall) -> BoxFuture<'static, HttpReply>,
+    pub load: fn(&L) -> LoadReport,
 }
 
 /// A running backend server; dropping it stops it.
@@ -90,8 +93,9 @@
         &self.base
     }
 
-    pub(crate) fn life(&self) -> Arc<L> {
-        Arc::clone(&lock(&self.life))
+    pub(crate) fn load(&self) -> LoadReport {
+        let life = Arc::clone(&lock(&self.life));
+        (self.kind.load)(&life)
     }
 
     pub(crate) async fn set_faults(&self, change: FaultChange) -> io::Result<()> {
--- a/crates/guavawell-standin/src/backend/mod.rs
+++ b/crates/guavawell-standin/src/backend/mod.rs
@@ -4,7 +4,9 @@
 //! `service`.
 
 mod host;
+mod running;
 
 pub(crate) use host::BackendBase;
 pub(crate) use host::BackendHost;
 pub(crate) use host::BackendKind;
+pub use running::RunningBackend;
--- a/crates/guavawell-standin/src/engine/life.rs
+++ b/crates/guavawell-standin/src/engine/life.rs
@@ -31,10 +31,10 @@
 
 /// Everything that a crash forgets.
 #[derive(Debug)]
-pub(super) struct EngineLife {
-    pub base: Arc<BackendBase<EngineSettings>>,
-    pub attempts: AttemptRegistry,
-    pub orders: Mutex<OrderBook>,
+pub struct EngineLife {
+    pub(super) base: Arc<BackendBase<EngineSettings>>,
+    pub(super) attempts: AttemptRegistry,
+    pub(super) orders: Mutex<OrderBook>,
     schedule: Mutex<SlotSchedule>,
     cache: Mutex<PrefixCache>,
     report: Mutex<LoadReport>,
--- a/crates/guavawell-standin/src/service/life.rs
+++ b/crates/guavawell-standin/src/service/life.rs
@@ -22,9 +22,9 @@
 
 /// Everything that a crash forgets.
 #[derive(Debug)]
-pub(super) struct ServiceLife {
-    pub base: Arc<BackendBase<ServiceSettings>>,
-    pub attempts: AttemptRegistry,
+pub struct ServiceLife {
+    pub(super) base: Arc<BackendBase<ServiceSettings>>,
+    pub(super) attempts: AttemptRegistry,
     running: AtomicUsize,
     report: Mutex<LoadReport>,
 }
