--- a/crates/guavawell-core/src/poison/server.rs
+++ b/crates/guavawell-core/src/poison/server.rs
@@ -37,14 +37,11 @@
         self.0.contains(&server)
     }
 
-    /// Holds one more crash against the request, if there is room.
+    /// Holds one more crash against the request; the one added first makes room.
     pub fn add(&mut self, server: ServerTag) {
-        if self.contains(server) {
-            return;
-        }
-        let mut places = self.0.iter_mut();
-        if let Some(free) = places.find(|held| **held == ServerTag::default()) {
-            *free = server;
+        if !self.contains(server) {
+            self.0.rotate_left(1);
+            self.0[REMEMBERED - 1] = server;
         }
     }
 
--- a/crates/guavawell-core/tests/poison/table.rs
+++ b/crates/guavawell-core/tests/poison/table.rs
@@ -88,6 +88,17 @@
     assert_eq!(table.mark(REQUEST).crashes, 1);
 }
 
+/// The newest crashes are the ones that others still see.
+#[test]
+fn the_last_servers_that_crashed_are_remembered() {
+    let mut servers = CrashedServers::default();
+    let tags = ["s1", "s2", "s3", "s4", "s5"].map(server);
+    tags.iter().for_each(|tag| servers.add(*tag));
+    servers.add(tags[4]);
+    let held = tags.map(|tag| servers.contains(tag));
+    assert_eq!(held, [false, false, true, true, true]);
+}
+
 /// Guards against a request that is refused though it crashed no server: a cut that
 /// answers with resets let two instances see the same crash one after the other.
 #[test]
--- a/crates/guavawell-fleet/src/peer/server/accept.rs
+++ b/crates/guavawell-fleet/src/peer/server/accept.rs
@@ -62,7 +62,7 @@
             spawner: TaskSpawner::new(&executor),
             handler: self.handler,
         });
-        let life = ServerLife {
+        let life = AcceptorLife {
             stopped: self.stopped,
             _open: open,
         };
@@ -76,15 +76,15 @@
     }
 }
 
-/// The server's life as its connections see it.
+/// The life of an acceptor as its connections see it.
 #[derive(Clone)]
-struct ServerLife {
+struct AcceptorLife {
     stopped: Receiver<()>,
     /// Each connection holds one until it is closed.
     _open: Sender<Infallible>,
 }
 
-impl ServerLife {
+impl AcceptorLife {
     /// Ends when the server stops.
     async fn end(&self) {
         // Nothing is ever sent: receiving ends when the server stops.
@@ -96,7 +96,7 @@
     context: Rc<SessionContext<H>>,
     listener: TcpListener,
     connections: Arc<AtomicU32>,
-    life: ServerLife,
+    life: AcceptorLife,
 ) where
     H: Fn(PeerCall) -> F + 'static,
     F: Future<Output = PeerReply> + 'static,
@@ -156,7 +156,7 @@
 async fn serve<H, F>(
     context: &Rc<SessionContext<H>>,
     stream: TcpStream,
-    life: &ServerLife,
+    life: &AcceptorLife,
 ) -> io::Result<()>
 where
     H: Fn(PeerCall) -> F + 'static,
