--- a/crates/guavawell-core/tests/poison/table.rs
+++ b/crates/guavawell-core/tests/poison/table.rs
@@ -93,7 +93,9 @@
 fn the_last_servers_that_crashed_are_remembered() {
     let mut servers = CrashedServers::default();
     let tags = ["s1", "s2", "s3", "s4", "s5"].map(server);
-    tags.iter().for_each(|tag| servers.add(*tag));
+    for tag in &tags {
+        servers.add(*tag);
+    }
     servers.add(tags[4]);
     let held = tags.map(|tag| servers.contains(tag));
     assert_eq!(held, [false, false, true, true, true]);
