Fault tests: a failed test keeps its event logs, histories and row

What was seen: pair::router_killed_and_zone_cut failed once, and nothing of the run was left to trace it by.

Change: each test of the file lets its routers write event logs to a temporary folder. If the test fails, the folder is kept with the callers' histories and the budget's row, and its path is printed; otherwise it is removed.

--- a/crates/guavawell-demo/tests/fault/env.rs
+++ b/crates/guavawell-demo/tests/fault/env.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::thread;
 use std::time::Duration;
 
 use guavawell_core::budget::BudgetRow;
@@ -22,6 +23,8 @@
 use guavawell_demo::scene::answer_check;
 use guavawell_demo::scene::collect_evidence;
 use guavawell_fleet::router::RouterHandle;
+use guavawell_fleet::settings::EventTarget;
+use guavawell_fleet::settings::FilePath;
 use guavawell_fleet::settings::RouterSettings;
 use guavawell_load::LoadHooks;
 use guavawell_load::LoadReport;
@@ -33,6 +36,7 @@
 use guavawell_standin::truth::TruthRun;
 use smol::Task;
 use smol::Timer;
+use tempfile::TempDir;
 
 use crate::load::FaultLoad;
 use crate::load::LoadEnd;
@@ -58,6 +62,8 @@
     pub fleet: DemoFleet,
     histories: Arc<Mutex<Vec<RequestHistory>>>,
     topped_up: u64,
+    /// Event logs of the routers; kept if the test fails.
+    events: Option<TempDir>,
 }
 
 /// Runs a test to its end; boxed, because a fleet's futures are large.
@@ -89,12 +95,17 @@
         Self::start_with(settings()).await
     }
 
-    pub async fn start_with(settings: FleetSettings) -> Self {
+    pub async fn start_with(mut settings: FleetSettings) -> Self {
+        let events = tempfile::Builder::new().prefix("fault-").tempdir();
+        let events = events.expect("a folder for event logs");
+        let target = FilePath::new(events.path());
+        settings.router.log.events = EventTarget::File(target);
         let fleet = DemoFleet::start(settings).await.expect("the fleet starts");
         let env = Self {
             fleet,
             histories: Arc::default(),
             topped_up: 0,
+            events: Some(events),
         };
         env.wait_steady().await;
         env
@@ -429,6 +440,23 @@
         assert!(unserved.is_none(), "{unserved:#?}");
     }
 
+    /// Keeps the routers' event logs, the callers' histories and the budget's
+    /// row, and prints where they are.
+    fn keep_evidence(&mut self) {
+        let Some(events) = self.events.take() else {
+            return;
+        };
+        let folder = events.keep();
+        let histories = format!("{:#?}", self.histories());
+        let row = format!("{:#?}", self.budget());
+        for (name, text) in [("histories.txt", histories), ("row.txt", row)] {
+            if let Err(error) = std::fs::write(folder.join(name), text) {
+                eprintln!("cannot keep {name}: {error}");
+            }
+        }
+        eprintln!("event logs of the failed test: {}", folder.display());
+    }
+
     /// Refusals that ended a request, by outcome.
     pub fn refused(&self, outcome: RefusalOutcome) -> usize {
         let histories = self.histories();
@@ -443,6 +471,9 @@
     fn drop(&mut self) {
         self.fleet.heal();
         self.fleet.stop();
+        if thread::panicking() {
+            self.keep_evidence();
+        }
     }
 }
 
