--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -9,14 +9,15 @@
 use crate::clock::ClockTime;
 use crate::forward::EngineLimits;
 use crate::forward::PromptPart;
+use crate::forward::ServerConstraints;
 use crate::forward::ServerEntry;
 use crate::forward::ServerHealth;
 use crate::forward::ServerIncarnation;
+use crate::forward::ServerObstacle;
 use crate::forward::ServerPhase;
 use crate::forward::ServerTable;
 use crate::forward::TokenUsage;
 use crate::id::BackendId;
-use crate::id::ServiceId;
 use crate::id::ZoneId;
 use crate::number::fraction;
 use crate::poison::RequestFingerprint;
@@ -24,9 +25,12 @@
 /// Cost of a server that is the last choice; exceeds the sum of all other
 /// costs.
 const AVOIDED_COST_MS: f64 = 1e6;
+/// Cost of a cold server: a request goes there only if no warm server can take
+/// it. Less than [`AVOIDED_COST_MS`], because a cold server does respond.
+const COLD_COST_MS: f64 = 5e5;
 /// Cost of a server that runs another request suspected of crashing servers.
-/// Less than [`AVOIDED_COST_MS`], because an avoided server probably does not
-/// respond at all.
+/// Less than [`AVOIDED_COST_MS`] and [`COLD_COST_MS`], because the server can
+/// serve both.
 const SUSPECT_COST_MS: f64 = 1e5;
 
 /// Weights of the cost of a server. Times are in milliseconds.
@@ -79,8 +83,8 @@
 /// The request for which a server is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceRequest<'a> {
-    /// The service that the request goes to.
-    pub service: &'a ServiceId,
+    /// What the request requires of its server.
+    pub constraints: ServerConstraints<'a>,
     /// Limits of the service's model engines; `None` for a service without
     /// engines.
     pub engine: Option<EngineLimits>,
@@ -106,10 +110,26 @@
     /// No server of the service takes requests, apart from those that the
     /// request was already sent to.
     Unknown,
+    /// The operator evacuates the zones of all servers.
+    Evacuated,
     /// All servers are full.
     Full,
     /// All servers asked for a pause.
     Paused,
+    /// All servers are cold and take no more requests of this instance.
+    Cold,
+}
+
+impl ChoiceError {
+    /// The error if all servers have obstacles, of which this is the weakest.
+    const fn of_obstacle(obstacle: Option<ServerObstacle>) -> Self {
+        match obstacle {
+            None | Some(ServerObstacle::Unavailable | ServerObstacle::OtherRegion) => Self::Unknown,
+            Some(ServerObstacle::Evacuated) => Self::Evacuated,
+            Some(ServerObstacle::Paused) => Self::Paused,
+            Some(ServerObstacle::Cold) => Self::Cold,
+        }
+    }
 }
 
 /// The chosen server.
@@ -132,146 +152,151 @@
     now: ClockTime,
     settings: &ChoiceSettings,
 ) -> Result<ServerPick, ChoiceError> {
-    let is_candidate = |entry: &&ServerEntry| {
-        entry.service == *request.service
-            && entry.takes_requests(now)
-            && !request.tried.contains(&entry.incarnation)
-    };
-    let mut candidates: Vec<&ServerEntry> = table.servers().iter().filter(is_candidate).collect();
-    if candidates.is_empty() {
-        return Err(ChoiceError::Unknown);
-    }
-    candidates.retain(|entry| !entry.is_paused(now));
-    if candidates.is_empty() {
-        return Err(ChoiceError::Paused);
-    }
-    let preferred = preferred_server(&candidates, request, now, settings);
-    let available = candidates
-        .iter()
-        .filter(|entry| has_room(entry, request, now, settings));
-    // Computes each cost once; a comparison closure would compute it twice for
-    // every pair.
-    let costs = available.map(|entry| {
-        let penalty = penalty_ms(entry, request, now, settings);
-        let cost = cost_ms(
-            entry,
-            preferred == Some(&entry.incarnation),
-            request,
-            now,
-            settings,
-        );
-        (penalty + cost, entry)
-    });
-    let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
-    let (_, best) = best.ok_or(ChoiceError::Full)?;
-    let cached = if preferred == Some(&best.incarnation) {
-        request.shared_tokens
-    } else {
-        0
+    let choice = ServerChoice {
+        request,
+        now,
+        settings,
     };
-    Ok(ServerPick {
-        server: best.incarnation.clone(),
-        prefill_tokens: request.usage.input.get().saturating_sub(cached),
-    })
+    choice.choose(&choice.candidates(table)?)
 }
 
-/// Cost that keeps a request from a server while there are others.
-fn penalty_ms(
-    entry: &ServerEntry,
-    request: &ChoiceRequest<'_>,
+/// The choice for one request at one time.
+#[derive(Clone, Copy)]
+struct ServerChoice<'a> {
+    request: &'a ChoiceRequest<'a>,
     now: ClockTime,
-    settings: &ChoiceSettings,
-) -> f64 {
-    let avoided_cost = if is_avoided(entry, now, settings) {
-        AVOIDED_COST_MS
-    } else {
-        0.0
-    };
-    let is_other =
-        |fingerprint: RequestFingerprint| entry.suspects.iter().any(|held| *held != fingerprint);
-    let suspect_cost = if request.suspect.is_some_and(is_other) {
-        SUSPECT_COST_MS
-    } else {
-        0.0
-    };
-    avoided_cost + suspect_cost
+    settings: &'a ChoiceSettings,
 }
 
-/// The server that all instances prefer for the same shared part or the same
-/// suspect.
-fn preferred_server<'a>(
-    candidates: &[&'a ServerEntry],
-    request: &ChoiceRequest<'_>,
-    now: ClockTime,
-    settings: &ChoiceSettings,
-) -> Option<&'a ServerIncarnation> {
-    let key = match request.suspect {
-        Some(fingerprint) => fingerprint.short(),
-        None => request.affinity?.id,
-    };
-    let healthy = candidates
-        .iter()
-        .filter(|entry| !is_avoided(entry, now, settings));
-    let best = healthy.max_by_key(|entry| rank(key, &entry.incarnation.id))?;
-    Some(&best.incarnation)
-}
+impl ServerChoice<'_> {
+    /// The servers that may get the request.
+    fn candidates<'t>(&self, table: &'t ServerTable) -> Result<Vec<&'t ServerEntry>, ChoiceError> {
+        let mut candidates = Vec::new();
+        let mut weakest = None;
+        for entry in table.servers() {
+            if self.request.tried.contains(&entry.incarnation) {
+                continue;
+            }
+            match table.obstacle(entry, &self.request.constraints, self.now) {
+                None => candidates.push(entry),
+                obstacle => weakest = weakest.max(obstacle),
+            }
+        }
+        if candidates.is_empty() {
+            Err(ChoiceError::of_obstacle(weakest))
+        } else {
+            Ok(candidates)
+        }
+    }
 
-/// Whether a server is the last choice: unreachable, silent, failing, or
-/// without an entry at the platform.
-fn is_avoided(entry: &ServerEntry, now: ClockTime, settings: &ChoiceSettings) -> bool {
-    let ServerHealth { avoided_until, .. } = entry.health;
-    now < avoided_until
-        || matches!(entry.phase, ServerPhase::Lapsed(_))
-        || entry.silent(now)
-        || entry.failure_rate(now) > settings.max_failure_rate
-}
+    fn choose(&self, candidates: &[&ServerEntry]) -> Result<ServerPick, ChoiceError> {
+        let preferred = self.preferred(candidates);
+        let available = candidates.iter().filter(|entry| self.has_room(entry));
+        // Computes each cost once; a comparison closure would compute it twice for
+        // every pair.
+        let costs = available.map(|entry| {
+            let is_preferred = preferred == Some(&entry.incarnation);
+            let cost = self.penalty_ms(entry) + self.cost_ms(entry, is_preferred);
+            (cost, entry)
+        });
+        let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        let (_, best) = best.ok_or(ChoiceError::Full)?;
+        let cached = if preferred == Some(&best.incarnation) {
+            self.request.shared_tokens
+        } else {
+            0
+        };
+        Ok(ServerPick {
+            server: best.incarnation.clone(),
+            prefill_tokens: self.request.usage.input.get().saturating_sub(cached),
+        })
+    }
 
-fn has_room(
-    entry: &ServerEntry,
-    request: &ChoiceRequest<'_>,
-    now: ClockTime,
-    settings: &ChoiceSettings,
-) -> bool {
-    let max_requests = f64::from(entry.slots) * settings.max_requests_per_slot;
-    if f64::from(entry.load.estimate(now)) >= max_requests.max(1.0) {
-        return false;
+    /// Cost that keeps the request from a server while there are others.
+    fn penalty_ms(&self, entry: &ServerEntry) -> f64 {
+        let is_other = |fingerprint: RequestFingerprint| {
+            entry.suspects.iter().any(|held| *held != fingerprint)
+        };
+        let penalties = [
+            (self.is_avoided(entry), AVOIDED_COST_MS),
+            (self.is_cold(entry), COLD_COST_MS),
+            (self.request.suspect.is_some_and(is_other), SUSPECT_COST_MS),
+        ];
+        let applying = penalties.iter().filter(|(applies, _)| *applies);
+        applying.map(|(_, cost)| cost).sum()
     }
-    request.engine.is_none_or(|engine| {
-        let cache_tokens = entry.load.cache_tokens + request.usage.worst_case().get();
-        entry.load.in_flight == 0 || cache_tokens <= engine.memory.get()
-    })
-}
 
-fn cost_ms(
-    entry: &ServerEntry,
-    preferred: bool,
-    request: &ChoiceRequest<'_>,
-    now: ClockTime,
-    settings: &ChoiceSettings,
-) -> f64 {
-    let estimate = f64::from(entry.load.estimate(now));
-    let slots = f64::from(entry.slots.max(1));
-    let failure = settings.failure_rate_ms * entry.failure_rate(now);
-    let same_zone = entry.zone == *request.zone;
-    let Some(_) = request.engine else {
+    /// The server that all instances prefer for the same shared part or the same
+    /// suspect.
+    fn preferred<'t>(&self, candidates: &[&'t ServerEntry]) -> Option<&'t ServerIncarnation> {
+        let key = match self.request.suspect {
+            Some(fingerprint) => fingerprint.short(),
+            None => self.request.affinity?.id,
+        };
+        let healthy = candidates
+            .iter()
+            .filter(|entry| !self.is_avoided(entry) && !self.is_cold(entry));
+        let best = healthy.max_by_key(|entry| rank(key, &entry.incarnation.id))?;
+        Some(&best.incarnation)
+    }
+
+    fn is_cold(&self, entry: &ServerEntry) -> bool {
+        let slow_start = self.request.constraints.slow_start;
+        entry.cold_limit(slow_start, self.now).is_some()
+    }
+
+    /// Whether a server is the last choice: unreachable, silent, failing, or
+    /// without an entry at the platform.
+    fn is_avoided(&self, entry: &ServerEntry) -> bool {
+        let ServerHealth { avoided_until, .. } = entry.health;
+        self.now < avoided_until
+            || matches!(entry.phase, ServerPhase::Lapsed(_))
+            || entry.silent(self.now)
+            || entry.failure_rate(self.now) > self.settings.max_failure_rate
+    }
+
+    fn has_room(&self, entry: &ServerEntry) -> bool {
+        let max_requests = f64::from(entry.slots) * self.settings.max_requests_per_slot;
+        if f64::from(entry.load.estimate(self.now)) >= max_requests.max(1.0) {
+            return false;
+        }
+        self.request.engine.is_none_or(|engine| {
+            let cache_tokens = entry.load.cache_tokens + self.request.usage.worst_case().get();
+            entry.load.in_flight == 0 || cache_tokens <= engine.memory.get()
+        })
+    }
+
+    fn cost_ms(&self, entry: &ServerEntry, preferred: bool) -> f64 {
+        let settings = self.settings;
+        let estimate = f64::from(entry.load.estimate(self.now));
+        let slots = f64::from(entry.slots.max(1));
+        let failure = settings.failure_rate_ms * entry.failure_rate(self.now);
+        let same_zone = entry.zone == *self.request.zone;
+        let Some(_) = self.request.engine else {
+            let zone = if same_zone {
+                0.0
+            } else {
+                settings.plain_zone_ms
+            };
+            return settings.plain_load_ms * estimate / slots + failure + zone;
+        };
         let zone = if same_zone {
             0.0
         } else {
-            settings.plain_zone_ms
+            settings.engine_zone_ms
         };
-        return settings.plain_load_ms * estimate / slots + failure + zone;
-    };
-    let zone = if same_zone {
-        0.0
-    } else {
-        settings.engine_zone_ms
-    };
-    let uncached = if preferred { 0 } else { request.shared_tokens };
-    let uncached = fraction(uncached) * settings.repeated_prefill_factor;
-    let prefill = (fraction(entry.load.prefill_tokens) + uncached) / settings.prefill_tokens_per_ms;
-    let batch = settings.full_batch_ms * (estimate / slots).min(1.0);
-    let waiting = settings.waiting_request_ms * (estimate - slots).max(0.0);
-    prefill + batch + waiting + failure + zone
+        let uncached = if preferred {
+            0
+        } else {
+            self.request.shared_tokens
+        };
+        let uncached = fraction(uncached) * settings.repeated_prefill_factor;
+        let prefill =
+            (fraction(entry.load.prefill_tokens) + uncached) / settings.prefill_tokens_per_ms;
+        let batch = settings.full_batch_ms * (estimate / slots).min(1.0);
+        let waiting = settings.waiting_request_ms * (estimate - slots).max(0.0);
+        prefill + batch + waiting + failure + zone
+    }
 }
 
 /// Rank of a server for a prompt part or a suspect: the same at every instance.
--- /dev/null
+++ b/crates/guavawell-core/src/forward/eligibility.rs
@@ -0,0 +1,68 @@
+//! Whether a server may get a request now. The choice of a server and the check
+//! just before sending use the same rules, as a server's state may change while
+//! a connection is opened.
+
+use crate::clock::ClockTime;
+use crate::forward::FleetView;
+use crate::forward::HomeRegions;
+use crate::forward::ServerEntry;
+use crate::forward::ServerTable;
+use crate::forward::SlowStartLimit;
+use crate::id::ServiceId;
+
+/// What a request requires of its server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerConstraints<'a> {
+    /// The service that the request goes to.
+    pub service: &'a ServiceId,
+    /// The regions in which the request may run.
+    pub homes: HomeRegions<'a>,
+    /// Limit on requests to a cold server; `None` if the service has none.
+    pub slow_start: Option<SlowStartLimit>,
+    /// The fleet, whose instances share that limit.
+    pub fleet: FleetView<'a>,
+}
+
+/// Why a server may not get a request. Later causes are weaker: a request that
+/// only they exclude everywhere can be served sooner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ServerObstacle {
+    /// The server belongs to another service, leaves, or has an unreadable
+    /// entry.
+    Unavailable,
+    /// The server is not in a home region of the request.
+    OtherRegion,
+    /// The operator evacuates the server's availability zone.
+    Evacuated,
+    /// The server asked for a pause.
+    Paused,
+    /// The server is cold, and this instance has no share of its limit left.
+    Cold,
+}
+
+impl ServerTable {
+    /// Why a server may not get a request; `None` if it may.
+    #[must_use]
+    pub fn obstacle(
+        &self,
+        entry: &ServerEntry,
+        constraints: &ServerConstraints<'_>,
+        now: ClockTime,
+    ) -> Option<ServerObstacle> {
+        if entry.service != *constraints.service || !entry.takes_requests(now) {
+            return Some(ServerObstacle::Unavailable);
+        }
+        if !constraints.homes.allow(self.regions().region(&entry.zone)) {
+            return Some(ServerObstacle::OtherRegion);
+        }
+        if self.evacuations().contains(&entry.zone) {
+            return Some(ServerObstacle::Evacuated);
+        }
+        if entry.is_paused(now) {
+            return Some(ServerObstacle::Paused);
+        }
+        let limit = entry.cold_limit(constraints.slow_start, now)?;
+        let share = limit.share(&entry.incarnation.id, constraints.fleet);
+        (!entry.warmth.has_share(share, now)).then_some(ServerObstacle::Cold)
+    }
+}
--- /dev/null
+++ b/crates/guavawell-core/src/forward/evacuation.rs
@@ -0,0 +1,159 @@
+//! Availability zones that the operator evacuates: their servers get no new
+//! requests until the evacuation ends.
+//!
+//! Polls of the store overlap, so an older response may arrive after a newer
+//! one. Each zone's state therefore has the revision at which the store held
+//! it. An instance that the store does not answer learns the evacuated zones
+//! from another instance; the store's next response replaces them.
+
+use crate::id::ZoneId;
+
+/// The evacuated zones as of one revision of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EvacuationList {
+    /// Revision of the store at which the list was complete.
+    pub revision: u64,
+    /// The evacuated zones, sorted.
+    pub zones: Vec<ZoneId>,
+}
+
+/// Zones whose evacuation began or ended with an update.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EvacuationChange {
+    /// Zones that are evacuated now and were not before.
+    pub began: Vec<ZoneId>,
+    /// Zones that were evacuated before and are not now.
+    pub ended: Vec<ZoneId>,
+}
+
+/// The state of one zone in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ZoneState {
+    zone: ZoneId,
+    /// Revision of the row or of its removal.
+    revision: u64,
+    evacuated: bool,
+}
+
+/// What is known of evacuated zones.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneEvacuations {
+    /// States read from the store, sorted by zone.
+    stored: Vec<ZoneState>,
+    /// Newest revision of a response of the store.
+    revision: u64,
+    /// The list of another instance. Replaces `stored` while it is newer.
+    learned: Option<EvacuationList>,
+    /// The evacuated zones, sorted.
+    current: Vec<ZoneId>,
+}
+
+impl ZoneEvacuations {
+    /// Whether a zone is evacuated.
+    #[must_use]
+    pub fn contains(&self, zone: &ZoneId) -> bool {
+        self.current.binary_search(zone).is_ok()
+    }
+
+    /// The evacuated zones, sorted.
+    #[must_use]
+    pub fn zones(&self) -> &[ZoneId] {
+        &self.current
+    }
+
+    /// The list that may be sent to other instances: only what was read from the
+    /// store, so that a false one does not spread.
+    #[must_use]
+    pub fn stored_list(&self) -> EvacuationList {
+        let evacuated = self.stored.iter().filter(|state| state.evacuated);
+        EvacuationList {
+            revision: self.revision,
+            zones: evacuated.map(|state| state.zone.clone()).collect(),
+        }
+    }
+
+    /// Applies the store's complete list: each zone with the revision of its
+    /// row. Zones missing from it are no longer evacuated, unless their state is
+    /// newer than the list.
+    pub fn replace(&mut self, rows: &[(ZoneId, u64)], revision: u64) -> EvacuationChange {
+        let is_missing = |state: &&mut ZoneState| rows.iter().all(|(zone, _)| *zone != state.zone);
+        let older = self
+            .stored
+            .iter_mut()
+            .filter(|state| state.revision < revision);
+        for state in older.filter(is_missing) {
+            state.evacuated = false;
+            state.revision = revision;
+        }
+        for (zone, row_revision) in rows {
+            self.set_state(zone, true, *row_revision);
+        }
+        self.store_answered(revision)
+    }
+
+    /// Applies changed rows: each zone, whether it is evacuated, and the revision
+    /// of the change.
+    pub fn apply_changes(
+        &mut self,
+        rows: &[(ZoneId, bool, u64)],
+        revision: u64,
+    ) -> EvacuationChange {
+        for (zone, evacuated, row_revision) in rows {
+            self.set_state(zone, *evacuated, *row_revision);
+        }
+        self.store_answered(revision)
+    }
+
+    /// Applies the list of another instance, if it is newer than the store's
+    /// last response.
+    pub fn learn(&mut self, list: EvacuationList) -> EvacuationChange {
+        let learned_revision = self.learned.as_ref().map_or(0, |learned| learned.revision);
+        if list.revision > self.revision.max(learned_revision) {
+            self.learned = Some(list);
+        }
+        self.update_current()
+    }
+
+    fn set_state(&mut self, zone: &ZoneId, evacuated: bool, revision: u64) {
+        let state = ZoneState {
+            zone: zone.clone(),
+            revision,
+            evacuated,
+        };
+        match self.stored.binary_search_by(|known| known.zone.cmp(zone)) {
+            Ok(index) if self.stored[index].revision < revision => self.stored[index] = state,
+            Ok(_) => {}
+            Err(index) => self.stored.insert(index, state),
+        }
+    }
+
+    fn store_answered(&mut self, revision: u64) -> EvacuationChange {
+        self.revision = self.revision.max(revision);
+        self.learned = None;
+        self.update_current()
+    }
+
+    fn update_current(&mut self) -> EvacuationChange {
+        let mut zones = match &self.learned {
+            Some(learned) => learned.zones.clone(),
+            None => self.stored_list().zones,
+        };
+        zones.sort();
+        zones.dedup();
+        let before = std::mem::replace(&mut self.current, zones);
+        let after = &self.current;
+        let missing_in = |zones: &[ZoneId], zone: &ZoneId| zones.binary_search(zone).is_err();
+        EvacuationChange {
+            began: after
+                .iter()
+                .filter(|zone| missing_in(&before, zone))
+                .cloned()
+                .collect(),
+            ended: before
+                .iter()
+                .filter(|zone| missing_in(after, zone))
+                .cloned()
+                .collect(),
+        }
+    }
+}
--- a/crates/guavawell-core/src/forward/refusal.rs
+++ b/crates/guavawell-core/src/forward/refusal.rs
@@ -31,6 +31,12 @@
     ServersFull,
     /// All backend servers of the service asked for a pause.
     ServersPaused,
+    /// The operator evacuates the zones of all servers that could run the
+    /// request.
+    Evacuated,
+    /// All backend servers that could run the request are cold, and take no more
+    /// requests for now.
+    ServersCold,
     /// Each server that the request was sent to crashed while running it.
     CrashesServers,
     /// The process is shutting down and could not finish the request.
@@ -60,6 +66,8 @@
             Self::NoServer => "no_server",
             Self::ServersFull => "servers_full",
             Self::ServersPaused => "servers_paused",
+            Self::Evacuated => "evacuated",
+            Self::ServersCold => "servers_cold",
             Self::CrashesServers => "crashes_servers",
             Self::Leaving => "leaving",
             Self::TooLate => "too_late",
@@ -87,6 +95,8 @@
             | Self::NoServer
             | Self::ServersFull
             | Self::ServersPaused
+            | Self::Evacuated
+            | Self::ServersCold
             | Self::CrashesServers
             | Self::Leaving
             | Self::TooLate => 503,
--- a/crates/guavawell-core/src/forward/route.rs
+++ b/crates/guavawell-core/src/forward/route.rs
@@ -4,7 +4,9 @@
 
 use crate::clock::ClockSpan;
 use crate::forward::RetrySafety;
+use crate::forward::SlowStart;
 use crate::id::OrganisationId;
+use crate::id::RegionId;
 use crate::id::ServiceId;
 use crate::id::TokenCount;
 
@@ -67,15 +69,19 @@
     pub priority: u8,
     /// Whether callers need no key.
     pub public: bool,
+    /// Regions in which the requests may run; empty if in all.
+    pub homes: Box<[RegionId]>,
 }
 
 /// One service of a configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceEntry {
     /// Id of the service.
     pub id: ServiceId,
     /// Limits of its model engines; `None` for a service without engines.
     pub engine: Option<EngineLimits>,
+    /// Slow start of its servers; `None` if a cold server takes any load.
+    pub slow_start: Option<SlowStart>,
 }
 
 /// Limits of each model engine of a service.
@@ -99,6 +105,8 @@
     pub priority: Option<u8>,
     /// Prepaid tokens; `None` if the organisation does not prepay.
     pub paid: Option<TokenCount>,
+    /// Regions in which its requests may run; empty if in all.
+    pub homes: Box<[RegionId]>,
 }
 
 /// One accepted configuration.
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -5,6 +5,8 @@
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::forward::ServerIncarnation;
+use crate::forward::ServerWarmth;
+use crate::forward::SlowStartLimit;
 use crate::id::ServiceId;
 use crate::id::ZoneId;
 use crate::number::fraction;
@@ -170,6 +172,8 @@
     pub load: LoadFigures,
     /// Its health.
     pub health: ServerHealth,
+    /// Whether it is cold.
+    pub warmth: ServerWarmth,
     /// Requests of this instance that run there and are suspected of crashing
     /// servers.
     pub suspects: Vec<RequestFingerprint>,
@@ -266,6 +270,18 @@
         self.slots = entry.slots;
         self.zone = entry.zone;
         self.service = entry.service;
+        self.warmth.update(&entry.warmth);
+    }
+
+    /// The limit that applies to the server if it is cold; `None` if it is warm
+    /// or its service has no slow start.
+    #[must_use]
+    pub fn cold_limit(
+        &self,
+        slow_start: Option<SlowStartLimit>,
+        now: ClockTime,
+    ) -> Option<SlowStartLimit> {
+        slow_start.filter(|_| self.warmth.is_cold(now))
     }
 
     /// Records that the entry was removed or cannot be decoded.
--- a/crates/guavawell-core/src/forward/table.rs
+++ b/crates/guavawell-core/src/forward/table.rs
@@ -7,8 +7,11 @@
 use crate::forward::ServerEntry;
 use crate::forward::ServerIncarnation;
 use crate::forward::ServerPhase;
+use crate::forward::ZoneEvacuations;
+use crate::forward::ZoneRegions;
 use crate::id::BackendId;
 use crate::id::ServiceId;
+use crate::id::ZoneId;
 
 /// Removed servers whose last incarnation is remembered, so that a late entry
 /// of an incarnation that was replaced, or that shut down, is not taken for a
@@ -34,9 +37,45 @@
     forgotten: Vec<ForgottenServer>,
     /// Number of removals so far.
     forgotten_count: u64,
+    /// The regions of the servers' zones.
+    regions: ZoneRegions,
+    /// Zones whose servers get no new requests.
+    evacuations: ZoneEvacuations,
 }
 
 impl ServerTable {
+    /// Creates a table without servers.
+    #[must_use]
+    pub fn new(regions: ZoneRegions) -> Self {
+        Self {
+            regions,
+            ..Self::default()
+        }
+    }
+
+    /// The regions of the servers' zones.
+    #[must_use]
+    pub const fn regions(&self) -> &ZoneRegions {
+        &self.regions
+    }
+
+    /// Zones whose servers get no new requests.
+    #[must_use]
+    pub const fn evacuations(&self) -> &ZoneEvacuations {
+        &self.evacuations
+    }
+
+    /// Mutable access to [`evacuations`](Self::evacuations).
+    pub const fn evacuations_mut(&mut self) -> &mut ZoneEvacuations {
+        &mut self.evacuations
+    }
+
+    /// The servers of a zone.
+    pub fn in_zone_mut(&mut self, zone: &ZoneId) -> impl Iterator<Item = &mut ServerEntry> {
+        let servers = self.servers.iter_mut();
+        servers.filter(move |entry| entry.zone == *zone)
+    }
+
     /// All servers, sorted by id.
     #[must_use]
     pub fn servers(&self) -> &[ServerEntry] {
@@ -116,6 +155,19 @@
         Some(earliest.since(now)).filter(|span| *span > ClockSpan::ZERO)
     }
 
+    /// Time until the first cold server of a service is warm; `None` if none is
+    /// cold.
+    #[must_use]
+    pub fn warm_in(&self, service: &ServiceId, now: ClockTime) -> Option<ClockSpan> {
+        let is_cold = |entry: &&ServerEntry| {
+            let serves = entry.service == *service && entry.takes_requests(now);
+            serves && entry.warmth.is_cold(now)
+        };
+        let cold = self.servers.iter().filter(is_cold);
+        let first = cold.map(|entry| entry.warmth.warm_at()).min()?;
+        Some(first.since(now))
+    }
+
     /// Removes servers that accept no requests and run none of this instance.
     pub fn sweep(&mut self, now: ClockTime) {
         let is_removable =
--- a/crates/guavawell-core/src/id/mod.rs
+++ b/crates/guavawell-core/src/id/mod.rs
@@ -18,6 +18,7 @@
 pub use text::InstanceId;
 pub use text::ModelId;
 pub use text::OrganisationId;
+pub use text::RegionId;
 pub use text::RequestId;
 pub use text::ServiceId;
 pub use text::ZoneId;
--- a/crates/guavawell-core/src/id/text.rs
+++ b/crates/guavawell-core/src/id/text.rs
@@ -113,6 +113,10 @@
     /// An availability zone.
     ZoneId
 );
+text_id!(
+    /// A region, which contains availability zones.
+    RegionId
+);
 text_id!(
     /// An instance of the entry process, as named in its settings.
     InstanceId
--- /dev/null
+++ b/crates/guavawell-core/tests/forward/evacuation.rs
@@ -0,0 +1,125 @@
+//! Servers of evacuated zones and of other regions get no requests.
+
+use guavawell_core::forward::ChoiceError;
+use guavawell_core::forward::EvacuationList;
+use guavawell_core::forward::HomeRegions;
+use guavawell_core::forward::ServerConstraints;
+use guavawell_core::forward::ServerObstacle;
+use guavawell_core::forward::ZoneEvacuations;
+use guavawell_core::forward::ZoneRegions;
+use guavawell_core::id::RegionId;
+
+use crate::support::START;
+use crate::support::choose_with;
+use crate::support::constraints;
+use crate::support::entry;
+use crate::support::instance;
+use crate::support::server;
+use crate::support::service;
+use crate::support::table;
+use crate::support::zone;
+
+fn region(name: &str) -> RegionId {
+    name.parse().expect("a valid id")
+}
+
+#[test]
+fn an_evacuated_zone_gets_nothing_until_it_is_taken_back() {
+    let mut table = table(8);
+    let (service, own) = (service(), instance(0));
+    let constraints = constraints(&service, &own);
+    let change = table
+        .evacuations_mut()
+        .apply_changes(&[(zone("z1"), true, 5)], 5);
+    assert_eq!(change.began, [zone("z1")]);
+    for part in 0..100 {
+        let pick = choose_with(&table, constraints, part, START).expect("a server in z2");
+        let entry = table.get(&pick.server).expect("listed");
+        assert_eq!(entry.zone, zone("z2"));
+    }
+    let entry = &table.servers()[0];
+    let obstacle = table.obstacle(entry, &constraints, START);
+    assert_eq!(obstacle, Some(ServerObstacle::Evacuated));
+    table
+        .evacuations_mut()
+        .apply_changes(&[(zone("z2"), true, 6)], 6);
+    let refused = choose_with(&table, constraints, 1, START);
+    assert_eq!(refused.err(), Some(ChoiceError::Evacuated));
+    let change = table
+        .evacuations_mut()
+        .apply_changes(&[(zone("z1"), false, 7), (zone("z2"), false, 8)], 8);
+    assert_eq!(change.ended, [zone("z1"), zone("z2")]);
+    assert!(choose_with(&table, constraints, 1, START).is_ok());
+}
+
+// Guards against a state that goes back: polls of the store overlap, and an older
+// response may be read after a newer one.
+#[test]
+fn an_older_response_changes_nothing() {
+    let mut evacuations = ZoneEvacuations::default();
+    evacuations.apply_changes(&[(zone("z1"), true, 5)], 5);
+    evacuations.apply_changes(&[(zone("z1"), false, 9)], 9);
+    let change = evacuations.apply_changes(&[(zone("z1"), true, 5)], 6);
+    assert!(change.began.is_empty());
+    evacuations.apply_changes(&[(zone("z2"), true, 12)], 12);
+    let change = evacuations.replace(&[], 11);
+    assert!(change.ended.is_empty());
+    assert_eq!(evacuations.zones(), [zone("z2")]);
+    let change = evacuations.replace(&[], 13);
+    assert_eq!(change.ended, [zone("z2")]);
+}
+
+// An instance that the store turns away learns of an evacuation from another one.
+// The store's next response decides, whatever the other instance has sent.
+#[test]
+fn a_list_of_another_instance_counts_until_the_store_answers() {
+    let mut evacuations = ZoneEvacuations::default();
+    evacuations.replace(&[], 5);
+    let list = |revision: u64| EvacuationList {
+        revision,
+        zones: vec![zone("z1")],
+    };
+    assert!(evacuations.learn(list(4)).began.is_empty());
+    assert_eq!(evacuations.learn(list(9)).began, [zone("z1")]);
+    assert!(evacuations.stored_list().zones.is_empty());
+    assert_eq!(evacuations.replace(&[], 10).ended, [zone("z1")]);
+    assert!(evacuations.learn(list(10)).began.is_empty());
+}
+
+#[test]
+fn home_regions_of_route_and_organisation_both_apply() {
+    let (here, there) = (region("here"), region("there"));
+    let mut table = guavawell_core::forward::ServerTable::new(ZoneRegions::new(vec![
+        (zone("z1"), here.clone()),
+        (zone("z2"), there.clone()),
+    ]));
+    for (number, name) in ["z1", "z2", "z3"].into_iter().enumerate() {
+        let mut server = entry(server(number));
+        server.zone = zone(name);
+        table.upsert(server);
+    }
+    let (service, own) = (service(), instance(0));
+    let both = [here.clone(), there.clone()];
+    let pick = |route: &[RegionId], organisation: &[RegionId]| {
+        let constraints = ServerConstraints {
+            homes: HomeRegions {
+                route,
+                organisation,
+            },
+            ..constraints(&service, &own)
+        };
+        let picked = |part| choose_with(&table, constraints, part, START).ok();
+        let mut zones: Vec<String> = (0..60)
+            .filter_map(picked)
+            .map(|pick| table.get(&pick.server).expect("listed").zone.to_string())
+            .collect();
+        zones.sort();
+        zones.dedup();
+        zones
+    };
+    assert_eq!(pick(&[], &[]), ["z1", "z2", "z3"]);
+    assert_eq!(pick(&both, &[]), ["z1", "z2"]);
+    assert_eq!(pick(&both, std::slice::from_ref(&there)), ["z2"]);
+    assert_eq!(pick(std::slice::from_ref(&here), &[there]), [""; 0]);
+    assert_eq!(pick(&[region("elsewhere")], &[]), [""; 0]);
+}
--- a/crates/guavawell-core/tests/forward/route.rs
+++ b/crates/guavawell-core/tests/forward/route.rs
@@ -26,6 +26,7 @@
         attempts: 1,
         priority: 0,
         public: false,
+        homes: Box::default(),
     }
 }
 
--- a/crates/guavawell-core/tests/forward/support.rs
+++ b/crates/guavawell-core/tests/forward/support.rs
@@ -1,20 +1,26 @@
 //! Servers and requests for the tests.
 
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ChoiceError;
 use guavawell_core::forward::ChoiceRequest;
 use guavawell_core::forward::ChoiceSettings;
 use guavawell_core::forward::EngineLimits;
+use guavawell_core::forward::FleetView;
+use guavawell_core::forward::HomeRegions;
 use guavawell_core::forward::LoadFigures;
 use guavawell_core::forward::PromptPart;
+use guavawell_core::forward::ServerConstraints;
 use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerHealth;
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::ServerTable;
+use guavawell_core::forward::ServerWarmth;
 use guavawell_core::forward::StartTime;
 use guavawell_core::forward::TokenUsage;
 use guavawell_core::forward::choose_server;
+use guavawell_core::id::InstanceId;
 use guavawell_core::id::ServiceId;
 use guavawell_core::id::TokenCount;
 use guavawell_core::id::ZoneId;
@@ -61,6 +67,7 @@
         announced_leaving: false,
         load: LoadFigures::default(),
         health: ServerHealth::default(),
+        warmth: ServerWarmth::default(),
         suspects: Vec::new(),
     }
 }
@@ -77,6 +84,48 @@
     table
 }
 
+pub fn instance(number: usize) -> InstanceId {
+    format!("n-{number:03}").parse().expect("a valid id")
+}
+
+/// The constraints of a request without home regions to servers without slow
+/// start.
+pub fn constraints<'a>(service: &'a ServiceId, own: &'a InstanceId) -> ServerConstraints<'a> {
+    ServerConstraints {
+        service,
+        homes: HomeRegions::default(),
+        slow_start: None,
+        fleet: FleetView { own, members: &[] },
+    }
+}
+
+/// Chooses a server for a request with this shared part.
+pub fn choose_with(
+    table: &ServerTable,
+    constraints: ServerConstraints<'_>,
+    part: u64,
+    now: ClockTime,
+) -> Result<ServerPick, ChoiceError> {
+    let zone = zone("z1");
+    let request = ChoiceRequest {
+        constraints,
+        engine: Some(ENGINE),
+        zone: &zone,
+        affinity: Some(PromptPart {
+            id: part,
+            tokens: TokenCount::new(500),
+        }),
+        shared_tokens: 500,
+        usage: TokenUsage {
+            input: TokenCount::new(1_000),
+            output_limit: TokenCount::new(100),
+        },
+        tried: &[],
+        suspect: None,
+    };
+    choose_server(table, &request, now, &ChoiceSettings::default())
+}
+
 /// A request whose prompt has a shared part.
 #[derive(Clone, Copy)]
 pub struct TestRequest {
@@ -95,10 +144,10 @@
     now: ClockTime,
     tried: &[ServerIncarnation],
 ) -> Option<ServerPick> {
-    let service = service();
+    let (service, own) = (service(), instance(0));
     let zone = zone("z1");
     let choice_request = ChoiceRequest {
-        service: &service,
+        constraints: constraints(&service, &own),
         engine: Some(ENGINE),
         zone: &zone,
         affinity: Some(PromptPart {
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::connect::open_channel;
 use crate::crash::AbandonedAttempt;
 use crate::crash::AttemptWatch;
+use crate::eligible::claim_send;
 use crate::http::BodyDecoder;
 use crate::http::BodyFraming;
 use crate::http::ChannelError;
@@ -81,13 +82,15 @@
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     };
     let expired = router.clock.left(call.deadline) == ClockSpan::default();
-    if expired || !router.takes_requests(&pick.server) || !is_allowed(router, call) {
+    let is_allowed = !expired && is_allowed(router, call);
+    if !is_allowed || router.poison.refused_for(call.fingerprint).is_some() {
+        // The request became suspected of crashing servers, or is no longer
+        // allowed, since the connection was requested.
         progress.unsent += 1;
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     }
-    if router.poison.refused_for(call.fingerprint).is_some() {
-        // The request became suspected of crashing servers while the connection
-        // was being opened.
+    if !claim_send(router, call, &pick.server) {
+        progress.unsent += 1;
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     }
     progress.sent += 1;
--- a/crates/guavawell-forward/src/config/mod.rs
+++ b/crates/guavawell-forward/src/config/mod.rs
@@ -16,6 +16,7 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ConfigAction;
 use guavawell_core::forward::ConfigSource;
+use guavawell_core::forward::EvacuationList;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::PollTiming;
 use guavawell_core::forward::VersionTracker;
@@ -58,6 +59,9 @@
     /// The row as the store holds it; empty if the receiver has this version or a
     /// newer one.
     pub bytes: Vec<u8>,
+    /// The evacuated zones, which are read from the same table; `None` if the
+    /// sender does not tell them.
+    pub evacuations: Option<EvacuationList>,
 }
 
 /// A configuration read from the store.
@@ -77,6 +81,8 @@
     current: RefCell<Option<Rc<ForwardConfig>>>,
     /// The newest configuration read from the store.
     stored: RefCell<Option<CachedConfig>>,
+    /// The evacuated zones as last read from the store.
+    evacuations: RefCell<EvacuationList>,
     /// Age of the configuration beyond which an answer of the store is overdue.
     overdue_after: ClockSpan,
     /// Time after which a poll of the store without an answer counts as failed.
@@ -111,9 +117,15 @@
             versions: RefCell::default(),
             current: RefCell::default(),
             stored: RefCell::default(),
+            evacuations: RefCell::default(),
         }
     }
 
+    /// Sets the evacuated zones as read from the store, for other instances.
+    pub fn set_evacuations(&self, list: EvacuationList) {
+        self.evacuations.replace(list);
+    }
+
     /// The configuration in force, once one is known.
     #[must_use]
     pub fn current(&self) -> Option<Rc<ForwardConfig>> {
@@ -260,6 +272,7 @@
             version,
             age,
             bytes: bytes.map_or(Vec::new(), |cached| cached.bytes.to_vec()),
+            evacuations: Some(self.evacuations.borrow().clone()),
         })
     }
 
--- a/crates/guavawell-forward/src/config/peer_query.rs
+++ b/crates/guavawell-forward/src/config/peer_query.rs
@@ -98,6 +98,9 @@
 /// show that the instance reaches the store.
 fn apply_received(router: &ForwardRouter, received: &ReceivedConfig) -> bool {
     let answer = &received.answer;
+    if let Some(list) = &answer.evacuations {
+        router.learn_evacuations(list.clone());
+    }
     match router.configs.apply_peer_config(answer, received.sent_at) {
         Ok(in_force) => {
             if in_force {
--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -35,7 +35,10 @@
     let result = HttpChannel::connect(address, timer_span(limit)).await;
     note_connect_time(router, result.as_ref().err(), began);
     match result {
-        Ok(channel) => Some(channel),
+        Ok(channel) => {
+            note_accepted(router, server);
+            Some(channel)
+        }
         Err(error) => {
             log::debug!("cannot connect to {server}: {error}");
             note_connect_failure(router, server, &error);
@@ -58,6 +61,16 @@
     router.connect_timeout.set(timeout);
 }
 
+/// Records that a server accepted a connection. One that refused connections
+/// before has just started and may be cold.
+fn note_accepted(router: &ForwardRouter, server: &ServerIncarnation) {
+    let now = router.clock.now();
+    if let Some(entry) = router.servers.borrow_mut().get_mut(server) {
+        let span = router.cold_span(&entry.service).unwrap_or_default();
+        entry.warmth.note_accepted(now, span);
+    }
+}
+
 fn note_connect_failure(router: &ForwardRouter, server: &ServerIncarnation, error: &ChannelError) {
     if error.is_connection_refused() {
         note_refused(router, server);
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -287,6 +287,7 @@
     let mut leaves = false;
     if let Some(entry) = servers.get_mut(server) {
         entry.record_connect_failure(now);
+        entry.warmth.note_refused(router.server_revision.get());
         leaves = entry.phase == ServerPhase::Leaving;
     }
     drop(servers);
--- a/crates/guavawell-forward/src/field_names.rs
+++ b/crates/guavawell-forward/src/field_names.rs
@@ -28,6 +28,8 @@
     pub load: &'static str,
     /// Set by a server that is leaving.
     pub leaving: &'static str,
+    /// How many more milliseconds the server is cold.
+    pub cold: &'static str,
     /// Further fields that only the system may set. They are removed from
     /// callers' requests.
     pub reserved: &'static [&'static str],
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -24,6 +24,8 @@
 pub mod config;
 pub mod connect;
 pub mod crash;
+pub mod eligible;
+pub mod evacuation;
 pub mod field_names;
 pub mod housekeeping;
 pub mod http;
--- a/crates/guavawell-forward/src/peer/message.rs
+++ b/crates/guavawell-forward/src/peer/message.rs
@@ -1,6 +1,7 @@
 //! Messages between instances, as HTTP requests and responses.
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::EvacuationList;
 use guavawell_core::grant::LenderId;
 use guavawell_core::grant::LoanAnswer;
 use guavawell_core::grant::LoanRequest;
@@ -11,6 +12,7 @@
 use guavawell_core::grant::encode_row;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::OrganisationId;
+use guavawell_core::id::ZoneId;
 use guavawell_core::poison::SuspicionList;
 
 use super::FleetKey;
@@ -46,6 +48,9 @@
 const STORED_VERSION_FIELD: &str = "Stored";
 /// Response field: milliseconds since that version was known to be the newest.
 const CONFIG_AGE_FIELD: &str = "Age";
+/// Response field: revision of the store at which the sender read the evacuated
+/// zones, then the zones, separated by commas.
+const EVACUATED_FIELD: &str = "Evacuated";
 /// Response field: number of tokens lent.
 const LENT_FIELD: &str = "Lent";
 /// Response field: why no tokens were lent.
@@ -172,6 +177,29 @@
 pub(crate) fn write_config(writer: &mut HeadWriter, answer: &PeerConfig) {
     writer.field_of(STORED_VERSION_FIELD, answer.version);
     writer.field_of(CONFIG_AGE_FIELD, answer.age.as_millis());
+    if let Some(list) = &answer.evacuations {
+        writer.field_of(EVACUATED_FIELD, evacuation_text(list));
+    }
+}
+
+fn evacuation_text(list: &EvacuationList) -> String {
+    let zones = list.zones.iter().map(ZoneId::as_str);
+    let parts = std::iter::once(list.revision.to_string()).chain(zones.map(String::from));
+    parts.collect::<Vec<String>>().join(",")
+}
+
+/// Parses the list of evacuated zones; `None` if it is malformed.
+fn parse_evacuations(text: &str) -> Option<EvacuationList> {
+    let mut parts = text.split(',');
+    let revision = parts.next()?.parse().ok()?;
+    let zones: Result<Vec<ZoneId>, _> = parts.map(str::parse).collect();
+    let zones = zones.inspect_err(|error| {
+        log::warn!("cannot decode another instance's list of evacuated zones: {error}");
+    });
+    Some(EvacuationList {
+        revision,
+        zones: zones.ok()?,
+    })
 }
 
 /// Reads the response to a request for the configuration.
@@ -182,6 +210,7 @@
         version,
         age: ClockSpan::from_millis(age),
         bytes: body,
+        evacuations: head.fields.get(EVACUATED_FIELD).and_then(parse_evacuations),
     })
 }
 
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -43,6 +43,12 @@
 /// used again within seconds after it recovers.
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 
+/// Age from which the list of instances is old: two reads were missed.
+const MAX_FLEET_AGE: ClockSpan = ClockSpan::from_millis(12_000);
+/// Time after which what the previous process of this instance did no longer
+/// counts, and instances that started together have read each other's rows.
+const MIN_RUN_TIME: ClockSpan = ClockSpan::from_millis(3_000);
+
 /// Header field in which an operator sends the fleet's key.
 pub const KEY_FIELD: &str = "Key";
 
@@ -93,12 +99,17 @@
 #[derive(Debug)]
 pub struct PeerRegistry {
     clock: SteadyClock,
+    /// This instance.
+    own_instance: InstanceId,
     /// Availability zone of this instance.
     own_zone: ZoneId,
     /// Address for requests of other instances; `None` if this one takes none.
     own_address: Option<SocketAddr>,
     /// Sorted by instance.
     peers: RefCell<Vec<PeerEntry>>,
+    /// All instances including this one, sorted, and when they were last read
+    /// from the store.
+    fleet: RefCell<(Rc<[InstanceId]>, ClockTime)>,
     channels: PeerChannels,
     /// The fleet's key, once it was read from the store.
     key: Cell<Option<FleetKey>>,
@@ -111,16 +122,18 @@
     #[must_use]
     pub fn new(
         clock: SteadyClock,
-        own_zone: ZoneId,
+        own: FleetMember,
         own_address: Option<SocketAddr>,
         configs: Rc<ConfigTracker>,
     ) -> Self {
         Self {
-            own_zone,
+            own_instance: own.instance,
+            own_zone: own.zone,
             configs,
             clock,
             own_address,
             peers: RefCell::default(),
+            fleet: RefCell::new((Rc::default(), ClockTime::default())),
             channels: PeerChannels::default(),
             key: Cell::new(None),
         }
@@ -164,7 +177,26 @@
         };
         let mut peers: Vec<PeerEntry> = endpoints.into_iter().map(entry).collect();
         peers.sort_by(|one, other| one.instance().cmp(other.instance()));
+        let others = peers.iter().map(PeerEntry::instance);
+        let mut fleet: Vec<InstanceId> = others.chain([&self.own_instance]).cloned().collect();
+        fleet.sort();
         *known = peers;
+        self.fleet.replace((fleet.into(), self.clock.now()));
+    }
+
+    /// All instances including this one, as the store recently listed them;
+    /// empty if this process has just started or the list is old.
+    #[must_use]
+    pub fn fleet(&self) -> Rc<[InstanceId]> {
+        let now = self.clock.now();
+        let fleet = self.fleet.borrow();
+        let (members, read_at) = &*fleet;
+        let has_run = now.since(SteadyClock::ORIGIN) >= MIN_RUN_TIME;
+        if has_run && now.since(*read_at) <= MAX_FLEET_AGE {
+            Rc::clone(members)
+        } else {
+            Rc::default()
+        }
     }
 
     /// Number of other instances.
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -22,6 +22,7 @@
 use crate::attempt::abandoned_attempt;
 use crate::attempt::send_attempt;
 use crate::crash::note_lost_attempt;
+use crate::eligible::with_constraints;
 use crate::http::HttpChannel;
 use crate::record::RequestRecord;
 use crate::refusal::RefusalResponse;
@@ -45,6 +46,9 @@
 const RETRY_NO_SERVER: ClockSpan = ClockSpan::from_millis(1_000);
 /// Retry-After if all servers are full: the time of a few responses.
 const RETRY_FULL: ClockSpan = ClockSpan::from_millis(600);
+/// Retry-After if the zones of all servers are evacuated. When that ends is
+/// unknown; an evacuation takes seconds.
+const RETRY_EVACUATED: ClockSpan = ClockSpan::from_millis(3_000);
 /// Random addition to Retry-After, so that callers do not all retry at the same
 /// time.
 const RETRY_JITTER_MS: u64 = 400;
@@ -179,24 +183,31 @@
     if router.clock.left(call.deadline) < MIN_ATTEMPT_TIME {
         return Err(ForwardRefusal::TooLate);
     }
-    let suspect = router.poison.suspect(call.fingerprint);
-    let request = ChoiceRequest {
-        service: &call.service,
-        engine: call.engine,
-        zone: &router.settings.zone,
-        affinity: call.shape.affinity(),
-        shared_tokens: call.shape.shared_tokens().get(),
-        usage: call.usage,
-        tried: &progress.tried,
-        suspect,
-    };
-    let now = router.clock.now();
-    let servers = router.servers.borrow();
-    choose_server(&servers, &request, now, &router.settings.choice).map_err(|refusal| match refusal
-    {
+    let choice = with_constraints(router, call, |constraints| {
+        let request = ChoiceRequest {
+            constraints,
+            engine: call.engine,
+            zone: &router.settings.zone,
+            affinity: call.shape.affinity(),
+            shared_tokens: call.shape.shared_tokens().get(),
+            usage: call.usage,
+            tried: &progress.tried,
+            suspect: router.poison.suspect(call.fingerprint),
+        };
+        let now = router.clock.now();
+        choose_server(
+            &router.servers.borrow(),
+            &request,
+            now,
+            &router.settings.choice,
+        )
+    });
+    choice.map_err(|error| match error {
         ChoiceError::Unknown => ForwardRefusal::NoServer,
+        ChoiceError::Evacuated => ForwardRefusal::Evacuated,
         ChoiceError::Full => ForwardRefusal::ServersFull,
         ChoiceError::Paused => ForwardRefusal::ServersPaused,
+        ChoiceError::Cold => ForwardRefusal::ServersCold,
     })
 }
 
@@ -290,25 +301,36 @@
         record.truncated();
         return false;
     }
-    let jitter = ClockSpan::from_millis(fastrand::u64(..RETRY_JITTER_MS));
-    let now = router.clock.now();
-    let resumes = router.servers.borrow().resumes_in(&call.service, now);
-    let base = match refusal {
-        ForwardRefusal::CrashesServers => router.poison.refused_for(call.fingerprint),
-        ForwardRefusal::ServersPaused | ForwardRefusal::NoServer => resumes,
-        ForwardRefusal::ServersFull => resumes.or(Some(RETRY_FULL)),
-        _ => None,
-    };
-    let base = base.unwrap_or(RETRY_NO_SERVER);
-    let after = ClockSpan::from_millis(base.as_millis() + jitter.as_millis());
     let response = RefusalResponse {
         refusal,
         may_have_run: progress.outcome.may_have_run,
-        retry_after: Some(after),
+        retry_after: Some(retry_after(router, call, refusal)),
     };
     send_refusal(router, caller, call.request, call.id, record, &response).await
 }
 
+/// When the caller of a refused request should come back: when a server takes
+/// requests again, as far as that is known, plus jitter.
+fn retry_after(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    refusal: ForwardRefusal,
+) -> ClockSpan {
+    let now = router.clock.now();
+    let servers = router.servers.borrow();
+    let resumes_in = servers.resumes_in(&call.service, now);
+    let base = match refusal {
+        ForwardRefusal::CrashesServers => router.poison.refused_for(call.fingerprint),
+        ForwardRefusal::ServersPaused | ForwardRefusal::NoServer => resumes_in,
+        ForwardRefusal::ServersFull => resumes_in.or(Some(RETRY_FULL)),
+        ForwardRefusal::Evacuated => Some(RETRY_EVACUATED),
+        ForwardRefusal::ServersCold => servers.warm_in(&call.service, now),
+        _ => None,
+    };
+    let jitter = ClockSpan::from_millis(fastrand::u64(..RETRY_JITTER_MS));
+    ClockSpan::from_millis(base.unwrap_or(RETRY_NO_SERVER).as_millis() + jitter.as_millis())
+}
+
 /// Relays a server's error response to the caller.
 async fn relay_failure(
     router: &ForwardRouter,
--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -66,6 +66,8 @@
     state_loaded: Event,
     /// Whether the list of servers was read.
     pub servers_read: Cell<bool>,
+    /// Newest revision of the list of servers that was read.
+    pub server_revision: Cell<u64>,
     /// The age of the list of servers.
     server_age: Cell<FeedAge>,
     /// Notified when a query for the list of servers was answered.
@@ -115,10 +117,11 @@
             clock,
             log,
             configs,
-            servers: RefCell::default(),
+            servers: RefCell::new(ServerTable::new(settings.regions.clone())),
             restart_event: Event::new(),
             state_loaded: Event::new(),
             servers_read: Cell::new(false),
+            server_revision: Cell::new(0),
             server_age: Cell::default(),
             servers_answered: Event::new(),
             budgets_opened: Cell::new(false),
@@ -165,14 +168,20 @@
     }
 
     /// Adds or updates a server that the platform lists.
-    pub fn update_server(&self, entry: ServerEntry) {
+    pub fn update_server(&self, mut entry: ServerEntry) {
+        entry.warmth = entry.warmth.received(self.clock.now());
         let incarnation = entry.incarnation.clone();
         let phase = entry.phase;
         let mut servers = self.servers.borrow_mut();
         let before = servers.get(&incarnation).map(|entry| entry.phase);
+        let was_cold = self.cold_left(servers.get(&incarnation));
         let previous = servers.upsert(entry);
         let after = servers.get(&incarnation).map(|entry| entry.phase);
+        let cold_left = self.cold_left(servers.get(&incarnation));
         drop(servers);
+        if let Some(span) = cold_left.filter(|_| was_cold.is_none()) {
+            self.log_cold(&incarnation, "list", span);
+        }
         if let Some(previous) = previous {
             self.drop_previous_process(&previous, &incarnation);
         }
@@ -192,16 +201,6 @@
         self.log.emit(draft);
     }
 
-    /// Whether a server still accepts requests. It may have started to leave,
-    /// or asked for a pause, while a connection to it was being opened.
-    #[must_use]
-    pub fn takes_requests(&self, incarnation: &ServerIncarnation) -> bool {
-        let now = self.clock.now();
-        let servers = self.servers.borrow();
-        let entry = servers.get(incarnation);
-        entry.is_some_and(|entry| entry.takes_requests(now) && !entry.is_paused(now))
-    }
-
     /// Removes a server that the platform no longer lists.
     pub fn remove_unlisted_server(&self, id: &BackendId) {
         let now = self.clock.now();
@@ -253,8 +252,9 @@
     }
 
     /// Records that a query for the list of servers, sent at `sent_at`, was
-    /// answered.
-    pub fn servers_checked(&self, sent_at: ClockTime) {
+    /// answered as of a revision of the store.
+    pub fn servers_checked(&self, sent_at: ClockTime, revision: u64) {
+        self.server_revision.set(revision);
         let mut age = self.server_age.get();
         age.confirm(sent_at);
         self.server_age.set(age);
@@ -301,6 +301,25 @@
         }
     }
 
+    /// How much longer a server is cold; `None` if it is warm or unknown, or its
+    /// service has no slow start.
+    fn cold_left(&self, entry: Option<&ServerEntry>) -> Option<ClockSpan> {
+        let entry = entry?;
+        self.cold_span(&entry.service)?;
+        let now = self.clock.now();
+        let is_cold = entry.warmth.is_cold(now);
+        is_cold.then(|| entry.warmth.warm_at().since(now))
+    }
+
+    /// Logs that a server was found to be cold, and from which source.
+    pub fn log_cold(&self, server: &ServerIncarnation, source: &str, span: ClockSpan) {
+        let draft = EventDraft::new("server.cold")
+            .field("server", server)
+            .field("source", source)
+            .field("for_ms", span.as_millis());
+        self.log.emit(draft);
+    }
+
     fn log_server(&self, kind: &str, incarnation: &ServerIncarnation, phase: ServerPhase) {
         let phase = match phase {
             ServerPhase::Ready => "ready",
--- a/crates/guavawell-forward/src/routing.rs
+++ b/crates/guavawell-forward/src/routing.rs
@@ -14,6 +14,7 @@
 use guavawell_core::forward::RetrySafety;
 use guavawell_core::forward::RouteEntry;
 use guavawell_core::id::OrganisationId;
+use guavawell_core::id::RegionId;
 
 use crate::callers::ReceivedRequest;
 use crate::record::RequestRecord;
@@ -129,14 +130,27 @@
 }
 
 /// Whether the current configuration allows the service that was selected for
-/// the request.
+/// the request, and the regions in which it may run are the same.
 #[must_use]
 pub fn is_allowed(router: &ForwardRouter, call: &ForwardCall<'_>) -> bool {
     let Some(config) = changed_config(router, call) else {
         return true;
     };
     let route = route_in_config(router, &config, call);
-    route.is_ok_and(|route| route.sends_to(&call.service))
+    let has_same_homes =
+        organisation_homes(&config, call) == organisation_homes(&call.config, call);
+    route.is_ok_and(|route| {
+        let may_run = has_same_homes && route.homes == call.route.homes;
+        may_run && route.sends_to(&call.service)
+    })
+}
+
+/// Home regions of the request's organisation by a configuration.
+#[must_use]
+pub fn organisation_homes<'a>(config: &'a ForwardConfig, call: &ForwardCall<'_>) -> &'a [RegionId] {
+    let organisation = call.organisation.as_ref();
+    let entry = organisation.and_then(|(id, _)| config.organisation_by_id(id));
+    entry.map_or(&[], |entry| &entry.homes)
 }
 
 fn changed_config(router: &ForwardRouter, call: &ForwardCall<'_>) -> Option<Rc<ForwardConfig>> {
--- a/crates/guavawell-forward/src/server_status.rs
+++ b/crates/guavawell-forward/src/server_status.rs
@@ -1,13 +1,16 @@
 //! Reads what a server reports about itself in the head of any response: that
-//! it is leaving, or that it accepts no requests for a while.
+//! it is leaving, that it is cold, or that it accepts no requests for a while.
 //!
 //! The report applies until the server restarts and takes precedence over the
 //! platform's entry, which is updated later, or not at all while the platform
 //! is unreachable.
 
+use std::fmt::Display;
+
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerIncarnation;
+use guavawell_core::forward::parse_cold_span;
 use guavawell_core::forward::parse_pause;
 use guavawell_fleet::event::EventDraft;
 
@@ -36,11 +39,48 @@
     {
         apply_leaving(router, server);
     }
+    if let Some(text) = head.fields.get(router.settings.names.cold) {
+        apply_cold_span(router, server, text);
+    }
     if head.status == 503 {
         apply_pause(router, server, head);
     }
 }
 
+/// Applies the cold time that a server states. A malformed one counts as the cold
+/// time after a start, so that the server does not get too many requests.
+fn apply_cold_span(router: &ForwardRouter, server: &ServerIncarnation, text: &str) {
+    let stated = parse_cold_span(text);
+    if let Err(error) = &stated {
+        log_unreadable(router, server, router.settings.names.cold, error);
+    }
+    let now = router.clock.now();
+    let mut servers = router.servers.borrow_mut();
+    let Some(entry) = servers.get_mut(server) else {
+        return;
+    };
+    let usual = router.cold_span(&entry.service).unwrap_or_default();
+    let span = stated.unwrap_or(usual);
+    if !entry.warmth.report(now, span) {
+        return;
+    }
+    drop(servers);
+    router.log_cold(server, "response", span);
+}
+
+fn log_unreadable(
+    router: &ForwardRouter,
+    server: &ServerIncarnation,
+    field: &str,
+    error: &dyn Display,
+) {
+    let draft = EventDraft::new("server.word_unreadable")
+        .field("server", server)
+        .field("field", field)
+        .field("error", error);
+    router.log.emit(draft);
+}
+
 fn apply_leaving(router: &ForwardRouter, server: &ServerIncarnation) {
     let mut servers = router.servers.borrow_mut();
     let changed = servers
@@ -87,11 +127,7 @@
     let text = String::from_utf8_lossy(text);
     let (pause, error) = parse_pause(&text);
     if let Some(error) = error {
-        let draft = EventDraft::new("server.word_unreadable")
-            .field("server", server)
-            .field("field", RETRY_AFTER)
-            .field("error", error);
-        router.log.emit(draft);
+        log_unreadable(router, server, RETRY_AFTER, &error);
     }
     pause
 }
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -10,6 +10,8 @@
 use guavawell_core::forward::LapseSettings;
 use guavawell_core::forward::PollTiming;
 use guavawell_core::forward::RetryLimits;
+use guavawell_core::forward::SlowStartSettings;
+use guavawell_core::forward::ZoneRegions;
 use guavawell_core::grant::LedgerSettings;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::ZoneId;
@@ -97,6 +99,8 @@
     pub instance: InstanceId,
     /// The availability zone of this instance.
     pub zone: ZoneId,
+    /// The regions of all availability zones.
+    pub regions: ZoneRegions,
     /// The addresses on which it listens.
     pub listen: ListenAddresses,
     /// The names of header fields.
@@ -105,6 +109,8 @@
     pub times: TimeSettings,
     /// How backend servers are picked.
     pub choice: ChoiceSettings,
+    /// Limits on requests to cold servers.
+    pub slow_start: SlowStartSettings,
     /// Limits of admission.
     pub admission: AdmissionSettings,
     /// When this instance's network link counts as full.
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -14,6 +14,8 @@
 use guavawell_core::forward::ForwardLimits;
 use guavawell_core::forward::RetryLimits;
 use guavawell_core::forward::RouteTable;
+use guavawell_core::forward::SlowStartSettings;
+use guavawell_core::forward::ZoneRegions;
 use guavawell_core::grant::FleetMember;
 use guavawell_core::grant::LedgerSettings;
 use guavawell_core::id::IncarnationId;
@@ -45,6 +47,7 @@
     not_run: "not-run",
     load: "load",
     leaving: "Leaving",
+    cold: "Cold",
     reserved: &[],
 };
 
@@ -85,7 +88,7 @@
     ));
     let peers = Rc::new(PeerRegistry::new(
         clock,
-        member.zone.clone(),
+        member.clone(),
         None,
         Rc::clone(&configs),
     ));
@@ -101,10 +104,12 @@
     let settings = ForwardSettings {
         instance,
         zone: "z1".parse().expect("a valid id"),
+        regions: ZoneRegions::default(),
         listen: ListenAddresses::default(),
         names: NAMES,
         times: TimeSettings::default(),
         choice: ChoiceSettings::default(),
+        slow_start: SlowStartSettings::default(),
         admission: AdmissionSettings::default(),
         congestion: CongestionSettings::default(),
         retry_limits: RetryLimits::default(),
