Budgets: a stand-in that the store has granted nothing asks the holders again

Cause: the store is slow and then out of reach; a holder did not answer the instance in 150 ms (13 to 23 lines budget.lender_unreached), so the instance took its place for 6 s. A stand-in counted as a holder, so it did not ask the holders again, and it could not read the budget's row. Change: a stand-in without a grant from the store borrows like any other instance; those that did not answer are in their back-off meanwhile. Why it works: holders lend from what they hold, which needs no store; who may spend is still decided by the row alone.

--- a/crates/guavawell-core/src/grant/ledger.rs
+++ b/crates/guavawell-core/src/grant/ledger.rs
@@ -290,6 +290,19 @@
         index.is_some_and(|index| self.holds(&self.budgets[index], now))
     }
 
+    /// Whether requests are covered by the holders' tokens rather than by a
+    /// grant of this instance: it is no holder, or a stand-in that the store has
+    /// granted nothing yet. The holders may answer before the store does.
+    #[must_use]
+    pub fn asks_holders(&self, organisation: &OrganisationId, now: ClockTime) -> bool {
+        let Some(index) = self.budget_index(organisation) else {
+            return true;
+        };
+        let state = &self.budgets[index];
+        let has_grant = self.grant(state) > 0;
+        !state.ranked && !(has_grant && self.holds(state, now))
+    }
+
     pub(super) fn holds(&self, state: &BudgetState, now: ClockTime) -> bool {
         let stand_in_time = self.settings.holders.stand_in_time;
         let is_stand_in = state
--- a/crates/guavawell-forward/src/budget/reserve.rs
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -158,7 +158,7 @@
                 _ => {}
             }
             let waited = self.clock.now().since(started);
-            if !self.holds_tokens(organisation)
+            if self.asks_holders(organisation)
                 && self
                     .borrow_from_holders(organisation, tokens, time_left)
                     .await?
@@ -233,10 +233,10 @@
         }
     }
 
-    /// Whether this instance is a holder of an organisation's budget.
-    fn holds_tokens(&self, organisation: &OrganisationId) -> bool {
+    /// Whether a request of this instance has to borrow from the holders.
+    fn asks_holders(&self, organisation: &OrganisationId) -> bool {
         let now = self.clock.now();
-        self.ledger.borrow().is_holder(organisation, now)
+        self.ledger.borrow().asks_holders(organisation, now)
     }
 
     /// Makes this instance a holder in place of holders that do not answer.
