--- a/crates/guavawell-core/src/grant/ledger.rs
+++ b/crates/guavawell-core/src/grant/ledger.rs
@@ -299,8 +299,8 @@
             return true;
         };
         let state = &self.budgets[index];
-        let has_grant = self.grant(state) > 0;
-        !state.ranked && !(has_grant && self.holds(state, now))
+        let may_spend = state.ranked || self.grant(state) > 0;
+        !(may_spend && self.holds(state, now))
     }
 
     pub(super) fn holds(&self, state: &BudgetState, now: ClockTime) -> bool {
