--- a/crates/guavawell-core/tests/forward/congestion.rs
+++ b/crates/guavawell-core/tests/forward/congestion.rs
@@ -115,3 +115,45 @@
     link.answered(span(300), later(9_000));
     assert!(!link.is_full(later(9_000)));
 }
+
+/// Fraction of the load that comes over connections that callers keep open.
+const KEPT_FRACTION: f64 = 0.8;
+/// Steps of 10 ms until the load balancer follows a change of readiness.
+const BALANCER_DELAY_STEPS: usize = 200;
+
+/// As [`full_share`], but most callers keep their connections: these move to other
+/// instances only if they are told to close, and the load balancer follows after
+/// two checks.
+fn full_share_of_kept(closes: bool) -> f64 {
+    let mut link = LinkCongestion::new(CongestionSettings::default());
+    let (mut queue, mut full, mut kept) = (0.0, 0.0, KEPT_FRACTION);
+    let mut was_full = Vec::new();
+    for step in 0..1_000 {
+        let now = later(step * 10);
+        was_full.push(link.is_full(now));
+        let checked = was_full.len().saturating_sub(BALANCER_DELAY_STEPS);
+        let redirected = checked > 0 && was_full[checked..].iter().all(|full| *full);
+        if closes && redirected {
+            // Each kept connection has a request within a second.
+            kept *= 0.99;
+        }
+        let new = if redirected { 0.0 } else { 1.0 - KEPT_FRACTION };
+        let load = OVERLOAD * (kept + new);
+        queue = (queue + (load - 1.0) * LINK_RATE / 100.0).clamp(0.0, QUEUE_SECONDS * LINK_RATE);
+        let waits_ms = queue / LINK_RATE * 1_000.0;
+        link.answered(span(2 + whole(waits_ms)), now);
+        full += f64::from(u8::from(queue >= QUEUE_SECONDS * LINK_RATE * 0.9));
+    }
+    full / 1_000.0
+}
+
+// Guards against a full link that stays full: one instance answered half of all late
+// requests of a day, over connections that its callers kept while it reported that
+// it was not ready.
+#[test]
+fn closing_kept_connections_relieves_a_full_link() {
+    let (before, with) = (full_share_of_kept(false), full_share_of_kept(true));
+    println!("full {before:.2} of the time, {with:.2} if kept connections close");
+    assert!(before > 0.9, "{before}");
+    assert!(with < before / 1.5, "{with} of {before}");
+}
