--- a/crates/guavawell-forward/src/router.rs
+++ b/crates/guavawell-forward/src/router.rs
@@ -346,19 +346,8 @@
         if has_state && !self.budgets_opened.get() {
             self.budgets_opened.set(self.budgets.is_open());
         }
-        serving && has_state && self.budgets_opened.get() && !self.is_link_full()
-    }
-
-    /// Whether callers may send further requests on their connections. They are
-    /// told to close them while the process leaves or its link is full: new
-    /// connections then go to other instances, and open ones would stay here.
-    #[must_use]
-    pub fn keeps_callers(&self) -> bool {
-        !self.is_leaving() && !self.is_link_full()
-    }
-
-    fn is_link_full(&self) -> bool {
-        self.link_congestion.get().is_full(self.clock.now())
+        let open = !self.link_congestion.get().is_full(self.clock.now());
+        serving && has_state && self.budgets_opened.get() && open
     }
 
     /// Records how long a connection to a server took to be accepted or
