--- a/crates/guavawell-core/src/forward/eligibility.rs
+++ b/crates/guavawell-core/src/forward/eligibility.rs
@@ -23,8 +23,8 @@
     pub fleet: FleetView<'a>,
 }
 
-/// Why a server may not get a request. Later causes are weaker: a request that
-/// only they exclude everywhere can be served sooner.
+/// Why a server may not get a request, from the most lasting cause to the one
+/// that ends soonest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ServerObstacle {
     /// The server belongs to another service, leaves, or has an unreadable
@@ -52,7 +52,7 @@
         if entry.service != *constraints.service || !entry.takes_requests(now) {
             return Some(ServerObstacle::Unavailable);
         }
-        if !constraints.homes.allow(self.regions().region(&entry.zone)) {
+        if !constraints.homes.allow(&entry.zone, self.regions()) {
             return Some(ServerObstacle::OtherRegion);
         }
         if self.evacuations().contains(&entry.zone) {
--- a/crates/guavawell-core/src/forward/region.rs
+++ b/crates/guavawell-core/src/forward/region.rs
@@ -38,13 +38,16 @@
 }
 
 impl HomeRegions<'_> {
-    /// Whether the request may run in a region. One with home regions does not
-    /// run where the region is unknown.
+    /// Whether the request may run in a zone. One with home regions does not run
+    /// in a zone whose region is unknown.
     #[must_use]
-    pub fn allow(&self, region: Option<&RegionId>) -> bool {
+    pub fn allow(&self, zone: &ZoneId, regions: &ZoneRegions) -> bool {
         [self.route, self.organisation]
             .iter()
             .filter(|homes| !homes.is_empty())
-            .all(|homes| region.is_some_and(|region| homes.contains(region)))
+            .all(|homes| {
+                let region = regions.region(zone);
+                region.is_some_and(|region| homes.contains(region))
+            })
     }
 }
