Evacuation: one that went by unnoticed makes a zone's servers cold as well

Cause: an instance that was suspended while a zone was evacuated and taken back reads only the row's removal; it took the zone's servers for warm, whatever their older entries said. Change: a removal that is news counts as an end. Test: an_evacuation_that_went_by_unnoticed_has_ended, no end before, one after.

--- a/crates/guavawell-core/src/forward/evacuation.rs
+++ b/crates/guavawell-core/src/forward/evacuation.rs
@@ -22,7 +22,8 @@
 pub struct EvacuationChange {
     /// Zones that are evacuated now and were not before.
     pub began: Vec<ZoneId>,
-    /// Zones that were evacuated before and are not now.
+    /// Zones that were evacuated before and are not now, and zones whose whole
+    /// evacuation went by unnoticed.
     pub ended: Vec<ZoneId>,
 }
 
@@ -98,10 +99,16 @@
         rows: &[(ZoneId, bool, u64)],
         revision: u64,
     ) -> EvacuationChange {
+        let mut unnoticed = Vec::new();
         for (zone, evacuated, row_revision) in rows {
-            self.set_state(zone, *evacuated, *row_revision);
+            let is_news = self.set_state(zone, *evacuated, *row_revision);
+            if is_news && !evacuated && !self.contains(zone) {
+                unnoticed.push(zone.clone());
+            }
         }
-        self.store_answered(revision)
+        let mut change = self.store_answered(revision);
+        change.ended.extend(unnoticed);
+        change
     }
 
     /// Applies the list of another instance, if it is newer than the store's
@@ -114,7 +121,8 @@
         self.update_current()
     }
 
-    fn set_state(&mut self, zone: &ZoneId, evacuated: bool, revision: u64) {
+    /// Sets a zone's state; returns false if a newer one is known.
+    fn set_state(&mut self, zone: &ZoneId, evacuated: bool, revision: u64) -> bool {
         let state = ZoneState {
             zone: zone.clone(),
             revision,
@@ -122,9 +130,10 @@
         };
         match self.stored.binary_search_by(|known| known.zone.cmp(zone)) {
             Ok(index) if self.stored[index].revision < revision => self.stored[index] = state,
-            Ok(_) => {}
+            Ok(_) => return false,
             Err(index) => self.stored.insert(index, state),
         }
+        true
     }
 
     fn store_answered(&mut self, revision: u64) -> EvacuationChange {
--- a/crates/guavawell-core/tests/forward/evacuation.rs
+++ b/crates/guavawell-core/tests/forward/evacuation.rs
@@ -69,6 +69,18 @@
     assert_eq!(change.ended, [zone("z2")]);
 }
 
+// Guards against servers that an instance takes for warm: it did not run while their
+// zone was evacuated and taken back, and the changes hold only the row's removal.
+#[test]
+fn an_evacuation_that_went_by_unnoticed_has_ended() {
+    let mut evacuations = ZoneEvacuations::default();
+    evacuations.replace(&[], 4);
+    let change = evacuations.apply_changes(&[(zone("z1"), false, 9)], 9);
+    assert_eq!(change.ended, [zone("z1")]);
+    let change = evacuations.apply_changes(&[(zone("z1"), false, 9)], 10);
+    assert!(change.ended.is_empty());
+}
+
 // An instance that the store turns away learns of an evacuation from another one.
 // The store's next response decides, whatever the other instance has sent.
 #[test]
