--- a/crates/guavawell-core/src/forward/evacuation.rs
+++ b/crates/guavawell-core/src/forward/evacuation.rs
@@ -29,11 +29,13 @@
 
 /// The state of one zone in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct ZoneState {
-    zone: ZoneId,
+pub struct ZoneState {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Whether the operator evacuates it.
+    pub evacuated: bool,
     /// Revision of the row or of its removal.
-    revision: u64,
-    evacuated: bool,
+    pub revision: u64,
 }
 
 /// What is known of evacuated zones.
@@ -73,11 +75,10 @@
         }
     }
 
-    /// Applies the store's complete list: each zone with the revision of its
-    /// row. Zones missing from it are no longer evacuated, unless their state is
-    /// newer than the list.
-    pub fn replace(&mut self, rows: &[(ZoneId, u64)], revision: u64) -> EvacuationChange {
-        let is_missing = |state: &&mut ZoneState| rows.iter().all(|(zone, _)| *zone != state.zone);
+    /// Applies the store's complete list as of a revision. Zones missing from it
+    /// are no longer evacuated, unless their state is newer than the list.
+    pub fn replace(&mut self, rows: &[ZoneState], revision: u64) -> EvacuationChange {
+        let is_missing = |state: &&mut ZoneState| rows.iter().all(|row| row.zone != state.zone);
         let older = self
             .stored
             .iter_mut()
@@ -86,24 +87,19 @@
             state.evacuated = false;
             state.revision = revision;
         }
-        for (zone, row_revision) in rows {
-            self.set_state(zone, true, *row_revision);
+        for row in rows {
+            self.set_state(row);
         }
         self.store_answered(revision)
     }
 
-    /// Applies changed rows: each zone, whether it is evacuated, and the revision
-    /// of the change.
-    pub fn apply_changes(
-        &mut self,
-        rows: &[(ZoneId, bool, u64)],
-        revision: u64,
-    ) -> EvacuationChange {
+    /// Applies changed rows; `revision` is that of the store's response.
+    pub fn apply_changes(&mut self, rows: &[ZoneState], revision: u64) -> EvacuationChange {
         let mut unnoticed = Vec::new();
-        for (zone, evacuated, row_revision) in rows {
-            let is_news = self.set_state(zone, *evacuated, *row_revision);
-            if is_news && !evacuated && !self.contains(zone) {
-                unnoticed.push(zone.clone());
+        for row in rows {
+            let is_news = self.set_state(row);
+            if is_news && !row.evacuated && !self.contains(&row.zone) {
+                unnoticed.push(row.zone.clone());
             }
         }
         let mut change = self.store_answered(revision);
@@ -122,16 +118,14 @@
     }
 
     /// Sets a zone's state; returns false if a newer one is known.
-    fn set_state(&mut self, zone: &ZoneId, evacuated: bool, revision: u64) -> bool {
-        let state = ZoneState {
-            zone: zone.clone(),
-            revision,
-            evacuated,
-        };
-        match self.stored.binary_search_by(|known| known.zone.cmp(zone)) {
-            Ok(index) if self.stored[index].revision < revision => self.stored[index] = state,
-            Ok(_) => return false,
-            Err(index) => self.stored.insert(index, state),
+    fn set_state(&mut self, state: &ZoneState) -> bool {
+        let found = self
+            .stored
+            .binary_search_by(|known| known.zone.cmp(&state.zone));
+        match found {
+            Ok(index) if self.stored[index].revision >= state.revision => return false,
+            Ok(index) => self.stored[index] = state.clone(),
+            Err(index) => self.stored.insert(index, state.clone()),
         }
         true
     }
--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -51,6 +51,7 @@
 pub use evacuation::EvacuationChange;
 pub use evacuation::EvacuationList;
 pub use evacuation::ZoneEvacuations;
+pub use evacuation::ZoneState;
 pub use incarnation::ServerIncarnation;
 pub use incarnation::StartTime;
 pub use pause::PauseError;
--- a/crates/guavawell-core/tests/forward/evacuation.rs
+++ b/crates/guavawell-core/tests/forward/evacuation.rs
@@ -7,6 +7,7 @@
 use guavawell_core::forward::ServerObstacle;
 use guavawell_core::forward::ZoneEvacuations;
 use guavawell_core::forward::ZoneRegions;
+use guavawell_core::forward::ZoneState;
 use guavawell_core::id::RegionId;
 
 use crate::support::START;
@@ -19,6 +20,14 @@
 use crate::support::table;
 use crate::support::zone;
 
+fn state(name: &str, evacuated: bool, revision: u64) -> ZoneState {
+    ZoneState {
+        zone: zone(name),
+        evacuated,
+        revision,
+    }
+}
+
 fn region(name: &str) -> RegionId {
     name.parse().expect("a valid id")
 }
@@ -30,7 +39,7 @@
     let constraints = constraints(&service, &own);
     let change = table
         .evacuations_mut()
-        .apply_changes(&[(zone("z1"), true, 5)], 5);
+        .apply_changes(&[state("z1", true, 5)], 5);
     assert_eq!(change.began, [zone("z1")]);
     for part in 0..100 {
         let pick = choose_with(&table, constraints, part, START).expect("a server in z2");
@@ -42,12 +51,12 @@
     assert_eq!(obstacle, Some(ServerObstacle::Evacuated));
     table
         .evacuations_mut()
-        .apply_changes(&[(zone("z2"), true, 6)], 6);
+        .apply_changes(&[state("z2", true, 6)], 6);
     let refused = choose_with(&table, constraints, 1, START);
     assert_eq!(refused.err(), Some(ChoiceError::Evacuated));
     let change = table
         .evacuations_mut()
-        .apply_changes(&[(zone("z1"), false, 7), (zone("z2"), false, 8)], 8);
+        .apply_changes(&[state("z1", false, 7), state("z2", false, 8)], 8);
     assert_eq!(change.ended, [zone("z1"), zone("z2")]);
     assert!(choose_with(&table, constraints, 1, START).is_ok());
 }
@@ -57,11 +66,11 @@
 #[test]
 fn an_older_response_changes_nothing() {
     let mut evacuations = ZoneEvacuations::default();
-    evacuations.apply_changes(&[(zone("z1"), true, 5)], 5);
-    evacuations.apply_changes(&[(zone("z1"), false, 9)], 9);
-    let change = evacuations.apply_changes(&[(zone("z1"), true, 5)], 6);
+    evacuations.apply_changes(&[state("z1", true, 5)], 5);
+    evacuations.apply_changes(&[state("z1", false, 9)], 9);
+    let change = evacuations.apply_changes(&[state("z1", true, 5)], 6);
     assert!(change.began.is_empty());
-    evacuations.apply_changes(&[(zone("z2"), true, 12)], 12);
+    evacuations.apply_changes(&[state("z2", true, 12)], 12);
     let change = evacuations.replace(&[], 11);
     assert!(change.ended.is_empty());
     assert_eq!(evacuations.zones(), [zone("z2")]);
@@ -75,9 +84,9 @@
 fn an_evacuation_that_went_by_unnoticed_has_ended() {
     let mut evacuations = ZoneEvacuations::default();
     evacuations.replace(&[], 4);
-    let change = evacuations.apply_changes(&[(zone("z1"), false, 9)], 9);
+    let change = evacuations.apply_changes(&[state("z1", false, 9)], 9);
     assert_eq!(change.ended, [zone("z1")]);
-    let change = evacuations.apply_changes(&[(zone("z1"), false, 9)], 10);
+    let change = evacuations.apply_changes(&[state("z1", false, 9)], 10);
     assert!(change.ended.is_empty());
 }
 
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -81,15 +81,11 @@
             ClockSpan::from_millis(progress.unsent_time.as_millis() + passed.as_millis());
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     };
+    // All this may have changed while the connection was being opened.
     let expired = router.clock.left(call.deadline) == ClockSpan::default();
-    let is_allowed = !expired && is_allowed(router, call);
-    if !is_allowed || router.poison.refused_for(call.fingerprint).is_some() {
-        // The request became suspected of crashing servers, or is no longer
-        // allowed, since the connection was requested.
-        progress.unsent += 1;
-        return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
-    }
-    if !claim_send(router, call, &pick.server) {
+    let crashes_servers = router.poison.refused_for(call.fingerprint).is_some();
+    let may_send = !expired && !crashes_servers && is_allowed(router, call);
+    if !may_send || !claim_send(router, call, &pick.server) {
         progress.unsent += 1;
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     }
--- a/crates/guavawell-forward/src/evacuation.rs
+++ b/crates/guavawell-forward/src/evacuation.rs
@@ -3,6 +3,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::forward::EvacuationChange;
 use guavawell_core::forward::EvacuationList;
+use guavawell_core::forward::ZoneState;
 use guavawell_core::id::ServiceId;
 use guavawell_core::id::ZoneId;
 use guavawell_core::number::fraction;
@@ -10,13 +11,9 @@
 
 use crate::router::ForwardRouter;
 
-/// A zone's state in a changed row of the store.
-pub type ZoneChange = (ZoneId, bool, u64);
-
 impl ForwardRouter {
-    /// Applies the store's complete list of evacuated zones, each with the
-    /// revision of its row.
-    pub fn replace_evacuations(&self, rows: &[(ZoneId, u64)], revision: u64) {
+    /// Applies the store's complete list of evacuated zones as of a revision.
+    pub fn replace_evacuations(&self, rows: &[ZoneState], revision: u64) {
         let mut servers = self.servers.borrow_mut();
         let change = servers.evacuations_mut().replace(rows, revision);
         drop(servers);
@@ -25,7 +22,7 @@
 
     /// Applies changed rows of evacuated zones; `revision` is that of the store's
     /// response.
-    pub fn change_evacuations(&self, rows: &[ZoneChange], revision: u64) {
+    pub fn change_evacuations(&self, rows: &[ZoneState], revision: u64) {
         let mut servers = self.servers.borrow_mut();
         let change = servers.evacuations_mut().apply_changes(rows, revision);
         drop(servers);
