Cold servers: an instance that has just started does not take old entries at their word

Change: the table keeps the ends of evacuations and compares each entry's revision when it is looked at, whenever the entry came. Tests: a_server_that_is_listed_after_its_zone_was_taken_back_is_cold, servers_of_the_first_list_get_few_requests_until_they_are_listed_again.

--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -153,31 +153,36 @@
     settings: &ChoiceSettings,
 ) -> Result<ServerPick, ChoiceError> {
     let choice = ServerChoice {
+        table,
         request,
         now,
         settings,
     };
-    choice.choose(&choice.candidates(table)?)
+    choice.choose(&choice.candidates()?)
 }
 
 /// The choice for one request at one time.
 #[derive(Clone, Copy)]
 struct ServerChoice<'a> {
+    table: &'a ServerTable,
     request: &'a ChoiceRequest<'a>,
     now: ClockTime,
     settings: &'a ChoiceSettings,
 }
 
-impl ServerChoice<'_> {
+impl<'a> ServerChoice<'a> {
     /// The servers that may get the request.
-    fn candidates<'t>(&self, table: &'t ServerTable) -> Result<Vec<&'t ServerEntry>, ChoiceError> {
+    fn candidates(&self) -> Result<Vec<&'a ServerEntry>, ChoiceError> {
         let mut candidates = Vec::new();
         let mut weakest = None;
-        for entry in table.servers() {
+        for entry in self.table.servers() {
             if self.request.tried.contains(&entry.incarnation) {
                 continue;
             }
-            match table.obstacle(entry, &self.request.constraints, self.now) {
+            match self
+                .table
+                .obstacle(entry, &self.request.constraints, self.now)
+            {
                 None => candidates.push(entry),
                 obstacle => weakest = weakest.max(obstacle),
             }
@@ -242,7 +247,7 @@
 
     fn is_cold(&self, entry: &ServerEntry) -> bool {
         let slow_start = self.request.constraints.slow_start;
-        entry.cold_limit(slow_start, self.now).is_some()
+        slow_start.is_some_and(|limit| self.table.is_cold(entry, limit.span, self.now))
     }
 
     /// Whether a server is the last choice: unreachable, silent, failing, or
--- a/crates/guavawell-core/src/forward/eligibility.rs
+++ b/crates/guavawell-core/src/forward/eligibility.rs
@@ -61,8 +61,26 @@
         if entry.is_paused(now) {
             return Some(ServerObstacle::Paused);
         }
-        let limit = entry.cold_limit(constraints.slow_start, now)?;
-        let share = limit.share(&entry.incarnation.id, constraints.fleet);
+        let share = self.send_share(entry, constraints, now)?;
         (!entry.warmth.has_share(share, now)).then_some(ServerObstacle::Cold)
     }
+
+    /// How many requests this instance may send to a server for now; `None` if
+    /// slow start does not limit them.
+    #[must_use]
+    pub fn send_share(
+        &self,
+        entry: &ServerEntry,
+        constraints: &ServerConstraints<'_>,
+        now: ClockTime,
+    ) -> Option<u32> {
+        let limit = constraints.slow_start?;
+        if self.is_cold(entry, limit.span, now) {
+            Some(limit.share(&entry.incarnation.id, constraints.fleet))
+        } else if self.is_unconfirmed(entry, limit.span, now) {
+            Some(limit.unconfirmed_share(constraints.fleet))
+        } else {
+            None
+        }
+    }
 }
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -6,7 +6,6 @@
 use crate::clock::ClockTime;
 use crate::forward::ServerIncarnation;
 use crate::forward::ServerWarmth;
-use crate::forward::SlowStartLimit;
 use crate::id::ServiceId;
 use crate::id::ZoneId;
 use crate::number::fraction;
@@ -273,17 +272,6 @@
         self.warmth.update(&entry.warmth);
     }
 
-    /// The limit that applies to the server if it is cold; `None` if it is warm
-    /// or its service has no slow start.
-    #[must_use]
-    pub fn cold_limit(
-        &self,
-        slow_start: Option<SlowStartLimit>,
-        now: ClockTime,
-    ) -> Option<SlowStartLimit> {
-        slow_start.filter(|_| self.warmth.is_cold(now))
-    }
-
     /// Records that the entry was removed or cannot be decoded.
     pub(super) fn end_listing(&mut self, phase: ServerPhase) {
         self.phase = match (self.phase, phase) {
--- a/crates/guavawell-core/src/forward/table.rs
+++ b/crates/guavawell-core/src/forward/table.rs
@@ -41,6 +41,20 @@
     regions: ZoneRegions,
     /// Zones whose servers get no new requests.
     evacuations: ZoneEvacuations,
+    /// Zones that were taken back after an evacuation.
+    returns: Vec<ZoneReturn>,
+    /// When the list of servers was first read, and as of which revision.
+    first_read: Option<(ClockTime, u64)>,
+}
+
+/// The end of a zone's evacuation. Its servers are cold from then on, whatever
+/// entries from before it say.
+#[derive(Clone, Debug)]
+struct ZoneReturn {
+    zone: ZoneId,
+    at: ClockTime,
+    /// Revision of the store at that time.
+    revision: u64,
 }
 
 impl ServerTable {
@@ -70,10 +84,46 @@
         &mut self.evacuations
     }
 
-    /// The servers of a zone.
-    pub fn in_zone_mut(&mut self, zone: &ZoneId) -> impl Iterator<Item = &mut ServerEntry> {
-        let servers = self.servers.iter_mut();
-        servers.filter(move |entry| entry.zone == *zone)
+    /// Records that a zone was taken back after an evacuation, as of a revision.
+    pub fn note_zone_return(&mut self, zone: &ZoneId, now: ClockTime, revision: u64) {
+        self.returns.retain(|known| known.zone != *zone);
+        self.returns.push(ZoneReturn {
+            zone: zone.clone(),
+            at: now,
+            revision,
+        });
+    }
+
+    /// Records that the list of servers was read as of a revision.
+    pub fn note_list_read(&mut self, now: ClockTime, revision: u64) {
+        self.first_read.get_or_insert((now, revision));
+    }
+
+    /// When a server of a service whose servers are cold for `span` is warm,
+    /// unless it restarts.
+    #[must_use]
+    pub fn warm_at(&self, entry: &ServerEntry, span: ClockSpan) -> ClockTime {
+        let returned = self.returns.iter().find(|known| {
+            known.zone == entry.zone && !entry.warmth.is_listed_after(known.revision)
+        });
+        let inferred = returned.map_or(ClockTime::default(), |known| known.at + span);
+        entry.warmth.warm_at().max(inferred)
+    }
+
+    /// Whether a server is cold, as far as it is known.
+    #[must_use]
+    pub fn is_cold(&self, entry: &ServerEntry, span: ClockSpan, now: ClockTime) -> bool {
+        entry.warmth.is_cold(now) || now < self.warm_at(entry, span)
+    }
+
+    /// Whether a server may be cold without this instance knowing it: the
+    /// instance has just read its first list, the server has not written its
+    /// entry since, and the server's zone may have been taken back before.
+    #[must_use]
+    pub fn is_unconfirmed(&self, entry: &ServerEntry, span: ClockSpan, now: ClockTime) -> bool {
+        self.first_read.is_some_and(|(at, revision)| {
+            now < at + span && !entry.warmth.is_listed_after(revision)
+        })
     }
 
     /// All servers, sorted by id.
@@ -156,15 +206,20 @@
     }
 
     /// Time until the first cold server of a service is warm; `None` if none is
-    /// cold.
+    /// cold. `span` is how long the service's servers are cold.
     #[must_use]
-    pub fn warm_in(&self, service: &ServiceId, now: ClockTime) -> Option<ClockSpan> {
+    pub fn warm_in(
+        &self,
+        service: &ServiceId,
+        span: ClockSpan,
+        now: ClockTime,
+    ) -> Option<ClockSpan> {
         let is_cold = |entry: &&ServerEntry| {
             let serves = entry.service == *service && entry.takes_requests(now);
-            serves && entry.warmth.is_cold(now)
+            serves && self.is_cold(entry, span, now)
         };
         let cold = self.servers.iter().filter(is_cold);
-        let first = cold.map(|entry| entry.warmth.warm_at()).min()?;
+        let first = cold.map(|entry| self.warm_at(entry, span)).min()?;
         Some(first.since(now))
     }
 
--- a/crates/guavawell-core/tests/forward/slow_start.rs
+++ b/crates/guavawell-core/tests/forward/slow_start.rs
@@ -21,6 +21,7 @@
 use crate::support::server;
 use crate::support::service;
 use crate::support::table;
+use crate::support::zone;
 
 const COLD_SPAN: ClockSpan = ClockSpan::from_millis(3_000);
 
@@ -144,6 +145,62 @@
     assert!(!warmth.is_cold(later(200)));
 }
 
+// Guards against an instance that starts just as a zone is taken back: it reads the
+// evacuation's end before the list of servers, whose entries are older still. Two
+// such instances sent 13 requests in 0.3 s to a server that tolerates 12 a second.
+#[test]
+fn a_server_that_is_listed_after_its_zone_was_taken_back_is_cold() {
+    let mut table = ServerTable::default();
+    table.note_zone_return(&zone("z1"), START, 20);
+    for (number, revision) in [(0, 19), (1, 21)] {
+        let mut entry = entry(server(number));
+        entry.warmth = ServerWarmth::listed(ClockSpan::ZERO, revision);
+        table.upsert(entry);
+    }
+    let is_cold = |table: &ServerTable, number: usize, now: ClockTime| {
+        let entry = table.get(&server(number)).expect("listed");
+        table.is_cold(entry, COLD_SPAN, now)
+    };
+    assert!(is_cold(&table, 0, later(2_999)));
+    assert!(!is_cold(&table, 0, later(3_000)));
+    assert!(!is_cold(&table, 1, START));
+}
+
+// An instance that starts just after a zone was taken back cannot know it: until a
+// server writes its entry again, each gets few requests of this instance.
+#[test]
+fn servers_of_the_first_list_get_few_requests_until_they_are_listed_again() {
+    let mut table = table(2);
+    table.note_list_read(START, 5);
+    let (service, own) = (service(), instance(0));
+    let constraints = ServerConstraints {
+        slow_start: Some(limit()),
+        ..constraints(&service, &own)
+    };
+    let mut served = 0;
+    for part in 0..20 {
+        let Ok(pick) = choose_with(&table, constraints, part, START) else {
+            continue;
+        };
+        let entry = table.get(&pick.server).expect("listed");
+        assert!(table.send_share(entry, &constraints, START).is_some());
+        let entry = table.get_mut(&pick.server).expect("listed");
+        entry.warmth.note_send(START);
+        served += 1;
+    }
+    assert_eq!(served, 4);
+    let mut again = entry(server(0));
+    again.warmth = ServerWarmth::listed(ClockSpan::ZERO, 6);
+    table.upsert(again);
+    let unlimited = |now| {
+        let entry = table.get(&server(0)).expect("listed");
+        table.send_share(entry, &constraints, now).is_none()
+    };
+    assert!(unlimited(START));
+    let pick = choose_with(&table, constraints, 1, later(3_000));
+    assert!(pick.is_ok());
+}
+
 #[test]
 fn a_server_that_refused_connections_and_accepts_again_is_cold() {
     let mut warmth = ServerWarmth::listed(ClockSpan::ZERO, 10).received(START);
--- a/crates/guavawell-forward/src/eligible.rs
+++ b/crates/guavawell-forward/src/eligible.rs
@@ -47,16 +47,14 @@
     with_constraints(router, call, |constraints| {
         let now = router.clock.now();
         let mut servers = router.servers.borrow_mut();
-        let obstacle = match servers.get(server) {
-            Some(entry) => servers.obstacle(entry, &constraints, now),
-            None => return false,
+        let Some(entry) = servers.get(server) else {
+            return false;
         };
-        if obstacle.is_some() {
+        if servers.obstacle(entry, &constraints, now).is_some() {
             return false;
         }
-        if let Some(entry) = servers.get_mut(server)
-            && entry.cold_limit(constraints.slow_start, now).is_some()
-        {
+        let is_limited = servers.send_share(entry, &constraints, now).is_some();
+        if let Some(entry) = servers.get_mut(server).filter(|_| is_limited) {
             entry.warmth.note_send(now);
             metrics::counter!("guavawell_forward_cold_sends_total").increment(1);
         }
--- a/crates/guavawell-forward/src/evacuation.rs
+++ b/crates/guavawell-forward/src/evacuation.rs
@@ -47,7 +47,10 @@
             self.log_zone("zone.evacuated", zone, revision, source);
         }
         for zone in &change.ended {
-            self.presume_zone_cold(zone, revision);
+            let now = self.clock.now();
+            let mut servers = self.servers.borrow_mut();
+            servers.note_zone_return(zone, now, revision);
+            drop(servers);
             self.log_zone("zone.returned", zone, revision, source);
         }
         let count = self.servers.borrow().evacuations().zones().len();
@@ -55,17 +58,6 @@
         metrics::gauge!("guavawell_forward_evacuated_zones").set(fraction(count));
     }
 
-    /// Treats a zone's servers as cold: they had no requests during the
-    /// evacuation, and their entries may be older than its end.
-    fn presume_zone_cold(&self, zone: &ZoneId, revision: u64) {
-        let now = self.clock.now();
-        for entry in self.servers.borrow_mut().in_zone_mut(zone) {
-            if let Some(span) = self.cold_span(&entry.service) {
-                entry.warmth.presume(now, span, revision);
-            }
-        }
-    }
-
     /// How long a server of a service is cold after its start; `None` if the
     /// service has no slow start.
     #[must_use]
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -324,7 +324,9 @@
         ForwardRefusal::ServersPaused | ForwardRefusal::NoServer => resumes_in,
         ForwardRefusal::ServersFull => resumes_in.or(Some(RETRY_FULL)),
         ForwardRefusal::Evacuated => Some(RETRY_EVACUATED),
-        ForwardRefusal::ServersCold => servers.warm_in(&call.service, now),
+        ForwardRefusal::ServersCold => router
+            .cold_span(&call.service)
+            .and_then(|span| servers.warm_in(&call.service, span, now)),
         _ => None,
     };
     let jitter = ClockSpan::from_millis(fastrand::u64(..RETRY_JITTER_MS));
