Revert the bound on requests of processes that have just started

Cause: for three seconds after its first list an instance sent two requests in two seconds to a server whose entry was not written again; few servers then refuse what they could serve.

--- a/crates/guavawell-core/src/forward/eligibility.rs
+++ b/crates/guavawell-core/src/forward/eligibility.rs
@@ -75,12 +75,7 @@
         now: ClockTime,
     ) -> Option<u32> {
         let limit = constraints.slow_start?;
-        if self.is_cold(entry, limit.span, now) {
-            Some(limit.share(&entry.incarnation.id, constraints.fleet))
-        } else if self.is_unconfirmed(entry, limit.span, now) {
-            Some(limit.unconfirmed_share(constraints.fleet))
-        } else {
-            None
-        }
+        let is_cold = self.is_cold(entry, limit.span, now);
+        is_cold.then(|| limit.share(&entry.incarnation.id, constraints.fleet))
     }
 }
--- a/crates/guavawell-core/src/forward/slow_start.rs
+++ b/crates/guavawell-core/src/forward/slow_start.rs
@@ -30,9 +30,6 @@
 /// second arrive within another if a link delays them by up to a second.
 const SHARE_WINDOW: ClockSpan = ClockSpan::from_millis(2_000);
 
-/// Most requests of one instance in each [`SHARE_WINDOW`] to a server that may be
-/// cold without this instance knowing it.
-const MAX_UNCONFIRMED: u32 = 2;
 /// Longest cold time that a server may state.
 const MAX_COLD_SPAN: ClockSpan = ClockSpan::from_millis(600_000);
 
@@ -118,15 +115,6 @@
 }
 
 impl SlowStartLimit {
-    /// Requests that this instance may send in each [`SHARE_WINDOW`] to a server
-    /// that may be cold without this instance knowing it. One at least, as such a
-    /// server is most often warm.
-    #[must_use]
-    pub fn unconfirmed_share(&self, fleet: FleetView<'_>) -> u32 {
-        let members = u32::try_from(fleet.members.len()).unwrap_or(u32::MAX);
-        (self.requests / FLEET_VIEWS / members.max(1)).clamp(1, MAX_UNCONFIRMED)
-    }
-
     /// Requests that this instance may send to a cold server in each
     /// [`SHARE_WINDOW`].
     #[must_use]
--- a/crates/guavawell-core/src/forward/table.rs
+++ b/crates/guavawell-core/src/forward/table.rs
@@ -43,8 +43,6 @@
     evacuations: ZoneEvacuations,
     /// Zones that were taken back after an evacuation.
     returns: Vec<ZoneReturn>,
-    /// When the list of servers was first read, and as of which revision.
-    first_read: Option<(ClockTime, u64)>,
 }
 
 /// The end of a zone's evacuation. Its servers are cold from then on, whatever
@@ -94,11 +92,6 @@
         });
     }
 
-    /// Records that the list of servers was read as of a revision.
-    pub fn note_list_read(&mut self, now: ClockTime, revision: u64) {
-        self.first_read.get_or_insert((now, revision));
-    }
-
     /// When a server of a service whose servers are cold for `span` is warm,
     /// unless it restarts.
     #[must_use]
@@ -116,16 +109,6 @@
         entry.warmth.is_cold(now) || now < self.warm_at(entry, span)
     }
 
-    /// Whether a server may be cold without this instance knowing it: the
-    /// instance has just read its first list, the server has not written its
-    /// entry since, and the server's zone may have been taken back before.
-    #[must_use]
-    pub fn is_unconfirmed(&self, entry: &ServerEntry, span: ClockSpan, now: ClockTime) -> bool {
-        self.first_read.is_some_and(|(at, revision)| {
-            now < at + span && !entry.warmth.is_listed_after(revision)
-        })
-    }
-
     /// All servers, sorted by id.
     #[must_use]
     pub fn servers(&self) -> &[ServerEntry] {
--- a/crates/guavawell-forward/src/router/servers.rs
+++ b/crates/guavawell-forward/src/router/servers.rs
@@ -100,8 +100,6 @@
     /// answered as of a revision of the store.
     pub fn servers_checked(&self, sent_at: ClockTime, revision: u64) {
         self.server_revision.set(revision);
-        let now = self.clock.now();
-        self.servers.borrow_mut().note_list_read(now, revision);
         let mut age = self.server_age.get();
         age.confirm(sent_at);
         self.server_age.set(age);
