Cold servers: an instance that did not see an evacuation reads its end from the store's history

Cause: the end of an evacuation exists only as the removal of a row. A process that reads the table in full (at its start, after lost history or a failed poll) finds no trace of it, and takes entries from before it at their word until the next heartbeat. Other instances told only which zones are evacuated now. Change: - A process that has read the table in full reads the changes of it after the oldest entry, or after what it had read before (HistorySearch: where the store no longer keeps them, from the oldest that it keeps). Removed rows are returns as of their own revision; entries from after them are believed. - Instances tell each other the returns that they have read, and how long ago (field Returned; older builds ignore it), to one that the store turns away, and to one that starts, as the history tells no times. - A process is not ready, and answers 503, until it has been told, for the cold time or 5 s at most, also where the servers of a service count as cold for that alone. - server.listed tells revision and stated cold time, feed.read_in_full and zone.history_read what was read. Why it works: every return after the oldest entry is in the changes that are read; those before it are older than all entries.

--- a/crates/guavawell-core/src/clock/mod.rs
+++ b/crates/guavawell-core/src/clock/mod.rs
@@ -45,6 +45,12 @@
     pub const fn since(self, earlier: Self) -> ClockSpan {
         ClockSpan(self.0.saturating_sub(earlier.0))
     }
+
+    /// The time `span` before this one; the epoch if there is none.
+    #[must_use]
+    pub const fn before(self, span: ClockSpan) -> Self {
+        Self(self.0.saturating_sub(span.0))
+    }
 }
 
 impl ClockSpan {
--- a/crates/guavawell-core/src/forward/evacuation.rs
+++ b/crates/guavawell-core/src/forward/evacuation.rs
@@ -6,6 +6,7 @@
 //! it. An instance that the store does not answer learns the evacuated zones
 //! from another instance; the store's next response replaces them.
 
+use crate::clock::ClockTime;
 use crate::id::ZoneId;
 
 /// The evacuated zones as of one revision of the store.
@@ -27,6 +28,26 @@
     pub ended: Vec<ZoneId>,
 }
 
+/// The end of a zone's evacuation. The zone's servers are cold from then on,
+/// whatever entries from before it say.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneReturn {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Revision of the store at that time, or a later one.
+    pub revision: u64,
+    /// That time, or a later one.
+    pub at: ClockTime,
+}
+
+/// An end of an evacuation, and who told this instance.
+#[derive(Clone, Debug)]
+struct KnownReturn {
+    zone_return: ZoneReturn,
+    /// Whether it was read from the store.
+    is_stored: bool,
+}
+
 /// The state of one zone in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZoneState {
@@ -49,6 +70,8 @@
     learned: Option<EvacuationList>,
     /// The evacuated zones, sorted.
     current: Vec<ZoneId>,
+    /// The last end of each zone's evacuation.
+    returns: Vec<KnownReturn>,
 }
 
 impl ZoneEvacuations {
@@ -64,6 +87,20 @@
         &self.current
     }
 
+    /// Newest revision of a response of the store; 0 before the first one.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Revision of a zone's state, as read from the store.
+    #[must_use]
+    pub fn state_revision(&self, zone: &ZoneId) -> Option<u64> {
+        let mut states = self.stored.iter();
+        let state = states.find(|state| state.zone == *zone);
+        state.map(|state| state.revision)
+    }
+
     /// The list that may be sent to other instances: only what was read from the
     /// store, so that a false one does not spread.
     #[must_use]
@@ -75,6 +112,52 @@
         }
     }
 
+    /// Records the end of a zone's evacuation, read from the store. Returns whether
+    /// it says more than what was known.
+    pub fn note_return(&mut self, zone_return: ZoneReturn) -> bool {
+        self.add_return(zone_return, true)
+    }
+
+    /// Records the end of a zone's evacuation that another instance told. Returns
+    /// whether it says more than what was known.
+    pub fn learn_return(&mut self, zone_return: ZoneReturn) -> bool {
+        self.add_return(zone_return, false)
+    }
+
+    /// The last known end of a zone's evacuation.
+    #[must_use]
+    pub fn last_return(&self, zone: &ZoneId) -> Option<&ZoneReturn> {
+        let mut returns = self.returns.iter().map(|known| &known.zone_return);
+        returns.find(|known| known.zone == *zone)
+    }
+
+    /// The ends of evacuations that may be sent to other instances, as for
+    /// [`stored_list`](Self::stored_list).
+    #[must_use]
+    pub fn stored_returns(&self) -> Vec<ZoneReturn> {
+        let stored = self.returns.iter().filter(|known| known.is_stored);
+        stored.map(|known| known.zone_return.clone()).collect()
+    }
+
+    /// A later revision may be that of a further return, so it counts before an
+    /// earlier time.
+    fn add_return(&mut self, zone_return: ZoneReturn, is_stored: bool) -> bool {
+        let is_known = self.last_return(&zone_return.zone).is_some_and(|known| {
+            known.revision > zone_return.revision
+                || (known.revision == zone_return.revision && known.at <= zone_return.at)
+        });
+        if is_known {
+            return false;
+        }
+        let zone = zone_return.zone.clone();
+        self.returns.retain(|known| known.zone_return.zone != zone);
+        self.returns.push(KnownReturn {
+            zone_return,
+            is_stored,
+        });
+        true
+    }
+
     /// Applies the store's complete list as of a revision. Zones missing from it
     /// are no longer evacuated, unless their state is newer than the list.
     pub fn replace(&mut self, rows: &[ZoneState], revision: u64) -> EvacuationChange {
--- a/crates/guavawell-core/src/forward/slow_start.rs
+++ b/crates/guavawell-core/src/forward/slow_start.rs
@@ -240,10 +240,16 @@
         self.listed_until.max(inferred)
     }
 
-    /// Whether the platform's entry was written after a revision of the store.
+    /// Revision of the platform's entry.
     #[must_use]
-    pub const fn is_listed_after(&self, revision: u64) -> bool {
-        self.listed_revision > revision
+    pub const fn listed_revision(&self) -> u64 {
+        self.listed_revision
+    }
+
+    /// Cold time that this entry named.
+    #[must_use]
+    pub const fn listed_span(&self) -> ClockSpan {
+        self.listed_span
     }
 
     /// Whether this instance has not used up its share yet.
--- a/crates/guavawell-core/src/forward/table.rs
+++ b/crates/guavawell-core/src/forward/table.rs
@@ -9,6 +9,7 @@
 use crate::forward::ServerPhase;
 use crate::forward::ZoneEvacuations;
 use crate::forward::ZoneRegions;
+use crate::forward::ZoneReturn;
 use crate::id::BackendId;
 use crate::id::ServiceId;
 use crate::id::ZoneId;
@@ -39,20 +40,8 @@
     forgotten_count: u64,
     /// The regions of the servers' zones.
     regions: ZoneRegions,
-    /// Zones whose servers get no new requests.
+    /// Zones whose servers get no new requests, and those that were taken back.
     evacuations: ZoneEvacuations,
-    /// Zones that were taken back after an evacuation.
-    returns: Vec<ZoneReturn>,
-}
-
-/// The end of a zone's evacuation. Its servers are cold from then on, whatever
-/// entries from before it say.
-#[derive(Clone, Debug)]
-struct ZoneReturn {
-    zone: ZoneId,
-    at: ClockTime,
-    /// Revision of the store at that time.
-    revision: u64,
 }
 
 impl ServerTable {
@@ -83,26 +72,62 @@
     }
 
     /// Records that a zone was taken back after an evacuation, as of a revision.
-    pub fn note_zone_return(&mut self, zone: &ZoneId, now: ClockTime, revision: u64) {
-        self.returns.retain(|known| known.zone != *zone);
-        self.returns.push(ZoneReturn {
+    /// Returns whether no return of the zone from then on was known.
+    pub fn note_zone_return(&mut self, zone: &ZoneId, now: ClockTime, revision: u64) -> bool {
+        self.evacuations.note_return(ZoneReturn {
             zone: zone.clone(),
-            at: now,
             revision,
-        });
+            at: now,
+        })
+    }
+
+    /// The oldest revision of the entries of the services for which `is_wanted`
+    /// holds; `None` if they have no servers.
+    #[must_use]
+    pub fn oldest_listing(&self, is_wanted: impl Fn(&ServiceId) -> bool) -> Option<u64> {
+        let wanted = self
+            .servers
+            .iter()
+            .filter(|entry| is_wanted(&entry.service));
+        wanted.map(|entry| entry.warmth.listed_revision()).min()
     }
 
     /// When a server of a service whose servers are cold for `span` is warm,
     /// unless it restarts.
     #[must_use]
     pub fn warm_at(&self, entry: &ServerEntry, span: ClockSpan) -> ClockTime {
-        let returned = self.returns.iter().find(|known| {
-            known.zone == entry.zone && !entry.warmth.is_listed_after(known.revision)
-        });
+        let returned = self.return_after_listing(entry);
         let inferred = returned.map_or(ClockTime::default(), |known| known.at + span);
         entry.warmth.warm_at().max(inferred)
     }
 
+    /// The return of a server's zone, if the server's entry is not newer.
+    fn return_after_listing(&self, entry: &ServerEntry) -> Option<&ZoneReturn> {
+        let returned = self.evacuations.last_return(&entry.zone);
+        returned.filter(|known| entry.warmth.listed_revision() <= known.revision)
+    }
+
+    /// Whether all servers of a service that accept requests count as cold because
+    /// their zones were taken back after they wrote their entries. `span` is how
+    /// long the service's servers are cold.
+    #[must_use]
+    pub fn all_presumed_cold(&self, service: &ServiceId, span: ClockSpan, now: ClockTime) -> bool {
+        let serves = |entry: &&ServerEntry| entry.service == *service && entry.takes_requests(now);
+        let mut serving = self.servers.iter().filter(serves).peekable();
+        let is_presumed = |entry: &ServerEntry| {
+            let returned = self.return_after_listing(entry);
+            returned.is_some_and(|known| now < known.at + span)
+        };
+        serving.peek().is_some() && serving.all(is_presumed)
+    }
+
+    /// Whether any server's zone was taken back after the server wrote its entry.
+    #[must_use]
+    pub fn has_return_after_listing(&self) -> bool {
+        let mut servers = self.servers.iter();
+        servers.any(|entry| self.return_after_listing(entry).is_some())
+    }
+
     /// Whether a server is cold, as far as it is known.
     #[must_use]
     pub fn is_cold(&self, entry: &ServerEntry, span: ClockSpan, now: ClockTime) -> bool {
--- a/crates/guavawell-forward/src/config/mod.rs
+++ b/crates/guavawell-forward/src/config/mod.rs
@@ -20,6 +20,8 @@
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::PollTiming;
 use guavawell_core::forward::VersionTracker;
+use guavawell_core::forward::ZoneReturn;
+use guavawell_core::id::ZoneId;
 use guavawell_core::number::fraction;
 use guavawell_fleet::event::EventDraft;
 use guavawell_fleet::event::EventLog;
@@ -29,6 +31,7 @@
 use crate::clock::wait_while;
 
 pub use self::peer_query::query_peers;
+pub use self::peer_query::query_round;
 
 /// Time after which a newer version named by another instance is fetched from
 /// other instances, unless the store answers first. Normally a change reaches all
@@ -62,6 +65,19 @@
     /// The evacuated zones, which are read from the same table; `None` if the
     /// sender does not tell them.
     pub evacuations: Option<EvacuationList>,
+    /// The ends of evacuations that the sender has read.
+    pub returns: Vec<PeerReturn>,
+}
+
+/// The end of a zone's evacuation, as one instance tells another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerReturn {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Revision of the store at that time, or a later one.
+    pub revision: u64,
+    /// Time since the sender learned of it.
+    pub age: ClockSpan,
 }
 
 /// A configuration read from the store.
@@ -83,6 +99,8 @@
     stored: RefCell<Option<CachedConfig>>,
     /// The evacuated zones as last read from the store.
     evacuations: RefCell<EvacuationList>,
+    /// The ends of evacuations that were read from the store.
+    returns: RefCell<Vec<ZoneReturn>>,
     /// Age of the configuration beyond which an answer of the store is overdue.
     overdue_after: ClockSpan,
     /// Time after which a poll of the store without an answer counts as failed.
@@ -118,12 +136,15 @@
             current: RefCell::default(),
             stored: RefCell::default(),
             evacuations: RefCell::default(),
+            returns: RefCell::default(),
         }
     }
 
-    /// Sets the evacuated zones as read from the store, for other instances.
-    pub fn set_evacuations(&self, list: EvacuationList) {
+    /// Sets the evacuated zones and the ends of evacuations as read from the store,
+    /// for other instances.
+    pub fn set_evacuations(&self, list: EvacuationList, returns: Vec<ZoneReturn>) {
         self.evacuations.replace(list);
+        self.returns.replace(returns);
     }
 
     /// The configuration in force, once one is known.
@@ -273,9 +294,21 @@
             age,
             bytes: bytes.map_or(Vec::new(), |cached| cached.bytes.to_vec()),
             evacuations: Some(self.evacuations.borrow().clone()),
+            returns: self.peer_returns(),
         })
     }
 
+    fn peer_returns(&self) -> Vec<PeerReturn> {
+        let now = self.clock.now();
+        let returns = self.returns.borrow();
+        let told = returns.iter().map(|known| PeerReturn {
+            zone: known.zone.clone(),
+            revision: known.revision,
+            age: now.since(known.at),
+        });
+        told.collect()
+    }
+
     /// Processes another instance's answer to a query sent at `sent_at`; true if its
     /// configuration came into force.
     ///
--- a/crates/guavawell-forward/src/config/peer_query.rs
+++ b/crates/guavawell-forward/src/config/peer_query.rs
@@ -57,7 +57,7 @@
 }
 
 /// Queries instances until one answers that reaches the store; true if one did.
-async fn query_round(router: &ForwardRouter) -> bool {
+pub async fn query_round(router: &ForwardRouter) -> bool {
     let mut peers = router.peers.shuffled_addresses();
     if peers.is_empty() || router.peers.key().is_none() {
         return false;
@@ -101,6 +101,7 @@
     if let Some(list) = &answer.evacuations {
         router.learn_evacuations(list.clone());
     }
+    router.learn_zone_returns(&answer.returns);
     match router.configs.apply_peer_config(answer, received.sent_at) {
         Ok(in_force) => {
             if in_force {
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -49,3 +49,4 @@
 pub mod shutdown;
 pub mod sse;
 pub mod store;
+pub mod zone_history;
--- a/crates/guavawell-forward/src/peer/message.rs
+++ b/crates/guavawell-forward/src/peer/message.rs
@@ -17,6 +17,7 @@
 
 use super::FleetKey;
 use crate::config::PeerConfig;
+use crate::config::PeerReturn;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -51,6 +52,10 @@
 /// Response field: revision of the store at which the sender read the evacuated
 /// zones, then the zones, separated by commas.
 const EVACUATED_FIELD: &str = "Evacuated";
+/// Response field: ends of evacuations, separated by commas, each as revision of
+/// the store, milliseconds since the sender learned of it, and zone, separated by
+/// slashes.
+const RETURNED_FIELD: &str = "Returned";
 /// Response field: number of tokens lent.
 const LENT_FIELD: &str = "Lent";
 /// Response field: why no tokens were lent.
@@ -180,6 +185,39 @@
     if let Some(list) = &answer.evacuations {
         writer.field_of(EVACUATED_FIELD, evacuation_text(list));
     }
+    if !answer.returns.is_empty() {
+        writer.field_of(RETURNED_FIELD, return_text(&answer.returns));
+    }
+}
+
+fn return_text(returns: &[PeerReturn]) -> String {
+    let parts = returns.iter().map(|told| {
+        let (revision, age, zone) = (told.revision, told.age.as_millis(), &told.zone);
+        format!("{revision}/{age}/{zone}")
+    });
+    parts.collect::<Vec<String>>().join(",")
+}
+
+/// Parses the ends of evacuations; malformed ones are left out.
+fn parse_returns(text: &str) -> Vec<PeerReturn> {
+    let parsed = text.split(',').filter_map(|part| {
+        let told = parse_return(part);
+        if told.is_none() {
+            log::warn!("cannot decode an evacuation's end of another instance: `{part}`");
+        }
+        told
+    });
+    parsed.collect()
+}
+
+fn parse_return(text: &str) -> Option<PeerReturn> {
+    let (revision, rest) = text.split_once('/')?;
+    let (age, zone) = rest.split_once('/')?;
+    Some(PeerReturn {
+        zone: zone.parse().ok()?,
+        revision: revision.parse().ok()?,
+        age: ClockSpan::from_millis(age.parse().ok()?),
+    })
 }
 
 fn evacuation_text(list: &EvacuationList) -> String {
@@ -211,6 +249,10 @@
         age: ClockSpan::from_millis(age),
         bytes: body,
         evacuations: head.fields.get(EVACUATED_FIELD).and_then(parse_evacuations),
+        returns: head
+            .fields
+            .get(RETURNED_FIELD)
+            .map_or(Vec::new(), parse_returns),
     })
 }
 
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -29,6 +29,7 @@
 use crate::poison::PoisonTracker;
 use crate::pool::ConnectionPool;
 use crate::settings::ForwardSettings;
+use crate::zone_history::ZoneHistory;
 
 /// The phase of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +73,8 @@
     /// Whether all budgets have been read once. Budgets that are added later do
     /// not make the process unready.
     budgets_opened: Cell<bool>,
+    /// Changes of evacuated zones that were not read.
+    pub zone_history: ZoneHistory,
     /// Recent requests and retries of each service, which limit further retries.
     pub retry_allowance: RefCell<RetryAllowance>,
     /// Recent connection times, from which the connect timeout is derived.
@@ -122,6 +125,7 @@
             server_age: Cell::default(),
             servers_answered: Event::new(),
             budgets_opened: Cell::new(false),
+            zone_history: ZoneHistory::default(),
             retry_allowance: RefCell::default(),
             connect_timeout: Cell::default(),
             link_congestion: Cell::new(LinkCongestion::new(settings.congestion)),
@@ -200,24 +204,39 @@
         }
     }
 
-    /// Whether a configuration, the list of servers and the suspected requests
-    /// were read.
+    /// Whether a configuration, the list of servers, the suspected requests and
+    /// the history of evacuated zones were read.
     #[must_use]
     pub fn has_initial_state(&self) -> bool {
-        self.configs.current().is_some() && self.servers_read.get() && self.poison.has_loaded_rows()
+        self.has_lists() && self.poison.has_loaded_rows() && self.zones_settled()
+    }
+
+    /// Whether a configuration and the list of servers were read.
+    pub(crate) fn has_lists(&self) -> bool {
+        self.configs.current().is_some() && self.servers_read.get()
     }
 
     /// Waits until [`has_initial_state`](Self::has_initial_state) is true.
     pub async fn wait_for_initial_state(&self) {
+        self.wait_loaded(|| self.has_initial_state()).await;
+    }
+
+    /// Waits until a condition on what was read from the store is true.
+    pub(crate) async fn wait_loaded(&self, is_loaded: impl Fn() -> bool) {
         loop {
             let loaded = self.state_loaded.listen();
-            if self.has_initial_state() {
+            if is_loaded() {
                 return;
             }
             loaded.await;
         }
     }
 
+    /// Wakes tasks that wait for what is read from the store.
+    pub(crate) fn notify_loaded(&self) {
+        self.state_loaded.notify(usize::MAX);
+    }
+
     /// Records that the suspected requests were read.
     pub fn suspects_loaded(&self) {
         self.poison.set_rows_loaded();
--- a/crates/guavawell-forward/src/router/servers.rs
+++ b/crates/guavawell-forward/src/router/servers.rs
@@ -17,6 +17,7 @@
         entry.warmth = entry.warmth.received(self.clock.now());
         let incarnation = entry.incarnation.clone();
         let phase = entry.phase;
+        let (row, stated) = (entry.warmth.listed_revision(), entry.warmth.listed_span());
         let mut servers = self.servers.borrow_mut();
         let before = servers.get(&incarnation).map(|entry| entry.phase);
         let was_cold = self.cold_left(servers.get(&incarnation));
@@ -31,7 +32,10 @@
             self.drop_previous_process(&previous, &incarnation);
         }
         if before != after {
-            self.log_server("server.listed", &incarnation, phase);
+            let draft = server_draft("server.listed", &incarnation, phase)
+                .field("row", row)
+                .field("stated_cold_ms", stated.as_millis());
+            self.log.emit(draft);
         }
     }
 
@@ -166,15 +170,18 @@
     }
 
     fn log_server(&self, kind: &str, incarnation: &ServerIncarnation, phase: ServerPhase) {
-        let phase = match phase {
-            ServerPhase::Ready => "ready",
-            ServerPhase::Leaving => "leaving",
-            ServerPhase::Lapsed(_) => "lapsed",
-            ServerPhase::Unreadable => "unreadable",
-        };
-        let draft = EventDraft::new(kind)
-            .field("server", incarnation)
-            .field("phase", phase);
-        self.log.emit(draft);
+        self.log.emit(server_draft(kind, incarnation, phase));
     }
 }
+
+fn server_draft(kind: &str, incarnation: &ServerIncarnation, phase: ServerPhase) -> EventDraft {
+    let phase = match phase {
+        ServerPhase::Ready => "ready",
+        ServerPhase::Leaving => "leaving",
+        ServerPhase::Lapsed(_) => "lapsed",
+        ServerPhase::Unreadable => "unreadable",
+    };
+    EventDraft::new(kind)
+        .field("server", incarnation)
+        .field("phase", phase)
+}
