Cold servers: the list of servers is queried at once when a zone is taken back

What callers saw: 503 (servers_cold) for up to the pause between two polls, where all servers of a service stood in zones that had been taken back and their entries from after that already said that they are warm. Cause: a return counted as of the revision of the store's response, which may be later than such entries, and the list of servers was polled only after its pause. Why it works: an entry that is newer than the return is in the answer to a poll that is sent after it.

--- a/crates/guavawell-forward/src/evacuation.rs
+++ b/crates/guavawell-forward/src/evacuation.rs
@@ -109,6 +109,7 @@
             let mut servers = self.servers.borrow_mut();
             servers.note_zone_return(zone, now, revision);
             drop(servers);
+            self.refresh_servers();
             self.log_zone("zone.returned", zone, revision, source);
         }
         let count = self.servers.borrow().evacuations().zones().len();
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -46,6 +46,9 @@
 const RETRY_NO_SERVER: ClockSpan = ClockSpan::from_millis(1_000);
 /// Retry-After if all servers are full: the time of a few responses.
 const RETRY_FULL: ClockSpan = ClockSpan::from_millis(600);
+/// Longest wait for the list of servers before a request is refused because they
+/// are cold.
+const MAX_REFRESH_WAIT: ClockSpan = ClockSpan::from_millis(250);
 /// Retry-After if the zones of all servers are evacuated. When that ends is
 /// unknown; an evacuation takes seconds.
 const RETRY_EVACUATED: ClockSpan = ClockSpan::from_millis(3_000);
@@ -86,7 +89,11 @@
     loop {
         let rechecked = recheck_config(router, &mut call, progress.outcome.may_have_run, record);
         let call = &call;
-        let pick = match rechecked.and_then(|()| pick_server(router, call, &progress)) {
+        let pick = match rechecked {
+            Ok(()) => pick_refreshed(router, call, &progress).await,
+            Err(refusal) => Err(refusal),
+        };
+        let pick = match pick {
             Ok(pick) => pick,
             Err(refusal) => {
                 return end_without_response(
@@ -172,6 +179,21 @@
     }
 }
 
+/// Picks a server. If all count as cold, and the list of servers is to be queried
+/// at once, waits for it: it may name a warm one.
+async fn pick_refreshed(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    progress: &RequestProgress,
+) -> Result<ServerPick, ForwardRefusal> {
+    let pick = pick_server(router, call, progress);
+    let is_cold = matches!(pick, Err(ForwardRefusal::ServersCold));
+    if is_cold && router.await_refresh(MAX_REFRESH_WAIT).await {
+        return pick_server(router, call, progress);
+    }
+    pick
+}
+
 fn pick_server(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -70,6 +70,10 @@
     server_age: Cell<FeedAge>,
     /// Notified when a query for the list of servers was answered.
     servers_answered: Event,
+    /// Since when a query for the list of servers is due at once.
+    servers_due: Cell<Option<ClockTime>>,
+    /// Notified when such a query becomes due.
+    refresh_event: Event,
     /// Whether all budgets have been read once. Budgets that are added later do
     /// not make the process unready.
     budgets_opened: Cell<bool>,
@@ -124,6 +128,8 @@
             server_revision: Cell::new(0),
             server_age: Cell::default(),
             servers_answered: Event::new(),
+            servers_due: Cell::new(None),
+            refresh_event: Event::new(),
             budgets_opened: Cell::new(false),
             zone_history: ZoneHistory::default(),
             retry_allowance: RefCell::default(),
--- a/crates/guavawell-forward/src/router/servers.rs
+++ b/crates/guavawell-forward/src/router/servers.rs
@@ -1,5 +1,7 @@
 //! The list of backend servers, as the platform's store holds it.
 
+use std::time::Duration;
+
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ServerEntry;
@@ -9,6 +11,7 @@
 use guavawell_fleet::event::EventDraft;
 
 use super::ForwardRouter;
+use crate::clock::wait_until;
 use crate::clock::wait_while;
 
 impl ForwardRouter {
@@ -107,9 +110,39 @@
         let mut age = self.server_age.get();
         age.confirm(sent_at);
         self.server_age.set(age);
+        let refreshed = |due: &ClockTime| *due <= sent_at;
+        if self.servers_due.get().as_ref().is_some_and(refreshed) {
+            self.servers_due.set(None);
+        }
         self.servers_answered.notify(usize::MAX);
     }
 
+    /// Lets the list of servers be queried at once: what it said until now no
+    /// longer counts for some servers.
+    pub fn refresh_servers(&self) {
+        self.servers_due.set(Some(self.clock.boot_now()));
+        self.refresh_event.notify(usize::MAX);
+    }
+
+    /// Waits until the list of servers is to be queried at once, for `max_wait` at
+    /// most.
+    pub async fn wait_refresh_due(&self, max_wait: Duration) {
+        wait_until(self.refresh_event.listen(), max_wait).await;
+    }
+
+    /// Waits for the list of servers if it is to be queried at once, for
+    /// `max_wait` at most. Returns whether it came; if not, no further request
+    /// waits for it.
+    pub async fn await_refresh(&self, max_wait: ClockSpan) -> bool {
+        let is_due = || self.servers_due.get().is_some();
+        if !is_due() {
+            return false;
+        }
+        let came = wait_while(&self.clock, &self.servers_answered, max_wait, is_due).await;
+        self.servers_due.set(None);
+        came
+    }
+
     /// Records that a query for the list of servers, sent at `sent_at`, was not
     /// answered in time.
     pub fn servers_unanswered(&self, sent_at: ClockTime) {
@@ -125,11 +158,12 @@
         timing.overdue_after(self.budgets.instances())
     }
 
-    /// Whether the list of servers is overdue.
+    /// Whether the list of servers is overdue or to be queried at once.
     #[must_use]
     pub fn servers_overdue(&self) -> bool {
         let age = self.server_age.get().at(self.clock.boot_now());
-        age.is_some_and(|age| age > self.servers_overdue_after())
+        self.servers_due.get().is_some()
+            || age.is_some_and(|age| age > self.servers_overdue_after())
     }
 
     /// Whether requests should wait for the overdue list of servers.
