Tests: what one tenure sent and another one takes for its own

A rig of two seats of one slot and the table's rows, driven by hand as the slot driver does it, and one test of holders alone; no sleep, no thread. Orders that the tests force:

budget_regrant.rs, slot/tests/inherited.rs: a successor is asked for a running attempt that its former tenure granted, reserves it anew, finds its witness silent and gives it up. The charge by the former grant is then answered for good. - the former holder, not told of the takeover, repeats its grant after the successor was asked: Unknown, settled 0 of 60, nothing frozen, with and without floats; the holders alone: Unknown - a late ask, with a float: Settled 0, settled 7 of 67, nothing frozen - a late ask, without: Unknown, settled 7 of 67, nothing frozen

slot/tests/tenure.rs: a grant change of a tenure is answered after the same router lost the slot and holds it again; the answer passes for that of the present tenure's change. - its change that closes the former tenures is lost, without and with floats: settled 7 of 67, nothing frozen - its next change overtakes it: settled 7 of 67, nothing frozen - the former tenure had reported more than the present one used: settled 60 of 110, nothing frozen

slot/tests/former.rs: a router holds its slot again beside its own former tenure. - it was not told of the takeover: settled 0 of 60; 6,400 stay frozen - a float of that tenure is not reported: a charge is passed round - a report of another tenure ends it: answered Unknown - a successor grants from the former float in its own name: 10 of 40

--- a/crates/guavawell-core/tests/budget_regrant.rs
+++ b/crates/guavawell-core/tests/budget_regrant.rs
@@ -348,3 +348,28 @@
         "only what was granted before runs"
     );
 }
+
+/// The router that asks for attempt 9 had no answer of either holder. The
+/// former one repeats its grant, and the ask at the successor is given up after
+/// that, because its new witness does not answer.
+#[test]
+fn a_successor_does_not_give_up_what_its_former_holder_granted_again() {
+    let mut pair = TenurePair::parted(0);
+    pair.tell_successor(HolderEvent::ChangeWitness(Some(life("c"))));
+    pair.answers.clear();
+    pair.tell_successor(reserve(9));
+    assert!(pair.answers.is_empty(), "it waits for the witness");
+    pair.tell_former(reserve(9));
+    let grant = match pair.answers.pop() {
+        Some(HolderAnswer::Reserve(ReserveAnswer::Granted(grant))) => grant,
+        other => panic!("expected a grant, found {other:?}"),
+    };
+    assert_eq!(grant.holder, life("a"));
+    pair.now = pair.now + PAST_WITNESS;
+    pair.tell_successor(HolderEvent::Tick);
+    pair.answers.clear();
+    pair.tell_successor(settle(9, &grant, 6));
+    let answer = pair.settled();
+    let is_charged = matches!(answer, SettleAnswer::Pending { charged, .. } if charged.get() == 6);
+    assert!(is_charged, "{answer:?}");
+}
--- a/crates/guavawell-fleet/src/slot/tests.rs
+++ b/crates/guavawell-fleet/src/slot/tests.rs
@@ -15,6 +15,11 @@
 
 use super::seat::SlotSeat;
 
+mod former;
+mod inherited;
+mod rig;
+mod tenure;
+
 const NOW: ClockTime = ClockTime::from_millis(1_000);
 
 fn life(name: &str) -> InstanceIncarnation {
