Test: a late answer of the same tenure returns tokens that were handed back

A report is sent twice, and one of its two answers comes after 9 tenths of the grant were handed back, while a refill that carries nothing waits for its own answer.

The same acceptance of an answer to another change as in the tests of two tenures, here within one.

--- a/crates/guavawell-fleet/src/slot/tests/rig.rs
+++ b/crates/guavawell-fleet/src/slot/tests/rig.rs
@@ -10,6 +10,8 @@
 use guavawell_core::budget::BudgetRow;
 use guavawell_core::budget::FrozenReport;
 use guavawell_core::budget::GrantChange;
+use guavawell_core::budget::HandBackAnswer;
+use guavawell_core::budget::HandBackRequest;
 use guavawell_core::budget::HolderAnswer;
 use guavawell_core::budget::HolderEffect;
 use guavawell_core::budget::HolderEvent;
@@ -276,6 +278,32 @@
         assert_eq!(answer, Some(charged(actual)));
     }
 
+    /// Hands tokens back to the budget for another zone; the tokens given.
+    pub fn hand_back(&mut self, router: usize, tokens: u64) -> TokenCount {
+        let ask = HandBackRequest {
+            slot: self.seats[router].slot.clone(),
+            budget: budget_id(),
+            wanted: TokenCount::new(tokens),
+        };
+        match self.ask(router, |id| HolderEvent::HandBack(id, ask)) {
+            Some(HolderAnswer::HandBack(HandBackAnswer::Given { tokens })) => tokens,
+            other => panic!("expected tokens, found {other:?}"),
+        }
+    }
+
+    /// Tokens that a router's present holder may still spend.
+    pub fn free(&self, router: usize) -> TokenCount {
+        let state = self.seats[router].lock();
+        let holder = state.present().expect("the router holds the slot");
+        holder.free_tokens(&budget_id())
+    }
+
+    /// Open tokens of the slot's grant in the table.
+    pub fn open(&self) -> TokenCount {
+        let grant = self.budget.grant(&self.seats[0].slot);
+        grant.map(|grant| grant.open).unwrap_or_default()
+    }
+
     /// Seals a request while the routers are parted, and lets the wait for the
     /// witness pass: the holder finds it silent.
     pub fn part(&mut self, router: usize) {
--- a/crates/guavawell-fleet/src/slot/tests/tenure.rs
+++ b/crates/guavawell-fleet/src/slot/tests/tenure.rs
@@ -122,3 +122,35 @@
     pair.arrive(lost);
     assert_settled(&mut pair, 110);
 }
+
+/// Within one tenure: a change is sent twice, and one of its two answers comes
+/// after tokens were handed back, while a refill that carries nothing waits.
+#[test]
+fn a_late_answer_returns_no_tokens_that_were_handed_back() {
+    let mut pair = SeatPair::start(&settings());
+    pair.run(0, 1, 60);
+    pair.is_holding = true;
+    pair.pass_report(0);
+    pair.pass_report(0);
+    pair.pass_report(0);
+    assert_eq!(pair.held.len(), 2, "the report is sent again");
+    let late = pair.perform();
+    let answer = pair.perform();
+    pair.arrive(answer);
+    pair.is_holding = false;
+    let open = pair.open();
+    let given = pair.hand_back(0, open.get() * 9 / 10);
+    assert_eq!(pair.open(), open.saturating_sub(given));
+    pair.is_holding = true;
+    let mut requests = 2..1_000;
+    while pair.held.is_empty() {
+        pair.reserve(0, requests.next().unwrap());
+    }
+    pair.arrive(late);
+    assert!(
+        pair.free(0) <= pair.open(),
+        "{} free, {} open",
+        pair.free(0),
+        pair.open()
+    );
+}
