Seat tests: the table of a pair has a file of its own

The rows, the intents on them and the outcomes held back move to rig/table.rs, unchanged; no check is touched.

--- a/crates/guavawell-fleet/src/slot/tests/rig.rs
+++ b/crates/guavawell-fleet/src/slot/tests/rig/mod.rs
@@ -4,12 +4,12 @@
 //! of grant changes back. Effects are carried out as the driver does it: the
 //! outcome of a table operation is told to the seat that asked for it.
 
+mod table;
+
 use std::sync::Arc;
 
 use guavawell_core::budget::AskId;
 use guavawell_core::budget::BudgetRow;
-use guavawell_core::budget::FrozenReport;
-use guavawell_core::budget::GrantChange;
 use guavawell_core::budget::HandBackAnswer;
 use guavawell_core::budget::HandBackRequest;
 use guavawell_core::budget::HolderAnswer;
@@ -19,7 +19,6 @@
 use guavawell_core::budget::ReserveAnswer;
 use guavawell_core::budget::ReserveGrant;
 use guavawell_core::budget::ReserveRequest;
-use guavawell_core::budget::RowChange;
 use guavawell_core::budget::SealRequest;
 use guavawell_core::budget::SettleAnswer;
 use guavawell_core::budget::SettleRequest;
@@ -28,7 +27,6 @@
 use guavawell_core::budget::SlotLedger;
 use guavawell_core::budget::SlotRow;
 use guavawell_core::budget::SlotWitness;
-use guavawell_core::budget::TableFailure;
 use guavawell_core::budget::TableIntent;
 use guavawell_core::budget::TokenPool;
 use guavawell_core::budget::WitnessEffect;
@@ -46,6 +44,9 @@
 
 use super::life;
 use crate::slot::seat::SlotSeat;
+use table::HeldChange;
+
+pub use table::LateAnswer;
 
 /// The routers, by their place.
 pub const NAMES: [&str; 2] = ["first", "second"];
@@ -68,18 +69,6 @@
 /// Routers asked in one try of a charge.
 const MAX_HOPS: usize = 8;
 
-/// A change of a grant whose outcome has not been told yet.
-pub struct HeldChange {
-    router: usize,
-    change: GrantChange,
-}
-
-/// The outcome of a change that the table performed.
-pub struct LateAnswer {
-    router: usize,
-    event: HolderEvent,
-}
-
 /// Two routers' seats of one slot, and the table.
 pub struct SeatPair {
     seats: [SlotSeat; 2],
@@ -387,78 +376,6 @@
         replies
     }
 
-    fn write_slot(&mut self, expected: Option<&SlotRow>, row: SlotRow) -> SlotRow {
-        if expected == Some(&self.slot_row) {
-            self.slot_row = row;
-        }
-        self.slot_row.clone()
-    }
-
-    fn run_intent(&mut self, router: usize, intent: TableIntent) {
-        let event = match intent {
-            TableIntent::WriteSlot { expected, row, .. } => {
-                HolderEvent::SlotRead(Ok(self.write_slot(expected.as_ref(), row)))
-            }
-            TableIntent::ReadSlot { .. } => HolderEvent::SlotRead(Ok(self.slot_row.clone())),
-            TableIntent::ChangeGrant { change, .. } if self.is_holding => {
-                return self.held.push(HeldChange { router, change });
-            }
-            TableIntent::ChangeGrant { change, .. } => self.change_grant(&change),
-            TableIntent::ReportFrozen { budget, report } => self.report_frozen(budget, &report),
-        };
-        self.tell(router, event);
-    }
-
-    fn change_grant(&mut self, change: &GrantChange) -> HolderEvent {
-        let outcome = if self.slot_row.tenure == change.tenure {
-            let changed = self.budget.change_grant(change);
-            changed.map_err(TableFailure::Refused).map(|changed| {
-                if let RowChange::Write(row) = changed {
-                    self.budget = row;
-                }
-                self.budget.view(&change.slot)
-            })
-        } else {
-            Err(TableFailure::NotHolder)
-        };
-        HolderEvent::GrantChanged(budget_id(), outcome)
-    }
-
-    fn report_frozen(&mut self, budget: BudgetId, report: &FrozenReport) -> HolderEvent {
-        let reported = self.budget.report_frozen(report);
-        let outcome = reported.map_err(TableFailure::Refused).map(|changed| {
-            if let RowChange::Write(row) = changed {
-                self.budget = row;
-            }
-        });
-        HolderEvent::FrozenReported(budget, outcome)
-    }
-
-    /// The table performs the newest change that waits; its answer is not told
-    /// yet.
-    pub fn perform(&mut self) -> LateAnswer {
-        let held = self.held.pop().expect("a change waits");
-        LateAnswer {
-            router: held.router,
-            event: self.change_grant(&held.change),
-        }
-    }
-
-    /// The newest change that waits never reaches the table.
-    pub fn lose(&mut self) -> LateAnswer {
-        let held = self.held.pop().expect("a change waits");
-        let failure = Err(TableFailure::Unreachable);
-        LateAnswer {
-            router: held.router,
-            event: HolderEvent::GrantChanged(budget_id(), failure),
-        }
-    }
-
-    /// Tells the outcome of a change to the seat that asked for it.
-    pub fn arrive(&mut self, answer: LateAnswer) {
-        self.tell(answer.router, answer.event);
-    }
-
     /// A holder learns that another router holds the slot.
     pub fn learn_row(&mut self, router: usize) {
         let row = self.slot_row.clone();
