Outcomes of table operations name the change that they answer

What callers and operators saw: a holder that takes a late outcome for that of its present change believes it may spend tokens that it handed back to other zones (24,240 free where the row has 2,554 open), or drops the use of former tenures as settled, so that the row settles less than was charged for good. A former holder that waits for a float was dropped unreported, and the charge to its float was refused as unknown.

Cause: GrantChanged and FrozenReported named a budget only, and HandBackDone too. A seat told them to its present (or oldest former) holder, whoever had asked; that one took a view whose sequence number fits. Numbers begin at one in each tenure, and a view of an older number passed for the answer to a change that carries nothing.

Change: the outcomes carry the key of what they answer: ChangeKey (budget, tenure, number) and ReportKey (budget, tenure). A seat tells them to the holder of that tenure or to nobody, and a holder takes only the outcome of the change that is on its way. is_answered, which guessed this from the view, is gone. The same holds of the end of an ask to other zones: it names the change whose outcome showed the shortage, also within one tenure. The keys stay in the process; no message between processes changes.

Why it is enough: a change keeps its number while it is sent again, and no two changes of a tenure share one. While it is on its way only itself and older copies, which the row passes over, can alter the slot's grant, so each outcome that names it shows the grant as it is or with less open. Each operation is answered under its own key, and a change without an outcome is sent again as before, so nothing stays reserved that was freed.

--- a/crates/guavawell-core/src/budget/holder/event.rs
+++ b/crates/guavawell-core/src/budget/holder/event.rs
@@ -2,7 +2,9 @@
 
 use std::fmt;
 
+use crate::budget::intent::ChangeKey;
 use crate::budget::intent::GrantView;
+use crate::budget::intent::ReportKey;
 use crate::budget::intent::TableFailure;
 use crate::budget::intent::TableIntent;
 use crate::budget::ledger::ChargedAttempt;
@@ -73,11 +75,12 @@
     /// [`TableIntent::ReadSlot`].
     SlotRead(Result<SlotRow, TableFailure>),
     /// The outcome of [`TableIntent::ChangeGrant`].
-    GrantChanged(BudgetId, Result<GrantView, TableFailure>),
+    GrantChanged(ChangeKey, Result<GrantView, TableFailure>),
     /// The outcome of [`TableIntent::ReportFrozen`].
-    FrozenReported(BudgetId, Result<(), TableFailure>),
-    /// Every slot named by [`HolderEffect::AskHandBack`] answered, or won't.
-    HandBackDone(BudgetId),
+    FrozenReported(ReportKey, Result<(), TableFailure>),
+    /// Every slot named by [`HolderEffect::AskHandBack`] answered, or won't;
+    /// with the key that it names.
+    HandBackDone(ChangeKey),
     /// The driver names a new witness, or the present one anew; `None` ends
     /// witnessing while nobody else is there.
     ChangeWitness(Option<InstanceIncarnation>),
@@ -89,6 +92,19 @@
     Tick,
 }
 
+impl HolderEvent {
+    /// The tenure of the holder whose operation this is the outcome of; `None`
+    /// for events that name no operation of one tenure.
+    #[must_use]
+    pub const fn outcome_tenure(&self) -> Option<SlotEpoch> {
+        match self {
+            Self::GrantChanged(key, _) | Self::HandBackDone(key) => Some(key.tenure),
+            Self::FrozenReported(key, _) => Some(key.tenure),
+            _ => None,
+        }
+    }
+}
+
 /// An answer to an ask.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum HolderAnswer {
@@ -116,8 +132,8 @@
     /// Ask the holders of these slots to give tokens back, then tell
     /// [`HolderEvent::HandBackDone`].
     AskHandBack {
-        /// The budget.
-        budget: BudgetId,
+        /// The change whose outcome showed that tokens are short.
+        key: ChangeKey,
         /// The tokens that are short.
         wanted: TokenCount,
         /// The slots that hold open tokens.
--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -173,13 +173,9 @@
             HolderEvent::HandoverAck(ack) => self.take_handover_ack(&ack, now, effects),
             HolderEvent::SlotRead(Ok(row)) => self.take_row(row, now, effects),
             HolderEvent::SlotRead(Err(_)) => {}
-            HolderEvent::GrantChanged(budget, outcome) => {
-                self.take_grant(&budget, outcome, now, effects);
-            }
-            HolderEvent::FrozenReported(budget, outcome) => {
-                self.take_report(&budget, outcome, effects);
-            }
-            HolderEvent::HandBackDone(budget) => self.hand_back_done(&budget, now, effects),
+            HolderEvent::GrantChanged(key, outcome) => self.take_grant(&key, outcome, now, effects),
+            HolderEvent::FrozenReported(key, outcome) => self.take_report(&key, outcome, effects),
+            HolderEvent::HandBackDone(key) => self.hand_back_done(&key, now, effects),
             HolderEvent::ChangeWitness(witness) => self.change_witness(witness, now, effects),
             HolderEvent::Durable(identities) => self.take_durable(&identities),
             HolderEvent::Leave => self.leave(now, effects),
--- a/crates/guavawell-core/src/budget/holder/refill.rs
+++ b/crates/guavawell-core/src/budget/holder/refill.rs
@@ -10,6 +10,7 @@
 use super::stock::BackAsk;
 use super::stock::PromisedTokens;
 use super::stock::QueuedAsk;
+use crate::budget::intent::ChangeKey;
 use crate::budget::intent::GrantView;
 use crate::budget::intent::TableFailure;
 use crate::budget::message::HandBackAnswer;
@@ -19,7 +20,6 @@
 use crate::budget::row::GrantChange;
 use crate::budget::slot::SlotId;
 use crate::clock::ClockTime;
-use crate::id::BudgetId;
 use crate::id::TokenCount;
 use crate::request::RequestIdentity;
 
@@ -137,7 +137,7 @@
         // The table has no more: first see what comes out of the float.
         let awaits_float =
             unspent == Some(TokenCount::ZERO) && stock.is_moving_float() && self.is_witnessed();
-        let need = if awaits_float || stock.back_ask == BackAsk::Asked {
+        let need = if awaits_float || matches!(stock.back_ask, BackAsk::Asked(_)) {
             TokenCount::ZERO
         } else {
             stock.shortfall(account)
@@ -208,15 +208,17 @@
 
     pub(super) fn take_grant(
         &mut self,
-        budget: &BudgetId,
+        key: &ChangeKey,
         outcome: Result<GrantView, TableFailure>,
         now: ClockTime,
         effects: &mut Vec<HolderEffect>,
     ) {
-        let Ok(place) = self.stock_place(budget) else {
+        let Ok(place) = self.stock_place(&key.budget) else {
             return;
         };
-        if self.is_retired() || self.stocks[place].change.is_none() {
+        let change = self.stocks[place].change.as_ref();
+        let is_awaited = change.is_some_and(|change| key.names(change));
+        if self.is_retired() || !is_awaited {
             return;
         }
         match outcome {
@@ -235,7 +237,7 @@
             }
             Err(TableFailure::Refused(_)) => {
                 self.drop_change(place, effects);
-                let note = HolderNote::AccountMismatch(budget.clone());
+                let note = HolderNote::AccountMismatch(key.budget.clone());
                 effects.push(HolderEffect::Note(note));
                 let answer = self.unreachable();
                 self.refuse_queue(place, &answer, effects);
@@ -243,6 +245,11 @@
         }
     }
 
+    /// Takes the grant as it is after the change on its way.
+    ///
+    /// A change that carries nothing and is granted nothing is not written. If
+    /// it is granted something after all, by a late write, the next view shows
+    /// it.
     fn take_view(
         &mut self,
         place: usize,
@@ -251,13 +258,6 @@
         effects: &mut Vec<HolderEffect>,
     ) {
         let stock = &mut self.stocks[place];
-        let is_answer = stock
-            .change
-            .as_ref()
-            .is_some_and(|change| is_answered(change, &view));
-        if !is_answer {
-            return;
-        }
         stock.change = None;
         stock.table_away = false;
         stock.view = Some(view);
@@ -313,7 +313,7 @@
         let open: TokenCount = others.clone().map(|other| other.open).sum();
         let slots: Vec<SlotId> = others.map(|other| other.slot.clone()).collect();
         let is_unasked = stock.back_ask == BackAsk::Unasked;
-        if stock.back_ask == BackAsk::Asked {
+        if matches!(stock.back_ask, BackAsk::Asked(_)) {
             return;
         }
         let is_last = stock
@@ -326,13 +326,13 @@
         }
         let stock = &self.stocks[place];
         if is_unasked && open >= wanted {
-            let budget = stock.budget.clone();
-            self.stocks[place].back_ask = BackAsk::Asked;
-            effects.push(HolderEffect::AskHandBack {
-                budget,
-                wanted,
-                slots,
-            });
+            let key = ChangeKey {
+                budget: stock.budget.clone(),
+                tenure: self.ledger.tenure,
+                sequence: stock.sequence,
+            };
+            self.stocks[place].back_ask = BackAsk::Asked(key.sequence);
+            effects.push(HolderEffect::AskHandBack { key, wanted, slots });
             return;
         }
         let budget = stock.budget.clone();
@@ -344,17 +344,19 @@
 
     pub(super) fn hand_back_done(
         &mut self,
-        budget: &BudgetId,
+        key: &ChangeKey,
         now: ClockTime,
         effects: &mut Vec<HolderEffect>,
     ) {
-        let Ok(place) = self.stock_place(budget) else {
+        let Ok(place) = self.stock_place(&key.budget) else {
             return;
         };
         let stock = &mut self.stocks[place];
-        if stock.back_ask == BackAsk::Asked {
-            stock.back_ask = BackAsk::Done;
+        let is_awaited = stock.back_ask == BackAsk::Asked(key.sequence);
+        if key.tenure != self.ledger.tenure || !is_awaited {
+            return;
         }
+        stock.back_ask = BackAsk::Done;
         self.review(place, now, effects);
     }
 
@@ -420,18 +422,6 @@
     }
 }
 
-/// Whether the row holds the change, or held all that it carries before.
-///
-/// A change that carries nothing and is granted nothing is not written. If
-/// it is granted something after all, by a late write, the next view shows
-/// it.
-fn is_answered(change: &GrantChange, view: &GrantView) -> bool {
-    let carries_nothing = change.hand_back == TokenCount::ZERO
-        && change.settled <= view.reported
-        && change.float_settled <= view.float_reported;
-    view.sequence == change.sequence || (carries_nothing && view.sequence < change.sequence)
-}
-
 pub(super) fn answer_given(given: Vec<PromisedTokens>, effects: &mut Vec<HolderEffect>) {
     for promise in given {
         let tokens = promise.tokens;
--- a/crates/guavawell-core/src/budget/holder/retire.rs
+++ b/crates/guavawell-core/src/budget/holder/retire.rs
@@ -7,6 +7,7 @@
 use super::HolderPhase;
 use super::SlotHolder;
 use super::stock::PromisedTokens;
+use crate::budget::intent::ReportKey;
 use crate::budget::intent::TableFailure;
 use crate::budget::intent::TableIntent;
 use crate::budget::message::HandBackAnswer;
@@ -17,7 +18,6 @@
 use crate::budget::slot::InstanceIncarnation;
 use crate::budget::slot::SlotRow;
 use crate::clock::ClockTime;
-use crate::id::BudgetId;
 use crate::id::TokenCount;
 
 impl SlotHolder {
@@ -172,13 +172,17 @@
 
     pub(super) fn take_report(
         &mut self,
-        budget: &BudgetId,
+        key: &ReportKey,
         outcome: Result<(), TableFailure>,
         effects: &mut Vec<HolderEffect>,
     ) {
-        let Ok(place) = self.stock_place(budget) else {
+        let Ok(place) = self.stock_place(&key.budget) else {
             return;
         };
+        if key.tenure != self.ledger.tenure {
+            return;
+        }
+        let budget = &key.budget;
         let note = match outcome {
             Ok(()) | Err(TableFailure::NoBudget) => HolderNote::FloatReported(budget.clone()),
             Err(TableFailure::Refused(RowError::GrantOverdrawn)) => {
--- a/crates/guavawell-core/src/budget/holder/stock.rs
+++ b/crates/guavawell-core/src/budget/holder/stock.rs
@@ -34,7 +34,8 @@
 pub(super) enum BackAsk {
     #[default]
     Unasked,
-    Asked,
+    /// Since the outcome of the change of this number.
+    Asked(u64),
     Done,
 }
 
--- a/crates/guavawell-core/src/budget/intent.rs
+++ b/crates/guavawell-core/src/budget/intent.rs
@@ -13,6 +13,7 @@
 use super::slot::SlotId;
 use super::slot::SlotRow;
 use crate::id::BudgetId;
+use crate::id::SlotEpoch;
 use crate::id::TokenCount;
 
 /// A transaction or a read on the table.
@@ -53,6 +54,58 @@
     },
 }
 
+/// Names a change of a grant, so that its outcome is told from others.
+///
+/// Sequence numbers begin anew in each tenure, and an outcome may arrive in a
+/// later one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ChangeKey {
+    /// The budget.
+    pub budget: BudgetId,
+    /// The tenure of the holder that asked for the change.
+    pub tenure: SlotEpoch,
+    /// The number of the change within this tenure.
+    pub sequence: u64,
+}
+
+impl ChangeKey {
+    /// The key of a change of a budget's grant.
+    #[must_use]
+    pub const fn new(budget: BudgetId, change: &GrantChange) -> Self {
+        Self {
+            budget,
+            tenure: change.tenure,
+            sequence: change.sequence,
+        }
+    }
+
+    /// Whether it names this change.
+    #[must_use]
+    pub fn names(&self, change: &GrantChange) -> bool {
+        self.tenure == change.tenure && self.sequence == change.sequence
+    }
+}
+
+/// Names a former holder's report.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ReportKey {
+    /// The budget.
+    pub budget: BudgetId,
+    /// The tenure that is reported.
+    pub tenure: SlotEpoch,
+}
+
+impl ReportKey {
+    /// The key of a report to a budget.
+    #[must_use]
+    pub const fn new(budget: BudgetId, report: &FrozenReport) -> Self {
+        Self {
+            budget,
+            tenure: report.tenure,
+        }
+    }
+}
+
 /// The grant of one slot in the table after a change.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct GrantView {
--- a/crates/guavawell-core/tests/budget_fleet/deliver.rs
+++ b/crates/guavawell-core/tests/budget_fleet/deliver.rs
@@ -1,6 +1,7 @@
 //! Letters on their way, and what holders and witnesses do with them.
 
 use guavawell_core::budget::AskId;
+use guavawell_core::budget::ChangeKey;
 use guavawell_core::budget::HandBackRequest;
 use guavawell_core::budget::HolderEffect;
 use guavawell_core::budget::HolderEvent;
@@ -10,7 +11,6 @@
 use guavawell_core::budget::WitnessEffect;
 use guavawell_core::budget::WitnessEvent;
 use guavawell_core::budget::WitnessMessage;
-use guavawell_core::id::BudgetId;
 use guavawell_core::id::SlotEpoch;
 use guavawell_core::id::TokenCount;
 
@@ -69,11 +69,9 @@
                     let letter = FleetLetter::Table(instance, zone, tenure, intent);
                     self.letters.push_back(letter);
                 }
-                HolderEffect::AskHandBack {
-                    budget,
-                    wanted,
-                    slots,
-                } => self.ask_back(instance, zone, tenure, &budget, wanted, &slots),
+                HolderEffect::AskHandBack { key, wanted, slots } => {
+                    self.ask_back(instance, zone, key, wanted, &slots);
+                }
                 HolderEffect::HandSlot(_, ask) => {
                     let witness = ask.row.witness.as_ref();
                     if let Some(witness) = witness.and_then(|life| self.instance_of(life)) {
@@ -92,8 +90,7 @@
         &mut self,
         instance: usize,
         zone: usize,
-        tenure: SlotEpoch,
-        budget: &BudgetId,
+        key: ChangeKey,
         wanted: TokenCount,
         slots: &[SlotId],
     ) {
@@ -104,14 +101,15 @@
             };
             let ask = HandBackRequest {
                 slot: slot(other),
-                budget: budget.clone(),
+                budget: key.budget.clone(),
                 wanted,
             };
             let event = HolderEvent::HandBack(AskId::new(OWN_ASKS), ask);
             self.letters
                 .push_back(FleetLetter::Holder(donor, other, None, event));
         }
-        let done = HolderEvent::HandBackDone(budget.clone());
+        let tenure = key.tenure;
+        let done = HolderEvent::HandBackDone(key);
         self.later
             .push(FleetLetter::Holder(instance, zone, Some(tenure), done));
     }
--- a/crates/guavawell-core/tests/budget_fleet/table.rs
+++ b/crates/guavawell-core/tests/budget_fleet/table.rs
@@ -1,7 +1,9 @@
 //! The platform's table: its rows and one transaction for each intent.
 
 use guavawell_core::budget::BudgetRow;
+use guavawell_core::budget::ChangeKey;
 use guavawell_core::budget::HolderEvent;
+use guavawell_core::budget::ReportKey;
 use guavawell_core::budget::RowChange;
 use guavawell_core::budget::RowError;
 use guavawell_core::budget::TableFailure;
@@ -72,7 +74,7 @@
                 if is_lost {
                     outcome = Err(TableFailure::Unreachable);
                 }
-                HolderEvent::GrantChanged(budget, outcome)
+                HolderEvent::GrantChanged(ChangeKey::new(budget, &change), outcome)
             }
             TableIntent::ReportFrozen { budget, report } => {
                 let mut outcome = Err(TableFailure::Unreachable);
@@ -84,7 +86,7 @@
                 if is_lost {
                     outcome = Err(TableFailure::Unreachable);
                 }
-                HolderEvent::FrozenReported(budget, outcome)
+                HolderEvent::FrozenReported(ReportKey::new(budget, &report), outcome)
             }
         };
         let letter = FleetLetter::Holder(instance, zone, Some(tenure), event);
--- a/crates/guavawell-core/tests/budget_journal.rs
+++ b/crates/guavawell-core/tests/budget_journal.rs
@@ -5,6 +5,7 @@
 
 use guavawell_core::budget::AskId;
 use guavawell_core::budget::BudgetRow;
+use guavawell_core::budget::ChangeKey;
 use guavawell_core::budget::ChargeNotice;
 use guavawell_core::budget::HolderAnswer;
 use guavawell_core::budget::HolderEffect;
@@ -100,7 +101,8 @@
                             self.row = row;
                         }
                         let view = self.row.view(&slot());
-                        events.push(HolderEvent::GrantChanged(budget, Ok(view)));
+                        let key = ChangeKey::new(budget, &change);
+                        events.push(HolderEvent::GrantChanged(key, Ok(view)));
                     }
                     _ => {}
                 }
--- a/crates/guavawell-core/tests/budget_large/rig.rs
+++ b/crates/guavawell-core/tests/budget_large/rig.rs
@@ -6,6 +6,7 @@
 
 use guavawell_core::budget::AskId;
 use guavawell_core::budget::BudgetRow;
+use guavawell_core::budget::ChangeKey;
 use guavawell_core::budget::GrantView;
 use guavawell_core::budget::HolderAnswer;
 use guavawell_core::budget::HolderEffect;
@@ -13,6 +14,7 @@
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::budget::InstanceIncarnation;
 use guavawell_core::budget::ReleaseRequest;
+use guavawell_core::budget::ReportKey;
 use guavawell_core::budget::ReserveAnswer;
 use guavawell_core::budget::ReserveGrant;
 use guavawell_core::budget::ReserveRequest;
@@ -273,7 +275,7 @@
             }
             HolderEffect::Send(_, message) => self.send(message),
             HolderEffect::Table(intent) => self.write(intent),
-            HolderEffect::AskHandBack { budget, .. } => Some(HolderEvent::HandBackDone(budget)),
+            HolderEffect::AskHandBack { key, .. } => Some(HolderEvent::HandBackDone(key)),
             _ => None,
         }
     }
@@ -319,10 +321,12 @@
                     *row = changed;
                 }
                 let view: GrantView = row.view(&change.slot);
-                Some(HolderEvent::GrantChanged(budget, Ok(view)))
+                let key = ChangeKey::new(budget, &change);
+                Some(HolderEvent::GrantChanged(key, Ok(view)))
             }
-            TableIntent::ReportFrozen { budget, .. } => {
-                Some(HolderEvent::FrozenReported(budget, Ok(())))
+            TableIntent::ReportFrozen { budget, report } => {
+                let key = ReportKey::new(budget, &report);
+                Some(HolderEvent::FrozenReported(key, Ok(())))
             }
         }
     }
--- a/crates/guavawell-core/tests/budget_regrant.rs
+++ b/crates/guavawell-core/tests/budget_regrant.rs
@@ -21,6 +21,7 @@
 
 use guavawell_core::budget::AskId;
 use guavawell_core::budget::BudgetRow;
+use guavawell_core::budget::ChangeKey;
 use guavawell_core::budget::FrozenReport;
 use guavawell_core::budget::HolderAnswer;
 use guavawell_core::budget::HolderEffect;
@@ -192,7 +193,8 @@
                         self.budget = row;
                     }
                     let view = self.budget.view(&change.slot);
-                    let event = HolderEvent::GrantChanged(budget, Ok(view));
+                    let key = ChangeKey::new(budget, &change);
+                    let event = HolderEvent::GrantChanged(key, Ok(view));
                     if is_former {
                         self.tell_former(event);
                     } else {
--- a/crates/guavawell-core/tests/budget_release/rig.rs
+++ b/crates/guavawell-core/tests/budget_release/rig.rs
@@ -4,6 +4,7 @@
 
 use guavawell_core::budget::AskId;
 use guavawell_core::budget::BudgetRow;
+use guavawell_core::budget::ChangeKey;
 use guavawell_core::budget::HolderAnswer;
 use guavawell_core::budget::HolderEffect;
 use guavawell_core::budget::HolderEvent;
@@ -168,7 +169,8 @@
                     self.budget = row;
                 }
                 let view = self.budget.view(&change.slot);
-                self.tell(HolderEvent::GrantChanged(budget, Ok(view)));
+                let key = ChangeKey::new(budget, &change);
+                self.tell(HolderEvent::GrantChanged(key, Ok(view)));
             }
         }
     }
--- a/crates/guavawell-core/tests/budget_search/world/deliver.rs
+++ b/crates/guavawell-core/tests/budget_search/world/deliver.rs
@@ -39,8 +39,8 @@
 impl World {
     pub(super) fn deliver(&mut self, letter: Letter) {
         let Letter { node, life, body } = letter;
-        if let LetterBody::Intent(tenure, intent) = body {
-            self.execute(node, life, tenure, &intent);
+        if let LetterBody::Intent(_, intent) = body {
+            self.execute(node, life, &intent);
             return;
         }
         if self.nodes[node].life != life {
@@ -54,13 +54,13 @@
                 }
                 self.tell_witness(node, WitnessEvent::SlotRead(row));
             }
-            LetterBody::Grant(tenure, outcome) => {
-                let budget = "m".parse().unwrap();
-                self.tell_tenure(node, tenure, HolderEvent::GrantChanged(budget, outcome));
+            LetterBody::Grant(key, outcome) => {
+                let tenure = key.tenure;
+                self.tell_tenure(node, tenure, HolderEvent::GrantChanged(key, outcome));
             }
-            LetterBody::Report(tenure, outcome) => {
-                let budget = "m".parse().unwrap();
-                self.tell_tenure(node, tenure, HolderEvent::FrozenReported(budget, outcome));
+            LetterBody::Report(key, outcome) => {
+                let tenure = key.tenure;
+                self.tell_tenure(node, tenure, HolderEvent::FrozenReported(key, outcome));
             }
             LetterBody::Intent(..) => {}
         }
@@ -125,8 +125,8 @@
                 HolderEffect::Send(to, message) => self.send(to, message),
                 HolderEffect::Table(intent) => self.post_intent(node, tenure, intent),
                 HolderEffect::Note(HolderNote::AccountMismatch(_)) => self.mismatch = true,
-                HolderEffect::AskHandBack { budget, .. } => {
-                    self.tell(node, place, HolderEvent::HandBackDone(budget));
+                HolderEffect::AskHandBack { key, .. } => {
+                    self.tell(node, place, HolderEvent::HandBackDone(key));
                 }
                 _ => {}
             }
--- a/crates/guavawell-core/tests/budget_search/world/model.rs
+++ b/crates/guavawell-core/tests/budget_search/world/model.rs
@@ -2,8 +2,10 @@
 
 use std::hash::Hash;
 
+use guavawell_core::budget::ChangeKey;
 use guavawell_core::budget::GrantView;
 use guavawell_core::budget::InstanceIncarnation;
+use guavawell_core::budget::ReportKey;
 use guavawell_core::budget::ReserveGrant;
 use guavawell_core::budget::SlotHolder;
 use guavawell_core::budget::SlotRow;
@@ -63,8 +65,8 @@
     Witness(WitnessMessage),
     Intent(SlotEpoch, TableIntent),
     Slot(SlotRow),
-    Grant(SlotEpoch, Result<GrantView, TableFailure>),
-    Report(SlotEpoch, Result<(), TableFailure>),
+    Grant(ChangeKey, Result<GrantView, TableFailure>),
+    Report(ReportKey, Result<(), TableFailure>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/crates/guavawell-core/tests/budget_search/world/table.rs
+++ b/crates/guavawell-core/tests/budget_search/world/table.rs
@@ -1,10 +1,11 @@
 //! The platform's table: one transaction for each intent.
 
+use guavawell_core::budget::ChangeKey;
 use guavawell_core::budget::InstanceIncarnation;
+use guavawell_core::budget::ReportKey;
 use guavawell_core::budget::RowChange;
 use guavawell_core::budget::TableFailure;
 use guavawell_core::budget::TableIntent;
-use guavawell_core::id::SlotEpoch;
 
 use super::World;
 use super::model::Letter;
@@ -12,13 +13,7 @@
 
 impl World {
     /// The table: one transaction; its answer is a letter that may be lost.
-    pub(super) fn execute(
-        &mut self,
-        node: usize,
-        life: InstanceIncarnation,
-        tenure: SlotEpoch,
-        intent: &TableIntent,
-    ) {
+    pub(super) fn execute(&mut self, node: usize, life: InstanceIncarnation, intent: &TableIntent) {
         let body = match intent {
             TableIntent::WriteSlot { expected, row, .. } => {
                 if expected.as_ref() == Some(&self.row) {
@@ -27,18 +22,19 @@
                 LetterBody::Slot(self.row.clone())
             }
             TableIntent::ReadSlot { .. } => LetterBody::Slot(self.row.clone()),
-            TableIntent::ChangeGrant { change, .. } => {
+            TableIntent::ChangeGrant { budget, change } => {
                 let outcome = if self.row.tenure == change.tenure {
                     self.write(self.budget.change_grant(change))
                 } else {
                     Err(TableFailure::NotHolder)
                 };
                 let view = |()| self.budget.view(&change.slot);
-                LetterBody::Grant(tenure, outcome.map(view))
+                let key = ChangeKey::new(budget.clone(), change);
+                LetterBody::Grant(key, outcome.map(view))
             }
-            TableIntent::ReportFrozen { report, .. } => {
+            TableIntent::ReportFrozen { budget, report } => {
                 let outcome = self.write(self.budget.report_frozen(report));
-                LetterBody::Report(tenure, outcome)
+                LetterBody::Report(ReportKey::new(budget.clone(), report), outcome)
             }
         };
         self.post(Letter { node, life, body });
--- a/crates/guavawell-fleet/src/slot/driver.rs
+++ b/crates/guavawell-fleet/src/slot/driver.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use guavawell_core::budget::ChangeKey;
 use guavawell_core::budget::HolderEffect;
 use guavawell_core::budget::HolderEvent;
 use guavawell_core::budget::HolderNote;
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::budget::InstanceIncarnation;
+use guavawell_core::budget::ReportKey;
 use guavawell_core::budget::SlotHolder;
 use guavawell_core::budget::SlotId;
 use guavawell_core::budget::SlotLedger;
@@ -18,7 +20,6 @@
 use guavawell_core::budget::WitnessEvent;
 use guavawell_core::budget::WitnessMessage;
 use guavawell_core::clock::ClockSpan;
-use guavawell_core::id::BudgetId;
 use guavawell_core::id::TokenCount;
 use guavawell_core::id::ZoneId;
 use guavawell_core::instance::MemberView;
@@ -227,11 +228,9 @@
                 HolderEffect::Answer(..) => {}
                 HolderEffect::Send(life, message) => self.send(seat, life, message),
                 HolderEffect::Table(intent) => self.spawn_intent(seat, intent),
-                HolderEffect::AskHandBack {
-                    budget,
-                    wanted,
-                    slots,
-                } => self.spawn_hand_back(seat, budget, wanted, slots),
+                HolderEffect::AskHandBack { key, wanted, slots } => {
+                    self.spawn_hand_back(seat, key, wanted, slots);
+                }
                 HolderEffect::HandSlot(life, ask) => {
                     let answer = (self.parts.link.call)(life.instance, PeerRequest::Takeover(ask));
                     self.parts.tasks.spawn(answer);
@@ -313,11 +312,11 @@
             TableIntent::ChangeGrant { budget, change } => {
                 let changed = table.change_grant(&budget, &change).await;
                 metrics::counter!("guavawell_grant_changes_total").increment(1);
-                HolderEvent::GrantChanged(budget, changed)
+                HolderEvent::GrantChanged(ChangeKey::new(budget, &change), changed)
             }
             TableIntent::ReportFrozen { budget, report } => {
                 let reported = table.report_frozen(&budget, &report).await;
-                HolderEvent::FrozenReported(budget, reported)
+                HolderEvent::FrozenReported(ReportKey::new(budget, &report), reported)
             }
         };
         Some(event)
@@ -337,15 +336,15 @@
     fn spawn_hand_back(
         self: &Arc<Self>,
         seat: &Arc<SlotSeat>,
-        budget: BudgetId,
+        key: ChangeKey,
         wanted: TokenCount,
         slots: Vec<SlotId>,
     ) {
         let driver = Arc::clone(self);
         let seat = Arc::clone(seat);
         let task = async move {
-            driver.ask_hand_back(&budget, wanted, &slots).await;
-            driver.tell(&seat, HolderEvent::HandBackDone(budget));
+            driver.ask_hand_back(&key.budget, wanted, &slots).await;
+            driver.tell(&seat, HolderEvent::HandBackDone(key));
         };
         self.parts.tasks.spawn(task);
     }
--- a/crates/guavawell-fleet/src/slot/seat.rs
+++ b/crates/guavawell-fleet/src/slot/seat.rs
@@ -179,7 +179,8 @@
         }
     }
 
-    /// Tells the holder an event; `None` if this router holds no such slot.
+    /// Tells the holder that an event is for; `None` if it is not, or no
+    /// longer, at this router.
     pub(super) fn tell(&mut self, event: HolderEvent, now: ClockTime) -> Option<Vec<HolderEffect>> {
         let mut effects = Vec::new();
         let holder = self.concerned(&event)?;
@@ -187,14 +188,17 @@
         Some(self.deliver(effects))
     }
 
-    /// The holder that an event is for: a former one for what was granted or
-    /// froze in its tenure, otherwise the present one.
+    /// The holder that an event is for: whoever asked for an outcome, a former
+    /// one for what was granted in its tenure, otherwise the present one.
     fn concerned(&mut self, event: &HolderEvent) -> Option<&mut SlotHolder> {
+        if let Some(tenure) = event.outcome_tenure() {
+            let mut holders = self.former.iter_mut().chain(&mut self.holder);
+            return holders.find(|holder| holder.ledger().tenure == tenure);
+        }
         let is_former = |holder: &SlotHolder| match event {
             // A former holder's row is its successor's; its ledger is its own.
             HolderEvent::Settle(_, settle) => holder.ledger().tenure == settle.grant.tenure,
             HolderEvent::Release(_, release) => is_held(holder, &release.identity, release.attempt),
-            HolderEvent::FrozenReported(..) => true,
             _ => false,
         };
         let former = self.former.iter().position(is_former);
--- a/crates/guavawell-fleet/src/slot/tests/rig/table.rs
+++ b/crates/guavawell-fleet/src/slot/tests/rig/table.rs
@@ -1,8 +1,10 @@
 //! The table of a pair: intents carried out, and outcomes that a test holds back.
 
+use guavawell_core::budget::ChangeKey;
 use guavawell_core::budget::FrozenReport;
 use guavawell_core::budget::GrantChange;
 use guavawell_core::budget::HolderEvent;
+use guavawell_core::budget::ReportKey;
 use guavawell_core::budget::RowChange;
 use guavawell_core::budget::SlotRow;
 use guavawell_core::budget::TableFailure;
@@ -59,7 +61,7 @@
         } else {
             Err(TableFailure::NotHolder)
         };
-        HolderEvent::GrantChanged(budget_id(), outcome)
+        HolderEvent::GrantChanged(ChangeKey::new(budget_id(), change), outcome)
     }
 
     fn report_frozen(&mut self, budget: BudgetId, report: &FrozenReport) -> HolderEvent {
@@ -69,7 +71,7 @@
                 self.budget = row;
             }
         });
-        HolderEvent::FrozenReported(budget, outcome)
+        HolderEvent::FrozenReported(ReportKey::new(budget, report), outcome)
     }
 
     /// The table performs the newest change that waits; its answer is not told
@@ -86,9 +88,10 @@
     pub fn lose(&mut self) -> LateAnswer {
         let held = self.held.pop().expect("a change waits");
         let failure = Err(TableFailure::Unreachable);
+        let key = ChangeKey::new(budget_id(), &held.change);
         LateAnswer {
             router: held.router,
-            event: HolderEvent::GrantChanged(budget_id(), failure),
+            event: HolderEvent::GrantChanged(key, failure),
         }
     }
 
