A router that holds its slot again retires the holder that it replaces

What callers and operators saw: a router was cut off or paused while its witness held the slot, and holds it again before it heard of that.

Cause: SeatState::begin put the old holder among the former ones as it was, and the rows and refusals that would have told it of its end are given to the present holder. A holder reports only once it has retired.

Change: begin tells the replaced holder the new row, so that it retires there, and returns what it wants done; the driver carries that out.

Why it is enough: the new row has a later epoch than any row of the old holder and is never the row of its own change of witness, so take_row retires it. What it held for waiting routers is answered "not the holder" with this router as the hint. A holder that has nothing to report is finished at once, as before.

--- a/crates/guavawell-fleet/src/slot/driver.rs
+++ b/crates/guavawell-fleet/src/slot/driver.rs
@@ -210,14 +210,11 @@
         metrics::counter!("guavawell_slots_begun_total").increment(1);
         self.parts.events.emit(event);
         self.keep_again(&seat.slot, &ledger);
-        let holder = SlotHolder::new(
-            Arc::clone(&self.parts.holder),
-            seat.slot.clone(),
-            row,
-            ledger,
-            clock::now(),
-        );
-        seat.lock().begin(holder);
+        let now = clock::now();
+        let settings = Arc::clone(&self.parts.holder);
+        let holder = SlotHolder::new(settings, seat.slot.clone(), row, ledger, now);
+        let effects = seat.lock().begin(holder, now);
+        self.carry_out(seat, effects);
     }
 
     /// Carries out what a holder wants done.
--- a/crates/guavawell-fleet/src/slot/seat.rs
+++ b/crates/guavawell-fleet/src/slot/seat.rs
@@ -169,14 +169,20 @@
         Some(now.since(since))
     }
 
-    /// Puts a new holder in; a former one stays until its floats are reported.
-    pub(super) fn begin(&mut self, holder: SlotHolder) {
+    /// Puts a new holder in. The one that it replaces retires, as it may not
+    /// have heard that it lost the slot, and stays until its floats are
+    /// reported.
+    #[must_use]
+    pub(super) fn begin(&mut self, holder: SlotHolder, now: ClockTime) -> Vec<HolderEffect> {
         self.change = None;
-        if let Some(former) = self.holder.replace(holder)
-            && !former.is_finished()
-        {
+        let row = holder.row().clone();
+        let mut effects = Vec::new();
+        if let Some(mut former) = self.holder.replace(holder) {
+            former.handle(HolderEvent::SlotRead(Ok(row)), now, &mut effects);
             self.former.push(former);
         }
+        self.former.retain(|former| !former.is_finished());
+        self.deliver(effects)
     }
 
     /// Tells the holder that an event is for; `None` if it is not, or no
--- a/crates/guavawell-fleet/src/slot/tests/rig/mod.rs
+++ b/crates/guavawell-fleet/src/slot/tests/rig/mod.rs
@@ -116,11 +116,12 @@
         pair
     }
 
-    fn begin(&self, router: usize, row: SlotRow, ledger: SlotLedger) {
+    fn begin(&mut self, router: usize, row: SlotRow, ledger: SlotLedger) {
         let settings = Arc::clone(&self.settings);
         let slot = self.seats[router].slot.clone();
         let holder = SlotHolder::new(settings, slot, row, ledger, self.now);
-        self.seats[router].lock().begin(holder);
+        let effects = self.seats[router].lock().begin(holder, self.now);
+        self.carry_out(router, effects);
     }
 
     /// Lets time pass at a router.
