The present holder records what the witnessed part pays, whoever granted it

What callers and operators saw: a router that holds its slot again while its former holder there waits for a float's attempt answered charges of that holder's tenure with "not the holder" and itself as the hint, again and again, for up to ten minutes. The charge was not recorded in that time, and the tokens stayed reserved.

Cause: a seat told every charge of a former tenure to the former holder. That one is retired: it answers for its float alone and sends other charges on to the present holder, which is at the same router and was never told.

Change: a former holder is told a charge only if its own float pays for the attempt, or has paid. All others go to the present holder, which has inherited the witnessed attempts. A former holder that still holds such an attempt counts the charge without an answer. That goes beyond "only charges to a float go to a former holder": a grant that was frozen whole after a loss is reported only once its attempts have ended, and no other holder knows them.

Why it is enough: no holder that is told a charge sends it back to the same seat. What a former holder counts of the witnessed part enters its report only where the whole grant is frozen, and there no other holder has the attempt.

--- a/crates/guavawell-fleet/src/slot/seat.rs
+++ b/crates/guavawell-fleet/src/slot/seat.rs
@@ -10,10 +10,12 @@
 use guavawell_core::budget::HolderEvent;
 use guavawell_core::budget::InstanceIncarnation;
 use guavawell_core::budget::RequestState;
+use guavawell_core::budget::SettleRequest;
 use guavawell_core::budget::SlotHolder;
 use guavawell_core::budget::SlotId;
 use guavawell_core::budget::SlotRow;
 use guavawell_core::budget::SlotWitness;
+use guavawell_core::budget::TokenPool;
 use guavawell_core::budget::WitnessEffect;
 use guavawell_core::budget::WitnessEvent;
 use guavawell_core::clock::ClockSpan;
@@ -188,22 +190,43 @@
     /// Tells the holder that an event is for; `None` if it is not, or no
     /// longer, at this router.
     pub(super) fn tell(&mut self, event: HolderEvent, now: ClockTime) -> Option<Vec<HolderEffect>> {
+        self.count_at_former(&event, now);
         let mut effects = Vec::new();
         let holder = self.concerned(&event)?;
         holder.handle(event, now, &mut effects);
         Some(self.deliver(effects))
     }
 
+    /// Lets a former holder count a charge to the witnessed part of its
+    /// tenure, which the present holder records and answers: the former one's
+    /// report needs it where its whole grant is frozen.
+    fn count_at_former(&mut self, event: &HolderEvent, now: ClockTime) {
+        let HolderEvent::Settle(_, settle) = event else {
+            return;
+        };
+        if settle.grant.pool == TokenPool::Float {
+            return;
+        }
+        let is_granter = |former: &&mut SlotHolder| {
+            former.ledger().tenure == settle.grant.tenure
+                && is_held(former, &settle.identity, settle.attempt)
+        };
+        if let Some(former) = self.former.iter_mut().find(is_granter) {
+            let mut unused = Vec::new();
+            former.handle(event.clone(), now, &mut unused);
+        }
+    }
+
     /// The holder that an event is for: whoever asked for an outcome, a former
-    /// one for what was granted in its tenure, otherwise the present one.
+    /// one for charges to its float and for releases of what it holds,
+    /// otherwise the present one.
     fn concerned(&mut self, event: &HolderEvent) -> Option<&mut SlotHolder> {
         if let Some(tenure) = event.outcome_tenure() {
             let mut holders = self.former.iter_mut().chain(&mut self.holder);
             return holders.find(|holder| holder.ledger().tenure == tenure);
         }
         let is_former = |holder: &SlotHolder| match event {
-            // A former holder's row is its successor's; its ledger is its own.
-            HolderEvent::Settle(_, settle) => holder.ledger().tenure == settle.grant.tenure,
+            HolderEvent::Settle(_, settle) => is_paid_by_float(holder, settle),
             HolderEvent::Release(_, release) => is_held(holder, &release.identity, release.attempt),
             _ => false,
         };
@@ -278,6 +301,22 @@
     }
 }
 
+/// Whether the float of this holder's tenure pays for the attempt, or has paid.
+fn is_paid_by_float(holder: &SlotHolder, settle: &SettleRequest) -> bool {
+    let ledger = holder.ledger();
+    // A former holder's row is its successor's; its ledger is its own.
+    if settle.grant.pool != TokenPool::Float || settle.grant.tenure != ledger.tenure {
+        return false;
+    }
+    match ledger.request(&settle.identity) {
+        Some(RequestState::Reserved(held)) => {
+            held.attempt == settle.attempt && held.pool == TokenPool::Float
+        }
+        Some(RequestState::Settled(charge)) => charge.pool == TokenPool::Float,
+        _ => false,
+    }
+}
+
 /// Whether the attempt may be running, as far as this holder knows.
 fn is_held(holder: &SlotHolder, identity: &RequestIdentity, attempt: AttemptId) -> bool {
     let state = holder.ledger().request(identity);
--- a/crates/guavawell-fleet/src/slot/tests/former.rs
+++ b/crates/guavawell-fleet/src/slot/tests/former.rs
@@ -1,14 +1,13 @@
 //! Former holders of a seat that holds its slot again.
 //!
-//! A holder that was not told of its takeover before its router holds the slot
-//! again never learns of it: what it asks for is answered to the present
-//! holder. Charges of its tenure go to it for good, and its float is never
-//! reported. A report's outcome is told to the oldest former holder, whichever
-//! sent it. A charge that a retired holder passes on comes back to it as long
-//! as it waits for a float.
+//! A holder may not have heard of its takeover before its router holds the slot
+//! again, and several may wait for floats at once. Each reports its float, the
+//! present one records what the witnessed part pays, and no charge goes round
+//! between them.
 
 use guavawell_core::budget::HolderSettings;
 use guavawell_core::budget::ReserveGrant;
+use guavawell_core::budget::SettleAnswer;
 use guavawell_core::budget::TokenPool;
 use guavawell_core::id::TokenCount;
 
@@ -134,3 +133,21 @@
     assert_eq!(answer, Some(charged(30)));
     assert_settled(&mut pair, 10 + 20 + 30);
 }
+
+/// The slot was begun anew, which froze the whole grant: its former holder
+/// alone knows the attempt, and reports once that is charged.
+#[test]
+fn a_charge_to_a_grant_that_is_frozen_whole_is_reported() {
+    let mut pair = SeatPair::start(&no_float());
+    let grant = pair.reserve(0, 1);
+    pair.seize(1);
+    pair.learn_row(0);
+    pair.run(1, 2, 20);
+    pair.entrust(1);
+    pair.hand_over(1);
+    pair.tick(0);
+    assert!(pair.frozen() > TokenCount::ZERO);
+    let answer = pair.settle_through(1, &grant, 60);
+    assert_eq!(answer, Some(SettleAnswer::Unknown), "kept by its router");
+    assert_settled(&mut pair, 20 + 60);
+}
--- a/crates/guavawell-fleet/src/slot/tests/rig/mod.rs
+++ b/crates/guavawell-fleet/src/slot/tests/rig/mod.rs
@@ -142,6 +142,15 @@
         assert_eq!(self.slot_row.holder, life(NAMES[router]));
     }
 
+    /// A router begins the slot anew, as if holder and witness were lost.
+    pub fn seize(&mut self, router: usize) {
+        let row = self.slot_row.with_holder(life(NAMES[router]));
+        self.slot_row = row.clone();
+        assert!(self.seats[router].lock().claim_found(&row));
+        let ledger = SlotLedger::after_loss(row.tenure);
+        self.begin(router, row, ledger);
+    }
+
     /// A holder names the other router its witness, which the heir has to be
     /// before the slot is handed over.
     pub fn entrust(&mut self, router: usize) {
