--- a/crates/guavawell-core/tests/budget_regrant.rs
+++ b/crates/guavawell-core/tests/budget_regrant.rs
@@ -21,6 +21,7 @@
 
 use guavawell_core::budget::AskId;
 use guavawell_core::budget::BudgetRow;
+use guavawell_core::budget::ChangeKey;
 use guavawell_core::budget::FrozenReport;
 use guavawell_core::budget::HolderAnswer;
 use guavawell_core::budget::HolderEffect;
@@ -192,7 +193,8 @@
                         self.budget = row;
                     }
                     let view = self.budget.view(&change.slot);
-                    let event = HolderEvent::GrantChanged(budget, Ok(view));
+                    let key = ChangeKey::new(budget, &change);
+                    let event = HolderEvent::GrantChanged(key, Ok(view));
                     if is_former {
                         self.tell_former(event);
                     } else {
@@ -348,3 +350,28 @@
         "only what was granted before runs"
     );
 }
+
+/// The router that asks for attempt 9 had no answer of either holder. The
+/// former one repeats its grant, and the ask at the successor is given up after
+/// that, because its new witness does not answer.
+#[test]
+fn a_successor_does_not_give_up_what_its_former_holder_granted_again() {
+    let mut pair = TenurePair::parted(0);
+    pair.tell_successor(HolderEvent::ChangeWitness(Some(life("c"))));
+    pair.answers.clear();
+    pair.tell_successor(reserve(9));
+    assert!(pair.answers.is_empty(), "it waits for the witness");
+    pair.tell_former(reserve(9));
+    let grant = match pair.answers.pop() {
+        Some(HolderAnswer::Reserve(ReserveAnswer::Granted(grant))) => grant,
+        other => panic!("expected a grant, found {other:?}"),
+    };
+    assert_eq!(grant.holder, life("a"));
+    pair.now = pair.now + PAST_WITNESS;
+    pair.tell_successor(HolderEvent::Tick);
+    pair.answers.clear();
+    pair.tell_successor(settle(9, &grant, 6));
+    let answer = pair.settled();
+    let is_charged = matches!(answer, SettleAnswer::Pending { charged, .. } if charged.get() == 6);
+    assert!(is_charged, "{answer:?}");
+}
