Slots: a refused reservation is given back wherever it was asked

A router draws a new attempt for each reservation, so one that is refused never runs. It was given back only where no holder answered at all, and routers that did not answer were told only of a grant. Where one router was asked, did not answer, and another one refused (nobody reachable, exhausted, sealed, another attempt runs), the first kept the attempt reserved: tokens of the budget were held, and the request's id stayed taken, as long as the asking router lived. Found by reading; no run of the fault tests shows it.

The router now releases a refused attempt at each router that did not answer, and at the holder, if it asked more than one router. What only the refusing router was asked for is held nowhere, so refusals of a single ask cost no message more.

--- a/crates/guavawell-fleet/src/slot/toward.rs
+++ b/crates/guavawell-fleet/src/slot/toward.rs
@@ -56,6 +56,15 @@
     None,
 }
 
+/// Whom one ask was told, on the way to whoever holds the slot.
+#[derive(Default)]
+struct AskedRouters {
+    /// How often it was told.
+    count: usize,
+    /// Routers that did not answer.
+    unheard: Vec<InstanceId>,
+}
+
 /// What a reply says of its sender.
 enum HolderWord {
     /// It holds the slot, and answered.
@@ -76,30 +85,33 @@
 
     /// Reserves an attempt's worst case at the slot's holder.
     ///
-    /// An ask whose answer is lost may have been granted; it is given back in
-    /// the background, because the attempt will not be sent.
+    /// An attempt that is not granted is never sent. Where more than one router
+    /// was asked, any of them may hold it, so it is given back in the background.
     pub async fn reserve(self: &Arc<Self>, ask: ReserveRequest) -> ReserveAnswer {
         let slot = self.slot_of(&ask.identity.organisation);
         let told = PeerRequest::Reserve(SlotAsk::new(slot.clone(), ask.clone()));
-        let mut unheard = Vec::new();
+        let mut asked = AskedRouters::default();
         // Boxed: see `ask_holder`.
-        let reply = Box::pin(self.ask_hops(&slot, &told, &mut unheard)).await;
-        if let HolderReply::Answer(PeerReply::Reserve(answer)) = reply {
-            if let ReserveAnswer::Granted(grant) = &answer {
-                unheard.retain(|target| *target != grant.holder.instance);
-                self.disown(&slot, &ask, Some(grant.tenure), unheard);
-            }
-            return answer;
+        let reply = Box::pin(self.ask_hops(&slot, &told, &mut asked)).await;
+        let answer = match reply {
+            HolderReply::Answer(PeerReply::Reserve(answer)) => Some(answer),
+            _ => None,
+        };
+        if let Some(ReserveAnswer::Granted(grant)) = &answer {
+            let mut unheard = asked.unheard;
+            unheard.retain(|target| *target != grant.holder.instance);
+            self.disown(&slot, &ask, Some(grant.tenure), unheard);
+        } else if answer.is_none() || asked.count > 1 {
+            self.disown(&slot, &ask, None, asked.unheard);
+            self.release_later(ReleaseRequest {
+                identity: ask.identity,
+                attempt: ask.attempt,
+                before: None,
+            });
         }
-        self.disown(&slot, &ask, None, unheard);
-        self.release_later(ReleaseRequest {
-            identity: ask.identity,
-            attempt: ask.attempt,
-            before: None,
-        });
-        ReserveAnswer::Unreachable {
+        answer.unwrap_or(ReserveAnswer::Unreachable {
             retry_after: self.parts.holder.retry_after,
-        }
+        })
     }
 
     /// Tells routers that were asked and did not answer that the attempt runs by
@@ -235,23 +247,24 @@
         slot: &SlotId,
         ask: &PeerRequest,
     ) -> HolderReply {
-        let mut unheard = Vec::new();
+        let mut asked = AskedRouters::default();
         // Boxed: the way over other routers is too large for a request's stack frame.
-        Box::pin(self.ask_hops(slot, ask, &mut unheard)).await
+        Box::pin(self.ask_hops(slot, ask, &mut asked)).await
     }
 
-    /// As [`Self::ask_holder`]; `unheard` gets the routers that did not answer.
+    /// As [`Self::ask_holder`]; `asked` gets the routers that were asked.
     async fn ask_hops(
         self: &Arc<Self>,
         slot: &SlotId,
         ask: &PeerRequest,
-        unheard: &mut Vec<InstanceId>,
+        asked: &mut AskedRouters,
     ) -> HolderReply {
         let until = clock::now() + self.parts.times.ask_wait;
         let mut next = None;
         for hop in 0.. {
             let target = next.take().or_else(|| self.guess(slot, hop));
             if let Some(target) = target {
+                asked.count += 1;
                 let word = self.ask_one(slot, ask, &target).await.map(word_of);
                 match word {
                     Ok(HolderWord::Holder(answer)) => {
@@ -261,7 +274,7 @@
                     Ok(HolderWord::Elsewhere(hint)) => next = hint,
                     Err(_) => {
                         next = self.hasten(slot, &target).await;
-                        unheard.push(target);
+                        asked.unheard.push(target);
                     }
                 }
             }
