Holder: an attempt of a former tenure is never given up

Cause: a holder that is asked for an inherited attempt reserves it anew under its own tenure. If its witness is silent, the ask was then given up like a new one: the attempt moved to the float, or was released. But an inherited attempt may run under the former tenure's grant, whose holder repeats it as long as it has not heard of the takeover, and a late copy of the ask may come while it runs. The charge by the former grant then found nothing (Unknown), or the other pool (Settled 0); both are final.

The renewal and the ask wait apart now. While the witness is silent the ask is answered Unreachable; the renewal stays queued for the witness, the attempt stays reserved in the witnessed part, and it is granted only once the witness has the renewal. If the witness is silent already, nothing is renewed. So whichever grant the router runs by, its charge finds the attempt in the pool that it names.

--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -39,11 +39,12 @@
         if self.is_awaited(ask, &reserve) {
             return;
         }
-        if self.is_unsure(&reserve.identity) || self.is_join(&reserve) {
+        let is_unsure = self.is_unsure(&reserve.identity) || self.is_renewing(reserve.attempt);
+        if is_unsure || self.is_join(&reserve) {
             return self.join_later(ask, reserve, effects);
         }
         if let Some(held) = self.inherited(&reserve) {
-            return self.hold_anew(ask, &reserve.identity, held, effects);
+            return self.hold_anew(ask, reserve, held, effects);
         }
         if let Some(answer) = self.known_request(&reserve) {
             return answer_reserve(ask, answer, effects);
@@ -102,15 +103,22 @@
     /// Reserves an inherited attempt under the present tenure, so that its
     /// grant and its charge name this holder, and nothing that its former
     /// holder still says of it counts.
+    ///
+    /// The attempt may be running under the former tenure's grant, so it stays
+    /// reserved in the witnessed part whatever becomes of this ask: only its
+    /// router's release or charge ends it.
     fn hold_anew(
         &mut self,
         ask: AskId,
-        identity: &RequestIdentity,
+        reserve: ReserveRequest,
         held: ReservedAttempt,
         effects: &mut Vec<HolderEffect>,
     ) {
+        if self.silent {
+            return answer_reserve(ask, self.unreachable(), effects);
+        }
         self.record(LedgerEntry::Reserve {
-            identity: identity.clone(),
+            identity: reserve.identity.clone(),
             attempt: held.attempt,
             budget: held.budget,
             pool: held.pool,
@@ -118,10 +126,8 @@
             router: held.router,
             digest: held.digest,
         });
-        if self.silent {
-            return self.give_up_reserve(ask, identity, held.attempt, effects);
-        }
-        self.wait(WaitKind::Reserve(ask, identity.clone(), held.attempt));
+        self.wait(WaitKind::Renewal(held.attempt));
+        self.join_later(ask, reserve, effects);
     }
 
     /// Lets a repeated ask wait with the first one of its attempt.
@@ -169,7 +175,8 @@
         effects: &mut Vec<HolderEffect>,
     ) {
         let known = self.known_request(reserve);
-        let known = known.filter(|_| !self.deposed && !self.is_unsure(&reserve.identity));
+        let is_unsure = self.is_unsure(&reserve.identity) || self.is_renewing(reserve.attempt);
+        let known = known.filter(|_| !self.deposed && !is_unsure);
         answer_reserve(ask, known.unwrap_or_else(|| self.unreachable()), effects);
     }
 
--- a/crates/guavawell-core/src/budget/holder/wait.rs
+++ b/crates/guavawell-core/src/budget/holder/wait.rs
@@ -35,6 +35,8 @@
 pub(super) enum WaitKind {
     /// Answer a reservation.
     Reserve(AskId, RequestIdentity, AttemptId),
+    /// An inherited attempt is reserved under the present tenure.
+    Renewal(AttemptId),
     /// Decide a reservation anew: what is known of its request was not
     /// acknowledged when it was asked.
     Join(AskId, Box<ReserveRequest>),
@@ -89,6 +91,13 @@
         }
     }
 
+    /// Whether an inherited attempt is being reserved under the present tenure:
+    /// it is not granted before the witness has that.
+    pub(super) fn is_renewing(&self, attempt: AttemptId) -> bool {
+        let is_renewal = |wait: &HeldWait| matches!(&wait.kind, WaitKind::Renewal(renewed) if *renewed == attempt);
+        self.waits.iter().any(is_renewal)
+    }
+
     fn is_seal_unsure(&self, identity: &RequestIdentity) -> bool {
         let is_seal = |entry: &LedgerEntry| matches!(entry, LedgerEntry::Seal { identity: sealed } if sealed == identity);
         let mut sent = self.batch.iter().flat_map(|batch| &batch.record.entries);
@@ -197,6 +206,8 @@
                     .map_or_else(|| self.unreachable(), |held| self.granted(&held));
                 effects.push(HolderEffect::Answer(ask, HolderAnswer::Reserve(answer)));
             }
+            // What waited for it is decided next.
+            WaitKind::Renewal(_) => {}
             WaitKind::Join(ask, reserve) => self.finish_join(ask, *reserve, now, effects),
             WaitKind::Release(ask) => {
                 let answer = HolderAnswer::Release(ReleaseAnswer::Released);
@@ -275,7 +286,7 @@
                     effects.push(HolderEffect::Charged(notice));
                     continue;
                 }
-                WaitKind::Raise(..) | WaitKind::Lower(..) => continue,
+                WaitKind::Renewal(_) | WaitKind::Raise(..) | WaitKind::Lower(..) => continue,
             };
             effects.push(HolderEffect::Answer(ask, answer));
         }
--- a/crates/guavawell-core/tests/budget_regrant.rs
+++ b/crates/guavawell-core/tests/budget_regrant.rs
@@ -373,3 +373,43 @@
     let is_charged = matches!(answer, SettleAnswer::Pending { charged, .. } if charged.get() == 6);
     assert!(is_charged, "{answer:?}");
 }
+
+/// The witness that the successor named does not answer, so that attempt 9,
+/// which the former holder granted, can't be granted under its tenure. The
+/// router is told so at once from then on, and its release frees the tokens.
+#[test]
+fn an_attempt_that_a_successor_could_not_grant_is_freed_by_its_routers_release() {
+    let mut pair = TenurePair::parted(0);
+    pair.tell_successor(HolderEvent::ChangeWitness(Some(life("c"))));
+    pair.answers.clear();
+    pair.tell_successor(reserve(9));
+    pair.now = pair.now + PAST_WITNESS;
+    pair.tell_successor(HolderEvent::Tick);
+    pair.tell_successor(reserve(9));
+    assert_eq!(pair.answers.len(), 2, "{:?}", pair.answers);
+    let is_unreachable = |answer: &HolderAnswer| {
+        matches!(
+            answer,
+            HolderAnswer::Reserve(ReserveAnswer::Unreachable { .. })
+        )
+    };
+    assert!(
+        pair.answers.iter().all(is_unreachable),
+        "{:?}",
+        pair.answers
+    );
+    let never_run = ReleaseRequest {
+        identity: identity(9),
+        attempt: AttemptId::new(9),
+        before: None,
+    };
+    let successor = pair.successor.as_ref().expect("a successor");
+    let is_held = |holder: &SlotHolder| {
+        let mut held = holder.ledger().reserved_attempts();
+        held.any(|(held, _)| *held == identity(9))
+    };
+    assert!(is_held(successor), "it may be running");
+    pair.tell_successor(HolderEvent::Release(AskId::new(3), never_run));
+    let successor = pair.successor.as_ref().expect("a successor");
+    assert!(!is_held(successor));
+}
