Holder: a grant from a former float names that float's holder

What callers and operators saw: an answer whole and billed, and its tokens missing in the budget's row. A router that had no answer of a holder which granted from its float asked the successor, which knew the attempt, and was granted it in the successor's name.

Cause: `granted` named the present holder for every attempt of its ledger. A charge goes to the holder that its grant names and to whoever holds the slot. The successor counts nothing of a frozen float, and the former holder, which alone reports it, was never told. Orphans named the present holder too, and the release of one never reached the float.

Ledgers name the holders of earlier tenures now, as long as an attempt in the float of that tenure is known; the witness that takes over adds the holder that it replaces. Grants and orphans carry that holder; a release of an orphan goes the way of a granted one. An attempt whose float's holder is not known (a ledger of an older build) is answered Unreachable, and its router gives it back. The field goes with the JSON text of a ledger handover only if there is something to name; older builds ignore it.

--- a/crates/guavawell-core/src/budget/holder/ask.rs
+++ b/crates/guavawell-core/src/budget/holder/ask.rs
@@ -328,9 +328,14 @@
         }
     }
 
+    /// The grant of an attempt that is reserved; an attempt in a frozen float
+    /// whose holder is not known is not granted.
     pub(super) fn granted(&self, held: &ReservedAttempt) -> ReserveAnswer {
+        let Some(holder) = self.granter(held) else {
+            return self.unreachable();
+        };
         ReserveAnswer::Granted(ReserveGrant {
-            holder: self.row.holder.clone(),
+            holder: holder.clone(),
             tenure: held.tenure,
             pool: held.pool,
             amount: held.amount,
--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -241,6 +241,17 @@
             .filter(move |(_, held)| held.router == *router)
     }
 
+    /// The holder that answers for an attempt of the ledger: this one, or the
+    /// former one whose frozen float pays for it. `None` if that one is not known.
+    #[must_use]
+    pub fn granter(&self, held: &ReservedAttempt) -> Option<&InstanceIncarnation> {
+        if self.ledger.is_frozen(held) {
+            self.ledger.float_holder(held)
+        } else {
+            Some(&self.row.holder)
+        }
+    }
+
     /// What a budget may spend here at once, in both pools.
     #[must_use]
     pub fn free_tokens(&self, budget: &BudgetId) -> TokenCount {
--- a/crates/guavawell-core/src/budget/ledger.rs
+++ b/crates/guavawell-core/src/budget/ledger.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use super::account::BudgetAccount;
+use super::former::FormerHolder;
 use super::message::TokenPool;
 use super::record::LedgerEntry;
 use super::row::FormerUse;
@@ -78,6 +79,11 @@
             TokenCount::ZERO
         }
     }
+
+    /// Whether the float of `tenure` pays for the attempt.
+    pub(super) fn is_in_float_of(&self, tenure: SlotEpoch) -> bool {
+        self.pool == TokenPool::Float && self.tenure == tenure
+    }
 }
 
 /// The charge of a request.
@@ -104,6 +110,9 @@
     pub tenure: SlotEpoch,
     /// Use in tenures before this one is unknown.
     pub unknown_before: SlotEpoch,
+    /// Holders of earlier tenures whose float pays for attempts, sorted by tenure.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub former_holders: Vec<FormerHolder>,
     /// Accounts, sorted by budget.
     pub accounts: Vec<BudgetAccount>,
     /// Requests, sorted by identity.
@@ -117,6 +126,7 @@
         Self {
             tenure,
             unknown_before: SlotEpoch::new(0),
+            former_holders: Vec::new(),
             accounts: Vec::new(),
             requests: Vec::new(),
         }
--- a/crates/guavawell-core/src/budget/mod.rs
+++ b/crates/guavawell-core/src/budget/mod.rs
@@ -13,6 +13,7 @@
 //! socket, starts no thread and draws no random number.
 
 mod account;
+mod former;
 mod holder;
 mod intent;
 mod ledger;
@@ -24,6 +25,7 @@
 
 pub use account::BudgetAccount;
 pub use account::TenureCounters;
+pub use former::FormerHolder;
 pub use holder::AskId;
 pub use holder::ChargeNotice;
 pub use holder::HolderAnswer;
--- a/crates/guavawell-core/src/budget/witness.rs
+++ b/crates/guavawell-core/src/budget/witness.rs
@@ -259,6 +259,7 @@
             .position(|replica| matches_row(&replica.stamp, ended));
         if let Some(index) = found {
             let mut ledger = self.replicas.remove(index).ledger;
+            ledger.end_tenure(ended.holder.clone());
             ledger.begin_tenure(row.tenure);
             effects.push(WitnessEffect::Begin(row.clone(), Box::new(ledger)));
         }
--- a/crates/guavawell-fleet/src/slot/resolve.rs
+++ b/crates/guavawell-fleet/src/slot/resolve.rs
@@ -37,6 +37,17 @@
     pub holder: InstanceIncarnation,
 }
 
+impl OrphanedAttempt {
+    fn grant(&self) -> ReserveGrant {
+        ReserveGrant {
+            holder: self.holder.clone(),
+            tenure: self.held.tenure,
+            pool: self.held.pool,
+            amount: self.held.amount,
+        }
+    }
+}
+
 impl SlotDriver {
     /// Attempts held here whose routers are gone.
     #[must_use]
@@ -53,21 +64,19 @@
     pub async fn resolve(self: &Arc<Self>, orphan: &OrphanedAttempt, found: ResolvedAttempt) {
         match found {
             ResolvedAttempt::InDoubt => {}
-            ResolvedAttempt::NotRun => self.release_later(ReleaseRequest {
-                identity: orphan.identity.clone(),
-                attempt: orphan.held.attempt,
-                before: None,
-            }),
+            ResolvedAttempt::NotRun => {
+                let ask = ReleaseRequest {
+                    identity: orphan.identity.clone(),
+                    attempt: orphan.held.attempt,
+                    before: None,
+                };
+                self.release_granted(ask, &orphan.grant());
+            }
             ResolvedAttempt::Done(actual) => {
                 let ask = SettleRequest {
                     identity: orphan.identity.clone(),
                     attempt: orphan.held.attempt,
-                    grant: ReserveGrant {
-                        holder: orphan.holder.clone(),
-                        tenure: orphan.held.tenure,
-                        pool: orphan.held.pool,
-                        amount: orphan.held.amount,
-                    },
+                    grant: orphan.grant(),
                     actual,
                     backend: orphan.held.backend.clone(),
                 };
@@ -78,7 +87,7 @@
     }
 }
 
-fn collect(
+pub(super) fn collect(
     seat: &SlotSeat,
     orphans: &mut Vec<OrphanedAttempt>,
     is_alive: impl Fn(&InstanceIncarnation) -> bool,
@@ -92,6 +101,6 @@
     orphans.extend(gone.map(|(identity, held)| OrphanedAttempt {
         identity: identity.clone(),
         held: held.clone(),
-        holder: holder.row().holder.clone(),
+        holder: holder.granter(held).unwrap_or(&holder.row().holder).clone(),
     }));
 }
--- a/crates/guavawell-fleet/src/slot/tests.rs
+++ b/crates/guavawell-fleet/src/slot/tests.rs
@@ -17,6 +17,7 @@
 
 mod former;
 mod inherited;
+mod orphan;
 mod rig;
 mod tenure;
 
