Log which tenure's holder takes a charge

One router may have several holders of a slot, one for each of its tenures. 'slot.former_stays' names a former one that stays when its router holds the slot again, and whether it knew that it had lost it; 'charge.taken' names the tenure whose holder a charge goes to.

--- a/crates/guavawell-fleet/src/slot/answer.rs
+++ b/crates/guavawell-fleet/src/slot/answer.rs
@@ -18,7 +18,9 @@
 use guavawell_core::id::OrganisationId;
 
 use super::driver::SlotDriver;
+use super::seat::SlotSeat;
 use crate::clock;
+use crate::event::EventDraft;
 use crate::peer::PeerRefusal;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
@@ -97,6 +99,7 @@
         if let Some(refusal) = self.journal_refusal(&seat, &ask) {
             return refusal;
         }
+        self.note_charge(&seat, &ask);
         let asked = seat.lock().ask(|id| holder_event(id, ask), clock::now());
         let Some((effects, receiver)) = asked else {
             return refusal;
@@ -108,6 +111,27 @@
         }
     }
 
+    /// Logs which tenure's holder a charge goes to: one router may have
+    /// several of a slot.
+    fn note_charge(&self, seat: &SlotSeat, ask: &PeerRequest) {
+        let PeerRequest::Settle(settle) = ask else {
+            return;
+        };
+        let ask = &settle.ask;
+        let Some(holder) = seat.lock().charged_holder(ask.grant.tenure) else {
+            return;
+        };
+        let draft = EventDraft::new("charge.taken")
+            .organisation(&ask.identity.organisation)
+            .request(&ask.identity.request)
+            .attempt(ask.attempt)
+            .field("slot", &seat.slot)
+            .field("granted_in", ask.grant.tenure)
+            .field("taken_by", holder.tenure)
+            .field("retired", holder.is_retired);
+        self.parts.events.emit(draft);
+    }
+
     /// "This router does not hold the slot", in the form that the ask wants.
     fn not_here(&self, slot: &SlotId, ask: &PeerRequest) -> PeerReply {
         let known = self.directory.holder(slot);
--- a/crates/guavawell-fleet/src/slot/driver.rs
+++ b/crates/guavawell-fleet/src/slot/driver.rs
@@ -216,7 +216,14 @@
             ledger,
             clock::now(),
         );
-        seat.lock().begin(holder);
+        let former = seat.lock().begin(holder);
+        if let Some(former) = former {
+            let event = EventDraft::new("slot.former_stays")
+                .field("slot", &seat.slot)
+                .field("tenure", former.tenure)
+                .field("retired", former.is_retired);
+            self.parts.events.emit(event);
+        }
     }
 
     /// Carries out what a holder wants done.
--- a/crates/guavawell-fleet/src/slot/seat.rs
+++ b/crates/guavawell-fleet/src/slot/seat.rs
@@ -53,6 +53,22 @@
     next_ask: u64,
 }
 
+/// A holder of a seat, as the event log tells of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SeatHolder {
+    pub(super) tenure: SlotEpoch,
+    pub(super) is_retired: bool,
+}
+
+impl SeatHolder {
+    fn of(holder: &SlotHolder) -> Self {
+        Self {
+            tenure: holder.ledger().tenure,
+            is_retired: holder.is_retired(),
+        }
+    }
+}
+
 /// A witness that was named, and when.
 #[derive(Debug)]
 struct WitnessChoice {
@@ -170,13 +186,23 @@
     }
 
     /// Puts a new holder in; a former one stays until its floats are reported.
-    pub(super) fn begin(&mut self, holder: SlotHolder) {
+    /// Returns what is known of the former one that stays.
+    pub(super) fn begin(&mut self, holder: SlotHolder) -> Option<SeatHolder> {
         self.change = None;
-        if let Some(former) = self.holder.replace(holder)
-            && !former.is_finished()
-        {
-            self.former.push(former);
+        let former = self.holder.replace(holder)?;
+        if former.is_finished() {
+            return None;
         }
+        let seen = SeatHolder::of(&former);
+        self.former.push(former);
+        Some(seen)
+    }
+
+    /// The holder that a charge under a grant of `tenure` goes to.
+    pub(super) fn charged_holder(&self, tenure: SlotEpoch) -> Option<SeatHolder> {
+        let is_former = |holder: &&SlotHolder| holder.ledger().tenure == tenure;
+        let former = self.former.iter().find(is_former);
+        former.or(self.holder.as_ref()).map(SeatHolder::of)
     }
 
     /// Tells the holder an event; `None` if this router holds no such slot.
