--- a/crates/guavawell-demo/tests/fault/main.rs
+++ b/crates/guavawell-demo/tests/fault/main.rs
@@ -13,6 +13,7 @@
 mod outage;
 mod pair;
 mod partition;
+mod provoke;
 mod recovery;
 mod relay;
 mod shutdown;
