Log the answer to a late report, and who is told of it

A router with several former holders of a slot tells one of them. The line names the tenure that reported and the tenure that is told: where they differ, the former holder that reported goes on reporting and stays.

--- a/crates/guavawell-fleet/src/slot/driver.rs
+++ b/crates/guavawell-fleet/src/slot/driver.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use guavawell_core::budget::FrozenReport;
 use guavawell_core::budget::HolderEffect;
 use guavawell_core::budget::HolderEvent;
 use guavawell_core::budget::HolderNote;
@@ -13,6 +14,7 @@
 use guavawell_core::budget::SlotLedger;
 use guavawell_core::budget::SlotRow;
 use guavawell_core::budget::SlotWitness;
+use guavawell_core::budget::TableFailure;
 use guavawell_core::budget::TableIntent;
 use guavawell_core::budget::WitnessEffect;
 use guavawell_core::budget::WitnessEvent;
@@ -324,12 +326,37 @@
             }
             TableIntent::ReportFrozen { budget, report } => {
                 let reported = table.report_frozen(&budget, &report).await;
+                self.note_report(&budget, &report, reported);
                 HolderEvent::FrozenReported(budget, reported)
             }
         };
         Some(event)
     }
 
+    /// Logs the table's answer to a former holder's late report, and which
+    /// tenure's holder is told of it.
+    fn note_report(
+        &self,
+        budget: &BudgetId,
+        report: &FrozenReport,
+        outcome: Result<(), TableFailure>,
+    ) {
+        let seat = self.seat(&report.slot);
+        let told = seat.and_then(|seat| seat.lock().reported_holder());
+        let mut draft = EventDraft::new("slot.late_report")
+            .budget(budget)
+            .field("slot", &report.slot)
+            .field("tenure", report.tenure)
+            .field("float_settled", report.float_settled)
+            .field("answer", format!("{outcome:?}"));
+        if let Some(told) = told {
+            draft = draft
+                .field("told", told.tenure)
+                .field("retired", told.is_retired);
+        }
+        self.parts.events.emit(draft);
+    }
+
     fn spawn_witness_intent(self: &Arc<Self>, seat: &Arc<SlotSeat>, intent: TableIntent) {
         let driver = Arc::clone(self);
         let seat = Arc::clone(seat);
--- a/crates/guavawell-fleet/src/slot/seat.rs
+++ b/crates/guavawell-fleet/src/slot/seat.rs
@@ -230,6 +230,12 @@
         }
     }
 
+    /// The holder that is told of an answer to a late report.
+    pub(super) fn reported_holder(&self) -> Option<SeatHolder> {
+        let told = self.former.first().or(self.holder.as_ref());
+        told.map(SeatHolder::of)
+    }
+
     /// Tells the holder an ask; the receiver gets its answer.
     pub(super) fn ask(
         &mut self,
