--- a/crates/guavawell-demo/tests/fault/provoke.rs
+++ b/crates/guavawell-demo/tests/fault/provoke.rs
@@ -128,7 +128,9 @@
                 let mut routers = env.fleet.routers.iter().enumerate();
                 let victim = routers.find(|(index, router)| router.zone == 0 && *index != holder);
                 let victim = victim.map(|(index, _)| index);
-                victim.into_iter().for_each(|victim| env.fleet.kill(victim));
+                if let Some(victim) = victim {
+                    env.fleet.kill(victim);
+                }
                 self.is_killed = true;
             }
             self.begin(env);
