--- a/crates/guavawell-demo/tests/fault/provoke.rs
+++ b/crates/guavawell-demo/tests/fault/provoke.rs
@@ -145,14 +145,22 @@
     }
 }
 
-async fn starve(seed: u64, is_churning: bool) {
-    let requests = if is_churning { 240 } else { 60 };
+async fn starve(seed: u64, is_churning: bool, is_idle_first: bool) {
+    let requests = if is_churning && !is_idle_first {
+        240
+    } else {
+        60
+    };
     let mut env = FaultEnv::start_with(FleetSettings {
         routers: 3,
         engines: 1,
         ..settings()
     })
     .await;
+    if is_idle_first {
+        let owner = env.holder(0);
+        there_and_back(&mut env, owner).await;
+    }
     let load = env.begin(FaultLoad {
         requests: requests as u64,
         max_tries: 200,
@@ -181,14 +189,22 @@
 #[test]
 #[ignore = "a trial, started by hand with a seed"]
 fn starved() {
-    run(starve(seed(), false));
+    run(starve(seed(), false, false));
 }
 
 /// The holder paused again and again, so that its slot changes hands.
 #[test]
 #[ignore = "a trial, started by hand with a seed"]
 fn churned() {
-    run(starve(seed(), true));
+    run(starve(seed(), true, false));
+}
+
+/// As [`churned`], with the listed test's load, after the idle slot left its
+/// holder and came back.
+#[test]
+#[ignore = "a trial, started by hand with a seed"]
+fn left_behind() {
+    run(starve(seed(), true, true));
 }
 
 /// Lets a zone's slot go from its owner to others and back, by a pause.
