--- a/crates/guavawell-fleet/src/slot/driver.rs
+++ b/crates/guavawell-fleet/src/slot/driver.rs
@@ -4,6 +4,7 @@
 
 use arc_swap::ArcSwap;
 use guavawell_core::budget::ChangeKey;
+use guavawell_core::budget::FrozenReport;
 use guavawell_core::budget::HolderEffect;
 use guavawell_core::budget::HolderEvent;
 use guavawell_core::budget::HolderNote;
@@ -15,11 +16,13 @@
 use guavawell_core::budget::SlotLedger;
 use guavawell_core::budget::SlotRow;
 use guavawell_core::budget::SlotWitness;
+use guavawell_core::budget::TableFailure;
 use guavawell_core::budget::TableIntent;
 use guavawell_core::budget::WitnessEffect;
 use guavawell_core::budget::WitnessEvent;
 use guavawell_core::budget::WitnessMessage;
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::id::BudgetId;
 use guavawell_core::id::TokenCount;
 use guavawell_core::id::ZoneId;
 use guavawell_core::instance::MemberView;
@@ -313,12 +316,29 @@
             }
             TableIntent::ReportFrozen { budget, report } => {
                 let reported = table.report_frozen(&budget, &report).await;
+                self.note_report(&budget, &report, reported);
                 HolderEvent::FrozenReported(ReportKey::new(budget, &report), reported)
             }
         };
         Some(event)
     }
 
+    /// Logs the table's answer to a former holder's late report.
+    fn note_report(
+        &self,
+        budget: &BudgetId,
+        report: &FrozenReport,
+        outcome: Result<(), TableFailure>,
+    ) {
+        let draft = EventDraft::new("slot.late_report")
+            .budget(budget)
+            .field("slot", &report.slot)
+            .field("tenure", report.tenure)
+            .field("float_settled", report.float_settled)
+            .field("answer", format!("{outcome:?}"));
+        self.parts.events.emit(draft);
+    }
+
     fn spawn_witness_intent(self: &Arc<Self>, seat: &Arc<SlotSeat>, intent: TableIntent) {
         let driver = Arc::clone(self);
         let seat = Arc::clone(seat);
--- a/crates/guavawell-fleet/src/slot/tests/orphan.rs
+++ b/crates/guavawell-fleet/src/slot/tests/orphan.rs
@@ -48,7 +48,8 @@
     let seat = SlotSeat::new(slot.clone(), witness);
     let settings = Arc::new(HolderSettings::default());
     let holder = SlotHolder::new(settings, slot, row, ledger, NOW);
-    seat.lock().begin(holder);
+    let effects = seat.lock().begin(holder, NOW);
+    assert!(effects.is_empty());
     let mut orphans = Vec::new();
     collect(&seat, &mut orphans, |router| *router != life("dead"));
     let mut holders: Vec<(u128, &str)> = orphans
