--- a/crates/guavawell-core/tests/forward/evacuation.rs
+++ b/crates/guavawell-core/tests/forward/evacuation.rs
@@ -1,5 +1,7 @@
 //! Servers of evacuated zones and of other regions get no requests.
 
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ChoiceError;
 use guavawell_core::forward::EvacuationList;
 use guavawell_core::forward::HomeRegions;
@@ -7,6 +9,7 @@
 use guavawell_core::forward::ServerObstacle;
 use guavawell_core::forward::ZoneEvacuations;
 use guavawell_core::forward::ZoneRegions;
+use guavawell_core::forward::ZoneReturn;
 use guavawell_core::forward::ZoneState;
 use guavawell_core::id::RegionId;
 
@@ -107,6 +110,38 @@
     assert!(evacuations.learn(list(10)).began.is_empty());
 }
 
+/// A return of zone z1.
+fn zone_return(revision: u64, at: ClockTime) -> ZoneReturn {
+    ZoneReturn {
+        zone: zone("z1"),
+        revision,
+        at,
+    }
+}
+
+// Guards against a return that is no longer passed on, though it was read from the
+// store, because another instance knew its time better.
+#[test]
+fn a_return_read_from_the_store_is_passed_on_with_the_time_that_an_instance_told() {
+    let mut evacuations = ZoneEvacuations::default();
+    assert!(evacuations.note_return(zone_return(9, START + ClockSpan::from_millis(400))));
+    assert!(evacuations.learn_return(zone_return(9, START)));
+    assert_eq!(evacuations.stored_returns(), [zone_return(9, START)]);
+}
+
+// Guards against a false return of another instance that hides all later ones.
+#[test]
+fn a_false_return_of_another_instance_does_not_outlast_the_stores_response() {
+    let mut evacuations = ZoneEvacuations::default();
+    evacuations.replace(&[], 5);
+    evacuations.learn_return(zone_return(u64::MAX, START));
+    evacuations.replace(&[], 8);
+    let later = zone_return(9, START + ClockSpan::from_millis(400));
+    assert!(evacuations.note_return(later.clone()));
+    assert_eq!(evacuations.last_return(&zone("z1")), Some(&later));
+    assert_eq!(evacuations.stored_returns(), [later]);
+}
+
 #[test]
 fn home_regions_of_route_and_organisation_both_apply() {
     let (here, there) = (region("here"), region("there"));
