Cold servers: while changes of evacuated zones are unread, older entries count as cold

Cause: what is unread was a state of the process (ready or not), and a return had no source. So either all waited or nothing was limited, and the revision of a list passed for that of a return. Change (core forward::returns): - Unread changes are a gap between two revisions. Entries that are not newer than it count as cold until it is closed by the history, by another instance that knows all changes up to its end, or by the cold time. Only readiness still waits, where no service has a usable server. The refusal zones_unknown is gone. - A return has a source: the exact revision of the removed row replaces that of a list, what the store has told is passed on, and what instances tell of revisions that the store has not reached is dropped at its next response. - A request for which all servers count as cold waits once for the history or the list, a quarter of its time at most, and is checked again by the configuration. - Other instances are asked for the time of returns beside the reading of later history, and only while a server is concerned. - Queries of the history that fail are repeated ever more seldom, with jitter. Why it works: a server that may be cold is limited as a cold one from the moment at which its entry is known to be too old, and nothing else is.

--- a/crates/guavawell-core/src/forward/evacuation.rs
+++ b/crates/guavawell-core/src/forward/evacuation.rs
@@ -6,7 +6,9 @@
 //! it. An instance that the store does not answer learns the evacuated zones
 //! from another instance; the store's next response replaces them.
 
-use crate::clock::ClockTime;
+use crate::forward::ReturnSource;
+use crate::forward::ZoneReturn;
+use crate::forward::ZoneReturns;
 use crate::id::ZoneId;
 
 /// The evacuated zones as of one revision of the store.
@@ -28,26 +30,6 @@
     pub ended: Vec<ZoneId>,
 }
 
-/// The end of a zone's evacuation. The zone's servers are cold from then on,
-/// whatever entries from before it say.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ZoneReturn {
-    /// The zone.
-    pub zone: ZoneId,
-    /// Revision of the store at that time, or a later one.
-    pub revision: u64,
-    /// That time, or a later one.
-    pub at: ClockTime,
-}
-
-/// An end of an evacuation, and who told this instance.
-#[derive(Clone, Debug)]
-struct KnownReturn {
-    zone_return: ZoneReturn,
-    /// Whether it was read from the store.
-    is_stored: bool,
-}
-
 /// The state of one zone in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZoneState {
@@ -70,8 +52,8 @@
     learned: Option<EvacuationList>,
     /// The evacuated zones, sorted.
     current: Vec<ZoneId>,
-    /// The last end of each zone's evacuation.
-    returns: Vec<KnownReturn>,
+    /// The ends of evacuations.
+    returns: ZoneReturns,
 }
 
 impl ZoneEvacuations {
@@ -93,6 +75,14 @@
         self.revision
     }
 
+    /// Revision as of which the evacuated zones are known, from the store or from
+    /// another instance.
+    #[must_use]
+    pub fn known_revision(&self) -> u64 {
+        let learned = self.learned.as_ref().map_or(0, |list| list.revision);
+        self.revision.max(learned)
+    }
+
     /// Revision of a zone's state, as read from the store.
     #[must_use]
     pub fn state_revision(&self, zone: &ZoneId) -> Option<u64> {
@@ -112,50 +102,40 @@
         }
     }
 
+    /// The ends of evacuations.
+    #[must_use]
+    pub const fn returns(&self) -> &ZoneReturns {
+        &self.returns
+    }
+
+    /// Mutable access to [`returns`](Self::returns).
+    pub const fn returns_mut(&mut self) -> &mut ZoneReturns {
+        &mut self.returns
+    }
+
     /// Records the end of a zone's evacuation, read from the store. Returns whether
     /// it says more than what was known.
     pub fn note_return(&mut self, zone_return: ZoneReturn) -> bool {
-        self.add_return(zone_return, true)
+        self.returns.add(zone_return, ReturnSource::Store)
     }
 
     /// Records the end of a zone's evacuation that another instance told. Returns
     /// whether it says more than what was known.
     pub fn learn_return(&mut self, zone_return: ZoneReturn) -> bool {
-        self.add_return(zone_return, false)
+        self.returns.add(zone_return, ReturnSource::Instance)
     }
 
     /// The last known end of a zone's evacuation.
     #[must_use]
     pub fn last_return(&self, zone: &ZoneId) -> Option<&ZoneReturn> {
-        let mut returns = self.returns.iter().map(|known| &known.zone_return);
-        returns.find(|known| known.zone == *zone)
+        self.returns.last(zone)
     }
 
     /// The ends of evacuations that may be sent to other instances, as for
     /// [`stored_list`](Self::stored_list).
     #[must_use]
     pub fn stored_returns(&self) -> Vec<ZoneReturn> {
-        let stored = self.returns.iter().filter(|known| known.is_stored);
-        stored.map(|known| known.zone_return.clone()).collect()
-    }
-
-    /// A later revision may be that of a further return, so it counts before an
-    /// earlier time.
-    fn add_return(&mut self, zone_return: ZoneReturn, is_stored: bool) -> bool {
-        let is_known = self.last_return(&zone_return.zone).is_some_and(|known| {
-            known.revision > zone_return.revision
-                || (known.revision == zone_return.revision && known.at <= zone_return.at)
-        });
-        if is_known {
-            return false;
-        }
-        let zone = zone_return.zone.clone();
-        self.returns.retain(|known| known.zone_return.zone != zone);
-        self.returns.push(KnownReturn {
-            zone_return,
-            is_stored,
-        });
-        true
+        self.returns.stored()
     }
 
     /// Applies the store's complete list as of a revision. Zones missing from it
@@ -193,8 +173,7 @@
     /// Applies the list of another instance, if it is newer than the store's
     /// last response.
     pub fn learn(&mut self, list: EvacuationList) -> EvacuationChange {
-        let learned_revision = self.learned.as_ref().map_or(0, |learned| learned.revision);
-        if list.revision > self.revision.max(learned_revision) {
+        if list.revision > self.known_revision() {
             self.learned = Some(list);
         }
         self.update_current()
@@ -216,6 +195,7 @@
     fn store_answered(&mut self, revision: u64) -> EvacuationChange {
         self.revision = self.revision.max(revision);
         self.learned = None;
+        self.returns.drop_later_told(self.revision);
         self.update_current()
     }
 
--- a/crates/guavawell-core/src/forward/refusal.rs
+++ b/crates/guavawell-core/src/forward/refusal.rs
@@ -7,9 +7,6 @@
 pub enum ForwardRefusal {
     /// No configuration is known yet.
     NoConfig,
-    /// It is not known yet which availability zones were taken back after an
-    /// evacuation, and so which backend servers are cold.
-    ZonesUnknown,
     /// No route matches host and path.
     NoRoute,
     /// The key is missing or unknown.
@@ -58,7 +55,6 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NoConfig => "no_config",
-            Self::ZonesUnknown => "zones_unknown",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::Malformed => "malformed",
@@ -94,7 +90,6 @@
     const fn plain_status(self) -> u16 {
         match self {
             Self::NoConfig
-            | Self::ZonesUnknown
             | Self::NoMemory
             | Self::BudgetUnavailable
             | Self::NoServer
--- a/crates/guavawell-core/src/forward/table.rs
+++ b/crates/guavawell-core/src/forward/table.rs
@@ -81,14 +81,19 @@
         })
     }
 
-    /// The oldest revision of the entries of the services for which `is_wanted`
-    /// holds; `None` if they have no servers.
+    /// The oldest revision of the entries of servers that accept requests, of the
+    /// services for which `is_wanted` holds; `None` if there are none.
     #[must_use]
-    pub fn oldest_listing(&self, is_wanted: impl Fn(&ServiceId) -> bool) -> Option<u64> {
-        let wanted = self
+    pub fn oldest_listing(
+        &self,
+        now: ClockTime,
+        is_wanted: impl Fn(&ServiceId) -> bool,
+    ) -> Option<u64> {
+        let serving = self
             .servers
             .iter()
-            .filter(|entry| is_wanted(&entry.service));
+            .filter(|entry| entry.takes_requests(now));
+        let wanted = serving.filter(|entry| is_wanted(&entry.service));
         wanted.map(|entry| entry.warmth.listed_revision()).min()
     }
 
@@ -96,36 +101,39 @@
     /// unless it restarts.
     #[must_use]
     pub fn warm_at(&self, entry: &ServerEntry, span: ClockSpan) -> ClockTime {
-        let returned = self.return_after_listing(entry);
-        let inferred = returned.map_or(ClockTime::default(), |known| known.at + span);
+        let returned_at = self.taken_back_at(entry);
+        let inferred = returned_at.map_or(ClockTime::default(), |at| at + span);
         entry.warmth.warm_at().max(inferred)
     }
 
-    /// The return of a server's zone, if the server's entry is not newer.
-    fn return_after_listing(&self, entry: &ServerEntry) -> Option<&ZoneReturn> {
-        let returned = self.evacuations.last_return(&entry.zone);
-        returned.filter(|known| entry.warmth.listed_revision() <= known.revision)
+    /// When the zone of a server was taken back at the latest, unless the server's
+    /// entry is newer.
+    fn taken_back_at(&self, entry: &ServerEntry) -> Option<ClockTime> {
+        let returns = self.evacuations.returns();
+        returns.taken_back_at(&entry.zone, entry.warmth.listed_revision())
     }
 
     /// Whether all servers of a service that accept requests count as cold because
-    /// their zones were taken back after they wrote their entries. `span` is how
-    /// long the service's servers are cold.
+    /// their zones were taken back, or may have been, after they wrote their entries.
+    /// `span` is how long the service's servers are cold.
     #[must_use]
     pub fn all_presumed_cold(&self, service: &ServiceId, span: ClockSpan, now: ClockTime) -> bool {
         let serves = |entry: &&ServerEntry| entry.service == *service && entry.takes_requests(now);
         let mut serving = self.servers.iter().filter(serves).peekable();
-        let is_presumed = |entry: &ServerEntry| {
-            let returned = self.return_after_listing(entry);
-            returned.is_some_and(|known| now < known.at + span)
-        };
-        serving.peek().is_some() && serving.all(is_presumed)
+        serving.peek().is_some() && serving.all(|entry| self.is_presumed_cold(entry, span, now))
     }
 
-    /// Whether any server's zone was taken back after the server wrote its entry.
+    /// Whether any server of a service counts as cold because its zone was taken back
+    /// after it wrote its entry.
     #[must_use]
-    pub fn has_return_after_listing(&self) -> bool {
-        let mut servers = self.servers.iter();
-        servers.any(|entry| self.return_after_listing(entry).is_some())
+    pub fn any_presumed_cold(&self, service: &ServiceId, span: ClockSpan, now: ClockTime) -> bool {
+        let serves = |entry: &&ServerEntry| entry.service == *service && entry.takes_requests(now);
+        let mut serving = self.servers.iter().filter(serves);
+        serving.any(|entry| self.is_presumed_cold(entry, span, now))
+    }
+
+    fn is_presumed_cold(&self, entry: &ServerEntry, span: ClockSpan, now: ClockTime) -> bool {
+        self.taken_back_at(entry).is_some_and(|at| now < at + span)
     }
 
     /// Whether a server is cold, as far as it is known.
--- a/crates/guavawell-forward/src/config/mod.rs
+++ b/crates/guavawell-forward/src/config/mod.rs
@@ -65,8 +65,9 @@
     /// The evacuated zones, which are read from the same table; `None` if the
     /// sender does not tell them.
     pub evacuations: Option<EvacuationList>,
-    /// The ends of evacuations that the sender has read.
-    pub returns: Vec<PeerReturn>,
+    /// The ends of evacuations that the sender has read; `None` if it does not tell
+    /// them, or has not read all changes.
+    pub returns: Option<Vec<PeerReturn>>,
 }
 
 /// The end of a zone's evacuation, as one instance tells another.
@@ -99,8 +100,9 @@
     stored: RefCell<Option<CachedConfig>>,
     /// The evacuated zones as last read from the store.
     evacuations: RefCell<EvacuationList>,
-    /// The ends of evacuations that were read from the store.
-    returns: RefCell<Vec<ZoneReturn>>,
+    /// The ends of evacuations that were read from the store; `None` if some may be
+    /// missing.
+    returns: RefCell<Option<Vec<ZoneReturn>>>,
     /// Age of the configuration beyond which an answer of the store is overdue.
     overdue_after: ClockSpan,
     /// Time after which a poll of the store without an answer counts as failed.
@@ -142,7 +144,7 @@
 
     /// Sets the evacuated zones and the ends of evacuations as read from the store,
     /// for other instances.
-    pub fn set_evacuations(&self, list: EvacuationList, returns: Vec<ZoneReturn>) {
+    pub fn set_evacuations(&self, list: EvacuationList, returns: Option<Vec<ZoneReturn>>) {
         self.evacuations.replace(list);
         self.returns.replace(returns);
     }
@@ -298,15 +300,15 @@
         })
     }
 
-    fn peer_returns(&self) -> Vec<PeerReturn> {
+    fn peer_returns(&self) -> Option<Vec<PeerReturn>> {
         let now = self.clock.now();
         let returns = self.returns.borrow();
-        let told = returns.iter().map(|known| PeerReturn {
+        let told = returns.as_ref()?.iter().map(|known| PeerReturn {
             zone: known.zone.clone(),
             revision: known.revision,
             age: now.since(known.at),
         });
-        told.collect()
+        Some(told.collect())
     }
 
     /// Processes another instance's answer to a query sent at `sent_at`; true if its
--- a/crates/guavawell-forward/src/evacuation.rs
+++ b/crates/guavawell-forward/src/evacuation.rs
@@ -1,8 +1,10 @@
 //! Applies the operator's evacuations of availability zones.
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::EvacuationChange;
-use guavawell_core::forward::EvacuationList;
+use guavawell_core::forward::ReturnSource;
+use guavawell_core::forward::ZoneGap;
 use guavawell_core::forward::ZoneReturn;
 use guavawell_core::forward::ZoneState;
 use guavawell_core::id::ServiceId;
@@ -10,7 +12,7 @@
 use guavawell_core::number::fraction;
 use guavawell_fleet::event::EventDraft;
 
-use crate::config::PeerReturn;
+use crate::config::PeerConfig;
 use crate::router::ForwardRouter;
 
 impl ForwardRouter {
@@ -19,104 +21,144 @@
     /// history.
     pub fn replace_evacuations(&self, rows: &[ZoneState], revision: u64) {
         let mut servers = self.servers.borrow_mut();
-        let known = servers.evacuations().revision();
-        let change = servers.evacuations_mut().replace(rows, revision);
+        let evacuations = servers.evacuations_mut();
+        let (read, after) = (evacuations.revision(), evacuations.known_revision());
+        let change = evacuations.replace(rows, revision);
         drop(servers);
-        self.zone_history.add_gap(known);
-        self.evacuations_read(&change, revision);
+        self.zones_unread(read, revision);
+        self.apply_evacuations(&change, |_| {
+            let source = ReturnSource::StoreList { after };
+            (revision, source)
+        });
+        self.publish_evacuations();
+    }
+
+    /// Applies changed rows of evacuated zones; `revision` is that of the store's
+    /// response.
+    pub fn change_evacuations(&self, rows: &[ZoneState], revision: u64) {
+        let mut servers = self.servers.borrow_mut();
+        let evacuations = servers.evacuations_mut();
+        let change = evacuations.apply_changes(rows, revision);
+        drop(servers);
+        self.apply_evacuations(&change, |zone| {
+            let servers = self.servers.borrow();
+            let state = servers.evacuations().state_revision(zone);
+            (state.unwrap_or(revision), ReturnSource::Store)
+        });
+        self.publish_evacuations();
     }
 
     /// Applies changes from the history, with their own revisions: only the ends
     /// of evacuations, as the present state is known.
     pub fn apply_zone_history(&self, rows: &[ZoneState]) {
         for row in rows.iter().filter(|row| !row.evacuated) {
-            let now = self.clock.now();
-            let mut servers = self.servers.borrow_mut();
-            let is_news = servers.note_zone_return(&row.zone, now, row.revision);
-            drop(servers);
-            if is_news {
-                self.log_zone("zone.returned", &row.zone, row.revision, "history");
-            }
+            self.add_return(
+                &row.zone,
+                row.revision,
+                self.clock.now(),
+                ReturnSource::Store,
+            );
         }
         self.publish_evacuations();
     }
 
-    /// Applies changed rows of evacuated zones; `revision` is that of the store's
-    /// response.
-    pub fn change_evacuations(&self, rows: &[ZoneState], revision: u64) {
+    /// Applies what another instance tells of evacuated zones: first the returns,
+    /// whose revisions are exact.
+    pub fn learn_zones(&self, answer: &PeerConfig) {
+        let now = self.clock.now();
+        for told in answer.returns.iter().flatten() {
+            let at = now.before(told.age);
+            self.add_return(&told.zone, told.revision, at, ReturnSource::Instance);
+        }
+        let Some(list) = &answer.evacuations else {
+            return;
+        };
+        let revision = list.revision;
         let mut servers = self.servers.borrow_mut();
-        let change = servers.evacuations_mut().apply_changes(rows, revision);
+        let evacuations = servers.evacuations_mut();
+        let after = evacuations.known_revision();
+        let change = evacuations.learn(list.clone());
         drop(servers);
-        self.evacuations_read(&change, revision);
+        self.apply_evacuations(&change, |_| {
+            let source = ReturnSource::InstanceList { after };
+            (revision, source)
+        });
     }
 
-    /// Applies another instance's list of evacuated zones.
-    pub fn learn_evacuations(&self, list: EvacuationList) {
-        let revision = list.revision;
-        let change = self.servers.borrow_mut().evacuations_mut().learn(list);
-        self.apply_evacuations(&change, "instance", |_| revision);
-        self.zone_history.note_told();
-        self.notify_loaded();
+    /// Records that changes of evacuated zones between two revisions were not read.
+    pub fn zones_unread(&self, from: u64, to: u64) {
+        let at = self.clock.now();
+        let mut servers = self.servers.borrow_mut();
+        let gap = ZoneGap { from, to, at };
+        servers.evacuations_mut().returns_mut().open_gap(gap);
+        drop(servers);
+        self.zone_history.gap_changed();
     }
 
-    /// Applies the ends of evacuations that another instance tells.
-    pub fn learn_zone_returns(&self, returns: &[PeerReturn]) {
-        for told in returns {
-            let at = self.clock.now().before(told.age);
-            let mut servers = self.servers.borrow_mut();
-            let is_news = servers.evacuations_mut().learn_return(ZoneReturn {
-                zone: told.zone.clone(),
-                revision: told.revision,
-                at,
-            });
-            drop(servers);
-            if is_news {
-                self.log_zone("zone.returned", &told.zone, told.revision, "instance");
-            }
-        }
+    /// Records that all changes of evacuated zones up to a revision are known.
+    pub fn zones_read(&self, to: u64) {
+        let mut servers = self.servers.borrow_mut();
+        servers.evacuations_mut().returns_mut().close_gap(to);
+        drop(servers);
+        self.publish_evacuations();
+        self.zone_history.gap_changed();
     }
 
-    fn evacuations_read(&self, change: &EvacuationChange, revision: u64) {
-        self.apply_evacuations(change, "store", |zone| {
-            let servers = self.servers.borrow();
-            let state = servers.evacuations().state_revision(zone);
-            state.unwrap_or(revision)
-        });
-        self.publish_evacuations();
+    /// The changes of evacuated zones that were not read.
+    #[must_use]
+    pub fn zone_gap(&self) -> Option<ZoneGap> {
+        self.servers.borrow().evacuations().returns().gap()
     }
 
     /// Passes what was read from the store on to where other instances ask for it.
+    /// While changes are unread, no returns are told, as some may be missing.
     fn publish_evacuations(&self) {
         let servers = self.servers.borrow();
         let evacuations = servers.evacuations();
-        let (list, returns) = (evacuations.stored_list(), evacuations.stored_returns());
-        self.configs.set_evacuations(list, returns);
+        let is_complete = evacuations.returns().gap().is_none();
+        let returns = is_complete.then(|| evacuations.stored_returns());
+        self.configs
+            .set_evacuations(evacuations.stored_list(), returns);
     }
 
-    /// Applies a change; `revision_of` tells the revision as of which a zone's state
-    /// is known.
+    /// Applies a change; `origin_of` tells the revision as of which a zone's state is
+    /// known, and from where.
     fn apply_evacuations(
         &self,
         change: &EvacuationChange,
-        source: &str,
-        revision_of: impl Fn(&ZoneId) -> u64,
+        origin_of: impl Fn(&ZoneId) -> (u64, ReturnSource),
     ) {
         for zone in &change.began {
-            self.log_zone("zone.evacuated", zone, revision_of(zone), source);
+            let (revision, source) = origin_of(zone);
+            self.log_zone("zone.evacuated", zone, revision, source);
         }
         for zone in &change.ended {
-            let (now, revision) = (self.clock.now(), revision_of(zone));
-            let mut servers = self.servers.borrow_mut();
-            servers.note_zone_return(zone, now, revision);
-            drop(servers);
-            self.refresh_servers();
-            self.log_zone("zone.returned", zone, revision, source);
+            let (revision, source) = origin_of(zone);
+            self.add_return(zone, revision, self.clock.now(), source);
         }
         let count = self.servers.borrow().evacuations().zones().len();
         let count = u64::try_from(count).unwrap_or(u64::MAX);
         metrics::gauge!("guavawell_forward_evacuated_zones").set(fraction(count));
     }
 
+    fn add_return(&self, zone: &ZoneId, revision: u64, at: ClockTime, source: ReturnSource) {
+        let zone_return = ZoneReturn {
+            zone: zone.clone(),
+            revision,
+            at,
+        };
+        let mut servers = self.servers.borrow_mut();
+        let is_news = servers
+            .evacuations_mut()
+            .returns_mut()
+            .add(zone_return, source);
+        drop(servers);
+        if is_news {
+            self.refresh_servers();
+            self.log_zone("zone.returned", zone, revision, source);
+        }
+    }
+
     /// How long a server of a service is cold after its start; `None` if the
     /// service has no slow start.
     #[must_use]
@@ -126,13 +168,20 @@
         slow_start.map(|slow_start| slow_start.span)
     }
 
-    fn log_zone(&self, kind: &str, zone: &ZoneId, revision: u64, source: &str) {
+    fn log_zone(&self, kind: &str, zone: &ZoneId, revision: u64, source: ReturnSource) {
         let is_known = self.settings.regions.region(zone).is_some();
         let draft = EventDraft::new(kind)
             .field("zone", zone)
             .field("row", revision)
-            .field("source", source)
+            .field("source", source_name(source))
             .field("in_settings", is_known);
         self.log.emit(draft);
     }
 }
+
+const fn source_name(source: ReturnSource) -> &'static str {
+    match source {
+        ReturnSource::Store | ReturnSource::StoreList { .. } => "store",
+        ReturnSource::Instance | ReturnSource::InstanceList { .. } => "instance",
+    }
+}
--- a/crates/guavawell-forward/src/peer/message.rs
+++ b/crates/guavawell-forward/src/peer/message.rs
@@ -185,8 +185,8 @@
     if let Some(list) = &answer.evacuations {
         writer.field_of(EVACUATED_FIELD, evacuation_text(list));
     }
-    if !answer.returns.is_empty() {
-        writer.field_of(RETURNED_FIELD, return_text(&answer.returns));
+    if let Some(returns) = &answer.returns {
+        writer.field_of(RETURNED_FIELD, return_text(returns));
     }
 }
 
@@ -200,7 +200,8 @@
 
 /// Parses the ends of evacuations; malformed ones are left out.
 fn parse_returns(text: &str) -> Vec<PeerReturn> {
-    let parsed = text.split(',').filter_map(|part| {
+    let parts = text.split(',').filter(|part| !part.is_empty());
+    let parsed = parts.filter_map(|part| {
         let told = parse_return(part);
         if told.is_none() {
             log::warn!("cannot decode an evacuation's end of another instance: `{part}`");
@@ -249,10 +250,7 @@
         age: ClockSpan::from_millis(age),
         bytes: body,
         evacuations: head.fields.get(EVACUATED_FIELD).and_then(parse_evacuations),
-        returns: head
-            .fields
-            .get(RETURNED_FIELD)
-            .map_or(Vec::new(), parse_returns),
+        returns: head.fields.get(RETURNED_FIELD).map(parse_returns),
     })
 }
 
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -60,9 +60,6 @@
     let Some(config) = router.configs.current() else {
         return Err(RefusalResponse::new(ForwardRefusal::NoConfig).after(RETRY_NO_CONFIG));
     };
-    if !router.zones_settled() {
-        return Err(RefusalResponse::new(ForwardRefusal::ZonesUnknown).after(RETRY_NO_CONFIG));
-    }
     note_config(router, &config, record);
     let route = find_route(router, &config, request)?;
     record.note("route", &route.name);
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -46,9 +46,11 @@
 const RETRY_NO_SERVER: ClockSpan = ClockSpan::from_millis(1_000);
 /// Retry-After if all servers are full: the time of a few responses.
 const RETRY_FULL: ClockSpan = ClockSpan::from_millis(600);
-/// Longest wait for the list of servers before a request is refused because they
-/// are cold.
+/// Longest wait for the list of servers, or for the history of evacuated zones,
+/// before a request is refused because all servers are cold.
 const MAX_REFRESH_WAIT: ClockSpan = ClockSpan::from_millis(250);
+/// That wait takes at most the request's remaining time divided by this number.
+const REFRESH_WAIT_DIVISOR: u64 = 4;
 /// Retry-After if the zones of all servers are evacuated. When that ends is
 /// unknown; an evacuation takes seconds.
 const RETRY_EVACUATED: ClockSpan = ClockSpan::from_millis(3_000);
@@ -73,6 +75,8 @@
     pub suspicion: SuspicionMark,
     /// How much of the stream the caller has received.
     pub stream: StreamProgress,
+    /// Whether the request waited because all servers counted as cold.
+    pub waited: bool,
 }
 
 /// Sends a request until the caller has a response. Returns whether the
@@ -89,12 +93,14 @@
     loop {
         let rechecked = recheck_config(router, &mut call, progress.outcome.may_have_run, record);
         let call = &call;
-        let pick = match rechecked {
-            Ok(()) => pick_refreshed(router, call, &progress).await,
-            Err(refusal) => Err(refusal),
-        };
-        let pick = match pick {
+        let pick = match rechecked.and_then(|()| pick_server(router, call, &progress)) {
             Ok(pick) => pick,
+            Err(ForwardRefusal::ServersCold)
+                if !std::mem::replace(&mut progress.waited, true)
+                    && await_news(router, call).await =>
+            {
+                continue;
+            }
             Err(refusal) => {
                 return end_without_response(
                     router, caller, call, record, &progress, refusal, failure,
@@ -179,19 +185,14 @@
     }
 }
 
-/// Picks a server. If all count as cold, and the list of servers is to be queried
-/// at once, waits for it: it may name a warm one.
-async fn pick_refreshed(
-    router: &ForwardRouter,
-    call: &ForwardCall<'_>,
-    progress: &RequestProgress,
-) -> Result<ServerPick, ForwardRefusal> {
-    let pick = pick_server(router, call, progress);
-    let is_cold = matches!(pick, Err(ForwardRefusal::ServersCold));
-    if is_cold && router.await_refresh(MAX_REFRESH_WAIT).await {
-        return pick_server(router, call, progress);
-    }
-    pick
+/// Waits for what is being read about cold servers, for a limited time. Returns
+/// whether something came, so that a server may be chosen again.
+async fn await_news(router: &ForwardRouter, call: &ForwardCall<'_>) -> bool {
+    let left = router.clock.left(call.deadline).as_millis();
+    let limit = ClockSpan::from_millis(left / REFRESH_WAIT_DIVISOR).min(MAX_REFRESH_WAIT);
+    let until = router.clock.now() + limit;
+    let has_read = router.await_zones(limit).await;
+    router.await_refresh(router.clock.left(until)).await || has_read
 }
 
 fn pick_server(
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -77,7 +77,7 @@
     /// Whether all budgets have been read once. Budgets that are added later do
     /// not make the process unready.
     budgets_opened: Cell<bool>,
-    /// Changes of evacuated zones that were not read.
+    /// The reading of changes of evacuated zones that were missed.
     pub zone_history: ZoneHistory,
     /// Recent requests and retries of each service, which limit further retries.
     pub retry_allowance: RefCell<RetryAllowance>,
@@ -188,7 +188,8 @@
             self.budgets_opened.set(self.budgets.is_open());
         }
         let open = !self.link_congestion.get().is_full(self.clock.now());
-        serving && has_state && self.budgets_opened.get() && open
+        let settled = self.zone_history.is_settled();
+        serving && has_state && settled && self.budgets_opened.get() && open
     }
 
     /// Records how long a connection to a server took to be accepted or
@@ -210,11 +211,11 @@
         }
     }
 
-    /// Whether a configuration, the list of servers, the suspected requests and
-    /// the history of evacuated zones were read.
+    /// Whether a configuration, the list of servers and the suspected requests
+    /// were read.
     #[must_use]
     pub fn has_initial_state(&self) -> bool {
-        self.has_lists() && self.poison.has_loaded_rows() && self.zones_settled()
+        self.has_lists() && self.poison.has_loaded_rows()
     }
 
     /// Whether a configuration and the list of servers were read.
@@ -238,11 +239,6 @@
         }
     }
 
-    /// Wakes tasks that wait for what is read from the store.
-    pub(crate) fn notify_loaded(&self) {
-        self.state_loaded.notify(usize::MAX);
-    }
-
     /// Records that the suspected requests were read.
     pub fn suspects_loaded(&self) {
         self.poison.set_rows_loaded();
--- a/crates/guavawell-forward/src/router/servers.rs
+++ b/crates/guavawell-forward/src/router/servers.rs
@@ -106,7 +106,10 @@
     /// Records that a query for the list of servers, sent at `sent_at`, was
     /// answered as of a revision of the store.
     pub fn servers_checked(&self, sent_at: ClockTime, revision: u64) {
-        self.server_revision.set(revision);
+        let is_first = self.server_revision.replace(revision) == 0;
+        if is_first && self.servers.borrow().evacuations().revision() == 0 {
+            self.zones_unread(0, revision);
+        }
         let mut age = self.server_age.get();
         age.confirm(sent_at);
         self.server_age.set(age);
--- a/crates/guavawell-forward/src/zone_history.rs
+++ b/crates/guavawell-forward/src/zone_history.rs
@@ -4,7 +4,8 @@
 //! for a heartbeat that they are warm. The evacuation's row is gone by then, so
 //! that a process that reads the table in full, at its start or after the store
 //! did not answer, finds no trace of it. The store's history of the table tells:
-//! it is read from the oldest entry on, or from what was read before.
+//! it is read from the oldest entry on, or from what was read before. Until then
+//! servers whose entries are older count as cold.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -17,82 +18,79 @@
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::HistorySearch;
 use guavawell_core::forward::ServiceEntry;
+use guavawell_core::forward::ZoneGap;
 use guavawell_core::forward::ZoneState;
+use guavawell_core::id::ServiceId;
 use guavawell_fleet::event::EventDraft;
 use smol::Timer;
 
 use crate::clock::timer_span;
+use crate::clock::wait_while;
 use crate::config::query_round;
 use crate::router::ForwardRouter;
 use crate::store::LocalFuture;
 use crate::store::StoreFault;
 
-/// Pause after a query of the history that the store did not answer.
+/// Pause after the first query of the history that the store did not answer. It
+/// doubles with each further one.
 const FAULT_PAUSE: Duration = Duration::from_millis(150);
-
+/// Largest number of doublings of that pause.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
 /// Pause after a query of other instances that none answered.
 const PEER_PAUSE: Duration = Duration::from_millis(100);
-/// Most queries of other instances after the history was read.
-const MAX_AGE_QUERIES: u32 = 20;
 /// Interval of checks whether servers can be used.
 const SETTLE_PAUSE: Duration = Duration::from_millis(50);
-/// Longest time from the first list of servers until the process serves.
+/// Longest time from the first list of servers until the process is ready.
 const MAX_SETTLE_TIME: ClockSpan = ClockSpan::from_millis(5_000);
 
 /// Reads the changes of evacuated zones after a revision, oldest first.
 pub type ReadZoneChanges = Box<dyn Fn(u64) -> LocalFuture<Result<Vec<ZoneState>, StoreFault>>>;
 
-/// Which changes of evacuated zones this process has not read.
+/// How far the process has read the history of evacuated zones.
 #[derive(Debug, Default)]
 pub struct ZoneHistory {
-    /// Revision after which changes were not read; 0 at the start of the process.
-    gap: Cell<Option<u64>>,
-    /// Notified when a gap is added.
-    gap_added: Event,
-    /// Whether the store's history or another instance has told the ends of
-    /// evacuations.
-    is_told: Cell<bool>,
-    /// Whether the process may serve: the ends of evacuations before its start are
-    /// known, or it has waited long enough.
+    /// Notified when changes turn out to be unread, or have been read.
+    gap_event: Event,
+    /// Whether the process may be ready.
     is_settled: Cell<bool>,
 }
 
 impl ZoneHistory {
-    /// Records that changes after `revision` were not read.
-    pub fn add_gap(&self, revision: u64) {
-        let earliest = self.gap.get().map_or(revision, |gap| gap.min(revision));
-        self.gap.set(Some(earliest));
-        self.gap_added.notify(usize::MAX);
+    /// Records that the unread changes are others than before.
+    pub fn gap_changed(&self) {
+        self.gap_event.notify(usize::MAX);
     }
 
-    /// Records that the ends of evacuations were told.
-    pub fn note_told(&self) {
-        self.is_told.set(true);
+    /// Whether the process may be ready: it knows which zones were taken back, and
+    /// not all servers count as cold for that alone, or it has waited long enough.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.is_settled.get()
     }
+}
 
-    async fn wait_gap(&self) -> u64 {
+impl ForwardRouter {
+    /// Waits until the changes of evacuated zones are read, for `max_wait` at most.
+    /// Returns whether they are.
+    pub async fn await_zones(&self, max_wait: ClockSpan) -> bool {
+        let event = &self.zone_history.gap_event;
+        let is_unread = || self.zone_gap().is_some();
+        is_unread() && wait_while(&self.clock, event, max_wait, is_unread).await
+    }
+
+    /// Waits for changes that were not read.
+    async fn wait_gap(&self) -> ZoneGap {
         loop {
-            let added = self.gap_added.listen();
-            if let Some(gap) = self.gap.take() {
+            let changed = self.zone_history.gap_event.listen();
+            if let Some(gap) = self.zone_gap() {
                 return gap;
             }
-            added.await;
+            changed.await;
         }
     }
-}
-
-impl ForwardRouter {
-    /// Whether the ends of evacuations before the start of the process are known,
-    /// or do not matter, as no service has a slow start.
-    #[must_use]
-    pub fn zones_settled(&self) -> bool {
-        let config = self.configs.current();
-        let matters = || config.is_some_and(|config| longest_cold_span(&config).is_some());
-        self.zone_history.is_settled.get() || !matters()
-    }
 
-    /// Whether each service with a slow start has a server that does not count as
-    /// cold only because its zone was taken back.
+    /// Whether any service has servers that do not all count as cold only because
+    /// their zones were taken back.
     fn has_usable_servers(&self) -> bool {
         let Some(config) = self.configs.current() else {
             return false;
@@ -103,17 +101,30 @@
             let span = service.slow_start.map(|slow_start| slow_start.span);
             span.is_none_or(|span| !servers.all_presumed_cold(&service.id, span, now))
         };
-        config.services.iter().all(is_usable)
+        config.services.iter().any(is_usable)
     }
-}
 
-/// The longest cold time of the services with a slow start.
-fn longest_cold_span(config: &ForwardConfig) -> Option<ClockSpan> {
-    let spans = config
-        .services
-        .iter()
-        .filter_map(|service| service.slow_start);
-    spans.map(|slow_start| slow_start.span).max()
+    /// Whether any server counts as cold because its zone was taken back.
+    fn has_presumed_cold_servers(&self) -> bool {
+        let Some(config) = self.configs.current() else {
+            return false;
+        };
+        let now = self.clock.now();
+        let servers = self.servers.borrow();
+        let is_concerned = |service: &ServiceEntry| {
+            let span = service.slow_start.map(|slow_start| slow_start.span);
+            span.is_some_and(|span| servers.any_presumed_cold(&service.id, span, now))
+        };
+        config.services.iter().any(is_concerned)
+    }
+
+    /// The longest cold time of the services with a slow start.
+    fn longest_cold_span(&self) -> Option<ClockSpan> {
+        let config = self.configs.current()?;
+        let services = config.services.iter();
+        let spans = services.filter_map(|service| service.slow_start);
+        spans.map(|slow_start| slow_start.span).max()
+    }
 }
 
 /// Reads the history of evacuated zones wherever changes were not read, for as long
@@ -123,85 +134,64 @@
 }
 
 async fn close_gaps(router: &ForwardRouter, read: &ReadZoneChanges) {
+    let has_slow_start = || router.has_lists() && router.longest_cold_span().is_some();
     loop {
-        let gap = router.zone_history.wait_gap().await;
+        let gap = router.wait_gap().await;
+        router.wait_loaded(has_slow_start).await;
         close_gap(router, read, gap).await;
-        router.zone_history.note_told();
-        router.notify_loaded();
-        query_ages(router).await;
     }
 }
 
-/// Asks other instances when zones were taken back, as the history does not tell:
-/// without an answer their servers count as cold for the whole cold time.
-async fn query_ages(router: &ForwardRouter) {
-    for _ in 0..MAX_AGE_QUERIES {
-        let is_needed = router.servers.borrow().has_return_after_listing();
-        if !is_needed || query_round(router).await {
-            return;
-        }
-        Timer::after(PEER_PAUSE).await;
+/// Lets the process be ready once it knows which zones were taken back, and where
+/// some servers can be used: callers are served better by other instances until then.
+async fn settle(router: &ForwardRouter) {
+    router.wait_loaded(|| router.has_lists()).await;
+    if let Some(span) = router.longest_cold_span() {
+        let limit = async {
+            Timer::after(timer_span(span.min(MAX_SETTLE_TIME))).await;
+        };
+        wait_usable(router).or(query_ages(router)).or(limit).await;
     }
+    router.zone_history.is_settled.set(true);
+    // Ages are of use to a process that is ready, too.
+    query_ages(router).await;
 }
 
-/// Lets the process serve once it knows which zones were taken back, and where not
-/// all servers of a service count as cold for that alone: callers are served
-/// better by other instances until then.
-async fn settle(router: &ForwardRouter) {
-    let known = async {
-        let history = &router.zone_history;
-        router
-            .wait_loaded(|| router.has_lists() && history.is_told.get())
-            .await;
-        while !router.has_usable_servers() {
-            Timer::after(SETTLE_PAUSE).await;
-        }
-    };
-    known.or(outlast_settling(router)).await;
-    router.zone_history.is_settled.set(true);
-    router.notify_loaded();
+async fn wait_usable(router: &ForwardRouter) {
+    while router.zone_gap().is_some() || !router.has_usable_servers() {
+        Timer::after(SETTLE_PAUSE).await;
+    }
 }
 
-/// Waits until the first list of servers is older than any cold time, or the
-/// process has waited long enough.
-async fn outlast_settling(router: &ForwardRouter) {
-    router.wait_loaded(|| router.has_lists()).await;
-    let config = router.configs.current();
-    let span = config.and_then(|config| longest_cold_span(&config));
-    let limit = span.unwrap_or_default().min(MAX_SETTLE_TIME);
-    Timer::after(timer_span(limit)).await;
+/// Asks other instances when zones were taken back, as the history does not tell:
+/// without an answer their servers count as cold for the whole cold time. Ends only
+/// where no server counts as cold for that.
+async fn query_ages(router: &ForwardRouter) {
+    let mut is_answered = false;
+    while router.zone_gap().is_some() || router.has_presumed_cold_servers() {
+        if router.zone_gap().is_none() && !is_answered {
+            is_answered = query_round(router).await;
+        }
+        Timer::after(PEER_PAUSE).await;
+    }
 }
 
-/// Reads the changes after `gap` that the store still keeps, until it has answered
-/// or the cold time is over.
-async fn close_gap(router: &ForwardRouter, read: &ReadZoneChanges, gap: u64) {
-    router.wait_loaded(|| router.has_lists()).await;
-    let Some(config) = router.configs.current() else {
-        return;
-    };
-    let Some(span) = longest_cold_span(&config) else {
-        return;
-    };
-    let has_slow_start = |id: &_| {
-        config
-            .service(id)
-            .is_some_and(|service| service.slow_start.is_some())
-    };
-    let oldest = router.servers.borrow().oldest_listing(has_slow_start);
-    let Some(oldest) = oldest else {
-        return;
-    };
+/// Reads the changes within a gap that the store still keeps. If it does not answer
+/// for as long as servers are cold, the gap no longer matters.
+async fn close_gap(router: &ForwardRouter, read: &ReadZoneChanges, gap: ZoneGap) {
+    let span = router.longest_cold_span().unwrap_or_default();
+    let end = gap.at + span;
     let timeout = async {
-        Timer::after(timer_span(span)).await;
+        Timer::after(timer_span(router.clock.left(end))).await;
+        log_unread(router, gap);
     };
-    search_history(router, read, gap.max(oldest))
-        .or(timeout)
-        .await;
+    search_history(router, read, gap).or(timeout).await;
+    router.zones_read(gap.to);
 }
 
-async fn search_history(router: &ForwardRouter, read: &ReadZoneChanges, from: u64) {
-    let known_after = router.servers.borrow().evacuations().revision();
-    let mut search = HistorySearch::new(from, known_after);
+async fn search_history(router: &ForwardRouter, read: &ReadZoneChanges, gap: ZoneGap) {
+    let oldest = oldest_listing(router).unwrap_or(gap.to);
+    let mut search = HistorySearch::new(gap.from.max(oldest), gap.to);
     let mut failures = 0;
     while let Some(since) = search.next_query() {
         match read(since).await {
@@ -211,25 +201,45 @@
             }
             Err(StoreFault::HistoryGone) => search.gone(since),
             Err(error) => {
-                failures += 1;
-                if failures == 1 {
+                if failures == 0 {
                     log_failure(router, since, &error);
                 }
-                Timer::after(FAULT_PAUSE).await;
+                let pause = FAULT_PAUSE * 2_u32.pow(failures.min(MAX_PAUSE_DOUBLINGS));
+                // Jitter, so that instances that started together spread.
+                Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+                failures += 1;
             }
         }
     }
     let draft = EventDraft::new("zone.history_read")
-        .field("from", from)
+        .field("from", gap.from.max(oldest))
         .field("known_after", search.known_after())
-        .field("newest", known_after)
+        .field("newest", gap.to)
         .field("failures", failures);
     router.log.emit(draft);
 }
 
+/// Revision of the oldest entry of a server whose service has a slow start.
+fn oldest_listing(router: &ForwardRouter) -> Option<u64> {
+    let config: Rc<ForwardConfig> = router.configs.current()?;
+    let has_slow_start = |id: &ServiceId| {
+        let service = config.service(id);
+        service.is_some_and(|service| service.slow_start.is_some())
+    };
+    let servers = router.servers.borrow();
+    servers.oldest_listing(router.clock.now(), has_slow_start)
+}
+
 fn log_failure(router: &ForwardRouter, since: u64, error: &StoreFault) {
     let draft = EventDraft::new("zone.history_unanswered")
         .field("since", since)
         .field("error", error);
     router.log.emit(draft);
 }
+
+fn log_unread(router: &ForwardRouter, gap: ZoneGap) {
+    let draft = EventDraft::new("zone.history_unread")
+        .field("from", gap.from)
+        .field("to", gap.to);
+    router.log.emit(draft);
+}
