Add failing tests of returned zones from a review

The other tests in forward/returns.rs show that the store's return is lost or never passed on once another instance told one, and that a late response drops what an instance told.

--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -14,6 +14,7 @@
 mod load;
 mod poll;
 mod retry;
+mod returns;
 mod route;
 mod slow_start;
 mod support;
