Event log: slot.witness_changed names the witness and its zone

The line said only that a witness had changed; a trace could not tell a witness in the own zone from one elsewhere. It has two more fields of one id each: witness, and witness_zone as gossip knows it. Without a witness both are absent.

--- a/crates/guavawell-core/src/budget/holder/event.rs
+++ b/crates/guavawell-core/src/budget/holder/event.rs
@@ -157,8 +157,8 @@
     WitnessBack,
     /// The witness refused the holder's stamp; change the witness.
     WitnessRefused,
-    /// The table names the new witness.
-    WitnessChanged,
+    /// The table names the new witness, or none.
+    WitnessChanged(Option<InstanceIncarnation>),
     /// Another router holds the slot.
     Retired,
     /// The table holds what former tenures did with the budget.
@@ -179,7 +179,7 @@
             Self::WitnessSilent => "slot.witness_silent",
             Self::WitnessBack => "slot.witness_back",
             Self::WitnessRefused => "slot.witness_refused",
-            Self::WitnessChanged => "slot.witness_changed",
+            Self::WitnessChanged(_) => "slot.witness_changed",
             Self::Retired => "slot.retired",
             Self::TenureClosed(_) => "budget.tenure_closed",
             Self::Exhausted(_) => "budget.exhausted",
--- a/crates/guavawell-core/src/budget/holder/witnessing.rs
+++ b/crates/guavawell-core/src/budget/holder/witnessing.rs
@@ -231,11 +231,12 @@
         }
         match &self.phase {
             HolderPhase::Changing(change) if change.is_handed && change.row == row => {
+                let witness = row.witness.clone();
                 self.row = row;
                 self.phase = HolderPhase::Serving;
                 self.silent = false;
                 self.deposed = false;
-                effects.push(HolderEffect::Note(HolderNote::WitnessChanged));
+                effects.push(HolderEffect::Note(HolderNote::WitnessChanged(witness)));
                 self.finish_waits(0, now, effects);
                 self.review_all(now, effects);
             }
--- a/crates/guavawell-fleet/src/slot/driver.rs
+++ b/crates/guavawell-fleet/src/slot/driver.rs
@@ -359,6 +359,10 @@
             | HolderNote::Exhausted(budget)
             | HolderNote::FloatReported(budget)
             | HolderNote::AccountMismatch(budget) => event = event.budget(budget),
+            HolderNote::WitnessChanged(witness) => {
+                event = self.name_witness(event, witness.as_ref());
+                log::info!("slot {}: {kind}", seat.slot);
+            }
             _ => log::info!("slot {}: {kind}", seat.slot),
         }
         if let HolderNote::AccountMismatch(budget) = note {
@@ -369,4 +373,16 @@
         }
         self.parts.events.emit(event);
     }
+
+    /// Adds the witness and its zone as gossip knows it; nothing for none.
+    fn name_witness(&self, event: EventDraft, witness: Option<&InstanceIncarnation>) -> EventDraft {
+        let Some(life) = witness else {
+            return event;
+        };
+        let event = event.field("witness", &life.instance);
+        match (self.parts.members)().find(&life.instance) {
+            Some(member) => event.field("witness_zone", &member.zone),
+            None => event,
+        }
+    }
 }
