Fault tests: a witness named in the own zone outlives the reason for it

Both orders end with a witness in the holder's zone that answers, while a router of another zone is reachable for at least fifty reviews; then holder and witness are killed. Both fail with "never came: the slot is begun anew":

- a_witness_named_before_other_zones_were_known_does_not_die_with_the_zone: the fleet starts with one zone; a router of a second zone joins after the witness was named.
- a_witness_named_during_a_partition_does_not_die_with_the_zone: the zones are cut until the witness is one of the own zone, then mended.

--- a/crates/guavawell-demo/tests/fault/holder.rs
+++ b/crates/guavawell-demo/tests/fault/holder.rs
@@ -20,6 +20,10 @@
 /// the gossip's suspicion.
 const PAST_EVERY_TIMER: Duration = Duration::from_secs(9);
 
+/// Looks in which a holder that reaches another zone may move its witness there:
+/// ten seconds, fifty reviews of the slot, or more where the machine is busy.
+const MOVE_LOOKS: usize = 400;
+
 /// Looks at the journal before a request counts as never billed.
 const MAX_LOOKS: usize = 300;
 
@@ -225,3 +229,56 @@
         env.assert_kept().await;
     });
 }
+
+/// Gives the holder time to move its witness to another zone, then kills the
+/// holder and the witness at home, and waits until the slot is held again.
+async fn kill_pair_at_home(env: &mut FaultEnv) {
+    let (holder, witness) = (env.holder(0), env.witness(0));
+    let tenure = env.money_slot(0).tenure;
+    for _ in 0..MOVE_LOOKS {
+        if env.fleet.routers[env.witness(0)].zone != 0 {
+            break;
+        }
+        Timer::after(Duration::from_millis(25)).await;
+    }
+    env.fleet.kill(holder);
+    env.fleet.kill(witness);
+    env.wait("the slot is begun anew", |env| {
+        env.money_slot(0).tenure > tenure
+    })
+    .await;
+}
+
+/// Guards against a zone that takes holder and witness with it: the witness was
+/// named in the own zone before the holder knew any other.
+#[test]
+fn a_witness_named_before_other_zones_were_known_does_not_die_with_the_zone() {
+    run(async {
+        let mut env = FaultEnv::start_with(FleetSettings {
+            zones: 1,
+            ..settings()
+        })
+        .await;
+        let first = env.witness(0);
+        assert_eq!(env.fleet.routers[first].zone, 0, "the only choice");
+        env.fleet.start_router(1).await.expect("a router");
+        kill_pair_at_home(&mut env).await;
+    });
+}
+
+/// Guards against a zone that takes holder and witness with it: the witness was
+/// named in the own zone while a partition kept the others out of reach.
+#[test]
+fn a_witness_named_during_a_partition_does_not_die_with_the_zone() {
+    run(async {
+        let mut env = FaultEnv::start().await;
+        env.fleet.cut(0, 1);
+        env.wait("the witness is in the own zone", |env| {
+            let witness = env.money_slot(0).witness;
+            witness.is_some_and(|life| env.fleet.routers[env.index(&life.instance)].zone == 0)
+        })
+        .await;
+        env.fleet.heal();
+        kill_pair_at_home(&mut env).await;
+    });
+}
