Shutdown: count a request from its first byte

What callers saw: a request whose body was still on its way when the process had nothing else to serve was cut without a word; the process exited with 0.

Cause: `held_requests` counts a request only once its whole body was read. The two waits of the shutdown looked at this count alone.

Change: `pending_requests` counts from the first byte until serving counts the request itself, in one step; both waits end when no request is pending or held. It is a second counter, so that admission still counts what it did. The process waits for the rest of such a request as long as for running ones. Once it is closing, a request that has not come in whole is answered 503 with Retry-After 0, which is true: it has not run. One that came in whole is refused before any wait for the store. The refusal is followed by an end of the sending side, and what the caller still sends is read for 400 ms at most, as a close with unread bytes resets the connection and may discard the response. The last wait ends with the grace period. An idle connection counts nothing and delays nothing. On the path of a request this adds two steps of a counter.

--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ForwardLimits;
@@ -25,6 +26,9 @@
 
 /// Longest wait for the next part of a request body.
 const BODY_PART_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for a caller to close its connection after a refusal. It is less than
+/// the time that a leaving process reserves for its last steps.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Accepts callers' connections until the process ends.
 pub async fn accept_callers(
@@ -52,18 +56,44 @@
     pub received_at: ClockTime,
 }
 
+/// Counts a request from its first byte until it is served or refused.
+struct PendingRequest<'a> {
+    router: &'a ForwardRouter,
+}
+
+impl<'a> PendingRequest<'a> {
+    fn new(router: &'a ForwardRouter) -> Self {
+        let count = router.pending_requests.get();
+        router.pending_requests.set(count + 1);
+        Self { router }
+    }
+}
+
+impl Drop for PendingRequest<'_> {
+    fn drop(&mut self) {
+        let count = self.router.pending_requests.get();
+        self.router.pending_requests.set(count - 1);
+    }
+}
+
 async fn serve_caller(router: &Rc<ForwardRouter>, mut channel: HttpChannel) {
     loop {
         let limits = caller_limits(router);
-        let request = match receive_request(router, &mut channel, &limits).await {
+        if !await_first_byte(&mut channel, limits.idle_time).await {
+            return;
+        }
+        let pending = PendingRequest::new(router);
+        let request = match receive_unless_closing(router, &mut channel, &limits).await {
             Ok(request) => request,
             Err(refusal) => {
                 if let Some(response) = refusal {
-                    refuse_unread(router, &channel, &response).await;
+                    refuse_unread(router, channel, &response).await;
                 }
                 return;
             }
         };
+        // Serving counts the request itself, without a step in between.
+        drop(pending);
         let keep_alive = serve_request(router, &mut channel, request).await;
         if !keep_alive {
             return;
@@ -71,15 +101,17 @@
     }
 }
 
-async fn refuse_unread(router: &ForwardRouter, channel: &HttpChannel, response: &RefusalResponse) {
+/// Refuses a request that was not received completely, and closes the connection.
+async fn refuse_unread(router: &ForwardRouter, channel: HttpChannel, response: &RefusalResponse) {
     let outcome = response.refusal.as_str();
     metrics::counter!("guavawell_forward_requests_total", "outcome" => outcome).increment(1);
     let draft = guavawell_fleet::event::EventDraft::new("request.refused_unread")
         .field("outcome", outcome)
         .field("status", response.status());
     router.log.emit(draft);
-    if let Err(error) = response.send(channel, None, false).await {
-        log::debug!("failed to send a refusal to the caller: {error}");
+    match response.send(&channel, None, false).await {
+        Ok(()) => channel.close_unread(CLOSE_TIMEOUT).await,
+        Err(error) => log::debug!("failed to send a refusal to the caller: {error}"),
     }
 }
 
@@ -88,6 +120,20 @@
     config.map(|config| config.limits).unwrap_or_default()
 }
 
+/// Receives one request. Once the process is closing, a request that has not arrived
+/// completely is refused.
+async fn receive_unless_closing(
+    router: &ForwardRouter,
+    channel: &mut HttpChannel,
+    limits: &ForwardLimits,
+) -> Result<ReceivedRequest, Option<RefusalResponse>> {
+    let closing = async {
+        router.wait_for_closing().await;
+        Err(Some(RefusalResponse::leaving()))
+    };
+    receive_request(router, channel, limits).or(closing).await
+}
+
 /// Receives one request. `Err(None)` means that the connection is closed
 /// without a response.
 async fn receive_request(
@@ -95,7 +141,6 @@
     channel: &mut HttpChannel,
     limits: &ForwardLimits,
 ) -> Result<ReceivedRequest, Option<RefusalResponse>> {
-    await_first_byte(channel, limits.idle_time).await?;
     let head = receive_head(channel, limits).await?;
     let received_at = router.clock.now();
     let body = receive_body(router, channel, &head, limits).await?;
@@ -106,18 +151,14 @@
     })
 }
 
-async fn await_first_byte(
-    channel: &mut HttpChannel,
-    limit: ClockSpan,
-) -> Result<(), Option<RefusalResponse>> {
+/// Waits for the first byte of a request. Returns false if the caller closes the
+/// connection or is idle for longer than `limit`.
+async fn await_first_byte(channel: &mut HttpChannel, limit: ClockSpan) -> bool {
     if !channel.received().is_empty() {
-        return Ok(());
+        return true;
     }
     let fill = async { Ok(channel.fill().await?) };
-    match within(timer_span(limit), fill).await {
-        Ok(count) if count > 0 => Ok(()),
-        _ => Err(None),
-    }
+    matches!(within(timer_span(limit), fill).await, Ok(count) if count > 0)
 }
 
 async fn receive_head(
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -2,12 +2,14 @@
 
 use std::io;
 use std::io::Read;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_lite::AsyncWriteExt;
+use futures_lite::future::yield_now;
 use smol::Async;
 use smol::Timer;
 use socket2::SockRef;
@@ -252,6 +254,26 @@
         (&*self.stream).write_all(bytes).await
     }
 
+    /// Closes the connection after a response to a message that was not received
+    /// completely. Unread bytes would reset the connection and discard what was sent:
+    /// they are read until the peer closes the connection, for `limit` at the longest.
+    pub async fn close_unread(mut self, limit: Duration) {
+        if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let discard = async {
+            while self.fill().await? > 0 {
+                self.buffer.clear();
+                // A peer that sends without pause must not hold up other tasks.
+                yield_now().await;
+            }
+            Ok(())
+        };
+        if let Err(error) = within(limit, discard).await {
+            log::debug!("connection closed before the peer did: {error}");
+        }
+    }
+
     /// Whether an idle connection can be used again: it is open, and no unexpected
     /// bytes were received.
     #[must_use]
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -55,6 +55,9 @@
     id: &'a str,
     record: &RequestRecord,
 ) -> Result<ForwardCall<'a>, RefusalResponse> {
+    if router.is_closing() {
+        return Err(RefusalResponse::leaving());
+    }
     wait_for_start(router, request).await?;
     wait_for_overdue_state(router, request).await?;
     let Some(config) = router.configs.current() else {
@@ -77,8 +80,7 @@
         return Err(RefusalResponse::new(ForwardRefusal::CrashesServers).after(span));
     }
     if !router.can_finish(deadline) {
-        // Without a delay: another instance can accept the request at once.
-        return Err(RefusalResponse::new(ForwardRefusal::Leaving).after(ClockSpan::default()));
+        return Err(RefusalResponse::leaving());
     }
     check_admission(router, deadline)?;
     let service = route.service(fastrand::u64(..)).clone();
--- a/crates/guavawell-forward/src/refusal.rs
+++ b/crates/guavawell-forward/src/refusal.rs
@@ -32,6 +32,13 @@
         }
     }
 
+    /// Creates the refusal of a request because the process is leaving: another
+    /// instance can accept it without a delay.
+    #[must_use]
+    pub fn leaving() -> Self {
+        Self::new(ForwardRefusal::Leaving).after(ClockSpan::default())
+    }
+
     /// Sets the time after which the caller should retry.
     #[must_use]
     pub const fn after(mut self, span: ClockSpan) -> Self {
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -93,8 +93,13 @@
     pub held_requests: Cell<usize>,
     /// Bytes of their bodies.
     pub held_bytes: Cell<usize>,
+    /// Number of requests that are being received, or refused without having been
+    /// received completely.
+    pub pending_requests: Cell<usize>,
     /// The phase of the process.
     pub phase: Cell<RouterPhase>,
+    /// Notified when the last phase begins.
+    closing_event: Event,
     /// When the platform last failed to answer.
     pub platform_failed_at: Cell<Option<ClockTime>>,
 }
@@ -133,7 +138,9 @@
             crashes: CrashChecks::default(),
             held_requests: Cell::new(0),
             held_bytes: Cell::new(0),
+            pending_requests: Cell::new(0),
             phase: Cell::new(RouterPhase::Serving),
+            closing_event: Event::new(),
             platform_failed_at: Cell::new(None),
         }
     }
@@ -230,13 +237,52 @@
         self.phase.get() != RouterPhase::Serving
     }
 
+    /// Whether all new requests are refused.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        matches!(self.phase.get(), RouterPhase::Closing(_))
+    }
+
+    /// Refuses new requests from now on, and those that are not received completely,
+    /// so that callers retry at other instances instead of being aborted.
+    pub fn begin_closing(&self, began: ClockTime) {
+        self.phase.set(RouterPhase::Closing(began));
+        self.closing_event.notify(usize::MAX);
+    }
+
+    /// Waits until [`is_closing`](Self::is_closing) is true.
+    pub async fn wait_for_closing(&self) {
+        while !self.is_closing() {
+            let closing = self.closing_event.listen();
+            closing.await;
+        }
+    }
+
+    /// Number of requests that are being received, served or refused.
+    #[must_use]
+    pub fn unfinished_requests(&self) -> usize {
+        self.held_requests.get() + self.pending_requests.get()
+    }
+
+    /// When a leaving process ends at the latest: at the end of the grace period.
+    #[must_use]
+    pub fn exit_at(&self) -> Option<ClockTime> {
+        Some(self.left_since()? + self.settings.times.grace)
+    }
+
+    /// When the process began to leave.
+    fn left_since(&self) -> Option<ClockTime> {
+        match self.phase.get() {
+            RouterPhase::Serving => None,
+            RouterPhase::Leaving(began) | RouterPhase::Closing(began) => Some(began),
+        }
+    }
+
     /// Until when a leaving process waits for running requests: the end of the
     /// grace period, less the time for returning grants.
     #[must_use]
     pub fn abort_at(&self) -> Option<ClockTime> {
-        let (RouterPhase::Leaving(began) | RouterPhase::Closing(began)) = self.phase.get() else {
-            return None;
-        };
+        let began = self.left_since()?;
         let times = &self.settings.times;
         let rest = times
             .grace
--- a/crates/guavawell-forward/src/shutdown.rs
+++ b/crates/guavawell-forward/src/shutdown.rs
@@ -34,23 +34,21 @@
     announced.or(announced_to_peers).await;
     let end = router.abort_at().unwrap_or(began);
     wait_for_requests(router, end).await;
-    // New requests are refused from here on, so that callers retry at other
-    // instances instead of being aborted.
-    router.phase.set(RouterPhase::Closing(began));
+    router.begin_closing(began);
     let timeout = async {
         Timer::after(timer_span(times.give_back)).await;
     };
     router.budgets.give_back().or(timeout).await;
-    wait_for_requests(router, end).await;
-    let finished = router.held_requests.get() == 0;
-    let draft = EventDraft::new("process.left").field("unfinished", router.held_requests.get());
+    wait_for_requests(router, router.exit_at().unwrap_or(began)).await;
+    let unfinished = router.unfinished_requests();
+    let draft = EventDraft::new("process.left").field("unfinished", unfinished);
     router.log.emit(draft);
-    finished
+    unfinished == 0
 }
 
-/// Waits until no request is being served, for `end` at the latest.
+/// Waits until no request is being received or served, for `end` at the latest.
 async fn wait_for_requests(router: &ForwardRouter, end: ClockTime) {
-    while router.held_requests.get() > 0 && router.clock.now() < end {
+    while router.unfinished_requests() > 0 && router.clock.now() < end {
         Timer::after(POLL_INTERVAL).await;
     }
 }
