Shutdown: look at the sockets themselves before the process ends

What callers saw: whole requests that waited in a process that had been paused, or had no processor time, were reset or closed without an answer when it left.

Cause: the last count of requests was 0 because no task had read its socket yet. The shutdown runs before the tasks of requests, so that it ended the process in the same step in which it woke up; connections in the accept queue were reset.

Change: the process knows its callers' connections. Last, the listening socket is closed in one step with accepting what waits in its queue: a caller that comes later is refused and retries. Then each connection is peeked at: one without unread bytes is closed at once, one with bytes is left to its task, which refuses the request with 503. The process ends when none is left, or at the end of the grace period. An idle connection is closed and delays nothing. The list changes when a connection opens or closes, never on a request.

--- a/crates/guavawell-forward/src/accept.rs
+++ b/crates/guavawell-forward/src/accept.rs
@@ -1,5 +1,7 @@
 //! Opens listening sockets and accepts connections.
 
+use std::io::Error;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::time::Duration;
@@ -51,3 +53,28 @@
         }
     }
 }
+
+/// Accepts the connections that wait to be accepted, without waiting for more, and
+/// passes each one to `serve`. `whom` names the kind of client in warnings.
+pub fn accept_waiting(whom: &str, listener: &Async<TcpListener>, serve: impl Fn(HttpChannel)) {
+    loop {
+        let accepted = listener.get_ref().accept();
+        let stream = accepted.and_then(|(stream, _)| Async::new(stream));
+        match stream.and_then(HttpChannel::new) {
+            Ok(channel) => serve(channel),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+            Err(error) if is_of_one_connection(&error) => {}
+            Err(error) => {
+                log::warn!("failed to accept a waiting {whom} connection: {error}");
+                return;
+            }
+        }
+    }
+}
+
+/// Whether an error of accepting concerns one connection only, so that others may
+/// still be accepted.
+fn is_of_one_connection(error: &Error) -> bool {
+    let kind = error.kind();
+    matches!(kind, ErrorKind::ConnectionAborted | ErrorKind::Interrupted)
+}
--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -13,6 +13,7 @@
 use smol::LocalExecutor;
 
 use crate::accept::accept_all;
+use crate::accept::accept_waiting;
 use crate::clock::timer_span;
 use crate::http::BodyDecoder;
 use crate::http::BodyFraming;
@@ -30,19 +31,30 @@
 /// the time that a leaving process reserves for its last steps.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Accepts callers' connections until the process ends.
+/// Accepts callers' connections until the process has no more to serve. Those that
+/// wait to be accepted then are accepted, and the listening socket is closed.
 pub async fn accept_callers(
     router: Rc<ForwardRouter>,
     listener: Async<TcpListener>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
-    let serve = |channel| {
+    let serve = |channel: HttpChannel| {
         let router = Rc::clone(&router);
-        executor
-            .spawn(async move { serve_caller(&router, channel).await })
-            .detach();
+        let entry = router.callers.add(&channel.stream());
+        let serve_channel = async move {
+            serve_caller(&router, channel).await;
+            drop(entry);
+        };
+        executor.spawn(serve_channel).detach();
     };
-    accept_all("caller", &listener, serve).await;
+    router.callers.accepting_began();
+    accept_all("caller", &listener, &serve)
+        .or(router.callers.wait_for_stop())
+        .await;
+    accept_waiting("caller", &listener, serve);
+    // Connections that arrive from here on are refused, and their callers retry.
+    drop(listener);
+    router.callers.accepting_ended();
 }
 
 /// A request that was received completely.
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod clock;
 pub mod config;
 pub mod connect;
+pub mod connections;
 pub mod crash;
 pub mod eligible;
 pub mod evacuation;
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -24,6 +24,7 @@
 use crate::clock::SteadyClock;
 use crate::config::ConfigTracker;
 use crate::config::FetchedConfig;
+use crate::connections::CallerConnections;
 use crate::crash::CrashChecks;
 use crate::peer::PeerRegistry;
 use crate::poison::PoisonTracker;
@@ -89,6 +90,8 @@
     pub poison: Rc<PoisonTracker>,
     /// Checks whether servers that broke off responses have crashed.
     pub crashes: CrashChecks,
+    /// The callers' open connections.
+    pub callers: Rc<CallerConnections>,
     /// Number of requests being served.
     pub held_requests: Cell<usize>,
     /// Bytes of their bodies.
@@ -136,6 +139,7 @@
             budgets,
             poison,
             crashes: CrashChecks::default(),
+            callers: Rc::default(),
             held_requests: Cell::new(0),
             held_bytes: Cell::new(0),
             pending_requests: Cell::new(0),
