Callers: a close with unread bytes does not reset a response on its way

What callers saw: a caller that sent its next request before it had read the response got about half of a long response and then a reset, when the process left or the response was the last on its connection for another reason.

Cause: a socket that is closed with unread bytes is reset, and the kernel discards what it has not sent yet.

Change: before a connection with unread bytes is closed, the sending side ends and the bytes are read and dropped, until the caller closes or 400 ms have passed. The unread request is not served: "Connection: close" on the response says so. A leaving process counts the connection as pending until then. Others are closed as before, after one peek.

--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -27,8 +27,8 @@
 
 /// Longest wait for the next part of a request body.
 const BODY_PART_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest wait for a caller to close its connection after a refusal. It is less than
-/// the time that a leaving process reserves for its last steps.
+/// Longest wait for a caller to close its connection if it has sent bytes that are not
+/// served. It is less than the time that a leaving process reserves for its last steps.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Accepts callers' connections until the process has no more to serve. Those that
@@ -108,11 +108,22 @@
         drop(pending);
         let keep_alive = serve_request(router, &mut channel, request).await;
         if !keep_alive {
+            close_served(router, channel).await;
             return;
         }
     }
 }
 
+/// Closes a connection after its last response. A caller that has sent more must not
+/// lose the response.
+async fn close_served(router: &ForwardRouter, channel: HttpChannel) {
+    if channel.is_quiet() {
+        return;
+    }
+    let _pending = PendingRequest::new(router);
+    channel.close_unread(CLOSE_TIMEOUT).await;
+}
+
 /// Refuses a request that was not received completely, and closes the connection.
 async fn refuse_unread(router: &ForwardRouter, channel: HttpChannel, response: &RefusalResponse) {
     let outcome = response.refusal.as_str();
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -254,9 +254,9 @@
         (&*self.stream).write_all(bytes).await
     }
 
-    /// Closes the connection after a response to a message that was not received
-    /// completely. Unread bytes would reset the connection and discard what was sent:
-    /// they are read until the peer closes the connection, for `limit` at the longest.
+    /// Closes the connection after a response, although the peer may have sent more.
+    /// Unread bytes would reset the connection and discard what was sent: they are read
+    /// until the peer closes the connection, for `limit` at the longest.
     pub async fn close_unread(mut self, limit: Duration) {
         if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
