Settings: the reserve at the end of the grace period also closes connections

Comments only: the time after the wait for running requests returns grants, refuses the last requests and closes connections, up to the end of the grace period.

--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -282,8 +282,8 @@
         }
     }
 
-    /// Until when a leaving process waits for running requests: the end of the
-    /// grace period, less the time for returning grants.
+    /// Until when a leaving process waits for running requests before it returns its
+    /// grants: the end of the grace period, less the time for returning them.
     #[must_use]
     pub fn abort_at(&self) -> Option<ClockTime> {
         let began = self.left_since()?;
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -70,7 +70,8 @@
     pub announce: ClockSpan,
     /// Time from SIGTERM to the end of the process.
     pub grace: ClockSpan,
-    /// Part of the grace period that is reserved for returning grants.
+    /// Part of the grace period that is reserved for returning grants and closing
+    /// connections.
     pub give_back: ClockSpan,
 }
 
