Witness review: a witness of the less preferred zones gives way

What callers saw: after the loss of one zone nobody held its slots until a router of that zone began them anew, and all that was granted to them froze, although witnesses elsewhere are preferred for just this.

Cause: the review of a held slot kept any witness that answers. One that was named at home, before other zones were known or during a partition, stayed for good and died with its holder.

Change: a witness that answers but is of the less preferred class (by witness_near) is replaced by one of the preferred class, once one was reachable for takeover_after without a break. Only classes are compared, so that a join moves no witness. One slot a review moves, as each move hands a ledger over.

--- a/crates/guavawell-fleet/src/slot/maintain.rs
+++ b/crates/guavawell-fleet/src/slot/maintain.rs
@@ -8,6 +8,7 @@
 use guavawell_core::budget::WitnessEvent;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::id::ShardId;
+use guavawell_core::id::ZoneId;
 use guavawell_core::instance::MemberRecord;
 use guavawell_core::instance::MemberView;
 use guavawell_core::instance::owner;
@@ -18,6 +19,7 @@
 use super::acquire::is_alive;
 use super::driver::SlotDriver;
 use super::seat::SlotSeat;
+use super::stopgap::StopgapWatch;
 use super::table::slot_key;
 use crate::clock;
 
@@ -49,15 +51,24 @@
     }
 
     async fn run_reviews(self: Arc<Self>) {
+        // Another zone counts as back once it was reachable for as long as a
+        // holder has to be silent before it counts as gone.
+        let mut watch = StopgapWatch::new(self.parts.times.takeover_after);
         loop {
             Timer::after(clock::duration(self.parts.times.review_every)).await;
             let members = (self.parts.members)();
             let now = clock::now();
+            let mut may_move = true;
             for seat in self.seats().iter() {
-                if seat.is_held() {
-                    self.review_held(seat, &members, now);
-                } else {
+                if !seat.is_held() {
+                    watch.clear(&seat.slot);
                     self.review_witnessed(seat, &members, now).await;
+                } else if !self.review_held(seat, &members, now) {
+                    watch.pass(&seat.slot, now);
+                } else if may_move {
+                    // One a review: the return of a zone concerns many slots,
+                    // and each move hands a whole ledger over.
+                    may_move = !self.review_stopgap(seat, &members, &mut watch, now);
                 }
             }
         }
@@ -92,12 +103,18 @@
     }
 
     /// Names a witness where there is none that answers, and hands the slot
-    /// to its owner by hashing once that one is the witness.
-    fn review_held(self: &Arc<Self>, seat: &Arc<SlotSeat>, members: &MemberView, now: ClockTime) {
+    /// to its owner by hashing once that one is the witness; `true` if the slot
+    /// keeps a witness that answers.
+    fn review_held(
+        self: &Arc<Self>,
+        seat: &Arc<SlotSeat>,
+        members: &MemberView,
+        now: ClockTime,
+    ) -> bool {
         let (row, silent, changing) = {
             let state = seat.lock();
             let Some(holder) = state.present() else {
-                return;
+                return false;
             };
             (
                 holder.row().clone(),
@@ -108,7 +125,7 @@
         let witness = row.witness.as_ref();
         let is_good = !silent && witness.is_some_and(|life| is_routable(members, life));
         if changing && !seat.lock().change_is_stale(now) {
-            return;
+            return false;
         }
         let heir = self.heir(members, &seat.slot);
         if let Some(heir) = heir {
@@ -117,15 +134,71 @@
             } else {
                 self.change_witness(seat, Some(heir), now);
             }
-            return;
+            return false;
         }
         if is_good {
-            return;
+            return true;
         }
         let next = self.choose_witness(members, &seat.slot, witness.filter(|_| silent));
         if next.is_some() || witness.is_some() {
             self.change_witness(seat, next, now);
         }
+        false
+    }
+
+    /// Replaces a witness that answers by one of the preferred class of zones;
+    /// `true` if it does so now.
+    fn review_stopgap(
+        self: &Arc<Self>,
+        seat: &Arc<SlotSeat>,
+        members: &MemberView,
+        watch: &mut StopgapWatch,
+        now: ClockTime,
+    ) -> bool {
+        let Some(better) = self.better_witness(seat, members) else {
+            watch.pass(&seat.slot, now);
+            return false;
+        };
+        let is_due = watch.offer(&seat.slot, now);
+        if is_due {
+            self.change_witness(seat, Some(better), now);
+        }
+        is_due
+    }
+
+    /// A witness of the preferred class for a slot whose witness is none.
+    ///
+    /// Only classes are compared: by hashing, each join would move witnesses.
+    fn better_witness(&self, seat: &SlotSeat, members: &MemberView) -> Option<InstanceIncarnation> {
+        // Without the table no change can end.
+        if self.parts.table.is_out() {
+            return None;
+        }
+        let witness = seat.lock().present()?.row().witness.clone()?;
+        let is_preferred = |life: &InstanceIncarnation| {
+            let member = members.find(&life.instance);
+            member.is_some_and(|member| self.prefers(&member.zone))
+        };
+        if is_preferred(&witness) {
+            return None;
+        }
+        let next = self.choose_witness(members, &seat.slot, None)?;
+        is_preferred(&next).then_some(next)
+    }
+
+    /// Whether the deployment prefers witnesses in this zone.
+    fn prefers(&self, zone: &ZoneId) -> bool {
+        if self.parts.witness_near {
+            *zone == self.parts.zone
+        } else {
+            self.is_elsewhere(zone)
+        }
+    }
+
+    /// Whether this is another zone that is near enough for a witness.
+    fn is_elsewhere(&self, zone: &ZoneId) -> bool {
+        let near = &self.parts.witness_zones;
+        *zone != self.parts.zone && (near.is_empty() || near.contains(zone))
     }
 
     fn change_witness(
@@ -161,7 +234,6 @@
         silent: Option<&InstanceIncarnation>,
     ) -> Option<InstanceIncarnation> {
         let own = &self.parts.life.instance;
-        let near = &self.parts.witness_zones;
         let usable = |member: &&MemberRecord| {
             member.instance != *own && silent.is_none_or(|life| life.instance != member.instance)
         };
@@ -175,9 +247,7 @@
             members.find(chosen).map(life_of)
         };
         let zone = &self.parts.zone;
-        let elsewhere = |member: &MemberRecord| {
-            member.zone != *zone && (near.is_empty() || near.contains(&member.zone))
-        };
+        let elsewhere = |member: &MemberRecord| self.is_elsewhere(&member.zone);
         let at_home = |member: &MemberRecord| member.zone == *zone;
         if self.parts.witness_near {
             pick(&at_home).or_else(|| pick(&elsewhere))
--- a/crates/guavawell-fleet/src/slot/mod.rs
+++ b/crates/guavawell-fleet/src/slot/mod.rs
@@ -16,6 +16,7 @@
 mod resolve;
 mod seat;
 mod settle;
+mod stopgap;
 mod table;
 #[cfg(test)]
 mod tests;
