Shutdown: idle connections outlast their callers' reuse

What callers saw: a leaving router closed a kept connection without an answer. The caller sent its next request on it and could not know whether it ran.

Cause: idle connections stayed open for 1 s after the stop, callers keep theirs for 3 s (guavawell-load's pool, as other clients do).

Change: they stay open for 4 s (IDLE_LINGER), a second more than callers' reuse; the next request on one is answered with connection: close, as any answer after the stop. A drain with idle connections takes that long now, within shutdown.drain_ms.

--- a/crates/guavawell-fleet/src/caller/listener.rs
+++ b/crates/guavawell-fleet/src/caller/listener.rs
@@ -37,6 +37,10 @@
 /// Wait after a failed accept, for instance when file handles ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long idle connections stay open after a stop: a second more than clients
+/// commonly keep one for reuse, so that none sends on a connection just closed.
+const IDLE_LINGER: Duration = Duration::from_secs(4);
+
 /// Bounds on one listener's connections.
 #[derive(Clone, Debug)]
 pub struct CallerLimits {
@@ -44,8 +48,8 @@
     pub max_connections: usize,
     /// Longest wait for a request's head, which also bounds an idle connection.
     pub head_timeout: Duration,
-    /// How long idle connections stay open after a stop, so that a request
-    /// that is under way to them is still answered.
+    /// How long idle connections stay open after a stop, so that the next
+    /// request on one is still answered, with `connection: close`.
     pub linger: Duration,
 }
 
@@ -54,7 +58,7 @@
         Self {
             max_connections: 10_000,
             head_timeout: Duration::from_secs(30),
-            linger: Duration::from_secs(1),
+            linger: IDLE_LINGER,
         }
     }
 }
