Shutdown: the drain waits until the callers' port is closed

What callers saw: connections that the system had taken in for a router without processor time were reset, their requests unanswered, and the drain reported nothing.

Cause: the drain of a router without slots ended when no request ran and no connection was open. It did not ask whether those waiting to be accepted were accepted yet.

Change: the listener says when its socket is closed, which comes after the accept queue was found empty; the drain asks that first, then for open connections: after both, no request can come but on a connection that is counted.

--- a/crates/guavawell-fleet/src/caller/listener.rs
+++ b/crates/guavawell-fleet/src/caller/listener.rs
@@ -71,6 +71,7 @@
     /// Taken by [`CallerListener::serve`], which closes it in the end.
     listener: Mutex<Option<TcpListener>>,
     stop: StopSignal,
+    is_closed: AtomicBool,
     open: AtomicUsize,
     busy: AtomicUsize,
 }
@@ -117,6 +118,7 @@
             address: listener.local_addr()?,
             listener: Mutex::new(Some(listener)),
             stop: StopSignal::new(),
+            is_closed: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
         }))
@@ -140,6 +142,13 @@
         self.stop.is_raised()
     }
 
+    /// Whether the address is closed after a stop: what the system had taken
+    /// in is accepted, and counts in [`CallerListener::open`] until it ends.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Acquire)
+    }
+
     /// Requests being answered now.
     #[must_use]
     pub fn busy(&self) -> usize {
@@ -209,6 +218,8 @@
             };
             tasks.spawn(connection);
         }
+        drop(socket);
+        self.is_closed.store(true, Ordering::Release);
     }
 
     async fn converse<S, H, HFut>(self: Arc<Self>, stream: S, handle: H)
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -348,10 +348,13 @@
         self.callers.stop();
         let mut report = DrainReport::default();
         while clock::now() < until {
+            // Looked at first, and in this order: a closed port adds no
+            // connection, and without one no request comes.
+            let is_quiet = self.callers.is_closed() && self.callers.open() == 0;
             report.requests = self.callers.busy();
             let handed = report.requests == 0 && self.core.slots.leave();
             report.slots = self.core.slots.held().len();
-            if handed && self.callers.open() == 0 {
+            if handed && is_quiet {
                 break;
             }
             Timer::after(DRAIN_LOOK).await;
