Witness review: a witness that answers is not given up for none

What callers saw: nothing but the float's bound: for 0.2 s after the end of a partition a slot had no witness, so that only its solo float was spent, and a holder that died then left its ledger to nobody.

Cause: when zones are joined again, gossip tells each side what the other one saw. A holder heard so that its witness, with which it spoke, was unreachable, knew nobody else yet, and named none. The witness's own silence was not asked for.

Evidence: holder::a_witness_named_during_a_partition_does_not_die_with_the_zone failed once in a whole run of guavawell-demo at load 20 to 30: "the slot has a witness". Its event logs: member.unreachable of the witness at 24,625 ms, slot.witness_changed without a witness at 24,641 ms, member.reachable of it at 24,806 ms, the next witness at 24,856 ms. The new slots::a_witness_that_gossip_alone_holds_for_gone_is_not_given_up_for_none forces this order and failed with a row whose witness is None.

Change: a witness is given up for none only once it is silent itself. A replacement is still named on gossip's word. What it costs: with nobody else in reach, a dead witness is noticed by the first reservation, which waits witness_timeout once.

--- a/crates/guavawell-fleet/src/slot/maintain.rs
+++ b/crates/guavawell-fleet/src/slot/maintain.rs
@@ -140,7 +140,9 @@
             return true;
         }
         let next = self.choose_witness(members, &seat.slot, witness.filter(|_| silent));
-        if next.is_some() || witness.is_some() {
+        // After a partition, gossip may still tell what the other side saw: a
+        // witness that is not silent is not given up for none.
+        if next.is_some() || (silent && witness.is_some()) {
             self.change_witness(seat, next, now);
         }
         false
--- a/crates/guavawell-fleet/tests/history/slots/mod.rs
+++ b/crates/guavawell-fleet/tests/history/slots/mod.rs
@@ -22,6 +22,7 @@
 use client::SlotClient;
 use float::FloatSpec;
 use rig::PAID;
+use rig::STEADY;
 use rig::SlotRig;
 use spec::MoneyCall;
 use spec::MoneySpec;
@@ -240,3 +241,14 @@
     assert!(!history.is_linearizable::<MoneySpec>());
     assert!(!history.is_linearizable::<FloatSpec>());
 }
+
+/// Guards against a slot whose witness answers and is given up for none, on the
+/// word of gossip that a partition has left behind.
+#[test]
+fn a_witness_that_gossip_alone_holds_for_gone_is_not_given_up_for_none() {
+    let rig = SlotRig::start(0);
+    let row = rig.wait_steady();
+    rig.hide_others(&row.holder.instance);
+    thread::sleep(STEADY);
+    assert_eq!(rig.slot_row(), Some(row));
+}
--- a/crates/guavawell-fleet/tests/history/slots/rig.rs
+++ b/crates/guavawell-fleet/tests/history/slots/rig.rs
@@ -47,6 +47,11 @@
 use super::net::SlotNet;
 
 const ROUTERS: usize = 3;
+
+/// Time without a change after which the slot's row counts as settled: ten
+/// reviews.
+pub const STEADY: Duration = Duration::from_millis(200);
+
 pub const PAID: TokenCount = TokenCount::new(600);
 
 pub struct SlotRouter {
@@ -231,6 +236,28 @@
         }
     }
 
+    /// The row once it has not changed for `STEADY`: the first holder may hand
+    /// the slot to its owner by hashing.
+    pub fn wait_steady(&self) -> SlotRow {
+        let mut row = self.wait_for_witness();
+        loop {
+            sleep(STEADY);
+            let now = self.wait_for_witness();
+            if now == row {
+                return row;
+            }
+            row = now;
+        }
+    }
+
+    /// Lets gossip tell a router that all the others are gone; they still answer.
+    pub fn hide_others(&self, instance: &InstanceId) {
+        let mut known = self.records.iter().zip(&self.views);
+        let found = known.find(|(own, _)| own.instance == *instance);
+        let (own, seen) = found.expect("a known router");
+        *seen.lock().unwrap() = view(own, &[]);
+    }
+
     pub fn router(&self, instance: &InstanceId) -> &SlotRouter {
         let mut routers = self.routers.iter();
         let found = routers.find(|router| router.life.instance == *instance);
