--- a/crates/guavawell-fleet/src/caller/listener.rs
+++ b/crates/guavawell-fleet/src/caller/listener.rs
@@ -37,6 +37,10 @@
 /// Wait after a failed accept, for instance when file handles ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long idle connections stay open after a stop: a second more than clients
+/// commonly keep one for reuse, so that none sends on a connection just closed.
+const IDLE_LINGER: Duration = Duration::from_secs(4);
+
 /// Bounds on one listener's connections.
 #[derive(Clone, Debug)]
 pub struct CallerLimits {
@@ -44,8 +48,8 @@
     pub max_connections: usize,
     /// Longest wait for a request's head, which also bounds an idle connection.
     pub head_timeout: Duration,
-    /// How long idle connections stay open after a stop, so that a request
-    /// that is under way to them is still answered.
+    /// How long idle connections stay open after a stop, so that the next
+    /// request on one is still answered, with `connection: close`.
     pub linger: Duration,
 }
 
@@ -54,7 +58,7 @@
         Self {
             max_connections: 10_000,
             head_timeout: Duration::from_secs(30),
-            linger: Duration::from_secs(1),
+            linger: IDLE_LINGER,
         }
     }
 }
@@ -67,6 +71,7 @@
     /// Taken by [`CallerListener::serve`], which closes it in the end.
     listener: Mutex<Option<TcpListener>>,
     stop: StopSignal,
+    is_closed: AtomicBool,
     open: AtomicUsize,
     busy: AtomicUsize,
 }
@@ -113,6 +118,7 @@
             address: listener.local_addr()?,
             listener: Mutex::new(Some(listener)),
             stop: StopSignal::new(),
+            is_closed: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
         }))
@@ -136,6 +142,13 @@
         self.stop.is_raised()
     }
 
+    /// Whether the address is closed after a stop: what the system had taken
+    /// in is accepted, and counts in [`CallerListener::open`] until it ends.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Acquire)
+    }
+
     /// Requests being answered now.
     #[must_use]
     pub fn busy(&self) -> usize {
@@ -205,6 +218,8 @@
             };
             tasks.spawn(connection);
         }
+        drop(socket);
+        self.is_closed.store(true, Ordering::Release);
     }
 
     async fn converse<S, H, HFut>(self: Arc<Self>, stream: S, handle: H)
