Cold servers: returns of the store and of instances are kept apart, and told with the revision from which they are complete

What callers saw, by a second review: a return that an instance had told first was not passed on though the store confirmed it; one that was told of a later revision erased the store's; an instance told its returns as complete though it had read them only from its own oldest entry on; a process whose history was lost asked nobody; each request waited 250 ms while the history was not answered; an exact revision of an earlier return replaced that of a list. Change: returns of the store and of instances stand apart, the later one counts; only a history without missing changes gives the exact revision of what a list told; Returned begins with the revision from which no return is missing, and opens or closes the gap of who is told; other instances are asked where the store keeps less history; requests wait in vain once. A fleet without slow start asks for no ages.

--- a/crates/guavawell-core/src/forward/returns.rs
+++ b/crates/guavawell-core/src/forward/returns.rs
@@ -5,6 +5,9 @@
 //! before and after the evacuation has not seen it. Until it has read the changes
 //! between, any zone may have returned.
 
+use std::cmp::Reverse;
+
+use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::id::ZoneId;
 
@@ -19,11 +22,17 @@
     pub at: ClockTime,
 }
 
+/// Time by which two instances may have learned of a return apart; an earlier time
+/// within it is no news.
+const SAME_TIME: ClockSpan = ClockSpan::from_millis(100);
+
 /// Where a return was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReturnSource {
     /// The removed row of the store, with its revision.
     Store,
+    /// The removed row, in a history in which no later change is missing.
+    History,
     /// The store's list, in which a zone is missing. It was evacuated as of the
     /// revision `after`.
     StoreList {
@@ -42,24 +51,22 @@
 impl ReturnSource {
     /// Whether the store told it.
     const fn is_store(self) -> bool {
-        matches!(self, Self::Store | Self::StoreList { .. })
+        matches!(self, Self::Store | Self::History | Self::StoreList { .. })
     }
 
     /// Where a list told it: the revision as of which the zone was evacuated.
     const fn concluded_after(self) -> Option<u64> {
         match self {
-            Self::Store | Self::Instance => None,
+            Self::Store | Self::History | Self::Instance => None,
             Self::StoreList { after } | Self::InstanceList { after } => Some(after),
         }
     }
 }
 
-/// A return, and where it was read.
+/// A return as one kind of source told it.
 #[derive(Clone, Debug)]
 struct KnownReturn {
     zone_return: ZoneReturn,
-    /// Whether the store told it.
-    is_stored: bool,
     /// Where a list told it, the return was after this revision, and not later than
     /// its own.
     concluded_after: Option<u64>,
@@ -67,19 +74,47 @@
 
 impl KnownReturn {
     /// Whether a return says no more than this one. A later revision may be that of
-    /// a further return, so it counts before an earlier time; but the exact revision
-    /// replaces that of a list.
+    /// a further return, so it counts before an earlier time; but the history tells
+    /// the exact revision of a return that a list told.
     fn covers(&self, zone_return: &ZoneReturn, source: ReturnSource) -> bool {
         let known = &self.zone_return;
         let revision = zone_return.revision;
-        match (self.concluded_after, source.concluded_after()) {
-            (Some(after), None) if after < revision && revision <= known.revision => false,
-            (None, Some(after)) if after < known.revision => true,
-            _ => {
-                known.revision > revision
-                    || (known.revision == revision && known.at <= zone_return.at)
-            }
+        let is_same = source == ReturnSource::History
+            && self
+                .concluded_after
+                .is_some_and(|after| (after + 1..=known.revision).contains(&revision));
+        let is_earlier = known.revision > revision;
+        let is_dated = known.revision == revision && known.at <= zone_return.at + SAME_TIME;
+        !is_same && (is_earlier || is_dated)
+    }
+}
+
+/// The last return of each zone, from one kind of source.
+#[derive(Clone, Debug, Default)]
+struct ReturnTable {
+    known: Vec<KnownReturn>,
+}
+
+impl ReturnTable {
+    /// Adds a return. Returns whether it says more than what was known.
+    fn add(&mut self, zone_return: ZoneReturn, source: ReturnSource) -> bool {
+        let zone = &zone_return.zone;
+        let known = self.known.iter();
+        let mut same_zone = known.filter(|known| known.zone_return.zone == *zone);
+        if same_zone.any(|known| known.covers(&zone_return, source)) {
+            return false;
         }
+        self.known.retain(|known| known.zone_return.zone != *zone);
+        self.known.push(KnownReturn {
+            concluded_after: source.concluded_after(),
+            zone_return,
+        });
+        true
+    }
+
+    fn find(&self, zone: &ZoneId) -> Option<&ZoneReturn> {
+        let mut returns = self.known.iter().map(|known| &known.zone_return);
+        returns.find(|known| known.zone == *zone)
     }
 }
 
@@ -94,69 +129,69 @@
     pub at: ClockTime,
 }
 
-/// What is known of returns.
+/// What is known of returns. Those of the store and those that instances told are
+/// kept apart, so that a false one hides none of the store's.
 #[derive(Clone, Debug, Default)]
 pub struct ZoneReturns {
-    /// The last return of each zone.
-    known: Vec<KnownReturn>,
+    stored: ReturnTable,
+    told: ReturnTable,
     /// Changes that were not read: any zone may have returned within them.
     gap: Option<ZoneGap>,
+    /// Returns up to this revision may be missing.
+    complete_from: u64,
 }
 
 impl ZoneReturns {
     /// Records a return. Returns whether it says more than what was known.
     pub fn add(&mut self, zone_return: ZoneReturn, source: ReturnSource) -> bool {
-        let known = self
-            .known
-            .iter()
-            .find(|known| known.zone_return.zone == zone_return.zone);
-        if known.is_some_and(|known| known.covers(&zone_return, source)) {
-            return false;
+        if source.is_store() {
+            self.stored.add(zone_return, source)
+        } else {
+            self.told.add(zone_return, source)
         }
-        let was_stored = known.is_some_and(|known| {
-            known.is_stored && known.zone_return.revision == zone_return.revision
-        });
-        let added = KnownReturn {
-            is_stored: source.is_store() || was_stored,
-            concluded_after: source.concluded_after(),
-            zone_return,
-        };
-        let zone = &added.zone_return.zone;
-        self.known.retain(|known| known.zone_return.zone != *zone);
-        self.known.push(added);
-        true
     }
 
     /// The last known return of a zone.
     #[must_use]
     pub fn last(&self, zone: &ZoneId) -> Option<&ZoneReturn> {
-        let mut returns = self.known.iter().map(|known| &known.zone_return);
-        returns.find(|known| known.zone == *zone)
+        let both = self
+            .stored
+            .find(zone)
+            .into_iter()
+            .chain(self.told.find(zone));
+        both.max_by_key(|known| (known.revision, Reverse(known.at)))
     }
 
-    /// The returns that the store told.
+    /// The returns that the store told, with the earliest time that is known.
     #[must_use]
     pub fn stored(&self) -> Vec<ZoneReturn> {
-        let stored = self.known.iter().filter(|known| known.is_stored);
-        stored.map(|known| known.zone_return.clone()).collect()
+        let stored = self.stored.known.iter().map(|known| {
+            let zone_return = &known.zone_return;
+            let told = self.told.find(&zone_return.zone);
+            let told = told.filter(|told| told.revision == zone_return.revision);
+            ZoneReturn {
+                at: told.map_or(zone_return.at, |told| told.at.min(zone_return.at)),
+                ..zone_return.clone()
+            }
+        });
+        stored.collect()
     }
 
     /// Drops returns that instances told of a later revision than the store's.
     pub fn drop_later_told(&mut self, revision: u64) {
-        self.known
-            .retain(|known| known.is_stored || known.zone_return.revision <= revision);
+        let told = &mut self.told.known;
+        told.retain(|known| known.zone_return.revision <= revision);
     }
 
     /// When a zone was taken back at the latest, as far as an entry of the given
     /// revision does not tell: its return, or any within changes that were not read.
     #[must_use]
     pub fn taken_back_at(&self, zone: &ZoneId, listed_revision: u64) -> Option<ClockTime> {
-        let returned = self
-            .last(zone)
-            .filter(|known| listed_revision <= known.revision);
-        let returned = returned.map(|known| known.at);
+        let returned = self.last(zone);
+        let returned = returned.filter(|known| listed_revision <= known.revision);
         let unread = self.gap.filter(|gap| listed_revision <= gap.to);
-        returned.max(unread.map(|gap| gap.at))
+        let unread_at = unread.map(|gap| gap.at);
+        returned.map(|known| known.at).max(unread_at)
     }
 
     /// The changes that were not read.
@@ -177,8 +212,19 @@
         }));
     }
 
-    /// Records that the changes up to a revision are known.
-    pub fn close_gap(&mut self, to: u64) {
+    /// Records that the changes after `from` and up to `to` are known.
+    pub fn close_gap(&mut self, from: u64, to: u64) {
+        self.complete_from = self.complete_from.max(from);
         self.gap = self.gap.filter(|gap| gap.to > to);
     }
+
+    /// The revision after which all returns are known; `None` while changes are
+    /// unread.
+    #[must_use]
+    pub const fn complete_from(&self) -> Option<u64> {
+        match self.gap {
+            Some(_) => None,
+            None => Some(self.complete_from),
+        }
+    }
 }
--- a/crates/guavawell-core/tests/forward/returns.rs
+++ b/crates/guavawell-core/tests/forward/returns.rs
@@ -72,7 +72,7 @@
         returns.add(zone_return(*revision), *source);
     }
     let proved = told.iter().filter_map(|(revision, source)| match source {
-        ReturnSource::Store | ReturnSource::Instance => Some(*revision),
+        ReturnSource::Store | ReturnSource::History | ReturnSource::Instance => Some(*revision),
         ReturnSource::StoreList { .. } | ReturnSource::InstanceList { .. } => {
             last_return(evacuations, *revision)
         }
--- a/crates/guavawell-forward/src/config/mod.rs
+++ b/crates/guavawell-forward/src/config/mod.rs
@@ -67,7 +67,16 @@
     pub evacuations: Option<EvacuationList>,
     /// The ends of evacuations that the sender has read; `None` if it does not tell
     /// them, or has not read all changes.
-    pub returns: Option<Vec<PeerReturn>>,
+    pub returns: Option<PeerReturns>,
+}
+
+/// Ends of evacuations, as one instance tells another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerReturns {
+    /// The revision after which none is missing.
+    pub complete_from: u64,
+    /// The last one of each zone.
+    pub returns: Vec<PeerReturn>,
 }
 
 /// The end of a zone's evacuation, as one instance tells another.
@@ -100,9 +109,9 @@
     stored: RefCell<Option<CachedConfig>>,
     /// The evacuated zones as last read from the store.
     evacuations: RefCell<EvacuationList>,
-    /// The ends of evacuations that were read from the store; `None` if some may be
-    /// missing.
-    returns: RefCell<Option<Vec<ZoneReturn>>>,
+    /// The revision after which the ends of evacuations are known, and those that
+    /// were read from the store; `None` while changes are unread.
+    returns: RefCell<Option<(u64, Vec<ZoneReturn>)>>,
     /// Age of the configuration beyond which an answer of the store is overdue.
     overdue_after: ClockSpan,
     /// Time after which a poll of the store without an answer counts as failed.
@@ -144,7 +153,7 @@
 
     /// Sets the evacuated zones and the ends of evacuations as read from the store,
     /// for other instances.
-    pub fn set_evacuations(&self, list: EvacuationList, returns: Option<Vec<ZoneReturn>>) {
+    pub fn set_evacuations(&self, list: EvacuationList, returns: Option<(u64, Vec<ZoneReturn>)>) {
         self.evacuations.replace(list);
         self.returns.replace(returns);
     }
@@ -300,15 +309,19 @@
         })
     }
 
-    fn peer_returns(&self) -> Option<Vec<PeerReturn>> {
+    fn peer_returns(&self) -> Option<PeerReturns> {
         let now = self.clock.now();
-        let returns = self.returns.borrow();
-        let told = returns.as_ref()?.iter().map(|known| PeerReturn {
+        let known = self.returns.borrow();
+        let (complete_from, returns) = known.as_ref()?;
+        let told = returns.iter().map(|known| PeerReturn {
             zone: known.zone.clone(),
             revision: known.revision,
             age: now.since(known.at),
         });
-        Some(told.collect())
+        Some(PeerReturns {
+            complete_from: *complete_from,
+            returns: told.collect(),
+        })
     }
 
     /// Processes another instance's answer to a query sent at `sent_at`; true if its
--- a/crates/guavawell-forward/src/config/peer_query.rs
+++ b/crates/guavawell-forward/src/config/peer_query.rs
@@ -94,21 +94,11 @@
     })
 }
 
-/// Closes the gap in what is known of evacuated zones, if the instance knows all of
-/// it.
-fn close_gap(router: &ForwardRouter, answer: &PeerConfig) {
-    let known = answer.evacuations.as_ref().map(|list| list.revision);
-    if let Some(revision) = known.filter(|_| answer.returns.is_some()) {
-        router.zones_read(revision);
-    }
-}
-
 /// Processes an instance's answer; true if its configuration is recent enough to
 /// show that the instance reaches the store.
 fn apply_received(router: &ForwardRouter, received: &ReceivedConfig) -> bool {
     let answer = &received.answer;
     router.learn_zones(answer);
-    close_gap(router, answer);
     match router.configs.apply_peer_config(answer, received.sent_at) {
         Ok(in_force) => {
             if in_force {
--- a/crates/guavawell-forward/src/evacuation.rs
+++ b/crates/guavawell-forward/src/evacuation.rs
@@ -56,17 +56,19 @@
                 &row.zone,
                 row.revision,
                 self.clock.now(),
-                ReturnSource::Store,
+                ReturnSource::History,
             );
         }
         self.publish_evacuations();
     }
 
-    /// Applies what another instance tells of evacuated zones: first the returns,
-    /// whose revisions are exact.
+    /// Applies what another instance tells of evacuated zones. Where it tells the
+    /// returns too, they have exact revisions, and those of the list add nothing.
     pub fn learn_zones(&self, answer: &PeerConfig) {
         let now = self.clock.now();
-        for told in answer.returns.iter().flatten() {
+        let returns = answer.returns.as_ref();
+        let told = returns.map_or(&[][..], |returns| &returns.returns);
+        for told in told {
             let at = now.before(told.age);
             self.add_return(&told.zone, told.revision, at, ReturnSource::Instance);
         }
@@ -77,12 +79,34 @@
         let mut servers = self.servers.borrow_mut();
         let evacuations = servers.evacuations_mut();
         let after = evacuations.known_revision();
-        let change = evacuations.learn(list.clone());
+        let mut change = evacuations.learn(list.clone());
         drop(servers);
+        let is_told = |zone: &ZoneId| {
+            let mut told = told.iter();
+            told.any(|told| told.zone == *zone && told.revision > after)
+        };
+        change.ended.retain(|zone| !is_told(zone));
         self.apply_evacuations(&change, |_| {
             let source = ReturnSource::InstanceList { after };
             (revision, source)
         });
+        let complete_from = returns.map_or(revision, |returns| returns.complete_from);
+        if after > 0 && revision > after {
+            self.zones_unread(after, complete_from);
+        }
+        if returns.is_some() {
+            self.zones_told(complete_from, revision);
+        }
+    }
+
+    /// Closes the gap in what is known of evacuated zones, if another instance knows
+    /// all changes between two revisions and no entry is older.
+    fn zones_told(&self, from: u64, to: u64) {
+        let gap = self.zone_gap().filter(|gap| gap.to <= to);
+        let is_known = |gap: ZoneGap| from <= gap.from.max(self.oldest_listing().unwrap_or(gap.to));
+        if gap.is_some_and(is_known) {
+            self.zones_read(from, to);
+        }
     }
 
     /// Records that changes of evacuated zones between two revisions were not read.
@@ -95,10 +119,11 @@
         self.zone_history.gap_changed();
     }
 
-    /// Records that all changes of evacuated zones up to a revision are known.
-    pub fn zones_read(&self, to: u64) {
+    /// Records that all changes of evacuated zones between two revisions are known,
+    /// or no longer matter.
+    pub fn zones_read(&self, from: u64, to: u64) {
         let mut servers = self.servers.borrow_mut();
-        servers.evacuations_mut().returns_mut().close_gap(to);
+        servers.evacuations_mut().returns_mut().close_gap(from, to);
         drop(servers);
         self.publish_evacuations();
         self.zone_history.gap_changed();
@@ -115,8 +140,8 @@
     fn publish_evacuations(&self) {
         let servers = self.servers.borrow();
         let evacuations = servers.evacuations();
-        let is_complete = evacuations.returns().gap().is_none();
-        let returns = is_complete.then(|| evacuations.stored_returns());
+        let complete_from = evacuations.returns().complete_from();
+        let returns = complete_from.map(|from| (from, evacuations.stored_returns()));
         self.configs
             .set_evacuations(evacuations.stored_list(), returns);
     }
@@ -182,6 +207,7 @@
 const fn source_name(source: ReturnSource) -> &'static str {
     match source {
         ReturnSource::Store | ReturnSource::StoreList { .. } => "store",
+        ReturnSource::History => "history",
         ReturnSource::Instance | ReturnSource::InstanceList { .. } => "instance",
     }
 }
--- a/crates/guavawell-forward/src/peer/message.rs
+++ b/crates/guavawell-forward/src/peer/message.rs
@@ -18,6 +18,7 @@
 use super::FleetKey;
 use crate::config::PeerConfig;
 use crate::config::PeerReturn;
+use crate::config::PeerReturns;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -52,9 +53,9 @@
 /// Response field: revision of the store at which the sender read the evacuated
 /// zones, then the zones, separated by commas.
 const EVACUATED_FIELD: &str = "Evacuated";
-/// Response field: ends of evacuations, separated by commas, each as revision of
-/// the store, milliseconds since the sender learned of it, and zone, separated by
-/// slashes.
+/// Response field: revision of the store after which the sender knows all ends of
+/// evacuations, then the last one of each zone as revision, milliseconds since the
+/// sender learned of it, and zone, separated by slashes. All separated by commas.
 const RETURNED_FIELD: &str = "Returned";
 /// Response field: number of tokens lent.
 const LENT_FIELD: &str = "Lent";
@@ -190,25 +191,29 @@
     }
 }
 
-fn return_text(returns: &[PeerReturn]) -> String {
-    let parts = returns.iter().map(|told| {
+fn return_text(returns: &PeerReturns) -> String {
+    let parts = returns.returns.iter().map(|told| {
         let (revision, age, zone) = (told.revision, told.age.as_millis(), &told.zone);
         format!("{revision}/{age}/{zone}")
     });
+    let parts = std::iter::once(returns.complete_from.to_string()).chain(parts);
     parts.collect::<Vec<String>>().join(",")
 }
 
-/// Parses the ends of evacuations; malformed ones are left out.
-fn parse_returns(text: &str) -> Vec<PeerReturn> {
-    let parts = text.split(',').filter(|part| !part.is_empty());
-    let parsed = parts.filter_map(|part| {
-        let told = parse_return(part);
-        if told.is_none() {
-            log::warn!("cannot decode an evacuation's end of another instance: `{part}`");
-        }
-        told
-    });
-    parsed.collect()
+/// Parses the ends of evacuations; `None` if any part is malformed.
+fn parse_returns(text: &str) -> Option<PeerReturns> {
+    let mut parts = text.split(',');
+    let complete_from = parts.next()?.parse().ok();
+    let returns: Option<Vec<PeerReturn>> = parts.map(parse_return).collect();
+    let parsed = complete_from.zip(returns);
+    if parsed.is_none() {
+        log::warn!("cannot decode another instance's ends of evacuations");
+    }
+    let (complete_from, returns) = parsed?;
+    Some(PeerReturns {
+        complete_from,
+        returns,
+    })
 }
 
 fn parse_return(text: &str) -> Option<PeerReturn> {
@@ -250,7 +255,7 @@
         age: ClockSpan::from_millis(age),
         bytes: body,
         evacuations: head.fields.get(EVACUATED_FIELD).and_then(parse_evacuations),
-        returns: head.fields.get(RETURNED_FIELD).map(parse_returns),
+        returns: head.fields.get(RETURNED_FIELD).and_then(parse_returns),
     })
 }
 
--- a/crates/guavawell-forward/src/zone_history.rs
+++ b/crates/guavawell-forward/src/zone_history.rs
@@ -15,7 +15,6 @@
 use futures_lite::FutureExt;
 use futures_lite::future::zip;
 use guavawell_core::clock::ClockSpan;
-use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::HistorySearch;
 use guavawell_core::forward::ServiceEntry;
 use guavawell_core::forward::ZoneGap;
@@ -38,6 +37,8 @@
 const MAX_PAUSE_DOUBLINGS: u32 = 3;
 /// Pause after a query of other instances that none answered.
 const PEER_PAUSE: Duration = Duration::from_millis(100);
+/// Most queries of other instances for changes that the store no longer keeps.
+const MAX_PEER_ROUNDS: u32 = 5;
 /// Interval of checks whether servers can be used.
 const SETTLE_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time from the first list of servers until the process is ready.
@@ -53,11 +54,14 @@
     gap_event: Event,
     /// Whether the process may be ready.
     is_settled: Cell<bool>,
+    /// Whether a request waited for the unread changes in vain.
+    waited: Cell<bool>,
 }
 
 impl ZoneHistory {
     /// Records that the unread changes are others than before.
     pub fn gap_changed(&self) {
+        self.waited.set(false);
         self.gap_event.notify(usize::MAX);
     }
 
@@ -71,11 +75,16 @@
 
 impl ForwardRouter {
     /// Waits until the changes of evacuated zones are read, for `max_wait` at most.
-    /// Returns whether they are.
+    /// Returns whether they are; if not, no further request waits for them.
     pub async fn await_zones(&self, max_wait: ClockSpan) -> bool {
-        let event = &self.zone_history.gap_event;
+        let history = &self.zone_history;
         let is_unread = || self.zone_gap().is_some();
-        is_unread() && wait_while(&self.clock, event, max_wait, is_unread).await
+        if !is_unread() || history.waited.get() {
+            return false;
+        }
+        let is_read = wait_while(&self.clock, &history.gap_event, max_wait, is_unread).await;
+        history.waited.set(!is_read);
+        is_read
     }
 
     /// Waits for changes that were not read.
@@ -118,6 +127,17 @@
         config.services.iter().any(is_concerned)
     }
 
+    /// Revision of the oldest entry of a server whose service has a slow start.
+    pub(crate) fn oldest_listing(&self) -> Option<u64> {
+        let config = self.configs.current()?;
+        let has_slow_start = |id: &ServiceId| {
+            let service = config.service(id);
+            service.is_some_and(|service| service.slow_start.is_some())
+        };
+        let servers = self.servers.borrow();
+        servers.oldest_listing(self.clock.now(), has_slow_start)
+    }
+
     /// The longest cold time of the services with a slow start.
     fn longest_cold_span(&self) -> Option<ClockSpan> {
         let config = self.configs.current()?;
@@ -168,7 +188,8 @@
 /// where no server counts as cold for that.
 async fn query_ages(router: &ForwardRouter) {
     let mut is_answered = false;
-    while router.zone_gap().is_some() || router.has_presumed_cold_servers() {
+    let is_needed = || router.zone_gap().is_some() || router.has_presumed_cold_servers();
+    while router.longest_cold_span().is_some() && is_needed() {
         if router.zone_gap().is_none() && !is_answered {
             is_answered = query_round(router).await;
         }
@@ -176,22 +197,26 @@
     }
 }
 
-/// Reads the changes within a gap that the store still keeps. If it does not answer
-/// for as long as servers are cold, the gap no longer matters.
+/// Reads the changes within a gap that the store still keeps, or lets other
+/// instances tell them. If nobody answers for as long as servers are cold, the gap
+/// no longer matters.
 async fn close_gap(router: &ForwardRouter, read: &ReadZoneChanges, gap: ZoneGap) {
     let span = router.longest_cold_span().unwrap_or_default();
     let end = gap.at + span;
     let timeout = async {
         Timer::after(timer_span(router.clock.left(end))).await;
         log_unread(router, gap);
+        gap.to
     };
-    search_history(router, read, gap).or(timeout).await;
-    router.zones_read(gap.to);
+    let known_after = search_history(router, read, gap).or(timeout).await;
+    router.zones_read(known_after, gap.to);
 }
 
-async fn search_history(router: &ForwardRouter, read: &ReadZoneChanges, gap: ZoneGap) {
-    let oldest = oldest_listing(router).unwrap_or(gap.to);
-    let mut search = HistorySearch::new(gap.from.max(oldest), gap.to);
+/// Returns the revision after which the changes are known.
+async fn search_history(router: &ForwardRouter, read: &ReadZoneChanges, gap: ZoneGap) -> u64 {
+    let oldest = router.oldest_listing().unwrap_or(gap.to);
+    let from = gap.from.max(oldest).min(gap.to);
+    let mut search = HistorySearch::new(from, gap.to);
     let mut failures = 0;
     while let Some(since) = search.next_query() {
         match read(since).await {
@@ -211,23 +236,28 @@
             }
         }
     }
+    let known_after = search.known_after();
     let draft = EventDraft::new("zone.history_read")
-        .field("from", gap.from.max(oldest))
-        .field("known_after", search.known_after())
+        .field("from", from)
+        .field("known_after", known_after)
         .field("newest", gap.to)
         .field("failures", failures);
     router.log.emit(draft);
+    if known_after > from {
+        ask_instances(router, gap).await;
+    }
+    known_after
 }
 
-/// Revision of the oldest entry of a server whose service has a slow start.
-fn oldest_listing(router: &ForwardRouter) -> Option<u64> {
-    let config: Rc<ForwardConfig> = router.configs.current()?;
-    let has_slow_start = |id: &ServiceId| {
-        let service = config.service(id);
-        service.is_some_and(|service| service.slow_start.is_some())
-    };
-    let servers = router.servers.borrow();
-    servers.oldest_listing(router.clock.now(), has_slow_start)
+/// Asks other instances for changes that the store no longer keeps, until one closes
+/// the gap or all have had the time to.
+async fn ask_instances(router: &ForwardRouter, gap: ZoneGap) {
+    for _ in 0..MAX_PEER_ROUNDS {
+        if query_round(router).await && router.zone_gap() != Some(gap) {
+            return;
+        }
+        Timer::after(PEER_PAUSE).await;
+    }
 }
 
 fn log_failure(router: &ForwardRouter, since: u64, error: &StoreFault) {
