--- a/crates/guavawell-fleet/src/slot/tests.rs
+++ b/crates/guavawell-fleet/src/slot/tests.rs
@@ -17,6 +17,7 @@
 
 mod former;
 mod inherited;
+mod leftover;
 mod orphan;
 mod rig;
 mod tenure;
--- a/crates/guavawell-fleet/src/slot/tests/rig/mod.rs
+++ b/crates/guavawell-fleet/src/slot/tests/rig/mod.rs
@@ -16,6 +16,8 @@
 use guavawell_core::budget::HolderEffect;
 use guavawell_core::budget::HolderEvent;
 use guavawell_core::budget::HolderSettings;
+use guavawell_core::budget::ReleaseAnswer;
+use guavawell_core::budget::ReleaseRequest;
 use guavawell_core::budget::ReserveAnswer;
 use guavawell_core::budget::ReserveGrant;
 use guavawell_core::budget::ReserveRequest;
@@ -199,6 +201,20 @@
         }
     }
 
+    /// Gives a request back at a router; `None` if it has not answered.
+    pub fn release(&mut self, router: usize, request: u32) -> Option<ReleaseAnswer> {
+        let ask = ReleaseRequest {
+            identity: identity(request),
+            attempt: AttemptId::new(u128::from(request)),
+            before: None,
+        };
+        match self.ask(router, |id| HolderEvent::Release(id, ask)) {
+            Some(HolderAnswer::Release(answer)) => Some(answer),
+            None => None,
+            other => panic!("expected the answer to a release, found {other:?}"),
+        }
+    }
+
     /// Charges a request at a router; `None` if it has not answered.
     pub fn settle(
         &mut self,
@@ -304,6 +320,20 @@
         holder.free_tokens(&budget_id())
     }
 
+    /// Whether a router's present holder has a request reserved.
+    pub fn is_reserved(&self, router: usize, request: u32) -> bool {
+        let state = self.seats[router].lock();
+        let holder = state.present().expect("the router holds the slot");
+        let mut reserved = holder.ledger().reserved_attempts();
+        let identity = identity(request);
+        reserved.any(|(held, _)| *held == identity)
+    }
+
+    /// Whether a router has holders that wait to report.
+    pub fn owes_reports(&self, router: usize) -> bool {
+        self.seats[router].owes_reports()
+    }
+
     /// Open tokens of the slot's grant in the table.
     pub fn open(&self) -> TokenCount {
         let grant = self.budget.grant(&self.seats[0].slot);
