Orphaned attempts are resolved in the slot that holds them

A router that had taken over a slot of another zone as its witness resolved the attempts that a dead router left there at the slot of its own zone, which does not know them: neither a charge nor a release reached the ledger that held the attempt. Cause: charges, releases and notes derived the slot from the router's own zone. Change: the slot travels with the orphan and with the charge; a release is told its slot. What a holder gives back goes to its own slot too (by reading; no test). Tests: the two of slot/tests/orphan_zone.rs fail without the change (the attempt is still reserved after two seconds of looks) and pass with it.

--- a/crates/guavawell-fleet/src/router/orphan.rs
+++ b/crates/guavawell-fleet/src/router/orphan.rs
@@ -94,11 +94,12 @@
             Ok(ResolvedAttempt::NotRun) => {}
             Ok(other) => {
                 orphan.held.backend = Some(backend.id.clone());
-                core.slots.note_backend(BackendAssignment {
+                let note = BackendAssignment {
                     identity: orphan.identity.clone(),
                     attempt,
                     backend: backend.id.clone(),
-                });
+                };
+                core.slots.note_backend_at(orphan.slot.clone(), note);
                 return other;
             }
             Err(_) => found = ResolvedAttempt::InDoubt,
--- a/crates/guavawell-fleet/src/router/relay.rs
+++ b/crates/guavawell-fleet/src/router/relay.rs
@@ -253,6 +253,7 @@
     reservation.keep();
     let charge = RunCharge {
         budget: reservation.budget().clone(),
+        slot: core.slots.slot_of(&reservation.identity.organisation),
         ask: SettleRequest {
             identity: reservation.identity.clone(),
             attempt: reservation.attempt,
--- a/crates/guavawell-fleet/src/router/reserve.rs
+++ b/crates/guavawell-fleet/src/router/reserve.rs
@@ -83,6 +83,7 @@
         );
         core.doubts.add(OrphanedAttempt {
             identity: self.identity.clone(),
+            slot: core.slots.slot_of(&self.identity.organisation),
             held: ReservedAttempt {
                 attempt: self.attempt,
                 budget: self.budget.clone(),
@@ -112,7 +113,8 @@
                 attempt: self.attempt,
                 before: None,
             };
-            core.slots.release_granted(ask, &self.grant);
+            let slot = core.slots.slot_of(&self.identity.organisation);
+            core.slots.release_granted(slot, ask, &self.grant);
         }
     }
 }
--- a/crates/guavawell-fleet/src/slot/driver.rs
+++ b/crates/guavawell-fleet/src/slot/driver.rs
@@ -235,7 +235,7 @@
                     let answer = (self.parts.link.call)(life.instance, PeerRequest::Takeover(ask));
                     self.parts.tasks.spawn(answer);
                 }
-                HolderEffect::GiveBack(ask) => self.release_later(ask),
+                HolderEffect::GiveBack(ask) => self.release_later(seat.slot.clone(), ask),
                 HolderEffect::Charged(notice) => self.keep_record(seat, *notice),
                 HolderEffect::Note(note) => self.note(seat, &note),
             }
--- a/crates/guavawell-fleet/src/slot/resolve.rs
+++ b/crates/guavawell-fleet/src/slot/resolve.rs
@@ -7,6 +7,7 @@
 use guavawell_core::budget::ReserveGrant;
 use guavawell_core::budget::ReservedAttempt;
 use guavawell_core::budget::SettleRequest;
+use guavawell_core::budget::SlotId;
 use guavawell_core::id::TokenCount;
 use guavawell_core::request::RequestIdentity;
 
@@ -31,6 +32,8 @@
 pub struct OrphanedAttempt {
     /// The request.
     pub identity: RequestIdentity,
+    /// The slot that holds it; of another zone where this router took it over.
+    pub slot: SlotId,
     /// What the ledger knows.
     pub held: ReservedAttempt,
     /// The holder that answers for it.
@@ -70,7 +73,7 @@
                     attempt: orphan.held.attempt,
                     before: None,
                 };
-                self.release_granted(ask, &orphan.grant());
+                self.release_granted(orphan.slot.clone(), ask, &orphan.grant());
             }
             ResolvedAttempt::Done(actual) => {
                 let ask = SettleRequest {
@@ -81,7 +84,8 @@
                     backend: orphan.held.backend.clone(),
                 };
                 let budget = orphan.held.budget.clone();
-                self.settle(RunCharge { ask, budget }).await;
+                let slot = orphan.slot.clone();
+                self.settle(RunCharge { ask, slot, budget }).await;
             }
         }
     }
@@ -100,6 +104,7 @@
     let gone = held.filter(|(_, held)| !is_alive(&held.router));
     orphans.extend(gone.map(|(identity, held)| OrphanedAttempt {
         identity: identity.clone(),
+        slot: seat.slot.clone(),
         held: held.clone(),
         holder: holder.granter(held).unwrap_or(&holder.row().holder).clone(),
     }));
--- a/crates/guavawell-fleet/src/slot/settle.rs
+++ b/crates/guavawell-fleet/src/slot/settle.rs
@@ -30,6 +30,8 @@
 pub struct RunCharge {
     /// The charge as the slot's holder is told it.
     pub ask: SettleRequest,
+    /// The slot that reserved it.
+    pub slot: SlotId,
     /// The budget.
     pub budget: BudgetId,
 }
@@ -68,13 +70,13 @@
 
     async fn settle_once(self: &Arc<Self>, charge: &RunCharge) -> Option<SettleAnswer> {
         let ask = &charge.ask;
-        let slot = self.slot_of(&ask.identity.organisation);
+        let slot = &charge.slot;
         let mut paid = None;
-        if ask.grant.pool == TokenPool::Float && !self.is_holder(&slot, &ask.grant.holder) {
-            paid = self.settle_float(&slot, ask).await?.charged;
+        if ask.grant.pool == TokenPool::Float && !self.is_holder(slot, &ask.grant.holder) {
+            paid = self.settle_float(slot, ask).await?.charged;
         }
         let told = PeerRequest::Settle(SlotAsk::new(slot.clone(), ask.clone()));
-        let HolderReply::Answer(PeerReply::Settle(answer)) = self.ask_holder(&slot, &told).await
+        let HolderReply::Answer(PeerReply::Settle(answer)) = self.ask_holder(slot, &told).await
         else {
             return None;
         };
@@ -83,7 +85,7 @@
             (SettleAnswer::NotHolder { .. }, _) => None,
             (SettleAnswer::Unknown, Some(charged)) => Some(SettleAnswer::Settled { charged }),
             (SettleAnswer::Unknown, None) => {
-                self.keep_unheld(&slot, charge);
+                self.keep_unheld(slot, charge);
                 Some(SettleAnswer::Unknown)
             }
             (answer, _) => Some(answer),
--- a/crates/guavawell-fleet/src/slot/tests.rs
+++ b/crates/guavawell-fleet/src/slot/tests.rs
@@ -19,6 +19,7 @@
 mod inherited;
 mod leftover;
 mod orphan;
+mod orphan_zone;
 mod rig;
 mod tenure;
 
--- a/crates/guavawell-fleet/src/slot/toward.rs
+++ b/crates/guavawell-fleet/src/slot/toward.rs
@@ -103,11 +103,12 @@
             self.disown(&slot, &ask, Some(grant.tenure), unheard);
         } else if answer.is_none() || asked.count > 1 {
             self.disown(&slot, &ask, None, asked.unheard);
-            self.release_later(ReleaseRequest {
+            let release = ReleaseRequest {
                 identity: ask.identity,
                 attempt: ask.attempt,
                 before: None,
-            });
+            };
+            self.release_later(slot, release);
         }
         answer.unwrap_or(ReserveAnswer::Unreachable {
             retry_after: self.parts.holder.retry_after,
@@ -172,25 +173,28 @@
 
     /// Gives a granted reservation back in the background, also at a former
     /// holder if its float was to pay.
-    pub fn release_granted(self: &Arc<Self>, ask: ReleaseRequest, grant: &ReserveGrant) {
-        let slot = self.slot_of(&ask.identity.organisation);
+    pub fn release_granted(
+        self: &Arc<Self>,
+        slot: SlotId,
+        ask: ReleaseRequest,
+        grant: &ReserveGrant,
+    ) {
         if grant.pool == TokenPool::Float {
             let former = grant.holder.clone();
             let target = former.instance.clone();
             let is_there = move |members: &MemberView| is_alive(members, &former);
             self.release_at(&slot, ask.clone(), target, is_there);
         }
-        self.release_later(ask);
+        self.release_later(slot, ask);
     }
 
     /// Gives a reservation back in the background: the attempt did not run.
     ///
     /// Goes on while the holder's witness is away, for a takeover may find the
     /// reservation again.
-    pub fn release_later(self: &Arc<Self>, ask: ReleaseRequest) {
+    pub fn release_later(self: &Arc<Self>, slot: SlotId, ask: ReleaseRequest) {
         let driver = Arc::clone(self);
         let task = async move {
-            let slot = driver.slot_of(&ask.identity.organisation);
             for _ in 0..MAX_RELEASES {
                 let reply = driver
                     .ask_holder(
@@ -216,7 +220,11 @@
 
     /// Tells the holder which backend server runs an attempt; loss is allowed.
     pub fn note_backend(self: &Arc<Self>, note: BackendAssignment) {
-        let slot = self.slot_of(&note.identity.organisation);
+        self.note_backend_at(self.slot_of(&note.identity.organisation), note);
+    }
+
+    /// As [`Self::note_backend`], for an attempt of any slot.
+    pub fn note_backend_at(self: &Arc<Self>, slot: SlotId, note: BackendAssignment) {
         if let Some(seat) = self.seat(&slot)
             && seat.is_held()
         {
--- a/crates/guavawell-fleet/tests/history/slots/client.rs
+++ b/crates/guavawell-fleet/tests/history/slots/client.rs
@@ -104,6 +104,7 @@
             backend: None,
         };
         let charge = RunCharge {
+            slot: self.router.driver.slot_of(&ask.identity.organisation),
             ask,
             budget: "m".parse().unwrap(),
         };
