--- a/crates/guavawell-fleet/src/slot/tests.rs
+++ b/crates/guavawell-fleet/src/slot/tests.rs
@@ -18,7 +18,9 @@
 
 mod former;
 mod inherited;
+mod leftover;
 mod orphan;
+mod orphan_zone;
 mod rig;
 mod tenure;
 
