Cold servers: a process that starts waits only for the changes since the table's newest row

Cause: the store had dropped part of its history; each process searched for the oldest kept change from its oldest entry on, 16 queries that carry every configuration since, 0.5 s in the middle and 2.5 s at most, and its servers counted as cold until then. Change: what is waited for begins at the newest row of the table: after it there are removals of rows and little else. The older changes are read afterwards, once, while the process serves. What it costs: a return that is older than the newest configuration is known one answer later.

--- a/crates/guavawell-core/src/forward/returns.rs
+++ b/crates/guavawell-core/src/forward/returns.rs
@@ -218,6 +218,11 @@
         self.gap = self.gap.filter(|gap| gap.to > to);
     }
 
+    /// Records that the changes after an older revision than before are known.
+    pub fn extend_back(&mut self, from: u64) {
+        self.complete_from = self.complete_from.min(from);
+    }
+
     /// The revision after which all returns are known; `None` while changes are
     /// unread.
     #[must_use]
--- a/crates/guavawell-forward/src/evacuation.rs
+++ b/crates/guavawell-forward/src/evacuation.rs
@@ -18,8 +18,9 @@
 impl ForwardRouter {
     /// Applies the store's complete list of evacuated zones as of a revision. The
     /// list does not tell of evacuations that ended before; they are read from the
-    /// history.
-    pub fn replace_evacuations(&self, rows: &[ZoneState], revision: u64) {
+    /// history. `newest_row` is the newest revision of any row of the table.
+    pub fn replace_evacuations(&self, rows: &[ZoneState], newest_row: u64, revision: u64) {
+        self.zone_history.set_newest_row(newest_row);
         let mut servers = self.servers.borrow_mut();
         let evacuations = servers.evacuations_mut();
         let (read, after) = (evacuations.revision(), evacuations.known_revision());
@@ -90,13 +91,13 @@
             let source = ReturnSource::InstanceList { after };
             (revision, source)
         });
-        let complete_from = returns.map_or(revision, |returns| returns.complete_from);
+        let Some(returns) = returns else {
+            return;
+        };
         if after > 0 && revision > after {
-            self.zones_unread(after, complete_from);
-        }
-        if returns.is_some() {
-            self.zones_told(complete_from, revision);
+            self.zones_unread(after, returns.complete_from);
         }
+        self.zones_told(returns.complete_from, revision);
     }
 
     /// Closes the gap in what is known of evacuated zones, if another instance knows
@@ -129,6 +130,14 @@
         self.zone_history.gap_changed();
     }
 
+    /// Records that the returns after an older revision than before are known.
+    pub fn older_zones_read(&self, from: u64) {
+        let mut servers = self.servers.borrow_mut();
+        servers.evacuations_mut().returns_mut().extend_back(from);
+        drop(servers);
+        self.publish_evacuations();
+    }
+
     /// The changes of evacuated zones that were not read.
     #[must_use]
     pub fn zone_gap(&self) -> Option<ZoneGap> {
--- a/crates/guavawell-forward/src/zone_history.rs
+++ b/crates/guavawell-forward/src/zone_history.rs
@@ -56,6 +56,9 @@
     is_settled: Cell<bool>,
     /// Whether a request waited for the unread changes in vain.
     waited: Cell<bool>,
+    /// Newest revision of any row when the table was last read in full. Changes
+    /// after it are removals of rows and few others.
+    newest_row: Cell<u64>,
 }
 
 impl ZoneHistory {
@@ -65,6 +68,11 @@
         self.gap_event.notify(usize::MAX);
     }
 
+    /// Sets the newest revision of any row of a table that was read in full.
+    pub fn set_newest_row(&self, revision: u64) {
+        self.newest_row.set(revision);
+    }
+
     /// Whether the process may be ready: it knows which zones were taken back, and
     /// not all servers count as cold for that alone, or it has waited long enough.
     #[must_use]
@@ -200,22 +208,52 @@
 /// Reads the changes within a gap that the store still keeps, or lets other
 /// instances tell them. If nobody answers for as long as servers are cold, the gap
 /// no longer matters.
+///
+/// At the start of the process only the changes since the table's newest row are
+/// waited for: the older ones hold every configuration since the oldest entry, and
+/// would keep the process from serving for seconds. They are read afterwards.
 async fn close_gap(router: &ForwardRouter, read: &ReadZoneChanges, gap: ZoneGap) {
     let span = router.longest_cold_span().unwrap_or_default();
     let end = gap.at + span;
+    let oldest = router.oldest_listing().unwrap_or(gap.to).min(gap.to);
+    let from = match gap.from {
+        0 => oldest.max(router.zone_history.newest_row.get()),
+        known => known.max(oldest),
+    };
     let timeout = async {
         Timer::after(timer_span(router.clock.left(end))).await;
         log_unread(router, gap);
         gap.to
     };
-    let known_after = search_history(router, read, gap).or(timeout).await;
+    let search = search_history(router, read, gap, from);
+    let known_after = search.or(timeout).await;
     router.zones_read(known_after, gap.to);
+    if gap.from == 0 && oldest < known_after {
+        let interrupted = async {
+            router.wait_gap().await;
+        };
+        read_older(router, read, oldest).or(interrupted).await;
+    }
+}
+
+/// Reads older changes, if the store still keeps them.
+async fn read_older(router: &ForwardRouter, read: &ReadZoneChanges, from: u64) {
+    match read(from).await {
+        Ok(rows) => {
+            router.apply_zone_history(&rows);
+            router.older_zones_read(from);
+        }
+        Err(error) => log_failure(router, from, &error),
+    }
 }
 
 /// Returns the revision after which the changes are known.
-async fn search_history(router: &ForwardRouter, read: &ReadZoneChanges, gap: ZoneGap) -> u64 {
-    let oldest = router.oldest_listing().unwrap_or(gap.to);
-    let from = gap.from.max(oldest).min(gap.to);
+async fn search_history(
+    router: &ForwardRouter,
+    read: &ReadZoneChanges,
+    gap: ZoneGap,
+    from: u64,
+) -> u64 {
     let mut search = HistorySearch::new(from, gap.to);
     let mut failures = 0;
     while let Some(since) = search.next_query() {
