Observability: log the rate limit that a server states, and what is sent meanwhile

No line of any process tells that a server stated a limit, nor how many requests counted against it, so the hypotheses (1: the field isn't read; 2: each instance keeps the limit alone, and six of them exceed it; 3: it is learnt too late, from heads of streams) can't be told apart from logs.

Now each response head is searched for the field; server.limited and server.limit_lifted tell changes, with the requests sent between the two. A value that can't be read leaves an earlier limit in force and is logged once a server. Nothing is decided by it yet.

--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -5,6 +5,7 @@
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::forward::ServerIncarnation;
+use crate::forward::ServerLimit;
 use crate::forward::ServerWarmth;
 use crate::id::ServiceId;
 use crate::id::ZoneId;
@@ -173,6 +174,8 @@
     pub health: ServerHealth,
     /// Whether it is cold.
     pub warmth: ServerWarmth,
+    /// The rate limit that it states.
+    pub limit: ServerLimit,
     /// Requests of this instance that run there and are suspected of crashing
     /// servers.
     pub suspects: Vec<RequestFingerprint>,
--- a/crates/guavawell-core/tests/forward/support.rs
+++ b/crates/guavawell-core/tests/forward/support.rs
@@ -13,6 +13,7 @@
 use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerHealth;
 use guavawell_core::forward::ServerIncarnation;
+use guavawell_core::forward::ServerLimit;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::ServerTable;
@@ -68,6 +69,7 @@
         load: LoadFigures::default(),
         health: ServerHealth::default(),
         warmth: ServerWarmth::default(),
+        limit: ServerLimit::default(),
         suspects: Vec::new(),
     }
 }
--- a/crates/guavawell-forward/src/eligible.rs
+++ b/crates/guavawell-forward/src/eligible.rs
@@ -58,6 +58,11 @@
             entry.warmth.note_send(now);
             metrics::counter!("guavawell_forward_cold_sends_total").increment(1);
         }
+        if let Some(entry) = servers.get_mut(server)
+            && entry.limit.note_send()
+        {
+            metrics::counter!("guavawell_forward_limited_sends_total").increment(1);
+        }
         true
     })
 }
--- a/crates/guavawell-forward/src/field_names.rs
+++ b/crates/guavawell-forward/src/field_names.rs
@@ -30,6 +30,8 @@
     pub leaving: &'static str,
     /// How many more milliseconds the server is cold.
     pub cold: &'static str,
+    /// Requests per second that a server in need accepts from all instances.
+    pub limit: &'static str,
     /// Further fields that only the system may set. They are removed from
     /// callers' requests.
     pub reserved: &'static [&'static str],
--- a/crates/guavawell-forward/src/server_status.rs
+++ b/crates/guavawell-forward/src/server_status.rs
@@ -1,5 +1,5 @@
 //! Reads what a server reports about itself in the head of any response: that
-//! it is leaving, that it is cold, or that it accepts no requests for a while.
+//! it is leaving, that it is cold, that it accepts few requests, or none for a while.
 //!
 //! The report applies until the server restarts and takes precedence over the
 //! platform's entry, which is updated later, or not at all while the platform
@@ -8,6 +8,9 @@
 use std::fmt::Display;
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::LimitChange;
+use guavawell_core::forward::RateError;
+use guavawell_core::forward::RequestRate;
 use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::parse_cold_span;
@@ -42,6 +45,7 @@
     if let Some(text) = head.fields.get(router.settings.names.cold) {
         apply_cold_span(router, server, text);
     }
+    apply_limit(router, server, head);
     if head.status == 503 {
         apply_pause(router, server, head);
     }
@@ -98,6 +102,51 @@
     router.log.emit(draft);
 }
 
+/// Applies the rate limit that a server states, or lifts it if the response states
+/// none. The lowest of several values counts. A malformed one changes nothing, so
+/// that it lifts no limit.
+fn apply_limit(router: &ForwardRouter, server: &ServerIncarnation, head: &ResponseHead) {
+    let name = router.settings.names.limit;
+    let mut lowest: Option<RequestRate> = None;
+    let mut malformed = None;
+    for text in head.fields.all(name) {
+        let parsed: Result<RequestRate, RateError> = String::from_utf8_lossy(text).parse();
+        match parsed {
+            Ok(rate) => lowest = Some(lowest.map_or(rate, |lowest| lowest.min(rate))),
+            Err(error) => malformed = Some(error),
+        }
+    }
+    let now = router.clock.now();
+    let mut servers = router.servers.borrow_mut();
+    let Some(entry) = servers.get_mut(server) else {
+        return;
+    };
+    let is_news = malformed.is_some() && entry.limit.note_unreadable();
+    let change = if malformed.is_some() && lowest.is_none() {
+        None
+    } else {
+        entry.limit.state(now, lowest)
+    };
+    drop(servers);
+    if let Some(error) = malformed.filter(|_| is_news) {
+        log_unreadable(router, server, name, &error);
+    }
+    if let Some(change) = change {
+        log_limit(router, server, change);
+    }
+}
+
+fn log_limit(router: &ForwardRouter, server: &ServerIncarnation, change: LimitChange) {
+    metrics::counter!("guavawell_forward_limit_changes_total").increment(1);
+    let draft = match change {
+        LimitChange::Stated(rate) => {
+            EventDraft::new("server.limited").field("requests_per_second", rate)
+        }
+        LimitChange::Lifted(sends) => EventDraft::new("server.limit_lifted").field("sends", sends),
+    };
+    router.log.emit(draft.field("server", server));
+}
+
 /// Applies the Retry-After of a server that rejected a request. The longest of
 /// several values counts.
 fn apply_pause(router: &ForwardRouter, server: &ServerIncarnation, head: &ResponseHead) {
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -48,6 +48,7 @@
     load: "load",
     leaving: "Leaving",
     cold: "Cold",
+    limit: "server-limit",
     reserved: &[],
 };
 
