A rate limit that a server states holds for all instances together

The class: a limit over all instances that no instance sees whole, as the share of a cold server and the retry budget.

Now few instances by rank send to such a server, at equal intervals, so that together they keep its rate in any view of the fleet; the rank is the same as for cold servers (FleetView, used by both). All other instances check whether the limit still holds, seldom and one after another. A limited server that has no share left is no candidate: others get its requests, prompts move to the next best server. One that was not heard from for 2 s gets the next request that its share allows, as only its response lifts the limit. If all servers of a service are limited, the request is refused at once with the wait for the next share.

--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -33,6 +33,10 @@
 /// serve both.
 const SUSPECT_COST_MS: f64 = 1e5;
 
+/// Cost of a server whose rate limit is to be checked: it comes before all others
+/// that can serve, though not before [`SUSPECT_COST_MS`].
+const DUE_COST_MS: f64 = -5e4;
+
 /// Weights of the cost of a server. Times are in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ChoiceSettings {
@@ -118,6 +122,8 @@
     Paused,
     /// All servers are cold and take no more requests of this instance.
     Cold,
+    /// All servers state rate limits of which this instance has no share left.
+    Limited,
 }
 
 impl ChoiceError {
@@ -128,6 +134,7 @@
             Some(ServerObstacle::Evacuated) => Self::Evacuated,
             Some(ServerObstacle::Paused) => Self::Paused,
             Some(ServerObstacle::Cold) => Self::Cold,
+            Some(ServerObstacle::Limited) => Self::Limited,
         }
     }
 }
@@ -217,7 +224,8 @@
         })
     }
 
-    /// Cost that keeps the request from a server while there are others.
+    /// Cost that keeps the request from a server while there are others, or brings it
+    /// there.
     fn penalty_ms(&self, entry: &ServerEntry) -> f64 {
         let is_other = |fingerprint: RequestFingerprint| {
             entry.suspects.iter().any(|held| *held != fingerprint)
@@ -226,6 +234,7 @@
             (self.is_avoided(entry), AVOIDED_COST_MS),
             (self.is_cold(entry), COLD_COST_MS),
             (self.request.suspect.is_some_and(is_other), SUSPECT_COST_MS),
+            (entry.limit.is_due(self.now), DUE_COST_MS),
         ];
         let applying = penalties.iter().filter(|(applies, _)| *applies);
         applying.map(|(_, cost)| cost).sum()
--- a/crates/guavawell-core/src/forward/eligibility.rs
+++ b/crates/guavawell-core/src/forward/eligibility.rs
@@ -2,6 +2,7 @@
 //! just before sending use the same rules, as a server's state may change while
 //! a connection is opened.
 
+use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::forward::FleetView;
 use crate::forward::HomeRegions;
@@ -38,6 +39,8 @@
     Paused,
     /// The server is cold, and this instance has no share of its limit left.
     Cold,
+    /// The server states a rate limit, and this instance has no share of it left.
+    Limited,
 }
 
 impl ServerTable {
@@ -61,10 +64,36 @@
         if entry.is_paused(now) {
             return Some(ServerObstacle::Paused);
         }
+        let wait = entry
+            .limit
+            .wait(&entry.incarnation.id, constraints.fleet, now);
+        if wait > ClockSpan::ZERO {
+            return Some(ServerObstacle::Limited);
+        }
         let share = self.send_share(entry, constraints, now)?;
         (!entry.warmth.has_share(share, now)).then_some(ServerObstacle::Cold)
     }
 
+    /// When a server of the service that states a rate limit takes a request of this
+    /// instance, at the earliest; `None` if none states a limit.
+    #[must_use]
+    pub fn limit_wait(
+        &self,
+        constraints: &ServerConstraints<'_>,
+        now: ClockTime,
+    ) -> Option<ClockSpan> {
+        let limited = self.servers().iter().filter(|entry| {
+            let serves = entry.service == *constraints.service && entry.takes_requests(now);
+            serves && entry.limit.rate().is_some()
+        });
+        let waits = limited.map(|entry| {
+            entry
+                .limit
+                .wait(&entry.incarnation.id, constraints.fleet, now)
+        });
+        waits.min()
+    }
+
     /// How many requests this instance may send to a server for now; `None` if
     /// slow start does not limit them.
     #[must_use]
--- a/crates/guavawell-core/src/forward/refusal.rs
+++ b/crates/guavawell-core/src/forward/refusal.rs
@@ -37,6 +37,9 @@
     /// All backend servers that could run the request are cold, and take no more
     /// requests for now.
     ServersCold,
+    /// All backend servers that could run the request state rate limits, and take no
+    /// more requests for now.
+    ServersLimited,
     /// Each server that the request was sent to crashed while running it.
     CrashesServers,
     /// The process is shutting down and could not finish the request.
@@ -68,6 +71,7 @@
             Self::ServersPaused => "servers_paused",
             Self::Evacuated => "evacuated",
             Self::ServersCold => "servers_cold",
+            Self::ServersLimited => "servers_limited",
             Self::CrashesServers => "crashes_servers",
             Self::Leaving => "leaving",
             Self::TooLate => "too_late",
@@ -97,6 +101,7 @@
             | Self::ServersPaused
             | Self::Evacuated
             | Self::ServersCold
+            | Self::ServersLimited
             | Self::CrashesServers
             | Self::Leaving
             | Self::TooLate => 503,
--- a/crates/guavawell-core/src/forward/server_limit.rs
+++ b/crates/guavawell-core/src/forward/server_limit.rs
@@ -3,13 +3,22 @@
 //! A server in need states how many requests per second it accepts from all
 //! instances together. The limit holds until a response of the server no longer
 //! states it, or the server restarts.
+//!
+//! Load pattern: hundreds of instances are told the limit of one server within
+//! milliseconds, and each alone stays below it. So only a few instances, by rank,
+//! go on sending, at equal intervals. The others check seldom and one after
+//! another whether the limit still holds, for the case that nobody tells them.
 
 use std::fmt;
 use std::str::FromStr;
 
 use thiserror::Error;
 
+use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
+use crate::forward::FleetView;
+use crate::id::BackendId;
+use crate::number::whole;
 
 /// Lowest rate that is distinguished from zero. A server that accepts nothing
 /// still gets a request now and then, whose response shows whether the limit
@@ -18,6 +27,18 @@
 /// Highest rate; far more than any server runs.
 const MAX_RATE: f64 = 1e6;
 
+/// Instances that share a limit, by one view of the fleet. Each may send one request
+/// at once; with more instances, and others of another view, those would exceed a low
+/// limit.
+const MAX_SENDERS: u32 = 4;
+/// Age from which a statement is checked again by the next request.
+const RECHECK_AGE: ClockSpan = ClockSpan::from_millis(2_000);
+/// Age from which instances without a share check a statement, one after another.
+const EXPIRY_AGE: ClockSpan = ClockSpan::from_millis(20_000);
+/// Part of the rate at which they do.
+const CHECK_FRACTION: f64 = 0.5;
+const SECOND_MS: f64 = 1_000.0;
+
 /// Why a stated rate cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("`{0}` is not a rate; expected requests per second, as in `1.5`")]
@@ -28,6 +49,13 @@
 pub struct RequestRate(f64);
 
 impl RequestRate {
+    /// The interval between requests of this rate, at a multiple of it.
+    #[must_use]
+    fn interval(self, multiple: f64) -> ClockSpan {
+        let millis = SECOND_MS / (self.0 * multiple);
+        ClockSpan::from_millis(whole(millis.ceil()))
+    }
+
     /// The lower of two rates.
     #[must_use]
     pub const fn min(self, other: Self) -> Self {
@@ -84,6 +112,8 @@
     stated_at: ClockTime,
     /// Requests that this instance has sent since the limit was stated.
     sends: u64,
+    /// When the last of them was sent, or the limit was stated first.
+    last_send: ClockTime,
     /// Whether a statement of this server could not be parsed.
     unreadable: bool,
 }
@@ -111,6 +141,7 @@
         let before = std::mem::replace(&mut self.rate, rate);
         if before.is_none() {
             self.sends = 0;
+            self.last_send = now;
         }
         Some(rate.map_or(LimitChange::Lifted(self.sends), LimitChange::Stated))
     }
@@ -121,10 +152,43 @@
         !std::mem::replace(&mut self.unreadable, true)
     }
 
+    /// How long this instance must wait until it may send the next request; zero if
+    /// it may send one now.
+    #[must_use]
+    pub fn wait(&self, server: &BackendId, fleet: FleetView<'_>, now: ClockTime) -> ClockSpan {
+        let Some(rate) = self.rate else {
+            return ClockSpan::ZERO;
+        };
+        let senders = fleet.senders(MAX_SENDERS);
+        let next_at = match fleet.rank_for(server) {
+            Some(rank) if rank < senders => {
+                self.last_send + rate.interval(1.0 / f64::from(senders))
+            }
+            Some(rank) => self.check_at(rate, rank - senders),
+            None => self.check_at(rate, 0),
+        };
+        next_at.since(now)
+    }
+
+    /// When an instance without a share may check the limit, by its place among them.
+    fn check_at(&self, rate: RequestRate, place: u32) -> ClockTime {
+        let turn = rate.interval(CHECK_FRACTION).as_millis();
+        let delay = ClockSpan::from_millis(turn.saturating_mul(u64::from(place)));
+        self.last_send.max(self.stated_at) + EXPIRY_AGE + delay
+    }
+
+    /// Whether the next request should go to the server, if this instance may send
+    /// it one: only its response shows whether the limit still holds.
+    #[must_use]
+    pub fn is_due(&self, now: ClockTime) -> bool {
+        self.rate.is_some() && now.since(self.stated_at) >= RECHECK_AGE
+    }
+
     /// Records a request that is about to be sent. Returns whether a limit is in
     /// force.
-    pub const fn note_send(&mut self) -> bool {
+    pub const fn note_send(&mut self, now: ClockTime) -> bool {
         self.sends += 1;
+        self.last_send = now;
         self.rate.is_some()
     }
 }
--- a/crates/guavawell-core/src/forward/slow_start.rs
+++ b/crates/guavawell-core/src/forward/slow_start.rs
@@ -6,19 +6,16 @@
 //! do, and hundreds of instances find them without load at the same moment. One
 //! request of each instance would exceed the limit many times over.
 //!
-//! So a cold server is the last choice, and few instances may send to it. All
-//! instances rank each other alike for each server, and the first few have a
-//! share of the limit each. Instances with different views of the fleet may rank
-//! differently; the shares therefore leave room for several views, and an
+//! So a cold server is the last choice, and few instances may send to it, each its
+//! share of the limit. The shares leave room for several views of the fleet, and an
 //! instance whose view is old has none.
 
 use thiserror::Error;
 
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
+use crate::forward::FleetView;
 use crate::id::BackendId;
-use crate::id::InstanceId;
-use crate::instance::rank;
 use crate::number::fraction;
 use crate::number::whole;
 
@@ -120,11 +117,8 @@
     #[must_use]
     pub fn share(&self, server: &BackendId, fleet: FleetView<'_>) -> u32 {
         let per_view = self.requests / FLEET_VIEWS;
-        let members = u32::try_from(fleet.members.len()).unwrap_or(u32::MAX);
-        let senders = MAX_SENDERS.min(per_view).min(members);
-        let key = server.as_str().as_bytes();
-        let own_rank = rank(fleet.members, fleet.own, key);
-        let own_rank = own_rank.and_then(|rank| u32::try_from(rank).ok());
+        let senders = fleet.senders(MAX_SENDERS.min(per_view));
+        let own_rank = fleet.rank_for(server).filter(|_| fleet.is_recent);
         match own_rank.filter(|rank| *rank < senders) {
             Some(_) => per_view / senders,
             None => 0,
@@ -132,15 +126,6 @@
     }
 }
 
-/// The instances of the fleet, as one of them knows them.
-#[derive(Clone, Copy, Debug)]
-pub struct FleetView<'a> {
-    /// This instance.
-    pub own: &'a InstanceId,
-    /// All instances including this one; empty while the view is missing or old.
-    pub members: &'a [InstanceId],
-}
-
 /// Whether a server is cold, as far as it is known.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ServerWarmth {
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -16,5 +16,6 @@
 mod retry;
 mod returns;
 mod route;
+mod server_limit;
 mod slow_start;
 mod support;
--- a/crates/guavawell-core/tests/forward/slow_start.rs
+++ b/crates/guavawell-core/tests/forward/slow_start.rs
@@ -71,6 +71,7 @@
         fleet: FleetView {
             own: &own,
             members: &members,
+            is_recent: true,
         },
         ..constraints(&service, &own)
     };
@@ -98,6 +99,7 @@
             fleet: FleetView {
                 own,
                 members: &members,
+                is_recent: true,
             },
             ..constraints(&service, own)
         };
@@ -215,7 +217,11 @@
     let mut arrivals = Vec::new();
     for own in &all {
         let members = views[random.usize(..3)];
-        let view = FleetView { own, members };
+        let view = FleetView {
+            own,
+            members,
+            is_recent: true,
+        };
         let share = limit.share(&server.id, view);
         let clock_ms = random.u64(0..10_000);
         let mut warmth = ServerWarmth::default();
@@ -255,9 +261,13 @@
 #[test]
 fn an_instance_with_an_old_view_of_the_fleet_has_no_share() {
     let own = instance(1);
-    let view = FleetView {
-        own: &own,
-        members: &[],
-    };
-    assert_eq!(limit().share(&entry(server(1)).incarnation.id, view), 0);
+    let members = [own.clone()];
+    for (members, is_recent) in [(&members[..0], true), (&members[..], false)] {
+        let view = FleetView {
+            own: &own,
+            members,
+            is_recent,
+        };
+        assert_eq!(limit().share(&entry(server(1)).incarnation.id, view), 0);
+    }
 }
--- a/crates/guavawell-core/tests/forward/support.rs
+++ b/crates/guavawell-core/tests/forward/support.rs
@@ -97,7 +97,11 @@
         service,
         homes: HomeRegions::default(),
         slow_start: None,
-        fleet: FleetView { own, members: &[] },
+        fleet: FleetView {
+            own,
+            members: &[],
+            is_recent: true,
+        },
     }
 }
 
--- a/crates/guavawell-forward/src/eligible.rs
+++ b/crates/guavawell-forward/src/eligible.rs
@@ -29,6 +29,7 @@
         fleet: FleetView {
             own: &router.settings.instance,
             members: &members,
+            is_recent: router.peers.is_fleet_recent(),
         },
     })
 }
@@ -59,7 +60,7 @@
             metrics::counter!("guavawell_forward_cold_sends_total").increment(1);
         }
         if let Some(entry) = servers.get_mut(server)
-            && entry.limit.note_send()
+            && entry.limit.note_send(now)
         {
             metrics::counter!("guavawell_forward_limited_sends_total").increment(1);
         }
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -184,19 +184,21 @@
         self.fleet.replace((fleet.into(), self.clock.now()));
     }
 
-    /// All instances including this one, as the store recently listed them;
-    /// empty if this process has just started or the list is old.
+    /// All instances including this one, as the store listed them last; empty if the
+    /// list was not read yet.
     #[must_use]
     pub fn fleet(&self) -> Rc<[InstanceId]> {
+        let (members, _) = &*self.fleet.borrow();
+        Rc::clone(members)
+    }
+
+    /// Whether the list of instances is recent, and this process did not just start.
+    #[must_use]
+    pub fn is_fleet_recent(&self) -> bool {
         let now = self.clock.now();
-        let fleet = self.fleet.borrow();
-        let (members, read_at) = &*fleet;
+        let (_, read_at) = *self.fleet.borrow();
         let has_run = now.since(SteadyClock::ORIGIN) >= MIN_RUN_TIME;
-        if has_run && now.since(*read_at) <= MAX_FLEET_AGE {
-            Rc::clone(members)
-        } else {
-            Rc::default()
-        }
+        has_run && now.since(read_at) <= MAX_FLEET_AGE
     }
 
     /// Number of other instances.
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -231,6 +231,7 @@
         ChoiceError::Full => ForwardRefusal::ServersFull,
         ChoiceError::Paused => ForwardRefusal::ServersPaused,
         ChoiceError::Cold => ForwardRefusal::ServersCold,
+        ChoiceError::Limited => ForwardRefusal::ServersLimited,
     })
 }
 
@@ -350,6 +351,9 @@
         ForwardRefusal::ServersCold => router
             .cold_span(&call.service)
             .and_then(|span| servers.warm_in(&call.service, span, now)),
+        ForwardRefusal::ServersLimited => with_constraints(router, call, |constraints| {
+            servers.limit_wait(&constraints, now)
+        }),
         _ => None,
     };
     let jitter = ClockSpan::from_millis(fastrand::u64(..RETRY_JITTER_MS));
