Observability: log why a server could not be reached, and how many others

Their logs tell attempts that were not sent and requests that ended as no_server after 1,000 to 1,030 ms, but not whether connections hang or are refused, nor whether one server failed or all. server.unreached tells both.

--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -4,6 +4,7 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::RetrySafety;
 use guavawell_core::forward::ServerIncarnation;
+use guavawell_fleet::event::EventDraft;
 
 use crate::clock::timer_span;
 use crate::crash::note_refused;
@@ -40,13 +41,36 @@
             Some(channel)
         }
         Err(error) => {
-            log::debug!("cannot connect to {server}: {error}");
+            log_unreached(router, server, &error, began);
             note_connect_failure(router, server, &error);
             None
         }
     }
 }
 
+/// Logs a failed connection, and how many other servers could not be reached either
+/// when they were last tried.
+fn log_unreached(
+    router: &ForwardRouter,
+    server: &ServerIncarnation,
+    error: &ChannelError,
+    began: ClockTime,
+) {
+    let servers = router.servers.borrow();
+    let others = servers
+        .servers()
+        .iter()
+        .filter(|entry| entry.incarnation != *server && entry.health.connect_failures > 0);
+    let draft = EventDraft::new("server.unreached")
+        .field("server", server)
+        .field("error", error)
+        .field("took_ms", router.clock.now().since(began).as_millis())
+        .field("others_unreached", others.count())
+        .field("servers", servers.servers().len());
+    drop(servers);
+    router.log.emit(draft);
+}
+
 /// Records how long a connection took to open, or that it timed out.
 fn note_connect_time(router: &ForwardRouter, error: Option<&ChannelError>, began: ClockTime) {
     let mut timeout = router.connect_timeout.get();
