Callers of an instance that reaches no server are served through another instance

Each request waited 1.0 s for connections that could not be opened.

Cause (hypothesis 1): an instance has no other way to a server than its own connections, and each request found out anew that they fail. The class: a fault of the own link taken for faults of all who are beyond it. In the same class: a refused connection was believed to show a crash, and requests were suspected for it.

Now a connection can be opened through another instance (the carrier), which copies bytes as with CONNECT; admission, budget, attempts and charge stay where they were. The way to a service's servers counts as lost when connections to two of them fail with no success in between and another instance opens one of them, so that servers that are down for all don't count. Then idle connections are dropped, what failures seemed to say of servers is taken back, and requests go through carriers: those of the own zone or the server's first, the others by turns. Every 300 ms the own way is tried on the side; two servers in a row restore it. A refused connection counts as a crash only if another instance is refused as well, or none can be asked. A carrier serves holders of the fleet's key only, connects to servers that it lists itself, never on behalf of one that carries, 384 at most, and says at once why it doesn't: own way lost, leaving, busy. A response that its server broke off is reset there too. One that shuts down lets what runs end.

--- a/crates/guavawell-core/src/forward/eligibility.rs
+++ b/crates/guavawell-core/src/forward/eligibility.rs
@@ -82,10 +82,9 @@
         constraints: &ServerConstraints<'_>,
         now: ClockTime,
     ) -> Option<ClockSpan> {
-        let limited = self.servers().iter().filter(|entry| {
-            let serves = entry.service == *constraints.service && entry.takes_requests(now);
-            serves && entry.limit.rate().is_some()
-        });
+        let limited = self
+            .serving(constraints.service, now)
+            .filter(|entry| entry.limit.rate().is_some());
         let waits = limited.map(|entry| {
             entry
                 .limit
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -227,6 +227,14 @@
         self.health.avoided_until = now + pause;
     }
 
+    /// Takes back what failures showed of the server, because they have another cause.
+    pub(super) const fn forget_failures(&mut self, now: ClockTime) {
+        self.health.connect_failures = 0;
+        self.health.avoided_until = now;
+        self.health.failure_rate = 0.0;
+        self.health.last_received_at = now;
+    }
+
     /// The failure rate, decayed to the present.
     #[must_use]
     pub fn failure_rate(&self, now: ClockTime) -> f64 {
--- a/crates/guavawell-core/src/forward/table.rs
+++ b/crates/guavawell-core/src/forward/table.rs
@@ -118,8 +118,7 @@
     /// `span` is how long the service's servers are cold.
     #[must_use]
     pub fn all_presumed_cold(&self, service: &ServiceId, span: ClockSpan, now: ClockTime) -> bool {
-        let serves = |entry: &&ServerEntry| entry.service == *service && entry.takes_requests(now);
-        let mut serving = self.servers.iter().filter(serves).peekable();
+        let mut serving = self.serving(service, now).peekable();
         serving.peek().is_some() && serving.all(|entry| self.is_presumed_cold(entry, span, now))
     }
 
@@ -127,8 +126,7 @@
     /// after it wrote its entry.
     #[must_use]
     pub fn any_presumed_cold(&self, service: &ServiceId, span: ClockSpan, now: ClockTime) -> bool {
-        let serves = |entry: &&ServerEntry| entry.service == *service && entry.takes_requests(now);
-        let mut serving = self.servers.iter().filter(serves);
+        let mut serving = self.serving(service, now);
         serving.any(|entry| self.is_presumed_cold(entry, span, now))
     }
 
@@ -148,6 +146,17 @@
         &self.servers
     }
 
+    /// The servers of a service that accept requests.
+    pub fn serving<'a>(
+        &'a self,
+        service: &'a ServiceId,
+        now: ClockTime,
+    ) -> impl Iterator<Item = &'a ServerEntry> {
+        let serves =
+            move |entry: &&ServerEntry| entry.service == *service && entry.takes_requests(now);
+        self.servers.iter().filter(serves)
+    }
+
     /// The newest incarnation of a server.
     #[must_use]
     pub fn newest(&self, id: &BackendId) -> Option<&ServerEntry> {
@@ -215,8 +224,7 @@
     /// of them asked for a pause.
     #[must_use]
     pub fn resumes_in(&self, service: &ServiceId, now: ClockTime) -> Option<ClockSpan> {
-        let serves = |entry: &&ServerEntry| entry.service == *service && entry.takes_requests(now);
-        let pauses = self.servers.iter().filter(serves);
+        let pauses = self.serving(service, now);
         let earliest = pauses.map(|entry| entry.health.paused_until).min()?;
         Some(earliest.since(now)).filter(|span| *span > ClockSpan::ZERO)
     }
@@ -230,15 +238,22 @@
         span: ClockSpan,
         now: ClockTime,
     ) -> Option<ClockSpan> {
-        let is_cold = |entry: &&ServerEntry| {
-            let serves = entry.service == *service && entry.takes_requests(now);
-            serves && self.is_cold(entry, span, now)
-        };
-        let cold = self.servers.iter().filter(is_cold);
+        let is_cold = |entry: &&ServerEntry| self.is_cold(entry, span, now);
+        let cold = self.serving(service, now).filter(is_cold);
         let first = cold.map(|entry| self.warm_at(entry, span)).min()?;
         Some(first.since(now))
     }
 
+    /// Takes back what failures showed of a service's servers, because they have
+    /// another cause.
+    pub fn forget_failures(&mut self, service: &ServiceId, now: ClockTime) {
+        let of_service = self
+            .servers
+            .iter_mut()
+            .filter(|entry| entry.service == *service);
+        of_service.for_each(|entry| entry.forget_failures(now));
+    }
+
     /// Removes servers that accept no requests and run none of this instance.
     pub fn sweep(&mut self, now: ClockTime) {
         let is_removable =
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -17,5 +17,6 @@
 mod returns;
 mod route;
 mod server_limit;
+mod server_path;
 mod slow_start;
 mod support;
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -81,6 +81,7 @@
             ClockSpan::from_millis(progress.unsent_time.as_millis() + passed.as_millis());
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     };
+    progress.carrier = channel.carrier().cloned();
     // All this may have changed while the connection was being opened.
     let expired = router.clock.left(call.deadline) == ClockSpan::default();
     let crashes_servers = router.poison.refused_for(call.fingerprint).is_some();
@@ -190,6 +191,7 @@
     let sent = Cell::new(false);
     let stray = Cell::new(false);
     let stream = channel.stream();
+    let is_carried = channel.carrier().is_some();
     let is_head_request = call.request.head.method.as_ref() == "HEAD";
     let write = async {
         let written = (&*stream).write_all(&bytes).await;
@@ -236,7 +238,10 @@
             })
         }
         Err(error) => {
-            guard.note_outcome(true);
+            // A connection over the lost way says nothing of the server.
+            if is_carried || !router.is_path_lost(&call.service) {
+                guard.note_outcome(true);
+            }
             log::debug!("no response from {}: {error}", guard.server());
             let timed_out = matches!(error, ChannelError::TimedOut);
             Err(if timed_out {
--- a/crates/guavawell-forward/src/budget/lend.rs
+++ b/crates/guavawell-forward/src/budget/lend.rs
@@ -1,8 +1,6 @@
-//! Serves requests of other instances: loans, returns, suspects, configuration.
+//! Lends tokens to other instances.
 
-use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::grant::LoanAnswer;
@@ -10,91 +8,42 @@
 use guavawell_core::grant::LoanReturn;
 use guavawell_core::id::OrganisationId;
 use guavawell_fleet::event::EventDraft;
-use smol::Async;
-use smol::LocalExecutor;
 
 use super::BudgetManager;
 use super::reserve::DemandGuard;
 use super::wait_until;
-use crate::accept::accept_all;
 use crate::clock::timer_span;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
-use crate::http::within;
-use crate::peer::CONFIG_VERSION_FIELD;
-use crate::peer::PeerRequest;
-use crate::peer::ReceivedRequest;
 use crate::peer::write_loan_answer;
 
 /// How long a lender waits for the store: a pending write of the same row and two
 /// more responses. Shorter than the borrower's timeout by the time that the answer
 /// takes: tokens lent in an answer that arrives too late count as spent.
 const MAX_LEND_WAIT: ClockSpan = ClockSpan::from_millis(100);
-/// Time after which a connection without a request is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 impl BudgetManager {
-    /// Serves other instances for as long as the process runs.
-    pub async fn serve_peers(
-        self: Rc<Self>,
-        listener: Async<TcpListener>,
-        executor: Rc<LocalExecutor<'static>>,
-    ) {
-        let serve = |channel: HttpChannel| {
-            let manager = Rc::clone(&self);
-            executor
-                .spawn(async move {
-                    if let Err(error) = manager.serve_peer(channel).await {
-                        log::debug!("connection from another instance ended: {error}");
-                    }
-                })
-                .detach();
-        };
-        accept_all("instance", &listener, serve).await;
-    }
-
-    async fn serve_peer(self: &Rc<Self>, mut channel: HttpChannel) -> Result<(), ChannelError> {
-        loop {
-            let received = within(IDLE_TIMEOUT, ReceivedRequest::read(&mut channel)).await?;
-            let Some(key) = self.peers.key() else {
-                // A process that has just started may be called before it has read
-                // the key.
-                return self.reject(&channel, 503, "Service Unavailable").await;
-            };
-            let Some(nonce) = received.authenticated_nonce(key) else {
-                metrics::counter!("guavawell_forward_strangers_total").increment(1);
-                return self.reject(&channel, 403, "Forbidden").await;
-            };
-            let head = &received.head;
-            self.peers
-                .receive_version(head.fields.get(CONFIG_VERSION_FIELD));
-            let request = PeerRequest::parse(head.path(), &received.body, &self.instance);
-            let status = request
-                .as_ref()
-                .map_or((400, "Bad Request"), |_| (200, "OK"));
-            let mut writer = HeadWriter::response(status.0, status.1);
-            self.peers.write_version(&mut writer);
-            let mut body = Vec::new();
-            match request {
-                Some(PeerRequest::Loan(organisation, loan)) => {
-                    if !channel.is_quiet() {
-                        return self.decline_departed(&organisation, &head.host, loan);
-                    }
-                    let answer = self.lend(&organisation, loan).await;
-                    self.record_loan("budget.lent", &organisation, &head.host, loan, answer);
-                    write_loan_answer(&mut writer, answer, self.ledger.borrow().lender_id().nonce);
-                }
-                Some(PeerRequest::Return(loan_return)) => self.receive_return(&loan_return),
-                Some(PeerRequest::Suspects(list)) => self.poison.learn(&list, &"another"),
-                Some(PeerRequest::Config(known)) => {
-                    body = self.peers.answer_config(known, &mut writer);
-                }
-                None => {}
-            }
-            writer.field_of("Content-Length", body.len());
-            channel.send(&key.seal(writer, nonce, &body)).await?;
+    /// Answers a loan request: writes the response fields. `other` names the borrower.
+    ///
+    /// # Errors
+    ///
+    /// `Closed` if the borrower no longer waits on the channel.
+    pub(crate) async fn answer_loan(
+        self: &Rc<Self>,
+        channel: &HttpChannel,
+        organisation: &OrganisationId,
+        loan: LoanRequest,
+        other: &dyn std::fmt::Display,
+        writer: &mut HeadWriter,
+    ) -> Result<(), ChannelError> {
+        if !channel.is_quiet() {
+            return self.decline_departed(organisation, other, loan);
         }
+        let answer = self.lend(organisation, loan).await;
+        self.record_loan("budget.lent", organisation, other, loan, answer);
+        write_loan_answer(writer, answer, self.ledger.borrow().lender_id().nonce);
+        Ok(())
     }
 
     /// Ends the connection without a loan, because the borrower no longer waits for
@@ -116,21 +65,8 @@
         Err(ChannelError::Closed)
     }
 
-    /// Rejects a request; the caller then drops the connection.
-    async fn reject(
-        &self,
-        channel: &HttpChannel,
-        status: u16,
-        reason: &str,
-    ) -> Result<(), ChannelError> {
-        let mut writer = HeadWriter::response(status, reason);
-        writer.field_of("Connection", "close");
-        writer.field_of("Content-Length", 0);
-        channel.send(&writer.finish()).await?;
-        Ok(())
-    }
-
-    fn receive_return(&self, loan_return: &LoanReturn) {
+    /// Applies the return of a loan.
+    pub(crate) fn receive_return(&self, loan_return: &LoanReturn) {
         if self.ledger.borrow_mut().apply_return(loan_return) {
             if loan_return.unspent > 0 {
                 self.changed.notify(usize::MAX);
--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -1,17 +1,29 @@
-//! Provides the connection for an attempt: an idle one from the pool or a new
-//! one.
+//! Provides the connection for an attempt: an idle one from the pool, a new one, or
+//! one that another instance carries.
 
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::RetrySafety;
 use guavawell_core::forward::ServerIncarnation;
+use guavawell_core::id::ServiceId;
 use guavawell_fleet::event::EventDraft;
 
 use crate::clock::timer_span;
+use crate::clock::wait_until;
 use crate::crash::note_refused;
 use crate::http::ChannelError;
 use crate::http::HttpChannel;
 use crate::router::ForwardRouter;
 use crate::serve::ForwardCall;
+use crate::tunnel::TunnelEnd;
+use crate::tunnel::open_tunnel;
+
+/// Time after which a connection is overdue: many times what one between two zones
+/// takes.
+const OVERDUE_AFTER: Duration = Duration::from_millis(60);
 
 /// Returns a connection to a server. On failure returns `None`, and other
 /// servers are preferred for a while.
@@ -19,32 +31,193 @@
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
     server: &ServerIncarnation,
+) -> Option<HttpChannel> {
+    if let Some(idle) = take_idle(router, call, server) {
+        return Some(idle);
+    }
+    let service = router.servers.borrow().get(server)?.service.clone();
+    if router.is_path_lost(&service) {
+        return open_carried(router, call, server).await;
+    }
+    let began = router.clock.now();
+    let direct = async { ConnectEnd::Direct(connect(router, call, server).await) };
+    let around = connect_around(router, call, server, &service);
+    match direct.or(around).await {
+        ConnectEnd::Direct(Ok(channel)) => {
+            note_accepted(router, server);
+            router.note_direct_connection(&service, server);
+            Some(channel)
+        }
+        ConnectEnd::Direct(Err(error)) => {
+            log_unreached(router, server, &error, began);
+            router.note_direct_failure(&service, server);
+            open_after_failure(router, call, server, &service, &error).await
+        }
+        ConnectEnd::Carried(channel) => {
+            router.note_direct_failure(&service, server);
+            note_unreached(router, server);
+            router.note_carried_connection(&service, server);
+            Some(channel)
+        }
+        ConnectEnd::Unavailable => None,
+    }
+}
+
+/// How the opening of a connection ended.
+enum ConnectEnd {
+    /// The connection of this instance was opened, or failed.
+    Direct(Result<HttpChannel, ChannelError>),
+    /// Another instance opened one first.
+    Carried(HttpChannel),
+    /// This instance has lost its way meanwhile, and no other can be asked.
+    Unavailable,
+}
+
+/// Opens a connection through another instance beside one of this instance that is
+/// overdue, as soon as this instance may have lost its way. Never completes if that
+/// fails and the other connection may still be opened.
+async fn connect_around(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &ServerIncarnation,
+    service: &ServiceId,
+) -> ConnectEnd {
+    loop {
+        wait_until(router.path_lost.listen(), OVERDUE_AFTER).await;
+        if router.is_path_lost(service) || router.is_path_suspect(service) {
+            break;
+        }
+    }
+    let limit = router.clock.left(call.deadline);
+    match open_tunnel(router, server, limit).await {
+        TunnelEnd::Open(channel) => ConnectEnd::Carried(channel),
+        _ if router.is_path_lost(service) => ConnectEnd::Unavailable,
+        _ => std::future::pending().await,
+    }
+}
+
+/// Returns an idle connection to a server. While the server is silent, its idle
+/// connections may be dead, and a new one shows whether it is in reach.
+fn take_idle(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &ServerIncarnation,
 ) -> Option<HttpChannel> {
     let times = &router.settings.times;
     let once = call.route.retry_safety == RetrySafety::Once;
     let max_idle = if once { times.idle_once } else { times.idle };
     let now = router.clock.now();
-    let idle = router.pool.borrow_mut().take(server, now, max_idle);
-    if idle.is_some() {
-        return idle;
+    if router.servers.borrow().get(server)?.silent(now) {
+        return None;
     }
-    let address = router.servers.borrow().get(server)?.address;
-    let limit = router.connect_timeout.get().limit(&times.connect);
+    router.pool.borrow_mut().take(server, now, max_idle)
+}
+
+/// Opens a connection of this instance.
+async fn connect(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &ServerIncarnation,
+) -> Result<HttpChannel, ChannelError> {
+    let listed = router
+        .servers
+        .borrow()
+        .get(server)
+        .map(|entry| entry.address);
+    let address = listed.ok_or(ChannelError::Closed)?;
+    let limit = router
+        .connect_timeout
+        .get()
+        .limit(&router.settings.times.connect);
     let limit = limit.min(router.clock.left(call.deadline));
     metrics::counter!("guavawell_forward_connections_total").increment(1);
     let began = router.clock.now();
     let result = HttpChannel::connect(address, timer_span(limit)).await;
     note_connect_time(router, result.as_ref().err(), began);
-    match result {
-        Ok(channel) => {
+    result
+}
+
+/// Opens a connection through another instance, because this one has lost its own
+/// way.
+async fn open_carried(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &ServerIncarnation,
+) -> Option<HttpChannel> {
+    let limit = router.clock.left(call.deadline);
+    match open_tunnel(router, server, limit).await {
+        TunnelEnd::Open(channel) => {
             note_accepted(router, server);
             Some(channel)
         }
-        Err(error) => {
-            log_unreached(router, server, &error, began);
-            note_connect_failure(router, server, &error);
+        TunnelEnd::Refused => {
+            note_refused(router, server);
+            None
+        }
+        TunnelEnd::Unreachable => {
+            note_unreached(router, server);
             None
         }
+        TunnelEnd::NoCarrier => None,
+    }
+}
+
+/// Opens a connection through another instance if the failure of this one's may have
+/// a cause other than the server: it was refused, which a cut-off link can do as well
+/// as a crashed server, or several servers are out of reach.
+async fn open_after_failure(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &ServerIncarnation,
+    service: &ServiceId,
+    error: &ChannelError,
+) -> Option<HttpChannel> {
+    let suspect = router.is_path_suspect(service);
+    if !suspect && !error.is_answered() {
+        note_unreached(router, server);
+        return None;
+    }
+    let limit = router.clock.left(call.deadline);
+    match open_tunnel(router, server, limit).await {
+        TunnelEnd::Open(channel) => {
+            note_unreached(router, server);
+            router.note_carried_connection(service, server);
+            return Some(channel);
+        }
+        TunnelEnd::Refused if error.is_connection_refused() => note_refused(router, server),
+        TunnelEnd::NoCarrier if error.is_connection_refused() && !suspect => {
+            note_refused(router, server);
+        }
+        _ => note_unreached(router, server),
+    }
+    None
+}
+
+/// Whether a server that refused a connection of this instance refuses those of
+/// others as well, so that its process has ended. If no other instance can be asked,
+/// its refusal is believed unless the own way may be lost.
+pub async fn confirm_refusal(
+    router: &ForwardRouter,
+    server: &ServerIncarnation,
+    limit: ClockSpan,
+) -> bool {
+    let listed = router
+        .servers
+        .borrow()
+        .get(server)
+        .map(|entry| entry.service.clone());
+    let Some(service) = listed else {
+        return false;
+    };
+    router.note_direct_failure(&service, server);
+    match open_tunnel(router, server, limit).await {
+        TunnelEnd::Open(_) => {
+            router.note_carried_connection(&service, server);
+            false
+        }
+        TunnelEnd::Refused => true,
+        TunnelEnd::Unreachable => false,
+        TunnelEnd::NoCarrier => !router.is_path_suspect(&service),
     }
 }
 
@@ -95,11 +268,8 @@
     }
 }
 
-fn note_connect_failure(router: &ForwardRouter, server: &ServerIncarnation, error: &ChannelError) {
-    if error.is_connection_refused() {
-        note_refused(router, server);
-        return;
-    }
+/// Records that a server could not be reached: others are preferred for a while.
+fn note_unreached(router: &ForwardRouter, server: &ServerIncarnation) {
     let now = router.clock.now();
     if let Some(entry) = router.servers.borrow_mut().get_mut(server) {
         entry.record_connect_failure(now);
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -2,8 +2,9 @@
 //!
 //! On a single connection, a crash looks like a reset connection or a lost
 //! response. A new connection tells them apart: it is refused if the server's
-//! process has ended and accepted otherwise. If it is neither refused nor
-//! accepted, the server may be unreachable, and no crash is assumed.
+//! process has ended and accepted otherwise. A link that is cut can refuse it too,
+//! so another instance is asked as well. If it is neither refused nor accepted, the
+//! server may be unreachable, and no crash is assumed.
 //!
 //! A process that ends closes its connections one by one and may close its
 //! listener last. An accepted connection is therefore checked again after a
@@ -27,12 +28,16 @@
 
 use crate::clock::timer_span;
 use crate::clock::wait_until;
+use crate::connect::confirm_refusal;
 use crate::http::HttpChannel;
 use crate::router::ForwardRouter;
 
 /// Timeout of the connection that checks for a crash. A refusal takes one round
 /// trip, and a request that may be retried waits for it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time for which other instances are asked whether the server refuses them
+/// as well.
+const CONFIRM_LIMIT: ClockSpan = ClockSpan::from_millis(100);
 /// Delay after which an accepted connection is checked again. A process with
 /// many connections closes all of them in less time.
 const RECHECK_DELAY: Duration = Duration::from_millis(50);
@@ -219,14 +224,17 @@
 }
 
 async fn probe_server(router: &ForwardRouter, server: &ServerIncarnation) -> bool {
-    let Some(address) = router
+    let listed = router
         .servers
         .borrow()
         .get(server)
-        .map(|entry| entry.address)
-    else {
+        .map(|entry| (entry.address, entry.service.clone()));
+    let Some((address, service)) = listed else {
         return false;
     };
+    if router.is_path_lost(&service) {
+        return has_refused(router, server).await;
+    }
     metrics::counter!("guavawell_forward_connections_total").increment(1);
     match HttpChannel::connect(address, CONNECT_TIMEOUT).await {
         Ok(channel) => {
@@ -235,10 +243,7 @@
             router.crashes.accepted_event.notify(usize::MAX);
             false
         }
-        Err(error) if error.is_connection_refused() => {
-            note_refused(router, server);
-            true
-        }
+        Err(error) if error.is_connection_refused() => has_refused(router, server).await,
         Err(error) => {
             log::debug!("cannot determine whether {server} has crashed: {error}");
             false
@@ -246,6 +251,15 @@
     }
 }
 
+/// Whether a server refuses other instances as well, so that it has crashed.
+async fn has_refused(router: &ForwardRouter, server: &ServerIncarnation) -> bool {
+    let is_refused = confirm_refusal(router, server, CONFIRM_LIMIT).await;
+    if is_refused {
+        note_refused(router, server);
+    }
+    is_refused
+}
+
 /// Checks accepted connections again, until the process ends. A server that has
 /// closed such a connection and refuses the next one has crashed.
 pub async fn recheck_connections(router: Rc<ForwardRouter>) {
@@ -271,8 +285,9 @@
                 continue;
             };
             let again = HttpChannel::connect(address, CONNECT_TIMEOUT).await;
-            if again.is_err_and(|error| error.is_connection_refused()) {
-                note_refused(&router, &server);
+            let is_refused = again.is_err_and(|error| error.is_connection_refused());
+            if is_refused {
+                has_refused(&router, &server).await;
             }
         }
     }
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -10,6 +10,7 @@
 
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::yield_now;
+use guavawell_core::id::InstanceId;
 use smol::Async;
 use smol::Timer;
 use socket2::SockRef;
@@ -61,6 +62,14 @@
     pub fn is_connection_refused(&self) -> bool {
         matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
+
+    /// Whether the connection was refused or reset, rather than left unanswered.
+    #[must_use]
+    pub fn is_answered(&self) -> bool {
+        let is_reset =
+            matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::ConnectionReset);
+        is_reset || self.is_connection_refused()
+    }
 }
 
 /// An open connection.
@@ -71,6 +80,8 @@
     buffer: Vec<u8>,
     /// Number of bytes at the start of `buffer` that were consumed.
     consumed: usize,
+    /// The instance that carries the connection; `None` if it is direct.
+    carrier: Option<Rc<InstanceId>>,
 }
 
 impl HttpChannel {
@@ -87,9 +98,23 @@
             stream: Rc::new(stream),
             buffer: Vec::new(),
             consumed: 0,
+            carrier: None,
         })
     }
 
+    /// Marks the connection as one that another instance carries.
+    #[must_use]
+    pub fn carried_by(mut self, carrier: Rc<InstanceId>) -> Self {
+        self.carrier = Some(carrier);
+        self
+    }
+
+    /// The instance that carries the connection; `None` if it is direct.
+    #[must_use]
+    pub fn carrier(&self) -> Option<&InstanceId> {
+        self.carrier.as_deref()
+    }
+
     /// Opens a connection.
     ///
     /// # Errors
@@ -101,6 +126,15 @@
         Ok(Self::new(stream)?)
     }
 
+    /// Lets the connection be reset rather than closed once it is dropped.
+    ///
+    /// # Errors
+    ///
+    /// The socket option cannot be set.
+    pub fn reset_on_close(&self) -> io::Result<()> {
+        SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO))
+    }
+
     /// The socket, for use by another reader or writer.
     #[must_use]
     pub fn stream(&self) -> Rc<Async<TcpStream>> {
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -4,7 +4,7 @@
 //! The rules are in `guavawell_core::forward` and `guavawell_core::grant`; this
 //! crate runs them on one thread: callers' requests (`callers`, `prepare`,
 //! `routing`, `serve`), backend servers (`retry`, `attempt`, `connect`, `pool`,
-//! `relay`), budget rows and loans between instances (`budget`), requests that
+//! `relay`), connections through other instances (`path`, `tunnel`), budget rows and loans between instances (`budget`), requests that
 //! crash servers (`poison`, `crash`), the order of tasks (`schedule`), and the
 //! health and shutdown of the process (`admin`, `shutdown`). It contains no
 //! header names and no wire formats of the platform; the binary translates
@@ -31,6 +31,7 @@
 pub mod housekeeping;
 pub mod http;
 pub mod in_flight;
+pub mod path;
 pub mod peer;
 pub mod poison;
 pub mod pool;
@@ -50,4 +51,5 @@
 pub mod shutdown;
 pub mod sse;
 pub mod store;
+pub mod tunnel;
 pub mod zone_history;
--- /dev/null
+++ b/crates/guavawell-forward/src/path.rs
@@ -0,0 +1,165 @@
+//! Notices when this instance loses its own way to the servers of a service, and
+//! checks on the side when it is open again.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::PathChange;
+use guavawell_core::forward::ServerIncarnation;
+use guavawell_core::id::ServiceId;
+use guavawell_fleet::event::EventDraft;
+use smol::Timer;
+
+use crate::http::HttpChannel;
+use crate::router::ForwardRouter;
+
+/// Interval between two checks whether a lost way is open again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Timeout of the connection that checks it: longer than for requests, as nobody
+/// waits for it.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl ForwardRouter {
+    /// Whether this instance has lost its way to the servers of a service.
+    #[must_use]
+    pub fn is_path_lost(&self, service: &ServiceId) -> bool {
+        self.paths.borrow().is_lost(service)
+    }
+
+    /// Whether it may have lost it.
+    #[must_use]
+    pub fn is_path_suspect(&self, service: &ServiceId) -> bool {
+        let servers = self.count_servers(service);
+        let now = self.clock.now();
+        self.paths.borrow().is_suspect(service, servers, now)
+    }
+
+    /// Records that a server accepted a connection of this instance.
+    pub fn note_direct_connection(&self, service: &ServiceId, server: &ServerIncarnation) {
+        let servers = self.count_servers(service);
+        let now = self.clock.now();
+        let mut paths = self.paths.borrow_mut();
+        let change = paths.note_connected(service, &server.id, servers, now);
+        drop(paths);
+        if let Some(PathChange::Restored(span)) = change {
+            self.restore_path(service, span);
+        }
+    }
+
+    /// Records that a connection of this instance to a server failed.
+    pub fn note_direct_failure(&self, service: &ServiceId, server: &ServerIncarnation) {
+        let now = self.clock.now();
+        let mut paths = self.paths.borrow_mut();
+        paths.note_failed(service, &server.id, now);
+    }
+
+    /// Records that another instance opened a connection to a server right after one of
+    /// this instance had failed.
+    pub fn note_carried_connection(&self, service: &ServiceId, server: &ServerIncarnation) {
+        let servers = self.count_servers(service);
+        let now = self.clock.now();
+        let mut paths = self.paths.borrow_mut();
+        let change = paths.note_carried(service, &server.id, servers, now);
+        drop(paths);
+        if change == Some(PathChange::Lost) {
+            self.lose_path(service, server);
+        }
+    }
+
+    /// Number of servers of a service that accept requests.
+    fn count_servers(&self, service: &ServiceId) -> usize {
+        let now = self.clock.now();
+        let servers = self.servers.borrow();
+        servers.serving(service, now).count()
+    }
+
+    /// The servers of a service that accept requests, and their addresses.
+    fn serving(&self, service: &ServiceId) -> Vec<(ServerIncarnation, SocketAddr)> {
+        let now = self.clock.now();
+        let servers = self.servers.borrow();
+        let serving = servers.serving(service, now);
+        serving
+            .map(|entry| (entry.incarnation.clone(), entry.address))
+            .collect()
+    }
+
+    /// Takes back what the failures seemed to say of the servers, and lets requests
+    /// whose connections hang go the other way.
+    fn lose_path(&self, service: &ServiceId, server: &ServerIncarnation) {
+        let now = self.clock.now();
+        let mut servers = self.servers.borrow_mut();
+        servers.forget_failures(service, now);
+        drop(servers);
+        self.close_idle(service, |channel| channel.carrier().is_none());
+        self.connect_timeout.take();
+        metrics::counter!("guavawell_forward_paths_lost_total").increment(1);
+        let draft = EventDraft::new("path.lost")
+            .field("service", service)
+            .field("reached_by_others", server);
+        self.log.emit(draft);
+        self.path_lost.notify(usize::MAX);
+    }
+
+    fn restore_path(&self, service: &ServiceId, span: ClockSpan) {
+        self.close_idle(service, |channel| channel.carrier().is_some());
+        let draft = EventDraft::new("path.restored")
+            .field("service", service)
+            .field("after_ms", span.as_millis());
+        self.log.emit(draft);
+    }
+
+    /// Closes the idle connections to servers of a service for which `is_unwanted`
+    /// holds.
+    fn close_idle(&self, service: &ServiceId, is_unwanted: impl Fn(&HttpChannel) -> bool) {
+        let servers = self.servers.borrow();
+        let is_of_service = |server: &ServerIncarnation| {
+            let entry = servers.get(server);
+            entry.is_some_and(|entry| entry.service == *service)
+        };
+        let mut pool = self.pool.borrow_mut();
+        pool.retain(|server, channel| !is_of_service(server) || !is_unwanted(channel));
+    }
+}
+
+/// Checks lost ways until the process ends, with connections of its own, so that no
+/// request waits for it.
+pub async fn watch_paths(router: Rc<ForwardRouter>) {
+    let mut turn = 0;
+    loop {
+        let path_lost = router.path_lost.listen();
+        let lost = router.paths.borrow().lost_services();
+        if lost.is_empty() {
+            path_lost.await;
+            continue;
+        }
+        Timer::after(CHECK_INTERVAL).await;
+        for service in lost {
+            check_path(&router, &service, turn).await;
+        }
+        turn += 1;
+    }
+}
+
+/// Tries to connect to one of the servers, another one each turn.
+async fn check_path(router: &ForwardRouter, service: &ServiceId, turn: usize) {
+    let serving = router.serving(service);
+    let Some(index) = turn.checked_rem(serving.len()) else {
+        return;
+    };
+    let (server, address) = &serving[index];
+    metrics::counter!("guavawell_forward_connections_total").increment(1);
+    match HttpChannel::connect(*address, CHECK_TIMEOUT).await {
+        Ok(channel) => {
+            let idle = router.settings.times.idle;
+            let now = router.clock.now();
+            router.pool.borrow_mut().put(server, channel, now, idle);
+            router.note_direct_connection(service, server);
+        }
+        Err(error) => {
+            log::debug!("the way to {server} is not open: {error}");
+            router.note_direct_failure(service, server);
+        }
+    }
+}
--- a/crates/guavawell-forward/src/peer/channels.rs
+++ b/crates/guavawell-forward/src/peer/channels.rs
@@ -51,6 +51,25 @@
         version: u64,
         limit: Duration,
     ) -> Result<PeerResponse, PeerError> {
+        let exchange = self.exchange(address, request, key, version, limit);
+        let (response, channel) = exchange.await?;
+        let mut idle = self.idle.borrow_mut();
+        if response.head.keep_alive && idle.len() < MAX_IDLE_CHANNELS {
+            idle.push((address, channel));
+        }
+        Ok(response)
+    }
+
+    /// Sends a request as [`send_request`](Self::send_request) does, and returns the
+    /// connection with the response.
+    pub(crate) async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        key: FleetKey,
+        version: u64,
+        limit: Duration,
+    ) -> Result<(PeerResponse, HttpChannel), PeerError> {
         let nonce = fastrand::u64(..);
         let exchange = async {
             let mut channel = match self.take_idle(address) {
@@ -75,11 +94,7 @@
         if !key.verify(&bytes, nonce, &body) {
             return Err(PeerError::Unauthenticated(head.status));
         }
-        let mut idle = self.idle.borrow_mut();
-        if head.keep_alive && idle.len() < MAX_IDLE_CHANNELS {
-            idle.push((address, channel));
-        }
-        Ok(PeerResponse { head, body })
+        Ok((PeerResponse { head, body }, channel))
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<HttpChannel> {
--- a/crates/guavawell-forward/src/peer/message.rs
+++ b/crates/guavawell-forward/src/peer/message.rs
@@ -2,6 +2,7 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::forward::EvacuationList;
+use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::grant::LenderId;
 use guavawell_core::grant::LoanAnswer;
 use guavawell_core::grant::LoanRequest;
@@ -24,6 +25,8 @@
 use crate::http::HttpChannel;
 use crate::http::RequestHead;
 use crate::http::ResponseHead;
+use crate::tunnel::RefusalNameError;
+use crate::tunnel::TunnelRefusal;
 
 /// Largest head of a request or response, in bytes.
 pub(crate) const MAX_HEAD_BYTES: usize = 4 * 1024;
@@ -35,6 +38,11 @@
 const SUSPECTS_PATH: &str = "suspects";
 /// First path segment of a request for the configuration.
 const CONFIG_PATH: &str = "config";
+/// First path segment of a request for a connection to a server; the server's id
+/// and start follow.
+const TUNNEL_PATH: &str = "tunnel";
+/// Start of a server that does not state it.
+const UNKNOWN_START: &str = "-";
 /// Largest request body, in bytes: a full list of suspects.
 const MAX_BODY_BYTES: usize = 32 * 1024;
 /// Second path segment of a loan to an instance that holds tokens itself.
@@ -59,7 +67,7 @@
 const RETURNED_FIELD: &str = "Returned";
 /// Response field: number of tokens lent.
 const LENT_FIELD: &str = "Lent";
-/// Response field: why no tokens were lent.
+/// Response field: why no tokens were lent, or no connection was opened.
 const CAUSE_FIELD: &str = "Cause";
 /// Response field: nonce of the lending process, which differs after a restart.
 const LENDER_NONCE_FIELD: &str = "Life";
@@ -75,6 +83,9 @@
     Suspects(SuspicionList),
     /// Asks for the configuration if it is newer than this version.
     Config(u64),
+    /// Asks for a connection to a server. After a positive answer, all further bytes
+    /// of the connection are the server's.
+    Tunnel(ServerIncarnation),
 }
 
 impl PeerRequest {
@@ -98,13 +109,18 @@
             ),
             Self::Suspects(_) => format!("/{SUSPECTS_PATH}"),
             Self::Config(known) => format!("/{CONFIG_PATH}/{known}"),
+            Self::Tunnel(server) => {
+                let born = server.born.map(|born| born.to_string());
+                let born = born.as_deref().unwrap_or(UNKNOWN_START);
+                format!("/{TUNNEL_PATH}/{}/{born}", server.id)
+            }
         }
     }
 
     /// The body of the HTTP request.
     pub(crate) fn body(&self) -> Vec<u8> {
         match self {
-            Self::Loan(..) | Self::Return(_) | Self::Config(_) => Vec::new(),
+            Self::Loan(..) | Self::Return(_) | Self::Config(_) | Self::Tunnel(_) => Vec::new(),
             Self::Suspects(list) => encode_row(list).unwrap_or_else(|error| {
                 log::error!("cannot encode a list of suspects: {error}");
                 Vec::new()
@@ -153,6 +169,13 @@
                 Self::Suspects(list.ok()?)
             }
             CONFIG_PATH => Self::Config(parts.next()?.parse().ok()?),
+            TUNNEL_PATH => Self::Tunnel(ServerIncarnation {
+                id: parts.next()?.parse().ok()?,
+                born: match parts.next()? {
+                    UNKNOWN_START => None,
+                    born => Some(born.parse().ok()?),
+                },
+            }),
             _ => return None,
         };
         parts.next().is_none().then_some(request)
@@ -179,6 +202,23 @@
     Some((answer, nonce))
 }
 
+/// Writes the response fields of a request for a connection, which is open unless
+/// there is a refusal.
+pub(crate) fn write_tunnel_answer(writer: &mut HeadWriter, refusal: Option<TunnelRefusal>) {
+    if let Some(refusal) = refusal {
+        writer.field_of(CAUSE_FIELD, refusal);
+    }
+}
+
+/// Reads the response to a request for a connection: why it is not open, or `None` if
+/// it is.
+pub(crate) fn read_tunnel_answer(
+    head: &ResponseHead,
+) -> Result<Option<TunnelRefusal>, RefusalNameError> {
+    let cause = head.fields.get(CAUSE_FIELD);
+    cause.map(str::parse).transpose()
+}
+
 /// Writes the response fields of a request for the configuration.
 pub(crate) fn write_config(writer: &mut HeadWriter, answer: &PeerConfig) {
     writer.field_of(STORED_VERSION_FIELD, answer.version);
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod channels;
 mod key;
 mod message;
+mod server;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -14,6 +15,7 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::grant::FleetMember;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::ZoneId;
@@ -22,12 +24,16 @@
 use self::channels::PeerChannels;
 use self::channels::PeerResponse;
 use self::message::read_config;
+use self::message::read_tunnel_answer;
 use self::message::write_config;
 use crate::clock::SteadyClock;
 use crate::config::ConfigTracker;
 use crate::config::PeerConfig;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
+use crate::http::HttpChannel;
+use crate::tunnel::RefusalNameError;
+use crate::tunnel::TunnelRefusal;
 
 pub use self::key::FleetKey;
 pub(crate) use self::message::CONFIG_VERSION_FIELD;
@@ -35,6 +41,7 @@
 pub(crate) use self::message::ReceivedRequest;
 pub(crate) use self::message::read_loan_answer;
 pub(crate) use self::message::write_loan_answer;
+pub use self::server::serve_peers;
 
 /// Time for which an instance that did not answer is avoided, since each request to it
 /// would wait for its whole timeout. Doubled with each consecutive failure.
@@ -64,6 +71,9 @@
     /// The response does not prove that its sender knows the fleet's key.
     #[error("response with status {0} has no valid proof of the fleet's key")]
     Unauthenticated(u16),
+    /// The response to a request for a connection is malformed.
+    #[error(transparent)]
+    Tunnel(#[from] RefusalNameError),
     /// The instance has no configuration that it may pass on.
     #[error("the instance has no configuration from the store")]
     NoConfig,
@@ -87,6 +97,10 @@
     backoff_until: ClockTime,
     /// Consecutive requests without an answer.
     failures: u32,
+    /// Until this time the instance is not asked for connections to servers.
+    carrier_paused_until: ClockTime,
+    /// The instance's id, of which each connection that it carries holds a copy.
+    carrier: Rc<InstanceId>,
 }
 
 impl PeerEntry {
@@ -95,6 +109,19 @@
     }
 }
 
+/// An instance that may carry connections to servers.
+#[derive(Clone, Debug)]
+pub(crate) struct Carrier {
+    /// The instance.
+    pub(crate) instance: Rc<InstanceId>,
+    /// Its availability zone.
+    pub(crate) zone: ZoneId,
+    /// Its address.
+    address: SocketAddr,
+    /// Connections of this instance that it carries.
+    pub(crate) open_tunnels: usize,
+}
+
 /// The other instances known to this process.
 #[derive(Debug)]
 pub struct PeerRegistry {
@@ -172,6 +199,12 @@
             PeerEntry {
                 backoff_until: previous.map_or(ClockTime::default(), |peer| peer.backoff_until),
                 failures: previous.map_or(0, |peer| peer.failures),
+                carrier_paused_until: previous
+                    .map_or(ClockTime::default(), |peer| peer.carrier_paused_until),
+                carrier: previous.map_or_else(
+                    || Rc::new(endpoint.member.instance.clone()),
+                    |peer| Rc::clone(&peer.carrier),
+                ),
                 endpoint,
             }
         };
@@ -223,6 +256,51 @@
         Ok(response)
     }
 
+    /// The instances that may be asked for a connection to a server.
+    pub(crate) fn carriers(&self) -> Vec<Carrier> {
+        let now = self.clock.now();
+        let peers = self.peers.borrow();
+        let available = peers.iter().filter(|peer| now >= peer.carrier_paused_until);
+        let carriers = available.map(|peer| Carrier {
+            instance: Rc::clone(&peer.carrier),
+            zone: peer.endpoint.member.zone.clone(),
+            address: peer.endpoint.address,
+            // Two copies are the registry's own and this one's.
+            open_tunnels: Rc::strong_count(&peer.carrier).saturating_sub(2),
+        });
+        carriers.collect()
+    }
+
+    /// Asks an instance for no connection to a server for a while.
+    pub(crate) fn pause_carrier(&self, instance: &InstanceId, span: ClockSpan) {
+        let until = self.clock.now() + span;
+        self.update(instance, |peer| peer.carrier_paused_until = until);
+    }
+
+    /// Asks an instance for a connection to a server, without a retry. `limit` is the
+    /// timeout.
+    pub(crate) async fn open_tunnel(
+        &self,
+        carrier: &Carrier,
+        server: &ServerIncarnation,
+        limit: Duration,
+    ) -> Result<Result<HttpChannel, TunnelRefusal>, PeerError> {
+        let key = self.key.get().ok_or(PeerError::NoKey)?;
+        let request = PeerRequest::Tunnel(server.clone());
+        let version = self.configs.version();
+        let exchange = self
+            .channels
+            .exchange(carrier.address, &request, key, version, limit);
+        let (response, channel) = exchange.await?;
+        if response.head.status != 200 {
+            return Err(PeerError::Unauthenticated(response.head.status));
+        }
+        match read_tunnel_answer(&response.head)? {
+            Some(refusal) => Ok(Err(refusal)),
+            None => Ok(Ok(channel.carried_by(Rc::clone(&carrier.instance)))),
+        }
+    }
+
     /// Requests the configuration from an instance. The response has the row only if
     /// its version is newer than `known`.
     pub(crate) async fn fetch_config(
--- /dev/null
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -0,0 +1,114 @@
+//! Serves requests of other instances: loans, returns, suspects, the configuration,
+//! and connections to backend servers.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol::Async;
+
+use super::CONFIG_VERSION_FIELD;
+use super::PeerRequest;
+use super::ReceivedRequest;
+use super::message::write_tunnel_answer;
+use crate::accept::accept_all;
+use crate::http::ChannelError;
+use crate::http::HeadWriter;
+use crate::http::HttpChannel;
+use crate::http::within;
+use crate::router::ForwardRouter;
+use crate::schedule::TaskQueues;
+use crate::tunnel::CarriedTunnel;
+use crate::tunnel::carry;
+use crate::tunnel::open_for_peer;
+
+/// Time after which a connection without a request is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Serves other instances for as long as the process runs.
+pub async fn serve_peers(
+    router: Rc<ForwardRouter>,
+    listener: Async<TcpListener>,
+    queues: TaskQueues,
+) {
+    let serve = |channel: HttpChannel| {
+        let router = Rc::clone(&router);
+        let requests = Rc::clone(&queues.requests);
+        let connection = async move {
+            match serve_peer(&router, channel).await {
+                // Its bytes are those of callers' requests, so they do not delay other
+                // control tasks.
+                Ok(tunnel) => requests.spawn(carry(router, tunnel)).detach(),
+                Err(error) => log::debug!("connection from another instance ended: {error}"),
+            }
+        };
+        queues.control.spawn(connection).detach();
+    };
+    accept_all("instance", &listener, serve).await;
+}
+
+/// Serves requests until the connection ends, or becomes a tunnel to a server.
+async fn serve_peer(
+    router: &Rc<ForwardRouter>,
+    mut channel: HttpChannel,
+) -> Result<CarriedTunnel, ChannelError> {
+    let budgets = &router.budgets;
+    let peers = &router.peers;
+    loop {
+        let received = within(IDLE_TIMEOUT, ReceivedRequest::read(&mut channel)).await?;
+        let Some(key) = peers.key() else {
+            // A process that has just started may be called before it has read
+            // the key.
+            return reject(&channel, 503, "Service Unavailable").await;
+        };
+        let Some(nonce) = received.authenticated_nonce(key) else {
+            metrics::counter!("guavawell_forward_strangers_total").increment(1);
+            return reject(&channel, 403, "Forbidden").await;
+        };
+        let head = &received.head;
+        peers.receive_version(head.fields.get(CONFIG_VERSION_FIELD));
+        let request = PeerRequest::parse(head.path(), &received.body, &router.settings.instance);
+        let status = request
+            .as_ref()
+            .map_or((400, "Bad Request"), |_| (200, "OK"));
+        let mut writer = HeadWriter::response(status.0, status.1);
+        peers.write_version(&mut writer);
+        let mut body = Vec::new();
+        let mut server = None;
+        match request {
+            Some(PeerRequest::Loan(organisation, loan)) => {
+                let answer =
+                    budgets.answer_loan(&channel, &organisation, loan, &head.host, &mut writer);
+                answer.await?;
+            }
+            Some(PeerRequest::Return(loan_return)) => budgets.receive_return(&loan_return),
+            Some(PeerRequest::Suspects(list)) => router.poison.learn(&list, &"another"),
+            Some(PeerRequest::Config(known)) => {
+                body = peers.answer_config(known, &mut writer);
+            }
+            Some(PeerRequest::Tunnel(incarnation)) => {
+                let opened = open_for_peer(router, &incarnation).await;
+                write_tunnel_answer(&mut writer, opened.as_ref().err().copied());
+                server = opened.ok();
+            }
+            None => {}
+        }
+        writer.field_of("Content-Length", body.len());
+        channel.send(&key.seal(writer, nonce, &body)).await?;
+        if let Some(server) = server {
+            return Ok(CarriedTunnel {
+                peer: channel,
+                server,
+            });
+        }
+    }
+}
+
+/// Rejects a request; the caller then drops the connection.
+async fn reject<T>(channel: &HttpChannel, status: u16, reason: &str) -> Result<T, ChannelError> {
+    let mut writer = HeadWriter::response(status, reason);
+    writer.field_of("Connection", "close");
+    writer.field_of("Content-Length", 0);
+    channel.send(&writer.finish()).await?;
+    Err(ChannelError::Closed)
+}
--- a/crates/guavawell-forward/src/pool.rs
+++ b/crates/guavawell-forward/src/pool.rs
@@ -6,6 +6,7 @@
 
 use crate::http::FieldList;
 use crate::http::HttpChannel;
+use crate::tunnel::MAX_TUNNEL_IDLE;
 
 /// Maximum number of idle connections per server.
 const MAX_IDLE: usize = 48;
@@ -67,6 +68,10 @@
                 index
             }
         };
+        let max_idle = match channel.carrier() {
+            Some(_) => max_idle.min(MAX_TUNNEL_IDLE),
+            None => max_idle,
+        };
         let idle = &mut self.servers[index].1;
         if idle.len() < MAX_IDLE {
             idle.push(IdleChannel {
@@ -84,6 +89,13 @@
         }
     }
 
+    /// Closes the idle connections for which `is_wanted` does not hold.
+    pub fn retain(&mut self, is_wanted: impl Fn(&ServerIncarnation, &HttpChannel) -> bool) {
+        for (server, idle) in &mut self.servers {
+            idle.retain(|entry| is_wanted(server, &entry.channel));
+        }
+    }
+
     /// Closes expired connections, to free resources on both sides.
     pub fn sweep(&mut self, now: ClockTime) {
         for (_, idle) in &mut self.servers {
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -15,6 +15,7 @@
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::choose_server;
 use guavawell_core::forward::next_step;
+use guavawell_core::id::InstanceId;
 use guavawell_core::poison::SuspicionMark;
 use guavawell_fleet::event::EventDraft;
 
@@ -75,6 +76,8 @@
     pub suspicion: SuspicionMark,
     /// How much of the stream the caller has received.
     pub stream: StreamProgress,
+    /// The instance that carries the connection of the last attempt, if any.
+    pub carrier: Option<InstanceId>,
     /// Whether the request waited because all servers counted as cold.
     pub waited: bool,
 }
@@ -111,6 +114,9 @@
         record.note("server", &pick.server);
         let outcome = send_attempt(router, caller, call, &pick, &mut progress).await;
         record.note("attempts", progress.sent);
+        if let Some(carrier) = &progress.carrier {
+            record.note("carrier", carrier);
+        }
         update_suspicion(router, call, &progress, &pick.server, &outcome).await;
         let (end, response) = match outcome {
             AttemptOutcome::Delivered(status, keep_alive) => {
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -15,6 +15,7 @@
 use guavawell_core::forward::LinkCongestion;
 use guavawell_core::forward::RetryAllowance;
 use guavawell_core::forward::RetryLimits;
+use guavawell_core::forward::ServerPaths;
 use guavawell_core::forward::ServerTable;
 use guavawell_core::id::ServiceId;
 use guavawell_fleet::event::EventDraft;
@@ -30,6 +31,7 @@
 use crate::poison::PoisonTracker;
 use crate::pool::ConnectionPool;
 use crate::settings::ForwardSettings;
+use crate::tunnel::CarriedTunnels;
 use crate::zone_history::ZoneHistory;
 
 /// The phase of the process.
@@ -84,6 +86,12 @@
     pub retry_allowance: RefCell<RetryAllowance>,
     /// Recent connection times, from which the connect timeout is derived.
     pub connect_timeout: Cell<ConnectTimeout>,
+    /// Whether this instance reaches the servers of each service.
+    pub paths: RefCell<ServerPaths>,
+    /// Notified when the way to the servers of a service is lost.
+    pub path_lost: Event,
+    /// Connections to servers that this instance carries for others.
+    pub(crate) carried: CarriedTunnels,
     /// Detects from connection times whether this instance's network link is
     /// full.
     link_congestion: Cell<LinkCongestion>,
@@ -142,6 +150,9 @@
             zone_history: ZoneHistory::default(),
             retry_allowance: RefCell::default(),
             connect_timeout: Cell::default(),
+            paths: RefCell::default(),
+            path_lost: Event::new(),
+            carried: CarriedTunnels::default(),
             link_congestion: Cell::new(LinkCongestion::new(settings.congestion)),
             pool: RefCell::default(),
             settings,
@@ -283,10 +294,12 @@
         }
     }
 
-    /// Number of requests that are being received, served or refused.
+    /// Number of requests that are being received, served, refused or carried for
+    /// other instances.
     #[must_use]
     pub fn unfinished_requests(&self) -> usize {
-        self.held_requests.get() + self.pending_requests.get()
+        let carried = self.carried.busy_count(self.clock.now());
+        self.held_requests.get() + self.pending_requests.get() + carried
     }
 
     /// When a leaving process ends at the latest: at the end of the grace period.
