Instances keep to their parts of a fragile server, so that it need not fall over

What callers would see: servers that state how many rejections a second they survive fall over with all that they run, and their load pushes over the next.

Cause: an instance counts a server as full at twice its slots, by load reports that are old when they arrive; all see the same free slots. The class is that of the rate limit: a limit over all instances that none sees whole.

Now, while any server of a service states it, an instance uses its part of each server's slots and memory: the parts of all add up to the whole, so what is within them can't be rejected. More is risked only if the server seems to have a free slot, by few instances of a rank and at intervals: together half of what it survives. A rejection pauses the server for this instance at once.

Evidence: fragile::a_fragile_server_is_not_made_to_reject_more_than_it_survives (four instances with 48 callers before 16 slots): both servers fell over with the field not read, none now, and over half of the capacity is used. core fragility::*.

--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -9,6 +9,7 @@
 use crate::clock::ClockTime;
 use crate::forward::EngineLimits;
 use crate::forward::PromptPart;
+use crate::forward::RequestRate;
 use crate::forward::ServerConstraints;
 use crate::forward::ServerEntry;
 use crate::forward::ServerHealth;
@@ -17,6 +18,7 @@
 use crate::forward::ServerPhase;
 use crate::forward::ServerTable;
 use crate::forward::TokenUsage;
+use crate::forward::fleet_part;
 use crate::id::BackendId;
 use crate::id::ZoneId;
 use crate::number::fraction;
@@ -146,6 +148,8 @@
     pub server: ServerIncarnation,
     /// Prompt tokens that the server probably has to prefill.
     pub prefill_tokens: u64,
+    /// Whether the server, which is fragile, might reject the request.
+    pub risky: bool,
 }
 
 /// Chooses the server with the lowest cost.
@@ -162,6 +166,7 @@
     let choice = ServerChoice {
         table,
         request,
+        fragility: table.fragility(request.constraints.service, now),
         now,
         settings,
     };
@@ -173,6 +178,8 @@
 struct ServerChoice<'a> {
     table: &'a ServerTable,
     request: &'a ChoiceRequest<'a>,
+    /// Rejections per second that the servers survive; `None` if they are not fragile.
+    fragility: Option<RequestRate>,
     now: ClockTime,
     settings: &'a ChoiceSettings,
 }
@@ -221,6 +228,7 @@
         Ok(ServerPick {
             server: best.incarnation.clone(),
             prefill_tokens: self.request.usage.input.get().saturating_sub(cached),
+            risky: self.fragility.is_some() && !self.is_within_part(best),
         })
     }
 
@@ -274,12 +282,42 @@
         if f64::from(entry.load.estimate(self.now)) >= max_requests.max(1.0) {
             return false;
         }
+        if let Some(rejections) = self.fragility
+            && !self.is_within_part(entry)
+            && !self.may_risk(entry, rejections)
+        {
+            return false;
+        }
         self.request.engine.is_none_or(|engine| {
             let cache_tokens = entry.load.cache_tokens + self.request.usage.worst_case().get();
             entry.load.in_flight == 0 || cache_tokens <= engine.memory.get()
         })
     }
 
+    /// Whether a fragile server has room for the request in this instance's part of its
+    /// slots and memory.
+    fn is_within_part(&self, entry: &ServerEntry) -> bool {
+        let part = |total: u64| {
+            let fleet = self.request.constraints.fleet;
+            fleet_part(total, &entry.incarnation.id, fleet)
+        };
+        if u64::from(entry.load.in_flight) >= part(entry.slots.into()) {
+            return false;
+        }
+        self.request.engine.is_none_or(|engine| {
+            let cache_tokens = entry.load.cache_tokens + self.request.usage.worst_case().get();
+            entry.load.in_flight == 0 || cache_tokens <= part(engine.memory.get())
+        })
+    }
+
+    /// Whether a request may be sent that a fragile server might reject.
+    fn may_risk(&self, entry: &ServerEntry, rejections: RequestRate) -> bool {
+        let fleet = self.request.constraints.fleet;
+        let id = &entry.incarnation.id;
+        let seems_free = entry.load.estimate(self.now) < entry.slots;
+        seems_free && entry.fragility.may_risk(rejections, id, fleet, self.now)
+    }
+
     fn cost_ms(&self, entry: &ServerEntry, preferred: bool) -> f64 {
         let settings = self.settings;
         let estimate = f64::from(entry.load.estimate(self.now));
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
+use crate::forward::ServerFragility;
 use crate::forward::ServerIncarnation;
 use crate::forward::ServerLimit;
 use crate::forward::ServerWarmth;
@@ -176,6 +177,8 @@
     pub warmth: ServerWarmth,
     /// The rate limit that it states.
     pub limit: ServerLimit,
+    /// Whether it falls over if it has to reject too many requests.
+    pub fragility: ServerFragility,
     /// Requests of this instance that run there and are suspected of crashing
     /// servers.
     pub suspects: Vec<RequestFingerprint>,
--- a/crates/guavawell-core/src/forward/table.rs
+++ b/crates/guavawell-core/src/forward/table.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
+use crate::forward::RequestRate;
 use crate::forward::ServerEntry;
 use crate::forward::ServerIncarnation;
 use crate::forward::ServerPhase;
@@ -244,6 +245,16 @@
         Some(first.since(now))
     }
 
+    /// Rejections per second that the servers of a service survive; `None` if they are
+    /// not fragile. What some servers state holds for all.
+    #[must_use]
+    pub fn fragility(&self, service: &ServiceId, now: ClockTime) -> Option<RequestRate> {
+        let stated = self
+            .serving(service, now)
+            .filter_map(|entry| entry.fragility.recent(now));
+        stated.reduce(RequestRate::min)
+    }
+
     /// Takes back what failures showed of a service's servers, because they have
     /// another cause.
     pub fn forget_failures(&mut self, service: &ServiceId, now: ClockTime) {
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod congestion;
 mod connect;
 mod evacuation;
+mod fragility;
 mod history;
 mod incarnation;
 mod large_fleet;
--- a/crates/guavawell-core/tests/forward/support.rs
+++ b/crates/guavawell-core/tests/forward/support.rs
@@ -11,6 +11,7 @@
 use guavawell_core::forward::PromptPart;
 use guavawell_core::forward::ServerConstraints;
 use guavawell_core::forward::ServerEntry;
+use guavawell_core::forward::ServerFragility;
 use guavawell_core::forward::ServerHealth;
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::ServerLimit;
@@ -70,6 +71,7 @@
         health: ServerHealth::default(),
         warmth: ServerWarmth::default(),
         limit: ServerLimit::default(),
+        fragility: ServerFragility::default(),
         suspects: Vec::new(),
     }
 }
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -42,6 +42,9 @@
 /// Time by which the wait for a busy server is extended before the server is
 /// checked again.
 const WAIT_EXTENSION: ClockSpan = ClockSpan::from_millis(200);
+/// How long a fragile server that has rejected a request gets no others: about the time
+/// in which slots become free.
+const REJECTION_PAUSE: ClockSpan = ClockSpan::from_millis(500);
 /// Largest response to another request that is skipped, in bytes.
 const MAX_STRAY_BODY: usize = 256 * 1024;
 
@@ -164,6 +167,18 @@
         router.pool.borrow_mut().drop_connections(server);
     }
     drop(response);
+    spare_fragile_server(router, server);
+}
+
+/// Pauses a fragile server that has rejected a request: others would be rejected too.
+fn spare_fragile_server(router: &ForwardRouter, server: &ServerIncarnation) {
+    let now = router.clock.now();
+    let mut servers = router.servers.borrow_mut();
+    let service = servers.get(server).map(|entry| entry.service.clone());
+    let is_fragile = service.is_some_and(|service| servers.fragility(&service, now).is_some());
+    if let Some(entry) = servers.get_mut(server).filter(|_| is_fragile) {
+        entry.pause(now, REJECTION_PAUSE);
+    }
 }
 
 fn note_load(router: &ForwardRouter, response: &IncomingResponse) {
--- a/crates/guavawell-forward/src/field_names.rs
+++ b/crates/guavawell-forward/src/field_names.rs
@@ -32,6 +32,8 @@
     pub cold: &'static str,
     /// Requests per second that a server in need accepts from all instances.
     pub limit: &'static str,
+    /// Rejections per second that a fragile server survives.
+    pub fragile: &'static str,
     /// Further fields that only the system may set. They are removed from
     /// callers' requests.
     pub reserved: &'static [&'static str],
--- a/crates/guavawell-forward/src/in_flight.rs
+++ b/crates/guavawell-forward/src/in_flight.rs
@@ -34,6 +34,10 @@
         if let Some(server) = router.servers.borrow_mut().get_mut(&pick.server) {
             server.begin(now, pick.prefill_tokens, memory_tokens);
             server.suspects.extend(suspect);
+            if pick.risky {
+                server.fragility.note_risk(now);
+                metrics::counter!("guavawell_forward_risky_sends_total").increment(1);
+            }
         }
         Self {
             router: Rc::clone(router),
--- a/crates/guavawell-forward/src/server_status.rs
+++ b/crates/guavawell-forward/src/server_status.rs
@@ -1,5 +1,6 @@
 //! Reads what a server reports about itself in the head of any response: that
-//! it is leaving, that it is cold, that it accepts few requests, or none for a while.
+//! it is leaving, that it is cold, that it accepts few requests, or none for a while,
+//! or that it is fragile.
 //!
 //! The report applies until the server restarts and takes precedence over the
 //! platform's entry, which is updated later, or not at all while the platform
@@ -46,6 +47,7 @@
         apply_cold_span(router, server, text);
     }
     apply_limit(router, server, head);
+    apply_fragility(router, server, head);
     if head.status == 503 {
         apply_pause(router, server, head);
     }
@@ -103,25 +105,17 @@
 }
 
 /// Applies the rate limit that a server states, or lifts it if the response states
-/// none. The lowest of several values counts. A malformed one changes nothing, so
-/// that it lifts no limit.
+/// none.
 fn apply_limit(router: &ForwardRouter, server: &ServerIncarnation, head: &ResponseHead) {
     let name = router.settings.names.limit;
-    let mut lowest: Option<RequestRate> = None;
-    let mut malformed = None;
-    for text in head.fields.all(name) {
-        let parsed: Result<RequestRate, RateError> = String::from_utf8_lossy(text).parse();
-        match parsed {
-            Ok(rate) => lowest = Some(lowest.map_or(rate, |lowest| lowest.min(rate))),
-            Err(error) => malformed = Some(error),
-        }
-    }
+    let (lowest, malformed) = lowest_rate(head, name);
     let now = router.clock.now();
     let mut servers = router.servers.borrow_mut();
     let Some(entry) = servers.get_mut(server) else {
         return;
     };
     let is_news = malformed.is_some() && entry.limit.note_unreadable();
+    // A malformed value changes nothing, so that it lifts no limit.
     let change = if malformed.is_some() && lowest.is_none() {
         None
     } else {
@@ -136,6 +130,44 @@
     }
 }
 
+/// Applies what a server states of its fragility, or that it states nothing.
+fn apply_fragility(router: &ForwardRouter, server: &ServerIncarnation, head: &ResponseHead) {
+    let name = router.settings.names.fragile;
+    let (lowest, malformed) = lowest_rate(head, name);
+    let now = router.clock.now();
+    let mut servers = router.servers.borrow_mut();
+    let Some(entry) = servers.get_mut(server) else {
+        return;
+    };
+    let is_news = malformed.is_some() && entry.fragility.note_unreadable();
+    let keeps = malformed.is_some() && lowest.is_none();
+    let changed = !keeps && entry.fragility.state(now, lowest);
+    drop(servers);
+    if let Some(error) = malformed.filter(|_| is_news) {
+        log_unreadable(router, server, name, &error);
+    }
+    if changed {
+        let draft = match lowest {
+            Some(rate) => EventDraft::new("server.fragile").field("rejections_per_second", rate),
+            None => EventDraft::new("server.robust"),
+        };
+        router.log.emit(draft.field("server", server));
+    }
+}
+
+/// The lowest of the rates in a field, and the error of a malformed one.
+fn lowest_rate(head: &ResponseHead, name: &str) -> (Option<RequestRate>, Option<RateError>) {
+    let mut lowest: Option<RequestRate> = None;
+    let mut malformed = None;
+    for text in head.fields.all(name) {
+        match String::from_utf8_lossy(text).parse() {
+            Ok(rate) => lowest = Some(lowest.map_or(rate, |lowest| lowest.min(rate))),
+            Err(error) => malformed = Some(error),
+        }
+    }
+    (lowest, malformed)
+}
+
 fn log_limit(router: &ForwardRouter, server: &ServerIncarnation, change: LimitChange) {
     metrics::counter!("guavawell_forward_limit_changes_total").increment(1);
     let draft = match change {
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -49,6 +49,7 @@
     leaving: "Leaving",
     cold: "Cold",
     limit: "server-limit",
+    fragile: "fragile",
     reserved: &[],
 };
 
