Instances with a share of a server's rate limit tell the others what they heard

What callers would see: after a limit is lifted, instances without a share send the server nothing for 20 s and longer, as only its answers lift it and they get none.

Now the four instances with a share tell a change that they heard from the server itself, once a second a server at most (376 messages a change with 95 instances). The server's own word goes first: a message counts if it is newer, 0.5 s newer to lift. Who misses it checks the limit as before.

--- a/crates/guavawell-core/src/forward/server_limit.rs
+++ b/crates/guavawell-core/src/forward/server_limit.rs
@@ -35,6 +35,10 @@
 const RECHECK_AGE: ClockSpan = ClockSpan::from_millis(2_000);
 /// Age from which instances without a share check a statement, one after another.
 const EXPIRY_AGE: ClockSpan = ClockSpan::from_millis(20_000);
+/// How much newer a message must be than what is known, to lift a limit.
+const LIFT_MARGIN: ClockSpan = ClockSpan::from_millis(500);
+/// Shortest interval between two changes of one server that an instance tells.
+const TELL_INTERVAL: ClockSpan = ClockSpan::from_millis(1_000);
 /// Part of the rate at which they do.
 const CHECK_FRACTION: f64 = 0.5;
 const SECOND_MS: f64 = 1_000.0;
@@ -108,12 +112,14 @@
 pub struct ServerLimit {
     /// The limit; `None` if the server states none.
     rate: Option<RequestRate>,
-    /// When the server last responded.
+    /// When the server last responded, to this instance or to one that told it.
     stated_at: ClockTime,
     /// Requests that this instance has sent since the limit was stated.
     sends: u64,
     /// When the last of them was sent, or the limit was stated first.
     last_send: ClockTime,
+    /// When this instance last told others a change.
+    told_at: ClockTime,
     /// Whether a statement of this server could not be parsed.
     unreadable: bool,
 }
@@ -135,6 +141,31 @@
     /// states none. Returns the change, if there is one.
     pub fn state(&mut self, now: ClockTime, rate: Option<RequestRate>) -> Option<LimitChange> {
         self.stated_at = now;
+        self.replace(now, rate)
+    }
+
+    /// Applies what another instance heard from the server at `heard_at`. Returns the
+    /// change, if there is one. That a limit was lifted is believed only if it is
+    /// clearly newer than what is known, as the message's age is uncertain.
+    pub fn learn(
+        &mut self,
+        now: ClockTime,
+        heard_at: ClockTime,
+        rate: Option<RequestRate>,
+    ) -> Option<LimitChange> {
+        let margin = if rate.is_none() {
+            LIFT_MARGIN
+        } else {
+            ClockSpan::ZERO
+        };
+        if heard_at <= self.stated_at + margin {
+            return None;
+        }
+        self.stated_at = heard_at;
+        self.replace(now, rate)
+    }
+
+    fn replace(&mut self, now: ClockTime, rate: Option<RequestRate>) -> Option<LimitChange> {
         if self.rate == rate {
             return None;
         }
@@ -146,6 +177,23 @@
         Some(rate.map_or(LimitChange::Lifted(self.sends), LimitChange::Stated))
     }
 
+    /// Whether this instance tells others a change that it just heard: it has a share of
+    /// the limit, or had one, and has told nothing for a while.
+    pub fn should_tell(
+        &mut self,
+        server: &BackendId,
+        fleet: FleetView<'_>,
+        now: ClockTime,
+    ) -> bool {
+        let senders = fleet.senders(MAX_SENDERS);
+        let is_sender = fleet.rank_for(server).is_some_and(|rank| rank < senders);
+        let tells = is_sender && now.since(self.told_at) >= TELL_INTERVAL;
+        if tells {
+            self.told_at = now;
+        }
+        tells
+    }
+
     /// Records a response whose limit cannot be parsed: an earlier limit stays in
     /// force. Returns whether it is the first one, which is logged.
     pub const fn note_unreadable(&mut self) -> bool {
--- a/crates/guavawell-core/tests/forward/server_limit.rs
+++ b/crates/guavawell-core/tests/forward/server_limit.rs
@@ -85,6 +85,35 @@
     assert!(!limit.note_send(later(700)));
 }
 
+// What another instance tells counts if it is newer than what the server said here.
+#[test]
+fn what_another_instance_tells_counts_if_it_is_newer() {
+    let mut limit = ServerLimit::default();
+    limit.state(later(1_000), None);
+    assert_eq!(limit.learn(later(1_100), later(900), Some(rate("2"))), None);
+    let stated = limit.learn(later(1_100), later(1_050), Some(rate("2")));
+    assert_eq!(stated, Some(LimitChange::Stated(rate("2"))));
+    limit.state(later(2_000), Some(rate("2")));
+    assert_eq!(limit.learn(later(2_600), later(2_400), None), None);
+    let lifted = limit.learn(later(2_600), later(2_501), None);
+    assert_eq!(lifted, Some(LimitChange::Lifted(0)));
+}
+
+#[test]
+fn only_instances_with_a_share_tell_a_change_and_not_too_often() {
+    let members: Vec<InstanceId> = (0..95).map(instance).collect();
+    let id = server(1).id;
+    let mut told = 0;
+    for own in &members {
+        let mut limit = ServerLimit::default();
+        let tells = [0, 10, 990, 1_000]
+            .map(|millis| limit.should_tell(&id, view(own, &members), later(millis)));
+        assert!([[true, false, false, true], [false; 4]].contains(&tells));
+        told += usize::from(tells[0]);
+    }
+    assert_eq!(told, 4);
+}
+
 #[test]
 fn few_instances_have_a_share_and_the_others_check_one_after_another() {
     let members: Vec<InstanceId> = (0..95).map(instance).collect();
--- a/crates/guavawell-forward/src/eligible.rs
+++ b/crates/guavawell-forward/src/eligible.rs
@@ -16,21 +16,28 @@
     call: &ForwardCall<'_>,
     decide: impl FnOnce(ServerConstraints<'_>) -> T,
 ) -> T {
-    let members = router.peers.fleet();
     let service = call.config.service(&call.service);
     let slow_start = service.and_then(|service| service.slow_start);
-    decide(ServerConstraints {
-        service: &call.service,
-        homes: HomeRegions {
-            route: &call.route.homes,
-            organisation: organisation_homes(&call.config, call),
-        },
-        slow_start: slow_start.map(|slow_start| router.settings.slow_start.limit(slow_start)),
-        fleet: FleetView {
-            own: &router.settings.instance,
-            members: &members,
-            is_recent: router.peers.is_fleet_recent(),
-        },
+    fleet_view(router, |fleet| {
+        decide(ServerConstraints {
+            service: &call.service,
+            homes: HomeRegions {
+                route: &call.route.homes,
+                organisation: organisation_homes(&call.config, call),
+            },
+            slow_start: slow_start.map(|slow_start| router.settings.slow_start.limit(slow_start)),
+            fleet,
+        })
+    })
+}
+
+/// Returns what `decide` returns for the fleet as this instance knows it.
+pub fn fleet_view<T>(router: &ForwardRouter, decide: impl FnOnce(FleetView<'_>) -> T) -> T {
+    let members = router.peers.fleet();
+    decide(FleetView {
+        own: &router.settings.instance,
+        members: &members,
+        is_recent: router.peers.is_fleet_recent(),
     })
 }
 
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod housekeeping;
 pub mod http;
 pub mod in_flight;
+pub mod limit_news;
 pub mod path;
 pub mod peer;
 pub mod poison;
--- a/crates/guavawell-forward/src/peer/message.rs
+++ b/crates/guavawell-forward/src/peer/message.rs
@@ -2,6 +2,7 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::forward::EvacuationList;
+use guavawell_core::forward::RequestRate;
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::grant::LenderId;
 use guavawell_core::grant::LoanAnswer;
@@ -38,6 +39,11 @@
 const SUSPECTS_PATH: &str = "suspects";
 /// First path segment of a request for the configuration.
 const CONFIG_PATH: &str = "config";
+/// First path segment of a report of a rate limit; the server's id and start, the limit
+/// and the age follow.
+const LIMIT_PATH: &str = "limit";
+/// Limit of a server that states none.
+const NO_LIMIT: &str = "-";
 /// First path segment of a request for a connection to a server; the server's id
 /// and start follow.
 const TUNNEL_PATH: &str = "tunnel";
@@ -72,8 +78,19 @@
 /// Response field: nonce of the lending process, which differs after a restart.
 const LENDER_NONCE_FIELD: &str = "Life";
 
+/// What a server stated of its rate limit, as the sender heard it from the server.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct LimitReport {
+    /// The server.
+    pub(crate) server: ServerIncarnation,
+    /// The limit; `None` if the server states none any more.
+    pub(crate) rate: Option<RequestRate>,
+    /// Time since the sender heard it.
+    pub(crate) age: ClockSpan,
+}
+
 /// A request from one instance to another.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) enum PeerRequest {
     /// Asks for a loan of tokens.
     Loan(OrganisationId, LoanRequest),
@@ -83,6 +100,8 @@
     Suspects(SuspicionList),
     /// Asks for the configuration if it is newer than this version.
     Config(u64),
+    /// Tells what a server stated of its rate limit.
+    Limit(LimitReport),
     /// Asks for a connection to a server. After a positive answer, all further bytes
     /// of the connection are the server's.
     Tunnel(ServerIncarnation),
@@ -109,18 +128,25 @@
             ),
             Self::Suspects(_) => format!("/{SUSPECTS_PATH}"),
             Self::Config(known) => format!("/{CONFIG_PATH}/{known}"),
-            Self::Tunnel(server) => {
-                let born = server.born.map(|born| born.to_string());
-                let born = born.as_deref().unwrap_or(UNKNOWN_START);
-                format!("/{TUNNEL_PATH}/{}/{born}", server.id)
+            Self::Limit(report) => {
+                let server = server_path(&report.server);
+                let rate = report.rate.map(|rate| rate.to_string());
+                let rate = rate.as_deref().unwrap_or(NO_LIMIT);
+                let age = report.age.as_millis();
+                format!("/{LIMIT_PATH}/{server}/{rate}/{age}")
             }
+            Self::Tunnel(server) => format!("/{TUNNEL_PATH}/{}", server_path(server)),
         }
     }
 
     /// The body of the HTTP request.
     pub(crate) fn body(&self) -> Vec<u8> {
         match self {
-            Self::Loan(..) | Self::Return(_) | Self::Config(_) | Self::Tunnel(_) => Vec::new(),
+            Self::Loan(..)
+            | Self::Return(_)
+            | Self::Config(_)
+            | Self::Limit(_)
+            | Self::Tunnel(_) => Vec::new(),
             Self::Suspects(list) => encode_row(list).unwrap_or_else(|error| {
                 log::error!("cannot encode a list of suspects: {error}");
                 Vec::new()
@@ -169,19 +195,38 @@
                 Self::Suspects(list.ok()?)
             }
             CONFIG_PATH => Self::Config(parts.next()?.parse().ok()?),
-            TUNNEL_PATH => Self::Tunnel(ServerIncarnation {
-                id: parts.next()?.parse().ok()?,
-                born: match parts.next()? {
-                    UNKNOWN_START => None,
-                    born => Some(born.parse().ok()?),
+            LIMIT_PATH => Self::Limit(LimitReport {
+                server: parse_server(&mut parts)?,
+                rate: match parts.next()? {
+                    NO_LIMIT => None,
+                    rate => Some(rate.parse().ok()?),
                 },
+                age: ClockSpan::from_millis(parts.next()?.parse().ok()?),
             }),
+            TUNNEL_PATH => Self::Tunnel(parse_server(&mut parts)?),
             _ => return None,
         };
         parts.next().is_none().then_some(request)
     }
 }
 
+/// The two path segments that identify a server: its id and start.
+fn server_path(server: &ServerIncarnation) -> String {
+    let born = server.born.map(|born| born.to_string());
+    let born = born.as_deref().unwrap_or(UNKNOWN_START);
+    format!("{}/{born}", server.id)
+}
+
+fn parse_server<'a>(parts: &mut impl Iterator<Item = &'a str>) -> Option<ServerIncarnation> {
+    Some(ServerIncarnation {
+        id: parts.next()?.parse().ok()?,
+        born: match parts.next()? {
+            UNKNOWN_START => None,
+            born => Some(born.parse().ok()?),
+        },
+    })
+}
+
 /// Writes the response fields of a loan request.
 pub(crate) fn write_loan_answer(writer: &mut HeadWriter, answer: LoanAnswer, nonce: u64) {
     writer.field_of(LENT_FIELD, answer.tokens);
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -37,6 +37,7 @@
 
 pub use self::key::FleetKey;
 pub(crate) use self::message::CONFIG_VERSION_FIELD;
+pub(crate) use self::message::LimitReport;
 pub(crate) use self::message::PeerRequest;
 pub(crate) use self::message::ReceivedRequest;
 pub(crate) use self::message::read_loan_answer;
--- a/crates/guavawell-forward/src/peer/server.rs
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -16,6 +16,7 @@
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
 use crate::http::within;
+use crate::limit_news::learn_limit;
 use crate::router::ForwardRouter;
 use crate::schedule::TaskQueues;
 use crate::tunnel::CarriedTunnel;
@@ -86,6 +87,7 @@
             Some(PeerRequest::Config(known)) => {
                 body = peers.answer_config(known, &mut writer);
             }
+            Some(PeerRequest::Limit(report)) => learn_limit(router, &report),
             Some(PeerRequest::Tunnel(incarnation)) => {
                 let opened = open_for_peer(router, &incarnation).await;
                 write_tunnel_answer(&mut writer, opened.as_ref().err().copied());
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -27,6 +27,7 @@
 use crate::config::FetchedConfig;
 use crate::connections::CallerConnections;
 use crate::crash::CrashChecks;
+use crate::limit_news::LimitNews;
 use crate::peer::PeerRegistry;
 use crate::poison::PoisonTracker;
 use crate::pool::ConnectionPool;
@@ -86,6 +87,8 @@
     pub retry_allowance: RefCell<RetryAllowance>,
     /// Recent connection times, from which the connect timeout is derived.
     pub connect_timeout: Cell<ConnectTimeout>,
+    /// Changes of servers' rate limits that other instances are to be told.
+    pub limit_news: LimitNews,
     /// Whether this instance reaches the servers of each service.
     pub paths: RefCell<ServerPaths>,
     /// Notified when the way to the servers of a service is lost.
@@ -150,6 +153,7 @@
             zone_history: ZoneHistory::default(),
             retry_allowance: RefCell::default(),
             connect_timeout: Cell::default(),
+            limit_news: LimitNews::default(),
             paths: RefCell::default(),
             path_lost: Event::new(),
             carried: CarriedTunnels::default(),
--- a/crates/guavawell-forward/src/server_status.rs
+++ b/crates/guavawell-forward/src/server_status.rs
@@ -9,7 +9,6 @@
 use std::fmt::Display;
 
 use guavawell_core::clock::ClockSpan;
-use guavawell_core::forward::LimitChange;
 use guavawell_core::forward::RateError;
 use guavawell_core::forward::RequestRate;
 use guavawell_core::forward::ServerEntry;
@@ -19,6 +18,8 @@
 use guavawell_fleet::event::EventDraft;
 
 use crate::http::ResponseHead;
+use crate::limit_news::log_limit;
+use crate::limit_news::queue_change;
 use crate::router::ForwardRouter;
 
 /// Header field with the time for which a server accepts no requests.
@@ -126,7 +127,8 @@
         log_unreadable(router, server, name, &error);
     }
     if let Some(change) = change {
-        log_limit(router, server, change);
+        log_limit(router, server, change, "response");
+        queue_change(router, server, lowest);
     }
 }
 
@@ -168,17 +170,6 @@
     (lowest, malformed)
 }
 
-fn log_limit(router: &ForwardRouter, server: &ServerIncarnation, change: LimitChange) {
-    metrics::counter!("guavawell_forward_limit_changes_total").increment(1);
-    let draft = match change {
-        LimitChange::Stated(rate) => {
-            EventDraft::new("server.limited").field("requests_per_second", rate)
-        }
-        LimitChange::Lifted(sends) => EventDraft::new("server.limit_lifted").field("sends", sends),
-    };
-    router.log.emit(draft.field("server", server));
-}
-
 /// Applies the Retry-After of a server that rejected a request. The longest of
 /// several values counts.
 fn apply_pause(router: &ForwardRouter, server: &ServerIncarnation, head: &ResponseHead) {
