Idle connections over a lost way are dropped once one of them was silent

What callers would see: after a cut in which connections hang, requests that may be repeated go on failing for seconds where an instance has many idle connections: each takes another one and waits for its time limit, and none opens a new one that would show the cut.

Now, if nothing was received from a server since a request was sent that was given up, the server's idle connections are dropped, so that the next request opens one.

--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -206,6 +206,7 @@
     let sent = Cell::new(false);
     let stray = Cell::new(false);
     let stream = channel.stream();
+    let began = router.clock.now();
     let is_carried = channel.carrier().is_some();
     let is_head_request = call.request.head.method.as_ref() == "HEAD";
     let write = async {
@@ -258,12 +259,12 @@
                 guard.note_outcome(true);
             }
             log::debug!("no response from {}: {error}", guard.server());
-            let timed_out = matches!(error, ChannelError::TimedOut);
-            Err(if timed_out {
-                AttemptEnd::Silent
+            if matches!(error, ChannelError::TimedOut) {
+                guard.note_silence(began);
+                Err(AttemptEnd::Silent)
             } else {
-                AttemptEnd::Lost
-            })
+                Err(AttemptEnd::Lost)
+            }
         }
     }
 }
--- a/crates/guavawell-forward/src/in_flight.rs
+++ b/crates/guavawell-forward/src/in_flight.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::ServerPick;
@@ -79,6 +80,19 @@
             .is_none_or(|server| server.silent(now))
     }
 
+    /// Handles a request that was given up without a response. If nothing was received
+    /// from the server since `began`, its idle connections may be dead too; a new one
+    /// shows whether it is in reach.
+    pub fn note_silence(&self, began: ClockTime) {
+        let servers = self.router.servers.borrow();
+        let entry = servers.get(&self.server);
+        let is_silent = entry.is_some_and(|entry| entry.health.last_received_at <= began);
+        drop(servers);
+        if is_silent {
+            self.router.pool.borrow_mut().drop_connections(&self.server);
+        }
+    }
+
     /// Waits until the server is known to have restarted: the process that
     /// received the request will not respond.
     pub async fn server_restarted(&self) {
