--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -2,6 +2,7 @@
 //! authenticates them, and the messages. The `budget` module reads and writes the
 //! store's rows that hold the addresses and the key.
 
+mod carriers;
 mod channels;
 mod key;
 mod message;
@@ -15,7 +16,6 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
-use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::grant::FleetMember;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::ZoneId;
@@ -24,17 +24,15 @@
 use self::channels::PeerChannels;
 use self::channels::PeerResponse;
 use self::message::read_config;
-use self::message::read_tunnel_answer;
 use self::message::write_config;
 use crate::clock::SteadyClock;
 use crate::config::ConfigTracker;
 use crate::config::PeerConfig;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
-use crate::http::HttpChannel;
 use crate::tunnel::RefusalNameError;
-use crate::tunnel::TunnelRefusal;
 
+pub(crate) use self::carriers::Carrier;
 pub use self::key::FleetKey;
 pub(crate) use self::message::CONFIG_VERSION_FIELD;
 pub(crate) use self::message::LimitReport;
@@ -110,19 +108,6 @@
     }
 }
 
-/// An instance that may carry connections to servers.
-#[derive(Clone, Debug)]
-pub(crate) struct Carrier {
-    /// The instance.
-    pub(crate) instance: Rc<InstanceId>,
-    /// Its availability zone.
-    pub(crate) zone: ZoneId,
-    /// Its address.
-    address: SocketAddr,
-    /// Connections of this instance that it carries.
-    pub(crate) open_tunnels: usize,
-}
-
 /// The other instances known to this process.
 #[derive(Debug)]
 pub struct PeerRegistry {
@@ -257,51 +242,6 @@
         Ok(response)
     }
 
-    /// The instances that may be asked for a connection to a server.
-    pub(crate) fn carriers(&self) -> Vec<Carrier> {
-        let now = self.clock.now();
-        let peers = self.peers.borrow();
-        let available = peers.iter().filter(|peer| now >= peer.carrier_paused_until);
-        let carriers = available.map(|peer| Carrier {
-            instance: Rc::clone(&peer.carrier),
-            zone: peer.endpoint.member.zone.clone(),
-            address: peer.endpoint.address,
-            // Two copies are the registry's own and this one's.
-            open_tunnels: Rc::strong_count(&peer.carrier).saturating_sub(2),
-        });
-        carriers.collect()
-    }
-
-    /// Asks an instance for no connection to a server for a while.
-    pub(crate) fn pause_carrier(&self, instance: &InstanceId, span: ClockSpan) {
-        let until = self.clock.now() + span;
-        self.update(instance, |peer| peer.carrier_paused_until = until);
-    }
-
-    /// Asks an instance for a connection to a server, without a retry. `limit` is the
-    /// timeout.
-    pub(crate) async fn open_tunnel(
-        &self,
-        carrier: &Carrier,
-        server: &ServerIncarnation,
-        limit: Duration,
-    ) -> Result<Result<HttpChannel, TunnelRefusal>, PeerError> {
-        let key = self.key.get().ok_or(PeerError::NoKey)?;
-        let request = PeerRequest::Tunnel(server.clone());
-        let version = self.configs.version();
-        let exchange = self
-            .channels
-            .exchange(carrier.address, &request, key, version, limit);
-        let (response, channel) = exchange.await?;
-        if response.head.status != 200 {
-            return Err(PeerError::Unauthenticated(response.head.status));
-        }
-        match read_tunnel_answer(&response.head)? {
-            Some(refusal) => Ok(Err(refusal)),
-            None => Ok(Ok(channel.carried_by(Rc::clone(&carrier.instance)))),
-        }
-    }
-
     /// Requests the configuration from an instance. The response has the row only if
     /// its version is newer than `known`.
     pub(crate) async fn fetch_config(
