--- a/crates/guavawell-forward/src/tunnel/open.rs
+++ b/crates/guavawell-forward/src/tunnel/open.rs
@@ -20,6 +20,9 @@
 /// How long an instance that declined, or did not answer, is not asked again.
 const DECLINED_SPAN: ClockSpan = ClockSpan::from_millis(1_000);
 
+/// Tunnels by which instances may differ before the nearer one is passed over.
+const LOAD_STEP: usize = 8;
+
 /// The result of asking other instances for a connection.
 #[derive(Debug)]
 pub(crate) enum TunnelEnd {
@@ -102,9 +105,6 @@
     carriers
 }
 
-/// Tunnels by which instances may differ before the nearer one is passed over.
-const LOAD_STEP: usize = 8;
-
 fn decline(
     router: &ForwardRouter,
     carrier: &InstanceId,
