Servers that refuse an instance whose zone is cut off are not taken for crashed

What callers would see: while a zone is cut off by a network that refuses connections, requests that were under way are suspected of crashing servers, and refused after three in a row.

A refusal was believed if any other instance was refused, or none could be asked.

Now it is believed if an instance of the server's zone is refused (or any, where the server is in this instance's zone), and otherwise only if another server of its zone accepts a connection of this instance. That a refusing server may have restarted and be cold is presumed as before. Carriers in the server's zone are asked first.

--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -232,6 +232,7 @@
 
     /// Takes back what failures showed of the server, because they have another cause.
     pub(super) const fn forget_failures(&mut self, now: ClockTime) {
+        self.warmth.forget_refusal();
         self.health.connect_failures = 0;
         self.health.avoided_until = now;
         self.health.failure_rate = 0.0;
--- a/crates/guavawell-core/src/forward/slow_start.rs
+++ b/crates/guavawell-core/src/forward/slow_start.rs
@@ -204,6 +204,12 @@
         }
     }
 
+    /// Takes back that the server refused a connection, because the refusal has another
+    /// cause.
+    pub(super) const fn forget_refusal(&mut self) {
+        self.refused = false;
+    }
+
     /// Records that the server accepted a connection. If it refused others
     /// before, it is cold for `span` from now on.
     pub fn note_accepted(&mut self, now: ClockTime, span: ClockSpan) {
--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -1,6 +1,7 @@
 //! Provides the connection for an attempt: an idle one from the pool, a new one, or
 //! one that another instance carries.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
@@ -25,6 +26,10 @@
 /// takes.
 const OVERDUE_AFTER: Duration = Duration::from_millis(60);
 
+/// Timeout of the connection that shows whether a zone is in reach. A request may wait
+/// for it.
+const ZONE_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Returns a connection to a server. On failure returns `None`, and other
 /// servers are preferred for a while.
 pub async fn open_channel(
@@ -178,24 +183,37 @@
         return None;
     }
     let limit = router.clock.left(call.deadline);
-    match open_tunnel(router, server, limit).await {
+    let has_ended = match open_tunnel(router, server, limit).await {
         TunnelEnd::Open(channel) => {
             note_unreached(router, server);
             router.note_carried_connection(service, server);
             return Some(channel);
         }
-        TunnelEnd::Refused if error.is_connection_refused() => note_refused(router, server),
-        TunnelEnd::NoCarrier if error.is_connection_refused() && !suspect => {
-            note_refused(router, server);
+        TunnelEnd::Refused => error.is_connection_refused(),
+        TunnelEnd::Unreachable | TunnelEnd::NoCarrier => {
+            error.is_connection_refused() && is_zone_reached(router, server).await
         }
-        _ => note_unreached(router, server),
+    };
+    if has_ended {
+        note_refused(router, server);
+        return None;
+    }
+    note_unreached(router, server);
+    if error.is_connection_refused() {
+        presume_restart(router, server);
     }
     None
 }
 
-/// Whether a server that refused a connection of this instance refuses those of
-/// others as well, so that its process has ended. If no other instance can be asked,
-/// its refusal is believed unless the own way may be lost.
+/// Records that a server that refused a connection may have restarted, and be cold.
+fn presume_restart(router: &ForwardRouter, server: &ServerIncarnation) {
+    if let Some(entry) = router.servers.borrow_mut().get_mut(server) {
+        entry.warmth.note_refused(router.server_revision.get());
+    }
+}
+
+/// Whether a server that refused a connection of this instance has ended: others are
+/// refused as well, or this instance reaches another server of its zone.
 pub async fn confirm_refusal(
     router: &ForwardRouter,
     server: &ServerIncarnation,
@@ -216,11 +234,47 @@
             false
         }
         TunnelEnd::Refused => true,
-        TunnelEnd::Unreachable => false,
-        TunnelEnd::NoCarrier => !router.is_path_suspect(&service),
+        TunnelEnd::Unreachable | TunnelEnd::NoCarrier => is_zone_reached(router, server).await,
     }
 }
 
+/// Whether this instance can connect to another server of a server's zone, so that no
+/// network partition lies between it and the zone. If there is no other server, the
+/// way counts as open unless it is suspect.
+async fn is_zone_reached(router: &ForwardRouter, server: &ServerIncarnation) -> bool {
+    let Some((other, address)) = zone_neighbour(router, server) else {
+        let servers = router.servers.borrow();
+        let service = servers.get(server).map(|entry| entry.service.clone());
+        drop(servers);
+        return service.is_some_and(|service| !router.is_path_suspect(&service));
+    };
+    metrics::counter!("guavawell_forward_connections_total").increment(1);
+    let Ok(channel) = HttpChannel::connect(address, ZONE_CHECK_TIMEOUT).await else {
+        return false;
+    };
+    let now = router.clock.now();
+    let idle = router.settings.times.idle;
+    router.pool.borrow_mut().put(&other, channel, now, idle);
+    true
+}
+
+/// Another server of a server's zone and its address: the one that was heard last, as
+/// it is the least likely to have ended too.
+fn zone_neighbour(
+    router: &ForwardRouter,
+    server: &ServerIncarnation,
+) -> Option<(ServerIncarnation, SocketAddr)> {
+    let now = router.clock.now();
+    let servers = router.servers.borrow();
+    let zone = &servers.get(server)?.zone;
+    let others = servers.servers().iter().filter(|other| {
+        let is_other = other.incarnation != *server && other.zone == *zone;
+        is_other && other.takes_requests(now) && !other.warmth.is_cold(now)
+    });
+    let other = others.max_by_key(|other| other.health.last_received_at)?;
+    Some((other.incarnation.clone(), other.address))
+}
+
 /// Logs a failed connection, and how many other servers could not be reached either
 /// when they were last tried.
 fn log_unreached(
--- a/crates/guavawell-forward/src/tunnel/open.rs
+++ b/crates/guavawell-forward/src/tunnel/open.rs
@@ -28,9 +28,11 @@
 pub(crate) enum TunnelEnd {
     /// The connection is open.
     Open(HttpChannel),
-    /// The server refused it.
+    /// The server refused it to an instance of its own zone, or is in the zone of this
+    /// instance and refused it to another: its process has ended.
     Refused,
-    /// The server could not be reached from other instances either.
+    /// Other instances could not open it either, but a network partition may be the
+    /// cause.
     Unreachable,
     /// No instance could be asked.
     NoCarrier,
@@ -50,6 +52,9 @@
     else {
         return TunnelEnd::NoCarrier;
     };
+    let own_zone = &router.settings.zone;
+    // No cut between zones lies between this carrier and the server.
+    let is_beside = |zone: &ZoneId| *zone == server_zone || server_zone == *own_zone;
     let until = router.clock.now() + limit;
     let mut end = TunnelEnd::NoCarrier;
     let carriers = carriers(router, &server_zone);
@@ -64,13 +69,14 @@
                 count_tunnel("open");
                 return TunnelEnd::Open(channel);
             }
-            Ok(Err(TunnelRefusal::Refused)) => {
+            Ok(Err(TunnelRefusal::Refused)) if is_beside(&carrier.zone) => {
                 count_tunnel("refused");
                 return TunnelEnd::Refused;
             }
-            // The carrier may have lost its own way without knowing it yet.
-            Ok(Err(TunnelRefusal::Unreachable)) => {
-                count_tunnel("unreachable");
+            // The carrier may have lost its own way without knowing it yet, or its zone
+            // may be cut off from the server's.
+            Ok(Err(refusal @ (TunnelRefusal::Refused | TunnelRefusal::Unreachable))) => {
+                count_tunnel(refusal.as_str());
                 end = TunnelEnd::Unreachable;
             }
             // Its list may be a little older or newer; for other servers it can be asked.
@@ -83,8 +89,9 @@
 }
 
 /// The instances to ask, in the order of preference. They are in the region of this
-/// instance or of the server, where the request may be anyway; those in the zone of
-/// either come first, since their bytes cross zones once at most.
+/// instance or of the server, where the request may be anyway. Those in the server's
+/// zone come first, then those in this instance's: their bytes cross zones once at
+/// most.
 fn carriers(router: &ForwardRouter, server_zone: &ZoneId) -> Vec<Carrier> {
     let own_zone = &router.settings.zone;
     let regions = &router.settings.regions;
@@ -98,9 +105,13 @@
     });
     fastrand::shuffle(&mut carriers);
     carriers.sort_by_key(|carrier| {
-        let is_near = carrier.zone == *own_zone || carrier.zone == *server_zone;
+        let distance = if carrier.zone == *server_zone {
+            0
+        } else {
+            1 + u8::from(carrier.zone != *own_zone)
+        };
         // An instance that carries much more than the others comes after them.
-        (carrier.open_tunnels / LOAD_STEP, !is_near)
+        (carrier.open_tunnels / LOAD_STEP, distance)
     });
     carriers
 }
