--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -25,7 +25,6 @@
 /// Time after which a connection is overdue: many times what one between two zones
 /// takes.
 const OVERDUE_AFTER: Duration = Duration::from_millis(60);
-
 /// Timeout of the connection that shows whether a zone is in reach. A request may wait
 /// for it.
 const ZONE_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -251,7 +251,8 @@
     }
 }
 
-/// Whether a server refuses other instances as well, so that it has crashed.
+/// Whether a server that refused a connection has crashed; its refusal may also be
+/// that of a link that is cut.
 async fn has_refused(router: &ForwardRouter, server: &ServerIncarnation) -> bool {
     let is_refused = confirm_refusal(router, server, CONFIRM_LIMIT).await;
     if is_refused {
--- a/crates/guavawell-forward/src/tunnel/open.rs
+++ b/crates/guavawell-forward/src/tunnel/open.rs
@@ -19,7 +19,6 @@
 const CARRIER_TIMEOUT: ClockSpan = ClockSpan::from_millis(400);
 /// How long an instance that declined, or did not answer, is not asked again.
 const DECLINED_SPAN: ClockSpan = ClockSpan::from_millis(1_000);
-
 /// Tunnels by which instances may differ before the nearer one is passed over.
 const LOAD_STEP: usize = 8;
 
