Requests for a service that no instance reaches are refused at once

Cause: what one request had found out was not kept for the next.

Now, when half of a service's servers failed within 3 s with no success in between and no other instance opened a connection either, what needs a new connection is refused at once. Up to four servers are checked on the side every 300 ms; one that accepts ends it, and so does 1.5 s without a failure. Open connections stay in use.

--- a/crates/guavawell-core/src/forward/server_path.rs
+++ b/crates/guavawell-core/src/forward/server_path.rs
@@ -1,5 +1,5 @@
 //! Decides whether this instance has lost its own way to the backend servers of a
-//! service.
+//! service, and whether no instance reaches them.
 //!
 //! Load pattern: some instances are cut off from all servers, while callers, the
 //! store and other instances still reach them. Each request would wait for
@@ -7,7 +7,9 @@
 //!
 //! A server that is down fails alone, and is out of reach for other instances as
 //! well. The way is lost if connections to several servers fail, none succeeds in
-//! between, and another instance opens one of them.
+//! between, and another instance opens one of them. If none does, and half of the
+//! servers failed, the service is out of reach for all, and requests are refused at
+//! once rather than after timeouts of their own.
 
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
@@ -19,6 +21,8 @@
 const MIN_SERVERS: usize = 2;
 /// How long a failed connection counts.
 const FAILURE_AGE: ClockSpan = ClockSpan::from_millis(3_000);
+/// How long a service counts as out of reach after the last failed connection.
+const UNREACHABLE_SPAN: ClockSpan = ClockSpan::from_millis(1_500);
 
 /// A change of the way to the servers of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +45,8 @@
     lost_at: Option<ClockTime>,
     /// Servers that accepted a connection since the last failure.
     reached: Vec<BackendId>,
+    /// Until when the servers count as out of reach for all instances.
+    unreachable_until: ClockTime,
 }
 
 /// The ways to the servers of all services, as connections of this instance show
@@ -58,11 +64,21 @@
         self.get(service).is_some_and(|path| path.lost_at.is_some())
     }
 
-    /// The services to whose servers the way is lost.
+    /// Whether no instance reaches a service's servers.
     #[must_use]
-    pub fn lost_services(&self) -> Vec<ServiceId> {
-        let lost = self.paths.iter().filter(|path| path.lost_at.is_some());
-        lost.map(|path| path.service.clone()).collect()
+    pub fn is_unreachable(&self, service: &ServiceId, now: ClockTime) -> bool {
+        self.get(service)
+            .is_some_and(|path| now < path.unreachable_until)
+    }
+
+    /// The services whose servers this instance does not reach.
+    #[must_use]
+    pub fn unreached_services(&self, now: ClockTime) -> Vec<ServiceId> {
+        let unreached = self
+            .paths
+            .iter()
+            .filter(|path| path.lost_at.is_some() || now < path.unreachable_until);
+        unreached.map(|path| path.service.clone()).collect()
     }
 
     /// Whether the way to a service may be lost, so that another instance should be
@@ -88,6 +104,31 @@
         path.failed
             .retain(|(known, at)| known != server && now.since(*at) <= FAILURE_AGE);
         path.failed.push((server.clone(), now));
+        if now < path.unreachable_until {
+            path.unreachable_until = now + UNREACHABLE_SPAN;
+        }
+    }
+
+    /// Records that no other instance opened a connection either, after one of this
+    /// instance had failed. Returns whether the service, which has `servers` servers, is
+    /// now out of reach.
+    pub fn note_unreachable(
+        &mut self,
+        service: &ServiceId,
+        servers: usize,
+        now: ClockTime,
+    ) -> bool {
+        let path = self.get_mut(service);
+        let was_unreachable = now < path.unreachable_until;
+        let recent = path
+            .failed
+            .iter()
+            .filter(|(_, at)| now.since(*at) <= FAILURE_AGE);
+        let needed = MIN_SERVERS.min(servers).max(servers.div_ceil(2));
+        if recent.count() >= needed.max(1) {
+            path.unreachable_until = now + UNREACHABLE_SPAN;
+        }
+        !was_unreachable && now < path.unreachable_until
     }
 
     /// Records that a server accepted a connection of this instance. The service has
@@ -102,6 +143,7 @@
         let path = self.get_mut(service);
         path.failed.clear();
         path.carried.clear();
+        path.unreachable_until = ClockTime::default();
         let lost_at = path.lost_at?;
         if !path.reached.contains(server) {
             path.reached.push(server.clone());
@@ -125,6 +167,7 @@
     ) -> Option<PathChange> {
         let is_suspect = self.is_suspect(service, servers, now);
         let path = self.get_mut(service);
+        path.unreachable_until = ClockTime::default();
         if path.lost_at.is_some() {
             return None;
         }
@@ -153,6 +196,7 @@
                 carried: Vec::new(),
                 lost_at: None,
                 reached: Vec::new(),
+                unreachable_until: ClockTime::default(),
             };
             self.paths.insert(index, path);
             index
--- a/crates/guavawell-core/tests/forward/server_path.rs
+++ b/crates/guavawell-core/tests/forward/server_path.rs
@@ -67,7 +67,7 @@
     }
     assert!(paths.is_suspect(&service(), SERVERS, START));
     assert!(!paths.is_lost(&service()));
-    assert_eq!(paths.lost_services(), []);
+    assert_eq!(paths.unreached_services(START), []);
 }
 
 #[test]
@@ -99,7 +99,7 @@
     assert!(!paths.is_lost(&other));
     paths.note_failed(&other, &id(7), START);
     assert!(paths.is_suspect(&other, SERVERS, START));
-    assert_eq!(paths.lost_services(), [service()]);
+    assert_eq!(paths.unreached_services(START), [service()]);
 }
 
 #[test]
@@ -117,3 +117,38 @@
     assert!(!paths.is_lost(&service()));
     assert!(!paths.is_suspect(&service(), SERVERS, later(5_000)));
 }
+
+#[test]
+fn a_service_is_out_of_reach_for_all_if_half_of_its_servers_fail_everywhere() {
+    let mut paths = ServerPaths::default();
+    for number in 0..4 {
+        paths.note_failed(&service(), &id(number), START);
+        assert!(!paths.note_unreachable(&service(), SERVERS, START));
+    }
+    paths.note_failed(&service(), &id(4), START);
+    assert!(paths.note_unreachable(&service(), SERVERS, START));
+    assert!(!paths.note_unreachable(&service(), SERVERS, START));
+    assert!(paths.is_unreachable(&service(), later(1_499)));
+    assert_eq!(paths.unreached_services(later(1_499)), [service()]);
+    assert!(!paths.is_unreachable(&service(), later(1_500)));
+    // Each further failure shows that it still is.
+    paths.note_failed(&service(), &id(7), later(1_400));
+    assert!(paths.is_unreachable(&service(), later(2_800)));
+}
+
+#[test]
+fn a_service_is_in_reach_again_with_one_connection_of_any_instance() {
+    for by_others in [false, true] {
+        let mut paths = ServerPaths::default();
+        for number in 0..SERVERS {
+            paths.note_failed(&service(), &id(number), START);
+        }
+        assert!(paths.note_unreachable(&service(), SERVERS, START));
+        if by_others {
+            paths.note_carried(&service(), &id(3), SERVERS, START);
+        } else {
+            paths.note_connected(&service(), &id(3), SERVERS, START);
+        }
+        assert!(!paths.is_unreachable(&service(), START));
+    }
+}
--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -43,6 +43,9 @@
     if router.is_path_lost(&service) {
         return open_carried(router, call, server).await;
     }
+    if router.is_unreachable(&service) {
+        return None;
+    }
     let began = router.clock.now();
     let direct = async { ConnectEnd::Direct(connect(router, call, server).await) };
     let around = connect_around(router, call, server, &service);
@@ -87,7 +90,7 @@
     service: &ServiceId,
 ) -> ConnectEnd {
     loop {
-        wait_until(router.path_lost.listen(), OVERDUE_AFTER).await;
+        wait_until(router.path_changed.listen(), OVERDUE_AFTER).await;
         if router.is_path_lost(service) || router.is_path_suspect(service) {
             break;
         }
@@ -198,6 +201,9 @@
         return None;
     }
     note_unreached(router, server);
+    if suspect {
+        router.note_unreachable(service);
+    }
     if error.is_connection_refused() {
         presume_restart(router, server);
     }
--- a/crates/guavawell-forward/src/path.rs
+++ b/crates/guavawell-forward/src/path.rs
@@ -1,5 +1,5 @@
-//! Notices when this instance loses its own way to the servers of a service, and
-//! checks on the side when it is open again.
+//! Notices when this instance loses its own way to the servers of a service, or no
+//! instance reaches them, and checks on the side when they are in reach again.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,15 +10,20 @@
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::id::ServiceId;
 use guavawell_fleet::event::EventDraft;
+use smol::LocalExecutor;
 use smol::Timer;
 
 use crate::http::HttpChannel;
 use crate::router::ForwardRouter;
 
-/// Interval between two checks whether a lost way is open again.
+/// Interval between two checks whether servers are in reach again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// Timeout of the connection that checks it: longer than for requests, as nobody
-/// waits for it.
+/// Most servers of a service that are tried in one check.
+const MAX_CHECKED: usize = 4;
+/// In this number of checks all servers of a small service are tried.
+const CHECK_TURNS: usize = 8;
+/// Timeout of a connection of a check: longer than for requests, as nobody waits for
+/// it.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl ForwardRouter {
@@ -36,6 +41,30 @@
         self.paths.borrow().is_suspect(service, servers, now)
     }
 
+    /// Whether no instance reaches the servers of a service.
+    #[must_use]
+    pub fn is_unreachable(&self, service: &ServiceId) -> bool {
+        let now = self.clock.now();
+        self.paths.borrow().is_unreachable(service, now)
+    }
+
+    /// Records that no other instance opened a connection to a server either, after one
+    /// of this instance had failed.
+    pub fn note_unreachable(&self, service: &ServiceId) {
+        let servers = self.count_servers(service);
+        let now = self.clock.now();
+        let mut paths = self.paths.borrow_mut();
+        let is_news = paths.note_unreachable(service, servers, now);
+        drop(paths);
+        if is_news {
+            let draft = EventDraft::new("service.unreachable")
+                .field("service", service)
+                .field("servers", servers);
+            self.log.emit(draft);
+            self.path_changed.notify(usize::MAX);
+        }
+    }
+
     /// Records that a server accepted a connection of this instance.
     pub fn note_direct_connection(&self, service: &ServiceId, server: &ServerIncarnation) {
         let servers = self.count_servers(service);
@@ -99,7 +128,7 @@
             .field("service", service)
             .field("reached_by_others", server);
         self.log.emit(draft);
-        self.path_lost.notify(usize::MAX);
+        self.path_changed.notify(usize::MAX);
     }
 
     fn restore_path(&self, service: &ServiceId, span: ClockSpan) {
@@ -123,43 +152,55 @@
     }
 }
 
-/// Checks lost ways until the process ends, with connections of its own, so that no
-/// request waits for it.
-pub async fn watch_paths(router: Rc<ForwardRouter>) {
+/// Checks servers that are out of reach until the process ends, with connections of its
+/// own, so that no request waits for it.
+pub async fn watch_paths(router: Rc<ForwardRouter>, executor: Rc<LocalExecutor<'static>>) {
     let mut turn = 0;
     loop {
-        let path_lost = router.path_lost.listen();
-        let lost = router.paths.borrow().lost_services();
-        if lost.is_empty() {
-            path_lost.await;
+        let path_changed = router.path_changed.listen();
+        let unreached = router.paths.borrow().unreached_services(router.clock.now());
+        if unreached.is_empty() {
+            path_changed.await;
             continue;
         }
         Timer::after(CHECK_INTERVAL).await;
-        for service in lost {
-            check_path(&router, &service, turn).await;
+        for service in unreached {
+            let servers = router.serving(&service);
+            let count = servers.len().div_ceil(CHECK_TURNS).min(MAX_CHECKED);
+            let first = (turn * count).checked_rem(servers.len()).unwrap_or(0);
+            let checked = servers.iter().cycle().skip(first).take(count);
+            for (server, address) in checked {
+                let check = check_server(
+                    Rc::clone(&router),
+                    service.clone(),
+                    server.clone(),
+                    *address,
+                );
+                executor.spawn(check).detach();
+            }
         }
         turn += 1;
     }
 }
 
-/// Tries to connect to one of the servers, another one each turn.
-async fn check_path(router: &ForwardRouter, service: &ServiceId, turn: usize) {
-    let serving = router.serving(service);
-    let Some(index) = turn.checked_rem(serving.len()) else {
-        return;
-    };
-    let (server, address) = &serving[index];
+/// Tries to connect to a server.
+async fn check_server(
+    router: Rc<ForwardRouter>,
+    service: ServiceId,
+    server: ServerIncarnation,
+    address: SocketAddr,
+) {
     metrics::counter!("guavawell_forward_connections_total").increment(1);
-    match HttpChannel::connect(*address, CHECK_TIMEOUT).await {
+    match HttpChannel::connect(address, CHECK_TIMEOUT).await {
         Ok(channel) => {
             let idle = router.settings.times.idle;
             let now = router.clock.now();
-            router.pool.borrow_mut().put(server, channel, now, idle);
-            router.note_direct_connection(service, server);
+            router.pool.borrow_mut().put(&server, channel, now, idle);
+            router.note_direct_connection(&service, &server);
         }
         Err(error) => {
-            log::debug!("the way to {server} is not open: {error}");
-            router.note_direct_failure(service, server);
+            log::debug!("{server} is not in reach: {error}");
+            router.note_direct_failure(&service, &server);
         }
     }
 }
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -91,8 +91,8 @@
     pub limit_news: LimitNews,
     /// Whether this instance reaches the servers of each service.
     pub paths: RefCell<ServerPaths>,
-    /// Notified when the way to the servers of a service is lost.
-    pub path_lost: Event,
+    /// Notified when the servers of a service get out of reach.
+    pub path_changed: Event,
     /// Connections to servers that this instance carries for others.
     pub(crate) carried: CarriedTunnels,
     /// Detects from connection times whether this instance's network link is
@@ -155,7 +155,7 @@
             connect_timeout: Cell::default(),
             limit_news: LimitNews::default(),
             paths: RefCell::default(),
-            path_lost: Event::new(),
+            path_changed: Event::new(),
             carried: CarriedTunnels::default(),
             link_congestion: Cell::new(LinkCongestion::new(settings.congestion)),
             pool: RefCell::default(),
