--- a/crates/guavawell-forward/src/tunnel/open.rs
+++ b/crates/guavawell-forward/src/tunnel/open.rs
@@ -17,8 +17,12 @@
 /// How long an instance is asked for a connection: a little longer than it tries to
 /// connect itself.
 const CARRIER_TIMEOUT: ClockSpan = ClockSpan::from_millis(400);
-/// How long an instance that declined, or did not answer, is not asked again.
-const DECLINED_SPAN: ClockSpan = ClockSpan::from_millis(1_000);
+/// How long an instance that declined is not asked again. Asking costs little, and its
+/// own way may be open again.
+const DECLINED_SPAN: ClockSpan = ClockSpan::from_millis(300);
+/// How long an instance that did not answer is not asked again, as each request would
+/// wait for it.
+const UNANSWERED_SPAN: ClockSpan = ClockSpan::from_millis(1_000);
 /// Tunnels by which instances may differ before the nearer one is passed over.
 const LOAD_STEP: usize = 8;
 
@@ -80,8 +84,16 @@
             }
             // Its list may be a little older or newer; for other servers it can be asked.
             Ok(Err(TunnelRefusal::UnknownServer)) => count_tunnel("unknown_server"),
-            Ok(Err(refusal)) => decline(router, &carrier.instance, server, &refusal),
-            Err(error) => decline(router, &carrier.instance, server, &error),
+            Ok(Err(refusal)) => {
+                router.peers.pause_carrier(&carrier.instance, DECLINED_SPAN);
+                note_declined(router, &carrier.instance, server, &refusal);
+            }
+            Err(error) => {
+                router
+                    .peers
+                    .pause_carrier(&carrier.instance, UNANSWERED_SPAN);
+                note_declined(router, &carrier.instance, server, &error);
+            }
         }
     }
     end
@@ -115,14 +127,13 @@
     carriers
 }
 
-fn decline(
+fn note_declined(
     router: &ForwardRouter,
     carrier: &InstanceId,
     server: &ServerIncarnation,
     cause: &dyn std::fmt::Display,
 ) {
     count_tunnel("declined");
-    router.peers.pause_carrier(carrier, DECLINED_SPAN);
     let draft = EventDraft::new("tunnel.declined")
         .field("carrier", carrier)
         .field("server", server)
