--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -76,7 +76,8 @@
     Direct(Result<HttpChannel, ChannelError>),
     /// Another instance opened one first.
     Carried(HttpChannel),
-    /// This instance has lost its way meanwhile, and no other can be asked.
+    /// This instance has lost its way meanwhile and no other can be asked, or none
+    /// reaches the servers.
     Unavailable,
 }
 
@@ -97,10 +98,14 @@
     }
     let limit = router.clock.left(call.deadline);
     match open_tunnel(router, server, limit).await {
-        TunnelEnd::Open(channel) => ConnectEnd::Carried(channel),
-        _ if router.is_path_lost(service) => ConnectEnd::Unavailable,
-        _ => std::future::pending().await,
+        TunnelEnd::Open(channel) => return ConnectEnd::Carried(channel),
+        TunnelEnd::Unreachable => router.note_unreachable(service),
+        TunnelEnd::Refused | TunnelEnd::NoCarrier => {}
     }
+    if router.is_path_lost(service) || router.is_unreachable(service) {
+        return ConnectEnd::Unavailable;
+    }
+    std::future::pending().await
 }
 
 /// Returns an idle connection to a server. While the server is silent, its idle
@@ -185,7 +190,11 @@
         return None;
     }
     let limit = router.clock.left(call.deadline);
-    let has_ended = match open_tunnel(router, server, limit).await {
+    let end = open_tunnel(router, server, limit).await;
+    if suspect && matches!(end, TunnelEnd::Unreachable) {
+        router.note_unreachable(service);
+    }
+    let has_ended = match end {
         TunnelEnd::Open(channel) => {
             note_unreached(router, server);
             router.note_carried_connection(service, server);
@@ -201,9 +210,6 @@
         return None;
     }
     note_unreached(router, server);
-    if suspect {
-        router.note_unreachable(service);
-    }
     if error.is_connection_refused() {
         presume_restart(router, server);
     }
--- a/crates/guavawell-forward/src/path.rs
+++ b/crates/guavawell-forward/src/path.rs
@@ -15,6 +15,8 @@
 
 use crate::http::HttpChannel;
 use crate::router::ForwardRouter;
+use crate::tunnel::TunnelEnd;
+use crate::tunnel::open_tunnel;
 
 /// Interval between two checks whether servers are in reach again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
@@ -25,6 +27,8 @@
 /// Timeout of a connection of a check: longer than for requests, as nobody waits for
 /// it.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which other instances are asked for a connection in a check.
+const CHECK_LIMIT: ClockSpan = ClockSpan::from_millis(500);
 
 impl ForwardRouter {
     /// Whether this instance has lost its way to the servers of a service.
@@ -183,7 +187,8 @@
     }
 }
 
-/// Tries to connect to a server.
+/// Tries to connect to a server; if that fails, and no instance has reached its service,
+/// through another instance as well.
 async fn check_server(
     router: Rc<ForwardRouter>,
     service: ServiceId,
@@ -201,6 +206,20 @@
         Err(error) => {
             log::debug!("{server} is not in reach: {error}");
             router.note_direct_failure(&service, &server);
+            if router.is_unreachable(&service) {
+                check_others(&router, &service, &server).await;
+            }
         }
     }
 }
+
+/// Tries to connect to a server through another instance.
+async fn check_others(router: &ForwardRouter, service: &ServiceId, server: &ServerIncarnation) {
+    let opened = open_tunnel(router, server, CHECK_LIMIT).await;
+    if let TunnelEnd::Open(channel) = opened {
+        let idle = router.settings.times.idle;
+        let now = router.clock.now();
+        router.pool.borrow_mut().put(server, channel, now, idle);
+        router.note_carried_connection(service, server);
+    }
+}
