Limits: one way to a share's rank, one to keep an idle connection; dead code out

Recent failures of a way were counted twice in the same lines. Four places put an unused connection into the pool by the same three lines: ForwardRouter::keep_idle. ServerLimit::stated_at had no caller. The comment of CHECK_FRACTION had come to stand after another constant.

--- a/crates/guavawell-core/src/forward/fleet_view.rs
+++ b/crates/guavawell-core/src/forward/fleet_view.rs
@@ -30,6 +30,14 @@
         u32::try_from(own_rank).ok()
     }
 
+    /// This instance's rank for a server, if it is one of the instances that share a
+    /// limit which `most` may share.
+    #[must_use]
+    pub fn sender_rank(&self, server: &BackendId, most: u32) -> Option<u32> {
+        let senders = self.senders(most);
+        self.rank_for(server).filter(|rank| *rank < senders)
+    }
+
     /// Number of instances that share a limit which `most` may share.
     #[must_use]
     pub fn senders(&self, most: u32) -> u32 {
--- a/crates/guavawell-core/src/forward/fragility.rs
+++ b/crates/guavawell-core/src/forward/fragility.rs
@@ -77,7 +77,7 @@
         let used = rejections.per_second() * USED_FRACTION;
         let at_once = u32::try_from(whole(used)).unwrap_or(u32::MAX).max(1);
         let senders = fleet.senders(MAX_SENDERS.min(at_once));
-        let is_sender = fleet.rank_for(server).is_some_and(|rank| rank < senders);
+        let is_sender = fleet.sender_rank(server, senders).is_some();
         let interval = whole((f64::from(senders) / used * SECOND_MS).ceil());
         is_sender && now.since(self.risked_at) >= ClockSpan::from_millis(interval)
     }
--- a/crates/guavawell-core/src/forward/server_limit.rs
+++ b/crates/guavawell-core/src/forward/server_limit.rs
@@ -35,12 +35,12 @@
 const RECHECK_AGE: ClockSpan = ClockSpan::from_millis(2_000);
 /// Age from which instances without a share check a statement, one after another.
 const EXPIRY_AGE: ClockSpan = ClockSpan::from_millis(20_000);
+/// Part of the stated rate at which those instances check it.
+const CHECK_FRACTION: f64 = 0.5;
 /// How much newer a message must be than what is known, to lift a limit.
 const LIFT_MARGIN: ClockSpan = ClockSpan::from_millis(500);
 /// Shortest interval between two changes of one server that an instance tells.
 const TELL_INTERVAL: ClockSpan = ClockSpan::from_millis(1_000);
-/// Part of the rate at which they do.
-const CHECK_FRACTION: f64 = 0.5;
 const SECOND_MS: f64 = 1_000.0;
 
 /// Why a stated rate cannot be used.
@@ -131,12 +131,6 @@
         self.rate
     }
 
-    /// When the server last confirmed or lifted its limit.
-    #[must_use]
-    pub const fn stated_at(&self) -> ClockTime {
-        self.stated_at
-    }
-
     /// Applies the limit in a response of the server; `None` if the response
     /// states none. Returns the change, if there is one.
     pub fn state(&mut self, now: ClockTime, rate: Option<RequestRate>) -> Option<LimitChange> {
@@ -185,8 +179,7 @@
         fleet: FleetView<'_>,
         now: ClockTime,
     ) -> bool {
-        let senders = fleet.senders(MAX_SENDERS);
-        let is_sender = fleet.rank_for(server).is_some_and(|rank| rank < senders);
+        let is_sender = fleet.sender_rank(server, MAX_SENDERS).is_some();
         let tells = is_sender && now.since(self.told_at) >= TELL_INTERVAL;
         if tells {
             self.told_at = now;
--- a/crates/guavawell-core/src/forward/server_path.rs
+++ b/crates/guavawell-core/src/forward/server_path.rs
@@ -49,6 +49,17 @@
     unreachable_until: ClockTime,
 }
 
+impl ServicePath {
+    /// Number of servers to which connections failed recently.
+    fn recent_failures(&self, now: ClockTime) -> usize {
+        let recent = self
+            .failed
+            .iter()
+            .filter(|(_, at)| now.since(*at) <= FAILURE_AGE);
+        recent.count()
+    }
+}
+
 /// The ways to the servers of all services, as connections of this instance show
 /// them.
 #[derive(Clone, Debug, Default)]
@@ -88,13 +99,9 @@
         let Some(path) = self.get(service) else {
             return false;
         };
-        let recent = path
-            .failed
-            .iter()
-            .filter(|(_, at)| now.since(*at) <= FAILURE_AGE);
         let other_lost = self.paths.iter().any(|path| path.lost_at.is_some());
         let needed = if other_lost { 1 } else { MIN_SERVERS };
-        recent.count() >= needed.min(servers.max(1))
+        path.recent_failures(now) >= needed.min(servers.max(1))
     }
 
     /// Records that a connection of this instance failed.
@@ -120,12 +127,8 @@
     ) -> bool {
         let path = self.get_mut(service);
         let was_unreachable = now < path.unreachable_until;
-        let recent = path
-            .failed
-            .iter()
-            .filter(|(_, at)| now.since(*at) <= FAILURE_AGE);
         let needed = MIN_SERVERS.min(servers).max(servers.div_ceil(2));
-        if recent.count() >= needed.max(1) {
+        if path.recent_failures(now) >= needed.max(1) {
             path.unreachable_until = now + UNREACHABLE_SPAN;
         }
         !was_unreachable && now < path.unreachable_until
--- a/crates/guavawell-core/src/forward/slow_start.rs
+++ b/crates/guavawell-core/src/forward/slow_start.rs
@@ -118,10 +118,9 @@
     pub fn share(&self, server: &BackendId, fleet: FleetView<'_>) -> u32 {
         let per_view = self.requests / FLEET_VIEWS;
         let senders = fleet.senders(MAX_SENDERS.min(per_view));
-        let own_rank = fleet.rank_for(server).filter(|_| fleet.is_recent);
-        match own_rank.filter(|rank| *rank < senders) {
-            Some(_) => per_view / senders,
-            None => 0,
+        match fleet.sender_rank(server, senders) {
+            Some(_) if fleet.is_recent => per_view / senders,
+            _ => 0,
         }
     }
 }
--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -263,9 +263,7 @@
     let Ok(channel) = HttpChannel::connect(address, ZONE_CHECK_TIMEOUT).await else {
         return false;
     };
-    let now = router.clock.now();
-    let idle = router.settings.times.idle;
-    router.pool.borrow_mut().put(&other, channel, now, idle);
+    router.keep_idle(&other, channel);
     true
 }
 
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -271,10 +271,8 @@
         }
         Timer::after(RECHECK_DELAY).await;
         for (server, channel) in router.crashes.accepted.take() {
-            let now = router.clock.now();
             if channel.is_quiet() {
-                let idle = router.settings.times.idle;
-                router.pool.borrow_mut().put(&server, channel, now, idle);
+                router.keep_idle(&server, channel);
                 continue;
             }
             let address = router
--- a/crates/guavawell-forward/src/path.rs
+++ b/crates/guavawell-forward/src/path.rs
@@ -198,9 +198,7 @@
     metrics::counter!("guavawell_forward_connections_total").increment(1);
     match HttpChannel::connect(address, CHECK_TIMEOUT).await {
         Ok(channel) => {
-            let idle = router.settings.times.idle;
-            let now = router.clock.now();
-            router.pool.borrow_mut().put(&server, channel, now, idle);
+            router.keep_idle(&server, channel);
             router.note_direct_connection(&service, &server);
         }
         Err(error) => {
@@ -217,9 +215,7 @@
 async fn check_others(router: &ForwardRouter, service: &ServiceId, server: &ServerIncarnation) {
     let opened = open_tunnel(router, server, CHECK_LIMIT).await;
     if let TunnelEnd::Open(channel) = opened {
-        let idle = router.settings.times.idle;
-        let now = router.clock.now();
-        router.pool.borrow_mut().put(server, channel, now, idle);
+        router.keep_idle(server, channel);
         router.note_carried_connection(service, server);
     }
 }
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -15,6 +15,7 @@
 use guavawell_core::forward::LinkCongestion;
 use guavawell_core::forward::RetryAllowance;
 use guavawell_core::forward::RetryLimits;
+use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::ServerPaths;
 use guavawell_core::forward::ServerTable;
 use guavawell_core::id::ServiceId;
@@ -27,6 +28,7 @@
 use crate::config::FetchedConfig;
 use crate::connections::CallerConnections;
 use crate::crash::CrashChecks;
+use crate::http::HttpChannel;
 use crate::limit_news::LimitNews;
 use crate::peer::PeerRegistry;
 use crate::poison::PoisonTracker;
@@ -271,6 +273,13 @@
         self.state_loaded.notify(usize::MAX);
     }
 
+    /// Keeps an open connection to a server that no request uses yet.
+    pub(crate) fn keep_idle(&self, server: &ServerIncarnation, channel: HttpChannel) {
+        let now = self.clock.now();
+        let max_idle = self.settings.times.idle;
+        self.pool.borrow_mut().put(server, channel, now, max_idle);
+    }
+
     /// Whether the process is leaving.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
