A charge counts at the latest tenure that has its attempt reserved

What callers saw: a request answered whole and billed once (60 tokens) took 120 from its organisation's budget.

Cause: two holders of one seat knew the attempt, the former one by a grant that had frozen whole, the present one by a late copy of the ask. The former one counted the charge because its successor may not know the attempt, and did not look whether it does.

Why it works: the present holder's ledger says whether a later tenure has the attempt reserved or charged; then the former one counts nothing.

--- a/crates/guavawell-core/src/budget/holder/charge.rs
+++ b/crates/guavawell-core/src/budget/holder/charge.rs
@@ -17,6 +17,7 @@
 use crate::budget::message::TokenPool;
 use crate::budget::record::LedgerEntry;
 use crate::clock::ClockTime;
+use crate::id::AttemptId;
 use crate::id::TokenCount;
 use crate::request::RequestIdentity;
 
@@ -34,11 +35,11 @@
         let state = self.ledger.request(&settle.identity).cloned();
         let answer = match state {
             Some(RequestState::Reserved(held)) if held.attempt == settle.attempt => {
-                let charged = held.chargeable_tokens(settle.grant.pool, settle.actual);
+                let charged = held.chargeable_tokens(&settle.grant, settle.actual);
                 self.charge(ask, settle, &held, charged, now, effects)
             }
             Some(RequestState::Settled(charge)) if charge.attempt == settle.attempt => {
-                self.settled_again(ask, settle, charge.charged, charge.pool)
+                self.settled_again(ask, settle, charge.charged, charge.pool, effects)
             }
             Some(RequestState::Settled(charge)) => Some(SettleAnswer::AlreadySettled {
                 attempt: charge.attempt,
@@ -104,6 +105,7 @@
         let notice = self.charge_notice(&settle.identity, held);
         if held.pool == TokenPool::Float {
             effects.extend(notice.map(HolderEffect::Charged));
+            effects.extend(self.superseded_grant(settle));
             return Some(SettleAnswer::Settled { charged });
         }
         if self.is_retired() {
@@ -113,6 +115,9 @@
         if let Some(notice) = notice {
             self.wait(WaitKind::Charge(notice));
         }
+        if let Some(effect) = self.superseded_grant(settle) {
+            self.wait(WaitKind::GiveBackAt(Box::new(effect)));
+        }
         self.wait_settle(ask, &settle.identity, charged)
     }
 
@@ -156,6 +161,7 @@
         settle: &SettleRequest,
         charged: TokenCount,
         pool: TokenPool,
+        effects: &mut Vec<HolderEffect>,
     ) -> Option<SettleAnswer> {
         if pool == TokenPool::Float {
             return Some(SettleAnswer::Settled { charged });
@@ -164,11 +170,49 @@
             return Some(self.not_holder_settle());
         }
         if self.is_acknowledged() {
+            effects.extend(self.superseded_grant(settle));
             return Some(SettleAnswer::Settled { charged });
         }
         self.wait_settle(ask, &settle.identity, charged)
     }
 
+    /// The reservation of an earlier tenure by whose grant an attempt ran that is
+    /// charged here: its holder gives it back, once the charge is safe. A grant
+    /// that was frozen whole would be reported as used otherwise.
+    fn superseded_grant(&self, settle: &SettleRequest) -> Option<HolderEffect> {
+        let grant = &settle.grant;
+        let is_former = grant.tenure < self.ledger.tenure && !self.is_retired();
+        if grant.pool == TokenPool::Float || !is_former {
+            return None;
+        }
+        let release = ReleaseRequest {
+            identity: settle.identity.clone(),
+            attempt: settle.attempt,
+            before: Some(grant.tenure.next()),
+        };
+        Some(HolderEffect::GiveBackAt(grant.holder.clone(), release))
+    }
+
+    /// Whether the charge of an attempt stands here: the witness has it, or the
+    /// float paid it.
+    #[must_use]
+    pub fn has_charged(&self, identity: &RequestIdentity, attempt: AttemptId) -> bool {
+        match self.ledger.request(identity) {
+            Some(RequestState::Settled(charge)) if charge.attempt == attempt => {
+                charge.pool == TokenPool::Float || self.is_acknowledged()
+            }
+            _ => false,
+        }
+    }
+
+    /// Gives a reservation back whose attempt a later tenure charged.
+    pub fn give_back_superseded(&mut self, identity: &RequestIdentity, attempt: AttemptId) {
+        self.record(LedgerEntry::Release {
+            identity: identity.clone(),
+            attempt,
+        });
+    }
+
     fn wait_settle(
         &mut self,
         ask: AskId,
--- a/crates/guavawell-core/src/budget/holder/event.rs
+++ b/crates/guavawell-core/src/budget/holder/event.rs
@@ -144,6 +144,9 @@
     /// A reservation was answered as unreachable while the witness may have
     /// it: give it back to whoever holds the slot until that one has it.
     GiveBack(ReleaseRequest),
+    /// A charge by the grant of an earlier tenure stands here: its holder gives
+    /// its own reservation of the attempt back.
+    GiveBackAt(InstanceIncarnation, ReleaseRequest),
     /// A charge stands: keep its billing record.
     Charged(Box<ChargeNotice>),
     /// A change of state for the event log.
--- a/crates/guavawell-core/src/budget/holder/wait.rs
+++ b/crates/guavawell-core/src/budget/holder/wait.rs
@@ -49,6 +49,8 @@
     /// A budget's witnessed charges up to here may go to the table, and the
     /// charge's billing record may be kept.
     Charge(Box<ChargeNotice>),
+    /// A [`HolderEffect::GiveBackAt`] for the charge.
+    GiveBackAt(Box<HolderEffect>),
     /// Tokens are in the float.
     Raise(BudgetId, TokenCount),
     /// Tokens are out of the float.
@@ -227,6 +229,7 @@
                 stock.acked_settled = stock.acked_settled.max(notice.counted);
                 effects.push(HolderEffect::Charged(notice));
             }
+            WaitKind::GiveBackAt(effect) => effects.push(*effect),
             WaitKind::Raise(budget, tokens) => {
                 let place = self.stock_or_new(&budget, now);
                 let stock = &mut self.stocks[place];
@@ -286,7 +289,11 @@
                     effects.push(HolderEffect::Charged(notice));
                     continue;
                 }
-                WaitKind::Renewal(_) | WaitKind::Raise(..) | WaitKind::Lower(..) => continue,
+                // The charge may be unknown to the new holder.
+                WaitKind::Renewal(_)
+                | WaitKind::GiveBackAt(_)
+                | WaitKind::Raise(..)
+                | WaitKind::Lower(..) => continue,
             };
             effects.push(HolderEffect::Answer(ask, answer));
         }
--- a/crates/guavawell-core/src/budget/ledger.rs
+++ b/crates/guavawell-core/src/budget/ledger.rs
@@ -8,6 +8,7 @@
 
 use super::account::BudgetAccount;
 use super::former::FormerHolder;
+use super::message::ReserveGrant;
 use super::message::TokenPool;
 use super::record::LedgerEntry;
 use super::row::FormerUse;
@@ -65,15 +66,17 @@
 
 impl ReservedAttempt {
     /// Returns how much of `actual` is charged to this reservation if the attempt
-    /// was granted from `pool`: at most the reserved amount, and zero if the
-    /// reservation is in the other pool.
+    /// runs by `grant`: at most the reserved amount, and zero if another float pays.
     ///
     /// The pools differ if a witness that took over knew the attempt as reserved in
     /// the witnessed part while the former holder granted it from its float. That
-    /// float pays for it, so the reservation ends without a charge.
+    /// float pays for it, so the reservation ends without a charge. A reservation
+    /// of a later tenure than a grant from the witnessed part pays from either
+    /// pool: the granting holder is told to give its own one back.
     #[must_use]
-    pub fn chargeable_tokens(&self, pool: TokenPool, actual: TokenCount) -> TokenCount {
-        if self.pool == pool {
+    pub fn chargeable_tokens(&self, grant: &ReserveGrant, actual: TokenCount) -> TokenCount {
+        let is_later = grant.pool == TokenPool::Witnessed && self.tenure > grant.tenure;
+        if self.pool == grant.pool || is_later {
             actual.min(self.amount)
         } else {
             TokenCount::ZERO
--- a/crates/guavawell-core/tests/budget_fleet/deliver.rs
+++ b/crates/guavawell-core/tests/budget_fleet/deliver.rs
@@ -81,7 +81,10 @@
                     }
                 }
                 HolderEffect::Note(HolderNote::AccountMismatch(_)) => self.mismatches += 1,
-                HolderEffect::Note(_) | HolderEffect::Charged(_) | HolderEffect::GiveBack(_) => {}
+                HolderEffect::Note(_)
+                | HolderEffect::Charged(_)
+                | HolderEffect::GiveBack(_)
+                | HolderEffect::GiveBackAt(..) => {}
             }
         }
     }
--- a/crates/guavawell-fleet/src/slot/driver.rs
+++ b/crates/guavawell-fleet/src/slot/driver.rs
@@ -236,6 +236,9 @@
                     self.parts.tasks.spawn(answer);
                 }
                 HolderEffect::GiveBack(ask) => self.release_later(seat.slot.clone(), ask),
+                HolderEffect::GiveBackAt(former, ask) => {
+                    self.release_at_former(&seat.slot, ask, former);
+                }
                 HolderEffect::Charged(notice) => self.keep_record(seat, *notice),
                 HolderEffect::Note(note) => self.note(seat, &note),
             }
--- a/crates/guavawell-fleet/src/slot/seat.rs
+++ b/crates/guavawell-fleet/src/slot/seat.rs
@@ -10,6 +10,7 @@
 use guavawell_core::budget::HolderEvent;
 use guavawell_core::budget::InstanceIncarnation;
 use guavawell_core::budget::RequestState;
+use guavawell_core::budget::ReservedAttempt;
 use guavawell_core::budget::SettleRequest;
 use guavawell_core::budget::SlotHolder;
 use guavawell_core::budget::SlotId;
@@ -199,12 +200,13 @@
 
     /// Lets a former holder count a charge to the witnessed part of its
     /// tenure, which the present holder records and answers: the former one's
-    /// report needs it where its whole grant is frozen.
+    /// report needs it where its whole grant is frozen. An attempt that a later
+    /// tenure reserved too is charged there alone.
     fn count_at_former(&mut self, event: &HolderEvent, now: ClockTime) {
         let HolderEvent::Settle(_, settle) = event else {
             return;
         };
-        if settle.grant.pool == TokenPool::Float {
+        if settle.grant.pool == TokenPool::Float || self.is_charged_later(settle) {
             return;
         }
         let is_granter = |former: &&mut SlotHolder| {
@@ -217,6 +219,39 @@
         }
     }
 
+    /// Whether the seat's last holder charges an attempt to a reservation of a
+    /// later tenure than its grant's, or has charged it.
+    fn is_charged_later(&self, settle: &SettleRequest) -> bool {
+        let ledger = self.holder.as_ref().map(SlotHolder::ledger);
+        match ledger.and_then(|ledger| ledger.request(&settle.identity)) {
+            Some(RequestState::Reserved(held)) => {
+                held.attempt == settle.attempt && held.tenure > settle.grant.tenure
+            }
+            Some(RequestState::Settled(charge)) => charge.attempt == settle.attempt,
+            _ => false,
+        }
+    }
+
+    /// Lets former holders give back what they have reserved of the witnessed
+    /// part for attempts whose charge stands at the present one.
+    fn give_back_charged(&mut self) {
+        let Some(holder) = self.holder.as_ref().filter(|holder| !holder.is_retired()) else {
+            return;
+        };
+        for former in &mut self.former {
+            let is_charged = |(identity, held): &(&RequestIdentity, &ReservedAttempt)| {
+                held.pool == TokenPool::Witnessed && holder.has_charged(identity, held.attempt)
+            };
+            let charged = former.ledger().reserved_attempts().filter(is_charged);
+            let charged: Vec<(RequestIdentity, AttemptId)> = charged
+                .map(|(identity, held)| (identity.clone(), held.attempt))
+                .collect();
+            for (identity, attempt) in charged {
+                former.give_back_superseded(&identity, attempt);
+            }
+        }
+    }
+
     /// The holder that an event is for: whoever asked for an outcome, a former
     /// one for charges to its float and for releases of what it holds,
     /// otherwise the present one.
@@ -259,6 +294,7 @@
     /// Lets time pass for every holder of this seat.
     pub(super) fn tick(&mut self, now: ClockTime) -> Vec<HolderEffect> {
         let mut effects = Vec::new();
+        self.give_back_charged();
         if let Some(holder) = &mut self.holder {
             holder.handle(HolderEvent::Tick, now, &mut effects);
         }
--- a/crates/guavawell-fleet/src/slot/tests.rs
+++ b/crates/guavawell-fleet/src/slot/tests.rs
@@ -21,6 +21,7 @@
 mod leftover;
 mod orphan;
 mod orphan_zone;
+mod regranted;
 mod rig;
 mod tenure;
 
--- a/crates/guavawell-fleet/src/slot/tests/rig/mod.rs
+++ b/crates/guavawell-fleet/src/slot/tests/rig/mod.rs
@@ -83,6 +83,8 @@
     pub held: Vec<HeldChange>,
     /// Whether messages between the routers are lost.
     pub is_parted: bool,
+    /// Whether holders hear of charges by their grants that stand elsewhere.
+    pub is_giving_back: bool,
 }
 
 impl SeatPair {
@@ -109,6 +111,7 @@
             is_holding: false,
             held: Vec::new(),
             is_parted: false,
+            is_giving_back: true,
         };
         let ledger = SlotLedger::new(slot_row.tenure);
         assert!(pair.seats[0].lock().claim_found(&slot_row));
@@ -380,6 +383,11 @@
                     let row = self.slot_row.clone();
                     self.tell_witness(place(&to.instance), WitnessEvent::TakeOver(row));
                 }
+                HolderEffect::GiveBackAt(former, release) if self.is_giving_back => {
+                    self.ask(place(&former.instance), |id| {
+                        HolderEvent::Release(id, release)
+                    });
+                }
                 _ => {}
             }
         }
--- a/crates/guavawell-fleet/src/slot/toward.rs
+++ b/crates/guavawell-fleet/src/slot/toward.rs
@@ -180,14 +180,24 @@
         grant: &ReserveGrant,
     ) {
         if grant.pool == TokenPool::Float {
-            let former = grant.holder.clone();
-            let target = former.instance.clone();
-            let is_there = move |members: &MemberView| is_alive(members, &former);
-            self.release_at(&slot, ask.clone(), target, is_there);
+            self.release_at_former(&slot, ask.clone(), grant.holder.clone());
         }
         self.release_later(slot, ask);
     }
 
+    /// Gives a reservation back at the holder of an earlier tenure, in the
+    /// background, as long as that one lives.
+    pub(super) fn release_at_former(
+        self: &Arc<Self>,
+        slot: &SlotId,
+        ask: ReleaseRequest,
+        former: InstanceIncarnation,
+    ) {
+        let target = former.instance.clone();
+        let is_there = move |members: &MemberView| is_alive(members, &former);
+        self.release_at(slot, ask, target, is_there);
+    }
+
     /// Gives a reservation back in the background: the attempt did not run.
     ///
     /// Goes on while the holder's witness is away, for a takeover may find the
