Servers are asked whether they are cold where the history of zones is lost

What callers saw: the store drops its history together with a whole evacuation that no instance has read; the returned zone's cold servers get 18 requests at once where 9 a second are tolerated, and fall over with what they run.

Cause: changes that neither the store nor another instance can tell passed for "no zone has returned" 0.5 s after the loss. Until then every server counted as cold, also warm ones: a caller in that time was refused.

Change: what is lost stays a state of the data (`ZoneReturns::lost`). A server's own answer counts like an entry of the revision that was known before it was asked, so an answer from before the loss, or one told by another instance that knew less, proves nothing. For each server only the instances that share its limit ask, each question counts towards their share, and they tell the others. No answer, 503, another id: the server counts as cold until any return within the lost changes is older than the cold time. Requests go on as soon as a server says that it is warm.

--- a/crates/guavawell-core/src/forward/returns.rs
+++ b/crates/guavawell-core/src/forward/returns.rs
@@ -3,7 +3,8 @@
 //! The servers of such a zone are cold, whatever entries from before the return
 //! say. A return is the removal of a row: an instance that read the table only
 //! before and after the evacuation has not seen it. Until it has read the changes
-//! between, any zone may have returned.
+//! between, any zone may have returned. Where nobody can tell these changes any
+//! more, each server has to say whether it is cold.
 
 use std::cmp::Reverse;
 
@@ -129,6 +130,17 @@
     pub at: ClockTime,
 }
 
+impl ZoneGap {
+    /// The changes of both.
+    fn join(self, other: Self) -> Self {
+        Self {
+            from: self.from.min(other.from),
+            to: self.to.max(other.to),
+            at: self.at.max(other.at),
+        }
+    }
+}
+
 /// What is known of returns. Those of the store and those that instances told are
 /// kept apart, so that a false one hides none of the store's.
 #[derive(Clone, Debug, Default)]
@@ -137,6 +149,8 @@
     told: ReturnTable,
     /// Changes that were not read: any zone may have returned within them.
     gap: Option<ZoneGap>,
+    /// Changes that nobody can tell any more. They count like those of the gap.
+    lost: Option<ZoneGap>,
     /// Returns up to this revision may be missing.
     complete_from: u64,
 }
@@ -183,17 +197,32 @@
         told.retain(|known| known.zone_return.revision <= revision);
     }
 
-    /// When a zone was taken back at the latest, as far as an entry of the given
+    /// When a zone was taken back at the latest, as far as a statement of the given
     /// revision does not tell: its return, or any within changes that were not read.
     #[must_use]
     pub fn taken_back_at(&self, zone: &ZoneId, listed_revision: u64) -> Option<ClockTime> {
         let returned = self.last(zone);
         let returned = returned.filter(|known| listed_revision <= known.revision);
-        let unread = self.gap.filter(|gap| listed_revision <= gap.to);
-        let unread_at = unread.map(|gap| gap.at);
+        let unread_at = self.unread_at(listed_revision);
         returned.map(|known| known.at).max(unread_at)
     }
 
+    /// When changes after a statement of the given revision turned out to be unread;
+    /// `None` if there are none.
+    #[must_use]
+    pub fn unread_at(&self, revision: u64) -> Option<ClockTime> {
+        let unread = self.gap.iter().chain(&self.lost);
+        let later = unread.filter(|gap| revision <= gap.to);
+        later.map(|gap| gap.at).max()
+    }
+
+    /// The newest revision of changes that were not read; 0 if there are none.
+    #[must_use]
+    pub fn unread_to(&self) -> u64 {
+        let unread = self.gap.iter().chain(&self.lost);
+        unread.map(|gap| gap.to).max().unwrap_or_default()
+    }
+
     /// The changes that were not read.
     #[must_use]
     pub const fn gap(&self) -> Option<ZoneGap> {
@@ -205,11 +234,31 @@
         if gap.from >= gap.to {
             return;
         }
-        self.gap = Some(self.gap.map_or(gap, |open| ZoneGap {
-            from: open.from.min(gap.from),
-            to: open.to.max(gap.to),
-            at: open.at.max(gap.at),
-        }));
+        self.gap = Some(self.gap.map_or(gap, |open| open.join(gap)));
+    }
+
+    /// Closes the gap as [`close_gap`](Self::close_gap) does, though nobody can tell
+    /// its changes up to `from`.
+    pub fn lose_gap(&mut self, from: u64, to: u64) {
+        if let Some(gap) = self.gap.filter(|gap| gap.to <= to) {
+            let lost = ZoneGap {
+                to: gap.to.min(from),
+                ..gap
+            };
+            self.lost = Some(self.lost.map_or(lost, |known| known.join(lost)));
+        }
+        self.close_gap(from, to);
+    }
+
+    /// Changes that nobody could tell.
+    #[must_use]
+    pub const fn lost(&self) -> Option<ZoneGap> {
+        self.lost
+    }
+
+    /// Records that the changes of [`lost`](Self::lost) are known after all.
+    pub const fn find_lost(&mut self) {
+        self.lost = None;
     }
 
     /// Records that the changes after `from` and up to `to` are known.
--- a/crates/guavawell-core/src/forward/route.rs
+++ b/crates/guavawell-core/src/forward/route.rs
@@ -82,6 +82,8 @@
     pub engine: Option<EngineLimits>,
     /// Slow start of its servers; `None` if a cold server takes any load.
     pub slow_start: Option<SlowStart>,
+    /// Path at which a server says how it is; `None` if there is none.
+    pub health_path: Option<Box<str>>,
 }
 
 /// Limits of each model engine of a service.
--- a/crates/guavawell-core/src/forward/slow_start.rs
+++ b/crates/guavawell-core/src/forward/slow_start.rs
@@ -116,12 +116,22 @@
     /// [`SHARE_WINDOW`].
     #[must_use]
     pub fn share(&self, server: &BackendId, fleet: FleetView<'_>) -> u32 {
+        if fleet.is_recent {
+            self.query_share(server, fleet)
+        } else {
+            0
+        }
+    }
+
+    /// Requests that this instance may send to a server in each [`SHARE_WINDOW`] in
+    /// order to ask it whether it is cold. A process that has just started may ask
+    /// too, as it sends nothing else to such a server.
+    #[must_use]
+    pub fn query_share(&self, server: &BackendId, fleet: FleetView<'_>) -> u32 {
         let per_view = self.requests / FLEET_VIEWS;
         let senders = fleet.senders(MAX_SENDERS.min(per_view));
-        match fleet.sender_rank(server, senders) {
-            Some(_) if fleet.is_recent => per_view / senders,
-            _ => 0,
-        }
+        let rank = fleet.sender_rank(server, senders);
+        rank.map_or(0, |_| per_view / senders)
     }
 }
 
@@ -136,6 +146,9 @@
     listed_until: ClockTime,
     /// End of the cold time by the server's own response.
     reported_until: ClockTime,
+    /// The server was last asked whether it is cold after all changes of the store
+    /// before this revision; 0 if it was not.
+    asked_before: u64,
     /// End of a cold time that was inferred.
     presumed_until: ClockTime,
     /// Entries up to this revision may be older than the cause of the inference.
@@ -187,6 +200,23 @@
         is_news
     }
 
+    /// Applies the server's answer to the question whether it is cold, which was
+    /// asked after the changes of the store up to `revision`. It is cold for `span`.
+    pub fn state(&mut self, now: ClockTime, span: ClockSpan, revision: u64) {
+        if revision < self.asked_before {
+            return;
+        }
+        self.asked_before = revision + 1;
+        self.reported_until = now + span;
+    }
+
+    /// Revision of the newest statement on whether the server is cold: the platform's
+    /// entry, or the server's own answer.
+    #[must_use]
+    pub fn stated_revision(&self) -> u64 {
+        self.listed_revision.max(self.asked_before)
+    }
+
     /// Infers that the server is cold for `span`, whatever entries up to
     /// `revision` say.
     pub fn presume(&mut self, now: ClockTime, span: ClockSpan, revision: u64) {
--- a/crates/guavawell-core/src/forward/table.rs
+++ b/crates/guavawell-core/src/forward/table.rs
@@ -108,10 +108,38 @@
     }
 
     /// When the zone of a server was taken back at the latest, unless the server's
-    /// entry is newer.
+    /// entry or its own answer is newer.
     fn taken_back_at(&self, entry: &ServerEntry) -> Option<ClockTime> {
         let returns = self.evacuations.returns();
-        returns.taken_back_at(&entry.zone, entry.warmth.listed_revision())
+        returns.taken_back_at(&entry.zone, entry.warmth.stated_revision())
+    }
+
+    /// The servers of a service that count as cold only until they say whether they
+    /// are: the changes of evacuated zones after their entries are unread. Those that
+    /// may get no request now are left out. `span` is how long the service's servers
+    /// are cold.
+    pub fn unheard<'a>(
+        &'a self,
+        service: &'a ServiceId,
+        span: ClockSpan,
+        now: ClockTime,
+    ) -> impl Iterator<Item = &'a ServerEntry> {
+        let is_unheard = move |entry: &&ServerEntry| {
+            let unread_at = self
+                .evacuations
+                .returns()
+                .unread_at(entry.warmth.stated_revision());
+            let is_usable = !self.evacuations.contains(&entry.zone) && !entry.is_paused(now);
+            is_usable && unread_at.is_some_and(|at| now < at + span)
+        };
+        self.serving(service, now).filter(is_unheard)
+    }
+
+    /// Number of servers of a service that accept requests and are warm.
+    #[must_use]
+    pub fn count_warm(&self, service: &ServiceId, span: ClockSpan, now: ClockTime) -> usize {
+        let is_warm = |entry: &&ServerEntry| !self.is_cold(entry, span, now);
+        self.serving(service, now).filter(is_warm).count()
     }
 
     /// Whether all servers of a service that accept requests count as cold because
--- a/crates/guavawell-core/tests/forward/slow_start.rs
+++ b/crates/guavawell-core/tests/forward/slow_start.rs
@@ -10,6 +10,7 @@
 use guavawell_core::forward::SlowStart;
 use guavawell_core::forward::SlowStartLimit;
 use guavawell_core::forward::SlowStartSettings;
+use guavawell_core::forward::ZoneGap;
 use guavawell_core::forward::parse_cold_span;
 use guavawell_core::id::InstanceId;
 
@@ -271,3 +272,104 @@
         assert_eq!(limit().share(&entry(server(1)).incarnation.id, view), 0);
     }
 }
+
+// Guards against a server that may be cold and is asked by each instance of a fleet
+// whose processes have just started together.
+#[test]
+fn few_instances_ask_a_server_whether_it_is_cold() {
+    for count in [1, 2, 3, 62, 300] {
+        let members = instances(count);
+        for number in 0..20 {
+            let id = entry(server(number)).incarnation.id;
+            let questions = members.iter().map(|own| {
+                let view = FleetView {
+                    own,
+                    members: &members,
+                    is_recent: false,
+                };
+                limit().query_share(&id, view)
+            });
+            let asking: Vec<u32> = questions.filter(|share| *share > 0).collect();
+            assert!((1..=3).contains(&asking.len()), "{count}: {asking:?}");
+            let sum: u32 = asking.iter().sum();
+            assert!(sum <= limit().requests / 3, "{count}: {asking:?}");
+        }
+    }
+}
+
+#[test]
+fn an_instance_that_knows_no_others_asks_no_server() {
+    let own = instance(1);
+    let view = FleetView {
+        own: &own,
+        members: &[],
+        is_recent: false,
+    };
+    assert_eq!(
+        limit().query_share(&entry(server(1)).incarnation.id, view),
+        0
+    );
+}
+
+/// A table with a server whose entry is of revision 1, and changes up to revision 5
+/// that nobody can tell.
+fn table_with_lost_changes() -> ServerTable {
+    let mut table = ServerTable::default();
+    let mut listed = entry(server(0));
+    listed.warmth = ServerWarmth::listed(ClockSpan::ZERO, 1).received(START);
+    table.upsert(listed);
+    let returns = table.evacuations_mut().returns_mut();
+    returns.open_gap(ZoneGap {
+        from: 1,
+        to: 5,
+        at: START,
+    });
+    returns.lose_gap(5, 5);
+    table
+}
+
+fn is_cold(table: &ServerTable, now: ClockTime) -> bool {
+    let entry = table.get(&server(0)).expect("listed");
+    table.is_cold(entry, COLD_SPAN, now)
+}
+
+// Guards against changes that nobody can tell and that pass for none.
+#[test]
+fn a_server_counts_as_cold_after_lost_changes_until_it_is_warm_in_any_case() {
+    let table = table_with_lost_changes();
+    assert!(is_cold(&table, later(2_999)));
+    assert!(!is_cold(&table, later(3_000)));
+}
+
+// Guards against an answer to a question from before the lost changes.
+#[test]
+fn only_an_answer_from_after_lost_changes_is_believed() {
+    for (asked_after, believed) in [(4, false), (5, true), (9, true)] {
+        let mut table = table_with_lost_changes();
+        let entry = table.get_mut(&server(0)).expect("listed");
+        entry.warmth.state(later(10), ClockSpan::ZERO, asked_after);
+        assert_eq!(is_cold(&table, later(20)), !believed, "{asked_after}");
+    }
+}
+
+#[test]
+fn an_answer_states_the_cold_time_and_a_late_older_one_changes_nothing() {
+    let mut table = table_with_lost_changes();
+    let entry = table.get_mut(&server(0)).expect("listed");
+    entry
+        .warmth
+        .state(later(10), ClockSpan::from_millis(500), 6);
+    entry.warmth.state(later(20), ClockSpan::ZERO, 5);
+    assert!(is_cold(&table, later(509)));
+    assert!(!is_cold(&table, later(510)));
+}
+
+// Guards against a newer entry that a gap in what was read hides.
+#[test]
+fn an_entry_that_is_newer_than_lost_changes_is_believed() {
+    let mut table = table_with_lost_changes();
+    let mut listed = entry(server(0));
+    listed.warmth = ServerWarmth::listed(ClockSpan::ZERO, 6).received(later(10));
+    table.upsert(listed);
+    assert!(!is_cold(&table, later(20)));
+}
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -304,7 +304,7 @@
 
 /// Reads response heads until `is_own` accepts one. Responses to other requests
 /// that arrive first are skipped; the connection is not reused after them.
-async fn response_head(
+pub(crate) async fn response_head(
     channel: &mut HttpChannel,
     is_head_request: bool,
     is_own: impl Fn(&ResponseHead) -> bool,
--- a/crates/guavawell-forward/src/evacuation.rs
+++ b/crates/guavawell-forward/src/evacuation.rs
@@ -103,9 +103,15 @@
     /// Closes the gap in what is known of evacuated zones, if another instance knows
     /// all changes between two revisions and no entry is older.
     fn zones_told(&self, from: u64, to: u64) {
-        let gap = self.zone_gap().filter(|gap| gap.to <= to);
-        let is_known = |gap: ZoneGap| from <= gap.from.max(self.oldest_listing().unwrap_or(gap.to));
-        if gap.is_some_and(is_known) {
+        let is_known = |gap: &ZoneGap| {
+            gap.to <= to && from <= gap.from.max(self.oldest_listing().unwrap_or(gap.to))
+        };
+        let lost = self.servers.borrow().evacuations().returns().lost();
+        if lost.as_ref().is_some_and(is_known) {
+            let mut servers = self.servers.borrow_mut();
+            servers.evacuations_mut().returns_mut().find_lost();
+        }
+        if self.zone_gap().as_ref().is_some_and(is_known) {
             self.zones_read(from, to);
         }
     }
@@ -130,6 +136,16 @@
         self.zone_history.gap_changed();
     }
 
+    /// Records that changes of evacuated zones up to the revision `from` can't be
+    /// read, and that those after it and up to `to` are known.
+    pub fn zones_lost(&self, from: u64, to: u64) {
+        let mut servers = self.servers.borrow_mut();
+        servers.evacuations_mut().returns_mut().lose_gap(from, to);
+        drop(servers);
+        self.publish_evacuations();
+        self.zone_history.gap_changed();
+    }
+
     /// Records that the returns after an older revision than before are known.
     pub fn older_zones_read(&self, from: u64) {
         let mut servers = self.servers.borrow_mut();
--- a/crates/guavawell-forward/src/field_names.rs
+++ b/crates/guavawell-forward/src/field_names.rs
@@ -30,6 +30,8 @@
     pub leaving: &'static str,
     /// How many more milliseconds the server is cold.
     pub cold: &'static str,
+    /// Id of the server that answers a question for its health.
+    pub server_id: &'static str,
     /// Requests per second that a server in need accepts from all instances.
     pub limit: &'static str,
     /// Rejections per second that a fragile server survives.
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -53,4 +53,5 @@
 pub mod sse;
 pub mod store;
 pub mod tunnel;
+pub mod warmth;
 pub mod zone_history;
--- a/crates/guavawell-forward/src/peer/message.rs
+++ b/crates/guavawell-forward/src/peer/message.rs
@@ -42,6 +42,10 @@
 /// First path segment of a report of a rate limit; the server's id and start, the limit
 /// and the age follow.
 const LIMIT_PATH: &str = "limit";
+/// First path segment of a report of servers' cold times; the revision after whose
+/// changes they were asked follows. Each line of the body has a server's id, its start
+/// and the cold time in milliseconds, separated by slashes.
+const WARMTH_PATH: &str = "warmth";
 /// Limit of a server that states none.
 const NO_LIMIT: &str = "-";
 /// First path segment of a request for a connection to a server; the server's id
@@ -89,6 +93,24 @@
     pub(crate) age: ClockSpan,
 }
 
+/// What a server answered when it was asked whether it is cold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ServerAnswer {
+    /// The server.
+    pub(crate) server: ServerIncarnation,
+    /// How much longer it is cold.
+    pub(crate) cold: ClockSpan,
+}
+
+/// Servers' answers that the sender heard from them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct WarmthReport {
+    /// All were asked after the changes of the store up to this revision.
+    pub(crate) revision: u64,
+    /// The answers.
+    pub(crate) answers: Vec<ServerAnswer>,
+}
+
 /// A request from one instance to another.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum PeerRequest {
@@ -102,6 +124,8 @@
     Config(u64),
     /// Tells what a server stated of its rate limit.
     Limit(LimitReport),
+    /// Tells whether servers are cold.
+    Warmth(WarmthReport),
     /// Asks for a connection to a server. After a positive answer, all further bytes
     /// of the connection are the server's.
     Tunnel(ServerIncarnation),
@@ -135,6 +159,7 @@
                 let age = report.age.as_millis();
                 format!("/{LIMIT_PATH}/{server}/{rate}/{age}")
             }
+            Self::Warmth(report) => format!("/{WARMTH_PATH}/{}", report.revision),
             Self::Tunnel(server) => format!("/{TUNNEL_PATH}/{}", server_path(server)),
         }
     }
@@ -147,6 +172,7 @@
             | Self::Config(_)
             | Self::Limit(_)
             | Self::Tunnel(_) => Vec::new(),
+            Self::Warmth(report) => answer_lines(&report.answers).into_bytes(),
             Self::Suspects(list) => encode_row(list).unwrap_or_else(|error| {
                 log::error!("cannot encode a list of suspects: {error}");
                 Vec::new()
@@ -203,6 +229,10 @@
                 },
                 age: ClockSpan::from_millis(parts.next()?.parse().ok()?),
             }),
+            WARMTH_PATH => Self::Warmth(WarmthReport {
+                revision: parts.next()?.parse().ok()?,
+                answers: parse_answers(body)?,
+            }),
             TUNNEL_PATH => Self::Tunnel(parse_server(&mut parts)?),
             _ => return None,
         };
@@ -227,6 +257,28 @@
     })
 }
 
+fn answer_lines(answers: &[ServerAnswer]) -> String {
+    let lines = answers.iter().map(|answer| {
+        let cold_ms = answer.cold.as_millis();
+        format!("{}/{cold_ms}\n", server_path(&answer.server))
+    });
+    lines.collect()
+}
+
+/// Parses servers' answers; `None` if any is malformed.
+fn parse_answers(body: &[u8]) -> Option<Vec<ServerAnswer>> {
+    let lines = std::str::from_utf8(body).ok()?.lines();
+    let answers = lines.map(|line| {
+        let mut parts = line.split('/');
+        let answer = ServerAnswer {
+            server: parse_server(&mut parts)?,
+            cold: ClockSpan::from_millis(parts.next()?.parse().ok()?),
+        };
+        parts.next().is_none().then_some(answer)
+    });
+    answers.collect()
+}
+
 /// Writes the response fields of a loan request.
 pub(crate) fn write_loan_answer(writer: &mut HeadWriter, answer: LoanAnswer, nonce: u64) {
     writer.field_of(LENT_FIELD, answer.tokens);
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -38,6 +38,8 @@
 pub(crate) use self::message::LimitReport;
 pub(crate) use self::message::PeerRequest;
 pub(crate) use self::message::ReceivedRequest;
+pub(crate) use self::message::ServerAnswer;
+pub(crate) use self::message::WarmthReport;
 pub(crate) use self::message::read_loan_answer;
 pub(crate) use self::message::write_loan_answer;
 pub use self::server::serve_peers;
--- a/crates/guavawell-forward/src/peer/server.rs
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -22,6 +22,7 @@
 use crate::tunnel::CarriedTunnel;
 use crate::tunnel::carry;
 use crate::tunnel::open_for_peer;
+use crate::warmth::learn_warmth;
 
 /// Time after which a connection without a request is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -88,6 +89,7 @@
                 body = peers.answer_config(known, &mut writer);
             }
             Some(PeerRequest::Limit(report)) => learn_limit(router, &report),
+            Some(PeerRequest::Warmth(report)) => learn_warmth(router, &report),
             Some(PeerRequest::Tunnel(incarnation)) => {
                 let opened = open_for_peer(router, &incarnation).await;
                 write_tunnel_answer(&mut writer, opened.as_ref().err().copied());
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -197,7 +197,7 @@
     let left = router.clock.left(call.deadline).as_millis();
     let limit = ClockSpan::from_millis(left / REFRESH_WAIT_DIVISOR).min(MAX_REFRESH_WAIT);
     let until = router.clock.now() + limit;
-    let has_read = router.await_zones(limit).await;
+    let has_read = router.await_zones(&call.service, limit).await;
     router.await_refresh(router.clock.left(until)).await || has_read
 }
 
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -35,6 +35,7 @@
 use crate::pool::ConnectionPool;
 use crate::settings::ForwardSettings;
 use crate::tunnel::CarriedTunnels;
+use crate::warmth::WarmthQueries;
 use crate::zone_history::ZoneHistory;
 
 /// The phase of the process.
@@ -85,6 +86,8 @@
     budgets_opened: Cell<bool>,
     /// The reading of changes of evacuated zones that were missed.
     pub zone_history: ZoneHistory,
+    /// Questions to servers whether they are cold.
+    pub warmth_queries: WarmthQueries,
     /// Recent requests and retries of each service, which limit further retries.
     pub retry_allowance: RefCell<RetryAllowance>,
     /// Recent connection times, from which the connect timeout is derived.
@@ -153,6 +156,7 @@
             refresh_event: Event::new(),
             budgets_opened: Cell::new(false),
             zone_history: ZoneHistory::default(),
+            warmth_queries: WarmthQueries::default(),
             retry_allowance: RefCell::default(),
             connect_timeout: Cell::default(),
             limit_news: LimitNews::default(),
--- a/crates/guavawell-forward/src/server_status.rs
+++ b/crates/guavawell-forward/src/server_status.rs
@@ -54,25 +54,30 @@
     }
 }
 
-/// Applies the cold time that a server states. A malformed one counts as the cold
-/// time after a start, so that the server does not get too many requests.
+/// Applies the cold time that a server states.
 fn apply_cold_span(router: &ForwardRouter, server: &ServerIncarnation, text: &str) {
-    let stated = parse_cold_span(text);
-    if let Err(error) = &stated {
-        log_unreadable(router, server, router.settings.names.cold, error);
-    }
+    let span = read_cold_span(router, server, text);
     let now = router.clock.now();
     let mut servers = router.servers.borrow_mut();
-    let Some(entry) = servers.get_mut(server) else {
-        return;
-    };
-    let usual = router.cold_span(&entry.service).unwrap_or_default();
-    let span = stated.unwrap_or(usual);
-    if !entry.warmth.report(now, span) {
-        return;
-    }
+    let entry = servers.get_mut(server);
+    let is_news = entry.is_some_and(|entry| entry.warmth.report(now, span));
     drop(servers);
-    router.log_cold(server, "response", span);
+    if is_news {
+        router.log_cold(server, "response", span);
+    }
+}
+
+/// The cold time that a server states. A malformed one counts as the cold time after
+/// a start, so that the server does not get too many requests.
+pub fn read_cold_span(router: &ForwardRouter, server: &ServerIncarnation, text: &str) -> ClockSpan {
+    parse_cold_span(text).unwrap_or_else(|error| {
+        log_unreadable(router, server, router.settings.names.cold, &error);
+        let servers = router.servers.borrow();
+        let service = servers.get(server).map(|entry| &entry.service);
+        service
+            .and_then(|service| router.cold_span(service))
+            .unwrap_or_default()
+    })
 }
 
 fn log_unreadable(
--- a/crates/guavawell-forward/src/zone_history.rs
+++ b/crates/guavawell-forward/src/zone_history.rs
@@ -5,13 +5,15 @@
 //! that a process that reads the table in full, at its start or after the store
 //! did not answer, finds no trace of it. The store's history of the table tells:
 //! it is read from the oldest entry on, or from what was read before. Until then
-//! servers whose entries are older count as cold.
+//! servers whose entries are older count as cold. Where neither the store nor another
+//! instance can tell the changes any more, the servers themselves are asked.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use event_listener::Event;
+use event_listener::EventListener;
 use futures_lite::FutureExt;
 use futures_lite::future::zip;
 use guavawell_core::clock::ClockSpan;
@@ -21,6 +23,7 @@
 use guavawell_core::forward::ZoneState;
 use guavawell_core::id::ServiceId;
 use guavawell_fleet::event::EventDraft;
+use smol::LocalExecutor;
 use smol::Timer;
 
 use crate::clock::timer_span;
@@ -29,6 +32,8 @@
 use crate::router::ForwardRouter;
 use crate::store::LocalFuture;
 use crate::store::StoreFault;
+use crate::warmth::ask_servers;
+use crate::warmth::count_unheard;
 
 /// Pause after the first query of the history that the store did not answer. It
 /// doubles with each further one.
@@ -43,6 +48,10 @@
 const SETTLE_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time from the first list of servers until the process is ready.
 const MAX_SETTLE_TIME: ClockSpan = ClockSpan::from_millis(5_000);
+/// Time before servers are asked too: the answer of an instance costs them nothing.
+const ASK_DELAY: Duration = Duration::from_millis(30);
+/// Longest time for which changes that the store does not tell count as being read.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(500);
 
 /// Reads the changes of evacuated zones after a revision, oldest first.
 pub type ReadZoneChanges = Box<dyn Fn(u64) -> LocalFuture<Result<Vec<ZoneState>, StoreFault>>>;
@@ -50,7 +59,8 @@
 /// How far the process has read the history of evacuated zones.
 #[derive(Debug, Default)]
 pub struct ZoneHistory {
-    /// Notified when changes turn out to be unread, or have been read.
+    /// Notified when changes turn out to be unread, or have been read, and when a
+    /// server has said whether it is cold.
     gap_event: Event,
     /// Whether the process may be ready.
     is_settled: Cell<bool>,
@@ -68,6 +78,16 @@
         self.gap_event.notify(usize::MAX);
     }
 
+    /// Waits for any of these.
+    pub(crate) fn listen(&self) -> EventListener {
+        self.gap_event.listen()
+    }
+
+    /// Records that a server has said whether it is cold.
+    pub fn server_heard(&self) {
+        self.gap_event.notify(usize::MAX);
+    }
+
     /// Sets the newest revision of any row of a table that was read in full.
     pub fn set_newest_row(&self, revision: u64) {
         self.newest_row.set(revision);
@@ -82,11 +102,18 @@
 }
 
 impl ForwardRouter {
-    /// Waits until the changes of evacuated zones are read, for `max_wait` at most.
-    /// Returns whether they are; if not, no further request waits for them.
-    pub async fn await_zones(&self, max_wait: ClockSpan) -> bool {
+    /// Waits until the changes of evacuated zones are read, or a server of a service
+    /// says that it is warm, for `max_wait` at most. Returns whether that came; if not,
+    /// no further request waits.
+    pub async fn await_zones(&self, service: &ServiceId, max_wait: ClockSpan) -> bool {
         let history = &self.zone_history;
-        let is_unread = || self.zone_gap().is_some();
+        let count_warm = || {
+            let span = self.cold_span(service).unwrap_or_default();
+            let servers = self.servers.borrow();
+            servers.count_warm(service, span, self.clock.now())
+        };
+        let warm = count_warm();
+        let is_unread = || self.zone_gap().is_some() && count_warm() <= warm;
         if !is_unread() || history.waited.get() {
             return false;
         }
@@ -157,16 +184,24 @@
 
 /// Reads the history of evacuated zones wherever changes were not read, for as long
 /// as the process runs.
-pub async fn follow_zone_history(router: Rc<ForwardRouter>, read: ReadZoneChanges) {
-    zip(close_gaps(&router, &read), settle(&router)).await;
+pub async fn follow_zone_history(
+    router: Rc<ForwardRouter>,
+    executor: Rc<LocalExecutor<'static>>,
+    read: ReadZoneChanges,
+) {
+    zip(close_gaps(&router, &executor, &read), settle(&router)).await;
 }
 
-async fn close_gaps(router: &ForwardRouter, read: &ReadZoneChanges) {
+async fn close_gaps(
+    router: &Rc<ForwardRouter>,
+    executor: &LocalExecutor<'static>,
+    read: &ReadZoneChanges,
+) {
     let has_slow_start = || router.has_lists() && router.longest_cold_span().is_some();
     loop {
         let gap = router.wait_gap().await;
         router.wait_loaded(has_slow_start).await;
-        close_gap(router, read, gap).await;
+        close_gap(router, executor, read, gap).await;
     }
 }
 
@@ -212,7 +247,12 @@
 /// At the start of the process only the changes since the table's newest row are
 /// waited for: the older ones hold every configuration since the oldest entry, and
 /// would keep the process from serving for seconds. They are read afterwards.
-async fn close_gap(router: &ForwardRouter, read: &ReadZoneChanges, gap: ZoneGap) {
+async fn close_gap(
+    router: &Rc<ForwardRouter>,
+    executor: &LocalExecutor<'static>,
+    read: &ReadZoneChanges,
+    gap: ZoneGap,
+) {
     let span = router.longest_cold_span().unwrap_or_default();
     let end = gap.at + span;
     let oldest = router.oldest_listing().unwrap_or(gap.to).min(gap.to);
@@ -227,15 +267,48 @@
     };
     let search = search_history(router, read, gap, from);
     let known_after = search.or(timeout).await;
-    router.zones_read(known_after, gap.to);
-    if gap.from == 0 && oldest < known_after {
-        let interrupted = async {
-            router.wait_gap().await;
-        };
-        read_older(router, read, oldest).or(interrupted).await;
+    let interrupted = async {
+        router.wait_gap().await;
+    };
+    if known_after > from {
+        find_out(router, executor, gap, known_after).await;
+        ask_servers(router, executor).or(interrupted).await;
+    } else {
+        router.zones_read(known_after, gap.to);
+        if gap.from == 0 && oldest < known_after {
+            read_older(router, read, oldest).or(interrupted).await;
+        }
     }
 }
 
+/// Asks other instances and the servers for what the store no longer tells. Requests
+/// wait for their answers only for a limited time.
+async fn find_out(
+    router: &Rc<ForwardRouter>,
+    executor: &LocalExecutor<'static>,
+    gap: ZoneGap,
+    known_after: u64,
+) {
+    let instances = async {
+        ask_instances(router, gap).await;
+        if router.zone_gap() == Some(gap) {
+            std::future::pending::<()>().await;
+        }
+    };
+    let limit = async {
+        Timer::after(MAX_ANSWER_TIME).await;
+    };
+    let servers = async {
+        Timer::after(ASK_DELAY).await;
+        ask_servers(router, executor).await;
+    };
+    instances.or(servers).or(limit).await;
+    if router.zone_gap().is_some_and(|open| open.to <= gap.to) {
+        log_lost(router, gap, known_after);
+    }
+    router.zones_lost(known_after, gap.to);
+}
+
 /// Reads older changes, if the store still keeps them.
 async fn read_older(router: &ForwardRouter, read: &ReadZoneChanges, from: u64) {
     match read(from).await {
@@ -281,9 +354,6 @@
         .field("newest", gap.to)
         .field("failures", failures);
     router.log.emit(draft);
-    if known_after > from {
-        ask_instances(router, gap).await;
-    }
     known_after
 }
 
@@ -305,6 +375,18 @@
     router.log.emit(draft);
 }
 
+/// Logs that changes can't be read, and how many servers have yet to say whether they
+/// are cold.
+fn log_lost(router: &ForwardRouter, gap: ZoneGap, known_after: u64) {
+    metrics::counter!("guavawell_forward_zone_changes_lost_total").increment(1);
+    let draft = EventDraft::new("zone.history_lost")
+        .field("from", gap.from)
+        .field("known_after", known_after)
+        .field("newest", gap.to)
+        .field("unheard_servers", count_unheard(router));
+    router.log.emit(draft);
+}
+
 fn log_unread(router: &ForwardRouter, gap: ZoneGap) {
     let draft = EventDraft::new("zone.history_unread")
         .field("from", gap.from)
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -48,6 +48,7 @@
     load: "load",
     leaving: "Leaving",
     cold: "Cold",
+    server_id: "X-Instance-Id",
     limit: "server-limit",
     fragile: "fragile",
     reserved: &[],
