Walks: what callers are charged is counted once in the deployed pipeline

There only a loan lets two instances count one charge. Until now the walks checked the upper bound alone (never more spent than paid), which counting twice cannot break.

grant_walks compares what the instances and the row count with what callers were charged, after all reports have come: equal in 150 walks where nothing is lost, never less in 150 walks with lost answers, lost reports and ended processes.

No fault found.

--- a/crates/guavawell-core/tests/grant_walks.rs
+++ b/crates/guavawell-core/tests/grant_walks.rs
@@ -1,11 +1,14 @@
 //! Random walks of a fleet whose instances lend tokens. Processes end at any
 //! moment, and reports on loans come late or never. Callers must never get more
-//! than what was paid.
+//! than what was paid, and what they were charged is counted: exactly once where
+//! nothing is lost, and once at least in any case.
 
 mod grant_rows;
 
 use fastrand::Rng;
+use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::grant::BudgetFacts;
 use guavawell_core::grant::FleetMember;
 use guavawell_core::grant::GrantLedger;
 use guavawell_core::grant::HolderSettings;
@@ -26,6 +29,10 @@
 /// Time between two steps, in milliseconds.
 const STEP_MS: u64 = 20;
 const SEEDS: u64 = 150;
+/// Time after which borrowed tokens are due to be returned.
+const REPORT_PAUSE: ClockSpan = ClockSpan::from_millis(1_000);
+/// Rounds in which all reports arrive and all rows are written.
+const REPORT_ROUNDS: usize = 5;
 
 /// A running request: its instance, and the borrowed part of its reservation.
 struct RunningRequest {
@@ -43,6 +50,8 @@
     nonce: u64,
     spent: u64,
     now: ClockTime,
+    /// Whether answers and reports are lost and processes end.
+    loses: bool,
 }
 
 fn instance(place: usize) -> InstanceId {
@@ -68,6 +77,7 @@
             nonce: 0,
             spent: 0,
             now: at(0),
+            loses: true,
         };
         for place in 0..INSTANCES {
             let ledger = simulation.start(place);
@@ -125,7 +135,8 @@
         }
         let lender_id = ledger.lender_id();
         // One answer in sixty is lost.
-        if self.random.u8(..60) > 0 && answer.tokens > 0 {
+        let is_lost = self.random.u8(..60) == 0 && self.loses;
+        if !is_lost && answer.tokens > 0 {
             self.ledgers[place].receive_loan(&id, lender_id, answer.tokens, self.now);
         }
     }
@@ -166,13 +177,48 @@
         let lender: usize = loan_return.lender.instance.as_str()[1..]
             .parse()
             .expect("an index in the id");
-        if self.random.u8(..30) > 0 {
+        let is_lost = self.random.u8(..30) == 0 && self.loses;
+        if !is_lost {
             self.ledgers[lender].apply_return(&loan_return);
         }
     }
 
+    /// Lets all requests end, all reports arrive and all rows be written.
+    fn settle_down(&mut self) {
+        while !self.running.is_empty() {
+            self.finish();
+        }
+        for _ in 0..REPORT_ROUNDS {
+            self.now = self.now + REPORT_PAUSE;
+            for place in 0..INSTANCES {
+                let due = self.ledgers[place].due_returns(self.now);
+                self.returns.extend(due);
+            }
+            while !self.returns.is_empty() {
+                self.deliver();
+            }
+            for place in 0..INSTANCES {
+                self.rows
+                    .sync_rows(place, &mut self.ledgers[place], self.now);
+            }
+        }
+    }
+
+    /// Tokens that count as used: those of running boots and of ended ones.
+    fn counted(&self) -> u64 {
+        let id = organisation();
+        let facts = self
+            .ledgers
+            .iter()
+            .map(|ledger| ledger.facts(&id, self.now));
+        let facts: Vec<BudgetFacts> = facts.collect();
+        let used: u64 = facts.iter().map(|facts| facts.used).sum();
+        let closed = facts.iter().map(|facts| facts.closed).max();
+        used + closed.unwrap_or_default()
+    }
+
     fn step(&mut self) {
-        self.now = self.now + guavawell_core::clock::ClockSpan::from_millis(STEP_MS);
+        self.now = self.now + ClockSpan::from_millis(STEP_MS);
         let place = self.random.usize(..INSTANCES);
         match self.random.u32(..1_001) {
             0..400 => self.request(place),
@@ -185,7 +231,8 @@
             920..998 => self
                 .rows
                 .sync_rows(place, &mut self.ledgers[place], self.now),
-            _ => self.kill(place),
+            _ if self.loses => self.kill(place),
+            _ => {}
         }
     }
 }
@@ -209,3 +256,33 @@
         "the walks spend too little of the budget: {most}"
     );
 }
+
+// Guards against a charge that two instances count, the one that lent its tokens and
+// the one that spent them, whatever the order of loans, charges and reports.
+#[test]
+fn what_callers_are_charged_is_counted_once_where_nothing_is_lost() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed);
+        simulation.loses = false;
+        for _ in 0..STEPS {
+            simulation.step();
+        }
+        simulation.settle_down();
+        assert_eq!(simulation.counted(), simulation.spent, "seed {seed}");
+    }
+}
+
+// Guards against a charge that nobody counts, as its process ends or its report is
+// lost.
+#[test]
+fn what_callers_are_charged_is_counted_whatever_is_lost() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed);
+        for _ in 0..STEPS {
+            simulation.step();
+        }
+        simulation.settle_down();
+        let (counted, spent) = (simulation.counted(), simulation.spent);
+        assert!(counted >= spent, "seed {seed}: {counted} of {spent}");
+    }
+}
