A former holder asks its successor before it counts a charge

Cause: a retired holder counted a charge by its own grant at once, though a successor may have the attempt from a late copy of its ask; and a charge that its witness never acknowledged stayed counted after it heard of its loss.

Why it works: the former holder sends the charge on to the present one, the same message that its router sends, and counts only where that one has no record of the attempt. A charge that only its own ledger has is reserved again. Without an answer it stays reserved, so nothing is lost.

--- a/crates/guavawell-core/src/budget/account.rs
+++ b/crates/guavawell-core/src/budget/account.rs
@@ -41,11 +41,21 @@
     }
 
     pub(super) fn charge(&mut self, pool: TokenPool, charged: TokenCount) {
-        let settled = match pool {
+        let settled = self.settled_mut(pool);
+        *settled = settled.saturating_add(charged);
+    }
+
+    /// Takes a charge back.
+    pub(super) fn refund(&mut self, pool: TokenPool, charged: TokenCount) {
+        let settled = self.settled_mut(pool);
+        *settled = settled.saturating_sub(charged);
+    }
+
+    const fn settled_mut(&mut self, pool: TokenPool) -> &mut TokenCount {
+        match pool {
             TokenPool::Witnessed => &mut self.settled,
             TokenPool::Float => &mut self.float_settled,
-        };
-        *settled = settled.saturating_add(charged);
+        }
     }
 }
 
--- a/crates/guavawell-core/src/budget/holder/charge.rs
+++ b/crates/guavawell-core/src/budget/holder/charge.rs
@@ -7,6 +7,7 @@
 use super::HolderNote;
 use super::SlotHolder;
 use super::ask::answer_reserve;
+use super::wait::RecordedCharge;
 use super::wait::WaitKind;
 use crate::budget::ledger::RequestState;
 use crate::budget::ledger::ReservedAttempt;
@@ -84,8 +85,8 @@
 
     /// Records a charge; `None` if the answer waits for the witness.
     ///
-    /// A former holder counts the charge for its late report, and answers
-    /// only for the float.
+    /// A former holder answers only for the float: its successor may have the
+    /// attempt from a later tenure, so that one is asked first.
     fn charge(
         &mut self,
         ask: AskId,
@@ -95,6 +96,11 @@
         now: ClockTime,
         effects: &mut Vec<HolderEffect>,
     ) -> Option<SettleAnswer> {
+        if self.is_retired() && held.pool == TokenPool::Witnessed {
+            let successor = self.row.holder.clone();
+            effects.push(HolderEffect::AskSuccessor(successor, settle.clone()));
+            return Some(self.not_holder_settle());
+        }
         self.record(LedgerEntry::Settle {
             identity: settle.identity.clone(),
             attempt: settle.attempt,
@@ -108,12 +114,12 @@
             effects.extend(self.superseded_grant(settle));
             return Some(SettleAnswer::Settled { charged });
         }
-        if self.is_retired() {
-            effects.extend(notice.map(HolderEffect::Charged));
-            return Some(self.not_holder_settle());
-        }
         if let Some(notice) = notice {
-            self.wait(WaitKind::Charge(notice));
+            self.wait(WaitKind::Charge(Box::new(RecordedCharge {
+                notice: *notice,
+                ask: settle.clone(),
+                held: held.clone(),
+            })));
         }
         if let Some(effect) = self.superseded_grant(settle) {
             self.wait(WaitKind::GiveBackAt(Box::new(effect)));
@@ -121,6 +127,32 @@
         self.wait_settle(ask, &settle.identity, charged)
     }
 
+    /// Counts a charge for the late report of a former holder, as its successor
+    /// has no record of the attempt.
+    pub(super) fn count_unheld(
+        &mut self,
+        settle: &SettleRequest,
+        now: ClockTime,
+        effects: &mut Vec<HolderEffect>,
+    ) {
+        let Some(held) = self.held(&settle.identity, settle.attempt) else {
+            return;
+        };
+        if !self.is_retired() || held.pool == TokenPool::Float {
+            return;
+        }
+        self.record(LedgerEntry::Settle {
+            identity: settle.identity.clone(),
+            attempt: settle.attempt,
+            charged: held.chargeable_tokens(&settle.grant, settle.actual),
+            backend: settle.backend.clone(),
+        });
+        self.retain(&settle.identity, now);
+        let notice = self.charge_notice(&settle.identity, &held);
+        effects.extend(notice.map(HolderEffect::Charged));
+        self.review_budget_of(&settle.identity, now, effects);
+    }
+
     /// The charge just recorded, as its billing record tells it.
     ///
     /// What a takeover froze counts in the table once its former holder
--- a/crates/guavawell-core/src/budget/holder/event.rs
+++ b/crates/guavawell-core/src/budget/holder/event.rs
@@ -57,6 +57,9 @@
     Reserve(AskId, ReserveRequest),
     /// A router asks to settle.
     Settle(AskId, SettleRequest),
+    /// The present holder has no record of an attempt that this former one granted
+    /// and that was charged; not answered.
+    Unheld(SettleRequest),
     /// A router gives a reservation back.
     Release(AskId, ReleaseRequest),
     /// A router names the backend server of an attempt; not answered.
@@ -100,6 +103,7 @@
         match self {
             Self::GrantChanged(key, _) | Self::HandBackDone(key) => Some(key.tenure),
             Self::FrozenReported(key, _) => Some(key.tenure),
+            Self::Unheld(settle) => Some(settle.grant.tenure),
             _ => None,
         }
     }
@@ -147,6 +151,9 @@
     /// A charge by the grant of an earlier tenure stands here: its holder gives
     /// its own reservation of the attempt back.
     GiveBackAt(InstanceIncarnation, ReleaseRequest),
+    /// A charge by a grant of this former holder was told here. Ask the present
+    /// holder; if it has no record of the attempt, tell [`HolderEvent::Unheld`].
+    AskSuccessor(InstanceIncarnation, SettleRequest),
     /// A charge stands: keep its billing record.
     Charged(Box<ChargeNotice>),
     /// A change of state for the event log.
--- a/crates/guavawell-core/src/budget/holder/mod.rs
+++ b/crates/guavawell-core/src/budget/holder/mod.rs
@@ -164,6 +164,7 @@
         match event {
             HolderEvent::Reserve(ask, reserve) => self.reserve(ask, reserve, now, effects),
             HolderEvent::Settle(ask, settle) => self.settle(ask, &settle, now, effects),
+            HolderEvent::Unheld(settle) => self.count_unheld(&settle, now, effects),
             HolderEvent::Release(ask, release) => self.release(ask, &release, now, effects),
             HolderEvent::Serve(note) => self.serve(note),
             HolderEvent::Seal(ask, seal) => self.seal(ask, &seal, now, effects),
--- a/crates/guavawell-core/src/budget/holder/wait.rs
+++ b/crates/guavawell-core/src/budget/holder/wait.rs
@@ -8,12 +8,14 @@
 use super::SlotHolder;
 use super::ask::answer_reserve;
 use crate::budget::ledger::RequestState;
+use crate::budget::ledger::ReservedAttempt;
 use crate::budget::message::ReleaseAnswer;
 use crate::budget::message::ReleaseRequest;
 use crate::budget::message::ReserveAnswer;
 use crate::budget::message::ReserveRequest;
 use crate::budget::message::SealAnswer;
 use crate::budget::message::SettleAnswer;
+use crate::budget::message::SettleRequest;
 use crate::budget::message::TokenPool;
 use crate::budget::record::LedgerEntry;
 use crate::clock::ClockTime;
@@ -48,7 +50,7 @@
     Seal(AskId, RequestIdentity),
     /// A budget's witnessed charges up to here may go to the table, and the
     /// charge's billing record may be kept.
-    Charge(Box<ChargeNotice>),
+    Charge(Box<RecordedCharge>),
     /// A [`HolderEffect::GiveBackAt`] for the charge.
     GiveBackAt(Box<HolderEffect>),
     /// Tokens are in the float.
@@ -57,6 +59,16 @@
     Lower(BudgetId, TokenCount),
 }
 
+/// A charge that the witness does not have yet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct RecordedCharge {
+    pub(super) notice: ChargeNotice,
+    /// The charge as it was asked for.
+    pub(super) ask: SettleRequest,
+    /// The reservation that it ended.
+    pub(super) held: ReservedAttempt,
+}
+
 impl SlotHolder {
     /// Lets `kind` wait for the batch that carries the last entry recorded,
     /// which may be on its way already.
@@ -223,11 +235,12 @@
                 let answer = HolderAnswer::Seal(SealAnswer::Sealed);
                 effects.push(HolderEffect::Answer(ask, answer));
             }
-            WaitKind::Charge(notice) => {
+            WaitKind::Charge(recorded) => {
+                let notice = recorded.notice;
                 let place = self.stock_or_new(&notice.charge.budget, now);
                 let stock = &mut self.stocks[place];
                 stock.acked_settled = stock.acked_settled.max(notice.counted);
-                effects.push(HolderEffect::Charged(notice));
+                effects.push(HolderEffect::Charged(Box::new(notice)));
             }
             WaitKind::GiveBackAt(effect) => effects.push(*effect),
             WaitKind::Raise(budget, tokens) => {
@@ -284,9 +297,12 @@
                 WaitKind::Seal(ask, _) => {
                     (ask, HolderAnswer::Seal(SealAnswer::NotHolder { holder }))
                 }
-                // The late report counts it, and perhaps the new holder too.
-                WaitKind::Charge(notice) => {
-                    effects.push(HolderEffect::Charged(notice));
+                // The new holder may have the attempt from its own tenure.
+                WaitKind::Charge(recorded) => {
+                    let RecordedCharge { ask, held, .. } = *recorded;
+                    self.ledger.reopen(&ask.identity, &held);
+                    let successor = self.row.holder.clone();
+                    effects.push(HolderEffect::AskSuccessor(successor, ask));
                     continue;
                 }
                 // The charge may be unknown to the new holder.
--- a/crates/guavawell-core/src/budget/ledger.rs
+++ b/crates/guavawell-core/src/budget/ledger.rs
@@ -310,6 +310,23 @@
         }
     }
 
+    /// Takes a charge back that nobody else knows: its attempt is reserved again.
+    pub(super) fn reopen(&mut self, identity: &RequestIdentity, held: &ReservedAttempt) {
+        let Some(RequestState::Settled(charge)) = self.request(identity) else {
+            return;
+        };
+        if charge.attempt != held.attempt {
+            return;
+        }
+        let charged = charge.charged;
+        self.set_state(identity, RequestState::Reserved(held.clone()));
+        if !self.is_frozen(held) {
+            let account = self.account_mut(&held.budget);
+            account.counters.refund(held.pool, charged);
+            account.add_reserved(held.pool, held.amount);
+        }
+    }
+
     fn release(&mut self, identity: &RequestIdentity, attempt: AttemptId) {
         let Some(reserved) = self.reserved_attempt_mut(identity, attempt).cloned() else {
             return;
--- a/crates/guavawell-core/tests/budget_fleet/deliver.rs
+++ b/crates/guavawell-core/tests/budget_fleet/deliver.rs
@@ -84,7 +84,8 @@
                 HolderEffect::Note(_)
                 | HolderEffect::Charged(_)
                 | HolderEffect::GiveBack(_)
-                | HolderEffect::GiveBackAt(..) => {}
+                | HolderEffect::GiveBackAt(..)
+                | HolderEffect::AskSuccessor(..) => {}
             }
         }
     }
--- a/crates/guavawell-fleet/src/slot/driver.rs
+++ b/crates/guavawell-fleet/src/slot/driver.rs
@@ -239,6 +239,9 @@
                 HolderEffect::GiveBackAt(former, ask) => {
                     self.release_at_former(&seat.slot, ask, former);
                 }
+                HolderEffect::AskSuccessor(successor, settle) => {
+                    self.ask_successor(seat, successor, settle);
+                }
                 HolderEffect::Charged(notice) => self.keep_record(seat, *notice),
                 HolderEffect::Note(note) => self.note(seat, &note),
             }
--- a/crates/guavawell-fleet/src/slot/seat.rs
+++ b/crates/guavawell-fleet/src/slot/seat.rs
@@ -215,7 +215,7 @@
         };
         if let Some(former) = self.former.iter_mut().find(is_granter) {
             let mut unused = Vec::new();
-            former.handle(event.clone(), now, &mut unused);
+            former.handle(HolderEvent::Unheld(settle.clone()), now, &mut unused);
         }
     }
 
--- a/crates/guavawell-fleet/src/slot/settle.rs
+++ b/crates/guavawell-fleet/src/slot/settle.rs
@@ -6,6 +6,8 @@
 
 use std::sync::Arc;
 
+use guavawell_core::budget::HolderEvent;
+use guavawell_core::budget::InstanceIncarnation;
 use guavawell_core::budget::SettleAnswer;
 use guavawell_core::budget::SettleRequest;
 use guavawell_core::budget::SlotId;
@@ -17,6 +19,7 @@
 
 use super::acquire::is_alive;
 use super::driver::SlotDriver;
+use super::seat::SlotSeat;
 use super::toward::HolderReply;
 use super::toward::RETRY_PAUSE;
 use crate::clock;
@@ -128,6 +131,31 @@
         }
     }
 
+    /// Asks a former holder's successor for an attempt that was charged by the
+    /// former one's grant, and lets that one count it if the successor has no
+    /// record. Without an answer the next try of the charge asks again.
+    pub(super) fn ask_successor(
+        self: &Arc<Self>,
+        seat: &Arc<SlotSeat>,
+        successor: InstanceIncarnation,
+        settle: SettleRequest,
+    ) {
+        if successor == self.parts.life {
+            // The seat looks at its present holder itself.
+            return;
+        }
+        let driver = Arc::clone(self);
+        let seat = Arc::clone(seat);
+        let told = PeerRequest::Settle(SlotAsk::new(seat.slot.clone(), settle.clone()));
+        let task = async move {
+            let reply = driver.ask_one(&seat.slot, &told, &successor.instance).await;
+            if let Ok(PeerReply::Settle(SettleAnswer::Unknown)) = reply {
+                driver.tell(&seat, HolderEvent::Unheld(settle));
+            }
+        };
+        self.parts.tasks.spawn(task);
+    }
+
     /// Keeps the record of a charge that no holder knows: the one that granted
     /// it is gone, and its tokens are frozen in the budget's row.
     fn keep_unheld(&self, slot: &SlotId, charge: &RunCharge) {
--- a/crates/guavawell-fleet/src/slot/tests/regranted.rs
+++ b/crates/guavawell-fleet/src/slot/tests/regranted.rs
@@ -170,3 +170,21 @@
     assert_eq!(attempt.charge(), Some(charged(USED)));
     attempt.assert_counted_once();
 }
+
+/// As above, where the first holder has not heard yet that the slot was begun anew:
+/// it records the charge, and waits for the witness that was lost.
+#[test]
+fn a_charge_that_a_holder_records_after_its_loss_is_counted_once() {
+    let mut pair = SeatPair::start(&no_float());
+    let first = pair.reserve(0, REQUEST);
+    pair.seize(1);
+    let late = pair.reserve(1, REQUEST);
+    let mut attempt = TwiceReserved { pair, first, late };
+    let first = attempt.first.clone();
+    attempt.pair.is_parted = true;
+    assert_eq!(attempt.pair.settle(0, REQUEST, &first, USED), None);
+    attempt.pair.learn_row(0);
+    attempt.pair.is_parted = false;
+    assert_eq!(attempt.charge(), Some(charged(USED)));
+    attempt.assert_counted_once();
+}
--- a/crates/guavawell-fleet/src/slot/tests/rig/mod.rs
+++ b/crates/guavawell-fleet/src/slot/tests/rig/mod.rs
@@ -383,6 +383,15 @@
                     let row = self.slot_row.clone();
                     self.tell_witness(place(&to.instance), WitnessEvent::TakeOver(row));
                 }
+                HolderEffect::AskSuccessor(successor, settle) => {
+                    let asked = HolderEvent::Unheld(settle.clone());
+                    let answer = self.ask(place(&successor.instance), |id| {
+                        HolderEvent::Settle(id, settle)
+                    });
+                    if answer == Some(HolderAnswer::Settle(SettleAnswer::Unknown)) {
+                        self.tell(router, asked);
+                    }
+                }
                 HolderEffect::GiveBackAt(former, release) if self.is_giving_back => {
                     self.ask(place(&former.instance), |id| {
                         HolderEvent::Release(id, release)
