--- a/crates/guavawell-forward/src/limit_news.rs
+++ b/crates/guavawell-forward/src/limit_news.rs
@@ -5,9 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use event_listener::Event;
 use guavawell_core::clock::ClockTime;
@@ -25,8 +23,8 @@
 /// Reports that wait to be sent. More servers rarely change their limits at once; the
 /// oldest ones are dropped.
 const MAX_WAITING: usize = 64;
-/// Timeout of a report to one instance.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Counter of reports that did not reach an instance.
+const UNTOLD: &str = "guavawell_forward_limits_untold_total";
 
 /// Changes of limits that were not yet told.
 #[derive(Debug, Default)]
@@ -75,21 +73,14 @@
                 rate,
                 age: router.clock.now().since(heard_at),
             };
-            let send = send_report(Rc::clone(&router), address, report);
+            let router = Rc::clone(&router);
+            let request = PeerRequest::Limit(report);
+            let send = async move { router.peers.tell(address, &request, UNTOLD).await };
             executor.spawn(send).detach();
         }
     }
 }
 
-async fn send_report(router: Rc<ForwardRouter>, address: SocketAddr, report: LimitReport) {
-    let request = PeerRequest::Limit(report);
-    let sent = router.peers.send_request(address, &request, REPORT_TIMEOUT);
-    if let Err(error) = sent.await {
-        metrics::counter!("guavawell_forward_limits_untold_total").increment(1);
-        log::debug!("telling {address} a rate limit failed: {error}");
-    }
-}
-
 /// Applies what another instance heard from a server.
 pub(crate) fn learn_limit(router: &ForwardRouter, report: &LimitReport) {
     let now = router.clock.now();
--- a/crates/guavawell-forward/src/peer/message.rs
+++ b/crates/guavawell-forward/src/peer/message.rs
@@ -4,6 +4,7 @@
 use guavawell_core::forward::EvacuationList;
 use guavawell_core::forward::RequestRate;
 use guavawell_core::forward::ServerIncarnation;
+use guavawell_core::forward::parse_cold_span;
 use guavawell_core::grant::LenderId;
 use guavawell_core::grant::LoanAnswer;
 use guavawell_core::grant::LoanRequest;
@@ -272,7 +273,7 @@
         let mut parts = line.split('/');
         let answer = ServerAnswer {
             server: parse_server(&mut parts)?,
-            cold: ClockSpan::from_millis(parts.next()?.parse().ok()?),
+            cold: parse_cold_span(parts.next()?).ok()?,
         };
         parts.next().is_none().then_some(answer)
     });
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -57,6 +57,9 @@
 /// counts, and instances that started together have read each other's rows.
 const MIN_RUN_TIME: ClockSpan = ClockSpan::from_millis(3_000);
 
+/// Timeout of a message that tells an instance something.
+const TELL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Header field in which an operator sends the fleet's key.
 pub const KEY_FIELD: &str = "Key";
 
@@ -244,6 +247,20 @@
         Ok(response)
     }
 
+    /// Tells an instance what this one has found out. An instance that misses it finds
+    /// out by itself; `untold` counts them.
+    pub(crate) async fn tell(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        untold: &'static str,
+    ) {
+        if let Err(error) = self.send_request(address, request, TELL_TIMEOUT).await {
+            metrics::counter!(untold).increment(1);
+            log::debug!("telling {address} {} failed: {error}", request.target());
+        }
+    }
+
     /// Requests the configuration from an instance. The response has the row only if
     /// its version is newer than `known`.
     pub(crate) async fn fetch_config(
