Lost changes of zones end where the store's history begins

What callers saw: nothing broken; after a loss of history up to 126 of 146 servers counted as cold for up to 3 s at half of the instances.

Cause: what was unread ended at the newest revision that an instance had read. Instances read at different moments, so that most answers told by others were of an older revision and proved nothing.

Why it works: changes after `known_after` were read, so that only those before are lost. It is the start of the store's history and the same for all.

Test: slow_start::an_answer_from_between_lost_and_later_changes_is_believed.

--- a/crates/guavawell-core/src/forward/returns.rs
+++ b/crates/guavawell-core/src/forward/returns.rs
@@ -237,6 +237,14 @@
         self.gap = Some(self.gap.map_or(gap, |open| open.join(gap)));
     }
 
+    /// Records that the changes after `from` and up to `to` are known, and that those
+    /// of the gap before them may be lost.
+    pub fn narrow_gap(&mut self, from: u64, to: u64) {
+        if let Some(gap) = self.gap.as_mut().filter(|gap| gap.to <= to) {
+            gap.to = gap.to.min(from);
+        }
+    }
+
     /// Closes the gap as [`close_gap`](Self::close_gap) does, though nobody can tell
     /// its changes up to `from`.
     pub fn lose_gap(&mut self, from: u64, to: u64) {
--- a/crates/guavawell-core/tests/forward/slow_start.rs
+++ b/crates/guavawell-core/tests/forward/slow_start.rs
@@ -373,3 +373,25 @@
     table.upsert(listed);
     assert!(!is_cold(&table, later(20)));
 }
+
+// Guards against answers that count for the instance that asked and for no other: each
+// has read the store as of another revision, and the lost changes are older than all.
+#[test]
+fn an_answer_from_between_lost_and_later_changes_is_believed() {
+    for (asked_after, believed) in [(4, false), (5, true)] {
+        let mut table = ServerTable::default();
+        let mut listed = entry(server(0));
+        listed.warmth = ServerWarmth::listed(ClockSpan::ZERO, 1).received(START);
+        table.upsert(listed);
+        let returns = table.evacuations_mut().returns_mut();
+        returns.open_gap(ZoneGap {
+            from: 1,
+            to: 9,
+            at: START,
+        });
+        returns.narrow_gap(5, 9);
+        let entry = table.get_mut(&server(0)).expect("listed");
+        entry.warmth.state(later(10), ClockSpan::ZERO, asked_after);
+        assert_eq!(is_cold(&table, later(20)), !believed, "{asked_after}");
+    }
+}
--- a/crates/guavawell-forward/src/evacuation.rs
+++ b/crates/guavawell-forward/src/evacuation.rs
@@ -136,6 +136,13 @@
         self.zone_history.gap_changed();
     }
 
+    /// Records that the changes of evacuated zones after the revision `from` and up to
+    /// `to` are known, and that those before may be lost.
+    pub fn zones_narrowed(&self, from: u64, to: u64) {
+        let mut servers = self.servers.borrow_mut();
+        servers.evacuations_mut().returns_mut().narrow_gap(from, to);
+    }
+
     /// Records that changes of evacuated zones up to the revision `from` can't be
     /// read, and that those after it and up to `to` are known.
     pub fn zones_lost(&self, from: u64, to: u64) {
--- a/crates/guavawell-forward/src/zone_history.rs
+++ b/crates/guavawell-forward/src/zone_history.rs
@@ -271,7 +271,9 @@
         router.wait_gap().await;
     };
     if known_after > from {
-        find_out(router, executor, gap, known_after).await;
+        router.zones_narrowed(known_after, gap.to);
+        let to = known_after.min(gap.to);
+        find_out(router, executor, ZoneGap { to, ..gap }).await;
         ask_servers(router, executor).or(interrupted).await;
     } else {
         router.zones_read(known_after, gap.to);
@@ -283,12 +285,7 @@
 
 /// Asks other instances and the servers for what the store no longer tells. Requests
 /// wait for their answers only for a limited time.
-async fn find_out(
-    router: &Rc<ForwardRouter>,
-    executor: &LocalExecutor<'static>,
-    gap: ZoneGap,
-    known_after: u64,
-) {
+async fn find_out(router: &Rc<ForwardRouter>, executor: &LocalExecutor<'static>, gap: ZoneGap) {
     let instances = async {
         ask_instances(router, gap).await;
         if router.zone_gap() == Some(gap) {
@@ -304,9 +301,9 @@
     };
     instances.or(servers).or(limit).await;
     if router.zone_gap().is_some_and(|open| open.to <= gap.to) {
-        log_lost(router, gap, known_after);
+        log_lost(router, gap);
     }
-    router.zones_lost(known_after, gap.to);
+    router.zones_lost(gap.to, gap.to);
 }
 
 /// Reads older changes, if the store still keeps them.
@@ -377,12 +374,11 @@
 
 /// Logs that changes can't be read, and how many servers have yet to say whether they
 /// are cold.
-fn log_lost(router: &ForwardRouter, gap: ZoneGap, known_after: u64) {
+fn log_lost(router: &ForwardRouter, gap: ZoneGap) {
     metrics::counter!("guavawell_forward_zone_changes_lost_total").increment(1);
     let draft = EventDraft::new("zone.history_lost")
         .field("from", gap.from)
-        .field("known_after", known_after)
-        .field("newest", gap.to)
+        .field("known_after", gap.to)
         .field("unheard_servers", count_unheard(router));
     router.log.emit(draft);
 }
