--- a/crates/guavawell-core/tests/forward/slow_start.rs
+++ b/crates/guavawell-core/tests/forward/slow_start.rs
@@ -311,9 +311,8 @@
     );
 }
 
-/// A table with a server whose entry is of revision 1, and changes up to revision 5
-/// that nobody can tell.
-fn table_with_lost_changes() -> ServerTable {
+/// A table with a server whose entry is of revision 1, and unread changes after it.
+fn table_with_gap(to: u64) -> ServerTable {
     let mut table = ServerTable::default();
     let mut listed = entry(server(0));
     listed.warmth = ServerWarmth::listed(ClockSpan::ZERO, 1).received(START);
@@ -321,10 +320,16 @@
     let returns = table.evacuations_mut().returns_mut();
     returns.open_gap(ZoneGap {
         from: 1,
-        to: 5,
+        to,
         at: START,
     });
-    returns.lose_gap(5, 5);
+    table
+}
+
+/// As above, with changes up to revision 5 that nobody can tell.
+fn table_with_lost_changes() -> ServerTable {
+    let mut table = table_with_gap(5);
+    table.evacuations_mut().returns_mut().lose_gap(5, 5);
     table
 }
 
@@ -379,17 +384,8 @@
 #[test]
 fn an_answer_from_between_lost_and_later_changes_is_believed() {
     for (asked_after, believed) in [(4, false), (5, true)] {
-        let mut table = ServerTable::default();
-        let mut listed = entry(server(0));
-        listed.warmth = ServerWarmth::listed(ClockSpan::ZERO, 1).received(START);
-        table.upsert(listed);
-        let returns = table.evacuations_mut().returns_mut();
-        returns.open_gap(ZoneGap {
-            from: 1,
-            to: 9,
-            at: START,
-        });
-        returns.narrow_gap(5, 9);
+        let mut table = table_with_gap(9);
+        table.evacuations_mut().returns_mut().narrow_gap(5, 9);
         let entry = table.get_mut(&server(0)).expect("listed");
         entry.warmth.state(later(10), ClockSpan::ZERO, asked_after);
         assert_eq!(is_cold(&table, later(20)), !believed, "{asked_after}");
