--- a/crates/guavawell-core/src/budget/holder/charge.rs
+++ b/crates/guavawell-core/src/budget/holder/charge.rs
@@ -101,14 +101,7 @@
             effects.push(HolderEffect::AskSuccessor(successor, settle.clone()));
             return Some(self.not_holder_settle());
         }
-        self.record(LedgerEntry::Settle {
-            identity: settle.identity.clone(),
-            attempt: settle.attempt,
-            charged,
-            backend: settle.backend.clone(),
-        });
-        self.retain(&settle.identity, now);
-        let notice = self.charge_notice(&settle.identity, held);
+        let notice = self.record_charge(settle, held, charged, now);
         if held.pool == TokenPool::Float {
             effects.extend(notice.map(HolderEffect::Charged));
             effects.extend(self.superseded_grant(settle));
@@ -141,16 +134,28 @@
         if !self.is_retired() || held.pool == TokenPool::Float {
             return;
         }
+        let charged = held.chargeable_tokens(&settle.grant, settle.actual);
+        let notice = self.record_charge(settle, &held, charged, now);
+        effects.extend(notice.map(HolderEffect::Charged));
+        self.review_budget_of(&settle.identity, now, effects);
+    }
+
+    /// Records a charge in the ledger; returns it as its billing record tells it.
+    fn record_charge(
+        &mut self,
+        settle: &SettleRequest,
+        held: &ReservedAttempt,
+        charged: TokenCount,
+        now: ClockTime,
+    ) -> Option<Box<ChargeNotice>> {
         self.record(LedgerEntry::Settle {
             identity: settle.identity.clone(),
             attempt: settle.attempt,
-            charged: held.chargeable_tokens(&settle.grant, settle.actual),
+            charged,
             backend: settle.backend.clone(),
         });
         self.retain(&settle.identity, now);
-        let notice = self.charge_notice(&settle.identity, &held);
-        effects.extend(notice.map(HolderEffect::Charged));
-        self.review_budget_of(&settle.identity, now, effects);
+        self.charge_notice(&settle.identity, held)
     }
 
     /// The charge just recorded, as its billing record tells it.
