What an instance has is read from its settings, and whether overload is expected

The decisions under load that follow need to know what a link carries, what the processor and the memory are, and whether the deployment's contracts say that callers may bring more than its instances carry. Until now only the memory was read. Nothing acts on the new values yet: InstanceCapacity, InstanceLoad and expects_overload are the interface of the parts that are built next.

--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod age;
 mod attempt;
+mod capacity;
 mod charge;
 mod choice;
 mod congestion;
@@ -44,6 +45,10 @@
 pub use attempt::NextStep;
 pub use attempt::RetrySafety;
 pub use attempt::next_step;
+pub use capacity::InstanceCapacity;
+pub use capacity::InstanceLoad;
+pub use capacity::LinkRate;
+pub use capacity::LinkRateError;
 pub use charge::RequestCharge;
 pub use charge::RequestOutcome;
 pub use choice::ChoiceError;
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -3,6 +3,7 @@
 
 mod announcement;
 mod attempt;
+mod capacity;
 mod charge;
 mod choice;
 mod congestion;
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -7,6 +7,7 @@
 use guavawell_core::forward::ChoiceSettings;
 use guavawell_core::forward::CongestionSettings;
 use guavawell_core::forward::ConnectSettings;
+use guavawell_core::forward::InstanceCapacity;
 use guavawell_core::forward::LapseSettings;
 use guavawell_core::forward::PollTiming;
 use guavawell_core::forward::RetryLimits;
@@ -112,6 +113,11 @@
     pub choice: ChoiceSettings,
     /// Limits on requests to cold servers.
     pub slow_start: SlowStartSettings,
+    /// What this instance has.
+    pub capacity: InstanceCapacity,
+    /// Whether callers may bring more than the instances can carry, so that an instance
+    /// has to decide what it serves.
+    pub expects_overload: bool,
     /// Limits of admission.
     pub admission: AdmissionSettings,
     /// When this instance's network link counts as full.
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -12,6 +12,7 @@
 use guavawell_core::forward::CongestionSettings;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::ForwardLimits;
+use guavawell_core::forward::InstanceCapacity;
 use guavawell_core::forward::RetryLimits;
 use guavawell_core::forward::RouteTable;
 use guavawell_core::forward::SlowStartSettings;
@@ -115,6 +116,8 @@
         choice: ChoiceSettings::default(),
         slow_start: SlowStartSettings::default(),
         admission: AdmissionSettings::default(),
+        capacity: InstanceCapacity::default(),
+        expects_overload: false,
         congestion: CongestionSettings::default(),
         retry_limits: RetryLimits::default(),
         ledger,
