A crash is confirmed by any server of the zone that answers

Cause: a refused connection counts as a crash only if the zone is in reach. That was shown by one other server, the one heard last, and a server counts as heard when a request is sent to it while it runs none: one that has just crashed, which others still try, came first. Its refusal was taken for a cut link.

Mend: up to four servers are tried, 60 ms each and 100 ms together (the limit before), those whose last connection did not fail first. A neighbour that refuses counts as unreached, so that the next check gets past it. If none answers, the zone may be cut off and nothing is believed, as before.

--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -1,6 +1,7 @@
 //! Provides the connection for an attempt: an idle one from the pool, a new one, or
 //! one that another instance carries.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,8 +9,10 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::RetrySafety;
+use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::id::ServiceId;
+use guavawell_core::id::ZoneId;
 use guavawell_fleet::event::EventDraft;
 
 use crate::clock::timer_span;
@@ -25,9 +28,13 @@
 /// Time after which a connection is overdue: many times what one between two zones
 /// takes.
 const OVERDUE_AFTER: Duration = Duration::from_millis(60);
-/// Timeout of the connection that shows whether a zone is in reach. A request may wait
-/// for it.
-const ZONE_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time in which servers of a zone are tried to show whether it is in reach. A
+/// request may wait for it.
+const ZONE_CHECK_LIMIT: ClockSpan = ClockSpan::from_millis(100);
+/// Timeout of the connection to one of these servers.
+const ZONE_CHECK_TIMEOUT: ClockSpan = ClockSpan::from_millis(60);
+/// Most of these servers: more than crash at once because of one request.
+const MAX_NEIGHBOURS: usize = 4;
 
 /// Returns a connection to a server. On failure returns `None`, and other
 /// servers are preferred for a while.
@@ -202,7 +209,11 @@
         }
         TunnelEnd::Refused => error.is_connection_refused(),
         TunnelEnd::Unreachable | TunnelEnd::NoCarrier => {
-            error.is_connection_refused() && is_zone_reached(router, server).await
+            let place = ServerPlace::of(router, server).filter(|_| error.is_connection_refused());
+            match place {
+                Some(place) => is_zone_reached(router, &place).await,
+                None => false,
+            }
         }
     };
     if has_ended {
@@ -223,65 +234,109 @@
     }
 }
 
+/// Where a server is or was, also after its entry was removed.
+#[derive(Clone, Debug)]
+pub struct ServerPlace {
+    /// The server.
+    pub server: ServerIncarnation,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Address that it listens on.
+    pub address: SocketAddr,
+}
+
+impl ServerPlace {
+    /// The place of a known server.
+    #[must_use]
+    pub fn of(router: &ForwardRouter, server: &ServerIncarnation) -> Option<Self> {
+        let servers = router.servers.borrow();
+        let entry = servers.get(server)?;
+        Some(Self {
+            server: server.clone(),
+            service: entry.service.clone(),
+            zone: entry.zone.clone(),
+            address: entry.address,
+        })
+    }
+}
+
 /// Whether a server that refused a connection of this instance has ended: others are
 /// refused as well, or this instance reaches another server of its zone.
 pub async fn confirm_refusal(
     router: &ForwardRouter,
-    server: &ServerIncarnation,
+    place: &ServerPlace,
     limit: ClockSpan,
 ) -> bool {
-    let listed = router
-        .servers
-        .borrow()
-        .get(server)
-        .map(|entry| entry.service.clone());
-    let Some(service) = listed else {
-        return false;
-    };
-    router.note_direct_failure(&service, server);
+    let ServerPlace {
+        server, service, ..
+    } = place;
+    router.note_direct_failure(service, server);
     match open_tunnel(router, server, limit).await {
         TunnelEnd::Open(_) => {
-            router.note_carried_connection(&service, server);
+            router.note_carried_connection(service, server);
             false
         }
         TunnelEnd::Refused => true,
-        TunnelEnd::Unreachable | TunnelEnd::NoCarrier => is_zone_reached(router, server).await,
+        TunnelEnd::Unreachable | TunnelEnd::NoCarrier => is_zone_reached(router, place).await,
     }
 }
 
 /// Whether this instance can connect to another server of a server's zone, so that no
 /// network partition lies between it and the zone. If there is no other server, the
 /// way counts as open unless it is suspect.
-async fn is_zone_reached(router: &ForwardRouter, server: &ServerIncarnation) -> bool {
-    let Some((other, address)) = zone_neighbour(router, server) else {
-        let servers = router.servers.borrow();
-        let service = servers.get(server).map(|entry| entry.service.clone());
-        drop(servers);
-        return service.is_some_and(|service| !router.is_path_suspect(&service));
-    };
-    metrics::counter!("guavawell_forward_connections_total").increment(1);
-    let Ok(channel) = HttpChannel::connect(address, ZONE_CHECK_TIMEOUT).await else {
-        return false;
-    };
-    router.keep_idle(&other, channel);
-    true
+async fn is_zone_reached(router: &ForwardRouter, place: &ServerPlace) -> bool {
+    let neighbours = zone_neighbours(router, place);
+    if neighbours.is_empty() {
+        return !router.is_path_suspect(&place.service);
+    }
+    let until = router.clock.now() + ZONE_CHECK_LIMIT;
+    for (other, address) in neighbours {
+        let limit = router.clock.left(until).min(ZONE_CHECK_TIMEOUT);
+        if limit == ClockSpan::ZERO {
+            break;
+        }
+        metrics::counter!("guavawell_forward_connections_total").increment(1);
+        match HttpChannel::connect(address, timer_span(limit)).await {
+            Ok(channel) => {
+                router.keep_idle(&other, channel);
+                return true;
+            }
+            Err(error) => {
+                log::debug!("{other} does not show that its zone is in reach: {error}");
+                if error.is_connection_refused() {
+                    note_unreached(router, &other);
+                    presume_restart(router, &other);
+                }
+            }
+        }
+    }
+    false
 }
 
-/// Another server of a server's zone and its address: the one that was heard last, as
-/// it is the least likely to have ended too.
-fn zone_neighbour(
+/// The other servers of a server's zone that are tried, and their addresses: those that
+/// were last reached come first, and of these the ones that were heard last, as they are
+/// the least likely to have ended too.
+fn zone_neighbours(
     router: &ForwardRouter,
-    server: &ServerIncarnation,
-) -> Option<(ServerIncarnation, SocketAddr)> {
+    place: &ServerPlace,
+) -> Vec<(ServerIncarnation, SocketAddr)> {
     let now = router.clock.now();
     let servers = router.servers.borrow();
-    let zone = &servers.get(server)?.zone;
     let others = servers.servers().iter().filter(|other| {
-        let is_other = other.incarnation != *server && other.zone == *zone;
+        let is_other = other.incarnation != place.server && other.zone == place.zone;
         is_other && other.takes_requests(now) && !other.warmth.is_cold(now)
     });
-    let other = others.max_by_key(|other| other.health.last_received_at)?;
-    Some((other.incarnation.clone(), other.address))
+    let mut others: Vec<&ServerEntry> = others.collect();
+    others.sort_by_key(|other| {
+        let health = &other.health;
+        (health.connect_failures, Reverse(health.last_received_at))
+    });
+    let first = others.iter().take(MAX_NEIGHBOURS);
+    first
+        .map(|other| (other.incarnation.clone(), other.address))
+        .collect()
 }
 
 /// Logs a failed connection, and how many other servers could not be reached either
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -28,6 +28,7 @@
 
 use crate::clock::timer_span;
 use crate::clock::wait_until;
+use crate::connect::ServerPlace;
 use crate::connect::confirm_refusal;
 use crate::http::HttpChannel;
 use crate::poison::parts::note_part_crash;
@@ -264,7 +265,10 @@
 /// Whether a server that refused a connection has crashed; its refusal may also be
 /// that of a link that is cut.
 async fn has_refused(router: &ForwardRouter, server: &ServerIncarnation) -> bool {
-    let is_refused = confirm_refusal(router, server, CONFIRM_LIMIT).await;
+    let Some(place) = ServerPlace::of(router, server) else {
+        return false;
+    };
+    let is_refused = confirm_refusal(router, &place, CONFIRM_LIMIT).await;
     if is_refused {
         note_refused(router, server);
     }
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -2,6 +2,8 @@
 //! Callers that lost their connections to the previous process reconnect at
 //! once, and would be refused if their requests did not wait.
 
+mod crash;
+
 use std::future::pending;
 use std::rc::Rc;
 
