A server whose entry is removed between the two checks has crashed

Cause: a server that closes its listener last accepts the check's connection and is checked again after 50 ms. If the platform removed its entry by then, it was in the phase of servers that leave, its abandoned attempts were dropped, or it was not found at all and passed over. A phase was read after the fact that it was to explain.

Mend: a connection to be checked again keeps the server's place (service, zone, address), and only a server that announced its shutdown has left. What has crashed is said by the refusal of the next connection, confirmed as before. Errors of the second check are logged.

--- a/crates/guavawell-core/src/forward/table.rs
+++ b/crates/guavawell-core/src/forward/table.rs
@@ -350,6 +350,19 @@
             || (existing.incarnation == *incarnation && existing.announced_leaving)
     }
 
+    /// Whether an incarnation announced its shutdown, also if it was removed since.
+    #[must_use]
+    pub fn announced_leaving(&self, incarnation: &ServerIncarnation) -> bool {
+        if let Some(entry) = self.get(incarnation) {
+            return entry.announced_leaving;
+        }
+        let index = self.find_forgotten(&incarnation.id).ok();
+        let forgotten = index.and_then(|index| self.forgotten.get(index));
+        forgotten.is_some_and(|forgotten| {
+            forgotten.incarnation == *incarnation && forgotten.announced_leaving
+        })
+    }
+
     fn remember(&mut self, entry: ServerEntry) {
         self.forgotten_count += 1;
         let forgotten = ForgottenServer {
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -84,6 +84,14 @@
     pub parts: Rc<[RequestFingerprint]>,
 }
 
+/// A connection that a server accepted right after it had broken off a response. The
+/// platform may remove the server's entry before it is checked again.
+#[derive(Debug)]
+struct AcceptedConnection {
+    place: ServerPlace,
+    channel: HttpChannel,
+}
+
 /// Checks whether servers have crashed. All requests that one crash breaks off
 /// share one check.
 #[derive(Debug, Default)]
@@ -91,9 +99,8 @@
     checks: RefCell<Vec<Rc<CrashCheck>>>,
     /// The latest abandoned attempts, oldest first.
     abandoned: RefCell<VecDeque<(ClockTime, AbandonedAttempt)>>,
-    /// Connections that servers accepted and that are still to be checked
-    /// again.
-    accepted: RefCell<Vec<(ServerIncarnation, HttpChannel)>>,
+    /// Connections that are still to be checked again.
+    accepted: RefCell<Vec<AcceptedConnection>>,
     accepted_event: Event,
 }
 
@@ -235,26 +242,21 @@
 }
 
 async fn probe_server(router: &ForwardRouter, server: &ServerIncarnation) -> bool {
-    let listed = router
-        .servers
-        .borrow()
-        .get(server)
-        .map(|entry| (entry.address, entry.service.clone()));
-    let Some((address, service)) = listed else {
+    let Some(place) = ServerPlace::of(router, server) else {
         return false;
     };
-    if router.is_path_lost(&service) {
-        return has_refused(router, server).await;
+    if router.is_path_lost(&place.service) {
+        return has_refused(router, &place).await;
     }
     metrics::counter!("guavawell_forward_connections_total").increment(1);
-    match HttpChannel::connect(address, CONNECT_TIMEOUT).await {
+    match HttpChannel::connect(place.address, CONNECT_TIMEOUT).await {
         Ok(channel) => {
-            let accepted = (server.clone(), channel);
+            let accepted = AcceptedConnection { place, channel };
             router.crashes.accepted.borrow_mut().push(accepted);
             router.crashes.accepted_event.notify(usize::MAX);
             false
         }
-        Err(error) if error.is_connection_refused() => has_refused(router, server).await,
+        Err(error) if error.is_connection_refused() => has_refused(router, &place).await,
         Err(error) => {
             log::debug!("cannot determine whether {server} has crashed: {error}");
             false
@@ -262,15 +264,14 @@
     }
 }
 
-/// Whether a server that refused a connection has crashed; its refusal may also be
-/// that of a link that is cut.
-async fn has_refused(router: &ForwardRouter, server: &ServerIncarnation) -> bool {
-    let Some(place) = ServerPlace::of(router, server) else {
-        return false;
-    };
-    let is_refused = confirm_refusal(router, &place, CONFIRM_LIMIT).await;
+/// Whether a server that refused a connection after it had broken off a response has
+/// crashed; its refusal may also be that of a link that is cut. Its entry may have been
+/// removed meanwhile: only a server that announces its shutdown leaves.
+async fn has_refused(router: &ForwardRouter, place: &ServerPlace) -> bool {
+    let is_refused = confirm_refusal(router, place, CONFIRM_LIMIT).await;
     if is_refused {
-        note_refused(router, server);
+        let leaves = router.servers.borrow().announced_leaving(&place.server);
+        note_end(router, &place.server, leaves);
     }
     is_refused
 }
@@ -284,44 +285,53 @@
             accepted_event.await;
         }
         Timer::after(RECHECK_DELAY).await;
-        for (server, channel) in router.crashes.accepted.take() {
-            if channel.is_quiet() {
-                router.keep_idle(&server, channel);
-                continue;
-            }
-            let address = router
-                .servers
-                .borrow()
-                .get(&server)
-                .map(|entry| entry.address);
-            let Some(address) = address else {
-                continue;
-            };
-            let again = HttpChannel::connect(address, CONNECT_TIMEOUT).await;
-            let is_refused = again.is_err_and(|error| error.is_connection_refused());
-            if is_refused {
-                has_refused(&router, &server).await;
-            }
+        for accepted in router.crashes.accepted.take() {
+            recheck_connection(&router, accepted).await;
         }
     }
 }
 
+async fn recheck_connection(router: &ForwardRouter, accepted: AcceptedConnection) {
+    let AcceptedConnection { place, channel } = accepted;
+    if channel.is_quiet() {
+        router.keep_idle(&place.server, channel);
+        return;
+    }
+    let again = HttpChannel::connect(place.address, CONNECT_TIMEOUT).await;
+    match again {
+        Err(error) if error.is_connection_refused() => {
+            has_refused(router, &place).await;
+        }
+        Err(error) => log::debug!(
+            "cannot determine whether {} has crashed: {error}",
+            place.server
+        ),
+        Ok(_) => {}
+    }
+}
+
 /// Handles a refused connection: other servers are preferred for a while.
 /// Unless the server was leaving, the refusal counts as a crash, and requests
 /// abandoned at the server shortly before are suspected.
 pub fn note_refused(router: &ForwardRouter, server: &ServerIncarnation) {
+    let phase = router.servers.borrow().get(server).map(|entry| entry.phase);
+    note_end(router, server, phase == Some(ServerPhase::Leaving));
+}
+
+/// Handles the end of a server, as [`note_refused`] does.
+fn note_end(router: &ForwardRouter, server: &ServerIncarnation, leaves: bool) {
     let now = router.clock.now();
     let mut servers = router.servers.borrow_mut();
-    let mut leaves = false;
     if let Some(entry) = servers.get_mut(server) {
         entry.record_connect_failure(now);
         entry.warmth.note_refused(router.server_revision.get());
-        leaves = entry.phase == ServerPhase::Leaving;
     }
     drop(servers);
     router.pool.borrow_mut().drop_connections(server);
-    let abandoned = router.crashes.take_abandoned(server, now);
-    for attempt in abandoned.iter().filter(|_| !leaves) {
-        note_attempt_crash(router, attempt);
+    if leaves {
+        return;
+    }
+    for attempt in router.crashes.take_abandoned(server, now) {
+        note_attempt_crash(router, &attempt);
     }
 }
