A late response of the store hides nothing that another instance told

What callers saw: an instance that had learned from another one that a zone was taken back took its cold servers for warm after a response of the store from before the return, until the next one (listed test returns::a_response_from_before_a_return_does_not_hide_it, each time).

Cause: each response dropped what was told of a later revision. That also removes a false return of revision 2^64-1, which a_false_return_of_another_instance_does_not_outlast_the_stores_response asks for.

Rule that satisfies both: the store is linearizable, so a response that was asked for after something was told, and is of an earlier revision, refutes it; one asked for before says nothing. What is told beyond the store's revision is set aside: it counts beside what the store says and replaces none of it, until the store reaches or refutes it.

Changed tests: learn() takes the time at which a list came, so three calls of a_list_of_another_instance_counts_until_the_store_answers name one; what they assert is as before.

--- a/crates/guavawell-core/src/forward/evacuation.rs
+++ b/crates/guavawell-core/src/forward/evacuation.rs
@@ -4,8 +4,10 @@
 //! Polls of the store overlap, so an older response may arrive after a newer
 //! one. Each zone's state therefore has the revision at which the store held
 //! it. An instance that the store does not answer learns the evacuated zones
-//! from another instance; the store's next response replaces them.
+//! from another instance; the store replaces them with a response that is as new, or
+//! that was asked for later.
 
+use crate::clock::ClockTime;
 use crate::forward::ReturnSource;
 use crate::forward::ZoneReturn;
 use crate::forward::ZoneReturns;
@@ -48,8 +50,9 @@
     stored: Vec<ZoneState>,
     /// Newest revision of a response of the store.
     revision: u64,
-    /// The list of another instance. Replaces `stored` while it is newer.
-    learned: Option<EvacuationList>,
+    /// The list of another instance, and when it was learned. Replaces `stored` while it
+    /// is newer.
+    learned: Option<(EvacuationList, ClockTime)>,
     /// The evacuated zones, sorted.
     current: Vec<ZoneId>,
     /// The ends of evacuations.
@@ -79,7 +82,7 @@
     /// another instance.
     #[must_use]
     pub fn known_revision(&self) -> u64 {
-        let learned = self.learned.as_ref().map_or(0, |list| list.revision);
+        let learned = self.learned.as_ref().map_or(0, |(list, _)| list.revision);
         self.revision.max(learned)
     }
 
@@ -170,15 +173,26 @@
         change
     }
 
-    /// Applies the list of another instance, if it is newer than the store's
-    /// last response.
-    pub fn learn(&mut self, list: EvacuationList) -> EvacuationChange {
+    /// Applies the list of another instance that came at this time, if it is newer
+    /// than the store's last response.
+    pub fn learn(&mut self, list: EvacuationList, at: ClockTime) -> EvacuationChange {
         if list.revision > self.known_revision() {
-            self.learned = Some(list);
+            self.learned = Some((list, at));
         }
         self.update_current()
     }
 
+    /// Drops what other instances told if a response of the store refutes it: it was
+    /// asked for later, and its revision is earlier.
+    pub fn refute_told(&mut self, asked_at: ClockTime, revision: u64) -> EvacuationChange {
+        self.returns.refute_told(asked_at, revision);
+        self.learned = self
+            .learned
+            .take()
+            .filter(|(list, at)| list.revision <= revision || asked_at < *at);
+        self.update_current()
+    }
+
     /// Sets a zone's state; returns false if a newer one is known.
     fn set_state(&mut self, state: &ZoneState) -> bool {
         let found = self
@@ -194,14 +208,18 @@
 
     fn store_answered(&mut self, revision: u64) -> EvacuationChange {
         self.revision = self.revision.max(revision);
-        self.learned = None;
-        self.returns.drop_later_told(self.revision);
+        // A response may be older than what another instance told.
+        self.learned = self
+            .learned
+            .take()
+            .filter(|(list, _)| list.revision > self.revision);
+        self.returns.set_aside_later_told(self.revision);
         self.update_current()
     }
 
     fn update_current(&mut self) -> EvacuationChange {
         let mut zones = match &self.learned {
-            Some(learned) => learned.zones.clone(),
+            Some((learned, _)) => learned.zones.clone(),
             None => self.stored_list().zones,
         };
         zones.sort();
--- a/crates/guavawell-core/src/forward/returns.rs
+++ b/crates/guavawell-core/src/forward/returns.rs
@@ -105,14 +105,37 @@
         if same_zone.any(|known| known.covers(&zone_return, source)) {
             return false;
         }
-        self.known.retain(|known| known.zone_return.zone != *zone);
-        self.known.push(KnownReturn {
+        self.put(KnownReturn {
             concluded_after: source.concluded_after(),
             zone_return,
         });
         true
     }
 
+    /// Puts a return in the place of the one of the same zone.
+    fn put(&mut self, known: KnownReturn) {
+        let zone = &known.zone_return.zone;
+        self.known.retain(|other| other.zone_return.zone != *zone);
+        self.known.push(known);
+    }
+
+    /// Puts a return in the place of an earlier one of the same zone.
+    fn put_if_later(&mut self, known: KnownReturn) {
+        let returned = &known.zone_return;
+        let before = self.find(&returned.zone);
+        if before.is_none_or(|before| before.revision < returned.revision) {
+            self.put(known);
+        }
+    }
+
+    /// Whether a return is known, with as early a time.
+    fn holds(&self, zone_return: &ZoneReturn) -> bool {
+        let known = self.find(&zone_return.zone);
+        known.is_some_and(|known| {
+            known.revision == zone_return.revision && known.at <= zone_return.at + SAME_TIME
+        })
+    }
+
     fn find(&self, zone: &ZoneId) -> Option<&ZoneReturn> {
         let mut returns = self.known.iter().map(|known| &known.zone_return);
         returns.find(|known| known.zone == *zone)
@@ -147,6 +170,9 @@
 pub struct ZoneReturns {
     stored: ReturnTable,
     told: ReturnTable,
+    /// Returns that instances told, of later revisions than the store's responses. They
+    /// count beside the others and replace none.
+    unconfirmed: ReturnTable,
     /// Changes that were not read: any zone may have returned within them.
     gap: Option<ZoneGap>,
     /// Changes that nobody can tell any more. They count like those of the gap.
@@ -161,7 +187,7 @@
         if source.is_store() {
             self.stored.add(zone_return, source)
         } else {
-            self.told.add(zone_return, source)
+            !self.unconfirmed.holds(&zone_return) && self.told.add(zone_return, source)
         }
     }
 
@@ -191,20 +217,39 @@
         stored.collect()
     }
 
-    /// Drops returns that instances told of a later revision than the store's.
-    pub fn drop_later_told(&mut self, revision: u64) {
-        let told = &mut self.told.known;
-        told.retain(|known| known.zone_return.revision <= revision);
+    /// Sets returns aside that instances told of a later revision than the store's: the
+    /// store's response may be from before them. Those that the store has reached count
+    /// as told again.
+    pub fn set_aside_later_told(&mut self, revision: u64) {
+        let is_reached = |known: &mut KnownReturn| known.zone_return.revision <= revision;
+        let reached = self.unconfirmed.known.extract_if(.., is_reached);
+        for known in reached.collect::<Vec<_>>() {
+            self.told.put_if_later(known);
+        }
+        let is_later = |known: &mut KnownReturn| known.zone_return.revision > revision;
+        for known in self.told.known.extract_if(.., is_later) {
+            self.unconfirmed.put(known);
+        }
+    }
+
+    /// Drops returns that a response of the store refutes: it was asked for when they
+    /// were over, and its revision is earlier than theirs.
+    pub fn refute_told(&mut self, asked_at: ClockTime, revision: u64) {
+        self.unconfirmed.known.retain(|known| {
+            let told = &known.zone_return;
+            told.revision <= revision || asked_at < told.at
+        });
     }
 
     /// When a zone was taken back at the latest, as far as a statement of the given
     /// revision does not tell: its return, or any within changes that were not read.
     #[must_use]
     pub fn taken_back_at(&self, zone: &ZoneId, listed_revision: u64) -> Option<ClockTime> {
-        let returned = self.last(zone);
-        let returned = returned.filter(|known| listed_revision <= known.revision);
-        let unread_at = self.unread_at(listed_revision);
-        returned.map(|known| known.at).max(unread_at)
+        let both = [self.last(zone), self.unconfirmed.find(zone)];
+        let returned = both.into_iter().flatten();
+        let untold = returned.filter(|known| listed_revision <= known.revision);
+        let returned_at = untold.map(|known| known.at).max();
+        returned_at.max(self.unread_at(listed_revision))
     }
 
     /// When changes after a statement of the given revision turned out to be unread;
--- a/crates/guavawell-core/tests/forward/evacuation.rs
+++ b/crates/guavawell-core/tests/forward/evacuation.rs
@@ -3,6 +3,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ChoiceError;
+use guavawell_core::forward::EvacuationChange;
 use guavawell_core::forward::EvacuationList;
 use guavawell_core::forward::HomeRegions;
 use guavawell_core::forward::ServerConstraints;
@@ -103,11 +104,45 @@
         revision,
         zones: vec![zone("z1")],
     };
-    assert!(evacuations.learn(list(4)).began.is_empty());
-    assert_eq!(evacuations.learn(list(9)).began, [zone("z1")]);
+    assert!(evacuations.learn(list(4), START).began.is_empty());
+    assert_eq!(evacuations.learn(list(9), START).began, [zone("z1")]);
     assert!(evacuations.stored_list().zones.is_empty());
     assert_eq!(evacuations.replace(&[], 10).ended, [zone("z1")]);
-    assert!(evacuations.learn(list(10)).began.is_empty());
+    assert!(evacuations.learn(list(10), START).began.is_empty());
+}
+
+// Guards against requests to a zone that is evacuated: a late response of the store,
+// from before the evacuation, drops what another instance told of it.
+#[test]
+fn a_response_from_before_an_evacuation_does_not_hide_it() {
+    let mut evacuations = ZoneEvacuations::default();
+    evacuations.replace(&[], 5);
+    let list = EvacuationList {
+        revision: 9,
+        zones: vec![zone("z1")],
+    };
+    assert_eq!(evacuations.learn(list, START).began, [zone("z1")]);
+    assert_eq!(evacuations.apply_changes(&[], 6).ended, []);
+    let earlier = START.before(ClockSpan::from_millis(1));
+    assert_eq!(evacuations.refute_told(earlier, 6).ended, []);
+    assert!(evacuations.contains(&zone("z1")));
+    let change = evacuations.apply_changes(&[state("z1", true, 9)], 9);
+    assert_eq!(change, EvacuationChange::default());
+}
+
+// Guards against a false list of another instance that counts for as long as it says.
+#[test]
+fn a_response_that_was_asked_for_after_a_false_list_refutes_it() {
+    let mut evacuations = ZoneEvacuations::default();
+    evacuations.replace(&[], 5);
+    let list = EvacuationList {
+        revision: u64::MAX,
+        zones: vec![zone("z1")],
+    };
+    evacuations.learn(list, START);
+    assert_eq!(evacuations.apply_changes(&[], 6).ended, []);
+    assert_eq!(evacuations.refute_told(START, 6).ended, [zone("z1")]);
+    assert_eq!(evacuations.known_revision(), 6);
 }
 
 /// A return of zone z1.
--- a/crates/guavawell-core/tests/forward/returns.rs
+++ b/crates/guavawell-core/tests/forward/returns.rs
@@ -173,3 +173,54 @@
     let believed = evacuations.returns().taken_back_at(&zone("z1"), 2);
     assert!(believed.is_some(), "{evacuations:?}");
 }
+
+// Guards against a false return that counts for as long as it says: the store answers
+// linearizably, so a response that was asked for after a return is of its revision at
+// least.
+#[test]
+fn a_response_that_was_asked_for_after_a_false_return_refutes_it() {
+    let mut evacuations = ZoneEvacuations::default();
+    evacuations.replace(&[], 3);
+    evacuations.learn_return(zone_return(9));
+    evacuations.apply_changes(&[], 6);
+    let before = time_of(9).before(ClockSpan::from_millis(1));
+    for (asked_at, is_believed) in [(before, true), (time_of(9), false)] {
+        evacuations.returns_mut().refute_told(asked_at, 6);
+        let believed = evacuations.returns().taken_back_at(&zone("z1"), 2);
+        assert_eq!(believed.is_some(), is_believed, "{evacuations:?}");
+    }
+}
+
+// Guards against a return that is forgotten when the store reaches it without naming
+// the row, and against a response that refutes what it has reached.
+#[test]
+fn a_told_return_that_the_store_reaches_stays_known() {
+    let mut evacuations = ZoneEvacuations::default();
+    evacuations.replace(&[], 3);
+    evacuations.learn_return(zone_return(9));
+    evacuations.apply_changes(&[], 6);
+    evacuations.apply_changes(&[], 9);
+    evacuations.returns_mut().refute_told(time_of(20), 9);
+    assert_eq!(evacuations.last_return(&zone("z1")), Some(&zone_return(9)));
+    assert!(!evacuations.learn_return(zone_return(9)));
+}
+
+// Guards against a false return that hides true ones, and against one that is news
+// again each time that it is told.
+#[test]
+fn a_return_that_is_set_aside_hides_no_other() {
+    let mut evacuations = ZoneEvacuations::default();
+    let false_return = ZoneReturn {
+        revision: u64::MAX,
+        ..zone_return(4)
+    };
+    evacuations.replace(&[], 3);
+    assert!(evacuations.learn_return(false_return.clone()));
+    evacuations.apply_changes(&[], 6);
+    assert!(!evacuations.learn_return(false_return));
+    assert!(evacuations.learn_return(zone_return(9)));
+    let believed = evacuations.returns().taken_back_at(&zone("z1"), 8);
+    assert_eq!(believed, Some(time_of(9)));
+    assert!(evacuations.note_return(zone_return(12)));
+    assert_eq!(evacuations.last_return(&zone("z1")), Some(&zone_return(12)));
+}
--- a/crates/guavawell-forward/src/evacuation.rs
+++ b/crates/guavawell-forward/src/evacuation.rs
@@ -41,14 +41,29 @@
         let evacuations = servers.evacuations_mut();
         let change = evacuations.apply_changes(rows, revision);
         drop(servers);
-        self.apply_evacuations(&change, |zone| {
-            let servers = self.servers.borrow();
-            let state = servers.evacuations().state_revision(zone);
-            (state.unwrap_or(revision), ReturnSource::Store)
-        });
+        self.apply_evacuations(&change, |zone| self.stored_origin(zone, revision));
         self.publish_evacuations();
     }
 
+    /// Records that the store answered a query, sent at `sent_at`, as of a revision:
+    /// what other instances had told before of later revisions is false.
+    pub fn zones_checked(&self, sent_at: ClockTime, revision: u64) {
+        // The time of a query also counts while the process was suspended.
+        let age = self.clock.boot_now().since(sent_at);
+        let asked_at = self.clock.now().before(age);
+        let mut servers = self.servers.borrow_mut();
+        let change = servers.evacuations_mut().refute_told(asked_at, revision);
+        drop(servers);
+        self.apply_evacuations(&change, |zone| self.stored_origin(zone, revision));
+    }
+
+    /// The revision as of which the store told a zone's state.
+    fn stored_origin(&self, zone: &ZoneId, revision: u64) -> (u64, ReturnSource) {
+        let servers = self.servers.borrow();
+        let state = servers.evacuations().state_revision(zone);
+        (state.unwrap_or(revision), ReturnSource::Store)
+    }
+
     /// Applies changes from the history, with their own revisions: only the ends
     /// of evacuations, as the present state is known.
     pub fn apply_zone_history(&self, rows: &[ZoneState]) {
@@ -80,7 +95,7 @@
         let mut servers = self.servers.borrow_mut();
         let evacuations = servers.evacuations_mut();
         let after = evacuations.known_revision();
-        let mut change = evacuations.learn(list.clone());
+        let mut change = evacuations.learn(list.clone(), now);
         drop(servers);
         let is_told = |zone: &ZoneId| {
             let mut told = told.iter();
