Tokens follow the callers of one instance

Cause: the instance held 15.7 of 24.5 million tokens as a stand-in, and returned them 6 s after it was last asked, since nobody asks one that has its own callers; refused requests did not count as demand; each request asked up to eight others by itself, over a full link; a hot holder's line unlocked next to nothing in the first 1.5 s of a cut.

Change (LedgerSettings.demand.follows_callers, set where overload is expected): each request counts once, also a refused one; an instance with 20 requests of an organisation a second holds tokens for as long as they come, and unlocks early what its own callers ask for; one question at a time for an organisation, for all requests that wait; a pause after three questions without an answer. No message, row or field is new, and the rows alone decide what may be spent: grant_search and grant_walks walk both settings.

--- /dev/null
+++ b/crates/guavawell-core/src/grant/demand.rs
@@ -0,0 +1,114 @@
+//! Tokens follow the requests that callers send.
+//!
+//! Load pattern: the load balancer sends most of an organisation's requests in
+//! one availability zone to a single instance, 250 to 400 per second. By its
+//! rank it holds no tokens, its network link is full at times, and it reaches
+//! neither the store nor a lender for up to 20 s. It became a stand-in when the
+//! first holder did not answer, and returned its whole stock 6 s later: nobody
+//! asks a stand-in that has its own callers. Then it refused requests for 20 s,
+//! and each refusal made it look idle, since only granted requests counted.
+//!
+//! So each request counts once, whether it is granted or not, except where no
+//! larger grant helps. An instance with many requests of an organisation holds
+//! tokens of it, as a stand-in, for as long as the requests come. Nothing here
+//! gives a right to spend: that is decided by the rows alone.
+
+use super::answer::ReserveAnswer;
+use super::ledger::BudgetState;
+use super::ledger::GrantLedger;
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+use crate::id::OrganisationId;
+use crate::number::fraction;
+use crate::number::whole;
+
+/// Whether and how the tokens of an instance follow its callers' requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DemandSettings {
+    /// Whether requests count when they are asked for. Otherwise only granted
+    /// ones count, and only an instance that is asked becomes a stand-in.
+    pub follows_callers: bool,
+    /// Requests of one organisation per second from which an instance holds
+    /// tokens itself. A holder writes its rows a few times per second, so
+    /// above this, loans cost more messages than holding.
+    pub holder_requests_per_second: u64,
+    /// What a borrower asks for in advance, as time of its demand: longer than
+    /// a loan takes over a link with a queue.
+    pub loan_advance: ClockSpan,
+}
+
+impl Default for DemandSettings {
+    fn default() -> Self {
+        Self {
+            follows_callers: false,
+            holder_requests_per_second: 20,
+            loan_advance: ClockSpan::from_millis(500),
+        }
+    }
+}
+
+impl GrantLedger {
+    /// Counts a request of a caller, once, with the first answer to it. Returns
+    /// true if this instance becomes a stand-in by it.
+    pub fn count_request(
+        &mut self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        answer: ReserveAnswer,
+        now: ClockTime,
+    ) -> bool {
+        if !self.settings.demand.follows_callers || answer.is_used_up() {
+            return false;
+        }
+        let state = self.budget_mut(organisation);
+        state.demand.add(tokens, now);
+        state.requests.add(1, now);
+        let index = self.budget_index(organisation);
+        if index.is_none_or(|index| !self.has_many_requests(&self.budgets[index], now)) {
+            return false;
+        }
+        let held = self.is_holder(organisation, now);
+        self.become_stand_in(organisation, now);
+        !held
+    }
+
+    /// Whether this instance has many requests of an organisation.
+    pub(super) fn has_many_requests(&self, state: &BudgetState, now: ClockTime) -> bool {
+        let demand = &self.settings.demand;
+        demand.follows_callers
+            && state.requests.per_second(now) >= demand.holder_requests_per_second
+    }
+
+    /// Counts a granted request, unless it counted when it was asked for.
+    pub(super) fn count_granted(&mut self, index: usize, tokens: u64, now: ClockTime) {
+        if !self.settings.demand.follows_callers {
+            self.budgets[index].demand.add(tokens, now);
+        }
+    }
+
+    /// Counts a loan that was declined, so that a lender that lacks tokens does
+    /// not look idle.
+    pub(super) fn count_declined(
+        &mut self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        cause: ReserveAnswer,
+        now: ClockTime,
+    ) {
+        if self.settings.demand.follows_callers && !cause.is_used_up() {
+            self.budget_mut(organisation).demand.add(tokens, now);
+        }
+    }
+
+    /// Tokens that a holder asks for in addition to what a request lacks: a
+    /// typical request, or what its callers need in `loan_advance`.
+    pub(super) fn loan_extra(&self, state: &BudgetState, typical: f64, now: ClockTime) -> u64 {
+        let demand = &self.settings.demand;
+        if !demand.follows_callers {
+            return whole(typical);
+        }
+        let rate = fraction(state.demand.per_second(now));
+        let advance = rate * fraction(demand.loan_advance.as_millis()) / 1_000.0;
+        whole(typical.max(advance))
+    }
+}
--- a/crates/guavawell-core/src/grant/early_share.rs
+++ b/crates/guavawell-core/src/grant/early_share.rs
@@ -40,6 +40,34 @@
 impl GrantLedger {
     /// This instance's share of what the fleet releases early of a budget.
     pub(super) fn early_share(&self, state: &BudgetState, now: ClockTime) -> EarlyShare {
+        let share = self.ranked_share(state, now);
+        if !self.has_many_requests(state, now) {
+            return share;
+        }
+        let own = self.own_demand_share(state, now);
+        EarlyShare {
+            burst: share.burst.max(own.burst),
+            rate: share.rate.max(own.rate),
+        }
+    }
+
+    /// What an instance with many requests releases: the part of what the fleet needs
+    /// that its own callers request. Requests on the way to the others are few then,
+    /// and a share by rank is a small part of it: there are more typical requests to
+    /// share it than instances.
+    fn own_demand_share(&self, state: &BudgetState, now: ClockTime) -> EarlyShare {
+        let settings = &self.settings;
+        let demand = fraction(state.demand.per_second(now));
+        let stock = fraction(self.grant(state).saturating_sub(state.used));
+        let burst = demand * settings.burst_seconds;
+        EarlyShare {
+            burst: whole(burst.min(stock * settings.max_burst_fraction)),
+            rate: whole(demand * settings.early_rate_factor),
+        }
+    }
+
+    /// An instance's share by its rank.
+    fn ranked_share(&self, state: &BudgetState, now: ClockTime) -> EarlyShare {
         let settings = &self.settings;
         if self.store_latency > settings.slow_store_latency {
             return self.solo_share(state, now);
--- a/crates/guavawell-core/src/grant/ledger.rs
+++ b/crates/guavawell-core/src/grant/ledger.rs
@@ -7,7 +7,7 @@
 use crate::grant::BudgetRow;
 use crate::grant::FleetMember;
 use crate::grant::HolderRanking;
-use crate::grant::HolderSettings;
+use crate::grant::LedgerSettings;
 use crate::grant::LimitRow;
 use crate::grant::RateMeter;
 use crate::grant::ReserveAnswer;
@@ -18,90 +18,6 @@
 use crate::id::InstanceId;
 use crate::id::OrganisationId;
 
-/// How many unspent tokens (stock) an instance holds, and how fast its spend
-/// limits release them.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LedgerSettings {
-    /// Stock, as seconds of recent demand. Covers an outage of the store of
-    /// nine seconds while demand rises to two and a half times the recent one.
-    pub stock_seconds: f64,
-    /// Fraction of its equal share of what is left that an instance holds
-    /// without demand of its own, in place of demand that was not seen yet. It
-    /// decreases as more tokens are granted.
-    pub idle_fraction: f64,
-    /// Largest fraction that an instance holds of its demand-based share of
-    /// what is left. The rest stays free for sudden needs.
-    pub max_stock_fraction: f64,
-    /// The early rate of all spend limits, as a multiple of the fleet's recent
-    /// demand. A crash freezes what it releases until the next boot.
-    pub early_rate_factor: f64,
-    /// The late rate, as a multiple of the instance's recent demand.
-    pub late_rate_factor: f64,
-    /// The late rate releases the whole stock in this many seconds or less.
-    pub late_drain_seconds: f64,
-    /// Time until the late rate applies: longer than a restart takes.
-    pub late_rate_after: ClockSpan,
-    /// The burst of all spend limits, as seconds of the fleet's recent demand,
-    /// so that the first requests of an outage need not wait.
-    pub burst_seconds: f64,
-    /// Fewest instances that share the burst. Each covers a typical request, so
-    /// a budget with few requests has few such instances.
-    pub min_early_lenders: usize,
-    /// Largest fraction of its stock that an instance adds to the burst.
-    pub max_burst_fraction: f64,
-    /// Store latency above which an instance releases a typical request on its
-    /// own. Answers take 15 to 19 ms at 0.25 of a core, and 19 to 90 ms at 0.12
-    /// of a core behind a link of 10 Mbit/s.
-    pub slow_store_latency: ClockSpan,
-    /// Largest fraction of its stock that such a request may take.
-    pub solo_burst_fraction: f64,
-    /// Smallest such burst, as seconds of the instance's early rate.
-    pub solo_burst_seconds: f64,
-    /// Fewest instances that the fleet is assumed to have.
-    pub instances: usize,
-    /// Age above which a limit row is rewritten if tokens were spent.
-    pub limit_max_age: ClockSpan,
-    /// Added to that age for each instance, so that a large fleet writes no
-    /// more than a small one: at most 125 limit rows per second.
-    pub limit_age_per_instance: ClockSpan,
-    /// Age above which an entry in a budget row is brought up to date.
-    pub entry_max_age: ClockSpan,
-    /// Added to that age for each writer: concurrent writes of one row often
-    /// conflict.
-    pub entry_age_per_writer: ClockSpan,
-    /// How long a shortage is reported to other instances.
-    pub shortage_max_age: ClockSpan,
-    /// Which instances hold tokens.
-    pub holders: HolderSettings,
-}
-
-impl Default for LedgerSettings {
-    fn default() -> Self {
-        Self {
-            stock_seconds: 24.0,
-            idle_fraction: 0.3,
-            max_stock_fraction: 0.75,
-            early_rate_factor: 0.6,
-            late_rate_factor: 3.0,
-            late_drain_seconds: 7.0,
-            late_rate_after: ClockSpan::from_millis(1_500),
-            burst_seconds: 0.5,
-            min_early_lenders: 1,
-            max_burst_fraction: 0.35,
-            slow_store_latency: ClockSpan::from_millis(25),
-            solo_burst_fraction: 0.18,
-            solo_burst_seconds: 0.3,
-            instances: 3,
-            limit_max_age: ClockSpan::from_millis(150),
-            limit_age_per_instance: ClockSpan::from_millis(8),
-            entry_max_age: ClockSpan::from_millis(1_000),
-            entry_age_per_writer: ClockSpan::from_millis(40),
-            shortage_max_age: ClockSpan::from_millis(2_000),
-            holders: HolderSettings::default(),
-        }
-    }
-}
-
 /// One budget as this boot knows it.
 #[derive(Clone, Debug)]
 pub(super) struct BudgetState {
@@ -133,6 +49,8 @@
     /// Tokens of the last request that the grant did not cover, and when.
     pub(super) shortage: Option<(u64, ClockTime)>,
     pub(super) demand: RateMeter,
+    /// Callers' requests, if they count (`DemandSettings`).
+    pub(super) requests: RateMeter,
     /// When a write of the budget row was last sent.
     pub(super) written_at: ClockTime,
 }
@@ -230,7 +148,7 @@
         if lent == tokens {
             state.borrowed -= lent;
             state.loans_changed_at = now;
-            state.demand.add(tokens, now);
+            self.count_granted(index, tokens, now);
             return ReserveAnswer::GrantedLoan(lent);
         }
         let state = &self.budgets[index];
@@ -256,9 +174,11 @@
         let state = &mut self.budgets[index];
         state.used += own;
         state.borrowed -= lent;
-        state.demand.add(tokens, now);
         if lent > 0 {
             state.loans_changed_at = now;
+        }
+        self.count_granted(index, tokens, now);
+        if lent > 0 {
             ReserveAnswer::GrantedLoan(lent)
         } else {
             ReserveAnswer::Granted
@@ -502,6 +422,7 @@
                 waiting: 0,
                 shortage: None,
                 demand: RateMeter::default(),
+                requests: RateMeter::default(),
                 written_at: ClockTime::default(),
             };
             self.budgets.insert(index, state);
--- a/crates/guavawell-core/src/grant/loan.rs
+++ b/crates/guavawell-core/src/grant/loan.rs
@@ -31,7 +31,6 @@
 use crate::clock::ClockTime;
 use crate::id::InstanceId;
 use crate::id::OrganisationId;
-use crate::number::whole;
 
 /// Seconds of its own demand that a lender keeps. Few, because it may borrow
 /// itself, and what all lenders keep is refused to callers when a budget runs
@@ -138,9 +137,11 @@
                 scope: LoanScope::Share,
             };
         }
+        let typical = typical_request * EXTRA_REQUESTS;
+        let extra = state.map_or(0, |state| self.loan_extra(state, typical, now));
         LoanRequest {
             needed,
-            wanted: needed + whole(typical_request * EXTRA_REQUESTS),
+            wanted: needed + extra,
             scope: LoanScope::Spare,
         }
     }
@@ -201,7 +202,11 @@
         now: ClockTime,
     ) -> LoanAnswer {
         let least = request.needed.div_ceil(MIN_LOAN_DIVISOR);
-        self.lend_at_least(organisation, request, least, now)
+        let answer = self.lend_at_least(organisation, request, least, now);
+        if answer.tokens == 0 && request.scope == LoanScope::Share {
+            self.count_declined(organisation, request.needed, answer.cause, now);
+        }
+        answer
     }
 
     /// Lends all that another instance needs, or nothing. A part is useful only
--- /dev/null
+++ b/crates/guavawell-core/src/grant/question.rs
@@ -0,0 +1,85 @@
+//! Limits questions for loans while no other instance answers any.
+//!
+//! Load pattern: the network link of an instance with 300 requests per second
+//! is full for up to 20 s. Each request asks four to eight others for a loan,
+//! none of them answers in time, and the questions fill the link further:
+//! 3,500 in 40 s. A lender that answers too late has lent tokens that nobody
+//! uses.
+//!
+//! One silent instance may have ended. If several in a row are silent, the cause is
+//! this instance's own link, so it pauses, longer each time.
+
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+
+/// When an instance stops asking, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuestionSettings {
+    /// Questions in a row without an answer from which this instance pauses:
+    /// more than an availability zone's holder and its successor.
+    pub max_silent: u32,
+    /// The first pause: the time within which a loan is answered.
+    pub first_pause: ClockSpan,
+    /// The longest pause, so that loans are used again soon after the link is
+    /// free.
+    pub max_pause: ClockSpan,
+}
+
+impl Default for QuestionSettings {
+    fn default() -> Self {
+        Self {
+            max_silent: 3,
+            first_pause: ClockSpan::from_millis(150),
+            max_pause: ClockSpan::from_millis(1_200),
+        }
+    }
+}
+
+/// Whether an instance may ask others for loans now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QuestionPace {
+    settings: QuestionSettings,
+    /// Questions in a row without an answer.
+    silent: u32,
+    paused_until: ClockTime,
+}
+
+impl QuestionPace {
+    /// Creates a pace without failures.
+    #[must_use]
+    pub const fn new(settings: QuestionSettings) -> Self {
+        Self {
+            settings,
+            silent: 0,
+            paused_until: ClockTime::from_millis(0),
+        }
+    }
+
+    /// Whether a question may be sent.
+    #[must_use]
+    pub fn may_ask(&self, now: ClockTime) -> bool {
+        now >= self.paused_until
+    }
+
+    /// Records an answer.
+    pub const fn answered(&mut self) {
+        self.silent = 0;
+        self.paused_until = ClockTime::from_millis(0);
+    }
+
+    /// Records a question without an answer. Returns the pause that begins, if
+    /// any. Questions that were already sent when a pause began do not prolong
+    /// it.
+    pub fn unanswered(&mut self, now: ClockTime) -> Option<ClockSpan> {
+        if !self.may_ask(now) {
+            return None;
+        }
+        self.silent = self.silent.saturating_add(1);
+        let doublings = self.silent.checked_sub(self.settings.max_silent)?;
+        let first = self.settings.first_pause.as_millis();
+        let millis = first.saturating_mul(1 << doublings.min(16));
+        let pause = ClockSpan::from_millis(millis).min(self.settings.max_pause);
+        self.paused_until = now + pause;
+        Some(pause)
+    }
+}
--- a/crates/guavawell-core/tests/grant_search/main.rs
+++ b/crates/guavawell-core/tests/grant_search/main.rs
@@ -154,13 +154,41 @@
     assert!(spent > 400 * 20 * REQUEST, "only {spent} tokens were spent");
 }
 
+#[test]
+fn no_random_walk_overspends_while_tokens_follow_callers() {
+    let mut spent = 0;
+    for seed in 0..800 {
+        let simulation = Simulation::following_callers(3, 60 * REQUEST, InjectedFault::NoFault);
+        match walk_of(simulation, seed) {
+            Ok(simulation) => spent += simulation.spent,
+            Err(path) => panic!("seed {seed} overspends after {path:?}"),
+        }
+    }
+    println!("{spent} tokens spent in all walks");
+    assert!(spent > 800 * 20 * REQUEST, "only {spent} tokens were spent");
+}
+
+#[test]
+fn a_walk_while_tokens_follow_callers_catches_faults() {
+    for fault in [InjectedFault::Unconditional, InjectedFault::ForgetLost] {
+        let caught = (0..FAULT_SEEDS).any(|seed| {
+            let simulation = Simulation::following_callers(3, 60 * REQUEST, fault);
+            walk_of(simulation, seed).is_err()
+        });
+        assert!(caught, "{fault:?} was not found");
+    }
+}
+
 /// Takes random steps; returns those taken so far if the budget is overspent.
 /// Most requests in a section of the walk go to the same instance, so that
 /// grants move.
 fn walk(seed: u64, fault: InjectedFault) -> Result<Simulation, Vec<Step>> {
+    walk_of(Simulation::new(3, 60 * REQUEST, fault), seed)
+}
+
+fn walk_of(mut simulation: Simulation, seed: u64) -> Result<Simulation, Vec<Step>> {
     let mut random = fastrand::Rng::with_seed(seed);
     let instances = 3;
-    let mut simulation = Simulation::new(instances, 60 * REQUEST, fault);
     let mut path = Vec::new();
     let mut busy = 0;
     for turn in 0..WALK_STEPS {
--- a/crates/guavawell-core/tests/grant_search/simulation.rs
+++ b/crates/guavawell-core/tests/grant_search/simulation.rs
@@ -3,7 +3,10 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::grant::BudgetRow;
+use guavawell_core::grant::DemandSettings;
+use guavawell_core::grant::FleetMember;
 use guavawell_core::grant::GrantLedger;
+use guavawell_core::grant::HolderSettings;
 use guavawell_core::grant::LedgerSettings;
 use guavawell_core::grant::LimitRow;
 use guavawell_core::grant::ReserveAnswer;
@@ -88,6 +91,9 @@
 #[derive(Clone, Debug)]
 pub struct Simulation {
     fault: InjectedFault,
+    /// Whether one instance holds tokens by its rank, and the others while they get
+    /// requests.
+    follows_callers: bool,
     now: ClockTime,
     version: u64,
     nonce: u64,
@@ -115,6 +121,31 @@
     }
 }
 
+/// One holder by rank; every instance that gets a request holds for two seconds.
+fn following_settings() -> LedgerSettings {
+    LedgerSettings {
+        holders: HolderSettings {
+            all_hold_up_to: 0,
+            stand_in_time: ClockSpan::from_millis(2_000),
+            ..HolderSettings::default()
+        },
+        demand: DemandSettings {
+            follows_callers: true,
+            holder_requests_per_second: 0,
+            ..DemandSettings::default()
+        },
+        ..settings()
+    }
+}
+
+fn fleet(instances: usize) -> Vec<FleetMember> {
+    let members = (0..instances).map(|index| FleetMember {
+        instance: format!("i{index}").parse().expect("a valid id"),
+        zone: "z".parse().expect("a valid id"),
+    });
+    members.collect()
+}
+
 fn organisation() -> OrganisationId {
     "org".parse().expect("a valid id")
 }
@@ -122,8 +153,23 @@
 impl Simulation {
     /// Creates instances that have not started, and a budget of `paid` tokens.
     pub fn new(instances: usize, paid: u64, fault: InjectedFault) -> Self {
+        Self::with_ledgers(instances, paid, fault, false)
+    }
+
+    /// The same with tokens that follow the requests of callers.
+    pub fn following_callers(instances: usize, paid: u64, fault: InjectedFault) -> Self {
+        Self::with_ledgers(instances, paid, fault, true)
+    }
+
+    fn with_ledgers(
+        instances: usize,
+        paid: u64,
+        fault: InjectedFault,
+        follows_callers: bool,
+    ) -> Self {
         let mut simulation = Self {
             fault,
+            follows_callers,
             now: ClockTime::from_millis(1_000_000),
             version: 1,
             nonce: 0,
@@ -155,7 +201,15 @@
     fn ledger(&mut self, index: usize) -> GrantLedger {
         self.nonce += 1;
         let instance: InstanceId = format!("i{index}").parse().expect("a valid id");
-        let mut ledger = GrantLedger::new(instance, self.nonce, self.started(), settings());
+        let settings = if self.follows_callers {
+            following_settings()
+        } else {
+            settings()
+        };
+        let mut ledger = GrantLedger::new(instance, self.nonce, self.started(), settings);
+        if self.follows_callers {
+            ledger.set_fleet(fleet(self.limits.len()));
+        }
         ledger.set_paid(&organisation(), self.paid, self.paid_version);
         ledger
     }
@@ -370,7 +424,9 @@
         let id = organisation();
         let now = self.local();
         let ledger = &mut self.ledgers[index];
-        if ledger.reserve(&id, REQUEST, now) != ReserveAnswer::Granted {
+        let answer = ledger.reserve(&id, REQUEST, now);
+        ledger.count_request(&id, REQUEST, answer, now);
+        if answer != ReserveAnswer::Granted {
             if !self.waiting[index] {
                 ledger.wait(&id, REQUEST, true);
                 self.waiting[index] = true;
--- a/crates/guavawell-core/tests/grant_walks.rs
+++ b/crates/guavawell-core/tests/grant_walks.rs
@@ -9,6 +9,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::grant::BudgetFacts;
+use guavawell_core::grant::DemandSettings;
 use guavawell_core::grant::FleetMember;
 use guavawell_core::grant::GrantLedger;
 use guavawell_core::grant::HolderSettings;
@@ -52,6 +53,14 @@
     now: ClockTime,
     /// Whether answers and reports are lost and processes end.
     loses: bool,
+    /// Whether tokens follow the requests of callers.
+    follows_callers: bool,
+}
+
+/// A walk for each seed, with tokens that follow callers' requests and without.
+fn walks() -> impl Iterator<Item = (u64, Simulation)> {
+    let seeds = 0..SEEDS;
+    seeds.flat_map(|seed| [false, true].map(|follows| (seed, Simulation::new(seed, follows))))
 }
 
 fn instance(place: usize) -> InstanceId {
@@ -67,7 +76,7 @@
 }
 
 impl Simulation {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, follows_callers: bool) -> Self {
         let mut simulation = Self {
             rows: StoreRows::new(INSTANCES),
             ledgers: Vec::new(),
@@ -78,6 +87,7 @@
             spent: 0,
             now: at(0),
             loses: true,
+            follows_callers,
         };
         for place in 0..INSTANCES {
             let ledger = simulation.start(place);
@@ -94,6 +104,11 @@
                 all_hold_up_to: 0,
                 ..HolderSettings::default()
             },
+            demand: DemandSettings {
+                follows_callers: self.follows_callers,
+                holder_requests_per_second: 2,
+                ..DemandSettings::default()
+            },
             ..LedgerSettings::default()
         };
         let mut ledger = GrantLedger::new(instance(place), self.nonce, self.now, settings);
@@ -146,7 +161,9 @@
         if !self.ledgers[place].is_holder(&id, self.now) {
             self.borrow(place);
         }
-        let lent = match self.ledgers[place].reserve(&id, REQUEST, self.now) {
+        let answer = self.ledgers[place].reserve(&id, REQUEST, self.now);
+        self.ledgers[place].count_request(&id, REQUEST, answer, self.now);
+        let lent = match answer {
             ReserveAnswer::Granted => 0,
             ReserveAnswer::GrantedLoan(lent) => lent,
             _ => return,
@@ -240,8 +257,7 @@
 #[test]
 fn a_fleet_that_lends_and_dies_spends_no_more_than_was_paid() {
     let mut most = 0;
-    for seed in 0..SEEDS {
-        let mut simulation = Simulation::new(seed);
+    for (seed, mut simulation) in walks() {
         for _ in 0..STEPS {
             simulation.step();
             let reserved = simulation.running.len() as u64 * REQUEST;
@@ -261,8 +277,7 @@
 // the one that spent them, whatever the order of loans, charges and reports.
 #[test]
 fn what_callers_are_charged_is_counted_once_where_nothing_is_lost() {
-    for seed in 0..SEEDS {
-        let mut simulation = Simulation::new(seed);
+    for (seed, mut simulation) in walks() {
         simulation.loses = false;
         for _ in 0..STEPS {
             simulation.step();
@@ -276,8 +291,7 @@
 // lost.
 #[test]
 fn what_callers_are_charged_is_counted_whatever_is_lost() {
-    for seed in 0..SEEDS {
-        let mut simulation = Simulation::new(seed);
+    for (seed, mut simulation) in walks() {
         for _ in 0..STEPS {
             simulation.step();
         }
--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -49,8 +49,8 @@
 }
 
 impl BudgetManager {
-    /// Borrows the missing part of `tokens` for a request at a holder; true if it
-    /// can be reserved now. An instance that does not answer is not asked again: it
+    /// Borrows the missing part of `tokens` for a request at a holder, alone or with
+    /// others of the same moment; true if it can be reserved now. An instance that does not answer is not asked again: it
     /// may already have lent the tokens.
     pub(super) async fn borrow(
         &self,
@@ -58,6 +58,17 @@
         tokens: u64,
         limit: ClockSpan,
     ) -> bool {
+        let ask = self.ask_lenders(organisation, tokens, limit);
+        let outcome = self.ask_together(organisation, tokens, limit, ask).await;
+        outcome == ShareOutcome::Lent
+    }
+
+    async fn ask_lenders(
+        &self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        limit: ClockSpan,
+    ) -> ShareOutcome {
         let deadline = self.clock.now() + limit;
         let loan = self.loan_request(organisation, tokens);
         for (instance, address) in self.choose_lenders(organisation, loan) {
@@ -69,12 +80,12 @@
                 continue;
             };
             if answer.tokens >= loan.needed {
-                return true;
+                return ShareOutcome::Lent;
             }
         }
         let mut ledger = self.ledger.borrow_mut();
         ledger.note_declined(organisation, tokens, self.clock.now());
-        false
+        ShareOutcome::Declined(ReserveAnswer::Short)
     }
 
     /// Borrows the tokens of one request from the organisation's holders, in the
@@ -85,6 +96,16 @@
         organisation: &OrganisationId,
         tokens: u64,
         limit: ClockSpan,
+    ) -> ShareOutcome {
+        let ask = self.ask_holders(organisation, tokens, limit);
+        self.ask_together(organisation, tokens, limit, ask).await
+    }
+
+    async fn ask_holders(
+        &self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        limit: ClockSpan,
     ) -> ShareOutcome {
         let deadline = self.clock.now() + limit;
         let order = self.ledger.borrow().holder_order(organisation);
@@ -121,7 +142,11 @@
 
     fn loan_request(&self, organisation: &OrganisationId, tokens: u64) -> LoanRequest {
         let ledger = self.ledger.borrow();
-        ledger.loan_request(organisation, tokens, self.clock.now())
+        let loan = ledger.loan_request(organisation, tokens, self.clock.now());
+        LoanRequest {
+            wanted: loan.wanted + self.tokens_waiting(organisation),
+            ..loan
+        }
     }
 
     /// Asks one instance for a loan and records it in the ledger; `None` without an
@@ -135,7 +160,7 @@
         deadline: ClockTime,
     ) -> Option<LoanAnswer> {
         let time_left = timer_span(deadline.since(self.clock.now()));
-        if time_left.is_zero() || self.peers.key().is_none() {
+        if time_left.is_zero() || self.peers.key().is_none() || !self.may_ask() {
             return None;
         }
         let request = PeerRequest::Loan(organisation.clone(), loan);
@@ -152,10 +177,15 @@
             }
             Err(error) => {
                 self.record_unreachable(instance, &error);
+                // A shorter limit or a closed connection says nothing of the link.
+                if limit == LOAN_TIMEOUT && error.is_timeout() {
+                    self.record_silence();
+                }
                 return None;
             }
         };
         self.peers.mark_reachable(instance);
+        self.record_answered();
         if answer.tokens > 0 {
             let lender = LenderId {
                 instance: instance.clone(),
@@ -165,6 +195,9 @@
             let mut ledger = self.ledger.borrow_mut();
             ledger.receive_loan(organisation, lender, answer.tokens, now);
             drop(ledger);
+            if self.demand.follows_callers && answer.tokens > loan.needed {
+                self.changed.notify(usize::MAX);
+            }
             self.record_loan("budget.borrowed", organisation, instance, loan, answer);
         }
         Some(answer)
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -14,6 +14,7 @@
 mod lend;
 mod limits;
 mod peers;
+mod questions;
 mod reserve;
 mod rows;
 mod suspects;
@@ -26,9 +27,11 @@
 use event_listener::Event;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::grant::DemandSettings;
 use guavawell_core::grant::FleetMember;
 use guavawell_core::grant::GrantLedger;
 use guavawell_core::grant::LedgerSettings;
+use guavawell_core::grant::QuestionPace;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::ZoneId;
@@ -36,6 +39,7 @@
 use smol::LocalExecutor;
 use smol::Timer;
 
+use self::questions::SharedQuestion;
 use crate::clock::SteadyClock;
 use crate::clock::wait_until;
 use crate::peer::PeerRegistry;
@@ -93,6 +97,12 @@
     /// Requests suspected of crashing servers; instances share them directly.
     poison: Rc<PoisonTracker>,
     ledger: RefCell<GrantLedger>,
+    /// How tokens follow callers' requests.
+    demand: DemandSettings,
+    /// The loans that are asked for now, for several requests each.
+    open_questions: RefCell<Vec<Rc<SharedQuestion>>>,
+    /// Whether others are asked for loans.
+    question_pace: Cell<QuestionPace>,
     /// Notified when a change in the ledger may let a waiting reservation succeed.
     changed: Event,
     /// Notified when the spending limits may have to be written.
@@ -133,6 +143,9 @@
                 SteadyClock::ORIGIN,
                 settings,
             )),
+            demand: settings.demand,
+            open_questions: RefCell::default(),
+            question_pace: Cell::default(),
             instance: member.instance,
             zone: member.zone,
             peers,
--- a/crates/guavawell-forward/src/budget/reserve.rs
+++ b/crates/guavawell-forward/src/budget/reserve.rs
@@ -9,6 +9,7 @@
 use guavawell_core::grant::ReserveAnswer;
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::TokenCount;
+use guavawell_fleet::event::EventDraft;
 
 use super::BudgetManager;
 use super::borrow::ShareOutcome;
@@ -147,9 +148,13 @@
         let store_wait = self.store_wait(time_left);
         let mut waiting = None;
         let mut may_borrow = true;
+        let mut is_counted = false;
         loop {
             let changed = self.changed.listen();
             let answer = self.try_reserve(organisation, tokens);
+            if !std::mem::replace(&mut is_counted, true) {
+                self.count_request(organisation, tokens, answer);
+            }
             match answer {
                 ReserveAnswer::Granted => return Ok(self.reservation(organisation, tokens, 0)),
                 ReserveAnswer::GrantedLoan(borrowed) => {
@@ -252,6 +257,19 @@
         ledger.reserve(organisation, tokens, now)
     }
 
+    /// Counts a request of a caller, and asks for tokens to hold if there are many.
+    fn count_request(&self, organisation: &OrganisationId, tokens: u64, answer: ReserveAnswer) {
+        let now = self.clock.now();
+        let mut ledger = self.ledger.borrow_mut();
+        let begins = ledger.count_request(organisation, tokens, answer, now);
+        drop(ledger);
+        if begins {
+            self.wake_writers();
+            let draft = EventDraft::new("budget.held_for_callers").organisation(organisation);
+            self.log.emit(draft);
+        }
+    }
+
     /// Whether to borrow from other instances now: at once if the row has too few
     /// tokens left to grant or the store is out of reach, otherwise only before the
     /// request would be refused.
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -90,6 +90,13 @@
     NoConfig,
 }
 
+impl PeerError {
+    /// Whether no answer came within the time limit.
+    pub(crate) const fn is_timeout(&self) -> bool {
+        matches!(self, Self::Channel(ChannelError::TimedOut))
+    }
+}
+
 /// An instance and its address for requests of other instances.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerEndpoint {
