--- a/crates/guavawell-core/src/grant/loan.rs
+++ b/crates/guavawell-core/src/grant/loan.rs
@@ -31,7 +31,6 @@
 use crate::clock::ClockTime;
 use crate::id::InstanceId;
 use crate::id::OrganisationId;
-use crate::number::whole;
 
 /// Seconds of its own demand that a lender keeps. Few, because it may borrow
 /// itself, and what all lenders keep is refused to callers when a budget runs
@@ -138,9 +137,11 @@
                 scope: LoanScope::Share,
             };
         }
+        let typical = typical_request * EXTRA_REQUESTS;
+        let extra = state.map_or(0, |state| self.loan_extra(state, typical, now));
         LoanRequest {
             needed,
-            wanted: needed + whole(typical_request * EXTRA_REQUESTS),
+            wanted: needed + extra,
             scope: LoanScope::Spare,
         }
     }
--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -10,6 +10,8 @@
 use guavawell_core::grant::LoanAnswer;
 use guavawell_core::grant::LoanRequest;
 use guavawell_core::grant::LoanReturn;
+use guavawell_core::grant::LoanScope;
+use guavawell_core::grant::QuestionTerms;
 use guavawell_core::grant::ReserveAnswer;
 use guavawell_core::id::InstanceId;
 use guavawell_core::id::OrganisationId;
@@ -49,17 +51,32 @@
 }
 
 impl BudgetManager {
-    /// Borrows the missing part of `tokens` for a request at a holder; true if it
-    /// can be reserved now. An instance that does not answer is not asked again: it
-    /// may already have lent the tokens.
+    /// Borrows what a request of `tokens` lacks at a holder; true if it can be reserved
+    /// now. One question may serve several requests (see `ask_together`). An instance
+    /// that does not answer is not asked again: it may already have lent the tokens.
     pub(super) async fn borrow(
         &self,
         organisation: &OrganisationId,
         tokens: u64,
         limit: ClockSpan,
     ) -> bool {
+        let ask = async |limit| self.ask_lenders(organisation, tokens, limit).await;
+        let terms = QuestionTerms { tokens, limit };
+        let outcome = self
+            .ask_together(organisation, LoanScope::Spare, terms, ask)
+            .await;
+        outcome == ShareOutcome::Lent
+    }
+
+    async fn ask_lenders(
+        &self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        limit: ClockSpan,
+    ) -> ShareOutcome {
         let deadline = self.clock.now() + limit;
         let loan = self.loan_request(organisation, tokens);
+        let mut is_answered = !self.demand.follows_callers;
         for (instance, address) in self.choose_lenders(organisation, loan) {
             let loan = self.loan_request(organisation, tokens);
             let Some(answer) = self
@@ -68,13 +85,17 @@
             else {
                 continue;
             };
+            is_answered = true;
             if answer.tokens >= loan.needed {
-                return true;
+                return ShareOutcome::Lent;
             }
         }
+        if !is_answered {
+            return ShareOutcome::Unreachable;
+        }
         let mut ledger = self.ledger.borrow_mut();
         ledger.note_declined(organisation, tokens, self.clock.now());
-        false
+        ShareOutcome::Declined(ReserveAnswer::Short)
     }
 
     /// Borrows the tokens of one request from the organisation's holders, in the
@@ -85,6 +106,18 @@
         organisation: &OrganisationId,
         tokens: u64,
         limit: ClockSpan,
+    ) -> ShareOutcome {
+        let ask = async |limit| self.ask_holders(organisation, tokens, limit).await;
+        let terms = QuestionTerms { tokens, limit };
+        self.ask_together(organisation, LoanScope::Share, terms, ask)
+            .await
+    }
+
+    async fn ask_holders(
+        &self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        limit: ClockSpan,
     ) -> ShareOutcome {
         let deadline = self.clock.now() + limit;
         let order = self.ledger.borrow().holder_order(organisation);
@@ -120,8 +153,12 @@
     }
 
     fn loan_request(&self, organisation: &OrganisationId, tokens: u64) -> LoanRequest {
+        let now = self.clock.now();
+        let in_doubt = self.is_cut_off() || self.question_pace.get().is_in_doubt();
         let ledger = self.ledger.borrow();
-        ledger.loan_request(organisation, tokens, self.clock.now())
+        let scope = ledger.loan_request(organisation, tokens, now).scope;
+        let waiting = self.tokens_waiting(organisation, scope);
+        ledger.shared_loan_request(organisation, tokens, waiting, in_doubt, now)
     }
 
     /// Asks one instance for a loan and records it in the ledger; `None` without an
@@ -135,7 +172,7 @@
         deadline: ClockTime,
     ) -> Option<LoanAnswer> {
         let time_left = timer_span(deadline.since(self.clock.now()));
-        if time_left.is_zero() || self.peers.key().is_none() {
+        if time_left.is_zero() || self.peers.key().is_none() || !self.may_ask() {
             return None;
         }
         let request = PeerRequest::Loan(organisation.clone(), loan);
@@ -152,10 +189,15 @@
             }
             Err(error) => {
                 self.record_unreachable(instance, &error);
+                // A shorter limit or a closed connection says nothing of the link.
+                if limit == LOAN_TIMEOUT && error.is_timeout() {
+                    self.record_silence();
+                }
                 return None;
             }
         };
         self.peers.mark_reachable(instance);
+        self.record_answered();
         if answer.tokens > 0 {
             let lender = LenderId {
                 instance: instance.clone(),
@@ -165,6 +207,9 @@
             let mut ledger = self.ledger.borrow_mut();
             ledger.receive_loan(organisation, lender, answer.tokens, now);
             drop(ledger);
+            if self.demand.follows_callers && answer.tokens > loan.needed {
+                self.changed.notify(usize::MAX);
+            }
             self.record_loan("budget.borrowed", organisation, instance, loan, answer);
         }
         Some(answer)
