Responses are read ahead of slow callers, within the instance's memory

A response was read from its server only as fast as its caller took it: a caller at a kilobyte a second lost it, because servers cut off what stays unread for some seconds, and its tokens were spent. What is not taken at once now waits in a queue of the request, which counts with request bodies in one account (a fifth of the stated memory); a response may hold as much as is free of half of it. A caller that takes nothing for as long as its request could last is given up, its connection reset; while memory is short after 2.5 s, the costliest pause first. On where memory is stated and overload is expected.

Real process: a caller at 10 kB/s for 4 s gets 900 kB whole from a server that resets after 2 s unread; without the settings the response is cut off.

--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -16,6 +16,7 @@
 mod load;
 mod overload;
 mod poll;
+mod read_ahead;
 mod retry;
 mod returns;
 mod route;
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
@@ -27,9 +26,10 @@
 use crate::http::ResponseHead;
 use crate::http::within;
 use crate::in_flight::InFlightGuard;
+use crate::read_ahead::CallerOutbox;
 use crate::relay::relay_plain;
 use crate::relay::relay_stream;
-use crate::request::request_bytes;
+use crate::request::RequestBytes;
 use crate::response::BufferedResponse;
 use crate::response::IncomingResponse;
 use crate::retry::RequestProgress;
@@ -52,7 +52,7 @@
 /// The result of an attempt.
 #[derive(Debug)]
 pub enum AttemptOutcome {
-    /// The response was sent to the caller: its status, and whether the
+    /// The response is complete, and was sent to the caller or waits for it: its status, and whether the
     /// caller's connection may be reused.
     Delivered(u16, bool),
     /// The connection to the caller failed.
@@ -68,7 +68,7 @@
 /// Connects to a server, sends the request and relays the response.
 pub async fn send_attempt(
     router: &Rc<ForwardRouter>,
-    caller: &HttpChannel,
+    caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     pick: &ServerPick,
     progress: &mut RequestProgress,
@@ -148,7 +148,7 @@
 /// Sends the request over an open connection and relays the response.
 async fn exchange_and_relay(
     router: &Rc<ForwardRouter>,
-    caller: &HttpChannel,
+    caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     pick: &ServerPick,
     progress: &mut RequestProgress,
@@ -165,6 +165,7 @@
         Err(end) => return AttemptOutcome::Ended(end, None),
     };
     note_load(router, &response);
+    caller.set_incomplete(0);
     if is_rejection(router, &response.head) {
         progress.outcome.may_have_run = before;
         note_rejection(router, &pick.server, response);
@@ -227,7 +228,7 @@
     mut channel: HttpChannel,
     guard: InFlightGuard,
 ) -> Result<IncomingResponse, AttemptEnd> {
-    let bytes = request_bytes(router, call, guard.server(), progress);
+    let bytes = RequestBytes::new(router, call, guard.server(), progress);
     let sent = Cell::new(false);
     let stray = Cell::new(false);
     let stream = channel.stream();
@@ -235,7 +236,7 @@
     let is_carried = channel.carrier().is_some();
     let is_head_request = call.request.head.method.as_ref() == "HEAD";
     let write = async {
-        let written = (&*stream).write_all(&bytes).await;
+        let written = bytes.send(&stream).await;
         // A server may respond without reading the whole request, so a write
         // error does not end the attempt.
         sent.set(written.is_ok());
--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -45,6 +45,7 @@
         }
         let router = Rc::clone(&router);
         let entry = router.callers.add(&channel.stream());
+        allow_pauses(&router, &channel);
         let serve_channel = async move {
             serve_caller(&router, channel).await;
             drop(entry);
@@ -61,6 +62,19 @@
     router.callers.accepting_ended();
 }
 
+/// Lets a caller pause while it reads a response, and keeps what waits for it where it is
+/// counted.
+fn allow_pauses(router: &ForwardRouter, channel: &HttpChannel) {
+    if !router.reads_ahead() {
+        return;
+    }
+    let settings = &router.settings.read_ahead;
+    let limit = timer_span(settings.max_pause);
+    if let Err(error) = channel.allow_pauses(limit, settings.socket_bytes) {
+        log::debug!("a caller's connection has failed: {error}");
+    }
+}
+
 /// A request that was received completely.
 #[derive(Debug)]
 pub struct ReceivedRequest {
--- a/crates/guavawell-forward/src/housekeeping.rs
+++ b/crates/guavawell-forward/src/housekeeping.rs
@@ -8,6 +8,7 @@
 use guavawell_fleet::event::EventDraft;
 use smol::Timer;
 
+use crate::read_ahead::review_responses;
 use crate::router::ForwardRouter;
 
 /// Interval between two runs.
@@ -24,6 +25,7 @@
         report_pause(&router, now.since(before));
         before = now;
         sweep(&router);
+        review_responses(&router);
         router.configs.report_age();
     }
 }
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::io::Read;
+use std::io::Write;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -126,6 +127,18 @@
         Ok(Self::new(stream)?)
     }
 
+    /// Lets the peer leave data unacknowledged, or take none, for `limit`, and the kernel
+    /// keep about `bytes` for it.
+    ///
+    /// # Errors
+    ///
+    /// A socket option cannot be set.
+    pub fn allow_pauses(&self, limit: Duration, bytes: usize) -> io::Result<()> {
+        let socket = SockRef::from(self.stream.get_ref());
+        socket.set_tcp_user_timeout(Some(limit))?;
+        socket.set_send_buffer_size(bytes)
+    }
+
     /// Lets the connection be reset rather than closed once it is dropped.
     ///
     /// # Errors
@@ -288,6 +301,26 @@
         (&*self.stream).write_all(bytes).await
     }
 
+    /// Sends as much of `bytes` as the connection takes without waiting, and returns the
+    /// number of bytes that were sent.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed.
+    pub fn send_ready(&self, bytes: &[u8]) -> io::Result<usize> {
+        let mut sent = 0;
+        while sent < bytes.len() {
+            match self.stream.get_ref().write(&bytes[sent..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => sent += count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(sent)
+    }
+
     /// Closes the connection after a response, although the peer may have sent more.
     /// Unread bytes would reset the connection and discard what was sent: they are read
     /// until the peer closes the connection, for `limit` at the longest.
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -4,7 +4,7 @@
 //! The rules are in `guavawell_core::forward` and `guavawell_core::grant`; this
 //! crate runs them on one thread: callers' requests (`callers`, `prepare`,
 //! `routing`, `serve`), backend servers (`retry`, `attempt`, `connect`, `pool`,
-//! `relay`), connections through other instances (`path`, `tunnel`), budget rows and loans between instances (`budget`), requests that
+//! `relay`), what callers have not taken yet (`read_ahead`), connections through other instances (`path`, `tunnel`), budget rows and loans between instances (`budget`), requests that
 //! crash servers (`poison`, `crash`), the order of tasks (`schedule`), and the
 //! health and shutdown of the process (`admin`, `shutdown`). It contains no
 //! header names and no wire formats of the platform; the binary translates
@@ -39,6 +39,7 @@
 pub mod poison;
 pub mod pool;
 pub mod prepare;
+pub mod read_ahead;
 pub mod record;
 pub mod refusal;
 pub mod relay;
--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -15,10 +15,10 @@
 use crate::continuation::note_begun;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
-use crate::http::HttpChannel;
 use crate::http::within;
 use crate::http::write_chunk;
 use crate::poison::parts::note_good_parts;
+use crate::read_ahead::CallerOutbox;
 use crate::response::BufferedResponse;
 use crate::response::IncomingResponse;
 use crate::response::copy_fields;
@@ -59,7 +59,7 @@
 /// Relays a response that is not an event stream.
 pub async fn relay_plain(
     router: &Rc<ForwardRouter>,
-    caller: &HttpChannel,
+    caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     mut response: IncomingResponse,
 ) -> AttemptOutcome {
@@ -67,10 +67,13 @@
     loop {
         let left = time_left(router, call.deadline);
         match within(left, response.receive_part(&mut body)).await {
-            Ok(true) if body.len() > MAX_BUFFERED_BODY => {
+            Ok(true) if body.len() > MAX_BUFFERED_BODY || !caller.may_collect(body.len()) => {
                 return relay_unbuffered(router, caller, call, response, body).await;
             }
-            Ok(true) => response.guard.note_received(),
+            Ok(true) => {
+                response.guard.note_received();
+                caller.set_incomplete(body.len());
+            }
             Ok(false) => break,
             Err(error) => {
                 response.guard.note_outcome(true);
@@ -90,8 +93,21 @@
     response.finish(router);
     let keep_alive = call.request.head.keep_alive && router.keeps_connections();
     let bytes = complete.bytes(call.request.head.method.as_ref() == "HEAD", keep_alive);
-    match caller.send(&bytes).await {
-        Ok(()) => AttemptOutcome::Delivered(complete.head.status, keep_alive),
+    let status = complete.head.status;
+    drop(complete);
+    deliver_last(caller, &bytes, status, keep_alive).await
+}
+
+/// Sends the last part of a response.
+async fn deliver_last(
+    caller: &CallerOutbox<'_>,
+    bytes: &[u8],
+    status: u16,
+    keep_alive: bool,
+) -> AttemptOutcome {
+    caller.set_incomplete(0);
+    match caller.send_last(bytes).await {
+        Ok(()) => AttemptOutcome::Delivered(status, keep_alive),
         Err(_) => AttemptOutcome::CallerDisconnected,
     }
 }
@@ -118,7 +134,7 @@
 /// Relays a response that is too large for the buffer, part by part.
 async fn relay_unbuffered(
     router: &Rc<ForwardRouter>,
-    caller: &HttpChannel,
+    caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     mut response: IncomingResponse,
     mut body: Vec<u8>,
@@ -129,6 +145,7 @@
     loop {
         writer.write_content(&body);
         body.clear();
+        caller.set_incomplete(0);
         if caller.send(writer.pending()).await.is_err() {
             return AttemptOutcome::CallerDisconnected;
         }
@@ -146,16 +163,13 @@
     response.finish(router);
     writer.write_content(&body);
     writer.write_end();
-    match caller.send(writer.pending()).await {
-        Ok(()) => AttemptOutcome::Delivered(status, writer.keep_alive),
-        Err(_) => AttemptOutcome::CallerDisconnected,
-    }
+    deliver_last(caller, writer.pending(), status, writer.keep_alive).await
 }
 
 /// Relays an event stream, each event as soon as it is complete.
 pub async fn relay_stream(
     router: &Rc<ForwardRouter>,
-    caller: &HttpChannel,
+    caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     progress: &mut RequestProgress,
     mut response: IncomingResponse,
@@ -204,17 +218,16 @@
             charge(call, stream.events);
             note_progress(router, call, stream, !more);
         }
+        caller.set_incomplete(buffered.len());
         if !more {
+            response.finish(router);
             writer.write_end();
+            return deliver_last(caller, writer.pending(), 200, writer.keep_alive).await;
         }
         if !writer.pending().is_empty() && caller.send(writer.pending()).await.is_err() {
             return AttemptOutcome::CallerDisconnected;
         }
         writer.clear();
-        if !more {
-            response.finish(router);
-            return AttemptOutcome::Delivered(200, writer.keep_alive);
-        }
     }
 }
 
--- a/crates/guavawell-forward/src/request.rs
+++ b/crates/guavawell-forward/src/request.rs
@@ -1,6 +1,11 @@
 //! Builds the request that is sent to a backend server.
 
+use std::io;
+use std::net::TcpStream;
+
+use futures_lite::AsyncWriteExt;
 use guavawell_core::forward::ServerIncarnation;
+use smol::Async;
 
 use crate::http::BodyFraming;
 use crate::http::HeadWriter;
@@ -11,10 +16,50 @@
 
 /// The lowest priority. Smaller numbers are more urgent.
 const LAST_PRIORITY: u8 = 9;
+/// Largest body that is copied behind the head, to be sent with it, in bytes. A longer
+/// one is sent from where it is held, since a server may take long to read it.
+const MAX_COPIED_BODY: usize = 16 * 1024;
+
+/// A request as it is sent to a server.
+#[derive(Debug)]
+pub struct RequestBytes<'a> {
+    /// The head, and a short body.
+    start: Vec<u8>,
+    /// A long body; empty for a short one.
+    body: &'a [u8],
+}
+
+impl<'a> RequestBytes<'a> {
+    /// Serializes the request for a server. Method, target and body are unchanged.
+    #[must_use]
+    pub fn new(
+        router: &ForwardRouter,
+        call: &ForwardCall<'a>,
+        server: &ServerIncarnation,
+        progress: &RequestProgress,
+    ) -> Self {
+        let mut start = request_head(router, call, server, progress);
+        let body = &call.request.body[..];
+        if body.len() > MAX_COPIED_BODY {
+            return Self { start, body };
+        }
+        start.extend_from_slice(body);
+        Self { start, body: &[] }
+    }
+
+    /// Sends the request.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed.
+    pub async fn send(&self, mut stream: &Async<TcpStream>) -> io::Result<()> {
+        stream.write_all(&self.start).await?;
+        stream.write_all(self.body).await
+    }
+}
 
-/// Serializes the request for a server. Method, target and body are unchanged.
-#[must_use]
-pub fn request_bytes(
+/// Serializes the head of the request for a server.
+fn request_head(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
     server: &ServerIncarnation,
@@ -49,9 +94,7 @@
     if has_body {
         head.field_of("Content-Length", request.body.len());
     }
-    let mut bytes = head.finish();
-    bytes.extend_from_slice(&request.body);
-    bytes
+    head.finish()
 }
 
 /// The organisation's priority, or the route's if the organisation has none.
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -27,8 +27,8 @@
 use crate::attempt::send_attempt;
 use crate::crash::note_lost_attempt;
 use crate::eligible::with_constraints;
-use crate::http::HttpChannel;
 use crate::poison::parts::may_retry_parts;
+use crate::read_ahead::CallerOutbox;
 use crate::record::RequestRecord;
 use crate::refusal::RefusalResponse;
 use crate::relay::StreamProgress;
@@ -94,7 +94,7 @@
 /// caller's connection may be reused.
 pub async fn run_attempts(
     router: &Rc<ForwardRouter>,
-    caller: &HttpChannel,
+    caller: &CallerOutbox<'_>,
     mut call: ForwardCall<'_>,
     record: &RequestRecord,
 ) -> bool {
@@ -132,6 +132,7 @@
         update_suspicion(router, call, &progress, &pick.server, &outcome).await;
         let (end, response) = match outcome {
             AttemptOutcome::Delivered(status, keep_alive) => {
+                caller.finish().await;
                 note_stream(record, &progress.stream);
                 record.answered(status);
                 return keep_alive;
@@ -162,7 +163,7 @@
 /// tells the caller more.
 async fn end_without_response(
     router: &ForwardRouter,
-    caller: &HttpChannel,
+    caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     record: &RequestRecord,
     progress: &RequestProgress,
@@ -346,7 +347,7 @@
 /// Ends a request without a server's response.
 async fn end_with_refusal(
     router: &ForwardRouter,
-    caller: &HttpChannel,
+    caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     record: &RequestRecord,
     progress: &RequestProgress,
@@ -365,7 +366,15 @@
         may_have_run: progress.outcome.may_have_run,
         retry_after: retry_after(router, call, refusal),
     };
-    send_refusal(router, caller, call.request, call.id, record, &response).await
+    send_refusal(
+        router,
+        caller.channel(),
+        call.request,
+        call.id,
+        record,
+        &response,
+    )
+    .await
 }
 
 /// When the caller of a refused request should come back: when a server takes
@@ -415,7 +424,7 @@
 /// Relays a server's error response to the caller.
 async fn relay_failure(
     router: &ForwardRouter,
-    caller: &HttpChannel,
+    caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     record: &RequestRecord,
     response: &BufferedResponse,
@@ -424,5 +433,5 @@
     record.note("cause", "server_failed");
     record.answered(response.head.status);
     let bytes = response.bytes(call.request.head.method.as_ref() == "HEAD", keep_alive);
-    caller.send(&bytes).await.is_ok() && keep_alive
+    caller.send_last(&bytes).await.is_ok() && keep_alive
 }
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -13,6 +13,7 @@
 use guavawell_core::forward::FeedAge;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::LinkCongestion;
+use guavawell_core::forward::MemoryUse;
 use guavawell_core::forward::RetryAllowance;
 use guavawell_core::forward::RetryLimits;
 use guavawell_core::forward::ServerIncarnation;
@@ -36,6 +37,7 @@
 use crate::poison::PoisonTracker;
 use crate::poison::parts::PartTracker;
 use crate::pool::ConnectionPool;
+use crate::read_ahead::WaitingResponses;
 use crate::settings::ForwardSettings;
 use crate::tunnel::CarriedTunnels;
 use crate::warmth::WarmthQueries;
@@ -126,8 +128,10 @@
     pub callers: Rc<CallerConnections>,
     /// Number of requests being served.
     pub held_requests: Cell<usize>,
-    /// Bytes of their bodies.
+    /// Bytes of their bodies, and of responses that are read ahead.
     pub held_bytes: Cell<usize>,
+    /// Responses that wait for their callers.
+    pub waiting: WaitingResponses,
     /// Number of requests that are being received, or refused without having been
     /// received completely.
     pub pending_requests: Cell<usize>,
@@ -185,6 +189,7 @@
             callers: Rc::default(),
             held_requests: Cell::new(0),
             held_bytes: Cell::new(0),
+            waiting: WaitingResponses::default(),
             pending_requests: Cell::new(0),
             phase: Cell::new(RouterPhase::Serving),
             closing_event: Event::new(),
@@ -267,6 +272,21 @@
         self.configs.current().is_some() && self.servers_read.get()
     }
 
+    /// Whether responses are read before their callers take them.
+    #[must_use]
+    pub const fn reads_ahead(&self) -> bool {
+        self.settings.expects_overload && self.settings.capacity.memory.is_some()
+    }
+
+    /// What requests and responses take of the memory that is meant for them.
+    #[must_use]
+    pub const fn memory_use(&self) -> MemoryUse {
+        MemoryUse {
+            limit: self.settings.admission.body_bytes,
+            held: self.held_bytes.get(),
+        }
+    }
+
     /// Waits until [`has_initial_state`](Self::has_initial_state) is true.
     pub async fn wait_for_initial_state(&self) {
         self.wait_loaded(|| self.has_initial_state()).await;
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -20,6 +20,8 @@
 use crate::http::HttpChannel;
 use crate::http::wait_for_close;
 use crate::prepare::prepare;
+use crate::read_ahead::CallerOutbox;
+use crate::read_ahead::DeliveryEnd;
 use crate::record::RequestRecord;
 use crate::refusal::RefusalResponse;
 use crate::retry::run_attempts;
@@ -95,24 +97,38 @@
     let record = RequestRecord::new(router, &id, request.received_at);
     let _held = HeldRequest::new(router, request.body.len());
     let stream = channel.stream();
-    let caller = &*channel;
-    let serve = async { serve_held(router, caller, &request, &id, &record).await };
+    let caller = CallerOutbox::new(router, channel);
+    let serve = async {
+        let keep_alive = serve_held(router, &caller, &request, &id, &record).await;
+        caller.finish().await;
+        keep_alive
+    };
     let disconnected = async {
         wait_for_close(&stream).await;
         false
     };
-    serve.or(disconnected).await
+    let deliver = async {
+        match caller.deliver().await {
+            DeliveryEnd::Ended(end) => caller.abandon(end, &id, &record),
+            DeliveryEnd::Failed(error) => log::debug!("a caller's connection failed: {error}"),
+        }
+        false
+    };
+    let keep_alive = serve.or(disconnected).or(deliver).await;
+    caller.note_peak(&record);
+    keep_alive
 }
 
 async fn serve_held(
     router: &Rc<ForwardRouter>,
-    caller: &HttpChannel,
+    caller: &CallerOutbox<'_>,
     request: &ReceivedRequest,
     id: &str,
     record: &RequestRecord,
 ) -> bool {
     match prepare(router, request, id, record).await {
         Ok(call) => {
+            caller.set_time_limit(call.deadline.since(request.received_at));
             let reservation = call.reservation.clone();
             let _recorder = reservation.map(|reservation| SpendingRecorder {
                 reservation,
@@ -120,7 +136,9 @@
             });
             run_attempts(router, caller, call, record).await
         }
-        Err(response) => send_refusal(router, caller, request, id, record, &response).await,
+        Err(response) => {
+            send_refusal(router, caller.channel(), request, id, record, &response).await
+        }
     }
 }
 
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -10,6 +10,7 @@
 use guavawell_core::forward::InstanceCapacity;
 use guavawell_core::forward::LapseSettings;
 use guavawell_core::forward::PollTiming;
+use guavawell_core::forward::ReadAheadSettings;
 use guavawell_core::forward::RetryLimits;
 use guavawell_core::forward::SlowStartSettings;
 use guavawell_core::forward::ZoneRegions;
@@ -120,6 +121,8 @@
     pub expects_overload: bool,
     /// Limits of admission.
     pub admission: AdmissionSettings,
+    /// How much of responses is read before their callers take it.
+    pub read_ahead: ReadAheadSettings,
     /// When this instance's network link counts as full.
     pub congestion: CongestionSettings,
     /// Limits on retries.
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -13,6 +13,7 @@
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::ForwardLimits;
 use guavawell_core::forward::InstanceCapacity;
+use guavawell_core::forward::ReadAheadSettings;
 use guavawell_core::forward::RetryLimits;
 use guavawell_core::forward::RouteTable;
 use guavawell_core::forward::SlowStartSettings;
@@ -116,6 +117,7 @@
         choice: ChoiceSettings::default(),
         slow_start: SlowStartSettings::default(),
         admission: AdmissionSettings::default(),
+        read_ahead: ReadAheadSettings::default(),
         capacity: InstanceCapacity::default(),
         expects_overload: false,
         congestion: CongestionSettings::default(),
