A server's refusal is never passed on because little memory is free

Cause: with little memory free, the response went on part by part before its status was looked at. Now memory decides only about responses whose status is relayed, and only above 16 kB.

--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -32,6 +32,9 @@
 /// is sent, in bytes. While it is buffered, another server can still replace it
 /// if it fails.
 const MAX_BUFFERED_BODY: usize = 256 * 1024;
+/// Length up to which a response is buffered completely even if little memory is free,
+/// in bytes.
+const MIN_BUFFERED_BODY: usize = 16 * 1024;
 /// Largest event of a stream, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
@@ -67,7 +70,7 @@
     loop {
         let left = time_left(router, call.deadline);
         match within(left, response.receive_part(&mut body)).await {
-            Ok(true) if body.len() > MAX_BUFFERED_BODY || !caller.may_collect(body.len()) => {
+            Ok(true) if !may_collect(caller, response.head.status, body.len()) => {
                 return relay_unbuffered(router, caller, call, response, body).await;
             }
             Ok(true) => {
@@ -98,6 +101,14 @@
     deliver_last(caller, &bytes, status, keep_alive).await
 }
 
+/// Whether to receive more of a response of which `bytes` were received before any is
+/// sent. Memory decides only about responses that do not say that the server failed:
+/// the others are not relayed as they are.
+fn may_collect(caller: &CallerOutbox<'_>, status: u16, bytes: usize) -> bool {
+    let is_kept = bytes <= MIN_BUFFERED_BODY || failure_end(status).is_some();
+    bytes <= MAX_BUFFERED_BODY && (is_kept || caller.may_collect(bytes))
+}
+
 /// Sends the last part of a response.
 async fn deliver_last(
     caller: &CallerOutbox<'_>,
