A slow caller may seem to take nothing for 10 s; a pause of the process counts for none

Callers saw: responses to requests with short time limits were given up after 2.5 s of taking nothing, though a caller that reads slowly takes nothing for seconds: its kernel takes more only once it has room for a packet. And after a pause of the process, the responses of callers that read all the while were given up. Now the span is 10 s for every response; the kernel waits 2.5 s longer, so that the instance decides first and logs it. After a pause no response is given up, and the time begins anew (no test covers this part). A queue gives back memory that it no longer needs, as the account counts lengths.

Not changed: a vanished caller with unacknowledged data is noticed after 12.5 s, as the kernel does not tell it from one whose window is closed.

--- a/crates/guavawell-core/src/forward/read_ahead.rs
+++ b/crates/guavawell-core/src/forward/read_ahead.rs
@@ -1,16 +1,16 @@
 //! Decides how much of a response is read from its server before its caller takes it,
 //! and which responses are ended because their callers do not.
 //!
-//! Load pattern: hundreds of callers take a kilobyte a second of streams that their
-//! servers produce in a second or two. A server cuts off a response that stays unread for
-//! some seconds, so what callers have not taken yet must wait in the memory of the
+//! Load pattern: many callers take streams far more slowly than their servers produce
+//! them. A server cuts off a response that stays unread for some seconds, so what callers have not taken yet must wait in the memory of the
 //! instance. That memory also holds request bodies, and is small.
 //!
 //! A response may hold as much as is still free, so that many slow callers get equal
 //! parts, and a few get large ones. What a caller takes at once is never held, and does
 //! not depend on memory. Responses that go on are not ended for memory: requests are
-//! refused before that. A caller that takes nothing is given up after as long as its
-//! request could have lasted, or sooner while memory is short.
+//! refused before that. A caller that takes nothing for long is given up, and sooner
+//! while memory is short. One that reads slowly seems to take nothing for seconds: its
+//! kernel takes more only once it has room for a full packet.
 
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
@@ -27,11 +27,12 @@
     pub response_bytes: usize,
     /// Bytes of a response that the kernel may keep beside these: they are not counted.
     pub socket_bytes: usize,
-    /// While memory is short, a caller that took nothing for this span is given up. A
-    /// caller that reads at all takes a full packet in less.
+    /// While memory is short, a caller that took nothing for this span may be given up:
+    /// as long as a connection may leave data unacknowledged.
     pub pause: ClockSpan,
-    /// Longest time for which a caller may take nothing, if its request could last as
-    /// long: as long as it may send nothing of a request.
+    /// Longest time for which a caller may take nothing: as long as it may send nothing
+    /// of a request. It does not depend on the request, as a caller that reads slowly
+    /// may seem to take nothing for seconds.
     pub max_pause: ClockSpan,
 }
 
@@ -49,13 +50,6 @@
 }
 
 impl ReadAheadSettings {
-    /// For how long a caller may take nothing of the response to a request with this
-    /// time limit. A caller that has waited that long would have given up the request.
-    #[must_use]
-    pub fn allowed_pause(&self, time_limit: ClockSpan) -> ClockSpan {
-        time_limit.clamp(self.pause, self.max_pause)
-    }
-
     /// Whether to read more of a response of which `own` bytes wait for the caller.
     #[must_use]
     pub fn may_read(&self, memory: MemoryUse, own: usize) -> bool {
@@ -91,8 +85,6 @@
     pub held: usize,
     /// When the caller last took some, or the response began to wait.
     pub taken_at: ClockTime,
-    /// For how long the caller may take nothing.
-    pub allowed_pause: ClockSpan,
 }
 
 impl WaitingResponse {
@@ -126,8 +118,8 @@
 
 /// The responses to end: their places in `responses`, and why.
 ///
-/// While memory is short, those whose callers pause are ended, the one that costs most
-/// first, until it is no longer short.
+/// While memory is short, those whose callers pause are ended, the largest product of
+/// held bytes and pause first, until it is no longer short.
 #[must_use]
 pub fn responses_to_end(
     settings: &ReadAheadSettings,
@@ -139,7 +131,7 @@
     let mut paused = Vec::new();
     for (place, response) in responses.iter().enumerate() {
         let pause = now.since(response.taken_at);
-        if pause >= response.allowed_pause {
+        if pause >= settings.max_pause {
             memory.held = memory.held.saturating_sub(response.held);
             ended.push((place, ResponseEnd::NotTaken));
         } else if pause >= settings.pause {
--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -69,7 +69,8 @@
         return;
     }
     let settings = &router.settings.read_ahead;
-    let limit = timer_span(settings.max_pause);
+    // The instance gives the caller up before the kernel does, and logs it.
+    let limit = timer_span(settings.max_pause + settings.pause);
     if let Err(error) = channel.allow_pauses(limit, settings.socket_bytes) {
         log::debug!("a caller's connection has failed: {error}");
     }
--- a/crates/guavawell-forward/src/housekeeping.rs
+++ b/crates/guavawell-forward/src/housekeeping.rs
@@ -22,25 +22,27 @@
     loop {
         Timer::after(CHECK_INTERVAL).await;
         let now = router.clock.boot_now();
-        report_pause(&router, now.since(before));
+        let was_paused = report_pause(&router, now.since(before));
         before = now;
         sweep(&router);
-        review_responses(&router);
+        review_responses(&router, was_paused);
         router.configs.report_age();
     }
 }
 
 /// Logs that the process did not run for a while, for example because the
 /// machine was suspended. Callers' requests waited during that time.
-fn report_pause(router: &ForwardRouter, passed: ClockSpan) {
+/// Returns whether that was so.
+fn report_pause(router: &ForwardRouter, passed: ClockSpan) -> bool {
     let expected = u64::try_from(CHECK_INTERVAL.as_millis()).unwrap_or(u64::MAX);
     let overrun = passed.as_millis().saturating_sub(expected);
     if overrun <= PAUSE_SLACK.as_millis() {
-        return;
+        return false;
     }
     metrics::counter!("guavawell_forward_pauses_total").increment(1);
     let draft = EventDraft::new("process.paused").field("for_ms", overrun);
     router.log.emit(draft);
+    true
 }
 
 /// Removes expired idle connections, servers that have left, and expired
--- a/crates/guavawell-forward/src/read_ahead.rs
+++ b/crates/guavawell-forward/src/read_ahead.rs
@@ -13,7 +13,6 @@
 
 use event_listener::Event;
 use futures_lite::FutureExt;
-use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::MemoryUse;
 use guavawell_core::forward::ReadAheadSettings;
@@ -29,6 +28,9 @@
 
 /// Capacity that an empty queue keeps, in bytes.
 const KEPT_CAPACITY: usize = 8 * 1024;
+/// A queue gives memory back once its capacity is more than this multiple of its length:
+/// the account counts lengths.
+const SPARE_FACTOR: usize = 4;
 
 /// The responses that wait for their callers.
 #[derive(Debug, Default)]
@@ -49,7 +51,6 @@
     /// Bytes that were written after they had waited.
     taken: Cell<u64>,
     taken_at: Cell<ClockTime>,
-    allowed_pause: Cell<ClockSpan>,
     end: Cell<Option<ResponseEnd>>,
     /// Notified when bytes are added or taken, when memory may have become free, and at
     /// the end.
@@ -64,7 +65,6 @@
             peak: Cell::new(0),
             taken: Cell::new(0),
             taken_at: Cell::new(now),
-            allowed_pause: Cell::default(),
             end: Cell::new(None),
             changed: Event::new(),
         }
@@ -86,7 +86,6 @@
         WaitingResponse {
             held: self.held(),
             taken_at: self.taken_at.get(),
-            allowed_pause: self.allowed_pause.get(),
         }
     }
 }
@@ -129,14 +128,6 @@
         self.channel
     }
 
-    /// Sets how long the request may take: a caller may take nothing for about as long.
-    pub fn set_time_limit(&self, limit: ClockSpan) {
-        if let Some(queue) = &self.queue {
-            let settings = &self.router.settings.read_ahead;
-            queue.allowed_pause.set(settings.allowed_pause(limit));
-        }
-    }
-
     /// Sends or keeps `bytes`, and returns once more of the response may be read.
     ///
     /// # Errors
@@ -294,8 +285,9 @@
         self.change(queue, |queue| {
             let mut bytes = queue.bytes.borrow_mut();
             bytes.drain(..written);
-            if bytes.is_empty() {
-                bytes.shrink_to(KEPT_CAPACITY);
+            let (length, capacity) = (bytes.len(), bytes.capacity());
+            if capacity > SPARE_FACTOR * length {
+                bytes.shrink_to(KEPT_CAPACITY.max(2 * length));
             }
         });
         queue.taken.set(queue.taken.get() + written as u64);
@@ -354,8 +346,16 @@
 
 /// Ends responses whose callers do not take them, and lets the others read on if memory
 /// has become free. Reports what is held.
-pub fn review_responses(router: &ForwardRouter) {
+///
+/// If the process `was_paused`, it could not write: no response is ended, and the time for
+/// which their callers may take nothing begins anew.
+pub fn review_responses(router: &ForwardRouter, was_paused: bool) {
     let queues = router.waiting.queues.borrow();
+    if was_paused {
+        for queue in &*queues {
+            queue.taken_at.set(router.clock.now());
+        }
+    }
     let waiting: Vec<_> = queues.iter().map(|queue| queue.waiting()).collect();
     let settings: &ReadAheadSettings = &router.settings.read_ahead;
     let memory = router.memory_use();
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -128,7 +128,6 @@
 ) -> bool {
     match prepare(router, request, id, record).await {
         Ok(call) => {
-            caller.set_time_limit(call.deadline.since(request.received_at));
             let reservation = call.reservation.clone();
             let _recorder = reservation.map(|reservation| SpendingRecorder {
                 reservation,
