An instance whose link is full refuses at once and hands its callers on

Cause, from the new meter (trial): the incoming direction is full, 99% in each second, with 90% and more of it bodies of callers once they retry; connections to servers time out in it. Refused requests come back to the same instance, and their bodies cost more of the link than the responses that are saved.

Change: a meter by kind and direction; admission by promised bytes, by priority, route, organisation and size; not ready early and for a short time, with kept connections ended then, so that two or more instances take turns; more time and no tunnels for connections to servers meanwhile. Only where overload is expected and the link's rate is stated.

--- /dev/null
+++ b/crates/guavawell-core/src/forward/link/mod.rs
@@ -0,0 +1,18 @@
+//! What an instance does whose network link cannot carry what its callers send.
+//!
+//! Load pattern: the load balancer hands all connections of one caller to one small
+//! instance, and their requests need more than its link carries, while the other
+//! instances of the zone are idle.
+
+mod admission;
+mod cost;
+mod readiness;
+
+pub use admission::LinkAdmission;
+pub use admission::LinkRequest;
+pub use admission::LinkSettings;
+pub use cost::LinkBytes;
+pub use cost::RouteCosts;
+pub use cost::wire_bytes;
+pub use readiness::LinkReadiness;
+pub use readiness::ReadinessSettings;
--- a/crates/guavawell-core/src/forward/refusal.rs
+++ b/crates/guavawell-core/src/forward/refusal.rs
@@ -20,6 +20,8 @@
     /// The instance holds the maximum number of requests, or of bytes of
     /// request bodies.
     NoMemory,
+    /// The network link of the instance cannot carry the request in time.
+    LinkFull,
     /// The rest of the budget does not cover the request's worst case.
     BudgetExhausted,
     /// Tokens may be left, but other instances hold them, or they cannot be
@@ -69,6 +71,7 @@
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::NoMemory => "no_memory",
+            Self::LinkFull => "link_full",
             Self::BudgetExhausted => "budget_exhausted",
             Self::BudgetUnavailable => "budget_unavailable",
             Self::NoServer => "no_server",
@@ -102,6 +105,7 @@
         match self {
             Self::NoConfig
             | Self::NoMemory
+            | Self::LinkFull
             | Self::BudgetUnavailable
             | Self::NoServer
             | Self::ServersFull
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -13,6 +13,7 @@
 mod history;
 mod incarnation;
 mod large_fleet;
+mod link_admission;
 mod load;
 mod overload;
 mod poll;
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -234,6 +234,7 @@
     let began = router.clock.now();
     let is_carried = channel.carrier().is_some();
     let is_head_request = call.request.head.method.as_ref() == "HEAD";
+    channel.note_sent(bytes.len());
     let write = async {
         let written = (&*stream).write_all(&bytes).await;
         // A server may respond without reading the whole request, so a write
--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -44,6 +44,7 @@
             return;
         }
         let router = Rc::clone(&router);
+        let channel = channel.counted_by(&router.link.callers);
         let entry = router.callers.add(&channel.stream());
         let serve_channel = async move {
             serve_caller(&router, channel).await;
@@ -92,7 +93,20 @@
     }
 }
 
+/// Counts the requests of a connection until it ends.
+struct ConnectionRequests<'a> {
+    router: &'a ForwardRouter,
+    count: u64,
+}
+
+impl Drop for ConnectionRequests<'_> {
+    fn drop(&mut self) {
+        self.router.link.connection_ended(self.count);
+    }
+}
+
 async fn serve_caller(router: &Rc<ForwardRouter>, mut channel: HttpChannel) {
+    let mut requests = ConnectionRequests { router, count: 0 };
     loop {
         let limits = caller_limits(router);
         if !await_first_byte(&mut channel, limits.idle_time).await {
@@ -110,6 +124,7 @@
         };
         // Serving counts the request itself, without a step in between.
         drop(pending);
+        requests.count += 1;
         let keep_alive = serve_request(router, &mut channel, request).await;
         if !keep_alive {
             close_served(router, channel).await;
--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -25,6 +25,8 @@
 /// Time after which a connection is overdue: many times what one between two zones
 /// takes.
 const OVERDUE_AFTER: Duration = Duration::from_millis(60);
+/// Timeout of a connection while the link of this instance is nearly full.
+const PATIENT_TIMEOUT: ClockSpan = ClockSpan::from_millis(800);
 /// Timeout of the connection that shows whether a zone is in reach. A request may wait
 /// for it.
 const ZONE_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
@@ -40,6 +42,11 @@
         return Some(idle);
     }
     let service = router.servers.borrow().get(server)?.service.clone();
+    // A full link delays connections. Asking others for them, or repeating them, would
+    // fill it further.
+    if router.link.is_spared(router.clock.now()) {
+        return open_patiently(router, call, server).await;
+    }
     if router.is_path_lost(&service) {
         return open_carried(router, call, server).await;
     }
@@ -70,6 +77,34 @@
     }
 }
 
+/// Opens a connection of this instance while its link is nearly full. That one takes long
+/// or fails then says little of the server, and nothing of the way to it.
+async fn open_patiently(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &ServerIncarnation,
+) -> Option<HttpChannel> {
+    let listed = router
+        .servers
+        .borrow()
+        .get(server)
+        .map(|entry| entry.address);
+    let limit = PATIENT_TIMEOUT.min(router.clock.left(call.deadline));
+    metrics::counter!("guavawell_forward_connections_total").increment(1);
+    let began = router.clock.now();
+    match HttpChannel::connect(listed?, timer_span(limit)).await {
+        Ok(channel) => {
+            note_accepted(router, server);
+            Some(channel.counted_by(&router.link.servers))
+        }
+        Err(error) => {
+            log_unreached(router, server, &error, began);
+            note_unreached(router, server);
+            None
+        }
+    }
+}
+
 /// How the opening of a connection ended.
 enum ConnectEnd {
     /// The connection of this instance was opened, or failed.
@@ -146,7 +181,7 @@
     let began = router.clock.now();
     let result = HttpChannel::connect(address, timer_span(limit)).await;
     note_connect_time(router, result.as_ref().err(), began);
-    result
+    Ok(result?.counted_by(&router.link.servers))
 }
 
 /// Opens a connection through another instance, because this one has lost its own
@@ -263,7 +298,7 @@
     let Ok(channel) = HttpChannel::connect(address, ZONE_CHECK_TIMEOUT).await else {
         return false;
     };
-    router.keep_idle(&other, channel);
+    router.keep_idle(&other, channel.counted_by(&router.link.servers));
     true
 }
 
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -20,6 +20,7 @@
 use super::BodyError;
 use super::BodyFraming;
 use super::HeadError;
+use crate::link::ByteMeter;
 
 /// Size of one read, in bytes.
 const READ_SIZE: usize = 8 * 1024;
@@ -82,6 +83,10 @@
     consumed: usize,
     /// The instance that carries the connection; `None` if it is direct.
     carrier: Option<Rc<InstanceId>>,
+    /// Counts the bytes of this connection.
+    meter: Rc<ByteMeter>,
+    /// Counts the bytes of all connections of its kind.
+    kind_meter: Option<Rc<ByteMeter>>,
 }
 
 impl HttpChannel {
@@ -99,9 +104,32 @@
             buffer: Vec::new(),
             consumed: 0,
             carrier: None,
+            meter: Rc::default(),
+            kind_meter: None,
         })
     }
 
+    /// Has the bytes of this connection counted with those of its kind.
+    #[must_use]
+    pub fn counted_by(mut self, meter: &Rc<ByteMeter>) -> Self {
+        self.kind_meter = Some(Rc::clone(meter));
+        self
+    }
+
+    /// Counts the bytes of this connection.
+    #[must_use]
+    pub const fn meter(&self) -> &Rc<ByteMeter> {
+        &self.meter
+    }
+
+    /// Counts bytes that are written to the socket at once.
+    pub fn note_sent(&self, count: usize) {
+        self.meter.note_sent(count);
+        if let Some(meter) = &self.kind_meter {
+            meter.note_sent(count);
+        }
+    }
+
     /// Marks the connection as one that another instance carries.
     #[must_use]
     pub fn carried_by(mut self, carrier: Rc<InstanceId>) -> Self {
@@ -186,6 +214,10 @@
         let result = self.stream.get_ref().read(&mut self.buffer[filled..]);
         let count = *result.as_ref().unwrap_or(&0);
         self.buffer.truncate(filled + count);
+        self.meter.note_received(count);
+        if let Some(meter) = &self.kind_meter {
+            meter.note_received(count);
+        }
         result
     }
 
@@ -285,6 +317,7 @@
     ///
     /// The connection failed.
     pub async fn send(&self, bytes: &[u8]) -> io::Result<()> {
+        self.note_sent(bytes.len());
         (&*self.stream).write_all(bytes).await
     }
 
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod http;
 pub mod in_flight;
 pub mod limit_news;
+pub mod link;
 pub mod overload;
 pub mod path;
 pub mod peer;
--- a/crates/guavawell-forward/src/path.rs
+++ b/crates/guavawell-forward/src/path.rs
@@ -198,7 +198,7 @@
     metrics::counter!("guavawell_forward_connections_total").increment(1);
     match HttpChannel::connect(address, CHECK_TIMEOUT).await {
         Ok(channel) => {
-            router.keep_idle(&server, channel);
+            router.keep_idle(&server, channel.counted_by(&router.link.servers));
             router.note_direct_connection(&service, &server);
         }
         Err(error) => {
--- a/crates/guavawell-forward/src/peer/channels.rs
+++ b/crates/guavawell-forward/src/peer/channels.rs
@@ -3,6 +3,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::FleetKey;
@@ -16,6 +17,7 @@
 use crate::http::HttpChannel;
 use crate::http::ResponseHead;
 use crate::http::within;
+use crate::link::ByteMeter;
 
 /// Largest number of idle connections that are kept.
 const MAX_IDLE_CHANNELS: usize = 48;
@@ -38,6 +40,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct PeerChannels {
     idle: RefCell<Vec<(SocketAddr, HttpChannel)>>,
+    /// Counts the bytes of these connections.
+    pub(crate) meter: Rc<ByteMeter>,
 }
 
 impl PeerChannels {
@@ -74,7 +78,9 @@
         let exchange = async {
             let mut channel = match self.take_idle(address) {
                 Some(channel) => channel,
-                None => HttpChannel::connect(address, limit).await?,
+                None => HttpChannel::connect(address, limit)
+                    .await?
+                    .counted_by(&self.meter),
             };
             let mut writer = HeadWriter::request("POST", &request.target());
             writer.field_of("Host", address);
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -34,6 +34,7 @@
 use crate::config::PeerConfig;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
+use crate::link::ByteMeter;
 use crate::tunnel::RefusalNameError;
 
 pub(crate) use self::batch::AddressBatches;
@@ -173,6 +174,11 @@
         self.own_address
     }
 
+    /// Counts the bytes of connections to other instances.
+    pub(crate) const fn meter(&self) -> &Rc<ByteMeter> {
+        &self.channels.meter
+    }
+
     /// Sets the fleet's key.
     pub fn set_key(&self, key: FleetKey) {
         self.key.set(Some(key));
--- a/crates/guavawell-forward/src/peer/server.rs
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -38,6 +38,7 @@
     queues: TaskQueues,
 ) {
     let serve = |channel: HttpChannel| {
+        let channel = channel.counted_by(&router.link.instances);
         let router = Rc::clone(&router);
         let requests = Rc::clone(&queues.requests);
         let connection = async move {
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -7,10 +7,12 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::ForwardRefusal;
+use guavawell_core::forward::LinkRequest;
 use guavawell_core::forward::PromptShape;
 use guavawell_core::forward::RouteEntry;
 use guavawell_core::forward::TokenUsage;
 use guavawell_core::forward::admit;
+use guavawell_core::forward::wire_bytes;
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::RequestId;
 use guavawell_core::id::TokenCount;
@@ -23,6 +25,9 @@
 use crate::callers::ReceivedRequest;
 use crate::clock::timer_span;
 use crate::continuation::continued_stream;
+use crate::link::ByteMeter;
+use crate::link::LinkClaim;
+use crate::link::claim_link;
 use crate::record::RequestRecord;
 use crate::refusal::RefusalResponse;
 use crate::router::ForwardRouter;
@@ -43,10 +48,13 @@
 /// Each wait before a request is sent takes at most the request's remaining
 /// time divided by this number.
 const WAIT_DIVISOR: u64 = 4;
+/// About the size of a request head, in bytes.
+const HEAD_BYTES: u64 = 500;
 /// Retry-After if request bodies fill the memory limit.
 const RETRY_NO_MEMORY: ClockSpan = ClockSpan::from_millis(500);
 
-/// Decides whether a request may run, and reserves its tokens.
+/// Decides whether a request may run, and reserves its tokens. `meter` counts the bytes
+/// of the caller's connection.
 ///
 /// # Errors
 ///
@@ -54,6 +62,7 @@
 pub async fn prepare<'a>(
     router: &Rc<ForwardRouter>,
     request: &'a ReceivedRequest,
+    meter: &Rc<ByteMeter>,
     id: &'a str,
     record: &RequestRecord,
 ) -> Result<ForwardCall<'a>, RefusalResponse> {
@@ -90,6 +99,7 @@
         return Err(RefusalResponse::leaving());
     }
     check_admission(router, deadline)?;
+    let claim = claim(router, request, &route, organisation.as_ref(), meter)?;
     let sender = (organisation.as_ref().map(|(id, _)| id), fingerprint);
     let origin = continued_stream(router, request, &route, sender, deadline, record).await?;
     let service = match &origin {
@@ -124,6 +134,7 @@
         parts,
         origin,
         deadline,
+        claim,
         reservation: reservation.map(Rc::new),
     })
 }
@@ -261,6 +272,25 @@
         .map_err(|refusal| RefusalResponse::new(refusal).after(RETRY_NO_MEMORY))
 }
 
+/// Claims the part of the link that the request and its response need.
+fn claim(
+    router: &Rc<ForwardRouter>,
+    request: &ReceivedRequest,
+    route: &RouteEntry,
+    organisation: Option<&(OrganisationId, Option<u8>)>,
+    meter: &Rc<ByteMeter>,
+) -> Result<Option<LinkClaim>, RefusalResponse> {
+    let own_priority = organisation.and_then(|(_, priority)| *priority);
+    let content = u64::try_from(request.body.len()).unwrap_or(u64::MAX);
+    let link_request = LinkRequest {
+        route: &route.name,
+        organisation: organisation.map_or("", |(id, _)| id.as_str()),
+        priority: own_priority.unwrap_or(route.priority),
+        bytes: wire_bytes(content.saturating_add(HEAD_BYTES)),
+    };
+    claim_link(router, &link_request, meter)
+}
+
 async fn reserve(
     router: &Rc<ForwardRouter>,
     config: &ForwardConfig,
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -133,6 +133,9 @@
         let (end, response) = match outcome {
             AttemptOutcome::Delivered(status, keep_alive) => {
                 note_stream(record, &progress.stream);
+                if let Some(claim) = &call.claim {
+                    claim.complete();
+                }
                 record.answered(status);
                 return keep_alive;
             }
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -31,6 +31,7 @@
 use crate::crash::CrashChecks;
 use crate::http::HttpChannel;
 use crate::limit_news::LimitNews;
+use crate::link::InstanceLink;
 use crate::overload::ProcessorLoad;
 use crate::peer::PeerRegistry;
 use crate::poison::PoisonTracker;
@@ -106,6 +107,8 @@
     /// Detects from connection times whether this instance's network link is
     /// full.
     link_congestion: Cell<LinkCongestion>,
+    /// This instance's network link.
+    pub link: InstanceLink,
     /// Idle connections to servers.
     pub pool: RefCell<ConnectionPool>,
     /// The other instances.
@@ -173,6 +176,7 @@
             path_changed: Event::new(),
             carried: CarriedTunnels::default(),
             link_congestion: Cell::new(LinkCongestion::new(settings.congestion)),
+            link: InstanceLink::new(&settings, Rc::clone(budgets.peers().meter())),
             pool: RefCell::default(),
             settings,
             peers: Rc::clone(budgets.peers()),
@@ -231,7 +235,11 @@
         if has_state && !self.budgets_opened.get() {
             self.budgets_opened.set(self.budgets.is_open());
         }
-        let open = !self.link_congestion.get().is_full(self.clock.now());
+        let open = if self.link.decides() {
+            self.link.is_ready()
+        } else {
+            !self.link_congestion.get().is_full(self.clock.now())
+        };
         let settled = self.zone_history.is_settled();
         serving && has_state && settled && self.budgets_opened.get() && open
     }
@@ -247,7 +255,7 @@
             None => link.timed_out(now),
         }
         self.link_congestion.set(link);
-        if before != link.is_full(now) {
+        if before != link.is_full(now) && !self.link.decides() {
             let draft = EventDraft::new(if before { "link.open" } else { "link.full" })
                 .field("connect_ms", took.map_or(0, ClockSpan::as_millis))
                 .field("held", self.held_requests.get());
@@ -305,7 +313,9 @@
     /// Whether a caller's connection may be kept open after its present response.
     #[must_use]
     pub fn keeps_connections(&self) -> bool {
-        !self.is_leaving() && !self.processor_load.is_overloaded()
+        !self.is_leaving()
+            && !self.processor_load.is_overloaded()
+            && !self.link.hands_on(self.clock.now())
     }
 
     /// Whether all new requests are refused.
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -19,6 +19,7 @@
 use crate::callers::ReceivedRequest;
 use crate::http::HttpChannel;
 use crate::http::wait_for_close;
+use crate::link::LinkClaim;
 use crate::prepare::prepare;
 use crate::record::RequestRecord;
 use crate::refusal::RefusalResponse;
@@ -56,6 +57,8 @@
     pub origin: Option<StreamOrigin>,
     /// When the caller's or the route's time limit ends.
     pub deadline: ClockTime,
+    /// Its charge on the link; `None` if the link is not watched.
+    pub claim: Option<LinkClaim>,
     /// The tokens reserved for it.
     pub reservation: Option<Rc<TokenReservation>>,
 }
@@ -111,7 +114,7 @@
     id: &str,
     record: &RequestRecord,
 ) -> bool {
-    match prepare(router, request, id, record).await {
+    match prepare(router, request, caller.meter(), id, record).await {
         Ok(call) => {
             let reservation = call.reservation.clone();
             let _recorder = reservation.map(|reservation| SpendingRecorder {
