Refused callers come back once the load balancer hands them on; the link's code is a folder

Callers refused for a full link came back after one to two seconds, most of them past what their requests wait. Once the load balancer has handed new connections on, others have room at once: Retry-After is then 0.1 to 0.5 s. Connections to servers get 2 s while the link is full (they failed after 0.8 s and had cost the body). Kept connections are ended 1.1 s after the instance stopped being ready.

--- a/crates/guavawell-core/src/forward/link/readiness.rs
+++ b/crates/guavawell-core/src/forward/link/readiness.rs
@@ -24,6 +24,9 @@
     /// After this time kept connections are ended: by the time their callers open new
     /// ones, the load balancer has failed two checks and hands them to others.
     pub effective_after: ClockSpan,
+    /// After this time the load balancer hands new connections to others: it checks once a
+    /// second and needs two failures.
+    pub handed_on_after: ClockSpan,
 }
 
 impl Default for ReadinessSettings {
@@ -35,6 +38,7 @@
             low_for: ClockSpan::from_millis(700),
             longest: ClockSpan::from_millis(10_000),
             effective_after: ClockSpan::from_millis(1_100),
+            handed_on_after: ClockSpan::from_millis(2_200),
         }
     }
 }
@@ -99,6 +103,15 @@
             .is_some_and(|since| now.since(since) >= self.settings.effective_after)
     }
 
+    /// The time until a caller that comes back reaches another instance; `None` while
+    /// this one is ready.
+    #[must_use]
+    pub fn hands_on_in(&self, now: ClockTime) -> Option<ClockSpan> {
+        let passed = now.since(self.full_since?).as_millis();
+        let span = self.settings.handed_on_after.as_millis();
+        Some(ClockSpan::from_millis(span.saturating_sub(passed)))
+    }
+
     fn lasts(&mut self, holds: bool, span: ClockSpan, now: ClockTime) -> bool {
         if !holds {
             self.change_since = None;
--- a/crates/guavawell-core/tests/forward/link_admission.rs
+++ b/crates/guavawell-core/tests/forward/link_admission.rs
@@ -265,6 +265,18 @@
     assert!(readiness.is_ready());
 }
 
+#[test]
+fn callers_come_back_once_the_load_balancer_hands_them_on() {
+    let mut readiness = LinkReadiness::new(ReadinessSettings::default());
+    let at = ClockTime::from_millis;
+    assert_eq!(readiness.hands_on_in(at(0)), None);
+    observed(&mut readiness, 1.3, 0..300);
+    let soon = readiness.hands_on_in(at(200)).expect("not ready");
+    assert!(soon.as_millis() >= 2_000, "two checks: {soon:?}");
+    let later = readiness.hands_on_in(at(3_000)).expect("not ready");
+    assert_eq!(later, ClockSpan::ZERO);
+}
+
 #[test]
 fn a_link_that_stays_full_is_ready_from_time_to_time_and_does_not_flap() {
     let mut readiness = LinkReadiness::new(ReadinessSettings::default());
--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -26,7 +26,7 @@
 /// takes.
 const OVERDUE_AFTER: Duration = Duration::from_millis(60);
 /// Timeout of a connection while the link of this instance is nearly full.
-const PATIENT_TIMEOUT: ClockSpan = ClockSpan::from_millis(800);
+const PATIENT_TIMEOUT: ClockSpan = ClockSpan::from_millis(2_000);
 /// Timeout of the connection that shows whether a zone is in reach. A request may wait
 /// for it.
 const ZONE_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/guavawell-forward/src/link/claim.rs
@@ -0,0 +1,92 @@
+//! The part of the link that a request takes until it ends.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::ForwardRefusal;
+use guavawell_core::forward::LinkRequest;
+use guavawell_core::number::whole;
+
+use super::ByteMeter;
+use crate::refusal::RefusalResponse;
+use crate::router::ForwardRouter;
+
+/// Retry-After of callers that reach another instance when they come back.
+const RETRY_PAUSE: ClockSpan = ClockSpan::from_millis(100);
+/// Over how many milliseconds their return is spread.
+const RETRY_SPREAD: f64 = 400.0;
+
+/// The charge of an accepted request, until it ends.
+#[derive(Debug)]
+pub struct LinkClaim {
+    router: Rc<ForwardRouter>,
+    route: Box<str>,
+    /// Bytes of the response that it is charged for.
+    expected: f64,
+    /// The caller's connection, and its bytes when the request was accepted.
+    meter: Rc<ByteMeter>,
+    sent_before: u64,
+    complete: Cell<bool>,
+}
+
+impl LinkClaim {
+    /// Records that the response was complete.
+    pub fn complete(&self) {
+        self.complete.set(true);
+    }
+}
+
+impl Drop for LinkClaim {
+    fn drop(&mut self) {
+        let Some(control) = &self.router.link.control else {
+            return;
+        };
+        let actual = self.meter.sent().saturating_sub(self.sent_before);
+        let admission = &mut control.borrow_mut().admission;
+        admission.settle(&self.route, self.expected, actual, self.complete.get());
+    }
+}
+
+/// Decides whether the link carries a request. `meter` counts the bytes of the caller's
+/// connection.
+///
+/// # Errors
+///
+/// The refusal, with the time after which there may be room.
+pub fn claim_link(
+    router: &Rc<ForwardRouter>,
+    request: &LinkRequest<'_>,
+    meter: &Rc<ByteMeter>,
+) -> Result<Option<LinkClaim>, RefusalResponse> {
+    let Some(control) = &router.link.control else {
+        return Ok(None);
+    };
+    let now = router.clock.now();
+    let counts = &router.link.counts;
+    let mut control = control.borrow_mut();
+    let draw = fastrand::f64();
+    let admitted = control.admission.admit(request, draw, now);
+    let handed_on = control.readiness.hands_on_in(now);
+    drop(control);
+    match admitted {
+        Ok(expected) => {
+            counts.accepted.set(counts.accepted.get() + 1);
+            Ok(Some(LinkClaim {
+                router: Rc::clone(router),
+                route: request.route.into(),
+                expected,
+                sent_before: meter.sent(),
+                meter: Rc::clone(meter),
+                complete: Cell::new(false),
+            }))
+        }
+        Err(span) => {
+            counts.refused.set(counts.refused.get() + 1);
+            // Where the load balancer hands the caller to another instance, there is room.
+            let spread = ClockSpan::from_millis(whole(draw * RETRY_SPREAD));
+            let span = handed_on.map_or(span, |handed_on| handed_on + RETRY_PAUSE + spread);
+            Err(RefusalResponse::new(ForwardRefusal::LinkFull).after(span))
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/link/mod.rs
@@ -0,0 +1,154 @@
+//! The network link of this instance: counts its bytes, and decides what it carries.
+
+mod claim;
+mod meter;
+mod watch;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::InstanceLoad;
+use guavawell_core::forward::LinkAdmission;
+use guavawell_core::forward::LinkReadiness;
+use guavawell_core::forward::LinkSettings;
+use guavawell_core::forward::ReadinessSettings;
+use guavawell_core::number::fraction;
+
+pub use self::claim::LinkClaim;
+pub use self::claim::claim_link;
+pub use self::meter::ByteMeter;
+pub use self::watch::watch_link;
+use crate::router::ForwardRouter;
+use crate::settings::ForwardSettings;
+
+/// For how long after a refusal the instance spares its link.
+const SPARING_SPAN: ClockSpan = ClockSpan::from_millis(1_000);
+/// Demand from which kept connections are ended once the instance is not ready, in parts
+/// of the link.
+const CLOSE_ABOVE: f64 = 0.3;
+
+/// The decisions on the link, where they are called for.
+#[derive(Debug)]
+struct LinkControl {
+    admission: LinkAdmission,
+    readiness: LinkReadiness,
+    /// Bytes that the link carries in a second.
+    rate: f64,
+}
+
+/// What was refused and which connections ended since the last report.
+#[derive(Debug, Default)]
+struct LinkCounts {
+    accepted: Cell<u64>,
+    refused: Cell<u64>,
+    /// Connections of callers that ended, and the requests that they brought.
+    ended: Cell<u64>,
+    brought: Cell<u64>,
+}
+
+/// The network link of this instance.
+#[derive(Debug)]
+pub struct InstanceLink {
+    /// Connections of callers.
+    pub callers: Rc<ByteMeter>,
+    /// Connections to backend servers.
+    pub servers: Rc<ByteMeter>,
+    /// Connections to and from other instances.
+    pub instances: Rc<ByteMeter>,
+    control: Option<RefCell<LinkControl>>,
+    counts: LinkCounts,
+    /// Use of the fuller direction in the last second, in percent.
+    used_percent: Cell<u8>,
+}
+
+impl InstanceLink {
+    /// The link of an instance with these settings. It decides only if overload is
+    /// expected and the rate of the link is stated. `instances` counts the bytes of
+    /// connections to other instances.
+    #[must_use]
+    pub fn new(settings: &ForwardSettings, instances: Rc<ByteMeter>) -> Self {
+        let rate = settings.capacity.link.filter(|_| settings.expects_overload);
+        let control = rate.map(|rate| {
+            RefCell::new(LinkControl {
+                admission: LinkAdmission::new(LinkSettings::default(), rate),
+                readiness: LinkReadiness::new(ReadinessSettings::default()),
+                rate: rate.bytes_per_second(),
+            })
+        });
+        Self {
+            callers: Rc::default(),
+            servers: Rc::default(),
+            instances,
+            control,
+            counts: LinkCounts::default(),
+            used_percent: Cell::new(0),
+        }
+    }
+
+    /// Whether this part decides; otherwise the connection times alone show a full link.
+    #[must_use]
+    pub const fn decides(&self) -> bool {
+        self.control.is_some()
+    }
+
+    /// Whether new connections are welcome.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let control = self.control.as_ref();
+        control.is_none_or(|control| control.borrow().readiness.is_ready())
+    }
+
+    /// Whether the link is nearly full, so that nothing is sent that can be left out.
+    #[must_use]
+    pub fn is_spared(&self, now: ClockTime) -> bool {
+        let control = self.control.as_ref();
+        control.is_some_and(|control| {
+            let control = control.borrow();
+            !control.readiness.is_ready() || control.admission.refuses(SPARING_SPAN, now)
+        })
+    }
+
+    /// Whether a caller's connection is to be ended after its present response, so that
+    /// the caller opens the next one to another instance.
+    #[must_use]
+    pub fn hands_on(&self, now: ClockTime) -> bool {
+        let Some(control) = &self.control else {
+            return false;
+        };
+        let mut control = control.borrow_mut();
+        control.readiness.is_effective(now) && control.admission.demand(now) > CLOSE_ABOVE
+    }
+
+    /// Records a caller's connection that ended after this number of requests.
+    pub fn connection_ended(&self, requests: u64) {
+        if !self.decides() {
+            return;
+        }
+        metrics::histogram!("guavawell_forward_connection_requests").record(fraction(requests));
+        self.counts.ended.set(self.counts.ended.get() + 1);
+        let brought = self.counts.brought.get() + requests;
+        self.counts.brought.set(brought);
+    }
+}
+
+impl ForwardRouter {
+    /// How full this instance is.
+    #[must_use]
+    pub fn instance_load(&self) -> InstanceLoad {
+        let processor = if self.processor_load.is_overloaded() {
+            100
+        } else {
+            0
+        };
+        let held = self.held_bytes.get() * 100;
+        let memory = held / self.settings.admission.body_bytes.max(1);
+        InstanceLoad {
+            link: self.link.used_percent.get(),
+            processor,
+            memory: u8::try_from(memory).unwrap_or(u8::MAX).min(100),
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavawell-forward/src/link/watch.rs
@@ -0,0 +1,120 @@
+//! Looks at the use of the link at intervals: decides on readiness and reports.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::LinkBytes;
+use guavawell_core::number::fraction;
+use guavawell_core::number::whole;
+use guavawell_fleet::event::EventDraft;
+use smol::Timer;
+
+use super::LinkControl;
+use crate::clock::timer_span;
+use crate::router::ForwardRouter;
+
+/// Interval between two looks at the demand.
+const CHECK_INTERVAL: ClockSpan = ClockSpan::from_millis(100);
+/// Looks between two lines of the log.
+const CHECKS_PER_REPORT: u32 = 10;
+/// Part of the link above which its use is logged, in percent.
+const LOGGED_PERCENT: u64 = 50;
+
+/// Watches the link until the process ends: reports its use, and decides on readiness.
+pub async fn watch_link(router: Rc<ForwardRouter>) {
+    let Some(control) = &router.link.control else {
+        return;
+    };
+    let mut totals = [(0, 0); 3];
+    let mut checks = 0;
+    let mut began = router.clock.now();
+    loop {
+        Timer::after(timer_span(CHECK_INTERVAL)).await;
+        let now = router.clock.now();
+        let link = &router.link;
+        let meters = [&link.callers, &link.servers, &link.instances];
+        for (total, meter) in totals.iter_mut().zip(meters) {
+            let (received, sent) = meter.take();
+            if Rc::ptr_eq(meter, &link.instances) {
+                let bytes = LinkBytes {
+                    received: fraction(received),
+                    sent: fraction(sent),
+                };
+                control.borrow_mut().admission.charge(bytes, now);
+            }
+            total.0 += received;
+            total.1 += sent;
+        }
+        observe_demand(&router, control, now);
+        checks += 1;
+        if checks == CHECKS_PER_REPORT {
+            report(&router, control, &totals, now.since(began));
+            totals = [(0, 0); 3];
+            checks = 0;
+            began = now;
+        }
+    }
+}
+
+fn observe_demand(router: &ForwardRouter, control: &RefCell<LinkControl>, now: ClockTime) {
+    let mut control = control.borrow_mut();
+    let was_ready = control.readiness.is_ready();
+    let demand = control.admission.demand(now);
+    // A single instance has nobody to hand connections on to.
+    let others_may_take = router.peers.count() > 0;
+    control.readiness.observe(demand, others_may_take, now);
+    if control.readiness.is_ready() != was_ready {
+        let kind = if was_ready { "link.full" } else { "link.open" };
+        let draft = EventDraft::new(kind)
+            .field("demand_percent", whole(demand * 100.0))
+            .field("promised_ms", control.admission.promised().as_millis())
+            .field("held", router.held_requests.get());
+        router.log.emit(draft);
+    }
+}
+
+/// Reports the use of the link since the last report.
+fn report(
+    router: &ForwardRouter,
+    control: &RefCell<LinkControl>,
+    totals: &[(u64, u64); 3],
+    span: ClockSpan,
+) {
+    let control = control.borrow();
+    let carried = control.rate * fraction(span.as_millis().max(1)) / 1_000.0;
+    let percent = |bytes: u64| whole(fraction(bytes) / carried * 100.0);
+    let received: u64 = totals.iter().map(|total| total.0).sum();
+    let sent: u64 = totals.iter().map(|total| total.1).sum();
+    let used = percent(received.max(sent));
+    let link = &router.link;
+    link.used_percent.set(u8::try_from(used).unwrap_or(u8::MAX));
+    metrics::gauge!("guavawell_forward_link_percent", "direction" => "received")
+        .set(fraction(percent(received)));
+    metrics::gauge!("guavawell_forward_link_percent", "direction" => "sent")
+        .set(fraction(percent(sent)));
+    let counts = &link.counts;
+    let accepted = counts.accepted.take();
+    let refused = counts.refused.take();
+    let (ended, brought) = (counts.ended.take(), counts.brought.take());
+    if used < LOGGED_PERCENT && refused == 0 {
+        return;
+    }
+    let [callers, servers, instances] = totals;
+    let draft = EventDraft::new("link.used")
+        .field("received", percent(received))
+        .field("sent", percent(sent))
+        .field("from_callers", percent(callers.0))
+        .field("to_callers", percent(callers.1))
+        .field("from_servers", percent(servers.0))
+        .field("to_servers", percent(servers.1))
+        .field("from_instances", percent(instances.0))
+        .field("to_instances", percent(instances.1))
+        .field("accepted", accepted)
+        .field("refused", refused)
+        .field("connections_ended", ended)
+        .field("requests_brought", brought)
+        .field("held", router.held_requests.get());
+    router.log.emit(draft);
+}
