An instance that steps aside for its link stays away for a minute

Callers saw the load come back to an instance that cannot carry it: it moves whole with new connections in a fixed order of instances, and with a short hold the first one was ready again when the load reached one with a large link. An instance now stays away for a hold of 60 s (doubled up to eight times the hold if it is full again within a hold), is ready at once if the demand stays high for five seconds, as nobody else takes it, and stays ready if its own zone has no other instance (those of other zones counted before).

Review findings: Retry-After follows the load balancer only while it moves connections; a lost way is asked first on a full link; a connection that times out on a full link notes nothing, a refused one presumes a restart; names of routes and organisations of the past make room; thresholds are named; a link is at most 100 percent full; plain words (log field outstanding_ms).

--- a/crates/guavawell-core/src/forward/link/admission.rs
+++ b/crates/guavawell-core/src/forward/link/admission.rs
@@ -2,10 +2,9 @@
 //!
 //! Each request is charged to both directions of the link when it is accepted, with its
 //! body and the response expected of its route, although most of these bytes are
-//! transferred later. The charges are paid off at the rate of the link. What is still
-//! to be paid off is work that was promised; a request is accepted if that is little
-//! enough for its priority. So a burst cannot overshoot, the link never fills, and what
-//! was accepted is completed in time.
+//! transferred later. The charges fall at the rate of the link. What remains of them is
+//! outstanding; a request is accepted if that is little enough for its priority. So a
+//! burst cannot exceed the link, and what was accepted is completed in time.
 
 use super::LinkBytes;
 use super::RouteCosts;
@@ -16,14 +15,15 @@
 use crate::number::whole;
 
 /// Milliseconds of a second.
-const MILLIS: f64 = 1_000.0;
+const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// Span over which the demand is averaged, in milliseconds.
 const DEMAND_SPAN: f64 = 400.0;
 /// Part of the link that accepted requests get at least, however many are refused.
 const MIN_PART: f64 = 0.3;
 /// Bytes of a refusal on the wire, with its acknowledgements.
 const REFUSAL_BYTES: f64 = 400.0;
-/// Routes and organisations whose refusals are counted; more are not favoured.
+/// Routes, and organisations, whose refusals are counted; the one refused longest ago
+/// makes room.
 const MAX_COUNTED: usize = 256;
 /// A request that needs this many times the mean is large.
 const LARGE_FACTOR: f64 = 3.0;
@@ -36,16 +36,22 @@
     /// Part of the link that requests may use. The rest carries messages between
     /// instances and to the store, and keeps queues short.
     pub usable: f64,
-    /// Work that may be promised to requests of the most urgent priority, as the time in
-    /// which the link carries it. Streams last about that long.
-    pub promised: ClockSpan,
-    /// By how much less may be promised for each less urgent priority.
+    /// Work that may be outstanding when a request of the most urgent priority is
+    /// accepted, as the time in which the link carries it.
+    pub outstanding: ClockSpan,
+    /// By how much less may be outstanding for each less urgent priority.
     pub step: ClockSpan,
     /// Number of priorities that are told apart.
     pub ranks: u8,
-    /// Refusals in a row after which a route, a small organisation or a large request is
-    /// accepted as if it were most urgent.
+    /// Refusals in a row after which a route or a large request is accepted as if it were
+    /// most urgent.
     pub refused_in_row: u32,
+    /// Refusals in a row after which an organisation other than the one that sends most
+    /// is accepted as if it were most urgent.
+    pub organisation_in_row: u32,
+    /// Lead in requests that the organisation that sends most can have at most. Another
+    /// one takes its place after about as many requests.
+    pub max_lead: u32,
     /// Shortest time after which a refused caller comes back while the demand exceeds
     /// the link: the load balancer needs two checks to move connections.
     pub retry: ClockSpan,
@@ -55,10 +61,12 @@
     fn default() -> Self {
         Self {
             usable: 0.95,
-            promised: ClockSpan::from_millis(800),
+            outstanding: ClockSpan::from_millis(800),
             step: ClockSpan::from_millis(150),
             ranks: 4,
             refused_in_row: 8,
+            organisation_in_row: 2,
+            max_lead: 64,
             retry: ClockSpan::from_millis(1_000),
         }
     }
@@ -77,35 +85,61 @@
     pub bytes: u64,
 }
 
-/// Refusals in a row of each route or organisation, and how often it was seen lately.
+/// Refusals in a row of a route or an organisation.
+#[derive(Clone, Debug)]
+struct RefusalCount {
+    name: Box<str>,
+    count: u32,
+    latest_at: ClockTime,
+}
+
+/// Refusals in a row of each route or organisation.
 #[derive(Clone, Debug, Default)]
 struct RefusalCounts {
     /// Sorted by name.
-    counts: Vec<(Box<str>, u32)>,
+    counts: Vec<RefusalCount>,
 }
 
 impl RefusalCounts {
     fn get(&self, name: &str) -> u32 {
         let index = self.find(name);
-        index.map_or(0, |index| self.counts[index].1)
+        index.map_or(0, |index| self.counts[index].count)
     }
 
-    fn note(&mut self, name: &str, is_refused: bool) {
+    fn note(&mut self, name: &str, is_refused: bool, now: ClockTime) {
         match self.find(name) {
-            Ok(index) if is_refused => self.counts[index].1 += 1,
+            Ok(index) if is_refused => {
+                let count = &mut self.counts[index];
+                count.count = count.count.saturating_add(1);
+                count.latest_at = now;
+            }
             Ok(index) => {
                 self.counts.remove(index);
             }
-            Err(index) if is_refused && self.counts.len() < MAX_COUNTED => {
-                self.counts.insert(index, (name.into(), 1));
-            }
+            Err(_) if is_refused => self.insert(name, now),
             Err(_) => {}
         }
     }
 
+    fn insert(&mut self, name: &str, now: ClockTime) {
+        if self.counts.len() >= MAX_COUNTED {
+            let counts = self.counts.iter().enumerate();
+            if let Some((oldest, _)) = counts.min_by_key(|(_, count)| count.latest_at) {
+                self.counts.remove(oldest);
+            }
+        }
+        let count = RefusalCount {
+            name: name.into(),
+            count: 1,
+            latest_at: now,
+        };
+        let index = self.find(name).unwrap_or_else(|index| index);
+        self.counts.insert(index, count);
+    }
+
     fn find(&self, name: &str) -> Result<usize, usize> {
         self.counts
-            .binary_search_by(|(known, _)| known.as_ref().cmp(name))
+            .binary_search_by(|count| count.name.as_ref().cmp(name))
     }
 }
 
@@ -115,8 +149,8 @@
     settings: LinkSettings,
     /// Usable bytes in a millisecond.
     rate: f64,
-    /// Work that was promised and is not paid off yet.
-    promised: LinkBytes,
+    /// Bytes of accepted requests that the link has still to carry.
+    outstanding: LinkBytes,
     /// Average demand in a millisecond, with that of refused requests.
     demand: LinkBytes,
     /// What refused requests take of the link in a millisecond, on average.
@@ -139,9 +173,9 @@
     #[must_use]
     pub fn new(settings: LinkSettings, rate: LinkRate) -> Self {
         Self {
-            rate: rate.bytes_per_second() * settings.usable / MILLIS,
+            rate: rate.bytes_per_second() * settings.usable / MILLIS_PER_SECOND,
             settings,
-            promised: LinkBytes::default(),
+            outstanding: LinkBytes::default(),
             demand: LinkBytes::default(),
             refused: LinkBytes::default(),
             updated_at: ClockTime::from_millis(0),
@@ -159,7 +193,7 @@
     /// or a refused request.
     pub fn charge(&mut self, bytes: LinkBytes, now: ClockTime) {
         self.advance(now);
-        self.promise(bytes);
+        self.add_outstanding(bytes);
         self.demand = self.demand + bytes.map(|bytes| bytes / DEMAND_SPAN);
     }
 
@@ -185,10 +219,10 @@
         let needed = LinkBytes::passed_on(cost);
         self.demand = self.demand + needed.map(|bytes| bytes / DEMAND_SPAN);
         let limit = self.limit(request, is_large);
-        let is_refused = self.promised.fuller() > limit;
-        self.refused_routes.note(request.route, is_refused);
+        let is_refused = self.outstanding.fuller() > limit;
+        self.refused_routes.note(request.route, is_refused, now);
         self.refused_organisations
-            .note(request.organisation, is_refused);
+            .note(request.organisation, is_refused, now);
         if is_large {
             self.refused_large = if is_refused {
                 self.refused_large + 1
@@ -197,7 +231,7 @@
             };
         }
         if !is_refused {
-            self.promise(needed);
+            self.add_outstanding(needed);
             return Ok(response);
         }
         self.refused_at = Some(now);
@@ -216,7 +250,7 @@
             self.costs.learn(route, actual);
         }
         let difference = fraction(actual) - expected;
-        self.promise(LinkBytes::passed_on(difference));
+        self.add_outstanding(LinkBytes::passed_on(difference));
     }
 
     /// The demand in the fuller direction in parts of what the link carries, with that of
@@ -227,10 +261,10 @@
         self.demand.fuller() / self.rate
     }
 
-    /// Work that is promised, as the time in which the link carries it.
+    /// Work that is outstanding, as the time in which the link carries it.
     #[must_use]
-    pub fn promised(&self) -> ClockSpan {
-        ClockSpan::from_millis(whole(self.promised.fuller() / self.rate))
+    pub fn outstanding(&self) -> ClockSpan {
+        ClockSpan::from_millis(whole(self.outstanding.fuller() / self.rate))
     }
 
     /// Whether a request was refused within `span`.
@@ -239,7 +273,7 @@
         self.refused_at.is_some_and(|at| now.since(at) < span)
     }
 
-    /// The promised bytes up to which a request is accepted.
+    /// The outstanding bytes up to which a request is accepted.
     fn limit(&self, request: &LinkRequest<'_>, is_large: bool) -> f64 {
         let settings = &self.settings;
         let in_row = settings.refused_in_row;
@@ -247,22 +281,24 @@
         let is_due = self.refused_routes.get(request.route) >= in_row
             || (is_large && self.refused_large >= in_row)
             || (!is_largest
-                && self.refused_organisations.get(request.organisation) >= in_row.min(2));
+                && self.refused_organisations.get(request.organisation)
+                    >= settings.organisation_in_row);
         let rank = if is_due {
             0
         } else {
-            request.priority.min(settings.ranks - 1) + u8::from(is_large)
+            request.priority.min(settings.ranks.saturating_sub(1)) + u8::from(is_large)
         };
         let less = settings.step.as_millis() * u64::from(rank);
-        let span = settings.promised.as_millis().saturating_sub(less);
+        let span = settings.outstanding.as_millis().saturating_sub(less);
         fraction(span) * self.rate
     }
 
     /// Majority vote on the organisation that sends most.
     fn vote(&mut self, organisation: &str) {
+        let max_lead = self.settings.max_lead;
         let (largest, votes) = &mut self.largest;
         if **largest == *organisation {
-            *votes = (*votes + 1).min(64);
+            *votes = (*votes + 1).min(max_lead);
         } else if *votes == 0 {
             self.largest = (organisation.into(), 1);
         } else {
@@ -270,11 +306,11 @@
         }
     }
 
-    /// When there may be room: once the promised work is carried, and while the demand
+    /// When there may be room: once the outstanding work is carried, and while the demand
     /// exceeds the link, once other instances get some of it. Spread over the same time
     /// again, so that callers do not come back together.
     fn retry_after(&self, limit: f64, draw: f64) -> ClockSpan {
-        let excess = (self.promised.fuller() - limit).max(0.0) / self.rate;
+        let excess = (self.outstanding.fuller() - limit).max(0.0) / self.rate;
         let is_lasting = self.demand.fuller() > self.rate;
         let least = if is_lasting {
             fraction(self.settings.retry.as_millis())
@@ -285,10 +321,10 @@
         ClockSpan::from_millis(whole(base * (1.0 + draw)))
     }
 
-    /// Adds promised work, or takes it back.
-    fn promise(&mut self, bytes: LinkBytes) {
-        let sum = self.promised + bytes;
-        self.promised = sum.map(|bytes| bytes.max(0.0));
+    /// Adds outstanding work, or takes it back.
+    fn add_outstanding(&mut self, bytes: LinkBytes) {
+        let sum = self.outstanding + bytes;
+        self.outstanding = sum.map(|bytes| bytes.max(0.0));
     }
 
     fn advance(&mut self, now: ClockTime) {
@@ -297,9 +333,9 @@
         let carried = self
             .refused
             .map(|taken| passed * (self.rate - taken).max(self.rate * MIN_PART));
-        self.promised = LinkBytes {
-            received: (self.promised.received - carried.received).max(0.0),
-            sent: (self.promised.sent - carried.sent).max(0.0),
+        self.outstanding = LinkBytes {
+            received: (self.outstanding.received - carried.received).max(0.0),
+            sent: (self.outstanding.sent - carried.sent).max(0.0),
         };
         let rest = (-passed / DEMAND_SPAN).exp();
         self.demand = self.demand.map(|bytes| bytes * rest);
--- a/crates/guavawell-core/src/forward/link/cost.rs
+++ b/crates/guavawell-core/src/forward/link/cost.rs
@@ -13,6 +13,8 @@
 const LEARN_WEIGHT: f64 = 0.05;
 /// Bytes of a response to a route that has not been answered yet.
 const DEFAULT_RESPONSE: f64 = 2_000.0;
+/// Routes whose responses are remembered; the one answered longest ago makes room.
+const MAX_ROUTES: usize = 1_024;
 
 /// The bytes on the wire for content that is read or written at once.
 #[must_use]
@@ -66,11 +68,23 @@
     }
 }
 
+/// The expected size of the responses of a route.
+#[derive(Clone, Debug)]
+struct RouteCost {
+    route: Box<str>,
+    /// Mean bytes of a response.
+    mean: f64,
+    /// Number of the latest response, counted over all routes.
+    latest: u64,
+}
+
 /// The expected size of the responses of each route, learned from past ones.
 #[derive(Clone, Debug, Default)]
 pub struct RouteCosts {
     /// Sorted by the route's name.
-    routes: Vec<(Box<str>, f64)>,
+    routes: Vec<RouteCost>,
+    /// Responses so far.
+    responses: u64,
 }
 
 impl RouteCosts {
@@ -78,23 +92,41 @@
     #[must_use]
     pub fn response(&self, route: &str) -> f64 {
         let index = self.find(route);
-        index.map_or(DEFAULT_RESPONSE, |index| self.routes[index].1)
+        index.map_or(DEFAULT_RESPONSE, |index| self.routes[index].mean)
     }
 
     /// Records the size of a complete response.
     pub fn learn(&mut self, route: &str, bytes: u64) {
         let bytes = fraction(bytes);
-        match self.find(route) {
-            Ok(index) => {
-                let mean = &mut self.routes[index].1;
-                *mean += LEARN_WEIGHT * (bytes - *mean);
-            }
-            Err(index) => self.routes.insert(index, (route.into(), bytes)),
+        self.responses += 1;
+        let latest = self.responses;
+        if let Ok(index) = self.find(route) {
+            let cost = &mut self.routes[index];
+            cost.mean += LEARN_WEIGHT * (bytes - cost.mean);
+            cost.latest = latest;
+            return;
+        }
+        if self.routes.len() >= MAX_ROUTES {
+            self.forget_oldest();
+        }
+        let cost = RouteCost {
+            route: route.into(),
+            mean: bytes,
+            latest,
+        };
+        let index = self.find(route).unwrap_or_else(|index| index);
+        self.routes.insert(index, cost);
+    }
+
+    fn forget_oldest(&mut self) {
+        let costs = self.routes.iter().enumerate();
+        if let Some((index, _)) = costs.min_by_key(|(_, cost)| cost.latest) {
+            self.routes.remove(index);
         }
     }
 
     fn find(&self, route: &str) -> Result<usize, usize> {
         self.routes
-            .binary_search_by(|(name, _)| name.as_ref().cmp(route))
+            .binary_search_by(|cost| cost.route.as_ref().cmp(route))
     }
 }
--- a/crates/guavawell-core/src/forward/link/mod.rs
+++ b/crates/guavawell-core/src/forward/link/mod.rs
@@ -1,6 +1,6 @@
 //! What an instance does whose network link cannot carry what its callers send.
 //!
-//! Load pattern: the load balancer hands all connections of one caller to one small
+//! Load pattern: the load balancer sends all connections of one caller to one small
 //! instance, and their requests need more than its link carries, while the other
 //! instances of the zone are idle.
 
--- a/crates/guavawell-core/src/forward/link/readiness.rs
+++ b/crates/guavawell-core/src/forward/link/readiness.rs
@@ -1,8 +1,8 @@
 //! Decides whether an instance reports that it is ready while its link is nearly full.
 //!
-//! Connections that are open stay with an instance that is not ready, and new ones go to
-//! others: the demand is split. If most instances of the zone were not ready, the load
-//! balancer would use all of them again, so that nothing would be gained.
+//! Load pattern: all new connections of one caller go to one instance, and to the next
+//! one in a fixed order when that is not ready. An instance that cannot carry them stays
+//! away, so that they reach one that can and stay there.
 
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
@@ -19,14 +19,22 @@
     pub high_for: ClockSpan,
     /// How long the demand must be low.
     pub low_for: ClockSpan,
-    /// Longest time without being ready, and shortest time of being ready after that.
-    pub longest: ClockSpan,
+    /// Shortest time without being ready. Taking the load back costs its callers the
+    /// time until the load balancer has moved them again, so it is tried once a minute
+    /// at most.
+    pub hold: ClockSpan,
+    /// By how much `hold` grows at most; it doubles each time the link is full again
+    /// within a hold after the instance became ready.
+    pub max_holds: u64,
     /// After this time kept connections are ended: by the time their callers open new
-    /// ones, the load balancer has failed two checks and hands them to others.
+    /// ones, the load balancer has failed two checks and moves them to others.
     pub effective_after: ClockSpan,
-    /// After this time the load balancer hands new connections to others: it checks once a
-    /// second and needs two failures.
-    pub handed_on_after: ClockSpan,
+    /// After this time the load balancer moves new connections to others: it checks once
+    /// a second and needs two failures.
+    pub moved_after: ClockSpan,
+    /// If the demand is still high after this time, no other instance takes it. Longer
+    /// than `moved_after` by the time in which usual responses and their connections end.
+    pub untaken_after: ClockSpan,
 }
 
 impl Default for ReadinessSettings {
@@ -36,9 +44,11 @@
             low: 0.5,
             high_for: ClockSpan::from_millis(200),
             low_for: ClockSpan::from_millis(700),
-            longest: ClockSpan::from_millis(10_000),
+            hold: ClockSpan::from_millis(60_000),
+            max_holds: 8,
             effective_after: ClockSpan::from_millis(1_100),
-            handed_on_after: ClockSpan::from_millis(2_200),
+            moved_after: ClockSpan::from_millis(2_200),
+            untaken_after: ClockSpan::from_millis(5_000),
         }
     }
 }
@@ -49,10 +59,15 @@
     settings: ReadinessSettings,
     /// Since when the instance is not ready.
     full_since: Option<ClockTime>,
-    /// Since when the demand calls for the other state.
-    change_since: Option<ClockTime>,
-    /// Until when the instance stays ready.
+    /// Since when the demand is high, or low.
+    high_since: Option<ClockTime>,
+    low_since: Option<ClockTime>,
+    /// When the instance became ready again last.
+    ready_since: Option<ClockTime>,
+    /// Until when the instance stays ready because no other takes its load.
     ready_until: ClockTime,
+    /// For how many holds the instance stays away.
+    holds: u64,
 }
 
 impl LinkReadiness {
@@ -62,31 +77,40 @@
         Self {
             settings,
             full_since: None,
-            change_since: None,
+            high_since: None,
+            low_since: None,
+            ready_since: None,
             ready_until: ClockTime::from_millis(0),
+            holds: 1,
         }
     }
 
     /// Records the demand in parts of what the link carries. `others_may_take` tells
-    /// whether enough other instances of the zone are ready, as far as known.
+    /// whether the zone has other instances, as far as known.
     pub fn observe(&mut self, demand: f64, others_may_take: bool, now: ClockTime) {
         let settings = self.settings;
+        let is_high = demand >= settings.high;
+        let is_low = demand < settings.low;
+        self.high_since = is_high.then(|| self.high_since.unwrap_or(now));
+        self.low_since = is_low.then(|| self.low_since.unwrap_or(now));
         let Some(since) = self.full_since else {
-            let is_high = demand >= settings.high && others_may_take && now >= self.ready_until;
-            if self.lasts(is_high, settings.high_for, now) {
-                self.full_since = Some(now);
-                self.change_since = None;
+            let is_full = lasts(self.high_since, settings.high_for, now);
+            if is_full && others_may_take && now >= self.ready_until {
+                self.step_aside(now);
             }
             return;
         };
-        let is_low = demand < settings.low || !others_may_take;
-        let is_over = now.since(since) >= settings.longest;
-        if self.lasts(is_low, settings.low_for, now) || is_over {
+        let passed = now.since(since);
+        let is_untaken =
+            passed >= settings.untaken_after && lasts(self.high_since, settings.high_for, now);
+        let has_room = passed.as_millis() >= settings.hold.as_millis() * self.holds
+            && lasts(self.low_since, settings.low_for, now);
+        if is_untaken {
+            self.ready_until = now + settings.hold;
+        }
+        if is_untaken || has_room || !others_may_take {
             self.full_since = None;
-            self.change_since = None;
-            if is_over {
-                self.ready_until = now + settings.longest;
-            }
+            self.ready_since = Some(now);
         }
     }
 
@@ -104,20 +128,32 @@
     }
 
     /// The time until a caller that comes back reaches another instance; `None` while
-    /// this one is ready.
+    /// this one is ready, or gets the load although it is not.
     #[must_use]
-    pub fn hands_on_in(&self, now: ClockTime) -> Option<ClockSpan> {
-        let passed = now.since(self.full_since?).as_millis();
-        let span = self.settings.handed_on_after.as_millis();
-        Some(ClockSpan::from_millis(span.saturating_sub(passed)))
+    pub fn moved_in(&self, now: ClockTime) -> Option<ClockSpan> {
+        let passed = now.since(self.full_since?);
+        let span = self.settings.moved_after;
+        if passed >= span && self.high_since.is_some() {
+            return None;
+        }
+        let left = span.as_millis().saturating_sub(passed.as_millis());
+        Some(ClockSpan::from_millis(left))
     }
 
-    fn lasts(&mut self, holds: bool, span: ClockSpan, now: ClockTime) -> bool {
-        if !holds {
-            self.change_since = None;
-            return false;
-        }
-        let since = *self.change_since.get_or_insert(now);
-        now.since(since) >= span
+    /// The instance is not ready from now on.
+    fn step_aside(&mut self, now: ClockTime) {
+        let hold = self.settings.hold;
+        let is_again = self.ready_since.is_some_and(|at| now.since(at) < hold);
+        self.holds = if is_again {
+            (self.holds * 2).min(self.settings.max_holds)
+        } else {
+            1
+        };
+        self.full_since = Some(now);
     }
 }
+
+/// Whether something has held since `since` for a span.
+fn lasts(since: Option<ClockTime>, span: ClockSpan, now: ClockTime) -> bool {
+    since.is_some_and(|since| now.since(since) >= span)
+}
--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -32,7 +32,7 @@
 const ZONE_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Returns a connection to a server. On failure returns `None`, and other
-/// servers are preferred for a while.
+/// servers are preferred for a while, except if it timed out on a full link.
 pub async fn open_channel(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
@@ -42,14 +42,14 @@
         return Some(idle);
     }
     let service = router.servers.borrow().get(server)?.service.clone();
+    if router.is_path_lost(&service) {
+        return open_carried(router, call, server).await;
+    }
     // A full link delays connections. Asking others for them, or repeating them, would
     // fill it further.
-    if router.link.is_spared(router.clock.now()) {
+    if router.link.is_nearly_full(router.clock.now()) {
         return open_patiently(router, call, server).await;
     }
-    if router.is_path_lost(&service) {
-        return open_carried(router, call, server).await;
-    }
     if router.is_unreachable(&service) {
         return None;
     }
@@ -77,8 +77,8 @@
     }
 }
 
-/// Opens a connection of this instance while its link is nearly full. That one takes long
-/// or fails then says little of the server, and nothing of the way to it.
+/// Opens a connection of this instance while its link is nearly full. One that times out
+/// then says nothing of the server or of the way to it.
 async fn open_patiently(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
@@ -99,7 +99,12 @@
         }
         Err(error) => {
             log_unreached(router, server, &error, began);
-            note_unreached(router, server);
+            if !matches!(error, ChannelError::TimedOut) {
+                note_unreached(router, server);
+            }
+            if error.is_connection_refused() {
+                presume_restart(router, server);
+            }
             None
         }
     }
--- a/crates/guavawell-forward/src/link/claim.rs
+++ b/crates/guavawell-forward/src/link/claim.rs
@@ -67,7 +67,7 @@
     let mut control = control.borrow_mut();
     let draw = fastrand::f64();
     let admitted = control.admission.admit(request, draw, now);
-    let handed_on = control.readiness.hands_on_in(now);
+    let moved_in = control.readiness.moved_in(now);
     drop(control);
     match admitted {
         Ok(expected) => {
@@ -83,9 +83,9 @@
         }
         Err(span) => {
             counts.refused.set(counts.refused.get() + 1);
-            // Where the load balancer hands the caller to another instance, there is room.
+            // Where the load balancer moves the caller to another instance, there is room.
             let spread = ClockSpan::from_millis(whole(draw * RETRY_SPREAD));
-            let span = handed_on.map_or(span, |handed_on| handed_on + RETRY_PAUSE + spread);
+            let span = moved_in.map_or(span, |moved_in| moved_in + RETRY_PAUSE + spread);
             Err(RefusalResponse::new(ForwardRefusal::LinkFull).after(span))
         }
     }
--- a/crates/guavawell-forward/src/link/mod.rs
+++ b/crates/guavawell-forward/src/link/mod.rs
@@ -24,8 +24,8 @@
 use crate::router::ForwardRouter;
 use crate::settings::ForwardSettings;
 
-/// For how long after a refusal the instance spares its link.
-const SPARING_SPAN: ClockSpan = ClockSpan::from_millis(1_000);
+/// For how long after a refusal the link counts as nearly full.
+const NEARLY_FULL_SPAN: ClockSpan = ClockSpan::from_millis(1_000);
 /// Demand from which kept connections are ended once the instance is not ready, in parts
 /// of the link.
 const CLOSE_ABOVE: f64 = 0.3;
@@ -103,18 +103,18 @@
 
     /// Whether the link is nearly full, so that nothing is sent that can be left out.
     #[must_use]
-    pub fn is_spared(&self, now: ClockTime) -> bool {
+    pub fn is_nearly_full(&self, now: ClockTime) -> bool {
         let control = self.control.as_ref();
         control.is_some_and(|control| {
             let control = control.borrow();
-            !control.readiness.is_ready() || control.admission.refuses(SPARING_SPAN, now)
+            !control.readiness.is_ready() || control.admission.refuses(NEARLY_FULL_SPAN, now)
         })
     }
 
     /// Whether a caller's connection is to be ended after its present response, so that
     /// the caller opens the next one to another instance.
     #[must_use]
-    pub fn hands_on(&self, now: ClockTime) -> bool {
+    pub fn ends_connections(&self, now: ClockTime) -> bool {
         let Some(control) = &self.control else {
             return false;
         };
--- a/crates/guavawell-forward/src/link/watch.rs
+++ b/crates/guavawell-forward/src/link/watch.rs
@@ -62,14 +62,17 @@
     let mut control = control.borrow_mut();
     let was_ready = control.readiness.is_ready();
     let demand = control.admission.demand(now);
-    // A single instance has nobody to hand connections on to.
-    let others_may_take = router.peers.count() > 0;
+    // The load balancer moves connections to instances of the same zone only.
+    let others_may_take = router.peers.has_zone_neighbour();
     control.readiness.observe(demand, others_may_take, now);
     if control.readiness.is_ready() != was_ready {
         let kind = if was_ready { "link.full" } else { "link.open" };
         let draft = EventDraft::new(kind)
             .field("demand_percent", whole(demand * 100.0))
-            .field("promised_ms", control.admission.promised().as_millis())
+            .field(
+                "outstanding_ms",
+                control.admission.outstanding().as_millis(),
+            )
             .field("held", router.held_requests.get());
         router.log.emit(draft);
     }
@@ -89,7 +92,8 @@
     let sent: u64 = totals.iter().map(|total| total.1).sum();
     let used = percent(received.max(sent));
     let link = &router.link;
-    link.used_percent.set(u8::try_from(used).unwrap_or(u8::MAX));
+    link.used_percent
+        .set(u8::try_from(used.min(100)).unwrap_or(100));
     metrics::gauge!("guavawell_forward_link_percent", "direction" => "received")
         .set(fraction(percent(received)));
     metrics::gauge!("guavawell_forward_link_percent", "direction" => "sent")
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -258,6 +258,13 @@
         has_run && now.since(read_at) <= MAX_FLEET_AGE
     }
 
+    /// Whether this instance's zone has others, as far as known.
+    pub(crate) fn has_zone_neighbour(&self) -> bool {
+        let peers = self.peers.borrow();
+        let mut zones = peers.iter().map(|peer| &peer.endpoint.member.zone);
+        zones.any(|zone| *zone == self.own_zone)
+    }
+
     /// Number of other instances.
     pub(crate) fn count(&self) -> usize {
         self.peers.borrow().len()
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -315,7 +315,7 @@
     pub fn keeps_connections(&self) -> bool {
         !self.is_leaving()
             && !self.processor_load.is_overloaded()
-            && !self.link.hands_on(self.clock.now())
+            && !self.link.ends_connections(self.clock.now())
     }
 
     /// Whether all new requests are refused.
