Bytes of carried connections count on the link

An instance that carries connections of others did not see their bytes, so its link filled unnoticed: they are copied without an HttpChannel. They are counted with those of connections between instances, received and sent.

--- a/crates/guavawell-forward/src/tunnel/carry.rs
+++ b/crates/guavawell-forward/src/tunnel/carry.rs
@@ -22,6 +22,7 @@
 use crate::clock::SteadyClock;
 use crate::clock::timer_span;
 use crate::http::HttpChannel;
+use crate::link::ByteMeter;
 use crate::router::ForwardRouter;
 
 /// Connections that are carried at once. Each takes two descriptors and two buffers.
@@ -46,12 +47,17 @@
 #[derive(Debug)]
 struct TunnelTraffic {
     last_at: Cell<ClockTime>,
+    /// Counts the bytes of connections between instances.
+    meter: Rc<ByteMeter>,
     /// Whether the last bytes went to the server, so that its response is awaited.
     awaits_response: Cell<bool>,
 }
 
 impl TunnelTraffic {
-    fn note(&self, now: ClockTime, to_server: bool) {
+    /// Records bytes that were read, and are passed on at once.
+    fn note(&self, count: usize, now: ClockTime, to_server: bool) {
+        self.meter.note_received(count);
+        self.meter.note_sent(count);
         self.last_at.set(now);
         self.awaits_response.set(to_server);
     }
@@ -70,9 +76,10 @@
 }
 
 impl CarriedTunnels {
-    fn add(&self, now: ClockTime) -> Rc<TunnelTraffic> {
+    fn add(&self, now: ClockTime, meter: &Rc<ByteMeter>) -> Rc<TunnelTraffic> {
         let traffic = Rc::new(TunnelTraffic {
             last_at: Cell::new(now),
+            meter: Rc::clone(meter),
             awaits_response: Cell::new(false),
         });
         self.traffic.borrow_mut().push(Rc::downgrade(&traffic));
@@ -157,7 +164,9 @@
 /// Copies bytes between another instance and a server until either closes its
 /// connection.
 pub(crate) async fn carry(router: Rc<ForwardRouter>, tunnel: CarriedTunnel) {
-    let traffic = router.carried.add(router.clock.now());
+    let traffic = router
+        .carried
+        .add(router.clock.now(), &router.link.instances);
     metrics::gauge!("guavawell_forward_carried").increment(1.0);
     let clock = router.clock;
     let CarriedTunnel { peer, server } = tunnel;
@@ -209,7 +218,7 @@
                 return CopyEnd::Failed;
             }
         };
-        traffic.note(clock.now(), to_server);
+        traffic.note(count, clock.now(), to_server);
         if let Err(error) = to.write_all(&buffer[..count]).await {
             log::debug!("a carried connection failed: {error}");
             return CopyEnd::Failed;
