--- /dev/null
+++ b/crates/guavawell-core/src/forward/link/readiness.rs
@@ -0,0 +1,158 @@
+//! Decides whether an instance reports that it is ready while its link is nearly full.
+//!
+//! Load pattern: all new connections of one caller go to one instance, and to the next
+//! one in a fixed order when that is not ready. An instance that cannot carry them stays
+//! away, so that they reach one that can and stay there.
+
+use crate::clock::ClockSpan;
+use crate::clock::ClockTime;
+
+/// Thresholds of a [`LinkReadiness`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReadinessSettings {
+    /// Demand in parts of the link from which new connections are too many.
+    pub high: f64,
+    /// Demand below which there is room for new connections.
+    pub low: f64,
+    /// How long the demand must be high. A shorter burst waits on the link. The load
+    /// balancer needs up to two seconds more, in which the link fills.
+    pub high_for: ClockSpan,
+    /// How long the demand must be low.
+    pub low_for: ClockSpan,
+    /// Shortest time without being ready. Taking the load back costs its callers the
+    /// time until the load balancer has moved them again, so it is tried once a minute
+    /// at most.
+    pub hold: ClockSpan,
+    /// By how much `hold` grows at most; it doubles each time the link is full again
+    /// within a hold after the instance became ready.
+    pub max_holds: u64,
+    /// After this time kept connections are ended: by the time their callers open new
+    /// ones, the load balancer has failed two checks and moves them to others.
+    pub effective_after: ClockSpan,
+    /// After this time the load balancer moves new connections to others: it checks once
+    /// a second and needs two failures.
+    pub moved_after: ClockSpan,
+    /// If the demand is still high after this time, no other instance takes it. Longer
+    /// than `moved_after` by the time in which usual responses and their connections end.
+    pub untaken_after: ClockSpan,
+}
+
+impl Default for ReadinessSettings {
+    fn default() -> Self {
+        Self {
+            high: 0.75,
+            low: 0.5,
+            high_for: ClockSpan::from_millis(200),
+            low_for: ClockSpan::from_millis(700),
+            hold: ClockSpan::from_millis(60_000),
+            max_holds: 8,
+            effective_after: ClockSpan::from_millis(1_100),
+            moved_after: ClockSpan::from_millis(2_200),
+            untaken_after: ClockSpan::from_millis(5_000),
+        }
+    }
+}
+
+/// Whether the link has room for new connections.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkReadiness {
+    settings: ReadinessSettings,
+    /// Since when the instance is not ready.
+    full_since: Option<ClockTime>,
+    /// Since when the demand is high, or low.
+    high_since: Option<ClockTime>,
+    low_since: Option<ClockTime>,
+    /// When the instance became ready again last.
+    ready_since: Option<ClockTime>,
+    /// Until when the instance stays ready because no other takes its load.
+    ready_until: ClockTime,
+    /// For how many holds the instance stays away.
+    holds: u64,
+}
+
+impl LinkReadiness {
+    /// An instance that is ready.
+    #[must_use]
+    pub const fn new(settings: ReadinessSettings) -> Self {
+        Self {
+            settings,
+            full_since: None,
+            high_since: None,
+            low_since: None,
+            ready_since: None,
+            ready_until: ClockTime::from_millis(0),
+            holds: 1,
+        }
+    }
+
+    /// Records the demand in parts of what the link carries. `others_may_take` tells
+    /// whether the zone has other instances, as far as known.
+    pub fn observe(&mut self, demand: f64, others_may_take: bool, now: ClockTime) {
+        let settings = self.settings;
+        let is_high = demand >= settings.high;
+        let is_low = demand < settings.low;
+        self.high_since = is_high.then(|| self.high_since.unwrap_or(now));
+        self.low_since = is_low.then(|| self.low_since.unwrap_or(now));
+        let Some(since) = self.full_since else {
+            let is_full = lasts(self.high_since, settings.high_for, now);
+            if is_full && others_may_take && now >= self.ready_until {
+                self.step_aside(now);
+            }
+            return;
+        };
+        let passed = now.since(since);
+        let is_untaken =
+            passed >= settings.untaken_after && lasts(self.high_since, settings.high_for, now);
+        let has_room = passed.as_millis() >= settings.hold.as_millis() * self.holds && !is_high;
+        if is_untaken {
+            self.ready_until = now + settings.hold;
+        }
+        if is_untaken || has_room || !others_may_take {
+            self.full_since = None;
+            self.ready_since = Some(now);
+        }
+    }
+
+    /// Whether new connections are welcome.
+    #[must_use]
+    pub const fn is_ready(&self) -> bool {
+        self.full_since.is_none()
+    }
+
+    /// Whether kept connections are to be ended.
+    #[must_use]
+    pub fn is_effective(&self, now: ClockTime) -> bool {
+        self.full_since
+            .is_some_and(|since| now.since(since) >= self.settings.effective_after)
+    }
+
+    /// The time until a caller that comes back reaches another instance; `None` while
+    /// this one is ready, or gets the load although it is not.
+    #[must_use]
+    pub fn moved_in(&self, now: ClockTime) -> Option<ClockSpan> {
+        let passed = now.since(self.full_since?);
+        let span = self.settings.moved_after;
+        if passed >= span && self.high_since.is_some() {
+            return None;
+        }
+        let left = span.as_millis().saturating_sub(passed.as_millis());
+        Some(ClockSpan::from_millis(left))
+    }
+
+    /// The instance is not ready from now on.
+    fn step_aside(&mut self, now: ClockTime) {
+        let hold = self.settings.hold;
+        let is_again = self.ready_since.is_some_and(|at| now.since(at) < hold);
+        self.holds = if is_again {
+            (self.holds * 2).min(self.settings.max_holds)
+        } else {
+            1
+        };
+        self.full_since = Some(now);
+    }
+}
+
+/// Whether something has held since `since` for a span.
+fn lasts(since: Option<ClockTime>, span: ClockSpan, now: ClockTime) -> bool {
+    since.is_some_and(|since| now.since(since) >= span)
+}
--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -44,6 +44,7 @@
             return;
         }
         let router = Rc::clone(&router);
+        let channel = channel.counted_by(&router.link.callers);
         let entry = router.callers.add(&channel.stream());
         allow_pauses(&router, &channel);
         let serve_channel = async move {
@@ -107,7 +108,20 @@
     }
 }
 
+/// Counts the requests of a connection until it ends.
+struct ConnectionRequests<'a> {
+    router: &'a ForwardRouter,
+    count: u64,
+}
+
+impl Drop for ConnectionRequests<'_> {
+    fn drop(&mut self) {
+        self.router.link.connection_ended(self.count);
+    }
+}
+
 async fn serve_caller(router: &Rc<ForwardRouter>, mut channel: HttpChannel) {
+    let mut requests = ConnectionRequests { router, count: 0 };
     loop {
         let limits = caller_limits(router);
         if !await_first_byte(&mut channel, limits.idle_time).await {
@@ -125,6 +139,7 @@
         };
         // Serving counts the request itself, without a step in between.
         drop(pending);
+        requests.count += 1;
         let keep_alive = serve_request(router, &mut channel, request).await;
         if !keep_alive {
             close_served(router, channel).await;
--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -28,6 +28,8 @@
 /// Time after which a connection is overdue: many times what one between two zones
 /// takes.
 const OVERDUE_AFTER: Duration = Duration::from_millis(60);
+/// Timeout of a connection while the link of this instance is nearly full.
+const PATIENT_TIMEOUT: ClockSpan = ClockSpan::from_millis(2_000);
 /// Longest time in which servers of a zone are tried to show whether it is in reach. A
 /// request may wait for it.
 const ZONE_CHECK_LIMIT: ClockSpan = ClockSpan::from_millis(100);
@@ -37,7 +39,7 @@
 const MAX_NEIGHBOURS: usize = 4;
 
 /// Returns a connection to a server. On failure returns `None`, and other
-/// servers are preferred for a while.
+/// servers are preferred for a while, except if it timed out on a full link.
 pub async fn open_channel(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
@@ -50,6 +52,11 @@
     if router.is_path_lost(&service) {
         return open_carried(router, call, server).await;
     }
+    // A full link delays connections. Asking others for them, or repeating them, would
+    // fill it further.
+    if router.link.is_nearly_full(router.clock.now()) {
+        return open_patiently(router, call, server).await;
+    }
     if router.is_unreachable(&service) {
         return None;
     }
@@ -77,6 +84,39 @@
     }
 }
 
+/// Opens a connection of this instance while its link is nearly full. One that times out
+/// then says nothing of the server or of the way to it.
+async fn open_patiently(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &ServerIncarnation,
+) -> Option<HttpChannel> {
+    let listed = router
+        .servers
+        .borrow()
+        .get(server)
+        .map(|entry| entry.address);
+    let limit = PATIENT_TIMEOUT.min(router.clock.left(call.deadline));
+    metrics::counter!("guavawell_forward_connections_total").increment(1);
+    let began = router.clock.now();
+    match HttpChannel::connect(listed?, timer_span(limit)).await {
+        Ok(channel) => {
+            note_accepted(router, server);
+            Some(channel.counted_by(&router.link.servers))
+        }
+        Err(error) => {
+            log_unreached(router, server, &error, began);
+            if !matches!(error, ChannelError::TimedOut) {
+                note_unreached(router, server);
+            }
+            if error.is_connection_refused() {
+                presume_restart(router, server);
+            }
+            None
+        }
+    }
+}
+
 /// How the opening of a connection ended.
 enum ConnectEnd {
     /// The connection of this instance was opened, or failed.
@@ -153,7 +193,7 @@
     let began = router.clock.now();
     let result = HttpChannel::connect(address, timer_span(limit)).await;
     note_connect_time(router, result.as_ref().err(), began);
-    result
+    Ok(result?.counted_by(&router.link.servers))
 }
 
 /// Opens a connection through another instance, because this one has lost its own
@@ -300,7 +340,7 @@
         metrics::counter!("guavawell_forward_connections_total").increment(1);
         match HttpChannel::connect(address, timer_span(limit)).await {
             Ok(channel) => {
-                router.keep_idle(&other, channel);
+                router.keep_idle(&other, channel.counted_by(&router.link.servers));
                 return true;
             }
             Err(error) => {
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -34,6 +34,7 @@
 use crate::config::PeerConfig;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
+use crate::link::ByteMeter;
 use crate::tunnel::RefusalNameError;
 
 pub(crate) use self::batch::AddressBatches;
@@ -180,6 +181,11 @@
         self.own_address
     }
 
+    /// Counts the bytes of connections to other instances.
+    pub(crate) const fn meter(&self) -> &Rc<ByteMeter> {
+        &self.channels.meter
+    }
+
     /// Sets the fleet's key.
     pub fn set_key(&self, key: FleetKey) {
         self.key.set(Some(key));
@@ -259,6 +265,13 @@
         has_run && now.since(read_at) <= MAX_FLEET_AGE
     }
 
+    /// Whether this instance's zone has others, as far as known.
+    pub(crate) fn has_zone_neighbour(&self) -> bool {
+        let peers = self.peers.borrow();
+        let mut zones = peers.iter().map(|peer| &peer.endpoint.member.zone);
+        zones.any(|zone| *zone == self.own_zone)
+    }
+
     /// Number of other instances.
     pub(crate) fn count(&self) -> usize {
         self.peers.borrow().len()
--- a/crates/guavawell-forward/src/request.rs
+++ b/crates/guavawell-forward/src/request.rs
@@ -47,6 +47,12 @@
         Self { start, body: &[] }
     }
 
+    /// Number of bytes of the request.
+    #[must_use]
+    pub const fn size(&self) -> usize {
+        self.start.len() + self.body.len()
+    }
+
     /// Sends the request.
     ///
     /// # Errors
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -134,6 +134,9 @@
             AttemptOutcome::Delivered(status, keep_alive) => {
                 caller.finish().await;
                 note_stream(record, &progress.stream);
+                if let Some(claim) = &call.claim {
+                    claim.complete();
+                }
                 record.answered(status);
                 return keep_alive;
             }
