--- a/crates/guavawell-core/src/forward/link/readiness.rs
+++ b/crates/guavawell-core/src/forward/link/readiness.rs
@@ -12,13 +12,9 @@
 pub struct ReadinessSettings {
     /// Demand in parts of the link from which new connections are too many.
     pub high: f64,
-    /// Demand below which there is room for new connections.
-    pub low: f64,
     /// How long the demand must be high. A shorter burst waits on the link. The load
     /// balancer needs up to two seconds more, in which the link fills.
     pub high_for: ClockSpan,
-    /// How long the demand must be low.
-    pub low_for: ClockSpan,
     /// Shortest time without being ready. Taking the load back costs its callers the
     /// time until the load balancer has moved them again, so it is tried once a minute
     /// at most.
@@ -41,9 +37,7 @@
     fn default() -> Self {
         Self {
             high: 0.75,
-            low: 0.5,
             high_for: ClockSpan::from_millis(200),
-            low_for: ClockSpan::from_millis(700),
             hold: ClockSpan::from_millis(60_000),
             max_holds: 8,
             effective_after: ClockSpan::from_millis(1_100),
@@ -59,9 +53,8 @@
     settings: ReadinessSettings,
     /// Since when the instance is not ready.
     full_since: Option<ClockTime>,
-    /// Since when the demand is high, or low.
+    /// Since when the demand is high.
     high_since: Option<ClockTime>,
-    low_since: Option<ClockTime>,
     /// When the instance became ready again last.
     ready_since: Option<ClockTime>,
     /// Until when the instance stays ready because no other takes its load.
@@ -78,7 +71,6 @@
             settings,
             full_since: None,
             high_since: None,
-            low_since: None,
             ready_since: None,
             ready_until: ClockTime::from_millis(0),
             holds: 1,
@@ -90,9 +82,7 @@
     pub fn observe(&mut self, demand: f64, others_may_take: bool, now: ClockTime) {
         let settings = self.settings;
         let is_high = demand >= settings.high;
-        let is_low = demand < settings.low;
         self.high_since = is_high.then(|| self.high_since.unwrap_or(now));
-        self.low_since = is_low.then(|| self.low_since.unwrap_or(now));
         let Some(since) = self.full_since else {
             let is_full = lasts(self.high_since, settings.high_for, now);
             if is_full && others_may_take && now >= self.ready_until {
--- a/crates/guavawell-core/tests/forward/link_admission.rs
+++ b/crates/guavawell-core/tests/forward/link_admission.rs
@@ -276,6 +276,19 @@
     assert!(readiness.is_ready());
 }
 
+// Guards against an instance that never comes back, since ordinary callers use more than
+// half of its link.
+#[test]
+fn an_instance_with_a_usual_load_comes_back_after_the_hold() {
+    let mut readiness = LinkReadiness::new(ReadinessSettings::default());
+    observed(&mut readiness, 0.9, 0..400);
+    assert!(!readiness.is_ready());
+    observed(&mut readiness, 0.7, 400..60_000);
+    assert!(!readiness.is_ready());
+    observed(&mut readiness, 0.7, 60_000..61_000);
+    assert!(readiness.is_ready());
+}
+
 #[test]
 fn a_hold_doubles_up_to_eight_times_and_is_short_again_after_a_quiet_one() {
     let mut readiness = LinkReadiness::new(ReadinessSettings::default());
