An instance takes its load back only if new connections show that nobody else does

Two of the instances that had stepped aside (link.open with 113 and 125% of demand after 5 s) took the load back for a minute: the demand was still high from what callers had sent before and from kept connections, though new connections had moved. Whether another instance takes the load is now told by new connections: at least half as many as before. Replayed by a_load_that_has_moved_is_not_taken_back_while_the_link_is_ still_full, which fails without it; the tests of a walk and of a link that stays full now name the connections that come.

--- a/crates/guavawell-core/src/forward/link/readiness.rs
+++ b/crates/guavawell-core/src/forward/link/readiness.rs
@@ -7,6 +7,9 @@
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 
+/// Time over which new connections are counted.
+const ARRIVAL_WINDOW: ClockSpan = ClockSpan::from_millis(1_000);
+
 /// Thresholds of a [`LinkReadiness`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReadinessSettings {
@@ -28,8 +31,9 @@
     /// After this time the load balancer moves new connections to others: it checks once
     /// a second and needs two failures.
     pub moved_after: ClockSpan,
-    /// If the demand is still high after this time, no other instance takes it. Longer
-    /// than `moved_after` by the time in which usual responses and their connections end.
+    /// If new connections still come after this time, half as many as before at least,
+    /// no other instance takes them. Longer than `moved_after`, so that a slow load
+    /// balancer does not count.
     pub untaken_after: ClockSpan,
 }
 
@@ -47,10 +51,34 @@
     }
 }
 
+/// New connections of callers in each second.
+#[derive(Clone, Copy, Debug, Default)]
+struct ArrivalCount {
+    /// When the present second began.
+    began: ClockTime,
+    /// Connections in it.
+    present: u32,
+    /// Connections in the second before.
+    last: u32,
+}
+
+impl ArrivalCount {
+    /// Ends the present second if it is over.
+    fn advance(&mut self, now: ClockTime) {
+        if now.since(self.began) >= ARRIVAL_WINDOW {
+            self.last = std::mem::take(&mut self.present);
+            self.began = now;
+        }
+    }
+}
+
 /// Whether the link has room for new connections.
 #[derive(Clone, Copy, Debug)]
 pub struct LinkReadiness {
     settings: ReadinessSettings,
+    arrivals: ArrivalCount,
+    /// New connections in a second when the instance became not ready.
+    arrivals_before: u32,
     /// Since when the instance is not ready.
     full_since: Option<ClockTime>,
     /// Since when the demand is high.
@@ -69,6 +97,12 @@
     pub const fn new(settings: ReadinessSettings) -> Self {
         Self {
             settings,
+            arrivals: ArrivalCount {
+                began: ClockTime::from_millis(0),
+                present: 0,
+                last: 0,
+            },
+            arrivals_before: 0,
             full_since: None,
             high_since: None,
             ready_since: None,
@@ -77,10 +111,16 @@
         }
     }
 
+    /// Records a new connection of a caller.
+    pub const fn note_connection(&mut self) {
+        self.arrivals.present = self.arrivals.present.saturating_add(1);
+    }
+
     /// Records the demand in parts of what the link carries. `others_may_take` tells
     /// whether the zone has other instances, as far as known.
     pub fn observe(&mut self, demand: f64, others_may_take: bool, now: ClockTime) {
         let settings = self.settings;
+        self.arrivals.advance(now);
         let is_high = demand >= settings.high;
         self.high_since = is_high.then(|| self.high_since.unwrap_or(now));
         let Some(since) = self.full_since else {
@@ -91,8 +131,9 @@
             return;
         };
         let passed = now.since(since);
-        let is_untaken =
-            passed >= settings.untaken_after && lasts(self.high_since, settings.high_for, now);
+        let is_untaken = passed >= settings.untaken_after
+            && lasts(self.high_since, settings.high_for, now)
+            && self.still_gets_connections();
         let has_room = passed.as_millis() >= settings.hold.as_millis() * self.holds && !is_high;
         if is_untaken {
             self.ready_until = now + settings.hold;
@@ -129,6 +170,12 @@
         Some(ClockSpan::from_millis(left))
     }
 
+    /// Whether new connections come as before the instance became not ready.
+    const fn still_gets_connections(&self) -> bool {
+        let ArrivalCount { last, .. } = self.arrivals;
+        last > 0 && last >= self.arrivals_before / 2
+    }
+
     /// The instance is not ready from now on.
     fn step_aside(&mut self, now: ClockTime) {
         let hold = self.settings.hold;
@@ -138,6 +185,7 @@
         } else {
             1
         };
+        self.arrivals_before = self.arrivals.last.max(self.arrivals.present);
         self.full_since = Some(now);
     }
 }
--- a/crates/guavawell-core/tests/forward/link_admission.rs
+++ b/crates/guavawell-core/tests/forward/link_admission.rs
@@ -289,6 +289,20 @@
     assert!(readiness.is_ready());
 }
 
+// Guards against an instance that takes the load back because what its callers sent
+// before still fills its link: no new connections come, so others have them.
+#[test]
+fn a_load_that_has_moved_is_not_taken_back_while_the_link_is_still_full() {
+    let mut readiness = LinkReadiness::new(ReadinessSettings::default());
+    for at in (0..30_000).step_by(100) {
+        if at < 2_500 {
+            readiness.note_connection();
+        }
+        readiness.observe(1.2, true, ClockTime::from_millis(at));
+    }
+    assert!(!readiness.is_ready());
+}
+
 #[test]
 fn a_hold_doubles_up_to_eight_times_and_is_short_again_after_a_quiet_one() {
     let mut readiness = LinkReadiness::new(ReadinessSettings::default());
@@ -340,6 +354,7 @@
     let mut changes = 0;
     for at in (0..60_000).step_by(100) {
         let before = readiness.is_ready();
+        readiness.note_connection();
         readiness.observe(1.5, true, ClockTime::from_millis(at));
         changes += u32::from(before != readiness.is_ready());
     }
@@ -380,6 +395,9 @@
                 Some(_) => 0.0,
                 None => demands[index],
             };
+            if demand > 0.0 {
+                instance.note_connection();
+            }
             instance.observe(demand, true, ClockTime::from_millis(at));
             if instance.is_ready() != changed[index].1 {
                 changed[index] = (at, instance.is_ready());
--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -44,6 +44,7 @@
             return;
         }
         let router = Rc::clone(&router);
+        router.link.connection_began();
         let channel = channel.counted_by(&router.link.callers);
         let entry = router.callers.add(&channel.stream());
         allow_pauses(&router, &channel);
--- a/crates/guavawell-forward/src/link/mod.rs
+++ b/crates/guavawell-forward/src/link/mod.rs
@@ -122,6 +122,13 @@
         control.readiness.is_effective(now) && control.admission.demand(now) > CLOSE_ABOVE
     }
 
+    /// Records a new connection of a caller.
+    pub fn connection_began(&self) {
+        if let Some(control) = &self.control {
+            control.borrow_mut().readiness.note_connection();
+        }
+    }
+
     /// Records a caller's connection that ended after this number of requests.
     pub fn connection_ended(&self, requests: u64) {
         if !self.decides() {
