Whether others take the load is asked after 20 seconds

Where all instances are full nothing is lost: the load balancer uses all of a zone of which less than half is ready, and admission ranks as before.

--- a/crates/guavawell-core/src/forward/link/readiness.rs
+++ b/crates/guavawell-core/src/forward/link/readiness.rs
@@ -32,8 +32,8 @@
     /// a second and needs two failures.
     pub moved_after: ClockSpan,
     /// If new connections still come after this time, half as many as before at least,
-    /// no other instance takes them. Longer than `moved_after`, so that a slow load
-    /// balancer does not count.
+    /// no other instance takes them. Connections that were opened before wait in the full
+    /// link for as long as their callers' requests last.
     pub untaken_after: ClockSpan,
 }
 
@@ -46,7 +46,7 @@
             max_holds: 8,
             effective_after: ClockSpan::from_millis(1_100),
             moved_after: ClockSpan::from_millis(2_200),
-            untaken_after: ClockSpan::from_millis(5_000),
+            untaken_after: ClockSpan::from_millis(20_000),
         }
     }
 }
