--- a/crates/guavawell-core/src/forward/capacity.rs
+++ b/crates/guavawell-core/src/forward/capacity.rs
@@ -1,4 +1,4 @@
-//! What an instance has, and how much of it is in use.
+//! What an instance has.
 
 use std::fmt;
 use std::num::ParseFloatError;
@@ -73,14 +73,3 @@
     /// File descriptors of the process.
     pub descriptors: Option<usize>,
 }
-
-/// How much of its capacity an instance uses, in percent; what is not known counts as 0.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct InstanceLoad {
-    /// The fuller direction of its network link.
-    pub link: u8,
-    /// Its processor.
-    pub processor: u8,
-    /// Its memory for requests and responses.
-    pub memory: u8,
-}
--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -48,7 +48,6 @@
 pub use attempt::RetrySafety;
 pub use attempt::next_step;
 pub use capacity::InstanceCapacity;
-pub use capacity::InstanceLoad;
 pub use capacity::LinkRate;
 pub use capacity::LinkRateError;
 pub use charge::RequestCharge;
--- a/crates/guavawell-forward/src/link/mod.rs
+++ b/crates/guavawell-forward/src/link/mod.rs
@@ -10,7 +10,6 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
-use guavawell_core::forward::InstanceLoad;
 use guavawell_core::forward::LinkAdmission;
 use guavawell_core::forward::LinkReadiness;
 use guavawell_core::forward::LinkSettings;
@@ -21,7 +20,6 @@
 pub use self::claim::claim_link;
 pub use self::meter::ByteMeter;
 pub use self::watch::watch_link;
-use crate::router::ForwardRouter;
 use crate::settings::ForwardSettings;
 
 /// For how long after a refusal the link counts as nearly full.
@@ -60,8 +58,6 @@
     pub instances: Rc<ByteMeter>,
     control: Option<RefCell<LinkControl>>,
     counts: LinkCounts,
-    /// Use of the fuller direction in the last second, in percent.
-    used_percent: Cell<u8>,
 }
 
 impl InstanceLink {
@@ -84,7 +80,6 @@
             instances,
             control,
             counts: LinkCounts::default(),
-            used_percent: Cell::new(0),
         }
     }
 
@@ -140,22 +135,3 @@
         self.counts.brought.set(brought);
     }
 }
-
-impl ForwardRouter {
-    /// How full this instance is.
-    #[must_use]
-    pub fn instance_load(&self) -> InstanceLoad {
-        let processor = if self.processor_load.is_overloaded() {
-            100
-        } else {
-            0
-        };
-        let held = self.held_bytes.get() * 100;
-        let memory = held / self.settings.admission.body_bytes.max(1);
-        InstanceLoad {
-            link: self.link.used_percent.get(),
-            processor,
-            memory: u8::try_from(memory).unwrap_or(u8::MAX).min(100),
-        }
-    }
-}
--- a/crates/guavawell-forward/src/link/watch.rs
+++ b/crates/guavawell-forward/src/link/watch.rs
@@ -92,8 +92,6 @@
     let sent: u64 = totals.iter().map(|total| total.1).sum();
     let used = percent(received.max(sent));
     let link = &router.link;
-    link.used_percent
-        .set(u8::try_from(used.min(100)).unwrap_or(100));
     metrics::gauge!("guavawell_forward_link_percent", "direction" => "received")
         .set(fraction(percent(received)));
     metrics::gauge!("guavawell_forward_link_percent", "direction" => "sent")
