A link that is little used is not nearly full; comments say what a newcomer missed

An instance stays not ready for a minute or more after its link was full, and for all that time gave connections to servers two seconds, asked no other instance for one and noted no time-out, though its link had been empty for long. Nearly full now needs a link that is still used, or a refusal just now. By reading; the decision has no test of its own.

--- a/crates/guavawell-core/src/forward/capacity.rs
+++ b/crates/guavawell-core/src/forward/capacity.rs
@@ -1,4 +1,5 @@
-//! What an instance has.
+//! What the settings say that an instance has: network link, processor, memory and
+//! file descriptors.
 
 use std::fmt;
 use std::num::ParseFloatError;
--- a/crates/guavawell-core/src/forward/link/admission.rs
+++ b/crates/guavawell-core/src/forward/link/admission.rs
@@ -4,7 +4,7 @@
 //! body and the response expected of its route, although most of these bytes are
 //! transferred later. The charges fall at the rate of the link. What remains of them is
 //! outstanding; a request is accepted if that is little enough for its priority. So a
-//! burst cannot exceed the link, and what was accepted is completed in time.
+//! burst hardly exceeds the link, as far as the expected responses are right.
 
 use super::LinkBytes;
 use super::RouteCosts;
@@ -33,8 +33,8 @@
 /// Thresholds of admission by the link.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LinkSettings {
-    /// Part of the link that requests may use. The rest carries messages between
-    /// instances and to the store, and keeps queues short.
+    /// Part of the link that is used. The rest carries what is not counted, such as
+    /// messages to the store, and keeps queues short. The demand is in parts of this part.
     pub usable: f64,
     /// Work that may be outstanding when a request of the most urgent priority is
     /// accepted, as the time in which the link carries it.
@@ -49,8 +49,8 @@
     /// Refusals in a row after which an organisation other than the one that sends most
     /// is accepted as if it were most urgent.
     pub organisation_in_row: u32,
-    /// Lead in requests that the organisation that sends most can have at most. Another
-    /// one takes its place after about as many requests.
+    /// Largest lead, in requests, of the organisation that seems to send most (the vote
+    /// of Boyer and Moore). Another one takes its place after about as many requests.
     pub max_lead: u32,
     /// Shortest time after which a refused caller comes back while the demand exceeds
     /// the link: the load balancer needs two checks to move connections.
@@ -189,8 +189,7 @@
         }
     }
 
-    /// Charges bytes that are not of an accepted request: messages of other instances,
-    /// or a refused request.
+    /// Charges bytes that are of no request: messages between instances.
     pub fn charge(&mut self, bytes: LinkBytes, now: ClockTime) {
         self.advance(now);
         self.add_outstanding(bytes);
--- a/crates/guavawell-core/src/grant/demand.rs
+++ b/crates/guavawell-core/src/grant/demand.rs
@@ -1,12 +1,9 @@
 //! Tokens follow the requests that callers send.
 //!
 //! Load pattern: the load balancer sends most of an organisation's requests in
-//! one availability zone to a single instance, 250 to 400 per second. By its
-//! rank it holds no tokens, its network link is full at times, and it reaches
-//! neither the store nor a lender for up to 20 s. It became a stand-in when the
-//! first holder did not answer, and returned its whole stock 6 s later: nobody
-//! asks a stand-in that has its own callers. Then it refused requests for 20 s,
-//! and each refusal made it look idle, since only granted requests counted.
+//! one availability zone to a single instance, which by its rank holds no tokens
+//! and whose network link is full at times. Refused requests must not make it
+//! look idle, nor may it return what its own callers are about to need.
 //!
 //! So each request counts once, whether it is granted or not, except where no
 //! larger grant helps. An instance with many requests of an organisation holds
--- a/crates/guavawell-core/src/grant/question.rs
+++ b/crates/guavawell-core/src/grant/question.rs
@@ -1,12 +1,12 @@
 //! Limits questions for loans while no other instance answers any.
 //!
-//! Load pattern: the network link of an instance with 300 requests per second
-//! is full for up to 20 s. Each request asks four to eight others for a loan,
-//! none of them answers in time, and the questions fill the link further. A lender that answers too late has lent tokens that nobody
-//! uses.
+//! Load pattern: the network link of an instance with many requests is full. Each
+//! request asks several others for a loan, none of them answers in time, and the
+//! questions fill the link further. A lender that answers too late has lent tokens
+//! that nobody uses.
 //!
 //! One silent instance may have ended. If several in a row are silent, the cause is
-//! this instance's own link, so it pauses, longer each time.
+//! probably this instance's own link, so it pauses, longer each time.
 
 use std::cell::Cell;
 
--- a/crates/guavawell-core/src/grant/settings.rs
+++ b/crates/guavawell-core/src/grant/settings.rs
@@ -36,8 +36,7 @@
     /// Largest fraction of its stock that an instance adds to the burst.
     pub max_burst_fraction: f64,
     /// Store latency above which an instance releases a typical request on its
-    /// own. Answers take 15 to 19 ms at 0.25 of a core, and 19 to 90 ms at 0.12
-    /// of a core behind a link of 10 Mbit/s.
+    /// own: one that an instance with little processor time or a slow link exceeds.
     pub slow_store_latency: ClockSpan,
     /// Largest fraction of its stock that such a request may take.
     pub solo_burst_fraction: f64,
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -318,7 +318,7 @@
     note_end(router, server, phase == Some(ServerPhase::Leaving));
 }
 
-/// Handles the end of a server, as [`note_refused`] does.
+/// Handles the end of a server: it has crashed unless it was leaving.
 fn note_end(router: &ForwardRouter, server: &ServerIncarnation, leaves: bool) {
     let now = router.clock.now();
     let mut servers = router.servers.borrow_mut();
--- a/crates/guavawell-forward/src/link/mod.rs
+++ b/crates/guavawell-forward/src/link/mod.rs
@@ -24,9 +24,9 @@
 
 /// For how long after a refusal the link counts as nearly full.
 const NEARLY_FULL_SPAN: ClockSpan = ClockSpan::from_millis(1_000);
-/// Demand from which kept connections are ended once the instance is not ready, in parts
-/// of the link.
-const CLOSE_ABOVE: f64 = 0.3;
+/// Demand up to which the link is little used, in parts of it. Above it, an instance that
+/// is not ready ends kept connections.
+const LITTLE_USED: f64 = 0.3;
 
 /// The decisions on the link, where they are called for.
 #[derive(Debug)]
@@ -96,13 +96,16 @@
         control.is_none_or(|control| control.borrow().readiness.is_ready())
     }
 
-    /// Whether the link is nearly full, so that nothing is sent that can be left out.
+    /// Whether the link is nearly full, so that nothing is sent that can be left out: the
+    /// instance is not ready and its link still used, or it refused a request just now.
     #[must_use]
     pub fn is_nearly_full(&self, now: ClockTime) -> bool {
         let control = self.control.as_ref();
         control.is_some_and(|control| {
-            let control = control.borrow();
-            !control.readiness.is_ready() || control.admission.refuses(NEARLY_FULL_SPAN, now)
+            let mut control = control.borrow_mut();
+            let is_used = control.admission.demand(now) > LITTLE_USED;
+            let is_away = !control.readiness.is_ready();
+            (is_away && is_used) || control.admission.refuses(NEARLY_FULL_SPAN, now)
         })
     }
 
@@ -114,7 +117,7 @@
             return false;
         };
         let mut control = control.borrow_mut();
-        control.readiness.is_effective(now) && control.admission.demand(now) > CLOSE_ABOVE
+        control.readiness.is_effective(now) && control.admission.demand(now) > LITTLE_USED
     }
 
     /// Records a new connection of a caller.
