--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -52,8 +52,8 @@
 /// The result of an attempt.
 #[derive(Debug)]
 pub enum AttemptOutcome {
-    /// The response is complete, and was sent to the caller or waits for it: its status, and whether the
-    /// caller's connection may be reused.
+    /// The response is complete, and was sent to the caller or waits for it: its status,
+    /// and whether the caller's connection may be reused.
     Delivered(u16, bool),
     /// The connection to the caller failed.
     CallerDisconnected,
--- a/crates/guavawell-forward/src/budget/questions.rs
+++ b/crates/guavawell-forward/src/budget/questions.rs
@@ -50,7 +50,7 @@
 }
 
 impl BudgetManager {
-    /// Carries out `ask`, with the time that is left for it, for a request of `tokens`, or waits for the question that
+    /// Carries out `ask` with the time that is left for it, or waits for the question that
     /// another request of the organisation asks now for the same kind of loan. If its
     /// outcome does not hold for this request, it asks too.
     pub(super) async fn ask_together(
