Few instances hold an organisation's tokens for their own callers, also in a large fleet

An instance with 20 requests a second of an organisation held tokens of it. Where a large organisation's requests come evenly to hundreds of instances, each of them would write one row. Now only instances with an eighth of the fleet's demand or more do, and the time between writes of an entry grows with the entries of the row (a review's finding, by reading).

--- a/crates/guavawell-core/src/grant/demand.rs
+++ b/crates/guavawell-core/src/grant/demand.rs
@@ -30,6 +30,10 @@
     /// tokens itself. A holder writes its rows a few times per second, so
     /// above this, loans cost more messages than holding.
     pub holder_requests_per_second: u64,
+    /// Most instances that hold tokens of one organisation for their own callers. An
+    /// instance is one of them only if its requests are at least this part of the
+    /// fleet's, so that the writers of a row stay few in a large fleet.
+    pub max_holders_for_callers: u64,
     /// What a borrower asks for in advance, as time of its demand: longer than
     /// a loan takes over a link with a queue.
     pub loan_advance: ClockSpan,
@@ -43,6 +47,7 @@
         Self {
             follows_callers: false,
             holder_requests_per_second: 20,
+            max_holders_for_callers: 8,
             loan_advance: ClockSpan::from_millis(500),
             max_extra_requests: 4,
         }
@@ -74,11 +79,29 @@
         !held
     }
 
-    /// Whether this instance has many requests of an organisation.
+    /// Whether this instance has many requests of an organisation, also in proportion to
+    /// the fleet's.
     pub(super) fn has_many_requests(&self, state: &BudgetState, now: ClockTime) -> bool {
         let demand = &self.settings.demand;
-        demand.follows_callers
-            && state.requests.per_second(now) >= demand.holder_requests_per_second
+        if !demand.follows_callers
+            || state.requests.per_second(now) < demand.holder_requests_per_second
+        {
+            return false;
+        }
+        let own = state.demand.per_second(now);
+        let most = fraction(demand.max_holders_for_callers);
+        fraction(own) * most >= self.fleet_demand(state, now)
+    }
+
+    /// Instances that write the row of a budget: those that hold tokens by rank, or all
+    /// that the row lists, if those that hold them for their own callers are more.
+    pub(super) fn budget_writers(&self, state: &BudgetState) -> usize {
+        let by_rank = self.row_writers();
+        if !self.settings.demand.follows_callers {
+            return by_rank;
+        }
+        let row = state.row.known();
+        by_rank.max(row.map_or(0, |row| row.holders.len()))
     }
 
     /// Counts a granted request, unless it counted when it was asked for.
--- a/crates/guavawell-core/src/grant/early_share.rs
+++ b/crates/guavawell-core/src/grant/early_share.rs
@@ -130,7 +130,7 @@
 
     /// Tokens per second that callers request from all instances, according to
     /// the row.
-    fn fleet_demand(&self, state: &BudgetState, now: ClockTime) -> f64 {
+    pub(super) fn fleet_demand(&self, state: &BudgetState, now: ClockTime) -> f64 {
         let row = state.row.known();
         let holders = row.map_or(&[][..], |row| &row.holders[..]);
         let others = holders.iter().filter(|entry| !self.is_own(entry));
--- a/crates/guavawell-core/src/grant/plan.rs
+++ b/crates/guavawell-core/src/grant/plan.rs
@@ -378,7 +378,7 @@
         let age = Self::scaled_age(
             settings.entry_max_age,
             settings.entry_age_per_writer,
-            self.row_writers(),
+            self.budget_writers(state),
         );
         let old = now.since(state.written_at) >= age;
         let covers_waiting = state.waiting > 0 && next.grant > held.grant;
