Slow readers: a caller gone behind its next request is noticed, one that takes a little for ever is ended first

What callers saw: while memory was short, new requests were refused for want of memory that was kept by callers who had closed their connection, or who took a packet now and then.

Cause: the end of a caller's connection was looked for behind bytes that are not read while a response is sent. And a caller counted as pausing only if it took nothing at all.

Evidence, before the change: of three ends of a connection (closed, reset, sending half closed), each with and without a next request sent meanwhile, five were noticed within the second that the metrics need. A connection closed for sending behind a next request was noticed by the limit for pauses alone (response.not_taken, 11.0 s). With the least rate at 0, which is the rule as it was, three of the four new tests of taking_pace fail: a caller that takes 300 bytes a second is never ended, and one that pauses is ended instead of it.

Change: an outbox that cannot write asks the socket whether the peer has closed it, which the review of responses has it do twice a second; the connection is then reset, so that nothing looks complete. A caller that took less than 10 kB in 20 s is ended before those that pause (cause too_slow), the one for which most is held first, only while memory is short. Both are part of reading ahead, which is off where overload is not expected (nothing_is_read_ahead_unless_overload_is_expected, unchanged).

A caller that pipelines, closes its sending half and then reads slowly counts as gone, as one that does so without pipelining did before.

Measured: the eight tests of slow_callers pass in 4 runs of 4 (3 with two threads), those of guavawell-core's forward (163) and of guavawell-forward pass.

--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -36,6 +36,7 @@
 mod server_path;
 mod slow_start;
 mod table;
+mod taking_pace;
 mod tracker;
 mod version_history;
 
@@ -131,6 +132,8 @@
 pub use slow_start::cold_span;
 pub use slow_start::parse_cold_span;
 pub use table::ServerTable;
+pub use taking_pace::TakingPace;
+pub use taking_pace::responses_to_give_up;
 pub use tracker::ConfigAction;
 pub use tracker::ConfigSource;
 pub use tracker::VersionTracker;
--- a/crates/guavawell-core/src/forward/read_ahead.rs
+++ b/crates/guavawell-core/src/forward/read_ahead.rs
@@ -34,6 +34,12 @@
     /// of a request. It does not depend on the request, as a caller that reads slowly
     /// may seem to take nothing for seconds.
     pub max_pause: ClockSpan,
+    /// Span over which it is counted what a caller takes: twice the longest pause, so that
+    /// a caller may pause as long as allowed.
+    pub taking_span: ClockSpan,
+    /// Least bytes that a caller must take in this span to keep its response while memory
+    /// is short. Streams of text are produced several times as fast.
+    pub least_taken: u64,
 }
 
 impl Default for ReadAheadSettings {
@@ -45,6 +51,8 @@
             socket_bytes: 64 * 1024,
             pause: ClockSpan::from_millis(2_500),
             max_pause: ClockSpan::from_millis(10_000),
+            taking_span: ClockSpan::from_millis(20_000),
+            least_taken: 10_000,
         }
     }
 }
@@ -103,6 +111,8 @@
     NotTaken,
     /// Memory is short, and the caller took nothing for a while.
     NoMemory,
+    /// Memory is short, and the caller has taken too little for long.
+    TooSlow,
 }
 
 impl ResponseEnd {
@@ -112,6 +122,7 @@
         match self {
             Self::NotTaken => "not_taken",
             Self::NoMemory => "no_memory",
+            Self::TooSlow => "too_slow",
         }
     }
 }
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -12,6 +12,10 @@
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::yield_now;
 use guavawell_core::id::InstanceId;
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::event::Timespec;
+use rustix::event::poll;
 use smol::Async;
 use smol::Timer;
 use socket2::SockRef;
@@ -375,6 +379,16 @@
         }
     }
 
+    /// Whether the peer has closed the connection, or its sending half, or reset it, also
+    /// if bytes that it sent before are not read yet.
+    #[must_use]
+    pub fn is_closed_by_peer(&self) -> bool {
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut polled = [PollFd::new(self.stream.get_ref(), closed)];
+        let result = poll(&mut polled, Some(&Timespec::default()));
+        result.is_ok() && polled[0].revents().intersects(closed)
+    }
+
     /// Whether an idle connection can be used again: it is open, and no unexpected
     /// bytes were received.
     #[must_use]
--- a/crates/guavawell-forward/src/read_ahead.rs
+++ b/crates/guavawell-forward/src/read_ahead.rs
@@ -17,8 +17,9 @@
 use guavawell_core::forward::MemoryUse;
 use guavawell_core::forward::ReadAheadSettings;
 use guavawell_core::forward::ResponseEnd;
+use guavawell_core::forward::TakingPace;
 use guavawell_core::forward::WaitingResponse;
-use guavawell_core::forward::responses_to_end;
+use guavawell_core::forward::responses_to_give_up;
 use guavawell_core::number::fraction;
 use guavawell_fleet::event::EventDraft;
 
@@ -51,6 +52,8 @@
     /// Bytes that were written after they had waited.
     taken: Cell<u64>,
     taken_at: Cell<ClockTime>,
+    /// How much the caller has taken since the response began to wait.
+    pace: Cell<TakingPace>,
     end: Cell<Option<ResponseEnd>>,
     /// Notified when bytes are added or taken, when memory may have become free, and at
     /// the end.
@@ -65,6 +68,7 @@
             peak: Cell::new(0),
             taken: Cell::new(0),
             taken_at: Cell::new(now),
+            pace: Cell::new(TakingPace::new(now)),
             end: Cell::new(None),
             changed: Event::new(),
         }
@@ -82,6 +86,28 @@
         self.len() + self.incomplete.get()
     }
 
+    /// Begins anew to count what the caller takes.
+    fn begin_taking(&self, now: ClockTime) {
+        self.taken_at.set(now);
+        self.pace.set(TakingPace::new(now));
+    }
+
+    fn note_taken(&self, bytes: usize, now: ClockTime) {
+        let bytes = bytes as u64;
+        self.taken.set(self.taken.get() + bytes);
+        self.taken_at.set(now);
+        let mut pace = self.pace.get();
+        pace.note_taken(bytes);
+        self.pace.set(pace);
+    }
+
+    fn is_slow(&self, settings: &ReadAheadSettings, now: ClockTime) -> bool {
+        let mut pace = self.pace.get();
+        let is_slow = pace.is_slow(settings, now);
+        self.pace.set(pace);
+        is_slow
+    }
+
     fn waiting(&self) -> WaitingResponse {
         WaitingResponse {
             held: self.held(),
@@ -95,6 +121,8 @@
 pub enum DeliveryEnd {
     /// The connection failed.
     Failed(io::Error),
+    /// The caller closed the connection. The response will not look complete.
+    Closed,
     /// The caller did not take the response.
     Ended(ResponseEnd),
 }
@@ -200,6 +228,8 @@
                 continue;
             }
             match self.write_kept(queue) {
+                // What the caller sent before it closed the connection hides the end.
+                Ok(0) if self.channel.is_closed_by_peer() => return DeliveryEnd::Closed,
                 Ok(0) => {
                     let stream = self.channel.stream();
                     let ended = async {
@@ -235,6 +265,11 @@
             .field("all_held_bytes", self.router.held_bytes.get());
         draft.request = id.parse().ok();
         self.router.log.emit(draft);
+        self.reset();
+    }
+
+    /// Has the connection reset once it is dropped.
+    pub fn reset(&self) {
         if let Err(error) = self.channel.reset_on_close() {
             log::warn!("failed to reset a caller's connection: {error}");
         }
@@ -251,7 +286,7 @@
     /// Keeps bytes that the connection does not take now.
     fn keep(&self, queue: &Rc<ResponseQueue>, bytes: &[u8]) {
         if queue.is_empty() {
-            queue.taken_at.set(self.router.clock.now());
+            queue.begin_taking(self.router.clock.now());
             self.router.waiting.add(queue);
         }
         self.change(queue, |queue| queue.bytes.borrow_mut().extend(bytes));
@@ -290,8 +325,7 @@
                 bytes.shrink_to(KEPT_CAPACITY.max(2 * length));
             }
         });
-        queue.taken.set(queue.taken.get() + written as u64);
-        queue.taken_at.set(self.router.clock.now());
+        queue.note_taken(written, self.router.clock.now());
         if queue.is_empty() {
             self.router.waiting.remove(queue);
         }
@@ -351,15 +385,18 @@
 /// which their callers may take nothing begins anew.
 pub fn review_responses(router: &ForwardRouter, was_paused: bool) {
     let queues = router.waiting.queues.borrow();
+    let now = router.clock.now();
     if was_paused {
         for queue in &*queues {
-            queue.taken_at.set(router.clock.now());
+            queue.begin_taking(now);
         }
     }
     let waiting: Vec<_> = queues.iter().map(|queue| queue.waiting()).collect();
     let settings: &ReadAheadSettings = &router.settings.read_ahead;
+    let slow = queues.iter().map(|queue| queue.is_slow(settings, now));
+    let slow: Vec<_> = slow.collect();
     let memory = router.memory_use();
-    for (place, end) in responses_to_end(settings, memory, &waiting, router.clock.now()) {
+    for (place, end) in responses_to_give_up(settings, memory, &waiting, &slow, now) {
         queues[place].end.set(Some(end));
     }
     for queue in &*queues {
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -113,6 +113,7 @@
     let deliver = async {
         match caller.deliver().await {
             DeliveryEnd::Ended(end) => caller.abandon(end, &id, &record),
+            DeliveryEnd::Closed => caller.reset(),
             DeliveryEnd::Failed(error) => log::debug!("a caller's connection failed: {error}"),
         }
         false
