Names of the link: a request is charged, and a hold is split by what it means

LinkClaim is what a request is charged until it ends: LinkCharge, with charge_link and link::charge. Of the four meanings of "hold" the setting had three (shortest time away, time within which the link is full again, time for which an instance stays ready that nobody relieves): away, again_within and ready_untaken, all a minute as before; the count was the factor of the first (away_factor). is_effective becomes ends_kept_connections, moved_in time_until_moved, untaken_after taken_within, effective_after end_kept_after, step_aside become_unready. No name leaves the process.

Tests: link_admission.rs calls two methods by their new names; nothing else in it changes.

--- a/crates/guavawell-core/src/forward/link/readiness.rs
+++ b/crates/guavawell-core/src/forward/link/readiness.rs
@@ -21,20 +21,24 @@
     /// Shortest time without being ready. Taking the load back costs its callers the
     /// time until the load balancer has moved them again, so it is tried once a minute
     /// at most.
-    pub hold: ClockSpan,
-    /// By how much `hold` grows at most; it doubles each time the link is full again
-    /// within a hold after the instance became ready.
-    pub max_holds: u64,
+    pub away: ClockSpan,
+    /// By how much `away` grows at most; it doubles each time the link is full again
+    /// within `again_within`.
+    pub max_away_factor: u64,
+    /// Time after the instance became ready within which its link is full again.
+    pub again_within: ClockSpan,
+    /// For how long the instance stays ready if no other takes its load.
+    pub ready_untaken: ClockSpan,
     /// After this time kept connections are ended: by the time their callers open new
     /// ones, the load balancer has failed two checks and moves them to others.
-    pub effective_after: ClockSpan,
+    pub end_kept_after: ClockSpan,
     /// After this time the load balancer moves new connections to others: it checks once
     /// a second and needs two failures.
     pub moved_after: ClockSpan,
     /// If new connections still come after this time, half as many as before at least,
     /// no other instance takes them. Connections that were opened before wait in the full
     /// link for as long as their callers' requests last.
-    pub untaken_after: ClockSpan,
+    pub taken_within: ClockSpan,
 }
 
 impl Default for ReadinessSettings {
@@ -42,11 +46,13 @@
         Self {
             high: 0.75,
             high_for: ClockSpan::from_millis(200),
-            hold: ClockSpan::from_millis(60_000),
-            max_holds: 8,
-            effective_after: ClockSpan::from_millis(1_100),
+            away: ClockSpan::from_millis(60_000),
+            max_away_factor: 8,
+            again_within: ClockSpan::from_millis(60_000),
+            ready_untaken: ClockSpan::from_millis(60_000),
+            end_kept_after: ClockSpan::from_millis(1_100),
             moved_after: ClockSpan::from_millis(2_200),
-            untaken_after: ClockSpan::from_millis(20_000),
+            taken_within: ClockSpan::from_millis(20_000),
         }
     }
 }
@@ -87,8 +93,8 @@
     ready_since: Option<ClockTime>,
     /// Until when the instance stays ready because no other takes its load.
     ready_until: ClockTime,
-    /// For how many holds the instance stays away.
-    holds: u64,
+    /// How many times `away` the instance is not ready at least.
+    away_factor: u64,
 }
 
 impl LinkReadiness {
@@ -107,7 +113,7 @@
             high_since: None,
             ready_since: None,
             ready_until: ClockTime::from_millis(0),
-            holds: 1,
+            away_factor: 1,
         }
     }
 
@@ -126,17 +132,18 @@
         let Some(since) = self.full_since else {
             let is_full = lasts(self.high_since, settings.high_for, now);
             if is_full && others_may_take && now >= self.ready_until {
-                self.step_aside(now);
+                self.become_unready(now);
             }
             return;
         };
         let passed = now.since(since);
-        let is_untaken = passed >= settings.untaken_after
+        let is_untaken = passed >= settings.taken_within
             && lasts(self.high_since, settings.high_for, now)
             && self.still_gets_connections();
-        let has_room = passed.as_millis() >= settings.hold.as_millis() * self.holds && !is_high;
+        let has_room =
+            passed.as_millis() >= settings.away.as_millis() * self.away_factor && !is_high;
         if is_untaken {
-            self.ready_until = now + settings.hold;
+            self.ready_until = now + settings.ready_untaken;
         }
         if is_untaken || has_room || !others_may_take {
             self.full_since = None;
@@ -152,15 +159,15 @@
 
     /// Whether kept connections are to be ended.
     #[must_use]
-    pub fn is_effective(&self, now: ClockTime) -> bool {
+    pub fn ends_kept_connections(&self, now: ClockTime) -> bool {
         self.full_since
-            .is_some_and(|since| now.since(since) >= self.settings.effective_after)
+            .is_some_and(|since| now.since(since) >= self.settings.end_kept_after)
     }
 
     /// The time until a caller that comes back reaches another instance; `None` while
     /// this one is ready, or gets the load although it is not.
     #[must_use]
-    pub fn moved_in(&self, now: ClockTime) -> Option<ClockSpan> {
+    pub fn time_until_moved(&self, now: ClockTime) -> Option<ClockSpan> {
         let passed = now.since(self.full_since?);
         let span = self.settings.moved_after;
         if passed >= span && self.high_since.is_some() {
@@ -177,11 +184,11 @@
     }
 
     /// The instance is not ready from now on.
-    fn step_aside(&mut self, now: ClockTime) {
-        let hold = self.settings.hold;
-        let is_again = self.ready_since.is_some_and(|at| now.since(at) < hold);
-        self.holds = if is_again {
-            (self.holds * 2).min(self.settings.max_holds)
+    fn become_unready(&mut self, now: ClockTime) {
+        let span = self.settings.again_within;
+        let is_again = self.ready_since.is_some_and(|at| now.since(at) < span);
+        self.away_factor = if is_again {
+            (self.away_factor * 2).min(self.settings.max_away_factor)
         } else {
             1
         };
@@ -190,7 +197,7 @@
     }
 }
 
-/// Whether something has held since `since` for a span.
+/// Whether something that began at `since` has lasted for a span.
 fn lasts(since: Option<ClockTime>, span: ClockSpan, now: ClockTime) -> bool {
     since.is_some_and(|since| now.since(since) >= span)
 }
--- a/crates/guavawell-core/tests/forward/link_admission.rs
+++ b/crates/guavawell-core/tests/forward/link_admission.rs
@@ -258,8 +258,8 @@
     assert!(readiness.is_ready(), "a short burst is ranked");
     observed(&mut readiness, 1.3, 200..1_000);
     assert!(!readiness.is_ready());
-    assert!(!readiness.is_effective(ClockTime::from_millis(1_000)));
-    assert!(readiness.is_effective(ClockTime::from_millis(3_000)));
+    assert!(!readiness.ends_kept_connections(ClockTime::from_millis(1_000)));
+    assert!(readiness.ends_kept_connections(ClockTime::from_millis(3_000)));
     observed(&mut readiness, 0.7, 1_000..60_000);
     assert!(!readiness.is_ready(), "kept connections still use the link");
     observed(&mut readiness, 0.3, 60_000..65_000);
@@ -331,12 +331,12 @@
 fn callers_come_back_once_the_load_balancer_moves_them() {
     let mut readiness = LinkReadiness::new(ReadinessSettings::default());
     let at = ClockTime::from_millis;
-    assert_eq!(readiness.moved_in(at(0)), None);
+    assert_eq!(readiness.time_until_moved(at(0)), None);
     observed(&mut readiness, 1.3, 0..300);
-    let soon = readiness.moved_in(at(200)).expect("not ready");
+    let soon = readiness.time_until_moved(at(200)).expect("not ready");
     assert!(soon.as_millis() >= 2_000, "two checks: {soon:?}");
     observed(&mut readiness, 0.3, 300..3_000);
-    let later = readiness.moved_in(at(3_000)).expect("not ready");
+    let later = readiness.time_until_moved(at(3_000)).expect("not ready");
     assert_eq!(later, ClockSpan::ZERO);
 }
 
@@ -345,7 +345,10 @@
     let mut readiness = LinkReadiness::new(ReadinessSettings::default());
     observed(&mut readiness, 1.3, 0..3_000);
     assert!(!readiness.is_ready());
-    assert_eq!(readiness.moved_in(ClockTime::from_millis(3_000)), None);
+    assert_eq!(
+        readiness.time_until_moved(ClockTime::from_millis(3_000)),
+        None
+    );
 }
 
 #[test]
--- a/crates/guavawell-forward/src/link/claim.rs
+++ b/crates/guavawell-forward/src/link/charge.rs
@@ -1,4 +1,4 @@
-//! The part of the link that a request takes until it ends.
+//! Decides whether the link carries a request, and charges it for its bytes until it ends.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -19,7 +19,7 @@
 
 /// The charge of an accepted request, until it ends.
 #[derive(Debug)]
-pub struct LinkClaim {
+pub struct LinkCharge {
     router: Rc<ForwardRouter>,
     route: Box<str>,
     /// Bytes of the response that it is charged for.
@@ -30,14 +30,14 @@
     complete: Cell<bool>,
 }
 
-impl LinkClaim {
+impl LinkCharge {
     /// Records that the response was complete.
     pub fn complete(&self) {
         self.complete.set(true);
     }
 }
 
-impl Drop for LinkClaim {
+impl Drop for LinkCharge {
     fn drop(&mut self) {
         let Some(control) = &self.router.link.control else {
             return;
@@ -54,11 +54,11 @@
 /// # Errors
 ///
 /// The refusal, with the time after which there may be room.
-pub fn claim_link(
+pub fn charge_link(
     router: &Rc<ForwardRouter>,
     request: &LinkRequest<'_>,
     meter: &Rc<ByteMeter>,
-) -> Result<Option<LinkClaim>, RefusalResponse> {
+) -> Result<Option<LinkCharge>, RefusalResponse> {
     let Some(control) = &router.link.control else {
         return Ok(None);
     };
@@ -67,12 +67,12 @@
     let mut control = control.borrow_mut();
     let draw = fastrand::f64();
     let admitted = control.admission.admit(request, draw, now);
-    let moved_in = control.readiness.moved_in(now);
+    let until_moved = control.readiness.time_until_moved(now);
     drop(control);
     match admitted {
         Ok(expected) => {
             counts.accepted.set(counts.accepted.get() + 1);
-            Ok(Some(LinkClaim {
+            Ok(Some(LinkCharge {
                 router: Rc::clone(router),
                 route: request.route.into(),
                 expected,
@@ -85,7 +85,7 @@
             counts.refused.set(counts.refused.get() + 1);
             // Where the load balancer moves the caller to another instance, there is room.
             let spread = ClockSpan::from_millis(whole(draw * RETRY_SPREAD));
-            let span = moved_in.map_or(span, |moved_in| moved_in + RETRY_PAUSE + spread);
+            let span = until_moved.map_or(span, |moved| moved + RETRY_PAUSE + spread);
             Err(RefusalResponse::new(ForwardRefusal::LinkFull).after(span))
         }
     }
--- a/crates/guavawell-forward/src/link/mod.rs
+++ b/crates/guavawell-forward/src/link/mod.rs
@@ -1,6 +1,6 @@
 //! The network link of this instance: counts its bytes, and decides what it carries.
 
-mod claim;
+mod charge;
 mod meter;
 mod watch;
 
@@ -16,8 +16,8 @@
 use guavawell_core::forward::ReadinessSettings;
 use guavawell_core::number::fraction;
 
-pub use self::claim::LinkClaim;
-pub use self::claim::claim_link;
+pub use self::charge::LinkCharge;
+pub use self::charge::charge_link;
 pub use self::meter::ByteMeter;
 pub use self::watch::watch_link;
 use crate::settings::ForwardSettings;
@@ -117,7 +117,7 @@
             return false;
         };
         let mut control = control.borrow_mut();
-        control.readiness.is_effective(now) && control.admission.demand(now) > LITTLE_USED
+        control.readiness.ends_kept_connections(now) && control.admission.demand(now) > LITTLE_USED
     }
 
     /// Records a new connection of a caller.
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -26,8 +26,8 @@
 use crate::clock::timer_span;
 use crate::continuation::continued_stream;
 use crate::link::ByteMeter;
-use crate::link::LinkClaim;
-use crate::link::claim_link;
+use crate::link::LinkCharge;
+use crate::link::charge_link;
 use crate::record::RequestRecord;
 use crate::refusal::RefusalResponse;
 use crate::router::ForwardRouter;
@@ -99,7 +99,7 @@
         return Err(RefusalResponse::leaving());
     }
     check_admission(router, deadline)?;
-    let claim = claim(router, request, &route, organisation.as_ref(), meter)?;
+    let link_charge = charge(router, request, &route, organisation.as_ref(), meter)?;
     let sender = (organisation.as_ref().map(|(id, _)| id), fingerprint);
     let origin = continued_stream(router, request, &route, sender, deadline, record).await?;
     let service = match &origin {
@@ -134,7 +134,7 @@
         parts,
         origin,
         deadline,
-        claim,
+        link_charge,
         reservation: reservation.map(Rc::new),
     })
 }
@@ -272,14 +272,14 @@
         .map_err(|refusal| RefusalResponse::new(refusal).after(RETRY_NO_MEMORY))
 }
 
-/// Claims the part of the link that the request and its response need.
-fn claim(
+/// Charges the link for the request and its response, if it carries them.
+fn charge(
     router: &Rc<ForwardRouter>,
     request: &ReceivedRequest,
     route: &RouteEntry,
     organisation: Option<&(OrganisationId, Option<u8>)>,
     meter: &Rc<ByteMeter>,
-) -> Result<Option<LinkClaim>, RefusalResponse> {
+) -> Result<Option<LinkCharge>, RefusalResponse> {
     let own_priority = organisation.and_then(|(_, priority)| *priority);
     let content = u64::try_from(request.body.len()).unwrap_or(u64::MAX);
     let link_request = LinkRequest {
@@ -288,7 +288,7 @@
         priority: own_priority.unwrap_or(route.priority),
         bytes: wire_bytes(content.saturating_add(HEAD_BYTES)),
     };
-    claim_link(router, &link_request, meter)
+    charge_link(router, &link_request, meter)
 }
 
 async fn reserve(
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -134,8 +134,8 @@
             AttemptOutcome::Delivered(status, keep_alive) => {
                 caller.finish().await;
                 note_stream(record, &progress.stream);
-                if let Some(claim) = &call.claim {
-                    claim.complete();
+                if let Some(charge) = &call.link_charge {
+                    charge.complete();
                 }
                 record.answered(status);
                 return keep_alive;
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -19,7 +19,7 @@
 use crate::callers::ReceivedRequest;
 use crate::http::HttpChannel;
 use crate::http::wait_for_close;
-use crate::link::LinkClaim;
+use crate::link::LinkCharge;
 use crate::prepare::prepare;
 use crate::read_ahead::CallerOutbox;
 use crate::read_ahead::DeliveryEnd;
@@ -60,7 +60,7 @@
     /// When the caller's or the route's time limit ends.
     pub deadline: ClockTime,
     /// Its charge on the link; `None` if the link is not watched.
-    pub claim: Option<LinkClaim>,
+    pub link_charge: Option<LinkCharge>,
     /// The tokens reserved for it.
     pub reservation: Option<Rc<TokenReservation>>,
 }
