The link: one bounded table of names, one way to open a connection, reasons of constants

No behaviour changes. RefusalCounts and RouteCosts were the same table, sorted by name, that forgets the name used longest ago: NameTable holds both. Of names that were refused in the same millisecond the one refused first now makes room, before it was the first by name. open_patiently and connect share connect_within; only connect's time limit depends on past ones, and only it learns from the outcome, as before. (That it would also learn from a server that is not listed can't occur: its only caller has just found the server in the table.)

Left, with the reason in the code: note_refused and note_end decide differently whether a server left. For a connection that is refused, a removed entry counts as leaving; after a response that was broken off, only an announcement does (docs/incidents/crashes-not-counted.md). Left: QuestionEnd::Left, InstanceCapacity.cores and .descriptors have no reader in the product, but tests assert them (grant_questions.rs, platform/tests/settings.rs); taking them out deletes assertions. The doc of InstanceCapacity says that no decision depends on the two.

DEMAND_SPAN, MIN_PART, LARGE_FACTOR, RETRY_PAUSE, RETRY_SPREAD and PATIENT_TIMEOUT say why. Tests: unchanged; core's forward, forward, and platform's path tests of link, overload and tunnel pass.

--- a/crates/guavawell-core/src/forward/capacity.rs
+++ b/crates/guavawell-core/src/forward/capacity.rs
@@ -62,7 +62,8 @@
     }
 }
 
-/// What the settings say that an instance has; `None` where they do not say.
+/// What the settings say that an instance has; `None` where they do not say. Processor
+/// time and descriptors are stated, and no decision depends on them.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct InstanceCapacity {
     /// Its network link.
--- a/crates/guavawell-core/src/forward/link/admission.rs
+++ b/crates/guavawell-core/src/forward/link/admission.rs
@@ -8,6 +8,7 @@
 
 use super::LinkBytes;
 use super::RouteCosts;
+use super::names::NameTable;
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::forward::LinkRate;
@@ -16,16 +17,19 @@
 
 /// Milliseconds of a second.
 const MILLIS_PER_SECOND: f64 = 1_000.0;
-/// Span over which the demand is averaged, in milliseconds.
+/// Span over which the demand is averaged, in milliseconds: longer than the gaps of a
+/// steady load, and short beside the seconds that the load balancer needs.
 const DEMAND_SPAN: f64 = 400.0;
-/// Part of the link that accepted requests get at least, however many are refused.
+/// Part of the link that accepted requests get at least, however many are refused:
+/// refusals alone must not keep the link closed.
 const MIN_PART: f64 = 0.3;
 /// Bytes of a refusal on the wire, with its acknowledgements.
 const REFUSAL_BYTES: f64 = 400.0;
 /// Routes, and organisations, whose refusals are counted; the one refused longest ago
 /// makes room.
 const MAX_COUNTED: usize = 256;
-/// A request that needs this many times the mean is large.
+/// A request that needs this many times the mean is large: it takes the place of several
+/// that could be accepted instead.
 const LARGE_FACTOR: f64 = 3.0;
 /// Weight of the latest request in the mean.
 const MEAN_WEIGHT: f64 = 0.02;
@@ -85,61 +89,30 @@
     pub bytes: u64,
 }
 
-/// Refusals in a row of a route or an organisation.
-#[derive(Clone, Debug)]
-struct RefusalCount {
-    name: Box<str>,
-    count: u32,
-    latest_at: ClockTime,
-}
-
 /// Refusals in a row of each route or organisation.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct RefusalCounts {
-    /// Sorted by name.
-    counts: Vec<RefusalCount>,
+    counts: NameTable<u32>,
 }
 
 impl RefusalCounts {
-    fn get(&self, name: &str) -> u32 {
-        let index = self.find(name);
-        index.map_or(0, |index| self.counts[index].count)
-    }
-
-    fn note(&mut self, name: &str, is_refused: bool, now: ClockTime) {
-        match self.find(name) {
-            Ok(index) if is_refused => {
-                let count = &mut self.counts[index];
-                count.count = count.count.saturating_add(1);
-                count.latest_at = now;
-            }
-            Ok(index) => {
-                self.counts.remove(index);
-            }
-            Err(_) if is_refused => self.insert(name, now),
-            Err(_) => {}
+    const fn new() -> Self {
+        Self {
+            counts: NameTable::new(MAX_COUNTED),
         }
     }
 
-    fn insert(&mut self, name: &str, now: ClockTime) {
-        if self.counts.len() >= MAX_COUNTED {
-            let counts = self.counts.iter().enumerate();
-            if let Some((oldest, _)) = counts.min_by_key(|(_, count)| count.latest_at) {
-                self.counts.remove(oldest);
-            }
-        }
-        let count = RefusalCount {
-            name: name.into(),
-            count: 1,
-            latest_at: now,
-        };
-        let index = self.find(name).unwrap_or_else(|index| index);
-        self.counts.insert(index, count);
+    fn get(&self, name: &str) -> u32 {
+        self.counts.get(name).copied().unwrap_or(0)
     }
 
-    fn find(&self, name: &str) -> Result<usize, usize> {
-        self.counts
-            .binary_search_by(|count| count.name.as_ref().cmp(name))
+    fn note(&mut self, name: &str, is_refused: bool) {
+        if is_refused {
+            let add = |count: &mut u32| *count = count.saturating_add(1);
+            self.counts.change(name, add, 1);
+        } else {
+            self.counts.remove(name);
+        }
     }
 }
 
@@ -181,8 +154,8 @@
             updated_at: ClockTime::from_millis(0),
             costs: RouteCosts::default(),
             mean_cost: 0.0,
-            refused_routes: RefusalCounts::default(),
-            refused_organisations: RefusalCounts::default(),
+            refused_routes: RefusalCounts::new(),
+            refused_organisations: RefusalCounts::new(),
             refused_large: 0,
             largest: (Box::default(), 0),
             refused_at: None,
@@ -219,9 +192,9 @@
         self.demand = self.demand + needed.map(|bytes| bytes / DEMAND_SPAN);
         let limit = self.limit(request, is_large);
         let is_refused = self.outstanding.fuller() > limit;
-        self.refused_routes.note(request.route, is_refused, now);
+        self.refused_routes.note(request.route, is_refused);
         self.refused_organisations
-            .note(request.organisation, is_refused, now);
+            .note(request.organisation, is_refused);
         if is_large {
             self.refused_large = if is_refused {
                 self.refused_large + 1
--- a/crates/guavawell-core/src/forward/link/cost.rs
+++ b/crates/guavawell-core/src/forward/link/cost.rs
@@ -2,6 +2,7 @@
 
 use std::ops::Add;
 
+use super::names::NameTable;
 use crate::number::fraction;
 
 /// Bytes of one packet on the wire in addition to its content: Ethernet, IP and TCP
@@ -68,65 +69,32 @@
     }
 }
 
-/// The expected size of the responses of a route.
+/// The expected size of the responses of each route, learned from past ones.
 #[derive(Clone, Debug)]
-struct RouteCost {
-    route: Box<str>,
+pub struct RouteCosts {
     /// Mean bytes of a response.
-    mean: f64,
-    /// Number of the latest response, counted over all routes.
-    latest: u64,
+    means: NameTable<f64>,
 }
 
-/// The expected size of the responses of each route, learned from past ones.
-#[derive(Clone, Debug, Default)]
-pub struct RouteCosts {
-    /// Sorted by the route's name.
-    routes: Vec<RouteCost>,
-    /// Responses so far.
-    responses: u64,
+impl Default for RouteCosts {
+    fn default() -> Self {
+        Self {
+            means: NameTable::new(MAX_ROUTES),
+        }
+    }
 }
 
 impl RouteCosts {
     /// The expected bytes of a response.
     #[must_use]
     pub fn response(&self, route: &str) -> f64 {
-        let index = self.find(route);
-        index.map_or(DEFAULT_RESPONSE, |index| self.routes[index].mean)
+        self.means.get(route).copied().unwrap_or(DEFAULT_RESPONSE)
     }
 
     /// Records the size of a complete response.
     pub fn learn(&mut self, route: &str, bytes: u64) {
         let bytes = fraction(bytes);
-        self.responses += 1;
-        let latest = self.responses;
-        if let Ok(index) = self.find(route) {
-            let cost = &mut self.routes[index];
-            cost.mean += LEARN_WEIGHT * (bytes - cost.mean);
-            cost.latest = latest;
-            return;
-        }
-        if self.routes.len() >= MAX_ROUTES {
-            self.forget_oldest();
-        }
-        let cost = RouteCost {
-            route: route.into(),
-            mean: bytes,
-            latest,
-        };
-        let index = self.find(route).unwrap_or_else(|index| index);
-        self.routes.insert(index, cost);
-    }
-
-    fn forget_oldest(&mut self) {
-        let costs = self.routes.iter().enumerate();
-        if let Some((index, _)) = costs.min_by_key(|(_, cost)| cost.latest) {
-            self.routes.remove(index);
-        }
-    }
-
-    fn find(&self, route: &str) -> Result<usize, usize> {
-        self.routes
-            .binary_search_by(|cost| cost.route.as_ref().cmp(route))
+        let learn = |mean: &mut f64| *mean += LEARN_WEIGHT * (bytes - *mean);
+        self.means.change(route, learn, bytes);
     }
 }
--- a/crates/guavawell-core/src/forward/link/mod.rs
+++ b/crates/guavawell-core/src/forward/link/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod cost;
+mod names;
 mod readiness;
 
 pub use admission::LinkAdmission;
--- a/crates/guavawell-forward/src/connect.rs
+++ b/crates/guavawell-forward/src/connect.rs
@@ -28,7 +28,8 @@
 /// Time after which a connection is overdue: many times what one between two zones
 /// takes.
 const OVERDUE_AFTER: Duration = Duration::from_millis(60);
-/// Timeout of a connection while the link of this instance is nearly full.
+/// Timeout of a connection while the link of this instance is nearly full: a packet may
+/// wait behind all outstanding work of both directions, and is sent again if it is lost.
 const PATIENT_TIMEOUT: ClockSpan = ClockSpan::from_millis(2_000);
 /// Longest time in which servers of a zone are tried to show whether it is in reach. A
 /// request may wait for it.
@@ -91,18 +92,11 @@
     call: &ForwardCall<'_>,
     server: &ServerIncarnation,
 ) -> Option<HttpChannel> {
-    let listed = router
-        .servers
-        .borrow()
-        .get(server)
-        .map(|entry| entry.address);
-    let limit = PATIENT_TIMEOUT.min(router.clock.left(call.deadline));
-    metrics::counter!("guavawell_forward_connections_total").increment(1);
     let began = router.clock.now();
-    match HttpChannel::connect(listed?, timer_span(limit)).await {
+    match connect_within(router, call, server, PATIENT_TIMEOUT).await {
         Ok(channel) => {
             note_accepted(router, server);
-            Some(channel.counted_by(&router.link.servers))
+            Some(channel)
         }
         Err(error) => {
             log_unreached(router, server, &error, began);
@@ -172,11 +166,26 @@
     router.pool.borrow_mut().take(server, now, max_idle)
 }
 
-/// Opens a connection of this instance.
+/// Opens a connection of this instance, in a time that depends on past ones.
 async fn connect(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
     server: &ServerIncarnation,
+) -> Result<HttpChannel, ChannelError> {
+    let timeout = router.connect_timeout.get();
+    let limit = timeout.limit(&router.settings.times.connect);
+    let began = router.clock.now();
+    let result = connect_within(router, call, server, limit).await;
+    note_connect_time(router, result.as_ref().err(), began);
+    result
+}
+
+/// Opens a connection of this instance within `limit`.
+async fn connect_within(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &ServerIncarnation,
+    limit: ClockSpan,
 ) -> Result<HttpChannel, ChannelError> {
     let listed = router
         .servers
@@ -184,16 +193,10 @@
         .get(server)
         .map(|entry| entry.address);
     let address = listed.ok_or(ChannelError::Closed)?;
-    let limit = router
-        .connect_timeout
-        .get()
-        .limit(&router.settings.times.connect);
     let limit = limit.min(router.clock.left(call.deadline));
     metrics::counter!("guavawell_forward_connections_total").increment(1);
-    let began = router.clock.now();
-    let result = HttpChannel::connect(address, timer_span(limit)).await;
-    note_connect_time(router, result.as_ref().err(), began);
-    Ok(result?.counted_by(&router.link.servers))
+    let channel = HttpChannel::connect(address, timer_span(limit)).await?;
+    Ok(channel.counted_by(&router.link.servers))
 }
 
 /// Opens a connection through another instance, because this one has lost its own
--- a/crates/guavawell-forward/src/crash.rs
+++ b/crates/guavawell-forward/src/crash.rs
@@ -313,6 +313,10 @@
 /// Handles a refused connection: other servers are preferred for a while.
 /// Unless the server was leaving, the refusal counts as a crash, and requests
 /// abandoned at the server shortly before are suspected.
+///
+/// A server whose entry was removed counts as leaving here: operators may remove it
+/// before they end it. One that broke off a response before (`has_refused`) leaves only
+/// if it announced that, as its entry may have been removed because it crashed.
 pub fn note_refused(router: &ForwardRouter, server: &ServerIncarnation) {
     let phase = router.servers.borrow().get(server).map(|entry| entry.phase);
     note_end(router, server, phase == Some(ServerPhase::Leaving));
--- a/crates/guavawell-forward/src/link/charge.rs
+++ b/crates/guavawell-forward/src/link/charge.rs
@@ -12,9 +12,11 @@
 use crate::refusal::RefusalResponse;
 use crate::router::ForwardRouter;
 
-/// Retry-After of callers that reach another instance when they come back.
+/// Retry-After of callers that reach another instance when they come back, beside the time
+/// until they are moved: the load balancer's checks are not that exact.
 const RETRY_PAUSE: ClockSpan = ClockSpan::from_millis(100);
-/// Over how many milliseconds their return is spread.
+/// Over how many milliseconds their return is spread, so that they do not fill the link of
+/// the other instance together.
 const RETRY_SPREAD: f64 = 400.0;
 
 /// The charge of an accepted request, until it ends.
