--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -14,6 +14,7 @@
 mod incarnation;
 mod large_fleet;
 mod link_admission;
+mod link_readiness;
 mod load;
 mod overload;
 mod poll;
