After a suspension requests for cold servers wait until the zones are read again

What callers saw: an instance that was suspended for 0.5 s, while a zone was evacuated and taken back, sent its waiting requests before it had read the store: a cold server that tolerates 9 a second got 10 to 12 in one moment and crashed, and their callers got errors.

Cause: what was read counts for 2.2 s by the clock. After a suspension the requests of the whole time are in hand at once, while the store's next response is still to come.

Change: the thread's times on a processor and in wait for one (/proc/thread-self/schedstat) are compared with the time that passed, every 20 ms and by a request that finds the last comparison old. More than 300 ms of neither is a suspension; a full processor is none, since its thread waits. The evacuated zones are in doubt then until the store answers a poll that was sent later, which is sent at once. Requests for services with a slow start wait for it, before a server is chosen and before they are sent, for 250 ms at most and a quarter of their remaining time. Where no service states a slow start nothing else changes than one event, process.suspended.

Decisions alone: suspension::* (core), among them a_full_processor_is_no_suspension and short_suspensions_do_not_add_up. zone_suspension::* hold that requests for servers that are never cold do not wait, and that a store that does not respond keeps no request waiting for long.

--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -25,4 +25,5 @@
 mod server_path;
 mod slow_start;
 mod support;
+mod suspension;
 mod version;
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -86,6 +86,9 @@
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     };
     progress.carrier = channel.carrier().cloned();
+    router
+        .await_doubted_zones(&call.service, call.deadline)
+        .await;
     // All this may have changed while the connection was being opened.
     let expired = router.clock.left(call.deadline) == ClockSpan::default();
     let crashes_servers = is_refused(router, call);
--- a/crates/guavawell-forward/src/clock.rs
+++ b/crates/guavawell-forward/src/clock.rs
@@ -1,5 +1,7 @@
 //! The monotonic clock. Only this module reads the system's clocks.
 
+use std::fs::File;
+use std::os::unix::fs::FileExt;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -8,6 +10,7 @@
 use futures_lite::FutureExt;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ProcessorTime;
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
 use smol::Timer;
@@ -57,6 +60,47 @@
     }
 }
 
+/// Where the system tells how long the present thread ran and waited for a processor.
+const THREAD_TIMES: &str = "/proc/thread-self/schedstat";
+/// Size of the largest text in it, in bytes: three numbers.
+const THREAD_TIMES_BYTES: usize = 64;
+/// Nanoseconds of a millisecond.
+const NANOS_PER_MILLI: u64 = 1_000_000;
+
+/// The processor time of the thread that opened it.
+#[derive(Debug)]
+pub struct ProcessorClock {
+    /// `None` if the system does not tell.
+    file: Option<File>,
+}
+
+impl ProcessorClock {
+    /// Opens the clock of the present thread.
+    #[must_use]
+    pub fn open() -> Self {
+        let file = File::open(THREAD_TIMES);
+        if let Err(error) = &file {
+            log::warn!("suspensions are not noticed, as {THREAD_TIMES} is missing: {error}");
+        }
+        Self { file: file.ok() }
+    }
+
+    /// The times until now; `None` if the system does not tell.
+    #[must_use]
+    pub fn read(&self) -> Option<ProcessorTime> {
+        let mut buffer = [0; THREAD_TIMES_BYTES];
+        let length = self.file.as_ref()?.read_at(&mut buffer, 0).ok()?;
+        let text = std::str::from_utf8(buffer.get(..length)?).ok()?;
+        let mut numbers = text.split_whitespace().map(|part| part.parse::<u64>().ok());
+        let (used, waited, runs) = (numbers.next()??, numbers.next()??, numbers.next()??);
+        // A system that does not measure waits counts no runs.
+        (runs > 0).then(|| ProcessorTime {
+            used: ClockSpan::from_millis(used / NANOS_PER_MILLI),
+            waited: ClockSpan::from_millis(waited / NANOS_PER_MILLI),
+        })
+    }
+}
+
 /// Converts a span to the type that timers take.
 #[must_use]
 pub const fn timer_span(span: ClockSpan) -> Duration {
--- a/crates/guavawell-forward/src/evacuation.rs
+++ b/crates/guavawell-forward/src/evacuation.rs
@@ -55,6 +55,7 @@
         let change = servers.evacuations_mut().refute_told(asked_at, revision);
         drop(servers);
         self.apply_evacuations(&change, |zone| self.stored_origin(zone, revision));
+        self.confirm_zones(sent_at);
     }
 
     /// The revision as of which the store told a zone's state.
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod shutdown;
 pub mod sse;
 pub mod store;
+pub mod suspension;
 pub mod tunnel;
 pub mod warmth;
 pub mod zone_history;
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -105,6 +105,9 @@
         if call.origin.is_none() {
             call.origin.clone_from(&progress.stream.origin);
         }
+        router
+            .await_doubted_zones(&call.service, call.deadline)
+            .await;
         let rechecked = recheck_config(router, &mut call, progress.outcome.may_have_run, record);
         let call = &call;
         let pick = match rechecked.and_then(|()| pick_server(router, call, &progress)) {
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -40,6 +40,7 @@
 use crate::pool::ConnectionPool;
 use crate::read_ahead::WaitingResponses;
 use crate::settings::ForwardSettings;
+use crate::suspension::RunMonitor;
 use crate::tunnel::CarriedTunnels;
 use crate::warmth::WarmthQueries;
 use crate::zone_history::ZoneHistory;
@@ -125,6 +126,8 @@
     pub parts: PartTracker,
     /// Checks whether servers that broke off responses have crashed.
     pub crashes: CrashChecks,
+    /// Whether the process was suspended.
+    pub run_monitor: RunMonitor,
     /// How full the processor is.
     pub processor_load: ProcessorLoad,
     /// The callers' open connections.
@@ -189,6 +192,7 @@
             origins: StreamOrigins::default(),
             parts: PartTracker::default(),
             crashes: CrashChecks::default(),
+            run_monitor: RunMonitor::start(),
             processor_load: ProcessorLoad::default(),
             callers: Rc::default(),
             held_requests: Cell::new(0),
--- a/crates/guavawell-forward/src/zone_history.rs
+++ b/crates/guavawell-forward/src/zone_history.rs
@@ -174,7 +174,7 @@
     }
 
     /// The longest cold time of the services with a slow start.
-    fn longest_cold_span(&self) -> Option<ClockSpan> {
+    pub(crate) fn longest_cold_span(&self) -> Option<ClockSpan> {
         let config = self.configs.current()?;
         let services = config.services.iter();
         let spans = services.filter_map(|service| service.slow_start);
