--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -26,5 +26,6 @@
 mod server_path;
 mod slow_start;
 mod support;
+mod suspension;
 mod taking_pace;
 mod version;
