--- a/crates/guavawell-demo/tests/fault/env.rs
+++ b/crates/guavawell-demo/tests/fault/env.rs
@@ -12,7 +12,6 @@
 use guavawell_core::budget::RowChange;
 use guavawell_core::budget::SlotRow;
 use guavawell_core::clock::ClockSpan;
-use guavawell_core::id::InstanceId;
 use guavawell_core::id::TokenCount;
 use guavawell_demo::fleet::DemoFleet;
 use guavawell_demo::fleet::FleetSettings;
@@ -40,6 +39,7 @@
 
 use crate::load::FaultLoad;
 use crate::load::LoadEnd;
+use crate::rows::frozen;
 
 /// Time between two looks at a state that a test waits for.
 const LOOK: Duration = Duration::from_millis(25);
@@ -284,17 +284,6 @@
         costs.sum()
     }
 
-    /// The first organisation's budget.
-    pub fn budget(&self) -> Option<BudgetRow> {
-        let row = self.fleet.platform.row("budget/budget-0")?;
-        serde_json::from_slice(&row).ok()
-    }
-
-    /// Tokens of the first organisation's budget that froze.
-    pub fn frozen(&self) -> u64 {
-        frozen(self.budget().as_ref())
-    }
-
     /// Adds tokens to the first organisation's budget, as the operators'
     /// command does: by compare-and-swap at the platform.
     pub async fn top_up(&mut self, id: &str, tokens: u64) {
@@ -328,62 +317,6 @@
         self.topped_up += tokens;
     }
 
-    /// The row of a slot.
-    pub fn slot(&self, zone: usize, shard: u16) -> SlotRow {
-        self.find_slot(zone, shard).expect("the slot is held")
-    }
-
-    /// The row of a slot, once somebody has held it.
-    fn find_slot(&self, zone: usize, shard: u16) -> Option<SlotRow> {
-        let row = self
-            .fleet
-            .platform
-            .row(&format!("slot/zone-{zone}/{shard}"))?;
-        Some(serde_json::from_slice(&row).expect("a slot's row"))
-    }
-
-    /// The slot of a zone that decides for the first organisation.
-    pub fn money_slot(&self, zone: usize) -> SlotRow {
-        let organisation = "org-0".parse().expect("a constant id");
-        let shards = self.fleet.settings.shards;
-        let shard = guavawell_core::budget::shard_of(&organisation, shards);
-        self.slot(zone, shard.get())
-    }
-
-    /// The place of a router.
-    pub fn index(&self, instance: &InstanceId) -> usize {
-        let found = self
-            .fleet
-            .routers
-            .iter()
-            .position(|router| router.id == *instance);
-        found.expect("a router of the fleet")
-    }
-
-    /// The router that holds a zone's slot of the first organisation.
-    pub fn holder(&self, zone: usize) -> usize {
-        self.index(&self.money_slot(zone).holder.instance)
-    }
-
-    /// The router that witnesses that slot.
-    pub fn witness(&self, zone: usize) -> usize {
-        let witness = self
-            .money_slot(zone)
-            .witness
-            .expect("the slot has a witness");
-        self.index(&witness.instance)
-    }
-
-    /// A router of the zone that does not hold its slot.
-    pub fn bystander(&self, zone: usize) -> usize {
-        let holder = self.holder(zone);
-        let routers = self.fleet.routers.iter().enumerate();
-        let mut others = routers.filter(|(index, router)| {
-            router.zone == zone && *index != holder && router.handle.is_some()
-        });
-        others.next().expect("a second router").0
-    }
-
     /// Waits for a state.
     pub async fn wait(&self, what: &str, mut is_reached: impl FnMut(&Self) -> bool) {
         for _ in 0..MAX_LOOKS {
@@ -489,11 +422,6 @@
     engine.set_faults(change).await.expect("the engine obeys");
 }
 
-fn frozen(row: Option<&BudgetRow>) -> u64 {
-    let frozen = row.iter().flat_map(|row| &row.frozen);
-    frozen.map(|frozen| frozen.tokens.get()).sum()
-}
-
 /// Adds the tries of the same id at other routers; a whole answer outweighs
 /// what the other tries ended with.
 fn merge(history: &mut RequestHistory, other: &RequestHistory) {
--- a/crates/guavawell-demo/tests/fault/main.rs
+++ b/crates/guavawell-demo/tests/fault/main.rs
@@ -16,4 +16,5 @@
 mod provoke;
 mod recovery;
 mod relay;
+mod rows;
 mod shutdown;
--- a/crates/guavawell-forward/src/peer/mod.rs
+++ b/crates/guavawell-forward/src/peer/mod.rs
@@ -302,7 +302,19 @@
         request: &PeerRequest,
         untold: &'static str,
     ) {
-        if let Err(error) = self.send_request(address, request, TELL_TIMEOUT).await {
+        self.tell_within(address, request, untold, TELL_TIMEOUT)
+            .await;
+    }
+
+    /// As [`tell`](Self::tell); `limit` is the timeout for the response head.
+    pub(crate) async fn tell_within(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        untold: &'static str,
+        limit: Duration,
+    ) {
+        if let Err(error) = self.send_request(address, request, limit).await {
             metrics::counter!(untold).increment(1);
             log::debug!("telling {address} {} failed: {error}", request.target());
         }
--- a/crates/guavawell-forward/src/poison/parts.rs
+++ b/crates/guavawell-forward/src/poison/parts.rs
@@ -32,6 +32,8 @@
 pub(super) const MAX_BATCH: usize = 256;
 /// Most reports that wait to be sent. The oldest ones are dropped.
 const MAX_WAITING: usize = 2_048;
+/// Counts reports that did not arrive.
+const UNTOLD: &str = "guavawell_forward_part_crashes_untold_total";
 /// Timeout of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -213,11 +215,10 @@
         let router = Rc::clone(router);
         let send = async move {
             let request = PeerRequest::PartCrashes(batch);
-            let sent = router.peers.send_request(address, &request, REPORT_TIMEOUT);
-            if let Err(error) = sent.await {
-                metrics::counter!("guavawell_forward_part_crashes_untold_total").increment(1);
-                log::debug!("reporting crashes to {address} failed: {error}");
-            }
+            let told = router
+                .peers
+                .tell_within(address, &request, UNTOLD, REPORT_TIMEOUT);
+            told.await;
         };
         executor.spawn(send).detach();
     }
