A loan request is computed once where tokens don't follow callers

What callers saw: nothing; the ledger computed each loan request twice, the first time for its scope. Where tokens don't follow callers (the switch is off) shared_loan_request returns the plain request, so loan_request returns that at once. Where they follow callers the ledger still computes it twice: mending that changes shared_loan_request in grant/demand.rs, which is left to the work on it.

Tests and Clippy of guavawell-forward pass. The path with the switch on was not run in a product test.

--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -154,10 +154,13 @@
 
     fn loan_request(&self, organisation: &OrganisationId, tokens: u64) -> LoanRequest {
         let now = self.clock.now();
-        let in_doubt = self.is_cut_off() || self.question_pace.get().is_in_doubt();
         let ledger = self.ledger.borrow();
-        let scope = ledger.loan_request(organisation, tokens, now).scope;
-        let waiting = self.tokens_waiting(organisation, scope);
+        let own = ledger.loan_request(organisation, tokens, now);
+        if !self.demand.follows_callers {
+            return own;
+        }
+        let in_doubt = self.is_cut_off() || self.question_pace.get().is_in_doubt();
+        let waiting = self.tokens_waiting(organisation, own.scope);
         ledger.shared_loan_request(organisation, tokens, waiting, in_doubt, now)
     }
 
