A load that fills links stays where its tokens are while the store is away

All requests of one organisation in one zone (230 a second and more) come to one small instance, which steps aside as its link is full, and the load moves on every 2.5 s. While the store is away the next instances can get no tokens and refuse nearly all of it (503, budget unknown), and each refused request comes back once and fills the link again.

Change: `core::forward::link::keep` decides, without I/O, whether an instance keeps its load, or takes it back: the store has been away for half a second, its own grant lasts for a second of the load that filled the link, and the link itself does not delay calls to the store. It is then ready although its link is full. New: events link.kept and link.released, the counter guavawell_forward_loads_kept_total.

--- a/crates/guavawell-core/src/forward/link/mod.rs
+++ b/crates/guavawell-core/src/forward/link/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod cost;
+mod keep;
 mod readiness;
 
 pub use admission::LinkAdmission;
@@ -14,5 +15,9 @@
 pub use cost::LinkBytes;
 pub use cost::RouteCosts;
 pub use cost::wire_bytes;
+pub use keep::CallerLoad;
+pub use keep::KeeperSettings;
+pub use keep::KeeperView;
+pub use keep::LoadKeeper;
 pub use readiness::LinkReadiness;
 pub use readiness::ReadinessSettings;
--- a/crates/guavawell-core/src/forward/link/readiness.rs
+++ b/crates/guavawell-core/src/forward/link/readiness.rs
@@ -89,6 +89,8 @@
     ready_until: ClockTime,
     /// For how many holds the instance stays away.
     holds: u64,
+    /// Whether the load is kept although the link is full.
+    keeps: bool,
 }
 
 impl LinkReadiness {
@@ -108,9 +110,32 @@
             ready_since: None,
             ready_until: ClockTime::from_millis(0),
             holds: 1,
+            keeps: false,
         }
     }
 
+    /// Records whether the load is kept: the instance is then ready although its link is
+    /// full. Once it no longer is, an instance that was not ready begins to be so again.
+    pub fn keep(&mut self, keeps: bool, now: ClockTime) {
+        if self.keeps && !keeps && self.full_since.is_some() {
+            self.arrivals_before = self.arrivals.last.max(self.arrivals.present);
+            self.full_since = Some(now);
+        }
+        self.keeps = keeps;
+    }
+
+    /// Whether the demand was high for the link at the last look.
+    #[must_use]
+    pub const fn is_demand_high(&self) -> bool {
+        self.high_since.is_some()
+    }
+
+    /// Whether the link is full: the instance is not ready, or only ready to keep its load.
+    #[must_use]
+    pub const fn is_full(&self) -> bool {
+        self.full_since.is_some() || self.keeps
+    }
+
     /// Records a new connection of a caller.
     pub const fn note_connection(&mut self) {
         self.arrivals.present = self.arrivals.present.saturating_add(1);
@@ -123,6 +148,9 @@
         self.arrivals.advance(now);
         let is_high = demand >= settings.high;
         self.high_since = is_high.then(|| self.high_since.unwrap_or(now));
+        if self.keeps {
+            return;
+        }
         let Some(since) = self.full_since else {
             let is_full = lasts(self.high_since, settings.high_for, now);
             if is_full && others_may_take && now >= self.ready_until {
@@ -147,21 +175,23 @@
     /// Whether new connections are welcome.
     #[must_use]
     pub const fn is_ready(&self) -> bool {
-        self.full_since.is_none()
+        self.full_since.is_none() || self.keeps
     }
 
     /// Whether kept connections are to be ended.
     #[must_use]
     pub fn is_effective(&self, now: ClockTime) -> bool {
-        self.full_since
-            .is_some_and(|since| now.since(since) >= self.settings.effective_after)
+        !self.keeps
+            && self
+                .full_since
+                .is_some_and(|since| now.since(since) >= self.settings.effective_after)
     }
 
     /// The time until a caller that comes back reaches another instance; `None` while
     /// this one is ready, or gets the load although it is not.
     #[must_use]
     pub fn moved_in(&self, now: ClockTime) -> Option<ClockSpan> {
-        let passed = now.since(self.full_since?);
+        let passed = now.since(self.full_since.filter(|_| !self.keeps)?);
         let span = self.settings.moved_after;
         if passed >= span && self.high_since.is_some() {
             return None;
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -15,6 +15,7 @@
 mod large_fleet;
 mod link_admission;
 mod load;
+mod load_keeper;
 mod overload;
 mod poll;
 mod read_ahead;
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -11,6 +11,7 @@
 mod borrow;
 mod calls;
 mod fleet_key;
+mod left;
 mod lend;
 mod limits;
 mod peers;
--- a/crates/guavawell-forward/src/link/mod.rs
+++ b/crates/guavawell-forward/src/link/mod.rs
@@ -10,10 +10,14 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::KeeperSettings;
 use guavawell_core::forward::LinkAdmission;
 use guavawell_core::forward::LinkReadiness;
 use guavawell_core::forward::LinkSettings;
+use guavawell_core::forward::LoadKeeper;
 use guavawell_core::forward::ReadinessSettings;
+use guavawell_core::id::OrganisationId;
+use guavawell_core::id::TokenCount;
 use guavawell_core::number::fraction;
 
 pub use self::claim::LinkClaim;
@@ -33,6 +37,7 @@
 struct LinkControl {
     admission: LinkAdmission,
     readiness: LinkReadiness,
+    keeper: LoadKeeper,
     /// Bytes that the link carries in a second.
     rate: f64,
 }
@@ -71,6 +76,7 @@
             RefCell::new(LinkControl {
                 admission: LinkAdmission::new(LinkSettings::default(), rate),
                 readiness: LinkReadiness::new(ReadinessSettings::default()),
+                keeper: LoadKeeper::new(KeeperSettings::default()),
                 rate: rate.bytes_per_second(),
             })
         });
@@ -97,15 +103,15 @@
     }
 
     /// Whether the link is nearly full, so that nothing is sent that can be left out: the
-    /// instance is not ready and its link still used, or it refused a request just now.
+    /// instance is not ready, or keeps its load, and its link is still used, or it refused a request just now.
     #[must_use]
     pub fn is_nearly_full(&self, now: ClockTime) -> bool {
         let control = self.control.as_ref();
         control.is_some_and(|control| {
             let mut control = control.borrow_mut();
             let is_used = control.admission.demand(now) > LITTLE_USED;
-            let is_away = !control.readiness.is_ready();
-            (is_away && is_used) || control.admission.refuses(NEARLY_FULL_SPAN, now)
+            let is_full = control.readiness.is_full();
+            (is_full && is_used) || control.admission.refuses(NEARLY_FULL_SPAN, now)
         })
     }
 
@@ -120,6 +126,21 @@
         control.readiness.is_effective(now) && control.admission.demand(now) > LITTLE_USED
     }
 
+    /// Records a request of an organisation and the tokens that it needs at most.
+    pub fn note_tokens(&self, organisation: &OrganisationId, tokens: TokenCount, now: ClockTime) {
+        if let Some(control) = &self.control {
+            let keeper = &mut control.borrow_mut().keeper;
+            keeper.note_request(organisation, tokens, now);
+        }
+    }
+
+    /// Records how long a connection to a server took to be accepted or refused.
+    pub fn note_connect(&self, took: ClockSpan, now: ClockTime) {
+        if let Some(control) = &self.control {
+            control.borrow_mut().keeper.note_connect(took, now);
+        }
+    }
+
     /// Records a new connection of a caller.
     pub fn connection_began(&self) {
         if let Some(control) = &self.control {
--- a/crates/guavawell-forward/src/link/watch.rs
+++ b/crates/guavawell-forward/src/link/watch.rs
@@ -5,6 +5,7 @@
 
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::KeeperView;
 use guavawell_core::forward::LinkBytes;
 use guavawell_core::number::fraction;
 use guavawell_core::number::whole;
@@ -47,6 +48,7 @@
             total.0 += received;
             total.1 += sent;
         }
+        decide_on_load(&router, control, now);
         observe_demand(&router, control, now);
         checks += 1;
         if checks == CHECKS_PER_REPORT {
@@ -58,6 +60,46 @@
     }
 }
 
+/// Decides whether the load that fills the link is kept, or taken back.
+fn decide_on_load(router: &ForwardRouter, control: &RefCell<LinkControl>, now: ClockTime) {
+    let control = &mut *control.borrow_mut();
+    let keeper = &mut control.keeper;
+    if control.readiness.is_demand_high() {
+        keeper.note_full(now);
+    }
+    let budgets = &router.budgets;
+    let outage = budgets.store_outage();
+    let load = keeper.load().filter(|_| outage.is_some()).cloned();
+    let tokens = load
+        .as_ref()
+        .map_or(0, |load| budgets.tokens_left(&load.organisation));
+    let view = KeeperView {
+        store_outage: outage,
+        tokens,
+        is_demand_high: control.readiness.is_demand_high(),
+    };
+    let kept = keeper.keeps();
+    let keeps = keeper.decide(&view, now);
+    control.readiness.keep(keeps, now);
+    if kept == keeps {
+        return;
+    }
+    let kind = if keeps { "link.kept" } else { "link.released" };
+    let mut draft = EventDraft::new(kind).field("tokens_left", tokens);
+    if let Some(load) = &load {
+        draft = draft
+            .organisation(&load.organisation)
+            .field("tokens_per_second", whole(load.demand));
+    }
+    let outage = outage.unwrap_or_default();
+    router
+        .log
+        .emit(draft.field("store_away_ms", outage.as_millis()));
+    if keeps {
+        metrics::counter!("guavawell_forward_loads_kept_total").increment(1);
+    }
+}
+
 fn observe_demand(router: &ForwardRouter, control: &RefCell<LinkControl>, now: ClockTime) {
     let mut control = control.borrow_mut();
     let was_ready = control.readiness.is_ready();
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -99,6 +99,13 @@
         return Err(RefusalResponse::leaving());
     }
     check_admission(router, deadline)?;
+    if let Some((organisation, _)) = &organisation {
+        let tokens = usage.worst_case();
+        if tokens > TokenCount::ZERO {
+            let now = router.clock.now();
+            router.link.note_tokens(organisation, tokens, now);
+        }
+    }
     let claim = claim(router, request, &route, organisation.as_ref(), meter)?;
     let sender = (organisation.as_ref().map(|(id, _)| id), fingerprint);
     let origin = continued_stream(router, request, &route, sender, deadline, record).await?;
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -253,6 +253,9 @@
     /// refused; `None` if it timed out.
     pub fn note_connect_time(&self, took: Option<ClockSpan>) {
         let now = self.clock.now();
+        if let Some(took) = took {
+            self.link.note_connect(took, now);
+        }
         let mut link = self.link_congestion.get();
         let before = link.is_full(now);
         match took {
