--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -16,6 +16,7 @@
 mod link_admission;
 mod link_readiness;
 mod load;
+mod load_keeper;
 mod overload;
 mod poll;
 mod read_ahead;
