A server that states its pace is not full by an old report

Cause: an instance takes a server for full at two requests a slot, counting those of others by the server's last report. That report counts in full for 1.5 s and by half 8 s later. An instance that takes the only server for full sends nothing there, so no newer report comes, though the queue is gone within 50 ms.

Change: `core::forward::work_pace` learns how long a plain request takes at a server that states its pace (the fourth figure of its load, so far dropped) and works off what it reported. Only whether a server is full follows from it; the order of preference stays. `request.ended` names `worked_off`, a metric counts it. Off for servers that state no pace, and for streams.

Evidence: a replay of one server and 25 instances (the test refuses over a quarter by reports that decay; by pace it loses at most 1.5 times what a server that gets everything must reject), and a test of real processes with three and four figures.

--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -22,6 +22,7 @@
 use crate::id::BackendId;
 use crate::id::ZoneId;
 use crate::number::fraction;
+use crate::number::whole;
 use crate::poison::RequestFingerprint;
 
 /// Cost of a server that is the last choice; exceeds the sum of all other
@@ -153,6 +154,8 @@
     pub prefill_tokens: u64,
     /// Whether the server, which is fragile, might reject the request.
     pub risky: bool,
+    /// Whether the server would count as full, had it not worked off what it reported.
+    pub worked_off: bool,
 }
 
 /// Chooses the server with the lowest cost.
@@ -232,6 +235,7 @@
             server: best.incarnation.clone(),
             prefill_tokens: self.request.usage.input.get().saturating_sub(cached),
             risky: self.fragility.is_some() && !self.is_within_part(best),
+            worked_off: best.load.estimate(self.now) >= self.max_requests(best),
         })
     }
 
@@ -281,8 +285,7 @@
     }
 
     fn has_room(&self, entry: &ServerEntry) -> bool {
-        let max_requests = f64::from(entry.slots) * self.settings.max_requests_per_slot;
-        if f64::from(entry.load.estimate(self.now)) >= max_requests.max(1.0) {
+        if entry.occupancy(self.now) >= self.max_requests(entry) {
             return false;
         }
         if let Some(rejections) = self.fragility
@@ -297,6 +300,12 @@
         })
     }
 
+    /// Number of requests at which a server counts as full.
+    fn max_requests(&self, entry: &ServerEntry) -> u32 {
+        let max_requests = f64::from(entry.slots) * self.settings.max_requests_per_slot;
+        u32::try_from(whole(max_requests.ceil().max(1.0))).unwrap_or(u32::MAX)
+    }
+
     /// Whether a fragile server has room for the request in this instance's part of its
     /// slots and memory.
     fn is_within_part(&self, entry: &ServerEntry) -> bool {
--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -38,6 +38,7 @@
 mod table;
 mod tracker;
 mod version_history;
+mod work_pace;
 
 pub use admission::AdmissionSettings;
 pub use admission::admit;
@@ -134,3 +135,5 @@
 pub use tracker::ConfigAction;
 pub use tracker::ConfigSource;
 pub use tracker::VersionTracker;
+pub use work_pace::ServerWork;
+pub use work_pace::WorkPace;
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -8,6 +8,7 @@
 use crate::forward::ServerIncarnation;
 use crate::forward::ServerLimit;
 use crate::forward::ServerWarmth;
+use crate::forward::ServerWork;
 use crate::id::ServiceId;
 use crate::id::ZoneId;
 use crate::number::fraction;
@@ -120,13 +121,18 @@
 }
 
 impl LoadFigures {
+    /// Requests of other instances at the server's last report.
+    const fn reported_others(&self) -> u32 {
+        (self.running + self.waiting).saturating_sub(self.own_at_report)
+    }
+
     /// Estimated number of requests of all callers at the server.
     #[must_use]
     pub fn estimate(&self, now: ClockTime) -> u32 {
         let Some(reported_at) = self.reported_at else {
             return self.in_flight;
         };
-        let others = (self.running + self.waiting).saturating_sub(self.own_at_report);
+        let others = self.reported_others();
         let age = now.since(reported_at).as_millis();
         let old = fraction(age.saturating_sub(FRESH_REPORT_AGE.as_millis()));
         let others = whole(f64::from(others) * decay(old, REPORT_HALF_LIFE_MS));
@@ -179,6 +185,8 @@
     pub health: ServerHealth,
     /// Whether it is cold.
     pub warmth: ServerWarmth,
+    /// How long it takes for requests, if it states its pace.
+    pub work: ServerWork,
     /// The rate limit that it states.
     pub limit: ServerLimit,
     /// Whether it falls over if it has to reject too many requests.
@@ -214,6 +222,21 @@
         self.load.reported_at = Some(now);
     }
 
+    /// Estimated number of requests of all callers at the server, for whether it has
+    /// room. One that states its pace has worked off what it reported.
+    #[must_use]
+    pub fn occupancy(&self, now: ClockTime) -> u32 {
+        let load = &self.load;
+        let left = load.reported_at.and_then(|reported_at| {
+            let age = now.since(reported_at);
+            self.work.left_of(load.reported_others(), self.slots, age)
+        });
+        match left {
+            Some(others) => load.in_flight.saturating_add(others),
+            None => load.estimate(now),
+        }
+    }
+
     /// Records the outcome of a request that the server could have served.
     pub fn rate(&mut self, now: ClockTime, failed: bool) {
         let before = self.failure_rate(now);
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -26,3 +26,4 @@
 mod slow_start;
 mod support;
 mod version;
+mod work_pace;
--- a/crates/guavawell-core/tests/forward/support.rs
+++ b/crates/guavawell-core/tests/forward/support.rs
@@ -19,6 +19,7 @@
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::ServerTable;
 use guavawell_core::forward::ServerWarmth;
+use guavawell_core::forward::ServerWork;
 use guavawell_core::forward::StartTime;
 use guavawell_core::forward::TokenUsage;
 use guavawell_core::forward::choose_server;
@@ -76,6 +77,7 @@
         load: LoadFigures::default(),
         health: ServerHealth::default(),
         warmth: ServerWarmth::default(),
+        work: ServerWork::default(),
         limit: ServerLimit::default(),
         fragility: ServerFragility::default(),
         suspects: Vec::new(),
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -11,6 +11,7 @@
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
+use guavawell_core::forward::WorkPace;
 use guavawell_core::poison::OrganisationTag;
 use guavawell_core::stream::SoftwareVersion;
 
@@ -160,11 +161,15 @@
     if let Some(reservation) = &call.reservation {
         reservation.spend(call.usage.input);
     }
+    let began = router.clock.now();
     let response = match exchange(router, call, progress, channel, guard).await {
         Ok(response) => response,
         Err(end) => return AttemptOutcome::Ended(end, None),
     };
     note_load(router, &response);
+    if !call.route.streaming {
+        note_work(router, &response, began);
+    }
     caller.set_incomplete(0);
     if is_rejection(router, &response.head) {
         progress.outcome.may_have_run = before;
@@ -220,6 +225,22 @@
     }
 }
 
+/// Records the pace that a server states, and how long it took for a plain response.
+fn note_work(router: &ForwardRouter, response: &IncomingResponse, began: ClockTime) {
+    let pace = stated_pace(router, &response.head);
+    let took = router.clock.now().since(began);
+    response.guard.change(|server| {
+        let (waiting, slots) = (server.load.waiting, server.slots);
+        server.work.record(pace, took, waiting, slots);
+    });
+}
+
+/// The pace of a server: the fourth figure of its load.
+fn stated_pace(router: &ForwardRouter, head: &ResponseHead) -> Option<WorkPace> {
+    let text = head.fields.get(router.settings.names.load)?;
+    text.split(',').nth(3)?.trim().parse().ok()
+}
+
 /// Sends the request and waits for the head of the response.
 async fn exchange(
     router: &Rc<ForwardRouter>,
--- a/crates/guavawell-forward/src/field_names.rs
+++ b/crates/guavawell-forward/src/field_names.rs
@@ -27,7 +27,8 @@
     pub priority: &'static str,
     /// Set by a server that did not run the request.
     pub not_run: &'static str,
-    /// A server's load: requests running, requests waiting, slots.
+    /// A server's load: requests running, requests waiting, slots, and from some servers
+    /// how long work takes now, in percent of the usual time.
     pub load: &'static str,
     /// Set by a server that is leaving.
     pub leaving: &'static str,
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -123,6 +123,7 @@
             }
         };
         record.note("server", &pick.server);
+        note_worked_off(record, &pick);
         note_version(router, record, &pick.server);
         let outcome = send_attempt(router, caller, call, &pick, &mut progress).await;
         record.note("attempts", progress.sent);
@@ -207,6 +208,14 @@
     }
 }
 
+/// Records that a server was chosen that would be full by its last report.
+fn note_worked_off(record: &RequestRecord, pick: &ServerPick) {
+    if pick.worked_off {
+        metrics::counter!("guavawell_forward_reports_worked_off_total").increment(1);
+        record.note("worked_off", &pick.server);
+    }
+}
+
 /// Records the version of the software of the last server that was chosen.
 fn note_version(router: &ForwardRouter, record: &RequestRecord, server: &ServerIncarnation) {
     if let Some(entry) = router.servers.borrow().get(server) {
--- a/crates/guavawell-forward/tests/crash/mod.rs
+++ b/crates/guavawell-forward/tests/crash/mod.rs
@@ -18,6 +18,7 @@
 use guavawell_core::forward::ServerLimit;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerWarmth;
+use guavawell_core::forward::ServerWork;
 use guavawell_core::poison::OrganisationTag;
 use guavawell_core::poison::RequestFingerprint;
 use guavawell_core::poison::SuspicionMark;
@@ -75,6 +76,7 @@
             ..ServerHealth::default()
         },
         warmth: ServerWarmth::default(),
+        work: ServerWork::default(),
         limit: ServerLimit::default(),
         fragility: ServerFragility::default(),
         suspects: Vec::new(),
