--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -40,6 +40,7 @@
 mod taking_pace;
 mod tracker;
 mod version_history;
+mod work_pace;
 
 pub use admission::AdmissionSettings;
 pub use admission::admit;
@@ -145,3 +146,5 @@
 pub use tracker::ConfigAction;
 pub use tracker::ConfigSource;
 pub use tracker::VersionTracker;
+pub use work_pace::ServerWork;
+pub use work_pace::WorkPace;
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -30,3 +30,4 @@
 mod suspension;
 mod taking_pace;
 mod version;
+mod work_pace;
