--- a/crates/guavawell-core/src/forward/link/admission.rs
+++ b/crates/guavawell-core/src/forward/link/admission.rs
@@ -8,7 +8,7 @@
 
 use super::LinkBytes;
 use super::RouteCosts;
-use super::names::NameTable;
+use super::names::RecentNames;
 use crate::clock::ClockSpan;
 use crate::clock::ClockTime;
 use crate::forward::LinkRate;
@@ -92,13 +92,13 @@
 /// Refusals in a row of each route or organisation.
 #[derive(Clone, Debug)]
 struct RefusalCounts {
-    counts: NameTable<u32>,
+    counts: RecentNames<u32>,
 }
 
 impl RefusalCounts {
     const fn new() -> Self {
         Self {
-            counts: NameTable::new(MAX_COUNTED),
+            counts: RecentNames::new(MAX_COUNTED),
         }
     }
 
@@ -109,7 +109,7 @@
     fn note(&mut self, name: &str, is_refused: bool) {
         if is_refused {
             let add = |count: &mut u32| *count = count.saturating_add(1);
-            self.counts.change(name, add, 1);
+            self.counts.change_or_insert(name, add, 1);
         } else {
             self.counts.remove(name);
         }
--- a/crates/guavawell-core/src/forward/link/cost.rs
+++ b/crates/guavawell-core/src/forward/link/cost.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Add;
 
-use super::names::NameTable;
+use super::names::RecentNames;
 use crate::number::fraction;
 
 /// Bytes of one packet on the wire in addition to its content: Ethernet, IP and TCP
@@ -73,13 +73,13 @@
 #[derive(Clone, Debug)]
 pub struct RouteCosts {
     /// Mean bytes of a response.
-    means: NameTable<f64>,
+    means: RecentNames<f64>,
 }
 
 impl Default for RouteCosts {
     fn default() -> Self {
         Self {
-            means: NameTable::new(MAX_ROUTES),
+            means: RecentNames::new(MAX_ROUTES),
         }
     }
 }
@@ -95,6 +95,6 @@
     pub fn learn(&mut self, route: &str, bytes: u64) {
         let bytes = fraction(bytes);
         let learn = |mean: &mut f64| *mean += LEARN_WEIGHT * (bytes - *mean);
-        self.means.change(route, learn, bytes);
+        self.means.change_or_insert(route, learn, bytes);
     }
 }
--- a/crates/guavawell-core/src/forward/link/keep.rs
+++ b/crates/guavawell-core/src/forward/link/keep.rs
@@ -20,12 +20,13 @@
 /// Thresholds of a [`LoadKeeper`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct KeeperSettings {
-    /// For how long the store must not have answered. Single rejected calls end sooner.
-    pub store_away: ClockSpan,
+    /// For how long calls to the store must have failed; a single failed call does not
+    /// last as long.
+    pub min_outage: ClockSpan,
     /// The load is kept if the tokens at hand last for this span.
-    pub tokens_for: ClockSpan,
+    pub min_supply: ClockSpan,
     /// A load that is kept is given up once the tokens last for less than this.
-    pub tokens_until: ClockSpan,
+    pub min_supply_while_kept: ClockSpan,
     /// A connection that is accepted within this time shows that the link does not delay
     /// calls to the store until they time out: half of their time limit.
     pub quick_connect: ClockSpan,
@@ -41,9 +42,9 @@
 impl Default for KeeperSettings {
     fn default() -> Self {
         Self {
-            store_away: ClockSpan::from_millis(500),
-            tokens_for: ClockSpan::from_millis(1_000),
-            tokens_until: ClockSpan::from_millis(100),
+            min_outage: ClockSpan::from_millis(500),
+            min_supply: ClockSpan::from_millis(1_000),
+            min_supply_while_kept: ClockSpan::from_millis(100),
             quick_connect: ClockSpan::from_millis(400),
             quick_valid_for: ClockSpan::from_millis(1_000),
             demand_span: ClockSpan::from_millis(1_000),
@@ -57,19 +58,21 @@
 pub struct CallerLoad {
     /// The organisation.
     pub organisation: OrganisationId,
-    /// Tokens in a second.
-    pub demand: f64,
+    /// Tokens that they need in a second.
+    pub tokens_per_second: f64,
 }
 
 /// What an instance sees of the store, its tokens and its link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeeperView {
-    /// Time since the store answered; `None` while it answers.
+    /// Time since the first call to the store that failed; `None` while it answers.
     pub store_outage: Option<ClockSpan>,
     /// Tokens that the instance still has for the load's organisation.
     pub tokens: u64,
     /// Whether the demand is high for the link.
     pub is_demand_high: bool,
+    /// Whether the instance is not ready because of its link.
+    pub is_away: bool,
 }
 
 /// Whether the instance keeps the callers that fill its link.
@@ -79,13 +82,14 @@
     /// The organisation that sends most, by majority vote, and its votes.
     largest: Option<(OrganisationId, u32)>,
     /// Tokens that its requests need in a millisecond, on average.
-    demand: f64,
+    tokens_per_ms: f64,
     updated_at: ClockTime,
-    /// When a connection to a server was accepted quickly last.
+    /// When a connection to a server was accepted quickly last. While the link is nearly
+    /// full none is noted, so a link that has long been full counts as delaying calls.
     quick_connect_at: Option<ClockTime>,
     /// The load with which the link was full last.
     load: Option<CallerLoad>,
-    keeps: bool,
+    is_kept: bool,
     /// Whether the tokens were too few since the store stopped answering.
     was_short: bool,
 }
@@ -97,11 +101,11 @@
         Self {
             settings,
             largest: None,
-            demand: 0.0,
+            tokens_per_ms: 0.0,
             updated_at: ClockTime::from_millis(0),
             quick_connect_at: None,
             load: None,
-            keeps: false,
+            is_kept: false,
             was_short: false,
         }
     }
@@ -118,12 +122,12 @@
             Some((largest, votes)) if largest == organisation => {
                 *votes = (*votes + 1).min(self.settings.max_lead);
                 let span = fraction(self.settings.demand_span.as_millis());
-                self.demand += fraction(tokens.get()) / span;
+                self.tokens_per_ms += fraction(tokens.get()) / span;
             }
             Some((_, votes)) if *votes > 0 => *votes -= 1,
             _ => {
                 self.largest = Some((organisation.clone(), 1));
-                self.demand = 0.0;
+                self.tokens_per_ms = 0.0;
             }
         }
     }
@@ -143,7 +147,7 @@
         };
         self.load = Some(CallerLoad {
             organisation: organisation.clone(),
-            demand: self.demand * MILLIS_PER_SECOND,
+            tokens_per_second: self.tokens_per_ms * MILLIS_PER_SECOND,
         });
     }
 
@@ -158,30 +162,34 @@
     /// is at hand by turns only, and the load would move each time.
     pub fn decide(&mut self, view: &KeeperView, now: ClockTime) -> bool {
         let settings = &self.settings;
-        let (least_outage, least_span) = if self.keeps {
-            (ClockSpan::default(), settings.tokens_until)
+        let (least_outage, least_span) = if self.is_kept {
+            (ClockSpan::default(), settings.min_supply_while_kept)
         } else {
-            (settings.store_away, settings.tokens_for)
+            (settings.min_outage, settings.min_supply)
         };
         let span = fraction(least_span.as_millis()) / MILLIS_PER_SECOND;
-        let is_short = self
+        let is_short = self.load.as_ref().is_some_and(|load| {
+            view.tokens == 0 || fraction(view.tokens) < load.tokens_per_second * span
+        });
+        let has_load = self
             .load
             .as_ref()
-            .is_some_and(|load| view.tokens == 0 || fraction(view.tokens) < load.demand * span);
-        let has_load = self.load.as_ref().is_some_and(|load| load.demand > 0.0);
+            .is_some_and(|load| load.tokens_per_second > 0.0);
         self.was_short = view.store_outage.is_some() && (self.was_short || is_short);
         let is_away = view.store_outage.is_some_and(|span| span >= least_outage);
-        self.keeps = is_away
+        let fills_link = view.is_away || view.is_demand_high;
+        let is_undelayed = !view.is_demand_high || self.connects_quickly(now);
+        self.is_kept = is_away
             && has_load
             && !self.was_short
-            && (self.keeps || !view.is_demand_high || self.connects_quickly(now));
-        self.keeps
+            && (self.is_kept || (fills_link && is_undelayed));
+        self.is_kept
     }
 
     /// Whether the load is kept.
     #[must_use]
-    pub const fn keeps(&self) -> bool {
-        self.keeps
+    pub const fn is_kept(&self) -> bool {
+        self.is_kept
     }
 
     /// Whether the link does not delay calls to the store until they time out.
@@ -195,6 +203,6 @@
         let passed = fraction(now.since(self.updated_at).as_millis());
         self.updated_at = now;
         let span = fraction(self.settings.demand_span.as_millis());
-        self.demand *= (-passed / span).exp();
+        self.tokens_per_ms *= (-passed / span).exp();
     }
 }
--- a/crates/guavawell-core/src/forward/link/names.rs
+++ b/crates/guavawell-core/src/forward/link/names.rs
@@ -1,4 +1,4 @@
-//! A table by name that forgets the name used longest ago once it is full.
+//! A table by name that forgets the name changed longest ago once it is full.
 
 /// A value of a name.
 #[derive(Clone, Debug)]
@@ -11,7 +11,7 @@
 
 /// Values of a bounded number of names.
 #[derive(Clone, Debug)]
-pub(super) struct NameTable<T> {
+pub(super) struct RecentNames<T> {
     /// Sorted by name.
     values: Vec<NamedValue<T>>,
     /// Most names.
@@ -20,7 +20,7 @@
     changes: u64,
 }
 
-impl<T> NameTable<T> {
+impl<T> RecentNames<T> {
     /// An empty table of at most `max` names.
     pub(super) const fn new(max: usize) -> Self {
         Self {
@@ -37,7 +37,7 @@
     }
 
     /// Changes the value of a name, or sets it to `first` if it has none.
-    pub(super) fn change(&mut self, name: &str, change: impl FnOnce(&mut T), first: T) {
+    pub(super) fn change_or_insert(&mut self, name: &str, change: impl FnOnce(&mut T), first: T) {
         self.changes += 1;
         let latest = self.changes;
         if let Ok(index) = self.find(name) {
--- a/crates/guavawell-core/src/forward/link/readiness.rs
+++ b/crates/guavawell-core/src/forward/link/readiness.rs
@@ -21,14 +21,15 @@
     /// Shortest time without being ready. Taking the load back costs its callers the
     /// time until the load balancer has moved them again, so it is tried once a minute
     /// at most.
-    pub away: ClockSpan,
-    /// By how much `away` grows at most; it doubles each time the link is full again
-    /// within `again_within`.
+    pub min_time_away: ClockSpan,
+    /// By how much `min_time_away` grows at most; it doubles each time the link is full again
+    /// within `relapse_span`.
     pub max_away_factor: u64,
-    /// Time after the instance became ready within which its link is full again.
-    pub again_within: ClockSpan,
+    /// A link that is full again within this span after the instance became ready doubles
+    /// the time away.
+    pub relapse_span: ClockSpan,
     /// For how long the instance stays ready if no other takes its load.
-    pub ready_untaken: ClockSpan,
+    pub ready_if_untaken: ClockSpan,
     /// After this time kept connections are ended: by the time their callers open new
     /// ones, the load balancer has failed two checks and moves them to others.
     pub end_kept_after: ClockSpan,
@@ -38,7 +39,7 @@
     /// If new connections still come after this time, half as many as before at least,
     /// no other instance takes them. Connections that were opened before wait in the full
     /// link for as long as their callers' requests last.
-    pub taken_within: ClockSpan,
+    pub untaken_after: ClockSpan,
 }
 
 impl Default for ReadinessSettings {
@@ -46,13 +47,13 @@
         Self {
             high: 0.75,
             high_for: ClockSpan::from_millis(200),
-            away: ClockSpan::from_millis(60_000),
+            min_time_away: ClockSpan::from_millis(60_000),
             max_away_factor: 8,
-            again_within: ClockSpan::from_millis(60_000),
-            ready_untaken: ClockSpan::from_millis(60_000),
+            relapse_span: ClockSpan::from_millis(60_000),
+            ready_if_untaken: ClockSpan::from_millis(60_000),
             end_kept_after: ClockSpan::from_millis(1_100),
             moved_after: ClockSpan::from_millis(2_200),
-            taken_within: ClockSpan::from_millis(20_000),
+            untaken_after: ClockSpan::from_millis(20_000),
         }
     }
 }
@@ -93,10 +94,10 @@
     ready_since: Option<ClockTime>,
     /// Until when the instance stays ready because no other takes its load.
     ready_until: ClockTime,
-    /// How many times `away` the instance is not ready at least.
+    /// How many times `min_time_away` the instance is not ready at least.
     away_factor: u64,
     /// Whether the load is kept although the link is full.
-    keeps: bool,
+    is_load_kept: bool,
 }
 
 impl LinkReadiness {
@@ -116,18 +117,18 @@
             ready_since: None,
             ready_until: ClockTime::from_millis(0),
             away_factor: 1,
-            keeps: false,
+            is_load_kept: false,
         }
     }
 
     /// Records whether the load is kept: the instance is then ready although its link is
     /// full. Once it no longer is, an instance that was not ready begins to be so again.
-    pub fn keep(&mut self, keeps: bool, now: ClockTime) {
-        if self.keeps && !keeps && self.full_since.is_some() {
+    pub fn set_load_kept(&mut self, is_kept: bool, now: ClockTime) {
+        if self.is_load_kept && !is_kept && self.full_since.is_some() {
             self.arrivals_before = self.arrivals.last.max(self.arrivals.present);
             self.full_since = Some(now);
         }
-        self.keeps = keeps;
+        self.is_load_kept = is_kept;
     }
 
     /// Whether the demand was high for the link at the last look.
@@ -136,10 +137,17 @@
         self.high_since.is_some()
     }
 
+    /// Whether the instance is not ready because of its link, or would not be if it did not
+    /// keep its load.
+    #[must_use]
+    pub const fn is_away(&self) -> bool {
+        self.full_since.is_some()
+    }
+
     /// Whether the link is full: the instance is not ready, or only ready to keep its load.
     #[must_use]
     pub const fn is_full(&self) -> bool {
-        self.full_since.is_some() || self.keeps
+        self.full_since.is_some() || self.is_load_kept
     }
 
     /// Records a new connection of a caller.
@@ -154,7 +162,7 @@
         self.arrivals.advance(now);
         let is_high = demand >= settings.high;
         self.high_since = is_high.then(|| self.high_since.unwrap_or(now));
-        if self.keeps {
+        if self.is_load_kept {
             return;
         }
         let Some(since) = self.full_since else {
@@ -165,13 +173,13 @@
             return;
         };
         let passed = now.since(since);
-        let is_untaken = passed >= settings.taken_within
+        let is_untaken = passed >= settings.untaken_after
             && lasts(self.high_since, settings.high_for, now)
             && self.still_gets_connections();
         let has_room =
-            passed.as_millis() >= settings.away.as_millis() * self.away_factor && !is_high;
+            passed.as_millis() >= settings.min_time_away.as_millis() * self.away_factor && !is_high;
         if is_untaken {
-            self.ready_until = now + settings.ready_untaken;
+            self.ready_until = now + settings.ready_if_untaken;
         }
         if is_untaken || has_room || !others_may_take {
             self.full_since = None;
@@ -182,13 +190,13 @@
     /// Whether new connections are welcome.
     #[must_use]
     pub const fn is_ready(&self) -> bool {
-        self.full_since.is_none() || self.keeps
+        self.full_since.is_none() || self.is_load_kept
     }
 
     /// Whether kept connections are to be ended.
     #[must_use]
     pub fn ends_kept_connections(&self, now: ClockTime) -> bool {
-        !self.keeps
+        !self.is_load_kept
             && self
                 .full_since
                 .is_some_and(|since| now.since(since) >= self.settings.end_kept_after)
@@ -198,7 +206,7 @@
     /// this one is ready, or gets the load although it is not.
     #[must_use]
     pub fn time_until_moved(&self, now: ClockTime) -> Option<ClockSpan> {
-        let passed = now.since(self.full_since.filter(|_| !self.keeps)?);
+        let passed = now.since(self.full_since.filter(|_| !self.is_load_kept)?);
         let span = self.settings.moved_after;
         if passed >= span && self.high_since.is_some() {
             return None;
@@ -215,7 +223,7 @@
 
     /// The instance is not ready from now on.
     fn become_unready(&mut self, now: ClockTime) {
-        let span = self.settings.again_within;
+        let span = self.settings.relapse_span;
         let is_again = self.ready_since.is_some_and(|at| now.since(at) < span);
         self.away_factor = if is_again {
             (self.away_factor * 2).min(self.settings.max_away_factor)
--- a/crates/guavawell-core/src/forward/poll.rs
+++ b/crates/guavawell-core/src/forward/poll.rs
@@ -19,7 +19,7 @@
 const MAX_FAULT_PAUSE: ClockSpan = ClockSpan::from_millis(200);
 /// A poll's wait is the time within which a change must be in force, divided by
 /// this.
-const WAIT_DIVISOR: u64 = 4;
+const MAX_WAIT_DIVISOR: u64 = 4;
 /// Shortest wait of a poll; shorter ones cause more calls to the store.
 const MIN_WAIT_MS: u64 = 250;
 /// Longest wait of a poll; with longer ones a silent connection is noticed
@@ -44,7 +44,7 @@
     /// of it.
     #[must_use]
     pub fn within(bound: ClockSpan) -> Self {
-        let wait = (bound.as_millis() / WAIT_DIVISOR).clamp(MIN_WAIT_MS, MAX_WAIT_MS);
+        let wait = (bound.as_millis() / MAX_WAIT_DIVISOR).clamp(MIN_WAIT_MS, MAX_WAIT_MS);
         Self::without_pause(ClockSpan::from_millis(wait))
     }
 
--- a/crates/guavawell-core/src/forward/read_ahead.rs
+++ b/crates/guavawell-core/src/forward/read_ahead.rs
@@ -132,7 +132,7 @@
 /// While memory is short, those whose callers pause are ended, the largest product of
 /// held bytes and pause first, until it is no longer short.
 #[must_use]
-pub fn responses_to_end(
+pub fn paused_responses_to_end(
     settings: &ReadAheadSettings,
     mut memory: MemoryUse,
     responses: &[WaitingResponse],
--- a/crates/guavawell-core/src/forward/suspension.rs
+++ b/crates/guavawell-core/src/forward/suspension.rs
@@ -13,9 +13,11 @@
 use crate::clock::ClockTime;
 
 /// Time of a thread that neither ran nor waited for a processor above which the process
-/// counts as suspended. Polls of the store take as long.
+/// counts as suspended. What it read is then clearly older than what a running process
+/// knows, which polls all the time.
 const MAX_IDLE: ClockSpan = ClockSpan::from_millis(300);
-/// Longest time for which requests wait for the store after a suspension.
+/// Longest time for which requests wait for the store after a suspension: a response
+/// usually takes less, and a store without one must not keep them for long.
 const MAX_DOUBT: ClockSpan = ClockSpan::from_millis(250);
 
 /// What the system tells of a thread since its start.
@@ -44,7 +46,7 @@
 
     /// Records an observation. Returns for how long the process did not run since the
     /// last one, if it was suspended. A running process must make several observations
-    /// within 300 ms.
+    /// within the longest idle time.
     pub fn observe(&mut self, now: ClockTime, time: ProcessorTime) -> Option<ClockSpan> {
         let (at, before) = self.last.replace((now, time))?;
         let used = time
--- a/crates/guavawell-core/src/forward/taking_pace.rs
+++ b/crates/guavawell-core/src/forward/taking_pace.rs
@@ -1,5 +1,5 @@
 //! Decides whose responses are ended first while memory is short: those of callers that
-//! take a little for ever.
+//! never pause, but take too little to end soon.
 //!
 //! Load pattern: callers that take a packet every few seconds of responses that were read
 //! long ago. None of them pauses for long, so each holds its memory for as long as it
@@ -9,7 +9,7 @@
 use super::ReadAheadSettings;
 use super::ResponseEnd;
 use super::WaitingResponse;
-use super::responses_to_end;
+use super::paused_responses_to_end;
 use crate::clock::ClockTime;
 
 /// How much a caller takes of a response that waits for it.
@@ -39,9 +39,9 @@
         self.taken = self.taken.saturating_add(bytes);
     }
 
-    /// Whether the caller takes too little: it took less than `least_taken` in a whole
-    /// `taking_span`, and has not made up for it since.
-    pub fn is_slow(&mut self, settings: &ReadAheadSettings, now: ClockTime) -> bool {
+    /// Ends the span if it is over. Returns whether the caller takes too little: it took
+    /// less than `least_taken` in a whole `taking_span`, and has not made up for it since.
+    pub fn review(&mut self, settings: &ReadAheadSettings, now: ClockTime) -> bool {
         let is_enough = self.taken >= settings.least_taken;
         if now.since(self.since) >= settings.taking_span {
             *self = Self {
@@ -61,15 +61,16 @@
 /// While memory is short, those of slow callers are ended first, the one that holds most
 /// before the others.
 #[must_use]
-pub fn responses_to_give_up(
+pub fn responses_to_end(
     settings: &ReadAheadSettings,
     mut memory: MemoryUse,
     responses: &[WaitingResponse],
     is_slow: &[bool],
     now: ClockTime,
 ) -> Vec<(usize, ResponseEnd)> {
+    // With memory free, only callers that paused for too long are found.
     let ample = MemoryUse { held: 0, ..memory };
-    let mut ended = responses_to_end(settings, ample, responses, now);
+    let mut ended = paused_responses_to_end(settings, ample, responses, now);
     for (place, _) in &ended {
         memory.held = memory.held.saturating_sub(responses[*place].held);
     }
@@ -90,7 +91,7 @@
         others.retain(|other| *other != place);
     }
     let waiting: Vec<_> = others.iter().map(|place| responses[*place]).collect();
-    let paused = responses_to_end(settings, memory, &waiting, now);
+    let paused = paused_responses_to_end(settings, memory, &waiting, now);
     ended.extend(paused.into_iter().map(|(index, end)| (others[index], end)));
     ended
 }
--- a/crates/guavawell-core/src/forward/work_pace.rs
+++ b/crates/guavawell-core/src/forward/work_pace.rs
@@ -1,11 +1,9 @@
 //! How long a server that states its pace takes to work off the requests it reported.
 //!
-//! Load pattern: of three application servers with 6 slots two have left, and 25
-//! instances send 200 short requests a second to the third. A response reports a queue
-//! of 12 requests. They are done 40 ms later, but an instance that takes the server for
-//! full sends nothing, so no newer report comes: by a report that decays over seconds
-//! it refused every request for as long, and the server idled between the responses
-//! to others.
+//! Load pattern: many instances send short requests to one server. A response reports a
+//! queue that is worked off within milliseconds, but an instance that takes the server for
+//! full sends nothing, and so gets no newer report. If the report counted for seconds, the
+//! instance would refuse all requests meanwhile, although the server has time for them.
 //!
 //! A server that states its pace shares its machine with others, and its queue grows
 //! and shrinks many times per second. What it reported counts for the time that the
@@ -69,7 +67,8 @@
     }
 
     /// How many of `reported` requests the server still has after `age`, with `slots` of
-    /// them running at a time; `None` if the server states no pace.
+    /// them running at a time; `None` if the server states no pace. Other requests that the
+    /// server has do not slow this down, so the result is a lower bound.
     #[must_use]
     pub fn left_of(&self, reported: u32, slots: u32, age: ClockSpan) -> Option<u32> {
         let one_ms = self.usual_ms? * self.pace?.factor();
--- a/crates/guavawell-core/src/grant/demand.rs
+++ b/crates/guavawell-core/src/grant/demand.rs
@@ -30,9 +30,10 @@
     /// tokens itself. A holder writes its rows a few times per second, so
     /// above this, loans cost more messages than holding.
     pub holder_requests_per_second: u64,
-    /// Most instances that hold tokens of one organisation for their own callers. An
-    /// instance is one of them only if its requests are at least this part of the
-    /// fleet's, so that the writers of a row stay few in a large fleet.
+    /// Most instances that hold tokens of one organisation for their own callers, so that
+    /// the writers of a row stay few in a large fleet. An instance is one of them only if
+    /// its callers request at least one part in this many of the tokens per second that the
+    /// row tells of all instances.
     pub max_holders_for_callers: u64,
     /// What a borrower asks for in advance, as time of its demand: longer than
     /// a loan takes over a link with a queue.
@@ -93,15 +94,18 @@
         fraction(own) * most >= self.fleet_demand(state, now)
     }
 
-    /// Instances that write the row of a budget: those that hold tokens by rank, or all
-    /// that the row lists, if those that hold them for their own callers are more.
+    /// Instances that write the row of a budget: those that are holders by rank, or all
+    /// with an entry in the row if these are more.
     pub(super) fn budget_writers(&self, state: &BudgetState) -> usize {
         let by_rank = self.row_writers();
         if !self.settings.demand.follows_callers {
             return by_rank;
         }
         let row = state.row.known();
-        by_rank.max(row.map_or(0, |row| row.holders.len()))
+        let holders = row.map_or(&[][..], |row| &row.holders[..]);
+        // Entries are sorted by instance, and an ended boot may still have one.
+        let listed = holders.chunk_by(|one, other| one.instance == other.instance);
+        by_rank.max(listed.count())
     }
 
     /// Counts a granted request, unless it counted when it was asked for.
--- a/crates/guavawell-core/tests/forward/load_keeper.rs
+++ b/crates/guavawell-core/tests/forward/load_keeper.rs
@@ -97,9 +97,10 @@
                 store_outage: outage,
                 tokens: self.tokens,
                 is_demand_high: self.readiness.is_demand_high(),
+                is_away: self.readiness.is_away(),
             };
             let kept = self.keeper.decide(&view, now);
-            self.readiness.keep(kept, now);
+            self.readiness.set_load_kept(kept, now);
         }
         let demand = if has_load { DEMAND } else { 0.0 };
         self.readiness.observe(demand, true, now);
@@ -165,6 +166,7 @@
         store_outage: (outage > 0).then(|| millis(outage)),
         tokens,
         is_demand_high: false,
+        is_away: true,
     }
 }
 
@@ -230,7 +232,10 @@
     let load = keeper.load().expect("the link was full");
     assert_eq!(load.organisation, organisation("large"));
     let per_second = 500_000.0;
-    assert!((load.demand / per_second - 1.0).abs() < 0.1, "{load:?}");
+    assert!(
+        (load.tokens_per_second / per_second - 1.0).abs() < 0.1,
+        "{load:?}"
+    );
 }
 
 #[test]
@@ -256,7 +261,7 @@
 fn an_instance_that_keeps_its_load_is_ready_and_ends_no_connections() {
     let mut readiness = stepped_aside();
     let now = ClockTime::from_millis(3_000);
-    readiness.keep(true, now);
+    readiness.set_load_kept(true, now);
     readiness.observe(1.2, true, now);
     assert!(readiness.is_ready());
     assert!(readiness.is_full());
@@ -267,13 +272,13 @@
 #[test]
 fn an_instance_that_no_longer_keeps_its_load_is_not_ready_for_its_whole_time_away() {
     let mut readiness = stepped_aside();
-    readiness.keep(true, ClockTime::from_millis(3_000));
+    readiness.set_load_kept(true, ClockTime::from_millis(3_000));
     for at in (3_000..30_000).step_by(100) {
         readiness.note_connection();
         readiness.observe(1.2, true, ClockTime::from_millis(at));
         assert!(readiness.is_ready());
     }
-    readiness.keep(false, ClockTime::from_millis(30_000));
+    readiness.set_load_kept(false, ClockTime::from_millis(30_000));
     for at in (30_000..49_000).step_by(100) {
         readiness.observe(0.1, true, ClockTime::from_millis(at));
         assert!(!readiness.is_ready(), "at {at}");
@@ -281,3 +286,14 @@
     readiness.observe(0.1, true, ClockTime::from_millis(90_000));
     assert!(readiness.is_ready());
 }
+
+// Guards against an instance that keeps a load of long ago, though nothing fills its link.
+#[test]
+fn a_load_that_no_longer_fills_the_link_is_not_kept() {
+    let mut keeper = loaded();
+    let quiet = KeeperView {
+        is_away: false,
+        ..view(2_000, GRANT)
+    };
+    assert!(!keeper.decide(&quiet, ClockTime::from_millis(600_000)));
+}
--- a/crates/guavawell-core/tests/forward/read_ahead.rs
+++ b/crates/guavawell-core/tests/forward/read_ahead.rs
@@ -14,7 +14,7 @@
 use guavawell_core::forward::WaitingResponse;
 use guavawell_core::forward::admit;
 use guavawell_core::forward::admits_connection;
-use guavawell_core::forward::responses_to_end;
+use guavawell_core::forward::paused_responses_to_end;
 
 use crate::support::START;
 
@@ -139,7 +139,7 @@
         let memory = self.memory();
         let mut running: Vec<_> = self.responses.iter_mut().filter(running).collect();
         let waiting: Vec<_> = running.iter().map(|response| response.waiting).collect();
-        for (place, end) in responses_to_end(&self.settings, memory, &waiting, self.now) {
+        for (place, end) in paused_responses_to_end(&self.settings, memory, &waiting, self.now) {
             running[place].end = Some(ModelEnd::Given(end));
         }
     }
@@ -284,7 +284,7 @@
     };
     let ends = |millis| {
         let now = START + ClockSpan::from_millis(millis);
-        responses_to_end(&settings, memory, &[response], now)
+        paused_responses_to_end(&settings, memory, &[response], now)
     };
     for millis in [300, 2_500, 6_000, 9_999] {
         assert_eq!(ends(millis), vec![], "{millis}");
--- a/crates/guavawell-core/tests/forward/taking_pace.rs
+++ b/crates/guavawell-core/tests/forward/taking_pace.rs
@@ -10,7 +10,7 @@
 use guavawell_core::forward::ResponseEnd;
 use guavawell_core::forward::TakingPace;
 use guavawell_core::forward::WaitingResponse;
-use guavawell_core::forward::responses_to_give_up;
+use guavawell_core::forward::responses_to_end;
 
 use crate::support::START;
 
@@ -88,9 +88,9 @@
         let waiting: Vec<_> = running.iter().map(|caller| caller.waiting).collect();
         let slow = running.iter_mut();
         let slow: Vec<_> = slow
-            .map(|caller| caller.pace.is_slow(&settings, now))
+            .map(|caller| caller.pace.review(&settings, now))
             .collect();
-        for (place, end) in responses_to_give_up(&settings, memory, &waiting, &slow, now) {
+        for (place, end) in responses_to_end(&settings, memory, &waiting, &slow, now) {
             running[place].end = Some(end);
         }
     }
--- a/crates/guavawell-core/tests/grant_row_writers.rs
+++ b/crates/guavawell-core/tests/grant_row_writers.rs
@@ -105,8 +105,7 @@
     let most = usize::try_from(DemandSettings::default().max_holders_for_callers);
     let most = by_rank + most.expect("a small number");
     let holders = replay.holders(at(END));
-    println!("{holders} holders, {by_rank} by rank");
-    assert!(holders <= most);
+    assert!(holders <= most, "{holders} holders, {by_rank} by rank");
 }
 
 #[test]
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -172,15 +172,16 @@
         Err(end) => return AttemptOutcome::Ended(end, None),
     };
     note_load(router, &response);
-    if !call.route.streaming {
-        note_work(router, &response, began);
-    }
     caller.set_incomplete(0);
     if is_rejection(router, &response.head) {
         progress.outcome.may_have_run = before;
         note_rejection(router, &pick.server, response);
         return AttemptOutcome::Ended(AttemptEnd::Rejected, None);
     }
+    // A rejection or an error tells nothing of how long work takes.
+    if !call.route.streaming && response.head.status == 200 {
+        note_work(router, &response, began);
+    }
     if call.route.streaming && response.head.status == 200 {
         relay_stream(router, caller, call, progress, response).await
     } else {
--- a/crates/guavawell-forward/src/budget/borrow.rs
+++ b/crates/guavawell-forward/src/budget/borrow.rs
@@ -155,12 +155,12 @@
     fn loan_request(&self, organisation: &OrganisationId, tokens: u64) -> LoanRequest {
         let now = self.clock.now();
         let ledger = self.ledger.borrow();
-        let own = ledger.loan_request(organisation, tokens, now);
+        let loan = ledger.loan_request(organisation, tokens, now);
         if !self.demand.follows_callers {
-            return own;
+            return loan;
         }
         let in_doubt = self.is_cut_off() || self.question_pace.get().is_in_doubt();
-        let waiting = self.tokens_waiting(organisation, own.scope);
+        let waiting = self.tokens_waiting(organisation, loan.scope);
         ledger.shared_loan_request(organisation, tokens, waiting, in_doubt, now)
     }
 
--- a/crates/guavawell-forward/src/clock.rs
+++ b/crates/guavawell-forward/src/clock.rs
@@ -82,7 +82,11 @@
         if let Err(error) = &file {
             log::warn!("suspensions are not noticed, as {THREAD_TIMES} is missing: {error}");
         }
-        Self { file: file.ok() }
+        let clock = Self { file: file.ok() };
+        if clock.file.is_some() && clock.read().is_none() {
+            log::warn!("suspensions are not noticed, as {THREAD_TIMES} tells no times");
+        }
+        clock
     }
 
     /// The times until now; `None` if the system does not tell.
--- a/crates/guavawell-forward/src/continuation/ask.rs
+++ b/crates/guavawell-forward/src/continuation/ask.rs
@@ -39,7 +39,7 @@
 /// Longest wait for the list of servers.
 const LIST_TIMEOUT: ClockSpan = ClockSpan::from_millis(600);
 /// All waits together take at most the request's remaining time divided by this number.
-const WAIT_DIVISOR: u64 = 3;
+const MAX_WAIT_DIVISOR: u64 = 3;
 
 /// From where it is known at which version a stream began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,7 +85,7 @@
     if !is_continued || !is_resumable(route) {
         return Ok(None);
     }
-    let max_wait = router.clock.left(deadline).as_millis() / WAIT_DIVISOR;
+    let max_wait = router.clock.left(deadline).as_millis() / MAX_WAIT_DIVISOR;
     let until = router.clock.now() + ClockSpan::from_millis(max_wait);
     let question = OriginQuestion {
         stream: begun_as.map(|id| StreamTag::of(organisation, id)),
--- a/crates/guavawell-forward/src/link/mod.rs
+++ b/crates/guavawell-forward/src/link/mod.rs
@@ -103,7 +103,8 @@
     }
 
     /// Whether the link is nearly full, so that nothing is sent that can be left out: the
-    /// instance is not ready, or keeps its load, and its link is still used, or it refused a request just now.
+    /// instance is not ready or keeps its load, and its link is still used; or it refused
+    /// a request just now.
     #[must_use]
     pub fn is_nearly_full(&self, now: ClockTime) -> bool {
         let control = self.control.as_ref();
--- a/crates/guavawell-forward/src/link/watch.rs
+++ b/crates/guavawell-forward/src/link/watch.rs
@@ -69,7 +69,9 @@
     }
     let budgets = &router.budgets;
     let outage = budgets.store_outage();
-    let load = keeper.load().filter(|_| outage.is_some()).cloned();
+    let was_kept = keeper.is_kept();
+    let needs_load = outage.is_some() || was_kept;
+    let load = keeper.load().filter(|_| needs_load).cloned();
     let tokens = load
         .as_ref()
         .map_or(0, |load| budgets.tokens_left(&load.organisation));
@@ -77,25 +79,31 @@
         store_outage: outage,
         tokens,
         is_demand_high: control.readiness.is_demand_high(),
+        is_away: control.readiness.is_away(),
     };
-    let kept = keeper.keeps();
-    let keeps = keeper.decide(&view, now);
-    control.readiness.keep(keeps, now);
-    if kept == keeps {
+    let is_kept = keeper.decide(&view, now);
+    control.readiness.set_load_kept(is_kept, now);
+    if was_kept == is_kept {
         return;
     }
-    let kind = if keeps { "link.kept" } else { "link.released" };
-    let mut draft = EventDraft::new(kind).field("tokens_left", tokens);
+    let (kind, cause) = match outage {
+        _ if is_kept => ("link.kept", "store_away"),
+        Some(_) => ("link.released", "tokens_short"),
+        None => ("link.released", "store_answers"),
+    };
+    let mut draft = EventDraft::new(kind)
+        .field("cause", cause)
+        .field("tokens_left", tokens);
     if let Some(load) = &load {
         draft = draft
             .organisation(&load.organisation)
-            .field("tokens_per_second", whole(load.demand));
+            .field("tokens_per_second", whole(load.tokens_per_second));
     }
     let outage = outage.unwrap_or_default();
     router
         .log
         .emit(draft.field("store_away_ms", outage.as_millis()));
-    if keeps {
+    if is_kept {
         metrics::counter!("guavawell_forward_loads_kept_total").increment(1);
     }
 }
--- a/crates/guavawell-forward/src/overload.rs
+++ b/crates/guavawell-forward/src/overload.rs
@@ -52,13 +52,13 @@
     true
 }
 
-/// Measures the delay of tasks, and notices suspensions, until the process ends. It must run in the queue of
-/// requests, whose delay it measures.
+/// Measures the delay of tasks, and notices suspensions, until the process ends. It must
+/// run in the queue of requests, whose delay it measures.
 pub async fn watch_processor(router: Rc<ForwardRouter>) {
     loop {
         let due = router.clock.now() + MEASURE_INTERVAL;
         Timer::after(timer_span(MEASURE_INTERVAL)).await;
-        router.observe_run();
+        router.observe_suspension();
         let now = router.clock.now();
         let delay = now.since(due);
         let load = &router.processor_load;
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -47,7 +47,7 @@
 const MAX_OVERDUE_WAIT: ClockSpan = ClockSpan::from_millis(250);
 /// Each wait before a request is sent takes at most the request's remaining
 /// time divided by this number.
-const WAIT_DIVISOR: u64 = 4;
+const MAX_WAIT_DIVISOR: u64 = 4;
 /// About the size of a request head, in bytes.
 const HEAD_BYTES: u64 = 500;
 /// Retry-After if request bodies fill the memory limit.
@@ -87,7 +87,7 @@
     let (usage, shape) = read_prompt(router, request)?;
     let deadline = request_deadline(router, &route, request)?;
     let left = router.clock.left(deadline);
-    let max_wait = ClockSpan::from_millis(left.as_millis() / WAIT_DIVISOR);
+    let max_wait = ClockSpan::from_millis(left.as_millis() / MAX_WAIT_DIVISOR);
     let parts = part_fingerprints(organisation.as_ref(), &shape);
     for suspect in std::iter::once(&fingerprint).chain(&*parts) {
         if let Some(span) = router.poison.await_verdict(*suspect, max_wait).await {
@@ -186,7 +186,8 @@
     max_wait: ClockSpan,
 ) -> Result<ClockSpan, RefusalResponse> {
     let caller_limit = caller_time_left(router, request)?;
-    let share = caller_limit.map(|span| ClockSpan::from_millis(span.as_millis() / WAIT_DIVISOR));
+    let share =
+        caller_limit.map(|span| ClockSpan::from_millis(span.as_millis() / MAX_WAIT_DIVISOR));
     Ok(share.map_or(max_wait, |share| share.min(max_wait)))
 }
 
--- a/crates/guavawell-forward/src/read_ahead.rs
+++ b/crates/guavawell-forward/src/read_ahead.rs
@@ -19,7 +19,7 @@
 use guavawell_core::forward::ResponseEnd;
 use guavawell_core::forward::TakingPace;
 use guavawell_core::forward::WaitingResponse;
-use guavawell_core::forward::responses_to_give_up;
+use guavawell_core::forward::responses_to_end;
 use guavawell_core::number::fraction;
 use guavawell_fleet::event::EventDraft;
 
@@ -101,9 +101,9 @@
         self.pace.set(pace);
     }
 
-    fn is_slow(&self, settings: &ReadAheadSettings, now: ClockTime) -> bool {
+    fn review(&self, settings: &ReadAheadSettings, now: ClockTime) -> bool {
         let mut pace = self.pace.get();
-        let is_slow = pace.is_slow(settings, now);
+        let is_slow = pace.review(settings, now);
         self.pace.set(pace);
         is_slow
     }
@@ -228,7 +228,8 @@
                 continue;
             }
             match self.write_kept(queue) {
-                // What the caller sent before it closed the connection hides the end.
+                // What the caller sent before it closed the connection hides the end from
+                // `wait_for_close`. The regular review wakes this loop to look.
                 Ok(0) if self.channel.is_closed_by_peer() => return DeliveryEnd::Closed,
                 Ok(0) => {
                     let stream = self.channel.stream();
@@ -393,10 +394,10 @@
     }
     let waiting: Vec<_> = queues.iter().map(|queue| queue.waiting()).collect();
     let settings: &ReadAheadSettings = &router.settings.read_ahead;
-    let slow = queues.iter().map(|queue| queue.is_slow(settings, now));
+    let slow = queues.iter().map(|queue| queue.review(settings, now));
     let slow: Vec<_> = slow.collect();
     let memory = router.memory_use();
-    for (place, end) in responses_to_give_up(settings, memory, &waiting, &slow, now) {
+    for (place, end) in responses_to_end(settings, memory, &waiting, &slow, now) {
         queues[place].end.set(Some(end));
     }
     for queue in &*queues {
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -40,7 +40,7 @@
 use crate::pool::ConnectionPool;
 use crate::read_ahead::WaitingResponses;
 use crate::settings::ForwardSettings;
-use crate::suspension::RunMonitor;
+use crate::suspension::SuspensionMonitor;
 use crate::tunnel::CarriedTunnels;
 use crate::warmth::WarmthQueries;
 use crate::zone_history::ZoneHistory;
@@ -127,7 +127,7 @@
     /// Checks whether servers that broke off responses have crashed.
     pub crashes: CrashChecks,
     /// Whether the process was suspended.
-    pub run_monitor: RunMonitor,
+    pub suspension: SuspensionMonitor,
     /// How full the processor is.
     pub processor_load: ProcessorLoad,
     /// The callers' open connections.
@@ -192,7 +192,7 @@
             origins: StreamOrigins::default(),
             parts: PartTracker::default(),
             crashes: CrashChecks::default(),
-            run_monitor: RunMonitor::start(),
+            suspension: SuspensionMonitor::start(),
             processor_load: ProcessorLoad::default(),
             callers: Rc::default(),
             held_requests: Cell::new(0),
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -113,7 +113,10 @@
     let deliver = async {
         match caller.deliver().await {
             DeliveryEnd::Ended(end) => caller.abandon(end, &id, &record),
-            DeliveryEnd::Closed => caller.reset(),
+            DeliveryEnd::Closed => {
+                log::debug!("a caller closed its connection while its response waited");
+                caller.reset();
+            }
             DeliveryEnd::Failed(error) => log::debug!("a caller's connection failed: {error}"),
         }
         false
--- a/crates/guavawell-forward/src/suspension.rs
+++ b/crates/guavawell-forward/src/suspension.rs
@@ -17,11 +17,11 @@
 use crate::router::ForwardRouter;
 
 /// A request waits at most its remaining time divided by this number.
-const WAIT_DIVISOR: u64 = 4;
+const MAX_WAIT_DIVISOR: u64 = 4;
 
 /// Whether the process was suspended, and has not read the evacuated zones since.
 #[derive(Debug)]
-pub struct RunMonitor {
+pub struct SuspensionMonitor {
     processor: ProcessorClock,
     watch: Cell<SuspensionWatch>,
     doubt: Cell<ZoneDoubt>,
@@ -29,7 +29,7 @@
     changed: Event,
 }
 
-impl RunMonitor {
+impl SuspensionMonitor {
     /// Monitors the present thread.
     #[must_use]
     pub fn start() -> Self {
@@ -44,9 +44,9 @@
 
 impl ForwardRouter {
     /// Notices whether the process was suspended since the last call. It must be called
-    /// several times within 300 ms.
-    pub fn observe_run(&self) {
-        let monitor = &self.run_monitor;
+    /// several times within the longest idle time.
+    pub fn observe_suspension(&self) {
+        let monitor = &self.suspension;
         let Some(time) = monitor.processor.read() else {
             return;
         };
@@ -68,10 +68,10 @@
             .field("zones_doubted", is_doubted);
         self.log.emit(draft);
         if is_doubted {
-            let mut doubt = self.run_monitor.doubt.get();
+            let mut doubt = self.suspension.doubt.get();
             doubt.begin(now);
-            self.run_monitor.doubt.set(doubt);
-            self.run_monitor.changed.notify(usize::MAX);
+            self.suspension.doubt.set(doubt);
+            self.suspension.changed.notify(usize::MAX);
         }
     }
 
@@ -80,26 +80,26 @@
     pub fn zones_doubted_since(&self) -> Option<ClockTime> {
         let now = self.clock.boot_now();
         // A request may run before the task that observes regularly.
-        if self.run_monitor.watch.get().is_late(now) {
-            self.observe_run();
+        if self.suspension.watch.get().is_late(now) {
+            self.observe_suspension();
         }
-        self.run_monitor.doubt.get().since(now)
+        self.suspension.doubt.get().since(now)
     }
 
     /// Records that the store told the evacuated zones as of `sent_at`, or later.
     pub(crate) fn confirm_zones(&self, sent_at: ClockTime) {
-        let mut doubt = self.run_monitor.doubt.get();
+        let mut doubt = self.suspension.doubt.get();
         if doubt.confirm(sent_at) {
-            self.run_monitor.doubt.set(doubt);
-            self.run_monitor.changed.notify(usize::MAX);
+            self.suspension.doubt.set(doubt);
+            self.suspension.changed.notify(usize::MAX);
         }
     }
 
     /// Waits until `condition` holds, which may change when the evacuated zones are to be
     /// read again.
-    pub async fn wait_doubt(&self, condition: impl Fn() -> bool) {
+    pub async fn wait_for_doubt(&self, condition: impl Fn() -> bool) {
         loop {
-            let changed = self.run_monitor.changed.listen();
+            let changed = self.suspension.changed.listen();
             if condition() {
                 return;
             }
@@ -119,11 +119,11 @@
             && waited_for != Some(since)
         {
             waited_for = Some(since);
-            let share = self.clock.left(deadline).as_millis() / WAIT_DIVISOR;
-            let left = self.run_monitor.doubt.get().left(self.clock.boot_now());
+            let share = self.clock.left(deadline).as_millis() / MAX_WAIT_DIVISOR;
+            let left = self.suspension.doubt.get().left(self.clock.boot_now());
             let max_wait = left.min(ClockSpan::from_millis(share));
             let is_doubted = || self.zones_doubted_since() == waited_for;
-            let changed = &self.run_monitor.changed;
+            let changed = &self.suspension.changed;
             wait_while(&self.clock, changed, max_wait, is_doubted).await;
         }
     }
