--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -76,6 +76,7 @@
 ) -> AttemptOutcome {
     progress.tried.push(pick.server.clone());
     progress.idle_for = None;
+    progress.heard_at = None;
     let memory_tokens = call.usage.worst_case().get();
     let suspect = router.poison.suspect(call.fingerprint);
     let guard = InFlightGuard::new(router, pick, memory_tokens, suspect);
@@ -101,6 +102,7 @@
         return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
     }
     progress.sent += 1;
+    progress.heard_at = Some(router.clock.now());
     progress.version = version_of(router, &pick.server);
     progress.suspicion = router.poison.mark(call.fingerprint);
     let attempt = AbandonedAttempt {
--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -195,6 +195,7 @@
                 return AttemptOutcome::Ended(attempt_end(&error), None);
             }
         };
+        progress.heard_at = Some(router.clock.now());
         let stream = &mut progress.stream;
         let scan = scan_events(&buffered);
         if !is_next_event(stream, scan.first_id)
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::AttemptEnd;
 use guavawell_core::forward::ChoiceError;
 use guavawell_core::forward::ChoiceRequest;
@@ -89,6 +90,8 @@
     /// How long the connection of the last attempt had been idle; `None` if it was new, or
     /// none was opened.
     pub idle_for: Option<ClockSpan>,
+    /// When the last attempt was sent, or last brought a part of its response.
+    pub heard_at: Option<ClockTime>,
     /// Whether the request waited because all servers counted as cold.
     pub waited: bool,
 }
@@ -155,10 +158,10 @@
             AttemptOutcome::Ended(end, response) => (end, response),
         };
         progress.outcome.note(end);
-        note_attempt(router, call, &pick, &progress, end);
+        let retry = check_retry(router, call, &progress, end);
+        note_attempt(router, call, &pick, &progress, end, retry);
         failure = response.or(failure);
-        let may_retry = may_retry(router, call, &progress, end);
-        let refusal = match next_step(call.route.retry_safety, end, may_retry) {
+        let refusal = match next_step(call.route.retry_safety, end, retry.is_ok()) {
             NextStep::Retry => continue,
             NextStep::Relay => ForwardRefusal::AnswerLost,
             NextStep::Refuse(refusal) => refusal,
@@ -280,27 +283,64 @@
     })
 }
 
-/// Whether the limits on attempts, time and retries allow another attempt.
-fn may_retry(
+/// Why a request is not sent again after an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RetryDenial {
+    /// Too little time is left.
+    Time,
+    /// Connections to too many servers could not be opened.
+    Unsent,
+    /// The request may run only once.
+    Once,
+    /// The route allows no more attempts.
+    Attempts,
+    /// The request, or a part of its prompt, may crash servers.
+    Suspicion,
+    /// This instance's share of the fleet's retries is used up.
+    Allowance,
+}
+
+impl RetryDenial {
+    /// Name in logs and metrics.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Time => "time",
+            Self::Unsent => "unsent",
+            Self::Once => "once",
+            Self::Attempts => "attempts",
+            Self::Suspicion => "suspicion",
+            Self::Allowance => "allowance",
+        }
+    }
+}
+
+/// Checks the limits on attempts, time and retries before another attempt, and counts
+/// the retry.
+fn check_retry(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
     progress: &RequestProgress,
     end: AttemptEnd,
-) -> bool {
+) -> Result<(), RetryDenial> {
     if router.clock.left(call.deadline) < MIN_ATTEMPT_TIME {
-        return false;
+        return Err(RetryDenial::Time);
     }
     if end == AttemptEnd::NotSent {
-        return progress.unsent < MAX_UNSENT && progress.unsent_time < MAX_UNSENT_TIME;
+        let may_connect = progress.unsent < MAX_UNSENT && progress.unsent_time < MAX_UNSENT_TIME;
+        return may_connect.then_some(()).ok_or(RetryDenial::Unsent);
     }
     let once = call.route.retry_safety == RetrySafety::Once;
     if once && end != AttemptEnd::Rejected {
-        return false;
+        return Err(RetryDenial::Once);
+    }
+    if progress.sent >= call.route.attempts {
+        return Err(RetryDenial::Attempts);
     }
-    progress.sent < call.route.attempts
-        && router.poison.may_retry(call.fingerprint)
-        && may_retry_parts(router, &call.parts)
-        && router.take_retry(&call.service)
+    if !router.poison.may_retry(call.fingerprint) || !may_retry_parts(router, &call.parts) {
+        return Err(RetryDenial::Suspicion);
+    }
+    let has_allowance = router.take_retry(&call.service);
+    has_allowance.then_some(()).ok_or(RetryDenial::Allowance)
 }
 
 /// Updates the suspicion of the request: clears it after a complete response,
@@ -331,6 +371,7 @@
     pick: &ServerPick,
     progress: &RequestProgress,
     end: AttemptEnd,
+    retry: Result<(), RetryDenial>,
 ) {
     let end = match end {
         AttemptEnd::NotSent => "not_sent",
@@ -346,6 +387,16 @@
         .field("server", &pick.server)
         .field("parts", shared_parts(call));
     draft.request = call.id.parse().ok();
+    if let Err(denial) = retry {
+        let reason = denial.as_str();
+        metrics::counter!("guavawell_forward_retries_denied_total", "reason" => reason)
+            .increment(1);
+        draft = draft.field("no_retry", reason);
+    }
+    if let Some(heard_at) = progress.heard_at {
+        let quiet = router.clock.now().since(heard_at);
+        draft = draft.field("quiet_ms", quiet.as_millis());
+    }
     if let Some(span) = progress.idle_for {
         draft = draft.field("idle_ms", span.as_millis());
     }
