A late attempt stays open until another one has brought what the caller needs next

Callers saw streams end without their end, and plain requests a 504, though their servers went on a second later. Cause: an attempt was closed once it was silent and the route could be sent once more; whether it can be sent (allowance, a server, the configuration in force, suspicion, time, a connection, and what the second server answers) was asked afterwards, when nothing was left to go back to. The class: letting go of what works before its successor is certain.

Now an attempt that is late (three times the pause that the route's callers accept, 1.5 times the target of a plain one) stays open; a second one is sent beside it if the limits allow it and a server is there that was heard since, or has no request of this instance. Whichever brings the next event in order, or the whole answer, goes on; the other connection is closed at once. A second one that fails changes nothing. The configuration decides what is sent from now on, never what was sent.

--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -109,6 +109,10 @@
     /// goes to a server without other suspects, so that the next crash shows
     /// which request causes them.
     pub suspect: Option<RequestFingerprint>,
+    /// Since when the server that runs the request has sent nothing, if another one is
+    /// chosen for that; servers that may be as silent, or are the last choice, are left
+    /// out then.
+    pub quiet_since: Option<ClockTime>,
 }
 
 /// Why no server was chosen.
@@ -196,7 +200,7 @@
         let mut candidates = Vec::new();
         let mut weakest = None;
         for entry in self.table.servers() {
-            if self.request.tried.contains(&entry.incarnation) {
+            if self.request.tried.contains(&entry.incarnation) || self.is_no_better(entry) {
                 continue;
             }
             match self
@@ -284,6 +288,12 @@
             || entry.failure_rate(self.now) > self.settings.max_failure_rate
     }
 
+    /// Whether nothing speaks for the server rather than for the one that is late.
+    fn is_no_better(&self, entry: &ServerEntry) -> bool {
+        let quiet_since = self.request.quiet_since;
+        quiet_since.is_some_and(|since| self.is_avoided(entry) || !entry.may_respond(since))
+    }
+
     fn has_room(&self, entry: &ServerEntry) -> bool {
         if entry.occupancy(self.now) >= self.max_requests(entry) {
             return false;
--- a/crates/guavawell-core/src/forward/retry.rs
+++ b/crates/guavawell-core/src/forward/retry.rs
@@ -67,17 +67,22 @@
 
     /// Whether one retry may be sent now; counts it if so.
     pub fn take(&mut self, service: &ServiceId, now: ClockTime, limits: &RetryLimits) -> bool {
+        let is_allowed = self.has_room(service, now, limits);
+        if is_allowed {
+            self.slice(service, now, limits.window).retries += 1;
+        }
+        is_allowed
+    }
+
+    /// Whether one retry may be sent now.
+    pub fn has_room(&mut self, service: &ServiceId, now: ClockTime, limits: &RetryLimits) -> bool {
         self.slice(service, now, limits.window);
         let slices = self.slices(service);
         let requests: u32 = slices.iter().map(|slice| slice.requests).sum();
         let retries: u32 = slices.iter().map(|slice| slice.retries).sum();
         let shared = limits.extra / fraction(limits.instances.max(1) as u64);
         let max_retries = limits.used_fraction * (limits.ratio * f64::from(requests) + shared);
-        if f64::from(retries) + 1.0 > max_retries {
-            return false;
-        }
-        self.slice(service, now, limits.window).retries += 1;
-        true
+        f64::from(retries) + 1.0 <= max_retries
     }
 
     fn slices(&self, service: &ServiceId) -> &VecDeque<WindowSlice> {
--- a/crates/guavawell-core/src/forward/route.rs
+++ b/crates/guavawell-core/src/forward/route.rs
@@ -63,6 +63,9 @@
     /// Response time that callers expect; a later response is worth less to
     /// them.
     pub target: ClockSpan,
+    /// Longest pause between events of a stream that callers accept; `None` if it is
+    /// not stated.
+    pub pause_target: Option<ClockSpan>,
     /// Maximum number of backend servers that one request is sent to.
     pub attempts: u32,
     /// Priority of the requests; 0 is the most urgent.
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -146,6 +146,8 @@
     /// When a byte of the server was last received, or a request was sent to it
     /// while it had none of this instance.
     pub last_received_at: ClockTime,
+    /// When a byte of the server was last received.
+    pub answered_at: ClockTime,
     /// Failures to connect since the last success.
     pub connect_failures: u32,
     /// The server gets no requests before this time while others can serve.
@@ -280,6 +282,20 @@
         self.load.in_flight > 0 && now.since(self.health.last_received_at) > MAX_SILENCE
     }
 
+    /// Records that bytes of the server were received.
+    pub const fn record_received(&mut self, now: ClockTime) {
+        self.health.last_received_at = now;
+        self.health.answered_at = now;
+    }
+
+    /// Whether the server can be expected to respond, although another one has sent
+    /// nothing since `quiet_since`: it has sent something since then, or no request of
+    /// this instance waits there, so that its own silence would not be known.
+    #[must_use]
+    pub fn may_respond(&self, quiet_since: ClockTime) -> bool {
+        self.load.in_flight == 0 || self.health.answered_at > quiet_since
+    }
+
     /// Records that the server announced its shutdown. Returns false if that
     /// was known.
     pub fn record_leaving(&mut self) -> bool {
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -10,6 +10,7 @@
 mod connect;
 mod evacuation;
 mod fragility;
+mod handover;
 mod history;
 mod incarnation;
 mod large_fleet;
--- a/crates/guavawell-core/tests/forward/route.rs
+++ b/crates/guavawell-core/tests/forward/route.rs
@@ -23,6 +23,7 @@
         streaming: false,
         time_limit: ClockSpan::from_millis(1_000),
         target: ClockSpan::from_millis(100),
+        pause_target: None,
         attempts: 1,
         priority: 0,
         public: false,
--- a/crates/guavawell-core/tests/forward/support.rs
+++ b/crates/guavawell-core/tests/forward/support.rs
@@ -139,6 +139,30 @@
         },
         tried: &[],
         suspect: None,
+        quiet_since: None,
+    };
+    choose_server(table, &request, now, &ChoiceSettings::default())
+}
+
+/// Chooses a server to go over to from server 0, which has sent nothing since
+/// `quiet_since`.
+pub fn choose_beside(
+    table: &ServerTable,
+    quiet_since: ClockTime,
+    now: ClockTime,
+) -> Result<ServerPick, ChoiceError> {
+    let (service, own, zone) = (service(), instance(0), zone("z1"));
+    let tried = [server(0)];
+    let request = ChoiceRequest {
+        constraints: constraints(&service, &own),
+        engine: Some(ENGINE),
+        zone: &zone,
+        affinity: None,
+        shared_tokens: 0,
+        usage: TokenUsage::default(),
+        tried: &tried,
+        suspect: None,
+        quiet_since: Some(quiet_since),
     };
     choose_server(table, &request, now, &ChoiceSettings::default())
 }
@@ -178,6 +202,7 @@
         },
         tried,
         suspect: None,
+        quiet_since: None,
     };
     choose_server(table, &choice_request, now, &ChoiceSettings::default()).ok()
 }
--- a/crates/guavawell-core/tests/forward/work_pace.rs
+++ b/crates/guavawell-core/tests/forward/work_pace.rs
@@ -178,6 +178,7 @@
         usage: TokenUsage::default(),
         tried: &[],
         suspect: None,
+        quiet_since: None,
     };
     choose_server(table, &request, now, &ChoiceSettings::default()).map(|_| ())
 }
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -7,12 +7,13 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::AttemptEnd;
-use guavawell_core::forward::RetrySafety;
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::WorkPace;
+use guavawell_core::id::InstanceId;
 use guavawell_core::poison::OrganisationTag;
+use guavawell_core::poison::SuspicionMark;
 use guavawell_core::stream::SoftwareVersion;
 
 use crate::clock::timer_span;
@@ -20,6 +21,8 @@
 use crate::crash::AbandonedAttempt;
 use crate::crash::AttemptWatch;
 use crate::eligible::claim_send;
+use crate::handover::RaceEnd;
+use crate::handover::race_attempts;
 use crate::http::BodyDecoder;
 use crate::http::BodyFraming;
 use crate::http::ChannelError;
@@ -28,8 +31,10 @@
 use crate::http::within;
 use crate::in_flight::InFlightGuard;
 use crate::read_ahead::CallerOutbox;
-use crate::relay::relay_plain;
-use crate::relay::relay_stream;
+use crate::receive::WantedPart;
+use crate::receive::receive_first;
+use crate::record::RequestRecord;
+use crate::relay::relay_part;
 use crate::request::RequestBytes;
 use crate::response::BufferedResponse;
 use crate::response::IncomingResponse;
@@ -41,16 +46,68 @@
 
 /// Largest head of a server's response, in bytes.
 const MAX_RESPONSE_HEAD: usize = 32 * 1024;
-/// Time by which the wait for a busy server is extended before the server is
-/// checked again.
-const WAIT_EXTENSION: ClockSpan = ClockSpan::from_millis(200);
 /// How long a fragile server that has rejected a request gets no others: about the time
 /// in which slots become free.
 const REJECTION_PAUSE: ClockSpan = ClockSpan::from_millis(500);
 /// Largest response to another request that is skipped, in bytes.
 const MAX_STRAY_BODY: usize = 256 * 1024;
 
-/// The result of an attempt.
+/// One attempt at a server.
+#[derive(Debug)]
+pub struct AttemptInfo {
+    /// The server.
+    pub server: ServerIncarnation,
+    /// The version of its software.
+    pub version: Option<SoftwareVersion>,
+    /// The suspicion of the request when it was sent.
+    pub suspicion: SuspicionMark,
+    /// The instance that carries the connection, if any.
+    pub carrier: Option<InstanceId>,
+    /// How long the connection had been idle; `None` if it was new, or none was opened.
+    pub idle_for: Option<ClockSpan>,
+    /// When the request was sent, or the attempt last brought bytes; `None` if it was
+    /// not sent.
+    pub heard_at: Cell<Option<ClockTime>>,
+}
+
+impl AttemptInfo {
+    /// An attempt that was not sent yet.
+    fn new(server: ServerIncarnation) -> Self {
+        Self {
+            server,
+            version: None,
+            suspicion: SuspicionMark::default(),
+            carrier: None,
+            idle_for: None,
+            heard_at: Cell::new(None),
+        }
+    }
+}
+
+/// An attempt that brought no complete response.
+#[derive(Debug)]
+pub struct AttemptFailure {
+    /// The attempt.
+    pub info: Rc<AttemptInfo>,
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// The server's error response, if there is one.
+    pub response: Option<BufferedResponse>,
+}
+
+impl AttemptFailure {
+    /// An attempt that ended without an error response.
+    #[must_use]
+    pub fn new(info: &Rc<AttemptInfo>, end: AttemptEnd) -> Self {
+        Self {
+            info: Rc::clone(info),
+            end,
+            response: None,
+        }
+    }
+}
+
+/// The result of the attempts that were open together.
 #[derive(Debug)]
 pub enum AttemptOutcome {
     /// The response is complete, and was sent to the caller or waits for it: its status,
@@ -61,22 +118,74 @@
     /// The response broke off after part of it was sent to the caller, and no
     /// other server can continue it.
     Truncated,
-    /// The attempt brought no complete response, or a server error. Holds the
-    /// server's error response if there is one.
-    Ended(AttemptEnd, Option<BufferedResponse>),
+    /// The last open attempt brought no complete response.
+    Ended(AttemptFailure),
 }
 
-/// Connects to a server, sends the request and relays the response.
+/// Why an attempt is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptCause {
+    /// No other attempt is open.
+    Next,
+    /// Another one is open and late. The retry is counted when the request is sent.
+    Late,
+}
+
+/// A request that was sent to a server, or is about to be, and has no response yet.
+#[derive(Debug)]
+pub struct SentRequest {
+    channel: HttpChannel,
+    guard: InFlightGuard,
+    watch: AttemptWatch,
+    /// The attempt.
+    pub info: Rc<AttemptInfo>,
+}
+
+/// Sends a request to a server and relays the response; goes over to another server if
+/// the first one is late.
 pub async fn send_attempt(
     router: &Rc<ForwardRouter>,
     caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     pick: &ServerPick,
     progress: &mut RequestProgress,
+    record: &RequestRecord,
 ) -> AttemptOutcome {
+    let sent = match open_attempt(router, call, pick, progress, AttemptCause::Next).await {
+        Ok(sent) => sent,
+        Err(failure) => return AttemptOutcome::Ended(failure),
+    };
+    let info = Rc::clone(&sent.info);
+    progress.current = Some(Rc::clone(&info));
+    let bytes = RequestBytes::new(router, call, &info.server, progress.stream.last_event);
+    let wanted = WantedPart::Next {
+        after: progress.stream.last_event,
+    };
+    let first = receive_first(router, caller, call, sent, bytes, wanted);
+    match race_attempts(router, caller, call, record, progress, first, &info).await {
+        RaceEnd::First(part) => relay_part(router, caller, call, record, progress, part).await,
+        RaceEnd::Second(second) => {
+            let (part, renewed) = *second;
+            relay_part(router, caller, &renewed, record, progress, part).await
+        }
+        RaceEnd::Ended(failure) => AttemptOutcome::Ended(failure),
+    }
+}
+
+/// Connects to a server for a request and checks once more that it may be sent there.
+///
+/// # Errors
+///
+/// The request is not sent.
+pub async fn open_attempt(
+    router: &Rc<ForwardRouter>,
+    call: &ForwardCall<'_>,
+    pick: &ServerPick,
+    progress: &mut RequestProgress,
+    cause: AttemptCause,
+) -> Result<SentRequest, AttemptFailure> {
     progress.tried.push(pick.server.clone());
-    progress.idle_for = None;
-    progress.heard_at = None;
+    let mut info = AttemptInfo::new(pick.server.clone());
     let memory_tokens = call.usage.worst_case().get();
     let suspect = router.poison.suspect(call.fingerprint);
     let guard = InFlightGuard::new(router, pick, memory_tokens, suspect);
@@ -86,35 +195,50 @@
         let passed = router.clock.now().since(began);
         progress.unsent_time =
             ClockSpan::from_millis(progress.unsent_time.as_millis() + passed.as_millis());
-        return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
+        return Err(AttemptFailure::new(&Rc::new(info), AttemptEnd::NotSent));
     };
-    progress.carrier = channel.carrier().cloned();
-    progress.idle_for = channel.idle_for();
+    info.carrier = channel.carrier().cloned();
+    info.idle_for = channel.idle_for();
     router
         .await_doubted_zones(&call.service, call.deadline)
         .await;
-    // All this may have changed while the connection was being opened.
-    let expired = router.clock.left(call.deadline) == ClockSpan::default();
-    let crashes_servers = is_refused(router, call);
-    let may_send = !expired && !crashes_servers && is_allowed(router, call);
-    if !may_send || !claim_send(router, call, &pick.server) {
+    if !may_send(router, call, &pick.server, cause) {
         progress.unsent += 1;
-        return AttemptOutcome::Ended(AttemptEnd::NotSent, None);
+        return Err(AttemptFailure::new(&Rc::new(info), AttemptEnd::NotSent));
     }
-    progress.sent += 1;
-    progress.heard_at = Some(router.clock.now());
-    progress.version = version_of(router, &pick.server);
-    progress.suspicion = router.poison.mark(call.fingerprint);
+    progress.note_sent();
+    if let Some(reservation) = &call.reservation {
+        reservation.spend(call.usage.input);
+    }
+    info.heard_at = Cell::new(Some(router.clock.now()));
+    info.version = version_of(router, &pick.server);
+    info.suspicion = router.poison.mark(call.fingerprint);
     let attempt = AbandonedAttempt {
         parts: Rc::default(),
-        ..abandoned_attempt(call, progress, &pick.server)
+        ..abandoned_attempt(call, progress, &info)
     };
-    let mut watch = AttemptWatch::new(router, attempt);
-    let outcome = exchange_and_relay(router, caller, call, pick, progress, channel, guard).await;
-    if !matches!(outcome, AttemptOutcome::Ended(AttemptEnd::Silent, _)) {
-        watch.settle();
+    Ok(SentRequest {
+        channel,
+        guard,
+        watch: AttemptWatch::new(router, attempt),
+        info: Rc::new(info),
+    })
+}
+
+/// Whether the request may be sent to the server now. All this may have changed while the
+/// connection was being opened.
+fn may_send(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    server: &ServerIncarnation,
+    cause: AttemptCause,
+) -> bool {
+    let expired = router.clock.left(call.deadline) == ClockSpan::default();
+    if expired || is_refused(router, call) || !is_allowed(router, call) {
+        return false;
     }
-    outcome
+    let is_counted = cause == AttemptCause::Next || router.take_retry(&call.service);
+    is_counted && claim_send(router, call, server)
 }
 
 /// The version of a server's software, as it is listed now.
@@ -137,14 +261,14 @@
 pub fn abandoned_attempt(
     call: &ForwardCall<'_>,
     progress: &RequestProgress,
-    server: &ServerIncarnation,
+    info: &AttemptInfo,
 ) -> AbandonedAttempt {
     let organisation = call.organisation.as_ref().map(|(id, _)| id);
     AbandonedAttempt {
-        server: server.clone(),
+        server: info.server.clone(),
         fingerprint: call.fingerprint,
         organisation: OrganisationTag::of(organisation),
-        suspicion: progress.suspicion,
+        suspicion: info.suspicion,
         parts: if progress.stream.goes_well {
             Rc::default()
         } else {
@@ -153,52 +277,16 @@
     }
 }
 
-/// Sends the request over an open connection and relays the response.
-async fn exchange_and_relay(
-    router: &Rc<ForwardRouter>,
-    caller: &CallerOutbox<'_>,
-    call: &ForwardCall<'_>,
-    pick: &ServerPick,
-    progress: &mut RequestProgress,
-    channel: HttpChannel,
-    guard: InFlightGuard,
-) -> AttemptOutcome {
-    let before = progress.outcome.may_have_run;
-    progress.outcome.may_have_run = true;
-    if let Some(reservation) = &call.reservation {
-        reservation.spend(call.usage.input);
-    }
-    let began = router.clock.now();
-    let response = match exchange(router, call, progress, channel, guard).await {
-        Ok(response) => response,
-        Err(end) => return AttemptOutcome::Ended(end, None),
-    };
-    note_load(router, &response);
-    caller.set_incomplete(0);
-    if is_rejection(router, &response.head) {
-        progress.outcome.may_have_run = before;
-        note_rejection(router, &pick.server, response);
-        return AttemptOutcome::Ended(AttemptEnd::Rejected, None);
-    }
-    // A rejection or an error tells nothing of how long work takes.
-    if !call.route.streaming && response.head.status == 200 {
-        note_work(router, &response, began);
-    }
-    if call.route.streaming && response.head.status == 200 {
-        relay_stream(router, caller, call, progress, response).await
-    } else {
-        relay_plain(router, caller, call, response).await
-    }
-}
-
 /// Whether the server states that it did not run the request. A 400 is relayed
 /// instead: the caller has to correct the request.
-fn is_rejection(router: &ForwardRouter, head: &ResponseHead) -> bool {
+pub fn is_rejection(router: &ForwardRouter, head: &ResponseHead) -> bool {
     let not_run = head.fields.get(router.settings.names.not_run).is_some();
     head.status == 421 || (not_run && head.status != 400)
 }
 
-fn note_rejection(router: &ForwardRouter, server: &ServerIncarnation, response: IncomingResponse) {
+/// Takes note that a server rejected a request.
+pub fn note_rejection(router: &ForwardRouter, response: IncomingResponse) {
+    let server = &response.info.server.clone();
     if response.head.status == 421 {
         // Another server has taken over the address, so this one is gone.
         let mut servers = router.servers.borrow_mut();
@@ -220,7 +308,8 @@
     }
 }
 
-fn note_load(router: &ForwardRouter, response: &IncomingResponse) {
+/// Records the load that a server states.
+pub fn note_load(router: &ForwardRouter, response: &IncomingResponse) {
     let Some(text) = response.head.fields.get(router.settings.names.load) else {
         return;
     };
@@ -234,7 +323,7 @@
 }
 
 /// Records the pace that a server states, and how long it took for a plain response.
-fn note_work(router: &ForwardRouter, response: &IncomingResponse, began: ClockTime) {
+pub fn note_work(router: &ForwardRouter, response: &IncomingResponse, began: ClockTime) {
     let pace = stated_pace(router, &response.head);
     let took = router.clock.now().since(began);
     response.guard.change(|server| {
@@ -249,115 +338,85 @@
     text.split(',').nth(3)?.trim().parse().ok()
 }
 
-/// Sends the request and waits for the head of the response.
-async fn exchange(
-    router: &Rc<ForwardRouter>,
-    call: &ForwardCall<'_>,
-    progress: &RequestProgress,
-    mut channel: HttpChannel,
-    guard: InFlightGuard,
-) -> Result<IncomingResponse, AttemptEnd> {
-    let bytes = RequestBytes::new(router, call, guard.server(), progress);
-    let sent = Cell::new(false);
-    let stray = Cell::new(false);
-    let stream = channel.stream();
-    let began = router.clock.now();
-    let is_carried = channel.carrier().is_some();
-    let is_head_request = call.request.head.method.as_ref() == "HEAD";
-    channel.note_sent(bytes.size());
-    let write = async {
-        let written = bytes.send(&stream).await;
-        // A server may respond without reading the whole request, so a write
-        // error does not end the attempt.
-        sent.set(written.is_ok());
-        std::future::pending().await
-    };
-    let read = async {
-        let mut limit = attempt_limit(router, call, progress);
-        loop {
-            let head = response_head(&mut channel, is_head_request, |head| {
-                apply_server_status(router, guard.server(), head);
-                let echoed_id = head.fields.get(router.settings.names.request);
-                let is_own = echoed_id.is_none_or(|id| id == call.id);
-                stray.set(stray.get() || !is_own);
-                is_own
-            });
-            match within(timer_span(limit), head).await {
-                Err(ChannelError::TimedOut) if should_keep_waiting(router, call, &guard) => {
-                    limit = WAIT_EXTENSION.min(router.clock.left(call.deadline));
-                }
-                result => return result,
+impl SentRequest {
+    /// Sends the request and waits for the head of the response, until the request's
+    /// time limit.
+    ///
+    /// # Errors
+    ///
+    /// No response began.
+    pub async fn exchange(
+        self,
+        router: &Rc<ForwardRouter>,
+        call: &ForwardCall<'_>,
+        bytes: RequestBytes<'_>,
+    ) -> Result<IncomingResponse, AttemptFailure> {
+        let Self {
+            mut channel,
+            guard,
+            mut watch,
+            info,
+        } = self;
+        let sent = Cell::new(false);
+        let stray = Cell::new(false);
+        let stream = channel.stream();
+        let began = router.clock.now();
+        let is_carried = channel.carrier().is_some();
+        let is_head_request = call.request.head.method.as_ref() == "HEAD";
+        channel.note_sent(bytes.size());
+        let write = async {
+            let written = bytes.send(&stream).await;
+            // A server may respond without reading the whole request, so a write
+            // error does not end the attempt.
+            sent.set(written.is_ok());
+            std::future::pending().await
+        };
+        let head = response_head(&mut channel, is_head_request, |head| {
+            apply_server_status(router, guard.server(), head);
+            let echoed_id = head.fields.get(router.settings.names.request);
+            let is_own = echoed_id.is_none_or(|id| id == call.id);
+            stray.set(stray.get() || !is_own);
+            is_own
+        });
+        let read = within(time_left(router, call.deadline), head);
+        // A server that has restarted cannot respond to requests that were sent to
+        // it before. A response that has already arrived is still read first, since
+        // the read is polled before this future.
+        let restarted = async {
+            guard.server_restarted().await;
+            Err(ChannelError::Closed)
+        };
+        let result = write.or(read).or(restarted).await;
+        let error = match result {
+            Ok(head) => {
+                guard.note_received(&info);
+                return Ok(IncomingResponse {
+                    decoder: BodyDecoder::new(head.framing),
+                    reusable: sent.get() && !stray.get(),
+                    channel,
+                    head,
+                    guard,
+                    watch,
+                    info,
+                });
             }
+            Err(error) => error,
+        };
+        // A connection over the lost way says nothing of the server.
+        if is_carried || !router.is_path_lost(&call.service) {
+            guard.note_outcome(true);
         }
-    };
-    // A server that has restarted cannot respond to requests that were sent to
-    // it before. A response that has already arrived is still read first, since
-    // the read is polled before this future.
-    let restarted = async {
-        guard.server_restarted().await;
-        Err(ChannelError::Closed)
-    };
-    let result = write.or(read).or(restarted).await;
-    match result {
-        Ok(head) => {
-            guard.note_received();
-            Ok(IncomingResponse {
-                decoder: BodyDecoder::new(head.framing),
-                reusable: sent.get() && !stray.get(),
-                channel,
-                head,
-                guard,
-            })
-        }
-        Err(error) => {
-            // A connection over the lost way says nothing of the server.
-            if is_carried || !router.is_path_lost(&call.service) {
-                guard.note_outcome(true);
-            }
-            log::debug!("no response from {}: {error}", guard.server());
-            if matches!(error, ChannelError::TimedOut) {
-                guard.note_silence(began);
-                Err(AttemptEnd::Silent)
-            } else {
-                Err(AttemptEnd::Lost)
-            }
+        log::debug!("no response from {}: {error}", guard.server());
+        if matches!(error, ChannelError::TimedOut) {
+            guard.note_silence(began);
+            Err(AttemptFailure::new(&info, AttemptEnd::Silent))
+        } else {
+            watch.settle();
+            Err(AttemptFailure::new(&info, AttemptEnd::Lost))
         }
     }
 }
 
-/// Whether to keep waiting for the head after the attempt's time limit. A
-/// streaming server that still sends data to other requests is taken to be
-/// busy, not dead.
-fn should_keep_waiting(
-    router: &ForwardRouter,
-    call: &ForwardCall<'_>,
-    guard: &InFlightGuard,
-) -> bool {
-    let left = router.clock.left(call.deadline);
-    call.route.streaming && left > ClockSpan::default() && !guard.is_silent()
-}
-
-/// How long an attempt waits for the head of the response.
-fn attempt_limit(
-    router: &ForwardRouter,
-    call: &ForwardCall<'_>,
-    progress: &RequestProgress,
-) -> ClockSpan {
-    let left = router.clock.left(call.deadline);
-    let last = progress.sent >= call.route.attempts || !router.poison.may_retry(call.fingerprint);
-    let times = &router.settings.times;
-    let limit = match call.route.retry_safety {
-        _ if last => left,
-        RetrySafety::Once => left,
-        RetrySafety::Idempotent => {
-            let usual = call.route.target.as_millis() * 3 / 2;
-            ClockSpan::from_millis(usual).max(times.attempt)
-        }
-        RetrySafety::Resumable => times.stream_silence.max(call.route.target),
-    };
-    limit.min(left)
-}
-
 /// Reads response heads until `is_own` accepts one. Responses to other requests
 /// that arrive first are skipped; the connection is not reused after them.
 pub(crate) async fn response_head(
--- a/crates/guavawell-forward/src/in_flight.rs
+++ b/crates/guavawell-forward/src/in_flight.rs
@@ -9,6 +9,7 @@
 use guavawell_core::forward::ServerPick;
 use guavawell_core::poison::RequestFingerprint;
 
+use crate::attempt::AttemptInfo;
 use crate::router::ForwardRouter;
 
 /// Counts a request in its server's load until the guard is dropped.
@@ -55,10 +56,11 @@
         &self.server
     }
 
-    /// Records that bytes were received from the server.
-    pub fn note_received(&self) {
+    /// Records that an attempt brought bytes of the server.
+    pub fn note_received(&self, info: &AttemptInfo) {
         let now = self.router.clock.now();
-        self.change(|server| server.health.last_received_at = now);
+        info.heard_at.set(Some(now));
+        self.change(|server| server.record_received(now));
     }
 
     /// Records that the server has processed the prompt.
@@ -69,28 +71,9 @@
         });
     }
 
-    /// Whether the server has sent nothing to this instance for a while
-    /// although requests are in flight, or is no longer listed.
-    #[must_use]
-    pub fn is_silent(&self) -> bool {
-        let now = self.router.clock.now();
-        let servers = self.router.servers.borrow();
-        servers
-            .get(&self.server)
-            .is_none_or(|server| server.silent(now))
-    }
-
-    /// Handles a request that was given up without a response. If nothing was received
-    /// from the server since `began`, its idle connections may be dead too; a new one
-    /// shows whether it is in reach.
+    /// Handles a request that was given up without a response.
     pub fn note_silence(&self, began: ClockTime) {
-        let servers = self.router.servers.borrow();
-        let entry = servers.get(&self.server);
-        let is_silent = entry.is_some_and(|entry| entry.health.last_received_at <= began);
-        drop(servers);
-        if is_silent {
-            self.router.pool.borrow_mut().drop_connections(&self.server);
-        }
+        drop_silent_connections(&self.router, &self.server, began);
     }
 
     /// Waits until the server is known to have restarted: the process that
@@ -126,6 +109,22 @@
     }
 }
 
+/// Closes the idle connections to a server that has sent nothing since `began`, although
+/// requests waited for it: they may be dead too. A new one shows whether it is in reach.
+pub fn drop_silent_connections(
+    router: &ForwardRouter,
+    server: &ServerIncarnation,
+    began: ClockTime,
+) {
+    let servers = router.servers.borrow();
+    let entry = servers.get(server);
+    let is_silent = entry.is_some_and(|entry| entry.health.last_received_at <= began);
+    drop(servers);
+    if is_silent {
+        router.pool.borrow_mut().drop_connections(server);
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         let prefill_tokens = self.prefill_tokens.get();
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -4,7 +4,7 @@
 //! The rules are in `guavawell_core::forward` and `guavawell_core::grant`; this
 //! crate runs them on one thread: callers' requests (`callers`, `prepare`,
 //! `routing`, `serve`), backend servers (`retry`, `attempt`, `connect`, `pool`,
-//! `relay`), what callers have not taken yet (`read_ahead`), connections through other instances (`path`, `tunnel`), budget rows and loans between instances (`budget`), requests that
+//! `receive`, `relay`), going over to another server (`handover`), what callers have not taken yet (`read_ahead`), connections through other instances (`path`, `tunnel`), budget rows and loans between instances (`budget`), requests that
 //! crash servers (`poison`, `crash`), the order of tasks (`schedule`), and the
 //! health and shutdown of the process (`admin`, `shutdown`). It contains no
 //! header names and no wire formats of the platform; the binary translates
@@ -29,6 +29,7 @@
 pub mod eligible;
 pub mod evacuation;
 pub mod field_names;
+pub mod handover;
 pub mod housekeeping;
 pub mod http;
 pub mod in_flight;
@@ -41,6 +42,7 @@
 pub mod pool;
 pub mod prepare;
 pub mod read_ahead;
+pub mod receive;
 pub mod record;
 pub mod refusal;
 pub mod relay;
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -141,7 +141,7 @@
         parts,
         origin,
         deadline,
-        link_charge,
+        link_charge: link_charge.map(Rc::new),
         reservation: reservation.map(Rc::new),
     })
 }
--- a/crates/guavawell-forward/src/read_ahead.rs
+++ b/crates/guavawell-forward/src/read_ahead.rs
@@ -198,10 +198,12 @@
         }
     }
 
-    /// Records how many bytes of the response were received that cannot be sent yet.
-    pub fn set_incomplete(&self, bytes: usize) {
-        if let Some(queue) = &self.queue {
-            self.change(queue, |queue| queue.incomplete.set(bytes));
+    /// Counts what is held of a response and not complete enough to be sent.
+    #[must_use]
+    pub const fn incomplete_part(&self) -> IncompletePart<'_> {
+        IncompletePart {
+            outbox: self,
+            bytes: 0,
         }
     }
 
@@ -345,6 +347,32 @@
     }
 }
 
+/// Counts the bytes that are held of one response and not complete enough to be sent,
+/// until it is dropped.
+#[derive(Debug)]
+pub struct IncompletePart<'a> {
+    outbox: &'a CallerOutbox<'a>,
+    bytes: usize,
+}
+
+impl IncompletePart<'_> {
+    /// Sets the number of bytes.
+    pub fn set(&mut self, bytes: usize) {
+        if let Some(queue) = &self.outbox.queue {
+            let others = queue.incomplete.get().saturating_sub(self.bytes);
+            self.outbox
+                .change(queue, |queue| queue.incomplete.set(others + bytes));
+        }
+        self.bytes = bytes;
+    }
+}
+
+impl Drop for IncompletePart<'_> {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
 impl Drop for CallerOutbox<'_> {
     fn drop(&mut self) {
         let Some(queue) = &self.queue else {
--- a/crates/guavawell-forward/src/request.rs
+++ b/crates/guavawell-forward/src/request.rs
@@ -10,7 +10,6 @@
 use crate::http::BodyFraming;
 use crate::http::HeadWriter;
 use crate::http::is_hop_by_hop;
-use crate::retry::RequestProgress;
 use crate::router::ForwardRouter;
 use crate::serve::ForwardCall;
 
@@ -31,14 +30,15 @@
 
 impl<'a> RequestBytes<'a> {
     /// Serializes the request for a server. Method, target and body are unchanged.
+    /// `resumed` is the event after which the server is to continue a stream.
     #[must_use]
     pub fn new(
         router: &ForwardRouter,
         call: &ForwardCall<'a>,
         server: &ServerIncarnation,
-        progress: &RequestProgress,
+        resumed: Option<u64>,
     ) -> Self {
-        let mut start = request_head(router, call, server, progress);
+        let mut start = request_head(router, call, server, resumed);
         let body = &call.request.body[..];
         if body.len() > MAX_COPIED_BODY {
             return Self { start, body };
@@ -69,13 +69,12 @@
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
     server: &ServerIncarnation,
-    progress: &RequestProgress,
+    resumed: Option<u64>,
 ) -> Vec<u8> {
     let names = &router.settings.names;
     let request = call.request;
     let fields = &request.head.fields;
     let mut head = HeadWriter::request(&request.head.method, &request.head.target);
-    let resumed = progress.stream.last_event;
     for (name, value) in fields.iter() {
         let replaced = is_own_field(router, name)
             || is_hop_by_hop(fields, name)
--- a/crates/guavawell-forward/src/response.rs
+++ b/crates/guavawell-forward/src/response.rs
@@ -1,8 +1,14 @@
 //! A server's response, its serialization for the caller, and the return of its
 //! connection to the pool.
 
+use std::rc::Rc;
+
 use futures_lite::FutureExt;
+use guavawell_core::forward::AttemptEnd;
 
+use crate::attempt::AttemptFailure;
+use crate::attempt::AttemptInfo;
+use crate::crash::AttemptWatch;
 use crate::http::BodyDecoder;
 use crate::http::ChannelError;
 use crate::http::FieldList;
@@ -70,6 +76,10 @@
     pub reusable: bool,
     /// Counts the request at the server.
     pub guard: InFlightGuard,
+    /// Records the attempt as abandoned if it is given up.
+    pub watch: AttemptWatch,
+    /// The attempt.
+    pub info: Rc<AttemptInfo>,
 }
 
 impl IncomingResponse {
@@ -89,9 +99,21 @@
         part.or(restarted).await
     }
 
+    /// Takes note that the attempt ended without a complete response. One that timed out
+    /// may still be run by the server.
+    #[must_use]
+    pub fn fail(mut self, end: AttemptEnd) -> AttemptFailure {
+        self.guard.note_outcome(true);
+        if end != AttemptEnd::Silent {
+            self.watch.settle();
+        }
+        AttemptFailure::new(&self.info, end)
+    }
+
     /// Returns the connection to the pool after a complete response, if it can
     /// be reused.
-    pub fn finish(self, router: &ForwardRouter) {
+    pub fn finish(mut self, router: &ForwardRouter) {
+        self.watch.settle();
         self.guard.note_outcome(false);
         let done = self.decoder.is_done();
         if self.reusable && done && self.head.keep_alive && self.channel.is_quiet() {
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -8,20 +8,22 @@
 use guavawell_core::forward::ChoiceError;
 use guavawell_core::forward::ChoiceRequest;
 use guavawell_core::forward::ForwardRefusal;
+use guavawell_core::forward::MIN_ATTEMPT_TIME;
 use guavawell_core::forward::NextStep;
+use guavawell_core::forward::RepeatView;
 use guavawell_core::forward::RequestCharge;
 use guavawell_core::forward::RequestOutcome;
-use guavawell_core::forward::RetrySafety;
+use guavawell_core::forward::RetryDenial;
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
+use guavawell_core::forward::check_repeat;
 use guavawell_core::forward::choose_server;
 use guavawell_core::forward::next_step;
-use guavawell_core::id::InstanceId;
-use guavawell_core::poison::SuspicionMark;
-use guavawell_core::stream::SoftwareVersion;
 use guavawell_fleet::event::EventDraft;
 
+use crate::attempt::AttemptFailure;
+use crate::attempt::AttemptInfo;
 use crate::attempt::AttemptOutcome;
 use crate::attempt::abandoned_attempt;
 use crate::attempt::is_refused;
@@ -45,8 +47,6 @@
 /// Longest time spent on such attempts: about the time that [`MAX_UNSENT`]
 /// unreachable servers take.
 const MAX_UNSENT_TIME: ClockSpan = ClockSpan::from_millis(1_000);
-/// Shortest remaining time at which another attempt is started.
-const MIN_ATTEMPT_TIME: ClockSpan = ClockSpan::from_millis(15);
 /// Retry-After if no server is available: about the time until a restarted
 /// server is listed again.
 const RETRY_NO_SERVER: ClockSpan = ClockSpan::from_millis(1_000);
@@ -77,25 +77,41 @@
     pub unsent: usize,
     /// Time spent on connections that could not be opened.
     pub unsent_time: ClockSpan,
+    /// Attempts that may have run.
+    running: u32,
     /// Determines the charge if the request ends without a complete response.
     pub outcome: RequestOutcome,
-    /// The suspicion of the request when it was last sent.
-    pub suspicion: SuspicionMark,
-    /// The version of the software of the server that the request was last sent to.
-    pub version: Option<SoftwareVersion>,
+    /// The attempt that the caller's response comes from, or may come from.
+    pub current: Option<Rc<AttemptInfo>>,
     /// How much of the stream the caller has received.
     pub stream: StreamProgress,
-    /// The instance that carries the connection of the last attempt, if any.
-    pub carrier: Option<InstanceId>,
-    /// How long the connection of the last attempt had been idle; `None` if it was new, or
-    /// none was opened.
-    pub idle_for: Option<ClockSpan>,
-    /// When the last attempt was sent, or last brought a part of its response.
-    pub heard_at: Option<ClockTime>,
+    /// The last error response of a server.
+    pub failure: Option<BufferedResponse>,
     /// Whether the request waited because all servers counted as cold.
     pub waited: bool,
 }
 
+impl RequestProgress {
+    /// Records that the request is sent to a server.
+    pub const fn note_sent(&mut self) {
+        self.sent += 1;
+        self.running += 1;
+        self.outcome.may_have_run = true;
+    }
+
+    /// Records how an attempt ended.
+    pub fn note_failure(&mut self, failure: AttemptFailure) {
+        self.outcome.note(failure.end);
+        if failure.end == AttemptEnd::Rejected {
+            self.running = self.running.saturating_sub(1);
+            self.outcome.may_have_run = self.running > 0;
+        }
+        if let Some(response) = failure.response {
+            self.failure = Some(response);
+        }
+    }
+}
+
 /// Sends a request until the caller has a response. Returns whether the
 /// caller's connection may be reused.
 pub async fn run_attempts(
@@ -105,7 +121,6 @@
     record: &RequestRecord,
 ) -> bool {
     let mut progress = RequestProgress::default();
-    let mut failure = None;
     router.count_request(&call.service);
     loop {
         if call.origin.is_none() {
@@ -114,9 +129,11 @@
         router
             .await_doubted_zones(&call.service, call.deadline)
             .await;
-        let rechecked = recheck_config(router, &mut call, progress.outcome.may_have_run, record);
+        let may_have_run = progress.outcome.may_have_run;
+        let rechecked = recheck_config(router, &mut call, may_have_run, Some(record));
         let call = &call;
-        let pick = match rechecked.and_then(|()| pick_server(router, call, &progress)) {
+        let picked = rechecked.and_then(|()| pick_server(router, call, &progress, None));
+        let pick = match picked {
             Ok(pick) => pick,
             Err(ForwardRefusal::ServersCold)
                 if !std::mem::replace(&mut progress.waited, true)
@@ -125,22 +142,15 @@
                 continue;
             }
             Err(refusal) => {
-                return end_without_response(
-                    router, caller, call, record, &progress, refusal, failure,
-                )
-                .await;
+                return end_without_response(router, caller, call, record, progress, refusal).await;
             }
         };
-        record.note("server", &pick.server);
-        note_worked_off(record, &pick);
-        note_version(router, record, &pick.server);
-        let outcome = send_attempt(router, caller, call, &pick, &mut progress).await;
+        note_pick(router, record, &pick);
+        let outcome = send_attempt(router, caller, call, &pick, &mut progress, record).await;
         record.note("attempts", progress.sent);
-        if let Some(carrier) = &progress.carrier {
-            record.note("carrier", carrier);
-        }
-        update_suspicion(router, call, &progress, &pick.server, &outcome).await;
-        let (end, response) = match outcome {
+        note_carrier(record, &progress);
+        update_suspicion(router, call, &progress, &outcome).await;
+        let failure = match outcome {
             AttemptOutcome::Delivered(status, keep_alive) => {
                 caller.finish().await;
                 note_stream(record, &progress.stream);
@@ -155,19 +165,18 @@
                 record.truncated();
                 return false;
             }
-            AttemptOutcome::Ended(end, response) => (end, response),
+            AttemptOutcome::Ended(failure) => failure,
         };
-        progress.outcome.note(end);
+        let end = failure.end;
         let retry = check_retry(router, call, &progress, end);
-        note_attempt(router, call, &pick, &progress, end, retry);
-        failure = response.or(failure);
+        note_attempt(router, call, &failure, retry);
+        progress.note_failure(failure);
         let refusal = match next_step(call.route.retry_safety, end, retry.is_ok()) {
             NextStep::Retry => continue,
             NextStep::Relay => ForwardRefusal::AnswerLost,
             NextStep::Refuse(refusal) => refusal,
         };
-        return end_without_response(router, caller, call, record, &progress, refusal, failure)
-            .await;
+        return end_without_response(router, caller, call, record, progress, refusal).await;
     }
 }
 
@@ -179,16 +188,15 @@
     caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     record: &RequestRecord,
-    progress: &RequestProgress,
+    mut progress: RequestProgress,
     refusal: ForwardRefusal,
-    failure: Option<BufferedResponse>,
 ) -> bool {
-    settle_reservation(call, record, progress);
-    match failure {
+    settle_reservation(call, record, &progress);
+    match progress.failure.take() {
         Some(response) if !progress.stream.begun => {
             relay_failure(router, caller, call, record, &response).await
         }
-        _ => end_with_refusal(router, caller, call, record, progress, refusal).await,
+        _ => end_with_refusal(router, caller, call, record, &progress, refusal).await,
     }
 }
 
@@ -217,18 +225,24 @@
     }
 }
 
-/// Records that a server was chosen that would be full by its last report.
-fn note_worked_off(record: &RequestRecord, pick: &ServerPick) {
+/// Records which server was chosen, with the version of its software, and whether it
+/// would be full by its last report.
+pub fn note_pick(router: &ForwardRouter, record: &RequestRecord, pick: &ServerPick) {
+    record.note("server", &pick.server);
+    if let Some(entry) = router.servers.borrow().get(&pick.server) {
+        record.note("server_version", &entry.version);
+    }
     if pick.worked_off {
         metrics::counter!("guavawell_forward_reports_worked_off_total").increment(1);
         record.note("worked_off", &pick.server);
     }
 }
 
-/// Records the version of the software of the last server that was chosen.
-fn note_version(router: &ForwardRouter, record: &RequestRecord, server: &ServerIncarnation) {
-    if let Some(entry) = router.servers.borrow().get(server) {
-        record.note("server_version", &entry.version);
+/// Records the instance that carries the connection to the server, if any.
+fn note_carrier(record: &RequestRecord, progress: &RequestProgress) {
+    let current = progress.current.as_ref();
+    if let Some(carrier) = current.and_then(|info| info.carrier.as_ref()) {
+        record.note("carrier", carrier);
     }
 }
 
@@ -242,10 +256,17 @@
     router.await_refresh(router.clock.left(until)).await || has_read
 }
 
-fn pick_server(
+/// Picks the server for the next attempt; one to go over to if the server that runs the
+/// request has sent nothing since `quiet_since`.
+///
+/// # Errors
+///
+/// Why the request cannot be sent.
+pub fn pick_server(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
     progress: &RequestProgress,
+    quiet_since: Option<ClockTime>,
 ) -> Result<ServerPick, ForwardRefusal> {
     if is_refused(router, call) {
         return Err(ForwardRefusal::CrashesServers);
@@ -263,6 +284,7 @@
             usage: call.usage,
             tried: &progress.tried,
             suspect: router.poison.suspect(call.fingerprint),
+            quiet_since,
         };
         let now = router.clock.now();
         choose_server(
@@ -283,37 +305,6 @@
     })
 }
 
-/// Why a request is not sent again after an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RetryDenial {
-    /// Too little time is left.
-    Time,
-    /// Connections to too many servers could not be opened.
-    Unsent,
-    /// The request may run only once.
-    Once,
-    /// The route allows no more attempts.
-    Attempts,
-    /// The request, or a part of its prompt, may crash servers.
-    Suspicion,
-    /// This instance's share of the fleet's retries is used up.
-    Allowance,
-}
-
-impl RetryDenial {
-    /// Name in logs and metrics.
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Time => "time",
-            Self::Unsent => "unsent",
-            Self::Once => "once",
-            Self::Attempts => "attempts",
-            Self::Suspicion => "suspicion",
-            Self::Allowance => "allowance",
-        }
-    }
-}
-
 /// Checks the limits on attempts, time and retries before another attempt, and counts
 /// the retry.
 fn check_retry(
@@ -322,69 +313,84 @@
     progress: &RequestProgress,
     end: AttemptEnd,
 ) -> Result<(), RetryDenial> {
-    if router.clock.left(call.deadline) < MIN_ATTEMPT_TIME {
-        return Err(RetryDenial::Time);
-    }
     if end == AttemptEnd::NotSent {
-        let may_connect = progress.unsent < MAX_UNSENT && progress.unsent_time < MAX_UNSENT_TIME;
-        return may_connect.then_some(()).ok_or(RetryDenial::Unsent);
-    }
-    let once = call.route.retry_safety == RetrySafety::Once;
-    if once && end != AttemptEnd::Rejected {
-        return Err(RetryDenial::Once);
-    }
-    if progress.sent >= call.route.attempts {
-        return Err(RetryDenial::Attempts);
-    }
-    if !router.poison.may_retry(call.fingerprint) || !may_retry_parts(router, &call.parts) {
-        return Err(RetryDenial::Suspicion);
+        if router.clock.left(call.deadline) < MIN_ATTEMPT_TIME {
+            return Err(RetryDenial::Time);
+        }
+        return check_unsent(progress);
     }
+    check_repeat(&repeat_view(router, call, progress, end))?;
     let has_allowance = router.take_retry(&call.service);
     has_allowance.then_some(()).ok_or(RetryDenial::Allowance)
 }
 
+/// Checks the limits on attempts whose request was not sent.
+///
+/// # Errors
+///
+/// Another one is not allowed.
+pub fn check_unsent(progress: &RequestProgress) -> Result<(), RetryDenial> {
+    let may_connect = progress.unsent < MAX_UNSENT && progress.unsent_time < MAX_UNSENT_TIME;
+    may_connect.then_some(()).ok_or(RetryDenial::Unsent)
+}
+
+/// What decides whether a request may be sent again, after an attempt that ended or may
+/// end in this way.
+pub fn repeat_view(
+    router: &ForwardRouter,
+    call: &ForwardCall<'_>,
+    progress: &RequestProgress,
+    end: AttemptEnd,
+) -> RepeatView {
+    let may_repeat =
+        router.poison.may_retry(call.fingerprint) && may_retry_parts(router, &call.parts);
+    RepeatView {
+        retry_safety: call.route.retry_safety,
+        has_not_run: end == AttemptEnd::Rejected,
+        sent: progress.sent,
+        attempts: call.route.attempts,
+        left: router.clock.left(call.deadline),
+        is_suspect: !may_repeat,
+    }
+}
+
 /// Updates the suspicion of the request: clears it after a complete response,
 /// and checks for a crash if the response was lost.
 async fn update_suspicion(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
     progress: &RequestProgress,
-    server: &ServerIncarnation,
     outcome: &AttemptOutcome,
 ) {
     let lost = match outcome {
         AttemptOutcome::Delivered(200..300, _) => {
             router.poison.answered(call.fingerprint);
-            false
+            None
         }
-        AttemptOutcome::Truncated | AttemptOutcome::Ended(AttemptEnd::Lost, _) => true,
-        _ => false,
+        AttemptOutcome::Truncated => progress.current.as_ref(),
+        AttemptOutcome::Ended(failure) if failure.end == AttemptEnd::Lost => Some(&failure.info),
+        _ => None,
     };
-    if lost {
-        note_lost_attempt(router, abandoned_attempt(call, progress, server)).await;
+    if let Some(info) = lost {
+        note_lost_attempt(router, abandoned_attempt(call, progress, info)).await;
     }
 }
 
-fn note_attempt(
+/// Logs an attempt that ended without a complete response, and why the request is not
+/// sent again.
+pub fn note_attempt(
     router: &ForwardRouter,
     call: &ForwardCall<'_>,
-    pick: &ServerPick,
-    progress: &RequestProgress,
-    end: AttemptEnd,
+    failure: &AttemptFailure,
     retry: Result<(), RetryDenial>,
 ) {
-    let end = match end {
-        AttemptEnd::NotSent => "not_sent",
-        AttemptEnd::Rejected => "rejected",
-        AttemptEnd::Failed => "failed",
-        AttemptEnd::Lost => "lost",
-        AttemptEnd::Silent => "silent",
-    };
+    let info = &failure.info;
+    let end = failure.end.as_str();
     metrics::counter!("guavawell_forward_attempts_failed_total", "end" => end).increment(1);
     let mut draft = EventDraft::new("attempt.ended")
         .field("end", end)
         .field("fingerprint", call.fingerprint)
-        .field("server", &pick.server)
+        .field("server", &info.server)
         .field("parts", shared_parts(call));
     draft.request = call.id.parse().ok();
     if let Err(denial) = retry {
@@ -393,15 +399,14 @@
             .increment(1);
         draft = draft.field("no_retry", reason);
     }
-    if let Some(heard_at) = progress.heard_at {
-        let quiet = router.clock.now().since(heard_at);
-        draft = draft.field("quiet_ms", quiet.as_millis());
+    let now = router.clock.now();
+    if let Some(heard_at) = info.heard_at.get() {
+        draft = draft.field("quiet_ms", now.since(heard_at).as_millis());
     }
-    if let Some(span) = progress.idle_for {
+    if let Some(span) = info.idle_for {
         draft = draft.field("idle_ms", span.as_millis());
     }
-    if let Some(server) = router.servers.borrow().get(&pick.server) {
-        let now = router.clock.now();
+    if let Some(server) = router.servers.borrow().get(&info.server) {
         let silence_ms = now.since(server.health.last_received_at).as_millis();
         draft = draft
             .field("heard_ms_ago", silence_ms)
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -428,17 +428,26 @@
     /// Counts a retry if one is still allowed for the service; false if none is.
     #[must_use]
     pub fn take_retry(&self, service: &ServiceId) -> bool {
-        let limits = RetryLimits {
-            instances: self
-                .settings
-                .retry_limits
-                .instances
-                .max(self.budgets.instances()),
-            ..self.settings.retry_limits
-        };
+        let limits = self.retry_limits();
         let now = self.clock.now();
-        self.retry_allowance
-            .borrow_mut()
-            .take(service, now, &limits)
+        let mut allowance = self.retry_allowance.borrow_mut();
+        allowance.take(service, now, &limits)
+    }
+
+    /// Whether a retry is still allowed for the service.
+    #[must_use]
+    pub fn may_take_retry(&self, service: &ServiceId) -> bool {
+        let limits = self.retry_limits();
+        let now = self.clock.now();
+        let mut allowance = self.retry_allowance.borrow_mut();
+        allowance.has_room(service, now, &limits)
+    }
+
+    fn retry_limits(&self) -> RetryLimits {
+        let limits = self.settings.retry_limits;
+        RetryLimits {
+            instances: limits.instances.max(self.budgets.instances()),
+            ..limits
+        }
     }
 }
--- a/crates/guavawell-forward/src/routing.rs
+++ b/crates/guavawell-forward/src/routing.rs
@@ -96,7 +96,8 @@
 }
 
 /// Checks a request against the current configuration, if that has changed
-/// since the last check.
+/// since the last check, and applies it to what is sent from now on. `record` takes note
+/// of it.
 ///
 /// # Errors
 ///
@@ -105,19 +106,23 @@
     router: &ForwardRouter,
     call: &mut ForwardCall<'_>,
     may_have_run: bool,
-    record: &RequestRecord,
+    record: Option<&RequestRecord>,
 ) -> Result<(), ForwardRefusal> {
     let Some(config) = changed_config(router, call) else {
         return Ok(());
     };
-    note_config(router, &config, record);
+    if let Some(record) = record {
+        note_config(router, &config, record);
+    }
     let route = route_in_config(router, &config, call)?;
     if may_have_run && route.retry_safety == RetrySafety::Once {
         return Err(ForwardRefusal::AnswerLost);
     }
     if !route.sends_to(&call.service) {
         call.service = route.service(fastrand::u64(..)).clone();
-        record.note("service", &call.service);
+        if let Some(record) = record {
+            record.note("service", &call.service);
+        }
     }
     let engine = config.service(&call.service);
     call.engine = engine.and_then(|entry| entry.engine);
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -29,7 +29,7 @@
 use crate::router::ForwardRouter;
 
 /// A request that was accepted for forwarding.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct ForwardCall<'a> {
     /// The request as received.
     pub request: &'a ReceivedRequest,
@@ -60,7 +60,7 @@
     /// When the caller's or the route's time limit ends.
     pub deadline: ClockTime,
     /// Its charge on the link; `None` if the link is not watched.
-    pub link_charge: Option<LinkCharge>,
+    pub link_charge: Option<Rc<LinkCharge>>,
     /// The tokens reserved for it.
     pub reservation: Option<Rc<TokenReservation>>,
 }
