An engine takes over one late request at a time; a stream is late after four pauses

Now half of what makes callers give a stream up (four pauses), and each engine takes over one late request of an instance until it has brought something. Plain servers read no prompts and take as many as they have room for.

--- a/crates/guavawell-core/src/forward/choice.rs
+++ b/crates/guavawell-core/src/forward/choice.rs
@@ -288,10 +288,15 @@
             || entry.failure_rate(self.now) > self.settings.max_failure_rate
     }
 
-    /// Whether nothing speaks for the server rather than for the one that is late.
+    /// Whether nothing speaks for the server rather than for the one that is late. An
+    /// engine takes over one late request at a time, so that the prompts of all that many
+    /// silent engines run do not delay what the few others run.
     fn is_no_better(&self, entry: &ServerEntry) -> bool {
+        let is_taking_over = self.request.engine.is_some() && entry.load.taken_over > 0;
         let quiet_since = self.request.quiet_since;
-        quiet_since.is_some_and(|since| self.is_avoided(entry) || !entry.may_respond(since))
+        quiet_since.is_some_and(|since| {
+            is_taking_over || self.is_avoided(entry) || !entry.may_respond(since)
+        })
     }
 
     fn has_room(&self, entry: &ServerEntry) -> bool {
--- a/crates/guavawell-core/src/forward/handover.rs
+++ b/crates/guavawell-core/src/forward/handover.rs
@@ -10,8 +10,9 @@
 use crate::forward::AttemptEnd;
 use crate::forward::RouteEntry;
 
-/// How many times the pause that callers accept between events a stream may be quiet.
-const LATE_PAUSES: u64 = 3;
+/// How many times the pause that callers accept between events a stream may be quiet:
+/// half of what makes callers give it up.
+const LATE_PAUSES: u64 = 4;
 
 /// One of the attempts that may be open for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/guavawell-core/src/forward/server.rs
+++ b/crates/guavawell-core/src/forward/server.rs
@@ -110,6 +110,9 @@
     pub prefill_tokens: u64,
     /// Maximum number of tokens of these requests in the server's KV cache.
     pub cache_tokens: u64,
+    /// Requests of these that run elsewhere too and are late there, as long as the
+    /// server has brought nothing of them.
+    pub taken_over: u32,
     /// Requests of all callers that ran at the server at its last report.
     pub running: u32,
     /// Requests of all callers that waited there at its last report.
--- a/crates/guavawell-core/tests/forward/handover.rs
+++ b/crates/guavawell-core/tests/forward/handover.rs
@@ -176,7 +176,7 @@
     let late = |route: &RouteEntry, begun| route.late_after(begun, FLOOR).as_millis();
     assert_eq!(late(&route(false, 400, None), false), 600);
     assert_eq!(late(&route(false, 100, None), false), 250);
-    assert_eq!(late(&route(true, 400, Some(300)), true), 900);
+    assert_eq!(late(&route(true, 400, Some(300)), true), 1_200);
     assert_eq!(late(&route(true, 2_000, Some(300)), false), 2_000);
     assert_eq!(late(&route(true, 400, None), true), 1_200);
 }
@@ -251,3 +251,14 @@
     let pick = choose_beside(&heard, quiet_since, now).expect("a server");
     assert_eq!(pick.server, server(1));
 }
+
+// Guards against a server that gets all requests of those that fell silent at once.
+#[test]
+fn a_server_takes_over_one_late_request_at_a_time() {
+    let now = ClockTime::from_millis(2_300);
+    let (mut table, quiet_since) = table_with_busy(2_200);
+    let entry = table.get_mut(&server(1)).expect("an entry");
+    entry.load.taken_over = 1;
+    let chosen = choose_beside(&table, quiet_since, now);
+    assert_eq!(chosen.unwrap_err(), ChoiceError::Unknown);
+}
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -189,6 +189,9 @@
     let memory_tokens = call.usage.worst_case().get();
     let suspect = router.poison.suspect(call.fingerprint);
     let guard = InFlightGuard::new(router, pick, memory_tokens, suspect);
+    if cause == AttemptCause::Late {
+        guard.begin_taking_over();
+    }
     let began = router.clock.now();
     let Some(channel) = open_channel(router, call, &pick.server).await else {
         progress.unsent += 1;
--- a/crates/guavawell-forward/src/handover.rs
+++ b/crates/guavawell-forward/src/handover.rs
@@ -49,7 +49,7 @@
 use crate::serve::ForwardCall;
 
 /// How often a late attempt is looked at again if no second one could be sent.
-const REVIEW_INTERVAL: ClockSpan = ClockSpan::from_millis(200);
+const REVIEW_INTERVAL: ClockSpan = ClockSpan::from_millis(100);
 
 /// How attempts that were open together ended.
 #[derive(Debug)]
@@ -109,6 +109,7 @@
                     progress.note_failure(failure);
                 }
                 late.note_end("second", &part.response().info);
+                part.response().guard.end_taking_over();
                 close_late(router, progress, info);
                 note_pick(router, record, &pick);
                 progress.current = Some(Rc::clone(&part.response().info));
--- a/crates/guavawell-forward/src/in_flight.rs
+++ b/crates/guavawell-forward/src/in_flight.rs
@@ -21,6 +21,8 @@
     memory_tokens: u64,
     /// The request's fingerprint, if servers have crashed while running it.
     suspect: Option<RequestFingerprint>,
+    /// Whether the request is late at another server and counts as one to be taken over.
+    is_taken_over: Cell<bool>,
 }
 
 impl InFlightGuard {
@@ -47,6 +49,23 @@
             prefill_tokens: Cell::new(pick.prefill_tokens),
             memory_tokens,
             suspect,
+            is_taken_over: Cell::new(false),
+        }
+    }
+
+    /// Counts the request as one that is late at another server, until something of it was
+    /// brought or it ends.
+    pub fn begin_taking_over(&self) {
+        self.is_taken_over.set(true);
+        self.change(|server| server.load.taken_over += 1);
+    }
+
+    /// Ends [`begin_taking_over`](Self::begin_taking_over).
+    pub fn end_taking_over(&self) {
+        if self.is_taken_over.replace(false) {
+            self.change(|server| {
+                server.load.taken_over = server.load.taken_over.saturating_sub(1);
+            });
         }
     }
 
@@ -127,6 +146,7 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
+        self.end_taking_over();
         let prefill_tokens = self.prefill_tokens.get();
         let memory_tokens = self.memory_tokens;
         self.change(|server| {
