Bytes that are no answer, without end, in a head or a body, are bounded

Callers of sound servers waited as long as one server sent interim heads, empty lines or responses to other requests without end: the task that reads them never waited, so that no other task, timer or time limit had its turn. Plain bodies, error bodies, comments, empty lines and events without end were passed on until the time limit, or longer; a 503 whose body has no end was passed on as it is, though it may have run. The class: a loop that is fed faster than it looks at the clock.

Now every reader of a peer's bytes lets others have their turn after 64 KiB that were ready (HttpChannel::fill, tunnels). Bounds: 256 KiB of interim heads and stray responses, the head's limit with the empty lines before it, 64 KiB of comments between events, as many events as the request may have tokens (and 64), 64 MiB of a body that states no length; failures are not relayed part by part unless they state one. An event that grows is searched once. The time limit is looked at before each part of a long body.

--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -49,8 +49,9 @@
 /// How long a fragile server that has rejected a request gets no others: about the time
 /// in which slots become free.
 const REJECTION_PAUSE: ClockSpan = ClockSpan::from_millis(500);
-/// Largest response to another request that is skipped, in bytes.
-const MAX_STRAY_BODY: usize = 256 * 1024;
+/// Most bytes of interim heads and of responses to other requests that are skipped before
+/// a response.
+const MAX_SKIPPED: usize = 256 * 1024;
 
 /// One attempt at a server.
 #[derive(Debug)]
@@ -420,35 +421,46 @@
     }
 }
 
-/// Reads response heads until `is_own` accepts one. Responses to other requests
-/// that arrive first are skipped; the connection is not reused after them.
+/// Reads response heads until `is_own` accepts one. Interim heads, and responses to other
+/// requests, that arrive first are skipped, up to [`MAX_SKIPPED`]; the connection is not
+/// reused after the latter.
 pub(crate) async fn response_head(
     channel: &mut HttpChannel,
     is_head_request: bool,
     is_own: impl Fn(&ResponseHead) -> bool,
 ) -> Result<ResponseHead, ChannelError> {
+    let mut skipped = 0;
     loop {
         let length = channel.head(MAX_RESPONSE_HEAD).await?;
         let head = ResponseHead::parse(&channel.received()[..length], is_head_request)?;
         channel.consume(length);
-        if (100..200).contains(&head.status) {
-            continue;
-        }
-        if is_own(&head) {
+        let is_interim = (100..200).contains(&head.status);
+        if !is_interim && is_own(&head) {
             return Ok(head);
         }
-        skip_body(channel, &head).await?;
+        skipped += length;
+        if !is_interim {
+            skipped += skip_body(channel, &head, MAX_SKIPPED.saturating_sub(skipped)).await?;
+        }
+        if skipped > MAX_SKIPPED {
+            return Err(ChannelError::HeadTooLong);
+        }
     }
 }
 
-async fn skip_body(channel: &mut HttpChannel, head: &ResponseHead) -> Result<(), ChannelError> {
-    channel.body(head.framing, MAX_STRAY_BODY).await?;
+/// Reads a body of at most `limit` bytes and returns its size.
+async fn skip_body(
+    channel: &mut HttpChannel,
+    head: &ResponseHead,
+    limit: usize,
+) -> Result<usize, ChannelError> {
+    let body = channel.body(head.framing, limit).await?;
     if head.framing == BodyFraming::UntilClose {
         // A body without a length lasts until the connection is closed, so no
         // other response follows.
         return Err(ChannelError::Closed);
     }
-    Ok(())
+    Ok(body.len())
 }
 
 /// The time until `deadline`, as a timeout.
--- a/crates/guavawell-forward/src/http/body.rs
+++ b/crates/guavawell-forward/src/http/body.rs
@@ -45,6 +45,7 @@
 pub struct BodyDecoder {
     state: BodyState,
     chunked: bool,
+    states_length: bool,
 }
 
 impl BodyDecoder {
@@ -57,7 +58,18 @@
             BodyFraming::Chunked => (BodyState::ChunkSize, true),
             BodyFraming::UntilClose => (BodyState::UntilClose, false),
         };
-        Self { state, chunked }
+        let states_length = matches!(framing, BodyFraming::Empty | BodyFraming::Length(_));
+        Self {
+            state,
+            chunked,
+            states_length,
+        }
+    }
+
+    /// Whether the length of the body was known before it was received.
+    #[must_use]
+    pub const fn states_length(&self) -> bool {
+        self.states_length
     }
 
     /// Whether the body is complete.
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -30,6 +30,9 @@
 
 /// Size of one read, in bytes.
 const READ_SIZE: usize = 8 * 1024;
+/// Bytes that are read without waiting before other tasks and timers have their turn. A
+/// peer may send faster than they are read.
+pub const TURN_BYTES: usize = 64 * 1024;
 /// Time after which unacknowledged data makes a connection fail (`TCP_USER_TIMEOUT`),
 /// so that a peer that vanished without closing it is noticed.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -87,6 +90,8 @@
     buffer: Vec<u8>,
     /// Number of bytes at the start of `buffer` that were consumed.
     consumed: usize,
+    /// Bytes that were read without waiting since other tasks had their turn.
+    turn_bytes: usize,
     /// How long the connection was idle before its present use; `None` if it is new.
     idle_for: Option<ClockSpan>,
     /// The instance that carries the connection; `None` if it is direct.
@@ -111,6 +116,7 @@
             stream: Rc::new(stream),
             buffer: Vec::new(),
             consumed: 0,
+            turn_bytes: 0,
             idle_for: None,
             carrier: None,
             meter: Rc::default(),
@@ -230,9 +236,14 @@
             self.buffer.drain(..self.consumed);
             self.consumed = 0;
         }
+        if self.turn_bytes >= TURN_BYTES {
+            self.turn_bytes = 0;
+            yield_now().await;
+        }
         loop {
             match self.read_ready() {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.turn_bytes = 0;
                     self.stream.readable().await?;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -248,6 +259,7 @@
         let result = self.stream.get_ref().read(&mut self.buffer[filled..]);
         let count = *result.as_ref().unwrap_or(&0);
         self.buffer.truncate(filled + count);
+        self.turn_bytes += count;
         self.meter.note_received(count);
         if let Some(meter) = &self.kind_meter {
             meter.note_received(count);
@@ -260,22 +272,21 @@
     ///
     /// # Errors
     ///
-    /// The connection is closed or fails, or the head is longer than `limit` bytes.
+    /// The connection is closed or fails, or the head, with the empty lines before it, is
+    /// longer than `limit` bytes.
     pub async fn head(&mut self, limit: usize) -> Result<usize, ChannelError> {
         let mut searched = 0;
+        let mut skipped = 0;
         loop {
-            self.skip_empty_lines();
+            skipped += self.skip_empty_lines();
             let bytes = self.received();
-            if let Some(end) = head_end(bytes, searched) {
-                return if end > limit {
-                    Err(ChannelError::HeadTooLong)
-                } else {
-                    Ok(end)
-                };
-            }
-            if bytes.len() > limit {
+            let end = head_end(bytes, searched);
+            if skipped + end.unwrap_or(bytes.len()) > limit {
                 return Err(ChannelError::HeadTooLong);
             }
+            if let Some(end) = end {
+                return Ok(end);
+            }
             searched = bytes.len().saturating_sub(3);
             let before_message = bytes.is_empty();
             match self.fill().await {
@@ -287,10 +298,14 @@
         }
     }
 
-    fn skip_empty_lines(&mut self) {
+    /// Returns the number of skipped bytes.
+    fn skip_empty_lines(&mut self) -> usize {
+        let mut skipped = 0;
         while self.received().starts_with(b"\r\n") {
             self.consume(2);
+            skipped += 2;
         }
+        skipped
     }
 
     /// Decodes the received part of a body; waits for more bytes if there is no
@@ -386,8 +401,6 @@
         let discard = async {
             while self.fill().await? > 0 {
                 self.buffer.clear();
-                // A peer that sends without pause must not hold up other tasks.
-                yield_now().await;
             }
             Ok(())
         };
--- a/crates/guavawell-forward/src/http/mod.rs
+++ b/crates/guavawell-forward/src/http/mod.rs
@@ -16,6 +16,7 @@
 pub use body::BodyError;
 pub use channel::ChannelError;
 pub use channel::HttpChannel;
+pub use channel::TURN_BYTES;
 pub use channel::wait_for_close;
 pub use channel::within;
 pub use head::BodyFraming;
--- a/crates/guavawell-forward/src/receive.rs
+++ b/crates/guavawell-forward/src/receive.rs
@@ -22,8 +22,8 @@
 use crate::router::ForwardRouter;
 use crate::serve::ForwardCall;
 use crate::sse::EventScan;
+use crate::sse::EventScanner;
 use crate::sse::begins_event;
-use crate::sse::scan_events;
 
 /// Largest response, other than a stream, that is buffered completely before it
 /// is sent, in bytes. While it is buffered, another server can still replace it
@@ -34,6 +34,8 @@
 const MIN_BUFFERED_BODY: usize = 16 * 1024;
 /// Largest event of a stream, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Most bytes of comments and empty lines between two events of a stream.
+const MAX_COMMENT_BYTES: usize = 64 * 1024;
 
 /// What the caller needs next of a response.
 #[derive(Clone, Copy, Debug)]
@@ -102,8 +104,12 @@
     pub response: IncomingResponse,
     /// Bytes that were received and not sent yet.
     buffer: Vec<u8>,
+    /// Finds events in these bytes.
+    scanner: EventScanner,
     /// Counts these bytes.
     held: IncompletePart<'a>,
+    /// Bytes of comments and empty lines that were sent since the last event.
+    comment_bytes: usize,
     /// Id of the last event that was received.
     last_event: Option<u64>,
 }
@@ -113,7 +119,9 @@
         Self {
             response,
             buffer: Vec::new(),
+            scanner: EventScanner::default(),
             held: caller.incomplete_part(),
+            comment_bytes: 0,
             last_event: after,
         }
     }
@@ -138,7 +146,7 @@
             let more = received.map_err(|error| attempt_end(&error))?;
             let response = &self.response;
             response.guard.note_received(&response.info);
-            let scan = scan_events(&self.buffer);
+            let scan = self.scanner.scan(&self.buffer).clone();
             self.check(&scan, more)?;
             self.held.set(self.buffer.len());
             let suffices = if needs_event {
@@ -162,8 +170,8 @@
         }
     }
 
-    /// Checks that the received events follow those before them, and that none is too
-    /// large or cut off.
+    /// Checks that the received events follow those before them, that none is too large or
+    /// cut off, and that they are not only comments.
     fn check(&self, scan: &EventScan, more: bool) -> Result<(), AttemptEnd> {
         let follows = match (self.last_event, scan.first_id) {
             (Some(last), Some(first)) => first == last + 1,
@@ -171,16 +179,24 @@
         };
         let rest = &self.buffer[scan.complete_bytes..];
         let is_cut = !more && begins_event(rest) && self.response.decoder.ends_at_close();
-        if follows && rest.len() <= MAX_EVENT_BYTES && !is_cut {
+        let comment_bytes = self.comment_bytes + scan.complete_bytes;
+        let is_empty = scan.count == 0 && comment_bytes > MAX_COMMENT_BYTES;
+        if follows && rest.len() <= MAX_EVENT_BYTES && !is_cut && !is_empty {
             Ok(())
         } else {
             Err(AttemptEnd::Lost)
         }
     }
 
-    /// Removes and returns bytes that can be sent.
-    pub fn take(&mut self, bytes: usize) -> Vec<u8> {
-        let rest = self.buffer.split_off(bytes);
+    /// Removes and returns a part that can be sent.
+    pub fn take(&mut self, part: &EventPart) -> Vec<u8> {
+        self.comment_bytes = if part.events == 0 {
+            self.comment_bytes + part.bytes
+        } else {
+            0
+        };
+        self.scanner.consume(part.bytes);
+        let rest = self.buffer.split_off(part.bytes);
         self.held.set(rest.len());
         std::mem::replace(&mut self.buffer, rest)
     }
@@ -240,7 +256,14 @@
         let left = time_left(router, call.deadline);
         match within(left, response.receive_part(&mut body)).await {
             Ok(true) if !may_collect(caller, response.head.status, body.len()) => {
-                return Ok(ResponsePart::Large(response, body));
+                let is_bounded = response.decoder.states_length();
+                return match failure_end(response.head.status) {
+                    None => Ok(ResponsePart::Large(response, body)),
+                    Some(AttemptEnd::Failed) if is_bounded => {
+                        Ok(ResponsePart::Large(response, body))
+                    }
+                    Some(end) => Err(response.fail(end)),
+                };
             }
             Ok(true) => {
                 response.guard.note_received(&response.info);
--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -30,6 +30,11 @@
 use crate::router::ForwardRouter;
 use crate::serve::ForwardCall;
 
+/// Largest body that does not state its length, in bytes. One without end must not fill
+/// the network link.
+const MAX_UNFRAMED_BODY: u64 = 64 * 1024 * 1024;
+/// Events beyond the tokens that a request may generate: some contain no tokens.
+const EXTRA_EVENTS: u64 = 64;
 /// Time after its first part for which a response must have gone on to count as good.
 const WELL_AFTER: ClockSpan = ClockSpan::from_millis(300);
 
@@ -117,7 +122,9 @@
     let mut writer = ResponseWriter::new(router, call);
     let status = response.head.status;
     writer.write_head(&response);
+    let mut sent = 0;
     loop {
+        sent += body.len() as u64;
         writer.write_content(&body);
         body.clear();
         if caller.send(writer.pending()).await.is_err() {
@@ -126,6 +133,12 @@
         }
         writer.clear();
         let left = time_left(router, call.deadline);
+        let is_endless = !response.decoder.states_length() && sent > MAX_UNFRAMED_BODY;
+        if is_endless || left.is_zero() {
+            response.guard.note_outcome(true);
+            response.watch.settle();
+            return AttemptOutcome::Truncated;
+        }
         match within(left, response.receive_part(&mut body)).await {
             Ok(true) => response.guard.note_received(&response.info),
             Ok(false) => break,
@@ -154,9 +167,12 @@
 ) -> AttemptOutcome {
     let mut writer = ResponseWriter::new(router, call);
     loop {
+        if exceeds_output(call, progress.stream.events + part.events) {
+            return AttemptOutcome::Ended(stream.response.fail(AttemptEnd::Lost));
+        }
         if part.bytes > 0 || !part.more {
             begin_stream(router, call, progress, &stream.response, &mut writer);
-            writer.write_content(&stream.take(part.bytes));
+            writer.write_content(&stream.take(&part));
             note_events(router, call, progress, &part);
         }
         if !part.more {
@@ -194,6 +210,13 @@
     }
 }
 
+/// Whether a stream has more events than the tokens that its request may generate, so that
+/// it is no answer to it.
+fn exceeds_output(call: &ForwardCall<'_>, events: u64) -> bool {
+    let limit = call.usage.output_limit.get();
+    limit > 0 && events > limit.saturating_add(EXTRA_EVENTS)
+}
+
 /// Writes the head of a stream, once.
 fn begin_stream(
     router: &ForwardRouter,
--- a/crates/guavawell-forward/src/sse.rs
+++ b/crates/guavawell-forward/src/sse.rs
@@ -1,6 +1,6 @@
 //! Finds the boundaries and ids of server-sent events.
 
-/// The complete events in received bytes.
+/// The complete events in received bytes. An empty line ends an event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EventScan {
     /// Number of bytes up to the end of the last complete event.
@@ -13,32 +13,61 @@
     pub last_id: Option<u64>,
 }
 
-/// Finds the complete events at the beginning of `bytes`. An empty line ends an
-/// event.
-#[must_use]
-pub fn scan_events(bytes: &[u8]) -> EventScan {
-    let mut scan = EventScan::default();
-    let mut line_start = 0;
-    let mut in_event = false;
-    let mut id = None;
-    while let Some(length) = bytes[line_start..].iter().position(|byte| *byte == b'\n') {
-        let line = bytes[line_start..line_start + length].trim_ascii_end();
-        line_start += length + 1;
-        if !line.is_empty() {
-            in_event |= !is_comment(line);
-            id = event_id(line).or(id);
-            continue;
+/// Finds the complete events in a buffer that grows at its end, and looks at each byte
+/// once.
+#[derive(Clone, Debug, Default)]
+pub struct EventScanner {
+    /// The complete events since the last call of [`consume`](Self::consume).
+    scan: EventScan,
+    /// Where the line begins that is not complete.
+    line_start: usize,
+    /// Bytes that were searched for the end of this line.
+    searched: usize,
+    in_event: bool,
+    id: Option<u64>,
+}
+
+impl EventScanner {
+    /// Finds the complete events at the beginning of `bytes`, which are those of the last
+    /// call and more.
+    pub fn scan(&mut self, bytes: &[u8]) -> &EventScan {
+        let newline = |from: usize| bytes[from..].iter().position(|byte| *byte == b'\n');
+        while let Some(length) = newline(self.searched) {
+            let end = self.searched + length;
+            let line = bytes[self.line_start..end].trim_ascii_end();
+            self.line_start = end + 1;
+            self.searched = end + 1;
+            if line.is_empty() {
+                self.end_event();
+            } else {
+                self.in_event |= !is_comment(line);
+                self.id = event_id(line).or(self.id);
+            }
         }
-        if in_event {
+        self.searched = bytes.len();
+        &self.scan
+    }
+
+    /// Ends an event, or comments, at an empty line.
+    fn end_event(&mut self) {
+        let scan = &mut self.scan;
+        if self.in_event {
             scan.count += 1;
-            scan.first_id = scan.first_id.or(id);
-            scan.last_id = id.or(scan.last_id);
+            scan.first_id = scan.first_id.or(self.id);
+            scan.last_id = self.id.or(scan.last_id);
         }
-        scan.complete_bytes = line_start;
-        in_event = false;
-        id = None;
+        scan.complete_bytes = self.line_start;
+        self.in_event = false;
+        self.id = None;
+    }
+
+    /// Forgets the events so far; `count` bytes were removed from the beginning of the
+    /// buffer.
+    pub fn consume(&mut self, count: usize) {
+        self.line_start = self.line_start.saturating_sub(count);
+        self.searched = self.searched.saturating_sub(count);
+        self.scan = EventScan::default();
     }
-    scan
 }
 
 /// Whether bytes after the last complete event begin another one. Comments do not.
--- a/crates/guavawell-forward/src/tunnel/carry.rs
+++ b/crates/guavawell-forward/src/tunnel/carry.rs
@@ -10,6 +10,7 @@
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
+use futures_lite::future::yield_now;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ServerIncarnation;
@@ -22,6 +23,7 @@
 use crate::clock::SteadyClock;
 use crate::clock::timer_span;
 use crate::http::HttpChannel;
+use crate::http::TURN_BYTES;
 use crate::link::ByteMeter;
 use crate::router::ForwardRouter;
 
@@ -208,6 +210,7 @@
 ) -> CopyEnd {
     let (mut from, mut to) = (from, to);
     let mut buffer = vec![0; BUFFER_SIZE];
+    let mut turn_bytes = 0;
     loop {
         let count = match from.read(&mut buffer).await {
             Ok(0) => return CopyEnd::Closed,
@@ -219,6 +222,12 @@
             }
         };
         traffic.note(count, clock.now(), to_server);
+        // A sender that is faster than this task must not hold up other tasks.
+        turn_bytes += count;
+        if turn_bytes >= TURN_BYTES {
+            turn_bytes = 0;
+            yield_now().await;
+        }
         if let Err(error) = to.write_all(&buffer[..count]).await {
             log::debug!("a carried connection failed: {error}");
             return CopyEnd::Failed;
--- a/crates/guavawell-forward/tests/http.rs
+++ b/crates/guavawell-forward/tests/http.rs
@@ -5,8 +5,9 @@
 use guavawell_forward::http::BodyFraming;
 use guavawell_forward::http::RequestHead;
 use guavawell_forward::http::ResponseHead;
+use guavawell_forward::sse::EventScan;
+use guavawell_forward::sse::EventScanner;
 use guavawell_forward::sse::begins_event;
-use guavawell_forward::sse::scan_events;
 
 fn decode_in_parts(framing: BodyFraming, bytes: &[u8], cut: usize) -> Option<Vec<u8>> {
     let mut decoder = BodyDecoder::new(framing);
@@ -121,6 +122,29 @@
     }
 }
 
+fn scan_events(bytes: &[u8]) -> EventScan {
+    EventScanner::default().scan(bytes).clone()
+}
+
+#[test]
+fn events_that_arrive_in_parts_are_found_as_in_one() {
+    let bytes: &[u8] = b": alive\n\nid: 7\r\ndata: a\r\n\r\n\ndata: b\n\nid: 9\nda";
+    let whole = scan_events(bytes);
+    for size in 1..bytes.len() {
+        let mut scanner = EventScanner::default();
+        let ends = (0..bytes.len()).step_by(size).skip(1);
+        for end in ends {
+            scanner.scan(&bytes[..end]);
+        }
+        assert_eq!(*scanner.scan(bytes), whole, "parts of {size}");
+    }
+    let mut scanner = EventScanner::default();
+    let first = scanner.scan(bytes).complete_bytes;
+    scanner.consume(first);
+    let rest = [&bytes[first..], b"ta: c\n\n"].concat();
+    assert_eq!(*scanner.scan(&rest), scan_events(&rest));
+}
+
 #[test]
 fn only_complete_events_are_counted() {
     let bytes = b"id: 3\ndata: a\n\nid: 4\ndata: b\n\nid: 5\nda";
