An attempt is late while another server still has time to respond

A plain request whose caller waits for 1.5 times the target of its route, or less, was late only when its time was over, so that a server that gave it nothing for 600 ms cost it its answer. Half of the time that is left when an attempt was last heard bounds its lateness now.

--- a/crates/guavawell-core/src/forward/handover.rs
+++ b/crates/guavawell-core/src/forward/handover.rs
@@ -105,9 +105,16 @@
 
 impl RouteEntry {
     /// How long a response of the route may bring nothing before it is late. `begun`
-    /// tells whether the caller has a part of it.
+    /// tells whether the caller has a part of it, `left` how long the caller waited on
+    /// when it last brought something: half of that is left for another server.
     #[must_use]
-    pub fn late_after(&self, begun: bool, floor: LatenessFloor) -> ClockSpan {
+    pub fn late_after(&self, begun: bool, left: ClockSpan, floor: LatenessFloor) -> ClockSpan {
+        let half = ClockSpan::from_millis(left.as_millis() / 2);
+        self.accepted_quiet(begun, floor).min(half)
+    }
+
+    /// How long callers accept that a response brings nothing.
+    fn accepted_quiet(&self, begun: bool, floor: LatenessFloor) -> ClockSpan {
         if !self.streaming {
             let usual = self.target.as_millis() * 3 / 2;
             return ClockSpan::from_millis(usual).max(floor.plain);
--- a/crates/guavawell-core/tests/forward/handover.rs
+++ b/crates/guavawell-core/tests/forward/handover.rs
@@ -173,7 +173,8 @@
 
 #[test]
 fn an_attempt_is_late_by_what_its_callers_accept() {
-    let late = |route: &RouteEntry, begun| route.late_after(begun, FLOOR).as_millis();
+    let left = ClockSpan::from_millis(6_000);
+    let late = |route: &RouteEntry, begun| route.late_after(begun, left, FLOOR).as_millis();
     assert_eq!(late(&route(false, 400, None), false), 600);
     assert_eq!(late(&route(false, 100, None), false), 250);
     assert_eq!(late(&route(true, 400, Some(300)), true), 1_200);
@@ -181,6 +182,14 @@
     assert_eq!(late(&route(true, 400, None), true), 1_200);
 }
 
+// Guards against requests that are late only when nothing is left of their time.
+#[test]
+fn an_attempt_is_late_while_another_server_still_has_time() {
+    let left = ClockSpan::from_millis(600);
+    let late = route(false, 400, None).late_after(false, left, FLOOR);
+    assert_eq!(late.as_millis(), 300);
+}
+
 #[test]
 fn a_request_is_repeated_within_its_limits_only() {
     let view = RepeatView {
--- a/crates/guavawell-forward/src/handover.rs
+++ b/crates/guavawell-forward/src/handover.rs
@@ -163,10 +163,11 @@
             plain: times.attempt,
             stream: times.stream_silence,
         };
-        let late_after = call.route.late_after(begun, floor);
         loop {
             let now = router.clock.now();
             let quiet_since = info.heard_at.get().unwrap_or(now);
+            let left = call.deadline.since(quiet_since);
+            let late_after = call.route.late_after(begun, left, floor);
             let due_at = (quiet_since + late_after).max(self.review_at);
             let left = router.clock.left(due_at);
             if left > ClockSpan::ZERO {
