--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -8,9 +8,7 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::AttemptEnd;
 use guavawell_core::forward::ServerIncarnation;
-use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
-use guavawell_core::forward::WorkPace;
 use guavawell_core::id::InstanceId;
 use guavawell_core::poison::OrganisationTag;
 use guavawell_core::poison::SuspicionMark;
@@ -46,9 +44,6 @@
 
 /// Largest head of a server's response, in bytes.
 const MAX_RESPONSE_HEAD: usize = 32 * 1024;
-/// How long a fragile server that has rejected a request gets no others: about the time
-/// in which slots become free.
-const REJECTION_PAUSE: ClockSpan = ClockSpan::from_millis(500);
 /// Most bytes of interim heads and of responses to other requests that are skipped before
 /// a response.
 const MAX_SKIPPED: usize = 256 * 1024;
@@ -281,67 +276,6 @@
     }
 }
 
-/// Whether the server states that it did not run the request. A 400 is relayed
-/// instead: the caller has to correct the request.
-pub fn is_rejection(router: &ForwardRouter, head: &ResponseHead) -> bool {
-    let not_run = head.fields.get(router.settings.names.not_run).is_some();
-    head.status == 421 || (not_run && head.status != 400)
-}
-
-/// Takes note that a server rejected a request.
-pub fn note_rejection(router: &ForwardRouter, response: IncomingResponse) {
-    let server = &response.info.server.clone();
-    if response.head.status == 421 {
-        // Another server has taken over the address, so this one is gone.
-        let mut servers = router.servers.borrow_mut();
-        servers.remove(server, ServerPhase::Leaving);
-        router.pool.borrow_mut().drop_connections(server);
-    }
-    drop(response);
-    spare_fragile_server(router, server);
-}
-
-/// Pauses a fragile server that has rejected a request: others would be rejected too.
-fn spare_fragile_server(router: &ForwardRouter, server: &ServerIncarnation) {
-    let now = router.clock.now();
-    let mut servers = router.servers.borrow_mut();
-    let service = servers.get(server).map(|entry| entry.service.clone());
-    let is_fragile = service.is_some_and(|service| servers.fragility(&service, now).is_some());
-    if let Some(entry) = servers.get_mut(server).filter(|_| is_fragile) {
-        entry.pause(now, REJECTION_PAUSE);
-    }
-}
-
-/// Records the load that a server states.
-pub fn note_load(router: &ForwardRouter, response: &IncomingResponse) {
-    let Some(text) = response.head.fields.get(router.settings.names.load) else {
-        return;
-    };
-    let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>().ok());
-    if let (Some(Some(running)), Some(Some(waiting))) = (numbers.next(), numbers.next()) {
-        let now = router.clock.now();
-        response
-            .guard
-            .change(|server| server.report(now, running, waiting));
-    }
-}
-
-/// Records the pace that a server states, and how long it took for a plain response.
-pub fn note_work(router: &ForwardRouter, response: &IncomingResponse, began: ClockTime) {
-    let pace = stated_pace(router, &response.head);
-    let took = router.clock.now().since(began);
-    response.guard.change(|server| {
-        let (waiting, slots) = (server.load.waiting, server.slots);
-        server.work.record(pace, took, waiting, slots);
-    });
-}
-
-/// The pace of a server: the fourth figure of its load.
-fn stated_pace(router: &ForwardRouter, head: &ResponseHead) -> Option<WorkPace> {
-    let text = head.fields.get(router.settings.names.load)?;
-    text.split(',').nth(3)?.trim().parse().ok()
-}
-
 impl SentRequest {
     /// Sends the request and waits for the head of the response, until the request's
     /// time limit.
--- a/crates/guavawell-forward/src/handover.rs
+++ b/crates/guavawell-forward/src/handover.rs
@@ -21,7 +21,6 @@
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::check_repeat;
-use guavawell_fleet::event::EventDraft;
 use smol::Timer;
 
 use crate::attempt::AttemptCause;
@@ -29,6 +28,8 @@
 use crate::attempt::AttemptInfo;
 use crate::attempt::abandoned_attempt;
 use crate::attempt::open_attempt;
+use crate::attempt_log::LateAttempt;
+use crate::attempt_log::note_attempt;
 use crate::clock::timer_span;
 use crate::crash::note_lost_attempt;
 use crate::in_flight::drop_silent_connections;
@@ -40,7 +41,6 @@
 use crate::request::RequestBytes;
 use crate::retry::RequestProgress;
 use crate::retry::check_unsent;
-use crate::retry::note_attempt;
 use crate::retry::note_pick;
 use crate::retry::pick_server;
 use crate::retry::repeat_view;
@@ -88,6 +88,7 @@
             Ok(choice) => choice,
             Err(denial) => {
                 watch.keep(&late, denial);
+                watch.review_at = router.clock.now() + REVIEW_INTERVAL;
                 continue;
             }
         };
@@ -182,7 +183,6 @@
 
     /// Keeps the attempt for now. Logs the reason if it is another one than before.
     fn keep(&mut self, late: &LateAttempt<'_>, denial: RetryDenial) {
-        self.review_at = late.router.clock.now() + REVIEW_INTERVAL;
         if self.denial.replace(denial) != Some(denial) {
             late.note_kept(denial);
         }
@@ -325,57 +325,3 @@
         drop_silent_connections(router, &info.server, heard_at);
     }
 }
-
-/// Logs what is done about a late attempt.
-struct LateAttempt<'a> {
-    router: &'a ForwardRouter,
-    request: &'a str,
-    server: &'a ServerIncarnation,
-    late_at: ClockTime,
-    quiet: ClockSpan,
-}
-
-impl<'a> LateAttempt<'a> {
-    fn new(router: &'a ForwardRouter, call: &ForwardCall<'a>, info: &'a AttemptInfo) -> Self {
-        let now = router.clock.now();
-        let heard_at = info.heard_at.get().unwrap_or(now);
-        Self {
-            router,
-            request: call.id,
-            server: &info.server,
-            late_at: now,
-            quiet: now.since(heard_at),
-        }
-    }
-
-    fn emit(&self, step: &'static str, draft: EventDraft) {
-        metrics::counter!("guavawell_forward_late_attempts_total", "step" => step).increment(1);
-        let mut draft = draft
-            .field("step", step)
-            .field("server", self.server)
-            .field("quiet_ms", self.quiet.as_millis());
-        draft.request = self.request.parse().ok();
-        self.router.log.emit(draft);
-    }
-
-    /// No second attempt is sent.
-    fn note_kept(&self, denial: RetryDenial) {
-        let draft = EventDraft::new("attempt.late").field("reason", denial.as_str());
-        self.emit("kept", draft);
-    }
-
-    /// A second attempt is sent.
-    fn note_sent(&self, pick: &ServerPick) {
-        let draft = EventDraft::new("attempt.late").field("other", &pick.server);
-        self.emit("sent", draft);
-    }
-
-    /// An attempt brought what the caller needs next.
-    fn note_end(&self, winner: &'static str, info: &AttemptInfo) {
-        let took = self.router.clock.now().since(self.late_at);
-        let draft = EventDraft::new("attempt.late")
-            .field("winner", &info.server)
-            .field("after_ms", took.as_millis());
-        self.emit(winner, draft);
-    }
-}
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -15,12 +15,10 @@
 use guavawell_core::forward::RequestOutcome;
 use guavawell_core::forward::RetryDenial;
 use guavawell_core::forward::ServerIncarnation;
-use guavawell_core::forward::ServerPhase;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::check_repeat;
 use guavawell_core::forward::choose_server;
 use guavawell_core::forward::next_step;
-use guavawell_fleet::event::EventDraft;
 
 use crate::attempt::AttemptFailure;
 use crate::attempt::AttemptInfo;
@@ -28,6 +26,7 @@
 use crate::attempt::abandoned_attempt;
 use crate::attempt::is_refused;
 use crate::attempt::send_attempt;
+use crate::attempt_log::note_attempt;
 use crate::crash::note_lost_attempt;
 use crate::eligible::with_constraints;
 use crate::poison::parts::may_retry_parts;
@@ -36,6 +35,7 @@
 use crate::refusal::RefusalResponse;
 use crate::relay::StreamProgress;
 use crate::response::BufferedResponse;
+use crate::retry_after::retry_after;
 use crate::router::ForwardRouter;
 use crate::routing::recheck_config;
 use crate::serve::ForwardCall;
@@ -47,24 +47,11 @@
 /// Longest time spent on such attempts: about the time that [`MAX_UNSENT`]
 /// unreachable servers take.
 const MAX_UNSENT_TIME: ClockSpan = ClockSpan::from_millis(1_000);
-/// Retry-After if no server is available: about the time until a restarted
-/// server is listed again.
-const RETRY_NO_SERVER: ClockSpan = ClockSpan::from_millis(1_000);
-/// Retry-After if all servers are full: the time of a few responses.
-const RETRY_FULL: ClockSpan = ClockSpan::from_millis(600);
-/// Parts of a prompt that the event of a failed attempt names.
-const MAX_LOGGED_PARTS: usize = 4;
 /// Longest wait for the list of servers, or for the history of evacuated zones,
 /// before a request is refused because all servers are cold.
 const MAX_REFRESH_WAIT: ClockSpan = ClockSpan::from_millis(250);
 /// That wait takes at most the request's remaining time divided by this number.
 const REFRESH_WAIT_DIVISOR: u64 = 4;
-/// Retry-After if the zones of all servers are evacuated. When that ends is
-/// unknown; an evacuation takes seconds.
-const RETRY_EVACUATED: ClockSpan = ClockSpan::from_millis(3_000);
-/// Random addition to Retry-After, so that callers do not all retry at the same
-/// time.
-const RETRY_JITTER_MS: u64 = 400;
 
 /// The state of a request across its attempts.
 #[derive(Debug, Default)]
@@ -376,52 +363,6 @@
     }
 }
 
-/// Logs an attempt that ended without a complete response, and why the request is not
-/// sent again.
-pub fn note_attempt(
-    router: &ForwardRouter,
-    call: &ForwardCall<'_>,
-    failure: &AttemptFailure,
-    retry: Result<(), RetryDenial>,
-) {
-    let info = &failure.info;
-    let end = failure.end.as_str();
-    metrics::counter!("guavawell_forward_attempts_failed_total", "end" => end).increment(1);
-    let mut draft = EventDraft::new("attempt.ended")
-        .field("end", end)
-        .field("fingerprint", call.fingerprint)
-        .field("server", &info.server)
-        .field("parts", shared_parts(call));
-    draft.request = call.id.parse().ok();
-    if let Err(denial) = retry {
-        let reason = denial.as_str();
-        metrics::counter!("guavawell_forward_retries_denied_total", "reason" => reason)
-            .increment(1);
-        draft = draft.field("no_retry", reason);
-    }
-    let now = router.clock.now();
-    if let Some(heard_at) = info.heard_at.get() {
-        draft = draft.field("quiet_ms", now.since(heard_at).as_millis());
-    }
-    if let Some(span) = info.idle_for {
-        draft = draft.field("idle_ms", span.as_millis());
-    }
-    if let Some(server) = router.servers.borrow().get(&info.server) {
-        let silence_ms = now.since(server.health.last_received_at).as_millis();
-        draft = draft
-            .field("heard_ms_ago", silence_ms)
-            .field("in_flight", server.load.in_flight);
-    }
-    router.log.emit(draft);
-}
-
-/// The first shared parts of a request's prompt, as text.
-fn shared_parts(call: &ForwardCall<'_>) -> String {
-    let parts = call.shape.shared_parts().iter().take(MAX_LOGGED_PARTS);
-    let ids: Vec<_> = parts.map(|part| format!("{:x}", part.id)).collect();
-    ids.join(",")
-}
-
 /// Ends a request without a server's response.
 async fn end_with_refusal(
     router: &ForwardRouter,
@@ -455,50 +396,6 @@
     .await
 }
 
-/// When the caller of a refused request should come back: when a server takes
-/// requests again, as far as that is known, plus jitter; `None` if no server will.
-fn retry_after(
-    router: &ForwardRouter,
-    call: &ForwardCall<'_>,
-    refusal: ForwardRefusal,
-) -> Option<ClockSpan> {
-    if refusal == ForwardRefusal::VersionGone && !may_version_return(router, call) {
-        return None;
-    }
-    let now = router.clock.now();
-    let servers = router.servers.borrow();
-    let resumes_in = servers.resumes_in(&call.service, now);
-    let base = match refusal {
-        ForwardRefusal::CrashesServers => router
-            .poison
-            .refused_with_parts(call.fingerprint, &call.parts),
-        ForwardRefusal::ServersPaused | ForwardRefusal::NoServer => resumes_in,
-        ForwardRefusal::ServersFull => resumes_in.or(Some(RETRY_FULL)),
-        ForwardRefusal::Evacuated => Some(RETRY_EVACUATED),
-        ForwardRefusal::ServersCold => router
-            .cold_span(&call.service)
-            .and_then(|span| servers.warm_in(&call.service, span, now)),
-        ForwardRefusal::ServersLimited => with_constraints(router, call, |constraints| {
-            servers.limit_wait(&constraints, now)
-        }),
-        _ => None,
-    };
-    let jitter = ClockSpan::from_millis(fastrand::u64(..RETRY_JITTER_MS));
-    let base = base.unwrap_or(RETRY_NO_SERVER);
-    Some(base + jitter)
-}
-
-/// Whether a server of the version that began the stream is known and does not leave.
-fn may_version_return(router: &ForwardRouter, call: &ForwardCall<'_>) -> bool {
-    let servers = router.servers.borrow();
-    let mut remaining = servers
-        .servers()
-        .iter()
-        .filter(|entry| entry.phase != ServerPhase::Leaving);
-    let origin = call.origin.as_ref();
-    origin.is_some_and(|origin| remaining.any(|entry| entry.may_continue(origin)))
-}
-
 /// Relays a server's error response to the caller.
 async fn relay_failure(
     router: &ForwardRouter,
--- a/crates/guavawell-forward/src/server_status.rs
+++ b/crates/guavawell-forward/src/server_status.rs
@@ -9,10 +9,12 @@
 use std::fmt::Display;
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::RateError;
 use guavawell_core::forward::RequestRate;
 use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerIncarnation;
+use guavawell_core::forward::WorkPace;
 use guavawell_core::forward::parse_cold_span;
 use guavawell_core::forward::parse_pause;
 use guavawell_fleet::event::EventDraft;
@@ -20,6 +22,7 @@
 use crate::http::ResponseHead;
 use crate::limit_news::log_limit;
 use crate::limit_news::queue_change;
+use crate::response::IncomingResponse;
 use crate::router::ForwardRouter;
 
 /// Header field with the time for which a server accepts no requests.
@@ -208,3 +211,33 @@
     }
     pause
 }
+
+/// Records the load that a server states.
+pub fn note_load(router: &ForwardRouter, response: &IncomingResponse) {
+    let Some(text) = response.head.fields.get(router.settings.names.load) else {
+        return;
+    };
+    let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>().ok());
+    if let (Some(Some(running)), Some(Some(waiting))) = (numbers.next(), numbers.next()) {
+        let now = router.clock.now();
+        response
+            .guard
+            .change(|server| server.report(now, running, waiting));
+    }
+}
+
+/// Records the pace that a server states, and how long it took for a plain response.
+pub fn note_work(router: &ForwardRouter, response: &IncomingResponse, began: ClockTime) {
+    let pace = stated_pace(router, &response.head);
+    let took = router.clock.now().since(began);
+    response.guard.change(|server| {
+        let (waiting, slots) = (server.load.waiting, server.slots);
+        server.work.record(pace, took, waiting, slots);
+    });
+}
+
+/// The pace of a server: the fourth figure of its load.
+fn stated_pace(router: &ForwardRouter, head: &ResponseHead) -> Option<WorkPace> {
+    let text = head.fields.get(router.settings.names.load)?;
+    text.split(',').nth(3)?.trim().parse().ok()
+}
