--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -19,8 +19,8 @@
 use crate::crash::AbandonedAttempt;
 use crate::crash::AttemptWatch;
 use crate::eligible::claim_send;
+use crate::handover::AttemptRace;
 use crate::handover::RaceEnd;
-use crate::handover::race_attempts;
 use crate::http::BodyDecoder;
 use crate::http::BodyFraming;
 use crate::http::ChannelError;
@@ -158,7 +158,14 @@
         after: progress.stream.last_event,
     };
     let first = receive_first(router, caller, call, sent, bytes, wanted);
-    match race_attempts(router, caller, call, record, progress, first, &info).await {
+    let race = AttemptRace {
+        router,
+        caller,
+        call,
+        record,
+        info: &info,
+    };
+    match race.run(progress, first).await {
         RaceEnd::First(part) => relay_part(router, caller, call, record, progress, part).await,
         RaceEnd::Second(second) => {
             let (part, renewed) = *second;
--- a/crates/guavawell-forward/src/handover.rs
+++ b/crates/guavawell-forward/src/handover.rs
@@ -62,69 +62,160 @@
     Ended(AttemptFailure),
 }
 
-/// Waits for what the first attempt brings. If that is late, sends a second one beside
-/// it, as far as the request may be sent once more and a server can be expected to
-/// respond sooner.
-pub async fn race_attempts<'a, 'r, T>(
-    router: &Rc<ForwardRouter>,
-    caller: &'a CallerOutbox<'a>,
-    call: &ForwardCall<'r>,
-    record: &RequestRecord,
-    progress: &mut RequestProgress,
-    first: impl Future<Output = Result<T, AttemptFailure>>,
-    info: &AttemptInfo,
-) -> RaceEnd<'a, 'r, T> {
-    let mut first = pin!(first);
-    let mut watch = LateWatch::default();
-    loop {
-        let late = watch.wait(router, call, info, progress.stream.begun);
-        match before(late, first.as_mut()).await {
-            Some(Ok(part)) => return RaceEnd::First(part),
-            Some(Err(failure)) => return RaceEnd::Ended(failure),
-            None => {}
+/// A request whose first attempt is open, and what a second one needs.
+pub struct AttemptRace<'c, 'a, 'r> {
+    /// The router.
+    pub router: &'c Rc<ForwardRouter>,
+    /// The caller.
+    pub caller: &'a CallerOutbox<'a>,
+    /// The request, by the terms under which the first attempt was sent.
+    pub call: &'c ForwardCall<'r>,
+    /// Its record.
+    pub record: &'c RequestRecord,
+    /// The first attempt.
+    pub info: &'c AttemptInfo,
+}
+
+impl<'a, 'r> AttemptRace<'_, 'a, 'r> {
+    /// Waits for what the first attempt brings. If that is late, sends a second one beside
+    /// it, as far as the request may be sent once more and a server can be expected to
+    /// respond sooner.
+    pub async fn run<T>(
+        &self,
+        progress: &mut RequestProgress,
+        first: impl Future<Output = Result<T, AttemptFailure>>,
+    ) -> RaceEnd<'a, 'r, T> {
+        let mut first = pin!(first);
+        let mut watch = LateWatch::default();
+        loop {
+            let late = watch.wait(self, progress.stream.begun);
+            match before(late, first.as_mut()).await {
+                Some(Ok(part)) => return RaceEnd::First(part),
+                Some(Err(failure)) => return RaceEnd::Ended(failure),
+                None => {}
+            }
+            if let Some(end) = self.run_late(progress, &mut watch, first.as_mut()).await {
+                return end;
+            }
+            watch.review_at = self.router.clock.now() + REVIEW_INTERVAL;
         }
-        let late = LateAttempt::new(router, call, info);
-        let (renewed, pick) = match choose_second(router, call, progress, info) {
+    }
+
+    /// Sends a second attempt beside the first one, which is late. Returns `None` if the
+    /// first one remains alone.
+    async fn run_late<T>(
+        &self,
+        progress: &mut RequestProgress,
+        watch: &mut LateWatch,
+        first: Pin<&mut impl Future<Output = Result<T, AttemptFailure>>>,
+    ) -> Option<RaceEnd<'a, 'r, T>> {
+        let late = LateAttempt::new(self.router, self.call, self.info);
+        let (renewed, pick) = match self.choose_second(progress) {
             Ok(choice) => choice,
             Err(denial) => {
-                watch.keep(&late, denial);
-                watch.review_at = router.clock.now() + REVIEW_INTERVAL;
-                continue;
+                watch.note_kept(&late, denial);
+                return None;
             }
         };
         late.note_sent(&pick);
-        let second = Box::pin(send_second(router, caller, &renewed, &pick, progress));
-        let race = both_open(first.as_mut(), second).await;
+        let second = Box::pin(self.send_second(&renewed, &pick, progress));
+        let race = both_open(first, second).await;
         if let Some(failure) = race.second_failure {
-            note_attempt(router, &renewed, &failure, Ok(()));
+            note_attempt(self.router, &renewed, &failure, Ok(()));
             progress.note_failure(failure);
         }
         match (race.step, race.brought, race.first_failure) {
             (_, Some(Brought::First(part)), _) => {
-                late.note_end("first", info);
-                return RaceEnd::First(part);
+                late.note_end("first", self.info);
+                Some(RaceEnd::First(part))
             }
             (_, Some(Brought::Second(part)), first_failure) => {
                 if let Some(failure) = first_failure {
-                    note_attempt(router, call, &failure, Ok(()));
+                    note_attempt(self.router, self.call, &failure, Ok(()));
                     progress.note_failure(failure);
                 }
                 late.note_end("second", &part.response().info);
-                part.response().guard.end_taking_over();
-                close_late(router, progress, info);
-                note_pick(router, record, &pick);
-                progress.current = Some(Rc::clone(&part.response().info));
-                // The caller was promised the time of the terms under which it began.
-                let renewed = ForwardCall {
-                    deadline: call.deadline,
-                    ..renewed
-                };
-                return RaceEnd::Second(Box::new((part, renewed)));
+                note_pick(self.router, self.record, &pick);
+                Some(self.go_over(progress, renewed, part))
             }
-            (HandoverStep::End(_), None, Some(failure)) => return RaceEnd::Ended(failure),
-            _ => watch.review_at = router.clock.now() + REVIEW_INTERVAL,
+            (HandoverStep::End(_), None, Some(failure)) => Some(RaceEnd::Ended(failure)),
+            _ => None,
         }
     }
+
+    /// Decides whether and where the request is sent beside the late attempt, by the
+    /// configuration that is in force now.
+    fn choose_second(
+        &self,
+        progress: &RequestProgress,
+    ) -> Result<(ForwardCall<'r>, ServerPick), RetryDenial> {
+        let Self { router, call, .. } = *self;
+        check_unsent(progress)?;
+        check_repeat(&repeat_view(router, call, progress, AttemptEnd::Silent))?;
+        let mut renewed = call.clone();
+        if renewed.origin.is_none() {
+            renewed.origin.clone_from(&progress.stream.origin);
+        }
+        recheck_config(router, &mut renewed, true, None).map_err(|_| RetryDenial::Configuration)?;
+        check_repeat(&repeat_view(router, &renewed, progress, AttemptEnd::Silent))?;
+        if !router.may_take_retry(&renewed.service) {
+            return Err(RetryDenial::Allowance);
+        }
+        let quiet_since = self.info.heard_at.get();
+        let picked = pick_server(router, &renewed, progress, quiet_since);
+        let pick = picked.map_err(|_| RetryDenial::Server)?;
+        Ok((renewed, pick))
+    }
+
+    /// Sends the request beside the late attempt, and receives what the caller needs next.
+    async fn send_second(
+        &self,
+        renewed: &ForwardCall<'_>,
+        pick: &ServerPick,
+        progress: &mut RequestProgress,
+    ) -> Result<ResponsePart<'a>, AttemptFailure> {
+        let router = self.router;
+        let sent = open_attempt(router, renewed, pick, progress, AttemptCause::Late).await?;
+        let after = progress.stream.last_event;
+        let bytes = RequestBytes::new(router, renewed, &pick.server, after);
+        let wanted = WantedPart::Event { after };
+        let received = receive_first(router, self.caller, renewed, sent, bytes, wanted).await;
+        let result = received.and_then(|part| {
+            // Only a stream can continue a stream.
+            if !progress.stream.begun || matches!(part, ResponsePart::Events(..)) {
+                Ok(part)
+            } else {
+                let info = &part.response().info;
+                Err(AttemptFailure::new(info, AttemptEnd::Failed))
+            }
+        });
+        if let Err(failure) = &result
+            && failure.end == AttemptEnd::Lost
+        {
+            let attempt = abandoned_attempt(renewed, progress, &failure.info);
+            note_lost_attempt(router, attempt).await;
+        }
+        result
+    }
+
+    /// Goes on with the second attempt.
+    fn go_over<T>(
+        &self,
+        progress: &mut RequestProgress,
+        renewed: ForwardCall<'r>,
+        part: ResponsePart<'a>,
+    ) -> RaceEnd<'a, 'r, T> {
+        part.response().guard.end_taking_over();
+        progress.outcome.note(AttemptEnd::Silent);
+        progress.current = Some(Rc::clone(&part.response().info));
+        note_overtaken(self.router, self.info);
+        // The caller was promised the time of the terms under which it began.
+        let renewed = ForwardCall {
+            deadline: self.call.deadline,
+            ..renewed
+        };
+        RaceEnd::Second(Box::new((part, renewed)))
+    }
 }
 
 /// What `step` returns if it completes before `limit`; `None` otherwise.
@@ -149,13 +240,10 @@
 impl LateWatch {
     /// Waits until the attempt is late. A streaming server that still sends data to other
     /// requests is busy, not late.
-    async fn wait(
-        &self,
-        router: &ForwardRouter,
-        call: &ForwardCall<'_>,
-        info: &AttemptInfo,
-        begun: bool,
-    ) {
+    async fn wait(&self, race: &AttemptRace<'_, '_, '_>, begun: bool) {
+        let AttemptRace {
+            router, call, info, ..
+        } = *race;
         if call.route.retry_safety == RetrySafety::Once {
             std::future::pending::<()>().await;
         }
@@ -181,8 +269,9 @@
         }
     }
 
-    /// Keeps the attempt for now. Logs the reason if it is another one than before.
-    fn keep(&mut self, late: &LateAttempt<'_>, denial: RetryDenial) {
+    /// Takes note that no second attempt is sent. Logs the reason if it is another one
+    /// than before.
+    fn note_kept(&mut self, late: &LateAttempt<'_>, denial: RetryDenial) {
         if self.denial.replace(denial) != Some(denial) {
             late.note_kept(denial);
         }
@@ -197,61 +286,6 @@
     servers.get(server).is_none_or(|server| server.silent(now))
 }
 
-/// Decides whether and where a request is sent beside a late attempt, by the
-/// configuration that is in force now.
-fn choose_second<'r>(
-    router: &ForwardRouter,
-    call: &ForwardCall<'r>,
-    progress: &RequestProgress,
-    info: &AttemptInfo,
-) -> Result<(ForwardCall<'r>, ServerPick), RetryDenial> {
-    check_unsent(progress)?;
-    check_repeat(&repeat_view(router, call, progress, AttemptEnd::Silent))?;
-    let mut renewed = call.clone();
-    if renewed.origin.is_none() {
-        renewed.origin.clone_from(&progress.stream.origin);
-    }
-    recheck_config(router, &mut renewed, true, None).map_err(|_| RetryDenial::Configuration)?;
-    check_repeat(&repeat_view(router, &renewed, progress, AttemptEnd::Silent))?;
-    if !router.may_take_retry(&renewed.service) {
-        return Err(RetryDenial::Allowance);
-    }
-    let picked = pick_server(router, &renewed, progress, info.heard_at.get());
-    let pick = picked.map_err(|_| RetryDenial::Server)?;
-    Ok((renewed, pick))
-}
-
-/// Sends a request beside a late attempt, and receives what the caller needs next.
-async fn send_second<'a>(
-    router: &Rc<ForwardRouter>,
-    caller: &'a CallerOutbox<'a>,
-    call: &ForwardCall<'_>,
-    pick: &ServerPick,
-    progress: &mut RequestProgress,
-) -> Result<ResponsePart<'a>, AttemptFailure> {
-    let sent = open_attempt(router, call, pick, progress, AttemptCause::Late).await?;
-    let after = progress.stream.last_event;
-    let bytes = RequestBytes::new(router, call, &pick.server, after);
-    let wanted = WantedPart::Event { after };
-    let result = receive_first(router, caller, call, sent, bytes, wanted).await;
-    let result = result.and_then(|part| {
-        let continues = !progress.stream.begun || matches!(part, ResponsePart::Events(..));
-        if continues {
-            Ok(part)
-        } else {
-            let info = &part.response().info;
-            Err(AttemptFailure::new(info, AttemptEnd::Failed))
-        }
-    });
-    if let Err(failure) = &result
-        && failure.end == AttemptEnd::Lost
-    {
-        let attempt = abandoned_attempt(call, progress, &failure.info);
-        note_lost_attempt(router, attempt).await;
-    }
-    result
-}
-
 /// What an attempt brought that the caller needs next.
 enum Brought<T, U> {
     First(T),
@@ -313,10 +347,9 @@
     race
 }
 
-/// Takes note that a late attempt lost to another one. That is the only silence that
+/// Takes note that another attempt overtook a late one. That is the only silence that
 /// speaks against its server: others had more to say.
-fn close_late(router: &ForwardRouter, progress: &mut RequestProgress, info: &AttemptInfo) {
-    progress.outcome.note(AttemptEnd::Silent);
+fn note_overtaken(router: &ForwardRouter, info: &AttemptInfo) {
     let now = router.clock.now();
     if let Some(server) = router.servers.borrow_mut().get_mut(&info.server) {
         server.rate(now, true);
--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -12,8 +12,8 @@
 use crate::attempt::AttemptOutcome;
 use crate::attempt::time_left;
 use crate::continuation::note_begun;
+use crate::handover::AttemptRace;
 use crate::handover::RaceEnd;
-use crate::handover::race_attempts;
 use crate::http::HeadWriter;
 use crate::http::within;
 use crate::http::write_chunk;
@@ -190,8 +190,14 @@
             let received = stream.receive(router, call.deadline, false).await;
             received.map_err(|end| AttemptFailure::new(&info, end))
         };
-        let end = race_attempts(router, caller, call, record, progress, receive, &info).await;
-        match end {
+        let race = AttemptRace {
+            router,
+            caller,
+            call,
+            record,
+            info: &info,
+        };
+        match race.run(progress, receive).await {
             RaceEnd::First(next) => part = next,
             RaceEnd::Second(second) => match second.0 {
                 ResponsePart::Events(other, next) => {
