--- a/crates/guavawell-forward/src/handover.rs
+++ b/crates/guavawell-forward/src/handover.rs
@@ -180,14 +180,14 @@
         let bytes = RequestBytes::new(router, renewed, &pick.server, after);
         let wanted = WantedPart::Event { after };
         let received = receive_first(router, self.caller, renewed, sent, bytes, wanted).await;
-        let result = received.and_then(|part| {
+        let result = received.and_then(|part| match part {
             // Only a stream can continue a stream.
-            if !progress.stream.begun || matches!(part, ResponsePart::Events(..)) {
-                Ok(part)
-            } else {
-                let info = &part.response().info;
-                Err(AttemptFailure::new(info, AttemptEnd::Failed))
+            ResponsePart::Whole(response, _) | ResponsePart::Large(response, _)
+                if progress.stream.begun =>
+            {
+                Err(response.fail(AttemptEnd::Failed))
             }
+            part => Ok(part),
         });
         if let Err(failure) = &result
             && failure.end == AttemptEnd::Lost
--- a/crates/guavawell-forward/src/rejection.rs
+++ b/crates/guavawell-forward/src/rejection.rs
@@ -20,7 +20,9 @@
 }
 
 /// Takes note that a server rejected a request.
-pub fn note_rejection(router: &ForwardRouter, response: IncomingResponse) {
+pub fn note_rejection(router: &ForwardRouter, mut response: IncomingResponse) {
+    // The server did not run it, so a crash has another cause.
+    response.watch.settle();
     let server = &response.info.server.clone();
     if response.head.status == 421 {
         // Another server has taken over the address, so this one is gone.
