Streams pay less for being watched: one timer for all parts, no new buffer for each event

A timer was made for each part of a stream that may be continued, a buffer for each event, and futures were moved into others.

--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one backend server and relays the response.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 
 use futures_lite::FutureExt;
@@ -20,6 +21,7 @@
 use crate::crash::AttemptWatch;
 use crate::eligible::claim_send;
 use crate::handover::AttemptRace;
+use crate::handover::LateWatch;
 use crate::handover::RaceEnd;
 use crate::http::BodyDecoder;
 use crate::http::BodyFraming;
@@ -157,7 +159,6 @@
     let wanted = WantedPart::Next {
         after: progress.stream.last_event,
     };
-    let first = receive_first(router, caller, call, sent, bytes, wanted);
     let race = AttemptRace {
         router,
         caller,
@@ -165,7 +166,11 @@
         record,
         info: &info,
     };
-    match race.run(progress, first).await {
+    let end = {
+        let first = pin!(receive_first(router, caller, call, sent, bytes, wanted));
+        race.run(progress, &mut LateWatch::default(), first).await
+    };
+    match end {
         RaceEnd::First(part) => relay_part(router, caller, call, record, progress, part).await,
         RaceEnd::Second(second) => {
             let (part, renewed) = *second;
--- a/crates/guavawell-forward/src/handover.rs
+++ b/crates/guavawell-forward/src/handover.rs
@@ -4,7 +4,6 @@
 //! goes on, and the other one is closed at once.
 
 use std::pin::Pin;
-use std::pin::pin;
 use std::rc::Rc;
 
 use futures_lite::FutureExt;
@@ -18,7 +17,6 @@
 use guavawell_core::forward::OpenAttempts;
 use guavawell_core::forward::RetryDenial;
 use guavawell_core::forward::RetrySafety;
-use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::forward::check_repeat;
 use smol::Timer;
@@ -83,10 +81,10 @@
     pub async fn run<T>(
         &self,
         progress: &mut RequestProgress,
-        first: impl Future<Output = Result<T, AttemptFailure>>,
+        watch: &mut LateWatch,
+        mut first: Pin<&mut impl Future<Output = Result<T, AttemptFailure>>>,
     ) -> RaceEnd<'a, 'r, T> {
-        let mut first = pin!(first);
-        let mut watch = LateWatch::default();
+        watch.begin();
         loop {
             let late = watch.wait(self, progress.stream.begun);
             match before(late, first.as_mut()).await {
@@ -94,7 +92,7 @@
                 Some(Err(failure)) => return RaceEnd::Ended(failure),
                 None => {}
             }
-            if let Some(end) = self.run_late(progress, &mut watch, first.as_mut()).await {
+            if let Some(end) = self.run_late(progress, watch, first.as_mut()).await {
                 return end;
             }
             watch.review_at = self.router.clock.now() + REVIEW_INTERVAL;
@@ -228,10 +226,13 @@
     step.or(limit).await
 }
 
-/// When an attempt is looked at.
+/// When an attempt is looked at. Serves all parts of a response, as most of them are not
+/// late.
 #[derive(Debug, Default)]
-struct LateWatch {
-    /// Not before this time.
+pub struct LateWatch {
+    /// Fires when an attempt may be late; `None` if that is not known yet.
+    timer: Option<Timer>,
+    /// An attempt is not looked at before this time.
     review_at: ClockTime,
     /// Why the attempt was kept when it was last looked at.
     denial: Option<RetryDenial>,
@@ -240,7 +241,7 @@
 impl LateWatch {
     /// Waits until the attempt is late. A streaming server that still sends data to other
     /// requests is busy, not late.
-    async fn wait(&self, race: &AttemptRace<'_, '_, '_>, begun: bool) {
+    async fn wait(&mut self, race: &AttemptRace<'_, '_, '_>, begun: bool) {
         let AttemptRace {
             router, call, info, ..
         } = *race;
@@ -259,16 +260,27 @@
             let late_after = call.route.late_after(begun, left, floor);
             let due_at = (quiet_since + late_after).max(self.review_at);
             let left = router.clock.left(due_at);
-            if left > ClockSpan::ZERO {
-                Timer::after(timer_span(left)).await;
-            } else if !call.route.streaming || is_silent(router, &info.server) {
+            if left == ClockSpan::ZERO && !is_busy(router, call, info) {
                 return;
-            } else {
-                Timer::after(timer_span(REVIEW_INTERVAL)).await;
             }
+            let pause = if left == ClockSpan::ZERO {
+                REVIEW_INTERVAL
+            } else {
+                left
+            };
+            self.timer
+                .get_or_insert_with(|| Timer::after(timer_span(pause)))
+                .await;
+            self.timer = None;
         }
     }
 
+    /// Begins to wait for another part.
+    const fn begin(&mut self) {
+        self.review_at = ClockTime::from_millis(0);
+        self.denial = None;
+    }
+
     /// Takes note that no second attempt is sent. Logs the reason if it is another one
     /// than before.
     fn note_kept(&mut self, late: &LateAttempt<'_>, denial: RetryDenial) {
@@ -278,12 +290,13 @@
     }
 }
 
-/// Whether a server has sent nothing to this instance for a while although requests are
-/// in flight, or is no longer listed.
-fn is_silent(router: &ForwardRouter, server: &ServerIncarnation) -> bool {
+/// Whether the server of a stream sends to other requests of this instance, and so is
+/// busy rather than silent.
+fn is_busy(router: &ForwardRouter, call: &ForwardCall<'_>, info: &AttemptInfo) -> bool {
     let now = router.clock.now();
     let servers = router.servers.borrow();
-    servers.get(server).is_none_or(|server| server.silent(now))
+    let entry = servers.get(&info.server);
+    call.route.streaming && entry.is_some_and(|server| !server.silent(now))
 }
 
 /// What an attempt brought that the caller needs next.
--- a/crates/guavawell-forward/src/receive.rs
+++ b/crates/guavawell-forward/src/receive.rs
@@ -188,17 +188,22 @@
         }
     }
 
-    /// Removes and returns a part that can be sent.
-    pub fn take(&mut self, part: &EventPart) -> Vec<u8> {
+    /// The bytes of a part that can be sent.
+    #[must_use]
+    pub fn content(&self, part: &EventPart) -> &[u8] {
+        &self.buffer[..part.bytes]
+    }
+
+    /// Removes a part that was sent.
+    pub fn consume(&mut self, part: &EventPart) {
         self.comment_bytes = if part.events == 0 {
             self.comment_bytes + part.bytes
         } else {
             0
         };
         self.scanner.consume(part.bytes);
-        let rest = self.buffer.split_off(part.bytes);
-        self.held.set(rest.len());
-        std::mem::replace(&mut self.buffer, rest)
+        self.buffer.drain(..part.bytes);
+        self.held.set(self.buffer.len());
     }
 }
 
--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -1,5 +1,6 @@
 //! Relays a server's response to the caller.
 
+use std::pin::pin;
 use std::rc::Rc;
 
 use guavawell_core::clock::ClockSpan;
@@ -13,6 +14,7 @@
 use crate::attempt::time_left;
 use crate::continuation::note_begun;
 use crate::handover::AttemptRace;
+use crate::handover::LateWatch;
 use crate::handover::RaceEnd;
 use crate::http::HeadWriter;
 use crate::http::within;
@@ -166,13 +168,15 @@
     (mut stream, mut part): (StreamResponse<'a>, EventPart),
 ) -> AttemptOutcome {
     let mut writer = ResponseWriter::new(router, call);
+    let mut watch = LateWatch::default();
     loop {
         if exceeds_output(call, progress.stream.events + part.events) {
             return AttemptOutcome::Ended(stream.response.fail(AttemptEnd::Lost));
         }
         if part.bytes > 0 || !part.more {
             begin_stream(router, call, progress, &stream.response, &mut writer);
-            writer.write_content(&stream.take(&part));
+            writer.write_content(stream.content(&part));
+            stream.consume(&part);
             note_events(router, call, progress, &part);
         }
         if !part.more {
@@ -186,10 +190,6 @@
         }
         writer.clear();
         let info = Rc::clone(&stream.response.info);
-        let receive = async {
-            let received = stream.receive(router, call.deadline, false).await;
-            received.map_err(|end| AttemptFailure::new(&info, end))
-        };
         let race = AttemptRace {
             router,
             caller,
@@ -197,7 +197,14 @@
             record,
             info: &info,
         };
-        match race.run(progress, receive).await {
+        let end = {
+            let receive = pin!(async {
+                let received = stream.receive(router, call.deadline, false).await;
+                received.map_err(|end| AttemptFailure::new(&info, end))
+            });
+            race.run(progress, &mut watch, receive).await
+        };
+        match end {
             RaceEnd::First(next) => part = next,
             RaceEnd::Second(second) => match second.0 {
                 ResponsePart::Events(other, next) => {
