What the reading of the diff found: simpler wants, one way to end a broken response

WantedPart was an enum whose variants held the same field, now a struct with a flag. relay_unbuffered ended a response in two places by hand, beside IncomingResponse::fail, which it calls now; a body without end says so in the debug log. InFlightGuard::note_silence only passed on to drop_silent_connections and is gone.

--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -30,6 +30,7 @@
 use crate::http::ResponseHead;
 use crate::http::within;
 use crate::in_flight::InFlightGuard;
+use crate::in_flight::drop_silent_connections;
 use crate::read_ahead::CallerOutbox;
 use crate::receive::WantedPart;
 use crate::receive::receive_first;
@@ -155,9 +156,11 @@
     };
     let info = Rc::clone(&sent.info);
     progress.current = Some(Rc::clone(&info));
-    let bytes = RequestBytes::new(router, call, &info.server, progress.stream.last_event);
-    let wanted = WantedPart::Next {
-        after: progress.stream.last_event,
+    let after = progress.stream.last_event;
+    let bytes = RequestBytes::new(router, call, &info.server, after);
+    let wanted = WantedPart {
+        after,
+        needs_event: false,
     };
     let race = AttemptRace {
         router,
@@ -358,7 +361,7 @@
         }
         log::debug!("no response from {}: {error}", guard.server());
         if matches!(error, ChannelError::TimedOut) {
-            guard.note_silence(began);
+            drop_silent_connections(router, &info.server, began);
             Err(AttemptFailure::new(&info, AttemptEnd::Silent))
         } else {
             watch.settle();
--- a/crates/guavawell-forward/src/handover.rs
+++ b/crates/guavawell-forward/src/handover.rs
@@ -176,7 +176,10 @@
         let sent = open_attempt(router, renewed, pick, progress, AttemptCause::Late).await?;
         let after = progress.stream.last_event;
         let bytes = RequestBytes::new(router, renewed, &pick.server, after);
-        let wanted = WantedPart::Event { after };
+        let wanted = WantedPart {
+            after,
+            needs_event: true,
+        };
         let received = receive_first(router, self.caller, renewed, sent, bytes, wanted).await;
         let result = received.and_then(|part| match part {
             // Only a stream can continue a stream.
--- a/crates/guavawell-forward/src/in_flight.rs
+++ b/crates/guavawell-forward/src/in_flight.rs
@@ -90,11 +90,6 @@
         });
     }
 
-    /// Handles a request that was given up without a response.
-    pub fn note_silence(&self, began: ClockTime) {
-        drop_silent_connections(&self.router, &self.server, began);
-    }
-
     /// Waits until the server is known to have restarted: the process that
     /// received the request will not respond.
     pub async fn server_restarted(&self) {
--- a/crates/guavawell-forward/src/receive.rs
+++ b/crates/guavawell-forward/src/receive.rs
@@ -39,26 +39,12 @@
 
 /// What the caller needs next of a response.
 #[derive(Clone, Copy, Debug)]
-pub enum WantedPart {
-    /// Whatever comes next; of a stream, after this event.
-    Next {
-        /// Id of the last event that the caller has.
-        after: Option<u64>,
-    },
-    /// The same, and of a stream an event or its end. A comment shows only that the
-    /// server is alive.
-    Event {
-        /// Id of the last event that the caller has.
-        after: Option<u64>,
-    },
-}
-
-impl WantedPart {
-    const fn after(self) -> Option<u64> {
-        match self {
-            Self::Next { after } | Self::Event { after } => after,
-        }
-    }
+pub struct WantedPart {
+    /// Id of the last event that the caller has.
+    pub after: Option<u64>,
+    /// Whether comments of a stream do not suffice. They show only that the server is
+    /// alive.
+    pub needs_event: bool,
 }
 
 /// The first part of a response that can be sent to the caller.
@@ -237,9 +223,11 @@
     if !call.route.streaming || !is_success {
         return receive_whole(router, caller, call, response).await;
     }
-    let mut stream = StreamResponse::new(response, caller, wanted.after());
-    let needs_event = matches!(wanted, WantedPart::Event { .. });
-    match stream.receive(router, call.deadline, needs_event).await {
+    let mut stream = StreamResponse::new(response, caller, wanted.after);
+    match stream
+        .receive(router, call.deadline, wanted.needs_event)
+        .await
+    {
         Ok(part) => {
             stream.response.guard.note_prompt_processed();
             Ok(ResponsePart::Events(stream, part))
--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::handover::AttemptRace;
 use crate::handover::LateWatch;
 use crate::handover::RaceEnd;
+use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::within;
 use crate::http::write_chunk;
@@ -136,17 +137,19 @@
         writer.clear();
         let left = time_left(router, call.deadline);
         let is_endless = !response.decoder.states_length() && sent > MAX_UNFRAMED_BODY;
-        if is_endless || left.is_zero() {
-            response.guard.note_outcome(true);
-            response.watch.settle();
-            return AttemptOutcome::Truncated;
-        }
-        match within(left, response.receive_part(&mut body)).await {
+        let received = if is_endless {
+            Err(ChannelError::BodyTooLong)
+        } else if left.is_zero() {
+            Err(ChannelError::TimedOut)
+        } else {
+            within(left, response.receive_part(&mut body)).await
+        };
+        match received {
             Ok(true) => response.guard.note_received(&response.info),
             Ok(false) => break,
-            Err(_) => {
-                response.guard.note_outcome(true);
-                response.watch.settle();
+            Err(error) => {
+                let failure = response.fail(AttemptEnd::Lost);
+                log::debug!("{} sent part of a response: {error}", failure.info.server);
                 return AttemptOutcome::Truncated;
             }
         }
