--- a/review/standin/src/bin/late_rejection.rs
+++ b/review/standin/src/bin/late_rejection.rs
@@ -2,24 +2,24 @@
 //! full and reject the question, like any other request. A faulty runner rejects it a
 //! second time, late: where the answer to the next request is expected.
 
-use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
-use review_standin::client::Request;
+use review_standin::cold_pool::Answers;
+use review_standin::cold_pool::RunCounts;
+use review_standin::cold_pool::forget_history;
+use review_standin::cold_pool::keep_listed;
+use review_standin::cold_pool::pool_config;
+use review_standin::cold_pool::send_requests;
 use review_standin::http::Connection;
 use review_standin::http::Head;
-use review_standin::http::Message;
 use review_standin::http::message;
 use review_standin::http::serve;
 use review_standin::record::Record;
@@ -27,12 +27,9 @@
 use review_standin::router::RouterSettings;
 use review_standin::runner::event;
 use review_standin::runner::receipt;
-use review_standin::site::Route;
 use review_standin::site::Verdict;
-use review_standin::site::config;
 use review_standin::site::is_calm;
 use review_standin::site::run_case;
-use review_standin::site::runner_entry;
 use review_standin::store::Store;
 
 /// Runners of the model pool.
@@ -41,6 +38,8 @@
 const FAULTY_RUNNERS: usize = 3;
 /// A faulty runner doubles one answer in this many at most: the share 0.03 of them.
 const ANSWERS_PER_EXTRA: u32 = 34;
+/// Time from the heartbeat of a runner to that of the next one.
+const PHASE: Duration = Duration::from_millis(240);
 /// Requests that a runner runs at once, and those that it holds in all.
 const SLOTS: u32 = 2;
 const ROOM: u32 = 4;
@@ -51,17 +50,11 @@
 const LONG_REQUESTS: usize = RUNNERS * ROOM as usize;
 /// Requests of other clients meanwhile.
 const LATE_REQUESTS: usize = 1_400;
-/// Pause of a client after a refusal.
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Events of a usual stream, and the most of one that fills a runner.
 const EVENTS: u64 = 6;
 const MOST_EVENTS: u64 = 400;
 /// Time before an event.
 const GAP: Duration = Duration::from_millis(10);
-/// How often a runner writes its entry.
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
-/// How long the feed of the config tells nothing.
-const HUSH: Duration = Duration::from_millis(1_000);
 /// Time in which the runners are filled.
 const FILL_TIME: Duration = Duration::from_millis(200);
 /// Time from a late second answer to the answer that is due.
@@ -70,25 +63,6 @@
 /// Status line of an answer that says that nothing was run.
 const FULL: &str = "HTTP/1.1 503 Service Unavailable";
 
-/// The answers of a run, by attempt id.
-type Answers = Vec<(String, Option<Message>)>;
-
-/// How often each request ran, by attempt id.
-#[derive(Clone, Default)]
-struct RunCounts(Arc<Mutex<BTreeMap<String, u32>>>);
-
-impl RunCounts {
-    fn add(&self, id: &str) {
-        let mut counts = self.0.lock().expect("unpoisoned");
-        *counts.entry(id.to_string()).or_default() += 1;
-    }
-
-    fn of(&self, id: &str) -> u32 {
-        let counts = self.0.lock().expect("unpoisoned");
-        counts.get(id).copied().unwrap_or(0)
-    }
-}
-
 fn main() {
     run_case(run);
 }
@@ -136,33 +110,6 @@
     judge(record, &answers, &runs)
 }
 
-/// The feed of the config tells nothing while the config changes; then the history is
-/// dropped.
-fn forget_history(store: &Store, record: &Record) {
-    record.note("the feed of the config tells nothing; the config changes");
-    store.hush("op");
-    thread::sleep(HUSH / 2);
-    store.put("op", "config", &pool_config(8));
-    thread::sleep(HUSH / 2);
-    record.note("the store has forgotten its history");
-    store.drop_history();
-}
-
-/// A config with a route of streams that may run once.
-fn pool_config(version: u64) -> String {
-    let route = Route {
-        name: "draft",
-        kind: "streaming",
-        backend: "pool",
-        attempts: 1,
-    };
-    let text = config(version, &[route], "");
-    text.replace(
-        "\"max_conns\":360",
-        "\"max_conns\":360,\"cold_s\":3.0,\"cold_per_s\":8.7",
-    )
-}
-
 /// A model runner, and what it has done.
 struct Runner {
     name: String,
@@ -199,8 +146,8 @@
         });
         let shared = Arc::clone(&runner);
         serve(listener, move |connection| shared.serve(connection));
-        let phase = HEARTBEAT * u32::try_from(number).unwrap_or(0) / RUNNERS as u32;
-        keep_listed(store, runner.name.clone(), address, phase);
+        let phase = PHASE * u32::try_from(number).unwrap_or(0);
+        keep_listed(store, runner.name.clone(), address, SLOTS, phase);
         runner
     }
 
@@ -289,64 +236,6 @@
     }
 }
 
-/// Writes the entry of a runner at once, and at each heartbeat from `phase` on.
-fn keep_listed(store: &Store, name: String, address: SocketAddr, phase: Duration) {
-    let calls = AtomicU64::new(1);
-    let store = store.clone();
-    let write = move || {
-        let call = calls.fetch_add(1, Ordering::SeqCst);
-        let entry = runner_entry("pool", address, SLOTS, call);
-        store.put("servers", &name, &entry);
-    };
-    write();
-    thread::spawn(move || {
-        thread::sleep(phase);
-        loop {
-            write();
-            thread::sleep(HEARTBEAT);
-        }
-    });
-}
-
-/// Sends requests, some at the same time, and returns their answers.
-fn send_requests(front: SocketAddr, name: &'static str, count: usize, open: usize) -> Answers {
-    let threads = (0..open).map(|place| {
-        thread::spawn(move || {
-            let numbers = (place..count).step_by(open);
-            let answers = numbers.map(|number| send_request(front, name, number));
-            answers.collect::<Answers>()
-        })
-    });
-    let threads: Vec<_> = threads.collect();
-    let answers = threads.into_iter();
-    answers
-        .flat_map(|thread| thread.join().expect("answers"))
-        .collect()
-}
-
-fn send_request(front: SocketAddr, name: &str, number: usize) -> (String, Option<Message>) {
-    let id = format!("{name}-{number}");
-    let fields = format!(
-        "X-Model: m\r\nX-Token-Usage: 100,500\r\n\
-         X-Prefix-Hash: {:x}:80,{:x}:20\r\n",
-        0x5c1e_0000 + number,
-        0xe440_0000 + number
-    );
-    let request = Request {
-        line: "POST /draft/2f",
-        id: &id,
-        deadline_ms: 12_000,
-        fields: &fields,
-        body: b"prompt",
-    };
-    let answer = request.send(front);
-    let status = answer.as_ref().map_or(0, |answer| answer.head.status());
-    if status != 200 {
-        thread::sleep(RETRY_PAUSE);
-    }
-    (id, answer)
-}
-
 /// The rule REFUSED: what is answered 408, 421, 429 or 503 has not run.
 fn judge(record: &Record, answers: &Answers, runs: &RunCounts) -> Verdict {
     let mut verdict = Verdict::Held;
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod base64;
 pub mod client;
+pub mod cold_pool;
 pub mod http;
 pub mod json;
 pub mod link;
