Say how carried connections and responses without a length end

A response that ends with its connection looks the same whether its server ended it or the instance that carried it. The carrier now logs and counts how each carried connection ended (tunnel.ended, with the response's bytes and whether a response was awaited), and the instance that asked for it logs a response that was complete because a carried connection ended (response.closed). Behaviour is unchanged.

--- a/crates/guavawell-forward/src/peer/server.rs
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -109,14 +109,15 @@
             Some(PeerRequest::Tunnel(incarnation)) => {
                 let opened = open_for_peer(router, &incarnation).await;
                 write_tunnel_answer(&mut writer, opened.as_ref().err().copied());
-                server = opened.ok();
+                server = opened.ok().map(|server| (incarnation, server));
             }
             None => {}
         }
         writer.field_of("Content-Length", body.len());
         channel.send(&key.seal(writer, nonce, &body)).await?;
-        if let Some(server) = server {
+        if let Some((incarnation, server)) = server {
             return Ok(CarriedTunnel {
+                incarnation,
                 peer: channel,
                 server,
             });
--- a/crates/guavawell-forward/src/response.rs
+++ b/crates/guavawell-forward/src/response.rs
@@ -5,6 +5,7 @@
 
 use futures_lite::FutureExt;
 use guavawell_core::forward::AttemptEnd;
+use guavawell_fleet::event::EventDraft;
 
 use crate::attempt::AttemptFailure;
 use crate::attempt::AttemptInfo;
@@ -113,6 +114,7 @@
     /// Returns the connection to the pool after a complete response, if it can
     /// be reused.
     pub fn finish(mut self, router: &ForwardRouter) {
+        self.note_close(router);
         self.watch.settle();
         self.guard.note_outcome(false);
         let done = self.decoder.is_done();
@@ -123,4 +125,24 @@
             pool.put(self.guard.server(), self.channel, now, max_idle);
         }
     }
+
+    /// Counts a response that was complete because its connection ended. One that
+    /// another instance carried is logged too: that one may have ended instead.
+    fn note_close(&self, router: &ForwardRouter) {
+        if !self.decoder.ends_at_close() {
+            return;
+        }
+        let way = if self.info.carrier.is_some() {
+            "carried"
+        } else {
+            "direct"
+        };
+        metrics::counter!("guavawell_forward_closed_bodies_total", "way" => way).increment(1);
+        if let Some(carrier) = &self.info.carrier {
+            let draft = EventDraft::new("response.closed")
+                .field("server", &self.info.server)
+                .field("carrier", carrier);
+            router.log.emit(draft);
+        }
+    }
 }
--- a/crates/guavawell-forward/src/tunnel/carry.rs
+++ b/crates/guavawell-forward/src/tunnel/carry.rs
@@ -36,9 +36,61 @@
 /// How long the other instance may take to read the end of a response.
 const LINGER_LIMIT: Duration = Duration::from_secs(5);
 
+/// Why a carried connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CarryEnd {
+    /// The server closed its connection.
+    ServerClosed,
+    /// The server's connection failed, or the other instance took no more bytes.
+    ResponseFailed,
+    /// The other instance closed its connection, or the server took no more bytes.
+    RequestEnded,
+    /// There was no traffic for [`IDLE_LIMIT`].
+    Idle,
+    /// The process ended first.
+    Dropped,
+}
+
+impl CarryEnd {
+    /// The name in logs and metrics.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::ServerClosed => "server_closed",
+            Self::ResponseFailed => "response_failed",
+            Self::RequestEnded => "request_ended",
+            Self::Idle => "idle",
+            Self::Dropped => "dropped",
+        }
+    }
+}
+
+/// Logs and counts the end of a carried connection when it is dropped.
+struct CarryRecord {
+    router: Rc<ForwardRouter>,
+    server: ServerIncarnation,
+    traffic: Rc<TunnelTraffic>,
+    end: Cell<CarryEnd>,
+}
+
+impl Drop for CarryRecord {
+    fn drop(&mut self) {
+        metrics::gauge!("guavawell_forward_carried").decrement(1.0);
+        let end = self.end.get().as_str();
+        metrics::counter!("guavawell_forward_carried_ended_total", "end" => end).increment(1);
+        let draft = EventDraft::new("tunnel.ended")
+            .field("server", &self.server)
+            .field("end", end)
+            .field("response_bytes", self.traffic.response_bytes.get())
+            .field("awaits_response", self.traffic.awaits_response.get());
+        self.router.log.emit(draft);
+    }
+}
+
 /// A connection of another instance, and the one to the server.
 #[derive(Debug)]
 pub(crate) struct CarriedTunnel {
+    /// The server.
+    pub(crate) incarnation: ServerIncarnation,
     /// From the other instance.
     pub(crate) peer: HttpChannel,
     /// To the server.
@@ -53,6 +105,8 @@
     meter: Rc<ByteMeter>,
     /// Whether the last bytes went to the server, so that its response is awaited.
     awaits_response: Cell<bool>,
+    /// Bytes of the server that were passed on, or are about to be.
+    response_bytes: Cell<u64>,
 }
 
 impl TunnelTraffic {
@@ -62,6 +116,10 @@
         self.meter.note_sent(count);
         self.last_at.set(now);
         self.awaits_response.set(to_server);
+        if !to_server {
+            let bytes = self.response_bytes.get() + count as u64;
+            self.response_bytes.set(bytes);
+        }
     }
 
     /// Whether a request may be running. The other instance does not use a tunnel
@@ -83,6 +141,7 @@
             last_at: Cell::new(now),
             meter: Rc::clone(meter),
             awaits_response: Cell::new(false),
+            response_bytes: Cell::new(0),
         });
         self.traffic.borrow_mut().push(Rc::downgrade(&traffic));
         traffic
@@ -171,33 +230,46 @@
         .add(router.clock.now(), &router.link.instances);
     metrics::gauge!("guavawell_forward_carried").increment(1.0);
     let clock = router.clock;
-    let CarriedTunnel { peer, server } = tunnel;
+    let CarriedTunnel {
+        incarnation,
+        peer,
+        server,
+    } = tunnel;
+    let record = CarryRecord {
+        router: Rc::clone(&router),
+        server: incarnation,
+        traffic: Rc::clone(&traffic),
+        end: Cell::new(CarryEnd::Dropped),
+    };
     let (peer_stream, server_stream) = (peer.stream(), server.stream());
     let early = peer.received().to_vec();
     let to_server = async {
         if (&*server_stream).write_all(&early).await.is_err() {
-            return None;
+            return CarryEnd::RequestEnded;
         }
         // Once the other instance has closed its connection, the response is unwanted.
         let _ = copy(&peer_stream, &server_stream, &clock, &traffic, true).await;
-        None
+        CarryEnd::RequestEnded
     };
     let to_peer = async {
-        let end = copy(&server_stream, &peer_stream, &clock, &traffic, false).await;
-        Some(end)
+        match copy(&server_stream, &peer_stream, &clock, &traffic, false).await {
+            CopyEnd::Closed => CarryEnd::ServerClosed,
+            CopyEnd::Failed => CarryEnd::ResponseFailed,
+        }
     };
     let idle = async {
         wait_idle(&clock, &traffic).await;
-        None
+        CarryEnd::Idle
     };
-    match to_peer.or(to_server).or(idle).await {
+    let end = to_peer.or(to_server).or(idle).await;
+    record.end.set(end);
+    match end {
         // Bytes that the other instance has sent meanwhile would otherwise reset the
         // connection and discard the end of the response.
-        Some(CopyEnd::Closed) => peer.close_unread(LINGER_LIMIT).await,
-        Some(CopyEnd::Failed) => reset(&router, &peer),
-        None => {}
+        CarryEnd::ServerClosed => peer.close_unread(LINGER_LIMIT).await,
+        CarryEnd::ResponseFailed => reset(&router, &peer),
+        CarryEnd::RequestEnded | CarryEnd::Idle | CarryEnd::Dropped => {}
     }
-    metrics::gauge!("guavawell_forward_carried").decrement(1.0);
 }
 
 /// Copies bytes until the sender closes its connection or either one fails.
