Tell the end of a carried response from the end of its carrier

Cause: a carrier copied bytes and had no mark for the server's end. The kernel closes a dead process's connections in the ordinary way, and the instance that had asked for the connection took that for the end of a body without a length. The same followed where a living carrier dropped the connection: 60 s without traffic, the end of its grace period, the other direction failed.

Change: a carrier passes the server's bytes on in records and marks the end only if the server ended its connection in the ordinary way and the carrier's own writer saw no reset. core::forward::connection_end decides from that, apart from I/O, whether a body that lasts until its connection ends is complete; without the mark it is cut (response.cut, counted by cause), which sends a resumable stream on to another server and breaks others off.

Weighed: a reset on close, set while a connection is carried (six lines, no agreement between versions). It depends on every system in between passing a reset on, and throws away what was received and not read. It is kept for instances of a version without records, which ask by the earlier path. An instance of this version is declined (400) by a carrier of an earlier one and asks the next.

--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod choice;
 mod congestion;
 mod connect;
+mod connection_end;
 mod evacuation;
 mod fragility;
 mod handover;
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -12,6 +12,10 @@
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::yield_now;
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::forward::ConnectionEnd;
+use guavawell_core::forward::CutCause;
+use guavawell_core::forward::EndNotice;
+use guavawell_core::forward::RequestWrite;
 use guavawell_core::id::InstanceId;
 use rustix::event::PollFd;
 use rustix::event::PollFlags;
@@ -26,6 +30,7 @@
 use super::BodyError;
 use super::BodyFraming;
 use super::HeadError;
+use super::RecordDecoder;
 use crate::link::ByteMeter;
 
 /// Size of one read, in bytes.
@@ -46,6 +51,9 @@
     /// The connection was closed within a message.
     #[error("connection closed within a message")]
     Truncated,
+    /// The connection ended within a body that lasts until its server ends it.
+    #[error("response cut: {}", .0.as_str())]
+    Cut(CutCause),
     /// The connection failed.
     #[error("connection failed: {0}")]
     Io(#[from] io::Error),
@@ -96,6 +104,10 @@
     idle_for: Option<ClockSpan>,
     /// The instance that carries the connection; `None` if it is direct.
     carrier: Option<Rc<InstanceId>>,
+    /// Decodes what the carrier sends; `None` if the connection is direct.
+    records: Option<RecordDecoder>,
+    /// How the sending of the present request ended.
+    request_write: RequestWrite,
     /// Counts the bytes of this connection.
     meter: Rc<ByteMeter>,
     /// Counts the bytes of all connections of its kind.
@@ -119,6 +131,8 @@
             turn_bytes: 0,
             idle_for: None,
             carrier: None,
+            records: None,
+            request_write: RequestWrite::default(),
             meter: Rc::default(),
             kind_meter: None,
         })
@@ -145,13 +159,38 @@
         }
     }
 
-    /// Marks the connection as one that another instance carries.
+    /// Marks the connection as one that another instance carries. From here on that one
+    /// sends the server's bytes in records.
     #[must_use]
     pub fn carried_by(mut self, carrier: Rc<InstanceId>) -> Self {
+        let mut records = RecordDecoder::default();
+        let early = self.received().to_vec();
+        self.buffer.clear();
+        self.consumed = 0;
+        records.decode(&early, &mut self.buffer);
+        self.records = Some(records);
         self.carrier = Some(carrier);
         self
     }
 
+    /// Takes note of how the sending of the present request ended.
+    pub const fn note_request_write(&mut self, write: RequestWrite) {
+        self.request_write = write;
+    }
+
+    /// What is known of the connection once it has ended in the ordinary way.
+    const fn end(&self) -> ConnectionEnd {
+        let notice = match &self.records {
+            None => EndNotice::Server,
+            Some(records) if records.has_ended() => EndNotice::Carrier,
+            Some(_) => EndNotice::None,
+        };
+        ConnectionEnd {
+            notice,
+            write: self.request_write,
+        }
+    }
+
     /// The instance that carries the connection; `None` if it is direct.
     #[must_use]
     pub fn carrier(&self) -> Option<&InstanceId> {
@@ -203,6 +242,15 @@
         SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO))
     }
 
+    /// Takes [`reset_on_close`](Self::reset_on_close) back.
+    ///
+    /// # Errors
+    ///
+    /// The socket option cannot be set.
+    pub fn close_in_order(&self) -> io::Result<()> {
+        SockRef::from(self.stream.get_ref()).set_linger(None)
+    }
+
     /// The socket, for use by another reader or writer.
     #[must_use]
     pub fn stream(&self) -> Rc<Async<TcpStream>> {
@@ -240,8 +288,14 @@
             self.turn_bytes = 0;
             yield_now().await;
         }
+        let before = self.buffer.len();
         loop {
+            if self.records.as_ref().is_some_and(RecordDecoder::has_ended) {
+                return Ok(0);
+            }
             match self.read_ready() {
+                // Part of the length of a record.
+                Ok(1..) if self.buffer.len() == before => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.turn_bytes = 0;
                     self.stream.readable().await?;
@@ -259,6 +313,10 @@
         let result = self.stream.get_ref().read(&mut self.buffer[filled..]);
         let count = *result.as_ref().unwrap_or(&0);
         self.buffer.truncate(filled + count);
+        if let Some(records) = &mut self.records {
+            let received = self.buffer.split_off(filled);
+            records.decode(&received, &mut self.buffer);
+        }
         self.turn_bytes += count;
         self.meter.note_received(count);
         if let Some(meter) = &self.kind_meter {
@@ -330,12 +388,11 @@
                 return Ok(true);
             }
             if self.fill().await? == 0 {
-                let ended = decoder.ends_at_close();
-                return if ended {
-                    Ok(false)
-                } else {
-                    Err(ChannelError::Truncated)
-                };
+                if !decoder.ends_at_close() {
+                    return Err(ChannelError::Truncated);
+                }
+                let cause = self.end().cut_cause();
+                return cause.map_or(Ok(false), |cause| Err(ChannelError::Cut(cause)));
             }
         }
     }
@@ -423,7 +480,9 @@
     /// bytes were received.
     #[must_use]
     pub fn is_quiet(&self) -> bool {
-        if !self.received().is_empty() {
+        let records = self.records.as_ref();
+        let is_between = records.is_none_or(RecordDecoder::is_between_records);
+        if !self.received().is_empty() || !is_between {
             return false;
         }
         let mut byte = [0];
--- a/crates/guavawell-forward/src/http/mod.rs
+++ b/crates/guavawell-forward/src/http/mod.rs
@@ -10,6 +10,7 @@
 mod channel;
 mod head;
 mod hedge;
+mod record;
 mod write;
 
 pub use body::BodyDecoder;
@@ -27,5 +28,9 @@
 pub use head::is_hop_by_hop;
 pub use hedge::HedgedTries;
 pub use hedge::HedgedTry;
+pub use record::RECORD_END;
+pub use record::RECORD_HEAD_BYTES;
+pub use record::RecordDecoder;
+pub use record::record_head;
 pub use write::HeadWriter;
 pub use write::write_chunk;
--- a/crates/guavawell-forward/src/in_flight.rs
+++ b/crates/guavawell-forward/src/in_flight.rs
@@ -4,10 +4,12 @@
 use std::rc::Rc;
 
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::CutCause;
 use guavawell_core::forward::ServerEntry;
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::poison::RequestFingerprint;
+use guavawell_fleet::event::EventDraft;
 
 use crate::attempt::AttemptInfo;
 use crate::router::ForwardRouter;
@@ -53,6 +55,19 @@
         }
     }
 
+    /// Records that a response is cut although its connection ended in the ordinary way.
+    pub fn note_cut(&self, info: &AttemptInfo, cause: CutCause) {
+        let cause = cause.as_str();
+        metrics::counter!("guavawell_forward_responses_cut_total", "cause" => cause).increment(1);
+        let mut draft = EventDraft::new("response.cut")
+            .field("server", &self.server)
+            .field("cause", cause);
+        if let Some(carrier) = &info.carrier {
+            draft = draft.field("carrier", carrier);
+        }
+        self.router.log.emit(draft);
+    }
+
     /// Counts the request as one that is late at another server, until something of it was
     /// brought or it ends.
     pub fn begin_taking_over(&self) {
--- a/crates/guavawell-forward/src/peer/carriers.rs
+++ b/crates/guavawell-forward/src/peer/carriers.rs
@@ -14,6 +14,7 @@
 use super::PeerRequest;
 use super::message::read_tunnel_answer;
 use crate::http::HttpChannel;
+use crate::tunnel::TunnelFraming;
 use crate::tunnel::TunnelRefusal;
 
 /// An instance that may carry connections to servers.
@@ -60,7 +61,7 @@
         limit: Duration,
     ) -> Result<Result<HttpChannel, TunnelRefusal>, PeerError> {
         let key = self.key.get().ok_or(PeerError::NoKey)?;
-        let request = PeerRequest::Tunnel(server.clone());
+        let request = PeerRequest::Tunnel(server.clone(), TunnelFraming::Records);
         let version = self.configs.version();
         let exchange = self
             .channels
--- a/crates/guavawell-forward/src/peer/message.rs
+++ b/crates/guavawell-forward/src/peer/message.rs
@@ -31,6 +31,7 @@
 use crate::http::ResponseHead;
 use crate::poison::parts::PartCrash;
 use crate::tunnel::RefusalNameError;
+use crate::tunnel::TunnelFraming;
 use crate::tunnel::TunnelRefusal;
 
 /// Largest head of a request or response, in bytes.
@@ -65,7 +66,9 @@
 const NO_LIMIT: &str = "-";
 /// First path segment of a request for a connection to a server; the server's id
 /// and start follow.
-const TUNNEL_PATH: &str = "tunnel";
+const TUNNEL_PATH: &str = "record-tunnel";
+/// The same from an instance of a version without records.
+const PLAIN_TUNNEL_PATH: &str = "tunnel";
 /// Start of a server that does not state it.
 const UNKNOWN_START: &str = "-";
 /// Largest request body, in bytes: a full list of suspects.
@@ -150,8 +153,8 @@
     /// Asks for the numbers of recent good answers with parts of prompts.
     PartGood(Vec<RequestFingerprint>),
     /// Asks for a connection to a server. After a positive answer, all further bytes
-    /// of the connection are the server's.
-    Tunnel(ServerIncarnation),
+    /// of the connection are the server's, in this framing.
+    Tunnel(ServerIncarnation, TunnelFraming),
 }
 
 impl PeerRequest {
@@ -191,7 +194,13 @@
                 let stream = stream.as_deref().unwrap_or(UNNAMED_STREAM);
                 format!("/{ORIGIN_PATH}/{stream}/{}", question.fingerprint)
             }
-            Self::Tunnel(server) => format!("/{TUNNEL_PATH}/{}", server_path(server)),
+            Self::Tunnel(server, framing) => {
+                let path = match framing {
+                    TunnelFraming::Records => TUNNEL_PATH,
+                    TunnelFraming::Plain => PLAIN_TUNNEL_PATH,
+                };
+                format!("/{path}/{}", server_path(server))
+            }
         }
     }
 
@@ -203,7 +212,7 @@
             | Self::Config(_)
             | Self::Limit(_)
             | Self::Origin(_)
-            | Self::Tunnel(_) => Vec::new(),
+            | Self::Tunnel(..) => Vec::new(),
             Self::Origins(origins) => encoded(origins),
             Self::PartCrashes(crashes) => encoded(crashes),
             Self::PartGood(parts) => encoded(parts),
@@ -270,7 +279,8 @@
                 revision: parts.next()?.parse().ok()?,
                 answers: parse_answers(body)?,
             }),
-            TUNNEL_PATH => Self::Tunnel(parse_server(&mut parts)?),
+            TUNNEL_PATH => Self::Tunnel(parse_server(&mut parts)?, TunnelFraming::Records),
+            PLAIN_TUNNEL_PATH => Self::Tunnel(parse_server(&mut parts)?, TunnelFraming::Plain),
             _ => return None,
         };
         parts.next().is_none().then_some(request)
--- a/crates/guavawell-forward/src/peer/server.rs
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -106,18 +106,19 @@
                 let origin = router.origins.find(question, router.clock.now());
                 body = origin_answer(origin.as_ref());
             }
-            Some(PeerRequest::Tunnel(incarnation)) => {
+            Some(PeerRequest::Tunnel(incarnation, framing)) => {
                 let opened = open_for_peer(router, &incarnation).await;
                 write_tunnel_answer(&mut writer, opened.as_ref().err().copied());
-                server = opened.ok().map(|server| (incarnation, server));
+                server = opened.ok().map(|server| (incarnation, framing, server));
             }
             None => {}
         }
         writer.field_of("Content-Length", body.len());
         channel.send(&key.seal(writer, nonce, &body)).await?;
-        if let Some((incarnation, server)) = server {
+        if let Some((incarnation, framing, server)) = server {
             return Ok(CarriedTunnel {
                 incarnation,
+                framing,
                 peer: channel,
                 server,
             });
--- a/crates/guavawell-forward/src/response.rs
+++ b/crates/guavawell-forward/src/response.rs
@@ -97,7 +97,11 @@
             self.guard.server_restarted().await;
             Err(ChannelError::Closed)
         };
-        part.or(restarted).await
+        let result = part.or(restarted).await;
+        if let Err(ChannelError::Cut(cause)) = result {
+            self.guard.note_cut(&self.info, cause);
+        }
+        result
     }
 
     /// Takes note that the attempt ended without a complete response. One that timed out
--- a/crates/guavawell-forward/src/tunnel/carry.rs
+++ b/crates/guavawell-forward/src/tunnel/carry.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::rc::Weak;
 use std::time::Duration;
@@ -13,17 +14,24 @@
 use futures_lite::future::yield_now;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ConnectionEnd;
+use guavawell_core::forward::EndNotice;
+use guavawell_core::forward::RequestWrite;
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_fleet::event::EventDraft;
 use smol::Async;
 use smol::Timer;
 
 use super::MAX_TUNNEL_IDLE;
+use super::TunnelFraming;
 use super::TunnelRefusal;
 use crate::clock::SteadyClock;
 use crate::clock::timer_span;
 use crate::http::HttpChannel;
+use crate::http::RECORD_END;
+use crate::http::RECORD_HEAD_BYTES;
 use crate::http::TURN_BYTES;
+use crate::http::record_head;
 use crate::link::ByteMeter;
 use crate::router::ForwardRouter;
 
@@ -39,12 +47,12 @@
 /// Why a carried connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CarryEnd {
-    /// The server closed its connection.
-    ServerClosed,
-    /// The server's connection failed, or the other instance took no more bytes.
-    ResponseFailed,
-    /// The other instance closed its connection, or the server took no more bytes.
-    RequestEnded,
+    /// The server ended the connection in the ordinary way.
+    ServerEnded,
+    /// The connection to the server failed.
+    ServerFailed,
+    /// The other instance closed its connection, or it failed.
+    InstanceEnded,
     /// There was no traffic for [`IDLE_LIMIT`].
     Idle,
     /// The process ended first.
@@ -55,9 +63,9 @@
     /// The name in logs and metrics.
     const fn as_str(self) -> &'static str {
         match self {
-            Self::ServerClosed => "server_closed",
-            Self::ResponseFailed => "response_failed",
-            Self::RequestEnded => "request_ended",
+            Self::ServerEnded => "server_ended",
+            Self::ServerFailed => "server_failed",
+            Self::InstanceEnded => "instance_ended",
             Self::Idle => "idle",
             Self::Dropped => "dropped",
         }
@@ -91,6 +99,8 @@
 pub(crate) struct CarriedTunnel {
     /// The server.
     pub(crate) incarnation: ServerIncarnation,
+    /// How its bytes are passed on.
+    pub(crate) framing: TunnelFraming,
     /// From the other instance.
     pub(crate) peer: HttpChannel,
     /// To the server.
@@ -214,24 +224,16 @@
     }
 }
 
-/// How the copying of a direction ended.
-enum CopyEnd {
-    /// The sender closed the connection.
-    Closed,
-    /// The receiver, or the sender, failed.
-    Failed,
-}
-
-/// Copies bytes between another instance and a server until either closes its
-/// connection.
+/// Copies bytes between another instance and a server until either ends its connection.
+/// Only an end by the server looks like one to the other instance.
 pub(crate) async fn carry(router: Rc<ForwardRouter>, tunnel: CarriedTunnel) {
     let traffic = router
         .carried
         .add(router.clock.now(), &router.link.instances);
     metrics::gauge!("guavawell_forward_carried").increment(1.0);
-    let clock = router.clock;
     let CarriedTunnel {
         incarnation,
+        framing,
         peer,
         server,
     } = tunnel;
@@ -241,68 +243,143 @@
         traffic: Rc::clone(&traffic),
         end: Cell::new(CarryEnd::Dropped),
     };
+    if framing == TunnelFraming::Plain {
+        check_option(&router, peer.reset_on_close());
+    }
     let (peer_stream, server_stream) = (peer.stream(), server.stream());
-    let early = peer.received().to_vec();
-    let to_server = async {
-        if (&*server_stream).write_all(&early).await.is_err() {
-            return CarryEnd::RequestEnded;
-        }
-        // Once the other instance has closed its connection, the response is unwanted.
-        let _ = copy(&peer_stream, &server_stream, &clock, &traffic, true).await;
-        CarryEnd::RequestEnded
-    };
-    let to_peer = async {
-        match copy(&server_stream, &peer_stream, &clock, &traffic, false).await {
-            CopyEnd::Closed => CarryEnd::ServerClosed,
-            CopyEnd::Failed => CarryEnd::ResponseFailed,
-        }
+    let pipe = TunnelPipe {
+        clock: router.clock,
+        traffic: &traffic,
+        request_write: Cell::default(),
     };
+    let early = peer.received();
+    let requests = pipe.copy_requests(early, &peer_stream, &server_stream);
+    let response = pipe.copy_response(&server_stream, &peer_stream, framing);
     let idle = async {
-        wait_idle(&clock, &traffic).await;
+        wait_idle(&router.clock, &traffic).await;
         CarryEnd::Idle
     };
-    let end = to_peer.or(to_server).or(idle).await;
+    let end = response.or(requests).or(idle).await;
     record.end.set(end);
     match end {
-        // Bytes that the other instance has sent meanwhile would otherwise reset the
-        // connection and discard the end of the response.
-        CarryEnd::ServerClosed => peer.close_unread(LINGER_LIMIT).await,
-        CarryEnd::ResponseFailed => reset(&router, &peer),
-        CarryEnd::RequestEnded | CarryEnd::Idle | CarryEnd::Dropped => {}
+        CarryEnd::ServerEnded => {
+            if framing == TunnelFraming::Plain {
+                check_option(&router, peer.close_in_order());
+            }
+            // Bytes that the other instance has sent meanwhile would otherwise reset the
+            // connection and discard the end of the response.
+            peer.close_unread(LINGER_LIMIT).await;
+        }
+        CarryEnd::ServerFailed => check_option(&router, peer.reset_on_close()),
+        CarryEnd::InstanceEnded | CarryEnd::Idle | CarryEnd::Dropped => {}
     }
 }
 
-/// Copies bytes until the sender closes its connection or either one fails.
-async fn copy(
-    from: &Async<std::net::TcpStream>,
-    to: &Async<std::net::TcpStream>,
-    clock: &SteadyClock,
-    traffic: &TunnelTraffic,
-    to_server: bool,
-) -> CopyEnd {
-    let (mut from, mut to) = (from, to);
-    let mut buffer = vec![0; BUFFER_SIZE];
-    let mut turn_bytes = 0;
-    loop {
-        let count = match from.read(&mut buffer).await {
-            Ok(0) => return CopyEnd::Closed,
-            Ok(count) => count,
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-            Err(error) => {
-                log::debug!("a carried connection failed: {error}");
-                return CopyEnd::Failed;
+/// Copies the bytes of a carried connection.
+struct TunnelPipe<'a> {
+    clock: SteadyClock,
+    traffic: &'a TunnelTraffic,
+    /// How the sending of requests to the server ended.
+    request_write: Cell<RequestWrite>,
+}
+
+impl TunnelPipe<'_> {
+    /// Copies requests, the bytes received `early` first, until the other instance ends
+    /// its connection: the response is unwanted then. What a server does not take any
+    /// more ends nothing, as it may have responded.
+    async fn copy_requests(
+        &self,
+        early: &[u8],
+        mut peer: &Async<TcpStream>,
+        mut server: &Async<TcpStream>,
+    ) -> CarryEnd {
+        let mut written = server.write_all(early).await;
+        let mut buffer = vec![0; BUFFER_SIZE];
+        let mut turn = CopyTurn::default();
+        while written.is_ok() {
+            let count = match peer.read(&mut buffer).await {
+                Ok(0) => return CarryEnd::InstanceEnded,
+                Ok(count) => count,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => {
+                    log::debug!("a connection from another instance failed: {error}");
+                    return CarryEnd::InstanceEnded;
+                }
+            };
+            self.traffic.note(count, self.clock.now(), true);
+            turn.note(count).await;
+            written = server.write_all(&buffer[..count]).await;
+        }
+        if let Err(error) = written {
+            log::debug!("a server took no more of a carried request: {error}");
+            self.request_write.set(RequestWrite::from_error(&error));
+        }
+        std::future::pending().await
+    }
+
+    /// Copies the server's bytes until it ends its connection, and tells the other
+    /// instance if it did so in the ordinary way.
+    async fn copy_response(
+        &self,
+        mut server: &Async<TcpStream>,
+        mut peer: &Async<TcpStream>,
+        framing: TunnelFraming,
+    ) -> CarryEnd {
+        let mut buffer = vec![0; RECORD_HEAD_BYTES + BUFFER_SIZE];
+        let mut turn = CopyTurn::default();
+        loop {
+            let count = match server.read(&mut buffer[RECORD_HEAD_BYTES..]).await {
+                Ok(0) => break,
+                Ok(count) => count,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => {
+                    log::debug!("a carried connection to a server failed: {error}");
+                    return CarryEnd::ServerFailed;
+                }
+            };
+            self.traffic.note(count, self.clock.now(), false);
+            turn.note(count).await;
+            let start = match framing {
+                TunnelFraming::Records => {
+                    buffer[..RECORD_HEAD_BYTES].copy_from_slice(&record_head(count));
+                    0
+                }
+                TunnelFraming::Plain => RECORD_HEAD_BYTES,
+            };
+            let written = peer.write_all(&buffer[start..RECORD_HEAD_BYTES + count]);
+            if let Err(error) = written.await {
+                log::debug!("another instance took no more of a response: {error}");
+                return CarryEnd::InstanceEnded;
             }
+        }
+        let end = ConnectionEnd {
+            notice: EndNotice::Server,
+            write: self.request_write.get(),
         };
-        traffic.note(count, clock.now(), to_server);
-        // A sender that is faster than this task must not hold up other tasks.
-        turn_bytes += count;
-        if turn_bytes >= TURN_BYTES {
-            turn_bytes = 0;
-            yield_now().await;
+        if let Some(cause) = end.cut_cause() {
+            log::debug!("a carried response is cut: {}", cause.as_str());
+            return CarryEnd::ServerFailed;
+        }
+        if framing == TunnelFraming::Records && peer.write_all(&RECORD_END).await.is_err() {
+            return CarryEnd::InstanceEnded;
         }
-        if let Err(error) = to.write_all(&buffer[..count]).await {
-            log::debug!("a carried connection failed: {error}");
-            return CopyEnd::Failed;
+        CarryEnd::ServerEnded
+    }
+}
+
+/// Lets other tasks have their turn: a sender may be faster than the task that copies its
+/// bytes.
+#[derive(Default)]
+struct CopyTurn {
+    bytes: usize,
+}
+
+impl CopyTurn {
+    async fn note(&mut self, count: usize) {
+        self.bytes += count;
+        if self.bytes >= TURN_BYTES {
+            self.bytes = 0;
+            yield_now().await;
         }
     }
 }
@@ -318,11 +395,10 @@
     }
 }
 
-/// Resets the connection to another instance, so that a response that its server
-/// broke off does not look complete there.
-fn reset(router: &ForwardRouter, peer: &HttpChannel) {
-    if let Err(error) = peer.reset_on_close() {
-        let draft = EventDraft::new("tunnel.reset_failed").field("error", error);
+/// Logs that a connection will not end as it should.
+fn check_option(router: &ForwardRouter, result: io::Result<()>) {
+    if let Err(error) = result {
+        let draft = EventDraft::new("tunnel.option_failed").field("error", error);
         router.log.emit(draft);
     }
 }
--- a/crates/guavawell-forward/src/tunnel/mod.rs
+++ b/crates/guavawell-forward/src/tunnel/mod.rs
@@ -27,6 +27,16 @@
 /// tunnels that have been idle for longer.
 pub(crate) const MAX_TUNNEL_IDLE: ClockSpan = ClockSpan::from_millis(800);
 
+/// How a carrier passes a server's bytes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TunnelFraming {
+    /// In records, with a mark where the server ended the connection.
+    Records,
+    /// As they are, to an instance of a version without records. The connection is reset
+    /// unless the server ended it.
+    Plain,
+}
+
 /// Why a carrier opens no connection to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum TunnelRefusal {
