Take a response for cut if only the writer of the request saw the reset

Seen by callers: a server that answers a stream early (200, no length, one event) and resets the connection while the request is still being written looked complete.

Cause: the kernel reports a reset once. The writer of the request is polled first and its error ends nothing, as a server may answer early; the reader then gets the received bytes, then an ordinary end.

Change: the writer's error is kept with the connection. A reset makes a body that lasts until the end of the connection cut; a broken pipe means that the server had closed its sending half before, so early answers that are whole stay whole.

Evidence: early_answers::an_early_answer_that_is_reset_is_incomplete failed before (an event of one, complete) and passes; the test beside it (close, and close followed by a reset) passed before and passes.

--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -8,6 +8,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::AttemptEnd;
+use guavawell_core::forward::RequestWrite;
 use guavawell_core::forward::ServerIncarnation;
 use guavawell_core::forward::ServerPick;
 use guavawell_core::id::InstanceId;
@@ -311,6 +312,7 @@
             info,
         } = self;
         let sent = Cell::new(false);
+        let request_write = Cell::new(RequestWrite::default());
         let stray = Cell::new(false);
         let stream = channel.stream();
         let began = router.clock.now();
@@ -322,6 +324,9 @@
             // A server may respond without reading the whole request, so a write
             // error does not end the attempt.
             sent.set(written.is_ok());
+            if let Err(error) = written {
+                request_write.set(RequestWrite::from_error(&error));
+            }
             std::future::pending().await
         };
         let head = response_head(&mut channel, is_head_request, |head| {
@@ -343,6 +348,7 @@
         let error = match result {
             Ok(head) => {
                 guard.note_received(&info);
+                channel.note_request_write(request_write.get());
                 return Ok(IncomingResponse {
                     decoder: BodyDecoder::new(head.framing),
                     reusable: sent.get() && !stray.get(),
