Give refused parts of prompts a way back, and wait for good answers after a start

Causes: a part is judged by crashes and good answers, and a process that has just started knows no good answers, which counted as "there are none". And a verdict had no way back: requests that were refused kept the part refused, and without a request there is no good answer.

Change: an instance that has run for less than 3 s does not answer a question for good answers, which leaves the part undecided for 1.5 s as any instance that doesn't answer does. A refused part is tried at its first judge, one request of the whole fleet at a time, from 5 s after the refusal on; each good answer lets one more run beside, and as many in a row as outweigh the crashes clear the part for all. Being asked for no longer keeps a part refused.

--- a/crates/guavawell-core/src/poison/mod.rs
+++ b/crates/guavawell-core/src/poison/mod.rs
@@ -17,7 +17,8 @@
 //!
 //! Requests that are not alike may crash servers because of one part of their prompts.
 //! Crashes and good answers are counted for each part ([`PartTable`]); a part that is to
-//! blame gets the mark of a request that is refused.
+//! blame gets the mark of a request that is refused. Crashes alone do not show that it is
+//! to blame, so requests with it are tried from time to time ([`PartTrials`]).
 //!
 //! This module does no I/O and reads no clock.
 
@@ -27,6 +28,7 @@
 mod server;
 mod shared;
 mod table;
+mod trial;
 
 pub use fingerprint::FingerprintError;
 pub use fingerprint::OrganisationTag;
@@ -45,3 +47,5 @@
 pub use table::PoisonTable;
 pub use table::PoisonVerdict;
 pub use table::SuspicionEntry;
+pub use trial::PartTrials;
+pub use trial::TrialSettings;
--- a/crates/guavawell-core/src/poison/part.rs
+++ b/crates/guavawell-core/src/poison/part.rs
@@ -194,6 +194,14 @@
         }
     }
 
+    /// Good answers in a row that clear a refused part: as many as outweigh the crashes
+    /// under it, and the crashes that an earlier process knew.
+    #[must_use]
+    pub fn clearing_answers(&self, part: RequestFingerprint, now: ClockTime) -> usize {
+        let crashes = self.crash_count(part, now).max(self.settings.min_crashes);
+        crashes * self.settings.good_per_crash
+    }
+
     /// Whether a failed attempt of a request with these parts may be retried: none of them
     /// is suspected.
     #[must_use]
--- a/crates/guavawell-core/src/poison/table.rs
+++ b/crates/guavawell-core/src/poison/table.rs
@@ -225,9 +225,14 @@
         organisation: OrganisationTag,
         now: ClockTime,
     ) -> Option<MarkChange> {
+        let before = self.mark(part);
+        // A greater mark reaches all instances, and restarts the retention there.
         let mark = SuspicionMark {
-            crashes: self.settings.refusal_threshold,
-            ..self.mark(part)
+            crashes: self
+                .settings
+                .refusal_threshold
+                .max(before.crashes.saturating_add(1)),
+            ..before
         };
         let suspicion = SharedSuspicion {
             fingerprint: part,
--- a/crates/guavawell-core/tests/poison/main.rs
+++ b/crates/guavawell-core/tests/poison/main.rs
@@ -6,3 +6,4 @@
 mod part;
 mod simulation;
 mod table;
+mod trial;
--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -13,6 +13,7 @@
 use guavawell_core::forward::ServerPick;
 use guavawell_core::id::InstanceId;
 use guavawell_core::poison::OrganisationTag;
+use guavawell_core::poison::RequestFingerprint;
 use guavawell_core::poison::SuspicionMark;
 use guavawell_core::stream::SoftwareVersion;
 
@@ -264,9 +265,11 @@
 
 /// Whether the request, or a part of its prompt, is known to crash servers.
 pub fn is_refused(router: &ForwardRouter, call: &ForwardCall<'_>) -> bool {
-    let refused = router
-        .poison
-        .refused_with_parts(call.fingerprint, &call.parts);
+    let is_tried =
+        |part: &RequestFingerprint| call.trials.iter().any(|trial| trial.part() == *part);
+    let parts = call.parts.iter().copied();
+    let parts: Vec<RequestFingerprint> = parts.filter(|part| !is_tried(part)).collect();
+    let refused = router.poison.refused_with_parts(call.fingerprint, &parts);
     refused.is_some()
 }
 
--- a/crates/guavawell-forward/src/peer/server.rs
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -19,8 +19,8 @@
 use crate::http::HttpChannel;
 use crate::http::within;
 use crate::limit_news::learn_limit;
-use crate::poison::parts::good_counts;
 use crate::poison::parts::learn_crashes;
+use crate::poison::parts::told_good_counts;
 use crate::router::ForwardRouter;
 use crate::schedule::TaskQueues;
 use crate::tunnel::CarriedTunnel;
@@ -100,7 +100,7 @@
             }
             Some(PeerRequest::PartCrashes(crashes)) => learn_crashes(router, &crashes),
             Some(PeerRequest::PartGood(parts)) => {
-                body = good_count_answer(&good_counts(router, &parts));
+                body = good_count_answer(&told_good_counts(router, &parts));
             }
             Some(PeerRequest::Origin(question)) => {
                 let origin = router.origins.find(question, router.clock.now());
--- a/crates/guavawell-forward/src/poison/judge.rs
+++ b/crates/guavawell-forward/src/poison/judge.rs
@@ -1,8 +1,8 @@
 //! Judges parts of prompts under which servers crashed.
 //!
 //! The good answers with a part are those of all instances, so a judge asks for them. An
-//! instance that does not answer is asked again: it may have the answers that clear the
-//! part. A part that stays undecided is refused after [`MAX_UNDECIDED`], as each request
+//! instance that does not answer, or has just started, is asked again: it may have the
+//! answers that clear the part. A part that stays undecided is refused after [`MAX_UNDECIDED`], as each request
 //! with it may crash a server, and cleared if the missing answers come later.
 
 use std::net::SocketAddr;
@@ -21,6 +21,7 @@
 use super::parts::MAX_BATCH;
 use super::parts::PartCrash;
 use super::parts::good_counts;
+use super::parts::knows_good_answers;
 use crate::clock::wait_due;
 use crate::peer::PeerRequest;
 use crate::peer::read_good_counts;
@@ -113,8 +114,10 @@
         .field("silent", good.silent);
     router.log.emit(draft);
     if is_to_blame && !is_refused {
+        router.parts.trials.borrow_mut().forget(part);
         router.poison.convict_part(part, due.crash.organisation);
     } else if verdict == PartVerdict::Sound && is_refused {
+        router.parts.trials.borrow_mut().forget(part);
         router.poison.clear_part(part);
     }
     if verdict == PartVerdict::Undecided && undecided_for < REVIEW_SPAN {
@@ -134,7 +137,7 @@
     let ask = |(_, address)| ask_good_counts(router, address, parts);
     let mut answers: FuturesUnordered<_> = addresses.into_iter().map(ask).collect();
     let mut sums = good_counts(router, parts);
-    let mut silent = 0;
+    let mut silent = usize::from(!knows_good_answers(router));
     while let Some(counts) = answers.next().await {
         let Some(counts) = counts.filter(|counts| counts.len() == parts.len()) else {
             silent += 1;
--- a/crates/guavawell-forward/src/poison/mod.rs
+++ b/crates/guavawell-forward/src/poison/mod.rs
@@ -8,6 +8,7 @@
 mod judge;
 pub(crate) mod parts;
 mod publish;
+mod trial;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -35,6 +36,7 @@
 
 pub use self::judge::judge_parts;
 pub use self::parts::report_crashes;
+pub(crate) use self::trial::TrialPermit;
 use crate::clock::SteadyClock;
 use crate::clock::timer_span;
 use crate::crash::AbandonedAttempt;
@@ -122,8 +124,8 @@
         }
     }
 
-    /// Checks a new request: returns how long it is refused, or `None` if it may be
-    /// sent. While the verdict is undecided, waits for it up to `max_wait`.
+    /// Checks a new request: returns how long it is refused because of itself or of a part,
+    /// or `None` if it may be sent. While the verdict is undecided, waits for it up to `max_wait`.
     pub async fn await_verdict(
         &self,
         fingerprint: RequestFingerprint,
@@ -137,13 +139,19 @@
             }
             Timer::after(timer_span(pause)).await;
         }
-        self.refused_for(fingerprint)?;
-        metrics::counter!("guavawell_forward_poison_refused_total").increment(1);
-        let now = self.clock.now();
-        self.table.borrow_mut().refused(fingerprint, now);
         self.refused_for(fingerprint)
     }
 
+    /// Records that a request was refused because of itself, which keeps it refused, or
+    /// because of a part of its prompt, which does not.
+    pub(crate) fn note_refused(&self, suspect: RequestFingerprint, is_part: bool) {
+        metrics::counter!("guavawell_forward_poison_refused_total").increment(1);
+        if !is_part {
+            let now = self.clock.now();
+            self.table.borrow_mut().refused(suspect, now);
+        }
+    }
+
     /// How long a request must not be sent to a server, because of itself or of one of
     /// its parts; `None` if it may be sent.
     #[must_use]
--- a/crates/guavawell-forward/src/poison/parts.rs
+++ b/crates/guavawell-forward/src/poison/parts.rs
@@ -10,10 +10,12 @@
 use std::time::Duration;
 
 use event_listener::Event;
+use guavawell_core::clock::ClockSpan;
 use guavawell_core::grant::spread_over_zones;
 use guavawell_core::poison::OrganisationTag;
 use guavawell_core::poison::PartSettings;
 use guavawell_core::poison::PartTable;
+use guavawell_core::poison::PartTrials;
 use guavawell_core::poison::RequestFingerprint;
 use guavawell_core::poison::ServerTag;
 use serde::Deserialize;
@@ -21,6 +23,9 @@
 use smol::LocalExecutor;
 
 use super::judge::DuePart;
+use super::trial::note_crashed_trial;
+use super::trial::note_good_trials;
+use crate::clock::SteadyClock;
 use crate::crash::AbandonedAttempt;
 use crate::peer::AddressBatches;
 use crate::peer::PeerRequest;
@@ -34,6 +39,8 @@
 const MAX_WAITING: usize = 2_048;
 /// Counts reports that did not arrive.
 const UNTOLD: &str = "guavawell_forward_part_crashes_untold_total";
+/// Time after which a process has had good answers, if there are any.
+const MIN_RUN_TIME: ClockSpan = ClockSpan::from_millis(3_000);
 /// Timeout of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -54,6 +61,8 @@
     /// The crashes that this instance saw, those that others reported as it judges their
     /// parts, and its own good answers.
     pub(super) table: RefCell<PartTable>,
+    /// The trials of refused parts that are judged here.
+    pub(super) trials: RefCell<PartTrials>,
     /// Crashes that were not reported yet.
     unreported: RefCell<Vec<PartCrash>>,
     /// Notified when `unreported` grows.
@@ -68,6 +77,7 @@
     fn default() -> Self {
         Self {
             table: RefCell::new(PartTable::new(PartSettings::default())),
+            trials: RefCell::default(),
             unreported: RefCell::default(),
             crash_added: Event::new(),
             due: RefCell::default(),
@@ -125,6 +135,9 @@
     if is_suspected {
         router.poison.suspect_part(part, organisation, servers);
     }
+    if is_new {
+        note_crashed_trial(router, &crash);
+    }
     may_be_to_blame
 }
 
@@ -138,10 +151,26 @@
 pub(crate) fn note_good_parts(router: &ForwardRouter, parts: &[RequestFingerprint]) {
     let now = router.clock.now();
     router.parts.table.borrow_mut().answered_well(parts, now);
+    note_good_trials(router, parts);
+}
+
+/// Whether this process has run for long enough to know good answers. What the process
+/// before it knew is lost.
+pub(super) fn knows_good_answers(router: &ForwardRouter) -> bool {
+    router.clock.now().since(SteadyClock::ORIGIN) >= MIN_RUN_TIME
+}
+
+/// What another instance is told: nothing that counts while too little is known.
+pub(crate) fn told_good_counts(router: &ForwardRouter, parts: &[RequestFingerprint]) -> Vec<usize> {
+    if knows_good_answers(router) {
+        good_counts(router, parts)
+    } else {
+        Vec::new()
+    }
 }
 
 /// Numbers of recent good answers of this instance with each of these parts.
-pub(crate) fn good_counts(router: &ForwardRouter, parts: &[RequestFingerprint]) -> Vec<usize> {
+pub(super) fn good_counts(router: &ForwardRouter, parts: &[RequestFingerprint]) -> Vec<usize> {
     let now = router.clock.now();
     let table = router.parts.table.borrow();
     parts
@@ -171,6 +200,7 @@
 /// Forgets the crashes under a part, after an operator has cleared it.
 pub(crate) fn forget_crashes(router: &ForwardRouter, part: RequestFingerprint) {
     router.parts.table.borrow_mut().acquit(part);
+    router.parts.trials.borrow_mut().forget(part);
 }
 
 /// Reports crashes to the judges of their parts, until the process ends.
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -28,6 +28,7 @@
 use crate::link::ByteMeter;
 use crate::link::LinkCharge;
 use crate::link::charge_link;
+use crate::poison::TrialPermit;
 use crate::record::RequestRecord;
 use crate::refusal::RefusalResponse;
 use crate::router::ForwardRouter;
@@ -89,12 +90,7 @@
     let left = router.clock.left(deadline);
     let max_wait = ClockSpan::from_millis(left.as_millis() / MAX_WAIT_DIVISOR);
     let parts = part_fingerprints(organisation.as_ref(), &shape);
-    for suspect in std::iter::once(&fingerprint).chain(&*parts) {
-        if let Some(span) = router.poison.await_verdict(*suspect, max_wait).await {
-            record.note("refused_for", suspect);
-            return Err(RefusalResponse::new(ForwardRefusal::CrashesServers).after(span));
-        }
-    }
+    let trials = check_suspicion(router, fingerprint, &parts, max_wait, record).await?;
     if !router.can_finish(deadline) {
         return Err(RefusalResponse::leaving());
     }
@@ -139,6 +135,7 @@
         usage,
         shape,
         parts,
+        trials,
         origin,
         deadline,
         link_charge: link_charge.map(Rc::new),
@@ -146,6 +143,36 @@
     })
 }
 
+/// Refuses a request that crashes servers, or with a part that does. Returns the permits
+/// of one that is tried nevertheless.
+async fn check_suspicion(
+    router: &Rc<ForwardRouter>,
+    fingerprint: RequestFingerprint,
+    parts: &[RequestFingerprint],
+    max_wait: ClockSpan,
+    record: &RequestRecord,
+) -> Result<Rc<[TrialPermit]>, RefusalResponse> {
+    let mut trials = Vec::new();
+    let suspects = std::iter::once((fingerprint, false));
+    let suspects = suspects.chain(parts.iter().map(|part| (*part, true)));
+    for (suspect, is_part) in suspects {
+        let Some(span) = router.poison.await_verdict(suspect, max_wait).await else {
+            continue;
+        };
+        let permit = is_part
+            .then(|| TrialPermit::take(router, suspect))
+            .flatten();
+        let Some(permit) = permit else {
+            router.poison.note_refused(suspect, is_part);
+            record.note("refused_for", suspect);
+            return Err(RefusalResponse::new(ForwardRefusal::CrashesServers).after(span));
+        };
+        record.note("tried_part", suspect);
+        trials.push(permit);
+    }
+    Ok(trials.into())
+}
+
 /// Waits until the process has read its initial state, for a limited time.
 async fn wait_for_start(
     router: &ForwardRouter,
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -20,6 +20,7 @@
 use crate::http::HttpChannel;
 use crate::http::wait_for_close;
 use crate::link::LinkCharge;
+use crate::poison::TrialPermit;
 use crate::prepare::prepare;
 use crate::read_ahead::CallerOutbox;
 use crate::read_ahead::DeliveryEnd;
@@ -54,6 +55,8 @@
     pub shape: PromptShape,
     /// Fingerprints of the parts that it may share with other requests.
     pub parts: Rc<[RequestFingerprint]>,
+    /// The refused parts of its prompt for which it is tried nevertheless.
+    pub(crate) trials: Rc<[TrialPermit]>,
     /// Where the stream began that the request continues, or that has begun; `None`
     /// until then.
     pub origin: Option<StreamOrigin>,
