Close the connection of a question for a server's health

Cause: a question for a server's health went over a connection that was then used for requests. A server may send an extra response late, and the id of the request tells whose it is; the answer to a question has none, so the next request on the connection took a second one for its own.

The check of the id stays as lenient as it is, since a bare 503 of a full server may come without: with this change no request without an id is sent on a connection that requests use.

A question costs one new connection to its server more.

--- a/crates/guavawell-forward/src/warmth/question.rs
+++ b/crates/guavawell-forward/src/warmth/question.rs
@@ -18,7 +18,6 @@
 use crate::http::ResponseHead;
 use crate::http::within;
 use crate::peer::ServerAnswer;
-use crate::pool::keep_alive_span;
 use crate::router::ForwardRouter;
 use crate::server_status::read_cold_span;
 
@@ -79,12 +78,9 @@
     let is_own = |head: &ResponseHead| head.fields.get(names.request).is_none();
     let head = response_head(&mut channel, false, is_own).await?;
     channel.body(head.framing, MAX_ANSWER_BODY).await?;
-    if head.keep_alive && channel.is_quiet() {
-        let max_idle = keep_alive_span(&head.fields, router.settings.times.idle);
-        let now = router.clock.now();
-        let mut pool = router.pool.borrow_mut();
-        pool.put(&target.server, channel, now, max_idle);
-    }
+    // A second answer may arrive late. It names no request, so a request on this connection
+    // would take it for its own.
+    drop(channel);
     Ok(head)
 }
 
