Reserve memory for request bodies before they are received

Cause: a body counted once it had been received whole. Bodies that were arriving counted nowhere, so any number of them passed the check at their heads, and one in chunks was not checked at all.

Change: the stated length is reserved before a byte is read, and what comes without a stated length as it arrives; both count until the request ends. What does not fit is refused at once (503, it has not run). Bodies above 64 KiB may take three quarters of the memory, so that a few of them do not have the short ones refused. core::forward::admit_body decides, and is tested by itself.

--- a/crates/guavawell-core/src/forward/admission.rs
+++ b/crates/guavawell-core/src/forward/admission.rs
@@ -43,6 +43,45 @@
     held_requests < max_requests && held_bytes < max_bytes
 }
 
+/// Length of a body up to which it may take all of the memory for bodies, in bytes.
+const SHORT_BODY_BYTES: usize = 64 * 1024;
+/// Part of that memory that longer bodies may take, in percent, so that a few of them do
+/// not have the others refused.
+const LONG_BODY_PERCENT: usize = 75;
+
+/// A request body for which memory is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyBytes {
+    /// Length of the body, as far as it is known.
+    pub length: usize,
+    /// Bytes of it that are not counted yet.
+    pub more: usize,
+}
+
+/// Decides whether a body may be received, or received further. `taken_bytes` are those
+/// of all bodies that were received or for which memory is reserved.
+///
+/// # Errors
+///
+/// The refusal, if it may not.
+pub fn admit_body(
+    settings: &AdmissionSettings,
+    taken_bytes: usize,
+    body: BodyBytes,
+) -> Result<(), ForwardRefusal> {
+    let limit = if body.length <= SHORT_BODY_BYTES {
+        settings.body_bytes
+    } else {
+        settings.body_bytes * LONG_BODY_PERCENT / 100
+    };
+    let fits = taken_bytes.saturating_add(body.more) <= limit;
+    if fits || body.more == 0 {
+        Ok(())
+    } else {
+        Err(ForwardRefusal::NoMemory)
+    }
+}
+
 /// Decides whether a request is admitted.
 ///
 /// # Errors
--- a/crates/guavawell-core/src/forward/mod.rs
+++ b/crates/guavawell-core/src/forward/mod.rs
@@ -45,7 +45,9 @@
 mod work_pace;
 
 pub use admission::AdmissionSettings;
+pub use admission::BodyBytes;
 pub use admission::admit;
+pub use admission::admit_body;
 pub use admission::admits_connection;
 pub use age::FeedAge;
 pub use attempt::AttemptEnd;
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -3,6 +3,7 @@
 
 mod announcement;
 mod attempt;
+mod body_memory;
 mod capacity;
 mod charge;
 mod choice;
--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -14,6 +14,7 @@
 
 use crate::accept::accept_all;
 use crate::accept::accept_waiting;
+use crate::body_memory::BodyMemory;
 use crate::clock::timer_span;
 use crate::http::BodyDecoder;
 use crate::http::BodyFraming;
@@ -85,6 +86,8 @@
     pub head: RequestHead,
     /// The body, decoded.
     pub body: Vec<u8>,
+    /// Counts the memory of the body.
+    _memory: BodyMemory,
     /// When the head had been received.
     pub received_at: ClockTime,
 }
@@ -181,7 +184,7 @@
 /// Receives one request. Once the process is closing, a request that has not arrived
 /// completely is refused.
 async fn receive_unless_closing(
-    router: &ForwardRouter,
+    router: &Rc<ForwardRouter>,
     channel: &mut HttpChannel,
     limits: &ForwardLimits,
 ) -> Result<ReceivedRequest, Option<RefusalResponse>> {
@@ -195,16 +198,17 @@
 /// Receives one request. `Err(None)` means that the connection is closed
 /// without a response.
 async fn receive_request(
-    router: &ForwardRouter,
+    router: &Rc<ForwardRouter>,
     channel: &mut HttpChannel,
     limits: &ForwardLimits,
 ) -> Result<ReceivedRequest, Option<RefusalResponse>> {
     let head = receive_head(channel, limits).await?;
     let received_at = router.clock.now();
-    let body = receive_body(router, channel, &head, limits).await?;
+    let (body, memory) = receive_body(router, channel, &head, limits).await?;
     Ok(ReceivedRequest {
         head,
         body,
+        _memory: memory,
         received_at,
     })
 }
@@ -241,41 +245,45 @@
 }
 
 async fn receive_body(
-    router: &ForwardRouter,
+    router: &Rc<ForwardRouter>,
     channel: &mut HttpChannel,
     head: &RequestHead,
     limits: &ForwardLimits,
-) -> Result<Vec<u8>, Option<RefusalResponse>> {
+) -> Result<(Vec<u8>, BodyMemory), Option<RefusalResponse>> {
     let refuse = |refusal| Err(Some(RefusalResponse::new(refusal)));
     let content_length = match head.framing {
-        BodyFraming::Empty => return Ok(Vec::new()),
+        BodyFraming::Empty => 0,
         BodyFraming::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
         BodyFraming::Chunked | BodyFraming::UntilClose => 0,
     };
     if content_length > limits.body_bytes {
         return refuse(ForwardRefusal::BodyTooLarge);
     }
-    if router.held_bytes.get() + content_length > router.settings.admission.body_bytes {
-        return refuse(ForwardRefusal::NoMemory);
+    let mut memory = match BodyMemory::reserve(router, content_length) {
+        Ok(memory) => memory,
+        Err(refusal) => return refuse(refusal),
+    };
+    if head.framing == BodyFraming::Empty {
+        return Ok((Vec::new(), memory));
     }
     if head.fields.has_token("expect", "100-continue") {
         let sent = channel.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         sent.map_err(|_| None)?;
     }
     let mut decoder = BodyDecoder::new(head.framing);
-    let mut body = Vec::with_capacity(content_length.min(64 * 1024));
+    let mut body = Vec::with_capacity(content_length);
     loop {
-        match within(
-            BODY_PART_TIMEOUT,
-            channel.body_part(&mut decoder, &mut body),
-        )
-        .await
-        {
-            Ok(_) if body.len() > limits.body_bytes => {
-                return refuse(ForwardRefusal::BodyTooLarge);
-            }
+        let part = channel.body_part(&mut decoder, &mut body);
+        let received = within(BODY_PART_TIMEOUT, part).await;
+        if body.len() > limits.body_bytes {
+            return refuse(ForwardRefusal::BodyTooLarge);
+        }
+        if let Err(refusal) = memory.note_received(body.len()) {
+            return refuse(refusal);
+        }
+        match received {
             Ok(true) => {}
-            Ok(false) => return Ok(body),
+            Ok(false) => return Ok((body, memory)),
             Err(ChannelError::Body(_)) => return refuse(ForwardRefusal::Malformed),
             Err(_) => return Err(None),
         }
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod admin;
 pub mod attempt;
 pub mod attempt_log;
+mod body_memory;
 pub mod budget;
 pub mod callers;
 pub mod clock;
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -136,6 +136,8 @@
     pub held_requests: Cell<usize>,
     /// Bytes of their bodies, and of responses that are read ahead.
     pub held_bytes: Cell<usize>,
+    /// Bytes of bodies that are being received and have not arrived.
+    pub expected_body_bytes: Cell<usize>,
     /// Responses that wait for their callers.
     pub waiting: WaitingResponses,
     /// Number of requests that are being received, or refused without having been
@@ -197,6 +199,7 @@
             callers: Rc::default(),
             held_requests: Cell::new(0),
             held_bytes: Cell::new(0),
+            expected_body_bytes: Cell::new(0),
             waiting: WaitingResponses::default(),
             pending_requests: Cell::new(0),
             phase: Cell::new(RouterPhase::Serving),
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -68,17 +68,15 @@
     pub reservation: Option<Rc<TokenReservation>>,
 }
 
-/// Counts a request and its bytes while it is being served.
+/// Counts a request while it is being served.
 struct HeldRequest<'a> {
     router: &'a ForwardRouter,
-    bytes: usize,
 }
 
 impl<'a> HeldRequest<'a> {
-    fn new(router: &'a ForwardRouter, bytes: usize) -> Self {
+    fn new(router: &'a ForwardRouter) -> Self {
         router.held_requests.set(router.held_requests.get() + 1);
-        router.held_bytes.set(router.held_bytes.get() + bytes);
-        Self { router, bytes }
+        Self { router }
     }
 }
 
@@ -86,7 +84,6 @@
     fn drop(&mut self) {
         let router = self.router;
         router.held_requests.set(router.held_requests.get() - 1);
-        router.held_bytes.set(router.held_bytes.get() - self.bytes);
     }
 }
 
@@ -101,7 +98,7 @@
     let name = router.settings.names.request;
     let id: Box<str> = request.head.fields.get(name).unwrap_or("").into();
     let record = RequestRecord::new(router, &id, request.received_at);
-    let _held = HeldRequest::new(router, request.body.len());
+    let _held = HeldRequest::new(router);
     let stream = channel.stream();
     let caller = CallerOutbox::new(router, channel);
     let serve = async {
