Count the bytes on the wire of responses that state no length

Cause: the limit of 64 MiB counted the content of a body, and such chunks double that on the wire.

Change: the limit counts what the connection received since the head, as on the wire. The test's check and bound are unchanged.

--- a/crates/guavawell-forward/src/link/meter.rs
+++ b/crates/guavawell-forward/src/link/meter.rs
@@ -22,6 +22,12 @@
         add(&self.sent, content);
     }
 
+    /// Bytes on the wire that were received.
+    #[must_use]
+    pub const fn received(&self) -> u64 {
+        self.received.get()
+    }
+
     /// Bytes on the wire that were sent.
     #[must_use]
     pub const fn sent(&self) -> u64 {
--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -33,8 +33,8 @@
 use crate::router::ForwardRouter;
 use crate::serve::ForwardCall;
 
-/// Largest body that does not state its length, in bytes. One without end must not fill
-/// the network link.
+/// Largest body that does not state its length, in bytes on the wire: small chunks take
+/// far more than their content. One without end must not fill the network link.
 const MAX_UNFRAMED_BODY: u64 = 64 * 1024 * 1024;
 /// Events beyond the tokens that a request may generate: some contain no tokens.
 const EXTRA_EVENTS: u64 = 64;
@@ -125,9 +125,9 @@
     let mut writer = ResponseWriter::new(router, call);
     let status = response.head.status;
     writer.write_head(&response);
-    let mut sent = 0;
+    let meter = Rc::clone(response.channel.meter());
+    let received_before = meter.received();
     loop {
-        sent += body.len() as u64;
         writer.write_content(&body);
         body.clear();
         if caller.send(writer.pending()).await.is_err() {
@@ -136,7 +136,8 @@
         }
         writer.clear();
         let left = time_left(router, call.deadline);
-        let is_endless = !response.decoder.states_length() && sent > MAX_UNFRAMED_BODY;
+        let received = meter.received() - received_before;
+        let is_endless = !response.decoder.states_length() && received > MAX_UNFRAMED_BODY;
         let received = if is_endless {
             Err(ChannelError::BodyTooLong)
         } else if left.is_zero() {
