Reset a response without chunks that stays incomplete

Seen by callers of HTTP/1.0: a response that its server broke off, or whose router was killed, ended in the ordinary way after some of its events and so looked complete.

Cause: a body that is not sent in chunks ends with its connection, and the router closed that in the same way after a whole and after a cut response; so does the kernel for a process that was killed.

Change: the connection is set to be reset from the head of such a response on, and set back once all of it was taken; a connection that is to be reset is not shut down first.

--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -1,5 +1,6 @@
 //! A TCP connection with a receive buffer.
 
+use std::cell::Cell;
 use std::io;
 use std::io::Read;
 use std::io::Write;
@@ -106,6 +107,8 @@
     carrier: Option<Rc<InstanceId>>,
     /// Decodes what the carrier sends; `None` if the connection is direct.
     records: Option<RecordDecoder>,
+    /// Whether it is reset rather than closed once it is dropped.
+    resets: Cell<bool>,
     /// How the sending of the present request ended.
     request_write: RequestWrite,
     /// Counts the bytes of this connection.
@@ -132,6 +135,7 @@
             idle_for: None,
             carrier: None,
             records: None,
+            resets: Cell::new(false),
             request_write: RequestWrite::default(),
             meter: Rc::default(),
             kind_meter: None,
@@ -239,6 +243,7 @@
     ///
     /// The socket option cannot be set.
     pub fn reset_on_close(&self) -> io::Result<()> {
+        self.resets.set(true);
         SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO))
     }
 
@@ -248,6 +253,7 @@
     ///
     /// The socket option cannot be set.
     pub fn close_in_order(&self) -> io::Result<()> {
+        self.resets.set(false);
         SockRef::from(self.stream.get_ref()).set_linger(None)
     }
 
@@ -450,9 +456,10 @@
 
     /// Closes the connection after a response, although the peer may have sent more.
     /// Unread bytes would reset the connection and discard what was sent: they are read
-    /// until the peer closes the connection, for `limit` at the longest.
+    /// until the peer closes the connection, for `limit` at the longest. One that is to be
+    /// reset is reset at once.
     pub async fn close_unread(mut self, limit: Duration) {
-        if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+        if self.resets.get() || self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
         }
         let discard = async {
--- a/crates/guavawell-forward/src/read_ahead.rs
+++ b/crates/guavawell-forward/src/read_ahead.rs
@@ -278,6 +278,13 @@
         }
     }
 
+    /// Takes [`reset`](Self::reset) back, once the response was sent completely.
+    pub fn close_in_order(&self) {
+        if let Err(error) = self.channel.close_in_order() {
+            log::debug!("a caller's connection has failed: {error}");
+        }
+    }
+
     /// Records how much of the response was held at most.
     pub fn note_peak(&self, record: &RequestRecord) {
         let peak = self.queue.as_ref().map_or(0, |queue| queue.peak.get());
--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -124,7 +124,7 @@
 ) -> AttemptOutcome {
     let mut writer = ResponseWriter::new(router, call);
     let status = response.head.status;
-    writer.write_head(&response);
+    writer.write_head(caller, &response);
     let meter = Rc::clone(response.channel.meter());
     let received_before = meter.received();
     loop {
@@ -178,7 +178,14 @@
             return AttemptOutcome::Ended(stream.response.fail(AttemptEnd::Lost));
         }
         if part.bytes > 0 || !part.more {
-            begin_stream(router, call, progress, &stream.response, &mut writer);
+            begin_stream(
+                router,
+                caller,
+                call,
+                progress,
+                &stream.response,
+                &mut writer,
+            );
             writer.write_content(stream.content(&part));
             stream.consume(&part);
             note_events(router, call, progress, &part);
@@ -237,6 +244,7 @@
 /// Writes the head of a stream, once.
 fn begin_stream(
     router: &ForwardRouter,
+    caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     progress: &mut RequestProgress,
     response: &IncomingResponse,
@@ -246,7 +254,7 @@
     if stream.begun {
         return;
     }
-    writer.write_head(response);
+    writer.write_head(caller, response);
     stream.begun = true;
     stream.first_at = Some(router.clock.now());
     stream.origin = note_begun(router, call, response.info.version.as_ref());
@@ -314,7 +322,12 @@
         }
     }
 
-    fn write_head(&mut self, response: &IncomingResponse) {
+    /// Writes the head. A body that is not sent in chunks ends with its connection, which
+    /// is reset if the response stays incomplete, also if the process ends.
+    fn write_head(&mut self, caller: &CallerOutbox<'_>, response: &IncomingResponse) {
+        if !self.chunked {
+            caller.reset();
+        }
         let mut head = HeadWriter::response(response.head.status, &response.head.reason);
         copy_fields(&response.head.fields, &mut head);
         if self.chunked {
--- a/crates/guavawell-forward/src/retry.rs
+++ b/crates/guavawell-forward/src/retry.rs
@@ -140,6 +140,9 @@
         let failure = match outcome {
             AttemptOutcome::Delivered(status, keep_alive) => {
                 caller.finish().await;
+                if !call.request.head.accepts_chunked {
+                    caller.close_in_order();
+                }
                 note_stream(record, &progress.stream);
                 if let Some(charge) = &call.link_charge {
                     charge.complete();
