Older pipeline: an answer that is shorter than stated is lost

A plain service's answer, a record of an attempt and a load page were read to the end of the connection; a connection that was closed within a stated length ends the body without an error there, so a cut answer was given to its caller as whole and its connection was kept. The stated length is now compared, as in the exchange with the platform.

short_answer::an_answer_that_is_shorter_than_stated_is_lost failed before (an empty answer of 10 stated bytes) and passes. An answer that states no length still ends with its connection there: its streams have an end marker, its other answers do not.

--- a/crates/guavawell-fleet/src/engine/client.rs
+++ b/crates/guavawell-fleet/src/engine/client.rs
@@ -1,5 +1,6 @@
 //! Sends attempts and control calls to backend servers.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -332,13 +333,19 @@
     }
 
     pub(super) async fn read_whole(&self, response: &mut Response) -> Result<Vec<u8>, EngineError> {
+        let expected = response.len();
         let body = response.take_body();
         let read = read_bounded(body, self.settings.max_answer_bytes);
         let silence = async {
             Timer::after(self.settings.idle).await;
             Err(EngineError::Silent)
         };
-        read.or(silence).await
+        let bytes = read.or(silence).await?;
+        // The body ends without an error if the connection is closed within it.
+        if expected.is_some_and(|length| length != bytes.len()) {
+            return Err(EngineError::Lost(io::ErrorKind::UnexpectedEof.into()));
+        }
+        Ok(bytes)
     }
 }
 
