--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -252,9 +252,8 @@
 ) -> Result<(Vec<u8>, BodyMemory), Option<RefusalResponse>> {
     let refuse = |refusal| Err(Some(RefusalResponse::new(refusal)));
     let content_length = match head.framing {
-        BodyFraming::Empty => 0,
         BodyFraming::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
-        BodyFraming::Chunked | BodyFraming::UntilClose => 0,
+        BodyFraming::Empty | BodyFraming::Chunked | BodyFraming::UntilClose => 0,
     };
     if content_length > limits.body_bytes {
         return refuse(ForwardRefusal::BodyTooLarge);
