--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -14,7 +14,6 @@
 use futures_lite::future::yield_now;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::forward::ConnectionEnd;
-use guavawell_core::forward::CutCause;
 use guavawell_core::forward::EndNotice;
 use guavawell_core::forward::RequestWrite;
 use guavawell_core::id::InstanceId;
@@ -23,15 +22,13 @@
 use rustix::event::Timespec;
 use rustix::event::poll;
 use smol::Async;
-use smol::Timer;
 use socket2::SockRef;
-use thiserror::Error;
 
 use super::BodyDecoder;
-use super::BodyError;
 use super::BodyFraming;
-use super::HeadError;
+use super::ChannelError;
 use super::RecordDecoder;
+use super::within;
 use crate::link::ByteMeter;
 
 /// Size of one read, in bytes.
@@ -43,54 +40,6 @@
 /// so that a peer that vanished without closing it is noticed.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Why a connection cannot be used any more.
-#[derive(Debug, Error)]
-pub enum ChannelError {
-    /// The connection was closed between two messages.
-    #[error("connection closed")]
-    Closed,
-    /// The connection was closed within a message.
-    #[error("connection closed within a message")]
-    Truncated,
-    /// The connection ended within a body that lasts until its server ends it.
-    #[error("response cut: {}", .0.as_str())]
-    Cut(CutCause),
-    /// The connection failed.
-    #[error("connection failed: {0}")]
-    Io(#[from] io::Error),
-    /// A head is longer than allowed.
-    #[error("head longer than allowed")]
-    HeadTooLong,
-    /// A body is longer than allowed.
-    #[error("body longer than allowed")]
-    BodyTooLong,
-    /// A head is malformed.
-    #[error(transparent)]
-    Head(#[from] HeadError),
-    /// A body is malformed.
-    #[error(transparent)]
-    Body(#[from] BodyError),
-    /// A step did not finish within its time limit.
-    #[error("timed out")]
-    TimedOut,
-}
-
-impl ChannelError {
-    /// Whether nobody listens at the address.
-    #[must_use]
-    pub fn is_connection_refused(&self) -> bool {
-        matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
-    }
-
-    /// Whether the connection was refused or reset, rather than left unanswered.
-    #[must_use]
-    pub fn is_answered(&self) -> bool {
-        let is_reset =
-            matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::ConnectionReset);
-        is_reset || self.is_connection_refused()
-    }
-}
-
 /// An open connection.
 #[derive(Debug)]
 pub struct HttpChannel {
@@ -508,22 +457,6 @@
     }
 }
 
-/// Runs `step` with a time limit.
-///
-/// # Errors
-///
-/// The error of `step`, or `TimedOut`.
-pub async fn within<T>(
-    limit: Duration,
-    step: impl Future<Output = Result<T, ChannelError>>,
-) -> Result<T, ChannelError> {
-    let timeout = async {
-        Timer::after(limit).await;
-        Err(ChannelError::TimedOut)
-    };
-    futures_lite::future::or(step, timeout).await
-}
-
 /// The length of a head; `None` if it is incomplete. The first `from` bytes were
 /// searched before.
 fn head_end(bytes: &[u8], from: usize) -> Option<usize> {
--- a/crates/guavawell-forward/src/http/mod.rs
+++ b/crates/guavawell-forward/src/http/mod.rs
@@ -8,6 +8,7 @@
 
 mod body;
 mod channel;
+mod error;
 mod head;
 mod hedge;
 mod record;
@@ -15,11 +16,11 @@
 
 pub use body::BodyDecoder;
 pub use body::BodyError;
-pub use channel::ChannelError;
 pub use channel::HttpChannel;
 pub use channel::TURN_BYTES;
 pub use channel::wait_for_close;
-pub use channel::within;
+pub use error::ChannelError;
+pub use error::within;
 pub use head::BodyFraming;
 pub use head::FieldList;
 pub use head::HeadError;
--- a/crates/guavawell-forward/src/tunnel/carry.rs
+++ b/crates/guavawell-forward/src/tunnel/carry.rs
@@ -1,11 +1,9 @@
 //! Carries connections of other instances to servers.
 
 use std::cell::Cell;
-use std::cell::RefCell;
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::rc::Weak;
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt;
@@ -13,7 +11,6 @@
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
 use guavawell_core::clock::ClockSpan;
-use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ConnectionEnd;
 use guavawell_core::forward::EndNotice;
 use guavawell_core::forward::RequestWrite;
@@ -22,9 +19,11 @@
 use smol::Async;
 use smol::Timer;
 
-use super::MAX_TUNNEL_IDLE;
 use super::TunnelFraming;
 use super::TunnelRefusal;
+use super::traffic::CarryEnd;
+use super::traffic::CarryRecord;
+use super::traffic::TunnelTraffic;
 use crate::clock::SteadyClock;
 use crate::clock::timer_span;
 use crate::http::HttpChannel;
@@ -32,7 +31,6 @@
 use crate::http::RECORD_HEAD_BYTES;
 use crate::http::TURN_BYTES;
 use crate::http::record_head;
-use crate::link::ByteMeter;
 use crate::router::ForwardRouter;
 
 /// Connections that are carried at once. Each takes two descriptors and two buffers.
@@ -44,56 +42,6 @@
 /// How long the other instance may take to read the end of a response.
 const LINGER_LIMIT: Duration = Duration::from_secs(5);
 
-/// Why a carried connection ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CarryEnd {
-    /// The server ended the connection in the ordinary way.
-    ServerEnded,
-    /// The connection to the server failed.
-    ServerFailed,
-    /// The other instance closed its connection, or it failed.
-    InstanceEnded,
-    /// There was no traffic for [`IDLE_LIMIT`].
-    Idle,
-    /// The process ended first.
-    Dropped,
-}
-
-impl CarryEnd {
-    /// The name in logs and metrics.
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::ServerEnded => "server_ended",
-            Self::ServerFailed => "server_failed",
-            Self::InstanceEnded => "instance_ended",
-            Self::Idle => "idle",
-            Self::Dropped => "dropped",
-        }
-    }
-}
-
-/// Logs and counts the end of a carried connection when it is dropped.
-struct CarryRecord {
-    router: Rc<ForwardRouter>,
-    server: ServerIncarnation,
-    traffic: Rc<TunnelTraffic>,
-    end: Cell<CarryEnd>,
-}
-
-impl Drop for CarryRecord {
-    fn drop(&mut self) {
-        metrics::gauge!("guavawell_forward_carried").decrement(1.0);
-        let end = self.end.get().as_str();
-        metrics::counter!("guavawell_forward_carried_ended_total", "end" => end).increment(1);
-        let draft = EventDraft::new("tunnel.ended")
-            .field("server", &self.server)
-            .field("end", end)
-            .field("response_bytes", self.traffic.response_bytes.get())
-            .field("awaits_response", self.traffic.awaits_response.get());
-        self.router.log.emit(draft);
-    }
-}
-
 /// A connection of another instance, and the one to the server.
 #[derive(Debug)]
 pub(crate) struct CarriedTunnel {
@@ -107,71 +55,6 @@
     pub(crate) server: HttpChannel,
 }
 
-/// The traffic of a tunnel so far.
-#[derive(Debug)]
-struct TunnelTraffic {
-    last_at: Cell<ClockTime>,
-    /// Counts the bytes of connections between instances.
-    meter: Rc<ByteMeter>,
-    /// Whether the last bytes went to the server, so that its response is awaited.
-    awaits_response: Cell<bool>,
-    /// Bytes of the server that were passed on, or are about to be.
-    response_bytes: Cell<u64>,
-}
-
-impl TunnelTraffic {
-    /// Records bytes that were read, and are passed on at once.
-    fn note(&self, count: usize, now: ClockTime, to_server: bool) {
-        self.meter.note_received(count);
-        self.meter.note_sent(count);
-        self.last_at.set(now);
-        self.awaits_response.set(to_server);
-        if !to_server {
-            let bytes = self.response_bytes.get() + count as u64;
-            self.response_bytes.set(bytes);
-        }
-    }
-
-    /// Whether a request may be running. The other instance does not use a tunnel
-    /// again that has been idle for [`MAX_TUNNEL_IDLE`].
-    fn is_busy(&self, now: ClockTime) -> bool {
-        self.awaits_response.get() || now.since(self.last_at.get()) <= MAX_TUNNEL_IDLE
-    }
-}
-
-/// The connections that this instance carries.
-#[derive(Debug, Default)]
-pub(crate) struct CarriedTunnels {
-    traffic: RefCell<Vec<Weak<TunnelTraffic>>>,
-}
-
-impl CarriedTunnels {
-    fn add(&self, now: ClockTime, meter: &Rc<ByteMeter>) -> Rc<TunnelTraffic> {
-        let traffic = Rc::new(TunnelTraffic {
-            last_at: Cell::new(now),
-            meter: Rc::clone(meter),
-            awaits_response: Cell::new(false),
-            response_bytes: Cell::new(0),
-        });
-        self.traffic.borrow_mut().push(Rc::downgrade(&traffic));
-        traffic
-    }
-
-    /// Number of open tunnels.
-    fn count(&self) -> usize {
-        let mut traffic = self.traffic.borrow_mut();
-        traffic.retain(|weak| weak.strong_count() > 0);
-        traffic.len()
-    }
-
-    /// Number of tunnels on which a request may be running.
-    pub(crate) fn busy_count(&self, now: ClockTime) -> usize {
-        let traffic = self.traffic.borrow();
-        let open = traffic.iter().filter_map(Weak::upgrade);
-        open.filter(|traffic| traffic.is_busy(now)).count()
-    }
-}
-
 /// Opens a connection to a server for another instance.
 pub(crate) async fn open_for_peer(
     router: &ForwardRouter,
@@ -227,40 +110,32 @@
 /// Copies bytes between another instance and a server until either ends its connection.
 /// Only an end by the server looks like one to the other instance.
 pub(crate) async fn carry(router: Rc<ForwardRouter>, tunnel: CarriedTunnel) {
-    let traffic = router
-        .carried
-        .add(router.clock.now(), &router.link.instances);
-    metrics::gauge!("guavawell_forward_carried").increment(1.0);
     let CarriedTunnel {
         incarnation,
         framing,
         peer,
         server,
     } = tunnel;
-    let record = CarryRecord {
-        router: Rc::clone(&router),
-        server: incarnation,
-        traffic: Rc::clone(&traffic),
-        end: Cell::new(CarryEnd::Dropped),
-    };
+    let record = CarryRecord::new(&router, incarnation);
+    let traffic = record.traffic();
     if framing == TunnelFraming::Plain {
         check_option(&router, peer.reset_on_close());
     }
     let (peer_stream, server_stream) = (peer.stream(), server.stream());
     let pipe = TunnelPipe {
         clock: router.clock,
-        traffic: &traffic,
+        traffic,
         request_write: Cell::default(),
     };
     let early = peer.received();
     let requests = pipe.copy_requests(early, &peer_stream, &server_stream);
     let response = pipe.copy_response(&server_stream, &peer_stream, framing);
     let idle = async {
-        wait_idle(&router.clock, &traffic).await;
+        wait_idle(&router.clock, traffic).await;
         CarryEnd::Idle
     };
     let end = response.or(requests).or(idle).await;
-    record.end.set(end);
+    record.note_end(end);
     match end {
         CarryEnd::ServerEnded => {
             if framing == TunnelFraming::Plain {
--- a/crates/guavawell-forward/src/tunnel/mod.rs
+++ b/crates/guavawell-forward/src/tunnel/mod.rs
@@ -9,6 +9,7 @@
 
 mod carry;
 mod open;
+mod traffic;
 
 use std::fmt;
 use std::str::FromStr;
@@ -17,11 +18,11 @@
 use thiserror::Error;
 
 pub(crate) use self::carry::CarriedTunnel;
-pub(crate) use self::carry::CarriedTunnels;
 pub(crate) use self::carry::carry;
 pub(crate) use self::carry::open_for_peer;
 pub(crate) use self::open::TunnelEnd;
 pub(crate) use self::open::open_tunnel;
+pub(crate) use self::traffic::CarriedTunnels;
 
 /// Longest idle time of a tunnel that is reused. A carrier that shuts down closes
 /// tunnels that have been idle for longer.
