Trials: answers to requests from before the refusal do not count

They would let several requests with a part that crashes some servers be tried at once. core test trial::answers_from_before_the_refusal_do_not_count.

--- a/crates/guavawell-core/src/poison/trial.rs
+++ b/crates/guavawell-core/src/poison/trial.rs
@@ -92,11 +92,15 @@
         }
     }
 
-    /// Records a good answer, and returns how many there were in a row; `None` if the part
-    /// is not tried.
+    /// Records a good answer, and returns how many there were in a row; `None` if no
+    /// request with the part is being tried: the answer may be to one from before its
+    /// refusal.
     pub fn answered_well(&mut self, part: RequestFingerprint) -> Option<usize> {
         let place = self.find(part).ok()?;
         let trial = &mut self.trials[place];
+        if trial.running == 0 {
+            return None;
+        }
         trial.good += 1;
         Some(trial.good)
     }
--- a/crates/guavawell-core/tests/poison/trial.rs
+++ b/crates/guavawell-core/tests/poison/trial.rs
@@ -75,6 +75,17 @@
     assert!(!trials.begin(PART, now + span(60_000)));
 }
 
+// Guards against many requests in the first trial because of answers to earlier ones.
+#[test]
+fn answers_from_before_the_refusal_do_not_count() {
+    let mut trials = PartTrials::default();
+    assert!(!trials.begin(PART, START));
+    assert_eq!(trials.answered_well(PART), None);
+    let now = START + TrialSettings::default().first_pause;
+    assert!(trials.begin(PART, now));
+    assert!(!trials.begin(PART, now));
+}
+
 // Guards against a long pause because of requests that were sent before the refusal.
 #[test]
 fn crashes_before_the_first_trial_do_not_delay_it() {
--- a/crates/guavawell-forward/src/poison/judge.rs
+++ b/crates/guavawell-forward/src/poison/judge.rs
@@ -2,8 +2,9 @@
 //!
 //! The good answers with a part are those of all instances, so a judge asks for them. An
 //! instance that does not answer, or has just started, is asked again: it may have the
-//! answers that clear the part. A part that stays undecided is refused after [`MAX_UNDECIDED`], as each request
-//! with it may crash a server, and cleared if the missing answers come later.
+//! answers that clear the part. A part that stays undecided is refused after
+//! [`MAX_UNDECIDED`], as each request with it may crash a server, and cleared if the missing
+//! answers come later.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/guavawell-forward/src/poison/mod.rs
+++ b/crates/guavawell-forward/src/poison/mod.rs
@@ -125,7 +125,8 @@
     }
 
     /// Checks a new request: returns how long it is refused because of itself or of a part,
-    /// or `None` if it may be sent. While the verdict is undecided, waits for it up to `max_wait`.
+    /// or `None` if it may be sent. While the verdict is undecided, waits for it up to
+    /// `max_wait`.
     pub async fn await_verdict(
         &self,
         fingerprint: RequestFingerprint,
