Trials: no list of parts for each send, and nothing counted where no part is tried

Cause: is_refused, which runs before each choice and each send, collected the parts of a prompt into a new list to leave out those that are tried; and each good answer counted the crashes under its parts though no part was being tried. Both are on a request's path.

Change: refused_with_parts takes any sequence of parts, and the crashes are counted only for a part that is tried. Behaviour and checks are unchanged.

Measured: nothing was timed.

--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -267,9 +267,8 @@
 pub fn is_refused(router: &ForwardRouter, call: &ForwardCall<'_>) -> bool {
     let is_tried =
         |part: &RequestFingerprint| call.trials.iter().any(|trial| trial.part() == *part);
-    let parts = call.parts.iter().copied();
-    let parts: Vec<RequestFingerprint> = parts.filter(|part| !is_tried(part)).collect();
-    let refused = router.poison.refused_with_parts(call.fingerprint, &parts);
+    let parts = call.parts.iter().copied().filter(|part| !is_tried(part));
+    let refused = router.poison.refused_with_parts(call.fingerprint, parts);
     refused.is_some()
 }
 
--- a/crates/guavawell-forward/src/poison/mod.rs
+++ b/crates/guavawell-forward/src/poison/mod.rs
@@ -159,9 +159,8 @@
     pub fn refused_with_parts(
         &self,
         fingerprint: RequestFingerprint,
-        parts: &[RequestFingerprint],
+        parts: impl IntoIterator<Item = RequestFingerprint>,
     ) -> Option<ClockSpan> {
-        let parts = parts.iter().copied();
         let refused = std::iter::once(fingerprint)
             .chain(parts)
             .filter_map(|fingerprint| self.refused_for(fingerprint));
--- a/crates/guavawell-forward/src/poison/trial.rs
+++ b/crates/guavawell-forward/src/poison/trial.rs
@@ -58,9 +58,10 @@
 pub(super) fn note_good_trials(router: &ForwardRouter, parts: &[RequestFingerprint]) {
     let now = router.clock.now();
     for part in parts {
-        let good = router.parts.trials.borrow_mut().answered_well(*part);
-        let needed = router.parts.table.borrow().clearing_answers(*part, now);
-        if good.is_none_or(|good| good < needed) {
+        let Some(good) = router.parts.trials.borrow_mut().answered_well(*part) else {
+            continue;
+        };
+        if good < router.parts.table.borrow().clearing_answers(*part, now) {
             continue;
         }
         note_trial(router, *part, "cleared");
--- a/crates/guavawell-forward/src/retry_after.rs
+++ b/crates/guavawell-forward/src/retry_after.rs
@@ -37,7 +37,7 @@
     let base = match refusal {
         ForwardRefusal::CrashesServers => router
             .poison
-            .refused_with_parts(call.fingerprint, &call.parts),
+            .refused_with_parts(call.fingerprint, call.parts.iter().copied()),
         ForwardRefusal::ServersPaused | ForwardRefusal::NoServer => resumes_in,
         ForwardRefusal::ServersFull => resumes_in.or(Some(RETRY_FULL)),
         ForwardRefusal::Evacuated => Some(RETRY_EVACUATED),
