Relay: the writer of a response knows its caller

Cause: the reset of responses without chunks had sent the caller's outbox through begin_stream, which does nothing with it and had grown to six arguments.

Change: ResponseWriter holds the outbox it writes for, so the head is written and the connection set in one place. Behaviour is unchanged.

--- a/crates/guavawell-forward/src/relay.rs
+++ b/crates/guavawell-forward/src/relay.rs
@@ -122,9 +122,9 @@
     mut response: IncomingResponse,
     mut body: Vec<u8>,
 ) -> AttemptOutcome {
-    let mut writer = ResponseWriter::new(router, call);
+    let mut writer = ResponseWriter::new(router, caller, call);
     let status = response.head.status;
-    writer.write_head(caller, &response);
+    writer.write_head(&response);
     let meter = Rc::clone(response.channel.meter());
     let received_before = meter.received();
     loop {
@@ -171,21 +171,14 @@
     progress: &mut RequestProgress,
     (mut stream, mut part): (StreamResponse<'a>, EventPart),
 ) -> AttemptOutcome {
-    let mut writer = ResponseWriter::new(router, call);
+    let mut writer = ResponseWriter::new(router, caller, call);
     let mut watch = LateWatch::default();
     loop {
         if exceeds_output(call, progress.stream.events + part.events) {
             return AttemptOutcome::Ended(stream.response.fail(AttemptEnd::Lost));
         }
         if part.bytes > 0 || !part.more {
-            begin_stream(
-                router,
-                caller,
-                call,
-                progress,
-                &stream.response,
-                &mut writer,
-            );
+            begin_stream(router, call, progress, &stream.response, &mut writer);
             writer.write_content(stream.content(&part));
             stream.consume(&part);
             note_events(router, call, progress, &part);
@@ -244,17 +237,16 @@
 /// Writes the head of a stream, once.
 fn begin_stream(
     router: &ForwardRouter,
-    caller: &CallerOutbox<'_>,
     call: &ForwardCall<'_>,
     progress: &mut RequestProgress,
     response: &IncomingResponse,
-    writer: &mut ResponseWriter,
+    writer: &mut ResponseWriter<'_>,
 ) {
     let stream = &mut progress.stream;
     if stream.begun {
         return;
     }
-    writer.write_head(caller, response);
+    writer.write_head(response);
     stream.begun = true;
     stream.first_at = Some(router.clock.now());
     stream.origin = note_begun(router, call, response.info.version.as_ref());
@@ -306,16 +298,18 @@
 }
 
 /// Formats a response for the caller.
-struct ResponseWriter {
+struct ResponseWriter<'a> {
+    caller: &'a CallerOutbox<'a>,
     pending: Vec<u8>,
     chunked: bool,
     keep_alive: bool,
 }
 
-impl ResponseWriter {
-    fn new(router: &ForwardRouter, call: &ForwardCall<'_>) -> Self {
+impl<'a> ResponseWriter<'a> {
+    fn new(router: &ForwardRouter, caller: &'a CallerOutbox<'a>, call: &ForwardCall<'_>) -> Self {
         let chunked = call.request.head.accepts_chunked;
         Self {
+            caller,
             pending: Vec::new(),
             chunked,
             keep_alive: chunked && call.request.head.keep_alive && router.keeps_connections(),
@@ -324,9 +318,9 @@
 
     /// Writes the head. A body that is not sent in chunks ends with its connection, which
     /// is reset if the response stays incomplete, also if the process ends.
-    fn write_head(&mut self, caller: &CallerOutbox<'_>, response: &IncomingResponse) {
+    fn write_head(&mut self, response: &IncomingResponse) {
         if !self.chunked {
-            caller.reset();
+            self.caller.reset();
         }
         let mut head = HeadWriter::response(response.head.status, &response.head.reason);
         copy_fields(&response.head.fields, &mut head);
