Bound connections and heads of each listener; the longest wait goes first

Callers saw: 1,500 clients that connect and send nothing, most of a head, or a head byte by byte used up the descriptors of the process. Nobody else could connect, and the process could not reach servers or the store.

Cause: nothing depended on the descriptors of the settings; heads that are being received counted nowhere in sum; a waiting connection kept its read buffer and the memory of the future that serves a request.

Evidence: misbehaving::idle_connections, slow_heads and half_heads on: 1,526 to 1,528 of 1,200 descriptors, killed there.

Why it works: core::forward::clients derives the limits of each listener from memory and descriptors; when one is reached, the client that has used most of the time that it may take is closed, and where heads take too much, the one that took most for longest. Requests under way stay. Accepting yields, so that closed connections are really gone.

--- a/crates/guavawell-core/src/forward/capacity.rs
+++ b/crates/guavawell-core/src/forward/capacity.rs
@@ -63,7 +63,7 @@
 }
 
 /// What the settings say that an instance has; `None` where they do not say. Processor
-/// time and descriptors are stated, and no decision depends on them.
+/// time is stated, and no decision depends on it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct InstanceCapacity {
     /// Its network link.
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod charge;
 mod choice;
+mod clients;
 mod congestion;
 mod connect;
 mod connection_end;
--- a/crates/guavawell-forward/src/accept.rs
+++ b/crates/guavawell-forward/src/accept.rs
@@ -6,6 +6,7 @@
 use std::net::TcpListener;
 use std::time::Duration;
 
+use futures_lite::future::yield_now;
 use smol::Async;
 use smol::Timer;
 use socket2::Domain;
@@ -19,6 +20,8 @@
 /// Length of the queue of connections that wait to be accepted. If it is full, the
 /// kernel drops the SYN, and the caller's TCP retransmits it only after a second.
 const ACCEPT_QUEUE: i32 = 1_024;
+/// Connections that are accepted before other tasks have their turn.
+const TURN_CONNECTIONS: usize = 64;
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -42,7 +45,10 @@
 /// Accepts connections until the process ends and passes each one to `serve`.
 /// `whom` names the kind of client in warnings.
 pub async fn accept_all(whom: &str, listener: &Async<TcpListener>, serve: impl Fn(HttpChannel)) {
-    loop {
+    for number in 1_usize.. {
+        if number.is_multiple_of(TURN_CONNECTIONS) {
+            yield_now().await;
+        }
         let accepted = listener.accept().await;
         match accepted.and_then(|(stream, _)| HttpChannel::new(stream)) {
             Ok(channel) => serve(channel),
--- a/crates/guavawell-forward/src/admin.rs
+++ b/crates/guavawell-forward/src/admin.rs
@@ -3,13 +3,16 @@
 
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
 
+use guavawell_core::clock::ClockSpan;
 use metrics_exporter_prometheus::PrometheusHandle;
 use smol::Async;
 use smol::LocalExecutor;
 
 use crate::accept::accept_all;
+use crate::clients::ClientEntry;
+use crate::clock::timer_span;
+use crate::http::BodyFraming;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -27,7 +30,9 @@
 /// Largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// Longest time that a connection may stay idle.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const IDLE_TIMEOUT: ClockSpan = ClockSpan::from_millis(30_000);
+/// Longest time from the first byte of a request head to its last.
+const HEAD_TIMEOUT: ClockSpan = ClockSpan::from_millis(3_000);
 
 /// Serves health checks, metrics and operators' requests.
 pub async fn serve_admin(
@@ -36,11 +41,14 @@
     metrics: PrometheusHandle,
     executor: Rc<LocalExecutor<'static>>,
 ) {
-    let serve = |channel| {
+    let serve = |channel: HttpChannel| {
+        let Some(entry) = router.probes.add(&channel.stream(), HEAD_TIMEOUT) else {
+            return;
+        };
         let router = Rc::clone(&router);
         let metrics = metrics.clone();
         let serve = async move {
-            if let Err(error) = serve_connection(&router, channel, &metrics).await {
+            if let Err(error) = serve_connection(&router, channel, &entry, &metrics).await {
                 log::debug!("admin connection failed: {error}");
             }
         };
@@ -52,26 +60,40 @@
 async fn serve_connection(
     router: &ForwardRouter,
     mut channel: HttpChannel,
+    entry: &ClientEntry,
     metrics: &PrometheusHandle,
 ) -> Result<(), ChannelError> {
     loop {
-        let length = match within(IDLE_TIMEOUT, channel.head(MAX_HEAD_BYTES)).await {
+        if !channel.await_first_byte(IDLE_TIMEOUT).await {
+            return Ok(());
+        }
+        entry.begin_wait(HEAD_TIMEOUT);
+        let head = channel.head_noting(MAX_HEAD_BYTES, |held| entry.hold_head(held));
+        let length = match within(timer_span(HEAD_TIMEOUT), head).await {
             Ok(length) => length,
             Err(ChannelError::Closed | ChannelError::TimedOut) => return Ok(()),
             Err(error) => return Err(error),
         };
+        entry.hold_head(0);
         let head = RequestHead::parse(&channel.received()[..length])?;
         channel.consume(length);
+        // A body is not read: what follows the head is no request.
+        let has_body = !matches!(head.framing, BodyFraming::Empty | BodyFraming::Length(0));
+        let keep_alive = head.keep_alive && !has_body;
         let (status, body) = respond(router, &head, metrics);
         let mut writer = HeadWriter::response(status, if status == 200 { "OK" } else { "No" });
         writer.field("Content-Type", b"text/plain; version=0.0.4");
         writer.field_of("Content-Length", body.len());
+        if !keep_alive {
+            writer.field("Connection", b"close");
+        }
         let mut bytes = writer.finish();
         bytes.extend_from_slice(body.as_bytes());
         channel.send(&bytes).await?;
-        if !head.keep_alive {
+        if !keep_alive {
             return Ok(());
         }
+        entry.begin_wait(IDLE_TIMEOUT);
     }
 }
 
--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ForwardLimits;
 use guavawell_core::forward::ForwardRefusal;
@@ -15,6 +14,7 @@
 use crate::accept::accept_all;
 use crate::accept::accept_waiting;
 use crate::body_memory::BodyMemory;
+use crate::clients::ClientEntry;
 use crate::clock::timer_span;
 use crate::http::BodyDecoder;
 use crate::http::BodyFraming;
@@ -45,14 +45,14 @@
             return;
         }
         let router = Rc::clone(&router);
+        let limit = caller_limits(&router).head_time;
+        let Some(entry) = router.callers.clients.add(&channel.stream(), limit) else {
+            return;
+        };
         router.link.connection_began();
         let channel = channel.counted_by(&router.link.callers);
-        let entry = router.callers.add(&channel.stream());
         allow_pauses(&router, &channel);
-        let serve_channel = async move {
-            serve_caller(&router, channel).await;
-            drop(entry);
-        };
+        let serve_channel = async move { serve_caller(&router, channel, &entry).await };
         executor.spawn(serve_channel).detach();
     };
     router.callers.accepting_began();
@@ -124,15 +124,16 @@
     }
 }
 
-async fn serve_caller(router: &Rc<ForwardRouter>, mut channel: HttpChannel) {
+async fn serve_caller(router: &Rc<ForwardRouter>, mut channel: HttpChannel, entry: &ClientEntry) {
     let mut requests = ConnectionRequests { router, count: 0 };
     loop {
         let limits = caller_limits(router);
-        if !await_first_byte(&mut channel, limits.idle_time).await {
+        if !channel.await_first_byte(limits.idle_time).await {
             return;
         }
+        entry.begin_wait(limits.head_time);
         let pending = PendingRequest::new(router);
-        let request = match receive_unless_closing(router, &mut channel, &limits).await {
+        let request = match receive_unless_closing(router, &mut channel, entry, &limits).await {
             Ok(request) => request,
             Err(refusal) => {
                 if let Some(response) = refusal {
@@ -144,11 +145,13 @@
         // Serving counts the request itself, without a step in between.
         drop(pending);
         requests.count += 1;
-        let keep_alive = serve_request(router, &mut channel, request).await;
+        // An idle connection must not take the memory that serving a request takes.
+        let keep_alive = Box::pin(serve_request(router, &mut channel, request)).await;
         if !keep_alive {
             close_served(router, channel).await;
             return;
         }
+        entry.begin_wait(limits.idle_time);
     }
 }
 
@@ -186,13 +189,16 @@
 async fn receive_unless_closing(
     router: &Rc<ForwardRouter>,
     channel: &mut HttpChannel,
+    entry: &ClientEntry,
     limits: &ForwardLimits,
 ) -> Result<ReceivedRequest, Option<RefusalResponse>> {
     let closing = async {
         router.wait_for_closing().await;
         Err(Some(RefusalResponse::leaving()))
     };
-    receive_request(router, channel, limits).or(closing).await
+    receive_request(router, channel, entry, limits)
+        .or(closing)
+        .await
 }
 
 /// Receives one request. `Err(None)` means that the connection is closed
@@ -200,9 +206,11 @@
 async fn receive_request(
     router: &Rc<ForwardRouter>,
     channel: &mut HttpChannel,
+    entry: &ClientEntry,
     limits: &ForwardLimits,
 ) -> Result<ReceivedRequest, Option<RefusalResponse>> {
-    let head = receive_head(channel, limits).await?;
+    let head = receive_head(channel, entry, limits).await?;
+    entry.end_wait();
     let received_at = router.clock.now();
     let (body, memory) = receive_body(router, channel, &head, limits).await?;
     Ok(ReceivedRequest {
@@ -213,25 +221,13 @@
     })
 }
 
-/// Waits for the first byte of a request. Returns false if the caller closes the
-/// connection or is idle for longer than `limit`.
-async fn await_first_byte(channel: &mut HttpChannel, limit: ClockSpan) -> bool {
-    if !channel.received().is_empty() {
-        return true;
-    }
-    let fill = async { Ok(channel.fill().await?) };
-    matches!(within(timer_span(limit), fill).await, Ok(count) if count > 0)
-}
-
 async fn receive_head(
     channel: &mut HttpChannel,
+    entry: &ClientEntry,
     limits: &ForwardLimits,
 ) -> Result<RequestHead, Option<RefusalResponse>> {
-    let head = within(
-        timer_span(limits.head_time),
-        channel.head(limits.head_bytes),
-    )
-    .await;
+    let head = channel.head_noting(limits.head_bytes, |held| entry.hold_head(held));
+    let head = within(timer_span(limits.head_time), head).await;
     let length = match head {
         Ok(length) => length,
         Err(ChannelError::HeadTooLong) => {
--- a/crates/guavawell-forward/src/connections.rs
+++ b/crates/guavawell-forward/src/connections.rs
@@ -1,27 +1,20 @@
-//! The callers' open connections, which a leaving process closes.
+//! The callers' connections, which a leaving process closes.
 
 use std::cell::Cell;
-use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::Shutdown;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::rc::Weak;
 
 use event_listener::Event;
-use smol::Async;
 
-/// Number of a connection, in the order of acceptance.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-struct ConnectionNumber(u64);
+use crate::clients::ClientConnections;
 
 /// The callers' open connections, and whether more are accepted.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CallerConnections {
-    /// Sorted by number.
-    streams: RefCell<Vec<(ConnectionNumber, Weak<Async<TcpStream>>)>>,
-    /// Number of the next connection.
-    next: Cell<ConnectionNumber>,
+    /// The open connections.
+    pub clients: Rc<ClientConnections>,
     /// Whether the listening socket is open.
     accepting: Cell<bool>,
     /// Whether the listening socket must be closed.
@@ -31,16 +24,14 @@
 }
 
 impl CallerConnections {
-    /// Adds a connection until the returned entry is dropped.
+    /// No listening socket yet.
     #[must_use]
-    pub fn add(self: &Rc<Self>, stream: &Rc<Async<TcpStream>>) -> ConnectionEntry {
-        let number = self.next.get();
-        self.next.set(ConnectionNumber(number.0 + 1));
-        let weak = Rc::downgrade(stream);
-        self.streams.borrow_mut().push((number, weak));
-        ConnectionEntry {
-            connections: Rc::clone(self),
-            number,
+    pub const fn new(clients: Rc<ClientConnections>) -> Self {
+        Self {
+            clients,
+            accepting: Cell::new(false),
+            stopping: Cell::new(false),
+            changed: Event::new(),
         }
     }
 
@@ -79,8 +70,7 @@
     /// polled yet. No request may be running on any connection.
     #[must_use]
     pub fn close_idle(&self) -> usize {
-        let streams = self.streams.borrow();
-        let open = streams.iter().filter_map(|(_, weak)| weak.upgrade());
+        let open = self.clients.streams().into_iter();
         open.filter(|stream| !close_if_idle(stream.get_ref()))
             .count()
     }
@@ -99,19 +89,3 @@
     let _ = stream.shutdown(Shutdown::Both);
     true
 }
-
-/// The entry of an open connection.
-#[derive(Debug)]
-pub struct ConnectionEntry {
-    connections: Rc<CallerConnections>,
-    number: ConnectionNumber,
-}
-
-impl Drop for ConnectionEntry {
-    fn drop(&mut self) {
-        let mut streams = self.connections.streams.borrow_mut();
-        if let Ok(index) = streams.binary_search_by_key(&self.number, |(number, _)| *number) {
-            streams.remove(index);
-        }
-    }
-}
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -29,10 +29,13 @@
 use super::ChannelError;
 use super::RecordDecoder;
 use super::within;
+use crate::clock::timer_span;
 use crate::link::ByteMeter;
 
 /// Size of one read, in bytes.
 const READ_SIZE: usize = 8 * 1024;
+/// Least room for a read, in bytes.
+const MIN_READ: usize = 1024;
 /// Bytes that are read without waiting before other tasks and timers have their turn. A
 /// peer may send faster than they are read.
 pub const TURN_BYTES: usize = 64 * 1024;
@@ -253,6 +256,10 @@
                 Ok(1..) if self.buffer.len() == before => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.turn_bytes = 0;
+                    if self.buffer.is_empty() {
+                        // A connection that waits takes no memory for what may come.
+                        self.buffer = Vec::new();
+                    }
                     self.stream.readable().await?;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -261,10 +268,24 @@
         }
     }
 
+    /// Waits for the first byte of a message. Returns false if the peer closes the
+    /// connection or is idle for longer than `limit`.
+    pub async fn await_first_byte(&mut self, limit: ClockSpan) -> bool {
+        if !self.received().is_empty() {
+            return true;
+        }
+        let fill = async { Ok(self.fill().await?) };
+        matches!(within(timer_span(limit), fill).await, Ok(count) if count > 0)
+    }
+
     /// Reads available bytes without waiting.
     fn read_ready(&mut self) -> io::Result<usize> {
         let filled = self.buffer.len();
-        self.buffer.resize(filled + READ_SIZE, 0);
+        if self.buffer.capacity() - filled < MIN_READ {
+            self.buffer.reserve_exact(READ_SIZE);
+        }
+        let room = (self.buffer.capacity() - filled).min(READ_SIZE);
+        self.buffer.resize(filled + room, 0);
         let result = self.stream.get_ref().read(&mut self.buffer[filled..]);
         let count = *result.as_ref().unwrap_or(&0);
         self.buffer.truncate(filled + count);
@@ -288,6 +309,20 @@
     /// The connection is closed or fails, or the head, with the empty lines before it, is
     /// longer than `limit` bytes.
     pub async fn head(&mut self, limit: usize) -> Result<usize, ChannelError> {
+        self.head_noting(limit, |_| {}).await
+    }
+
+    /// As [`head`](Self::head). Calls `note_held` with the bytes of memory that the part of
+    /// the head takes, each time before it waits for more.
+    ///
+    /// # Errors
+    ///
+    /// As [`head`](Self::head).
+    pub async fn head_noting(
+        &mut self,
+        limit: usize,
+        note_held: impl Fn(usize),
+    ) -> Result<usize, ChannelError> {
         let mut searched = 0;
         let mut skipped = 0;
         loop {
@@ -302,6 +337,7 @@
             }
             searched = bytes.len().saturating_sub(3);
             let before_message = bytes.is_empty();
+            note_held(self.buffer.capacity());
             match self.fill().await {
                 Ok(0) if before_message => return Err(ChannelError::Closed),
                 Ok(0) => return Err(ChannelError::Truncated),
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -2,7 +2,7 @@
 //! interpreting their bodies.
 //!
 //! The rules are in `guavawell_core::forward` and `guavawell_core::grant`; this
-//! crate runs them on one thread: callers' requests (`callers`, `prepare`,
+//! crate runs them on one thread: callers' requests (`callers`, `clients`, `prepare`,
 //! `routing`, `serve`), backend servers (`retry`, `attempt`, `connect`, `pool`,
 //! `receive`, `relay`), going over to another server (`handover`), what callers have not taken yet (`read_ahead`), connections through other instances (`path`, `tunnel`), budget rows and loans between instances (`budget`), requests that
 //! crash servers (`poison`, `crash`), the order of tasks (`schedule`), and the
@@ -22,6 +22,7 @@
 mod body_memory;
 pub mod budget;
 pub mod callers;
+pub mod clients;
 pub mod clock;
 pub mod config;
 pub mod connect;
--- a/crates/guavawell-forward/src/peer/server.rs
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -5,15 +5,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use guavawell_core::clock::ClockSpan;
 use smol::Async;
 
 use super::CONFIG_VERSION_FIELD;
+use super::FleetKey;
 use super::PeerRequest;
 use super::ReceivedRequest;
 use super::message::good_count_answer;
 use super::message::origin_answer;
 use super::message::write_tunnel_answer;
 use crate::accept::accept_all;
+use crate::clock::timer_span;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -30,6 +33,8 @@
 
 /// Time after which a connection without a request is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after which a connection without a first request is closed.
+const FIRST_TIMEOUT: ClockSpan = ClockSpan::from_millis(3_000);
 
 /// Serves other instances for as long as the process runs.
 pub async fn serve_peers(
@@ -38,15 +43,23 @@
     queues: TaskQueues,
 ) {
     let serve = |channel: HttpChannel| {
+        let Some(entry) = router.strangers.add(&channel.stream(), FIRST_TIMEOUT) else {
+            return;
+        };
         let channel = channel.counted_by(&router.link.instances);
         let router = Rc::clone(&router);
-        let requests = Rc::clone(&queues.requests);
+        let owner = queues.clone();
         let connection = async move {
-            match serve_peer(&router, channel).await {
-                // Its bytes are those of callers' requests, so they do not delay other
-                // control tasks.
-                Ok(tunnel) => requests.spawn(carry(router, tunnel)).detach(),
-                Err(error) => log::debug!("connection from another instance ended: {error}"),
+            let first = receive_authenticated(&router, channel, timer_span(FIRST_TIMEOUT));
+            match first.await {
+                Ok(connection) => {
+                    drop(entry);
+                    let control = Rc::clone(&owner.control);
+                    control
+                        .spawn(serve_instance(router, connection, owner))
+                        .detach();
+                }
+                Err(error) => log::debug!("connection to the port of instances ended: {error}"),
             }
         };
         queues.control.spawn(connection).detach();
@@ -54,76 +67,143 @@
     accept_all("instance", &listener, serve).await;
 }
 
-/// Serves requests until the connection ends, or becomes a tunnel to a server.
-async fn serve_peer(
-    router: &Rc<ForwardRouter>,
+/// A connection of another instance, and its next request.
+struct InstanceConnection {
+    channel: HttpChannel,
+    key: FleetKey,
+    nonce: u64,
+    request: ReceivedRequest,
+}
+
+/// Receives a request and checks its proof. A client without one is rejected, and its
+/// connection dropped.
+async fn receive_authenticated(
+    router: &ForwardRouter,
     mut channel: HttpChannel,
-) -> Result<CarriedTunnel, ChannelError> {
-    let budgets = &router.budgets;
-    let peers = &router.peers;
+    limit: Duration,
+) -> Result<InstanceConnection, ChannelError> {
+    let request = within(limit, ReceivedRequest::read(&mut channel)).await?;
+    let Some(key) = router.peers.key() else {
+        // A process that has just started may be called before it has read
+        // the key.
+        return reject(&channel, 503, "Service Unavailable").await;
+    };
+    let Some(nonce) = request.authenticated_nonce(key) else {
+        metrics::counter!("guavawell_forward_strangers_total").increment(1);
+        return reject(&channel, 403, "Forbidden").await;
+    };
+    Ok(InstanceConnection {
+        channel,
+        key,
+        nonce,
+        request,
+    })
+}
+
+/// Serves requests of another instance until the connection ends, or becomes a tunnel to a
+/// server.
+async fn serve_instance(
+    router: Rc<ForwardRouter>,
+    mut connection: InstanceConnection,
+    queues: TaskQueues,
+) {
     loop {
-        let received = within(IDLE_TIMEOUT, ReceivedRequest::read(&mut channel)).await?;
-        let Some(key) = peers.key() else {
-            // A process that has just started may be called before it has read
-            // the key.
-            return reject(&channel, 503, "Service Unavailable").await;
-        };
-        let Some(nonce) = received.authenticated_nonce(key) else {
-            metrics::counter!("guavawell_forward_strangers_total").increment(1);
-            return reject(&channel, 403, "Forbidden").await;
-        };
-        let head = &received.head;
-        peers.receive_version(head.fields.get(CONFIG_VERSION_FIELD));
-        let request = PeerRequest::parse(head.path(), &received.body, &router.settings.instance);
-        let status = request
-            .as_ref()
-            .map_or((400, "Bad Request"), |_| (200, "OK"));
-        let mut writer = HeadWriter::response(status.0, status.1);
-        peers.write_version(&mut writer);
-        let mut body = Vec::new();
-        let mut server = None;
-        match request {
-            Some(PeerRequest::Loan(organisation, loan)) => {
-                let answer =
-                    budgets.answer_loan(&channel, &organisation, loan, &head.host, &mut writer);
-                answer.await?;
-            }
-            Some(PeerRequest::Return(loan_return)) => budgets.receive_return(&loan_return),
-            Some(PeerRequest::Suspects(list)) => router.poison.learn(&list, &"another"),
-            Some(PeerRequest::Config(known)) => {
-                body = peers.answer_config(known, &mut writer);
-            }
-            Some(PeerRequest::Limit(report)) => learn_limit(router, &report),
-            Some(PeerRequest::Warmth(report)) => learn_warmth(router, &report),
-            Some(PeerRequest::Origins(origins)) => {
-                router.origins.learn(&origins, router.clock.now());
-            }
-            Some(PeerRequest::PartCrashes(crashes)) => learn_crashes(router, &crashes),
-            Some(PeerRequest::PartGood(parts)) => {
-                body = good_count_answer(&told_good_counts(router, &parts));
+        let next = match answer(&router, connection).await {
+            Ok(Answered::Next(channel)) => channel,
+            Ok(Answered::Tunnel(tunnel)) => {
+                // Its bytes are those of callers' requests, so they do not delay other
+                // control tasks.
+                queues.requests.spawn(carry(router, tunnel)).detach();
+                return;
             }
-            Some(PeerRequest::Origin(question)) => {
-                let origin = router.origins.find(question, router.clock.now());
-                body = origin_answer(origin.as_ref());
+            Err(error) => {
+                log::debug!("connection from another instance ended: {error}");
+                return;
             }
-            Some(PeerRequest::Tunnel(incarnation, framing)) => {
-                let opened = open_for_peer(router, &incarnation).await;
-                write_tunnel_answer(&mut writer, opened.as_ref().err().copied());
-                server = opened.ok().map(|server| (incarnation, framing, server));
+        };
+        connection = match receive_authenticated(&router, next, IDLE_TIMEOUT).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::debug!("connection from another instance ended: {error}");
+                return;
             }
-            None => {}
+        };
+    }
+}
+
+/// What a connection is after a request.
+enum Answered {
+    /// The instance may send the next request.
+    Next(HttpChannel),
+    /// It carries a connection to a server.
+    Tunnel(CarriedTunnel),
+}
+
+/// Answers a request of another instance.
+async fn answer(
+    router: &Rc<ForwardRouter>,
+    connection: InstanceConnection,
+) -> Result<Answered, ChannelError> {
+    let InstanceConnection {
+        channel,
+        key,
+        nonce,
+        request: received,
+    } = connection;
+    let budgets = &router.budgets;
+    let peers = &router.peers;
+    let head = &received.head;
+    peers.receive_version(head.fields.get(CONFIG_VERSION_FIELD));
+    let request = PeerRequest::parse(head.path(), &received.body, &router.settings.instance);
+    let status = request
+        .as_ref()
+        .map_or((400, "Bad Request"), |_| (200, "OK"));
+    let mut writer = HeadWriter::response(status.0, status.1);
+    peers.write_version(&mut writer);
+    let mut body = Vec::new();
+    let mut server = None;
+    match request {
+        Some(PeerRequest::Loan(organisation, loan)) => {
+            let answer =
+                budgets.answer_loan(&channel, &organisation, loan, &head.host, &mut writer);
+            answer.await?;
+        }
+        Some(PeerRequest::Return(loan_return)) => budgets.receive_return(&loan_return),
+        Some(PeerRequest::Suspects(list)) => router.poison.learn(&list, &"another"),
+        Some(PeerRequest::Config(known)) => {
+            body = peers.answer_config(known, &mut writer);
+        }
+        Some(PeerRequest::Limit(report)) => learn_limit(router, &report),
+        Some(PeerRequest::Warmth(report)) => learn_warmth(router, &report),
+        Some(PeerRequest::Origins(origins)) => {
+            router.origins.learn(&origins, router.clock.now());
+        }
+        Some(PeerRequest::PartCrashes(crashes)) => learn_crashes(router, &crashes),
+        Some(PeerRequest::PartGood(parts)) => {
+            body = good_count_answer(&told_good_counts(router, &parts));
+        }
+        Some(PeerRequest::Origin(question)) => {
+            let origin = router.origins.find(question, router.clock.now());
+            body = origin_answer(origin.as_ref());
         }
-        writer.field_of("Content-Length", body.len());
-        channel.send(&key.seal(writer, nonce, &body)).await?;
-        if let Some((incarnation, framing, server)) = server {
-            return Ok(CarriedTunnel {
-                incarnation,
-                framing,
-                peer: channel,
-                server,
-            });
+        Some(PeerRequest::Tunnel(incarnation, framing)) => {
+            let opened = open_for_peer(router, &incarnation).await;
+            write_tunnel_answer(&mut writer, opened.as_ref().err().copied());
+            server = opened.ok().map(|server| (incarnation, framing, server));
         }
+        None => {}
     }
+    writer.field_of("Content-Length", body.len());
+    channel.send(&key.seal(writer, nonce, &body)).await?;
+    Ok(match server {
+        Some((incarnation, framing, server)) => Answered::Tunnel(CarriedTunnel {
+            incarnation,
+            framing,
+            peer: channel,
+            server,
+        }),
+        None => Answered::Next(channel),
+    })
 }
 
 /// Rejects a request; the caller then drops the connection.
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -9,6 +9,7 @@
 use event_listener::Event;
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::clock::ClockTime;
+use guavawell_core::forward::ClientLimits;
 use guavawell_core::forward::ConnectTimeout;
 use guavawell_core::forward::FeedAge;
 use guavawell_core::forward::ForwardConfig;
@@ -24,6 +25,8 @@
 use guavawell_fleet::event::EventLog;
 
 use crate::budget::BudgetManager;
+use crate::clients::ClientConnections;
+use crate::clients::ListenerLimits;
 use crate::clock::SteadyClock;
 use crate::config::ConfigTracker;
 use crate::config::FetchedConfig;
@@ -132,6 +135,11 @@
     pub processor_load: ProcessorLoad,
     /// The callers' open connections.
     pub callers: Rc<CallerConnections>,
+    /// Open connections to the ports of readiness and metrics.
+    pub probes: Rc<ClientConnections>,
+    /// Open connections to the port of other instances, from clients that have not proved
+    /// that they are instances.
+    pub strangers: Rc<ClientConnections>,
     /// Number of requests being served.
     pub held_requests: Cell<usize>,
     /// Bytes of their bodies, and of responses that are read ahead.
@@ -162,7 +170,19 @@
         budgets: Rc<BudgetManager>,
         poison: Rc<PoisonTracker>,
     ) -> Self {
+        let limits = ClientLimits::new(&settings.clients, &settings.capacity);
+        let clients = |listener, connections| {
+            let limits = ListenerLimits {
+                listener,
+                connections,
+                head_bytes: limits.head_bytes,
+            };
+            Rc::new(ClientConnections::new(limits, clock, log.clone()))
+        };
         Self {
+            callers: Rc::new(CallerConnections::new(clients("callers", limits.callers))),
+            probes: clients("probes", limits.probes),
+            strangers: clients("instances", limits.strangers),
             clock,
             log,
             configs,
@@ -196,7 +216,6 @@
             crashes: CrashChecks::default(),
             suspension: SuspensionMonitor::start(),
             processor_load: ProcessorLoad::default(),
-            callers: Rc::default(),
             held_requests: Cell::new(0),
             held_bytes: Cell::new(0),
             expected_body_bytes: Cell::new(0),
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -5,6 +5,7 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::forward::AdmissionSettings;
 use guavawell_core::forward::ChoiceSettings;
+use guavawell_core::forward::ClientSettings;
 use guavawell_core::forward::CongestionSettings;
 use guavawell_core::forward::ConnectSettings;
 use guavawell_core::forward::InstanceCapacity;
@@ -119,6 +120,8 @@
     /// Whether callers may bring more than the instances can carry, so that an instance
     /// has to decide what it serves.
     pub expects_overload: bool,
+    /// Limits on what clients hold before they are served.
+    pub clients: ClientSettings,
     /// Limits of admission.
     pub admission: AdmissionSettings,
     /// How much of responses is read before their callers take it.
--- a/crates/guavawell-forward/tests/link.rs
+++ b/crates/guavawell-forward/tests/link.rs
@@ -8,6 +8,7 @@
 use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::AdmissionSettings;
 use guavawell_core::forward::ChoiceSettings;
+use guavawell_core::forward::ClientSettings;
 use guavawell_core::forward::CongestionSettings;
 use guavawell_core::forward::InstanceCapacity;
 use guavawell_core::forward::LinkRate;
@@ -56,6 +57,7 @@
         times: TimeSettings::default(),
         choice: ChoiceSettings::default(),
         slow_start: SlowStartSettings::default(),
+        clients: ClientSettings::default(),
         admission: AdmissionSettings::default(),
         read_ahead: ReadAheadSettings::default(),
         capacity: InstanceCapacity {
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -11,6 +11,7 @@
 use futures_lite::future::poll_once;
 use guavawell_core::forward::AdmissionSettings;
 use guavawell_core::forward::ChoiceSettings;
+use guavawell_core::forward::ClientSettings;
 use guavawell_core::forward::CongestionSettings;
 use guavawell_core::forward::ForwardConfig;
 use guavawell_core::forward::ForwardLimits;
@@ -118,6 +119,7 @@
         times: TimeSettings::default(),
         choice: ChoiceSettings::default(),
         slow_start: SlowStartSettings::default(),
+        clients: ClientSettings::default(),
         admission: AdmissionSettings::default(),
         read_ahead: ReadAheadSettings::default(),
         capacity: InstanceCapacity::default(),
