Give others a turn after each request, and probes a queue of their own

Callers saw: beside 300 clients that send requests ahead and read no answer, ordinary callers got one or two requests served in two seconds, also where these clients came to the port of readiness.

Cause: a connection gave others a turn after 64 KiB read, which is a thousand short requests; tasks of readiness ran in the queue of control tasks, which runs all that is ready before each step of a request.

Why it works: a connection yields after each request if it has the next one; probes, and clients that have not proved that they are instances, run one step before each step of a request, so neither holds up the other. The text of the metrics is made at most ten times a second.

--- a/crates/guavawell-forward/src/admin.rs
+++ b/crates/guavawell-forward/src/admin.rs
@@ -1,10 +1,12 @@
 //! The HTTP endpoint for health checks, metrics and the list of suspected
 //! requests.
 
+use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
 
 use guavawell_core::clock::ClockSpan;
+use guavawell_core::clock::ClockTime;
 use metrics_exporter_prometheus::PrometheusHandle;
 use smol::Async;
 use smol::LocalExecutor;
@@ -29,11 +31,42 @@
 const ACQUIT_PATH: &str = "/suspects/acquit/";
 /// Largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// Age up to which the text of the metrics is served again. Making it takes far longer than
+/// sending it.
+const METRICS_AGE: ClockSpan = ClockSpan::from_millis(100);
 /// Longest time that a connection may stay idle.
 const IDLE_TIMEOUT: ClockSpan = ClockSpan::from_millis(30_000);
 /// Longest time from the first byte of a request head to its last.
 const HEAD_TIMEOUT: ClockSpan = ClockSpan::from_millis(3_000);
 
+/// The text of the metrics, which is made anew now and then.
+struct MetricsPage {
+    handle: PrometheusHandle,
+    /// The text, and when it was made.
+    made: RefCell<Option<(Rc<str>, ClockTime)>>,
+}
+
+impl MetricsPage {
+    const fn new(handle: PrometheusHandle) -> Self {
+        Self {
+            handle,
+            made: RefCell::new(None),
+        }
+    }
+
+    fn text(&self, now: ClockTime) -> Rc<str> {
+        let mut made = self.made.borrow_mut();
+        if let Some((text, at)) = &*made
+            && now.since(*at) < METRICS_AGE
+        {
+            return Rc::clone(text);
+        }
+        let text: Rc<str> = self.handle.render().into();
+        *made = Some((Rc::clone(&text), now));
+        text
+    }
+}
+
 /// Serves health checks, metrics and operators' requests.
 pub async fn serve_admin(
     router: Rc<ForwardRouter>,
@@ -41,12 +74,13 @@
     metrics: PrometheusHandle,
     executor: Rc<LocalExecutor<'static>>,
 ) {
+    let metrics = Rc::new(MetricsPage::new(metrics));
     let serve = |channel: HttpChannel| {
         let Some(entry) = router.probes.add(&channel.stream(), HEAD_TIMEOUT) else {
             return;
         };
         let router = Rc::clone(&router);
-        let metrics = metrics.clone();
+        let metrics = Rc::clone(&metrics);
         let serve = async move {
             if let Err(error) = serve_connection(&router, channel, &entry, &metrics).await {
                 log::debug!("admin connection failed: {error}");
@@ -61,13 +95,16 @@
     router: &ForwardRouter,
     mut channel: HttpChannel,
     entry: &ClientEntry,
-    metrics: &PrometheusHandle,
+    metrics: &MetricsPage,
 ) -> Result<(), ChannelError> {
     loop {
-        if !channel.await_first_byte(IDLE_TIMEOUT).await {
-            return Ok(());
+        if channel.received().is_empty() {
+            if !channel.await_first_byte(IDLE_TIMEOUT).await {
+                return Ok(());
+            }
+            // A client that sends requests ahead does not begin anew with each.
+            entry.begin_wait(HEAD_TIMEOUT);
         }
-        entry.begin_wait(HEAD_TIMEOUT);
         let head = channel.head_noting(MAX_HEAD_BYTES, |held| entry.hold_head(held));
         let length = match within(timer_span(HEAD_TIMEOUT), head).await {
             Ok(length) => length,
@@ -93,18 +130,17 @@
         if !keep_alive {
             return Ok(());
         }
-        entry.begin_wait(IDLE_TIMEOUT);
+        if channel.received().is_empty() {
+            entry.begin_wait(IDLE_TIMEOUT);
+        }
+        channel.end_turn().await;
     }
 }
 
-fn respond(
-    router: &ForwardRouter,
-    head: &RequestHead,
-    metrics: &PrometheusHandle,
-) -> (u16, String) {
+fn respond(router: &ForwardRouter, head: &RequestHead, metrics: &MetricsPage) -> (u16, Rc<str>) {
     match head.path() {
-        "/metrics" => (200, metrics.render()),
-        SUSPECTS_PATH => (200, router.poison.listing()),
+        "/metrics" => (200, metrics.text(router.clock.now())),
+        SUSPECTS_PATH => (200, router.poison.listing().into()),
         path if path.starts_with(ACQUIT_PATH) => acquit(router, head),
         _ if router.is_ready() => (200, "ready\n".into()),
         _ => (503, "not ready\n".into()),
@@ -112,11 +148,11 @@
 }
 
 /// Clears the suspicion of a request. The caller must send the fleet's key.
-fn acquit(router: &ForwardRouter, head: &RequestHead) -> (u16, String) {
+fn acquit(router: &ForwardRouter, head: &RequestHead) -> (u16, Rc<str>) {
     if !router.peers.matches_key(head.fields.get(KEY_FIELD)) {
         return (
             403,
-            format!("send the fleet's key in the field {KEY_FIELD}\n"),
+            format!("send the fleet's key in the field {KEY_FIELD}\n").into(),
         );
     }
     if &*head.method != "POST" {
@@ -129,8 +165,8 @@
         }
         Ok(fingerprint) => (
             404,
-            format!("{fingerprint} is not suspected; see {SUSPECTS_PATH}\n"),
+            format!("{fingerprint} is not suspected; see {SUSPECTS_PATH}\n").into(),
         ),
-        Err(error) => (400, format!("{error}\n")),
+        Err(error) => (400, format!("{error}\n").into()),
     }
 }
--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -152,6 +152,7 @@
             return;
         }
         entry.begin_wait(limits.idle_time);
+        channel.end_turn().await;
     }
 }
 
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -278,6 +278,15 @@
         matches!(within(timer_span(limit), fill).await, Ok(count) if count > 0)
     }
 
+    /// Lets other tasks have their turn after a request if the next one was received
+    /// already. A client may send many ahead.
+    pub async fn end_turn(&mut self) {
+        if !self.received().is_empty() {
+            self.turn_bytes = 0;
+            yield_now().await;
+        }
+    }
+
     /// Reads available bytes without waiting.
     fn read_ready(&mut self) -> io::Result<usize> {
         let filled = self.buffer.len();
--- a/crates/guavawell-forward/src/peer/server.rs
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -62,7 +62,8 @@
                 Err(error) => log::debug!("connection to the port of instances ended: {error}"),
             }
         };
-        queues.control.spawn(connection).detach();
+        // Until it has proved that it is one, an instance does not delay control tasks.
+        queues.probes.spawn(connection).detach();
     };
     accept_all("instance", &listener, serve).await;
 }
--- a/crates/guavawell-forward/src/schedule.rs
+++ b/crates/guavawell-forward/src/schedule.rs
@@ -5,6 +5,10 @@
 //! about six steps. If each step waited for all requests, the instance would
 //! learn seconds late that a server leaves, and calls would time out although
 //! the platform responds. Control tasks therefore run first.
+//!
+//! Whoever reaches the ports of readiness and of other instances can make their tasks ready
+//! without end. These run one step before each step of a request: neither can hold up
+//! the other, nor control tasks.
 
 use std::future::Future;
 use std::rc::Rc;
@@ -17,12 +21,14 @@
 /// with more steps, control tasks wait longer for their I/O.
 const STEPS_PER_POLL: usize = 16;
 
-/// Two task queues that run on one thread.
+/// Three task queues that run on one thread.
 #[derive(Clone, Debug, Default)]
 pub struct TaskQueues {
-    /// Calls to the platform, health checks and signals. They are few and
+    /// Calls to the platform and between instances, and signals. They are few and
     /// short, and run first.
     pub control: Rc<LocalExecutor<'static>>,
+    /// Health checks, and clients that have not proved that they are instances.
+    pub probes: Rc<LocalExecutor<'static>>,
     /// Callers' requests.
     pub requests: Rc<LocalExecutor<'static>>,
 }
@@ -38,17 +44,19 @@
             if self.run_steps() {
                 yield_now().await;
             } else {
-                self.control.tick().or(self.requests.tick()).await;
+                let others = self.probes.tick().or(self.requests.tick());
+                self.control.tick().or(others).await;
             }
         }
     }
 
-    /// Runs up to [`STEPS_PER_POLL`] request steps, and before each one all
-    /// control tasks that are ready. Returns whether more may be ready.
+    /// Runs up to [`STEPS_PER_POLL`] request steps, and before each one all control tasks
+    /// that are ready and one step of a probe. Returns whether more may be ready.
     fn run_steps(&self) -> bool {
         for _ in 0..STEPS_PER_POLL {
             while self.control.try_tick() {}
-            if !self.requests.try_tick() {
+            let has_probed = self.probes.try_tick();
+            if !self.requests.try_tick() && !has_probed {
                 return false;
             }
         }
--- a/crates/guavawell-forward/tests/schedule.rs
+++ b/crates/guavawell-forward/tests/schedule.rs
@@ -72,3 +72,56 @@
     }));
     assert_eq!(ended.get(), REQUESTS);
 }
+
+// Guards against clients of the ports of readiness and of other instances that always have
+// something to do: no request would be served any more.
+#[test]
+fn requests_and_control_tasks_finish_while_probes_are_always_ready() {
+    let queues = TaskQueues::default();
+    for _ in 0..REQUESTS {
+        let probe = async {
+            loop {
+                yield_now().await;
+            }
+        };
+        queues.probes.spawn(probe).detach();
+    }
+    let request = queues.requests.spawn(async {
+        for _ in 0..REQUEST_STEPS {
+            yield_now().await;
+        }
+    });
+    let call = queues.control.spawn(async {
+        for _ in 0..CALL_STEPS {
+            yield_now().await;
+        }
+    });
+    smol::block_on(queues.run(async {
+        request.await;
+        call.await;
+    }));
+}
+
+// Guards against a backlog of requests behind which a health check waits.
+#[test]
+fn a_probe_does_not_wait_behind_a_backlog_of_requests() {
+    let queues = TaskQueues::default();
+    let steps = Rc::new(Cell::new(0));
+    for _ in 0..REQUESTS {
+        let steps = Rc::clone(&steps);
+        let request = async move {
+            for _ in 0..REQUEST_STEPS {
+                steps.set(steps.get() + 1);
+                yield_now().await;
+            }
+        };
+        queues.requests.spawn(request).detach();
+    }
+    let probe = queues.probes.spawn(async {
+        for _ in 0..CALL_STEPS {
+            yield_now().await;
+        }
+    });
+    smol::block_on(queues.run(probe));
+    assert!(steps.get() <= REQUESTS, "{} request steps", steps.get());
+}
