Keep the kernel's receive buffers of clients small

Callers saw: 900 clients that send requests ahead ended the process of a machine of 88 MB, with all its callers' requests.

Cause: what the kernel has received counts as well, and it lets the buffer of each connection grow from 128 KiB to megabytes while the instance does not read.

--- a/crates/guavawell-forward/src/accept.rs
+++ b/crates/guavawell-forward/src/accept.rs
@@ -25,18 +25,22 @@
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Opens a listening socket.
+/// Opens a listening socket. The kernel keeps about `receive_buffer` bytes for each of its
+/// connections until they are read.
 ///
 /// # Errors
 ///
 /// The socket cannot be created or bound to the address.
-pub fn listen(address: SocketAddr) -> std::io::Result<Async<TcpListener>> {
+pub fn listen(address: SocketAddr, receive_buffer: usize) -> std::io::Result<Async<TcpListener>> {
     let socket = Socket::new(
         Domain::for_address(address),
         Type::STREAM,
         Some(Protocol::TCP),
     )?;
     socket.set_reuse_address(true)?;
+    // Its connections inherit it. Without it the kernel lets the buffer of each grow to
+    // megabytes.
+    socket.set_recv_buffer_size(receive_buffer)?;
     socket.bind(&SockAddr::from(address))?;
     socket.listen(ACCEPT_QUEUE)?;
     Async::new(TcpListener::from(socket))
