End a turn after some steps of decoding; bound what is read after a refusal

Callers saw: beside 100 clients that send bodies in chunks of a byte, a stream got no answer within its 6 s, lookups took up to 5.3 s (unoptimised build).

Cause: a connection gave others a turn after 64 KiB, and decoding ten thousand chunks takes far longer than their bytes. What a refused client went on sending was read for 400 ms however much it was.

Why it works: a turn is 192 steps of decoding, or 16 KiB; after a refusal as much is read as a request may take.

--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -163,7 +163,15 @@
         return;
     }
     let _pending = PendingRequest::new(router);
-    channel.close_unread(CLOSE_TIMEOUT).await;
+    close_unread(router, channel).await;
+}
+
+/// Closes a connection whose caller may have sent more than was served. As much is read as
+/// a request may take: a caller that goes on sending must not keep the instance busy.
+async fn close_unread(router: &ForwardRouter, channel: HttpChannel) {
+    let limits = caller_limits(router);
+    let max_bytes = limits.head_bytes + limits.body_bytes;
+    channel.close_unread(CLOSE_TIMEOUT, max_bytes).await;
 }
 
 /// Refuses a request that was not received completely, and closes the connection.
@@ -175,7 +183,7 @@
         .field("status", response.status());
     router.log.emit(draft);
     match response.send(&channel, None, false).await {
-        Ok(()) => channel.close_unread(CLOSE_TIMEOUT).await,
+        Ok(()) => close_unread(router, channel).await,
         Err(error) => log::debug!("failed to send a refusal to the caller: {error}"),
     }
 }
@@ -278,7 +286,7 @@
             return refuse(refusal);
         }
         match received {
-            Ok(true) => {}
+            Ok(true) => channel.end_turn().await,
             Ok(false) => return Ok((body, memory)),
             Err(ChannelError::Body(_)) => return refuse(ForwardRefusal::Malformed),
             Err(_) => return Err(None),
--- a/crates/guavawell-forward/src/http/body.rs
+++ b/crates/guavawell-forward/src/http/body.rs
@@ -91,15 +91,31 @@
     ///
     /// The chunked coding is malformed.
     pub fn decode(&mut self, input: &[u8], output: &mut Vec<u8>) -> Result<usize, BodyError> {
+        self.decode_steps(input, output, usize::MAX)
+    }
+
+    /// As [`decode`](Self::decode), for at most this number of steps: each chunk takes three,
+    /// each trailer one.
+    ///
+    /// # Errors
+    ///
+    /// The chunked coding is malformed.
+    pub fn decode_steps(
+        &mut self,
+        input: &[u8],
+        output: &mut Vec<u8>,
+        max_steps: usize,
+    ) -> Result<usize, BodyError> {
         let mut consumed = 0;
-        loop {
+        for _ in 0..max_steps {
             let rest = &input[consumed..];
             let step = self.step(rest, output)?;
             if step == 0 {
-                return Ok(consumed);
+                break;
             }
             consumed += step;
         }
+        Ok(consumed)
     }
 
     /// Decodes one element and returns the number of consumed bytes: zero if more
--- a/crates/guavawell-forward/src/http/channel.rs
+++ b/crates/guavawell-forward/src/http/channel.rs
@@ -38,7 +38,10 @@
 const MIN_READ: usize = 1024;
 /// Bytes that are read without waiting before other tasks and timers have their turn. A
 /// peer may send faster than they are read.
-pub const TURN_BYTES: usize = 64 * 1024;
+pub const TURN_BYTES: usize = 16 * 1024;
+/// Steps of decoding a body before other tasks have their turn. Chunks of a byte take far
+/// longer than their bytes.
+const TURN_STEPS: usize = 192;
 /// Time after which unacknowledged data makes a connection fail (`TCP_USER_TIMEOUT`),
 /// so that a peer that vanished without closing it is noticed.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -278,8 +281,8 @@
         matches!(within(timer_span(limit), fill).await, Ok(count) if count > 0)
     }
 
-    /// Lets other tasks have their turn after a request if the next one was received
-    /// already. A client may send many ahead.
+    /// Lets other tasks have their turn if more was received already. A peer may send many
+    /// small messages or chunks at once.
     pub async fn end_turn(&mut self) {
         if !self.received().is_empty() {
             self.turn_bytes = 0;
@@ -379,7 +382,7 @@
     ) -> Result<bool, ChannelError> {
         let before = output.len();
         loop {
-            let consumed = decoder.decode(self.received(), output)?;
+            let consumed = decoder.decode_steps(self.received(), output, TURN_STEPS)?;
             self.consume(consumed);
             if decoder.is_done() {
                 return Ok(false);
@@ -387,6 +390,11 @@
             if output.len() > before {
                 return Ok(true);
             }
+            if consumed > 0 {
+                // More framing may have been received.
+                self.end_turn().await;
+                continue;
+            }
             if self.fill().await? == 0 {
                 if !decoder.ends_at_close() {
                     return Err(ChannelError::Truncated);
@@ -450,14 +458,20 @@
 
     /// Closes the connection after a response, although the peer may have sent more.
     /// Unread bytes would reset the connection and discard what was sent: they are read
-    /// until the peer closes the connection, for `limit` at the longest. One that is to be
-    /// reset is reset at once.
-    pub async fn close_unread(mut self, limit: Duration) {
+    /// until the peer closes the connection, for `limit` at the longest, and `max_bytes` at
+    /// most. One that is to be reset is reset at once.
+    pub async fn close_unread(mut self, limit: Duration, max_bytes: usize) {
         if self.resets.get() || self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
         }
         let discard = async {
-            while self.fill().await? > 0 {
+            let mut discarded = 0;
+            while discarded <= max_bytes {
+                let count = self.fill().await?;
+                if count == 0 {
+                    break;
+                }
+                discarded += count;
                 self.buffer.clear();
             }
             Ok(())
--- a/crates/guavawell-forward/src/tunnel/carry.rs
+++ b/crates/guavawell-forward/src/tunnel/carry.rs
@@ -41,6 +41,8 @@
 const IDLE_LIMIT: ClockSpan = ClockSpan::from_millis(60_000);
 /// How long the other instance may take to read the end of a response.
 const LINGER_LIMIT: Duration = Duration::from_secs(5);
+/// Most bytes of a request that are read although its server has ended its response.
+const MAX_UNREAD_BYTES: usize = 64 * 1024 * 1024;
 
 /// A connection of another instance, and the one to the server.
 #[derive(Debug)]
@@ -143,7 +145,7 @@
             }
             // Bytes that the other instance has sent meanwhile would otherwise reset the
             // connection and discard the end of the response.
-            peer.close_unread(LINGER_LIMIT).await;
+            peer.close_unread(LINGER_LIMIT, MAX_UNREAD_BYTES).await;
         }
         CarryEnd::ServerFailed => check_option(&router, peer.reset_on_close()),
         CarryEnd::InstanceEnded | CarryEnd::Idle | CarryEnd::Dropped => {}
