Give up bodies that arrive too slowly or state no length where others need memory

Callers saw: while 100 clients sent bodies of 300 kB a byte each half second, or chunks without end, ordinary bodies of that length were refused with 503 again and again, for as long as these clients went on, also where they came to a path without a route.

Cause: a stated length is reserved before it arrives, and only the pause between two parts was bounded (10 s); what states no length took what it could get; route and key were looked at after the body. The refusal told no time to come back.

Why it works: nobody is given up while there is room. Where a body does not fit, those go first whose pace would not suffice for their whole time limit (408), then those that state no length, the costliest first (503). A body has the time of its request. Long bodies without a route or key are refused at their heads.

--- a/crates/guavawell-core/src/forward/admission.rs
+++ b/crates/guavawell-core/src/forward/admission.rs
@@ -58,28 +58,24 @@
     pub more: usize,
 }
 
-/// Decides whether a body may be received, or received further. `taken_bytes` are those
-/// of all bodies that were received or for which memory is reserved.
-///
-/// # Errors
-///
-/// The refusal, if it may not.
-pub fn admit_body(
+/// Bytes that must become free before a body may be received, or received further; zero if
+/// it may. `taken_bytes` are those of all bodies that were received or for which memory is
+/// reserved.
+#[must_use]
+pub const fn bytes_to_free(
     settings: &AdmissionSettings,
     taken_bytes: usize,
     body: BodyBytes,
-) -> Result<(), ForwardRefusal> {
+) -> usize {
+    if body.more == 0 {
+        return 0;
+    }
     let limit = if body.length <= SHORT_BODY_BYTES {
         settings.body_bytes
     } else {
         settings.body_bytes * LONG_BODY_PERCENT / 100
     };
-    let fits = taken_bytes.saturating_add(body.more) <= limit;
-    if fits || body.more == 0 {
-        Ok(())
-    } else {
-        Err(ForwardRefusal::NoMemory)
-    }
+    taken_bytes.saturating_add(body.more).saturating_sub(limit)
 }
 
 /// Decides whether a request is admitted.
--- a/crates/guavawell-core/src/forward/clients/mod.rs
+++ b/crates/guavawell-core/src/forward/clients/mod.rs
@@ -8,9 +8,14 @@
 //! Clients are told apart by what they hold and for how long they have kept the instance
 //! waiting, never by address or name. A request that is served is never given up.
 
+mod arriving;
 mod limits;
 mod waiting;
 
+pub use arriving::ArrivingBody;
+pub use arriving::BodyEnd;
+pub use arriving::BodyProgress;
+pub use arriving::bodies_to_end;
 pub use limits::ClientLimits;
 pub use limits::ClientSettings;
 pub use waiting::ClientWait;
--- a/crates/guavawell-core/src/forward/refusal.rs
+++ b/crates/guavawell-core/src/forward/refusal.rs
@@ -17,6 +17,8 @@
     HeadTooLarge,
     /// The body exceeds its size limit.
     BodyTooLarge,
+    /// The body arrived so slowly that others needed its memory.
+    BodyTooSlow,
     /// The instance holds the maximum number of requests, or of bytes of
     /// request bodies.
     NoMemory,
@@ -70,6 +72,7 @@
             Self::Malformed => "malformed",
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
+            Self::BodyTooSlow => "body_too_slow",
             Self::NoMemory => "no_memory",
             Self::LinkFull => "link_full",
             Self::BudgetExhausted => "budget_exhausted",
@@ -121,6 +124,7 @@
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
             Self::Malformed => 400,
+            Self::BodyTooSlow => 408,
             Self::HeadTooLarge => 431,
             Self::BodyTooLarge => 413,
             Self::BudgetExhausted => 402,
--- a/crates/guavawell-core/tests/forward/body_memory.rs
+++ b/crates/guavawell-core/tests/forward/body_memory.rs
@@ -2,8 +2,7 @@
 
 use guavawell_core::forward::AdmissionSettings;
 use guavawell_core::forward::BodyBytes;
-use guavawell_core::forward::ForwardRefusal;
-use guavawell_core::forward::admit_body;
+use guavawell_core::forward::bytes_to_free;
 
 const MEGABYTE: usize = 1024 * 1024;
 const LIMIT: usize = 24 * MEGABYTE;
@@ -13,9 +12,7 @@
         body_bytes: LIMIT,
         ..AdmissionSettings::default()
     };
-    let result = admit_body(&settings, taken, BodyBytes { length, more });
-    assert!(matches!(result, Ok(()) | Err(ForwardRefusal::NoMemory)));
-    result.is_ok()
+    bytes_to_free(&settings, taken, BodyBytes { length, more }) == 0
 }
 
 // Guards against bodies that are let in together and exceed the memory once they arrive.
@@ -52,3 +49,21 @@
     assert!(admits(LIMIT, 4 * MEGABYTE, 0));
     assert!(!admits(usize::MAX, 100, 100));
 }
+
+#[test]
+fn what_must_become_free_is_what_is_missing() {
+    let settings = AdmissionSettings {
+        body_bytes: LIMIT,
+        ..AdmissionSettings::default()
+    };
+    let body = BodyBytes {
+        length: 12_000,
+        more: 12_000,
+    };
+    assert_eq!(bytes_to_free(&settings, LIMIT - 5_000, body), 7_000);
+    let long = BodyBytes {
+        length: MEGABYTE,
+        more: MEGABYTE,
+    };
+    assert_eq!(bytes_to_free(&settings, LIMIT * 3 / 4, long), MEGABYTE);
+}
--- a/crates/guavawell-core/tests/forward/main.rs
+++ b/crates/guavawell-core/tests/forward/main.rs
@@ -2,6 +2,7 @@
 //! a server, with replays of heavy loads.
 
 mod announcement;
+mod arriving;
 mod attempt;
 mod body_memory;
 mod capacity;
--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -5,30 +5,21 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use guavawell_core::clock::ClockTime;
 use guavawell_core::forward::ForwardLimits;
-use guavawell_core::forward::ForwardRefusal;
 use smol::Async;
 use smol::LocalExecutor;
 
 use crate::accept::accept_all;
 use crate::accept::accept_waiting;
-use crate::body_memory::BodyMemory;
 use crate::clients::ClientEntry;
 use crate::clock::timer_span;
-use crate::http::BodyDecoder;
-use crate::http::BodyFraming;
-use crate::http::ChannelError;
 use crate::http::HttpChannel;
-use crate::http::RequestHead;
-use crate::http::within;
+use crate::intake::receive_unless_closing;
 use crate::overload::is_shed;
 use crate::refusal::RefusalResponse;
 use crate::router::ForwardRouter;
 use crate::serve::serve_request;
 
-/// Longest wait for the next part of a request body.
-const BODY_PART_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest wait for a caller to close its connection if it has sent bytes that are not
 /// served. It is less than the time that a leaving process reserves for its last steps.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -79,19 +70,6 @@
     }
 }
 
-/// A request that was received completely.
-#[derive(Debug)]
-pub struct ReceivedRequest {
-    /// The head of the request.
-    pub head: RequestHead,
-    /// The body, decoded.
-    pub body: Vec<u8>,
-    /// Counts the memory of the body.
-    _memory: BodyMemory,
-    /// When the head had been received.
-    pub received_at: ClockTime,
-}
-
 /// Counts a request from its first byte until it is served or refused.
 struct PendingRequest<'a> {
     router: &'a ForwardRouter,
@@ -192,104 +170,3 @@
     let config = router.configs.current();
     config.map(|config| config.limits).unwrap_or_default()
 }
-
-/// Receives one request. Once the process is closing, a request that has not arrived
-/// completely is refused.
-async fn receive_unless_closing(
-    router: &Rc<ForwardRouter>,
-    channel: &mut HttpChannel,
-    entry: &ClientEntry,
-    limits: &ForwardLimits,
-) -> Result<ReceivedRequest, Option<RefusalResponse>> {
-    let closing = async {
-        router.wait_for_closing().await;
-        Err(Some(RefusalResponse::leaving()))
-    };
-    receive_request(router, channel, entry, limits)
-        .or(closing)
-        .await
-}
-
-/// Receives one request. `Err(None)` means that the connection is closed
-/// without a response.
-async fn receive_request(
-    router: &Rc<ForwardRouter>,
-    channel: &mut HttpChannel,
-    entry: &ClientEntry,
-    limits: &ForwardLimits,
-) -> Result<ReceivedRequest, Option<RefusalResponse>> {
-    let head = receive_head(channel, entry, limits).await?;
-    entry.end_wait();
-    let received_at = router.clock.now();
-    let (body, memory) = receive_body(router, channel, &head, limits).await?;
-    Ok(ReceivedRequest {
-        head,
-        body,
-        _memory: memory,
-        received_at,
-    })
-}
-
-async fn receive_head(
-    channel: &mut HttpChannel,
-    entry: &ClientEntry,
-    limits: &ForwardLimits,
-) -> Result<RequestHead, Option<RefusalResponse>> {
-    let head = channel.head_noting(limits.head_bytes, |held| entry.hold_head(held));
-    let head = within(timer_span(limits.head_time), head).await;
-    let length = match head {
-        Ok(length) => length,
-        Err(ChannelError::HeadTooLong) => {
-            return Err(Some(RefusalResponse::new(ForwardRefusal::HeadTooLarge)));
-        }
-        Err(_) => return Err(None),
-    };
-    let parsed = RequestHead::parse(&channel.received()[..length]);
-    channel.consume(length);
-    parsed.map_err(|_| Some(RefusalResponse::new(ForwardRefusal::Malformed)))
-}
-
-async fn receive_body(
-    router: &Rc<ForwardRouter>,
-    channel: &mut HttpChannel,
-    head: &RequestHead,
-    limits: &ForwardLimits,
-) -> Result<(Vec<u8>, BodyMemory), Option<RefusalResponse>> {
-    let refuse = |refusal| Err(Some(RefusalResponse::new(refusal)));
-    let content_length = match head.framing {
-        BodyFraming::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
-        BodyFraming::Empty | BodyFraming::Chunked | BodyFraming::UntilClose => 0,
-    };
-    if content_length > limits.body_bytes {
-        return refuse(ForwardRefusal::BodyTooLarge);
-    }
-    let mut memory = match BodyMemory::reserve(router, content_length) {
-        Ok(memory) => memory,
-        Err(refusal) => return refuse(refusal),
-    };
-    if head.framing == BodyFraming::Empty {
-        return Ok((Vec::new(), memory));
-    }
-    if head.fields.has_token("expect", "100-continue") {
-        let sent = channel.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        sent.map_err(|_| None)?;
-    }
-    let mut decoder = BodyDecoder::new(head.framing);
-    let mut body = Vec::with_capacity(content_length);
-    loop {
-        let part = channel.body_part(&mut decoder, &mut body);
-        let received = within(BODY_PART_TIMEOUT, part).await;
-        if body.len() > limits.body_bytes {
-            return refuse(ForwardRefusal::BodyTooLarge);
-        }
-        if let Err(refusal) = memory.note_received(body.len()) {
-            return refuse(refusal);
-        }
-        match received {
-            Ok(true) => channel.end_turn().await,
-            Ok(false) => return Ok((body, memory)),
-            Err(ChannelError::Body(_)) => return refuse(ForwardRefusal::Malformed),
-            Err(_) => return Err(None),
-        }
-    }
-}
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -2,7 +2,7 @@
 //! interpreting their bodies.
 //!
 //! The rules are in `guavawell_core::forward` and `guavawell_core::grant`; this
-//! crate runs them on one thread: callers' requests (`callers`, `clients`, `prepare`,
+//! crate runs them on one thread: callers' requests (`callers`, `clients`, `intake`, `prepare`,
 //! `routing`, `serve`), backend servers (`retry`, `attempt`, `connect`, `pool`,
 //! `receive`, `relay`), going over to another server (`handover`), what callers have not taken yet (`read_ahead`), connections through other instances (`path`, `tunnel`), budget rows and loans between instances (`budget`), requests that
 //! crash servers (`poison`, `crash`), the order of tasks (`schedule`), and the
@@ -36,6 +36,7 @@
 pub mod housekeeping;
 pub mod http;
 pub mod in_flight;
+pub mod intake;
 pub mod limit_news;
 pub mod link;
 pub mod overload;
--- a/crates/guavawell-forward/src/prepare.rs
+++ b/crates/guavawell-forward/src/prepare.rs
@@ -22,15 +22,17 @@
 
 use crate::budget::BudgetRefusal;
 use crate::budget::TokenReservation;
-use crate::callers::ReceivedRequest;
 use crate::clock::timer_span;
 use crate::continuation::continued_stream;
+use crate::http::RequestHead;
+use crate::intake::ReceivedRequest;
 use crate::link::ByteMeter;
 use crate::link::LinkCharge;
 use crate::link::charge_link;
 use crate::poison::TrialPermit;
 use crate::record::RequestRecord;
 use crate::refusal::RefusalResponse;
+use crate::retry_after::RETRY_NO_MEMORY;
 use crate::router::ForwardRouter;
 use crate::routing::RETRY_NO_CONFIG;
 use crate::routing::authenticate;
@@ -51,8 +53,6 @@
 const MAX_WAIT_DIVISOR: u64 = 4;
 /// About the size of a request head, in bytes.
 const HEAD_BYTES: u64 = 500;
-/// Retry-After if request bodies fill the memory limit.
-const RETRY_NO_MEMORY: ClockSpan = ClockSpan::from_millis(500);
 
 /// Decides whether a request may run, and reserves its tokens. `meter` counts the bytes
 /// of the caller's connection.
@@ -70,15 +70,15 @@
     if router.is_closing() {
         return Err(RefusalResponse::leaving());
     }
-    wait_for_start(router, request).await?;
-    wait_for_overdue_state(router, request).await?;
+    wait_for_start(router, &request.head).await?;
+    wait_for_overdue_state(router, &request.head).await?;
     let Some(config) = router.configs.current() else {
         return Err(RefusalResponse::new(ForwardRefusal::NoConfig).after(RETRY_NO_CONFIG));
     };
     note_config(router, &config, record);
-    let route = find_route(router, &config, request)?;
+    let route = find_route(router, &config, &request.head)?;
     record.note("route", &route.name);
-    let organisation = authenticate(router, &config, &route, request)?;
+    let organisation = authenticate(router, &config, &route, &request.head)?;
     if let Some((organisation, _)) = &organisation {
         record.set_organisation(organisation);
     }
@@ -86,7 +86,7 @@
     record.note("fingerprint", fingerprint);
     note_continuation(router, request, record);
     let (usage, shape) = read_prompt(router, request)?;
-    let deadline = request_deadline(router, &route, request)?;
+    let deadline = request_deadline(router, &route, &request.head, request.received_at)?;
     let left = router.clock.left(deadline);
     let max_wait = ClockSpan::from_millis(left.as_millis() / MAX_WAIT_DIVISOR);
     let parts = part_fingerprints(organisation.as_ref(), &shape);
@@ -143,6 +143,26 @@
     })
 }
 
+/// Checks route and key of a request whose body has not been received. Returns when its time
+/// limit ends; `None` if no configuration is known, or a newer one is awaited.
+///
+/// # Errors
+///
+/// The refusal of a request that will not be served.
+pub fn check_head(
+    router: &ForwardRouter,
+    head: &RequestHead,
+    received_at: ClockTime,
+) -> Result<Option<ClockTime>, RefusalResponse> {
+    let config = router.configs.current();
+    let Some(config) = config.filter(|_| !router.configs.is_awaited()) else {
+        return Ok(None);
+    };
+    let route = find_route(router, &config, head)?;
+    authenticate(router, &config, &route, head)?;
+    request_deadline(router, &route, head, received_at).map(Some)
+}
+
 /// Refuses a request that crashes servers, or with a part that does. Returns the permits
 /// of one that is tried nevertheless.
 async fn check_suspicion(
@@ -174,14 +194,11 @@
 }
 
 /// Waits until the process has read its initial state, for a limited time.
-async fn wait_for_start(
-    router: &ForwardRouter,
-    request: &ReceivedRequest,
-) -> Result<(), RefusalResponse> {
+async fn wait_for_start(router: &ForwardRouter, head: &RequestHead) -> Result<(), RefusalResponse> {
     if router.has_initial_state() {
         return Ok(());
     }
-    let max_wait = wait_limit(router, request, MAX_START_WAIT)?;
+    let max_wait = wait_limit(router, head, MAX_START_WAIT)?;
     let timeout = async {
         Timer::after(timer_span(max_wait)).await;
     };
@@ -193,12 +210,12 @@
 /// a limited time.
 async fn wait_for_overdue_state(
     router: &ForwardRouter,
-    request: &ReceivedRequest,
+    head: &RequestHead,
 ) -> Result<(), RefusalResponse> {
     if !router.configs.is_awaited() && !router.servers_awaited() {
         return Ok(());
     }
-    let max_wait = wait_limit(router, request, MAX_OVERDUE_WAIT)?;
+    let max_wait = wait_limit(router, head, MAX_OVERDUE_WAIT)?;
     let until = router.clock.now() + max_wait;
     router.configs.await_answer(max_wait).await;
     router.await_servers(router.clock.left(until)).await;
@@ -209,10 +226,10 @@
 /// time limit if that is less.
 fn wait_limit(
     router: &ForwardRouter,
-    request: &ReceivedRequest,
+    head: &RequestHead,
     max_wait: ClockSpan,
 ) -> Result<ClockSpan, RefusalResponse> {
-    let caller_limit = caller_time_left(router, request)?;
+    let caller_limit = caller_time_left(router, head)?;
     let share =
         caller_limit.map(|span| ClockSpan::from_millis(span.as_millis() / MAX_WAIT_DIVISOR));
     Ok(share.map_or(max_wait, |share| share.min(max_wait)))
@@ -275,20 +292,21 @@
 fn request_deadline(
     router: &ForwardRouter,
     route: &RouteEntry,
-    request: &ReceivedRequest,
+    head: &RequestHead,
+    received_at: ClockTime,
 ) -> Result<ClockTime, RefusalResponse> {
-    let limit = request.received_at + route.time_limit;
-    let caller_limit = caller_time_left(router, request)?;
-    Ok(caller_limit.map_or(limit, |span| limit.min(request.received_at + span)))
+    let limit = received_at + route.time_limit;
+    let caller_limit = caller_time_left(router, head)?;
+    Ok(caller_limit.map_or(limit, |span| limit.min(received_at + span)))
 }
 
 /// The time for which the caller waits, if the request states it.
 fn caller_time_left(
     router: &ForwardRouter,
-    request: &ReceivedRequest,
+    head: &RequestHead,
 ) -> Result<Option<ClockSpan>, RefusalResponse> {
     let name = router.settings.names.time_left;
-    let Some(text) = request.head.fields.get(name) else {
+    let Some(text) = head.fields.get(name) else {
         return Ok(None);
     };
     let left: f64 = text
--- a/crates/guavawell-forward/src/refusal.rs
+++ b/crates/guavawell-forward/src/refusal.rs
@@ -91,6 +91,7 @@
         401 => "Unauthorized",
         402 => "Payment Required",
         404 => "Not Found",
+        408 => "Request Timeout",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
--- a/crates/guavawell-forward/src/retry_after.rs
+++ b/crates/guavawell-forward/src/retry_after.rs
@@ -8,6 +8,8 @@
 use crate::router::ForwardRouter;
 use crate::serve::ForwardCall;
 
+/// Retry-After if requests and responses fill the memory that is meant for them.
+pub const RETRY_NO_MEMORY: ClockSpan = ClockSpan::from_millis(500);
 /// Retry-After if no server is available: about the time until a restarted
 /// server is listed again.
 const RETRY_NO_SERVER: ClockSpan = ClockSpan::from_millis(1_000);
--- a/crates/guavawell-forward/src/router/mod.rs
+++ b/crates/guavawell-forward/src/router/mod.rs
@@ -24,6 +24,7 @@
 use guavawell_fleet::event::EventDraft;
 use guavawell_fleet::event::EventLog;
 
+use crate::body_memory::ArrivingBodies;
 use crate::budget::BudgetManager;
 use crate::clients::ClientConnections;
 use crate::clients::ListenerLimits;
@@ -144,7 +145,9 @@
     pub held_requests: Cell<usize>,
     /// Bytes of their bodies, and of responses that are read ahead.
     pub held_bytes: Cell<usize>,
-    /// Bytes of bodies that are being received and have not arrived.
+    /// Bodies that are being received.
+    pub(crate) arriving: ArrivingBodies,
+    /// Bytes of them that have not arrived.
     pub expected_body_bytes: Cell<usize>,
     /// Responses that wait for their callers.
     pub waiting: WaitingResponses,
@@ -218,6 +221,7 @@
             processor_load: ProcessorLoad::default(),
             held_requests: Cell::new(0),
             held_bytes: Cell::new(0),
+            arriving: ArrivingBodies::default(),
             expected_body_bytes: Cell::new(0),
             waiting: WaitingResponses::default(),
             pending_requests: Cell::new(0),
--- a/crates/guavawell-forward/src/routing.rs
+++ b/crates/guavawell-forward/src/routing.rs
@@ -16,7 +16,7 @@
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::RegionId;
 
-use crate::callers::ReceivedRequest;
+use crate::http::RequestHead;
 use crate::record::RequestRecord;
 use crate::refusal::RefusalResponse;
 use crate::router::ForwardRouter;
@@ -37,9 +37,8 @@
 pub fn find_route(
     router: &ForwardRouter,
     config: &ForwardConfig,
-    request: &ReceivedRequest,
+    head: &RequestHead,
 ) -> Result<Arc<RouteEntry>, RefusalResponse> {
-    let head = &request.head;
     let route = config.routes.find(&head.host, head.path());
     route
         .cloned()
@@ -56,12 +55,12 @@
     router: &ForwardRouter,
     config: &ForwardConfig,
     route: &RouteEntry,
-    request: &ReceivedRequest,
+    head: &RequestHead,
 ) -> Result<Option<RankedOrganisation>, RefusalResponse> {
     if route.public || !config.needs_keys() {
         return Ok(None);
     }
-    let value = request.head.fields.get("authorization");
+    let value = head.fields.get("authorization");
     let key = value.and_then(|value| {
         let (scheme, key) = value.split_once(' ')?;
         scheme.eq_ignore_ascii_case("bearer").then_some(key.trim())
@@ -171,8 +170,8 @@
     call: &ForwardCall<'_>,
 ) -> Result<Arc<RouteEntry>, ForwardRefusal> {
     let refusal = |answer: RefusalResponse| answer.refusal;
-    let route = find_route(router, config, call.request).map_err(refusal)?;
-    let organisation = authenticate(router, config, &route, call.request).map_err(refusal)?;
+    let route = find_route(router, config, &call.request.head).map_err(refusal)?;
+    let organisation = authenticate(router, config, &route, &call.request.head).map_err(refusal)?;
     let id = |ranked: &Option<RankedOrganisation>| ranked.as_ref().map(|(id, _)| id.clone());
     if id(&organisation) == id(&call.organisation) {
         Ok(route)
--- a/crates/guavawell-forward/src/serve.rs
+++ b/crates/guavawell-forward/src/serve.rs
@@ -16,9 +16,9 @@
 use guavawell_core::stream::StreamOrigin;
 
 use crate::budget::TokenReservation;
-use crate::callers::ReceivedRequest;
 use crate::http::HttpChannel;
 use crate::http::wait_for_close;
+use crate::intake::ReceivedRequest;
 use crate::link::LinkCharge;
 use crate::poison::TrialPermit;
 use crate::prepare::prepare;
