Serve heads of legal length with any number of fields

Callers saw: a single request inside the limits got 400 if its head had more than 96 fields.

Cause: room for 96 fields while a head is parsed; the limit of the configuration is on bytes.

Why it works: room follows the number of lines. Work no longer grows with the square of the fields: the names that Connection lists are collected and sorted once a head. Long heads count in the memory for bodies.

--- a/crates/guavawell-forward/src/body_memory.rs
+++ b/crates/guavawell-forward/src/body_memory.rs
@@ -1,4 +1,4 @@
-//! Counts request bodies in memory, from before they are received until they are dropped,
+//! Counts requests in memory: long heads, and bodies from before they are received until they are dropped,
 //! and gives up some that are being received where memory is short.
 
 use std::cell::Cell;
@@ -18,6 +18,58 @@
 
 use crate::router::ForwardRouter;
 
+/// Bytes of a head up to which it is not counted: one of many thousands of requests.
+const UNCOUNTED_HEAD_BYTES: usize = 4 * 1024;
+/// A head is in memory as it was received, and as it is sent to a server.
+const HEAD_COPIES: usize = 2;
+
+/// Counts the memory of a long head until it is dropped.
+#[derive(Debug)]
+pub struct HeadMemory {
+    router: Rc<ForwardRouter>,
+    bytes: usize,
+}
+
+impl HeadMemory {
+    /// Counts a head that takes this many bytes, if it is long.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if the memory is taken.
+    pub fn take(router: &Rc<ForwardRouter>, bytes: usize) -> Result<Option<Self>, ForwardRefusal> {
+        if bytes <= UNCOUNTED_HEAD_BYTES {
+            return Ok(None);
+        }
+        let bytes = bytes * HEAD_COPIES;
+        let body = BodyBytes {
+            length: bytes,
+            more: bytes,
+        };
+        make_room(router, body)?;
+        router.held_bytes.set(router.held_bytes.get() + bytes);
+        Ok(Some(Self {
+            router: Rc::clone(router),
+            bytes,
+        }))
+    }
+}
+
+impl Drop for HeadMemory {
+    fn drop(&mut self) {
+        subtract(&self.router.held_bytes, self.bytes);
+    }
+}
+
+/// Gives up bodies that are being received, if need be, so that there is memory for more.
+fn make_room(router: &ForwardRouter, body: BodyBytes) -> Result<(), ForwardRefusal> {
+    let taken = router.held_bytes.get() + router.expected_body_bytes.get();
+    let needed = bytes_to_free(&router.settings.admission, taken, body);
+    if needed > 0 && !router.arriving.free(router, needed, router.clock.now()) {
+        return Err(ForwardRefusal::NoMemory);
+    }
+    Ok(())
+}
+
 /// What is known of a body before it is received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BodyOutline {
@@ -184,11 +236,7 @@
             length: state.held.get() + state.expected.get() + bytes,
             more: bytes,
         };
-        let taken = router.held_bytes.get() + router.expected_body_bytes.get();
-        let needed = bytes_to_free(&router.settings.admission, taken, body);
-        if needed > 0 && !router.arriving.free(router, needed, router.clock.now()) {
-            return Err(ForwardRefusal::NoMemory);
-        }
+        make_room(router, body)?;
         self.check()?;
         let all_expected = router.expected_body_bytes.get();
         router.expected_body_bytes.set(all_expected + bytes);
--- a/crates/guavawell-forward/src/http/head.rs
+++ b/crates/guavawell-forward/src/http/head.rs
@@ -1,11 +1,14 @@
 //! Parses request and response heads, and decides on the framing of the body.
 
+use std::cmp::Ordering;
 use std::ops::Range;
 
+use httparse::EMPTY_HEADER;
+use httparse::Header;
 use thiserror::Error;
 
-/// Largest number of fields in a head.
-const MAX_FIELDS: usize = 96;
+/// Fields of a head for which no memory is allocated while it is parsed.
+const USUAL_FIELDS: usize = 96;
 
 /// Why a head is rejected.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -41,26 +44,54 @@
     fields: Vec<FieldSpan>,
 }
 
-#[derive(Clone, Debug)]
+/// Where a field stands in the bytes of its head.
+#[derive(Clone, Copy, Debug)]
 struct FieldSpan {
-    name: Range<usize>,
-    value: Range<usize>,
+    name: ByteRange,
+    value: ByteRange,
+}
+
+/// A range of bytes of a head, which is shorter than 4 GiB.
+#[derive(Clone, Copy, Debug)]
+struct ByteRange {
+    start: u32,
+    end: u32,
+}
+
+impl ByteRange {
+    /// The range of a part in the whole that begins at `base`.
+    fn of(base: usize, part: &[u8]) -> Self {
+        let start = (part.as_ptr() as usize).saturating_sub(base);
+        let place = |offset| u32::try_from(offset).unwrap_or(u32::MAX);
+        Self {
+            start: place(start),
+            end: place(start + part.len()),
+        }
+    }
+
+    const fn range(self) -> Range<usize> {
+        self.start as usize..self.end as usize
+    }
 }
 
 impl FieldList {
     /// All fields in order.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.fields.iter().map(|field| {
-            let name = &self.bytes[field.name.clone()];
-            let value = &self.bytes[field.value.clone()];
+            let name = &self.bytes[field.name.range()];
+            let value = &self.bytes[field.value.range()];
             (std::str::from_utf8(name).unwrap_or(""), value)
         })
     }
 
     /// The values of a field, in order.
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
-        let same = move |(field, _): &(&str, &[u8])| field.eq_ignore_ascii_case(name);
-        self.iter().filter(same).map(|(_, value)| value)
+        let same = move |field: &&FieldSpan| {
+            let field_name = &self.bytes[field.name.range()];
+            field_name.eq_ignore_ascii_case(name.as_bytes())
+        };
+        let fields = self.fields.iter().filter(same);
+        fields.map(|field| &self.bytes[field.value.range()])
     }
 
     /// The first value of a field, if it is valid UTF-8.
@@ -79,16 +110,31 @@
             .any(|part| part.trim().eq_ignore_ascii_case(token))
     }
 
+    /// Bytes of memory that the fields take.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        self.bytes.len() + self.fields.capacity() * size_of::<FieldSpan>()
+    }
+
+    /// The names of the fields that concern this connection only, as `Connection` lists
+    /// them.
+    #[must_use]
+    pub fn hop_by_hop(&self) -> HopByHopNames<'_> {
+        let values = self.all("connection");
+        let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
+        let listed = texts.flat_map(|text| text.split(','));
+        let mut listed: Vec<_> = listed.map(str::trim).map(CaselessName).collect();
+        listed.sort_unstable();
+        listed.dedup();
+        HopByHopNames { listed }
+    }
+
     /// Copies `bytes` and the positions of the parsed fields, which are slices of it.
-    fn capture(bytes: &[u8], parsed: &[httparse::Header<'_>]) -> Self {
+    fn capture(bytes: &[u8], parsed: &[Header<'_>]) -> Self {
         let base = bytes.as_ptr() as usize;
-        let range_of = |part: &[u8]| {
-            let start = (part.as_ptr() as usize).saturating_sub(base);
-            start..start + part.len()
-        };
         let fields = parsed.iter().map(|field| FieldSpan {
-            name: range_of(field.name.as_bytes()),
-            value: range_of(field.value),
+            name: ByteRange::of(base, field.name.as_bytes()),
+            value: ByteRange::of(base, field.value),
         });
         Self {
             fields: fields.collect(),
@@ -97,22 +143,67 @@
     }
 }
 
-/// Whether a field applies to a single connection and must not be forwarded.
-#[must_use]
-pub fn is_hop_by_hop(fields: &FieldList, name: &str) -> bool {
-    const NAMES: [&str; 9] = [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    ];
-    NAMES.iter().any(|listed| name.eq_ignore_ascii_case(listed))
-        || fields.has_token("connection", name)
+/// A name of a field, whatever the case of its letters.
+#[derive(Clone, Copy, Debug)]
+struct CaselessName<'a>(&'a str);
+
+impl CaselessName<'_> {
+    fn bytes(&self) -> impl Iterator<Item = u8> {
+        self.0.bytes().map(|byte| byte.to_ascii_lowercase())
+    }
+}
+
+impl Ord for CaselessName<'_> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.bytes().cmp(other.bytes())
+    }
+}
+
+impl PartialOrd for CaselessName<'_> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for CaselessName<'_> {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.eq_ignore_ascii_case(other.0)
+    }
+}
+
+impl Eq for CaselessName<'_> {}
+
+/// Names of fields that concern a single connection and must not be forwarded.
+#[derive(Clone, Debug)]
+pub struct HopByHopNames<'a> {
+    /// What `Connection` lists, sorted: a head may list thousands.
+    listed: Vec<CaselessName<'a>>,
+}
+
+impl HopByHopNames<'_> {
+    /// Whether a field must not be forwarded.
+    #[must_use]
+    pub fn contains(&self, name: &str) -> bool {
+        const NAMES: [&str; 9] = [
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+        ];
+        let is_standard = NAMES.iter().any(|known| name.eq_ignore_ascii_case(known));
+        is_standard || self.listed.binary_search(&CaselessName(name)).is_ok()
+    }
+}
+
+/// Room for the fields of a head, which has fewer than lines, unless they are few.
+fn field_room(bytes: &[u8]) -> Option<Vec<Header<'_>>> {
+    let lines = bytes.iter().filter(|byte| **byte == b'\n').count();
+    (lines > USUAL_FIELDS).then(|| vec![EMPTY_HEADER; lines])
 }
 
 /// The head of a request.
@@ -141,8 +232,14 @@
     ///
     /// The head is malformed or its framing ambiguous.
     pub fn parse(bytes: &[u8]) -> Result<Self, HeadError> {
-        let mut header_buffer = [httparse::EMPTY_HEADER; MAX_FIELDS];
-        let mut request = httparse::Request::new(&mut header_buffer);
+        match field_room(bytes) {
+            None => Self::parse_into(bytes, &mut [EMPTY_HEADER; USUAL_FIELDS]),
+            Some(mut room) => Self::parse_into(bytes, &mut room),
+        }
+    }
+
+    fn parse_into<'a>(bytes: &'a [u8], room: &mut [Header<'a>]) -> Result<Self, HeadError> {
+        let mut request = httparse::Request::new(room);
         let status = request.parse(bytes).map_err(HeadError::Syntax)?;
         if status.is_partial() {
             return Err(HeadError::Syntax(httparse::Error::Token));
@@ -193,8 +290,18 @@
     ///
     /// The head is malformed or its framing ambiguous.
     pub fn parse(bytes: &[u8], is_head_request: bool) -> Result<Self, HeadError> {
-        let mut header_buffer = [httparse::EMPTY_HEADER; MAX_FIELDS];
-        let mut response = httparse::Response::new(&mut header_buffer);
+        match field_room(bytes) {
+            None => Self::parse_into(bytes, &mut [EMPTY_HEADER; USUAL_FIELDS], is_head_request),
+            Some(mut room) => Self::parse_into(bytes, &mut room, is_head_request),
+        }
+    }
+
+    fn parse_into<'a>(
+        bytes: &'a [u8],
+        room: &mut [Header<'a>],
+        is_head_request: bool,
+    ) -> Result<Self, HeadError> {
+        let mut response = httparse::Response::new(room);
         let status = response.parse(bytes).map_err(HeadError::Syntax)?;
         if status.is_partial() {
             return Err(HeadError::Syntax(httparse::Error::Token));
--- a/crates/guavawell-forward/src/intake.rs
+++ b/crates/guavawell-forward/src/intake.rs
@@ -11,6 +11,7 @@
 
 use crate::body_memory::BodyMemory;
 use crate::body_memory::BodyOutline;
+use crate::body_memory::HeadMemory;
 use crate::clients::ClientEntry;
 use crate::clock::timer_span;
 use crate::http::BodyDecoder;
@@ -39,8 +40,10 @@
     pub head: RequestHead,
     /// The body, decoded.
     pub body: Vec<u8>,
+    /// Counts the memory of a long head.
+    _head_memory: Option<HeadMemory>,
     /// Counts the memory of the body.
-    _memory: Option<BodyMemory>,
+    _body_memory: Option<BodyMemory>,
     /// When the head had been received.
     pub received_at: ClockTime,
 }
@@ -76,11 +79,13 @@
     let head = receive_head(channel, entry, limits).await?;
     entry.end_wait();
     let received_at = router.clock.now();
+    let head_memory = HeadMemory::take(router, head.fields.memory_bytes()).map_err(refuse_body)?;
     if head.framing == BodyFraming::Empty {
         return Ok(ReceivedRequest {
             head,
             body: Vec::new(),
-            _memory: None,
+            _head_memory: head_memory,
+            _body_memory: None,
             received_at,
         });
     }
@@ -89,7 +94,8 @@
     Ok(ReceivedRequest {
         head,
         body,
-        _memory: Some(memory),
+        _head_memory: head_memory,
+        _body_memory: Some(memory),
         received_at,
     })
 }
--- a/crates/guavawell-forward/src/request.rs
+++ b/crates/guavawell-forward/src/request.rs
@@ -9,7 +9,6 @@
 
 use crate::http::BodyFraming;
 use crate::http::HeadWriter;
-use crate::http::is_hop_by_hop;
 use crate::router::ForwardRouter;
 use crate::serve::ForwardCall;
 
@@ -75,9 +74,10 @@
     let request = call.request;
     let fields = &request.head.fields;
     let mut head = HeadWriter::request(&request.head.method, &request.head.target);
+    let hop_by_hop = fields.hop_by_hop();
     for (name, value) in fields.iter() {
         let replaced = is_own_field(router, name)
-            || is_hop_by_hop(fields, name)
+            || hop_by_hop.contains(name)
             || (resumed.is_some() && name.eq_ignore_ascii_case(names.last_event));
         if !replaced {
             head.field(name, value);
--- a/crates/guavawell-forward/src/response.rs
+++ b/crates/guavawell-forward/src/response.rs
@@ -16,7 +16,6 @@
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
 use crate::http::ResponseHead;
-use crate::http::is_hop_by_hop;
 use crate::in_flight::InFlightGuard;
 use crate::pool::keep_alive_span;
 use crate::router::ForwardRouter;
@@ -55,9 +54,10 @@
 /// Copies the server's header fields, except `Content-Length` and hop-by-hop
 /// fields.
 pub fn copy_fields(fields: &FieldList, head: &mut HeadWriter) {
+    let hop_by_hop = fields.hop_by_hop();
     for (name, value) in fields.iter() {
         let framing = name.eq_ignore_ascii_case("content-length");
-        if !framing && !is_hop_by_hop(fields, name) {
+        if !framing && !hop_by_hop.contains(name) {
             head.field(name, value);
         }
     }
--- a/crates/guavawell-forward/tests/http.rs
+++ b/crates/guavawell-forward/tests/http.rs
@@ -173,3 +173,37 @@
         assert!(begins_event(rest.as_bytes()), "{rest:?}");
     }
 }
+
+// Guards against a limit on the number of fields: only the length of a head is limited.
+#[test]
+fn a_head_of_thousands_of_fields_is_parsed() {
+    for count in [1, 95, 96, 97, 8_000] {
+        let fields = "a:\r\n".repeat(count);
+        let text = format!("GET / HTTP/1.1\r\nHost: h\r\n{fields}Z: last\r\n\r\n");
+        let head = RequestHead::parse(text.as_bytes()).expect("a head");
+        assert_eq!(head.fields.iter().count(), count + 2);
+        assert_eq!(head.fields.all("A").count(), count);
+        assert_eq!(head.fields.get("z"), Some("last"));
+        assert!(head.fields.memory_bytes() <= 5 * text.len() + 512);
+        let text = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 3\r\n\r\n");
+        let head = ResponseHead::parse(text.as_bytes(), false).expect("a head");
+        assert_eq!(head.framing, BodyFraming::Length(3));
+    }
+}
+
+// A head may list thousands of names as well as have thousands of fields.
+#[test]
+fn fields_that_connection_lists_concern_one_connection() {
+    let listed: String = (0..3_000).map(|number| format!("X-{number}, ")).collect();
+    let text = format!(
+        "GET / HTTP/1.1\r\nHost: h\r\nConnection: {listed}\r\nconnection: Keep-Alive,other \r\n\r\n"
+    );
+    let head = RequestHead::parse(text.as_bytes()).expect("a head");
+    let names = head.fields.hop_by_hop();
+    for name in ["x-0", "X-2999", "OTHER", "connection", "Te", "Upgrade"] {
+        assert!(names.contains(name), "{name}");
+    }
+    for name in ["Host", "X-3000", "X", "others"] {
+        assert!(!names.contains(name), "{name}");
+    }
+}
