Count responses that wait for their callers also where nothing is read ahead

Callers would have seen: a process that ends once many callers read long answers slowly, where the kernel's send buffers are small.

Cause: without the settings for overload a response of up to 256 KiB was collected whatever the memory, and counted nowhere until its caller had taken it.

Why it works: both parts count in the memory for requests and responses; beyond half of it a response is passed on as its caller takes it.

--- a/crates/guavawell-forward/src/read_ahead.rs
+++ b/crates/guavawell-forward/src/read_ahead.rs
@@ -174,6 +174,7 @@
     /// The connection failed.
     pub async fn send_last(&self, bytes: &[u8]) -> io::Result<()> {
         let Some(queue) = &self.queue else {
+            let _held = HeldBytes::new(self.router, bytes.len());
             return self.channel.send(bytes).await;
         };
         let written = if queue.is_empty() {
@@ -200,10 +201,11 @@
 
     /// Counts what is held of a response and not complete enough to be sent.
     #[must_use]
-    pub const fn incomplete_part(&self) -> IncompletePart<'_> {
+    pub fn incomplete_part(&self) -> IncompletePart<'_> {
         IncompletePart {
             outbox: self,
             bytes: 0,
+            uncounted: HeldBytes::new(self.router, 0),
         }
     }
 
@@ -211,7 +213,7 @@
     #[must_use]
     pub fn may_collect(&self, bytes: usize) -> bool {
         let settings = &self.router.settings.read_ahead;
-        self.queue.is_none() || settings.may_read(self.router.memory_use(), bytes)
+        settings.may_read(self.router.memory_use(), bytes)
     }
 
     /// Writes what is kept, as the caller takes it, until the connection fails or the
@@ -360,6 +362,35 @@
 pub struct IncompletePart<'a> {
     outbox: &'a CallerOutbox<'a>,
     bytes: usize,
+    /// Counts them where no queue does.
+    uncounted: HeldBytes<'a>,
+}
+
+/// Counts bytes of a response in memory until it is dropped.
+#[derive(Debug)]
+struct HeldBytes<'a> {
+    router: &'a ForwardRouter,
+    bytes: usize,
+}
+
+impl<'a> HeldBytes<'a> {
+    fn new(router: &'a ForwardRouter, bytes: usize) -> Self {
+        let mut held = Self { router, bytes: 0 };
+        held.set(bytes);
+        held
+    }
+
+    fn set(&mut self, bytes: usize) {
+        let count = &self.router.held_bytes;
+        count.set(count.get() + bytes - self.bytes);
+        self.bytes = bytes;
+    }
+}
+
+impl Drop for HeldBytes<'_> {
+    fn drop(&mut self) {
+        self.set(0);
+    }
 }
 
 impl IncompletePart<'_> {
@@ -369,6 +400,8 @@
             let others = queue.incomplete.get().saturating_sub(self.bytes);
             self.outbox
                 .change(queue, |queue| queue.incomplete.set(others + bytes));
+        } else {
+            self.uncounted.set(bytes);
         }
         self.bytes = bytes;
     }
