--- a/crates/guavawell-fleet/src/caller/mod.rs
+++ b/crates/guavawell-fleet/src/caller/mod.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod listener;
+mod memory;
 mod read;
 #[cfg(test)]
 mod tests;
@@ -13,5 +14,9 @@
 pub use body::frame_body;
 pub use listener::CallerLimits;
 pub use listener::CallerListener;
+pub use memory::BodyMemory;
+pub use memory::BodyShare;
 pub use read::BodyError;
+pub use read::BodyLimits;
+pub use read::CallerBody;
 pub use read::read_body;
--- a/crates/guavawell-fleet/src/router/core.rs
+++ b/crates/guavawell-fleet/src/router/core.rs
@@ -17,6 +17,7 @@
 use super::admit::AdmissionDoor;
 use super::doubt::DoubtBook;
 use super::share::RouterShares;
+use crate::caller::BodyMemory;
 use crate::claim::ClaimDriver;
 use crate::drill::LinkGate;
 use crate::engine::EngineClient;
@@ -67,6 +68,8 @@
     pub tasks: TaskSpawner,
     /// Cuts links in failure drills.
     pub gate: LinkGate,
+    /// Memory for the bodies of callers' requests.
+    pub bodies: Arc<BodyMemory>,
     /// Limits of chat requests.
     pub chat: ChatLimits,
     /// Set once a graceful shutdown began.
--- a/crates/guavawell-fleet/src/router/serve.rs
+++ b/crates/guavawell-fleet/src/router/serve.rs
@@ -46,6 +46,8 @@
 use super::send::AttemptRun;
 use super::service::serve_service;
 use crate::caller::BodyError;
+use crate::caller::BodyLimits;
+use crate::caller::CallerBody;
 use crate::caller::read_body;
 use crate::clock;
 use crate::event::EventDraft;
@@ -53,6 +55,9 @@
 /// Expected time to first token, before any is measured.
 const FIRST_TOKEN_GUESS: ClockSpan = ClockSpan::from_millis(100);
 
+/// Retry-After while the bodies of other requests take the memory for them.
+const RETRY_NO_MEMORY: ClockSpan = ClockSpan::from_millis(500);
+
 /// The path under which plain services are called.
 const SERVICES: &str = "/services/";
 
@@ -124,7 +129,7 @@
         Ok(body) => body,
         Err(refusal) => return unread(refuse(core, Some(&identity), &refusal)),
     };
-    match run_chat(core, view, &entry, &body).await {
+    match run_chat(core, view, &entry, &body.bytes).await {
         Ok(response) => response,
         Err(refusal) => refuse(core, Some(&identity), &refusal),
     }
@@ -247,17 +252,26 @@
 }
 
 /// Reads the caller's body within the limits.
-pub async fn caller_body(core: &RouterCore, request: &mut Request) -> Result<Vec<u8>, Refusal> {
+pub async fn caller_body(core: &RouterCore, request: &mut Request) -> Result<CallerBody, Refusal> {
     let callers = &core.settings.callers;
-    let limit = usize::try_from(callers.max_body_bytes.get()).unwrap_or(usize::MAX);
-    let time = clock::duration(callers.head_timeout_ms);
-    read_body(request, limit, time).await.map_err(|error| {
+    let limits = BodyLimits {
+        bytes: usize::try_from(callers.max_body_bytes.get()).unwrap_or(usize::MAX),
+        time: clock::duration(callers.head_timeout_ms),
+    };
+    let body = read_body(request, limits, &core.bodies).await;
+    body.map_err(|error| {
         let reason = match error {
             BodyError::TooLarge { .. } => RefusalReason::BodyTooLarge,
+            BodyError::NoMemory => RefusalReason::Overloaded,
             BodyError::TimedOut(_) => RefusalReason::Timeout,
             BodyError::Truncated(_) => RefusalReason::BadRequest,
         };
-        Refusal::unattempted(reason, error.to_string())
+        let refusal = Refusal::unattempted(reason, error.to_string());
+        if reason == RefusalReason::Overloaded {
+            metrics::counter!("guavawell_bodies_refused_total").increment(1);
+            return refusal.after(RETRY_NO_MEMORY);
+        }
+        refusal
     })
 }
 
--- a/crates/guavawell-fleet/src/router/service.rs
+++ b/crates/guavawell-fleet/src/router/service.rs
@@ -67,7 +67,7 @@
         Err(refusal) => return unread(refuse(core, Some(&identity), &refusal)),
     };
     let served = match find_service(view, rest) {
-        Ok((service, path)) => call(core, &entry, body, service, path).await,
+        Ok((service, path)) => call(core, &entry, &body.bytes, service, path).await,
         Err(refusal) => Err(refusal),
     };
     served.unwrap_or_else(|refusal| refuse(core, Some(&identity), &refusal))
@@ -90,7 +90,7 @@
 async fn call(
     core: &Arc<RouterCore>,
     entry: &CallerEntry,
-    body: Vec<u8>,
+    body: &[u8],
     service: &ServiceEntry,
     path: Box<str>,
 ) -> Result<Response, Refusal> {
--- a/crates/guavawell-fleet/src/router/settings.rs
+++ b/crates/guavawell-fleet/src/router/settings.rs
@@ -77,6 +77,12 @@
     }
 }
 
+/// Bytes that the bodies of all requests may take in memory.
+pub fn body_memory(settings: &RouterSettings) -> usize {
+    let bytes = settings.callers.max_body_memory_bytes.get();
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
+
 pub fn operator_limits() -> CallerLimits {
     CallerLimits {
         max_connections: 64,
--- a/crates/guavawell-fleet/src/router/start.rs
+++ b/crates/guavawell-fleet/src/router/start.rs
@@ -36,6 +36,7 @@
 use super::settings;
 use super::targets::backend_specs;
 use super::targets::route_targets;
+use crate::caller::BodyMemory;
 use crate::caller::CallerListener;
 use crate::claim::BatchSettings;
 use crate::claim::ClaimDriver;
@@ -214,6 +215,7 @@
             events,
             tasks,
             gate: options.gate,
+            bodies: BodyMemory::new(settings::body_memory(&settings)),
             chat: settings::chat_limits(&settings),
             leaving: AtomicBool::new(false),
             ready: AtomicBool::new(false),
--- a/crates/guavawell-fleet/src/settings/check.rs
+++ b/crates/guavawell-fleet/src/settings/check.rs
@@ -274,6 +274,10 @@
             "callers.max_body_bytes",
             settings.callers.max_body_bytes.get(),
         ),
+        (
+            "callers.max_body_memory_bytes",
+            settings.callers.max_body_memory_bytes.get(),
+        ),
         (
             "callers.max_connections",
             settings.callers.max_connections.into(),
--- a/crates/guavawell-fleet/src/settings/network.rs
+++ b/crates/guavawell-fleet/src/settings/network.rs
@@ -73,6 +73,11 @@
         plain_loopback: bool = false;
         /// Largest request body, in bytes.
         max_body_bytes: ByteCount = ByteCount::new(4 * 1024 * 1024);
+        /// Bytes that the bodies of all requests may take in memory together;
+        /// a request whose body does not fit is refused and has not run. A body
+        /// that does not state its length takes `max_body_bytes` until it has
+        /// arrived.
+        max_body_memory_bytes: ByteCount = ByteCount::new(256 * 1024 * 1024);
         /// Most open connections; further ones are closed at once.
         max_connections: u32 = 4096;
         /// Longest time from the first byte of a request head to its end, in
