Read more of what a refused caller goes on sending, so that the refusal arrives

Callers saw: a body over a small limit was reset before its 413 could be read.

Why it works: 8 MiB at least are read, for 400 ms as before.

--- a/crates/guavawell-forward/src/callers.rs
+++ b/crates/guavawell-forward/src/callers.rs
@@ -23,6 +23,9 @@
 /// Longest wait for a caller to close its connection if it has sent bytes that are not
 /// served. It is less than the time that a leaving process reserves for its last steps.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Bytes that are read at least of what such a caller goes on sending, so that it gets the
+/// response before the connection is reset.
+const MAX_UNREAD_BYTES: usize = 8 * 1024 * 1024;
 
 /// Accepts callers' connections until the process has no more to serve. Those that
 /// wait to be accepted then are accepted, and the listening socket is closed.
@@ -46,8 +49,9 @@
         let serve_channel = async move { serve_caller(&router, channel, &entry).await };
         executor.spawn(serve_channel).detach();
     };
+    let turn = router.callers.clients.accept_turn();
     router.callers.accepting_began();
-    accept_all("caller", &listener, &serve)
+    accept_all("caller", &listener, turn, &serve)
         .or(router.callers.wait_for_stop())
         .await;
     accept_waiting("caller", &listener, serve);
@@ -144,11 +148,10 @@
     close_unread(router, channel).await;
 }
 
-/// Closes a connection whose caller may have sent more than was served. As much is read as
-/// a request may take: a caller that goes on sending must not keep the instance busy.
+/// Closes a connection whose caller may have sent more than was served. A caller that goes
+/// on sending must not keep the instance busy.
 async fn close_unread(router: &ForwardRouter, channel: HttpChannel) {
-    let limits = caller_limits(router);
-    let max_bytes = limits.head_bytes + limits.body_bytes;
+    let max_bytes = caller_limits(router).body_bytes.max(MAX_UNREAD_BYTES);
     channel.close_unread(CLOSE_TIMEOUT, max_bytes).await;
 }
 
