Accept a quarter of a listener's limit in one turn

Callers saw: a readiness probe was closed unread twice while 1,500 idle clients came to the same port, beside load 25.

Cause: 64 connections were accepted before their tasks ran, at a listener that takes 60: each was closed to make room for later ones.

Why it works: those that come in the same turn cannot reach the limit by themselves.

--- a/crates/guavawell-forward/src/accept.rs
+++ b/crates/guavawell-forward/src/accept.rs
@@ -20,8 +20,6 @@
 /// Length of the queue of connections that wait to be accepted. If it is full, the
 /// kernel drops the SYN, and the caller's TCP retransmits it only after a second.
 const ACCEPT_QUEUE: i32 = 1_024;
-/// Connections that are accepted before other tasks have their turn.
-const TURN_CONNECTIONS: usize = 64;
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -47,10 +45,16 @@
 }
 
 /// Accepts connections until the process ends and passes each one to `serve`.
-/// `whom` names the kind of client in warnings.
-pub async fn accept_all(whom: &str, listener: &Async<TcpListener>, serve: impl Fn(HttpChannel)) {
+/// `whom` names the kind of client in warnings. Other tasks have their turn after each
+/// `turn` connections.
+pub async fn accept_all(
+    whom: &str,
+    listener: &Async<TcpListener>,
+    turn: usize,
+    serve: impl Fn(HttpChannel),
+) {
     for number in 1_usize.. {
-        if number.is_multiple_of(TURN_CONNECTIONS) {
+        if number.is_multiple_of(turn) {
             yield_now().await;
         }
         let accepted = listener.accept().await;
--- a/crates/guavawell-forward/src/admin.rs
+++ b/crates/guavawell-forward/src/admin.rs
@@ -88,7 +88,7 @@
         };
         executor.spawn(serve).detach();
     };
-    accept_all("probe", &listener, serve).await;
+    accept_all("probe", &listener, router.probes.accept_turn(), serve).await;
 }
 
 async fn serve_connection(
--- a/crates/guavawell-forward/src/clients.rs
+++ b/crates/guavawell-forward/src/clients.rs
@@ -23,6 +23,12 @@
 /// Shortest time between two reports of clients that were given up.
 const REPORT_INTERVAL: ClockSpan = ClockSpan::from_millis(1_000);
 
+/// Most connections that are accepted before other tasks have their turn.
+const MAX_TURN: usize = 64;
+/// Part of the connections of a listener that are accepted at most before their tasks have
+/// their turn: those that come later must not close them unread.
+const TURN_DIVISOR: usize = 4;
+
 /// Number of a connection, in the order of acceptance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct ConnectionNumber(u64);
@@ -147,6 +153,12 @@
         Some(entry)
     }
 
+    /// Number of connections that are accepted before other tasks have their turn.
+    #[must_use]
+    pub fn accept_turn(&self) -> usize {
+        (self.limits.connections / TURN_DIVISOR).clamp(1, MAX_TURN)
+    }
+
     /// The sockets of all connections.
     #[must_use]
     pub fn streams(&self) -> Vec<Rc<Async<TcpStream>>> {
--- a/crates/guavawell-forward/src/peer/server.rs
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -65,7 +65,7 @@
         // Until it has proved that it is one, an instance does not delay control tasks.
         queues.probes.spawn(connection).detach();
     };
-    accept_all("instance", &listener, serve).await;
+    accept_all("instance", &listener, router.strangers.accept_turn(), serve).await;
 }
 
 /// A connection of another instance, and its next request.
