--- a/crates/guavawell-forward/src/http/head.rs
+++ b/crates/guavawell-forward/src/http/head.rs
@@ -104,10 +104,15 @@
     /// Whether a comma-separated field contains a token, ignoring case.
     #[must_use]
     pub fn has_token(&self, name: &str, token: &str) -> bool {
-        self.all(name)
-            .filter_map(|value| std::str::from_utf8(value).ok())
-            .flat_map(|value| value.split(','))
-            .any(|part| part.trim().eq_ignore_ascii_case(token))
+        self.members(name)
+            .any(|member| member.eq_ignore_ascii_case(token))
+    }
+
+    /// The members of a comma-separated field, in order.
+    fn members<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        let values = self.all(name);
+        let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
+        texts.flat_map(|text| text.split(',')).map(str::trim)
     }
 
     /// Bytes of memory that the fields take.
@@ -120,10 +125,7 @@
     /// them.
     #[must_use]
     pub fn hop_by_hop(&self) -> HopByHopNames<'_> {
-        let values = self.all("connection");
-        let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
-        let listed = texts.flat_map(|text| text.split(','));
-        let mut listed: Vec<_> = listed.map(str::trim).map(CaselessName).collect();
+        let mut listed: Vec<_> = self.members("connection").map(CaselessName).collect();
         listed.sort_unstable();
         listed.dedup();
         HopByHopNames { listed }
