Simplify: one counter for held responses, one loop for instances' connections

IncompletePart counted a part of a response twice over (its own bytes and those of HeldBytes); it counts both itself now, also what is being sent, and HeldBytes is gone. The loop of an instance's connection ends in one place with one log line. Behaviour unchanged.

--- a/crates/guavawell-forward/src/body_memory.rs
+++ b/crates/guavawell-forward/src/body_memory.rs
@@ -1,5 +1,5 @@
-//! Counts requests in memory: long heads, and bodies from before they are received until they are dropped,
-//! and gives up some that are being received where memory is short.
+//! Counts requests in memory: long heads, and bodies from before they are received until
+//! they are dropped. Gives up some bodies that are being received where memory is short.
 
 use std::cell::Cell;
 use std::cell::RefCell;
--- a/crates/guavawell-forward/src/peer/server.rs
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -7,6 +7,7 @@
 
 use guavawell_core::clock::ClockSpan;
 use smol::Async;
+use smol::LocalExecutor;
 
 use super::CONFIG_VERSION_FIELD;
 use super::FleetKey;
@@ -55,9 +56,8 @@
                 Ok(connection) => {
                     drop(entry);
                     let control = Rc::clone(&owner.control);
-                    control
-                        .spawn(serve_instance(router, connection, owner))
-                        .detach();
+                    let serve = serve_instance(router, connection, owner.requests);
+                    control.spawn(serve).detach();
                 }
                 Err(error) => log::debug!("connection to the port of instances ended: {error}"),
             }
@@ -101,34 +101,31 @@
     })
 }
 
-/// Serves requests of another instance until the connection ends, or becomes a tunnel to a
-/// server.
+/// Serves requests of another instance until the connection ends. One that becomes a tunnel
+/// to a server is carried in the queue of requests: its bytes are those of callers' requests,
+/// so they do not delay other control tasks.
 async fn serve_instance(
     router: Rc<ForwardRouter>,
-    mut connection: InstanceConnection,
-    queues: TaskQueues,
+    connection: InstanceConnection,
+    requests: Rc<LocalExecutor<'static>>,
 ) {
+    match serve_until_tunnel(&router, connection).await {
+        Ok(tunnel) => requests.spawn(carry(router, tunnel)).detach(),
+        Err(error) => log::debug!("connection from another instance ended: {error}"),
+    }
+}
+
+/// Serves requests until the connection becomes a tunnel to a server.
+async fn serve_until_tunnel(
+    router: &Rc<ForwardRouter>,
+    mut connection: InstanceConnection,
+) -> Result<CarriedTunnel, ChannelError> {
     loop {
-        let next = match answer(&router, connection).await {
-            Ok(Answered::Next(channel)) => channel,
-            Ok(Answered::Tunnel(tunnel)) => {
-                // Its bytes are those of callers' requests, so they do not delay other
-                // control tasks.
-                queues.requests.spawn(carry(router, tunnel)).detach();
-                return;
-            }
-            Err(error) => {
-                log::debug!("connection from another instance ended: {error}");
-                return;
-            }
-        };
-        connection = match receive_authenticated(&router, next, IDLE_TIMEOUT).await {
-            Ok(connection) => connection,
-            Err(error) => {
-                log::debug!("connection from another instance ended: {error}");
-                return;
-            }
+        let channel = match answer(router, connection).await? {
+            Answered::Next(channel) => channel,
+            Answered::Tunnel(tunnel) => return Ok(tunnel),
         };
+        connection = receive_authenticated(router, channel, IDLE_TIMEOUT).await?;
     }
 }
 
--- a/crates/guavawell-forward/src/read_ahead.rs
+++ b/crates/guavawell-forward/src/read_ahead.rs
@@ -174,7 +174,8 @@
     /// The connection failed.
     pub async fn send_last(&self, bytes: &[u8]) -> io::Result<()> {
         let Some(queue) = &self.queue else {
-            let _held = HeldBytes::new(self.router, bytes.len());
+            let mut held = self.incomplete_part();
+            held.set(bytes.len());
             return self.channel.send(bytes).await;
         };
         let written = if queue.is_empty() {
@@ -199,13 +200,12 @@
         }
     }
 
-    /// Counts what is held of a response and not complete enough to be sent.
+    /// Counts what is held of a response and not in the queue.
     #[must_use]
-    pub fn incomplete_part(&self) -> IncompletePart<'_> {
+    pub const fn incomplete_part(&self) -> IncompletePart<'_> {
         IncompletePart {
             outbox: self,
             bytes: 0,
-            uncounted: HeldBytes::new(self.router, 0),
         }
     }
 
@@ -356,41 +356,12 @@
     }
 }
 
-/// Counts the bytes that are held of one response and not complete enough to be sent,
-/// until it is dropped.
+/// Counts the bytes that are held of one response and not in the queue, until it is dropped:
+/// those that are not complete enough to be sent, and without a queue those that are sent.
 #[derive(Debug)]
 pub struct IncompletePart<'a> {
     outbox: &'a CallerOutbox<'a>,
     bytes: usize,
-    /// Counts them where no queue does.
-    uncounted: HeldBytes<'a>,
-}
-
-/// Counts bytes of a response in memory until it is dropped.
-#[derive(Debug)]
-struct HeldBytes<'a> {
-    router: &'a ForwardRouter,
-    bytes: usize,
-}
-
-impl<'a> HeldBytes<'a> {
-    fn new(router: &'a ForwardRouter, bytes: usize) -> Self {
-        let mut held = Self { router, bytes: 0 };
-        held.set(bytes);
-        held
-    }
-
-    fn set(&mut self, bytes: usize) {
-        let count = &self.router.held_bytes;
-        count.set(count.get() + bytes - self.bytes);
-        self.bytes = bytes;
-    }
-}
-
-impl Drop for HeldBytes<'_> {
-    fn drop(&mut self) {
-        self.set(0);
-    }
 }
 
 impl IncompletePart<'_> {
@@ -401,7 +372,8 @@
             self.outbox
                 .change(queue, |queue| queue.incomplete.set(others + bytes));
         } else {
-            self.uncounted.set(bytes);
+            let held = &self.outbox.router.held_bytes;
+            held.set(held.get() + bytes - self.bytes);
         }
         self.bytes = bytes;
     }
