--- a/crates/guavawell-forward/tests/schedule.rs
+++ b/crates/guavawell-forward/tests/schedule.rs
@@ -15,9 +15,15 @@
 /// body, handle the result, pause.
 const CALL_STEPS: usize = 6;
 
-#[test]
-fn a_call_to_the_platform_does_not_wait_behind_a_backlog_of_requests() {
-    let queues = TaskQueues::default();
+/// A task of this number of steps.
+async fn take_steps(count: usize) {
+    for _ in 0..count {
+        yield_now().await;
+    }
+}
+
+/// Starts requests that are all ready, and returns the number of their steps so far.
+fn start_backlog(queues: &TaskQueues) -> Rc<Cell<usize>> {
     let steps = Rc::new(Cell::new(0));
     for _ in 0..REQUESTS {
         let steps = Rc::clone(&steps);
@@ -29,11 +35,14 @@
         };
         queues.requests.spawn(request).detach();
     }
-    let call = queues.control.spawn(async {
-        for _ in 0..CALL_STEPS {
-            yield_now().await;
-        }
-    });
+    steps
+}
+
+#[test]
+fn a_call_to_the_platform_does_not_wait_behind_a_backlog_of_requests() {
+    let queues = TaskQueues::default();
+    let steps = start_backlog(&queues);
+    let call = queues.control.spawn(take_steps(CALL_STEPS));
     smol::block_on(queues.run(call));
     assert!(
         steps.get() <= REQUESTS,
@@ -86,16 +95,8 @@
         };
         queues.probes.spawn(probe).detach();
     }
-    let request = queues.requests.spawn(async {
-        for _ in 0..REQUEST_STEPS {
-            yield_now().await;
-        }
-    });
-    let call = queues.control.spawn(async {
-        for _ in 0..CALL_STEPS {
-            yield_now().await;
-        }
-    });
+    let request = queues.requests.spawn(take_steps(REQUEST_STEPS));
+    let call = queues.control.spawn(take_steps(CALL_STEPS));
     smol::block_on(queues.run(async {
         request.await;
         call.await;
@@ -106,22 +107,8 @@
 #[test]
 fn a_probe_does_not_wait_behind_a_backlog_of_requests() {
     let queues = TaskQueues::default();
-    let steps = Rc::new(Cell::new(0));
-    for _ in 0..REQUESTS {
-        let steps = Rc::clone(&steps);
-        let request = async move {
-            for _ in 0..REQUEST_STEPS {
-                steps.set(steps.get() + 1);
-                yield_now().await;
-            }
-        };
-        queues.requests.spawn(request).detach();
-    }
-    let probe = queues.probes.spawn(async {
-        for _ in 0..CALL_STEPS {
-            yield_now().await;
-        }
-    });
+    let steps = start_backlog(&queues);
+    let probe = queues.probes.spawn(take_steps(CALL_STEPS));
     smol::block_on(queues.run(probe));
     assert!(steps.get() <= REQUESTS, "{} request steps", steps.get());
 }
