Refuse answers of a status that the protocol does not have

What callers saw: a server in trouble answered with status 000, and its caller got "HTTP/1.1 0 OK" with the server's seal and body. So did 001 to 099 and 600 to 999. After a 101, which nobody asked for, the next bytes were read as the answer.

Cause: the parser takes any three digits, and nothing after it asked whether they are a status. `failure_end` takes what is under 500 for an answer to pass on.

Why the fix works: `ResponseHead::parse` is the one place where heads of answers become typed; it accepts 100 to 599 but 101. What it refuses ends the attempt as lost: 502, or another server where the request may be repeated. No other place has to know.

--- a/crates/guavawell-forward/src/http/head.rs
+++ b/crates/guavawell-forward/src/http/head.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 use std::ops::Range;
+use std::ops::RangeInclusive;
 
 use httparse::EMPTY_HEADER;
 use httparse::Header;
@@ -9,6 +10,11 @@
 
 /// Fields of a head for which no memory is allocated while it is parsed.
 const USUAL_FIELDS: usize = 96;
+/// The statuses of the protocol. Others have three digits too, but no meaning (RFC 9110,
+/// section 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
+/// The status of a server that goes on in another protocol, as nobody asks here.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Why a head is rejected.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -16,6 +22,9 @@
     /// It is not an HTTP/1 head.
     #[error("not an HTTP/1 head: {0}")]
     Syntax(httparse::Error),
+    /// The status is none that a response to a request can have.
+    #[error("a response has no status {0:03}")]
+    Status(u16),
     /// The framing of the body is ambiguous or unsupported.
     #[error("ambiguous framing: {0}")]
     Framing(&'static str),
@@ -304,21 +313,21 @@
         is_head_request: bool,
     ) -> Result<Self, HeadError> {
         let mut response = httparse::Response::new(room);
-        let status = response.parse(bytes).map_err(HeadError::Syntax)?;
-        if status.is_partial() {
+        let parsed = response.parse(bytes).map_err(HeadError::Syntax)?;
+        if parsed.is_partial() {
             return Err(HeadError::Syntax(httparse::Error::Token));
         }
         let fields = FieldList::capture(bytes, response.headers);
         let is_http11 = response.version == Some(1);
-        let code = response.code.unwrap_or_default();
-        let bodiless = is_head_request || code == 204 || code == 304 || (100..200).contains(&code);
+        let status = check_status(response.code.unwrap_or_default())?;
+        let bodiless = is_head_request || matches!(status, 100..200 | 204 | 304);
         let framing = if bodiless {
             BodyFraming::Empty
         } else {
             response_framing(&fields)?
         };
         Ok(Self {
-            status: code,
+            status,
             reason: response.reason.unwrap_or_default().into(),
             framing,
             keep_alive: keeps_alive(&fields, is_http11) && framing != BodyFraming::UntilClose,
@@ -327,6 +336,14 @@
     }
 }
 
+fn check_status(status: u16) -> Result<u16, HeadError> {
+    if STATUSES.contains(&status) && status != SWITCHING_PROTOCOLS {
+        Ok(status)
+    } else {
+        Err(HeadError::Status(status))
+    }
+}
+
 fn keeps_alive(fields: &FieldList, is_http11: bool) -> bool {
     if is_http11 {
         !fields.has_token("connection", "close")
--- a/crates/guavawell-forward/tests/http.rs
+++ b/crates/guavawell-forward/tests/http.rs
@@ -86,6 +86,18 @@
     }
 }
 
+// Guards against a status of three digits that is none of the protocol. Nobody asks for
+// the switch that 101 announces.
+#[test]
+fn only_the_statuses_of_the_protocol_are_accepted() {
+    for status in 0..=999 {
+        let head = format!("HTTP/1.1 {status:03} Reason\r\n\r\n");
+        let head = ResponseHead::parse(head.as_bytes(), false);
+        let is_valid = (100..=599).contains(&status) && status != 101;
+        assert_eq!(head.is_ok(), is_valid, "{status:03}");
+    }
+}
+
 #[test]
 fn corrupted_heads_never_panic_and_the_intact_head_has_its_host() {
     let good =
