Refuse heads that an empty line of a bare LF ends early

What callers saw: a server's answer had a name of a field that begins with an LF (or, the same bytes, an empty line "\n" among its fields). Its caller got 200 with the seal, with the fields up to there; those after it, Content-Length among them, were dropped without a word, so the body was not the server's where that line states another length. Names with a blank or any other control byte were refused before already.

Cause: two readers of one head disagree. The connection looks for CR LF CR LF; the parser also ends at LF LF, and says how many bytes it took; that was not compared.

Why the fix works: a head counts only if the parser took all of it. Heads of requests go the same way, where the hidden lines could have been another request.

--- a/crates/guavawell-forward/src/http/head.rs
+++ b/crates/guavawell-forward/src/http/head.rs
@@ -251,10 +251,8 @@
 
     fn parse_into<'a>(bytes: &'a [u8], room: &mut [Header<'a>]) -> Result<Self, HeadError> {
         let mut request = httparse::Request::new(room);
-        let status = request.parse(bytes).map_err(HeadError::Syntax)?;
-        if status.is_partial() {
-            return Err(HeadError::Syntax(httparse::Error::Token));
-        }
+        let parsed = request.parse(bytes).map_err(HeadError::Syntax)?;
+        check_length(parsed, bytes)?;
         let fields = FieldList::capture(bytes, request.headers);
         let is_http11 = request.version == Some(1);
         let framing = request_framing(&fields, is_http11)?;
@@ -314,9 +312,7 @@
     ) -> Result<Self, HeadError> {
         let mut response = httparse::Response::new(room);
         let parsed = response.parse(bytes).map_err(HeadError::Syntax)?;
-        if parsed.is_partial() {
-            return Err(HeadError::Syntax(httparse::Error::Token));
-        }
+        check_length(parsed, bytes)?;
         let fields = FieldList::capture(bytes, response.headers);
         let is_http11 = response.version == Some(1);
         let status = check_status(response.code.unwrap_or_default())?;
@@ -336,6 +332,16 @@
     }
 }
 
+/// Checks that the parser took all bytes for the head. An empty line that ends with a bare
+/// LF ends a head for it before the bytes that end it here.
+fn check_length(parsed: httparse::Status<usize>, bytes: &[u8]) -> Result<(), HeadError> {
+    if parsed == httparse::Status::Complete(bytes.len()) {
+        Ok(())
+    } else {
+        Err(HeadError::Syntax(httparse::Error::Token))
+    }
+}
+
 fn check_status(status: u16) -> Result<u16, HeadError> {
     if STATUSES.contains(&status) && status != SWITCHING_PROTOCOLS {
         Ok(status)
--- a/crates/guavawell-forward/tests/http.rs
+++ b/crates/guavawell-forward/tests/http.rs
@@ -98,6 +98,29 @@
     }
 }
 
+/// The bytes of which the name of a field consists (RFC 9110, section 5.6.2).
+fn is_name_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+// Guards against a name with a byte that is none of a name, wherever it stands: names of
+// several bytes are checked at once.
+#[test]
+fn names_with_any_other_byte_are_refused() {
+    for length in 1..48 {
+        for place in 0..length {
+            for byte in (0..=u8::MAX).filter(|byte| *byte != b':') {
+                let mut name = vec![b'n'; length];
+                name[place] = byte;
+                let head = [b"HTTP/1.1 200 OK\r\nA: b\r\n", &*name, b": c\r\n\r\n"].concat();
+                let head = ResponseHead::parse(&head, false);
+                let is_valid = is_name_byte(byte);
+                assert_eq!(head.is_ok(), is_valid, "{byte} at {place} of {length}");
+            }
+        }
+    }
+}
+
 #[test]
 fn corrupted_heads_never_panic_and_the_intact_head_has_its_host() {
     let good =
