Answers with broken trailers or chunk sizes are not complete

What callers saw: a server's chunks ended with lines that are no fields (a name with a blank or a NUL, no colon, an empty line of a bare LF), or a size line held a control byte. Its caller got 200, the seal and a complete body.

Cause: trailers are not passed on, so they were skipped unread; of a size line only what stands before the `;` was looked at. Both are part of the message: bytes that break them show that what follows is not what the server meant to send.

Why the fix works: each trailer line must be a field by the parser of the heads, a size line holds no control byte but a tab, and `BodyDecoder` decodes all bodies.

--- a/crates/guavawell-forward/src/http/body.rs
+++ b/crates/guavawell-forward/src/http/body.rs
@@ -3,6 +3,7 @@
 use thiserror::Error;
 
 use super::BodyFraming;
+use super::head::is_field_line;
 
 /// Largest chunk size line, extensions included, in bytes.
 const MAX_CHUNK_SIZE_LINE: usize = 256;
@@ -18,8 +19,8 @@
     /// A chunk does not end with a line break.
     #[error("chunk is not followed by a line break")]
     ChunkEnd,
-    /// The trailers are too long.
-    #[error("trailers too long")]
+    /// The trailers are malformed or too long.
+    #[error("malformed trailers")]
     Trailers,
 }
 
@@ -159,6 +160,10 @@
         let line = input[..end]
             .strip_suffix(b"\r\n")
             .ok_or(BodyError::ChunkSize)?;
+        let is_control = |byte: &u8| byte.is_ascii_control() && *byte != b'\t';
+        if line.iter().any(is_control) {
+            return Err(BodyError::ChunkSize);
+        }
         let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
         let digits = digits.trim_ascii_end();
         let valid = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
@@ -195,11 +200,14 @@
                 Ok(0)
             };
         };
-        let empty = &input[..end] == b"\r\n";
-        self.state = match read + end {
-            _ if empty => BodyState::Done,
-            read if read > MAX_TRAILER_BYTES => return Err(BodyError::Trailers),
-            read => BodyState::Trailers(read),
+        let line = &input[..end];
+        let read = read + end;
+        self.state = if line == b"\r\n" {
+            BodyState::Done
+        } else if read <= MAX_TRAILER_BYTES && is_field_line(line) {
+            BodyState::Trailers(read)
+        } else {
+            return Err(BodyError::Trailers);
         };
         Ok(end)
     }
--- a/crates/guavawell-forward/src/http/head.rs
+++ b/crates/guavawell-forward/src/http/head.rs
@@ -350,6 +350,14 @@
     }
 }
 
+/// Whether a line, which ends with a line break, is a field.
+pub(super) fn is_field_line(line: &[u8]) -> bool {
+    let lines = [line, b"\r\n"].concat();
+    let mut room = [EMPTY_HEADER; 1];
+    let parsed = httparse::parse_headers(&lines, &mut room);
+    matches!(parsed, Ok(httparse::Status::Complete((_, [_]))))
+}
+
 fn keeps_alive(fields: &FieldList, is_http11: bool) -> bool {
     if is_http11 {
         !fields.has_token("connection", "close")
