Refuse answers of HTTP/1.0 in chunks, and broken lengths without a body

What callers saw: an answer of HTTP/1.0 with Transfer-Encoding came as a complete one, and an answer to HEAD passed on a Content-Length that is no number.

Cause: requests were checked for a coding that their version does not have, responses were not; and the framing of a response without a body was not read at all.

Why the fix works: one function reads what the fields state, for requests and responses alike, before it is decided whether there is a body. RFC 9112, section 6.1, calls the first framing faulty.

Evidence: `an_answer_with_faulty_framing_reaches_no_caller` and `a_broken_length_without_a_body_reaches_no_caller` failed on the code before (200 at four routes; `Content-Length: 3x` passed on).

--- a/crates/guavawell-forward/src/http/head.rs
+++ b/crates/guavawell-forward/src/http/head.rs
@@ -316,11 +316,13 @@
         let fields = FieldList::capture(bytes, response.headers);
         let is_http11 = response.version == Some(1);
         let status = check_status(response.code.unwrap_or_default())?;
+        // A response without a body may state the framing that another one would have.
+        let stated_framing = response_framing(&fields, is_http11)?;
         let bodiless = is_head_request || matches!(status, 100..200 | 204 | 304);
         let framing = if bodiless {
             BodyFraming::Empty
         } else {
-            response_framing(&fields)?
+            stated_framing
         };
         Ok(Self {
             status,
@@ -378,29 +380,27 @@
 }
 
 fn request_framing(fields: &FieldList, is_http11: bool) -> Result<BodyFraming, HeadError> {
-    let length = content_length(fields)?;
-    let chunked = is_chunked(fields)?;
-    match (length, chunked) {
-        (Some(_), true) => Err(HeadError::Framing(
-            "Content-Length together with Transfer-Encoding",
-        )),
-        (None, true) if !is_http11 => Err(HeadError::Framing("Transfer-Encoding before HTTP/1.1")),
-        (None, true) => Ok(BodyFraming::Chunked),
-        (Some(length), false) => Ok(BodyFraming::Length(length)),
-        (None, false) => Ok(BodyFraming::Empty),
-    }
+    let stated = stated_framing(fields, is_http11)?;
+    Ok(stated.unwrap_or(BodyFraming::Empty))
 }
 
-fn response_framing(fields: &FieldList) -> Result<BodyFraming, HeadError> {
+fn response_framing(fields: &FieldList, is_http11: bool) -> Result<BodyFraming, HeadError> {
+    let stated = stated_framing(fields, is_http11)?;
+    Ok(stated.unwrap_or(BodyFraming::UntilClose))
+}
+
+/// The framing that the fields state; `None` if they state none.
+fn stated_framing(fields: &FieldList, is_http11: bool) -> Result<Option<BodyFraming>, HeadError> {
     let length = content_length(fields)?;
     let chunked = is_chunked(fields)?;
     match (length, chunked) {
         (Some(_), true) => Err(HeadError::Framing(
             "Content-Length together with Transfer-Encoding",
         )),
-        (None, true) => Ok(BodyFraming::Chunked),
-        (Some(length), false) => Ok(BodyFraming::Length(length)),
-        (None, false) => Ok(BodyFraming::UntilClose),
+        (None, true) if !is_http11 => Err(HeadError::Framing("Transfer-Encoding before HTTP/1.1")),
+        (None, true) => Ok(Some(BodyFraming::Chunked)),
+        (Some(length), false) => Ok(Some(BodyFraming::Length(length))),
+        (None, false) => Ok(None),
     }
 }
 
