--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -26,10 +26,8 @@
 use crate::handover::LateWatch;
 use crate::handover::RaceEnd;
 use crate::http::BodyDecoder;
-use crate::http::BodyFraming;
 use crate::http::ChannelError;
 use crate::http::HttpChannel;
-use crate::http::ResponseHead;
 use crate::http::within;
 use crate::in_flight::InFlightGuard;
 use crate::in_flight::drop_silent_connections;
@@ -47,12 +45,6 @@
 use crate::serve::ForwardCall;
 use crate::server_status::apply_server_status;
 
-/// Largest head of a server's response, in bytes.
-const MAX_RESPONSE_HEAD: usize = 32 * 1024;
-/// Most bytes of interim heads and of responses to other requests that are skipped before
-/// a response.
-const MAX_SKIPPED: usize = 256 * 1024;
-
 /// One attempt at a server.
 #[derive(Debug)]
 pub struct AttemptInfo {
@@ -331,7 +323,7 @@
             }
             std::future::pending().await
         };
-        let head = response_head(&mut channel, is_head_request, |head| {
+        let head = channel.response_head(is_head_request, |head| {
             apply_server_status(router, guard.server(), head);
             let echoed_id = head.fields.get(router.settings.names.request);
             let is_own = echoed_id.is_none_or(|id| id == call.id);
@@ -378,48 +370,6 @@
     }
 }
 
-/// Reads response heads until `is_own` accepts one. Interim heads, and responses to other
-/// requests, that arrive first are skipped, up to [`MAX_SKIPPED`]; the connection is not
-/// reused after the latter.
-pub(crate) async fn response_head(
-    channel: &mut HttpChannel,
-    is_head_request: bool,
-    is_own: impl Fn(&ResponseHead) -> bool,
-) -> Result<ResponseHead, ChannelError> {
-    let mut skipped = 0;
-    loop {
-        let length = channel.head(MAX_RESPONSE_HEAD).await?;
-        let head = ResponseHead::parse(&channel.received()[..length], is_head_request)?;
-        channel.consume(length);
-        let is_interim = (100..200).contains(&head.status);
-        if !is_interim && is_own(&head) {
-            return Ok(head);
-        }
-        skipped += length;
-        if !is_interim {
-            skipped += skip_body(channel, &head, MAX_SKIPPED.saturating_sub(skipped)).await?;
-        }
-        if skipped > MAX_SKIPPED {
-            return Err(ChannelError::HeadTooLong);
-        }
-    }
-}
-
-/// Reads a body of at most `limit` bytes and returns its size.
-async fn skip_body(
-    channel: &mut HttpChannel,
-    head: &ResponseHead,
-    limit: usize,
-) -> Result<usize, ChannelError> {
-    let body = channel.body(head.framing, limit).await?;
-    if head.framing == BodyFraming::UntilClose {
-        // A body without a length lasts until the connection is closed, so no
-        // other response follows.
-        return Err(ChannelError::Closed);
-    }
-    Ok(body.len())
-}
-
 /// The time until `deadline`, as a timeout.
 #[must_use]
 pub fn time_left(router: &ForwardRouter, deadline: ClockTime) -> std::time::Duration {
--- a/crates/guavawell-forward/src/http/channel/mod.rs
+++ b/crates/guavawell-forward/src/http/channel/mod.rs
@@ -1,6 +1,7 @@
 //! A TCP connection with a receive buffer.
 
 mod close;
+mod response;
 
 use std::cell::Cell;
 use std::io;
@@ -25,6 +26,7 @@
 use super::BodyFraming;
 use super::ChannelError;
 use super::RecordDecoder;
+use super::ResponseHead;
 use super::within;
 use crate::clock::timer_span;
 use crate::link::ByteMeter;
--- a/crates/guavawell-forward/src/http/head.rs
+++ b/crates/guavawell-forward/src/http/head.rs
@@ -13,6 +13,8 @@
 /// The statuses of the protocol. Others have three digits too, but no meaning (RFC 9110,
 /// section 15).
 const STATUSES: RangeInclusive<u16> = 100..=599;
+/// The statuses of interim responses.
+const INTERIM_STATUSES: RangeInclusive<u16> = 100..=199;
 /// The status of a server that goes on in another protocol, as nobody asks here.
 const SWITCHING_PROTOCOLS: u16 = 101;
 
@@ -292,6 +294,12 @@
 }
 
 impl ResponseHead {
+    /// Whether it is an interim response, which the response to the same request follows.
+    #[must_use]
+    pub fn is_interim(&self) -> bool {
+        INTERIM_STATUSES.contains(&self.status)
+    }
+
     /// Parses a complete head, including the empty line. `is_head_request` tells
     /// whether the request method was `HEAD`, whose responses have no body.
     ///
--- a/crates/guavawell-forward/src/warmth/question.rs
+++ b/crates/guavawell-forward/src/warmth/question.rs
@@ -11,7 +11,6 @@
 use super::QueryTarget;
 use super::known_revision;
 use super::report::HeardAnswer;
-use crate::attempt::response_head;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -76,7 +75,7 @@
     channel.send(&request.finish()).await?;
     // A response with a request's id answers another request.
     let is_own = |head: &ResponseHead| head.fields.get(names.request).is_none();
-    let head = response_head(&mut channel, false, is_own).await?;
+    let head = channel.response_head(false, is_own).await?;
     channel.body(head.framing, MAX_ANSWER_BODY).await?;
     // A second answer may arrive late. It names no request, so a request on this connection
     // would take it for its own.
