Log why a server's answer is none, with the request's id

An operator saw `attempt.ended end=lost` for an answer that was refused, as for one that never came. `response.malformed` names the request, the server, the carrier and the error; `response.cut` now names its request too. One line an attempt, through the bounded log; counted in guavawell_forward_responses_malformed_total.

--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -48,6 +48,8 @@
 /// One attempt at a server.
 #[derive(Debug)]
 pub struct AttemptInfo {
+    /// The id of the request.
+    pub request: Box<str>,
     /// The server.
     pub server: ServerIncarnation,
     /// The version of its software.
@@ -65,8 +67,9 @@
 
 impl AttemptInfo {
     /// An attempt that was not sent yet.
-    fn new(server: ServerIncarnation) -> Self {
+    fn new(request: &str, server: ServerIncarnation) -> Self {
         Self {
+            request: request.into(),
             server,
             version: None,
             suspicion: SuspicionMark::default(),
@@ -190,7 +193,7 @@
     cause: AttemptCause,
 ) -> Result<SentRequest, AttemptFailure> {
     progress.tried.push(pick.server.clone());
-    let mut info = AttemptInfo::new(pick.server.clone());
+    let mut info = AttemptInfo::new(call.id, pick.server.clone());
     let memory_tokens = call.usage.worst_case().get();
     let suspect = router.poison.suspect(call.fingerprint);
     let guard = InFlightGuard::new(router, pick, memory_tokens, suspect);
@@ -355,6 +358,7 @@
             }
             Err(error) => error,
         };
+        guard.note_broken(&info, &error);
         // A connection over the lost way says nothing of the server.
         if is_carried || !router.is_path_lost(&call.service) {
             guard.note_outcome(true);
--- a/crates/guavawell-forward/src/http/error.rs
+++ b/crates/guavawell-forward/src/http/error.rs
@@ -49,6 +49,12 @@
         matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
+    /// Whether what arrived is no message of the protocol.
+    #[must_use]
+    pub const fn is_malformed(&self) -> bool {
+        matches!(self, Self::HeadTooLong | Self::Head(_) | Self::Body(_))
+    }
+
     /// Whether the connection was refused or reset, rather than left unanswered.
     #[must_use]
     pub fn is_answered(&self) -> bool {
--- a/crates/guavawell-forward/src/in_flight.rs
+++ b/crates/guavawell-forward/src/in_flight.rs
@@ -12,6 +12,7 @@
 use guavawell_fleet::event::EventDraft;
 
 use crate::attempt::AttemptInfo;
+use crate::http::ChannelError;
 use crate::router::ForwardRouter;
 
 /// Counts a request in its server's load until the guard is dropped.
@@ -55,13 +56,34 @@
         }
     }
 
+    /// Records why a response is no complete one, if more is known than that its
+    /// connection ended or failed.
+    pub fn note_broken(&self, info: &AttemptInfo, error: &ChannelError) {
+        match error {
+            ChannelError::Cut(cause) => self.note_cut(info, *cause),
+            error if error.is_malformed() => self.note_malformed(info, error),
+            _ => {}
+        }
+    }
+
     /// Records that a response is cut although its connection ended in the ordinary way.
-    pub fn note_cut(&self, info: &AttemptInfo, cause: CutCause) {
+    fn note_cut(&self, info: &AttemptInfo, cause: CutCause) {
         let cause = cause.as_str();
         metrics::counter!("guavawell_forward_responses_cut_total", "cause" => cause).increment(1);
-        let mut draft = EventDraft::new("response.cut")
-            .field("server", &self.server)
-            .field("cause", cause);
+        let draft = EventDraft::new("response.cut").field("cause", cause);
+        self.emit_broken(info, draft);
+    }
+
+    /// Records that what a server sent is no response of the protocol.
+    fn note_malformed(&self, info: &AttemptInfo, error: &ChannelError) {
+        metrics::counter!("guavawell_forward_responses_malformed_total").increment(1);
+        let draft = EventDraft::new("response.malformed").field("error", error);
+        self.emit_broken(info, draft);
+    }
+
+    fn emit_broken(&self, info: &AttemptInfo, draft: EventDraft) {
+        let mut draft = draft.field("server", &self.server);
+        draft.request = info.request.parse().ok();
         if let Some(carrier) = &info.carrier {
             draft = draft.field("carrier", carrier);
         }
--- a/crates/guavawell-forward/src/response.rs
+++ b/crates/guavawell-forward/src/response.rs
@@ -98,8 +98,8 @@
             Err(ChannelError::Closed)
         };
         let result = part.or(restarted).await;
-        if let Err(ChannelError::Cut(cause)) = result {
-            self.guard.note_cut(&self.info, cause);
+        if let Err(error) = &result {
+            self.guard.note_broken(&self.info, error);
         }
         result
     }
