Older pipeline, load, ctl: read answers by the reader of forwarding

What callers saw or would: the client of async-h1, by which the older pipeline read backend servers and the platform, and load and ctl their routers, took - an interim answer (100, 101, 103) for the answer; the connection went back to the pool, and the next call on it got the answer to this one; - two lengths for the last of them, a body without a length or of an unknown coding for an empty one, and what follows an empty line of a bare LF for nothing: 200 with another body; - a success, a redirect or a 500 for a statement that a stream was certainly not run. It panicked at a value of a field that is not ASCII, and lost sound answers of HTTP/1.0, with chunk extensions, or after an empty line. `load` counted an answer that was cut short of its length as whole. Statuses and names of fields that are none it refused already.

Cause: another reader of the same protocol, with rules of its own.

Why the fix works: heads, framing and bodies move as they are from forwarding to the crate `guavawell-http`, which adds one exchange over any stream; all clients use it, so what is no answer is decided in one place. A connection is kept only if the response says so and nothing came after it. A status that the library of the older door cannot express (299) is lost, as before.

Not shown: what a panic did to a whole process.

--- a/crates/guavawell-ctl/src/instance/operator.rs
+++ b/crates/guavawell-ctl/src/instance/operator.rs
@@ -8,10 +8,12 @@
 use guavawell_fleet::tls::ClientTls;
 use http_types::Method;
 use http_types::Request;
-use http_types::StatusCode;
 use http_types::Url;
 use smol::Timer;
 use smol::future;
+use smol::io::AsyncRead;
+use smol::io::AsyncReadExt;
+use smol::io::AsyncWrite;
 use smol::net::TcpStream;
 
 use crate::error::CtlError;
@@ -64,20 +66,26 @@
         let url = Url::parse(&format!("http://{}{path}", target.address));
         let request = Request::new(method, url.map_err(io::Error::other)?);
         let stream = TcpStream::connect(target.address).await?;
-        let answer = match &self.tls {
-            None => async_h1::connect(stream, request).await,
+        match &self.tls {
+            None => read_page(stream, request, path).await,
             Some(tls) => {
                 let stream = tls.connect(target.instance.as_str(), stream).await?;
-                async_h1::connect(async_dup::Mutex::new(stream), request).await
+                read_page(stream, request, path).await
             }
-        };
-        let mut answer = answer.map_err(|error| io::Error::other(error.to_string()))?;
-        let status = answer.status();
-        let body = answer.body_bytes().await;
-        let body = body.map_err(|error| io::Error::other(error.to_string()))?;
-        if status == StatusCode::Ok || status == StatusCode::Accepted {
-            return Ok(body);
         }
-        Err(io::Error::other(format!("{path} answered {status}")))
+    }
+}
+
+/// Sends a request and reads the whole answer, which must be a success.
+async fn read_page<S>(stream: S, request: Request, path: &str) -> io::Result<Vec<u8>>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let mut answer = guavawell_http::exchange(stream, request).await?;
+    let mut body = Vec::new();
+    answer.read_to_end(&mut body).await?;
+    match answer.status() {
+        200 | 202 => Ok(body),
+        status => Err(io::Error::other(format!("{path} answered {status}"))),
     }
 }
--- a/crates/guavawell-fleet/src/engine/client.rs
+++ b/crates/guavawell-fleet/src/engine/client.rs
@@ -11,10 +11,12 @@
 use guavawell_core::id::OrganisationId;
 use guavawell_core::id::RequestId;
 use guavawell_core::id::TokenCount;
+use guavawell_http::ReceivedResponse;
 use http_types::Body;
 use http_types::Method;
+use http_types::Mime;
 use http_types::Request;
-use http_types::Response;
+use http_types::StatusCode;
 use http_types::Url;
 use serde::Deserialize;
 use smol::Timer;
@@ -29,6 +31,9 @@
 use super::event::EventReader;
 use super::pool::ConnectionPool;
 
+/// A response of a backend server.
+pub(super) type EngineResponse = ReceivedResponse<TcpStream>;
+
 /// Bounds of the exchanges with backend servers.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -162,8 +167,8 @@
     ) -> Result<EngineExchange, EngineError> {
         let stream = self.connect(address, request.reuse).await?;
         let message = attempt_message(address, request);
-        let response = self.exchange(address, &stream, message, wait).await?;
-        self.open_exchange(address, stream, response)
+        let response = self.exchange(address, stream, message, wait).await?;
+        self.open_exchange(address, response)
     }
 
     /// Sends an attempt to a plain service and reads the whole answer.
@@ -179,19 +184,19 @@
     ) -> Result<ServiceAnswer, EngineError> {
         let stream = self.connect(address, request.reuse).await?;
         let message = attempt_message(address, request);
-        let mut response = self.exchange(address, &stream, message, wait).await?;
-        let status = u16::from(response.status());
+        let response = self.exchange(address, stream, message, wait).await?;
+        let status = response.status();
         if status == 503 {
             return Err(rejection(&response));
         }
-        let media = response
-            .content_type()
-            .map_or_else(|| "application/octet-stream".into(), |m| m.to_string());
-        let body = self.read_whole(&mut response).await?;
-        self.pool.give_back(address, stream);
+        if StatusCode::try_from(status).is_err() {
+            return Err(EngineError::Lost(unexpected_status(status)));
+        }
+        let media = media_type(&response);
+        let body = self.read_whole(address, response).await?;
         Ok(ServiceAnswer {
             status,
-            media: media.into(),
+            media,
             body,
         })
     }
@@ -214,8 +219,8 @@
             message.insert_header("last-event-id", last);
         }
         let wait = self.settings.control;
-        let response = self.exchange(address, &stream, message, wait).await?;
-        self.open_exchange(address, stream, response)
+        let response = self.exchange(address, stream, message, wait).await?;
+        self.open_exchange(address, response)
     }
 
     /// Reads the backend server's record of an attempt, on a new connection.
@@ -253,11 +258,9 @@
         let stream = self.connect(address, true).await?;
         let message = Request::new(Method::Get, url(address, path));
         let wait = self.settings.control;
-        let mut response = self.exchange(address, &stream, message, wait).await?;
+        let response = self.exchange(address, stream, message, wait).await?;
         check_status(&response)?;
-        let body = self.read_whole(&mut response).await?;
-        self.pool.give_back(address, stream);
-        Ok(body)
+        self.read_whole(address, response).await
     }
 
     /// Drops the idle connections to `address`, after one of them went silent.
@@ -275,10 +278,9 @@
         let path = format!("/v1/attempts/{attempt}");
         let message = Request::new(method, url(address, &path));
         let wait = self.settings.control;
-        let mut response = self.exchange(address, &stream, message, wait).await?;
+        let response = self.exchange(address, stream, message, wait).await?;
         check_status(&response)?;
-        let body = self.read_whole(&mut response).await?;
-        self.pool.give_back(address, stream);
+        let body = self.read_whole(address, response).await?;
         serde_json::from_slice(&body)
             .map_err(|error| EngineError::Malformed(error.to_string().into()))
     }
@@ -299,14 +301,13 @@
     pub(super) async fn exchange(
         &self,
         address: SocketAddr,
-        stream: &TcpStream,
+        stream: TcpStream,
         message: Request,
         wait: Duration,
-    ) -> Result<Response, EngineError> {
+    ) -> Result<EngineResponse, EngineError> {
         let answer = async {
-            async_h1::connect(stream.clone(), message)
-                .await
-                .map_err(|error| EngineError::Lost(std::io::Error::other(error.to_string())))
+            let exchanged = guavawell_http::exchange(stream, message);
+            exchanged.await.map_err(EngineError::Lost)
         };
         let silence = async {
             Timer::after(wait).await;
@@ -319,40 +320,41 @@
     fn open_exchange(
         &self,
         address: SocketAddr,
-        stream: TcpStream,
-        mut response: Response,
+        response: EngineResponse,
     ) -> Result<EngineExchange, EngineError> {
         check_status(&response)?;
         Ok(EngineExchange {
             address,
-            stream,
-            body: response.take_body(),
+            response,
             events: EventReader::default(),
             pool: Arc::clone(&self.pool),
         })
     }
 
-    pub(super) async fn read_whole(&self, response: &mut Response) -> Result<Vec<u8>, EngineError> {
-        let expected = response.len();
-        let body = response.take_body();
-        let read = read_bounded(body, self.settings.max_answer_bytes);
+    /// Reads the whole body, and keeps the connection if it can be used again.
+    pub(super) async fn read_whole(
+        &self,
+        address: SocketAddr,
+        mut response: EngineResponse,
+    ) -> Result<Vec<u8>, EngineError> {
+        let read = read_bounded(&mut response, self.settings.max_answer_bytes);
         let silence = async {
             Timer::after(self.settings.idle).await;
             Err(EngineError::Silent)
         };
         let bytes = read.or(silence).await?;
-        // The body ends without an error if the connection is closed within it.
-        if expected.is_some_and(|length| length != bytes.len()) {
-            return Err(EngineError::Lost(io::ErrorKind::UnexpectedEof.into()));
+        if let Some(stream) = response.into_idle() {
+            self.pool.give_back(address, stream);
         }
         Ok(bytes)
     }
 }
 
-async fn read_bounded(body: Body, limit: usize) -> Result<Vec<u8>, EngineError> {
+async fn read_bounded(response: &mut EngineResponse, limit: usize) -> Result<Vec<u8>, EngineError> {
     let mut bytes = Vec::new();
     let bound = u64::try_from(limit).unwrap_or(u64::MAX).saturating_add(1);
-    body.take(bound)
+    response
+        .take(bound)
         .read_to_end(&mut bytes)
         .await
         .map_err(EngineError::Lost)?;
@@ -362,6 +364,18 @@
     Ok(bytes)
 }
 
+/// The media type of a body, as it can be passed on.
+fn media_type(response: &EngineResponse) -> Box<str> {
+    let stated = response.field("content-type");
+    let media: Option<Mime> = stated
+        .filter(|text| text.is_ascii())
+        .and_then(|text| text.parse().ok());
+    media.map_or_else(
+        || "application/octet-stream".into(),
+        |media| media.to_string().into(),
+    )
+}
+
 fn attempt_message(address: SocketAddr, request: &EngineRequest) -> Request {
     let mut message = Request::new(Method::Post, url(address, &request.path));
     message.insert_header("content-type", "application/json");
@@ -381,21 +395,27 @@
     Url::parse(&format!("http://{address}{path}")).expect("an address and a path make a URL")
 }
 
-pub(super) fn check_status(response: &Response) -> Result<(), EngineError> {
-    let status = u16::from(response.status());
-    match status {
+/// Checks that an exchange was accepted. Only the client errors and 503 say that nothing
+/// was run.
+pub(super) fn check_status(response: &EngineResponse) -> Result<(), EngineError> {
+    match response.status() {
         200 => Ok(()),
         404 => Err(EngineError::UnknownAttempt),
-        _ => Err(rejection(response)),
+        400..500 | 503 => Err(rejection(response)),
+        status => Err(EngineError::Lost(unexpected_status(status))),
     }
 }
 
-fn rejection(response: &Response) -> EngineError {
+fn unexpected_status(status: u16) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("status {status}"))
+}
+
+fn rejection(response: &EngineResponse) -> EngineError {
     let seconds = response
-        .header("retry-after")
-        .and_then(|values| values.as_str().parse::<u64>().ok());
+        .field("retry-after")
+        .and_then(|text| text.parse::<u64>().ok());
     EngineError::Rejected {
-        status: u16::from(response.status()),
-        retry_after: seconds.map(|seconds| ClockSpan::from_millis(seconds * 1_000)),
+        status: response.status(),
+        retry_after: seconds.map(|seconds| ClockSpan::from_millis(seconds.saturating_mul(1_000))),
     }
 }
--- a/crates/guavawell-fleet/src/engine/order.rs
+++ b/crates/guavawell-fleet/src/engine/order.rs
@@ -113,10 +113,9 @@
             .map_err(|error| EngineError::Malformed(error.to_string().into()))?;
         message.set_body(body);
         let wait = self.settings().control;
-        let mut response = self.exchange(address, &stream, message, wait).await?;
+        let response = self.exchange(address, stream, message, wait).await?;
         check_status(&response)?;
-        self.read_whole(&mut response).await?;
-        self.pool.give_back(address, stream);
+        self.read_whole(address, response).await?;
         Ok(())
     }
 }
--- a/crates/guavawell-fleet/src/platform/exchange.rs
+++ b/crates/guavawell-fleet/src/platform/exchange.rs
@@ -7,9 +7,9 @@
 use guavawell_core::clock::ClockSpan;
 use guavawell_core::platform::ReadClass;
 use guavawell_core::platform::WriteClass;
+use guavawell_http::ReceivedResponse;
 use http_types::Method;
 use http_types::Request;
-use http_types::Response;
 use http_types::Url;
 use smol::Timer;
 use smol::future;
@@ -327,38 +327,23 @@
     }
 
     async fn exchange(&self, stream: TcpStream, request: Request) -> io::Result<PlatformAnswer> {
-        let mut response = async_h1::connect(stream.clone(), request)
-            .await
-            .map_err(|error| io::Error::other(error.to_string()))?;
-        let status = u16::from(response.status());
+        let mut response = guavawell_http::exchange(stream, request).await?;
+        let status = response.status();
         let body = self.read_body(&mut response).await?;
-        if keeps_open(&response) {
+        if let Some(stream) = response.into_idle() {
             self.pool.put_back(stream);
         }
         Ok(PlatformAnswer { status, body })
     }
 
-    async fn read_body(&self, response: &mut Response) -> io::Result<Vec<u8>> {
+    async fn read_body(&self, response: &mut ReceivedResponse<TcpStream>) -> io::Result<Vec<u8>> {
         let limit = self.pool.settings.max_answer_bytes;
-        let expected = response.len();
         let mut body = Vec::new();
-        let mut reader = response.take_body().take(limit as u64 + 1);
+        let mut reader = response.take(limit as u64 + 1);
         reader.read_to_end(&mut body).await?;
         if body.len() > limit {
             return Err(io::Error::other(format!("answer beyond {limit} bytes")));
         }
-        if expected.is_some_and(|length| length != body.len()) {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
         Ok(body)
     }
 }
-
-fn keeps_open(response: &Response) -> bool {
-    let framed = response.header("content-length").is_some()
-        || response.header("transfer-encoding").is_some();
-    let closes = response
-        .header("connection")
-        .is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"));
-    framed && !closes
-}
--- a/crates/guavawell-forward/src/http/channel/mod.rs
+++ b/crates/guavawell-forward/src/http/channel/mod.rs
@@ -19,6 +19,7 @@
 use guavawell_core::forward::EndNotice;
 use guavawell_core::forward::RequestWrite;
 use guavawell_core::id::InstanceId;
+use guavawell_http::head_length;
 use smol::Async;
 use socket2::SockRef;
 
@@ -341,7 +342,7 @@
         loop {
             skipped += self.skip_empty_lines();
             let bytes = self.received();
-            let end = head_end(bytes, searched);
+            let end = head_length(bytes, searched);
             if skipped + end.unwrap_or(bytes.len()) > limit {
                 return Err(ChannelError::HeadTooLong);
             }
@@ -457,11 +458,3 @@
         Ok(sent)
     }
 }
-
-/// The length of a head; `None` if it is incomplete. The first `from` bytes were
-/// searched before.
-fn head_end(bytes: &[u8], from: usize) -> Option<usize> {
-    let rest = bytes.get(from..)?;
-    let index = rest.windows(4).position(|window| window == b"\r\n\r\n")?;
-    Some(from + index + 4)
-}
--- a/crates/guavawell-forward/src/http/body.rs
+++ b/crates/guavawell-http/src/body.rs
@@ -2,8 +2,8 @@
 
 use thiserror::Error;
 
-use super::BodyFraming;
-use super::head::is_field_line;
+use crate::BodyFraming;
+use crate::head::is_field_line;
 
 /// Largest chunk size line, extensions included, in bytes.
 const MAX_CHUNK_SIZE_LINE: usize = 256;
--- a/crates/guavawell-forward/src/http/head.rs
+++ b/crates/guavawell-http/src/head.rs
@@ -360,8 +360,17 @@
     }
 }
 
+/// The length of the head at the start of `bytes`; `None` if it is incomplete. The first
+/// `searched` bytes were searched before.
+#[must_use]
+pub fn head_length(bytes: &[u8], searched: usize) -> Option<usize> {
+    let rest = bytes.get(searched..)?;
+    let index = rest.windows(4).position(|window| window == b"\r\n\r\n")?;
+    Some(searched + index + 4)
+}
+
 /// Whether a line, which ends with a line break, is a field.
-pub(super) fn is_field_line(line: &[u8]) -> bool {
+pub(crate) fn is_field_line(line: &[u8]) -> bool {
     let lines = [line, b"\r\n"].concat();
     let mut room = [EMPTY_HEADER; 1];
     let parsed = httparse::parse_headers(&lines, &mut room);
--- a/crates/guavawell-load/src/client/exchange.rs
+++ b/crates/guavawell-load/src/client/exchange.rs
@@ -6,9 +6,9 @@
 
 use futures::future::Either;
 use futures::future::select;
+use guavawell_http::ReceivedResponse;
 use http_types::Method;
 use http_types::Request;
-use http_types::Response;
 use http_types::Url;
 use smol::Timer;
 use smol::io::AsyncReadExt;
@@ -25,6 +25,9 @@
 /// Bytes read from a body at a time.
 const READ_BYTES: usize = 8 * 1024;
 
+/// A response of a router.
+type RouterResponse = ReceivedResponse<TcpStream>;
+
 /// One request, ready to send.
 pub(crate) struct Outgoing<'a> {
     /// Where to, with scheme and path.
@@ -116,20 +119,18 @@
     answer: &mut Exchange,
     last_byte: &Cell<Instant>,
 ) {
-    let Ok(mut response) = async_h1::connect(stream, build_request(outgoing)).await else {
+    let Ok(mut response) = guavawell_http::exchange(stream, build_request(outgoing)).await else {
         return;
     };
     last_byte.set(Instant::now());
     answer.request = header_text(&response, "x-guavawell-request");
     answer.attempt = header_text(&response, "x-guavawell-attempt");
-    let closes = header_text(&response, "connection")
-        .is_some_and(|value| value.eq_ignore_ascii_case("close"));
-    let read_whole = if response.status().is_success() {
+    let read_whole = if matches!(response.status(), 200..300) {
         read_success(&mut response, outgoing.chat, answer, last_byte).await
     } else {
         read_refusal(&mut response, answer).await
     };
-    answer.reusable = read_whole && !closes;
+    answer.reusable = read_whole && response.into_idle().is_some();
 }
 
 fn build_request(outgoing: &Outgoing<'_>) -> Request {
@@ -148,7 +149,7 @@
 }
 
 async fn read_success(
-    response: &mut Response,
+    response: &mut RouterResponse,
     chat: bool,
     answer: &mut Exchange,
     last_byte: &Cell<Instant>,
@@ -158,7 +159,7 @@
     if streamed {
         return read_stream(response, answer, last_byte).await;
     }
-    let Ok(body) = response.body_bytes().await else {
+    let Some(body) = read_body(response).await else {
         return false;
     };
     if chat {
@@ -170,6 +171,13 @@
     true
 }
 
+/// The whole body; `None` if it is incomplete.
+async fn read_body(response: &mut RouterResponse) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    response.read_to_end(&mut body).await.ok()?;
+    Some(body)
+}
+
 fn read_chat(body: &[u8], answer: &mut Exchange) -> TryEnd {
     match serde_json::from_slice::<ChatAnswer<'_>>(body) {
         Ok(chat) => {
@@ -183,16 +191,15 @@
 
 /// Reads events to the end of the body; `true` if the body ended cleanly.
 async fn read_stream(
-    response: &mut Response,
+    response: &mut RouterResponse,
     answer: &mut Exchange,
     last_byte: &Cell<Instant>,
 ) -> bool {
-    let mut body = response.take_body();
     let mut decoder = StreamDecoder::default();
     let mut buffer = [0; READ_BYTES];
     let mut ended = false;
     loop {
-        let Ok(count) = body.read(&mut buffer).await else {
+        let Ok(count) = response.read(&mut buffer).await else {
             return false;
         };
         if count == 0 {
@@ -245,11 +252,11 @@
     answer.content.len() > before
 }
 
-async fn read_refusal(response: &mut Response, answer: &mut Exchange) -> bool {
-    let status = response.status() as u16;
+async fn read_refusal(response: &mut RouterResponse, answer: &mut Exchange) -> bool {
+    let status = response.status();
     let after = header_text(response, "retry-after").and_then(|text| text.parse().ok());
     answer.retry_after = after.map(Duration::from_secs);
-    let Ok(body) = response.body_bytes().await else {
+    let Some(body) = read_body(response).await else {
         return false;
     };
     let problem = serde_json::from_slice(&body).unwrap_or_default();
@@ -287,6 +294,6 @@
     TryEnd::Incomplete { why }
 }
 
-fn header_text(response: &Response, name: &str) -> Option<Box<str>> {
-    response.header(name).map(|value| value.as_str().into())
+fn header_text(response: &RouterResponse, name: &str) -> Option<Box<str>> {
+    response.field(name).map(Into::into)
 }
--- a/crates/guavawell-load/tests/suite/main.rs
+++ b/crates/guavawell-load/tests/suite/main.rs
@@ -5,3 +5,4 @@
 mod env;
 mod plan;
 mod run;
+mod short;
