--- a/crates/guavawell-fleet/src/platform/judge.rs
+++ b/crates/guavawell-fleet/src/platform/judge.rs
@@ -28,8 +28,9 @@
         200..=299 | 404 | 412 => Ok(answer),
         429 => Err(PlatformError::Outage("429 too many requests".into())),
         503 => Err(unavailable(kind, &answer)),
-        500..=599 => Err(no_answer(kind, &describe(&answer))),
-        _ => Err(PlatformError::Refused(describe(&answer))),
+        400..=499 => Err(PlatformError::Refused(describe(&answer))),
+        // No other status excludes that a write was applied.
+        _ => Err(no_answer(kind, &describe(&answer))),
     }
 }
 
--- a/crates/guavawell-fleet/tests/platform.rs
+++ b/crates/guavawell-fleet/tests/platform.rs
@@ -73,6 +73,18 @@
     ));
 }
 
+// Guards against a write that counts as not applied because of a status that does not say
+// so.
+#[test]
+fn a_write_that_is_not_refused_may_have_been_applied() {
+    for (status, is_certain) in [(204, false), (302, false), (500, false), (403, true)] {
+        let fake = FakePlatform::start(move |_| answer(status, ""));
+        let written = smol::block_on(table(&fake).txn(&insert(), WriteClass::Claim));
+        let error = written.expect_err("no answer to a transaction");
+        assert_eq!(error.not_applied(), is_certain, "{status}: {error}");
+    }
+}
+
 #[test]
 fn a_range_is_read_page_by_page() {
     // "YQ==" is `a`, "YQA=" is `a` and a zero byte, "YWI=" is `ab`.
