Do not conclude from what an instance did not see at which version a stream began

Cause: a take-up that does not name its stream is known by its request, and a process that has just started knows only the streams that began since; one version alone in the list for three times the route's limit counted as proof, though the list tells nothing of the time before the start and nothing makes a take-up come within that time.

Why the fix works: a table of origins says since when it is kept. All other take-ups are refused as not run.

The core test `a_request_is_not_known_while_its_streams_may_be_older_than_the_table`.

--- a/crates/guavawell-core/src/stream/mod.rs
+++ b/crates/guavawell-core/src/stream/mod.rs
@@ -16,6 +16,7 @@
 pub use origin::SharedOrigin;
 pub use origin::StreamOrigin;
 pub use origin::StreamTag;
+pub use table::MAX_STREAM_AGE;
 pub use table::OriginSettings;
 pub use table::OriginTable;
 pub use version::MAX_VERSION_BYTES;
--- a/crates/guavawell-core/src/stream/table.rs
+++ b/crates/guavawell-core/src/stream/table.rs
@@ -8,6 +8,10 @@
 use crate::stream::StreamOrigin;
 use crate::stream::StreamTag;
 
+/// Time after its first event for which a stream may still be continued, as far as an
+/// instance concludes from what it did not see. Nothing that a caller sends bounds it.
+pub const MAX_STREAM_AGE: ClockSpan = ClockSpan::from_millis(900_000);
+
 /// Sizes of an [`OriginTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OriginSettings {
@@ -24,7 +28,7 @@
         Self {
             max_streams: 8_192,
             max_streams_per_organisation: 2_048,
-            max_life: ClockSpan::from_millis(900_000),
+            max_life: MAX_STREAM_AGE,
         }
     }
 }
@@ -47,6 +51,8 @@
     settings: OriginSettings,
     /// Sorted by stream.
     records: Vec<StreamRecord>,
+    /// Since when streams are kept; `None` if none began before.
+    kept_since: Option<ClockTime>,
 }
 
 impl OriginTable {
@@ -56,9 +62,25 @@
         Self {
             settings,
             records: Vec::new(),
+            kept_since: None,
         }
     }
 
+    /// A table of an instance that started at `start`, while others may have served
+    /// streams before.
+    #[must_use]
+    pub fn kept_since(self, start: ClockTime) -> Self {
+        Self {
+            kept_since: Some(start),
+            ..self
+        }
+    }
+
+    /// Records that no stream began before the table was kept.
+    pub const fn note_first_start(&mut self) {
+        self.kept_since = None;
+    }
+
     /// Number of streams.
     #[must_use]
     pub const fn len(&self) -> usize {
@@ -78,14 +100,18 @@
         record.origin.as_ref().filter(|_| now < record.expires_at)
     }
 
-    /// Where the streams of a request began; `None` if there are none, or if not all
-    /// began at the same version.
+    /// Where the streams of a request began; `None` if there are none, if not all began
+    /// at the same version, or if one may have begun before streams were kept.
     #[must_use]
     pub fn find_request(
         &self,
         fingerprint: RequestFingerprint,
         now: ClockTime,
     ) -> Option<&StreamOrigin> {
+        let is_young = |start: ClockTime| now.since(start) < self.settings.max_life;
+        if self.kept_since.is_some_and(is_young) {
+            return None;
+        }
         let mut records = self
             .records
             .iter()
--- a/crates/guavawell-core/tests/stream/main.rs
+++ b/crates/guavawell-core/tests/stream/main.rs
@@ -9,6 +9,7 @@
 use guavawell_core::id::OrganisationId;
 use guavawell_core::poison::OrganisationTag;
 use guavawell_core::poison::RequestFingerprint;
+use guavawell_core::stream::MAX_STREAM_AGE;
 use guavawell_core::stream::MAX_VERSION_BYTES;
 use guavawell_core::stream::OriginSettings;
 use guavawell_core::stream::OriginTable;
@@ -124,6 +125,32 @@
     assert_eq!(table.find(StreamTag::new(3), START), Some(&origin("v2")));
 }
 
+// Guards against a stream that goes on where a later one of the same request began, because
+// the instances that knew of it have ended.
+#[test]
+fn a_request_is_not_known_while_its_streams_may_be_older_than_the_table() {
+    let mut table = OriginTable::default().kept_since(START);
+    let add = |table: &mut OriginTable, now| {
+        let lasting = SharedOrigin {
+            lasts: MAX_STREAM_AGE,
+            ..shared(1, "acme", "v1")
+        };
+        table.add(&lasting, now);
+    };
+    let found = |table: &OriginTable, now| table.find_request(fingerprint(1), now).cloned();
+    add(&mut table, START);
+    let end = START + MAX_STREAM_AGE;
+    let before = end.before(ClockSpan::from_millis(1));
+    assert_eq!(found(&table, before), None);
+    assert_eq!(table.find(StreamTag::new(1), before), Some(&origin("v1")));
+    add(&mut table, before);
+    assert_eq!(found(&table, end), Some(origin("v1")));
+    let mut first = OriginTable::default().kept_since(START);
+    add(&mut first, START);
+    first.note_first_start();
+    assert_eq!(found(&first, START), Some(origin("v1")));
+}
+
 #[test]
 fn an_organisation_evicts_no_stream_of_another() {
     let settings = OriginSettings {
--- a/crates/guavawell-forward/src/budget/mod.rs
+++ b/crates/guavawell-forward/src/budget/mod.rs
@@ -181,6 +181,11 @@
         self.ledger.borrow().is_open()
     }
 
+    /// The number of this boot of the instance; 0 until the store has confirmed it.
+    pub(crate) fn boot(&self) -> u64 {
+        self.ledger.borrow().boot()
+    }
+
     /// The number of instances in the fleet, as the ledger assumes it.
     #[must_use]
     pub fn instances(&self) -> usize {
--- a/crates/guavawell-forward/src/continuation/ask.rs
+++ b/crates/guavawell-forward/src/continuation/ask.rs
@@ -13,12 +13,13 @@
 use guavawell_core::grant::spread_over_zones;
 use guavawell_core::id::OrganisationId;
 use guavawell_core::poison::RequestFingerprint;
+use guavawell_core::stream::MAX_STREAM_AGE;
 use guavawell_core::stream::StreamOrigin;
 use guavawell_core::stream::StreamTag;
 
 use super::OriginQuestion;
 use super::is_resumable;
-use super::stream_life;
+use super::known_origin;
 use crate::clock::timer_span;
 use crate::intake::ReceivedRequest;
 use crate::peer::PeerRequest;
@@ -110,7 +111,7 @@
     route: &RouteEntry,
     until: ClockTime,
 ) -> (Option<StreamOrigin>, OriginSource) {
-    if let Some(origin) = router.origins.find(question, router.clock.now()) {
+    if let Some(origin) = known_origin(router, question) {
         return (Some(origin), OriginSource::Own);
     }
     if let Some(origin) = ask_instances(router, question, until).await {
@@ -176,7 +177,7 @@
 }
 
 /// The origin of all streams of a route, if its service had servers of one version only
-/// for as long as a stream can last. The list of servers must be newer than the
+/// for as long as a stream may be continued. The list of servers must be newer than the
 /// request: the caller may have got events of a server that this instance does not know
 /// yet.
 async fn only_origin(
@@ -190,7 +191,7 @@
     let only = || {
         let now = router.clock.now();
         let servers = router.servers.borrow();
-        let version = servers.only_version(&share.service, stream_life(route), now);
+        let version = servers.only_version(&share.service, MAX_STREAM_AGE, now);
         version.map(|version| StreamOrigin {
             service: share.service.clone(),
             version: version.clone(),
--- a/crates/guavawell-forward/src/continuation/mod.rs
+++ b/crates/guavawell-forward/src/continuation/mod.rs
@@ -28,11 +28,14 @@
 use self::tell::UntoldOrigin;
 pub use self::tell::retell_origins;
 pub use self::tell::tell_origins;
+use crate::clock::SteadyClock;
 use crate::router::ForwardRouter;
 use crate::serve::ForwardCall;
 
 /// How often a caller sends a request for one stream, the first one included.
 const MAX_REQUESTS: u64 = 3;
+/// Number of the first boot of an instance.
+const FIRST_BOOT: u64 = 1;
 
 /// Asks where a stream began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,8 +59,9 @@
 
 impl Default for StreamOrigins {
     fn default() -> Self {
+        let table = OriginTable::new(OriginSettings::default());
         Self {
-            table: RefCell::new(OriginTable::new(OriginSettings::default())),
+            table: RefCell::new(table.kept_since(SteadyClock::ORIGIN)),
             untold: RefCell::default(),
             unaddressed: RefCell::default(),
             added: Event::new(),
@@ -66,16 +70,6 @@
 }
 
 impl StreamOrigins {
-    /// Where a stream began, if this instance knows it.
-    pub(crate) fn find(&self, question: OriginQuestion, now: ClockTime) -> Option<StreamOrigin> {
-        let table = self.table.borrow();
-        let origin = match question.stream {
-            Some(stream) => table.find(stream, now),
-            None => table.find_request(question.fingerprint, now),
-        };
-        origin.cloned()
-    }
-
     /// Adds streams of which another instance told.
     pub(crate) fn learn(&self, origins: &[SharedOrigin], now: ClockTime) {
         let mut table = self.table.borrow_mut();
@@ -95,12 +89,34 @@
     }
 }
 
+/// Whether no instance of the fleet has served streams before this process started.
+fn starts_fleet(router: &ForwardRouter) -> bool {
+    router.settings.may_start_fleet && router.budgets.boot() == FIRST_BOOT
+}
+
+/// Where a stream began, if this instance knows it.
+pub(crate) fn known_origin(
+    router: &ForwardRouter,
+    question: OriginQuestion,
+) -> Option<StreamOrigin> {
+    let now = router.clock.now();
+    let mut table = router.origins.table.borrow_mut();
+    if starts_fleet(router) {
+        table.note_first_start();
+    }
+    let origin = match question.stream {
+        Some(stream) => table.find(stream, now),
+        None => table.find_request(question.fingerprint, now),
+    };
+    origin.cloned()
+}
+
 /// Whether callers may continue streams of a route.
 fn is_resumable(route: &RouteEntry) -> bool {
     route.streaming && route.retry_safety == RetrySafety::Resumable
 }
 
-/// How long a stream of a route and all its continuations can last.
+/// How long where a stream of a route began is kept.
 fn stream_life(route: &RouteEntry) -> ClockSpan {
     ClockSpan::from_millis(route.time_limit.as_millis().saturating_mul(MAX_REQUESTS))
 }
--- a/crates/guavawell-forward/src/peer/server.rs
+++ b/crates/guavawell-forward/src/peer/server.rs
@@ -18,6 +18,7 @@
 use super::message::write_tunnel_answer;
 use crate::accept::accept_all;
 use crate::clock::timer_span;
+use crate::continuation::known_origin;
 use crate::http::ChannelError;
 use crate::http::HeadWriter;
 use crate::http::HttpChannel;
@@ -181,7 +182,7 @@
             body = good_count_answer(&told_good_counts(router, &parts));
         }
         Some(PeerRequest::Origin(question)) => {
-            let origin = router.origins.find(question, router.clock.now());
+            let origin = known_origin(router, question);
             body = origin_answer(origin.as_ref());
         }
         Some(PeerRequest::Tunnel(incarnation, framing)) => {
--- a/crates/guavawell-forward/src/settings.rs
+++ b/crates/guavawell-forward/src/settings.rs
@@ -120,6 +120,9 @@
     /// Whether callers may bring more than the instances can carry, so that an instance
     /// has to decide what it serves.
     pub expects_overload: bool,
+    /// Whether the whole fleet may be starting for the first time, so that no instance
+    /// has served streams yet.
+    pub may_start_fleet: bool,
     /// Limits on what clients hold before they are served.
     pub clients: ClientSettings,
     /// Limits of admission.
--- a/crates/guavawell-forward/tests/link.rs
+++ b/crates/guavawell-forward/tests/link.rs
@@ -65,6 +65,7 @@
             ..InstanceCapacity::default()
         },
         expects_overload,
+        may_start_fleet: true,
         congestion: CongestionSettings::default(),
         retry_limits: RetryLimits::default(),
         ledger: LedgerSettings::default(),
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -124,6 +124,7 @@
         read_ahead: ReadAheadSettings::default(),
         capacity: InstanceCapacity::default(),
         expects_overload: false,
+        may_start_fleet: true,
         congestion: CongestionSettings::default(),
         retry_limits: RetryLimits::default(),
         ledger,
