Refuse successes without their receipt, in two names, or in a coding nobody asked for

What callers saw: a 200 without the server's receipt, with an empty one or with two, with the id of another request beside its own, or with Content-Encoding came as an answer.

Cause: nothing between the head and the caller asked whose answer it is, but for the first of the ids.

Why the fix works: `response_check` is asked once for each head that ends an attempt's wait, before any part is passed on; what it refuses is lost like bytes that are no answer, and named in `response.malformed`. Answers that are no success need no receipt; a coding that the caller asks for itself passes.

--- a/crates/guavawell-forward/src/attempt.rs
+++ b/crates/guavawell-forward/src/attempt.rs
@@ -39,6 +39,7 @@
 use crate::request::RequestBytes;
 use crate::response::BufferedResponse;
 use crate::response::IncomingResponse;
+use crate::response_check::check_response;
 use crate::retry::RequestProgress;
 use crate::router::ForwardRouter;
 use crate::routing::is_allowed;
@@ -341,7 +342,11 @@
             guard.server_restarted().await;
             Err(ChannelError::Closed)
         };
-        let result = write.or(read).or(restarted).await;
+        let received = write.or(read).or(restarted).await;
+        let result = received.and_then(|head| {
+            check_response(&router.settings.names, &call.request.head, call.id, &head)?;
+            Ok(head)
+        });
         let error = match result {
             Ok(head) => {
                 guard.note_received(&info);
--- a/crates/guavawell-forward/src/field_names.rs
+++ b/crates/guavawell-forward/src/field_names.rs
@@ -27,6 +27,8 @@
     pub priority: &'static str,
     /// Set by a server that did not run the request.
     pub not_run: &'static str,
+    /// A server's receipt for a request. Each success bears one.
+    pub receipt: &'static str,
     /// A server's load: requests running, requests waiting, slots, and from some servers
     /// how long work takes now, in percent of the usual time.
     pub load: &'static str,
--- a/crates/guavawell-forward/src/http/error.rs
+++ b/crates/guavawell-forward/src/http/error.rs
@@ -9,6 +9,7 @@
 
 use super::BodyError;
 use super::HeadError;
+use crate::response_check::ResponseFault;
 
 /// Why a connection cannot be used any more.
 #[derive(Debug, Error)]
@@ -37,6 +38,9 @@
     /// A body is malformed.
     #[error(transparent)]
     Body(#[from] BodyError),
+    /// A response is no answer to its request.
+    #[error(transparent)]
+    Response(#[from] ResponseFault),
     /// A step did not finish within its time limit.
     #[error("timed out")]
     TimedOut,
@@ -49,10 +53,13 @@
         matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
-    /// Whether what arrived is no message of the protocol.
+    /// Whether what arrived is no message of the protocol, or none that was due.
     #[must_use]
     pub const fn is_malformed(&self) -> bool {
-        matches!(self, Self::HeadTooLong | Self::Head(_) | Self::Body(_))
+        matches!(
+            self,
+            Self::HeadTooLong | Self::Head(_) | Self::Body(_) | Self::Response(_)
+        )
     }
 
     /// Whether the connection was refused or reset, rather than left unanswered.
--- a/crates/guavawell-forward/src/lib.rs
+++ b/crates/guavawell-forward/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod relay;
 pub mod request;
 pub mod response;
+pub mod response_check;
 pub mod retry;
 pub mod retry_after;
 pub mod router;
--- a/crates/guavawell-forward/tests/start.rs
+++ b/crates/guavawell-forward/tests/start.rs
@@ -51,6 +51,7 @@
     expected_server: "server",
     priority: "priority",
     not_run: "not-run",
+    receipt: "receipt",
     load: "load",
     leaving: "Leaving",
     cold: "Cold",
