--- a/crates/guavawell-http/src/body.rs
+++ b/crates/guavawell-http/src/body.rs
@@ -52,6 +52,7 @@
 impl BodyDecoder {
     /// Creates a decoder for a new body.
     #[must_use]
+    #[inline]
     pub const fn new(framing: BodyFraming) -> Self {
         let (state, chunked) = match framing {
             BodyFraming::Empty | BodyFraming::Length(0) => (BodyState::Done, false),
@@ -69,18 +70,21 @@
 
     /// Whether the length of the body was known before it was received.
     #[must_use]
+    #[inline]
     pub const fn states_length(&self) -> bool {
         self.states_length
     }
 
     /// Whether the body is complete.
     #[must_use]
+    #[inline]
     pub fn is_done(&self) -> bool {
         self.state == BodyState::Done
     }
 
     /// Whether the body ends when the connection closes.
     #[must_use]
+    #[inline]
     pub fn ends_at_close(&self) -> bool {
         self.state == BodyState::UntilClose
     }
--- a/crates/guavawell-http/src/head.rs
+++ b/crates/guavawell-http/src/head.rs
@@ -80,6 +80,7 @@
         }
     }
 
+    #[inline]
     const fn range(self) -> Range<usize> {
         self.start as usize..self.end as usize
     }
@@ -87,6 +88,7 @@
 
 impl FieldList {
     /// All fields in order.
+    #[inline]
     pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.fields.iter().map(|field| {
             let name = &self.bytes[field.name.range()];
@@ -96,6 +98,7 @@
     }
 
     /// The values of a field, in order.
+    #[inline]
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
         let same = move |field: &&FieldSpan| {
             let field_name = &self.bytes[field.name.range()];
@@ -107,6 +110,7 @@
 
     /// The first value of a field, if it is valid UTF-8.
     #[must_use]
+    #[inline]
     pub fn get<'a>(&'a self, name: &'a str) -> Option<&'a str> {
         let value = self.all(name).next()?;
         std::str::from_utf8(value).ok()
@@ -114,6 +118,7 @@
 
     /// Whether a comma-separated field contains a token, ignoring case.
     #[must_use]
+    #[inline]
     pub fn has_token(&self, name: &str, token: &str) -> bool {
         self.members(name)
             .any(|member| member.eq_ignore_ascii_case(token))
@@ -296,6 +301,7 @@
 impl ResponseHead {
     /// Whether it is an interim response, which the response to the same request follows.
     #[must_use]
+    #[inline]
     pub fn is_interim(&self) -> bool {
         INTERIM_STATUSES.contains(&self.status)
     }
