Split heads by job: fields, framing; say what the age of a stream means

Moved code only: `fields` holds the fields of a head and those that concern one connection, `framing` decides on the body, `head` parses.

--- a/crates/guavawell-core/src/stream/table.rs
+++ b/crates/guavawell-core/src/stream/table.rs
@@ -8,8 +8,9 @@
 use crate::stream::StreamOrigin;
 use crate::stream::StreamTag;
 
-/// Time after its first event for which a stream may still be continued, as far as an
-/// instance concludes from what it did not see. Nothing that a caller sends bounds it.
+/// Age of a stream from which on it is no longer continued. An instance that has run for
+/// less than this may not know a stream that is. Nothing that callers send bounds it, so it
+/// is far longer than they wait.
 pub const MAX_STREAM_AGE: ClockSpan = ClockSpan::from_millis(900_000);
 
 /// Sizes of an [`OriginTable`].
--- a/crates/guavawell-http/src/lib.rs
+++ b/crates/guavawell-http/src/lib.rs
@@ -9,16 +9,18 @@
 
 mod body;
 mod exchange;
+mod fields;
+mod framing;
 mod head;
 mod response;
 
 pub use body::BodyDecoder;
 pub use body::BodyError;
 pub use exchange::exchange;
-pub use head::BodyFraming;
-pub use head::FieldList;
+pub use fields::FieldList;
+pub use fields::HopByHopNames;
+pub use framing::BodyFraming;
 pub use head::HeadError;
-pub use head::HopByHopNames;
 pub use head::RequestHead;
 pub use head::ResponseHead;
 pub use head::head_length;
